--- /dev/null
+++ b/src/main/java/wrenkeel/Control.java
@@ -0,0 +1,909 @@
+package wrenkeel;
+
+import java.util.*;
+import wrenkeel.Relay.*;
+import wrenkeel.State.*;
+
+/**
+ * All decisions of one relay. The interface (settings, events, actions) is in Relay.java.
+ *
+ * <p>Feed {@link #turn} with the time and events; carry out what it returns, in order. One thread.
+ *
+ * <p>Sections: tuned values; state; events; message life; dispatch and the send gate; copies; window and
+ * pace; health and the return budget; list of endpoints; clockwork. The ordinary path is speculative
+ * execution: docs/design.md tells what is kept, added and excepted.
+ */
+public final class Control {
+    // ---- Tuned values ---------------------------------------------------------------------------
+    private static final long MS = 1_000L, SECOND = 1_000_000L, NEVER = Long.MAX_VALUE;
+    /** us; copy delay until a destination's answers are known (the design's figure). */
+    private static final long FIRST_DELAY = 200 * MS;
+    /** Share of recent answers below the copy delay; the design asks for about nine in ten. */
+    private static final double DELAY_RANK = 0.95;
+    /** Answers remembered for the delay (a tail, yet it follows), and how many make it known. */
+    private static final int ANSWERS = 48, KNOWN = 8;
+    /** Extra executions of one message; the source's example uses one. */
+    private static final int EXTRAS = 1;
+    /** Calls a limit must have left for a copy; copies earned by a send, and saved: no pile-up. */
+    private static final double COPY_ROOM = 2, COPY_SHARE = 0.05, COPY_SAVED = 2;
+    /** Share of the slots that one destination's window may reach; and while it fails or is slow. */
+    private static final double WINDOW_SHARE = 0.75, WINDOW_POOR = 0.3;
+    /** A destination is slow when its latest answers take this multiple of the usual. */
+    private static final double SLOW = 2.5;
+    /** Weights of a new answer in the latest and the usual time. */
+    private static final double LATEST = 0.3, USUAL = 0.03;
+    /** us; time-out: a multiple of the copy delay, its bounds, and one until answers are known. */
+    private static final double PATIENCE = 4.5;
+    private static final long PATIENCE_LEAST = 3 * SECOND / 2, PATIENCE_MOST = 6 * SECOND,
+        PATIENCE_FIRST = 3 * SECOND;
+    /** Longer time-outs where one loses the message. */
+    private static final double PATIENCE_UNSAFE = 3;
+    /** Priority: weight of the worth lost by another second of waiting against the worth itself. */
+    private static final double URGENCY = 2;
+    /** us; endpoint choice: price of opening a connection, of one point of fee, of each failure in a row. */
+    private static final long COST_CONNECT = 100 * MS, COST_POINT = 50 * MS, COST_FAILURE = 2 * SECOND;
+    /** Pace: most over the listed rate, cut at a refusal, growth at an answer, least of an even split. */
+    private static final double PACE_MOST = 1.4, PACE_CUT = 0.75, PACE_GROW = 0.2, PACE_LEAST = 0.5,
+        PACE_START = 2;
+    /** Calls a second: pace where no rate is listed (none); slowest pace (less would be a ban); no rate. */
+    private static final double UNPACED = 1e6, PACE_SLOWEST = 0.25, RATE_LEAST = 1e-6;
+    /** s; a lane may send this much of its pace at once. */
+    private static final double PACE_BURST = 0.7;
+    /** Share of the limit left below which the pace gives way, and the pace's steps. */
+    private static final double LEFT_LOW = 0.15, LEFT_CUT = 0.9;
+    /** Share of calls after a refusal that get in (by kind): least counted, weight of a new one, usual. */
+    private static final double EASE_LEAST = 0.03, EASE_WEIGHT = 0.1, EASE_USUAL = 0.3;
+    /** First back-off after a refusal or failed connect, in us and own gaps; growth up to the longest. */
+    private static final double BACKOFF_GROW = 3, BACKOFF_GAPS = 0.5, BACKOFF_MOST_GAPS = 10;
+    private static final long BACKOFF = 500 * MS, BACKOFF_LEAST = 150 * MS,
+        BACKOFF_MID = 2 * SECOND, BACKOFF_MOST = 8 * SECOND;
+    /** Shut rather than full: a told wait (us) past any limit span, or so many back-offs in a row. */
+    private static final long SHUT_TOLD = 5 * SECOND / 2, SHUT_RUN = 5;
+    /** Failures in a row, or a share of recent calls, that mean an outage; a new outcome's weight. */
+    private static final int OUTAGE_RUN = 3;
+    private static final double OUTAGE_SHARE = 0.6, OUTCOME_WEIGHT = 0.2;
+    /** us; a route that answered within this is not yet taken for failing. */
+    private static final long SILENT = 700 * MS;
+    /** us; a sibling of a failing route that answered a call sent this long before is not suspected. */
+    private static final long SUSPECT = 500 * MS;
+    /** us; span over which a relay measures its own usual rate to a destination. */
+    private static final long RATE_SPAN = 15 * SECOND, RATE_AGE = 3 * SECOND;
+    /** A connection stays open where this many uses are expected while connections of its kind are held. */
+    private static final double KEEP_USES = 0.5;
+    /** The span for which they are held: its cut at a failed connect, its growth at an answer. */
+    private static final double HOLD_CUT = 0.5, HOLD_GROW = 1.02;
+    /** us; least idle time for which a connection may be taken for dropped; trust per idle time proven. */
+    private static final double TRUST_LEAST = 250 * MS, TRUST_PROVEN = 1.25;
+    /** us; least gap between trials of a route; a suspicion cleared within this leaves no ramp. */
+    private static final long TRIAL_GAP = 400 * MS, SUSPICION = 2 * SECOND;
+    /** Part of the return budget used: leaves room for chance and for calls already under way. */
+    private static final double BUDGET_USED = 0.95;
+    /** A rough weight may be this much over the truth. */
+    private static final double ROUGH_OVER = 1.5;
+    /** s; a tenant inside its share may run ahead of it by this much. */
+    private static final double SHARE_BURST = 2;
+    /** us; a waiting message is looked at again at least this often while its lane is limited. */
+    private static final long RECHECK = 500 * MS;
+    /** us; an endpoint off the list is forgotten after this: past any wait or warm-up. */
+    private static final long FORGET = 600 * SECOND;
+    /** Log lines at most: operators keep only the first few hundred. */
+    private static final int LOG_LINES = 100;
+
+    // ---- State ----------------------------------------------------------------------------------
+    private record Pick(Msg msg, Route route, double priority) { }
+
+    private final Settings set;
+    private final SplittableRandom random;
+    private final Map<String, Msg> messages = new HashMap<>();
+    private final Map<String, Key> keys = new HashMap<>();
+    private final Map<Long, Dest> dests = new TreeMap<>();
+    private final Map<Long, Route> routes = new TreeMap<>();
+    private final Set<Dest> active = new LinkedHashSet<>();
+    private final Bucket[] shares;
+    /** us, by kind: how long idle connections are held (endpoints may take few), and trusted to be alive. */
+    private final double[] holds, trusts;
+    private final double[] eases;
+    private final PriorityQueue<Entry> agenda = new PriorityQueue<>();
+    private List<Action> out = new ArrayList<>();
+    private long now, beganAt, seq, turns, wakeAt = NEVER;
+    private int slotsUsed, open, logged;
+
+    /** A relay that knows nothing yet but its settings. */
+    public Control(long seed, Settings settings) {
+        set = Objects.requireNonNull(settings, "settings");
+        random = new SplittableRandom(seed);
+        shares = new Bucket[set.tenants().size()];
+        Arrays.setAll(shares, i -> new Bucket());
+        holds = new double[set.kinds().size()];
+        Arrays.fill(holds, set.allowed().keepAlive());
+        trusts = holds.clone();
+        eases = new double[holds.length];
+        Arrays.fill(eases, 1);
+    }
+
+    // ---- Events ---------------------------------------------------------------------------------
+    /** One turn: the time, which never goes back, and the events since the last. Returns what to do. */
+    public List<Action> turn(long time, List<Event> events) {
+        Objects.requireNonNull(events, "events");
+        if (turns > 0 && time < now) {
+            throw new IllegalArgumentException("clock went back from " + now + " to " + time);
+        }
+        now = time;
+        beganAt = turns++ == 0 ? now : beganAt;
+        out = new ArrayList<>();
+        for (Event event : events) {
+            take(Objects.requireNonNull(event, "event"));
+        }
+        runAgenda();
+        dispatch();
+        arm();
+        return out;
+    }
+
+    private void take(Event event) {
+        if (event instanceof Accepted e) {
+            accept(e);
+        } else if (event instanceof Ended e) {
+            attemptEnded(e);
+        } else if (event instanceof Listed e) {
+            listed(e);
+        } else if (event instanceof Withdrawn e && messages.containsKey(e.id())) {
+            close(messages.get(e.id()));
+        } else if (event instanceof Due && wakeAt <= now) {
+            wakeAt = NEVER;
+        }
+    }
+
+    // ---- Message life ---------------------------------------------------------------------------
+    private void accept(Accepted e) {
+        if (messages.containsKey(e.id())) {
+            return;
+        }
+        Msg m = new Msg();
+        m.id = e.id();
+        m.cls = set.classes().get(e.messageClass());
+        m.halving = set.halvingLate();
+        m.dest = dest(e.destination());
+        m.dest.mark(now, RATE_SPAN, Math.max(RATE_AGE, now - beganAt));
+        m.deadline = e.deadline();
+        m.aim = m.deadline - m.cls.life() + m.cls.aim();
+        boolean inShare = inShare(e.tenant());
+        m.band = e.messageClass() * 3 + (inShare ? 0 : 1);
+        m.full = m.cls.worth() * (inShare ? 1 : set.overShareWorth());
+        messages.put(m.id, m);
+        open++;
+        at(m.deadline, Duty.DEADLINE, m);
+        if (m.cls.inOrder() && e.key() != null) {
+            m.key = keys.computeIfAbsent(e.key(), k -> new Key());
+            m.key.name = e.key();
+            m.key.line.addLast(m);
+        }
+        if (m.key == null || m.key.line.peekFirst() == m) {
+            enqueue(m, false);
+        }
+        if (open >= set.allowed().open()) {
+            shed();
+        }
+    }
+
+    private boolean inShare(int tenant) {
+        if (tenant >= shares.length) {
+            return true;
+        }
+        double rate = set.tenants().get(tenant).quota() / set.relays();
+        shares[tenant].fill(rate, rate * SHARE_BURST, now);
+        return shares[tenant].take();
+    }
+
+    private void enqueue(Msg m, boolean again) {
+        if (again && m.cls.effect() == Effect.KEYED && m.mayHaveRun()) {
+            m.band = m.band / 3 * 3 + 2;
+        }
+        m.queued = true;
+        m.dest.waiting++;
+        active.add(m.dest);
+        Band band = m.dest.bands[m.band];
+        if (again) {
+            band.fresh.addFirst(m);
+        } else {
+            band.fresh.addLast(m);
+        }
+    }
+
+    private boolean mayRefuse(Msg m) {
+        return m.cls.effect() == Effect.SAFE || !m.mayHaveRun()
+            || m.cls.effect() == Effect.KEYED && !m.cls.zoneGroup();
+    }
+
+    /** Ends a message for want of a better answer: handed back where the rules allow it, else failed. */
+    private void giveUp(Msg m) {
+        if (m.ended) {
+            return;
+        }
+        out.add(mayRefuse(m) && now < m.deadline ? new Refuse(m.id, 0) : new Fail(m.id));
+        close(m);
+    }
+
+    /** The message is over: nothing more goes out for it, and copies still out are called off. */
+    private void close(Msg m) {
+        open -= m.ended ? 0 : 1;
+        m.ended = true;
+        m.dest.waiting -= m.queued ? 1 : 0;
+        m.queued = false;
+        for (int i = 0; i < m.attempts.size(); i++) {
+            Attempt a = m.attempts.get(i);
+            if (!a.done && !a.cancelled && set.allowed().cancel()) {
+                a.cancelled = true;
+                out.add(new Cancel(m.id, i));
+            }
+        }
+        settle(m);
+    }
+
+    /** Forgets an ended message once its last attempt is known, and lets the next of its key go. */
+    private void settle(Msg m) {
+        if (!m.ended || m.open > 0) {
+            return;
+        }
+        messages.remove(m.id);
+        if (m.key != null) {
+            advance(m.key);
+        }
+    }
+
+    private void advance(Key key) {
+        while (!key.line.isEmpty() && key.line.peekFirst().ended && key.line.peekFirst().open == 0) {
+            key.line.pollFirst();
+        }
+        Msg head = key.line.peekFirst();
+        boolean idle = head == null || !head.ended && !head.queued && head.open == 0;
+        if (idle && key.restUntil > now) {
+            at(key.restUntil, Duty.KEY, key);
+        } else if (head == null) {
+            keys.remove(key.name);
+        } else if (idle) {
+            enqueue(head, false);
+        }
+    }
+
+    private void attemptEnded(Ended e) {
+        Msg m = messages.get(e.id());
+        if (m == null || e.attempt() < 0 || e.attempt() >= m.attempts.size()
+            || m.attempts.get(e.attempt()).done) {
+            return;
+        }
+        Attempt a = m.attempts.get(e.attempt());
+        a.done = true;
+        a.maybeRan = !e.outcome().neverRan();
+        m.open--;
+        free(a);
+        observe(a, e);
+        if (m.key != null && (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET
+            || e.outcome() == Outcome.CANCELLED)) {
+            m.key.restUntil = now + set.rules().keyRest();
+        }
+        if (!m.ended && (e.over() || e.outcome() == Outcome.OK)) {
+            close(m);
+        } else if (!m.ended && m.open == 0) {
+            afterFailure(m);
+        } else {
+            settle(m);
+        }
+    }
+
+    /** No attempt is out and none has delivered: wait for another, or end. */
+    private void afterFailure(Msg m) {
+        boolean spent = m.attempts.size() >= set.allowed().attempts() || now >= m.deadline;
+        if (spent || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun()) {
+            giveUp(m);
+        } else {
+            enqueue(m, true);
+        }
+    }
+
+    private void free(Attempt a) {
+        Route r = a.route;
+        r.inflight--;
+        if (--a.call.open == 0) {
+            slotsUsed--;
+            r.dest.calls--;
+            r.idle.addLast(now);
+            release(r);
+        }
+        r.trials -= a.trial ? 1 : 0;
+        r.overdue -= a.overdue ? 1 : 0;
+        r.dest.overdue -= a.overdue ? 1 : 0;
+        active.add(r.dest);
+    }
+
+    /** Guards tables of few connections, idle ones counted, against a fleet that each keeps its own. */
+    private void release(Route r) {
+        double held = Math.min(holds[r.kind], trusts[r.kind]);
+        double uses = r.dest.usualRate / Math.max(1, r.dest.routes.size()) * held / SECOND;
+        if (uses < KEEP_USES && r.inflight == 0) {
+            drop(r);
+        }
+    }
+
+    private void drop(Route r) {
+        r.idle.clear();
+        out.add(new Close(r.id));
+    }
+
+    /** The hold is full: give back the waiting message that has least left to gain. */
+    private void shed() {
+        Msg worst = null;
+        double least = Double.MAX_VALUE;
+        for (Dest d : dests.values()) {
+            if (d.waiting == 0) {
+                continue;
+            }
+            double wait = d.waiting / d.window * Math.max(d.latest, FIRST_DELAY);
+            for (Band band : d.bands) {
+                Msg m = Band.first(band.late) != null ? Band.first(band.late) : Band.last(band.fresh);
+                double left = m != null && mayRefuse(m) ? m.worth(now + (long) wait) : least;
+                if (left < least) {
+                    least = left;
+                    worst = m;
+                }
+            }
+        }
+        if (worst != null) {
+            giveUp(worst);
+        }
+    }
+
+    // ---- Dispatch and the send gate -------------------------------------------------------------
+    private double priority(Msg m) {
+        long when = now + (long) m.dest.latest;
+        double soon = m.worth(when);
+        return soon + URGENCY * (soon - m.worth(when + SECOND));
+    }
+
+    /** Sends what may go, best first. What cannot go is looked at again in time, or when something ends. */
+    private void dispatch() {
+        List<Pick> picks = new ArrayList<>();
+        for (var it = active.iterator(); it.hasNext() && slotsUsed < set.allowed().slots();) {
+            Pick p = pick(it.next());
+            if (p != null) {
+                picks.add(p);
+            } else {
+                it.remove();
+            }
+        }
+        while (!picks.isEmpty()) {
+            Pick best = Collections.max(picks, Comparator.comparingDouble(Pick::priority));
+            picks.remove(best);
+            if (gate(best.msg, best.route, false) <= now) {
+                send(best.msg, best.route, false);
+            }
+            Pick next = slotsUsed < set.allowed().slots() || joins(best.route) ? pick(best.msg.dest) : null;
+            if (next != null) {
+                picks.add(next);
+            }
+        }
+    }
+
+    /** The best message of a destination that can go now, with its route; else arranges another look. */
+    private Pick pick(Dest d) {
+        Pick best = null;
+        long look = now + RECHECK;
+        for (Band band : d.bands) {
+            Msg m = d.waiting > 0 ? head(band) : null;
+            double priority = m == null ? 0 : priority(m);
+            if (m == null || best != null && best.priority >= priority) {
+                continue;
+            }
+            Route choice = null;
+            double least = Double.MAX_VALUE;
+            for (Route r : d.routes.values()) {
+                long when = gate(m, r, false);
+                double cost = when <= now ? cost(m, r) : least;
+                look = when <= now ? look : Math.min(look, when);
+                if (cost < least) {
+                    least = cost;
+                    choice = r;
+                }
+            }
+            if (choice != null) {
+                best = new Pick(m, choice, priority);
+            }
+        }
+        if (best == null && d.waiting > 0 && (d.lookAt <= now || look < d.lookAt)) {
+            d.lookAt = look;
+            at(look, Duty.LOOK, d);
+        }
+        return best;
+    }
+
+    /** Inside the aim the oldest goes first; past it the newest, which has most worth left. */
+    private Msg head(Band band) {
+        for (Msg m = Band.first(band.fresh); m != null; m = Band.first(band.fresh)) {
+            if (now + (long) m.dest.latest <= m.aim) {
+                return m;
+            }
+            band.late.addLast(band.fresh.pollFirst());
+        }
+        return Band.last(band.late);
+    }
+
+    private double cost(Msg m, Route r) {
+        double latency = r.latency > 0 ? r.latency : Math.max(r.dest.latest, FIRST_DELAY);
+        double points = r.zone == set.zone() ? 0 : set.prices().crossZone();
+        if (set.kinds().get(r.kind).apart() && r.zone < set.prices().zoneFee().size()) {
+            points += set.prices().zoneFee().get(r.zone);
+        }
+        int streams = Math.max(1, set.allowed().streams());
+        boolean warm = r.warm(now - set.allowed().keepAlive()) || r.inflight % streams != 0;
+        return latency * (1 + r.inflight) * (1 + 0.1 * random.nextDouble()) + (warm ? 0 : COST_CONNECT)
+            + points * 100 * COST_POINT + (double) (r.failRun + r.overdue + m.tries(r)) * COST_FAILURE;
+    }
+
+    private boolean joins(Route r) {
+        return r.bundleTurn == turns && r.bundle.size < set.kinds().get(r.kind).bundle();
+    }
+
+    /** The one gate of every send: when this message may go to this route; now or earlier means it may. */
+    private long gate(Msg m, Route r, boolean copy) {
+        if (!r.ready || m.ended || m.dest != r.dest || m.attempts.size() >= set.allowed().attempts()
+            || m.deadline <= now || !effectAllows(m, r, copy)) {
+            return NEVER;
+        }
+        if (m.key != null && (m.key.line.peekFirst() != m || m.key.restUntil > now && m.attempts.isEmpty())) {
+            return NEVER;
+        }
+        boolean joins = joins(r);
+        if (!joins && (slotsUsed >= set.allowed().slots() || r.dest.calls >= room(r.dest))) {
+            return NEVER;
+        }
+        return opens(r, joins);
+    }
+
+    /** The rule on effects: where an earlier attempt may have run, only what the class allows. */
+    private boolean effectAllows(Msg m, Route r, boolean copy) {
+        if (copy ? !set.allowed().copies() || m.cls.effect() == Effect.UNSAFE : m.open > 0) {
+            return false;
+        }
+        if (m.cls.effect() == Effect.SAFE) {
+            return true;
+        }
+        for (Attempt a : m.attempts) {
+            if (a.maybeRan && (m.cls.effect() == Effect.UNSAFE || now >= a.sent + m.cls.window()
+                || m.cls.zoneGroup() && a.route.zone != r.zone)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void send(Msg m, Route r, boolean copy) {
+        Attempt a = new Attempt();
+        a.msg = m;
+        a.route = r;
+        a.sent = now;
+        a.again = r.dest.refusals > 0;
+        if (joins(r)) {
+            a.call = r.bundle;
+        } else {
+            a.call = new Call();
+            r.bundle = a.call;
+            r.bundleTurn = turns;
+            slotsUsed++;
+            r.dest.calls++;
+            r.lane.bucket.tokens--;
+            if (!r.idle.isEmpty() && r.idle.peekLast() < now - trusts[r.kind]) {
+                drop(r);
+            }
+            a.idle = r.idle.isEmpty() ? -1 : now - r.idle.pollLast();
+        }
+        a.call.open++;
+        a.call.size++;
+        r.inflight++;
+        sent(r, a);
+        m.attempts.add(a);
+        m.open++;
+        if (m.queued) {
+            m.queued = false;
+            m.dest.waiting--;
+            m.dest.bands[m.band].remove(m);
+        }
+        out.add(new Send(m.id, r.id, patience(m)));
+        if (!copy) {
+            m.dest.copies = Math.min(COPY_SAVED, m.dest.copies + COPY_SHARE);
+        }
+        at(now + delay(m.dest), Duty.COPY, a);
+    }
+
+    private long patience(Msg m) {
+        Dest d = m.dest;
+        double base = Math.max(PATIENCE_LEAST, PATIENCE * delay(d));
+        base = d.answers.count < KNOWN ? PATIENCE_FIRST : Math.min(PATIENCE_MOST, base);
+        base *= m.cls.effect() == Effect.UNSAFE ? PATIENCE_UNSAFE : 1;
+        return Math.min(m.deadline - now, (long) base);
+    }
+
+    // ---- Copies (the design) --------------------------------------------------------------------
+    /** The copy delay of a destination: above about nine in ten of its recent answers. */
+    private long delay(Dest d) {
+        return d.answers.count < KNOWN ? FIRST_DELAY : d.answers.rank(DELAY_RANK);
+    }
+
+    /** The delay has passed with no answer: a copy to another endpoint, if there is room for one. */
+    private void considerCopy(Attempt a) {
+        Msg m = a.msg;
+        if (a.done) {
+            return;
+        }
+        if (!a.overdue) {
+            a.overdue = true;
+            a.route.overdue++;
+            m.dest.overdue++;
+        }
+        if (m.ended || m.extras >= EXTRAS || m.cls.effect() == Effect.UNSAFE || !set.allowed().copies()) {
+            return;
+        }
+        Route choice = null;
+        // Unsent messages go first; and copies are held to a share of sends, lest an overload, in which every
+        // call trips the delay, pile them onto a full destination.
+        if (m.dest.waiting == 0 && m.dest.copies >= 1 && !slow(m.dest)) {
+            double least = Double.MAX_VALUE;
+            for (Route r : m.dest.routes.values()) {
+                double cost = cost(m, r);
+                boolean free = gate(m, r, true) <= now && r.lane.bucket.tokens >= COPY_ROOM;
+                if (r != a.route && r.health == Health.GOOD && free && cost < least) {
+                    least = cost;
+                    choice = r;
+                }
+            }
+        }
+        if (choice != null) {
+            m.extras++;
+            m.dest.copies--;
+            send(m, choice, true);
+        }
+    }
+
+    // ---- Window and pace ------------------------------------------------------------------------
+    /** Calls that a destination may have out: its window, under a cap lower while failing or slow. */
+    private int room(Dest d) {
+        boolean poor = slow(d) || 2 * d.overdue > d.calls || !sound(d);
+        // Guards the slots against places that take calls and do not answer, before a time-out tells.
+        double cap = (poor ? WINDOW_POOR : WINDOW_SHARE) * set.allowed().slots();
+        return (int) Math.max(1, Math.min(d.window, cap));
+    }
+
+    private static boolean sound(Dest d) {
+        return d.routes.values().stream().anyMatch(r -> r.health == Health.GOOD);
+    }
+
+    private static boolean slow(Dest d) {
+        return d.usual > 0 && d.latest > SLOW * d.usual;
+    }
+
+    /** Learns from how an attempt ended. */
+    private void observe(Attempt a, Ended e) {
+        Dest d = a.route.dest;
+        Lane lane = a.route.lane;
+        int kind = a.route.kind;
+        if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL)) {
+            eases[kind] += EASE_WEIGHT * ((e.outcome() == Outcome.OK ? 1 : 0) - eases[kind]);
+        }
+        switch (e.outcome()) {
+            case OK -> {
+                answered(d, a.route, e.latency());
+                holds[kind] = Math.min(set.allowed().keepAlive(), holds[kind] * HOLD_GROW);
+                double trust = Math.max(trusts[kind] * HOLD_GROW, a.idle * TRUST_PROVEN);
+                trusts[kind] = Math.min(set.allowed().keepAlive(), trust);
+                d.window = Math.min(d.window + 1, Math.max(1, WINDOW_SHARE * set.allowed().slots()));
+                succeeded(a);
+            }
+            case FULL -> {
+                d.window = Math.max(1, d.window / 2);
+                refused(lane, e.waitFor(), a);
+            }
+            case TIMEOUT -> {
+                d.window = Math.max(1, d.window / 2);
+                doubt(a);
+                failed(a);
+            }
+            case CONNECT_FAILED -> {
+                holds[kind] *= HOLD_CUT;
+                failed(a);
+                a.route.backoffUntil = now + backoff(d, a.route.failRun);
+            }
+            case RESET -> {
+                doubt(a);
+                failed(a);
+            }
+            case ERROR -> failed(a);
+            default -> { }
+        }
+        if (e.limit() > 0) {
+            lane.weight = e.limit();
+            lane.pace = Math.min(lane.pace, e.limit());
+            if (e.left() >= 0 && e.left() < LEFT_LOW) {
+                lane.pace = Math.max(paceLeast(lane), lane.pace * LEFT_CUT);
+            }
+        }
+    }
+
+    /** Guards against idle connections dropped unseen; failures in a row or on new ones tell otherwise. */
+    private void doubt(Attempt a) {
+        double trust = trusts[a.route.kind];
+        if (a.idle < 0) {
+            trusts[a.route.kind] = Math.min(set.allowed().keepAlive(), trust * 2);
+        } else if (a.idle >= TRUST_LEAST && a.route.failRun == 0 && !slow(a.route.dest)) {
+            trusts[a.route.kind] = Math.min(trust, Math.max(TRUST_LEAST, a.idle / 2.0));
+        }
+    }
+
+    private void answered(Dest d, Route r, long latency) {
+        d.answers.add(latency);
+        r.latency = r.latency == 0 ? latency : r.latency + LATEST * (latency - r.latency);
+        d.latest = d.latest == 0 ? latency : d.latest + LATEST * (latency - d.latest);
+        double sample = d.usual == 0 ? latency : Math.min(latency, SLOW * d.usual);
+        double weight = d.answers.count < 2 * KNOWN ? LATEST : USUAL;
+        d.usual = d.usual == 0 ? latency : d.usual + weight * (sample - d.usual);
+    }
+
+    /** Listed calls a second that a lane takes from all relays together. */
+    private double listedRate(Lane lane) {
+        return set.weights() == Weights.NONE ? UNPACED : lane.weight;
+    }
+
+    private double paceMost(Lane lane) {
+        return PACE_MOST * listedRate(lane);
+    }
+
+    private double paceLeast(Lane lane) {
+        return Math.max(PACE_SLOWEST, PACE_LEAST * listedRate(lane) / set.relays());
+    }
+
+    private void refused(Lane lane, long told, Attempt a) {
+        lane.pace = Math.max(paceLeast(lane), lane.pace * PACE_CUT);
+        lane.waitUntil = Math.max(lane.waitUntil, now + told);
+        Dest d = a.route.dest;
+        if (a.sent >= d.refusedAt) {
+            d.refusals++;
+        }
+        d.refusedAt = now;
+        long spread = (long) (Math.min(told, BACKOFF_GAPS * SECOND / d.usualRate) * random.nextDouble());
+        spread = Math.max(spread, backoff(d, d.refusals - (told > 0 ? 1 : 0)));
+        lane.backoffUntil = Math.max(lane.backoffUntil, now + told + spread);
+        // Once all routes refused in a row, the back-off is for all: a shut place is not asked by turns.
+        d.backoffUntil = d.refusals >= d.routes.size() ? lane.backoffUntil : d.backoffUntil;
+        lane.bucket.tokens = Math.min(lane.bucket.tokens, 1);
+        if (told > SHUT_TOLD || d.refusals >= SHUT_RUN || a.route.health == Health.OUT) {
+            outage(a.route, true);
+        }
+    }
+
+    /** By this relay's own usual gap between messages there, so that a fleet's tries fit together. */
+    private long backoff(Dest d, int failures) {
+        double gap = SECOND / Math.max(RATE_LEAST, d.usualRate);
+        double first = Math.max(BACKOFF_LEAST, Math.min(BACKOFF, gap * BACKOFF_GAPS));
+        double most = Math.max(BACKOFF_MID, Math.min(BACKOFF_MOST, gap * BACKOFF_MOST_GAPS));
+        // Where limits count refused calls too, asking again keeps them shut: back off longer there.
+        double ease = Math.min(1, Math.max(EASE_LEAST, eases[d.kind]) / EASE_USUAL);
+        double span = Math.min(most, first * Math.pow(BACKOFF_GROW, failures - 1)) / ease;
+        return failures < 1 ? 0 : (long) (span * (0.5 + random.nextDouble()));
+    }
+
+    // ---- Health and the return budget -----------------------------------------------------------
+    private void succeeded(Attempt a) {
+        Route r = a.route;
+        Lane lane = r.lane;
+        r.dest.refusals = 0;
+        if (lane.bucket.tokens < 1 && lane.pace < paceMost(lane)) {
+            lane.pace = Math.min(paceMost(lane), lane.pace + PACE_GROW * paceLeast(lane));
+        }
+        r.lastOk = now;
+        r.lastOkSent = Math.max(r.lastOkSent, a.sent);
+        r.failing *= 1 - OUTCOME_WEIGHT;
+        // A quiet route sees one failure of an outage: a suspicion not cleared at once ends in a ramp too.
+        r.confirmed |= r.health == Health.OUT && a.sent - r.outSince > SUSPICION;
+        if (r.health != Health.OUT || a.sent >= r.outSince) {
+            r.failRun = 0;
+        }
+        if (r.health == Health.OUT && a.sent >= r.outSince) {
+            r.health = r.confirmed ? Health.RETURNING : Health.GOOD;
+            r.returnAt = now;
+            if (r.confirmed) {
+                log(r, "answers again, held to the return budget");
+            }
+        }
+    }
+
+    /** A failed call counts only while no call sent after it has been answered, or once failures prevail. */
+    private void failed(Attempt a) {
+        Route r = a.route;
+        r.failing += OUTCOME_WEIGHT * (1 - r.failing);
+        boolean prevails = r.failing >= OUTAGE_SHARE;
+        if (a.sent >= r.lastOkSent) {
+            r.failRun++;
+        }
+        // A busy route that fails part of its calls answers the others: no outage while answers are recent.
+        boolean silent = now - r.lastOk >= SILENT;
+        boolean trial = r.health == Health.OUT && a.sent >= r.outSince;
+        if (prevails || trial || silent && r.failRun >= OUTAGE_RUN) {
+            outage(r, true);
+        } else if (r.failRun > 0 && silent && r.health != Health.RETURNING) {
+            outage(r, false);
+        }
+    }
+
+    /** Trials only. One failure is a suspicion, which one answer clears; an outage ends in a ramp. */
+    private void outage(Route r, boolean confirmed) {
+        if (r.health != Health.OUT) {
+            r.confirmed = false;
+            r.outSince = now;
+            r.spacing = 2 * random.nextDouble();
+        }
+        r.health = Health.OUT;
+        if (confirmed && !r.confirmed) {
+            r.confirmed = true;
+            log(r, "fails or refuses, trials only");
+            // Routes of a destination mostly fail together: those not heard from must answer a trial.
+            for (Route other : r.dest.routes.values()) {
+                boolean silent = other.lastOkSent < r.outSince - SUSPECT;
+                if (other.lane == r.lane && other.health == Health.GOOD && silent) {
+                    outage(other, false);
+                }
+            }
+        }
+    }
+
+    /** When the route may take another message: waits, back-off, pace; after failures, trials or ramp. */
+    private long opens(Route r, boolean joins) {
+        Lane lane = r.lane;
+        long when = Math.max(Math.max(r.backoffUntil, r.dest.backoffUntil),
+            Math.max(lane.waitUntil, lane.backoffUntil));
+        if (r.health == Health.RETURNING && now - r.returnAt >= set.rules().cold()) {
+            r.health = Health.GOOD;
+            r.failing = 0;
+            log(r, "warm again");
+        }
+        if (r.health == Health.OUT) {
+            if (r.trials > 0) {
+                return NEVER;
+            }
+            when = Math.max(when, r.outSince + TRIAL_GAP);
+        }
+        if (r.health != Health.GOOD && r.confirmed && !joins) {
+            when = Math.max(when, budgetAt(r));
+        }
+        lane.bucket.fill(lane.pace, Math.max(2, lane.pace * PACE_BURST), now);
+        if (!joins && lane.bucket.tokens < 1) {
+            when = Math.max(when, now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1);
+        }
+        return when;
+    }
+
+    /**
+     * The earliest time for another call within this relay's part of what a cold route bears. The part is the
+     * mean of an even one and of what it usually sends: hundreds that each scale their own fit together.
+     */
+    private long budgetAt(Route r) {
+        Rules rules = set.rules();
+        double warm = rules.coldFrom();
+        if (r.health == Health.RETURNING) {
+            double age = Math.max(0, now - r.returnAt - rules.tipAfter() / 2);
+            warm += (1 - warm) * Math.min(1, age / Math.max(1, rules.cold()));
+        }
+        double even = listedRate(r.lane) / (set.weights() == Weights.ROUGH ? ROUGH_OVER : 1) / set.relays();
+        double part = (even + r.dest.usualRate) / 2 / Math.max(1, r.dest.routes.size());
+        double rate = Math.max(RATE_LEAST, BUDGET_USED * rules.fallMultiple() * warm * part);
+        return Math.max(r.lane.waitUntil, r.lastSent) + (long) (r.spacing * SECOND / rate);
+    }
+
+    private void sent(Route r, Attempt a) {
+        r.lastSent = now;
+        r.spacing = 0.5 + random.nextDouble();
+        if (r.health == Health.OUT) {
+            r.trials++;
+            a.trial = true;
+        }
+    }
+
+    private void log(Route r, String what) {
+        if (logged++ < LOG_LINES) {
+            out.add(new Log("endpoint " + r.id + ": " + what));
+        }
+    }
+
+    // ---- List of endpoints ----------------------------------------------------------------------
+    private Dest dest(long id) {
+        return dests.computeIfAbsent(id, k -> new Dest(set.classes().size() * 3, ANSWERS));
+    }
+
+    private void listed(Listed e) {
+        Set<Long> named = new HashSet<>();
+        for (Endpoint p : e.endpoints()) {
+            named.add(p.id());
+            Route r = routes.get(p.id());
+            if (p.listing() != Listing.GONE) {
+                r = r == null ? add(p) : r;
+                r.dest.routes.put(r.id, r);
+                r.ready = p.listing() == Listing.READY;
+                r.lane.weight = p.weight() > 0 ? p.weight() : r.lane.weight;
+                r.lane.pace = Math.min(r.lane.pace, paceMost(r.lane));
+                active.add(r.dest);
+            } else if (r != null) {
+                remove(r);
+            }
+        }
+        if (e.kind() == ListKind.WHOLE) {
+            routes.values().stream().filter(r -> !named.contains(r.id)).forEach(this::remove);
+        }
+    }
+
+    private Route add(Endpoint p) {
+        Route r = new Route();
+        r.id = p.id();
+        r.zone = p.zone();
+        r.kind = p.kind();
+        r.dest = dest(p.destination());
+        r.dest.kind = p.kind();
+        boolean apart = set.kinds().get(p.kind()).apart();
+        r.lane = apart || r.dest.shared == null ? new Lane() : r.dest.shared;
+        r.dest.shared = apart ? r.dest.shared : r.lane;
+        if (r.lane.pace == 0) {
+            r.lane.weight = p.weight();
+            r.lane.pace = PACE_START * paceLeast(r.lane) / PACE_LEAST;
+        }
+        // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
+        if (!r.dest.routes.isEmpty() && !sound(r.dest)) {
+            outage(r, true);
+            r.lastSent = now;
+        }
+        routes.put(r.id, r);
+        return r;
+    }
+
+    /** Takes a route off; what is known of it is kept a while: waits and health outlast a gap. */
+    private void remove(Route r) {
+        r.ready = false;
+        if (r.dest.routes.remove(r.id) != null) {
+            r.goneAt = now;
+            at(now + FORGET, Duty.FORGET, r);
+        }
+    }
+
+    private void forget(Route r) {
+        if (r.goneAt + FORGET <= now && r.inflight == 0 && !r.dest.routes.containsKey(r.id)) {
+            routes.remove(r.id);
+        }
+    }
+
+    // ---- Clockwork ------------------------------------------------------------------------------
+    private void at(long when, Duty duty, Object of) {
+        agenda.add(new Entry(when, seq++, duty, of));
+    }
+
+    private void runAgenda() {
+        while (!agenda.isEmpty() && agenda.peek().at() <= now) {
+            Entry entry = agenda.poll();
+            switch (entry.duty()) {
+                case DEADLINE -> giveUp((Msg) entry.of());
+                case COPY -> considerCopy((Attempt) entry.of());
+                case LOOK -> active.add((Dest) entry.of());
+                case FORGET -> forget((Route) entry.of());
+                case KEY -> advance((Key) entry.of());
+            }
+        }
+    }
+
+    private static boolean stale(Entry e) {
+        return e.of() instanceof Attempt a && a.done || e.duty() == Duty.DEADLINE && ((Msg) e.of()).ended;
+    }
+
+    private void arm() {
+        while (!agenda.isEmpty() && stale(agenda.peek())) {
+            agenda.poll();
+        }
+        if (!agenda.isEmpty() && agenda.peek().at() < wakeAt) {
+            wakeAt = agenda.peek().at();
+            out.add(new Wake(Math.max(1, wakeAt - now)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/Relay.java
@@ -0,0 +1,109 @@
+package wrenkeel;
+
+import java.util.List;
+
+/**
+ * The interface of {@link Control}: its settings, the events it is told and the actions it asks for.
+ * Times are points of one monotonic clock and spans of it, in whole microseconds. Ids are the caller's own.
+ * This file decides nothing.
+ */
+public final class Relay {
+    private Relay() { }
+
+    /** What a second run of the same message would do. */
+    public enum Effect {
+        /** May be repeated at will. */ SAFE,
+        /** A repeat is dropped by the receivers of one group for a while. */ KEYED,
+        /** A second run would take effect twice. */ UNSAFE
+    }
+
+    /** How one attempt ended. Only FULL, CONNECT_FAILED and NOT_SENT prove that the message never ran. */
+    public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT;
+        /** True when this outcome proves that the attempt had no effect. */
+        public boolean neverRan() { return this == FULL || this == CONNECT_FAILED || this == NOT_SENT; }
+    }
+
+    /** Standing of an endpoint in the list; it says nothing of its health. */
+    public enum Listing { READY, DRAINING, GONE }
+
+    /** How a list of endpoints relates to the one held: changes only, or all there is. */
+    public enum ListKind { CHANGES, WHOLE }
+
+    /** One address of a destination; the weight is the listed rate in calls a second, or 1. */
+    public record Endpoint(long id, int zone, int kind, long destination, Listing listing, double weight) { }
+
+    /** A class of message. {@code zoneGroup}: repeats are dropped only by endpoints of one zone. */
+    public record MessageClass(String name, long aim, long life, double worth, double lateWorth,
+                               Effect effect, boolean zoneGroup, long window, boolean inOrder) { }
+
+    /** A tenant and its rate of messages, over all relays, that counts in full. */
+    public record Tenant(String name, double quota) { }
+
+    /** A kind of destination: whether its endpoints are routes apart; messages in one call at most. */
+    public record Kind(boolean apart, int bundle) { }
+
+    /** Listed weights: none, exact, or up to half too high or too low. */
+    public enum Weights { NONE, NOMINAL, ROUGH }
+
+    /** What the site lets a relay do. */
+    public record Allowed(int slots, int open, int attempts, boolean copies, boolean cancel,
+                          int streams, long connectTimeout, long keepAlive,
+                          long longestAdvice) { }
+
+    /** Figures of the rules. */
+    public record Rules(long drainGrace, double fallMultiple, long tipAfter, double coldFrom, long cold,
+                        long keyRest, long answerSlack) { }
+
+    /** Points taken off: per refused call, new connection, crossing; a fee for each zone's routes. */
+    public record Prices(double refusal, double handshake, double crossZone, double waste,
+                         List<Double> zoneFee) { }
+
+    /** All that a relay is told at its start. */
+    public record Settings(int rank, int relays, int zone, boolean halvingLate, double overShareWorth,
+                           Weights weights, List<MessageClass> classes, List<Tenant> tenants,
+                           List<Kind> kinds, Allowed allowed, Rules rules, Prices prices) { }
+
+    /** Something that happened. */
+    public sealed interface Event { }
+
+    /** A message was taken on; exactly one final answer is owed before {@code deadline}. */
+    public record Accepted(String id, int messageClass, int tenant, String key, long deadline,
+                           long destination) implements Event { }
+
+    /** An attempt ended. {@code waitFor}: told wait or 0. {@code left}, {@code limit}: -1 if untold. */
+    public record Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
+                        long latency, double left, double limit) implements Event { }
+
+    /** The list of endpoints changed. */
+    public record Listed(ListKind kind, List<Endpoint> endpoints) implements Event { }
+
+    /** The message was withdrawn; nothing is owed any more. */
+    public record Withdrawn(String id) implements Event { }
+
+    /** A timer asked for with {@link Wake} is due. */
+    public record Due() implements Event { }
+
+    /** Something to do. */
+    public sealed interface Action { }
+
+    /** Send the message; sends to one endpoint in one turn share a call up to the kind's bundle. */
+    public record Send(String id, long endpoint, long timeout) implements Action { }
+
+    /** Final answer: handed back, a retry is harmless. {@code retryAfter}: advice, 0 for none. */
+    public record Refuse(String id, long retryAfter) implements Action { }
+
+    /** Final answer: given up, nothing is promised. */
+    public record Fail(String id) implements Action { }
+
+    /** Stop waiting for an attempt. */
+    public record Cancel(String id, int attempt) implements Action { }
+
+    /** Close the idle connections held to an endpoint. */
+    public record Close(long endpoint) implements Action { }
+
+    /** Ask for a {@link Due} event after this span. */
+    public record Wake(long after) implements Action { }
+
+    /** A line for the operators' log. */
+    public record Log(String text) implements Action { }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/State.java
@@ -0,0 +1,225 @@
+package wrenkeel;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What {@link Control} remembers: plain records of fact and containers. Nothing here decides. */
+final class State {
+    private State() { }
+
+    /** Standing of a route: answering, failing (trials only), or back and held to the return budget. */
+    enum Health { GOOD, OUT, RETURNING }
+
+    /** What an entry of the agenda is for. */
+    enum Duty { DEADLINE, COPY, LOOK, KEY, FORGET }
+
+    /** Something due at a time; entries of one time keep their order. */
+    record Entry(long at, long seq, Duty duty, Object of) implements Comparable<Entry> {
+        @Override
+        public int compareTo(Entry other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(seq, other.seq);
+        }
+    }
+
+    /** One message: waiting in a band, parked behind its key, in flight, or ended. */
+    static final class Msg {
+        String id;
+        Relay.MessageClass cls;
+        Dest dest;
+        Key key;
+        long deadline, aim;
+        int band, extras, open;
+        boolean queued, ended, halving;
+        double full;
+        final List<Attempt> attempts = new ArrayList<>(2);
+
+        /** True when some attempt is out or may have taken effect. */
+        boolean mayHaveRun() {
+            for (Attempt a : attempts) {
+                if (a.maybeRan) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Worth of delivering at a time, as the settings of its class and the tenant's share have it. */
+        double worth(long when) {
+            if (when <= aim) {
+                return full;
+            }
+            if (when > deadline) {
+                return 0;
+            }
+            if (halving) {
+                return full * Math.max(cls.lateWorth(), Math.pow(0.5, (double) (when - aim) / cls.aim()));
+            }
+            double part = (double) (when - aim) / Math.max(1, deadline - aim);
+            return full * (1 - part * (1 - cls.lateWorth()));
+        }
+
+        int tries(Route route) {
+            int n = 0;
+            for (Attempt a : attempts) {
+                n += a.route == route ? 1 : 0;
+            }
+            return n;
+        }
+    }
+
+    /** One send of a message. {@code maybeRan} holds until its outcome proves otherwise. */
+    static final class Attempt {
+        Msg msg;
+        Route route;
+        Call call;
+        /** {@code idle}: how long its connection had been idle; -1 for a new one. */
+        long sent, idle = -1;
+        boolean done, cancelled, trial, again, overdue, maybeRan = true;
+    }
+
+    /** What holds one slot: one message, or a bundle. */
+    static final class Call {
+        int open, size;
+    }
+
+    /** Messages that share a key, in the order in which they were taken. */
+    static final class Key {
+        String name;
+        long restUntil;
+        final ArrayDeque<Msg> line = new ArrayDeque<>();
+    }
+
+    /** Waiting messages of one sort: inside their aim, and past it; ones no longer queued are skipped. */
+    static final class Band {
+        final ArrayDeque<Msg> fresh = new ArrayDeque<>(), late = new ArrayDeque<>();
+
+        static Msg first(ArrayDeque<Msg> line) {
+            while (!line.isEmpty() && !line.peekFirst().queued) {
+                line.pollFirst();
+            }
+            return line.peekFirst();
+        }
+
+        static Msg last(ArrayDeque<Msg> line) {
+            while (!line.isEmpty() && !line.peekLast().queued) {
+                line.pollLast();
+            }
+            return line.peekLast();
+        }
+
+        /** Takes out a message that stands at the head of the fresh or the tail of the late. */
+        void remove(Msg m) {
+            if (fresh.peekFirst() == m) {
+                fresh.pollFirst();
+            } else if (late.peekLast() == m) {
+                late.pollLast();
+            }
+        }
+    }
+
+    /** A token bucket, full at its first use. */
+    static final class Bucket {
+        double tokens = Double.MAX_VALUE;
+        private long filled;
+
+        void fill(double perSecond, double most, long now) {
+            tokens = Math.min(most, tokens + perSecond * (now - filled) / 1e6);
+            filled = now;
+        }
+
+        boolean take() {
+            boolean enough = tokens >= 1;
+            tokens -= enough ? 1 : 0;
+            return enough;
+        }
+    }
+
+    /** What a limit and a wait belong to: a destination, or one route where routes are apart. */
+    static final class Lane {
+        final Bucket bucket = new Bucket();
+        double weight, pace;
+        long waitUntil, backoffUntil;
+    }
+
+    /** One endpoint: its standing, health and connections. */
+    static final class Route {
+        long id;
+        int zone, kind;
+        Dest dest;
+        Lane lane;
+        boolean ready, confirmed;
+        Health health = Health.GOOD;
+        int inflight, failRun, trials, overdue;
+        double latency, failing;
+        long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
+        double spacing;
+        final ArrayDeque<Long> idle = new ArrayDeque<>();
+        Call bundle;
+        long bundleTurn = -1, goneAt;
+
+        /** True when a connection idle since no earlier than that is left. */
+        boolean warm(long since) {
+            while (!idle.isEmpty() && idle.peekFirst() <= since) {
+                idle.pollFirst();
+            }
+            return !idle.isEmpty();
+        }
+    }
+
+    /** One destination: its routes, waiting messages, window and answers. */
+    static final class Dest {
+        final Map<Long, Route> routes = new TreeMap<>();
+        final Band[] bands;
+        final Answers answers;
+        Lane shared;
+        private double marks;
+        private long markedAt;
+        /** Messages a second that come in for it, when the last one came. */
+        double usualRate;
+        double window = 1, copies = 1, latest, usual;
+        int kind = -1, calls, waiting, overdue, refusals;
+        long lookAt, refusedAt, backoffUntil;
+
+        Dest(int bands, int answers) {
+            this.bands = new Band[bands];
+            Arrays.setAll(this.bands, i -> new Band());
+            this.answers = new Answers(answers);
+        }
+
+        /** Counts a message into the rate over an exponential span; {@code age}: counted how long. */
+        void mark(long now, long span, long age) {
+            marks = marks * Math.exp((double) (markedAt - now) / span) + 1;
+            markedAt = now;
+            usualRate = marks * 1e6 / (span * -Math.expm1(-(double) age / span));
+        }
+    }
+
+    /** The times of the most recent answers. */
+    static final class Answers {
+        private final long[] ring;
+        private long[] sorted = {};
+        int count;
+
+        Answers(int size) {
+            ring = new long[size];
+        }
+
+        void add(long time) {
+            ring[count++ % ring.length] = time;
+            sorted = null;
+        }
+
+        /** The time above this share of the answers held. */
+        long rank(double share) {
+            if (sorted == null) {
+                sorted = Arrays.copyOf(ring, Math.min(count, ring.length));
+                Arrays.sort(sorted);
+            }
+            return sorted[(int) Math.min(sorted.length - 1, Math.ceil(share * sorted.length))];
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -0,0 +1,466 @@
+package wrenkeel;
+
+import static org.junit.jupiter.api.Assertions.*;
+import static wrenkeel.Bench.*;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wrenkeel.Relay.*;
+
+/** Scripted events: the design's ordinary path, its exceptions, and one small test for each failure found. */
+class ControlTest {
+    private static Bench bench(int kind, int slots, boolean copies) {
+        Bench b = new Bench(settings(slots, copies, 2));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, kind, 1, 50), endpoint(12, 1, kind, 1, 50))));
+        return b;
+    }
+
+    @Test
+    void copyGoesToAnotherEndpointAfterTheDelayAndTheFirstAnswerCancelsTheRest() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(20, 1);
+        Send first = sends(b.turn(b.message(0, 1))).get(0);
+        List<Send> copies = sends(b.pass(90 * MS));
+        assertTrue(copies.isEmpty(), "no copy before nine in ten answers would have come");
+        copies = sends(b.pass(60 * MS));
+        assertEquals(1, copies.size());
+        assertEquals(first.id(), copies.get(0).id());
+        assertNotEquals(first.endpoint(), copies.get(0).endpoint());
+        List<Action> after = b.turn(ended(copies.get(0), 1, Outcome.OK));
+        assertEquals(List.of(new Cancel(first.id(), 0)), after.stream().filter(Cancel.class::isInstance).toList());
+    }
+
+    @Test
+    void delayStartsAt200MillisecondsUntilAnswersAreKnown() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(3, 1);
+        b.turn(b.message(0, 1));
+        assertTrue(sends(b.pass(195 * MS)).isEmpty());
+        assertEquals(1, sends(b.pass(10 * MS)).size());
+    }
+
+    @Test
+    void unsafeMessagesAndSitesWithoutCopiesSendNone() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(20, 1);
+        assertEquals(1, sends(b.turn(b.message(2, 1))).size());
+        assertTrue(sends(b.pass(SECOND)).isEmpty());
+        Bench none = bench(0, 8, false);
+        none.warmUp(20, 1);
+        none.turn(none.message(0, 1));
+        assertTrue(sends(none.pass(SECOND)).isEmpty());
+    }
+
+    @Test
+    void keyedCopyStaysInItsZoneGroup() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(20, 1);
+        assertEquals(1, sends(b.turn(b.message(3, 1))).size());
+        assertTrue(sends(b.pass(SECOND)).isEmpty(), "the only other endpoint is in another zone");
+    }
+
+    @Test
+    void windowStartsAtOneGrowsToThreeQuartersAndCountsCopies() {
+        Bench b = bench(0, 8, true);
+        assertEquals(1, sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).size());
+        Bench warm = bench(0, 8, true);
+        warm.warmUp(20, 1);
+        List<Event> many = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            many.add(warm.message(1, 1));
+        }
+        assertEquals(6, sends(warm.turn(many)).size(), "three quarters of eight slots");
+        assertTrue(sends(warm.pass(150 * MS)).isEmpty(), "no copy beyond the window");
+    }
+
+    @Test
+    void windowHalvesOnRefusal() {
+        Bench b = bench(0, 8, false);
+        b.warmUp(20, 1);
+        Send sent = sends(b.turn(b.message(1, 1))).get(0);
+        b.turn(ended(sent, 0, Outcome.FULL));
+        b.pass(3 * SECOND);
+        List<Event> many = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            many.add(b.message(1, 1));
+        }
+        assertTrue(sends(b.turn(many)).size() <= 3);
+    }
+
+    @Test
+    void unsentMessagesGoBeforeCopies() {
+        Bench b = bench(0, 2, true);
+        b.warmUp(20, 1);
+        Send first = sends(b.turn(b.message(0, 1), b.message(0, 1))).get(0);
+        for (Send s : sends(b.pass(300 * MS))) {
+            assertNotEquals(first.id(), s.id(), "a copy went out while a message waited");
+        }
+    }
+
+    @Test
+    void anOverloadDoesNotPileUpCopies() {
+        Bench b = bench(0, 16, true);
+        b.warmUp(30, 1);
+        int copies = 0;
+        for (int i = 0; i < 40; i++) {
+            Send s = sends(b.turn(b.message(0, 1))).get(0);
+            List<Send> more = sends(b.pass(250 * MS));
+            copies += more.size();
+            b.turn(ended(s, 0, Outcome.OK));
+            for (Send copy : more) {
+                b.turn(ended(copy, 1, Outcome.CANCELLED));
+            }
+        }
+        assertTrue(copies >= 1 && copies <= 10, "copies in an overload: " + copies);
+    }
+
+    @Test
+    void toldWaitIsKeptForTheWholeDestinationButOnlyForTheRouteWhereApart() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(5, 1);
+        Send s = sends(b.turn(b.message(0, 1))).get(0);
+        b.turn(ended(s, 0, Outcome.FULL, SECOND));
+        assertTrue(sends(b.pass(990 * MS)).isEmpty());
+        assertEquals(1, sends(b.pass(300 * MS)).size());
+        Bench apart = bench(1, 8, true);
+        apart.warmUp(5, 1);
+        Send t = sends(apart.turn(apart.message(0, 1))).get(0);
+        List<Send> next = sends(apart.turn(ended(t, 0, Outcome.FULL, SECOND)));
+        assertEquals(1, next.size());
+        assertNotEquals(t.endpoint(), next.get(0).endpoint());
+    }
+
+    @Test
+    void unsafeMessageIsTriedAgainOnlyWhenItNeverRan() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(5, 1);
+        Send s = sends(b.turn(b.message(2, 1, "k"))).get(0);
+        List<Send> again = new ArrayList<>(sends(b.turn(ended(s, 0, Outcome.FULL))));
+        again.addAll(sends(b.pass(SECOND)));
+        assertEquals(1, again.size());
+        List<Action> end = b.turn(ended(again.get(0), 1, Outcome.RESET));
+        assertEquals(1, count(end, Fail.class));
+        assertTrue(sends(b.pass(2 * SECOND)).isEmpty());
+    }
+
+    @Test
+    void sameKeyGoesOneAtATimeInOrderAndRests() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(20, 1);
+        Accepted one = b.message(2, 1, "k");
+        Accepted two = b.message(2, 1, "k");
+        List<Send> sent = sends(b.turn(one, two));
+        assertEquals(List.of(one.id()), sent.stream().map(Send::id).toList());
+        List<Action> end = b.turn(ended(sent.get(0), 0, Outcome.TIMEOUT));
+        assertEquals(1, count(end, Fail.class));
+        assertTrue(sends(end).isEmpty(), "the key rests");
+        assertEquals(List.of(two.id()), sends(b.pass(3 * SECOND)).stream().map(Send::id).toList());
+    }
+
+    @Test
+    void drainedAndGoneEndpointsGetNothing() {
+        Bench b = bench(0, 8, true);
+        b.turn(new Listed(ListKind.CHANGES, List.of(new Endpoint(11, 0, 0, 1, Listing.DRAINING, 50))));
+        assertEquals(12, sends(b.turn(b.message(0, 1))).get(0).endpoint());
+        b.turn(new Listed(ListKind.WHOLE, List.of()));
+        assertTrue(sends(b.turn(b.message(1, 1))).isEmpty());
+        List<Action> end = b.pass(17 * SECOND);
+        assertEquals(2, count(end, Fail.class) + count(end, Refuse.class), "both end in time with nowhere to go");
+    }
+
+    @Test
+    void bundleSharesOneSlot() {
+        Bench b = bench(2, 1, false);
+        Bench plain = bench(1, 1, false);
+        assertEquals(3, sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).size());
+        assertEquals(1, sends(plain.turn(plain.message(1, 1), plain.message(1, 1))).size());
+    }
+
+    @Test
+    void attemptsAreLimited() {
+        Bench b = new Bench(settings(8, true, 2, 2, 200));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 0, 1, 50))));
+        Accepted m = b.message(1, 1);
+        Send s = sends(b.turn(m)).get(0);
+        List<Send> again = new ArrayList<>(sends(b.turn(ended(s, 0, Outcome.FULL))));
+        again.addAll(sends(b.pass(SECOND)));
+        assertEquals(1, count(b.turn(ended(again.get(0), 1, Outcome.FULL)), Refuse.class));
+    }
+
+    @Test
+    void aFullHoldGivesBackWhatHasLeastLeftToGain() {
+        Bench b = new Bench(settings(1, true, 2, 8, 5));
+        List<Event> five = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            five.add(b.message(i == 2 ? 1 : 0, 9));
+        }
+        List<Action> actions = b.turn(five);
+        assertEquals(List.of(((Accepted) five.get(2)).id()),
+            actions.stream().filter(Refuse.class::isInstance).map(a -> ((Refuse) a).id()).toList());
+    }
+
+    /** Found on merkez-atolye: one failing zone sent the whole of a shared destination to trials. */
+    @Test
+    void aFailingEndpointDoesNotStopItsSibling() {
+        Bench b = bench(0, 8, true);
+        b.warmUp(20, 1);
+        int served = 0;
+        List<Send> out = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            out.addAll(sends(b.turn(b.message(0, 1))));
+            while (!out.isEmpty()) {
+                Send s = out.remove(0);
+                b.now += 20 * MS;
+                served += s.endpoint() == 12 ? 1 : 0;
+                out.addAll(sends(b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1,
+                    s.endpoint() == 12 ? Outcome.OK : Outcome.ERROR))));
+            }
+            out.addAll(sends(b.pass(100 * MS)));
+        }
+        assertTrue(served > 40, "served by the sound sibling: " + served);
+    }
+
+    /** Found in i62d03c: places that take calls and answer none held the slots until their time-outs. */
+    @Test
+    void silentDestinationsLeaveSlotsToTheOthers() {
+        Bench b = new Bench(settings(8, true, 1));
+        List<Endpoint> items = new ArrayList<>();
+        for (int d = 1; d <= 9; d++) {
+            items.add(endpoint(10 + d, 0, 1, d, 50));
+        }
+        b.turn(new Listed(ListKind.WHOLE, items));
+        for (int d = 1; d <= 9; d++) {
+            b.warmUp(12, d);
+        }
+        for (int i = 0; i < 6; i++) {
+            for (int d = 1; d <= 3; d++) {
+                b.turn(b.message(1, d));
+            }
+            b.pass(150 * MS);
+        }
+        b.pass(SECOND);
+        assertEquals(1, sends(b.turn(b.message(1, 9))).size(), "a slot is left for the sound destination");
+    }
+
+    /** Found on thu-duc big-1: a limit shared with other relays was taken for an outage. */
+    @Test
+    void refusalsAboveALimitAreNoOutage() {
+        Bench b = bench(1, 8, true);
+        b.warmUp(20, 1);
+        List<Action> all = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            for (Send s : sends(b.turn(b.message(2, 1)))) {
+                all.addAll(b.turn(ended(s, 0, i % 3 == 0 ? Outcome.OK : Outcome.FULL, i % 3 == 0 ? 0 : 300 * MS)));
+            }
+            all.addAll(b.pass(400 * MS));
+        }
+        assertEquals(0, count(all, Log.class), "no outage was judged");
+    }
+
+    /** Found in ic0f6d2: single resets among answers were taken for outages. */
+    @Test
+    void scatteredFailuresAreNoOutage() {
+        Bench b = bench(1, 8, true);
+        b.warmUp(20, 1);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            for (Send s : sends(b.turn(b.message(2, 1)))) {
+                sent++;
+                b.now += 50 * MS;
+                b.turn(ended(s, 0, i % 5 == 0 ? Outcome.RESET : Outcome.OK));
+            }
+            b.pass(100 * MS);
+        }
+        assertTrue(sent > 90, "sent " + sent);
+    }
+
+    @Test
+    void aReturningRouteGetsNoMoreThanTheShareOfWhatItBears() {
+        Bench b = new Bench(settings(40, true, 2, 8, 400));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 20))));
+        b.warmUp(30, 1);
+        List<Send> out = new ArrayList<>();
+        long end = b.now + 30 * SECOND;
+        long back = b.now + 10 * SECOND;
+        int late = 0;
+        boolean told = false;
+        while (b.now < end) {
+            out.addAll(sends(b.turn(b.message(1, 1))));
+            out.addAll(sends(b.pass(100 * MS)));
+            List<Send> now = new ArrayList<>(out);
+            out.clear();
+            for (Send s : now) {
+                Outcome o = b.now < back ? Outcome.ERROR : Outcome.OK;
+                if (b.now > back + 10 * SECOND) {
+                    late++;
+                } else if (!told && b.now > back - 5 * SECOND) {
+                    b.checker.coldSince.put(11L, back);
+                    told = true;
+                }
+                int attempt = b.checker.messages.get(s.id()).sends.size() - 1;
+                out.addAll(sends(b.turn(ended(s, attempt, o))));
+            }
+        }
+        assertTrue(late > 100, "full service once warm: " + late);
+    }
+
+    /** A quiet route sees one failure of an outage; an answer long after it is not taken for health. */
+    @Test
+    void aLateAnswerToASuspicionEndsInARampAndAQuickOneClearsIt() {
+        for (long gap : new long[] {500 * MS, 5 * SECOND}) {
+            Bench b = new Bench(settings(8, true, 2));
+            b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 20))));
+            b.warmUp(20, 1);
+            b.pass(2 * SECOND);
+            Send one = sends(b.turn(b.message(2, 1))).get(0);
+            b.turn(ended(one, 0, Outcome.ERROR));
+            b.pass(gap);
+            Send two = sends(b.turn(b.message(2, 1))).get(0);
+            List<Action> back = b.turn(ended(two, 0, Outcome.OK), b.message(0, 1), b.message(0, 1));
+            assertEquals(gap > SECOND ? 1 : 0, count(back, Log.class), "the ramp is on");
+            assertEquals(gap > SECOND ? 0 : 2, sends(back).size());
+        }
+    }
+
+    /** i80fd1b: endpoints that take few connections were full of idle ones held by hundreds of relays. */
+    @Test
+    void idleConnectionsAreClosedWhereConnectsFailAndFewUsesAreExpected() {
+        Bench b = new Bench(settings(8, true, 300));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 600))));
+        b.warmUp(20, 1);
+        for (int i = 0; i < 6; i++) {
+            b.pass(10 * SECOND);
+            Accepted m = b.message(2, 1);
+            b.turn(ended(firstSend(b, m), 0, Outcome.CONNECT_FAILED), new Withdrawn(m.id()));
+        }
+        Send s = firstSend(b, b.message(2, 1));
+        assertEquals(1, count(b.turn(ended(s, 0, Outcome.OK)), Close.class), "not kept for another relay's harm");
+    }
+
+    /** thu-duc-later: a call on a connection idle for long fails where these are dropped unseen. */
+    @Test
+    void aLongIdleConnectionIsDoubtedAfterAFailureOnOneAndTrustComesBack() {
+        Bench b = new Bench(settings(8, true, 300));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 20))));
+        b.warmUp(20, 1);
+        b.pass(4 * SECOND);
+        Send lost = sends(b.turn(b.message(2, 1))).get(0);
+        b.turn(new Ended(lost.id(), 0, 11, Outcome.RESET, true, 0, 100 * MS, -1, -1));
+        assertEquals(1, closed(b, 4 * SECOND), "idle for longer than is trusted");
+        assertEquals(0, closed(b, SECOND), "idle for less");
+        for (int i = 0; i < 60; i++) {
+            closed(b, SECOND);
+        }
+        assertEquals(0, closed(b, 3 * SECOND), "trusted again");
+    }
+
+    private static Send firstSend(Bench b, Accepted m) {
+        List<Send> sent = sends(b.turn(m));
+        while (sent.isEmpty() && b.now < m.deadline()) {
+            sent = sends(b.pass(5 * MS));
+        }
+        return sent.get(0);
+    }
+
+    /** Sends and answers one message after a pause; how many connections were closed before the send. */
+    private static long closed(Bench b, long pause) {
+        b.pass(pause);
+        List<Action> all = b.turn(b.message(2, 1));
+        long closed = count(all, Close.class);
+        for (int step = 0; sends(all).isEmpty() && step < 400; step++) {
+            all = b.pass(10 * MS);
+        }
+        b.now += 100 * MS;
+        b.turn(ended(sends(all).get(0), 0, Outcome.OK));
+        return closed;
+    }
+
+    /** thu-duc-later big-2: a shut destination with several routes was asked by turns, and pushed over. */
+    @Test
+    void refusalsByEveryRouteInARowHoldBackAllOfThem() {
+        Bench b = new Bench(settings(8, false, 300));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50), endpoint(12, 0, 1, 1, 50))));
+        List<Send> asked = new ArrayList<>();
+        List<Send> sent = new ArrayList<>(sends(b.turn(b.message(2, 1), b.message(2, 1), b.message(2, 1))));
+        for (int step = 0; step < 800; step++) {
+            b.now += 10 * MS;
+            List<Event> refused = new ArrayList<>();
+            for (Send s : sent) {
+                long attempt = asked.stream().filter(o -> o.id().equals(s.id())).count();
+                refused.add(ended(s, (int) attempt, Outcome.FULL));
+                asked.add(s);
+            }
+            sent = sends(b.turn(refused));
+        }
+        assertTrue(asked.size() >= 2 && asked.size() <= 9, "asked " + asked.size() + " times in 8 s");
+    }
+
+    /** i038d82: messages held for a failing destination all went to its replacements, new and cold. */
+    @Test
+    void anEndpointNewToAFailingDestinationStartsOnTrials() {
+        Bench b = new Bench(settings(8, false, 2));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50))));
+        b.warmUp(20, 1);
+        for (int i = 0; i < 3; i++) {
+            b.pass(3 * SECOND);
+            sends(b.turn(b.message(2, 1))).forEach(s ->
+                b.turn(new Ended(s.id(), 0, 11, Outcome.ERROR, true, 0, 100 * MS, -1, -1)));
+        }
+        List<Event> events = new ArrayList<>();
+        events.add(new Listed(ListKind.CHANGES, List.of(endpoint(12, 0, 1, 1, 50))));
+        for (int i = 0; i < 8; i++) {
+            events.add(b.message(0, 1));
+        }
+        long cold = sends(b.turn(events)).stream().filter(s -> s.endpoint() == 12).count()
+            + sends(b.pass(SECOND)).stream().filter(s -> s.endpoint() == 12).count();
+        assertTrue(cold <= 1, "one trial at a time, sent " + cold);
+    }
+
+    /** The fleet's rule: relays that all saw one refusal of a shut place do not come back in step. */
+    @Test
+    void aFleetComesBackSpreadOverTime() {
+        List<Long> backs = new ArrayList<>();
+        for (int relay = 0; relay < 200; relay++) {
+            Bench b = new Bench(settings(2, false, 200), relay);
+            b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 0, 1, 50))));
+            b.warmUp(2, 1);
+            b.pass(10 * SECOND);
+            Send s = sends(b.turn(b.message(1, 1))).get(0);
+            b.turn(ended(s, 0, Outcome.FULL));
+            long start = b.now;
+            List<Send> again = List.of();
+            while (again.isEmpty() && b.now < start + 14 * SECOND) {
+                again = sends(b.pass(5 * MS));
+            }
+            assertFalse(again.isEmpty(), "it starves");
+            backs.add((b.now - start) / (100 * MS));
+        }
+        for (long slice : backs) {
+            long together = backs.stream().filter(o -> o == slice).count();
+            assertTrue(together <= 60, together + " of 200 in one tenth of a second");
+        }
+    }
+
+    @Test
+    void oddButLegalEventsAreAbsorbed() {
+        Bench b = bench(0, 8, true);
+        assertTrue(sends(b.control.turn(b.now, List.of(new Ended("x", 0, 11, Outcome.OK, true, 0, 1, -1, -1),
+            new Withdrawn("x"), new Due()))).isEmpty());
+        Accepted m = b.message(0, 1);
+        Send s = sends(b.turn(m)).get(0);
+        List<Action> gone = b.turn(new Withdrawn(m.id()));
+        assertEquals(1, count(gone, Cancel.class));
+        b.turn(new Withdrawn(m.id()));
+        assertTrue(b.turn(new Ended(s.id(), 0, 11, Outcome.CANCELLED, true, 0, 1, -1, -1)).stream()
+            .noneMatch(a -> a instanceof Fail || a instanceof Refuse || a instanceof Send));
+    }
+
+    @Test
+    void illegalUseIsAPlainException() {
+        Bench b = bench(0, 8, true);
+        assertThrows(IllegalArgumentException.class, () -> b.control.turn(b.now - 1, List.of()));
+        assertThrows(NullPointerException.class, () -> b.control.turn(b.now, null));
+        assertThrows(NullPointerException.class, () -> new Control(1, null));
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/EmbeddingTest.java
@@ -0,0 +1,66 @@
+package wrenkeel;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import wrenkeel.Relay.*;
+
+/** How a real relay drives the module: its own clock and timers, events in, actions out. */
+class EmbeddingTest {
+    /** A host with a clock of its own and a network that answers every send after 30 ms. */
+    private static final class Host {
+        private final Control control = new Control(7, Bench.settings(8, true, 1));
+        private final PriorityQueue<Long> timers = new PriorityQueue<>();
+        private final ArrayDeque<Map.Entry<Long, Ended>> network = new ArrayDeque<>();
+        private final Map<String, Integer> attempts = new HashMap<>();
+        private final Set<String> delivered = new TreeSet<>();
+        private long clock = 1_000_000;
+
+        void tell(Event... events) {
+            for (Action action : control.turn(clock, List.of(events))) {
+                if (action instanceof Send s) {
+                    int attempt = attempts.merge(s.id(), 1, Integer::sum) - 1;
+                    network.add(Map.entry(clock + 30_000,
+                        new Ended(s.id(), attempt, s.endpoint(), Outcome.OK, true, 0, 30_000, -1, -1)));
+                } else if (action instanceof Wake w) {
+                    timers.add(clock + w.after());
+                }
+            }
+        }
+
+        void run(long until) {
+            for (; clock <= until; clock += 1_000) {
+                while (!timers.isEmpty() && timers.peek() <= clock) {
+                    timers.poll();
+                    tell(new Due());
+                }
+                while (!network.isEmpty() && network.peek().getKey() <= clock) {
+                    Ended ended = network.poll().getValue();
+                    delivered.add(ended.id());
+                    tell(ended);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aRelayDeliversWhatItTakes() {
+        Host host = new Host();
+        host.tell(new Listed(ListKind.WHOLE, List.of(Bench.endpoint(1, 0, 0, 9, 50), Bench.endpoint(2, 1, 0, 9, 50))));
+        List<String> taken = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            taken.add("bill-" + i);
+            host.tell(new Accepted("bill-" + i, 1, 0, null, host.clock + 16_000_000, 9));
+        }
+        host.run(3_000_000);
+        assertEquals(new TreeSet<>(taken), host.delivered);
+    }
+}
