--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -178,7 +178,13 @@
             m.key.name = e.key();
             m.key.line.addLast(m);
         }
-        if (m.key == null || m.key.line.peekFirst() == m) {
+        for (Earlier before : e.earlier()) {
+            m.attempts.add(recovered(m, before));
+        }
+        if (!m.attempts.isEmpty() && (m.attempts.size() >= set.allowed().attempts()
+            || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
+            giveUp(m);
+        } else if (m.key == null || m.key.line.peekFirst() == m) {
             enqueue(m, false);
         }
         if (open >= set.allowed().open()) {
@@ -186,6 +192,21 @@
         }
     }
 
+    /** An attempt made before a restart. Calls that were out then may have run: the rule on effects binds them. */
+    private Attempt recovered(Msg m, Earlier before) {
+        Attempt a = new Attempt();
+        a.msg = m;
+        a.route = new Route();
+        a.route.zone = before.zone();
+        a.sent = before.sent();
+        a.done = true;
+        a.maybeRan = before.mayHaveRun();
+        if (a.maybeRan && m.key != null) {
+            m.key.restUntil = now + set.rules().keyRest();
+        }
+        return a;
+    }
+
     private boolean inShare(int tenant) {
         if (tenant >= shares.length) {
             return true;
@@ -196,7 +217,7 @@
     }
 
     private void enqueue(Msg m, boolean again) {
-        if (again && m.cls.effect() == Effect.KEYED && m.mayHaveRun()) {
+        if (m.cls.effect() == Effect.KEYED && m.mayHaveRun()) {
             m.band = m.band / 3 * 3 + 2;
         }
         m.queued = true;
--- a/src/main/java/wrenkeel/Main.java
+++ b/src/main/java/wrenkeel/Main.java
@@ -1,8 +1,9 @@
 package wrenkeel;
 
 import java.io.IOException;
+import wrenkeel.net.Node;
 
-/** Entry point: {@code simhost} runs the adapter on standard input and output. */
+/** Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard input and output. */
 public final class Main {
     private Main() { }
 
@@ -14,7 +15,10 @@
         if (args.length == 1 && args[0].equals("simhost")) {
             return SimHost.serve(System.in, System.out, System.err);
         }
-        System.err.println("usage: java -jar wrenkeel.jar simhost");
+        if (args.length == 1 && args[0].equals("serve")) {
+            return Node.serve(System.getenv());
+        }
+        System.err.println("usage: java -jar wrenkeel.jar serve|simhost");
         return 2;
     }
 }
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -66,9 +66,19 @@
     /** Something that happened. */
     public sealed interface Event { }
 
-    /** A message was taken on; exactly one final answer is owed before {@code deadline}. */
+    /** An attempt made before a restart; {@code sent} may lie before this clock began. */
+    public record Earlier(long sent, int zone, boolean mayHaveRun) { }
+
+    /**
+     * A message was taken on; exactly one final answer is owed before {@code deadline}. {@code earlier}: its attempts
+     * so far, if it was taken on before a restart; new attempts are numbered on from these.
+     */
     public record Accepted(String id, int messageClass, int tenant, String key, long deadline,
-                           long destination) implements Event { }
+                           long destination, List<Earlier> earlier) implements Event {
+        public Accepted(String id, int messageClass, int tenant, String key, long deadline, long destination) {
+            this(id, messageClass, tenant, key, deadline, destination, List.of());
+        }
+    }
 
     /** An attempt ended. {@code waitFor}: told wait or 0. {@code left}, {@code limit}: -1 if untold. */
     public record Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -11,14 +11,17 @@
 import java.util.List;
 import java.util.Map;
 
-/** The simulator's wire: one JSON object a line, to and from the types of {@link Relay}. */
-final class Wire {
+/**
+ * The simulator's wire: one JSON object a line, to and from the types of {@link Relay}. The real relay reads its
+ * configuration and discovery's lists with the same decoder.
+ */
+public final class Wire {
     private static final JsonFactory JSON = new JsonFactory();
 
     private Wire() { }
 
     /** A line that is not what the wire's description allows. */
-    static final class Malformed extends IOException {
+    public static final class Malformed extends IOException {
         private static final long serialVersionUID = 1L;
 
         Malformed(String fault) {
@@ -27,7 +30,7 @@
     }
 
     /** One decoded object with typed access to its fields; times leave it in microseconds. */
-    record Fields(Map<String, Object> values) {
+    public record Fields(Map<String, Object> values) {
         private Object need(String name) throws Malformed {
             Object value = values.get(name);
             if (value == null) {
@@ -36,48 +39,48 @@
             return value;
         }
 
-        String text(String name) throws Malformed {
+        public String text(String name) throws Malformed {
             if (need(name) instanceof String s) {
                 return s;
             }
             throw new Malformed("field '" + name + "' is not a string");
         }
 
-        String text(String name, String absent) throws Malformed {
+        public String text(String name, String absent) throws Malformed {
             return values.get(name) == null ? absent : text(name);
         }
 
-        double number(String name) throws Malformed {
+        public double number(String name) throws Malformed {
             if (need(name) instanceof Number n) {
                 return n.doubleValue();
             }
             throw new Malformed("field '" + name + "' is not a number");
         }
 
-        double number(String name, double absent) throws Malformed {
+        public double number(String name, double absent) throws Malformed {
             return values.get(name) == null ? absent : number(name);
         }
 
-        long whole(String name) throws Malformed {
+        public long whole(String name) throws Malformed {
             if (need(name) instanceof Number n && n.doubleValue() == Math.rint(n.doubleValue())) {
                 return n.longValue();
             }
             throw new Malformed("field '" + name + "' is not a whole number");
         }
 
-        long whole(String name, long absent) throws Malformed {
+        public long whole(String name, long absent) throws Malformed {
             return values.get(name) == null ? absent : whole(name);
         }
 
-        long time(String name) throws Malformed {
+        public long time(String name) throws Malformed {
             return Math.round(number(name) * 1000.0);
         }
 
-        long time(String name, double absentMillis) throws Malformed {
+        public long time(String name, double absentMillis) throws Malformed {
             return Math.round(number(name, absentMillis) * 1000.0);
         }
 
-        boolean flag(String name) throws Malformed {
+        public boolean flag(String name) throws Malformed {
             Object value = values.get(name);
             if (value == null || value instanceof Boolean) {
                 return value != null && (Boolean) value;
@@ -85,12 +88,12 @@
             throw new Malformed("field '" + name + "' is not true or false");
         }
 
-        Fields object(String name) throws Malformed {
+        public Fields object(String name) throws Malformed {
             Object value = values.get(name);
             return value == null ? new Fields(Map.of()) : asFields(value, name);
         }
 
-        List<Fields> objects(String name) throws Malformed {
+        public List<Fields> objects(String name) throws Malformed {
             List<Fields> all = new ArrayList<>();
             for (Object value : list(name)) {
                 all.add(asFields(value, name));
@@ -98,7 +101,7 @@
             return all;
         }
 
-        List<?> list(String name) throws Malformed {
+        public List<?> list(String name) throws Malformed {
             Object value = values.get(name);
             if (value == null || value instanceof List) {
                 return value == null ? List.of() : (List<?>) value;
@@ -116,7 +119,7 @@
     }
 
     /** Decodes one line. */
-    static Fields decode(String line) throws Malformed {
+    public static Fields decode(String line) throws Malformed {
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new Malformed("not a JSON object");
@@ -161,7 +164,7 @@
         }
     }
 
-    static Relay.Settings settings(Fields s) throws Malformed {
+    public static Relay.Settings settings(Fields s) throws Malformed {
         Fields info = s.object("family-info");
         Fields allowed = s.object("allowed");
         Fields rules = s.object("rules");
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Answers.java
@@ -0,0 +1,58 @@
+package wrenkeel.net;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import wrenkeel.Relay.Outcome;
+
+/** The protocol's table of what a host's answer means. */
+final class Answers {
+    private Answers() { }
+
+    static HostPool.Reply reply(HttpResponse answer, long latency) {
+        long wait = 0;
+        boolean over = false;
+        Outcome outcome;
+        switch (answer.status().code()) {
+            case 200 -> {
+                outcome = Outcome.OK;
+                over = true;
+            }
+            case 429, 503 -> {
+                outcome = answer.headers().contains("X-No-Slot") ? Outcome.NOT_SENT : Outcome.FULL;
+                wait = outcome == Outcome.FULL ? micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)) : 0;
+            }
+            case 504 -> outcome = Outcome.NOT_SENT;
+            case 410 -> {
+                outcome = Outcome.NOT_SENT;
+                over = true;
+            }
+            default -> outcome = Outcome.ERROR;
+        }
+        String load = answer.headers().get("X-Server-Load");
+        return new HostPool.Reply(outcome, over, wait, latency, field(load, "x0"), field(load, "x1"));
+    }
+
+    /** Decimal seconds in microseconds, rounded up lest a wait be cut short; 0 if untold or not a number. */
+    private static long micros(String seconds) {
+        double value = number(seconds);
+        return value > 0 && value < 1e9 ? (long) Math.ceil(value * 1e6) : 0;
+    }
+
+    private static double field(String load, String name) {
+        for (String pair : load == null ? new String[0] : load.split(",")) {
+            if (pair.strip().startsWith(name + "=")) {
+                return number(pair.substring(pair.indexOf('=') + 1));
+            }
+        }
+        return -1;
+    }
+
+    private static double number(String text) {
+        try {
+            double value = text == null ? -1 : Double.parseDouble(text.strip());
+            return Double.isFinite(value) ? value : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -0,0 +1,102 @@
+package wrenkeel.net;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import wrenkeel.Relay;
+import wrenkeel.Wire;
+
+/**
+ * What the platform tells one relay at its start. {@code zones} and {@code kinds} hold the names that discovery's
+ * list uses, in the order of the numbers that the module knows them by; {@code known} is the list as last had.
+ */
+record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
+              long diskBytes, Relay.Settings settings, List<String> zones, List<String> kinds, Wire.Fields known) {
+
+    /** A configuration that no relay can run with; the message is one plain line. */
+    static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unusable(String fault) {
+            super(fault);
+        }
+    }
+
+    /** Reads the configuration named by the environment. */
+    static Config read(Map<String, String> env) throws Unusable {
+        String file = env.get("EDGE_CONFIG");
+        String state = env.get("EDGE_STATE");
+        if (file == null || state == null) {
+            throw new Unusable("EDGE_CONFIG and EDGE_STATE must be set");
+        }
+        try {
+            Wire.Fields all = Wire.decode(Files.readString(Path.of(file)));
+            Wire.Fields limits = all.object("limits");
+            Wire.Fields settings = all.object("settings");
+            return new Config(
+                address(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
+                address(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
+                folder(state), seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
+                (long) (limits.number("disk_mb", 3) * 1_000_000), usable(Wire.settings(settings)),
+                names(settings, "localities"), names(settings, "kinds"), all.object("known"));
+        } catch (Wire.Malformed e) {
+            throw new Unusable("configuration " + file + ": " + e.getMessage());
+        } catch (IOException e) {
+            throw new Unusable("cannot read configuration " + file + ": " + e);
+        }
+    }
+
+    private static Path folder(String name) throws Unusable {
+        Path folder = Path.of(name);
+        if (!Files.isDirectory(folder) || !Files.isWritable(folder)) {
+            throw new Unusable("EDGE_STATE is no writable folder: " + name);
+        }
+        return folder;
+    }
+
+    private static long seed(String hex) throws Unusable {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new Unusable("seed is not a hexadecimal number: " + hex);
+        }
+    }
+
+    /** One message a call is all that the protocol carries, so the module is told of no bundles. */
+    private static Relay.Settings usable(Relay.Settings s) throws Unusable {
+        if (s.classes().isEmpty() || s.kinds().isEmpty() || s.relays() < 1 || s.allowed().slots() < 1
+            || s.allowed().connectTimeout() <= 0 || s.allowed().keepAlive() <= 0) {
+            throw new Unusable("settings lack classes, kinds, relays, slots, a connect time-out or a keep-alive time");
+        }
+        List<Relay.Kind> kinds = s.kinds().stream().map(k -> new Relay.Kind(k.apart(), 1)).toList();
+        return new Relay.Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(), s.weights(),
+            s.classes(), s.tenants(), kinds, s.allowed(), s.rules(), s.prices());
+    }
+
+    private static List<String> names(Wire.Fields settings, String field) throws Wire.Malformed {
+        List<String> names = new ArrayList<>();
+        for (Object name : settings.list(field)) {
+            names.add(String.valueOf(name));
+        }
+        return names;
+    }
+
+    /** An address in digits and a port; names are not looked up, for there is no DNS. */
+    static InetSocketAddress address(String text) throws Unusable {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, Math.max(0, colon));
+            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+                return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            // Falls through to the one message that fits every fault of an address.
+        }
+        throw new Unusable("not an address and port: '" + text + "'");
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -0,0 +1,232 @@
+package wrenkeel.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wrenkeel.Wire;
+
+/** The platform's agent: watches the list of hosts and posts notices. One thread. */
+final class Discovery {
+    private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
+    private static final JsonFactory JSON = new JsonFactory();
+    /** ms; how long a watch may wait, and how long past that its answer is awaited. */
+    private static final long WAIT = 10_000, WAIT_SLACK = 2_000;
+    /** ms; a notice not acknowledged within this is posted again; gap between tries of either sort. */
+    private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
+    private static final int LIST_MOST = 8 << 20, NOTICES_MOST = 100;
+
+    private final EventLoop loop;
+    private final HostList hosts;
+    private final Consumer<Wire.Fields> whenListed;
+    private final Consumer<Journal.Entry> whenNoticed;
+    private final Line watch;
+    private final Line reports;
+    private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
+    private boolean posting;
+    private boolean silent;
+
+    Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
+              Consumer<Wire.Fields> whenListed, Consumer<Journal.Entry> whenNoticed) {
+        this.loop = loop;
+        this.hosts = hosts;
+        this.whenListed = whenListed;
+        this.whenNoticed = whenNoticed;
+        this.watch = new Line(bootstrap, agent);
+        this.reports = new Line(bootstrap, agent);
+    }
+
+    /** Asks for what is newer than the list held; the next call follows the answer at once. */
+    void watch() {
+        String query = hosts.version() < 0 ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
+        watch.ask(HttpMethod.GET, "/v1/servers" + query, "", WAIT + WAIT_SLACK, answer -> {
+            try {
+                if (answer != null && answer.status().code() == 200) {
+                    silent = false;
+                    whenListed.accept(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
+                    watch();
+                    return;
+                }
+            } catch (Wire.Malformed e) {
+                LOG.warn("discovery's list cannot be read, the old one is kept: {}", e.getMessage());
+            }
+            if (!silent) {
+                LOG.warn("discovery does not answer, the list of version {} is kept", hosts.version());
+            }
+            silent = true;
+            loop.schedule(this::watch, AGAIN, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Posts the end of a message, again and again until the platform has it. */
+    void notice(Journal.Entry entry) {
+        notices.put(entry.number, entry);
+        if (!posting) {
+            posting = true;
+            loop.execute(this::post);
+        }
+    }
+
+    boolean noticesLeft() {
+        return !notices.isEmpty();
+    }
+
+    private void post() {
+        if (notices.isEmpty()) {
+            posting = false;
+            return;
+        }
+        List<Journal.Entry> batch = notices.values().stream().limit(NOTICES_MOST).toList();
+        reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, answer -> {
+            if (answer != null && answer.status().code() == 204) {
+                for (Journal.Entry entry : batch) {
+                    notices.remove(entry.number);
+                    whenNoticed.accept(entry);
+                }
+                post();
+            } else {
+                LOG.warn("{} notices not acknowledged ({}), posted again", batch.size(),
+                    answer == null ? "no answer" : answer.status());
+                loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private static String lines(List<Journal.Entry> batch) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.setRootValueSeparator(null);
+            for (Journal.Entry entry : batch) {
+                out.writeStartObject();
+                out.writeStringField("message", entry.message.id());
+                out.writeStringField("outcome", entry.end.handedBack() ? "handed_back" : "given_up");
+                if (entry.end.handedBack() && entry.end.retryAfter() > 0) {
+                    out.writeNumberField("retry_in_ms", (entry.end.retryAfter() + 999) / 1_000);
+                }
+                out.writeEndObject();
+                out.writeRaw('\n');
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("a string cannot fail to be written", e);
+        }
+        return text.toString();
+    }
+
+    /** One kept connection to the agent, which carries one request at a time. */
+    private final class Line {
+        private final Bootstrap bootstrap;
+        private final InetSocketAddress agent;
+        private Channel channel;
+        private Consumer<FullHttpResponse> waiting;
+        private Future<?> timer;
+
+        Line(Bootstrap bootstrap, InetSocketAddress agent) {
+            this.agent = agent;
+            this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) NOTICE_PATIENCE)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_MOST),
+                            new Reader());
+                    }
+                });
+        }
+
+        /** Sends a request; its answer, or null for none in time, comes exactly once. */
+        void ask(HttpMethod method, String uri, String body, long patience, Consumer<FullHttpResponse> whenAnswered) {
+            waiting = whenAnswered;
+            timer = loop.schedule(() -> answered(channel, null), patience, TimeUnit.MILLISECONDS);
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+            request.headers().set(HttpHeaderNames.HOST, agent.getAddress().getHostAddress() + ":" + agent.getPort())
+                .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+            if (channel != null && channel.isActive()) {
+                write(channel, request);
+            } else {
+                ChannelFuture connect = bootstrap.connect(agent);
+                channel = connect.channel();
+                connect.addListener(done -> {
+                    if (done.isSuccess()) {
+                        write(connect.channel(), request);
+                    } else {
+                        request.release();
+                        answered(connect.channel(), null);
+                    }
+                });
+            }
+        }
+
+        private void write(Channel to, FullHttpRequest request) {
+            to.writeAndFlush(request).addListener(done -> {
+                if (!done.isSuccess()) {
+                    answered(to, null);
+                }
+            });
+        }
+
+        private void answered(Channel from, FullHttpResponse answer) {
+            if (from != channel || waiting == null) {
+                return;
+            }
+            if (answer == null || !HttpUtil.isKeepAlive(answer)) {
+                channel = null;
+                from.close();
+            }
+            timer.cancel(false);
+            Consumer<FullHttpResponse> told = waiting;
+            waiting = null;
+            told.accept(answer);
+        }
+
+        private final class Reader extends SimpleChannelInboundHandler<FullHttpResponse> {
+            @Override
+            protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+                answered(context.channel(), answer.decoderResult().isFailure() ? null : answer);
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext context) {
+                answered(context.channel(), null);
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                if (!(cause instanceof IOException)) {
+                    LOG.error("connection to discovery closed", cause);
+                }
+                context.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -0,0 +1,135 @@
+package wrenkeel.net;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.zip.CRC32;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wrenkeel.Relay;
+import wrenkeel.Wire;
+
+/** The hosts that discovery has named: number, address and standing of each. */
+final class HostList {
+    private static final Logger LOG = LoggerFactory.getLogger(HostList.class);
+
+    /** One host; {@code number} is what the module knows it by. */
+    static final class Host {
+        final long number;
+        final String name;
+        InetSocketAddress dial;
+        int zone;
+        boolean ready;
+
+        Host(long number, String name) {
+            this.number = number;
+            this.name = name;
+        }
+    }
+
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Map<String, Host> byName = new HashMap<>();
+    private final Map<Long, Host> byNumber = new HashMap<>();
+    private final Set<Long> destinations = new HashSet<>();
+    private long version = -1;
+
+    HostList(List<String> zones, List<String> kinds) {
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    /** The version of the list held; -1 before the first. */
+    long version() {
+        return version;
+    }
+
+    Host host(long number) {
+        return byNumber.get(number);
+    }
+
+    /** All hosts ever named. */
+    Iterable<Host> hosts() {
+        return byNumber.values();
+    }
+
+    /** True for a destination that a list has named; it stays one while all of its hosts are gone. */
+    boolean knows(long destination) {
+        return destinations.contains(destination);
+    }
+
+    /** Takes a list or its changes in, and returns what the module is to be told. */
+    Relay.Listed update(Wire.Fields list) throws Wire.Malformed {
+        List<Relay.Endpoint> endpoints = new ArrayList<>();
+        List<Wire.Fields> entries = list.objects("hosts");
+        boolean whole = list.flag("whole");
+        long next = list.whole("seq");
+        Set<Host> named = new HashSet<>();
+        for (Wire.Fields entry : entries) {
+            Relay.Endpoint endpoint = endpoint(entry);
+            if (endpoint != null) {
+                endpoints.add(endpoint);
+                named.add(host(endpoint.id()));
+            }
+        }
+        if (whole) {
+            byNumber.values().stream().filter(h -> !named.contains(h)).forEach(h -> h.ready = false);
+        }
+        version = next;
+        return new Relay.Listed(whole ? Relay.ListKind.WHOLE : Relay.ListKind.CHANGES, endpoints);
+    }
+
+    /** One entry; null, and a line in the log, for one that cannot be used. The others still count. */
+    private Relay.Endpoint endpoint(Wire.Fields entry) throws Wire.Malformed {
+        String name = entry.text("host");
+        Relay.Listing listing = switch (entry.text("health")) {
+            case "ready" -> Relay.Listing.READY;
+            case "draining" -> Relay.Listing.DRAINING;
+            case "gone" -> Relay.Listing.GONE;
+            default -> null;
+        };
+        int zone = zones.indexOf(entry.text("site", ""));
+        int kind = kinds.indexOf(entry.text("class", ""));
+        Host host = byName.get(name);
+        if (listing == Relay.Listing.GONE && host == null) {
+            return null;
+        }
+        if (listing == null || listing != Relay.Listing.GONE && (zone < 0 || kind < 0)) {
+            LOG.warn("list entry of host {} left out: site, class or health is not known", name);
+            return null;
+        }
+        if (host == null) {
+            host = new Host(number(name), name);
+            byName.put(name, host);
+            byNumber.put(host.number, host);
+        }
+        host.ready = listing == Relay.Listing.READY;
+        if (listing != Relay.Listing.GONE) {
+            try {
+                host.dial = Config.address(entry.text("dial"));
+            } catch (Config.Unusable e) {
+                LOG.warn("list entry of host {} left out: {}", name, e.getMessage());
+                host.ready = false;
+                listing = Relay.Listing.GONE;
+            }
+            host.zone = zone;
+            destinations.add(entry.whole("block"));
+        }
+        return new Relay.Endpoint(host.number, Math.max(0, zone), Math.max(0, kind), entry.whole("block", 0), listing,
+            entry.number("share", 1));
+    }
+
+    /** A number below 2^32 that is the same at every relay; of two names that collide the later one is hashed on. */
+    private long number(String name) {
+        CRC32 crc = new CRC32();
+        do {
+            crc.update(name.getBytes(StandardCharsets.UTF_8));
+        } while (byNumber.containsKey(crc.getValue()));
+        return crc.getValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -0,0 +1,383 @@
+package wrenkeel.net;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wrenkeel.Control;
+import wrenkeel.Relay;
+import wrenkeel.Wire;
+
+/**
+ * Drives the module: what happens on the sockets becomes events, what the module asks for is carried out in order.
+ * It decides nothing. All of it runs on one event loop.
+ */
+final class Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    /** us; told to a client that is turned away before the module has seen its message. */
+    private static final long COME_BACK = 1_000_000;
+
+    /** How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}. */
+    interface Answer {
+        void taken();
+
+        void refused(long retryAfter);
+
+        void failed();
+    }
+
+    /** A message that the module holds, or that has calls out. */
+    private static final class Held {
+        final Message message;
+        final List<HostPool.Call> calls = new ArrayList<>();
+        Journal.Entry entry;
+        boolean over;
+        int out;
+
+        Held(Message message, Journal.Entry entry) {
+            this.message = message;
+            this.entry = entry;
+        }
+    }
+
+    private final EventLoop loop;
+    private final Relay.Settings settings;
+    private final Control control;
+    private final HostList hosts;
+    private final HostPool pool;
+    private final Journal journal;
+    private final Discovery discovery;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Held> held = new HashMap<>();
+    private List<Relay.Event> events = new ArrayList<>();
+    private final Map<String, Answer> unanswered = new LinkedHashMap<>();
+    private final long began = System.nanoTime();
+    private boolean turnDue;
+    private int open;
+
+    Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Agent agent) {
+        this.loop = loop;
+        this.settings = config.settings();
+        this.control = new Control(config.seed(), settings);
+        this.hosts = hosts;
+        this.pool = pool;
+        this.journal = journal;
+        this.discovery = agent.open(this::listed, this::close);
+        for (int i = 0; i < settings.classes().size(); i++) {
+            classes.put(settings.classes().get(i).name(), i);
+        }
+    }
+
+    /** Makes the link to discovery, given what it is to call. */
+    interface Agent {
+        Discovery open(Consumer<Wire.Fields> whenListed, Consumer<Journal.Entry> whenNoticed);
+    }
+
+    /** Tells the module the list as last had and what the journal holds, then begins to watch. */
+    void start(Wire.Fields known) throws Wire.Malformed {
+        if (!known.values().isEmpty()) {
+            tell(hosts.update(known));
+        }
+        for (Journal.Entry entry : journal.owed()) {
+            if (entry.end != null) {
+                discovery.notice(entry);
+            } else if (!classes.containsKey(entry.message.messageClass())) {
+                LOG.warn("message {} given up: its class {} is gone", entry.message.id(), entry.message.messageClass());
+                end(entry, new Journal.End(false, 0));
+            } else {
+                recover(entry);
+            }
+        }
+        turn();
+        discovery.watch();
+    }
+
+    /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
+    private void recover(Journal.Entry entry) {
+        Held h = new Held(entry.message, entry);
+        held.put(h.message.id(), h);
+        open++;
+        List<Relay.Earlier> earlier = new ArrayList<>();
+        for (Journal.Attempt a : entry.attempts) {
+            h.calls.add(null);
+            earlier.add(new Relay.Earlier(moduleTime(a.sent), a.zone, a.mayHaveRun));
+        }
+        tell(accepted(h.message, earlier));
+    }
+
+    private Relay.Accepted accepted(Message m, List<Relay.Earlier> earlier) {
+        return new Relay.Accepted(m.id(), classes.get(m.messageClass()), m.tenant(), m.routeKey(),
+            moduleTime(m.deadline()), m.destination(), earlier);
+    }
+
+    boolean knows(String messageClass, long destination) {
+        return classes.containsKey(messageClass) && hosts.knows(destination);
+    }
+
+    Relay.MessageClass messageClass(String name) {
+        return classes.containsKey(name) ? settings.classes().get(classes.get(name)) : null;
+    }
+
+    /** The tenant's number; one that the settings do not name stands past them and has no share. */
+    int tenant(String name) {
+        for (int i = 0; i < settings.tenants().size(); i++) {
+            if (settings.tenants().get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return settings.tenants().size();
+    }
+
+    boolean idle() {
+        return open == 0 && !discovery.noticesLeft();
+    }
+
+    // ---- Clients --------------------------------------------------------------------------------
+    /** A message is handed in; it is answered before this returns. */
+    void accept(Message message, Answer answer) {
+        Held known = held.get(message.id());
+        if (known != null && !known.over) {
+            // A client sends a request once more when its connection closed as it wrote: it is held already.
+            answer.taken();
+            return;
+        }
+        if (known != null || open >= settings.allowed().open()) {
+            answer.refused(COME_BACK);
+            return;
+        }
+        Held h = new Held(message, null);
+        held.put(message.id(), h);
+        open++;
+        unanswered.put(message.id(), answer);
+        tell(accepted(message, List.of()));
+        turn();
+    }
+
+    /** The client did not hear that its message was taken on: it hands it in anew, this one counts for nothing. */
+    void withdraw(String id) {
+        Held h = held.get(id);
+        if (h != null && !h.over) {
+            LOG.info("message {} withdrawn, its client left before the answer", id);
+            over(h);
+            close(h.entry);
+            tell(new Relay.Withdrawn(id));
+        }
+    }
+
+    // ---- Turns ----------------------------------------------------------------------------------
+    private void tell(Relay.Event event) {
+        events.add(event);
+        if (!turnDue) {
+            turnDue = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    private long now() {
+        return (System.nanoTime() - began) / 1_000;
+    }
+
+    /** Unix time in ms to the module's clock, which may then be below 0. */
+    private long moduleTime(long unix) {
+        return now() + (unix - System.currentTimeMillis()) * 1_000;
+    }
+
+    private void turn() {
+        turnDue = false;
+        if (events.isEmpty()) {
+            return;
+        }
+        List<Relay.Event> told = events;
+        events = new ArrayList<>();
+        try {
+            List<Relay.Action> actions = control.turn(now(), told);
+            answer(actions);
+            for (Relay.Action action : actions) {
+                carryOut(action);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("turn failed on {}", told, e);
+        } finally {
+            // Guards clients against silence if the turn failed: nothing was written down for these.
+            for (String id : List.copyOf(unanswered.keySet())) {
+                refuse(id, unanswered.get(id));
+            }
+        }
+    }
+
+    /**
+     * Answers the clients of this turn's new messages. An end that the module decided at once is the answer itself;
+     * the others are written down, then answered, and only after that is anything sent.
+     */
+    private void answer(List<Relay.Action> actions) {
+        for (Relay.Action action : unanswered.isEmpty() ? List.<Relay.Action>of() : actions) {
+            if (action instanceof Relay.Refuse a && unanswered.containsKey(a.id())) {
+                over(held.get(a.id()));
+                unanswered.remove(a.id()).refused(a.retryAfter());
+            } else if (action instanceof Relay.Fail a && unanswered.containsKey(a.id())) {
+                over(held.get(a.id()));
+                unanswered.remove(a.id()).failed();
+            }
+        }
+        for (String id : List.copyOf(unanswered.keySet())) {
+            Held h = held.get(id);
+            try {
+                h.entry = journal.take(h.message);
+            } catch (IOException e) {
+                LOG.error("journal cannot be written, message {} refused", id, e);
+            }
+            if (h.entry == null) {
+                refuse(id, unanswered.get(id));
+            } else {
+                unanswered.remove(id).taken();
+            }
+        }
+    }
+
+    private void refuse(String id, Answer answer) {
+        unanswered.remove(id);
+        over(held.get(id));
+        tell(new Relay.Withdrawn(id));
+        answer.refused(COME_BACK);
+    }
+
+    private void carryOut(Relay.Action action) {
+        if (action instanceof Relay.Send a) {
+            send(a);
+        } else if (action instanceof Relay.Refuse a) {
+            end(a.id(), new Journal.End(true, a.retryAfter()));
+        } else if (action instanceof Relay.Fail a) {
+            end(a.id(), new Journal.End(false, 0));
+        } else if (action instanceof Relay.Cancel a) {
+            Held h = held.get(a.id());
+            HostPool.Call call = h == null ? null : h.calls.get(a.attempt());
+            if (call != null) {
+                call.cancel();
+            }
+        } else if (action instanceof Relay.Close a) {
+            pool.closeIdle(hosts.host(a.endpoint()));
+        } else if (action instanceof Relay.Wake a) {
+            loop.schedule(() -> tell(new Relay.Due()), a.after(), TimeUnit.MICROSECONDS);
+        } else if (action instanceof Relay.Log a) {
+            LOG.info("{}", a.text());
+        }
+    }
+
+    // ---- Calls ----------------------------------------------------------------------------------
+    private void send(Relay.Send a) {
+        Held h = held.get(a.id());
+        HostList.Host host = hosts.host(a.endpoint());
+        if (h == null) {
+            return;
+        }
+        int attempt = h.calls.size();
+        h.calls.add(null);
+        h.out++;
+        boolean written = false;
+        try {
+            if (!h.over) {
+                journal.sent(h.entry, System.currentTimeMillis(), host.zone);
+                written = true;
+            }
+        } catch (IOException e) {
+            LOG.error("journal cannot be written, message {} not sent", a.id(), e);
+        }
+        if (!written || !host.ready) {
+            ended(h, attempt, host, new HostPool.Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
+            return;
+        }
+        h.calls.set(attempt, pool.call(host, h.message, a.timeout(), reply -> ended(h, attempt, host, reply)));
+    }
+
+    private void ended(Held h, int attempt, HostList.Host host, HostPool.Reply reply) {
+        h.out--;
+        if (reply.waitFor() > 0) {
+            // Guards the rule on waits: calls there that still wait for their connection do not go out.
+            pool.takeBack(host);
+        }
+        boolean over = h.over || reply.over();
+        if (!h.over) {
+            if (reply.over()) {
+                over(h);
+                close(h.entry);
+            } else if (reply.outcome().neverRan()) {
+                notRun(h, attempt);
+            }
+        }
+        tell(new Relay.Ended(h.message.id(), attempt, host.number, reply.outcome(), over, reply.waitFor(),
+            reply.latency(), reply.left(), reply.limit()));
+        forget(h);
+    }
+
+    private void notRun(Held h, int attempt) {
+        try {
+            journal.notRun(h.entry, attempt);
+        } catch (IOException | IndexOutOfBoundsException e) {
+            // The attempt then counts as one that may have run, which is safe.
+            LOG.error("journal cannot be written, outcome of message {} is not kept", h.message.id(), e);
+        }
+    }
+
+    // ---- Ends -----------------------------------------------------------------------------------
+    private void end(String id, Journal.End end) {
+        Held h = held.get(id);
+        if (h != null && !h.over) {
+            over(h);
+            end(h.entry, end);
+        }
+    }
+
+    private void end(Journal.Entry entry, Journal.End end) {
+        try {
+            journal.ended(entry, end);
+        } catch (IOException e) {
+            LOG.error("journal cannot be written, end of message {} is told all the same", entry.message.id(), e);
+            entry.end = end;
+        }
+        discovery.notice(entry);
+    }
+
+    private void over(Held h) {
+        h.over = true;
+        open--;
+        forget(h);
+    }
+
+    /** The module may still name a message until the last of its calls has ended. */
+    private void forget(Held h) {
+        if (h.over && h.out == 0) {
+            held.remove(h.message.id(), h);
+        }
+    }
+
+    private void close(Journal.Entry entry) {
+        try {
+            journal.closed(entry);
+        } catch (IOException e) {
+            LOG.error("journal cannot be written, message {} will be taken up again after a restart",
+                entry.message.id(), e);
+        }
+    }
+
+    // ---- List -----------------------------------------------------------------------------------
+    private void listed(Wire.Fields list) {
+        try {
+            tell(hosts.update(list));
+        } catch (Wire.Malformed e) {
+            LOG.warn("discovery's list cannot be read, the old one is kept: {}", e.getMessage());
+        }
+        for (HostList.Host host : hosts.hosts()) {
+            if (!host.ready) {
+                pool.takeBack(host);
+                pool.closeIdle(host);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -0,0 +1,121 @@
+package wrenkeel.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wrenkeel.Wire;
+
+/** One real relay: its parts put together, its start and its orderly end. */
+public final class Node implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    /** ms from SIGTERM: clients are served on for the first, all is over by the second (SIGKILL may come at 3.7 s). */
+    private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
+    private static final long LOOK = 20;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private final CountDownLatch left = new CountDownLatch(1);
+    private final Journal journal;
+    private Loop loop;
+    private Server server;
+    private Channel listener;
+
+    /** Takes up what the journal holds, and serves. */
+    Node(Config config) throws IOException, InterruptedException, ExecutionException {
+        journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
+        ChannelFuture bound = thread.submit(() -> begin(config)).get();
+        listener = bound.channel();
+        bound.get();
+        LOG.info("serving on {}, {} messages taken up", address(), journal.owed().size());
+    }
+
+    /** Serves until the process is told to end; 2 where the configuration is of no use. */
+    public static int serve(Map<String, String> env) {
+        try {
+            Node node = new Node(Config.read(env));
+            Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
+            node.left.await();
+            return 0;
+        } catch (Config.Unusable e) {
+            System.err.println(e.getMessage());
+        } catch (IOException e) {
+            System.err.println("cannot open the journal: " + e);
+        } catch (ExecutionException e) {
+            System.err.println("cannot start: " + e.getCause());
+        } catch (InterruptedException e) {
+            System.err.println("interrupted at the start");
+        }
+        return 2;
+    }
+
+    private ChannelFuture begin(Config config) throws Wire.Malformed {
+        Bootstrap calls = new Bootstrap().group(thread)
+            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
+        HostList hosts = new HostList(config.zones(), config.kinds());
+        HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
+            config.settings().allowed().keepAlive());
+        loop = new Loop(thread, config, hosts, pool, journal,
+            (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
+                whenNoticed));
+        loop.start(config.known());
+        server = new Server(loop);
+        ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(server);
+        return bootstrap.bind(config.listen());
+    }
+
+    /** The address that clients connect to. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /**
+     * The orderly end: connections are served until clients have turned away, then what is held is worked off. What is
+     * left stays in the journal, as it does when the process is killed.
+     */
+    void leave() {
+        long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
+        try {
+            thread.execute(server::leave);
+            Thread.sleep(SERVE_ON);
+            thread.submit(() -> {
+                listener.close();
+                server.closeClients();
+            }).get();
+            while (System.nanoTime() < by && !thread.submit(loop::idle).get()) {
+                Thread.sleep(LOOK);
+            }
+        } catch (InterruptedException | ExecutionException e) {
+            LOG.error("left at once", e);
+        }
+        close();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        try {
+            journal.close();
+        } catch (IOException e) {
+            LOG.error("journal not closed", e);
+        }
+        left.countDown();
+    }
+}
