--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -20,6 +20,9 @@
               long diskBytes, Relay.Settings settings, List<String> zones, List<String> kinds,
               Wire.Fields known) {
 
+    /** us; taken off a key's window besides: for the way to the host. */
+    private static final long WINDOW_MARGIN = 100_000;
+
     /** A configuration that no relay can run with; the message is one plain line. */
     static final class Unusable extends Exception {
         private static final long serialVersionUID = 1L;
@@ -69,16 +72,23 @@
         }
     }
 
-    /** One message a call is all that the protocol carries, so the module is told of no bundles. */
+    /**
+     * Two figures differ on sockets. One message a call is all that the protocol carries, so the module is
+     * told of no bundles. And a call goes out as late as its connection comes up, so the module is told that
+     * keys are remembered for so much less: a repeat then still comes inside the true window.
+     */
     private static Relay.Settings usable(Relay.Settings s) throws Unusable {
         if (s.classes().isEmpty() || s.kinds().isEmpty() || s.relays() < 1 || s.allowed().slots() < 1
             || s.allowed().connectTimeout() <= 0 || s.allowed().keepAlive() <= 0) {
             throw new Unusable("settings lack classes, kinds, relays, slots or connection times");
         }
         List<Relay.Kind> kinds = s.kinds().stream().map(k -> new Relay.Kind(k.apart(), 1)).toList();
+        List<Relay.MessageClass> classes = s.classes().stream().map(c -> new Relay.MessageClass(c.name(),
+            c.aim(), c.life(), c.worth(), c.lateWorth(), c.effect(), c.zoneGroup(),
+            Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN), c.inOrder())).toList();
         return new Relay.Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
             s.weights(),
-            s.classes(), s.tenants(), kinds, s.allowed(), s.rules(), s.prices());
+            classes, s.tenants(), kinds, s.allowed(), s.rules(), s.prices());
     }
 
     private static List<String> names(Wire.Fields settings, String field) throws Wire.Malformed {
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,6 +25,8 @@
         final String name;
         InetSocketAddress dial;
         int zone;
+        int kind;
+        long destination;
         boolean ready;
 
         Host(long number, String name) {
@@ -54,7 +57,7 @@
     }
 
     /** All hosts ever named. */
-    Iterable<Host> hosts() {
+    Collection<Host> hosts() {
         return byNumber.values();
     }
 
@@ -118,7 +121,9 @@
                 listing = Relay.Listing.GONE;
             }
             host.zone = zone;
-            destinations.add(entry.whole("block"));
+            host.kind = kind;
+            host.destination = entry.whole("block");
+            destinations.add(host.destination);
         }
         return new Relay.Endpoint(host.number, Math.max(0, zone), Math.max(0, kind), entry.whole("block", 0),
             listing,
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -189,6 +190,11 @@
         pool(host).idle.clear();
     }
 
+    /** How many idle connections to a host are held. */
+    int idle(HostList.Host host) {
+        return pool(host).idle.size();
+    }
+
     private void sweep() {
         for (Pool pool : pools.values()) {
             while (!pool.idle.isEmpty() && pool.idle.peekFirst().stale()) {
@@ -275,7 +281,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof java.io.IOException)) {
+            if (!(cause instanceof IOException)) {
                 LOG.error("connection to a host closed", cause);
             }
             context.close();
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -23,6 +23,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     /** us; told to a client that is turned away before the module has seen its message. */
     private static final long COME_BACK = 1_000_000;
+    private static final long AFTER_FAULT = 100_000;
 
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
@@ -62,6 +63,7 @@
     private final Map<String, Answer> unanswered = new LinkedHashMap<>();
     private final long began = System.nanoTime();
     private boolean turnDue;
+    private boolean stopped;
     private int open;
 
     Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Agent agent) {
@@ -138,6 +140,11 @@
         return settings.tenants().size();
     }
 
+    /** The process ends: nothing more is decided or written down, calls still out count as may have run. */
+    void stop() {
+        stopped = true;
+    }
+
     boolean idle() {
         return open == 0 && !discovery.noticesLeft();
     }
@@ -180,7 +187,7 @@
     // ---- Turns ----------------------------------------------------------------------------------
     private void tell(Relay.Event event) {
         events.add(event);
-        if (!turnDue) {
+        if (!turnDue && !stopped) {
             turnDue = true;
             loop.execute(this::turn);
         }
@@ -197,7 +204,7 @@
 
     private void turn() {
         turnDue = false;
-        if (events.isEmpty()) {
+        if (events.isEmpty() || stopped) {
             return;
         }
         List<Relay.Event> told = events;
@@ -206,10 +213,16 @@
             List<Relay.Action> actions = control.turn(now(), told);
             answer(actions);
             for (Relay.Action action : actions) {
-                carryOut(action);
+                try {
+                    carryOut(action);
+                } catch (RuntimeException e) {
+                    LOG.error("could not carry out {}", action, e);
+                }
             }
         } catch (RuntimeException e) {
             LOG.error("turn failed on {}", told, e);
+            // Guards against standing still: the module's timer may have been lost with the turn.
+            loop.schedule(() -> tell(new Relay.Due()), AFTER_FAULT, TimeUnit.MICROSECONDS);
         } finally {
             // Guards clients against silence if the turn failed: nothing was written down for these.
             for (String id : List.copyOf(unanswered.keySet())) {
@@ -304,10 +317,15 @@
     }
 
     private void ended(Held h, int attempt, HostList.Host host, HostPool.Reply reply) {
+        if (stopped) {
+            return;
+        }
         h.out--;
         if (reply.waitFor() > 0) {
             // Guards the rule on waits: calls there that still wait for their connection do not go out.
-            pool.takeBack(host);
+            boolean apart = settings.kinds().get(host.kind).apart();
+            hosts.hosts().stream().filter(other -> other == host
+                || !apart && other.destination == host.destination).forEach(pool::takeBack);
         }
         boolean over = h.over || reply.over();
         if (!h.over) {
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -77,7 +77,7 @@
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        server = new Server(loop);
+        server = new Server(loop, config.sockets() / 2);
         ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
@@ -91,6 +91,11 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** True when nothing is owed any more. */
+    boolean idle() throws InterruptedException, ExecutionException {
+        return thread.submit(loop::idle).get();
+    }
+
     /**
      * The orderly end: connections are served until clients have turned away, then what is held is worked
      * off. What is left stays in the journal, as it does when the process is killed.
@@ -104,7 +109,7 @@
                 listener.close();
                 server.closeClients();
             }).get();
-            while (System.nanoTime() < by && !thread.submit(loop::idle).get()) {
+            while (System.nanoTime() < by && !idle()) {
                 Thread.sleep(LOOK);
             }
         } catch (InterruptedException | ExecutionException e) {
@@ -113,8 +118,11 @@
         close();
     }
 
+    /** The abrupt end: what is owed stays in the journal. */
+
     @Override
     public void close() {
+        thread.submit(loop::stop).awaitUninterruptibly();
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         try {
             journal.close();
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -21,6 +21,9 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutException;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -33,20 +36,26 @@
 final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
     private static final int BODY_MOST = 64 * 1024, ID_MOST = 128, KEY_MOST = 256;
+    /** s; a connection on which nothing has come for so long is closed. */
+    private static final int SILENT_MOST = 120;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
 
     private final Loop loop;
+    private final int mostClients;
     private final Set<Channel> clients = new HashSet<>();
     private boolean leaving;
 
-    Server(Loop loop) {
+    /** {@code mostClients}: connections at once; the rest of the descriptors is for hosts and files. */
+    Server(Loop loop, int mostClients) {
         this.loop = loop;
+        this.mostClients = mostClients;
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new Whole(), new Requests());
+        channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MOST), new HttpServerCodec(), new Whole(),
+            new Requests());
     }
 
     /** From now on each answer closes its connection. */
@@ -95,6 +104,10 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             clients.add(context.channel());
+            if (clients.size() > mostClients) {
+                LOG.warn("connection closed: {} clients are connected", mostClients);
+                context.close();
+            }
         }
 
         @Override
@@ -126,7 +139,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof java.io.IOException)) {
+            if (!(cause instanceof IOException || cause instanceof ReadTimeoutException)) {
                 LOG.error("connection of a client closed", cause);
             }
             context.close();
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -31,6 +31,42 @@
         assertEquals(List.of(new Cancel(first.id(), 0)), after.stream().filter(Cancel.class::isInstance).toList());
     }
 
+    private static Event recovered(Bench b, int cls, Earlier... earlier) {
+        return new Accepted("r", cls, 0, null, b.message(cls, 1).deadline(), 1, List.of(earlier));
+    }
+
+    private static Earlier earlier(Bench b, long ago, int zone, boolean mayHaveRun) {
+        return new Earlier(b.now - ago, zone, mayHaveRun);
+    }
+
+    private static List<Action> recover(int cls, Earlier... earlier) {
+        Bench b = bench(1, 8, false);
+        return b.control.turn(b.now, List.of(recovered(b, cls, earlier)));
+    }
+
+    /** Guards against double effects after a restart: the module knows the attempts made before it. */
+    @Test
+    void recoveredMessagesKeepTheirHistory() {
+        Bench b = new Bench(settings(8, false, 2));
+        Earlier ran = earlier(b, SECOND, 0, true), old = earlier(b, 10 * SECOND, 0, true);
+        Earlier never = earlier(b, SECOND, 0, false);
+        assertEquals(1, count(recover(2, ran), Fail.class), "unsafe and may have run");
+        assertEquals(1, sends(recover(2, never)).size(), "unsafe and never ran");
+        assertEquals(1, sends(recover(1, ran)).size(), "keyed, inside the window");
+        assertTrue(sends(recover(1, ran, old)).isEmpty(), "the window counts from the earliest");
+        Earlier[] all = {never, never, never, never, never, never, never, never};
+        assertEquals(1, count(recover(0, all), Refuse.class), "all attempts made");
+    }
+
+    @Test
+    void aRecoveredKeyedMessageStaysInItsZoneGroup() {
+        for (int zone = 0; zone < 2; zone++) {
+            Bench b = bench(1, 8, false);
+            Event again = recovered(b, 3, earlier(b, SECOND, zone, true));
+            assertEquals(11 + zone, sends(b.control.turn(b.now, List.of(again))).get(0).endpoint());
+        }
+    }
+
     @Test
     void delayStartsAt200MillisecondsUntilAnswersAreKnown() {
         Bench b = bench(0, 8, true);
--- /dev/null
+++ b/src/test/java/wrenkeel/net/Host.java
@@ -0,0 +1,97 @@
+package wrenkeel.net;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A host whose answers the test gives one by one: each call is handed over with its connection. */
+final class Host implements AutoCloseable {
+    static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    /** One call as it came. */
+    record Call(Socket socket, List<String> head, String body) {
+        void answer(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        String header(String name) {
+            return head.stream().filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ": "))
+                .map(h -> h.substring(name.length() + 2)).findFirst().orElse(null);
+        }
+    }
+
+    private final ServerSocket listener = new ServerSocket(0, 50, Platform.LOOPBACK);
+    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+
+    Host() throws IOException {
+        start(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                start(() -> {
+                    while (true) {
+                        List<String> head = head(socket.getInputStream());
+                        Call bare = new Call(socket, head, "");
+                        byte[] body = socket.getInputStream()
+                            .readNBytes(Integer.parseInt(bare.header("Content-Length")));
+                        calls.add(new Call(socket, head, new String(body, StandardCharsets.UTF_8)));
+                    }
+                });
+            }
+        });
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    /** The next call; null if none comes in a long time. */
+    Call call() throws InterruptedException {
+        return calls.poll(Platform.PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    boolean quiet() {
+        return calls.isEmpty();
+    }
+
+    /** Reads lines up to the empty one. */
+    static List<String> head(InputStream in) throws IOException {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        while (!text.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                throw new EOFException("ended after: " + text);
+            }
+            text.write(next);
+        }
+        return text.toString(StandardCharsets.ISO_8859_1).lines().filter(line -> !line.isEmpty()).toList();
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void start(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The connection or the test has ended.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/net/HostListTest.java
@@ -0,0 +1,54 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wrenkeel.Relay;
+import wrenkeel.Wire;
+
+/** Discovery's list, as the module is told it. */
+class HostListTest {
+    private static Relay.Listed update(HostList list, String text) throws Wire.Malformed {
+        return list.update(Wire.decode(text));
+    }
+
+    private static HostList list() {
+        return new HostList(List.of("a", "b"), List.of("m1", "m2"));
+    }
+
+    /** Guards decisions that relays must take alike: a host's number is the same whatever came before it. */
+    @Test
+    void aHostHasOneNumberAtEveryRelay() throws Wire.Malformed {
+        String one = Platform.host("s-1", 80, 7, "ready");
+        String two = Platform.host("s-2", 80, 7, "ready");
+        HostList first = list();
+        Relay.Listed listed = update(first, Platform.list(1, true, one, two));
+        Relay.Listed other = update(list(), Platform.list(1, true, two, one));
+        assertEquals(listed.endpoints().get(0), other.endpoints().get(1));
+        assertEquals(listed.endpoints().get(1), other.endpoints().get(0));
+        assertEquals(new Relay.Endpoint(listed.endpoints().get(0).id(), 0, 1, 7, Relay.Listing.READY, 50),
+            listed.endpoints().get(0));
+        assertTrue(listed.endpoints().get(0).id() >= 0 && listed.endpoints().get(0).id() < 1L << 32);
+    }
+
+    /** "plumless" and "buckeroo" have one CRC-32: they must still be two hosts. */
+    @Test
+    void namesThatCollideGetNumbersOfTheirOwn() throws Wire.Malformed {
+        Relay.Listed listed = update(list(), Platform.list(1, true, Platform.host("plumless", 80, 7, "ready"),
+            Platform.host("buckeroo", 81, 7, "ready")));
+        assertNotEquals(listed.endpoints().get(0).id(), listed.endpoints().get(1).id());
+    }
+
+    @Test
+    void aWholeListLeavesOutWhatIsGoneAndABadEntrySpoilsNoOther() throws Wire.Malformed {
+        HostList list = list();
+        long gone = update(list, Platform.list(1, true, Platform.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
+        Relay.Listed next = update(list, Platform.list(2, true, Platform.host("s-2", 80, 7, "ready"),
+            Platform.host("s-3", 80, 7, "ready").replace("\"m2\"", "\"m9\"")));
+        assertEquals(1, next.endpoints().size());
+        assertFalse(list.host(gone).ready);
+        assertTrue(list.knows(7), "a destination stays known while its hosts are gone");
+        assertEquals(2, list.version());
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -0,0 +1,175 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wrenkeel.Relay.Outcome;
+
+/** Each way in which a call can end, by the protocol's table. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class HostPoolTest {
+    private static final long LONG = 60_000_000, KEEP_ALIVE = 15_000_000;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final BlockingQueue<HostPool.Reply> replies = new LinkedBlockingQueue<>();
+    private final HostList.Host listed = new HostList.Host(1, "s-1");
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private HostPool pool(long keepAlive) {
+        return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive);
+    }
+
+    private HostPool.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
+        listed.dial = new InetSocketAddress(Platform.LOOPBACK, port);
+        Message message = new Message("a", "bill", 0, null, null, 7, 0, new byte[bytes]);
+        return group.next().submit(() -> pool.call(listed, message, patience, replies::add)).get();
+    }
+
+    private HostPool.Reply reply() throws InterruptedException {
+        return replies.poll(Platform.PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200, , OK, true, 0", "500, , ERROR, false, 0", "429, Retry-After: 0.283, FULL, false, 283000",
+        "429, , FULL, false, 0", "503, , FULL, false, 0", "503, X-No-Slot: 1, NOT_SENT, false, 0",
+        "504, , NOT_SENT, false, 0", "410, , NOT_SENT, true, 0", "418, , ERROR, false, 0"})
+    void anAnswerMeansWhatTheTableSays(int status, String header, Outcome outcome, boolean over, long wait)
+            throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            host.call().answer("HTTP/1.1 " + status + " x\r\nX-Server-Load: x0=0.4,x1=25\r\n"
+                + (header == null ? "" : header + "\r\n") + "Content-Length: 0\r\n\r\n");
+            HostPool.Reply reply = reply();
+            assertEquals(outcome, reply.outcome());
+            assertEquals(over, reply.over());
+            assertEquals(wait, reply.waitFor());
+            assertEquals(0.4, reply.left());
+            assertEquals(25, reply.limit());
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws Exception {
+        int port;
+        try (Host host = new Host()) {
+            port = host.port();
+        }
+        call(pool(KEEP_ALIVE), port, LONG, 10);
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+    }
+
+    @Test
+    void aConnectionThatBreaksAfterTheLastByteMayHaveRun() throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            host.call().socket().close();
+            assertEquals(Outcome.RESET, reply().outcome());
+        }
+    }
+
+    /** Guards against a call taken for one that may have run: its last byte was never handed to the socket. */
+    @Test
+    void aConnectionThatBreaksBeforeTheLastByteNeverRan() throws Exception {
+        try (ServerSocket listener = new ServerSocket()) {
+            listener.setReceiveBufferSize(4_096);
+            listener.bind(new InetSocketAddress(Platform.LOOPBACK, 0));
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), LONG, 64 << 20);
+            Socket socket = listener.accept();
+            assertTrue(socket.getInputStream().read() >= 0);
+            socket.setSoLinger(true, 0);
+            socket.close();
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        }
+    }
+
+    @Test
+    void timeOutAndCancelCloseTheConnection() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            call(pool, host.port(), 200_000, 10);
+            Host.Call late = host.call();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            HostPool.Call call = call(pool, host.port(), LONG, 10);
+            Host.Call second = host.call();
+            assertNotSame(late.socket(), second.socket());
+            group.next().submit(call::cancel).get();
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            call(pool, host.port(), LONG, 10);
+            Host.Call third = host.call();
+            assertNotSame(second.socket(), third.socket());
+        }
+    }
+
+    /** Guards the rules on drains and waits against calls that go out when a slow connection comes up at last. */
+    @Test
+    void aCallThatWaitsForItsConnectionCanBeTakenBack() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, Platform.LOOPBACK)) {
+            HostPool pool = pool(KEEP_ALIVE);
+            List<Socket> fillers = new ArrayList<>();
+            // A full backlog leaves further connections hanging.
+            for (int i = 0; i < 8; i++) {
+                Socket filler = new Socket();
+                fillers.add(filler);
+                try {
+                    filler.connect(new InetSocketAddress(Platform.LOOPBACK, listener.getLocalPort()), 300);
+                } catch (java.net.SocketTimeoutException e) {
+                    break;
+                }
+            }
+            call(pool, listener.getLocalPort(), LONG, 10);
+            group.next().submit(() -> pool.takeBack(listed)).get();
+            assertEquals(Outcome.NOT_SENT, reply().outcome());
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    /** Guards against a request that crosses the host's own close: an old connection is not used again. */
+    @Test
+    void idleConnectionsAreClosedBeforeTheHostMay() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(1_000_000);
+            call(pool, host.port(), LONG, 10);
+            Host.Call first = host.call();
+            first.answer(Host.OK);
+            reply();
+            while (group.next().submit(() -> pool.idle(listed)).get() > 0) {
+                Thread.sleep(20);
+            }
+            call(pool, host.port(), LONG, 10);
+            assertNotSame(first.socket(), host.call().socket());
+        }
+    }
+
+    @Test
+    void aHostThatEndsTheConnectionWithItsAnswerIsNotAskedOnItAgain() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            call(pool, host.port(), LONG, 10);
+            Host.Call first = host.call();
+            first.answer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(Outcome.OK, reply().outcome());
+            call(pool, host.port(), LONG, 10);
+            assertNotSame(first.socket(), host.call().socket());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -0,0 +1,141 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What is owed outlasts the process, within the limit of the folder. */
+class JournalTest {
+    private static final long LIMIT = 3_000_000;
+
+    @TempDir
+    Path folder;
+
+    private Journal open() throws IOException {
+        return new Journal(folder, LIMIT, 12);
+    }
+
+    private static Message message(String id, int bytes) {
+        return new Message(id, "bill-post", 0, "house-3", "key-" + id, 7, 1_900_000_000_000L, new byte[bytes]);
+    }
+
+    private static Journal.Entry only(Journal journal) {
+        assertEquals(1, journal.owed().size());
+        return journal.owed().iterator().next();
+    }
+
+    private long onDisk() throws IOException {
+        try (var files = Files.list(folder)) {
+            return files.mapToLong(f -> (f.toFile().length() + 511) / 512 * 512).sum();
+        }
+    }
+
+    @Test
+    void allThatIsKnownOfAMessageIsReadBack() throws IOException {
+        try (Journal journal = open()) {
+            Journal.Entry entry = journal.take(message("a", 300));
+            journal.sent(entry, 1_000, 2);
+            journal.sent(entry, 2_000, 1);
+            journal.notRun(entry, 0);
+            journal.ended(entry, new Journal.End(true, 500_000));
+        }
+        // Twice: what the first start wrote anew must read the same.
+        for (int start = 0; start < 2; start++) {
+            try (Journal journal = open()) {
+                Journal.Entry entry = only(journal);
+                assertEquals("a", entry.message.id());
+                assertEquals("bill-post", entry.message.messageClass());
+                assertEquals("house-3", entry.message.routeKey());
+                assertEquals("key-a", entry.message.idempotencyKey());
+                assertEquals(7, entry.message.destination());
+                assertEquals(1_900_000_000_000L, entry.message.deadline());
+                assertArrayEquals(new byte[300], entry.message.body());
+                assertEquals(List.of(1_000L, 2_000L), entry.attempts.stream().map(a -> a.sent).toList());
+                assertEquals(List.of(2, 1), entry.attempts.stream().map(a -> a.zone).toList());
+                assertEquals(List.of(false, true), entry.attempts.stream().map(a -> a.mayHaveRun).toList());
+                assertEquals(new Journal.End(true, 500_000), entry.end);
+            }
+        }
+    }
+
+    @Test
+    void whatIsClosedIsForgotten() throws IOException {
+        try (Journal journal = open()) {
+            journal.closed(journal.take(message("a", 10)));
+            journal.take(message("b", 10));
+        }
+        try (Journal journal = open()) {
+            assertEquals("b", only(journal).message.id());
+        }
+    }
+
+    /** Guards against a kill in the middle of a write: the records before it count, new ones follow them. */
+    @Test
+    void aTornTailIsCutOff() throws IOException {
+        try (Journal journal = open()) {
+            journal.take(message("a", 100));
+        }
+        Path file = folder.resolve("journal");
+        long whole = Files.size(file);
+        try (Journal journal = open()) {
+            journal.take(message("b", 100));
+        }
+        byte[] both = Files.readAllBytes(file);
+        for (int length = (int) whole; length < both.length; length++) {
+            Files.write(file, java.util.Arrays.copyOf(both, length));
+            try (Journal journal = open()) {
+                assertEquals("a", only(journal).message.id());
+                journal.take(message("c", 100));
+            }
+            try (Journal journal = open()) {
+                assertEquals(2, journal.owed().size());
+            }
+        }
+    }
+
+    @Test
+    void aRecordThatDoesNotCheckEndsTheFile() throws IOException {
+        try (Journal journal = open()) {
+            journal.take(message("a", 100));
+            journal.take(message("b", 100));
+        }
+        Path file = folder.resolve("journal");
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[bytes.length - 1] ^= 1;
+        Files.write(file, bytes, StandardOpenOption.TRUNCATE_EXISTING);
+        try (Journal journal = open()) {
+            assertEquals("a", only(journal).message.id());
+        }
+    }
+
+    /** Guards the limit on disk: bodies of 64 KiB times the open cap would exceed it, so room is reserved. */
+    @Test
+    void roomIsReservedAndNeverOverrun() throws IOException {
+        try (Journal journal = open()) {
+            int taken = 0;
+            while (journal.take(message("m" + taken, 64 * 1024)) != null) {
+                taken++;
+            }
+            assertTrue(taken > 10, "only " + taken + " were taken");
+            for (int round = 0; round < 200; round++) {
+                for (Journal.Entry entry : journal.owed()) {
+                    if (entry.attempts.size() < 12) {
+                        journal.sent(entry, round, 0);
+                        journal.notRun(entry, entry.attempts.size() - 1);
+                    }
+                }
+                Journal.Entry oldest = journal.owed().iterator().next();
+                journal.ended(oldest, new Journal.End(false, 0));
+                journal.closed(oldest);
+                assertNotNull(journal.take(message("n" + round, 64 * 1024)), "a closed message frees its room");
+                assertTrue(onDisk() <= LIMIT, onDisk() + " bytes on disk");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -0,0 +1,256 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+import static wrenkeel.net.Platform.host;
+import static wrenkeel.net.Platform.list;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole relay over loopback sockets: one test for each way in which it could go wrong. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class NodeTest {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted";
+
+    @TempDir
+    Path folder;
+    private Platform platform;
+    private Host host;
+
+    @BeforeEach
+    void begin() throws IOException {
+        platform = new Platform(folder);
+        host = new Host();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        host.close();
+        platform.close();
+    }
+
+    private Node relay() throws Exception {
+        return platform.relay(host("s-1", host.port(), 7, "ready"));
+    }
+
+    private void awaitClosedJournal(Node relay) throws Exception {
+        while (!relay.idle()) {
+            Thread.sleep(5);
+        }
+    }
+
+    @Test
+    void aMessageGoesOnUnchangedOverAKeptConnection() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
+            Host.Call first = host.call();
+            assertEquals("POST /v1/messages HTTP/1.1", first.head().get(0));
+            assertEquals("a", first.header("X-Request-ID"));
+            assertEquals("key-a", first.header("Idempotency-Key"));
+            assertEquals("bill \u00e4\0 of a", first.body());
+            assertTrue(Long.parseLong(first.header("X-Timeout-Ms")) > 0);
+            first.answer(Host.OK);
+            awaitClosedJournal(relay);
+            assertEquals(TAKEN, client.post("b", "bill", 7, 16_000).get(0));
+            // Guards against a handshake for each message.
+            assertSame(first.socket(), host.call().socket());
+        }
+    }
+
+    @Test
+    void healthIsToldAndBadRequestsAreTurnedAwayAndNotWrittenDown() throws Exception {
+        try (Node relay = relay()) {
+            long before = Files.size(platform.journal());
+            List<String> good = Platform.Client.headers("x", "bill", 7, 900);
+            try (var client = new Platform.Client(relay)) {
+                assertEquals("HTTP/1.1 200 OK", client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertStatus(404, client.post("x", "wobble", 7, 900));
+                assertStatus(404, client.post("x", "bill", 8, 900));
+                assertStatus(404, client.post("/other", good, ""));
+                assertStatus(400, client.post("x", "bill", 7, 0));
+                assertStatus(400, client.post("x", "bill", 7, Long.MAX_VALUE));
+                for (int left = 0; left < good.size(); left++) {
+                    List<String> headers = new java.util.ArrayList<>(good);
+                    if (!headers.remove(left).startsWith("X-Priority-Class")) {
+                        assertStatus(400, client.post("/bill", headers, ""));
+                    }
+                }
+                assertStatus(405, client.raw("GET /bill HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]));
+            }
+            try (var client = new Platform.Client(relay)) {
+                assertStatus(413, client.post("/bill", good, "x".repeat(64 * 1024 + 1)));
+            }
+            try (var client = new Platform.Client(relay)) {
+                assertStatus(400, client.raw("nonsense\r\n\r\n", new byte[0]));
+            }
+            assertEquals(before, Files.size(platform.journal()));
+        }
+    }
+
+    private static void assertStatus(int status, List<String> head) {
+        assertTrue(head.get(0).startsWith("HTTP/1.1 " + status), head.get(0));
+    }
+
+    /** Guards the cap on messages held: the client is told to come back, not left waiting. */
+    @Test
+    void aboveTheOpenCapAMessageIsRefusedWithATimeToComeBack() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            // The module gives back one that it may when the cap is reached, so unsafe ones that are out hold it.
+            int taken = 0;
+            List<String> answer = client.post("m0", "pay", 7, 16_000);
+            while (answer.get(0).equals(TAKEN) && taken < 20) {
+                taken++;
+                answer = client.post("m" + taken, "pay", 7, 16_000);
+            }
+            assertTrue(taken >= 3 && taken <= 4, taken + " were taken");
+            assertStatus(503, answer);
+        }
+    }
+
+    /** Guards against a lost end: the notice is posted until the platform acknowledges it. */
+    @Test
+    void aMessageThatIsGivenUpEndsByANoticeThatIsRepeatedUntilItIsAcknowledged() throws Exception {
+        platform.noticeStatuses.add(500);
+        platform.noticeStatuses.add(503);
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 300).get(0));
+            assertNotNull(host.call());
+            String notice = "{\"message\":\"a\",\"outcome\":\"given_up\"}";
+            for (int i = 0; i < 3; i++) {
+                assertEquals(notice, platform.notice());
+            }
+            awaitClosedJournal(relay);
+        }
+        try (Journal journal = new Journal(platform.journal().getParent(), 3_000_000, 12)) {
+            assertTrue(journal.owed().isEmpty());
+        }
+    }
+
+    /** Guards what is owed against a kill: keyed messages go out again, with the same id, key and body. */
+    @Test
+    void aKeyedMessageThatWasOutIsSentAgainAfterARestart() throws Exception {
+        Host.Call before;
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
+            before = host.call();
+        }
+        try (Node relay = relay()) {
+            Host.Call after = host.call();
+            assertEquals("a", after.header("X-Request-ID"));
+            assertEquals("key-a", after.header("Idempotency-Key"));
+            assertEquals(before.body(), after.body());
+            after.answer(Host.OK);
+            awaitClosedJournal(relay);
+        }
+        assertTrue(platform.notices.isEmpty(), "delivered, so no notice");
+    }
+
+    /** Guards against double effects: an unsafe call that was out at the kill may have run. */
+    @Test
+    void anUnsafeMessageThatWasOutIsGivenUpAfterARestart() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
+            assertNotNull(host.call());
+        }
+        try (Node relay = relay()) {
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", platform.notice());
+            awaitClosedJournal(relay);
+            assertTrue(host.quiet());
+        }
+    }
+
+    /** An unsafe message whose only call was turned away never ran: it goes out after a restart. */
+    @Test
+    void anUnsafeMessageThatNeverRanIsSentAfterARestart() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "pay", 7, 60_000).get(0));
+            long before = Files.size(platform.journal());
+            host.call().answer("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 50.5\r\nContent-Length: 0\r\n\r\n");
+            while (Files.size(platform.journal()) == before) {
+                Thread.sleep(5);
+            }
+        }
+        try (Node relay = relay()) {
+            assertEquals("a", host.call().header("X-Request-ID"));
+        }
+    }
+
+    @Test
+    void aMessageWhoseTimePassedWhileTheRelayWasDownStillGetsItsNotice() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 400).get(0));
+            assertNotNull(host.call());
+        }
+        Thread.sleep(400);
+        try (Node relay = relay()) {
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", platform.notice());
+        }
+    }
+
+    /** Guards the rule on drains: a host that the watch calls draining gets nothing new. */
+    @Test
+    void aDrainingHostGetsNothingNewAndItsReplacementDoes() throws Exception {
+        try (Host other = new Host(); Node relay = relay(); var client = new Platform.Client(relay)) {
+            platform.changes.add(list(2, false, host("s-1", host.port(), 7, "draining"),
+                host("s-2", other.port(), 7, "ready")));
+            // The third watch is only asked for once the second list has been taken in.
+            platform.changes.add(list(3, false));
+            while (!platform.changes.isEmpty()) {
+                Thread.sleep(5);
+            }
+            for (int i = 0; i < 3; i++) {
+                assertEquals(TAKEN, client.post("m" + i, "bill", 7, 16_000).get(0));
+                other.call().answer(Host.OK);
+                awaitClosedJournal(relay);
+            }
+            assertTrue(host.quiet());
+        }
+    }
+
+    /** Guards the orderly end: clients are answered and turned away, and what is out is finished first. */
+    @Test
+    void atTheOrderlyEndClientsAreServedAndCallsFinished() throws Exception {
+        Node relay = relay();
+        try (var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
+            Thread end = new Thread(relay::leave);
+            end.start();
+            List<String> health;
+            do {
+                try (var probe = new Platform.Client(relay)) {
+                    health = probe.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]);
+                }
+            } while (health.get(0).contains("200"));
+            List<String> answer = client.post("b", "bill", 7, 16_000);
+            assertEquals(TAKEN, answer.get(0));
+            assertTrue(answer.stream().anyMatch("connection: close"::equalsIgnoreCase), answer.toString());
+            assertTrue(client.closed());
+            host.call().answer(Host.OK);
+            host.call().answer(Host.OK);
+            end.join();
+        }
+        try (Journal journal = new Journal(platform.journal().getParent(), 3_000_000, 12)) {
+            assertTrue(journal.owed().isEmpty(), "both were delivered before the end");
+        }
+    }
+
+    @Test
+    void anUnusableConfigurationIsOnePlainLine() throws IOException {
+        assertThrows(Config.Unusable.class, () -> Config.read(Map.of()));
+        Path file = Files.writeString(folder.resolve("bad.json"), "{\"listen\":");
+        var fault = assertThrows(Config.Unusable.class,
+            () -> Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", folder.toString())));
+        assertEquals(1, fault.getMessage().lines().count());
+        assertThrows(Config.Unusable.class, () -> Config.address("localhost:80"));
+        assertEquals(2, Node.serve(Map.of()));
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -0,0 +1,144 @@
+package wrenkeel.net;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** What a relay needs round it, on loopback: an agent of discovery and its configuration; scripted by the test. */
+final class Platform implements AutoCloseable {
+    static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    static final long PATIENCE_S = 30;
+
+    final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    /** Statuses for the next notices; 204 when none is left. */
+    final BlockingQueue<Integer> noticeStatuses = new LinkedBlockingQueue<>();
+    /** Answers to the next watches. */
+    final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    private final HttpServer agent;
+    private final Path folder;
+
+    Platform(Path folder) throws IOException {
+        this.folder = folder;
+        agent = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
+        agent.setExecutor(Executors.newCachedThreadPool(task -> {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            return thread;
+        }));
+        agent.createContext("/reports", exchange -> {
+            String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+            Integer status = noticeStatuses.poll();
+            exchange.sendResponseHeaders(status == null ? 204 : status, -1);
+            exchange.close();
+            body.lines().forEach(notices::add);
+        });
+        agent.createContext("/v1/servers", exchange -> {
+            try {
+                byte[] list = changes.take().getBytes(StandardCharsets.UTF_8);
+                exchange.sendResponseHeaders(200, list.length);
+                exchange.getResponseBody().write(list);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            exchange.close();
+        });
+        agent.start();
+    }
+
+    static String host(String name, int port, int block, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"a\",\"class\":\"m2\",\"block\":"
+            + block + ",\"health\":\"" + health + "\",\"share\":50,\"born_ms\":0}";
+    }
+
+    static String list(int version, boolean whole, String... hosts) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
+    }
+
+    /** Starts a relay that knows these hosts; classes: bill (keyed), pay (unsafe). */
+    Node relay(String... hosts) throws Exception {
+        Path file = folder.resolve("config.json");
+        Path state = Files.createDirectories(folder.resolve("state"));
+        Files.writeString(file, """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+             "limits":{"sockets":1024,"disk_mb":3},"known":%s,
+             "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2"],
+              "weights":"rough","novel":[1],
+              "allowed":{"cancel":true,"second-copies":false,"connect-timeout":800,"keepalive":15000,"most-tries":12,
+               "open-cap":4,"max-streams":1,"retry-after":true,"max-retry-after":3000},
+              "family-info":{"call-slots":8,"kind-apart":[true,true],"bundle-max":[1,1]},
+              "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
+              "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
+               {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
+            """.formatted(agent.getAddress().getPort(), list(1, true, hosts)));
+        return new Node(Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString())));
+    }
+
+    Path journal() {
+        return folder.resolve("state").resolve("journal");
+    }
+
+    String notice() throws InterruptedException {
+        return notices.poll(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        agent.stop(0);
+    }
+
+    /** One client connection. */
+    static final class Client implements AutoCloseable {
+        private final Socket socket;
+
+        Client(Node relay) throws IOException {
+            socket = new Socket(LOOPBACK, relay.address().getPort());
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
+        }
+
+        static List<String> headers(String id, String messageClass, int destination, long time) {
+            return List.of("X-Request-ID: " + id, "X-Priority-Class: " + messageClass, "X-Timeout-Ms: " + time,
+                "Idempotency-Key: key-" + id, "X-Envelope: dest=" + destination);
+        }
+
+        /** Hands a message in; the answer's head, with its status line first. */
+        List<String> post(String id, String messageClass, int destination, long time) throws IOException {
+            return post("/" + messageClass, headers(id, messageClass, destination, time), "bill \u00e4\0 of " + id);
+        }
+
+        List<String> post(String path, List<String> headers, String text) throws IOException {
+            byte[] body = text.getBytes(StandardCharsets.UTF_8);
+            return raw("POST " + path + " HTTP/1.1\r\nHost: api.internal\r\n" + String.join("\r\n", headers)
+                + "\r\nContent-Length: " + body.length + "\r\n\r\n", body);
+        }
+
+        List<String> raw(String head, byte[] body) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            out.write(body);
+            out.flush();
+            return Host.head(socket.getInputStream());
+        }
+
+        /** True once the relay has closed the connection. */
+        boolean closed() throws IOException {
+            return socket.getInputStream().read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
