--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -241,10 +241,17 @@
         if (m.ended) {
             return;
         }
-        out.add(mayRefuse(m) && now < m.deadline ? new Refuse(m.id, 0) : new Fail(m.id));
+        out.add(mayRefuse(m) && now < m.deadline ? new Refuse(m.id, comeBack(m.dest)) : new Fail(m.id));
         close(m);
     }
 
+    /** When to hand a refused message in again: once a route is open and those that wait have gone. */
+    private long comeBack(Dest d) {
+        long opens = d.routes.values().stream().mapToLong(this::closedUntil).min().orElse(now);
+        long queue = (long) (d.waiting / d.window * Math.max(d.latest, FIRST_DELAY));
+        return Math.min(set.allowed().longestAdvice(), Math.max(opens - now, queue));
+    }
+
     /** The message is over: nothing more goes out for it, and copies still out are called off. */
     private void close(Msg m) {
         open -= m.ended ? 0 : 1;
@@ -774,11 +781,16 @@
         }
     }
 
+    /** When the told wait and the back-offs of a route are over. */
+    private long closedUntil(Route r) {
+        return Math.max(Math.max(r.backoffUntil, r.dest.backoffUntil),
+            Math.max(r.lane.waitUntil, r.lane.backoffUntil));
+    }
+
     /** When the route may take another message: waits, back-off, pace; after failures, trials or ramp. */
     private long opens(Route r, boolean joins) {
         Lane lane = r.lane;
-        long when = Math.max(Math.max(r.backoffUntil, r.dest.backoffUntil),
-            Math.max(lane.waitUntil, lane.backoffUntil));
+        long when = closedUntil(r);
         if (r.health == Health.RETURNING && now - r.returnAt >= set.rules().cold()) {
             r.health = Health.GOOD;
             r.failing = 0;
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -224,6 +224,21 @@
         assertEquals(1, count(b.turn(ended(again.get(0), 1, Outcome.FULL)), Refuse.class));
     }
 
+    /** Guards against clients that come back to a closed door: a refusal tells when the told wait is over. */
+    @Test
+    void aRefusalTellsWhenToComeBack() {
+        Bench b = new Bench(settings(8, true, 2, 1, 200));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50))));
+        Send s = sends(b.turn(b.message(1, 1))).get(0);
+        for (Action a : b.turn(ended(s, 0, Outcome.FULL, 700 * MS))) {
+            if (a instanceof Refuse refusal) {
+                assertTrue(refusal.retryAfter() >= 700 * MS && refusal.retryAfter() <= 3 * SECOND, "" + refusal);
+                return;
+            }
+        }
+        fail("not refused");
+    }
+
     @Test
     void aFullHoldGivesBackWhatHasLeastLeftToGain() {
         Bench b = new Bench(settings(1, true, 2, 8, 5));
