--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -47,16 +47,22 @@
 
     private final EventLoop loop;
     private final HostList hosts;
-    private final Consumer<Wire.Fields> whenListed;
+    /** Takes in a list or its changes. */
+    interface Listener {
+        void listed(Wire.Fields list) throws Wire.Malformed;
+    }
+
+    private final Listener whenListed;
     private final Consumer<Journal.Entry> whenNoticed;
     private final Line watch;
     private final Line reports;
     private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
     private boolean posting;
     private boolean silent;
+    private boolean unheard;
 
     Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
-              Consumer<Wire.Fields> whenListed, Consumer<Journal.Entry> whenNoticed) {
+              Listener whenListed, Consumer<Journal.Entry> whenNoticed) {
         this.loop = loop;
         this.hosts = hosts;
         this.whenListed = whenListed;
@@ -71,22 +77,30 @@
         watch.ask(HttpMethod.GET, "/v1/servers" + query, "", WAIT + WAIT_SLACK, answer -> {
             try {
                 if (answer != null && answer.status().code() == 200) {
+                    whenListed.listed(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
                     silent = false;
-                    whenListed.accept(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
                     watch();
                     return;
                 }
+                complain("discovery answered " + (answer == null ? "nothing" : answer.status()), null);
             } catch (Wire.Malformed e) {
-                LOG.warn("discovery's list cannot be read, the old one is kept: {}", e.getMessage());
+                complain("discovery's list cannot be read: " + e.getMessage(), null);
+            } catch (RuntimeException e) {
+                // Guards the watch: it must go on whatever the list held.
+                complain("discovery's list could not be taken in", e);
             }
-            if (!silent) {
-                LOG.warn("discovery does not answer, the list of version {} is kept", hosts.version());
-            }
-            silent = true;
             loop.schedule(this::watch, AGAIN, TimeUnit.MILLISECONDS);
         });
     }
 
+    /** Once until the watch works again: it asks many times a second. */
+    private void complain(String fault, RuntimeException cause) {
+        if (!silent) {
+            LOG.warn("{}; the list of version {} is kept", fault, hosts.version(), cause);
+        }
+        silent = true;
+    }
+
     /** Posts the end of a message, again and again until the platform has it. */
     void notice(Journal.Entry entry) {
         notices.put(entry.number, entry);
@@ -108,14 +122,18 @@
         List<Journal.Entry> batch = notices.values().stream().limit(NOTICES_MOST).toList();
         reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, answer -> {
             if (answer != null && answer.status().code() == 204) {
+                unheard = false;
                 for (Journal.Entry entry : batch) {
                     notices.remove(entry.number);
                     whenNoticed.accept(entry);
                 }
                 post();
             } else {
-                LOG.warn("{} notices not acknowledged ({}), posted again", batch.size(),
-                    answer == null ? "no answer" : answer.status());
+                if (!unheard) {
+                    LOG.warn("{} notices not acknowledged ({}), posted until they are", batch.size(),
+                        answer == null ? "no answer" : answer.status());
+                }
+                unheard = true;
                 loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
             }
         });
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -77,6 +77,8 @@
     private final int mostAttempts;
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     private FileChannel out;
+    /** A write has failed: the file is written anew before the next. */
+    private boolean behind;
     private long size;
     private long reserved;
     private long last;
@@ -117,20 +119,27 @@
     /** To be written before the first byte of a send goes out: from then on it may have run. */
     void sent(Entry entry, long time, int zone) throws IOException {
         Attempt attempt = new Attempt(time, zone);
-        append(sent(entry, attempt));
-        entry.attempts.add(attempt);
+        try {
+            append(sent(entry, attempt));
+        } catch (IOException e) {
+            // It is not sent then; it keeps its number, so that later attempts keep theirs.
+            attempt.mayHaveRun = false;
+            throw e;
+        } finally {
+            entry.attempts.add(attempt);
+        }
     }
 
     /** An outcome has proved that the attempt never ran. */
     void notRun(Entry entry, int attempt) throws IOException {
-        append(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
         entry.attempts.get(attempt).mayHaveRun = false;
+        append(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
     }
 
     /** An end was decided: a notice is owed. */
     void ended(Entry entry, End end) throws IOException {
-        append(ended(entry.number, end));
         entry.end = end;
+        append(ended(entry.number, end));
     }
 
     /** Nothing more is owed: delivered, withdrawn, or its notice acknowledged. */
@@ -155,10 +164,12 @@
 
     // ---- The file -------------------------------------------------------------------------------
     private void append(byte[] record) throws IOException {
-        if (size + record.length + reserved > room) {
+        if (behind || size + record.length + reserved > room) {
             rewrite();
         }
+        behind = true;
         write(out, record);
+        behind = false;
         size += record.length;
     }
 
@@ -204,6 +215,7 @@
             out.close();
         }
         out = next;
+        behind = false;
         size = next.position();
     }
 
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -81,7 +81,7 @@
 
     /** Makes the link to discovery, given what it is to call. */
     interface Agent {
-        Discovery open(Consumer<Wire.Fields> whenListed, Consumer<Journal.Entry> whenNoticed);
+        Discovery open(Discovery.Listener whenListed, Consumer<Journal.Entry> whenNoticed);
     }
 
     /** Tells the module the list as last had and what the journal holds, then begins to watch. */
@@ -344,7 +344,7 @@
     private void notRun(Held h, int attempt) {
         try {
             journal.notRun(h.entry, attempt);
-        } catch (IOException | IndexOutOfBoundsException e) {
+        } catch (IOException e) {
             // The attempt then counts as one that may have run, which is safe.
             LOG.error("journal cannot be written, outcome of message {} is not kept", h.message.id(), e);
         }
@@ -365,7 +365,6 @@
         } catch (IOException e) {
             LOG.error("journal cannot be written, end of message {} is told all the same",
                 entry.message.id(), e);
-            entry.end = end;
         }
         discovery.notice(entry);
     }
@@ -393,12 +392,8 @@
     }
 
     // ---- List -----------------------------------------------------------------------------------
-    private void listed(Wire.Fields list) {
-        try {
-            tell(hosts.update(list));
-        } catch (Wire.Malformed e) {
-            LOG.warn("discovery's list cannot be read, the old one is kept: {}", e.getMessage());
-        }
+    private void listed(Wire.Fields list) throws Wire.Malformed {
+        tell(hosts.update(list));
         for (HostList.Host host : hosts.hosts()) {
             if (!host.ready) {
                 pool.takeBack(host);
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -99,6 +99,20 @@
         }
     }
 
+    /** Guards the numbers of attempts: one whose record failed never ran, and what follows is not taken for it. */
+    @Test
+    void aFailedWriteIsMadeGoodByTheNext() throws IOException {
+        try (Journal journal = open()) {
+            Journal.Entry entry = journal.take(message("a", 10));
+            journal.close();
+            assertThrows(IOException.class, () -> journal.sent(entry, 1_000, 0));
+            journal.sent(entry, 2_000, 1);
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of(false, true), only(journal).attempts.stream().map(a -> a.mayHaveRun).toList());
+        }
+    }
+
     @Test
     void aRecordThatDoesNotCheckEndsTheFile() throws IOException {
         try (Journal journal = open()) {
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -216,6 +216,22 @@
         }
     }
 
+    /** Guards the watch against standing still, and against asking without a pause, after a list it cannot read. */
+    @Test
+    void theWatchGoesOnAfterAListThatCannotBeRead() throws Exception {
+        try (Host other = new Host(); Node relay = relay(); var client = new Platform.Client(relay)) {
+            platform.changes.add("{\"seq\":2,\"whole\":true,\"hosts\":[{}]}");
+            platform.changes.add("nonsense");
+            platform.changes.add(list(3, true, host("s-2", other.port(), 8, "ready")));
+            platform.changes.add(list(4, false));
+            while (!platform.changes.isEmpty()) {
+                Thread.sleep(5);
+            }
+            assertEquals(TAKEN, client.post("a", "bill", 8, 16_000).get(0));
+            assertEquals("a", other.call().header("X-Request-ID"));
+        }
+    }
+
     /** Guards the orderly end: clients are answered and turned away, and what is out is finished first. */
     @Test
     void atTheOrderlyEndClientsAreServedAndCallsFinished() throws Exception {
