An answer that never ends no longer holds its connection for good

Ruled out: a loss of the delivery itself, which counts from the first line. The watch waits up to 20 s a call, as the protocol's example does; the agent answers at once when there is news.

--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -40,7 +40,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
     private static final JsonFactory JSON = new JsonFactory();
     /** ms; how long a watch may wait, and how long past that its answer is awaited. */
-    private static final long WAIT = 10_000, WAIT_SLACK = 2_000;
+    private static final long WAIT = 20_000, WAIT_SLACK = 2_000;
     /** ms; a notice not acknowledged within this is posted again; gap between tries of either sort. */
     private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
     private static final int LIST_MOST = 8 << 20, NOTICES_MOST = 100;
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -41,6 +41,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(HostPool.class);
     /** ms; a connection is not used again, and is closed, so long before the host may close it. */
     private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
+    /** ns; an answer that has begun and is not at its end by then will not be waited for. */
+    private static final long ANSWER_MOST = TimeUnit.SECONDS.toNanos(2);
 
     /** What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. */
     record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) { }
@@ -197,6 +199,8 @@
 
     private void sweep() {
         for (Pool pool : pools.values()) {
+            // Guards the descriptors against answers that never end: their calls are over already.
+            List.copyOf(pool.open).stream().filter(Connection::stuck).forEach(c -> c.channel.close());
             while (!pool.idle.isEmpty() && pool.idle.peekFirst().stale()) {
                 pool.idle.pollFirst().channel.close();
             }
@@ -211,6 +215,7 @@
         private InetSocketAddress dial;
         private boolean answered;
         private boolean keep = true;
+        private long answeredAt;
         private long idleSince;
 
         @Override
@@ -222,6 +227,10 @@
             return System.nanoTime() - idleSince >= idleLimit;
         }
 
+        private boolean stuck() {
+            return call != null && answered && System.nanoTime() - answeredAt >= ANSWER_MOST;
+        }
+
         private boolean usable(HostList.Host host) {
             return channel.isActive() && !stale() && host.dial.equals(dial);
         }
@@ -253,6 +262,7 @@
             if (part instanceof HttpResponse head
                 && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                 answered = true;
+                answeredAt = System.nanoTime();
                 keep &= HttpUtil.isKeepAlive(head) && call.written;
                 call.end(Answers.reply(head, call.latency()));
             }
--- a/src/test/java/wrenkeel/net/Host.java
+++ b/src/test/java/wrenkeel/net/Host.java
@@ -30,24 +30,33 @@
 
     private final ServerSocket listener = new ServerSocket(0, 50, Platform.LOOPBACK);
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+    /** Connections that the relay has closed. */
+    private final BlockingQueue<Socket> over = new LinkedBlockingQueue<>();
 
     Host() throws IOException {
         start(() -> {
             while (true) {
                 Socket socket = listener.accept();
                 start(() -> {
-                    while (true) {
-                        List<String> head = head(socket.getInputStream());
-                        Call bare = new Call(socket, head, "");
-                        byte[] body = socket.getInputStream()
-                            .readNBytes(Integer.parseInt(bare.header("Content-Length")));
-                        calls.add(new Call(socket, head, new String(body, StandardCharsets.UTF_8)));
+                    try {
+                        while (true) {
+                            calls.add(read(socket));
+                        }
+                    } finally {
+                        over.add(socket);
                     }
                 });
             }
         });
     }
 
+    private static Call read(Socket socket) throws IOException {
+        List<String> head = head(socket.getInputStream());
+        int length = Integer.parseInt(new Call(socket, head, "").header("Content-Length"));
+        return new Call(socket, head,
+            new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8));
+    }
+
     int port() {
         return listener.getLocalPort();
     }
@@ -57,6 +66,17 @@
         return calls.poll(Platform.PATIENCE_S, TimeUnit.SECONDS);
     }
 
+    /** Waits until the relay has closed the connection of a call; false if it has not in a long time. */
+    boolean ended(Call call) throws InterruptedException {
+        for (Socket socket = over.poll(Platform.PATIENCE_S, TimeUnit.SECONDS); socket != null;
+                socket = over.poll(Platform.PATIENCE_S, TimeUnit.SECONDS)) {
+            if (socket == call.socket()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean quiet() {
         return calls.isEmpty();
     }
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -160,6 +160,18 @@
         }
     }
 
+    /** Guards the descriptors: the call is over at the answer's head, and the connection must not be held for ever. */
+    @Test
+    void anAnswerThatNeverEndsIsNotWaitedFor() throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi");
+            assertEquals(Outcome.OK, reply().outcome());
+            assertTrue(host.ended(call));
+        }
+    }
+
     @Test
     void aHostThatEndsTheConnectionWithItsAnswerIsNotAskedOnItAgain() throws Exception {
         try (Host host = new Host()) {
