--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -139,7 +139,7 @@
         });
     }
 
-    private static String lines(List<Journal.Entry> batch) {
+    static String lines(List<Journal.Entry> batch) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(text)) {
             out.setRootValueSeparator(null);
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -64,6 +64,23 @@
         }
     }
 
+    /** Guards the form of notices: a time to come back only with what is handed back, in whole milliseconds. */
+    @Test
+    void anEndReadBackIsTheNoticeThatWasOwed() throws IOException {
+        try (Journal journal = open()) {
+            journal.ended(journal.take(message("a", 1)), new Journal.End(true, 499_001));
+            journal.ended(journal.take(message("b", 1)), new Journal.End(true, 0));
+            journal.ended(journal.take(message("c", 1)), new Journal.End(false, 0));
+        }
+        try (Journal journal = open()) {
+            assertEquals("""
+                {"message":"a","outcome":"handed_back","retry_in_ms":500}
+                {"message":"b","outcome":"handed_back"}
+                {"message":"c","outcome":"given_up"}
+                """, Discovery.lines(List.copyOf(journal.owed())));
+        }
+    }
+
     @Test
     void whatIsClosedIsForgotten() throws IOException {
         try (Journal journal = open()) {
