SIGHUP: the configuration is read anew and discovery followed to its new address

Cause: nothing handled the signal (Node.serve), Discovery.Line.agent was final, and EDGE_DISCOVERY always won over the file. Now: handler first in serve, file re-read on the event loop where the file wins, both lines dropped, watch (whole list) and notices go to the new address at once; an unusable file is one line in the log. Tests: ReloadTest, the last with a real SIGHUP to a process.

--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import wrenkeel.Relay;
@@ -56,6 +57,16 @@
         }
     }
 
+    /**
+     * Reads a configuration that has been replaced while the relay runs. The file's address of discovery then
+     * counts: the environment is as old as the process.
+     */
+    static Config readAgain(Map<String, String> env) throws Unusable {
+        Map<String, String> later = new HashMap<>(env);
+        later.remove("EDGE_DISCOVERY");
+        return read(later);
+    }
+
     private static Path folder(String name) throws Unusable {
         Path folder = Path.of(name);
         if (!Files.isDirectory(folder) || !Files.isWritable(folder)) {
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -54,10 +54,15 @@
 
     private final Listener whenListed;
     private final Consumer<Journal.Entry> whenNoticed;
-    private final Line watch;
-    private final Line reports;
+    private final Bootstrap bootstrap;
+    private Line watch;
+    private Line reports;
     private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
+    /** The next watch and the next post, where they wait for a gap to pass. */
+    private Future<?> watchDue, postDue;
     private boolean posting;
+    /** The next list must be a whole one: versions of one agent mean nothing to another. */
+    private boolean wantsWhole;
     private boolean silent;
     private boolean unheard;
 
@@ -67,18 +72,49 @@
         this.hosts = hosts;
         this.whenListed = whenListed;
         this.whenNoticed = whenNoticed;
+        this.bootstrap = bootstrap;
         this.watch = new Line(bootstrap, agent);
         this.reports = new Line(bootstrap, agent);
     }
 
+    /**
+     * Discovery is elsewhere from now on: what was asked at the old address is dropped, and asked again at
+     * the new one at once. A watch may be out there for {@link #WAIT}, a notice unanswered is still owed.
+     */
+    void move(InetSocketAddress agent) {
+        if (agent.equals(watch.agent)) {
+            return;
+        }
+        LOG.info("discovery is at {} now", agent);
+        List.of(watch, reports).forEach(Line::drop);
+        watch = new Line(bootstrap, agent);
+        reports = new Line(bootstrap, agent);
+        silent = false;
+        unheard = false;
+        wantsWhole = true;
+        cancel(watchDue);
+        watch();
+        if (posting) {
+            cancel(postDue);
+            post();
+        }
+    }
+
+    private static void cancel(Future<?> due) {
+        if (due != null) {
+            due.cancel(false);
+        }
+    }
+
     /** Asks for what is newer than the list held; the next call follows the answer at once. */
     void watch() {
-        String query = hosts.version() < 0 ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
+        String query = hosts.version() < 0 || wantsWhole ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
         watch.ask(HttpMethod.GET, "/v1/servers" + query, "", WAIT + WAIT_SLACK, answer -> {
             try {
                 if (answer != null && answer.status().code() == 200) {
                     whenListed.listed(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
                     silent = false;
+                    wantsWhole = false;
                     watch();
                     return;
                 }
@@ -89,7 +125,7 @@
                 // Guards the watch: it must go on whatever the list held.
                 complain("discovery's list could not be taken in", e);
             }
-            loop.schedule(this::watch, AGAIN, TimeUnit.MILLISECONDS);
+            watchDue = loop.schedule(this::watch, AGAIN, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -134,7 +170,7 @@
                         answer == null ? "no answer" : answer.status());
                 }
                 unheard = true;
-                loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
+                postDue = loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
             }
         });
     }
@@ -181,6 +217,15 @@
                 });
         }
 
+        /** Ends the connection; an answer that is still out will not be told. */
+        void drop() {
+            waiting = null;
+            cancel(timer);
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
         /** Sends a request; its answer, or null for none in time, comes exactly once. */
         void ask(HttpMethod method, String uri, String body, long patience,
             Consumer<FullHttpResponse> whenAnswered) {
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -140,6 +141,11 @@
         return settings.tenants().size();
     }
 
+    /** Discovery has moved. */
+    void discoveryAt(InetSocketAddress agent) {
+        discovery.move(agent);
+    }
+
     /** The process ends: nothing more is decided or written down, calls still out count as may have run. */
     void stop() {
         stopped = true;
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
 import wrenkeel.Wire;
 
 /** One real relay: its parts put together, its start and its orderly end. */
@@ -50,8 +52,12 @@
 
     /** Serves until the process is told to end; 2 where the configuration is of no use. */
     public static int serve(Map<String, String> env) {
+        // First of all: without a handler SIGHUP ends the process.
+        Hangups hangups = new Hangups(env);
+        Signal.handle(new Signal("HUP"), hangups);
         try {
             Node node = new Node(Config.read(env));
+            hangups.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
             node.left.await();
             return 0;
@@ -67,6 +73,46 @@
         return 2;
     }
 
+    /** SIGHUP: the configuration has been replaced. One that comes before the relay serves is not lost. */
+    private static final class Hangups implements SignalHandler {
+        private final Map<String, String> env;
+        private Node node;
+        private boolean early;
+
+        Hangups(Map<String, String> env) {
+            this.env = env;
+        }
+
+        @Override
+        public synchronized void handle(Signal hangup) {
+            early = node == null;
+            if (!early) {
+                node.reload(env);
+            }
+        }
+
+        private synchronized void serves(Node ready) {
+            node = ready;
+            if (early) {
+                node.reload(env);
+            }
+        }
+    }
+
+    /**
+     * Reads the configuration anew. Discovery's address is taken over; the rest holds until a restart. A
+     * configuration of no use changes nothing.
+     */
+    void reload(Map<String, String> env) {
+        thread.execute(() -> {
+            try {
+                loop.discoveryAt(Config.readAgain(env).discovery());
+            } catch (Config.Unusable e) {
+                LOG.warn("the configuration stays as it was: {}", e.getMessage());
+            }
+        });
+    }
+
     private ChannelFuture begin(Config config) throws Wire.Malformed {
         Bootstrap calls = new Bootstrap().group(thread)
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -26,6 +26,8 @@
     final BlockingQueue<Integer> noticeStatuses = new LinkedBlockingQueue<>();
     /** Answers to the next watches. */
     final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    /** Queries of the watches that came. */
+    final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
     private final HttpServer agent;
     private final Path folder;
 
@@ -46,6 +48,7 @@
         });
         agent.createContext("/v1/servers", exchange -> {
             try {
+                watches.add(exchange.getRequestURI().toString());
                 byte[] list = changes.take().getBytes(StandardCharsets.UTF_8);
                 exchange.sendResponseHeaders(200, list.length);
                 exchange.getResponseBody().write(list);
@@ -68,6 +71,11 @@
 
     /** Starts a relay that knows these hosts; classes: bill (keyed), pay (unsafe). */
     Node relay(String... hosts) throws Exception {
+        return new Node(Config.read(configure(this, hosts)));
+    }
+
+    /** Writes the configuration, with discovery at one platform's agent, and returns the environment. */
+    Map<String, String> configure(Platform discovery, String... hosts) throws IOException {
         Path file = folder.resolve("config.json");
         Path state = Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
@@ -81,14 +89,20 @@
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
-            """.formatted(agent.getAddress().getPort(), list(1, true, hosts)));
-        return new Node(Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString())));
+            """.formatted(discovery.agent.getAddress().getPort(), list(1, true, hosts)));
+        return Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString(),
+            "EDGE_DISCOVERY", "127.0.0.1:" + agent.getAddress().getPort());
     }
 
     Path journal() {
         return folder.resolve("state").resolve("journal");
     }
 
+    /** The next watch's query; null if none comes in a long time. */
+    String watch() throws InterruptedException {
+        return watches.poll(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
     String notice() throws InterruptedException {
         return notices.poll(PATIENCE_S, TimeUnit.SECONDS);
     }
--- /dev/null
+++ b/src/test/java/wrenkeel/net/ReloadTest.java
@@ -0,0 +1,107 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+import static wrenkeel.net.Platform.host;
+import static wrenkeel.net.Platform.list;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A configuration that is replaced under a running relay. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class ReloadTest {
+    @TempDir
+    Path folder;
+    @TempDir
+    Path otherFolder;
+    private Platform old;
+    private Platform next;
+
+    @BeforeEach
+    void begin() throws Exception {
+        old = new Platform(folder);
+        next = new Platform(otherFolder);
+    }
+
+    @AfterEach
+    void end() {
+        old.close();
+        next.close();
+    }
+
+    /** Guards against a watch that hangs on at the old address, and against versions that mean nothing at the new. */
+    @Test
+    void theWatchGoesToTheNewAddressAtOnceAndAsksForTheWholeList() throws Exception {
+        try (Host host = new Host(); Node relay = old.relay(); var client = new Platform.Client(relay)) {
+            assertEquals("/v1/servers?after=1&wait_ms=20000", old.watch());
+            relay.reload(old.configure(next));
+            assertEquals("/v1/servers", next.watch());
+            // Late news of the old agent, lower in version than the new one's.
+            old.changes.add(list(90, true));
+            next.changes.add(list(3, true, host("s-2", host.port(), 8, "ready")));
+            assertEquals("/v1/servers?after=3&wait_ms=20000", next.watch());
+            assertEquals("HTTP/1.1 202 Accepted", client.post("a", "bill", 8, 16_000).get(0));
+            assertEquals("a", host.call().header("X-Request-ID"));
+        }
+    }
+
+    /** Guards against a notice lost with the old address: it is owed until one of them has acknowledged it. */
+    @Test
+    void aNoticeThatTheOldAddressDidNotAcknowledgeGoesToTheNewOne() throws Exception {
+        for (int i = 0; i < 10_000; i++) {
+            old.noticeStatuses.add(503);
+        }
+        try (Host host = new Host(); Node relay = old.relay(host("s-1", host.port(), 7, "ready"));
+                var client = new Platform.Client(relay)) {
+            client.post("a", "bill", 7, 300);
+            assertNotNull(old.notice());
+            relay.reload(old.configure(next));
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", next.notice());
+        }
+    }
+
+    /** Guards the relay against a file that cannot be used: what it had goes on. */
+    @Test
+    void anUnusableFileChangesNothing() throws Exception {
+        try (Node relay = old.relay()) {
+            assertNotNull(old.watch());
+            Map<String, String> env = old.configure(next);
+            String good = Files.readString(Path.of(env.get("EDGE_CONFIG")));
+            for (String bad : new String[] {"", "{", "[]", good.replace("127.0.0.1:", "localhost:")}) {
+                Files.writeString(Path.of(env.get("EDGE_CONFIG")), bad);
+                relay.reload(env);
+            }
+            old.changes.add(list(2, false));
+            assertEquals("/v1/servers?after=2&wait_ms=20000", old.watch());
+            assertTrue(next.watches.isEmpty());
+        }
+    }
+
+    /** Guards the process: SIGHUP ends a Java program that has no handler for it. */
+    @Test
+    void aHangupIsNotTheEndOfTheProcess() throws Exception {
+        Map<String, String> env = old.configure(old);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), "wrenkeel.Main", "serve");
+        builder.environment().putAll(env);
+        Process relay = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        try {
+            assertNotNull(old.watch());
+            for (Platform to : new Platform[] {next, old, next}) {
+                old.configure(to);
+                new ProcessBuilder("kill", "-HUP", Long.toString(relay.pid())).start().waitFor();
+                assertEquals("/v1/servers", to.watch());
+            }
+            assertTrue(relay.isAlive());
+        } finally {
+            relay.destroyForcibly().waitFor();
+        }
+    }
+}
