--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -108,7 +108,8 @@
 
     /** Asks for what is newer than the list held; the next call follows the answer at once. */
     void watch() {
-        String query = hosts.version() < 0 || wantsWhole ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
+        boolean whole = hosts.version() < 0 || wantsWhole;
+        String query = whole ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
         watch.ask(HttpMethod.GET, "/v1/servers" + query, "", WAIT + WAIT_SLACK, answer -> {
             try {
                 if (answer != null && answer.status().code() == 200) {
