Bad clients: each request has a time and a size, strangers cannot withdraw, crowds make room; ends are decided 150 ms early

Server.message counted the time from when it read the request, up to 400 ms after it was sent; the notice came as late. Read and confirmed by tests: ToClient of a duplicate withdrew another client's message; SILENT_MOST of 120 s began anew with each byte; a length beside Transfer-Encoding was dropped and the rest served; 413 read on.

--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -32,6 +32,12 @@
     interface Answer {
         void taken();
 
+        /** It is held already: this is not the request that took it on. */
+        void held();
+
+        /** Its id is that of another message, which is held. */
+        void conflict();
+
         void refused(long retryAfter);
 
         void failed();
@@ -52,6 +58,7 @@
     }
 
     private final EventLoop loop;
+    private final Seldom complaints = new Seldom(LOG);
     private final Relay.Settings settings;
     private final Control control;
     private final HostList hosts;
@@ -161,7 +168,11 @@
         Held known = held.get(message.id());
         if (known != null && !known.over) {
             // A client sends a request once more when its connection closed as it wrote: it is held already.
-            answer.taken();
+            if (known.message.sameAs(message)) {
+                answer.held();
+            } else {
+                answer.conflict();
+            }
             return;
         }
         if (known != null || open >= settings.allowed().open()) {
@@ -183,7 +194,7 @@
     void withdraw(String id) {
         Held h = held.get(id);
         if (h != null && !h.over) {
-            LOG.info("message {} withdrawn, its client left before the answer", id);
+            complaints.warn("message " + id + " withdrawn, its client left before the answer");
             over(h);
             close(h.entry);
             tell(new Relay.Withdrawn(id));
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -123,7 +123,7 @@
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        server = new Server(loop, config.sockets() / 2);
+        server = new Server(loop, thread, config.sockets() / 2);
         ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Seldom.java
@@ -0,0 +1,39 @@
+package wrenkeel.net;
+
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+
+/**
+ * Log lines about what strangers do, a few a second at most: they may do it at full speed. What is left out
+ * is counted. One thread.
+ */
+final class Seldom {
+    private static final int A_SECOND = 5;
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private final Logger log;
+    private long since = System.nanoTime();
+    private int written;
+    private long leftOut;
+
+    Seldom(Logger log) {
+        this.log = log;
+    }
+
+    void warn(String text) {
+        long now = System.nanoTime();
+        if (now - since >= SECOND) {
+            if (leftOut > 0) {
+                log.warn("{} more lines were left out", leftOut);
+            }
+            since = now;
+            written = 0;
+            leftOut = 0;
+        }
+        if (written < A_SECOND) {
+            written++;
+            log.warn(text);
+        } else {
+            leftOut++;
+        }
+    }
+}
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -1,61 +1,93 @@
 package wrenkeel.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.ReadTimeoutException;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.math.BigDecimal;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay;
 
-/** What clients see: takes messages in, answers at once, and says whether the relay serves. */
+/**
+ * What clients see: takes messages in, answers at once, and says whether the relay serves. Clients are not
+ * trusted: each request has a time and a size, and a connection on which no request is open is soon closed.
+ */
 final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
-    private static final int BODY_MOST = 64 * 1024, ID_MOST = 128, KEY_MOST = 256;
-    /** s; a connection on which nothing has come for so long is closed. */
-    private static final int SILENT_MOST = 120;
+    private static final int BODY_MOST = 64 * 1024, HEAD_MOST = 8 * 1024, ID_MOST = 128, KEY_MOST = 256;
+    /** ns; from its first byte (on a new connection from the connect) until a request is here as a whole. */
+    private static final long REQUEST_MOST = TimeUnit.MILLISECONDS.toNanos(2_300);
+    /** ns; a connection with no request open is closed after this. */
+    private static final long IDLE_MOST = TimeUnit.MILLISECONDS.toNanos(2_300);
+    /**
+     * After the last answer on a connection: how long (ns) and how far (bytes) what still comes is thrown
+     * away. To close with bytes unread resets the connection, and the answer may be lost with it.
+     */
+    private static final long LINGER = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final int DISCARD_MOST = 256 * 1024;
+    /** ms; between looks for connections whose time is over. */
+    private static final long SWEEP = 100;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
+    /**
+     * ms; a message's time counts from when its client sent it, and the relay may read it late, though not
+     * later than the client waits. It is ended by so much earlier (a tenth of short times) that its notice
+     * comes in time then too.
+     */
+    private static final long READ_LATE = 150;
 
     private final Loop loop;
     private final int mostClients;
-    private final Set<Channel> clients = new HashSet<>();
+    private final Seldom complaints = new Seldom(LOG);
+    private final Set<Client> clients = new HashSet<>();
     private boolean leaving;
 
     /** {@code mostClients}: connections at once; the rest of the descriptors is for hosts and files. */
-    Server(Loop loop, int mostClients) {
+    Server(Loop loop, EventLoop thread, int mostClients) {
         this.loop = loop;
         this.mostClients = mostClients;
+        thread.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MOST), new HttpServerCodec(), new Whole(),
-            new Requests());
+        Client client = new Client(channel);
+        channel.pipeline().addLast(client, new Decoder(), new HttpResponseEncoder(), new Heads(client),
+            new Whole(client), new Requests(client));
     }
 
     /** From now on each answer closes its connection. */
@@ -68,7 +100,12 @@
      * come.
      */
     void closeClients() {
-        List.copyOf(clients).forEach(Channel::close);
+        List.copyOf(clients).forEach(c -> c.channel.close());
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        List.copyOf(clients).forEach(c -> c.look(now));
     }
 
     /** A request that cannot be served as it stands. */
@@ -77,7 +114,7 @@
         private final HttpResponseStatus status;
 
         Bad(HttpResponseStatus status, String fault) {
-            super(fault);
+            super(fault, null, false, false);
             this.status = status;
         }
 
@@ -86,60 +123,239 @@
         }
     }
 
-    /** Puts requests together; one that is too large is answered 413 and leaves a line in the log. */
-    private static final class Whole extends HttpObjectAggregator {
-        Whole() {
-            super(BODY_MOST, true);
-        }
+    /** One connection: how long it has been at its request, or idle. It stands first, before the decoder. */
+    private final class Client extends ChannelInboundHandlerAdapter {
+        private final Channel channel;
+        /** When it connected, had its last answer, or sent the first byte of the request that is open. */
+        private long since = System.nanoTime();
+        /** A request has begun; some request has been answered; the last answer has been given. */
+        private boolean busy, served, last;
+        private int discarded;
 
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized)
-            throws Exception {
-            LOG.warn("request turned away: 413 body over {} bytes", BODY_MOST);
-            super.handleOversizedMessage(context, oversized);
+        Client(Channel channel) {
+            this.channel = channel;
         }
-    }
 
-    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            clients.add(context.channel());
+            clients.add(this);
             if (clients.size() > mostClients) {
-                LOG.warn("connection closed: {} clients are connected", mostClients);
-                context.close();
+                // Guards clients that ask against crowds that connect and say nothing.
+                Client gone = clients.stream().filter(c -> c != this && c.rank() < 3)
+                    .min(Comparator.comparingInt(Client::rank).thenComparingLong(c -> c.since)).orElse(this);
+                complaints.warn("connection closed: " + mostClients + " clients are connected");
+                gone.channel.close();
             }
         }
 
+        /** In which order connections make room: over, never asked, idle; one at its request does not. */
+        private int rank() {
+            return last ? 0 : busy ? 3 : served ? 2 : 1;
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            clients.remove(context.channel());
+            clients.remove(this);
+            context.fireChannelInactive();
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            boolean keep = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            if (last) {
+                discarded += ((ByteBuf) bytes).readableBytes();
+                ReferenceCountUtil.release(bytes);
+                if (discarded > DISCARD_MOST) {
+                    channel.config().setAutoRead(false);
+                }
+                return;
+            }
+            if (!busy) {
+                busy = true;
+                since = served ? System.nanoTime() : since;
+            }
+            context.fireChannelRead(bytes);
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            // Guards memory against a client that asks on and on, and reads no answer.
+            if (!channel.isWritable()) {
+                channel.close();
+            }
+        }
+
+        /** What time asks for: a request that takes too long is answered 408, an idle connection closed. */
+        private void look(long now) {
+            if (last ? now - since >= LINGER : !busy && now - since >= IDLE_MOST) {
+                channel.close();
+            } else if (!last && busy && now - since >= REQUEST_MOST) {
+                turnAway(new Bad(HttpResponseStatus.REQUEST_TIMEOUT, "not complete in time"));
+            }
+        }
+
+        /** Answers what cannot be read further: nothing after it on this connection is served. */
+        void turnAway(Bad bad) {
+            if (!last) {
+                complaints.warn("request turned away: " + bad.status.code() + " " + bad.getMessage());
+                respond(bad.status, 0, false);
+            }
+        }
+
+        ChannelFuture respond(HttpResponseStatus status, long retryAfter, boolean keep) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.EMPTY_BUFFER);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            if (retryAfter > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter));
+            }
+            last = !keep || leaving;
+            busy = false;
+            served = true;
+            since = System.nanoTime();
+            if (!last) {
+                return channel.writeAndFlush(response);
+            }
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            // The client closes when it has read this; look() does if it does not.
+            return channel.writeAndFlush(response)
+                .addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+        }
+    }
+
+    /** Decimal seconds, rounded up to a millisecond. */
+    private static String seconds(long micros) {
+        return BigDecimal.valueOf((micros + 999) / 1_000, 3).toPlainString();
+    }
+
+    /** Guards against a request hidden in another's body: two lengths are one too many. */
+    private static final class Decoder extends HttpRequestDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST));
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+        }
+    }
+
+    /** Looks at a request as soon as its head is here: what can't be served is not read to its end. */
+    private static final class Heads extends ChannelInboundHandlerAdapter {
+        private final Client client;
+
+        Heads(Client client) {
+            this.client = client;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object part) {
             try {
-                if (request.decoderResult().isFailure()) {
+                if (part instanceof HttpObject object && object.decoderResult().isFailure()) {
                     throw new Bad("malformed request");
                 }
+                if (part instanceof HttpRequest head) {
+                    check(head);
+                }
+            } catch (Bad bad) {
+                client.turnAway(bad);
+            }
+            if (client.last) {
+                ReferenceCountUtil.release(part);
+            } else {
+                context.fireChannelRead(part);
+            }
+        }
+
+        private static void check(HttpRequest head) throws Bad {
+            List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            boolean length = head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+            if (!encodings.isEmpty() && (length || encodings.size() > 1
+                || !encodings.get(0).equalsIgnoreCase("chunked"))) {
+                throw new Bad("Transfer-Encoding other than chunked, or a length with it");
+            }
+            if (HttpUtil.getContentLength(head, 0L) > BODY_MOST) {
+                throw tooLarge();
+            }
+        }
+    }
+
+    private static Bad tooLarge() {
+        return new Bad(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + BODY_MOST + " bytes");
+    }
+
+    /** Puts requests together. */
+    private static final class Whole extends HttpObjectAggregator {
+        private final Client client;
+
+        Whole(Client client) {
+            super(BODY_MOST);
+            this.client = client;
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+            client.turnAway(tooLarge());
+        }
+    }
+
+    /** Serves a request once all that came with it has been seen: clients send one at a time. */
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Client client;
+        private FullHttpRequest next;
+
+        Requests(Client client) {
+            this.client = client;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (next == null && !client.last) {
+                next = request.retain();
+                return;
+            }
+            drop();
+            client.turnAway(new Bad("more than one request at a time"));
+        }
+
+        private void drop() {
+            ReferenceCountUtil.release(next);
+            next = null;
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (next != null && !client.last && context.channel().isActive()) {
+                serve(next);
+            }
+            drop();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            drop();
+        }
+
+        private void serve(FullHttpRequest request) {
+            boolean keep = HttpUtil.isKeepAlive(request);
+            try {
                 String path = request.uri().split("\\?", 2)[0];
                 if (path.equals("/healthz")) {
-                    respond(context, HttpResponseStatus.valueOf(leaving ? 503 : 200), 0, keep);
+                    client.respond(HttpResponseStatus.valueOf(leaving ? 503 : 200), 0, keep);
                 } else if (!request.method().equals(HttpMethod.POST)) {
                     throw new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED, "only POST hands a message in");
-                } else if (context.channel().isActive()) {
+                } else {
                     Message message = message(request, path);
-                    loop.accept(message, new ToClient(context, message.id(), keep));
+                    loop.accept(message, new ToClient(client, message.id(), keep));
                 }
             } catch (Bad e) {
-                LOG.warn("request turned away: {} {}", e.status.code(), e.getMessage());
-                respond(context, e.status, 0, keep);
+                complaints.warn("request turned away: " + e.status.code() + " " + e.getMessage());
+                client.respond(e.status, 0, keep);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException || cause instanceof ReadTimeoutException)) {
+            if (!(cause instanceof IOException || cause instanceof CodecException)) {
                 LOG.error("connection of a client closed", cause);
             }
             context.close();
@@ -170,7 +386,8 @@
         return new Message(text(headers, "X-Request-ID", ID_MOST, true), name,
             tenant == null ? 0 : loop.tenant(tenant), text(headers, "X-Route-Key", KEY_MOST, false), key,
             destination,
-            System.currentTimeMillis() + time, ByteBufUtil.getBytes(request.content()));
+            System.currentTimeMillis() + time - Math.min(READ_LATE, time / 10),
+            ByteBufUtil.getBytes(request.content()));
     }
 
     private static String text(HttpHeaders headers, String name, int most, boolean needed) throws Bad {
@@ -200,19 +417,19 @@
 
     /** The answer to one client. */
     private final class ToClient implements Loop.Answer {
-        private final ChannelHandlerContext context;
+        private final Client client;
         private final String id;
         private final boolean keep;
 
-        ToClient(ChannelHandlerContext context, String id, boolean keep) {
-            this.context = context;
+        ToClient(Client client, String id, boolean keep) {
+            this.client = client;
             this.id = id;
             this.keep = keep;
         }
 
         @Override
         public void taken() {
-            respond(context, HttpResponseStatus.ACCEPTED, 0, keep).addListener(done -> {
+            client.respond(HttpResponseStatus.ACCEPTED, 0, keep).addListener(done -> {
                 if (!done.isSuccess()) {
                     loop.withdraw(id);
                 }
@@ -220,33 +437,24 @@
         }
 
         @Override
-        public void refused(long retryAfter) {
-            respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter, keep);
+        public void held() {
+            client.respond(HttpResponseStatus.ACCEPTED, 0, keep);
         }
 
         @Override
-        public void failed() {
-            respond(context, HttpResponseStatus.GATEWAY_TIMEOUT, 0, keep);
+        public void conflict() {
+            complaints.warn("request turned away: 409 its id belongs to another message");
+            client.respond(HttpResponseStatus.CONFLICT, 0, keep);
         }
-    }
 
-    private ChannelFuture respond(ChannelHandlerContext context, HttpResponseStatus status,
-                                  long retryAfter, boolean keep) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-            Unpooled.EMPTY_BUFFER);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        if (retryAfter > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
-        }
-        boolean close = !keep || leaving;
-        if (close) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        @Override
+        public void refused(long retryAfter) {
+            client.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter, keep);
         }
-        ChannelFuture written = context.writeAndFlush(response);
-        if (close) {
-            written.addListener(ChannelFutureListener.CLOSE);
+
+        @Override
+        public void failed() {
+            client.respond(HttpResponseStatus.GATEWAY_TIMEOUT, 0, keep);
         }
-        return written;
     }
 }
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -145,6 +145,16 @@
             return Host.head(socket.getInputStream());
         }
 
+        /** Hands a message in and resets the connection at once, without hearing the answer. */
+        void leaveAfter(String head, String text) throws IOException {
+            byte[] body = text.getBytes(StandardCharsets.UTF_8);
+            socket.getOutputStream().write((head + "Content-Length: " + body.length + "\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write(body);
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         /** True once the relay has closed the connection. */
         boolean closed() throws IOException {
             return socket.getInputStream().read() < 0;
