Spoilt answers: a call that was not delivered is judged at its answer's end, a 200 by its status line

Read and confirmed by tests that fail without it: HostPool reported at the head, so a 429, 503, 504 or 410 with a spoilt rest counted as never run; a 200 with a spoilt head as a failure; bytes behind an answer could be taken for the next call's; 3 GB were read for 2 s.

--- a/src/main/java/wrenkeel/net/Answers.java
+++ b/src/main/java/wrenkeel/net/Answers.java
@@ -6,6 +6,9 @@
 
 /** The protocol's table of what a host's answer means. */
 final class Answers {
+    /** A share left or a limit in calls a second beyond these is no report; nor is a wait (s) beyond that. */
+    private static final double SHARE_MOST = 10, LIMIT_MOST = 100_000, WAIT_MOST = 3_600;
+
     private Answers() { }
 
     static HostPool.Reply reply(HttpResponse answer, long latency) {
@@ -30,19 +33,21 @@
             default -> outcome = Outcome.ERROR;
         }
         String load = answer.headers().get("X-Server-Load");
-        return new HostPool.Reply(outcome, over, wait, latency, field(load, "x0"), field(load, "x1"));
+        return new HostPool.Reply(outcome, over, wait, latency, field(load, "x0", SHARE_MOST),
+            field(load, "x1", LIMIT_MOST));
     }
 
     /** Decimal seconds in microseconds, rounded up lest a wait be cut short; 0 if untold or not a number. */
     private static long micros(String seconds) {
         double value = number(seconds);
-        return value > 0 && value < 1e9 ? (long) Math.ceil(value * 1e6) : 0;
+        return value > 0 && value <= WAIT_MOST ? (long) Math.ceil(value * 1e6) : 0;
     }
 
-    private static double field(String load, String name) {
+    private static double field(String load, String name, double most) {
         for (String pair : load == null ? new String[0] : load.split(",")) {
             if (pair.strip().startsWith(name + "=")) {
-                return number(pair.substring(pair.indexOf('=') + 1));
+                double value = number(pair.substring(pair.indexOf('=') + 1));
+                return value >= 0 && value <= most ? value : -1;
             }
         }
         return -1;
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -12,15 +13,20 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -43,6 +49,10 @@
     private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
     /** ns; an answer that has begun and is not at its end by then will not be waited for. */
     private static final long ANSWER_MOST = TimeUnit.SECONDS.toNanos(2);
+    /** Bytes of an answer's head and body, and 1xx answers ahead of it; what goes beyond is spoilt. */
+    private static final int HEAD_MOST = 8 * 1024, BODY_MOST = 64 * 1024, AHEAD_MOST = 8;
+    /** ns; a connection rests so long before its next call: more may come right behind an answer. */
+    private static final long REST = TimeUnit.MILLISECONDS.toNanos(5);
 
     /** What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. */
     record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) { }
@@ -127,7 +137,9 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(), new Connection());
+                    Connection connection = new Connection();
+                    channel.pipeline().addLast(connection.new Arrivals(), connection.decoder,
+                        new HttpRequestEncoder(), connection);
                 }
             });
         loop.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
@@ -143,14 +155,31 @@
         call.timer = loop.schedule(call::giveUp,
             patience, TimeUnit.MICROSECONDS);
         Pool pool = pool(host);
-        for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            if (c.usable(host)) {
-                c.begin(call);
-                return call;
-            }
-            c.channel.close();
-        }
         pool.connecting.add(call);
+        start(call, pool);
+        return call;
+    }
+
+    /** Uses the latest idle connection that has rested, or waits until one has. */
+    private void start(Call call, Pool pool) {
+        HostList.Host host = call.host;
+        if (call.ended) {
+            return;
+        }
+        pool.idle.stream().filter(c -> !c.usable(host)).toList().forEach(c -> c.channel.close());
+        Connection free = null;
+        for (Connection c : pool.idle) {
+            free = c.channel.isActive() && c.rested() ? c : free;
+        }
+        if (free != null) {
+            pool.idle.remove(free);
+            free.begin(call);
+            return;
+        }
+        if (pool.idle.stream().anyMatch(c -> c.channel.isActive())) {
+            loop.schedule(() -> start(call, pool), REST, TimeUnit.NANOSECONDS);
+            return;
+        }
         ChannelFuture connect = bootstrap.connect(host.dial);
         call.channel = connect.channel();
         connect.addListener(done -> {
@@ -165,7 +194,6 @@
                 c.begin(call);
             }
         });
-        return call;
     }
 
     /**
@@ -199,22 +227,56 @@
 
     private void sweep() {
         for (Pool pool : pools.values()) {
-            // Guards the descriptors against answers that never end: their calls are over already.
-            List.copyOf(pool.open).stream().filter(Connection::stuck).forEach(c -> c.channel.close());
+            // Guards descriptors and slots against answers that never end.
+            List.copyOf(pool.open).stream().filter(Connection::stuck).forEach(Connection::spoilt);
             while (!pool.idle.isEmpty() && pool.idle.peekFirst().stale()) {
                 pool.idle.pollFirst().channel.close();
             }
         }
     }
 
-    /** One connection. It reports a call at the answer's head and is free again at its end. */
+    /**
+     * Reads answers, and tells the code of a status line as soon as that is here: a 200 is true whatever
+     * becomes of the rest.
+     */
+    private static final class Decoder extends HttpResponseDecoder {
+        /** Of the last status line read; 0 before the first. */
+        private int code;
+
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST).setMaxInitialLineLength(HEAD_MOST));
+        }
+
+        @Override
+        protected HttpMessage createMessage(String[] line) {
+            HttpMessage message = super.createMessage(line);
+            code = ((HttpResponse) message).status().code();
+            return message;
+        }
+
+        /** Bytes are here that belong to no answer read so far. */
+        private boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    /**
+     * One connection. A 200 is reported as soon as it has been read, for the message has been delivered;
+     * anything else only at the answer's end: if that is spoilt, the call may have run. It is free again once
+     * a read has ended with the answer and brought nothing behind it.
+     */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+        private final Decoder decoder = new Decoder();
         private Channel channel;
         private Pool pool;
         private Call call;
         private InetSocketAddress dial;
-        private boolean answered;
-        private boolean keep = true;
+        /** The answer's head, once it is here; what it means; bytes of its body; answers ahead of it. */
+        private HttpResponse head;
+        private Reply reply;
+        private int body, ahead;
+        private boolean complete, keep = true;
+        /** When the answer began to come; 0 before. */
         private long answeredAt;
         private long idleSince;
 
@@ -227,8 +289,12 @@
             return System.nanoTime() - idleSince >= idleLimit;
         }
 
+        private boolean rested() {
+            return System.nanoTime() - idleSince >= REST;
+        }
+
         private boolean stuck() {
-            return call != null && answered && System.nanoTime() - answeredAt >= ANSWER_MOST;
+            return call != null && answeredAt != 0 && System.nanoTime() - answeredAt >= ANSWER_MOST;
         }
 
         private boolean usable(HostList.Host host) {
@@ -238,7 +304,13 @@
         private void begin(Call next) {
             call = next;
             dial = next.host.dial;
-            answered = false;
+            head = null;
+            reply = null;
+            body = 0;
+            ahead = 0;
+            complete = false;
+            decoder.code = 0;
+            answeredAt = 0;
             keep = true;
             next.channel = channel;
             pool.connecting.remove(next);
@@ -253,20 +325,66 @@
             });
         }
 
+        /** Sees bytes before they are read as answers. */
+        private final class Arrivals extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (call == null || !channel.isActive()) {
+                    // Guards the next call against an answer that is not its own.
+                    ReferenceCountUtil.release(bytes);
+                    channel.close();
+                    return;
+                }
+                answeredAt = answeredAt == 0 ? System.nanoTime() : answeredAt;
+                context.fireChannelRead(bytes);
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (part.decoderResult().isFailure() || call == null) {
-                channel.close();
+            if (call == null || !channel.isActive()) {
+                return;
+            }
+            if (complete || part.decoderResult().isFailure()) {
+                spoilt();
                 return;
             }
-            if (part instanceof HttpResponse head
-                && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                answered = true;
-                answeredAt = System.nanoTime();
+            if (part instanceof HttpResponse answer) {
+                if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                    if (answer.status().code() == 101 || ++ahead > AHEAD_MOST) {
+                        spoilt();
+                    }
+                    return;
+                }
+                head = answer;
                 keep &= HttpUtil.isKeepAlive(head) && call.written;
-                call.end(Answers.reply(head, call.latency()));
+                reply = Answers.reply(head, call.latency());
+                if (reply.outcome() == Outcome.OK) {
+                    call.end(reply);
+                }
+                if (HttpUtil.getContentLength(head, 0L) > BODY_MOST) {
+                    spoilt();
+                    return;
+                }
             }
-            if (part instanceof LastHttpContent && answered) {
+            if (part instanceof HttpContent content && head != null) {
+                body += content.content().readableBytes();
+                if (body > BODY_MOST) {
+                    spoilt();
+                } else if (part instanceof LastHttpContent) {
+                    complete = true;
+                }
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (call == null || !channel.isActive()) {
+                return;
+            }
+            if (complete) {
+                keep &= !decoder.holdsMore();
+                Call ended = call;
                 call = null;
                 idleSince = System.nanoTime();
                 if (keep) {
@@ -274,7 +392,21 @@
                 } else {
                     channel.close();
                 }
+                ended.end(reply);
+            } else if (decoder.code == 200 && head == null) {
+                call.end(Outcome.OK);
+            }
+        }
+
+        /** The answer can't be read or does not end; its call has run unless it was never written. */
+        private void spoilt() {
+            if (complete) {
+                // What came behind a good answer takes nothing from it.
+                call.end(reply);
+            } else {
+                call.end(decoder.code == 200 ? Outcome.OK : Outcome.ERROR);
             }
+            channel.close();
         }
 
         @Override
@@ -284,7 +416,8 @@
                 pool.idle.remove(this);
             }
             if (call != null) {
-                call.end(call.written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+                Outcome broken = call.written ? Outcome.RESET : Outcome.CONNECT_FAILED;
+                call.end(decoder.code == 200 ? Outcome.OK : broken);
                 call = null;
             }
         }
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import wrenkeel.Relay.Outcome;
 
 /** Each way in which a call can end, by the protocol's table. */
@@ -184,4 +185,77 @@
             assertNotSame(first.socket(), host.call().socket());
         }
     }
+
+    /** Guards the rule on duplicates: only a good answer proves that a call never ran; and a 200 is true at once. */
+    @ParameterizedTest
+    @CsvSource({"HTTP/1.1 429 x|Retry-After: 1|Content-Length: 5000000000||, ERROR",
+        "HTTP/1.1 503 x|Transfer-Encoding: chunked||zz|, ERROR", "HTTP/1.1 504 x|Content-Length: -4||, ERROR",
+        "HTTP/1.1 410 x|bad header||, ERROR", "HTTP/1.1 503 x|Content-Length: 9||half, ERROR", "noise||, ERROR",
+        "HTTP/1.1 101 Switching Protocols||HTTP/1.1 503 x|Content-Length: 0||, ERROR",
+        "HTTP/1.1 200 OK|Content-Length: 3000000000||, OK", "HTTP/1.1 200 OK|Content-Length: many||, OK",
+        "HTTP/1.1 200 OK|X-Endless: , OK"})
+    void aSpoiltAnswerMayHaveRunUnlessItsStatusLineSays200(String answer, Outcome outcome) throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            call(pool, host.port(), LONG, 10);
+            Host.Call call = host.call();
+            call.answer(answer.replace("|", "\r\n"));
+            HostPool.Reply reply = reply();
+            assertEquals(outcome, reply.outcome());
+            assertEquals(0, reply.waitFor());
+            if (!answer.contains("Endless")) {
+                assertTrue(host.ended(call));
+            }
+        }
+    }
+
+    /** Guards the core: an answer that streams on and on is cut off, not read. */
+    @Test
+    void anEndlessStreamIsCutOff() throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 503 x\r\n\r\n");
+            assertThrows(java.io.IOException.class, () -> {
+                while (true) {
+                    call.answer("x".repeat(65_536));
+                }
+            });
+            assertEquals(Outcome.ERROR, reply().outcome());
+        }
+    }
+
+    /** Guards the next call against an answer that is not its own: what comes behind one ends the connection. */
+    @ParameterizedTest
+    @CsvSource({"HTTP/1.1 200 OK|Content-Length: 0||HTTP/1.1 503 x|Content-Length: 0||, OK",
+        "HTTP/1.1 503 x|Content-Length: 0||noise, FULL",
+        "HTTP/1.1 100 Continue||HTTP/1.1 103 Hints||HTTP/1.1 429 x|Content-Length: 0||HTTP/1, FULL"})
+    void aGoodAnswerCountsAndWhatComesBehindItDoesNot(String answer, Outcome outcome) throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            call(pool, host.port(), LONG, 10);
+            Host.Call first = host.call();
+            first.answer(answer.replace("|", "\r\n"));
+            assertEquals(outcome, reply().outcome());
+            assertTrue(host.ended(first));
+            call(pool, host.port(), LONG, 10);
+            host.call().answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+            assertTrue(replies.isEmpty());
+        }
+    }
+
+    /** Guards what is believed of load: figures beyond reason count as untold, the answer still counts. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x0=NaN,x1=1e300", "x0=-3,x1=-1", "x0,x1", "=,,=", "x0=1e9,x1=Infinity"})
+    void aLoadReportThatCannotBeReadIsUntold(String load) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            host.call().answer("HTTP/1.1 200 OK\r\nX-Server-Load: " + load + "\r\nContent-Length: 0\r\n\r\n");
+            HostPool.Reply reply = reply();
+            assertEquals(Outcome.OK, reply.outcome());
+            assertEquals(-1, reply.left());
+            assertEquals(-1, reply.limit());
+        }
+    }
 }
