--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -85,7 +85,7 @@
     /** us; a waiting message is looked at again at least this often while its lane is limited. */
     private static final long RECHECK = 500 * MS;
     /** us; an endpoint off the list is forgotten after this: past any wait or warm-up. */
-    private static final long FORGET = 600 * SECOND;
+    private static final long FORGET = 60 * SECOND;
     /** Log lines at most: operators keep only the first few hundred. */
     private static final int LOG_LINES = 100;
 
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -28,6 +28,8 @@
         int kind;
         long destination;
         boolean ready;
+        /** Off the list; forgotten once nothing is out to it. */
+        boolean gone;
 
         Host(long number, String name) {
             this.number = number;
@@ -56,11 +58,17 @@
         return byNumber.get(number);
     }
 
-    /** All hosts ever named. */
+    /** The hosts on the list, and those off it that are not forgotten. */
     Collection<Host> hosts() {
         return byNumber.values();
     }
 
+    /** Drops a host that is gone. Should its name come back, it has the same number. */
+    void forget(Host host) {
+        byName.remove(host.name, host);
+        byNumber.remove(host.number, host);
+    }
+
     /** True for a destination that a list has named; it stays one while all of its hosts are gone. */
     boolean knows(long destination) {
         return destinations.contains(destination);
@@ -81,7 +89,10 @@
             }
         }
         if (whole) {
-            byNumber.values().stream().filter(h -> !named.contains(h)).forEach(h -> h.ready = false);
+            byNumber.values().stream().filter(h -> !named.contains(h)).forEach(h -> {
+                h.ready = false;
+                h.gone = true;
+            });
         }
         version = next;
         return new Relay.Listed(whole ? Relay.ListKind.WHOLE : Relay.ListKind.CHANGES, endpoints);
@@ -112,6 +123,7 @@
             byNumber.put(host.number, host);
         }
         host.ready = listing == Relay.Listing.READY;
+        host.gone = listing == Relay.Listing.GONE;
         if (listing != Relay.Listing.GONE) {
             try {
                 host.dial = Config.address(entry.text("dial"));
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -125,7 +125,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long idleLimit;
-    private final Map<Long, Pool> pools = new HashMap<>();
+    private final Map<HostList.Host, Pool> pools = new HashMap<>();
 
     HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive) {
         this.loop = loop;
@@ -146,7 +146,7 @@
     }
 
     private Pool pool(HostList.Host host) {
-        return pools.computeIfAbsent(host.number, n -> new Pool());
+        return pools.computeIfAbsent(host, h -> new Pool());
     }
 
     /** Begins a call, which ends within {@code patience} microseconds; its reply comes exactly once. */
@@ -220,6 +220,15 @@
         pool(host).idle.clear();
     }
 
+    /** Drops what is held of a host that is gone; false while a connection to it is open or coming up. */
+    boolean forget(HostList.Host host) {
+        Pool pool = pools.get(host);
+        if (pool != null && pool.open.isEmpty() && pool.connecting.isEmpty()) {
+            pools.remove(host);
+        }
+        return !pools.containsKey(host);
+    }
+
     /** How many idle connections to a host are held. */
     int idle(HostList.Host host) {
         return pool(host).idle.size();
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -25,6 +25,8 @@
     /** us; told to a client that is turned away before the module has seen its message. */
     private static final long COME_BACK = 1_000_000;
     private static final long AFTER_FAULT = 100_000;
+    /** s; between looks for gone hosts that can be forgotten. */
+    private static final long TIDY = 1;
 
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
@@ -81,6 +83,7 @@
         this.hosts = hosts;
         this.pool = pool;
         this.journal = journal;
+        loop.scheduleWithFixedDelay(this::forgetGone, TIDY, TIDY, TimeUnit.SECONDS);
         this.discovery = agent.open(this::listed, this::close);
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
@@ -298,7 +301,10 @@
                 call.cancel();
             }
         } else if (action instanceof Relay.Close a) {
-            pool.closeIdle(hosts.host(a.endpoint()));
+            HostList.Host host = hosts.host(a.endpoint());
+            if (host != null) {
+                pool.closeIdle(host);
+            }
         } else if (action instanceof Relay.Wake a) {
             loop.schedule(() -> tell(new Relay.Due()), a.after(), TimeUnit.MICROSECONDS);
         } else if (action instanceof Relay.Log a) {
@@ -310,7 +316,7 @@
     private void send(Relay.Send a) {
         Held h = held.get(a.id());
         HostList.Host host = hosts.host(a.endpoint());
-        if (h == null) {
+        if (h == null || host == null) {
             return;
         }
         int attempt = h.calls.size();
@@ -417,5 +423,15 @@
                 pool.closeIdle(host);
             }
         }
+        forgetGone();
+    }
+
+    /** Hosts come and go all day: what is gone and has nothing out is not kept. */
+    private void forgetGone() {
+        for (HostList.Host host : List.copyOf(hosts.hosts())) {
+            if (host.gone && pool.forget(host)) {
+                hosts.forget(host);
+            }
+        }
     }
 }
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -56,7 +56,9 @@
         Hangups hangups = new Hangups(env);
         Signal.handle(new Signal("HUP"), hangups);
         try {
-            Node node = new Node(Config.read(env));
+            Config config = Config.read(env);
+            Rehearsal.run(config);
+            Node node = new Node(config);
             hangups.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
             node.left.await();
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Rehearsal.java
@@ -0,0 +1,142 @@
+package wrenkeel.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wrenkeel.Wire;
+
+/**
+ * Warms the virtual machine up before a relay serves for the first time: a second relay with a journal of its
+ * own passes messages on to a stand-in on the same address, until its code is loaded and compiled. Cold, the
+ * first seconds of traffic take more than a relay's part of a core, and what they leave undone waits long.
+ * Skipped at a restart, when what is held waits and a relay is missed.
+ */
+final class Rehearsal {
+    private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
+    private static final int MESSAGES = 600, SILENT_MOST_MS = 1_000;
+    private static final long TIME_MOST = TimeUnit.SECONDS.toNanos(5);
+
+    private Rehearsal() { }
+
+    /** Runs on the calling thread; a rehearsal that fails is no fault of the relay's. */
+    static void run(Config config) throws InterruptedException {
+        Path folder = config.state().resolve("rehearsal");
+        if (Files.exists(config.state().resolve("journal"))) {
+            return;
+        }
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            Files.createDirectories(folder);
+            InetAddress here = config.listen().getAddress();
+            InetSocketAddress standIn = (InetSocketAddress) new ServerBootstrap().group(group)
+                .channel(NioServerSocketChannel.class).childHandler(new StandIn())
+                .bind(new InetSocketAddress(here, 0)).sync().channel().localAddress();
+            try (Node relay = new Node(scene(config, folder, here, standIn))) {
+                play(config, relay.address());
+            }
+        } catch (IOException | ExecutionException e) {
+            LOG.warn("not warmed up: {}", e.toString());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+            clear(folder);
+        }
+    }
+
+    private static Config scene(Config c, Path folder, InetAddress here, InetSocketAddress standIn)
+        throws Wire.Malformed {
+        String known = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\""
+            + standIn.getAddress().getHostAddress() + ":" + standIn.getPort() + "\",\"site\":\""
+            + c.zones().get(0) + "\",\"class\":\"" + c.kinds().get(0)
+            + "\",\"block\":1,\"health\":\"ready\",\"share\":1000}]}";
+        return new Config(new InetSocketAddress(here, 0), standIn, folder, c.seed(), c.sockets(),
+            c.diskBytes(), c.settings(), c.zones(), c.kinds(), Wire.decode(known));
+    }
+
+    /** Hands messages in, one at a time, on a connection for every few of them. */
+    private static void play(Config config, InetSocketAddress relay) throws IOException {
+        String name = config.settings().classes().get(0).name();
+        long by = System.nanoTime() + TIME_MOST;
+        int sent = 0;
+        while (sent < MESSAGES && System.nanoTime() < by) {
+            try (Socket socket = new Socket(relay.getAddress(), relay.getPort())) {
+                socket.setSoTimeout(SILENT_MOST_MS);
+                for (int i = 0; i < 10; i++) {
+                    String request = "POST /" + name + " HTTP/1.1\r\nHost: relay\r\nX-Request-ID: r" + sent++
+                        + "\r\nX-Priority-Class: " + name + "\r\nX-Timeout-Ms: 2000"
+                        + "\r\nIdempotency-Key: k" + sent
+                        + "\r\nX-Envelope: dest=1\r\nContent-Length: 200\r\n\r\n" + "x".repeat(200);
+                    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                    readHead(socket.getInputStream());
+                }
+            }
+        }
+    }
+
+    private static void readHead(InputStream in) throws IOException {
+        int ends = 0;
+        while (ends < 4) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("no answer");
+            }
+            ends = next == '\r' || next == '\n' ? ends + 1 : 0;
+        }
+    }
+
+    private static void clear(Path folder) {
+        try {
+            Files.deleteIfExists(folder.resolve("journal"));
+            Files.deleteIfExists(folder);
+        } catch (IOException e) {
+            LOG.warn("left behind: {}", folder, e);
+        }
+    }
+
+    /** Host and agent of discovery in one: takes every message and notice, and has no news. */
+    private static final class StandIn extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
+                new SimpleChannelInboundHandler<FullHttpRequest>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+                        if (request.uri().startsWith("/v1/servers")) {
+                            return;
+                        }
+                        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(request.uri().equals("/reports") ? 204 : 200),
+                            Unpooled.EMPTY_BUFFER);
+                        answer.headers().set("X-Server-Load", "x0=0.9,x1=1000")
+                            .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+                        context.writeAndFlush(answer);
+                    }
+                });
+        }
+    }
+}
