--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -854,6 +854,11 @@
         for (Endpoint p : e.endpoints()) {
             named.add(p.id());
             Route r = routes.get(p.id());
+            if (r != null && p.listing() != Listing.GONE && r.dest != dest(p.destination())) {
+                // Guards destinations against a number that stands for another host by now.
+                remove(r);
+                r = null;
+            }
             if (p.listing() != Listing.GONE) {
                 r = r == null ? add(p) : r;
                 r.dest.routes.put(r.id, r);
@@ -904,7 +909,7 @@
 
     private void forget(Route r) {
         if (r.goneAt + FORGET <= now && r.inflight == 0 && !r.dest.routes.containsKey(r.id)) {
-            routes.remove(r.id);
+            routes.remove(r.id, r);
         }
     }
 
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -234,7 +234,12 @@
                     in.remaining() + length + HEAD);
                 return;
             }
-            replay(new DataInputStream(new ByteArrayInputStream(content)), length + HEAD);
+            try {
+                replay(new DataInputStream(new ByteArrayInputStream(content)), length + HEAD);
+            } catch (IOException | RuntimeException e) {
+                // Guards the start: one record that makes no sense must not keep the rest from being served.
+                LOG.warn("journal record skipped: {}", e.toString());
+            }
         }
     }
 
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -195,6 +195,12 @@
      * nothing.
      */
     void withdraw(String id) {
+        // Guards the module's slots: inside the turn that takes a message on, its first send would be left
+        // out, and the module would wait for that send's end for good.
+        loop.execute(() -> withdrawn(id));
+    }
+
+    private void withdrawn(String id) {
         Held h = held.get(id);
         if (h != null && !h.over) {
             complaints.warn("message " + id + " withdrawn, its client left before the answer");
--- a/src/test/java/wrenkeel/net/HostListTest.java
+++ b/src/test/java/wrenkeel/net/HostListTest.java
@@ -51,4 +51,21 @@
         assertTrue(list.knows(7), "a destination stays known while its hosts are gone");
         assertEquals(2, list.version());
     }
+
+    /** Guards memory on a day on which hosts are replaced on and on; a name that comes back keeps its number. */
+    @Test
+    void aHostThatIsGoneCanBeForgotten() throws Wire.Malformed {
+        HostList list = list();
+        long number = update(list, Platform.list(1, true, Platform.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
+        HostList.Host first = list.host(number);
+        update(list, Platform.list(2, true, Platform.host("s-2", 80, 7, "ready")));
+        assertTrue(first.gone);
+        list.forget(first);
+        assertEquals(1, list.hosts().size());
+        assertNull(list.host(number));
+        update(list, Platform.list(3, false, Platform.host("s-1", 81, 7, "ready")));
+        assertEquals("s-1", list.host(number).name);
+        assertNotSame(first, list.host(number));
+        assertFalse(list.host(number).gone);
+    }
 }
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -169,4 +169,24 @@
             }
         }
     }
+
+    /** Guards the start: records that check but make no sense are skipped, what is owed is still taken up. */
+    @Test
+    void recordsThatMakeNoSenseDoNotStopTheStart() throws IOException {
+        try (Journal journal = new Journal(folder, 3_000_000, 12)) {
+            journal.take(new Message("a", "bill", 0, null, null, 7, 0, new byte[3]));
+        }
+        byte[][] odd = {{9, 0, 0, 0, 0, 0, 0, 0, 1}, {3, 0, 0, 0, 0, 0, 0, 0, 1, 0, 77},
+            {3, 0, 0, 0, 0, 0, 0, 0, 1, -1, -1}, {1, 0, 0, 0, 0, 0, 0, 0, 5}, {2}};
+        for (byte[] content : odd) {
+            java.util.zip.CRC32 crc = new java.util.zip.CRC32();
+            crc.update(content);
+            Files.write(folder.resolve("journal"), java.nio.ByteBuffer.allocate(8 + content.length)
+                .putInt(content.length).putInt((int) crc.getValue()).put(content).array(),
+                java.nio.file.StandardOpenOption.APPEND);
+        }
+        try (Journal journal = new Journal(folder, 3_000_000, 12)) {
+            assertEquals(List.of("a"), journal.owed().stream().map(e -> e.message.id()).toList());
+        }
+    }
 }
--- a/src/test/java/wrenkeel/net/ServerTest.java
+++ b/src/test/java/wrenkeel/net/ServerTest.java
@@ -169,4 +169,24 @@
             assertTrue(System.nanoTime() - sent < TimeUnit.MILLISECONDS.toNanos(3_000));
         }
     }
+
+    /** Guards the module's slots (8 here): each client that resets as it is answered would hold one for good. */
+    @Test
+    void clientsThatResetDoNotUseUpTheSlots() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            for (int i = 0; i < 40; i++) {
+                new Platform.Client(relay).leaveAfter("POST /bill HTTP/1.1\r\nHost: a\r\n"
+                    + String.join("\r\n", Platform.Client.headers("g" + i, "bill", 7, 400)) + "\r\n", "x");
+            }
+            while (!relay.idle()) {
+                Thread.sleep(5);
+            }
+            assertEquals("HTTP/1.1 202 Accepted", client.post("a", "bill", 7, 16_000).get(0));
+            Host.Call call;
+            do {
+                call = host.call();
+                assertNotNull(call);
+            } while (!"a".equals(call.header("X-Request-ID")));
+        }
+    }
 }
