Broken connections are no longer held against their hosts

The hosts had no outage: 338 of the 455 failures of one relay were resets within 20 ms, 258 of them on kept connections, 36 more new connections reset as they came up. Cause: Control.observe gave RESET to failed(), and HostPool ended a new connection reset by its host as CONNECT_FAILED, which did the same and backed off. One reset made a quiet route OUT, a second one in its trial a confirmed outage, and then came 9 to 12 s of ramp. Now a reset of a kept connection says nothing of the host, new ones that break only from four in a row without an answer; refused connections, time-outs and errors count as before. CONNECT_RESET tells a connection cut before the call's last byte from one refused, and still proves that the call never ran.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -62,6 +62,8 @@
     /** Failures in a row, or a share of recent calls, that mean an outage; a new outcome's weight. */
     private static final int OUTAGE_RUN = 3;
     private static final double OUTAGE_SHARE = 0.6, OUTCOME_WEIGHT = 0.2;
+    /** New connections in a row that broke with no answer between, from which on the host is held to fail. */
+    private static final int BROKEN_RUN = 4;
     /** us; a route that answered within this is not yet taken for failing. */
     private static final long SILENT = 700 * MS;
     /** us; a sibling of a failing route that answered a call sent this long before is not suspected. */
@@ -639,13 +641,17 @@
                 failed(a);
                 a.route.backoffUntil = now + backoff(d, a.route.failRun);
             }
+            case CONNECT_RESET -> broken(a, e.reused());
             case RESET -> {
                 doubt(a);
-                failed(a);
+                broken(a, e.reused());
             }
             case ERROR -> failed(a);
             default -> { }
         }
+        if (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL || e.outcome() == Outcome.ERROR) {
+            a.route.broken = 0;
+        }
         if (e.limit() > 0) {
             lane.weight = e.limit();
             lane.pace = Math.min(lane.pace, e.limit());
@@ -742,6 +748,22 @@
         }
     }
 
+    /**
+     * Guards routes against being taken for failing, and then held to the return budget as long as a cold
+     * one, because connections break. A kept one that is reset (dropped by what lies between, closed as the
+     * call went out, lost with a process that is up again) says nothing of the host; new ones do once some in
+     * a row broke. A host that is down refuses new connections, which counts at once. It hurts where a host
+     * dies of each call that it reads: that costs a few calls more.
+     */
+    private void broken(Attempt a, boolean reused) {
+        Route r = a.route;
+        r.broken += !reused && a.sent >= r.lastOkSent ? 1 : 0;
+        if (!reused && r.broken >= BROKEN_RUN) {
+            failed(a);
+            r.backoffUntil = now + backoff(r.dest, r.failRun);
+        }
+    }
+
     /** A failed call counts only while no call sent after it has been answered, or once failures prevail. */
     private void failed(Attempt a) {
         Route r = a.route;
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -17,10 +17,15 @@
         /** A second run would take effect twice. */ UNSAFE
     }
 
-    /** How one attempt ended. Only FULL, CONNECT_FAILED and NOT_SENT prove that the message never ran. */
-    public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT;
+    /**
+     * How one attempt ended. RESET and CONNECT_RESET: its connection broke, after the last byte of the call
+     * and before that. FULL, CONNECT_FAILED, CONNECT_RESET and NOT_SENT prove that the message never ran.
+     */
+    public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, CONNECT_RESET, RESET, CANCELLED, NOT_SENT;
         /** True when this outcome proves that the attempt had no effect. */
-        public boolean neverRan() { return this == FULL || this == CONNECT_FAILED || this == NOT_SENT; }
+        public boolean neverRan() {
+            return this == FULL || this == CONNECT_FAILED || this == CONNECT_RESET || this == NOT_SENT;
+        }
     }
 
     /** Standing of an endpoint in the list; it says nothing of its health. */
@@ -81,9 +86,17 @@
         }
     }
 
-    /** An attempt ended. {@code waitFor}: told wait or 0. {@code left}, {@code limit}: -1 if untold. */
+    /**
+     * An attempt ended. {@code waitFor}: told wait or 0. {@code left}, {@code limit}: -1 if untold.
+     * {@code reused}: it is known to have gone out on a connection that had carried a call before.
+     */
     public record Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
-                        long latency, double left, double limit) implements Event { }
+                        long latency, double left, double limit, boolean reused) implements Event {
+        public Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
+                     long latency, double left, double limit) {
+            this(id, attempt, endpoint, outcome, over, waitFor, latency, left, limit, false);
+        }
+    }
 
     /** The list of endpoints changed. */
     public record Listed(ListKind kind, List<Endpoint> endpoints) implements Event { }
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -153,7 +153,8 @@
         Lane lane;
         boolean ready, confirmed;
         Health health = Health.GOOD;
-        int inflight, failRun, trials, overdue;
+        /** {@code broken}: new connections in a row that broke, with no answer between. */
+        int inflight, failRun, broken, trials, overdue;
         double latency, failing;
         long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
         double spacing;
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -29,7 +29,10 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -54,8 +57,20 @@
     /** ns; a connection rests so long before its next call: more may come right behind an answer. */
     private static final long REST = TimeUnit.MILLISECONDS.toNanos(5);
 
-    /** What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. */
-    record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) { }
+    /**
+     * What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. {@code reused}: the
+     * call went out on a connection that had carried one before.
+     */
+    record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit,
+                 boolean reused) {
+        Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) {
+            this(outcome, over, waitFor, latency, left, limit, false);
+        }
+
+        private Reply onKeptConnection() {
+            return new Reply(outcome, over, waitFor, latency, left, limit, true);
+        }
+    }
 
     /** One call, from when it was asked for until its reply. */
     final class Call {
@@ -67,6 +82,7 @@
         private Future<?> timer;
         private Channel channel;
         private boolean written;
+        private boolean reused;
         private boolean ended;
 
         private Call(HostList.Host host, Message message, long patience, Consumer<Reply> whenEnded) {
@@ -104,7 +120,7 @@
                 ended = true;
                 timer.cancel(false);
                 pool(host).connecting.remove(this);
-                whenEnded.accept(reply);
+                whenEnded.accept(reused ? reply.onKeptConnection() : reply);
             }
         }
 
@@ -173,6 +189,7 @@
         }
         if (free != null) {
             pool.idle.remove(free);
+            call.reused = true;
             free.begin(call);
             return;
         }
@@ -184,7 +201,7 @@
         call.channel = connect.channel();
         connect.addListener(done -> {
             if (!done.isSuccess()) {
-                call.end(Outcome.CONNECT_FAILED);
+                call.end(cut(done.cause()) ? Outcome.CONNECT_RESET : Outcome.CONNECT_FAILED);
             } else if (call.ended) {
                 call.channel.close();
             } else {
@@ -196,6 +213,12 @@
         });
     }
 
+    /** True for a connection that came up and was reset at once; others are refused or never come up. */
+    private static boolean cut(Throwable cause) {
+        return cause instanceof SocketException && !(cause instanceof ConnectException)
+            && !(cause instanceof NoRouteToHostException);
+    }
+
     /**
      * Takes back the calls to a host that still wait for their connection. Guards the rules on drains and
      * waits: such a call would go out as soon as the connection is up, long after the host asked for nothing
@@ -425,7 +448,7 @@
                 pool.idle.remove(this);
             }
             if (call != null) {
-                Outcome broken = call.written ? Outcome.RESET : Outcome.CONNECT_FAILED;
+                Outcome broken = call.written ? Outcome.RESET : Outcome.CONNECT_RESET;
                 call.end(decoder.code == 200 ? Outcome.OK : broken);
                 call = null;
             }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -366,7 +366,7 @@
             }
         }
         tell(new Relay.Ended(h.message.id(), attempt, host.number, reply.outcome(), over, reply.waitFor(),
-            reply.latency(), reply.left(), reply.limit()));
+            reply.latency(), reply.left(), reply.limit(), reply.reused()));
         forget(h);
     }
 
--- a/src/test/java/wrenkeel/net/Host.java
+++ b/src/test/java/wrenkeel/net/Host.java
@@ -22,6 +22,12 @@
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        /** Resets the connection. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         String header(String name) {
             return head.stream().filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ": "))
                 .map(h -> h.substring(name.length() + 2)).findFirst().orElse(null);
@@ -77,6 +83,11 @@
         return false;
     }
 
+    /** True while the relay has not closed the connection of a call. */
+    boolean open(Call call) {
+        return !over.contains(call.socket());
+    }
+
     boolean quiet() {
         return calls.isEmpty();
     }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -100,6 +101,45 @@
         assertTrue(head.get(0).startsWith("HTTP/1.1 " + status), head.get(0));
     }
 
+    /**
+     * Guards hosts against trials and the return budget for what befalls connections: after two kept and three new
+     * ones that broke, messages still go out side by side, where a host held to fail would get one trial.
+     */
+    @Test
+    void connectionsThatBreakAreNotHeldAgainstTheirHost() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
+            host.call().answer(Host.OK);
+            awaitClosedJournal(relay);
+            List<Host.Call> kept = outSideBySide(client, "b", "c");
+            for (Host.Call call : kept) {
+                call.answer(Host.OK);
+            }
+            awaitClosedJournal(relay);
+            List<Host.Call> calls = outSideBySide(client, "d", "e");
+            for (int broken = 0; broken < 5; broken++) {
+                calls.get(broken).reset();
+                calls.add(host.call());
+            }
+            calls.get(5).answer(Host.OK);
+            assertEquals(TAKEN, client.post("f", "bill", 7, 16_000).get(0));
+            Host.Call sideBySide = host.call();
+            assertNotNull(sideBySide, "one at a time only");
+            assertEquals("f", sideBySide.header("X-Request-ID"));
+            assertTrue(host.open(calls.get(6)), "one at a time only");
+            sideBySide.answer(Host.OK);
+            calls.get(6).answer(Host.OK);
+            awaitClosedJournal(relay);
+        }
+    }
+
+    /** Hands two messages in and waits until both are out at once. */
+    private List<Host.Call> outSideBySide(Platform.Client client, String one, String other) throws Exception {
+        assertEquals(TAKEN, client.post(one, "bill", 7, 16_000).get(0));
+        assertEquals(TAKEN, client.post(other, "bill", 7, 16_000).get(0));
+        return new ArrayList<>(List.of(host.call(), host.call()));
+    }
+
     /** Guards the cap on messages held: the client is told to come back, not left waiting. */
     @Test
     void aboveTheOpenCapAMessageIsRefusedWithATimeToComeBack() throws Exception {
