Messages that take long are no longer held against their host, and get longer to answer

At 771 one relay had 5 time-outs in 5 s, then 100 in 9 s, at all hosts alike, on new and kept connections, while the same hosts answered calls sent later in 60 to 300 ms (host 2762: 8 of 17 within 0.3 s timed out at 1,500 ms). Each halved the window, two or three made an outage, and then 9 to 12 s of ramp: 4,925 message-seconds of waiting in the return budget, 4,239 in the window, 5,468 in the pace of the routes left. Cause: Control.observe counted every TIMEOUT against host and window, also where the host had answered since; and a message that takes 3 s timed out at 1.5 s again and again. Ruled out: silent hosts and a full table of connections (answers in between on both), the relay's own delay (calls were written at once). Now a time-out says nothing of the host if a call sent later has been answered or the message timed out before, and each further call of such a message waits twice as long.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -36,6 +36,8 @@
     private static final double PATIENCE = 4.5;
     private static final long PATIENCE_LEAST = 3 * SECOND / 2, PATIENCE_MOST = 6 * SECOND,
         PATIENCE_FIRST = 3 * SECOND;
+    /** Longer time-outs at each of a message that timed out before: it may just take that long. */
+    private static final double PATIENCE_AGAIN = 2;
     /** Longer time-outs where one loses the message. */
     private static final double PATIENCE_UNSAFE = 3;
     /** Priority: weight of the worth lost by another second of waiting against the worth itself. */
@@ -548,7 +550,7 @@
         Dest d = m.dest;
         double base = Math.max(PATIENCE_LEAST, PATIENCE * delay(d));
         base = d.answers.count < KNOWN ? PATIENCE_FIRST : Math.min(PATIENCE_MOST, base);
-        base *= m.cls.effect() == Effect.UNSAFE ? PATIENCE_UNSAFE : 1;
+        base *= m.cls.effect() == Effect.UNSAFE ? PATIENCE_UNSAFE : Math.pow(PATIENCE_AGAIN, m.timeouts);
         return Math.min(m.deadline - now, (long) base);
     }
 
@@ -632,9 +634,8 @@
                 refused(lane, e.waitFor(), a);
             }
             case TIMEOUT -> {
-                d.window = Math.max(1, d.window / 2);
                 doubt(a);
-                failed(a);
+                timedOut(a);
             }
             case CONNECT_FAILED -> {
                 holds[kind] *= HOLD_CUT;
@@ -748,6 +749,20 @@
         }
     }
 
+    /**
+     * Guards routes, and the windows of their destinations, against messages that take long wherever they go:
+     * where the host has answered a call sent later, or the message timed out before, it says nothing of the
+     * host. It covers calls stuck behind such a message too. It hurts where a host drops some calls and
+     * answers the rest: those cost their patience and no outage is seen.
+     */
+    private void timedOut(Attempt a) {
+        boolean slowMessage = a.msg.timeouts++ > 0 || a.sent < a.route.lastOkSent;
+        if (!slowMessage) {
+            a.route.dest.window = Math.max(1, a.route.dest.window / 2);
+            failed(a);
+        }
+    }
+
     /**
      * Guards routes against being taken for failing, and then held to the return budget as long as a cold
      * one, because connections break. A kept one that is reset (dropped by what lies between, closed as the
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -32,7 +32,7 @@
         Dest dest;
         Key key;
         long deadline, aim;
-        int band, extras, open;
+        int band, extras, open, timeouts;
         boolean queued, ended, halving;
         double full;
         final List<Attempt> attempts = new ArrayList<>(2);
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -133,6 +133,34 @@
         }
     }
 
+    /**
+     * Guards hosts and windows against messages that take long: two that time out while a later one is answered are
+     * sent again side by side, with longer to answer.
+     */
+    @Test
+    void aMessageThatTimesOutIsNotHeldAgainstItsHost() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            for (String id : List.of("a", "b")) {
+                assertEquals(TAKEN, client.post(id, "bill", 7, 16_000).get(0));
+                host.call().answer(Host.OK);
+                awaitClosedJournal(relay);
+            }
+            List<Host.Call> slow = outSideBySide(client, "c", "d");
+            assertEquals(TAKEN, client.post("e", "bill", 7, 16_000).get(0));
+            Host.Call later = host.call();
+            assertEquals("e", later.header("X-Request-ID"));
+            later.answer(Host.OK);
+            Host.Call one = host.call(), other = host.call();
+            assertNotEquals(one.header("X-Request-ID"), other.header("X-Request-ID"));
+            assertTrue(host.open(one), "one at a time only");
+            long first = Long.parseLong(slow.get(0).header("X-Timeout-Ms"));
+            assertTrue(Long.parseLong(one.header("X-Timeout-Ms")) > first * 3 / 2, "no longer to answer");
+            one.answer(Host.OK);
+            other.answer(Host.OK);
+            awaitClosedJournal(relay);
+        }
+    }
+
     /** Hands two messages in and waits until both are out at once. */
     private List<Host.Call> outSideBySide(Platform.Client client, String one, String other) throws Exception {
         assertEquals(TAKEN, client.post(one, "bill", 7, 16_000).get(0));
