Messages with little time from the start no longer wait as if they were late

Ruled out: hosts (answers on time), the front (taken on at once), unknown destinations (no 404 in the logs). Cause: Control.accept counted the aim back from the deadline by the class's whole life, so a message with 1 s was taken for one handed in 11 s ago; head() then sent all others of its destination first, and priority() took it for nearly worthless. Now a message that comes with less time than the aim has its full worth until its deadline, and of those that can make their aim the earliest goes first (arrival order before, the same where all have equal time).

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -170,7 +170,8 @@
         m.dest = dest(e.destination());
         m.dest.mark(now, RATE_SPAN, Math.max(RATE_AGE, now - beganAt));
         m.deadline = e.deadline();
-        m.aim = m.deadline - m.cls.life() + m.cls.aim();
+        m.number = seq++;
+        m.aim = aim(m);
         boolean inShare = inShare(e.tenant());
         m.band = e.messageClass() * 3 + (inShare ? 0 : 1);
         m.full = m.cls.worth() * (inShare ? 1 : set.overShareWorth());
@@ -189,13 +190,23 @@
             || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
             giveUp(m);
         } else if (m.key == null || m.key.line.peekFirst() == m) {
-            enqueue(m, false);
+            enqueue(m);
         }
         if (open >= set.allowed().open()) {
             shed();
         }
     }
 
+    /**
+     * Until when a message has its full worth. Less than the class's time left mostly means that it was
+     * handed in before; less than even its aim, that its client never had more to give. Guards short messages
+     * against waiting behind all others as if late. It hurts where clients come again for the last time.
+     */
+    private long aim(Msg m) {
+        boolean brief = m.deadline - now <= m.cls.aim();
+        return brief ? m.deadline : m.deadline - m.cls.life() + m.cls.aim();
+    }
+
     /** An attempt made before a restart; one that was out then may have run. */
     private Attempt recovered(Msg m, Earlier before) {
         Attempt a = new Attempt();
@@ -220,19 +231,14 @@
         return shares[tenant].take();
     }
 
-    private void enqueue(Msg m, boolean again) {
+    private void enqueue(Msg m) {
         if (m.cls.effect() == Effect.KEYED && m.mayHaveRun()) {
             m.band = m.band / 3 * 3 + 2;
         }
         m.queued = true;
         m.dest.waiting++;
         active.add(m.dest);
-        Band band = m.dest.bands[m.band];
-        if (again) {
-            band.fresh.addFirst(m);
-        } else {
-            band.fresh.addLast(m);
-        }
+        m.dest.bands[m.band].fresh.add(m);
     }
 
     private boolean mayRefuse(Msg m) {
@@ -294,7 +300,7 @@
         } else if (head == null) {
             keys.remove(key.name);
         } else if (idle) {
-            enqueue(head, false);
+            enqueue(head);
         }
     }
 
@@ -329,7 +335,7 @@
         if (spent || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun()) {
             giveUp(m);
         } else {
-            enqueue(m, true);
+            enqueue(m);
         }
     }
 
@@ -372,7 +378,7 @@
             }
             double wait = d.waiting / d.window * Math.max(d.latest, FIRST_DELAY);
             for (Band band : d.bands) {
-                Msg m = Band.first(band.late) != null ? Band.first(band.late) : Band.last(band.fresh);
+                Msg m = band.firstLate() != null ? band.firstLate() : band.lastFresh();
                 double left = m != null && mayRefuse(m) ? m.worth(now + (long) wait) : least;
                 if (left < least) {
                     least = left;
@@ -448,15 +454,15 @@
         return best;
     }
 
-    /** Inside the aim the oldest goes first; past it the newest, which has most worth left. */
+    /** Of those that can make their aim the earliest aim goes first; past it the newest, worth most. */
     private Msg head(Band band) {
-        for (Msg m = Band.first(band.fresh); m != null; m = Band.first(band.fresh)) {
+        for (Msg m = band.firstFresh(); m != null; m = band.firstFresh()) {
             if (now + (long) m.dest.latest <= m.aim) {
                 return m;
             }
             band.late.addLast(band.fresh.pollFirst());
         }
-        return Band.last(band.late);
+        return band.lastLate();
     }
 
     private double cost(Msg m, Route r) {
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** What {@link Control} remembers: plain records of fact and containers. Nothing here decides. */
 final class State {
@@ -31,7 +33,8 @@
         Relay.MessageClass cls;
         Dest dest;
         Key key;
-        long deadline, aim;
+        /** {@code number}: by order of arrival. */
+        long deadline, aim, number;
         int band, extras, open, timeouts;
         boolean queued, ended, halving;
         double full;
@@ -95,27 +98,42 @@
 
     /** Waiting messages of one sort: inside their aim, and past it; ones no longer queued are skipped. */
     static final class Band {
-        final ArrayDeque<Msg> fresh = new ArrayDeque<>(), late = new ArrayDeque<>();
+        /** By aim: in order of arrival where all have the same time. */
+        final TreeSet<Msg> fresh = new TreeSet<>(Comparator.<Msg>comparingLong(m -> m.aim)
+            .thenComparingLong(m -> m.number));
+        final ArrayDeque<Msg> late = new ArrayDeque<>();
 
-        static Msg first(ArrayDeque<Msg> line) {
-            while (!line.isEmpty() && !line.peekFirst().queued) {
-                line.pollFirst();
+        Msg firstFresh() {
+            while (!fresh.isEmpty() && !fresh.first().queued) {
+                fresh.pollFirst();
             }
-            return line.peekFirst();
+            return fresh.isEmpty() ? null : fresh.first();
         }
 
-        static Msg last(ArrayDeque<Msg> line) {
-            while (!line.isEmpty() && !line.peekLast().queued) {
-                line.pollLast();
+        Msg lastFresh() {
+            while (!fresh.isEmpty() && !fresh.last().queued) {
+                fresh.pollLast();
             }
-            return line.peekLast();
+            return fresh.isEmpty() ? null : fresh.last();
         }
 
-        /** Takes out a message that stands at the head of the fresh or the tail of the late. */
+        Msg firstLate() {
+            while (!late.isEmpty() && !late.peekFirst().queued) {
+                late.pollFirst();
+            }
+            return late.peekFirst();
+        }
+
+        Msg lastLate() {
+            while (!late.isEmpty() && !late.peekLast().queued) {
+                late.pollLast();
+            }
+            return late.peekLast();
+        }
+
+        /** Takes out a message that stands among the fresh or at the tail of the late. */
         void remove(Msg m) {
-            if (fresh.peekFirst() == m) {
-                fresh.pollFirst();
-            } else if (late.peekLast() == m) {
+            if (!fresh.remove(m) && late.peekLast() == m) {
                 late.pollLast();
             }
         }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -161,6 +161,23 @@
         }
     }
 
+    /** Guards messages with little time from the start against waiting behind all that have more. */
+    @Test
+    void aMessageWithLittleTimeGoesBeforeThoseThatCanWait() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("first", "bill", 7, 16_000).get(0));
+            Host.Call first = host.call();
+            assertEquals(TAKEN, client.post("patient", "bill", 7, 16_000).get(0));
+            assertEquals(TAKEN, client.post("brief", "bill", 7, 7_900).get(0));
+            first.answer(Host.OK);
+            Host.Call next = host.call();
+            assertEquals("brief", next.header("X-Request-ID"));
+            next.answer(Host.OK);
+            host.call().answer(Host.OK);
+            awaitClosedJournal(relay);
+        }
+    }
+
     /** Hands two messages in and waits until both are out at once. */
     private List<Host.Call> outSideBySide(Platform.Client client, String one, String other) throws Exception {
         assertEquals(TAKEN, client.post(one, "bill", 7, 16_000).get(0));
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -87,7 +87,7 @@
                "open-cap":4,"max-streams":1,"retry-after":true,"max-retry-after":3000},
               "family-info":{"call-slots":16,"kind-apart":[true,true],"bundle-max":[1,1]},
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
-              "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
+              "profiles":[{"name":"bill","aim":8000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
             """.formatted(discovery.agent.getAddress().getPort(), list(1, true, hosts)));
         return Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString(),
