While slots are scarce, calls that are lost hold them for less

A probe that waited 5 s and more for each answer: 2,936 answers within 1 s (4 of them over 0.5), none later, 44 never; and messages that timed out were answered in the usual 0.1 to 0.3 s at their next call (37 of 63 with a second call at once, no second time-out but in 4). Cause: Control.patience gives 1.5 s and 4.5 copy delays, six to ten times the usual answer, also where others need the slot. Now the share of timed-out messages that are answered within the copy delay at their next call is kept; from one half on, while nine tenths of the slots are in use, a call gets two copy delays, 0.5 s at least. Slow hosts and long messages do not count as lost.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -36,6 +36,10 @@
     private static final double PATIENCE = 4.5;
     private static final long PATIENCE_LEAST = 3 * SECOND / 2, PATIENCE_MOST = 6 * SECOND,
         PATIENCE_FIRST = 3 * SECOND;
+    /** The least (us) and the multiple where calls are lost, and this share of the slots is in use. */
+    private static final double LOST_LEAST = SECOND / 2, LOST_PATIENCE = 2, SLOTS_SCARCE = 0.9;
+    /** Share of timed-out messages answered in the usual time at their next call: those calls were lost. */
+    private static final double LOST_SHARE = 0.5, LOST_WEIGHT = 0.3;
     /** Longer time-outs at each of a message that timed out before: it may just take that long. */
     private static final double PATIENCE_AGAIN = 2;
     /** Longer time-outs where one loses the message. */
@@ -111,6 +115,7 @@
     private List<Action> out = new ArrayList<>();
     private long now, beganAt, seq, turns, wakeAt = NEVER;
     private int slotsUsed, open, logged;
+    private double lost;
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
@@ -554,7 +559,11 @@
 
     private long patience(Msg m) {
         Dest d = m.dest;
-        double base = Math.max(PATIENCE_LEAST, PATIENCE * delay(d));
+        // Guards the slots against calls that are never answered: while they are scarce, none waits for long.
+        // It hurts where destinations turn slow after that; a message that timed out gets longer there.
+        boolean brief = lost >= LOST_SHARE && slotsUsed >= SLOTS_SCARCE * set.allowed().slots();
+        double base = brief ? Math.max(LOST_LEAST, LOST_PATIENCE * delay(d))
+            : Math.max(PATIENCE_LEAST, PATIENCE * delay(d));
         base = d.answers.count < KNOWN ? PATIENCE_FIRST : Math.min(PATIENCE_MOST, base);
         base *= m.cls.effect() == Effect.UNSAFE ? PATIENCE_UNSAFE : Math.pow(PATIENCE_AGAIN, m.timeouts);
         return Math.min(m.deadline - now, (long) base);
@@ -628,6 +637,9 @@
         }
         switch (e.outcome()) {
             case OK -> {
+                if (a.msg.timeouts == 1) {
+                    lost += LOST_WEIGHT * ((e.latency() <= delay(d) ? 1 : 0) - lost);
+                }
                 answered(d, a.route, e.latency());
                 holds[kind] = Math.min(set.allowed().keepAlive(), holds[kind] * HOLD_GROW);
                 double trust = Math.max(trusts[kind] * HOLD_GROW, a.idle * TRUST_PROVEN);
@@ -756,14 +768,14 @@
     }
 
     /**
-     * Guards routes, and the windows of their destinations, against messages that take long wherever they go:
-     * where the host has answered a call sent later, or the message timed out before, it says nothing of the
-     * host. It covers calls stuck behind such a message too. It hurts where a host drops some calls and
-     * answers the rest: those cost their patience and no outage is seen.
+     * Guards routes, and the windows of their destinations, against calls that are lost and messages that
+     * take long wherever they go: where the host has answered a call sent later, or the message timed out
+     * before, a time-out says nothing of the host. It covers calls stuck behind others too. It hurts where a
+     * host drops some calls and answers the rest: those cost their patience and no outage is seen.
      */
     private void timedOut(Attempt a) {
-        boolean slowMessage = a.msg.timeouts++ > 0 || a.sent < a.route.lastOkSent;
-        if (!slowMessage) {
+        boolean notTheHost = a.msg.timeouts++ > 0 || a.sent < a.route.lastOkSent;
+        if (!notTheHost) {
             a.route.dest.window = Math.max(1, a.route.dest.window / 2);
             failed(a);
         }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -178,6 +178,27 @@
         }
     }
 
+    /**
+     * Guards scarce slots against calls that are never answered: where messages that timed out are answered at once at
+     * their next call, calls soon have less time.
+     */
+    @Test
+    void callsHaveLessTimeWhileSlotsAreScarceAndCallsAreLost() throws Exception {
+        platform.slots = 1;
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            long least = Long.MAX_VALUE;
+            // The first eight make the usual time known; of the others each first call is lost.
+            for (int i = 0; i < 20 && least >= 1_000; i++) {
+                assertEquals(TAKEN, client.post("m" + i, "bill", 7, 16_000).get(0));
+                Host.Call call = host.call();
+                least = Math.min(least, Long.parseLong(call.header("X-Timeout-Ms")));
+                (i < 8 || least < 1_000 ? call : host.call()).answer(Host.OK);
+                awaitClosedJournal(relay);
+            }
+            assertTrue(least < 1_000, "all calls had " + least + " ms");
+        }
+    }
+
     /** Hands two messages in and waits until both are out at once. */
     private List<Host.Call> outSideBySide(Platform.Client client, String one, String other) throws Exception {
         assertEquals(TAKEN, client.post(one, "bill", 7, 16_000).get(0));
