--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -401,7 +401,8 @@
     private void over(Held h) {
         h.over = true;
         open--;
-        forget(h);
+        // Guards slots: a send decided in the turn that refuses its message must find it, and end.
+        loop.execute(() -> forget(h));
     }
 
     /** The module may still name a message until the last of its calls has ended. */
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -199,6 +199,32 @@
         }
     }
 
+    /** Guards slots: a message refused for want of room in the journal, in the turn that sends it, costs none. */
+    @Test
+    void aMessageThatTheJournalCannotTakeCostsNoSlot() throws Exception {
+        platform.openCap = 100;
+        String body = "x".repeat(64 * 1024);
+        try (Node relay = platform.relay(host("s-1", host.port(), 7, "ready"), host("s-2", host.port(), 8, "ready"));
+                var client = new Platform.Client(relay)) {
+            int held = 0;
+            while (client.post("/bill", Platform.Client.headers("a" + held, "bill", 7, 16_000), body).get(0)
+                .equals(TAKEN)) {
+                held++;
+            }
+            Host.Call first = host.call();
+            assertStatus(503, client.post("/bill", Platform.Client.headers("b", "bill", 8, 16_000), body));
+            first.answer(Host.OK);
+            Host.Call second = host.call();
+            assertEquals("a1", second.header("X-Request-ID"));
+            assertEquals(TAKEN, client.post("c", "bill", 8, 16_000).get(0));
+            Host.Call next = host.call();
+            while (next != null && !next.header("X-Request-ID").equals("c")) {
+                next = host.call();
+            }
+            assertNotNull(next, "nothing goes to that destination any more");
+        }
+    }
+
     /** Hands two messages in and waits until both are out at once. */
     private List<Host.Call> outSideBySide(Platform.Client client, String one, String other) throws Exception {
         assertEquals(TAKEN, client.post(one, "bill", 7, 16_000).get(0));
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -30,6 +30,8 @@
     final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
     /** Calls that a relay may have out. */
     int slots = 16;
+    /** Messages that it may hold. */
+    int openCap = 4;
     private final HttpServer agent;
     private final Path folder;
 
@@ -86,12 +88,12 @@
              "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2"],
               "weights":"rough","novel":[1],
               "allowed":{"cancel":true,"second-copies":false,"connect-timeout":800,"keepalive":15000,"most-tries":12,
-               "open-cap":4,"max-streams":1,"retry-after":true,"max-retry-after":3000},
+               "open-cap":%d,"max-streams":1,"retry-after":true,"max-retry-after":3000},
               "family-info":{"call-slots":%d,"kind-apart":[true,true],"bundle-max":[1,1]},
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":8000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
-            """.formatted(discovery.agent.getAddress().getPort(), list(1, true, hosts), slots));
+            """.formatted(discovery.agent.getAddress().getPort(), list(1, true, hosts), openCap, slots));
         return Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString(),
             "EDGE_DISCOVERY", "127.0.0.1:" + agent.getAddress().getPort());
     }
