--- a/src/main/java/wrenkeel/Main.java
+++ b/src/main/java/brambletray/Main.java
@@ -1,7 +1,8 @@
-package wrenkeel;
+package brambletray;
 
+import brambletray.serve.Node;
+import brambletray.simhost.SimHost;
 import java.io.IOException;
-import wrenkeel.net.Node;
 
 /** Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard streams. */
 public final class Main {
@@ -11,14 +12,14 @@
         System.exit(run(args));
     }
 
-    static int run(String[] args) throws IOException {
+    public static int run(String[] args) throws IOException {
         if (args.length == 1 && args[0].equals("simhost")) {
             return SimHost.serve(System.in, System.out, System.err);
         }
         if (args.length == 1 && args[0].equals("serve")) {
             return Node.serve(System.getenv());
         }
-        System.err.println("usage: java -jar wrenkeel.jar serve|simhost");
+        System.err.println("usage: java -jar brambletray.jar serve|simhost");
         return 2;
     }
 }
--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -1,8 +1,8 @@
-package wrenkeel;
+package brambletray.control;
 
+import brambletray.control.Relay.*;
+import brambletray.control.State.*;
 import java.util.*;
-import wrenkeel.Relay.*;
-import wrenkeel.State.*;
 
 /**
  * All decisions of one relay. The interface (settings, events, actions) is in Relay.java.
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/brambletray/control/Relay.java
@@ -1,4 +1,4 @@
-package wrenkeel;
+package brambletray.control;
 
 import java.util.List;
 
--- /dev/null
+++ b/src/main/java/brambletray/core/Host.java
@@ -0,0 +1,21 @@
+package brambletray.core;
+
+import java.net.InetSocketAddress;
+
+/** One host that a list has named; {@code number} is what the module knows it by. */
+public final class Host {
+    public final long number;
+    public final String name;
+    public InetSocketAddress dial;
+    public int zone;
+    public int kind;
+    public long destination;
+    public boolean ready;
+    /** Off the list; forgotten once nothing is out to it. */
+    public boolean gone;
+
+    public Host(long number, String name) {
+        this.number = number;
+        this.name = name;
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/core/Hosts.java
@@ -0,0 +1,18 @@
+package brambletray.core;
+
+import java.util.Collection;
+
+/** The hosts that the loop may be asked to send to, as membership keeps them. */
+public interface Hosts {
+    /** The host that the module knows by this number; null for one that is not known or forgotten. */
+    Host host(long number);
+
+    /** The hosts on the list, and those off it that are not forgotten. */
+    Collection<Host> hosts();
+
+    /** Drops a host that is gone. Should its name come back, it has the same number. */
+    void forget(Host host);
+
+    /** True for a destination that a list has named; it stays one while all of its hosts are gone. */
+    boolean knows(long destination);
+}
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -1,5 +1,9 @@
-package wrenkeel.net;
+package brambletray.core;
 
+import brambletray.control.Control;
+import brambletray.control.Relay;
+import brambletray.journal.Journal;
+import brambletray.message.Message;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -9,18 +13,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wrenkeel.Control;
-import wrenkeel.Relay;
-import wrenkeel.Wire;
 
 /**
  * Drives the module: what happens on the sockets becomes events, what the module asks for is carried out in
  * order. It decides nothing. All of it runs on one event loop.
  */
-final class Loop {
+public final class Loop {
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     /** us; told to a client that is turned away before the module has seen its message. */
     private static final long COME_BACK = 1_000_000;
@@ -31,7 +31,7 @@
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
      */
-    interface Answer {
+    public interface Answer {
         void taken();
 
         /** It is held already: this is not the request that took it on. */
@@ -48,7 +48,7 @@
     /** A message that the module holds, or that has calls out. */
     private static final class Held {
         final Message message;
-        final List<HostPool.Call> calls = new ArrayList<>();
+        final List<Calls.Call> calls = new ArrayList<>();
         Journal.Entry entry;
         boolean over;
         int out;
@@ -63,10 +63,10 @@
     private final Seldom complaints = new Seldom(LOG);
     private final Relay.Settings settings;
     private final Control control;
-    private final HostList hosts;
-    private final HostPool pool;
+    private final Hosts hosts;
+    private final Calls pool;
     private final Journal journal;
-    private final Discovery discovery;
+    private Platform platform;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Held> held = new HashMap<>();
     private List<Relay.Event> events = new ArrayList<>();
@@ -76,33 +76,32 @@
     private boolean stopped;
     private int open;
 
-    Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Agent agent) {
+    public Loop(EventLoop loop, long seed, Relay.Settings settings, Hosts hosts, Calls pool,
+                Journal journal) {
         this.loop = loop;
-        this.settings = config.settings();
-        this.control = new Control(config.seed(), settings);
+        this.settings = settings;
+        this.control = new Control(seed, settings);
         this.hosts = hosts;
         this.pool = pool;
         this.journal = journal;
         loop.scheduleWithFixedDelay(this::forgetGone, TIDY, TIDY, TimeUnit.SECONDS);
-        this.discovery = agent.open(this::listed, this::close);
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
         }
     }
 
-    /** Makes the link to discovery, given what it is to call. */
-    interface Agent {
-        Discovery open(Discovery.Listener whenListed, Consumer<Journal.Entry> whenNoticed);
-    }
-
-    /** Tells the module the list as last had and what the journal holds, then begins to watch. */
-    void start(Wire.Fields known) throws Wire.Malformed {
-        if (!known.values().isEmpty()) {
-            tell(hosts.update(known));
+    /**
+     * Tells the module the list as last had (null: none) and what the journal holds, then begins to watch the
+     * platform, which is to call {@link #listed} and {@link #noticed}.
+     */
+    public void start(Platform platform, Relay.Listed known) {
+        this.platform = platform;
+        if (known != null) {
+            tell(known);
         }
         for (Journal.Entry entry : journal.owed()) {
             if (entry.end != null) {
-                discovery.notice(entry);
+                platform.notice(entry);
             } else if (!classes.containsKey(entry.message.messageClass())) {
                 LOG.warn("message {} given up: its class {} is gone", entry.message.id(),
                     entry.message.messageClass());
@@ -112,7 +111,7 @@
             }
         }
         turn();
-        discovery.watch();
+        platform.watch();
     }
 
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
@@ -133,16 +132,16 @@
             moduleTime(m.deadline()), m.destination(), earlier);
     }
 
-    boolean knows(String messageClass, long destination) {
+    public boolean knows(String messageClass, long destination) {
         return classes.containsKey(messageClass) && hosts.knows(destination);
     }
 
-    Relay.MessageClass messageClass(String name) {
+    public Relay.MessageClass messageClass(String name) {
         return classes.containsKey(name) ? settings.classes().get(classes.get(name)) : null;
     }
 
     /** The tenant's number; one that the settings do not name stands past them and has no share. */
-    int tenant(String name) {
+    public int tenant(String name) {
         for (int i = 0; i < settings.tenants().size(); i++) {
             if (settings.tenants().get(i).name().equals(name)) {
                 return i;
@@ -152,22 +151,22 @@
     }
 
     /** Discovery has moved. */
-    void discoveryAt(InetSocketAddress agent) {
-        discovery.move(agent);
+    public void discoveryAt(InetSocketAddress agent) {
+        platform.move(agent);
     }
 
     /** The process ends: nothing more is decided or written down, calls still out count as may have run. */
-    void stop() {
+    public void stop() {
         stopped = true;
     }
 
-    boolean idle() {
-        return open == 0 && !discovery.noticesLeft();
+    public boolean idle() {
+        return open == 0 && !platform.noticesLeft();
     }
 
     // ---- Clients --------------------------------------------------------------------------------
     /** A message is handed in; it is answered before this returns. */
-    void accept(Message message, Answer answer) {
+    public void accept(Message message, Answer answer) {
         Held known = held.get(message.id());
         if (known != null && !known.over) {
             // A client sends a request once more when its connection closed as it wrote: it is held already.
@@ -194,7 +193,7 @@
      * The client did not hear that its message was taken on: it hands it in anew, this one counts for
      * nothing.
      */
-    void withdraw(String id) {
+    public void withdraw(String id) {
         // Guards the module's slots: inside the turn that takes a message on, its first send would be left
         // out, and the module would wait for that send's end for good.
         loop.execute(() -> withdrawn(id));
@@ -302,12 +301,12 @@
             end(a.id(), new Journal.End(false, 0));
         } else if (action instanceof Relay.Cancel a) {
             Held h = held.get(a.id());
-            HostPool.Call call = h == null ? null : h.calls.get(a.attempt());
+            Calls.Call call = h == null ? null : h.calls.get(a.attempt());
             if (call != null) {
                 call.cancel();
             }
         } else if (action instanceof Relay.Close a) {
-            HostList.Host host = hosts.host(a.endpoint());
+            Host host = hosts.host(a.endpoint());
             if (host != null) {
                 pool.closeIdle(host);
             }
@@ -321,7 +320,7 @@
     // ---- Calls ----------------------------------------------------------------------------------
     private void send(Relay.Send a) {
         Held h = held.get(a.id());
-        HostList.Host host = hosts.host(a.endpoint());
+        Host host = hosts.host(a.endpoint());
         if (h == null || host == null) {
             return;
         }
@@ -338,14 +337,14 @@
             LOG.error("journal cannot be written, message {} not sent", a.id(), e);
         }
         if (!written || !host.ready) {
-            ended(h, attempt, host, new HostPool.Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
+            ended(h, attempt, host, new Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
             return;
         }
         h.calls.set(attempt,
             pool.call(host, h.message, a.timeout(), reply -> ended(h, attempt, host, reply)));
     }
 
-    private void ended(Held h, int attempt, HostList.Host host, HostPool.Reply reply) {
+    private void ended(Held h, int attempt, Host host, Reply reply) {
         if (stopped) {
             return;
         }
@@ -395,7 +394,7 @@
             LOG.error("journal cannot be written, end of message {} is told all the same",
                 entry.message.id(), e);
         }
-        discovery.notice(entry);
+        platform.notice(entry);
     }
 
     private void over(Held h) {
@@ -412,6 +411,11 @@
         }
     }
 
+    /** A notice has been acknowledged: nothing more is owed. */
+    public void noticed(Journal.Entry entry) {
+        close(entry);
+    }
+
     private void close(Journal.Entry entry) {
         try {
             journal.closed(entry);
@@ -422,9 +426,10 @@
     }
 
     // ---- List -----------------------------------------------------------------------------------
-    private void listed(Wire.Fields list) throws Wire.Malformed {
-        tell(hosts.update(list));
-        for (HostList.Host host : hosts.hosts()) {
+    /** The list or its changes are here, and {@link Hosts} holds them. */
+    public void listed(Relay.Listed list) {
+        tell(list);
+        for (Host host : hosts.hosts()) {
             if (!host.ready) {
                 pool.takeBack(host);
                 pool.closeIdle(host);
@@ -435,7 +440,7 @@
 
     /** Hosts come and go all day: what is gone and has nothing out is not kept. */
     private void forgetGone() {
-        for (HostList.Host host : List.copyOf(hosts.hosts())) {
+        for (Host host : List.copyOf(hosts.hosts())) {
             if (host.gone && pool.forget(host)) {
                 hosts.forget(host);
             }
--- /dev/null
+++ b/src/main/java/brambletray/core/Platform.java
@@ -0,0 +1,19 @@
+package brambletray.core;
+
+import brambletray.journal.Journal;
+import java.net.InetSocketAddress;
+
+/** What runs the relay: it tells the list of hosts and takes the notices. */
+public interface Platform {
+    /** Begins to follow the list; news come to {@link Loop#listed}. */
+    void watch();
+
+    /** Posts the end of a message, again and again until it is acknowledged ({@link Loop#noticed}). */
+    void notice(Journal.Entry entry);
+
+    /** True while a notice is not acknowledged. */
+    boolean noticesLeft();
+
+    /** It is reached at another address from now on. */
+    void move(InetSocketAddress agent);
+}
--- /dev/null
+++ b/src/main/java/brambletray/core/Reply.java
@@ -0,0 +1,18 @@
+package brambletray.core;
+
+import brambletray.control.Relay.Outcome;
+
+/**
+ * What came back of one call; times in microseconds, {@code left} and {@code limit} -1 if untold.
+ * {@code reused}: the call went out on a connection that had carried one before.
+ */
+public record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit,
+                    boolean reused) {
+    public Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) {
+        this(outcome, over, waitFor, latency, left, limit, false);
+    }
+
+    public Reply onKeptConnection() {
+        return new Reply(outcome, over, waitFor, latency, left, limit, true);
+    }
+}
--- a/src/main/java/wrenkeel/net/Seldom.java
+++ b/src/main/java/brambletray/core/Seldom.java
@@ -1,4 +1,4 @@
-package wrenkeel.net;
+package brambletray.core;
 
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -7,7 +7,7 @@
  * Log lines about what strangers do, a few a second at most: they may do it at full speed. What is left out
  * is counted. One thread.
  */
-final class Seldom {
+public final class Seldom {
     private static final int A_SECOND = 5;
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private final Logger log;
@@ -15,11 +15,11 @@
     private int written;
     private long leftOut;
 
-    Seldom(Logger log) {
+    public Seldom(Logger log) {
         this.log = log;
     }
 
-    void warn(String text) {
+    public void warn(String text) {
         long now = System.nanoTime();
         if (now - since >= SECOND) {
             if (leftOut > 0) {
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/brambletray/http/clients/Server.java
@@ -1,5 +1,9 @@
-package wrenkeel.net;
+package brambletray.http.clients;
 
+import brambletray.control.Relay;
+import brambletray.core.Loop;
+import brambletray.core.Seldom;
+import brambletray.message.Message;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -40,13 +44,12 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wrenkeel.Relay;
 
 /**
  * What clients see: takes messages in, answers at once, and says whether the relay serves. Clients are not
  * trusted: each request has a time and a size, and a connection on which no request is open is soon closed.
  */
-final class Server extends ChannelInitializer<Channel> {
+public final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
     private static final int BODY_MOST = 64 * 1024, HEAD_MOST = 8 * 1024, ID_MOST = 128, KEY_MOST = 256;
     /** ns; from its first byte (on a new connection from the connect) until a request is here as a whole. */
@@ -77,7 +80,7 @@
     private boolean leaving;
 
     /** {@code mostClients}: connections at once; the rest of the descriptors is for hosts and files. */
-    Server(Loop loop, EventLoop thread, int mostClients) {
+    public Server(Loop loop, EventLoop thread, int mostClients) {
         this.loop = loop;
         this.mostClients = mostClients;
         thread.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
@@ -91,7 +94,7 @@
     }
 
     /** From now on each answer closes its connection. */
-    void leave() {
+    public void leave() {
         leaving = true;
     }
 
@@ -99,7 +102,7 @@
      * Closes the connections that clients keep; each has had its answer, for requests are answered as they
      * come.
      */
-    void closeClients() {
+    public void closeClients() {
         List.copyOf(clients).forEach(c -> c.channel.close());
     }
 
--- a/src/main/java/wrenkeel/net/Answers.java
+++ b/src/main/java/brambletray/http/hosts/Answers.java
@@ -1,8 +1,9 @@
-package wrenkeel.net;
+package brambletray.http.hosts;
 
+import brambletray.control.Relay.Outcome;
+import brambletray.core.Reply;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import wrenkeel.Relay.Outcome;
 
 /** The protocol's table of what a host's answer means. */
 final class Answers {
@@ -11,7 +12,7 @@
 
     private Answers() { }
 
-    static HostPool.Reply reply(HttpResponse answer, long latency) {
+    static Reply reply(HttpResponse answer, long latency) {
         long wait = 0;
         boolean over = false;
         Outcome outcome;
@@ -33,7 +34,7 @@
             default -> outcome = Outcome.ERROR;
         }
         String load = answer.headers().get("X-Server-Load");
-        return new HostPool.Reply(outcome, over, wait, latency, field(load, "x0", SHARE_MOST),
+        return new Reply(outcome, over, wait, latency, field(load, "x0", SHARE_MOST),
             field(load, "x1", LIMIT_MOST));
     }
 
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -1,5 +1,10 @@
-package wrenkeel.net;
+package brambletray.http.hosts;
 
+import brambletray.control.Relay.Outcome;
+import brambletray.core.Calls;
+import brambletray.core.Host;
+import brambletray.core.Reply;
+import brambletray.message.Message;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -43,10 +48,9 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wrenkeel.Relay.Outcome;
 
 /** Connections to hosts: carries out one call at a time on each, and tells what came back. One thread. */
-final class HostPool {
+public final class HostPool implements Calls {
     private static final Logger LOG = LoggerFactory.getLogger(HostPool.class);
     /** ms; a connection is not used again, and is closed, so long before the host may close it. */
     private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
@@ -57,24 +61,9 @@
     /** ns; a connection rests so long before its next call: more may come right behind an answer. */
     private static final long REST = TimeUnit.MILLISECONDS.toNanos(5);
 
-    /**
-     * What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. {@code reused}: the
-     * call went out on a connection that had carried one before.
-     */
-    record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit,
-                 boolean reused) {
-        Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) {
-            this(outcome, over, waitFor, latency, left, limit, false);
-        }
-
-        private Reply onKeptConnection() {
-            return new Reply(outcome, over, waitFor, latency, left, limit, true);
-        }
-    }
-
     /** One call, from when it was asked for until its reply. */
-    final class Call {
-        private final HostList.Host host;
+    final class Call implements Calls.Call {
+        private final Host host;
         private final Message message;
         private final Consumer<Reply> whenEnded;
         private final long began = System.nanoTime();
@@ -85,7 +74,7 @@
         private boolean reused;
         private boolean ended;
 
-        private Call(HostList.Host host, Message message, long patience, Consumer<Reply> whenEnded) {
+        private Call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
             this.host = host;
             this.message = message;
             this.patience = patience;
@@ -93,7 +82,8 @@
         }
 
         /** Stops waiting. Closing the connection is how a host learns of it. */
-        void cancel() {
+        @Override
+        public void cancel() {
             abandon(Outcome.CANCELLED);
         }
 
@@ -141,9 +131,9 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long idleLimit;
-    private final Map<HostList.Host, Pool> pools = new HashMap<>();
+    private final Map<Host, Pool> pools = new HashMap<>();
 
-    HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive) {
+    public HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive) {
         this.loop = loop;
         long millis = keepAlive / 1_000;
         this.idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
@@ -161,12 +151,12 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
     }
 
-    private Pool pool(HostList.Host host) {
+    private Pool pool(Host host) {
         return pools.computeIfAbsent(host, h -> new Pool());
     }
 
-    /** Begins a call, which ends within {@code patience} microseconds; its reply comes exactly once. */
-    Call call(HostList.Host host, Message message, long patience, Consumer<Reply> whenEnded) {
+    @Override
+    public Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
         Call call = new Call(host, message, patience, whenEnded);
         call.timer = loop.schedule(call::giveUp,
             patience, TimeUnit.MICROSECONDS);
@@ -178,7 +168,7 @@
 
     /** Uses the latest idle connection that has rested, or waits until one has. */
     private void start(Call call, Pool pool) {
-        HostList.Host host = call.host;
+        Host host = call.host;
         if (call.ended) {
             return;
         }
@@ -224,16 +214,15 @@
      * waits: such a call would go out as soon as the connection is up, long after the host asked for nothing
      * more.
      */
-    void takeBack(HostList.Host host) {
+    @Override
+    public void takeBack(Host host) {
         for (Call call : List.copyOf(pool(host).connecting)) {
             call.abandon(Outcome.NOT_SENT);
         }
     }
 
-    /**
-     * Closes the connections to a host that carry no call; one whose answer is still coming in, after that.
-     */
-    void closeIdle(HostList.Host host) {
+    @Override
+    public void closeIdle(Host host) {
         for (Connection c : List.copyOf(pool(host).open)) {
             c.keep = false;
             if (c.call == null) {
@@ -243,8 +232,8 @@
         pool(host).idle.clear();
     }
 
-    /** Drops what is held of a host that is gone; false while a connection to it is open or coming up. */
-    boolean forget(HostList.Host host) {
+    @Override
+    public boolean forget(Host host) {
         Pool pool = pools.get(host);
         if (pool != null && pool.open.isEmpty() && pool.connecting.isEmpty()) {
             pools.remove(host);
@@ -253,7 +242,7 @@
     }
 
     /** How many idle connections to a host are held. */
-    int idle(HostList.Host host) {
+    int idle(Host host) {
         return pool(host).idle.size();
     }
 
@@ -329,7 +318,7 @@
             return call != null && answeredAt != 0 && System.nanoTime() - answeredAt >= ANSWER_MOST;
         }
 
-        private boolean usable(HostList.Host host) {
+        private boolean usable(Host host) {
             return channel.isActive() && !stale() && host.dial.equals(dial);
         }
 
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/brambletray/journal/Journal.java
@@ -1,5 +1,6 @@
-package wrenkeel.net;
+package brambletray.journal;
 
+import brambletray.message.Message;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -28,7 +29,7 @@
  * file is written anew when it has grown; old and new file together stay within the limit, for which each
  * message reserves room.
  */
-final class Journal implements AutoCloseable {
+public final class Journal implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final int HEAD = 8, RECORD_MOST = 1 << 20;
     /** Bytes kept clear of the limit, for what the file system rounds up. */
@@ -43,10 +44,10 @@
     private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
-    static final class Attempt {
-        final long sent;
-        final int zone;
-        boolean mayHaveRun = true;
+    public static final class Attempt {
+        public final long sent;
+        public final int zone;
+        public boolean mayHaveRun = true;
 
         Attempt(long sent, int zone) {
             this.sent = sent;
@@ -55,14 +56,14 @@
     }
 
     /** The end that was decided for a message; its notice is owed until it is acknowledged. */
-    record End(boolean handedBack, long retryAfter) { }
+    public record End(boolean handedBack, long retryAfter) { }
 
     /** A message that something is owed for. */
-    static final class Entry {
-        final long number;
-        final Message message;
-        final List<Attempt> attempts = new ArrayList<>();
-        End end;
+    public static final class Entry {
+        public final long number;
+        public final Message message;
+        public final List<Attempt> attempts = new ArrayList<>();
+        public End end;
         private long reserved;
 
         private Entry(long number, Message message) {
@@ -84,7 +85,7 @@
     private long last;
 
     /** Opens the folder's journal and reads what is owed. */
-    Journal(Path folder, long limit, int mostAttempts) throws IOException {
+    public Journal(Path folder, long limit, int mostAttempts) throws IOException {
         this.file = folder.resolve("journal");
         this.fresh = folder.resolve("journal.new");
         this.room = limit - CLEAR;
@@ -97,12 +98,12 @@
     }
 
     /** The messages that something is owed for, in the order in which they were taken on. */
-    Collection<Entry> owed() {
+    public Collection<Entry> owed() {
         return List.copyOf(entries.values());
     }
 
     /** Writes a message down; null if there is no room for it until its end. */
-    Entry take(Message message) throws IOException {
+    public Entry take(Message message) throws IOException {
         Entry entry = new Entry(last + 1, message);
         byte[] record = taken(entry);
         entry.reserved = reserve(record.length);
@@ -117,7 +118,7 @@
     }
 
     /** To be written before the first byte of a send goes out: from then on it may have run. */
-    void sent(Entry entry, long time, int zone) throws IOException {
+    public void sent(Entry entry, long time, int zone) throws IOException {
         Attempt attempt = new Attempt(time, zone);
         try {
             append(sent(entry, attempt));
@@ -131,19 +132,19 @@
     }
 
     /** An outcome has proved that the attempt never ran. */
-    void notRun(Entry entry, int attempt) throws IOException {
+    public void notRun(Entry entry, int attempt) throws IOException {
         entry.attempts.get(attempt).mayHaveRun = false;
         append(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
     }
 
     /** An end was decided: a notice is owed. */
-    void ended(Entry entry, End end) throws IOException {
+    public void ended(Entry entry, End end) throws IOException {
         entry.end = end;
         append(ended(entry.number, end));
     }
 
     /** Nothing more is owed: delivered, withdrawn, or its notice acknowledged. */
-    void closed(Entry entry) throws IOException {
+    public void closed(Entry entry) throws IOException {
         forget(entry.number);
         append(record(CLOSED, entry.number, o -> { }));
     }
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/brambletray/membership/Discovery.java
@@ -1,5 +1,9 @@
-package wrenkeel.net;
+package brambletray.membership;
 
+import brambletray.control.Relay;
+import brambletray.core.Platform;
+import brambletray.journal.Journal;
+import brambletray.wire.Wire;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.bootstrap.Bootstrap;
@@ -33,10 +37,9 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wrenkeel.Wire;
 
 /** The platform's agent: watches the list of hosts and posts notices. One thread. */
-final class Discovery {
+public final class Discovery implements Platform {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
     private static final JsonFactory JSON = new JsonFactory();
     /** ms; how long a watch may wait, and how long past that its answer is awaited. */
@@ -47,12 +50,7 @@
 
     private final EventLoop loop;
     private final HostList hosts;
-    /** Takes in a list or its changes. */
-    interface Listener {
-        void listed(Wire.Fields list) throws Wire.Malformed;
-    }
-
-    private final Listener whenListed;
+    private final Consumer<Relay.Listed> whenListed;
     private final Consumer<Journal.Entry> whenNoticed;
     private final Bootstrap bootstrap;
     private Line watch;
@@ -66,8 +64,8 @@
     private boolean silent;
     private boolean unheard;
 
-    Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
-              Listener whenListed, Consumer<Journal.Entry> whenNoticed) {
+    public Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
+                     Consumer<Relay.Listed> whenListed, Consumer<Journal.Entry> whenNoticed) {
         this.loop = loop;
         this.hosts = hosts;
         this.whenListed = whenListed;
@@ -81,7 +79,8 @@
      * Discovery is elsewhere from now on: what was asked at the old address is dropped, and asked again at
      * the new one at once. A watch may be out there for {@link #WAIT}, a notice unanswered is still owed.
      */
-    void move(InetSocketAddress agent) {
+    @Override
+    public void move(InetSocketAddress agent) {
         if (agent.equals(watch.agent)) {
             return;
         }
@@ -107,13 +106,15 @@
     }
 
     /** Asks for what is newer than the list held; the next call follows the answer at once. */
-    void watch() {
+    @Override
+    public void watch() {
         boolean whole = hosts.version() < 0 || wantsWhole;
         String query = whole ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
         watch.ask(HttpMethod.GET, "/v1/servers" + query, "", WAIT + WAIT_SLACK, answer -> {
             try {
                 if (answer != null && answer.status().code() == 200) {
-                    whenListed.listed(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
+                    whenListed.accept(hosts.update(
+                        Wire.decode(answer.content().toString(StandardCharsets.UTF_8))));
                     silent = false;
                     wantsWhole = false;
                     watch();
@@ -139,7 +140,8 @@
     }
 
     /** Posts the end of a message, again and again until the platform has it. */
-    void notice(Journal.Entry entry) {
+    @Override
+    public void notice(Journal.Entry entry) {
         notices.put(entry.number, entry);
         if (!posting) {
             posting = true;
@@ -147,7 +149,8 @@
         }
     }
 
-    boolean noticesLeft() {
+    @Override
+    public boolean noticesLeft() {
         return !notices.isEmpty();
     }
 
@@ -176,7 +179,7 @@
         });
     }
 
-    static String lines(List<Journal.Entry> batch) {
+    public static String lines(List<Journal.Entry> batch) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(text)) {
             out.setRootValueSeparator(null);
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/brambletray/membership/HostList.java
@@ -1,5 +1,10 @@
-package wrenkeel.net;
+package brambletray.membership;
 
+import brambletray.control.Relay;
+import brambletray.core.Host;
+import brambletray.core.Hosts;
+import brambletray.wire.Addresses;
+import brambletray.wire.Wire;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,31 +17,11 @@
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wrenkeel.Relay;
-import wrenkeel.Wire;
 
 /** The hosts that discovery has named: number, address and standing of each. */
-final class HostList {
+public final class HostList implements Hosts {
     private static final Logger LOG = LoggerFactory.getLogger(HostList.class);
 
-    /** One host; {@code number} is what the module knows it by. */
-    static final class Host {
-        final long number;
-        final String name;
-        InetSocketAddress dial;
-        int zone;
-        int kind;
-        long destination;
-        boolean ready;
-        /** Off the list; forgotten once nothing is out to it. */
-        boolean gone;
-
-        Host(long number, String name) {
-            this.number = number;
-            this.name = name;
-        }
-    }
-
     private final List<String> zones;
     private final List<String> kinds;
     private final Map<String, Host> byName = new HashMap<>();
@@ -44,38 +29,39 @@
     private final Set<Long> destinations = new HashSet<>();
     private long version = -1;
 
-    HostList(List<String> zones, List<String> kinds) {
+    public HostList(List<String> zones, List<String> kinds) {
         this.zones = zones;
         this.kinds = kinds;
     }
 
     /** The version of the list held; -1 before the first. */
-    long version() {
+    public long version() {
         return version;
     }
 
-    Host host(long number) {
+    @Override
+    public Host host(long number) {
         return byNumber.get(number);
     }
 
-    /** The hosts on the list, and those off it that are not forgotten. */
-    Collection<Host> hosts() {
+    @Override
+    public Collection<Host> hosts() {
         return byNumber.values();
     }
 
-    /** Drops a host that is gone. Should its name come back, it has the same number. */
-    void forget(Host host) {
+    @Override
+    public void forget(Host host) {
         byName.remove(host.name, host);
         byNumber.remove(host.number, host);
     }
 
-    /** True for a destination that a list has named; it stays one while all of its hosts are gone. */
-    boolean knows(long destination) {
+    @Override
+    public boolean knows(long destination) {
         return destinations.contains(destination);
     }
 
     /** Takes a list or its changes in, and returns what the module is to be told. */
-    Relay.Listed update(Wire.Fields list) throws Wire.Malformed {
+    public Relay.Listed update(Wire.Fields list) throws Wire.Malformed {
         List<Relay.Endpoint> endpoints = new ArrayList<>();
         List<Wire.Fields> entries = list.objects("hosts");
         boolean whole = list.flag("whole");
@@ -126,8 +112,8 @@
         host.gone = listing == Relay.Listing.GONE;
         if (listing != Relay.Listing.GONE) {
             try {
-                host.dial = Config.address(entry.text("dial"));
-            } catch (Config.Unusable e) {
+                host.dial = Addresses.parse(entry.text("dial"));
+            } catch (Wire.Malformed e) {
                 LOG.warn("list entry of host {} left out: {}", name, e.getMessage());
                 host.ready = false;
                 listing = Relay.Listing.GONE;
--- a/src/main/java/wrenkeel/net/Message.java
+++ b/src/main/java/brambletray/message/Message.java
@@ -1,4 +1,4 @@
-package wrenkeel.net;
+package brambletray.message;
 
 import java.util.Arrays;
 import java.util.Objects;
@@ -7,10 +7,10 @@
  * One message as its client handed it in. {@code deadline}: Unix time, ms; keys are null where there are
  * none.
  */
-record Message(String id, String messageClass, int tenant, String routeKey, String idempotencyKey,
-                      long destination, long deadline, byte[] body) {
+public record Message(String id, String messageClass, int tenant, String routeKey, String idempotencyKey,
+                             long destination, long deadline, byte[] body) {
     /** True when the other is this message once more; its time may have been told anew. */
-    boolean sameAs(Message other) {
+    public boolean sameAs(Message other) {
         return id.equals(other.id) && messageClass.equals(other.messageClass)
             && destination == other.destination && Objects.equals(idempotencyKey, other.idempotencyKey)
             && Arrays.equals(body, other.body);
--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/brambletray/serve/Config.java
@@ -1,7 +1,9 @@
-package wrenkeel.net;
+package brambletray.serve;
 
+import brambletray.control.Relay;
+import brambletray.wire.Addresses;
+import brambletray.wire.Wire;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,23 +11,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import wrenkeel.Relay;
-import wrenkeel.Wire;
 
 /**
  * What the platform tells one relay at its start. {@code zones} and {@code kinds} hold the names that
  * discovery's list uses, in the order of the numbers that the module knows them by; {@code known} is the list
  * as last had.
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
-              long diskBytes, Relay.Settings settings, List<String> zones, List<String> kinds,
-              Wire.Fields known) {
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
+                     int sockets, long diskBytes, Relay.Settings settings, List<String> zones,
+                     List<String> kinds, Wire.Fields known) {
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
 
     /** A configuration that no relay can run with; the message is one plain line. */
-    static final class Unusable extends Exception {
+    public static final class Unusable extends Exception {
         private static final long serialVersionUID = 1L;
 
         Unusable(String fault) {
@@ -34,7 +34,7 @@
     }
 
     /** Reads the configuration named by the environment. */
-    static Config read(Map<String, String> env) throws Unusable {
+    public static Config read(Map<String, String> env) throws Unusable {
         String file = env.get("EDGE_CONFIG");
         String state = env.get("EDGE_STATE");
         if (file == null || state == null) {
@@ -45,8 +45,8 @@
             Wire.Fields limits = all.object("limits");
             Wire.Fields settings = all.object("settings");
             return new Config(
-                address(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
-                address(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
+                Addresses.parse(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
+                Addresses.parse(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
                 folder(state), seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), usable(Wire.settings(settings)),
                 names(settings, "localities"), names(settings, "kinds"), all.object("known"));
@@ -109,19 +109,4 @@
         }
         return names;
     }
-
-    /** An address in digits and a port; names are not looked up, for there is no DNS. */
-    static InetSocketAddress address(String text) throws Unusable {
-        int colon = text.lastIndexOf(':');
-        try {
-            String host = text.substring(0, Math.max(0, colon));
-            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
-                return new InetSocketAddress(InetAddress.getByName(host),
-                    Integer.parseInt(text.substring(colon + 1)));
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            // Falls through to the one message that fits every fault of an address.
-        }
-        throw new Unusable("not an address and port: '" + text + "'");
-    }
 }
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -1,5 +1,12 @@
-package wrenkeel.net;
-
+package brambletray.serve;
+
+import brambletray.core.Loop;
+import brambletray.http.clients.Server;
+import brambletray.http.hosts.HostPool;
+import brambletray.journal.Journal;
+import brambletray.membership.Discovery;
+import brambletray.membership.HostList;
+import brambletray.wire.Wire;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -20,7 +27,6 @@
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
-import wrenkeel.Wire;
 
 /** One real relay: its parts put together, its start and its orderly end. */
 public final class Node implements AutoCloseable {
@@ -42,7 +48,7 @@
     private Channel listener;
 
     /** Takes up what the journal holds, and serves. */
-    Node(Config config) throws IOException, InterruptedException, ExecutionException {
+    public Node(Config config) throws IOException, InterruptedException, ExecutionException {
         journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
         ChannelFuture bound = thread.submit(() -> begin(config)).get();
         listener = bound.channel();
@@ -57,7 +63,7 @@
         Signal.handle(new Signal("HUP"), hangups);
         try {
             Config config = Config.read(env);
-            Rehearsal.run(config);
+            WarmUp.run(config);
             Node node = new Node(config);
             hangups.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
@@ -105,7 +111,7 @@
      * Reads the configuration anew. Discovery's address is taken over; the rest holds until a restart. A
      * configuration of no use changes nothing.
      */
-    void reload(Map<String, String> env) {
+    public void reload(Map<String, String> env) {
         thread.execute(() -> {
             try {
                 loop.discoveryAt(Config.readAgain(env).discovery());
@@ -121,10 +127,10 @@
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
             config.settings().allowed().keepAlive());
-        loop = new Loop(thread, config, hosts, pool, journal,
-            (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
-                whenNoticed));
-        loop.start(config.known());
+        loop = new Loop(thread, config.seed(), config.settings(), hosts, pool, journal);
+        Discovery discovery = new Discovery(thread, calls, config.discovery(), hosts, loop::listed,
+            loop::noticed);
+        loop.start(discovery, config.known().values().isEmpty() ? null : hosts.update(config.known()));
         server = new Server(loop, thread, config.sockets() / 2);
         ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
             .channel(NioServerSocketChannel.class)
@@ -135,12 +141,12 @@
     }
 
     /** The address that clients connect to. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
     }
 
     /** True when nothing is owed any more. */
-    boolean idle() throws InterruptedException, ExecutionException {
+    public boolean idle() throws InterruptedException, ExecutionException {
         return thread.submit(loop::idle).get();
     }
 
@@ -148,7 +154,7 @@
      * The orderly end: connections are served until clients have turned away, then what is held is worked
      * off. What is left stays in the journal, as it does when the process is killed.
      */
-    void leave() {
+    public void leave() {
         long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
         try {
             thread.execute(server::leave);
--- a/src/main/java/wrenkeel/net/Rehearsal.java
+++ b/src/main/java/brambletray/serve/WarmUp.java
@@ -1,5 +1,6 @@
-package wrenkeel.net;
+package brambletray.serve;
 
+import brambletray.wire.Wire;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -29,7 +30,6 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wrenkeel.Wire;
 
 /**
  * Warms the virtual machine up before a relay serves for the first time: a second relay with a journal of its
@@ -37,16 +37,16 @@
  * first seconds of traffic take more than a relay's part of a core, and what they leave undone waits long.
  * Skipped at a restart, when what is held waits and a relay is missed.
  */
-final class Rehearsal {
-    private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
+final class WarmUp {
+    private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
     private static final int MESSAGES = 600, SILENT_MOST_MS = 1_000;
     private static final long TIME_MOST = TimeUnit.SECONDS.toNanos(5);
 
-    private Rehearsal() { }
+    private WarmUp() { }
 
-    /** Runs on the calling thread; a rehearsal that fails is no fault of the relay's. */
+    /** Runs on the calling thread; a warm-up that fails is no fault of the relay's. */
     static void run(Config config) throws InterruptedException {
-        Path folder = config.state().resolve("rehearsal");
+        Path folder = config.state().resolve("warmup");
         if (Files.exists(config.state().resolve("journal"))) {
             return;
         }
--- a/src/main/java/wrenkeel/SimHost.java
+++ b/src/main/java/brambletray/simhost/SimHost.java
@@ -1,5 +1,8 @@
-package wrenkeel;
+package brambletray.simhost;
 
+import brambletray.control.Control;
+import brambletray.control.Relay;
+import brambletray.wire.Wire;
 import java.io.BufferedOutputStream;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -14,22 +17,22 @@
 import java.util.TreeMap;
 
 /** Hosts one {@link Control} an instance on the simulator's wire. It decides nothing. */
-final class SimHost {
+public final class SimHost {
     private final Map<Integer, Control> relays = new TreeMap<>();
     private final Map<Long, List<Relay.Endpoint>> rosters = new TreeMap<>();
     /** Events of the current batch, by instance, in the order in which instances were first named. */
     private final Map<Integer, List<Relay.Event>> turn = new java.util.LinkedHashMap<>();
-    private final Wire.Writer writer;
+    private final SimWire.Writer writer;
     private long now;
     private long frame;
     private boolean inBatch;
 
     private SimHost(OutputStream out) throws IOException {
-        writer = new Wire.Writer(out);
+        writer = new SimWire.Writer(out);
     }
 
     /** Serves until input ends; 0 on a clean end, 1 on a line that breaks the wire's description. */
-    static int serve(InputStream in, OutputStream out, PrintStream err) throws IOException {
+    public static int serve(InputStream in, OutputStream out, PrintStream err) throws IOException {
         SimHost host = new SimHost(new BufferedOutputStream(out, 1 << 16));
         BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
         long number = 0;
@@ -66,7 +69,8 @@
         switch (verb) {
             case "Batch" -> throw new Wire.Malformed("'Batch' inside a batch");
             case "Eob" -> reply();
-            case "Table" -> rosters.put(fields.whole("roster-id"), Wire.endpoints(fields.objects("items")));
+            case "Table" -> rosters.put(
+                fields.whole("roster-id"), SimWire.endpoints(fields.objects("items")));
             case "Start" -> start(instance(fields), fields);
             case "Down" -> {
                 relays.remove(instance(fields));
@@ -74,7 +78,7 @@
             }
             case "Membership" -> members(fields);
             default -> {
-                Relay.Event event = Wire.event(verb, fields);
+                Relay.Event event = SimWire.event(verb, fields);
                 List<Relay.Event> events = events(instance(fields));
                 if (event != null) {
                     events.add(event);
--- /dev/null
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -0,0 +1,59 @@
+package brambletray;
+
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Arrows between packages go one way: downhill. */
+class ArchitectureTest {
+    private static final JavaClasses CODE = new ClassFileImporter()
+        .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("brambletray");
+
+    /** From the bottom up; a package may use those before it, and none of those after it. */
+    private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.message",
+        "brambletray.wire", "brambletray.journal", "brambletray.core", "brambletray.http..",
+        "brambletray.membership", "brambletray.serve", "brambletray.simhost");
+
+    @Test
+    void eachPackageUsesOnlyThoseBelowIt() {
+        for (int i = 0; i < LAYERS.size(); i++) {
+            List<String> above = new ArrayList<>(LAYERS.subList(i + 1, LAYERS.size()));
+            if (!above.isEmpty()) {
+                noClasses().that().resideInAPackage(LAYERS.get(i)).should().dependOnClassesThat()
+                    .resideInAnyPackage(above.toArray(String[]::new)).check(CODE);
+            }
+        }
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        slices().matching("brambletray.(**)").should().beFreeOfCycles().check(CODE);
+    }
+
+    /** The module is handed its time and its randomness, and does no I/O. */
+    @Test
+    void theModuleStandsAlone() {
+        noClasses().that().resideInAPackage("brambletray.control").should().dependOnClassesThat(
+            not(resideInAPackage("brambletray.control")).and(not(resideInAnyPackage("java.lang", "java.util",
+                "java.util.function", "java.util.stream", "java.lang.invoke", "java.lang.runtime")))).check(CODE);
+    }
+
+    @Test
+    void sourcesAndProtocolsDoNotKnowEachOther() {
+        noClasses().that().resideInAPackage("brambletray.http..").should().dependOnClassesThat()
+            .resideInAPackage("brambletray.membership").check(CODE);
+        noClasses().that().resideInAPackage("brambletray.http.clients").should().dependOnClassesThat()
+            .resideInAPackage("brambletray.http.hosts").check(CODE);
+        noClasses().that().resideInAPackage("brambletray.http.hosts").should().dependOnClassesThat()
+            .resideInAPackage("brambletray.http.clients").check(CODE);
+    }
+}
--- a/src/test/java/wrenkeel/Bench.java
+++ b/src/test/java/brambletray/control/Bench.java
@@ -1,8 +1,8 @@
-package wrenkeel;
+package brambletray.control;
 
+import brambletray.control.Relay.*;
 import java.util.ArrayList;
 import java.util.List;
-import wrenkeel.Relay.*;
 
 /** Drives one Control by script: events in, actions out, every one of them past the rule checker. */
 final class Bench {
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/brambletray/control/ControlTest.java
@@ -1,12 +1,12 @@
-package wrenkeel;
+package brambletray.control;
 
+import static brambletray.control.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
-import static wrenkeel.Bench.*;
 
+import brambletray.control.Relay.*;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import wrenkeel.Relay.*;
 
 /** Scripted events: the design's ordinary path, its exceptions, and one small test for each failure found. */
 class ControlTest {
--- a/src/test/java/wrenkeel/EmbeddingTest.java
+++ b/src/test/java/brambletray/control/EmbeddingTest.java
@@ -1,7 +1,8 @@
-package wrenkeel;
+package brambletray.control;
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import brambletray.control.Relay.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,7 +12,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
-import wrenkeel.Relay.*;
 
 /** How a real relay drives the module: its own clock and timers, events in, actions out. */
 class EmbeddingTest {
--- a/src/test/java/wrenkeel/RandomStreamTest.java
+++ b/src/test/java/brambletray/control/RandomStreamTest.java
@@ -1,15 +1,15 @@
-package wrenkeel;
+package brambletray.control;
 
+import static brambletray.control.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
-import static wrenkeel.Bench.*;
 
+import brambletray.control.Relay.*;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wrenkeel.Relay.*;
 
 /** Seeded random legal streams of events, every action past the rule checker. */
 class RandomStreamTest {
--- a/src/test/java/wrenkeel/RuleChecker.java
+++ b/src/test/java/brambletray/control/RuleChecker.java
@@ -1,12 +1,12 @@
-package wrenkeel;
+package brambletray.control;
 
+import brambletray.control.Relay.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wrenkeel.Relay.*;
 
 /** Watches one relay's events and actions and throws on the first breach of a rule. */
 final class RuleChecker {
--- a/src/test/java/wrenkeel/RuleCheckerTest.java
+++ b/src/test/java/brambletray/control/RuleCheckerTest.java
@@ -1,12 +1,12 @@
-package wrenkeel;
+package brambletray.control;
 
+import static brambletray.control.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
-import static wrenkeel.Bench.*;
 
+import brambletray.control.Relay.*;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import wrenkeel.Relay.*;
 
 /** The checker is itself fed a breach of each rule. */
 class RuleCheckerTest {
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -1,7 +1,13 @@
-package wrenkeel.net;
+package brambletray.http.hosts;
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import brambletray.control.Relay.Outcome;
+import brambletray.core.Host;
+import brambletray.core.Reply;
+import brambletray.message.Message;
+import brambletray.stub.HostStub;
+import brambletray.stub.PlatformStub;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -19,15 +25,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import wrenkeel.Relay.Outcome;
 
 /** Each way in which a call can end, by the protocol's table. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class HostPoolTest {
     private static final long LONG = 60_000_000, KEEP_ALIVE = 15_000_000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final BlockingQueue<HostPool.Reply> replies = new LinkedBlockingQueue<>();
-    private final HostList.Host listed = new HostList.Host(1, "s-1");
+    private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
+    private final Host listed = new Host(1, "s-1");
 
     @AfterEach
     void end() {
@@ -39,13 +44,13 @@
     }
 
     private HostPool.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
-        listed.dial = new InetSocketAddress(Platform.LOOPBACK, port);
+        listed.dial = new InetSocketAddress(PlatformStub.LOOPBACK, port);
         Message message = new Message("a", "bill", 0, null, null, 7, 0, new byte[bytes]);
         return group.next().submit(() -> pool.call(listed, message, patience, replies::add)).get();
     }
 
-    private HostPool.Reply reply() throws InterruptedException {
-        return replies.poll(Platform.PATIENCE_S, TimeUnit.SECONDS);
+    private Reply reply() throws InterruptedException {
+        return replies.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS);
     }
 
     @ParameterizedTest
@@ -54,11 +59,11 @@
         "504, , NOT_SENT, false, 0", "410, , NOT_SENT, true, 0", "418, , ERROR, false, 0"})
     void anAnswerMeansWhatTheTableSays(int status, String header, Outcome outcome, boolean over, long wait)
             throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
             host.call().answer("HTTP/1.1 " + status + " x\r\nX-Server-Load: x0=0.4,x1=25\r\n"
                 + (header == null ? "" : header + "\r\n") + "Content-Length: 0\r\n\r\n");
-            HostPool.Reply reply = reply();
+            Reply reply = reply();
             assertEquals(outcome, reply.outcome());
             assertEquals(over, reply.over());
             assertEquals(wait, reply.waitFor());
@@ -70,7 +75,7 @@
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         int port;
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             port = host.port();
         }
         call(pool(KEEP_ALIVE), port, LONG, 10);
@@ -79,7 +84,7 @@
 
     @Test
     void aConnectionThatBreaksAfterTheLastByteMayHaveRun() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
             host.call().socket().close();
             assertEquals(Outcome.RESET, reply().outcome());
@@ -91,7 +96,7 @@
     void aConnectionThatBreaksBeforeTheLastByteNeverRan() throws Exception {
         try (ServerSocket listener = new ServerSocket()) {
             listener.setReceiveBufferSize(4_096);
-            listener.bind(new InetSocketAddress(Platform.LOOPBACK, 0));
+            listener.bind(new InetSocketAddress(PlatformStub.LOOPBACK, 0));
             call(pool(KEEP_ALIVE), listener.getLocalPort(), LONG, 64 << 20);
             Socket socket = listener.accept();
             assertTrue(socket.getInputStream().read() >= 0);
@@ -104,19 +109,19 @@
     /** The module must know which of the two broke: only a new connection tells of its host. */
     @Test
     void aResetOfAKeptConnectionIsToldFromThatOfANewOne() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
             call(pool, host.port(), LONG, 10);
-            host.call().answer(Host.OK);
+            host.call().answer(HostStub.OK);
             assertFalse(reply().reused());
             call(pool, host.port(), LONG, 10);
             host.call().reset();
-            HostPool.Reply kept = reply();
+            Reply kept = reply();
             assertEquals(Outcome.RESET, kept.outcome());
             assertTrue(kept.reused());
             call(pool, host.port(), LONG, 10);
             host.call().reset();
-            HostPool.Reply fresh = reply();
+            Reply fresh = reply();
             assertEquals(Outcome.RESET, fresh.outcome());
             assertFalse(fresh.reused());
         }
@@ -124,18 +129,18 @@
 
     @Test
     void timeOutAndCancelCloseTheConnection() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
             call(pool, host.port(), 200_000, 10);
-            Host.Call late = host.call();
+            HostStub.Call late = host.call();
             assertEquals(Outcome.TIMEOUT, reply().outcome());
             HostPool.Call call = call(pool, host.port(), LONG, 10);
-            Host.Call second = host.call();
+            HostStub.Call second = host.call();
             assertNotSame(late.socket(), second.socket());
             group.next().submit(call::cancel).get();
             assertEquals(Outcome.CANCELLED, reply().outcome());
             call(pool, host.port(), LONG, 10);
-            Host.Call third = host.call();
+            HostStub.Call third = host.call();
             assertNotSame(second.socket(), third.socket());
         }
     }
@@ -143,7 +148,7 @@
     /** Guards the rules on drains and waits against calls that go out when a slow connection comes up at last. */
     @Test
     void aCallThatWaitsForItsConnectionCanBeTakenBack() throws Exception {
-        try (ServerSocket listener = new ServerSocket(0, 1, Platform.LOOPBACK)) {
+        try (ServerSocket listener = new ServerSocket(0, 1, PlatformStub.LOOPBACK)) {
             HostPool pool = pool(KEEP_ALIVE);
             List<Socket> fillers = new ArrayList<>();
             // A full backlog leaves further connections hanging.
@@ -151,7 +156,7 @@
                 Socket filler = new Socket();
                 fillers.add(filler);
                 try {
-                    filler.connect(new InetSocketAddress(Platform.LOOPBACK, listener.getLocalPort()), 300);
+                    filler.connect(new InetSocketAddress(PlatformStub.LOOPBACK, listener.getLocalPort()), 300);
                 } catch (java.net.SocketTimeoutException e) {
                     break;
                 }
@@ -168,11 +173,11 @@
     /** Guards against a request that crosses the host's own close: an old connection is not used again. */
     @Test
     void idleConnectionsAreClosedBeforeTheHostMay() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             HostPool pool = pool(1_000_000);
             call(pool, host.port(), LONG, 10);
-            Host.Call first = host.call();
-            first.answer(Host.OK);
+            HostStub.Call first = host.call();
+            first.answer(HostStub.OK);
             reply();
             while (group.next().submit(() -> pool.idle(listed)).get() > 0) {
                 Thread.sleep(20);
@@ -185,9 +190,9 @@
     /** Guards the descriptors: the call is over at the answer's head, and the connection must not be held for ever. */
     @Test
     void anAnswerThatNeverEndsIsNotWaitedFor() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
-            Host.Call call = host.call();
+            HostStub.Call call = host.call();
             call.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi");
             assertEquals(Outcome.OK, reply().outcome());
             assertTrue(host.ended(call));
@@ -196,10 +201,10 @@
 
     @Test
     void aHostThatEndsTheConnectionWithItsAnswerIsNotAskedOnItAgain() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
             call(pool, host.port(), LONG, 10);
-            Host.Call first = host.call();
+            HostStub.Call first = host.call();
             first.answer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
             assertEquals(Outcome.OK, reply().outcome());
             call(pool, host.port(), LONG, 10);
@@ -216,12 +221,12 @@
         "HTTP/1.1 200 OK|Content-Length: 3000000000||, OK", "HTTP/1.1 200 OK|Content-Length: many||, OK",
         "HTTP/1.1 200 OK|X-Endless: , OK"})
     void aSpoiltAnswerMayHaveRunUnlessItsStatusLineSays200(String answer, Outcome outcome) throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
             call(pool, host.port(), LONG, 10);
-            Host.Call call = host.call();
+            HostStub.Call call = host.call();
             call.answer(answer.replace("|", "\r\n"));
-            HostPool.Reply reply = reply();
+            Reply reply = reply();
             assertEquals(outcome, reply.outcome());
             assertEquals(0, reply.waitFor());
             if (!answer.contains("Endless")) {
@@ -233,9 +238,9 @@
     /** Guards the core: an answer that streams on and on is cut off, not read. */
     @Test
     void anEndlessStreamIsCutOff() throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
-            Host.Call call = host.call();
+            HostStub.Call call = host.call();
             call.answer("HTTP/1.1 503 x\r\n\r\n");
             assertThrows(java.io.IOException.class, () -> {
                 while (true) {
@@ -252,15 +257,15 @@
         "HTTP/1.1 503 x|Content-Length: 0||noise, FULL",
         "HTTP/1.1 100 Continue||HTTP/1.1 103 Hints||HTTP/1.1 429 x|Content-Length: 0||HTTP/1, FULL"})
     void aGoodAnswerCountsAndWhatComesBehindItDoesNot(String answer, Outcome outcome) throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
             call(pool, host.port(), LONG, 10);
-            Host.Call first = host.call();
+            HostStub.Call first = host.call();
             first.answer(answer.replace("|", "\r\n"));
             assertEquals(outcome, reply().outcome());
             assertTrue(host.ended(first));
             call(pool, host.port(), LONG, 10);
-            host.call().answer(Host.OK);
+            host.call().answer(HostStub.OK);
             assertEquals(Outcome.OK, reply().outcome());
             assertTrue(replies.isEmpty());
         }
@@ -270,10 +275,10 @@
     @ParameterizedTest
     @ValueSource(strings = {"x0=NaN,x1=1e300", "x0=-3,x1=-1", "x0,x1", "=,,=", "x0=1e9,x1=Infinity"})
     void aLoadReportThatCannotBeReadIsUntold(String load) throws Exception {
-        try (Host host = new Host()) {
+        try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
             host.call().answer("HTTP/1.1 200 OK\r\nX-Server-Load: " + load + "\r\nContent-Length: 0\r\n\r\n");
-            HostPool.Reply reply = reply();
+            Reply reply = reply();
             assertEquals(Outcome.OK, reply.outcome());
             assertEquals(-1, reply.left());
             assertEquals(-1, reply.limit());
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/brambletray/journal/JournalTest.java
@@ -1,7 +1,9 @@
-package wrenkeel.net;
+package brambletray.journal;
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import brambletray.membership.Discovery;
+import brambletray.message.Message;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/wrenkeel/net/HostListTest.java
+++ b/src/test/java/brambletray/membership/HostListTest.java
@@ -1,11 +1,13 @@
-package wrenkeel.net;
+package brambletray.membership;
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import brambletray.control.Relay;
+import brambletray.core.Host;
+import brambletray.stub.PlatformStub;
+import brambletray.wire.Wire;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import wrenkeel.Relay;
-import wrenkeel.Wire;
 
 /** Discovery's list, as the module is told it. */
 class HostListTest {
@@ -20,11 +22,11 @@
     /** Guards decisions that relays must take alike: a host's number is the same whatever came before it. */
     @Test
     void aHostHasOneNumberAtEveryRelay() throws Wire.Malformed {
-        String one = Platform.host("s-1", 80, 7, "ready");
-        String two = Platform.host("s-2", 80, 7, "ready");
+        String one = PlatformStub.host("s-1", 80, 7, "ready");
+        String two = PlatformStub.host("s-2", 80, 7, "ready");
         HostList first = list();
-        Relay.Listed listed = update(first, Platform.list(1, true, one, two));
-        Relay.Listed other = update(list(), Platform.list(1, true, two, one));
+        Relay.Listed listed = update(first, PlatformStub.list(1, true, one, two));
+        Relay.Listed other = update(list(), PlatformStub.list(1, true, two, one));
         assertEquals(listed.endpoints().get(0), other.endpoints().get(1));
         assertEquals(listed.endpoints().get(1), other.endpoints().get(0));
         assertEquals(new Relay.Endpoint(listed.endpoints().get(0).id(), 0, 1, 7, Relay.Listing.READY, 50),
@@ -35,17 +37,17 @@
     /** "plumless" and "buckeroo" have one CRC-32: they must still be two hosts. */
     @Test
     void namesThatCollideGetNumbersOfTheirOwn() throws Wire.Malformed {
-        Relay.Listed listed = update(list(), Platform.list(1, true, Platform.host("plumless", 80, 7, "ready"),
-            Platform.host("buckeroo", 81, 7, "ready")));
+        Relay.Listed listed = update(list(), PlatformStub.list(1, true, PlatformStub.host("plumless", 80, 7, "ready"),
+            PlatformStub.host("buckeroo", 81, 7, "ready")));
         assertNotEquals(listed.endpoints().get(0).id(), listed.endpoints().get(1).id());
     }
 
     @Test
     void aWholeListLeavesOutWhatIsGoneAndABadEntrySpoilsNoOther() throws Wire.Malformed {
         HostList list = list();
-        long gone = update(list, Platform.list(1, true, Platform.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
-        Relay.Listed next = update(list, Platform.list(2, true, Platform.host("s-2", 80, 7, "ready"),
-            Platform.host("s-3", 80, 7, "ready").replace("\"m2\"", "\"m9\"")));
+        long gone = update(list, PlatformStub.list(1, true, PlatformStub.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
+        Relay.Listed next = update(list, PlatformStub.list(2, true, PlatformStub.host("s-2", 80, 7, "ready"),
+            PlatformStub.host("s-3", 80, 7, "ready").replace("\"m2\"", "\"m9\"")));
         assertEquals(1, next.endpoints().size());
         assertFalse(list.host(gone).ready);
         assertTrue(list.knows(7), "a destination stays known while its hosts are gone");
@@ -56,14 +58,14 @@
     @Test
     void aHostThatIsGoneCanBeForgotten() throws Wire.Malformed {
         HostList list = list();
-        long number = update(list, Platform.list(1, true, Platform.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
-        HostList.Host first = list.host(number);
-        update(list, Platform.list(2, true, Platform.host("s-2", 80, 7, "ready")));
+        long number = update(list, PlatformStub.list(1, true, PlatformStub.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
+        Host first = list.host(number);
+        update(list, PlatformStub.list(2, true, PlatformStub.host("s-2", 80, 7, "ready")));
         assertTrue(first.gone);
         list.forget(first);
         assertEquals(1, list.hosts().size());
         assertNull(list.host(number));
-        update(list, Platform.list(3, false, Platform.host("s-1", 81, 7, "ready")));
+        update(list, PlatformStub.list(3, false, PlatformStub.host("s-1", 81, 7, "ready")));
         assertEquals("s-1", list.host(number).name);
         assertNotSame(first, list.host(number));
         assertFalse(list.host(number).gone);
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/brambletray/serve/NodeTest.java
@@ -1,9 +1,14 @@
-package wrenkeel.net;
+package brambletray.serve;
 
+import static brambletray.stub.PlatformStub.host;
+import static brambletray.stub.PlatformStub.list;
 import static org.junit.jupiter.api.Assertions.*;
-import static wrenkeel.net.Platform.host;
-import static wrenkeel.net.Platform.list;
 
+import brambletray.journal.Journal;
+import brambletray.stub.HostStub;
+import brambletray.stub.PlatformStub;
+import brambletray.wire.Addresses;
+import brambletray.wire.Wire;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,13 +29,13 @@
 
     @TempDir
     Path folder;
-    private Platform platform;
-    private Host host;
+    private PlatformStub platform;
+    private HostStub host;
 
     @BeforeEach
     void begin() throws IOException {
-        platform = new Platform(folder);
-        host = new Host();
+        platform = new PlatformStub(folder);
+        host = new HostStub();
     }
 
     @AfterEach
@@ -51,15 +56,15 @@
 
     @Test
     void aMessageGoesOnUnchangedOverAKeptConnection() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
-            Host.Call first = host.call();
+            HostStub.Call first = host.call();
             assertEquals("POST /v1/messages HTTP/1.1", first.head().get(0));
             assertEquals("a", first.header("X-Request-ID"));
             assertEquals("key-a", first.header("Idempotency-Key"));
             assertEquals("bill \u00e4\0 of a", first.body());
             assertTrue(Long.parseLong(first.header("X-Timeout-Ms")) > 0);
-            first.answer(Host.OK);
+            first.answer(HostStub.OK);
             awaitClosedJournal(relay);
             assertEquals(TAKEN, client.post("b", "bill", 7, 16_000).get(0));
             // Guards against a handshake for each message.
@@ -71,8 +76,8 @@
     void healthIsToldAndBadRequestsAreTurnedAwayAndNotWrittenDown() throws Exception {
         try (Node relay = relay()) {
             long before = Files.size(platform.journal());
-            List<String> good = Platform.Client.headers("x", "bill", 7, 900);
-            try (var client = new Platform.Client(relay)) {
+            List<String> good = PlatformStub.Client.headers("x", "bill", 7, 900);
+            try (var client = new PlatformStub.Client(relay)) {
                 assertEquals("HTTP/1.1 200 OK", client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
                 assertStatus(404, client.post("x", "wobble", 7, 900));
                 assertStatus(404, client.post("x", "bill", 8, 900));
@@ -87,10 +92,10 @@
                 }
                 assertStatus(405, client.raw("GET /bill HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]));
             }
-            try (var client = new Platform.Client(relay)) {
+            try (var client = new PlatformStub.Client(relay)) {
                 assertStatus(413, client.post("/bill", good, "x".repeat(64 * 1024 + 1)));
             }
-            try (var client = new Platform.Client(relay)) {
+            try (var client = new PlatformStub.Client(relay)) {
                 assertStatus(400, client.raw("nonsense\r\n\r\n", new byte[0]));
             }
             assertEquals(before, Files.size(platform.journal()));
@@ -107,28 +112,28 @@
      */
     @Test
     void connectionsThatBreakAreNotHeldAgainstTheirHost() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
-            host.call().answer(Host.OK);
+            host.call().answer(HostStub.OK);
             awaitClosedJournal(relay);
-            List<Host.Call> kept = outSideBySide(client, "b", "c");
-            for (Host.Call call : kept) {
-                call.answer(Host.OK);
+            List<HostStub.Call> kept = outSideBySide(client, "b", "c");
+            for (HostStub.Call call : kept) {
+                call.answer(HostStub.OK);
             }
             awaitClosedJournal(relay);
-            List<Host.Call> calls = outSideBySide(client, "d", "e");
+            List<HostStub.Call> calls = outSideBySide(client, "d", "e");
             for (int broken = 0; broken < 5; broken++) {
                 calls.get(broken).reset();
                 calls.add(host.call());
             }
-            calls.get(5).answer(Host.OK);
+            calls.get(5).answer(HostStub.OK);
             assertEquals(TAKEN, client.post("f", "bill", 7, 16_000).get(0));
-            Host.Call sideBySide = host.call();
+            HostStub.Call sideBySide = host.call();
             assertNotNull(sideBySide, "one at a time only");
             assertEquals("f", sideBySide.header("X-Request-ID"));
             assertTrue(host.open(calls.get(6)), "one at a time only");
-            sideBySide.answer(Host.OK);
-            calls.get(6).answer(Host.OK);
+            sideBySide.answer(HostStub.OK);
+            calls.get(6).answer(HostStub.OK);
             awaitClosedJournal(relay);
         }
     }
@@ -139,24 +144,24 @@
      */
     @Test
     void aMessageThatTimesOutIsNotHeldAgainstItsHost() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             for (String id : List.of("a", "b")) {
                 assertEquals(TAKEN, client.post(id, "bill", 7, 16_000).get(0));
-                host.call().answer(Host.OK);
+                host.call().answer(HostStub.OK);
                 awaitClosedJournal(relay);
             }
-            List<Host.Call> slow = outSideBySide(client, "c", "d");
+            List<HostStub.Call> slow = outSideBySide(client, "c", "d");
             assertEquals(TAKEN, client.post("e", "bill", 7, 16_000).get(0));
-            Host.Call later = host.call();
+            HostStub.Call later = host.call();
             assertEquals("e", later.header("X-Request-ID"));
-            later.answer(Host.OK);
-            Host.Call one = host.call(), other = host.call();
+            later.answer(HostStub.OK);
+            HostStub.Call one = host.call(), other = host.call();
             assertNotEquals(one.header("X-Request-ID"), other.header("X-Request-ID"));
             assertTrue(host.open(one), "one at a time only");
             long first = Long.parseLong(slow.get(0).header("X-Timeout-Ms"));
             assertTrue(Long.parseLong(one.header("X-Timeout-Ms")) > first * 3 / 2, "no longer to answer");
-            one.answer(Host.OK);
-            other.answer(Host.OK);
+            one.answer(HostStub.OK);
+            other.answer(HostStub.OK);
             awaitClosedJournal(relay);
         }
     }
@@ -164,16 +169,16 @@
     /** Guards messages with little time from the start against waiting behind all that have more. */
     @Test
     void aMessageWithLittleTimeGoesBeforeThoseThatCanWait() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("first", "bill", 7, 16_000).get(0));
-            Host.Call first = host.call();
+            HostStub.Call first = host.call();
             assertEquals(TAKEN, client.post("patient", "bill", 7, 16_000).get(0));
             assertEquals(TAKEN, client.post("brief", "bill", 7, 7_900).get(0));
-            first.answer(Host.OK);
-            Host.Call next = host.call();
+            first.answer(HostStub.OK);
+            HostStub.Call next = host.call();
             assertEquals("brief", next.header("X-Request-ID"));
-            next.answer(Host.OK);
-            host.call().answer(Host.OK);
+            next.answer(HostStub.OK);
+            host.call().answer(HostStub.OK);
             awaitClosedJournal(relay);
         }
     }
@@ -185,14 +190,14 @@
     @Test
     void callsHaveLessTimeWhileSlotsAreScarceAndCallsAreLost() throws Exception {
         platform.slots = 1;
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             long least = Long.MAX_VALUE;
             // The first eight make the usual time known; of the others each first call is lost.
             for (int i = 0; i < 20 && least >= 1_000; i++) {
                 assertEquals(TAKEN, client.post("m" + i, "bill", 7, 16_000).get(0));
-                Host.Call call = host.call();
+                HostStub.Call call = host.call();
                 least = Math.min(least, Long.parseLong(call.header("X-Timeout-Ms")));
-                (i < 8 || least < 1_000 ? call : host.call()).answer(Host.OK);
+                (i < 8 || least < 1_000 ? call : host.call()).answer(HostStub.OK);
                 awaitClosedJournal(relay);
             }
             assertTrue(least < 1_000, "all calls had " + least + " ms");
@@ -205,19 +210,19 @@
         platform.openCap = 100;
         String body = "x".repeat(64 * 1024);
         try (Node relay = platform.relay(host("s-1", host.port(), 7, "ready"), host("s-2", host.port(), 8, "ready"));
-                var client = new Platform.Client(relay)) {
+                var client = new PlatformStub.Client(relay)) {
             int held = 0;
-            while (client.post("/bill", Platform.Client.headers("a" + held, "bill", 7, 16_000), body).get(0)
+            while (client.post("/bill", PlatformStub.Client.headers("a" + held, "bill", 7, 16_000), body).get(0)
                 .equals(TAKEN)) {
                 held++;
             }
-            Host.Call first = host.call();
-            assertStatus(503, client.post("/bill", Platform.Client.headers("b", "bill", 8, 16_000), body));
-            first.answer(Host.OK);
-            Host.Call second = host.call();
+            HostStub.Call first = host.call();
+            assertStatus(503, client.post("/bill", PlatformStub.Client.headers("b", "bill", 8, 16_000), body));
+            first.answer(HostStub.OK);
+            HostStub.Call second = host.call();
             assertEquals("a1", second.header("X-Request-ID"));
             assertEquals(TAKEN, client.post("c", "bill", 8, 16_000).get(0));
-            Host.Call next = host.call();
+            HostStub.Call next = host.call();
             while (next != null && !next.header("X-Request-ID").equals("c")) {
                 next = host.call();
             }
@@ -226,7 +231,7 @@
     }
 
     /** Hands two messages in and waits until both are out at once. */
-    private List<Host.Call> outSideBySide(Platform.Client client, String one, String other) throws Exception {
+    private List<HostStub.Call> outSideBySide(PlatformStub.Client client, String one, String other) throws Exception {
         assertEquals(TAKEN, client.post(one, "bill", 7, 16_000).get(0));
         assertEquals(TAKEN, client.post(other, "bill", 7, 16_000).get(0));
         return new ArrayList<>(List.of(host.call(), host.call()));
@@ -235,7 +240,7 @@
     /** Guards the cap on messages held: the client is told to come back, not left waiting. */
     @Test
     void aboveTheOpenCapAMessageIsRefusedWithATimeToComeBack() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             // The module gives back one that it may when the cap is reached, so unsafe ones that are out hold it.
             int taken = 0;
             List<String> answer = client.post("m0", "pay", 7, 16_000);
@@ -253,7 +258,7 @@
     void aMessageThatIsGivenUpEndsByANoticeThatIsRepeatedUntilItIsAcknowledged() throws Exception {
         platform.noticeStatuses.add(500);
         platform.noticeStatuses.add(503);
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 300).get(0));
             assertNotNull(host.call());
             String notice = "{\"message\":\"a\",\"outcome\":\"given_up\"}";
@@ -270,17 +275,17 @@
     /** Guards what is owed against a kill: keyed messages go out again, with the same id, key and body. */
     @Test
     void aKeyedMessageThatWasOutIsSentAgainAfterARestart() throws Exception {
-        Host.Call before;
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        HostStub.Call before;
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             before = host.call();
         }
         try (Node relay = relay()) {
-            Host.Call after = host.call();
+            HostStub.Call after = host.call();
             assertEquals("a", after.header("X-Request-ID"));
             assertEquals("key-a", after.header("Idempotency-Key"));
             assertEquals(before.body(), after.body());
-            after.answer(Host.OK);
+            after.answer(HostStub.OK);
             awaitClosedJournal(relay);
         }
         assertTrue(platform.notices.isEmpty(), "delivered, so no notice");
@@ -289,7 +294,7 @@
     /** Guards against double effects: an unsafe call that was out at the kill may have run. */
     @Test
     void anUnsafeMessageThatWasOutIsGivenUpAfterARestart() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
             assertNotNull(host.call());
         }
@@ -303,7 +308,7 @@
     /** An unsafe message whose only call was turned away never ran: it goes out after a restart. */
     @Test
     void anUnsafeMessageThatNeverRanIsSentAfterARestart() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 60_000).get(0));
             long before = Files.size(platform.journal());
             host.call().answer("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 50.5\r\nContent-Length: 0\r\n\r\n");
@@ -318,7 +323,7 @@
 
     @Test
     void aMessageWhoseTimePassedWhileTheRelayWasDownStillGetsItsNotice() throws Exception {
-        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 400).get(0));
             assertNotNull(host.call());
         }
@@ -331,7 +336,7 @@
     /** Guards the rule on drains: a host that the watch calls draining gets nothing new. */
     @Test
     void aDrainingHostGetsNothingNewAndItsReplacementDoes() throws Exception {
-        try (Host other = new Host(); Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (HostStub other = new HostStub(); Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             platform.changes.add(list(2, false, host("s-1", host.port(), 7, "draining"),
                 host("s-2", other.port(), 7, "ready")));
             // The third watch is only asked for once the second list has been taken in.
@@ -341,7 +346,7 @@
             }
             for (int i = 0; i < 3; i++) {
                 assertEquals(TAKEN, client.post("m" + i, "bill", 7, 16_000).get(0));
-                other.call().answer(Host.OK);
+                other.call().answer(HostStub.OK);
                 awaitClosedJournal(relay);
             }
             assertTrue(host.quiet());
@@ -351,7 +356,7 @@
     /** Guards the watch against standing still, and against asking without a pause, after a list it cannot read. */
     @Test
     void theWatchGoesOnAfterAListThatCannotBeRead() throws Exception {
-        try (Host other = new Host(); Node relay = relay(); var client = new Platform.Client(relay)) {
+        try (HostStub other = new HostStub(); Node relay = relay(); var client = new PlatformStub.Client(relay)) {
             platform.changes.add("{\"seq\":2,\"whole\":true,\"hosts\":[{}]}");
             platform.changes.add("nonsense");
             platform.changes.add(list(3, true, host("s-2", other.port(), 8, "ready")));
@@ -368,13 +373,13 @@
     @Test
     void atTheOrderlyEndClientsAreServedAndCallsFinished() throws Exception {
         Node relay = relay();
-        try (var client = new Platform.Client(relay)) {
+        try (var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             Thread end = new Thread(relay::leave);
             end.start();
             List<String> health;
             do {
-                try (var probe = new Platform.Client(relay)) {
+                try (var probe = new PlatformStub.Client(relay)) {
                     health = probe.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]);
                 }
             } while (health.get(0).contains("200"));
@@ -382,8 +387,8 @@
             assertEquals(TAKEN, answer.get(0));
             assertTrue(answer.stream().anyMatch("connection: close"::equalsIgnoreCase), answer.toString());
             assertTrue(client.closed());
-            host.call().answer(Host.OK);
-            host.call().answer(Host.OK);
+            host.call().answer(HostStub.OK);
+            host.call().answer(HostStub.OK);
             end.join();
         }
         try (Journal journal = new Journal(platform.journal().getParent(), 3_000_000, 12)) {
@@ -398,7 +403,7 @@
         var fault = assertThrows(Config.Unusable.class,
             () -> Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", folder.toString())));
         assertEquals(1, fault.getMessage().lines().count());
-        assertThrows(Config.Unusable.class, () -> Config.address("localhost:80"));
+        assertThrows(Wire.Malformed.class, () -> Addresses.parse("localhost:80"));
         assertEquals(2, Node.serve(Map.of()));
     }
 }
--- a/src/test/java/wrenkeel/net/ReloadTest.java
+++ b/src/test/java/brambletray/serve/ReloadTest.java
@@ -1,9 +1,11 @@
-package wrenkeel.net;
+package brambletray.serve;
 
+import static brambletray.stub.PlatformStub.host;
+import static brambletray.stub.PlatformStub.list;
 import static org.junit.jupiter.api.Assertions.*;
-import static wrenkeel.net.Platform.host;
-import static wrenkeel.net.Platform.list;
 
+import brambletray.stub.HostStub;
+import brambletray.stub.PlatformStub;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -21,13 +23,13 @@
     Path folder;
     @TempDir
     Path otherFolder;
-    private Platform old;
-    private Platform next;
+    private PlatformStub old;
+    private PlatformStub next;
 
     @BeforeEach
     void begin() throws Exception {
-        old = new Platform(folder);
-        next = new Platform(otherFolder);
+        old = new PlatformStub(folder);
+        next = new PlatformStub(otherFolder);
     }
 
     @AfterEach
@@ -39,7 +41,7 @@
     /** Guards against a watch that hangs on at the old address, and against versions that mean nothing at the new. */
     @Test
     void theWatchGoesToTheNewAddressAtOnceAndAsksForTheWholeList() throws Exception {
-        try (Host host = new Host(); Node relay = old.relay(); var client = new Platform.Client(relay)) {
+        try (HostStub host = new HostStub(); Node relay = old.relay(); var client = new PlatformStub.Client(relay)) {
             assertEquals("/v1/servers?after=1&wait_ms=20000", old.watch());
             relay.reload(old.configure(next));
             assertEquals("/v1/servers", next.watch());
@@ -58,8 +60,8 @@
         for (int i = 0; i < 10_000; i++) {
             old.noticeStatuses.add(503);
         }
-        try (Host host = new Host(); Node relay = old.relay(host("s-1", host.port(), 7, "ready"));
-                var client = new Platform.Client(relay)) {
+        try (HostStub host = new HostStub(); Node relay = old.relay(host("s-1", host.port(), 7, "ready"));
+                var client = new PlatformStub.Client(relay)) {
             client.post("a", "bill", 7, 300);
             assertNotNull(old.notice());
             relay.reload(old.configure(next));
@@ -89,12 +91,12 @@
     void aHangupIsNotTheEndOfTheProcess() throws Exception {
         Map<String, String> env = old.configure(old);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "wrenkeel.Main", "serve");
+            "-cp", System.getProperty("java.class.path"), "brambletray.Main", "serve");
         builder.environment().putAll(env);
         Process relay = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         try {
             assertNotNull(old.watch());
-            for (Platform to : new Platform[] {next, old, next}) {
+            for (PlatformStub to : new PlatformStub[] {next, old, next}) {
                 old.configure(to);
                 new ProcessBuilder("kill", "-HUP", Long.toString(relay.pid())).start().waitFor();
                 assertEquals("/v1/servers", to.watch());
--- a/src/test/java/wrenkeel/SimHostTest.java
+++ b/src/test/java/brambletray/simhost/SimHostTest.java
@@ -1,7 +1,8 @@
-package wrenkeel;
+package brambletray.simhost;
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import brambletray.Main;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -95,8 +96,8 @@
 
     @Test
     void theModuleKeepsItsLimits() throws IOException {
-        Path sources = Path.of("src/main/java/wrenkeel");
-        List<String> lines = Files.readAllLines(sources.resolve("Control.java"));
+        Path sources = Path.of("src/main/java/brambletray");
+        List<String> lines = Files.readAllLines(sources.resolve("control/Control.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 1200, "at most 1200 lines");
         try (var files = Files.walk(sources)) {
             for (Path file : files.filter(Files::isRegularFile).toList()) {
--- a/src/test/java/wrenkeel/net/Host.java
+++ b/src/test/java/brambletray/stub/HostStub.java
@@ -1,4 +1,4 @@
-package wrenkeel.net;
+package brambletray.stub;
 
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
@@ -13,33 +13,33 @@
 import java.util.concurrent.TimeUnit;
 
 /** A host whose answers the test gives one by one: each call is handed over with its connection. */
-final class Host implements AutoCloseable {
-    static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+public final class HostStub implements AutoCloseable {
+    public static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     /** One call as it came. */
-    record Call(Socket socket, List<String> head, String body) {
-        void answer(String text) throws IOException {
+    public record Call(Socket socket, List<String> head, String body) {
+        public void answer(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
         /** Resets the connection. */
-        void reset() throws IOException {
+        public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
         }
 
-        String header(String name) {
+        public String header(String name) {
             return head.stream().filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ": "))
                 .map(h -> h.substring(name.length() + 2)).findFirst().orElse(null);
         }
     }
 
-    private final ServerSocket listener = new ServerSocket(0, 50, Platform.LOOPBACK);
+    private final ServerSocket listener = new ServerSocket(0, 50, PlatformStub.LOOPBACK);
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
     /** Connections that the relay has closed. */
     private final BlockingQueue<Socket> over = new LinkedBlockingQueue<>();
 
-    Host() throws IOException {
+    public HostStub() throws IOException {
         start(() -> {
             while (true) {
                 Socket socket = listener.accept();
@@ -63,19 +63,19 @@
             new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8));
     }
 
-    int port() {
+    public int port() {
         return listener.getLocalPort();
     }
 
     /** The next call; null if none comes in a long time. */
-    Call call() throws InterruptedException {
-        return calls.poll(Platform.PATIENCE_S, TimeUnit.SECONDS);
+    public Call call() throws InterruptedException {
+        return calls.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS);
     }
 
     /** Waits until the relay has closed the connection of a call; false if it has not in a long time. */
-    boolean ended(Call call) throws InterruptedException {
-        for (Socket socket = over.poll(Platform.PATIENCE_S, TimeUnit.SECONDS); socket != null;
-                socket = over.poll(Platform.PATIENCE_S, TimeUnit.SECONDS)) {
+    public boolean ended(Call call) throws InterruptedException {
+        for (Socket socket = over.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS); socket != null;
+                socket = over.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS)) {
             if (socket == call.socket()) {
                 return true;
             }
@@ -84,16 +84,16 @@
     }
 
     /** True while the relay has not closed the connection of a call. */
-    boolean open(Call call) {
+    public boolean open(Call call) {
         return !over.contains(call.socket());
     }
 
-    boolean quiet() {
+    public boolean quiet() {
         return calls.isEmpty();
     }
 
     /** Reads lines up to the empty one. */
-    static List<String> head(InputStream in) throws IOException {
+    public static List<String> head(InputStream in) throws IOException {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         while (!text.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
             int next = in.read();
@@ -106,7 +106,7 @@
     }
 
     private interface Task {
-        void run() throws IOException;
+        public void run() throws IOException;
     }
 
     private static void start(Task task) {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/brambletray/stub/PlatformStub.java
@@ -1,5 +1,7 @@
-package wrenkeel.net;
+package brambletray.stub;
 
+import brambletray.serve.Config;
+import brambletray.serve.Node;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -17,25 +19,25 @@
 import java.util.concurrent.TimeUnit;
 
 /** What a relay needs round it, on loopback: an agent of discovery and its configuration; scripted by the test. */
-final class Platform implements AutoCloseable {
-    static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
-    static final long PATIENCE_S = 30;
+public final class PlatformStub implements AutoCloseable {
+    public static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    public static final long PATIENCE_S = 30;
 
-    final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     /** Statuses for the next notices; 204 when none is left. */
-    final BlockingQueue<Integer> noticeStatuses = new LinkedBlockingQueue<>();
+    public final BlockingQueue<Integer> noticeStatuses = new LinkedBlockingQueue<>();
     /** Answers to the next watches. */
-    final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
     /** Queries of the watches that came. */
-    final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
     /** Calls that a relay may have out. */
-    int slots = 16;
+    public int slots = 16;
     /** Messages that it may hold. */
-    int openCap = 4;
+    public int openCap = 4;
     private final HttpServer agent;
     private final Path folder;
 
-    Platform(Path folder) throws IOException {
+    public PlatformStub(Path folder) throws IOException {
         this.folder = folder;
         agent = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
         agent.setExecutor(Executors.newCachedThreadPool(task -> {
@@ -64,22 +66,22 @@
         agent.start();
     }
 
-    static String host(String name, int port, int block, String health) {
+    public static String host(String name, int port, int block, String health) {
         return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"a\",\"class\":\"m2\",\"block\":"
             + block + ",\"health\":\"" + health + "\",\"share\":50,\"born_ms\":0}";
     }
 
-    static String list(int version, boolean whole, String... hosts) {
+    public static String list(int version, boolean whole, String... hosts) {
         return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
     }
 
     /** Starts a relay that knows these hosts; classes: bill (keyed), pay (unsafe). */
-    Node relay(String... hosts) throws Exception {
+    public Node relay(String... hosts) throws Exception {
         return new Node(Config.read(configure(this, hosts)));
     }
 
     /** Writes the configuration, with discovery at one platform's agent, and returns the environment. */
-    Map<String, String> configure(Platform discovery, String... hosts) throws IOException {
+    public Map<String, String> configure(PlatformStub discovery, String... hosts) throws IOException {
         Path file = folder.resolve("config.json");
         Path state = Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
@@ -98,16 +100,16 @@
             "EDGE_DISCOVERY", "127.0.0.1:" + agent.getAddress().getPort());
     }
 
-    Path journal() {
+    public Path journal() {
         return folder.resolve("state").resolve("journal");
     }
 
     /** The next watch's query; null if none comes in a long time. */
-    String watch() throws InterruptedException {
+    public String watch() throws InterruptedException {
         return watches.poll(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    String notice() throws InterruptedException {
+    public String notice() throws InterruptedException {
         return notices.poll(PATIENCE_S, TimeUnit.SECONDS);
     }
 
@@ -117,40 +119,40 @@
     }
 
     /** One client connection. */
-    static final class Client implements AutoCloseable {
+    public static final class Client implements AutoCloseable {
         private final Socket socket;
 
-        Client(Node relay) throws IOException {
+        public Client(Node relay) throws IOException {
             socket = new Socket(LOOPBACK, relay.address().getPort());
             socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
         }
 
-        static List<String> headers(String id, String messageClass, int destination, long time) {
+        public static List<String> headers(String id, String messageClass, int destination, long time) {
             return List.of("X-Request-ID: " + id, "X-Priority-Class: " + messageClass, "X-Timeout-Ms: " + time,
                 "Idempotency-Key: key-" + id, "X-Envelope: dest=" + destination);
         }
 
         /** Hands a message in; the answer's head, with its status line first. */
-        List<String> post(String id, String messageClass, int destination, long time) throws IOException {
+        public List<String> post(String id, String messageClass, int destination, long time) throws IOException {
             return post("/" + messageClass, headers(id, messageClass, destination, time), "bill \u00e4\0 of " + id);
         }
 
-        List<String> post(String path, List<String> headers, String text) throws IOException {
+        public List<String> post(String path, List<String> headers, String text) throws IOException {
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
             return raw("POST " + path + " HTTP/1.1\r\nHost: api.internal\r\n" + String.join("\r\n", headers)
                 + "\r\nContent-Length: " + body.length + "\r\n\r\n", body);
         }
 
-        List<String> raw(String head, byte[] body) throws IOException {
+        public List<String> raw(String head, byte[] body) throws IOException {
             OutputStream out = socket.getOutputStream();
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
             out.write(body);
             out.flush();
-            return Host.head(socket.getInputStream());
+            return HostStub.head(socket.getInputStream());
         }
 
         /** Hands a message in and resets the connection at once, without hearing the answer. */
-        void leaveAfter(String head, String text) throws IOException {
+        public void leaveAfter(String head, String text) throws IOException {
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
             socket.getOutputStream().write((head + "Content-Length: " + body.length + "\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
@@ -160,7 +162,7 @@
         }
 
         /** True once the relay has closed the connection. */
-        boolean closed() throws IOException {
+        public boolean closed() throws IOException {
             return socket.getInputStream().read() < 0;
         }
 
