One clock: every time stamp and timer goes by the event loop's ticker

The relay read the system's clocks in 24 places, so it could not run in simulated time, and its wall clock and its timers could disagree.

runtime.Clock is the ticker of the event loop with a wall clock that is read once and moves on with it; runtime.Machine is an event loop, that clock and the sockets of one network. Every part takes its time and its sockets from there. Instance is a relay without a thread of its own (its orderly end is a timer now, not a sleep); Node gives it a process. Maps and sets that the loop walks keep an order that does not depend on identity hashes. A test holds that only Clock reads the system's time.

--- a/src/main/java/brambletray/core/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -4,6 +4,8 @@
 import brambletray.control.Relay;
 import brambletray.journal.Journal;
 import brambletray.message.Message;
+import brambletray.runtime.Clock;
+import brambletray.runtime.Machine;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -60,7 +62,8 @@
     }
 
     private final EventLoop loop;
-    private final Seldom complaints = new Seldom(LOG);
+    private final Clock clock;
+    private final Seldom complaints;
     private final Relay.Settings settings;
     private final Control control;
     private final Hosts hosts;
@@ -71,14 +74,15 @@
     private final Map<String, Held> held = new HashMap<>();
     private List<Relay.Event> events = new ArrayList<>();
     private final Map<String, Answer> unanswered = new LinkedHashMap<>();
-    private final long began = System.nanoTime();
     private boolean turnDue;
     private boolean stopped;
     private int open;
 
-    public Loop(EventLoop loop, long seed, Relay.Settings settings, Hosts hosts, Calls pool,
+    public Loop(Machine machine, long seed, Relay.Settings settings, Hosts hosts, Calls pool,
                 Journal journal) {
-        this.loop = loop;
+        this.loop = machine.loop();
+        this.clock = machine.clock();
+        this.complaints = new Seldom(LOG, clock);
         this.settings = settings;
         this.control = new Control(seed, settings);
         this.hosts = hosts;
@@ -218,13 +222,9 @@
         }
     }
 
-    private long now() {
-        return (System.nanoTime() - began) / 1_000;
-    }
-
     /** Unix time in ms to the module's clock, which may then be below 0. */
     private long moduleTime(long unix) {
-        return now() + (unix - System.currentTimeMillis()) * 1_000;
+        return clock.micros() + (unix - clock.unixMillis()) * 1_000;
     }
 
     private void turn() {
@@ -235,7 +235,7 @@
         List<Relay.Event> told = events;
         events = new ArrayList<>();
         try {
-            List<Relay.Action> actions = control.turn(now(), told);
+            List<Relay.Action> actions = control.turn(clock.micros(), told);
             answer(actions);
             for (Relay.Action action : actions) {
                 try {
@@ -330,7 +330,7 @@
         boolean written = false;
         try {
             if (!h.over) {
-                journal.sent(h.entry, System.currentTimeMillis(), host.zone);
+                journal.sent(h.entry, clock.unixMillis(), host.zone);
                 written = true;
             }
         } catch (IOException e) {
--- a/src/main/java/brambletray/core/Seldom.java
+++ b/src/main/java/brambletray/core/Seldom.java
@@ -1,5 +1,6 @@
 package brambletray.core;
 
+import brambletray.runtime.Clock;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 
@@ -11,16 +12,19 @@
     private static final int A_SECOND = 5;
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private final Logger log;
-    private long since = System.nanoTime();
+    private final Clock clock;
+    private long since;
     private int written;
     private long leftOut;
 
-    public Seldom(Logger log) {
+    public Seldom(Logger log, Clock clock) {
         this.log = log;
+        this.clock = clock;
+        this.since = clock.nanos();
     }
 
     public void warn(String text) {
-        long now = System.nanoTime();
+        long now = clock.nanos();
         if (now - since >= SECOND) {
             if (leftOut > 0) {
                 log.warn("{} more lines were left out", leftOut);
--- a/src/main/java/brambletray/http/clients/Server.java
+++ b/src/main/java/brambletray/http/clients/Server.java
@@ -4,6 +4,8 @@
 import brambletray.core.Loop;
 import brambletray.core.Seldom;
 import brambletray.message.Message;
+import brambletray.runtime.Clock;
+import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -12,7 +14,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
@@ -37,7 +38,7 @@
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -74,16 +75,19 @@
     private static final long READ_LATE = 150;
 
     private final Loop loop;
+    private final Clock clock;
     private final int mostClients;
-    private final Seldom complaints = new Seldom(LOG);
-    private final Set<Client> clients = new HashSet<>();
+    private final Seldom complaints;
+    private final Set<Client> clients = new LinkedHashSet<>();
     private boolean leaving;
 
     /** {@code mostClients}: connections at once; the rest of the descriptors is for hosts and files. */
-    public Server(Loop loop, EventLoop thread, int mostClients) {
+    public Server(Loop loop, Machine machine, int mostClients) {
         this.loop = loop;
+        this.clock = machine.clock();
+        this.complaints = new Seldom(LOG, clock);
         this.mostClients = mostClients;
-        thread.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
+        machine.loop().scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -107,7 +111,7 @@
     }
 
     private void sweep() {
-        long now = System.nanoTime();
+        long now = clock.nanos();
         List.copyOf(clients).forEach(c -> c.look(now));
     }
 
@@ -130,7 +134,7 @@
     private final class Client extends ChannelInboundHandlerAdapter {
         private final Channel channel;
         /** When it connected, had its last answer, or sent the first byte of the request that is open. */
-        private long since = System.nanoTime();
+        private long since = clock.nanos();
         /** A request has begun; some request has been answered; the last answer has been given. */
         private boolean busy, served, last;
         private int discarded;
@@ -174,7 +178,7 @@
             }
             if (!busy) {
                 busy = true;
-                since = served ? System.nanoTime() : since;
+                since = served ? clock.nanos() : since;
             }
             context.fireChannelRead(bytes);
         }
@@ -214,7 +218,7 @@
             last = !keep || leaving;
             busy = false;
             served = true;
-            since = System.nanoTime();
+            since = clock.nanos();
             if (!last) {
                 return channel.writeAndFlush(response);
             }
@@ -389,7 +393,7 @@
         return new Message(text(headers, "X-Request-ID", ID_MOST, true), name,
             tenant == null ? 0 : loop.tenant(tenant), text(headers, "X-Route-Key", KEY_MOST, false), key,
             destination,
-            System.currentTimeMillis() + time - Math.min(READ_LATE, time / 10),
+            clock.unixMillis() + time - Math.min(READ_LATE, time / 10),
             ByteBufUtil.getBytes(request.content()));
     }
 
--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -5,6 +5,8 @@
 import brambletray.core.Host;
 import brambletray.core.Reply;
 import brambletray.message.Message;
+import brambletray.runtime.Clock;
+import brambletray.runtime.Machine;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -12,10 +14,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -39,8 +39,8 @@
 import java.net.NoRouteToHostException;
 import java.net.SocketException;
 import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -66,7 +66,7 @@
         private final Host host;
         private final Message message;
         private final Consumer<Reply> whenEnded;
-        private final long began = System.nanoTime();
+        private final long began = clock.nanos();
         private final long patience;
         private Future<?> timer;
         private Channel channel;
@@ -115,32 +115,32 @@
         }
 
         private long latency() {
-            return (System.nanoTime() - began) / 1_000;
+            return (clock.nanos() - began) / 1_000;
         }
     }
 
     private static final class Pool {
         /** Idle connections, the latest used last. */
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
-        final Set<Connection> open = new HashSet<>();
+        final Set<Connection> open = new LinkedHashSet<>();
         /** Calls of which no byte has gone out. */
-        final Set<Call> connecting = new HashSet<>();
+        final Set<Call> connecting = new LinkedHashSet<>();
         InetSocketAddress dial;
     }
 
     private final EventLoop loop;
+    private final Clock clock;
     private final Bootstrap bootstrap;
     private final long idleLimit;
-    private final Map<Host, Pool> pools = new HashMap<>();
+    private final Map<Host, Pool> pools = new LinkedHashMap<>();
 
-    public HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive) {
-        this.loop = loop;
+    public HostPool(Machine machine, long connectTimeout, long keepAlive) {
+        this.loop = machine.loop();
+        this.clock = machine.clock();
         long millis = keepAlive / 1_000;
         this.idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
-        this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000))
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(new ChannelInitializer<Channel>() {
+        this.bootstrap = machine.dialling((int) Math.max(1, connectTimeout / 1_000),
+            new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
                     Connection connection = new Connection();
@@ -307,15 +307,15 @@
         }
 
         private boolean stale() {
-            return System.nanoTime() - idleSince >= idleLimit;
+            return clock.nanos() - idleSince >= idleLimit;
         }
 
         private boolean rested() {
-            return System.nanoTime() - idleSince >= REST;
+            return clock.nanos() - idleSince >= REST;
         }
 
         private boolean stuck() {
-            return call != null && answeredAt != 0 && System.nanoTime() - answeredAt >= ANSWER_MOST;
+            return call != null && answeredAt != 0 && clock.nanos() - answeredAt >= ANSWER_MOST;
         }
 
         private boolean usable(Host host) {
@@ -356,7 +356,7 @@
                     channel.close();
                     return;
                 }
-                answeredAt = answeredAt == 0 ? System.nanoTime() : answeredAt;
+                answeredAt = answeredAt == 0 ? clock.nanos() : answeredAt;
                 context.fireChannelRead(bytes);
             }
         }
@@ -407,7 +407,7 @@
                 keep &= !decoder.holdsMore();
                 Call ended = call;
                 call = null;
-                idleSince = System.nanoTime();
+                idleSince = clock.nanos();
                 if (keep) {
                     pool.idle.addLast(this);
                 } else {
--- a/src/main/java/brambletray/membership/Discovery.java
+++ b/src/main/java/brambletray/membership/Discovery.java
@@ -3,6 +3,7 @@
 import brambletray.control.Relay;
 import brambletray.core.Platform;
 import brambletray.journal.Journal;
+import brambletray.runtime.Machine;
 import brambletray.wire.Wire;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -12,10 +13,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -48,11 +47,11 @@
     private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
     private static final int LIST_MOST = 8 << 20, NOTICES_MOST = 100;
 
+    private final Machine machine;
     private final EventLoop loop;
     private final HostList hosts;
     private final Consumer<Relay.Listed> whenListed;
     private final Consumer<Journal.Entry> whenNoticed;
-    private final Bootstrap bootstrap;
     private Line watch;
     private Line reports;
     private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
@@ -64,15 +63,15 @@
     private boolean silent;
     private boolean unheard;
 
-    public Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
+    public Discovery(Machine machine, InetSocketAddress agent, HostList hosts,
                      Consumer<Relay.Listed> whenListed, Consumer<Journal.Entry> whenNoticed) {
-        this.loop = loop;
+        this.machine = machine;
+        this.loop = machine.loop();
         this.hosts = hosts;
         this.whenListed = whenListed;
         this.whenNoticed = whenNoticed;
-        this.bootstrap = bootstrap;
-        this.watch = new Line(bootstrap, agent);
-        this.reports = new Line(bootstrap, agent);
+        this.watch = new Line(agent);
+        this.reports = new Line(agent);
     }
 
     /**
@@ -86,8 +85,8 @@
         }
         LOG.info("discovery is at {} now", agent);
         List.of(watch, reports).forEach(Line::drop);
-        watch = new Line(bootstrap, agent);
-        reports = new Line(bootstrap, agent);
+        watch = new Line(agent);
+        reports = new Line(agent);
         silent = false;
         unheard = false;
         wantsWhole = true;
@@ -207,18 +206,15 @@
         private Consumer<FullHttpResponse> waiting;
         private Future<?> timer;
 
-        Line(Bootstrap bootstrap, InetSocketAddress agent) {
+        Line(InetSocketAddress agent) {
             this.agent = agent;
-            this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) NOTICE_PATIENCE)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_MOST),
-                            new Reader());
-                    }
-                });
+            this.bootstrap = machine.dialling((int) NOTICE_PATIENCE, new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel fresh) {
+                    fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_MOST),
+                        new Reader());
+                }
+            });
         }
 
         /** Ends the connection; an answer that is still out will not be told. */
--- /dev/null
+++ b/src/main/java/brambletray/runtime/Machine.java
@@ -0,0 +1,43 @@
+package brambletray.runtime;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * What a program of ours runs on: one event loop, one clock and the sockets of one network. Real ones, or
+ * simulated ones with the same contract; the code above cannot tell which.
+ */
+public record Machine(EventLoop loop, Clock clock, ChannelFactory<? extends Channel> sockets,
+                      ChannelFactory<? extends ServerChannel> listeners) {
+    private static final int BACKLOG = 512;
+
+    /** Real sockets on an event loop of the NIO transport, and the machine's own time. */
+    public static Machine real(EventLoop loop) {
+        return new Machine(loop, Clock.system(), NioSocketChannel::new, NioServerSocketChannel::new);
+    }
+
+    /** For connections out; {@code timeout}: ms for one to come up. Addresses are not looked up. */
+    public Bootstrap dialling(int timeout, ChannelHandler handler) {
+        return new Bootstrap().group(loop).channelFactory(sockets).disableResolver()
+            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout)
+            .option(ChannelOption.TCP_NODELAY, true).handler(handler);
+    }
+
+    /** For connections in; {@code handler} sets each of them up. */
+    public ServerBootstrap listening(ChannelHandler handler) {
+        return new ServerBootstrap().group(loop, loop).channelFactory(listeners)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(handler);
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -0,0 +1,102 @@
+package brambletray.serve;
+
+import brambletray.core.Loop;
+import brambletray.http.clients.Server;
+import brambletray.http.hosts.HostPool;
+import brambletray.journal.Journal;
+import brambletray.membership.Discovery;
+import brambletray.membership.HostList;
+import brambletray.runtime.Machine;
+import brambletray.wire.Wire;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One relay on one machine: its parts put together, its orderly and its abrupt end. It has no thread of its
+ * own; all of it runs on the machine's event loop, and all methods are called there.
+ */
+public final class Instance {
+    private static final Logger LOG = LoggerFactory.getLogger(Instance.class);
+    /**
+     * ms from SIGTERM: clients are served on for the first, all is over by the second (SIGKILL may come at
+     * 3.7 s).
+     */
+    private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
+    /** ms; between looks whether all that is held has ended. */
+    private static final long LOOK = 20;
+
+    private final Machine machine;
+    private final Journal journal;
+    private final Loop loop;
+    private final Server server;
+    private final ChannelFuture bound;
+
+    /** Takes up what the journal holds, and begins to listen. The instance closes the journal at its end. */
+    public Instance(Machine machine, Config config, Journal journal) throws Wire.Malformed {
+        this.machine = machine;
+        this.journal = journal;
+        HostList hosts = new HostList(config.zones(), config.kinds());
+        HostPool pool = new HostPool(machine, config.settings().allowed().connectTimeout(),
+            config.settings().allowed().keepAlive());
+        loop = new Loop(machine, config.seed(), config.settings(), hosts, pool, journal);
+        Discovery discovery = new Discovery(machine, config.discovery(), hosts, loop::listed, loop::noticed);
+        loop.start(discovery, config.known().values().isEmpty() ? null : hosts.update(config.known()));
+        server = new Server(loop, machine, config.sockets() / 2);
+        bound = machine.listening(server).bind(config.listen());
+    }
+
+    /** Done once it listens; its channel's local address is where clients connect. */
+    ChannelFuture bound() {
+        return bound;
+    }
+
+    /** True when nothing is owed any more. */
+    public boolean idle() {
+        return loop.idle();
+    }
+
+    /** Discovery is at another address from now on. */
+    void discoveryAt(InetSocketAddress agent) {
+        loop.discoveryAt(agent);
+    }
+
+    /**
+     * The orderly end: connections are served until clients have turned away, then what is held is worked
+     * off. What is left stays in the journal, as it does when the process is killed.
+     */
+    public void leave(Runnable whenLeft) {
+        long by = machine.clock().nanos() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
+        server.leave();
+        machine.loop().schedule(() -> {
+            Channel listener = bound.channel();
+            listener.close();
+            server.closeClients();
+            workOff(by, whenLeft);
+        }, SERVE_ON, TimeUnit.MILLISECONDS);
+    }
+
+    private void workOff(long by, Runnable whenLeft) {
+        if (loop.idle() || machine.clock().nanos() >= by) {
+            stop();
+            whenLeft.run();
+        } else {
+            machine.loop().schedule(() -> workOff(by, whenLeft), LOOK, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The abrupt end: nothing more is decided or written down; what is owed stays in the journal. */
+    public void stop() {
+        loop.stop();
+        bound.channel().close();
+        try {
+            journal.close();
+        } catch (IOException e) {
+            LOG.error("journal not closed", e);
+        }
+    }
+}
--- a/src/main/java/brambletray/serve/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -1,22 +1,11 @@
 package brambletray.serve;
 
-import brambletray.core.Loop;
-import brambletray.http.clients.Server;
-import brambletray.http.hosts.HostPool;
 import brambletray.journal.Journal;
-import brambletray.membership.Discovery;
-import brambletray.membership.HostList;
-import brambletray.wire.Wire;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
+import brambletray.runtime.Machine;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -28,32 +17,27 @@
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
-/** One real relay: its parts put together, its start and its orderly end. */
+/** One relay as a process of its own, or in a thread of its own: its thread, its signals, its end. */
 public final class Node implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-    /**
-     * ms from SIGTERM: clients are served on for the first, all is over by the second (SIGKILL may come at
-     * 3.7 s).
-     */
-    private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
-    private static final long LOOK = 20;
 
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final CountDownLatch left = new CountDownLatch(1);
-    private final Journal journal;
-    private Loop loop;
-    private Server server;
-    private Channel listener;
+    private final Instance instance;
+    private final InetSocketAddress address;
 
     /** Takes up what the journal holds, and serves. */
     public Node(Config config) throws IOException, InterruptedException, ExecutionException {
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
-        ChannelFuture bound = thread.submit(() -> begin(config)).get();
-        listener = bound.channel();
+        Journal journal = new Journal(config.state(), config.diskBytes(),
+            config.settings().allowed().attempts());
+        int owed = journal.owed().size();
+        instance = thread.submit(() -> new Instance(Machine.real(thread), config, journal)).get();
+        ChannelFuture bound = instance.bound();
         bound.get();
-        LOG.info("serving on {}, {} messages taken up", address(), journal.owed().size());
+        address = (InetSocketAddress) bound.channel().localAddress();
+        LOG.info("serving on {}, {} messages taken up", address, owed);
     }
 
     /** Serves until the process is told to end; 2 where the configuration is of no use. */
@@ -114,74 +98,41 @@
     public void reload(Map<String, String> env) {
         thread.execute(() -> {
             try {
-                loop.discoveryAt(Config.readAgain(env).discovery());
+                instance.discoveryAt(Config.readAgain(env).discovery());
             } catch (Config.Unusable e) {
                 LOG.warn("the configuration stays as it was: {}", e.getMessage());
             }
         });
     }
 
-    private ChannelFuture begin(Config config) throws Wire.Malformed {
-        Bootstrap calls = new Bootstrap().group(thread)
-            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
-        HostList hosts = new HostList(config.zones(), config.kinds());
-        HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive());
-        loop = new Loop(thread, config.seed(), config.settings(), hosts, pool, journal);
-        Discovery discovery = new Discovery(thread, calls, config.discovery(), hosts, loop::listed,
-            loop::noticed);
-        loop.start(discovery, config.known().values().isEmpty() ? null : hosts.update(config.known()));
-        server = new Server(loop, thread, config.sockets() / 2);
-        ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(server);
-        return bootstrap.bind(config.listen());
-    }
-
     /** The address that clients connect to. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return address;
     }
 
     /** True when nothing is owed any more. */
     public boolean idle() throws InterruptedException, ExecutionException {
-        return thread.submit(loop::idle).get();
+        return thread.submit(instance::idle).get();
     }
 
-    /**
-     * The orderly end: connections are served until clients have turned away, then what is held is worked
-     * off. What is left stays in the journal, as it does when the process is killed.
-     */
+    /** The orderly end; returns when it is over. */
     public void leave() {
-        long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
+        CountDownLatch over = new CountDownLatch(1);
+        thread.execute(() -> instance.leave(over::countDown));
         try {
-            thread.execute(server::leave);
-            Thread.sleep(SERVE_ON);
-            thread.submit(() -> {
-                listener.close();
-                server.closeClients();
-            }).get();
-            while (System.nanoTime() < by && !idle()) {
-                Thread.sleep(LOOK);
-            }
-        } catch (InterruptedException | ExecutionException e) {
+            over.await();
+        } catch (InterruptedException e) {
             LOG.error("left at once", e);
         }
         close();
     }
 
     /** The abrupt end: what is owed stays in the journal. */
-
     @Override
     public void close() {
-        thread.submit(loop::stop).awaitUninterruptibly();
-        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
-        try {
-            journal.close();
-        } catch (IOException e) {
-            LOG.error("journal not closed", e);
+        if (!group.isShuttingDown()) {
+            thread.submit(instance::stop).awaitUninterruptibly();
+            group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         }
         left.countDown();
     }
--- a/src/main/java/brambletray/serve/WarmUp.java
+++ b/src/main/java/brambletray/serve/WarmUp.java
@@ -1,5 +1,6 @@
 package brambletray.serve;
 
+import brambletray.runtime.Clock;
 import brambletray.wire.Wire;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -81,9 +82,10 @@
     /** Hands messages in, one at a time, on a connection for every few of them. */
     private static void play(Config config, InetSocketAddress relay) throws IOException {
         String name = config.settings().classes().get(0).name();
-        long by = System.nanoTime() + TIME_MOST;
+        Clock clock = Clock.system();
+        long by = clock.nanos() + TIME_MOST;
         int sent = 0;
-        while (sent < MESSAGES && System.nanoTime() < by) {
+        while (sent < MESSAGES && clock.nanos() < by) {
             try (Socket socket = new Socket(relay.getAddress(), relay.getPort())) {
                 socket.setSoTimeout(SILENT_MOST_MS);
                 for (int i = 0; i < 10; i++) {
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -20,6 +20,7 @@
 
     /** From the bottom up; a package may use those before it, and none of those after it. */
     private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.message",
+        "brambletray.runtime",
         "brambletray.wire", "brambletray.journal", "brambletray.core", "brambletray.http..",
         "brambletray.membership", "brambletray.serve", "brambletray.simhost");
 
@@ -47,6 +48,14 @@
                 "java.util.function", "java.util.stream", "java.lang.invoke", "java.lang.runtime")))).check(CODE);
     }
 
+    /** Time comes from one clock: only that one reads the machine's. */
+    @Test
+    void onlyTheClockReadsTheMachinesTime() {
+        noClasses().that().haveNameNotMatching("brambletray.runtime.Clock").should()
+            .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().callMethod(Thread.class, "sleep", long.class).check(CODE);
+    }
+
     @Test
     void sourcesAndProtocolsDoNotKnowEachOther() {
         noClasses().that().resideInAPackage("brambletray.http..").should().dependOnClassesThat()
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -6,9 +6,9 @@
 import brambletray.core.Host;
 import brambletray.core.Reply;
 import brambletray.message.Message;
+import brambletray.runtime.Machine;
 import brambletray.stub.HostStub;
 import brambletray.stub.PlatformStub;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
@@ -40,7 +40,7 @@
     }
 
     private HostPool pool(long keepAlive) {
-        return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive);
+        return new HostPool(Machine.real(group.next()), LONG, keepAlive);
     }
 
     private HostPool.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
