The whole relay in simulated time against emulated partners, from a YAML script

Nothing we owned behaved like a partner: cold, full, paused, collapsing; and no run of the relay could be repeated.

simulation: many machines on one thread, each with a manual event loop and one shared ticker, and a network that delays, refuses, goes silent, resets and cuts after any byte; a hash over every event with its time. emulator: partners as pure state machines (servers, queue, limits, told waits, load reports, connections, keys, warmth and collapse) and a ledger of the ground truth. yaml and script: scripts checked whole with line and column. partners: the emulated endpoints and the agent over HTTP on either kind of machine. stage: relays, partners, agents, clients and the score together.

--- a/src/main/java/brambletray/runtime/Clock.java
+++ b/src/main/java/brambletray/runtime/Clock.java
@@ -4,9 +4,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The one clock of a relay: the ticker of its event loop, and a wall clock that is read once and moves on with
- * the ticker. So time stamps and timers never disagree, a step of the machine's wall clock moves no deadline of
- * a running relay, and in simulated time both stand still until they are moved.
+ * The one clock of a relay: the ticker of its event loop, and a wall clock that is read once and moves on
+ * with the ticker. So time stamps and timers never disagree, a step of the machine's wall clock moves no
+ * deadline of a running relay, and in simulated time both stand still until they are moved.
  */
 public final class Clock {
     private final Ticker ticker;
--- /dev/null
+++ b/src/main/java/brambletray/script/ScriptReader.java
@@ -0,0 +1,388 @@
+package brambletray.script;
+
+import brambletray.emulator.Endpoint;
+import brambletray.emulator.Law;
+import brambletray.emulator.Limit;
+import brambletray.emulator.PartnerSpec;
+import brambletray.emulator.Step;
+import brambletray.yaml.Faults;
+import brambletray.yaml.Section;
+import brambletray.yaml.YamlFile;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Reads scripts: the format is on the page docs/emulator.md. The whole file is checked before any of it
+ * counts.
+ */
+public final class ScriptReader {
+    private static final double DAY_S = 86_400, MS_MOST = 86_400_000, RATE_MOST = 1_000_000;
+    private static final int PARTNERS_MOST = 10_000, ENDPOINTS_MOST = 100;
+    /** Scripts that come with the program. */
+    public static final List<String> BUILT_IN = List.of("demo", "quiet-night", "first-night", "second-night",
+        "third-night", "check");
+
+    private final YamlFile file;
+    private final Section root;
+    private final Map<String, Section> kinds = new LinkedHashMap<>();
+    private final Map<String, List<String>> places = new LinkedHashMap<>();
+    private final Set<Long> destinations = new HashSet<>();
+
+    private ScriptReader(YamlFile.Content content) {
+        this.file = content.file();
+        this.root = content.root();
+    }
+
+    /** Reads a file, or a script that comes with the program if there is no file of that name. */
+    public static Script read(String nameOrPath) throws Faults, IOException {
+        Path path = Path.of(nameOrPath);
+        if (!Files.exists(path) && BUILT_IN.contains(nameOrPath)) {
+            return builtIn(nameOrPath);
+        }
+        return new ScriptReader(YamlFile.read(path)).script();
+    }
+
+    /** A script that comes with the program. */
+    public static Script builtIn(String name) throws Faults, IOException {
+        try (InputStream in = ScriptReader.class.getResourceAsStream("/scripts/" + name + ".yaml")) {
+            return parse(name + ".yaml", new String(in.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    /** Reads a text; {@code name} stands before each fault. */
+    public static Script parse(String name, String text) throws Faults {
+        return new ScriptReader(YamlFile.parse(name, text)).script();
+    }
+
+    private Script script() throws Faults {
+        String name = root.text("name");
+        String about = root.text("about", "");
+        long seed = root.whole("seed", 1, 0, Integer.MAX_VALUE);
+        long length = seconds(root.number("length_s", 0.1, DAY_S));
+        Script.Fleet fleet = fleet(root.section("fleet", false));
+        Script.Traffic traffic = traffic(root.section("traffic", false), length);
+        List<Script.MessageClass> classes = new ArrayList<>();
+        for (Section c : root.sections("classes", false)) {
+            classes.add(messageClass(c));
+        }
+        if (classes.isEmpty()) {
+            classes.add(new Script.MessageClass("bill-post", 1, 2_000, 16_000, "keyed", 15_000, 0.3));
+        }
+        for (Section kind : root.sections("kinds", false)) {
+            if (kinds.putIfAbsent(kind.text("name"), kind) != null) {
+                kind.fault("name", "stands here twice");
+            }
+        }
+        List<PartnerSpec> partners = new ArrayList<>();
+        List<Section> sections = root.sections("partners", true);
+        for (Section p : sections) {
+            partners(p, fleet, partners);
+        }
+        if (partners.isEmpty() && !sections.isEmpty()) {
+            root.fault("partners", "expected one partner at least");
+        }
+        kinds.values().forEach(kind -> checkKind(kind));
+        List<Step> steps = new ArrayList<>();
+        for (Section event : root.sections("events", false)) {
+            Step step = step(event, length);
+            if (step != null) {
+                steps.add(step);
+            }
+        }
+        Section check = root.section("check", false);
+        Script.Check load = new Script.Check(check.number("per_s", 5, 0.01, RATE_MOST),
+            check.number("bound_percent", 5, 0.1, 100), check.whole("connections", 256, 1, 4_096));
+        check.done();
+        root.done();
+        file.check();
+        return new Script(name, about, seed, length, fleet, traffic, List.copyOf(classes),
+            List.copyOf(partners), List.copyOf(steps), load);
+    }
+
+    private static long seconds(double s) {
+        return Math.round(s * 1e9);
+    }
+
+    private static long millis(double ms) {
+        return Math.round(ms * 1e6);
+    }
+
+    private Script.Fleet fleet(Section s) {
+        List<String> zones = s.texts("zones", false);
+        Script.Fleet fleet = new Script.Fleet(s.whole("relays", 1, 1, 300), s.whole("slots", 24, 1, 10_000),
+            s.whole("open", 200, 1, 1_000_000), zones.isEmpty() ? List.of("here") : zones,
+            millis(s.number("same_zone_ms", 0.5, 0, 60_000)), millis(s.number("cross_zone_ms", 0.5, 0,
+                60_000)),
+            s.number("jitter", 0.2, 0, 10));
+        s.done();
+        return fleet;
+    }
+
+    private Script.Traffic traffic(Section s, long length) {
+        long from = seconds(s.number("from_s", 0, 0, DAY_S));
+        Script.Traffic traffic = new Script.Traffic(s.number("per_s", 46, 0, RATE_MOST),
+            s.number("swing", 0, 0, 1), seconds(s.number("period_s", 30, 0.1, DAY_S)), from,
+            seconds(s.number("until_s", length / 1e9, 0, DAY_S)), s.whole("retries", 1, 0, 10),
+            s.number("honour", 0.7, 0, 1), s.whole("body_bytes", 200, 0, 64 * 1024));
+        s.done();
+        return traffic;
+    }
+
+    private Script.MessageClass messageClass(Section s) {
+        long limit = Math.round(s.number("limit_ms", 16_000, 1, 3_600_000));
+        Script.MessageClass c = new Script.MessageClass(s.text("name"), s.number("share", 1, 0, 1_000),
+            Math.round(s.number("aim_ms", 2_000, 1, 3_600_000)), limit,
+            s.word("effect", "keyed", "safe", "keyed", "unsafe"),
+            Math.round(s.number("window_ms", 15_000, 0, 3_600_000)), s.number("late_worth", 0.3, 0, 1));
+        if (!c.name().matches("[A-Za-z0-9._-]+")) {
+            s.fault("name", "expected letters, digits, '.', '_' and '-' only");
+        }
+        if (c.aim() > c.limit()) {
+            s.fault("aim_ms", "expected no more than limit_ms");
+        }
+        s.done();
+        return c;
+    }
+
+    // ---- Partners -------------------------------------------------------------------------------
+    private void partners(Section s, Script.Fleet fleet, List<PartnerSpec> all) {
+        String name = s.text("name");
+        int count = s.whole("count", 1, 1, PARTNERS_MOST);
+        int endpoints = s.whole("endpoints", 1, 1, ENDPOINTS_MOST);
+        for (int i = 1; i <= count && all.size() < PARTNERS_MOST; i++) {
+            all.add(partner(s, count == 1 ? name : name + "-" + i, endpoints, fleet, all.size()));
+        }
+        s.done();
+    }
+
+    private PartnerSpec partner(Section s, String name, int endpoints, Script.Fleet fleet, int index) {
+        if (places.containsKey(name)) {
+            s.fault("name", "'" + name + "' stands here twice");
+        }
+        String kindName = s.text("kind", "partner");
+        Section kind = kinds.get(kindName);
+        if (kind == null && s.has("kind") && !kinds.isEmpty()) {
+            s.fault("kind", "expected one of " + String.join(", ", kinds.keySet()));
+        }
+        long destination = s.whole("destination", index + 1, 1, Integer.MAX_VALUE);
+        if (!destinations.add(destination)) {
+            s.fault("destination", destination + " belongs to another partner");
+        }
+        List<PartnerSpec.EndpointSpec> specs = new ArrayList<>();
+        List<String> names = new ArrayList<>();
+        for (int e = 1; e <= endpoints; e++) {
+            String zone = fleet.zones().get((index + e) % fleet.zones().size());
+            String endpoint = endpoints == 1 ? name : name + "." + e;
+            specs.add(new PartnerSpec.EndpointSpec(endpoint, zone));
+            names.add(endpoint);
+            places.put(endpoint, List.of(endpoint));
+        }
+        places.put(name, names);
+        double traffic = s.number("traffic", 1, 0, 1_000_000);
+        Law law = law(from(s, kind, "service"));
+        int servers = (int) from(s, kind, "servers").number("servers", 4, 1, 10_000);
+        int queue = (int) from(s, kind, "queue").number("queue", 16, 0, 1_000_000);
+        Limit limit = limit(from(s, kind, "limit"));
+        PartnerSpec.Waits waits = waits(from(s, kind, "told_waits"));
+        PartnerSpec.Reports reports = reports(from(s, kind, "reports"));
+        PartnerSpec.Connections connections = connections(from(s, kind, "connections"));
+        PartnerSpec.Keys keys = keys(from(s, kind, "keys"));
+        PartnerSpec.Cold cold = cold(from(s, kind, "cold"));
+        boolean apart = from(s, kind, "routes_apart").flag("routes_apart", true);
+        PartnerSpec.Abandoned abandoned = switch (from(s, kind, "abandoned")
+            .word("abandoned", "runs", "runs", "dropped_in_queue", "dropped")) {
+            case "dropped" -> PartnerSpec.Abandoned.DROPPED;
+            case "dropped_in_queue" -> PartnerSpec.Abandoned.DROPPED_IN_QUEUE;
+            default -> PartnerSpec.Abandoned.RUNS;
+        };
+        double capacity = servers * 1e9 / law.mean();
+        double rate = limit.perSecond() > 0 ? Math.min(capacity, limit.perSecond()) : capacity;
+        double listed = from(s, kind, "listed_per_s").number("listed_per_s", rate, 0.001, RATE_MOST);
+        return new PartnerSpec(name, destination, kindName, traffic, apart, servers, law, queue, limit, waits,
+            reports, connections, keys, cold, abandoned, listed, specs);
+    }
+
+    /**
+     * The section that has a field: the partner's own, else its kind's, else the partner's, for the
+     * default.
+     */
+    private static Section from(Section partner, Section kind, String field) {
+        return partner.has(field) || kind == null || !kind.has(field) ? partner : kind;
+    }
+
+    /** A kind that no partner uses is read once, so that its faults are told and its fields known. */
+    private void checkKind(Section kind) {
+        law(kind);
+        kind.number("servers", 4, 1, 10_000);
+        kind.number("queue", 16, 0, 1_000_000);
+        limit(kind);
+        waits(kind);
+        reports(kind);
+        connections(kind);
+        keys(kind);
+        cold(kind);
+        kind.flag("routes_apart", true);
+        kind.word("abandoned", "runs", "runs", "dropped_in_queue", "dropped");
+        kind.number("listed_per_s", 1, 0.001, RATE_MOST);
+        kind.done();
+    }
+
+    private static Law law(Section from) {
+        Section s = from.section("service", false);
+        String law = s.word("law", "exponential", "constant", "exponential", "lognormal");
+        double mean = s.number("mean_ms", 140, 0.001, MS_MOST) * 1e6;
+        double cv = s.number("cv", 0.3, 0, 100);
+        if (s.has("cv") && !law.equals("lognormal")) {
+            s.fault("cv", "expected with law lognormal only");
+        }
+        s.done();
+        return switch (law) {
+            case "constant" -> new Law.Constant(mean);
+            case "lognormal" -> new Law.LogNormal(mean, cv);
+            default -> new Law.Exponential(mean);
+        };
+    }
+
+    private static Limit limit(Section from) {
+        if (!from.has("limit")) {
+            from.section("limit", false);
+            return new Limit.None();
+        }
+        Section s = from.section("limit", true);
+        boolean refusedUse = s.flag("refused_use", false);
+        Limit limit;
+        if (s.has("per_s") == s.has("count")) {
+            s.fault("per_s", "expected either per_s (with burst) or count (with span_ms)");
+        }
+        if (s.has("count")) {
+            limit = new Limit.Span(s.whole("count", 1, 1, 1_000_000), millis(s.number("span_ms", 1_000, 1,
+                MS_MOST)),
+                refusedUse);
+        } else {
+            double rate = s.number("per_s", 0.001, RATE_MOST);
+            limit = new Limit.Rate(rate, s.number("burst", Math.max(1, rate / 4), 1, RATE_MOST), refusedUse);
+        }
+        s.done();
+        return limit;
+    }
+
+    private static PartnerSpec.Waits waits(Section from) {
+        Section s = from.section("told_waits", false);
+        double least = s.number("least_ms", 0, 0, MS_MOST);
+        double most = s.number("most_ms", least, 0, MS_MOST);
+        if (most < least) {
+            s.fault("most_ms", "expected no less than least_ms");
+        }
+        PartnerSpec.Waits waits = new PartnerSpec.Waits(s.number("share", 0.5, 0, 1), millis(least),
+            millis(Math.max(least, most)));
+        s.done();
+        return waits;
+    }
+
+    private static PartnerSpec.Reports reports(Section from) {
+        boolean there = from.has("reports");
+        Section s = from.section("reports", false);
+        PartnerSpec.Reports reports = new PartnerSpec.Reports(millis(s.number("refresh_ms", 400, 1, MS_MOST)),
+            millis(s.number("delay_ms", 0, 0, 60_000)));
+        s.done();
+        return there ? reports : null;
+    }
+
+    private static PartnerSpec.Connections connections(Section from) {
+        Section s = from.section("connections", false);
+        PartnerSpec.Connections connections = new PartnerSpec.Connections(s.whole("cap", 1_000, 1, 1_000_000),
+            millis(s.number("handshake_ms", 0, 0, 60_000)), millis(s.number("idle_ms", 15_000, 1, MS_MOST)));
+        s.done();
+        return connections;
+    }
+
+    private static PartnerSpec.Keys keys(Section from) {
+        Section s = from.section("keys", false);
+        PartnerSpec.Keys keys = new PartnerSpec.Keys(millis(s.number("window_ms", 15_000, 0, MS_MOST)),
+            s.word("group", "all", "all", "zone").equals("zone"));
+        s.done();
+        return keys;
+    }
+
+    private static PartnerSpec.Cold cold(Section from) {
+        Section s = from.section("cold", false);
+        PartnerSpec.Cold cold = new PartnerSpec.Cold(s.number("from", 0.19, 0.01, 1),
+            millis(s.number("warm_ms", 12_000, 1, MS_MOST)), s.number("multiple", 2, 1, 1_000),
+            millis(s.number("fall_ms", 3_000, 1, MS_MOST)), s.number("slack_calls", 4, 0, 1_000_000));
+        s.done();
+        return cold;
+    }
+
+    // ---- Events ---------------------------------------------------------------------------------
+    private Step step(Section s, long length) {
+        long at = seconds(s.number("at_s", 0, DAY_S));
+        if (at > length) {
+            s.fault("at_s", "expected no more than length_s");
+        }
+        long span = seconds(s.number("for_s", 0, 0, DAY_S));
+        String word = s.word("do", null, "shut", "down", "vanish", "hang", "pause", "slow", "spoil", "drain",
+            "leave", "return", "replace", "list_late", "list_stalled", "list_moved");
+        boolean needsEnd = !Set.of("drain", "leave", "return", "replace", "list_moved").contains(word);
+        if (needsEnd && span <= 0) {
+            s.fault("for_s", "expected a time above 0 for " + word);
+        }
+        if (Set.of("return", "replace", "list_moved").contains(word) && span > 0) {
+            s.fault("for_s", word + " has no end");
+        }
+        Step.What what = switch (word) {
+            case "shut" -> new Step.Shut(s.flag("told_waits", true));
+            case "down" -> new Step.Down();
+            case "vanish" -> new Step.Vanish();
+            case "hang" -> new Step.Hang();
+            case "pause" -> new Step.Pause(s.word("answers", "late", "late", "never").equals("never"));
+            case "slow" -> new Step.Slow(s.number("factor", 0.01, 1_000));
+            case "spoil" -> new Step.Spoil(spoils(s));
+            case "drain" -> new Step.Drain(s.flag("refuses", false));
+            case "leave" -> new Step.Leave();
+            case "return" -> new Step.Return();
+            case "replace" -> new Step.Replace();
+            case "list_late" -> new Step.ListLate(seconds(s.number("by_s", 0, 3_600)));
+            case "list_moved" -> new Step.ListMoved();
+            default -> new Step.ListStalled();
+        };
+        List<String> on = word.startsWith("list_") ? List.of() : endpoints(s);
+        s.done();
+        return new Step(at, at + span, on, what, s.line());
+    }
+
+    private static Endpoint.Spoils spoils(Section s) {
+        Endpoint.Spoils spoils = new Endpoint.Spoils(s.number("failed", 0, 0, 1), s.number("reset_before",
+            0, 0, 1),
+            s.number("reset_after", 0, 0, 1), s.number("spoilt", 0, 0, 1));
+        double all = spoils.failed() + spoils.resetBefore() + spoils.resetAfter() + spoils.spoilt();
+        if (all <= 0 || all > 1) {
+            s.fault("do", "expected failed, reset_before, reset_after, spoilt with a sum above 0, up to 1");
+        }
+        return spoils;
+    }
+
+    /** Names of endpoints, partners or kinds, or all; each endpoint once, in the order of the script. */
+    private List<String> endpoints(Section s) {
+        Set<String> all = new LinkedHashSet<>();
+        for (String name : s.texts("on", true)) {
+            if (name.equals("all")) {
+                places.values().forEach(all::addAll);
+            } else if (places.containsKey(name)) {
+                all.addAll(places.get(name));
+            } else {
+                s.fault("on", "no partner or endpoint is called '" + name + "'");
+            }
+        }
+        return List.copyOf(all);
+    }
+}
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -51,7 +51,7 @@
     }
 
     /** Done once it listens; its channel's local address is where clients connect. */
-    ChannelFuture bound() {
+    public ChannelFuture bound() {
         return bound;
     }
 
@@ -61,7 +61,7 @@
     }
 
     /** Discovery is at another address from now on. */
-    void discoveryAt(InetSocketAddress agent) {
+    public void discoveryAt(InetSocketAddress agent) {
         loop.discoveryAt(agent);
     }
 
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Its process has been killed: nothing of it runs any more, and only the file has to be let go. */
+    public void abandon() throws IOException {
+        journal.close();
+    }
+
     /** The abrupt end: nothing more is decided or written down; what is owed stays in the journal. */
     public void stop() {
         loop.stop();
--- /dev/null
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -0,0 +1,209 @@
+package brambletray.simulation;
+
+import io.netty.channel.EventLoop;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * A network between simulated machines that does to TCP what real ones do: it takes time, refuses, goes
+ * silent, resets, and cuts a connection after any byte. One thread.
+ *
+ * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
+ * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
+ * not: loss and retransmission, congestion, MTU beyond {@link #segment}.
+ */
+public final class SimNetwork {
+    /** Bytes that may be on the way or unread in one direction of a connection. */
+    static final int WINDOW = 64 * 1024;
+    /** Kinds of events in the trace. */
+    static final int SYN = 1, ACCEPTED = 2, REFUSED = 3, DATA = 4, FIN = 5, RST = 6;
+
+    /** How long the way takes between two machines; {@code jitter}: up to this share longer, at random. */
+    public record Way(long nanos, double jitter) { }
+
+    private final Simulation simulation;
+    private final SplittableRandom random;
+    private final Map<InetSocketAddress, SimServerChannel> listeners = new HashMap<>();
+    private final Map<List<InetAddress>, Way> ways = new HashMap<>();
+    private final Set<InetAddress> vanished = new LinkedHashSet<>();
+    private final Set<SimChannel> open = new LinkedHashSet<>();
+    private Way usual = new Way(0, 0);
+    private BiConsumer<SimChannel, SimChannel> whenConnected = (client, server) -> { };
+    private int segment = WINDOW;
+    private int nextPort = 32_768;
+    private int nextId;
+
+    SimNetwork(Simulation simulation, SplittableRandom random) {
+        this.simulation = simulation;
+        this.random = random;
+    }
+
+    /** The way between machines for which none of their own is set. */
+    public void usual(Way way) {
+        usual = way;
+    }
+
+    /** The way from one machine to another, in this direction. */
+    public void way(InetAddress from, InetAddress to, Way way) {
+        ways.put(List.of(from, to), way);
+    }
+
+    /** Bytes at most that arrive in one piece; 1 brings every byte by itself. */
+    public void segment(int most) {
+        segment = most;
+    }
+
+    /**
+     * Told of each new connection (the client's end, the server's end) before any byte has passed: the
+     * place to arm {@link SimChannel#cutAfter}.
+     */
+    public void whenConnected(BiConsumer<SimChannel, SimChannel> told) {
+        whenConnected = told;
+    }
+
+    /** The machine is gone without a word: open connections stay silent, new ones never come up. */
+    public void vanish(InetAddress machine) {
+        vanished.add(machine);
+    }
+
+    /** It is back: what was open there is reset, new connections come up. */
+    public void comeBack(InetAddress machine) {
+        vanished.remove(machine);
+        for (SimChannel channel : List.copyOf(open)) {
+            if (channel.home().equals(machine)) {
+                channel.breakBoth();
+            }
+        }
+    }
+
+    boolean silent(InetAddress one, InetAddress other) {
+        return vanished.contains(one) || vanished.contains(other);
+    }
+
+    /** Open ends of connections, both ends counted. */
+    public int openEnds() {
+        return open.size();
+    }
+
+    void opened(SimChannel channel) {
+        open.add(channel);
+    }
+
+    void closed(SimChannel channel) {
+        open.remove(channel);
+    }
+
+    int nextId() {
+        return ++nextId;
+    }
+
+    /** Ephemeral ports are handed out in turn. */
+    InetSocketAddress ephemeral(InetAddress machine) {
+        nextPort = nextPort >= 60_999 ? 32_768 : nextPort + 1;
+        return new InetSocketAddress(machine, nextPort);
+    }
+
+    void bind(InetSocketAddress address, SimServerChannel listener) throws ConnectException {
+        if (listeners.putIfAbsent(address, listener) != null) {
+            throw new ConnectException("Address already in use: " + address);
+        }
+    }
+
+    void unbind(InetSocketAddress address, SimServerChannel listener) {
+        listeners.remove(address, listener);
+    }
+
+    /** A port of this machine on which nothing listens. */
+    InetSocketAddress free(InetSocketAddress wanted) {
+        InetSocketAddress address = wanted;
+        while (address.getPort() == 0 || wanted.getPort() == 0 && listeners.containsKey(address)) {
+            address = ephemeral(wanted.getAddress());
+        }
+        return address;
+    }
+
+    private long latency(InetAddress from, InetAddress to) {
+        Way way = ways.getOrDefault(List.of(from, to), usual);
+        return way.nanos() + (way.jitter() > 0 ? (long) (way.nanos() * way.jitter() * random.nextDouble())
+            : 0);
+    }
+
+    /** Does something at the other end, after the way there; what one end sends arrives in order. */
+    void carry(SimChannel from, SimChannel to, Runnable arrival) {
+        long now = simulation.clock().nanos();
+        long at = Math.max(to.lastArrival, now + latency(from.home(), to.home()));
+        to.lastArrival = at;
+        to.eventLoop().schedule(arrival, at - now, TimeUnit.NANOSECONDS);
+    }
+
+    /** Brings a connection up, or refuses it; a machine that has vanished does neither. */
+    void connect(SimChannel client, InetSocketAddress to) {
+        long there = latency(client.home(), to.getAddress());
+        simulation.note(SYN, client.number(), to.getPort(), new byte[0]);
+        client.eventLoop().schedule(() -> arrived(client, to), there, TimeUnit.NANOSECONDS);
+    }
+
+    private void arrived(SimChannel client, InetSocketAddress to) {
+        if (!client.isOpen() || silent(client.home(), to.getAddress())) {
+            return;
+        }
+        long back = latency(to.getAddress(), client.home());
+        SimServerChannel listener = listeners.get(to);
+        if (listener == null) {
+            simulation.note(REFUSED, client.number(), to.getPort(), new byte[0]);
+            client.eventLoop().schedule(() -> client.refused(new ConnectException("Connection refused: "
+                + to)),
+                back, TimeUnit.NANOSECONDS);
+            return;
+        }
+        SimChannel server = new SimChannel(this, listener, client, to);
+        simulation.note(ACCEPTED, client.number(), server.number(), new byte[0]);
+        client.join(server);
+        opened(client);
+        opened(server);
+        whenConnected.accept(client, server);
+        client.lastArrival = simulation.clock().nanos() + back;
+        listener.accept(server, () -> client.eventLoop()
+            .schedule(client::established, back, TimeUnit.NANOSECONDS));
+    }
+
+    int segment() {
+        return segment;
+    }
+
+    void note(int kind, SimChannel from, SimChannel to, byte[] bytes) {
+        simulation.note(kind, from.number(), to.number(), bytes);
+    }
+
+    /** The process behind a loop has been killed. */
+    void resetAll(EventLoop loop) {
+        listeners.values().removeIf(listener -> listener.eventLoop() == loop);
+        for (SimChannel channel : List.copyOf(open)) {
+            if (channel.isRegistered() && channel.eventLoop() == loop) {
+                closed(channel);
+                channel.dead();
+            }
+        }
+    }
+
+    /** Ends of connections whose home is this machine, in the order in which they were opened. */
+    public List<SimChannel> at(InetAddress machine) {
+        List<SimChannel> there = new ArrayList<>();
+        for (SimChannel channel : open) {
+            if (channel.home().equals(machine)) {
+                there.add(channel);
+            }
+        }
+        return there;
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/stage/Scene.java
@@ -0,0 +1,235 @@
+package brambletray.stage;
+
+import brambletray.control.Relay;
+import brambletray.emulator.Endpoint;
+import brambletray.emulator.Ledger;
+import brambletray.emulator.PartnerSpec;
+import brambletray.emulator.Step;
+import brambletray.emulator.World;
+import brambletray.partners.Agent;
+import brambletray.partners.PartnerFront;
+import brambletray.partners.Registry;
+import brambletray.runtime.Machine;
+import brambletray.script.Script;
+import brambletray.serve.Config;
+import brambletray.wire.Wire;
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * All that is round the relays of one script, on one machine: partners, an agent beside each relay,
+ * clients, and the score. The relays run elsewhere and know nothing of it.
+ */
+public final class Scene {
+    /** How long after a change the list of an agent has it, as long as the script says nothing else; ns. */
+    private static final long LIST_LAG = 1_000_000_000L;
+    private static final long MS = 1_000;
+    private static final int ATTEMPTS = 12, CONNECT_MS = 1_500, ADVICE_MS = 3_000;
+
+    /** Where things listen; port 0 for any that is free. */
+    public interface Plan {
+        InetSocketAddress partner(int index);
+
+        InetSocketAddress agent(int relay);
+
+        /** The address from which this relay's calls come, as text. */
+        String caller(int relay);
+    }
+
+    private final Machine machine;
+    private final Script script;
+    private final Plan plan;
+    private final World world;
+    private final Ledger ledger;
+    private final PartnerFront front;
+    private final Score score;
+    private final Crowd crowd;
+    private final List<Registry> registries = new ArrayList<>();
+    private final List<Agent> agents = new ArrayList<>();
+    private BiConsumer<Integer, InetSocketAddress> whenAgentMoved = (relay, address) -> { };
+    private final long seed;
+
+    /** {@code seed}: for all chance round the relays; the script's own is mixed in. */
+    public Scene(Machine machine, Script script, long seed, Plan plan) {
+        this.machine = machine;
+        this.script = script;
+        this.seed = seed;
+        this.plan = plan;
+        SplittableRandom seeds = new SplittableRandom(seed * 31 + script.seed());
+        ledger = new Ledger(250 * 1_000_000L, Score::line);
+        world = new World(script.partners(), script.steps(), ledger, seeds.nextLong());
+        front = new PartnerFront(machine, world);
+        score = new Score(ledger);
+        crowd = new Crowd(machine, script, score, front::now, seeds.nextLong());
+    }
+
+    /** Binds partners and agents; done when each listens. */
+    public List<ChannelFuture> listen() {
+        List<Endpoint> endpoints = world.endpoints();
+        return front.listen(e -> plan.partner(endpoints.indexOf(e)));
+    }
+
+    /** Binds the agents, once the partners listen. */
+    public List<ChannelFuture> listenAgents() {
+        List<ChannelFuture> bound = new ArrayList<>();
+        for (int i = 0; i < script.fleet().relays(); i++) {
+            Registry registry = new Registry(world, front::address, front::now, LIST_LAG);
+            registries.add(registry);
+            Agent agent = agent(i);
+            agents.add(agent);
+            bound.add(agent.listen(plan.agent(i)));
+            int relay = i;
+            registry.whenMoved(() -> move(relay));
+        }
+        world.watch(new World.ListWatcher() {
+            @Override
+            public void listed(Endpoint endpoint, String host, String health, long born) {
+                registries.forEach(r -> r.listed(endpoint, host, health, born));
+            }
+
+            @Override
+            public void late(long by) {
+                registries.forEach(r -> r.late(by));
+            }
+
+            @Override
+            public void stalled(boolean silent) {
+                registries.forEach(r -> r.stalled(silent));
+            }
+
+            @Override
+            public void moved() {
+                registries.forEach(Registry::moved);
+            }
+        });
+        return bound;
+    }
+
+    private Agent agent(int relay) {
+        return new Agent(machine, registries.get(relay), ledger, plan.caller(relay), front::now,
+            (caller, message, handedBack, retryIn) -> crowd.noticed(message, handedBack, retryIn));
+    }
+
+    /** The agent of a relay goes to another address; the old one ends 1.5 s later. */
+    private void move(int relay) {
+        Agent old = agents.get(relay);
+        Agent fresh = agent(relay);
+        agents.set(relay, fresh);
+        fresh.listen(plan.agent(relay)).addListener(done -> {
+            whenAgentMoved.accept(relay, fresh.address());
+            machine.loop().schedule(old::close, 1_500, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /**
+     * Told when an agent has moved, with the relay's number and the agent's address: a relay has to be
+     * told.
+     */
+    public void whenAgentMoved(BiConsumer<Integer, InetSocketAddress> told) {
+        whenAgentMoved = told;
+    }
+
+    /** Told of each of the script's events as it begins. */
+    public void whenBegun(Consumer<Step> told) {
+        front.whenBegun(told);
+    }
+
+    /** See {@link PartnerFront#silence}. */
+    public void silence(BiConsumer<InetSocketAddress, Boolean> how) {
+        front.silence(how);
+    }
+
+    /** What a relay is told at its start; {@code listen}: where its clients connect. */
+    public Config config(int relay, Path state, InetSocketAddress listen, int sockets, long diskBytes)
+        throws Config.Unusable, Wire.Malformed {
+        Script.Fleet fleet = script.fleet();
+        List<String> kinds = script.partners().stream().map(PartnerSpec::kind).distinct().toList();
+        List<Relay.Kind> kindSettings = new ArrayList<>();
+        for (String kind : kinds) {
+            boolean apart = script.partners().stream().filter(p -> p.kind().equals(kind))
+                .allMatch(PartnerSpec::apart);
+            kindSettings.add(new Relay.Kind(apart, 1));
+        }
+        List<Relay.MessageClass> classes = new ArrayList<>();
+        for (Script.MessageClass c : script.classes()) {
+            Relay.Effect effect = switch (c.effect()) {
+                case "safe" -> Relay.Effect.SAFE;
+                case "unsafe" -> Relay.Effect.UNSAFE;
+                default -> Relay.Effect.KEYED;
+            };
+            boolean byZone = script.partners().stream().anyMatch(p -> p.keys().byZone());
+            classes.add(new Relay.MessageClass(c.name(), c.aim() * MS, c.limit() * MS, 1, c.lateWorth(),
+                effect,
+                byZone, c.window() * MS, false));
+        }
+        long idle = script.partners().stream().mapToLong(p -> p.connections().idle()).min().orElse(0);
+        long fall = script.partners().stream().mapToLong(p -> p.cold().fall()).min().orElse(0);
+        long warm = script.partners().stream().mapToLong(p -> p.cold().warm()).max().orElse(0);
+        double multiple = script.partners().stream().mapToDouble(p -> p.cold().multiple()).min().orElse(1);
+        double from = script.partners().stream().mapToDouble(p -> p.cold().from()).min().orElse(1);
+        int zone = relay % fleet.zones().size();
+        Relay.Settings settings = new Relay.Settings(relay, fleet.relays(), zone, false, 1,
+            Relay.Weights.ROUGH, classes, List.of(), kindSettings,
+            new Relay.Allowed(fleet.slots(), fleet.open(), ATTEMPTS, true, true, 1, CONNECT_MS * MS,
+                idle / MS,
+                ADVICE_MS * MS),
+            new Relay.Rules(250 * MS, multiple, fall / MS, from, warm / MS, 0, 20 * MS),
+            new Relay.Prices(0.03, 0.06, 0.03, 0.05, fleet.zones().stream().map(z -> 0.0).toList()));
+        return Config.of(listen, agents.get(relay).address(), state, new SplittableRandom(seed
+            + relay).nextLong(),
+            sockets, diskBytes, settings, fleet.zones(), kinds, Wire.decode(agents.get(relay).known()));
+    }
+
+    /** Lets the script and the clients begin; all relays serve. */
+    public void begin(List<InetSocketAddress> relays) {
+        for (int i = 0; i < relays.size(); i++) {
+            crowd.relay(i, relays.get(i));
+        }
+        front.begin();
+        crowd.begin();
+    }
+
+    /** The front has noticed that a relay is dead, or serves again. */
+    public void alive(int relay, boolean alive) {
+        crowd.alive(relay, alive);
+    }
+
+    /** True when the traffic is over and everything has ended. */
+    public boolean over() {
+        return front.now() >= Math.min(script.length(), script.traffic().until()) && !score.open(front.now());
+    }
+
+    public World world() {
+        return world;
+    }
+
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    /** The world's time; ns. */
+    public long now() {
+        return front.now();
+    }
+
+    public InetSocketAddress address(Endpoint endpoint) {
+        return front.address(endpoint);
+    }
+
+    public Score.Result result() {
+        return score.result(front.now());
+    }
+
+    public void close() {
+        crowd.stop();
+        agents.forEach(Agent::close);
+        front.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -0,0 +1,194 @@
+package brambletray.stage;
+
+import brambletray.emulator.Endpoint;
+import brambletray.journal.Journal;
+import brambletray.runtime.Machine;
+import brambletray.script.Script;
+import brambletray.serve.Config;
+import brambletray.serve.Instance;
+import brambletray.simulation.SimNetwork;
+import brambletray.simulation.Simulation;
+import brambletray.wire.Wire;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A script played in simulated time: the relays' own code, partners, agents and clients on one thread. The
+ * same script and seed give the same run, to the byte and the nanosecond.
+ */
+public final class SimStage implements AutoCloseable {
+    /** What the wall clocks show at the start; Unix time, ms. */
+    private static final long UNIX = 1_900_000_000_000L;
+    private static final int SOCKETS = 1_024;
+    private static final long DISK = 3_000_000;
+    private static final int PORT = 8_080;
+
+    private final Script script;
+    private final Path folder;
+    private final Simulation simulation;
+    private final Scene scene;
+    private final List<Machine> machines = new ArrayList<>();
+    private final List<Instance> instances = new ArrayList<>();
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private int agentPort = PORT;
+
+    /** {@code folder}: for the relays' journals. */
+    public SimStage(Script script, long seed, Path folder) throws IOException, Config.Unusable {
+        this.script = script;
+        this.folder = folder;
+        simulation = new Simulation(seed, UNIX);
+        network();
+        Machine outside = simulation.machine(ip(10, 9, 0, 1));
+        scene = new Scene(outside, script, seed, new Scene.Plan() {
+            @Override
+            public InetSocketAddress partner(int index) {
+                return new InetSocketAddress(partnerIp(index), PORT);
+            }
+
+            @Override
+            public InetSocketAddress agent(int relay) {
+                // Another port each time, so that one that moves can listen while the old one still does.
+                return new InetSocketAddress(ip(10, 3, relay / 250, relay % 250 + 1), ++agentPort);
+            }
+
+            @Override
+            public String caller(int relay) {
+                return relayIp(relay).getHostAddress();
+            }
+        });
+        scene.silence((address, silent) -> {
+            if (silent) {
+                simulation.network().vanish(address.getAddress());
+            } else {
+                simulation.network().comeBack(address.getAddress());
+            }
+        });
+        scene.whenAgentMoved((relay, address) -> instances.get(relay).discoveryAt(address));
+        scene.listen();
+        settle();
+        scene.listenAgents();
+        settle();
+        for (int i = 0; i < script.fleet().relays(); i++) {
+            addresses.add(new InetSocketAddress(relayIp(i), PORT));
+            machines.add(null);
+            instances.add(null);
+            start(i);
+        }
+        settle();
+        scene.begin(addresses);
+    }
+
+    private void settle() {
+        simulation.runUntil(simulation.now());
+    }
+
+    private static InetAddress ip(int a, int b, int c, int d) {
+        try {
+            return InetAddress.getByAddress(new byte[] {(byte) a, (byte) b, (byte) c, (byte) d});
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("four bytes are an address", e);
+        }
+    }
+
+    private static InetAddress relayIp(int relay) {
+        return ip(10, 1, relay / 250, relay % 250 + 1);
+    }
+
+    private static InetAddress partnerIp(int index) {
+        return ip(10, 2, index / 250, index % 250 + 1);
+    }
+
+    /** Zones lie at the script's distances; agents and clients are near their relay. */
+    private void network() {
+        Script.Fleet fleet = script.fleet();
+        SimNetwork network = simulation.network();
+        network.usual(new SimNetwork.Way(TimeUnit.MICROSECONDS.toNanos(200), fleet.jitter()));
+        int index = 0;
+        for (var partner : script.partners()) {
+            for (var endpoint : partner.endpoints()) {
+                for (int relay = 0; relay < fleet.relays(); relay++) {
+                    boolean near = fleet.zones().get(relay % fleet.zones().size()).equals(endpoint.zone());
+                    SimNetwork.Way way = new SimNetwork.Way(near ? fleet.sameZone() : fleet.crossZone(),
+                        fleet.jitter());
+                    network.way(relayIp(relay), partnerIp(index), way);
+                    network.way(partnerIp(index), relayIp(relay), way);
+                }
+                index++;
+            }
+        }
+    }
+
+    private void start(int relay) throws IOException, Config.Unusable {
+        Path state = Files.createDirectories(folder.resolve("relay-" + relay));
+        Config config = scene.config(relay, state, addresses.get(relay), SOCKETS, DISK);
+        Machine machine = simulation.machine(relayIp(relay));
+        Journal journal = new Journal(state, DISK, config.settings().allowed().attempts());
+        machines.set(relay, machine);
+        machine.loop().execute(() -> {
+            try {
+                instances.set(relay, new Instance(machine, config, journal));
+            } catch (Wire.Malformed e) {
+                throw new IllegalStateException("the scene's own list cannot be read", e);
+            }
+        });
+    }
+
+    /** Ends a relay as by SIGKILL; its folder stays. */
+    public void kill(int relay) throws IOException {
+        simulation.kill(machines.get(relay));
+        instances.get(relay).abandon();
+    }
+
+    /** Starts a relay again on its folder. */
+    public void restart(int relay) throws IOException, Config.Unusable {
+        scene.ledger().restarted(relayIp(relay).getHostAddress());
+        start(relay);
+    }
+
+    /** Runs until this much of the script's time has passed; ns. */
+    public void runUntil(long nanos) {
+        simulation.runUntil(nanos);
+    }
+
+    /** Plays the script to its end, and until all that was taken on has ended. */
+    public Score.Result play() {
+        long most = script.length() + script.classes().stream().mapToLong(Script.MessageClass::limit).max()
+            .orElse(0) * 1_000_000 + 2_000_000_000L;
+        simulation.runUntil(script.length());
+        simulation.runUntil(most, scene::over);
+        return scene.result();
+    }
+
+    public Scene scene() {
+        return scene;
+    }
+
+    public Simulation simulation() {
+        return simulation;
+    }
+
+    /** The relays, by number; for tests that look inside. */
+    public Instance instance(int relay) {
+        return instances.get(relay);
+    }
+
+    /** The address at which an endpoint stands in the simulated network. */
+    public InetAddress ip(Endpoint endpoint) {
+        return scene.address(endpoint).getAddress();
+    }
+
+    @Override
+    public void close() {
+        for (Instance instance : instances) {
+            instance.stop();
+        }
+        scene.close();
+    }
+}
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -22,7 +22,9 @@
     private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.message",
         "brambletray.runtime",
         "brambletray.wire", "brambletray.journal", "brambletray.core", "brambletray.http..",
-        "brambletray.membership", "brambletray.serve", "brambletray.simhost");
+        "brambletray.membership", "brambletray.serve", "brambletray.simhost", "brambletray.yaml",
+        "brambletray.simulation", "brambletray.emulator", "brambletray.script", "brambletray.partners",
+        "brambletray.stage", "brambletray.cli");
 
     @Test
     void eachPackageUsesOnlyThoseBelowIt() {
@@ -56,6 +58,14 @@
             .orShould().callMethod(Thread.class, "sleep", long.class).check(CODE);
     }
 
+    /** The emulated partners are a state machine: no sockets, no files, no clock. */
+    @Test
+    void theEmulatorStandsAlone() {
+        noClasses().that().resideInAPackage("brambletray.emulator").should().dependOnClassesThat(
+            not(resideInAPackage("brambletray.emulator")).and(not(resideInAnyPackage("java.lang", "java.util",
+                "java.util.function", "java.util.stream", "java.lang.invoke", "java.lang.runtime")))).check(CODE);
+    }
+
     @Test
     void sourcesAndProtocolsDoNotKnowEachOther() {
         noClasses().that().resideInAPackage("brambletray.http..").should().dependOnClassesThat()
