emulate, emulate check and demo: partners on real sockets, and a relay that anyone can run

A new user could not run the relay at all: serve without the platform ends with one line about missing settings.

demo runs a relay, partners and clients on loopback with nothing to configure; emulate brings a script's partners and the agent for a relay started elsewhere, and can write that relay's configuration; emulate check plays a load drawn ahead against the model alone, against the wire in simulated time and on real sockets, and holds figures side by side for each endpoint and phase. picocli is loaded for these only.

--- a/src/main/java/brambletray/Main.java
+++ b/src/main/java/brambletray/Main.java
@@ -1,10 +1,14 @@
 package brambletray;
 
+import brambletray.cli.Verbs;
 import brambletray.serve.Node;
 import brambletray.simhost.SimHost;
 import java.io.IOException;
 
-/** Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard streams. */
+/**
+ * Entry point. {@code serve} and {@code simhost} are looked at here, so that they start with no class of the
+ * command line loaded; everything else is up to {@link Verbs}.
+ */
 public final class Main {
     private Main() { }
 
@@ -19,7 +23,6 @@
         if (args.length == 1 && args[0].equals("serve")) {
             return Node.serve(System.getenv());
         }
-        System.err.println("usage: java -jar brambletray.jar serve|simhost");
-        return 2;
+        return Verbs.run(args, System.out, System.err);
     }
 }
--- a/src/main/java/brambletray/emulator/Endpoint.java
+++ b/src/main/java/brambletray/emulator/Endpoint.java
@@ -59,6 +59,7 @@
     private final ArrayDeque<Call> queue = new ArrayDeque<>();
     private final PriorityQueue<Call> served = new PriorityQueue<>(BY_FINISH);
     private long numbers;
+    private long clock;
     private int connections;
     private Reach reach = Reach.OPEN;
     private boolean fallen, hung, draining;
@@ -176,6 +177,11 @@
         return served.isEmpty() || pausedUntil == Long.MAX_VALUE ? Long.MAX_VALUE : served.peek().finish;
     }
 
+    /** The instant at which it is; inside {@link Sink#answer}, that of the answer. */
+    public long clock() {
+        return clock;
+    }
+
     /** Ends what is finished by now, each at its own instant, and begins what waited for it. */
     public void advance(long now) {
         while (!served.isEmpty() && served.peek().finish <= now) {
@@ -508,6 +514,7 @@
     }
 
     private void integrate(long now) {
+        clock = now;
         tally.integrate(now, queue.size(), served.size());
     }
 }
--- a/src/main/java/brambletray/script/Script.java
+++ b/src/main/java/brambletray/script/Script.java
@@ -42,6 +42,16 @@
     /** What {@code emulate check} loads each endpoint with; calls a second, and the bound in per cent. */
     public record Check(double perSecond, double boundPercent, int connections) { }
 
+    /** The same script with the traffic ended at this time, if it goes on for longer; ns. */
+    public Script cutTo(long until) {
+        Traffic t = traffic;
+        return new Script(name, about, seed, Math.min(length, until), fleet, new Traffic(t.perSecond(),
+            t.swing(),
+            t.period(), t.from(), Math.min(t.until(), until), t.retries(), t.honour(), t.bodyBytes()),
+                classes,
+            partners, steps, check);
+    }
+
     /** Endpoints of all partners. */
     public int endpoints() {
         return partners.stream().mapToInt(p -> p.endpoints().size()).sum();
--- a/src/main/java/brambletray/serve/Config.java
+++ b/src/main/java/brambletray/serve/Config.java
@@ -33,17 +33,6 @@
         }
     }
 
-    /**
-     * A configuration that is put together rather than read; the settings get the same changes as those that
-     * are read, see {@link #usable}.
-     */
-    public static Config of(InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
-                            int sockets, long diskBytes, Relay.Settings settings, List<String> zones,
-                            List<String> kinds, Wire.Fields known) throws Unusable {
-        return new Config(listen, discovery, state, seed, sockets, diskBytes, usable(settings), zones, kinds,
-            known);
-    }
-
     /** Reads the configuration named by the environment. */
     public static Config read(Map<String, String> env) throws Unusable {
         String file = env.get("EDGE_CONFIG");
--- a/src/main/java/brambletray/stage/Scene.java
+++ b/src/main/java/brambletray/stage/Scene.java
@@ -1,9 +1,7 @@
 package brambletray.stage;
 
-import brambletray.control.Relay;
 import brambletray.emulator.Endpoint;
 import brambletray.emulator.Ledger;
-import brambletray.emulator.PartnerSpec;
 import brambletray.emulator.Step;
 import brambletray.emulator.World;
 import brambletray.partners.Agent;
@@ -11,11 +9,8 @@
 import brambletray.partners.Registry;
 import brambletray.runtime.Machine;
 import brambletray.script.Script;
-import brambletray.serve.Config;
-import brambletray.wire.Wire;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -30,8 +25,6 @@
 public final class Scene {
     /** How long after a change the list of an agent has it, as long as the script says nothing else; ns. */
     private static final long LIST_LAG = 1_000_000_000L;
-    private static final long MS = 1_000;
-    private static final int ATTEMPTS = 12, CONNECT_MS = 1_500, ADVICE_MS = 3_000;
 
     /** Where things listen; port 0 for any that is free. */
     public interface Plan {
@@ -55,6 +48,7 @@
     private final List<Agent> agents = new ArrayList<>();
     private BiConsumer<Integer, InetSocketAddress> whenAgentMoved = (relay, address) -> { };
     private final long seed;
+    private long notices;
 
     /** {@code seed}: for all chance round the relays; the script's own is mixed in. */
     public Scene(Machine machine, Script script, long seed, Plan plan) {
@@ -114,7 +108,10 @@
 
     private Agent agent(int relay) {
         return new Agent(machine, registries.get(relay), ledger, plan.caller(relay), front::now,
-            (caller, message, handedBack, retryIn) -> crowd.noticed(message, handedBack, retryIn));
+            (caller, message, handedBack, retryIn) -> {
+                notices++;
+                crowd.noticed(message, handedBack, retryIn);
+            });
     }
 
     /** The agent of a relay goes to another address; the old one ends 1.5 s later. */
@@ -146,45 +143,31 @@
         front.silence(how);
     }
 
-    /** What a relay is told at its start; {@code listen}: where its clients connect. */
-    public Config config(int relay, Path state, InetSocketAddress listen, int sockets, long diskBytes)
-        throws Config.Unusable, Wire.Malformed {
-        Script.Fleet fleet = script.fleet();
-        List<String> kinds = script.partners().stream().map(PartnerSpec::kind).distinct().toList();
-        List<Relay.Kind> kindSettings = new ArrayList<>();
-        for (String kind : kinds) {
-            boolean apart = script.partners().stream().filter(p -> p.kind().equals(kind))
-                .allMatch(PartnerSpec::apart);
-            kindSettings.add(new Relay.Kind(apart, 1));
-        }
-        List<Relay.MessageClass> classes = new ArrayList<>();
-        for (Script.MessageClass c : script.classes()) {
-            Relay.Effect effect = switch (c.effect()) {
-                case "safe" -> Relay.Effect.SAFE;
-                case "unsafe" -> Relay.Effect.UNSAFE;
-                default -> Relay.Effect.KEYED;
-            };
-            boolean byZone = script.partners().stream().anyMatch(p -> p.keys().byZone());
-            classes.add(new Relay.MessageClass(c.name(), c.aim() * MS, c.limit() * MS, 1, c.lateWorth(),
-                effect,
-                byZone, c.window() * MS, false));
-        }
-        long idle = script.partners().stream().mapToLong(p -> p.connections().idle()).min().orElse(0);
-        long fall = script.partners().stream().mapToLong(p -> p.cold().fall()).min().orElse(0);
-        long warm = script.partners().stream().mapToLong(p -> p.cold().warm()).max().orElse(0);
-        double multiple = script.partners().stream().mapToDouble(p -> p.cold().multiple()).min().orElse(1);
-        double from = script.partners().stream().mapToDouble(p -> p.cold().from()).min().orElse(1);
-        int zone = relay % fleet.zones().size();
-        Relay.Settings settings = new Relay.Settings(relay, fleet.relays(), zone, false, 1,
-            Relay.Weights.ROUGH, classes, List.of(), kindSettings,
-            new Relay.Allowed(fleet.slots(), fleet.open(), ATTEMPTS, true, true, 1, CONNECT_MS * MS,
-                idle / MS,
-                ADVICE_MS * MS),
-            new Relay.Rules(250 * MS, multiple, fall / MS, from, warm / MS, 0, 20 * MS),
-            new Relay.Prices(0.03, 0.06, 0.03, 0.05, fleet.zones().stream().map(z -> 0.0).toList()));
-        return Config.of(listen, agents.get(relay).address(), state, new SplittableRandom(seed
-            + relay).nextLong(),
-            sockets, diskBytes, settings, fleet.zones(), kinds, Wire.decode(agents.get(relay).known()));
+    /**
+     * The configuration file of a relay, in the platform's form; {@code listen}: where its clients connect.
+     */
+    public String config(int relay, InetSocketAddress listen, int sockets, double diskMb) {
+        return RelayConfig.json(script, relay, text(listen), text(agents.get(relay).address()),
+            new SplittableRandom(seed + relay).nextLong(), sockets, diskMb, agents.get(relay).known());
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** Where the agent of a relay listens. */
+    public InetSocketAddress agentAddress(int relay) {
+        return agents.get(relay).address();
+    }
+
+    /** Lines asked for so far. */
+    public long asked() {
+        return crowd.made();
+    }
+
+    /** Notices that came for messages, also for those of no client of this scene. */
+    public long notices() {
+        return notices;
     }
 
     /** Lets the script and the clients begin; all relays serve. */
@@ -193,7 +176,9 @@
             crowd.relay(i, relays.get(i));
         }
         front.begin();
-        crowd.begin();
+        if (!relays.isEmpty()) {
+            crowd.begin();
+        }
     }
 
     /** The front has noticed that a relay is dead, or serves again. */
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -48,12 +48,14 @@
         }
     }
 
-    /** All figures of one run. {@code lost}: ids of messages that were taken on and got no end in time. */
+    /**
+     * All figures of one run. {@code open}: of those given up, the ones with no notice yet. {@code lost}:
+     * ids of messages that were taken on and got no end in time.
+     */
     public record Result(long asked, long delivered, long late, long handedBack, long givenUp,
-        long turnedAway,
-                         long unanswered, double whole, double worst, double score, List<String> lost,
-                         long lostCount, List<Ledger.Breach> breaches, long breachCount,
-                             List<Double> bySecond) {
+                         long turnedAway, long unanswered, long open, double whole, double worst,
+                         double score, List<String> lost, long lostCount, List<Ledger.Breach> breaches,
+                         long breachCount, List<Double> bySecond) {
         /** True when every message had its end and no rule was broken. */
         public boolean clean() {
             return lostCount == 0 && breachCount == 0;
@@ -139,6 +141,7 @@
         long givenUp = 0;
         long turnedAway = 0;
         long unanswered = 0;
+        long open = 0;
         long lostCount = 0;
         List<String> lost = new ArrayList<>();
         Worth whole = new Worth();
@@ -175,6 +178,7 @@
                 handedBack++;
             } else {
                 givenUp++;
+                open += last.noticed < 0 ? 1 : 0;
             }
         }
         double share = whole.asked == 0 ? 1 : whole.got / whole.asked;
@@ -184,7 +188,8 @@
             Worth w = seconds.get(s);
             bySecond.add(w == null || w.asked == 0 ? null : w.got / w.asked);
         }
-        return new Result(lines.size(), delivered, late, handedBack, givenUp, turnedAway, unanswered, share,
+        return new Result(lines.size(), delivered, late, handedBack, givenUp, turnedAway, unanswered, open,
+            share,
             worst,
             0.7 * share + 0.3 * worst, lost, lostCount, ledger.breaches(), ledger.breachCount(), bySecond);
     }
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -17,6 +17,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -127,7 +128,9 @@
 
     private void start(int relay) throws IOException, Config.Unusable {
         Path state = Files.createDirectories(folder.resolve("relay-" + relay));
-        Config config = scene.config(relay, state, addresses.get(relay), SOCKETS, DISK);
+        Path file = folder.resolve("relay-" + relay + ".json");
+        Files.writeString(file, scene.config(relay, addresses.get(relay), SOCKETS, DISK / 1e6));
+        Config config = Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
         Machine machine = simulation.machine(relayIp(relay));
         Journal journal = new Journal(state, DISK, config.settings().allowed().attempts());
         machines.set(relay, machine);
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -24,7 +24,7 @@
         "brambletray.wire", "brambletray.journal", "brambletray.core", "brambletray.http..",
         "brambletray.membership", "brambletray.serve", "brambletray.simhost", "brambletray.yaml",
         "brambletray.simulation", "brambletray.emulator", "brambletray.script", "brambletray.partners",
-        "brambletray.stage", "brambletray.cli");
+        "brambletray.stage", "brambletray.check", "brambletray.cli");
 
     @Test
     void eachPackageUsesOnlyThoseBelowIt() {
