--- a/src/main/java/brambletray/check/EmulatorCheck.java
+++ b/src/main/java/brambletray/check/EmulatorCheck.java
@@ -32,9 +32,14 @@
     private final List<List<Sample>> scripted;
 
     public EmulatorCheck(Script script, PrintStream out) {
-        this.plan = new Plan(script);
+        this(script, script, out);
+    }
+
+    /** {@code played}: what the wire gets, where that is to be another script. */
+    EmulatorCheck(Script script, Script played, PrintStream out) {
+        this.plan = new Plan(played);
         this.out = out;
-        this.scripted = new Model(plan).play();
+        this.scripted = new Model(new Plan(script)).play();
     }
 
     /** Plays it in simulated time; returns how many figures are off. */
--- a/src/main/java/brambletray/cli/Demo.java
+++ b/src/main/java/brambletray/cli/Demo.java
@@ -103,7 +103,7 @@
         return r.clean() ? 0 : 1;
     }
 
-    private static void clear(Path folder) throws IOException {
+    static void clear(Path folder) throws IOException {
         try (var files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
--- a/src/main/java/brambletray/cli/Emulate.java
+++ b/src/main/java/brambletray/cli/Emulate.java
@@ -28,7 +28,8 @@
 import picocli.CommandLine.Parameters;
 
 /** Partners and the platform's agent on loopback, for a relay that is started elsewhere. */
-@Command(name = "emulate", mixinStandardHelpOptions = true, subcommands = Emulate.Check.class, description = {
+@Command(name = "emulate", mixinStandardHelpOptions = true, subcommands = {Emulate.Check.class,
+    Play.class}, description = {
     "Emulated partners and the platform's agent on real sockets, so that any relay can be tried"
         + " against them.",
     "Prints once a second what each server does; SIGTERM or Ctrl-C ends it with a table.",
--- a/src/main/java/brambletray/emulator/Ledger.java
+++ b/src/main/java/brambletray/emulator/Ledger.java
@@ -13,7 +13,7 @@
  * The ground truth: what really took effect at the partners, and which rules the callers broke there. It
  * believes nothing that a relay says of itself. Times in ns.
  */
-public final class Ledger {
+public class Ledger {
     /** A wait binds from this long after its answer was written. */
     private static final long WAIT_GRACE = 100_000_000;
     /** What the network may add to a time limit. */
--- a/src/main/java/brambletray/script/ScriptReader.java
+++ b/src/main/java/brambletray/script/ScriptReader.java
@@ -190,8 +190,8 @@
         places.put(name, names);
         double traffic = s.number("traffic", 1, 0, 1_000_000);
         Law law = law(from(s, kind, "service"));
-        int servers = (int) from(s, kind, "servers").number("servers", 4, 1, 10_000);
-        int queue = (int) from(s, kind, "queue").number("queue", 16, 0, 1_000_000);
+        int servers = from(s, kind, "servers").whole("servers", 4, 1, 10_000);
+        int queue = from(s, kind, "queue").whole("queue", 16, 0, 1_000_000);
         Limit limit = limit(from(s, kind, "limit"));
         PartnerSpec.Waits waits = waits(from(s, kind, "told_waits"));
         PartnerSpec.Reports reports = reports(from(s, kind, "reports"));
@@ -223,8 +223,8 @@
     /** A kind that no partner uses is read once, so that its faults are told and its fields known. */
     private void checkKind(Section kind) {
         law(kind);
-        kind.number("servers", 4, 1, 10_000);
-        kind.number("queue", 16, 0, 1_000_000);
+        kind.whole("servers", 4, 1, 10_000);
+        kind.whole("queue", 16, 0, 1_000_000);
         limit(kind);
         waits(kind);
         reports(kind);
@@ -330,8 +330,14 @@
             s.fault("at_s", "expected no more than length_s");
         }
         long span = seconds(s.number("for_s", 0, 0, DAY_S));
-        String word = s.word("do", null, "shut", "down", "vanish", "hang", "pause", "slow", "spoil", "drain",
+        String word = s.word("do", "", "shut", "down", "vanish", "hang", "pause", "slow", "spoil", "drain",
             "leave", "return", "replace", "list_late", "list_stalled", "list_moved");
+        if (word.isEmpty()) {
+            if (!s.has("do")) {
+                s.fault("do", "is missing: expected what happens");
+            }
+            return null;
+        }
         boolean needsEnd = !Set.of("drain", "leave", "return", "replace", "list_moved").contains(word);
         if (needsEnd && span <= 0) {
             s.fault("for_s", "expected a time above 0 for " + word);
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -2,6 +2,7 @@
 
 import brambletray.emulator.Ledger;
 import brambletray.script.Script;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -64,6 +65,8 @@
 
     private final Ledger ledger;
     private final Map<String, Line> lines = new LinkedHashMap<>();
+    /** Taken on, and perhaps not ended; the eldest first. */
+    private final ArrayDeque<Try> underWay = new ArrayDeque<>();
 
     public Score(Ledger ledger) {
         this.ledger = ledger;
@@ -98,7 +101,9 @@
     }
 
     void taken(String id) {
-        find(id).taken = true;
+        Try t = find(id);
+        t.taken = true;
+        underWay.addLast(t);
     }
 
     void refused(String id) {
@@ -120,19 +125,24 @@
         return t != null;
     }
 
-    /** True while something that was taken on before has not ended. */
+    /** True while something that was taken on has not ended, and its time is not up. */
     boolean open(long now) {
-        for (Line line : lines.values()) {
-            for (Try t : line.tries) {
-                if (t.taken && t.noticed < 0 && ledger.deliveredAt(t.id) < 0
-                    && now < line.asked + line.messageClass.limit() * 1_000_000 + LOST_AFTER) {
-                    return true;
-                }
+        while (!underWay.isEmpty()) {
+            Try t = underWay.peekFirst();
+            Line line = lines.get(line(t.id));
+            if (t.noticed < 0 && ledger.deliveredAt(t.id) < 0 && now < end(line)) {
+                return true;
             }
+            underWay.pollFirst();
         }
         return false;
     }
 
+    /** From then on what has not ended is lost; ns. */
+    private static long end(Line line) {
+        return line.asked + line.messageClass.limit() * 1_000_000 + LOST_AFTER;
+    }
+
     /** The figures up to now; what is still open counts as not delivered, and as lost when its time is up. */
     public Result result(long now) {
         long delivered = 0;
@@ -152,7 +162,7 @@
             for (Try t : line.tries) {
                 long got = ledger.deliveredAt(t.id);
                 at = got >= 0 && (at < 0 || got < at) ? got : at;
-                long end = line.asked + line.messageClass.limit() * 1_000_000 + LOST_AFTER;
+                long end = end(line);
                 if (t.taken && now > end && (got < 0 || got > end) && (t.noticed < 0 || t.noticed > end)) {
                     lostCount++;
                     if (lost.size() < LOST_TOLD_MOST) {
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /**
  * A script played in simulated time: the relays' own code, partners, agents and clients on one thread. The
@@ -33,6 +34,7 @@
 
     private final Script script;
     private final Path folder;
+    private final UnaryOperator<String> told;
     private final Simulation simulation;
     private final Scene scene;
     private final List<Machine> machines = new ArrayList<>();
@@ -40,8 +42,18 @@
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private int agentPort = PORT;
 
-    /** {@code folder}: for the relays' journals. */
+    /** {@code folder}: for the relays' configurations and journals. */
     public SimStage(Script script, long seed, Path folder) throws IOException, Config.Unusable {
+        this(script, seed, folder, UnaryOperator.identity());
+    }
+
+    /**
+     * {@code told}: what becomes of a relay's configuration before it reads it, to play relays with a
+     * fault.
+     */
+    SimStage(Script script, long seed, Path folder, UnaryOperator<String> told)
+        throws IOException, Config.Unusable {
+        this.told = told;
         this.script = script;
         this.folder = folder;
         simulation = new Simulation(seed, UNIX);
@@ -129,7 +141,7 @@
     private void start(int relay) throws IOException, Config.Unusable {
         Path state = Files.createDirectories(folder.resolve("relay-" + relay));
         Path file = folder.resolve("relay-" + relay + ".json");
-        Files.writeString(file, scene.config(relay, addresses.get(relay), SOCKETS, DISK / 1e6));
+        Files.writeString(file, told.apply(scene.config(relay, addresses.get(relay), SOCKETS, DISK / 1e6)));
         Config config = Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
         Machine machine = simulation.machine(relayIp(relay));
         Journal journal = new Journal(state, DISK, config.settings().allowed().attempts());
