--- a/src/main/java/brambletray/core/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,8 @@
     private static final long AFTER_FAULT = 100_000;
     /** s; between looks for gone hosts that can be forgotten. */
     private static final long TIDY = 1;
+    /** How long one slice of compaction may take, ns; the gap to the next, us. */
+    private static final long COMPACTION_SLICE = 500_000, COMPACTION_GAP = 2_000;
 
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
@@ -49,7 +52,7 @@
 
     /** A message that the module holds, or that has calls out. */
     private static final class Held {
-        final Message message;
+        Message message;
         final List<Calls.Call> calls = new ArrayList<>();
         Journal.Entry entry;
         boolean over;
@@ -77,6 +80,9 @@
     private boolean turnDue;
     private boolean stopped;
     private int open;
+    private boolean commitDue, compacting;
+    /** Sends of the turn under way, noted and not yet made. */
+    private final Map<Relay.Send, Prepared> prepared = new IdentityHashMap<>();
 
     public Loop(Machine machine, long seed, Relay.Settings settings, Hosts hosts, Calls pool,
                 Journal journal) {
@@ -253,12 +259,16 @@
             for (String id : List.copyOf(unanswered.keySet())) {
                 refuse(id, unanswered.get(id));
             }
+            prepared.clear();
         }
+        // Before anything that waits for it: notices are posted by a task of their own.
+        commit();
     }
 
     /**
      * Answers the clients of this turn's new messages. An end that the module decided at once is the answer
-     * itself; the others are written down, then answered, and only after that is anything sent.
+     * itself; the others are written down, in one batch with the turn's sends, then answered, and only
+     * after that is anything sent.
      */
     private void answer(List<Relay.Action> actions) {
         for (Relay.Action action : unanswered.isEmpty() ? List.<Relay.Action>of() : actions) {
@@ -273,18 +283,80 @@
         for (String id : List.copyOf(unanswered.keySet())) {
             Held h = held.get(id);
             try {
-                h.entry = journal.take(h.message);
+                h.entry = journal.take(h.message, clock.unixMillis());
             } catch (IOException e) {
-                LOG.error("journal cannot be written, message {} refused", id, e);
+                LOG.error("store cannot be written, message {} refused", id, e);
             }
             if (h.entry == null) {
                 refuse(id, unanswered.get(id));
-            } else {
+            }
+        }
+        for (Relay.Action action : actions) {
+            if (action instanceof Relay.Send a) {
+                prepare(a);
+            }
+        }
+        commit();
+        for (String id : List.copyOf(unanswered.keySet())) {
+            Held h = held.get(id);
+            if (h.entry.held()) {
+                h.message = h.entry.message;
                 unanswered.remove(id).taken();
+            } else if (h.entry.uncertain()) {
+                // It may be found after a restart: its client must not be told that another try does no harm.
+                Answer answer = unanswered.remove(id);
+                over(h);
+                tell(new Relay.Withdrawn(id));
+                answer.failed();
+            } else {
+                refuse(id, unanswered.get(id));
             }
         }
     }
 
+    /** What was noted lasts from now on; messages and sends of a batch that failed know it themselves. */
+    private void commit() {
+        commitDue = false;
+        if (!journal.dirty() || stopped) {
+            return;
+        }
+        try {
+            journal.commit();
+        } catch (IOException e) {
+            LOG.error("store cannot be written: messages of this turn are refused, their sends not made", e);
+        }
+        if (journal.wantsCompaction() && !compacting) {
+            compacting = true;
+            loop.execute(this::compact);
+        }
+    }
+
+    /** One slice between turns; the next one after what has come in meanwhile. */
+    private void compact() {
+        compacting = false;
+        if (stopped || !journal.wantsCompaction()) {
+            return;
+        }
+        try {
+            journal.compact(clock::nanos, COMPACTION_SLICE);
+        } catch (IOException e) {
+            LOG.error("store cannot be compacted: it grows until this is mended", e);
+            return;
+        }
+        if (journal.wantsCompaction()) {
+            compacting = true;
+            loop.schedule(this::compact, COMPACTION_GAP, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Something was noted outside of a turn. */
+    private void commitSoon() {
+        if (!commitDue && !turnDue) {
+            commitDue = true;
+            loop.execute(this::commit);
+        }
+    }
+
     private void refuse(String id, Answer answer) {
         unanswered.remove(id);
         over(held.get(id));
@@ -318,7 +390,10 @@
     }
 
     // ---- Calls ----------------------------------------------------------------------------------
-    private void send(Relay.Send a) {
+    /** A send that is noted in this turn's batch; {@code note} null where it is not to go out. */
+    private record Prepared(Held held, int attempt, Host host, Journal.Attempt note) { }
+
+    private void prepare(Relay.Send a) {
         Held h = held.get(a.id());
         Host host = hosts.host(a.endpoint());
         if (h == null || host == null) {
@@ -327,21 +402,30 @@
         int attempt = h.calls.size();
         h.calls.add(null);
         h.out++;
-        boolean written = false;
+        Journal.Attempt note = null;
         try {
-            if (!h.over) {
-                journal.sent(h.entry, clock.unixMillis(), host.zone);
-                written = true;
+            if (!h.over && h.entry != null) {
+                note = journal.sent(h.entry, clock.unixMillis(), host.zone);
             }
         } catch (IOException e) {
-            LOG.error("journal cannot be written, message {} not sent", a.id(), e);
+            LOG.error("store cannot be written, message {} not sent", a.id(), e);
+        }
+        prepared.put(a, new Prepared(h, attempt, host, note));
+    }
+
+    private void send(Relay.Send a) {
+        Prepared p = prepared.remove(a);
+        if (p == null) {
+            return;
         }
-        if (!written || !host.ready) {
-            ended(h, attempt, host, new Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
+        Held h = p.held();
+        // A note whose batch failed says so: it has not run.
+        if (h.over || p.note() == null || !p.note().mayHaveRun || !p.host().ready) {
+            ended(h, p.attempt(), p.host(), new Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
             return;
         }
-        h.calls.set(attempt,
-            pool.call(host, h.message, a.timeout(), reply -> ended(h, attempt, host, reply)));
+        h.calls.set(p.attempt(), pool.call(p.host(), h.message, a.timeout(),
+            reply -> ended(h, p.attempt(), p.host(), reply)));
     }
 
     private void ended(Held h, int attempt, Host host, Reply reply) {
@@ -374,8 +458,9 @@
             journal.notRun(h.entry, attempt);
         } catch (IOException e) {
             // The attempt then counts as one that may have run, which is safe.
-            LOG.error("journal cannot be written, outcome of message {} is not kept", h.message.id(), e);
+            LOG.error("store cannot be written, outcome of message {} is not kept", h.message.id(), e);
         }
+        commitSoon();
     }
 
     // ---- Ends -----------------------------------------------------------------------------------
@@ -391,7 +476,7 @@
         try {
             journal.ended(entry, end);
         } catch (IOException e) {
-            LOG.error("journal cannot be written, end of message {} is told all the same",
+            LOG.error("store cannot be written, end of message {} is told all the same",
                 entry.message.id(), e);
         }
         platform.notice(entry);
@@ -420,9 +505,10 @@
         try {
             journal.closed(entry);
         } catch (IOException e) {
-            LOG.error("journal cannot be written, message {} will be taken up again after a restart",
+            LOG.error("store cannot be written, message {} will be taken up again after a restart",
                 entry.message.id(), e);
         }
+        commitSoon();
     }
 
     // ---- List -----------------------------------------------------------------------------------
--- a/src/main/java/brambletray/http/clients/Server.java
+++ b/src/main/java/brambletray/http/clients/Server.java
@@ -3,6 +3,7 @@
 import brambletray.control.Relay;
 import brambletray.core.Loop;
 import brambletray.core.Seldom;
+import brambletray.message.Body;
 import brambletray.message.Message;
 import brambletray.runtime.Clock;
 import brambletray.runtime.Machine;
@@ -394,7 +395,7 @@
             tenant == null ? 0 : loop.tenant(tenant), text(headers, "X-Route-Key", KEY_MOST, false), key,
             destination,
             clock.unixMillis() + time - Math.min(READ_LATE, time / 10),
-            ByteBufUtil.getBytes(request.content()));
+            Body.of(ByteBufUtil.getBytes(request.content())));
     }
 
     private static String text(HttpHeaders headers, String name, int most, boolean needed) throws Bad {
--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -336,9 +336,19 @@
             next.channel = channel;
             pool.connecting.remove(next);
             long left = Math.max(1, (next.patience - next.latency()) / 1_000);
+            byte[] body;
+            try {
+                body = next.message.body().bytes();
+            } catch (IOException e) {
+                LOG.warn("message {} not sent: {}", next.message.id(), e.getMessage());
+                call = null;
+                next.end(Outcome.NOT_SENT);
+                channel.close();
+                return;
+            }
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
-            channel.writeAndFlush(request(next, left)).addListener(done -> {
+            channel.writeAndFlush(request(next, body, left)).addListener(done -> {
                 next.written = done.isSuccess();
                 if (!done.isSuccess()) {
                     channel.close();
@@ -452,15 +462,15 @@
         }
     }
 
-    private static FullHttpRequest request(Call call, long leftMillis) {
+    private static FullHttpRequest request(Call call, byte[] body, long leftMillis) {
         Message m = call.message;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
             "/v1/messages",
-            Unpooled.wrappedBuffer(m.body()));
+            Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST,
                 call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
             .set("X-Request-ID", m.id()).set("X-Timeout-Ms", leftMillis)
-            .set(HttpHeaderNames.CONTENT_LENGTH, m.body().length);
+            .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         if (m.idempotencyKey() != null) {
             request.headers().set("Idempotency-Key", m.idempotencyKey());
         }
--- a/src/main/java/brambletray/journal/Journal.java
+++ b/src/main/java/brambletray/journal/Journal.java
@@ -1,47 +1,49 @@
 package brambletray.journal;
 
+import brambletray.message.Body;
 import brambletray.message.Message;
+import brambletray.store.Chain;
+import brambletray.store.Damage;
+import brambletray.store.Disk;
+import brambletray.store.RealDisk;
+import brambletray.store.Store;
+import brambletray.store.UncertainWrite;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.CRC32;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * What this relay owes, in one append-only file of the lasting folder.
+ * What this relay owes: a typed layer over the {@link Store}, where each message is one chain of name space
+ * {@link #SPACE}. What is noted is staged, and lasts from the {@link #commit} on.
  *
- * <p>A record is its length (4 bytes), the CRC-32 of its content (4 bytes) and the content: its sort, the
- * number of the message, and what the sort asks for. A tail that does not check is cut off at the start. The
- * file is written anew when it has grown; old and new file together stay within the limit, for which each
- * message reserves room.
+ * <p>A chain begins with the message (sort 0, time taken 8, id, class, tenant 4, route key, idempotency key,
+ * destination 8, deadline 8, body); behind it come its sends (1, time 8, zone 4), outcomes that prove that an
+ * attempt never ran (2, number 2) and its end (3, handed back 1, time to come back 8).
  */
 public final class Journal implements AutoCloseable {
+    /** Name space of the store that is the journal's. */
+    public static final byte SPACE = 1;
+    /** Zone of an attempt of which nothing is known. */
+    public static final int NO_ZONE = -1;
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
-    private static final int HEAD = 8, RECORD_MOST = 1 << 20;
-    /** Bytes kept clear of the limit, for what the file system rounds up. */
-    private static final long CLEAR = 8_192;
-    /**
-     * Share of the room that live messages may reserve; the rest is for the old file and for growth between
-     * rewrites.
-     */
-    private static final double LIVE_SHARE = 0.4;
-    /** Bytes of a send with its outcome, and of an end with its notice. */
-    private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
-    private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
+    private static final byte TAKEN = 0, SENT = 1, NOT_RUN = 2, ENDED = 3;
+    private static final int SENT_BYTES = 13, NOT_RUN_BYTES = 3, ENDED_BYTES = 10;
+    /** Bytes of values kept in memory; what is held may be more. */
+    private static final long CACHE = 4 << 20;
+    /** Bytes staged at most before they are written: a batch stays well below a segment. */
+    private static final int BATCH_MOST = 96 * 1024;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
     public static final class Attempt {
@@ -49,7 +51,7 @@
         public final int zone;
         public boolean mayHaveRun = true;
 
-        Attempt(long sent, int zone) {
+        public Attempt(long sent, int zone) {
             this.sent = sent;
             this.zone = zone;
         }
@@ -61,40 +63,153 @@
     /** A message that something is owed for. */
     public static final class Entry {
         public final long number;
-        public final Message message;
+        public Message message;
         public final List<Attempt> attempts = new ArrayList<>();
         public End end;
-        private long reserved;
+        private Chain chain;
+        /** Its last commit failed: it was never taken on; or nobody knows. */
+        private boolean refused, uncertain;
 
         private Entry(long number, Message message) {
             this.number = number;
             this.message = message;
         }
+
+        /** False where it could not be written down. */
+        public boolean held() {
+            return !refused;
+        }
+
+        /** It could not be written down, and may be found all the same after a restart. */
+        public boolean uncertain() {
+            return uncertain;
+        }
     }
 
-    private final Path file;
-    private final Path fresh;
-    private final long room;
+    private final Store store;
     private final int mostAttempts;
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
-    private FileChannel out;
-    /** A write has failed: the file is written anew before the next. */
-    private boolean behind;
-    private long size;
-    private long reserved;
+    /**
+     * A note that is staged; {@code send}: the number of the attempt that it tells of, -1 for other notes.
+     */
+    private record Note(Entry entry, byte[] value, int send) { }
+
+    /** Staged: messages and notes of this batch, and chains that end with it. */
+    private final List<Entry> taking = new ArrayList<>();
+    private final List<Note> noting = new ArrayList<>();
+    private final List<Chain> closing = new ArrayList<>();
     private long last;
 
-    /** Opens the folder's journal and reads what is owed. */
-    public Journal(Path folder, long limit, int mostAttempts) throws IOException {
-        this.file = folder.resolve("journal");
-        this.fresh = folder.resolve("journal.new");
-        this.room = limit - CLEAR;
+    private Journal(Store store, int mostAttempts) {
+        this.store = store;
         this.mostAttempts = mostAttempts;
-        Files.deleteIfExists(fresh);
-        if (Files.exists(file)) {
-            load(Files.readAllBytes(file));
+    }
+
+    /** Opens the journal of a folder; what a commit outlasts is the process. */
+    public Journal(Path folder, long limit, int mostAttempts) throws IOException {
+        this(open(new RealDisk(folder), limit, Store.Promise.PROCESS), mostAttempts);
+        takeUp();
+    }
+
+    /** Opens a folder's journal and reads what is owed. {@code limit}: bytes on disk. */
+    public static Journal open(Disk disk, long limit, Store.Promise promise, int mostAttempts)
+        throws IOException {
+        Journal journal = new Journal(open(disk, limit, promise), mostAttempts);
+        journal.takeUp();
+        return journal;
+    }
+
+    private static Store open(Disk disk, long limit, Store.Promise promise) throws IOException {
+        Store.Options options = new Store.Options(limit, promise, CACHE);
+        if (disk.exists(OldJournal.FILE)) {
+            return Moving.over(disk, options);
+        }
+        disk.delete(OldJournal.FRESH);
+        return Store.open(disk, options);
+    }
+
+    private void takeUp() throws IOException {
+        for (Damage damage : store.found().damages()) {
+            switch (damage.kind()) {
+                case HOLE -> LOG.error("store damaged: {}; {} messages from before it count as perhaps sent,"
+                    + " and messages taken on there may be lost: see docs/store.md", damage,
+                    store.found().doubtful());
+                case TORN_TAIL -> LOG.warn("store: {}; cut off, nobody had been told of it", damage);
+                default -> LOG.warn("store: {}", damage);
+            }
+        }
+        for (Chain chain : store.chains(SPACE)) {
+            last = Math.max(last, chain.key());
+            try {
+                Entry entry = read(chain);
+                entries.put(entry.number, entry);
+                store.reserve(chain, reserveFor(entry));
+            } catch (IOException | RuntimeException e) {
+                // Guards the start: one record that makes no sense must not keep the rest from being served.
+                LOG.error("store: message {} can't be read and is left out: {}", chain.key(), e.toString());
+            }
+        }
+    }
+
+    private Entry read(Chain chain) throws IOException {
+        byte[] first = store.read(chain, 0);
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(first));
+        if (in.readByte() != TAKEN) {
+            throw new IOException("it does not begin with a message");
+        }
+        long taken = in.readLong();
+        Message message = new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
+            in.readLong(), in.readLong(), null);
+        Entry entry = new Entry(chain.key(), message);
+        entry.chain = chain;
+        entry.message = message.with(new Kept(chain, first.length - in.available(), in.available()));
+        for (int i = 1; i < chain.size(); i++) {
+            DataInputStream more = new DataInputStream(new ByteArrayInputStream(store.read(chain, i)));
+            byte sort = more.readByte();
+            switch (sort) {
+                case SENT -> entry.attempts.add(new Attempt(more.readLong(), more.readInt()));
+                case NOT_RUN -> {
+                    // Where records may be missing, numbers of attempts mean nothing: all of them may have run.
+                    if (!chain.doubtful()) {
+                        entry.attempts.get(more.readShort()).mayHaveRun = false;
+                    }
+                }
+                case ENDED -> entry.end = new End(more.readBoolean(), more.readLong());
+                default -> throw new IOException("unknown sort " + sort);
+            }
+        }
+        if (chain.doubtful()) {
+            // Its record of a send may be what is missing: the send can have been as early as it was taken.
+            entry.attempts.add(new Attempt(taken, NO_ZONE));
+        }
+        return entry;
+    }
+
+    /** A body that stays in the store, and is in memory while it is used. */
+    private final class Kept implements Body {
+        private final Chain chain;
+        private final int at;
+        private final int length;
+
+        Kept(Chain chain, int at, int length) {
+            this.chain = chain;
+            this.at = at;
+            this.length = length;
+        }
+
+        @Override
+        public byte[] bytes() throws IOException {
+            if (chain.size() == 0) {
+                throw new IOException("the message is over");
+            }
+            byte[] value = store.read(chain, 0);
+            return Arrays.copyOfRange(value, at, at + length);
+        }
+
+        @Override
+        public int length() {
+            return length;
         }
-        rewrite();
     }
 
     /** The messages that something is owed for, in the order in which they were taken on. */
@@ -102,218 +217,195 @@
         return List.copyOf(entries.values());
     }
 
-    /** Writes a message down; null if there is no room for it until its end. */
-    public Entry take(Message message) throws IOException {
+    // ---- Notes ----------------------------------------------------------------------------------
+    /**
+     * Writes a message down; null if there is no room for it until its end. It counts after the commit, if
+     * the entry is then {@link Entry#held}. {@code now}: Unix time, ms.
+     */
+    public Entry take(Message message, long now) throws IOException {
         Entry entry = new Entry(last + 1, message);
-        byte[] record = taken(entry);
-        entry.reserved = reserve(record.length);
-        if (reserved + entry.reserved > room * LIVE_SHARE) {
+        byte[] head = head(message, now);
+        byte[] body = message.body().bytes();
+        byte[] value = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, value, head.length, body.length);
+        long rest = reserveFor(entry);
+        if (!store.fits(Store.cost(value.length) + rest)) {
             return null;
         }
-        append(record);
+        makeRoomInBatch(value.length);
         last++;
-        reserved += entry.reserved;
+        entry.chain = store.put(SPACE, entry.number, value);
+        store.reserve(entry.chain, rest);
+        entry.message = message.with(new Kept(entry.chain, head.length, body.length));
         entries.put(entry.number, entry);
+        taking.add(entry);
         return entry;
     }
 
-    /** To be written before the first byte of a send goes out: from then on it may have run. */
-    public void sent(Entry entry, long time, int zone) throws IOException {
+    /** To be committed before the first byte of a send goes out: from then on it may have run. */
+    public Attempt sent(Entry entry, long time, int zone) throws IOException {
         Attempt attempt = new Attempt(time, zone);
-        try {
-            append(sent(entry, attempt));
-        } catch (IOException e) {
-            // It is not sent then; it keeps its number, so that later attempts keep theirs.
-            attempt.mayHaveRun = false;
-            throw e;
-        } finally {
-            entry.attempts.add(attempt);
-        }
+        byte[] value = value(SENT_BYTES, out -> {
+            out.writeByte(SENT);
+            out.writeLong(time);
+            out.writeInt(zone);
+        });
+        makeRoomInBatch(value.length);
+        entry.attempts.add(attempt);
+        note(entry, value, entry.attempts.size() - 1);
+        return attempt;
     }
 
     /** An outcome has proved that the attempt never ran. */
     public void notRun(Entry entry, int attempt) throws IOException {
         entry.attempts.get(attempt).mayHaveRun = false;
-        append(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
+        makeRoomInBatch(NOT_RUN_BYTES);
+        note(entry, notRun(attempt), -1);
+    }
+
+    private static byte[] notRun(int attempt) throws IOException {
+        return value(NOT_RUN_BYTES, out -> {
+            out.writeByte(NOT_RUN);
+            out.writeShort(attempt);
+        });
     }
 
     /** An end was decided: a notice is owed. */
     public void ended(Entry entry, End end) throws IOException {
         entry.end = end;
-        append(ended(entry.number, end));
+        makeRoomInBatch(ENDED_BYTES);
+        note(entry, value(ENDED_BYTES, out -> {
+            out.writeByte(ENDED);
+            out.writeBoolean(end.handedBack());
+            out.writeLong(end.retryAfter());
+        }), -1);
     }
 
     /** Nothing more is owed: delivered, withdrawn, or its notice acknowledged. */
     public void closed(Entry entry) throws IOException {
-        forget(entry.number);
-        append(record(CLOSED, entry.number, o -> { }));
+        if (entries.remove(entry.number, entry)) {
+            makeRoomInBatch(0);
+            store.delete(entry.chain);
+            closing.add(entry.chain);
+        }
     }
 
-    @Override
-    public void close() throws IOException {
-        out.close();
+    private void note(Entry entry, byte[] value, int send) {
+        store.release(entry.chain, Store.cost(value.length));
+        store.append(entry.chain, value);
+        noting.add(new Note(entry, value, send));
     }
 
-    private long reserve(int taken) {
-        return taken + (long) mostAttempts * ATTEMPT_BYTES + END_BYTES;
+    private static byte[] value(int bytes, Fields fields) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(bytes);
+        fields.write(new DataOutputStream(out));
+        return out.toByteArray();
     }
 
-    private void forget(long number) {
-        Entry gone = entries.remove(number);
-        reserved -= gone == null ? 0 : gone.reserved;
+    private interface Fields {
+        void write(DataOutputStream out) throws IOException;
     }
 
-    // ---- The file -------------------------------------------------------------------------------
-    private void append(byte[] record) throws IOException {
-        if (behind || size + record.length + reserved > room) {
-            rewrite();
+    private void makeRoomInBatch(int bytes) throws IOException {
+        if (store.dirty() && store.stagedBytes() + bytes > BATCH_MOST) {
+            commit();
         }
-        behind = true;
-        write(out, record);
-        behind = false;
-        size += record.length;
     }
 
-    /** A record cut short by a fault is taken back, lest what follows it be lost with it. */
-    private void write(FileChannel channel, byte[] record) throws IOException {
-        long before = channel.position();
-        try {
-            for (ByteBuffer left = ByteBuffer.wrap(record); left.hasRemaining();) {
-                channel.write(left);
-            }
-        } catch (IOException e) {
-            channel.truncate(before);
-            throw e;
-        }
+    /** True when there is something to commit. */
+    public boolean dirty() {
+        return store.dirty();
     }
 
-    /** Writes what is owed to a new file and puts it in the old one's place. */
-    private void rewrite() throws IOException {
-        FileChannel next = FileChannel.open(fresh, StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE);
+    /**
+     * Makes all that was noted last, as one batch. After an exception, messages of it are not
+     * {@link Entry#held}, and its sends must not go out: they count as never run.
+     */
+    public void commit() throws IOException {
+        List<Entry> messages = List.copyOf(taking);
+        List<Note> notes = List.copyOf(noting);
+        List<Chain> ends = List.copyOf(closing);
+        taking.clear();
+        noting.clear();
+        closing.clear();
         try {
-            for (Entry entry : entries.values()) {
-                write(next, taken(entry));
-                for (int i = 0; i < entry.attempts.size(); i++) {
-                    int attempt = i;
-                    write(next, sent(entry, entry.attempts.get(i)));
-                    if (!entry.attempts.get(i).mayHaveRun) {
-                        write(next, record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
-                    }
-                }
-                if (entry.end != null) {
-                    write(next, ended(entry.number, entry.end));
-                }
-            }
-            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            store.commit();
         } catch (IOException e) {
-            next.close();
-            Files.deleteIfExists(fresh);
-            throw e;
-        }
-        if (out != null) {
-            out.close();
-        }
-        out = next;
-        behind = false;
-        size = next.position();
-    }
-
-    private void load(byte[] all) throws IOException {
-        ByteBuffer in = ByteBuffer.wrap(all);
-        while (in.remaining() >= HEAD) {
-            int length = in.getInt();
-            int check = in.getInt();
-            if (length < 0 || length > RECORD_MOST || length > in.remaining()) {
-                break;
+            for (Entry entry : messages) {
+                entry.refused = true;
+                entry.uncertain = e instanceof UncertainWrite;
+                entries.remove(entry.number);
+                store.release(entry.chain, Long.MAX_VALUE);
             }
-            byte[] content = new byte[length];
-            in.get(content);
-            if (crc(content) != check) {
-                LOG.warn("journal cut at a record that does not check, {} bytes dropped",
-                    in.remaining() + length + HEAD);
-                return;
+            // What is told to others all the same, and the numbers of attempts, are owed to the disk: they go
+            // with the next batch. A send of this one has not been made.
+            for (Note n : notes) {
+                if (n.entry().refused || n.entry().chain == null) {
+                    continue;
+                }
+                note(n.entry(), n.value(), -1);
+                if (n.send() >= 0) {
+                    n.entry().attempts.get(n.send()).mayHaveRun = false;
+                    note(n.entry(), notRun(n.send()), -1);
+                }
             }
-            try {
-                replay(new DataInputStream(new ByteArrayInputStream(content)), length + HEAD);
-            } catch (IOException | RuntimeException e) {
-                // Guards the start: one record that makes no sense must not keep the rest from being served.
-                LOG.warn("journal record skipped: {}", e.toString());
+            for (Chain chain : ends) {
+                store.delete(chain);
+                closing.add(chain);
             }
+            throw e;
         }
     }
 
-    private void replay(DataInputStream in, int bytes) throws IOException {
-        byte sort = in.readByte();
-        long number = in.readLong();
-        last = Math.max(last, number);
-        Entry entry = entries.get(number);
-        if (sort == TAKEN) {
-            entry = new Entry(number, message(in));
-            entry.reserved = reserve(bytes);
-            reserved += entry.reserved;
-            entries.put(number, entry);
-        } else if (entry != null) {
-            switch (sort) {
-                case SENT -> entry.attempts.add(new Attempt(in.readLong(), in.readInt()));
-                case NOT_RUN -> entry.attempts.get(in.readShort()).mayHaveRun = false;
-                case ENDED -> entry.end = new End(in.readBoolean(), in.readLong());
-                case CLOSED -> forget(number);
-                default -> throw new IOException("journal holds a record of unknown sort " + sort);
-            }
-        }
+    /** True when a slice of compaction is due. */
+    public boolean wantsCompaction() {
+        return store.wantsCompaction();
     }
 
-    // ---- Records --------------------------------------------------------------------------------
-    private interface Body {
-        void write(DataOutputStream out) throws IOException;
+    /** One slice of compaction, of about so many ns; between turns. */
+    public void compact(LongSupplier clock, long budget) throws IOException {
+        store.compact(clock, budget);
     }
 
-    private static byte[] record(byte sort, long number, Body body) throws IOException {
-        ByteArrayOutputStream content = new ByteArrayOutputStream();
-        DataOutputStream out = new DataOutputStream(content);
-        out.writeByte(sort);
-        out.writeLong(number);
-        body.write(out);
-        byte[] bytes = content.toByteArray();
-        return ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).putInt(crc(bytes))
-            .put(bytes).array();
-    }
-
-    private static byte[] taken(Entry entry) throws IOException {
-        Message m = entry.message;
-        return record(TAKEN, entry.number, o -> {
-            o.writeUTF(m.id());
-            o.writeUTF(m.messageClass());
-            o.writeInt(m.tenant());
-            optional(o, m.routeKey());
-            optional(o, m.idempotencyKey());
-            o.writeLong(m.destination());
-            o.writeLong(m.deadline());
-            o.writeInt(m.body().length);
-            o.write(m.body());
-        });
+    /** The store under it, for owners of other name spaces. */
+    public Store store() {
+        return store;
     }
 
-    private static Message message(DataInputStream in) throws IOException {
-        return new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
-            in.readLong(),
-            in.readLong(), in.readNBytes(in.readInt()));
+    private long reserveFor(Entry entry) {
+        int left = Math.max(0, mostAttempts - entry.attempts.size());
+        return left * (Store.cost(SENT_BYTES) + Store.cost(NOT_RUN_BYTES)) + Store.cost(ENDED_BYTES)
+            + Store.cost(0);
     }
 
-    private static byte[] sent(Entry entry, Attempt attempt) throws IOException {
-        return record(SENT, entry.number, o -> {
-            o.writeLong(attempt.sent);
-            o.writeInt(attempt.zone);
-        });
+    /** The process has been killed: nothing that is staged is written any more. */
+    public void abandon() throws IOException {
+        store.close();
     }
 
-    private static byte[] ended(long number, End end) throws IOException {
-        return record(ENDED, number, o -> {
-            o.writeBoolean(end.handedBack());
-            o.writeLong(end.retryAfter());
-        });
+    @Override
+    public void close() throws IOException {
+        try {
+            commit();
+        } finally {
+            store.close();
+        }
+    }
+
+    // ---- Records --------------------------------------------------------------------------------
+    private static byte[] head(Message m, long now) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(TAKEN);
+        out.writeLong(now);
+        out.writeUTF(m.id());
+        out.writeUTF(m.messageClass());
+        out.writeInt(m.tenant());
+        optional(out, m.routeKey());
+        optional(out, m.idempotencyKey());
+        out.writeLong(m.destination());
+        out.writeLong(m.deadline());
+        return bytes.toByteArray();
     }
 
     private static void optional(DataOutputStream out, String text) throws IOException {
@@ -327,9 +419,72 @@
         return in.readBoolean() ? in.readUTF() : null;
     }
 
-    private static int crc(byte[] bytes) {
-        CRC32 crc = new CRC32();
-        crc.update(bytes);
-        return (int) crc.getValue();
+    /** One line about a value of this name space, for people. */
+    public static String describe(byte[] value) {
+        try {
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(value));
+            return switch (in.readByte()) {
+                case TAKEN -> {
+                    long taken = in.readLong();
+                    yield "taken " + taken + " id " + in.readUTF() + " class " + in.readUTF() + " tenant "
+                        + in.readInt() + " route-key " + optional(in) + " key " + optional(in)
+                            + " destination "
+                        + in.readLong() + " deadline " + in.readLong() + " body " + in.available() + " bytes";
+                }
+                case SENT -> "sent " + in.readLong() + " zone " + in.readInt();
+                case NOT_RUN -> "not run, attempt " + in.readShort();
+                case ENDED -> "ended, " + (in.readBoolean() ? "handed back, come back in us " : "given up ")
+                    + in.readLong();
+                default -> "unknown";
+            };
+        } catch (IOException e) {
+            return "unreadable";
+        }
+    }
+
+    /** Moves a folder over from the one file of earlier relays. */
+    private static final class Moving {
+        private Moving() { }
+
+        /**
+         * The old file counts until it is deleted: a store that is there with it is half made, by a move
+         * that was cut off, and is made again.
+         */
+        static Store over(Disk disk, Store.Options options) throws IOException {
+            Disk.File file = disk.open(OldJournal.FILE, false);
+            Collection<OldJournal.Owed> owed = OldJournal.read(file.read(0, (int) file.size()));
+            file.close();
+            disk.delete(OldJournal.FRESH);
+            Store.discard(disk);
+            Store store = Store.open(disk, options);
+            Journal journal = new Journal(store, 0);
+            for (OldJournal.Owed o : owed) {
+                journal.move(o);
+            }
+            journal.commit();
+            disk.delete(OldJournal.FILE);
+            if (options.promise() == Store.Promise.MACHINE) {
+                disk.syncNames();
+            }
+            LOG.info("moved over from the old journal: {} messages", owed.size());
+            return store;
+        }
+    }
+
+    private void move(OldJournal.Owed o) throws IOException {
+        // When it was taken is not in the old file: its time cannot have begun before this.
+        Entry entry = take(o.message(), 0);
+        if (entry == null) {
+            throw new IOException("no room to move the old journal over: message " + o.message().id());
+        }
+        for (int i = 0; i < o.attempts().size(); i++) {
+            sent(entry, o.attempts().get(i).sent, o.attempts().get(i).zone);
+            if (!o.attempts().get(i).mayHaveRun) {
+                notRun(entry, i);
+            }
+        }
+        if (o.end()[0] != null) {
+            ended(entry, o.end()[0]);
+        }
     }
 }
--- a/src/main/java/brambletray/message/Message.java
+++ b/src/main/java/brambletray/message/Message.java
@@ -1,6 +1,5 @@
 package brambletray.message;
 
-import java.util.Arrays;
 import java.util.Objects;
 
 /**
@@ -8,11 +7,17 @@
  * none.
  */
 public record Message(String id, String messageClass, int tenant, String routeKey, String idempotencyKey,
-                             long destination, long deadline, byte[] body) {
+                             long destination, long deadline, Body body) {
     /** True when the other is this message once more; its time may have been told anew. */
     public boolean sameAs(Message other) {
         return id.equals(other.id) && messageClass.equals(other.messageClass)
             && destination == other.destination && Objects.equals(idempotencyKey, other.idempotencyKey)
-            && Arrays.equals(body, other.body);
+            && Body.same(body, other.body);
+    }
+
+    /** The same message with its bytes elsewhere. */
+    public Message with(Body elsewhere) {
+        return new Message(id, messageClass, tenant, routeKey, idempotencyKey, destination, deadline,
+            elsewhere);
     }
 }
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -91,7 +91,7 @@
 
     /** Its process has been killed: nothing of it runs any more, and only the file has to be let go. */
     public void abandon() throws IOException {
-        journal.close();
+        journal.abandon();
     }
 
     /** The abrupt end: nothing more is decided or written down; what is owed stays in the journal. */
--- a/src/main/java/brambletray/serve/WarmUp.java
+++ b/src/main/java/brambletray/serve/WarmUp.java
@@ -27,8 +27,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,7 +50,8 @@
     /** Runs on the calling thread; a warm-up that fails is no fault of the relay's. */
     static void run(Config config) throws InterruptedException {
         Path folder = config.state().resolve("warmup");
-        if (Files.exists(config.state().resolve("journal"))) {
+        if (Files.exists(config.state().resolve("MANIFEST"))
+            || Files.exists(config.state().resolve("journal"))) {
             return;
         }
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -112,9 +115,10 @@
     }
 
     private static void clear(Path folder) {
-        try {
-            Files.deleteIfExists(folder.resolve("journal"));
-            Files.deleteIfExists(folder);
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
         } catch (IOException e) {
             LOG.warn("left behind: {}", folder, e);
         }
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -8,6 +8,8 @@
 import brambletray.serve.Instance;
 import brambletray.simulation.SimNetwork;
 import brambletray.simulation.Simulation;
+import brambletray.store.MemoryDisk;
+import brambletray.store.Store;
 import brambletray.wire.Wire;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -38,11 +40,13 @@
     private final Simulation simulation;
     private final Scene scene;
     private final List<Machine> machines = new ArrayList<>();
+    private final List<MemoryDisk> disks = new ArrayList<>();
     private final List<Instance> instances = new ArrayList<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private Store.Promise promise = Store.Promise.PROCESS;
     private int agentPort = PORT;
 
-    /** {@code folder}: for the relays' configurations and journals. */
+    /** {@code folder}: for the relays' configurations; their journals are in memory. */
     public SimStage(Script script, long seed, Path folder) throws IOException, Config.Unusable {
         this(script, seed, folder, UnaryOperator.identity());
     }
@@ -91,6 +95,7 @@
         for (int i = 0; i < script.fleet().relays(); i++) {
             addresses.add(new InetSocketAddress(relayIp(i), PORT));
             machines.add(null);
+            disks.add(new MemoryDisk());
             instances.add(null);
             start(i);
         }
@@ -144,7 +149,7 @@
         Files.writeString(file, told.apply(scene.config(relay, addresses.get(relay), SOCKETS, DISK / 1e6)));
         Config config = Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
         Machine machine = simulation.machine(relayIp(relay));
-        Journal journal = new Journal(state, DISK, config.settings().allowed().attempts());
+        Journal journal = Journal.open(disks.get(relay), DISK, promise, config.settings().allowed().attempts());
         machines.set(relay, machine);
         machine.loop().execute(() -> {
             try {
@@ -161,6 +166,21 @@
         instances.get(relay).abandon();
     }
 
+    /** The folder of a relay, in memory. */
+    public MemoryDisk disk(int relay) {
+        return disks.get(relay);
+    }
+
+    /** Puts another folder in the place of a relay's, as it may be left by a cut; while the relay is dead. */
+    public void disk(int relay, MemoryDisk left) {
+        disks.set(relay, left);
+    }
+
+    /** What a commit of the relays outlasts from their next start on; the process until then. */
+    public void promise(Store.Promise outlasts) {
+        promise = outlasts;
+    }
+
     /** Starts a relay again on its folder. */
     public void restart(int relay) throws IOException, Config.Unusable {
         scene.ledger().restarted(relayIp(relay).getHostAddress());
--- /dev/null
+++ b/src/main/java/brambletray/store/RealDisk.java
@@ -0,0 +1,129 @@
+package brambletray.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** A folder of the file system. */
+public final class RealDisk implements Disk {
+    private final Path folder;
+
+    public RealDisk(Path folder) {
+        this.folder = folder;
+    }
+
+    private record Open(FileChannel channel) implements File {
+        @Override
+        public void write(long at, ByteBuffer bytes) throws IOException {
+            long to = at;
+            while (bytes.hasRemaining()) {
+                to += channel.write(bytes, to);
+            }
+        }
+
+        @Override
+        public byte[] read(long at, int most) throws IOException {
+            long left = Math.max(0, Math.min(most, channel.size() - at));
+            ByteBuffer bytes = ByteBuffer.allocate((int) left);
+            long from = at;
+            while (bytes.hasRemaining()) {
+                int got = channel.read(bytes, from);
+                if (got < 0) {
+                    break;
+                }
+                from += got;
+            }
+            return bytes.position() == bytes.capacity() ? bytes.array()
+                : java.util.Arrays.copyOf(bytes.array(), bytes.position());
+        }
+
+        @Override
+        public long size() throws IOException {
+            return channel.size();
+        }
+
+        @Override
+        public void truncate(long size) throws IOException {
+            channel.truncate(size);
+        }
+
+        @Override
+        public void sync() throws IOException {
+            channel.force(true);
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+
+    @Override
+    public File open(String name, boolean create) throws IOException {
+        Path file = folder.resolve(name);
+        return new Open(create
+            ? FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ,
+                StandardOpenOption.WRITE)
+            : FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE));
+    }
+
+    @Override
+    public boolean exists(String name) {
+        return Files.exists(folder.resolve(name));
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE,
+            StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        Files.deleteIfExists(folder.resolve(name));
+    }
+
+    @Override
+    public List<String> list() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString()).sorted().toList();
+        }
+    }
+
+    @Override
+    public void syncNames() throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true);
+        }
+    }
+
+    @Override
+    public AutoCloseable lock(String name) throws IOException {
+        FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE);
+        FileLock lock;
+        try {
+            lock = channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            lock = null;
+        }
+        if (lock == null) {
+            channel.close();
+            throw new IOException("another process uses the folder " + folder);
+        }
+        return channel;
+    }
+
+    @Override
+    public String toString() {
+        return folder.toString();
+    }
+}
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -21,7 +21,7 @@
     /** From the bottom up; a package may use those before it, and none of those after it. */
     private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.message",
         "brambletray.runtime",
-        "brambletray.wire", "brambletray.journal", "brambletray.core", "brambletray.http..",
+        "brambletray.wire", "brambletray.store", "brambletray.journal", "brambletray.core", "brambletray.http..",
         "brambletray.membership", "brambletray.serve", "brambletray.simhost", "brambletray.yaml",
         "brambletray.simulation", "brambletray.emulator", "brambletray.script", "brambletray.partners",
         "brambletray.stage", "brambletray.check", "brambletray.cli");
@@ -66,6 +66,14 @@
                 "java.util.function", "java.util.stream", "java.lang.invoke", "java.lang.runtime")))).check(CODE);
     }
 
+    /** The store knows nothing of the relay. */
+    @Test
+    void theStoreStandsAlone() {
+        noClasses().that().resideInAPackage("brambletray.store").should().dependOnClassesThat()
+            .resideInAnyPackage("brambletray.control", "brambletray.message", "brambletray.wire",
+                "brambletray.runtime", "io.netty..").check(CODE);
+    }
+
     @Test
     void sourcesAndProtocolsDoNotKnowEachOther() {
         noClasses().that().resideInAPackage("brambletray.http..").should().dependOnClassesThat()
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -5,6 +5,7 @@
 import brambletray.control.Relay.Outcome;
 import brambletray.core.Host;
 import brambletray.core.Reply;
+import brambletray.message.Body;
 import brambletray.message.Message;
 import brambletray.runtime.Machine;
 import brambletray.stub.HostStub;
@@ -45,7 +46,7 @@
 
     private HostPool.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
         listed.dial = new InetSocketAddress(PlatformStub.LOOPBACK, port);
-        Message message = new Message("a", "bill", 0, null, null, 7, 0, new byte[bytes]);
+        Message message = new Message("a", "bill", 0, null, null, 7, 0, Body.of(new byte[bytes]));
         return group.next().submit(() -> pool.call(listed, message, patience, replies::add)).get();
     }
 
--- a/src/test/java/brambletray/stub/PlatformStub.java
+++ b/src/test/java/brambletray/stub/PlatformStub.java
@@ -101,7 +101,7 @@
     }
 
     public Path journal() {
-        return folder.resolve("state").resolve("journal");
+        return folder.resolve("state").resolve("seg-0000000001");
     }
 
     /** The next watch's query; null if none comes in a long time. */
