MQTT 3.1.1 and 5.0 for clients, on the same loop, store and module

A PUBLISH to the configured scheme becomes a message with an origin and goes through Loop.accept; PUBACK or PUBREC follows the commit of the batch that holds the message, its id and the packet id. The final answer is noted in the batch of the message's end and kept by the client's session. Refusals: reason codes with a time to come back (5.0), a close with nothing acknowledged (3.1.1). Sessions and ids taken on lie in name spaces of the store. Off unless EDGE_CONFIG names a file; no class of it is then loaded.

Tests over loopback with both versions, with Eclipse Paho's clients as peers, over restarts, and 450 packets of seeded noise. Found by them: the origin was lost when a message's body moved to the store, so that no answer was ever sent. Partners by MQTT are still to come (ROADMAP).

--- /dev/null
+++ b/src/main/java/brambletray/core/Ends.java
@@ -0,0 +1,24 @@
+package brambletray.core;
+
+import brambletray.message.Message;
+
+/**
+ * Is told the end of each message that has an {@link brambletray.message.Origin}, in the batch that notes
+ * it.
+ */
+public interface Ends {
+    /** How a message ended. */
+    enum End { DELIVERED, HANDED_BACK, GIVEN_UP }
+
+    /** Exactly once for each message; {@code retryAfter}: us, 0 for no advice. */
+    void ended(Message message, End end, long retryAfter);
+
+    /** The batch of this pass failed: what was staged beside the journal's notes has to be staged again. */
+    default void batchFailed() { }
+
+    /** The batch of this pass is over, well or not. */
+    default void committed() { }
+
+    /** For relays whose clients all ask by HTTP. */
+    Ends NOBODY = (message, end, retryAfter) -> { };
+}
--- a/src/main/java/brambletray/core/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -37,6 +37,17 @@
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
      */
     public interface Answer {
+        /**
+         * It has been noted in the batch that is about to be committed: what must go with it is staged now.
+         */
+        default void noted() { }
+
+        /**
+         * That batch failed, or the message is not taken on after all; {@link #refused} or the like
+         * follows.
+         */
+        default void notNoted() { }
+
         void taken();
 
         /** It is held already: this is not the request that took it on. */
@@ -80,6 +91,7 @@
     private boolean turnDue;
     private boolean stopped;
     private int open;
+    private Ends ends = Ends.NOBODY;
     private boolean commitDue, compacting;
     /** Sends of the turn under way, noted and not yet made. */
     private final Map<Relay.Send, Prepared> prepared = new IdentityHashMap<>();
@@ -289,6 +301,8 @@
             }
             if (h.entry == null) {
                 refuse(id, unanswered.get(id));
+            } else {
+                unanswered.get(id).noted();
             }
         }
         for (Relay.Action action : actions) {
@@ -305,10 +319,12 @@
             } else if (h.entry.uncertain()) {
                 // It may be found after a restart: its client must not be told that another try does no harm.
                 Answer answer = unanswered.remove(id);
+                answer.notNoted();
                 over(h);
                 tell(new Relay.Withdrawn(id));
                 answer.failed();
             } else {
+                unanswered.get(id).notNoted();
                 refuse(id, unanswered.get(id));
             }
         }
@@ -324,7 +340,9 @@
             journal.commit();
         } catch (IOException e) {
             LOG.error("store cannot be written: messages of this turn are refused, their sends not made", e);
+            ends.batchFailed();
         }
+        ends.committed();
         if (journal.wantsCompaction() && !compacting) {
             compacting = true;
             loop.execute(this::compact);
@@ -443,6 +461,8 @@
         if (!h.over) {
             if (reply.over()) {
                 over(h);
+                tellOrigin(h.message, reply.outcome() == Relay.Outcome.OK ? Ends.End.DELIVERED
+                    : Ends.End.GIVEN_UP, 0);
                 close(h.entry);
             } else if (reply.outcome().neverRan()) {
                 notRun(h, attempt);
@@ -479,9 +499,29 @@
             LOG.error("store cannot be written, end of message {} is told all the same",
                 entry.message.id(), e);
         }
+        tellOrigin(entry.message, end.handedBack() ? Ends.End.HANDED_BACK : Ends.End.GIVEN_UP,
+            end.retryAfter());
         platform.notice(entry);
     }
 
+    /** In the batch that notes the end: told exactly once, whatever happens in between. */
+    private void tellOrigin(Message message, Ends.End end, long retryAfter) {
+        if (message.origin() != null) {
+            ends.ended(message, end, retryAfter);
+            commitSoon();
+        }
+    }
+
+    /** Sets who is told the ends of messages that have an origin; before {@link #start}. */
+    public void ends(Ends told) {
+        ends = told;
+    }
+
+    /** Something besides the journal was staged in the store: it goes with this pass's batch. */
+    public void staged() {
+        commitSoon();
+    }
+
     private void over(Held h) {
         h.over = true;
         open--;
--- a/src/main/java/brambletray/journal/Journal.java
+++ b/src/main/java/brambletray/journal/Journal.java
@@ -2,6 +2,7 @@
 
 import brambletray.message.Body;
 import brambletray.message.Message;
+import brambletray.message.Origin;
 import brambletray.store.Chain;
 import brambletray.store.Damage;
 import brambletray.store.Disk;
@@ -29,8 +30,8 @@
  * {@link #SPACE}. What is noted is staged, and lasts from the {@link #commit} on.
  *
  * <p>A chain begins with the message (sort 0, time taken 8, id, class, tenant 4, route key, idempotency key,
- * destination 8, deadline 8, body); behind it come its sends (1, time 8, zone 4), outcomes that prove that an
- * attempt never ran (2, number 2) and its end (3, handed back 1, time to come back 8).
+ * destination 8, deadline 8, origin if any, body); behind it come its sends (1, time 8, zone 4), outcomes
+ * that prove that an attempt never ran (2, number 2) and its end (3, handed back 1, time to come back 8).
  */
 public final class Journal implements AutoCloseable {
     /** Name space of the store that is the journal's. */
@@ -159,7 +160,7 @@
         }
         long taken = in.readLong();
         Message message = new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
-            in.readLong(), in.readLong(), null);
+            in.readLong(), in.readLong(), null, origin(in));
         Entry entry = new Entry(chain.key(), message);
         entry.chain = chain;
         entry.message = message.with(new Kept(chain, first.length - in.available(), in.available()));
@@ -405,9 +406,22 @@
         optional(out, m.idempotencyKey());
         out.writeLong(m.destination());
         out.writeLong(m.deadline());
+        out.writeBoolean(m.origin() != null);
+        if (m.origin() != null) {
+            out.writeUTF(m.origin().client());
+            out.writeUTF(m.origin().topic());
+            out.writeShort(m.origin().correlation().length);
+            out.write(m.origin().correlation());
+        }
         return bytes.toByteArray();
     }
 
+    private static Origin origin(DataInputStream in) throws IOException {
+        return in.readBoolean() ? new Origin(in.readUTF(), in.readUTF(),
+            in.readNBytes(in.readUnsignedShort()))
+            : null;
+    }
+
     private static void optional(DataOutputStream out, String text) throws IOException {
         out.writeBoolean(text != null);
         if (text != null) {
@@ -419,6 +433,11 @@
         return in.readBoolean() ? in.readUTF() : null;
     }
 
+    private static String origin(DataInputStream in, String before) throws IOException {
+        Origin origin = origin(in);
+        return origin == null ? "" : before + origin.client();
+    }
+
     /** One line about a value of this name space, for people. */
     public static String describe(byte[] value) {
         try {
@@ -429,7 +448,8 @@
                     yield "taken " + taken + " id " + in.readUTF() + " class " + in.readUTF() + " tenant "
                         + in.readInt() + " route-key " + optional(in) + " key " + optional(in)
                             + " destination "
-                        + in.readLong() + " deadline " + in.readLong() + " body " + in.available() + " bytes";
+                        + in.readLong() + " deadline " + in.readLong() + origin(in, " for ") + " body "
+                            + in.available() + " bytes";
                 }
                 case SENT -> "sent " + in.readLong() + " zone " + in.readInt();
                 case NOT_RUN -> "not run, attempt " + in.readShort();
--- /dev/null
+++ b/src/main/java/brambletray/mqtt/clients/Session.java
@@ -0,0 +1,39 @@
+package brambletray.mqtt.clients;
+
+import brambletray.store.Chain;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What is kept of one client while its session lives, connected or not. */
+final class Session {
+    /** A final answer that its client has not acknowledged. */
+    record Answer(long number, String topic, byte[] correlation, String payload) { }
+
+    final String client;
+    final long key;
+    /** QoS 2 packet ids that were received and not released (MQTT 5.0, section 4.3.3). */
+    final Set<Integer> received = new LinkedHashSet<>();
+    final Map<Long, Answer> answers = new LinkedHashMap<>();
+    /** Packet ids of answers that are out on the present connection. */
+    final Map<Integer, Long> out = new LinkedHashMap<>();
+    /** Filters of its subscriptions, and the QoS of each. */
+    final Map<String, Integer> filters = new LinkedHashMap<>();
+    long expiryMs;
+    /** When its client left, Unix time, ms; 0 while it is connected. */
+    long leftAt;
+    long nextAnswer = 1;
+    MqttClient connected;
+    Chain chain;
+    int notes;
+
+    Session(String client, long key) {
+        this.client = client;
+        this.key = key;
+    }
+
+    boolean expired(long now) {
+        return connected == null && expiryMs != Long.MAX_VALUE && now - leftAt >= expiryMs;
+    }
+}
--- a/src/main/java/brambletray/serve/Config.java
+++ b/src/main/java/brambletray/serve/Config.java
@@ -1,6 +1,7 @@
 package brambletray.serve;
 
 import brambletray.control.Relay;
+import brambletray.mqtt.clients.MqttSettings;
 import brambletray.store.Store;
 import brambletray.wire.Addresses;
 import brambletray.wire.Wire;
@@ -21,7 +22,7 @@
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
                      int sockets, long diskBytes, Store.Promise promise, Relay.Settings settings,
                          List<String> zones,
-                     List<String> kinds, Wire.Fields known) {
+                     List<String> kinds, Wire.Fields known, MqttSettings mqtt) {
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
@@ -52,7 +53,9 @@
                 folder(state), seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), promise(all.text("outlasts", "process")),
                     usable(Wire.settings(settings)),
-                names(settings, "localities"), names(settings, "kinds"), all.object("known"));
+                names(settings, "localities"), names(settings, "kinds"), all.object("known"),
+                all.values().get("mqtt") == null ? null
+                    : MqttFile.read(Path.of(file).resolveSibling(all.text("mqtt"))));
         } catch (Wire.Malformed e) {
             throw new Unusable("configuration " + file + ": " + e.getMessage());
         } catch (IOException e) {
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -6,6 +6,7 @@
 import brambletray.journal.Journal;
 import brambletray.membership.Discovery;
 import brambletray.membership.HostList;
+import brambletray.mqtt.clients.MqttFront;
 import brambletray.runtime.Machine;
 import brambletray.wire.Wire;
 import io.netty.channel.Channel;
@@ -34,7 +35,8 @@
     private final Journal journal;
     private final Loop loop;
     private final Server server;
-    private final ChannelFuture bound;
+    private final ChannelFuture bound, mqttBound;
+    private final MqttFront mqtt;
 
     /** Takes up what the journal holds, and begins to listen. The instance closes the journal at its end. */
     public Instance(Machine machine, Config config, Journal journal) throws Wire.Malformed {
@@ -45,9 +47,16 @@
             config.settings().allowed().keepAlive());
         loop = new Loop(machine, config.seed(), config.settings(), hosts, pool, journal);
         Discovery discovery = new Discovery(machine, config.discovery(), hosts, loop::listed, loop::noticed);
+        mqtt = config.mqtt() == null ? null : new MqttFront(machine, config.mqtt(), loop, journal.store());
         loop.start(discovery, config.known().values().isEmpty() ? null : hosts.update(config.known()));
         server = new Server(loop, machine, config.sockets() / 2);
         bound = machine.listening(server).bind(config.listen());
+        mqttBound = mqtt == null ? null : mqtt.listen();
+    }
+
+    /** Done once MQTT clients can connect; null for a relay that speaks no MQTT. */
+    public ChannelFuture mqttBound() {
+        return mqttBound;
     }
 
     /** Done once it listens; its channel's local address is where clients connect. */
@@ -76,6 +85,10 @@
             Channel listener = bound.channel();
             listener.close();
             server.closeClients();
+            if (mqtt != null) {
+                mqttBound.channel().close();
+                mqtt.closeClients();
+            }
             workOff(by, whenLeft);
         }, SERVE_ON, TimeUnit.MILLISECONDS);
     }
@@ -98,6 +111,9 @@
     public void stop() {
         loop.stop();
         bound.channel().close();
+        if (mqtt != null) {
+            mqttBound.channel().close();
+        }
         try {
             journal.close();
         } catch (IOException e) {
--- /dev/null
+++ b/src/main/java/brambletray/serve/MqttFile.java
@@ -0,0 +1,19 @@
+package brambletray.serve;
+
+import brambletray.mqtt.clients.MqttSettings;
+import brambletray.yaml.Faults;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Apart from {@link Config}, so that a relay that speaks no MQTT loads nothing of it. */
+final class MqttFile {
+    private MqttFile() { }
+
+    static MqttSettings read(Path file) throws Config.Unusable, IOException {
+        try {
+            return MqttSettings.read(file);
+        } catch (Faults e) {
+            throw new Config.Unusable(e.getMessage());
+        }
+    }
+}
--- a/src/main/java/brambletray/serve/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -39,6 +39,10 @@
         ChannelFuture bound = instance.bound();
         bound.get();
         address = (InetSocketAddress) bound.channel().localAddress();
+        if (instance.mqttBound() != null) {
+            instance.mqttBound().get();
+            LOG.info("MQTT clients on {}", mqttAddress());
+        }
         LOG.info("serving on {}, {} messages taken up", address, owed);
     }
 
@@ -116,6 +120,11 @@
         return address;
     }
 
+    /** The address that MQTT clients connect to. */
+    public InetSocketAddress mqttAddress() {
+        return (InetSocketAddress) instance.mqttBound().channel().localAddress();
+    }
+
     /** True when nothing is owed any more. */
     public boolean idle() throws InterruptedException, ExecutionException {
         return thread.submit(instance::idle).get();
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -21,8 +21,8 @@
     /** From the bottom up; a package may use those before it, and none of those after it. */
     private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.message",
         "brambletray.runtime",
-        "brambletray.wire", "brambletray.store", "brambletray.journal", "brambletray.core", "brambletray.http..",
-        "brambletray.membership", "brambletray.serve", "brambletray.simhost", "brambletray.yaml",
+        "brambletray.wire", "brambletray.store", "brambletray.journal", "brambletray.core", "brambletray.http..", "brambletray.yaml", "brambletray.mqtt..",
+        "brambletray.membership", "brambletray.serve", "brambletray.simhost",
         "brambletray.simulation", "brambletray.emulator", "brambletray.script", "brambletray.partners",
         "brambletray.stage", "brambletray.check", "brambletray.cli");
 
--- a/src/test/java/brambletray/cli/CommandLineTest.java
+++ b/src/test/java/brambletray/cli/CommandLineTest.java
@@ -112,7 +112,8 @@
         assertEquals(code, process.waitFor());
         assertTrue(loaded.stream().anyMatch(l -> l.contains("brambletray.Main")), "no class was told");
         for (String unwanted : List.of("picocli", "snakeyaml", "brambletray.cli", "brambletray.emulator",
-                "brambletray.simulation", "brambletray.script", "brambletray.stage", "brambletray.yaml")) {
+                "brambletray.simulation", "brambletray.script", "brambletray.stage", "brambletray.yaml", "brambletray.mqtt",
+                "handler.codec.mqtt")) {
             assertTrue(loaded.stream().noneMatch(l -> l.contains(unwanted)), unwanted + " is loaded");
         }
     }
--- a/src/test/java/brambletray/stub/PlatformStub.java
+++ b/src/test/java/brambletray/stub/PlatformStub.java
@@ -21,7 +21,7 @@
 /** What a relay needs round it, on loopback: an agent of discovery and its configuration; scripted by the test. */
 public final class PlatformStub implements AutoCloseable {
     public static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
-    public static final long PATIENCE_S = 30;
+    public static final long PATIENCE_S = Long.getLong("patience", 30);
 
     public final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     /** Statuses for the next notices; 204 when none is left. */
@@ -32,6 +32,8 @@
     public final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
     /** Calls that a relay may have out. */
     public int slots = 16;
+    /** More fields of the configuration, each with a comma behind it. */
+    public String more = "";
     /** Messages that it may hold. */
     public int openCap = 4;
     private final HttpServer agent;
@@ -86,7 +88,7 @@
         Path state = Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
-             "limits":{"sockets":1024,"disk_mb":3},"known":%s,
+             "limits":{"sockets":1024,"disk_mb":3},%s"known":%s,
              "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2"],
               "weights":"rough","novel":[1],
               "allowed":{"cancel":true,"second-copies":false,"connect-timeout":800,"keepalive":15000,"most-tries":12,
@@ -95,7 +97,7 @@
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":8000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
-            """.formatted(discovery.agent.getAddress().getPort(), list(1, true, hosts), openCap, slots));
+            """.formatted(discovery.agent.getAddress().getPort(), more, list(1, true, hosts), openCap, slots));
         return Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString(),
             "EDGE_DISCOVERY", "127.0.0.1:" + agent.getAddress().getPort());
     }
