--- a/src/test/java/brambletray/store/StoreTest.java
+++ b/src/test/java/brambletray/store/StoreTest.java
@@ -164,6 +164,24 @@
         assertEquals(List.of("#1 put 1 10", "#2 put 2 20", "#3 delete 1 0"), dumped);
     }
 
+    /** On real files: what is written is read back, a second process is turned away, and reading needs no right to write. */
+    @Test
+    void aFolderOfTheFileSystemIsOneProcesss(@org.junit.jupiter.api.io.TempDir java.nio.file.Path folder) throws IOException {
+        Store.Options options = Life.options(Store.Promise.MACHINE);
+        try (Store store = Store.open(new RealDisk(folder), options)) {
+            for (int i = 0; i < 400; i++) {
+                commit(store, (byte) 1, i, 500);
+            }
+            assertThrows(IOException.class, () -> Store.open(new RealDisk(folder), options));
+            compactFully(store);
+        }
+        assertEquals(List.of(), StoreTools.verify(new RealDisk(folder, true)));
+        try (Store store = Store.open(new RealDisk(folder), options)) {
+            assertEquals(400, store.chains((byte) 1).size());
+            assertEquals(500, store.read(store.chains((byte) 1).get(399), 0).length);
+        }
+    }
+
     /** One sync for all that was staged. */
     @Test
     void aBatchCostsOneSync() throws IOException {
--- a/src/test/java/brambletray/store/StoreTortureTest.java
+++ b/src/test/java/brambletray/store/StoreTortureTest.java
@@ -21,11 +21,13 @@
  */
 class StoreTortureTest {
     private static final boolean FULL = "full".equals(System.getProperty("torture"));
-    private static long cases;
+    /** Cases by kind, and the kind under way. */
+    private static final java.util.TreeMap<String, Long> CASES = new java.util.TreeMap<>();
+    private static String kind = "";
 
     @AfterAll
     static void count() {
-        System.out.println("store torture: " + cases + " cases" + (FULL ? " (full)" : ""));
+        System.out.println("store torture" + (FULL ? " (full): " : ": ") + CASES);
     }
 
     private static final class Stop extends IOException {
@@ -62,7 +64,7 @@
     /** What a store must hold after a crash: all that was acknowledged, and at most the batch under way besides. */
     private static void holds(Life life, Store store, String where) throws IOException {
         Life.State state = Life.read(store);
-        cases++;
+        CASES.merge(kind, 1L, Long::sum);
         if (!state.equals(life.last()) && !state.equals(life.underWay)) {
             fail(where + ": holds " + state.chains().keySet() + ", acknowledged " + life.last().chains().keySet()
                 + ", under way " + (life.underWay == null ? null : life.underWay.chains().keySet()) + "; "
@@ -75,6 +77,7 @@
     @ParameterizedTest
     @EnumSource(Store.Promise.class)
     void aKillAtEveryOperationAndAnotherAtEachOfTheRecovery(Store.Promise promise) throws IOException {
+        kind = "killed twice, " + promise;
         int batches = FULL ? 400 : 120;
         int all = operations(5, promise, batches);
         for (int at = 0; at < all; at += FULL ? 1 : 3) {
@@ -113,6 +116,7 @@
     /** A power cut before every operation: what was not synced is lost or kept in any subset. */
     @Test
     void aPowerCutAtEveryOperation() throws IOException {
+        kind = "power cut";
         int batches = FULL ? 300 : 100;
         int all = operations(6, Store.Promise.MACHINE, batches);
         for (int at = 0; at < all; at += FULL ? 1 : 3) {
@@ -150,7 +154,7 @@
      * and what is missing was told of. Or the store says that it cannot be trusted.
      */
     private static void hidesNothing(Life.State truth, MemoryDisk damaged, String where) throws IOException {
-        cases++;
+        CASES.merge(kind, 1L, Long::sum);
         Life.State state;
         try (Store store = Store.open(damaged, Life.options(Store.Promise.PROCESS))) {
             Set<Long> sure = new HashSet<>();
@@ -192,6 +196,7 @@
     /** Each file cut at every offset. */
     @Test
     void everyFileCutAtEveryByte() throws IOException {
+        kind = "file cut";
         Life life = new Life(7, Store.Promise.PROCESS);
         MemoryDisk disk = lived(life, 60);
         for (String name : disk.list()) {
@@ -210,6 +215,7 @@
     /** Each byte altered; each bit of it in the full run. */
     @Test
     void everyByteAltered() throws IOException {
+        kind = "byte altered";
         Life life = new Life(8, Store.Promise.PROCESS);
         MemoryDisk disk = lived(life, 60);
         for (String name : disk.list()) {
@@ -229,6 +235,7 @@
     /** Blocks zeroed and doubled; segments missing, swapped, or an old one back. */
     @Test
     void blocksAndSegmentsGoneAstray() throws IOException {
+        kind = "block or segment astray";
         Life life = new Life(9, Store.Promise.PROCESS);
         MemoryDisk early = new MemoryDisk();
         life.run(early, 200);
@@ -274,6 +281,7 @@
     @ParameterizedTest
     @EnumSource(Store.Promise.class)
     void anErrorAtEveryOperation(Store.Promise promise) throws IOException {
+        kind = "error, " + promise;
         int batches = 120;
         int all = operations(10, promise, batches);
         for (int at = 0; at < all; at += FULL ? 1 : 3) {
@@ -312,7 +320,7 @@
                 assertEquals(open, Life.read(store), "error at " + at + ": " + store.found().damages());
                 open.chains().remove(1_000_000L);
                 assertTrue(open.equals(life.last()) || open.equals(life.underWay), "error at " + at);
-                cases++;
+                CASES.merge(kind, 1L, Long::sum);
             }
         }
     }
