Partners that are MQTT 5 servers: one call is one PUBLISH, its PUBACK the outcome

MqttCalls is a second way out beside HostPool, chosen by the host's protocol in the list; the module decides as before.

Also mended: a session whose client was connected when the relay was killed was taken for expired at the next start, since how long it lasts had only been noted when the client left; seen as a test that failed once under load.

--- /dev/null
+++ b/src/main/java/brambletray/core/CallsByProtocol.java
@@ -0,0 +1,39 @@
+package brambletray.core;
+
+import brambletray.message.Message;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Sends each host its calls by the protocol that its list entry names. */
+public final class CallsByProtocol implements Calls {
+    private final Map<String, Calls> ways;
+
+    /** {@code ways}: for each protocol the way out; hosts of any other are left out by membership. */
+    public CallsByProtocol(Map<String, Calls> ways) {
+        this.ways = Map.copyOf(ways);
+    }
+
+    private Calls way(Host host) {
+        return ways.get(host.protocol);
+    }
+
+    @Override
+    public Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
+        return way(host).call(host, message, patience, whenEnded);
+    }
+
+    @Override
+    public void takeBack(Host host) {
+        way(host).takeBack(host);
+    }
+
+    @Override
+    public void closeIdle(Host host) {
+        way(host).closeIdle(host);
+    }
+
+    @Override
+    public boolean forget(Host host) {
+        return way(host).forget(host);
+    }
+}
--- a/src/main/java/brambletray/core/Host.java
+++ b/src/main/java/brambletray/core/Host.java
@@ -7,6 +7,8 @@
     public final long number;
     public final String name;
     public InetSocketAddress dial;
+    /** By which its calls go out. */
+    public String protocol = "http";
     public int zone;
     public int kind;
     public long destination;
--- a/src/main/java/brambletray/membership/HostList.java
+++ b/src/main/java/brambletray/membership/HostList.java
@@ -24,12 +24,19 @@
 
     private final List<String> zones;
     private final List<String> kinds;
+    private final Set<String> protocols;
     private final Map<String, Host> byName = new HashMap<>();
     private final Map<Long, Host> byNumber = new HashMap<>();
     private final Set<Long> destinations = new HashSet<>();
     private long version = -1;
 
     public HostList(List<String> zones, List<String> kinds) {
+        this(zones, kinds, Set.of("http"));
+    }
+
+    /** {@code protocols}: those by which this relay can send. */
+    public HostList(List<String> zones, List<String> kinds, Set<String> protocols) {
+        this.protocols = protocols;
         this.zones = zones;
         this.kinds = kinds;
     }
@@ -103,11 +110,17 @@
             LOG.warn("list entry of host {} left out: site, class or health is not known", name);
             return null;
         }
+        String protocol = entry.text("protocol", host == null ? "http" : host.protocol);
+        if (listing != Relay.Listing.GONE && !protocols.contains(protocol)) {
+            LOG.warn("list entry of host {} left out: this relay does not speak {}", name, protocol);
+            return null;
+        }
         if (host == null) {
             host = new Host(number(name), name);
             byName.put(name, host);
             byNumber.put(host.number, host);
         }
+        host.protocol = protocol;
         host.ready = listing == Relay.Listing.READY;
         host.gone = listing == Relay.Listing.GONE;
         if (listing != Relay.Listing.GONE) {
--- a/src/main/java/brambletray/mqtt/clients/MqttClient.java
+++ b/src/main/java/brambletray/mqtt/clients/MqttClient.java
@@ -236,10 +236,11 @@
             return;
         }
         session.connected = this;
-        session.leftAt = 0;
         long asked = five ? integer(properties, MqttPropertyType.SESSION_EXPIRY_INTERVAL, 0) & 0xffffffffL
             : clean ? 0 : 0xffffffffL;
         session.expiryMs = Math.min(settings.sessionExpiryMs(), asked * 1_000);
+        // Guards the session against a kill while its client is connected.
+        sessions.connected(session);
         clientReceiveMaximum = integer(properties, MqttPropertyType.RECEIVE_MAXIMUM, 65_535);
         if (clientReceiveMaximum == 0) {
             disconnect(PROTOCOL_ERROR, "a receive maximum of 0");
--- a/src/main/java/brambletray/mqtt/clients/Sessions.java
+++ b/src/main/java/brambletray/mqtt/clients/Sessions.java
@@ -196,6 +196,20 @@
         return true;
     }
 
+    /** Its client has connected, and said how long the session is to outlast the connection. */
+    void connected(Session session) {
+        session.leftAt = 0;
+        noteLeft(session);
+    }
+
+    private void noteLeft(Session session) {
+        note(session, out -> {
+            out.writeByte(LEFT);
+            out.writeLong(session.leftAt);
+            out.writeLong(session.expiryMs);
+        });
+    }
+
     void left(Session session) {
         session.connected = null;
         session.out.clear();
@@ -204,11 +218,7 @@
             end(session);
             return;
         }
-        note(session, out -> {
-            out.writeByte(LEFT);
-            out.writeLong(session.leftAt);
-            out.writeLong(session.expiryMs);
-        });
+        noteLeft(session);
     }
 
     void answered(Session session, long number) {
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -1,5 +1,7 @@
 package brambletray.serve;
 
+import brambletray.core.Calls;
+import brambletray.core.CallsByProtocol;
 import brambletray.core.Loop;
 import brambletray.http.clients.Server;
 import brambletray.http.hosts.HostPool;
@@ -7,12 +9,15 @@
 import brambletray.membership.Discovery;
 import brambletray.membership.HostList;
 import brambletray.mqtt.clients.MqttFront;
+import brambletray.mqtt.hosts.MqttCalls;
 import brambletray.runtime.Machine;
 import brambletray.wire.Wire;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,9 +47,13 @@
     public Instance(Machine machine, Config config, Journal journal) throws Wire.Malformed {
         this.machine = machine;
         this.journal = journal;
-        HostList hosts = new HostList(config.zones(), config.kinds());
-        HostPool pool = new HostPool(machine, config.settings().allowed().connectTimeout(),
+        boolean mqttToo = config.mqtt() != null;
+        HostList hosts = new HostList(config.zones(), config.kinds(),
+            mqttToo ? Set.of("http", "mqtt") : Set.of("http"));
+        HostPool http = new HostPool(machine, config.settings().allowed().connectTimeout(),
             config.settings().allowed().keepAlive());
+        Calls pool = mqttToo ? new CallsByProtocol(Map.of("http", http, "mqtt", new MqttCalls(machine,
+            "relay-" + config.settings().rank(), config.settings().allowed().connectTimeout()))) : http;
         loop = new Loop(machine, config.seed(), config.settings(), hosts, pool, journal);
         Discovery discovery = new Discovery(machine, config.discovery(), hosts, loop::listed, loop::noticed);
         mqtt = config.mqtt() == null ? null : new MqttFront(machine, config.mqtt(), loop, journal.store());
--- a/src/test/java/brambletray/mqtt/MqttClientsTest.java
+++ b/src/test/java/brambletray/mqtt/MqttClientsTest.java
@@ -179,6 +179,20 @@
         }
     }
 
+    /** Guards sessions against a kill while their clients are connected. */
+    @Test
+    void aSessionOutlastsTheRelayWhileItsClientIsConnected() throws Exception {
+        MqttStub client;
+        try (Node relay = relay()) {
+            client = connected(relay, MqttVersion.MQTT_5, "meter");
+            client.subscribe("answers/meter");
+        }
+        try (Node relay = relay(); MqttStub again = stub(relay, MqttVersion.MQTT_5).connect("meter", false, 600)) {
+            assertTrue(((MqttConnAckMessage) again.expect(MqttMessageType.CONNACK)).variableHeader().isSessionPresent());
+        }
+        client.close();
+    }
+
     /** The client is gone when its answer is there: the session keeps it, also over a restart. */
     @Test
     void anAnswerWaitsForItsClient() throws Exception {
