MQTT: packets byte by byte and many in one piece, a silent crowd over the bound

Hard cases of the front that had no test. A stub that writes raw bytes has to tell its own codec the version: without that it could not read the answer, which was the test's fault and not the relay's.

--- a/src/test/java/brambletray/mqtt/MqttClientsTest.java
+++ b/src/test/java/brambletray/mqtt/MqttClientsTest.java
@@ -372,6 +372,74 @@
         }
     }
 
+    /** The bytes of packets as a client writes them. */
+    private static byte[] bytes(Object... packets) {
+        var channel = new io.netty.channel.embedded.EmbeddedChannel(io.netty.handler.codec.mqtt.MqttEncoder.INSTANCE);
+        channel.writeOutbound(packets);
+        var all = new java.io.ByteArrayOutputStream();
+        for (io.netty.buffer.ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            all.writeBytes(io.netty.buffer.ByteBufUtil.getBytes(b));
+            b.release();
+        }
+        return all.toByteArray();
+    }
+
+    private static Object publish(String id, int packet) {
+        return MqttMessageBuilders.publish().topicName("bills/bill/7/" + id).messageId(packet)
+            .qos(io.netty.handler.codec.mqtt.MqttQoS.AT_LEAST_ONCE)
+            .payload(io.netty.buffer.Unpooled.copiedBuffer("x", java.nio.charset.StandardCharsets.UTF_8)).build();
+    }
+
+    /** Packets split at every byte, and many in one piece, are the same packets. */
+    @ParameterizedTest
+    @EnumSource(value = MqttVersion.class, names = {"MQTT_3_1_1", "MQTT_5"})
+    void packetsMayComeInPiecesOrTogether(MqttVersion version) throws Exception {
+        try (Node relay = relay()) {
+            byte[] all = bytes(MqttMessageBuilders.connect().clientId("meter").protocolVersion(version).cleanSession(true)
+                .keepAlive(60).build(), publish("a", 1), publish("b", 2), publish("c", 3));
+            for (int round = 0; round < 2; round++) {
+                try (MqttStub client = stub(relay, version)) {
+                    if (round == 0) {
+                        for (byte b : all) {
+                            client.raw(new byte[] {b});
+                        }
+                    } else {
+                        client.raw(all);
+                    }
+                    client.expect(MqttMessageType.CONNACK);
+                    for (int i = 0; i < 3; i++) {
+                        assertEquals(0, reason(client.expect(MqttMessageType.PUBACK)));
+                    }
+                }
+            }
+            for (int i = 0; i < 3; i++) {
+                host.call().answer(HostStub.OK);
+            }
+            while (!relay.idle()) {
+                Thread.onSpinWait();
+            }
+            assertTrue(host.quiet(), "the second round's were taken for new messages");
+        }
+    }
+
+    /** Connections beyond the bound are closed, and those that say nothing make room. */
+    @Test
+    void aCrowdIsBounded() throws Exception {
+        limits = "{connections: 20}";
+        try (Node relay = relay()) {
+            java.util.List<MqttStub> crowd = new java.util.ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                crowd.add(stub(relay, MqttVersion.MQTT_5));
+            }
+            int closed = 0;
+            for (MqttStub stranger : crowd) {
+                closed += stranger.closed() ? 1 : 0;
+            }
+            assertEquals(60, closed);
+            connected(relay, MqttVersion.MQTT_5, "meter").close();
+        }
+    }
+
     /** Real client libraries as peers. */
     @Test
     void pahoForMqtt5GetsItsAnswers() throws Exception {
--- a/src/test/java/brambletray/stub/MqttStub.java
+++ b/src/test/java/brambletray/stub/MqttStub.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.mqtt.MqttPublishVariableHeader;
 import io.netty.handler.codec.mqtt.MqttQoS;
 import io.netty.handler.codec.mqtt.MqttVersion;
+import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -63,6 +64,8 @@
                         });
                 }
             }).connect(to).sync().channel();
+        // The codec learns the version from a CONNECT that it writes itself; raw bytes do not pass it.
+        channel.attr(AttributeKey.<MqttVersion>valueOf("NETTY_CODEC_MQTT_VERSION")).set(version);
     }
 
     /** The next packet, which must be of this type. */
