--- a/src/main/java/brambletray/emulator/Endpoint.java
+++ b/src/main/java/brambletray/emulator/Endpoint.java
@@ -107,6 +107,11 @@
         return spec.zone();
     }
 
+    /** By which it is called: http or mqtt. */
+    public String protocol() {
+        return spec.protocol();
+    }
+
     public PartnerSpec partner() {
         return partner;
     }
--- a/src/main/java/brambletray/emulator/Ledger.java
+++ b/src/main/java/brambletray/emulator/Ledger.java
@@ -139,6 +139,11 @@
         }
     }
 
+    /** A relay has been told of another host in an endpoint's place: what the one before it told binds it not. */
+    public void replaced(String caller, String endpoint) {
+        waits.remove(new Pair(caller, endpoint));
+    }
+
     /** A relay has been restarted: waits that it was told are over. */
     public void restarted(String caller) {
         waits.keySet().removeIf(pair -> pair.caller().equals(caller));
--- a/src/main/java/brambletray/emulator/PartnerSpec.java
+++ b/src/main/java/brambletray/emulator/PartnerSpec.java
@@ -16,7 +16,12 @@
                           double listedRate, List<EndpointSpec> endpoints) {
 
     /** One address of a partner. */
-    public record EndpointSpec(String name, String zone) { }
+    public record EndpointSpec(String name, String zone, String protocol) {
+        /** One that is called by HTTP. */
+        public EndpointSpec(String name, String zone) {
+            this(name, zone, "http");
+        }
+    }
 
     /** Which share of refusals tells how long to wait, and for how long; the wait is never too short. */
     public record Waits(double share, long least, long most) { }
--- a/src/main/java/brambletray/partners/Agent.java
+++ b/src/main/java/brambletray/partners/Agent.java
@@ -26,8 +26,10 @@
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -52,6 +54,8 @@
     private final String caller;
     private final LongSupplier world;
     private final Notices notices;
+    /** For each endpoint the host that the relay was told of last. */
+    private final Map<String, String> told = new HashMap<>();
     private final Set<Watch> watches = new LinkedHashSet<>();
     private ChannelFuture listener;
     private Future<?> timer;
@@ -161,11 +165,16 @@
                 out.writeStringField("site", e.endpoint().zone());
                 out.writeStringField("class", e.endpoint().partner().kind());
                 out.writeNumberField("block", e.endpoint().partner().destination());
+                out.writeStringField("protocol", e.endpoint().protocol());
                 out.writeStringField("health", e.health());
                 out.writeNumberField("share", e.endpoint().partner().listedRate());
                 out.writeNumberField("born_ms", e.born() == 0 ? 0
                     : machine.clock().unixMillis() - (now - e.born()) / 1_000_000);
                 out.writeEndObject();
+                String before = e.health().equals("gone") ? null : told.put(e.endpoint().name(), e.host());
+                if (before != null && !before.equals(e.host())) {
+                    ledger.replaced(caller, e.endpoint().name());
+                }
                 ledger.listed(now, caller, e.endpoint().name(), e.health().equals("ready"));
             }
             out.writeEndArray();
--- a/src/main/java/brambletray/partners/PartnerFront.java
+++ b/src/main/java/brambletray/partners/PartnerFront.java
@@ -145,20 +145,75 @@
         }
     }
 
+    /** A connection of a caller, of whatever protocol. */
+    interface Line {
+        Channel channel();
+
+        void answer(NetCall call, Answer answer);
+
+        /** Ends it by a reset. */
+        default void reset() {
+            channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            channel().close();
+        }
+    }
+
     /** A call, and the connection that it came on. */
-    private static final class HttpCall extends Call {
-        private final Connection connection;
+    static final class NetCall extends Call {
+        private final Line line;
 
-        HttpCall(Connection connection, String caller, String message, String key, boolean first) {
+        NetCall(Line line, String caller, String message, String key, boolean first) {
             super(caller, message, key, first);
-            this.connection = connection;
+            this.line = line;
+        }
+    }
+
+    /** What connections of an endpoint need of it. */
+    final class Door {
+        private final Site site;
+
+        private Door(Site site) {
+            this.site = site;
+        }
+
+        /** A connection has come; false, and it is reset, where there is no room for it. */
+        boolean enter(Line line) {
+            moveWorldIfDue();
+            boolean admitted = site.endpoint.reach() == Endpoint.Reach.OPEN && site.endpoint.connect(now());
+            if (admitted) {
+                site.connections.add(line);
+            } else {
+                line.reset();
+            }
+            return admitted;
+        }
+
+        /** One that was let in has ended. */
+        void leave(Line line) {
+            site.connections.remove(line);
+            site.endpoint.disconnect();
+        }
+
+        void arrive(NetCall call) {
+            moveWorldIfDue();
+            site.endpoint.arrive(now(), call);
+            site.arm();
+        }
+
+        void abandon(NetCall call) {
+            site.endpoint.abandon(now(), call);
+            site.arm();
+        }
+
+        void ended(NetCall call) {
+            site.endpoint.ended(now(), call);
         }
     }
 
     /** One endpoint's listener and connections. */
     private final class Site implements Endpoint.Sink {
         private final Endpoint endpoint;
-        private final Set<Connection> connections = new LinkedHashSet<>();
+        private final Set<Line> connections = new LinkedHashSet<>();
         private ChannelFuture listener;
         private InetSocketAddress address;
         private Future<?> timer;
@@ -173,6 +228,10 @@
             return new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel channel) {
+                    if (endpoint.protocol().equals("mqtt")) {
+                        MqttPartner.setUp(channel, new Door(Site.this));
+                        return;
+                    }
                     channel.pipeline().addLast(new HttpRequestDecoder(), new HttpResponseEncoder(),
                         new HttpObjectAggregator(BODY_MOST), new Connection(Site.this));
                 }
@@ -198,7 +257,7 @@
 
         @Override
         public void answer(Call call, Answer answer) {
-            ((HttpCall) call).connection.answer((HttpCall) call, answer);
+            ((NetCall) call).line.answer((NetCall) call, answer);
         }
 
         @Override
@@ -230,7 +289,7 @@
                         silence.accept(address(endpoint), true);
                     } else {
                         listener.channel().config().setAutoRead(false);
-                        connections.forEach(c -> c.channel.config().setAutoRead(false));
+                        connections.forEach(c -> c.channel().config().setAutoRead(false));
                     }
                 }
             }
@@ -246,7 +305,7 @@
         }
 
         private void resetAll() {
-            List.copyOf(connections).forEach(Connection::reset);
+            List.copyOf(connections).forEach(Line::reset);
         }
 
         void shutDown() {
@@ -259,12 +318,12 @@
     }
 
     /** One connection of a caller, with one call at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Line {
         private final Site site;
         private Channel channel;
-        private HttpCall call;
+        private NetCall call;
         /** The call that was answered last on this connection. */
-        private HttpCall answered;
+        private NetCall answered;
         private boolean admitted;
         private boolean fresh = true;
         private long idleSince;
@@ -321,7 +380,7 @@
                 return;
             }
             String caller = ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
-            call = new HttpCall(this, caller, id, request.headers().get("Idempotency-Key"), fresh);
+            call = new NetCall(this, caller, id, request.headers().get("Idempotency-Key"), fresh);
             fresh = false;
             moveWorldIfDue();
             if (call != null) {
@@ -330,7 +389,13 @@
             }
         }
 
-        private void answer(HttpCall ended, Answer answer) {
+        @Override
+        public Channel channel() {
+            return channel;
+        }
+
+        @Override
+        public void answer(NetCall ended, Answer answer) {
             if (ended != call) {
                 return;
             }
@@ -370,11 +435,6 @@
             }
         }
 
-        private void reset() {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
-        }
-
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (idleTimer != null) {
@@ -385,7 +445,7 @@
                 site.endpoint.disconnect();
             }
             if (call != null) {
-                HttpCall gone = call;
+                NetCall gone = call;
                 call = null;
                 site.endpoint.abandon(now(), gone);
                 site.arm();
--- a/src/main/java/brambletray/script/ScriptReader.java
+++ b/src/main/java/brambletray/script/ScriptReader.java
@@ -178,12 +178,13 @@
         if (!destinations.add(destination)) {
             s.fault("destination", destination + " belongs to another partner");
         }
+        String protocol = from(s, kind, "protocol").word("protocol", "http", "http", "mqtt");
         List<PartnerSpec.EndpointSpec> specs = new ArrayList<>();
         List<String> names = new ArrayList<>();
         for (int e = 1; e <= endpoints; e++) {
             String zone = fleet.zones().get((index + e) % fleet.zones().size());
             String endpoint = endpoints == 1 ? name : name + "." + e;
-            specs.add(new PartnerSpec.EndpointSpec(endpoint, zone));
+            specs.add(new PartnerSpec.EndpointSpec(endpoint, zone, protocol));
             names.add(endpoint);
             places.put(endpoint, List.of(endpoint));
         }
@@ -232,6 +233,7 @@
         keys(kind);
         cold(kind);
         kind.flag("routes_apart", true);
+        kind.word("protocol", "http", "http", "mqtt");
         kind.word("abandoned", "runs", "runs", "dropped_in_queue", "dropped");
         kind.number("listed_per_s", 1, 0.001, RATE_MOST);
         kind.done();
--- a/src/main/java/brambletray/stage/RealStage.java
+++ b/src/main/java/brambletray/stage/RealStage.java
@@ -82,6 +82,7 @@
     public Path configure(int relay, InetSocketAddress listen)
         throws IOException, InterruptedException, ExecutionException {
         Path file = folder.resolve("relay-" + relay + ".json");
+        scene.writeFiles(relay, folder, listen.getAddress());
         return Files.writeString(file, on(() -> scene.config(relay, listen, SOCKETS, DISK_MB)));
     }
 
--- a/src/main/java/brambletray/stage/RelayConfig.java
+++ b/src/main/java/brambletray/stage/RelayConfig.java
@@ -28,6 +28,9 @@
             out.writeStringField("listen", listen);
             out.writeStringField("discovery", discovery);
             out.writeStringField("seed", Long.toHexString(seed));
+            if (speaksMqtt(script)) {
+                out.writeStringField("mqtt", mqttFile(relay));
+            }
             out.writeObjectFieldStart("limits");
             out.writeNumberField("sockets", sockets);
             out.writeNumberField("disk_mb", diskMb);
@@ -43,6 +46,18 @@
         return text.toString();
     }
 
+    /**
+     * True when some partner is called by MQTT: relays then need a file for it, beside their configuration.
+     */
+    static boolean speaksMqtt(Script script) {
+        return script.partners().stream().flatMap(p -> p.endpoints().stream())
+            .anyMatch(e -> e.protocol().equals("mqtt"));
+    }
+
+    static String mqttFile(int relay) {
+        return "relay-" + relay + "-mqtt.yaml";
+    }
+
     private static void settings(JsonGenerator out, Script script, int relay) throws IOException {
         Script.Fleet fleet = script.fleet();
         List<String> kinds = script.partners().stream().map(PartnerSpec::kind).distinct().toList();
--- a/src/main/java/brambletray/stage/Scene.java
+++ b/src/main/java/brambletray/stage/Scene.java
@@ -10,7 +10,11 @@
 import brambletray.runtime.Machine;
 import brambletray.script.Script;
 import io.netty.channel.ChannelFuture;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -151,6 +155,14 @@
             new SplittableRandom(seed + relay).nextLong(), sockets, diskMb, agents.get(relay).known());
     }
 
+    /** Writes what a relay's configuration names besides itself into its folder. */
+    public void writeFiles(int relay, Path folder, InetAddress listen) throws IOException {
+        if (RelayConfig.speaksMqtt(script)) {
+            Files.writeString(folder.resolve(RelayConfig.mqttFile(relay)),
+                "listen: " + listen.getHostAddress() + ":0\n");
+        }
+    }
+
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
@@ -208,6 +220,17 @@
         return front.address(endpoint);
     }
 
+    /** A relay that was killed at this time (ns) serves again. */
+    void restarted(int relay, long killed) {
+        ledger.restarted(plan.caller(relay));
+        score.restarted(killed, front.now());
+    }
+
+    /** The effect of a message's class. */
+    String effect(String id) {
+        return score.effect(id);
+    }
+
     public Score.Result result() {
         return score.result(front.now());
     }
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -18,6 +18,7 @@
     private static final long SECOND = 1_000_000_000L;
     /** ns; a message whose time is up by so much, and that has neither been delivered nor ended, is lost. */
     private static final long LOST_AFTER = 300_000_000L;
+    private static final long AFTER_RESTART = 1_500_000_000L;
     private static final int STRETCH_S = 10;
     private static final int LOST_TOLD_MOST = 100;
 
@@ -65,6 +66,7 @@
 
     private final Ledger ledger;
     private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final List<long[]> restarts = new ArrayList<>();
     /** Taken on, and perhaps not ended; the eldest first. */
     private final ArrayDeque<Try> underWay = new ArrayDeque<>();
 
@@ -139,8 +141,21 @@
     }
 
     /** From then on what has not ended is lost; ns. */
-    private static long end(Line line) {
-        return line.asked + line.messageClass.limit() * 1_000_000 + LOST_AFTER;
+    private long end(Line line) {
+        long end = line.asked + line.messageClass.limit() * 1_000_000 + LOST_AFTER;
+        for (long[] restart : restarts) {
+            end = end >= restart[0] && end < restart[1] ? restart[1] : end;
+        }
+        return end;
+    }
+
+    /** A relay was dead and is back: no end is overdue from then until 1.5 s after it serves again. */
+    void restarted(long killed, long serving) {
+        restarts.add(new long[] {killed, serving + AFTER_RESTART});
+    }
+
+    String effect(String id) {
+        return lines.get(line(id)).messageClass.effect();
     }
 
     /** The figures up to now; what is still open counts as not delivered, and as lost when its time is up. */
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -18,6 +18,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +43,7 @@
     private final List<Machine> machines = new ArrayList<>();
     private final List<MemoryDisk> disks = new ArrayList<>();
     private final List<Instance> instances = new ArrayList<>();
+    private final Map<Integer, Long> killedAt = new HashMap<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private Store.Promise promise = Store.Promise.PROCESS;
     private int agentPort = PORT;
@@ -147,6 +149,7 @@
         Path state = Files.createDirectories(folder.resolve("relay-" + relay));
         Path file = folder.resolve("relay-" + relay + ".json");
         Files.writeString(file, told.apply(scene.config(relay, addresses.get(relay), SOCKETS, DISK / 1e6)));
+        scene.writeFiles(relay, folder, relayIp(relay));
         Config config = Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
         Machine machine = simulation.machine(relayIp(relay));
         Journal journal = Journal.open(disks.get(relay), DISK, promise,
@@ -163,6 +166,7 @@
 
     /** Ends a relay as by SIGKILL; its folder stays. */
     public void kill(int relay) throws IOException {
+        killedAt.put(relay, scene.now());
         simulation.kill(machines.get(relay));
         instances.get(relay).abandon();
     }
@@ -184,7 +188,7 @@
 
     /** Starts a relay again on its folder. */
     public void restart(int relay) throws IOException, Config.Unusable {
-        scene.ledger().restarted(relayIp(relay).getHostAddress());
+        scene.restarted(relay, killedAt.getOrDefault(relay, 0L));
         start(relay);
     }
 
@@ -210,6 +214,11 @@
         return simulation;
     }
 
+    /** True for a message whose class may be repeated at will. */
+    boolean isSafe(String id) {
+        return scene.effect(id).equals("safe");
+    }
+
     /** The relays, by number; for tests that look inside. */
     public Instance instance(int relay) {
         return instances.get(relay);
