--- a/src/main/java/brambletray/emulator/Ledger.java
+++ b/src/main/java/brambletray/emulator/Ledger.java
@@ -139,7 +139,7 @@
         }
     }
 
-    /** A relay has been told of another host in an endpoint's place: what the one before it told binds it not. */
+    /** A relay has been told of another host in an endpoint's place: the waits of the one before it are over. */
     public void replaced(String caller, String endpoint) {
         waits.remove(new Pair(caller, endpoint));
     }
