Limits told in answers pace partners whose rates no list names; a call's news counts once

Changed: a lane is rated once a list or an answer told a rate; until then it is unpaced and its budget after an outage is what is usual there. The first told limit sets the pace as a listed one does. Messages of one call fare alike, so a refused or lost call halves the window and backs off once, not five times. A wait binds with whatever outcome it came.

Each part was taken out once and its test seen to fail; the first form of the pace's test could not fail (no refusals in it) and was replaced.

--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -632,6 +632,9 @@
         Dest d = a.route.dest;
         Lane lane = a.route.lane;
         int kind = a.route.kind;
+        // Messages of one call mostly fare alike: what tells of its host is counted once.
+        boolean news = !a.call.told.contains(e.outcome());
+        a.call.told.add(e.outcome());
         if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL)) {
             eases[kind] += EASE_WEIGHT * ((e.outcome() == Outcome.OK ? 1 : 0) - eases[kind]);
         }
@@ -648,30 +651,40 @@
                 succeeded(a);
             }
             case FULL -> {
-                d.window = Math.max(1, d.window / 2);
-                refused(lane, e.waitFor(), a);
-            }
-            case TIMEOUT -> {
-                doubt(a);
-                timedOut(a);
+                if (news) {
+                    d.window = Math.max(1, d.window / 2);
+                    refused(lane, e.waitFor(), a);
+                }
             }
+            case TIMEOUT -> timedOut(a, news);
             case CONNECT_FAILED -> {
-                holds[kind] *= HOLD_CUT;
-                failed(a);
-                a.route.backoffUntil = now + backoff(d, a.route.failRun);
+                if (news) {
+                    holds[kind] *= HOLD_CUT;
+                    failed(a);
+                    a.route.backoffUntil = now + backoff(d, a.route.failRun);
+                }
+            }
+            case CONNECT_RESET, RESET -> {
+                if (news) {
+                    broken(a, e);
+                }
             }
-            case CONNECT_RESET -> broken(a, e.reused());
-            case RESET -> {
-                doubt(a);
-                broken(a, e.reused());
+            case ERROR -> {
+                if (news) {
+                    failed(a);
+                }
             }
-            case ERROR -> failed(a);
             default -> { }
         }
+        // A wait binds whatever it came with: an answer to several messages may take some and tell one.
+        lane.waitUntil = e.waitFor() > 0 ? Math.max(lane.waitUntil, now + e.waitFor()) : lane.waitUntil;
         if (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL || e.outcome() == Outcome.ERROR) {
             a.route.broken = 0;
         }
         if (e.limit() > 0) {
+            // Where nothing is listed, what answers tell is the first that is known of a lane's rate.
+            lane.pace = lane.rated ? lane.pace : Math.min(lane.pace, PACE_START * e.limit() / set.relays());
+            lane.rated = true;
             lane.weight = e.limit();
             lane.pace = Math.min(lane.pace, e.limit());
             if (e.left() >= 0 && e.left() < LEFT_LOW) {
@@ -699,17 +712,17 @@
         d.usual = d.usual == 0 ? latency : d.usual + weight * (sample - d.usual);
     }
 
-    /** Listed calls a second that a lane takes from all relays together. */
-    private double listedRate(Lane lane) {
-        return set.weights() == Weights.NONE ? UNPACED : lane.weight;
+    /** Calls a second that a lane takes from all relays together, as listed or told in answers. */
+    private static double rate(Lane lane) {
+        return lane.rated ? lane.weight : UNPACED;
     }
 
     private double paceMost(Lane lane) {
-        return PACE_MOST * listedRate(lane);
+        return PACE_MOST * rate(lane);
     }
 
     private double paceLeast(Lane lane) {
-        return Math.max(PACE_SLOWEST, PACE_LEAST * listedRate(lane) / set.relays());
+        return Math.max(PACE_SLOWEST, PACE_LEAST * rate(lane) / set.relays());
     }
 
     private void refused(Lane lane, long told, Attempt a) {
@@ -773,9 +786,12 @@
      * before, a time-out says nothing of the host. It covers calls stuck behind others too. It hurts where a
      * host drops some calls and answers the rest: those cost their patience and no outage is seen.
      */
-    private void timedOut(Attempt a) {
+    private void timedOut(Attempt a, boolean news) {
         boolean notTheHost = a.msg.timeouts++ > 0 || a.sent < a.route.lastOkSent;
-        if (!notTheHost) {
+        if (news) {
+            doubt(a);
+        }
+        if (news && !notTheHost) {
             a.route.dest.window = Math.max(1, a.route.dest.window / 2);
             failed(a);
         }
@@ -788,8 +804,12 @@
      * a row broke. A host that is down refuses new connections, which counts at once. It hurts where a host
      * dies of each call that it reads: that costs a few calls more.
      */
-    private void broken(Attempt a, boolean reused) {
+    private void broken(Attempt a, Ended e) {
         Route r = a.route;
+        boolean reused = e.reused();
+        if (e.outcome() == Outcome.RESET) {
+            doubt(a);
+        }
         r.broken += !reused && a.sent >= r.lastOkSent ? 1 : 0;
         if (!reused && r.broken >= BROKEN_RUN) {
             failed(a);
@@ -878,8 +898,10 @@
             double age = Math.max(0, now - r.returnAt - rules.tipAfter() / 2);
             warm += (1 - warm) * Math.min(1, age / Math.max(1, rules.cold()));
         }
-        double even = listedRate(r.lane) / (set.weights() == Weights.ROUGH ? ROUGH_OVER : 1) / set.relays();
-        double part = (even + r.dest.usualRate) / 2 / Math.max(1, r.dest.routes.size());
+        double even = rate(r.lane) / (set.weights() == Weights.ROUGH ? ROUGH_OVER : 1) / set.relays();
+        // Guards places of which no rate is known against a part of any size: what is usual there must do.
+        double mean = r.lane.rated ? (even + r.dest.usualRate) / 2 : r.dest.usualRate;
+        double part = mean / Math.max(1, r.dest.routes.size());
         double rate = Math.max(RATE_LEAST, BUDGET_USED * rules.fallMultiple() * warm * part);
         return Math.max(r.lane.waitUntil, r.lastSent) + (long) (r.spacing * SECOND / rate);
     }
@@ -918,7 +940,7 @@
                 r = r == null ? add(p) : r;
                 r.dest.routes.put(r.id, r);
                 r.ready = p.listing() == Listing.READY;
-                r.lane.weight = p.weight() > 0 ? p.weight() : r.lane.weight;
+                r.lane.weight = p.weight() > 0 && set.weights() != Weights.NONE ? p.weight() : r.lane.weight;
                 r.lane.pace = Math.min(r.lane.pace, paceMost(r.lane));
                 active.add(r.dest);
             } else if (r != null) {
@@ -942,6 +964,7 @@
         r.dest.shared = apart ? r.dest.shared : r.lane;
         if (r.lane.pace == 0) {
             r.lane.weight = p.weight();
+            r.lane.rated = set.weights() != Weights.NONE;
             r.lane.pace = PACE_START * paceLeast(r.lane) / PACE_LEAST;
         }
         // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
--- a/src/main/java/brambletray/control/State.java
+++ b/src/main/java/brambletray/control/State.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -87,6 +88,8 @@
     /** What holds one slot: one message, or a bundle. */
     static final class Call {
         int open, size;
+        /** How its messages ended so far. */
+        final EnumSet<Relay.Outcome> told = EnumSet.noneOf(Relay.Outcome.class);
     }
 
     /** Messages that share a key, in the order in which they were taken. */
@@ -159,6 +162,8 @@
     /** What a limit and a wait belong to: a destination, or one route where routes are apart. */
     static final class Lane {
         final Bucket bucket = new Bucket();
+        /** {@code rated}: the weight is a rate that was listed or told, in calls a second. */
+        boolean rated;
         double weight, pace;
         long waitUntil, backoffUntil;
     }
--- a/src/test/java/brambletray/control/ControlTest.java
+++ b/src/test/java/brambletray/control/ControlTest.java
@@ -213,6 +213,108 @@
         assertEquals(1, sends(plain.turn(plain.message(1, 1), plain.message(1, 1))).size());
     }
 
+    private static Settings unrated(int relays) {
+        Settings s = settings(40, true, relays, 8, 400);
+        return new Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(), Weights.NONE, s.classes(),
+            s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices());
+    }
+
+    /**
+     * Guards partners whose rates no list names against refusals without end: a limit told in answers is the pace, shared
+     * by the relays.
+     */
+    @Test
+    void aLimitToldInAnswersPacesWhatNoListRates() {
+        Bench b = new Bench(unrated(2));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 0, 1, 1))));
+        int sent = 0;
+        int refused = 0;
+        double left = 5;
+        // Of ten calls a second another relay uses half; of what comes beyond, each is refused.
+        for (long end = b.now + 30 * SECOND; b.now < end;) {
+            List<Send> out = new ArrayList<>(sends(b.turn(b.message(1, 1))));
+            out.addAll(sends(b.pass(50 * MS)));
+            left = Math.min(5, left + 0.25);
+            while (!out.isEmpty()) {
+                Send s = out.remove(0);
+                boolean taken = left >= 1;
+                left -= taken ? 1 : 0;
+                sent++;
+                refused += taken ? 0 : 1;
+                int attempt = b.checker.messages.get(s.id()).sends.size() - 1;
+                out.addAll(sends(b.turn(new Ended(s.id(), attempt, 11, taken ? Outcome.OK : Outcome.FULL, taken, 0, 10 * MS,
+                    left / 5, 10))));
+            }
+        }
+        assertTrue(sent - refused > 120, "taken of 150: " + (sent - refused));
+        assertTrue(refused < 0.15 * sent, "refused " + refused + " of " + sent);
+    }
+
+    /** Guards the rule on returns where no rate is known: what a cold place gets then hangs on what is usual there. */
+    @Test
+    void aReturningRouteWithoutARateIsHeldToWhatIsUsual() {
+        Bench b = new Bench(unrated(2));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 1))));
+        b.warmUp(30, 1);
+        List<Send> out = new ArrayList<>();
+        for (long down = b.now + 6 * SECOND; b.now < down;) {
+            out.addAll(sends(b.turn(b.message(1, 1))));
+            out.addAll(sends(b.pass(100 * MS)));
+            for (Send s : List.copyOf(out)) {
+                out.addAll(sends(b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1, Outcome.ERROR))));
+            }
+            out.clear();
+        }
+        int back = 0;
+        for (long end = b.now + 3 * SECOND; b.now < end;) {
+            out.addAll(sends(b.pass(20 * MS)));
+            back += out.size();
+            for (Send s : List.copyOf(out)) {
+                out.addAll(sends(b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1, Outcome.OK))));
+                out.remove(s);
+            }
+        }
+        // Usual are ten a second; twice a part of 0.15, rising, of these for 3 s, and chance.
+        assertTrue(back > 0 && back <= 25, "sent " + back);
+    }
+
+    /** Guards bundles against counting five times what happened once: a refused call halves the window once. */
+    @Test
+    void whatTellsOfAHostCountsOnceForEachCall() {
+        List<Integer> rooms = new ArrayList<>();
+        for (int size : new int[] {1, 5}) {
+            Bench b = new Bench(settings(64, false, 2));
+            b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 2, 1, 50))));
+            b.warmUp(60, 1);
+            List<Event> messages = new ArrayList<>();
+            for (int i = 0; i < size; i++) {
+                messages.add(b.message(0, 1));
+            }
+            List<Event> refused = new ArrayList<>();
+            for (Send s : sends(b.turn(messages))) {
+                refused.add(ended(s, 0, Outcome.FULL));
+            }
+            assertEquals(size, refused.size());
+            b.turn(refused);
+            b.pass(5 * SECOND);
+            for (int i = 0; i < 400; i++) {
+                messages.add(b.message(1, 1));
+            }
+            rooms.add(sends(b.turn(messages.subList(size, messages.size()))).size());
+        }
+        assertTrue(rooms.get(1) >= 0.9 * rooms.get(0), "messages out after one refused call of 1, and of 5: " + rooms);
+    }
+
+    /** A wait binds whatever it came with. */
+    @Test
+    void aWaitToldInAGoodAnswerIsHeeded() {
+        Bench b = bench(0, 8, false);
+        Send s = sends(b.turn(b.message(0, 1))).get(0);
+        assertTrue(sends(b.turn(ended(s, 0, Outcome.OK, SECOND), b.message(0, 1))).isEmpty());
+        assertTrue(sends(b.pass(995 * MS)).isEmpty());
+        assertEquals(1, sends(b.pass(20 * MS)).size());
+    }
+
     @Test
     void attemptsAreLimited() {
         Bench b = new Bench(settings(8, true, 2, 2, 200));
