Several messages in one call where a kind of host takes them, on sockets too

Changed: Calls.bundle carries several messages in POST /v1/messages:batch, each with its own reply and patience; Loop puts together what the module sends to one endpoint in one turn, in its order, up to the kind's bundle. Where second copies are not allowed all of a call are waited for alike. A relay with partners by MQTT is told of no bundles.

--- a/src/main/java/brambletray/core/Calls.java
+++ b/src/main/java/brambletray/core/Calls.java
@@ -1,6 +1,7 @@
 package brambletray.core;
 
 import brambletray.message.Message;
+import java.util.List;
 import java.util.function.Consumer;
 
 /** A way out: carries calls to hosts over one protocol. One thread, that of the loop. */
@@ -11,6 +12,18 @@
         void cancel();
     }
 
+    /** One message of a call: how long its reply is awaited (us), and who gets that, exactly once. */
+    record Part(Message message, long patience, Consumer<Reply> whenEnded) { }
+
+    /**
+     * Begins one call that carries several messages, no more than the host's kind takes; each has a reply of
+     * its own. One that is cancelled or whose patience has ended is no longer waited for: the call itself is
+     * given up with the last. Ways out whose protocol has no such call make one for each message.
+     */
+    default List<Call> bundle(Host host, List<Part> parts) {
+        return parts.stream().map(p -> call(host, p.message(), p.patience(), p.whenEnded())).toList();
+    }
+
     /** Begins a call, which ends within {@code patience} microseconds; its reply comes exactly once. */
     Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded);
 
--- a/src/main/java/brambletray/core/CallsByProtocol.java
+++ b/src/main/java/brambletray/core/CallsByProtocol.java
@@ -1,6 +1,7 @@
 package brambletray.core;
 
 import brambletray.message.Message;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -22,6 +23,11 @@
         return way(host).call(host, message, patience, whenEnded);
     }
 
+    @Override
+    public List<Call> bundle(Host host, List<Part> parts) {
+        return way(host).bundle(host, parts);
+    }
+
     @Override
     public void takeBack(Host host) {
         way(host).takeBack(host);
--- a/src/main/java/brambletray/core/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -257,7 +257,7 @@
             answer(actions);
             for (Relay.Action action : actions) {
                 try {
-                    carryOut(action);
+                    carryOut(action, actions);
                 } catch (RuntimeException e) {
                     LOG.error("could not carry out {}", action, e);
                 }
@@ -382,9 +382,9 @@
         answer.refused(COME_BACK);
     }
 
-    private void carryOut(Relay.Action action) {
+    private void carryOut(Relay.Action action, List<Relay.Action> turn) {
         if (action instanceof Relay.Send a) {
-            send(a);
+            send(a, turn);
         } else if (action instanceof Relay.Refuse a) {
             end(a.id(), new Journal.End(true, a.retryAfter()));
         } else if (action instanceof Relay.Fail a) {
@@ -431,19 +431,63 @@
         prepared.put(a, new Prepared(h, attempt, host, note));
     }
 
-    private void send(Relay.Send a) {
-        Prepared p = prepared.remove(a);
+    /** Makes a send, in one call with those to the same endpoint in this turn, as many as its kind takes. */
+    private void send(Relay.Send a, List<Relay.Action> turn) {
+        Prepared p = prepared.get(a);
         if (p == null) {
             return;
         }
-        Held h = p.held();
-        // A note whose batch failed says so: it has not run.
-        if (h.over || p.note() == null || !p.note().mayHaveRun || !p.host().ready) {
-            ended(h, p.attempt(), p.host(), new Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
+        int most = settings.kinds().get(p.host().kind).bundle();
+        if (most == 1) {
+            prepared.remove(a);
+            if (goesOut(p)) {
+                p.held().calls.set(p.attempt(), pool.call(p.host(), p.held().message, a.timeout(),
+                    reply -> ended(p.held(), p.attempt(), p.host(), reply)));
+            }
+            return;
+        }
+        List<Prepared> together = new ArrayList<>();
+        List<Calls.Part> parts = new ArrayList<>();
+        int taken = 0;
+        for (Relay.Action other : turn) {
+            if (taken < most && other instanceof Relay.Send b && b.endpoint() == a.endpoint()
+                && prepared.containsKey(b)) {
+                Prepared q = prepared.remove(b);
+                taken++;
+                if (goesOut(q)) {
+                    together.add(q);
+                    parts.add(new Calls.Part(q.held().message, b.timeout(),
+                        reply -> ended(q.held(), q.attempt(), q.host(), reply)));
+                }
+            }
+        }
+        if (parts.isEmpty()) {
             return;
         }
-        h.calls.set(p.attempt(), pool.call(p.host(), h.message, a.timeout(),
-            reply -> ended(h, p.attempt(), p.host(), reply)));
+        List<Calls.Call> calls = pool.bundle(p.host(), settings.allowed().copies() ? parts : alike(parts));
+        for (int i = 0; i < calls.size(); i++) {
+            Prepared q = together.get(i);
+            q.held().calls.set(q.attempt(), calls.get(i));
+        }
+    }
+
+    /**
+     * Guards installations without second copies: a message given up while its call goes on for others would
+     * be a copy when sent again, so all of a call are waited for as long.
+     */
+    private static List<Calls.Part> alike(List<Calls.Part> parts) {
+        long longest = parts.stream().mapToLong(Calls.Part::patience).max().orElse(0);
+        return parts.stream().map(p -> new Calls.Part(p.message(), longest, p.whenEnded())).toList();
+    }
+
+    /** Ends at once a send that is not to go out: a note whose batch failed says so, it has not run. */
+    private boolean goesOut(Prepared p) {
+        Held h = p.held();
+        if (!h.over && p.note() != null && p.note().mayHaveRun && p.host().ready) {
+            return true;
+        }
+        ended(h, p.attempt(), p.host(), new Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
+        return false;
     }
 
     private void ended(Held h, int attempt, Host host, Reply reply) {
--- a/src/main/java/brambletray/core/Reply.java
+++ b/src/main/java/brambletray/core/Reply.java
@@ -12,6 +12,11 @@
         this(outcome, over, waitFor, latency, left, limit, false);
     }
 
+    /** The same answer with another outcome: that of one message among those of its call. */
+    public Reply as(Outcome other, boolean isOver) {
+        return new Reply(other, isOver, waitFor, latency, left, limit, reused);
+    }
+
     public Reply onKeptConnection() {
         return new Reply(outcome, over, waitFor, latency, left, limit, true);
     }
--- a/src/main/java/brambletray/http/hosts/Answers.java
+++ b/src/main/java/brambletray/http/hosts/Answers.java
@@ -38,6 +38,23 @@
             field(load, "x1", LIMIT_MOST));
     }
 
+    /**
+     * The same for a call of several messages, before its body is read: what that says of each comes on top
+     * of a 200, whose wait binds like a refusal's. 400 and 413 tell that the call was not to be read, and
+     * that none of it has run.
+     */
+    static Reply batchReply(HttpResponse answer, long latency) {
+        Reply reply = reply(answer, latency);
+        return switch (answer.status().code()) {
+            case 200 -> new Reply(Outcome.OK, false,
+                micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)), latency, reply.left(),
+                reply.limit());
+            case 400, 413 -> reply.as(Outcome.NOT_SENT, false);
+            case 504, 410 -> reply.as(Outcome.ERROR, false);
+            default -> reply;
+        };
+    }
+
     /** Decimal seconds in microseconds, rounded up lest a wait be cut short; 0 if untold or not a number. */
     private static long micros(String seconds) {
         double value = number(seconds);
--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -8,6 +8,7 @@
 import brambletray.runtime.Clock;
 import brambletray.runtime.Machine;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -33,12 +34,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.net.SocketException;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -61,27 +64,24 @@
     /** ns; a connection rests so long before its next call: more may come right behind an answer. */
     private static final long REST = TimeUnit.MILLISECONDS.toNanos(5);
 
-    /** One call, from when it was asked for until its reply. */
-    final class Call implements Calls.Call {
-        private final Host host;
+    /** One message of a call, from when it was asked for until its reply. */
+    private final class Part implements Calls.Call {
+        private final Call call;
         private final Message message;
         private final Consumer<Reply> whenEnded;
-        private final long began = clock.nanos();
         private final long patience;
-        private Future<?> timer;
-        private Channel channel;
-        private boolean written;
-        private boolean reused;
+        private final Future<?> timer;
         private boolean ended;
 
-        private Call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
-            this.host = host;
-            this.message = message;
-            this.patience = patience;
-            this.whenEnded = whenEnded;
+        private Part(Call call, Calls.Part asked) {
+            this.call = call;
+            this.message = asked.message();
+            this.patience = asked.patience();
+            this.whenEnded = asked.whenEnded();
+            this.timer = loop.schedule(this::giveUp, patience, TimeUnit.MICROSECONDS);
         }
 
-        /** Stops waiting. Closing the connection is how a host learns of it. */
+        /** Stops waiting. Closing the connection, with the last message of the call, is how a host learns. */
         @Override
         public void cancel() {
             abandon(Outcome.CANCELLED);
@@ -89,31 +89,81 @@
 
         /** Its time is up. */
         private void giveUp() {
-            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            abandon(call.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
         private void abandon(Outcome outcome) {
             if (!ended) {
-                end(outcome);
-                if (channel != null) {
-                    channel.close();
+                end(call.reply(outcome));
+                if (call.ended() && call.channel != null) {
+                    call.channel.close();
                 }
             }
         }
 
-        private void end(Outcome outcome) {
-            end(new Reply(outcome, false, 0, latency(), -1, -1));
-        }
-
         private void end(Reply reply) {
             if (!ended) {
                 ended = true;
                 timer.cancel(false);
-                pool(host).connecting.remove(this);
-                whenEnded.accept(reused ? reply.onKeptConnection() : reply);
+                if (call.ended()) {
+                    pool(call.host).connecting.remove(call);
+                }
+                whenEnded.accept(call.reused ? reply.onKeptConnection() : reply);
+            }
+        }
+    }
+
+    /** One call, of one message or of several that share its connection and slot. */
+    private final class Call {
+        private final Host host;
+        private final List<Part> parts = new ArrayList<>(1);
+        private final long began = clock.nanos();
+        private Channel channel;
+        private boolean written;
+        private boolean reused;
+
+        private Call(Host host, List<Calls.Part> asked) {
+            this.host = host;
+            asked.forEach(part -> parts.add(new Part(this, part)));
+        }
+
+        private boolean ended() {
+            return parts.stream().allMatch(part -> part.ended);
+        }
+
+        /** True when its answer speaks of each of its messages; known from when it goes out. */
+        private boolean bundled() {
+            return parts.size() > 1;
+        }
+
+        private void abandon(Outcome outcome) {
+            parts.forEach(part -> part.abandon(outcome));
+        }
+
+        private void end(Outcome outcome) {
+            end(reply(outcome));
+        }
+
+        private void end(Reply reply) {
+            parts.forEach(part -> part.end(reply));
+        }
+
+        /** The answer has been read to its end; a 200 to several messages speaks of each of them. */
+        private void end(Reply reply, byte[] body) {
+            if (!bundled() || reply.outcome() != Outcome.OK) {
+                end(reply);
+                return;
+            }
+            Map<String, Reply> replies = Batch.replies(reply, body);
+            for (Part part : parts) {
+                part.end(replies.getOrDefault(part.message.id(), reply.as(Outcome.ERROR, false)));
             }
         }
 
+        private Reply reply(Outcome outcome) {
+            return new Reply(outcome, false, 0, latency(), -1, -1);
+        }
+
         private long latency() {
             return (clock.nanos() - began) / 1_000;
         }
@@ -156,20 +206,43 @@
     }
 
     @Override
-    public Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
-        Call call = new Call(host, message, patience, whenEnded);
-        call.timer = loop.schedule(call::giveUp,
-            patience, TimeUnit.MICROSECONDS);
+    public Calls.Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
+        return begin(host, List.of(new Calls.Part(message, patience, whenEnded))).get(0);
+    }
+
+    @Override
+    public List<Calls.Call> bundle(Host host, List<Calls.Part> asked) {
+        List<Calls.Call> calls = new ArrayList<>();
+        int from = 0;
+        int bytes = 0;
+        for (int i = 0; i < asked.size(); i++) {
+            int size = Batch.size(asked.get(i).message());
+            if (i > from && bytes + size > BODY_MOST) {
+                // Guards the protocol's bound on bodies: what goes beyond it travels by itself.
+                calls.addAll(begin(host, asked.subList(from, i)));
+                from = i;
+                bytes = 0;
+            }
+            bytes += size;
+        }
+        calls.addAll(begin(host, asked.subList(from, asked.size())));
+        return calls;
+    }
+
+    private List<Part> begin(Host host, List<Calls.Part> asked) {
+        Call call = new Call(host, asked);
+        // Those that end before the call goes out are taken off it.
+        List<Part> begun = List.copyOf(call.parts);
         Pool pool = pool(host);
         pool.connecting.add(call);
         start(call, pool);
-        return call;
+        return begun;
     }
 
     /** Uses the latest idle connection that has rested, or waits until one has. */
     private void start(Call call, Pool pool) {
         Host host = call.host;
-        if (call.ended) {
+        if (call.ended()) {
             return;
         }
         pool.idle.stream().filter(c -> !c.usable(host)).toList().forEach(c -> c.channel.close());
@@ -192,7 +265,7 @@
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 call.end(cut(done.cause()) ? Outcome.CONNECT_RESET : Outcome.CONNECT_FAILED);
-            } else if (call.ended) {
+            } else if (call.ended()) {
                 call.channel.close();
             } else {
                 Connection c = call.channel.pipeline().get(Connection.class);
@@ -296,6 +369,8 @@
         private HttpResponse head;
         private Reply reply;
         private int body, ahead;
+        /** The answer's body, where it names messages; at most {@link #BODY_MOST}. */
+        private final ByteArrayOutputStream told = new ByteArrayOutputStream(0);
         private boolean complete, keep = true;
         /** When the answer began to come; 0 before. */
         private long answeredAt;
@@ -328,6 +403,7 @@
             head = null;
             reply = null;
             body = 0;
+            told.reset();
             ahead = 0;
             complete = false;
             decoder.code = 0;
@@ -335,12 +411,13 @@
             keep = true;
             next.channel = channel;
             pool.connecting.remove(next);
-            long left = Math.max(1, (next.patience - next.latency()) / 1_000);
-            byte[] body;
+            next.parts.removeIf(part -> part.ended);
+            FullHttpRequest request;
             try {
-                body = next.message.body().bytes();
+                request = request(next);
             } catch (IOException e) {
-                LOG.warn("message {} not sent: {}", next.message.id(), e.getMessage());
+                LOG.warn("call to {} with message {} not made: {}", next.host.name,
+                    next.parts.get(0).message.id(), e.getMessage());
                 call = null;
                 next.end(Outcome.NOT_SENT);
                 channel.close();
@@ -348,7 +425,7 @@
             }
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
-            channel.writeAndFlush(request(next, body, left)).addListener(done -> {
+            channel.writeAndFlush(request).addListener(done -> {
                 next.written = done.isSuccess();
                 if (!done.isSuccess()) {
                     channel.close();
@@ -373,7 +450,8 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (call == null || !channel.isActive()) {
+            // An answer's end may be the connection's: one that names messages is told with that.
+            if (call == null || !channel.isActive() && !call.bundled()) {
                 return;
             }
             if (complete || part.decoderResult().isFailure()) {
@@ -389,8 +467,9 @@
                 }
                 head = answer;
                 keep &= HttpUtil.isKeepAlive(head) && call.written;
-                reply = Answers.reply(head, call.latency());
-                if (reply.outcome() == Outcome.OK) {
+                reply = call.bundled() ? Answers.batchReply(head, call.latency())
+                    : Answers.reply(head, call.latency());
+                if (reply.outcome() == Outcome.OK && !call.bundled()) {
                     call.end(reply);
                 }
                 if (HttpUtil.getContentLength(head, 0L) > BODY_MOST) {
@@ -402,9 +481,12 @@
                 body += content.content().readableBytes();
                 if (body > BODY_MOST) {
                     spoilt();
-                } else if (part instanceof LastHttpContent) {
-                    complete = true;
+                    return;
+                }
+                if (call.bundled()) {
+                    told.writeBytes(ByteBufUtil.getBytes(content.content()));
                 }
+                complete = part instanceof LastHttpContent;
             }
         }
 
@@ -423,19 +505,24 @@
                 } else {
                     channel.close();
                 }
-                ended.end(reply);
-            } else if (decoder.code == 200 && head == null) {
+                ended.end(reply, told.toByteArray());
+            } else if (decoder.code == 200 && head == null && !call.bundled()) {
                 call.end(Outcome.OK);
             }
         }
 
+        /** A status line of 200 is true whatever follows, but where the answer must name each message. */
+        private boolean delivered() {
+            return decoder.code == 200 && !call.bundled();
+        }
+
         /** The answer can't be read or does not end; its call has run unless it was never written. */
         private void spoilt() {
             if (complete) {
                 // What came behind a good answer takes nothing from it.
-                call.end(reply);
+                call.end(reply, told.toByteArray());
             } else {
-                call.end(decoder.code == 200 ? Outcome.OK : Outcome.ERROR);
+                call.end(delivered() ? Outcome.OK : Outcome.ERROR);
             }
             channel.close();
         }
@@ -447,8 +534,12 @@
                 pool.idle.remove(this);
             }
             if (call != null) {
+                if (complete && call.bundled()) {
+                    // Guards answers that end with their connection: all of it is here.
+                    call.end(reply, told.toByteArray());
+                }
                 Outcome broken = call.written ? Outcome.RESET : Outcome.CONNECT_RESET;
-                call.end(decoder.code == 200 ? Outcome.OK : broken);
+                call.end(delivered() ? Outcome.OK : broken);
                 call = null;
             }
         }
@@ -462,17 +553,28 @@
         }
     }
 
-    private static FullHttpRequest request(Call call, byte[] body, long leftMillis) {
-        Message m = call.message;
+    private static FullHttpRequest request(Call call) throws IOException {
+        List<byte[]> bodies = new ArrayList<>(call.parts.size());
+        long patience = 0;
+        for (Part part : call.parts) {
+            bodies.add(part.message.body().bytes());
+            patience = Math.max(patience, part.patience);
+        }
+        boolean bundled = call.bundled();
+        byte[] body = bundled ? Batch.body(call.parts.stream().map(part -> part.message).toList(), bodies)
+            : bodies.get(0);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-            "/v1/messages",
-            Unpooled.wrappedBuffer(body));
+            bundled ? Batch.PATH : "/v1/messages", Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST,
                 call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
-            .set("X-Request-ID", m.id()).set("X-Timeout-Ms", leftMillis)
+            .set("X-Timeout-Ms", Math.max(1, (patience - call.latency()) / 1_000))
             .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (m.idempotencyKey() != null) {
-            request.headers().set("Idempotency-Key", m.idempotencyKey());
+        if (!bundled) {
+            Message m = call.parts.get(0).message;
+            request.headers().set("X-Request-ID", m.id());
+            if (m.idempotencyKey() != null) {
+                request.headers().set("Idempotency-Key", m.idempotencyKey());
+            }
         }
         return request;
     }
--- a/src/main/java/brambletray/serve/Config.java
+++ b/src/main/java/brambletray/serve/Config.java
@@ -32,8 +32,8 @@
                             Store.Promise promise, Wire.Fields settings, MqttSettings mqtt)
         throws Wire.Malformed, Unusable {
         return new Config(listen, null, state, seed, sockets, diskBytes, promise,
-            usable(Wire.settings(settings)), names(settings, "localities"), names(settings, "kinds"),
-            Wire.decode("{}"), mqtt);
+            usable(Wire.settings(settings), mqtt != null), names(settings, "localities"),
+            names(settings, "kinds"), Wire.decode("{}"), mqtt);
     }
 
     /** A configuration that no relay can run with; the message is one plain line. */
@@ -61,7 +61,7 @@
                 Addresses.parse(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
                 folder(state), seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), promise(all.text("outlasts", "process")),
-                    usable(Wire.settings(settings)),
+                usable(Wire.settings(settings), all.values().get("mqtt") != null),
                 names(settings, "localities"), names(settings, "kinds"), all.object("known"),
                 all.values().get("mqtt") == null ? null
                     : MqttFile.read(Path.of(file).resolveSibling(all.text("mqtt"))));
@@ -108,16 +108,18 @@
     }
 
     /**
-     * Two figures differ on sockets. One message a call is all that the protocol carries, so the module is
-     * told of no bundles. And a call goes out as late as its connection comes up, so the module is told that
-     * keys are remembered for so much less: a repeat then still comes inside the true window.
+     * Two figures differ on sockets. MQTT carries one message a call, so that the module of a relay that has
+     * partners there is told of no bundles. And a call goes out as late as its connection comes up, so the
+     * module is told that keys are remembered for so much less: a repeat then still comes inside the true
+     * window.
      */
-    private static Relay.Settings usable(Relay.Settings s) throws Unusable {
+    private static Relay.Settings usable(Relay.Settings s, boolean mqtt) throws Unusable {
         if (s.classes().isEmpty() || s.kinds().isEmpty() || s.relays() < 1 || s.allowed().slots() < 1
             || s.allowed().connectTimeout() <= 0 || s.allowed().keepAlive() <= 0) {
             throw new Unusable("settings lack classes, kinds, relays, slots or connection times");
         }
-        List<Relay.Kind> kinds = s.kinds().stream().map(k -> new Relay.Kind(k.apart(), 1)).toList();
+        List<Relay.Kind> kinds = s.kinds().stream().map(k -> new Relay.Kind(k.apart(),
+            mqtt ? 1 : k.bundle())).toList();
         List<Relay.MessageClass> classes = s.classes().stream().map(c -> new Relay.MessageClass(c.name(),
             c.aim(), c.life(), c.worth(), c.lateWorth(), c.effect(), c.zoneGroup(),
             Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN), c.inOrder())).toList();
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import brambletray.control.Relay.Outcome;
+import brambletray.core.Calls;
 import brambletray.core.Host;
 import brambletray.core.Reply;
 import brambletray.message.Body;
@@ -44,7 +45,7 @@
         return new HostPool(Machine.real(group.next()), LONG, keepAlive);
     }
 
-    private HostPool.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
+    private Calls.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
         listed.dial = new InetSocketAddress(PlatformStub.LOOPBACK, port);
         Message message = new Message("a", "bill", 0, null, null, 7, 0, Body.of(new byte[bytes]));
         return group.next().submit(() -> pool.call(listed, message, patience, replies::add)).get();
@@ -135,7 +136,7 @@
             call(pool, host.port(), 200_000, 10);
             HostStub.Call late = host.call();
             assertEquals(Outcome.TIMEOUT, reply().outcome());
-            HostPool.Call call = call(pool, host.port(), LONG, 10);
+            Calls.Call call = call(pool, host.port(), LONG, 10);
             HostStub.Call second = host.call();
             assertNotSame(late.socket(), second.socket());
             group.next().submit(call::cancel).get();
--- a/src/test/java/brambletray/serve/NodeTest.java
+++ b/src/test/java/brambletray/serve/NodeTest.java
@@ -183,6 +183,36 @@
         }
     }
 
+    /** Where a kind of host takes several messages a call, those that waited go together, and end one by one. */
+    @Test
+    void messagesThatWaitedShareACall() throws Exception {
+        platform.bundle = 3;
+        platform.slots = 1;
+        platform.openCap = 10;
+        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+            assertEquals(TAKEN, client.post("first", "bill", 7, 16_000).get(0));
+            HostStub.Call first = host.call();
+            assertEquals("first", first.header("X-Request-ID"));
+            for (int i = 0; i < 4; i++) {
+                assertEquals(TAKEN, client.post("m" + i, "bill", 7, 16_000).get(0));
+            }
+            first.answer(HostStub.OK);
+            HostStub.Call batch = host.call();
+            assertEquals("POST /v1/messages:batch HTTP/1.1", batch.head().get(0));
+            String answer = "[{\"id\":\"m0\",\"state\":\"accepted\"},{\"id\":\"m1\",\"state\":\"deferred\"},"
+                + "{\"id\":\"m2\",\"state\":\"accepted\"}]";
+            batch.answer("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length() + "\r\n\r\n" + answer);
+            HostStub.Call rest = host.call();
+            assertTrue(rest.body().contains("\"m1\"") && rest.body().contains("\"m3\""), rest.body());
+            rest.answer("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+            HostStub.Call again = host.call();
+            assertTrue(again.body().contains("\"m1\"") && again.body().contains("\"m3\""), again.body());
+            answer = "[{\"id\":\"m1\",\"state\":\"accepted\"},{\"id\":\"m3\",\"state\":\"accepted\"}]";
+            again.answer("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length() + "\r\n\r\n" + answer);
+            awaitClosedJournal(relay);
+        }
+    }
+
     /**
      * Guards scarce slots against calls that are never answered: where messages that timed out are answered at once at
      * their next call, calls soon have less time.
--- a/src/test/java/brambletray/stub/PlatformStub.java
+++ b/src/test/java/brambletray/stub/PlatformStub.java
@@ -34,6 +34,8 @@
     public int slots = 16;
     /** More fields of the configuration, each with a comma behind it. */
     public String more = "";
+    /** Messages that one call may carry. */
+    public int bundle = 1;
     /** Messages that it may hold. */
     public int openCap = 4;
     private final HttpServer agent;
@@ -93,11 +95,11 @@
               "weights":"rough","novel":[1],
               "allowed":{"cancel":true,"second-copies":false,"connect-timeout":800,"keepalive":15000,"most-tries":12,
                "open-cap":%d,"max-streams":1,"retry-after":true,"max-retry-after":3000},
-              "family-info":{"call-slots":%d,"kind-apart":[true,true],"bundle-max":[1,1]},
+              "family-info":{"call-slots":%d,"kind-apart":[true,true],"bundle-max":[%d,%d]},
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":8000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
-            """.formatted(discovery.agent.getAddress().getPort(), more, list(1, true, hosts), openCap, slots));
+            """.formatted(discovery.agent.getAddress().getPort(), more, list(1, true, hosts), openCap, slots, bundle, bundle));
         return Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString(),
             "EDGE_DISCOVERY", "127.0.0.1:" + agent.getAddress().getPort());
     }
