Inventories from several sources: files in their order, an agent beside them, file events

Need: a relay could follow one file or one agent, never both, and an edit that kept size and time was not seen.

Changed: the reconciler merges sources, each guarded by what it told itself; the first names the place, any may drain, the last one that names a host keeps it. File events hint at edits, polling stays. SIGHUP ended a relay without the platform; now it has the files read.

Failed on the way: an event that came while the file was being written was swallowed, and the last edit waited for the next look; the test with an hour between looks saw it.

--- a/src/main/java/brambletray/inventory/Entry.java
+++ b/src/main/java/brambletray/inventory/Entry.java
@@ -10,9 +10,17 @@
  */
 public record Entry(String name, String address, int port, String protocol, long destination, String zone,
                     String kind, double rate, State state) {
+    /** What a name looks like, as a pattern. */
+    public static final String NAME = "[A-Za-z0-9][A-Za-z0-9._:-]{0,199}";
+
     /** Whether it is to have new work. */
     public enum State { READY, DRAINING }
 
+    /** The same host, to have no new work. */
+    Entry draining() {
+        return new Entry(name, address, port, protocol, destination, zone, kind, rate, State.DRAINING);
+    }
+
     /** Where it is: a host that moves is the old one gone, and a new one. */
     String place() {
         return protocol + " " + address + " " + port + " " + destination;
--- a/src/main/java/brambletray/inventory/Follower.java
+++ b/src/main/java/brambletray/inventory/Follower.java
@@ -29,10 +29,12 @@
     private final long pollMs, settleMs;
     private final Consumer<Inventory.Parsed> whenRead;
     private final Executor reader;
+    private final boolean events;
+    private FolderEvents folders;
     private Look last, taken;
     private long changedAt;
-    private boolean reading, closed;
-    private Future<?> timer;
+    private boolean reading, closed, touched, touchedAgain;
+    private Future<?> timer, settled;
     private String complaint;
 
     /**
@@ -41,6 +43,13 @@
      */
     public Follower(Machine machine, Path file, long pollMs, long settleMs,
                     Executor reader, Consumer<Inventory.Parsed> whenRead) {
+        this(machine, file, pollMs, settleMs, false, reader, whenRead);
+    }
+
+    /** {@code events}: look at once when the file system tells of a change, too. */
+    public Follower(Machine machine, Path file, long pollMs, long settleMs, boolean events,
+                    Executor reader, Consumer<Inventory.Parsed> whenRead) {
+        this.events = events;
         this.machine = machine;
         this.file = file;
         this.pollMs = pollMs;
@@ -59,13 +68,50 @@
                 complain("inventory " + file + ": " + e);
             }
         }
+        if (events) {
+            folders = FolderEvents.of(file, () -> machine.loop().execute(this::touched));
+        }
         poll();
     }
 
     public void close() {
         closed = true;
-        if (timer != null) {
-            timer.cancel(false);
+        for (Future<?> due : new Future<?>[] {timer, settled}) {
+            if (due != null) {
+                due.cancel(false);
+            }
+        }
+        if (folders != null) {
+            folders.close();
+        }
+    }
+
+    /** Reads the file once more, also if it looks as it did: an operator asks for it. */
+    public void readAgain() {
+        touched();
+    }
+
+    /**
+     * Something happened to the file, or beside it. It is read once it has stood still, also if it looks as
+     * it did: an edit within the clock's grain that keeps the size can be told by that alone.
+     */
+    private void touched() {
+        touchedAgain = touched;
+        if (!closed && !touched) {
+            touched = true;
+            look(machine.clock().nanos());
+            settled = machine.loop().schedule(this::settled, settleMs + 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** It has stood still since the last word of it, or is looked at once more as long after the next one. */
+    private void settled() {
+        touched = false;
+        if (touchedAgain) {
+            touched();
+        } else {
+            taken = null;
+            look(machine.clock().nanos());
         }
     }
 
@@ -79,7 +125,17 @@
         if (closed) {
             return;
         }
-        long now = machine.clock().nanos();
+        look(machine.clock().nanos());
+        if (folders != null) {
+            folders.renew(file);
+        }
+        timer = machine.loop().schedule(this::poll, pollMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void look(long now) {
+        if (closed) {
+            return;
+        }
         try {
             Look seen = look();
             if (!seen.equals(last)) {
@@ -96,7 +152,6 @@
             last = null;
             complain("inventory " + file + " can't be looked at (" + e + "); the hosts stay as they were");
         }
-        timer = machine.loop().schedule(this::poll, pollMs, TimeUnit.MILLISECONDS);
     }
 
     private void read(Look seen) {
@@ -128,6 +183,9 @@
         reading = false;
         if (over) {
             taken = seen;
+        } else if (folders != null) {
+            // It changed as it was read, or could not be: the word of that may have come before.
+            touched();
         }
         if (fault != null) {
             complain(fault);
--- a/src/main/java/brambletray/inventory/Rows.java
+++ b/src/main/java/brambletray/inventory/Rows.java
@@ -46,7 +46,7 @@
     void row(int line, Map<String, Cell> cells) {
         int before = faults.size();
         String name = text(cells, "name", line, null);
-        if (name != null && !name.matches("[A-Za-z0-9][A-Za-z0-9._:-]{0,199}")) {
+        if (name != null && !name.matches(Entry.NAME)) {
             wrong(cells, "name", line, "letters, digits, '.', '_', ':' and '-', up to 200");
         }
         String address = text(cells, "address", line, null);
--- a/src/main/java/brambletray/inventory/YamlFormat.java
+++ b/src/main/java/brambletray/inventory/YamlFormat.java
@@ -32,7 +32,7 @@
     }
 
     static Revision parse(String file, String text) throws Faults {
-        YamlFile.Content content = YamlFile.parse(file, text, "hosts");
+        YamlFile.Content content = YamlFile.parse(file, text, "hosts", Inventory.BYTES_MOST);
         Rows rows = new Rows(file);
         if (content.root().has("all")) {
             new Ansible(rows).read(content.root());
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -55,6 +55,9 @@
             return mqtt;
         }
 
+        /** SIGHUP has come, or its like; on the loop. */
+        default void hangup() { }
+
         /** How a message ended, as JSON, by id; null where clients can't ask. */
         default Function<String, String> answers() {
             return null;
--- a/src/main/java/brambletray/serve/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -29,6 +29,7 @@
     private final EventLoop thread = group.next();
     private final CountDownLatch left = new CountDownLatch(1);
     private final Instance instance;
+    private final Instance.Surroundings surroundings;
     private final InetSocketAddress address;
 
     /** Takes up what the journal holds, and serves. */
@@ -42,6 +43,7 @@
         Journal journal = Journal.open(new RealDisk(config.state()), config.diskBytes(), config.promise(),
             config.settings().allowed().attempts());
         int owed = journal.owed().size();
+        this.surroundings = surroundings;
         instance = thread.submit(() -> surroundings == null
             ? new Instance(Machine.real(thread), config, journal)
             : new Instance(Machine.real(thread), config, journal, surroundings)).get();
@@ -77,6 +79,10 @@
                 WarmUp.run(config);
             }
             Node node = new Node(config, surroundings);
+            if (surroundings != null) {
+                // Without a handler SIGHUP ends the process.
+                Signal.handle(new Signal("HUP"), hangup -> node.hangup());
+            }
             whenServing.accept(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
             node.left.await();
@@ -137,6 +143,11 @@
         });
     }
 
+    /** What SIGHUP asks of a relay without the platform's agent. */
+    public void hangup() {
+        thread.execute(surroundings::hangup);
+    }
+
     /** The address that clients connect to. */
     public InetSocketAddress address() {
         return address;
--- a/src/main/java/brambletray/standalone/InventoryPlatform.java
+++ b/src/main/java/brambletray/standalone/InventoryPlatform.java
@@ -19,34 +19,42 @@
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The list of hosts from an inventory file, in the platform's place. The last revision that counted is kept
- * in
- * the store: a relay that starts on a file of no use goes on with it, and says so.
+ * The list of hosts from inventory files, and from a discovery agent where one is configured, in the
+ * platform's place. What each source told last is kept in the store: a relay that starts on a file of no use,
+ * or without the agent, goes on with that, and says so.
  */
 final class InventoryPlatform implements Platform {
     private static final Logger LOG = LoggerFactory.getLogger(InventoryPlatform.class);
     private static final JsonFactory JSON = new JsonFactory();
-    /** Name space in the store, and the one key in it. */
+    /** Name space in the store; the key in it is the source's place among all, from 1. */
     private static final byte LAST_GOOD = 5;
-    private static final long KEY = 1;
-    /** Hosts that are taken in in one turn of the loop. */
-    private static final int SLICE = 500;
+    /** First line of what is kept of a source. */
+    private static final String SOURCE = "# source: ";
+    /** Hosts that are taken in in one turn of the loop; bench/inventory tells what that takes. */
+    static final int SLICE = 100;
 
     private final Standalone settings;
     private final HostList hosts;
     private final Loop loop;
     private final Store store;
+    private final Executor onLoop, reader;
     private final Reconciler reconciler;
-    private final Follower follower;
+    /** Names of the sources, the one that counts most first. */
+    private final List<String> sources = new ArrayList<>();
+    private final List<Follower> followers = new ArrayList<>();
+    private final AgentSource agent;
     private long version;
 
     InventoryPlatform(Machine machine, Standalone settings, HostList hosts, Loop loop, Store store,
@@ -55,69 +63,110 @@
         this.hosts = hosts;
         this.loop = loop;
         this.store = store;
-        this.reconciler = new Reconciler(settings.removeMost());
-        this.follower = new Follower(machine, settings.inventory(), settings.pollMs(), settings.settleMs(),
-            reader, parsed -> offer(parsed, machine.loop()));
+        this.onLoop = machine.loop();
+        this.reader = reader;
+        for (Path file : settings.inventories()) {
+            String name = file.toString();
+            sources.add(name);
+            followers.add(new Follower(machine, file, settings.pollMs(), settings.settleMs(),
+                settings.events(), reader, parsed -> offer(name, parsed, onLoop)));
+        }
+        if (settings.agent() == null) {
+            agent = null;
+        } else {
+            sources.add(AgentSource.NAME);
+            agent = new AgentSource(machine, settings.agent(), revision -> reader.execute(
+                () -> offer(AgentSource.NAME, new Inventory.Parsed(revision, true), onLoop)));
+        }
+        this.reconciler = new Reconciler(settings.removeMost(), sources);
     }
 
-    /** Takes the last good revision up, then what the file holds now; one of the two must be of use. */
+    /**
+     * Takes up what each source told last, then what its file holds now. One of them must be of use, unless
+     * there is an agent, which may answer later.
+     */
     @Override
     public void watch() {
-        boolean former = lastGood();
-        boolean read = false;
-        try {
-            offer(Inventory.read(settings.inventory()), Runnable::run);
-            read = true;
-        } catch (Faults | IOException e) {
-            if (!former) {
-                throw new IllegalStateException("no inventory: "
-                    + (e instanceof Faults ? e.getMessage() : e.toString()), e);
+        Set<String> former = lastGood();
+        List<String> faults = new ArrayList<>();
+        List<Boolean> read = new ArrayList<>();
+        for (Path file : settings.inventories()) {
+            String name = file.toString();
+            try {
+                offer(name, Inventory.read(file), Runnable::run);
+                read.add(true);
+            } catch (Faults | IOException e) {
+                read.add(false);
+                faults.add(e instanceof Faults ? e.getMessage() : e.toString());
+                LOG.warn("the inventory {} is of no use, {}: {}", name, former.contains(name)
+                    ? "its last good version is served" : "and no good version of it is kept",
+                    e.getMessage());
             }
-            LOG.warn("the inventory is of no use, its last good version of {} hosts is served: {}",
-                reconciler.held().hosts().size(), e.getMessage());
         }
-        follower.begin(read);
+        if (reconciler.held().hosts().isEmpty() && agent == null) {
+            throw new IllegalStateException("no inventory: " + String.join("; ", faults));
+        }
+        for (int i = 0; i < followers.size(); i++) {
+            followers.get(i).begin(read.get(i));
+        }
+        if (agent != null) {
+            agent.begin();
+        }
+    }
+
+    /** Reads all files once more, now: nothing of it is lost where a file is being edited. */
+    void readAgain() {
+        followers.forEach(Follower::readAgain);
     }
 
-    private boolean lastGood() {
+    /** The sources of which a last good version was kept and is served. */
+    private Set<String> lastGood() {
+        Set<String> known = new HashSet<>();
         for (Chain chain : store.chains(LAST_GOOD)) {
             try {
-                Inventory.Parsed kept = Inventory.parse("last-good.csv", store.read(chain, 0));
-                if (reconciler.offer(kept.revision(), kept.sealed()) instanceof Reconciler.Taken taken) {
+                byte[] text = store.read(chain, 0);
+                String head = new String(text, StandardCharsets.UTF_8).lines().findFirst().orElse("");
+                // A store from before there were several sources names none: it was that of the one file.
+                String name = head.startsWith(SOURCE) ? head.substring(SOURCE.length()) : sources.get(0);
+                if (!sources.contains(name) || !known.add(name)) {
+                    continue;
+                }
+                Inventory.Parsed kept = Inventory.parse("last-good.csv", text);
+                if (reconciler.offer(name, kept.revision(), kept.sealed())
+                        instanceof Reconciler.Taken taken) {
                     slices(taken).forEach(this::listed);
                 }
-                return true;
             } catch (Faults | IOException e) {
-                LOG.error("the last good inventory in the store can't be read: {}", e.getMessage());
+                LOG.error("a last good inventory in the store can't be read: {}", e.getMessage());
             }
         }
-        return false;
+        return known;
     }
 
     /**
      * On the loop at the start, then on the reader's thread only: comparing 100,000 hosts takes longer than
      * the loop may pause. {@code on}: the loop.
      */
-    private void offer(Inventory.Parsed parsed, Executor on) {
-        Reconciler.Verdict verdict = reconciler.offer(parsed.revision(), parsed.sealed());
+    private void offer(String source, Inventory.Parsed parsed, Executor on) {
+        Reconciler.Verdict verdict = reconciler.offer(source, parsed.revision(), parsed.sealed());
         if (verdict instanceof Reconciler.HeldBack held) {
-            LOG.warn("the inventory is held back: {}; if it is meant as it stands, end it with the line"
-                + " '# end of inventory: {} hosts'", held.unsealed()
+            LOG.warn("the inventory {} is held back: {}; if it is meant as it stands, end it with the line"
+                + " '# end of inventory: {} hosts'", source, held.unsealed()
                     ? "its last line does not seal it, as the one before did" : "it takes "
                     + (held.change().removed().size() + held.change().drained().size())
                     + " hosts away, and an edit may take " + held.most(), parsed.revision().hosts().size());
         } else if (verdict instanceof Reconciler.Taken taken) {
-            LOG.info("inventory of {} hosts: {} new, {} gone, {} moved, {} draining, {} altered",
-                taken.hosts().size(), taken.change().added().size(), taken.change().removed().size(),
-                taken.change().moved().size(), taken.change().drained().size(),
-                taken.change().altered().size());
-            byte[] text = Inventory.write(taken.revision(), true, taken.sealed())
+            LOG.info("inventory {}: {} hosts in all, {} new, {} gone, {} moved, {} draining, {} altered",
+                source, taken.hosts().size(), taken.change().added().size(),
+                taken.change().removed().size(), taken.change().moved().size(),
+                taken.change().drained().size(), taken.change().altered().size());
+            byte[] text = (SOURCE + source + "\n" + Inventory.write(taken.revision(), true, taken.sealed()))
                 .getBytes(StandardCharsets.UTF_8);
             for (Wire.Fields slice : slices(taken)) {
                 // A turn of its own for each: messages are served in between.
                 on.execute(() -> listed(slice));
             }
-            on.execute(() -> keep(text));
+            on.execute(() -> keep(1 + sources.indexOf(source), text));
         }
     }
 
@@ -129,9 +178,9 @@
         }
     }
 
-    private void keep(byte[] text) {
+    private void keep(long key, byte[] text) {
         if (store.fits(Store.cost(text.length))) {
-            store.put(LAST_GOOD, KEY, text);
+            store.put(LAST_GOOD, key, text);
             loop.staged();
         } else {
             LOG.warn("the inventory of {} bytes does not fit into the store beside the messages: after a"
@@ -144,7 +193,7 @@
      * of all is one whole list, before the relay serves.
      */
     private List<Wire.Fields> slices(Reconciler.Taken taken) {
-        if (version == 0) {
+        if (version == 0 && !taken.hosts().isEmpty()) {
             return List.of(decoded(taken.hosts(), true));
         }
         List<String> ready = new ArrayList<>();
--- a/src/main/java/brambletray/standalone/Standalone.java
+++ b/src/main/java/brambletray/standalone/Standalone.java
@@ -21,13 +21,16 @@
 /**
  * The file of a relay that runs without the platform; deploy/standalone.yaml has every key.
  *
- * @param inventory file that lists the hosts
+ * @param inventories files that list the hosts, the one that counts most first
+ * @param agent a discovery agent that lists hosts too, after the files; null for none
+ * @param events whether files are looked at as soon as the system tells of an edit
  * @param removeMost share of hosts that one edit may take away unsealed
  * @param keepMs how long final answers are kept
  * @param answersMost how many of them at most
  * @param postTo where they are posted, null for nowhere
  */
-record Standalone(Config config, Path inventory, double removeMost, long pollMs, long settleMs,
+record Standalone(Config config, List<Path> inventories, InetSocketAddress agent, double removeMost,
+                  long pollMs, long settleMs, boolean events,
                   List<String> zones, List<String> kinds, long keepMs, int answersMost,
                   InetSocketAddress postTo, String postPath) {
     private static final JsonFactory JSON = new JsonFactory();
@@ -39,8 +42,17 @@
         Section root = content.root();
         InetSocketAddress listen = address(root, "listen", root.text("listen", "127.0.0.1:8080"));
         Path state = path.resolveSibling(root.text("folder", "state"));
-        Path named = path.resolveSibling(root.text("inventory"));
-        Path inventory = other == null ? named : other;
+        InetSocketAddress agent = root.has("agent") ? address(root, "agent", root.text("agent")) : null;
+        List<Path> inventories = new ArrayList<>();
+        for (String named : root.texts("inventory", agent == null)) {
+            if (inventories.contains(path.resolveSibling(named))) {
+                root.fault("inventory", "expected each file once, not '" + named + "' again");
+            }
+            inventories.add(path.resolveSibling(named));
+        }
+        if (other != null) {
+            inventories = List.of(other);
+        }
         int diskMb = root.whole("disk_mb", 64, 1, 100_000);
         int sockets = root.whole("sockets", 1_024, 64, 1_000_000);
         int seed = root.whole("seed", 1, 0, SEED_MOST);
@@ -55,6 +67,7 @@
         Section guards = root.section("guards", false);
         double removeMost = guards.number("remove_most", 0.3, 0, 1);
         int poll = guards.whole("poll_ms", 100, 10, 60_000);
+        boolean events = guards.flag("events", true);
         int settle = guards.whole("settle_ms", 300, 0, 60_000);
         guards.done();
         Section answers = root.section("answers", false);
@@ -74,8 +87,8 @@
         try {
             Config config = Config.of(listen, state, seed, sockets, diskMb * 1_000_000L, promise,
                 Wire.decode(settings), mqtt);
-            return new Standalone(config, inventory, removeMost, poll, settle, zones, kinds, keep * 1_000L,
-                most, postTo, postPath);
+            return new Standalone(config, inventories, agent, removeMost, poll, settle, events, zones, kinds,
+                keep * 1_000L, most, postTo, postPath);
         } catch (Wire.Malformed e) {
             throw new IllegalStateException("settings of the relay's own can be read", e);
         }
--- a/src/main/java/brambletray/standalone/StandaloneRelay.java
+++ b/src/main/java/brambletray/standalone/StandaloneRelay.java
@@ -22,6 +22,7 @@
     private final Executor reader;
     private Outcomes outcomes;
     private Loop loop;
+    private InventoryPlatform inventories;
 
     private StandaloneRelay(Standalone settings, Executor reader) {
         this.settings = settings;
@@ -67,7 +68,14 @@
     @Override
     public Platform platform(Machine machine, HostList hosts, Loop relay, Store store) {
         this.loop = relay;
-        return new InventoryPlatform(machine, settings, hosts, relay, store, reader);
+        inventories = new InventoryPlatform(machine, settings, hosts, relay, store, reader);
+        return inventories;
+    }
+
+    /** The files are read now; the configuration counts from the next start. */
+    @Override
+    public void hangup() {
+        inventories.readAgain();
     }
 
     @Override
--- a/src/main/java/brambletray/yaml/YamlFile.java
+++ b/src/main/java/brambletray/yaml/YamlFile.java
@@ -49,15 +49,18 @@
 
     /** Reads a text; {@code name} stands before each fault. */
     public static Content parse(String name, String text) throws Faults {
-        return parse(name, text, null);
+        return parse(name, text, null, BYTES_MOST);
     }
 
-    /** As above; a text that is one list is read as a mapping with the list in this field. */
-    public static Content parse(String name, String text, String listField) throws Faults {
+    /**
+     * As above, up to so many characters; a text that is one list is read as a mapping with the list in this
+     * field.
+     */
+    public static Content parse(String name, String text, String listField, int most) throws Faults {
         YamlFile file = new YamlFile(name);
         try {
             LoadSettings settings =
-                LoadSettings.builder().setLabel(name).setCodePointLimit(BYTES_MOST).build();
+                LoadSettings.builder().setLabel(name).setCodePointLimit(most).build();
             Optional<Node> root = new Compose(settings).composeString(text);
             if (root.orElse(null) instanceof SequenceNode list && listField != null) {
                 // A plain list is read as the one field of a mapping.
--- a/src/test/java/brambletray/inventory/FollowerTest.java
+++ b/src/test/java/brambletray/inventory/FollowerTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -28,6 +29,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Files that are edited in every way, on a real file system. */
 @Timeout(value = 300, unit = TimeUnit.SECONDS)
@@ -138,6 +140,59 @@
             sorted[sorted.length / 2] / 1e6, sorted[sorted.length * 99 / 100] / 1e6, POLL, SETTLE);
     }
 
+    /** The system's events alone: the file would be looked at by turns an hour later. */
+    @ParameterizedTest
+    @EnumSource(value = Way.class, names = {"RENAME", "IN_PLACE"})
+    void eventsTellOfAnEditAtOnce(Way way) throws Exception {
+        write(way, 1);
+        follower = new Follower(Machine.real(loop), folder.resolve("hosts.csv"), 3_600_000, SETTLE, true, reader, read::add);
+        loop.submit(() -> follower.begin(true)).get();
+        for (int n = 2; n <= REWRITES / 4; n++) {
+            write(way, n);
+            int last = 0;
+            while (last < n) {
+                Inventory.Parsed parsed = read.poll(30, TimeUnit.SECONDS);
+                assertNotNull(parsed, "version " + n + " was not read");
+                last = number(parsed);
+            }
+        }
+    }
+
+    /** Two edits that look the same (key, size and time): an event or an operator's word has it read once more. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anEditThatLooksLikeNoneIsRead(boolean events) throws Exception {
+        Path file = folder.resolve("hosts.csv");
+        Files.write(file, version(21));
+        FileTime time = Files.getLastModifiedTime(file);
+        follower = new Follower(Machine.real(loop), file, 3_600_000, SETTLE, events, reader, read::add);
+        loop.submit(() -> follower.begin(true)).get();
+        try (RandomAccessFile open = new RandomAccessFile(file.toFile(), "rw")) {
+            open.write(version(41));
+        }
+        Files.setLastModifiedTime(file, time);
+        if (!events) {
+            loop.submit(() -> follower.readAgain()).get();
+        }
+        assertEquals(41, number(read.poll(30, TimeUnit.SECONDS)));
+    }
+
+    /** The system's clock is set back, and forward: edits are told by a time that is another, not by a later one. */
+    @Test
+    void aStepOfTheClockHidesNoEdit() throws Exception {
+        Path file = folder.resolve("hosts.csv");
+        Files.write(file, version(1));
+        follow(file);
+        assertEquals(1, number(read.poll(30, TimeUnit.SECONDS)));
+        long[] steps = {-3_600_000, 3_600_000, -86_400_000, 0};
+        for (int i = 0; i < steps.length; i++) {
+            Path fresh = Files.write(folder.resolve("new"), version(2 + i));
+            Files.setLastModifiedTime(fresh, FileTime.fromMillis(System.currentTimeMillis() + steps[i]));
+            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            assertEquals(2 + i, number(read.poll(30, TimeUnit.SECONDS)));
+        }
+    }
+
     /** Whatever the file is cut to, nothing but the whole version is ever read as sealed. */
     @Test
     void cutAtEveryByte() throws Exception {
--- a/src/test/java/brambletray/inventory/InventoryTest.java
+++ b/src/test/java/brambletray/inventory/InventoryTest.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
@@ -195,6 +196,53 @@
         }
     }
 
+    private static Map<String, Entry> counted(Reconciler.Verdict verdict) {
+        return ((Reconciler.Taken) verdict).hosts();
+    }
+
+    /** Of a host in two sources the first tells where it is, any may take new work from it, and one is enough to keep it. */
+    @Test
+    void sourcesInTheirOrder() {
+        Reconciler reconciler = new Reconciler(1, List.of("first", "second"));
+        counted(reconciler.offer("second", hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), true));
+        var both = counted(reconciler.offer("first", hosts(host("a", 9, Entry.State.READY)), true));
+        assertEquals(List.of("a~1", "b"), List.copyOf(both.keySet()), "it is where the first source has it");
+        var drained = counted(reconciler.offer("second",
+            hosts(host("a", 1, Entry.State.DRAINING), host("b", 2, Entry.State.READY)), true));
+        assertEquals(Entry.State.DRAINING, drained.get("a~1").state());
+        assertEquals(host("a", 9, Entry.State.READY).place(), drained.get("a~1").place());
+        assertTrue(((Reconciler.Taken) reconciler.offer("second", hosts(host("a", 3, Entry.State.DRAINING),
+            host("b", 2, Entry.State.READY)), true)).change().isEmpty(), "where the second has it counts for nothing");
+        var fallen = counted(reconciler.offer("first", hosts(host("c", 4, Entry.State.READY)), true));
+        assertEquals(List.of("c", "a~2", "b"), List.copyOf(fallen.keySet()), "no longer in the first, it is where the second has it");
+        assertEquals(Entry.State.DRAINING, fallen.get("a~2").state());
+        var gone = (Reconciler.Taken) reconciler.offer("second", hosts(host("b", 2, Entry.State.READY)), true);
+        assertEquals(List.of("a~2"), gone.gone());
+    }
+
+    /** One endpoint under two names would get the work of two. */
+    @Test
+    void anAddressCountsOnceOverAllSources() {
+        Reconciler reconciler = new Reconciler(1, List.of("first", "second"));
+        counted(reconciler.offer("second", hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), true));
+        var hosts = counted(reconciler.offer("first", hosts(host("other", 1, Entry.State.READY)), true));
+        assertEquals(Set.of("other", "b"), hosts.keySet());
+    }
+
+    /** A source is guarded by what itself told before, and what another holds back stays its own. */
+    @Test
+    void eachSourceHasGuardsOfItsOwn() {
+        Reconciler reconciler = new Reconciler(0.3, List.of("first", "second"));
+        Entry[] ten = new Entry[10];
+        Arrays.setAll(ten, i -> host("h" + i, i + 1, Entry.State.READY));
+        reconciler.offer("first", hosts(Arrays.copyOf(ten, 5)), true);
+        reconciler.offer("second", hosts(Arrays.copyOfRange(ten, 5, 10)), false);
+        assertInstanceOf(Reconciler.HeldBack.class, reconciler.offer("second", hosts(ten[5]), false), "four of its five");
+        assertInstanceOf(Reconciler.HeldBack.class, reconciler.offer("first", hosts(Arrays.copyOf(ten, 4)), false), "sealed before");
+        assertInstanceOf(Reconciler.Taken.class, reconciler.offer("second", hosts(Arrays.copyOfRange(ten, 6, 10)), false));
+        assertEquals(9, reconciler.held().hosts().size());
+    }
+
     /** The schema for editors knows the fields that the parser knows, and the same words for them. */
     @Test
     void theSchemaKnowsTheFields() throws Exception {
--- a/src/test/java/brambletray/standalone/StandaloneTest.java
+++ b/src/test/java/brambletray/standalone/StandaloneTest.java
@@ -233,6 +233,110 @@
         }
     }
 
+    /** The same host in two files: one that drains it is enough, and it stays while one of them names it. */
+    @Test
+    void aHostInTwoFilesThatDisagree() throws Exception {
+        try (HostStub first = new HostStub(); HostStub second = new HostStub(); HostStub third = new HostStub()) {
+            hosts(row("a", first, 7) + row("b", second, 8));
+            Path more = folder.resolve("more.yaml");
+            String listed = "- {name: a, address: 127.0.0.1, port: " + first.port() + ", destination: 7, state: %s}\n";
+            Files.writeString(more, listed.formatted("ready"));
+            Path config = config("");
+            Files.writeString(config, Files.readString(config).replace("inventory: hosts.csv", "inventory: [hosts.csv, more.yaml]"));
+            try (Node relay = StandaloneRelay.start(config)) {
+                assertEquals(202, post(relay, "m1", "bill", 7));
+                first.call().answer(HostStub.OK);
+                await(() -> idle(relay));
+                // What comes with the drain in one edit tells that it was taken in.
+                Files.writeString(more, listed.formatted("draining") + "- {name: c, address: 127.0.0.1, port: "
+                    + third.port() + ", destination: 9}\n");
+                await(() -> postOk(relay, "m2", 9));
+                assertEquals("m2", third.call().header("X-Request-ID"));
+                assertEquals(202, post(relay, "m3", "bill", 7));
+                assertEquals(202, post(relay, "m4", "bill", 8));
+                second.call().answer(HostStub.OK);
+                await(() -> state(relay, "m4").contains("delivered"));
+                assertTrue(first.quiet());
+            }
+            // Its other file is of no use at the next start: what that told last still drains it.
+            Files.writeString(more, "- {");
+            try (Node relay = StandaloneRelay.start(config)) {
+                assertEquals(202, post(relay, "m5", "bill", 7));
+                assertEquals(202, post(relay, "m6", "bill", 8));
+                assertEquals("m6", second.call().header("X-Request-ID"));
+                assertTrue(first.quiet());
+            }
+        }
+    }
+
+    private String state(Node relay, String id) {
+        try {
+            return get(relay, id);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** An agent beside a file: both lists count, the agent's holds while it is silent and over a restart. */
+    @Test
+    void anAgentBesideAFile() throws Exception {
+        try (HostStub first = new HostStub(); HostStub second = new HostStub(); HostStub third = new HostStub()) {
+            Path config;
+            try (PlatformStub platform = new PlatformStub(folder)) {
+                hosts(row("a", first, 7));
+                String agent = platform.configure(platform).get("EDGE_DISCOVERY");
+                config = config("agent: " + agent + "\n");
+                platform.changes.add(PlatformStub.list(1, true, PlatformStub.host("b", second.port(), 8, "ready"),
+                    PlatformStub.host("a", third.port(), 9, "ready")));
+                try (Node relay = StandaloneRelay.start(config)) {
+                    await(() -> postOk(relay, "m1", 8));
+                    assertEquals("m1", second.call().header("X-Request-ID"));
+                    assertEquals(202, post(relay, "m2", "bill", 7));
+                    assertEquals("m2", first.call().header("X-Request-ID"));
+                    assertEquals(404, post(relay, "m3", "bill", 9), "the file tells where a is");
+                }
+            }
+            try (Node relay = StandaloneRelay.start(config)) {
+                assertEquals(202, post(relay, "m4", "bill", 8));
+                await(() -> "m4".equals(next(second)));
+            }
+        }
+    }
+
+    private static String next(HostStub host) {
+        try {
+            return host.call().header("X-Request-ID");
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** SIGHUP has the file read at once, in the middle of an edit too: half a file changes nothing. */
+    @Test
+    void aHangupAmidAnEdit() throws Exception {
+        try (HostStub first = new HostStub(); HostStub second = new HostStub()) {
+            hosts(row("a", first, 7));
+            Path config = config("");
+            Files.writeString(config, Files.readString(config).replace("poll_ms: 10", "poll_ms: 60000, events: false"));
+            try (Node relay = StandaloneRelay.start(config)) {
+                Path file = folder.resolve("hosts.csv");
+                String whole = HEAD + row("a", first, 7) + row("b", second, 8);
+                for (int cut = HEAD.length(); cut < whole.length() - 4; cut += 3) {
+                    Files.writeString(file, whole.substring(0, cut));
+                    relay.hangup();
+                }
+                Files.writeString(file, whole);
+                await(() -> {
+                    relay.hangup();
+                    return postOk(relay, "m1", 8);
+                });
+                assertEquals("m1", second.call().header("X-Request-ID"));
+                assertEquals(202, post(relay, "m2", "bill", 7));
+                assertEquals("m2", first.call().header("X-Request-ID"));
+            }
+        }
+    }
+
     @Test
     void withNoFileAndNoLastGoodOneThereIsNoStart() throws Exception {
         Path config = config("");
