Rehearsal: deaths at exact points, stories of messages, connections and disk judged

Changed: kill_after_write and kill_after_sent make a relay mute at that instruction, with its folder as it was then. Ledger and score tell a witness what passes; the story of a message is the same night played again with one.

Failed on the way: killing inside the relay's own stack would have reset the channel that was being written; the hooks outlived the first death and killed the relay that came back, which looked like a lost message.

--- a/src/main/java/brambletray/cli/Rehearse.java
+++ b/src/main/java/brambletray/cli/Rehearse.java
@@ -5,6 +5,7 @@
 import brambletray.rehearsal.Kit;
 import brambletray.rehearsal.Night;
 import brambletray.rehearsal.Reports;
+import brambletray.rehearsal.Story;
 import brambletray.rehearsal.Verdict;
 import brambletray.runtime.Clock;
 import brambletray.wire.Wire;
@@ -33,6 +34,9 @@
     "Exit code 0 if every night is within its bounds, 1 if not. The same build gives the same verdict."},
     subcommands = {Rehearse.HuntCommand.class, Rehearse.CompareCommand.class})
 final class Rehearse implements Callable<Integer> {
+    /** Stories that are told of one night. */
+    private static final int STORIES_MOST = 3;
+
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -45,7 +49,8 @@
     private int seeds;
 
     @Option(names = "--out", paramLabel = "FOLDER",
-        description = "Writes rehearsal.json, junit.xml and rehearsal.html there.")
+        description = "Writes rehearsal.json, junit.xml and rehearsal.html there, and what happened to"
+            + " messages with which a rule was broken.")
     private Path out;
 
     @Override
@@ -72,7 +77,7 @@
             boolean passed = verdicts.stream().allMatch(Verdict::passed);
             tell.println((passed ? "passed" : "FAILED") + ", figures " + Reports.hash(verdicts));
             if (out != null) {
-                write(verdicts);
+                write(verdicts, folder, tell);
             }
             return passed ? 0 : 1;
         } finally {
@@ -90,8 +95,16 @@
         v.faults().stream().limit(5).forEach(fault -> out.println("    " + fault));
     }
 
-    private void write(List<Verdict> verdicts) throws IOException {
+    private void write(List<Verdict> verdicts, Path folder, PrintWriter tell) throws Exception {
         Files.createDirectories(out);
+        for (Verdict v : verdicts) {
+            int number = 0;
+            for (Story story : Kit.stories(v, STORIES_MOST, folder)) {
+                Path file = out.resolve("story-" + v.night().script().name() + "-" + ++number + ".txt");
+                Files.write(file, story.told());
+                tell.println("what happened to message " + story.line() + ": " + file);
+            }
+        }
         Files.writeString(out.resolve("rehearsal.json"), Reports.json(verdicts));
         Files.writeString(out.resolve("junit.xml"), Reports.junit(verdicts));
         Files.writeString(out.resolve("rehearsal.html"), Reports.html(verdicts));
--- a/src/main/java/brambletray/emulator/Ledger.java
+++ b/src/main/java/brambletray/emulator/Ledger.java
@@ -42,6 +42,7 @@
     private final Map<Pair, Long> drained = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private long breachCount;
+    private Witness witness = Witness.NOBODY;
 
     /**
      * {@code drainGrace}: how long after it was told a relay may still send to a draining endpoint, ns.
@@ -69,7 +70,17 @@
         voided.add(message);
     }
 
+    /** Told of all that passes from now on. */
+    public void witness(Witness told) {
+        witness = told;
+    }
+
+    public Witness witness() {
+        return witness;
+    }
+
     void arrived(long now, Call call, String endpoint, String waitPlace) {
+        witness.saw(now, call.message, "call from " + call.caller + " arrives at " + endpoint);
         Told told = waits.get(new Pair(call.caller, waitPlace));
         if (told != null && now > told.at() + WAIT_GRACE + NETWORK_GRACE && now < told.until()) {
             breach(new Breach(Rule.WAIT_IGNORED, now, call.caller, endpoint, call.message,
@@ -87,6 +98,7 @@
         Pair pair = new Pair(call.caller, waitPlace);
         Told old = waits.get(pair);
         long until = now + wait;
+        witness.saw(now, call.message, "told to wait " + wait / 1_000_000 + " ms at " + waitPlace);
         waits.put(pair, old != null && old.until() > until ? old : new Told(call, now, until));
     }
 
@@ -106,6 +118,7 @@
         if (voided.contains(call.message)) {
             return;
         }
+        witness.saw(now, call.message, "takes effect at " + endpoint);
         int times = effects.merge(line.apply(call.message), 1, Integer::sum);
         if (times > 1 && !mayRepeat.test(call.message)) {
             breach(new Breach(Rule.EFFECT_TWICE, now, call.caller, endpoint, call.message,
@@ -114,10 +127,12 @@
     }
 
     void delivered(long now, String message) {
+        witness.saw(now, message, "answered as delivered");
         delivered.putIfAbsent(message, now);
     }
 
     void fell(long now, String endpoint, Map<String, Integer> senders, Set<String> knew) {
+        witness.saw(now, endpoint, "was pushed over; calls came from " + new TreeMap<>(senders));
         int all = 0;
         int fromKnowing = 0;
         for (Map.Entry<String, Integer> sender : new TreeMap<>(senders).entrySet()) {
@@ -140,6 +155,7 @@
 
     /** A relay has been told how an endpoint stands. */
     public void listed(long now, String caller, String endpoint, boolean ready) {
+        witness.saw(now, endpoint, caller + " is told that it " + (ready ? "is ready" : "drains or is gone"));
         if (ready) {
             drained.remove(new Pair(caller, endpoint));
         } else {
--- a/src/main/java/brambletray/rehearsal/Hunt.java
+++ b/src/main/java/brambletray/rehearsal/Hunt.java
@@ -13,12 +13,14 @@
 import java.util.SplittableRandom;
 
 /**
- * Looks for nights that break a rule: draws what goes wrong at random on the base of a night, and shrinks
- * what
- * it finds to the fewest events that still do it. A draw is the same for the same base and number.
+ * Looks for nights that break a rule, or on which this build loses to a plain one: draws what goes wrong at
+ * random on the base of a night, and shrinks what it finds to the fewest events that still do it. A draw is
+ * the same for the same base and number.
  */
 public final class Hunt {
     private static final int EVENTS_MOST = 6;
+    /** Score lost against the reference from which on a night is a find: more than seeds differ by. */
+    private static final double LOSS = 0.05;
 
     /** A night that breaks a rule, as a file that replays it; {@code seed}: with which it does. */
     public record Find(long draw, long seed, String yaml, List<String> faults, int drawn, int left) { }
@@ -71,11 +73,29 @@
         return Optional.of(new Find(number, number, yaml(left), faults, events.size(), left.size()));
     }
 
+    /**
+     * What speaks against a night: rules broken; else that this build loses much against the reference, one
+     * try for each message, in order.
+     */
     private List<String> faults(List<Event> events, long seed) throws Faults, IOException, Config.Unusable {
         Night night = Night.parse("drawn.yaml", yaml(events));
-        Play play = Rehearsal.play(night, seed, Files.createDirectories(folder.resolve("draw-" + seed)));
-        return Verdict.of(new Night(night.script(), night.relayEvents(), night.noticed(), 0),
-            List.of(play)).faults();
+        Path own = Files.createDirectories(folder.resolve("draw-" + seed));
+        Play play = Rehearsal.play(night, seed, own);
+        List<String> faults = Verdict.of(new Night(night.script(), night.relayEvents(), night.noticed(), 0,
+            night.most()), List.of(play)).faults();
+        if (!faults.isEmpty()) {
+            return faults;
+        }
+        double plain = Rehearsal.play(night, seed, own, Hunt::oneTry, null).result().score();
+        double lost = plain - play.result().score();
+        return lost < LOSS ? List.of() : List.of(String.format(Locale.ROOT,
+            "score %.3f, where one try for each message has %.3f", play.result().score(), plain));
+    }
+
+    /** A relay's configuration, with one try for each message and no copies. */
+    static String oneTry(String config) {
+        return config.replaceAll("\"most-tries\"\\s*:\\s*\\d+", "\"most-tries\":1")
+            .replaceAll("\"second-copies\"\\s*:\\s*true", "\"second-copies\":false");
     }
 
     private String yaml(List<Event> events) {
--- a/src/main/java/brambletray/rehearsal/RelayEvent.java
+++ b/src/main/java/brambletray/rehearsal/RelayEvent.java
@@ -5,9 +5,10 @@
  *
  * @param at ns
  * @param relay its number; -1 for all
- * @param what killed as by SIGKILL, its folder kept or lost
- * @param backAfter ns until it is started again
+ * @param what killed as by SIGKILL, its folder kept or lost; or right after its {@code number}-th write to
+ *     its folder, or piece of data sent, from {@code at} on, before anything else of it gets out
+ * @param backAfter ns from {@code at} until it is started again
  */
-public record RelayEvent(long at, int relay, What what, long backAfter) {
-    public enum What { KILL, KILL_AND_LOSE_FOLDER }
+public record RelayEvent(long at, int relay, What what, int number, long backAfter) {
+    public enum What { KILL, KILL_AND_LOSE_FOLDER, KILL_AFTER_WRITE, KILL_AFTER_SENT }
 }
--- a/src/main/java/brambletray/simulation/SimChannel.java
+++ b/src/main/java/brambletray/simulation/SimChannel.java
@@ -194,6 +194,10 @@
     }
 
     private void transmit(byte[] piece) {
+        if (network.muted(home)) {
+            onTheWay += piece.length;
+            return;
+        }
         byte[] passing = piece;
         boolean cutNow = cut >= 0 && piece.length >= cut;
         if (cutNow) {
@@ -205,6 +209,7 @@
         if (passing.length > 0 && !network.silent(home, remote.getAddress())) {
             byte[] sent = passing;
             network.carry(this, peer, () -> peer.arrived(sent));
+            network.sent(home);
         }
         if (cutNow) {
             cut = -1;
--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -13,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * A network between simulated machines that does to TCP what real ones do: it takes time, refuses, goes
@@ -23,6 +25,8 @@
  * not: loss and retransmission, congestion, MTU beyond {@link #segment}.
  */
 public final class SimNetwork {
+    private final Set<InetAddress> muted = new HashSet<>();
+    private Consumer<InetAddress> whenSent = machine -> { };
     /** Bytes that may be on the way or unread in one direction of a connection. */
     static final int WINDOW = 64 * 1024;
     /** Kinds of events in the trace. */
@@ -71,6 +75,32 @@
         whenConnected = told;
     }
 
+    /**
+     * Nothing more goes out from this machine, from this very instruction on: its process is about to be
+     * killed at the end of this instant.
+     */
+    public void mute(InetAddress machine) {
+        muted.add(machine);
+    }
+
+    /** The machine's next process may send. */
+    public void unmute(InetAddress machine) {
+        muted.remove(machine);
+    }
+
+    boolean muted(InetAddress machine) {
+        return muted.contains(machine);
+    }
+
+    /** Told after each piece of data that a machine has put on the way. */
+    public void whenSent(Consumer<InetAddress> told) {
+        whenSent = told;
+    }
+
+    void sent(InetAddress machine) {
+        whenSent.accept(machine);
+    }
+
     /** The machine is gone without a word: open connections stay silent, new ones never come up. */
     public void vanish(InetAddress machine) {
         vanished.add(machine);
--- a/src/main/java/brambletray/stage/Scene.java
+++ b/src/main/java/brambletray/stage/Scene.java
@@ -64,7 +64,7 @@
         ledger = new Ledger(250 * 1_000_000L, Score::line, this::isSafe);
         world = new World(script.partners(), script.steps(), ledger, seeds.nextLong());
         front = new PartnerFront(machine, world);
-        score = new Score(ledger);
+        score = new Score(ledger, front::now);
         crowd = new Crowd(machine, script, score, front::now, seeds.nextLong());
     }
 
@@ -241,6 +241,8 @@
     /** A relay that was killed at this time (ns) serves again. */
     void restarted(int relay, long killed) {
         ledger.restarted(plan.caller(relay));
+        ledger.witness().saw(front.now(), plan.caller(relay), "serves again, dead since "
+            + killed / 1_000_000 + " ms");
         score.restarted(killed, front.now());
     }
 
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 /**
  * What became of every line that clients asked to have delivered: pure, told what passes at the clients and
@@ -65,13 +66,20 @@
     }
 
     private final Ledger ledger;
+    private final LongSupplier clock;
     private final Map<String, Line> lines = new LinkedHashMap<>();
     private final List<long[]> restarts = new ArrayList<>();
     /** Taken on, and perhaps not ended; the eldest first. */
     private final ArrayDeque<Try> underWay = new ArrayDeque<>();
 
-    public Score(Ledger ledger) {
+    /** {@code clock}: the world's time, ns. */
+    public Score(Ledger ledger, LongSupplier clock) {
         this.ledger = ledger;
+        this.clock = clock;
+    }
+
+    private void saw(String id, String what) {
+        ledger.witness().saw(clock.getAsLong(), id, what);
     }
 
     /** The line of an id. */
@@ -88,6 +96,7 @@
     /** It is handed in under this id. */
     void handedIn(String id) {
         lines.get(line(id)).tries.add(new Try(id));
+        saw(id, "handed in");
     }
 
     private Try find(String id) {
@@ -105,16 +114,19 @@
     void taken(String id) {
         Try t = find(id);
         t.taken = true;
+        saw(id, "answered 202");
         underWay.addLast(t);
     }
 
     void refused(String id) {
         find(id).refused = true;
+        saw(id, "refused at the door");
     }
 
     /** The client has left without an answer. */
     void left(String id) {
         ledger.voided(id);
+        saw(id, "client left without an answer");
     }
 
     /** A notice has come; false for a message that nobody knows. */
@@ -122,6 +134,7 @@
         Try t = find(id);
         if (t != null && t.noticed < 0) {
             t.noticed = now;
+            saw(id, handedBack ? "ended by a notice: handed back" : "ended by a notice: given up");
             t.handedBack = handedBack;
         }
         return t != null;
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -19,8 +19,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
@@ -34,6 +37,8 @@
     private static final long UNIX = 1_900_000_000_000L;
     private static final int SOCKETS = 1_024;
     private static final long DISK = 3_000_000;
+    /** ns; between looks at what relays use. */
+    private static final long MEASURE = 100_000_000;
     private static final int PORT = 8_080, MQTT_PORT = 1_883;
 
     private final Script script;
@@ -45,10 +50,13 @@
     private final List<MemoryDisk> disks = new ArrayList<>();
     private final List<Instance> instances = new ArrayList<>();
     private final Map<Integer, Long> killedAt = new HashMap<>();
+    private final Set<Integer> running = new HashSet<>(), doomed = new TreeSet<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final IntFunction<Instance.Surroundings> surroundings;
     private Store.Promise promise = Store.Promise.PROCESS;
     private int agentPort = PORT;
+    private int mostConnections;
+    private long mostDisk, measureAt;
 
     /** {@code folder}: for the relays' configurations; their journals are in memory. */
     public SimStage(Script script, long seed, Path folder) throws IOException, Config.Unusable {
@@ -59,7 +67,7 @@
      * {@code told}: what becomes of a relay's configuration before it reads it, to play relays with a
      * fault.
      */
-    SimStage(Script script, long seed, Path folder, UnaryOperator<String> told)
+    public SimStage(Script script, long seed, Path folder, UnaryOperator<String> told)
         throws IOException, Config.Unusable {
         this(script, seed, folder, told, null);
     }
@@ -165,6 +173,7 @@
         Journal journal = Journal.open(disks.get(relay), DISK, promise,
             config.settings().allowed().attempts());
         machines.set(relay, machine);
+        running.add(relay);
         machine.loop().execute(() -> {
             try {
                 instances.set(relay, surroundings == null ? new Instance(machine, config, journal)
@@ -175,8 +184,57 @@
         });
     }
 
-    /** Ends a relay as by SIGKILL; its folder stays. */
+    /** As {@link #kill}, right after so many more writes to its folder: nothing more of it gets out. */
+    public void killAfterWrite(int relay, int writes) {
+        int[] left = {writes};
+        MemoryDisk disk = disks.get(relay);
+        disk.whenWritten(() -> {
+            if (--left[0] == 0) {
+                doomed(relay);
+            }
+        });
+    }
+
+    /** As {@link #kill}, right after so many more pieces of data that it puts on the network. */
+    public void killAfterSent(int relay, int pieces) {
+        int[] left = {pieces};
+        simulation.network().whenSent(machine -> {
+            if (machine.equals(relayIp(relay)) && --left[0] == 0) {
+                doomed(relay);
+            }
+        });
+    }
+
+    /** Dead from this instruction on; its loop ends with the instant. */
+    private void doomed(int relay) {
+        simulation.network().mute(relayIp(relay));
+        MemoryDisk old = disks.get(relay);
+        disks.set(relay, old.killed());
+        old.die();
+        doomed.add(relay);
+    }
+
+    private boolean endDoomed() {
+        if (simulation.now() >= measureAt) {
+            measureAt = simulation.now() + MEASURE;
+            measure();
+        }
+        for (int relay : doomed) {
+            // Its folder has been taken over as it was at that instruction: there is nothing to let go.
+            if (running.remove(relay)) {
+                killedAt.put(relay, scene.now());
+                simulation.kill(machines.get(relay));
+            }
+        }
+        doomed.clear();
+        return false;
+    }
+
+    /** Ends a relay as by SIGKILL; its folder stays. One that is dead stays so. */
     public void kill(int relay) throws IOException {
+        if (!running.remove(relay)) {
+            return;
+        }
         killedAt.put(relay, scene.now());
         simulation.kill(machines.get(relay));
         instances.get(relay).abandon();
@@ -199,24 +257,46 @@
 
     /** Starts a relay again on its folder. */
     public void restart(int relay) throws IOException, Config.Unusable {
+        // One that was to die of a write or send that never came dies now.
+        disks.get(relay).whenWritten(() -> { });
+        simulation.network().whenSent(machine -> { });
+        kill(relay);
+        simulation.network().unmute(relayIp(relay));
         scene.restarted(relay, killedAt.getOrDefault(relay, 0L));
         start(relay);
     }
 
     /** Runs until this much of the script's time has passed; ns. */
     public void runUntil(long nanos) {
-        simulation.runUntil(nanos);
+        simulation.runUntil(nanos, this::endDoomed);
     }
 
     /** Plays the script to its end, and until all that was taken on has ended. */
     public Score.Result play() {
         long most = script.length() + script.classes().stream().mapToLong(Script.MessageClass::limit).max()
             .orElse(0) * 1_000_000 + 2_000_000_000L;
-        simulation.runUntil(script.length());
-        simulation.runUntil(most, scene::over);
+        simulation.runUntil(script.length(), this::endDoomed);
+        simulation.runUntil(most, () -> endDoomed() || scene.over());
         return scene.result();
     }
 
+    /** What the relay that used most of it has used so far: connections at once, and bytes on disk. */
+    public int mostConnections() {
+        return mostConnections;
+    }
+
+    public long mostDisk() {
+        return mostDisk;
+    }
+
+    /** Looks at what each relay uses, a few times a second. */
+    private void measure() {
+        for (int i = 0; i < disks.size(); i++) {
+            mostConnections = Math.max(mostConnections, simulation.network().at(relayIp(i)).size());
+            mostDisk = Math.max(mostDisk, disks.get(i).used());
+        }
+    }
+
     public Scene scene() {
         return scene;
     }
--- a/src/main/java/brambletray/store/MemoryDisk.java
+++ b/src/main/java/brambletray/store/MemoryDisk.java
@@ -43,6 +43,7 @@
     private final Map<String, Node> names = new TreeMap<>();
     private final Map<String, Node> keptNames = new TreeMap<>();
     private Fault fault = (operation, name, bytes) -> { };
+    private Runnable whenWritten = () -> { };
     private boolean locked;
     private boolean dead;
 
@@ -58,6 +59,11 @@
         fault.before(operation, name, bytes);
     }
 
+    /** Told after each write that has been done. */
+    public void whenWritten(Runnable told) {
+        whenWritten = told;
+    }
+
     /** From now on nothing works: the process has been killed. */
     public void die() {
         dead = true;
@@ -83,6 +89,7 @@
                 throw e;
             }
             put(at, data);
+            whenWritten.run();
         }
 
         private void put(long at, byte[] data) {
--- a/src/test/java/brambletray/rehearsal/RehearsalTest.java
+++ b/src/test/java/brambletray/rehearsal/RehearsalTest.java
@@ -66,7 +66,7 @@
     }
 
     private static Verdict verdict(Night night, List<Play> plays, double least) {
-        return Verdict.of(new Night(night.script(), night.relayEvents(), night.noticed(), least), plays);
+        return Verdict.of(new Night(night.script(), night.relayEvents(), night.noticed(), least, night.most()), plays);
     }
 
     /** A relay that loses its folder loses what it took on: the judges see it, though nothing at the relay does. */
@@ -79,6 +79,65 @@
         assertTrue(verdict.faults().get(0).contains("had no end in time"), verdict.faults().toString());
     }
 
+    /** The page on a message says what became of it, where and when, and is the same each time. */
+    @Test
+    void aBrokenRuleComesWithTheStoryOfItsMessage() throws Exception {
+        Night night = Night.parse("a.yaml", SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
+            + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n");
+        Verdict verdict = Kit.play(List.of(night), 1, 1, folder, v -> { }).get(0);
+        List<Story> stories = Kit.stories(verdict, 2, folder);
+        assertEquals(2, stories.size());
+        List<String> told = stories.get(0).told();
+        assertTrue(told.stream().anyMatch(l -> l.endsWith("handed in")), told.toString());
+        assertTrue(told.stream().anyMatch(l -> l.endsWith("answered 202")), told.toString());
+        assertTrue(told.stream().anyMatch(l -> l.contains("relay 0: kill and lose folder")), told.toString());
+        assertTrue(told.stream().noneMatch(l -> l.contains("answered as delivered")), "it was lost: " + told);
+        assertEquals(told, Kit.stories(verdict, 1, Files.createDirectory(folder.resolve("again"))).get(0).told());
+    }
+
+    /**
+     * A relay killed right after each of its first writes and sends: between journal and 202, between 202 and the first
+     * send, between a send's note and its bytes. Nothing is lost, and nothing takes effect twice.
+     */
+    @ParameterizedTest
+    @CsvSource({"kill_after_write", "kill_after_sent"})
+    void aRelayKilledAtEveryPoint(String how) throws Exception {
+        long[] restarted = {0, 0};
+        for (int number = 1; number <= 30; number++) {
+            Night night = Night.parse("a.yaml", SMALL.replace("length_s: 6", "length_s: 3").replace("per_s: 20", "per_s: 200")
+                + "front_notices_s: 0.1\nrelay_events: [{at_s: 1, relay: 0, do: " + how + ", number: " + number
+                + ", back_after_s: 0.8}]\n");
+            Verdict verdict = Kit.play(List.of(night), 1, 1, Files.createDirectory(folder.resolve("n" + number)), v -> { }).get(0);
+            assertEquals(List.of(), verdict.faults(), () -> {
+                try {
+                    return how + " " + Kit.stories(verdict, 1, folder).stream().map(Story::told).toList();
+                } catch (Exception e) {
+                    return e.toString();
+                }
+            });
+            restarted[0] += verdict.plays().get(0).trace() == restarted[1] ? 0 : 1;
+            restarted[1] = verdict.plays().get(0).trace();
+        }
+        assertTrue(restarted[0] >= 25, "points that are runs of their own: " + restarted[0]);
+    }
+
+    /** The bounds of what a relay may use count like a rule. */
+    @Test
+    void connectionsAndDiskAreJudged() throws Exception {
+        Night night = Night.parse("a.yaml", SMALL + "bounds: {connections: 3, disk_bytes: 1000}\n");
+        List<String> faults = Kit.play(List.of(night), 1, 1, folder, v -> { }).get(0).faults();
+        assertEquals(2, faults.size(), faults.toString());
+        assertTrue(faults.get(0).contains("connections open at once: expected 3 at most"), faults.toString());
+        assertTrue(faults.get(1).contains("bytes: expected 1000 at most"), faults.toString());
+    }
+
+    /** The reference of a hunt differs from the build by tries and copies alone. */
+    @Test
+    void theReferenceTriesOnce() {
+        assertEquals("{\"most-tries\":1,\"second-copies\":false,\"x\":2}",
+            Hunt.oneTry("{\"most-tries\":12,\"second-copies\": true,\"x\":2}"));
+    }
+
     /** A build with a fault that shows only when a partner vanishes: here, folders that are lost, by the base itself. */
     @Test
     void aHuntFindsAndShrinks() throws Exception {
