Quotas: a tree of limits over sliding windows, shares, and loans that come back

Need: one organisation's rush must not starve small ones of their share, and what is idle must not lie idle.

Changed: brambletray.quota, pure and fed with times like Control. Who is within its share is refused by limits alone; anything more is a loan, granted besides what others wished for of their share and did not get, by weight and priority beyond that; loans are evened out over eighths of a second and never use up the longest window.

--- /dev/null
+++ b/src/main/java/brambletray/quota/Quotas.java
@@ -0,0 +1,489 @@
+package brambletray.quota;
+
+import brambletray.quota.Member.Asked;
+import brambletray.quota.Member.Dimension;
+import brambletray.quota.Member.Limit;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides whether a message may be taken on, by a tree of members with limits and shares. It reads no clock:
+ * times are microseconds, never going back. One thread.
+ *
+ * <p><b>Limits</b> are kept at every member from the root to the message's own, over every window, whoever
+ * asks. <b>A share</b> is what a member gets of its parent each second; a message within the share of its
+ * member, or of one above it, is <i>entitled</i>: nothing but limits refuses it. Any other is taken on
+ * <i>loan</i>, by what its siblings leave idle: at each parent on the way where it is beyond the share, there
+ * must be room besides what members that do not lend keep, and besides what entitled ones and those with a
+ * better claim wished for in the last second and did not get. So nobody is refused for the sake of somebody
+ * who does not want it, and whoever wants its share has the next room that comes free.
+ *
+ * <p>A loan is not taken back; it ends by itself, for all that counts in a second is past after one. What is
+ * lent under one parent is evened out over eighths of a second, so that it comes back as evenly: a lender at
+ * whose first wish all is lent out has an eighth of it back after an eighth of a second. Messages held on loan
+ * would last longer. Where one with a right to their room asks, the newest that still wait are named to be
+ * handed back.
+ */
+public final class Quotas {
+    /** Part of its share from which on a member is taken to want all of it. */
+    private static final double KEEN = 0.9;
+    /** us; told to come back after, where a message held has to end first. */
+    private static final long HELD_AGAIN = 250_000;
+    /** Messages named to be handed back for the sake of one. */
+    private static final int RECALL_MOST = 1;
+
+    private final Node root;
+    private final Map<String, Node> byPath = new HashMap<>();
+    private final Map<String, Holder> holders = new HashMap<>();
+    private long now, seq;
+
+    /** Of a message that is held: its member, and its place among those that wait there. */
+    private record Holder(Node member, long seq) { }
+
+    public Quotas(Member root) {
+        this.root = node(null, root);
+    }
+
+    private Node node(Node parent, Member member) {
+        Node node = new Node(parent, member);
+        byPath.put(member.path(), node);
+        member.members().forEach(m -> node.members.add(node(node, m)));
+        node.index();
+        return node;
+    }
+
+    private void at(long time) {
+        if (time < now) {
+            throw new IllegalArgumentException("clock went back from " + now + " to " + time);
+        }
+        now = time;
+    }
+
+    // ---- Asking ---------------------------------------------------------------------------------
+    /** May this message be taken on? If so it counts, until {@link #ended}. */
+    public Verdict ask(long time, Asked m) {
+        at(time);
+        Node own = own(root, m);
+        Verdict.Refused refused = limits(own, m);
+        boolean borrowed = false;
+        for (Dimension d : Dimension.values()) {
+            long amount = amount(d, m);
+            Node right = entitled(own, d, amount);
+            for (Node at = own; refused == null && at.parent != null && at != right; at = at.parent) {
+                refused = loan(own, at, d, amount);
+                borrowed = true;
+            }
+        }
+        refused = refused != null ? refused : heldLoan(own);
+        if (refused != null) {
+            wished(own, m, refused.after() == Window.NEVER);
+            return refused;
+        }
+        take(own, m);
+        return new Verdict.Taken(borrowed);
+    }
+
+    /** The deepest member whose messages these are; among siblings the first that fits. */
+    private static Node own(Node at, Asked m) {
+        Node below = at.below(m);
+        return below == null ? at : own(below, m);
+    }
+
+    private static long amount(Dimension d, Asked m) {
+        return d == Dimension.MESSAGES ? 1 : m.bytes();
+    }
+
+    /** The lowest member on the way up within whose share this is, which entitles from there on; or null. */
+    private Node entitled(Node own, Dimension d, long amount) {
+        Node at = own;
+        while (at.parent != null && (at.share(d) == 0 || amount > at.shareLeft(d, now))) {
+            at = at.parent;
+        }
+        return at.parent == null ? null : at;
+    }
+
+    /** Limits hold for all. */
+    private Verdict.Refused limits(Node own, Asked m) {
+        Verdict.Refused worst = null;
+        for (Node at = own; at != null; at = at.parent) {
+            for (int i = 0; i < at.windows.size(); i++) {
+                Limit l = at.member.limits().get(i);
+                long amount = amount(l.dimension(), m);
+                Window window = at.windows.get(i);
+                long free = window.freeAt(now, amount, l.amount());
+                if (free > now && free != Window.NEVER) {
+                    // Those of the same member that were refused before come first: a crowd is spread out.
+                    long ahead = Math.min(own.counts.get(l.dimension()).wished.used(now),
+                        l.amount() - amount);
+                    free = Math.max(free, Math.min(now + Node.SECOND,
+                        window.freeAt(now, amount + ahead, l.amount())));
+                }
+                if (free > now && (worst == null || free - now > worst.after())) {
+                    worst = new Verdict.Refused(at.member.path(), words(l),
+                        free == Window.NEVER ? free : free - now, List.of());
+                }
+            }
+        }
+        if (worst != null) {
+            return worst;
+        }
+        for (Node at = own; at != null; at = at.parent) {
+            if (at.held >= at.member.held()) {
+                return new Verdict.Refused(at.member.path(), at.member.held() + " held", HELD_AGAIN,
+                    recall(at, own));
+            }
+        }
+        return null;
+    }
+
+    static String words(Limit l) {
+        return l.amount() + (l.dimension() == Dimension.MESSAGES ? " messages" : " bytes") + " in "
+            + (l.window() % Node.SECOND == 0 ? l.window() / Node.SECOND + " s" : l.window() / 1_000 + " ms");
+    }
+
+    /** Beyond the share of a member: what its parent can lend it; null if it can. */
+    private Verdict.Refused loan(Node own, Node of, Dimension d, long amount) {
+        Node parent = of.parent;
+        long capacity = parent.member.aSecond(d);
+        if (capacity == Long.MAX_VALUE) {
+            return null;
+        }
+        long leased = parent.counts.get(d).lent.freeAt(now, amount, Math.max(amount, capacity / 8 + 1));
+        if (leased > now) {
+            return new Verdict.Refused(parent.member.path(), "loans of an eighth of a second", leased - now,
+                List.of());
+        }
+        long kept = 0;
+        for (var it = parent.claiming.iterator(); it.hasNext();) {
+            Node other = it.next();
+            if (!other.claims(now)) {
+                it.remove();
+            } else if (other.member.lends() && !own.isBelow(other)) {
+                kept = plus(kept, rightful(other, d));
+            }
+        }
+        for (Node other : parent.keeping) {
+            kept = other == of ? kept : plus(kept, other.shareLeft(d, now));
+        }
+        for (var it = parent.wishing.iterator(); it.hasNext();) {
+            Node other = it.next();
+            if (!other.wishes(now)) {
+                it.remove();
+            } else if (other != of && other.member.lends()) {
+                kept = plus(kept, better(other, of, d, amount));
+            }
+        }
+        // Over any second no more than the longest window bears: what is lent must not use up its hours.
+        long room = Math.min(parent.free(d, now), capacity - parent.counts.get(d).used.used(now));
+        if (plus(kept, amount) <= room) {
+            return null;
+        }
+        long after = Node.SECOND;
+        for (int i = 0; i < parent.windows.size(); i++) {
+            Limit l = parent.member.limits().get(i);
+            if (l.dimension() == d) {
+                long free = parent.windows.get(i).freeAt(now, Math.min(l.amount(), plus(kept, amount)),
+                    l.amount());
+                after = Math.min(after, Math.max(Node.SECOND / 64, free - now));
+            }
+        }
+        return new Verdict.Refused(parent.member.path(), "nothing to lend beyond shares", after, List.of());
+    }
+
+    /**
+     * What is kept for a member that wished for some of its share and did not get it: that; and all that is
+     * left of the share where it wants nearly all of it, for the next wish comes before the room does.
+     */
+    private long rightful(Node other, Dimension d) {
+        Node.Count count = other.counts.get(d);
+        long wished = count.rightful.used(now);
+        boolean keen = wished > 0 && count.used.used(now) + wished >= KEEN * other.share(d);
+        return keen ? other.shareLeft(d, now) : Math.min(wished, other.shareLeft(d, now));
+    }
+
+    /** What one that wants to borrow keeps from another, beyond shares. */
+    private long better(Node other, Node borrower, Dimension d, long amount) {
+        Node.Count count = other.counts.get(d);
+        long wished = Math.max(0, count.wished.used(now) - count.rightful.used(now));
+        if (wished == 0) {
+            return 0;
+        }
+        // Among those that borrow: a higher priority first; of one priority, what has had less for its weight.
+        if (other.member.priority() != borrower.member.priority()) {
+            return other.member.priority() > borrower.member.priority() ? wished : 0;
+        }
+        double mine = (borrower.borrowed(d, now) + (double) amount) / borrower.member.weight();
+        long behind = (long) Math.max(0, mine * other.member.weight() - other.borrowed(d, now));
+        return Math.min(wished, behind);
+    }
+
+    private static long plus(long a, long b) {
+        long sum = a + b;
+        return sum < 0 ? Long.MAX_VALUE : sum;
+    }
+
+    // ---- Messages held --------------------------------------------------------------------------
+    /** Beyond its share of messages held: not while somebody wants the room that it has a right to. */
+    private Verdict.Refused heldLoan(Node own) {
+        for (Node at = own; at.parent != null; at = at.parent) {
+            if (at.held < at.member.guaranteedHeld()) {
+                return null;
+            }
+            long kept = 0;
+            for (Node other : at.parent.members) {
+                boolean wants = other != at && (!other.member.lends() || other.wantsHeldUntil > now);
+                kept += wants ? Math.max(0, other.member.guaranteedHeld() - other.held) : 0;
+            }
+            if (at.parent.member.held() != Long.MAX_VALUE
+                && at.parent.held + 1 + kept > at.parent.member.held()) {
+                return new Verdict.Refused(at.parent.member.path(), "nothing to lend of "
+                    + at.parent.member.held() + " held", HELD_AGAIN, List.of());
+            }
+        }
+        return null;
+    }
+
+    /** A full member: the newest that wait there on loan, if the one that asks has a right to room. */
+    private List<String> recall(Node full, Node asking) {
+        boolean right = false;
+        for (Node at = asking; at != full; at = at.parent) {
+            right |= at.held < at.member.guaranteedHeld();
+            if (right) {
+                at.wantsHeldUntil = now + Node.SECOND;
+            }
+        }
+        List<String> ids = new ArrayList<>();
+        Node most = right ? mostBorrowed(full) : null;
+        while (most != null && ids.size() < RECALL_MOST && !most.waiting.isEmpty()) {
+            ids.add(most.waiting.pollLastEntry().getValue());
+        }
+        return ids;
+    }
+
+    /** Below this member, the one with messages that wait whose way up holds most on loan. */
+    private Node mostBorrowed(Node full) {
+        Node best = null;
+        long most = 0;
+        for (Node below : full.members) {
+            if (below.borrowedHeld() > most) {
+                Node found = below.waiting.isEmpty() ? mostBorrowed(below) : below;
+                if (found != null) {
+                    most = below.borrowedHeld();
+                    best = found;
+                }
+            }
+        }
+        return best;
+    }
+
+    // ---- Counting -------------------------------------------------------------------------------
+    private void take(Node own, Asked m) {
+        for (Dimension d : Dimension.values()) {
+            long amount = amount(d, m);
+            Node right = entitled(own, d, amount);
+            boolean loan = true;
+            for (Node at = own; at != null; at = at.parent) {
+                loan &= at != right && at.parent != null;
+                Node.Count count = at.counts.get(d);
+                count.used.add(now, amount);
+                count.wished.settle(now, amount);
+                if (!loan) {
+                    count.rightful.settle(now, amount);
+                }
+                count.usedInAll += amount;
+                if (loan) {
+                    count.borrowedInAll += amount;
+                    at.parent.counts.get(d).lent.add(now, amount);
+                }
+                for (int i = 0; i < at.windows.size(); i++) {
+                    if (at.member.limits().get(i).dimension() == d) {
+                        at.windows.get(i).add(now, amount);
+                    }
+                }
+            }
+        }
+        hold(own, m.id());
+    }
+
+    private void hold(Node own, String id) {
+        for (Node at = own; at != null; at = at.parent) {
+            at.held++;
+        }
+        own.waiting.put(++seq, id);
+        holders.put(id, new Holder(own, seq));
+    }
+
+    private void wished(Node own, Asked m, boolean never) {
+        for (Dimension d : Dimension.values()) {
+            long amount = amount(d, m);
+            Node right = entitled(own, d, amount);
+            // No more is kept for a member than its share: it may ask for that again and again.
+            boolean rightful = right != null
+                && right.counts.get(d).rightful.used(now) + amount <= right.shareLeft(d, now);
+            boolean above = false;
+            for (Node at = own; at != null; at = at.parent) {
+                above |= at == right;
+                Node.Count count = at.counts.get(d);
+                count.refusedInAll += amount;
+                if (!never) {
+                    count.wished.add(now, amount);
+                    if (rightful && above) {
+                        count.rightful.add(now, amount);
+                    }
+                    if (rightful && above && at.parent != null) {
+                        at.parent.claiming.add(right);
+                    }
+                    if (at.parent != null) {
+                        at.parent.wishing.add(at);
+                    }
+                }
+            }
+        }
+    }
+
+    /** It has been sent: it may have taken effect, and is not handed back for a lender's sake. */
+    public void sent(String id) {
+        Holder holder = holders.get(id);
+        if (holder != null) {
+            holder.member.waiting.remove(holder.seq);
+        }
+    }
+
+    /** It is held no longer. */
+    public void ended(String id) {
+        Holder holder = holders.remove(id);
+        if (holder != null) {
+            Node own = holder.member;
+            own.waiting.remove(holder.seq);
+            for (Node at = own; at != null; at = at.parent) {
+                at.held--;
+            }
+            prune(own);
+        }
+    }
+
+    /** A message from before a restart is held again; it was counted when it was taken on. */
+    public void recovered(Asked m) {
+        hold(own(root, m), m.id());
+    }
+
+    // ---- Another file ---------------------------------------------------------------------------
+    /**
+     * Another tree counts from now on. What was used and what is held is kept by path; a limit that is lower
+     * than what is out binds until that is past; a member that is gone keeps what it holds until it ends.
+     */
+    public void reload(long time, Member tree) {
+        at(time);
+        if (!tree.path().equals(root.member.path())) {
+            throw new IllegalArgumentException("the root is " + root.member.path() + ", not " + tree.path());
+        }
+        merge(root, tree);
+    }
+
+    private void merge(Node node, Member next) {
+        List<Window> windows = new ArrayList<>();
+        for (Limit l : next.limits()) {
+            Window kept = null;
+            for (int i = 0; i < node.windows.size(); i++) {
+                Limit old = node.member.limits().get(i);
+                kept = old.dimension() == l.dimension() && old.window() == l.window() ? node.windows.get(i)
+                    : kept;
+            }
+            windows.add(kept != null ? kept : seeded(node, l));
+        }
+        node.windows.clear();
+        node.windows.addAll(windows);
+        node.member = next;
+        node.removed = false;
+        List<Node> order = new ArrayList<>();
+        for (Member m : next.members()) {
+            Node below = byPath.get(m.path());
+            if (below == null) {
+                below = node(node, m);
+            } else {
+                merge(below, m);
+            }
+            order.add(below);
+        }
+        for (Node below : List.copyOf(node.members)) {
+            if (!order.contains(below)) {
+                remove(below);
+                order.add(below);
+            }
+        }
+        node.members.clear();
+        node.members.addAll(order);
+        node.wishing.retainAll(order);
+        node.index();
+        List.copyOf(order).forEach(this::prune);
+    }
+
+    /** A limit that was not there before: what the last second brought is known, and counts. */
+    private Window seeded(Node node, Limit l) {
+        Window window = new Window(l.window());
+        long used = node.counts.get(l.dimension()).used.used(now);
+        if (used > 0) {
+            window.add(now, used);
+        }
+        return window;
+    }
+
+    private void remove(Node node) {
+        node.removed = true;
+        node.members.forEach(this::remove);
+    }
+
+    private void prune(Node node) {
+        if (node.removed && node.held == 0 && node.members.isEmpty() && node.parent != null) {
+            node.parent.members.remove(node);
+            for (Node at = node.parent; at != null; at = at.parent) {
+                at.wishing.remove(node);
+                at.claiming.remove(node);
+            }
+            byPath.remove(node.member.path(), node);
+            prune(node.parent);
+        }
+    }
+
+    // ---- Looking --------------------------------------------------------------------------------
+    /** How one member stands. Amounts of the last second but for the sums since the start. */
+    public record Standing(String path, long held, long heldMost, long used, long share, long borrowed,
+                           long lent, long wished, long usedInAll, long borrowedInAll, long refusedInAll) { }
+
+    /** How each member stands in a dimension, the root first, then by the file's order. */
+    public List<Standing> standing(long time, Dimension d) {
+        at(time);
+        List<Standing> all = new ArrayList<>();
+        stand(root, d, all);
+        return all;
+    }
+
+    private void stand(Node node, Dimension d, List<Standing> all) {
+        Node.Count c = node.counts.get(d);
+        long below = 0;
+        for (Node m : node.members) {
+            below += m.borrowed(d, now);
+        }
+        all.add(new Standing(node.member.path(), node.held, node.member.held(), c.used.used(now),
+            node.share(d), node.borrowed(d, now), below, c.wished.used(now), c.usedInAll, c.borrowedInAll,
+            c.refusedInAll));
+        node.members.forEach(m -> stand(m, d, all));
+    }
+
+    /** The member that a message would be; null where there is none of that path. */
+    public Member member(String path) {
+        Node node = byPath.get(path);
+        return node == null ? null : node.member;
+    }
+
+    /** The path of the member whose messages these are. */
+    public String pathOf(Asked m) {
+        return own(root, m).member.path();
+    }
+
+    Node root() {
+        return root;
+    }
+}
