--- a/src/main/java/brambletray/cli/QuotaCommand.java
+++ b/src/main/java/brambletray/cli/QuotaCommand.java
@@ -14,7 +14,8 @@
 import picocli.CommandLine.Parameters;
 
 /** Looks at files of quotas. */
-@Command(name = "quota", mixinStandardHelpOptions = true, description = "Checks and explains files of quotas.",
+@Command(name = "quota", mixinStandardHelpOptions = true,
+    description = "Checks and explains files of quotas.",
     subcommands = {QuotaCommand.Check.class, QuotaCommand.Explain.class})
 final class QuotaCommand implements Callable<Integer> {
     @CommandLine.Spec
--- a/src/main/java/brambletray/cli/Verbs.java
+++ b/src/main/java/brambletray/cli/Verbs.java
@@ -46,7 +46,7 @@
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(),
-            "expected a command: serve, simhost, demo, emulate, store, inventory or rehearse");
+            "expected a command: serve, simhost, demo, emulate, store, inventory, quota or rehearse");
     }
 
     /** Only its help: with no arguments the command starts before this class is loaded. */
--- a/src/main/java/brambletray/quota/Quotas.java
+++ b/src/main/java/brambletray/quota/Quotas.java
@@ -29,6 +29,8 @@
  * be handed back.
  */
 public final class Quotas {
+    /** Members that claim or wish, looked at one by one for one decision: thousands may at one time. */
+    private static final int LOOK_MOST = 64;
     /** Part of its share from which on a member is taken to want all of it. */
     private static final double KEEN = 0.9;
     /** What is lent in a second is evened out over so many parts of it. */
@@ -214,7 +216,8 @@
                 List.of());
         }
         long kept = 0;
-        for (var it = parent.claiming.iterator(); it.hasNext();) {
+        int looked = 0;
+        for (var it = parent.claiming.iterator(); it.hasNext() && looked++ < LOOK_MOST;) {
             Node other = it.next();
             if (!other.claims(now)) {
                 it.remove();
@@ -222,10 +225,14 @@
                 kept = plus(kept, rightful(other, d));
             }
         }
+        // Where more claim than are looked at one by one, what they wished for is known in all.
+        kept = Math.max(kept, parent.counts.get(d).rightful.used(now)
+            - own.counts.get(d).rightful.used(now));
         for (Node other : parent.keeping) {
             kept = other == of ? kept : plus(kept, other.shareLeft(d, now));
         }
-        for (var it = parent.wishing.iterator(); it.hasNext();) {
+        looked = 0;
+        for (var it = parent.wishing.iterator(); it.hasNext() && looked++ < LOOK_MOST;) {
             Node other = it.next();
             if (!other.wishes(now)) {
                 it.remove();
