--- a/src/test/java/brambletray/standalone/StandaloneTest.java
+++ b/src/test/java/brambletray/standalone/StandaloneTest.java
@@ -217,6 +217,31 @@
         }
     }
 
+    /** Taken out and put back again at once, with a message waiting and one out: each has its one end, and its one call. */
+    @Test
+    void aHostThatIsTakenOutAndPutBackAtOnce() throws Exception {
+        try (HostStub first = new HostStub(); HostStub second = new HostStub()) {
+            hosts(row("a", first, 7) + row("b", second, 8));
+            try (Node relay = StandaloneRelay.start(config(""))) {
+                assertEquals(202, post(relay, "m0", "bill", 7));
+                HostStub.Call out = first.call();
+                assertEquals(202, post(relay, "m1", "bill", 7));
+                for (int i = 0; i < 5; i++) {
+                    hosts(row("b", second, 8) + row("c" + i, second, 9).replace("127.0.0.1", "127.0.0.9"));
+                    String seen = "s" + i;
+                    await(() -> postOk(relay, seen, 9));
+                    hosts(row("a", first, 7) + row("b", second, 8));
+                }
+                out.answer(HostStub.OK);
+                HostStub.Call next = first.call();
+                assertEquals("m1", next.header("X-Request-ID"));
+                next.answer(HostStub.OK);
+                await(() -> state(relay, "m1").contains("delivered") && state(relay, "m0").contains("delivered"));
+                assertTrue(first.quiet());
+            }
+        }
+    }
+
     /** A file that vanishes takes no host away; back again, it counts. */
     @Test
     void aFileThatVanishesAndReturns() throws Exception {
