A test cuts an Ansible inventory at every byte

Need: files cut at every byte were tested as CSV and as a YAML list, not as Ansible keeps them. The new test does so: whatever is cut off, the file is refused or seen not to be sealed. It passes with the code as it is.

--- a/src/test/java/brambletray/inventory/InventoryTest.java
+++ b/src/test/java/brambletray/inventory/InventoryTest.java
@@ -133,6 +133,24 @@
         assertTrue(refused > whole.length / 3, refused + " refused");
     }
 
+    /** The same of a file as Ansible keeps it: whatever is cut off, it is refused or seen not to be sealed. */
+    @Test
+    void aSealedAnsibleFileCutAnywhereIsSeen() throws Exception {
+        String text = Files.readString(Path.of("src", "test", "resources", "inventory", "ansible.yaml"));
+        int hosts = Inventory.parse("a.yaml", text.getBytes(StandardCharsets.UTF_8)).revision().hosts().size();
+        byte[] whole = (text.stripTrailing() + "\n# end of inventory: " + hosts + " hosts").getBytes(StandardCharsets.UTF_8);
+        assertTrue(Inventory.parse("a.yaml", whole).sealed());
+        int refused = 0;
+        for (int length = 0; length < whole.length; length++) {
+            try {
+                assertFalse(Inventory.parse("a.yaml", Arrays.copyOf(whole, length)).sealed(), "cut to " + length);
+            } catch (Faults e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 20, refused + " refused");
+    }
+
     /** Guards rule 1 and the partners: a file cut at a row's end takes no more than a few hosts away. */
     @Test
     void anEditThatTakesTooMuchAwayIsHeldBack() {
