--- a/src/test/java/brambletray/stage/QuotaNightTest.java
+++ b/src/test/java/brambletray/stage/QuotaNightTest.java
@@ -96,8 +96,7 @@
         });
         System.out.printf(Locale.ROOT, "small ones: alone %.3f, beside the rush %.3f, with quotas %.3f; delivered in all %.0f and %.0f"
             + " (%d seeds)%n", mean[0], mean[1], mean[2], mean[3], mean[4], SEEDS);
-        // Over twenty seeds 0.907: with some, the relay delivers less than the root's limit, and all wait behind the door.
-        assertTrue(mean[2] > 0.85, "small ones with quotas " + mean[2] + ", alone " + mean[0]);
+        assertTrue(mean[2] > mean[0] - 0.05, "small ones with quotas " + mean[2] + ", alone " + mean[0]);
         assertTrue(mean[2] > mean[1] + 0.3, "and without " + mean[1]);
         assertTrue(mean[4] > 0.97 * mean[3], "fairness costs " + mean[4] + " of " + mean[3]);
     }
