--- a/src/main/java/brambletray/emulator/Endpoint.java
+++ b/src/main/java/brambletray/emulator/Endpoint.java
@@ -207,7 +207,7 @@
         call.arrived = now;
         call.number = ++numbers;
         tally.arrived++;
-        ledger.arrived(now, call, name(), waitPlace());
+        call.each().forEach(message -> ledger.arrived(now, message, name(), waitPlace()));
         if (reach != Reach.OPEN || hung) {
             sawOutage.add(call.caller);
             tally.unanswered++;
@@ -315,9 +315,12 @@
             sink.answer(call, new Answer.Reset(false));
             return;
         }
-        boolean again = call.key != null && keys.seen(now, call.key);
-        if (!again) {
-            ledger.effect(now, call, name());
+        boolean again = false;
+        for (Call message : call.each()) {
+            again = message.key != null && keys.seen(now, message.key);
+            if (!again) {
+                ledger.effect(now, message, name());
+            }
         }
         if (lot < after) {
             tally.reset++;
@@ -328,7 +331,7 @@
         } else {
             tally.served(now - call.arrived);
             if (!call.abandoned) {
-                ledger.delivered(now, call.message);
+                call.each().forEach(message -> ledger.delivered(now, message.message));
             }
             sink.answer(call, new Answer.Delivered(load(now), again));
         }
--- a/src/main/java/brambletray/emulator/PartnerSpec.java
+++ b/src/main/java/brambletray/emulator/PartnerSpec.java
@@ -9,11 +9,12 @@
  * @param traffic its share of the messages, as a weight
  * @param apart each endpoint is a route with a limit of its own; else all share one
  * @param listedRate calls a second as the list tells them
+ * @param bundle messages that one call may bring; above 1 the partner takes calls of several
  */
 public record PartnerSpec(String name, long destination, String kind, double traffic, boolean apart,
                           int servers, Law service, int queue, Limit limit, Waits waits, Reports reports,
                           Connections connections, Keys keys, Cold cold, Abandoned abandoned,
-                          double listedRate, List<EndpointSpec> endpoints) {
+                          double listedRate, int bundle, List<EndpointSpec> endpoints) {
 
     /** What an endpoint may speak. */
     public static final String[] PROTOCOLS = {
--- a/src/main/java/brambletray/partners/PartnerFront.java
+++ b/src/main/java/brambletray/partners/PartnerFront.java
@@ -7,6 +7,7 @@
 import brambletray.emulator.World;
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -345,6 +346,8 @@
         /** The call that was answered last on this connection. */
         private NetCall answered;
         private boolean admitted;
+        /** The last call is one of several messages, which its answer names. */
+        private boolean bundled;
         private boolean fresh = true;
         private long idleSince;
         private Future<?> idleTimer;
@@ -389,8 +392,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             String id = request.headers().get("X-Request-ID");
+            boolean several = site.endpoint.partner().bundle() > 1 && request.uri().equals(Bundle.PATH);
             if (request.decoderResult().isFailure() || !request.method().equals(HttpMethod.POST)
-                || !request.uri().equals("/v1/messages") || id == null) {
+                || !several && (!request.uri().equals("/v1/messages") || id == null)) {
                 respond(HttpResponseStatus.BAD_REQUEST, null, null, false);
                 return;
             }
@@ -400,7 +404,23 @@
                 return;
             }
             String caller = ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
-            call = new NetCall(this, caller, id, request.headers().get("Idempotency-Key"), fresh);
+            if (several) {
+                List<Bundle.Part> parts = Bundle.read(ByteBufUtil.getBytes(request.content()));
+                if (parts.isEmpty() || parts.size() > site.endpoint.partner().bundle()) {
+                    respond(parts.isEmpty() ? HttpResponseStatus.BAD_REQUEST
+                        : HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, null, null, true);
+                    return;
+                }
+                List<NetCall> calls = new ArrayList<>();
+                for (Bundle.Part part : parts) {
+                    calls.add(new NetCall(this, caller, part.id(), part.key(), fresh));
+                }
+                call = calls.get(0);
+                call.together(calls.subList(1, calls.size()));
+            } else {
+                call = new NetCall(this, caller, id, request.headers().get("Idempotency-Key"), fresh);
+            }
+            bundled = several;
             fresh = false;
             moveWorldIfDue();
             if (call != null) {
@@ -422,7 +442,8 @@
             call = null;
             answered = ended;
             if (answer instanceof Answer.Delivered a) {
-                respond(HttpResponseStatus.OK, a.load(), null, true);
+                respond(HttpResponseStatus.OK, bundled ? Bundle.accepted(ended) : Unpooled.EMPTY_BUFFER,
+                    a.load(), null, true);
             } else if (answer instanceof Answer.Refused a) {
                 respond(a.told() > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
                     : HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -439,9 +460,13 @@
         }
 
         private void respond(HttpResponseStatus status, Answer.Load load, String retryAfter, boolean keep) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.EMPTY_BUFFER);
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            respond(status, Unpooled.EMPTY_BUFFER, load, retryAfter, keep);
+        }
+
+        private void respond(HttpResponseStatus status, ByteBuf body, Answer.Load load, String retryAfter,
+                             boolean keep) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (load != null) {
                 response.headers().set("X-Server-Load",
                     String.format(Locale.ROOT, "x0=%.3f,x1=%.3f", load.left(), load.limit()));
--- a/src/main/java/brambletray/rehearsal/Night.java
+++ b/src/main/java/brambletray/rehearsal/Night.java
@@ -26,7 +26,8 @@
     /** Nights that come with the program. */
     public static final List<String> BUILT_IN = List.of("full-load", "coop-refuses", "one-slow", "all-slow",
         "all-in-one", "rolling-restart", "list-stalled", "power-cut", "flash-crowd", "everybody-back",
-        "drains", "resets", "short-window", "cold-return");
+        "drains", "resets", "short-window", "cold-return", "short-summer", "summer-rush", "bulk-returns",
+        "counters-cut");
     /** What the platform gives a relay on its smallest days: descriptors, and bytes of lasting folder. */
     private static final int CONNECTIONS = 384, DISK = 3_000_000;
     private static final double DAY_S = 86_400;
--- a/src/main/java/brambletray/script/Script.java
+++ b/src/main/java/brambletray/script/Script.java
@@ -13,10 +13,10 @@
 
     /**
      * The relays: how many, calls out at once and messages held by each, and the zones they stand in by
-     * turns.
+     * turns; {@code weights}: what the list tells of rates, none, exact or rough.
      */
     public record Fleet(int relays, int slots, int open, List<String> zones, long sameZone, long crossZone,
-                        double jitter) { }
+                        double jitter, String weights) { }
 
     /**
      * What is handed in: messages a second; {@code swing}: share by which a wave of this period moves it;
@@ -38,9 +38,9 @@
         }
     }
 
-    /** A class of message; {@code effect}: safe, keyed or unsafe; times in ms. */
+    /** A class of message; {@code effect}: safe, keyed or unsafe; times in ms; {@code worth} of one. */
     public record MessageClass(String name, double share, long aim, long limit, String effect, long window,
-                               double lateWorth) { }
+                               double lateWorth, double worth) { }
 
     /** What {@code emulate check} loads each endpoint with; calls a second, and the bound in per cent. */
     public record Check(double perSecond, double boundPercent, int connections) { }
--- a/src/main/java/brambletray/script/ScriptReader.java
+++ b/src/main/java/brambletray/script/ScriptReader.java
@@ -87,7 +87,7 @@
             classes.add(messageClass(c));
         }
         if (classes.isEmpty()) {
-            classes.add(new Script.MessageClass("bill-post", 1, 2_000, 16_000, "keyed", 15_000, 0.3));
+            classes.add(new Script.MessageClass("bill-post", 1, 2_000, 16_000, "keyed", 15_000, 0.3, 1));
         }
         for (Section kind : root.sections("kinds", false)) {
             if (kinds.putIfAbsent(kind.text("name"), kind) != null) {
@@ -135,7 +135,7 @@
             s.whole("open", 200, 1, 1_000_000), zones.isEmpty() ? List.of("here") : zones,
             millis(s.number("same_zone_ms", 0.5, 0, 60_000)), millis(s.number("cross_zone_ms", 0.5, 0,
                 60_000)),
-            s.number("jitter", 0.2, 0, 10));
+            s.number("jitter", 0.2, 0, 10), s.word("weights", "rough", "none", "nominal", "rough"));
         s.done();
         return fleet;
     }
@@ -156,7 +156,8 @@
         Script.MessageClass c = new Script.MessageClass(s.text("name"), s.number("share", 1, 0, 1_000),
             Math.round(s.number("aim_ms", 2_000, 1, 3_600_000)), limit,
             s.word("effect", "keyed", "safe", "keyed", "unsafe"),
-            Math.round(s.number("window_ms", 15_000, 0, 3_600_000)), s.number("late_worth", 0.3, 0, 1));
+            Math.round(s.number("window_ms", 15_000, 0, 3_600_000)), s.number("late_worth", 0.3, 0, 1),
+            s.number("worth", 1, 0.001, 1_000));
         if (!c.name().matches("[A-Za-z0-9._-]+")) {
             s.fault("name", "expected letters, digits, '.', '_' and '-' only");
         }
@@ -223,7 +224,7 @@
         double rate = limit.perSecond() > 0 ? Math.min(capacity, limit.perSecond()) : capacity;
         double listed = from(s, kind, "listed_per_s").number("listed_per_s", rate, 0.001, RATE_MOST);
         return new PartnerSpec(name, destination, kindName, traffic, apart, servers, law, queue, limit, waits,
-            reports, connections, keys, cold, abandoned, listed, specs);
+            reports, connections, keys, cold, abandoned, listed, bundle(from(s, kind, "bundle")), specs);
     }
 
     /**
@@ -246,12 +247,18 @@
         keys(kind);
         cold(kind);
         kind.flag("routes_apart", true);
+        bundle(kind);
         kind.word("protocol", "http", PartnerSpec.PROTOCOLS);
         kind.word("abandoned", "runs", "runs", "dropped_in_queue", "dropped");
         kind.number("listed_per_s", 1, 0.001, RATE_MOST);
         kind.done();
     }
 
+    /** Messages that one call may bring. */
+    private static int bundle(Section from) {
+        return from.whole("bundle", 1, 1, 1_000);
+    }
+
     private static Law law(Section from) {
         Section s = from.section("service", false);
         String law = s.word("law", "exponential", "constant", "exponential", "lognormal");
--- a/src/main/java/brambletray/stage/RelayConfig.java
+++ b/src/main/java/brambletray/stage/RelayConfig.java
@@ -69,7 +69,7 @@
         out.writeNumberField("zone", relay % fleet.zones().size());
         texts(out, "localities", fleet.zones());
         texts(out, "kinds", kinds);
-        out.writeStringField("weights", "rough");
+        out.writeStringField("weights", script.fleet().weights());
         out.writeObjectFieldStart("allowed");
         out.writeBooleanField("cancel", true);
         out.writeBooleanField("second-copies", true);
@@ -91,6 +91,12 @@
                 .allMatch(PartnerSpec::apart));
         }
         out.writeEndArray();
+        out.writeArrayFieldStart("bundle-max");
+        for (String kind : kinds) {
+            out.writeNumber(script.partners().stream().filter(p -> p.kind().equals(kind))
+                .mapToInt(PartnerSpec::bundle).min().orElse(1));
+        }
+        out.writeEndArray();
         out.writeArrayFieldStart("carriage");
         for (int zone = 0; zone < fleet.zones().size(); zone++) {
             out.writeNumber(0.0);
@@ -117,6 +123,7 @@
             out.writeStringField("name", c.name());
             out.writeNumberField("aim", c.aim());
             out.writeNumberField("hard-limit", c.limit());
+            out.writeNumberField("worth", c.worth());
             out.writeNumberField("late-worth", c.lateWorth());
             out.writeStringField("semantics", switch (c.effect()) {
                 case "safe" -> "retryable";
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -208,8 +208,8 @@
             Worth second = seconds.computeIfAbsent(line.asked / SECOND, s -> new Worth());
             Worth ofClass = classes.computeIfAbsent(line.messageClass.name(), c -> new Worth());
             for (Worth w : List.of(whole, second, ofClass)) {
-                w.asked++;
-                w.got += worth;
+                w.asked += line.messageClass.worth();
+                w.got += worth * line.messageClass.worth();
             }
             Try last = line.tries.isEmpty() ? null : line.tries.get(line.tries.size() - 1);
             if (worth > 0) {
@@ -242,7 +242,7 @@
             byClass);
     }
 
-    /** Full within the aim, then evenly less down to the class's late worth at its limit, then nothing. */
+    /** As a share: full within the aim, then evenly less down to the class's late worth at its limit, then nothing. */
     private static double worth(Line line, long delivered) {
         if (delivered < 0) {
             return 0;
--- a/src/test/java/brambletray/emulator/EndpointTest.java
+++ b/src/test/java/brambletray/emulator/EndpointTest.java
@@ -278,12 +278,29 @@
         assertEquals(refusedUse, java.util.Arrays.stream(in).sum() < 5 * in.length);
     }
 
+    /** Several messages in one call use one place of the limit and one server, and each of them takes effect once. */
+    @Test
+    void aCallOfSeveralMessagesCountsOnceAndEachTakesEffect() {
+        Rig rig = new Rig(with(plain(), 1, new Law.Constant(ms(100)), 0, new Limit.Span(1, ms(10_000), false)), List.of());
+        Call first = new Call("relay", "a", "key-a", false);
+        first.together(List.of(new Call("relay", "b", "key-b", false), new Call("relay", "c", null, false)));
+        rig.endpoint.arrive(0, first);
+        rig.run(200);
+        assertEquals(List.of("100 a Delivered"), rig.answers());
+        for (String id : List.of("a", "b", "c")) {
+            assertEquals(1, rig.ledger.effects(id), id);
+            assertEquals(ms(100), rig.ledger.deliveredAt(id), id);
+        }
+        rig.send(300);
+        assertEquals("300 m1 Refused", rig.answers().get(1));
+    }
+
     /** Reports show the value of an instant a refresh apart, so much later, whatever came between. */
     @Test
     void loadReportsAreOldByTheirDelay() {
         PartnerSpec s = with(plain(), 50, new Law.Constant(ms(10)), 50, new Limit.Span(10, ms(10_000), false));
         s = new PartnerSpec(s.name(), 1, "kind", 1, true, 50, s.service(), 50, s.limit(), s.waits(),
-            new PartnerSpec.Reports(ms(500), ms(100)), s.connections(), s.keys(), s.cold(), s.abandoned(), 1,
+            new PartnerSpec.Reports(ms(500), ms(100)), s.connections(), s.keys(), s.cold(), s.abandoned(), 1, 1,
             s.endpoints());
         Rig rig = new Rig(s, List.of());
         rig.send(1);
--- a/src/test/java/brambletray/emulator/Rig.java
+++ b/src/test/java/brambletray/emulator/Rig.java
@@ -28,12 +28,12 @@
         return new PartnerSpec("p", 1, "kind", 1, true, 2, new Law.Constant(ms(100)), 3, new Limit.None(),
             new PartnerSpec.Waits(1, 0, 0), null, new PartnerSpec.Connections(100, 0, ms(15_000)),
             new PartnerSpec.Keys(ms(15_000), false), new PartnerSpec.Cold(0.2, ms(10_000), 2, ms(3_000), 0),
-            PartnerSpec.Abandoned.RUNS, 20, List.of(new PartnerSpec.EndpointSpec("p", "a")));
+            PartnerSpec.Abandoned.RUNS, 20, 1, List.of(new PartnerSpec.EndpointSpec("p", "a")));
     }
 
     static PartnerSpec with(PartnerSpec s, int servers, Law law, int queue, Limit limit) {
         return new PartnerSpec(s.name(), s.destination(), s.kind(), s.traffic(), s.apart(), servers, law, queue, limit,
-            s.waits(), s.reports(), s.connections(), s.keys(), s.cold(), s.abandoned(), s.listedRate(), s.endpoints());
+            s.waits(), s.reports(), s.connections(), s.keys(), s.cold(), s.abandoned(), s.listedRate(), s.bundle(), s.endpoints());
     }
 
     static Step step(double at, double until, Step.What what) {
--- a/src/test/java/brambletray/script/ScriptReaderTest.java
+++ b/src/test/java/brambletray/script/ScriptReaderTest.java
@@ -59,7 +59,7 @@
             "s.yaml:4:36: partners[0].servers: expected a whole number",
             "s.yaml:4:41: 'partners[0].queu' is not known here: expected one of name, count, endpoints, kind,"
                 + " destination, protocol, traffic, service, servers, queue, limit, told_waits, reports, connections, keys, cold,"
-                + " routes_apart, abandoned, listed_per_s",
+                + " routes_apart, abandoned, listed_per_s, bundle",
             "s.yaml:5:12: partners[1].name: 'a' stands here twice",
             "s.yaml:7:5: events[0].factor is missing: expected a number from 0.01 to 1000",
             "s.yaml:7:12: events[0].at_s: expected no more than length_s",
