--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -46,6 +46,8 @@
     private static final double PATIENCE_UNSAFE = 3;
     /** Priority: weight of the worth lost by another second of waiting against the worth itself. */
     private static final double URGENCY = 2;
+    /** Slots are the bottleneck where all were taken for this share of a span (us). */
+    private static final double CROWDED = 0.9, CROWDED_SPAN = 2 * SECOND;
     /** us; endpoint choice: price of opening a connection, of one point of fee, of each failure in a row. */
     private static final long COST_CONNECT = 100 * MS, COST_POINT = 50 * MS, COST_FAILURE = 2 * SECOND;
     /** Pace: most over the listed rate, cut at a refusal, growth at an answer, least of an even split. */
@@ -60,7 +62,8 @@
     /** Share of calls after a refusal that get in (by kind): least counted, weight of a new one, usual. */
     private static final double EASE_LEAST = 0.03, EASE_WEIGHT = 0.1, EASE_USUAL = 0.3;
     /** First back-off after a refusal or failed connect, in us and own gaps; growth up to the longest. */
-    private static final double BACKOFF_GROW = 3, BACKOFF_GAPS = 0.5, BACKOFF_MOST_GAPS = 10;
+    private static final double BACKOFF_GROW = 3, BACKOFF_GAPS = 0.5, BACKOFF_GAPS_BUSY = 2,
+        BACKOFF_MOST_GAPS = 10;
     private static final long BACKOFF = 500 * MS, BACKOFF_LEAST = 150 * MS,
         BACKOFF_MID = 2 * SECOND, BACKOFF_MOST = 8 * SECOND;
     /** Shut rather than full: a told wait (us) past any limit span, or so many back-offs in a row. */
@@ -115,7 +118,7 @@
     private List<Action> out = new ArrayList<>();
     private long now, beganAt, seq, turns, wakeAt = NEVER;
     private int slotsUsed, open, logged;
-    private double lost;
+    private double lost, crowded;
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
@@ -137,7 +140,9 @@
         if (turns > 0 && time < now) {
             throw new IllegalArgumentException("clock went back from " + now + " to " + time);
         }
+        long since = now;
         now = time;
+        crowd(turns == 0 ? now : since);
         beganAt = turns++ == 0 ? now : beganAt;
         out = new ArrayList<>();
         for (Event event : events) {
@@ -406,10 +411,27 @@
     }
 
     // ---- Dispatch and the send gate -------------------------------------------------------------
+    /**
+     * Worth that a message gains by going now; while slots are the bottleneck, for each second that it will hold
+     * one: quick destinations then go first, and more is delivered in all. It hurts slow destinations, which get
+     * the slots that are left; so it holds only after a while of nothing but full slots.
+     */
     private double priority(Msg m) {
         long when = now + (long) m.dest.latest;
         double soon = m.worth(when);
-        return soon + URGENCY * (soon - m.worth(when + SECOND));
+        double gain = soon + URGENCY * (soon - m.worth(when + SECOND));
+        return crowded < CROWDED ? gain : gain / slotTime(m.dest);
+    }
+
+    /** us that a call to a destination holds a slot; its middle, which a heavy tail does not move. */
+    private static double slotTime(Dest d) {
+        return d.answers.count < KNOWN ? FIRST_DELAY : Math.max(MS, d.answers.rank(0.5));
+    }
+
+    /** How much of the latest time all slots were taken, as an exponential mean. */
+    private void crowd(long since) {
+        double full = slotsUsed >= set.allowed().slots() ? 1 : 0;
+        crowded += -Math.expm1((double) (since - now) / CROWDED_SPAN) * (full - crowded);
     }
 
     /** Sends what may go, best first. What cannot go is looked at again in time, or when something ends. */
@@ -756,7 +778,9 @@
     /** By this relay's own usual gap between messages there, so that a fleet's tries fit together. */
     private long backoff(Dest d, int failures) {
         double gap = SECOND / Math.max(RATE_LEAST, d.usualRate);
-        double first = Math.max(BACKOFF_LEAST, Math.min(BACKOFF, gap * BACKOFF_GAPS));
+        // Guards places that take many calls a second against standing idle for a dozen at each refusal.
+        double least = Math.min(BACKOFF_LEAST, BACKOFF_GAPS_BUSY * gap);
+        double first = Math.max(least, Math.min(BACKOFF, gap * BACKOFF_GAPS));
         double most = Math.max(BACKOFF_MID, Math.min(BACKOFF_MOST, gap * BACKOFF_MOST_GAPS));
         // Where limits count refused calls too, asking again keeps them shut: back off longer there.
         double ease = Math.min(1, Math.max(EASE_LEAST, eases[d.kind]) / EASE_USUAL);
