--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -46,8 +46,6 @@
     private static final double PATIENCE_UNSAFE = 3;
     /** Priority: weight of the worth lost by another second of waiting against the worth itself. */
     private static final double URGENCY = 2;
-    /** Slots are the bottleneck where all were taken for this share of a span (us). */
-    private static final double CROWDED = 0.9, CROWDED_SPAN = 2 * SECOND;
     /** us; endpoint choice: price of opening a connection, of one point of fee, of each failure in a row. */
     private static final long COST_CONNECT = 100 * MS, COST_POINT = 50 * MS, COST_FAILURE = 2 * SECOND;
     /** Pace: most over the listed rate, cut at a refusal, growth at an answer, least of an even split. */
@@ -118,7 +116,7 @@
     private List<Action> out = new ArrayList<>();
     private long now, beganAt, seq, turns, wakeAt = NEVER;
     private int slotsUsed, open, logged;
-    private double lost, crowded;
+    private double lost;
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
@@ -140,9 +138,7 @@
         if (turns > 0 && time < now) {
             throw new IllegalArgumentException("clock went back from " + now + " to " + time);
         }
-        long since = now;
         now = time;
-        crowd(turns == 0 ? now : since);
         beganAt = turns++ == 0 ? now : beganAt;
         out = new ArrayList<>();
         for (Event event : events) {
@@ -411,27 +407,10 @@
     }
 
     // ---- Dispatch and the send gate -------------------------------------------------------------
-    /**
-     * Worth that a message gains by going now; while slots are the bottleneck, for each second that it will hold
-     * one: quick destinations then go first, and more is delivered in all. It hurts slow destinations, which get
-     * the slots that are left; so it holds only after a while of nothing but full slots.
-     */
     private double priority(Msg m) {
         long when = now + (long) m.dest.latest;
         double soon = m.worth(when);
-        double gain = soon + URGENCY * (soon - m.worth(when + SECOND));
-        return crowded < CROWDED ? gain : gain / slotTime(m.dest);
-    }
-
-    /** us that a call to a destination holds a slot; its middle, which a heavy tail does not move. */
-    private static double slotTime(Dest d) {
-        return d.answers.count < KNOWN ? FIRST_DELAY : Math.max(MS, d.answers.rank(0.5));
-    }
-
-    /** How much of the latest time all slots were taken, as an exponential mean. */
-    private void crowd(long since) {
-        double full = slotsUsed >= set.allowed().slots() ? 1 : 0;
-        crowded += -Math.expm1((double) (since - now) / CROWDED_SPAN) * (full - crowded);
+        return soon + URGENCY * (soon - m.worth(when + SECOND));
     }
 
     /** Sends what may go, best first. What cannot go is looked at again in time, or when something ends. */
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -242,7 +242,7 @@
             byClass);
     }
 
-    /** As a share: full within the aim, then evenly less down to the class's late worth at its limit, then nothing. */
+    /** As a share: full within the aim, then evenly less to the class's late worth at its limit. */
     private static double worth(Line line, long delivered) {
         if (delivered < 0) {
             return 0;
