--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -82,9 +82,6 @@
     private static final double KEEP_USES = 0.5;
     /** The span for which they are held: its cut at a failed connect, its growth at an answer. */
     private static final double HOLD_CUT = 0.5, HOLD_GROW = 1.02;
-    /** us; gap after a host had no place for a new connection; such an answer comes before a first call's. */
-    private static final long PLACE_GAP = 1500 * MS;
-    private static final double PLACE_SHARE = 1.2;
     /** us; least idle time for which a connection may be taken for dropped; trust per idle time proven. */
     private static final double TRUST_LEAST = 250 * MS, TRUST_PROVEN = 1.25;
     /** us; least gap between trials of a route; a suspicion cleared within this leaves no ramp. */
@@ -389,21 +386,6 @@
         }
     }
 
-    /** us; a refusal sooner than this on a new connection came before a first call could be read there. */
-    private double crowded(Route r) {
-        return r.latency > 0 ? PLACE_SHARE * (r.latency + r.dest.usual) : 0;
-    }
-
-    /**
-     * A host turned a new connection away before it read a call: that tells nothing of its limit. Guards
-     * hosts of few places against relays that try for one on and on; those that have one go on using it.
-     */
-    private void noPlace(Route r) {
-        r.placeAt = now + (long) (PLACE_GAP * (0.5 + random.nextDouble()));
-        r.lane.bucket.tokens++;
-        r.idle.pollLast();
-    }
-
     private void drop(Route r) {
         r.idle.clear();
         out.add(new Close(r.id));
@@ -694,9 +676,7 @@
                 succeeded(a);
             }
             case FULL -> {
-                if (news && a.idle < 0 && e.waitFor() == 0 && !e.reused() && e.latency() < crowded(a.route)) {
-                    noPlace(a.route);
-                } else if (news) {
+                if (news) {
                     d.window = Math.max(1, d.window / 2);
                     refused(lane, e.waitFor(), a);
                 }
@@ -942,9 +922,6 @@
         if (r.health != Health.GOOD && r.confirmed && !joins) {
             when = Math.max(when, budgetAt(r));
         }
-        if (r.placeAt > now && !r.warm(now - set.allowed().keepAlive()) && !joins) {
-            when = Math.max(when, r.placeAt);
-        }
         lane.bucket.fill(lane.pace, Math.max(1, lane.pace * PACE_BURST), now);
         if (!joins && lane.bucket.tokens < 1) {
             when = Math.max(when, now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1);
--- a/src/main/java/brambletray/control/State.java
+++ b/src/main/java/brambletray/control/State.java
@@ -180,7 +180,7 @@
         int inflight, failRun, broken, trials, overdue;
         /** {@code heldBefore}: us; how long its kind's connections were held before its connects failed. */
         double latency, failing, heldBefore;
-        long backoffUntil, placeAt, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
+        long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
         double spacing;
         final ArrayDeque<Long> idle = new ArrayDeque<>();
         Call bundle;
