A lane's least pace and its bucket are as they were: a cold partner was pushed over in simulated time

HardCasesTest (a cold partner that resets connections, 6 relays): 33 of 33 calls over the return budget came from relays that had seen the outage. ControlTest.aFleetComesBackSpreadOverTime: 200 of 200 relays asked again in one tenth of a second. RehearsalTest: 14 points of death where 15 are wanted.

Ruled out, each played alone: the return budget by told limits (0.6 in place of 0.8 of an even part, or none: the rule still broke). At fault: PACE_LEAST 0.85, which leaves relays at nearly an even part where nothing but refusals tells that a partner is cold; and a bucket of one token, which makes all relays wait for their next token from one refusal on, in step. PACE_LEAST is 0.5 again, PACE_START 2, the bucket at least two; the slower growth past an even part (PACE_PROBE) stays.

Measured: the three tests pass again.

--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -49,7 +49,7 @@
     /** us; endpoint choice: price of opening a connection, of one point of fee, of each failure in a row. */
     private static final long COST_CONNECT = 400 * MS, COST_POINT = 50 * MS, COST_FAILURE = 2 * SECOND;
     /** Pace: most over the listed rate, cut at a refusal, least and first of an even split among relays. */
-    private static final double PACE_MOST = 1.4, PACE_CUT = 0.75, PACE_LEAST = 0.85, PACE_START = 1.2;
+    private static final double PACE_MOST = 1.4, PACE_CUT = 0.75, PACE_LEAST = 0.5, PACE_START = 2;
     /** Growth of the pace at an answer, in even parts: up to an even part, and past it. */
     private static final double PACE_GROW = 0.15, PACE_PROBE = 0.03;
     /** Calls a second: pace where no rate is listed (none); slowest pace (less would be a ban); no rate. */
@@ -922,7 +922,7 @@
         if (r.health != Health.GOOD && r.confirmed && !joins) {
             when = Math.max(when, budgetAt(r));
         }
-        lane.bucket.fill(lane.pace, Math.max(1, lane.pace * PACE_BURST), now);
+        lane.bucket.fill(lane.pace, Math.max(2, lane.pace * PACE_BURST), now);
         if (!joins && lane.bucket.tokens < 1) {
             when = Math.max(when, now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1);
         }
