A host without a place for a connection is neither at its limit nor failing

What turned them away was the host's table of connections, not its limit.

Lines at fault: Control.observe, case FULL, took each for a refusal: `refused` halved the window, cut the pace, closed lane and destination by a growing back-off and after five took the host for failing; only a failed connect shortened the time for which idle connections are kept, so that 95 relays each kept one at every host.

Change: such a refusal (fresh connection, nothing told, at a kind whose hosts tell their limit) cuts the time for which idle connections of the kind are kept, gives back those that it no longer covers, and rests the host for 0.1 to 2 s. Where the relay has calls of its own out there, these are the places that it has and bound what is sent there; one more is tried every 2 s. Connections are given back after the messages that wait had their turn.

--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -82,6 +82,8 @@
     private static final double KEEP_USES = 0.5;
     /** The span for which they are held: its cut at a failed connect, its growth at an answer. */
     private static final double HOLD_CUT = 0.5, HOLD_GROW = 1.02;
+    /** us; first and longest pause where a host has no place for a connection; its growth. */
+    private static final double PLACE_PAUSE = 200 * MS, PLACE_MOST = 2 * SECOND, PLACE_GROW = 2;
     /** us; least idle time for which a connection may be taken for dropped; trust per idle time proven. */
     private static final double TRUST_LEAST = 250 * MS, TRUST_PROVEN = 1.25;
     /** us; least gap between trials of a route; a suspicion cleared within this leaves no ramp. */
@@ -117,6 +119,10 @@
     /** us, by kind: how long idle connections are held (endpoints may take few), and trusted to be alive. */
     private final double[] holds, trusts;
     private final double[] eases;
+    /** By kind: whether some endpoint has told its limit in an answer, so that all that read a call do. */
+    private final boolean[] tells;
+    /** Routes whose calls ended in this turn. */
+    private final Set<Route> freed = new LinkedHashSet<>();
     private final PriorityQueue<Entry> agenda;
     private final Memory memory;
     private List<Action> out = new ArrayList<>();
@@ -152,6 +158,7 @@
         holds = left.holds;
         trusts = left.trusts;
         eases = left.eases;
+        tells = left.tells;
         now = left.now;
         beganAt = left.beganAt;
         seq = left.seq;
@@ -191,6 +198,8 @@
         }
         runAgenda();
         dispatch();
+        freed.forEach(this::release);
+        freed.clear();
         arm();
         return out;
     }
@@ -402,7 +411,7 @@
             slotsUsed--;
             r.dest.calls--;
             r.idle.addLast(now);
-            release(r);
+            freed.add(r);
         }
         r.trials -= a.trial ? 1 : 0;
         r.overdue -= a.overdue ? 1 : 0;
@@ -414,7 +423,7 @@
     private void release(Route r) {
         double held = Math.min(holds[r.kind], trusts[r.kind]);
         double uses = r.dest.usualRate / Math.max(1, r.dest.routes.size()) * held / SECOND;
-        if (uses < KEEP_USES && r.inflight == 0) {
+        if (uses < KEEP_USES && r.inflight == 0 && !r.idle.isEmpty()) {
             drop(r);
         }
     }
@@ -431,6 +440,37 @@
         }
     }
 
+    /**
+     * True where the host turned away a new connection, not its call: it holds all those that it takes. What
+     * reads a call and has a limit tells of it in every answer.
+     */
+    private boolean noPlace(Attempt a, Ended e) {
+        return a.idle < 0 && !e.reused() && e.waitFor() == 0 && e.left() < 0 && e.limit() < 0
+            && tells[a.route.kind];
+    }
+
+    /**
+     * Guards a fleet against holding all places of its hosts idle, each of them for itself, and against
+     * taking a lack of places for the limit or for an outage: the limit is not used up, and a place is free
+     * again once a call there has ended. Where this relay has calls out there itself, those are its places.
+     * It hurts where a host is shut and refuses without a word.
+     */
+    private void turnedAway(Attempt a) {
+        Route r = a.route;
+        r.idle.pollLast();
+        r.lane.bucket.tokens++;
+        r.places = Math.max(1, r.inflight);
+        boolean alone = r.inflight == 0 && a.sent >= r.crowdedAt;
+        r.crowdedAt = now;
+        if (!alone) {
+            return;
+        }
+        holds[r.kind] *= HOLD_CUT;
+        routes.values().stream().filter(o -> o.kind == r.kind).forEach(this::release);
+        double span = Math.min(PLACE_MOST, PLACE_PAUSE * Math.pow(PLACE_GROW, r.crowded++));
+        r.backoffUntil = Math.max(r.backoffUntil, now + (long) (span * (0.5 + random.nextDouble())));
+    }
+
     private void drop(Route r) {
         r.idle.clear();
         out.add(new Close(r.id));
@@ -566,7 +606,8 @@
             return NEVER;
         }
         boolean joins = joins(r);
-        if (!joins && (slotsUsed >= set.allowed().slots() || r.dest.calls >= room(r.dest))) {
+        boolean full = slotsUsed >= set.allowed().slots() || r.dest.calls >= room(r.dest);
+        if (!joins && (full || r.inflight >= r.places)) {
             return NEVER;
         }
         return opens(r, joins);
@@ -705,7 +746,7 @@
         // Messages of one call mostly fare alike: what tells of its host is counted once.
         boolean news = !a.call.told.contains(e.outcome());
         a.call.told.add(e.outcome());
-        if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL)) {
+        if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL && !noPlace(a, e))) {
             eases[kind] += EASE_WEIGHT * ((e.outcome() == Outcome.OK ? 1 : 0) - eases[kind]);
         }
         switch (e.outcome()) {
@@ -721,7 +762,9 @@
                 succeeded(a);
             }
             case FULL -> {
-                if (news) {
+                if (news && noPlace(a, e)) {
+                    turnedAway(a);
+                } else if (news) {
                     d.window = Math.max(1, d.window / 2);
                     refused(lane, e.waitFor(), a);
                 }
@@ -752,6 +795,7 @@
             a.route.broken = 0;
         }
         if (e.limit() > 0) {
+            tells[kind] = true;
             // Where nothing is listed, what answers tell is the first that is known of a lane's rate.
             lane.pace = lane.rated ? lane.pace : Math.min(lane.pace, PACE_START * e.limit() / set.relays());
             lane.rated = true;
@@ -849,6 +893,11 @@
             lane.pace = Math.min(paceMost(lane), lane.pace + step * even);
         }
         r.heldBefore = 0;
+        r.crowded = 0;
+        if (r.inflight + 1 >= r.places && now >= r.crowdedAt + PLACE_MOST) {
+            r.places++;
+            r.crowdedAt = now;
+        }
         r.lastOk = now;
         r.lastOkSent = Math.max(r.lastOkSent, a.sent);
         r.failing *= 1 - OUTCOME_WEIGHT;
--- a/src/main/java/brambletray/control/Memory.java
+++ b/src/main/java/brambletray/control/Memory.java
@@ -22,7 +22,7 @@
  */
 public final class Memory implements Serializable {
     /** Of the form in which it is handed on. */
-    public static final long VERSION = 1;
+    public static final long VERSION = 2;
     private static final long serialVersionUID = VERSION;
 
     final Map<String, Msg> messages = new HashMap<>();
@@ -34,6 +34,7 @@
     final PriorityQueue<Entry> agenda = new PriorityQueue<>();
     final Bucket[] shares;
     final double[] holds, trusts, eases;
+    final boolean[] tells;
     /** Of the module whose it was, when it was last written: us of its clock, and counts. */
     long now, beganAt, seq, turns;
     int slotsUsed, open, logged;
@@ -44,6 +45,7 @@
         holds = new double[kinds];
         trusts = new double[kinds];
         eases = new double[kinds];
+        tells = new boolean[kinds];
     }
 
     /** us of the clock of the module whose it was, at its last turn. */
--- a/src/main/java/brambletray/control/State.java
+++ b/src/main/java/brambletray/control/State.java
@@ -198,6 +198,10 @@
         Health health = Health.GOOD;
         /** {@code broken}: new connections in a row that broke, with no answer between. */
         int inflight, failRun, broken, trials, overdue;
+        /** Times in a row that it had no place for a connection, and how many calls may be out there. */
+        int crowded, places = Integer.MAX_VALUE;
+        /** us; when it last had none, or when {@code places} last grew. */
+        long crowdedAt = -1;
         /** {@code heldBefore}: us; how long its kind's connections were held before its connects failed. */
         double latency, failing, heldBefore;
         long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
--- a/src/test/java/brambletray/control/ControlTest.java
+++ b/src/test/java/brambletray/control/ControlTest.java
@@ -581,6 +581,86 @@
         assertEquals(1, closed, "not kept for another relay's harm");
     }
 
+    /** An answer with a load report: the host read the call. {@code Bench.ended} is one without. */
+    private static Ended reported(Send send, Outcome outcome) {
+        return new Ended(send.id(), 0, send.endpoint(), outcome, outcome == Outcome.OK, 0, 100 * MS, 0.9, 600);
+    }
+
+    private static Bench manyRelays() {
+        Bench b = new Bench(settings(64, false, 95));
+        b.turn(new Listed(ListKind.WHOLE,
+            List.of(endpoint(11, 0, 1, 1, 600), endpoint(12, 0, 1, 1, 600), endpoint(21, 0, 1, 2, 600))));
+        for (int i = 0; i < 8; i++) {
+            Send s = firstSend(b, b.message(1, 1 + i % 2));
+            b.turn(reported(s, Outcome.OK));
+            b.pass(300 * MS);
+        }
+        return b;
+    }
+
+    /** herd+mass: of 5,784 refusals 5,256 came without a report on new connections, and closed lanes for seconds. */
+    @Test
+    void aLackOfPlacesIsNeitherALimitNorAnOutage() {
+        Bench b = manyRelays();
+        b.turn(new Listed(ListKind.CHANGES, List.of(endpoint(31, 0, 1, 3, 600), endpoint(32, 0, 1, 3, 600))));
+        for (int i = 0; i < 8; i++) {
+            Send s = firstSend(b, b.message(1, 3));
+            List<Send> other = sends(b.turn(ended(s, 0, Outcome.FULL)));
+            assertEquals(1, other.size(), "the other host is asked at once");
+            assertNotEquals(s.endpoint(), other.get(0).endpoint());
+            b.turn(ended(other.get(0), 1, Outcome.OK));
+            b.pass(5 * SECOND);
+        }
+        assertEquals(0, b.control.avoided(), "no host is taken for failing");
+    }
+
+    /** The same: 95 relays each kept an idle connection at every host for as long as it is kept alive. */
+    @Test
+    void idleConnectionsAreGivenBackOnceAHostHasNoPlace() {
+        Bench b = manyRelays();
+        b.turn(new Listed(ListKind.CHANGES, List.of(endpoint(31, 0, 1, 3, 600), endpoint(32, 0, 1, 3, 600))));
+        Set<Long> closed = new HashSet<>();
+        for (int i = 0; i < 8; i++) {
+            Accepted m = b.message(1, 3);
+            List<Action> after = new ArrayList<>(b.turn(ended(firstSend(b, m), 0, Outcome.FULL), new Withdrawn(m.id())));
+            after.stream().filter(Close.class::isInstance).forEach(a -> closed.add(((Close) a).endpoint()));
+            b.pass(SECOND);
+        }
+        assertTrue(closed.containsAll(Set.of(11L, 21L)), "of all hosts of the kind: " + closed);
+        Send s = firstSend(b, b.message(1, 2));
+        assertEquals(1, count(b.turn(reported(s, Outcome.OK)), Close.class), "and no longer kept after a call");
+    }
+
+    /** upgrade+hand: eight calls at once to a host with few places; all but those with one were turned away. */
+    @Test
+    void ownCallsOutAtAHostBoundThoseSentThereOnceItHasNoPlace() {
+        Bench b = manyRelays();
+        List<Send> out = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            out.add(firstSend(b, b.message(1, 2)));
+            b.pass(SECOND);
+        }
+        List<Action> after = b.turn(ended(out.get(2), 0, Outcome.FULL));
+        assertEquals(0, sends(after).size(), "not sent again while two hold the places");
+        assertEquals(0, count(after, Close.class), "idle connections elsewhere are kept");
+        assertEquals(1, sends(b.turn(reported(out.get(0), Outcome.OK))).size(), "a place is free, and used");
+    }
+
+    /** A refusal that tells of a limit, or that has no such host before it, stays one. */
+    @Test
+    void aRefusalWithAReportIsNoLackOfPlaces() {
+        Bench b = manyRelays();
+        b.turn(new Listed(ListKind.CHANGES, List.of(endpoint(31, 0, 1, 3, 600), endpoint(32, 0, 1, 3, 600))));
+        long closed = 0;
+        for (int i = 0; i < 4; i++) {
+            Accepted m = b.message(1, 3);
+            List<Action> after = new ArrayList<>(b.turn(reported(firstSend(b, m), Outcome.FULL), new Withdrawn(m.id())));
+            closed += count(after, Close.class);
+            b.pass(5 * SECOND);
+        }
+        assertEquals(0, closed);
+    }
+
     /** zone+vast: a host that was down refused every connect, and each call after it opened a connection of its own. */
     @Test
     void connectionsAreHeldAsBeforeOnceAnOutageExplainsTheConnectsThatFailed() {
