--- /dev/null
+++ b/src/main/java/brambletray/core/Descriptors.java
@@ -0,0 +1,72 @@
+package brambletray.core;
+
+import java.util.Arrays;
+
+/**
+ * Who may have how many of the process's descriptors: one account with a share for each owner. The program's
+ * own files, the store, the notices and the operators' address have theirs before any client or host gets
+ * one. One thread; no I/O.
+ */
+public final class Descriptors {
+    /** Who holds descriptors. Those with a number have that share, as far as half of all suffices. */
+    public enum Owner {
+        /** Libraries, listeners, the event loop, standard streams. */ PROGRAM(32),
+        /** Segments, manifests and marks, while one takes another's place too. */ STORE(24),
+        /** The agent's watch and the notices to it. */ NOTICES(4),
+        /** The operators' address: its callers and one in the door. */ CONSOLE(25),
+        /** Two fifths of all. */ CLIENTS(0),
+        /** What is left: calls and the connections kept for more. */ HOSTS(0);
+
+        private final int wanted;
+
+        Owner(int wanted) {
+            this.wanted = wanted;
+        }
+    }
+
+    private final int[] shares = new int[Owner.values().length];
+    private final int[] held = new int[Owner.values().length];
+
+    /** {@code all}: descriptors that the process may have open. */
+    public Descriptors(int all) {
+        int wanted = Arrays.stream(Owner.values()).mapToInt(o -> o.wanted).sum();
+        int left = all;
+        for (Owner owner : Owner.values()) {
+            int share = wanted <= all / 2 ? owner.wanted : owner.wanted * (all / 2) / wanted;
+            shares[owner.ordinal()] = owner == Owner.CLIENTS ? Math.min(all * 2 / 5, left * 4 / 5)
+                : owner == Owner.HOSTS ? left : share;
+            left -= shares[owner.ordinal()];
+        }
+    }
+
+    /** How many an owner may have. */
+    public int share(Owner owner) {
+        return shares[owner.ordinal()];
+    }
+
+    /** How many it has. */
+    public int held(Owner owner) {
+        return held[owner.ordinal()];
+    }
+
+    /** One more, if its share has one left. */
+    public boolean take(Owner owner) {
+        boolean left = held(owner) < share(owner);
+        held[owner.ordinal()] += left ? 1 : 0;
+        return left;
+    }
+
+    /** One that was taken is closed. */
+    public void give(Owner owner) {
+        if (held(owner) == 0) {
+            throw new IllegalStateException(owner + " gives back what it has not taken");
+        }
+        held[owner.ordinal()]--;
+    }
+
+    @Override
+    public String toString() {
+        return "hosts hold " + held(Owner.HOSTS) + " of " + share(Owner.HOSTS) + ", clients may have "
+            + share(Owner.CLIENTS);
+    }
+}
--- a/src/main/java/brambletray/core/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -62,6 +62,8 @@
     private Ends ends = Ends.NOBODY;
     private Door door = Door.OPEN;
     private boolean commitDue;
+    /** The last batch failed: only what clients wait for is committed before {@link #commitAgain}. */
+    private boolean rests;
     private final Departures departures;
     private final Figures figures;
     private final Compaction compaction;
@@ -306,7 +308,9 @@
             departures.clear();
         }
         // Before anything that waits for it: notices are posted by a task of their own.
-        commit();
+        if (!rests) {
+            commit();
+        }
     }
 
     /**
@@ -376,6 +380,11 @@
             journal.commit();
         } catch (IOException e) {
             LOG.error("store cannot be written: messages of this turn are refused, their sends not made", e);
+            // Guards the loop's turns against a store that fails at once: what is staged anew waits.
+            if (!rests) {
+                rests = true;
+                loop.schedule(this::commitAgain, AFTER_FAULT, TimeUnit.MICROSECONDS);
+            }
             ends.batchFailed();
             written = false;
         }
@@ -384,9 +393,14 @@
         return written;
     }
 
+    private void commitAgain() {
+        rests = false;
+        commit();
+    }
+
     /** Something was noted outside of a turn. */
     private void commitSoon() {
-        if (!commitDue && !turnDue) {
+        if (!commitDue && !turnDue && !rests) {
             commitDue = true;
             loop.execute(this::commit);
         }
--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -2,8 +2,11 @@
 
 import brambletray.control.Relay.Outcome;
 import brambletray.core.Calls;
+import brambletray.core.Descriptors;
+import brambletray.core.Descriptors.Owner;
 import brambletray.core.Host;
 import brambletray.core.Reply;
+import brambletray.core.Seldom;
 import brambletray.message.Message;
 import brambletray.runtime.Clock;
 import brambletray.runtime.Machine;
@@ -185,10 +188,15 @@
     private final long idleLimit;
     private final IntConsumer whenWritten;
     private final Map<Host, Pool> pools = new LinkedHashMap<>();
+    private final Descriptors descriptors;
+    private final Seldom complaints;
 
     /** {@code whenWritten}: told how many messages a call carries, once its last byte has been written. */
-    public HostPool(Machine machine, long connectTimeout, long keepAlive, IntConsumer whenWritten) {
+    public HostPool(Machine machine, long connectTimeout, long keepAlive, IntConsumer whenWritten,
+                    Descriptors descriptors) {
         this.whenWritten = whenWritten;
+        this.descriptors = descriptors;
+        this.complaints = new Seldom(LOG, machine.clock());
         this.loop = machine.loop();
         this.clock = machine.clock();
         long millis = keepAlive / 1_000;
@@ -264,8 +272,14 @@
             loop.schedule(() -> start(call, pool), REST, TimeUnit.NANOSECONDS);
             return;
         }
+        if (!mayOpen()) {
+            complaints.warn("no descriptor is left for a call to a host: " + descriptors);
+            loop.execute(() -> call.end(Outcome.CONNECT_FAILED));
+            return;
+        }
         ChannelFuture connect = bootstrap.connect(host.dial);
         call.channel = connect.channel();
+        call.channel.closeFuture().addListener(closed -> descriptors.give(Owner.HOSTS));
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 call.end(cut(done.cause()) ? Outcome.CONNECT_RESET : Outcome.CONNECT_FAILED);
@@ -280,6 +294,24 @@
         });
     }
 
+    /** Takes a descriptor; where none is left, from the connection that has been idle for longest. */
+    private boolean mayOpen() {
+        if (descriptors.take(Owner.HOSTS)) {
+            return true;
+        }
+        Connection longest = null;
+        for (Pool pool : pools.values()) {
+            Connection first = pool.idle.peekFirst();
+            boolean longer = first != null && (longest == null || first.idleSince < longest.idleSince);
+            longest = longer ? first : longest;
+        }
+        if (longest == null) {
+            return false;
+        }
+        longest.channel.close();
+        return descriptors.take(Owner.HOSTS);
+    }
+
     /** True for a connection that came up and was reset at once; others are refused or never come up. */
     private static boolean cut(Throwable cause) {
         return cause instanceof SocketException && !(cause instanceof ConnectException)
--- a/src/main/java/brambletray/journal/Journal.java
+++ b/src/main/java/brambletray/journal/Journal.java
@@ -67,6 +67,8 @@
         public Message message;
         public final List<Attempt> attempts = new ArrayList<>();
         public End end;
+        /** Unix time, ms, at which it was taken on. */
+        private long taken;
         private Chain chain;
         /** Its last commit failed: it was never taken on; or nobody knows. */
         private boolean refused, uncertain;
@@ -163,6 +165,7 @@
             in.readLong(), in.readLong(), null, origin(in));
         Entry entry = new Entry(chain.key(), message);
         entry.chain = chain;
+        entry.taken = taken;
         entry.message = message.with(new Kept(chain, first.length - in.available(), in.available()));
         for (int i = 1; i < chain.size(); i++) {
             DataInputStream more = new DataInputStream(new ByteArrayInputStream(store.read(chain, i)));
@@ -236,6 +239,7 @@
         makeRoomInBatch(value.length);
         last++;
         entry.chain = store.put(SPACE, entry.number, value);
+        entry.taken = now;
         store.reserve(entry.chain, rest);
         entry.message = message.with(new Kept(entry.chain, head.length, body.length));
         entries.put(entry.number, entry);
@@ -257,6 +261,26 @@
         return attempt;
     }
 
+    /**
+     * What is owed may have been done since it was noted, for the folder is not the newest that there was:
+     * each message counts as perhaps sent, as early as it was taken on, and nothing is known of its host.
+     * Lasts when this returns. Returns how many.
+     */
+    public int doubt() throws IOException {
+        int doubted = 0;
+        for (Entry entry : owed()) {
+            if (entry.end == null) {
+                for (Attempt attempt : entry.attempts) {
+                    attempt.mayHaveRun = true;
+                }
+                sent(entry, entry.taken, NO_ZONE);
+                doubted++;
+            }
+        }
+        commit();
+        return doubted;
+    }
+
     /** An outcome has proved that the attempt never ran. */
     public void notRun(Entry entry, int attempt) throws IOException {
         entry.attempts.get(attempt).mayHaveRun = false;
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -9,6 +9,8 @@
 import brambletray.core.AfarCalls;
 import brambletray.core.Answer;
 import brambletray.core.Calls;
+import brambletray.core.Descriptors;
+import brambletray.core.Door;
 import brambletray.core.Ends;
 import brambletray.core.Handoff;
 import brambletray.core.Host;
@@ -101,6 +103,14 @@
             return mqtt;
         }
 
+        /** Before the folder is owned and what it holds believed; throws where it must not be. */
+        default void beforeOwning(Machine machine, Journal journal) throws IOException { }
+
+        /** Who lets messages in; {@code inner}: who would without these surroundings. */
+        default Door door(Door inner) {
+            return inner;
+        }
+
         /** SIGHUP has come, or its like; on the loop. */
         default void hangup() { }
 
@@ -171,16 +181,16 @@
         hosts = new HostList(config.zones(), config.kinds(),
             config.mqtt() != null ? MqttWays.protocols() : Set.of("http"));
         figures = new Figures(config.settings().classes().stream().map(Relay.MessageClass::name).toList());
+        Descriptors descriptors = new Descriptors(config.sockets());
         HostPool http = new HostPool(machine, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive(), figures::written);
+            config.settings().allowed().keepAlive(), figures::written, descriptors);
         Calls ways = config.mqtt() != null
             ? MqttWays.beside(http, machine, config.settings(), figures::written) : http;
         draining = new Draining(machine, drain, new Fronts());
         succession = alone ? null : new Succession(machine, new Parts(), disk, config.settings());
         pool = alone ? ways : new CallsOfBoth(ways, succession);
-        // Guards the store, which has to open files, against a crowd that takes every descriptor.
-        server = new Server(alone ? new OwnIntake() : new AnyIntake(), machine, config.sockets() * 2 / 5,
-            drain);
+        server = new Server(alone ? new OwnIntake() : new AnyIntake(), machine,
+            descriptors.share(Descriptors.Owner.CLIENTS), drain);
         if (config.known().values().isEmpty()) {
             known = null;
         } else {
@@ -212,6 +222,7 @@
             server.view("/v1/quotas", door::view);
         }
         if (surroundings != null) {
+            loop.door(surroundings.door(door == null ? Door.OPEN : door));
             Ends ends = surroundings.ends(machine, loop, journal.store(), mqtt == null ? null : mqtt.ends());
             if (ends != null) {
                 loop.ends(ends);
--- a/src/main/java/brambletray/serve/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -58,6 +58,9 @@
         } else {
             Journal journal = Journal.open(new RealDisk(config.state()), config.diskBytes(), config.promise(),
                 config.settings().allowed().attempts());
+            if (surroundings != null) {
+                surroundings.beforeOwning(Machine.real(thread), journal);
+            }
             instance = thread.submit(() -> surroundings == null
                 ? new Instance(Machine.real(thread), config, journal)
                 : new Instance(Machine.real(thread), config, journal, surroundings)).get();
@@ -115,6 +118,7 @@
                 ? "the store in EDGE_STATE can't be trusted: " + e.getMessage()
                     + "; 'java -jar brambletray.jar store verify DIR' says more, 'store salvage DIR NEW'"
                     + " saves what can be read"
+                : e instanceof NotToBeOwned ? e.getMessage()
                 : "cannot open the store in EDGE_STATE: " + e.getMessage());
         } catch (ExecutionException e) {
             Throwable cause = e.getCause();
--- /dev/null
+++ b/src/main/java/brambletray/serve/NotToBeOwned.java
@@ -0,0 +1,12 @@
+package brambletray.serve;
+
+import java.io.IOException;
+
+/** A folder that this process must not serve from; the message is one plain line that says why. */
+public final class NotToBeOwned extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    public NotToBeOwned(String cause) {
+        super(cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/siblings/ComingBack.java
@@ -0,0 +1,165 @@
+package brambletray.siblings;
+
+import brambletray.control.Relay;
+import brambletray.core.Door;
+import brambletray.core.Loop;
+import brambletray.journal.Journal;
+import brambletray.message.Message;
+import brambletray.recovery.Finding;
+import brambletray.recovery.Rest;
+import brambletray.recovery.Standing;
+import brambletray.runtime.Machine;
+import brambletray.store.Chain;
+import brambletray.store.Store;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A relay with siblings comes back: whose folder it has, whether that is the newest, and what follows for
+ * what is owed and for what is handed in. The life that begins is noted in the folder (name space
+ * {@link #SPACE}: name, number) before anything is owned.
+ */
+public final class ComingBack {
+    static final byte SPACE = 8;
+    private static final Logger LOG = LoggerFactory.getLogger(ComingBack.class);
+
+    private final Machine machine;
+    private final SiblingsFile file;
+    private final Relay.Settings settings;
+    private Siblings siblings;
+    private Rest rest = Rest.NONE;
+    private long life;
+
+    public ComingBack(Machine machine, SiblingsFile file, Relay.Settings settings) {
+        this.machine = machine;
+        this.file = file;
+        this.settings = settings;
+    }
+
+    /**
+     * Asks, and has the journal doubt what may have been done since; not on the loop, which must be free.
+     * Null, or one line that says why this process must not serve from this folder.
+     */
+    public String before(Journal journal) throws IOException {
+        Store store = journal.store();
+        Standing own = null;
+        for (Chain chain : store.chains(SPACE)) {
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(store.read(chain, 0)));
+            String owner = in.readUTF();
+            if (!owner.equals(file.name())) {
+                return "the folder is relay '" + owner + "'s, and this is relay '" + file.name()
+                    + "': give each its own folder (docs/recovery.md)";
+            }
+            own = new Standing(store.number(), in.readLong(), store.last());
+        }
+        if (own == null && store.last() > 0) {
+            // From before it had siblings.
+            own = new Standing(store.number(), 0, store.last());
+        }
+        siblings = new Siblings(machine, file, store);
+        try {
+            siblings.listen().sync();
+            LOG.info("siblings on {}", siblings.address());
+            Finding found = siblings.ask(own, longest()).get();
+            if (found instanceof Finding.Twin twin) {
+                siblings.close();
+                return "another process lives as relay '" + file.name() + "', in life " + twin.seen().life()
+                    + ": end it first, or give this one a name of its own (docs/recovery.md)";
+            }
+            tell(found);
+            if (Rest.doubts(found, file.trusting())) {
+                LOG.warn("{} messages that the folder says are owed count as perhaps sent", journal.doubt());
+            }
+            rest = Rest.after(found, file.trusting(), now());
+            begin(store);
+            return null;
+        } catch (InterruptedException e) {
+            return "interrupted while siblings were asked";
+        } catch (ExecutionException e) {
+            return "siblings could not be asked: " + e.getCause();
+        }
+    }
+
+    private void begin(Store store) throws IOException {
+        life = siblings.nextLife();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeUTF(file.name());
+        out.writeLong(life);
+        store.put(SPACE, 0, bytes.toByteArray());
+        store.commit();
+        LOG.info("relay {} begins life {}", file.name(), life);
+    }
+
+    private static void tell(Finding found) {
+        if (found instanceof Finding.First) {
+            LOG.info("folder: new, and no sibling has heard of this relay");
+        } else if (found instanceof Finding.Continues) {
+            LOG.info("folder: the newest that siblings know of");
+        } else if (found instanceof Finding.Lost lost) {
+            LOG.error("folder: LOST; it is empty, and siblings saw life {}: unsafe and keyed messages are"
+                + " turned away for {} ms", lost.seen().life(), lost.rest());
+        } else if (found instanceof Finding.RolledBack back) {
+            LOG.error("folder: ROLLED BACK; siblings saw life {} up to {}: unsafe and keyed messages are"
+                + " turned away for {} ms; hosts taken out by hand since are in use again: look", back.seen().life(),
+                back.seen().at(), back.rest());
+        } else if (found instanceof Finding.Unconfirmed unknown) {
+            LOG.warn("folder: {}, and too few siblings answered to tell whether it is the newest ({} ms)",
+                unknown.empty() ? "empty" : "there", unknown.rest());
+        }
+    }
+
+    private long now() {
+        return machine.clock().micros() / 1_000;
+    }
+
+    /** ms; the longest time limit of messages whose second try could do harm. */
+    private long longest() {
+        return settings.classes().stream().filter(c -> c.effect() != Relay.Effect.SAFE)
+            .mapToLong(Relay.MessageClass::life).max().orElse(0) / 1_000;
+    }
+
+    /** The relay owns its folder and decides: siblings are told from now on. On the loop. */
+    public void live(Store store, Loop loop) {
+        siblings.live(() -> new Standing(store.number(), life, store.last()), store, loop::staged);
+    }
+
+    /** Who lets messages in while what was forgotten may still be under way. */
+    public Door door(Door inner, Loop loop) {
+        return rest == Rest.NONE ? inner : new Door() {
+            @Override
+            public Entry ask(Message message) {
+                Relay.MessageClass asked = loop.messageClass(message.messageClass());
+                long closed = rest.closed(now(), asked.effect() == Relay.Effect.SAFE);
+                return closed > 0 ? new Turned(closed * 1_000, List.of()) : inner.ask(message);
+            }
+
+            @Override
+            public Entry again(Message message) {
+                return inner.again(message);
+            }
+
+            @Override
+            public void recovered(Message message) {
+                inner.recovered(message);
+            }
+
+            @Override
+            public void sent(String id) {
+                inner.sent(id);
+            }
+
+            @Override
+            public void ended(String id) {
+                inner.ended(id);
+            }
+        };
+    }
+}
--- a/src/main/java/brambletray/standalone/Standalone.java
+++ b/src/main/java/brambletray/standalone/Standalone.java
@@ -2,6 +2,7 @@
 
 import brambletray.mqtt.clients.MqttSettings;
 import brambletray.serve.Config;
+import brambletray.siblings.SiblingsFile;
 import brambletray.store.Store;
 import brambletray.wire.Addresses;
 import brambletray.wire.Wire;
@@ -28,11 +29,12 @@
  * @param keepMs how long final answers are kept
  * @param answersMost how many of them at most
  * @param postTo where they are posted, null for nowhere
+ * @param siblings what names its siblings, null for none
  */
 record Standalone(Config config, List<Path> inventories, InetSocketAddress agent, double removeMost,
                   long pollMs, long settleMs, boolean events,
                   List<String> zones, List<String> kinds, long keepMs, int answersMost,
-                  InetSocketAddress postTo, String postPath) {
+                  InetSocketAddress postTo, String postPath, SiblingsFile siblings) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final double TENANT_RATE = 1e9;
     private static final int SEED_MOST = Integer.MAX_VALUE;
@@ -66,6 +68,8 @@
             mqtt = MqttSettings.read(path.resolveSibling(root.text("mqtt")));
         }
         Path quotas = root.has("quotas") ? path.resolveSibling(root.text("quotas")) : null;
+        SiblingsFile siblings = root.has("siblings")
+            ? SiblingsFile.read(path.resolveSibling(root.text("siblings"))) : null;
         List<String> tenants = root.texts("tenants", false);
         List<String> zones = names(root, "zones");
         List<String> kinds = names(root, "kinds");
@@ -93,7 +97,7 @@
             Config config = Config.of(listen, console, state, seed, sockets, diskMb * 1_000_000L, promise,
                 Wire.decode(settings), mqtt, quotas);
             return new Standalone(config, inventories, agent, removeMost, poll, settle, events, zones, kinds,
-                keep * 1_000L, most, postTo, postPath);
+                keep * 1_000L, most, postTo, postPath, siblings);
         } catch (Wire.Malformed e) {
             throw new IllegalStateException("settings of the relay's own can be read", e);
         }
--- a/src/main/java/brambletray/standalone/StandaloneRelay.java
+++ b/src/main/java/brambletray/standalone/StandaloneRelay.java
@@ -1,13 +1,17 @@
 package brambletray.standalone;
 
+import brambletray.core.Door;
 import brambletray.core.Ends;
 import brambletray.core.Loop;
 import brambletray.core.Platform;
+import brambletray.journal.Journal;
 import brambletray.membership.HostList;
 import brambletray.runtime.Machine;
 import brambletray.serve.Config;
 import brambletray.serve.Instance;
 import brambletray.serve.Node;
+import brambletray.serve.NotToBeOwned;
+import brambletray.siblings.ComingBack;
 import brambletray.store.Store;
 import brambletray.yaml.Faults;
 import java.io.IOException;
@@ -23,6 +27,8 @@
     private Outcomes outcomes;
     private Loop loop;
     private InventoryPlatform inventories;
+    /** Null for a relay without siblings. */
+    private ComingBack comingBack;
 
     private StandaloneRelay(Standalone settings, Executor reader) {
         this.settings = settings;
@@ -65,10 +71,29 @@
         return new Node(relay.settings.config(), relay);
     }
 
+    @Override
+    public void beforeOwning(Machine machine, Journal journal) throws IOException {
+        if (settings.siblings() != null) {
+            comingBack = new ComingBack(machine, settings.siblings(), settings.config().settings());
+            String refusal = comingBack.before(journal);
+            if (refusal != null) {
+                throw new NotToBeOwned(refusal);
+            }
+        }
+    }
+
+    @Override
+    public Door door(Door inner) {
+        return comingBack == null ? inner : comingBack.door(inner, loop);
+    }
+
     @Override
     public Platform platform(Machine machine, HostList hosts, Loop relay, Store store) {
         this.loop = relay;
         inventories = new InventoryPlatform(machine, settings, hosts, relay, store, reader);
+        if (comingBack != null) {
+            comingBack.live(store, relay);
+        }
         return inventories;
     }
 
--- a/src/main/java/brambletray/store/Store.java
+++ b/src/main/java/brambletray/store/Store.java
@@ -280,6 +280,16 @@
         spaces.get(chain.space).remove(chain.key);
     }
 
+    /** Number drawn when it was made. */
+    public long number() {
+        return store;
+    }
+
+    /** Number of the last batch that outlasts what was promised; it grows over all lives of the folder. */
+    public long last() {
+        return safe;
+    }
+
     /** What was found when it was opened. */
     public Found found() {
         return found;
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -20,10 +20,10 @@
         .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("brambletray");
 
     /** From the bottom up; a package may use those before it, and none of those after it. */
-    private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.quota", "brambletray.kept", "brambletray.figures", "brambletray.operations", "brambletray.message",
+    private static final List<String> LAYERS = List.of("brambletray.control", "brambletray.recovery", "brambletray.quota", "brambletray.kept", "brambletray.figures", "brambletray.operations", "brambletray.message",
         "brambletray.runtime",
         "brambletray.wire", "brambletray.store", "brambletray.journal", "brambletray.core", "brambletray.console", "brambletray.http..", "brambletray.yaml", "brambletray.admission", "brambletray.mqtt..",
-        "brambletray.membership", "brambletray.handover", "brambletray.inventory", "brambletray.serve", "brambletray.standalone", "brambletray.simhost",
+        "brambletray.membership", "brambletray.handover", "brambletray.inventory", "brambletray.siblings", "brambletray.serve", "brambletray.standalone", "brambletray.simhost",
         "brambletray.simulation", "brambletray.emulator", "brambletray.script", "brambletray.partners",
         "brambletray.stage", "brambletray.rehearsal", "brambletray.check", "brambletray.cli");
 
@@ -52,6 +52,14 @@
                     "java.util.function", "java.util.stream", "java.lang.invoke", "java.lang.runtime")))).check(CODE);
     }
 
+    /** So is the way back: what others have seen comes in, a finding goes out. */
+    @Test
+    void theWayBackStandsAlone() {
+        noClasses().that().resideInAPackage("brambletray.recovery").should().dependOnClassesThat(
+            not(resideInAPackage("brambletray.recovery")).and(not(resideInAnyPackage("java.lang", "java.util",
+                "java.util.function", "java.util.stream", "java.lang.invoke", "java.lang.runtime")))).check(CODE);
+    }
+
     /** So are quotas: amounts and times come in, verdicts go out. */
     @Test
     void quotasStandAlone() {
--- /dev/null
+++ b/src/test/java/brambletray/core/DescriptorsTest.java
@@ -0,0 +1,44 @@
+package brambletray.core;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import brambletray.core.Descriptors.Owner;
+import org.junit.jupiter.api.Test;
+
+class DescriptorsTest {
+    @Test
+    void sharesAddUpToAllAndNoneIsWithout() {
+        for (int all = 64; all <= 2_000; all++) {
+            Descriptors d = new Descriptors(all);
+            int sum = 0;
+            for (Owner owner : Owner.values()) {
+                assertTrue(d.share(owner) > 0, all + ": " + owner);
+                sum += d.share(owner);
+            }
+            assertEquals(all, sum);
+            assertTrue(d.share(Owner.HOSTS) >= all / 10, all + ": " + d);
+        }
+    }
+
+    /** rb38060: 384 descriptors, 382 of them with clients and hosts, and none for the store's next file. */
+    @Test
+    void clientsAndHostsLeaveTheOthersTheirs() {
+        Descriptors d = new Descriptors(384);
+        assertEquals(153, d.share(Owner.CLIENTS));
+        assertEquals(384 - 153 - 32 - 24 - 4 - 25, d.share(Owner.HOSTS));
+    }
+
+    @Test
+    void nobodyTakesMoreThanItsShareNorGivesWhatItHasNot() {
+        Descriptors d = new Descriptors(100);
+        for (int i = 0; i < d.share(Owner.HOSTS); i++) {
+            assertTrue(d.take(Owner.HOSTS));
+        }
+        assertFalse(d.take(Owner.HOSTS));
+        assertTrue(d.take(Owner.CLIENTS), "another's share is its own");
+        d.give(Owner.HOSTS);
+        assertTrue(d.take(Owner.HOSTS));
+        d.give(Owner.CLIENTS);
+        assertThrows(IllegalStateException.class, () -> d.give(Owner.CLIENTS));
+    }
+}
--- a/src/test/java/brambletray/core/LoopAuditTest.java
+++ b/src/test/java/brambletray/core/LoopAuditTest.java
@@ -14,6 +14,7 @@
 import brambletray.store.MemoryDisk;
 import brambletray.store.Store;
 import brambletray.wire.Wire;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -31,6 +32,7 @@
     private final List<Consumer<Reply>> out = new ArrayList<>();
     private final Simulation simulation = new Simulation(1, 1_900_000_000_000L);
     private final Figures figures = new Figures(List.of("bill", "pay"));
+    private final MemoryDisk disk = new MemoryDisk();
     private Machine machine;
     private Journal journal;
     private Loop loop;
@@ -44,7 +46,7 @@
             new Relay.MessageClass("pay", 2 * S, 16 * S, 1, 0.3, Relay.Effect.UNSAFE, false, 0, false)), List.of(),
             List.of(new Relay.Kind(true, 1)), new Relay.Allowed(8, 6, 12, false, true, 1, S, 15 * S, 3 * S),
             new Relay.Rules(250_000, 2, 3 * S, 0.2, 12 * S, 0, 20_000), new Relay.Prices(0, 0, 0, 0, List.of()));
-        journal = Journal.open(new MemoryDisk(), 3_000_000, Store.Promise.PROCESS, 12);
+        journal = Journal.open(disk, 3_000_000, Store.Promise.PROCESS, 12);
         Calls calls = new Calls() {
             @Override
             public Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
@@ -144,6 +146,53 @@
         assertTrue(ended >= 0);
     }
 
+    /**
+     * rb38060: out of descriptors, the store refused each batch at once, and what was staged anew was tried
+     * again without a pause: a core spent on nothing.
+     */
+    @Test
+    void whatIsStagedAnewAfterABatchThatFailedWaits() {
+        int[] tries = {0};
+        boolean[] fails = {false}, noted = {false};
+        disk.fault((operation, name, bytes) -> {
+            if (fails[0] && operation.equals("write") && ++tries[0] < 1_000) {
+                throw new IOException("Too many open files");
+            }
+        });
+        loop.ends(new Ends() {
+            @Override
+            public void ended(Message message, End end, long retryAfter) {
+                journal.store().put((byte) 99, 1, new byte[] {1});
+                loop.staged();
+            }
+
+            @Override
+            public boolean ofAll() {
+                return true;
+            }
+
+            @Override
+            public void batchFailed() {
+                ended(null, null, 0);
+            }
+
+            @Override
+            public void committed() {
+                noted[0] = !journal.store().chains((byte) 99).isEmpty();
+            }
+        });
+        hand("a", "bill", 16_000);
+        fails[0] = true;
+        reply(Relay.Outcome.OK, false);
+        pass(1_000);
+        assertTrue(tries[0] >= 8 && tries[0] <= 20, tries[0] + " tries in a second");
+        assertFalse(noted[0]);
+        fails[0] = false;
+        pass(100);
+        assertTrue(noted[0], "written once it can be, with no turn in between");
+        assertAgreed();
+    }
+
     /** Each way in which a message ends: counted once, and held nowhere any more. */
     @Test
     void allThreeAgreeOverEachEndThatThereIs() {
--- a/src/test/java/brambletray/http/hosts/BundleTest.java
+++ b/src/test/java/brambletray/http/hosts/BundleTest.java
@@ -4,6 +4,7 @@
 
 import brambletray.control.Relay.Outcome;
 import brambletray.core.Calls;
+import brambletray.core.Descriptors;
 import brambletray.core.Host;
 import brambletray.core.Reply;
 import brambletray.message.Body;
@@ -33,7 +34,7 @@
 class BundleTest {
     private static final long LONG = 60_000_000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HostPool pool = new HostPool(Machine.real(group.next()), LONG, 15_000_000, n -> { });
+    private final HostPool pool = new HostPool(Machine.real(group.next()), LONG, 15_000_000, n -> { }, new Descriptors(1_000));
     private final Host listed = new Host(1, "s-1");
     private final BlockingQueue<Map.Entry<String, Reply>> replies = new LinkedBlockingQueue<>();
 
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -4,6 +4,7 @@
 
 import brambletray.control.Relay.Outcome;
 import brambletray.core.Calls;
+import brambletray.core.Descriptors;
 import brambletray.core.Host;
 import brambletray.core.Reply;
 import brambletray.message.Body;
@@ -42,7 +43,7 @@
     }
 
     private HostPool pool(long keepAlive) {
-        return new HostPool(Machine.real(group.next()), LONG, keepAlive, n -> { });
+        return new HostPool(Machine.real(group.next()), LONG, keepAlive, n -> { }, new Descriptors(1_000));
     }
 
     private Calls.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
@@ -99,6 +100,46 @@
         }
     }
 
+    /** rb38060: idle connections to hosts held what the store needed. The one that was idle for longest goes. */
+    @Test
+    void aCallTakesTheDescriptorOfTheLongestIdleConnectionAndNoneOfAnothersShare() throws Exception {
+        Descriptors descriptors = new Descriptors(64);
+        HostPool pool = new HostPool(Machine.real(group.next()), LONG, KEEP_ALIVE, n -> { }, descriptors);
+        int share = descriptors.share(Descriptors.Owner.HOSTS);
+        List<HostStub> hosts = new ArrayList<>();
+        try {
+            HostStub.Call first = null;
+            for (int i = 0; i < share; i++) {
+                hosts.add(new HostStub());
+                call(pool, new Host(i, "h-" + i), hosts.get(i));
+                HostStub.Call call = hosts.get(i).call();
+                first = first == null ? call : first;
+                call.answer(HostStub.OK);
+                assertEquals(Outcome.OK, reply().outcome());
+            }
+            for (int i = 0; i < share; i++) {
+                hosts.add(new HostStub());
+                call(pool, new Host(share + i, "more-" + i), hosts.get(share + i));
+                assertNotNull(hosts.get(share + i).call(), "goes out");
+            }
+            assertTrue(hosts.get(0).ended(first));
+            hosts.add(new HostStub());
+            call(pool, new Host(2 * share, "beyond"), hosts.get(2 * share));
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome(), "all are in use");
+            assertEquals(share, descriptors.held(Descriptors.Owner.HOSTS));
+        } finally {
+            for (HostStub host : hosts) {
+                host.close();
+            }
+        }
+    }
+
+    private void call(HostPool pool, Host host, HostStub to) throws Exception {
+        host.dial = new InetSocketAddress(PlatformStub.LOOPBACK, to.port());
+        Message message = new Message("a", "bill", 0, null, null, 7, 0, Body.of(new byte[1]));
+        group.next().submit(() -> pool.call(host, message, LONG, replies::add)).get();
+    }
+
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         int port;
--- /dev/null
+++ b/src/test/java/brambletray/recovery/AskingTest.java
@@ -0,0 +1,133 @@
+package brambletray.recovery;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import org.junit.jupiter.api.Test;
+
+/** What a relay that starts makes of what it is told; times in ms. */
+class AskingTest {
+    private static final Asking.Terms TERMS = new Asking.Terms(2_000, 250, 16_000);
+    private static final Standing FOLDER = new Standing(7, 3, 100);
+
+    private static Account seen(Standing last) {
+        return new Account.Seen(last, 5_000, 40);
+    }
+
+    private static Finding all(Standing own, Account... accounts) {
+        Asking asking = new Asking(own, accounts.length, TERMS, 0);
+        Finding found = null;
+        for (int i = 0; i < accounts.length; i++) {
+            assertNull(found, "not before all have answered");
+            found = accounts[i] == null ? null : asking.told(10 + i, i, accounts[i]);
+        }
+        return found != null ? found : asking.due(2_000);
+    }
+
+    @Test
+    void theNewestFolderGoesOn() {
+        assertEquals(new Finding.Continues(), all(FOLDER, seen(FOLDER), seen(new Standing(7, 2, 120))));
+        assertEquals(new Finding.Continues(), all(FOLDER, seen(new Standing(7, 3, 99)), new Account.Never(1)));
+        assertEquals(new Finding.Continues(), all(new Standing(8, 4, 1), seen(FOLDER), seen(FOLDER)),
+            "one made after a loss");
+    }
+
+    @Test
+    void anOlderOneIsRolledBackWhoeverSaysIt() {
+        for (Standing later : new Standing[] {new Standing(7, 3, 101), new Standing(7, 4, 1),
+                new Standing(8, 3, 1), new Standing(8, 4, 1)}) {
+            assertEquals(new Finding.RolledBack(later, 11_000), all(FOLDER, seen(FOLDER), seen(later)));
+            assertEquals(new Finding.RolledBack(later, 11_000), all(FOLDER, seen(later), null));
+            assertEquals(new Finding.RolledBack(later, 11_000), all(FOLDER, new Account.Never(9), seen(later)));
+        }
+    }
+
+    @Test
+    void anEmptyOneOfARelayThatHasLivedIsLost() {
+        assertEquals(new Finding.Lost(FOLDER, 11_000), all(null, seen(FOLDER), new Account.Never(1)));
+        assertEquals(new Finding.Lost(FOLDER, 0), all(null, new Account.Seen(FOLDER, 20_000, 1)));
+    }
+
+    /** All folders lost at once: nobody has heard of anybody, and nobody has been up for long. */
+    @Test
+    void anEmptyOneIsTheFirstOnlyForWitnessesThatWereUpForLongEnough() {
+        assertEquals(new Finding.First(), all(null, new Account.Never(16_000), new Account.Never(90_000)));
+        assertEquals(new Finding.Unconfirmed(true, 15_700), all(null, new Account.Never(300), new Account.Never(90_000)));
+        assertEquals(new Finding.Unconfirmed(true, 16_000), all(null, new Account.Never(90_000), null));
+    }
+
+    @Test
+    void aFolderNeedsAMajority() {
+        assertEquals(new Finding.Continues(), all(FOLDER, seen(FOLDER), null), "two of three");
+        assertEquals(new Finding.Unconfirmed(false, 16_000), all(FOLDER, null, null));
+        assertEquals(new Finding.Unconfirmed(false, 16_000), all(FOLDER, seen(FOLDER), null, null), "two of four");
+        assertEquals(new Finding.Unconfirmed(false, 16_000), all(FOLDER, new Account[] {null}));
+    }
+
+    /** Killed and started at once: it was heard of just now, and is heard of no more. */
+    @Test
+    void aLifeThatHasJustEndedIsWaitedFor() {
+        Asking asking = new Asking(FOLDER, 1, TERMS, 0);
+        assertNull(asking.told(10, 0, new Account.Seen(FOLDER, 50, 9)));
+        assertNull(asking.told(100, 0, new Account.Seen(FOLDER, 140, 9)));
+        assertEquals(new Finding.Continues(), asking.told(710, 0, new Account.Seen(FOLDER, 750, 9)));
+    }
+
+    /** Two processes of one name: it goes on being heard of. A note that comes late is one beat, and no more. */
+    @Test
+    void aLifeThatGoesOnIsATwin() {
+        Asking asking = new Asking(FOLDER, 1, TERMS, 0);
+        assertNull(asking.told(10, 0, new Account.Seen(FOLDER, 200, 9)));
+        assertNull(asking.told(100, 0, new Account.Seen(FOLDER, 40, 10)));
+        Standing now = new Standing(7, 3, 101);
+        assertEquals(new Finding.Twin(now), asking.told(310, 0, new Account.Seen(now, 10, 11)));
+        assertEquals(new Finding.Twin(now), asking.due(9_000), "and stays one");
+    }
+
+    /** The other's life begins after the question: neither may go on unseen. */
+    @Test
+    void aTwinThatBeginsALifeMeanwhileIsSeenToo() {
+        Asking asking = new Asking(FOLDER, 1, TERMS, 0);
+        assertNull(asking.told(10, 0, new Account.Seen(FOLDER, 300, 9)));
+        Standing other = new Standing(7, 4, 101);
+        assertNull(asking.told(400, 0, new Account.Seen(other, 5, 1)));
+        assertNull(asking.told(600, 0, new Account.Seen(other, 5, 2)));
+        assertEquals(new Finding.Twin(other), asking.told(900, 0, new Account.Seen(other, 5, 3)));
+    }
+
+    /** Answers that come late, twice or in another order change nothing; those that make no sense neither. */
+    @Test
+    void theFurthestAccountOfAWitnessCounts() {
+        Standing later = new Standing(7, 3, 150);
+        Asking asking = new Asking(FOLDER, 2, TERMS, 0);
+        assertNull(asking.told(10, 0, seen(later)));
+        assertNull(asking.told(20, 0, seen(FOLDER)));
+        assertNull(asking.told(30, 0, new Account.Never(90_000)));
+        assertNull(asking.told(40, 1, seen(new Standing(7, Long.MAX_VALUE, 1))), "no life of anybody");
+        assertEquals(new Finding.RolledBack(later, 11_000), asking.told(50, 1, seen(FOLDER)));
+        assertEquals(4, asking.nextLife());
+    }
+
+    @Test
+    void aLifeIsAboveAllThatWereSeen() {
+        Asking asking = new Asking(FOLDER, 2, TERMS, 0);
+        asking.told(1, 0, seen(new Standing(8, 9, 1)));
+        asking.told(1, 1, seen(new Standing(7, 4, 1)));
+        assertEquals(10, asking.nextLife());
+        assertEquals(1, new Asking(null, 0, TERMS, 0).nextLife());
+    }
+
+    @Test
+    void whatIsTurnedAwayAndForHowLong() {
+        Rest lost = Rest.after(new Finding.Lost(FOLDER, 11_000), true, 500);
+        assertEquals(11_000, lost.closed(500, false));
+        assertEquals(1, lost.closed(11_499, false));
+        assertEquals(0, lost.closed(11_500, false));
+        assertEquals(0, lost.closed(500, true), "a second try of it does no harm");
+        Finding unknown = new Finding.Unconfirmed(false, 9);
+        assertEquals(9, Rest.after(unknown, false, 0).closed(0, false));
+        assertEquals(0, Rest.after(unknown, true, 0).closed(0, false), "trusted");
+        assertTrue(Rest.doubts(unknown, false) && !Rest.doubts(unknown, true));
+        assertTrue(Rest.doubts(new Finding.RolledBack(FOLDER, 1), true), "whatever is trusted");
+        assertFalse(Rest.doubts(new Finding.Lost(FOLDER, 1), false), "nothing is there to doubt");
+    }
+}
