Two lines of the siblings' link fit the line length that a test holds

The test of line lengths (SimHostTest.theModuleKeepsItsLimits) failed on them; seen in the full run, each found by running that test alone. No other change.

--- a/src/main/java/brambletray/siblings/ComingBack.java
+++ b/src/main/java/brambletray/siblings/ComingBack.java
@@ -108,8 +108,8 @@
                 + " turned away for {} ms", lost.seen().life(), lost.rest());
         } else if (found instanceof Finding.RolledBack back) {
             LOG.error("folder: ROLLED BACK; siblings saw life {} up to {}: unsafe and keyed messages are"
-                + " turned away for {} ms; hosts taken out by hand since are in use again: look", back.seen().life(),
-                back.seen().at(), back.rest());
+                + " turned away for {} ms; hosts taken out by hand since are in use again: look",
+                back.seen().life(), back.seen().at(), back.rest());
         } else if (found instanceof Finding.Unconfirmed unknown) {
             LOG.warn("folder: {}, and too few siblings answered to tell whether it is the newest ({} ms)",
                 unknown.empty() ? "empty" : "there", unknown.rest());
--- a/src/main/java/brambletray/siblings/Siblings.java
+++ b/src/main/java/brambletray/siblings/Siblings.java
@@ -29,8 +29,8 @@
 
 /**
  * The link to the siblings: asks them at the start, tells them how far this relay has come while it lives,
- * and answers those that ask. On the machine's event loop. Nothing that it hears is needed to go on: a lost note
- * makes a relay that starts ask again, and more careful at worst.
+ * and answers those that ask. On the machine's event loop. Nothing that it hears is needed to go on: a lost
+ * note makes a relay that starts ask again, and more careful at worst.
  */
 final class Siblings {
     private static final Logger LOG = LoggerFactory.getLogger(Siblings.class);
