A relay among many keeps connections for less until it has proved their use

At each host of few places 600 to 650 refusals for want of one, beside 201 answers in 34 s with 0.8 to 0.9 of the limit left; from the answers' times the host had no call of anybody for 17 of 34 s, and ten at once at most. Its places stood idle, with relays that had one: who has a connection is served on it, is never turned away, and so never cut the time for which it keeps it.

Checked and ruled out: limits (0.8 to 0.9 left), the herd (the same before a kill). Line at fault: Control's constructor, each relay kept connections for as long as hosts do (15 s) whatever their number. Change: with more than 14 relays for 14/relays of that at first; each answer adds a fiftieth, so that busy kinds are back soon. With up to 14 relays nothing changes.

--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -82,6 +82,8 @@
     private static final double KEEP_USES = 0.5;
     /** The span for which they are held: its cut at a failed connect, its growth at an answer. */
     private static final double HOLD_CUT = 0.5, HOLD_GROW = 1.02;
+    /** Relays up to which they are held as long as hosts keep them; with more, for less at first. */
+    private static final double HOLD_RELAYS = 14;
     /** us; first and longest pause where a host has no place for a connection; its growth. */
     private static final double PLACE_PAUSE = 200 * MS, PLACE_MOST = 2 * SECOND, PLACE_GROW = 2;
     /** us; least idle time for which a connection may be taken for dropped; trust per idle time proven. */
@@ -134,7 +136,8 @@
     public Control(long seed, Settings settings) {
         this(seed, settings, new Memory(settings.tenants().size(), settings.kinds().size()));
         Arrays.setAll(shares, i -> new Bucket());
-        Arrays.fill(holds, set.allowed().keepAlive());
+        // Guards hosts that hold few connections: who has one is never turned away, and never learns of it.
+        Arrays.fill(holds, set.allowed().keepAlive() * Math.min(1, HOLD_RELAYS / set.relays()));
         Arrays.fill(trusts, set.allowed().keepAlive());
         Arrays.fill(eases, 1);
     }
