Coming back that is itself cut short by a kill begins again: doubts and rest are noted

Seen on reading the first slice to break it: a relay that had lost its folder turned second tries away for the longest time limit; killed within that, its folder was the newest that siblings knew of at the next start, and the second try was taken on. And each batch of doubts brings an older folder's count on, so that one killed amid them could pass for the newest with the rest of its messages not doubted.

Lines at fault: ComingBack.begin noted the life alone. Change: a stage stands beside it (settled, doubting, resting); doubting is committed before the first doubt, resting goes in the batch of the new life and is taken back when the rest is over; a start that finds either does it again.

--- a/src/main/java/brambletray/recovery/Rest.java
+++ b/src/main/java/brambletray/recovery/Rest.java
@@ -21,6 +21,11 @@
         return NONE;
     }
 
+    /** The same where the last life ended before its own rest did: it begins anew. */
+    public Rest orAgain(boolean rested, long now, long longest) {
+        return rested ? new Rest(Math.max(until, now + longest)) : this;
+    }
+
     /** True where what the folder says is owed may have been done since. */
     public static boolean doubts(Finding finding, boolean trusting) {
         return finding instanceof Finding.RolledBack
--- a/src/main/java/brambletray/serve/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -59,7 +59,13 @@
             Journal journal = Journal.open(new RealDisk(config.state()), config.diskBytes(), config.promise(),
                 config.settings().allowed().attempts());
             if (surroundings != null) {
-                surroundings.beforeOwning(Machine.real(thread), journal);
+                try {
+                    surroundings.beforeOwning(Machine.real(thread), journal);
+                } catch (IOException | RuntimeException e) {
+                    journal.close();
+                    group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+                    throw e;
+                }
             }
             instance = thread.submit(() -> surroundings == null
                 ? new Instance(Machine.real(thread), config, journal)
--- a/src/main/java/brambletray/siblings/ComingBack.java
+++ b/src/main/java/brambletray/siblings/ComingBack.java
@@ -11,6 +11,7 @@
 import brambletray.runtime.Machine;
 import brambletray.store.Chain;
 import brambletray.store.Store;
+import io.netty.channel.ChannelFuture;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -18,16 +19,26 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * A relay with siblings comes back: whose folder it has, whether that is the newest, and what follows for
  * what is owed and for what is handed in. The life that begins is noted in the folder (name space
- * {@link #SPACE}: name, number) before anything is owned.
+ * {@link #SPACE}: name, number, {@link Stage}) before anything is owned; what a life that is killed had begun
+ * and not ended is done again by the next.
  */
 public final class ComingBack {
     static final byte SPACE = 8;
+
+    /** How far coming back has come; by number, as it is noted. */
+    private enum Stage {
+        SETTLED,
+        /** What is owed is being doubted. */ DOUBTING,
+        /** Second tries are turned away. */ RESTING
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(ComingBack.class);
 
     private final Machine machine;
@@ -50,6 +61,7 @@
     public String before(Journal journal) throws IOException {
         Store store = journal.store();
         Standing own = null;
+        Stage former = Stage.SETTLED;
         for (Chain chain : store.chains(SPACE)) {
             DataInputStream in = new DataInputStream(new ByteArrayInputStream(store.read(chain, 0)));
             String owner = in.readUTF();
@@ -58,6 +70,7 @@
                     + "': give each its own folder (docs/recovery.md)";
             }
             own = new Standing(store.number(), in.readLong(), store.last());
+            former = Stage.values()[in.readByte()];
         }
         if (own == null && store.last() > 0) {
             // From before it had siblings.
@@ -65,7 +78,11 @@
         }
         siblings = new Siblings(machine, file, store);
         try {
-            siblings.listen().sync();
+            ChannelFuture bound = siblings.listen().await();
+            if (!bound.isSuccess()) {
+                return "no notes of siblings can come in on " + file.listen() + ": "
+                    + bound.cause().getMessage();
+            }
             LOG.info("siblings on {}", siblings.address());
             Finding found = siblings.ask(own, longest()).get();
             if (found instanceof Finding.Twin twin) {
@@ -74,11 +91,22 @@
                     + ": end it first, or give this one a name of its own (docs/recovery.md)";
             }
             tell(found);
-            if (Rest.doubts(found, file.trusting())) {
+            if (Rest.doubts(found, file.trusting()) || former == Stage.DOUBTING) {
+                // Each batch of doubts brings the folder on: killed amid them, it might pass for the newest.
+                note(store, own.life(), Stage.DOUBTING);
+                store.commit();
                 LOG.warn("{} messages that the folder says are owed count as perhaps sent", journal.doubt());
             }
-            rest = Rest.after(found, file.trusting(), now());
-            begin(store);
+            rest = Rest.after(found, file.trusting(), now())
+                .orAgain(former != Stage.SETTLED, now(), longest());
+            if (former != Stage.SETTLED) {
+                LOG.warn("the life before was killed while it came back: unsafe and keyed messages are turned"
+                    + " away for {} ms", rest.until() - now());
+            }
+            life = siblings.nextLife();
+            note(store, life, rest == Rest.NONE ? Stage.SETTLED : Stage.RESTING);
+            store.commit();
+            LOG.info("relay {} begins life {}", file.name(), life);
             return null;
         } catch (InterruptedException e) {
             return "interrupted while siblings were asked";
@@ -87,15 +115,16 @@
         }
     }
 
-    private void begin(Store store) throws IOException {
-        life = siblings.nextLife();
+    private void note(Store store, long number, Stage stage) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        DataOutputStream out = new DataOutputStream(bytes);
-        out.writeUTF(file.name());
-        out.writeLong(life);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeUTF(file.name());
+            out.writeLong(number);
+            out.writeByte(stage.ordinal());
+        } catch (IOException e) {
+            throw new IllegalStateException("memory cannot fail to be written", e);
+        }
         store.put(SPACE, 0, bytes.toByteArray());
-        store.commit();
-        LOG.info("relay {} begins life {}", file.name(), life);
     }
 
     private static void tell(Finding found) {
@@ -129,6 +158,14 @@
     /** The relay owns its folder and decides: siblings are told from now on. On the loop. */
     public void live(Store store, Loop loop) {
         siblings.live(() -> new Standing(store.number(), life, store.last()), store, loop::staged);
+        if (rest != Rest.NONE) {
+            machine.loop().schedule(() -> {
+                // Lost with its batch, it costs the next start a rest.
+                note(store, life, Stage.SETTLED);
+                loop.staged();
+                LOG.info("all messages are taken on again");
+            }, Math.max(0, rest.until() - now()), TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Who lets messages in while what was forgotten may still be under way. */
--- a/src/test/java/brambletray/fleet/ComingBackTest.java
+++ b/src/test/java/brambletray/fleet/ComingBackTest.java
@@ -209,9 +209,33 @@
         back.await("begins life 2");
         turnedAway(back.post("m", "pay", 7));
         delivered(back, "s", "read");
+        // Killed before its rest is over: its folder is the newest now, and what was forgotten still is.
+        back = killAndBegin("r0");
+        back.await("folder: the newest that siblings know of");
+        back.await("the life before was killed while it came back");
+        turnedAway(back.post("m", "pay", 7));
         assertTrue(host.quiet(), "a second effect");
     }
 
+    /** When the rest is over all is taken on, and the next start has none. */
+    @Test
+    void theRestEndsAndStaysEnded() throws Exception {
+        beginTrusting();
+        heard("r0");
+        relays.get("r0").kill();
+        RelayProcess.empty(state("r0"));
+        Path config = folder.resolve("r0.yaml");
+        Files.writeString(config, Files.readString(config).replace("limit_ms: 60000", "limit_ms: 2000"));
+        RelayProcess back = begin("r0");
+        back.await("LOST");
+        back.await("all messages are taken on again");
+        delivered(back, "m", "pay");
+        heard("r0");
+        back = killAndBegin("r0");
+        back.await("folder: the newest that siblings know of");
+        delivered(back, "n", "pay");
+    }
+
     /** Nobody remembers anybody: a first start and a loss of all look the same, and both are careful. */
     @Test
     void allFoldersLostTurnAwaySecondTries() throws Exception {
--- a/src/test/java/brambletray/recovery/AskingTest.java
+++ b/src/test/java/brambletray/recovery/AskingTest.java
@@ -123,6 +123,9 @@
         assertEquals(1, lost.closed(11_499, false));
         assertEquals(0, lost.closed(11_500, false));
         assertEquals(0, lost.closed(500, true), "a second try of it does no harm");
+        assertEquals(new Rest(900), Rest.NONE.orAgain(true, 400, 500), "the last life's was cut short");
+        assertEquals(lost, lost.orAgain(true, 500, 600), "the longer one");
+        assertSame(Rest.NONE, Rest.NONE.orAgain(false, 400, 500));
         Finding unknown = new Finding.Unconfirmed(false, 9);
         assertEquals(9, Rest.after(unknown, false, 0).closed(0, false));
         assertEquals(0, Rest.after(unknown, true, 0).closed(0, false), "trusted");
