A socket that the system refuses no longer counts as a host's connection for good

Seen on reading the account of descriptors to break it: where the system gives no socket at all, Netty hands out a failed channel whose close never comes, so that its descriptor was never given back.

Line at fault: HostPool.start, give on closeFuture alone. Change: given back at once where the connect failed with nothing that could be closed. The new test has the channel factory throw for more calls than the share and then work: it fails without the change (1 held instead of 0).

--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -279,7 +279,12 @@
         }
         ChannelFuture connect = bootstrap.connect(host.dial);
         call.channel = connect.channel();
-        call.channel.closeFuture().addListener(closed -> descriptors.give(Owner.HOSTS));
+        if (connect.isDone() && !connect.isSuccess() && !call.channel.closeFuture().isDone()) {
+            // Guards the account: where the system gave no socket, nothing is open that could be closed.
+            descriptors.give(Owner.HOSTS);
+        } else {
+            call.channel.closeFuture().addListener(closed -> descriptors.give(Owner.HOSTS));
+        }
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 call.end(cut(done.cause()) ? Outcome.CONNECT_RESET : Outcome.CONNECT_FAILED);
--- a/src/test/java/brambletray/core/LoopAuditTest.java
+++ b/src/test/java/brambletray/core/LoopAuditTest.java
@@ -185,7 +185,7 @@
         fails[0] = true;
         reply(Relay.Outcome.OK, false);
         pass(1_000);
-        assertTrue(tries[0] >= 8 && tries[0] <= 20, tries[0] + " tries in a second");
+        assertTrue(tries[0] >= 8 && tries[0] <= 14, tries[0] + " tries in a second");
         assertFalse(noted[0]);
         fails[0] = false;
         pass(100);
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -12,6 +12,7 @@
 import brambletray.runtime.Machine;
 import brambletray.stub.HostStub;
 import brambletray.stub.PlatformStub;
+import io.netty.channel.ChannelException;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
@@ -134,6 +135,31 @@
         }
     }
 
+    /** Out of descriptors, the system gives no socket: that is no connection, and must not count as one for good. */
+    @Test
+    void aSocketThatTheSystemRefusesIsNotHeld() throws Exception {
+        Descriptors descriptors = new Descriptors(64);
+        Machine real = Machine.real(group.next());
+        boolean[] refuses = {true};
+        HostPool pool = new HostPool(new Machine(real.loop(), real.clock(), () -> {
+            if (refuses[0]) {
+                throw new ChannelException("Too many open files");
+            }
+            return real.sockets().newChannel();
+        }, real.listeners(), real.sharedListeners()), LONG, KEEP_ALIVE, n -> { }, descriptors);
+        try (HostStub host = new HostStub()) {
+            for (int i = 0; i <= descriptors.share(Descriptors.Owner.HOSTS); i++) {
+                call(pool, listed, host);
+                assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+                assertEquals(0, descriptors.held(Descriptors.Owner.HOSTS));
+            }
+            group.next().submit(() -> refuses[0] = false).get();
+            call(pool, listed, host);
+            host.call().answer(HostStub.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+        }
+    }
+
     private void call(HostPool pool, Host host, HostStub to) throws Exception {
         host.dial = new InetSocketAddress(PlatformStub.LOOPBACK, to.port());
         Message message = new Message("a", "bill", 0, null, null, 7, 0, Body.of(new byte[1]));
