--- a/src/main/java/brambletray/tray/view/Answers.java
+++ b/src/main/java/brambletray/tray/view/Answers.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Set;
 
-/** What was told in one attempt to change the view, this member's own answer first: which view counts, who has to be asked, whether that is enough. */
+/**
+ * What was told in one attempt to change the view, this member's own answer first: which view counts, who has to be asked, whether that is
+ * enough.
+ */
 final class Answers {
     final List<Frame.Told> all;
     /** The view with the highest ballot that anybody has kept. */
@@ -79,8 +82,8 @@
     }
 
     /**
-     * Who of them is to be in the next view: members of any of the views, without the ill and the shunned if the rest is enough. The proposer is always
-     * in; it gets the log like a newcomer if it was in none of them.
+     * Who of them is to be in the next view: members of any of the views, without the ill and the shunned if the rest is enough. The
+     * proposer is always in; it gets the log like a newcomer if it was in none of them.
      */
     List<Member> next(Set<Long> shunned, int losses) {
         List<Frame.Told> everyone = new ArrayList<>();
--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -206,7 +206,8 @@
             if (member.life() == desk.me.life() || installed.contains(member.life())) continue;
             Frame.Told told = chosen.of(member.life());
             Frame.Knock knock = newcomers.get(member.life());
-            Patch patch = told != null ? base.since(told.end(), told.endView(), told.commit()) : base.since(knock.end(), knock.endView(), knock.commit());
+            Patch patch = told != null ? base.since(told.end(), told.endView(), told.commit())
+                    : base.since(knock.end(), knock.endView(), knock.commit());
             desk.out.send(member.address(), new Frame.Install(next, patch));
         }
     }
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -108,7 +108,8 @@
 
     /** Keeps a proposed view with its log. False if that log would lose what is known to be kept: then nothing is changed. */
     boolean accept(View next, Log chosen) {
-        boolean broken = chosen.end() < commit || (commit >= chosen.base() && commit >= log.base() && !chosen.viewAt(commit).equals(log.viewAt(commit)));
+        boolean both = commit >= chosen.base() && commit >= log.base();
+        boolean broken = chosen.end() < commit || (both && !chosen.viewAt(commit).equals(log.viewAt(commit)));
         if (broken) {
             out.tell("view.trim-behind-commit", "view", next.ballot(), "end", chosen.end(), "commit", commit);
             return false;
@@ -177,7 +178,8 @@
     }
 
     Frame.Told told(Ballot ballot) {
-        return new Frame.Told(ballot, me, view == null ? View.NOTHING : view, inForce, log.end(), log.endView(), commit, ill() || leaving, List.copyOf(dead));
+        return new Frame.Told(ballot, me, view == null ? View.NOTHING : view, inForce, log.end(), log.endView(), commit,
+                ill() || leaving, List.copyOf(dead));
     }
 
     static String names(List<Member> members) {
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -1,8 +1,9 @@
 package brambletray.tray.view;
 
 /**
- * The part of a member that follows: keeps what the leader sends, answers its beats, stops for a change of view, and begins one itself when the leader
- * is silent. The order of rank (the leader first, then as in the list) and the patience that grows with it keep two from beginning at once.
+ * The part of a member that follows: keeps what the leader sends, answers its beats, stops for a change of view, and begins one itself when
+ * the leader is silent. The order of rank (the leader first, then as in the list) and the patience that grows with it keep two from
+ * beginning at once.
  */
 final class Following {
     private static final int START_MS = 100;
@@ -95,7 +96,8 @@
     void beat(String from, Frame.Beat beat) {
         View view = desk.view;
         if (view == null || !view.ballot().equals(beat.view())) {
-            if (view != null && desk.inForce && view.ballot().above(beat.view()) && !view.has(beat.view().who())) desk.out.send(from, new Frame.Left(view));
+            boolean old = view != null && desk.inForce && view.ballot().above(beat.view()) && !view.has(beat.view().who());
+            if (old) desk.out.send(from, new Frame.Left(view));
             return;
         }
         if (members.leading()) return;
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * The part of a member that isn't in: knocks at all it knows, gets the state from the leader into its hand (memory only: nothing of it counts before a view
- * is installed with it), knocks again. A half-got state leaves nothing behind when the process dies.
+ * The part of a member that isn't in: knocks at all it knows, gets the state from the leader into its hand (memory only: nothing of it
+ * counts before a view is installed with it), knocks again. A half-got state leaves nothing behind when the process dies.
  */
 final class Knocking {
     private static final int AGAIN_MS = 250;
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -8,15 +8,17 @@
 import java.util.Set;
 
 /**
- * One member of the core: views, the order of changes, changes of view. Pure: time, frames and syncs come in, {@link Out} says what is to be done. One
- * thread only. See the package's page for the rules and why they hold.
+ * One member of the core: views, the order of changes, changes of view. Pure: time, frames and syncs come in, {@link Out} says what is to
+ * be done. One thread only. See the package's page for the rules and why they hold.
  */
 public final class Members {
     /** All frames, for registration with the codec; the records within them come first. */
-    public static final List<Class<?>> FRAMES = List.of(Ballot.class, Member.class, Roll.class, View.class, Entry.class, Patch.class, Frame.Beat.class,
-            Frame.Back.class, Frame.Append.class, Frame.Ack.class, Frame.Stop.class, Frame.Told.class, Frame.Nay.class, Frame.Install.class,
-            Frame.Installed.class, Frame.Unfit.class, Frame.Left.class, Frame.Knock.class, Frame.Come.class, Frame.Met.class, Frame.Who.class, Frame.Here.class,
-            Frame.Pull.class, Frame.Piece.class, Frame.Bye.class, Frame.Submit.class, Frame.Ask.class, Frame.Same.class);
+    public static final List<Class<?>> FRAMES = List.of(
+            Ballot.class, Member.class, Roll.class, View.class, Entry.class, Patch.class, Frame.Beat.class, Frame.Back.class,
+            Frame.Append.class, Frame.Ack.class, Frame.Stop.class, Frame.Told.class, Frame.Nay.class, Frame.Install.class,
+            Frame.Installed.class, Frame.Unfit.class, Frame.Left.class, Frame.Knock.class, Frame.Come.class, Frame.Met.class,
+            Frame.Who.class, Frame.Here.class, Frame.Pull.class, Frame.Piece.class, Frame.Bye.class, Frame.Submit.class, Frame.Ask.class,
+            Frame.Same.class);
 
     private final Desk desk;
     private final Following following;
@@ -214,10 +216,12 @@
     public Status status() {
         View view = desk.view;
         boolean founding = view != null && view.founding();
+        boolean well = leading != null ? leading.well() : following.calm();
         Standing standing = knocking.active() ? Standing.KNOCKING : founding ? Standing.FOUNDING
-                : desk.inForce && desk.works(view.ballot()) && (leading != null ? leading.well() : following.calm()) ? Standing.MEMBER : Standing.STOPPED;
+                : desk.inForce && desk.works(view.ballot()) && well ? Standing.MEMBER : Standing.STOPPED;
         List<Member> members = view == null || founding ? List.of() : view.members();
-        return new Status(standing, desk.me, view == null ? 0 : view.number(), desk.before, members, view == null ? null : view.leader(), leading != null,
+        return new Status(standing, desk.me, view == null ? 0 : view.number(), desk.before, members,
+                view == null ? null : view.leader(), leading != null,
                 desk.inForce && !founding, desk.settled(), desk.commit, desk.delivered, desk.ill());
     }
 
--- a/src/main/java/brambletray/tray/view/Quill.java
+++ b/src/main/java/brambletray/tray/view/Quill.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Writes on their way to the disk: gathered into one batch while the one before is being synced, kept in order, tried again after a failure. What is to
- * be said once they are synced waits here.
+ * Writes on their way to the disk: gathered into one batch while the one before is being synced, kept in order, tried again after a
+ * failure. What is to be said once they are synced waits here.
  */
 final class Quill {
     private static final int RETRY_MS = 250;
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/tray/vow/Vow.java
@@ -7,14 +7,16 @@
 /**
  * One duty, held by at most one member of the view in force, under a term that only grows. Pure; one thread only.
  *
- * <p>Why terms only grow: a term lies in the range of the view that it was asked in, {@code number << 20} and up, and a voter grants it only while that
- * view is its own and in force. Numbers of views in force grow over restarts and lost disks (see the page of the view), so terms of different views
- * are in order. Within one view any two majorities share a member, which keeps the highest granted term on its disk before it says so and
- * refuses lower and equal ones; a member that loses its disk is out of that view. So nothing goes through the one order for it.
+ * <p>Why terms only grow: a term lies in the range of the view that it was asked in, {@code number << 20} and up, and a voter grants it
+ * only while that view is its own and in force. Numbers of views in force grow over restarts and lost disks (see the page of the view), so
+ * terms of different views are in order. Within one view any two majorities share a member, which keeps the highest granted term on its
+ * disk before it says so and refuses lower and equal ones; a member that loses its disk is out of that view. So nothing goes through the
+ * one order for it.
  *
  * <p>Why the old holder has stopped before a new one starts: it acts for {@link Spans#actMs} from the sending of what a majority agreed to; each that
  * agreed refuses others for {@link Spans#vacantMs} from hearing it. In one view the majorities share a member. After a change of view some member of
- * the new view had agreed in the old one, before it stopped: a candidate waits for the answers of all, or until that long after it saw the view in force.
+ * the new view had agreed in the old one, before it stopped: a candidate waits for the answers of all, or until that long after it saw the
+ * view in force.
  */
 public final class Vow {
     /** All frames, for registration with the codec; {@link Member} is registered by the view. */
@@ -133,8 +135,9 @@
     }
 
     /**
-     * Counts grants. A majority is enough once leases of earlier views have surely ended. Before that all must have granted, and the view must follow at once
-     * on one that was in force here for as long: some member of this view had then agreed to any lease that still runs, and would have refused.
+     * Counts grants. A majority is enough once leases of earlier views have surely ended. Before that all must have granted, and the view
+     * must follow at once on one that was in force here for as long: some member of this view had then agreed to any lease that still runs,
+     * and would have refused.
      */
     private void count() {
         if (tenure == null || tenure.won) return;
@@ -154,8 +157,8 @@
     }
 
     /**
-     * Whether this life held the duty in the view right before this one, and its process has ended since: then no lease of an earlier view runs, its own is
-     * over, and whoever won after it has a voter in this view that refuses. So once all have granted there is nothing to wait for.
+     * Whether this life held the duty in the view right before this one, and its process has ended since: then no lease of an earlier view
+     * runs, its own is over, and whoever won after it has a voter in this view that refuses. So once all have granted there is nothing to wait for.
      */
     private boolean resumes() {
         return resuming != 0 && resuming == seat.before;
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -9,8 +9,8 @@
 import java.util.TreeMap;
 
 /**
- * Three members, their disks and links, moved by hand: each move is the next frame of a link, the end of a sync, the impatience of a member, a loss of
- * power or of a disk. The same moves give the same board.
+ * Three members, their disks and links, moved by hand: each move is the next frame of a link, the end of a sync, the impatience of a
+ * member, a loss of power or of a disk. The same moves give the same board.
  */
 final class Board {
     static final int SIZE = 3;
@@ -46,7 +46,8 @@
             flying = null;
             long fresh = 100 * (number + 1) + boot;
             members = null;
-            members = new Members(NAMES[number], NAMES[number], fresh, 1000 * (number + 1) + boot, Kept.read(kept), List.of(NAMES), initial, SETTINGS, this, this,
+            members = new Members(NAMES[number], NAMES[number], fresh, 1000 * (number + 1) + boot, Kept.read(kept), List.of(NAMES),
+                    initial, SETTINGS, this, this,
                     board.now);
             life = members.status().me().life();
         }
@@ -109,7 +110,8 @@
             if (state.contains(text)) throw new AssertionError(text + " twice at " + NAMES[number]);
             state.add(text);
             String other = board.order.putIfAbsent(index, text);
-            if (other != null && !other.equals(text)) throw new AssertionError(NAMES[number] + " delivers " + text + " at " + index + ", before it was " + other);
+            if (other == null || other.equals(text)) return;
+            throw new AssertionError(NAMES[number] + " delivers " + text + " at " + index + ", before it was " + other);
         }
     }
 
--- /dev/null
+++ b/src/test/java/brambletray/tray/view/MemberTest.java
@@ -0,0 +1,172 @@
+package brambletray.tray.view;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** One member by itself: what it says, and that it says nothing before it is on the disk. */
+class MemberTest {
+    private static final Member A = new Member("a", "a", 1);
+    private static final Member B = new Member("b", "b", 2);
+    private static final Member C = new Member("c", "c", 3);
+    private static final View VIEW = new View(new Ballot(5, 1), List.of(A, B, C), List.of());
+
+    private final List<Object> said = new ArrayList<>();
+    private long ticket;
+    private long now = 1000;
+
+    private final Out out = new Out() {
+        @Override
+        public void send(String address, Frame frame) {
+            said.add(frame);
+        }
+
+        @Override
+        public void persist(long which, Map<String, byte[]> changes) {
+            ticket = which;
+        }
+
+        @Override
+        public void outcome(long token, Outcome outcome) {
+            said.add(outcome);
+        }
+
+        @Override
+        public void confirmed(long token, boolean yes) {
+            said.add(yes);
+        }
+
+        @Override
+        public void changed() {
+        }
+
+        @Override
+        public void tell(String event, Object... facts) {
+        }
+    };
+
+    private final Matter matter = new Matter() {
+        @Override
+        public byte[] snapshot() {
+            return new byte[0];
+        }
+
+        @Override
+        public void restore(byte[] snapshot) {
+        }
+
+        @Override
+        public void deliver(long index, byte[] change) {
+            said.add(index);
+        }
+    };
+
+    /** Member b of a view in force that a leads. */
+    private Members follower() {
+        Kept kept = new Kept(2, List.of(), VIEW.ballot(), VIEW, true, Log.empty(), List.of(), List.of());
+        return new Members("b", "b", 9, 77, kept, List.of("a", "b", "c"), false, Settings.usual(1), out, matter, now);
+    }
+
+    private <T> T last(Class<T> type) {
+        for (int i = said.size() - 1; i >= 0; i--) {
+            if (type.isInstance(said.get(i))) return type.cast(said.get(i));
+        }
+        return null;
+    }
+
+    private static Entry entry(long index) {
+        return new Entry(index, VIEW.ballot(), 7, index, new byte[] {1});
+    }
+
+    private static Frame.Append append(long after, long commit) {
+        return new Frame.Append(VIEW.ballot(), after, after == 0 ? Ballot.NONE : VIEW.ballot(), List.of(entry(after + 1)), commit);
+    }
+
+    @Test
+    void acknowledgesOnlyWhatIsOnTheDiskAndDeliversOnlyWhatIsKept() {
+        Members b = follower();
+        b.heard("a", append(0, 0), now);
+        assertNull(last(Frame.Ack.class));
+        b.synced(ticket, now);
+        assertEquals(1, last(Frame.Ack.class).index());
+        assertNull(last(Long.class));
+        b.heard("a", append(1, 1), now);
+        assertEquals(1, last(Long.class));
+    }
+
+    @Test
+    void tellsOnlyAfterItsPromiseIsOnTheDiskAndThenAcknowledgesNothing() {
+        Members b = follower();
+        b.heard("c", new Frame.Stop(new Ballot(6, 3), C, List.of()), now + 3000);
+        assertNull(last(Frame.Told.class));
+        b.synced(ticket, now + 3000);
+        assertEquals(new Ballot(6, 3), last(Frame.Told.class).ballot());
+        b.heard("a", append(0, 0), now + 3000);
+        b.synced(ticket, now + 3000);
+        assertNull(last(Frame.Ack.class));
+        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now + 3000);
+        assertEquals(new Ballot(6, 3), last(Frame.Nay.class).promised());
+    }
+
+    @Test
+    void whoHearsItsLeaderRefusesOthersAndWhoIsntInIsToldSo() {
+        Members b = follower();
+        b.heard("a", new Frame.Beat(VIEW.ballot(), 1, 0, 0, true, false), now);
+        b.heard("c", new Frame.Stop(new Ballot(6, 3), C, List.of()), now + 100);
+        assertTrue(last(Frame.Nay.class).calm());
+        b.heard("d", new Frame.Stop(new Ballot(7, 4), new Member("d", "d", 4), List.of()), now + 3000);
+        assertEquals(VIEW, last(Frame.Left.class).view());
+    }
+
+    @Test
+    void onlyTheAnswerToItsOwnQuestionProvesADiskLost() {
+        Members b = follower();
+        b.heard("c", new Frame.Here(1, new Member("c", "c", 33)), now);
+        b.heard("c", new Frame.Knock(new Member("c", "c", 33), Ballot.NONE, 0, Ballot.NONE, 0), now);
+        long nonce = last(Frame.Who.class).nonce();
+        b.heard("c", new Frame.Here(nonce + 1, new Member("c", "c", 33)), now);
+        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        b.synced(ticket, now);
+        assertEquals(List.of(), last(Frame.Told.class).dead());
+        b.heard("c", new Frame.Here(nonce, new Member("c", "c", 33)), now);
+        b.synced(ticket, now);
+        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        assertEquals(List.of(3L), last(Frame.Told.class).dead());
+    }
+
+    @Test
+    void aProposalThatWasNeverGivenToALeaderIsRefusedAndOneThatWasIsUnclear() {
+        Members b = follower();
+        b.propose(1, new byte[] {1}, now);
+        assertEquals(VIEW.ballot(), last(Frame.Submit.class).view());
+        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        b.propose(2, new byte[] {2}, now);
+        for (int i = 0; i < 100; i++) b.tick(now += 40);
+        assertEquals(List.of(Outcome.UNCLEAR, Outcome.REFUSED), said.stream().filter(one -> one instanceof Outcome).toList());
+    }
+
+    @Test
+    void aLeaderTakesProposalsOfItsOwnViewOnlyAndEachOnce() {
+        View alone = new View(new Ballot(5, 2), List.of(B), List.of());
+        Kept kept = new Kept(2, List.of(), alone.ballot(), alone, true, Log.empty(), List.of(), List.of());
+        Members b = new Members("b", "b", 9, 77, kept, List.of("b"), false, Settings.usual(0), out, matter, now);
+        for (int i = 0; i < 20 && !b.status().leading(); i++) {
+            b.tick(now += 40);
+            b.synced(ticket, now);
+        }
+        Ballot mine = new Ballot(b.status().number(), 2);
+        b.heard("a", new Frame.Submit(alone.ballot(), 7, 1, new byte[0]), now);
+        b.synced(ticket, now);
+        assertNull(last(Long.class), "an old view's");
+        b.heard("a", new Frame.Submit(mine, 7, 1, new byte[0]), now);
+        b.heard("a", new Frame.Submit(mine, 7, 1, new byte[0]), now);
+        b.synced(ticket, now);
+        b.synced(ticket, now);
+        assertEquals(1, last(Long.class));
+    }
+}
--- a/src/test/java/brambletray/tray/view/Oracle.java
+++ b/src/test/java/brambletray/tray/view/Oracle.java
@@ -8,7 +8,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-/** Sees all and holds the rules: one order, nothing acknowledged lost, nothing delivered twice, one view a number, reads not older than acknowledgements. */
+/**
+ * Sees all and holds the rules: one order, nothing acknowledged lost, nothing delivered twice, one view a number, reads not older than
+ * acknowledgements.
+ */
 public final class Oracle {
     /** A second machine isn't lost so soon after the view without the first came in force that only its leader knows of it. */
     private static final int SPREAD_MS = 300;
--- a/src/test/java/brambletray/tray/view/Picture.java
+++ b/src/test/java/brambletray/tray/view/Picture.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * A drawn timeline: one column a machine, time (ms) downwards. A row at {@code 300} is played at that time; a row at {@code <900} waits until all that it
- * says is seen, at the latest then; a row at {@code +200} comes so long after the row above. Words of a cell, joined by commas:
+ * A drawn timeline: one column a machine, time (ms) downwards. A row at {@code 300} is played at that time; a row at {@code <900} waits
+ * until all that it says is seen, at the latest then; a row at {@code +200} comes so long after the row above. Words of a cell, joined by commas:
  * <pre>
  * ^        starts                       X        its process is killed          XX     its machine loses power
  * W        loses power and disk         z500     is frozen for 500 ms           ~  ~b  is cut from all, from b
@@ -15,9 +15,9 @@
  * bye      is about to end, as planned
  * full     its disk refuses writes      hung900  its disk hangs for 900 ms      slow90 its disk takes 90 ms      well  its disk is well again
  * +x       proposes x                   ?        asks whether it reads the newest
- * X@Stop   is killed as it is about to send its next Stop; XX@ and W@ likewise; X&gt;Stop: once it is sent; X&lt;Told: once it has heard one
+ * X@Stop   is killed as it is about to send its next Stop; XX@, W@, ~b@ likewise; X&gt;Stop: once it is sent; X&lt;Told: once it has heard one
  * =x       has x                        !x       hasn't x                       ok:x   x was acknowledged        no:x  x wasn't (yet)
- * L M S K  leads, is a member, has stopped, knocks; L2, M3: in a view of so many
+ * L M S K  leads, is a member, has stopped, knocks; L2, M3: in a view of so many        V1       the view's number is 1
  * .        nothing
  * </pre>
  */
@@ -77,8 +77,9 @@
     }
 
     private void act(SimNode node, String word, char none) {
-        int at = Math.max(word.indexOf('@'), Math.max(word.indexOf('>'), word.indexOf('<')));
-        if (at > 0 && word.charAt(0) != '~') {
+        int at = word.indexOf('@');
+        if (at < 0 && word.charAt(0) != '~') at = Math.max(word.indexOf('>'), word.indexOf('<'));
+        if (at > 0) {
             traps.add(new Trap(node, word.substring(0, at), word.charAt(at), word.substring(at + 1)));
         } else if (word.equals("^")) {
             node.start();
@@ -129,7 +130,7 @@
         Trap trap = trap(from, '@', frame);
         if (trap != null) {
             traps.remove(trap);
-            end(from, trap.how);
+            act(from, trap.how, ' ');
             return false;
         }
         Trap later = trap(from, '>', frame);
@@ -180,9 +181,10 @@
         if (word.startsWith("=")) return node.state.contains(text(word.substring(1)));
         if (word.startsWith("!")) return !node.state.contains(text(word.substring(1)));
         if (word.equals("?ok")) return world.oracle.confirmedOk > confirms;
-        if (!word.matches("[LMSK]\\d?")) return true;
+        if (!word.matches("[LMSKV]\\d?")) return true;
         if (!node.up()) return false;
         Status status = node.members.status();
+        if (word.startsWith("V")) return status.number() == number(word, 1);
         if (word.length() > 1 && status.members().size() != word.charAt(1) - '0') return false;
         return switch (word.charAt(0)) {
             case 'L' -> status.leading();
--- a/src/test/java/brambletray/tray/view/PictureSteps.java
+++ b/src/test/java/brambletray/tray/view/PictureSteps.java
@@ -56,9 +56,8 @@
     public void happens(String drawn) {
         try {
             picture.play(drawn);
-        } catch (AssertionError e) {
+        } finally {
             core.world.tales.forEach(System.out::println);
-            throw e;
         }
     }
 
--- a/src/test/java/brambletray/tray/view/QuorumTest.java
+++ b/src/test/java/brambletray/tray/view/QuorumTest.java
@@ -34,7 +34,10 @@
         return (answered & dead) == 0 && Quorum.enough(members, some(members, answered), lives(some(members, dead)));
     }
 
-    /** All pairs of answers and proven deaths for up to six members. Where two don't meet, each would have answered after the death of all of the other. */
+    /**
+     * All pairs of answers and proven deaths for up to six members. Where two don't meet, each would have answered after the death of all
+     * of the other.
+     */
     @Test
     void anyTwoMeet() {
         int pairs = 0;
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -51,7 +51,8 @@
         long fresh = world.random.nextLong() | 1;
         Kept kept = Kept.read(disk.kept);
         members = null;
-        members = new Members(address, address, fresh, world.random.nextLong() | 1, kept, seeds, initial, world.settings, new Ways(boot), new State(), world.now);
+        members = new Members(address, address, fresh, world.random.nextLong() | 1, kept, seeds, initial, world.settings,
+                new Ways(boot), new State(), world.now);
         world.oracle.born(this, members.status().me().life());
         rider = world.riders == null ? null : world.riders.apply(this);
         tick(boot);
--- a/src/test/resources/brambletray/tray/view/change.feature
+++ b/src/test/resources/brambletray/tray/view/change.feature
@@ -200,6 +200,27 @@
       3500    L3           M3           M3
       """
 
+  Scenario: two of three have slept for longer than suspicion takes; no view is changed
+    When this happens
+      """
+              a            b            c
+      0       z1500        z1500        .
+      1600    L3           M3           .
+      2600    L3,V1        M3,V1        M3,V1
+      """
+
+  Scenario: nothing is acknowledged while one of the view hasn't it on disk
+    When this happens
+      """
+              a            b            c
+      0       .            .            hung4000
+      10      +x           .            .
+      500     no:x,L3      .            .
+      <1300   ok:x,L2      =x           .
+      5000    M3           M3           M3,=x
+      """
+    Then all that are up agree and have all that was acknowledged
+
   Scenario: the leader sleeps for seconds, wakes in an old view and can't acknowledge
     When this happens
       """
--- a/src/test/resources/brambletray/tray/view/newcomers.feature
+++ b/src/test/resources/brambletray/tray/view/newcomers.feature
@@ -106,3 +106,40 @@
       6100    .            .            ^
       <8000   L3           M3           M3
       """
+
+  Scenario: one alone, the other's disk proven lost: it goes on, and acknowledges nothing before another is in
+    Given a core of "a, b, c" at rest
+    When this happens
+      """
+              a            b            c
+      0       .            .            XX
+      <1000   L2           M2           .
+      1000    +x           .            .
+      <1100   ok:x         =x           .
+      1200    W            .            .
+      1500    ^,X>Here     .            .
+      <2600   .            L1           .
+      2700    .            +y           .
+      4000    .            L1,no:y      .
+      4100    ^            .            .
+      <5000   M2,=x,=y     L2,ok:y      .
+      """
+    Then all that are up agree and have all that was acknowledged
+
+  Scenario: a view that only some have kept is no way round the view that it came from
+    Given a core of "a, b, c" at rest
+    And a spare machine "d" that is told of "a"
+    When this happens
+      """
+              a            b            c            d
+      0       .            ~>a@Installed X           ^,~>a@Installed
+      850     ~b,~d        .            .            .
+      900     .            .            ^,~b,~d      .
+      <4000   L2           S3           M2           S3
+      4000    +y           +z           .            .
+      <4100   ok:y         no:z         =y           .
+      8000    L2           S3,no:z,!z   M2           S3,!z
+      8100    -            -            -            -
+      <11000  M4,=y        M4,=y        M4,=y        M4,=y
+      """
+    Then all that are up agree and have all that was acknowledged
