Keep takes its machine, store and exit: the same classes can run in simulated time

Cause: Keep.begin made the sockets, the Xodus store, its thread and the exit itself, so nothing but a process could play Kin, Hub, Operators, Door and Scribe together. Change: Keep.Environment (machine, what the disk held, DurableStore, exit); start and open apart from begin; Door.open gives its future; Scribe implements DurableStore and may be driven without its thread (batch), for simulated time. The platform's address comes with the Berth, as before. No change of behaviour.

--- a/src/main/java/brambletray/tray/keep/Door.java
+++ b/src/main/java/brambletray/tray/keep/Door.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -43,8 +44,8 @@
         this.table = table;
     }
 
-    /** Listens; throws what the system says where it cannot. */
-    Channel open(Machine machine, Address at) throws InterruptedException {
+    /** Listens; the future fails with what the system says where it cannot. */
+    ChannelFuture open(Machine machine, Address at) {
         return machine.listening(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -55,7 +56,7 @@
                     }
                 }, new HttpServerCodec(4_096, 16_384, 8_192), new HttpObjectAggregator(BODY, true), new Visit());
             }
-        }).bind(new InetSocketAddress(at.host(), at.port())).sync().channel();
+        }).bind(new InetSocketAddress(at.host(), at.port()));
     }
 
     private final class Visit extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -15,6 +15,7 @@
 import brambletray.tray.speech.Speech;
 import brambletray.tray.tale.Tale;
 import brambletray.tray.trove.Change;
+import brambletray.tray.trove.DurableStore;
 import brambletray.tray.trove.Scribe;
 import brambletray.tray.trove.Trove;
 import brambletray.tray.trove.TroveFault;
@@ -29,6 +30,7 @@
 import brambletray.tray.vow.Holder;
 import brambletray.tray.vow.Spans;
 import brambletray.tray.vow.Vow;
+import io.netty.channel.ChannelFuture;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -50,7 +52,8 @@
     private final Machine machine;
     private final Speech speech = new Speech(Lexis.ALL);
     private final String address;
-    private final Scribe scribe;
+    private final DurableStore store;
+    private final Runnable exit;
     private final Operators operators;
     private final Members members;
     private final Kin kin;
@@ -59,10 +62,22 @@
     private Hub hub;
     private boolean leaving;
 
-    private Keep(Berth berth, Machine machine, Map<String, byte[]> kept, Scribe scribe, long life, long origin) {
+    /**
+     * What a process of the core runs on. Real, or simulated with the same contract.
+     *
+     * @param kept what the disk held at the start
+     * @param store writes to that disk; replies come on the machine's loop
+     * @param exit ends the process; may return, and nothing of it counts from then on
+     */
+    record Environment(Machine machine, Map<String, byte[]> kept, DurableStore store, Runnable exit) { }
+
+    /** On the loop; {@link #start} follows. {@code life}, {@code origin}: drawn at random, not 0. */
+    Keep(Berth berth, Environment environment, long life, long origin) {
         this.berth = berth;
-        this.machine = machine;
-        this.scribe = scribe;
+        machine = environment.machine();
+        store = environment.store();
+        exit = environment.exit();
+        Map<String, byte[]> kept = environment.kept();
         address = berth.control().toString();
         operators = new Operators(new MemberOrder(), this::creedChanged);
         kin = new Kin(machine, speech, new Address(berth.ip(), berth.innerLow()), new Iam(berth.node(), address, true), new KinEar());
@@ -88,21 +103,31 @@
         for (Map.Entry<String, byte[]> one : trove.prefix("")) {
             kept.put(one.getKey(), one.getValue());
         }
-        Scribe scribe = new Scribe(trove, machine.loop());
+        Environment real = new Environment(machine, kept, new Scribe(trove, machine.loop()), () -> System.exit(0));
         Keep[] made = new Keep[1];
         machine.loop().submit(() -> {
-            made[0] = new Keep(berth, machine, kept, scribe, life, origin);
-            machine.loop().scheduleWithFixedDelay(made[0]::tick, TICK, TICK, TimeUnit.MILLISECONDS);
+            made[0] = new Keep(berth, real, life, origin);
+            made[0].start();
             Signals.on("HUP", () -> machine.loop().execute(made[0]::reread));
             Signals.on("TERM", () -> machine.loop().execute(made[0]::leave));
         }).sync();
-        Dispatch<Door.Desk> table = new Dispatch<>();
-        made[0].operators.register(table);
-        made[0].views.register(table);
-        new Door(table).open(machine, control);
+        made[0].open().sync();
         TALE.tell("started", "node", berth.node(), "control", control, "kept", kept.size());
     }
 
+    /** Ticks from now on; on the loop. */
+    void start() {
+        machine.loop().scheduleWithFixedDelay(this::tick, TICK, TICK, TimeUnit.MILLISECONDS);
+    }
+
+    /** Listens at the control-plane address; the future fails with what the system says where it cannot. */
+    ChannelFuture open() {
+        Dispatch<Door.Desk> table = new Dispatch<>();
+        operators.register(table);
+        views.register(table);
+        return new Door(table).open(machine, berth.control());
+    }
+
     /** The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost, and its life with it. */
     private static Trove open(Path dir) throws InterruptedException {
         for (;;) {
@@ -169,12 +194,13 @@
         }
     }
 
-    private void leave() {
+    /** SIGTERM. */
+    void leave() {
         if (!leaving) {
             leaving = true;
             TALE.tell("leaving");
             vow.yield(now());
-            machine.loop().schedule(() -> System.exit(0), 300, TimeUnit.MILLISECONDS);
+            machine.loop().schedule(exit, 300, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -206,7 +232,7 @@
     private void keep(Map<String, byte[]> changes, Runnable done, Runnable failed) {
         List<Change> all = new ArrayList<>(changes.size());
         changes.forEach((key, value) -> all.add(new Change(key, value)));
-        boolean taken = scribe.commit(all, now(), new Scribe.Reply() {
+        boolean taken = store.commit(all, now(), new DurableStore.Reply() {
             @Override
             public void done() {
                 done.run();
--- a/src/main/java/brambletray/tray/trove/Scribe.java
+++ b/src/main/java/brambletray/tray/trove/Scribe.java
@@ -11,16 +11,7 @@
  * Writes for the loop, on a thread of its own: all that waits goes into one durable commit, in order; of several changes of
  * one key only the last is written. Who asked hears on the loop, in the order of asking. A failed commit is not tried again.
  */
-public final class Scribe implements AutoCloseable {
-    /** How a commit went; called on the loop. */
-    public interface Reply {
-        /** Durable. */
-        void done();
-
-        /** May be there or not: {@code fault} says why. */
-        void failed(TroveFault fault);
-    }
-
+public final class Scribe implements AutoCloseable, DurableStore {
     /** What is written to; {@link Trove#commit}, or a stand-in. */
     public interface Disk {
         void commit(List<Change> changes) throws TroveFault;
@@ -40,6 +31,8 @@
     private final Disk disk;
     private final Executor loop;
     private final Thread thread;
+    /** Called under the lock. */
+    private final Runnable due;
     private List<Order> waiting = new ArrayList<>();
     private long waitingBytes;
     private long writingSince = -1;
@@ -50,17 +43,22 @@
     public Scribe(Disk disk, Executor loop) {
         this.disk = disk;
         this.loop = loop;
+        due = this::notifyAll;
         thread = new Thread(this::run, "scribe");
         thread.setDaemon(true);
         thread.start();
     }
 
-    /**
-     * Asks for a commit; from the loop.
-     *
-     * @param now ms of the steady clock, as {@link #oldestWaitMs} will be asked with
-     * @return false if too much waits: nothing is taken, and no reply comes
-     */
+    /** Without a thread, for simulated time: {@code due} is called whenever something has come to wait, {@link #batch} takes it. */
+    Scribe(Disk disk, Executor loop, Runnable due) {
+        this.disk = disk;
+        this.loop = loop;
+        this.due = due;
+        thread = null;
+    }
+
+    /** {@inheritDoc} {@code now}: as {@link #oldestWaitMs} will be asked with. */
+    @Override
     public boolean commit(List<Change> changes, long now, Reply reply) {
         long bytes = 0;
         for (Change change : changes) {
@@ -72,7 +70,7 @@
             }
             waiting.add(new Order(changes, reply, now, bytes));
             waitingBytes += bytes;
-            notifyAll();
+            due.run();
         }
         return true;
     }
@@ -110,16 +108,29 @@
 
     private void run() {
         for (List<Order> orders = take(); orders != null; orders = take()) {
-            TroveFault fault = write(orders);
-            synchronized (this) {
-                writingSince = -1;
-                writing = 0;
-            }
-            reply(orders, fault);
-            if (fault == null) {
-                tidy();
-            }
+            finish(orders);
+        }
+    }
+
+    private void finish(List<Order> orders) {
+        TroveFault fault = write(orders);
+        synchronized (this) {
+            writingSince = -1;
+            writing = 0;
+        }
+        reply(orders, fault);
+        if (fault == null) {
+            tidy();
+        }
+    }
+
+    /** All that waits, taken as the thread would take it: the rest, to be run once, writes it and replies. Null: nothing waits. */
+    synchronized Runnable batch() {
+        if (waiting.isEmpty()) {
+            return null;
         }
+        List<Order> orders = take();
+        return () -> finish(orders);
     }
 
     private void tidy() {
--- a/src/test/java/brambletray/tray/trove/ScribeTest.java
+++ b/src/test/java/brambletray/tray/trove/ScribeTest.java
@@ -36,8 +36,8 @@
         assertTrue(scribe.drain(10_000));
     }
 
-    private Scribe.Reply reply(String name) {
-        return new Scribe.Reply() {
+    private DurableStore.Reply reply(String name) {
+        return new DurableStore.Reply() {
             @Override
             public void done() {
                 heard.add(name + " done");
