Carry takes its exit; its configuration and readiness can be read beside it

Change: the constructor takes what ends the process; open, ready and the new creed() are the package's.

--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -39,6 +39,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 /** The program of an edge: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has run. */
 public final class Carry {
@@ -53,6 +54,7 @@
 
     private final Berth berth;
     private final Machine machine;
+    private final IntConsumer exit;
     private final Speech speech = new Speech(Lexis.ALL);
     private final Iam iam;
     private final Tally tally = new Tally();
@@ -81,7 +83,9 @@
     /** When the seats are called next, ms. */
     private long hallAt = Long.MAX_VALUE;
 
-    private Carry(Berth berth, Machine machine, long life) {
+    /** On the loop; {@link #open} follows. {@code life}: drawn at random; {@code exit}: ends the process with this code. */
+    Carry(Berth berth, Machine machine, long life, IntConsumer exit) {
+        this.exit = exit;
         this.berth = berth;
         this.machine = machine;
         Address inner = new Address(berth.ip(), berth.innerLow());
@@ -117,14 +121,14 @@
             berth.need("internal-port-range", null);
         }
         machine.loop().execute(() -> {
-            Carry carry = new Carry(berth, machine, life);
+            Carry carry = new Carry(berth, machine, life, System::exit);
             carry.open(frontEnd, readiness);
             Signals.on("HUP", () -> machine.loop().execute(carry::reread));
             Signals.on("TERM", () -> machine.loop().execute(carry::leave));
         });
     }
 
-    private void open(Address frontEnd, Address readiness) {
+    void open(Address frontEnd, Address readiness) {
         front.open(frontEnd).addListener(done -> opened("front-end", frontEnd, done.cause()));
         new Readiness(machine, this::ready).open(readiness).addListener(done -> opened("readiness", readiness, done.cause()));
         machine.loop().scheduleWithFixedDelay(this::tick, TICK, TICK, TimeUnit.MILLISECONDS);
@@ -134,11 +138,16 @@
     private void opened(String what, Address at, Throwable cause) {
         if (cause != null) {
             TALE.warn("cannot listen", "field", "bind-addresses." + what, "address", at, "why", cause);
-            System.exit(2);
+            exit.accept(2);
         }
     }
 
-    private boolean ready() {
+    /** The configuration that requests are served by. */
+    Creed creed() {
+        return creed;
+    }
+
+    boolean ready() {
         return !leaving && creed != Creed.NONE && roster.find(self.name()) != null;
     }
 
@@ -212,7 +221,7 @@
     private void end(boolean late) {
         if (late || flow.underWay() == 0 && front.connections() == 0) {
             TALE.tell("ended", "in-flight", flow.inFlight());
-            System.exit(0);
+            exit.accept(0);
         }
     }
 
