Operators: a refusal is confirmed first, 400 like 412, and judged anew where the state moved on

Cause: judge answered 400 without a confirming round, so a member that had been cut off refused a valid change (a route to a service that only a newer configuration has, a revision compared with an old one), and 412 was given by what was known before the round. Change: every verdict that depends on the state takes the round (read index); if the charter moved on meanwhile the change is judged again. A faulty base header needs none. What was taken before is answered 200 at once: what has been delivered is kept.

--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -14,6 +14,10 @@
 /**
  * The operators' calls at one member: judged by the configuration as it stands, put into the one order, answered once they are kept. One change
  * is under way at a time, so that the next is judged by what came of it. A member that does not lead sends the caller on by 307.
+ *
+ * <p>A refusal is final to an operator (400 and 412 end its call at once), so it is a read and takes a confirming round (read index) like one:
+ * a member that has been cut off still believes to lead and judges by an old configuration. Where the configuration moved on in the
+ * meantime, the change is judged anew. What was taken before needs no round: what has been delivered here is kept.
  */
 final class Operators implements Matter {
     private static final Tale TALE = Tale.of("keep");
@@ -46,6 +50,8 @@
     private long token;
     private long proposal;
     private Verdict delivered;
+    /** Counts states of the charter: what was judged by an earlier one is judged anew. */
+    private long states;
 
     /** {@code news}: called after each new configuration. */
     Operators(Order order, Runnable news) {
@@ -138,22 +144,35 @@
     }
 
     private void judge(Change change) {
-        Verdict verdict;
+        long base;
         try {
-            verdict = charter.judge(change.verb, Charter.base(change.call.base()), change.call.body());
+            base = Charter.base(change.call.base());
         } catch (CreedFault fault) {
-            verdict = new Verdict.Invalid(fault);
+            // a fault of the call itself, whatever the configuration
+            answer(change, new Verdict.Invalid(fault));
+            return;
         }
+        Verdict verdict = charter.judge(change.verb, base, change.call.body());
         if (verdict instanceof Verdict.Fine fine) {
             under = change;
             delivered = null;
             proposal = ++token;
             order.propose(proposal, fine.change());
-        } else if (verdict instanceof Verdict.Invalid) {
+        } else if (verdict instanceof Verdict.TakenBefore) {
+            answer(change, verdict);
+        } else {
+            long judgedBy = states;
+            confirm(() -> refuse(change, verdict, judgedBy), () -> change.call.refuse(503, "keep.unsure", "not sure to know the newest"));
+        }
+    }
+
+    /** The round has confirmed what is known here now; what was known when the change was judged may be older. */
+    private void refuse(Change change, Verdict verdict, long judgedBy) {
+        if (judgedBy == states) {
             answer(change, verdict);
         } else {
-            Verdict known = verdict;
-            confirm(() -> answer(change, known), () -> change.call.refuse(503, "keep.unsure", "not sure to know the newest"));
+            line.addFirst(change);
+            next();
         }
     }
 
@@ -195,6 +214,7 @@
     public void restore(byte[] snapshot) {
         if (snapshot.length > 0) {
             charter.restore(snapshot);
+            states++;
             news.run();
         }
     }
@@ -203,6 +223,7 @@
     public void deliver(long index, byte[] change) {
         delivered = charter.deliver(change);
         if (delivered instanceof Verdict.Taken) {
+            states++;
             news.run();
         }
     }
