Operators: the answer is the change's own verdict, not that of the last delivery

Cause: the verdict was kept in one field that each delivery wrote, and the outcome comes later on the loop. A former leader's proposal resubmitted to the present one and delivered next to ours gave our caller its verdict: 412 for a change in force, or 200 for one that lost. Change: the outcome asks the charter, which knows each taken change by its fingerprint; an unclear outcome of a taken change is 200.

--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -49,7 +49,6 @@
     private Change under;
     private long token;
     private long proposal;
-    private Verdict delivered;
     /** Counts states of the charter: what was judged by an earlier one is judged anew. */
     private long states;
 
@@ -155,7 +154,6 @@
         Verdict verdict = charter.judge(change.verb, base, change.call.body());
         if (verdict instanceof Verdict.Fine fine) {
             under = change;
-            delivered = null;
             proposal = ++token;
             order.propose(proposal, fine.change());
         } else if (verdict instanceof Verdict.TakenBefore) {
@@ -176,20 +174,23 @@
         }
     }
 
+    /**
+     * What the change came to is read off the charter, not off the last delivery: between the delivery and this call others may have been
+     * delivered, such as the proposal of a former leader that was resubmitted to this one.
+     */
     void outcome(long of, Outcome outcome) {
-        if (of != proposal) {
+        if (of != proposal || under == null) {
             return;
         }
         Change change = under;
         under = null;
-        if (change != null) {
-            TALE.tell("change", "verb", change.verb, "outcome", outcome, "verdict", delivered == null ? "" : delivered.getClass().getSimpleName(),
-                "revision", charter.creed().revision());
-            if (outcome == Outcome.COMMITTED && delivered != null) {
-                answer(change, delivered);
-            } else {
-                change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
-            }
+        Verdict verdict = charter.judge(change.verb, Charter.base(change.call.base()), change.call.body());
+        TALE.tell("change", "verb", change.verb, "outcome", outcome, "verdict", verdict.getClass().getSimpleName(), "revision",
+            charter.creed().revision());
+        if (verdict instanceof Verdict.TakenBefore || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
+            answer(change, verdict);
+        } else {
+            change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
         }
         next();
     }
@@ -221,8 +222,7 @@
 
     @Override
     public void deliver(long index, byte[] change) {
-        delivered = charter.deliver(change);
-        if (delivered instanceof Verdict.Taken) {
+        if (charter.deliver(change) instanceof Verdict.Taken) {
             states++;
             news.run();
         }
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -192,4 +192,41 @@
         assertEquals(200, again.status, "what has been delivered is kept, a round adds nothing");
         assertTrue(order.confirms.isEmpty());
     }
+
+    /** A former leader's proposals come into the order right after or before ours, and are delivered before our outcome is said. */
+    @Test
+    void theAnswerIsOfTheChangeItselfNotOfTheLastDelivered() {
+        begin();
+        byte[] other = elsewhere(operators.snapshot(), "modify", 5, move(8, "a"));
+        Reply mine = modify(5, move(7, "a"));
+        operators.deliver(++index, order.changes.remove());
+        operators.deliver(++index, other);
+        operators.outcome(order.tokens.remove(), Outcome.COMMITTED);
+        assertEquals(200, mine.status, "it is in force, what came after it lost: " + mine.body);
+
+        byte[] first = elsewhere(operators.snapshot(), "modify", 7, move(10, "a"));
+        Operators ahead = new Operators(new Scripted(), () -> { });
+        ahead.restore(operators.snapshot());
+        ahead.deliver(9, first);
+        byte[] second = elsewhere(ahead.snapshot(), "modify", 10, move(12, "a"));
+        Reply loser = modify(7, move(9, "a"));
+        operators.deliver(++index, first);
+        operators.deliver(++index, order.changes.remove());
+        operators.deliver(++index, second);
+        operators.outcome(order.tokens.remove(), Outcome.COMMITTED);
+        assertEquals(412, loser.status, "confirmed though it lost its race");
+        assertEquals(12, operators.charter().creed().revision());
+    }
+
+    @Test
+    void takenThoughTheOutcomeIsUnclear() {
+        begin();
+        Reply reply = modify(5, move(7, "a"));
+        operators.deliver(++index, order.changes.remove());
+        operators.outcome(order.tokens.remove(), Outcome.UNCLEAR);
+        assertEquals(200, reply.status, "the state has it, so it is kept");
+        Reply open = modify(7, move(9, "a"));
+        operators.outcome(order.tokens.remove(), Outcome.UNCLEAR);
+        assertEquals(503, open.status);
+    }
 }
