View: a long log is fetched in pieces outside of the change of view, laggards left out

Cause: Install carried all that a member lacked in one frame. With 12 changes of 1 MB under way and a member lost, the frame was 12.6 MB (8 MB are the most): nothing was ever installed again. Where it fitted, a link of 2 Mbit/s took longer than installMs, and the next attempt took the same members again, for ever, sending the frame anew every 200 ms until the link closed at 4 MB. Each compaction made a newcomer begin anew. Change: what fits in 64 kB goes with Install; else the member is offered the log (Offer) and pulls it from the proposer. Who hasn't kept a view in time is left out of the next attempt if the rest is enough, and comes back as a learner; else it is waited for while pieces move, and what has come stays for the next attempt. Learners whose tail has grown aren't a reason to change the view, nor let in with it. Cuts are shared by receivers that lack the same. A transfer asks again with growing patience, an append waits as long as its bytes may take, and 1 MB at most is under way to a member. After a failed write the batch counts against the bound again. Small edits beside: Changing (say, tick, install), Members.again, Leading.send and back, Gate, Knocking.

--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -13,7 +13,10 @@
  */
 final class Changing {
     private static final int AGAIN_MS = 100;
-    private static final int FETCH_MS = 2000;
+    /** Fetching goes on while pieces come, but not longer than this: on a link of 2 Mbit/s enough for 7 MB. */
+    private static final int FETCH_MS = 30_000;
+    /** Silence after which a member that fetches the log of the new view isn't waited for: longer than its disk may take for the last piece. */
+    private static final int PULLED_MS = 2000;
     private static final int MOST_PAST = 64;
 
     private enum Phase { ASKING, PROMISING, FETCHING, INSTALLING }
@@ -33,6 +36,7 @@
     private long enoughAt = -1;
     private long askedAt;
     private long phaseAt;
+    private long pulledAt = Long.MIN_VALUE / 2;
     private Haul haul;
     private View next;
     private Answers chosen;
@@ -153,7 +157,7 @@
             return;
         }
         phase = Phase.FETCHING;
-        haul = new Haul(desk, longest.me().address(), desk.log);
+        haul = new Haul(desk, longest.me().address(), desk.log, Ballot.NONE);
         haul.tick();
     }
 
@@ -171,7 +175,9 @@
         List<Member> in = chosen.next(shunned, desk.set.losses());
         for (Frame.Knock knock : newcomers.values()) {
             boolean free = in.stream().noneMatch(member -> member.address().equals(knock.me().address()));
-            if (free && in.size() < Settings.MOST && !desk.dead.contains(knock.me().life())) in.add(knock.me());
+            // who has fallen behind since it knocked gets the rest outside of the change, and knocks again
+            boolean near = log.since(knock.end(), knock.endView(), knock.commit()).isShort();
+            if (free && near && in.size() < Settings.MOST && !desk.dead.contains(knock.me().life())) in.add(knock.me());
         }
         List<Roll> past = chosen.past();
         if (past.size() > MOST_PAST) {
@@ -208,10 +214,17 @@
             Frame.Knock knock = newcomers.get(member.life());
             Patch patch = told != null ? base.since(told.end(), told.endView(), told.commit())
                     : base.since(knock.end(), knock.endView(), knock.commit());
-            desk.out.send(member.address(), new Frame.Install(next, patch));
+            desk.out.send(member.address(), patch.isShort() ? new Frame.Install(next, patch) : new Frame.Offer(next, base.end(), base.endView()));
         }
     }
 
+    /** The log of the view of this name, which a member fetches in pieces; null if it isn't being installed. */
+    Log offered(Ballot view) {
+        if (phase != Phase.INSTALLING || !ballot.equals(view)) return null;
+        pulledAt = desk.now;
+        return base;
+    }
+
     void installed(long life) {
         if (phase != Phase.INSTALLING || !next.has(life) || !installed.add(life)) return;
         if (installed.size() == next.members().size() - 1 && !installed.contains(desk.me.life())) keep();
@@ -235,16 +248,26 @@
                 if (phase == Phase.ASKING) weigh();
             }
             case FETCHING -> {
-                if (desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
+                if (haul.failed() || desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
                 else haul.tick();
             }
             default -> {
-                if (desk.now - phaseAt > desk.set.installMs()) members.again(absent(), "not kept by all in time");
+                if (desk.now - phaseAt > desk.set.installMs() && (spared() || desk.now - pulledAt > PULLED_MS)) {
+                    members.again(absent(), "not kept by all in time");
+                }
                 else if (desk.now - askedAt >= 2 * AGAIN_MS) say();
             }
         }
     }
 
+    /** Whether the view may do without those that haven't kept it. */
+    private boolean spared() {
+        Set<Long> absent = absent();
+        Set<Long> out = new HashSet<>(shunned);
+        out.addAll(absent);
+        return chosen.next(out, desk.set.losses()).stream().noneMatch(member -> absent.contains(member.life()));
+    }
+
     /** Others that haven't kept it; none when it is this member's own disk that is slow. */
     private Set<Long> absent() {
         Set<Long> absent = new HashSet<>();
--- a/src/main/java/brambletray/tray/view/Ear.java
+++ b/src/main/java/brambletray/tray/view/Ear.java
@@ -19,10 +19,17 @@
         this.knocking = knocking;
         this.gate = gate;
         this.confirms = confirms;
-        serving = new Serving(desk);
+        serving = new Serving(desk, this::log);
+    }
+
+    /** The log of a view that is being installed by this member, or its own. */
+    private Log log(Ballot view) {
+        if (view.equals(Ballot.NONE)) return desk.view == null ? null : desk.log;
+        return members.changing() == null ? null : members.changing().offered(view);
     }
 
     void tick() {
+        following.tick();
         serving.tick();
     }
 
@@ -30,6 +37,7 @@
         if (frame instanceof Frame.Beat beat) following.beat(from, beat);
         else if (frame instanceof Frame.Append append) following.append(from, append);
         else if (frame instanceof Frame.Install install) following.install(from, install, knocking.base());
+        else if (frame instanceof Frame.Offer offer) following.offer(from, offer, knocking.base());
         else if (frame instanceof Frame.Stop stop) {
             following.stop(from, stop);
             // who asks takes this address for a member: a knock shows that the disk is another one
@@ -85,6 +93,7 @@
         else if (frame instanceof Frame.Pull pull) serving.pull(from, pull);
         else if (frame instanceof Frame.Piece piece) {
             knocking.piece(piece);
+            following.piece(piece);
             if (members.changing() != null) members.changing().piece(piece);
         } else if (frame instanceof Frame.Bye bye) {
             if (desk.view != null && desk.view.ballot().equals(bye.view())) members.bye(bye.life());
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -19,6 +19,9 @@
     private long quietUntil = Long.MIN_VALUE / 2;
     /** In force, later than ours, and we aren't in it. */
     private View left;
+    /** The log of a view that is being installed, on its way here in pieces. */
+    private Haul haul;
+    private Frame.Offer offered;
 
     Following(Desk desk, Members members) {
         this.desk = desk;
@@ -186,6 +189,42 @@
         }
     }
 
+    /** A proposed view whose log is longer than a frame may be: it is fetched first, while no higher promise forbids it. */
+    void offer(String from, Frame.Offer offer, Log base) {
+        View next = offer.view();
+        if (!next.has(desk.me.life())) return;
+        boolean kept = desk.view != null && desk.view.ballot().equals(next.ballot());
+        if (kept || desk.promised.above(next.ballot())) {
+            install(from, new Frame.Install(next, null), base);
+        } else {
+            // the same log, offered anew: what has come of it stays
+            boolean same = haul != null && haul.from().equals(from) && offered.end() == offer.end() && offered.endView().equals(offer.endView());
+            if (same) haul.goOn(next.ballot());
+            else haul = new Haul(desk, from, base, next.ballot());
+            offered = offer;
+            if (!same) haul.tick();
+        }
+    }
+
+    void piece(Frame.Piece piece) {
+        if (haul == null) return;
+        boolean over = haul.piece(piece);
+        // it is about to be in a view: an attempt of its own would end the transfer
+        quiet(desk.set.silentMs() + (desk.view == null ? 0 : (long) rank() * desk.set.staggerMs()));
+        if (!over) return;
+        Log log = haul.log();
+        String from = haul.from();
+        haul = null;
+        if (log == null || log.end() != offered.end() || !log.endView().equals(offered.endView())) return;
+        if (!desk.promised.above(offered.view().ballot())) keep(from, offered.view(), log);
+    }
+
+    void tick() {
+        if (haul == null) return;
+        haul.tick();
+        if (haul.failed() || desk.promised.above(haul.view())) haul = null;
+    }
+
     /** A proposed view: kept if no higher promise forbids it and the patch fits. */
     void install(String from, Frame.Install install, Log base) {
         View next = install.view();
@@ -196,15 +235,24 @@
         }
         if (desk.view == null || !desk.view.ballot().equals(next.ballot())) {
             Log chosen = base.patched(install.patch());
-            if (chosen == null) chosen = desk.log.patched(install.patch());
-            if (chosen == null || !desk.accept(next, chosen)) {
-                desk.out.send(from, new Frame.Unfit(next.ballot(), desk.me.life()));
-                return;
-            }
-            members.yield();
-            installed();
-            members.accepted();
+            keep(from, next, chosen != null ? chosen : desk.log.patched(install.patch()));
+            return;
         }
+        say(from, next);
+    }
+
+    private void keep(String from, View next, Log chosen) {
+        if (chosen == null || !desk.accept(next, chosen)) {
+            desk.out.send(from, new Frame.Unfit(next.ballot(), desk.me.life()));
+            return;
+        }
+        members.yield();
+        installed();
+        members.accepted();
+        say(from, next);
+    }
+
+    private void say(String from, View next) {
         desk.quill.then(() -> {
             if (desk.works(next.ballot())) desk.out.send(from, new Frame.Installed(next.ballot(), desk.me.life()));
         });
--- a/src/main/java/brambletray/tray/view/Frame.java
+++ b/src/main/java/brambletray/tray/view/Frame.java
@@ -37,6 +37,10 @@
     record Install(View view, Patch patch) implements Frame {
     }
 
+    /** The same where the receiver lacks more than goes in one frame: it is to fetch the log that ends so, in pieces. */
+    record Offer(View view, long end, Ballot endView) implements Frame {
+    }
+
     /** View and log are on this member's disk. */
     record Installed(Ballot view, long life) implements Frame {
     }
@@ -69,8 +73,11 @@
     record Here(long nonce, Member me) implements Frame {
     }
 
-    /** Asks for a piece of what its log lacks, given what it has. */
-    record Pull(long id, int offset, long end, Ballot endView, long commit) implements Frame {
+    /**
+     * Asks for a piece of what its log lacks, given what it has. {@code view}: whose log, one that is being installed; {@link Ballot#NONE} for the
+     * receiver's own.
+     */
+    record Pull(long id, int offset, Ballot view, long end, Ballot endView, long commit) implements Frame {
     }
 
     /** A piece; a total below 0 says that there is nothing to be had here. */
--- a/src/main/java/brambletray/tray/view/Gate.java
+++ b/src/main/java/brambletray/tray/view/Gate.java
@@ -8,7 +8,6 @@
 /** Who asks to be let in, at a member of the view: proves lost disks, and gathers newcomers for the leader's next change of view. */
 final class Gate {
     private static final int NEAR_ENTRIES = 64;
-    private static final int NEAR_BYTES = 128 << 10;
     private static final int MOST = 8;
     private static final int WAIT_MS = 1000;
     private static final int FORGIVEN_MS = 20_000;
@@ -56,10 +55,7 @@
     }
 
     private static boolean near(Patch patch) {
-        if (patch.entries().size() > NEAR_ENTRIES) return false;
-        int bytes = patch.snapshot().length;
-        for (Entry entry : patch.entries()) bytes += entry.bytes().length;
-        return bytes <= NEAR_BYTES;
+        return patch.entries().size() <= NEAR_ENTRIES && patch.isShort();
     }
 
     /** Another life at the address of one of ours: asked who it is now, so that an old frame proves nothing. */
@@ -113,6 +109,8 @@
     Map<Long, Frame.Knock> waiting() {
         if (waiting.isEmpty()) return Map.of();
         waiting.keySet().removeIf(life -> desk.now - waitingAt.get(life) > WAIT_MS || desk.view.has(life) || desk.dead.contains(life));
+        // changes and compactions since the knock: a change of view that can't let it in isn't begun for it
+        waiting.values().removeIf(knock -> !near(desk.log.since(knock.end(), knock.endView(), knock.commit())));
         waitingAt.keySet().retainAll(waiting.keySet());
         return new LinkedHashMap<>(waiting);
     }
--- a/src/main/java/brambletray/tray/view/Haul.java
+++ b/src/main/java/brambletray/tray/view/Haul.java
@@ -8,25 +8,33 @@
     /** Bytes of a piece, and pieces asked for ahead. */
     static final int PIECE = 64 << 10;
     private static final int WINDOW = 4;
-    private static final int AGAIN_MS = 300;
-    private static final int GIVE_UP_MS = 1500;
+    /**
+     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what keeps the
+     * same pieces from being sent again and again. Doubles each time.
+     */
+    private static final int AGAIN_MS = 500;
+    private static final int GIVE_UP_MS = 4000;
     private static final int MOST = 64 << 20;
 
     private final Desk desk;
     private final String from;
     private final Log mine;
+    private Ballot view;
     private final long id;
     private final List<byte[]> pieces = new ArrayList<>();
     private int total = -1;
     private int asked;
     private int got;
+    private int againMs = AGAIN_MS / 2;
     private long saidAt = Long.MIN_VALUE / 2;
     private long movedAt;
     private Log log;
     private long commit;
     private boolean failed;
 
-    Haul(Desk desk, String from, Log mine) {
+    /** {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has itself. */
+    Haul(Desk desk, String from, Log mine, Ballot view) {
+        this.view = view;
         this.desk = desk;
         this.from = from;
         this.mine = mine;
@@ -38,10 +46,25 @@
         return from;
     }
 
+    Ballot view() {
+        return view;
+    }
+
+    /** The log is that of a later attempt to install it, too. */
+    void goOn(Ballot later) {
+        view = later;
+    }
+
+    /** Milliseconds since something came. */
+    long idleMs() {
+        return desk.now - movedAt;
+    }
+
     /** Asks again for what hasn't come. */
     void tick() {
         if (desk.now - movedAt > GIVE_UP_MS) failed = true;
-        if (failed || log != null || desk.now - saidAt < AGAIN_MS) return;
+        if (failed || log != null || (asked > 0 && desk.now - Math.max(saidAt, movedAt) < againMs)) return;
+        againMs = Math.min(2 * againMs, GIVE_UP_MS);
         asked = got;
         more();
     }
@@ -50,7 +73,7 @@
         int until = total < 0 ? 1 : Math.min(got + WINDOW, (total + PIECE - 1) / PIECE);
         for (; asked < until; asked++) {
             saidAt = desk.now;
-            desk.out.send(from, new Frame.Pull(id, asked * PIECE, mine.end(), mine.endView(), Math.min(desk.commit, mine.end())));
+            desk.out.send(from, new Frame.Pull(id, asked * PIECE, view, mine.end(), mine.endView(), Math.min(desk.commit, mine.end())));
         }
     }
 
@@ -66,6 +89,7 @@
         pieces.add(piece.bytes());
         got++;
         movedAt = desk.now;
+        againMs = AGAIN_MS;
         if (got * PIECE < total) {
             if (asked < got) asked = got;
             more();
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -9,6 +9,8 @@
  */
 final class Knocking {
     private static final int AGAIN_MS = 250;
+    /** Silence of a giver after which another leader's word ends the transfer. */
+    private static final int IDLE_MS = 1000;
 
     private final Desk desk;
     private final Following following;
@@ -75,6 +77,8 @@
         if (!active()) return;
         for (Member member : come.view().members()) desk.meet(member.address());
         Member leader = come.view().leader();
+        // the giver may be gone, and another one lead
+        if (haul != null && leader != null && leader.address().equals(from) && !haul.from().equals(from) && haul.idleMs() > IDLE_MS) haul = null;
         if (leader == null || come.fit() || haul != null) return;
         if (!leader.address().equals(from)) {
             desk.out.send(leader.address(), mine());
@@ -82,7 +86,7 @@
         }
         if (desk.now - hauledAt < AGAIN_MS) return;
         hauledAt = desk.now;
-        haul = new Haul(desk, from, base());
+        haul = new Haul(desk, from, base(), Ballot.NONE);
         haul.tick();
     }
 
--- a/src/main/java/brambletray/tray/view/Leading.java
+++ b/src/main/java/brambletray/tray/view/Leading.java
@@ -12,7 +12,11 @@
 final class Leading {
     private static final int APPEND = 256 << 10;
     private static final int OPEN_ENTRIES = 128;
+    /** Bytes on their way to a member, besides the first entry: what more it lacks follows its acknowledgements. */
+    private static final int OPEN_BYTES = 1 << 20;
+    /** Silence after which entries are sent again, and how many of their bytes a ms may take besides: 1 Mbit/s. */
     private static final int RESEND_MS = 200;
+    private static final int RESEND_BYTES = 125;
     private static final int WELL_MS = 350;
     private static final int STOPPED_MS = 300;
     private static final int CALL_BEATS = 10;
@@ -96,7 +100,13 @@
 
     private void send(Peer peer) {
         if (peer.next > desk.log.end() || peer.next - peer.acked > OPEN_ENTRIES) return;
-        if (peer.next <= desk.log.base()) return;
+        long flying = desk.log.bytes(peer.acked, peer.next - 1);
+        if (flying > OPEN_BYTES) return;
+        if (peer.next <= desk.log.base()) {
+            // can't be: what is compacted all members have on disk
+            desk.out.tell("view.behind-snapshot", "member", peer.member.name(), "next", peer.next, "base", desk.log.base());
+            return;
+        }
         List<Entry> entries = desk.log.after(peer.next - 1, APPEND);
         desk.out.send(peer.member.address(), new Frame.Append(view.ballot(), peer.next - 1, desk.log.viewAt(peer.next - 1), entries, desk.commit));
         if (peer.movedAt < 0) peer.movedAt = desk.now;
@@ -130,7 +140,8 @@
         } else if (peer.stoppedAt < 0) {
             peer.stoppedAt = desk.now;
         }
-        if (back.held() < peer.next - 1 && desk.now - peer.sentAt > RESEND_MS && back.held() >= desk.log.base()) {
+        long patience = RESEND_MS + desk.log.bytes(back.held(), peer.next - 1) / RESEND_BYTES;
+        if (back.held() < peer.next - 1 && desk.now - peer.sentAt > patience && back.held() >= desk.log.base()) {
             peer.next = Math.max(back.held(), desk.log.base()) + 1;
             send(peer);
         }
--- a/src/main/java/brambletray/tray/view/Log.java
+++ b/src/main/java/brambletray/tray/view/Log.java
@@ -1,5 +1,6 @@
 package brambletray.tray.view;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -12,12 +13,20 @@
     /** A snapshot is taken after so many delivered entries, or so many bytes in entries. */
     static final int ENTRIES = 256;
     static final int BYTES = 1 << 20;
+    /** Entries before the snapshot that are remembered, in memory only, for who lacks little of them; and their bytes. */
+    private static final int TRAIL_ENTRIES = 512;
+    private static final int TRAIL_BYTES = 1 << 20;
 
     private long base;
     private Ballot baseView;
     private byte[] snapshot;
     private final List<Entry> entries;
     private long bytes;
+    /** Those that the last compactions took out of {@link #entries}, up to the snapshot's place without gaps. */
+    private final ArrayDeque<Entry> trail = new ArrayDeque<>();
+    private long trailBytes;
+    /** View of the entry before the first of these. */
+    private Ballot trailView = Ballot.NONE;
 
     Log(long base, Ballot baseView, byte[] snapshot, List<Entry> entries) {
         this.base = base;
@@ -74,6 +83,13 @@
         bytes += entry.bytes().length;
     }
 
+    /** Bytes of the entries after one place up to another, of those behind the snapshot. */
+    long bytes(long after, long to) {
+        long some = 0;
+        for (long place = Math.max(after, base) + 1; place <= Math.min(to, end()); place++) some += at(place).bytes().length;
+        return some;
+    }
+
     /** Entries after a place, up to so many bytes but one at least. */
     List<Entry> after(long place, int most) {
         List<Entry> some = new ArrayList<>();
@@ -99,7 +115,24 @@
     Patch since(long end, Ballot endView, long commit) {
         if (endView.equals(viewAt(end))) return cut(end);
         if (commit >= base && commit <= end()) return cut(commit);
-        return new Patch(true, base, baseView, snapshot, List.copyOf(entries));
+        Patch whole = new Patch(true, base, baseView, snapshot, List.copyOf(entries));
+        Patch tail = trail(end, endView);
+        return tail != null && tail.bytes() <= whole.bytes() ? tail : whole;
+    }
+
+    /** What follows a place before the snapshot; null if it isn't known any more, or the entry there is another. */
+    private Patch trail(long end, Ballot endView) {
+        long before = base - trail.size();
+        if (end < before || end >= base) return null;
+        List<Entry> some = new ArrayList<>();
+        Ballot view = trailView;
+        for (Entry entry : trail) {
+            if (entry.index() == end) view = entry.view();
+            if (entry.index() > end) some.add(entry);
+        }
+        if (!view.equals(endView)) return null;
+        some.addAll(entries);
+        return new Patch(false, end, endView, new byte[0], some);
     }
 
     private Patch cut(long place) {
@@ -112,6 +145,9 @@
         if (!patch.afterView().equals(viewAt(patch.after()))) return null;
         Log log = new Log(base, baseView, snapshot, entries.subList(0, (int) (patch.after() - base)));
         for (Entry entry : patch.entries()) log.append(entry);
+        log.trail.addAll(trail);
+        log.trailBytes = trailBytes;
+        log.trailView = trailView;
         return log;
     }
 
@@ -124,8 +160,18 @@
     void compact(long place, byte[] state) {
         Ballot view = viewAt(place);
         List<Entry> gone = entries.subList(0, (int) (place - base));
-        for (Entry entry : gone) bytes -= entry.bytes().length;
+        if (trail.isEmpty()) trailView = baseView;
+        for (Entry entry : gone) {
+            bytes -= entry.bytes().length;
+            trail.add(entry);
+            trailBytes += entry.bytes().length;
+        }
         gone.clear();
+        while (trail.size() > TRAIL_ENTRIES || trailBytes > TRAIL_BYTES) {
+            Entry first = trail.remove();
+            trailBytes -= first.bytes().length;
+            trailView = first.view();
+        }
         base = place;
         baseView = view;
         snapshot = state;
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -16,7 +16,7 @@
     public static final List<Class<?>> FRAMES = List.of(
             Ballot.class, Member.class, Roll.class, View.class, Entry.class, Patch.class, Frame.Beat.class, Frame.Back.class,
             Frame.Append.class, Frame.Ack.class, Frame.Stop.class, Frame.Told.class, Frame.Nay.class, Frame.Install.class,
-            Frame.Installed.class, Frame.Unfit.class, Frame.Left.class, Frame.Knock.class, Frame.Come.class, Frame.Met.class,
+            Frame.Offer.class, Frame.Installed.class, Frame.Unfit.class, Frame.Left.class, Frame.Knock.class, Frame.Come.class, Frame.Met.class,
             Frame.Who.class, Frame.Here.class, Frame.Pull.class, Frame.Piece.class, Frame.Bye.class, Frame.Submit.class, Frame.Ask.class,
             Frame.Same.class);
 
@@ -288,10 +288,10 @@
         following.quiet(pauseMs);
     }
 
-    /** Begins anew at once, without waiting for these. */
+    /** Begins anew at once, without waiting for these; who answers all the same is left out if the rest is enough: it would hold up this one too. */
     void again(Set<Long> absent, String why) {
         changing = null;
-        change(absent, Set.of(), why);
+        change(absent, absent, why);
     }
 
     /** A view has been kept here. */
--- a/src/main/java/brambletray/tray/view/Patch.java
+++ b/src/main/java/brambletray/tray/view/Patch.java
@@ -12,7 +12,26 @@
  * @param entries   those that follow
  */
 public record Patch(boolean whole, long after, Ballot afterView, byte[] snapshot, List<Entry> entries) {
+    /**
+     * Bytes of a patch that may go in one frame with a new view, 0.26 s of a link of 2 Mbit/s: {@link Settings#installMs} has to bear it. What is
+     * longer is fetched in pieces.
+     */
+    static final int SHORT = 64 << 10;
+    /** Bytes that an entry takes besides its own. */
+    private static final int EACH = 64;
+
     long end() {
         return after + entries.size();
     }
+
+    /** Bytes, nearly. */
+    long bytes() {
+        long bytes = snapshot.length;
+        for (Entry entry : entries) bytes += EACH + entry.bytes().length;
+        return bytes;
+    }
+
+    boolean isShort() {
+        return bytes() <= SHORT;
+    }
 }
--- a/src/main/java/brambletray/tray/view/Quill.java
+++ b/src/main/java/brambletray/tray/view/Quill.java
@@ -23,6 +23,7 @@
     private boolean failed;
     private long retryAt;
     private long size;
+    private long flyingSize;
 
     Quill(Out out) {
         this.out = out;
@@ -59,6 +60,7 @@
         open = new LinkedHashMap<>();
         then = new ArrayList<>();
         openSince = -1;
+        flyingSize = size;
         size = 0;
         out.persist(++ticket, flying);
     }
@@ -80,6 +82,7 @@
         open = flying;
         then = flyingThen;
         openSince = flyingSince;
+        size += flyingSize;
         flying = null;
         flyingThen = null;
         failed = true;
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -1,49 +1,93 @@
 package brambletray.tray.view;
 
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
 
-/** Gives others what their logs lack: one cut a receiver, held until it has been silent for a while. */
+/**
+ * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on. Receivers that lack the same share a
+ * cut, so many newcomers take no more memory than one. A receiver that has been silent for a while, or has all when another needs room, is forgotten.
+ */
 final class Serving {
-    private static final int MOST = 4;
+    /** Cuts, of a few megabytes each, and receivers at a time. */
+    private static final int MOST_CUTS = 4;
+    private static final int MOST = 16;
     private static final int KEEP_MS = 3000;
 
-    private static final class Cut {
+    private record Cut(Ballot view, boolean whole, long after, long end, byte[] bytes) {
+    }
+
+    private static final class Receiver {
         long id;
-        byte[] bytes;
+        Cut cut;
         long usedAt;
+        boolean over;
     }
 
     private final Desk desk;
-    private final Map<String, Cut> cuts = new LinkedHashMap<>();
+    private final Function<Ballot, Log> logs;
+    private final Map<String, Receiver> receivers = new LinkedHashMap<>();
 
-    Serving(Desk desk) {
+    /** {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own; null if there is none. */
+    Serving(Desk desk, Function<Ballot, Log> logs) {
         this.desk = desk;
+        this.logs = logs;
     }
 
     void pull(String from, Frame.Pull pull) {
-        Cut cut = cuts.get(from);
-        if (cut == null || cut.id != pull.id()) {
-            if (pull.offset() != 0 || desk.view == null || (cut == null && cuts.size() >= MOST)) {
+        Receiver receiver = receivers.get(from);
+        Log log = logs.apply(pull.view());
+        if (receiver == null || receiver.id != pull.id()) {
+            Cut cut = pull.offset() == 0 ? cut(from, pull, log) : null;
+            if (cut == null) {
                 desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), -1, new byte[0]));
                 return;
             }
-            cut = new Cut();
-            cut.id = pull.id();
-            cut.bytes = Codec.patch(desk.log.since(pull.end(), pull.endView(), pull.commit()), desk.commit);
-            cuts.put(from, cut);
+            receiver = new Receiver();
+            receiver.id = pull.id();
+            receiver.cut = cut;
+            receivers.put(from, receiver);
         }
-        cut.usedAt = desk.now;
-        int size = Math.min(Haul.PIECE, cut.bytes.length - pull.offset());
+        receiver.usedAt = desk.now;
+        byte[] bytes = receiver.cut.bytes;
+        int size = Math.min(Haul.PIECE, bytes.length - pull.offset());
         if (size <= 0) return;
-        byte[] piece = java.util.Arrays.copyOfRange(cut.bytes, pull.offset(), pull.offset() + size);
-        desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), cut.bytes.length, piece));
+        receiver.over |= pull.offset() + size == bytes.length;
+        byte[] piece = java.util.Arrays.copyOfRange(bytes, pull.offset(), pull.offset() + size);
+        desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), bytes.length, piece));
+    }
+
+    private Cut cut(String from, Frame.Pull pull, Log log) {
+        receivers.remove(from);
+        if (log == null) return null;
+        Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
+        Set<Cut> cuts = new HashSet<>();
+        for (Receiver other : receivers.values()) {
+            Cut cut = other.cut;
+            boolean same = cut.whole == patch.whole() && cut.after == patch.after() && cut.end == patch.end();
+            if (same && cut.view.equals(pull.view())) return cut;
+            cuts.add(cut);
+        }
+        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST) receivers.values().removeIf(other -> other.over);
+        if (receivers.size() >= MOST) return null;
+        cuts.clear();
+        for (Receiver other : receivers.values()) cuts.add(other.cut);
+        if (cuts.size() < MOST_CUTS) return new Cut(pull.view(), patch.whole(), patch.after(), patch.end(), Codec.patch(patch, desk.commit));
+        // a whole one does for everybody; what has come since is fetched in another round
+        Cut newest = null;
+        for (Cut cut : cuts) {
+            boolean fits = cut.whole && cut.view.equals(pull.view()) && pull.view().equals(Ballot.NONE) && cut.end > pull.end();
+            if (fits && (newest == null || cut.end > newest.end)) newest = cut;
+        }
+        return newest;
     }
 
     void tick() {
-        if (cuts.isEmpty()) return;
-        Iterator<Cut> all = cuts.values().iterator();
+        if (receivers.isEmpty()) return;
+        Iterator<Receiver> all = receivers.values().iterator();
         while (all.hasNext()) {
             if (desk.now - all.next().usedAt > KEEP_MS) all.remove();
         }
--- a/src/test/java/brambletray/tray/view/Oracle.java
+++ b/src/test/java/brambletray/tray/view/Oracle.java
@@ -105,7 +105,8 @@
         long token = ++tokens;
         String text = "c" + token;
         proposed.put(token, text);
-        node.members.propose(token, text.getBytes(java.nio.charset.StandardCharsets.UTF_8), world.now);
+        String whole = world.padding.isEmpty() ? text : text + ' ' + world.padding;
+        node.members.propose(token, whole.getBytes(java.nio.charset.StandardCharsets.UTF_8), world.now);
         return token;
     }
 
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -149,7 +149,8 @@
         public void deliver(long index, byte[] change) {
             if (index != delivered + 1) world.oracle.fail(address + " delivers " + index + " after " + delivered);
             delivered = index;
-            String text = new String(change, StandardCharsets.UTF_8);
+            String whole = new String(change, StandardCharsets.UTF_8);
+            String text = whole.indexOf(' ') < 0 ? whole : whole.substring(0, whole.indexOf(' '));
             if (state.contains(text)) world.oracle.fail(address + " delivers " + text + " twice");
             state.add(text);
             world.oracle.delivered(SimNode.this, index, text);
@@ -189,6 +190,7 @@
 
         @Override
         public void tell(String event, Object... facts) {
+            if (event.equals("view.behind-snapshot")) world.oracle.fail(address + " can't send what a member lacks: " + List.of(facts));
             if (!world.talks) return;
             StringBuilder line = new StringBuilder().append(world.now).append(' ').append(address).append(' ').append(event);
             for (int i = 0; i < facts.length; i += 2) line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
--- a/src/test/java/brambletray/tray/view/SimWorld.java
+++ b/src/test/java/brambletray/tray/view/SimWorld.java
@@ -18,6 +18,12 @@
         boolean cut;
         int delayMs = 2;
         double loss;
+        /** Bytes a ms; 0 for a link that takes no time. */
+        int rate;
+        /** When all that was said is out; with more than may wait by then, the link closes and that is lost. */
+        double freeAt;
+        long bytes;
+        int breaks;
         long lastAt;
         final List<Object> held = new ArrayList<>();
     }
@@ -34,8 +40,9 @@
     public boolean jitter = true;
     /** Makes what rides on a process at its start; null for nothing. */
     public java.util.function.Function<SimNode, SimNode.Rider> riders;
-    /** Makes snapshots larger. */
+    /** Makes snapshots larger, and changes. */
     String ballast = "";
+    String padding = "";
     public long now = 1000;
     private long seq;
     /** Frames sent so far; and a chance to act on one before it goes: returns false to lose it. */
@@ -88,6 +95,13 @@
             return;
         }
         if (target == null || (link.loss > 0 && random.nextDouble() < link.loss)) return;
+        int size = Frames.bytes(frame);
+        if (size > Frames.LONGEST) oracle.fail(from.address + " says a frame of " + size + " bytes: " + frame.getClass().getSimpleName());
+        link.bytes += size;
+        if (link.rate > 0) {
+            later(from, target, link, size, post.apply(frame));
+            return;
+        }
         int delay = link.delayMs + (jitter ? random.nextInt(link.delayMs + 1) : 0);
         link.lastAt = Math.max(link.lastAt, now + delay);
         if (!target.up()) {
@@ -98,6 +112,32 @@
         at(target, target.boot, link.lastAt, () -> target.hear(from.address, come));
     }
 
+    /** A frame on a link that takes its time: whole frames, one after the other. */
+    private void later(SimNode from, SimNode target, Link link, int size, Object frame) {
+        if ((link.freeAt - now) * link.rate > Frames.MOST_WAITING) {
+            link.breaks++;
+            link.freeAt = now;
+            from.members.gone(target.address, now);
+            return;
+        }
+        link.freeAt = Math.max(now, link.freeAt) + (double) size / link.rate;
+        int breaks = link.breaks;
+        link.lastAt = Math.max(link.lastAt, (long) link.freeAt + link.delayMs);
+        if (!target.up()) {
+            at(from, from.boot, now + 2L * link.delayMs, () -> from.members.gone(target.address, now));
+            return;
+        }
+        at(target, target.boot, link.lastAt, () -> {
+            if (link.breaks == breaks) target.hear(from.address, frame);
+        });
+    }
+
+    /** Both ways between two machines: bytes a ms. */
+    void rate(String a, String b, int bytes) {
+        link(a, b).rate = bytes;
+        link(b, a).rate = bytes;
+    }
+
     void cut(String a, String b, boolean cut) {
         one(a, b, cut);
         one(b, a, cut);
@@ -127,6 +167,7 @@
                 Link link = link(a, b);
                 link.loss = 0;
                 link.delayMs = 2;
+                link.rate = 0;
                 one(a, b, false);
             }
         }
--- /dev/null
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -0,0 +1,155 @@
+package brambletray.tray.view;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Members that lack much, on links that take their time: frames of at most 8 MB, links that close when 4 MB wait. */
+class StateTransferTest {
+    /** 2 Mbit/s, in bytes a ms. */
+    private static final int SLOW = 250;
+    private static final int MB = 1 << 20;
+
+    private SimWorld world;
+
+    private SimWorld core(String... names) {
+        Core core = new Core(List.of(names));
+        world = core.world;
+        world.talks = Boolean.getBoolean("view.talks");
+        core.found();
+        return world;
+    }
+
+    @AfterEach
+    void tell() {
+        world.tales.forEach(System.out::println);
+    }
+
+    private static void around(SimWorld world, String name, int rate) {
+        for (String other : world.nodes.keySet()) world.rate(name, other, rate);
+    }
+
+    private static void changes(SimWorld world, int count, int everyMs) {
+        for (int i = 0; i < count; i++) {
+            if (world.leader() != null) world.oracle.propose(world.leader());
+            world.until(world.now + everyMs);
+        }
+    }
+
+    private static boolean in(SimWorld world, String name) {
+        SimNode leader = world.leader();
+        return leader != null && leader.members.status().inForce() && leader.members.status().members().stream().anyMatch(m -> m.name().equals(name));
+    }
+
+    private static void takes(SimWorld world, SimNode at, long span, String what) {
+        long token = world.oracle.propose(at);
+        world.await(() -> world.oracle.acknowledged.contains("c" + token), span, what);
+    }
+
+    /** Twelve large changes are on their way when another member dies: all of them have to be on the only other disk before anything goes on. */
+    @Test
+    void aViewThatNeedsAMemberThatLacksMoreThanAFrameIsInstalledInPieces() {
+        core("a", "b", "c");
+        around(world, "c", 10 * SLOW);
+        world.padding = "p".repeat(MB);
+        for (int i = 0; i < 12; i++) world.oracle.propose(world.leader());
+        world.until(world.now + 50);
+        world.nodes.get("b").kill(true);
+        world.await(() -> world.nodes.get("a").state.size() == 12 && world.nodes.get("c").state.size() == 12, 12_000, "twelve changes of 1 MB at two of three, 20 Mbit/s between them");
+        assertEquals(0, world.link("a", "c").breaks);
+    }
+
+    /** The same, where the member that lacks much isn't needed: it is left out, the rest goes on, and it comes in again as a learner. */
+    @Test
+    void aMemberThatLacksMuchOnASlowLinkIsLeftOutAndLetInAgain() {
+        core("a", "b", "c", "d", "e");
+        around(world, "e", SLOW);
+        world.padding = "p".repeat(MB);
+        for (int i = 0; i < 4; i++) world.oracle.propose(world.leader());
+        world.until(world.now + 100);
+        world.padding = "";
+        world.nodes.get("a").kill(true);
+        takes(world, world.nodes.get("b"), 4_500, "a change after the loss of the leader, with a laggard");
+        assertFalse(in(world, "e"));
+        world.await(() -> in(world, "e"), 40_000, "4 MB at 2 Mbit/s, and back in");
+        assertEquals(0, world.link("b", "e").breaks);
+    }
+
+    /** A member is away for hundreds of changes of 256 kB, comes back on a slow link while more are made; its giver is lost midway. */
+    @Test
+    void aMemberThatWasAwayCatchesUpWhileChangesGoOnAndItsGiverIsLost() {
+        core("a", "b", "c", "d", "e");
+        world.padding = "p".repeat(MB / 4);
+        world.ballast = "b".repeat(2 * MB);
+        world.nodes.get("e").kill(true);
+        world.await(() -> !in(world, "e"), 3000, "the view without it");
+        changes(world, 300, 20);
+        around(world, "e", SLOW);
+        world.padding = "p".repeat(1024);
+        world.nodes.get("e").start();
+        changes(world, 20, 200);
+        assertFalse(in(world, "e"));
+        world.nodes.get("a").kill(true);
+        world.await(() -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without the giver");
+        for (int i = 0; i < 200 && !in(world, "e"); i++) changes(world, 1, 200);
+        assertTrue(in(world, "e"), "not back in");
+        assertTrue(world.now < 40_000, "back only at " + world.now);
+        world.nodes.get("a").start();
+        world.await(() -> in(world, "a"), 4000, "the giver is back");
+        world.until(world.now + 1000);
+        world.oracle.end(List.copyOf(world.nodes.values()));
+    }
+
+    /** The leader compacts again and again while a learner fetches: what the learner lacks afterwards is little all the same. */
+    @Test
+    void compactionWhileALearnerFetchesDoesNotMakeItBeginAnew() {
+        core("a", "b", "c");
+        world.node("d", List.of("a", "b", "c"));
+        world.ballast = "b".repeat(2 * MB);
+        changes(world, Log.ENTRIES + 10, 12);
+        around(world, "d", SLOW);
+        world.nodes.get("d").start();
+        long begin = world.now;
+        while (!in(world, "d") && world.now - begin < 30_000) changes(world, 1, 12);
+        assertTrue(in(world, "d"), "not let in");
+        assertTrue(world.link("a", "d").bytes < 3 * MB, "bytes " + world.link("a", "d").bytes);
+    }
+
+    /** Five newcomers at once, more than cuts are kept. */
+    @Test
+    void fiveNewcomersAtOnceAreServedTogether() {
+        core("a", "b", "c");
+        for (String name : List.of("d", "e", "f", "g", "h")) world.node(name, List.of("a", "b", "c"));
+        world.ballast = "b".repeat(2 * MB);
+        changes(world, Log.ENTRIES + 10, 12);
+        for (String name : List.of("d", "e", "f", "g", "h")) {
+            around(world, name, 2 * SLOW);
+            world.nodes.get(name).start();
+            changes(world, 1, 50);
+        }
+        for (String name : List.of("d", "e", "f", "g", "h")) {
+            world.await(() -> in(world, name), 9_000, name + " let in");
+        }
+    }
+
+    /** A member whose disk is full takes no more into memory than is bounded, says that it is ill, is left out, and comes back with room. */
+    @Test
+    void aMemberWithAFullDiskIsLeftOutAndComesBackWithRoom() {
+        for (String full : List.of("a", "b")) {
+            core("a", "b", "c");
+                world.nodes.get(full).disk.full = true;
+            SimNode other = world.nodes.get("c");
+            takes(world, other, 3000, "a change while the disk of " + full + " is full");
+            world.await(() -> !in(world, full), 3000, full + " left out");
+            for (int i = 0; i < 30; i++) takes(world, other, 1000, "changes without " + full);
+            world.nodes.get(full).disk.full = false;
+            world.await(() -> in(world, full), 3000, full + " is back");
+            world.until(world.now + 500);
+            world.oracle.end(List.copyOf(world.nodes.values()));
+        }
+    }
+}
--- a/src/test/java/brambletray/tray/view/Weather.java
+++ b/src/test/java/brambletray/tray/view/Weather.java
@@ -20,6 +20,8 @@
         world = new SimWorld(seed, Settings.usual(1));
         world.talks = talks;
         world.oracle.harsh = seed % 4 == 0;
+        // large changes on links that take their time
+        if (seed % 5 == 2) world.padding = "p".repeat(24 << 10);
         List<String> seeds = List.of("a", "b", "c");
         for (int i = 0; i < machines; i++) {
             SimNode node = world.node(String.valueOf((char) ('a' + i)), seeds);
@@ -166,6 +168,7 @@
             case 11 -> {
                 world.link(node.address, other.address).loss = random.nextDouble();
                 world.link(other.address, node.address).delayMs = 2 + random.nextInt(200);
+                if (!world.padding.isEmpty()) world.rate(node.address, other.address, 100 + random.nextInt(2000));
             }
             default -> replace(node);
         }
