--- /dev/null
+++ b/src/main/java/brambletray/tray/carry/Candidates.java
@@ -0,0 +1,70 @@
+package brambletray.tray.carry;
+
+import brambletray.tray.berth.Address;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The members of the core that an edge may ask for the helm, and in which order: those of the newest view that it was told of, then those that its
+ * settings have named, which may all be stale by then. Each process begins at another place, so that not all ask the same one. Pure.
+ */
+final class Candidates {
+    /** Addresses of the settings that are remembered. */
+    private static final int MOST = 16;
+
+    private final int turn;
+    private List<Address> seeds = List.of();
+    private List<Address> members = List.of();
+    private long view;
+    private List<Address> order = List.of();
+    private int at;
+
+    /** {@code turn}: any number, another in each process. */
+    Candidates(int turn) {
+        this.turn = turn;
+    }
+
+    /** The settings name these now; those that they named before are kept behind them. */
+    void seeds(List<Address> named) {
+        Set<Address> all = new LinkedHashSet<>(named);
+        all.addAll(seeds);
+        seeds = List.copyOf(all).subList(0, Math.min(MOST, all.size()));
+        order();
+    }
+
+    /** A member tells the members of a view in force, of this number; of an older one than is known: nothing new. */
+    void members(long number, List<Address> told) {
+        if (number > view && !told.isEmpty()) {
+            view = number;
+            members = List.copyOf(told);
+            order();
+        }
+    }
+
+    private void order() {
+        Set<Address> all = new LinkedHashSet<>();
+        for (List<Address> part : List.of(members, seeds)) {
+            for (int i = 0; i < part.size(); i++) {
+                all.add(part.get(Math.floorMod(turn + i, part.size())));
+            }
+        }
+        order = new ArrayList<>(all);
+        at = 0;
+    }
+
+    /** A new search begins: at the members of the newest view. */
+    void again() {
+        at = 0;
+    }
+
+    /** The next to ask, in turn, but not this one (null: any) if there is another; null: none is known. */
+    Address next(Address but) {
+        if (order.isEmpty()) {
+            return null;
+        }
+        Address next = order.get(at++ % order.size());
+        return next.equals(but) && order.size() > 1 ? order.get(at++ % order.size()) : next;
+    }
+}
--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -200,7 +200,7 @@
         leaving = true;
         self = self.leaving();
         watch.self(self, creed.revision());
-        tether.say(new Hello(self, roster.term(), roster.number(), creed.revision()));
+        tether.say(new Hello(self, roster.term(), roster.number(), creed.revision(), tether.term()));
         front.drain();
         long grace = (long) (berth.bounds().graceS() * 1_000);
         TALE.tell("leaving", "grace-ms", grace, "in-flight", flow.inFlight());
@@ -248,14 +248,14 @@
         watch.ring(new Ring(next), now());
         TALE.tell("roster", "term", next.term(), "number", next.number(), "peers", next.peers().size(), "gone", gone);
         if (!next.lists(self)) {
-            tether.say(new Hello(self, roster.term(), roster.number(), creed.revision()));
+            tether.say(new Hello(self, roster.term(), roster.number(), creed.revision(), tether.term()));
         }
     }
 
     private final class HubEar implements Tether.Ear {
         @Override
         public Object hello() {
-            return new Hello(self, roster.term(), roster.number(), creed.revision());
+            return new Hello(self, roster.term(), roster.number(), creed.revision(), tether.term());
         }
 
         @Override
--- a/src/main/java/brambletray/tray/carry/Tether.java
+++ b/src/main/java/brambletray/tray/carry/Tether.java
@@ -16,14 +16,24 @@
 import java.util.List;
 
 /**
- * An edge's link to the holder of the helm. Any member of the core says who that is; a holder that stops pulsing is left for the next member
- * that answers. For the loop only.
+ * An edge's link to the holder of the helm. Any member of the core says who that is, and says it again as soon as that changes; a holder that stops
+ * pulsing, or says that its lease has run out, is left for the next member that answers. For the loop only.
+ *
+ * <p>Terms fence it: the highest one seen in this life is remembered across links and told in each Hello. A helm of a lower term is not attached to
+ * and a hint to one is not followed; what a helm says counts only on a link on which it has pulsed, and only under the term of that pulse.
  */
 final class Tether implements Handler {
     private static final Tale TALE = Tale.of("carry");
-    /** ms without a pulse after which the helm is looked for elsewhere; and how long one member is given to say where. */
-    private static final int ADRIFT = 1_000, TRY = 400;
-    private static final int KNOWN = 16;
+    /** ms without a pulse after which the helm is looked for elsewhere; it pulses four times in that. */
+    private static final int ADRIFT = 1_000;
+    /** ms that a member is given to come up and say where the helm is, and the helm to pulse. */
+    private static final int TRY = 400;
+    /** ms to stay with a member that is in touch with the others and knows of no helm: it says so as soon as there is one. */
+    private static final int WAIT = 1_000;
+    /** ms to stay with a member that is out of touch: it may be cut off from the rest for long, or a view may be about to begin. */
+    private static final int SHORT = 150;
+    /** ms for which a helm that did not pulse, or let us go, is not returned to on the word of others, whose word may be as old as its lease. */
+    private static final int AVOID = 600;
 
     /** What an edge does with what it hears. */
     interface Ear {
@@ -45,14 +55,18 @@
         long revision();
     }
 
+    private record Avoided(Address helm, long term, long until) { }
+
     private final Machine machine;
     private final Speech speech;
     private final Iam self;
     private final Ear ear;
-    private final List<Address> known = new ArrayList<>();
+    private final Candidates candidates;
     private Dialler dialler;
-    private int next;
     private long since;
+    /** ms from {@link #since} until the next member is asked. */
+    private int patience = TRY;
+    private Avoided avoided = new Avoided(null, 0, Long.MIN_VALUE / 2);
     private long pulsed = Long.MIN_VALUE / 2;
     private long term;
     private boolean attached;
@@ -63,23 +77,20 @@
         this.speech = speech;
         this.self = self;
         this.ear = ear;
+        this.candidates = new Candidates(turn);
         members(members);
-        this.next = Math.floorMod(turn, Math.max(1, known.size()));
     }
 
-    /** Further members of the core, as the settings name them. */
+    /** Members of the core, as the settings name them now. */
     void members(List<Address> members) {
-        for (Address member : members) {
-            if (!known.contains(member)) {
-                known.add(member);
-            }
-        }
+        candidates.seeds(members);
     }
 
     boolean attached() {
         return attached;
     }
 
+    /** The highest that any helm has spoken under to this process; 0: none yet. */
     long term() {
         return term;
     }
@@ -91,22 +102,29 @@
 
     void tick(long now) {
         if (attached && now - pulsed > ADRIFT) {
-            attached = false;
-            TALE.tell("adrift", "term", term, "why", "no pulse for " + (now - pulsed) + " ms");
+            adrift("no pulse for " + (now - pulsed) + " ms", now);
             turn(now);
-        } else if (!attached && (dialler == null || now - since > TRY)) {
+        } else if (!attached && (dialler == null || now - since > patience)) {
             turn(now);
         }
     }
 
+    private void adrift(String why, long now) {
+        attached = false;
+        avoided = new Avoided(dialler.to(), term, now + AVOID);
+        candidates.again();
+        TALE.tell("adrift", "helm", dialler.to(), "term", term, "why", why);
+    }
+
     private void turn(long now) {
-        if (!known.isEmpty()) {
-            to(known.get(next++ % known.size()), now);
+        Address next = candidates.next(dialler == null ? null : dialler.to());
+        if (next != null) {
+            to(next, now);
         }
     }
 
     private void to(Address member, long now) {
-        since = now;
+        stay(TRY, now);
         if (dialler != null && dialler.to().equals(member)) {
             dialler.hurry();
             if (dialler.up()) {
@@ -120,6 +138,11 @@
         dialler = new Dialler(machine, speech, member, this, now ^ member.hashCode());
     }
 
+    private void stay(int ms, long now) {
+        since = now;
+        patience = ms;
+    }
+
     private long now() {
         return machine.clock().nanos() / 1_000_000;
     }
@@ -141,34 +164,58 @@
         } else if (frame instanceof Pulse pulse) {
             pulse(pulse, now);
         } else if (frame instanceof Roster roster) {
-            ear.roster(roster);
+            if (counts(roster.term(), frame)) {
+                ear.roster(roster);
+            }
         } else if (frame instanceof News news) {
-            ear.news(news);
-        } else {
+            if (counts(news.term(), frame)) {
+                ear.news(news);
+            }
+        } else if (counts(term, frame)) {
             ear.heard(frame);
         }
     }
 
+    /** Whether a frame under this term has authority here and now. */
+    private boolean counts(long under, Object frame) {
+        boolean yes = attached && under == term;
+        if (!yes) {
+            TALE.tell("not taken", "frame", frame.getClass().getSimpleName(), "from", dialler.to(), "its term", under, "term", term,
+                "attached", attached);
+        }
+        return yes;
+    }
+
     private void welcome(Welcome welcome, long now) {
-        if (welcome.lacks(ear.roster())) {
+        List<Address> members = new ArrayList<>();
+        welcome.members().forEach(member -> members.add(Address.parse(member)));
+        candidates.members(welcome.view(), members);
+        boolean named = !welcome.helmAddress().isEmpty() && welcome.term() >= term;
+        Address helm = named ? Address.parse(welcome.helmAddress()) : null;
+        boolean here = named && helm.equals(dialler.to());
+        if (here && welcome.lacks(ear.roster())) {
             dialler.say(ear.roster());
         }
-        if (welcome.helmAddress().isEmpty() || attached) {
+        if (attached && named && welcome.term() == term) {
             return;
         }
-        Address helm = Address.parse(welcome.helmAddress());
-        if (!helm.equals(dialler.to())) {
-            known.remove(helm);
-            known.add(0, helm);
-            while (known.size() > KNOWN) {
-                known.remove(known.size() - 1);
-            }
+        if (attached) {
+            adrift(named ? "it names another helm" : "its lease has run out", now);
+        }
+        if (here) {
+            stay(TRY, now);
+        } else if (!named) {
+            stay(welcome.inTouch() ? WAIT : SHORT, now);
+        } else if (helm.equals(avoided.helm()) && welcome.term() == avoided.term() && now < avoided.until()) {
+            stay((int) (avoided.until() - now), now);
+        } else {
             to(helm, now);
         }
     }
 
     private void pulse(Pulse pulse, long now) {
         if (pulse.term() < term) {
+            TALE.tell("not taken", "frame", "Pulse", "from", dialler.to(), "its term", pulse.term(), "term", term, "attached", attached);
             return;
         }
         boolean fresh = !attached || pulse.term() > term;
@@ -189,10 +236,9 @@
 
     @Override
     public void down(Link link, String why) {
-        if (attached) {
-            attached = false;
-            TALE.tell("adrift", "term", term, "why", why);
-            since = now();
+        if (attached && dialler.link() == null) {
+            adrift(why, now());
+            stay(SHORT, now());
         }
     }
 }
--- a/src/main/java/brambletray/tray/keep/Hub.java
+++ b/src/main/java/brambletray/tray/keep/Hub.java
@@ -13,6 +13,7 @@
 import brambletray.tray.ring.Roster;
 import brambletray.tray.ring.Suspect;
 import brambletray.tray.ring.Trust;
+import brambletray.tray.ring.Welcome;
 import brambletray.tray.speech.Link;
 import brambletray.tray.tale.Tale;
 import brambletray.tray.yard.Begun;
@@ -30,10 +31,8 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -44,10 +43,15 @@
     private static final Tale TALE = Tale.of("hub");
     /** ms between pulses. */
     private static final int PULSE = 250;
+    /** ms without the right to act after which edges are let go: a late tick of this process puts its lease in doubt for one round only. */
+    static final int DOUBT = 100;
+    private static final long NEVER = Long.MIN_VALUE;
 
     private static final class Edge {
         private Link link;
         private Peer peer;
+        /** Has been pulsed on this link, and not been let go since: what is said now is said under this term. */
+        private boolean open;
         private long revision = -1;
         private long rosterTerm;
         private long rosterNumber;
@@ -61,13 +65,32 @@
     private final Platform platform;
     private Homes homes = new Homes(Roster.NONE);
     private long pulsedAt;
+    private long lapsedAt = NEVER;
     private News news;
     private final Machine machine;
-    private final BooleanSupplier mayAct;
+    private final Authority authority;
 
-    Hub(Machine machine, Berth berth, long term, Supplier<Creed> creed, BooleanSupplier mayAct, long now) {
+    /** What a hub asks before it speaks. */
+    interface Authority {
+        /** Whether this term may act at this moment. */
+        boolean mayAct();
+
+        /**
+         * Whether all that was kept before the view in force has been applied here. Until then the configuration that is known here may be older
+         * than one that was acknowledged.
+         */
+        boolean applied();
+
+        /** What this member says to an edge's Hello. */
+        Welcome welcome();
+
+        /** The platform has refused a call under this term, as it has seen a higher one. */
+        void fenced(long term);
+    }
+
+    Hub(Machine machine, Berth berth, long term, Supplier<Creed> creed, Authority authority, long now) {
         this.machine = machine;
-        this.mayAct = mayAct;
+        this.authority = authority;
         this.term = term;
         this.creed = creed;
         census = new Census(term, now, this::roster);
@@ -113,15 +136,22 @@
             sizes.put(service.name(), new Size(service.memoryMb(), service.bootMs()));
         }
         yard.creed(sizes, now);
-        news = new News(current.revision(), current.json());
+        news = new News(term, current.revision(), current.json());
+        if (authority.mayAct()) {
+            tellAll(revision());
+        }
+    }
+
+    /** For who may act, of what may be handed out. What is not told now is told by a later {@link #tick}. */
+    private void tellAll(long revision) {
         for (Edge edge : edges.values()) {
-            tell(edge);
+            tell(edge, revision);
         }
     }
 
-    private void tell(Edge edge) {
-        if (news != null && edge.peer != null && edge.revision < news.revision() && edge.link.say(news)) {
-            edge.revision = news.revision();
+    private void tell(Edge edge, long revision) {
+        if (edge.open && edge.revision < revision && edge.link.say(news)) {
+            edge.revision = revision;
         }
     }
 
@@ -141,7 +171,7 @@
     }
 
     private void tell(Edge edge, Roster roster) {
-        if (roster.number() > 0 && edge.peer != null && (edge.rosterTerm != roster.term() || edge.rosterNumber < roster.number())
+        if (roster.number() > 0 && edge.open && (edge.rosterTerm != roster.term() || edge.rosterNumber < roster.number())
                 && edge.link.say(roster)) {
             edge.rosterTerm = roster.term();
             edge.rosterNumber = roster.number();
@@ -178,19 +208,48 @@
 
     private void hello(String name, Link link, Hello hello, long now) {
         Edge edge = edges.computeIfAbsent(name, none -> new Edge());
+        edge.open &= edge.link == link;
         edge.link = link;
         edge.peer = hello.self();
         edge.revision = hello.revision();
         edge.rosterTerm = hello.rosterTerm();
         edge.rosterNumber = hello.rosterNumber();
         census.hello(hello, now);
-        link.say(new Pulse(term, revision(), census.roster().number()));
-        tell(edge);
-        tell(edge, census.roster());
+        if (authority.mayAct()) {
+            long revision = revision();
+            pulse(edge, new Pulse(term, revision, census.roster().number()));
+            tell(edge, revision);
+            tell(edge, census.roster());
+        }
+    }
+
+    private void pulse(Edge edge, Pulse pulse) {
+        edge.open |= edge.link.say(pulse);
     }
 
+    /** Of the configuration that may be handed out, or 0: none yet. */
     private long revision() {
-        return news == null ? 0 : news.revision();
+        return news != null && authority.applied() ? news.revision() : 0;
+    }
+
+    /** Edges look elsewhere, until this hub pulses again. */
+    private void letGo(String why) {
+        int all = 0;
+        Welcome welcome = authority.welcome().withoutHelm();
+        for (Edge edge : edges.values()) {
+            if (edge.open) {
+                all++;
+                letGo(edge, welcome);
+            }
+        }
+        if (all > 0) {
+            TALE.tell("edges let go", "term", term, "why", why, "edges", all);
+        }
+    }
+
+    private void letGo(Edge edge, Welcome welcome) {
+        edge.open = false;
+        edge.link.say(welcome);
     }
 
     void parted(String name, Link link, long now) {
@@ -202,28 +261,32 @@
         }
     }
 
-    /** Says and does nothing while this term may not act. */
+    /** Says and does nothing with authority while this term may not act. */
     void tick(long now) {
-        if (!mayAct.getAsBoolean()) {
+        if (!authority.mayAct()) {
+            if (lapsedAt == NEVER) {
+                lapsedAt = now;
+            } else if (now - lapsedAt >= DOUBT) {
+                letGo("the lease has run out or is in doubt");
+            }
             return;
         }
+        lapsedAt = NEVER;
         census.tick(now);
         yard.tick(now);
         if (now - pulsedAt >= PULSE) {
             pulsedAt = now;
             Pulse pulse = new Pulse(term, revision(), census.roster().number());
-            for (Edge edge : edges.values()) {
-                edge.link.say(pulse);
-            }
+            edges.values().forEach(edge -> pulse(edge, pulse));
         }
+        tellAll(revision());
+        edges.values().forEach(edge -> tell(edge, census.roster()));
     }
 
-    /** The term is over: nothing more is said or called. */
+    /** The term is over: nothing more is called, nor said but that. The links stay, by which edges are told of the next helm. */
     void end() {
         platform.close();
-        for (Edge edge : List.copyOf(edges.values())) {
-            edge.link.close("the helm has passed on");
-        }
+        letGo("the term is over");
         edges.clear();
         TALE.tell("ends", "term", term);
     }
@@ -236,27 +299,44 @@
         @Override
         public void tell(String name, Object frame) {
             Edge edge = edges.get(name);
-            if (edge != null) {
-                edge.link.say(frame);
+            // Who is not open tells what its seats know when it is again, and is told then what it has missed.
+            if (edge != null && edge.open) {
+                if (authority.mayAct()) {
+                    edge.link.say(frame);
+                } else {
+                    letGo(edge, authority.welcome().withoutHelm());
+                }
             }
         }
 
         @Override
         public void begin(String service, String worker, String nonce) {
-            if (!mayAct.getAsBoolean()) {
+            if (!authority.mayAct()) {
                 machine.loop().execute(() -> yard.begun(nonce, Begun.of(Result.UNKNOWN), now()));
                 return;
             }
-            platform.begin(service, worker, nonce, begun -> yard.begun(nonce, begun, now()));
+            platform.begin(service, worker, nonce, begun -> {
+                fenced(begun.result());
+                yard.begun(nonce, begun, now());
+            });
         }
 
         @Override
         public void stop(String id) {
-            if (!mayAct.getAsBoolean()) {
+            if (!authority.mayAct()) {
                 machine.loop().execute(() -> yard.stopped(id, Result.UNKNOWN, now()));
                 return;
             }
-            platform.stop(id, result -> yard.stopped(id, result, now()));
+            platform.stop(id, result -> {
+                fenced(result);
+                yard.stopped(id, result, now());
+            });
+        }
+
+        private void fenced(Result result) {
+            if (result == Result.FENCED) {
+                authority.fenced(term);
+            }
         }
 
         @Override
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -8,6 +8,7 @@
 import brambletray.tray.news.Iam;
 import brambletray.tray.news.Lexis;
 import brambletray.tray.news.Signals;
+import brambletray.tray.ring.Hello;
 import brambletray.tray.ring.Roster;
 import brambletray.tray.ring.Welcome;
 import brambletray.tray.speech.Link;
@@ -20,13 +21,13 @@
 import brambletray.tray.trove.TroveFault;
 import brambletray.tray.view.Frame;
 import brambletray.tray.view.Kept;
+import brambletray.tray.view.Member;
 import brambletray.tray.view.Members;
 import brambletray.tray.view.Out;
 import brambletray.tray.view.Outcome;
 import brambletray.tray.view.Settings;
 import brambletray.tray.view.Status;
 import brambletray.tray.vow.Ballots;
-import brambletray.tray.vow.Holder;
 import brambletray.tray.vow.Spans;
 import brambletray.tray.vow.Vow;
 import java.nio.file.Path;
@@ -56,7 +57,10 @@
     private final Kin kin;
     private final Vow vow;
     private final Views views;
+    private final Greeter edges = new Greeter(this::welcome);
     private Hub hub;
+    /** The term of the helm that is held here, 0 for none. */
+    private long held;
     private boolean leaving;
 
     private Keep(Berth berth, Machine machine, Map<String, byte[]> kept, Scribe scribe, long life, long origin) {
@@ -134,21 +138,40 @@
             vow.view(members.status(), now);
             vow.tick(now);
             views.tick();
+            takeUp();
             if (hub != null) {
                 hub.tick(now);
             }
+            edges.tick(now);
         } catch (RuntimeException e) {
             TALE.warn("tick failed", "why", e, "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "");
         }
     }
 
+    /** There is a hub for the term that is held, and for no other; one that was won but may not act yet is taken up at a later tick. */
+    private void takeUp() {
+        long now = now();
+        if (hub != null && hub.term() != held) {
+            hub.end();
+            hub = null;
+        }
+        if (hub == null && held != 0 && vow.mayAct(now)) {
+            hub = new Hub(machine, berth, held, () -> operators.charter().creed(), new HubAuthority(), now);
+            edges.hub(hub, now);
+        }
+    }
+
     private boolean mayAct() {
         return vow.mayAct(now());
     }
 
-    private String helmAddress() {
-        Holder holder = vow.holder(now());
-        return holder == null ? "" : new Address(Address.parse(holder.member().address()).host(), berth.innerLow()).toString();
+    /** Where edges reach a member of the core. */
+    private String inner(Member member) {
+        return new Address(Address.parse(member.address()).host(), berth.innerLow()).toString();
+    }
+
+    private Welcome welcome() {
+        return Greeter.welcome(members.status(), vow.holder(now()), hub == null ? 0 : hub.term(), hub == null ? Roster.NONE : hub.newest(), this::inner);
     }
 
     private void creedChanged() {
@@ -235,24 +258,14 @@
 
         @Override
         public void won(long term) {
-            machine.loop().execute(() -> {
-                if (vow.mayAct(now())) {
-                    lost();
-                    hub = new Hub(machine, berth, term, () -> operators.charter().creed(), Keep.this::mayAct, now());
-                }
-            });
+            held = term;
+            machine.loop().execute(Keep.this::takeUp);
         }
 
         @Override
         public void lost(long term) {
-            machine.loop().execute(this::lost);
-        }
-
-        private void lost() {
-            if (hub != null) {
-                hub.end();
-                hub = null;
-            }
+            held = 0;
+            machine.loop().execute(Keep.this::takeUp);
         }
 
         @Override
@@ -293,6 +306,28 @@
         }
     }
 
+    private final class HubAuthority implements Hub.Authority {
+        @Override
+        public boolean mayAct() {
+            return Keep.this.mayAct();
+        }
+
+        @Override
+        public boolean applied() {
+            return members.status().settled();
+        }
+
+        @Override
+        public Welcome welcome() {
+            return Keep.this.welcome();
+        }
+
+        @Override
+        public void fenced(long term) {
+            vow.doubt(term + 1, now());
+        }
+    }
+
     private final class KinEar implements Kin.Ear {
         @Override
         public void member(String from, Object frame) {
@@ -309,13 +344,15 @@
         }
 
         @Override
-        public void edge(String name, Link link) { }
+        public void edge(String name, Link link) {
+            edges.came(name, link);
+        }
 
         @Override
         public void edge(String name, Link link, Object frame) {
-            if (frame instanceof brambletray.tray.ring.Hello) {
-                Roster newest = hub == null ? Roster.NONE : hub.newest();
-                link.say(new Welcome(helmAddress(), hub == null ? 0 : hub.term(), newest.term(), newest.number()));
+            if (frame instanceof Hello hello) {
+                vow.doubt(hello.term(), now());
+                edges.hello(link, hello);
             }
             if (hub != null) {
                 hub.heard(name, link, frame, now());
@@ -324,6 +361,7 @@
 
         @Override
         public void edgeGone(String name, Link link) {
+            edges.gone(link);
             if (hub != null) {
                 hub.parted(name, link, now());
             }
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/tray/vow/Vow.java
@@ -311,9 +311,24 @@
         return agreedAt >= doubtAt && at - agreedAt < spans.actMs();
     }
 
-    /** Who has the duty as far as known here, or null. */
+    /**
+     * Something outside the core has seen this term, or refused the one that is held here (fencing). A lower one that is held here may act again only
+     * once a majority has agreed to it anew: who has been succeeded never is agreed to, and a false word costs one round.
+     */
+    public void doubt(long higher, long at) {
+        enter(at);
+        if (tenure != null && tenure.won && higher > tenure.term) {
+            out.tell("vow.doubt", "duty", duty, "term", tenure.term, "seen", higher);
+            doubtAt = now;
+            renew();
+        }
+        leave();
+    }
+
+    /** Who has the duty as far as known here, or null. Itself only while it may act: that it has agreed to its own lease is no lease. */
     public Holder holder(long at) {
         if (tenure != null && tenure.won) return mayAct(at) ? new Holder(tenure.term, me) : null;
-        return voter.holder(at);
+        Holder other = voter.holder(at);
+        return other == null || other.member().life() == me.life() ? null : other;
     }
 }
--- /dev/null
+++ b/src/test/java/brambletray/tray/carry/CandidatesTest.java
@@ -0,0 +1,71 @@
+package brambletray.tray.carry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import brambletray.tray.berth.Address;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Whom an edge asks for the helm, in which order. */
+class CandidatesTest {
+    private static List<Address> all(String names) {
+        List<Address> all = new ArrayList<>();
+        for (char name : names.toCharArray()) {
+            all.add(new Address("10.0.0." + (name - 'a' + 1), 90));
+        }
+        return all;
+    }
+
+    private static Address one(char name) {
+        return all(String.valueOf(name)).get(0);
+    }
+
+    private static String next(Candidates candidates, int times) {
+        StringBuilder names = new StringBuilder();
+        for (int i = 0; i < times; i++) {
+            names.append((char) ('a' + Integer.parseInt(candidates.next(null).host().substring(7)) - 1));
+        }
+        return names.toString();
+    }
+
+    @Test
+    void seedsInTurnFromThePlaceOfThisProcess() {
+        Candidates candidates = new Candidates(-2);
+        assertNull(candidates.next(null));
+        candidates.seeds(all("abc"));
+        assertEquals("bcabca", next(candidates, 6));
+    }
+
+    @Test
+    void theNewestViewGoesBeforeTheSettingsAndAnOlderOneIsPassedOver() {
+        Candidates candidates = new Candidates(0);
+        candidates.seeds(all("abc"));
+        candidates.members(4, all("de"));
+        candidates.members(3, all("xyz"));
+        candidates.members(5, List.of());
+        assertEquals("deabcd", next(candidates, 6));
+        candidates.again();
+        assertEquals("d", next(candidates, 1));
+        candidates.members(6, all("fa"));
+        assertEquals("fabcf", next(candidates, 5));
+    }
+
+    @Test
+    void theOneThatHasJustBeenAskedIsPassedOverUnlessItIsTheOnlyOne() {
+        Candidates candidates = new Candidates(0);
+        candidates.seeds(all("a"));
+        assertEquals(one('a'), candidates.next(one('a')));
+        candidates.seeds(all("ab"));
+        assertEquals(one('b'), candidates.next(one('a')));
+    }
+
+    @Test
+    void theLatestSettingsGoFirstAndNoMoreThanSixteenAreKept() {
+        Candidates candidates = new Candidates(0);
+        candidates.seeds(all("abcdefghijklmno"));
+        candidates.seeds(all("xyz"));
+        assertEquals("xyzabcdefghijklmx", next(candidates, 17));
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/carry/TetherTest.java
@@ -0,0 +1,375 @@
+package brambletray.tray.carry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.runtime.Machine;
+import brambletray.simulation.SimNetwork;
+import brambletray.simulation.Simulation;
+import brambletray.tray.berth.Address;
+import brambletray.tray.news.Iam;
+import brambletray.tray.news.Lexis;
+import brambletray.tray.news.News;
+import brambletray.tray.news.Pulse;
+import brambletray.tray.ring.Hello;
+import brambletray.tray.ring.Peer;
+import brambletray.tray.ring.Roster;
+import brambletray.tray.ring.Welcome;
+import brambletray.tray.speech.Handler;
+import brambletray.tray.speech.Link;
+import brambletray.tray.speech.Listener;
+import brambletray.tray.speech.Speech;
+import brambletray.tray.yard.Gone;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** How an edge finds the helm and keeps to it, against members of the core that say what the test has them say, on a simulated network. */
+class TetherTest {
+    private static final int PORT = 7_400;
+
+    private final Simulation simulation = new Simulation(3, 0);
+    private final Machine machine = simulation.machine(ip("10.0.1.1"));
+    private final Map<String, Core> cores = new TreeMap<>();
+    private final Heard heard = new Heard();
+    private Tether tether;
+
+    TetherTest() {
+        simulation.network().usual(new SimNetwork.Way(TimeUnit.MILLISECONDS.toNanos(2), 0));
+    }
+
+    private static InetAddress ip(String text) {
+        try {
+            return InetAddress.getByName(text);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private void run(long millis) {
+        simulation.runUntil(simulation.now() + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** Runs until the edge is attached under this term, at most so long; ms that it took. */
+    private long untilAttached(long term, long most) {
+        long from = simulation.now();
+        assertTrue(simulation.runUntil(from + TimeUnit.MILLISECONDS.toNanos(most), () -> tether.attached() && tether.term() == term),
+            "not attached under term " + term + " after " + most + " ms: " + heard);
+        return TimeUnit.NANOSECONDS.toMillis(simulation.now() - from);
+    }
+
+    /** Members a, b, c... at 10.0.0.1, 10.0.0.2, 10.0.0.3... */
+    private Core core(String name) {
+        return cores.computeIfAbsent(name, Core::new);
+    }
+
+    private static String at(String name) {
+        return "10.0.0." + (name.charAt(0) - 'a' + 1) + ":" + PORT;
+    }
+
+    /** The edge starts with these seeds; the first is asked first. */
+    private void start(String... seeds) {
+        List<Address> addresses = new ArrayList<>();
+        for (String seed : seeds) {
+            addresses.add(Address.parse(at(seed)));
+        }
+        tether = new Tether(machine, new Speech(Lexis.ALL), new Iam("edge-1", "10.0.1.1:" + PORT, false), addresses, 0, heard);
+        machine.loop().scheduleWithFixedDelay(() -> tether.tick(machine.clock().nanos() / 1_000_000), 50, 50, TimeUnit.MILLISECONDS);
+    }
+
+    /** A member of the core that welcomes edges as it is told, and pulses while it holds the helm. */
+    private final class Core implements Handler {
+        private final String name;
+        private final List<Link> links = new ArrayList<>();
+        private final List<Hello> hellos = new ArrayList<>();
+        private Welcome welcome = new Welcome("", 0, true, 0, List.of(), 0, 0);
+        private long term;
+
+        Core(String name) {
+            this.name = name;
+            Machine here = simulation.machine(ip(Address.parse(at(name)).host()));
+            new Listener(here, new Speech(Lexis.ALL), Address.parse(at(name)), this);
+            here.loop().scheduleWithFixedDelay(() -> {
+                if (term > 0) {
+                    say(new Pulse(term, 0, 0));
+                }
+            }, 250, 250, TimeUnit.MILLISECONDS);
+        }
+
+        /** Names this one as the helm from now on, and says so to who waits here. */
+        Core names(String helm, long under) {
+            return welcomes(new Welcome(helm.isEmpty() ? "" : at(helm), under, true, welcome.view(), welcome.members(), 0, 0));
+        }
+
+        /** Is out of touch with the others from now on, names nobody and holds nothing. */
+        Core cutOff() {
+            term = 0;
+            return welcomes(new Welcome("", 0, false, welcome.view(), welcome.members(), 0, 0));
+        }
+
+        /** Tells a view of these members. */
+        Core view(long number, String... members) {
+            List<String> all = new ArrayList<>();
+            for (String member : members) {
+                all.add(at(member));
+            }
+            return welcomes(new Welcome(welcome.helmAddress(), welcome.term(), welcome.inTouch(), number, all, 0, 0));
+        }
+
+        private Core welcomes(Welcome next) {
+            welcome = next;
+            if (!hellos.isEmpty()) {
+                say(welcome);
+            }
+            return this;
+        }
+
+        /** Holds the helm from now on. */
+        Core helm(long under) {
+            term = under;
+            return names(name, under);
+        }
+
+        void say(Object frame) {
+            links.forEach(link -> link.say(frame));
+        }
+
+        void vanish() {
+            simulation.network().vanish(ip(Address.parse(at(name)).host()));
+        }
+
+        @Override
+        public void up(Link link) {
+            links.add(link);
+        }
+
+        @Override
+        public void heard(Link link, Object frame) {
+            if (frame instanceof Hello hello) {
+                hellos.add(hello);
+                link.say(welcome);
+                if (term > 0) {
+                    link.say(new Pulse(term, 0, 0));
+                }
+            }
+        }
+
+        @Override
+        public void down(Link link, String why) {
+            links.remove(link);
+        }
+    }
+
+    /** What the edge takes. */
+    private final class Heard implements Tether.Ear {
+        private final List<Object> taken = new ArrayList<>();
+        private final Map<Long, Long> attachedAt = new LinkedHashMap<>();
+
+        @Override
+        public Object hello() {
+            return new Hello(new Peer("edge-1", "za", "10.0.1.1:" + PORT, 1, Peer.IN), 0, 0, 0, tether.term());
+        }
+
+        @Override
+        public Roster roster() {
+            return Roster.NONE;
+        }
+
+        @Override
+        public void roster(Roster roster) {
+            taken.add(roster);
+        }
+
+        @Override
+        public void news(News news) {
+            taken.add(news.revision());
+        }
+
+        @Override
+        public void heard(Object frame) {
+            taken.add(frame);
+        }
+
+        @Override
+        public void attached(long term) {
+            attachedAt.put(term, TimeUnit.NANOSECONDS.toMillis(simulation.now()));
+        }
+
+        @Override
+        public long revision() {
+            return 0;
+        }
+
+        @Override
+        public String toString() {
+            return "attached " + attachedAt + ", took " + taken;
+        }
+    }
+
+    private static News news(long term, long revision) {
+        return new News(term, revision, new byte[0]);
+    }
+
+    @Test
+    void whatIsSaidBeforeAPulseOrUnderAnotherTermIsNotTaken() {
+        core("a");
+        start("a");
+        run(100);
+        core("a").say(news(9, 3));
+        core("a").say(new Roster(9, 1, List.of()));
+        core("a").say(new Gone("i-1", "tea"));
+        run(20);
+        assertEquals(List.of(), heard.taken, "it has not pulsed");
+        core("a").helm(9);
+        untilAttached(9, 300);
+        core("a").say(news(8, 4));
+        core("a").say(new Roster(8, 7, List.of()));
+        core("a").say(news(9, 5));
+        core("a").say(new Gone("i-2", "tea"));
+        run(20);
+        assertEquals(List.of(5L, new Gone("i-2", "tea")), heard.taken);
+    }
+
+    @Test
+    void anOldHelmIsNotTakenForTheHelmOnAnotherLink() {
+        core("b").helm(9).view(2, "a", "b", "c");
+        core("a").names("b", 9);
+        core("c").names("b", 9);
+        start("a", "c", "b");
+        untilAttached(9, 300);
+        // b is gone; a was the helm before, wakes, and knows of nothing.
+        core("b").vanish();
+        core("a").helm(8);
+        core("c").names("", 0);
+        run(1_600);
+        assertFalse(tether.attached());
+        assertEquals(9, core("a").hellos.get(core("a").hellos.size() - 1).term(), "the helm that is asked hears that it has been succeeded");
+        core("a").say(news(8, 3));
+        core("a").say(new Roster(8, 40, List.of()));
+        core("a").say(new Gone("i-1", "tea"));
+        run(1_000);
+        assertFalse(tether.attached());
+        assertEquals(List.of(), heard.taken);
+        core("c").helm(10);
+        untilAttached(10, 1_500);
+    }
+
+    @Test
+    void aHintToAHelmOfALowerTermIsNotFollowed() {
+        core("b").helm(9);
+        core("a").names("b", 9);
+        start("a");
+        untilAttached(9, 300);
+        core("c").helm(8);
+        core("b").names("c", 8);
+        run(500);
+        assertEquals(0, core("c").hellos.size());
+    }
+
+    @Test
+    void whenItsLeaseRunsOutItsEdgesGoOnAtOnce() {
+        core("a").helm(9).view(2, "a", "b");
+        core("b").names("a", 9);
+        start("a");
+        untilAttached(9, 300);
+        core("a").cutOff();
+        run(10);
+        assertFalse(tether.attached());
+        assertFalse(tether.say(new Gone("i-1", "tea")), "nothing more is asked of it");
+        core("b").names("", 0);
+        run(300);
+        assertEquals(1, core("b").hellos.size());
+        core("b").helm(10);
+        assertTrue(untilAttached(10, 300) <= 260, "a waiting edge is told");
+    }
+
+    @Test
+    void aWaitingEdgeIsToldOfTheNextHelmAndFollowsWithinMilliseconds() {
+        core("a");
+        core("b").helm(9);
+        start("a");
+        run(700);
+        core("a").names("b", 9);
+        assertTrue(untilAttached(9, 100) < 20);
+    }
+
+    @Test
+    void itDoesNotReturnToAHelmThatHasLetItGoOnTheWordOfOneWhoDoesNotKnowYet() {
+        core("a").helm(9).view(2, "a", "b", "c");
+        core("b").names("a", 9);
+        core("c").names("a", 9);
+        start("a");
+        untilAttached(9, 300);
+        int before = core("a").hellos.size();
+        core("a").cutOff();
+        run(500);
+        assertEquals(before, core("a").hellos.size(), "b and c still name it");
+        core("b").names("c", 10);
+        core("c").helm(10);
+        untilAttached(10, 900);
+    }
+
+    @Test
+    void membersThatAreNotInTheSettingsAreKnownFromTheView() {
+        core("a").helm(9).view(4, "a", "d", "e");
+        core("d").names("", 0);
+        core("e").names("", 0);
+        start("a", "b", "c");
+        untilAttached(9, 300);
+        core("a").vanish();
+        run(1_100);
+        core("e").helm(10);
+        core("d").names("e", 10);
+        untilAttached(10, 1_000);
+    }
+
+    /**
+     * The worst way from an isolated helm to the real one: five members, of which two are away, one silent and one cut off with the edge's own helm
+     * still pulsing until its lease is over; seeds that are all stale by then.
+     */
+    @Test
+    void theWorstWayIsShorterThanAConfigurationMayTake() {
+        long worst = 0;
+        for (String first : List.of("b,c,d,e", "b,c,e,d", "b,d,c,e", "c,b,d,e", "d,e,b,c", "e,d,c,b")) {
+            TetherTest one = new TetherTest();
+            worst = Math.max(worst, one.worstWay(first.split(",")));
+        }
+        System.out.println("tether: worst way from an isolated helm to the real one " + worst + " ms");
+        assertTrue(worst < 3_000, worst + " ms");
+    }
+
+    /** ms from the cut to the new helm's first word. */
+    private long worstWay(String... order) {
+        String[] view = {"a", order[0], order[1], order[2], order[3]};
+        core("a").helm(9).view(5, view);
+        for (String other : List.of("c", "d", "e")) {
+            core(other).names("a", 9).view(5, view);
+        }
+        // Stale seeds: x, y and z are gone for long; b is away.
+        start("a", "x", "y", "z");
+        untilAttached(9, 300);
+        long cut = simulation.now();
+        core("c").names("a", 9);
+        // a's lease: the last agreement was sent right before the cut, so it acts for 800 ms more; out of touch it is after 350.
+        run(800);
+        core("a").cutOff();
+        // The others hold the lease of a to run for 1,200 ms; the next is chosen 250 ms later.
+        run(400);
+        core("c").names("", 0);
+        core("d").names("", 0);
+        core("e").names("", 0);
+        run(250);
+        core("e").helm(10);
+        core("c").names("e", 10);
+        core("d").names("e", 10);
+        untilAttached(10, 10_000);
+        return TimeUnit.NANOSECONDS.toMillis(simulation.now() - cut);
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -0,0 +1,337 @@
+package brambletray.tray.keep;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.runtime.Machine;
+import brambletray.simulation.Simulation;
+import brambletray.tray.berth.Address;
+import brambletray.tray.berth.Berth;
+import brambletray.tray.creed.Creed;
+import brambletray.tray.news.Iam;
+import brambletray.tray.news.Lexis;
+import brambletray.tray.news.News;
+import brambletray.tray.news.Pulse;
+import brambletray.tray.ring.Hello;
+import brambletray.tray.ring.Peer;
+import brambletray.tray.ring.Roster;
+import brambletray.tray.ring.Welcome;
+import brambletray.tray.speech.Dialler;
+import brambletray.tray.speech.Handler;
+import brambletray.tray.speech.Link;
+import brambletray.tray.speech.Speech;
+import brambletray.tray.stand.Ground;
+import brambletray.tray.stand.Kind;
+import brambletray.tray.stand.Stand;
+import brambletray.tray.stand.StandDoor;
+import brambletray.tray.yard.Born;
+import brambletray.tray.yard.Need;
+import brambletray.tray.yard.NoRoom;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the helm says to edges, and when it holds its tongue: hub, greeter and links of one member, on a simulated network. */
+class HubTest {
+    private static final int PORT = 7_400;
+    private static final long TERM = 70;
+    private static final String ADDRESS = "10.0.0.1:" + PORT;
+
+    @TempDir
+    private Path folder;
+
+    private final Simulation simulation = new Simulation(5, 0);
+    private final Machine core = simulation.machine(ip("10.0.0.1"));
+    private final Machine front = simulation.machine(ip("10.0.0.2"));
+    private final Machine cloud = simulation.machine(ip("10.0.0.9"));
+    private final Stand stand = new Stand(new Ground(800, 10, 50, 2, 3_000, 2_000, 2_500), 3, ms());
+    private final Greeter greeter = new Greeter(this::welcome);
+    private final List<Object> heard = new ArrayList<>();
+    private Creed creed = creed(9);
+    private boolean acts = true;
+    private boolean applied = true;
+    private boolean inTouch = true;
+    private String helm = ADDRESS;
+    private int fenced;
+    private Hub hub;
+    private Dialler edge;
+
+    private static InetAddress ip(String text) {
+        try {
+            return InetAddress.getByName(text);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private static Creed creed(long revision) {
+        return Creed.read(("{\"revision\":" + revision + ",\"routes\":[],\"services\":[{\"name\":\"tea\",\"health-path\":null,"
+            + "\"max-connections\":72,\"memory-mb\":512,\"boot-ms\":750,\"max-concurrency\":4}]}").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private long ms() {
+        return core.clock().nanos() / 1_000_000;
+    }
+
+    private void run(long millis) {
+        simulation.runUntil(simulation.now() + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    private Welcome welcome() {
+        return new Welcome(acts ? helm : "", acts ? TERM : 0, inTouch, 7, List.of(ADDRESS), 0, 0);
+    }
+
+    @BeforeEach
+    void begin() throws IOException {
+        Path file = Files.writeString(folder.resolve("node.conf"), "node-name=core-1\nip-address=10.0.0.1\nzone=za\nzones.za=south\n"
+            + "cloud-api.address=10.0.0.9:8240\ncloud-api.rate-per-s=26.0\ncloud-api.duty-rate-s=105.0\ncloud-api.lag-ms=800\n");
+        stand.worker("w-1", "za", 4_000, ms());
+        stand.service("tea", new Kind(512, 750, 0));
+        new StandDoor(cloud, stand).open(new InetSocketAddress("10.0.0.9", 8_240));
+        hub = new Hub(core, Berth.read(file), TERM, () -> creed, new Authority(), ms());
+        new Kin(core, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Iam("core-1", "10.0.0.1:90", true), new Ear());
+        core.loop().scheduleWithFixedDelay(() -> {
+            hub.tick(ms());
+            greeter.tick(ms());
+        }, 50, 50, TimeUnit.MILLISECONDS);
+    }
+
+    private final class Authority implements Hub.Authority {
+        @Override
+        public boolean mayAct() {
+            return acts;
+        }
+
+        @Override
+        public boolean applied() {
+            return applied;
+        }
+
+        @Override
+        public Welcome welcome() {
+            return HubTest.this.welcome();
+        }
+
+        @Override
+        public void fenced(long term) {
+            assertEquals(TERM, term);
+            fenced++;
+        }
+    }
+
+    private final class Ear implements Kin.Ear {
+        @Override
+        public void member(String address, Object frame) { }
+
+        @Override
+        public void gone(String address) { }
+
+        @Override
+        public void edge(String name, Link link) {
+            greeter.came(name, link);
+        }
+
+        @Override
+        public void edge(String name, Link link, Object frame) {
+            if (frame instanceof Hello hello) {
+                greeter.hello(link, hello);
+            }
+            hub.heard(name, link, frame, ms());
+        }
+
+        @Override
+        public void edgeGone(String name, Link link) {
+            greeter.gone(link);
+            hub.parted(name, link, ms());
+        }
+    }
+
+    /** An edge dials and says its Hello. */
+    private void come() {
+        edge = new Dialler(front, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Handler() {
+            @Override
+            public void up(Link link) {
+                link.say(new Iam("edge-1", "10.0.0.2:" + PORT, false));
+                link.say(new Hello(new Peer("edge-1", "za", "10.0.0.2:" + PORT, 1, Peer.IN), 0, 0, 0, 0));
+            }
+
+            @Override
+            public void heard(Link link, Object frame) {
+                heard.add(frame);
+            }
+
+            @Override
+            public void down(Link link, String why) {
+                heard.add("down");
+            }
+        }, 1);
+    }
+
+    private <T> List<T> all(Class<T> kind) {
+        return heard.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    /** Nothing that was heard bears authority. */
+    private void assertNothingWithAuthority() {
+        List<Object> bearing = heard.stream().filter(frame -> !(frame instanceof Welcome)).toList();
+        assertEquals(List.of(), bearing);
+    }
+
+    @Test
+    void anEdgeIsToldAllUnderTheTermAndThePulseComesFirst() {
+        come();
+        run(1_000);
+        List<Object> first = heard.subList(0, 3);
+        assertEquals(List.of(Welcome.class, Pulse.class, News.class), first.stream().map(Object::getClass).toList());
+        assertEquals(ADDRESS, all(Welcome.class).get(0).helmAddress());
+        assertEquals(new Pulse(TERM, 9, 0), heard.get(1));
+        assertEquals(TERM, all(News.class).get(0).term());
+        assertEquals(TERM, all(Roster.class).get(0).term());
+        assertEquals(9, hub.told("edge-1"));
+    }
+
+    @Test
+    void aHelmThatMayNotActSaysThatItIsNoneAndNothingElse() {
+        acts = false;
+        inTouch = false;
+        come();
+        run(2_000);
+        creed = creed(12);
+        hub.creed(ms());
+        run(1_000);
+        assertNothingWithAuthority();
+        assertEquals("", all(Welcome.class).get(0).helmAddress());
+        assertFalse(all(Welcome.class).get(0).inTouch());
+        acts = true;
+        run(400);
+        Object pulse = heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow();
+        assertEquals(new Pulse(TERM, 12, 1), pulse, "the lease is back: the link is opened by a pulse, and the newest follows");
+        assertEquals(List.of(12L), all(News.class).stream().map(News::revision).toList());
+    }
+
+    @Test
+    void edgesAreLetGoWhenTheLeaseRunsOutAndTakenUpAgainByAPulse() {
+        come();
+        run(1_000);
+        heard.clear();
+        acts = false;
+        run(200);
+        assertEquals("", all(Welcome.class).get(0).helmAddress());
+        creed = creed(12);
+        hub.creed(ms());
+        edge.say(new Need("coffee", "za", "n-1", 1));
+        run(3_000);
+        assertNothingWithAuthority();
+        heard.clear();
+        acts = true;
+        run(300);
+        assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass());
+        assertEquals(12, all(News.class).get(0).revision());
+    }
+
+    @Test
+    void whatTheYardSaysWhileTheLeaseIsInDoubtIsNotSaidAndTheEdgeIsLetGoAtOnce() {
+        come();
+        run(1_000);
+        heard.clear();
+        edge.say(new Need("coffee", "za", "n-1", 1));
+        run(40);
+        assertEquals(List.of("n-1"), all(NoRoom.class).stream().map(NoRoom::nonce).toList(), "no such service");
+        heard.clear();
+        acts = false;
+        edge.say(new Need("coffee", "za", "n-1", 1));
+        run(5);
+        assertEquals(0, all(NoRoom.class).size());
+        assertEquals(1, all(Welcome.class).size(), "the edge knows that it has missed something: " + heard);
+        assertEquals("", all(Welcome.class).get(0).helmAddress());
+    }
+
+    @Test
+    void aDoubtOfOneRoundSendsNoEdgeAway() {
+        come();
+        run(1_000);
+        heard.clear();
+        acts = false;
+        run(90);
+        acts = true;
+        run(1_000);
+        assertEquals(0, all(Welcome.class).size());
+        assertTrue(all(Pulse.class).size() >= 3);
+    }
+
+    @Test
+    void aConfigurationIsHandedOutOnceAllThatWasKeptBeforeTheViewIsApplied() {
+        applied = false;
+        come();
+        run(1_000);
+        assertTrue(all(Pulse.class).stream().allMatch(pulse -> pulse.revision() == 0));
+        assertEquals(0, all(News.class).size());
+        creed = creed(12);
+        hub.creed(ms());
+        applied = true;
+        run(100);
+        assertEquals(List.of(12L), all(News.class).stream().map(News::revision).toList());
+    }
+
+    @Test
+    void whenTheTermEndsEdgesAreLetGoOnTheirLinksAndLearnOfTheNextHelmThere() {
+        come();
+        run(1_000);
+        heard.clear();
+        acts = false;
+        hub.end();
+        run(100);
+        assertEquals("", all(Welcome.class).get(0).helmAddress());
+        acts = true;
+        helm = "10.0.0.3:" + PORT;
+        run(100);
+        assertEquals(helm, all(Welcome.class).get(all(Welcome.class).size() - 1).helmAddress());
+        assertNothingWithAuthority();
+    }
+
+    @Test
+    void aCallThatThePlatformRefusesForItsFenceIsToldTo() {
+        come();
+        run(1_500);
+        edge.say(new Need("tea", "za", "n-1", 1));
+        run(1_000);
+        assertEquals(1, all(Born.class).size());
+        assertEquals(0, fenced);
+        stand.stop("i-none", TERM + 1, ms());
+        edge.say(new Need("tea", "za", "n-2", 1));
+        run(1_000);
+        assertEquals(1, all(Born.class).size());
+        assertTrue(fenced >= 1);
+    }
+
+    @Test
+    void edgesThatWaitAtAMemberAreHeardByItsHubAsSoonAsItHasOne() {
+        Hub later = hub;
+        hub = new Hub(core, berth(), TERM - 1, () -> creed, new Authority(), ms());
+        acts = false;
+        come();
+        run(300);
+        assertNothingWithAuthority();
+        hub.end();
+        hub = later;
+        acts = true;
+        greeter.hub(hub, ms());
+        run(10);
+        assertEquals(new Pulse(TERM, 9, 0), heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow());
+    }
+
+    private Berth berth() {
+        return Berth.read(folder.resolve("node.conf"));
+    }
+}
--- a/src/test/java/brambletray/tray/ring/CensusTest.java
+++ b/src/test/java/brambletray/tray/ring/CensusTest.java
@@ -35,7 +35,7 @@
 
     private void begin(int peers) {
         for (int i = 0; i < peers; i++) {
-            census.hello(new Hello(peer(i), 0, 0, 0), 0);
+            census.hello(new Hello(peer(i), 0, 0, 0, 0), 0);
         }
         run(0, 2_500);
         assertEquals(1, said.size());
@@ -43,7 +43,7 @@
 
     @Test
     void aRosterThatAnEdgeSpeaksOfIsWaitedFor() {
-        census.hello(new Hello(peer(0), TERM - 1, 40, 0), 0);
+        census.hello(new Hello(peer(0), TERM - 1, 40, 0, 0), 0);
         run(0, 1_500);
         assertEquals(List.of(), said);
         census.told(old(5), 1_500);
@@ -53,14 +53,14 @@
 
     @Test
     void aRosterThatIsNeverToldIsNotWaitedForForever() {
-        census.hello(new Hello(peer(0), TERM - 1, 40, 0), 0);
+        census.hello(new Hello(peer(0), TERM - 1, 40, 0, 0), 0);
         run(0, Census.HOLD_MS + 100);
         assertEquals(1, said.get(0).peers().size());
     }
 
     @Test
     void theNewestRosterThatIsToldCounts() {
-        census.hello(new Hello(peer(0), TERM - 1, 40, 0), 0);
+        census.hello(new Hello(peer(0), TERM - 1, 40, 0, 0), 0);
         census.told(old(5), 0);
         census.told(Roster.of(TERM - 2, 90, List.of(peer(9))), 0);
         census.told(Roster.of(TERM, 90, List.of(peer(8))), 0);
@@ -113,7 +113,7 @@
     void manyChangesAtOnceAreOneRoster() {
         begin(40);
         for (int i = 0; i < 20; i++) {
-            census.hello(new Hello(peer(i).leaving(), TERM, 1, 0), 3_000);
+            census.hello(new Hello(peer(i).leaving(), TERM, 1, 0, 0), 3_000);
         }
         run(3_000, 3_100);
         assertEquals(2, said.size());
--- a/src/test/java/brambletray/tray/ring/Lane.java
+++ b/src/test/java/brambletray/tray/ring/Lane.java
@@ -70,7 +70,7 @@
 
         /** The link to the hub is up, or its own state is another. */
         void hello() {
-            village.send(name, Village.HUB, new Hello(self, roster.term(), roster.number(), 0));
+            village.send(name, Village.HUB, new Hello(self, roster.term(), roster.number(), 0, 0));
         }
 
         void leave() {
@@ -164,7 +164,7 @@
             if (frame instanceof Hello hello) {
                 census.hello(hello, now);
                 Roster newest = census.newest();
-                village.send(name, from, new Welcome(name, census.roster().term(), newest.term(), newest.number()));
+                village.send(name, from, new Welcome(name, census.roster().term(), true, 1, List.of(), newest.term(), newest.number()));
                 if (census.roster().number() > 0) {
                     village.send(name, from, census.roster());
                 }
--- a/src/test/java/brambletray/tray/vow/DutySteps.java
+++ b/src/test/java/brambletray/tray/vow/DutySteps.java
@@ -12,7 +12,7 @@
 /**
  * Steps of the drawn timelines of the duty. Further words: H may act; h may not; check: asks whether it may act, and remembers the term;
  * act: acts under that term; done, fenced: what the platform said, which refuses terms below the highest it has seen; yield: hands over;
- * sees:b takes b for the holder.
+ * sees:b takes b for the holder; doubt: hears that somebody has seen a higher term than its own.
  */
 public final class DutySteps implements Picture.Words, Ride.Witness {
     private Core core;
@@ -54,6 +54,7 @@
                 acted.put(node.address, term >= fence);
                 fence = Math.max(fence, term);
             }
+            case "doubt" -> ride(node).vow.doubt(ride(node).term + 1, core.world.now);
             case "yield" -> ride(node).vow.yield(core.world.now);
             default -> {
                 return false;
--- a/src/test/resources/brambletray/tray/vow/duty.feature
+++ b/src/test/resources/brambletray/tray/vow/duty.feature
@@ -107,3 +107,39 @@
       6100    ^            .            .
       <8000   H            h            h
       """
+
+  Scenario: a holder that is cut off names nobody once its lease is over, itself least
+    When this happens to the duty
+      """
+              a            b            c
+      0       ~            .            .
+      810     h,sees:none  .            .
+      1220    sees:none    .            .
+      1300    sees:none    .            .
+      1500    sees:none    .            .
+      3000    sees:none    .            .
+      """
+
+  Scenario: a holder that hears of a higher term acts again only once a majority has agreed anew
+    When this happens to the duty
+      """
+              a            b            c
+      0       H            .            .
+      1       doubt        .            .
+      2       h,sees:none  .            .
+      <40     H            h            h
+      3000    H,sees:a     sees:a       sees:a
+      """
+
+  Scenario: a holder that is cut off and hears of a higher term acts no more, though its lease would run on
+    When this happens to the duty
+      """
+              a            b            c
+      0       ~            .            .
+      50      H            .            .
+      60      doubt        .            .
+      61      h            .            .
+      300     h            .            .
+      700     h            .            .
+      3000    h            .            .
+      """
