--- a/src/main/java/brambletray/tray/keep/Greeter.java
+++ b/src/main/java/brambletray/tray/keep/Greeter.java
@@ -15,9 +15,9 @@
 import java.util.function.Supplier;
 
 /**
- * The edges that have a link to this member, whether it holds the helm or not: each is told by a Welcome where the helm is, and again when that, or
- * where this member itself stands, has changed. So an edge that waits at a member in touch learns of a new helm at once, and one that waits at a
- * member that is cut off learns that it should go on. For the loop only.
+ * The edges that have a link to this member, whether it holds the helm or not: each is told by a Welcome where the helm is, and again
+ * when that, or where this member itself stands, has changed. So an edge that waits at a member in touch learns of a new helm at once,
+ * and one that waits at a member that is cut off learns that it should go on. For the loop only.
  */
 final class Greeter {
     private static final long NEVER = Long.MIN_VALUE;
@@ -43,16 +43,17 @@
     }
 
     /**
-     * What a member says to edges that stands like this. It names itself as the helm while its hub may act ({@code hubTerm}, 0: it has none), another
-     * only while it is in touch itself: who is cut off may not know that the other has been succeeded. {@code inner}: where edges reach a member.
+     * What a member says to edges that stands like this. It names itself as the helm while its hub may act ({@code hubTerm}, 0: it has
+     * none), another only while it is in touch itself: who is cut off may not know that the other has been succeeded. {@code inner}:
+     * where edges reach a member.
      */
     static Welcome welcome(Status status, Holder holder, long hubTerm, Roster newest, Function<Member, String> inner) {
         boolean inTouch = status.standing() == Standing.MEMBER;
         boolean here = holder != null && holder.member().life() == status.me().life();
         boolean named = holder != null && (here ? hubTerm == holder.term() : inTouch);
         List<String> reached = status.inForce() ? status.members().stream().map(inner).toList() : List.of();
-        return new Welcome(named ? inner.apply(holder.member()) : "", named ? holder.term() : 0, inTouch, status.inForce() ? status.number() : 0,
-            reached, newest.term(), newest.number());
+        return new Welcome(named ? inner.apply(holder.member()) : "", named ? holder.term() : 0, inTouch,
+            status.inForce() ? status.number() : 0, reached, newest.term(), newest.number());
     }
 
     void came(String name, Link link) {
--- a/src/main/java/brambletray/tray/keep/Hub.java
+++ b/src/main/java/brambletray/tray/keep/Hub.java
@@ -36,8 +36,8 @@
 import java.util.function.Supplier;
 
 /**
- * What the holder of the helm does in its term: tells edges of each other, of configurations and of hosts, and starts and stops hosts. It begins
- * knowing nothing, and is told by those who knew first. For the loop only.
+ * What the holder of the helm does in its term: tells edges of each other, of configurations and of hosts, and starts and stops hosts. It
+ * begins knowing nothing, and is told by those who knew first. For the loop only.
  */
 final class Hub {
     private static final Tale TALE = Tale.of("hub");
@@ -76,8 +76,8 @@
         boolean mayAct();
 
         /**
-         * Whether all that was kept before the view in force has been applied here. Until then the configuration that is known here may be older
-         * than one that was acknowledged.
+         * Whether all that was kept before the view in force has been applied here. Until then the configuration that is known here may
+         * be older than one that was acknowledged.
          */
         boolean applied();
 
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -171,7 +171,8 @@
     }
 
     private Welcome welcome() {
-        return Greeter.welcome(members.status(), vow.holder(now()), hub == null ? 0 : hub.term(), hub == null ? Roster.NONE : hub.newest(), this::inner);
+        long hubTerm = hub == null ? 0 : hub.term();
+        return Greeter.welcome(members.status(), vow.holder(now()), hubTerm, hub == null ? Roster.NONE : hub.newest(), this::inner);
     }
 
     private void creedChanged() {
--- a/src/main/java/brambletray/tray/news/Pulse.java
+++ b/src/main/java/brambletray/tray/news/Pulse.java
@@ -1,7 +1,7 @@
 package brambletray.tray.news;
 
 /**
- * The helm to an edge, several times a second: it still holds its term, and what is newest. Opens the link: what the helm says before its first
- * pulse, or after a Welcome without a helm, has no authority. An edge that has less asks by its Hello.
+ * The helm to an edge, several times a second: it still holds its term, and what is newest. Opens the link: what the helm says before its
+ * first pulse, or after a Welcome without a helm, has no authority. An edge that has less asks by its Hello.
  */
 public record Pulse(long term, long revision, long roster) { }
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/tray/vow/Vow.java
@@ -312,8 +312,8 @@
     }
 
     /**
-     * Something outside the core has seen this term, or refused the one that is held here (fencing). A lower one that is held here may act again only
-     * once a majority has agreed to it anew: who has been succeeded never is agreed to, and a false word costs one round.
+     * Something outside the core has seen this term, or refused the one that is held here (fencing). A lower one that is held here may
+     * act again only once a majority has agreed to it anew: who has been succeeded never is agreed to, and a false word costs one round.
      */
     public void doubt(long higher, long at) {
         enter(at);
--- a/src/test/java/brambletray/tray/carry/TetherTest.java
+++ b/src/test/java/brambletray/tray/carry/TetherTest.java
@@ -250,7 +250,8 @@
         core("c").names("", 0);
         run(1_600);
         assertFalse(tether.attached());
-        assertEquals(9, core("a").hellos.get(core("a").hellos.size() - 1).term(), "the helm that is asked hears that it has been succeeded");
+        Hello last = core("a").hellos.get(core("a").hellos.size() - 1);
+        assertEquals(9, last.term(), "the helm that is asked hears that it has been succeeded");
         core("a").say(news(8, 3));
         core("a").say(new Roster(8, 40, List.of()));
         core("a").say(new Gone("i-1", "tea"));
@@ -331,8 +332,8 @@
     }
 
     /**
-     * The worst way from an isolated helm to the real one: five members, of which two are away, one silent and one cut off with the edge's own helm
-     * still pulsing until its lease is over; seeds that are all stale by then.
+     * The worst way from an isolated helm to the real one: five members, of which two are away, one silent and one cut off with the
+     * edge's own helm still pulsing until its lease is over; seeds that are all stale by then.
      */
     @Test
     void theWorstWayIsShorterThanAConfigurationMayTake() {
