Operators: taken before is 200 anywhere, only a leader that is heard is named, calls held while a view changes

Cause: a member out of touch sent callers by 307 to a leader that was gone, or in a circle while both changed the view (callers follow twice), or let them wait 2.5 s though they leave after one; a resent order waited behind the one under way. Change: what was taken and delivered is acknowledged by every member at once; 307 names the leader of a view in force that has been heard of late; a member that does not hear one holds a change for 800 ms (a change of view) and answers 503 then, at once when it has been cut off for 1.5 s. Keep hands its status over, Operators decides, so that the tests hold it.

--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -51,6 +51,11 @@
         return base;
     }
 
+    /** Whether this very change was taken: for good, whatever came on top of it since. False also where it is no longer remembered. */
+    public boolean taken(Verb verb, long base, byte[] body) {
+        return body.length <= CreedJson.LARGEST && taken.containsKey(print(new Change(verb, base, body).bytes()));
+    }
+
     /** What would become of this change as things stand: {@code Fine}, {@code TakenBefore}, {@code Stale} or {@code Invalid}. */
     public Verdict judge(Verb verb, long base, byte[] body) {
         if (body.length > CreedJson.LARGEST) {
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -180,15 +180,8 @@
 
     private final class MemberOrder implements Operators.Order {
         @Override
-        public boolean leading() {
-            Status status = members.status();
-            return status.leading() && status.inForce();
-        }
-
-        @Override
-        public String leader() {
-            Status status = members.status();
-            return status.leader() == null || status.leader().address().equals(address) ? null : status.leader().address();
+        public Status status() {
+            return members.status();
         }
 
         @Override
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -7,6 +7,8 @@
 import brambletray.tray.tale.Tale;
 import brambletray.tray.view.Matter;
 import brambletray.tray.view.Outcome;
+import brambletray.tray.view.Standing;
+import brambletray.tray.view.Status;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -21,17 +23,19 @@
  */
 final class Operators implements Matter {
     private static final Tale TALE = Tale.of("keep");
-    /** Calls that wait for the one under way. */
+    /** Changes that wait for the one under way, or for a leader. */
     private static final int LINE = 64;
     /** ms that a call may wait before it gets no clear answer; below ack-ms of all deployments, so that a caller asks again in time. */
     private static final int PATIENCE = 2_500;
+    /** The same at a member out of touch: callers wait a second and then go to another, which an answer lets them do at once. */
+    private static final int HOLD = 800;
+    /** ms out of touch after which no call is held: that is longer than a change of view takes, this member is cut off. */
+    private static final int CUT_OFF = 1_500;
 
     /** What the operators' calls need of the member. */
     interface Order {
-        boolean leading();
-
-        /** Control-plane address of the leader, or null while there is none. */
-        String leader();
+        /** Where it stands now. */
+        Status status();
 
         void propose(long token, byte[] change);
 
@@ -39,18 +43,27 @@
         void confirm(long token);
     }
 
-    private record Change(Call call, Verb verb, long since) { }
+    private record Change(Call call, Verb verb, long base, long since) { }
+
+    /** A confirming round and the call that waits for it. */
+    private record Round(Call call, long since, Runnable yes, Runnable no) { }
+
+    private static final byte[] DONE = {'{', '}'};
 
     private final Order order;
     private final Runnable news;
     private final Charter charter = new Charter();
     private final ArrayDeque<Change> line = new ArrayDeque<>();
-    private final Map<Long, Runnable[]> asked = new HashMap<>();
+    private final Map<Long, Round> asked = new HashMap<>();
     private Change under;
     private long token;
     private long proposal;
     /** Counts states of the charter: what was judged by an earlier one is judged anew. */
     private long states;
+    /** Steady ms of the last tick. */
+    private long now;
+    /** Since when no leader is heard here; -1: in touch. */
+    private long outSince = -1;
 
     /** {@code news}: called after each new configuration. */
     Operators(Order order, Runnable news) {
@@ -68,33 +81,53 @@
             .on("GET", "/brambletray/configuration/show", (call, part) -> show(call));
     }
 
-    private long now;
-
     /** Steady ms. Ends calls that have waited too long. */
     void tick(long at) {
         now = at;
-        while (!line.isEmpty() && now - line.peek().since > PATIENCE) {
-            line.poll().call.refuse(503, "keep.busy", "another change is under way");
-        }
-        if (under != null && now - under.since > PATIENCE) {
+        boolean inTouch = inTouch();
+        outSince = inTouch ? -1 : outSince < 0 ? now : outSince;
+        next();
+        line.removeIf(change -> late(change.since, inTouch) && busy(change.call));
+        asked.values().stream().filter(round -> late(round.since, inTouch)).forEach(round -> unsure(round.call));
+        if (under != null && late(under.since, inTouch)) {
             under.call.refuse(503, "keep.unclear", "not known to be kept yet; send it again");
         }
     }
 
-    /** The member leads no longer, or the view has changed: those in line are sent on. */
+    /**
+     * Whether it may judge: it leads the view in force, hears a majority of it and its disk is well. A member that begins a change of view, or
+     * has promised to one, doesn't; nor does it name the former leader, as two that name each other would send a caller round in a circle.
+     */
+    private boolean leading() {
+        Status status = order.status();
+        return status.leading() && status.standing() == Standing.MEMBER;
+    }
+
+    /** Control-plane address of the leader, if it is another and heard; else null. */
+    private String leader() {
+        Status status = order.status();
+        boolean heard = !status.leading() && status.standing() == Standing.MEMBER && status.leader() != null;
+        return heard && !status.leader().address().equals(status.me().address()) ? status.leader().address() : null;
+    }
+
+    private boolean inTouch() {
+        return leading() || leader() != null;
+    }
+
+    private boolean late(long since, boolean inTouch) {
+        return now - since > (inTouch ? PATIENCE : HOLD);
+    }
+
+    /** The member leads, leads no longer, or the view has changed: those in line go on. */
     void changed() {
-        if (!order.leading()) {
-            for (Change change = line.poll(); change != null; change = line.poll()) {
-                sendOn(change.call);
-            }
-        }
+        next();
     }
 
     private boolean sendOn(Call call) {
-        if (order.leading()) {
+        if (leading()) {
             return false;
         }
-        String leader = order.leader();
+        String leader = leader();
         if (leader == null) {
             call.refuse(503, "keep.no-leader", "the members of the core are not in touch");
         } else {
@@ -103,38 +136,58 @@
         return true;
     }
 
+    private static boolean busy(Call call) {
+        call.refuse(503, "keep.busy", "another change is under way, or no leader is known");
+        return true;
+    }
+
+    private static void unsure(Call call) {
+        call.refuse(503, "keep.unsure", "not sure to know the newest");
+    }
+
     private void show(Call call) {
         if (!sendOn(call)) {
-            confirm(() -> call.give(200, charter.creed().json()), () -> call.refuse(503, "keep.unsure", "may not be the newest"));
+            confirm(call, now, () -> call.give(200, charter.creed().json()));
         }
     }
 
-    private void confirm(Runnable yes, Runnable no) {
-        asked.put(++token, new Runnable[] {yes, no});
+    private void confirm(Call call, long since, Runnable yes) {
+        asked.put(++token, new Round(call, since, yes, () -> unsure(call)));
         order.confirm(token);
     }
 
     void confirmed(long of, boolean yes) {
-        Runnable[] then = asked.remove(of);
-        if (then != null) {
-            then[yes ? 0 : 1].run();
+        Round round = asked.remove(of);
+        if (round != null) {
+            (yes ? round.yes : round.no).run();
         }
     }
 
+    /** What was taken before is acknowledged by any member that has it delivered: that is kept, whoever leads and whatever came since. */
     private void change(Call call, Verb verb) {
-        if (sendOn(call)) {
+        long base;
+        try {
+            base = Charter.base(call.base());
+        } catch (CreedFault fault) {
+            // a fault of the call itself, whatever the configuration
+            answer(call, new Verdict.Invalid(fault));
             return;
         }
-        if (line.size() >= LINE) {
-            call.refuse(503, "keep.busy", "too many changes at once");
-            return;
+        if (charter.taken(verb, base, call.body())) {
+            call.give(200, DONE);
+        } else if (line.size() >= LINE) {
+            busy(call);
+        } else if (!inTouch() && outSince >= 0 && now - outSince > CUT_OFF) {
+            sendOn(call);
+        } else {
+            line.add(new Change(call, verb, base, now));
+            next();
         }
-        line.add(new Change(call, verb, now));
-        next();
     }
 
+    /** Those in line: judged one by one at the leader, sent on elsewhere, held for a while where no leader is heard. */
     private void next() {
-        while (under == null && !line.isEmpty()) {
+        while (!line.isEmpty() && (leading() ? under == null : leader() != null)) {
             Change change = line.poll();
             if (!sendOn(change.call)) {
                 judge(change);
@@ -143,31 +196,23 @@
     }
 
     private void judge(Change change) {
-        long base;
-        try {
-            base = Charter.base(change.call.base());
-        } catch (CreedFault fault) {
-            // a fault of the call itself, whatever the configuration
-            answer(change, new Verdict.Invalid(fault));
-            return;
-        }
-        Verdict verdict = charter.judge(change.verb, base, change.call.body());
+        Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
         if (verdict instanceof Verdict.Fine fine) {
             under = change;
             proposal = ++token;
             order.propose(proposal, fine.change());
         } else if (verdict instanceof Verdict.TakenBefore) {
-            answer(change, verdict);
+            answer(change.call, verdict);
         } else {
             long judgedBy = states;
-            confirm(() -> refuse(change, verdict, judgedBy), () -> change.call.refuse(503, "keep.unsure", "not sure to know the newest"));
+            confirm(change.call, change.since, () -> refuse(change, verdict, judgedBy));
         }
     }
 
     /** The round has confirmed what is known here now; what was known when the change was judged may be older. */
     private void refuse(Change change, Verdict verdict, long judgedBy) {
         if (judgedBy == states) {
-            answer(change, verdict);
+            answer(change.call, verdict);
         } else {
             line.addFirst(change);
             next();
@@ -184,25 +229,25 @@
         }
         Change change = under;
         under = null;
-        Verdict verdict = charter.judge(change.verb, Charter.base(change.call.base()), change.call.body());
+        Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
         TALE.tell("change", "verb", change.verb, "outcome", outcome, "verdict", verdict.getClass().getSimpleName(), "revision",
             charter.creed().revision());
         if (verdict instanceof Verdict.TakenBefore || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
-            answer(change, verdict);
+            answer(change.call, verdict);
         } else {
             change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
         }
         next();
     }
 
-    private static void answer(Change change, Verdict verdict) {
+    private static void answer(Call call, Verdict verdict) {
         if (verdict instanceof Verdict.Invalid invalid) {
             TALE.tell("refused", "code", invalid.fault().code(), "why", invalid.fault().getMessage());
-            change.call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
+            call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
         } else if (verdict instanceof Verdict.Stale stale) {
-            change.call.refuse(412, "keep.stale", "the current revision is " + stale.current());
+            call.refuse(412, "keep.stale", "the current revision is " + stale.current());
         } else {
-            change.call.give(200, "{}".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            call.give(200, DONE);
         }
     }
 
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.tray.view.Member;
 import brambletray.tray.view.Outcome;
+import brambletray.tray.view.Standing;
+import brambletray.tray.view.Status;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -18,6 +21,9 @@
     private static final String ROUTE = "{'name':'r','host':'h.example','path-prefix':'/one/','route-type':'idempotent','timeout-ms':2500,"
         + "'target-ms':400,'priority':2,'service':'%s','retry-count':2}";
 
+    private static final Member ME = new Member("10.0.0.1:90", "core-1", 0xa1);
+    private static final Member OTHER = new Member("10.0.0.2:90", "core-2", 0xa2);
+
     private final Dispatch<Door.Desk> table = new Dispatch<>();
     private final Scripted order = new Scripted();
     private final Operators operators = new Operators(order, () -> { });
@@ -30,20 +36,15 @@
 
     /** What the member says of itself, and what it was asked to do. */
     private static final class Scripted implements Operators.Order {
-        private boolean leading = true;
-        private String leader;
+        private Member leader = ME;
+        private Standing standing = Standing.MEMBER;
         private final ArrayDeque<Long> tokens = new ArrayDeque<>();
         private final ArrayDeque<byte[]> changes = new ArrayDeque<>();
         private final ArrayDeque<Long> confirms = new ArrayDeque<>();
 
         @Override
-        public boolean leading() {
-            return leading;
-        }
-
-        @Override
-        public String leader() {
-            return leader;
+        public Status status() {
+            return new Status(standing, ME, 7, 6, List.of(ME, OTHER), leader, leader == ME, true, true, 0, 0, false);
         }
 
         @Override
@@ -229,4 +230,120 @@
         operators.outcome(order.tokens.remove(), Outcome.UNCLEAR);
         assertEquals(503, open.status);
     }
+
+    private Reply show() {
+        return call("GET", "show", null, new byte[0]);
+    }
+
+    @Test
+    void whatWasTakenIsAcknowledgedWhereverItIsKnownAndWhateverIsUnderWay() {
+        begin();
+        Reply open = modify(5, move(7, "a"));
+        assertEquals(200, replace(0, whole(5, "a")).status, "not behind the one under way");
+        order.leader = OTHER;
+        assertEquals(200, replace(0, whole(5, "a")).status, "a member that follows has it too");
+        order.standing = Standing.STOPPED;
+        assertEquals(200, replace(0, whole(5, "a")).status, "and one that is cut off");
+        assertNull(open.status);
+        assertEquals(1, order.tokens.size());
+        assertTrue(order.confirms.isEmpty());
+    }
+
+    @Test
+    void theSameOrderTwiceIsProposedOnceAndAcknowledgedTwice() {
+        begin();
+        Reply one = modify(5, move(7, "a"));
+        Reply again = modify(5, move(7, "a"));
+        Reply other = modify(5, move(7, "a").clone());
+        Reply loser = modify(5, bytes("{'revision':7,'withdraw':{'routes':['r']}}"));
+        keep();
+        assertEquals(200, one.status);
+        assertEquals(200, again.status);
+        assertEquals(200, other.status);
+        assertNull(loser.status, "same number, same base, another body");
+        confirm(true);
+        assertEquals(412, loser.status);
+        assertTrue(order.tokens.isEmpty());
+    }
+
+    /** A member that is cut off says so before its caller gives up on it; one amid a change of view keeps the call until it is over. */
+    @Test
+    void callsWaitForALeaderButNotForLong() {
+        begin();
+        order.standing = Standing.STOPPED;
+        operators.tick(2_000);
+        Reply first = modify(5, move(7, "a"));
+        Reply refusal = modify(3, move(7, "a"));
+        operators.tick(2_700);
+        assertNull(first.status, "a change of view takes less than this");
+        assertTrue(order.confirms.isEmpty(), "it doesn't lead, so it judges nothing");
+        order.standing = Standing.MEMBER;
+        operators.changed();
+        assertEquals(1, order.tokens.size(), "judged once it leads");
+        keep();
+        assertEquals(200, first.status);
+        confirm(true);
+        assertEquals(412, refusal.status);
+
+        order.standing = Standing.STOPPED;
+        operators.tick(10_000);
+        Reply second = modify(7, move(9, "a"));
+        operators.tick(10_900);
+        assertEquals(503, second.status, "the caller would go elsewhere after a second");
+        operators.tick(11_600);
+        assertEquals(503, modify(7, move(9, "a")).status, "cut off for long: at once");
+        assertEquals(503, show().status);
+        assertTrue(order.tokens.isEmpty());
+    }
+
+    @Test
+    void whatIsUnderWayAtAMemberThatIsCutOffGetsItsAnswerInTime() {
+        begin();
+        Reply open = modify(5, move(7, "a"));
+        Reply refusal = modify(3, move(7, "a"));
+        Reply behind = modify(5, move(8, "a"));
+        Reply read = show();
+        operators.tick(1_900);
+        assertNull(open.status, "a leader in touch holds it longer");
+        order.standing = Standing.STOPPED;
+        operators.tick(1_950);
+        assertEquals(503, open.status);
+        assertEquals(503, refusal.status);
+        assertEquals(503, behind.status);
+        assertEquals(503, read.status);
+        order.standing = Standing.MEMBER;
+        keep();
+        assertEquals(7, operators.charter().creed().revision());
+        assertEquals(200, modify(5, move(7, "a")).status, "the slot was kept for it, and it is sent again");
+    }
+
+    @Test
+    void onlyALeaderThatIsHeardIsNamed() {
+        order.leader = OTHER;
+        Reply sent = modify(5, move(7, "a"));
+        assertEquals(307, sent.status);
+        assertEquals("http://10.0.0.2:90/brambletray/configuration/modify", sent.headers.get("Location"));
+        order.standing = Standing.STOPPED;
+        operators.tick(2_000);
+        Reply held = modify(5, move(7, "a"));
+        assertNull(held.status, "a circle: the other may be naming this one");
+        assertEquals(503, show().status);
+        order.standing = Standing.MEMBER;
+        operators.changed();
+        assertEquals(307, held.status);
+    }
+
+    @Test
+    void theLineIsBoundedAndEndsByPatience() {
+        begin();
+        List<Reply> replies = new ArrayList<>();
+        for (int i = 0; i < 70; i++) {
+            replies.add(modify(5, move(7 + i, "a")));
+        }
+        assertEquals(5, replies.stream().filter(reply -> reply.status != null && reply.status == 503).count(), "one under way, 64 wait");
+        operators.tick(3_600);
+        assertTrue(replies.stream().allMatch(reply -> reply.status != null && reply.status == 503));
+        keep();
+        assertTrue(order.tokens.isEmpty(), "what was given up is proposed no more");
+    }
 }
