View: a majority confirms a read, so one silent member holds up no read and no refusal

Cause: a confirming round asked for an answer of every member of the view, so each show and each 412 or 400 waited out detection and the change of view while one member was silent (about 1.2 s). Change: a majority with the leader in it is enough; a quorum that stopped for a later view shares a member with it, and that one doesn't answer any more.

--- a/src/main/java/brambletray/tray/view/Confirms.java
+++ b/src/main/java/brambletray/tray/view/Confirms.java
@@ -7,8 +7,10 @@
 import java.util.Set;
 
 /**
- * Asks all members of the view whether it is still theirs, so that what is read here is no older than anything acknowledged before the question. A
- * later view would have been stopped for by one of them; the leader adds up to where all is kept.
+ * Asks all members of the view whether it is still theirs, so that what is read here is no older than anything acknowledged before the
+ * question (a read index). A majority is enough, the leader among it, which adds up to where all is kept: before a later view can
+ * acknowledge anything, a {@link Quorum} of this one has stopped for it, and a quorum shares a member with every majority; that one doesn't
+ * say afterwards that the view is still its own. So one silent member holds up no read and no refusal, as it does commits until it is out.
  */
 final class Confirms {
     private static final int AGAIN_MS = 200;
@@ -103,7 +105,7 @@
     }
 
     private boolean done(Round round) {
-        if (round.same.size() < desk.view.members().size() - 1) return false;
+        if (2 * (round.same.size() + 1) <= desk.view.members().size()) return false;
         if (members.leading()) return desk.settled();
         return round.target >= 0 && desk.delivered >= round.target;
     }
