Charter: what may have been taken before the remembered ones gets no clear answer, not 412

Change: a change on a base below the oldest remembered revision is Forgotten, 503. Empty bytes restore the state before the first change, as Matter promises; they were passed over, so a former state would have stayed.

--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -5,7 +5,9 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -14,7 +16,10 @@
  * For one thread.
  */
 public final class Charter {
-    /** Taken changes that are remembered; an operator sends a change again within seconds. */
+    /**
+     * Taken changes that are remembered, in snapshots too (24 bytes each); an operator sends a change again within seconds, and a day holds
+     * hundreds. What builds on a revision from before them is not refused: {@link Verdict.Forgotten}.
+     */
     static final int REMEMBERED = 2_000;
 
     private static final byte FORMAT = 1;
@@ -56,7 +61,11 @@
         return body.length <= CreedJson.LARGEST && taken.containsKey(print(new Change(verb, base, body).bytes()));
     }
 
-    /** What would become of this change as things stand: {@code Fine}, {@code TakenBefore}, {@code Stale} or {@code Invalid}. */
+    /**
+     * What would become of this change as things stand: {@code Fine}, {@code TakenBefore}, {@code Stale},
+     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on an old base, and where it
+     * was the last one its revision isn't above the current one.
+     */
     public Verdict judge(Verb verb, long base, byte[] body) {
         if (body.length > CreedJson.LARGEST) {
             return new Verdict.Invalid(CreedJson.tooLarge(body.length));
@@ -88,7 +97,7 @@
         try {
             Change change = Change.from(bytes);
             if (change.base() != creed.revision()) {
-                return new Verdict.Stale(creed.revision());
+                return forgotten(change.base()) ? new Verdict.Forgotten(steps.peek().revision) : new Verdict.Stale(creed.revision());
             }
             if (!print.equals(judged)) {
                 outcome = change.on(creed);
@@ -100,6 +109,11 @@
         }
     }
 
+    /** Whether a change on this base may have been taken so long ago that it isn't remembered. */
+    private boolean forgotten(long base) {
+        return steps.size() >= REMEMBERED && base < steps.peek().revision;
+    }
+
     private void remember(Step step) {
         steps.add(step);
         taken.put(step.print, step.revision);
@@ -127,8 +141,12 @@
         return out.put(json).array();
     }
 
-    /** Becomes what that snapshot holds; {@link CreedFault} where it can't be read, and then nothing changes. */
+    /** Becomes what that snapshot holds, empty bytes being the state before the first change; {@link CreedFault} where it can't be read, and then nothing changes. */
     public void restore(byte[] snapshot) {
+        if (snapshot.length == 0) {
+            become(Creed.NONE, List.of());
+            return;
+        }
         ByteBuffer in = ByteBuffer.wrap(snapshot);
         ArrayDeque<Step> read = new ArrayDeque<>();
         Creed current;
@@ -147,6 +165,10 @@
         } catch (BufferUnderflowException e) {
             throw new CreedFault("bad-snapshot", "", "expected a whole snapshot, its end is missing", e);
         }
+        become(current, read);
+    }
+
+    private void become(Creed current, Collection<Step> read) {
         creed = current;
         judged = null;
         outcome = null;
--- a/src/main/java/brambletray/tray/creed/Verdict.java
+++ b/src/main/java/brambletray/tray/creed/Verdict.java
@@ -14,6 +14,12 @@
     /** Another revision is the current one: 412. */
     record Stale(long current) implements Verdict { }
 
+    /**
+     * It builds on a revision from before those that are remembered, the oldest of which is this: it may have been taken then or not, so
+     * there is no clear answer: 503.
+     */
+    record Forgotten(long oldest) implements Verdict { }
+
     /** 400, with the fault's code and message. */
     record Invalid(CreedFault fault) implements Verdict { }
 }
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -201,7 +201,7 @@
             under = change;
             proposal = ++token;
             order.propose(proposal, fine.change());
-        } else if (verdict instanceof Verdict.TakenBefore) {
+        } else if (verdict instanceof Verdict.TakenBefore || verdict instanceof Verdict.Forgotten) {
             answer(change.call, verdict);
         } else {
             long judgedBy = states;
@@ -246,6 +246,8 @@
             call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
         } else if (verdict instanceof Verdict.Stale stale) {
             call.refuse(412, "keep.stale", "the current revision is " + stale.current());
+        } else if (verdict instanceof Verdict.Forgotten forgotten) {
+            call.refuse(503, "keep.forgotten", "what was taken before revision " + forgotten.oldest() + " isn't remembered; look at the configuration");
         } else {
             call.give(200, DONE);
         }
@@ -258,9 +260,10 @@
 
     @Override
     public void restore(byte[] snapshot) {
-        if (snapshot.length > 0) {
-            charter.restore(snapshot);
-            states++;
+        boolean fresh = snapshot.length == 0 && charter.creed().revision() == 0;
+        charter.restore(snapshot);
+        states++;
+        if (!fresh) {
             news.run();
         }
     }
