--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -141,7 +141,10 @@
         return out.put(json).array();
     }
 
-    /** Becomes what that snapshot holds, empty bytes being the state before the first change; {@link CreedFault} where it can't be read, and then nothing changes. */
+    /**
+     * Becomes what that snapshot holds, empty bytes being the state before the first change; {@link CreedFault} where it can't be read, and
+     * then nothing changes.
+     */
     public void restore(byte[] snapshot) {
         if (snapshot.length == 0) {
             become(Creed.NONE, List.of());
