--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -64,6 +65,7 @@
         receivers.remove(from);
         if (log == null) return null;
         Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
+        if (pull.view().equals(Ballot.NONE) && !patch.isShort()) patch = lighter(patch);
         Set<Cut> cuts = new HashSet<>();
         for (Receiver other : receivers.values()) {
             Cut cut = other.cut;
@@ -85,6 +87,14 @@
         return newest;
     }
 
+    /** The state as it is now, where that is less than what it was made of: changes replace each other. */
+    private Patch lighter(Patch patch) {
+        Log log = desk.log;
+        List<Entry> rest = List.copyOf(log.entries().subList((int) (desk.delivered - log.base()), log.entries().size()));
+        Patch fresh = new Patch(true, desk.delivered, log.viewAt(desk.delivered), desk.matter.snapshot(), rest);
+        return fresh.bytes() < patch.bytes() ? fresh : patch;
+    }
+
     void tick() {
         if (receivers.isEmpty()) return;
         Iterator<Receiver> all = receivers.values().iterator();
--- /dev/null
+++ b/src/test/java/brambletray/tray/view/CatchUpTest.java
@@ -0,0 +1,77 @@
+package brambletray.tray.view;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+
+/**
+ * How long a member of three that was away for so many changes takes from the start of its process until it is in the view again with all that was
+ * acknowledged, and how many bytes go to it: in simulated ms, with all its links at one rate. Printed; the bounds below are wide. The state is
+ * as large as one change, as a configuration that replaces another is.
+ */
+class CatchUpTest {
+    private static final int FULL = 125_000;
+    private static final int SLOW = 250;
+    private static final int PACE_MS = 20;
+
+    private record Case(int changes, int bytes, int rate, int everyMs, long mostMs) {
+    }
+
+    private static final List<Case> CASES = List.of(
+            new Case(500, 1 << 10, FULL, 0, 2_000), new Case(500, 1 << 10, SLOW, 0, 4_000),
+            new Case(500, 256 << 10, FULL, 0, 2_000), new Case(500, 256 << 10, SLOW, 0, 10_000),
+            new Case(2000, 1 << 10, FULL, 0, 2_000), new Case(2000, 1 << 10, SLOW, 0, 4_000),
+            new Case(2000, 256 << 10, FULL, 0, 2_000), new Case(2000, 256 << 10, SLOW, 0, 10_000),
+            new Case(500, 1 << 10, FULL, 500, 3_000), new Case(500, 1 << 10, SLOW, 500, 6_000),
+            new Case(500, 256 << 10, FULL, 2_500, 3_000), new Case(500, 256 << 10, SLOW, 2_500, 20_000));
+
+    @Test
+    void aMemberThatWasAwayForHundredsOfChangesIsInAgainSoon() {
+        System.out.println("| changes missed | bytes each | link, Mbit/s | changes meanwhile | back in the view, s | bytes to it, kB |");
+        System.out.println("| ---: | ---: | ---: | --- | ---: | ---: |");
+        for (Case one : CASES) play(one);
+    }
+
+    private void play(Case one) {
+        Core core = new Core(List.of("a", "b", "c"));
+        SimWorld world = core.world;
+        core.found();
+        world.padding = "p".repeat(one.bytes());
+        world.ballast = "b".repeat(one.bytes());
+        SimNode away = world.nodes.get("c");
+        away.kill(true);
+        world.until(world.now + 1500);
+        for (int i = 0; i < one.changes(); i++) {
+            world.oracle.propose(world.leader());
+            world.until(world.now + PACE_MS);
+        }
+        world.until(world.now + 1000);
+        assertTrue(world.oracle.acknowledged.size() == one.changes(), "acknowledged " + world.oracle.acknowledged.size());
+        for (String other : List.of("a", "b")) world.rate("c", other, one.rate());
+        long before = bytes(world);
+        long begin = world.now;
+        long next = begin + 100;
+        away.start();
+        while (!back(world, away)) {
+            assertTrue(world.now - begin < one.mostMs(), one + ": not back");
+            world.until(world.now + 10);
+            if (one.everyMs() > 0 && world.now >= next && world.leader() != null) {
+                world.oracle.propose(world.leader());
+                next += one.everyMs();
+            }
+        }
+        System.out.printf(Locale.ROOT, "| %d | %d kB | %d | %s | %.2f | %d |%n", one.changes(), one.bytes() >> 10, one.rate() / 125,
+                one.everyMs() == 0 ? "none" : "every " + one.everyMs() / 1000.0 + " s", (world.now - begin) / 1000.0, bytes(world) - before >> 10);
+    }
+
+    private static boolean back(SimWorld world, SimNode away) {
+        if (away.members.status().standing() != Standing.MEMBER || !away.members.status().inForce()) return false;
+        return away.state.containsAll(world.oracle.acknowledged);
+    }
+
+    private static long bytes(SimWorld world) {
+        return world.link("a", "c").bytes + world.link("b", "c").bytes;
+    }
+}
