Vow: who hasn't delivered what earlier views may have acknowledged doesn't hold the duty

It won the helm all the same, and would have fed edges the old configuration. Change: a seat counts only in a settled view.

--- a/src/main/java/brambletray/tray/vow/Seat.java
+++ b/src/main/java/brambletray/tray/vow/Seat.java
@@ -7,7 +7,7 @@
 
 /** What a member knows of the view in force, and since when. */
 final class Seat {
-    /** Whether this member is in it now, and in touch with its leader. */
+    /** Whether this member is in it now, in touch with its leader, and has delivered all that earlier views may have acknowledged. */
     boolean in;
     /** Number and members of the last view that it was in. */
     long view;
@@ -21,7 +21,8 @@
 
     /** Takes in how it stands now; true when the view is another one. */
     boolean look(Status status, long now) {
-        in = status.standing() == Standing.MEMBER && status.inForce();
+        // one alone after a restart has the newest changes on disk, but can't deliver them: it must not act on the snapshot's state
+        in = status.standing() == Standing.MEMBER && status.inForce() && status.settled();
         if (!in || view == status.number()) return false;
         before = status.before();
         follows = before == view;
--- a/src/test/resources/brambletray/tray/vow/duty.feature
+++ b/src/test/resources/brambletray/tray/vow/duty.feature
@@ -143,3 +143,22 @@
       700     h            .            .
       3000    h            .            .
       """
+
+  Scenario: alone after a restart, with a disk proven lost, a member has the newest changes on disk but not in its state: it doesn't act on the old one
+    When this happens to the duty
+      """
+              a            b            c
+      0       .            .            XX
+      <1500   L2,H         M2           .
+      1600    +x           .            .
+      <1700   ok:x,=x      =x           .
+      1800    XX           W            .
+      2000    ^            .            .
+      2300    .            ^            .
+      2400    .            X            .
+      <3500   L1,!x        .            .
+      4500    L1,!x,h      .            .
+      6000    L1,!x,h      .            .
+      6100    .            ^            .
+      <8500   L2,=x,H      M2,=x        .
+      """
