--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -136,6 +136,39 @@
         }
     }
 
+    /** The longest log of the last view counts, not who is there first: one that was away for hundreds of changes leads nobody with its old state. */
+    @Test
+    void aMemberOfLongAgoThatIsBackFirstDoesNotLeadWithItsOldState() {
+        for (boolean wiped : new boolean[] {false, true}) {
+            core("a", "b", "c");
+            world.padding = "p".repeat(8 << 10);
+            changes(world, 100, 10);
+            world.nodes.get("a").kill(true);
+            world.await(() -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without a");
+            changes(world, 600, 10);
+            world.until(world.now + 500);
+            around(world, "a", SLOW);
+            for (String name : List.of("b", "c")) world.nodes.get(name).kill(true);
+            if (wiped) world.nodes.get("c").wipe();
+            world.nodes.get("a").start();
+            world.until(world.now + 2000);
+            for (String name : List.of("b", "c")) world.nodes.get(name).start();
+            for (int i = 0; i < 400; i++) {
+                world.until(world.now + 10);
+                for (SimNode node : world.nodes.values()) {
+                    Status status = node.members.status();
+                    if (!status.leading() || !status.settled()) continue;
+                    assertTrue(node.state.containsAll(world.oracle.acknowledged), node.address + " leads with old state at " + world.now);
+                }
+                if (i % 10 == 0) world.nodes.values().forEach(world.oracle::confirm);
+            }
+            assertTrue(world.oracle.confirmedOk > 0, "nothing was read");
+            world.await(() -> in(world, "a") && in(world, "b") && in(world, "c"), 6000, "all are in");
+            world.until(world.now + 500);
+            world.oracle.end(List.copyOf(world.nodes.values()));
+        }
+    }
+
     /** A member whose disk is full takes no more into memory than is bounded, says that it is ill, is left out, and comes back with room. */
     @Test
     void aMemberWithAFullDiskIsLeftOutAndComesBackWithRoom() {
@@ -146,6 +179,11 @@
             takes(world, other, 3000, "a change while the disk of " + full + " is full");
             world.await(() -> !in(world, full), 3000, full + " left out");
             for (int i = 0; i < 30; i++) takes(world, other, 1000, "changes without " + full);
+            world.nodes.get(full).kill(false);
+            world.until(world.now + 300);
+            world.nodes.get(full).start();
+            for (int i = 0; i < 30; i++) takes(world, other, 1000, "changes while " + full + " is there again, its disk still full");
+            assertFalse(in(world, full));
             world.nodes.get(full).disk.full = false;
             world.await(() -> in(world, full), 3000, full + " is back");
             world.until(world.now + 500);
