Door: calls of one connection are dealt with one after the other

Cause: a second call sent ahead on a connection was handled at once; where its answer was ready first (a 404, a 400) it went out first and was taken for the first call's.

--- /dev/null
+++ b/src/test/java/brambletray/tray/keep/DoorTest.java
@@ -0,0 +1,82 @@
+package brambletray.tray.keep;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Calls of one connection and their answers, byte for byte, without a socket. */
+class DoorTest {
+    private final List<Call> calls = new ArrayList<>();
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+
+    DoorTest() {
+        Dispatch<Door.Desk> table = new Dispatch<>();
+        table.on("GET", "/held/*", (call, part) -> calls.add(call));
+        new Door(table).calls(channel);
+    }
+
+    private void send(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text.replace("\n", "\r\n"), StandardCharsets.US_ASCII));
+    }
+
+    private String got() {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            text.append(part.toString(StandardCharsets.US_ASCII));
+            part.release();
+        }
+        return text.toString();
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\nHost: h\n\n";
+    }
+
+    @Test
+    void answersOfOneConnectionKeepTheOrderOfItsCalls() {
+        send(get("/held/one") + get("/none") + get("/held/two"));
+        assertEquals("", got(), "the second call's answer is ready, and would be taken for the first's");
+        assertEquals(1, calls.size());
+        calls.get(0).give(200, "1".getBytes(StandardCharsets.US_ASCII));
+        calls.get(0).give(503, null);
+        channel.runPendingTasks();
+        assertEquals(2, calls.size());
+        String both = got();
+        assertTrue(both.startsWith("HTTP/1.1 200 OK") && both.indexOf("HTTP/1.1 404") > 0, both);
+        assertEquals(both.indexOf("HTTP/1.1 404"), both.lastIndexOf("HTTP/1.1"), "an answer for a call that waits: " + both);
+        calls.get(1).answer().give(307, null, Map.of("Location", "http://10.0.0.2:90/x"));
+        assertTrue(got().contains("Location: http://10.0.0.2:90/x"));
+    }
+
+    @Test
+    void nothingFollowsAnAnswerThatCloses() {
+        send("GET /held/one HTTP/1.1\nHost: h\nConnection: close\n\n" + get("/held/two"));
+        calls.get(0).give(200, null);
+        channel.runPendingTasks();
+        assertEquals(1, calls.size());
+        String text = got();
+        assertEquals(0, text.lastIndexOf("HTTP/1.1 "), text);
+        assertFalse(channel.isActive());
+    }
+
+    @Test
+    void whoSendsTooFarAheadIsCutOff() {
+        for (int i = 0; i <= Door.AHEAD + 1; i++) {
+            send(get("/held/" + i));
+        }
+        assertFalse(channel.isActive());
+        assertEquals(1, calls.size());
+        calls.get(0).give(200, null);
+        channel.runPendingTasks();
+        assertEquals(1, calls.size());
+    }
+}
