--- a/src/main/java/brambletray/simulation/SimChannel.java
+++ b/src/main/java/brambletray/simulation/SimChannel.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -51,6 +52,8 @@
 
     private final SimNetwork network;
     private final InetAddress home;
+    /** That took it in, or null. */
+    private final SimServerChannel listener;
     private final SimConfig config = new SimConfig(this);
     private final ArrayDeque<byte[]> inbox = new ArrayDeque<>();
     private InetSocketAddress local, remote;
@@ -65,11 +68,16 @@
     private long cut = -1;
     /** When the last thing sent to this end arrives; on the ticker, ns. */
     long lastArrival;
+    /** When this end gives up, as nothing is answered; on the ticker, ns; 0: all is well. */
+    long stalled;
+    /** What this end has sent and has not arrived is lost. */
+    boolean aborted;
 
     /** A client's end, not yet connected. */
     SimChannel(SimNetwork network, InetAddress home) {
         super(null, new Id(network.nextId()));
         this.network = network;
+        this.listener = null;
         this.home = home;
     }
 
@@ -77,6 +85,7 @@
     SimChannel(SimNetwork network, SimServerChannel listener, SimChannel client, InetSocketAddress local) {
         super(listener, new Id(network.nextId()));
         this.network = network;
+        this.listener = listener;
         this.home = local.getAddress();
         this.local = local;
         this.remote = client.local;
@@ -92,6 +101,24 @@
         return ((Id) id()).number();
     }
 
+    /** Its event loop, or the one that it will have: a frozen machine takes connections in later. */
+    EventLoop loop() {
+        return isRegistered() || listener == null ? eventLoop() : listener.eventLoop();
+    }
+
+    /** The other machine, or null. */
+    InetAddress away() {
+        return remote == null ? null : remote.getAddress();
+    }
+
+    int port() {
+        return local == null ? 0 : local.getPort();
+    }
+
+    int awayPort() {
+        return remote == null ? 0 : remote.getPort();
+    }
+
     void join(SimChannel server) {
         peer = server;
     }
@@ -209,6 +236,9 @@
             cut -= piece.length;
         }
         onTheWay += piece.length;
+        if (network.cutEither(home, remote.getAddress()) || network.silent(home, remote.getAddress())) {
+            network.stalled(this, false);
+        }
         if (passing.length > 0 && !network.silent(home, remote.getAddress())) {
             byte[] sent = passing;
             network.carry(this, peer, () -> peer.arrived(sent));
@@ -304,8 +334,20 @@
         }
     }
 
+    /** The connection is given up at this end, and the other cannot be told. */
+    void giveUp() {
+        aborted = true;
+        finSent = true;
+        inbox.clear();
+        if (state == State.UP && isRegistered()) {
+            pipeline().fireExceptionCaught(new SocketException("Connection timed out"));
+            ((Unsafe) unsafe()).closeNow();
+        }
+    }
+
     /** The connection is reset at this end. */
-    private void reset() {
+    void reset() {
+        aborted = true;
         if (state == State.CLOSED) {
             return;
         }
@@ -330,6 +372,20 @@
     void dead() {
         state = State.CLOSED;
         finSent = true;
+        ChannelOutboundBuffer out = unsafe().outboundBuffer();
+        if (out != null) {
+            try {
+                out.forEachFlushedMessage(message -> {
+                    ReferenceCountUtil.release(message);
+                    return true;
+                });
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        if (network.cutEither(home, remote.getAddress())) {
+            aborted = true;
+        }
         if (peer != null && !network.silent(home, remote.getAddress())) {
             network.carry(this, peer, peer::reset);
         }
--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -22,10 +22,16 @@
  *
  * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
  * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
- * not: loss and retransmission, congestion, MTU beyond {@link #segment}.
+ * not: single losses, congestion, MTU beyond {@link #segment}. A cut direction holds bytes up, as
+ * retransmission does, until it is joined or the sender gives the connection up.
  */
 public final class SimNetwork {
+    /** What a cut direction holds up. */
+    private record Held(SimChannel from, SimChannel to, Runnable arrival) { }
+
     private final Set<InetAddress> muted = new HashSet<>();
+    private final Map<List<InetAddress>, List<Held>> cutWays = new HashMap<>();
+    private final Map<Integer, long[]> patience = new HashMap<>();
     private Consumer<InetAddress> whenSent = machine -> { };
     /** Bytes that may be on the way or unread in one direction of a connection. */
     static final int WINDOW = 64 * 1024;
@@ -132,6 +138,11 @@
     /** The machine is gone without a word: open connections stay silent, new ones never come up. */
     public void vanish(InetAddress machine) {
         vanished.add(machine);
+        for (SimChannel channel : open) {
+            if (machine.equals(channel.away())) {
+                stalled(channel, true);
+            }
+        }
     }
 
     /** It is back: what was open there is reset, new connections come up. */
@@ -140,10 +151,82 @@
         for (SimChannel channel : List.copyOf(open)) {
             if (channel.home().equals(machine)) {
                 channel.breakBoth();
+            } else if (machine.equals(channel.away()) && channel.stalled != 0) {
+                channel.stalled = 0;
+                channel.loop().execute(channel::reset);
+            }
+        }
+    }
+
+    /** Nothing passes in this direction, until {@link #join}; connections do not come up in either. */
+    public void cut(InetAddress from, InetAddress to) {
+        cutWays.putIfAbsent(List.of(from, to), new ArrayList<>());
+        for (SimChannel channel : open) {
+            if (between(channel, from, to)) {
+                stalled(channel, true);
+            }
+        }
+    }
+
+    /** What was held up and whose sender has not given up arrives, in order. */
+    public void join(InetAddress from, InetAddress to) {
+        List<Held> held = cutWays.remove(List.of(from, to));
+        if (held == null) {
+            return;
+        }
+        if (!cutEither(from, to)) {
+            for (SimChannel channel : open) {
+                if (between(channel, from, to)) {
+                    channel.stalled = 0;
+                }
+            }
+        }
+        for (Held one : held) {
+            if (!one.from().aborted) {
+                carry(one.from(), one.to(), one.arrival());
             }
         }
     }
 
+    /**
+     * Connections to this port probe one another: an end gives its connection up when bytes have been
+     * unanswered for {@code nanos} or
+     * when it was idle for {@code idle} before that, as TCP_USER_TIMEOUT and keep-alive probes make it.
+     */
+    public void patience(int port, long nanos, long idle) {
+        patience.put(port, new long[] {nanos, idle});
+    }
+
+    private static boolean between(SimChannel channel, InetAddress one, InetAddress other) {
+        InetAddress home = channel.home();
+        InetAddress away = channel.away();
+        return home.equals(one) && other.equals(away) || home.equals(other) && one.equals(away);
+    }
+
+    boolean cutEither(InetAddress one, InetAddress other) {
+        return !cutWays.isEmpty() && (cutWays.containsKey(List.of(one,
+            other)) || cutWays.containsKey(List.of(other, one)));
+    }
+
+    /** Nothing that this end sends is answered from now on; {@code idle}: it has sent nothing yet. */
+    void stalled(SimChannel channel, boolean idle) {
+        long[] bounds = patience.getOrDefault(channel.port(), patience.get(channel.awayPort()));
+        if (bounds == null || channel.stalled != 0 && idle) {
+            return;
+        }
+        long since = simulation.clock().nanos();
+        long until = since + bounds[0] + (idle ? bounds[1] : 0);
+        if (channel.stalled != 0 && channel.stalled <= until) {
+            return;
+        }
+        channel.stalled = until;
+        channel.loop().schedule(() -> {
+            if (channel.stalled == until) {
+                channel.giveUp();
+            }
+        }, until - since, TimeUnit.NANOSECONDS);
+    }
+
     boolean silent(InetAddress one, InetAddress other) {
         return vanished.contains(one) || vanished.contains(other);
     }
@@ -203,10 +286,15 @@
 
     /** Does something at the other end, after the way there; what one end sends arrives in order. */
     void carry(SimChannel from, SimChannel to, Runnable arrival) {
+        List<Held> held = cutWays.isEmpty() ? null : cutWays.get(List.of(from.home(), to.home()));
+        if (held != null) {
+            held.add(new Held(from, to, arrival));
+            return;
+        }
         long now = simulation.clock().nanos();
         long at = Math.max(to.lastArrival, now + latency(from.home(), to.home()));
         to.lastArrival = at;
-        to.eventLoop().schedule(arrival, at - now, TimeUnit.NANOSECONDS);
+        to.loop().schedule(arrival, at - now, TimeUnit.NANOSECONDS);
     }
 
     /** Brings a connection up, or refuses it; a machine that has vanished does neither. */
@@ -217,7 +305,8 @@
     }
 
     private void arrived(SimChannel client, InetSocketAddress to) {
-        if (!client.isOpen() || silent(client.home(), to.getAddress())) {
+        if (!client.isOpen() || silent(client.home(), to.getAddress()) || cutEither(client.home(),
+            to.getAddress())) {
             return;
         }
         long back = latency(to.getAddress(), client.home());
@@ -252,7 +341,7 @@
         listeners.values().forEach(there -> there.removeIf(listener -> listener.eventLoop() == loop));
         listeners.values().removeIf(List::isEmpty);
         for (SimChannel channel : List.copyOf(open)) {
-            if (channel.isRegistered() && channel.eventLoop() == loop) {
+            if (channel.loop() == loop) {
                 closed(channel);
                 channel.dead();
             }
--- a/src/main/java/brambletray/simulation/Simulation.java
+++ b/src/main/java/brambletray/simulation/Simulation.java
@@ -2,11 +2,14 @@
 
 import brambletray.runtime.Clock;
 import brambletray.runtime.Machine;
+import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -27,7 +30,9 @@
     private final Clock clock;
     private final SimNetwork network;
     private final List<SimLoop> loops = new ArrayList<>();
+    private final Set<SimLoop> frozen = new HashSet<>();
     private final long seed;
+    private SimLoop running;
     private long trace = 0xcbf29ce484222325L;
     private long events;
 
@@ -65,9 +70,25 @@
      */
     public void kill(Machine machine) {
         loops.remove((SimLoop) machine.loop());
+        frozen.remove((SimLoop) machine.loop());
         network.resetAll(machine.loop());
     }
 
+    /** The process on this machine stands still; what comes for it waits, and its timers are late. */
+    public void freeze(Machine machine) {
+        frozen.add((SimLoop) machine.loop());
+    }
+
+    /** It goes on. */
+    public void thaw(Machine machine) {
+        frozen.remove((SimLoop) machine.loop());
+    }
+
+    /** Whose turn it is, or null between turns. */
+    public EventLoop running() {
+        return running;
+    }
+
     /** Simulated time since the start; ns. */
     public long now() {
         return ticker.nanoTime() - BEGIN;
@@ -87,7 +108,9 @@
             }
             long next = Long.MAX_VALUE;
             for (SimLoop loop : loops) {
-                next = Math.min(next, loop.nextDeadline());
+                if (frozen.isEmpty() || !frozen.contains(loop)) {
+                    next = Math.min(next, loop.nextDeadline());
+                }
             }
             if (next == Long.MAX_VALUE || next - BEGIN > until) {
                 advance(until + BEGIN);
@@ -111,8 +134,12 @@
         do {
             ran = 0;
             for (int i = 0; i < loops.size(); i++) {
-                ran += loops.get(i).runNow();
+                running = loops.get(i);
+                if (frozen.isEmpty() || !frozen.contains(running)) {
+                    ran += running.runNow();
+                }
             }
+            running = null;
             steps += ran;
             if (steps > STEPS_MOST) {
                 throw new IllegalStateException("time stands still at " + now() + " ns: " + STEPS_MOST
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -167,7 +167,13 @@
         }
     }
 
-    private boolean mayAct() {
+    /** Where this member stands. */
+    Status status() {
+        return members.status();
+    }
+
+    /** Whether it holds the helm, and may act by it now. */
+    boolean mayAct() {
         return vow.mayAct(now());
     }
 
--- a/src/test/java/brambletray/simulation/SimNetworkTest.java
+++ b/src/test/java/brambletray/simulation/SimNetworkTest.java
@@ -247,4 +247,63 @@
         simulation.runUntil(14_000 * MS);
         assertEquals(List.of(1_900_000_003_000L, 1_900_000_008_000L, 1_900_000_013_000L), fired);
     }
+
+    /** A cut direction holds bytes up; the other goes on. */
+    @Test
+    void aCutDirectionHoldsUpWhatIsSentUntilItIsJoined() {
+        Channel c = connected();
+        simulation.network().cut(home, away);
+        c.writeAndFlush(bytes("up"));
+        accepted.writeAndFlush(bytes("down"));
+        ChannelFuture late = connect();
+        simulation.runUntil(900 * MS);
+        assertEquals(List.of("30 client down"), log);
+        assertFalse(late.isDone());
+        simulation.network().join(home, away);
+        simulation.runUntil(1_000 * MS);
+        assertTrue(log.contains("910 server up"), log.toString());
+    }
+
+    /** An end whose bytes stay unanswered gives up; what it had sent is lost, and the other end hears of it once it sends. */
+    @Test
+    void anEndGivesUpWhenNothingIsAnswered() {
+        simulation.network().patience(80, 500 * MS, 1_000 * MS);
+        Channel c = connected();
+        simulation.network().cut(away, home);
+        simulation.network().cut(home, away);
+        c.writeAndFlush(bytes("x"));
+        simulation.runUntil(600 * MS);
+        assertEquals(List.of("520 client Connection timed out", "520 client closed"), log);
+        assertTrue(accepted.isActive());
+        simulation.network().join(home, away);
+        simulation.network().join(away, home);
+        accepted.writeAndFlush(bytes("y"));
+        simulation.runUntil(700 * MS);
+        assertEquals(List.of("620 server Connection reset", "620 server closed"), log.subList(2, log.size()));
+    }
+
+    /** Idle ends probe one another, and give up a little later. */
+    @Test
+    void idleEndsGiveUpAfterTheProbes() {
+        simulation.network().patience(80, 500 * MS, 1_000 * MS);
+        connected();
+        simulation.network().cut(away, home);
+        simulation.runUntil(2_000 * MS);
+        assertEquals(List.of("1520 client Connection timed out", "1520 client closed", "1520 server Connection timed out",
+            "1520 server closed"),
+            log.stream().sorted().toList());
+    }
+
+    /** A frozen process does nothing; what came for it is there when it goes on. */
+    @Test
+    void aFrozenProcessMissesNothing() {
+        Channel c = connected();
+        simulation.freeze(server);
+        c.writeAndFlush(bytes("x"));
+        simulation.runUntil(500 * MS);
+        assertEquals(List.of(), log);
+        simulation.thaw(server);
+        simulation.runUntil(501 * MS);
+        assertEquals(List.of("500 server x"), log);
+    }
 }
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/CoreNode.java
@@ -0,0 +1,156 @@
+package brambletray.tray.drill;
+
+import brambletray.runtime.Machine;
+import brambletray.tray.berth.SimBerth;
+import brambletray.tray.keep.SimKeep;
+import brambletray.tray.trove.SimStore;
+import java.net.InetAddress;
+import java.util.concurrent.TimeUnit;
+
+/** One machine of the core: a disk that stays, and a process that comes and goes. */
+final class CoreNode {
+    private final World world;
+    final String name;
+    final String ip;
+    final InetAddress address;
+    SimStore.Platter disk;
+    private final boolean first;
+    private boolean began;
+    private Machine machine;
+    private SimStore store;
+    private SimKeep keep;
+    private boolean frozen;
+    private boolean dark;
+    private boolean told;
+    /** Counts processes. */
+    private int boot;
+
+    CoreNode(World world, int number, boolean first) {
+        this.world = world;
+        this.first = first;
+        name = "core-" + number;
+        ip = "10.1." + number + ".1";
+        address = World.ip(10, 1, number, 1);
+        disk = new SimStore.Platter(world.syncMs);
+        world.listed(control());
+    }
+
+    String control() {
+        return ip + ":" + World.CONTROL;
+    }
+
+    /** Whether a process is there, frozen or not. */
+    boolean there() {
+        return machine != null;
+    }
+
+    /** Whether it runs. */
+    boolean up() {
+        return machine != null && !frozen;
+    }
+
+    /** Whether its program has come up. */
+    boolean running() {
+        return up() && keep != null;
+    }
+
+    boolean sick() {
+        return disk.full || disk.syncMs > world.syncMs || disk.hungUntil > TimeUnit.NANOSECONDS.toMillis(world.simulation.clock().nanos());
+    }
+
+    SimKeep keep() {
+        return keep;
+    }
+
+    int boot() {
+        return boot;
+    }
+
+    void start() {
+        if (machine != null) {
+            return;
+        }
+        world.disturb();
+        if (dark) {
+            dark = false;
+            world.simulation.network().comeBack(address);
+        }
+        boolean initial = first && !began;
+        began = true;
+        told = false;
+        int mine = ++boot;
+        machine = world.machine(address, name);
+        Machine here = machine;
+        store = new SimStore(disk, here, world.random.split());
+        long life = world.random.nextLong() | 1;
+        long origin = world.random.nextLong() | 1;
+        String settings = settings(initial);
+        here.loop().execute(() -> keep = SimKeep.start(SimBerth.of(settings), here, disk.read(), store.store(),
+            () -> world.director.loop().execute(() -> exited(mine)), life, origin));
+    }
+
+    private String settings(boolean initial) {
+        return "node-name=" + name + "\nrole=keep\nhardware-class=core\nserved-roles=control\nip-address=" + ip
+            + "\nzone=z1\nregion=r\nzones.z1=r"
+            + "\nbind-addresses.control-plane=" + control() + "\ninternal-port-range=7400,7415\nseed-peers=" + world.seeds()
+            + "\ninitial-start="
+            + initial + "\nloss-counted=true\nfault-tolerance.machine-losses=" + world.script.losses()
+            + "\ncloud-api.address=10.200.0.1:" + World.PLATFORM
+            + "\ncloud-api.rate-per-s=4\ncloud-api.lag-ms=800\ncloud-api.duty-rate-s=20\n";
+    }
+
+    private void exited(int which) {
+        if (which == boot && machine != null) {
+            kill(false);
+            if (!told) {
+                world.after(300, this::start);
+            }
+        }
+    }
+
+    /** The process ends at once; with {@code power}, the machine says nothing more until it is back. */
+    void kill(boolean power) {
+        if (machine == null) {
+            return;
+        }
+        world.disturb();
+        if (power) {
+            dark = true;
+            world.simulation.network().vanish(address);
+        }
+        world.simulation.kill(machine);
+        store.cutOff();
+        machine = null;
+        keep = null;
+        frozen = false;
+    }
+
+    /** SIGTERM. */
+    void terminate() {
+        if (running()) {
+            world.disturb();
+            told = true;
+            SimKeep leaving = keep;
+            machine.loop().execute(leaving::leave);
+        }
+    }
+
+    void freeze(boolean still) {
+        if (machine == null || frozen == still) {
+            return;
+        }
+        world.disturb();
+        frozen = still;
+        if (still) {
+            world.simulation.freeze(machine);
+        } else {
+            world.simulation.thaw(machine);
+        }
+    }
+
+    /** The disk is lost with the power. */
+    void wipe() {
+        kill(true);
+        disk = new SimStore.Platter(world.syncMs);
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/Drill.java
@@ -0,0 +1,73 @@
+package brambletray.tray.drill;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Plays courses one after the other, and shrinks those that break: {@code java -Ddrill.seeds=N -Ddrill.first=S -Ddrill.members=3|5} of
+ * this class
+ * where many are to run beside one another; the test takes the same. {@code -Ddrill.script=...} plays one script, as a failure prints it.
+ */
+public final class Drill {
+    private Drill() { }
+
+    /** Exit code 1: a rule was broken. */
+    public static void main(String[] args) {
+        System.exit(broken(Integer.getInteger("drill.seeds", 100)).isEmpty() ? 0 : 1);
+    }
+
+    /** What was broken, with its shortest script; {@code usual}: courses for each count of members where no property says otherwise. */
+    static List<String> broken(int usual) {
+        String one = System.getProperty("drill.script");
+        if (one != null) {
+            Course.Result result = Course.play(Script.parse(one), System.out::println);
+            System.out.println(result);
+            return result.broken() == null ? List.of() : List.of(result.broken());
+        }
+        int only = Integer.getInteger("drill.members", 0);
+        List<String> broken = new ArrayList<>();
+        for (int members : only == 0 ? new int[] {3, 5} : new int[] {only}) {
+            play(members, Long.getLong("drill.first", 1), Integer.getInteger("drill.seeds", usual), broken);
+        }
+        return broken;
+    }
+
+    private static void play(int members, long first, int seeds, List<String> broken) {
+        Map<String, Integer> rules = new TreeMap<>();
+        Map<Trouble.Kind, Integer> troubles = new TreeMap<>();
+        long acknowledged = 0;
+        long reads = 0;
+        long refused = 0;
+        long resent = 0;
+        long longest = 0;
+        int most = Integer.getInteger("drill.shrink", 5);
+        for (long seed = first; seed < first + seeds; seed++) {
+            Course.Result result = Course.play(Script.draw(seed, members), null);
+            result.script().troubles().forEach(trouble -> troubles.merge(trouble.kind(), 1, Integer::sum));
+            acknowledged += result.acknowledged();
+            reads += result.reads();
+            refused += result.refused();
+            resent += result.resent();
+            longest = Math.max(longest, result.longestSettled());
+            if (!result.faults().isEmpty()) {
+                System.out.println("drill: seed " + seed + " with " + members + ", faults told: " + result.faults());
+            }
+            if (result.broken() != null) {
+                rules.merge(Shrinker.rule(result), 1, Integer::sum);
+                String told = "seed " + seed + " with " + members + ": " + result.broken();
+                if (broken.size() < most) {
+                    Course.Result least = Shrinker.shrink(result);
+                    told += "\n  shrunk: -Ddrill.script=" + least.script() + "\n  " + least.broken();
+                }
+                broken.add(told);
+                System.out.println(told);
+            }
+        }
+        System.out.println("drill: " + seeds + " courses with " + members + " members from seed " + first + ", " + acknowledged
+            + " orders acknowledged, " + refused + " refused, " + resent + " sent again after an answer, " + reads
+            + " readings; longest " + longest
+            + " ms without acknowledgement in a settled core; broken " + rules + "; troubles " + troubles);
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/EdgeNode.java
@@ -0,0 +1,103 @@
+package brambletray.tray.drill;
+
+import brambletray.runtime.Machine;
+import brambletray.tray.berth.SimBerth;
+import brambletray.tray.carry.SimCarry;
+import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.Route;
+import java.net.InetAddress;
+
+/** One machine of the edge, and its process: the whole program, with nobody calling it. */
+final class EdgeNode {
+    private final World world;
+    final String name;
+    private final String ip;
+    final InetAddress address;
+    private Machine machine;
+    private SimCarry carry;
+    private boolean frozen;
+    /** When it last was out of touch by itself or its links. */
+    long outAt;
+    /** Of this life: the newest revision that was seen in force. */
+    long newest;
+
+    EdgeNode(World world, int number) {
+        this.world = world;
+        name = "edge-" + number;
+        ip = "10.2." + number + ".1";
+        address = World.ip(10, 2, number, 1);
+    }
+
+    boolean up() {
+        return machine != null && !frozen;
+    }
+
+    void start() {
+        if (machine != null) {
+            return;
+        }
+        newest = 0;
+        outAt = world.now();
+        machine = world.machine(address, name);
+        Machine here = machine;
+        long life = world.random.nextLong() | 1;
+        String settings = "node-name=" + name + "\nrole=carry\nhardware-class=edge\nserved-roles=edge\nip-address=" + ip
+            + "\nzone=z1\nregion=r\nzones.z1=r\nbind-addresses.front-end=" + ip + ":" + World.FRONT + "\nbind-addresses.readiness="
+            + ip + ":"
+            + World.READY + "\ninternal-port-range=7400,7415\nseed-peers=" + world.seeds()
+            + "\ninitial-start=false\nloss-counted=false\nfault-tolerance.machine-losses=" + world.script.losses() + "\n";
+        here.loop().execute(() -> carry = SimCarry.start(SimBerth.of(settings), here, life, code ->
+            world.director.loop().execute(this::kill)));
+    }
+
+    void kill() {
+        if (machine != null) {
+            outAt = world.now();
+            world.simulation.kill(machine);
+            machine = null;
+            carry = null;
+            frozen = false;
+        }
+    }
+
+    void freeze(boolean still) {
+        if (machine == null || frozen == still) {
+            return;
+        }
+        outAt = world.now();
+        frozen = still;
+        if (still) {
+            world.simulation.freeze(machine);
+        } else {
+            world.simulation.thaw(machine);
+        }
+    }
+
+    /** Whether it is out of touch just now. */
+    boolean out() {
+        if (!up()) {
+            return true;
+        }
+        for (CoreNode core : world.most()) {
+            if (!world.path(address, core.address)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The configuration that it serves by, or {@link Creed#NONE}. */
+    Creed creed() {
+        return carry == null ? Creed.NONE : carry.creed();
+    }
+
+    boolean ready() {
+        return carry != null && carry.ready();
+    }
+
+    /** The order that this configuration came of; 0: none. */
+    static int order(Creed creed) {
+        Route mark = creed.routes().get("mark");
+        return mark == null ? 0 : Integer.parseInt(mark.prefix().substring(2, mark.prefix().indexOf("/p")));
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/Operator.java
@@ -0,0 +1,275 @@
+package brambletray.tray.drill;
+
+import brambletray.runtime.Machine;
+import brambletray.tray.berth.Address;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One operator: gives orders, reads, sends again what was unclear, and at times what was clear. As the pages say: follows 307 twice,
+ * goes on to
+ * another member after a failure, a 5xx, a 408 or 429, or a second of silence, with a pause that grows.
+ */
+final class Operator {
+    private static final Pattern MARK = Pattern.compile("\"path-prefix\":\"/o(\\d+)/p\\d+/\"");
+    private static final Pattern REVISION = Pattern.compile("\"revision\":(\\d+)");
+    private static final int PAUSE = 100, PAUSE_MOST = 1_000, HOPS = 2;
+    /** Tries at what need not come to an end. */
+    private static final int FEW = 5;
+
+    /** What one call is about. */
+    private interface Errand {
+        String path();
+
+        Long base();
+
+        byte[] body();
+
+        /** A clear answer; true if the errand is at an end. */
+        boolean answered(int status, byte[] body, long askedAt, String member);
+    }
+
+    private final World world;
+    private final Book book;
+    private final Operators all;
+    private final Machine machine;
+    private final SplittableRandom random;
+    private final List<Order> own = new ArrayList<>();
+    private boolean busy;
+    private int knownOrder;
+    private long knownRevision;
+    /** Changes still to be given without a pause. */
+    int burst;
+    private boolean ending;
+    /** Counts errands: late answers to an earlier one are passed over. */
+    private int errand;
+
+    Operator(World world, Book book, Operators all, int number) {
+        this.world = world;
+        this.book = book;
+        this.all = all;
+        machine = world.machine(World.ip(10, 9, 0, number), "operator-" + number);
+        random = world.random.split();
+    }
+
+    boolean busy() {
+        return busy;
+    }
+
+    /** No more orders; what is under way goes on. */
+    void end() {
+        ending = true;
+    }
+
+    void begin(int ms) {
+        machine.loop().schedule(this::idle, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void rest() {
+        busy = false;
+        int pace = burst > 0 ? 2 : 2 * all.pace;
+        machine.loop().schedule(this::idle, 1 + random.nextInt(pace), TimeUnit.MILLISECONDS);
+    }
+
+    private void idle() {
+        if (busy || ending) {
+            return;
+        }
+        if (burst > 0) {
+            burst--;
+            heed();
+            order(knownOrder, knownRevision, knownRevision + 1 + random.nextInt(3));
+            return;
+        }
+        int drawn = random.nextInt(20);
+        if (drawn < 5) {
+            show(FEW);
+        } else if (drawn == 5 && !own.isEmpty()) {
+            resend(own.get(random.nextInt(own.size())));
+        } else if (drawn == 6) {
+            invalid();
+        } else {
+            if (random.nextInt(4) > 0) {
+                heed();
+            }
+            long revision = knownRevision + 1 + random.nextInt(5);
+            if (drawn < 11) {
+                Operator rival = all.idler(this);
+                if (rival != null) {
+                    rival.rival(knownOrder, knownRevision, random.nextBoolean() ? revision : revision + 1);
+                }
+            }
+            order(knownOrder, knownRevision, revision);
+        }
+    }
+
+    /** Takes over what others were told. */
+    private void heed() {
+        Order newest = book.newestAcked();
+        if (newest != null && newest.revision > knownRevision) {
+            knownOrder = newest.id;
+            knownRevision = newest.revision;
+        }
+    }
+
+    /** To be given now, if nothing is under way. */
+    void orderNow() {
+        if (!busy && !ending) {
+            busy = true;
+            machine.loop().execute(() -> {
+                heed();
+                order(knownOrder, knownRevision, knownRevision + 1 + random.nextInt(5));
+            });
+        }
+    }
+
+    private void rival(int parent, long base, long revision) {
+        busy = true;
+        machine.loop().schedule(() -> order(parent, base, revision), random.nextInt(4), TimeUnit.MILLISECONDS);
+    }
+
+    private void order(int parent, long base, long revision) {
+        boolean whole = parent == 0 || random.nextInt(3) > 0;
+        int ballast = whole && all.ballast > 0 ? random.nextInt(all.ballast) : 0;
+        Order order = Order.valid(book.next(), parent, base, revision, whole, ballast);
+        book.made(order);
+        send(order, Integer.MAX_VALUE);
+    }
+
+    private void invalid() {
+        Order order = Order.invalid(book.next(), knownOrder, knownRevision, random.nextInt(6));
+        book.made(order);
+        send(order, FEW);
+    }
+
+    private void resend(Order order) {
+        book.resent++;
+        send(order, FEW);
+    }
+
+    private void send(Order order, int tries) {
+        if (order.sentAt < 0) {
+            order.sentAt = world.now();
+        }
+        run(new Errand() {
+            @Override
+            public String path() {
+                return order.path();
+            }
+
+            @Override
+            public Long base() {
+                return order.base;
+            }
+
+            @Override
+            public byte[] body() {
+                return order.body;
+            }
+
+            @Override
+            public boolean answered(int status, byte[] body, long askedAt, String member) {
+                if (status == 200) {
+                    book.acked(order);
+                    all.acknowledged(member);
+                    own.add(order);
+                    if (order.revision > knownRevision) {
+                        knownOrder = order.id;
+                        knownRevision = order.revision;
+                    }
+                    rest();
+                } else {
+                    book.refused(order, status, askedAt);
+                    show(FEW);
+                }
+                return true;
+            }
+        }, tries);
+    }
+
+    /** Reads; {@code tries}: at most. */
+    private void show(int tries) {
+        show(tries, this::rest);
+    }
+
+    /** Reads until there is an answer; then the reader is told the order that is in force. */
+    void last(IntConsumer then) {
+        machine.loop().execute(() -> show(Integer.MAX_VALUE, () -> then.accept(knownOrder)));
+    }
+
+    private void show(int tries, Runnable then) {
+        run(new Errand() {
+            @Override
+            public String path() {
+                return "/brambletray/configuration/show";
+            }
+
+            @Override
+            public Long base() {
+                return null;
+            }
+
+            @Override
+            public byte[] body() {
+                return null;
+            }
+
+            @Override
+            public boolean answered(int status, byte[] body, long askedAt, String member) {
+                if (status == 200) {
+                    String text = new String(body, StandardCharsets.UTF_8);
+                    Matcher mark = MARK.matcher(text);
+                    Matcher revision = REVISION.matcher(text);
+                    knownOrder = mark.find() ? Integer.parseInt(mark.group(1)) : 0;
+                    knownRevision = revision.find() ? Long.parseLong(revision.group(1)) : 0;
+                    book.shown(knownOrder, knownRevision, askedAt);
+                } else {
+                    book.fail("READ-REFUSED", "show: " + status);
+                }
+                then.run();
+                return true;
+            }
+        }, tries);
+    }
+
+    private void run(Errand what, int tries) {
+        busy = true;
+        errand++;
+        List<String> members = world.list();
+        attempt(what, members.get(random.nextInt(members.size())), 0, 1, tries, PAUSE);
+    }
+
+    private void attempt(Errand what, String member, int hops, int tried, int tries, int pause) {
+        int mine = errand;
+        long askedAt = world.now();
+        HttpCall.make(machine, Address.parse(member), what.path(), what.base(), what.body(), (status, location, body) -> {
+            if (mine != errand) {
+                return;
+            }
+            if (status == 307 && hops < HOPS && location != null) {
+                String next = location.substring("http://".length());
+                attempt(what, next.substring(0, next.indexOf('/')), hops + 1, tried, tries, pause);
+            } else if (status == 200 || status >= 400 && status < 500 && status != 408 && status != 429) {
+                what.answered(status, body, askedAt, member);
+            } else if (tried >= tries) {
+                rest();
+            } else {
+                machine.loop().schedule(() -> attempt(what, other(member), 0, tried + 1, tries, Math.min(PAUSE_MOST, pause * 2)),
+                    pause, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private String other(String than) {
+        List<String> members = world.list();
+        int at = members.indexOf(than);
+        return at < 0 ? members.get(random.nextInt(members.size()))
+            : members.get((at + 1 + random.nextInt(Math.max(1, members.size() - 1))) % members.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/Trouble.java
@@ -0,0 +1,78 @@
+package brambletray.tray.drill;
+
+import java.util.Locale;
+
+/**
+ * One trouble of a course.
+ *
+ * @param at   ms since the start of the course
+ * @param who  whom it meets, found when it begins
+ * @param span ms until it ends, or until the machine is back
+ * @param arg  drawn: further choices within the kind
+ */
+record Trouble(Kind kind, int at, Who who, int span, int arg) {
+    enum Who { LEADER, HELM, ANY }
+
+    /** {@code counted}: a core machine counts as lost while it lasts. */
+    enum Kind {
+        /** Cut off from the rest of the core, both ways; operators and edges still reach it. */
+        CUT_CORE(true),
+        /** Cut off from the core, all operators and a part of the edges. */
+        CUT_ALL(true),
+        /** Nothing of it reaches the rest of the core. */
+        CUT_OUT(true),
+        /** Nothing of the rest of the core reaches it. */
+        CUT_IN(true),
+        /** The process dies, and comes back. */
+        KILL(true),
+        /** So does the machine, without a word. */
+        POWER(true),
+        /** The machine comes back with an empty disk. */
+        WIPE(true),
+        /** Gone for good; another comes at another address with an empty disk. */
+        REPLACE(true),
+        /** The other comes first; then SIGTERM, and after the grace the end. */
+        REPLACE_PLANNED(true),
+        /** SIGTERM, the end after the grace, and back with its disk. */
+        LEAVE(true),
+        FREEZE(true),
+        SLOW_DISK(true),
+        HUNG_DISK(true),
+        FULL_DISK(true),
+        /** Right after the next acknowledgement who gave it dies. */
+        AFTER_ACK_KILL(true),
+        /** And its disk is lost. */
+        AFTER_ACK_WIPE(true),
+        /** All processes, or all machines, at once; some with the loss of as many disks as may be lost. */
+        ALL_KILL(true),
+        ALL_POWER(true),
+        /** An edge starts anew. */
+        EDGE_KILL(false),
+        EDGE_FREEZE(false),
+        /** An edge is cut off from one machine of the core. */
+        EDGE_CUT(false),
+        /** Hundreds of changes, one after the other. */
+        BURST(false);
+
+        final boolean counted;
+
+        Kind(boolean counted) {
+            this.counted = counted;
+        }
+
+        boolean all() {
+            return this == ALL_KILL || this == ALL_POWER;
+        }
+    }
+
+    @Override
+    public String toString() {
+        return kind + ":" + at + ":" + who + ":" + span + ":" + arg;
+    }
+
+    static Trouble parse(String text) {
+        String[] part = text.trim().toUpperCase(Locale.ROOT).split(":");
+        return new Trouble(Kind.valueOf(part[0]), Integer.parseInt(part[1]), Who.valueOf(part[2]), Integer.parseInt(part[3]),
+            Integer.parseInt(part[4]));
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/World.java
@@ -0,0 +1,250 @@
+package brambletray.tray.drill;
+
+import brambletray.runtime.Machine;
+import brambletray.simulation.SimNetwork;
+import brambletray.simulation.Simulation;
+import brambletray.tray.berth.Address;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Machines of a course, the links between them, and when the core counts as settled (page RULES). Times: ms since the start of the
+ * course.
+ */
+final class World {
+    static final int CONTROL = 8_248, INNER = 7_400, FRONT = 8_241, READY = 8_246, PLATFORM = 8_240;
+    /** Bounds of the deployments, ms. */
+    static final int CONTACT = 4_000, APPLY = 3_000, ACK = 5_000, SEED_LAG = 3_000;
+    /** A user timeout, and idle time before probes, as the program sets them on its links. */
+    private static final long GIVE_UP = TimeUnit.MILLISECONDS.toNanos(2_500), IDLE = TimeUnit.SECONDS.toNanos(1);
+
+    final Script script;
+    final Simulation simulation;
+    final SplittableRandom random;
+    final Machine director;
+    final int syncMs;
+    /** Machines of the core that have not been removed. */
+    final List<CoreNode> cores = new ArrayList<>();
+    final List<EdgeNode> edges = new ArrayList<>();
+    private final Map<List<InetAddress>, Integer> cuts = new HashMap<>();
+    /** Control addresses as operators know them, with the times from and to which the machines were there. */
+    private final Map<String, long[]> listed = new LinkedHashMap<>();
+    private final Map<Machine, String> names = new HashMap<>();
+    /** What all get at the first start. */
+    private final String founders;
+    /** Told of a fault of the course's own. */
+    Consumer<String> whenFailed = why -> { };
+    private long disturbedAt;
+    private long settledSince = -1;
+
+    World(Script script) {
+        this.script = script;
+        simulation = new Simulation(Script.mix(script.seed()), 1_900_000_000_000L);
+        random = new SplittableRandom(Script.mix(script.seed() ^ 0x5bd1e995L << 32));
+        syncMs = random.nextBoolean() ? 5 : 1;
+        director = simulation.machine(ip(10, 255, 0, 1));
+        simulation.network().usual(new SimNetwork.Way(1_400_000, 0.3));
+        simulation.network().patience(INNER, GIVE_UP, IDLE);
+        for (int i = 1; i <= script.members(); i++) {
+            cores.add(new CoreNode(this, i, true));
+        }
+        List<String> three = new ArrayList<>(list());
+        while (three.size() > 3) {
+            three.remove(random.nextInt(three.size()));
+        }
+        founders = String.join(",", three);
+        for (int i = 1; i <= 3; i++) {
+            edges.add(new EdgeNode(this, i));
+        }
+        PlatformDesk.open(simulation.machine(platform()), new Address("10.200.0.1", PLATFORM));
+    }
+
+    static InetAddress ip(int a, int b, int c, int d) {
+        try {
+            return InetAddress.getByAddress(new byte[] {(byte) a, (byte) b, (byte) c, (byte) d});
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static InetAddress platform() {
+        return ip(10, 200, 0, 1);
+    }
+
+    long now() {
+        return simulation.now() / 1_000_000;
+    }
+
+    void at(long ms, Runnable what) {
+        director.loop().schedule(() -> run(what), Math.max(0, ms - now()), TimeUnit.MILLISECONDS);
+    }
+
+    /** A task that fails would be passed over in silence. */
+    private void run(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            java.io.StringWriter trace = new java.io.StringWriter();
+            e.printStackTrace(new java.io.PrintWriter(trace));
+            whenFailed.accept(trace.toString());
+        }
+    }
+
+    void after(long ms, Runnable what) {
+        at(now() + ms, what);
+    }
+
+    Machine machine(InetAddress address, String name) {
+        Machine made = simulation.machine(address);
+        names.put(made, name);
+        return made;
+    }
+
+    /** Whose process runs just now. */
+    String running() {
+        for (Map.Entry<Machine, String> each : names.entrySet()) {
+            if (each.getKey().loop() == simulation.running()) {
+                return each.getValue();
+            }
+        }
+        return "-";
+    }
+
+    // ---- Operators' list ------------------------------------------------------------------------
+    void listed(String control) {
+        listed.put(control, new long[] {now() == 0 ? -SEED_LAG : now(), Long.MAX_VALUE / 2});
+    }
+
+    void unlisted(String control) {
+        listed.get(control)[1] = now();
+    }
+
+    /** The operator's list, which lags. */
+    List<String> list() {
+        long then = now() - SEED_LAG;
+        List<String> there = new ArrayList<>();
+        listed.forEach((control, span) -> {
+            if (span[0] <= then && then < span[1]) {
+                there.add(control);
+            }
+        });
+        return there;
+    }
+
+    /** Three of the list, as a settings file would name them now. */
+    String seeds() {
+        if (now() < 1_000) {
+            return founders;
+        }
+        List<String> all = list();
+        while (all.size() > 3) {
+            all.remove(random.nextInt(all.size()));
+        }
+        return String.join(",", all);
+    }
+
+    CoreNode at(String control) {
+        for (CoreNode core : cores) {
+            if (core.control().equals(control)) {
+                return core;
+            }
+        }
+        return null;
+    }
+
+    // ---- Links ----------------------------------------------------------------------------------
+    void cut(InetAddress from, InetAddress to) {
+        if (cuts.merge(List.of(from, to), 1, Integer::sum) == 1) {
+            simulation.network().cut(from, to);
+        }
+    }
+
+    void join(InetAddress from, InetAddress to) {
+        if (cuts.merge(List.of(from, to), -1, (a, b) -> a + b == 0 ? null : a + b) == null) {
+            simulation.network().join(from, to);
+        }
+    }
+
+    boolean path(InetAddress one, InetAddress other) {
+        return !cuts.containsKey(List.of(one, other)) && !cuts.containsKey(List.of(other, one));
+    }
+
+    // ---- Settled --------------------------------------------------------------------------------
+    /** Something happens to a machine of the core, or to the links between them. */
+    void disturb() {
+        disturb(0);
+    }
+
+    /** {@code further}: ms that the calm is to last longer than usual. */
+    void disturb(long further) {
+        disturbedAt = Math.max(disturbedAt, now() + further);
+        settledSince = -1;
+    }
+
+    /** Machines that run and are connected to this one both ways, itself too. */
+    private Set<CoreNode> reached(CoreNode from) {
+        Set<CoreNode> group = new LinkedHashSet<>();
+        for (CoreNode other : cores) {
+            if (other.up() && path(from.address, other.address)) {
+                group.add(other);
+            }
+        }
+        return group;
+    }
+
+    /** Machines that run and reach more than half of the core. */
+    List<CoreNode> most() {
+        List<CoreNode> most = new ArrayList<>();
+        for (CoreNode core : cores) {
+            if (core.up() && 2 * reached(core).size() > cores.size()) {
+                most.add(core);
+            }
+        }
+        return most;
+    }
+
+    void look() {
+        boolean sick = cores.stream().anyMatch(core -> core.up() && core.sick());
+        if (sick) {
+            disturb();
+        }
+        if (now() - disturbedAt < CONTACT || 2 * most().size() <= cores.size()) {
+            settledSince = -1;
+        } else if (settledSince < 0) {
+            settledSince = now();
+        }
+    }
+
+    /** Since when, or -1. */
+    long settledSince() {
+        return settledSince;
+    }
+
+    CoreNode leader() {
+        for (CoreNode core : cores) {
+            if (core.running() && core.keep().status().leading() && core.keep().status().inForce()) {
+                return core;
+            }
+        }
+        return null;
+    }
+
+    CoreNode helm() {
+        for (CoreNode core : cores) {
+            if (core.running() && core.keep().mayAct()) {
+                return core;
+            }
+        }
+        return null;
+    }
+}
