Configurations by difference: history of touched entries, apply by entry, digest of the result

Pure part: History remembers which entries the last 4,096 versions touched (65,536 names at most), Delta holds the entries between two revisions and the digest of the result, Creed.apply puts it on by entry and takes it only if the digest agrees. A whole configuration is a difference from nothing, so there is one format and one path; both travel deflated. Not wired yet.

--- a/src/main/java/brambletray/tray/creed/Creed.java
+++ b/src/main/java/brambletray/tray/creed/Creed.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * A configuration in full: valid, never changed, of one revision (page PROTOCOL, The operator). What isn't understood in it is
@@ -24,6 +25,8 @@
     private final Limits limits;
     private final Places places;
     private final Parts parts;
+    /** Over all entries; 0: not counted yet. Two threads that count it at once find the same. */
+    private long sum;
 
     private Creed(long revision, Map<String, Route> routes, Map<String, Service> services, Limits limits, Parts parts) {
         this.revision = revision;
@@ -176,6 +179,98 @@
         return read(Packing.unpack(packed));
     }
 
+    /**
+     * This one with a difference on top, entry by entry; one of base 0 holds a whole configuration and is put on nothing.
+     * {@link CreedFault} {@code creed.stale} where it builds on another revision, {@code creed.not-newer} where it leads to no later
+     * one, {@code creed.digest} where the result isn't what the sender has, and the other codes where an entry can't be read: ask for
+     * the whole then.
+     */
+    public Creed apply(Delta delta) {
+        if (delta.base() != 0 && delta.base() != revision) {
+            throw new CreedFault("stale", "", "expected a difference from " + revision + ", found one from " + delta.base());
+        }
+        if (delta.revision() <= revision) {
+            throw new CreedFault("not-newer", "", "expected a revision above " + revision + ", found " + delta.revision());
+        }
+        Creed next = delta.base() == 0 ? NONE.with(delta) : with(delta);
+        if (next.digest() != delta.digest()) {
+            throw new CreedFault("digest", "", "expected the digest " + Long.toHexString(delta.digest()) + " of revision " + delta.revision()
+                + ", found " + Long.toHexString(next.digest()));
+        }
+        return next;
+    }
+
+    private Creed with(Delta delta) {
+        Parts changed = parts.copy();
+        Map<String, Route> nextRoutes = new LinkedHashMap<>(routes);
+        Map<String, Service> nextServices = new LinkedHashMap<>(services);
+        long nextSum = sum();
+        for (Delta.Entry entry : delta.entries()) {
+            nextSum += Digest.of(entry) - Digest.of(entry.table(), entry.name(), parts.entry(entry.table(), entry.name()));
+            changed.set(entry.table(), entry.name(), entry.body());
+            if (entry.table().equals(Parts.ROUTES)) {
+                put(nextRoutes, entry, Route::from);
+            } else if (entry.table().equals(Parts.SERVICES)) {
+                put(nextServices, entry, Service::from);
+            }
+        }
+        Limits nextLimits = changed.field(LIMITS) == parts.field(LIMITS) ? limits : limits(changed.field(LIMITS));
+        Creed next = new Creed(delta.revision(), nextRoutes, nextServices, nextLimits, changed);
+        next.sum = nextSum;
+        return next;
+    }
+
+    private static <T> void put(Map<String, T> items, Delta.Entry entry, Function<Fields, T> read) {
+        if (entry.body() == null) {
+            items.remove(entry.name());
+        } else {
+            items.put(entry.name(), read.apply(Fields.from(entry.table() + '[' + CreedJson.brief(entry.name()) + ']',
+                CreedJson.read(entry.body()).plain())));
+        }
+    }
+
+    private static Limits limits(byte[] field) {
+        return field == null || field[0] != '{' ? Limits.USUAL : Limits.from(Fields.from(LIMITS, CreedJson.read(field).plain()));
+    }
+
+    /** The same for the same content, whatever the order of its entries: 64 bits over the revision and the sum over all entries. */
+    public long digest() {
+        return Digest.of(revision, sum());
+    }
+
+    private long sum() {
+        long known = sum;
+        if (known == 0) {
+            for (Map.Entry<Parts.Key, byte[]> one : parts.entries().entrySet()) {
+                known += Digest.of(one.getKey().table(), one.getKey().name(), one.getValue());
+            }
+            sum = known;
+        }
+        return known;
+    }
+
+    /** Names of entries in which this one differs from {@code before}, byte for byte; what is known of that one's digest is used here. */
+    Set<Parts.Key> changedSince(Creed before) {
+        Set<Parts.Key> changed = parts.changedSince(before.parts);
+        if (sum == 0 && before.sum != 0) {
+            long next = before.sum;
+            for (Parts.Key key : changed) {
+                next += Digest.of(key.table(), key.name(), entry(key)) - Digest.of(key.table(), key.name(), before.entry(key));
+            }
+            sum = next;
+        }
+        return changed;
+    }
+
+    /** As bytes, or null: it isn't there. */
+    byte[] entry(Parts.Key key) {
+        return parts.entry(key.table(), key.name());
+    }
+
+    Map<Parts.Key, byte[]> entries() {
+        return parts.entries();
+    }
+
     /** The route for a request: of those of its host (any case, with or without port) the one with the longest prefix; null: 404. */
     public Route match(CharSequence host, String path) {
         return places.match(host, path);
--- /dev/null
+++ b/src/main/java/brambletray/tray/creed/Delta.java
@@ -0,0 +1,101 @@
+package brambletray.tray.creed;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What leads from one revision of the configuration to a later one: the entries that were set and withdrawn between them.
+ *
+ * @param base the revision that it is put on; 0: on nothing, it holds the whole
+ * @param digest of the result ({@link Creed#digest})
+ */
+public record Delta(long base, long revision, long digest, List<Entry> entries) {
+    private static final byte FORMAT = 1;
+    private static final int GONE = -1;
+
+    /** One entry: {@code table} empty: a field that holds no named items; {@code body} null: withdrawn. */
+    public record Entry(String table, String name, byte[] body) { }
+
+    /** As it goes over a slow link: deflated. The same content gives the same bytes. */
+    public byte[] packed() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(FORMAT);
+            out.writeLong(base);
+            out.writeLong(revision);
+            out.writeLong(digest);
+            out.writeInt(entries.size());
+            for (Entry entry : entries) {
+                write(out, entry.table.getBytes(StandardCharsets.UTF_8));
+                write(out, entry.name.getBytes(StandardCharsets.UTF_8));
+                write(out, entry.body);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return Packing.pack(bytes.toByteArray());
+    }
+
+    private static void write(DataOutputStream out, byte[] bytes) throws IOException {
+        out.writeInt(bytes == null ? GONE : bytes.length);
+        if (bytes != null) {
+            out.write(bytes);
+        }
+    }
+
+    /** From {@link #packed}; {@link CreedFault} {@code creed.bad-packing} or {@code creed.bad-delta}. */
+    public static Delta unpack(byte[] packed) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(Packing.unpack(packed)))) {
+            byte format = in.readByte();
+            if (format != FORMAT) {
+                throw bad("a difference of format " + FORMAT + ", found " + format, null);
+            }
+            long base = in.readLong();
+            long revision = in.readLong();
+            long digest = in.readLong();
+            int count = in.readInt();
+            List<Entry> entries = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                String table = text(in);
+                String name = text(in);
+                entries.add(new Entry(table, name, read(in)));
+            }
+            if (in.available() > 0) {
+                throw bad("nothing after its entries", null);
+            }
+            return new Delta(base, revision, digest, entries);
+        } catch (IOException e) {
+            throw bad("a whole difference", e);
+        }
+    }
+
+    private static String text(DataInputStream in) throws IOException {
+        byte[] bytes = read(in);
+        if (bytes == null) {
+            throw bad("a name", null);
+        }
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private static byte[] read(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length == GONE) {
+            return null;
+        }
+        if (length < 0 || length > in.available()) {
+            throw bad("a whole entry", null);
+        }
+        return in.readNBytes(length);
+    }
+
+    private static CreedFault bad(String expected, Throwable cause) {
+        return new CreedFault("bad-delta", "", "expected " + expected, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/tray/creed/Digest.java
@@ -0,0 +1,53 @@
+package brambletray.tray.creed;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Digests of configurations that grow by entry: each entry has 64 bits of its own (FNV-1a over table, name and bytes, then spread),
+ * and those of all are added up, so that a change costs as much as it changes. They guard against a wrong base, a lost or kept entry,
+ * and faults of ours; not against somebody who makes entries collide, as only members of the core write them.
+ */
+final class Digest {
+    private static final long BASIS = 0xcbf29ce484222325L;
+    private static final long PRIME = 0x100000001b3L;
+
+    private Digest() { }
+
+    static long of(Delta.Entry entry) {
+        return of(entry.table(), entry.name(), entry.body());
+    }
+
+    /** Of one entry; 0 for one that isn't there. */
+    static long of(String table, String name, byte[] body) {
+        if (body == null) {
+            return 0;
+        }
+        long hash = mix(BASIS, table.getBytes(StandardCharsets.UTF_8));
+        hash = mix((hash ^ 0xff) * PRIME, name.getBytes(StandardCharsets.UTF_8));
+        return spread(mix((hash ^ 0xff) * PRIME, body));
+    }
+
+    /** Of a configuration of this revision whose entries add up to {@code sum}. */
+    static long of(long revision, long sum) {
+        return spread(sum ^ spread(revision));
+    }
+
+    /** Of bytes as such. */
+    static long of(byte[] bytes) {
+        return spread(mix(BASIS, bytes));
+    }
+
+    private static long mix(long from, byte[] bytes) {
+        long hash = from;
+        for (byte b : bytes) {
+            hash = (hash ^ b & 0xff) * PRIME;
+        }
+        return hash;
+    }
+
+    private static long spread(long value) {
+        long z = (value ^ value >>> 33) * 0xff51afd7ed558ccdL;
+        z = (z ^ z >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return z ^ z >>> 33;
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/tray/creed/History.java
@@ -0,0 +1,76 @@
+package brambletray.tray.creed;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Which entries the last versions of the configuration touched, so that who has one of these is told what has changed since, and no
+ * more. Only names are kept: the entries themselves are the current one's. Each member follows along, so that a new holder of the duty
+ * can go on. Pure; one thread.
+ */
+public final class History {
+    /** Versions that are remembered, and names that these touched together; beyond either the oldest are forgotten. */
+    static final int VERSIONS = 4_096, NAMES = 65_536;
+
+    private record Step(long from, Set<Parts.Key> touched) { }
+
+    private final ArrayDeque<Step> steps = new ArrayDeque<>();
+    private int names;
+    private Creed current = Creed.NONE;
+
+    public Creed current() {
+        return current;
+    }
+
+    /** This one is in force from here on; what came in between, if anything did, is taken as one step. */
+    public void become(Creed next) {
+        if (next.revision() <= current.revision()) {
+            return;
+        }
+        if (current != Creed.NONE) {
+            Step step = new Step(current.revision(), next.changedSince(current));
+            steps.add(step);
+            names += step.touched.size();
+            while (steps.size() > VERSIONS || names > NAMES) {
+                names -= steps.remove().touched.size();
+            }
+        }
+        current = next;
+    }
+
+    /** Whether it is known what has changed since this revision. */
+    boolean remembers(long base) {
+        return base == current.revision() || steps.stream().anyMatch(step -> step.from == base);
+    }
+
+    /** From this revision to the current one; null: it isn't remembered, or the whole is no larger. */
+    public Delta since(long base) {
+        Set<Parts.Key> touched = new TreeSet<>(Comparator.comparing(Parts.Key::table).thenComparing(Parts.Key::name));
+        long from = current.revision();
+        for (Iterator<Step> back = steps.descendingIterator(); from != base && back.hasNext();) {
+            Step step = back.next();
+            touched.addAll(step.touched);
+            from = step.from;
+        }
+        if (from != base || base == 0 || touched.size() > current.routes().size() + current.services().size()) {
+            return null;
+        }
+        List<Delta.Entry> entries = new ArrayList<>(touched.size());
+        for (Parts.Key key : touched) {
+            entries.add(new Delta.Entry(key.table(), key.name(), current.entry(key)));
+        }
+        return new Delta(base, current.revision(), current.digest(), entries);
+    }
+
+    /** The whole of the current one, for who has none that is remembered. */
+    public Delta whole() {
+        List<Delta.Entry> entries = new ArrayList<>();
+        current.entries().forEach((key, body) -> entries.add(new Delta.Entry(key.table(), key.name(), body)));
+        return new Delta(0, current.revision(), current.digest(), entries);
+    }
+}
--- a/src/main/java/brambletray/tray/creed/Packing.java
+++ b/src/main/java/brambletray/tray/creed/Packing.java
@@ -5,10 +5,13 @@
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 
-/** Configurations are packed for slow and dear links: they shrink to about a tenth. */
+/** Differences of configurations are packed for slow and dear links: a whole one shrinks to about a tenth. */
 final class Packing {
     private Packing() { }
 
+    /** Bytes unpacked: twice the largest configuration, as names and lengths come on top of an entry's own bytes. */
+    private static final int MOST = 2 * CreedJson.LARGEST;
+
     static byte[] pack(byte[] json) {
         Deflater deflater = new Deflater();
         try {
@@ -29,12 +32,12 @@
         Inflater inflater = new Inflater();
         try {
             inflater.setInput(packed);
-            ByteArrayOutputStream out = new ByteArrayOutputStream(8 * packed.length);
+            ByteArrayOutputStream out = new ByteArrayOutputStream(Math.min(MOST, 8 * Math.min(packed.length, MOST)));
             byte[] part = new byte[8_192];
             while (!inflater.finished()) {
                 int count = inflater.inflate(part);
                 out.write(part, 0, count);
-                if (count == 0 && !inflater.finished() || out.size() > CreedJson.LARGEST) {
+                if (count == 0 && !inflater.finished() || out.size() > MOST) {
                     throw new CreedFault("bad-packing", "", "expected a whole configuration, packed");
                 }
             }
--- a/src/main/java/brambletray/tray/creed/Parts.java
+++ b/src/main/java/brambletray/tray/creed/Parts.java
@@ -2,8 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +18,11 @@
     static final String ROUTES = "routes";
     static final String SERVICES = "services";
 
+    /** Where an entry stands: {@code table} empty: a field by itself. */
+    record Key(String table, String name) { }
+
+    private static final String FIELD = "";
+
     private final Map<String, Map<String, byte[]>> tables = new LinkedHashMap<>();
     private final Map<String, byte[]> fields = new LinkedHashMap<>();
 
@@ -85,6 +92,74 @@
         }
     }
 
+    /** An entry's bytes, or null: it isn't there. A field that holds an empty list is as good as none. */
+    byte[] entry(String table, String name) {
+        if (!table.equals(FIELD)) {
+            return tables.getOrDefault(table, Map.of()).get(name);
+        }
+        byte[] field = fields.get(name);
+        return field == null || empty(field) ? null : field;
+    }
+
+    /** All that {@link #entry} gives, in the order in which it is shown. */
+    Map<Key, byte[]> entries() {
+        Map<Key, byte[]> all = new LinkedHashMap<>();
+        tables.forEach((table, items) -> items.forEach((name, body) -> all.put(new Key(table, name), body)));
+        fields.forEach((name, body) -> {
+            if (!empty(body)) {
+                all.put(new Key(FIELD, name), body);
+            }
+        });
+        return all;
+    }
+
+    /** Keys of entries that are here and not the same in the other, or there and not here. */
+    Set<Key> changedSince(Parts other) {
+        Set<Key> changed = new LinkedHashSet<>();
+        entries().forEach((key, body) -> {
+            byte[] former = other.entry(key.table, key.name);
+            if (former != body && !Arrays.equals(former, body)) {
+                changed.add(key);
+            }
+        });
+        for (Key key : other.entries().keySet()) {
+            if (entry(key.table, key.name) == null) {
+                changed.add(key);
+            }
+        }
+        return changed;
+    }
+
+    /** Puts an entry as it is, or takes it out where {@code body} is null. */
+    void set(String table, String name, byte[] body) {
+        if (table.equals(FIELD)) {
+            if (body == null) {
+                fields.remove(name);
+            } else {
+                fields.put(name, body);
+            }
+        } else if (body != null) {
+            fields.remove(table);
+            tables.computeIfAbsent(table, n -> new LinkedHashMap<>()).put(name, body);
+        } else {
+            remove(table, name);
+            if (!table.equals(ROUTES) && !table.equals(SERVICES) && tables.getOrDefault(table, Map.of()).isEmpty()) {
+                tables.remove(table);
+            }
+        }
+    }
+
+    private static boolean empty(byte[] raw) {
+        if (raw[0] != '[') {
+            return false;
+        }
+        int at = 1;
+        while (raw[at] <= ' ' && raw[at] >= 0) {
+            at++;
+        }
+        return raw[at] == ']';
+    }
+
     private static boolean empty(CreedJson.Value value) {
         return value.plain() instanceof List<?> list && list.isEmpty();
     }
