--- a/src/main/java/brambletray/tray/creed/Delta.java
+++ b/src/main/java/brambletray/tray/creed/Delta.java
@@ -43,6 +43,12 @@
         return Packing.pack(bytes.toByteArray());
     }
 
+    /** A number for these bytes, never 0: the same for the same, so that a transfer is known again. */
+    public static long id(byte[] packed) {
+        long id = Digest.of(packed);
+        return id == 0 ? 1 : id;
+    }
+
     private static void write(DataOutputStream out, byte[] bytes) throws IOException {
         out.writeInt(bytes == null ? GONE : bytes.length);
         if (bytes != null) {
--- /dev/null
+++ b/src/main/java/brambletray/tray/news/Subscriber.java
@@ -0,0 +1,147 @@
+package brambletray.tray.news;
+
+import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.CreedFault;
+import brambletray.tray.creed.Delta;
+
+/**
+ * An edge's side of how configurations reach it: it fetches what it lacks, chunk after chunk, at the pace at which its link brings them.
+ * What has come of a transfer is kept when the helm changes or the link ends, and the transfer goes on from there. It never goes back.
+ * Pure; times are ms of a steady clock.
+ */
+public final class Subscriber {
+    /** Chunks that are asked for ahead, so that a link is never idle; more would only stand in front of heartbeats and requests. */
+    static final int AHEAD = 2;
+    /** ms without a chunk after which it is asked for again. A link that ends is asked anew at once; this is for what was lost otherwise. */
+    static final int AGAIN = 1_000;
+
+    /** What comes out. */
+    public interface Out {
+        /** To the helm; lost where there is none. */
+        void fetch(Fetch fetch);
+
+        /** Another configuration is in force here; {@code bytes} on the wire, in {@code ms} from the first question on. */
+        void took(Creed creed, int bytes, long ms);
+
+        /** What had come doesn't lead to what the helm has. */
+        void refused(CreedFault fault);
+    }
+
+    private final Out out;
+    private Creed creed = Creed.NONE;
+    private long newest;
+    private boolean whole;
+    private boolean asking;
+    private long askedAt;
+    private long began;
+    /** What came last was no good: nothing is asked before. */
+    private long notBefore = Long.MIN_VALUE;
+
+    /** The transfer under way; 0: none has begun. */
+    private long body;
+    private long revision;
+    private byte[] bytes;
+    private int got;
+    /** Up to which offset chunks have been asked for. */
+    private int asked;
+
+    public Subscriber(Out out) {
+        this.out = out;
+    }
+
+    public Creed creed() {
+        return creed;
+    }
+
+    /** The helm says which revision is the newest. */
+    public void newest(long next, long now) {
+        newest = next;
+        if (!asking && newest > creed.revision() && now >= notBefore) {
+            began = now;
+            ask(now);
+        }
+    }
+
+    /** A link to a helm is there: what was asked on the one before is lost. */
+    public void attached(long now) {
+        if (asking) {
+            ask(now);
+        }
+    }
+
+    /** To be called now and then. */
+    public void tick(long now) {
+        if (asking && now - askedAt >= AGAIN) {
+            ask(now);
+        }
+    }
+
+    private void ask(long now) {
+        asking = true;
+        askedAt = now;
+        asked = got + Chunk.BYTES;
+        out.fetch(new Fetch(creed.revision(), body, got, whole));
+    }
+
+    /** Some bytes have come. */
+    public void heard(Chunk chunk, long now) {
+        if (chunk.revision() <= creed.revision() || chunk.size() <= 0 || chunk.size() > Chunk.MOST
+                || chunk.offset() < 0 || chunk.bytes().length == 0 || chunk.bytes().length > chunk.size() - chunk.offset()) {
+            return;
+        }
+        if (chunk.body() != body) {
+            if (chunk.offset() != 0) {
+                return;
+            }
+            // The helm has that transfer no longer, or begins one.
+            body = chunk.body();
+            revision = chunk.revision();
+            bytes = new byte[chunk.size()];
+            got = 0;
+            asked = Chunk.BYTES;
+        }
+        if (chunk.size() != bytes.length || chunk.offset() != got) {
+            return;
+        }
+        System.arraycopy(chunk.bytes(), 0, bytes, got, chunk.bytes().length);
+        got += chunk.bytes().length;
+        asking = true;
+        askedAt = now;
+        if (got == bytes.length) {
+            complete(now);
+        } else {
+            while (asked < bytes.length && asked < got + AHEAD * Chunk.BYTES) {
+                out.fetch(new Fetch(creed.revision(), body, asked, whole));
+                asked += Chunk.BYTES;
+            }
+        }
+    }
+
+    private void complete(long now) {
+        byte[] all = bytes;
+        body = 0;
+        bytes = null;
+        got = 0;
+        asking = false;
+        Creed next;
+        try {
+            next = creed.apply(Delta.unpack(all));
+        } catch (CreedFault fault) {
+            // Where even the whole was no good the next question waits, so that it is not fetched in circles.
+            notBefore = whole ? now + AGAIN : now;
+            whole = true;
+            out.refused(fault);
+            newest(newest, now);
+            return;
+        }
+        whole = false;
+        creed = next;
+        out.took(creed, all.length, now - began);
+        began = now;
+        if (newest > creed.revision()) {
+            ask(now);
+        } else {
+            out.fetch(new Fetch(creed.revision(), 0, 0, false));
+        }
+    }
+}
