Helm and edges wired: configurations and rosters fetched, pulses never behind bulk

Now a change is told by a pulse, said at once; edges fetch the difference, and the roster, one question at a time. Every check of terms stays: a chunk and a roster count only on a link that is open, under its term, and are said only while the lease holds. Either is a sign of life. An edge that slept itself reads first what lies unread. Operators see which revision an edge says it serves by, no longer what it was told.

SimNetwork knows links of bounded rate. HubTest: 800 kB over 250 kB/s in 2 to 3.5 s with pulses less than 400 ms apart; TetherTest: three more. The record News is gone; HubTest and TetherTest ask of Chunk what they asked of it, their edge fetches as edges do.

Run: HubTest, TetherTest, TravelTest, DeltaTest, ViewsTest, GreeterTest, CandidatesTest, SimNetworkTest, ArchitectureTest, SpeechTest, LinkTest: 0 failed. Not run: the whole verify.

--- a/src/main/java/brambletray/simulation/SimChannel.java
+++ b/src/main/java/brambletray/simulation/SimChannel.java
@@ -211,7 +211,7 @@
         onTheWay += piece.length;
         if (passing.length > 0 && !network.silent(home, remote.getAddress())) {
             byte[] sent = passing;
-            network.carry(this, peer, () -> peer.arrived(sent));
+            network.carry(this, peer, sent.length, () -> peer.arrived(sent));
             network.sent(home);
         }
         if (cutNow) {
--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -22,7 +22,7 @@
  *
  * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
  * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
- * not: loss and retransmission, congestion, MTU beyond {@link #segment}.
+ * not: loss and retransmission, congestion, MTU beyond {@link #segment}. Links carry any amount at once unless a {@link #rate} is set.
  */
 public final class SimNetwork {
     private final Set<InetAddress> muted = new HashSet<>();
@@ -42,6 +42,9 @@
     /** Several on one address where all of them share it. */
     private final Map<InetSocketAddress, List<SimServerChannel>> listeners = new HashMap<>();
     private final Map<List<InetAddress>, Way> ways = new HashMap<>();
+    /** Bytes a second that a machine's link carries, each way; and until when either way of it is taken, on the ticker, ns. */
+    private final Map<InetAddress, Long> rates = new HashMap<>();
+    private final Map<InetAddress, Long> sending = new HashMap<>(), receiving = new HashMap<>();
     private final Set<InetAddress> vanished = new LinkedHashSet<>();
     private final Set<SimChannel> open = new LinkedHashSet<>();
     private Way usual = new Way(0, 0);
@@ -67,6 +70,22 @@
         ways.put(List.of(from, to), way);
     }
 
+    /** A machine's link carries so many bytes a second out, and as many in; all its connections share it, first come, first served. */
+    public void rate(InetAddress machine, long bytesPerSecond) {
+        rates.put(machine, bytesPerSecond);
+    }
+
+    /** When so many bytes have passed a link that they reach at that time. */
+    private long passed(InetAddress machine, Map<InetAddress, Long> taken, long at, int bytes) {
+        Long rate = rates.get(machine);
+        if (rate == null) {
+            return at;
+        }
+        long end = Math.max(at, taken.getOrDefault(machine, at)) + TimeUnit.SECONDS.toNanos(bytes) / rate;
+        taken.put(machine, end);
+        return end;
+    }
+
     /** Bytes at most that arrive in one piece; 1 brings every byte by itself. */
     public void segment(int most) {
         segment = most;
@@ -203,8 +222,14 @@
 
     /** Does something at the other end, after the way there; what one end sends arrives in order. */
     void carry(SimChannel from, SimChannel to, Runnable arrival) {
+        carry(from, to, 0, arrival);
+    }
+
+    /** The same with so many bytes, for which links of bounded rate take their time. */
+    void carry(SimChannel from, SimChannel to, int bytes, Runnable arrival) {
         long now = simulation.clock().nanos();
-        long at = Math.max(to.lastArrival, now + latency(from.home(), to.home()));
+        long there = passed(from.home(), sending, now, bytes) + latency(from.home(), to.home());
+        long at = Math.max(to.lastArrival, passed(to.home(), receiving, there, bytes));
         to.lastArrival = at;
         to.eventLoop().schedule(arrival, at - now, TimeUnit.NANOSECONDS);
     }
--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -5,6 +5,7 @@
 import brambletray.tray.berth.Berth;
 import brambletray.tray.berth.BerthFault;
 import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.CreedFault;
 import brambletray.tray.flow.Flow;
 import brambletray.tray.flow.Front;
 import brambletray.tray.flow.Lines;
@@ -18,10 +19,12 @@
 import brambletray.tray.home.Held;
 import brambletray.tray.home.Laws;
 import brambletray.tray.home.Refuse;
+import brambletray.tray.news.Chunk;
+import brambletray.tray.news.Fetch;
 import brambletray.tray.news.Iam;
 import brambletray.tray.news.Lexis;
-import brambletray.tray.news.News;
 import brambletray.tray.news.Signals;
+import brambletray.tray.news.Subscriber;
 import brambletray.tray.ring.Beat;
 import brambletray.tray.ring.Hello;
 import brambletray.tray.ring.Homes;
@@ -65,6 +68,7 @@
     private final Hall hall;
     private final Mesh mesh;
     private final Tether tether;
+    private final Subscriber subscriber = new Subscriber(new SubscriberOut());
     private final Watch watch;
     private final Map<String, Boolean> hostIps = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -159,6 +163,7 @@
         try {
             long now = now();
             tether.tick(now);
+            subscriber.tick(now);
             watch.tick(now);
             if (hallAt == Long.MAX_VALUE || now - hallAt > 200) {
                 // Guards against a call that failed, and said no next time.
@@ -226,16 +231,26 @@
     }
 
     // ---- News -----------------------------------------------------------------------------------
-    private void take(News news) {
-        if (news.revision() <= creed.revision()) {
-            return;
+    private final class SubscriberOut implements Subscriber.Out {
+        @Override
+        public void fetch(Fetch fetch) {
+            tether.say(fetch);
+        }
+
+        @Override
+        public void took(Creed next, int bytes, long ms) {
+            long before = creed.revision();
+            creed = next;
+            watch.self(self, creed.revision());
+            hall.creed(creed);
+            TALE.tell("configuration", "revision", creed.revision(), "before", before, "routes", creed.routes().size(), "bytes", bytes,
+                "ms", ms);
+        }
+
+        @Override
+        public void refused(CreedFault fault) {
+            TALE.warn("configuration not taken", "revision", creed.revision(), "code", fault.code(), "why", fault.getMessage());
         }
-        Creed next = Creed.read(news.json());
-        long before = creed.revision();
-        creed = next;
-        watch.self(self, creed.revision());
-        hall.creed(creed);
-        TALE.tell("configuration", "revision", creed.revision(), "before", before, "routes", creed.routes().size());
     }
 
     private void take(Roster next) {
@@ -278,8 +293,13 @@
         }
 
         @Override
-        public void news(News news) {
-            take(news);
+        public void newest(long revision) {
+            subscriber.newest(revision, now());
+        }
+
+        @Override
+        public void chunk(Chunk chunk) {
+            subscriber.heard(chunk, now());
         }
 
         @Override
@@ -291,11 +311,7 @@
         public void attached(long term) {
             watch.hub();
             tether.say(hall.mine());
-        }
-
-        @Override
-        public long revision() {
-            return creed.revision();
+            subscriber.attached(now());
         }
     }
 
--- a/src/main/java/brambletray/tray/carry/Tether.java
+++ b/src/main/java/brambletray/tray/carry/Tether.java
@@ -2,9 +2,10 @@
 
 import brambletray.runtime.Machine;
 import brambletray.tray.berth.Address;
+import brambletray.tray.news.Chunk;
 import brambletray.tray.news.Iam;
-import brambletray.tray.news.News;
 import brambletray.tray.news.Pulse;
+import brambletray.tray.news.RosterFetch;
 import brambletray.tray.ring.Roster;
 import brambletray.tray.ring.Welcome;
 import brambletray.tray.speech.Dialler;
@@ -25,8 +26,13 @@
  */
 final class Tether implements Handler {
     private static final Tale TALE = Tale.of("carry");
-    /** ms without a pulse after which the helm is looked for elsewhere; it pulses four times in that. */
+    /** ms without a sign of life after which the helm is looked for elsewhere; it pulses four times in that. */
     private static final int ADRIFT = 1_000;
+    /** ms between two ticks from which on this process itself has slept, and what the helm said may lie unread. */
+    private static final int SLEPT = 500;
+    /** ms after which a roster that was asked for is asked for again. */
+    private static final int ROSTER = 1_000;
+    private static final long NEVER = Long.MIN_VALUE / 2;
     /** ms that a member is given to come up and say where the helm is, and the helm to pulse. */
     private static final int TRY = 400;
     /** ms to stay with a member that is in touch with the others and knows of no helm: it says so as soon as there is one. */
@@ -45,15 +51,17 @@
 
         void roster(Roster roster);
 
-        void news(News news);
+        /** The helm says which configuration is the newest. */
+        void newest(long revision);
+
+        /** A part of it, as was fetched. */
+        void chunk(Chunk chunk);
 
         /** Everything else that the helm says. */
         void heard(Object frame);
 
         /** A helm has been found: of this term; the first word to it is still to be said. */
         void attached(long term);
-
-        long revision();
     }
 
     private record Avoided(Address helm, long term, long until) { }
@@ -71,7 +79,9 @@
     private long pulsed = Long.MIN_VALUE / 2;
     private long term;
     private boolean attached;
-    private long asked;
+    private long ticked = Long.MIN_VALUE / 2;
+    /** When the roster was asked for, and hasn't come; ms. */
+    private long rosterAsked = NEVER;
 
     Tether(Machine machine, Speech speech, Iam self, List<Address> members, int turn, Ear ear) {
         this.machine = machine;
@@ -102,6 +112,10 @@
     }
 
     void tick(long now) {
+        if (now - ticked > SLEPT) {
+            pulsed = Math.max(pulsed, now - SLEPT);
+        }
+        ticked = now;
         if (attached && now - pulsed > ADRIFT) {
             adrift("no pulse for " + (now - pulsed) + " ms", now);
             turn(now);
@@ -166,11 +180,15 @@
             pulse(pulse, now);
         } else if (frame instanceof Roster roster) {
             if (counts(roster.term(), frame)) {
+                pulsed = now;
+                rosterAsked = NEVER;
                 ear.roster(roster);
             }
-        } else if (frame instanceof News news) {
-            if (counts(news.term(), frame)) {
-                ear.news(news);
+        } else if (frame instanceof Chunk chunk) {
+            if (counts(chunk.term(), frame)) {
+                // Said by a helm that may act, as a pulse is.
+                pulsed = now;
+                ear.chunk(chunk);
             }
         } else if (counts(term, frame)) {
             ear.heard(frame);
@@ -225,13 +243,15 @@
         attached = true;
         if (fresh) {
             TALE.tell("attached", "helm", dialler.to(), "term", term);
+            rosterAsked = NEVER;
             ear.attached(term);
         }
-        boolean behind = pulse.revision() > ear.revision()
-            || pulse.roster() > 0 && (ear.roster().term() != pulse.term() || ear.roster().number() < pulse.roster());
-        if (behind && now - asked > 300) {
-            asked = now;
-            dialler.say(ear.hello());
+        ear.newest(pulse.revision());
+        Roster roster = ear.roster();
+        boolean behind = pulse.roster() > 0 && (roster.term() != pulse.term() || roster.number() < pulse.roster());
+        if (behind && now - rosterAsked > ROSTER) {
+            rosterAsked = now;
+            dialler.say(new RosterFetch(roster.term(), roster.number()));
         }
     }
 
--- a/src/main/java/brambletray/tray/keep/Hub.java
+++ b/src/main/java/brambletray/tray/keep/Hub.java
@@ -4,8 +4,11 @@
 import brambletray.tray.berth.Berth;
 import brambletray.tray.creed.Creed;
 import brambletray.tray.creed.Service;
-import brambletray.tray.news.News;
+import brambletray.tray.news.Chunk;
+import brambletray.tray.news.Fetch;
+import brambletray.tray.news.Publisher;
 import brambletray.tray.news.Pulse;
+import brambletray.tray.news.RosterFetch;
 import brambletray.tray.ring.Census;
 import brambletray.tray.ring.Hello;
 import brambletray.tray.ring.Homes;
@@ -52,21 +55,23 @@
         private Peer peer;
         /** Has been pulsed on this link, and not been let go since: what is said now is said under this term. */
         private boolean open;
-        private long revision = -1;
-        private long rosterTerm;
-        private long rosterNumber;
+        /** That it serves by, as it says itself. */
+        private long revision;
     }
 
     private final long term;
     private final Supplier<Creed> creed;
+    private final Publisher publisher;
     private final Map<String, Edge> edges = new HashMap<>();
     private final Census census;
     private final Yard yard;
     private final Platform platform;
     private Homes homes = new Homes(Roster.NONE);
     private long pulsedAt;
+    private Pulse pulse;
+    /** Since when the newest configuration is on its way to edges, ms; {@link #NEVER}: all have it. */
+    private long spreadingSince = NEVER;
     private long lapsedAt = NEVER;
-    private News news;
     private final Machine machine;
     private final Authority authority;
 
@@ -88,11 +93,13 @@
         void fenced(long term);
     }
 
-    Hub(Machine machine, Berth berth, long term, Supplier<Creed> creed, Authority authority, long now) {
+    Hub(Machine machine, Berth berth, long term, Supplier<Creed> creed, Publisher publisher, Authority authority, long now) {
         this.machine = machine;
         this.authority = authority;
         this.term = term;
         this.creed = creed;
+        this.publisher = publisher;
+        pulse = new Pulse(term, 0, 0);
         census = new Census(term, now, this::roster);
         brambletray.tray.berth.Platform told = berth.need("cloud-api.address", berth.platform());
         platform = new Platform(machine, new InetSocketAddress(told.address().host(), told.address().port()),
@@ -114,10 +121,10 @@
         return yard;
     }
 
-    /** For operators: the revision that this edge was told, or -1: it has no link here. */
-    long told(String name) {
+    /** For operators: the revision that this edge says it serves by, or -1: it has no link here. */
+    long has(String name) {
         Edge edge = edges.get(name);
-        return edge == null ? -1 : Math.max(0, edge.revision);
+        return edge == null ? -1 : edge.revision;
     }
 
     private String homeOf(String service, String seat) {
@@ -136,23 +143,17 @@
             sizes.put(service.name(), new Size(service.memoryMb(), service.bootMs()));
         }
         yard.creed(sizes, now);
-        news = new News(term, current.revision(), current.json());
+        spreadingSince = now;
         if (authority.mayAct()) {
-            tellAll(revision());
+            pulseAll(now);
         }
     }
 
-    /** For who may act, of what may be handed out. What is not told now is told by a later {@link #tick}. */
-    private void tellAll(long revision) {
-        for (Edge edge : edges.values()) {
-            tell(edge, revision);
-        }
-    }
-
-    private void tell(Edge edge, long revision) {
-        if (edge.open && edge.revision < revision && edge.link.say(news)) {
-            edge.revision = revision;
-        }
+    /** For who may act, of what may be handed out: edges fetch what they lack. */
+    private void pulseAll(long now) {
+        pulsedAt = now;
+        pulse = new Pulse(term, revision(), census.roster().number());
+        edges.values().forEach(this::pulse);
     }
 
     private void roster(Roster roster, String why) {
@@ -165,17 +166,6 @@
             yard.expect(names);
         }
         TALE.tell("roster", "term", roster.term(), "number", roster.number(), "peers", roster.peers().size(), "why", why);
-        for (Edge edge : edges.values()) {
-            tell(edge, roster);
-        }
-    }
-
-    private void tell(Edge edge, Roster roster) {
-        if (roster.number() > 0 && edge.open && (edge.rosterTerm != roster.term() || edge.rosterNumber < roster.number())
-                && edge.link.say(roster)) {
-            edge.rosterTerm = roster.term();
-            edge.rosterNumber = roster.number();
-        }
     }
 
     void heard(String name, Link link, Object frame, long now) {
@@ -203,6 +193,30 @@
             census.trust(trust);
         } else if (frame instanceof Roster roster) {
             census.told(roster, now);
+        } else if (frame instanceof Fetch fetch) {
+            fetch(edge, fetch, now);
+        } else if (frame instanceof RosterFetch && edge.open && authority.mayAct() && census.roster().number() > 0) {
+            edge.link.say(census.roster());
+        }
+    }
+
+    private void fetch(Edge edge, Fetch fetch, long now) {
+        edge.revision = fetch.revision();
+        if (edge.open && authority.mayAct() && revision() > 0) {
+            Chunk chunk = publisher.answer(fetch, term);
+            if (chunk != null) {
+                edge.link.say(chunk);
+            }
+        }
+        spread(now);
+    }
+
+    /** Tells once when all edges on the line serve by the newest configuration. */
+    private void spread(long now) {
+        long newest = revision();
+        if (spreadingSince != NEVER && newest > 0 && edges.values().stream().allMatch(edge -> edge.revision >= newest)) {
+            TALE.tell("spread", "term", term, "revision", newest, "edges", edges.size(), "ms", now - spreadingSince);
+            spreadingSince = NEVER;
         }
     }
 
@@ -212,24 +226,20 @@
         edge.link = link;
         edge.peer = hello.self();
         edge.revision = hello.revision();
-        edge.rosterTerm = hello.rosterTerm();
-        edge.rosterNumber = hello.rosterNumber();
         census.hello(hello, now);
         if (authority.mayAct()) {
-            long revision = revision();
-            pulse(edge, new Pulse(term, revision, census.roster().number()));
-            tell(edge, revision);
-            tell(edge, census.roster());
+            pulse = new Pulse(term, revision(), census.roster().number());
+            pulse(edge);
         }
     }
 
-    private void pulse(Edge edge, Pulse pulse) {
+    private void pulse(Edge edge) {
         edge.open |= edge.link.say(pulse);
     }
 
     /** Of the configuration that may be handed out, or 0: none yet. */
     private long revision() {
-        return news != null && authority.applied() ? news.revision() : 0;
+        return authority.applied() ? publisher.revision() : 0;
     }
 
     /** Edges look elsewhere, until this hub pulses again. */
@@ -274,13 +284,9 @@
         lapsedAt = NEVER;
         census.tick(now);
         yard.tick(now);
-        if (now - pulsedAt >= PULSE) {
-            pulsedAt = now;
-            Pulse pulse = new Pulse(term, revision(), census.roster().number());
-            edges.values().forEach(edge -> pulse(edge, pulse));
+        if (now - pulsedAt >= PULSE || revision() != pulse.revision() || census.roster().number() != pulse.roster()) {
+            pulseAll(now);
         }
-        tellAll(revision());
-        edges.values().forEach(edge -> tell(edge, census.roster()));
     }
 
     /** The term is over: nothing more is called, nor said but that. The links stay, by which edges are told of the next helm. */
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -5,8 +5,10 @@
 import brambletray.tray.berth.Berth;
 import brambletray.tray.berth.BerthFault;
 import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.History;
 import brambletray.tray.news.Iam;
 import brambletray.tray.news.Lexis;
+import brambletray.tray.news.Publisher;
 import brambletray.tray.news.Signals;
 import brambletray.tray.ring.Hello;
 import brambletray.tray.ring.Roster;
@@ -61,6 +63,9 @@
     private final Vow vow;
     private final Views views;
     private final Greeter edges = new Greeter(this::welcome);
+    /** Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges have. */
+    private final History history = new History();
+    private final Publisher publisher = new Publisher(history);
     private Hub hub;
     /** The term of the helm that is held here, 0 for none. */
     private long held;
@@ -181,7 +186,7 @@
             hub = null;
         }
         if (hub == null && held != 0 && vow.mayAct(now)) {
-            hub = new Hub(machine, berth, held, () -> operators.charter().creed(), new HubAuthority(), now);
+            hub = new Hub(machine, berth, held, () -> operators.charter().creed(), publisher, new HubAuthority(), now);
             edges.hub(hub, now);
         }
     }
@@ -202,6 +207,7 @@
 
     private void creedChanged() {
         Creed creed = operators.charter().creed();
+        history.become(creed);
         TALE.tell("configuration", "revision", creed.revision(), "routes", creed.routes().size(), "services", creed.services().size());
         if (hub != null) {
             hub.creed(now());
--- a/src/main/java/brambletray/tray/keep/Sights.java
+++ b/src/main/java/brambletray/tray/keep/Sights.java
@@ -45,8 +45,8 @@
         }
 
         @Override
-        public long told(String edge) {
-            return hub.told(edge);
+        public long has(String edge) {
+            return hub.has(edge);
         }
 
         @Override
--- a/src/main/java/brambletray/tray/keep/Views.java
+++ b/src/main/java/brambletray/tray/keep/Views.java
@@ -42,8 +42,8 @@
     interface Book {
         Roster roster();
 
-        /** The configuration's revision that this edge was told, or -1: it has no link here. */
-        long told(String edge);
+        /** The configuration's revision that this edge says it serves by, or -1: it has no link here. */
+        long has(String edge);
 
         /** At most {@link #MOST}; {@code service} null: of all. */
         List<Host> hosts(String service);
@@ -125,10 +125,10 @@
         Roster roster = book.roster();
         Sheet sheet = head().number("term", roster.term()).number("number", roster.number()).number("revision", source.revision()).list("edges");
         for (Peer peer : roster.peers()) {
-            long told = book.told(peer.name());
+            long has = book.has(peer.name());
             sheet.item().text("name", peer.name()).text("zone", peer.zone()).text("address", peer.address())
-                .text("life", Long.toHexString(peer.life())).text("state", peer.in() ? "in" : "leaving").flag("linked", told >= 0)
-                .number("revision", Math.max(0, told)).end();
+                .text("life", Long.toHexString(peer.life())).text("state", peer.in() ? "in" : "leaving").flag("linked", has >= 0)
+                .number("revision", Math.max(0, has)).end();
         }
         return sheet.close().bytes();
     }
--- a/src/main/java/brambletray/tray/news/Subscriber.java
+++ b/src/main/java/brambletray/tray/news/Subscriber.java
@@ -5,15 +5,18 @@
 import brambletray.tray.creed.Delta;
 
 /**
- * An edge's side of how configurations reach it: it fetches what it lacks, chunk after chunk, at the pace at which its link brings them.
- * What has come of a transfer is kept when the helm changes or the link ends, and the transfer goes on from there. It never goes back.
- * Pure; times are ms of a steady clock.
+ * An edge's side of how configurations reach it: it fetches what it lacks, chunk after chunk, at the pace of its link. What has come
+ * of a transfer is kept when the helm changes or the link ends, and the transfer goes on from there. It never goes back. Pure; times are
+ * ms of a steady clock.
  */
 public final class Subscriber {
     /** Chunks that are asked for ahead, so that a link is never idle; more would only stand in front of heartbeats and requests. */
     static final int AHEAD = 2;
-    /** ms without a chunk after which it is asked for again. A link that ends is asked anew at once; this is for what was lost otherwise. */
-    static final int AGAIN = 1_000;
+    /**
+     * ms without a chunk after which it is asked for again, doubled each time until one comes. A link that ends is asked anew at once; this is
+     * for a helm that kept silent as its lease was in doubt. What is asked twice comes twice, on a link that may be full already.
+     */
+    static final int AGAIN = 500, LONGEST = 4_000;
 
     /** What comes out. */
     public interface Out {
@@ -33,6 +36,7 @@
     private boolean whole;
     private boolean asking;
     private long askedAt;
+    private int patience = AGAIN;
     private long began;
     /** What came last was no good: nothing is asked before. */
     private long notBefore = Long.MIN_VALUE;
@@ -64,6 +68,7 @@
 
     /** A link to a helm is there: what was asked on the one before is lost. */
     public void attached(long now) {
+        patience = AGAIN;
         if (asking) {
             ask(now);
         }
@@ -71,7 +76,8 @@
 
     /** To be called now and then. */
     public void tick(long now) {
-        if (asking && now - askedAt >= AGAIN) {
+        if (asking && now - askedAt >= patience) {
+            patience = Math.min(LONGEST, 2 * patience);
             ask(now);
         }
     }
@@ -107,6 +113,7 @@
         got += chunk.bytes().length;
         asking = true;
         askedAt = now;
+        patience = AGAIN;
         if (got == bytes.length) {
             complete(now);
         } else {
@@ -128,7 +135,7 @@
             next = creed.apply(Delta.unpack(all));
         } catch (CreedFault fault) {
             // Where even the whole was no good the next question waits, so that it is not fetched in circles.
-            notBefore = whole ? now + AGAIN : now;
+            notBefore = whole ? now + 2 * AGAIN : now;
             whole = true;
             out.refused(fault);
             newest(newest, now);
--- a/src/test/java/brambletray/tray/carry/TetherTest.java
+++ b/src/test/java/brambletray/tray/carry/TetherTest.java
@@ -8,10 +8,11 @@
 import brambletray.simulation.SimNetwork;
 import brambletray.simulation.Simulation;
 import brambletray.tray.berth.Address;
+import brambletray.tray.news.Chunk;
 import brambletray.tray.news.Iam;
 import brambletray.tray.news.Lexis;
-import brambletray.tray.news.News;
 import brambletray.tray.news.Pulse;
+import brambletray.tray.news.RosterFetch;
 import brambletray.tray.ring.Hello;
 import brambletray.tray.ring.Peer;
 import brambletray.tray.ring.Roster;
@@ -40,6 +41,7 @@
     private final Map<String, Core> cores = new TreeMap<>();
     private final Heard heard = new Heard();
     private Tether tether;
+    private boolean asleep;
 
     TetherTest() {
         simulation.network().usual(new SimNetwork.Way(TimeUnit.MILLISECONDS.toNanos(2), 0));
@@ -81,7 +83,11 @@
             addresses.add(Address.parse(at(seed)));
         }
         tether = new Tether(machine, new Speech(Lexis.ALL), new Iam("edge-1", "10.0.1.1:" + PORT, false), addresses, 0, heard);
-        machine.loop().scheduleWithFixedDelay(() -> tether.tick(machine.clock().nanos() / 1_000_000), 50, 50, TimeUnit.MILLISECONDS);
+        machine.loop().scheduleWithFixedDelay(() -> {
+            if (!asleep) {
+                tether.tick(machine.clock().nanos() / 1_000_000);
+            }
+        }, 50, 50, TimeUnit.MILLISECONDS);
     }
 
     /** A member of the core that welcomes edges as it is told, and pulses while it holds the helm. */
@@ -89,6 +95,8 @@
         private final String name;
         private final List<Link> links = new ArrayList<>();
         private final List<Hello> hellos = new ArrayList<>();
+        private final List<RosterFetch> rosterFetches = new ArrayList<>();
+        private long roster;
         private Welcome welcome = new Welcome("", 0, true, 0, List.of(), 0, 0);
         private long term;
 
@@ -98,7 +106,7 @@
             new Listener(here, new Speech(Lexis.ALL), Address.parse(at(name)), this);
             here.loop().scheduleWithFixedDelay(() -> {
                 if (term > 0) {
-                    say(new Pulse(term, 0, 0));
+                    say(new Pulse(term, 0, roster));
                 }
             }, 250, 250, TimeUnit.MILLISECONDS);
         }
@@ -158,6 +166,8 @@
                 if (term > 0) {
                     link.say(new Pulse(term, 0, 0));
                 }
+            } else if (frame instanceof RosterFetch fetch) {
+                rosterFetches.add(fetch);
             }
         }
 
@@ -170,6 +180,8 @@
     /** What the edge takes. */
     private final class Heard implements Tether.Ear {
         private final List<Object> taken = new ArrayList<>();
+        private long newest;
+        private Roster roster = Roster.NONE;
         private final Map<Long, Long> attachedAt = new LinkedHashMap<>();
 
         @Override
@@ -179,17 +191,23 @@
 
         @Override
         public Roster roster() {
-            return Roster.NONE;
+            return roster;
+        }
+
+        @Override
+        public void roster(Roster next) {
+            roster = next;
+            taken.add(next);
         }
 
         @Override
-        public void roster(Roster roster) {
-            taken.add(roster);
+        public void newest(long revision) {
+            newest = revision;
         }
 
         @Override
-        public void news(News news) {
-            taken.add(news.revision());
+        public void chunk(Chunk chunk) {
+            taken.add(chunk.revision());
         }
 
         @Override
@@ -202,19 +220,66 @@
             attachedAt.put(term, TimeUnit.NANOSECONDS.toMillis(simulation.now()));
         }
 
-        @Override
-        public long revision() {
-            return 0;
-        }
-
         @Override
         public String toString() {
             return "attached " + attachedAt + ", took " + taken;
         }
     }
 
-    private static News news(long term, long revision) {
-        return new News(term, revision, new byte[0]);
+    private static Chunk chunk(long term, long revision) {
+        return new Chunk(term, revision, 1, 1, 0, new byte[1]);
+    }
+
+    @Test
+    void chunksOfItsTermAreASignOfLifeOfAHelmAndOthersAreNot() {
+        core("a").helm(9);
+        start("a");
+        untilAttached(9, 300);
+        core("a").term = 0;
+        for (int i = 0; i < 8; i++) {
+            run(400);
+            core("a").say(chunk(9, i));
+        }
+        assertTrue(tether.attached(), "the link brings what it can: " + heard);
+        for (int i = 0; i < 4; i++) {
+            run(400);
+            core("a").say(chunk(8, i));
+        }
+        assertFalse(tether.attached());
+    }
+
+    @Test
+    void aRosterIsAskedForOnceUntilItComes() {
+        core("a").helm(9);
+        start("a");
+        untilAttached(9, 300);
+        core("a").roster = 4;
+        run(900);
+        assertEquals(List.of(new RosterFetch(0, 0)), core("a").rosterFetches);
+        run(700);
+        assertEquals(2, core("a").rosterFetches.size(), "it may have been lost");
+        core("a").say(new Roster(9, 4, List.of()));
+        core("a").roster = 5;
+        run(300);
+        assertEquals(new RosterFetch(9, 4), core("a").rosterFetches.get(2));
+        core("a").say(new Roster(9, 5, List.of()));
+        run(2_000);
+        assertEquals(3, core("a").rosterFetches.size());
+    }
+
+    @Test
+    void whoHasSleptReadsWhatHasComeBeforeItLeaves() {
+        core("a").helm(9);
+        start("a");
+        untilAttached(9, 300);
+        core("a").term = 0;
+        asleep = true;
+        run(1_500);
+        asleep = false;
+        run(400);
+        assertTrue(tether.attached(), "its own pause says nothing of the helm");
+        run(300);
+        assertFalse(tether.attached(), "and it doesn't wait for ever: " + heard);
     }
 
     @Test
@@ -222,16 +287,16 @@
         core("a");
         start("a");
         run(100);
-        core("a").say(news(9, 3));
+        core("a").say(chunk(9, 3));
         core("a").say(new Roster(9, 1, List.of()));
         core("a").say(new Gone("i-1", "tea"));
         run(20);
         assertEquals(List.of(), heard.taken, "it has not pulsed");
         core("a").helm(9);
         untilAttached(9, 300);
-        core("a").say(news(8, 4));
+        core("a").say(chunk(8, 4));
         core("a").say(new Roster(8, 7, List.of()));
-        core("a").say(news(9, 5));
+        core("a").say(chunk(9, 5));
         core("a").say(new Gone("i-2", "tea"));
         run(20);
         assertEquals(List.of(5L, new Gone("i-2", "tea")), heard.taken);
@@ -252,7 +317,7 @@
         assertFalse(tether.attached());
         Hello last = core("a").hellos.get(core("a").hellos.size() - 1);
         assertEquals(9, last.term(), "the helm that is asked hears that it has been succeeded");
-        core("a").say(news(8, 3));
+        core("a").say(chunk(8, 3));
         core("a").say(new Roster(8, 40, List.of()));
         core("a").say(new Gone("i-1", "tea"));
         run(1_000);
--- a/src/test/java/brambletray/tray/keep/HubTest.java
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -9,10 +9,16 @@
 import brambletray.tray.berth.Address;
 import brambletray.tray.berth.Berth;
 import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.CreedFault;
+import brambletray.tray.creed.History;
+import brambletray.tray.news.Chunk;
+import brambletray.tray.news.Fetch;
 import brambletray.tray.news.Iam;
 import brambletray.tray.news.Lexis;
-import brambletray.tray.news.News;
+import brambletray.tray.news.Publisher;
 import brambletray.tray.news.Pulse;
+import brambletray.tray.news.RosterFetch;
+import brambletray.tray.news.Subscriber;
 import brambletray.tray.ring.Hello;
 import brambletray.tray.ring.Peer;
 import brambletray.tray.ring.Roster;
@@ -37,6 +43,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -58,12 +65,15 @@
     private final Stand stand = new Stand(new Ground(800, 10, 50, 2, 3_000, 2_000, 2_500), 3, ms());
     private final Greeter greeter = new Greeter(this::welcome);
     private final List<Object> heard = new ArrayList<>();
+    private final History history = new History();
     private Creed creed = creed(9);
     private boolean acts = true;
     private boolean applied = true;
     private boolean inTouch = true;
     private String helm = ADDRESS;
     private int fenced;
+    private long has;
+    private long listed;
     private Hub hub;
     private Dialler edge;
 
@@ -99,7 +109,8 @@
         stand.worker("w-1", "za", 4_000, ms());
         stand.service("tea", new Kind(512, 750, 0));
         new StandDoor(cloud, stand).open(new InetSocketAddress("10.0.0.9", 8_240));
-        hub = new Hub(core, Berth.read(file), TERM, () -> creed, new Authority(), ms());
+        history.become(creed);
+        hub = new Hub(core, Berth.read(file), TERM, () -> creed, new Publisher(history), new Authority(), ms());
         new Kin(core, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Iam("core-1", "10.0.0.1:90", true), new Ear());
         core.loop().scheduleWithFixedDelay(() -> {
             hub.tick(ms());
@@ -157,6 +168,16 @@
         }
     }
 
+    /** As an edge does: it asks for what a pulse speaks of and it lacks. */
+    private void fetch(Link link, Pulse pulse) {
+        if (pulse.revision() > has) {
+            link.say(new Fetch(has, 0, 0, false));
+        }
+        if (pulse.roster() > listed) {
+            link.say(new RosterFetch(TERM, listed));
+        }
+    }
+
     /** An edge dials and says its Hello. */
     private void come() {
         edge = new Dialler(front, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Handler() {
@@ -169,6 +190,14 @@
             @Override
             public void heard(Link link, Object frame) {
                 heard.add(frame);
+                if (frame instanceof Pulse pulse) {
+                    fetch(link, pulse);
+                } else if (frame instanceof Chunk chunk) {
+                    has = chunk.revision();
+                    link.say(new Fetch(has, 0, 0, false));
+                } else if (frame instanceof Roster roster) {
+                    listed = roster.number();
+                }
             }
 
             @Override
@@ -178,6 +207,12 @@
         }, 1);
     }
 
+    private void become(Creed next) {
+        creed = next;
+        history.become(next);
+        hub.creed(ms());
+    }
+
     private <T> List<T> all(Class<T> kind) {
         return heard.stream().filter(kind::isInstance).map(kind::cast).toList();
     }
@@ -193,12 +228,12 @@
         come();
         run(1_000);
         List<Object> first = heard.subList(0, 3);
-        assertEquals(List.of(Welcome.class, Pulse.class, News.class), first.stream().map(Object::getClass).toList());
+        assertEquals(List.of(Welcome.class, Pulse.class, Chunk.class), first.stream().map(Object::getClass).toList());
         assertEquals(ADDRESS, all(Welcome.class).get(0).helmAddress());
         assertEquals(new Pulse(TERM, 9, 0), heard.get(1));
-        assertEquals(TERM, all(News.class).get(0).term());
+        assertEquals(TERM, all(Chunk.class).get(0).term());
         assertEquals(TERM, all(Roster.class).get(0).term());
-        assertEquals(9, hub.told("edge-1"));
+        assertEquals(9, hub.has("edge-1"));
     }
 
     @Test
@@ -207,8 +242,7 @@
         inTouch = false;
         come();
         run(2_000);
-        creed = creed(12);
-        hub.creed(ms());
+        become(creed(12));
         run(1_000);
         assertNothingWithAuthority();
         assertEquals("", all(Welcome.class).get(0).helmAddress());
@@ -217,7 +251,7 @@
         run(400);
         Object pulse = heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow();
         assertEquals(new Pulse(TERM, 12, 1), pulse, "the lease is back: the link is opened by a pulse, and the newest follows");
-        assertEquals(List.of(12L), all(News.class).stream().map(News::revision).toList());
+        assertEquals(List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
     }
 
     @Test
@@ -228,8 +262,7 @@
         acts = false;
         run(200);
         assertEquals("", all(Welcome.class).get(0).helmAddress());
-        creed = creed(12);
-        hub.creed(ms());
+        become(creed(12));
         edge.say(new Need("coffee", "za", "n-1", 1));
         run(3_000);
         assertNothingWithAuthority();
@@ -237,7 +270,7 @@
         acts = true;
         run(300);
         assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass());
-        assertEquals(12, all(News.class).get(0).revision());
+        assertEquals(12, all(Chunk.class).get(0).revision());
     }
 
     @Test
@@ -276,12 +309,11 @@
         come();
         run(1_000);
         assertTrue(all(Pulse.class).stream().allMatch(pulse -> pulse.revision() == 0));
-        assertEquals(0, all(News.class).size());
-        creed = creed(12);
-        hub.creed(ms());
+        assertEquals(0, all(Chunk.class).size());
+        become(creed(12));
         applied = true;
         run(100);
-        assertEquals(List.of(12L), all(News.class).stream().map(News::revision).toList());
+        assertEquals(List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
     }
 
     @Test
@@ -318,7 +350,7 @@
     @Test
     void edgesThatWaitAtAMemberAreHeardByItsHubAsSoonAsItHasOne() {
         Hub later = hub;
-        hub = new Hub(core, berth(), TERM - 1, () -> creed, new Authority(), ms());
+        hub = new Hub(core, berth(), TERM - 1, () -> creed, new Publisher(history), new Authority(), ms());
         acts = false;
         come();
         run(300);
@@ -331,6 +363,76 @@
         assertEquals(new Pulse(TERM, 9, 0), heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow());
     }
 
+    /** Bytes a second: 2 Mbit/s, over which 600 kB of a configuration need 2.4 s. */
+    @Test
+    void pulsesPassBetweenTheChunksOnASlowLink() {
+        simulation.network().rate(ip("10.0.0.2"), 250_000);
+        List<Long> pulses = new ArrayList<>();
+        List<Long> took = new ArrayList<>();
+        Subscriber[] subscriber = new Subscriber[1];
+        Link[] up = new Link[1];
+        subscriber[0] = new Subscriber(new Subscriber.Out() {
+            @Override
+            public void fetch(Fetch fetch) {
+                up[0].say(fetch);
+            }
+
+            @Override
+            public void took(Creed next, int bytes, long ms) {
+                took.add(next.revision());
+            }
+
+            @Override
+            public void refused(CreedFault fault) {
+                throw new IllegalStateException(fault);
+            }
+        });
+        new Dialler(front, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Handler() {
+            @Override
+            public void up(Link link) {
+                up[0] = link;
+                link.say(new Iam("edge-1", "10.0.0.2:" + PORT, false));
+                link.say(new Hello(new Peer("edge-1", "za", "10.0.0.2:" + PORT, 1, Peer.IN), 0, 0, 0, 0));
+            }
+
+            @Override
+            public void heard(Link link, Object frame) {
+                if (frame instanceof Pulse pulse) {
+                    pulses.add(ms());
+                    subscriber[0].newest(pulse.revision(), ms());
+                } else if (frame instanceof Chunk chunk) {
+                    subscriber[0].heard(chunk, ms());
+                }
+            }
+
+            @Override
+            public void down(Link link, String why) { }
+        }, 1);
+        run(1_000);
+        assertEquals(List.of(9L), took);
+        pulses.clear();
+        long from = ms();
+        become(dense(10, 800_000));
+        assertTrue(simulation.runUntil(simulation.now() + TimeUnit.SECONDS.toNanos(6), () -> took.contains(10L)));
+        assertTrue(ms() - from > 2_000 && ms() - from < 3_500, (ms() - from) + " ms");
+        for (int i = 1; i < pulses.size(); i++) {
+            assertTrue(pulses.get(i) - pulses.get(i - 1) < 400, "pulses at " + pulses);
+        }
+        assertTrue(pulses.size() >= 8);
+        run(10);
+        assertEquals(10, hub.has("edge-1"));
+    }
+
+    private static Creed dense(long revision, int bytes) {
+        Random random = new Random(1);
+        StringBuilder filler = new StringBuilder();
+        while (filler.length() < bytes) {
+            filler.append(Long.toString(random.nextLong() >>> 1, 36));
+        }
+        return Creed.read(("{\"revision\":" + revision + ",\"routes\":[],\"services\":[],\"note\":\"" + filler + "\"}")
+            .getBytes(StandardCharsets.US_ASCII));
+    }
+
     private Berth berth() {
         return Berth.read(folder.resolve("node.conf"));
     }
--- a/src/test/java/brambletray/tray/keep/ViewsTest.java
+++ b/src/test/java/brambletray/tray/keep/ViewsTest.java
@@ -63,7 +63,7 @@
         }
 
         @Override
-        public long told(String edge) {
+        public long has(String edge) {
             return edge.equals("edge-1") ? 9 : -1;
         }
 
