View: a timeline of a member that answers but to whom no piece of the log comes

Planting showed that the timeline of the slow link didn't catch an attempt that takes the same laggard again: its answer queued behind its pieces.

--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -79,6 +79,22 @@
         assertEquals(0, world.link("b", "e").breaks);
     }
 
+    /** The same where it answers at once, but nothing of the log comes through to it: it is there, and would be asked to keep each next view. */
+    @Test
+    void aMemberThatAnswersButNeverKeepsTheViewIsLeftOutOfTheNext() {
+        core("a", "b", "c", "d", "e");
+        world.padding = "p".repeat(MB);
+        world.tap = (from, to, frame) -> !(to.equals("e") && (frame instanceof Frame.Piece || frame instanceof Frame.Append));
+        for (int i = 0; i < 4; i++) world.oracle.propose(world.leader());
+        world.until(world.now + 100);
+        world.padding = "";
+        world.nodes.get("a").kill(true);
+        takes(world, world.nodes.get("b"), 4_500, "a change after the loss of the leader, with one to whom no piece comes");
+        assertFalse(in(world, "e"));
+        world.tap = (from, to, frame) -> true;
+        world.await(() -> in(world, "e"), 6000, "back in");
+    }
+
     /** A member is away for hundreds of changes of 256 kB, comes back on a slow link while more are made; its giver is lost midway. */
     @Test
     void aMemberThatWasAwayCatchesUpWhileChangesGoOnAndItsGiverIsLost() {
