--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -23,8 +23,8 @@
  * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
  * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
  * not: single losses, congestion, MTU beyond {@link #segment}. A cut direction holds bytes up, as
- * retransmission does, until it is joined or the sender gives the connection up. Links carry any amount at once
- * unless a {@link #rate} is set.
+ * retransmission does, until it is joined or the sender gives the connection up. Links carry any amount
+ * at once unless a {@link #rate} is set.
  */
 public final class SimNetwork {
     /** What a cut direction holds up. */
