--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -23,8 +23,8 @@
  * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
  * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
  * not: single losses, congestion, MTU beyond {@link #segment}. A cut direction holds bytes up, as
- * retransmission does, until it is joined or the sender gives the connection up. Links carry any amount at once
- * unless a {@link #rate} is set.
+ * retransmission does, until it is joined or the sender gives the connection up. Links carry any amount
+ * at once unless a {@link #rate} is set.
  */
 public final class SimNetwork {
     /** What a cut direction holds up. */
@@ -49,7 +49,7 @@
     /** Several on one address where all of them share it. */
     private final Map<InetSocketAddress, List<SimServerChannel>> listeners = new HashMap<>();
     private final Map<List<InetAddress>, Way> ways = new HashMap<>();
-    /** Bytes a second that a machine's link carries, each way; and until when either way of it is taken, on the ticker, ns. */
+    /** Bytes a second that a machine's link carries each way, and until when either is taken (ticker, ns). */
     private final Map<InetAddress, Long> rates = new HashMap<>();
     private final Map<InetAddress, Long> sending = new HashMap<>(), receiving = new HashMap<>();
     private final Set<InetAddress> vanished = new LinkedHashSet<>();
@@ -77,7 +77,7 @@
         ways.put(List.of(from, to), way);
     }
 
-    /** A machine's link carries so many bytes a second out, and as many in; all its connections share it, first come, first served. */
+    /** A machine's link carries so many bytes a second each way; all its connections share it in turn. */
     public void rate(InetAddress machine, long bytesPerSecond) {
         rates.put(machine, bytesPerSecond);
     }
