Simulation: a machine stands still and wakes, and windows small enough for partial writes

The walk over exchanges needs both: after a stop a real loop reads what has come before its late timers fire, and a request that is written in part is where a careless repeat begins. Arrivals keep their order; the order of runs without a stop is as before.

--- a/src/main/java/brambletray/simulation/SimChannel.java
+++ b/src/main/java/brambletray/simulation/SimChannel.java
@@ -175,8 +175,8 @@
         if (state != State.UP) {
             throw new ClosedChannelException();
         }
-        while (onTheWay < SimNetwork.WINDOW && out.current() instanceof ByteBuf bytes) {
-            int most = Math.min(bytes.readableBytes(), SimNetwork.WINDOW - onTheWay);
+        while (onTheWay < network.window() && out.current() instanceof ByteBuf bytes) {
+            int most = Math.min(bytes.readableBytes(), network.window() - onTheWay);
             int size = network.piece(most);
             byte[] piece = new byte[size];
             bytes.getBytes(bytes.readerIndex(), piece);
--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -21,13 +21,13 @@
  * silent, resets, and cuts a connection after any byte. One thread.
  *
  * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
- * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
+ * read stops its sender at {@link #window}; FIN and RST travel behind the bytes sent before them. What is
  * not: loss and retransmission, congestion, MTU beyond {@link #segment}.
  */
 public final class SimNetwork {
     private final Set<InetAddress> muted = new HashSet<>();
     private Consumer<InetAddress> whenSent = machine -> { };
-    /** Bytes that may be on the way or unread in one direction of a connection. */
+    /** Bytes that may be on the way or unread in one direction of a connection, where nothing else is set. */
     static final int WINDOW = 64 * 1024;
     /** ns; between the pieces of what was cut, at most. */
     private static final long GAP = TimeUnit.MILLISECONDS.toNanos(3);
@@ -46,7 +46,7 @@
     private final Set<SimChannel> open = new LinkedHashSet<>();
     private Way usual = new Way(0, 0);
     private BiConsumer<SimChannel, SimChannel> whenConnected = (client, server) -> { };
-    private int segment = WINDOW;
+    private int segment = WINDOW, window = WINDOW;
     private double cutShare;
     private SplittableRandom cuts;
     private int nextPort = 32_768;
@@ -67,6 +67,15 @@
         ways.put(List.of(from, to), way);
     }
 
+    /** Bytes that may be on the way or unread in one direction of a connection: beyond them, writes are partial. */
+    public void window(int bytes) {
+        window = bytes;
+    }
+
+    int window() {
+        return window;
+    }
+
     /** Bytes at most that arrive in one piece; 1 brings every byte by itself. */
     public void segment(int most) {
         segment = most;
@@ -206,7 +215,7 @@
         long now = simulation.clock().nanos();
         long at = Math.max(to.lastArrival, now + latency(from.home(), to.home()));
         to.lastArrival = at;
-        to.eventLoop().schedule(arrival, at - now, TimeUnit.NANOSECONDS);
+        ((SimLoop) to.eventLoop()).arrive(at, arrival);
     }
 
     /** Brings a connection up, or refuses it; a machine that has vanished does neither. */
--- a/src/main/java/brambletray/simulation/Simulation.java
+++ b/src/main/java/brambletray/simulation/Simulation.java
@@ -68,6 +68,14 @@
         network.resetAll(machine.loop());
     }
 
+    /**
+     * The process on this machine stands still for so long, ns, as under SIGSTOP: none of its code runs, while its connections stay open and
+     * take in what comes. When it goes on, what has come meanwhile is read first, and then the timers fire that are late.
+     */
+    public void freeze(Machine machine, long nanos) {
+        ((SimLoop) machine.loop()).freeze(ticker.nanoTime() + nanos);
+    }
+
     /** Simulated time since the start; ns. */
     public long now() {
         return ticker.nanoTime() - BEGIN;
@@ -111,7 +119,7 @@
         do {
             ran = 0;
             for (int i = 0; i < loops.size(); i++) {
-                ran += loops.get(i).runNow();
+                ran += loops.get(i).step();
             }
             steps += ran;
             if (steps > STEPS_MOST) {
--- a/src/test/java/brambletray/simulation/SimNetworkTest.java
+++ b/src/test/java/brambletray/simulation/SimNetworkTest.java
@@ -247,4 +247,37 @@
         simulation.runUntil(14_000 * MS);
         assertEquals(List.of(1_900_000_003_000L, 1_900_000_008_000L, 1_900_000_013_000L), fired);
     }
+
+    /** As after SIGSTOP: what has come is read first, in order, and only then do the timers fire that are late. */
+    @Test
+    void aMachineThatStandsStillReadsBeforeItsLateTimersFire() {
+        Channel c = connected();
+        simulation.runUntil(40 * MS);
+        log.clear();
+        c.writeAndFlush(bytes("early"));
+        server.loop().schedule(() -> log.add(simulation.now() / MS + " timer"), 5, TimeUnit.MILLISECONDS);
+        simulation.runUntil(42 * MS);
+        simulation.freeze(server, 500 * MS);
+        c.writeAndFlush(bytes("late"));
+        simulation.runUntil(541 * MS);
+        assertEquals(List.of(), log);
+        simulation.runUntil(600 * MS);
+        assertEquals(3, log.size(), log.toString());
+        assertTrue(log.get(0).contains("early") && log.get(1).contains("late") && log.get(2).equals("542 timer"), log.toString());
+        assertTrue(accepted.isActive());
+    }
+
+    @Test
+    void aSmallWindowMakesWritesPartial() {
+        Channel c = connected();
+        simulation.network().window(2);
+        accepted.config().setAutoRead(false);
+        simulation.runUntil(30 * MS);
+        ChannelFuture whole = c.writeAndFlush(bytes("abcdef"));
+        simulation.runUntil(200 * MS);
+        assertFalse(whole.isDone());
+        accepted.config().setAutoRead(true);
+        simulation.runUntil(400 * MS);
+        assertTrue(whole.isSuccess());
+    }
 }
