--- a/src/main/java/brambletray/tray/flow/Carriage.java
+++ b/src/main/java/brambletray/tray/flow/Carriage.java
@@ -270,8 +270,26 @@
         return client.more(bytes);
     }
 
-    void ended(Leg leg, Fate fate, boolean promise) {
-        trip.ended(leg, fate, promise, flow.now());
+    boolean met(Line line) {
+        for (int i = 0; i < stops.size(); i++) {
+            if (stops.get(i).wasOn(line)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether its byte may still go out now. */
+    boolean wanted(Leg leg) {
+        if (trip.due() <= flow.now()) {
+            trip.tick(flow.now());
+            settle();
+        }
+        return leg.live;
+    }
+
+    void ended(Leg leg, Fate fate, boolean withheld) {
+        trip.ended(leg, fate, withheld, flow.now());
         settle();
     }
 }
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -60,15 +60,6 @@
         }
     }
 
-    /** Whether what comes next belongs to the head of the request whose turn it is. */
-    boolean inHead() {
-        return state == State.IDLE || state == State.HEAD;
-    }
-
-    void malformed() {
-        turnAway(400, "flow.malformed");
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext context, Object part) {
         if (state == State.LAST) {
--- a/src/main/java/brambletray/tray/flow/ClientDecoder.java
+++ b/src/main/java/brambletray/tray/flow/ClientDecoder.java
@@ -2,9 +2,16 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ByteProcessor;
 import java.util.List;
 
@@ -19,6 +26,8 @@
     /** Of what has been looked at: the last byte, and how many bytes beyond the reader's place. */
     private byte last;
     private int seen;
+    /** What comes next belongs to a head; nothing more is looked at. */
+    private boolean head = true, over;
 
     ClientDecoder(Client client, int headerBytes) {
         super(new HttpDecoderConfig().setMaxHeaderSize(headerBytes).setMaxInitialLineLength(headerBytes).setMaxChunkSize(PIECE_MOST)
@@ -34,10 +43,15 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        if (over) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
         int before = in.readerIndex();
-        if (client.inHead() && folded(in)) {
-            client.malformed();
+        if (head && folded(in)) {
+            over = true;
             in.skipBytes(in.readableBytes());
+            out.add(malformed());
             return;
         }
         super.decode(context, in, out);
@@ -46,9 +60,17 @@
             // What follows is another part: a body, or the next head.
             seen = 0;
             last = 0;
+            head = out.get(out.size() - 1) instanceof LastHttpContent;
         }
     }
 
+    /** In the order of what was read: the requests before it have their turn first. */
+    private static HttpObject malformed() {
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        request.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("a header that goes on in the next line")));
+        return request;
+    }
+
     /** A line of the head that begins with a blank; looks at each byte once. */
     private boolean folded(ByteBuf in) {
         int at = in.readerIndex() + seen;
--- a/src/main/java/brambletray/tray/flow/Errand.java
+++ b/src/main/java/brambletray/tray/flow/Errand.java
@@ -29,6 +29,12 @@
 
     Hold hold();
 
+    /** Whether it has been on this connection before: what is still to come there may bear its id. */
+    boolean met(Line line);
+
+    /** False: its time is over, and it is not to go out. Asked right before it does, as timers may be late where the machine stood still. */
+    boolean wanted();
+
     /** A connection is up, and is now at it. */
     void up(Line line);
 
@@ -46,6 +52,6 @@
     /** Takes the bytes over. False: stop reading until {@link Line#resume}. */
     boolean more(ByteBuf bytes);
 
-    /** {@code answer}: null unless SERVED or FAILED; the errand's from now on. */
-    void ended(Fate fate, boolean promise, Answer answer);
+    /** {@code answer}: null unless SERVED or FAILED, and where it is {@code withheld}; the errand's from now on. */
+    void ended(Fate fate, boolean withheld, Answer answer);
 }
--- a/src/main/java/brambletray/tray/flow/Legs.java
+++ b/src/main/java/brambletray/tray/flow/Legs.java
@@ -31,6 +31,16 @@
         return live;
     }
 
+    /** Whether the place of this ask is in use. */
+    boolean holds(long askId) {
+        for (int i = 0; i < all.size(); i++) {
+            if (all.get(i).live && all.get(i).grant.askId() == askId) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** All so far, used or not reached. */
     List<String> hosts() {
         return List.copyOf(hosts);
--- a/src/main/java/brambletray/tray/flow/Line.java
+++ b/src/main/java/brambletray/tray/flow/Line.java
@@ -16,6 +16,9 @@
 /**
  * One connection to a host, one request at a time. An answer counts when it is whole and echoes the request's id; surplus answers are skipped whole;
  * anything else ends the connection, and what it was at is {@link Fate#BROKEN}.
+ *
+ * <p>It serves another request only when nothing is owed on it in either direction: the request was written to its last byte, its answer was whole,
+ * alone and named, nothing came behind it, and neither side has said that it closes. Whatever else ends a request ends its connection.
  */
 final class Line extends ChannelInboundHandlerAdapter {
     /** Bytes of a body that travel in one piece with their head. */
@@ -44,8 +47,27 @@
         channel = context.channel();
     }
 
-    boolean busy() {
-        return reading != null;
+    /** A request is out, and its answer is not whole yet: bytes that come may belong to it. */
+    boolean waits() {
+        return reading != null && reading.isSent();
+    }
+
+    boolean answered() {
+        return reading != null && reading.complete();
+    }
+
+    /** Bytes behind a whole answer: they belong to no request, and take nothing from it. */
+    void surplus() {
+        keep = false;
+    }
+
+    /** Bytes that come while nobody can have asked for them: not a byte of what waits has gone out, it can go elsewhere. */
+    void unasked() {
+        if (reading != null) {
+            unsent();
+        } else {
+            channel.close();
+        }
     }
 
     boolean atHead() {
@@ -79,7 +101,7 @@
 
     // ---- Out ------------------------------------------------------------------------------------
     void begin(Errand errand) {
-        Reading begun = new Reading(errand, lines.tally);
+        Reading begun = new Reading(errand, lines.tally, !fresh);
         reading = begun;
         written = false;
         errand.up(this);
@@ -112,6 +134,7 @@
         public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
             if (!begun && progress > 0) {
                 begun = true;
+                of.sent();
                 of.errand().sent();
             }
         }
@@ -142,8 +165,14 @@
         }
     }
 
-    /** Ends what it is at without a word; only closing the connection tells the host. */
-    void cancel() {
+    /** Ends this errand without a word, if it is at it; only closing the connection tells the host. */
+    void cancel(Errand errand) {
+        if (reading != null && reading.errand() == errand) {
+            cancel();
+        }
+    }
+
+    private void cancel() {
         Reading ended = reading;
         reading = null;
         if (ended != null) {
@@ -160,8 +189,7 @@
                 return;
             }
             if (reading.complete()) {
-                // What comes behind a whole answer belongs to no request, and takes nothing from it.
-                keep = false;
+                surplus();
             } else if (((HttpObject) part).decoderResult().isFailure()) {
                 broken("garbled");
             } else if (part instanceof HttpResponse head && !reading.head(head)) {
@@ -182,7 +210,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (reading != null && reading.complete()) {
-            finish(keep && written && reading.lasting() && !decoder.holdsMore());
+            finish(keep && written && reading.lasting());
         }
     }
 
@@ -199,7 +227,7 @@
         } else {
             channel.close();
         }
-        ended.errand().ended(ended.stamp().fate(), ended.stamp().promise(), ended.answer());
+        ended.errand().ended(ended.stamp().fate(), ended.withheld(), ended.answer());
     }
 
     private void broken(String why) {
--- a/src/main/java/brambletray/tray/flow/LineDecoder.java
+++ b/src/main/java/brambletray/tray/flow/LineDecoder.java
@@ -1,12 +1,14 @@
 package brambletray.tray.flow;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
-/** Reads answers of hosts; bytes for which no request waits end the connection before they are read. */
+/** Reads answers of hosts. Bytes that no request waits for are not looked at: they end the connection (connection poisoning). */
 final class LineDecoder extends HttpResponseDecoder {
     private static final int HEAD_MOST = 16 * 1024, LINE_MOST = 4 * 1024, PIECE_MOST = 64 * 1024;
 
@@ -20,18 +22,24 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
-        if (line.busy()) {
+        if (line.waits()) {
             super.channelRead(context, bytes);
         } else {
             // Guards the next request against an answer that is not its own.
             ReferenceCountUtil.release(bytes);
-            context.close();
+            line.unasked();
         }
     }
 
-    /** Bytes that are here and belong to nothing read so far. */
-    boolean holdsMore() {
-        return actualReadableBytes() > 0;
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        if (line.answered()) {
+            // Behind a whole answer: whatever it is, down to a blank that the decoder would pass over.
+            in.skipBytes(in.readableBytes());
+            line.surplus();
+        } else {
+            super.decode(context, in, out);
+        }
     }
 
     @Override
--- a/src/main/java/brambletray/tray/flow/Lines.java
+++ b/src/main/java/brambletray/tray/flow/Lines.java
@@ -53,8 +53,11 @@
 
     // ---- Requests -------------------------------------------------------------------------------
     void send(Errand errand) {
+        if (!errand.wanted()) {
+            return;
+        }
         Sheaf sheaf = sheaf(errand.host(), errand.address());
-        Line line = sheaf.waiting.isEmpty() ? take(sheaf, errand.careful()) : null;
+        Line line = sheaf.waiting.isEmpty() ? take(sheaf, errand) : null;
         if (line != null) {
             line.begin(errand);
         } else {
@@ -88,12 +91,12 @@
         send(errand);
     }
 
-    private Line take(Sheaf sheaf, boolean careful) {
+    private Line take(Sheaf sheaf, Errand errand) {
         long now = now();
         Line newest = null;
         for (Iterator<Line> lines = sheaf.idle.descendingIterator(); lines.hasNext();) {
             Line line = lines.next();
-            if (line.usable(now, careful)) {
+            if (line.usable(now, errand.careful()) && !errand.met(line)) {
                 if (now - line.idleSince >= REST_MS) {
                     lines.remove();
                     return line;
@@ -212,11 +215,16 @@
 
     /** A connection is free: for who waits, or for later. */
     void idle(Line line) {
-        Errand next = line.sheaf.waiting.poll();
+        Errand next = next(line);
         if (next != null) {
             line.begin(next);
             return;
         }
+        if (!line.sheaf.waiting.isEmpty()) {
+            // All that wait have been here before: room for another.
+            line.close();
+            return;
+        }
         line.idleSince = now();
         line.sheaf.idle.add(line);
         if (!sweeping) {
@@ -225,6 +233,15 @@
         }
     }
 
+    private Errand next(Line line) {
+        for (Errand errand : List.copyOf(line.sheaf.waiting)) {
+            if (!errand.met(line) && line.sheaf.waiting.remove(errand) && errand.wanted()) {
+                return errand;
+            }
+        }
+        return null;
+    }
+
     void closed(Line line) {
         line.sheaf.lines.remove(line);
         line.sheaf.idle.remove(line);
--- a/src/main/java/brambletray/tray/flow/Reading.java
+++ b/src/main/java/brambletray/tray/flow/Reading.java
@@ -7,7 +7,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
-/** How far the answer to one request has come on one connection: what is skipped, held back until it is whole, or given on as it comes. */
+/**
+ * How far the answer to one request has come on one connection: what is skipped, held back until it is whole, or given on as it comes. Only a
+ * success is given on as it comes: what else is too large to be held is read to its end and counts as a failure without an answer.
+ */
 final class Reading {
     /** Bytes of an answer that are held until it is whole: a cut one never reaches a client, and can be tried again. */
     static final int HELD = 512 * 1024;
@@ -16,14 +19,26 @@
 
     private final Errand errand;
     private final Tally tally;
+    private final boolean reused;
     private Stamp stamp;
     private Answer answer;
-    private boolean skipping, flowing, dropping, complete, lasting = true;
+    private boolean sent, skipping, flowing, dropping, withheld, complete, lasting = true;
     private int ahead;
 
-    Reading(Errand errand, Tally tally) {
+    /** {@code reused}: its connection has carried another request before, whose late bytes may still come. */
+    Reading(Errand errand, Tally tally, boolean reused) {
         this.errand = errand;
         this.tally = tally;
+        this.reused = reused;
+    }
+
+    /** The request's first byte is out: from now on an answer may come. */
+    void sent() {
+        sent = true;
+    }
+
+    boolean isSent() {
+        return sent;
     }
 
     Errand errand() {
@@ -43,9 +58,14 @@
         return stamp;
     }
 
+    /** It must not be passed on: its status promises what is not proven, or it was too large to be held. */
+    boolean withheld() {
+        return withheld;
+    }
+
     /** The whole answer, where it is one for clients; its bytes are the caller's. */
     Answer answer() {
-        return stamp.fate() == Fate.SERVED || stamp.fate() == Fate.FAILED ? answer : null;
+        return !withheld && (stamp.fate() == Fate.SERVED || stamp.fate() == Fate.FAILED) ? answer : null;
     }
 
     /** What the host says of how long it keeps the connection; null: nothing. */
@@ -58,21 +78,26 @@
         int status = head.status().code();
         if (status < 200) {
             skipping = true;
-            return status != 101 && ++ahead <= AHEAD_MOST;
+            return status >= 100 && status != 101 && ++ahead <= AHEAD_MOST;
         }
         boolean bare = status == 204 || status == 304 || errand.parcel().head();
-        boolean chunked = HttpUtil.isTransferEncodingChunked(head);
-        long length = chunked ? -1 : HttpUtil.getContentLength(head, -1L);
-        // Guards against a cut answer that looks complete: one that ends with its connection can't be told from it.
-        stamp = !bare && !chunked && length < 0 ? Stamp.JUNK : Stamp.of(errand.id(), status, head.headers());
+        Framing framing = Framing.of(head, bare);
+        stamp = framing == Framing.NONE ? Stamp.JUNK : Stamp.of(errand.id(), status, head.headers());
+        if (stamp.nameless() && reused && errand.careful()) {
+            // Guards rule TWICE: a late one of the request before looks the same, and proves nothing of this one.
+            stamp = Stamp.JUNK;
+        }
         lasting &= HttpUtil.isKeepAlive(head) && !stamp.nameless() && !errand.parcel().head();
         skipping = stamp == Stamp.SURPLUS;
         if (skipping) {
             tally.surplus++;
-            return ++ahead <= AHEAD_MOST;
+            // Where one came, more may: no other request goes out here. And how long it is can't be told by the rules of an answer to HEAD.
+            lasting = false;
+            return !errand.parcel().head() && ++ahead <= AHEAD_MOST;
         }
-        answer = new Answer(status, head.status().reasonPhrase(), head.headers(), length, bare, errand.hold());
-        dropping = stamp.fate() != Fate.SERVED && stamp.fate() != Fate.FAILED;
+        answer = new Answer(status, head.status().reasonPhrase(), head.headers(), framing.length(), bare, errand.hold());
+        withheld = stamp.promise();
+        dropping = withheld || stamp.fate() != Fate.SERVED && stamp.fate() != Fate.FAILED;
         return stamp != Stamp.JUNK;
     }
 
@@ -94,10 +119,11 @@
             if (answer.add(bytes, HELD)) {
                 return true;
             }
-            flowing = errand.flow(answer);
+            flowing = stamp.fate() == Fate.SERVED && errand.flow(answer);
             if (!flowing) {
-                // Nobody waits for it any more, but to break the host's work off has a price.
+                // Nobody waits for it any more, or it is a failure; but to break the host's work off has a price.
                 dropping = true;
+                withheld = true;
                 bytes.release();
                 answer.drop();
                 return true;
--- a/src/main/java/brambletray/tray/flow/Stop.java
+++ b/src/main/java/brambletray/tray/flow/Stop.java
@@ -8,8 +8,8 @@
     private final Carriage carriage;
     private final Leg leg;
     private final long hostEnd;
-    /** The connection that is at it. */
-    private Line line;
+    /** The connection that is at it, and the last that was. */
+    private Line line, last;
     /** Whole, and not yet given to the client. */
     private Answer answer;
     /** Given on while it comes. */
@@ -47,7 +47,7 @@
 
     void cancel(Lines lines) {
         if (line != null) {
-            line.cancel();
+            line.cancel(this);
             line = null;
         } else {
             lines.withdraw(this);
@@ -101,9 +101,24 @@
         return carriage.hold();
     }
 
+    @Override
+    public boolean met(Line on) {
+        return carriage.met(on);
+    }
+
+    boolean wasOn(Line on) {
+        return last == on;
+    }
+
+    @Override
+    public boolean wanted() {
+        return carriage.wanted(leg);
+    }
+
     @Override
     public void up(Line on) {
         line = on;
+        last = on;
         carriage.up(leg);
     }
 
@@ -135,9 +150,9 @@
     }
 
     @Override
-    public void ended(Fate fate, boolean promise, Answer whole) {
+    public void ended(Fate fate, boolean withheld, Answer whole) {
         line = null;
         answer = coming == null ? whole : null;
-        carriage.ended(leg, fate, promise);
+        carriage.ended(leg, fate, withheld);
     }
 }
--- a/src/main/java/brambletray/tray/flow/Trip.java
+++ b/src/main/java/brambletray/tray/flow/Trip.java
@@ -93,8 +93,10 @@
 
     void granted(Grant grant, long now) {
         if (grant.askId() != asking) {
-            // Guards places against leaking: this ask was forgotten while its grant was under way.
-            hands.forget(grant.askId());
+            // Guards places against leaking: this ask was forgotten while its grant was under way. One that comes twice is in use.
+            if (!legs.holds(grant.askId())) {
+                hands.forget(grant.askId());
+            }
             return;
         }
         asking = 0;
@@ -147,10 +149,10 @@
     }
 
     /**
-     * A host's whole answer, or what stands for one: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code promise}: its status promises that the
-     * request did not run (408, 421, 429, 503) without proof of it, so it must not be passed on.
+     * A host's whole answer, or what stands for one: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code withheld}: it must not be passed on, as its
+     * status promises that the request did not run (408, 421, 429, 503) without proof of it, or it was too large to be held.
      */
-    void ended(Leg leg, Fate fate, boolean promise, long now) {
+    void ended(Leg leg, Fate fate, boolean withheld, long now) {
         int took = (int) (now - (leg.sent() ? leg.sentAt : leg.grantedAt));
         if (!legs.end(leg, fate, took)) {
             return;
@@ -168,7 +170,7 @@
             return;
         }
         unproven |= fate == Fate.FAILED || fate == Fate.BROKEN;
-        if (fate == Fate.FAILED && !promise) {
+        if (fate == Fate.FAILED && !withheld) {
             held = leg;
         }
         next(now);
--- /dev/null
+++ b/src/test/java/brambletray/tray/flow/Course.java
@@ -0,0 +1,334 @@
+package brambletray.tray.flow;
+
+import brambletray.runtime.Machine;
+import brambletray.simulation.SimChannel;
+import brambletray.simulation.SimNetwork;
+import brambletray.simulation.Simulation;
+import brambletray.tray.berth.Address;
+import brambletray.tray.creed.Creed;
+import brambletray.tray.home.Ask;
+import brambletray.tray.home.Fate;
+import brambletray.tray.home.Grant;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One random course of an edge's front: the production classes from the client's socket to the host's on a simulated network and clock, between
+ * clients, a broker and hosts that do at random what the pages allow and what trouble does. The same seed gives the same course.
+ */
+final class Course implements Broker {
+    private static final Address FRONT = new Address("10.0.0.1", 8241);
+    private static final int HOSTS_MOST = 3, MOST_HOSTS = 3;
+
+    private record Waiting(Ask ask, Taker taker) { }
+
+    private final SplittableRandom random;
+    private final Simulation simulation;
+    private final Machine edge;
+    private final Flow flow;
+    private final Lines lines;
+    private final Tally tally = new Tally();
+    private final Ruling ruling = new Ruling(MOST_HOSTS);
+    private final List<WalkClient> clients = new ArrayList<>();
+    private final List<TroubledHost> hosts = new ArrayList<>();
+    private final ArrayDeque<Waiting> asks = new ArrayDeque<>();
+    /** Places out, by ask. */
+    private final Map<Long, Integer> held = new HashMap<>();
+    private final int steps, pause, twice;
+    private int ids;
+
+    Course(long seed, int steps) {
+        this.steps = steps;
+        random = new SplittableRandom(seed);
+        simulation = new Simulation(seed, 1_900_000_000_000L);
+        simulation.network().usual(new SimNetwork.Way(random.nextLong(50_000, 1_500_000), 0.5));
+        if (random.nextBoolean()) {
+            simulation.network().cutStreams(0.3, seed);
+        }
+        if (random.nextInt(4) == 0) {
+            simulation.network().window(50 + random.nextInt(1_000));
+        }
+        pause = 5 + random.nextInt(60);
+        twice = random.nextInt(20);
+        edge = machine(FRONT.host());
+        lines = new Lines(edge, 4_000, tally);
+        // A small memory brings answers on the way that are given on while they come.
+        boolean small = random.nextInt(3) == 0;
+        long memory = small ? 4_000 + random.nextInt(8_000) : 48 << 20;
+        Creed creed = creed();
+        flow = new Flow(edge, "edge-1", "zone-1", () -> creed, this, ip -> false, lines, tally, memory, seed);
+        new Front(edge, flow, 100).open(FRONT);
+        int trouble = 10 + random.nextInt(70);
+        int count = 2 + random.nextInt(HOSTS_MOST - 1);
+        for (int i = 0; i < count; i++) {
+            String ip = "10.0.1." + (i + 1);
+            hosts.add(new TroubledHost("h" + i, machine(ip), new InetSocketAddress(ip, 8080), ruling, random.split(), trouble,
+                small ? 2 : 6));
+        }
+        for (int i = 0; i < 2; i++) {
+            clients.add(new WalkClient(machine("10.0.2." + (i + 1)), new InetSocketAddress(FRONT.host(), FRONT.port()), ruling, random.split()));
+        }
+    }
+
+    private Machine machine(String ip) {
+        return simulation.machine(inet(ip));
+    }
+
+    private static InetAddress inet(String ip) {
+        try {
+            return InetAddress.getByName(ip);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException(ip, e);
+        }
+    }
+
+    private static Creed creed() {
+        String route = "{'name':'%s','host':'h.example','path-prefix':'/%s/','route-type':'%s','timeout-ms':2000,'target-ms':400,'priority':1,"
+            + "'service':'s','retry-count':" + MOST_HOSTS + "}";
+        return Creed.read(("{'revision':1,'routes':[" + route.formatted("r", "r", "idempotent") + "," + route.formatted("n", "n", "non_idempotent")
+            + "],'services':[{'name':'s','health-path':null,'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,'boot-ms':500,"
+            + "'max-concurrency':4}],'limits':{'max-header-bytes':2048,'max-body-bytes':40000,'header-timeout-ms':3000,'idle-timeout-ms':15000}}")
+            .replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    // ---- The broker -----------------------------------------------------------------------------
+    @Override
+    public void ask(Ask ask, Taker taker) {
+        Waiting one = new Waiting(ask, taker);
+        asks.add(one);
+        if (random.nextInt(3) > 0) {
+            answer(one);
+        } else {
+            edge.loop().schedule(() -> answer(one), random.nextInt(random.nextInt(8) == 0 ? 900 : 30), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answer(Waiting one) {
+        if (!asks.remove(one)) {
+            return;
+        }
+        if (random.nextInt(15) == 0) {
+            one.taker().refused(random.nextInt(300) - 1);
+            return;
+        }
+        grant(one);
+        if (random.nextInt(100) < twice) {
+            // The home lost its memory of the first, or the ask was made anew: a grant comes twice.
+            edge.loop().schedule(() -> grant(one), random.nextInt(40), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void grant(Waiting one) {
+        TroubledHost host = hosts.get(random.nextInt(hosts.size()));
+        // The home knows one place an ask, however often it says so.
+        held.put(one.ask().id(), 1);
+        one.taker().granted(new Grant(one.ask().id(), host.name, "10.0.1." + (host.name.charAt(1) - '0' + 1) + ":8080", random.nextInt(6) == 0));
+    }
+
+    @Override
+    public void done(Grant grant, Fate fate, int tookMs) {
+        back(grant.askId());
+    }
+
+    @Override
+    public void forget(long askId) {
+        if (!asks.removeIf(one -> one.ask().id() == askId)) {
+            back(askId);
+        }
+    }
+
+    private void back(long askId) {
+        int left = held.merge(askId, -1, Integer::sum);
+        if (left < 0) {
+            ruling.breaks("PLACE", "one of ask " + askId + " is given back twice");
+        }
+    }
+
+    // ---- What happens ---------------------------------------------------------------------------
+    /** Plays it; the rules broken, none if all hold. */
+    List<String> play() {
+        for (int step = 0; step < steps && ruling.broken().isEmpty(); step++) {
+            happens();
+            run(random.nextInt(pause));
+        }
+        calm();
+        run(12_000);
+        if (ruling.broken().isEmpty()) {
+            atRest();
+        }
+        return ruling.broken();
+    }
+
+    private void happens() {
+        int dice = random.nextInt(100);
+        if (dice < 62) {
+            request();
+        } else if (dice < 66) {
+            pick(clients).hangUp(random.nextBoolean());
+        } else if (dice < 70) {
+            WalkClient client = pick(clients);
+            if (random.nextInt(3) == 0) {
+                client.sleeps();
+            } else {
+                client.wakes();
+            }
+        } else if (dice < 75) {
+            pick(hosts).fall(random.nextBoolean());
+        } else if (dice < 82) {
+            pick(hosts).rise();
+        } else if (dice < 87) {
+            freeze();
+        } else if (dice < 93) {
+            breakOne();
+        } else if (dice < 96) {
+            // Not a byte more passes: for now, or until the connection is cut.
+            simulation.network().vanish(inet("10.0.1." + (1 + random.nextInt(hosts.size()))));
+        } else {
+            for (int i = 1; i <= hosts.size(); i++) {
+                simulation.network().comeBack(inet("10.0.1." + i));
+            }
+        }
+    }
+
+    private <T> T pick(List<T> all) {
+        return all.get(random.nextInt(all.size()));
+    }
+
+    private void request() {
+        boolean repeatable = random.nextInt(3) == 0;
+        String body = random.nextInt(3) > 0 ? "" : "b" + ids + "x".repeat(
+            random.nextInt(4) == 0 ? 9_000 + random.nextInt(20_000) : random.nextInt(3) == 0 ? 500 + random.nextInt(5_000) : random.nextInt(40));
+        String method = !body.isEmpty() ? "POST" : random.nextInt(8) == 0 ? "HEAD" : "GET";
+        Ruling.Try one = ruling.asked(new Ruling.Try("t" + ids++, method, (repeatable ? "/r/" : "/n/") + "p" + ids + "?q=" + ids, body, repeatable));
+        int left = random.nextInt(4) == 0 ? 1 + random.nextInt(120) : 200 + random.nextInt(2_500);
+        pick(clients).send(one, "Brambletray-Deadline-Remaining: " + left + "\r\n", random.nextInt(10) == 0);
+    }
+
+    /** The relay stands still, at times longer than any of its timers. */
+    private void freeze() {
+        int ms = random.nextInt(random.nextBoolean() ? 60 : 3_000);
+        simulation.freeze(edge, TimeUnit.MILLISECONDS.toNanos(ms));
+        long until = edge.clock().nanos() / 1_000_000 + ms + 60;
+        hosts.forEach(host -> host.unseeing(until));
+        if (random.nextBoolean()) {
+            request();
+        }
+        run(ms);
+    }
+
+    /** A connection between the relay and a host is reset, now or in the midst of what is sent next. */
+    private void breakOne() {
+        List<SimChannel> ends = simulation.network().at(inet(random.nextBoolean() ? FRONT.host() : "10.0.1." + (1 + random.nextInt(hosts.size()))));
+        if (!ends.isEmpty()) {
+            SimChannel end = pick(ends);
+            if (random.nextBoolean()) {
+                end.breakBoth();
+            } else {
+                end.cutAfter(random.nextInt(400));
+            }
+        }
+    }
+
+    /** Trouble ends, and clients read. */
+    private void calm() {
+        for (int i = 1; i <= hosts.size(); i++) {
+            simulation.network().comeBack(inet("10.0.1." + i));
+        }
+        hosts.forEach(TroubledHost::rise);
+        clients.forEach(WalkClient::wakes);
+    }
+
+    private void atRest() {
+        if (flow.inFlight() != 0 || flow.underWay() != 0) {
+            ruling.breaks("REST", flow.inFlight() + " requests in flight, " + flow.underWay() + " under way");
+        }
+        if (flow.held() != 0) {
+            ruling.breaks("REST", flow.held() + " bytes held");
+        }
+        held.values().removeIf(places -> places == 0);
+        if (!held.isEmpty() || !asks.isEmpty()) {
+            ruling.breaks("REST", "places not given back: " + held + ", asks " + asks.size());
+        }
+        if (lines.open() != 0) {
+            ruling.breaks("REST", lines.open() + " connections to hosts");
+        }
+    }
+
+    private void run(int ms) {
+        simulation.runUntil(simulation.now() + TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    Ruling ruling() {
+        return ruling;
+    }
+
+    Tally tally() {
+        return tally;
+    }
+
+    /** Plays so many courses from this seed on; what the first one broke that broke one of these rules (a regular expression), or null. */
+    static String hunt(String rules, long from, int courses, int steps) {
+        for (long seed = from; seed < from + courses; seed++) {
+            List<String> broken;
+            try {
+                broken = new Course(seed, steps).play();
+            } catch (RuntimeException | AssertionError e) {
+                StackTraceElement[] at = e.getStackTrace();
+                broken = List.of("FAULT: " + e + (at.length > 0 ? " at " + at[0] : ""));
+            }
+            for (String one : broken) {
+                if (one.matches("(?s)(" + rules + "): .*")) {
+                    return "seed " + seed + ": " + one;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** By hand: seeds from, courses, steps; prints every bad one. */
+    public static void main(String[] args) {
+        java.util.logging.LogManager.getLogManager().reset();
+        long from = Long.parseLong(args[0]);
+        long began = System.nanoTime();
+        int bad = 0;
+        int tries = 0;
+        int successes = 0;
+        int promises = 0;
+        Tally all = new Tally();
+        for (long seed = from; seed < from + Long.parseLong(args[1]); seed++) {
+            Course course = new Course(seed, Integer.parseInt(args[2]));
+            List<String> broken;
+            try {
+                broken = course.play();
+            } catch (RuntimeException | AssertionError e) {
+                broken = List.of("FAULT " + e);
+                if (args.length > 3) {
+                    e.printStackTrace();
+                }
+            }
+            tries += course.ruling.tries();
+            successes += course.ruling.successes;
+            promises += course.ruling.promises;
+            all.surplus += course.tally.surplus;
+            all.streamed += course.tally.streamed;
+            all.stale += course.tally.stale;
+            all.copies += course.tally.copies;
+            all.copiesWon += course.tally.copiesWon;
+            if (!broken.isEmpty()) {
+                bad++;
+                System.out.println("seed " + seed + ": " + broken);
+            }
+        }
+        System.out.println(bad + " bad; tries " + tries + " successes " + successes + " promises " + promises + " " + java.util.Arrays.toString(all.facts())
+            + " s " + (System.nanoTime() - began) / 1e9);
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
@@ -0,0 +1,46 @@
+package brambletray.tray.flow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE, REFUSED, and that no connection
+ * carries a request while anything is owed on it). {@code -Dbrambletray.courses=N} plays more, {@code -Dbrambletray.seed=N} begins elsewhere.
+ */
+class ExchangeWalkTest {
+    private static final int COURSES = Integer.getInteger("brambletray.courses", 2_000), STEPS = 40;
+    private static final long SEED = Long.getLong("brambletray.seed", 1);
+
+    @Test
+    void noRuleIsBrokenWhateverHappens() {
+        assertNull(Course.hunt(".*", SEED, COURSES, STEPS));
+    }
+
+    /** Guards against a test that proves nothing: all that is to be judged does happen. */
+    @Test
+    void theCoursesBringAboutWhatTheyAreFor() {
+        Tally all = new Tally();
+        int tries = 0;
+        int successes = 0;
+        int promises = 0;
+        for (long seed = 1; seed <= 150; seed++) {
+            Course course = new Course(seed, STEPS);
+            assertEquals(java.util.List.of(), course.play(), "seed " + seed);
+            tries += course.ruling().tries();
+            successes += course.ruling().successes;
+            promises += course.ruling().promises;
+            Tally of = course.tally();
+            all.surplus += of.surplus;
+            all.streamed += of.streamed;
+            all.copiesWon += of.copiesWon;
+            all.failed += of.failed;
+            all.late += of.late;
+        }
+        String seen = tries + " tries, " + successes + " successes, " + promises + " promises " + java.util.Arrays.toString(all.facts());
+        assertTrue(successes > tries / 3 && promises > tries / 20, seen);
+        assertTrue(all.surplus > 10 && all.streamed > 10 && all.copiesWon > 10 && all.failed > 100 && all.late > 20, seen);
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/flow/PlantedFaultsTest.java
@@ -0,0 +1,103 @@
+package brambletray.tray.flow;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Each fault that {@link ExchangeWalkTest} is there to find, planted, and found by the rule that it breaks. */
+class PlantedFaultsTest {
+    private static final int COURSES = Integer.getInteger("brambletray.planted", 4_000), STEPS = 40;
+
+    private static Arguments fault(String what, String rule, String... edits) {
+        return Arguments.of(what, rule, edits);
+    }
+
+    static Stream<Arguments> faults() {
+        return Stream.of(
+            fault("a line reused whatever its answer said, and whatever is owed on it", "OWED",
+                "Line", "finish(keep && written && reading.lasting());", "finish(true);"),
+            fault("bytes behind a whole answer are left for the next", "OWED",
+                "Line", "    void surplus() {\n        keep = false;", "    void surplus() {"),
+            fault("a line on which a surplus answer came is used again", "OWED",
+                "Reading", "            lasting = false;\n", ""),
+            fault("bytes on an idle line are passed over", "OWED|MIXED|TWICE",
+                "Line", "            unsent();\n        } else {\n            channel.close();", "            unsent();\n        } else {"),
+            fault("the id is not looked at", "MIXED",
+                "Stamp", "if (!id.contentEquals(ids.next())) {", "if (ids.next().length() == 0) {"),
+            fault("the id is not looked at where the answer comes in chunks", "MIXED",
+                "Reading", "Stamp.of(errand.id(), status", "Stamp.of(framing.length() >= 0 ? errand.id() : String.valueOf(head.headers().get(Parcel.ID)), status"),
+            fault("an answer without an id is one", "MIXED",
+                "Stamp", "        if (nameless) {\n            return JUNK;", "        if (nameless && status >= 300) {\n            return JUNK;"),
+            fault("a success without a seal", "MIXED",
+                "Stamp", "headers.contains(Parcel.SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)", "true"),
+            fault("a refusal without a name proves that the next request did not run", "TWICE|REFUSED",
+                "Reading", "if (stamp.nameless() && reused && errand.careful()) {", "if (false) {"),
+            fault("a request sent again on a line that may still bear its first refusal", "TWICE|REFUSED",
+                "Carriage", "            if (stops.get(i).wasOn(line)) {", "            if (false) {"),
+            fault("an answer that came before a byte was out is the answer", "MIXED|TWICE|REFUSED|OWED",
+                "Line", "return reading != null && reading.isSent();", "return true;"),
+            fault("sent again after a partial write", "TWICE|REFUSED",
+                "Line", "} else if (!begun && of == reading) {", "} else if (of == reading) {"),
+            fault("sent again after a reset of a kept line that had answered nothing yet", "TWICE|REFUSED",
+                "Line", "        Reading ended = reading;\n        cancel();\n        if (ended != null) {",
+                "        Reading ended = reading;\n        cancel();\n        if (ended != null && !fresh && ended.stamp() == null) {\n"
+                    + "            lines.stale(ended.errand());\n        } else if (ended != null) {"),
+            fault("a refused request is written when its connection comes up late", "TWICE|REFUSED",
+                "Lines", "            sheaf.waiting.remove(errand);\n", "",
+                "Lines", "        if (!errand.wanted()) {\n            return;\n        }\n", "",
+                "Lines", "line.sheaf.waiting.remove(errand) && errand.wanted()", "line.sheaf.waiting.remove(errand)"),
+            fault("out of time at a host: told that it did not run", "REFUSED",
+                "Trip", "        unproven |= legs.leave(now);", "        legs.leave(now);"),
+            fault("a broken answer proves that it did not run", "TWICE|REFUSED",
+                "Trip", "unproven |= fate == Fate.FAILED || fate == Fate.BROKEN;", "unproven |= fate == Fate.FAILED;"),
+            fault("a host's promise without proof is passed on", "REFUSED",
+                "Stamp", "            return PROMISED;", "            return FAILED;"),
+            fault("a promise is given on as it comes", "REFUSED",
+                "Reading", "        dropping = withheld || stamp", "        dropping = stamp",
+                "Reading", "flowing = stamp.fate() == Fate.SERVED && errand.flow(answer);", "flowing = errand.flow(answer);"),
+            fault("an answer that ended early is ended as if whole", "MIXED",
+                "Trip", "            hands.cut();", "            hands.flowed();"),
+            fault("what is cut off is closed in order, with its last chunk", "MIXED",
+                "Client", "    void cut() {\n", "    void cut() {\n        pen.flowed();\n"),
+            fault("an answer that ends with its connection is whole", "MIXED",
+                "Framing", "return length < 0 && !bare ? NONE : new Framing(length);", "return new Framing(length);"),
+            fault("chunks behind another coding", "MIXED",
+                "Framing", "equalsIgnoreCase(\"chunked\") && !codings.hasNext()", "toLowerCase().endsWith(\"chunked\")"),
+            fault("a grant that comes twice is used twice", "TWICE|BUDGET|REFUSED|PLACE|FAULT",
+                "Trip", "if (grant.askId() != asking) {", "if (grant.askId() != asking && settled) {"),
+            fault("what a client sends ahead is served at once", "MIXED|FAULT",
+                "Client", "} else if (state == State.BUSY || !ahead.isEmpty()) {", "} else if (!ahead.isEmpty()) {"),
+            fault("a second answer for a client that has one", "MIXED|FAULT",
+                "Carriage", "        Client to = client;\n        client = null;\n", "        Client to = client;\n",
+                "Trip", "            if (!settled) {\n                settle(leg, now);", "            if (true) {\n                settle(leg, now);"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("faults")
+    void isFound(String what, String rules, String[] edits) {
+        String found = Mutant.of(edits).hunt(rules, 1, COURSES, STEPS);
+        assertNotNull(found, "not found: " + what);
+        System.out.println("planted: " + what + " -> " + found.replaceAll("[^ -~]", " ").substring(0, Math.min(160, found.length())));
+    }
+
+    static final class ByHand {
+        private ByHand() { }
+
+        public static void main(String[] args) {
+            java.util.logging.LogManager.getLogManager().reset();
+            PlantedFaultsTest test = new PlantedFaultsTest();
+            faults().forEach(fault -> {
+                long began = System.nanoTime();
+                try {
+                    test.isFound((String) fault.get()[0], (String) fault.get()[1], (String[]) fault.get()[2]);
+                } catch (AssertionError | RuntimeException e) {
+                    System.out.println("NOT: " + fault.get()[0] + " " + e);
+                }
+                System.out.println("   s " + (System.nanoTime() - began) / 1_000_000 / 1e3);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/flow/Ruling.java
@@ -0,0 +1,127 @@
+package brambletray.tray.flow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Judges a course by what its clients and hosts saw, as RULES does: nothing of the relay's own state is asked. */
+final class Ruling {
+    /** One try of a client. {@code sent}: what a host must be handed: method, path and body. */
+    static final class Try {
+        final String id, method, uri, body;
+        final boolean repeatable;
+        int runs, arrivals;
+        /** The status that promised that it has not run; 0: none. */
+        int promised;
+        /** Whole bodies of the host's sealed answers. */
+        final Set<String> sealed = new HashSet<>();
+        /** Statuses of the host's answers that were no success, and of such as are no answer. */
+        final Set<Integer> others = new HashSet<>();
+        boolean answered;
+
+        Try(String id, String method, String uri, String body, boolean repeatable) {
+            this.id = id;
+            this.method = method;
+            this.uri = uri;
+            this.body = body;
+            this.repeatable = repeatable;
+        }
+    }
+
+    private final Map<String, Try> tries = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    final int mostHosts;
+    int successes, promises, answers;
+
+    /** {@code mostHosts}: {@code retry-count} of the routes. */
+    Ruling(int mostHosts) {
+        this.mostHosts = mostHosts;
+    }
+
+    void breaks(String rule, String how) {
+        broken.add(rule + ": " + how);
+    }
+
+    Try asked(Try one) {
+        tries.put(one.id, one);
+        return one;
+    }
+
+    // ---- At hosts -------------------------------------------------------------------------------
+    /** A whole request has come to a host. */
+    Try arrived(String id, String method, String uri, String body, String host, String target) {
+        Try one = tries.get(id);
+        if (one == null) {
+            breaks("UNASKED", "id " + id + " at " + host);
+            return null;
+        }
+        if (!one.method.equals(method) || !one.uri.equals(uri) || body != null && !one.body.equals(body)) {
+            breaks("UNASKED", id + " was changed: " + method + " " + uri + " " + (body == null ? "-" : body.length() + " bytes"));
+        }
+        if (!host.equals(target)) {
+            breaks("ROUTE", id + " names " + target + " at " + host);
+        }
+        if (++one.arrivals > mostHosts) {
+            breaks("BUDGET", id + " at more than " + mostHosts + " hosts");
+        }
+        return one;
+    }
+
+    /** A host has begun work on it. */
+    void ran(Try one) {
+        if (++one.runs > 1 && !one.repeatable) {
+            breaks("TWICE", one.id);
+        }
+        if (one.promised != 0 && !one.repeatable) {
+            breaks("REFUSED", one.id + " runs after " + one.promised);
+        }
+    }
+
+    // ---- At clients -----------------------------------------------------------------------------
+    /** A whole answer has come; {@code of}: the oldest try without one on this connection, or null. */
+    void answer(Try of, int status, String id, boolean seal, String body) {
+        if (of == null) {
+            breaks("MIXED", status + " on a connection with no request waiting");
+            return;
+        }
+        answers++;
+        if (of.answered) {
+            breaks("MIXED", "a second answer to " + of.id);
+        }
+        of.answered = true;
+        if (!id.isEmpty() && !id.equals(of.id)) {
+            breaks("MIXED", "the answer of " + id + " to " + of.id);
+        }
+        if (status / 100 == 2) {
+            successes++;
+            if (!seal) {
+                breaks("MIXED", of.id + " has a success without a seal");
+            }
+            if (!of.sealed.contains(body)) {
+                breaks("MIXED", of.id + " has a success with a body that no host gave it: " + brief(body) + " of " + of.sealed);
+            }
+        }
+        if (status == 429 || status == 503 || status == 408 || status == 421) {
+            promises++;
+            of.promised = status;
+            if (of.runs > 0 && !of.repeatable) {
+                breaks("REFUSED", of.id + " has run, and gets " + status);
+            }
+        }
+    }
+
+    private static String brief(String body) {
+        return body.length() > 60 ? body.substring(0, 60) + "... (" + body.length() + ")" : body;
+    }
+
+    List<String> broken() {
+        return broken;
+    }
+
+    int tries() {
+        return tries.size();
+    }
+}
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -115,6 +115,7 @@
             case "hides" -> whole(id, id, "503 Service Unavailable", "", body);
             case "finds-nothing" -> whole(id, id, "404 Not Found", "", body);
             case "sheds" -> whole(id, null, "503 Service Unavailable", "Brambletray-Not-Executed: 1\r\n", "");
+            case "declines" -> whole(id, id, "503 Service Unavailable", "Brambletray-Not-Executed: 1\r\n", "");
             case "misdirects" -> whole(id, null, "421 Misdirected Request", "", "");
             case "leaves" -> whole(id, id, "200 OK", "Connection: close\r\nBrambletray-Response-Seal: s\r\n", body);
             case "keeps" -> whole(id, id, "200 OK", "Keep-Alive: timeout=" + words[2] + "\r\nBrambletray-Response-Seal: s\r\n", body);
@@ -129,7 +130,15 @@
             case "pours" -> say(id, head(id, "200 OK", "Content-Length: " + 2 * LARGE + "\r\nBrambletray-Response-Seal: s\r\n") + "\r\n"
                 + "x".repeat(LARGE));
             case "ends" -> say(id, "x".repeat(LARGE));
+            case "codes" -> say(id, head(id, "200 OK", "Transfer-Encoding: gzip, chunked\r\nBrambletray-Response-Seal: s\r\n") + "\r\n2\r\nxy\r\n0\r\n\r\n");
+            case "codes-nothing" -> whole(id, id, "200 OK", "Transfer-Encoding: identity\r\nBrambletray-Response-Seal: s\r\n", body);
+            case "is-of-another-version" -> say(id, head(id, "200 OK", "Content-Length: 2\r\nBrambletray-Response-Seal: s\r\n").replace("/1.1", "/2.0")
+                + "\r\nxy");
+            case "fails-at-length" -> whole(id, id, "500 Internal Server Error", "", "x".repeat(LARGE));
+            case "blurts" -> open.iterator().next().writeAndFlush(Unpooled.copiedBuffer(head(null, "503 Service Unavailable",
+                "Brambletray-Not-Executed: 1\r\nContent-Length: 0\r\n") + "\r\n", StandardCharsets.ISO_8859_1));
             case "garbles" -> say(id, "\u0001\u0002\u0003 nothing of this is an answer\r\n\r\n");
+            case "adds-blanks" -> extra = "\r\n \u0000";
             case "adds" -> extra = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
             case "cuts" -> ((DuplexChannel) at.get(id)).shutdownOutput();
             case "resets" -> reset(at.get(id));
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -23,6 +23,7 @@
     final Tally tally = new Tally();
     final Places places = new Places(this);
     final Map<String, Actor> actors = new LinkedHashMap<>();
+    private final Machine edge;
     final Lines lines;
     final Flow flow;
     final Front front;
@@ -30,7 +31,7 @@
     private int machines;
 
     Street() {
-        Machine edge = machine(FRONT.host());
+        edge = machine(FRONT.host());
         lines = new Lines(edge, 4_000, tally);
         flow = new Flow(edge, "edge-1", "zone-1", () -> creed, places, ip -> ip.startsWith("10.0.1."), lines, tally, 48 << 20, 1);
         front = new Front(edge, flow, 100);
@@ -99,6 +100,11 @@
         simulation.runUntil(TimeUnit.MILLISECONDS.toNanos(ms));
     }
 
+    /** The edge's machine stands still, ms. */
+    void freeze(long ms) {
+        simulation.freeze(edge, TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
     void settle() {
         simulation.runUntil(simulation.now());
     }
--- a/src/test/java/brambletray/tray/flow/TripWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/TripWalkTest.java
@@ -141,6 +141,19 @@
             }
         }
 
+        /** One that is in use comes once more; at another host, if the home forgot. */
+        void sameGrant() {
+            List<Leg> all = new ArrayList<>(legs.keySet());
+            all.sort(java.util.Comparator.comparing(leg -> leg.grant.host()));
+            if (!all.isEmpty()) {
+                Leg leg = all.get(random.nextInt(all.size()));
+                int sent = legs.size();
+                trip.granted(new Grant(leg.grant.askId(), random.nextBoolean() ? leg.grant.host() : "h" + ++hosts, "10.0.0.1:1", false), now);
+                assertEquals(sent, legs.size(), "a grant that came twice was used twice");
+                assertTrue(held.contains(leg.grant.askId()), "a place in use was given back");
+            }
+        }
+
         void host() {
             if (legs.isEmpty()) {
                 return;
@@ -223,7 +236,10 @@
             switch (world.random.nextInt(12)) {
                 case 0, 1, 2 -> world.broker();
                 case 3, 4, 5, 6 -> world.host();
-                case 7 -> world.lateGrant();
+                case 7 -> {
+                    world.lateGrant();
+                    world.sameGrant();
+                }
                 case 8 -> {
                     if (world.random.nextInt(6) == 0) {
                         world.leave();
--- /dev/null
+++ b/src/test/java/brambletray/tray/flow/TroubledHost.java
@@ -0,0 +1,366 @@
+package brambletray.tray.flow;
+
+import brambletray.runtime.Machine;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.DuplexChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A host of a {@link Course}, drawn byte by byte: it answers, fails, sheds, dies, answers early, cuts off, spoils, and adds (PROTOCOL, Hosts), and
+ * tells the {@link Ruling} what it runs.
+ */
+final class TroubledHost {
+    /** ms; what was sent is read at the other end by then, unless that stands still. */
+    private static final int SURELY_THERE = 60;
+    private static final String SEAL = "Brambletray-Response-Seal: s\r\n", SHED = "Brambletray-Not-Executed: 1\r\n";
+
+    final String name;
+    private final Machine machine;
+    private final InetSocketAddress address;
+    private final Ruling ruling;
+    private final SplittableRandom random;
+    private final int trouble, large;
+    private final Set<Channel> open = new LinkedHashSet<>();
+    private Channel listener;
+    /** ms: the relay stood still until then; what comes from it before may have been written unseeing. */
+    private long unseeingUntil;
+
+    /** {@code trouble}: percent of answers that are not plain; {@code large}: of so many bodies one is. */
+    TroubledHost(String name, Machine machine, InetSocketAddress address, Ruling ruling, SplittableRandom random, int trouble, int large) {
+        this.name = name;
+        this.machine = machine;
+        this.address = address;
+        this.ruling = ruling;
+        this.random = random;
+        this.trouble = trouble;
+        this.large = large;
+        rise();
+    }
+
+    void rise() {
+        if (listener == null) {
+            listener = machine.listening(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new Connection(channel));
+                }
+            }).bind(address).channel();
+        }
+    }
+
+    /** Refuses connections; {@code hard}: and resets those that are open. */
+    void fall(boolean hard) {
+        if (listener != null) {
+            listener.close();
+            listener = null;
+        }
+        if (hard) {
+            Set.copyOf(open).forEach(TroubledHost::reset);
+        }
+    }
+
+    void unseeing(long untilMs) {
+        unseeingUntil = Math.max(unseeingUntil, untilMs);
+    }
+
+    private long now() {
+        return machine.clock().nanos() / 1_000_000;
+    }
+
+    private static void reset(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    /** {@code runs}: whether that is work; {@code then}: what becomes of the connection. */
+    private record Answer(String bytes, boolean runs, Then then, String surplus) { }
+
+    private enum Then { STAYS, FIN, RESET, CLOSING }
+
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final Channel channel;
+        private final StringBuilder in = new StringBuilder();
+        /** What is at work here, unanswered. */
+        private Ruling.Try at;
+        /** Bytes that are still to come of a request that was answered early. */
+        private int rest;
+        /** In the midst of an answer. */
+        private boolean pouring;
+        /** It has been said, or is plain, that no request may follow here. */
+        private boolean ending;
+        /** ms; from then on, what is sent here was sent with surplus bytes before one's eyes. */
+        private long surplusSeen = Long.MAX_VALUE;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            open.add(channel);
+            if (random.nextInt(200) < trouble / 20) {
+                // Speaks before it is spoken to; but a refusal says there that what follows does not run.
+                String bytes = surplus("none", "");
+                send(bytes.contains("Brambletray-Attempt-Id") || !bytes.startsWith("HTTP") ? bytes : "surplus").addListener(out -> seen());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            open.remove(channel);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            ByteBuf read = (ByteBuf) bytes;
+            int skipped = Math.min(rest, read.readableBytes());
+            rest -= skipped;
+            read.skipBytes(skipped);
+            boolean first = in.length() == 0 && read.isReadable();
+            in.append(read.toString(StandardCharsets.ISO_8859_1));
+            read.release();
+            if (first) {
+                begins();
+            }
+            int end = in.indexOf("\r\n\r\n");
+            if (end < 0 || at != null) {
+                return;
+            }
+            String head = in.substring(0, end);
+            int length = Integer.parseInt("0" + Server.header(head, "content-length"));
+            boolean whole = in.length() >= end + 4 + length;
+            if (whole || random.nextInt(200) < trouble) {
+                String body = whole ? in.substring(end + 4, end + 4 + length) : null;
+                rest = Math.max(0, end + 4 + length - in.length());
+                in.delete(0, end + 4 + length);
+                work(head, body);
+            }
+        }
+
+        /** The first byte of a request is here. */
+        private void begins() {
+            if (at != null) {
+                ruling.breaks("OWED", "a request at " + name + " while " + at.id + " is owed its answer there");
+            } else if (ending) {
+                ruling.breaks("OWED", "a request at " + name + " where none may follow");
+            } else if (now() > surplusSeen && now() > unseeingUntil) {
+                ruling.breaks("OWED", "a request at " + name + " on a connection with surplus bytes that were there long before");
+            }
+        }
+
+        private void work(String head, String body) {
+            String[] line = head.substring(0, head.indexOf("\r\n")).split(" ");
+            Ruling.Try one = ruling.arrived(Server.header(head, "brambletray-attempt-id"), line[0], line[1], body, name,
+                Server.header(head, "brambletray-target-instance"));
+            if (one == null) {
+                return;
+            }
+            Answer answer = draw(one, body == null);
+            if (answer.runs()) {
+                ruling.ran(one);
+            }
+            if (answer.bytes() == null) {
+                at = one;
+                return;
+            }
+            at = one;
+            int dice = random.nextInt(100);
+            int delay = dice < 30 ? 0 : dice < 85 ? random.nextInt(30) : dice < 95 ? random.nextInt(300) : random.nextInt(2_500);
+            machine.loop().schedule(() -> pour(answer, answer.bytes()), delay, TimeUnit.MILLISECONDS);
+        }
+
+        /** In one piece, or in several with pauses between. */
+        private void pour(Answer answer, String rest) {
+            pouring = true;
+            int size = rest.length() > 1 && random.nextInt(4) == 0 ? 1 + random.nextInt(rest.length() - 1) : rest.length();
+            boolean last = size == rest.length();
+            if (last) {
+                pouring = false;
+                at = null;
+                ending |= answer.then() != Then.STAYS;
+            }
+            boolean together = last && random.nextBoolean();
+            ChannelFuture sent = send(rest.substring(0, size) + (together ? answer.surplus() : ""));
+            if (!last) {
+                machine.loop().schedule(() -> pour(answer, rest.substring(size)), random.nextInt(20), TimeUnit.MILLISECONDS);
+                return;
+            }
+            if (!answer.surplus().isEmpty()) {
+                if (together) {
+                    sent.addListener(out -> seen());
+                } else {
+                    machine.loop().schedule(() -> late(answer.surplus()), random.nextInt(random.nextBoolean() ? 8 : 120), TimeUnit.MILLISECONDS);
+                }
+            }
+            switch (answer.then()) {
+                case FIN -> ((DuplexChannel) channel).shutdownOutput();
+                case RESET -> reset(channel);
+                case CLOSING -> machine.loop().schedule(() -> ((DuplexChannel) channel).shutdownOutput(), random.nextInt(40), TimeUnit.MILLISECONDS);
+                default -> { }
+            }
+        }
+
+        private void late(String surplus) {
+            if (channel.isActive() && !pouring) {
+                ChannelFuture sent = send(surplus);
+                sent.addListener(out -> seen());
+            }
+        }
+
+        /** Surplus bytes are on the way. */
+        private void seen() {
+            surplusSeen = Math.min(surplusSeen, now() + SURELY_THERE);
+        }
+
+        private ChannelFuture send(String bytes) {
+            return channel.writeAndFlush(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    // ---- What it says ---------------------------------------------------------------------------
+    private Answer draw(Ruling.Try one, boolean early) {
+        if (random.nextInt(100) >= trouble) {
+            return new Answer(good(one, false), true, Then.STAYS, "");
+        }
+        return switch (random.nextInt(12)) {
+            case 0 -> new Answer(good(one, true), true, Then.CLOSING, "");
+            case 1, 2 -> new Answer(good(one, false), true, Then.STAYS, surplus(one.id, "x"));
+            case 3 -> failed(one);
+            case 4, 5 -> shed(one);
+            case 6 -> new Answer("", random.nextInt(4) > 0, random.nextBoolean() ? Then.FIN : Then.RESET, "");
+            case 7 -> cut(one);
+            case 8, 9, 10 -> spoilt(one);
+            default -> random.nextInt(4) == 0 ? new Answer(null, true, Then.STAYS, "") : new Answer(good(one, false), true, Then.STAYS, "");
+        };
+    }
+
+    private String body(Ruling.Try one) {
+        int pad = random.nextInt(large) == 0 ? 3_000 + random.nextInt(9_000) : random.nextInt(3) == 0 ? 400 : 0;
+        return name + ":" + one.id + ":" + one.arrivals + "/" + ".".repeat(pad);
+    }
+
+    private static String head(String status, String id, String headers) {
+        return "HTTP/1.1 " + status + "\r\n" + (id == null ? "" : "Brambletray-Attempt-Id: " + id + "\r\n") + headers;
+    }
+
+    private static String sized(String status, String id, String headers, String body) {
+        return head(status, id, headers) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private String chunked(String body) {
+        StringBuilder out = new StringBuilder();
+        for (int at = 0; at < body.length();) {
+            int size = Math.min(body.length() - at, 1 + random.nextInt(body.length()));
+            out.append(Integer.toHexString(size)).append(random.nextInt(4) == 0 ? ";a=b" : "").append("\r\n").append(body, at, at + size).append("\r\n");
+            at += size;
+        }
+        return out.append("0\r\n").append(random.nextInt(3) == 0 ? "X-Trailer: t\r\n" : "").append("\r\n").toString();
+    }
+
+    /** A whole, sealed answer. */
+    private String good(Ruling.Try one, boolean closing) {
+        String headers = SEAL + (closing ? "Connection: close\r\n" : random.nextInt(4) == 0 ? "Keep-Alive: timeout=" + random.nextInt(4) + "\r\n" : "");
+        String before = random.nextInt(12) == 0 ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" : "";
+        if (random.nextInt(15) == 0) {
+            one.sealed.add("");
+            return before + head("204 No Content", one.id, headers) + "\r\n";
+        }
+        String body = body(one);
+        if (one.method.equals("HEAD")) {
+            one.sealed.add("");
+            return before + head("200 OK", one.id, headers) + "Content-Length: " + body.length() + "\r\n\r\n";
+        }
+        one.sealed.add(body);
+        return before + (random.nextInt(3) == 0 ? head("200 OK", one.id, headers + "Transfer-Encoding: chunked\r\n") + "\r\n" + chunked(body)
+            : sized("200 OK", one.id, headers, body));
+    }
+
+    private Answer failed(Ruling.Try one) {
+        String status = switch (random.nextInt(6)) {
+            case 0 -> "504 Gateway Timeout";
+            case 1 -> "503 Service Unavailable";
+            case 2 -> "429 Too Many Requests";
+            case 3 -> "408 Request Timeout";
+            case 4 -> "404 Not Found";
+            default -> "500 Internal Server Error";
+        };
+        String body = one.method.equals("HEAD") ? "" : body(one);
+        return new Answer(sized(status, one.id, "", body), true, Then.STAYS, "");
+    }
+
+    private Answer shed(Ruling.Try one) {
+        return new Answer(notRun(random.nextBoolean() ? one.id : null), false, Then.STAYS, random.nextBoolean() ? "" : surplus(one.id, "x"));
+    }
+
+    private String notRun(String id) {
+        return random.nextInt(3) == 0 ? sized("421 Misdirected Request", id, "", "")
+            : sized(random.nextBoolean() ? "503 Service Unavailable" : "429 Too Many Requests", id, SHED, "");
+    }
+
+    private Answer cut(Ruling.Try one) {
+        String whole = good(one, false);
+        int size = 1 + random.nextInt(Math.max(1, whole.length() - 1));
+        return new Answer(whole.substring(0, Math.min(size, whole.length() - 1)), true, random.nextBoolean() ? Then.FIN : Then.RESET, "");
+    }
+
+    /** Bytes that are no answer, or not a success; none of their bodies may reach a client as one. */
+    private Answer spoilt(Ruling.Try one) {
+        int kind = random.nextInt(16);
+        String body = "spoilt" + kind + ":" + body(one);
+        String id = one.id;
+        // Where no body follows, how its end is told is no fault.
+        String bytes = switch (one.method.equals("HEAD") && kind >= 4 && kind != 8 && kind != 13 ? kind % 4 : kind) {
+            case 0 -> sized("200 OK", id, "", body);
+            case 1 -> sized("200 OK", null, SEAL, body);
+            case 2 -> sized("200 OK", id, SEAL + "Content-Encoding: br\r\n", body);
+            case 3 -> sized("200 OK", id, SEAL + "Brambletray-Attempt-Id: other\r\n", body);
+            case 4 -> sized("200 OK", id, SEAL + "Content-Length: " + (body.length() - 2) + "\r\n", body);
+            case 5 -> sized("200 OK", id, SEAL + "Content-Length: " + body.length() + "\r\n", body);
+            case 6 -> sized("200 OK", id, SEAL + "Transfer-Encoding: chunked\r\n", chunked(body));
+            case 7 -> head("200 OK", id, SEAL) + "\r\n" + body;
+            case 8 -> "\u0001\u0002 nothing of this is an answer\r\n\r\n";
+            case 9 -> head("101 Switching Protocols", id, "Upgrade: x\r\n") + "\r\n" + body;
+            case 10 -> sized("200 OK", id, SEAL + "Transfer-Encoding: gzip, chunked\r\n", "").replace("Content-Length: 0\r\n", "") + chunked(body);
+            case 11 -> head("200 OK", id, SEAL + "Transfer-Encoding: chunked\r\n") + "\r\n2\r\n" + body + "\r\n0\r\n\r\n";
+            case 12 -> sized("200 OK", id, SEAL, body).replace("HTTP/1.1", "HTTP/2.0");
+            case 13 -> sized("200 OK", id, SEAL + SHED, body);
+            case 14 -> sized("200 OK", id, SEAL + "Transfer-Encoding: identity\r\n", body);
+            default -> sized("200 OK", id, SEAL + "X-Cut: a\u0000\r\n", body);
+        };
+        boolean ends = bytes.startsWith("\u0001") || bytes.contains("\r\n\r\nspoilt") && random.nextBoolean();
+        return new Answer(bytes, true, ends ? Then.FIN : Then.STAYS, "");
+    }
+
+    /** What belongs to no request; {@code id}: of the one that was answered last. */
+    private String surplus(String id, String body) {
+        return switch (random.nextInt(10)) {
+            case 0 -> sized("200 OK", id, SEAL, "surplus:" + body);
+            case 1 -> sized("503 Service Unavailable", null, SHED, "");
+            case 2 -> sized("421 Misdirected Request", null, "", "");
+            case 3 -> sized("503 Service Unavailable", id, SHED, "");
+            case 4 -> sized("200 OK", null, SEAL, "surplus:" + body);
+            case 5 -> "\r\n\u0000 \r\n";
+            case 6 -> "HTTP/1.1 200 OK\r\nBrambletray-Attempt-Id: " + id + "\r\nContent-Le";
+            case 7 -> sized("429 Too Many Requests", id, SHED, "");
+            case 8 -> head("200 OK", id, SEAL + "Transfer-Encoding: chunked\r\n") + "\r\n" + chunked("surplus:" + body);
+            default -> "surplus bytes";
+        };
+    }
+}
--- a/src/test/java/brambletray/tray/flow/WireTest.java
+++ b/src/test/java/brambletray/tray/flow/WireTest.java
@@ -77,6 +77,110 @@
         assertEquals("400 close", client.look().get(0));
     }
 
+    /** A head that is read while the request before it is at work is read as strictly, and answered in its turn. */
+    @Test
+    void aFoldIsSeenBehindAnotherRequest() {
+        assertEquals(List.of(), says(HEAD + "\r\n" + HEAD.replace("r1", "r2") + "X-Folded: a\r\n b\r\n\r\n"));
+        host.act("answers r1".split(" "));
+        street.settle();
+        assertEquals(List.of("200 a:r1", "400 close", "closed"), client.look());
+        assertEquals(List.of("reads r1"), host.look());
+    }
+
+    /** Rule REFUSED: with no room to hold an answer, one that promises what nothing proves must not be given on while it comes. */
+    @Test
+    void aPromiseIsNotGivenOnAsItComes() {
+        street.route("non_idempotent", 2);
+        says(HEAD + "\r\n");
+        assertTrue(street.flow.hold().take(48 << 20));
+        host.act("hides r1".split(" "));
+        street.settle();
+        assertEquals(List.of("502"), client.look());
+        street.flow.hold().give(48 << 20);
+        street.places.look();
+        street.atRest();
+    }
+
+    @Test
+    void aFailureTooLargeToBeHeldIsOurs() {
+        street.route("non_idempotent", 2);
+        says(HEAD + "\r\n");
+        host.act("fails-at-length r1".split(" "));
+        street.until(200);
+        assertEquals(List.of("502"), client.look());
+        street.atRest();
+    }
+
+    /** What comes on a connection before a byte of the request has gone out there cannot be its answer. */
+    @Test
+    void bytesBeforeTheRequestAreNoAnswer() {
+        client.act("posts r1".split(" "));
+        street.settle();
+        street.simulation.network().window(0);
+        street.places.act(new String[] {"grants", "a"});
+        street.settle();
+        street.simulation.network().window(65_536);
+        host.act(new String[] {"blurts"});
+        street.settle();
+        assertEquals(List.of("wants", "a UNREACHED 0", "wants but a"), street.places.look());
+    }
+
+    /** A host that has refused gets the request again on another connection: a second refusal, late on the first, would bear its id. */
+    @Test
+    void aRequestIsOnOneConnectionOnce() {
+        street.route("non_idempotent", 3);
+        says(HEAD + "\r\n");
+        host.act("declines r1".split(" "));
+        street.settle();
+        street.places.act(new String[] {"grants", "a"});
+        street.settle();
+        assertEquals(List.of("reads r1", "reads r1"), host.look());
+        assertEquals(2, host.connections);
+        host.act("answers r1".split(" "));
+        street.settle();
+        assertEquals(List.of("200 a:r1"), client.look());
+        says(HEAD.replace("r1", "r2") + "\r\n");
+        assertEquals(2, host.connections, "both are kept");
+    }
+
+    /** A kept connection that turns out closed before a byte of the request is out: that one has run nowhere, and goes out on another. */
+    @Test
+    void whatNeverWentOutOnAKeptConnectionGoesOutOnAnother() {
+        street.route("non_idempotent", 1);
+        says(HEAD + "\r\n");
+        host.act("answers r1".split(" "));
+        street.settle();
+        client.look();
+        host.look();
+        client.act("posts r2".split(" "));
+        street.settle();
+        street.simulation.network().window(0);
+        street.places.act(new String[] {"grants", "a"});
+        street.settle();
+        assertEquals(List.of(), host.look());
+        host.act("resets r1".split(" "));
+        street.simulation.network().window(65_536);
+        street.settle();
+        assertEquals(List.of("reads r2"), host.look());
+        assertEquals(1, street.tally.stale);
+    }
+
+    /** A machine that stood still past the end of a request's time: its connection comes up first, its timer after it. */
+    @Test
+    void whatIsOverIsNotSentWhenTheMachineWakes() {
+        street.route("non_idempotent", 2);
+        street.simulation.network().usual(new brambletray.simulation.SimNetwork.Way(10_000_000, 0));
+        client.act("posts r1 500".split(" "));
+        street.until(25);
+        street.places.act(new String[] {"grants", "a"});
+        street.until(40);
+        street.freeze(1_000);
+        street.until(2_000);
+        assertEquals(List.of("503 in 0.200"), client.look());
+        assertEquals(List.of(), host.look());
+        assertEquals(List.of("wants", "unused a"), street.places.look());
+    }
+
     @Test
     void everyByteByItself() {
         street.simulation.network().segment(1);
--- a/src/test/resources/brambletray/tray/flow/answers.feature
+++ b/src/test/resources/brambletray/tray/flow/answers.feature
@@ -39,12 +39,61 @@
          10 | 200 a:r1    | a SERVED 10         | answers r1
          20 | asks r2     | wants, grants a     | reads r2
          30 |             |                     | echoes r1 on r2
-         40 | 200 a:r2    | a SERVED 20         | answers r2
+         40 | 200 a:r2    | a SERVED 20         | answers r2, loses r2
          50 | asks r3     | wants, grants a     | reads r3
          60 | 200 a:r3    | a SERVED 10         | answers r3
       """
     Then nothing is left over
 
+  Scenario: Blanks behind a whole answer end the connection as well: whoever sends them may send more
+    Given a route of type idempotent for 2 hosts
+    When this is played
+      """
+         ms | client      | broker              | a
+          0 | asks r1     | wants, grants a     | reads r1
+         10 | 200 a:r1    | a SERVED 10         | adds-blanks, answers r1, loses r1
+      """
+    Then nothing is left over
+
+  Scenario: An end that can be read in two ways, and another version: none of these is an answer
+    Given a route of type non_idempotent for 1 host
+    When this is played
+      """
+         ms | client      | broker              | a
+          0 | posts r1    | wants, grants a     | reads r1
+         10 | 502         | a BROKEN 10         | codes r1, loses r1
+         20 | posts r2    | wants, grants a     | reads r2
+         30 | 502         | a BROKEN 10         | codes-nothing r2, loses r2
+         40 | posts r3    | wants, grants a     | reads r3
+         50 | 502         | a BROKEN 10         | is-of-another-version r3, loses r3
+      """
+    Then nothing is left over
+
+  Scenario: A late refusal without a name, where the next answer is due, proves nothing of the next request
+    Given a route of type non_idempotent for 2 hosts
+    When this is played
+      """
+         ms | client      | broker              | a
+          0 | posts r1    | wants, grants a     | reads r1
+         10 | 200 a:r1    | a SERVED 10         | answers r1
+         20 | posts r2    | wants, grants a     | reads r2
+         30 | 502         | a BROKEN 10         | sheds r1, loses r2
+      """
+    Then nothing is left over
+
+  Scenario: One that may be repeated goes elsewhere after it
+    Given a route of type idempotent for 2 hosts
+    When this is played
+      """
+         ms | client      | broker                                    | a                  | b
+          0 | posts r1    | wants, grants a                           | reads r1           |
+         10 | 200 a:r1    | a SERVED 10                               | answers r1         |
+         20 | posts r2    | wants, grants a                           | reads r2           |
+         30 |             | a NOT_RUN 10, wants again but a, grants b | sheds r1, loses r2 | reads r2
+         40 | 200 b:r2    | b SERVED 10                               |                    | answers r2
+      """
+    Then nothing is left over
+
   Scenario: Bytes behind a whole answer take nothing from it, and end the connection; so do those that come while nobody waits
     Given a route of type idempotent for 2 hosts
     When this is played
