--- a/src/test/java/brambletray/tray/carry/TetherTest.java
+++ b/src/test/java/brambletray/tray/carry/TetherTest.java
@@ -297,6 +297,7 @@
         core("b").helm(9);
         start("a");
         run(700);
+        assertEquals(1, core("a").hellos.size(), "it waits at a member that is in touch");
         core("a").names("b", 9);
         assertTrue(untilAttached(9, 100) < 20);
     }
--- a/src/test/java/brambletray/tray/keep/HubTest.java
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -226,7 +226,11 @@
         run(1_000);
         heard.clear();
         acts = false;
-        run(200);
+        creed = creed(11);
+        hub.creed(ms());
+        run(5);
+        assertNothingWithAuthority();
+        run(195);
         assertEquals("", all(Welcome.class).get(0).helmAddress());
         creed = creed(12);
         hub.creed(ms());
@@ -240,6 +244,21 @@
         assertEquals(12, all(News.class).get(0).revision());
     }
 
+    @Test
+    void nothingIsSaidToAnEdgeThatWasLetGoBeforeThePulseThatTakesItUpAgain() {
+        come();
+        run(1_000);
+        acts = false;
+        run(200);
+        heard.clear();
+        acts = true;
+        edge.say(new Need("coffee", "za", "n-1", 1));
+        run(5);
+        assertEquals(List.of(), heard, "the edge would not take it, and would miss it");
+        run(300);
+        assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass());
+    }
+
     @Test
     void whatTheYardSaysWhileTheLeaseIsInDoubtIsNotSaidAndTheEdgeIsLetGoAtOnce() {
         come();
