IsolatedHelmTest: a helm cut off for 20 s, with core, shell, edges and operators in simulated time

It must hand out, refuse and confirm nothing, no edge may serve by the old configuration after its start, and the next one must reach all edges in touch within config-apply-ms of its acknowledgement. A helm that hears of a higher term is silent though its lease runs; an edge tells the highest term that it has seen.

--- /dev/null
+++ b/src/test/java/brambletray/tray/carry/CarryHelloTest.java
@@ -0,0 +1,58 @@
+package brambletray.tray.carry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import brambletray.runtime.Machine;
+import brambletray.simulation.Simulation;
+import brambletray.tray.berth.Address;
+import brambletray.tray.berth.SimBerth;
+import brambletray.tray.news.Lexis;
+import brambletray.tray.news.Pulse;
+import brambletray.tray.ring.Hello;
+import brambletray.tray.speech.Handler;
+import brambletray.tray.speech.Link;
+import brambletray.tray.speech.Listener;
+import brambletray.tray.speech.Speech;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What the whole program of an edge says of itself, on each link to a member of the core. */
+class CarryHelloTest {
+    private static final String SETTINGS = "node-name=edge-1\nrole=carry\nip-address=10.0.0.2\nzone=za\nzones.za=south\n"
+        + "bind-addresses.front-end=10.0.0.2:8241\nbind-addresses.readiness=10.0.0.2:8246\ninternal-port-range=7400,7415\n"
+        + "seed-peers=10.0.0.1:8248\n";
+
+    @Test
+    void itsHelloTellsTheHighestTermThatItHasSeenInThisLifeOnEveryLink() throws UnknownHostException {
+        Simulation simulation = new Simulation(2, 0);
+        Machine core = simulation.machine(InetAddress.getByName("10.0.0.1"));
+        Machine edge = simulation.machine(InetAddress.getByName("10.0.0.2"));
+        List<Long> terms = new ArrayList<>();
+        new Listener(core, new Speech(Lexis.ALL), new Address("10.0.0.1", 7_400), new Handler() {
+            @Override
+            public void up(Link link) { }
+
+            @Override
+            public void heard(Link link, Object frame) {
+                if (frame instanceof Hello hello) {
+                    terms.add(hello.term());
+                    link.say(new Pulse(9 - terms.size(), 0, 0));
+                    core.loop().schedule(() -> link.close(), 200, TimeUnit.MILLISECONDS);
+                }
+            }
+
+            @Override
+            public void down(Link link, String why) { }
+        });
+        SimCarry[] carry = new SimCarry[1];
+        edge.loop().execute(() -> carry[0] = SimCarry.start(SimBerth.of(SETTINGS), edge, 1, code -> { }));
+        simulation.runUntil(TimeUnit.SECONDS.toNanos(3));
+        assertEquals(List.of(0L, 8L, 8L), terms.subList(0, 3));
+        assertFalse(carry[0].ready(), "no configuration has come");
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
@@ -0,0 +1,249 @@
+package brambletray.tray.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.runtime.Machine;
+import brambletray.tray.berth.Address;
+import brambletray.tray.creed.Creed;
+import brambletray.tray.news.Iam;
+import brambletray.tray.news.Lexis;
+import brambletray.tray.news.Pulse;
+import brambletray.tray.ring.Hello;
+import brambletray.tray.ring.Peer;
+import brambletray.tray.ring.Welcome;
+import brambletray.tray.speech.Dialler;
+import brambletray.tray.speech.Handler;
+import brambletray.tray.speech.Link;
+import brambletray.tray.speech.Speech;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Point 1 of the users' letter, brought about with the production programs in simulated time: the holder of the helm, which leads as
+ * well, is cut off from the rest of the core for 20 s, operators and edges still reach it, and one edge reaches nobody else.
+ */
+class IsolatedHelmTest {
+    private static final int SEEDS = Integer.getInteger("isolated.seeds", 6);
+    private static final int CUT = 20_000;
+    /** ms: a lease, a late tick and what is on its way; within that the old helm may still act. */
+    private static final int LEASE = 1_000;
+
+    private World world;
+    private Machine caller;
+    private CoreNode isolated;
+    private long cutAt;
+    private long ackedAt = -1;
+    private long spreadAt = -1;
+    private int asked;
+    private int answered;
+    private final List<String> wrong = new ArrayList<>();
+
+    private boolean until(long ms, BooleanSupplier holds) {
+        return world.simulation.runUntil(ms * 1_000_000, holds);
+    }
+
+    private void until(long ms) {
+        until(ms, () -> false);
+    }
+
+    private void send(CoreNode to, Order order, HttpCall.Reply reply) {
+        HttpCall.make(caller, Address.parse(to.control()), "/brambletray/configuration/" + (order.whole ? "replace" : "modify"), order.base,
+            order.body, reply);
+    }
+
+    /** Sends it to the members in turn, on by 307, until it is acknowledged. */
+    private void sendUntilTaken(Order order, List<CoreNode> members, int turn, Runnable taken) {
+        send(members.get(turn % members.size()), order, (status, location, body) -> {
+            if (status == 200) {
+                taken.run();
+            } else if (status == 400 || status == 409 || status == 412) {
+                wrong.add("order " + order.id + " refused with " + status + " at " + (world.now() - cutAt));
+            } else {
+                world.after(status == 307 ? 1 : 100, () -> sendUntilTaken(order, members, turn + 1, taken));
+            }
+        });
+    }
+
+    /** The isolated member is asked for what it must not answer. */
+    private void tempt() {
+        if (world.now() > cutAt + CUT - 1_500) {
+            return;
+        }
+        asked += 3;
+        HttpCall.make(caller, Address.parse(isolated.control()), "/brambletray/configuration/show", null, null,
+            (status, location, body) -> judge("show", status));
+        send(isolated, Order.valid(90, 1, 0, 91, false, 0), (status, location, body) -> judge("a change on another version", status));
+        send(isolated, Order.invalid(92, 1, 1, 0), (status, location, body) -> judge("an invalid change", status));
+        world.after(700, this::tempt);
+    }
+
+    private void judge(String what, int status) {
+        if (status != 0 && status != 307 && status != 503) {
+            answered++;
+            wrong.add(what + " answered with " + status + " at " + (world.now() - cutAt));
+        }
+    }
+
+    private void look() {
+        EdgeNode alone = world.edges.get(1);
+        EdgeNode anew = world.edges.get(0);
+        long since = world.now() - cutAt;
+        if (since > LEASE + 500 && since < CUT && (alone.ready() || alone.creed() != Creed.NONE)) {
+            wrong.add(alone.name + " is fed by the isolated helm, ready " + alone.ready() + " at " + since);
+        }
+        if (since > 2_500 && anew.creed() != Creed.NONE && anew.creed().revision() < 2) {
+            wrong.add(anew.name + " started anew and was handed " + anew.creed().revision() + " at " + since);
+        }
+        boolean spread = anew.creed().revision() >= 2 && world.edges.get(2).creed().revision() >= 2;
+        if (spreadAt < 0 && spread) {
+            spreadAt = world.now();
+        }
+        if (wrong.isEmpty()) {
+            world.after(10, this::look);
+        }
+    }
+
+    private void cut(EdgeNode edge, boolean join) {
+        for (CoreNode other : world.cores) {
+            if (other != isolated) {
+                if (join) {
+                    world.join(edge.address, other.address);
+                    world.join(other.address, edge.address);
+                } else {
+                    world.cut(edge.address, other.address);
+                    world.cut(other.address, edge.address);
+                }
+            }
+        }
+    }
+
+    private void isolate(boolean join) {
+        for (CoreNode other : world.cores) {
+            if (other != isolated) {
+                if (join) {
+                    world.join(isolated.address, other.address);
+                    world.join(other.address, isolated.address);
+                } else {
+                    world.cut(isolated.address, other.address);
+                    world.cut(other.address, isolated.address);
+                }
+            }
+        }
+    }
+
+    /** What was seen is in the fields. */
+    private IsolatedHelmTest play(long seed, int members) {
+        world = new World(new Script(seed, members, 1, 60_000, List.of()));
+        world.whenFailed = wrong::add;
+        caller = world.machine(World.ip(10, 9, 0, 1), "operator");
+        world.cores.forEach(core -> world.at(world.random.nextInt(300), core::start));
+        world.edges.forEach(edge -> world.at(world.random.nextInt(300), edge::start));
+        boolean[] first = new boolean[1];
+        world.at(500, () -> sendUntilTaken(Order.valid(1, 0, 0, 1, true, 0), world.cores, 0, () -> first[0] = true));
+        assertTrue(until(9_000, () -> first[0] && world.edges.stream().allMatch(EdgeNode::ready) && world.helm() != null),
+            "at rest: " + wrong);
+        until(world.now() + 3_000 + world.random.nextInt(1_000));
+        isolated = world.helm();
+        cutAt = world.now();
+        EdgeNode alone = world.edges.get(1);
+        EdgeNode anew = world.edges.get(0);
+        isolate(false);
+        cut(alone, false);
+        List<CoreNode> rest = new ArrayList<>(world.cores);
+        rest.remove(isolated);
+        world.after(world.random.nextInt(400),
+            () -> sendUntilTaken(Order.valid(2, 1, 1, 2, false, 0), rest, 0, () -> ackedAt = world.now()));
+        // Its lease is over then, but its hub is still there.
+        world.after(830, alone::kill);
+        world.after(850, alone::start);
+        world.after(2_000, anew::kill);
+        world.after(2_200, anew::start);
+        world.after(LEASE + 500, this::tempt);
+        look();
+        until(cutAt + CUT);
+        isolate(true);
+        cut(alone, true);
+        boolean all = until(cutAt + CUT + 8_000, () -> world.edges.stream().allMatch(edge -> edge.ready() && edge.creed().revision() == 2));
+        if (!all) {
+            wrong.add("not all edges serve by the newest 8 s after the cut");
+        }
+        world.cores.forEach(core -> core.kill(false));
+        world.edges.forEach(EdgeNode::kill);
+        return this;
+    }
+
+    /** A helm whose lease runs is asked by an edge that has heard of a higher term: it says nothing, as no majority agrees anew. */
+    @Test
+    void anIsolatedHelmThatHearsOfAHigherTermIsSilentThoughItsLeaseRuns() {
+        assertEquals(List.of(Pulse.class), saidTo(0), "who knows of no higher term is told at once");
+        assertEquals(List.of(), saidTo(Long.MAX_VALUE));
+    }
+
+    /** Kinds of frames with authority that an edge is told in the first 300 ms of a cut, whose Hello bears this term. */
+    private static List<Class<?>> saidTo(long term) {
+        IsolatedHelmTest one = new IsolatedHelmTest();
+        World world = new World(new Script(3, 3, 1, 60_000, List.of()));
+        one.world = world;
+        world.cores.forEach(CoreNode::start);
+        assertTrue(one.until(9_000, () -> world.helm() != null), "at rest");
+        one.until(world.now() + 2_000);
+        one.isolated = world.helm();
+        one.isolate(false);
+        List<Class<?>> said = new ArrayList<>();
+        Machine edge = world.machine(World.ip(10, 9, 0, 2), "edge");
+        new Dialler(edge, new Speech(Lexis.ALL), new Address(one.isolated.ip, World.INNER), new Handler() {
+            @Override
+            public void up(Link link) {
+                link.say(new Iam("edge-9", "10.9.0.2:7400", false));
+                link.say(new Hello(new Peer("edge-9", "z1", "10.9.0.2:7400", 1, Peer.IN), 0, 0, 0, term));
+            }
+
+            @Override
+            public void heard(Link link, Object frame) {
+                if (!(frame instanceof Welcome) && !said.contains(frame.getClass())) {
+                    said.add(frame.getClass());
+                }
+            }
+
+            @Override
+            public void down(Link link, String why) { }
+        }, 1);
+        one.until(world.now() + 300);
+        world.cores.forEach(core -> core.kill(false));
+        return said;
+    }
+
+    @Test
+    void anIsolatedHelmHandsOutNothingAnswersNothingAndEdgesFollowTheNextOneInTime() {
+        List<String> wrong = new ArrayList<>();
+        long[] acked = new long[2 * SEEDS];
+        long[] spread = new long[2 * SEEDS];
+        int asked = 0;
+        int at = 0;
+        for (int members : new int[] {3, 5}) {
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                IsolatedHelmTest one = new IsolatedHelmTest().play(seed, members);
+                for (String each : one.wrong) {
+                    wrong.add(members + " members, seed " + seed + ": " + each);
+                }
+                if (one.ackedAt < 0 || one.spreadAt < 0) {
+                    wrong.add(members + " members, seed " + seed + ": acknowledged " + one.ackedAt + ", spread " + one.spreadAt);
+                }
+                asked += one.asked;
+                acked[at] = one.ackedAt - one.cutAt;
+                spread[at++] = one.spreadAt - one.ackedAt;
+            }
+        }
+        Arrays.sort(acked);
+        Arrays.sort(spread);
+        System.out.println("isolated helm: " + at + " courses, asked " + asked + " times what it must not answer; ms from the cut "
+            + "to the next acknowledgement: median " + acked[at / 2] + ", longest " + acked[at - 1] + "; from that to the edges: median "
+            + spread[at / 2] + ", longest " + spread[at - 1]);
+        assertEquals(List.of(), wrong);
+        assertTrue(spread[at - 1] <= World.APPLY, "config-apply-ms: " + spread[at - 1]);
+    }
+}
