--- a/src/test/java/brambletray/tray/keep/DoorTest.java
+++ b/src/test/java/brambletray/tray/keep/DoorTest.java
@@ -6,6 +6,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -57,12 +60,22 @@
         assertTrue(got().contains("Location: http://10.0.0.2:90/x"));
     }
 
+    /** The answer is on its way out for a while, as on a socket, before the connection closes behind it. */
     @Test
     void nothingFollowsAnAnswerThatCloses() {
+        List<Runnable> writes = new ArrayList<>();
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                writes.add(() -> context.writeAndFlush(message, promise));
+            }
+        });
         send("GET /held/one HTTP/1.1\nHost: h\nConnection: close\n\n" + get("/held/two"));
         calls.get(0).give(200, null);
         channel.runPendingTasks();
+        send(get("/held/three"));
         assertEquals(1, calls.size());
+        writes.forEach(Runnable::run);
         String text = got();
         assertEquals(0, text.lastIndexOf("HTTP/1.1 "), text);
         assertFalse(channel.isActive());
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -312,7 +312,12 @@
         assertEquals(503, behind.status);
         assertEquals(503, read.status);
         order.standing = Standing.MEMBER;
+        Reply next = modify(5, move(9, "a"));
+        assertEquals(1, order.tokens.size(), "judged before it is known what came of the one under way");
         keep();
+        confirm(false);
+        confirm(true);
+        assertEquals(412, next.status);
         assertEquals(7, operators.charter().creed().revision());
         assertEquals(200, modify(5, move(7, "a")).status, "the slot was kept for it, and it is sent again");
     }
