Operators: at most 24 MB of bodies wait, in the line, under way and for a round

Cause: 64 calls in the line, each of up to 4 MB, were more than the heap of 160 MB; eight large orders sent again a few times come near. Change: a call beyond 24 MB of waiting bodies gets 503 and Retry-After.

--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -25,6 +25,8 @@
     private static final Tale TALE = Tale.of("keep");
     /** Changes that wait for the one under way, or for a leader. */
     private static final int LINE = 64;
+    /** Bytes of bodies of calls that wait here, beyond which a further one is told to come back: six of the largest. */
+    private static final long HELD = 24 << 20;
     /** ms that a call may wait before it gets no clear answer; below ack-ms of all deployments, so that a caller asks again in time. */
     private static final int PATIENCE = 2_500;
     /** The same at a member out of touch: callers wait a second and then go to another, which an answer lets them do at once. */
@@ -137,7 +139,7 @@
     }
 
     private static boolean busy(Call call) {
-        call.refuse(503, "keep.busy", "another change is under way, or no leader is known");
+        call.refuse(503, "keep.busy", "other changes are under way, or no leader is known");
         return true;
     }
 
@@ -175,7 +177,7 @@
         }
         if (charter.taken(verb, base, call.body())) {
             call.give(200, DONE);
-        } else if (line.size() >= LINE) {
+        } else if (line.size() >= LINE || held() + call.body().length > HELD) {
             busy(call);
         } else if (!inTouch() && outSince >= 0 && now - outSince > CUT_OFF) {
             sendOn(call);
@@ -185,6 +187,17 @@
         }
     }
 
+    private long held() {
+        long held = under == null ? 0 : under.call.body().length;
+        for (Change change : line) {
+            held += change.call.body().length;
+        }
+        for (Round round : asked.values()) {
+            held += round.call.body().length;
+        }
+        return held;
+    }
+
     /** Those in line: judged one by one at the leader, sent on elsewhere, held for a while where no leader is heard. */
     private void next() {
         while (!line.isEmpty() && (leading() ? under == null : leader() != null)) {
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -351,4 +351,20 @@
         keep();
         assertTrue(order.tokens.isEmpty(), "what was given up is proposed no more");
     }
+
+    @Test
+    void theBytesThatWaitAreBounded() {
+        begin();
+        Reply open = modify(5, move(7, "a"));
+        byte[] large = new byte[4 << 20];
+        List<Reply> replies = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            replies.add(modify(5, large));
+        }
+        assertEquals(3, replies.stream().filter(reply -> reply.status != null && reply.status == 503).count(), "24 MB in all");
+        keep();
+        assertEquals(200, open.status);
+        assertNull(modify(5, large).status, "a sixth, now that none is under way");
+        assertEquals(503, modify(5, large).status, "those that wait for a round count too");
+    }
 }
