Charter: the highest revisions can be named as a base; refusals for another version are told in the log

Cause: a base of more than 18 digits was 400, but a configuration may have any revision up to 2^63-1: none could follow it. The log line of a change says whether it was taken instead of the charter's inner verdict.

--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -44,16 +44,15 @@
 
     /** The revision that a call names as its base; 0 for the first. {@link CreedFault} where it is missing or no number. */
     public static long base(String header) {
-        long base = 0;
-        int length = header == null ? 0 : header.length();
-        for (int i = 0; i < length && base >= 0; i++) {
-            int digit = header.charAt(i) - '0';
-            base = digit < 0 || digit > 9 || length > 18 ? -1 : base * 10 + digit;
-        }
-        if (length == 0 || base < 0) {
-            throw new CreedFault("bad-base", "Brambletray-Base-Revision", "expected a revision's number");
+        boolean digits = header != null && !header.isEmpty() && header.chars().allMatch(c -> c >= '0' && c <= '9');
+        try {
+            if (digits) {
+                return Long.parseLong(header);
+            }
+        } catch (NumberFormatException e) {
+            // above all numbers that a revision can have
         }
-        return base;
+        throw new CreedFault("bad-base", "Brambletray-Base-Revision", "expected a revision's number");
     }
 
     /** Whether this very change was taken: for good, whatever came on top of it since. False also where it is no longer remembered. */
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -243,9 +243,9 @@
         Change change = under;
         under = null;
         Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
-        TALE.tell("change", "verb", change.verb, "outcome", outcome, "verdict", verdict.getClass().getSimpleName(), "revision",
-            charter.creed().revision());
-        if (verdict instanceof Verdict.TakenBefore || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
+        boolean taken = verdict instanceof Verdict.TakenBefore;
+        TALE.tell("change", "verb", change.verb, "base", change.base, "outcome", outcome, "taken", taken, "revision", charter.creed().revision());
+        if (taken || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
             answer(change.call, verdict);
         } else {
             change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
@@ -258,6 +258,7 @@
             TALE.tell("refused", "code", invalid.fault().code(), "why", invalid.fault().getMessage());
             call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
         } else if (verdict instanceof Verdict.Stale stale) {
+            TALE.tell("refused", "code", "keep.stale", "base", call.base(), "current", stale.current());
             call.refuse(412, "keep.stale", "the current revision is " + stale.current());
         } else if (verdict instanceof Verdict.Forgotten forgotten) {
             call.refuse(503, "keep.forgotten", "what was taken before revision " + forgotten.oldest() + " isn't remembered; look at the configuration");
--- a/src/test/java/brambletray/tray/creed/CharterTest.java
+++ b/src/test/java/brambletray/tray/creed/CharterTest.java
@@ -112,6 +112,15 @@
         assertTrue(charter.creed().revision() > 50, "too few were taken");
     }
 
+    /** Whatever number a configuration may have, the next can name it as its base. */
+    @Test
+    void theHighestNumbersAreBasesToo() {
+        long high = Long.MAX_VALUE - 1;
+        take(Verb.REPLACE, 0, Sample.bytes(Sample.two(high)));
+        take(Verb.MODIFY, Charter.base(Long.toString(high)), move(Long.MAX_VALUE, "b"));
+        assertEquals(Long.MAX_VALUE, charter.creed().revision());
+    }
+
     @Test
     void aSnapshotRemembersWhatWasTaken() {
         Charter empty = new Charter();
