A member that is told to end stays until the others go on without it

Cause: Keep.leave yielded the helm and ended the process after 300 ms; Members.leave (Bye, and the view that goes on without the leaver) was called by tests only. To the others a planned end was a crash: nothing acknowledged and no read confirmed until silence was noticed, calls under way cut off, and a leaver of a view of two left one disk alone.

Change: view.Leaving. A leader lets newcomers in, has what is under way kept (nothing more is begun), then says Bye; the next in rank takes over at once and tells the rest before it asks them to stop; any other member says Bye to the leader. Bye is said again until a view without the leaver is in force, which it is told in answer; that view has to be a quorum of the last and on more disks than may be lost, else the leaver stays, until grace-s less 1 s (bounds.grace-s). It is awaited while a newcomer fetches the state, for half of that. Planned changes of view keep 100 ms apart. A leaver that is out ends what it was asked at once; Operators sends these callers on (307), and keeps those that come while nobody is known to lead. Keep ends with 0 once it is out and no call waits; a second SIGTERM changes nothing. Told.ill doesn't say that a member leaves any more: Bye does.

Tests changed: Weather ends a leaving process once Members.left says so (was: after 300 ms); the Oracle and SimNode look changes up in sets (were lists; same rules).

--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -43,6 +43,10 @@
     private static final int TICK = 50;
     /** ms until a disk that could not be opened is tried again. */
     private static final int DISK_AGAIN = 200;
+    /** ms that a process stays at least after it was told to end, so that the others hear that the helm is free. */
+    private static final int STAY = 300;
+    /** ms that its last answers are given to go out. */
+    private static final int LAST_WORDS = 100;
 
     private static final String HELM = "helm";
 
@@ -57,7 +61,9 @@
     private final Vow vow;
     private final Views views;
     private Hub hub;
-    private boolean leaving;
+    /** Steady ms since when this process is to end, and since when the others go on without it; -1: not so. */
+    private long leavingAt = -1;
+    private long leftAt = -1;
 
     private Keep(Berth berth, Machine machine, Map<String, byte[]> kept, Scribe scribe, long life, long origin) {
         this.berth = berth;
@@ -67,12 +73,22 @@
         operators = new Operators(new MemberOrder(), this::creedChanged);
         kin = new Kin(machine, speech, new Address(berth.ip(), berth.innerLow()), new Iam(berth.node(), address, true), new KinEar());
         members = new Members(address, berth.node(), life, origin, Kept.read(kept), seeds(berth), berth.initialStart(),
-            Settings.usual(berth.machineLosses()), new MemberOut(), operators, now());
+            settings(berth), new MemberOut(), operators, now());
         vow = new Vow(HELM, members.status().me(), kept.get(Vow.key(HELM)), Spans.usual(), new VowOut(), now());
         views = new Views(new Sights(members::status, () -> operators.charter().creed(), () -> vow.holder(now()),
             () -> hub != null && mayAct() ? hub : null, this::now));
     }
 
+    private static Settings settings(Berth berth) {
+        return Settings.usual(berth.machineLosses(), leaveMs(berth));
+    }
+
+    /** How long a process that is told to end stays at most, ms: grace-s less a margin, in which it ends by itself. */
+    private static int leaveMs(Berth berth) {
+        int grace = (int) (berth.bounds().graceS() * 1_000);
+        return Math.max(grace / 2, grace - 1_000);
+    }
+
     private static List<String> seeds(Berth berth) {
         List<String> seeds = new ArrayList<>();
         berth.seeds().forEach(seed -> seeds.add(seed.toString()));
@@ -137,6 +153,9 @@
             if (hub != null) {
                 hub.tick(now);
             }
+            if (leavingAt >= 0) {
+                depart(now);
+            }
         } catch (RuntimeException e) {
             TALE.warn("tick failed", "why", e, "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "");
         }
@@ -162,19 +181,35 @@
     private void reread() {
         try {
             Berth now = berth.reread();
-            members.settings(Settings.usual(now.machineLosses()), seeds(now));
+            members.settings(settings(now), seeds(now));
             TALE.tell("settings read again");
         } catch (BerthFault fault) {
             TALE.warn("settings not used", "code", fault.code(), "why", fault.getMessage());
         }
     }
 
+    /** SIGTERM; a second one changes nothing. */
     private void leave() {
-        if (!leaving) {
-            leaving = true;
-            TALE.tell("leaving");
-            vow.yield(now());
-            machine.loop().schedule(() -> System.exit(0), 300, TimeUnit.MILLISECONDS);
+        if (leavingAt >= 0) {
+            return;
+        }
+        leavingAt = now();
+        TALE.tell("leaving");
+        int most = leaveMs(berth);
+        machine.loop().schedule(() -> System.exit(0), most + Math.min(500, most / 10), TimeUnit.MILLISECONDS);
+        vow.yield(leavingAt);
+        members.leave(leavingAt);
+    }
+
+    /** Ends the process once the others go on without it and the calls under way have their answers. */
+    private void depart(long now) {
+        if (leftAt < 0 && members.left()) {
+            leftAt = now;
+        }
+        boolean still = leftAt < 0 || !operators.idle();
+        if (!still && now - leftAt >= LAST_WORDS && now - leavingAt >= STAY) {
+            TALE.tell("left", "ms", now - leavingAt);
+            System.exit(0);
         }
     }
 
@@ -182,13 +217,13 @@
         @Override
         public boolean leading() {
             Status status = members.status();
-            return status.leading() && status.inForce();
+            return status.leading() && status.inForce() || members.handsOver();
         }
 
         @Override
         public String leader() {
-            Status status = members.status();
-            return status.leader() == null || status.leader().address().equals(address) ? null : status.leader().address();
+            String leader = members.leader();
+            return address.equals(leader) ? null : leader;
         }
 
         @Override
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -100,10 +100,22 @@
 
     private void show(Call call) {
         if (!sendOn(call)) {
-            confirm(() -> call.give(200, charter.creed().json()), () -> call.refuse(503, "keep.unsure", "may not be the newest"));
+            confirm(() -> call.give(200, charter.creed().json()), () -> unsure(call, "may not be the newest"));
         }
     }
 
+    /** Another leads by now, or this member can't know. */
+    private void unsure(Call call, String why) {
+        if (!sendOn(call)) {
+            call.refuse(503, "keep.unsure", why);
+        }
+    }
+
+    /** Whether no call waits for its answer. */
+    boolean idle() {
+        return under == null && line.isEmpty() && asked.isEmpty();
+    }
+
     private void confirm(Runnable yes, Runnable no) {
         asked.put(++token, new Runnable[] {yes, no});
         order.confirm(token);
@@ -153,7 +165,7 @@
             answer(change, verdict);
         } else {
             Verdict known = verdict;
-            confirm(() -> answer(change, known), () -> change.call.refuse(503, "keep.unsure", "not sure to know the newest"));
+            confirm(() -> answer(change, known), () -> unsure(change.call, "not sure to know the newest"));
         }
     }
 
@@ -168,6 +180,8 @@
                 "revision", charter.creed().revision());
             if (outcome == Outcome.COMMITTED && delivered != null) {
                 answer(change, delivered);
+            } else if (outcome == Outcome.REFUSED && sendOn(change.call)) {
+                TALE.tell("sent on", "revision", charter.creed().revision());
             } else {
                 change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
             }
--- a/src/main/java/brambletray/tray/view/Confirms.java
+++ b/src/main/java/brambletray/tray/view/Confirms.java
@@ -77,7 +77,7 @@
             Round round = all.next();
             if (may) ask(round);
             boolean yes = may && done(round);
-            if (!yes && desk.now <= round.until) continue;
+            if (!yes && desk.now <= round.until && !(desk.leaving && members.fallen())) continue;
             all.remove();
             round.target = yes ? 1 : -1;
             over.add(round);
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -39,6 +39,8 @@
     long now;
     /** This process is about to end. */
     boolean leaving;
+    /** It leads and is about to hand over: what is under way is finished, nothing more is begun. */
+    boolean draining;
     /** Transfers begun in this process. */
     long hauls;
     /** Called when the state above has jumped by a snapshot. */
@@ -179,7 +181,7 @@
 
     Frame.Told told(Ballot ballot) {
         return new Frame.Told(ballot, me, view == null ? View.NOTHING : view, inForce, log.end(), log.endView(), commit,
-                ill() || leaving, List.copyOf(dead));
+                ill(), List.copyOf(dead));
     }
 
     static String names(List<Member> members) {
--- a/src/main/java/brambletray/tray/view/Ear.java
+++ b/src/main/java/brambletray/tray/view/Ear.java
@@ -87,7 +87,7 @@
             knocking.piece(piece);
             if (members.changing() != null) members.changing().piece(piece);
         } else if (frame instanceof Frame.Bye bye) {
-            if (desk.view != null && desk.view.ballot().equals(bye.view())) members.bye(bye.life());
+            members.bye(from, bye);
         } else if (frame instanceof Frame.Ask ask) confirms.asked(from, ask);
         else if (frame instanceof Frame.Same same) confirms.same(same);
     }
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -52,9 +52,14 @@
         hintAt = Long.MIN_VALUE / 2;
     }
 
-    /** The leader is about to end. */
+    /** The leader is about to end: the next in rank takes over at once. */
     void bye() {
-        byeAt = desk.now;
+        if (byeAt < 0) byeAt = desk.now;
+    }
+
+    /** Whether the leader has said that it is about to end. */
+    boolean released() {
+        return byeAt >= 0;
     }
 
     /** No attempt of our own before this span is over. */
@@ -190,6 +195,11 @@
     void install(String from, Frame.Install install, Log base) {
         View next = install.view();
         if (!next.has(desk.me.life())) return;
+        if (desk.leaving && (desk.view == null || left != null)) {
+            // let in by a knock that is older than its leaving: nobody is to wait for it
+            desk.out.send(from, new Frame.Unfit(next.ballot(), desk.me.life()));
+            return;
+        }
         if (desk.promised.above(next.ballot())) {
             desk.out.send(from, new Frame.Nay(next.ballot(), desk.promised, false));
             return;
--- a/src/main/java/brambletray/tray/view/Gate.java
+++ b/src/main/java/brambletray/tray/view/Gate.java
@@ -21,6 +21,8 @@
     private final Members members;
     private final Map<Long, Frame.Knock> waiting = new LinkedHashMap<>();
     private final Map<Long, Long> waitingAt = new HashMap<>();
+    /** When newcomers that haven't got the state yet were heard last. */
+    private final Map<Long, Long> arriving = new HashMap<>();
     private final Map<String, Penalty> penalties = new HashMap<>();
     private final Map<String, Long> asked = new HashMap<>();
     private long nonce;
@@ -47,7 +49,11 @@
         }
         boolean fit = near(desk.log.since(knock.end(), knock.endView(), knock.commit()));
         desk.out.send(from, new Frame.Come(desk.view, fit));
-        if (!fit) return;
+        if (!fit) {
+            if (arriving.size() < MOST) arriving.put(who.life(), desk.now);
+            return;
+        }
+        arriving.remove(who.life());
         Penalty penalty = penalties.get(who.address());
         if (penalty != null && desk.now < penalty.until()) return;
         if (waiting.size() >= MOST && !waiting.containsKey(who.life())) return;
@@ -117,8 +123,16 @@
         return new LinkedHashMap<>(waiting);
     }
 
+    /** Whether a newcomer is on its way that hasn't got the state yet. */
+    boolean expecting() {
+        arriving.values().removeIf(at -> desk.now - at > WAIT_MS);
+        arriving.keySet().removeIf(life -> desk.view.has(life) || desk.dead.contains(life));
+        return !arriving.isEmpty();
+    }
+
     void clear() {
         waiting.clear();
         waitingAt.clear();
+        arriving.clear();
     }
 }
--- a/src/main/java/brambletray/tray/view/Leading.java
+++ b/src/main/java/brambletray/tray/view/Leading.java
@@ -15,6 +15,7 @@
     private static final int RESEND_MS = 200;
     private static final int WELL_MS = 350;
     private static final int STOPPED_MS = 300;
+    private static final int REST_MS = 100;
     private static final int CALL_BEATS = 10;
     private static final int CALL_MS = 30_000;
     private static final int RECENT = 1024;
@@ -79,6 +80,8 @@
         if (!desk.works(view.ballot())) return false;
         Given given = new Given(origin, token);
         if (recent.contains(given)) return true;
+        // what is under way is to be kept before another leads: nothing more is begun
+        if (desk.draining) return false;
         if (desk.log.end() - desk.commit >= OPEN_ENTRIES || desk.quill.crowded(4 << 20)) return false;
         recent.add(given);
         if (recent.size() > RECENT + OPEN_ENTRIES) recent.remove(recent.iterator().next());
@@ -144,6 +147,14 @@
         if (all > desk.commit || desk.delivered < desk.commit) desk.commitTo(all);
     }
 
+    /**
+     * Whether the view has been in force for a while, so that a planned change of it (a newcomer, a leave) doesn't follow so close on the
+     * last that callers feel both as one pause.
+     */
+    boolean rested() {
+        return desk.now - since >= REST_MS;
+    }
+
     void gone(String address) {
         for (Peer peer : peers.values()) {
             if (peer.member.address().equals(address)) peer.hintAt = desk.now;
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -32,6 +32,9 @@
     private Leading leading;
     private Changing changing;
     private long tickAt;
+    /** When each member that is about to end first said so. */
+    private final Map<Long, Long> leavers = new LinkedHashMap<>();
+    private Leaving leaving;
 
     /**
      * @param address      of this machine's control-plane, as the others call it
@@ -111,6 +114,7 @@
     }
 
     private void leave() {
+        if (leaving != null && born) leaving.tick();
         if (leading != null) leading.flush();
         desk.quill.flush(desk.now);
     }
@@ -120,12 +124,9 @@
         if (changing != null && changing.asking() && leading == null && following.calm() && !desk.stopped()) {
             drop("the leader is heard again", 0);
         }
-        if (changing != null || desk.view == null || desk.ill() || desk.leaving) return;
+        if (changing != null || desk.view == null || desk.ill()) return;
         if (leading == null) {
-            if (following.impatient()) {
-                Member leader = desk.view.leader();
-                change(leader == null || leader.life() == desk.me.life() ? Set.of() : Set.of(leader.life()), Set.of(), "leader silent");
-            }
+            if (!desk.leaving && following.impatient()) takeOver();
             return;
         }
         Set<Long> silent = leading.silent();
@@ -139,11 +140,50 @@
             change(Set.of(), Set.of(), "a member has stopped");
         } else if (desk.view.members().stream().anyMatch(member -> desk.dead.contains(member.life()))) {
             change(Set.of(), Set.of(), "a disk is lost");
-        } else if (!gate.waiting().isEmpty()) {
-            change(Set.of(), Set.of(), "newcomers");
+        } else if (leading.rested()) {
+            Set<Long> leaves = leaves();
+            if (!gate.waiting().isEmpty()) change(leaves, leaves, "newcomers");
+            else if (!leaves.isEmpty() && !awaited()) change(leaves, leaves, "leaves");
         }
     }
 
+    /** Begins a change in place of a leader that is silent or about to end. */
+    private void takeOver() {
+        Member leader = desk.view.leader();
+        Set<Long> without = leader == null || leader.life() == desk.me.life() ? Set.of() : Set.of(leader.life());
+        boolean released = following.released() && !without.isEmpty();
+        if (released) {
+            // told on before the Stop that follows on the same link: who hasn't heard it would refuse, as the leader is well
+            for (Member member : desk.view.members()) {
+                if (member.life() != desk.me.life()) desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), leader.life()));
+            }
+        }
+        change(without, released ? without : Set.of(), released ? "leader leaves" : "leader silent");
+    }
+
+    /** Members that are about to end, if the rest can go on without them and bears the losses; else none. */
+    private Set<Long> leaves() {
+        leavers.keySet().removeIf(life -> !desk.view.has(life));
+        if (leavers.isEmpty()) return Set.of();
+        List<Member> rest = new ArrayList<>(desk.view.members());
+        rest.removeIf(member -> leavers.containsKey(member.life()));
+        boolean enough = rest.size() > desk.set.losses() && Quorum.enough(desk.view.members(), rest, desk.dead);
+        return enough ? Set.copyOf(leavers.keySet()) : Set.of();
+    }
+
+    /** Whether who is about to end stays, as the one that takes its place is on its way: for half of what the leaver has, at most. */
+    private boolean awaited() {
+        for (long at : leavers.values()) {
+            if (2 * (desk.now - at) > desk.set.leaveMs()) return false;
+        }
+        return gate.expecting();
+    }
+
+    /** Whether a newcomer knocks. */
+    boolean expecting() {
+        return gate.expecting() || !gate.waiting().isEmpty();
+    }
+
     private void change(Set<Long> doubted, Set<Long> shunned, String why) {
         Map<Long, Frame.Knock> newcomers = leading != null ? gate.waiting() : new LinkedHashMap<>();
         changing = new Changing(desk, this, doubted, shunned, newcomers, why);
@@ -193,23 +233,48 @@
         leave();
     }
 
-    /** This process is about to end, as planned (SIGTERM): the others are asked to go on without it, and it doesn't come in again. */
+    /**
+     * This process is about to end, as planned (SIGTERM): others lead and go on without it, and it doesn't come in again.
+     * {@link #left} says when.
+     */
     public void leave(long now) {
         enter(now);
-        desk.leaving = true;
-        if (changing != null && changing.asking()) changing = null;
-        if (desk.view != null) {
-            for (Member member : desk.view.members()) {
-                if (member.life() != desk.me.life()) desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), desk.me.life()));
-            }
+        if (leaving == null) {
+            desk.leaving = true;
+            leaving = new Leaving(desk, this);
         }
         leave();
     }
 
+    /** Whether this process may end: a view without it is in force, or it has waited for as long as it may ({@link Settings#leaveMs}). */
+    public boolean left() {
+        return leaving != null && leaving.over();
+    }
+
+    /** Whether this process led when it was told to end, and doesn't know yet who leads next: callers wait, they have nowhere to go. */
+    public boolean handsOver() {
+        return leaving != null && leaving.handsOver();
+    }
+
+    /** Whether this process has been told to end. */
+    boolean leaving() {
+        return desk.leaving;
+    }
+
     /** A member is about to end. */
-    void bye(long life) {
-        if (leading != null && changing == null) change(Set.of(life), Set.of(life), "leaves");
-        else if (life == desk.view.ballot().who()) following.bye();
+    void bye(String from, Frame.Bye bye) {
+        View view = desk.view;
+        if (view == null) return;
+        if (!view.ballot().equals(bye.view())) {
+            // the view without it is in force, and it hasn't heard of it
+            boolean out = desk.inForce && view.ballot().above(bye.view()) && !view.has(bye.life());
+            if (out) desk.out.send(from, new Frame.Left(view));
+            return;
+        }
+        if (!view.has(bye.life()) || bye.life() == desk.me.life()) return;
+        if (leading != null) leavers.putIfAbsent(bye.life(), desk.now);
+        else if (bye.life() == view.ballot().who()) following.bye();
+        decide();
     }
 
     /** What this member knows. */
@@ -225,10 +290,27 @@
                 desk.inForce && !founding, desk.settled(), desk.commit, desk.delivered, desk.ill());
     }
 
+    /** Control-plane address of the leader of the newest view that is known to be in force, or null: that is where callers are sent. */
+    public String leader() {
+        View view = following.fallen() ? following.left() : desk.view;
+        Member leader = view == null ? null : view.leader();
+        return leader == null ? null : leader.address();
+    }
+
     boolean leading() {
         return leading != null;
     }
 
+    /** Whether this member leads a view that has been in force for a while. */
+    boolean rested() {
+        return leading != null && leading.rested();
+    }
+
+    /** The later view without this member, or null. */
+    View without() {
+        return following.left();
+    }
+
     boolean well() {
         return leading != null && leading.well() && !desk.leaving;
     }
--- a/src/main/java/brambletray/tray/view/Proposals.java
+++ b/src/main/java/brambletray/tray/view/Proposals.java
@@ -79,7 +79,8 @@
 
     void tick() {
         if (pending.isEmpty()) return;
-        end(item -> desk.now > item.until);
+        // who is about to end doesn't come in again: callers are to go on to the others now
+        end(item -> desk.now > item.until || desk.leaving && members.fallen());
         pump();
     }
 
--- a/src/main/java/brambletray/tray/view/Settings.java
+++ b/src/main/java/brambletray/tray/view/Settings.java
@@ -14,14 +14,20 @@
  * @param foundMs    the same, at the founding
  * @param installMs  wait for all members of a proposed view to keep it
  * @param proposeMs  how long a proposal is held before its outcome is called unclear
+ * @param leaveMs    how long a member that is told to end stays at most, so that others go on without it: grace-s less a margin
  */
 public record Settings(int losses, int beatMs, int silentMs, int ackMs, int illMs, int sleepMs, int staggerMs, int gatherMs, int foundMs,
-        int installMs, int proposeMs) {
+        int installMs, int proposeMs, int leaveMs) {
     /** Most members of a view. */
     static final int MOST = 9;
 
-    /** The usual spans. */
+    /** The usual spans, with the shortest grace-s of all deployments, 6 s, less a margin. */
     public static Settings usual(int losses) {
-        return new Settings(losses, 100, 700, 1000, 700, 400, 200, 150, 1500, 700, 3000);
+        return usual(losses, 5000);
+    }
+
+    /** The usual spans, and how long a member that is told to end stays at most. */
+    public static Settings usual(int losses, int leaveMs) {
+        return new Settings(losses, 100, 700, 1000, 700, 400, 200, 150, 1500, 700, 3000, leaveMs);
     }
 }
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -17,7 +17,7 @@
     private static final int STEP_MS = 400;
     private static final String[] NAMES = {"a", "b", "c"};
     private static final int FAR = 1_000_000_000;
-    private static final Settings SETTINGS = new Settings(1, FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR);
+    private static final Settings SETTINGS = new Settings(1, FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR, FAR);
 
     /** What may still happen: impatience, losses of power, losses of disks. */
     record Purse(int impatience, int power, int disks) {
--- a/src/test/java/brambletray/tray/view/Oracle.java
+++ b/src/test/java/brambletray/tray/view/Oracle.java
@@ -22,6 +22,7 @@
     private final SimWorld world;
     /** What was delivered anywhere, by place. */
     final TreeMap<Long, String> order = new TreeMap<>();
+    private final Set<String> ordered = new HashSet<>();
     final Set<String> acknowledged = new HashSet<>();
     final Set<String> refused = new HashSet<>();
     private final Map<Long, String> proposed = new HashMap<>();
@@ -97,6 +98,7 @@
 
     void delivered(SimNode node, long index, String text) {
         String other = order.putIfAbsent(index, text);
+        ordered.add(text);
         if (other != null && !other.equals(text)) fail(node.address + " delivers " + text + " at " + index + ", others " + other);
         if (refused.contains(text)) fail(text + " was refused and is delivered");
     }
@@ -112,10 +114,10 @@
     void outcome(SimNode node, long token, Outcome outcome) {
         String text = proposed.get(token);
         if (outcome == Outcome.COMMITTED) {
-            if (!order.containsValue(text)) fail(text + " acknowledged but not in the order");
+            if (!ordered.contains(text)) fail(text + " acknowledged but not in the order");
             acknowledged.add(text);
         } else if (outcome == Outcome.REFUSED) {
-            if (order.containsValue(text)) fail(text + " refused but in the order");
+            if (ordered.contains(text)) fail(text + " refused but in the order");
             refused.add(text);
         } else {
             unclear++;
@@ -134,7 +136,7 @@
         if (!yes) return;
         confirmedOk++;
         for (String text : must) {
-            if (!node.state.contains(text)) fail(node.address + " reads without " + text + ", acknowledged before");
+            if (!node.has.contains(text)) fail(node.address + " reads without " + text + ", acknowledged before");
         }
     }
 
@@ -142,7 +144,7 @@
     void end(List<SimNode> live) {
         for (String text : acknowledged) {
             for (SimNode node : live) {
-                if (!node.state.contains(text)) fail(node.address + " has lost " + text);
+                if (!node.has.contains(text)) fail(node.address + " has lost " + text);
             }
         }
         List<String> first = new ArrayList<>(live.get(0).state);
--- /dev/null
+++ b/src/test/java/brambletray/tray/view/PausesTest.java
@@ -0,0 +1,202 @@
+package brambletray.tray.view;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/**
+ * How long nothing is acknowledged, and no read is confirmed, when a member leaves as planned, comes back, is replaced, and when another is
+ * lost for good after that: seeded courses, the longest stretch of each. {@code -Dview.pauses=N} plays N courses of each kind (200 for
+ * the figures of docs/control.md), {@code -Dview.pause=S} one and tells; {@code -Dview.base=true} measures and holds nothing.
+ */
+class PausesTest {
+    private static final int COURSES = 20;
+    /** ms between two calls, in turn at all members that are up. */
+    private static final int CALL_MS = 10;
+    /** ms from the end of a process to its next start, and from the start of a replacement to when the leaver is told: at most. */
+    private static final int AWAY_MS = 1500;
+    /** A machine counts as lost until so long, in ms, after its return; a second loss comes right after. */
+    private static final int SYNC_MS = 4000;
+
+    /** What happens to the first machine. */
+    private enum Trouble { KILLED, LEAVES, REPLACED, REPLACED_THEN_LOSS }
+
+    /** One course: machines, calls all the time, the longest stretches without an answer. */
+    private static final class Course {
+        final SimWorld world;
+        final Random random;
+        final List<SimNode> live = new ArrayList<>();
+        int calls;
+        long ackedAt;
+        long readAt;
+        int acked;
+        int read;
+        long longestAck;
+        long longestRead;
+
+        Course(long seed, int machines, boolean talks) {
+            random = new Random(seed);
+            world = new SimWorld(seed, Settings.usual(machines / 2));
+            world.talks = talks;
+            List<String> seeds = List.of("a", "b", "c");
+            for (int i = 0; i < machines; i++) {
+                SimNode node = world.node(String.valueOf((char) ('a' + i)), seeds);
+                node.initial = true;
+                live.add(node);
+            }
+            live.forEach(SimNode::start);
+            world.await(() -> allIn(machines), 8000, "founding");
+            live.forEach(node -> node.initial = false);
+            play(300);
+            reset();
+        }
+
+        boolean allIn(int machines) {
+            SimNode leader = world.leader();
+            return leader != null && leader.members.status().members().size() == machines
+                    && live.stream().allMatch(node -> node.up() && node.members.status().standing() == Standing.MEMBER);
+        }
+
+        /** Calls for so long. */
+        void play(long span) {
+            long end = world.now + span;
+            while (world.now < end) {
+                if (world.now % CALL_MS == 0) call();
+                world.until(world.now + 1);
+                look();
+            }
+        }
+
+        private void call() {
+            SimNode node = live.get(++calls % live.size());
+            if (!node.up()) return;
+            world.oracle.propose(node);
+            world.oracle.confirm(node);
+        }
+
+        private void look() {
+            if (world.oracle.acknowledged.size() > acked) ackedAt = world.now;
+            if (world.oracle.confirmedOk > read) readAt = world.now;
+            acked = world.oracle.acknowledged.size();
+            read = world.oracle.confirmedOk;
+            longestAck = Math.max(longestAck, world.now - ackedAt);
+            longestRead = Math.max(longestRead, world.now - readAt);
+        }
+
+        void reset() {
+            ackedAt = world.now;
+            readAt = world.now;
+            longestAck = 0;
+            longestRead = 0;
+        }
+
+        /** SIGTERM, and the end of the process. */
+        void leave(SimNode node) {
+            node.members.leave(world.now);
+            ends(node, node.boot);
+        }
+
+        private void ends(SimNode node, int boot) {
+            world.later(world.now + 50, () -> {
+                if (node.boot != boot || !node.up()) return;
+                if (node.members.left()) node.kill(false);
+                else ends(node, boot);
+            });
+        }
+
+        SimNode victim() {
+            SimNode leader = world.leader();
+            if (random.nextBoolean()) return leader;
+            return live.stream().filter(node -> node != leader).toList().get(random.nextInt(live.size() - 1));
+        }
+
+        void newcomer(int in) {
+            SimNode next = world.node("n" + live.size() + world.nodes.size(), List.of("a", "b", "c"));
+            live.add(next);
+            world.later(world.now + in, next::start);
+        }
+
+        /** Stretches of the trouble and of the return: acknowledgement, read, acknowledgement, read. */
+        long[] play(Trouble trouble) {
+            int machines = live.size();
+            SimNode first = victim();
+            long[] all = new long[4];
+            if (trouble == Trouble.REPLACED || trouble == Trouble.REPLACED_THEN_LOSS) {
+                newcomer(0);
+                play(random.nextInt(AWAY_MS));
+                leave(first);
+                play(SYNC_MS);
+                live.remove(first);
+                world.await(() -> allIn(machines), 1, "the replacement is in after sync-s");
+            } else if (trouble == Trouble.LEAVES) {
+                leave(first);
+                play(AWAY_MS);
+            } else {
+                first.kill(false);
+                play(AWAY_MS);
+            }
+            all[0] = longestAck;
+            all[1] = longestRead;
+            reset();
+            if (trouble == Trouble.REPLACED_THEN_LOSS) {
+                SimNode second = victim();
+                second.kill(true);
+                second.wipe();
+                live.remove(second);
+                newcomer(1000);
+                play(SYNC_MS);
+                world.await(() -> allIn(machines), 1000, "after a second loss");
+            } else if (live.contains(first)) {
+                if (first.up()) first.kill(false);
+                first.start();
+                play(SYNC_MS);
+                world.await(() -> allIn(machines), 1, "back after sync-s");
+            }
+            all[2] = longestAck;
+            all[3] = longestRead;
+            world.until(world.now + 500);
+            world.oracle.end(live);
+            return all;
+        }
+    }
+
+    @Test
+    void aPlannedLeavePausesForLessThanATenthOfASecond() {
+        int courses = Integer.getInteger("view.pauses", COURSES);
+        Long only = Long.getLong("view.pause");
+        for (int machines = 3; machines <= 5; machines += 2) {
+            for (Trouble trouble : Trouble.values()) {
+                List<List<Long>> stretches = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+                for (long seed = only == null ? 1 : only; seed <= (only == null ? courses : only); seed++) {
+                    Course course = new Course(seed, machines, only != null);
+                    try {
+                        long[] some = course.play(trouble);
+                        for (int i = 0; i < some.length; i++) stretches.get(i).add(some[i]);
+                    } catch (AssertionError | RuntimeException e) {
+                        course.world.tales.forEach(System.out::println);
+                        throw new AssertionError(machines + " " + trouble + " seed " + seed + ": " + e.getMessage(), e);
+                    }
+                    if (only != null) course.world.tales.forEach(System.out::println);
+                }
+                System.out.println("pauses " + machines + " " + trouble + " (50 %, 99 %, worst; ms): ack " + figures(stretches.get(0))
+                        + ", read " + figures(stretches.get(1)) + "; after it: ack " + figures(stretches.get(2)) + ", read "
+                        + figures(stretches.get(3)));
+                if (!Boolean.getBoolean("view.base") && trouble != Trouble.KILLED) check(stretches.get(0), stretches.get(1));
+            }
+        }
+    }
+
+    private static void check(List<Long> acks, List<Long> reads) {
+        assertTrue(Collections.max(acks) < 100 && Collections.max(reads) < 100, "paused for " + Collections.max(acks) + " and "
+                + Collections.max(reads) + " ms");
+    }
+
+    private static String figures(List<Long> all) {
+        Collections.sort(all);
+        return all.get(all.size() / 2) + " " + all.get(Math.min(all.size() - 1, all.size() * 99 / 100)) + " " + all.get(all.size() - 1);
+    }
+}
--- a/src/test/java/brambletray/tray/view/Picture.java
+++ b/src/test/java/brambletray/tray/view/Picture.java
@@ -12,10 +12,11 @@
  * ^        starts                       X        its process is killed          XX     its machine loses power
  * W        loses power and disk         z500     is frozen for 500 ms           ~  ~b  is cut from all, from b
  * ~&gt;b      its frames to b are cut       -        all its links are well again
- * bye      is about to end, as planned
+ * bye      is about to end, as planned          left     may end now               stays  may not end yet
  * full     its disk refuses writes      hung900  its disk hangs for 900 ms      slow90 its disk takes 90 ms      well  its disk is well again
  * +x       proposes x                   ?        asks whether it reads the newest
- * X@Stop   is killed as it is about to send its next Stop; XX@, W@, ~b@ likewise; X&gt;Stop: once it is sent; X&lt;Told: once it has heard one
+ * X@Stop   is killed as it is about to send its next Stop; XX@, W@, ~b@ likewise; X&gt;Stop: once it is sent; X&lt;Told: once it has
+ *          heard one; bye&lt; likewise
  * =x       has x                        !x       hasn't x                       ok:x   x was acknowledged        no:x  x wasn't (yet)
  * L M S K  leads, is a member, has stopped, knocks; L2, M3: in a view of so many        V1       the view's number is 1
  * .        nothing
@@ -136,7 +137,7 @@
         Trap later = trap(from, '>', frame);
         if (later != null) {
             traps.remove(later);
-            world.later(world.now, () -> end(from, later.how));
+            world.later(world.now, () -> act(from, later.how, ' '));
         }
         return true;
     }
@@ -145,7 +146,7 @@
         Trap trap = trap(node, '<', frame);
         if (trap == null) return;
         traps.remove(trap);
-        end(node, trap.how);
+        act(node, trap.how, ' ');
     }
 
     private Trap trap(SimNode node, char when, Object frame) {
@@ -180,6 +181,7 @@
         if (word.startsWith("no:")) return !world.oracle.acknowledged.contains(text(word.substring(3)));
         if (word.startsWith("=")) return node.state.contains(text(word.substring(1)));
         if (word.startsWith("!")) return !node.state.contains(text(word.substring(1)));
+        if (word.equals("left") || word.equals("stays")) return node.members.left() == word.equals("left");
         if (word.equals("?ok")) return world.oracle.confirmedOk > confirms;
         if (!word.matches("[LMSKV]\\d?")) return true;
         if (!node.up()) return false;
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -30,6 +30,8 @@
     public long frozenUntil;
     /** What this process has delivered, by place; places before the first are in the snapshot. */
     public final List<String> state = new ArrayList<>();
+    /** The same, to look a change up. */
+    final java.util.Set<String> has = new java.util.HashSet<>();
     long delivered;
     boolean down = true;
     final List<Runnable> deferred = new ArrayList<>();
@@ -47,6 +49,7 @@
         frozenUntil = 0;
         deferred.clear();
         state.clear();
+        has.clear();
         delivered = 0;
         long fresh = world.random.nextLong() | 1;
         Kept kept = Kept.read(disk.kept);
@@ -138,11 +141,13 @@
         @Override
         public void restore(byte[] snapshot) {
             state.clear();
+            has.clear();
             delivered = 0;
             if (snapshot.length == 0) return;
             String[] lines = new String(snapshot, StandardCharsets.UTF_8).split("\n");
             delivered = Long.parseLong(lines[0].split(" ")[0]);
             for (int i = 1; i < lines.length; i++) state.add(lines[i]);
+            has.addAll(state);
         }
 
         @Override
@@ -150,7 +155,7 @@
             if (index != delivered + 1) world.oracle.fail(address + " delivers " + index + " after " + delivered);
             delivered = index;
             String text = new String(change, StandardCharsets.UTF_8);
-            if (state.contains(text)) world.oracle.fail(address + " delivers " + text + " twice");
+            if (!has.add(text)) world.oracle.fail(address + " delivers " + text + " twice");
             state.add(text);
             world.oracle.delivered(SimNode.this, index, text);
         }
--- a/src/test/java/brambletray/tray/view/Weather.java
+++ b/src/test/java/brambletray/tray/view/Weather.java
@@ -77,6 +77,7 @@
         world.heal();
         // those that are about to end, as planned, do
         world.until(world.now + 350);
+        world.await(() -> live.stream().noneMatch(node -> node.up() && node.members.leaving()), 6000, "those that leave have left");
         for (SimNode node : live) {
             if (!node.up()) node.start();
         }
@@ -121,6 +122,19 @@
         return live.get(random.nextInt(live.size()));
     }
 
+    /** A process that has been told to end does so once it may, and is started again. */
+    private void ends(SimNode node, int boot) {
+        world.later(world.now + 50, () -> {
+            if (node.boot != boot || !node.up()) return;
+            if (!node.members.left()) {
+                ends(node, boot);
+                return;
+            }
+            node.kill(false);
+            restart(node, 500);
+        });
+    }
+
     private void restart(SimNode node, int ms) {
         int boot = node.boot;
         world.later(world.now + ms, () -> {
@@ -155,13 +169,10 @@
             }
             case 10 -> wipe(node);
             case 12 -> {
-                if (node.up()) node.members.leave(world.now);
-                int boot = node.boot;
-                world.later(world.now + 300, () -> {
-                    if (node.boot != boot || !node.up()) return;
-                    node.kill(false);
-                    restart(node, 500);
-                });
+                if (node.up()) {
+                    node.members.leave(world.now);
+                    ends(node, node.boot);
+                }
             }
             case 11 -> {
                 world.link(node.address, other.address).loss = random.nextDouble();
