--- a/src/main/java/brambletray/tray/carry/Tether.java
+++ b/src/main/java/brambletray/tray/carry/Tether.java
@@ -2,9 +2,10 @@
 
 import brambletray.runtime.Machine;
 import brambletray.tray.berth.Address;
+import brambletray.tray.news.Chunk;
 import brambletray.tray.news.Iam;
-import brambletray.tray.news.News;
 import brambletray.tray.news.Pulse;
+import brambletray.tray.news.RosterFetch;
 import brambletray.tray.ring.Roster;
 import brambletray.tray.ring.Welcome;
 import brambletray.tray.speech.Dialler;
@@ -16,14 +17,30 @@
 import java.util.List;
 
 /**
- * An edge's link to the holder of the helm. Any member of the core says who that is; a holder that stops pulsing is left for the next member
- * that answers. For the loop only.
+ * An edge's link to the holder of the helm. Any member of the core says who that is, and says it again as soon as that changes; a holder
+ * that stops pulsing, or says that its lease has run out, is left for the next member that answers. For the loop only.
+ *
+ * <p>Terms fence it: the highest one seen in this life is remembered across links and told in each Hello. A helm of a lower term is not
+ * attached to and a hint to one is not followed; what a helm says counts only on a link on which it has pulsed, and only under the term
+ * of that pulse.
  */
 final class Tether implements Handler {
     private static final Tale TALE = Tale.of("carry");
-    /** ms without a pulse after which the helm is looked for elsewhere; and how long one member is given to say where. */
-    private static final int ADRIFT = 1_000, TRY = 400;
-    private static final int KNOWN = 16;
+    /** ms without a sign of life after which the helm is looked for elsewhere; it pulses four times in that. */
+    private static final int ADRIFT = 1_000;
+    /** ms between two ticks from which on this process itself has slept, and what the helm said may lie unread. */
+    private static final int SLEPT = 500;
+    /** ms after which a roster that was asked for is asked for again. */
+    private static final int ROSTER = 1_000;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    /** ms that a member is given to come up and say where the helm is, and the helm to pulse. */
+    private static final int TRY = 400;
+    /** ms to stay with a member that is in touch with the others and knows of no helm: it says so as soon as there is one. */
+    private static final int WAIT = 1_000;
+    /** ms to stay with a member that is out of touch: it may be cut off from the rest for long, or a view may be about to begin. */
+    private static final int SHORT = 150;
+    /** ms for which a helm that did not pulse, or let us go, is not returned to on others' word, which may be as old as its lease. */
+    private static final int AVOID = 600;
 
     /** What an edge does with what it hears. */
     interface Ear {
@@ -34,52 +51,57 @@
 
         void roster(Roster roster);
 
-        void news(News news);
+        /** The helm says which configuration is the newest. */
+        void newest(long revision);
+
+        /** A part of it, as was fetched. */
+        void chunk(Chunk chunk);
 
         /** Everything else that the helm says. */
         void heard(Object frame);
 
         /** A helm has been found: of this term; the first word to it is still to be said. */
         void attached(long term);
-
-        long revision();
     }
 
+    private record Avoided(Address helm, long term, long until) { }
+
     private final Machine machine;
     private final Speech speech;
     private final Iam self;
     private final Ear ear;
-    private final List<Address> known = new ArrayList<>();
+    private final Candidates candidates;
     private Dialler dialler;
-    private int next;
     private long since;
+    /** ms from {@link #since} until the next member is asked. */
+    private int patience = TRY;
+    private Avoided avoided = new Avoided(null, 0, Long.MIN_VALUE / 2);
     private long pulsed = Long.MIN_VALUE / 2;
     private long term;
     private boolean attached;
-    private long asked;
+    private long ticked = Long.MIN_VALUE / 2;
+    /** When the roster was asked for, and hasn't come; ms. */
+    private long rosterAsked = NEVER;
 
     Tether(Machine machine, Speech speech, Iam self, List<Address> members, int turn, Ear ear) {
         this.machine = machine;
         this.speech = speech;
         this.self = self;
         this.ear = ear;
+        this.candidates = new Candidates(turn);
         members(members);
-        this.next = Math.floorMod(turn, Math.max(1, known.size()));
     }
 
-    /** Further members of the core, as the settings name them. */
+    /** Members of the core, as the settings name them now. */
     void members(List<Address> members) {
-        for (Address member : members) {
-            if (!known.contains(member)) {
-                known.add(member);
-            }
-        }
+        candidates.seeds(members);
     }
 
     boolean attached() {
         return attached;
     }
 
+    /** The highest that any helm has spoken under to this process; 0: none yet. */
     long term() {
         return term;
     }
@@ -90,23 +112,34 @@
     }
 
     void tick(long now) {
+        if (now - ticked > SLEPT) {
+            pulsed = Math.max(pulsed, now - SLEPT);
+        }
+        ticked = now;
         if (attached && now - pulsed > ADRIFT) {
-            attached = false;
-            TALE.tell("adrift", "term", term, "why", "no pulse for " + (now - pulsed) + " ms");
+            adrift("no pulse for " + (now - pulsed) + " ms", now);
             turn(now);
-        } else if (!attached && (dialler == null || now - since > TRY)) {
+        } else if (!attached && (dialler == null || now - since > patience)) {
             turn(now);
         }
     }
 
+    private void adrift(String why, long now) {
+        attached = false;
+        avoided = new Avoided(dialler.to(), term, now + AVOID);
+        candidates.again();
+        TALE.tell("adrift", "helm", dialler.to(), "term", term, "why", why);
+    }
+
     private void turn(long now) {
-        if (!known.isEmpty()) {
-            to(known.get(next++ % known.size()), now);
+        Address next = candidates.next(dialler == null ? null : dialler.to());
+        if (next != null) {
+            to(next, now);
         }
     }
 
     private void to(Address member, long now) {
-        since = now;
+        stay(TRY, now);
         if (dialler != null && dialler.to().equals(member)) {
             dialler.hurry();
             if (dialler.up()) {
@@ -120,6 +153,11 @@
         dialler = new Dialler(machine, speech, member, this, now ^ member.hashCode());
     }
 
+    private void stay(int ms, long now) {
+        since = now;
+        patience = ms;
+    }
+
     private long now() {
         return machine.clock().nanos() / 1_000_000;
     }
@@ -141,34 +179,62 @@
         } else if (frame instanceof Pulse pulse) {
             pulse(pulse, now);
         } else if (frame instanceof Roster roster) {
-            ear.roster(roster);
-        } else if (frame instanceof News news) {
-            ear.news(news);
-        } else {
+            if (counts(roster.term(), frame)) {
+                pulsed = now;
+                rosterAsked = NEVER;
+                ear.roster(roster);
+            }
+        } else if (frame instanceof Chunk chunk) {
+            if (counts(chunk.term(), frame)) {
+                // Said by a helm that may act, as a pulse is.
+                pulsed = now;
+                ear.chunk(chunk);
+            }
+        } else if (counts(term, frame)) {
             ear.heard(frame);
         }
     }
 
+    /** Whether a frame under this term has authority here and now. */
+    private boolean counts(long under, Object frame) {
+        boolean yes = attached && under == term;
+        if (!yes) {
+            TALE.tell("not taken", "frame", frame.getClass().getSimpleName(), "from", dialler.to(), "its term", under, "term", term,
+                "attached", attached);
+        }
+        return yes;
+    }
+
     private void welcome(Welcome welcome, long now) {
-        if (welcome.lacks(ear.roster())) {
+        List<Address> members = new ArrayList<>();
+        welcome.members().forEach(member -> members.add(Address.parse(member)));
+        candidates.members(welcome.view(), members);
+        boolean named = !welcome.helmAddress().isEmpty() && welcome.term() >= term;
+        Address helm = named ? Address.parse(welcome.helmAddress()) : null;
+        boolean here = named && helm.equals(dialler.to());
+        if (here && welcome.lacks(ear.roster())) {
             dialler.say(ear.roster());
         }
-        if (welcome.helmAddress().isEmpty() || attached) {
+        if (attached && named && welcome.term() == term) {
             return;
         }
-        Address helm = Address.parse(welcome.helmAddress());
-        if (!helm.equals(dialler.to())) {
-            known.remove(helm);
-            known.add(0, helm);
-            while (known.size() > KNOWN) {
-                known.remove(known.size() - 1);
-            }
+        if (attached) {
+            adrift(named ? "it names another helm" : "its lease has run out", now);
+        }
+        if (here) {
+            stay(TRY, now);
+        } else if (!named) {
+            stay(welcome.inTouch() ? WAIT : SHORT, now);
+        } else if (helm.equals(avoided.helm()) && welcome.term() == avoided.term() && now < avoided.until()) {
+            stay((int) (avoided.until() - now), now);
+        } else {
             to(helm, now);
         }
     }
 
     private void pulse(Pulse pulse, long now) {
         if (pulse.term() < term) {
+            TALE.tell("not taken", "frame", "Pulse", "from", dialler.to(), "its term", pulse.term(), "term", term, "attached", attached);
             return;
         }
         boolean fresh = !attached || pulse.term() > term;
@@ -177,22 +243,23 @@
         attached = true;
         if (fresh) {
             TALE.tell("attached", "helm", dialler.to(), "term", term);
+            rosterAsked = NEVER;
             ear.attached(term);
         }
-        boolean behind = pulse.revision() > ear.revision()
-            || pulse.roster() > 0 && (ear.roster().term() != pulse.term() || ear.roster().number() < pulse.roster());
-        if (behind && now - asked > 300) {
-            asked = now;
-            dialler.say(ear.hello());
+        ear.newest(pulse.revision());
+        Roster roster = ear.roster();
+        boolean behind = pulse.roster() > 0 && (roster.term() != pulse.term() || roster.number() < pulse.roster());
+        if (behind && now - rosterAsked > ROSTER) {
+            rosterAsked = now;
+            dialler.say(new RosterFetch(roster.term(), roster.number()));
         }
     }
 
     @Override
     public void down(Link link, String why) {
-        if (attached) {
-            attached = false;
-            TALE.tell("adrift", "term", term, "why", why);
-            since = now();
+        if (attached && dialler.link() == null) {
+            adrift(why, now());
+            stay(SHORT, now());
         }
     }
 }
--- a/src/main/java/brambletray/tray/flow/ClientDecoder.java
+++ b/src/main/java/brambletray/tray/flow/ClientDecoder.java
@@ -16,8 +16,8 @@
 import java.util.List;
 
 /**
- * Reads requests strictly: two lengths, and a header that goes on in the next line, are how one request hides in another (rule UNASKED), and are
- * malformed here.
+ * Reads requests strictly: two lengths, and a header that goes on in the next line, are how one request hides in another (rule UNASKED),
+ * and are malformed here.
  */
 final class ClientDecoder extends HttpRequestDecoder {
     private static final int PIECE_MOST = 64 * 1024;
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -40,8 +40,9 @@
     private int waiting, trips;
 
     /**
-     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls are inner
-     * ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the shares of routes.
+     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls
+     * are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the
+     * shares of routes.
      */
     public Flow(Machine machine, String edge, String zone, Supplier<Creed> creed, Broker broker, Predicate<String> isHost, Lines lines,
                 Tally tally, long mostBytes, long seed) {
--- a/src/main/java/brambletray/tray/flow/Heads.java
+++ b/src/main/java/brambletray/tray/flow/Heads.java
@@ -54,7 +54,9 @@
         return end(out);
     }
 
-    /** An answer of ours, with the fault's code in its body. {@code comeBackMs}: -1 for no {@code Retry-After}; {@code id}: null for none. */
+    /**
+     * An answer of ours, with the fault's code in its body. {@code comeBackMs}: -1 for no {@code Retry-After}; {@code id}: null for none.
+     */
     static ByteBuf own(ByteBufAllocator memory, int status, String reason, String code, int comeBackMs, CharSequence id, boolean bare,
                        boolean close) {
         ByteBuf out = status(memory, status, reason);
