--- a/src/test/java/brambletray/tray/flow/Course.java
+++ b/src/test/java/brambletray/tray/flow/Course.java
@@ -131,7 +131,9 @@
     }
 
     private void grant(Waiting one) {
-        TroubledHost host = hosts.get(random.nextInt(hosts.size()));
+        // At times the one that has had it: it may be the only one left.
+        String had = one.ask().avoid().isEmpty() || random.nextBoolean() ? null : one.ask().avoid().get(0);
+        TroubledHost host = had == null ? pick(hosts) : hosts.get(had.charAt(1) - '0');
         // The home knows one place an ask, however often it says so.
         held.put(one.ask().id(), 1);
         one.taker().granted(new Grant(one.ask().id(), host.name, "10.0.1." + (host.name.charAt(1) - '0' + 1) + ":8080",
