--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -21,7 +21,7 @@
  * silent, resets, and cuts a connection after any byte. One thread.
  *
  * <p>What is modelled: bytes arrive in order and once, late by the way's latency; a receiver that does not
- * read stops its sender at {@link #WINDOW}; FIN and RST travel behind the bytes sent before them. What is
+ * read stops its sender at {@link #window}; FIN and RST travel behind the bytes sent before them. What is
  * not: single losses, congestion, MTU beyond {@link #segment}. A cut direction holds bytes up, as
  * retransmission does, until it is joined or the sender gives the connection up. Links carry any amount
  * at once unless a {@link #rate} is set.
@@ -34,7 +34,7 @@
     private final Map<List<InetAddress>, List<Held>> cutWays = new HashMap<>();
     private final Map<Integer, long[]> patience = new HashMap<>();
     private Consumer<InetAddress> whenSent = machine -> { };
-    /** Bytes that may be on the way or unread in one direction of a connection. */
+    /** Bytes that may be on the way or unread in one direction of a connection, where nothing else is set. */
     static final int WINDOW = 64 * 1024;
     /** ns; between the pieces of what was cut, at most. */
     private static final long GAP = TimeUnit.MILLISECONDS.toNanos(3);
@@ -56,7 +56,7 @@
     private final Set<SimChannel> open = new LinkedHashSet<>();
     private Way usual = new Way(0, 0);
     private BiConsumer<SimChannel, SimChannel> whenConnected = (client, server) -> { };
-    private int segment = WINDOW;
+    private int segment = WINDOW, window = WINDOW;
     private double cutShare;
     private SplittableRandom cuts;
     private int nextPort = 32_768;
@@ -93,6 +93,15 @@
         return end;
     }
 
+    /** Bytes on the way or unread in one direction of a connection at most: beyond, writes are partial. */
+    public void window(int bytes) {
+        window = bytes;
+    }
+
+    int window() {
+        return window;
+    }
+
     /** Bytes at most that arrive in one piece; 1 brings every byte by itself. */
     public void segment(int most) {
         segment = most;
@@ -320,7 +329,7 @@
         long there = passed(from.home(), sending, now, bytes) + latency(from.home(), to.home());
         long at = Math.max(to.lastArrival, passed(to.home(), receiving, there, bytes));
         to.lastArrival = at;
-        to.loop().schedule(arrival, at - now, TimeUnit.NANOSECONDS);
+        ((SimLoop) to.loop()).arrive(at, arrival);
     }
 
     /** Brings a connection up, or refuses it; a machine that has vanished does neither. */
