--- a/src/main/java/brambletray/simulation/SimLoop.java
+++ b/src/main/java/brambletray/simulation/SimLoop.java
@@ -19,15 +19,21 @@
 
     private final Ticker ticker;
     /** What is on the way here or unread, in the order of its coming. */
-    private final PriorityQueue<Arrival> arrivals =
-        new PriorityQueue<>(Comparator.comparingLong(Arrival::at).thenComparing(Arrival::number));
+    private final PriorityQueue<Arrival> arrivals = new PriorityQueue<>(
+        Comparator.comparingLong(Arrival::at).thenComparing(Arrival::number));
     private long arrivalsMade;
+    /** On the ticker, ns; {@link Long#MIN_VALUE}: it runs. */
+    private long frozenUntil = Long.MIN_VALUE;
 
     SimLoop(Ticker ticker) {
         super(null, Thread.currentThread(), executor -> new NoIo(), ticker);
         this.ticker = ticker;
     }
 
+    void freeze(long until) {
+        frozenUntil = until;
+    }
+
     /** Something arrives from the network at this time, on the ticker, ns. */
     void arrive(long at, Runnable what) {
         arrivals.add(new Arrival(at, arrivalsMade++, what));
@@ -42,17 +48,27 @@
         }
     }
 
-    /** After it stood still: what has come meanwhile is read before any timer that is late fires. */
-    void catchUp() {
-        for (Arrival arrival : arrivals) {
-            if (arrival.at() <= ticker.nanoTime()) {
-                execute(this::read);
+    /** Does what is due; how much that was. */
+    int step() {
+        if (frozenUntil != Long.MIN_VALUE) {
+            if (ticker.nanoTime() < frozenUntil) {
+                return 0;
+            }
+            frozenUntil = Long.MIN_VALUE;
+            for (Arrival arrival : arrivals) {
+                if (arrival.at() <= ticker.nanoTime()) {
+                    execute(this::read);
+                }
             }
         }
+        return runNow();
     }
 
     /** When its next timer is due, on the ticker, ns; {@link Long#MAX_VALUE} for none. */
     long nextDeadline() {
+        if (frozenUntil != Long.MIN_VALUE) {
+            return frozenUntil;
+        }
         long deadline = nextScheduledTaskDeadlineNanos();
         return deadline < 0 ? Long.MAX_VALUE : deadline;
     }
