--- a/src/main/java/brambletray/tray/flow/Line.java
+++ b/src/main/java/brambletray/tray/flow/Line.java
@@ -14,11 +14,12 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * One connection to a host, one request at a time. An answer counts when it is whole and echoes the request's id; surplus answers are skipped whole;
- * anything else ends the connection, and what it was at is {@link Fate#BROKEN}.
+ * One connection to a host, one request at a time. An answer counts when it is whole and echoes the request's id; surplus answers are
+ * skipped whole; anything else ends the connection, and what it was at is {@link Fate#BROKEN}.
  *
- * <p>It serves another request only when nothing is owed on it in either direction: the request was written to its last byte, its answer was whole,
- * alone and named, nothing came behind it, and neither side has said that it closes. Whatever else ends a request ends its connection.
+ * <p>It serves another request only when nothing is owed on it in either direction: the request was written to its last byte, its answer
+ * was whole, alone and named, nothing came behind it, and neither side has said that it closes. Whatever else ends a request ends its
+ * connection.
  */
 final class Line extends ChannelInboundHandlerAdapter {
     /** Bytes of a body that travel in one piece with their head. */
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -95,10 +95,13 @@
     }
 
     static String header(String head, String name) {
-        for (String line : head.split("\r\n")) {
-            if (line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":")) {
-                return line.substring(name.length() + 1).strip();
+        for (int at = 0; at >= 0 && at < head.length();) {
+            int end = head.indexOf("\r\n", at);
+            int colon = at + name.length();
+            if (head.regionMatches(true, at, name, 0, name.length()) && colon < head.length() && head.charAt(colon) == ':') {
+                return head.substring(colon + 1, end < 0 ? head.length() : end).strip();
             }
+            at = end < 0 ? -1 : end + 2;
         }
         return "";
     }
@@ -130,10 +133,11 @@
             case "pours" -> say(id, head(id, "200 OK", "Content-Length: " + 2 * LARGE + "\r\nBrambletray-Response-Seal: s\r\n") + "\r\n"
                 + "x".repeat(LARGE));
             case "ends" -> say(id, "x".repeat(LARGE));
-            case "codes" -> say(id, head(id, "200 OK", "Transfer-Encoding: gzip, chunked\r\nBrambletray-Response-Seal: s\r\n") + "\r\n2\r\nxy\r\n0\r\n\r\n");
+            case "codes" -> say(id, head(id, "200 OK", "Transfer-Encoding: gzip, chunked\r\nBrambletray-Response-Seal: s\r\n")
+                + "\r\n2\r\nxy\r\n0\r\n\r\n");
             case "codes-nothing" -> whole(id, id, "200 OK", "Transfer-Encoding: identity\r\nBrambletray-Response-Seal: s\r\n", body);
-            case "is-of-another-version" -> say(id, head(id, "200 OK", "Content-Length: 2\r\nBrambletray-Response-Seal: s\r\n").replace("/1.1", "/2.0")
-                + "\r\nxy");
+            case "is-of-another-version" -> say(id, head(id, "200 OK", "Content-Length: 2\r\nBrambletray-Response-Seal: s\r\n")
+                .replace("/1.1", "/2.0") + "\r\nxy");
             case "fails-at-length" -> whole(id, id, "500 Internal Server Error", "", "x".repeat(LARGE));
             case "blurts" -> open.iterator().next().writeAndFlush(Unpooled.copiedBuffer(head(null, "503 Service Unavailable",
                 "Brambletray-Not-Executed: 1\r\nContent-Length: 0\r\n") + "\r\n", StandardCharsets.ISO_8859_1));
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -66,7 +66,9 @@
         return "10.0.1." + (name.charAt(0) - 'a' + 1) + ":8080";
     }
 
-    /** By the name: {@code client...} is one, one {@code -at-} a host calls from there, {@code edge} is told to drain; every other a host. */
+    /**
+     * By the name: {@code client...} is one, one {@code -at-} a host calls from there, {@code edge} is told to drain; every other a host.
+     */
     Actor actor(String name) {
         Actor actor = actors.get(name);
         if (actor == null) {
@@ -102,7 +104,9 @@
 
     /** The edge's machine stands still, ms. */
     void freeze(long ms) {
-        simulation.freeze(edge, TimeUnit.MILLISECONDS.toNanos(ms));
+        simulation.freeze(edge);
+        until(TimeUnit.NANOSECONDS.toMillis(simulation.now()) + ms);
+        simulation.thaw(edge);
     }
 
     void settle() {
--- a/src/test/java/brambletray/tray/flow/WalkClient.java
+++ b/src/test/java/brambletray/tray/flow/WalkClient.java
@@ -35,6 +35,8 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         final ArrayDeque<Ruling.Try> waiting = new ArrayDeque<>();
         final StringBuilder in = new StringBuilder();
+        /** So many bytes must be here before the next answer can be whole. */
+        int least;
         /** Until it is up. */
         final ArrayDeque<ByteBuf> unsent = new ArrayDeque<>(1);
         Channel channel;
@@ -61,8 +63,8 @@
             ByteBuf read = (ByteBuf) bytes;
             in.append(read.toString(StandardCharsets.ISO_8859_1));
             read.release();
-            while (in.length() > 0 && next()) {
-                // Answer by answer.
+            while (in.length() > 0 && in.length() >= least && next()) {
+                least = 0;
             }
         }
 
@@ -93,6 +95,7 @@
             String[] body = {""};
             int to = bare ? end + 4 : chunked ? chunks(end + 4, body) : end + 4 + Integer.parseInt(length);
             if (to < 0 || in.length() < to) {
+                least = Math.max(least, to);
                 return false;
             }
             if (!bare && !chunked) {
@@ -101,7 +104,8 @@
             in.delete(0, to);
             waiting.poll();
             over |= Server.header(head, "connection").equals("close");
-            ruling.answer(of, status, Server.header(head, "brambletray-attempt-id"), !Server.header(head, "brambletray-response-seal").isEmpty(),
+            ruling.answer(of, status, Server.header(head, "brambletray-attempt-id"),
+                !Server.header(head, "brambletray-response-seal").isEmpty(),
                 bare ? "" : body[0]);
             return true;
         }
@@ -117,6 +121,7 @@
                 int size = Integer.parseInt(in.substring(at, line), 16);
                 int data = line + 2;
                 if (in.length() < data + size + 2) {
+                    least = data + size + 2;
                     return -1;
                 }
                 all.append(in, data, data + size);
@@ -154,8 +159,10 @@
             bytes = head + "Content-Length: " + one.body.length() + "\r\n\r\n" + one.body;
         } else {
             int first = 1 + random.nextInt(one.body.length());
-            bytes = head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(first) + "\r\n" + one.body.substring(0, first) + "\r\n"
-                + (first < one.body.length() ? Integer.toHexString(one.body.length() - first) + "\r\n" + one.body.substring(first) + "\r\n" : "")
+            bytes = head + "Transfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(first) + "\r\n" + one.body.substring(0, first) + "\r\n"
+                + (first < one.body.length() ? Integer.toHexString(one.body.length() - first) + "\r\n"
+                    + one.body.substring(first) + "\r\n" : "")
                 + "0\r\n\r\n";
         }
         Connection at = connection;
