Greeter, Caller: the order of what is done is the same in each process

Cause: Map.copyOf and sets of links went by identity and a salt of the process, so one seed of the drill gave two courses. Change: lists and linked sets.

--- a/src/main/java/brambletray/tray/keep/Greeter.java
+++ b/src/main/java/brambletray/tray/keep/Greeter.java
@@ -76,7 +76,7 @@
     /** The helm is held here from now on: its hub hears who is on the line. */
     void hub(Hub hub, long now) {
         Welcome say = welcome.get();
-        Map.copyOf(guests).forEach((link, guest) -> {
+        new LinkedHashMap<>(guests).forEach((link, guest) -> {
             if (guest.hello != null) {
                 say(link, guest, say);
                 hub.heard(guest.name, link, guest.hello, now);
--- a/src/main/java/brambletray/tray/yard/Caller.java
+++ b/src/main/java/brambletray/tray/yard/Caller.java
@@ -23,7 +23,8 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -134,7 +135,7 @@
     private final String host;
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private final ArrayDeque<Line> idle = new ArrayDeque<>();
-    private final Set<Line> lines = new HashSet<>();
+    private final Set<Line> lines = new LinkedHashSet<>();
     private int patience = PATIENCE;
     private boolean closed;
 
@@ -168,7 +169,7 @@
     /** Ends all calls without an answer. */
     void close() {
         closed = true;
-        for (Line line : Set.copyOf(lines)) {
+        for (Line line : List.copyOf(lines)) {
             line.channel.close();
         }
         for (Call call : new ArrayDeque<>(waiting)) {
--- a/src/test/java/brambletray/tray/drill/Book.java
+++ b/src/test/java/brambletray/tray/drill/Book.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,6 +25,10 @@
 
     private final World world;
     private final Map<Integer, Order> orders = new LinkedHashMap<>();
+    /** Given and not yet at an end. */
+    private final Set<Order> open = new LinkedHashSet<>();
+    /** Of valid ones, by their base. */
+    private final Map<Long, Integer> given = new HashMap<>();
     private final Map<Long, Order> ackedByBase = new HashMap<>();
     private final Map<Long, Order> ackedByRevision = new HashMap<>();
     /** Newest acknowledged revision, by the time from which it was. */
@@ -54,6 +59,10 @@
 
     void made(Order order) {
         orders.put(order.id, order);
+        if (order.kind == Order.Kind.VALID) {
+            open.add(order);
+            given.merge(order.base, 1, Integer::sum);
+        }
     }
 
     int next() {
@@ -151,7 +160,8 @@
         }
         long since = world.settledSince();
         if (since >= 0) {
-            orders.values().forEach(order -> overdue(order, since));
+            open.removeIf(Order::ended);
+            open.forEach(order -> overdue(order, since));
         }
     }
 
@@ -176,7 +186,8 @@
     }
 
     private void overdue(Order order, long since) {
-        if (order.ended() || order.kind != Order.Kind.VALID || order.sentAt < 0 || rivalled(order)) {
+        // where another may have been taken in its stead, nothing is owed
+        if (order.sentAt < 0 || order.base != revisionAcked(world.now()) || given.get(order.base) > 1) {
             return;
         }
         long waits = world.now() - Math.max(order.sentAt, since);
@@ -186,19 +197,6 @@
         }
     }
 
-    /** Whether another may have been taken in its stead. */
-    private boolean rivalled(Order order) {
-        if (order.base != revisionAcked(world.now())) {
-            return true;
-        }
-        for (Order other : orders.values()) {
-            if (other != order && other.base == order.base && other.kind == Order.Kind.VALID) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     // ---- The end --------------------------------------------------------------------------------
     /** The last reading, after all have returned. */
     void end(int last) {
--- a/src/test/java/brambletray/tray/drill/Course.java
+++ b/src/test/java/brambletray/tray/drill/Course.java
@@ -1,5 +1,7 @@
 package brambletray.tray.drill;
 
+import brambletray.simulation.SimChannel;
+import brambletray.simulation.SimNetwork;
 import java.net.InetAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -138,11 +140,13 @@
         CoreNode core = target(trouble);
         EdgeNode edge = world.edges.get(trouble.arg() % world.edges.size());
         tell(trouble, core, edge);
+        // of each three cuts one meets an edge that starts meanwhile
+        int starts = trouble.arg() / 64 % 3 == 0 ? trouble.arg() : 0;
         switch (trouble.kind()) {
-            case CUT_CORE -> cut(core, trouble.span(), true, true, List.of());
-            case CUT_ALL -> cut(core, trouble.span(), true, true, outside(trouble.arg()));
-            case CUT_OUT -> cut(core, trouble.span(), true, false, List.of());
-            case CUT_IN -> cut(core, trouble.span(), false, true, List.of());
+            case CUT_CORE -> cut(core, trouble.span(), true, true, List.of(), starts);
+            case CUT_ALL -> cut(core, trouble.span(), true, true, outside(trouble.arg()), starts);
+            case CUT_OUT -> cut(core, trouble.span(), true, false, List.of(), starts);
+            case CUT_IN -> cut(core, trouble.span(), false, true, List.of(), starts);
             case KILL -> {
                 core.kill(false);
                 back(core, trouble.span());
@@ -187,6 +191,21 @@
                 core.freeze(true);
                 world.after(trouble.span(), () -> core.freeze(false));
             }
+            case RESET -> {
+                world.disturb();
+                world.simulation.network().at(core.address).forEach(SimChannel::breakBoth);
+            }
+            case SLOW_LINK -> {
+                slow(core, 100 + trouble.arg() % 700);
+                later(trouble.span(), () -> slow(core, 0));
+            }
+            case ANSWERS_LOST -> {
+                world.troubledLinks++;
+                later(trouble.span(), () -> world.troubledLinks--);
+                for (InetAddress operator : outside(-1)) {
+                    cutPair(core.address, operator, trouble.span(), true, false);
+                }
+            }
             case SLOW_DISK -> {
                 core.disk.syncMs = 50 + trouble.arg() % 1_500;
                 later(trouble.span(), () -> core.disk.syncMs = world.syncMs);
@@ -276,7 +295,7 @@
         world.disturb(World.CONTACT);
     }
 
-    /** Operators, and of the edges those that are drawn. */
+    /** Operators, and of the edges those whose bit is not set. */
     private List<InetAddress> outside(int drawn) {
         List<InetAddress> cutOff = new ArrayList<>();
         for (int i = 1; i <= 4; i++) {
@@ -290,7 +309,19 @@
         return cutOff;
     }
 
-    private void cut(CoreNode core, int span, boolean out, boolean in, List<InetAddress> further) {
+    /** {@code ms}: that the links of this machine take longer; 0: as usual. */
+    private void slow(CoreNode core, int ms) {
+        world.troubledLinks += ms > 0 ? 1 : -1;
+        List<InetAddress> others = outside(0);
+        world.cores.forEach(other -> others.add(other.address));
+        for (InetAddress other : others) {
+            SimNetwork.Way way = ms > 0 ? new SimNetwork.Way(ms * 1_000_000L, 0.5) : World.USUAL;
+            world.simulation.network().way(core.address, other, way);
+            world.simulation.network().way(other, core.address, way);
+        }
+    }
+
+    private void cut(CoreNode core, int span, boolean out, boolean in, List<InetAddress> further, int edgeRestarts) {
         for (CoreNode other : world.cores) {
             if (other != core) {
                 cutPair(core.address, other.address, span, out, in);
@@ -301,6 +332,11 @@
         }
         world.disturb();
         world.after(span, world::disturb);
+        if (edgeRestarts > 0) {
+            EdgeNode edge = world.edges.get(edgeRestarts % world.edges.size());
+            world.after(span / 4, edge::kill);
+            world.after(span / 2, edge::start);
+        }
     }
 
     private void cutPair(InetAddress one, InetAddress other, int span, boolean out, boolean in) {
--- a/src/test/java/brambletray/tray/drill/Drill.java
+++ b/src/test/java/brambletray/tray/drill/Drill.java
@@ -6,9 +6,13 @@
 import java.util.TreeMap;
 
 /**
- * Plays courses one after the other, and shrinks those that break: {@code java -Ddrill.seeds=N -Ddrill.first=S -Ddrill.members=3|5} of
- * this class
- * where many are to run beside one another; the test takes the same. {@code -Ddrill.script=...} plays one script, as a failure prints it.
+ * Plays courses one after the other, and shrinks those that break. Properties, of the test and of this class's own main: {@code
+ * drill.seeds},
+ * {@code drill.first}: how many courses, and from which seed on; {@code drill.members}: 3 or 5, else both; {@code drill.shrink}: how
+ * many of
+ * the broken are shrunk; {@code drill.enough}: ends after so many; {@code drill.script}: plays this one, as a failure prints it, with
+ * all log
+ * lines.
  */
 public final class Drill {
     private Drill() { }
@@ -43,7 +47,10 @@
         long resent = 0;
         long longest = 0;
         int most = Integer.getInteger("drill.shrink", 5);
-        for (long seed = first; seed < first + seeds; seed++) {
+        int enough = Integer.getInteger("drill.enough", Integer.MAX_VALUE);
+        int played = 0;
+        for (long seed = first; seed < first + seeds && broken.size() < enough; seed++) {
+            played++;
             Course.Result result = Course.play(Script.draw(seed, members), null);
             result.script().troubles().forEach(trouble -> troubles.merge(trouble.kind(), 1, Integer::sum));
             acknowledged += result.acknowledged();
@@ -65,7 +72,7 @@
                 System.out.println(told);
             }
         }
-        System.out.println("drill: " + seeds + " courses with " + members + " members from seed " + first + ", " + acknowledged
+        System.out.println("drill: " + played + " courses with " + members + " members from seed " + first + ", " + acknowledged
             + " orders acknowledged, " + refused + " refused, " + resent + " sent again after an answer, " + reads
             + " readings; longest " + longest
             + " ms without acknowledgement in a settled core; broken " + rules + "; troubles " + troubles);
--- a/src/test/java/brambletray/tray/drill/Script.java
+++ b/src/test/java/brambletray/tray/drill/Script.java
@@ -23,6 +23,13 @@
         int replaced = 0;
         for (int i = 0; i < 4 * wanted && drawn.size() < wanted; i++) {
             Trouble trouble = one(random, end);
+            if (!lost.isEmpty() && random.nextInt(3) == 0) {
+                // the next loss as soon as the one before counts no more
+                trouble = trouble.beginning(lost.get(lost.size() - 1)[1] + random.nextInt(600));
+                if (trouble.at() > end) {
+                    continue;
+                }
+            }
             if (trouble.kind() == Trouble.Kind.REPLACE || trouble.kind() == Trouble.Kind.REPLACE_PLANNED) {
                 if (replaced == 2) {
                     continue;
@@ -89,6 +96,9 @@
             case REPLACE -> random.nextInt(8_000);
             case REPLACE_PLANNED -> 300 + random.nextInt(5_000);
             case BURST -> 300;
+            case RESET -> 1;
+            case SLOW_LINK -> 1_000 + random.nextInt(8_000);
+            case ANSWERS_LOST -> 300 + random.nextInt(3_000);
             case EDGE_CUT, EDGE_FREEZE -> 500 + random.nextInt(10_000);
             case KILL, POWER, WIPE -> random.nextInt(4) == 0 ? 5_000 + random.nextInt(15_000) : 200 + random.nextInt(3_000);
             default -> 200 + random.nextInt(3_000);
--- a/src/test/java/brambletray/tray/drill/Trouble.java
+++ b/src/test/java/brambletray/tray/drill/Trouble.java
@@ -36,6 +36,10 @@
         /** SIGTERM, the end after the grace, and back with its disk. */
         LEAVE(true),
         FREEZE(true),
+        /** All its connections are reset. */
+        RESET(true),
+        /** Its links to the core, edges and operators take hundreds of ms longer. */
+        SLOW_LINK(true),
         SLOW_DISK(true),
         HUNG_DISK(true),
         FULL_DISK(true),
@@ -51,6 +55,8 @@
         EDGE_FREEZE(false),
         /** An edge is cut off from one machine of the core. */
         EDGE_CUT(false),
+        /** Operators reach a machine of the core, and hear nothing of it. */
+        ANSWERS_LOST(false),
         /** Hundreds of changes, one after the other. */
         BURST(false);
 
@@ -65,6 +71,10 @@
         }
     }
 
+    Trouble beginning(int ms) {
+        return new Trouble(kind, ms, who, span, arg);
+    }
+
     @Override
     public String toString() {
         return kind + ":" + at + ":" + who + ":" + span + ":" + arg;
--- a/src/test/java/brambletray/tray/drill/World.java
+++ b/src/test/java/brambletray/tray/drill/World.java
@@ -25,6 +25,8 @@
     static final int CONTROL = 8_248, INNER = 7_400, FRONT = 8_241, READY = 8_246, PLATFORM = 8_240;
     /** Bounds of the deployments, ms. */
     static final int CONTACT = 4_000, APPLY = 3_000, ACK = 5_000, SEED_LAG = 3_000;
+    /** ns one way, and up to so large a share more. */
+    static final SimNetwork.Way USUAL = new SimNetwork.Way(1_400_000, 0.3);
     /** A user timeout, and idle time before probes, as the program sets them on its links. */
     private static final long GIVE_UP = TimeUnit.MILLISECONDS.toNanos(2_500), IDLE = TimeUnit.SECONDS.toNanos(1);
 
@@ -42,6 +44,8 @@
     private final Map<Machine, String> names = new HashMap<>();
     /** What all get at the first start. */
     private final String founders;
+    /** Links that are in trouble otherwise than by a cut within the core. */
+    int troubledLinks;
     /** Told of a fault of the course's own. */
     Consumer<String> whenFailed = why -> { };
     private long disturbedAt;
@@ -53,7 +57,7 @@
         random = new SplittableRandom(Script.mix(script.seed() ^ 0x5bd1e995L << 32));
         syncMs = random.nextBoolean() ? 5 : 1;
         director = simulation.machine(ip(10, 255, 0, 1));
-        simulation.network().usual(new SimNetwork.Way(1_400_000, 0.3));
+        simulation.network().usual(USUAL);
         simulation.network().patience(INNER, GIVE_UP, IDLE);
         for (int i = 1; i <= script.members(); i++) {
             cores.add(new CoreNode(this, i, true));
@@ -214,7 +218,7 @@
     }
 
     void look() {
-        boolean sick = cores.stream().anyMatch(core -> core.up() && core.sick());
+        boolean sick = troubledLinks > 0 || cores.stream().anyMatch(core -> core.up() && core.sick());
         if (sick) {
             disturb();
         }
