--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -49,7 +49,7 @@
     /** Several on one address where all of them share it. */
     private final Map<InetSocketAddress, List<SimServerChannel>> listeners = new HashMap<>();
     private final Map<List<InetAddress>, Way> ways = new HashMap<>();
-    /** Bytes a second that a machine's link carries, each way; and until when either way of it is taken, on the ticker, ns. */
+    /** Bytes a second that a machine's link carries each way, and until when either is taken (ticker, ns). */
     private final Map<InetAddress, Long> rates = new HashMap<>();
     private final Map<InetAddress, Long> sending = new HashMap<>(), receiving = new HashMap<>();
     private final Set<InetAddress> vanished = new LinkedHashSet<>();
@@ -77,7 +77,7 @@
         ways.put(List.of(from, to), way);
     }
 
-    /** A machine's link carries so many bytes a second out, and as many in; all its connections share it, first come, first served. */
+    /** A machine's link carries so many bytes a second each way; all its connections share it in turn. */
     public void rate(InetAddress machine, long bytesPerSecond) {
         rates.put(machine, bytesPerSecond);
     }
