Drill: all machines lose power right after an acknowledgement; leaves are counted

Cause: planted acknowledgements before the sync went by unseen: only the member that answered lost its power. Change: one further trouble, with as many disks lost as may be; disks of 1, 5 and 20 ms a sync; how many processes ended by themselves after SIGTERM.

--- a/src/test/java/brambletray/tray/drill/CoreNode.java
+++ b/src/test/java/brambletray/tray/drill/CoreNode.java
@@ -102,7 +102,9 @@
     private void exited(int which) {
         if (which == boot && machine != null) {
             kill(false);
-            if (!told) {
+            if (told) {
+                world.left++;
+            } else {
                 world.after(300, this::start);
             }
         }
@@ -125,6 +127,14 @@
         frozen = false;
     }
 
+    /** The grace after SIGTERM is over. */
+    void graceOver(int which, boolean power) {
+        if (which == boot && machine != null) {
+            world.cutShort++;
+            kill(power);
+        }
+    }
+
     /** SIGTERM. */
     void terminate() {
         if (running()) {
--- a/src/test/java/brambletray/tray/drill/Course.java
+++ b/src/test/java/brambletray/tray/drill/Course.java
@@ -15,8 +15,7 @@
 
     /** {@code broken}: null, or the rule and why. {@code trace}: a hash of all that passed on the network. */
     record Result(Script script, String broken, int orders, int acknowledged, int refused, int resent, int reads, long longestSettled,
-        long longest,
-        long trace, List<String> faults) { }
+        long longest, int left, int cutShort, long trace, List<String> faults) { }
 
     private final World world;
     private final Book book;
@@ -77,7 +76,7 @@
         world.cores.forEach(core -> core.kill(false));
         world.edges.forEach(EdgeNode::kill);
         return new Result(script, book.broken(), book.made(), book.acknowledged, book.refused, book.resent, book.reads, book.longestSettled,
-            book.longest, world.simulation.trace(), tap.faults());
+            book.longest, world.left, world.cutShort, world.simulation.trace(), tap.faults());
     }
 
     private void look() {
@@ -161,8 +160,9 @@
             }
             case REPLACE -> {
                 if (trouble.arg() % 2 == 0) {
+                    int boot = core.boot();
                     core.terminate();
-                    world.after(Script.GRACE, () -> core.kill(true));
+                    world.after(Script.GRACE, () -> core.graceOver(boot, true));
                 } else {
                     core.kill(true);
                 }
@@ -172,8 +172,9 @@
             case REPLACE_PLANNED -> {
                 newcomer();
                 world.after(trouble.span(), () -> {
+                    int boot = core.boot();
                     core.terminate();
-                    world.after(Script.GRACE, () -> core.kill(false));
+                    world.after(Script.GRACE, () -> core.graceOver(boot, false));
                     remove(core);
                 });
             }
@@ -181,9 +182,7 @@
                 int boot = core.boot();
                 core.terminate();
                 world.after(Script.GRACE, () -> {
-                    if (core.boot() == boot) {
-                        core.kill(false);
-                    }
+                    core.graceOver(boot, false);
                     back(core, trouble.span());
                 });
             }
@@ -217,6 +216,12 @@
             }
             case AFTER_ACK_KILL -> operators.whenAcknowledged(member -> afterAck(member, trouble, false));
             case AFTER_ACK_WIPE -> operators.whenAcknowledged(member -> afterAck(member, trouble, true));
+            case AFTER_ACK_ALL -> operators.whenAcknowledged(member -> {
+                if (!over) {
+                    // not within the call that brings the answer
+                    world.director.loop().execute(() -> all(trouble));
+                }
+            });
             case ALL_KILL, ALL_POWER -> all(trouble);
             case EDGE_KILL -> {
                 edge.kill();
@@ -288,7 +293,7 @@
             if (i < wiped) {
                 core.wipe();
             } else {
-                core.kill(trouble.kind() == Trouble.Kind.ALL_POWER);
+                core.kill(trouble.kind() != Trouble.Kind.ALL_KILL);
             }
             back(core, trouble.span() + world.random.nextInt(300));
         }
--- a/src/test/java/brambletray/tray/drill/Drill.java
+++ b/src/test/java/brambletray/tray/drill/Drill.java
@@ -75,6 +75,8 @@
         private long resent;
         private long reads;
         private long longest;
+        private int left;
+        private int cutShort;
         private final Map<String, Integer> rules = new TreeMap<>();
         private final Map<Trouble.Kind, Integer> troubles = new TreeMap<>();
 
@@ -86,6 +88,8 @@
             refused += result.refused();
             resent += result.resent();
             longest = Math.max(longest, result.longestSettled());
+            left += result.left();
+            cutShort += result.cutShort();
             if (result.broken() != null) {
                 rules.merge(Shrinker.rule(result), 1, Integer::sum);
             }
@@ -93,8 +97,9 @@
 
         String line(int members, long first) {
             return "drill: " + played + " courses with " + members + " members from seed " + first + ", " + acknowledged
-                + " orders acknowledged, " + refused + " refused, " + resent + " sent again after an answer, " + reads + " readings; longest "
-                + longest + " ms without acknowledgement in a settled core; broken " + rules + "; troubles " + troubles;
+                + " orders acknowledged, " + refused + " refused, " + resent + " sent again after an answer, " + reads
+                + " readings; longest " + longest + " ms without acknowledgement in a settled core; " + left
+                + " ended by themselves after SIGTERM, " + cutShort + " by the grace; broken " + rules + "; troubles " + troubles;
         }
     }
 }
--- a/src/test/java/brambletray/tray/drill/Script.java
+++ b/src/test/java/brambletray/tray/drill/Script.java
@@ -60,7 +60,7 @@
     private static int held(Trouble trouble) {
         return switch (trouble.kind()) {
             case REPLACE_PLANNED, LEAVE -> trouble.span() + GRACE + SYNC;
-            case AFTER_ACK_KILL, AFTER_ACK_WIPE -> trouble.span() + SYNC + 4_000;
+            case AFTER_ACK_KILL, AFTER_ACK_WIPE, AFTER_ACK_ALL -> trouble.span() + SYNC + 4_000;
             default -> trouble.span() + SYNC;
         };
     }
@@ -92,7 +92,7 @@
             case FREEZE -> random.nextInt(3) == 0 ? 10_000 + random.nextInt(10_000) : 200 + random.nextInt(4_000);
             case SLOW_DISK -> 2_000 + random.nextInt(15_000);
             case HUNG_DISK, FULL_DISK -> 300 + random.nextInt(6_000);
-            case ALL_KILL, ALL_POWER -> 100 + random.nextInt(1_500);
+            case ALL_KILL, ALL_POWER, AFTER_ACK_ALL -> 100 + random.nextInt(1_500);
             case REPLACE -> random.nextInt(8_000);
             case REPLACE_PLANNED -> 300 + random.nextInt(5_000);
             case BURST -> 300;
--- a/src/test/java/brambletray/tray/drill/Trouble.java
+++ b/src/test/java/brambletray/tray/drill/Trouble.java
@@ -47,6 +47,8 @@
         AFTER_ACK_KILL(true),
         /** And its disk is lost. */
         AFTER_ACK_WIPE(true),
+        /** Right after the next acknowledgement all machines lose power, some their disks as well, as many as may be lost. */
+        AFTER_ACK_ALL(true),
         /** All processes, or all machines, at once; some with the loss of as many disks as may be lost. */
         ALL_KILL(true),
         ALL_POWER(true),
@@ -67,7 +69,7 @@
         }
 
         boolean all() {
-            return this == ALL_KILL || this == ALL_POWER;
+            return this == ALL_KILL || this == ALL_POWER || this == AFTER_ACK_ALL;
         }
     }
 
--- a/src/test/java/brambletray/tray/drill/World.java
+++ b/src/test/java/brambletray/tray/drill/World.java
@@ -44,6 +44,8 @@
     private final Map<Machine, String> names = new HashMap<>();
     /** What all get at the first start. */
     private final String founders;
+    /** Processes that ended by themselves after SIGTERM, and those that were ended by the grace. */
+    int left, cutShort;
     /** Links that are in trouble otherwise than by a cut within the core. */
     int troubledLinks;
     /** Told of a fault of the course's own. */
@@ -55,7 +57,7 @@
         this.script = script;
         simulation = new Simulation(Script.mix(script.seed()), 1_900_000_000_000L);
         random = new SplittableRandom(Script.mix(script.seed() ^ 0x5bd1e995L << 32));
-        syncMs = random.nextBoolean() ? 5 : 1;
+        syncMs = new int[] {1, 5, 20}[random.nextInt(3)];
         director = simulation.machine(ip(10, 255, 0, 1));
         simulation.network().usual(USUAL);
         simulation.network().patience(INNER, GIVE_UP, IDLE);
