--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -98,7 +98,8 @@
         lines = new Lines(machine, 4_000, tally);
         Laws laws = Laws.of(berth.bounds().retryBudgetRatio(), (int) berth.bounds().retryBudgetSlack(),
             (int) (berth.bounds().retryWindowS() * 1_000), Math.max(1, berth.zones().size()));
-        hall = new Hall(self.name(), self.zone(), self.name() + "-" + Long.toHexString(life & 0xffffffffL), laws, new HallWays(), this::now);
+        String nonces = self.name() + "-" + Long.toHexString(life & 0xffffffffL);
+        hall = new Hall(self.name(), self.zone(), nonces, laws, new HallWays(), this::now);
         steward = new Steward(new StewardWays(), new Spots(), this::now);
         flow = new Flow(machine, self.name(), self.zone(), () -> creed, steward, hostIps::containsKey, lines, tally,
             Math.min(48L << 20, (long) berth.limits().memoryMb() << 17), life);
--- a/src/test/java/brambletray/tray/keep/HubTest.java
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -316,6 +316,49 @@
         assertEquals(List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
     }
 
+    @Test
+    void whoAsksWhileTheHelmMayNotActIsNotAnswered() {
+        come();
+        run(1_000);
+        heard.clear();
+        acts = false;
+        edge.say(new Fetch(0, 0, 0, false));
+        edge.say(new RosterFetch(0, 0));
+        run(10);
+        edge.say(new Fetch(0, 0, 0, true));
+        run(300);
+        assertNothingWithAuthority();
+        acts = true;
+        edge.say(new Fetch(0, 0, 0, false));
+        edge.say(new RosterFetch(0, 0));
+        run(300);
+        assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass(),
+            "let go, and not taken up again yet");
+    }
+
+    @Test
+    void whoAsksBeforeTheConfigurationMayBeHandedOutIsNotAnswered() {
+        applied = false;
+        come();
+        run(1_000);
+        edge.say(new Fetch(0, 0, 0, false));
+        run(300);
+        assertEquals(0, all(Chunk.class).size());
+    }
+
+    @Test
+    void aChangeIsToldAtOnceAndNotWithTheNextPulse() {
+        come();
+        run(1_000);
+        for (int i = 0; i < 5; i++) {
+            run(30);
+            heard.clear();
+            become(creed(20 + i));
+            run(5);
+            assertEquals(List.of(20L + i), all(Chunk.class).stream().map(Chunk::revision).toList());
+        }
+    }
+
     @Test
     void whenTheTermEndsEdgesAreLetGoOnTheirLinksAndLearnOfTheNextHelmThere() {
         come();
