--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -1,6 +1,7 @@
 package brambletray.tray.keep;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -38,6 +39,7 @@
     private static final class Scripted implements Operators.Order {
         private Member leader = ME;
         private Standing standing = Standing.MEMBER;
+        private String successor;
         private final ArrayDeque<Long> tokens = new ArrayDeque<>();
         private final ArrayDeque<byte[]> changes = new ArrayDeque<>();
         private final ArrayDeque<Long> confirms = new ArrayDeque<>();
@@ -47,6 +49,11 @@
             return new Status(standing, ME, 7, 6, List.of(ME, OTHER), leader, leader == ME, true, true, 0, 0, false);
         }
 
+        @Override
+        public String successor() {
+            return successor;
+        }
+
         @Override
         public void propose(long token, byte[] change) {
             tokens.add(token);
@@ -312,7 +319,12 @@
         assertEquals(503, behind.status);
         assertEquals(503, read.status);
         order.standing = Standing.MEMBER;
+        Reply next = modify(5, move(9, "a"));
+        assertEquals(1, order.tokens.size(), "judged before it is known what came of the one under way");
         keep();
+        confirm(false);
+        confirm(true);
+        assertEquals(412, next.status);
         assertEquals(7, operators.charter().creed().revision());
         assertEquals(200, modify(5, move(7, "a")).status, "the slot was kept for it, and it is sent again");
     }
@@ -346,4 +358,44 @@
         keep();
         assertTrue(order.tokens.isEmpty(), "what was given up is proposed no more");
     }
+
+    @Test
+    void theBytesThatWaitAreBounded() {
+        begin();
+        Reply open = modify(5, move(7, "a"));
+        byte[] large = new byte[4 << 20];
+        List<Reply> replies = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            replies.add(modify(5, large));
+        }
+        assertEquals(3, replies.stream().filter(reply -> reply.status != null && reply.status == 503).count(), "24 MB in all");
+        keep();
+        assertEquals(200, open.status);
+        assertNull(modify(5, large).status, "a sixth, now that none is under way");
+        assertEquals(503, modify(5, large).status, "those that wait for a round count too");
+    }
+
+    @Test
+    void whoLeavesSendsItsCallersOnOnceItIsOutAndIsIdleWhenAllAreAnswered() {
+        begin();
+        assertTrue(operators.idle());
+        Reply under = modify(5, move(7, "a"));
+        Reply waiting = modify(5, move(9, "a"));
+        Reply show = call("GET", "show", null, new byte[0]);
+        Reply stale = replace(3, whole(9, "a"));
+        assertFalse(operators.idle());
+        order.standing = Standing.STOPPED;
+        Reply late = modify(5, move(11, "a"));
+        assertNull(late.status, "held while nobody is known to lead");
+        order.standing = Standing.KNOCKING;
+        order.successor = "10.0.0.2:90";
+        operators.changed();
+        operators.outcome(order.tokens.remove(), Outcome.REFUSED);
+        while (!order.confirms.isEmpty()) confirm(false);
+        for (Reply reply : List.of(under, waiting, show, stale, late)) {
+            assertEquals(307, reply.status);
+            assertTrue(reply.headers.get("Location").startsWith("http://10.0.0.2:90/brambletray/configuration/"), reply.headers::toString);
+        }
+        assertTrue(operators.idle());
+    }
 }
