--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -37,7 +37,7 @@
     private long askedAt;
     private long phaseAt;
     private long pulledAt = Long.MIN_VALUE / 2;
-    private Haul haul;
+    private StateTransfer transfer;
     private View next;
     private Answers chosen;
     private Log base;
@@ -157,13 +157,13 @@
             return;
         }
         phase = Phase.FETCHING;
-        haul = new Haul(desk, longest.me().address(), desk.log, Ballot.NONE);
-        haul.tick();
+        transfer = new StateTransfer(desk, longest.me().address(), desk.log, Ballot.NONE);
+        transfer.tick();
     }
 
     void piece(Frame.Piece piece) {
-        if (phase != Phase.FETCHING || !haul.piece(piece)) return;
-        Log fetched = haul.log();
+        if (phase != Phase.FETCHING || !transfer.piece(piece)) return;
+        Log fetched = transfer.log();
         Frame.Told longest = chosen.longest();
         // who told may have gone on to a higher ballot, and its log with it
         boolean same = fetched != null && fetched.end() == longest.end() && fetched.endView().equals(longest.endView());
@@ -248,8 +248,8 @@
                 if (phase == Phase.ASKING) weigh();
             }
             case FETCHING -> {
-                if (haul.failed() || desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
-                else haul.tick();
+                if (transfer.failed() || desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
+                else transfer.tick();
             }
             default -> {
                 if (desk.now - phaseAt > desk.set.installMs() && (spared() || desk.now - pulledAt > PULLED_MS)) {
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -42,7 +42,7 @@
     /** It leads and is about to hand over: what is under way is finished, nothing more is begun. */
     boolean draining;
     /** Transfers begun in this process. */
-    long hauls;
+    long transfers;
     /** Called when the state above has jumped by a snapshot. */
     Runnable jumped = () -> { };
     /** Called for each entry delivered. */
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -20,7 +20,7 @@
     /** In force, later than ours, and we aren't in it. */
     private View left;
     /** The log of a view that is being installed, on its way here in pieces. */
-    private Haul haul;
+    private StateTransfer transfer;
     private Frame.Offer offered;
 
     Following(Desk desk, Members members) {
@@ -203,31 +203,31 @@
             install(from, new Frame.Install(next, null), base);
         } else {
             // the same log, offered anew: what has come of it stays
-            boolean same = haul != null && haul.from().equals(from) && offered.end() == offer.end() && offered.endView().equals(offer.endView());
-            if (same) haul.goOn(next.ballot());
-            else haul = new Haul(desk, from, base, next.ballot());
+            boolean same = transfer != null && transfer.from().equals(from) && offered.end() == offer.end() && offered.endView().equals(offer.endView());
+            if (same) transfer.goOn(next.ballot());
+            else transfer = new StateTransfer(desk, from, base, next.ballot());
             offered = offer;
-            if (!same) haul.tick();
+            if (!same) transfer.tick();
         }
     }
 
     void piece(Frame.Piece piece) {
-        if (haul == null) return;
-        boolean over = haul.piece(piece);
+        if (transfer == null) return;
+        boolean over = transfer.piece(piece);
         // it is about to be in a view: an attempt of its own would end the transfer
         quiet(desk.set.silentMs() + (desk.view == null ? 0 : (long) rank() * desk.set.staggerMs()));
         if (!over) return;
-        Log log = haul.log();
-        String from = haul.from();
-        haul = null;
+        Log log = transfer.log();
+        String from = transfer.from();
+        transfer = null;
         if (log == null || log.end() != offered.end() || !log.endView().equals(offered.endView())) return;
         if (!desk.promised.above(offered.view().ballot())) keep(from, offered.view(), log);
     }
 
     void tick() {
-        if (haul == null) return;
-        haul.tick();
-        if (haul.failed() || desk.promised.above(haul.view())) haul = null;
+        if (transfer == null) return;
+        transfer.tick();
+        if (transfer.failed() || desk.promised.above(transfer.view())) transfer = null;
     }
 
     /** A proposed view: kept if no higher promise forbids it and the patch fits. */
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -16,9 +16,9 @@
     private final Following following;
     private Log hand;
     private long handCommit;
-    private Haul haul;
+    private StateTransfer transfer;
     private long knockAt = Long.MIN_VALUE / 2;
-    private long hauledAt = Long.MIN_VALUE / 2;
+    private long transferredAt = Long.MIN_VALUE / 2;
 
     Knocking(Desk desk, Following following) {
         this.desk = desk;
@@ -41,13 +41,13 @@
 
     void accepted() {
         hand = null;
-        haul = null;
+        transfer = null;
     }
 
     void tick(Iterable<String> seeds) {
-        if (haul != null) {
-            haul.tick();
-            if (haul.failed()) haul = null;
+        if (transfer != null) {
+            transfer.tick();
+            if (transfer.failed()) transfer = null;
         }
         if (!(active() || unsure()) || desk.ill() || desk.leaving || desk.now - knockAt < AGAIN_MS) return;
         knock(seeds);
@@ -78,26 +78,26 @@
         for (Member member : come.view().members()) desk.meet(member.address());
         Member leader = come.view().leader();
         // the giver may be gone, and another one lead
-        if (haul != null && leader != null && leader.address().equals(from) && !haul.from().equals(from) && haul.idleMs() > IDLE_MS) haul = null;
-        if (leader == null || come.fit() || haul != null) return;
+        if (transfer != null && leader != null && leader.address().equals(from) && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) transfer = null;
+        if (leader == null || come.fit() || transfer != null) return;
         if (!leader.address().equals(from)) {
             desk.out.send(leader.address(), mine());
             return;
         }
-        if (desk.now - hauledAt < AGAIN_MS) return;
-        hauledAt = desk.now;
-        haul = new Haul(desk, from, base(), Ballot.NONE);
-        haul.tick();
+        if (desk.now - transferredAt < AGAIN_MS) return;
+        transferredAt = desk.now;
+        transfer = new StateTransfer(desk, from, base(), Ballot.NONE);
+        transfer.tick();
     }
 
     void piece(Frame.Piece piece) {
-        if (haul == null || !haul.piece(piece)) return;
-        if (haul.log() != null) {
-            hand = haul.log();
-            handCommit = haul.commit();
-            desk.out.tell("view.hauled", "from", haul.from(), "end", hand.end());
-            desk.out.send(haul.from(), mine());
+        if (transfer == null || !transfer.piece(piece)) return;
+        if (transfer.log() != null) {
+            hand = transfer.log();
+            handCommit = transfer.commit();
+            desk.out.tell("view.transferred", "from", transfer.from(), "end", hand.end());
+            desk.out.send(transfer.from(), mine());
         }
-        haul = null;
+        transfer = null;
     }
 }
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -54,7 +54,7 @@
         }
         receiver.usedAt = desk.now;
         byte[] bytes = receiver.cut.bytes;
-        int size = Math.min(Haul.PIECE, bytes.length - pull.offset());
+        int size = Math.min(StateTransfer.PIECE, bytes.length - pull.offset());
         if (size <= 0) return;
         receiver.over |= pull.offset() + size == bytes.length;
         byte[] piece = java.util.Arrays.copyOfRange(bytes, pull.offset(), pull.offset() + size);
--- a/src/main/java/brambletray/tray/view/Haul.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Gets what a log lacks from one other member, in pieces, a few at a time. */
-final class Haul {
+final class StateTransfer {
     /** Bytes of a piece, and pieces asked for ahead. */
     static final int PIECE = 64 << 10;
     private static final int WINDOW = 4;
@@ -33,12 +33,12 @@
     private boolean failed;
 
     /** {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has itself. */
-    Haul(Desk desk, String from, Log mine, Ballot view) {
+    StateTransfer(Desk desk, String from, Log mine, Ballot view) {
         this.view = view;
         this.desk = desk;
         this.from = from;
         this.mine = mine;
-        this.id = desk.origin ^ (++desk.hauls << 1);
+        this.id = desk.origin ^ (++desk.transfers << 1);
         this.movedAt = desk.now;
     }
 
