--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -15,7 +15,7 @@
     private static final int AGAIN_MS = 100;
     /** Fetching goes on while pieces come, but not longer than this: on a link of 2 Mbit/s enough for 7 MB. */
     private static final int FETCH_MS = 30_000;
-    /** Silence after which a member that fetches the log of the new view isn't waited for: longer than its disk may take for the last piece. */
+    /** Silence after which a member that fetches the new view's log isn't waited for: longer than its disk may take for the last piece. */
     private static final int PULLED_MS = 2000;
     private static final int MOST_PAST = 64;
 
@@ -214,7 +214,8 @@
             Frame.Knock knock = newcomers.get(member.life());
             Patch patch = told != null ? base.since(told.end(), told.endView(), told.commit())
                     : base.since(knock.end(), knock.endView(), knock.commit());
-            desk.out.send(member.address(), patch.isShort() ? new Frame.Install(next, patch) : new Frame.Offer(next, base.end(), base.endView()));
+            Frame frame = patch.isShort() ? new Frame.Install(next, patch) : new Frame.Offer(next, base.end(), base.endView());
+            desk.out.send(member.address(), frame);
         }
     }
 
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -203,7 +203,8 @@
             install(from, new Frame.Install(next, null), base);
         } else {
             // the same log, offered anew: what has come of it stays
-            boolean same = transfer != null && transfer.from().equals(from) && offered.end() == offer.end() && offered.endView().equals(offer.endView());
+            boolean same = transfer != null && transfer.from().equals(from) && offered.end() == offer.end()
+                    && offered.endView().equals(offer.endView());
             if (same) transfer.goOn(next.ballot());
             else transfer = new StateTransfer(desk, from, base, next.ballot());
             offered = offer;
--- a/src/main/java/brambletray/tray/view/Frame.java
+++ b/src/main/java/brambletray/tray/view/Frame.java
@@ -74,8 +74,8 @@
     }
 
     /**
-     * Asks for a piece of what its log lacks, given what it has. {@code view}: whose log, one that is being installed; {@link Ballot#NONE} for the
-     * receiver's own.
+     * Asks for a piece of what its log lacks, given what it has. {@code view}: whose log, one that is being installed; {@link Ballot#NONE}
+     * for the receiver's own.
      */
     record Pull(long id, int offset, Ballot view, long end, Ballot endView, long commit) implements Frame {
     }
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -78,7 +78,8 @@
         for (Member member : come.view().members()) desk.meet(member.address());
         Member leader = come.view().leader();
         // the giver may be gone, and another one lead
-        if (transfer != null && leader != null && leader.address().equals(from) && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) transfer = null;
+        boolean leads = leader != null && leader.address().equals(from);
+        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) transfer = null;
         if (leader == null || come.fit() || transfer != null) return;
         if (!leader.address().equals(from)) {
             desk.out.send(leader.address(), mine());
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -364,7 +364,7 @@
         following.quiet(pauseMs);
     }
 
-    /** Begins anew at once, without waiting for these; who answers all the same is left out if the rest is enough: it would hold up this one too. */
+    /** Begins anew at once, without waiting for these; who answers all the same is left out if the rest is enough: it would hold it up again. */
     void again(Set<Long> absent, String why) {
         changing = null;
         change(absent, absent, why);
--- a/src/main/java/brambletray/tray/view/Patch.java
+++ b/src/main/java/brambletray/tray/view/Patch.java
@@ -13,8 +13,8 @@
  */
 public record Patch(boolean whole, long after, Ballot afterView, byte[] snapshot, List<Entry> entries) {
     /**
-     * Bytes of a patch that may go in one frame with a new view, 0.26 s of a link of 2 Mbit/s: {@link Settings#installMs} has to bear it. What is
-     * longer is fetched in pieces.
+     * Bytes of a patch that may go in one frame with a new view, 0.26 s of a link of 2 Mbit/s: {@link Settings#installMs} has to bear it.
+     * What is longer is fetched in pieces.
      */
     static final int SHORT = 64 << 10;
     /** Bytes that an entry takes besides its own. */
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -9,8 +9,9 @@
 import java.util.function.Function;
 
 /**
- * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on. Receivers that lack the same share a
- * cut, so many newcomers take no more memory than one. A receiver that has been silent for a while, or has all when another needs room, is forgotten.
+ * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on. Receivers that lack the same
+ * share a cut, so many newcomers take no more memory than one. A receiver that has been silent for a while, or has all when another needs
+ * room, is forgotten.
  */
 final class Serving {
     /** Cuts, of a few megabytes each, and receivers at a time. */
@@ -32,7 +33,7 @@
     private final Function<Ballot, Log> logs;
     private final Map<String, Receiver> receivers = new LinkedHashMap<>();
 
-    /** {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own; null if there is none. */
+    /** {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own; null if none. */
     Serving(Desk desk, Function<Ballot, Log> logs) {
         this.desk = desk;
         this.logs = logs;
@@ -77,7 +78,9 @@
         if (receivers.size() >= MOST) return null;
         cuts.clear();
         for (Receiver other : receivers.values()) cuts.add(other.cut);
-        if (cuts.size() < MOST_CUTS) return new Cut(pull.view(), patch.whole(), patch.after(), patch.end(), Codec.patch(patch, desk.commit));
+        if (cuts.size() < MOST_CUTS) {
+            return new Cut(pull.view(), patch.whole(), patch.after(), patch.end(), Codec.patch(patch, desk.commit));
+        }
         // a whole one does for everybody; what has come since is fetched in another round
         Cut newest = null;
         for (Cut cut : cuts) {
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -9,8 +9,8 @@
     static final int PIECE = 64 << 10;
     private static final int WINDOW = 4;
     /**
-     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what keeps the
-     * same pieces from being sent again and again. Doubles each time.
+     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what
+     * keeps the same pieces from being sent again and again. Doubles each time.
      */
     private static final int AGAIN_MS = 500;
     private static final int GIVE_UP_MS = 4000;
--- a/src/main/java/brambletray/tray/view/package-info.java
+++ b/src/main/java/brambletray/tray/view/package-info.java
@@ -55,13 +55,13 @@
  * knocks again, and is let in by the next change of view, which writes state and view at once. A process that dies on the way leaves nothing behind.
  *
  * <h2>State transfer</h2>
- * What doesn't fit in {@link brambletray.tray.view.Patch#SHORT} never rides on a change of view. Who isn't in is a learner: it pulls a cut from
- * the leader in pieces, the state as it is where that is less than the snapshot and the entries behind it, and is let in once it lacks little; that is
- * judged when it knocks, before a change begins for it, and when the view is installed. The entries before a snapshot are remembered for a
- * while, so a compaction doesn't make it begin anew. A member that is asked to keep a view and lacks much is offered the log and pulls it. Who hasn't
- * kept a view in time is left out of the next attempt if the rest is enough; else the attempt lasts while pieces are asked for, the one that
- * fetches begins none of its own, and what has come stays if the same log is offered anew. Within a view nobody falls behind the leader's
- * snapshot: it has only what is delivered, and that is on the disks of all.
+ * What doesn't fit in {@link brambletray.tray.view.Patch#SHORT} never rides on a change of view. Who isn't in is a learner: it pulls a
+ * cut from the leader in pieces, the state as it is where that is less than the snapshot and the entries behind it, and is let in once
+ * it lacks little; that is judged when it knocks, before a change begins for it, and when the view is installed. The entries before a
+ * snapshot are remembered for a while, so a compaction doesn't make it begin anew. A member that is asked to keep a view and lacks much
+ * is offered the log and pulls it. Who hasn't kept a view in time is left out of the next attempt if the rest is enough; else the
+ * attempt lasts while pieces are asked for, the one that fetches begins none of its own, and what has come stays if the same log is
+ * offered anew. Within a view nobody falls behind the leader's snapshot: it has only what is delivered, and that is on the disks of all.
  *
  * <h2>Suspicion</h2>
  * The leader beats; who hasn't answered for {@code silentMs}, or is there and hasn't acknowledged for {@code ackMs}, or calls itself ill,
--- a/src/test/java/brambletray/tray/trove/TroveTest.java
+++ b/src/test/java/brambletray/tray/trove/TroveTest.java
@@ -158,9 +158,9 @@
     }
 
     /**
-     * Each step of opening, appending, rolling to a further file and compacting: the process is killed there, or the power goes with every subset of
-     * the names that the folder hasn't been synced with. What opens then is all that returned, with the commit under way or without; and once a
-     * process has opened it, a loss of power takes nothing of what it has read.
+     * Each step of opening, appending, rolling to a further file and compacting: the process is killed there, or the power goes with every
+     * subset of the names that the folder hasn't been synced with. What opens then is all that returned, with the commit under way or
+     * without; and once a process has opened it, a loss of power takes nothing of what it has read.
      */
     @Test
     void atEachStepEverySubsetOfUnsyncedNamesLeavesAPrefixWithAllThatReturned() {
@@ -189,13 +189,13 @@
         if (first[0] != null) {
             throw first[0];
         }
-        System.out.println("trove: " + seen[0] + " steps, " + seen[1] + " losses of power, " + seen[2] + " after a kill, most unsynced names "
-            + seen[3] + ", generations " + seen[4]);
+        System.out.println("trove: " + seen[0] + " steps, " + seen[1] + " losses of power, " + seen[2] + " after a kill, most unsynced "
+            + "names " + seen[3] + ", generations " + seen[4]);
         assertTrue(seen[4] > 2, "hardly compacted");
         assertTrue(seen[3] >= 2, "hardly a name was unsynced");
     }
 
-    /** The disk refuses one step, or all for a while from there, or is full from there: what fails is said to fail, and later losses of power find no trace. */
+    /** The disk refuses one step, or is full for a while from there: what fails is said to fail, and losses of power find all that didn't. */
     @Test
     void aDiskThatRefusesAtAnyStepLosesNothingThatReturns() {
         Random random = new Random(SEED);
@@ -367,7 +367,8 @@
             try (Trove trove = Trove.open(found)) {
                 assertTrue(holds(trove, kept));
                 for (int i = 0; i < 3; i++) {
-                    assertEquals("trove.full", assertThrows(TroveFault.class, () -> trove.commit(List.of(new Change("x", new byte[9])))).code());
+                    List<Change> more = List.of(new Change("x", new byte[9]));
+                    assertEquals("trove.full", assertThrows(TroveFault.class, () -> trove.commit(more)).code());
                 }
                 assertTrue(holds(trove, kept));
                 found.full(false);
--- a/src/test/java/brambletray/tray/view/CatchUpTest.java
+++ b/src/test/java/brambletray/tray/view/CatchUpTest.java
@@ -7,9 +7,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * How long a member of three that was away for so many changes takes from the start of its process until it is in the view again with all that was
- * acknowledged, and how many bytes go to it: in simulated ms, with all its links at one rate. Printed; the bounds below are wide. The state is
- * as large as one change, as a configuration that replaces another is.
+ * How long a member of three that was away for so many changes takes from the start of its process until it is in the view again with all
+ * that was acknowledged, and how many bytes go to it: in simulated ms, with all its links at one rate. Printed; the bounds on time are wide.
+ * The state is as large as one change, as a configuration that replaces another is.
  */
 class CatchUpTest {
     private static final int FULL = 125_000;
--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -42,7 +42,8 @@
 
     private static boolean in(SimWorld world, String name) {
         SimNode leader = world.leader();
-        return leader != null && leader.members.status().inForce() && leader.members.status().members().stream().anyMatch(m -> m.name().equals(name));
+        if (leader == null || !leader.members.status().inForce()) return false;
+        return leader.members.status().members().stream().anyMatch(member -> member.name().equals(name));
     }
 
     private static void takes(SimWorld world, SimNode at, long span, String what) {
@@ -50,7 +51,7 @@
         world.await(() -> world.oracle.acknowledged.contains("c" + token), span, what);
     }
 
-    /** Twelve large changes are on their way when another member dies: all of them have to be on the only other disk before anything goes on. */
+    /** Twelve large changes are on their way when another member dies: all have to be on the only other disk before anything goes on. */
     @Test
     void aViewThatNeedsAMemberThatLacksMoreThanAFrameIsInstalledInPieces() {
         core("a", "b", "c");
@@ -59,7 +60,8 @@
         for (int i = 0; i < 12; i++) world.oracle.propose(world.leader());
         world.until(world.now + 50);
         world.nodes.get("b").kill(true);
-        world.await(() -> world.nodes.get("a").state.size() == 12 && world.nodes.get("c").state.size() == 12, 12_000, "twelve changes of 1 MB at two of three, 20 Mbit/s between them");
+        world.await(() -> world.nodes.get("a").state.size() == 12 && world.nodes.get("c").state.size() == 12, 12_000,
+                "twelve changes of 1 MB at two of three, 20 Mbit/s between them");
         assertEquals(0, world.link("a", "c").breaks);
     }
 
@@ -79,7 +81,7 @@
         assertEquals(0, world.link("b", "e").breaks);
     }
 
-    /** The same where it answers at once, but nothing of the log comes through to it: it is there, and would be asked to keep each next view. */
+    /** The same where it answers at once, but nothing of the log comes to it: it is there, and would be asked to keep each next view. */
     @Test
     void aMemberThatAnswersButNeverKeepsTheViewIsLeftOutOfTheNext() {
         core("a", "b", "c", "d", "e");
@@ -199,7 +201,7 @@
         world.await(() -> in(world, "d"), 2000, "let in when it is calm");
     }
 
-    /** The longest log of the last view counts, not who is there first: one that was away for hundreds of changes leads nobody with its old state. */
+    /** The longest log of the last view counts, not who is there first: one that was away for hundreds of changes leads nobody with it. */
     @Test
     void aMemberOfLongAgoThatIsBackFirstDoesNotLeadWithItsOldState() {
         for (boolean wiped : new boolean[] {false, true}) {
@@ -232,7 +234,7 @@
         }
     }
 
-    /** A member whose disk is full takes no more into memory than is bounded, says that it is ill, is left out, and comes back with room. */
+    /** A member whose disk is full says that it is ill and is left out, also over a restart, and comes back once there is room. */
     @Test
     void aMemberWithAFullDiskIsLeftOutAndComesBackWithRoom() {
         for (String full : List.of("a", "b")) {
