Leading: entries are sent again by progress, after a broken link at once, and before ackMs

Change: the wait counts from the last progress or the last sending again, is 0.75 s at most, and 0.2 s where the link has broken since. The simulated world drops what waits in a slow link when it heals, and says that the link broke, as a closed link does.

--- a/src/main/java/brambletray/tray/view/Leading.java
+++ b/src/main/java/brambletray/tray/view/Leading.java
@@ -29,10 +29,10 @@
         long acked;
         long next;
         long heardAt;
-        long sentAt;
         long movedAt = -1;
         long hintAt = Long.MIN_VALUE / 2;
         long stoppedAt = -1;
+        long resentAt = -1;
         boolean ill;
 
         Peer(Member member, long end, long now) {
@@ -114,7 +114,6 @@
         desk.out.send(peer.member.address(), new Frame.Append(view.ballot(), peer.next - 1, desk.log.viewAt(peer.next - 1), entries, desk.commit));
         if (peer.movedAt < 0) peer.movedAt = desk.now;
         peer.next += entries.size();
-        peer.sentAt = desk.now;
     }
 
     void ack(long life, long index) {
@@ -143,8 +142,13 @@
         } else if (peer.stoppedAt < 0) {
             peer.stoppedAt = desk.now;
         }
-        long patience = RESEND_MS + desk.log.bytes(back.held(), peer.next - 1) / RESEND_BYTES;
-        if (back.held() < peer.next - 1 && desk.now - peer.sentAt > patience && back.held() >= desk.log.base()) {
+        // what a broken link took with it goes again at once; and before the member is held to be slow
+        long from = Math.max(peer.movedAt, peer.resentAt);
+        boolean broken = peer.hintAt >= from;
+        long taken = broken ? 0 : desk.log.bytes(back.held(), peer.next - 1) / RESEND_BYTES;
+        long patience = Math.min(RESEND_MS + taken, desk.set.ackMs() * 3L / 4);
+        if (back.held() < peer.next - 1 && desk.now - from > patience && back.held() >= desk.log.base()) {
+            peer.resentAt = desk.now;
             peer.next = Math.max(back.held(), desk.log.base()) + 1;
             send(peer);
         }
--- a/src/test/java/brambletray/tray/view/SimWorld.java
+++ b/src/test/java/brambletray/tray/view/SimWorld.java
@@ -167,7 +167,14 @@
                 Link link = link(a, b);
                 link.loss = 0;
                 link.delayMs = 2;
-                link.rate = 0;
+                if (link.rate > 0) {
+                    // what waits in a slow link is lost with it
+                    link.breaks++;
+                    link.freeAt = now;
+                    link.lastAt = now;
+                    link.rate = 0;
+                    if (nodes.get(a).up()) nodes.get(a).members.gone(b, now);
+                }
                 one(a, b, false);
             }
         }
