View: exploration and walks with planned ends and a newcomer

A fourth seat that comes later, and moves for the end of a process as planned. When a process has left, the last view in force has to be without it, and on more disks than one. Walks with a newcomer begin without mishaps, else it hardly ever has the state while its leader still leads.

--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -9,18 +9,25 @@
 import java.util.TreeMap;
 
 /**
- * Three members, their disks and links, moved by hand: each move is the next frame of a link, the end of a sync, the impatience of a
- * member, a loss of power or of a disk. The same moves give the same board.
+ * Three members and one that may come later, their disks and links, moved by hand: each move is the next frame of a link, the end of a
+ * sync, the impatience of a member, a loss of power or of a disk, a planned end, the start of the newcomer. The same moves give the same
+ * board.
  */
 final class Board {
-    static final int SIZE = 3;
+    /** Machines: the founders and the newcomer. */
+    static final int SIZE = 4;
+    private static final int FOUNDERS = 3;
     private static final int STEP_MS = 400;
-    private static final String[] NAMES = {"a", "b", "c"};
+    private static final String[] NAMES = {"a", "b", "c", "d"};
+    private static final List<String> SEEDS = List.of("a", "b", "c");
     private static final int FAR = 1_000_000_000;
     private static final Settings SETTINGS = new Settings(Tolerance.ofMachines(1), FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR, FAR);
 
-    /** What may still happen: impatience, losses of power, losses of disks. */
-    record Purse(int impatience, int power, int disks) {
+    /** What may still happen: impatience, losses of power, losses of disks, planned ends, the start of the newcomer. */
+    record Purse(int impatience, int power, int disks, int leaves, int newcomers) {
+        Purse(int impatience, int power, int disks) {
+            this(impatience, power, disks, 0, 0);
+        }
     }
 
     private static final class Seat implements Out, Matter {
@@ -46,7 +53,7 @@
             flying = null;
             long fresh = 100 * (number + 1) + boot;
             members = null;
-            members = new Members(NAMES[number], NAMES[number], "", fresh, 1000 * (number + 1) + boot, Kept.read(kept), List.of(NAMES),
+            members = new Members(NAMES[number], NAMES[number], "", fresh, 1000 * (number + 1) + boot, Kept.read(kept), SEEDS,
                     initial, SETTINGS, this, this,
                     board.now);
             life = members.status().me().life();
@@ -123,6 +130,9 @@
     private long now = 1000;
     private Purse purse;
     int acknowledged;
+    /** Processes that have left; newcomers let in. */
+    int left;
+    boolean joined;
     boolean talks;
 
     Board(Purse purse) {
@@ -131,7 +141,7 @@
             for (int j = 0; j < SIZE; j++) links.add(new ArrayDeque<>());
             seats[i] = new Seat(this, i);
         }
-        for (Seat seat : seats) seat.start(true);
+        for (int i = 0; i < FOUNDERS; i++) seats[i].start(true);
     }
 
     /** Founds the core: the first member leads, nothing is under way. */
@@ -156,17 +166,21 @@
         }
     }
 
-    /** Moves: 0 to 8 the next frame of a link, then for each member: sync, impatience, loss of power, loss of the disk. */
-    static final int MOVES = SIZE * SIZE + 4 * SIZE;
+    /** Moves: first the next frame of a link, then for each: sync, impatience, loss of power, of the disk, planned end, first start. */
+    static final int MOVES = SIZE * SIZE + 6 * SIZE;
 
     boolean may(int move) {
         if (move < SIZE * SIZE) return !links.get(move).isEmpty();
         Seat seat = seats[move % SIZE];
-        return switch ((move - SIZE * SIZE) / SIZE) {
+        int kind = (move - SIZE * SIZE) / SIZE;
+        if (seat.members == null) return kind == 5 && purse.newcomers > 0 && seat.number >= FOUNDERS && seat.boot == 0;
+        return switch (kind) {
             case 0 -> seat.flying != null;
             case 1 -> purse.impatience > 0;
             case 2 -> purse.power > 0;
-            default -> purse.disks > 0 && intact();
+            case 3 -> purse.disks > 0 && intact();
+            case 4 -> seat.members.leaving() ? seat.members.left() : purse.leaves > 0;
+            default -> false;
         };
     }
 
@@ -179,6 +193,7 @@
     void play(int move) {
         if (move < SIZE * SIZE) {
             Frame frame = links.get(move).poll();
+            if (seats[move % SIZE].members == null) return;
             if (talks) System.out.println(NAMES[move / SIZE] + ">" + NAMES[move % SIZE] + " " + frame);
             seats[move % SIZE].members.heard(NAMES[move / SIZE], frame, now);
             look(seats[move % SIZE]);
@@ -186,33 +201,66 @@
         }
         Seat seat = seats[move % SIZE];
         int kind = (move - SIZE * SIZE) / SIZE;
-        if (talks) System.out.println(NAMES[move % SIZE] + " " + List.of("sync", "impatient", "power", "disk").get(kind));
+        if (talks) System.out.println(NAMES[move % SIZE] + " " + List.of("sync", "impatient", "power", "disk", "leaves", "comes").get(kind));
         if (kind == 0) {
             seat.sync();
         } else if (kind == 1) {
-            purse = new Purse(purse.impatience - 1, purse.power, purse.disks);
+            purse = new Purse(purse.impatience - 1, purse.power, purse.disks, purse.leaves, purse.newcomers);
+            now += STEP_MS;
+            seat.members.tick(now);
+        } else if (kind == 4) {
+            if (seat.members.left()) {
+                end(seat);
+                return;
+            }
+            purse = new Purse(purse.impatience, purse.power, purse.disks, purse.leaves - 1, purse.newcomers);
+            now += STEP_MS;
+            seat.members.leave(now);
+        } else if (kind == 5) {
+            purse = new Purse(purse.impatience, purse.power, purse.disks, purse.leaves, purse.newcomers - 1);
             now += STEP_MS;
+            seat.start(false);
+            seat.sync();
             seat.members.tick(now);
         } else {
             boolean disk = kind == 3;
-            purse = new Purse(purse.impatience, purse.power - (disk ? 0 : 1), purse.disks - (disk ? 1 : 0));
+            purse = new Purse(purse.impatience, purse.power - (disk ? 0 : 1), purse.disks - (disk ? 1 : 0), purse.leaves,
+                    purse.newcomers);
             if (disk) {
                 lost.add(seat.life);
                 seat.kept = new HashMap<>();
             }
-            for (int i = 0; i < SIZE; i++) {
-                links.get(SIZE * i + seat.number).clear();
-                links.get(SIZE * seat.number + i).clear();
-            }
+            cut(seat);
             seat.start(false);
         }
         look(seat);
     }
 
+    private void cut(Seat seat) {
+        for (int i = 0; i < SIZE; i++) {
+            links.get(SIZE * i + seat.number).clear();
+            links.get(SIZE * seat.number + i).clear();
+        }
+    }
+
+    /** The process has left: the others have to be able to go on without it, on more disks than may be lost. */
+    private void end(Seat seat) {
+        View latest = views.lastEntry().getValue();
+        boolean alone = latest.members().size() == 1;
+        if (latest.has(seat.life) && !alone) throw new AssertionError(NAMES[seat.number] + " has left, and is in " + latest);
+        boolean one = !latest.has(seat.life) && alone && lost.isEmpty();
+        if (one) throw new AssertionError(NAMES[seat.number] + " has left one disk: " + latest);
+        left++;
+        cut(seat);
+        seat.flying = null;
+        seat.members = null;
+    }
+
     /** Holds the rules, and has each new leader propose something. */
     private void look(Seat seat) {
         Status status = seat.members.status();
         if (!status.inForce()) return;
+        joined |= status.members().stream().anyMatch(member -> member.address().equals(NAMES[FOUNDERS]));
         View mine = new View(new Ballot(status.number(), status.leader().life()), status.members(), List.of());
         View other = views.putIfAbsent(status.number(), mine);
         if (other != null && !other.equals(mine)) throw new AssertionError("two views of number " + status.number() + ": " + other + ", " + mine);
--- a/src/test/java/brambletray/tray/view/ExplorationTest.java
+++ b/src/test/java/brambletray/tray/view/ExplorationTest.java
@@ -10,8 +10,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Every order in which the frames and syncs of changes of view can come about, with a purse of impatience, losses of power and of disks, up
- * to a bound of states. {@code -Dview.states=N}, {@code -Dview.walks=N} go further; {@code -Dview.moves=1,2,3} plays one course and tells.
+ * Every order in which the frames and syncs of changes of view can come about, with a purse of impatience, losses of power and of disks,
+ * planned ends and newcomers, up to a bound of states. {@code -Dview.states=N}, {@code -Dview.walks=N} go further;
+ * {@code -Dview.moves=1,2,3} plays one course and tells.
  */
 class ExplorationTest {
     private static final int STATES = 10_000;
@@ -21,6 +22,9 @@
     private int states;
     private int ends;
     private int most;
+    /** States, or walks, in which a process has left, and in which the newcomer was in a view in force. */
+    private int lefts;
+    private int joins;
     private int bound;
     private int depth;
 
@@ -42,6 +46,8 @@
         states++;
         depth = Math.max(depth, moves.size());
         most = Math.max(most, board.acknowledged);
+        if (board.left > 0) lefts++;
+        if (board.joined) joins++;
         Board here = board;
         boolean some = false;
         boolean[] may = new boolean[Board.MOVES];
@@ -72,29 +78,39 @@
         long steps = 0;
         for (long seed = first; seed < first + walks; seed++) {
             Random random = new Random(seed);
-            Board board = new Board(new Board.Purse(1 + random.nextInt(5), random.nextInt(3), random.nextInt(2)));
+            int newcomers = random.nextInt(2);
+            int impatience = 1 + random.nextInt(5);
+            Board.Purse purse = new Board.Purse(impatience, random.nextInt(3), random.nextInt(2), random.nextInt(2), newcomers);
+            Board board = new Board(purse);
             board.found();
             try {
-                steps += stroll(board, random);
+                steps += stroll(board, random, newcomers > 0);
             } catch (AssertionError | RuntimeException e) {
                 throw new AssertionError("walk " + seed + ": " + e.getMessage(), e);
             }
             most = Math.max(most, board.acknowledged);
+            if (board.left > 0) lefts++;
+            if (board.joined) joins++;
             played++;
         }
-        System.out.println("exploration: " + played + " walks, " + steps + " steps, at most " + most + " changes acknowledged");
+        System.out.println("exploration: " + played + " walks, " + steps + " steps, at most " + most + " changes acknowledged, one left in "
+                + lefts + ", the newcomer was let in in " + joins);
         assertTrue(most >= 2, "hardly anything was acknowledged");
+        assertTrue(walks < WALKS || lefts > 100 && joins > 100, "hardly anybody left or came in: " + lefts + ", " + joins);
     }
 
-    private static int stroll(Board board, Random random) {
+    private static int stroll(Board board, Random random, boolean newcomer) {
         int[] may = new int[Board.MOVES];
         // a walk may favour some links: the others' frames come late
         boolean[] slow = new boolean[Board.MOVES];
         for (int i = 0; i < Board.SIZE * (Board.SIZE + 1); i++) slow[i] = random.nextInt(4) == 0;
+        // else a newcomer hardly ever has the state while the leader that it knocked at still leads
+        int calm = newcomer ? random.nextInt(80) : 0;
+        if (newcomer) board.play(Board.MOVES - 1);
         for (int step = 0; step < 400; step++) {
             int count = 0;
             for (int move = 0; move < Board.MOVES; move++) {
-                if (board.may(move) && (!slow[move] || random.nextInt(20) == 0)) may[count++] = move;
+                if (board.may(move) && (!slow[move] || step < calm || random.nextInt(20) == 0)) may[count++] = move;
             }
             if (count == 0) {
                 if (random.nextInt(4) == 0) return step;
@@ -103,7 +119,7 @@
             int move = may[random.nextInt(count)];
             // mishaps are rarer than frames
             boolean mishap = move >= Board.SIZE * (Board.SIZE + 1);
-            if (mishap && random.nextInt(6) > 0) continue;
+            if (mishap && (step < calm || random.nextInt(6) > 0)) continue;
             board.play(move);
         }
         return 400;
@@ -116,7 +132,8 @@
         int disks = Integer.getInteger("view.disks", 1);
         int impatience = Integer.getInteger("view.impatience", 2);
         if (one != null) {
-            Board board = new Board(new Board.Purse(impatience, power, disks));
+            Board board = new Board(new Board.Purse(impatience, power, disks,
+                    Integer.getInteger("view.leaves", 0), Integer.getInteger("view.newcomers", 0)));
             board.found();
             board.talks = true;
             for (String move : one.split("[, ]+")) board.play(Integer.parseInt(move));
@@ -129,15 +146,22 @@
                 for (int d = 0; d <= disks; d++) purses.add(new Board.Purse(i, p, d));
             }
         }
+        // with a planned end, and a newcomer at the same time
+        for (int i = 1; i <= impatience; i++) {
+            for (int n = 0; n <= 1; n++) purses.add(new Board.Purse(i, 0, n * disks, 1, n));
+        }
         int all = 0;
         for (Board.Purse purse : purses) {
             states = 0;
             ends = 0;
             depth = 0;
+            lefts = 0;
+            joins = 0;
             explore(purse);
             all += states;
             System.out.println("exploration " + purse + ": " + states + " states"
-                    + (states >= bound ? " (bound)" : ", all") + ", " + ends + " ends, depth " + depth);
+                    + (states >= bound ? " (bound)" : ", all") + ", " + ends + " ends, depth " + depth + ", one left in "
+                    + lefts + ", the newcomer in in " + joins);
         }
         assertTrue(all > 1000 && most >= 2, all + " states, at most " + most + " changes acknowledged");
     }
