--- a/src/test/resources/brambletray/tray/view/zones.feature
+++ b/src/test/resources/brambletray/tray/view/zones.feature
@@ -24,7 +24,7 @@
       """
               a            b            c            d
       0       .            .            bye          .
-      1000    L3,+x        M3           stays        .
+      1000    L3,V1,+x     M3,V1        stays,V1     .
       <1050   ok:x         .            .            .
       1500    .            .            .            ^
       <2500   L3           M3           left         M3,=x
