--- a/src/main/java/brambletray/tray/flow/Stamp.java
+++ b/src/main/java/brambletray/tray/flow/Stamp.java
@@ -8,8 +8,8 @@
 /**
  * What the head of a host's answer says, once the whole answer is here (PROTOCOL, Hosts; rules MIXED, TWICE, REFUSED).
  *
- * <p>{@code fate}: null for a surplus answer, which belongs to another request and is skipped. {@code promise}: the status promises that the request
- * did not run, without proof. {@code nameless}: it carries no id, so what else comes on its connection can't be told apart.
+ * <p>{@code fate}: null for a surplus answer, which belongs to another request and is skipped. {@code promise}: the status promises that
+ * the request did not run, without proof. {@code nameless}: it carries no id, so what else comes on its connection can't be told apart.
  */
 record Stamp(Fate fate, boolean promise, boolean nameless) {
     static final Stamp SURPLUS = new Stamp(null, false, false);
@@ -24,7 +24,8 @@
         return "status " + status + (headers.contains(Parcel.ID) ? "" : ", no id") + (headers.contains(Parcel.SEAL) ? "" : ", no seal")
             + (headers.contains(Parcel.NOT_EXECUTED) ? ", not executed" : "")
             + (headers.contains(HttpHeaderNames.CONTENT_ENCODING) ? ", encoded" : "")
-            + (headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING) ? "" : ", no length");
+            + (headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING) ? ""
+                : ", no length");
     }
 
     /** {@code id}: of the request that the connection is at. */
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -319,7 +319,12 @@
         assertEquals(503, behind.status);
         assertEquals(503, read.status);
         order.standing = Standing.MEMBER;
+        Reply next = modify(5, move(9, "a"));
+        assertEquals(1, order.tokens.size(), "judged before it is known what came of the one under way");
         keep();
+        confirm(false);
+        confirm(true);
+        assertEquals(412, next.status);
         assertEquals(7, operators.charter().creed().revision());
         assertEquals(200, modify(5, move(7, "a")).status, "the slot was kept for it, and it is sent again");
     }
@@ -354,6 +359,22 @@
         assertTrue(order.tokens.isEmpty(), "what was given up is proposed no more");
     }
 
+    @Test
+    void theBytesThatWaitAreBounded() {
+        begin();
+        Reply open = modify(5, move(7, "a"));
+        byte[] large = new byte[4 << 20];
+        List<Reply> replies = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            replies.add(modify(5, large));
+        }
+        assertEquals(3, replies.stream().filter(reply -> reply.status != null && reply.status == 503).count(), "24 MB in all");
+        keep();
+        assertEquals(200, open.status);
+        assertNull(modify(5, large).status, "a sixth, now that none is under way");
+        assertEquals(503, modify(5, large).status, "those that wait for a round count too");
+    }
+
     @Test
     void whoLeavesSendsItsCallersOnOnceItIsOutAndIsIdleWhenAllAreAnswered() {
         begin();
