--- a/src/main/java/brambletray/simulation/Simulation.java
+++ b/src/main/java/brambletray/simulation/Simulation.java
@@ -87,9 +87,9 @@
     }
 
     /**
-     * The process on this machine stands still for so long, ns, as under SIGSTOP: none of its code runs, while
-     * its connections stay open and take in what comes. When it goes on, what has come meanwhile is read first,
-     * and then the timers fire that are late.
+     * The process on this machine stands still for so long, ns, as under SIGSTOP: none of its code runs,
+     * while its connections stay open and take in what comes. When it goes on, what has come meanwhile is
+     * read first, and then the timers fire that are late.
      */
     public void freeze(Machine machine, long nanos) {
         ((SimLoop) machine.loop()).freeze(ticker.nanoTime() + nanos);
--- a/src/main/java/brambletray/tray/flow/Tally.java
+++ b/src/main/java/brambletray/tray/flow/Tally.java
@@ -30,8 +30,9 @@
     public Object[] facts() {
         java.util.List<Object> facts = new java.util.ArrayList<>(64);
         add(facts, "requests", requests, "passed", passed, "unrouted", unrouted, "refused", refused, "failed", failed, "late", late,
-            "wrong", wrong, "left", left, "asks", asks, "sends", sends, "copies", copies, "copies_won", copiesWon, "copies_refused", copiesRefused,
-            "agains", agains, "dialled", dialled, "undialled", undialled, "stale", stale, "surplus", surplus, "streamed", streamed);
+            "wrong", wrong, "left", left, "asks", asks, "sends", sends, "copies", copies, "copies_won", copiesWon,
+            "copies_refused", copiesRefused, "agains", agains, "dialled", dialled, "undialled", undialled, "stale", stale,
+            "surplus", surplus, "streamed", streamed);
         for (Fate fate : FATES) {
             add(facts, fate.name().toLowerCase(java.util.Locale.ROOT), of(fate));
         }
--- a/src/test/java/brambletray/tray/flow/TroubledHost.java
+++ b/src/test/java/brambletray/tray/flow/TroubledHost.java
@@ -315,8 +315,13 @@
     }
 
     private Answer shed(Ruling.Try one) {
-        return new Answer(notRun(random.nextBoolean() ? one.id : null), false, Then.STAYS,
-            random.nextBoolean() ? "" : surplus(one.id, "x"));
+        String id = random.nextBoolean() ? one.id : null;
+        String surplus = switch (random.nextInt(6)) {
+            case 0, 1 -> notRun(one.id);
+            case 2 -> surplus(one.id, "x");
+            default -> "";
+        };
+        return new Answer(notRun(id), false, Then.STAYS, surplus);
     }
 
     private String notRun(String id) {
