flow: names of the field: HostConnection, HostPool, Verdict, Rejection, RequestReader, AnswerWriter

Line, LineDecoder, Sheaf, Stamp, Turn, Draft, Pen and Hold (now MemoryBudget) are renamed, and nothing else.

--- a/src/main/java/brambletray/tray/flow/Answer.java
+++ b/src/main/java/brambletray/tray/flow/Answer.java
@@ -14,11 +14,11 @@
     final long length;
     /** No body follows, whatever the headers say: an answer to HEAD, 204, 304. */
     final boolean bare;
-    private final Hold hold;
+    private final MemoryBudget hold;
     private List<ByteBuf> body = new ArrayList<>(2);
     private long size;
 
-    Answer(int status, String reason, HttpHeaders headers, long length, boolean bare, Hold hold) {
+    Answer(int status, String reason, HttpHeaders headers, long length, boolean bare, MemoryBudget hold) {
         this.status = status;
         this.reason = reason;
         this.headers = headers;
--- a/src/main/java/brambletray/tray/flow/Pen.java
+++ b/src/main/java/brambletray/tray/flow/AnswerWriter.java
@@ -8,13 +8,13 @@
 import java.util.List;
 
 /** Writes answers on a client's connection. */
-final class Pen {
+final class AnswerWriter {
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Channel channel;
     private boolean chunked;
 
-    Pen(Channel channel) {
+    AnswerWriter(Channel channel) {
         this.channel = channel;
     }
 
@@ -69,7 +69,7 @@
     }
 
     void own(int status, String code, int comeBackMs, CharSequence id, boolean bare, boolean close) {
-        channel.writeAndFlush(Heads.own(channel.alloc(), status, Turn.reason(status), code, comeBackMs, id, bare, close));
+        channel.writeAndFlush(Heads.own(channel.alloc(), status, Rejection.reason(status), code, comeBackMs, id, bare, close));
     }
 
     void proceed() {
--- a/src/main/java/brambletray/tray/flow/Carriage.java
+++ b/src/main/java/brambletray/tray/flow/Carriage.java
@@ -234,7 +234,7 @@
         return mostLines;
     }
 
-    Hold hold() {
+    MemoryBudget hold() {
         return flow.hold();
     }
 
@@ -270,7 +270,7 @@
         return client.more(bytes);
     }
 
-    boolean met(Line line) {
+    boolean met(HostConnection line) {
         for (int i = 0; i < stops.size(); i++) {
             if (stops.get(i).wasOn(line)) {
                 return true;
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -23,10 +23,10 @@
 
     private final Front front;
     private final Limits limits;
-    private final Draft draft;
+    private final RequestReader draft;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>(0);
     private Channel channel;
-    private Pen pen;
+    private AnswerWriter pen;
     private String ip;
     private State state = State.IDLE;
     /** When the state began, ms. */
@@ -37,7 +37,7 @@
     Client(Front front, Limits limits) {
         this.front = front;
         this.limits = limits;
-        this.draft = new Draft(front.hold(), limits);
+        this.draft = new RequestReader(front.hold(), limits);
         this.since = front.now();
     }
 
@@ -45,7 +45,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
-        pen = new Pen(channel);
+        pen = new AnswerWriter(channel);
     }
 
     @Override
@@ -75,8 +75,8 @@
 
     private void take(Object part) {
         try {
-            Turn turn = part instanceof HttpObject object && object.decoderResult().isFailure()
-                ? Turn.of(object.decoderResult().cause()) : null;
+            Rejection turn = part instanceof HttpObject object && object.decoderResult().isFailure()
+                ? Rejection.of(object.decoderResult().cause()) : null;
             if (turn == null && part instanceof HttpRequest request) {
                 turn = began(request);
             }
@@ -91,18 +91,18 @@
         }
     }
 
-    private Turn began(HttpRequest request) {
+    private Rejection began(HttpRequest request) {
         enter(State.BODY);
         close = front.draining() || !HttpUtil.isKeepAlive(request);
-        Turn turn = draft.head(request, since);
+        Rejection turn = draft.head(request, since);
         if (turn == null && HttpUtil.is100ContinueExpected(request)) {
             pen.proceed();
         }
         return turn;
     }
 
-    private Turn came(HttpContent content) {
-        Turn turn = draft.body(content);
+    private Rejection came(HttpContent content) {
+        Rejection turn = draft.body(content);
         if (turn == null && content instanceof LastHttpContent) {
             Parcel parcel = draft.whole();
             enter(State.BUSY);
--- a/src/main/java/brambletray/tray/flow/Errand.java
+++ b/src/main/java/brambletray/tray/flow/Errand.java
@@ -27,10 +27,10 @@
     /** ms of the steady clock. */
     long hostEnd();
 
-    Hold hold();
+    MemoryBudget hold();
 
     /** Whether it has been on this connection before: what is still to come there may bear its id. */
-    boolean met(Line line);
+    boolean met(HostConnection line);
 
     /**
      * False: its time is over, and it is not to go out. Asked right before it does, as timers may be late where the machine stood still.
@@ -38,7 +38,7 @@
     boolean wanted();
 
     /** A connection is up, and is now at it. */
-    void up(Line line);
+    void up(HostConnection line);
 
     /** That connection was closed before a byte went out; another is looked for. */
     void down();
@@ -51,7 +51,7 @@
     /** True: it is given on as it comes by {@link #more}; false: throw away what else comes. */
     boolean flow(Answer answer);
 
-    /** Takes the bytes over. False: stop reading until {@link Line#resume}. */
+    /** Takes the bytes over. False: stop reading until {@link HostConnection#resume}. */
     boolean more(ByteBuf bytes);
 
     /** {@code answer}: null unless SERVED or FAILED, and where it is {@code withheld}; the errand's from now on. */
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -32,7 +32,7 @@
     private final Predicate<String> isHost;
     private final Lines lines;
     private final Tally tally;
-    private final Hold hold;
+    private final MemoryBudget hold;
     private final Murmur murmur = new Murmur();
     private final SplittableRandom shares;
     private final Map<String, Pace> paces = new HashMap<>();
@@ -54,7 +54,7 @@
         this.isHost = isHost;
         this.lines = lines;
         this.tally = tally;
-        this.hold = new Hold(mostBytes);
+        this.hold = new MemoryBudget(mostBytes);
         this.shares = new SplittableRandom(seed);
         // Guards against the ids of the process before, whose asks homes may still know.
         this.asks = (seed & 0x3fffffffL) << 32;
@@ -83,7 +83,7 @@
         return murmur;
     }
 
-    Hold hold() {
+    MemoryBudget hold() {
         return hold;
     }
 
--- a/src/main/java/brambletray/tray/flow/Front.java
+++ b/src/main/java/brambletray/tray/flow/Front.java
@@ -51,7 +51,7 @@
         return flow;
     }
 
-    Hold hold() {
+    MemoryBudget hold() {
         return flow.hold();
     }
 
--- a/src/main/java/brambletray/tray/flow/Heads.java
+++ b/src/main/java/brambletray/tray/flow/Heads.java
@@ -21,7 +21,7 @@
 
     /** {@code remaining}: what the host is told it has left, ms. */
     static ByteBuf request(ByteBufAllocator memory, Parcel parcel, String host, long remaining) {
-        ByteBuf out = memory.buffer(ROOM + (parcel.body().readableBytes() <= Line.JOINED ? parcel.body().readableBytes() : 0));
+        ByteBuf out = memory.buffer(ROOM + (parcel.body().readableBytes() <= HostConnection.JOINED ? parcel.body().readableBytes() : 0));
         ascii(out, parcel.method());
         out.writeByte(' ');
         ascii(out, parcel.uri());
@@ -81,7 +81,7 @@
     }
 
     static ByteBuf empty(ByteBufAllocator memory, int status, boolean close) {
-        ByteBuf out = status(memory, status, Turn.reason(status));
+        ByteBuf out = status(memory, status, Rejection.reason(status));
         if (close) {
             header(out, "Connection", "close");
         }
--- a/src/main/java/brambletray/tray/flow/Line.java
+++ b/src/main/java/brambletray/tray/flow/HostConnection.java
@@ -21,13 +21,13 @@
  * was whole, alone and named, nothing came behind it, and neither side has said that it closes. Whatever else ends a request ends its
  * connection.
  */
-final class Line extends ChannelInboundHandlerAdapter {
+final class HostConnection extends ChannelInboundHandlerAdapter {
     /** Bytes of a body that travel in one piece with their head. */
     static final int JOINED = 8 * 1024;
 
     private final Lines lines;
-    final Sheaf sheaf;
-    final LineDecoder decoder = new LineDecoder(this);
+    final HostPool pool;
+    final HostDecoder decoder = new HostDecoder(this);
     private Channel channel;
     /** What it is at; null while it is idle. */
     private Reading reading;
@@ -37,9 +37,9 @@
     private int idleMs;
     private boolean told;
 
-    Line(Lines lines, Sheaf sheaf) {
+    HostConnection(Lines lines, HostPool pool) {
         this.lines = lines;
-        this.sheaf = sheaf;
+        this.pool = pool;
         this.idleMs = lines.idleMs;
     }
 
@@ -194,7 +194,7 @@
             } else if (((HttpObject) part).decoderResult().isFailure()) {
                 broken("garbled");
             } else if (part instanceof HttpResponse head && !reading.head(head)) {
-                broken(Stamp.traits(head.status().code(), head.headers()));
+                broken(Verdict.traits(head.status().code(), head.headers()));
             } else if (part instanceof HttpContent content && !reading.content(content)) {
                 channel.config().setAutoRead(false);
             }
@@ -228,7 +228,7 @@
         } else {
             channel.close();
         }
-        ended.errand().ended(ended.stamp().fate(), ended.withheld(), ended.answer());
+        ended.errand().ended(ended.verdict().fate(), ended.withheld(), ended.answer());
     }
 
     private void broken(String why) {
--- a/src/main/java/brambletray/tray/flow/LineDecoder.java
+++ b/src/main/java/brambletray/tray/flow/HostDecoder.java
@@ -9,12 +9,12 @@
 import java.util.List;
 
 /** Reads answers of hosts. Bytes that no request waits for are not looked at: they end the connection (connection poisoning). */
-final class LineDecoder extends HttpResponseDecoder {
+final class HostDecoder extends HttpResponseDecoder {
     private static final int HEAD_MOST = 16 * 1024, LINE_MOST = 4 * 1024, PIECE_MOST = 64 * 1024;
 
-    private final Line line;
+    private final HostConnection line;
 
-    LineDecoder(Line line) {
+    HostDecoder(HostConnection line) {
         super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST).setMaxInitialLineLength(LINE_MOST).setMaxChunkSize(PIECE_MOST)
             .setInitialBufferSize(256));
         this.line = line;
--- a/src/main/java/brambletray/tray/flow/Sheaf.java
+++ b/src/main/java/brambletray/tray/flow/HostPool.java
@@ -8,12 +8,12 @@
 import java.util.function.Consumer;
 
 /** The connections to one host, by its {@code instance-id}: a new life at an old address has its own. */
-final class Sheaf {
+final class HostPool {
     final String id;
     final InetSocketAddress address;
-    final List<Line> lines = new ArrayList<>(2);
+    final List<HostConnection> lines = new ArrayList<>(2);
     /** Newest last. */
-    final ArrayDeque<Line> idle = new ArrayDeque<>(2);
+    final ArrayDeque<HostConnection> idle = new ArrayDeque<>(2);
     /** Those that wait for a connection. */
     final ArrayDeque<Errand> waiting = new ArrayDeque<>(2);
     /** Those that only want to know whether it is up. */
@@ -24,7 +24,7 @@
     boolean gone;
     Future<?> retry;
 
-    Sheaf(String id, InetSocketAddress address) {
+    HostPool(String id, InetSocketAddress address) {
         this.id = id;
         this.address = address;
     }
--- a/src/main/java/brambletray/tray/flow/Lines.java
+++ b/src/main/java/brambletray/tray/flow/Lines.java
@@ -31,7 +31,7 @@
     final int idleMs;
     private final Machine machine;
     private final Bootstrap bootstrap;
-    private final Map<String, Sheaf> sheaves = new HashMap<>();
+    private final Map<String, HostPool> pools = new HashMap<>();
     private boolean sweeping;
 
     /** {@code idleMs}: how long idle connections are kept whose host has not said, ms. */
@@ -42,7 +42,7 @@
         this.bootstrap = machine.dialling(CONNECT_MS, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                // Its line comes with its sheaf, once it is up.
+                // Its line comes with its pool, once it is up.
             }
         });
     }
@@ -56,17 +56,17 @@
         if (!errand.wanted()) {
             return;
         }
-        Sheaf sheaf = sheaf(errand.host(), errand.address());
-        Line line = sheaf.waiting.isEmpty() ? take(sheaf, errand) : null;
+        HostPool pool = pool(errand.host(), errand.address());
+        HostConnection line = pool.waiting.isEmpty() ? take(pool, errand) : null;
         if (line != null) {
             line.begin(errand);
         } else {
-            if (!sheaf.idle.isEmpty() && sheaf.lines.size() + sheaf.dialling >= errand.mostLines()) {
+            if (!pool.idle.isEmpty() && pool.lines.size() + pool.dialling >= errand.mostLines()) {
                 // Guards against waiting for room that only connections not good enough take up.
-                sheaf.idle.poll().close();
+                pool.idle.poll().close();
             }
-            sheaf.waiting.add(errand);
-            dial(sheaf);
+            pool.waiting.add(errand);
+            dial(pool);
         }
     }
 
@@ -77,10 +77,10 @@
 
     /** Takes back one that is waiting for a connection. */
     void withdraw(Errand errand) {
-        Sheaf sheaf = sheaves.get(errand.host());
-        if (sheaf != null) {
-            sheaf.waiting.remove(errand);
-            forgetIfEmpty(sheaf);
+        HostPool pool = pools.get(errand.host());
+        if (pool != null) {
+            pool.waiting.remove(errand);
+            forgetIfEmpty(pool);
         }
     }
 
@@ -91,11 +91,11 @@
         send(errand);
     }
 
-    private Line take(Sheaf sheaf, Errand errand) {
+    private HostConnection take(HostPool pool, Errand errand) {
         long now = now();
-        Line newest = null;
-        for (Iterator<Line> lines = sheaf.idle.descendingIterator(); lines.hasNext();) {
-            Line line = lines.next();
+        HostConnection newest = null;
+        for (Iterator<HostConnection> lines = pool.idle.descendingIterator(); lines.hasNext();) {
+            HostConnection line = lines.next();
             if (line.usable(now, errand.careful()) && !errand.met(line)) {
                 if (now - line.idleSince >= REST_MS) {
                     lines.remove();
@@ -105,19 +105,19 @@
             }
         }
         if (newest != null) {
-            sheaf.idle.remove(newest);
+            pool.idle.remove(newest);
         }
         return newest;
     }
 
-    private Sheaf sheaf(String host, String address) {
-        Sheaf sheaf = sheaves.get(host);
-        if (sheaf == null) {
+    private HostPool pool(String host, String address) {
+        HostPool pool = pools.get(host);
+        if (pool == null) {
             Address to = Address.parse(address);
-            sheaf = new Sheaf(host, new InetSocketAddress(to.host(), to.port()));
-            sheaves.put(host, sheaf);
+            pool = new HostPool(host, new InetSocketAddress(to.host(), to.port()));
+            pools.put(host, pool);
         }
-        return sheaf;
+        return pool;
     }
 
     // ---- Connections ----------------------------------------------------------------------------
@@ -125,143 +125,143 @@
      * Tells whether a host takes connections; where one comes up, it is kept for the next request.
      */
     public void knock(String host, String address, Consumer<Boolean> up) {
-        Sheaf sheaf = sheaf(host, address);
-        Line last = sheaf.idle.peekLast();
+        HostPool pool = pool(host, address);
+        HostConnection last = pool.idle.peekLast();
         if (last != null && last.open() && now() - last.idleSince < FRESH_MS) {
             machine.loop().execute(() -> up.accept(true));
             return;
         }
-        sheaf.knocks.add(up);
-        if (sheaf.dialling == 0) {
-            connect(sheaf);
+        pool.knocks.add(up);
+        if (pool.dialling == 0) {
+            connect(pool);
         }
     }
 
     /** One for each that waits, within the bound; one at a time where the host has refused so far. */
-    private void dial(Sheaf sheaf) {
-        int wanted = sheaf.unborn ? Math.min(1, sheaf.waiting.size()) : sheaf.waiting.size();
-        while (sheaf.dialling < wanted && sheaf.retry == null
-            && sheaf.lines.size() + sheaf.dialling < sheaf.waiting.peek().mostLines()) {
-            connect(sheaf);
+    private void dial(HostPool pool) {
+        int wanted = pool.unborn ? Math.min(1, pool.waiting.size()) : pool.waiting.size();
+        while (pool.dialling < wanted && pool.retry == null
+            && pool.lines.size() + pool.dialling < pool.waiting.peek().mostLines()) {
+            connect(pool);
         }
     }
 
-    private void connect(Sheaf sheaf) {
-        sheaf.dialling++;
-        bootstrap.connect(sheaf.address).addListener((io.netty.channel.ChannelFuture done) -> {
-            sheaf.dialling--;
+    private void connect(HostPool pool) {
+        pool.dialling++;
+        bootstrap.connect(pool.address).addListener((io.netty.channel.ChannelFuture done) -> {
+            pool.dialling--;
             if (done.isSuccess()) {
-                up(sheaf, done.channel());
+                up(pool, done.channel());
             } else {
                 tally.undialled++;
-                down(sheaf);
+                down(pool);
             }
-            forgetIfEmpty(sheaf);
+            forgetIfEmpty(pool);
         });
     }
 
-    private void up(Sheaf sheaf, Channel channel) {
+    private void up(HostPool pool, Channel channel) {
         tally.dialled++;
-        sheaf.unborn = false;
-        Line line = new Line(this, sheaf);
+        pool.unborn = false;
+        HostConnection line = new HostConnection(this, pool);
         channel.pipeline().addLast(line.decoder, line);
-        sheaf.lines.add(line);
-        tell(sheaf, true);
-        if (sheaf.gone && sheaf.waiting.isEmpty()) {
+        pool.lines.add(line);
+        tell(pool, true);
+        if (pool.gone && pool.waiting.isEmpty()) {
             line.close();
         } else {
             idle(line);
         }
-        dial(sheaf);
+        dial(pool);
     }
 
-    private void down(Sheaf sheaf) {
-        tell(sheaf, false);
+    private void down(HostPool pool) {
+        tell(pool, false);
         Errand refused = null;
         boolean booting = false;
-        for (Iterator<Errand> errands = sheaf.waiting.iterator(); errands.hasNext();) {
+        for (Iterator<Errand> errands = pool.waiting.iterator(); errands.hasNext();) {
             Errand errand = errands.next();
-            if (errand.booting() && !sheaf.gone) {
+            if (errand.booting() && !pool.gone) {
                 booting = true;
             } else if (refused == null) {
                 refused = errand;
                 errands.remove();
             }
         }
-        if (booting && sheaf.retry == null) {
-            sheaf.unborn = true;
-            sheaf.retry = machine.loop().schedule(() -> {
-                sheaf.retry = null;
-                dial(sheaf);
-                forgetIfEmpty(sheaf);
+        if (booting && pool.retry == null) {
+            pool.unborn = true;
+            pool.retry = machine.loop().schedule(() -> {
+                pool.retry = null;
+                dial(pool);
+                forgetIfEmpty(pool);
             }, BOOTING_MS, TimeUnit.MILLISECONDS);
         }
         if (refused != null) {
             refused.unreached();
         }
         if (!booting) {
-            sheaf.unborn = false;
-            dial(sheaf);
+            pool.unborn = false;
+            dial(pool);
         }
     }
 
-    private static void tell(Sheaf sheaf, boolean up) {
-        if (!sheaf.knocks.isEmpty()) {
-            List<Consumer<Boolean>> told = List.copyOf(sheaf.knocks);
-            sheaf.knocks.clear();
+    private static void tell(HostPool pool, boolean up) {
+        if (!pool.knocks.isEmpty()) {
+            List<Consumer<Boolean>> told = List.copyOf(pool.knocks);
+            pool.knocks.clear();
             told.forEach(knock -> knock.accept(up));
         }
     }
 
     /** A connection is free: for who waits, or for later. */
-    void idle(Line line) {
+    void idle(HostConnection line) {
         Errand next = next(line);
         if (next != null) {
             line.begin(next);
             return;
         }
-        if (!line.sheaf.waiting.isEmpty()) {
+        if (!line.pool.waiting.isEmpty()) {
             // All that wait have been here before: room for another.
             line.close();
             return;
         }
         line.idleSince = now();
-        line.sheaf.idle.add(line);
+        line.pool.idle.add(line);
         if (!sweeping) {
             sweeping = true;
             machine.loop().schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private Errand next(Line line) {
-        for (Errand errand : List.copyOf(line.sheaf.waiting)) {
-            if (!errand.met(line) && line.sheaf.waiting.remove(errand) && errand.wanted()) {
+    private Errand next(HostConnection line) {
+        for (Errand errand : List.copyOf(line.pool.waiting)) {
+            if (!errand.met(line) && line.pool.waiting.remove(errand) && errand.wanted()) {
                 return errand;
             }
         }
         return null;
     }
 
-    void closed(Line line) {
-        line.sheaf.lines.remove(line);
-        line.sheaf.idle.remove(line);
-        dial(line.sheaf);
-        forgetIfEmpty(line.sheaf);
+    void closed(HostConnection line) {
+        line.pool.lines.remove(line);
+        line.pool.idle.remove(line);
+        dial(line.pool);
+        forgetIfEmpty(line.pool);
     }
 
-    private void forgetIfEmpty(Sheaf sheaf) {
-        if (sheaf.empty()) {
-            sheaves.remove(sheaf.id, sheaf);
+    private void forgetIfEmpty(HostPool pool) {
+        if (pool.empty()) {
+            pools.remove(pool.id, pool);
         }
     }
 
     private void sweep() {
         sweeping = false;
         long now = now();
-        List<Line> stale = new ArrayList<>();
+        List<HostConnection> stale = new ArrayList<>();
         boolean more = false;
-        for (Sheaf sheaf : sheaves.values()) {
-            for (Line line : sheaf.idle) {
+        for (HostPool pool : pools.values()) {
+            for (HostConnection line : pool.idle) {
                 if (line.stale(now)) {
                     stale.add(line);
                 } else {
@@ -269,7 +269,7 @@
                 }
             }
         }
-        stale.forEach(Line::close);
+        stale.forEach(HostConnection::close);
         if (more) {
             sweeping = true;
             machine.loop().schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -278,18 +278,18 @@
 
     /** This host is gone, or leaves: what is under way ends, nothing else is kept. */
     public void gone(String host) {
-        Sheaf sheaf = sheaves.get(host);
-        if (sheaf != null) {
-            sheaf.gone = true;
-            List.copyOf(sheaf.lines).forEach(Line::retire);
+        HostPool pool = pools.get(host);
+        if (pool != null) {
+            pool.gone = true;
+            List.copyOf(pool.lines).forEach(HostConnection::retire);
         }
     }
 
     /** Connections open now. */
     public int open() {
         int open = 0;
-        for (Sheaf sheaf : sheaves.values()) {
-            open += sheaf.lines.size();
+        for (HostPool pool : pools.values()) {
+            open += pool.lines.size();
         }
         return open;
     }
--- a/src/main/java/brambletray/tray/flow/Hold.java
+++ b/src/main/java/brambletray/tray/flow/MemoryBudget.java
@@ -1,12 +1,12 @@
 package brambletray.tray.flow;
 
 /** Bytes of requests and answers held in memory at one time, all connections together, and their bound. */
-final class Hold {
+final class MemoryBudget {
     private final long most;
     private long held;
 
     /** {@code most}: bytes. */
-    Hold(long most) {
+    MemoryBudget(long most) {
         this.most = most;
     }
 
--- a/src/main/java/brambletray/tray/flow/Reading.java
+++ b/src/main/java/brambletray/tray/flow/Reading.java
@@ -20,7 +20,7 @@
     private final Errand errand;
     private final Tally tally;
     private final boolean reused;
-    private Stamp stamp;
+    private Verdict verdict;
     private Answer answer;
     private boolean sent, skipping, flowing, dropping, withheld, complete, lasting = true;
     private int ahead;
@@ -54,8 +54,8 @@
         return lasting;
     }
 
-    Stamp stamp() {
-        return stamp;
+    Verdict verdict() {
+        return verdict;
     }
 
     /** It must not be passed on: its status promises what is not proven, or it was too large to be held. */
@@ -65,7 +65,7 @@
 
     /** The whole answer, where it is one for clients; its bytes are the caller's. */
     Answer answer() {
-        return !withheld && (stamp.fate() == Fate.SERVED || stamp.fate() == Fate.FAILED) ? answer : null;
+        return !withheld && (verdict.fate() == Fate.SERVED || verdict.fate() == Fate.FAILED) ? answer : null;
     }
 
     /** What the host says of how long it keeps the connection; null: nothing. */
@@ -82,13 +82,13 @@
         }
         boolean bare = status == 204 || status == 304 || errand.parcel().head();
         Framing framing = Framing.of(head, bare);
-        stamp = framing == Framing.NONE ? Stamp.JUNK : Stamp.of(errand.id(), status, head.headers());
-        if (stamp.nameless() && reused && errand.careful()) {
+        verdict = framing == Framing.NONE ? Verdict.JUNK : Verdict.of(errand.id(), status, head.headers());
+        if (verdict.nameless() && reused && errand.careful()) {
             // Guards rule TWICE: a late one of the request before looks the same, and proves nothing of this one.
-            stamp = Stamp.JUNK;
+            verdict = Verdict.JUNK;
         }
-        lasting &= HttpUtil.isKeepAlive(head) && !stamp.nameless() && !errand.parcel().head();
-        skipping = stamp == Stamp.SURPLUS;
+        lasting &= HttpUtil.isKeepAlive(head) && !verdict.nameless() && !errand.parcel().head();
+        skipping = verdict == Verdict.SURPLUS;
         if (skipping) {
             tally.surplus++;
             // Where one came, more may: no other request goes out here. And how long it is can't be told by the rules of an answer to HEAD.
@@ -96,9 +96,9 @@
             return !errand.parcel().head() && ++ahead <= AHEAD_MOST;
         }
         answer = new Answer(status, head.status().reasonPhrase(), head.headers(), framing.length(), bare, errand.hold());
-        withheld = stamp.promise();
-        dropping = withheld || stamp.fate() != Fate.SERVED && stamp.fate() != Fate.FAILED;
-        return stamp != Stamp.JUNK;
+        withheld = verdict.promise();
+        dropping = withheld || verdict.fate() != Fate.SERVED && verdict.fate() != Fate.FAILED;
+        return verdict != Verdict.JUNK;
     }
 
     /** False: stop reading until the client has room again. */
@@ -119,7 +119,7 @@
             if (answer.add(bytes, HELD)) {
                 return true;
             }
-            flowing = stamp.fate() == Fate.SERVED && errand.flow(answer);
+            flowing = verdict.fate() == Fate.SERVED && errand.flow(answer);
             if (!flowing) {
                 // Nobody waits for it any more, or it is a failure; but to break the host's work off has a price.
                 dropping = true;
--- a/src/main/java/brambletray/tray/flow/Turn.java
+++ b/src/main/java/brambletray/tray/flow/Rejection.java
@@ -14,20 +14,21 @@
 /**
  * Why a request is turned away before any route is looked for; its connection ends with the answer. {@code code}: as in answers' bodies.
  */
-record Turn(int status, String code) {
-    static final Turn TOO_LARGE = new Turn(413, "flow.body-too-large");
-    static final Turn FULL = new Turn(503, "flow.memory-full");
-    private static final Turn MALFORMED = new Turn(400, "flow.malformed"), HEAD_TOO_LARGE = new Turn(431, "flow.head-too-large"),
-        LENGTHS = new Turn(400, "flow.lengths"), HOST = new Turn(400, "flow.host"), VERSION = new Turn(505, "flow.version"),
-        FORM = new Turn(400, "flow.path");
+record Rejection(int status, String code) {
+    static final Rejection TOO_LARGE = new Rejection(413, "flow.body-too-large");
+    static final Rejection FULL = new Rejection(503, "flow.memory-full");
+    private static final Rejection MALFORMED = new Rejection(400, "flow.malformed"),
+        HEAD_TOO_LARGE = new Rejection(431, "flow.head-too-large"),
+        LENGTHS = new Rejection(400, "flow.lengths"), HOST = new Rejection(400, "flow.host"), VERSION = new Rejection(505, "flow.version"),
+        FORM = new Rejection(400, "flow.path");
 
     /** What the decoder could not read. */
-    static Turn of(Throwable cause) {
+    static Rejection of(Throwable cause) {
         return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException ? HEAD_TOO_LARGE : MALFORMED;
     }
 
     /** A head that could be read; null: go on. Guards rule UNASKED: hosts must see the same request that we do. */
-    static Turn of(HttpRequest request, Limits limits) {
+    static Rejection of(HttpRequest request, Limits limits) {
         if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             return VERSION;
         }
--- a/src/main/java/brambletray/tray/flow/Draft.java
+++ b/src/main/java/brambletray/tray/flow/RequestReader.java
@@ -12,24 +12,24 @@
 import java.util.List;
 
 /** The request that is being read on one connection: its head, and its body as far as it has come. */
-final class Draft {
-    private final Hold hold;
+final class RequestReader {
+    private final MemoryBudget hold;
     private final Limits limits;
     private final List<ByteBuf> parts = new ArrayList<>(1);
     private HttpRequest head;
     private long at;
     private int size;
 
-    Draft(Hold hold, Limits limits) {
+    RequestReader(MemoryBudget hold, Limits limits) {
         this.hold = hold;
         this.limits = limits;
     }
 
     /** Null: go on; else why it is turned away. */
-    Turn head(HttpRequest request, long now) {
+    Rejection head(HttpRequest request, long now) {
         head = request;
         at = now;
-        return Turn.of(request, limits);
+        return Rejection.of(request, limits);
     }
 
     boolean bare() {
@@ -37,16 +37,16 @@
     }
 
     /** Null: go on; else why it is turned away. */
-    Turn body(HttpContent content) {
+    Rejection body(HttpContent content) {
         int n = content.content().readableBytes();
         if (n == 0) {
             return null;
         }
         if (size + n > limits.bodyBytes()) {
-            return Turn.TOO_LARGE;
+            return Rejection.TOO_LARGE;
         }
         if (!hold.take(n)) {
-            return Turn.FULL;
+            return Rejection.FULL;
         }
         size += n;
         parts.add(content.content().retain());
--- a/src/main/java/brambletray/tray/flow/Stop.java
+++ b/src/main/java/brambletray/tray/flow/Stop.java
@@ -9,7 +9,7 @@
     private final Leg leg;
     private final long hostEnd;
     /** The connection that is at it, and the last that was. */
-    private Line line, last;
+    private HostConnection line, last;
     /** Whole, and not yet given to the client. */
     private Answer answer;
     /** Given on while it comes. */
@@ -97,16 +97,16 @@
     }
 
     @Override
-    public Hold hold() {
+    public MemoryBudget hold() {
         return carriage.hold();
     }
 
     @Override
-    public boolean met(Line on) {
+    public boolean met(HostConnection on) {
         return carriage.met(on);
     }
 
-    boolean wasOn(Line on) {
+    boolean wasOn(HostConnection on) {
         return last == on;
     }
 
@@ -116,7 +116,7 @@
     }
 
     @Override
-    public void up(Line on) {
+    public void up(HostConnection on) {
         line = on;
         last = on;
         carriage.up(leg);
--- a/src/main/java/brambletray/tray/flow/Stamp.java
+++ b/src/main/java/brambletray/tray/flow/Verdict.java
@@ -11,13 +11,13 @@
  * <p>{@code fate}: null for a surplus answer, which belongs to another request and is skipped. {@code promise}: the status promises that
  * the request did not run, without proof. {@code nameless}: it carries no id, so what else comes on its connection can't be told apart.
  */
-record Stamp(Fate fate, boolean promise, boolean nameless) {
-    static final Stamp SURPLUS = new Stamp(null, false, false);
-    static final Stamp JUNK = new Stamp(Fate.BROKEN, false, false);
-    private static final Stamp SERVED = new Stamp(Fate.SERVED, false, false), FAILED = new Stamp(Fate.FAILED, false, false),
-        PROMISED = new Stamp(Fate.FAILED, true, false), NOT_RUN = new Stamp(Fate.NOT_RUN, false, false),
-        WRONG_HOST = new Stamp(Fate.WRONG_HOST, false, false), NOT_RUN_NAMELESS = new Stamp(Fate.NOT_RUN, false, true),
-        WRONG_HOST_NAMELESS = new Stamp(Fate.WRONG_HOST, false, true);
+record Verdict(Fate fate, boolean promise, boolean nameless) {
+    static final Verdict SURPLUS = new Verdict(null, false, false);
+    static final Verdict JUNK = new Verdict(Fate.BROKEN, false, false);
+    private static final Verdict SERVED = new Verdict(Fate.SERVED, false, false), FAILED = new Verdict(Fate.FAILED, false, false),
+        PROMISED = new Verdict(Fate.FAILED, true, false), NOT_RUN = new Verdict(Fate.NOT_RUN, false, false),
+        WRONG_HOST = new Verdict(Fate.WRONG_HOST, false, false), NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true),
+        WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
 
     /** For a log line: what an answer that isn't one carries. */
     static String traits(int status, HttpHeaders headers) {
@@ -29,7 +29,7 @@
     }
 
     /** {@code id}: of the request that the connection is at. */
-    static Stamp of(String id, int status, HttpHeaders headers) {
+    static Verdict of(String id, int status, HttpHeaders headers) {
         Iterator<? extends CharSequence> ids = headers.valueCharSequenceIterator(Parcel.ID);
         boolean nameless = !ids.hasNext();
         if (!nameless) {
