--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -25,6 +25,8 @@
     private static final Tale TALE = Tale.of("keep");
     /** Changes that wait for the one under way, or for a leader. */
     private static final int LINE = 64;
+    /** Bytes of bodies of calls that wait here, beyond which a further one is told to come back: six of the largest. */
+    private static final long HELD = 24 << 20;
     /** ms that a call may wait before it gets no clear answer; below ack-ms of all deployments, so that a caller asks again in time. */
     private static final int PATIENCE = 2_500;
     /** The same at a member out of touch: callers wait a second and then go to another, which an answer lets them do at once. */
@@ -37,6 +39,11 @@
         /** Where it stands now. */
         Status status();
 
+        /** Control-plane address of the leader that the others go on with, once this member has been told to end and is out; else null. */
+        default String successor() {
+            return null;
+        }
+
         void propose(long token, byte[] change);
 
         /** Whether this member still knows the newest of all: answered by {@link #confirmed}. */
@@ -103,8 +110,15 @@
         return status.leading() && status.standing() == Standing.MEMBER;
     }
 
+    /** Whether no call waits for its answer: the process may end. */
+    boolean idle() {
+        return under == null && line.isEmpty() && asked.isEmpty();
+    }
+
     /** Control-plane address of the leader, if it is another and heard; else null. */
     private String leader() {
+        String successor = order.successor();
+        if (successor != null) return successor;
         Status status = order.status();
         boolean heard = !status.leading() && status.standing() == Standing.MEMBER && status.leader() != null;
         return heard && !status.leader().address().equals(status.me().address()) ? status.leader().address() : null;
@@ -137,7 +151,7 @@
     }
 
     private static boolean busy(Call call) {
-        call.refuse(503, "keep.busy", "another change is under way, or no leader is known");
+        call.refuse(503, "keep.busy", "other changes are under way, or no leader is known");
         return true;
     }
 
@@ -152,7 +166,12 @@
     }
 
     private void confirm(Call call, long since, Runnable yes) {
-        asked.put(++token, new Round(call, since, yes, () -> unsure(call)));
+        asked.put(++token, new Round(call, since, yes, () -> {
+            // this member has left meanwhile: another can say
+            if (order.successor() == null || !sendOn(call)) {
+                unsure(call);
+            }
+        }));
         order.confirm(token);
     }
 
@@ -175,7 +194,7 @@
         }
         if (charter.taken(verb, base, call.body())) {
             call.give(200, DONE);
-        } else if (line.size() >= LINE) {
+        } else if (line.size() >= LINE || held() + call.body().length > HELD) {
             busy(call);
         } else if (!inTouch() && outSince >= 0 && now - outSince > CUT_OFF) {
             sendOn(call);
@@ -185,6 +204,17 @@
         }
     }
 
+    private long held() {
+        long held = under == null ? 0 : under.call.body().length;
+        for (Change change : line) {
+            held += change.call.body().length;
+        }
+        for (Round round : asked.values()) {
+            held += round.call.body().length;
+        }
+        return held;
+    }
+
     /** Those in line: judged one by one at the leader, sent on elsewhere, held for a while where no leader is heard. */
     private void next() {
         while (!line.isEmpty() && (leading() ? under == null : leader() != null)) {
@@ -230,11 +260,11 @@
         Change change = under;
         under = null;
         Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
-        TALE.tell("change", "verb", change.verb, "outcome", outcome, "verdict", verdict.getClass().getSimpleName(), "revision",
-            charter.creed().revision());
-        if (verdict instanceof Verdict.TakenBefore || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
+        boolean taken = verdict instanceof Verdict.TakenBefore;
+        TALE.tell("change", "verb", change.verb, "base", change.base, "outcome", outcome, "taken", taken, "revision", charter.creed().revision());
+        if (taken || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
             answer(change.call, verdict);
-        } else {
+        } else if (outcome != Outcome.REFUSED || order.successor() == null || !sendOn(change.call)) {
             change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
         }
         next();
@@ -245,6 +275,7 @@
             TALE.tell("refused", "code", invalid.fault().code(), "why", invalid.fault().getMessage());
             call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
         } else if (verdict instanceof Verdict.Stale stale) {
+            TALE.tell("refused", "code", "keep.stale", "base", call.base(), "current", stale.current());
             call.refuse(412, "keep.stale", "the current revision is " + stale.current());
         } else if (verdict instanceof Verdict.Forgotten forgotten) {
             call.refuse(503, "keep.forgotten", "what was taken before revision " + forgotten.oldest() + " isn't remembered; look at the configuration");
