Drill: a course of one's own is played by many seeds (drill.course)

Cause: to see whether a planted fault is noticed, its trouble should come with each seed, not once in a hundred. Change: members/losses/end/troubles as a property, each seed draws the orders.

--- a/src/test/java/brambletray/tray/drill/Drill.java
+++ b/src/test/java/brambletray/tray/drill/Drill.java
@@ -12,7 +12,7 @@
  * many of
  * the broken are shrunk; {@code drill.enough}: ends after so many; {@code drill.script}: plays this one, as a failure prints it, with
  * all log
- * lines.
+ * lines; {@code drill.course}: the same without its seed, members/losses/end/troubles, played by each seed.
  */
 public final class Drill {
     /** Courses after which the count so far is printed. */
@@ -42,11 +42,12 @@
     }
 
     private static void play(int members, long first, int seeds, List<String> broken) {
+        String course = System.getProperty("drill.course");
         Count count = new Count();
         int most = Integer.getInteger("drill.shrink", 5);
         int enough = Integer.getInteger("drill.enough", Integer.MAX_VALUE);
         for (long seed = first; seed < first + seeds && broken.size() < enough; seed++) {
-            Course.Result result = Course.play(Script.draw(seed, members), null);
+            Course.Result result = Course.play(course == null ? Script.draw(seed, members) : Script.parse(seed + "/" + course), null);
             count.add(result);
             if (!result.faults().isEmpty()) {
                 System.out.println("drill: seed " + seed + " with " + members + ", faults told: " + result.faults());
