--- a/src/main/java/brambletray/tray/creed/Change.java
+++ b/src/main/java/brambletray/tray/creed/Change.java
@@ -22,7 +22,8 @@
     /** What becomes of this configuration, which has to be the base. */
     Creed on(Creed creed) {
         if (creed.revision() != base) {
-            throw new CreedFault("stale", "Brambletray-Base-Revision", "expected " + creed.revision() + ", which is current, found " + base);
+            throw new CreedFault("stale", "Brambletray-Base-Revision",
+                "expected " + creed.revision() + ", which is current, found " + base);
         }
         return verb == Verb.REPLACE ? Creed.read(body).after(creed) : creed.modify(body);
     }
--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -62,8 +62,8 @@
 
     /**
      * What would become of this change as things stand: {@code Fine}, {@code TakenBefore}, {@code Stale},
-     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on an old base, and where it
-     * was the last one its revision isn't above the current one.
+     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on an old base, and where
+     * it was the last one its revision isn't above the current one.
      */
     public Verdict judge(Verb verb, long base, byte[] body) {
         if (body.length > CreedJson.LARGEST) {
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -14,11 +14,11 @@
 import java.util.Map;
 
 /**
- * The operators' calls at one member: judged by the configuration as it stands, put into the one order, answered once they are kept. One change
- * is under way at a time, so that the next is judged by what came of it. A member that does not lead sends the caller on by 307.
+ * The operators' calls at one member: judged by the configuration as it stands, put into the one order, answered once they are kept. One
+ * change is under way at a time, so that the next is judged by what came of it. A member that does not lead sends the caller on by 307.
  *
- * <p>A refusal is final to an operator (400 and 412 end its call at once), so it is a read and takes a confirming round (read index) like one:
- * a member that has been cut off still believes to lead and judges by an old configuration. Where the configuration moved on in the
+ * <p>A refusal is final to an operator (400 and 412 end its call at once), so it is a read and takes a confirming round (read index) like
+ * one: a member that has been cut off still believes to lead and judges by an old configuration. Where the configuration moved on in the
  * meantime, the change is judged anew. What was taken before needs no round: what has been delivered here is kept.
  */
 final class Operators implements Matter {
@@ -97,8 +97,8 @@
     }
 
     /**
-     * Whether it may judge: it leads the view in force, hears a majority of it and its disk is well. A member that begins a change of view, or
-     * has promised to one, doesn't; nor does it name the former leader, as two that name each other would send a caller round in a circle.
+     * Whether it may judge: it leads the view in force, hears a majority of it and its disk is well. A member that begins a change of
+     * view, or has promised to one, doesn't; nor does it name the former leader, as two that name each other would send a caller round in a circle.
      */
     private boolean leading() {
         Status status = order.status();
@@ -244,7 +244,8 @@
         under = null;
         Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
         boolean taken = verdict instanceof Verdict.TakenBefore;
-        TALE.tell("change", "verb", change.verb, "base", change.base, "outcome", outcome, "taken", taken, "revision", charter.creed().revision());
+        TALE.tell("change", "verb", change.verb, "base", change.base, "outcome", outcome, "taken", taken, "revision",
+            charter.creed().revision());
         if (taken || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
             answer(change.call, verdict);
         } else {
@@ -261,7 +262,8 @@
             TALE.tell("refused", "code", "keep.stale", "base", call.base(), "current", stale.current());
             call.refuse(412, "keep.stale", "the current revision is " + stale.current());
         } else if (verdict instanceof Verdict.Forgotten forgotten) {
-            call.refuse(503, "keep.forgotten", "what was taken before revision " + forgotten.oldest() + " isn't remembered; look at the configuration");
+            call.refuse(503, "keep.forgotten", "what was taken before revision " + forgotten.oldest()
+                + " isn't remembered; look at the configuration");
         } else {
             call.give(200, DONE);
         }
--- a/src/test/java/brambletray/tray/creed/CharterTest.java
+++ b/src/test/java/brambletray/tray/creed/CharterTest.java
@@ -17,7 +17,8 @@
     private final Charter charter = new Charter();
 
     private static byte[] move(long revision, String service) {
-        return Sample.bytes("{'revision':" + revision + ",'upsert':{'routes':[" + Sample.route("r1", "h.example", "/one/", service) + "]}}");
+        String route = Sample.route("r1", "h.example", "/one/", service);
+        return Sample.bytes("{'revision':" + revision + ",'upsert':{'routes':[" + route + "]}}");
     }
 
     private byte[] fine(Verb verb, long base, byte[] body) {
@@ -92,7 +93,8 @@
             long base = current - random.nextInt(2);
             long revision = current + random.nextInt(4);
             Verb verb = random.nextInt(20) == 0 ? Verb.REPLACE : Verb.MODIFY;
-            byte[] body = verb == Verb.REPLACE ? Sample.bytes(Sample.two(revision)) : move(revision, List.of("a", "b", "z").get(random.nextInt(3)));
+            byte[] body = verb == Verb.REPLACE ? Sample.bytes(Sample.two(revision))
+                : move(revision, List.of("a", "b", "z").get(random.nextInt(3)));
             boolean again = random.nextInt(5) == 0 && !changes.isEmpty();
             byte[] change = again ? changes.get(random.nextInt(changes.size())) : new Change(verb, base, body).bytes();
             changes.add(change);
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -17,7 +17,8 @@
 
 /** Operators' calls at one member, with the order scripted: what is answered, and only once it is certain. */
 class OperatorsTest {
-    private static final String SERVICE = "{'name':'%s','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}";
+    private static final String SERVICE = "{'name':'%s','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,"
+        + "'max-concurrency':4}";
     private static final String ROUTE = "{'name':'r','host':'h.example','path-prefix':'/one/','route-type':'idempotent','timeout-ms':2500,"
         + "'target-ms':400,'priority':2,'service':'%s','retry-count':2}";
 
@@ -85,7 +86,8 @@
         for (String service : services) {
             items.add(SERVICE.formatted(service));
         }
-        return bytes("{'revision':" + revision + ",'routes':[" + ROUTE.formatted(services[0]) + "],'services':[" + String.join(",", items) + "]}");
+        String routes = ROUTE.formatted(services[0]);
+        return bytes("{'revision':" + revision + ",'routes':[" + routes + "],'services':[" + String.join(",", items) + "]}");
     }
 
     private static byte[] move(long revision, String service) {
--- a/src/test/java/brambletray/tray/keep/OrdersChecker.java
+++ b/src/test/java/brambletray/tray/keep/OrdersChecker.java
@@ -59,8 +59,8 @@
     }
 
     private boolean rival(OrdersModel.Written change, long at) {
-        return sentAt.entrySet().stream().anyMatch(one -> one.getKey() != change && one.getKey().valid() && one.getKey().base() == change.base()
-            && one.getValue() < at && !refusals.containsKey(one.getKey()));
+        return sentAt.entrySet().stream().anyMatch(one -> one.getKey() != change && one.getKey().valid()
+            && one.getKey().base() == change.base() && one.getValue() < at && !refusals.containsKey(one.getKey()));
     }
 
     /** This change is known to be, or to have been, in force. */
@@ -93,7 +93,8 @@
         refusedAt.forEach((change, at) -> {
             OrdersModel.Written other = byBase.get(change.base());
             boolean proper = change.valid() && refusals.get(change) == 412;
-            must(!proper || (other == null ? rival(change, at) : sentAt.get(other) < at), "refused with 412 before there was another: " + change);
+            must(!proper || (other == null ? rival(change, at) : sentAt.get(other) < at),
+                "refused with 412 before there was another: " + change);
         });
         for (OrdersModel.Written change : byBase.values()) {
             for (OrdersModel.Written other : byBase.values()) {
--- a/src/test/java/brambletray/tray/view/PausesTest.java
+++ b/src/test/java/brambletray/tray/view/PausesTest.java
@@ -10,9 +10,9 @@
 
 /**
  * The longest pauses of a core amid trouble, as its callers meet them: eight operators, each with one order under way (sent again elsewhere
- * after a second of silence, and 100 ms after each answer the next), and a reader that asks everywhere every 25 ms. {@code -Dpauses.seeds=N}
- * plays more courses of each kind, {@code -Dpauses.first=S} begins at that seed; the figures are printed, in simulated ms. The trouble
- * begins 1 s into the course and lasts 20 s; pauses count from its beginning to 4 s past its end.
+ * after a second of silence, and 100 ms after each answer the next), and a reader that asks everywhere every 25 ms.
+ * {@code -Dpauses.seeds=N} plays more courses of each kind, {@code -Dpauses.first=S} begins at that seed; the figures are printed, in
+ * simulated ms. The trouble begins 1 s into the course and lasts 20 s; pauses count from its beginning to 4 s past its end.
  */
 class PausesTest {
     private static final int SEEDS = 2;
