Hub, isolated helm: tests for two planted faults that none saw

A fetch that comes right after the lease ran out, before edges are let go, and a read without a confirming round in the first second of a cut, while the member still takes itself for the leader.

--- a/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
+++ b/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
@@ -78,7 +78,7 @@
             (status, location, body) -> judge("show", status));
         send(isolated, Order.valid(90, 1, 0, 91, false, 0), (status, location, body) -> judge("a change on another version", status));
         send(isolated, Order.invalid(92, 1, 1, 0), (status, location, body) -> judge("an invalid change", status));
-        world.after(700, this::tempt);
+        world.after(world.now() < cutAt + LEASE ? 100 : 700, this::tempt);
     }
 
     private void judge(String what, int status) {
@@ -162,7 +162,7 @@
         world.after(850, alone::start);
         world.after(2_000, anew::kill);
         world.after(2_200, anew::start);
-        world.after(LEASE + 500, this::tempt);
+        world.after(5, this::tempt);
         look();
         until(cutAt + CUT);
         isolate(true);
--- a/src/test/java/brambletray/tray/keep/HubTest.java
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -277,6 +277,23 @@
         assertEquals(12, all(Chunk.class).get(0).revision());
     }
 
+    /** The edge doesn't know yet that the lease has run out, and is not let go yet. */
+    @Test
+    void whoFetchesRightAfterTheLeaseRanOutIsHandedNothing() {
+        come();
+        run(1_000);
+        heard.clear();
+        acts = false;
+        edge.say(new Fetch(0, 0, 0, true));
+        edge.say(new RosterFetch(0, 0));
+        run(5);
+        assertEquals(List.of(), heard);
+        acts = true;
+        edge.say(new Fetch(0, 0, 0, true));
+        run(5);
+        assertEquals(TERM, all(Chunk.class).get(0).term());
+    }
+
     @Test
     void nothingIsSaidToAnEdgeThatWasLetGoBeforeThePulseThatTakesItUpAgain() {
         come();
