--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -32,7 +32,7 @@
     private final Predicate<String> isHost;
     private final Lines lines;
     private final Tally tally;
-    private final Hold hold;
+    private final MemoryBudget hold;
     private final Murmur murmur = new Murmur();
     private final SplittableRandom shares;
     private final Map<String, Pace> paces = new HashMap<>();
@@ -40,8 +40,9 @@
     private int waiting, trips;
 
     /**
-     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls are inner
-     * ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the shares of routes.
+     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls
+     * are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the
+     * shares of routes.
      */
     public Flow(Machine machine, String edge, String zone, Supplier<Creed> creed, Broker broker, Predicate<String> isHost, Lines lines,
                 Tally tally, long mostBytes, long seed) {
@@ -53,7 +54,7 @@
         this.isHost = isHost;
         this.lines = lines;
         this.tally = tally;
-        this.hold = new Hold(mostBytes);
+        this.hold = new MemoryBudget(mostBytes);
         this.shares = new SplittableRandom(seed);
         // Guards against the ids of the process before, whose asks homes may still know.
         this.asks = (seed & 0x3fffffffL) << 32;
@@ -82,7 +83,7 @@
         return murmur;
     }
 
-    Hold hold() {
+    MemoryBudget hold() {
         return hold;
     }
 
--- a/src/main/java/brambletray/tray/flow/Trip.java
+++ b/src/main/java/brambletray/tray/flow/Trip.java
@@ -7,13 +7,13 @@
 import java.util.function.LongSupplier;
 
 /**
- * One request's life, from when it was read to its one answer and to the end of its work at hosts. Pure: events come in with their time, what is
- * to be done goes out through {@link Hands}.
+ * One request's life, from when it was read to its one answer and to the end of its work at hosts. Pure: events come in with their time,
+ * what is to be done goes out through {@link Hands}.
  *
- * <p>What may be sent where: a repeatable request to at most {@code mostHosts} hosts; any other to the next one only after proof that it did not
- * run (rule TWICE). The design on the ordinary path: when no answer has come after the service's delay, a copy goes to another host if a place is
- * free there now; the first answer settles, the others are cancelled. A request that has been given up is answered at once: 503 if it provably
- * never ran (rule REFUSED), 504 at the end of its time, 502 else.
+ * <p>What may be sent where: a repeatable request to at most {@code mostHosts} hosts; any other to the next one only after proof that it
+ * did not run (rule TWICE). The design on the ordinary path: when no answer has come after the service's delay, a copy goes to another host
+ * if a place is free there now; the first answer settles, the others are cancelled. A request that has been given up is answered at once:
+ * 503 if it provably never ran (rule REFUSED), 504 at the end of its time, 502 else.
  */
 final class Trip {
     /** ms before the end: our own answer has to reach the client; and so much sooner does a host stop. */
@@ -93,8 +93,10 @@
 
     void granted(Grant grant, long now) {
         if (grant.askId() != asking) {
-            // Guards places against leaking: this ask was forgotten while its grant was under way.
-            hands.forget(grant.askId());
+            // Guards places against leaking: this ask was forgotten while its grant was under way. One that comes twice is in use.
+            if (!legs.holds(grant.askId())) {
+                hands.forget(grant.askId());
+            }
             return;
         }
         asking = 0;
@@ -147,10 +149,10 @@
     }
 
     /**
-     * A host's whole answer, or what stands for one: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code promise}: its status promises that the
-     * request did not run (408, 421, 429, 503) without proof of it, so it must not be passed on.
+     * A host's whole answer, or what stands for one: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code withheld}: it must not be passed
+     * on, as its status promises that the request did not run (408, 421, 429, 503) without proof of it, or it was too large to be held.
      */
-    void ended(Leg leg, Fate fate, boolean promise, long now) {
+    void ended(Leg leg, Fate fate, boolean withheld, long now) {
         int took = (int) (now - (leg.sent() ? leg.sentAt : leg.grantedAt));
         if (!legs.end(leg, fate, took)) {
             return;
@@ -168,7 +170,7 @@
             return;
         }
         unproven |= fate == Fate.FAILED || fate == Fate.BROKEN;
-        if (fate == Fate.FAILED && !promise) {
+        if (fate == Fate.FAILED && !withheld) {
             held = leg;
         }
         next(now);
