--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -24,18 +24,18 @@
 
     private static final byte FORMAT = 1;
     /** Of a change's fingerprint, bytes. */
-    private static final int PRINT = 16;
+    private static final int FINGERPRINT_BYTES = 16;
 
     /** A change's fingerprint: the first half of its SHA-256. */
-    private record Print(long high, long low) { }
+    private record Fingerprint(long high, long low) { }
 
-    private record Step(long revision, Print print) { }
+    private record Step(long revision, Fingerprint fingerprint) { }
 
     private Creed creed = Creed.NONE;
-    private final ArrayDeque<Step> steps = new ArrayDeque<>();
-    private final Map<Print, Long> taken = new HashMap<>();
+    private final ArrayDeque<Step> history = new ArrayDeque<>();
+    private final Map<Fingerprint, Long> taken = new HashMap<>();
     /** What the last change that was judged leads to: it mostly comes back as the next to be delivered. */
-    private Print judged;
+    private Fingerprint judged;
     private Creed outcome;
 
     public Creed creed() {
@@ -57,13 +57,13 @@
 
     /** Whether this very change was taken: for good, whatever came on top of it since. False also where it is no longer remembered. */
     public boolean taken(Verb verb, long base, byte[] body) {
-        return body.length <= CreedJson.LARGEST && taken.containsKey(print(new Change(verb, base, body).bytes()));
+        return body.length <= CreedJson.LARGEST && taken.containsKey(fingerprint(new Change(verb, base, body).bytes()));
     }
 
     /**
      * What would become of this change as things stand: {@code Fine}, {@code TakenBefore}, {@code Stale},
-     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on an old base, and where
-     * it was the last one its revision isn't above the current one.
+     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on an old base, and
+     * where it was the last one its revision isn't above the current one.
      */
     public Verdict judge(Verb verb, long base, byte[] body) {
         if (body.length > CreedJson.LARGEST) {
@@ -88,19 +88,20 @@
     }
 
     private Verdict weigh(byte[] bytes) {
-        Print print = print(bytes);
-        Long before = taken.get(print);
+        Fingerprint fingerprint = fingerprint(bytes);
+        Long before = taken.get(fingerprint);
         if (before != null) {
             return new Verdict.TakenBefore(before);
         }
         try {
             Change change = Change.from(bytes);
             if (change.base() != creed.revision()) {
-                return forgotten(change.base()) ? new Verdict.Forgotten(steps.peek().revision) : new Verdict.Stale(creed.revision());
+                return forgotten(change.base()) ? new Verdict.Forgotten(history.peek().revision)
+                    : new Verdict.Stale(creed.revision());
             }
-            if (!print.equals(judged)) {
+            if (!fingerprint.equals(judged)) {
                 outcome = change.on(creed);
-                judged = print;
+                judged = fingerprint;
             }
             return new Verdict.Taken(outcome);
         } catch (CreedFault fault) {
@@ -110,21 +111,21 @@
 
     /** Whether a change on this base may have been taken so long ago that it isn't remembered. */
     private boolean forgotten(long base) {
-        return steps.size() >= REMEMBERED && base < steps.peek().revision;
+        return history.size() >= REMEMBERED && base < history.peek().revision;
     }
 
     private void remember(Step step) {
-        steps.add(step);
-        taken.put(step.print, step.revision);
-        while (steps.size() > REMEMBERED) {
-            taken.remove(steps.remove().print);
+        history.add(step);
+        taken.put(step.fingerprint, step.revision);
+        while (history.size() > REMEMBERED) {
+            taken.remove(history.remove().fingerprint);
         }
     }
 
-    private static Print print(byte[] change) {
+    private static Fingerprint fingerprint(byte[] change) {
         try {
             ByteBuffer digest = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(change));
-            return new Print(digest.getLong(), digest.getLong());
+            return new Fingerprint(digest.getLong(), digest.getLong());
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
@@ -133,9 +134,10 @@
     /** All of it: format, the taken changes from the oldest on, the current configuration. */
     public byte[] snapshot() {
         byte[] json = creed == Creed.NONE ? new byte[0] : creed.json();
-        ByteBuffer out = ByteBuffer.allocate(1 + 4 + steps.size() * (8 + PRINT) + json.length).put(FORMAT).putInt(steps.size());
-        for (Step step : steps) {
-            out.putLong(step.revision).putLong(step.print.high).putLong(step.print.low);
+        ByteBuffer out = ByteBuffer.allocate(1 + 4 + history.size() * (8 + FINGERPRINT_BYTES) + json.length);
+        out.put(FORMAT).putInt(history.size());
+        for (Step step : history) {
+            out.putLong(step.revision).putLong(step.fingerprint.high).putLong(step.fingerprint.low);
         }
         return out.put(json).array();
     }
@@ -159,7 +161,7 @@
             }
             int count = in.getInt();
             for (int i = 0; i < count; i++) {
-                read.add(new Step(in.getLong(), new Print(in.getLong(), in.getLong())));
+                read.add(new Step(in.getLong(), new Fingerprint(in.getLong(), in.getLong())));
             }
             byte[] json = new byte[in.remaining()];
             in.get(json);
@@ -174,7 +176,7 @@
         creed = current;
         judged = null;
         outcome = null;
-        steps.clear();
+        history.clear();
         taken.clear();
         read.forEach(this::remember);
     }
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -24,7 +24,7 @@
 final class Operators implements Matter {
     private static final Tale TALE = Tale.of("keep");
     /** Changes that wait for the one under way, or for a leader. */
-    private static final int LINE = 64;
+    private static final int QUEUE = 64;
     /** Bytes of bodies of calls that wait here, beyond which a further one is told to come back: six of the largest. */
     private static final long HELD = 24 << 20;
     /** ms that a call may wait before it gets no clear answer; below ack-ms of all deployments, so that a caller asks again in time. */
@@ -60,13 +60,13 @@
     private final Order order;
     private final Runnable news;
     private final Charter charter = new Charter();
-    private final ArrayDeque<Change> line = new ArrayDeque<>();
-    private final Map<Long, Round> asked = new HashMap<>();
-    private Change under;
+    private final ArrayDeque<Change> queue = new ArrayDeque<>();
+    private final Map<Long, Round> rounds = new HashMap<>();
+    private Change inFlight;
     private long token;
     private long proposal;
     /** Counts states of the charter: what was judged by an earlier one is judged anew. */
-    private long states;
+    private long version;
     /** Steady ms of the last tick. */
     private long now;
     /** Since when no leader is heard here; -1: in touch. */
@@ -94,16 +94,17 @@
         boolean inTouch = inTouch();
         outSince = inTouch ? -1 : outSince < 0 ? now : outSince;
         next();
-        line.removeIf(change -> late(change.since, inTouch) && busy(change.call));
-        asked.values().stream().filter(round -> late(round.since, inTouch)).forEach(round -> unsure(round.call));
-        if (under != null && late(under.since, inTouch)) {
-            under.call.refuse(503, "keep.unclear", "not known to be kept yet; send it again");
+        queue.removeIf(change -> late(change.since, inTouch) && busy(change.call));
+        rounds.values().stream().filter(round -> late(round.since, inTouch)).forEach(round -> unsure(round.call));
+        if (inFlight != null && late(inFlight.since, inTouch)) {
+            inFlight.call.refuse(503, "keep.unclear", "not known to be kept yet; send it again");
         }
     }
 
     /**
      * Whether it may judge: it leads the view in force, hears a majority of it and its disk is well. A member that begins a change of
-     * view, or has promised to one, doesn't; nor does it name the former leader, as two that name each other would send a caller round in a circle.
+     * view, or has promised to one, doesn't; nor does it name the former leader, as two that name each other would send a caller round in
+     * a circle.
      */
     private boolean leading() {
         Status status = order.status();
@@ -112,7 +113,7 @@
 
     /** Whether no call waits for its answer: the process may end. */
     boolean idle() {
-        return under == null && line.isEmpty() && asked.isEmpty();
+        return inFlight == null && queue.isEmpty() && rounds.isEmpty();
     }
 
     /** Control-plane address of the leader, if it is another and heard; else null. */
@@ -166,7 +167,7 @@
     }
 
     private void confirm(Call call, long since, Runnable yes) {
-        asked.put(++token, new Round(call, since, yes, () -> {
+        rounds.put(++token, new Round(call, since, yes, () -> {
             // this member has left meanwhile: another can say
             if (order.successor() == null || !sendOn(call)) {
                 unsure(call);
@@ -176,7 +177,7 @@
     }
 
     void confirmed(long of, boolean yes) {
-        Round round = asked.remove(of);
+        Round round = rounds.remove(of);
         if (round != null) {
             (yes ? round.yes : round.no).run();
         }
@@ -194,22 +195,22 @@
         }
         if (charter.taken(verb, base, call.body())) {
             call.give(200, DONE);
-        } else if (line.size() >= LINE || held() + call.body().length > HELD) {
+        } else if (queue.size() >= QUEUE || held() + call.body().length > HELD) {
             busy(call);
         } else if (!inTouch() && outSince >= 0 && now - outSince > CUT_OFF) {
             sendOn(call);
         } else {
-            line.add(new Change(call, verb, base, now));
+            queue.add(new Change(call, verb, base, now));
             next();
         }
     }
 
     private long held() {
-        long held = under == null ? 0 : under.call.body().length;
-        for (Change change : line) {
+        long held = inFlight == null ? 0 : inFlight.call.body().length;
+        for (Change change : queue) {
             held += change.call.body().length;
         }
-        for (Round round : asked.values()) {
+        for (Round round : rounds.values()) {
             held += round.call.body().length;
         }
         return held;
@@ -217,8 +218,8 @@
 
     /** Those in line: judged one by one at the leader, sent on elsewhere, held for a while where no leader is heard. */
     private void next() {
-        while (!line.isEmpty() && (leading() ? under == null : leader() != null)) {
-            Change change = line.poll();
+        while (!queue.isEmpty() && (leading() ? inFlight == null : leader() != null)) {
+            Change change = queue.poll();
             if (!sendOn(change.call)) {
                 judge(change);
             }
@@ -228,23 +229,23 @@
     private void judge(Change change) {
         Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
         if (verdict instanceof Verdict.Fine fine) {
-            under = change;
+            inFlight = change;
             proposal = ++token;
             order.propose(proposal, fine.change());
         } else if (verdict instanceof Verdict.TakenBefore || verdict instanceof Verdict.Forgotten) {
             answer(change.call, verdict);
         } else {
-            long judgedBy = states;
+            long judgedBy = version;
             confirm(change.call, change.since, () -> refuse(change, verdict, judgedBy));
         }
     }
 
     /** The round has confirmed what is known here now; what was known when the change was judged may be older. */
     private void refuse(Change change, Verdict verdict, long judgedBy) {
-        if (judgedBy == states) {
+        if (judgedBy == version) {
             answer(change.call, verdict);
         } else {
-            line.addFirst(change);
+            queue.addFirst(change);
             next();
         }
     }
@@ -254,11 +255,11 @@
      * delivered, such as the proposal of a former leader that was resubmitted to this one.
      */
     void outcome(long of, Outcome outcome) {
-        if (of != proposal || under == null) {
+        if (of != proposal || inFlight == null) {
             return;
         }
-        Change change = under;
-        under = null;
+        Change change = inFlight;
+        inFlight = null;
         Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
         boolean taken = verdict instanceof Verdict.TakenBefore;
         TALE.tell("change", "verb", change.verb, "base", change.base, "outcome", outcome, "taken", taken, "revision",
@@ -295,7 +296,7 @@
     public void restore(byte[] snapshot) {
         boolean fresh = snapshot.length == 0 && charter.creed().revision() == 0;
         charter.restore(snapshot);
-        states++;
+        version++;
         if (!fresh) {
             news.run();
         }
@@ -304,7 +305,7 @@
     @Override
     public void deliver(long index, byte[] change) {
         if (charter.deliver(change) instanceof Verdict.Taken) {
-            states++;
+            version++;
             news.run();
         }
     }
