--- a/src/test/java/brambletray/tray/drill/Course.java
+++ b/src/test/java/brambletray/tray/drill/Course.java
@@ -195,8 +195,9 @@
                 world.simulation.network().at(core.address).forEach(SimChannel::breakBoth);
             }
             case SLOW_LINK -> {
-                slow(core, 100 + trouble.arg() % 700);
-                later(trouble.span(), () -> slow(core, 0));
+                boolean within = trouble.arg() / 1_024 % 2 == 1;
+                slow(core, 100 + trouble.arg() % 700, within);
+                later(trouble.span(), () -> slow(core, 0, within));
             }
             case ANSWERS_LOST -> {
                 world.troubledLinks++;
@@ -314,10 +315,10 @@
         return cutOff;
     }
 
-    /** {@code ms}: that the links of this machine take longer; 0: as usual. */
-    private void slow(CoreNode core, int ms) {
+    /** {@code ms}: that the links of this machine take longer; 0: as usual; {@code within}: only those to the core. */
+    private void slow(CoreNode core, int ms, boolean within) {
         world.troubledLinks += ms > 0 ? 1 : -1;
-        List<InetAddress> others = outside(0);
+        List<InetAddress> others = within ? new ArrayList<>() : outside(0);
         world.cores.forEach(other -> others.add(other.address));
         for (InetAddress other : others) {
             SimNetwork.Way way = ms > 0 ? new SimNetwork.Way(ms * 1_000_000L, 0.5) : World.USUAL;
--- a/src/test/java/brambletray/tray/drill/Trouble.java
+++ b/src/test/java/brambletray/tray/drill/Trouble.java
@@ -38,7 +38,7 @@
         FREEZE(true),
         /** All its connections are reset. */
         RESET(true),
-        /** Its links to the core, edges and operators take hundreds of ms longer. */
+        /** Its links to the core, or to edges and operators too, take hundreds of ms longer. */
         SLOW_LINK(true),
         SLOW_DISK(true),
         HUNG_DISK(true),
