--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -15,7 +15,7 @@
     private static final int AGAIN_MS = 100;
     /** Fetching goes on while pieces come, but not longer than this: on a link of 2 Mbit/s enough for 7 MB. */
     private static final int FETCH_MS = 30_000;
-    /** Silence after which a member that fetches the log of the new view isn't waited for: longer than its disk may take for the last piece. */
+    /** Silence after which a member that fetches the new view's log isn't waited for: longer than its disk may take for the last piece. */
     private static final int PULLED_MS = 2000;
     private static final int MOST_PAST = 64;
 
@@ -37,7 +37,7 @@
     private long askedAt;
     private long phaseAt;
     private long pulledAt = Long.MIN_VALUE / 2;
-    private Haul haul;
+    private StateTransfer transfer;
     private View next;
     private Answers chosen;
     private Log base;
@@ -157,13 +157,13 @@
             return;
         }
         phase = Phase.FETCHING;
-        haul = new Haul(desk, longest.me().address(), desk.log, Ballot.NONE);
-        haul.tick();
+        transfer = new StateTransfer(desk, longest.me().address(), desk.log, Ballot.NONE);
+        transfer.tick();
     }
 
     void piece(Frame.Piece piece) {
-        if (phase != Phase.FETCHING || !haul.piece(piece)) return;
-        Log fetched = haul.log();
+        if (phase != Phase.FETCHING || !transfer.piece(piece)) return;
+        Log fetched = transfer.log();
         Frame.Told longest = chosen.longest();
         // who told may have gone on to a higher ballot, and its log with it
         boolean same = fetched != null && fetched.end() == longest.end() && fetched.endView().equals(longest.endView());
@@ -214,7 +214,8 @@
             Frame.Knock knock = newcomers.get(member.life());
             Patch patch = told != null ? base.since(told.end(), told.endView(), told.commit())
                     : base.since(knock.end(), knock.endView(), knock.commit());
-            desk.out.send(member.address(), patch.isShort() ? new Frame.Install(next, patch) : new Frame.Offer(next, base.end(), base.endView()));
+            Frame frame = patch.isShort() ? new Frame.Install(next, patch) : new Frame.Offer(next, base.end(), base.endView());
+            desk.out.send(member.address(), frame);
         }
     }
 
@@ -248,8 +249,8 @@
                 if (phase == Phase.ASKING) weigh();
             }
             case FETCHING -> {
-                if (haul.failed() || desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
-                else haul.tick();
+                if (transfer.failed() || desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
+                else transfer.tick();
             }
             default -> {
                 if (desk.now - phaseAt > desk.set.installMs() && (spared() || desk.now - pulledAt > PULLED_MS)) {
