Drawn timelines: a newcomer that dies on the way to a leaver, a leaver whose knock is older than its leaving

Planted faults showed that two rows didn't bring about what they say: the leaver was told to end before the newcomer had knocked, and the older knock was the one that lets in. Now each fails without its code (arriving newcomers forgotten after a second; Unfit from who has left).

--- a/src/test/resources/brambletray/tray/view/leave.feature
+++ b/src/test/resources/brambletray/tray/view/leave.feature
@@ -87,8 +87,8 @@
     When this happens
       """
               a            b            c            d
-      0       .            .            .            ^
-      10      bye          .            .            X<Piece
+      0       bye<Knock    .            .            ^,X@Pull
+      1000    stays,L3     M3           M3           .
       <1300   left         L2           M2           .
       """
 
@@ -137,8 +137,8 @@
     When this happens
       """
               a            b            c            d
-      0       .            .            .            ^,bye@Installed
-      <150    .            .            .            .
-      1500    +x           .            .            .
-      <1600   ok:x         .            .            .
+      0       .            .            .            ^,bye>Knock
+      <60     .            .            .            left
+      400     L3,+x        M3           M3           .
+      <450    ok:x         =x           =x           .
       """
