--- a/src/main/java/brambletray/Main.java
+++ b/src/main/java/brambletray/Main.java
@@ -13,7 +13,7 @@
  * command line loaded; everything else is up to {@link Verbs}.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) throws IOException {
         System.exit(run(args));
--- a/src/main/java/brambletray/admission/QuotaDoor.java
+++ b/src/main/java/brambletray/admission/QuotaDoor.java
@@ -61,7 +61,8 @@
 
     private Asked asked(Message m) {
         String tenant = m.tenant() < tenants.size() ? tenants.get(m.tenant()) : null;
-        return new Asked(m.id(), tenant, m.messageClass(), m.destination(), m.body().length());
+        return new Asked(
+                m.id(), tenant, m.messageClass(), m.destination(), m.body().length());
     }
 
     @Override
@@ -168,8 +169,8 @@
                     store.delete(older);
                 }
             } catch (IOException | RuntimeException e) {
-                LOG.warn("the use of a quota before the restart can't be read, it counts from now on: {}",
-                    e.toString());
+                LOG.warn(
+                        "the use of a quota before the restart can't be read, it counts from now on: {}", e.toString());
             }
         }
     }
--- a/src/main/java/brambletray/admission/QuotaFile.java
+++ b/src/main/java/brambletray/admission/QuotaFile.java
@@ -23,6 +23,7 @@
 public final class QuotaFile {
     /** Members below members, the root counted. */
     static final int DEPTH_MOST = 8;
+
     private static final int MEMBERS_MOST = 200_000;
     private static final int CHARACTERS_MOST = 32 << 20;
     /** Messages, or bytes, of one limit; a window of a day is the longest. */
@@ -30,7 +31,7 @@
 
     private int members;
 
-    private QuotaFile() { }
+    private QuotaFile() {}
 
     public static Member read(Path path) throws Faults, IOException {
         return parse(path.toString(), java.nio.file.Files.readString(path));
@@ -80,13 +81,22 @@
         for (Section m : depth == DEPTH_MOST ? List.<Section>of() : s.sections("members", false)) {
             Member member = member(m, path, depth + 1);
             if (!names.add(member.name())) {
-                m.fault("name", "expected a name of its own: '" + member.name() + "' stands in " + path
-                    + " already");
+                m.fault("name", "expected a name of its own: '" + member.name() + "' stands in " + path + " already");
             }
             below.add(member);
         }
-        Member member = new Member(name, path, List.copyOf(limits), held, guaranteed, guaranteedHeld, weight,
-            priority, lends, match, List.copyOf(below));
+        Member member = new Member(
+                name,
+                path,
+                List.copyOf(limits),
+                held,
+                guaranteed,
+                guaranteedHeld,
+                weight,
+                priority,
+                lends,
+                match,
+                List.copyOf(below));
         shares(s, member);
         s.done();
         return member;
@@ -144,7 +154,9 @@
     /** Shares that could not all be had at once are a promise that is broken on the first busy day. */
     private static void shares(Section s, Member member) {
         for (Dimension d : Dimension.values()) {
-            long sum = member.members().stream().mapToLong(m -> m.guaranteed().getOrDefault(d, 0L)).sum();
+            long sum = member.members().stream()
+                    .mapToLong(m -> m.guaranteed().getOrDefault(d, 0L))
+                    .sum();
             long most = member.aSecond(d);
             String what = "the shares of " + field(d) + " below " + member.path() + " add up to " + sum;
             if (sum > most) {
@@ -155,14 +167,17 @@
                 s.fault("members", what + ": expected no more than its own share, " + own);
             }
             if (own != null && own > most) {
-                s.fault("share", "expected no more " + field(d) + " than its limits bear in a second, "
-                    + most + ", not " + own);
+                s.fault(
+                        "share",
+                        "expected no more " + field(d) + " than its limits bear in a second, " + most + ", not " + own);
             }
         }
         long held = member.members().stream().mapToLong(Member::guaranteedHeld).sum();
         if (held > member.held()) {
-            s.fault("members", "the shares held below " + member.path() + " add up to " + held
-                + ": expected no more than " + member.held());
+            s.fault(
+                    "members",
+                    "the shares held below " + member.path() + " add up to " + held + ": expected no more than "
+                            + member.held());
         }
     }
 }
--- a/src/main/java/brambletray/check/EmulatorCheck.java
+++ b/src/main/java/brambletray/check/EmulatorCheck.java
@@ -60,19 +60,25 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             WireRun run = new WireRun(Machine.real(group.next()), plan);
-            List<ChannelFuture> bound = group.submit(() -> run.listen(
-                endpoint -> new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).get();
+            List<ChannelFuture> bound = group.submit(
+                            () -> run.listen(endpoint -> new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                    .get();
             for (ChannelFuture future : bound) {
                 future.get();
             }
             group.submit(run::begin).get();
-            CompletableFuture<List<List<Sample>>> ended =
-                new CompletableFuture<>();
-            group.next().scheduleAtFixedRate(() -> {
-                if (run.over() || run.front().now() > plan.script().length() + AFTER) {
-                    ended.complete(new ArrayList<>(run.samples()));
-                }
-            }, 100, 100, TimeUnit.MILLISECONDS);
+            CompletableFuture<List<List<Sample>>> ended = new CompletableFuture<>();
+            group.next()
+                    .scheduleAtFixedRate(
+                            () -> {
+                                if (run.over()
+                                        || run.front().now() > plan.script().length() + AFTER) {
+                                    ended.complete(new ArrayList<>(run.samples()));
+                                }
+                            },
+                            100,
+                            100,
+                            TimeUnit.MILLISECONDS);
             List<List<Sample>> samples = ended.get();
             group.submit(run::close).get();
             return report("real time", samples);
@@ -82,13 +88,16 @@
     }
 
     private int report(String how, List<List<Sample>> measured) {
-        out.printf(Locale.ROOT,
-            "%s, %s, %.0f calls a second to each endpoint; scripted / measured, bound %.1f %%%n",
-            plan.script().name(), how, plan.script().check().perSecond(),
+        out.printf(
+                Locale.ROOT,
+                "%s, %s, %.0f calls a second to each endpoint; scripted / measured, bound %.1f %%%n",
+                plan.script().name(),
+                how,
+                plan.script().check().perSecond(),
                 plan.script().check().boundPercent());
-        out.printf("%-12s %13s %6s %15s %15s %15s %15s %15s %15s%n", "endpoint", "phase s", "calls",
-            "in hand",
-            "mean ms", "50 % ms", "95 % ms", "99 % ms", "refused %");
+        out.printf(
+                "%-12s %13s %6s %15s %15s %15s %15s %15s %15s%n",
+                "endpoint", "phase s", "calls", "in hand", "mean ms", "50 % ms", "95 % ms", "99 % ms", "refused %");
         int off = 0;
         List<Endpoint> endpoints = plan.world().endpoints();
         for (int e = 0; e < endpoints.size(); e++) {
@@ -98,15 +107,22 @@
                 Figures b = Figures.of(measured.get(e), phases.get(p), phases.get(p + 1));
                 Row row = new Row(a.calls());
                 String cells = row.cell(a.inHand(), b.inHand(), HELD_FLOOR)
-                    + row.cell(a.mean(), b.mean(), LATENCY_FLOOR) + row.cell(a.p50(), b.p50(), LATENCY_FLOOR)
-                    + row.cell(a.p95(), b.p95(), LATENCY_FLOOR) + row.cell(a.p99(), b.p99(), LATENCY_FLOOR)
-                    + row.cell(100 * a.refused(), 100 * b.refused(), 100 * CALLS_FLOOR / Math.max(1,
-                        a.calls()));
+                        + row.cell(a.mean(), b.mean(), LATENCY_FLOOR)
+                        + row.cell(a.p50(), b.p50(), LATENCY_FLOOR)
+                        + row.cell(a.p95(), b.p95(), LATENCY_FLOOR)
+                        + row.cell(a.p99(), b.p99(), LATENCY_FLOOR)
+                        + row.cell(100 * a.refused(), 100 * b.refused(), 100 * CALLS_FLOOR / Math.max(1, a.calls()));
                 row.cell(100 * a.wrong(), 100 * b.wrong(), 100 * CALLS_FLOOR / Math.max(1, a.calls()));
                 off += row.off;
-                out.printf(Locale.ROOT, "%-12s %6.1f-%6.1f %6d%s%s%n", endpoints.get(e).name(),
-                    phases.get(p) / 1e9, phases.get(p + 1) / 1e9, a.calls(), cells,
-                    row.off > 0 ? "  OFF" : "");
+                out.printf(
+                        Locale.ROOT,
+                        "%-12s %6.1f-%6.1f %6d%s%s%n",
+                        endpoints.get(e).name(),
+                        phases.get(p) / 1e9,
+                        phases.get(p + 1) / 1e9,
+                        a.calls(),
+                        cells,
+                        row.off > 0 ? "  OFF" : "");
             }
         }
         out.println(off == 0 ? "all within the bound" : off + " figures are off");
--- a/src/main/java/brambletray/check/Figures.java
+++ b/src/main/java/brambletray/check/Figures.java
@@ -8,8 +8,8 @@
  * What one endpoint did in one phase: calls sent in it, those that waited or were served in it on average
  * over time, latency of the delivered in ms, and the shares that were refused or went wrong otherwise.
  */
-record Figures(int calls, double inHand, double mean, double p50, double p95, double p99, double refused,
-               double wrong) {
+record Figures(
+        int calls, double inHand, double mean, double p50, double p95, double p99, double refused, double wrong) {
 
     static Figures of(List<Sample> samples, long from, long until) {
         int calls = 0;
@@ -37,13 +37,18 @@
         }
         double[] sorted = Arrays.copyOf(latencies, delivered);
         Arrays.sort(sorted);
-        return new Figures(calls, held / Math.max(1, until - from), Arrays.stream(sorted).average().orElse(0),
-            at(sorted, 0.5), at(sorted, 0.95), at(sorted, 0.99), refused / (double) Math.max(1, calls),
-            wrong / (double) Math.max(1, calls));
+        return new Figures(
+                calls,
+                held / Math.max(1, until - from),
+                Arrays.stream(sorted).average().orElse(0),
+                at(sorted, 0.5),
+                at(sorted, 0.95),
+                at(sorted, 0.99),
+                refused / (double) Math.max(1, calls),
+                wrong / (double) Math.max(1, calls));
     }
 
     private static double at(double[] sorted, double share) {
-        return sorted.length == 0 ? 0 : sorted[(int) Math.min(sorted.length - 1L,
-            (long) (share * sorted.length))];
+        return sorted.length == 0 ? 0 : sorted[(int) Math.min(sorted.length - 1L, (long) (share * sorted.length))];
     }
 }
--- a/src/main/java/brambletray/check/Model.java
+++ b/src/main/java/brambletray/check/Model.java
@@ -88,8 +88,8 @@
             int index = next++;
             samples[index] = new Sample(index, at, Long.MAX_VALUE, Outcome.NOTHING);
             boolean fresh = idle == 0;
-            if (endpoint.reach() == Endpoint.Reach.REFUSED || fresh && endpoint.reach() == Endpoint.Reach.OPEN
-                && !endpoint.connect(at)) {
+            if (endpoint.reach() == Endpoint.Reach.REFUSED
+                    || fresh && endpoint.reach() == Endpoint.Reach.OPEN && !endpoint.connect(at)) {
                 samples[index] = new Sample(index, at, at, Outcome.UNREACHABLE);
                 return;
             }
@@ -106,10 +106,13 @@
         public void answer(Call call, Answer answer) {
             int index = out.remove(call);
             long ended = Math.max(samples[index].sent(), endpoint.clock());
-            Outcome outcome = answer instanceof Answer.Delivered ? Outcome.DELIVERED
-                : answer instanceof Answer.Refused ? Outcome.REFUSED
-                : answer instanceof Answer.Failed ? Outcome.FAILED
-                : answer instanceof Answer.Spoilt ? Outcome.SPOILT : Outcome.BROKEN;
+            Outcome outcome = answer instanceof Answer.Delivered
+                    ? Outcome.DELIVERED
+                    : answer instanceof Answer.Refused
+                            ? Outcome.REFUSED
+                            : answer instanceof Answer.Failed
+                                    ? Outcome.FAILED
+                                    : answer instanceof Answer.Spoilt ? Outcome.SPOILT : Outcome.BROKEN;
             samples[index] = new Sample(index, samples[index].sent(), ended, outcome);
             if (outcome == Outcome.DELIVERED || outcome == Outcome.REFUSED || outcome == Outcome.FAILED) {
                 idle++;
--- a/src/main/java/brambletray/check/Plan.java
+++ b/src/main/java/brambletray/check/Plan.java
@@ -58,10 +58,12 @@
     /** Where the phases of an endpoint begin, with the end of the script as the last; ns. */
     List<Long> phases(Endpoint endpoint) {
         TreeSet<Long> borders = new TreeSet<>(List.of(0L, script.length()));
-        script.steps().stream().filter(s -> s.endpoints().contains(endpoint.name())).forEach(s -> {
-            borders.add(Math.min(s.at(), script.length()));
-            borders.add(Math.min(s.until(), script.length()));
-        });
+        script.steps().stream()
+                .filter(s -> s.endpoints().contains(endpoint.name()))
+                .forEach(s -> {
+                    borders.add(Math.min(s.at(), script.length()));
+                    borders.add(Math.min(s.until(), script.length()));
+                });
         return List.copyOf(borders);
     }
 }
--- a/src/main/java/brambletray/check/Sample.java
+++ b/src/main/java/brambletray/check/Sample.java
@@ -6,5 +6,13 @@
  */
 record Sample(int index, long sent, long ended, Outcome outcome) {
     /** What came back. */
-    enum Outcome { DELIVERED, REFUSED, FAILED, BROKEN, UNREACHABLE, SPOILT, NOTHING }
+    enum Outcome {
+        DELIVERED,
+        REFUSED,
+        FAILED,
+        BROKEN,
+        UNREACHABLE,
+        SPOILT,
+        NOTHING
+    }
 }
--- a/src/main/java/brambletray/check/WireRun.java
+++ b/src/main/java/brambletray/check/WireRun.java
@@ -98,18 +98,25 @@
             this.bootstrap = machine.dialling(CONNECT_MS, new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
-                        new Connection(Caller.this));
+                    channel.pipeline()
+                            .addLast(
+                                    new HttpClientCodec(),
+                                    new HttpObjectAggregator(BODY_MOST),
+                                    new Connection(Caller.this));
                 }
             });
         }
 
         private void next() {
             if (next < arrivals.length) {
-                machine.loop().schedule(() -> {
-                    send(next++);
-                    next();
-                }, Math.max(0, arrivals[next] - front.now()), TimeUnit.NANOSECONDS);
+                machine.loop()
+                        .schedule(
+                                () -> {
+                                    send(next++);
+                                    next();
+                                },
+                                Math.max(0, arrivals[next] - front.now()),
+                                TimeUnit.NANOSECONDS);
             }
         }
 
@@ -154,10 +161,11 @@
 
         private void send(int index) {
             call = index;
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                "/v1/messages");
-            request.headers().set("X-Request-ID", Plan.message(caller.endpoint, index))
-                .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v1/messages");
+            request.headers()
+                    .set("X-Request-ID", Plan.message(caller.endpoint, index))
+                    .set(HttpHeaderNames.CONTENT_LENGTH, 0);
             channel.writeAndFlush(request);
         }
 
@@ -170,8 +178,7 @@
             }
             used = true;
             int status = answer.status().code();
-            Outcome outcome = status == 200 ? Outcome.DELIVERED : status == 500 ? Outcome.FAILED
-                : Outcome.REFUSED;
+            Outcome outcome = status == 200 ? Outcome.DELIVERED : status == 500 ? Outcome.FAILED : Outcome.REFUSED;
             caller.idle.addLast(this);
             end(outcome);
         }
@@ -189,8 +196,7 @@
             caller.open.remove(this);
             caller.idle.remove(this);
             // A connection that is ended before it carried anything was one too many for the endpoint.
-            end(used || caller.endpoint.reach() != Endpoint.Reach.OPEN ? Outcome.BROKEN
-                : Outcome.UNREACHABLE);
+            end(used || caller.endpoint.reach() != Endpoint.Reach.OPEN ? Outcome.BROKEN : Outcome.UNREACHABLE);
         }
 
         @Override
--- a/src/main/java/brambletray/cli/Demo.java
+++ b/src/main/java/brambletray/cli/Demo.java
@@ -22,10 +22,14 @@
 import picocli.CommandLine.Option;
 
 /** A relay, partners and clients on loopback, with nothing to configure. */
-@Command(name = "demo", mixinStandardHelpOptions = true, description = {
-    "A relay, emulated partners and clients on loopback sockets, in real time; nothing to configure.",
-    "Partway one partner goes down and returns cold. Ends with what became of the messages, the service score"
-        + " and the rules that were broken; exit code 1 if any was."})
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description = {
+            "A relay, emulated partners and clients on loopback sockets, in real time; nothing to configure.",
+            "Partway one partner goes down and returns cold. Ends with what became of the messages, the service score"
+                    + " and the rules that were broken; exit code 1 if any was."
+        })
 final class Demo implements Callable<Integer> {
     /** How long after the traffic messages may still end; s. */
     private static final double AFTER_S = 18;
@@ -33,12 +37,18 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--seconds", paramLabel = "S", defaultValue = "20",
-        description = "How long messages are handed in, 1 to 3600; default ${DEFAULT-VALUE}.")
+    @Option(
+            names = "--seconds",
+            paramLabel = "S",
+            defaultValue = "20",
+            description = "How long messages are handed in, 1 to 3600; default ${DEFAULT-VALUE}.")
     private int seconds;
 
-    @Option(names = "--script", paramLabel = "NAME", defaultValue = "demo",
-        description = "A script that comes with the program, or a file; default ${DEFAULT-VALUE}.")
+    @Option(
+            names = "--script",
+            paramLabel = "NAME",
+            defaultValue = "demo",
+            description = "A script that comes with the program, or a file; default ${DEFAULT-VALUE}.")
     private String name;
 
     @Override
@@ -50,14 +60,20 @@
         PrintWriter out = spec.commandLine().getOut();
         Path folder = Files.createTempDirectory("brambletray-demo");
         List<String> events = new ArrayList<>();
-        try (RealStage stage = new RealStage(script, script.seed(), folder,
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        try (RealStage stage = new RealStage(
+                script, script.seed(), folder, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             stage.startRelays();
-            out.printf("%s: %s%n%d relay(s), %d endpoints, %.0f messages a second for %d s%n", script.name(),
-                script.about(), script.fleet().relays(), script.endpoints(), script.traffic().perSecond(),
+            out.printf(
+                    "%s: %s%n%d relay(s), %d endpoints, %.0f messages a second for %d s%n",
+                    script.name(),
+                    script.about(),
+                    script.fleet().relays(),
+                    script.endpoints(),
+                    script.traffic().perSecond(),
                     seconds);
-            stage.whenBegun(step -> events.add(step.what().getClass().getSimpleName().toLowerCase(Locale.ROOT)
-                + " " + String.join(" ", step.endpoints())));
+            stage.whenBegun(
+                    step -> events.add(step.what().getClass().getSimpleName().toLowerCase(Locale.ROOT) + " "
+                            + String.join(" ", step.endpoints())));
             stage.begin();
             stage.watch(scene -> {
                 Score.Result now = scene.result();
@@ -66,10 +82,16 @@
                     String state = e.state(scene.now());
                     states.append(state.equals("open") ? "" : "  " + e.name() + " " + state);
                 }
-                out.printf(Locale.ROOT,
-                    "%4.0f s  asked %5d  delivered %5d  handed back %3d  given up %3d%s%s%n",
-                    scene.now() / 1e9, now.asked(), now.delivered(), now.handedBack(), ended(now),
-                    states, events.isEmpty() ? "" : "  << " + String.join(", ", events));
+                out.printf(
+                        Locale.ROOT,
+                        "%4.0f s  asked %5d  delivered %5d  handed back %3d  given up %3d%s%s%n",
+                        scene.now() / 1e9,
+                        now.asked(),
+                        now.delivered(),
+                        now.handedBack(),
+                        ended(now),
+                        states,
+                        events.isEmpty() ? "" : "  << " + String.join(", ", events));
                 events.clear();
                 return !scene.over() && scene.now() < (seconds + AFTER_S) * 1e9;
             });
@@ -86,18 +108,37 @@
 
     /** Prints the figures of a run; 0 if no rule was broken. */
     static int verdict(PrintWriter out, Score.Result r) {
-        out.printf(Locale.ROOT, "%nasked %d: delivered %d (%d of them late), handed back %d, given up %d,"
-            + " turned away %d, not answered %d%n", r.asked(), r.delivered(), r.late(), r.handedBack(),
-            r.givenUp(), r.turnedAway(), r.unanswered());
-        out.printf(Locale.ROOT, "service score %.3f (whole run %.3f, worst ten seconds %.3f)%n", r.score(),
-            r.whole(), r.worst());
+        out.printf(
+                Locale.ROOT,
+                "%nasked %d: delivered %d (%d of them late), handed back %d, given up %d,"
+                        + " turned away %d, not answered %d%n",
+                r.asked(),
+                r.delivered(),
+                r.late(),
+                r.handedBack(),
+                r.givenUp(),
+                r.turnedAway(),
+                r.unanswered());
+        out.printf(
+                Locale.ROOT,
+                "service score %.3f (whole run %.3f, worst ten seconds %.3f)%n",
+                r.score(),
+                r.whole(),
+                r.worst());
         out.printf("rules broken: %d%n", r.lostCount() + r.breachCount());
         for (String id : r.lost()) {
             out.println("  no end in time: " + id);
         }
         for (Ledger.Breach b : r.breaches()) {
-            out.printf(Locale.ROOT, "  %s at %.3f s: %s %s by %s, %s%n", b.rule(), b.at() / 1e9, b.endpoint(),
-                b.message(), b.caller(), b.detail());
+            out.printf(
+                    Locale.ROOT,
+                    "  %s at %.3f s: %s %s by %s, %s%n",
+                    b.rule(),
+                    b.at() / 1e9,
+                    b.endpoint(),
+                    b.message(),
+                    b.caller(),
+                    b.detail());
         }
         out.flush();
         return r.clean() ? 0 : 1;
--- a/src/main/java/brambletray/cli/Emulate.java
+++ b/src/main/java/brambletray/cli/Emulate.java
@@ -27,40 +27,56 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine;
 
 /** Partners and the platform's agent on loopback, for a relay that is started elsewhere. */
-@Command(name = "emulate", mixinStandardHelpOptions = true, subcommands = {Emulate.Check.class,
-    Play.class}, description = {
-    "Emulated partners and the platform's agent on real sockets, so that any relay can be tried"
-        + " against them.",
-    "Prints once a second what each server does; SIGTERM or Ctrl-C ends it with a table.",
-    "Scripts that come with the program: demo, quiet-night, first-night, second-night, third-night, check."})
+@Command(
+        name = "emulate",
+        mixinStandardHelpOptions = true,
+        subcommands = {Emulate.Check.class, Play.class},
+        description = {
+            "Emulated partners and the platform's agent on real sockets, so that any relay can be tried"
+                    + " against them.",
+            "Prints once a second what each server does; SIGTERM or Ctrl-C ends it with a table.",
+            "Scripts that come with the program: demo, quiet-night, first-night, second-night, third-night, check."
+        })
 final class Emulate implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Parameters(paramLabel = "SCRIPT", arity = "0..1",
-        description = "A file, or the name of a script that comes with the program.")
+    @Parameters(
+            paramLabel = "SCRIPT",
+            arity = "0..1",
+            description = "A file, or the name of a script that comes with the program.")
     private String script;
 
-    @Option(names = "--listen", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:0",
-        description = "Address and port of the agent, in digits; default ${DEFAULT-VALUE}: any free port.")
+    @Option(
+            names = "--listen",
+            paramLabel = "ADDRESS",
+            defaultValue = "127.0.0.1:0",
+            description = "Address and port of the agent, in digits; default ${DEFAULT-VALUE}: any free port.")
     private String listen;
 
-    @Option(names = "--relay-config", paramLabel = "FILE",
-        description = "Writes a configuration (EDGE_CONFIG) with which a relay serves them.")
+    @Option(
+            names = "--relay-config",
+            paramLabel = "FILE",
+            description = "Writes a configuration (EDGE_CONFIG) with which a relay serves them.")
     private Path config;
 
-    @Option(names = "--relay-listen", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:8080",
-        description = "Where that relay is to listen; default ${DEFAULT-VALUE}.")
+    @Option(
+            names = "--relay-listen",
+            paramLabel = "ADDRESS",
+            defaultValue = "127.0.0.1:8080",
+            description = "Where that relay is to listen; default ${DEFAULT-VALUE}.")
     private String relayListen;
 
-    @Option(names = "--inventory", paramLabel = "FILE",
-        description = "Writes the endpoints as an inventory (.csv, else YAML) for serve --config.")
+    @Option(
+            names = "--inventory",
+            paramLabel = "FILE",
+            description = "Writes the endpoints as an inventory (.csv, else YAML) for serve --config.")
     private Path inventory;
 
     /** The endpoints as they stand in a relay's inventory. */
@@ -68,9 +84,18 @@
         Map<String, Entry> hosts = new LinkedHashMap<>();
         for (Endpoint e : stage.endpoints()) {
             InetSocketAddress at = stage.address(e);
-            hosts.put(e.name(), new Entry(e.name(), at.getAddress().getHostAddress(), at.getPort(),
-                e.protocol(), e.partner().destination(), e.zone(), e.partner().kind(),
-                e.partner().listedRate(), Entry.State.READY));
+            hosts.put(
+                    e.name(),
+                    new Entry(
+                            e.name(),
+                            at.getAddress().getHostAddress(),
+                            at.getPort(),
+                            e.protocol(),
+                            e.partner().destination(),
+                            e.zone(),
+                            e.partner().kind(),
+                            e.partner().listedRate(),
+                            Entry.State.READY));
         }
         return new Revision(hosts);
     }
@@ -94,18 +119,22 @@
                 out.println("EDGE_CONFIG=" + config + " for a relay on " + relayListen);
             }
             if (inventory != null) {
-                Files.writeString(inventory,
-                    Inventory.write(inventory(stage), inventory.toString().endsWith(".csv")));
+                Files.writeString(
+                        inventory,
+                        Inventory.write(inventory(stage), inventory.toString().endsWith(".csv")));
                 out.println("inventory of " + stage.endpoints().size() + " hosts in " + inventory);
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                ending.countDown();
-                try {
-                    ended.await(5, TimeUnit.SECONDS);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "end"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                ending.countDown();
+                                try {
+                                    ended.await(5, TimeUnit.SECONDS);
+                                } catch (InterruptedException e) {
+                                    Thread.currentThread().interrupt();
+                                }
+                            },
+                            "end"));
             Map<String, long[]> before = new HashMap<>();
             stage.begin();
             stage.watch(scene -> {
@@ -137,18 +166,25 @@
         StringBuilder text = new StringBuilder();
         for (Endpoint e : scene.world().endpoints()) {
             Tally t = e.tally();
-            long[] now = {t.arrived, t.delivered(), t.refusedInAll(), t.failed + t.reset + t.spoilt
-                + t.unanswered};
+            long[] now = {t.arrived, t.delivered(), t.refusedInAll(), t.failed + t.reset + t.spoilt + t.unanswered};
             long[] was = before.getOrDefault(e.name(), new long[now.length]);
             before.put(e.name(), now);
             String state = e.state(scene.now());
             if (now[0] > was[0] || e.inHand() > 0 || !state.equals("open")) {
-                text.append(String.format(Locale.ROOT, "%5.0f s  %-16s %-10s in hand %3d  queued %3d"
-                    + "  connections %3d  came %4d  delivered %4d  refused %4d  failed %3d%n",
+                text.append(String.format(
+                        Locale.ROOT,
+                        "%5.0f s  %-16s %-10s in hand %3d  queued %3d"
+                                + "  connections %3d  came %4d  delivered %4d  refused %4d  failed %3d%n",
                         scene.now() / 1e9,
-                    e.name(), state, e.inHand(), e.queued(), e.connections(), now[0] - was[0],
+                        e.name(),
+                        state,
+                        e.inHand(),
+                        e.queued(),
+                        e.connections(),
+                        now[0] - was[0],
                         now[1] - was[1],
-                    now[2] - was[2], now[3] - was[3]));
+                        now[2] - was[2],
+                        now[3] - was[3]));
             }
         }
         out.print(text);
@@ -156,24 +192,49 @@
     }
 
     private static void table(PrintWriter out, List<Endpoint> endpoints) {
-        out.printf("%n%-16s %8s %9s %8s %7s %6s %6s %9s %9s %7s %7s%n", "endpoint", "came", "delivered",
-            "refused",
-            "failed", "reset", "lost", "mean ms", "queued", "busy", "conns");
+        out.printf(
+                "%n%-16s %8s %9s %8s %7s %6s %6s %9s %9s %7s %7s%n",
+                "endpoint",
+                "came",
+                "delivered",
+                "refused",
+                "failed",
+                "reset",
+                "lost",
+                "mean ms",
+                "queued",
+                "busy",
+                "conns");
         for (Endpoint e : endpoints) {
             Tally t = e.tally();
-            out.printf(Locale.ROOT, "%-16s %8d %9d %8d %7d %6d %6d %9.1f %9.2f %7.2f %7d%s%n", e.name(),
-                t.arrived,
-                t.delivered(), t.refusedInAll(), t.failed, t.reset, t.unanswered, t.meanLatency() / 1e6,
-                t.meanQueued(), t.meanBusy(), t.mostConnections, e.fallen() ? "  FELL OVER" : "");
+            out.printf(
+                    Locale.ROOT,
+                    "%-16s %8d %9d %8d %7d %6d %6d %9.1f %9.2f %7.2f %7d%s%n",
+                    e.name(),
+                    t.arrived,
+                    t.delivered(),
+                    t.refusedInAll(),
+                    t.failed,
+                    t.reset,
+                    t.unanswered,
+                    t.meanLatency() / 1e6,
+                    t.meanQueued(),
+                    t.meanBusy(),
+                    t.mostConnections,
+                    e.fallen() ? "  FELL OVER" : "");
         }
         out.flush();
     }
 
     /** Holds what is measured beside what is scripted. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description = {
-        "Plays scripts against a load of their own (their section 'check'), in simulated and in real time,"
-            + " and prints for each server and phase what was scripted and what was measured.",
-        "Exit code 1 when a figure is off by more than the script's bound."})
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Plays scripts against a load of their own (their section 'check'), in simulated and in real time,"
+                        + " and prints for each server and phase what was scripted and what was measured.",
+                "Exit code 1 when a figure is off by more than the script's bound."
+            })
     static final class Check implements Callable<Integer> {
         @Parameters(paramLabel = "SCRIPT", arity = "1..*", description = "Files, or names of scripts.")
         private List<String> scripts;
--- a/src/main/java/brambletray/cli/InventoryCommand.java
+++ b/src/main/java/brambletray/cli/InventoryCommand.java
@@ -18,9 +18,13 @@
 import picocli.CommandLine.Parameters;
 
 /** Looks at files that list partners' hosts. */
-@Command(name = "inventory", mixinStandardHelpOptions = true, description = {
-    "Checks, compares and converts inventories: CSV (by the ending .csv) or YAML,"
-        + " a plain list or Ansible's."})
+@Command(
+        name = "inventory",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Checks, compares and converts inventories: CSV (by the ending .csv) or YAML,"
+                    + " a plain list or Ansible's."
+        })
 final class InventoryCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -39,25 +43,40 @@
     }
 
     /** All faults of a file at once. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description = {
-        "Names every fault with line and column and what was expected; exit code 2 if there is one."})
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = {"Names every fault with line and column and what was expected; exit code 2 if there is one."
+            })
     int check(@Parameters(paramLabel = "FILE") Path file) throws Faults, IOException {
         Inventory.Parsed parsed = read(file);
-        long destinations = parsed.revision().hosts().values().stream().mapToLong(e -> e.destination())
-            .distinct().count();
+        long destinations = parsed.revision().hosts().values().stream()
+                .mapToLong(e -> e.destination())
+                .distinct()
+                .count();
         PrintWriter out = spec.commandLine().getOut();
-        out.println(file + ": " + parsed.revision().hosts().size() + " hosts, " + destinations
-            + " destinations" + (parsed.sealed() ? ", sealed by its last line" : ""));
+        out.println(file + ": " + parsed.revision().hosts().size() + " hosts, " + destinations + " destinations"
+                + (parsed.sealed() ? ", sealed by its last line" : ""));
         return 0;
     }
 
     /** What a relay would do. */
-    @Command(name = "diff", mixinStandardHelpOptions = true, description = {
-        "Tells what a relay that holds OLD does when NEW comes; exit code 1 if it would hold NEW back."})
-    int diff(@Parameters(paramLabel = "OLD") Path old, @Parameters(paramLabel = "NEW") Path next,
-             @Option(names = "--remove-most", paramLabel = "SHARE", defaultValue = "0.3",
-                 description = "the share that one edit may take away (${DEFAULT-VALUE})") double most)
-        throws Faults, IOException {
+    @Command(
+            name = "diff",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Tells what a relay that holds OLD does when NEW comes; exit code 1 if it would hold NEW back."
+            })
+    int diff(
+            @Parameters(paramLabel = "OLD") Path old,
+            @Parameters(paramLabel = "NEW") Path next,
+            @Option(
+                            names = "--remove-most",
+                            paramLabel = "SHARE",
+                            defaultValue = "0.3",
+                            description = "the share that one edit may take away (${DEFAULT-VALUE})")
+                    double most)
+            throws Faults, IOException {
         Reconciler reconciler = new Reconciler(most);
         reconciler.offer(read(old).revision(), true);
         Inventory.Parsed parsed = read(next);
@@ -69,11 +88,13 @@
         }
         if (verdict instanceof Reconciler.HeldBack h) {
             tell(out, h.change(), parsed.revision());
-            out.println("HELD BACK: " + (h.unsealed()
-                ? "the old one's last line seals it, and this one's does not"
-                : "it takes more than " + h.most() + " hosts away")
-                + "; end it with the line '# end of inventory: " + parsed.revision().hosts().size()
-                + " hosts' if that is meant");
+            out.println("HELD BACK: "
+                    + (h.unsealed()
+                            ? "the old one's last line seals it, and this one's does not"
+                            : "it takes more than " + h.most() + " hosts away")
+                    + "; end it with the line '# end of inventory: "
+                    + parsed.revision().hosts().size()
+                    + " hosts' if that is meant");
             return 1;
         }
         out.println("nothing changes");
@@ -91,16 +112,19 @@
 
     private static void line(PrintWriter out, String what, List<String> names) {
         if (!names.isEmpty()) {
-            out.println(names.size() + " " + what + ": " + String.join(", ", names.subList(0,
-                Math.min(20, names.size()))) + (names.size() > 20 ? ", ..." : ""));
+            out.println(names.size() + " " + what + ": "
+                    + String.join(", ", names.subList(0, Math.min(20, names.size())))
+                    + (names.size() > 20 ? ", ..." : ""));
         }
     }
 
     /** From one format to another. */
-    @Command(name = "convert", mixinStandardHelpOptions = true,
-        description = "Writes FROM as TO, CSV by the ending .csv, else a YAML list; TO must not exist.")
+    @Command(
+            name = "convert",
+            mixinStandardHelpOptions = true,
+            description = "Writes FROM as TO, CSV by the ending .csv, else a YAML list; TO must not exist.")
     int convert(@Parameters(paramLabel = "FROM") Path from, @Parameters(paramLabel = "TO") Path to)
-        throws Faults, IOException {
+            throws Faults, IOException {
         if (Files.exists(to)) {
             throw new UsageException("there is a file already: " + to);
         }
--- a/src/main/java/brambletray/cli/QuotaCommand.java
+++ b/src/main/java/brambletray/cli/QuotaCommand.java
@@ -14,9 +14,11 @@
 import picocli.CommandLine.Parameters;
 
 /** Looks at files of quotas. */
-@Command(name = "quota", mixinStandardHelpOptions = true,
-    description = "Checks and explains files of quotas.",
-    subcommands = {QuotaCommand.Check.class, QuotaCommand.Explain.class})
+@Command(
+        name = "quota",
+        mixinStandardHelpOptions = true,
+        description = "Checks and explains files of quotas.",
+        subcommands = {QuotaCommand.Check.class, QuotaCommand.Explain.class})
 final class QuotaCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -31,8 +33,13 @@
     }
 
     /** Names every fault at once. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description = {
-        "Checks a file whole; every fault is told with its line and column.", "Exit code 2 if there is one."})
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Checks a file whole; every fault is told with its line and column.",
+                "Exit code 2 if there is one."
+            })
     static final class Check implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -48,8 +55,10 @@
     }
 
     /** Tells what one member may have. */
-    @Command(name = "explain", mixinStandardHelpOptions = true, description = {
-        "Tells what a member has by right, what it may borrow, and what binds it from above."})
+    @Command(
+            name = "explain",
+            mixinStandardHelpOptions = true,
+            description = {"Tells what a member has by right, what it may borrow, and what binds it from above."})
     static final class Explain implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -57,8 +66,11 @@
         @Parameters(paramLabel = "FILE")
         private Path file;
 
-        @Option(names = "--at", paramLabel = "PATH", required = true,
-            description = "The member: names from the root down, with '/' between.")
+        @Option(
+                names = "--at",
+                paramLabel = "PATH",
+                required = true,
+                description = "The member: names from the root down, with '/' between.")
         private String path;
 
         @Override
@@ -67,11 +79,10 @@
             gather(QuotaFile.read(file), all);
             if (!all.containsKey(path)) {
                 throw new UsageException("no member " + path + " in " + file + "; members are "
-                    + String.join(", ", all.keySet().stream().limit(20).toList()));
+                        + String.join(", ", all.keySet().stream().limit(20).toList()));
             }
             PrintWriter out = spec.commandLine().getOut();
-            for (String at = path; at != null; at = at.contains("/") ? at.substring(0, at.lastIndexOf('/'))
-                : null) {
+            for (String at = path; at != null; at = at.contains("/") ? at.substring(0, at.lastIndexOf('/')) : null) {
                 tell(out, all.get(at), at.equals(path));
             }
             return 0;
@@ -84,23 +95,26 @@
 
         private static void tell(PrintWriter out, Member m, boolean own) {
             out.println((own ? "" : "under ") + m.path());
-            m.limits().forEach(l -> out.println("    never more than " + l.amount() + " "
-                + word(l.dimension()) + " in any " + l.window() / 1e6 + " s"));
+            m.limits()
+                    .forEach(l -> out.println("    never more than " + l.amount() + " " + word(l.dimension())
+                            + " in any " + l.window() / 1e6 + " s"));
             if (m.held() != Long.MAX_VALUE) {
                 out.println("    never more than " + m.held() + " messages held");
             }
-            m.guaranteed().forEach((d, amount) -> out.println("    has a right to " + amount + " " + word(d)
-                + " a second" + (m.lends() ? ", lent while it does not ask for them" : ", never lent")));
+            m.guaranteed()
+                    .forEach((d, amount) -> out.println("    has a right to " + amount + " " + word(d) + " a second"
+                            + (m.lends() ? ", lent while it does not ask for them" : ", never lent")));
             if (m.guaranteedHeld() > 0) {
                 out.println("    has a right to hold " + m.guaranteedHeld() + " messages");
             }
             for (Dimension d : Dimension.values()) {
                 long most = m.aSecond(d);
                 if (most != Long.MAX_VALUE && !m.members().isEmpty()) {
-                    long shares = m.members().stream().mapToLong(b -> b.guaranteed().getOrDefault(d, 0L))
-                        .sum();
+                    long shares = m.members().stream()
+                            .mapToLong(b -> b.guaranteed().getOrDefault(d, 0L))
+                            .sum();
                     out.println("    lends its members what is idle of " + most + " " + word(d)
-                        + " a second; their shares are " + shares);
+                            + " a second; their shares are " + shares);
                 }
             }
             if (own) {
--- a/src/main/java/brambletray/cli/Rehearse.java
+++ b/src/main/java/brambletray/cli/Rehearse.java
@@ -22,17 +22,21 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine;
 
 /** Says whether this build may go into service. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
-    "Plays nights in simulated time against whole relays of this build, and judges them by what happened at"
-        + " the partners.",
-    "Exit code 0 if every night is within its bounds, 1 if not. The same build gives the same verdict."},
-    subcommands = {Rehearse.HuntCommand.class, Rehearse.CompareCommand.class})
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays nights in simulated time against whole relays of this build, and judges them by what happened at"
+                    + " the partners.",
+            "Exit code 0 if every night is within its bounds, 1 if not. The same build gives the same verdict."
+        },
+        subcommands = {Rehearse.HuntCommand.class, Rehearse.CompareCommand.class})
 final class Rehearse implements Callable<Integer> {
     /** Stories that are told of one night. */
     private static final int STORIES_MOST = 3;
@@ -40,24 +44,31 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Parameters(paramLabel = "NIGHT", arity = "0..*",
-        description = "Files, or names of nights that come with the program; without any, all of those.")
+    @Parameters(
+            paramLabel = "NIGHT",
+            arity = "0..*",
+            description = "Files, or names of nights that come with the program; without any, all of those.")
     private List<String> names = new ArrayList<>();
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "5",
-        description = "Seeds 1 to N, an odd number; default ${DEFAULT-VALUE}.")
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "5",
+            description = "Seeds 1 to N, an odd number; default ${DEFAULT-VALUE}.")
     private int seeds;
 
-    @Option(names = "--out", paramLabel = "FOLDER",
-        description = "Writes rehearsal.json, junit.xml and rehearsal.html there, and what happened to"
-            + " messages with which a rule was broken.")
+    @Option(
+            names = "--out",
+            paramLabel = "FOLDER",
+            description = "Writes rehearsal.json, junit.xml and rehearsal.html there, and what happened to"
+                    + " messages with which a rule was broken.")
     private Path out;
 
     @Override
     public Integer call() throws Exception {
         if (seeds < 1 || seeds > 999 || seeds % 2 == 0) {
-            throw new CommandLine.ParameterException(spec.commandLine(),
-                "--seeds: expected an odd number from 1 to 999");
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--seeds: expected an odd number from 1 to 999");
         }
         List<Night> nights = new ArrayList<>();
         for (String name : names.isEmpty() ? Night.BUILT_IN : names) {
@@ -65,15 +76,14 @@
                 nights.add(Night.read(name));
             } catch (NoSuchFileException e) {
                 throw new UsageException("no night, and no file, of the name " + name + "; nights are "
-                    + String.join(", ", Night.BUILT_IN));
+                        + String.join(", ", Night.BUILT_IN));
             }
         }
         PrintWriter tell = spec.commandLine().getOut();
         Path folder = Files.createTempDirectory("brambletray-rehearse");
         try {
-            List<Verdict> verdicts = Kit.play(nights, seeds, Runtime.getRuntime().availableProcessors(),
-                folder,
-                verdict -> tell(tell, verdict));
+            List<Verdict> verdicts = Kit.play(
+                    nights, seeds, Runtime.getRuntime().availableProcessors(), folder, verdict -> tell(tell, verdict));
             boolean passed = verdicts.stream().allMatch(Verdict::passed);
             tell.println((passed ? "passed" : "FAILED") + ", figures " + Reports.hash(verdicts));
             if (out != null) {
@@ -86,12 +96,21 @@
     }
 
     private static void tell(PrintWriter out, Verdict v) {
-        double low = v.plays().stream().mapToDouble(p -> p.result().score()).min().orElse(0);
-        double high = v.plays().stream().mapToDouble(p -> p.result().score()).max().orElse(0);
-        double[] scores = v.plays().stream().mapToDouble(p -> p.result().score()).sorted().toArray();
-        out.printf(Locale.ROOT, "%-18s %s  score %.3f (%.3f to %.3f), bound %.3f%n",
-            v.night().script().name(),
-            v.passed() ? "passed" : "FAILED", scores[(scores.length - 1) / 2], low, high, v.night().least());
+        double low =
+                v.plays().stream().mapToDouble(p -> p.result().score()).min().orElse(0);
+        double high =
+                v.plays().stream().mapToDouble(p -> p.result().score()).max().orElse(0);
+        double[] scores =
+                v.plays().stream().mapToDouble(p -> p.result().score()).sorted().toArray();
+        out.printf(
+                Locale.ROOT,
+                "%-18s %s  score %.3f (%.3f to %.3f), bound %.3f%n",
+                v.night().script().name(),
+                v.passed() ? "passed" : "FAILED",
+                scores[(scores.length - 1) / 2],
+                low,
+                high,
+                v.night().least());
         v.faults().stream().limit(5).forEach(fault -> out.println("    " + fault));
     }
 
@@ -111,34 +130,50 @@
     }
 
     /** Looks for nights that break a rule. */
-    @Command(name = "hunt", mixinStandardHelpOptions = true, description = {
-        "Draws nights at random, plays them, and shrinks those that break a rule to the fewest events.",
-        "Exit code 1 if one was found; it is written as a night that 'rehearse FILE' plays."})
+    @Command(
+            name = "hunt",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Draws nights at random, plays them, and shrinks those that break a rule to the fewest events.",
+                "Exit code 1 if one was found; it is written as a night that 'rehearse FILE' plays."
+            })
     static final class HuntCommand implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
 
-        @Option(names = "--seconds", paramLabel = "N", defaultValue = "60",
-            description = "How long; default ${DEFAULT-VALUE}.")
+        @Option(
+                names = "--seconds",
+                paramLabel = "N",
+                defaultValue = "60",
+                description = "How long; default ${DEFAULT-VALUE}.")
         private int seconds;
 
-        @Option(names = "--base", paramLabel = "NIGHT", defaultValue = "coop-refuses",
-            description = "The night whose fleet, traffic and partners they have; default ${DEFAULT-VALUE}.")
+        @Option(
+                names = "--base",
+                paramLabel = "NIGHT",
+                defaultValue = "coop-refuses",
+                description = "The night whose fleet, traffic and partners they have; default ${DEFAULT-VALUE}.")
         private String base;
 
-        @Option(names = "--from", paramLabel = "N", defaultValue = "1",
-            description = "The number of the first draw, to go on where another hunt ended.")
+        @Option(
+                names = "--from",
+                paramLabel = "N",
+                defaultValue = "1",
+                description = "The number of the first draw, to go on where another hunt ended.")
         private long from;
 
-        @Option(names = "--out", paramLabel = "FOLDER", defaultValue = ".",
-            description = "Where finds are written; default: here.")
+        @Option(
+                names = "--out",
+                paramLabel = "FOLDER",
+                defaultValue = ".",
+                description = "Where finds are written; default: here.")
         private Path out;
 
         @Override
         public Integer call() throws Exception {
             if (!Night.BUILT_IN.contains(base)) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "--base: expected one of "
-                    + String.join(", ", Night.BUILT_IN));
+                throw new CommandLine.ParameterException(
+                        spec.commandLine(), "--base: expected one of " + String.join(", ", Night.BUILT_IN));
             }
             PrintWriter tell = spec.commandLine().getOut();
             Path folder = Files.createTempDirectory("brambletray-hunt");
@@ -164,7 +199,7 @@
                     }
                 }
                 tell.println((next - from) + " nights drawn (" + from + " to " + (next - 1) + "), " + found
-                    + " break a rule");
+                        + " break a rule");
                 return found == 0 ? 0 : 1;
             } finally {
                 pool.shutdownNow();
@@ -177,47 +212,59 @@
             Path file = out.resolve("found-" + find.draw() + ".yaml");
             Files.writeString(file, "# Breaks a rule with seed " + find.seed() + ".\n" + find.yaml());
             tell.println("draw " + find.draw() + ": " + find.drawn() + " events, " + find.left()
-                + " are enough, written to " + file);
+                    + " are enough, written to " + file);
             find.faults().stream().limit(3).forEach(fault -> tell.println("    " + fault));
         }
     }
 
     /** Plays two builds. */
-    @Command(name = "compare", mixinStandardHelpOptions = true, description = {
-        "Plays two builds on the same nights and seeds, and says which differences are beyond noise.",
-        "Exit code 1 if B breaks a rule that A keeps, or is worse on some night beyond noise."})
+    @Command(
+            name = "compare",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Plays two builds on the same nights and seeds, and says which differences are beyond noise.",
+                "Exit code 1 if B breaks a rule that A keeps, or is worse on some night beyond noise."
+            })
     static final class CompareCommand implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
 
-        @Parameters(index = "0", paramLabel = "JAR_A", description = "The build in service,"
-            + " its lib beside it.")
+        @Parameters(index = "0", paramLabel = "JAR_A", description = "The build in service," + " its lib beside it.")
         private Path first;
 
         @Parameters(index = "1", paramLabel = "JAR_B", description = "The build that is to replace it.")
         private Path second;
 
-        @Option(names = "--seeds", paramLabel = "N", defaultValue = "13",
-            description = "Seeds 1 to N, odd, 11 to 15; default ${DEFAULT-VALUE}.")
+        @Option(
+                names = "--seeds",
+                paramLabel = "N",
+                defaultValue = "13",
+                description = "Seeds 1 to N, odd, 11 to 15; default ${DEFAULT-VALUE}.")
         private int seeds;
 
         @Override
         public Integer call() throws Exception {
             if (seeds < 11 || seeds > Comparison.SEEDS_MOST || seeds % 2 == 0) {
-                throw new CommandLine.ParameterException(spec.commandLine(),
-                    "--seeds: expected an odd number from 11 to " + Comparison.SEEDS_MOST);
+                throw new CommandLine.ParameterException(
+                        spec.commandLine(), "--seeds: expected an odd number from 11 to " + Comparison.SEEDS_MOST);
             }
             Path folder = Files.createTempDirectory("brambletray-compare");
             try {
-                List<Comparison.Row> rows = Comparison.of(played(first, folder.resolve("a")),
-                    played(second, folder.resolve("b")));
+                List<Comparison.Row> rows =
+                        Comparison.of(played(first, folder.resolve("a")), played(second, folder.resolve("b")));
                 PrintWriter out = spec.commandLine().getOut();
                 boolean worse = false;
                 for (Comparison.Row row : rows) {
                     worse |= row.brokenB() > 0 && row.brokenA() == 0 || row.beyondNoise() && row.mean() < 0;
-                    out.printf(Locale.ROOT, "%-18s B - A %+.4f, chance %.3f: %s; rules broken %d and %d%n",
-                        row.night(), row.mean(), row.chance(), !row.beyondNoise() ? "noise"
-                            : row.mean() < 0 ? "WORSE" : "better", row.brokenA(), row.brokenB());
+                    out.printf(
+                            Locale.ROOT,
+                            "%-18s B - A %+.4f, chance %.3f: %s; rules broken %d and %d%n",
+                            row.night(),
+                            row.mean(),
+                            row.chance(),
+                            !row.beyondNoise() ? "noise" : row.mean() < 0 ? "WORSE" : "better",
+                            row.brokenA(),
+                            row.brokenB());
                 }
                 return worse ? 1 : 0;
             } catch (Wire.Malformed e) {
@@ -231,10 +278,13 @@
             if (!Files.isRegularFile(jar)) {
                 throw new UsageException("no file: " + jar);
             }
-            String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-            Process play = new ProcessBuilder(java, "-jar", jar.toString(), "rehearse", "--seeds", "" + seeds,
-                "--out", out.toString()).redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            String java =
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString();
+            Process play = new ProcessBuilder(
+                            java, "-jar", jar.toString(), "rehearse", "--seeds", "" + seeds, "--out", out.toString())
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start();
             if (play.waitFor() == 2) {
                 throw new UsageException(jar + " knows no rehearse, or not all of this build's options");
             }
--- a/src/main/java/brambletray/cli/StoreCommand.java
+++ b/src/main/java/brambletray/cli/StoreCommand.java
@@ -9,24 +9,26 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** Looks at a relay's lasting folder. */
-@Command(name = "store", mixinStandardHelpOptions = true, description = {
-    "Looks at the store in a relay's lasting folder (EDGE_STATE); the relay must not run.",
-    "Nothing is written but by salvage, which writes to a new folder."})
+@Command(
+        name = "store",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Looks at the store in a relay's lasting folder (EDGE_STATE); the relay must not run.",
+            "Nothing is written but by salvage, which writes to a new folder."
+        })
 final class StoreCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(),
-            "expected verify, dump, stat or salvage");
+        throw new CommandLine.ParameterException(spec.commandLine(), "expected verify, dump, stat or salvage");
     }
 
     private static RealDisk disk(Path folder, boolean readOnly) throws IOException {
@@ -41,56 +43,90 @@
     }
 
     /** Names what is damaged. */
-    @Command(name = "verify", mixinStandardHelpOptions = true, description = {
-        "Reads all of it, and names file, offset and cause of what is not as it was written.",
-        "Exit code 0 if nothing is missing (a torn tail is nothing), 1 if something may be, 2 if the"
-            + " store cannot be trusted at all."})
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Reads all of it, and names file, offset and cause of what is not as it was written.",
+                "Exit code 0 if nothing is missing (a torn tail is nothing), 1 if something may be, 2 if the"
+                        + " store cannot be trusted at all."
+            })
     int verify(@Parameters(paramLabel = "DIR") Path folder) throws IOException {
         List<Damage> damages = StoreTools.verify(disk(folder, true));
         damages.forEach(d -> out(spec).println(d.kind().name().toLowerCase().replace('_', ' ') + ": " + d));
         boolean hole = damages.stream().anyMatch(d -> d.kind() == Damage.Kind.HOLE);
-        out(spec).println(damages.isEmpty() ? "all as it was written" : hole
-            ? "records that were acknowledged may be missing" : "nothing that was acknowledged is missing");
+        out(spec)
+                .println(
+                        damages.isEmpty()
+                                ? "all as it was written"
+                                : hole
+                                        ? "records that were acknowledged may be missing"
+                                        : "nothing that was acknowledged is missing");
         return hole ? 1 : 0;
     }
 
     /** Every record. */
-    @Command(name = "dump", mixinStandardHelpOptions = true,
-        description = "Prints every record in the order in which it was written, dead ones too.")
+    @Command(
+            name = "dump",
+            mixinStandardHelpOptions = true,
+            description = "Prints every record in the order in which it was written, dead ones too.")
     int dump(@Parameters(paramLabel = "DIR") Path folder) throws IOException {
         StoreTools.dump(disk(folder, true), r -> {
-            String value = r.value().length == 0 ? "" : r.space() == Journal.SPACE
-                ? Journal.describe(r.value())
-                : r.value().length + " bytes";
-            out(spec).println(String.join(" ", r.file(), String.valueOf(r.at()), "#" + r.sequence(),
-                r.sort(), "space",
-                String.valueOf(r.space()), "key", String.valueOf(r.key()), value).stripTrailing());
+            String value = r.value().length == 0
+                    ? ""
+                    : r.space() == Journal.SPACE ? Journal.describe(r.value()) : r.value().length + " bytes";
+            out(spec)
+                    .println(String.join(
+                                    " ",
+                                    r.file(),
+                                    String.valueOf(r.at()),
+                                    "#" + r.sequence(),
+                                    r.sort(),
+                                    "space",
+                                    String.valueOf(r.space()),
+                                    "key",
+                                    String.valueOf(r.key()),
+                                    value)
+                            .stripTrailing());
         });
         return 0;
     }
 
     /** Sizes. */
-    @Command(name = "stat", mixinStandardHelpOptions = true,
-        description = "Prints sizes: of each segment what is live, of each name space what it holds.")
+    @Command(
+            name = "stat",
+            mixinStandardHelpOptions = true,
+            description = "Prints sizes: of each segment what is live, of each name space what it holds.")
     int stat(@Parameters(paramLabel = "DIR") Path folder) throws IOException {
         StoreTools.Figures f = StoreTools.stat(disk(folder, true));
         out(spec).printf("store %016x, %d records, next batch %d%n", f.store(), f.records(), f.next());
-        f.segments().forEach((name, sizes) -> out(spec).printf("%s %9d bytes, live %9d%n", name, sizes[0],
-            sizes[1]));
-        f.spaces().forEach((space,
-            s) -> out(spec).printf("space %d: %d chains (%d doubtful), %d values, %d bytes%n",
-            space, s.chains(), s.doubtful(), s.values(), s.bytes()));
+        f.segments().forEach((name, sizes) -> out(spec).printf("%s %9d bytes, live %9d%n", name, sizes[0], sizes[1]));
+        f.spaces()
+                .forEach((space, s) -> out(spec)
+                        .printf(
+                                "space %d: %d chains (%d doubtful), %d values, %d bytes%n",
+                                space, s.chains(), s.doubtful(), s.values(), s.bytes()));
         return 0;
     }
 
     /** What can be read, into a new folder. */
-    @Command(name = "salvage", mixinStandardHelpOptions = true, description = {
-        "Writes what can be read into a new folder, also where the manifest is lost. All of it counts as"
-            + " perhaps sent there: a relay ends those messages within their class."})
-    int salvage(@Parameters(paramLabel = "DIR") Path from, @Parameters(paramLabel = "NEW") Path to,
-                @Option(names = "--limit", paramLabel = "BYTES", defaultValue = "3000000",
-                    description = "Limit on disk of the new store; default ${DEFAULT-VALUE}.") long limit)
-        throws IOException {
+    @Command(
+            name = "salvage",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Writes what can be read into a new folder, also where the manifest is lost. All of it counts as"
+                        + " perhaps sent there: a relay ends those messages within their class."
+            })
+    int salvage(
+            @Parameters(paramLabel = "DIR") Path from,
+            @Parameters(paramLabel = "NEW") Path to,
+            @Option(
+                            names = "--limit",
+                            paramLabel = "BYTES",
+                            defaultValue = "3000000",
+                            description = "Limit on disk of the new store; default ${DEFAULT-VALUE}.")
+                    long limit)
+            throws IOException {
         Files.createDirectories(to);
         int chains = StoreTools.salvage(disk(from, true), disk(to, false), limit);
         out(spec).println(chains + " chains salvaged into " + to);
--- a/src/main/java/brambletray/console/CallTable.java
+++ b/src/main/java/brambletray/console/CallTable.java
@@ -17,17 +17,17 @@
     }
 
     /** One call: its path is as given, or that and a host's name behind it. */
-    private record Call(HttpMethod method, String path, boolean names, Work work) { }
+    private record Call(HttpMethod method, String path, boolean names, Work work) {}
 
     private static final List<Call> CALLS = List.of(
-        new Call(HttpMethod.GET, "/status", false, (o, id, then) -> o.ready(then)),
-        new Call(HttpMethod.GET, "/status/metrics", false, (o, id, then) -> o.figures(then)),
-        new Call(HttpMethod.POST, "/maintenance/enter/", true, (o, id, then) -> o.exclude(id, true, then)),
-        new Call(HttpMethod.POST, "/maintenance/exit/", true, (o, id, then) -> o.exclude(id, false, then)),
-        new Call(HttpMethod.POST, "/standby", false, (o, id, then) -> o.drain(true, then)),
-        new Call(HttpMethod.POST, "/active", false, (o, id, then) -> o.drain(false, then)));
+            new Call(HttpMethod.GET, "/status", false, (o, id, then) -> o.ready(then)),
+            new Call(HttpMethod.GET, "/status/metrics", false, (o, id, then) -> o.figures(then)),
+            new Call(HttpMethod.POST, "/maintenance/enter/", true, (o, id, then) -> o.exclude(id, true, then)),
+            new Call(HttpMethod.POST, "/maintenance/exit/", true, (o, id, then) -> o.exclude(id, false, then)),
+            new Call(HttpMethod.POST, "/standby", false, (o, id, then) -> o.drain(true, then)),
+            new Call(HttpMethod.POST, "/active", false, (o, id, then) -> o.drain(false, then)));
 
-    private CallTable() { }
+    private CallTable() {}
 
     /** Finds and carries out a call; what is no call is told so: 404, 405 or 400. */
     static void run(HttpMethod method, String uri, Operations operations, Consumer<Said> then) {
@@ -61,8 +61,7 @@
         }
         try {
             // In a path a plus sign is itself.
-            String name = QueryStringDecoder.decodeComponent(coded.replace("+", "%2B"),
-                StandardCharsets.UTF_8);
+            String name = QueryStringDecoder.decodeComponent(coded.replace("+", "%2B"), StandardCharsets.UTF_8);
             return name.chars().anyMatch(c -> c < ' ' || c == 0x7f || c == '/') ? null : name;
         } catch (IllegalArgumentException e) {
             return null;
--- a/src/main/java/brambletray/console/Console.java
+++ b/src/main/java/brambletray/console/Console.java
@@ -43,10 +43,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Console.class);
     /** Connections at once; clients of the relay have a bound of their own, and take none of these. */
     private static final int CALLERS_MOST = 24;
+
     private static final int HEAD_MOST = 8 * 1024, BODY_MOST = 64 * 1024, DISCARD_MOST = 256 * 1024;
     /** ns; from the connect until the whole call is here, and from its answer until its connection closes. */
     private static final long CALL_MOST = TimeUnit.MILLISECONDS.toNanos(900),
-        LINGER = TimeUnit.MILLISECONDS.toNanos(500);
+            LINGER = TimeUnit.MILLISECONDS.toNanos(500);
     /** ms; between looks for callers whose time is over. */
     private static final long SWEEP = 100;
 
@@ -60,8 +61,7 @@
     }
 
     /** The call that asks for an upgrade, and what to. */
-    private static final String UPGRADE_PATH = "/handover", UPGRADE_TO = "brambletray-handover",
-        BEARER = "Bearer ";
+    private static final String UPGRADE_PATH = "/handover", UPGRADE_TO = "brambletray-handover", BEARER = "Bearer ";
 
     private final Machine machine;
     private final Clock clock;
@@ -98,9 +98,14 @@
     @Override
     protected void initChannel(Channel channel) {
         Caller caller = new Caller(channel);
-        channel.pipeline().addLast(caller.new Arrivals(), new HttpRequestDecoder(new HttpDecoderConfig()
-            .setMaxInitialLineLength(HEAD_MOST).setMaxHeaderSize(HEAD_MOST)), new HttpResponseEncoder(),
-            caller);
+        channel.pipeline()
+                .addLast(
+                        caller.new Arrivals(),
+                        new HttpRequestDecoder(new HttpDecoderConfig()
+                                .setMaxInitialLineLength(HEAD_MOST)
+                                .setMaxHeaderSize(HEAD_MOST)),
+                        new HttpResponseEncoder(),
+                        caller);
         callers.addLast(caller);
         if (callers.size() > CALLERS_MOST) {
             // Guards those that ask against crowds that connect and say nothing.
@@ -122,6 +127,7 @@
         private long since = clock.nanos();
         /** The call is being carried out; it has been answered. */
         private boolean calling, answered;
+
         private HttpRequest head;
         private int discarded;
 
@@ -163,8 +169,9 @@
             }
             if (part instanceof LastHttpContent && head != null) {
                 calling = true;
-                if (upgrade != null && head.uri().equals(UPGRADE_PATH)
-                    && UPGRADE_TO.equals(head.headers().get(HttpHeaderNames.UPGRADE))) {
+                if (upgrade != null
+                        && head.uri().equals(UPGRADE_PATH)
+                        && UPGRADE_TO.equals(head.headers().get(HttpHeaderNames.UPGRADE))) {
                     handOver(context);
                     return;
                 }
@@ -180,10 +187,11 @@
             }
             callers.remove(this);
             answered = true;
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.SWITCHING_PROTOCOLS, Unpooled.EMPTY_BUFFER);
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE)
-                .set(HttpHeaderNames.UPGRADE, UPGRADE_TO);
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.SWITCHING_PROTOCOLS, Unpooled.EMPTY_BUFFER);
+            response.headers()
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE)
+                    .set(HttpHeaderNames.UPGRADE, UPGRADE_TO);
             channel.writeAndFlush(response);
             while (channel.pipeline().first() != null) {
                 channel.pipeline().removeFirst();
@@ -197,12 +205,14 @@
             }
             answered = true;
             since = clock.nanos();
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(said.status()),
-                Unpooled.copiedBuffer(said.text() + "\n", StandardCharsets.UTF_8));
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
-                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
-                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(said.status()),
+                    Unpooled.copiedBuffer(said.text() + "\n", StandardCharsets.UTF_8));
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+                    .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
         }
 
--- a/src/main/java/brambletray/console/Statsd.java
+++ b/src/main/java/brambletray/console/Statsd.java
@@ -5,7 +5,7 @@
 
 /** The figures as lines of StatsD: {@code svc.NAME[.CLASS]:VALUE|c} for counts, {@code |g} for gauges. */
 public final class Statsd {
-    private Statsd() { }
+    private Statsd() {}
 
     /** {@code known}, {@code excluded}: hosts in the list, and those of them that get no ordinary traffic. */
     public static String lines(Figures figures, int known, int excluded) {
@@ -25,6 +25,12 @@
     }
 
     private static void line(StringBuilder lines, String name, long value, char sort) {
-        lines.append("svc.").append(name).append(':').append(value).append('|').append(sort).append('\n');
+        lines.append("svc.")
+                .append(name)
+                .append(':')
+                .append(value)
+                .append('|')
+                .append(sort)
+                .append('\n');
     }
 }
--- a/src/main/java/brambletray/control/AnswerTimes.java
+++ b/src/main/java/brambletray/control/AnswerTimes.java
@@ -13,8 +13,8 @@
     private static final double LATEST = 0.3, USUAL = 0.03;
     /** us; time-out: a multiple of the copy delay, its bounds, and one until answers are known. */
     private static final double PATIENCE = 4.5;
-    private static final long PATIENCE_LEAST = 3 * SECOND / 2, PATIENCE_MOST = 6 * SECOND,
-        PATIENCE_FIRST = 3 * SECOND;
+
+    private static final long PATIENCE_LEAST = 3 * SECOND / 2, PATIENCE_MOST = 6 * SECOND, PATIENCE_FIRST = 3 * SECOND;
     /** The least (us) and the multiple where calls are lost, and this share of the slots is in use. */
     private static final double LOST_LEAST = SECOND / 2, LOST_PATIENCE = 2, SLOTS_SCARCE = 0.9;
     /** Share of timed-out messages answered in the usual time at their next call: those calls were lost. */
@@ -47,9 +47,11 @@
         CopyDelay copies = m.dest.copyDelay;
         // Guards the slots against calls that are never answered: while they are scarce, none waits for long.
         // It hurts where destinations turn slow after that; a message that timed out gets longer there.
-        boolean brief = memory.lost >= LOST_SHARE && memory.slotsUsed >= SLOTS_SCARCE * set.allowed().slots();
-        double base = brief ? Math.max(LOST_LEAST, LOST_PATIENCE * copies.delay())
-            : Math.max(PATIENCE_LEAST, PATIENCE * copies.delay());
+        boolean brief = memory.lost >= LOST_SHARE
+                && memory.slotsUsed >= SLOTS_SCARCE * set.allowed().slots();
+        double base = brief
+                ? Math.max(LOST_LEAST, LOST_PATIENCE * copies.delay())
+                : Math.max(PATIENCE_LEAST, PATIENCE * copies.delay());
         base = copies.known() ? Math.min(PATIENCE_MOST, base) : PATIENCE_FIRST;
         base *= m.cls.effect() == Effect.UNSAFE ? PATIENCE_UNSAFE : Math.pow(PATIENCE_AGAIN, m.timeouts);
         return Math.min(m.deadline - now, (long) base);
--- a/src/main/java/brambletray/control/Backoff.java
+++ b/src/main/java/brambletray/control/Backoff.java
@@ -11,8 +11,8 @@
     /** Calls a second: no rate. */
     static final double RATE_LEAST = 1e-6;
     /** First back-off after a refusal or failed connect, in us and own gaps; growth up to the longest. */
-    private static final double BACKOFF_GROW = 3, BACKOFF_GAPS = 0.5, BACKOFF_GAPS_BUSY = 2,
-        BACKOFF_MOST_GAPS = 10;
+    private static final double BACKOFF_GROW = 3, BACKOFF_GAPS = 0.5, BACKOFF_GAPS_BUSY = 2, BACKOFF_MOST_GAPS = 10;
+
     private static final long BACKOFF = 500 * MS, BACKOFF_LEAST = 150 * MS, BACKOFF_MID = 2 * SECOND;
     static final long BACKOFF_MOST = 8 * SECOND;
     /** Share of calls after a refusal that get in (by kind): least counted, weight of a new one, usual. */
--- a/src/main/java/brambletray/control/Connections.java
+++ b/src/main/java/brambletray/control/Connections.java
@@ -84,8 +84,12 @@
      * reads a call and has a limit tells of it in every answer.
      */
     boolean noPlace(Attempt a, Ended e) {
-        return a.idle < 0 && !e.reused() && e.waitFor() == 0 && e.left() < 0 && e.limit() < 0
-            && memory.tells[a.route.kind];
+        return a.idle < 0
+                && !e.reused()
+                && e.waitFor() == 0
+                && e.left() < 0
+                && e.limit() < 0
+                && memory.tells[a.route.kind];
     }
 
     /**
--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -23,7 +23,10 @@
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
-        this(seed, settings, new Memory(settings.tenants().size(), settings.kinds().size()));
+        this(
+                seed,
+                settings,
+                new Memory(settings.tenants().size(), settings.kinds().size()));
         connections.start();
     }
 
@@ -46,8 +49,14 @@
         SendGate gate = new SendGate(set, memory, random, turn, times, window, connections, outages);
         copies = new Copies(set, gate, turn);
         dispatch = new Dispatch(set, memory, turn, gate, copies);
-        messages = new Messages(set, memory, turn, endpoints, new KeyOrder(set, memory, turn), gate,
-            new Outcomes(times, window, pace, backoff, connections, outages));
+        messages = new Messages(
+                set,
+                memory,
+                turn,
+                endpoints,
+                new KeyOrder(set, memory, turn),
+                gate,
+                new Outcomes(times, window, pace, backoff, connections, outages));
         memory.routes.values().forEach(r -> r.idle.clear());
     }
 
--- a/src/main/java/brambletray/control/Copies.java
+++ b/src/main/java/brambletray/control/Copies.java
@@ -26,7 +26,10 @@
             a.route.overdue++;
             m.dest.overdue++;
         }
-        if (m.ended || m.extras >= EXTRAS || m.cls.effect() == Effect.UNSAFE || !set.allowed().copies()) {
+        if (m.ended
+                || m.extras >= EXTRAS
+                || m.cls.effect() == Effect.UNSAFE
+                || !set.allowed().copies()) {
             return;
         }
         Route choice = null;
--- a/src/main/java/brambletray/control/CopyDelay.java
+++ b/src/main/java/brambletray/control/CopyDelay.java
@@ -15,11 +15,13 @@
     private static final double DELAY_RANK = 0.95;
     /** Answers remembered for the delay (a tail, yet it follows), and how many make it known. */
     private static final int ANSWERS = 48, KNOWN = 8;
+
     private static final long serialVersionUID = 1;
 
     private final long[] ring = new long[ANSWERS];
     /** The answers held, the shortest first; null where one came since it was last asked for. */
     private long[] sorted;
+
     private int count;
 
     public void add(long time) {
--- a/src/main/java/brambletray/control/Dispatch.java
+++ b/src/main/java/brambletray/control/Dispatch.java
@@ -13,7 +13,7 @@
     /** us; a waiting message is looked at again at least this often while its lane is limited. */
     private static final long RECHECK = 500 * MS;
 
-    private record Pick(Msg msg, Route route, double priority) { }
+    private record Pick(Msg msg, Route route, double priority) {}
 
     private double priority(Msg m) {
         long when = turn.now + (long) m.dest.latest;
@@ -25,7 +25,7 @@
     void run() {
         int slots = set.allowed().slots();
         List<Pick> picks = new ArrayList<>();
-        for (var it = memory.active.iterator(); it.hasNext() && memory.slotsUsed < slots;) {
+        for (var it = memory.active.iterator(); it.hasNext() && memory.slotsUsed < slots; ) {
             Pick p = pick(it.next());
             if (p != null) {
                 picks.add(p);
--- a/src/main/java/brambletray/control/Memory.java
+++ b/src/main/java/brambletray/control/Memory.java
@@ -25,6 +25,7 @@
 public final class Memory implements Serializable {
     /** Of the form in which it is handed on. */
     public static final long VERSION = 4;
+
     private static final long serialVersionUID = VERSION;
 
     final Map<String, Msg> messages = new HashMap<>();
@@ -33,6 +34,7 @@
     final Map<Long, Route> routes = new TreeMap<>();
     /** Endpoints taken out by hand, listed or not. */
     final Set<Long> excluded = new HashSet<>();
+
     final Set<Dest> active = new LinkedHashSet<>();
     final PriorityQueue<Entry> agenda = new PriorityQueue<>();
     final Bucket[] shares;
@@ -44,6 +46,7 @@
     final boolean[] tells;
     /** us of the module's clock, at its last turn and its first, and counts. */
     long now, beganAt, seq, turns;
+
     int slotsUsed, open, logged;
     double lost;
 
@@ -72,9 +75,14 @@
     /** What another module would have to learn again of an endpoint; null where it is not held. */
     Relay.Known known(long endpoint) {
         Route r = routes.get(endpoint);
-        return r == null ? null : new Relay.Known(Math.max(0, r.lane.waitUntil - now),
-            r.health == Health.OUT && r.confirmed, r.health == Health.RETURNING ? now - r.returnAt : -1,
-            r.lane.told ? r.lane.weight : 0, r.lane.pace);
+        return r == null
+                ? null
+                : new Relay.Known(
+                        Math.max(0, r.lane.waitUntil - now),
+                        r.health == Health.OUT && r.confirmed,
+                        r.health == Health.RETURNING ? now - r.returnAt : -1,
+                        r.lane.told ? r.lane.weight : 0,
+                        r.lane.pace);
     }
 
     /** Listed endpoints that are out by hand or held to fail. */
--- a/src/main/java/brambletray/control/Messages.java
+++ b/src/main/java/brambletray/control/Messages.java
@@ -6,8 +6,8 @@
 import brambletray.control.State.*;
 
 /** The life of a message: taken on, queued, attempted, and ended by exactly one final answer. */
-record Messages(Settings set, Memory memory, Turn turn, Endpoints endpoints, KeyOrder order, SendGate gate,
-                Outcomes outcomes) {
+record Messages(
+        Settings set, Memory memory, Turn turn, Endpoints endpoints, KeyOrder order, SendGate gate, Outcomes outcomes) {
     /** us; span over which a relay measures its own usual rate to a destination. */
     private static final long RATE_SPAN = 15 * SECOND, RATE_AGE = 3 * SECOND;
     /** s; a tenant inside its share may run ahead of it by this much. */
@@ -34,8 +34,9 @@
         for (Earlier before : e.earlier()) {
             m.attempts.add(recovered(m, before));
         }
-        if (!m.attempts.isEmpty() && (m.attempts.size() >= set.allowed().attempts()
-            || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
+        if (!m.attempts.isEmpty()
+                && (m.attempts.size() >= set.allowed().attempts()
+                        || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
             giveUp(m);
         } else if (m.first()) {
             enqueue(m);
@@ -86,8 +87,7 @@
     }
 
     private boolean mayRefuse(Msg m) {
-        return m.cls.effect() == Effect.SAFE || !m.mayHaveRun()
-            || m.cls.effect() == Effect.KEYED && !m.cls.zoneGroup();
+        return m.cls.effect() == Effect.SAFE || !m.mayHaveRun() || m.cls.effect() == Effect.KEYED && !m.cls.zoneGroup();
     }
 
     /** Ends a message for want of a better answer: handed back where the rules allow it, else failed. */
@@ -103,8 +103,11 @@
     /** When to hand a refused message in again: once a route is open and those that wait have gone. */
     private long comeBack(Dest d) {
         long longest = set.allowed().longestAdvice();
-        long opens = d.routes.values().stream().filter(r -> !r.out).mapToLong(Route::closedUntil).min()
-            .orElse(d.routes.isEmpty() ? turn.now : turn.now + longest);
+        long opens = d.routes.values().stream()
+                .filter(r -> !r.out)
+                .mapToLong(Route::closedUntil)
+                .min()
+                .orElse(d.routes.isEmpty() ? turn.now : turn.now + longest);
         return Math.min(longest, Math.max(opens - turn.now, (long) queue(d)));
     }
 
@@ -149,8 +152,7 @@
 
     void attemptEnded(Ended e) {
         Msg m = memory.messages.get(e.id());
-        if (m == null || e.attempt() < 0 || e.attempt() >= m.attempts.size()
-            || m.attempts.get(e.attempt()).done) {
+        if (m == null || e.attempt() < 0 || e.attempt() >= m.attempts.size() || m.attempts.get(e.attempt()).done) {
             return;
         }
         Attempt a = m.attempts.get(e.attempt());
@@ -158,8 +160,7 @@
         a.maybeRan = !e.outcome().neverRan();
         gate.free(a);
         outcomes.observe(a, e);
-        if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET
-            || e.outcome() == Outcome.CANCELLED) {
+        if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET || e.outcome() == Outcome.CANCELLED) {
             order.rest(m);
         }
         if (!m.ended && (e.over() || e.outcome() == Outcome.OK)) {
--- a/src/main/java/brambletray/control/Outages.java
+++ b/src/main/java/brambletray/control/Outages.java
@@ -10,10 +10,10 @@
  * Outages and returns: what counts as a failure, when failures are an outage, and the way back: trials, then
  * a ramp within the budget of what a cold route bears.
  */
-record Outages(Settings set, SplittableRandom random, Turn turn, Pace pace, Backoff backoff,
-               Connections connections) {
+record Outages(Settings set, SplittableRandom random, Turn turn, Pace pace, Backoff backoff, Connections connections) {
     /** Failures in a row, or a share of recent calls, that mean an outage; a new outcome's weight. */
     private static final int OUTAGE_RUN = 3;
+
     private static final double OUTAGE_SHARE = 0.6, OUTCOME_WEIGHT = 0.2;
     /** New connections in a row that broke with no answer between, from which on the host is held to fail. */
     private static final int BROKEN_RUN = 4;
--- a/src/main/java/brambletray/control/Outcomes.java
+++ b/src/main/java/brambletray/control/Outcomes.java
@@ -4,8 +4,8 @@
 import brambletray.control.State.*;
 
 /** Learning: what each outcome of a call tells of its destination, lane, route and connections. */
-record Outcomes(AnswerTimes times, Window window, Pace pace, Backoff backoff, Connections connections,
-                Outages outages) {
+record Outcomes(
+        AnswerTimes times, Window window, Pace pace, Backoff backoff, Connections connections, Outages outages) {
     /** Learns from how an attempt ended. */
     void observe(Attempt a, Ended e) {
         Route r = a.route;
@@ -51,7 +51,7 @@
             case CONNECT_FAILED -> outages.connectFailed(a, e.latency());
             case CONNECT_RESET, RESET -> outages.broken(a, e);
             case ERROR -> outages.failed(a);
-            default -> { }
+            default -> {}
         }
     }
 }
--- a/src/main/java/brambletray/control/Pace.java
+++ b/src/main/java/brambletray/control/Pace.java
@@ -47,8 +47,7 @@
     /** The earliest time for another call at the lane's pace; 0 for at once. */
     long tokenAt(Lane lane) {
         lane.bucket.fill(lane.pace, Math.max(2, lane.pace * PACE_BURST), turn.now);
-        return lane.bucket.tokens >= 1 ? 0
-            : turn.now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1;
+        return lane.bucket.tokens >= 1 ? 0 : turn.now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1;
     }
 
     /** An answer came: a lane that uses its pace up gets more. */
--- a/src/main/java/brambletray/control/Relay.java
+++ b/src/main/java/brambletray/control/Relay.java
@@ -9,20 +9,32 @@
  * This file decides nothing.
  */
 public final class Relay {
-    private Relay() { }
+    private Relay() {}
 
     /** What a second run of the same message would do. */
     public enum Effect {
-        /** May be repeated at will. */ SAFE,
-        /** A repeat is dropped by the receivers of one group for a while. */ KEYED,
-        /** A second run would take effect twice. */ UNSAFE
+        /** May be repeated at will. */
+        SAFE,
+        /** A repeat is dropped by the receivers of one group for a while. */
+        KEYED,
+        /** A second run would take effect twice. */
+        UNSAFE
     }
 
     /**
      * How one attempt ended. RESET and CONNECT_RESET: its connection broke, after the last byte of the call
      * and before that. FULL, CONNECT_FAILED, CONNECT_RESET and NOT_SENT prove that the message never ran.
      */
-    public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, CONNECT_RESET, RESET, CANCELLED, NOT_SENT;
+    public enum Outcome {
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        CONNECT_RESET,
+        RESET,
+        CANCELLED,
+        NOT_SENT;
         /** True when this outcome proves that the attempt had no effect. */
         public boolean neverRan() {
             return this == FULL || this == CONNECT_FAILED || this == CONNECT_RESET || this == NOT_SENT;
@@ -30,60 +42,101 @@
     }
 
     /** Standing of an endpoint in the list; it says nothing of its health. */
-    public enum Listing { READY, DRAINING, GONE }
+    public enum Listing {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** How a list of endpoints relates to the one held: changes only, or all there is. */
-    public enum ListKind { CHANGES, WHOLE }
+    public enum ListKind {
+        CHANGES,
+        WHOLE
+    }
 
     /** One address of a destination; the weight is the listed rate in calls a second, or 1. */
-    public record Endpoint(long id, int zone, int kind, long destination, Listing listing, double weight) { }
+    public record Endpoint(long id, int zone, int kind, long destination, Listing listing, double weight) {}
 
     /** A class of message. {@code zoneGroup}: repeats are dropped only by endpoints of one zone. */
-    public record MessageClass(String name, long aim, long life, double worth, double lateWorth,
-                               Effect effect, boolean zoneGroup, long window, boolean inOrder)
-        implements Serializable { }
+    public record MessageClass(
+            String name,
+            long aim,
+            long life,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            boolean zoneGroup,
+            long window,
+            boolean inOrder)
+            implements Serializable {}
 
     /** A tenant and its rate of messages, over all relays, that counts in full. */
-    public record Tenant(String name, double quota) { }
+    public record Tenant(String name, double quota) {}
 
     /** A kind of destination: whether its endpoints are routes apart; messages in one call at most. */
-    public record Kind(boolean apart, int bundle) { }
+    public record Kind(boolean apart, int bundle) {}
 
     /** Listed weights: none, exact, or up to half too high or too low. */
-    public enum Weights { NONE, NOMINAL, ROUGH }
+    public enum Weights {
+        NONE,
+        NOMINAL,
+        ROUGH
+    }
 
     /** What the site lets a relay do. */
-    public record Allowed(int slots, int open, int attempts, boolean copies, boolean cancel,
-                          int streams, long connectTimeout, long keepAlive,
-                          long longestAdvice) { }
+    public record Allowed(
+            int slots,
+            int open,
+            int attempts,
+            boolean copies,
+            boolean cancel,
+            int streams,
+            long connectTimeout,
+            long keepAlive,
+            long longestAdvice) {}
 
     /** Figures of the rules. */
-    public record Rules(long drainGrace, double fallMultiple, long tipAfter, double coldFrom, long cold,
-                        long keyRest, long answerSlack) { }
+    public record Rules(
+            long drainGrace,
+            double fallMultiple,
+            long tipAfter,
+            double coldFrom,
+            long cold,
+            long keyRest,
+            long answerSlack) {}
 
     /** Points taken off: per refused call, new connection, crossing; a fee for each zone's routes. */
-    public record Prices(double refusal, double handshake, double crossZone, double waste,
-                         List<Double> zoneFee) { }
+    public record Prices(double refusal, double handshake, double crossZone, double waste, List<Double> zoneFee) {}
 
     /** All that a relay is told at its start. */
-    public record Settings(int rank, int relays, int zone, boolean halvingLate, double overShareWorth,
-                           Weights weights, List<MessageClass> classes, List<Tenant> tenants,
-                           List<Kind> kinds, Allowed allowed, Rules rules, Prices prices) { }
+    public record Settings(
+            int rank,
+            int relays,
+            int zone,
+            boolean halvingLate,
+            double overShareWorth,
+            Weights weights,
+            List<MessageClass> classes,
+            List<Tenant> tenants,
+            List<Kind> kinds,
+            Allowed allowed,
+            Rules rules,
+            Prices prices) {}
 
     /** Something that happened. */
-    public sealed interface Event { }
+    public sealed interface Event {}
 
     /** An attempt made before a restart; {@code sent} may lie before this clock began. */
-    public record Earlier(long sent, int zone, boolean mayHaveRun) { }
+    public record Earlier(long sent, int zone, boolean mayHaveRun) {}
 
     /**
      * A message was taken on; exactly one final answer is owed before {@code deadline}. {@code earlier}: its
      * attempts so far, if it was taken on before a restart; new attempts are numbered on from these.
      */
-    public record Accepted(String id, int messageClass, int tenant, String key, long deadline,
-                           long destination, List<Earlier> earlier) implements Event {
-        public Accepted(String id, int messageClass, int tenant, String key, long deadline,
-                        long destination) {
+    public record Accepted(
+            String id, int messageClass, int tenant, String key, long deadline, long destination, List<Earlier> earlier)
+            implements Event {
+        public Accepted(String id, int messageClass, int tenant, String key, long deadline, long destination) {
             this(id, messageClass, tenant, key, deadline, destination, List.of());
         }
     }
@@ -92,63 +145,81 @@
      * An attempt ended. {@code waitFor}: told wait or 0. {@code left}, {@code limit}: -1 if untold.
      * {@code reused}: it is known to have gone out on a connection that had carried a call before.
      */
-    public record Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
-                        long latency, double left, double limit, boolean reused) implements Event {
-        public Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
-                     long latency, double left, double limit) {
+    public record Ended(
+            String id,
+            int attempt,
+            long endpoint,
+            Outcome outcome,
+            boolean over,
+            long waitFor,
+            long latency,
+            double left,
+            double limit,
+            boolean reused)
+            implements Event {
+        public Ended(
+                String id,
+                int attempt,
+                long endpoint,
+                Outcome outcome,
+                boolean over,
+                long waitFor,
+                long latency,
+                double left,
+                double limit) {
             this(id, attempt, endpoint, outcome, over, waitFor, latency, left, limit, false);
         }
     }
 
     /** The list of endpoints changed. */
-    public record Listed(ListKind kind, List<Endpoint> endpoints) implements Event { }
+    public record Listed(ListKind kind, List<Endpoint> endpoints) implements Event {}
 
     /**
      * Operators take an endpoint out of use, whatever the list says of it, or put it back: it may have been
      * restarted meanwhile, and is cold.
      */
-    public record Excluded(long endpoint, boolean out) implements Event { }
+    public record Excluded(long endpoint, boolean out) implements Event {}
 
     /**
      * What a module knows of an endpoint. {@code waitFor}: left of a told wait, or 0; {@code failing}: trials
      * only; {@code warming}: since it came back, or -1; {@code limit}: as told, or 0; {@code pace}: its
      * lane's.
      */
-    public record Known(long waitFor, boolean failing, long warming, double limit, double pace) { }
+    public record Known(long waitFor, boolean failing, long warming, double limit, double pace) {}
 
     /** An earlier module knew this of a listed endpoint, and it is still believed. */
-    public record Remembered(long endpoint, Known known) implements Event { }
+    public record Remembered(long endpoint, Known known) implements Event {}
 
     /** The message was withdrawn; nothing is owed any more. */
-    public record Withdrawn(String id) implements Event { }
+    public record Withdrawn(String id) implements Event {}
 
     /** The room of this message is wanted by somebody with a right to it: handed back if it still waits. */
-    public record Recalled(String id) implements Event { }
+    public record Recalled(String id) implements Event {}
 
     /** A timer asked for with {@link Wake} is due. */
-    public record Due() implements Event { }
+    public record Due() implements Event {}
 
     /** Something to do. */
-    public sealed interface Action { }
+    public sealed interface Action {}
 
     /** Send the message; sends to one endpoint in one turn share a call up to the kind's bundle. */
-    public record Send(String id, long endpoint, long timeout) implements Action { }
+    public record Send(String id, long endpoint, long timeout) implements Action {}
 
     /** Final answer: handed back, a retry is harmless. {@code retryAfter}: advice, 0 for none. */
-    public record Refuse(String id, long retryAfter) implements Action { }
+    public record Refuse(String id, long retryAfter) implements Action {}
 
     /** Final answer: given up, nothing is promised. */
-    public record Fail(String id) implements Action { }
+    public record Fail(String id) implements Action {}
 
     /** Stop waiting for an attempt. */
-    public record Cancel(String id, int attempt) implements Action { }
+    public record Cancel(String id, int attempt) implements Action {}
 
     /** Close the idle connections held to an endpoint. */
-    public record Close(long endpoint) implements Action { }
+    public record Close(long endpoint) implements Action {}
 
     /** Ask for a {@link Due} event after this span. */
-    public record Wake(long after) implements Action { }
+    public record Wake(long after) implements Action {}
 
     /** A line for the operators' log. */
-    public record Log(String text) implements Action { }
+    public record Log(String text) implements Action {}
 }
--- a/src/main/java/brambletray/control/SendGate.java
+++ b/src/main/java/brambletray/control/SendGate.java
@@ -7,8 +7,15 @@
 import java.util.SplittableRandom;
 
 /** The one gate of every send: what may go where and when, and at what cost; and the slots in use. */
-record SendGate(Settings set, Memory memory, SplittableRandom random, Turn turn, AnswerTimes times,
-                Window window, Connections connections, Outages outages) {
+record SendGate(
+        Settings set,
+        Memory memory,
+        SplittableRandom random,
+        Turn turn,
+        AnswerTimes times,
+        Window window,
+        Connections connections,
+        Outages outages) {
     /** us; endpoint choice: price of opening a connection, of one point of fee, of each failure in a row. */
     private static final long COST_CONNECT = 400 * MS, COST_POINT = 50 * MS, COST_FAILURE = 2 * SECOND;
 
@@ -20,20 +27,29 @@
         }
         int streams = Math.max(1, set.allowed().streams());
         boolean warm = r.warm(turn.now - set.allowed().keepAlive()) || r.inflight % streams != 0;
-        return latency * (1 + r.inflight) * (1 + 0.1 * random.nextDouble()) + (warm ? 0 : COST_CONNECT)
-            + points * 100 * COST_POINT + (double) (r.failRun + r.overdue + m.tries(r)) * COST_FAILURE;
+        return latency * (1 + r.inflight) * (1 + 0.1 * random.nextDouble())
+                + (warm ? 0 : COST_CONNECT)
+                + points * 100 * COST_POINT
+                + (double) (r.failRun + r.overdue + m.tries(r)) * COST_FAILURE;
     }
 
     /** True when the next message there goes with the call that this turn has made already. */
     boolean joins(Route r) {
-        return r.bundleTurn == memory.turns && r.bundle.size < set.kinds().get(r.kind).bundle();
+        return r.bundleTurn == memory.turns
+                && r.bundle.size < set.kinds().get(r.kind).bundle();
     }
 
     /** The one gate of every send: when this message may go to this route; now or earlier means it may. */
     long gate(Msg m, Route r, boolean copy) {
-        if (!r.ready || r.out || m.ended || m.dest != r.dest || m.attempts.size() >= set.allowed().attempts()
-            || m.deadline <= turn.now || !effectAllows(m, r, copy)
-            || !m.first() || KeyOrder.rests(m, turn.now)) {
+        if (!r.ready
+                || r.out
+                || m.ended
+                || m.dest != r.dest
+                || m.attempts.size() >= set.allowed().attempts()
+                || m.deadline <= turn.now
+                || !effectAllows(m, r, copy)
+                || !m.first()
+                || KeyOrder.rests(m, turn.now)) {
             return NEVER;
         }
         boolean joins = joins(r);
@@ -53,8 +69,10 @@
             return true;
         }
         for (Attempt a : m.attempts) {
-            if (a.maybeRan && (m.cls.effect() == Effect.UNSAFE || turn.now >= a.sent + m.cls.window()
-                || m.cls.zoneGroup() && a.route.zone != r.zone)) {
+            if (a.maybeRan
+                    && (m.cls.effect() == Effect.UNSAFE
+                            || turn.now >= a.sent + m.cls.window()
+                            || m.cls.zoneGroup() && a.route.zone != r.zone)) {
                 return false;
             }
         }
--- a/src/main/java/brambletray/control/State.java
+++ b/src/main/java/brambletray/control/State.java
@@ -13,13 +13,23 @@
 
 /** What {@link Control} remembers: plain records of fact and containers. Nothing here decides. */
 final class State {
-    private State() { }
+    private State() {}
 
     /** Standing of a route: answering, failing (trials only), or back and held to the return budget. */
-    enum Health { GOOD, OUT, RETURNING }
+    enum Health {
+        GOOD,
+        OUT,
+        RETURNING
+    }
 
     /** What an entry of the agenda is for. */
-    enum Duty { DEADLINE, COPY, LOOK, KEY, FORGET }
+    enum Duty {
+        DEADLINE,
+        COPY,
+        LOOK,
+        KEY,
+        FORGET
+    }
 
     /** Something due at a time; entries of one time keep their order. */
     record Entry(long at, long seq, Duty duty, Serializable of) implements Comparable<Entry>, Serializable {
@@ -43,6 +53,7 @@
         Key key;
         /** {@code number}: by order of arrival. */
         long deadline, aim, number;
+
         int band, extras, open, timeouts;
         boolean queued, ended, halving;
         double full;
@@ -103,6 +114,7 @@
         Call call;
         /** {@code idle}: how long its connection had been idle; -1 for a new one. */
         long sent, idle = -1;
+
         boolean done, cancelled, trial, again, overdue, maybeRan = true;
 
         Attempt(Msg msg, Route route, long sent) {
@@ -165,8 +177,7 @@
 
         @Override
         public int compare(Msg one, Msg other) {
-            return one.aim != other.aim ? Long.compare(one.aim, other.aim)
-                : Long.compare(one.number, other.number);
+            return one.aim != other.aim ? Long.compare(one.aim, other.aim) : Long.compare(one.number, other.number);
         }
     }
 
@@ -175,6 +186,7 @@
         private static final long serialVersionUID = Memory.VERSION;
         /** By aim: in order of arrival where all have the same time. */
         final TreeSet<Msg> fresh = new TreeSet<>(Order.BY_AIM);
+
         final ArrayDeque<Msg> late = new ArrayDeque<>();
 
         Msg firstFresh() {
@@ -237,6 +249,7 @@
         final Bucket bucket = new Bucket();
         /** {@code rated}: the weight is a rate that was listed or told, in calls a second. */
         boolean rated, told;
+
         double weight, pace;
         long waitUntil, backoffUntil, refusedAt;
         /** Refusals in a row, those of calls that were out together counted once. */
@@ -252,6 +265,7 @@
         Lane lane;
         /** {@code out}: taken out by hand. */
         boolean ready, confirmed, out;
+
         Health health = Health.GOOD;
         /** {@code broken}: new connections in a row that broke, with no answer between. */
         int inflight, failRun, broken, trials, overdue;
@@ -261,6 +275,7 @@
         long crowdedAt = -1;
         /** {@code heldBefore}: us; how long its kind's connections were held before its connects failed. */
         double latency, failing, heldBefore;
+
         long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
         double spacing;
         final ArrayDeque<Long> idle = new ArrayDeque<>();
@@ -275,8 +290,7 @@
 
         /** When its told wait and its back-offs are over. */
         long closedUntil() {
-            return Math.max(Math.max(backoffUntil, dest.backoffUntil),
-                Math.max(lane.waitUntil, lane.backoffUntil));
+            return Math.max(Math.max(backoffUntil, dest.backoffUntil), Math.max(lane.waitUntil, lane.backoffUntil));
         }
 
         /** True when a connection idle since no earlier than that is left. */
@@ -299,6 +313,7 @@
         private long markedAt;
         /** Messages a second that come in for it, when the last one came. */
         double usualRate;
+
         double window = 1, copies = 1, latest, usual;
         int kind = -1, calls, waiting, overdue, refusals;
         long lookAt, refusedAt, backoffUntil;
--- a/src/main/java/brambletray/control/Turn.java
+++ b/src/main/java/brambletray/control/Turn.java
@@ -12,6 +12,7 @@
     private static final int LOG_LINES = 100;
     /** Routes whose calls ended in this turn. */
     final Set<Route> freed = new LinkedHashSet<>();
+
     private final Memory memory;
     private List<Action> out = new ArrayList<>();
     private long wakeAt = NEVER;
--- a/src/main/java/brambletray/control/Window.java
+++ b/src/main/java/brambletray/control/Window.java
@@ -17,7 +17,8 @@
     }
 
     void grow(Dest d) {
-        d.window = Math.min(d.window + 1, Math.max(1, WINDOW_SHARE * set.allowed().slots()));
+        d.window =
+                Math.min(d.window + 1, Math.max(1, WINDOW_SHARE * set.allowed().slots()));
     }
 
     static void halve(Dest d) {
--- a/src/main/java/brambletray/core/Answer.java
+++ b/src/main/java/brambletray/core/Answer.java
@@ -8,13 +8,13 @@
     /**
      * It has been noted in the batch that is about to be committed: what must go with it is staged now.
      */
-    default void noted() { }
+    default void noted() {}
 
     /**
      * That batch failed, or the message is not taken on after all; {@link #refused} or the like
      * follows.
      */
-    default void notNoted() { }
+    default void notNoted() {}
 
     void taken();
 
--- a/src/main/java/brambletray/core/Calls.java
+++ b/src/main/java/brambletray/core/Calls.java
@@ -13,7 +13,7 @@
     }
 
     /** One message of a call: how long its reply is awaited (us), and who gets that, exactly once. */
-    record Part(Message message, long patience, Consumer<Reply> whenEnded) { }
+    record Part(Message message, long patience, Consumer<Reply> whenEnded) {}
 
     /**
      * Begins one call that carries several messages, no more than the host's kind takes; each has a reply of
@@ -21,7 +21,9 @@
      * given up with the last. Ways out whose protocol has no such call make one for each message.
      */
     default List<Call> bundle(Host host, List<Part> parts) {
-        return parts.stream().map(p -> call(host, p.message(), p.patience(), p.whenEnded())).toList();
+        return parts.stream()
+                .map(p -> call(host, p.message(), p.patience(), p.whenEnded()))
+                .toList();
     }
 
     /** Begins a call, which ends within {@code patience} microseconds; its reply comes exactly once. */
--- a/src/main/java/brambletray/core/Departures.java
+++ b/src/main/java/brambletray/core/Departures.java
@@ -36,8 +36,15 @@
     /** Sends of the turn under way, noted and not yet made. */
     private final Map<Relay.Send, Prepared> prepared = new IdentityHashMap<>();
 
-    Departures(Clock clock, Relay.Settings settings, Hosts hosts, Calls pool, Journal journal,
-               Function<String, Held> held, Consumer<String> whenSent, WhenEnded whenEnded) {
+    Departures(
+            Clock clock,
+            Relay.Settings settings,
+            Hosts hosts,
+            Calls pool,
+            Journal journal,
+            Function<String, Held> held,
+            Consumer<String> whenSent,
+            WhenEnded whenEnded) {
         this.clock = clock;
         this.settings = settings;
         this.hosts = hosts;
@@ -54,7 +61,7 @@
     }
 
     /** A send that is noted in this turn's batch; {@code note} null where it is not to go out. */
-    private record Prepared(Held held, int attempt, Host host, Journal.Attempt note) { }
+    private record Prepared(Held held, int attempt, Host host, Journal.Attempt note) {}
 
     void prepare(Relay.Send a) {
         Held h = held.apply(a.id());
@@ -87,8 +94,15 @@
         if (most == 1) {
             prepared.remove(a);
             if (goesOut(p)) {
-                p.held().calls.set(p.attempt(), pool.call(p.host(), p.held().message, a.timeout(),
-                    reply -> whenEnded.ended(p.held(), p.attempt(), p.host(), reply)));
+                p.held()
+                        .calls
+                        .set(
+                                p.attempt(),
+                                pool.call(
+                                        p.host(),
+                                        p.held().message,
+                                        a.timeout(),
+                                        reply -> whenEnded.ended(p.held(), p.attempt(), p.host(), reply)));
             }
             return;
         }
@@ -96,14 +110,18 @@
         List<Calls.Part> parts = new ArrayList<>();
         int taken = 0;
         for (Relay.Action other : turn) {
-            if (taken < most && other instanceof Relay.Send b && b.endpoint() == a.endpoint()
-                && prepared.containsKey(b)) {
+            if (taken < most
+                    && other instanceof Relay.Send b
+                    && b.endpoint() == a.endpoint()
+                    && prepared.containsKey(b)) {
                 Prepared q = prepared.remove(b);
                 taken++;
                 if (goesOut(q)) {
                     together.add(q);
-                    parts.add(new Calls.Part(q.held().message, b.timeout(),
-                        reply -> whenEnded.ended(q.held(), q.attempt(), q.host(), reply)));
+                    parts.add(new Calls.Part(
+                            q.held().message,
+                            b.timeout(),
+                            reply -> whenEnded.ended(q.held(), q.attempt(), q.host(), reply)));
                 }
             }
         }
@@ -123,14 +141,15 @@
      */
     private static List<Calls.Part> alike(List<Calls.Part> parts) {
         long longest = parts.stream().mapToLong(Calls.Part::patience).max().orElse(0);
-        return parts.stream().map(p -> new Calls.Part(p.message(), longest, p.whenEnded())).toList();
+        return parts.stream()
+                .map(p -> new Calls.Part(p.message(), longest, p.whenEnded()))
+                .toList();
     }
 
     /** Ends at once a send that is not to go out: a note whose batch failed says so, it has not run. */
     private boolean goesOut(Prepared p) {
         Held h = p.held();
-        if (!h.over && p.note() != null && p.note().mayHaveRun && p.host().ready
-            && !p.host().out) {
+        if (!h.over && p.note() != null && p.note().mayHaveRun && p.host().ready && !p.host().out) {
             return true;
         }
         whenEnded.ended(h, p.attempt(), p.host(), new Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
--- a/src/main/java/brambletray/core/Descriptors.java
+++ b/src/main/java/brambletray/core/Descriptors.java
@@ -10,12 +10,18 @@
 public final class Descriptors {
     /** Who holds descriptors. Those with a number have that share, as far as half of all suffices. */
     public enum Owner {
-        /** Libraries, listeners, the event loop, standard streams. */ PROGRAM(32),
-        /** Segments, manifests and marks, while one takes another's place too. */ STORE(24),
-        /** The agent's watch and the notices to it. */ NOTICES(4),
-        /** The operators' address: its callers and one in the door. */ CONSOLE(25),
-        /** Two fifths of all. */ CLIENTS(0),
-        /** What is left: calls and the connections kept for more. */ HOSTS(0);
+        /** Libraries, listeners, the event loop, standard streams. */
+        PROGRAM(32),
+        /** Segments, manifests and marks, while one takes another's place too. */
+        STORE(24),
+        /** The agent's watch and the notices to it. */
+        NOTICES(4),
+        /** The operators' address: its callers and one in the door. */
+        CONSOLE(25),
+        /** Two fifths of all. */
+        CLIENTS(0),
+        /** What is left: calls and the connections kept for more. */
+        HOSTS(0);
 
         private final int wanted;
 
@@ -33,8 +39,8 @@
         int left = all;
         for (Owner owner : Owner.values()) {
             int share = wanted <= all / 2 ? owner.wanted : owner.wanted * (all / 2) / wanted;
-            shares[owner.ordinal()] = owner == Owner.CLIENTS ? Math.min(all * 2 / 5, left * 4 / 5)
-                : owner == Owner.HOSTS ? left : share;
+            shares[owner.ordinal()] =
+                    owner == Owner.CLIENTS ? Math.min(all * 2 / 5, left * 4 / 5) : owner == Owner.HOSTS ? left : share;
             left -= shares[owner.ordinal()];
         }
     }
@@ -67,6 +73,6 @@
     @Override
     public String toString() {
         return "hosts hold " + held(Owner.HOSTS) + " of " + share(Owner.HOSTS) + ", clients may have "
-            + share(Owner.CLIENTS);
+                + share(Owner.CLIENTS);
     }
 }
--- a/src/main/java/brambletray/core/Door.java
+++ b/src/main/java/brambletray/core/Door.java
@@ -9,16 +9,16 @@
  */
 public interface Door {
     /** What the door says. */
-    sealed interface Entry permits In, Later, Turned { }
+    sealed interface Entry permits In, Later, Turned {}
 
     /** It is let in, and counts until {@link #ended}. */
-    record In() implements Entry { }
+    record In() implements Entry {}
 
     /**
      * It is taken on, counts as held until {@link #ended}, and the module is told of it only once
      * {@link #again}, asked {@code after} us, lets it in.
      */
-    record Later(long after) implements Entry { }
+    record Later(long after) implements Entry {}
 
     /**
      * Turned away.
@@ -26,7 +26,7 @@
      * @param after us to come again after; 0 for no advice
      * @param recall ids of messages that are to be handed back if they still wait
      */
-    record Turned(long after, List<String> recall) implements Entry { }
+    record Turned(long after, List<String> recall) implements Entry {}
 
     Entry IN = new In();
 
@@ -42,11 +42,11 @@
     }
 
     /** A message that was let in before a restart is held again. */
-    default void recovered(Message message) { }
+    default void recovered(Message message) {}
 
     /** A call with it goes out. */
-    default void sent(String id) { }
+    default void sent(String id) {}
 
     /** It is held no longer, or was not taken on after all. */
-    default void ended(String id) { }
+    default void ended(String id) {}
 }
--- a/src/main/java/brambletray/core/Ends.java
+++ b/src/main/java/brambletray/core/Ends.java
@@ -8,7 +8,11 @@
  */
 public interface Ends {
     /** How a message ended. */
-    enum End { DELIVERED, HANDED_BACK, GIVEN_UP }
+    enum End {
+        DELIVERED,
+        HANDED_BACK,
+        GIVEN_UP
+    }
 
     /** Exactly once for each message; {@code retryAfter}: us, 0 for no advice. */
     void ended(Message message, End end, long retryAfter);
@@ -19,11 +23,11 @@
     }
 
     /** The batch of this pass failed: what was staged beside the journal's notes has to be staged again. */
-    default void batchFailed() { }
+    default void batchFailed() {}
 
     /** The batch of this pass is over, well or not. */
-    default void committed() { }
+    default void committed() {}
 
     /** For relays whose clients all ask by HTTP. */
-    Ends NOBODY = (message, end, retryAfter) -> { };
+    Ends NOBODY = (message, end, retryAfter) -> {};
 }
--- a/src/main/java/brambletray/core/Evidence.java
+++ b/src/main/java/brambletray/core/Evidence.java
@@ -61,14 +61,16 @@
         List<Relay.Endpoint> endpoints = new ArrayList<>();
         for (Relay.Endpoint p : known.endpoints()) {
             Host host = hosts.host(p.id());
-            boolean since = p.listing() == Relay.Listing.READY
-                && recollection.leftSince(host.name, hosts.version());
+            boolean since = p.listing() == Relay.Listing.READY && recollection.leftSince(host.name, hosts.version());
             if (since) {
                 host.ready = false;
                 left.add(host.name);
             }
-            endpoints.add(since ? new Relay.Endpoint(p.id(), p.zone(), p.kind(), p.destination(),
-                Relay.Listing.DRAINING, p.weight()) : p);
+            endpoints.add(
+                    since
+                            ? new Relay.Endpoint(
+                                    p.id(), p.zone(), p.kind(), p.destination(), Relay.Listing.DRAINING, p.weight())
+                            : p);
         }
         return new Relay.Listed(known.kind(), endpoints);
     }
@@ -96,8 +98,8 @@
             if (left.remove(host.name) && !host.gone) {
                 host.ready = true;
                 leaving.remove(host.name);
-                again.add(new Relay.Endpoint(host.number, host.zone, host.kind, host.destination,
-                    Relay.Listing.READY, host.weight));
+                again.add(new Relay.Endpoint(
+                        host.number, host.zone, host.kind, host.destination, Relay.Listing.READY, host.weight));
             }
         }
         left.clear();
@@ -111,8 +113,10 @@
             if (!host.gone && untold.remove(host.name)) {
                 Known known = recollection.believed(host.name, clock.moment(), cold);
                 if (!known.equals(Known.NOTHING)) {
-                    told.add(new Relay.Remembered(host.number, new Relay.Known(known.waitFor(),
-                        known.failing(), known.warming(), known.limit(), known.pace())));
+                    told.add(new Relay.Remembered(
+                            host.number,
+                            new Relay.Known(
+                                    known.waitFor(), known.failing(), known.warming(), known.limit(), known.pace())));
                 }
             }
         }
@@ -140,10 +144,11 @@
             return;
         }
         Relay.Known known = control.known(host.number);
-        Known here = known == null ? Known.NOTHING : new Known(known.waitFor(), known.failing(),
-            known.warming(), known.limit(), known.pace());
-        Recollection.Note note = recollection.worth(clock.moment(), host.name,
-            leaving.getOrDefault(host.name, Recollection.IN_USE), here);
+        Known here = known == null
+                ? Known.NOTHING
+                : new Known(known.waitFor(), known.failing(), known.warming(), known.limit(), known.pace());
+        Recollection.Note note = recollection.worth(
+                clock.moment(), host.name, leaving.getOrDefault(host.name, Recollection.IN_USE), here);
         if (note == null) {
             return;
         }
--- a/src/main/java/brambletray/core/Handoff.java
+++ b/src/main/java/brambletray/core/Handoff.java
@@ -19,7 +19,7 @@
     private static final long STEP_MOST = 10_000_000;
 
     /** A call that is out to a host; {@code over}: its message has had its end, the slot is waited for. */
-    public record Out(String id, int attempt, String host, boolean over) { }
+    public record Out(String id, int attempt, String host, boolean over) {}
 
     /** us of the module's clock at a Unix time in ms; it never goes back. */
     long timeAt(long unixNow) {
@@ -33,13 +33,12 @@
     public boolean fits(Journal journal, Hosts hosts) {
         Map<String, Integer> open = memory.open();
         for (Journal.Entry entry : journal.owed()) {
-            if (entry.end == null && !Integer.valueOf(entry.attempts.size()).equals(open.remove(
-                entry.message.id()))) {
+            if (entry.end == null && !Integer.valueOf(entry.attempts.size()).equals(open.remove(entry.message.id()))) {
                 return false;
             }
         }
         return open.isEmpty()
-            && numbers.entrySet().stream().allMatch(e -> hosts.reserved(e.getKey()).number == e.getValue())
-            && numbers.values().containsAll(memory.endpoints());
+                && numbers.entrySet().stream().allMatch(e -> hosts.reserved(e.getKey()).number == e.getValue())
+                && numbers.values().containsAll(memory.endpoints());
     }
 }
--- a/src/main/java/brambletray/core/Held.java
+++ b/src/main/java/brambletray/core/Held.java
@@ -11,10 +11,12 @@
     Message message;
     /** By number of attempt; null where none was made, or it was made before a restart. */
     final List<Calls.Call> calls = new ArrayList<>();
+
     Journal.Entry entry;
     boolean over;
     /** By number of attempt, the name of the host that it is out to; null for one that is not. */
     private final List<String> to = new ArrayList<>(2);
+
     private int out;
 
     Held(Message message, Journal.Entry entry) {
--- a/src/main/java/brambletray/core/Host.java
+++ b/src/main/java/brambletray/core/Host.java
@@ -9,11 +9,13 @@
     public InetSocketAddress dial;
     /** By which its calls go out. */
     public String protocol = "http";
+
     public int zone;
     public int kind;
     public long destination;
     /** As listed: the rate in calls a second that its destination takes, or 1. */
     public double weight;
+
     public boolean ready;
     /** Off the list; forgotten once nothing is out to it. */
     public boolean gone;
--- a/src/main/java/brambletray/core/Loop.java
+++ b/src/main/java/brambletray/core/Loop.java
@@ -34,6 +34,7 @@
     private static final long COME_BACK = 1_000_000;
     /** ms that a message must have left when it leaves the door, to be delivered or ended by a notice. */
     private static final long DOOR_LEAST = 300;
+
     private static final long AFTER_FAULT = 100_000;
     /** s; between looks at hosts: what can be forgotten, and what is worth a note. */
     private static final long TIDY = 1;
@@ -47,6 +48,7 @@
     private final long shift;
     /** Who gets the replies of calls that were out when this loop was handed on; null before. */
     private Successor successor;
+
     private final Hosts hosts;
     private final Calls pool;
     private final Journal journal;
@@ -56,6 +58,7 @@
     private List<Relay.Event> events = new ArrayList<>();
     /** Messages taken on that the door has not let in. */
     private final Set<String> waiting = new HashSet<>();
+
     private final Map<String, Answer> unanswered = new LinkedHashMap<>();
     private boolean turnDue;
     private boolean stopped;
@@ -65,25 +68,53 @@
     private boolean commitDue;
     /** The last batch failed: only what clients wait for is committed before {@link #commitAgain}. */
     private boolean rests;
+
     private final Departures departures;
     private final Figures figures;
     private final Compaction compaction;
     private final Evidence evidence;
 
-    public Loop(Machine machine, long seed, Relay.Settings settings, Hosts hosts, Calls pool,
-                Journal journal, Figures figures) {
+    public Loop(
+            Machine machine,
+            long seed,
+            Relay.Settings settings,
+            Hosts hosts,
+            Calls pool,
+            Journal journal,
+            Figures figures) {
         this(machine, settings, hosts, pool, journal, figures, new Control(seed, settings), 0);
     }
 
     /** One whose module goes on where another process's ended: {@link #resume}, not {@link #start}. */
-    public Loop(Machine machine, long seed, Relay.Settings settings, Hosts hosts, Calls pool,
-                Journal journal, Figures figures, Handoff from) {
-        this(machine, settings, hosts, pool, journal, figures, new Control(seed, settings, from.memory()),
-            from.timeAt(machine.clock().unixMillis()) - machine.clock().micros());
-    }
-
-    private Loop(Machine machine, Relay.Settings settings, Hosts hosts, Calls pool, Journal journal,
-                 Figures figures, Control control, long shift) {
+    public Loop(
+            Machine machine,
+            long seed,
+            Relay.Settings settings,
+            Hosts hosts,
+            Calls pool,
+            Journal journal,
+            Figures figures,
+            Handoff from) {
+        this(
+                machine,
+                settings,
+                hosts,
+                pool,
+                journal,
+                figures,
+                new Control(seed, settings, from.memory()),
+                from.timeAt(machine.clock().unixMillis()) - machine.clock().micros());
+    }
+
+    private Loop(
+            Machine machine,
+            Relay.Settings settings,
+            Hosts hosts,
+            Calls pool,
+            Journal journal,
+            Figures figures,
+            Control control,
+            long shift) {
         this.loop = machine.loop();
         this.clock = machine.clock();
         this.complaints = new Seldom(LOG, clock);
@@ -94,11 +125,15 @@
         this.pool = pool;
         this.journal = journal;
         this.figures = figures;
-        this.departures = new Departures(clock, settings, hosts, pool, journal, held::get,
-            id -> door.sent(id), this::ended);
+        this.departures =
+                new Departures(clock, settings, hosts, pool, journal, held::get, id -> door.sent(id), this::ended);
         this.compaction = new Compaction(loop, clock, journal, () -> stopped);
-        this.evidence = new Evidence(clock, control, hosts, new HostNotes(journal.store()),
-            settings.rules().cold());
+        this.evidence = new Evidence(
+                clock,
+                control,
+                hosts,
+                new HostNotes(journal.store()),
+                settings.rules().cold());
         loop.scheduleWithFixedDelay(this::tidy, TIDY, TIDY, TimeUnit.SECONDS);
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
@@ -122,8 +157,7 @@
             if (entry.end != null) {
                 platform.notice(entry);
             } else if (!classes.containsKey(entry.message.messageClass())) {
-                LOG.warn("message {} given up: its class {} is gone", entry.message.id(),
-                    entry.message.messageClass());
+                LOG.warn("message {} given up: its class {} is gone", entry.message.id(), entry.message.messageClass());
                 end(entry, new Journal.End(false, 0));
             } else {
                 recover(entry);
@@ -152,8 +186,14 @@
     }
 
     private Relay.Accepted accepted(Message m, List<Relay.Earlier> earlier) {
-        return new Relay.Accepted(m.id(), classes.get(m.messageClass()), m.tenant(), m.routeKey(),
-            moduleTime(m.deadline()), m.destination(), earlier);
+        return new Relay.Accepted(
+                m.id(),
+                classes.get(m.messageClass()),
+                m.tenant(),
+                m.routeKey(),
+                moduleTime(m.deadline()),
+                m.destination(),
+                earlier);
     }
 
     @Override
@@ -459,22 +499,31 @@
         if (reply.waitFor() > 0) {
             // Guards the rule on waits: calls there that still wait for their connection do not go out.
             boolean apart = settings.kinds().get(host.kind).apart();
-            hosts.hosts().stream().filter(other -> other == host
-                || !apart && other.destination == host.destination).forEach(pool::takeBack);
+            hosts.hosts().stream()
+                    .filter(other -> other == host || !apart && other.destination == host.destination)
+                    .forEach(pool::takeBack);
         }
         boolean over = h.over || reply.over();
         if (!h.over) {
             if (reply.over()) {
                 over(h, reply.outcome() == Relay.Outcome.OK ? End.SERVED : End.FAILED);
-                tellOrigin(h.message, reply.outcome() == Relay.Outcome.OK ? Ends.End.DELIVERED
-                    : Ends.End.GIVEN_UP, 0);
+                tellOrigin(h.message, reply.outcome() == Relay.Outcome.OK ? Ends.End.DELIVERED : Ends.End.GIVEN_UP, 0);
                 close(h.entry);
             } else if (reply.outcome().neverRan()) {
                 notRun(h, attempt);
             }
         }
-        tell(new Relay.Ended(h.message.id(), attempt, host.number, reply.outcome(), over, reply.waitFor(),
-            reply.latency(), reply.left(), reply.limit(), reply.reused()));
+        tell(new Relay.Ended(
+                h.message.id(),
+                attempt,
+                host.number,
+                reply.outcome(),
+                over,
+                reply.waitFor(),
+                reply.latency(),
+                reply.left(),
+                reply.limit(),
+                reply.reused()));
         forget(h);
     }
 
@@ -501,11 +550,9 @@
         try {
             journal.ended(entry, end);
         } catch (IOException e) {
-            LOG.error("store cannot be written, end of message {} is told all the same",
-                entry.message.id(), e);
+            LOG.error("store cannot be written, end of message {} is told all the same", entry.message.id(), e);
         }
-        tellOrigin(entry.message, end.handedBack() ? Ends.End.HANDED_BACK : Ends.End.GIVEN_UP,
-            end.retryAfter());
+        tellOrigin(entry.message, end.handedBack() ? Ends.End.HANDED_BACK : Ends.End.GIVEN_UP, end.retryAfter());
         platform.notice(entry);
     }
 
@@ -591,8 +638,10 @@
         try {
             journal.closed(entry);
         } catch (IOException e) {
-            LOG.error("store cannot be written, message {} will be taken up again after a restart",
-                entry.message.id(), e);
+            LOG.error(
+                    "store cannot be written, message {} will be taken up again after a restart",
+                    entry.message.id(),
+                    e);
         }
         commitSoon();
     }
@@ -647,7 +696,9 @@
 
     /** Takes back the calls to a host, or to all (null), that were handed on and of which no byte is out. */
     public void takeBackOut(Host host) {
-        List.copyOf(hosts.hosts()).stream().filter(h -> host == null || h == host).forEach(pool::takeBack);
+        List.copyOf(hosts.hosts()).stream()
+                .filter(h -> host == null || h == host)
+                .forEach(pool::takeBack);
     }
 
     /** Cancels a call that was out when this loop was handed on; its reply comes as any other. */
@@ -694,8 +745,13 @@
                 h.calls.add(null);
             }
             h.begun(out.attempt(), out.host());
-            h.calls.set(out.attempt(), afar.out(out.id(), out.attempt(),
-                hosts.reserved(out.host()), (host, reply) -> ended(h, out.attempt(), host, reply)));
+            h.calls.set(
+                    out.attempt(),
+                    afar.out(
+                            out.id(),
+                            out.attempt(),
+                            hosts.reserved(out.host()),
+                            (host, reply) -> ended(h, out.attempt(), host, reply)));
         }
         tell(whole);
         turn();
--- a/src/main/java/brambletray/core/Platform.java
+++ b/src/main/java/brambletray/core/Platform.java
@@ -15,7 +15,7 @@
     boolean noticesLeft();
 
     /** Nothing more is watched or posted: another process does, from here on. */
-    default void letGo() { }
+    default void letGo() {}
 
     /** It is reached at another address from now on. */
     void move(InetSocketAddress agent);
--- a/src/main/java/brambletray/core/Reply.java
+++ b/src/main/java/brambletray/core/Reply.java
@@ -7,8 +7,8 @@
  * in microseconds, {@code left} and {@code limit} -1 if untold.
  * {@code reused}: the call went out on a connection that had carried one before.
  */
-public record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit,
-                    boolean reused) {
+public record Reply(
+        Outcome outcome, boolean over, long waitFor, long latency, double left, double limit, boolean reused) {
     /** A message that has been delivered is over: no caller has to say so, and none can say otherwise. */
     public Reply {
         over = over || outcome == Outcome.OK;
--- a/src/main/java/brambletray/core/Trace.java
+++ b/src/main/java/brambletray/core/Trace.java
@@ -13,12 +13,18 @@
     private static final Logger LOG = LoggerFactory.getLogger("brambletray.trace");
     static final boolean ON = LOG.isDebugEnabled();
 
-    private Trace() { }
+    private Trace() {}
 
     /** The settings that bind a fleet; once, at the start. */
     static void settings(long unix, Relay.Settings s) {
-        LOG.debug("{} settings rank {} of {} {} {} weights {}", unix, s.rank(), s.relays(), s.allowed(),
-            s.rules(), s.weights());
+        LOG.debug(
+                "{} settings rank {} of {} {} {} weights {}",
+                unix,
+                s.rank(),
+                s.relays(),
+                s.allowed(),
+                s.rules(),
+                s.weights());
     }
 
     /** The platform has acknowledged the notice of a message's end. */
@@ -30,15 +36,38 @@
     static void turn(long unix, long micros, List<Relay.Event> events, List<Relay.Action> actions) {
         for (Relay.Event event : events) {
             if (event instanceof Relay.Accepted e) {
-                LOG.debug("{} in {} dest {} class {} earlier {} left {}", unix, e.id(), e.destination(),
-                    e.messageClass(), e.earlier().size(), (e.deadline() - micros) / 1_000);
+                LOG.debug(
+                        "{} in {} dest {} class {} earlier {} left {}",
+                        unix,
+                        e.id(),
+                        e.destination(),
+                        e.messageClass(),
+                        e.earlier().size(),
+                        (e.deadline() - micros) / 1_000);
             } else if (event instanceof Relay.Ended e) {
-                LOG.debug("{} end {} host {} {} wait {} took {} left {} limit {} reused {}", unix, e.id(),
-                    e.endpoint(), e.outcome(), e.waitFor(), e.latency(), e.left(), e.limit(), e.reused());
+                LOG.debug(
+                        "{} end {} host {} {} wait {} took {} left {} limit {} reused {}",
+                        unix,
+                        e.id(),
+                        e.endpoint(),
+                        e.outcome(),
+                        e.waitFor(),
+                        e.latency(),
+                        e.left(),
+                        e.limit(),
+                        e.reused());
             } else if (event instanceof Relay.Listed e) {
                 for (Relay.Endpoint p : e.endpoints()) {
-                    LOG.debug("{} list {} host {} dest {} kind {} zone {} {} weight {}", unix, e.kind(),
-                        p.id(), p.destination(), p.kind(), p.zone(), p.listing(), p.weight());
+                    LOG.debug(
+                            "{} list {} host {} dest {} kind {} zone {} {} weight {}",
+                            unix,
+                            e.kind(),
+                            p.id(),
+                            p.destination(),
+                            p.kind(),
+                            p.zone(),
+                            p.listing(),
+                            p.weight());
                 }
             }
         }
--- a/src/main/java/brambletray/emulator/Call.java
+++ b/src/main/java/brambletray/emulator/Call.java
@@ -13,6 +13,7 @@
     private List<Call> each = List.of(this);
     /** Set by the endpoint: when it came, and when it began to be served (-1 before); ns. */
     long arrived;
+
     long began = -1;
     long finish;
     long number;
--- a/src/main/java/brambletray/emulator/Endpoint.java
+++ b/src/main/java/brambletray/emulator/Endpoint.java
@@ -34,9 +34,12 @@
 
     /** What a connection meets. */
     public enum Reach {
-        /** Connections come up. */ OPEN,
-        /** They are refused, and those that were open have been reset. */ REFUSED,
-        /** Nothing comes back at all. */ SILENT
+        /** Connections come up. */
+        OPEN,
+        /** They are refused, and those that were open have been reset. */
+        REFUSED,
+        /** Nothing comes back at all. */
+        SILENT
     }
 
     /** Probabilities of what becomes of a call at its end, each as a share of all calls. */
@@ -45,7 +48,7 @@
     }
 
     private static final Comparator<Call> BY_FINISH =
-        Comparator.<Call>comparingLong(c -> c.finish).thenComparingLong(c -> c.number);
+            Comparator.<Call>comparingLong(c -> c.finish).thenComparingLong(c -> c.number);
 
     private final PartnerSpec partner;
     private final EndpointSpec spec;
@@ -67,23 +70,27 @@
     private Spoils spoils = Spoils.NONE;
     /** Shut until then, and whether refusals tell so; Long.MIN_VALUE when it is not. */
     private long shutUntil = Long.MIN_VALUE;
+
     private boolean shutTells;
     /** Paused until then; what was begun goes on after it, or is never answered. */
     private long pausedUntil = Long.MIN_VALUE;
+
     private boolean pauseForgets;
     /** Cold since then; Long.MIN_VALUE when warm. */
     private long coldSince = Long.MIN_VALUE;
+
     private boolean outage;
     private final Set<String> sawOutage = new HashSet<>();
     private final ArrayDeque<Arrival> recent = new ArrayDeque<>();
     /** Load reports: values taken at instants a refresh apart, the one shown and those still too fresh. */
     private final ArrayDeque<Sample> samples = new ArrayDeque<>();
+
     private long sampledAt = Long.MIN_VALUE;
     private Answer.Load shown;
 
-    private record Arrival(long at, String caller) { }
+    private record Arrival(long at, String caller) {}
 
-    private record Sample(long at, Answer.Load load) { }
+    private record Sample(long at, Answer.Load load) {}
 
     Endpoint(PartnerSpec partner, EndpointSpec spec, Meter meter, KeyMemory keys, Ledger ledger, long seed) {
         this.partner = partner;
@@ -152,10 +159,23 @@
 
     /** A word for its state, for people. */
     public String state(long now) {
-        return fallen ? "fallen" : reach == Reach.SILENT ? "vanished" : reach == Reach.REFUSED ? "down"
-            : shutUntil > now ? "shut" : hung ? "hung" : pausedUntil > now ? "paused"
-            : warmth(now) < 1 ? "cold " + Math.round(warmth(now) * 100) + "%" : draining ? "draining"
-            : slow != 1 ? "slow x" + slow : "open";
+        return fallen
+                ? "fallen"
+                : reach == Reach.SILENT
+                        ? "vanished"
+                        : reach == Reach.REFUSED
+                                ? "down"
+                                : shutUntil > now
+                                        ? "shut"
+                                        : hung
+                                                ? "hung"
+                                                : pausedUntil > now
+                                                        ? "paused"
+                                                        : warmth(now) < 1
+                                                                ? "cold " + Math.round(warmth(now) * 100) + "%"
+                                                                : draining
+                                                                        ? "draining"
+                                                                        : slow != 1 ? "slow x" + slow : "open";
     }
 
     // ---- Connections ----------------------------------------------------------------------------
@@ -289,8 +309,9 @@
             Call call = queue.pollFirst();
             call.began = now;
             double time = partner.service().draw(random) * slow / warmth(now);
-            call.finish = now + Math.max(1, (long) time) + (call.first ? partner.connections().handshake()
-                : 0);
+            call.finish = now
+                    + Math.max(1, (long) time)
+                    + (call.first ? partner.connections().handshake() : 0);
             tally.waited(now - call.arrived);
             served.add(call);
         }
@@ -520,8 +541,9 @@
         }
         from += Math.floorMod(-from, reports.refresh());
         for (long at = from; at <= latest; at += reports.refresh()) {
-            samples.addLast(new Sample(at, new Answer.Load(meter.left(Math.max(at, 0)),
-                meter.limit().perSecond())));
+            samples.addLast(new Sample(
+                    at,
+                    new Answer.Load(meter.left(Math.max(at, 0)), meter.limit().perSecond())));
             sampledAt = at;
         }
     }
@@ -530,7 +552,8 @@
         if (partner.reports() == null) {
             return null;
         }
-        while (!samples.isEmpty() && samples.peekFirst().at() <= now - partner.reports().delay()) {
+        while (!samples.isEmpty()
+                && samples.peekFirst().at() <= now - partner.reports().delay()) {
             shown = samples.pollFirst().load();
         }
         return shown;
--- a/src/main/java/brambletray/emulator/KeyMemory.java
+++ b/src/main/java/brambletray/emulator/KeyMemory.java
@@ -6,7 +6,7 @@
 
 /** The idempotency keys that one group of endpoints remembers. Each is dropped when its window has passed. */
 final class KeyMemory {
-    private record Known(String key, long until) { }
+    private record Known(String key, long until) {}
 
     private final long window;
     private final Map<String, Long> until = new HashMap<>();
--- a/src/main/java/brambletray/emulator/Law.java
+++ b/src/main/java/brambletray/emulator/Law.java
@@ -32,8 +32,8 @@
         public long draw(SplittableRandom random) {
             double variance = Math.log(1 + cv * cv);
             // Box and Muller: one of the two normal draws is enough here.
-            double normal = Math.sqrt(-2 * Math.log(1 - random.nextDouble()))
-                * Math.cos(2 * Math.PI * random.nextDouble());
+            double normal =
+                    Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
             return Math.max(1, Math.round(mean * Math.exp(Math.sqrt(variance) * normal - variance / 2)));
         }
     }
--- a/src/main/java/brambletray/emulator/Ledger.java
+++ b/src/main/java/brambletray/emulator/Ledger.java
@@ -19,18 +19,23 @@
     private static final long WAIT_GRACE = 100_000_000;
     /** What the network may add to a time limit. */
     private static final long NETWORK_GRACE = 50_000_000;
+
     private static final int BREACHES_MOST = 1_000;
 
     /** The rules that can be seen to be broken from where the partners stand. */
-    public enum Rule { EFFECT_TWICE, SENT_TO_DRAINING, PUSHED_OVER, WAIT_IGNORED }
+    public enum Rule {
+        EFFECT_TWICE,
+        SENT_TO_DRAINING,
+        PUSHED_OVER,
+        WAIT_IGNORED
+    }
 
     /** One breach; {@code at} ns. */
-    public record Breach(Rule rule, long at, String caller, String endpoint, String message,
-        String detail) { }
+    public record Breach(Rule rule, long at, String caller, String endpoint, String message, String detail) {}
 
-    private record Pair(String caller, String place) { }
+    private record Pair(String caller, String place) {}
 
-    private record Told(Call call, long at, long until) { }
+    private record Told(Call call, long at, long until) {}
 
     private final long drainGrace;
     private final UnaryOperator<String> line;
@@ -83,14 +88,24 @@
         witness.saw(now, call.message, "call from " + call.caller + " arrives at " + endpoint);
         Told told = waits.get(new Pair(call.caller, waitPlace));
         if (told != null && now > told.at() + WAIT_GRACE + NETWORK_GRACE && now < told.until()) {
-            breach(new Breach(Rule.WAIT_IGNORED, now, call.caller, endpoint, call.message,
-                "told " + (now - told.at()) / 1_000_000 + " ms before to wait "
-                    + (told.until() - told.at()) / 1_000_000 + " ms"));
+            breach(new Breach(
+                    Rule.WAIT_IGNORED,
+                    now,
+                    call.caller,
+                    endpoint,
+                    call.message,
+                    "told " + (now - told.at()) / 1_000_000 + " ms before to wait "
+                            + (told.until() - told.at()) / 1_000_000 + " ms"));
         }
         Long since = drained.get(new Pair(call.caller, endpoint));
         if (since != null && now > since + drainGrace + NETWORK_GRACE) {
-            breach(new Breach(Rule.SENT_TO_DRAINING, now, call.caller, endpoint, call.message,
-                "told " + (now - since) / 1_000_000 + " ms before"));
+            breach(new Breach(
+                    Rule.SENT_TO_DRAINING,
+                    now,
+                    call.caller,
+                    endpoint,
+                    call.message,
+                    "told " + (now - since) / 1_000_000 + " ms before"));
         }
     }
 
@@ -121,8 +136,7 @@
         witness.saw(now, call.message, "takes effect at " + endpoint);
         int times = effects.merge(line.apply(call.message), 1, Integer::sum);
         if (times > 1 && !mayRepeat.test(call.message)) {
-            breach(new Breach(Rule.EFFECT_TWICE, now, call.caller, endpoint, call.message,
-                "effect number " + times));
+            breach(new Breach(Rule.EFFECT_TWICE, now, call.caller, endpoint, call.message, "effect number " + times));
         }
     }
 
@@ -140,9 +154,13 @@
             fromKnowing += knew.contains(sender.getKey()) ? sender.getValue() : 0;
         }
         if (fromKnowing * 3 >= all * 2) {
-            breach(new Breach(Rule.PUSHED_OVER, now, String.join(",", new TreeMap<>(senders).keySet()),
-                endpoint,
-                "", fromKnowing + " of " + all + " calls came from relays that had seen the outage"));
+            breach(new Breach(
+                    Rule.PUSHED_OVER,
+                    now,
+                    String.join(",", new TreeMap<>(senders).keySet()),
+                    endpoint,
+                    "",
+                    fromKnowing + " of " + all + " calls came from relays that had seen the outage"));
         }
     }
 
--- a/src/main/java/brambletray/emulator/Limit.java
+++ b/src/main/java/brambletray/emulator/Limit.java
@@ -23,7 +23,7 @@
     }
 
     /** A plain rate: over any window of t seconds at most {@code burst + perSecond * t} calls. */
-    record Rate(double perSecond, double burst, boolean refusedUse) implements Limit { }
+    record Rate(double perSecond, double burst, boolean refusedUse) implements Limit {}
 
     /**
      * At most {@code count} calls in each span; spans follow one another from time 0 on; {@code span} in
--- a/src/main/java/brambletray/emulator/Tally.java
+++ b/src/main/java/brambletray/emulator/Tally.java
@@ -12,6 +12,7 @@
     public double heaviest;
     /** When it fell over; -1 if it has not. */
     public long fellAt = -1;
+
     public final Map<Answer.Reason, Long> refused = new EnumMap<>(Answer.Reason.class);
     private long delivered, began;
     private double latency, wait;
--- a/src/main/java/brambletray/emulator/World.java
+++ b/src/main/java/brambletray/emulator/World.java
@@ -32,25 +32,25 @@
     }
 
     /** A step's beginning or its end. */
-    private record Due(long at, boolean end, int order, Step step) { }
+    private record Due(long at, boolean end, int order, Step step) {}
 
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, String> hosts = new LinkedHashMap<>();
-    private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::at)
-        .thenComparing(d -> !d.end()).thenComparingInt(Due::order));
+    private final PriorityQueue<Due> due = new PriorityQueue<>(
+            Comparator.comparingLong(Due::at).thenComparing(d -> !d.end()).thenComparingInt(Due::order));
     private final Ledger ledger;
     private ListWatcher list = new ListWatcher() {
         @Override
-        public void listed(Endpoint endpoint, String host, String health, long born) { }
+        public void listed(Endpoint endpoint, String host, String health, long born) {}
 
         @Override
-        public void late(long by) { }
+        public void late(long by) {}
 
         @Override
-        public void stalled(boolean silent) { }
+        public void stalled(boolean silent) {}
 
         @Override
-        public void moved() { }
+        public void moved() {}
     };
     private int replacements;
 
@@ -62,11 +62,11 @@
             Meter shared = new Meter(partner.limit(), 0);
             Map<String, KeyMemory> memories = new LinkedHashMap<>();
             for (PartnerSpec.EndpointSpec spec : partner.endpoints()) {
-                KeyMemory keys = memories.computeIfAbsent(partner.keys().byZone() ? spec.zone() : "",
-                    group -> new KeyMemory(partner.keys().window()));
+                KeyMemory keys = memories.computeIfAbsent(
+                        partner.keys().byZone() ? spec.zone() : "",
+                        group -> new KeyMemory(partner.keys().window()));
                 Meter meter = partner.apart() ? new Meter(partner.limit(), 0) : shared;
-                endpoints.put(spec.name(),
-                    new Endpoint(partner, spec, meter, keys, ledger, seeds.nextLong()));
+                endpoints.put(spec.name(), new Endpoint(partner, spec, meter, keys, ledger, seeds.nextLong()));
                 hosts.put(spec.name(), spec.name());
             }
         }
@@ -176,8 +176,10 @@
     }
 
     private void end(long at, Step.What what, Endpoint e) {
-        if (what instanceof Step.Shut || what instanceof Step.Down || what instanceof Step.Vanish
-            || what instanceof Step.Hang) {
+        if (what instanceof Step.Shut
+                || what instanceof Step.Down
+                || what instanceof Step.Vanish
+                || what instanceof Step.Hang) {
             e.open(at);
         } else if (what instanceof Step.Pause) {
             e.resume(at);
--- a/src/main/java/brambletray/figures/Figures.java
+++ b/src/main/java/brambletray/figures/Figures.java
@@ -12,11 +12,16 @@
 public final class Figures {
     /** How a message ended. */
     public enum End {
-        /** Delivered. */ SERVED,
-        /** Handed back: another try does no harm. */ REFUSED,
-        /** Given up, or over at its host without a delivery. */ FAILED,
-        /** Its client left before it heard that it was taken on. */ WITHDRAWN,
-        /** Another process goes on with it, and counts its end. */ HANDED_ON
+        /** Delivered. */
+        SERVED,
+        /** Handed back: another try does no harm. */
+        REFUSED,
+        /** Given up, or over at its host without a delivery. */
+        FAILED,
+        /** Its client left before it heard that it was taken on. */
+        WITHDRAWN,
+        /** Another process goes on with it, and counts its end. */
+        HANDED_ON
     }
 
     private final List<String> classes;
--- a/src/main/java/brambletray/handover/FarCalls.java
+++ b/src/main/java/brambletray/handover/FarCalls.java
@@ -13,7 +13,7 @@
 
 /** The calls that stayed with the process that handed on. Each ends once: as told, or reset with the link. */
 final class FarCalls implements AfarCalls {
-    private record Key(String id, int attempt) { }
+    private record Key(String id, int attempt) {}
 
     private final Function<String, Host> hosts;
     private final Consumer<Frame> tell;
--- a/src/main/java/brambletray/handover/FrameCodec.java
+++ b/src/main/java/brambletray/handover/FrameCodec.java
@@ -30,10 +30,24 @@
     static final int VERSION = 1;
     /** Bytes of a frame; of the state, and of the others. */
     static final int FRAME_MOST = 8 << 20;
+
     private static final int LIST_MOST = 100_000;
-    private static final int HELLO = 1, WELCOME = 2, TURNED_AWAY = 3, SUBMIT = 4, ANSWERED = 5, WITHDRAW = 6,
-        EXCLUDE = 7, TOLD = 8, DRAINED = 9, STATE = 10, OWNER = 11, DECLINED = 12, KEPT = 13, ENDED = 14,
-        CANCEL = 15, TAKE_BACK = 16;
+    private static final int HELLO = 1,
+            WELCOME = 2,
+            TURNED_AWAY = 3,
+            SUBMIT = 4,
+            ANSWERED = 5,
+            WITHDRAW = 6,
+            EXCLUDE = 7,
+            TOLD = 8,
+            DRAINED = 9,
+            STATE = 10,
+            OWNER = 11,
+            DECLINED = 12,
+            KEPT = 13,
+            ENDED = 14,
+            CANCEL = 15,
+            TAKE_BACK = 16;
 
     @Override
     protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf out) throws IOException {
@@ -173,8 +187,15 @@
     }
 
     private static Message message(DataInput in, ByteBuf rest) throws IOException {
-        return new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
-            in.readLong(), in.readLong(), Body.of(bytes(in, rest)));
+        return new Message(
+                in.readUTF(),
+                in.readUTF(),
+                in.readInt(),
+                optional(in),
+                optional(in),
+                in.readLong(),
+                in.readLong(),
+                Body.of(bytes(in, rest)));
     }
 
     private static void optional(DataOutput out, String text) throws IOException {
@@ -254,7 +275,13 @@
     }
 
     private static Reply reply(DataInput in) throws IOException {
-        return new Reply(of(Relay.Outcome.values(), in), in.readBoolean(), in.readLong(), in.readLong(),
-            in.readDouble(), in.readDouble(), in.readBoolean());
+        return new Reply(
+                of(Relay.Outcome.values(), in),
+                in.readBoolean(),
+                in.readLong(),
+                in.readLong(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readBoolean());
     }
 }
--- a/src/main/java/brambletray/handover/Joining.java
+++ b/src/main/java/brambletray/handover/Joining.java
@@ -42,15 +42,17 @@
     static void connect(Machine machine, Meeting meeting, Consumer<Channel> then) {
         Joining joining = new Joining(meeting, then);
         machine.dialling(CONNECT, new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), joining);
-            }
-        }).connect(meeting.address()).addListener(done -> {
-            if (!done.isSuccess()) {
-                joining.end(null);
-            }
-        });
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), joining);
+                    }
+                })
+                .connect(meeting.address())
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        joining.end(null);
+                    }
+                });
     }
 
     private void end(Channel channel) {
@@ -62,17 +64,25 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH,
-            Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, "owner").set(HttpHeaderNames.CONTENT_LENGTH, 0)
-            .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE).set(HttpHeaderNames.UPGRADE, PROTOCOL)
-            .set(HttpHeaderNames.AUTHORIZATION, "Bearer " + meeting.secret());
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH, Unpooled.EMPTY_BUFFER);
+        request.headers()
+                .set(HttpHeaderNames.HOST, "owner")
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE)
+                .set(HttpHeaderNames.UPGRADE, PROTOCOL)
+                .set(HttpHeaderNames.AUTHORIZATION, "Bearer " + meeting.secret());
         context.writeAndFlush(request);
-        context.channel().eventLoop().schedule(() -> {
-            if (!over) {
-                context.close();
-            }
-        }, ANSWER, TimeUnit.MILLISECONDS);
+        context.channel()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (!over) {
+                                context.close();
+                            }
+                        },
+                        ANSWER,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/brambletray/handover/Link.java
+++ b/src/main/java/brambletray/handover/Link.java
@@ -37,7 +37,7 @@
             }
         });
         if (channel.unsafe().outboundBuffer() != null
-            && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > UNSENT_MOST) {
+                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > UNSENT_MOST) {
             channel.close();
         }
     }
--- a/src/main/java/brambletray/handover/MemoryCodec.java
+++ b/src/main/java/brambletray/handover/MemoryCodec.java
@@ -27,11 +27,11 @@
     private static final int HEAD = 20;
     private static final int OBJECTS_MOST = 2_000_000, DEPTH_MOST = 2_000, ARRAY_MOST = 1 << 20;
     private static final ObjectInputFilter ONLY = ObjectInputFilter.Config.createFilter(
-        "maxrefs=" + OBJECTS_MOST + ";maxdepth=" + DEPTH_MOST + ";maxarray=" + ARRAY_MOST
-            + ";brambletray.control.*;java.util.*;java.lang.Long;java.lang.Number;java.lang.Enum;"
-            + "java.lang.String;java.lang.Object;!*");
+            "maxrefs=" + OBJECTS_MOST + ";maxdepth=" + DEPTH_MOST + ";maxarray=" + ARRAY_MOST
+                    + ";brambletray.control.*;java.util.*;java.lang.Long;java.lang.Number;java.lang.Enum;"
+                    + "java.lang.String;java.lang.Object;!*");
 
-    private MemoryCodec() { }
+    private MemoryCodec() {}
 
     static byte[] encode(Memory memory) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(64 * 1024);
@@ -56,8 +56,7 @@
         if (head.getInt() != crc(bytes)) {
             throw new InvalidObjectException("spoilt");
         }
-        try (ObjectInputStream in = new ObjectInputStream(new ByteArrayInputStream(bytes, HEAD,
-            bytes.length - HEAD))) {
+        try (ObjectInputStream in = new ObjectInputStream(new ByteArrayInputStream(bytes, HEAD, bytes.length - HEAD))) {
             in.setObjectInputFilter(ONLY);
             return (Memory) in.readObject();
         } catch (ClassNotFoundException | RuntimeException | StackOverflowError e) {
@@ -75,7 +74,7 @@
     static String digest(Relay.Settings settings) {
         try {
             byte[] sum = MessageDigest.getInstance("SHA-256")
-                .digest(settings.toString().getBytes(StandardCharsets.UTF_8));
+                    .digest(settings.toString().getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(Arrays.copyOf(sum, 16));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java has SHA-256", e);
--- a/src/main/java/brambletray/handover/Submissions.java
+++ b/src/main/java/brambletray/handover/Submissions.java
@@ -19,7 +19,7 @@
     /** us; when those come again. */
     private static final long COME_BACK = 1_000_000;
 
-    private record Waiting(Message message, Answer answer) { }
+    private record Waiting(Message message, Answer answer) {}
 
     private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
     private long last;
--- a/src/main/java/brambletray/handover/Succession.java
+++ b/src/main/java/brambletray/handover/Succession.java
@@ -47,16 +47,19 @@
     private final Submissions submissions = new Submissions();
     /** Operators' calls that wait for the owner's answer. */
     private final Map<Long, Consumer<Said>> asked = new HashMap<>();
+
     private final FarCalls far;
     /** To the process that this one follows, and to the one that follows this; null where there is none. */
     private Link before, after;
     /** Messages that came from the other process while it is open who owns. */
     private final List<Frame.Submit> deferred = new ArrayList<>();
+
     private Handoff state;
     private String secret;
     private long lastAsked;
     /** The one that follows has the same settings: the module's memory means the same there. */
     private boolean sameSettings;
+
     private boolean joining, ticking, stopped;
 
     public Succession(Machine machine, Duties duties, Disk disk, Relay.Settings settings) {
@@ -108,7 +111,7 @@
             switch (step) {
                 case OPEN -> open();
                 case JOIN -> join();
-                case SERVE -> duties.listen(() -> { });
+                case SERVE -> duties.listen(() -> {});
                 case OWN -> own(null);
                 case RESUME -> own(state != null && duties.fits(state) ? state : null);
                 case CONFIRM -> tellBefore(new Frame.Owner(state == null));
@@ -118,7 +121,7 @@
                     tellBefore(new Frame.Declined());
                 }
                 case WELCOME -> after.send(new Frame.Welcome(duties.drained(), duties.avoided()));
-                case TURN_AWAY -> { }
+                case TURN_AWAY -> {}
                 case HAND_ON -> handOn();
                 case KEEP -> tellAfter(new Frame.Kept());
                 case LEAVE -> duties.leave();
@@ -177,8 +180,10 @@
     // ---- The process that follows ----------------------------------------------------------------
     /** True for the secret that the folder tells. */
     public boolean knows(String told) {
-        return secret != null && told != null && MessageDigest.isEqual(
-            secret.getBytes(StandardCharsets.UTF_8), told.getBytes(StandardCharsets.UTF_8));
+        return secret != null
+                && told != null
+                && MessageDigest.isEqual(
+                        secret.getBytes(StandardCharsets.UTF_8), told.getBytes(StandardCharsets.UTF_8));
     }
 
     /** A process that knows the secret has connected; what it says is read from now on. */
@@ -189,8 +194,8 @@
 
     private void greeted(Frame.Hello hello, Link link) {
         if (hello.version() != FrameCodec.VERSION) {
-            link.send(new Frame.TurnedAway("the process that runs hands over to version " + FrameCodec.VERSION
-                + " only"));
+            link.send(new Frame.TurnedAway(
+                    "the process that runs hands over to version " + FrameCodec.VERSION + " only"));
             return;
         }
         if (!tenure.asked().contains(Tenure.Step.WELCOME)) {
@@ -217,8 +222,10 @@
             LOG.error("the module's memory is not handed on", e);
         }
         if (memory.length > MEMORY_MOST || !sameSettings) {
-            LOG.warn("the module's memory is not handed on: {} bytes, {}", memory.length,
-                sameSettings ? "too many" : "other settings");
+            LOG.warn(
+                    "the module's memory is not handed on: {} bytes, {}",
+                    memory.length,
+                    sameSettings ? "too many" : "other settings");
             memory = new byte[0];
         }
         tellAfter(new Frame.State(handoff.time(), handoff.unix(), handoff.numbers(), handoff.outs(), memory));
@@ -263,9 +270,13 @@
 
     /** Whoever owns, seen from here. */
     private Link owner() {
-        return tenure.owns() ? null : tenure.phase() instanceof Tenure.Yielding
-            || tenure.phase() instanceof Tenure.Yielded || tenure.phase() instanceof Tenure.Retaking ? after
-            : before;
+        return tenure.owns()
+                ? null
+                : tenure.phase() instanceof Tenure.Yielding
+                                || tenure.phase() instanceof Tenure.Yielded
+                                || tenure.phase() instanceof Tenure.Retaking
+                        ? after
+                        : before;
     }
 
     private void lost(Link link) {
@@ -306,8 +317,11 @@
             withdraw(f.id());
         } else if (frame instanceof Frame.Exclude f) {
             if (tenure.owns()) {
-                duties.operations().exclude(f.host(), f.out(), said ->
-                    link.send(new Frame.Told(f.number(), said.status(), said.text())));
+                duties.operations()
+                        .exclude(
+                                f.host(),
+                                f.out(),
+                                said -> link.send(new Frame.Told(f.number(), said.status(), said.text())));
             } else {
                 link.send(new Frame.Told(f.number(), 503, "this process does not own: ask again"));
             }
@@ -346,8 +360,7 @@
         state = null;
         if (f.memory().length > 0) {
             try {
-                state = new Handoff(MemoryCodec.decode(f.memory()), f.time(), f.unix(), f.numbers(),
-                    f.outs());
+                state = new Handoff(MemoryCodec.decode(f.memory()), f.time(), f.unix(), f.numbers(), f.outs());
             } catch (IOException e) {
                 LOG.warn("what was handed on is of no use, the relay starts with care: {}", e.getMessage());
             }
--- a/src/main/java/brambletray/handover/Tenure.java
+++ b/src/main/java/brambletray/handover/Tenure.java
@@ -23,54 +23,67 @@
     public static final long BEREFT_MOST = 10_000_000_000L;
 
     /** Where it stands. */
-    public sealed interface Phase permits Alone, Attended, Yielding, Yielded, Retaking, Seeking, Joined,
-        Receiving, Bereft, Over { }
+    public sealed interface Phase
+            permits Alone, Attended, Yielding, Yielded, Retaking, Seeking, Joined, Receiving, Bereft, Over {}
 
     /** It owns, and nobody is beside it. */
-    public record Alone() implements Phase { }
+    public record Alone() implements Phase {}
 
     /** It owns, and a successor serves through it. */
-    public record Attended() implements Phase { }
+    public record Attended() implements Phase {}
 
     /** It has let go and sent the state; the successor has not said that it owns. */
-    public record Yielding(long since) implements Phase { }
+    public record Yielding(long since) implements Phase {}
 
     /** The successor owns; this one serves out what it has open. */
-    public record Yielded() implements Phase { }
+    public record Yielded() implements Phase {}
 
     /** It has let go, the successor is lost or could not: it tries to own again. */
-    public record Retaking() implements Phase { }
+    public record Retaking() implements Phase {}
 
     /** It is new: the folder may be free, or its owner has to be found. */
-    public record Seeking(long since) implements Phase { }
+    public record Seeking(long since) implements Phase {}
 
     /** It serves through the owner. */
-    public record Joined() implements Phase { }
+    public record Joined() implements Phase {}
 
     /** The state has come, and the owner has let go. */
-    public record Receiving(long since) implements Phase { }
+    public record Receiving(long since) implements Phase {}
 
     /** It served through an owner that is out of reach. */
-    public record Bereft(long since) implements Phase { }
+    public record Bereft(long since) implements Phase {}
 
     /** It takes no further part; {@code fault}: null where all is well. */
-    public record Over(String fault) implements Phase { }
+    public record Over(String fault) implements Phase {}
 
     /** What is to be done, in order. */
     public enum Step {
-        /** Try for the lock, open the store: {@link #opened}, {@link #locked} or {@link #unusable}. */ OPEN,
-        /** Look for the owner and connect: {@link #joined}, {@link #turnedAway}, or nothing. */ JOIN,
-        /** Begin to listen: clients can be served from now on. */ SERVE,
-        /** Take up what the store holds, with care. */ OWN,
-        /** Go on with what was handed on, or with care where that does not fit. */ RESUME,
-        /** Tell the process that handed on that this one owns. */ CONFIRM,
-        /** Tell it that this one does not. */ DECLINE,
-        /** Let the one that asks serve through this one. */ WELCOME,
-        /** Tell the one that asks that there is no place for it. */ TURN_AWAY,
-        /** Decide no more, let the folder go, send the state; then serve out what is open. */ HAND_ON,
-        /** Tell the one beside that this one owns still: what was sent is void. */ KEEP,
-        /** The orderly end of a process that owns. */ LEAVE,
-        /** The process ends. */ END
+        /** Try for the lock, open the store: {@link #opened}, {@link #locked} or {@link #unusable}. */
+        OPEN,
+        /** Look for the owner and connect: {@link #joined}, {@link #turnedAway}, or nothing. */
+        JOIN,
+        /** Begin to listen: clients can be served from now on. */
+        SERVE,
+        /** Take up what the store holds, with care. */
+        OWN,
+        /** Go on with what was handed on, or with care where that does not fit. */
+        RESUME,
+        /** Tell the process that handed on that this one owns. */
+        CONFIRM,
+        /** Tell it that this one does not. */
+        DECLINE,
+        /** Let the one that asks serve through this one. */
+        WELCOME,
+        /** Tell the one that asks that there is no place for it. */
+        TURN_AWAY,
+        /** Decide no more, let the folder go, send the state; then serve out what is open. */
+        HAND_ON,
+        /** Tell the one beside that this one owns still: what was sent is void. */
+        KEEP,
+        /** The orderly end of a process that owns. */
+        LEAVE,
+        /** The process ends. */
+        END
     }
 
     private Phase phase;
@@ -97,8 +110,11 @@
 
     /** True while {@link #tick} has to be called again and again. */
     public boolean restless() {
-        return phase instanceof Seeking || phase instanceof Receiving || phase instanceof Bereft
-            || phase instanceof Yielding || phase instanceof Retaking;
+        return phase instanceof Seeking
+                || phase instanceof Receiving
+                || phase instanceof Bereft
+                || phase instanceof Yielding
+                || phase instanceof Retaking;
     }
 
     /** The first step. */
@@ -113,8 +129,9 @@
         if (before instanceof Seeking) {
             return List.of(Step.OWN, Step.SERVE);
         }
-        List<Step> steps = before instanceof Receiving ? List.of(Step.RESUME, Step.CONFIRM)
-            : before instanceof Retaking ? List.of(Step.OWN, Step.KEEP) : List.of(Step.OWN, Step.CONFIRM);
+        List<Step> steps = before instanceof Receiving
+                ? List.of(Step.RESUME, Step.CONFIRM)
+                : before instanceof Retaking ? List.of(Step.OWN, Step.KEEP) : List.of(Step.OWN, Step.CONFIRM);
         return leaving ? with(steps, Step.LEAVE) : steps;
     }
 
--- a/src/main/java/brambletray/http/clients/Server.java
+++ b/src/main/java/brambletray/http/clients/Server.java
@@ -65,9 +65,11 @@
      * away. To close with bytes unread resets the connection, and the answer may be lost with it.
      */
     private static final long LINGER = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final int DISCARD_MOST = 256 * 1024;
     /** ms; between looks for connections whose time is over. */
     private static final long SWEEP = 100;
+
     private static final String MESSAGES = "/v1/messages/";
 
     private final Intake intake;
@@ -79,6 +81,7 @@
     private final Drain drain;
     /** How a message ended, as JSON, by its id; null for one that is not known. Null itself: not served. */
     private Function<String, String> answers;
+
     private final Map<String, Supplier<String>> views = new HashMap<>();
 
     /**
@@ -98,8 +101,14 @@
     @Override
     protected void initChannel(Channel channel) {
         Client client = new Client(channel);
-        channel.pipeline().addLast(client, new Decoder(), new HttpResponseEncoder(), new Heads(client),
-            new Whole(client), new Requests(client));
+        channel.pipeline()
+                .addLast(
+                        client,
+                        new Decoder(),
+                        new HttpResponseEncoder(),
+                        new Heads(client),
+                        new Whole(client),
+                        new Requests(client));
     }
 
     /** Serves GET of this path from now on: what it gives is JSON. */
@@ -142,6 +151,7 @@
         private long since = clock.nanos();
         /** A request has begun; some request has been answered; the last answer has been given. */
         private boolean busy, served, last;
+
         private int discarded;
 
         Client(Channel channel) {
@@ -153,8 +163,10 @@
             clients.add(this);
             if (clients.size() > mostClients) {
                 // Guards clients that ask against crowds that connect and say nothing.
-                Client gone = clients.stream().filter(c -> c != this && c.rank() < 3)
-                    .min(Comparator.comparingInt(Client::rank).thenComparingLong(c -> c.since)).orElse(this);
+                Client gone = clients.stream()
+                        .filter(c -> c != this && c.rank() < 3)
+                        .min(Comparator.comparingInt(Client::rank).thenComparingLong(c -> c.since))
+                        .orElse(this);
                 complaints.warn("connection closed: " + mostClients + " clients are connected");
                 gone.channel.close();
             }
@@ -219,9 +231,12 @@
 
         /** {@code json}: its body, null for none. */
         ChannelFuture respond(HttpResponseStatus status, long retryAfter, boolean keep, String json) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                json == null ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer(json, StandardCharsets.UTF_8));
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    status,
+                    json == null ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer(json, StandardCharsets.UTF_8));
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
             if (json != null) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             }
@@ -237,8 +252,7 @@
             }
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             // The client closes when it has read this; look() does if it does not.
-            return channel.writeAndFlush(response)
-                .addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+            return channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
         }
     }
 
@@ -289,8 +303,8 @@
         private static void check(HttpRequest head) throws Bad {
             List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
             boolean length = head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-            if (!encodings.isEmpty() && (length || encodings.size() > 1
-                || !encodings.get(0).equalsIgnoreCase("chunked"))) {
+            if (!encodings.isEmpty()
+                    && (length || encodings.size() > 1 || !encodings.get(0).equalsIgnoreCase("chunked"))) {
                 throw new Bad("Transfer-Encoding other than chunked, or a length with it");
             }
             if (HttpUtil.getContentLength(head, 0L) > BODY_MOST) {
@@ -361,15 +375,15 @@
                 String path = request.uri().split("\\?", 2)[0];
                 if (path.equals("/healthz")) {
                     client.respond(HttpResponseStatus.valueOf(drain.welcome() ? 200 : 503), 0, keep);
-                } else if (answers != null && request.method().equals(HttpMethod.GET)
-                    && path.startsWith(MESSAGES)) {
+                } else if (answers != null && request.method().equals(HttpMethod.GET) && path.startsWith(MESSAGES)) {
                     String told = answers.apply(path.substring(MESSAGES.length()));
                     if (told == null) {
                         throw new Bad(HttpResponseStatus.NOT_FOUND, "no such message, or too old");
                     }
                     client.respond(HttpResponseStatus.OK, 0, keep, told);
                 } else if (request.method().equals(HttpMethod.GET) && views.containsKey(path)) {
-                    client.respond(HttpResponseStatus.OK, 0, keep, views.get(path).get());
+                    client.respond(
+                            HttpResponseStatus.OK, 0, keep, views.get(path).get());
                 } else if (!request.method().equals(HttpMethod.POST)) {
                     throw new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED, "only POST hands a message in");
                 } else {
--- a/src/main/java/brambletray/http/clients/Submission.java
+++ b/src/main/java/brambletray/http/clients/Submission.java
@@ -45,11 +45,15 @@
             throw new Bad("X-Timeout-Ms is not within 1 to " + TIME_MOST);
         }
         String tenant = text(headers, "X-Tenant-Id", ID_MOST, false);
-        return new Message(text(headers, "X-Request-ID", ID_MOST, true), name,
-            tenant == null ? 0 : intake.tenant(tenant), text(headers, "X-Route-Key", KEY_MOST, false), key,
-            destination,
-            clock.unixMillis() + time - Math.min(READ_LATE, time / 10),
-            Body.of(ByteBufUtil.getBytes(request.content())));
+        return new Message(
+                text(headers, "X-Request-ID", ID_MOST, true),
+                name,
+                tenant == null ? 0 : intake.tenant(tenant),
+                text(headers, "X-Route-Key", KEY_MOST, false),
+                key,
+                destination,
+                clock.unixMillis() + time - Math.min(READ_LATE, time / 10),
+                Body.of(ByteBufUtil.getBytes(request.content())));
     }
 
     private static String text(HttpHeaders headers, String name, int most, boolean needed) throws Bad {
--- a/src/main/java/brambletray/http/hosts/Answers.java
+++ b/src/main/java/brambletray/http/hosts/Answers.java
@@ -10,7 +10,7 @@
     /** A share left or a limit in calls a second beyond these is no report; nor is a wait (s) beyond that. */
     private static final double SHARE_MOST = 10, LIMIT_MOST = 100_000, WAIT_MOST = 3_600;
 
-    private Answers() { }
+    private Answers() {}
 
     static Reply reply(HttpResponse answer, long latency) {
         long wait = 0;
@@ -23,8 +23,7 @@
             }
             case 429, 503 -> {
                 outcome = answer.headers().contains("X-No-Slot") ? Outcome.NOT_SENT : Outcome.FULL;
-                wait = outcome == Outcome.FULL ? micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER))
-                    : 0;
+                wait = outcome == Outcome.FULL ? micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)) : 0;
             }
             case 504 -> outcome = Outcome.NOT_SENT;
             case 410 -> {
@@ -34,8 +33,7 @@
             default -> outcome = Outcome.ERROR;
         }
         String load = answer.headers().get("X-Server-Load");
-        return new Reply(outcome, over, wait, latency, field(load, "x0", SHARE_MOST),
-            field(load, "x1", LIMIT_MOST));
+        return new Reply(outcome, over, wait, latency, field(load, "x0", SHARE_MOST), field(load, "x1", LIMIT_MOST));
     }
 
     /**
@@ -46,9 +44,14 @@
     static Reply batchReply(HttpResponse answer, long latency) {
         Reply reply = reply(answer, latency);
         return switch (answer.status().code()) {
-            case 200 -> new Reply(Outcome.OK, false,
-                micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)), latency, reply.left(),
-                reply.limit());
+            case 200 ->
+                new Reply(
+                        Outcome.OK,
+                        false,
+                        micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)),
+                        latency,
+                        reply.left(),
+                        reply.limit());
             case 400, 413 -> reply.as(Outcome.NOT_SENT, false);
             case 504, 410 -> reply.as(Outcome.ERROR, false);
             default -> reply;
--- a/src/main/java/brambletray/http/hosts/Batch.java
+++ b/src/main/java/brambletray/http/hosts/Batch.java
@@ -23,7 +23,7 @@
     /** Bytes of a message's entry besides its body, id and key; bytes of Base64 for three of a body. */
     private static final int ENTRY = 32, ENCODED = 4;
 
-    private Batch() { }
+    private Batch() {}
 
     /** Bytes that a message takes in the body of a call, or more. */
     static int size(Message m) {
--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -176,9 +176,11 @@
     private static final class Pool {
         /** Idle connections, the latest used last. */
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
         final Set<Connection> open = new LinkedHashSet<>();
         /** Calls of which no byte has gone out. */
         final Set<Call> connecting = new LinkedHashSet<>();
+
         InetSocketAddress dial;
     }
 
@@ -192,8 +194,8 @@
     private final Seldom complaints;
 
     /** {@code whenWritten}: told how many messages a call carries, once its last byte has been written. */
-    public HostPool(Machine machine, long connectTimeout, long keepAlive, IntConsumer whenWritten,
-                    Descriptors descriptors) {
+    public HostPool(
+            Machine machine, long connectTimeout, long keepAlive, IntConsumer whenWritten, Descriptors descriptors) {
         this.whenWritten = whenWritten;
         this.descriptors = descriptors;
         this.complaints = new Seldom(LOG, machine.clock());
@@ -201,15 +203,14 @@
         this.clock = machine.clock();
         long millis = keepAlive / 1_000;
         this.idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
-        this.bootstrap = machine.dialling((int) Math.max(1, connectTimeout / 1_000),
-            new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    Connection connection = new Connection();
-                    channel.pipeline().addLast(connection.new Arrivals(), connection.decoder,
-                        new HttpRequestEncoder(), connection);
-                }
-            });
+        this.bootstrap = machine.dialling((int) Math.max(1, connectTimeout / 1_000), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                Connection connection = new Connection();
+                channel.pipeline()
+                        .addLast(connection.new Arrivals(), connection.decoder, new HttpRequestEncoder(), connection);
+            }
+        });
         loop.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
     }
 
@@ -219,7 +220,8 @@
 
     @Override
     public Calls.Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
-        return begin(host, List.of(new Calls.Part(message, patience, whenEnded))).get(0);
+        return begin(host, List.of(new Calls.Part(message, patience, whenEnded)))
+                .get(0);
     }
 
     @Override
@@ -279,7 +281,9 @@
         }
         ChannelFuture connect = bootstrap.connect(host.dial);
         call.channel = connect.channel();
-        if (connect.isDone() && !connect.isSuccess() && !call.channel.closeFuture().isDone()) {
+        if (connect.isDone()
+                && !connect.isSuccess()
+                && !call.channel.closeFuture().isDone()) {
             // Guards the account: where the system gave no socket, nothing is open that could be closed.
             descriptors.give(Owner.HOSTS);
         } else {
@@ -319,8 +323,9 @@
 
     /** True for a connection that came up and was reset at once; others are refused or never come up. */
     private static boolean cut(Throwable cause) {
-        return cause instanceof SocketException && !(cause instanceof ConnectException)
-            && !(cause instanceof NoRouteToHostException);
+        return cause instanceof SocketException
+                && !(cause instanceof ConnectException)
+                && !(cause instanceof NoRouteToHostException);
     }
 
     /**
@@ -408,13 +413,16 @@
         private InetSocketAddress dial;
         /** The answer's head, once it is here; what it means; bytes of its body; answers ahead of it. */
         private HttpResponse head;
+
         private Reply reply;
         private int body, ahead;
         /** The answer's body, where it names messages; at most {@link #BODY_MOST}. */
         private final ByteArrayOutputStream told = new ByteArrayOutputStream(0);
+
         private boolean complete, keep = true;
         /** When the answer began to come; 0 before. */
         private long answeredAt;
+
         private long idleSince;
 
         @Override
@@ -457,8 +465,11 @@
             try {
                 request = request(next);
             } catch (IOException e) {
-                LOG.warn("call to {} with message {} not made: {}", next.host.name,
-                    next.parts.get(0).message.id(), e.getMessage());
+                LOG.warn(
+                        "call to {} with message {} not made: {}",
+                        next.host.name,
+                        next.parts.get(0).message.id(),
+                        e.getMessage());
                 call = null;
                 next.end(Outcome.NOT_SENT);
                 channel.close();
@@ -510,8 +521,7 @@
                 }
                 head = answer;
                 keep &= HttpUtil.isKeepAlive(head) && call.written;
-                reply = call.bundled() ? Answers.batchReply(head, call.latency())
-                    : Answers.reply(head, call.latency());
+                reply = call.bundled() ? Answers.batchReply(head, call.latency()) : Answers.reply(head, call.latency());
                 if (reply.outcome() == Outcome.OK && !call.bundled()) {
                     call.end(reply);
                 }
@@ -604,14 +614,20 @@
             patience = Math.max(patience, part.patience);
         }
         boolean bundled = call.bundled();
-        byte[] body = bundled ? Batch.body(call.parts.stream().map(part -> part.message).toList(), bodies)
-            : bodies.get(0);
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-            bundled ? Batch.PATH : "/v1/messages", Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST,
-                call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
-            .set("X-Timeout-Ms", Math.max(1, (patience - call.latency()) / 1_000))
-            .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        byte[] body = bundled
+                ? Batch.body(call.parts.stream().map(part -> part.message).toList(), bodies)
+                : bodies.get(0);
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.POST,
+                bundled ? Batch.PATH : "/v1/messages",
+                Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(
+                        HttpHeaderNames.HOST,
+                        call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
+                .set("X-Timeout-Ms", Math.max(1, (patience - call.latency()) / 1_000))
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         if (!bundled) {
             Message m = call.parts.get(0).message;
             request.headers().set("X-Request-ID", m.id());
--- a/src/main/java/brambletray/inventory/Change.java
+++ b/src/main/java/brambletray/inventory/Change.java
@@ -7,11 +7,11 @@
  * What one revision changes: names of hosts, each in one list only. {@code altered}: state, rate, zone,
  * kind.
  */
-public record Change(List<String> added, List<String> removed, List<String> moved, List<String> drained,
-                     List<String> altered) {
+public record Change(
+        List<String> added, List<String> removed, List<String> moved, List<String> drained, List<String> altered) {
     static Change between(Revision old, Revision next) {
-        Change change = new Change(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>(),
-            new ArrayList<>());
+        Change change = new Change(
+                new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
         next.hosts().forEach((name, entry) -> {
             Entry before = old.hosts().get(name);
             if (before == null) {
@@ -24,14 +24,14 @@
                 change.altered.add(name);
             }
         });
-        old.hosts().keySet().stream().filter(name -> !next.hosts().containsKey(name))
-            .forEach(change.removed::add);
+        old.hosts().keySet().stream()
+                .filter(name -> !next.hosts().containsKey(name))
+                .forEach(change.removed::add);
         return change;
     }
 
     public boolean isEmpty() {
-        return added.isEmpty() && removed.isEmpty() && moved.isEmpty() && drained.isEmpty()
-            && altered.isEmpty();
+        return added.isEmpty() && removed.isEmpty() && moved.isEmpty() && drained.isEmpty() && altered.isEmpty();
     }
 
     /** Hosts that get no new work by it where they had some. */
