--- a/src/main/java/brambletray/inventory/CsvFormat.java
+++ b/src/main/java/brambletray/inventory/CsvFormat.java
@@ -20,14 +20,22 @@
  * field's number in its row.
  */
 final class CsvFormat {
-    private CsvFormat() { }
+    private CsvFormat() {}
 
     static Revision parse(String file, String text) throws Faults {
         Rows rows = new Rows(file);
-        String head = text.lines().filter(l -> !l.isBlank() && !l.startsWith("#")).findFirst().orElse("");
+        String head = text.lines()
+                .filter(l -> !l.isBlank() && !l.startsWith("#"))
+                .findFirst()
+                .orElse("");
         char delimiter = head.indexOf(';') >= 0 && head.indexOf(',') < 0 ? ';' : ',';
-        CSVFormat format = CSVFormat.RFC4180.builder().setDelimiter(delimiter).setCommentMarker('#')
-            .setIgnoreEmptyLines(true).setTrim(true).get();
+        CSVFormat format = CSVFormat.RFC4180
+                .builder()
+                .setDelimiter(delimiter)
+                .setCommentMarker('#')
+                .setIgnoreEmptyLines(true)
+                .setTrim(true)
+                .get();
         try (CSVParser parser = CSVParser.parse(new StringReader(text), format)) {
             List<String> header = null;
             for (CSVRecord record : parser) {
@@ -40,8 +48,10 @@
                     continue;
                 }
                 if (record.size() != header.size()) {
-                    rows.fault(line, record.size(), "expected " + header.size()
-                        + " fields as in the header, not " + record.size());
+                    rows.fault(
+                            line,
+                            record.size(),
+                            "expected " + header.size() + " fields as in the header, not " + record.size());
                     continue;
                 }
                 Map<String, Rows.Cell> cells = new HashMap<>();
@@ -57,13 +67,17 @@
     }
 
     private static List<String> header(Rows rows, int line, CSVRecord record) {
-        List<String> header = record.stream().map(h -> h.toLowerCase(Locale.ROOT)).toList();
+        List<String> header =
+                record.stream().map(h -> h.toLowerCase(Locale.ROOT)).toList();
         Set<String> seen = new HashSet<>();
         boolean usable = true;
         for (int i = 0; i < header.size(); i++) {
             if (!Rows.FIELDS.contains(header.get(i)) || !seen.add(header.get(i))) {
-                rows.fault(line, i + 1, "header: expected each of " + String.join(", ", Rows.FIELDS)
-                    + " at most once, not '" + header.get(i) + "'");
+                rows.fault(
+                        line,
+                        i + 1,
+                        "header: expected each of " + String.join(", ", Rows.FIELDS) + " at most once, not '"
+                                + header.get(i) + "'");
                 usable = false;
             }
         }
--- a/src/main/java/brambletray/inventory/Destinations.java
+++ b/src/main/java/brambletray/inventory/Destinations.java
@@ -7,9 +7,10 @@
 public final class Destinations {
     /** Numbers that stand for names lie above all that a file may give as numbers. */
     private static final long NAMED = 1L << 40;
+
     static final long NUMBER_MOST = Integer.MAX_VALUE;
 
-    private Destinations() { }
+    private Destinations() {}
 
     /** A number, or the number of a name; -1 for a text that is neither. */
     public static long number(String text) {
--- a/src/main/java/brambletray/inventory/FolderEvents.java
+++ b/src/main/java/brambletray/inventory/FolderEvents.java
@@ -75,8 +75,13 @@
         for (Path folder : wanted) {
             if (!folders.containsKey(folder) && Files.isDirectory(folder)) {
                 try {
-                    folders.put(folder, folder.register(watcher, StandardWatchEventKinds.ENTRY_CREATE,
-                        StandardWatchEventKinds.ENTRY_MODIFY, StandardWatchEventKinds.ENTRY_DELETE));
+                    folders.put(
+                            folder,
+                            folder.register(
+                                    watcher,
+                                    StandardWatchEventKinds.ENTRY_CREATE,
+                                    StandardWatchEventKinds.ENTRY_MODIFY,
+                                    StandardWatchEventKinds.ENTRY_DELETE));
                 } catch (IOException | ClosedWatchServiceException e) {
                     // Looked at by turns until it can be watched.
                 }
--- a/src/main/java/brambletray/inventory/Follower.java
+++ b/src/main/java/brambletray/inventory/Follower.java
@@ -22,7 +22,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Follower.class);
 
     /** What tells one state of a file from another; by name, so that a link that is swapped is seen. */
-    private record Look(Object key, long size, long modified, Path real) { }
+    private record Look(Object key, long size, long modified, Path real) {}
 
     private final Machine machine;
     private final Path file;
@@ -41,14 +41,25 @@
      * {@code settleMs}: so long a file must not have changed before it is read; {@code reader}: reads it, off
      * the loop, one file at a time, and tells {@code whenRead} there.
      */
-    public Follower(Machine machine, Path file, long pollMs, long settleMs,
-                    Executor reader, Consumer<Inventory.Parsed> whenRead) {
+    public Follower(
+            Machine machine,
+            Path file,
+            long pollMs,
+            long settleMs,
+            Executor reader,
+            Consumer<Inventory.Parsed> whenRead) {
         this(machine, file, pollMs, settleMs, false, reader, whenRead);
     }
 
     /** {@code events}: look at once when the file system tells of a change, too. */
-    public Follower(Machine machine, Path file, long pollMs, long settleMs, boolean events,
-                    Executor reader, Consumer<Inventory.Parsed> whenRead) {
+    public Follower(
+            Machine machine,
+            Path file,
+            long pollMs,
+            long settleMs,
+            boolean events,
+            Executor reader,
+            Consumer<Inventory.Parsed> whenRead) {
         this.events = events;
         this.machine = machine;
         this.file = file;
@@ -117,8 +128,7 @@
 
     private Look look() throws IOException {
         BasicFileAttributes a = Files.readAttributes(file, BasicFileAttributes.class);
-        return new Look(a.fileKey(), a.size(), a.lastModifiedTime().to(TimeUnit.NANOSECONDS),
-            file.toRealPath());
+        return new Look(a.fileKey(), a.size(), a.lastModifiedTime().to(TimeUnit.NANOSECONDS), file.toRealPath());
     }
 
     private void poll() {
@@ -141,8 +151,7 @@
             if (!seen.equals(last)) {
                 last = seen;
                 changedAt = now;
-            } else if (!reading && !seen.equals(taken)
-                && now - changedAt >= TimeUnit.MILLISECONDS.toNanos(settleMs)) {
+            } else if (!reading && !seen.equals(taken) && now - changedAt >= TimeUnit.MILLISECONDS.toNanos(settleMs)) {
                 read(seen);
             }
         } catch (NoSuchFileException e) {
@@ -167,8 +176,7 @@
                     whenRead.accept(parsed);
                 }
             } catch (Faults e) {
-                fault = e.lines().size() + " faults, the hosts stay as they were: "
-                    + String.join("; ", e.lines());
+                fault = e.lines().size() + " faults, the hosts stay as they were: " + String.join("; ", e.lines());
                 same = true;
             } catch (IOException | RuntimeException e) {
                 fault = "inventory " + file + " can't be read (" + e + "); the hosts stay as they were";
--- a/src/main/java/brambletray/inventory/Inventory.java
+++ b/src/main/java/brambletray/inventory/Inventory.java
@@ -17,16 +17,16 @@
 public final class Inventory {
     /** A file above this is refused unread. */
     public static final int BYTES_MOST = 32 << 20;
-    private static final Pattern TRAILER = Pattern.compile("(?m)^#\\s*end of inventory:\\s*(\\d+)"
-        + " hosts\\s*\\z");
+
+    private static final Pattern TRAILER = Pattern.compile("(?m)^#\\s*end of inventory:\\s*(\\d+)" + " hosts\\s*\\z");
 
     /**
      * A file that was read; {@code sealed}: its last line tells the number of its hosts, so that it is
      * whole.
      */
-    public record Parsed(Revision revision, boolean sealed) { }
+    public record Parsed(Revision revision, boolean sealed) {}
 
-    private Inventory() { }
+    private Inventory() {}
 
     /** Reads a file as it stands now. */
     public static Parsed read(Path path) throws Faults, IOException {
@@ -40,11 +40,14 @@
     public static Parsed parse(String name, byte[] bytes) throws Faults {
         String text;
         try {
-            text = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
-                .decode(ByteBuffer.wrap(bytes)).toString();
+            text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .onMalformedInput(CodingErrorAction.REPORT)
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
         } catch (CharacterCodingException e) {
-            throw new Faults(List.of(name + ":1:1: expected UTF-8; save it as UTF-8 (a spreadsheet's"
-                + " \"CSV UTF-8\")"));
+            throw new Faults(
+                    List.of(name + ":1:1: expected UTF-8; save it as UTF-8 (a spreadsheet's" + " \"CSV UTF-8\")"));
         }
         if (text.startsWith("\uFEFF")) {
             text = text.substring(1);
@@ -52,16 +55,17 @@
         if (text.indexOf('\0') >= 0) {
             throw new Faults(List.of(name + ":1:1: expected text; there are null characters in it"));
         }
-        Revision revision = name.toLowerCase(Locale.ROOT).endsWith(".csv") ? CsvFormat.parse(name, text)
-            : YamlFormat.parse(name, text);
+        Revision revision = name.toLowerCase(Locale.ROOT).endsWith(".csv")
+                ? CsvFormat.parse(name, text)
+                : YamlFormat.parse(name, text);
         Matcher trailer = TRAILER.matcher(text.stripTrailing());
         if (!trailer.find()) {
             return new Parsed(revision, false);
         }
         if (Long.parseLong(trailer.group(1)) != revision.hosts().size()) {
             throw new Faults(List.of(name + ":" + text.lines().count() + ":1: the last line tells "
-                + trailer.group(1) + " hosts, and " + revision.hosts().size()
-                + " stand in the file: expected them to be as many"));
+                    + trailer.group(1) + " hosts, and " + revision.hosts().size()
+                    + " stand in the file: expected them to be as many"));
         }
         return new Parsed(revision, true);
     }
@@ -80,15 +84,27 @@
             out.append("hosts:\n");
         }
         for (Entry e : revision.hosts().values()) {
-            List<String> values = List.of(e.name(), e.address(), "" + e.port(), e.protocol(),
-                "" + e.destination(), e.zone(), e.kind(), number(e.rate()),
-                e.state().name().toLowerCase(Locale.ROOT));
+            List<String> values = List.of(
+                    e.name(),
+                    e.address(),
+                    "" + e.port(),
+                    e.protocol(),
+                    "" + e.destination(),
+                    e.zone(),
+                    e.kind(),
+                    number(e.rate()),
+                    e.state().name().toLowerCase(Locale.ROOT));
             if (csv) {
-                out.append(String.join(",", values.stream().map(Inventory::quoted).toList())).append('\n');
+                out.append(String.join(
+                                ",", values.stream().map(Inventory::quoted).toList()))
+                        .append('\n');
             } else {
                 for (int i = 0; i < values.size(); i++) {
-                    out.append(i == 0 ? "  - " : "    ").append(Rows.FIELDS.get(i)).append(": '")
-                        .append(values.get(i).replace("'", "''")).append("'\n");
+                    out.append(i == 0 ? "  - " : "    ")
+                            .append(Rows.FIELDS.get(i))
+                            .append(": '")
+                            .append(values.get(i).replace("'", "''"))
+                            .append("'\n");
                 }
             }
         }
@@ -96,7 +112,10 @@
         if (!sealed) {
             return out.toString();
         }
-        return out.append("# end of inventory: ").append(many).append(" hosts\n").toString();
+        return out.append("# end of inventory: ")
+                .append(many)
+                .append(" hosts\n")
+                .toString();
     }
 
     private static String number(double rate) {
--- a/src/main/java/brambletray/inventory/Reconciler.java
+++ b/src/main/java/brambletray/inventory/Reconciler.java
@@ -23,26 +23,33 @@
 public final class Reconciler {
     /** Edits that take so few hosts away are never held back. */
     private static final int FEW = 2;
+
     private static final int NAMES_MOST = 400_000;
 
     /** What became of a revision. */
-    public sealed interface Verdict permits Taken, HeldBack, Same { }
+    public sealed interface Verdict permits Taken, HeldBack, Same {}
 
     /**
      * It counts from now on; {@code hosts}: all of it, by key; {@code changed}: keys of those that are new or
      * not as they were; {@code gone}: keys that no longer stand for a host; {@code revision}: of its source.
      */
-    public record Taken(Change change, Map<String, Entry> hosts, List<String> changed, List<String> gone,
-                        Revision revision, boolean sealed) implements Verdict { }
+    public record Taken(
+            Change change,
+            Map<String, Entry> hosts,
+            List<String> changed,
+            List<String> gone,
+            Revision revision,
+            boolean sealed)
+            implements Verdict {}
 
     /**
      * The former one goes on: it takes more than {@code most} hosts away, or {@code unsealed}: its last line
      * does not seal it, as the former one's did.
      */
-    public record HeldBack(Change change, int most, boolean unsealed) implements Verdict { }
+    public record HeldBack(Change change, int most, boolean unsealed) implements Verdict {}
 
     /** Nothing changes. */
-    public record Same() implements Verdict { }
+    public record Same() implements Verdict {}
 
     /** One source of hosts: what it told last, and whether that told of itself that it is whole. */
     private static final class Source {
@@ -53,6 +60,7 @@
     private final double removeMost;
     /** The highest first. */
     private final Map<String, Source> sources = new LinkedHashMap<>();
+
     private Revision held = Revision.EMPTY;
     /** Where each name was last, also of hosts that are gone, and how often it has moved; the eldest go. */
     private final Map<String, Placed> placed = new LinkedHashMap<>(16, 0.75f, true) {
@@ -124,7 +132,8 @@
                 changed.add(key);
             }
         });
-        List<String> gone = before.keySet().stream().filter(key -> !hosts.containsKey(key)).toList();
+        List<String> gone =
+                before.keySet().stream().filter(key -> !hosts.containsKey(key)).toList();
         return new Taken(effect, hosts, changed, gone, next, sealed);
     }
 
--- a/src/main/java/brambletray/inventory/Rows.java
+++ b/src/main/java/brambletray/inventory/Rows.java
@@ -14,18 +14,17 @@
  * them are told together.
  */
 final class Rows {
-    static final List<String> FIELDS = List.of("name", "address", "port", "protocol", "destination", "zone",
-        "kind", "rate", "state");
-    private static final Set<String> PROTOCOLS = Set.of("http", "mqtt", "mqtt-qos2", "mqtt-3.1.1",
-        "mqtt-3.1.1-qos2");
+    static final List<String> FIELDS =
+            List.of("name", "address", "port", "protocol", "destination", "zone", "kind", "rate", "state");
+    private static final Set<String> PROTOCOLS = Set.of("http", "mqtt", "mqtt-qos2", "mqtt-3.1.1", "mqtt-3.1.1-qos2");
     private static final int FAULTS_MOST = 100, HOSTS_MOST = 200_000;
     /** Calls a second of a host that tells none: the relay learns what it takes from there. */
     private static final double RATE = 10;
 
     /** A value as it stands in a file; line and column from 1. */
-    record Cell(String text, int line, int column) { }
+    record Cell(String text, int line, int column) {}
 
-    private record Fault(int line, int column, String text) { }
+    private record Fault(int line, int column, String text) {}
 
     private final String file;
     private final List<Fault> faults = new ArrayList<>();
@@ -61,12 +60,19 @@
         String told = text(cells, "destination", line, null);
         long destination = told == null ? -1 : Destinations.number(told);
         if (told != null && destination < 0) {
-            wrong(cells, "destination", line, "a number up to " + Destinations.NUMBER_MOST
-                + ", or a name that begins with a letter");
-        } else if (told != null && !told.equals(destinations.computeIfAbsent(destination, d -> told))
-            && !told.matches("[0-9]+")) {
-            wrong(cells, "destination", line, "another name: it cannot be told from '"
-                + destinations.get(destination) + "'");
+            wrong(
+                    cells,
+                    "destination",
+                    line,
+                    "a number up to " + Destinations.NUMBER_MOST + ", or a name that begins with a letter");
+        } else if (told != null
+                && !told.equals(destinations.computeIfAbsent(destination, d -> told))
+                && !told.matches("[0-9]+")) {
+            wrong(
+                    cells,
+                    "destination",
+                    line,
+                    "another name: it cannot be told from '" + destinations.get(destination) + "'");
         }
         String zone = text(cells, "zone", line, "");
         String kind = text(cells, "kind", line, "");
@@ -78,8 +84,16 @@
         if (faults.size() > before) {
             return;
         }
-        Entry entry = new Entry(name, address, port, protocol, destination, zone, kind, rate,
-            state.equals("ready") ? Entry.State.READY : Entry.State.DRAINING);
+        Entry entry = new Entry(
+                name,
+                address,
+                port,
+                protocol,
+                destination,
+                zone,
+                kind,
+                rate,
+                state.equals("ready") ? Entry.State.READY : Entry.State.DRAINING);
         Integer first = lines.putIfAbsent(name, line);
         String other = places.putIfAbsent(entry.address() + " " + port, name);
         if (first != null) {
@@ -94,23 +108,25 @@
 
     private static boolean isAddress(String text) {
         return text.matches("(?:(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)\\.){3}(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)")
-            || io.netty.util.NetUtil.isValidIpV6Address(text);
+                || io.netty.util.NetUtil.isValidIpV6Address(text);
     }
 
     private String text(Map<String, Cell> cells, String field, int line, String absent) {
         Cell cell = cells.get(field);
         if (cell == null || cell.text().isEmpty()) {
             if (absent == null) {
-                fault(cell == null ? line : cell.line(), cell == null ? 1 : cell.column(),
-                    field + ": expected a value");
+                fault(
+                        cell == null ? line : cell.line(),
+                        cell == null ? 1 : cell.column(),
+                        field + ": expected a value");
             }
             return absent;
         }
         return cell.text();
     }
 
-    private double number(Map<String, Cell> cells, String field, int line, double absent, double least,
-                          double most, boolean whole) {
+    private double number(
+            Map<String, Cell> cells, String field, int line, double absent, double least, double most, boolean whole) {
         String text = text(cells, field, line, whole ? null : "");
         if (text == null || text.isEmpty()) {
             return absent;
@@ -123,15 +139,22 @@
         } catch (NumberFormatException e) {
             // Told below, as any other value that makes no sense.
         }
-        wrong(cells, field, line, whole ? "a whole number from " + (long) least + " to " + (long) most
-            : "a number from " + least + " to " + (long) most);
+        wrong(
+                cells,
+                field,
+                line,
+                whole
+                        ? "a whole number from " + (long) least + " to " + (long) most
+                        : "a number from " + least + " to " + (long) most);
         return absent;
     }
 
     private void wrong(Map<String, Cell> cells, String field, int line, String expected) {
         Cell cell = cells.get(field);
-        fault(cell == null ? line : cell.line(), cell == null ? 1 : cell.column(), field + ": expected "
-            + expected + ", not '" + (cell == null ? "" : cell.text()) + "'");
+        fault(
+                cell == null ? line : cell.line(),
+                cell == null ? 1 : cell.column(),
+                field + ": expected " + expected + ", not '" + (cell == null ? "" : cell.text()) + "'");
     }
 
     /** All hosts, if there is no fault in the whole file. */
@@ -141,8 +164,10 @@
         }
         if (!faults.isEmpty()) {
             faults.sort(Comparator.comparingInt(Fault::line).thenComparingInt(Fault::column));
-            throw new Faults(faults.stream().limit(FAULTS_MOST)
-                .map(f -> file + ":" + f.line() + ":" + f.column() + ": " + f.text()).toList());
+            throw new Faults(faults.stream()
+                    .limit(FAULTS_MOST)
+                    .map(f -> file + ":" + f.line() + ":" + f.column() + ": " + f.text())
+                    .toList());
         }
         return new Revision(hosts);
     }
--- a/src/main/java/brambletray/inventory/YamlFormat.java
+++ b/src/main/java/brambletray/inventory/YamlFormat.java
@@ -18,9 +18,10 @@
 final class YamlFormat {
     /** From our fields to Ansible's variables; more than one is looked for in this order. */
     private static final Map<String, List<String>> VARIABLES = variables();
+
     private static final int DEPTH_MOST = 50;
 
-    private YamlFormat() { }
+    private YamlFormat() {}
 
     private static Map<String, List<String>> variables() {
         Map<String, List<String>> all = new HashMap<>();
@@ -58,7 +59,7 @@
     }
 
     /** Variables that one group, or a host itself, gives a host. */
-    private record Layer(int depth, String group, Map<String, Rows.Cell> vars) { }
+    private record Layer(int depth, String group, Map<String, Rows.Cell> vars) {}
 
     private static final class Ansible {
         private final Rows rows;
@@ -82,8 +83,10 @@
                 Map<String, Rows.Cell> vars = new HashMap<>();
                 all.forEach(layer -> vars.putAll(layer.vars()));
                 Map<String, Rows.Cell> cells = new HashMap<>();
-                VARIABLES.forEach((field, names) -> names.stream().filter(vars::containsKey).findFirst()
-                    .ifPresent(name -> cells.put(field, vars.get(name))));
+                VARIABLES.forEach((field, names) -> names.stream()
+                        .filter(vars::containsKey)
+                        .findFirst()
+                        .ifPresent(name -> cells.put(field, vars.get(name))));
                 cells.putIfAbsent("name", new Rows.Cell(host, lines.get(host), 1));
                 rows.row(lines.get(host), cells);
             });
--- a/src/main/java/brambletray/journal/FolderTime.java
+++ b/src/main/java/brambletray/journal/FolderTime.java
@@ -21,10 +21,11 @@
 public final class FolderTime {
     /** Name space of the store that is theirs. */
     public static final byte SPACE = 11;
+
     private static final Logger LOG = LoggerFactory.getLogger(FolderTime.class);
     private static final int BYTES = 24;
 
-    private FolderTime() { }
+    private FolderTime() {}
 
     /** Before anything of the folder is believed. What it notes is staged, and goes with the first batch. */
     public static void goOn(Store store, Clock clock) {
@@ -34,9 +35,11 @@
                 Moment then = new Moment(in.readLong(), in.readLong(), in.readLong());
                 long step = clock.moment().steppedSince(then);
                 if (step != 0) {
-                    LOG.warn("the wall clock was set {} by {} ms since the folder was made: times of what"
-                        + " is owed go on as if it had not been", step > 0 ? "forward" : "back",
-                        Math.abs(step));
+                    LOG.warn(
+                            "the wall clock was set {} by {} ms since the folder was made: times of what"
+                                    + " is owed go on as if it had not been",
+                            step > 0 ? "forward" : "back",
+                            Math.abs(step));
                     clock.shift(-step);
                 }
             } catch (IOException e) {
--- a/src/main/java/brambletray/journal/HostNotes.java
+++ b/src/main/java/brambletray/journal/HostNotes.java
@@ -26,6 +26,7 @@
 public final class HostNotes {
     /** Name space of the store that is theirs. */
     public static final byte SPACE = 10;
+
     private static final Logger LOG = LoggerFactory.getLogger(HostNotes.class);
     private static final byte FORM = 1;
 
@@ -44,10 +45,11 @@
                 if (in.readByte() != FORM) {
                     throw new IOException("a note of another form");
                 }
-                Recollection.Note note = new Recollection.Note(in.readUTF(),
-                    new Moment(in.readLong(), in.readLong(), in.readLong()), in.readLong(),
-                    new Known(in.readLong(), in.readBoolean(), in.readLong(), in.readDouble(),
-                        in.readDouble()));
+                Recollection.Note note = new Recollection.Note(
+                        in.readUTF(),
+                        new Moment(in.readLong(), in.readLong(), in.readLong()),
+                        in.readLong(),
+                        new Known(in.readLong(), in.readBoolean(), in.readLong(), in.readDouble(), in.readDouble()));
                 chains.put(note.host(), chain);
                 found.add(note);
             } catch (IOException | RuntimeException e) {
--- a/src/main/java/brambletray/journal/Journal.java
+++ b/src/main/java/brambletray/journal/Journal.java
@@ -38,6 +38,7 @@
     public static final byte SPACE = 1;
     /** Zone of an attempt of which nothing is known. */
     public static final int NO_ZONE = -1;
+
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final byte TAKEN = 0, SENT = 1, NOT_RUN = 2, ENDED = 3;
     private static final int SENT_BYTES = 13, NOT_RUN_BYTES = 3, ENDED_BYTES = 10;
@@ -59,7 +60,7 @@
     }
 
     /** The end that was decided for a message; its notice is owed until it is acknowledged. */
-    public record End(boolean handedBack, long retryAfter) { }
+    public record End(boolean handedBack, long retryAfter) {}
 
     /** A message that something is owed for. */
     public static final class Entry {
@@ -69,6 +70,7 @@
         public End end;
         /** Unix time, ms, at which it was taken on. */
         private long taken;
+
         private Chain chain;
         /** Its last commit failed: it was never taken on; or nobody knows. */
         private boolean refused, uncertain;
@@ -95,10 +97,11 @@
     /**
      * A note that is staged; {@code send}: the number of the attempt that it tells of, -1 for other notes.
      */
-    private record Note(Entry entry, byte[] value, int send) { }
+    private record Note(Entry entry, byte[] value, int send) {}
 
     /** Staged: messages and notes of this batch, and chains that end with it. */
     private final List<Entry> taking = new ArrayList<>();
+
     private final List<Note> noting = new ArrayList<>();
     private final List<Chain> closing = new ArrayList<>();
     private long last;
@@ -115,8 +118,7 @@
     }
 
     /** Opens a folder's journal and reads what is owed. {@code limit}: bytes on disk. */
-    public static Journal open(Disk disk, long limit, Store.Promise promise, int mostAttempts)
-        throws IOException {
+    public static Journal open(Disk disk, long limit, Store.Promise promise, int mostAttempts) throws IOException {
         Journal journal = new Journal(open(disk, limit, promise), mostAttempts);
         journal.takeUp();
         return journal;
@@ -134,9 +136,12 @@
     private void takeUp() throws IOException {
         for (Damage damage : store.found().damages()) {
             switch (damage.kind()) {
-                case HOLE -> LOG.error("store damaged: {}; {} messages from before it count as perhaps sent,"
-                    + " and messages taken on there may be lost: see docs/store.md", damage,
-                    store.found().doubtful());
+                case HOLE ->
+                    LOG.error(
+                            "store damaged: {}; {} messages from before it count as perhaps sent,"
+                                    + " and messages taken on there may be lost: see docs/store.md",
+                            damage,
+                            store.found().doubtful());
                 case TORN_TAIL -> LOG.warn("store: {}; cut off, nobody had been told of it", damage);
                 default -> LOG.warn("store: {}", damage);
             }
@@ -161,8 +166,16 @@
             throw new IOException("it does not begin with a message");
         }
         long taken = in.readLong();
-        Message message = new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
-            in.readLong(), in.readLong(), null, origin(in));
+        Message message = new Message(
+                in.readUTF(),
+                in.readUTF(),
+                in.readInt(),
+                optional(in),
+                optional(in),
+                in.readLong(),
+                in.readLong(),
+                null,
+                origin(in));
         Entry entry = new Entry(chain.key(), message);
         entry.chain = chain;
         entry.taken = taken;
@@ -299,11 +312,14 @@
     public void ended(Entry entry, End end) throws IOException {
         entry.end = end;
         makeRoomInBatch(ENDED_BYTES);
-        note(entry, value(ENDED_BYTES, out -> {
-            out.writeByte(ENDED);
-            out.writeBoolean(end.handedBack());
-            out.writeLong(end.retryAfter());
-        }), -1);
+        note(
+                entry,
+                value(ENDED_BYTES, out -> {
+                    out.writeByte(ENDED);
+                    out.writeBoolean(end.handedBack());
+                    out.writeLong(end.retryAfter());
+                }),
+                -1);
     }
 
     /** Nothing more is owed: delivered, withdrawn, or its notice acknowledged. */
@@ -399,8 +415,7 @@
 
     private long reserveFor(Entry entry) {
         int left = Math.max(0, mostAttempts - entry.attempts.size());
-        return left * (Store.cost(SENT_BYTES) + Store.cost(NOT_RUN_BYTES)) + Store.cost(ENDED_BYTES)
-            + Store.cost(0);
+        return left * (Store.cost(SENT_BYTES) + Store.cost(NOT_RUN_BYTES)) + Store.cost(ENDED_BYTES) + Store.cost(0);
     }
 
     /** The process has been killed: nothing that is staged is written any more. */
@@ -441,9 +456,7 @@
     }
 
     private static Origin origin(DataInputStream in) throws IOException {
-        return in.readBoolean() ? new Origin(in.readUTF(), in.readUTF(),
-            in.readNBytes(in.readUnsignedShort()))
-            : null;
+        return in.readBoolean() ? new Origin(in.readUTF(), in.readUTF(), in.readNBytes(in.readUnsignedShort())) : null;
     }
 
     private static void optional(DataOutputStream out, String text) throws IOException {
@@ -470,15 +483,15 @@
                 case TAKEN -> {
                     long taken = in.readLong();
                     yield "taken " + taken + " id " + in.readUTF() + " class " + in.readUTF() + " tenant "
-                        + in.readInt() + " route-key " + optional(in) + " key " + optional(in)
+                            + in.readInt() + " route-key " + optional(in) + " key " + optional(in)
                             + " destination "
-                        + in.readLong() + " deadline " + in.readLong() + origin(in, " for ") + " body "
+                            + in.readLong() + " deadline " + in.readLong() + origin(in, " for ") + " body "
                             + in.available() + " bytes";
                 }
                 case SENT -> "sent " + in.readLong() + " zone " + in.readInt();
                 case NOT_RUN -> "not run, attempt " + in.readShort();
-                case ENDED -> "ended, " + (in.readBoolean() ? "handed back, come back in us " : "given up ")
-                    + in.readLong();
+                case ENDED ->
+                    "ended, " + (in.readBoolean() ? "handed back, come back in us " : "given up ") + in.readLong();
                 default -> "unknown";
             };
         } catch (IOException e) {
@@ -488,7 +501,7 @@
 
     /** Moves a folder over from the one file of earlier relays. */
     private static final class Moving {
-        private Moving() { }
+        private Moving() {}
 
         /**
          * The old file counts until it is deleted: a store that is there with it is half made, by a move
@@ -519,7 +532,8 @@
         // When it was taken is not in the old file: its time cannot have begun before this.
         Entry entry = take(o.message(), 0);
         if (entry == null) {
-            throw new IOException("no room to move the old journal over: message " + o.message().id());
+            throw new IOException("no room to move the old journal over: message "
+                    + o.message().id());
         }
         for (int i = 0; i < o.attempts().size(); i++) {
             sent(entry, o.attempts().get(i).sent, o.attempts().get(i).zone);
--- a/src/main/java/brambletray/journal/OldJournal.java
+++ b/src/main/java/brambletray/journal/OldJournal.java
@@ -27,9 +27,9 @@
     private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
 
     /** A message that something is owed for, as it stood in the file. */
-    record Owed(Message message, List<Journal.Attempt> attempts, Journal.End[] end) { }
+    record Owed(Message message, List<Journal.Attempt> attempts, Journal.End[] end) {}
 
-    private OldJournal() { }
+    private OldJournal() {}
 
     /** What is owed, in the order in which it was taken on. */
     static Collection<Owed> read(byte[] all) {
@@ -46,8 +46,9 @@
             CRC32 crc = new CRC32();
             crc.update(content);
             if ((int) crc.getValue() != check) {
-                LOG.warn("old journal cut at a record that does not check, {} bytes dropped",
-                    in.remaining() + length + HEAD);
+                LOG.warn(
+                        "old journal cut at a record that does not check, {} bytes dropped",
+                        in.remaining() + length + HEAD);
                 break;
             }
             try {
@@ -78,9 +79,15 @@
     }
 
     private static Message message(DataInputStream in) throws IOException {
-        return new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
-            in.readLong(),
-            in.readLong(), Body.of(in.readNBytes(in.readInt())));
+        return new Message(
+                in.readUTF(),
+                in.readUTF(),
+                in.readInt(),
+                optional(in),
+                optional(in),
+                in.readLong(),
+                in.readLong(),
+                Body.of(in.readNBytes(in.readInt())));
     }
 
     private static String optional(DataInputStream in) throws IOException {
--- a/src/main/java/brambletray/kept/ClassRules.java
+++ b/src/main/java/brambletray/kept/ClassRules.java
@@ -8,5 +8,9 @@
  */
 public record ClassRules(Effect effect, long window, boolean byZone) {
     /** What a second run would do. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 }
--- a/src/main/java/brambletray/kept/Judge.java
+++ b/src/main/java/brambletray/kept/Judge.java
@@ -16,9 +16,9 @@
     public static final long MARGIN = 1_000;
 
     /** A person's word that no send up to {@code at} (Unix ms) took effect. */
-    public record NotDone(String by, String reason, long at) { }
+    public record NotDone(String by, String reason, long at) {}
 
-    private Judge() { }
+    private Judge() {}
 
     /**
      * {@code proof} null for none; {@code now}, {@code epoch}: of the wall clock; {@code toDestination}:
@@ -26,8 +26,8 @@
      */
     public static Judgement judge(KeptMessage m, long toDestination, NotDone proof, long now, int epoch) {
         List<Send> ran = m.perhapsRun();
-        boolean proven = proof != null && m.ended() <= proof.at()
-            && ran.stream().allMatch(s -> s.sent() <= proof.at());
+        boolean proven =
+                proof != null && m.ended() <= proof.at() && ran.stream().allMatch(s -> s.sent() <= proof.at());
         if (ran.isEmpty() && !m.doubtful()) {
             return new Judgement.May("none of its " + m.sends().size() + " sends ran", List.of());
         }
@@ -39,30 +39,26 @@
             return new Judgement.May("its class may be repeated", ran);
         }
         if (m.rules().effect() == Effect.UNSAFE) {
-            return new Judgement.NeedsProof("it may have run, and its class must never take effect twice"
-                + stale);
+            return new Judgement.NeedsProof("it may have run, and its class must never take effect twice" + stale);
         }
         if (m.key() == null) {
-            return new Judgement.NeedsProof("it may have run, and has no key for partners to know it by"
-                + stale);
+            return new Judgement.NeedsProof("it may have run, and has no key for partners to know it by" + stale);
         }
         if (toDestination != m.destination()) {
             return new Judgement.NeedsProof("it may have run at destination " + m.destination()
-                + ", whose keys destination " + toDestination + " does not know" + stale);
+                    + ", whose keys destination " + toDestination + " does not know" + stale);
         }
         if (m.doubtful()) {
-            return new Judgement.NeedsProof("records of it may be missing: when it was sent is not known"
-                + stale);
+            return new Judgement.NeedsProof("records of it may be missing: when it was sent is not known" + stale);
         }
         if (m.epoch() != epoch || now < m.ended()) {
-            return new Judgement.NeedsProof("the clock has been set back since: its key's age is not known"
-                + stale);
+            return new Judgement.NeedsProof("the clock has been set back since: its key's age is not known" + stale);
         }
         long first = ran.stream().mapToLong(Send::sent).min().orElse(now);
         long left = first + m.rules().window() - now;
         if (left < MARGIN) {
             return new Judgement.NeedsProof("it may have run " + (now - first)
-                + " ms ago, and its key is remembered for " + m.rules().window() + " ms" + stale);
+                    + " ms ago, and its key is remembered for " + m.rules().window() + " ms" + stale);
         }
         return new Judgement.May("its key is remembered for another " + left + " ms", ran);
     }
--- a/src/main/java/brambletray/kept/Judgement.java
+++ b/src/main/java/brambletray/kept/Judgement.java
@@ -7,11 +7,11 @@
     String why();
 
     /** It may; {@code history}: sends that bind the new one, for the module to judge each attempt by. */
-    record May(String why, List<Send> history) implements Judgement { }
+    record May(String why, List<Send> history) implements Judgement {}
 
     /** Not without a word that no earlier send took effect. */
-    record NeedsProof(String why) implements Judgement { }
+    record NeedsProof(String why) implements Judgement {}
 
     /** Not at all. */
-    record Never(String why) implements Judgement { }
+    record Never(String why) implements Judgement {}
 }
--- a/src/main/java/brambletray/kept/KeptMessage.java
+++ b/src/main/java/brambletray/kept/KeptMessage.java
@@ -14,10 +14,23 @@
  * @param redrives how often it was sent again
  * @param doubtful records of it may be missing: it may have run at any time
  */
-public record KeptMessage(long number, String id, String messageClass, ClassRules rules, int tenant,
-                          String routeKey, String key, long destination, long deadline, long ended,
-                          String reason, int epoch, List<Send> sends, int redrives, int bodyBytes,
-                          boolean doubtful) {
+public record KeptMessage(
+        long number,
+        String id,
+        String messageClass,
+        ClassRules rules,
+        int tenant,
+        String routeKey,
+        String key,
+        long destination,
+        long deadline,
+        long ended,
+        String reason,
+        int epoch,
+        List<Send> sends,
+        int redrives,
+        int bodyBytes,
+        boolean doubtful) {
     /** Sends of which it is not known that they never ran. */
     public List<Send> perhapsRun() {
         return sends.stream().filter(Send::mayHaveRun).toList();
@@ -25,7 +38,22 @@
 
     /** The same after one more life of it has ended. */
     public KeptMessage again(List<Send> all, long now, String why, int inEpoch) {
-        return new KeptMessage(number, id, messageClass, rules, tenant, routeKey, key, destination, deadline,
-            now, why, inEpoch, List.copyOf(all), redrives + 1, bodyBytes, doubtful);
+        return new KeptMessage(
+                number,
+                id,
+                messageClass,
+                rules,
+                tenant,
+                routeKey,
+                key,
+                destination,
+                deadline,
+                now,
+                why,
+                inEpoch,
+                List.copyOf(all),
+                redrives + 1,
+                bodyBytes,
+                doubtful);
     }
 }
--- a/src/main/java/brambletray/kept/Redrives.java
+++ b/src/main/java/brambletray/kept/Redrives.java
@@ -21,16 +21,16 @@
     private static final int PLACES_MOST = 100_000;
 
     /** What to do with one message. */
-    public sealed interface Decision { }
+    public sealed interface Decision {}
 
     /** Sends it again, as judged. */
-    public record Go(Rule rule, SendAgain how, long destination, Judgement.May may) implements Decision { }
+    public record Go(Rule rule, SendAgain how, long destination, Judgement.May may) implements Decision {}
 
     /** Settles it. */
-    public record End(Rule rule) implements Decision { }
+    public record End(Rule rule) implements Decision {}
 
     /** Nothing now, for this reason. */
-    public record Wait(String why) implements Decision { }
+    public record Wait(String why) implements Decision {}
 
     private static final class Place {
         int out;
@@ -111,8 +111,8 @@
             return fresh;
         });
         // A clock that was set back adds nothing.
-        pace.tokens = Math.min(Math.max(1, how.perSecond()), pace.tokens
-            + Math.max(0, now - pace.at) / 1_000.0 * how.perSecond());
+        pace.tokens = Math.min(
+                Math.max(1, how.perSecond()), pace.tokens + Math.max(0, now - pace.at) / 1_000.0 * how.perSecond());
         pace.at = now;
         return pace;
     }
--- a/src/main/java/brambletray/kept/Rule.java
+++ b/src/main/java/brambletray/kept/Rule.java
@@ -11,10 +11,16 @@
  * @param olderThan ms since its end
  * @param redrives at most so many times before this one
  */
-public record Rule(String name, Set<String> classes, Set<Long> destinations, Set<String> reasons,
-                   long olderThan, int redrives, Action action) {
+public record Rule(
+        String name,
+        Set<String> classes,
+        Set<Long> destinations,
+        Set<String> reasons,
+        long olderThan,
+        int redrives,
+        Action action) {
     /** What a rule does. */
-    public sealed interface Action { }
+    public sealed interface Action {}
 
     /**
      * Sends it again.
@@ -25,8 +31,7 @@
      * @param until hour before which; the same as {@code from} for always
      * @param destination another one, 0 for its own
      */
-    public record SendAgain(long limit, double perSecond, int from, int until, long destination)
-        implements Action {
+    public record SendAgain(long limit, double perSecond, int from, int until, long destination) implements Action {
         /** True at this Unix time, ms. */
         boolean open(long now) {
             int hour = (int) Math.floorMod(now / 3_600_000, 24L);
@@ -37,15 +42,15 @@
     }
 
     /** Nobody will send it again. */
-    public record GiveUp() implements Action { }
+    public record GiveUp() implements Action {}
 
     /** It waits for a person. */
-    public record Hold() implements Action { }
+    public record Hold() implements Action {}
 
     /** True for messages that it is about, whether it is time for them or not. */
     public boolean matches(KeptMessage m) {
         return (classes.isEmpty() || classes.contains(m.messageClass()))
-            && (destinations.isEmpty() || destinations.contains(m.destination()))
-            && (reasons.isEmpty() || reasons.stream().anyMatch(m.reason()::contains));
+                && (destinations.isEmpty() || destinations.contains(m.destination()))
+                && (reasons.isEmpty() || reasons.stream().anyMatch(m.reason()::contains));
     }
 }
--- a/src/main/java/brambletray/kept/Send.java
+++ b/src/main/java/brambletray/kept/Send.java
@@ -7,4 +7,4 @@
  * @param zone of its host; -1 for not known
  * @param mayHaveRun false where its outcome proved that it never ran
  */
-public record Send(long sent, int zone, boolean mayHaveRun) { }
+public record Send(long sent, int zone, boolean mayHaveRun) {}
--- a/src/main/java/brambletray/kept/Stage.java
+++ b/src/main/java/brambletray/kept/Stage.java
@@ -15,10 +15,14 @@
 
     /** How it was settled. */
     enum How {
-        /** A partner has answered that it took effect. */ DELIVERED,
-        /** Nobody will send it again. */ GIVEN_UP,
-        /** A person has said that it is done already. */ ACKNOWLEDGED,
-        /** Its time to be kept was over, or there was no room. */ DROPPED
+        /** A partner has answered that it took effect. */
+        DELIVERED,
+        /** Nobody will send it again. */
+        GIVEN_UP,
+        /** A person has said that it is done already. */
+        ACKNOWLEDGED,
+        /** Its time to be kept was over, or there was no room. */
+        DROPPED
     }
 
     /** Nobody is at it. */
@@ -62,5 +66,5 @@
     }
 
     /** For good. */
-    record Settled(How how, By by, long at) implements Stage { }
+    record Settled(How how, By by, long at) implements Stage {}
 }
--- a/src/main/java/brambletray/membership/AgentLine.java
+++ b/src/main/java/brambletray/membership/AgentLine.java
@@ -47,8 +47,7 @@
         this.bootstrap = machine.dialling(CONNECT, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel fresh) {
-                fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_MOST),
-                    new Reader());
+                fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_MOST), new Reader());
             }
         });
     }
@@ -65,15 +64,14 @@
     }
 
     /** Sends a request; its answer, or null for none in time, comes exactly once. */
-    void ask(HttpMethod method, String uri, String body, long patience,
-        Consumer<FullHttpResponse> whenAnswered) {
+    void ask(HttpMethod method, String uri, String body, long patience, Consumer<FullHttpResponse> whenAnswered) {
         waiting = whenAnswered;
         timer = machine.loop().schedule(() -> answered(channel, null), patience, TimeUnit.MILLISECONDS);
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
-            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        request.headers().set(HttpHeaderNames.HOST,
-            agent.getAddress().getHostAddress() + ":" + agent.getPort())
-            .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, method, uri, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        request.headers()
+                .set(HttpHeaderNames.HOST, agent.getAddress().getHostAddress() + ":" + agent.getPort())
+                .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         if (channel != null && channel.isActive()) {
             write(channel, request);
         } else {
--- a/src/main/java/brambletray/membership/Discovery.java
+++ b/src/main/java/brambletray/membership/Discovery.java
@@ -27,6 +27,7 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** ms; a notice not acknowledged within this is posted again; gap between tries. */
     private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
+
     private static final int NOTICES_MOST = 100;
 
     private final Machine machine;
@@ -37,10 +38,15 @@
     private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
     /** The next post, where it waits for a gap to pass. */
     private Future<?> postDue;
+
     private boolean posting, unheard, watching;
 
-    public Discovery(Machine machine, InetSocketAddress agent, HostList hosts,
-                     Consumer<Relay.Listed> whenListed, Consumer<Journal.Entry> whenNoticed) {
+    public Discovery(
+            Machine machine,
+            InetSocketAddress agent,
+            HostList hosts,
+            Consumer<Relay.Listed> whenListed,
+            Consumer<Journal.Entry> whenNoticed) {
         this.machine = machine;
         this.loop = machine.loop();
         this.whenNoticed = whenNoticed;
@@ -120,7 +126,8 @@
             posting = false;
             return;
         }
-        List<Journal.Entry> batch = notices.values().stream().limit(NOTICES_MOST).toList();
+        List<Journal.Entry> batch =
+                notices.values().stream().limit(NOTICES_MOST).toList();
         reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, answer -> {
             if (answer != null && answer.status().code() == 204) {
                 unheard = false;
@@ -131,8 +138,10 @@
                 post();
             } else {
                 if (!unheard) {
-                    LOG.warn("{} notices not acknowledged ({}), posted until they are", batch.size(),
-                        answer == null ? "no answer" : answer.status());
+                    LOG.warn(
+                            "{} notices not acknowledged ({}), posted until they are",
+                            batch.size(),
+                            answer == null ? "no answer" : answer.status());
                 }
                 unheard = true;
                 postDue = loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
--- a/src/main/java/brambletray/membership/HostList.java
+++ b/src/main/java/brambletray/membership/HostList.java
@@ -5,7 +5,6 @@
 import brambletray.core.Hosts;
 import brambletray.wire.Addresses;
 import brambletray.wire.Wire;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -33,6 +32,7 @@
     private final Set<Long> destinations = new HashSet<>();
     /** Names of hosts that are forgotten, the oldest first; {@link #FORMER_MOST} at most. */
     private final Set<String> former = new LinkedHashSet<>();
+
     private long version = -1;
 
     public HostList(List<String> zones, List<String> kinds) {
@@ -169,16 +169,29 @@
             host.weight = entry.number("share", 1);
             destinations.add(host.destination);
         }
-        return new Relay.Endpoint(host.number, Math.max(0, zone), Math.max(0, kind), entry.whole("block", 0),
-            listing,
-            entry.number("share", 1));
+        return new Relay.Endpoint(
+                host.number,
+                Math.max(0, zone),
+                Math.max(0, kind),
+                entry.whole("block", 0),
+                listing,
+                entry.number("share", 1));
     }
 
     /** The list as it is held, for a module that has not been told of it. */
     public Relay.Listed whole() {
-        return new Relay.Listed(Relay.ListKind.WHOLE, byNumber.values().stream().filter(h -> !h.gone)
-            .map(h -> new Relay.Endpoint(h.number, h.zone, h.kind, h.destination,
-                h.ready ? Relay.Listing.READY : Relay.Listing.DRAINING, h.weight)).toList());
+        return new Relay.Listed(
+                Relay.ListKind.WHOLE,
+                byNumber.values().stream()
+                        .filter(h -> !h.gone)
+                        .map(h -> new Relay.Endpoint(
+                                h.number,
+                                h.zone,
+                                h.kind,
+                                h.destination,
+                                h.ready ? Relay.Listing.READY : Relay.Listing.DRAINING,
+                                h.weight))
+                        .toList());
     }
 
     /**
--- a/src/main/java/brambletray/membership/Watch.java
+++ b/src/main/java/brambletray/membership/Watch.java
@@ -32,6 +32,7 @@
     private Future<?> due;
     /** The next list must be a whole one: versions of one agent mean nothing to another. */
     private boolean wantsWhole;
+
     private boolean silent;
 
     public Watch(Machine machine, InetSocketAddress agent, Taker taker) {
--- a/src/main/java/brambletray/mqtt/clients/ConnectOptions.java
+++ b/src/main/java/brambletray/mqtt/clients/ConnectOptions.java
@@ -15,20 +15,21 @@
  * @param maximumPacket bytes
  * @param problems whether user properties may tell more of a refusal
  */
-record ConnectOptions(boolean five, boolean clean, long expirySeconds, int receiveMaximum, int maximumPacket,
-                      boolean problems) {
+record ConnectOptions(
+        boolean five, boolean clean, long expirySeconds, int receiveMaximum, int maximumPacket, boolean problems) {
     private static final long FOR_EVER = 0xffffffffL;
 
     static ConnectOptions of(MqttConnectMessage packet) {
         boolean five = packet.variableHeader().version() == MqttVersion.MQTT_5.protocolLevel();
         boolean clean = packet.variableHeader().isCleanSession();
         MqttProperties told = packet.variableHeader().properties();
-        return new ConnectOptions(five, clean,
-            five ? integer(told, MqttPropertyType.SESSION_EXPIRY_INTERVAL, 0) & FOR_EVER : clean ? 0
-                : FOR_EVER,
-            integer(told, MqttPropertyType.RECEIVE_MAXIMUM, 65_535),
-            integer(told, MqttPropertyType.MAXIMUM_PACKET_SIZE, Integer.MAX_VALUE),
-            integer(told, MqttPropertyType.REQUEST_PROBLEM_INFORMATION, 1) != 0);
+        return new ConnectOptions(
+                five,
+                clean,
+                five ? integer(told, MqttPropertyType.SESSION_EXPIRY_INTERVAL, 0) & FOR_EVER : clean ? 0 : FOR_EVER,
+                integer(told, MqttPropertyType.RECEIVE_MAXIMUM, 65_535),
+                integer(told, MqttPropertyType.MAXIMUM_PACKET_SIZE, Integer.MAX_VALUE),
+                integer(told, MqttPropertyType.REQUEST_PROBLEM_INFORMATION, 1) != 0);
     }
 
     /** Why a CONNECT of a version that is spoken is refused all the same; null for no reason. */
@@ -40,13 +41,16 @@
         if (five && told.getProperty(MqttPropertyType.AUTHENTICATION_METHOD.value()) != null) {
             return MqttConnectReturnCode.CONNECTION_REFUSED_BAD_AUTHENTICATION_METHOD;
         }
-        if (five && packet.variableHeader().isWillFlag() && packet.variableHeader().isWillRetain()) {
+        if (five
+                && packet.variableHeader().isWillFlag()
+                && packet.variableHeader().isWillRetain()) {
             return MqttConnectReturnCode.CONNECTION_REFUSED_RETAIN_NOT_SUPPORTED;
         }
         String client = packet.payload().clientIdentifier();
         if (client != null && !isText(client)) {
-            return five ? MqttConnectReturnCode.CONNECTION_REFUSED_MALFORMED_PACKET
-                : MqttConnectReturnCode.CONNECTION_REFUSED_IDENTIFIER_REJECTED;
+            return five
+                    ? MqttConnectReturnCode.CONNECTION_REFUSED_MALFORMED_PACKET
+                    : MqttConnectReturnCode.CONNECTION_REFUSED_IDENTIFIER_REJECTED;
         }
         return null;
     }
@@ -60,7 +64,6 @@
     }
 
     static int integer(MqttProperties properties, MqttPropertyType type, int absent) {
-        return properties.getProperty(type.value()) instanceof MqttProperties.IntegerProperty p ? p.value()
-            : absent;
+        return properties.getProperty(type.value()) instanceof MqttProperties.IntegerProperty p ? p.value() : absent;
     }
 }
--- a/src/main/java/brambletray/mqtt/clients/MqttClient.java
+++ b/src/main/java/brambletray/mqtt/clients/MqttClient.java
@@ -8,7 +8,6 @@
 import brambletray.message.Message;
 import brambletray.message.Origin;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -28,7 +27,6 @@
 import io.netty.handler.codec.mqtt.MqttProperties.MqttPropertyType;
 import io.netty.handler.codec.mqtt.MqttPubReplyMessageVariableHeader;
 import io.netty.handler.codec.mqtt.MqttPublishMessage;
-import io.netty.handler.codec.mqtt.MqttPublishVariableHeader;
 import io.netty.handler.codec.mqtt.MqttQoS;
 import io.netty.handler.codec.mqtt.MqttReasonCodeAndPropertiesVariableHeader;
 import io.netty.handler.codec.mqtt.MqttSubAckMessage;
@@ -42,7 +40,6 @@
 import io.netty.handler.codec.mqtt.MqttVersion;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -61,15 +58,31 @@
 final class MqttClient extends SimpleChannelInboundHandler<MqttMessage> {
     private static final Logger LOG = LoggerFactory.getLogger(MqttClient.class);
     /** Reason codes of MQTT 5.0, section 2.4. */
-    static final int SUCCESS = 0x00, DISCONNECT_WITH_WILL = 0x04, NO_SUBSCRIPTION = 0x11, UNSPECIFIED = 0x80,
-        MALFORMED = 0x81, PROTOCOL_ERROR = 0x82, IMPLEMENTATION = 0x83, UNSUPPORTED_VERSION = 0x84,
-        ID_NOT_VALID = 0x85, BAD_USER = 0x86, NOT_AUTHORISED = 0x87, SHUTTING_DOWN = 0x8B, TAKEN_OVER = 0x8E,
-        FILTER_INVALID = 0x8F, TOPIC_INVALID = 0x90, ID_IN_USE = 0x91, ID_NOT_FOUND = 0x92,
-        RECEIVE_MAXIMUM = 0x93, ALIAS_INVALID = 0x94, QUOTA = 0x97, RETAIN_UNSUPPORTED = 0x9A,
+    static final int SUCCESS = 0x00,
+            DISCONNECT_WITH_WILL = 0x04,
+            NO_SUBSCRIPTION = 0x11,
+            UNSPECIFIED = 0x80,
+            MALFORMED = 0x81,
+            PROTOCOL_ERROR = 0x82,
+            IMPLEMENTATION = 0x83,
+            UNSUPPORTED_VERSION = 0x84,
+            ID_NOT_VALID = 0x85,
+            BAD_USER = 0x86,
+            NOT_AUTHORISED = 0x87,
+            SHUTTING_DOWN = 0x8B,
+            TAKEN_OVER = 0x8E,
+            FILTER_INVALID = 0x8F,
+            TOPIC_INVALID = 0x90,
+            ID_IN_USE = 0x91,
+            ID_NOT_FOUND = 0x92,
+            RECEIVE_MAXIMUM = 0x93,
+            ALIAS_INVALID = 0x94,
+            QUOTA = 0x97,
+            RETAIN_UNSUPPORTED = 0x9A,
             SHARED_UNSUPPORTED = 0x9E,
-        IDENTIFIERS_UNSUPPORTED = 0xA1;
-    private static final int ALIASES = 16, ID_MOST = 128, KEY_MOST = 256, CLIENT_ID_MOST = 256, TOPIC_MOST =
-        1_024;
+            IDENTIFIERS_UNSUPPORTED = 0xA1;
+
+    private static final int ALIASES = 16, ID_MOST = 128, KEY_MOST = 256, CLIENT_ID_MOST = 256, TOPIC_MOST = 1_024;
     private static final long TIME_MOST_MS = 3_600_000, READ_LATE_MS = 150, CONNECT_WITHIN_MS = 2_300;
     /** A PUBACK with advice is no longer than this. */
     private static final int ADVICE_BYTES = 48;
@@ -92,11 +105,12 @@
     private final Map<Integer, String> aliases = new HashMap<>();
     /** Publishes of QoS 1 and 2 under way: taken in, not yet acknowledged; a client may have so many out. */
     private final Set<Integer> underWay = new HashSet<>();
+
     private Future<?> timer;
     private long heardAt;
 
     /** What the client wants published when its connection ends without a DISCONNECT. */
-    private record Will(String topic, byte[] payload, MqttProperties properties, MqttQoS qos) { }
+    private record Will(String topic, byte[] payload, MqttProperties properties, MqttQoS qos) {}
 
     MqttClient(MqttFront front, MqttSettings settings, Sessions sessions, Loop loop, Seldom complaints) {
         this.front = front;
@@ -152,14 +166,19 @@
             case CONNECT -> connect((MqttConnectMessage) packet);
             case PUBLISH -> publish((MqttPublishMessage) packet);
             case PUBACK -> outbound.acknowledged(packetId(packet));
-            case PUBREC -> reply(MqttMessageType.PUBREL, packetId(packet),
-                session.out.containsKey(packetId(packet)) ? SUCCESS : ID_NOT_FOUND, null);
+            case PUBREC ->
+                reply(
+                        MqttMessageType.PUBREL,
+                        packetId(packet),
+                        session.out.containsKey(packetId(packet)) ? SUCCESS : ID_NOT_FOUND,
+                        null);
             case PUBCOMP -> outbound.acknowledged(packetId(packet));
             case PUBREL -> release(packetId(packet));
             case SUBSCRIBE -> subscribe((MqttSubscribeMessage) packet);
             case UNSUBSCRIBE -> unsubscribe((MqttUnsubscribeMessage) packet);
-            case PINGREQ -> write(new MqttMessage(
-                new MqttFixedHeader(MqttMessageType.PINGRESP, false, MqttQoS.AT_MOST_ONCE, false, 0)));
+            case PINGREQ ->
+                write(new MqttMessage(
+                        new MqttFixedHeader(MqttMessageType.PINGRESP, false, MqttQoS.AT_MOST_ONCE, false, 0)));
             case DISCONNECT -> left(packet);
             default -> disconnect(PROTOCOL_ERROR, type + " from a client");
         }
@@ -172,7 +191,7 @@
             boolean version = cause instanceof MqttUnacceptableProtocolVersionException;
             if (version) {
                 connAck(MqttConnectReturnCode.CONNECTION_REFUSED_UNACCEPTABLE_PROTOCOL_VERSION, false, null)
-                    .addListener(ChannelFutureListener.CLOSE);
+                        .addListener(ChannelFutureListener.CLOSE);
             } else {
                 channel.close();
             }
@@ -180,8 +199,9 @@
             return;
         }
         boolean large = cause instanceof TooLongFrameException;
-        disconnect(large ? 0x95 : MALFORMED, large ? "a packet over " + settings.packetBytes() + " bytes"
-            : "a packet that can't be read");
+        disconnect(
+                large ? 0x95 : MALFORMED,
+                large ? "a packet over " + settings.packetBytes() + " bytes" : "a packet that can't be read");
     }
 
     private static int packetId(MqttMessage packet) {
@@ -218,16 +238,21 @@
             clientId = assigned;
         }
         if (clientId.length() > CLIENT_ID_MOST) {
-            refuse(five ? MqttConnectReturnCode.CONNECTION_REFUSED_CLIENT_IDENTIFIER_NOT_VALID
-                : MqttConnectReturnCode.CONNECTION_REFUSED_IDENTIFIER_REJECTED);
+            refuse(
+                    five
+                            ? MqttConnectReturnCode.CONNECTION_REFUSED_CLIENT_IDENTIFIER_NOT_VALID
+                            : MqttConnectReturnCode.CONNECTION_REFUSED_IDENTIFIER_REJECTED);
             return;
         }
         if (settings.users() != null) {
-            filter = settings.users().filter(packet.payload().userName(), packet.payload().passwordInBytes());
+            filter = settings.users()
+                    .filter(packet.payload().userName(), packet.payload().passwordInBytes());
             if (filter == null) {
                 complaints.warn("MQTT client " + clientId + " refused: name and password do not fit");
-                refuse(five ? MqttConnectReturnCode.CONNECTION_REFUSED_BAD_USERNAME_OR_PASSWORD
-                    : MqttConnectReturnCode.CONNECTION_REFUSED_BAD_USER_NAME_OR_PASSWORD);
+                refuse(
+                        five
+                                ? MqttConnectReturnCode.CONNECTION_REFUSED_BAD_USERNAME_OR_PASSWORD
+                                : MqttConnectReturnCode.CONNECTION_REFUSED_BAD_USER_NAME_OR_PASSWORD);
                 return;
             }
         }
@@ -243,8 +268,10 @@
         }
         session = known != null ? known : sessions.begin(clientId);
         if (session == null) {
-            refuse(five ? MqttConnectReturnCode.CONNECTION_REFUSED_QUOTA_EXCEEDED
-                : MqttConnectReturnCode.CONNECTION_REFUSED_SERVER_UNAVAILABLE);
+            refuse(
+                    five
+                            ? MqttConnectReturnCode.CONNECTION_REFUSED_QUOTA_EXCEEDED
+                            : MqttConnectReturnCode.CONNECTION_REFUSED_SERVER_UNAVAILABLE);
             return;
         }
         session.connected = this;
@@ -259,8 +286,11 @@
         outbound = new OutboundAnswers(session, sessions, options, this::write);
         keepAliveSeconds = packet.variableHeader().keepAliveTimeSeconds();
         if (packet.variableHeader().isWillFlag()) {
-            will = new Will(packet.payload().willTopic(), packet.payload().willMessageInBytes(),
-                packet.payload().willProperties(), MqttQoS.valueOf(packet.variableHeader().willQos()));
+            will = new Will(
+                    packet.payload().willTopic(),
+                    packet.payload().willMessageInBytes(),
+                    packet.payload().willProperties(),
+                    MqttQoS.valueOf(packet.variableHeader().willQos()));
         }
         connected = true;
         timer.cancel(false);
@@ -277,27 +307,26 @@
     private ChannelFuture connAck(MqttConnectReturnCode code, boolean present, String assigned) {
         MqttProperties properties = new MqttProperties();
         if (five && code == MqttConnectReturnCode.CONNECTION_ACCEPTED) {
-            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.RECEIVE_MAXIMUM.value(),
-                settings.receiveMaximum()));
-            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.MAXIMUM_PACKET_SIZE.value(),
-                settings.packetBytes()));
-            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.TOPIC_ALIAS_MAXIMUM.value(),
-                ALIASES));
-            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.RETAIN_AVAILABLE.value(), 0));
             properties.add(new MqttProperties.IntegerProperty(
-                MqttPropertyType.SHARED_SUBSCRIPTION_AVAILABLE.value(), 0));
+                    MqttPropertyType.RECEIVE_MAXIMUM.value(), settings.receiveMaximum()));
             properties.add(new MqttProperties.IntegerProperty(
-                MqttPropertyType.SUBSCRIPTION_IDENTIFIER_AVAILABLE.value(), 0));
+                    MqttPropertyType.MAXIMUM_PACKET_SIZE.value(), settings.packetBytes()));
+            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.TOPIC_ALIAS_MAXIMUM.value(), ALIASES));
+            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.RETAIN_AVAILABLE.value(), 0));
+            properties.add(
+                    new MqttProperties.IntegerProperty(MqttPropertyType.SHARED_SUBSCRIPTION_AVAILABLE.value(), 0));
+            properties.add(
+                    new MqttProperties.IntegerProperty(MqttPropertyType.SUBSCRIPTION_IDENTIFIER_AVAILABLE.value(), 0));
             properties.add(new MqttProperties.IntegerProperty(
-                MqttPropertyType.SESSION_EXPIRY_INTERVAL.value(), (int) (session.expiryMs / 1_000)));
+                    MqttPropertyType.SESSION_EXPIRY_INTERVAL.value(), (int) (session.expiryMs / 1_000)));
             if (assigned != null) {
                 properties.add(new MqttProperties.StringProperty(
-                    MqttPropertyType.ASSIGNED_CLIENT_IDENTIFIER.value(), assigned));
+                        MqttPropertyType.ASSIGNED_CLIENT_IDENTIFIER.value(), assigned));
             }
         }
         return channel.writeAndFlush(new MqttConnAckMessage(
-            new MqttFixedHeader(MqttMessageType.CONNACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
-            new MqttConnAckVariableHeader(code, present, properties)));
+                new MqttFixedHeader(MqttMessageType.CONNACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                new MqttConnAckVariableHeader(code, present, properties)));
     }
 
     // ---- Publishing -----------------------------------------------------------------------------
@@ -323,8 +352,7 @@
             disconnect(RETAIN_UNSUPPORTED, "a publish that is to be retained; CONNACK said that none is");
             return;
         }
-        if (qos != MqttQoS.AT_MOST_ONCE && underWay.size() >= settings.receiveMaximum()
-            && !underWay.contains(id)) {
+        if (qos != MqttQoS.AT_MOST_ONCE && underWay.size() >= settings.receiveMaximum() && !underWay.contains(id)) {
             disconnect(RECEIVE_MAXIMUM, "more than " + settings.receiveMaximum() + " publishes out");
             return;
         }
@@ -355,10 +383,11 @@
     /** The topic, also by its alias; null, and the connection ended, for one that makes no sense. */
     private String topic(MqttPublishMessage packet) {
         String topic = packet.variableHeader().topicName();
-        int alias = five ? ConnectOptions.integer(packet.variableHeader().properties(),
-            MqttPropertyType.TOPIC_ALIAS, 0) : 0;
-        boolean has = five && packet.variableHeader().properties()
-            .getProperty(MqttPropertyType.TOPIC_ALIAS.value()) != null;
+        int alias = five
+                ? ConnectOptions.integer(packet.variableHeader().properties(), MqttPropertyType.TOPIC_ALIAS, 0)
+                : 0;
+        boolean has =
+                five && packet.variableHeader().properties().getProperty(MqttPropertyType.TOPIC_ALIAS.value()) != null;
         if (has && (alias < 1 || alias > ALIASES)) {
             disconnect(ALIAS_INVALID, "topic alias " + alias + " is not within 1 to " + ALIASES);
             return null;
@@ -379,7 +408,8 @@
     }
 
     private Message message(String topic, byte[] body, MqttProperties properties, int packet) throws Bad {
-        Map<String, String> told = topic.length() > TOPIC_MOST ? null : settings.topics().match(topic);
+        Map<String, String> told =
+                topic.length() > TOPIC_MOST ? null : settings.topics().match(topic);
         if (told == null) {
             throw new Bad(TOPIC_INVALID, "topic " + topic + " is not of the scheme");
         }
@@ -406,11 +436,11 @@
         String answers = settings.answers().replace("{client}", clientId);
         if (five) {
             if (properties.getProperty(MqttPropertyType.CORRELATION_DATA.value())
-                instanceof MqttProperties.BinaryProperty p) {
+                    instanceof MqttProperties.BinaryProperty p) {
                 correlation = p.value();
             }
             if (properties.getProperty(MqttPropertyType.RESPONSE_TOPIC.value())
-                instanceof MqttProperties.StringProperty p) {
+                    instanceof MqttProperties.StringProperty p) {
                 answers = p.value();
             }
         }
@@ -425,8 +455,7 @@
             id = clientId + "-" + HexFormat.of().formatHex(correlation);
         }
         if (id == null || id.isEmpty() || id.length() > ID_MOST) {
-            throw new Bad(IMPLEMENTATION,
-                "no id, by topic, user property or correlation data, or a too long one");
+            throw new Bad(IMPLEMENTATION, "no id, by topic, user property or correlation data, or a too long one");
         }
         String key = told.get("key");
         if (key == null && kind.effect() == Relay.Effect.KEYED) {
@@ -436,8 +465,7 @@
             throw new Bad(IMPLEMENTATION, "key is empty or too long");
         }
         long time = told.containsKey("time") ? number(told.get("time"), "time") : settings.timeMs();
-        int expiry = five ? ConnectOptions.integer(properties,
-            MqttPropertyType.PUBLICATION_EXPIRY_INTERVAL, -1) : -1;
+        int expiry = five ? ConnectOptions.integer(properties, MqttPropertyType.PUBLICATION_EXPIRY_INTERVAL, -1) : -1;
         if (expiry >= 0) {
             time = Math.min(time, expiry * 1_000L);
         }
@@ -445,8 +473,16 @@
             throw new Bad(IMPLEMENTATION, "its time is not within 1 to " + TIME_MOST_MS + " ms");
         }
         long deadline = front.clock().unixMillis() + time - Math.min(READ_LATE_MS, time / 10);
-        return new Message(id, name, 0, told.get("route"), key, destination, deadline, Body.of(body),
-            new Origin(clientId, answers, correlation));
+        return new Message(
+                id,
+                name,
+                0,
+                told.get("route"),
+                key,
+                destination,
+                deadline,
+                Body.of(body),
+                new Origin(clientId, answers, correlation));
     }
 
     private static long number(String text, String name) throws Bad {
@@ -529,9 +565,11 @@
         if (qos == MqttQoS.AT_MOST_ONCE) {
             front.countRefusedUnacknowledged();
         } else if (five) {
-            reply(qos == MqttQoS.AT_LEAST_ONCE ? MqttMessageType.PUBACK : MqttMessageType.PUBREC, packet,
-                reason,
-                retryAfter > 0 ? String.valueOf((retryAfter + 999) / 1_000) : null);
+            reply(
+                    qos == MqttQoS.AT_LEAST_ONCE ? MqttMessageType.PUBACK : MqttMessageType.PUBREC,
+                    packet,
+                    reason,
+                    retryAfter > 0 ? String.valueOf((retryAfter + 999) / 1_000) : null);
         } else {
             disconnect(reason, "a publish is not taken on, and MQTT 3.1.1 has no way to say so");
         }
@@ -547,22 +585,24 @@
         if (ended) {
             return;
         }
-        MqttFixedHeader head = new MqttFixedHeader(type, false,
-            type == MqttMessageType.PUBREL ? MqttQoS.AT_LEAST_ONCE : MqttQoS.AT_MOST_ONCE, false, 0);
+        MqttFixedHeader head = new MqttFixedHeader(
+                type, false, type == MqttMessageType.PUBREL ? MqttQoS.AT_LEAST_ONCE : MqttQoS.AT_MOST_ONCE, false, 0);
         MqttProperties properties = new MqttProperties();
         if (retryAfterMs != null && options.problems() && options.maximumPacket() >= ADVICE_BYTES) {
             properties.add(new MqttProperties.UserProperty("retry-after-ms", retryAfterMs));
         }
-        write(new MqttMessage(head, five ? new MqttPubReplyMessageVariableHeader(packet, (byte) reason,
-            properties)
-            : MqttMessageIdVariableHeader.from(packet)));
+        write(new MqttMessage(
+                head,
+                five
+                        ? new MqttPubReplyMessageVariableHeader(packet, (byte) reason, properties)
+                        : MqttMessageIdVariableHeader.from(packet)));
     }
 
     /** Bounds what waits for a client that does not read. */
     private void write(MqttMessage packet) {
         channel.writeAndFlush(packet);
         if (channel.unsafe().outboundBuffer() != null
-            && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > OUT_MOST) {
+                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > OUT_MOST) {
             complaints.warn("MQTT client " + clientId + " closed: it does not read its answers");
             ended = true;
             channel.close();
@@ -582,8 +622,11 @@
             disconnect(PROTOCOL_ERROR, "a SUBSCRIBE with no filter");
             return;
         }
-        if (five && packet.idAndPropertiesVariableHeader().properties()
-            .getProperty(MqttPropertyType.SUBSCRIPTION_IDENTIFIER.value()) != null) {
+        if (five
+                && packet.idAndPropertiesVariableHeader()
+                                .properties()
+                                .getProperty(MqttPropertyType.SUBSCRIPTION_IDENTIFIER.value())
+                        != null) {
             disconnect(IDENTIFIERS_UNSUPPORTED, "a subscription identifier; CONNACK said that none is known");
             return;
         }
@@ -594,8 +637,7 @@
                 disconnect(SHARED_UNSUPPORTED, "a shared subscription; CONNACK said that none is known");
                 return;
             }
-            if (!TopicScheme.isFilter(wanted) || wanted.length() > TOPIC_MOST
-                || session.filters.size() >= 64) {
+            if (!TopicScheme.isFilter(wanted) || wanted.length() > TOPIC_MOST || session.filters.size() >= 64) {
                 granted.add(five ? FILTER_INVALID : UNSPECIFIED);
                 continue;
             }
@@ -605,9 +647,10 @@
             granted.add(qos);
         }
         write(new MqttSubAckMessage(
-            new MqttFixedHeader(MqttMessageType.SUBACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
-            new MqttMessageIdAndPropertiesVariableHeader(packet.variableHeader().messageId(),
-                MqttProperties.NO_PROPERTIES), new MqttSubAckPayload(granted)));
+                new MqttFixedHeader(MqttMessageType.SUBACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                new MqttMessageIdAndPropertiesVariableHeader(
+                        packet.variableHeader().messageId(), MqttProperties.NO_PROPERTIES),
+                new MqttSubAckPayload(granted)));
         answersWaiting();
     }
 
@@ -621,16 +664,16 @@
             reasons.add((short) (sessions.unsubscribed(session, wanted) ? SUCCESS : NO_SUBSCRIPTION));
         }
         write(new MqttUnsubAckMessage(
-            new MqttFixedHeader(MqttMessageType.UNSUBACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
-            new MqttMessageIdAndPropertiesVariableHeader(packet.variableHeader().messageId(),
-                MqttProperties.NO_PROPERTIES), new MqttUnsubAckPayload(reasons)));
+                new MqttFixedHeader(MqttMessageType.UNSUBACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                new MqttMessageIdAndPropertiesVariableHeader(
+                        packet.variableHeader().messageId(), MqttProperties.NO_PROPERTIES),
+                new MqttUnsubAckPayload(reasons)));
     }
 
     // ---- Ends -----------------------------------------------------------------------------------
     private void left(MqttMessage packet) {
         if (five && packet.variableHeader() instanceof MqttReasonCodeAndPropertiesVariableHeader head) {
-            int expiry = ConnectOptions.integer(head.properties(),
-                MqttPropertyType.SESSION_EXPIRY_INTERVAL, -1);
+            int expiry = ConnectOptions.integer(head.properties(), MqttPropertyType.SESSION_EXPIRY_INTERVAL, -1);
             if (expiry > 0 && session.expiryMs == 0) {
                 disconnect(PROTOCOL_ERROR, "a session that was to end with its connection is to last");
                 return;
@@ -655,9 +698,9 @@
         complaints.warn("MQTT client " + clientId + " disconnected: " + why);
         if (five && connected) {
             channel.writeAndFlush(new MqttMessage(
-                new MqttFixedHeader(MqttMessageType.DISCONNECT, false, MqttQoS.AT_MOST_ONCE, false, 0),
-                new MqttReasonCodeAndPropertiesVariableHeader((byte) reason, MqttProperties.NO_PROPERTIES)))
-                .addListener(ChannelFutureListener.CLOSE);
+                            new MqttFixedHeader(MqttMessageType.DISCONNECT, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                            new MqttReasonCodeAndPropertiesVariableHeader((byte) reason, MqttProperties.NO_PROPERTIES)))
+                    .addListener(ChannelFutureListener.CLOSE);
         } else {
             channel.close();
         }
@@ -682,14 +725,18 @@
             Will last = will;
             will = null;
             // It goes when its delay is over or the session ends, whichever comes first.
-            long delayMs = Math.min(session.expiryMs, last.properties() == null ? 0 : 1_000L
-                * (ConnectOptions.integer(last.properties(), MqttPropertyType.WILL_DELAY_INTERVAL, 0)
-                    & 0xffffffffL));
+            long delayMs = Math.min(
+                    session.expiryMs,
+                    last.properties() == null
+                            ? 0
+                            : 1_000L
+                                    * (ConnectOptions.integer(
+                                                    last.properties(), MqttPropertyType.WILL_DELAY_INTERVAL, 0)
+                                            & 0xffffffffL));
             if (delayMs > 0 && session.connected != null && session.connected != this) {
                 LOG.debug("MQTT client {} is back before its will", clientId);
             } else if (delayMs > 0) {
-                session.delayedWill = channel.eventLoop().schedule(() -> handIn(last), delayMs,
-                    TimeUnit.MILLISECONDS);
+                session.delayedWill = channel.eventLoop().schedule(() -> handIn(last), delayMs, TimeUnit.MILLISECONDS);
             } else {
                 handIn(last);
             }
@@ -703,8 +750,11 @@
      */
     private void handIn(Will last) {
         try {
-            Message message = message(last.topic(), last.payload() == null ? new byte[0] : last.payload(),
-                last.properties() == null ? MqttProperties.NO_PROPERTIES : last.properties(), 0);
+            Message message = message(
+                    last.topic(),
+                    last.payload() == null ? new byte[0] : last.payload(),
+                    last.properties() == null ? MqttProperties.NO_PROPERTIES : last.properties(),
+                    0);
             if (!sessions.wasTaken(message.id())) {
                 loop.accept(message, new ToPublisher(MqttQoS.AT_MOST_ONCE, 0, message.id()));
             }
--- a/src/main/java/brambletray/mqtt/clients/MqttFront.java
+++ b/src/main/java/brambletray/mqtt/clients/MqttFront.java
@@ -56,8 +56,11 @@
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new MqttDecoder(settings.packetBytes()), MqttEncoder.INSTANCE,
-            new MqttClient(this, settings, sessions, loop, complaints));
+        channel.pipeline()
+                .addLast(
+                        new MqttDecoder(settings.packetBytes()),
+                        MqttEncoder.INSTANCE,
+                        new MqttClient(this, settings, sessions, loop, complaints));
     }
 
     Clock clock() {
--- a/src/main/java/brambletray/mqtt/clients/MqttSettings.java
+++ b/src/main/java/brambletray/mqtt/clients/MqttSettings.java
@@ -20,11 +20,20 @@
  * @param timeMs how long a message may be delivered that tells no time
  * @param rememberMs how long ids of messages that were taken on are remembered, so that none is taken twice
  */
-public record MqttSettings(InetSocketAddress listen, TopicScheme topics, String answers,
-                           boolean takeUnacknowledged, Users users, int connections, int packetBytes,
-                           int receiveMaximum, long sessionExpiryMs, int sessions, int answersHeld,
-                               long timeMs,
-                           long rememberMs) {
+public record MqttSettings(
+        InetSocketAddress listen,
+        TopicScheme topics,
+        String answers,
+        boolean takeUnacknowledged,
+        Users users,
+        int connections,
+        int packetBytes,
+        int receiveMaximum,
+        long sessionExpiryMs,
+        int sessions,
+        int answersHeld,
+        long timeMs,
+        long rememberMs) {
     private static final int PACKET_MOST = 16 << 20;
 
     /** Reads and checks a file; a users file is sought beside it. */
@@ -55,13 +64,20 @@
             }
         }
         Section limits = root.section("limits", false);
-        MqttSettings settings = new MqttSettings(listen, topics, answers, take, users,
-            limits.whole("connections", 1_000, 1, 1_000_000), limits.whole("packet_bytes", 70_000, 128,
-                PACKET_MOST),
-            limits.whole("receive_maximum", 20, 1, 65_535),
-            limits.whole("session_expiry_s", 3_600, 0, 86_400 * 30) * 1_000L,
-            limits.whole("sessions", 10_000, 1, 1_000_000), limits.whole("answers", 1_000, 1, 100_000), time,
-            limits.whole("remember_s", 60, 1, 86_400) * 1_000L);
+        MqttSettings settings = new MqttSettings(
+                listen,
+                topics,
+                answers,
+                take,
+                users,
+                limits.whole("connections", 1_000, 1, 1_000_000),
+                limits.whole("packet_bytes", 70_000, 128, PACKET_MOST),
+                limits.whole("receive_maximum", 20, 1, 65_535),
+                limits.whole("session_expiry_s", 3_600, 0, 86_400 * 30) * 1_000L,
+                limits.whole("sessions", 10_000, 1, 1_000_000),
+                limits.whole("answers", 1_000, 1, 100_000),
+                time,
+                limits.whole("remember_s", 60, 1, 86_400) * 1_000L);
         limits.done();
         root.done();
         content.file().check();
--- a/src/main/java/brambletray/mqtt/clients/OutboundAnswers.java
+++ b/src/main/java/brambletray/mqtt/clients/OutboundAnswers.java
@@ -42,7 +42,7 @@
 
     /** Sends the answers that wait, on topics that the client is subscribed to. */
     void send() {
-        for (Iterator<Map.Entry<Integer, Long>> it = session.out.entrySet().iterator(); it.hasNext();) {
+        for (Iterator<Map.Entry<Integer, Long>> it = session.out.entrySet().iterator(); it.hasNext(); ) {
             Map.Entry<Integer, Long> entry = it.next();
             Session.Answer answer = session.answers.get(entry.getValue());
             if (answer == null) {
@@ -63,7 +63,9 @@
             if (qos < 0 || session.out.containsValue(answer.number())) {
                 continue;
             }
-            int size = answer.topic().length() + answer.correlation().length + answer.payload().length();
+            int size = answer.topic().length()
+                    + answer.correlation().length
+                    + answer.payload().length();
             if (3 * size + HEAD_MOST > options.maximumPacket() && !fits(answer)) {
                 // Section 3.1.2.11.4: what the client can't take counts as sent.
                 sessions.answered(session, answer.number());
@@ -80,27 +82,37 @@
     }
 
     private boolean fits(Session.Answer answer) {
-        return answer.topic().getBytes(StandardCharsets.UTF_8).length + answer.correlation().length
-            + answer.payload().getBytes(StandardCharsets.UTF_8).length + HEAD_MOST <= options.maximumPacket();
+        return answer.topic().getBytes(StandardCharsets.UTF_8).length
+                        + answer.correlation().length
+                        + answer.payload().getBytes(StandardCharsets.UTF_8).length
+                        + HEAD_MOST
+                <= options.maximumPacket();
     }
 
     /** The best QoS at which the client is subscribed to a topic; -1 for not at all (3.8.4). */
     private int granted(String topic) {
-        return session.filters.entrySet().stream().filter(f -> TopicScheme.covers(f.getKey(), topic))
-            .mapToInt(Map.Entry::getValue).max().orElse(-1);
+        return session.filters.entrySet().stream()
+                .filter(f -> TopicScheme.covers(f.getKey(), topic))
+                .mapToInt(Map.Entry::getValue)
+                .max()
+                .orElse(-1);
     }
 
     private void publish(Session.Answer answer, int packet, boolean again) {
         MqttProperties properties = new MqttProperties();
         if (options.five() && answer.correlation().length > 0) {
-            properties.add(new MqttProperties.BinaryProperty(MqttPropertyType.CORRELATION_DATA.value(),
-                answer.correlation()));
+            properties.add(
+                    new MqttProperties.BinaryProperty(MqttPropertyType.CORRELATION_DATA.value(), answer.correlation()));
         }
         write.accept(new MqttPublishMessage(
-            new MqttFixedHeader(MqttMessageType.PUBLISH, again,
-                packet == 0 ? MqttQoS.AT_MOST_ONCE : MqttQoS.AT_LEAST_ONCE, false, 0),
-            new MqttPublishVariableHeader(answer.topic(), packet, properties),
-            Unpooled.copiedBuffer(answer.payload(), StandardCharsets.UTF_8)));
+                new MqttFixedHeader(
+                        MqttMessageType.PUBLISH,
+                        again,
+                        packet == 0 ? MqttQoS.AT_MOST_ONCE : MqttQoS.AT_LEAST_ONCE,
+                        false,
+                        0),
+                new MqttPublishVariableHeader(answer.topic(), packet, properties),
+                Unpooled.copiedBuffer(answer.payload(), StandardCharsets.UTF_8)));
     }
 
     /** The client has an answer. */
--- a/src/main/java/brambletray/mqtt/clients/Sessions.java
+++ b/src/main/java/brambletray/mqtt/clients/Sessions.java
@@ -30,10 +30,17 @@
 final class Sessions implements Ends {
     private static final Logger LOG = LoggerFactory.getLogger(Sessions.class);
     static final byte SESSIONS = 2, TAKEN = 3;
-    private static final byte SNAPSHOT = 0, RECEIVED = 1, RELEASED = 2, ANSWER = 3, ANSWERED = 4, LEFT = 5,
-        SUBSCRIBED = 6, UNSUBSCRIBED = 7;
+    private static final byte SNAPSHOT = 0,
+            RECEIVED = 1,
+            RELEASED = 2,
+            ANSWER = 3,
+            ANSWERED = 4,
+            LEFT = 5,
+            SUBSCRIBED = 6,
+            UNSUBSCRIBED = 7;
     /** Notes behind a session's snapshot before it is written anew. */
     private static final int NOTES_MOST = 64;
+
     private static final int REMEMBERED_MOST = 100_000;
 
     private final Store store;
@@ -43,13 +50,14 @@
     private final Map<String, Session> sessions = new HashMap<>();
     /** Ids taken on lately, the eldest first. */
     private final LinkedHashMap<String, Taken> taken = new LinkedHashMap<>();
+
     private long nextKey = 1, nextTaken = 1;
     private long dropped;
 
     /** Sessions with notes in the batch that is not committed yet. */
     private final Set<Session> staged = new LinkedHashSet<>();
 
-    private record Taken(Chain chain, long until) { }
+    private record Taken(Chain chain, long until) {}
 
     Sessions(Store store, Loop loop, Clock clock, MqttSettings settings) {
         this.store = store;
@@ -95,10 +103,14 @@
             taken.remove(eldest.getKey());
         }
         long until = now + settings.rememberMs();
-        taken.put(id, new Taken(store.put(TAKEN, nextTaken++, bytes(out -> {
-            out.writeUTF(id);
-            out.writeLong(until);
-        })), until));
+        taken.put(
+                id,
+                new Taken(
+                        store.put(TAKEN, nextTaken++, bytes(out -> {
+                            out.writeUTF(id);
+                            out.writeLong(until);
+                        })),
+                        until));
         loop.staged();
     }
 
@@ -138,8 +150,10 @@
     void end(Session session) {
         sessions.remove(session.client, session);
         if (!session.answers.isEmpty()) {
-            LOG.warn("session of client {} ended with {} answers that it did not fetch", session.client,
-                session.answers.size());
+            LOG.warn(
+                    "session of client {} ended with {} answers that it did not fetch",
+                    session.client,
+                    session.answers.size());
         }
         store.delete(session.chain);
         loop.staged();
@@ -244,16 +258,18 @@
             }
             return;
         }
-        String outcome = end == End.DELIVERED ? "delivered" : end == End.HANDED_BACK ? "handed_back"
-            : "given_up";
+        String outcome = end == End.DELIVERED ? "delivered" : end == End.HANDED_BACK ? "handed_back" : "given_up";
         StringBuilder payload = new StringBuilder("{\"message\":\"");
         JsonStringEncoder.getInstance().quoteAsString(message.id(), payload);
         payload.append("\",\"outcome\":\"").append(outcome).append('"');
         if (end == End.HANDED_BACK && retryAfter > 0) {
             payload.append(",\"retry_in_ms\":").append((retryAfter + 999) / 1_000);
         }
-        Session.Answer answer = new Session.Answer(session.nextAnswer++, message.origin().topic(),
-            message.origin().correlation(), payload.append('}').toString());
+        Session.Answer answer = new Session.Answer(
+                session.nextAnswer++,
+                message.origin().topic(),
+                message.origin().correlation(),
+                payload.append('}').toString());
         session.answers.put(answer.number(), answer);
         note(session, out -> write(out, answer));
         if (session.connected != null) {
@@ -363,8 +379,8 @@
                     session.expiryMs = in.readLong();
                 }
                 case ANSWER -> {
-                    Session.Answer answer = new Session.Answer(in.readLong(), in.readUTF(),
-                        in.readNBytes(in.readUnsignedShort()), in.readUTF());
+                    Session.Answer answer = new Session.Answer(
+                            in.readLong(), in.readUTF(), in.readNBytes(in.readUnsignedShort()), in.readUTF());
                     session.answers.put(answer.number(), answer);
                     session.nextAnswer = Math.max(session.nextAnswer, answer.number() + 1);
                 }
--- a/src/main/java/brambletray/mqtt/clients/TopicScheme.java
+++ b/src/main/java/brambletray/mqtt/clients/TopicScheme.java
@@ -28,7 +28,7 @@
                 String name = level.endsWith("}") ? level.substring(1, level.length() - 1) : level;
                 if (!KNOWN.contains(name) || !told.add(name)) {
                     throw new IllegalArgumentException("expected levels like {class}, {destination}, {id},"
-                        + " {key}, {route} or {time}, each once, not " + level);
+                            + " {key}, {route} or {time}, each once, not " + level);
                 }
             } else if (level.isEmpty() || level.contains("+") || level.contains("#")) {
                 throw new IllegalArgumentException("expected fixed levels without wildcards");
@@ -85,7 +85,7 @@
         for (int i = 0; i < levels.size(); i++) {
             String level = levels.get(i);
             if (level.contains("#") && (!level.equals("#") || i < levels.size() - 1)
-                || level.contains("+") && !level.equals("+")) {
+                    || level.contains("+") && !level.equals("+")) {
                 return false;
             }
         }
--- a/src/main/java/brambletray/mqtt/clients/Users.java
+++ b/src/main/java/brambletray/mqtt/clients/Users.java
@@ -21,11 +21,11 @@
 public final class Users {
     private static final int HASH_BITS = 256, ITERATIONS_MOST = 1_000_000;
 
-    private record User(int iterations, byte[] salt, byte[] hash, String filter) { }
+    private record User(int iterations, byte[] salt, byte[] hash, String filter) {}
 
     private final Map<String, User> users = new HashMap<>();
 
-    private Users() { }
+    private Users() {}
 
     static Users read(Path file) throws IOException {
         Users all = new Users();
@@ -45,8 +45,7 @@
                 if (iterations < 1 || iterations > ITERATIONS_MOST || hash.length != HASH_BITS / 8) {
                     throw new IllegalArgumentException();
                 }
-                all.users.put(parts[0], new User(iterations, HexFormat.of().parseHex(parts[2]), hash,
-                    parts[4]));
+                all.users.put(parts[0], new User(iterations, HexFormat.of().parseHex(parts[2]), hash, parts[4]));
             } catch (IllegalArgumentException e) {
                 throw new IOException(file + ":" + (i + 1) + ": expected name:iterations:salt:hash:filter");
             }
@@ -57,16 +56,17 @@
     /** The line of a user. */
     public static String line(String name, String password, byte[] salt, int iterations, String filter) {
         return name + ":" + iterations + ":" + HexFormat.of().formatHex(salt) + ":"
-            + HexFormat.of().formatHex(hash(password.getBytes(StandardCharsets.UTF_8), salt, iterations))
+                + HexFormat.of().formatHex(hash(password.getBytes(StandardCharsets.UTF_8), salt, iterations))
                 + ":"
-            + filter;
+                + filter;
     }
 
     /** The filter of what the user may publish to; null if name and password do not fit. */
     String filter(String name, byte[] password) {
         User user = name == null ? null : users.get(name);
-        if (user == null || password == null
-            || !MessageDigest.isEqual(user.hash(), hash(password, user.salt(), user.iterations()))) {
+        if (user == null
+                || password == null
+                || !MessageDigest.isEqual(user.hash(), hash(password, user.salt(), user.iterations()))) {
             return null;
         }
         return user.filter();
@@ -76,7 +76,8 @@
         char[] chars = new String(password, StandardCharsets.UTF_8).toCharArray();
         try {
             return SecretKeyFactory.getInstance("PBKDF2WithHmacSHA256")
-                .generateSecret(new PBEKeySpec(chars, salt, iterations, HASH_BITS)).getEncoded();
+                    .generateSecret(new PBEKeySpec(chars, salt, iterations, HASH_BITS))
+                    .getEncoded();
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("every Java platform has PBKDF2 with HMAC-SHA-256", e);
         }
--- a/src/main/java/brambletray/mqtt/hosts/Dialect.java
+++ b/src/main/java/brambletray/mqtt/hosts/Dialect.java
@@ -18,7 +18,8 @@
             new Dialect("mqtt", MqttVersion.MQTT_5, 1),
             new Dialect("mqtt-qos2", MqttVersion.MQTT_5, 2),
             new Dialect("mqtt-3.1.1", MqttVersion.MQTT_3_1_1, 1),
-            new Dialect("mqtt-3.1.1-qos2", MqttVersion.MQTT_3_1_1, 2)}) {
+            new Dialect("mqtt-3.1.1-qos2", MqttVersion.MQTT_3_1_1, 2)
+        }) {
             all.put(d.protocol, d);
         }
         return Map.copyOf(all);
--- a/src/main/java/brambletray/mqtt/hosts/MqttCalls.java
+++ b/src/main/java/brambletray/mqtt/hosts/MqttCalls.java
@@ -29,8 +29,7 @@
     private final Map<Host, PartnerLine> lines = new LinkedHashMap<>();
 
     /** {@code name}: of this relay, its client id at the partners'; {@code connectTimeout}: us. */
-    public MqttCalls(Machine machine, Dialect dialect, String name, long connectTimeout,
-                     IntConsumer whenWritten) {
+    public MqttCalls(Machine machine, Dialect dialect, String name, long connectTimeout, IntConsumer whenWritten) {
         this.whenWritten = whenWritten;
         this.machine = machine;
         this.dialect = dialect;
@@ -39,8 +38,8 @@
     }
 
     private PartnerLine line(Host host) {
-        return lines.computeIfAbsent(host,
-            h -> new PartnerLine(machine, dialect, packets, connectTimeout, h, whenWritten));
+        return lines.computeIfAbsent(
+                host, h -> new PartnerLine(machine, dialect, packets, connectTimeout, h, whenWritten));
     }
 
     @Override
--- a/src/main/java/brambletray/mqtt/hosts/MqttOutcomes.java
+++ b/src/main/java/brambletray/mqtt/hosts/MqttOutcomes.java
@@ -7,11 +7,18 @@
  * 3.14).
  */
 final class MqttOutcomes {
-    static final int QUOTA_EXCEEDED = 0x97, SERVER_BUSY = 0x89, SERVER_UNAVAILABLE = 0x88,
-        RATE_EXCEEDED = 0x9F, RECEIVE_MAXIMUM_EXCEEDED = 0x93, SHUTTING_DOWN = 0x8B, USE_ANOTHER = 0x9C,
-        MOVED = 0x9D, ID_NOT_FOUND = 0x92, UNAVAILABLE_3 = 3;
+    static final int QUOTA_EXCEEDED = 0x97,
+            SERVER_BUSY = 0x89,
+            SERVER_UNAVAILABLE = 0x88,
+            RATE_EXCEEDED = 0x9F,
+            RECEIVE_MAXIMUM_EXCEEDED = 0x93,
+            SHUTTING_DOWN = 0x8B,
+            USE_ANOTHER = 0x9C,
+            MOVED = 0x9D,
+            ID_NOT_FOUND = 0x92,
+            UNAVAILABLE_3 = 3;
 
-    private MqttOutcomes() { }
+    private MqttOutcomes() {}
 
     /**
      * Of a PUBACK or PUBREC. Below 0x80 it was accepted. What says that it was turned away for want of room
@@ -30,7 +37,8 @@
     /** Of a DISCONNECT, for calls of which nothing was sent. */
     static Outcome disconnected(int reason) {
         return leaves(reason) || reason == QUOTA_EXCEEDED || reason == SERVER_BUSY || reason == RATE_EXCEEDED
-            ? Outcome.FULL : Outcome.CONNECT_RESET;
+                ? Outcome.FULL
+                : Outcome.CONNECT_RESET;
     }
 
     /** True where a DISCONNECT says that the server goes: nothing new for it for a while. */
@@ -41,8 +49,8 @@
     /** Of a CONNACK that refuses, 3.1.1's return codes among them (3.2.2.3): nothing was sent. */
     static Outcome refused(int reason) {
         return switch (reason) {
-            case QUOTA_EXCEEDED, SERVER_BUSY, SERVER_UNAVAILABLE, RATE_EXCEEDED, USE_ANOTHER, MOVED,
-                UNAVAILABLE_3 -> Outcome.FULL;
+            case QUOTA_EXCEEDED, SERVER_BUSY, SERVER_UNAVAILABLE, RATE_EXCEEDED, USE_ANOTHER, MOVED, UNAVAILABLE_3 ->
+                Outcome.FULL;
             default -> Outcome.CONNECT_FAILED;
         };
     }
--- a/src/main/java/brambletray/mqtt/hosts/OutCall.java
+++ b/src/main/java/brambletray/mqtt/hosts/OutCall.java
@@ -18,9 +18,11 @@
     Future<?> timer;
     /** The last byte has been handed to a socket: from then on it may run. */
     boolean written;
+
     boolean reused;
     /** Under which it is out; 0 for none. */
     int packet;
+
     private boolean ended;
 
     /** {@code patience}: us. */
@@ -70,8 +72,8 @@
             ended = true;
             timer.cancel(false);
             line.forget(this);
-            whenEnded.accept(new Reply(outcome, outcome == Outcome.OK, wait, (clock.nanos() - began) / 1_000,
-                -1, -1, reused));
+            whenEnded.accept(
+                    new Reply(outcome, outcome == Outcome.OK, wait, (clock.nanos() - began) / 1_000, -1, -1, reused));
         }
     }
 }
--- a/src/main/java/brambletray/mqtt/hosts/OutboundSession.java
+++ b/src/main/java/brambletray/mqtt/hosts/OutboundSession.java
@@ -19,16 +19,16 @@
     static final int IDS = 65_535;
 
     /** How far one packet id has come. */
-    private sealed interface Flight permits Published, Released { }
+    private sealed interface Flight permits Published, Released {}
 
     /** A PUBLISH without its acknowledgement; {@code call} null once nobody waits for it. */
-    private record Published<C>(C call, boolean onWire) implements Flight { }
+    private record Published<C>(C call, boolean onWire) implements Flight {}
 
     /** A PUBREC came: the partner has it, and its PUBCOMP is owed to us. */
-    private record Released(boolean onWire) implements Flight { }
+    private record Released(boolean onWire) implements Flight {}
 
     /** What a connection that takes the session up sends: a PUBREL, or the PUBLISH of a call again. */
-    record Resumed<C>(int packet, C call) { }
+    record Resumed<C>(int packet, C call) {}
 
     private final boolean kept;
     private final Map<Integer, Flight> flights = new LinkedHashMap<>();
@@ -36,6 +36,7 @@
     private int receiveMaximum = IDS;
     /** How many PUBLISHes may be under way while a session is taken up: a partner just back is spared. */
     private int window = IDS;
+
     private boolean discard = true;
 
     /** {@code kept}: the session outlives its connection (QoS 2). */
@@ -52,7 +53,9 @@
         if (window == IDS) {
             return 0;
         }
-        return (int) flights.values().stream().filter(f -> f instanceof Published<?> p && p.onWire).count();
+        return (int) flights.values().stream()
+                .filter(f -> f instanceof Published<?> p && p.onWire)
+                .count();
     }
 
     boolean isEmpty() {
@@ -61,8 +64,7 @@
 
     /** True while a call's fate hangs on the session being taken up. */
     boolean awaitsResumption() {
-        return flights.values().stream()
-            .anyMatch(f -> f instanceof Published<?> p && !p.onWire && p.call != null);
+        return flights.values().stream().anyMatch(f -> f instanceof Published<?> p && !p.onWire && p.call != null);
     }
 
     /** A packet id for a call whose PUBLISH goes out now. Only with room. */
@@ -129,15 +131,16 @@
 
     /** The connection has ended. The calls of which nothing more can be learnt. */
     List<C> broken() {
-        flights.replaceAll((packet, f) -> f instanceof Published<?> p
-            ? new Published<>(call(p), false) : new Released(false));
+        flights.replaceAll(
+                (packet, f) -> f instanceof Published<?> p ? new Published<>(call(p), false) : new Released(false));
         return kept ? List.of() : drop();
     }
 
     /** True when the next connection has to begin a session of its own. */
     boolean beginsAnew() {
-        return !kept || discard || flights.values().stream()
-            .anyMatch(f -> f instanceof Published<?> p && p.call == null && !p.onWire);
+        return !kept
+                || discard
+                || flights.values().stream().anyMatch(f -> f instanceof Published<?> p && p.call == null && !p.onWire);
     }
 
     /**
@@ -160,8 +163,7 @@
             if (e.getValue() instanceof Released r && !r.onWire) {
                 now.add(new Resumed<>(e.getKey(), null));
                 e.setValue(new Released(true));
-            } else if (e.getValue() instanceof Published<?> p && !p.onWire && p.call != null
-                && under < window) {
+            } else if (e.getValue() instanceof Published<?> p && !p.onWire && p.call != null && under < window) {
                 under++;
                 now.add(new Resumed<>(e.getKey(), call(p)));
                 e.setValue(new Published<>(p.call, true));
--- a/src/main/java/brambletray/mqtt/hosts/PartnerLine.java
+++ b/src/main/java/brambletray/mqtt/hosts/PartnerLine.java
@@ -37,8 +37,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(PartnerLine.class);
     private static final int PACKET_MOST = 64 * 1024, HEAD_MOST = 1_024;
     /** ns. */
-    private static final long RESUME_MOST = 2_000_000_000L, BACK_OFF = 50_000_000L,
-        BACK_OFF_MOST = 800_000_000L, PING_PATIENCE = 2_000_000_000L;
+    private static final long RESUME_MOST = 2_000_000_000L,
+            BACK_OFF = 50_000_000L,
+            BACK_OFF_MOST = 800_000_000L,
+            PING_PATIENCE = 2_000_000_000L;
     /** us: for a server that says that it goes, and not for how long. */
     private static final long LEAVING = 1_000_000;
 
@@ -52,6 +54,7 @@
     private final OutboundSession<OutCall> session;
     /** Calls of which no byte has gone out. */
     private final ArrayDeque<OutCall> waiting = new ArrayDeque<>();
+
     private Channel channel;
     private boolean ready, anew, closeWhenIdle, used;
     private int packetMost;
@@ -59,8 +62,13 @@
     private Future<?> watch, resume;
 
     /** {@code connectTimeout}: ms. */
-    PartnerLine(Machine machine, Dialect dialect, PartnerPackets packets, int connectTimeout, Host host,
-                IntConsumer whenWritten) {
+    PartnerLine(
+            Machine machine,
+            Dialect dialect,
+            PartnerPackets packets,
+            int connectTimeout,
+            Host host,
+            IntConsumer whenWritten) {
         this.whenWritten = whenWritten;
         this.machine = machine;
         this.clock = machine.clock();
@@ -151,21 +159,25 @@
             return;
         }
         if (body.length + HEAD_MOST > packetMost) {
-            LOG.warn("message {} not sent: host {} takes no packet above {} bytes", call.message.id(),
-                host.name, packetMost);
+            LOG.warn(
+                    "message {} not sent: host {} takes no packet above {} bytes",
+                    call.message.id(),
+                    host.name,
+                    packetMost);
             unsendable(call, Outcome.ERROR);
             return;
         }
         Channel on = channel;
-        write(packets.publish(call.message, body, call.packet, again, call.leftMs())).addListener(done -> {
-            // Kept when the last byte has been handed to the socket: from then on it may run.
-            call.written |= done.isSuccess();
-            if (done.isSuccess()) {
-                whenWritten.accept(1);
-            } else {
-                on.close();
-            }
-        });
+        write(packets.publish(call.message, body, call.packet, again, call.leftMs()))
+                .addListener(done -> {
+                    // Kept when the last byte has been handed to the socket: from then on it may run.
+                    call.written |= done.isSuccess();
+                    if (done.isSuccess()) {
+                        whenWritten.accept(1);
+                    } else {
+                        on.close();
+                    }
+                });
     }
 
     private void unsendable(OutCall call, Outcome outcome) {
@@ -187,11 +199,12 @@
         closeWhenIdle = false;
         anew = session.beginsAnew();
         ChannelFuture connect = machine.dialling(connectTimeout, new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel fresh) {
-                fresh.pipeline().addLast(new MqttDecoder(PACKET_MOST), MqttEncoder.INSTANCE, new Packets());
-            }
-        }).connect(host.dial);
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        fresh.pipeline().addLast(new MqttDecoder(PACKET_MOST), MqttEncoder.INSTANCE, new Packets());
+                    }
+                })
+                .connect(host.dial);
         channel = connect.channel();
         connect.addListener(done -> {
             if (connect.channel() != channel) {
@@ -218,17 +231,17 @@
             return;
         }
         boolean present = ack.variableHeader().isSessionPresent();
-        if (anew && present || PartnerPackets.number(properties, MqttPropertyType.MAXIMUM_QOS, 2)
-            < dialect.qos()) {
-            LOG.error("host {} can't be spoken to by {}: {}", host.name, dialect.protocol(),
-                present ? "it kept a session that it was told to forget" : "it takes no QoS of "
-                    + dialect.qos());
+        if (anew && present || PartnerPackets.number(properties, MqttPropertyType.MAXIMUM_QOS, 2) < dialect.qos()) {
+            LOG.error(
+                    "host {} can't be spoken to by {}: {}",
+                    host.name,
+                    dialect.protocol(),
+                    present ? "it kept a session that it was told to forget" : "it takes no QoS of " + dialect.qos());
             on.close();
             broken(on, Outcome.CONNECT_FAILED, 0);
             return;
         }
-        int receiveMaximum = PartnerPackets.number(properties, MqttPropertyType.RECEIVE_MAXIMUM,
-            OutboundSession.IDS);
+        int receiveMaximum = PartnerPackets.number(properties, MqttPropertyType.RECEIVE_MAXIMUM, OutboundSession.IDS);
         session.accepted(anew, present, receiveMaximum).forEach(OutCall::lost);
         if (anew && dialect.keepsSession() && !dialect.five()) {
             // 3.1.1 forgets a session only with one that does not last itself (3.1.2.4): a second connection.
@@ -239,8 +252,8 @@
         }
         packetMost = PartnerPackets.number(properties, MqttPropertyType.MAXIMUM_PACKET_SIZE, PACKET_MOST);
         packetMost = packetMost <= 0 ? PACKET_MOST : packetMost;
-        keepAlive = 1_000_000_000L * PartnerPackets.number(properties, MqttPropertyType.SERVER_KEEP_ALIVE,
-            PartnerPackets.KEEP_ALIVE_S);
+        keepAlive = 1_000_000_000L
+                * PartnerPackets.number(properties, MqttPropertyType.SERVER_KEEP_ALIVE, PartnerPackets.KEEP_ALIVE_S);
         ready = true;
         if (keepAlive > 0) {
             watchOver(on);
@@ -284,11 +297,15 @@
             return;
         }
         backOff = Math.min(BACK_OFF_MOST, backOff * 2);
-        resume = machine.loop().schedule(() -> {
-            if (channel == null && session.awaitsResumption()) {
-                connect();
-            }
-        }, in, TimeUnit.NANOSECONDS);
+        resume = machine.loop()
+                .schedule(
+                        () -> {
+                            if (channel == null && session.awaitsResumption()) {
+                                connect();
+                            }
+                        },
+                        in,
+                        TimeUnit.NANOSECONDS);
     }
 
     private void giveUpResuming() {
@@ -308,14 +325,18 @@
     }
 
     private void watchOver(Channel on) {
-        watch = machine.loop().schedule(() -> {
-            if (on == channel) {
-                if (clock.nanos() - lastWrite >= keepAlive / 2) {
-                    ping();
-                }
-                watchOver(on);
-            }
-        }, keepAlive / 3, TimeUnit.NANOSECONDS);
+        watch = machine.loop()
+                .schedule(
+                        () -> {
+                            if (on == channel) {
+                                if (clock.nanos() - lastWrite >= keepAlive / 2) {
+                                    ping();
+                                }
+                                watchOver(on);
+                            }
+                        },
+                        keepAlive / 3,
+                        TimeUnit.NANOSECONDS);
     }
 
     /** A host that does not answer a ping is gone without a word. */
@@ -325,12 +346,16 @@
         pinged = asked;
         write(PartnerPackets.ping());
         on.flush();
-        machine.loop().schedule(() -> {
-            if (on == channel && lastRead <= asked) {
-                LOG.warn("host {} does not answer a ping: connection closed", host.name);
-                on.close();
-            }
-        }, PING_PATIENCE, TimeUnit.NANOSECONDS);
+        machine.loop()
+                .schedule(
+                        () -> {
+                            if (on == channel && lastRead <= asked) {
+                                LOG.warn("host {} does not answer a ping: connection closed", host.name);
+                                on.close();
+                            }
+                        },
+                        PING_PATIENCE,
+                        TimeUnit.NANOSECONDS);
     }
 
     // ---- In -------------------------------------------------------------------------------------
@@ -342,8 +367,7 @@
         OutCall call = owned ? session.received(id) : session.acknowledged(id);
         resumeBy = 0;
         backOff = BACK_OFF;
-        long wait = outcome == Outcome.FULL
-            ? PartnerPackets.toldWait(PartnerPackets.properties(packet)) : 0;
+        long wait = outcome == Outcome.FULL ? PartnerPackets.toldWait(PartnerPackets.properties(packet)) : 0;
         if (wait > 0) {
             // Guards rule 6 where nobody waits for this call any more, and the module is not told.
             hold(wait);
@@ -409,7 +433,7 @@
                     closeIfIdle();
                 }
                 case DISCONNECT -> leaving(context.channel(), packet);
-                default -> { }
+                default -> {}
             }
         }
 
--- a/src/main/java/brambletray/mqtt/hosts/PartnerPackets.java
+++ b/src/main/java/brambletray/mqtt/hosts/PartnerPackets.java
@@ -25,6 +25,7 @@
     static final int SESSION_EXPIRY_S = 60;
     /** A told wait is believed up to this; ms. */
     private static final long WAIT_MOST = 3_600_000;
+
     private static final String TOPIC = "v1/messages/";
 
     private final Dialect dialect;
@@ -39,11 +40,14 @@
     /** {@code anew}: the partner is to forget any session of this client. */
     MqttMessage connect(boolean anew) {
         MqttMessageBuilders.ConnectBuilder connect = MqttMessageBuilders.connect()
-            .protocolVersion(dialect.version()).clientId(client).cleanSession(anew).keepAlive(KEEP_ALIVE_S);
+                .protocolVersion(dialect.version())
+                .clientId(client)
+                .cleanSession(anew)
+                .keepAlive(KEEP_ALIVE_S);
         if (dialect.five() && dialect.keepsSession()) {
             MqttProperties properties = new MqttProperties();
             properties.add(new MqttProperties.IntegerProperty(
-                MqttPropertyType.SESSION_EXPIRY_INTERVAL.value(), SESSION_EXPIRY_S));
+                    MqttPropertyType.SESSION_EXPIRY_INTERVAL.value(), SESSION_EXPIRY_S));
             connect.properties(properties);
         }
         return connect.build();
@@ -62,8 +66,7 @@
             if (key != null) {
                 properties.add(new MqttProperties.UserProperty("key", key));
             }
-            properties.add(new MqttProperties.UserProperty("timeout-ms",
-                String.valueOf(Math.max(1, leftMs))));
+            properties.add(new MqttProperties.UserProperty("timeout-ms", String.valueOf(Math.max(1, leftMs))));
         } else {
             topic.append('/').append(level(message.id()));
             if (key != null) {
@@ -71,9 +74,9 @@
             }
         }
         return new MqttPublishMessage(
-            new MqttFixedHeader(MqttMessageType.PUBLISH, again, MqttQoS.valueOf(dialect.qos()), false, 0),
-            new MqttPublishVariableHeader(topic.toString(), packet, properties),
-            Unpooled.wrappedBuffer(body));
+                new MqttFixedHeader(MqttMessageType.PUBLISH, again, MqttQoS.valueOf(dialect.qos()), false, 0),
+                new MqttPublishVariableHeader(topic.toString(), packet, properties),
+                Unpooled.wrappedBuffer(body));
     }
 
     private static String level(String text) {
@@ -81,27 +84,26 @@
     }
 
     MqttMessage release(int packet, boolean known) {
-        MqttFixedHeader head =
-            new MqttFixedHeader(MqttMessageType.PUBREL, false, MqttQoS.AT_LEAST_ONCE, false, 0);
-        return new MqttMessage(head, known || !dialect.five() ? MqttMessageIdVariableHeader.from(packet)
-            : new MqttPubReplyMessageVariableHeader(packet, (byte) MqttOutcomes.ID_NOT_FOUND,
-                MqttProperties.NO_PROPERTIES));
+        MqttFixedHeader head = new MqttFixedHeader(MqttMessageType.PUBREL, false, MqttQoS.AT_LEAST_ONCE, false, 0);
+        return new MqttMessage(
+                head,
+                known || !dialect.five()
+                        ? MqttMessageIdVariableHeader.from(packet)
+                        : new MqttPubReplyMessageVariableHeader(
+                                packet, (byte) MqttOutcomes.ID_NOT_FOUND, MqttProperties.NO_PROPERTIES));
     }
 
     static MqttMessage ping() {
-        return new MqttMessage(
-            new MqttFixedHeader(MqttMessageType.PINGREQ, false, MqttQoS.AT_MOST_ONCE, false, 0));
+        return new MqttMessage(new MqttFixedHeader(MqttMessageType.PINGREQ, false, MqttQoS.AT_MOST_ONCE, false, 0));
     }
 
     static MqttMessage disconnect() {
-        return new MqttMessage(
-            new MqttFixedHeader(MqttMessageType.DISCONNECT, false, MqttQoS.AT_MOST_ONCE, false, 0));
+        return new MqttMessage(new MqttFixedHeader(MqttMessageType.DISCONNECT, false, MqttQoS.AT_MOST_ONCE, false, 0));
     }
 
     /** The reason of a PUBACK, PUBREC or PUBCOMP; 0 where none is told. */
     static int reason(MqttMessage reply) {
-        return reply.variableHeader() instanceof MqttPubReplyMessageVariableHeader head
-            ? head.reasonCode() & 0xff : 0;
+        return reply.variableHeader() instanceof MqttPubReplyMessageVariableHeader head ? head.reasonCode() & 0xff : 0;
     }
 
     static int packet(MqttMessage reply) {
@@ -111,7 +113,8 @@
     /** The reason of a DISCONNECT; 0 where none is told. */
     static int disconnected(MqttMessage disconnect) {
         return disconnect.variableHeader() instanceof MqttReasonCodeAndPropertiesVariableHeader head
-            ? head.reasonCode() & 0xff : 0;
+                ? head.reasonCode() & 0xff
+                : 0;
     }
 
     static MqttProperties properties(MqttMessage packet) {
@@ -122,20 +125,19 @@
             return head.properties();
         }
         return packet.variableHeader() instanceof MqttReasonCodeAndPropertiesVariableHeader head
-            ? head.properties() : MqttProperties.NO_PROPERTIES;
+                ? head.properties()
+                : MqttProperties.NO_PROPERTIES;
     }
 
     /** A property that is a whole number; {@code none} where it is not told. */
     static int number(MqttProperties properties, MqttPropertyType type, int none) {
-        return properties.getProperty(type.value()) instanceof MqttProperties.IntegerProperty p
-            ? p.value() : none;
+        return properties.getProperty(type.value()) instanceof MqttProperties.IntegerProperty p ? p.value() : none;
     }
 
     /** A told wait in us, from the user property {@code retry-after-ms}; 0 for none. */
     static long toldWait(MqttProperties properties) {
         for (var property : properties.getProperties(MqttPropertyType.USER_PROPERTY.value())) {
-            if (property.value() instanceof MqttProperties.StringPair pair
-                && pair.key.equals("retry-after-ms")) {
+            if (property.value() instanceof MqttProperties.StringPair pair && pair.key.equals("retry-after-ms")) {
                 try {
                     long ms = Long.parseLong(pair.value);
                     return ms > 0 && ms <= WAIT_MOST ? ms * 1_000 : 0;
--- a/src/main/java/brambletray/operations/Drain.java
+++ b/src/main/java/brambletray/operations/Drain.java
@@ -12,22 +12,22 @@
     public static final long AWAY_AFTER = 3_000_000_000L;
 
     /** Where it stands. */
-    public sealed interface Phase permits Serving, Draining, Away, HandedOver, Leaving { }
+    public sealed interface Phase permits Serving, Draining, Away, HandedOver, Leaving {}
 
     /** Clients are welcome. */
-    public record Serving() implements Phase { }
+    public record Serving() implements Phase {}
 
     /** New clients are to go elsewhere; those that are connected are sent away with their next answer. */
-    public record Draining(long since) implements Phase { }
+    public record Draining(long since) implements Phase {}
 
     /** Nobody should be connected any more. */
-    public record Away(long since) implements Phase { }
+    public record Away(long since) implements Phase {}
 
     /** Another process of this relay serves new clients; {@code drained}: the relay stands by. */
-    public record HandedOver(boolean drained) implements Phase { }
+    public record HandedOver(boolean drained) implements Phase {}
 
     /** The process ends. */
-    public record Leaving() implements Phase { }
+    public record Leaving() implements Phase {}
 
     private Phase phase = new Serving();
 
@@ -88,7 +88,6 @@
 
     /** True in a drain that operators asked for. */
     public boolean drained() {
-        return phase instanceof Draining || phase instanceof Away
-            || phase instanceof HandedOver h && h.drained();
+        return phase instanceof Draining || phase instanceof Away || phase instanceof HandedOver h && h.drained();
     }
 }
--- a/src/main/java/brambletray/operations/Exclusions.java
+++ b/src/main/java/brambletray/operations/Exclusions.java
@@ -12,10 +12,14 @@
 
     /** What became of a call. */
     public enum Verdict {
-        /** It changes something: to be written down before it is answered. */ CHANGED,
-        /** It is so already. */ UNCHANGED,
-        /** No list has named this host. */ UNKNOWN,
-        /** {@link #MOST} hosts are out. */ FULL
+        /** It changes something: to be written down before it is answered. */
+        CHANGED,
+        /** It is so already. */
+        UNCHANGED,
+        /** No list has named this host. */
+        UNKNOWN,
+        /** {@link #MOST} hosts are out. */
+        FULL
     }
 
     private final Set<String> out = new LinkedHashSet<>();
--- a/src/main/java/brambletray/partners/Agent.java
+++ b/src/main/java/brambletray/partners/Agent.java
@@ -56,6 +56,7 @@
     private final Notices notices;
     /** For each endpoint the host that the relay was told of last. */
     private final Map<String, String> told = new HashMap<>();
+
     private final Set<Watch> watches = new LinkedHashSet<>();
     private ChannelFuture listener;
     private Future<?> timer;
@@ -63,8 +64,8 @@
     /**
      * {@code caller}: the relay's address, as the partners see it; {@code world}: the world's time, ns.
      */
-    public Agent(Machine machine, Registry registry, Ledger ledger, String caller,
-          LongSupplier world, Notices notices) {
+    public Agent(
+            Machine machine, Registry registry, Ledger ledger, String caller, LongSupplier world, Notices notices) {
         this.machine = machine;
         this.registry = registry;
         this.ledger = ledger;
@@ -76,12 +77,13 @@
 
     public ChannelFuture listen(InetSocketAddress address) {
         listener = machine.listening(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST),
-                    new Requests());
-            }
-        }).bind(address);
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST), new Requests());
+                    }
+                })
+                .bind(address);
         return listener;
     }
 
@@ -160,18 +162,20 @@
             for (Registry.Entry e : registry.after(after, whole)) {
                 out.writeStartObject();
                 out.writeStringField("host", e.host());
-                out.writeStringField("dial", e.dial().getAddress().getHostAddress() + ":"
-                    + e.dial().getPort());
+                out.writeStringField(
+                        "dial",
+                        e.dial().getAddress().getHostAddress() + ":" + e.dial().getPort());
                 out.writeStringField("site", e.endpoint().zone());
                 out.writeStringField("class", e.endpoint().partner().kind());
                 out.writeNumberField("block", e.endpoint().partner().destination());
                 out.writeStringField("protocol", e.endpoint().protocol());
                 out.writeStringField("health", e.health());
                 out.writeNumberField("share", e.endpoint().partner().listedRate());
-                out.writeNumberField("born_ms", e.born() == 0 ? 0
-                    : machine.clock().unixMillis() - (now - e.born()) / 1_000_000);
+                out.writeNumberField(
+                        "born_ms", e.born() == 0 ? 0 : machine.clock().unixMillis() - (now - e.born()) / 1_000_000);
                 out.writeEndObject();
-                String before = e.health().equals("gone") ? null : told.put(e.endpoint().name(), e.host());
+                String before =
+                        e.health().equals("gone") ? null : told.put(e.endpoint().name(), e.host());
                 if (before != null && !before.equals(e.host())) {
                     ledger.replaced(caller, e.endpoint().name());
                 }
@@ -186,9 +190,12 @@
     }
 
     private static void respond(Channel to, int status, String body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         to.writeAndFlush(response);
     }
 
@@ -231,8 +238,11 @@
             try {
                 for (String line : lines.lines().toList()) {
                     Wire.Fields fields = Wire.decode(line);
-                    notices.ended(caller, fields.text("message"),
-                        fields.text("outcome").equals("handed_back"), fields.whole("retry_in_ms", 0));
+                    notices.ended(
+                            caller,
+                            fields.text("message"),
+                            fields.text("outcome").equals("handed_back"),
+                            fields.whole("retry_in_ms", 0));
                 }
                 respond(channel, 204, "");
             } catch (Wire.Malformed e) {
--- a/src/main/java/brambletray/partners/Bundle.java
+++ b/src/main/java/brambletray/partners/Bundle.java
@@ -20,9 +20,9 @@
     private static final JsonFactory JSON = new JsonFactory();
 
     /** One message of a call; {@code key} null for none. */
-    record Part(String id, String key) { }
+    record Part(String id, String key) {}
 
-    private Bundle() { }
+    private Bundle() {}
 
     /** The messages of a call; none where its body cannot be read or names a message twice. */
     static List<Part> read(byte[] body) {
--- a/src/main/java/brambletray/partners/MqttPartner.java
+++ b/src/main/java/brambletray/partners/MqttPartner.java
@@ -43,6 +43,7 @@
     private final Map<NetCall, Integer> calls = new LinkedHashMap<>();
     /** Calls that were answered lately: their answers may not have been read when the connection ends. */
     private final ArrayDeque<NetCall> answered = new ArrayDeque<>();
+
     private Channel channel;
     private MqttSession session;
     private boolean admitted, five;
@@ -81,18 +82,21 @@
                 boolean known = session != null && session.released(id);
                 reply(MqttMessageType.PUBCOMP, id, known ? 0 : ID_NOT_FOUND, 0);
             }
-            case PINGREQ -> context.writeAndFlush(new MqttMessage(new MqttFixedHeader(
-                MqttMessageType.PINGRESP, false, MqttQoS.AT_MOST_ONCE, false, 0)));
+            case PINGREQ ->
+                context.writeAndFlush(new MqttMessage(
+                        new MqttFixedHeader(MqttMessageType.PINGRESP, false, MqttQoS.AT_MOST_ONCE, false, 0)));
             case DISCONNECT -> context.close();
-            default -> { }
+            default -> {}
         }
     }
 
     private void connect(MqttConnectMessage packet) {
         five = packet.variableHeader().version() == MqttVersion.MQTT_5.protocolLevel();
         boolean clean = packet.variableHeader().isCleanSession();
-        boolean kept = five ? packet.variableHeader().properties().getProperty(
-            MqttPropertyType.SESSION_EXPIRY_INTERVAL.value()) != null : !clean;
+        boolean kept = five
+                ? packet.variableHeader().properties().getProperty(MqttPropertyType.SESSION_EXPIRY_INTERVAL.value())
+                        != null
+                : !clean;
         Map<String, MqttSession> sessions = door.sessions();
         String client = packet.payload().clientIdentifier();
         MqttSession old = clean ? sessions.remove(client) : sessions.get(client);
@@ -107,20 +111,20 @@
         }
         MqttProperties properties = new MqttProperties();
         if (five) {
-            properties.add(new MqttProperties.IntegerProperty(MqttPropertyType.RECEIVE_MAXIMUM.value(),
-                RECEIVE_MAXIMUM));
+            properties.add(
+                    new MqttProperties.IntegerProperty(MqttPropertyType.RECEIVE_MAXIMUM.value(), RECEIVE_MAXIMUM));
         }
         channel.writeAndFlush(new MqttConnAckMessage(
-            new MqttFixedHeader(MqttMessageType.CONNACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
-            new MqttConnAckVariableHeader(MqttConnectReturnCode.CONNECTION_ACCEPTED, present, properties)));
+                new MqttFixedHeader(MqttMessageType.CONNACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                new MqttConnAckVariableHeader(MqttConnectReturnCode.CONNECTION_ACCEPTED, present, properties)));
     }
 
     private void publish(MqttPublishMessage publish) {
         String id = null;
         String key = null;
         if (five) {
-            for (var property : publish.variableHeader().properties()
-                    .getProperties(MqttPropertyType.USER_PROPERTY.value())) {
+            for (var property :
+                    publish.variableHeader().properties().getProperties(MqttPropertyType.USER_PROPERTY.value())) {
                 MqttProperties.StringPair pair = (MqttProperties.StringPair) property.value();
                 id = pair.key.equals("id") ? pair.value : id;
                 key = pair.key.equals("key") ? pair.value : key;
@@ -139,7 +143,8 @@
         if (twice && session.knows(packet)) {
             return;
         }
-        String caller = ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
+        String caller =
+                ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
         NetCall call = new NetCall(twice ? session : this, caller, id, key, fresh);
         fresh = false;
         if (twice) {
@@ -179,13 +184,14 @@
     void reply(MqttMessageType type, int packet, int reason, long told) {
         MqttProperties properties = new MqttProperties();
         if (told > 0) {
-            properties.add(new MqttProperties.UserProperty("retry-after-ms",
-                String.valueOf((told + 999_999) / 1_000_000)));
+            properties.add(
+                    new MqttProperties.UserProperty("retry-after-ms", String.valueOf((told + 999_999) / 1_000_000)));
         }
         channel.writeAndFlush(new MqttMessage(
-            new MqttFixedHeader(type, false, MqttQoS.AT_MOST_ONCE, false, 0), five
-                ? new MqttPubReplyMessageVariableHeader(packet, (byte) reason, properties)
-                : MqttMessageIdVariableHeader.from(packet)));
+                new MqttFixedHeader(type, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                five
+                        ? new MqttPubReplyMessageVariableHeader(packet, (byte) reason, properties)
+                        : MqttMessageIdVariableHeader.from(packet)));
     }
 
     @Override
--- a/src/main/java/brambletray/partners/MqttSession.java
+++ b/src/main/java/brambletray/partners/MqttSession.java
@@ -71,14 +71,18 @@
 
     @Override
     public void answer(NetCall call, Answer answer) {
-        int packet = underWay.entrySet().stream().filter(e -> e.getValue() == call).map(Map.Entry::getKey)
-            .findFirst().orElse(0);
+        int packet = underWay.entrySet().stream()
+                .filter(e -> e.getValue() == call)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(0);
         if (packet == 0) {
             return;
         }
         underWay.remove(packet);
-        boolean ran = answer instanceof Answer.Delivered || answer instanceof Answer.Spoilt
-            || answer instanceof Answer.Reset r && r.ran();
+        boolean ran = answer instanceof Answer.Delivered
+                || answer instanceof Answer.Spoilt
+                || answer instanceof Answer.Reset r && r.ran();
         if (ran) {
             received.put(packet, call);
         }
--- a/src/main/java/brambletray/partners/PartnerFront.java
+++ b/src/main/java/brambletray/partners/PartnerFront.java
@@ -51,8 +51,7 @@
 public final class PartnerFront {
     private static final Logger LOG = LoggerFactory.getLogger(PartnerFront.class);
     private static final int BODY_MOST = 256 * 1024;
-    private static final byte[] NOISE =
-        "\u0001 this is no answer\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    private static final byte[] NOISE = "\u0001 this is no answer\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     /** Where an endpoint listens; port 0 for any that is free. */
     public interface Addresses {
@@ -64,7 +63,7 @@
     private final long start;
     private final Map<Endpoint, Site> sites = new LinkedHashMap<>();
     private BiConsumer<InetSocketAddress, Boolean> silence;
-    private Consumer<Step> whenBegun = step -> { };
+    private Consumer<Step> whenBegun = step -> {};
     private Future<?> worldTimer;
 
     /** The world's time 0 is now. */
@@ -134,8 +133,7 @@
         sites.values().forEach(Site::arm);
         long next = world.nextAt();
         if (next != Long.MAX_VALUE) {
-            worldTimer = machine.loop().schedule(this::moveWorld, Math.max(0, next - now()),
-                TimeUnit.NANOSECONDS);
+            worldTimer = machine.loop().schedule(this::moveWorld, Math.max(0, next - now()), TimeUnit.NANOSECONDS);
         }
     }
 
@@ -252,8 +250,12 @@
                         MqttPartner.setUp(channel, new Door(Site.this));
                         return;
                     }
-                    channel.pipeline().addLast(new HttpRequestDecoder(), new HttpResponseEncoder(),
-                        new HttpObjectAggregator(BODY_MOST), new Connection(Site.this));
+                    channel.pipeline()
+                            .addLast(
+                                    new HttpRequestDecoder(),
+                                    new HttpResponseEncoder(),
+                                    new HttpObjectAggregator(BODY_MOST),
+                                    new Connection(Site.this));
                 }
             };
         }
@@ -268,11 +270,17 @@
                 timer.cancel(false);
             }
             armedFor = next;
-            timer = next == Long.MAX_VALUE ? null : machine.loop().schedule(() -> {
-                armedFor = Long.MAX_VALUE;
-                endpoint.advance(now());
-                arm();
-            }, Math.max(0, next - now()), TimeUnit.NANOSECONDS);
+            timer = next == Long.MAX_VALUE
+                    ? null
+                    : machine.loop()
+                            .schedule(
+                                    () -> {
+                                        armedFor = Long.MAX_VALUE;
+                                        endpoint.advance(now());
+                                        arm();
+                                    },
+                                    Math.max(0, next - now()),
+                                    TimeUnit.NANOSECONDS);
         }
 
         @Override
@@ -291,9 +299,11 @@
                         listener = machine.listening(setUp()).bind(address);
                         listener.addListener(done -> {
                             if (!done.isSuccess()) {
-                                LOG.error("endpoint {} cannot listen again on {}: {}", endpoint.name(),
-                                    address,
-                                    done.cause().toString());
+                                LOG.error(
+                                        "endpoint {} cannot listen again on {}: {}",
+                                        endpoint.name(),
+                                        address,
+                                        done.cause().toString());
                             }
                         });
                     }
@@ -345,9 +355,11 @@
         private NetCall call;
         /** The call that was answered last on this connection. */
         private NetCall answered;
+
         private boolean admitted;
         /** The last call is one of several messages, which its answer names. */
         private boolean bundled;
+
         private boolean fresh = true;
         private long idleSince;
         private Future<?> idleTimer;
@@ -377,24 +389,31 @@
         }
 
         private void watchIdle(long left) {
-            idleTimer = machine.loop().schedule(() -> {
-                idleTimer = null;
-                long more = idleSince
-                    + site.endpoint.partner().connections().idle() - machine.clock().nanos();
-                if (call == null && more <= 0) {
-                    channel.close();
-                } else if (channel.isActive()) {
-                    watchIdle(Math.max(more, 1_000_000));
-                }
-            }, left, TimeUnit.NANOSECONDS);
+            idleTimer = machine.loop()
+                    .schedule(
+                            () -> {
+                                idleTimer = null;
+                                long more = idleSince
+                                        + site.endpoint.partner().connections().idle()
+                                        - machine.clock().nanos();
+                                if (call == null && more <= 0) {
+                                    channel.close();
+                                } else if (channel.isActive()) {
+                                    watchIdle(Math.max(more, 1_000_000));
+                                }
+                            },
+                            left,
+                            TimeUnit.NANOSECONDS);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             String id = request.headers().get("X-Request-ID");
-            boolean several = site.endpoint.partner().bundle() > 1 && request.uri().equals(Bundle.PATH);
-            if (request.decoderResult().isFailure() || !request.method().equals(HttpMethod.POST)
-                || !several && (!request.uri().equals("/v1/messages") || id == null)) {
+            boolean several =
+                    site.endpoint.partner().bundle() > 1 && request.uri().equals(Bundle.PATH);
+            if (request.decoderResult().isFailure()
+                    || !request.method().equals(HttpMethod.POST)
+                    || !several && (!request.uri().equals("/v1/messages") || id == null)) {
                 respond(HttpResponseStatus.BAD_REQUEST, null, null, false);
                 return;
             }
@@ -403,12 +422,18 @@
                 reset();
                 return;
             }
-            String caller = ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
+            String caller =
+                    ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
             if (several) {
                 List<Bundle.Part> parts = Bundle.read(ByteBufUtil.getBytes(request.content()));
                 if (parts.isEmpty() || parts.size() > site.endpoint.partner().bundle()) {
-                    respond(parts.isEmpty() ? HttpResponseStatus.BAD_REQUEST
-                        : HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, null, null, true);
+                    respond(
+                            parts.isEmpty()
+                                    ? HttpResponseStatus.BAD_REQUEST
+                                    : HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                            null,
+                            null,
+                            true);
                     return;
                 }
                 List<NetCall> calls = new ArrayList<>();
@@ -442,12 +467,18 @@
             call = null;
             answered = ended;
             if (answer instanceof Answer.Delivered a) {
-                respond(HttpResponseStatus.OK, bundled ? Bundle.accepted(ended) : Unpooled.EMPTY_BUFFER,
-                    a.load(), null, true);
+                respond(
+                        HttpResponseStatus.OK,
+                        bundled ? Bundle.accepted(ended) : Unpooled.EMPTY_BUFFER,
+                        a.load(),
+                        null,
+                        true);
             } else if (answer instanceof Answer.Refused a) {
-                respond(a.told() > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
-                    : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    a.load(), a.told() > 0 ? seconds(a.told()) : null, true);
+                respond(
+                        a.told() > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        a.load(),
+                        a.told() > 0 ? seconds(a.told()) : null,
+                        true);
             } else if (answer instanceof Answer.Failed a) {
                 respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, a.load(), null, true);
             } else if (answer instanceof Answer.Spoilt) {
@@ -463,13 +494,13 @@
             respond(status, Unpooled.EMPTY_BUFFER, load, retryAfter, keep);
         }
 
-        private void respond(HttpResponseStatus status, ByteBuf body, Answer.Load load, String retryAfter,
-                             boolean keep) {
+        private void respond(
+                HttpResponseStatus status, ByteBuf body, Answer.Load load, String retryAfter, boolean keep) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (load != null) {
-                response.headers().set("X-Server-Load",
-                    String.format(Locale.ROOT, "x0=%.3f,x1=%.3f", load.left(), load.limit()));
+                response.headers()
+                        .set("X-Server-Load", String.format(Locale.ROOT, "x0=%.3f,x1=%.3f", load.left(), load.limit()));
             }
             if (retryAfter != null) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter);
--- a/src/main/java/brambletray/partners/Registry.java
+++ b/src/main/java/brambletray/partners/Registry.java
@@ -17,9 +17,9 @@
  */
 public final class Registry implements World.ListWatcher {
     /** One entry of the list; {@code born}: ns of the world, 0 for long ago. */
-    record Entry(String host, Endpoint endpoint, InetSocketAddress dial, String health, long born) { }
+    record Entry(String host, Endpoint endpoint, InetSocketAddress dial, String health, long born) {}
 
-    private record Change(long visibleAt, Entry entry) { }
+    private record Change(long visibleAt, Entry entry) {}
 
     private final Function<Endpoint, InetSocketAddress> dials;
     private final LongSupplier clock;
@@ -27,16 +27,16 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     /** For each host the version in which it last changed; hosts that are gone are kept for late watchers. */
     private final Map<String, Long> versions = new LinkedHashMap<>();
+
     private final ArrayDeque<Change> coming = new ArrayDeque<>();
-    private Runnable whenMoved = () -> { };
-    private Runnable whenChanged = () -> { };
+    private Runnable whenMoved = () -> {};
+    private Runnable whenChanged = () -> {};
     private long late;
     private long version = 1;
     private boolean stalled;
 
     /** {@code lag}: how long after a change the list has it; ns. */
-    public Registry(World world, Function<Endpoint, InetSocketAddress> dials, LongSupplier clock,
-             long lag) {
+    public Registry(World world, Function<Endpoint, InetSocketAddress> dials, LongSupplier clock, long lag) {
         this.dials = dials;
         this.clock = clock;
         this.lag = lag;
--- a/src/main/java/brambletray/quota/Member.java
+++ b/src/main/java/brambletray/quota/Member.java
@@ -15,14 +15,26 @@
  * @param lends whether siblings may use what it leaves idle
  * @param match which messages are its own
  */
-public record Member(String name, String path, List<Limit> limits, long held, Map<Dimension, Long> guaranteed,
-                     long guaranteedHeld, int weight, int priority, boolean lends, Match match,
-                     List<Member> members) {
+public record Member(
+        String name,
+        String path,
+        List<Limit> limits,
+        long held,
+        Map<Dimension, Long> guaranteed,
+        long guaranteedHeld,
+        int weight,
+        int priority,
+        boolean lends,
+        Match match,
+        List<Member> members) {
     /** What is counted over windows. */
-    public enum Dimension { MESSAGES, BYTES }
+    public enum Dimension {
+        MESSAGES,
+        BYTES
+    }
 
     /** At most so much in every window of a length in us. */
-    public record Limit(Dimension dimension, long window, long amount) { }
+    public record Limit(Dimension dimension, long window, long amount) {}
 
     /** Messages that fit in all that is named; null and empty for any. */
     public record Match(String tenant, String messageClass, List<Long> destinations) {
@@ -30,13 +42,13 @@
 
         public boolean fits(Asked m) {
             return (tenant == null || tenant.equals(m.tenant()))
-                && (messageClass == null || messageClass.equals(m.messageClass()))
-                && (destinations.isEmpty() || destinations.contains(m.destination()));
+                    && (messageClass == null || messageClass.equals(m.messageClass()))
+                    && (destinations.isEmpty() || destinations.contains(m.destination()));
         }
     }
 
     /** A message that asks to be taken on. */
-    public record Asked(String id, String tenant, String messageClass, long destination, long bytes) { }
+    public record Asked(String id, String tenant, String messageClass, long destination, long bytes) {}
 
     /** What one second may bring at most by its limits; {@link Long#MAX_VALUE} without any. */
     public long aSecond(Dimension dimension) {
@@ -56,10 +68,20 @@
         }
         Map<Dimension, Long> own = new java.util.EnumMap<>(Dimension.class);
         guaranteed.forEach((d, amount) -> own.put(d, part(amount, rank, relays)));
-        return new Member(name, path, limits.stream()
-            .map(l -> new Limit(l.dimension(), l.window(), part(l.amount(), rank, relays))).toList(),
-            part(held, rank, relays), own, part(guaranteedHeld, rank, relays), weight, priority, lends, match,
-            members.stream().map(m -> m.part(rank, relays)).toList());
+        return new Member(
+                name,
+                path,
+                limits.stream()
+                        .map(l -> new Limit(l.dimension(), l.window(), part(l.amount(), rank, relays)))
+                        .toList(),
+                part(held, rank, relays),
+                own,
+                part(guaranteedHeld, rank, relays),
+                weight,
+                priority,
+                lends,
+                match,
+                members.stream().map(m -> m.part(rank, relays)).toList());
     }
 
     /** Parts of all ranks add up to the whole, and no more. */
--- a/src/main/java/brambletray/quota/Node.java
+++ b/src/main/java/brambletray/quota/Node.java
@@ -15,6 +15,7 @@
 final class Node {
     /** us; over which shares are counted, and for which a refused wish is remembered. */
     static final long SECOND = 1_000_000;
+
     private static final Object ANY = new Object();
     /** us; over which lending is evened out, so that what was lent comes back evenly too. */
     static final long LEASE = SECOND / 8;
@@ -36,6 +37,7 @@
     final List<Node> members = new ArrayList<>();
     /** One for each limit of the member, in its order. */
     final List<Window> windows = new ArrayList<>();
+
     final Map<Dimension, Count> counts = new EnumMap<>(Dimension.class);
     /** For each window, what was used since {@link Quotas#note}; more than any part before the first. */
     long[] unnoted;
@@ -47,9 +49,11 @@
     final Set<Node> wishing = new LinkedHashSet<>();
     /** Members anywhere below that wished for some of their share in the last second, perhaps. */
     final Set<Node> claiming = new LinkedHashSet<>();
+
     final List<Node> keeping = new ArrayList<>();
     /** Members right below that have a share of messages held. */
     final List<Node> holding = new ArrayList<>();
+
     private final Map<Dimension, Long> sharesBelow = new EnumMap<>(Dimension.class);
     private final Map<Object, List<Node>> index = new HashMap<>();
     private int order;
@@ -110,7 +114,9 @@
             if (match.tenant() != null) {
                 index.computeIfAbsent(match.tenant(), k -> new ArrayList<>(1)).add(m);
             } else if (!match.destinations().isEmpty()) {
-                match.destinations().forEach(d -> index.computeIfAbsent(d, k -> new ArrayList<>(1)).add(m));
+                match.destinations()
+                        .forEach(d -> index.computeIfAbsent(d, k -> new ArrayList<>(1))
+                                .add(m));
             } else {
                 index.computeIfAbsent(ANY, k -> new ArrayList<>(1)).add(m);
             }
@@ -124,7 +130,8 @@
             List<Node> some = key == null ? null : index.get(key);
             for (int i = 0; some != null && i < some.size(); i++) {
                 Node node = some.get(i);
-                if ((first == null || node.order < first.order) && node.member.match().fits(m)) {
+                if ((first == null || node.order < first.order)
+                        && node.member.match().fits(m)) {
                     first = node;
                     break;
                 }
--- a/src/main/java/brambletray/quota/Quotas.java
+++ b/src/main/java/brambletray/quota/Quotas.java
@@ -39,6 +39,7 @@
     private static final long HELD_AGAIN = 250_000;
     /** us; windows of this length and longer outlast the process; and the parts in which they are noted. */
     private static final long LASTS = 10 * Node.SECOND;
+
     private static final int NOTED_PARTS = 64;
     /** Messages named to be handed back for the sake of one. */
     private static final int RECALL_MOST = 1;
@@ -48,11 +49,12 @@
     private final Map<String, Holder> holders = new HashMap<>();
     /** Messages that are held and wait for room that they have a right to. */
     private final Map<String, Asked> atDoor = new HashMap<>();
+
     private final Set<Node> noteDue = new LinkedHashSet<>();
     private long now, seq;
 
     /** Of a message that is held: its member, and its place among those that wait there. */
-    private record Holder(Node member, long seq) { }
+    private record Holder(Node member, long seq) {}
 
     public Quotas(Member root) {
         this.root = node(null, root);
@@ -91,8 +93,7 @@
             }
         }
         Verdict.Refused heldOut = room ? heldLoan(own) : null;
-        if (refused != null && heldOut == null && room && refused.after() <= Node.SECOND
-            && rightful(own, m)) {
+        if (refused != null && heldOut == null && room && refused.after() <= Node.SECOND && rightful(own, m)) {
             wished(own, m, false);
             hold(own, m.id());
             atDoor.put(m.id(), m);
@@ -133,8 +134,9 @@
             for (Node at = own; at != null; at = at.parent) {
                 bound |= at.member.aSecond(d) != Long.MAX_VALUE;
             }
-            if (bound && (right == null || right.counts.get(d).rightful.used(now) + amount(d, m)
-                > right.shareLeft(d, now))) {
+            if (bound
+                    && (right == null
+                            || right.counts.get(d).rightful.used(now) + amount(d, m) > right.shareLeft(d, now))) {
                 return false;
             }
         }
@@ -171,14 +173,12 @@
                 long free = window.freeAt(now, amount, l.amount());
                 if (free > now && free != Window.NEVER) {
                     // Those of the same member that were refused before come first: a crowd is spread out.
-                    long ahead = Math.min(own.counts.get(l.dimension()).wished.used(now),
-                        l.amount() - amount);
-                    free = Math.max(free, Math.min(now + Node.SECOND,
-                        window.freeAt(now, amount + ahead, l.amount())));
+                    long ahead = Math.min(own.counts.get(l.dimension()).wished.used(now), l.amount() - amount);
+                    free = Math.max(free, Math.min(now + Node.SECOND, window.freeAt(now, amount + ahead, l.amount())));
                 }
                 if (free > now && (worst == null || free - now > worst.after())) {
-                    worst = new Verdict.Refused(at.member.path(), words(l),
-                        free == Window.NEVER ? free : free - now, List.of());
+                    worst = new Verdict.Refused(
+                            at.member.path(), words(l), free == Window.NEVER ? free : free - now, List.of());
                 }
             }
         }
@@ -189,8 +189,7 @@
     private Verdict.Refused full(Node own) {
         for (Node at = own; at != null; at = at.parent) {
             if (at.held >= at.member.held()) {
-                return new Verdict.Refused(at.member.path(), at.member.held() + " held", HELD_AGAIN,
-                    recall(at, own));
+                return new Verdict.Refused(at.member.path(), at.member.held() + " held", HELD_AGAIN, recall(at, own));
             }
         }
         return null;
@@ -198,7 +197,7 @@
 
     static String words(Limit l) {
         return l.amount() + (l.dimension() == Dimension.MESSAGES ? " messages" : " bytes") + " in "
-            + (l.window() % Node.SECOND == 0 ? l.window() / Node.SECOND + " s" : l.window() / 1_000 + " ms");
+                + (l.window() % Node.SECOND == 0 ? l.window() / Node.SECOND + " s" : l.window() / 1_000 + " ms");
     }
 
     /** Beyond the share of a member: what its parent can lend it; null if it can. */
@@ -209,15 +208,15 @@
             return null;
         }
         long lenders = parent.shares(d) - (of.member.lends() ? of.share(d) : 0);
-        long leased = lenders <= 0 ? now : parent.counts.get(d).lent.freeAt(now, amount,
-            Math.max(amount, capacity / LEASES + 1));
+        long leased = lenders <= 0
+                ? now
+                : parent.counts.get(d).lent.freeAt(now, amount, Math.max(amount, capacity / LEASES + 1));
         if (leased > now) {
-            return new Verdict.Refused(parent.member.path(), "loans of an eighth of a second", leased - now,
-                List.of());
+            return new Verdict.Refused(parent.member.path(), "loans of an eighth of a second", leased - now, List.of());
         }
         long kept = 0;
         int looked = 0;
-        for (var it = parent.claiming.iterator(); it.hasNext() && looked++ < LOOK_MOST;) {
+        for (var it = parent.claiming.iterator(); it.hasNext() && looked++ < LOOK_MOST; ) {
             Node other = it.next();
             if (!other.claims(now)) {
                 it.remove();
@@ -226,13 +225,15 @@
             }
         }
         // Where more claim than are looked at one by one, what they wished for is known in all.
-        kept = Math.max(kept, parent.counts.get(d).rightful.used(now)
-            - own.counts.get(d).rightful.used(now));
+        kept = Math.max(
+                kept,
+                parent.counts.get(d).rightful.used(now)
+                        - own.counts.get(d).rightful.used(now));
         for (Node other : parent.keeping) {
             kept = other == of ? kept : plus(kept, other.shareLeft(d, now));
         }
         looked = 0;
-        for (var it = parent.wishing.iterator(); it.hasNext() && looked++ < LOOK_MOST;) {
+        for (var it = parent.wishing.iterator(); it.hasNext() && looked++ < LOOK_MOST; ) {
             Node other = it.next();
             if (!other.wishes(now)) {
                 it.remove();
@@ -248,8 +249,7 @@
         for (int i = 0; i < parent.windows.size(); i++) {
             Limit l = parent.member.limits().get(i);
             if (l.dimension() == d) {
-                long free = parent.windows.get(i).freeAt(now, Math.min(l.amount(), plus(kept, amount)),
-                    l.amount());
+                long free = parent.windows.get(i).freeAt(now, Math.min(l.amount(), plus(kept, amount)), l.amount());
                 after = Math.min(after, Math.max(Node.SECOND / 64, free - now));
             }
         }
@@ -324,8 +324,11 @@
                 kept += wants ? Math.max(0, other.member.guaranteedHeld() - other.held) : 0;
             }
             if (at.parent.held + 1 + kept > at.parent.member.held()) {
-                return new Verdict.Refused(at.parent.member.path(), "nothing to lend of "
-                    + at.parent.member.held() + " held", HELD_AGAIN, List.of());
+                return new Verdict.Refused(
+                        at.parent.member.path(),
+                        "nothing to lend of " + at.parent.member.held() + " held",
+                        HELD_AGAIN,
+                        List.of());
             }
         }
         return null;
@@ -410,8 +413,8 @@
             long amount = amount(d, m);
             Node right = entitled(own, d, amount);
             // No more is kept for a member than its share: it may ask for that again and again.
-            boolean rightful = right != null
-                && right.counts.get(d).rightful.used(now) + amount <= right.shareLeft(d, now);
+            boolean rightful =
+                    right != null && right.counts.get(d).rightful.used(now) + amount <= right.shareLeft(d, now);
             boolean above = false;
             for (Node at = own; at != null; at = at.parent) {
                 above |= at == right;
@@ -479,8 +482,7 @@
             Window kept = null;
             for (int i = 0; i < node.windows.size(); i++) {
                 Limit old = node.member.limits().get(i);
-                kept = old.dimension() == l.dimension() && old.window() == l.window() ? node.windows.get(i)
-                    : kept;
+                kept = old.dimension() == l.dimension() && old.window() == l.window() ? node.windows.get(i) : kept;
             }
             windows.add(kept != null ? kept : seeded(node, l));
         }
@@ -541,7 +543,7 @@
 
     // ---- What outlasts the process --------------------------------------------------------------
     /** One long window of a member: times and amounts by turns, as {@link #restore} takes them. */
-    public record Use(Dimension dimension, long window, long[] uses) { }
+    public record Use(Dimension dimension, long window, long[] uses) {}
 
     /** What is used unnoted at most, of a limit: so much counts as used after a restart. */
     private static long part(Limit l) {
@@ -596,8 +598,18 @@
 
     // ---- Looking --------------------------------------------------------------------------------
     /** How one member stands. Amounts of the last second but for the sums since the start. */
-    public record Standing(String path, long held, long heldMost, long used, long share, long borrowed,
-                           long lent, long wished, long usedInAll, long borrowedInAll, long refusedInAll) { }
+    public record Standing(
+            String path,
+            long held,
+            long heldMost,
+            long used,
+            long share,
+            long borrowed,
+            long lent,
+            long wished,
+            long usedInAll,
+            long borrowedInAll,
+            long refusedInAll) {}
 
     /** How each member stands in a dimension, the root first, then by the file's order. */
     public List<Standing> standing(long time, Dimension d) {
@@ -613,9 +625,18 @@
         for (Node m : node.members) {
             below += m.borrowed(d, now);
         }
-        all.add(new Standing(node.member.path(), node.held, node.member.held(), c.used.used(now),
-            node.share(d), node.borrowed(d, now), below, c.wished.used(now), c.usedInAll, c.borrowedInAll,
-            c.refusedInAll));
+        all.add(new Standing(
+                node.member.path(),
+                node.held,
+                node.member.held(),
+                c.used.used(now),
+                node.share(d),
+                node.borrowed(d, now),
+                below,
+                c.wished.used(now),
+                c.usedInAll,
+                c.borrowedInAll,
+                c.refusedInAll));
         node.members.forEach(m -> stand(m, d, all));
     }
 
--- a/src/main/java/brambletray/quota/Window.java
+++ b/src/main/java/brambletray/quota/Window.java
@@ -17,6 +17,7 @@
     private final long length;
     /** A ring: time and amount by turns; null while nothing counts. */
     private long[] ring;
+
     private int head, count;
     private long sum;
 
@@ -135,8 +136,7 @@
         long slot = Math.max(1, length / SLOTS);
         boolean full = count == MOST;
         for (int i = 0; i < count; i++) {
-            boolean joins = full && kept > 0 && Math.floorDiv(next[2 * kept - 2], slot)
-                == Math.floorDiv(time(i), slot);
+            boolean joins = full && kept > 0 && Math.floorDiv(next[2 * kept - 2], slot) == Math.floorDiv(time(i), slot);
             int to = joins ? kept - 1 : kept++;
             next[2 * to] = time(i);
             next[2 * to + 1] += amount(i);
--- a/src/main/java/brambletray/recovery/Asking.java
+++ b/src/main/java/brambletray/recovery/Asking.java
@@ -21,7 +21,7 @@
     /** @param patience ms; longest time to ask
      *  @param beat ms between two beats of a relay that lives
      *  @param longest ms; longest time limit of messages whose second try could do harm */
-    public record Terms(long patience, long beat, long longest) { }
+    public record Terms(long patience, long beat, long longest) {}
 
     private final Standing own;
     private final Terms terms;
@@ -29,6 +29,7 @@
     private final Account[] accounts;
     /** By witness: beats when it first answered, and the life that they are of. */
     private final Account.Seen[] firsts;
+
     private Finding found;
 
     /** {@code own}: null for an empty folder; {@code now}: ms of a clock that only moves on. */
@@ -56,14 +57,16 @@
 
     private static Account further(Account former, Account told) {
         boolean keep = former instanceof Account.Seen f
-            && !(told instanceof Account.Seen t && (f.last().behind(t.last()) || f.last().equals(t.last())));
+                && !(told instanceof Account.Seen t
+                        && (f.last().behind(t.last()) || f.last().equals(t.last())));
         return keep ? former : told;
     }
 
     private void alive(int witness, Account.Seen seen) {
         Account.Seen first = firsts[witness];
-        if (first == null || first.last().life() != seen.last().life()
-            || first.last().store() != seen.last().store()) {
+        if (first == null
+                || first.last().life() != seen.last().life()
+                || first.last().store() != seen.last().store()) {
             firsts[witness] = seen;
         } else if (seen.beats() >= first.beats() + TWIN_BEATS) {
             found = new Finding.Twin(seen.last());
@@ -80,8 +83,10 @@
     }
 
     private List<Account.Seen> sightings() {
-        return Arrays.stream(accounts).filter(Account.Seen.class::isInstance).map(Account.Seen.class::cast)
-            .toList();
+        return Arrays.stream(accounts)
+                .filter(Account.Seen.class::isInstance)
+                .map(Account.Seen.class::cast)
+                .toList();
     }
 
     /** ms for which all witnesses can say that it did not live: what is lost with all folders is not seen. */
@@ -99,7 +104,7 @@
 
     private boolean complete() {
         return answers() == accounts.length
-            && sightings().stream().allMatch(s -> s.age() >= QUIET_BEATS * terms.beat());
+                && sightings().stream().allMatch(s -> s.age() >= QUIET_BEATS * terms.beat());
     }
 
     private Finding conclude() {
@@ -120,8 +125,9 @@
             return unknown <= 0 ? new Finding.First() : new Finding.Unconfirmed(true, unknown);
         }
         // Of this relay and its witnesses a majority has to know of no later folder.
-        return 2 * (answers() + 1) > accounts.length + 1 ? new Finding.Continues()
-            : new Finding.Unconfirmed(false, terms.longest());
+        return 2 * (answers() + 1) > accounts.length + 1
+                ? new Finding.Continues()
+                : new Finding.Unconfirmed(false, terms.longest());
     }
 
     /** The number of the life that begins now: above all that was lived or seen. */
--- a/src/main/java/brambletray/recovery/Recollection.java
+++ b/src/main/java/brambletray/recovery/Recollection.java
@@ -28,7 +28,7 @@
      * @param at when it was true
      * @param leftAt version of the list that told that the host leaves or is gone; {@link #IN_USE}: none did
      */
-    public record Note(String host, Moment at, long leftAt, Known known) { }
+    public record Note(String host, Moment at, long leftAt, Known known) {}
 
     public static final long IN_USE = -1;
 
@@ -44,8 +44,9 @@
     /** The note to be made now of a host; null where what is noted will do. */
     public Note worth(Moment now, String host, long leftAt, Known known) {
         Note last = noted.get(host);
-        boolean worth = last == null ? (known.ofUse() || leftAt != IN_USE) && noted.size() < MOST
-            : differs(last, now, leftAt, known);
+        boolean worth = last == null
+                ? (known.ofUse() || leftAt != IN_USE) && noted.size() < MOST
+                : differs(last, now, leftAt, known);
         if (!worth) {
             return null;
         }
@@ -59,13 +60,14 @@
         long waits = last.known.waitFor() - Math.max(0, passed) * 1_000;
         boolean longer = known.waitFor() >= WAIT_LEAST && known.waitFor() > waits + WAIT_SAME;
         boolean health = known.failing() != last.known.failing()
-            || (known.warming() == Known.WARM) != (last.known.warming() == Known.WARM);
+                || (known.warming() == Known.WARM) != (last.known.warming() == Known.WARM);
         if (longer || health || leftAt != last.leftAt) {
             return true;
         }
-        boolean limits = known.limit() > 0 && (passed > LIMIT_BELIEVED / 2
-            || moved(last.known.limit(), known.limit(), LIMIT_MOVED)
-            || moved(last.known.pace(), known.pace(), PACE_MOVED));
+        boolean limits = known.limit() > 0
+                && (passed > LIMIT_BELIEVED / 2
+                        || moved(last.known.limit(), known.limit(), LIMIT_MOVED)
+                        || moved(last.known.pace(), known.pace(), PACE_MOVED));
         return limits && (passed == Moment.UNKNOWN || passed >= EVERY);
     }
 
@@ -107,7 +109,11 @@
         long warming = then.warming() == Known.WARM ? Known.WARM : then.warming() + passed * 1_000;
         boolean limits = then.limit() > 0 && passed <= LIMIT_BELIEVED;
         boolean failing = then.failing() && passed <= HEALTH_BELIEVED;
-        return new Known(Math.max(0, then.waitFor() - passed * 1_000), failing,
-            warming < cold ? warming : Known.WARM, limits ? then.limit() : 0, limits ? then.pace() : 0);
+        return new Known(
+                Math.max(0, then.waitFor() - passed * 1_000),
+                failing,
+                warming < cold ? warming : Known.WARM,
+                limits ? then.limit() : 0,
+                limits ? then.pace() : 0);
     }
 }
--- a/src/main/java/brambletray/recovery/Rest.java
+++ b/src/main/java/brambletray/recovery/Rest.java
@@ -29,7 +29,7 @@
     /** True where what the folder says is owed may have been done since. */
     public static boolean doubts(Finding finding, boolean trusting) {
         return finding instanceof Finding.RolledBack
-            || finding instanceof Finding.Unconfirmed unknown && !unknown.empty() && !trusting;
+                || finding instanceof Finding.Unconfirmed unknown && !unknown.empty() && !trusting;
     }
 
     /** ms to come back after; 0 where it is taken on. {@code harmless}: a second try of it is. */
--- a/src/main/java/brambletray/rehearsal/Comparison.java
+++ b/src/main/java/brambletray/rehearsal/Comparison.java
@@ -27,7 +27,7 @@
         }
     }
 
-    private Comparison() { }
+    private Comparison() {}
 
     /** The nights that are in both reports, as {@link Reports#json} writes them. */
     public static List<Row> of(String jsonA, String jsonB) throws Wire.Malformed {
@@ -58,8 +58,9 @@
             rows.add(new Row(night.getKey(), mean(d), chance(d), brokenA, brokenB));
         }
         // As many nights, as many chances of luck (Bonferroni).
-        return rows.stream().map(r -> new Row(r.night(), r.mean(), Math.min(1, r.chance() * rows.size()),
-            r.brokenA(), r.brokenB())).toList();
+        return rows.stream()
+                .map(r -> new Row(r.night(), r.mean(), Math.min(1, r.chance() * rows.size()), r.brokenA(), r.brokenB()))
+                .toList();
     }
 
     private static double score(Wire.Fields seed) throws Wire.Malformed {
--- a/src/main/java/brambletray/rehearsal/Hunt.java
+++ b/src/main/java/brambletray/rehearsal/Hunt.java
@@ -23,9 +23,9 @@
     private static final double LOSS = 0.05;
 
     /** A night that breaks a rule, as a file that replays it; {@code seed}: with which it does. */
-    public record Find(long draw, long seed, String yaml, List<String> faults, int drawn, int left) { }
+    public record Find(long draw, long seed, String yaml, List<String> faults, int drawn, int left) {}
 
-    private record Event(boolean ofRelay, String line) { }
+    private record Event(boolean ofRelay, String line) {}
 
     private final String base;
     private final List<String> endpoints = new ArrayList<>();
@@ -56,7 +56,7 @@
             return Optional.empty();
         }
         List<Event> left = new ArrayList<>(events);
-        for (boolean smaller = true; smaller;) {
+        for (boolean smaller = true; smaller; ) {
             smaller = false;
             for (int i = 0; i < left.size(); i++) {
                 List<Event> fewer = new ArrayList<>(left);
@@ -81,21 +81,28 @@
         Night night = Night.parse("drawn.yaml", yaml(events));
         Path own = Files.createDirectories(folder.resolve("draw-" + seed));
         Play play = Rehearsal.play(night, seed, own);
-        List<String> faults = Verdict.of(new Night(night.script(), night.relayEvents(), night.noticed(), 0,
-            night.most()), List.of(play)).faults();
+        List<String> faults = Verdict.of(
+                        new Night(night.script(), night.relayEvents(), night.noticed(), 0, night.most()), List.of(play))
+                .faults();
         if (!faults.isEmpty()) {
             return faults;
         }
-        double plain = Rehearsal.play(night, seed, own, Hunt::oneTry, null).result().score();
+        double plain =
+                Rehearsal.play(night, seed, own, Hunt::oneTry, null).result().score();
         double lost = plain - play.result().score();
-        return lost < LOSS ? List.of() : List.of(String.format(Locale.ROOT,
-            "score %.3f, where one try for each message has %.3f", play.result().score(), plain));
+        return lost < LOSS
+                ? List.of()
+                : List.of(String.format(
+                        Locale.ROOT,
+                        "score %.3f, where one try for each message has %.3f",
+                        play.result().score(),
+                        plain));
     }
 
     /** A relay's configuration, with one try for each message and no copies. */
     static String oneTry(String config) {
         return config.replaceAll("\"most-tries\"\\s*:\\s*\\d+", "\"most-tries\":1")
-            .replaceAll("\"second-copies\"\\s*:\\s*true", "\"second-copies\":false");
+                .replaceAll("\"second-copies\"\\s*:\\s*true", "\"second-copies\":false");
     }
 
     private String yaml(List<Event> events) {
@@ -115,9 +122,14 @@
         double span = Math.round((0.3 + random.nextDouble() * seconds * 0.2) * 10) / 10.0;
         if (random.nextInt(4) == 0) {
             String relay = random.nextInt(4) == 0 ? "all" : "" + random.nextInt(relays);
-            return new Event(true, String.format(Locale.ROOT, "{at_s: %s, relay: %s, do: kill,"
-                + " back_after_s: %s}",
-                at, relay, Math.round((0.2 + random.nextDouble() * 5) * 10) / 10.0));
+            return new Event(
+                    true,
+                    String.format(
+                            Locale.ROOT,
+                            "{at_s: %s, relay: %s, do: kill," + " back_after_s: %s}",
+                            at,
+                            relay,
+                            Math.round((0.2 + random.nextDouble() * 5) * 10) / 10.0));
         }
         String on = endpoints.get(random.nextInt(endpoints.size()));
         String what = switch (random.nextInt(9)) {
--- a/src/main/java/brambletray/rehearsal/Kit.java
+++ b/src/main/java/brambletray/rehearsal/Kit.java
@@ -18,23 +18,22 @@
  * nothing.
  */
 public final class Kit {
-    private Kit() { }
+    private Kit() {}
 
     /** What happened to the first messages, so many at most, with which a rule was broken in a night. */
-    public static List<Story> stories(Verdict verdict, int most, Path folder)
-        throws IOException, Config.Unusable {
+    public static List<Story> stories(Verdict verdict, int most, Path folder) throws IOException, Config.Unusable {
         List<Story> stories = new ArrayList<>();
-        for (Verdict.Subject s : verdict.subjects().stream().distinct().limit(most).toList()) {
+        for (Verdict.Subject s :
+                verdict.subjects().stream().distinct().limit(most).toList()) {
             Path own = folder.resolve(verdict.night().script().name() + "-story-" + stories.size());
-            stories.add(Rehearsal.story(verdict.night(), s.seed(), s.message(),
-                Files.createDirectories(own)));
+            stories.add(Rehearsal.story(verdict.night(), s.seed(), s.message(), Files.createDirectories(own)));
         }
         return stories;
     }
 
     /** Seeds 1 to {@code seeds}; {@code folder}: for configurations; {@code whenJudged}: each in its turn. */
-    public static List<Verdict> play(List<Night> nights, int seeds, int threads, Path folder,
-                                     Consumer<Verdict> whenJudged) throws Exception {
+    public static List<Verdict> play(
+            List<Night> nights, int seeds, int threads, Path folder, Consumer<Verdict> whenJudged) throws Exception {
         ExecutorService pool = Executors.newFixedThreadPool(threads);
         try {
             List<List<Future<Play>>> plays = new ArrayList<>();
--- a/src/main/java/brambletray/rehearsal/Night.java
+++ b/src/main/java/brambletray/rehearsal/Night.java
@@ -21,15 +21,30 @@
  * @param most the most that one relay may use of connections and disk
  * @param least the least score (0.7 of the whole run, 0.3 of its worst ten seconds) of the middle seed
  */
-public record Night(Script script, List<RelayEvent> relayEvents, long noticed, double least,
-                    Rehearsal.Use most) {
+public record Night(Script script, List<RelayEvent> relayEvents, long noticed, double least, Rehearsal.Use most) {
     /** Nights that come with the program. */
-    public static final List<String> BUILT_IN = List.of("full-load", "coop-refuses", "one-slow", "all-slow",
-        "all-in-one", "rolling-restart", "list-stalled", "power-cut", "flash-crowd", "everybody-back",
-        "drains", "resets", "short-window", "cold-return", "short-summer", "summer-rush", "bulk-returns",
-        "counters-cut");
+    public static final List<String> BUILT_IN = List.of(
+            "full-load",
+            "coop-refuses",
+            "one-slow",
+            "all-slow",
+            "all-in-one",
+            "rolling-restart",
+            "list-stalled",
+            "power-cut",
+            "flash-crowd",
+            "everybody-back",
+            "drains",
+            "resets",
+            "short-window",
+            "cold-return",
+            "short-summer",
+            "summer-rush",
+            "bulk-returns",
+            "counters-cut");
     /** What the platform gives a relay on its smallest days: descriptors, and bytes of lasting folder. */
     private static final int CONNECTIONS = 384, DISK = 3_000_000;
+
     private static final double DAY_S = 86_400;
 
     /** Reads a file, or a night that comes with the program if there is no file of that name. */
@@ -64,8 +79,9 @@
             noticed[0] = nanos(root.number("front_notices_s", 0.5, 0, 60));
             Section bounds = root.section("bounds", false);
             least[0] = bounds.number("score", 0, 0, 1);
-            most[0] = new Rehearsal.Use(bounds.whole("connections", CONNECTIONS, 1, 1_000_000),
-                bounds.whole("disk_bytes", DISK, 1, Integer.MAX_VALUE));
+            most[0] = new Rehearsal.Use(
+                    bounds.whole("connections", CONNECTIONS, 1, 1_000_000),
+                    bounds.whole("disk_bytes", DISK, 1, Integer.MAX_VALUE));
             bounds.done();
         });
         events.sort(Comparator.comparingLong(RelayEvent::at));
@@ -75,8 +91,9 @@
     private static RelayEvent event(Section s, int relays) {
         long at = nanos(s.number("at_s", 0, DAY_S));
         int relay = s.text("relay", "").equals("all") ? -1 : s.whole("relay", 0, relays - 1);
-        RelayEvent.What what = RelayEvent.What.valueOf(s.word("do", "kill", "kill", "kill_and_lose_folder",
-            "kill_after_write", "kill_after_sent").toUpperCase(Locale.ROOT));
+        RelayEvent.What what = RelayEvent.What.valueOf(
+                s.word("do", "kill", "kill", "kill_and_lose_folder", "kill_after_write", "kill_after_sent")
+                        .toUpperCase(Locale.ROOT));
         int number = s.whole("number", 1, 1, 1_000_000);
         long back = nanos(s.number("back_after_s", 1, 0.01, DAY_S));
         s.done();
--- a/src/main/java/brambletray/rehearsal/Rehearsal.java
+++ b/src/main/java/brambletray/rehearsal/Rehearsal.java
@@ -37,9 +37,9 @@
         }
     }
 
-    private record Due(long at, int relay, boolean down, boolean front, RelayEvent event) { }
+    private record Due(long at, int relay, boolean down, boolean front, RelayEvent event) {}
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Plays a night; {@code folder}: for the relays' configurations. */
     public static Play play(Night night, long seed, Path folder) throws IOException, Config.Unusable {
@@ -47,8 +47,7 @@
     }
 
     /** Plays it once more, with an eye on one message. */
-    static Story story(Night night, long seed, String message, Path folder)
-        throws IOException, Config.Unusable {
+    static Story story(Night night, long seed, String message, Path folder) throws IOException, Config.Unusable {
         Story story = new Story(message);
         play(night, seed, folder, UnaryOperator.identity(), story);
         return story;
@@ -59,7 +58,7 @@
      * what happens, null for nobody.
      */
     static Play play(Night night, long seed, Path folder, UnaryOperator<String> told, Story story)
-        throws IOException, Config.Unusable {
+            throws IOException, Config.Unusable {
         try (SimStage stage = new SimStage(night.script(), seed, folder, told)) {
             if (story != null) {
                 stage.scene().ledger().witness(story);
@@ -67,8 +66,16 @@
             for (Due due : plan(night)) {
                 stage.runUntil(due.at);
                 if (story != null && !due.front) {
-                    story.relay(due.at, "relay " + due.relay, due.down ? due.event.what().name()
-                        .toLowerCase(Locale.ROOT).replace('_', ' ') : "started again");
+                    story.relay(
+                            due.at,
+                            "relay " + due.relay,
+                            due.down
+                                    ? due.event
+                                            .what()
+                                            .name()
+                                            .toLowerCase(Locale.ROOT)
+                                            .replace('_', ' ')
+                                    : "started again");
                 }
                 if (due.front) {
                     stage.scene().alive(due.relay, !due.down);
@@ -86,8 +93,11 @@
                 }
             }
             Score.Result result = stage.play();
-            return new Play(seed, result, stage.simulation().trace(),
-                new Use(stage.mostConnections(), stage.mostDisk(), stage.disagreements()));
+            return new Play(
+                    seed,
+                    result,
+                    stage.simulation().trace(),
+                    new Use(stage.mostConnections(), stage.mostDisk(), stage.disagreements()));
         }
     }
 
--- a/src/main/java/brambletray/rehearsal/RelayEvent.java
+++ b/src/main/java/brambletray/rehearsal/RelayEvent.java
@@ -10,5 +10,10 @@
  * @param backAfter ns from {@code at} until it is started again
  */
 public record RelayEvent(long at, int relay, What what, int number, long backAfter) {
-    public enum What { KILL, KILL_AND_LOSE_FOLDER, KILL_AFTER_WRITE, KILL_AFTER_SENT }
+    public enum What {
+        KILL,
+        KILL_AND_LOSE_FOLDER,
+        KILL_AFTER_WRITE,
+        KILL_AFTER_SENT
+    }
 }
--- a/src/main/java/brambletray/rehearsal/Reports.java
+++ b/src/main/java/brambletray/rehearsal/Reports.java
@@ -18,7 +18,7 @@
     private static final JsonFactory JSON = new JsonFactory();
     private static final int WIDTH = 720, HEIGHT = 120;
 
-    private Reports() { }
+    private Reports() {}
 
     /** All figures; the same bytes for the same build, nights and seeds. */
     public static String json(List<Verdict> verdicts) {
@@ -80,8 +80,9 @@
     /** SHA-256 of the figures, in hexadecimal. */
     public static String hash(List<Verdict> verdicts) {
         try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256")
-                .digest(json(verdicts).getBytes(StandardCharsets.UTF_8)));
+            return HexFormat.of()
+                    .formatHex(MessageDigest.getInstance("SHA-256")
+                            .digest(json(verdicts).getBytes(StandardCharsets.UTF_8)));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java has SHA-256", e);
         }
@@ -90,54 +91,73 @@
     /** A suite with a case for each night. */
     public static String junit(List<Verdict> verdicts) {
         long failed = verdicts.stream().filter(v -> !v.passed()).count();
-        StringBuilder out = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<testsuite"
-            + " name=\"rehearsal\"")
-            .append(" tests=\"").append(verdicts.size()).append("\" failures=\"").append(failed)
-            .append("\" errors=\"0\" skipped=\"0\">\n");
+        StringBuilder out = new StringBuilder(
+                        "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<testsuite" + " name=\"rehearsal\"")
+                .append(" tests=\"")
+                .append(verdicts.size())
+                .append("\" failures=\"")
+                .append(failed)
+                .append("\" errors=\"0\" skipped=\"0\">\n");
         for (Verdict v : verdicts) {
-            out.append("  <testcase classname=\"rehearsal\""
-                + " name=\"").append(escaped(v.night().script().name()))
-                .append('"');
+            out.append("  <testcase classname=\"rehearsal\"" + " name=\"")
+                    .append(escaped(v.night().script().name()))
+                    .append('"');
             if (v.passed()) {
                 out.append("/>\n");
             } else {
-                out.append(">\n    <failure message=\"").append(escaped(v.faults().get(0))).append("\">")
-                    .append(escaped(String.join("\n", v.faults()))).append("</failure>\n  </testcase>\n");
+                out.append(">\n    <failure message=\"")
+                        .append(escaped(v.faults().get(0)))
+                        .append("\">")
+                        .append(escaped(String.join("\n", v.faults())))
+                        .append("</failure>\n  </testcase>\n");
             }
         }
         return out.append("</testsuite>\n").toString();
     }
 
     private static String escaped(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 
     /** One page with a chart for each night: worth by second, of each seed, and what went wrong when. */
     public static String html(List<Verdict> verdicts) {
         boolean passed = verdicts.stream().allMatch(Verdict::passed);
-        StringBuilder out = new StringBuilder("<!doctype html>\n<html lang=\"en\"><head><meta"
-            + " charset=\"utf-8\">")
-            .append("<title>Rehearsal</title>\n<style>\n"
-                + "body{font:15px/1.5 sans-serif;max-width:60rem;margin:2rem auto;padding:0"
-                    + " 1rem;color:#222}\n"
-                + "table{border-collapse:collapse}td,th{padding:.2rem .8rem;text-align:right;"
-                + "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}\n"
-                + ".good{color:#186a3b}.bad{color:#a93226}svg{background:#fafafa;border:1px solid #ddd}\n"
-                + "path{fill:none;stroke:#2e6da4;stroke-opacity:.5}line{stroke:#a93226;stroke-dasharray:3"
-                    + " 3}\n"
-                + "text{font:11px sans-serif;fill:#555}\n</style></head><body>\n<h1 class=\"")
-            .append(passed ? "good\">May go into service" : "bad\">May not go into service")
-            .append("</h1>\n<table><tr><th>night</th><th>verdict</th><th>middle score</th><th>bound</th>"
-                + "<th>lowest</th><th>highest</th></tr>\n");
+        StringBuilder out = new StringBuilder("<!doctype html>\n<html lang=\"en\"><head><meta" + " charset=\"utf-8\">")
+                .append("<title>Rehearsal</title>\n<style>\n"
+                        + "body{font:15px/1.5 sans-serif;max-width:60rem;margin:2rem auto;padding:0"
+                        + " 1rem;color:#222}\n"
+                        + "table{border-collapse:collapse}td,th{padding:.2rem .8rem;text-align:right;"
+                        + "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}\n"
+                        + ".good{color:#186a3b}.bad{color:#a93226}svg{background:#fafafa;border:1px solid #ddd}\n"
+                        + "path{fill:none;stroke:#2e6da4;stroke-opacity:.5}line{stroke:#a93226;stroke-dasharray:3"
+                        + " 3}\n"
+                        + "text{font:11px sans-serif;fill:#555}\n</style></head><body>\n<h1 class=\"")
+                .append(passed ? "good\">May go into service" : "bad\">May not go into service")
+                .append("</h1>\n<table><tr><th>night</th><th>verdict</th><th>middle score</th><th>bound</th>"
+                        + "<th>lowest</th><th>highest</th></tr>\n");
         for (Verdict v : verdicts) {
-            double low = v.plays().stream().mapToDouble(p -> p.result().score()).min().orElse(0);
-            double high = v.plays().stream().mapToDouble(p -> p.result().score()).max().orElse(0);
-            out.append(String.format(Locale.ROOT,
-                "<tr><td><a href=\"#%1$s\">%1$s</a></td><td class=\"%2$s\">%3$s"
-                + "</td><td>%4$.3f</td><td>%5$.3f</td><td>%6$.3f</td><td>%7$.3f</td></tr>%n",
-                escaped(v.night().script().name()), v.passed() ? "good" : "bad", v.passed() ? "passed"
-                    : "failed",
-                Verdict.middle(v.plays()), v.night().least(), low, high));
+            double low = v.plays().stream()
+                    .mapToDouble(p -> p.result().score())
+                    .min()
+                    .orElse(0);
+            double high = v.plays().stream()
+                    .mapToDouble(p -> p.result().score())
+                    .max()
+                    .orElse(0);
+            out.append(String.format(
+                    Locale.ROOT,
+                    "<tr><td><a href=\"#%1$s\">%1$s</a></td><td class=\"%2$s\">%3$s"
+                            + "</td><td>%4$.3f</td><td>%5$.3f</td><td>%6$.3f</td><td>%7$.3f</td></tr>%n",
+                    escaped(v.night().script().name()),
+                    v.passed() ? "good" : "bad",
+                    v.passed() ? "passed" : "failed",
+                    Verdict.middle(v.plays()),
+                    v.night().least(),
+                    low,
+                    high));
         }
         out.append("</table>\n");
         verdicts.forEach(v -> night(out, v));
@@ -146,15 +166,21 @@
 
     private static void night(StringBuilder out, Verdict v) {
         double seconds = v.night().script().length() / 1e9;
-        out.append("<h2 id=\"").append(escaped(v.night().script().name())).append("\">")
-            .append(escaped(v.night().script().name())).append("</h2>\n<p>")
-            .append(escaped(v.night().script().about())).append("</p>\n");
+        out.append("<h2 id=\"")
+                .append(escaped(v.night().script().name()))
+                .append("\">")
+                .append(escaped(v.night().script().name()))
+                .append("</h2>\n<p>")
+                .append(escaped(v.night().script().about()))
+                .append("</p>\n");
         for (String fault : v.faults()) {
             out.append("<p class=\"bad\">").append(escaped(fault)).append("</p>\n");
         }
-        out.append(String.format(Locale.ROOT,
-            "<svg width=\"%d\" height=\"%d\" role=\"img\" aria-label=\"worth by"
-            + " second\">", WIDTH, HEIGHT + 20));
+        out.append(String.format(
+                Locale.ROOT,
+                "<svg width=\"%d\" height=\"%d\" role=\"img\" aria-label=\"worth by" + " second\">",
+                WIDTH,
+                HEIGHT + 20));
         for (Play play : v.plays()) {
             out.append("<path d=\"");
             List<Double> worth = play.result().bySecond();
@@ -164,24 +190,30 @@
                     down = false;
                     continue;
                 }
-                out.append(String.format(Locale.ROOT, "%s%.1f %.1f", down ? "L" : "M", s / seconds * WIDTH,
-                    HEIGHT * (1 - Math.max(0, Math.min(1, worth.get(s))))));
+                out.append(String.format(
+                        Locale.ROOT,
+                        "%s%.1f %.1f",
+                        down ? "L" : "M",
+                        s / seconds * WIDTH,
+                        HEIGHT * (1 - Math.max(0, Math.min(1, worth.get(s))))));
                 down = true;
             }
             out.append("\"/>");
         }
         v.night().script().steps().forEach(step -> mark(out, step.at() / 1e9 / seconds));
         v.night().relayEvents().forEach(e -> mark(out, e.at() / 1e9 / seconds));
-        out.append(String.format(Locale.ROOT,
-            "<text x=\"2\" y=\"12\">worth of what was asked for in each second,"
-            + " 0 to 1; a line a seed; dashed: something happens</text><text x=\"%d\" y=\"%d\">%.0f"
-                + " s</text></svg>%n",
-            WIDTH - 40, HEIGHT + 15, seconds));
+        out.append(String.format(
+                Locale.ROOT,
+                "<text x=\"2\" y=\"12\">worth of what was asked for in each second,"
+                        + " 0 to 1; a line a seed; dashed: something happens</text><text x=\"%d\" y=\"%d\">%.0f"
+                        + " s</text></svg>%n",
+                WIDTH - 40,
+                HEIGHT + 15,
+                seconds));
     }
 
     private static void mark(StringBuilder out, double at) {
-        out.append(String.format(Locale.ROOT, "<line x1=\"%1$.1f\" y1=\"0\" x2=\"%1$.1f\" y2=\"%2$d\"/>",
-            at * WIDTH,
-            HEIGHT));
+        out.append(String.format(
+                Locale.ROOT, "<line x1=\"%1$.1f\" y1=\"0\" x2=\"%1$.1f\" y2=\"%2$d\"/>", at * WIDTH, HEIGHT));
     }
 }
--- a/src/main/java/brambletray/rehearsal/Story.java
+++ b/src/main/java/brambletray/rehearsal/Story.java
@@ -18,7 +18,7 @@
 public final class Story implements Witness {
     private static final int EVENTS_MOST = 100_000;
 
-    private record Event(long at, String of, String what) { }
+    private record Event(long at, String of, String what) {}
 
     private final String line;
     private final List<Event> events = new ArrayList<>();
@@ -52,8 +52,9 @@
 
     /** One line for each event, with its time in seconds. */
     public List<String> told() {
-        return events.stream().filter(e -> Score.line(e.of).equals(line) || met.contains(e.of)
-                || e.of.startsWith("relay"))
-            .map(e -> String.format(Locale.ROOT, "%10.6f s  %s: %s", e.at / 1e9, e.of, e.what)).toList();
+        return events.stream()
+                .filter(e -> Score.line(e.of).equals(line) || met.contains(e.of) || e.of.startsWith("relay"))
+                .map(e -> String.format(Locale.ROOT, "%10.6f s  %s: %s", e.at / 1e9, e.of, e.what))
+                .toList();
     }
 }
