--- a/src/main/java/brambletray/runtime/Machine.java
+++ b/src/main/java/brambletray/runtime/Machine.java
@@ -16,23 +16,30 @@
  * What a program of ours runs on: one event loop, one clock and the sockets of one network. Real ones, or
  * simulated ones with the same contract; the code above cannot tell which.
  */
-public record Machine(EventLoop loop, Clock clock, ChannelFactory<? extends Channel> sockets,
-                      ChannelFactory<? extends ServerChannel> listeners,
-                      ChannelFactory<? extends ServerChannel> sharedListeners) {
+public record Machine(
+        EventLoop loop,
+        Clock clock,
+        ChannelFactory<? extends Channel> sockets,
+        ChannelFactory<? extends ServerChannel> listeners,
+        ChannelFactory<? extends ServerChannel> sharedListeners) {
     private static final int BACKLOG = 512;
 
     /** Real sockets on an event loop of the NIO transport, and the machine's own time. */
     public static Machine real(EventLoop loop) {
-        return new Machine(loop, Clock.system(), NioSocketChannel::new, NioServerSocketChannel::new,
-            SharedListener::new);
+        return new Machine(
+                loop, Clock.system(), NioSocketChannel::new, NioServerSocketChannel::new, SharedListener::new);
     }
 
     /** For connections out; {@code timeout}: ms for one to come up. Addresses are not looked up. */
     public Bootstrap dialling(int timeout, ChannelHandler handler) {
-        return new Bootstrap().group(loop).channelFactory(sockets).disableResolver()
-            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout)
-            .option(ChannelOption.TCP_NODELAY, true).handler(handler);
+        return new Bootstrap()
+                .group(loop)
+                .channelFactory(sockets)
+                .disableResolver()
+                .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(handler);
     }
 
     /** For connections in; {@code handler} sets each of them up. */
@@ -46,10 +53,14 @@
     }
 
     private ServerBootstrap bootstrap(ChannelFactory<? extends ServerChannel> made, ChannelHandler handler) {
-        return new ServerBootstrap().group(loop, loop).channelFactory(made)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(handler);
+        return new ServerBootstrap()
+                .group(loop, loop)
+                .channelFactory(made)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(handler);
     }
 
     /** Closes a listener once all that has connected is taken in: to close it first would reset those. */
--- a/src/main/java/brambletray/runtime/MachineRun.java
+++ b/src/main/java/brambletray/runtime/MachineRun.java
@@ -9,7 +9,7 @@
 final class MachineRun {
     private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
 
-    private MachineRun() { }
+    private MachineRun() {}
 
     /** 0 where the system does not tell. */
     static long number() {
--- a/src/main/java/brambletray/runtime/SharedListener.java
+++ b/src/main/java/brambletray/runtime/SharedListener.java
@@ -33,7 +33,9 @@
     /** Takes in what has connected; on its loop. */
     void acceptRest() {
         try {
-            for (SocketChannel next = javaChannel().accept(); next != null; next = javaChannel().accept()) {
+            for (SocketChannel next = javaChannel().accept();
+                    next != null;
+                    next = javaChannel().accept()) {
                 pipeline().fireChannelRead(new NioSocketChannel(this, next));
             }
             pipeline().fireChannelReadComplete();
--- a/src/main/java/brambletray/script/ScriptReader.java
+++ b/src/main/java/brambletray/script/ScriptReader.java
@@ -30,8 +30,8 @@
     private static final double DAY_S = 86_400, MS_MOST = 86_400_000, RATE_MOST = 1_000_000;
     private static final int PARTNERS_MOST = 10_000, ENDPOINTS_MOST = 100;
     /** Scripts that come with the program. */
-    public static final List<String> BUILT_IN = List.of("demo", "quiet-night", "first-night", "second-night",
-        "third-night", "check");
+    public static final List<String> BUILT_IN =
+            List.of("demo", "quiet-night", "first-night", "second-night", "third-night", "check");
 
     private final YamlFile file;
     private final Section root;
@@ -39,7 +39,7 @@
     private final Map<String, List<String>> places = new LinkedHashMap<>();
     private final Set<Long> destinations = new HashSet<>();
 
-    private BiConsumer<Section, Script.Fleet> more = (section, fleet) -> { };
+    private BiConsumer<Section, Script.Fleet> more = (section, fleet) -> {};
 
     private ScriptReader(YamlFile.Content content) {
         this.file = content.file();
@@ -68,8 +68,7 @@
     }
 
     /** As above, for a file that holds more than a script; {@code more} reads that. */
-    public static Script parse(String name, String text, BiConsumer<Section, Script.Fleet> more)
-        throws Faults {
+    public static Script parse(String name, String text, BiConsumer<Section, Script.Fleet> more) throws Faults {
         ScriptReader reader = new ScriptReader(YamlFile.parse(name, text));
         reader.more = more;
         return reader.script();
@@ -111,14 +110,25 @@
             }
         }
         Section check = root.section("check", false);
-        Script.Check load = new Script.Check(check.number("per_s", 5, 0.01, RATE_MOST),
-            check.number("bound_percent", 5, 0.1, 100), check.whole("connections", 256, 1, 4_096));
+        Script.Check load = new Script.Check(
+                check.number("per_s", 5, 0.01, RATE_MOST),
+                check.number("bound_percent", 5, 0.1, 100),
+                check.whole("connections", 256, 1, 4_096));
         check.done();
         more.accept(root, fleet);
         root.done();
         file.check();
-        return new Script(name, about, seed, length, fleet, traffic, List.copyOf(classes),
-            List.copyOf(partners), List.copyOf(steps), load);
+        return new Script(
+                name,
+                about,
+                seed,
+                length,
+                fleet,
+                traffic,
+                List.copyOf(classes),
+                List.copyOf(partners),
+                List.copyOf(steps),
+                load);
     }
 
     private static long seconds(double s) {
@@ -131,33 +141,46 @@
 
     private Script.Fleet fleet(Section s) {
         List<String> zones = s.texts("zones", false);
-        Script.Fleet fleet = new Script.Fleet(s.whole("relays", 1, 1, 300), s.whole("slots", 24, 1, 10_000),
-            s.whole("open", 200, 1, 1_000_000), zones.isEmpty() ? List.of("here") : zones,
-            millis(s.number("same_zone_ms", 0.5, 0, 60_000)), millis(s.number("cross_zone_ms", 0.5, 0,
-                60_000)),
-            s.number("jitter", 0.2, 0, 10), s.word("weights", "rough", "none", "nominal", "rough"));
+        Script.Fleet fleet = new Script.Fleet(
+                s.whole("relays", 1, 1, 300),
+                s.whole("slots", 24, 1, 10_000),
+                s.whole("open", 200, 1, 1_000_000),
+                zones.isEmpty() ? List.of("here") : zones,
+                millis(s.number("same_zone_ms", 0.5, 0, 60_000)),
+                millis(s.number("cross_zone_ms", 0.5, 0, 60_000)),
+                s.number("jitter", 0.2, 0, 10),
+                s.word("weights", "rough", "none", "nominal", "rough"));
         s.done();
         return fleet;
     }
 
     private Script.Traffic traffic(Section s, long length) {
         long from = seconds(s.number("from_s", 0, 0, DAY_S));
-        Script.Traffic traffic = new Script.Traffic(s.number("per_s", 46, 0, RATE_MOST),
-            s.number("swing", 0, 0, 1), seconds(s.number("period_s", 30, 0.1, DAY_S)), from,
-            seconds(s.number("until_s", length / 1e9, 0, DAY_S)), s.whole("retries", 1, 0, 10),
-            s.number("honour", 0.7, 0, 1), s.whole("body_bytes", 200, 0, 64 * 1024),
-            s.number("mqtt_share", 0, 0, 1));
+        Script.Traffic traffic = new Script.Traffic(
+                s.number("per_s", 46, 0, RATE_MOST),
+                s.number("swing", 0, 0, 1),
+                seconds(s.number("period_s", 30, 0.1, DAY_S)),
+                from,
+                seconds(s.number("until_s", length / 1e9, 0, DAY_S)),
+                s.whole("retries", 1, 0, 10),
+                s.number("honour", 0.7, 0, 1),
+                s.whole("body_bytes", 200, 0, 64 * 1024),
+                s.number("mqtt_share", 0, 0, 1));
         s.done();
         return traffic;
     }
 
     private Script.MessageClass messageClass(Section s) {
         long limit = Math.round(s.number("limit_ms", 16_000, 1, 3_600_000));
-        Script.MessageClass c = new Script.MessageClass(s.text("name"), s.number("share", 1, 0, 1_000),
-            Math.round(s.number("aim_ms", 2_000, 1, 3_600_000)), limit,
-            s.word("effect", "keyed", "safe", "keyed", "unsafe"),
-            Math.round(s.number("window_ms", 15_000, 0, 3_600_000)), s.number("late_worth", 0.3, 0, 1),
-            s.number("worth", 1, 0.001, 1_000));
+        Script.MessageClass c = new Script.MessageClass(
+                s.text("name"),
+                s.number("share", 1, 0, 1_000),
+                Math.round(s.number("aim_ms", 2_000, 1, 3_600_000)),
+                limit,
+                s.word("effect", "keyed", "safe", "keyed", "unsafe"),
+                Math.round(s.number("window_ms", 15_000, 0, 3_600_000)),
+                s.number("late_worth", 0.3, 0, 1),
+                s.number("worth", 1, 0.001, 1_000));
         if (!c.name().matches("[A-Za-z0-9._-]+")) {
             s.fault("name", "expected letters, digits, '.', '_' and '-' only");
         }
@@ -214,17 +237,34 @@
         PartnerSpec.Keys keys = keys(from(s, kind, "keys"));
         PartnerSpec.Cold cold = cold(from(s, kind, "cold"));
         boolean apart = from(s, kind, "routes_apart").flag("routes_apart", true);
-        PartnerSpec.Abandoned abandoned = switch (from(s, kind, "abandoned")
-            .word("abandoned", "runs", "runs", "dropped_in_queue", "dropped")) {
-            case "dropped" -> PartnerSpec.Abandoned.DROPPED;
-            case "dropped_in_queue" -> PartnerSpec.Abandoned.DROPPED_IN_QUEUE;
-            default -> PartnerSpec.Abandoned.RUNS;
-        };
+        PartnerSpec.Abandoned abandoned =
+                switch (from(s, kind, "abandoned").word("abandoned", "runs", "runs", "dropped_in_queue", "dropped")) {
+                    case "dropped" -> PartnerSpec.Abandoned.DROPPED;
+                    case "dropped_in_queue" -> PartnerSpec.Abandoned.DROPPED_IN_QUEUE;
+                    default -> PartnerSpec.Abandoned.RUNS;
+                };
         double capacity = servers * 1e9 / law.mean();
         double rate = limit.perSecond() > 0 ? Math.min(capacity, limit.perSecond()) : capacity;
         double listed = from(s, kind, "listed_per_s").number("listed_per_s", rate, 0.001, RATE_MOST);
-        return new PartnerSpec(name, destination, kindName, traffic, apart, servers, law, queue, limit, waits,
-            reports, connections, keys, cold, abandoned, listed, bundle(from(s, kind, "bundle")), specs);
+        return new PartnerSpec(
+                name,
+                destination,
+                kindName,
+                traffic,
+                apart,
+                servers,
+                law,
+                queue,
+                limit,
+                waits,
+                reports,
+                connections,
+                keys,
+                cold,
+                abandoned,
+                listed,
+                bundle(from(s, kind, "bundle")),
+                specs);
     }
 
     /**
@@ -287,9 +327,8 @@
             s.fault("per_s", "expected either per_s (with burst) or count (with span_ms)");
         }
         if (s.has("count")) {
-            limit = new Limit.Span(s.whole("count", 1, 1, 1_000_000), millis(s.number("span_ms", 1_000, 1,
-                MS_MOST)),
-                refusedUse);
+            limit = new Limit.Span(
+                    s.whole("count", 1, 1, 1_000_000), millis(s.number("span_ms", 1_000, 1, MS_MOST)), refusedUse);
         } else {
             double rate = s.number("per_s", 0.001, RATE_MOST);
             limit = new Limit.Rate(rate, s.number("burst", Math.max(1, rate / 4), 1, RATE_MOST), refusedUse);
@@ -305,8 +344,8 @@
         if (most < least) {
             s.fault("most_ms", "expected no less than least_ms");
         }
-        PartnerSpec.Waits waits = new PartnerSpec.Waits(s.number("share", 0.5, 0, 1), millis(least),
-            millis(Math.max(least, most)));
+        PartnerSpec.Waits waits =
+                new PartnerSpec.Waits(s.number("share", 0.5, 0, 1), millis(least), millis(Math.max(least, most)));
         s.done();
         return waits;
     }
@@ -314,33 +353,39 @@
     private static PartnerSpec.Reports reports(Section from) {
         boolean there = from.has("reports");
         Section s = from.section("reports", false);
-        PartnerSpec.Reports reports = new PartnerSpec.Reports(millis(s.number("refresh_ms", 400, 1, MS_MOST)),
-            millis(s.number("delay_ms", 0, 0, 60_000)));
+        PartnerSpec.Reports reports = new PartnerSpec.Reports(
+                millis(s.number("refresh_ms", 400, 1, MS_MOST)), millis(s.number("delay_ms", 0, 0, 60_000)));
         s.done();
         return there ? reports : null;
     }
 
     private static PartnerSpec.Connections connections(Section from) {
         Section s = from.section("connections", false);
-        PartnerSpec.Connections connections = new PartnerSpec.Connections(s.whole("cap", 1_000, 1, 1_000_000),
-            millis(s.number("handshake_ms", 0, 0, 60_000)), millis(s.number("idle_ms", 15_000, 1, MS_MOST)));
+        PartnerSpec.Connections connections = new PartnerSpec.Connections(
+                s.whole("cap", 1_000, 1, 1_000_000),
+                millis(s.number("handshake_ms", 0, 0, 60_000)),
+                millis(s.number("idle_ms", 15_000, 1, MS_MOST)));
         s.done();
         return connections;
     }
 
     private static PartnerSpec.Keys keys(Section from) {
         Section s = from.section("keys", false);
-        PartnerSpec.Keys keys = new PartnerSpec.Keys(millis(s.number("window_ms", 15_000, 0, MS_MOST)),
-            s.word("group", "all", "all", "zone").equals("zone"));
+        PartnerSpec.Keys keys = new PartnerSpec.Keys(
+                millis(s.number("window_ms", 15_000, 0, MS_MOST)),
+                s.word("group", "all", "all", "zone").equals("zone"));
         s.done();
         return keys;
     }
 
     private static PartnerSpec.Cold cold(Section from) {
         Section s = from.section("cold", false);
-        PartnerSpec.Cold cold = new PartnerSpec.Cold(s.number("from", 0.19, 0.01, 1),
-            millis(s.number("warm_ms", 12_000, 1, MS_MOST)), s.number("multiple", 2, 1, 1_000),
-            millis(s.number("fall_ms", 3_000, 1, MS_MOST)), s.number("slack_calls", 4, 0, 1_000_000));
+        PartnerSpec.Cold cold = new PartnerSpec.Cold(
+                s.number("from", 0.19, 0.01, 1),
+                millis(s.number("warm_ms", 12_000, 1, MS_MOST)),
+                s.number("multiple", 2, 1, 1_000),
+                millis(s.number("fall_ms", 3_000, 1, MS_MOST)),
+                s.number("slack_calls", 4, 0, 1_000_000));
         s.done();
         return cold;
     }
@@ -352,15 +397,31 @@
             s.fault("at_s", "expected no more than length_s");
         }
         long span = seconds(s.number("for_s", 0, 0, DAY_S));
-        String word = s.word("do", "", "shut", "down", "vanish", "hang", "pause", "slow", "spoil", "drain",
-            "leave", "return", "replace", "list_late", "list_stalled", "list_moved");
+        String word = s.word(
+                "do",
+                "",
+                "shut",
+                "down",
+                "vanish",
+                "hang",
+                "pause",
+                "slow",
+                "spoil",
+                "drain",
+                "leave",
+                "return",
+                "replace",
+                "list_late",
+                "list_stalled",
+                "list_moved");
         if (word.isEmpty()) {
             if (!s.has("do")) {
                 s.fault("do", "is missing: expected what happens");
             }
             return null;
         }
-        boolean needsEnd = !Set.of("drain", "leave", "return", "replace", "list_moved").contains(word);
+        boolean needsEnd =
+                !Set.of("drain", "leave", "return", "replace", "list_moved").contains(word);
         if (needsEnd && span <= 0) {
             s.fault("for_s", "expected a time above 0 for " + word);
         }
@@ -372,7 +433,8 @@
             case "down" -> new Step.Down();
             case "vanish" -> new Step.Vanish();
             case "hang" -> new Step.Hang();
-            case "pause" -> new Step.Pause(s.word("answers", "late", "late", "never").equals("never"));
+            case "pause" ->
+                new Step.Pause(s.word("answers", "late", "late", "never").equals("never"));
             case "slow" -> new Step.Slow(s.number("factor", 0.01, 1_000));
             case "spoil" -> new Step.Spoil(spoils(s));
             case "drain" -> new Step.Drain(s.flag("refuses", false));
@@ -389,9 +451,11 @@
     }
 
     private static Endpoint.Spoils spoils(Section s) {
-        Endpoint.Spoils spoils = new Endpoint.Spoils(s.number("failed", 0, 0, 1), s.number("reset_before",
-            0, 0, 1),
-            s.number("reset_after", 0, 0, 1), s.number("spoilt", 0, 0, 1));
+        Endpoint.Spoils spoils = new Endpoint.Spoils(
+                s.number("failed", 0, 0, 1),
+                s.number("reset_before", 0, 0, 1),
+                s.number("reset_after", 0, 0, 1),
+                s.number("spoilt", 0, 0, 1));
         double all = spoils.failed() + spoils.resetBefore() + spoils.resetAfter() + spoils.spoilt();
         if (all <= 0 || all > 1) {
             s.fault("do", "expected failed, reset_before, reset_after, spoilt with a sum above 0, up to 1");
--- a/src/main/java/brambletray/serve/Config.java
+++ b/src/main/java/brambletray/serve/Config.java
@@ -20,23 +20,53 @@
  * as last had; {@code quotas} a file of them, null for none; {@code console} the operators' address, null for
  * none.
  */
-public record Config(InetSocketAddress listen, InetSocketAddress console, InetSocketAddress discovery,
-                     Path state, long seed, int sockets, long diskBytes, Store.Promise promise,
-                     Relay.Settings settings,
-                         List<String> zones,
-                     List<String> kinds, Wire.Fields known, MqttSettings mqtt, Path quotas) {
+public record Config(
+        InetSocketAddress listen,
+        InetSocketAddress console,
+        InetSocketAddress discovery,
+        Path state,
+        long seed,
+        int sockets,
+        long diskBytes,
+        Store.Promise promise,
+        Relay.Settings settings,
+        List<String> zones,
+        List<String> kinds,
+        Wire.Fields known,
+        MqttSettings mqtt,
+        Path quotas) {
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
 
     /** Of a relay that runs without the platform; {@code settings} as the platform would give them. */
-    public static Config of(InetSocketAddress listen, InetSocketAddress console, Path state,
-                            long seed, int sockets, long diskBytes,
-                            Store.Promise promise, Wire.Fields settings, MqttSettings mqtt, Path quotas)
-        throws Wire.Malformed, Unusable {
-        return new Config(listen, console, null, state, seed, sockets, diskBytes, promise,
-            usable(Wire.settings(settings), mqtt != null), names(settings, "localities"),
-            names(settings, "kinds"), Wire.decode("{}"), mqtt, checked(quotas));
+    public static Config of(
+            InetSocketAddress listen,
+            InetSocketAddress console,
+            Path state,
+            long seed,
+            int sockets,
+            long diskBytes,
+            Store.Promise promise,
+            Wire.Fields settings,
+            MqttSettings mqtt,
+            Path quotas)
+            throws Wire.Malformed, Unusable {
+        return new Config(
+                listen,
+                console,
+                null,
+                state,
+                seed,
+                sockets,
+                diskBytes,
+                promise,
+                usable(Wire.settings(settings), mqtt != null),
+                names(settings, "localities"),
+                names(settings, "kinds"),
+                Wire.decode("{}"),
+                mqtt,
+                checked(quotas));
     }
 
     /** A configuration that no relay can run with; the message is one plain line. */
@@ -60,17 +90,24 @@
             Wire.Fields limits = all.object("limits");
             Wire.Fields settings = all.object("settings");
             return new Config(
-                Addresses.parse(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
-                console(env.getOrDefault("EDGE_CONSOLE", all.text("console", ""))),
-                Addresses.parse(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
-                folder(state), seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
-                (long) (limits.number("disk_mb", 3) * 1_000_000), promise(all.text("outlasts", "process")),
-                usable(Wire.settings(settings), all.values().get("mqtt") != null),
-                names(settings, "localities"), names(settings, "kinds"), all.object("known"),
-                all.values().get("mqtt") == null ? null
-                    : MqttFile.read(Path.of(file).resolveSibling(all.text("mqtt"))),
-                all.values().get("quotas") == null ? null
-                    : checked(Path.of(file).resolveSibling(all.text("quotas"))));
+                    Addresses.parse(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
+                    console(env.getOrDefault("EDGE_CONSOLE", all.text("console", ""))),
+                    Addresses.parse(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
+                    folder(state),
+                    seed(all.text("seed", "0")),
+                    (int) limits.whole("sockets", 1024),
+                    (long) (limits.number("disk_mb", 3) * 1_000_000),
+                    promise(all.text("outlasts", "process")),
+                    usable(Wire.settings(settings), all.values().get("mqtt") != null),
+                    names(settings, "localities"),
+                    names(settings, "kinds"),
+                    all.object("known"),
+                    all.values().get("mqtt") == null
+                            ? null
+                            : MqttFile.read(Path.of(file).resolveSibling(all.text("mqtt"))),
+                    all.values().get("quotas") == null
+                            ? null
+                            : checked(Path.of(file).resolveSibling(all.text("quotas"))));
         } catch (Wire.Malformed e) {
             throw new Unusable("configuration " + file + ": " + e.getMessage());
         } catch (IOException e) {
@@ -139,18 +176,42 @@
      * window.
      */
     private static Relay.Settings usable(Relay.Settings s, boolean mqtt) throws Unusable {
-        if (s.classes().isEmpty() || s.kinds().isEmpty() || s.relays() < 1 || s.allowed().slots() < 1
-            || s.allowed().connectTimeout() <= 0 || s.allowed().keepAlive() <= 0) {
+        if (s.classes().isEmpty()
+                || s.kinds().isEmpty()
+                || s.relays() < 1
+                || s.allowed().slots() < 1
+                || s.allowed().connectTimeout() <= 0
+                || s.allowed().keepAlive() <= 0) {
             throw new Unusable("settings lack classes, kinds, relays, slots or connection times");
         }
-        List<Relay.Kind> kinds = s.kinds().stream().map(k -> new Relay.Kind(k.apart(),
-            mqtt ? 1 : k.bundle())).toList();
-        List<Relay.MessageClass> classes = s.classes().stream().map(c -> new Relay.MessageClass(c.name(),
-            c.aim(), c.life(), c.worth(), c.lateWorth(), c.effect(), c.zoneGroup(),
-            Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN), c.inOrder())).toList();
-        return new Relay.Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
-            s.weights(),
-            classes, s.tenants(), kinds, s.allowed(), s.rules(), s.prices());
+        List<Relay.Kind> kinds = s.kinds().stream()
+                .map(k -> new Relay.Kind(k.apart(), mqtt ? 1 : k.bundle()))
+                .toList();
+        List<Relay.MessageClass> classes = s.classes().stream()
+                .map(c -> new Relay.MessageClass(
+                        c.name(),
+                        c.aim(),
+                        c.life(),
+                        c.worth(),
+                        c.lateWorth(),
+                        c.effect(),
+                        c.zoneGroup(),
+                        Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN),
+                        c.inOrder()))
+                .toList();
+        return new Relay.Settings(
+                s.rank(),
+                s.relays(),
+                s.zone(),
+                s.halvingLate(),
+                s.overShareWorth(),
+                s.weights(),
+                classes,
+                s.tenants(),
+                kinds,
+                s.allowed(),
+                s.rules(),
+                s.prices());
     }
 
     private static List<String> names(Wire.Fields settings, String field) throws Wire.Malformed {
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -42,7 +42,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -80,6 +79,7 @@
     private final Server server;
     /** Of the platform's agent, where that is what this relay runs under and may hand over to another. */
     private final Discovery discovery;
+
     private final Succession succession;
     private final Promise<Void> serving;
     private final Relay.Listed known;
@@ -88,11 +88,12 @@
     private QuotaDoor door;
     /** While this process owns the folder; after it was handed on, the loop of what is still out. */
     private Journal journal;
+
     private Loop loop;
     private Operator operator;
     private int avoidedByOwner;
-    private Runnable whenLeft = () -> { };
-    private Consumer<String> whenOver = fault -> { };
+    private Runnable whenLeft = () -> {};
+    private Consumer<String> whenOver = fault -> {};
     private long leaveBy;
 
     /** What a relay runs under: where its list of hosts comes from, and where the ends of messages go. */
@@ -105,7 +106,7 @@
         }
 
         /** Before the folder is owned and what it holds believed; throws where it must not be. */
-        default void beforeOwning(Machine machine, Journal journal) throws IOException { }
+        default void beforeOwning(Machine machine, Journal journal) throws IOException {}
 
         /** Who lets messages in; {@code inner}: who would without these surroundings. */
         default Door door(Door inner) {
@@ -113,7 +114,7 @@
         }
 
         /** SIGHUP has come, or its like; on the loop. */
-        default void hangup() { }
+        default void hangup() {}
 
         /** How a message ended, as JSON, by id; null where clients can't ask. */
         default Function<String, String> answers() {
@@ -123,18 +124,19 @@
 
     /** Takes up what the journal holds, and begins to listen. The instance closes the journal at its end. */
     public Instance(Machine machine, Config config, Journal journal) throws Wire.Malformed {
-        this(machine, config, journal, (on, hosts, loop, store) -> new Discovery(on, config.discovery(),
-            hosts,
-            loop::listed, loop::noticed));
+        this(
+                machine,
+                config,
+                journal,
+                (on, hosts, loop, store) -> new Discovery(on, config.discovery(), hosts, loop::listed, loop::noticed));
     }
 
     /** The same, without the platform's agent. */
-    public Instance(Machine machine, Config config, Journal journal, Surroundings surroundings)
-        throws Wire.Malformed {
+    public Instance(Machine machine, Config config, Journal journal, Surroundings surroundings) throws Wire.Malformed {
         this(machine, config, null, surroundings, true);
         this.journal = journal;
         takeUp(null, null);
-        listen(() -> { });
+        listen(() -> {});
         if (config.console() != null) {
             consoleBound = new Console(machine, operator).listen(config.console());
         }
@@ -147,16 +149,17 @@
     public Instance(Machine machine, Config config, Disk disk) throws Wire.Malformed {
         this(machine, config, disk, null, false);
         consoleBound = new Console(machine, new AnyOperator(), new Console.Upgrade() {
-            @Override
-            public boolean allows(String secret) {
-                return succession.knows(secret);
-            }
-
-            @Override
-            public void upgraded(Channel channel) {
-                succession.accept(channel);
-            }
-        }).listen(config.console());
+                    @Override
+                    public boolean allows(String secret) {
+                        return succession.knows(secret);
+                    }
+
+                    @Override
+                    public void upgraded(Channel channel) {
+                        succession.accept(channel);
+                    }
+                })
+                .listen(config.console());
         consoleBound.addListener(done -> {
             if (done.isSuccess()) {
                 try {
@@ -166,39 +169,46 @@
                     serving.tryFailure(e);
                 }
             } else {
-                serving.tryFailure(new IOException("console " + config.console() + ": "
-                    + done.cause().getMessage()));
+                serving.tryFailure(new IOException(
+                        "console " + config.console() + ": " + done.cause().getMessage()));
             }
         });
     }
 
     private Instance(Machine machine, Config config, Disk disk, Surroundings surroundings, boolean alone)
-        throws Wire.Malformed {
+            throws Wire.Malformed {
         this.machine = machine;
         this.config = config;
         this.disk = disk;
         this.surroundings = surroundings;
         this.serving = machine.loop().newPromise();
-        hosts = new HostList(config.zones(), config.kinds(),
-            config.mqtt() != null ? MqttWays.protocols() : Set.of("http"));
-        figures = new Figures(config.settings().classes().stream().map(Relay.MessageClass::name).toList());
+        hosts = new HostList(
+                config.zones(), config.kinds(), config.mqtt() != null ? MqttWays.protocols() : Set.of("http"));
+        figures = new Figures(config.settings().classes().stream()
+                .map(Relay.MessageClass::name)
+                .toList());
         Descriptors descriptors = new Descriptors(config.sockets());
-        HostPool http = new HostPool(machine, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive(), figures::written, descriptors);
-        Calls ways = config.mqtt() != null
-            ? MqttWays.beside(http, machine, config.settings(), figures::written) : http;
+        HostPool http = new HostPool(
+                machine,
+                config.settings().allowed().connectTimeout(),
+                config.settings().allowed().keepAlive(),
+                figures::written,
+                descriptors);
+        Calls ways = config.mqtt() != null ? MqttWays.beside(http, machine, config.settings(), figures::written) : http;
         draining = new Draining(machine, drain, new Fronts());
         succession = alone ? null : new Succession(machine, new Parts(), disk, config.settings());
         pool = alone ? ways : new CallsOfBoth(ways, succession);
-        server = new Server(alone ? new OwnIntake() : new AnyIntake(), machine,
-            descriptors.share(Descriptors.Owner.CLIENTS), drain);
+        server = new Server(
+                alone ? new OwnIntake() : new AnyIntake(),
+                machine,
+                descriptors.share(Descriptors.Owner.CLIENTS),
+                drain);
         if (config.known().values().isEmpty()) {
             known = null;
         } else {
             known = hosts.update(config.known());
         }
-        discovery = alone ? null : new Discovery(machine, config.discovery(), hosts, this::listed,
-            this::noticed);
+        discovery = alone ? null : new Discovery(machine, config.discovery(), hosts, this::listed, this::noticed);
     }
 
     /** True where a process may take another's place: clients and hosts speak HTTP, there are no quotas. */
@@ -211,10 +221,10 @@
     private void takeUp(Handoff from, AfarCalls afar) {
         FolderTime.goOn(journal.store(), machine.clock());
         loop = from == null
-            ? new Loop(machine, config.seed(), config.settings(), hosts, pool, journal, figures)
-            : new Loop(machine, config.seed(), config.settings(), hosts, pool, journal, figures, from);
-        Platform platform = discovery != null ? discovery
-            : surroundings.platform(machine, hosts, loop, journal.store());
+                ? new Loop(machine, config.seed(), config.settings(), hosts, pool, journal, figures)
+                : new Loop(machine, config.seed(), config.settings(), hosts, pool, journal, figures, from);
+        Platform platform =
+                discovery != null ? discovery : surroundings.platform(machine, hosts, loop, journal.store());
         if (mqtt == null && config.mqtt() != null) {
             mqtt = new MqttFront(machine, config.mqtt(), loop, journal.store());
         }
@@ -355,15 +365,19 @@
 
     private void leaveAlone() {
         drain.leave();
-        machine.loop().schedule(() -> {
-            Machine.close(bound.channel());
-            server.closeClients();
-            if (mqtt != null) {
-                mqttBound.channel().close();
-                mqtt.closeClients();
-            }
-            workOff();
-        }, SERVE_ON, TimeUnit.MILLISECONDS);
+        machine.loop()
+                .schedule(
+                        () -> {
+                            Machine.close(bound.channel());
+                            server.closeClients();
+                            if (mqtt != null) {
+                                mqttBound.channel().close();
+                                mqtt.closeClients();
+                            }
+                            workOff();
+                        },
+                        SERVE_ON,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void workOff() {
@@ -508,8 +522,7 @@
         @Override
         public void ready(Consumer<Said> then) {
             boolean ready = serving.isSuccess() && succession.serves();
-            then.accept(ready ? Said.yes(draining.told())
-                : new Said(503, "not ready"));
+            then.accept(ready ? Said.yes(draining.told()) : new Said(503, "not ready"));
         }
 
         @Override
@@ -517,8 +530,7 @@
             if (owns() && operator != null) {
                 operator.figures(then);
             } else {
-                then.accept(Said.yes(Statsd.lines(figures,
-                    hosts.listed(), avoidedByOwner)));
+                then.accept(Said.yes(Statsd.lines(figures, hosts.listed(), avoidedByOwner)));
             }
         }
 
@@ -540,8 +552,11 @@
         @Override
         public boolean open() throws IOException {
             try {
-                journal = Journal.open(disk, config.diskBytes() - MEETING, config.promise(),
-                    config.settings().allowed().attempts());
+                journal = Journal.open(
+                        disk,
+                        config.diskBytes() - MEETING,
+                        config.promise(),
+                        config.settings().allowed().attempts());
                 return true;
             } catch (FolderInUse e) {
                 return false;
@@ -603,11 +618,15 @@
             // Clients that are connected here are served to the end of what they have asked.
             drain.handOver();
             Machine.close(bound.channel());
-            machine.loop().schedule(() -> {
-                server.closeClients();
-                whenLeft.run();
-                whenOver.accept(fault);
-            }, SERVE_ON, TimeUnit.MILLISECONDS);
+            machine.loop()
+                    .schedule(
+                            () -> {
+                                server.closeClients();
+                                whenLeft.run();
+                                whenOver.accept(fault);
+                            },
+                            SERVE_ON,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/main/java/brambletray/serve/MqttFile.java
+++ b/src/main/java/brambletray/serve/MqttFile.java
@@ -7,7 +7,7 @@
 
 /** Apart from {@link Config}, so that a relay that speaks no MQTT loads nothing of it. */
 final class MqttFile {
-    private MqttFile() { }
+    private MqttFile() {}
 
     static MqttSettings read(Path file) throws Config.Unusable, IOException {
         try {
--- a/src/main/java/brambletray/serve/MqttWays.java
+++ b/src/main/java/brambletray/serve/MqttWays.java
@@ -14,7 +14,7 @@
 
 /** The ways out of a relay that speaks MQTT too. Apart, so that no class of MQTT is loaded without it. */
 final class MqttWays {
-    private MqttWays() { }
+    private MqttWays() {}
 
     /** What the list may name as a host's protocol. */
     static Set<String> protocols() {
@@ -26,8 +26,14 @@
     static Calls beside(Calls http, Machine machine, Relay.Settings settings, IntConsumer whenWritten) {
         Map<String, Calls> ways = new HashMap<>();
         ways.put("http", http);
-        Dialect.ALL.forEach((protocol, dialect) -> ways.put(protocol, new MqttCalls(machine, dialect,
-            "relay-" + settings.rank(), settings.allowed().connectTimeout(), whenWritten)));
+        Dialect.ALL.forEach((protocol, dialect) -> ways.put(
+                protocol,
+                new MqttCalls(
+                        machine,
+                        dialect,
+                        "relay-" + settings.rank(),
+                        settings.allowed().connectTimeout(),
+                        whenWritten)));
         return new CallsByProtocol(ways);
     }
 }
--- a/src/main/java/brambletray/serve/Node.java
+++ b/src/main/java/brambletray/serve/Node.java
@@ -23,8 +23,7 @@
 public final class Node implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
 
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final CountDownLatch left = new CountDownLatch(1);
     private final Instance instance;
@@ -40,11 +39,11 @@
 
     /** {@code surroundings}: null for the platform's agent. */
     public Node(Config config, Instance.Surroundings surroundings)
-        throws IOException, InterruptedException, ExecutionException {
+            throws IOException, InterruptedException, ExecutionException {
         this.surroundings = surroundings;
         if (surroundings == null && Instance.handsOver(config)) {
-            instance = thread.submit(() -> new Instance(Machine.real(thread), config,
-                new RealDisk(config.state()))).get();
+            instance = thread.submit(() -> new Instance(Machine.real(thread), config, new RealDisk(config.state())))
+                    .get();
             thread.execute(() -> instance.whenOver(why -> {
                 fault = why;
                 left.countDown();
@@ -56,8 +55,11 @@
                 throw e;
             }
         } else {
-            Journal journal = Journal.open(new RealDisk(config.state()), config.diskBytes(), config.promise(),
-                config.settings().allowed().attempts());
+            Journal journal = Journal.open(
+                    new RealDisk(config.state()),
+                    config.diskBytes(),
+                    config.promise(),
+                    config.settings().allowed().attempts());
             if (surroundings != null) {
                 try {
                     surroundings.beforeOwning(Machine.real(thread), journal);
@@ -68,8 +70,9 @@
                 }
             }
             instance = thread.submit(() -> surroundings == null
-                ? new Instance(Machine.real(thread), config, journal)
-                : new Instance(Machine.real(thread), config, journal, surroundings)).get();
+                            ? new Instance(Machine.real(thread), config, journal)
+                            : new Instance(Machine.real(thread), config, journal, surroundings))
+                    .get();
             instance.bound().get();
         }
         address = (InetSocketAddress) instance.bound().channel().localAddress();
@@ -81,7 +84,10 @@
             instance.consoleBound().get();
             LOG.info("operators on {}", consoleAddress());
         }
-        LOG.info("serving on {}, {} messages taken up", address, thread.submit(instance::held).get());
+        LOG.info(
+                "serving on {}, {} messages taken up",
+                address,
+                thread.submit(instance::held).get());
     }
 
     /** Serves until the process is told to end; 2 where the configuration is of no use. */
@@ -120,16 +126,17 @@
         } catch (Config.Unusable e) {
             System.err.println(e.getMessage());
         } catch (IOException e) {
-            System.err.println(e instanceof UntrustedStore
-                ? "the store in EDGE_STATE can't be trusted: " + e.getMessage()
-                    + "; 'java -jar brambletray.jar store verify DIR' says more, 'store salvage DIR NEW'"
-                    + " saves what can be read"
-                : e instanceof NotToBeOwned ? e.getMessage()
-                : "cannot open the store in EDGE_STATE: " + e.getMessage());
+            System.err.println(
+                    e instanceof UntrustedStore
+                            ? "the store in EDGE_STATE can't be trusted: " + e.getMessage()
+                                    + "; 'java -jar brambletray.jar store verify DIR' says more, 'store salvage DIR NEW'"
+                                    + " saves what can be read"
+                            : e instanceof NotToBeOwned
+                                    ? e.getMessage()
+                                    : "cannot open the store in EDGE_STATE: " + e.getMessage());
         } catch (ExecutionException e) {
             Throwable cause = e.getCause();
-            System.err.println("cannot start: "
-                + (cause instanceof IOException ? cause.getMessage() : cause));
+            System.err.println("cannot start: " + (cause instanceof IOException ? cause.getMessage() : cause));
         } catch (InterruptedException e) {
             System.err.println("interrupted at the start");
         }
--- a/src/main/java/brambletray/serve/Operator.java
+++ b/src/main/java/brambletray/serve/Operator.java
@@ -51,15 +51,16 @@
     @Override
     public void exclude(String name, boolean out, Consumer<Said> then) {
         boolean listed = hosts.hasNamed(name);
-        then.accept(switch (out ? exclusions.enter(name, listed) : exclusions.exit(name, listed)) {
-            case UNKNOWN -> new Said(404, "no list has named a host " + name);
-            case FULL -> new Said(503, Exclusions.MOST + " hosts are out already");
-            case UNCHANGED -> out ? takenOut(name) : Said.yes(name + " is in use");
-            case CHANGED -> {
-                loop.exclude(hosts.reserved(name), out);
-                yield out ? takenOut(name) : putBack(name);
-            }
-        });
+        then.accept(
+                switch (out ? exclusions.enter(name, listed) : exclusions.exit(name, listed)) {
+                    case UNKNOWN -> new Said(404, "no list has named a host " + name);
+                    case FULL -> new Said(503, Exclusions.MOST + " hosts are out already");
+                    case UNCHANGED -> out ? takenOut(name) : Said.yes(name + " is in use");
+                    case CHANGED -> {
+                        loop.exclude(hosts.reserved(name), out);
+                        yield out ? takenOut(name) : putBack(name);
+                    }
+                });
     }
 
     /** It is out already: nothing goes there, whether or not that can be written down. */
--- a/src/main/java/brambletray/serve/QuotaWays.java
+++ b/src/main/java/brambletray/serve/QuotaWays.java
@@ -11,7 +11,7 @@
 
 /** The door of a relay with quotas. Apart, so that no class of them is loaded without. */
 final class QuotaWays {
-    private QuotaWays() { }
+    private QuotaWays() {}
 
     static void check(Path file) throws Config.Unusable {
         try {
@@ -25,9 +25,13 @@
 
     static QuotaDoor door(Machine machine, Path file, Relay.Settings settings, Store store) {
         try {
-            return new QuotaDoor(machine.clock(), store, QuotaFile.read(file),
-                settings.tenants().stream().map(Relay.Tenant::name).toList(), settings.rank(),
-                settings.relays());
+            return new QuotaDoor(
+                    machine.clock(),
+                    store,
+                    QuotaFile.read(file),
+                    settings.tenants().stream().map(Relay.Tenant::name).toList(),
+                    settings.rank(),
+                    settings.relays());
         } catch (Faults | IOException e) {
             throw new IllegalStateException("quotas: " + e.getMessage(), e);
         }
--- a/src/main/java/brambletray/serve/WarmUp.java
+++ b/src/main/java/brambletray/serve/WarmUp.java
@@ -47,30 +47,37 @@
     private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
     private static final int MESSAGES = 600, SILENT_MOST_MS = 5_000;
     private static final long TIME_MOST = TimeUnit.SECONDS.toNanos(5),
-        TIME_BESIDE = TimeUnit.MILLISECONDS.toNanos(2_200);
+            TIME_BESIDE = TimeUnit.MILLISECONDS.toNanos(2_200);
 
-    private WarmUp() { }
+    private WarmUp() {}
 
     /** Runs on the calling thread; a warm-up that fails is no fault of the relay's. */
     static void run(Config config) throws InterruptedException {
         boolean again = Files.exists(config.state().resolve("MANIFEST"))
-            || Files.exists(config.state().resolve("journal"));
+                || Files.exists(config.state().resolve("journal"));
         boolean beside = again && Instance.handsOver(config) && Store.inUse(new RealDisk(config.state()));
         if (again && !beside) {
             return;
         }
-        Path folder = beside ? temporary().resolve("warmup-" + ProcessHandle.current().pid())
-            : config.state().resolve("warmup");
+        Path folder = beside
+                ? temporary().resolve("warmup-" + ProcessHandle.current().pid())
+                : config.state().resolve("warmup");
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             Files.createDirectories(folder);
             InetAddress here = config.listen().getAddress();
-            InetSocketAddress standIn = (InetSocketAddress) new ServerBootstrap().group(group)
-                .channel(NioServerSocketChannel.class).childHandler(new StandIn())
-                .bind(new InetSocketAddress(here, 0)).sync().channel().localAddress();
+            InetSocketAddress standIn = (InetSocketAddress) new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .childHandler(new StandIn())
+                    .bind(new InetSocketAddress(here, 0))
+                    .sync()
+                    .channel()
+                    .localAddress();
             InetSocketAddress free = new InetSocketAddress(here, 0);
-            InetSocketAddress console = config.console() == null ? null
-                : new InetSocketAddress(config.console().getAddress(), 0);
+            InetSocketAddress console = config.console() == null
+                    ? null
+                    : new InetSocketAddress(config.console().getAddress(), 0);
             try (Node relay = new Node(scene(config, folder, free, console, standIn))) {
                 play(config, relay.address(), beside ? TIME_BESIDE : TIME_MOST);
                 if (beside) {
@@ -93,15 +100,28 @@
         return Path.of(named == null || named.isEmpty() ? System.getProperty("java.io.tmpdir") : named);
     }
 
-    private static Config scene(Config c, Path folder, InetSocketAddress listen, InetSocketAddress console,
-                                InetSocketAddress standIn)
-        throws Wire.Malformed {
+    private static Config scene(
+            Config c, Path folder, InetSocketAddress listen, InetSocketAddress console, InetSocketAddress standIn)
+            throws Wire.Malformed {
         String known = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\""
-            + standIn.getAddress().getHostAddress() + ":" + standIn.getPort() + "\",\"site\":\""
-            + c.zones().get(0) + "\",\"class\":\"" + c.kinds().get(0)
-            + "\",\"block\":1,\"health\":\"ready\",\"share\":1000}]}";
-        return new Config(listen, console, standIn, folder, c.seed(), c.sockets(),
-            c.diskBytes(), c.promise(), c.settings(), c.zones(), c.kinds(), Wire.decode(known), null, null);
+                + standIn.getAddress().getHostAddress() + ":" + standIn.getPort() + "\",\"site\":\""
+                + c.zones().get(0) + "\",\"class\":\"" + c.kinds().get(0)
+                + "\",\"block\":1,\"health\":\"ready\",\"share\":1000}]}";
+        return new Config(
+                listen,
+                console,
+                standIn,
+                folder,
+                c.seed(),
+                c.sockets(),
+                c.diskBytes(),
+                c.promise(),
+                c.settings(),
+                c.zones(),
+                c.kinds(),
+                Wire.decode(known),
+                null,
+                null);
     }
 
     /** Hands messages in, one at a time, on a connection for every few of them. */
@@ -115,9 +135,9 @@
                 socket.setSoTimeout(SILENT_MOST_MS);
                 for (int i = 0; i < 10; i++) {
                     String request = "POST /" + name + " HTTP/1.1\r\nHost: relay\r\nX-Request-ID: r" + sent++
-                        + "\r\nX-Priority-Class: " + name + "\r\nX-Timeout-Ms: 2000"
-                        + "\r\nIdempotency-Key: k" + sent
-                        + "\r\nX-Envelope: dest=1\r\nContent-Length: 200\r\n\r\n" + "x".repeat(200);
+                            + "\r\nX-Priority-Class: " + name + "\r\nX-Timeout-Ms: 2000"
+                            + "\r\nIdempotency-Key: k" + sent
+                            + "\r\nX-Envelope: dest=1\r\nContent-Length: 200\r\n\r\n" + "x".repeat(200);
                     socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
                     readHead(socket.getInputStream());
                 }
@@ -150,21 +170,27 @@
     private static final class StandIn extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                new SimpleChannelInboundHandler<FullHttpRequest>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-                        if (request.uri().startsWith("/v1/servers")) {
-                            return;
-                        }
-                        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.valueOf(request.uri().equals("/reports") ? 204 : 200),
-                            Unpooled.EMPTY_BUFFER);
-                        answer.headers().set("X-Server-Load", "x0=0.9,x1=1000")
-                            .set(HttpHeaderNames.CONTENT_LENGTH, 0);
-                        context.writeAndFlush(answer);
-                    }
-                });
+            channel.pipeline()
+                    .addLast(
+                            new HttpServerCodec(),
+                            new HttpObjectAggregator(1 << 16),
+                            new SimpleChannelInboundHandler<FullHttpRequest>() {
+                                @Override
+                                protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+                                    if (request.uri().startsWith("/v1/servers")) {
+                                        return;
+                                    }
+                                    FullHttpResponse answer = new DefaultFullHttpResponse(
+                                            HttpVersion.HTTP_1_1,
+                                            HttpResponseStatus.valueOf(
+                                                    request.uri().equals("/reports") ? 204 : 200),
+                                            Unpooled.EMPTY_BUFFER);
+                                    answer.headers()
+                                            .set("X-Server-Load", "x0=0.9,x1=1000")
+                                            .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+                                    context.writeAndFlush(answer);
+                                }
+                            });
         }
     }
 }
--- a/src/main/java/brambletray/siblings/ComingBack.java
+++ b/src/main/java/brambletray/siblings/ComingBack.java
@@ -36,8 +36,10 @@
     /** How far coming back has come; by number, as it is noted. */
     private enum Stage {
         SETTLED,
-        /** What is owed is being doubted. */ DOUBTING,
-        /** Second tries are turned away. */ RESTING
+        /** What is owed is being doubted. */
+        DOUBTING,
+        /** Second tries are turned away. */
+        RESTING
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(ComingBack.class);
@@ -68,7 +70,7 @@
             String owner = in.readUTF();
             if (!owner.equals(file.name())) {
                 return "the folder is relay '" + owner + "'s, and this is relay '" + file.name()
-                    + "': give each its own folder (docs/recovery.md)";
+                        + "': give each its own folder (docs/recovery.md)";
             }
             own = new Standing(store.number(), in.readLong(), store.last());
             former = Stage.values()[in.readByte()];
@@ -82,14 +84,14 @@
             ChannelFuture bound = siblings.listen().await();
             if (!bound.isSuccess()) {
                 return "no notes of siblings can come in on " + file.listen() + ": "
-                    + bound.cause().getMessage();
+                        + bound.cause().getMessage();
             }
             LOG.info("siblings on {}", siblings.address());
             Finding found = siblings.ask(own, longest()).get();
             if (found instanceof Finding.Twin twin) {
                 siblings.close();
-                return "another process lives as relay '" + file.name() + "', in life " + twin.seen().life()
-                    + ": end it first, or give this one a name of its own (docs/recovery.md)";
+                return "another process lives as relay '" + file.name() + "', in life "
+                        + twin.seen().life() + ": end it first, or give this one a name of its own (docs/recovery.md)";
             }
             tell(found);
             if (Rest.doubts(found, file.trusting()) || former == Stage.DOUBTING) {
@@ -99,11 +101,12 @@
                 LOG.warn("{} messages that the folder says are owed count as perhaps sent", journal.doubt());
                 HostNotes.discard(store);
             }
-            rest = Rest.after(found, file.trusting(), now())
-                .orAgain(former != Stage.SETTLED, now(), longest());
+            rest = Rest.after(found, file.trusting(), now()).orAgain(former != Stage.SETTLED, now(), longest());
             if (former != Stage.SETTLED) {
-                LOG.warn("the life before was killed while it came back: unsafe and keyed messages are turned"
-                    + " away for {} ms", rest.until() - now());
+                LOG.warn(
+                        "the life before was killed while it came back: unsafe and keyed messages are turned"
+                                + " away for {} ms",
+                        rest.until() - now());
             }
             life = siblings.nextLife();
             note(store, life, rest == Rest.NONE ? Stage.SETTLED : Stage.RESTING);
@@ -135,15 +138,23 @@
         } else if (found instanceof Finding.Continues) {
             LOG.info("folder: the newest that siblings know of");
         } else if (found instanceof Finding.Lost lost) {
-            LOG.error("folder: LOST; it is empty, and siblings saw life {}: unsafe and keyed messages are"
-                + " turned away for {} ms", lost.seen().life(), lost.rest());
+            LOG.error(
+                    "folder: LOST; it is empty, and siblings saw life {}: unsafe and keyed messages are"
+                            + " turned away for {} ms",
+                    lost.seen().life(),
+                    lost.rest());
         } else if (found instanceof Finding.RolledBack back) {
-            LOG.error("folder: ROLLED BACK; siblings saw life {} up to {}: unsafe and keyed messages are"
-                + " turned away for {} ms; hosts taken out by hand since are in use again: look",
-                back.seen().life(), back.seen().at(), back.rest());
+            LOG.error(
+                    "folder: ROLLED BACK; siblings saw life {} up to {}: unsafe and keyed messages are"
+                            + " turned away for {} ms; hosts taken out by hand since are in use again: look",
+                    back.seen().life(),
+                    back.seen().at(),
+                    back.rest());
         } else if (found instanceof Finding.Unconfirmed unknown) {
-            LOG.warn("folder: {}, and too few siblings answered to tell whether it is the newest ({} ms)",
-                unknown.empty() ? "empty" : "there", unknown.rest());
+            LOG.warn(
+                    "folder: {}, and too few siblings answered to tell whether it is the newest ({} ms)",
+                    unknown.empty() ? "empty" : "there",
+                    unknown.rest());
         }
     }
 
@@ -153,52 +164,62 @@
 
     /** ms; the longest time limit of messages whose second try could do harm. */
     private long longest() {
-        return settings.classes().stream().filter(c -> c.effect() != Relay.Effect.SAFE)
-            .mapToLong(Relay.MessageClass::life).max().orElse(0) / 1_000;
+        return settings.classes().stream()
+                        .filter(c -> c.effect() != Relay.Effect.SAFE)
+                        .mapToLong(Relay.MessageClass::life)
+                        .max()
+                        .orElse(0)
+                / 1_000;
     }
 
     /** The relay owns its folder and decides: siblings are told from now on. On the loop. */
     public void live(Store store, Loop loop) {
         siblings.live(() -> new Standing(store.number(), life, store.last()), store, loop::staged);
         if (rest != Rest.NONE) {
-            machine.loop().schedule(() -> {
-                // Lost with its batch, it costs the next start a rest.
-                note(store, life, Stage.SETTLED);
-                loop.staged();
-                LOG.info("all messages are taken on again");
-            }, Math.max(0, rest.until() - now()), TimeUnit.MILLISECONDS);
+            machine.loop()
+                    .schedule(
+                            () -> {
+                                // Lost with its batch, it costs the next start a rest.
+                                note(store, life, Stage.SETTLED);
+                                loop.staged();
+                                LOG.info("all messages are taken on again");
+                            },
+                            Math.max(0, rest.until() - now()),
+                            TimeUnit.MILLISECONDS);
         }
     }
 
     /** Who lets messages in while what was forgotten may still be under way. */
     public Door door(Door inner, Loop loop) {
-        return rest == Rest.NONE ? inner : new Door() {
-            @Override
-            public Entry ask(Message message) {
-                Relay.MessageClass asked = loop.messageClass(message.messageClass());
-                long closed = rest.closed(now(), asked.effect() == Relay.Effect.SAFE);
-                return closed > 0 ? new Turned(closed * 1_000, List.of()) : inner.ask(message);
-            }
-
-            @Override
-            public Entry again(Message message) {
-                return inner.again(message);
-            }
-
-            @Override
-            public void recovered(Message message) {
-                inner.recovered(message);
-            }
-
-            @Override
-            public void sent(String id) {
-                inner.sent(id);
-            }
-
-            @Override
-            public void ended(String id) {
-                inner.ended(id);
-            }
-        };
+        return rest == Rest.NONE
+                ? inner
+                : new Door() {
+                    @Override
+                    public Entry ask(Message message) {
+                        Relay.MessageClass asked = loop.messageClass(message.messageClass());
+                        long closed = rest.closed(now(), asked.effect() == Relay.Effect.SAFE);
+                        return closed > 0 ? new Turned(closed * 1_000, List.of()) : inner.ask(message);
+                    }
+
+                    @Override
+                    public Entry again(Message message) {
+                        return inner.again(message);
+                    }
+
+                    @Override
+                    public void recovered(Message message) {
+                        inner.recovered(message);
+                    }
+
+                    @Override
+                    public void sent(String id) {
+                        inner.sent(id);
+                    }
+
+                    @Override
+                    public void ended(String id) {
+                        inner.ended(id);
+                    }
+                };
     }
 }
--- a/src/main/java/brambletray/siblings/NoteCodec.java
+++ b/src/main/java/brambletray/siblings/NoteCodec.java
@@ -22,6 +22,7 @@
     static final int MOST = 256;
     /** Characters of a name at most. */
     static final int NAME_MOST = 40;
+
     private static final int HASH = 16;
     private static final byte FORM = 1, BEAT = 1, ASK = 2, SEEN = 3, NEVER = 4;
 
@@ -100,8 +101,8 @@
         Note note = switch (sort) {
             case BEAT -> new Note.Beat(from, standing(in), in.readLong());
             case ASK -> new Note.Ask(from, in.readLong());
-            case SEEN -> new Note.Tell(from, in.readLong(),
-                new Account.Seen(standing(in), in.readLong(), in.readLong()));
+            case SEEN ->
+                new Note.Tell(from, in.readLong(), new Account.Seen(standing(in), in.readLong(), in.readLong()));
             case NEVER -> new Note.Tell(from, in.readLong(), new Account.Never(in.readLong()));
             default -> throw new IOException("a note of sort " + sort);
         };
--- a/src/main/java/brambletray/siblings/Siblings.java
+++ b/src/main/java/brambletray/siblings/Siblings.java
@@ -64,18 +64,21 @@
 
     /** Listens for notes; done once it does. */
     ChannelFuture listen() {
-        ChannelFuture bound = new Bootstrap().group(machine.loop()).channel(NioDatagramChannel.class)
-            .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-                @Override
-                protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-                    heard(ByteBufUtil.getBytes(packet.content()));
-                }
-
-                @Override
-                public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                    complain(cause.toString());
-                }
-            }).bind(file.listen());
+        ChannelFuture bound = new Bootstrap()
+                .group(machine.loop())
+                .channel(NioDatagramChannel.class)
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+                        heard(ByteBufUtil.getBytes(packet.content()));
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                        complain(cause.toString());
+                    }
+                })
+                .bind(file.listen());
         channel = bound.channel();
         return bound;
     }
@@ -112,16 +115,21 @@
     /** From now on it tells how far it has come, and keeps what it hears. On the loop. */
     void live(Supplier<Standing> standing, Store store, Runnable staged) {
         sightings.keep(store, staged);
-        machine.loop().scheduleAtFixedRate(() -> {
-            Note beat = new Note.Beat(file.name(), standing.get(), ++beats);
-            names.forEach(name -> send(name, beat));
-        }, 0, file.beatMs(), TimeUnit.MILLISECONDS);
+        machine.loop()
+                .scheduleAtFixedRate(
+                        () -> {
+                            Note beat = new Note.Beat(file.name(), standing.get(), ++beats);
+                            names.forEach(name -> send(name, beat));
+                        },
+                        0,
+                        file.beatMs(),
+                        TimeUnit.MILLISECONDS);
     }
 
     private void send(String name, Note note) {
         // Failures are not looked at: whoever matters is asked, or told, again.
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(codec.bytes(note)),
-            file.others().get(name)));
+        channel.writeAndFlush(new DatagramPacket(
+                Unpooled.wrappedBuffer(codec.bytes(note)), file.others().get(name)));
     }
 
     private void heard(byte[] bytes) {
--- a/src/main/java/brambletray/siblings/SiblingsFile.java
+++ b/src/main/java/brambletray/siblings/SiblingsFile.java
@@ -24,9 +24,15 @@
  * @param askMs how long one that starts asks at most
  * @param trusting whether a folder that nobody confirms is believed
  */
-public record SiblingsFile(String cluster, String name, InetSocketAddress listen,
-                           Map<String, InetSocketAddress> others, byte[] key, int beatMs, int askMs,
-                           boolean trusting) {
+public record SiblingsFile(
+        String cluster,
+        String name,
+        InetSocketAddress listen,
+        Map<String, InetSocketAddress> others,
+        byte[] key,
+        int beatMs,
+        int askMs,
+        boolean trusting) {
     private static final int KEY_LEAST = 16, KEY_MOST = 1_024, OTHERS_MOST = 300;
 
     /** Reads and checks it whole, and the file of the key beside it. */
@@ -55,8 +61,10 @@
         content.file().check();
         byte[] key = Files.readAllBytes(keyFile);
         if (key.length < KEY_LEAST || key.length > KEY_MOST) {
-            root.fault("key_file", "expected a file of " + KEY_LEAST + " to " + KEY_MOST + " bytes, "
-                + keyFile + " has " + key.length);
+            root.fault(
+                    "key_file",
+                    "expected a file of " + KEY_LEAST + " to " + KEY_MOST + " bytes, " + keyFile + " has "
+                            + key.length);
         }
         content.file().check();
         return new SiblingsFile(cluster, name, listen, others, key, beat, ask, trusting);
--- a/src/main/java/brambletray/siblings/Sightings.java
+++ b/src/main/java/brambletray/siblings/Sightings.java
@@ -26,6 +26,7 @@
     static final byte SPACE = 9;
     /** ms between two records of one sibling's progress. */
     static final long NOTE_EVERY = 1_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(Sightings.class);
 
     private static final class Sighting {
@@ -35,6 +36,7 @@
         long beats = -1;
         /** ms; when it was heard, or when this relay began. */
         long at;
+
         long notedAt;
         Standing noted;
 
@@ -86,8 +88,7 @@
             return;
         }
         Sighting s = all.computeIfAbsent(name, n -> new Sighting(key(n), now));
-        boolean sameLife = s.last != null && s.last.store() == standing.store()
-            && s.last.life() == standing.life();
+        boolean sameLife = s.last != null && s.last.store() == standing.store() && s.last.life() == standing.life();
         // Guards against notes that come late, or twice: an old one neither takes it back nor makes it young.
         if (s.last != null && (sameLife ? beats <= s.beats : !s.last.behind(standing))) {
             return;
--- a/src/main/java/brambletray/simhost/SimHost.java
+++ b/src/main/java/brambletray/simhost/SimHost.java
@@ -22,6 +22,7 @@
     private final Map<Long, List<Relay.Endpoint>> rosters = new TreeMap<>();
     /** Events of the current batch, by instance, in the order in which instances were first named. */
     private final Map<Integer, List<Relay.Event>> turn = new java.util.LinkedHashMap<>();
+
     private final SimWire.Writer writer;
     private long now;
     private long frame;
@@ -69,8 +70,7 @@
         switch (verb) {
             case "Batch" -> throw new Wire.Malformed("'Batch' inside a batch");
             case "Eob" -> reply();
-            case "Table" -> rosters.put(
-                fields.whole("roster-id"), SimWire.endpoints(fields.objects("items")));
+            case "Table" -> rosters.put(fields.whole("roster-id"), SimWire.endpoints(fields.objects("items")));
             case "Start" -> start(instance(fields), fields);
             case "Down" -> {
                 relays.remove(instance(fields));
--- a/src/main/java/brambletray/simhost/SimWire.java
+++ b/src/main/java/brambletray/simhost/SimWire.java
@@ -13,7 +13,7 @@
 final class SimWire {
     private static final JsonFactory JSON = new JsonFactory();
 
-    private SimWire() { }
+    private SimWire() {}
 
     static Relay.Outcome outcome(String word) throws Wire.Malformed {
         return switch (word) {
@@ -38,8 +38,13 @@
                 case "DELETED" -> Relay.Listing.GONE;
                 default -> throw new Wire.Malformed("unknown state '" + e.text("state") + "'");
             };
-            all.add(new Relay.Endpoint(e.whole("host"), (int) e.whole("region-part", 0),
-                (int) e.whole("family-type", 0), e.whole("owner-no", 0), listing, e.number("size", 1)));
+            all.add(new Relay.Endpoint(
+                    e.whole("host"),
+                    (int) e.whole("region-part", 0),
+                    (int) e.whole("family-type", 0),
+                    e.whole("owner-no", 0),
+                    listing,
+                    e.number("size", 1)));
         }
         return all;
     }
@@ -48,20 +53,36 @@
     static Relay.Event event(String verb, Wire.Fields f) throws Wire.Malformed {
         switch (verb) {
             case "Accept":
-                return new Relay.Accepted(f.text("ref"), (int) f.whole("cls", 0), (int) f.whole("realm", 0),
-                    f.text("route-key", null), f.time("deadline"), f.whole("to-exchange", 0));
+                return new Relay.Accepted(
+                        f.text("ref"),
+                        (int) f.whole("cls", 0),
+                        (int) f.whole("realm", 0),
+                        f.text("route-key", null),
+                        f.time("deadline"),
+                        f.whole("to-exchange", 0));
             case "Verdict": {
                 Relay.Outcome outcome = outcome(f.text("rc"));
                 Wire.Fields report = f.object("report");
                 long wait = outcome == Relay.Outcome.FULL ? Math.max(0, f.time("detail", 0)) : 0;
-                return new Relay.Ended(f.text("ref"), (int) f.whole("attempt", 0), f.whole("host"), outcome,
-                    f.flag("finished"), wait, f.time("spent", 0), report.number("x0", -1),
-                    report.number("x1", -1));
+                return new Relay.Ended(
+                        f.text("ref"),
+                        (int) f.whole("attempt", 0),
+                        f.whole("host"),
+                        outcome,
+                        f.flag("finished"),
+                        wait,
+                        f.time("spent", 0),
+                        report.number("x0", -1),
+                        report.number("x1", -1));
             }
-            case "TickDue": return new Relay.Due();
-            case "Dropped": return new Relay.Withdrawn(f.text("ref"));
-            case "Pong", "Heard", "Started": return null;
-            default: throw new Wire.Malformed("unknown verb '" + verb + "'");
+            case "TickDue":
+                return new Relay.Due();
+            case "Dropped":
+                return new Relay.Withdrawn(f.text("ref"));
+            case "Pong", "Heard", "Started":
+                return null;
+            default:
+                throw new Wire.Malformed("unknown verb '" + verb + "'");
         }
     }
 
--- a/src/main/java/brambletray/simulation/SimChannel.java
+++ b/src/main/java/brambletray/simulation/SimChannel.java
@@ -43,17 +43,24 @@
 
         @Override
         public int compareTo(ChannelId other) {
-            return other instanceof Id id ? Integer.compare(number, id.number)
-                : asLongText().compareTo(other.asLongText());
+            return other instanceof Id id
+                    ? Integer.compare(number, id.number)
+                    : asLongText().compareTo(other.asLongText());
         }
     }
 
-    private enum State { NEW, CONNECTING, UP, CLOSED }
+    private enum State {
+        NEW,
+        CONNECTING,
+        UP,
+        CLOSED
+    }
 
     private final SimNetwork network;
     private final InetAddress home;
     /** That took it in, or null. */
     private final SimServerChannel listener;
+
     private final SimConfig config = new SimConfig(this);
     private final ArrayDeque<byte[]> inbox = new ArrayDeque<>();
     private InetSocketAddress local, remote;
@@ -150,9 +157,12 @@
             connecting = promise;
             int timeout = config.getConnectTimeoutMillis();
             if (timeout > 0) {
-                connectTimer = eventLoop().schedule(() -> refused(
-                    new ConnectTimeoutException("connection timed out after " + timeout + " ms: " + to)),
-                    timeout, TimeUnit.MILLISECONDS);
+                connectTimer = eventLoop()
+                        .schedule(
+                                () -> refused(new ConnectTimeoutException(
+                                        "connection timed out after " + timeout + " ms: " + to)),
+                                timeout,
+                                TimeUnit.MILLISECONDS);
             }
             network.connect(SimChannel.this, remote);
         }
--- a/src/main/java/brambletray/simulation/SimConfig.java
+++ b/src/main/java/brambletray/simulation/SimConfig.java
@@ -7,8 +7,11 @@
 
 /** Takes the options of sockets that mean nothing here, and keeps SO_LINGER, which does. */
 final class SimConfig extends DefaultChannelConfig {
-    private static final Set<ChannelOption<?>> WITHOUT_MEANING = Set.of(ChannelOption.TCP_NODELAY,
-        ChannelOption.SO_REUSEADDR, ChannelOption.SO_BACKLOG, ChannelOption.SO_KEEPALIVE);
+    private static final Set<ChannelOption<?>> WITHOUT_MEANING = Set.of(
+            ChannelOption.TCP_NODELAY,
+            ChannelOption.SO_REUSEADDR,
+            ChannelOption.SO_BACKLOG,
+            ChannelOption.SO_KEEPALIVE);
     private int linger = -1;
 
     SimConfig(Channel channel) {
--- a/src/main/java/brambletray/simulation/SimLoop.java
+++ b/src/main/java/brambletray/simulation/SimLoop.java
@@ -15,12 +15,13 @@
  * that made it; its timers go by the simulated ticker.
  */
 final class SimLoop extends ManualIoEventLoop {
-    private record Arrival(long at, long number, Runnable what) { }
+    private record Arrival(long at, long number, Runnable what) {}
 
     private final Ticker ticker;
     /** What is on the way here or unread, in the order of its coming. */
-    private final PriorityQueue<Arrival> arrivals = new PriorityQueue<>(
-        Comparator.comparingLong(Arrival::at).thenComparing(Arrival::number));
+    private final PriorityQueue<Arrival> arrivals =
+            new PriorityQueue<>(Comparator.comparingLong(Arrival::at).thenComparing(Arrival::number));
+
     private long arrivalsMade;
     /** On the ticker, ns; {@link Long#MIN_VALUE}: it runs. */
     private long frozenUntil = Long.MIN_VALUE;
--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -4,9 +4,9 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,12 +28,12 @@
  */
 public final class SimNetwork {
     /** What a cut direction holds up. */
-    private record Held(SimChannel from, SimChannel to, int bytes, Runnable arrival) { }
+    private record Held(SimChannel from, SimChannel to, int bytes, Runnable arrival) {}
 
     private final Set<InetAddress> muted = new HashSet<>();
     private final Map<List<InetAddress>, List<Held>> cutWays = new HashMap<>();
     private final Map<Integer, long[]> patience = new HashMap<>();
-    private Consumer<InetAddress> whenSent = machine -> { };
+    private Consumer<InetAddress> whenSent = machine -> {};
     /** Bytes that may be on the way or unread in one direction of a connection, where nothing else is set. */
     static final int WINDOW = 64 * 1024;
     /** ns; between the pieces of what was cut, at most. */
@@ -42,20 +42,22 @@
     static final int SYN = 1, ACCEPTED = 2, REFUSED = 3, DATA = 4, FIN = 5, RST = 6;
 
     /** How long the way takes between two machines; {@code jitter}: up to this share longer, at random. */
-    public record Way(long nanos, double jitter) { }
+    public record Way(long nanos, double jitter) {}
 
     private final Simulation simulation;
     private final SplittableRandom random;
     /** Several on one address where all of them share it. */
     private final Map<InetSocketAddress, List<SimServerChannel>> listeners = new HashMap<>();
+
     private final Map<List<InetAddress>, Way> ways = new HashMap<>();
     /** Bytes a second that a machine's link carries each way, and until when either is taken (ticker, ns). */
     private final Map<InetAddress, Long> rates = new HashMap<>();
+
     private final Map<InetAddress, Long> sending = new HashMap<>(), receiving = new HashMap<>();
     private final Set<InetAddress> vanished = new LinkedHashSet<>();
     private final Set<SimChannel> open = new LinkedHashSet<>();
     private Way usual = new Way(0, 0);
-    private BiConsumer<SimChannel, SimChannel> whenConnected = (client, server) -> { };
+    private BiConsumer<SimChannel, SimChannel> whenConnected = (client, server) -> {};
     private int segment = WINDOW, window = WINDOW;
     private double cutShare;
     private SplittableRandom cuts;
@@ -233,8 +235,8 @@
     }
 
     boolean cutEither(InetAddress one, InetAddress other) {
-        return !cutWays.isEmpty() && (cutWays.containsKey(List.of(one,
-            other)) || cutWays.containsKey(List.of(other, one)));
+        return !cutWays.isEmpty()
+                && (cutWays.containsKey(List.of(one, other)) || cutWays.containsKey(List.of(other, one)));
     }
 
     /** Nothing that this end sends is answered from now on; {@code idle}: it has sent nothing yet. */
@@ -249,11 +251,15 @@
             return;
         }
         channel.stalled = until;
-        channel.loop().schedule(() -> {
-            if (channel.stalled == until) {
-                channel.giveUp();
-            }
-        }, until - since, TimeUnit.NANOSECONDS);
+        channel.loop()
+                .schedule(
+                        () -> {
+                            if (channel.stalled == until) {
+                                channel.giveUp();
+                            }
+                        },
+                        until - since,
+                        TimeUnit.NANOSECONDS);
     }
 
     boolean silent(InetAddress one, InetAddress other) {
@@ -309,8 +315,7 @@
 
     private long latency(InetAddress from, InetAddress to) {
         Way way = ways.getOrDefault(List.of(from, to), usual);
-        return way.nanos() + (way.jitter() > 0 ? (long) (way.nanos() * way.jitter() * random.nextDouble())
-            : 0);
+        return way.nanos() + (way.jitter() > 0 ? (long) (way.nanos() * way.jitter() * random.nextDouble()) : 0);
     }
 
     /** Does something at the other end, after the way there; what one end sends arrives in order. */
@@ -340,20 +345,20 @@
     }
 
     private void arrived(SimChannel client, InetSocketAddress to) {
-        if (!client.isOpen() || silent(client.home(), to.getAddress()) || cutEither(client.home(),
-            to.getAddress())) {
+        if (!client.isOpen() || silent(client.home(), to.getAddress()) || cutEither(client.home(), to.getAddress())) {
             return;
         }
         long back = latency(to.getAddress(), client.home());
         List<SimServerChannel> there = listeners.getOrDefault(to, List.of());
         // As a system does: by a hash of the connection, so that each of several gets its part.
-        SimServerChannel listener = there.isEmpty() ? null
-            : there.get((int) (client.number() % there.size()));
+        SimServerChannel listener = there.isEmpty() ? null : there.get((int) (client.number() % there.size()));
         if (listener == null) {
             simulation.note(REFUSED, client.number(), to.getPort(), new byte[0]);
-            client.eventLoop().schedule(() -> client.refused(new ConnectException("Connection refused: "
-                + to)),
-                back, TimeUnit.NANOSECONDS);
+            client.eventLoop()
+                    .schedule(
+                            () -> client.refused(new ConnectException("Connection refused: " + to)),
+                            back,
+                            TimeUnit.NANOSECONDS);
             return;
         }
         SimChannel server = new SimChannel(this, listener, client, to);
@@ -363,8 +368,7 @@
         opened(server);
         whenConnected.accept(client, server);
         client.lastArrival = simulation.clock().nanos() + back;
-        listener.accept(server, () -> client.eventLoop()
-            .schedule(client::established, back, TimeUnit.NANOSECONDS));
+        listener.accept(server, () -> client.eventLoop().schedule(client::established, back, TimeUnit.NANOSECONDS));
     }
 
     void note(int kind, SimChannel from, SimChannel to, byte[] bytes) {
--- a/src/main/java/brambletray/simulation/Simulation.java
+++ b/src/main/java/brambletray/simulation/Simulation.java
@@ -57,8 +57,12 @@
     public Machine machine(InetAddress address) {
         SimLoop loop = new SimLoop(ticker);
         loops.add(loop);
-        return new Machine(loop, clock, () -> new SimChannel(network, address),
-            () -> new SimServerChannel(network, false), () -> new SimServerChannel(network, true));
+        return new Machine(
+                loop,
+                clock,
+                () -> new SimChannel(network, address),
+                () -> new SimServerChannel(network, false),
+                () -> new SimServerChannel(network, true));
     }
 
     /**
@@ -144,8 +148,8 @@
             running = null;
             steps += ran;
             if (steps > STEPS_MOST) {
-                throw new IllegalStateException("time stands still at " + now() + " ns: " + STEPS_MOST
-                    + " steps at one instant");
+                throw new IllegalStateException(
+                        "time stands still at " + now() + " ns: " + STEPS_MOST + " steps at one instant");
             }
         } while (ran > 0);
     }
--- a/src/main/java/brambletray/stage/Clients.java
+++ b/src/main/java/brambletray/stage/Clients.java
@@ -12,8 +12,15 @@
      * @param retried null at the first try; else "1" after a refusal, "again" after no answer
      * @param left time that is left for it; ms
      */
-    record Handed(String id, String line, long destination, Script.MessageClass messageClass, int relay,
-                  String retried, LongSupplier left, Heard heard) {
+    record Handed(
+            String id,
+            String line,
+            long destination,
+            Script.MessageClass messageClass,
+            int relay,
+            String retried,
+            LongSupplier left,
+            Heard heard) {
         /** Null for a class without keys. */
         String key() {
             return messageClass.effect().equals("keyed") ? "key-" + line : null;
--- a/src/main/java/brambletray/stage/Crowd.java
+++ b/src/main/java/brambletray/stage/Crowd.java
@@ -30,6 +30,7 @@
     private final MqttClients mqtt;
     /** By relay: whether the front holds it to be alive. */
     private final List<Boolean> alive = new ArrayList<>();
+
     private final double[] partnerShares;
     private final double[] classShares;
     private int next;
@@ -45,8 +46,11 @@
         this.random = new SplittableRandom(seed);
         this.http = new HttpClients(machine, script);
         this.mqtt = script.traffic().mqttShare() > 0 ? new MqttClients(machine, script) : null;
-        partnerShares = sums(script.partners().stream().mapToDouble(PartnerSpec::traffic).toArray());
-        classShares = sums(script.classes().stream().mapToDouble(Script.MessageClass::share).toArray());
+        partnerShares = sums(
+                script.partners().stream().mapToDouble(PartnerSpec::traffic).toArray());
+        classShares = sums(script.classes().stream()
+                .mapToDouble(Script.MessageClass::share)
+                .toArray());
     }
 
     private static double[] sums(double[] shares) {
@@ -114,24 +118,31 @@
             return;
         }
         long gap = Math.max(1, (long) (-Math.log(1 - random.nextDouble()) / peak * 1e9));
-        machine.loop().schedule(() -> {
-            long now = world.getAsLong();
-            if (stopped || now >= traffic.until()) {
-                return;
-            }
-            if (random.nextDouble() * peak < traffic.rateAt(now)) {
-                ask(now);
-            }
-            arrival();
-        }, gap, TimeUnit.NANOSECONDS);
+        machine.loop()
+                .schedule(
+                        () -> {
+                            long now = world.getAsLong();
+                            if (stopped || now >= traffic.until()) {
+                                return;
+                            }
+                            if (random.nextDouble() * peak < traffic.rateAt(now)) {
+                                ask(now);
+                            }
+                            arrival();
+                        },
+                        gap,
+                        TimeUnit.NANOSECONDS);
     }
 
     private void ask(long now) {
         PartnerSpec partner = script.partners().get(draw(partnerShares));
         Script.MessageClass messageClass = script.classes().get(draw(classShares));
-        Line line = new Line(String.format("%s-%08d", script.name(), ++made), partner.destination(),
-            messageClass, now,
-            mqtt != null && random.nextDouble() < script.traffic().mqttShare() ? mqtt : http);
+        Line line = new Line(
+                String.format("%s-%08d", script.name(), ++made),
+                partner.destination(),
+                messageClass,
+                now,
+                mqtt != null && random.nextDouble() < script.traffic().mqttShare() ? mqtt : http);
         score.asked(line.name, messageClass, now);
         line.handIn(null);
     }
@@ -169,8 +180,8 @@
             tries++;
             String id = name + "." + tries;
             score.handedIn(id);
-            way.handIn(new Clients.Handed(id, name, destination, messageClass, relay, retried, this::leftMs,
-                new Try(this, id)));
+            way.handIn(new Clients.Handed(
+                    id, name, destination, messageClass, relay, retried, this::leftMs, new Try(this, id)));
         }
 
         /** Comes again after a refusal (or when a relay did not answer), if it has tries left. */
@@ -179,7 +190,9 @@
                 return;
             }
             long wait = BACKOFF_LEAST_MS + random.nextInt(BACKOFF_MOST_MS - BACKOFF_LEAST_MS);
-            if (advice > 0 && advice <= ADVICE_MOST_MS && random.nextDouble() < script.traffic().honour()) {
+            if (advice > 0
+                    && advice <= ADVICE_MOST_MS
+                    && random.nextDouble() < script.traffic().honour()) {
                 wait = advice;
             }
             tries = Math.max(tries, 1);
--- a/src/main/java/brambletray/stage/HttpClients.java
+++ b/src/main/java/brambletray/stage/HttpClients.java
@@ -35,6 +35,7 @@
     private static final int ANSWER_MS = 400, CONNECT_MS = 400;
     /** A kept connection is not used after this time; ns. */
     private static final long KEPT = TimeUnit.MILLISECONDS.toNanos(1_900);
+
     private static final int BODY_MOST = 64 * 1024;
 
     private final Machine machine;
@@ -48,8 +49,7 @@
         this.bootstrap = machine.dialling(CONNECT_MS, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
-                    new Answers());
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST), new Answers());
             }
         });
     }
@@ -146,8 +146,10 @@
             if (status == 202 || status == 200) {
                 message.heard().taken();
             } else {
-                message.heard().refused(status == 429 || status == 503, retryAfter == null ? 0
-                    : Math.round(Double.parseDouble(retryAfter) * 1e3));
+                message.heard()
+                        .refused(
+                                status == 429 || status == 503,
+                                retryAfter == null ? 0 : Math.round(Double.parseDouble(retryAfter) * 1e3));
             }
         }
 
@@ -167,13 +169,18 @@
 
         private FullHttpRequest http() {
             byte[] body = new byte[script.traffic().bodyBytes()];
-            FullHttpRequest http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                "/" + message.messageClass().name(), Unpooled.wrappedBuffer(body));
-            http.headers().set(HttpHeaderNames.HOST, "api.internal").set("X-Request-ID", message.id())
-                .set("X-Priority-Class", message.messageClass().name())
-                .set("X-Timeout-Ms", Math.max(1, message.left().getAsLong()))
-                .set("X-Envelope", "dest=" + message.destination())
-                .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            FullHttpRequest http = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.POST,
+                    "/" + message.messageClass().name(),
+                    Unpooled.wrappedBuffer(body));
+            http.headers()
+                    .set(HttpHeaderNames.HOST, "api.internal")
+                    .set("X-Request-ID", message.id())
+                    .set("X-Priority-Class", message.messageClass().name())
+                    .set("X-Timeout-Ms", Math.max(1, message.left().getAsLong()))
+                    .set("X-Envelope", "dest=" + message.destination())
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             if (message.key() != null) {
                 http.headers().set("Idempotency-Key", message.key());
             }
--- a/src/main/java/brambletray/stage/MqttClients.java
+++ b/src/main/java/brambletray/stage/MqttClients.java
@@ -159,22 +159,31 @@
                 return;
             }
             ChannelFuture connect = machine.dialling(CONNECT_MS, new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel fresh) {
-                    fresh.pipeline().addLast(new MqttDecoder(PACKET_MOST), MqttEncoder.INSTANCE,
-                        new Packets(Program.this));
-                }
-            }).connect(address);
+                        @Override
+                        protected void initChannel(Channel fresh) {
+                            fresh.pipeline()
+                                    .addLast(
+                                            new MqttDecoder(PACKET_MOST),
+                                            MqttEncoder.INSTANCE,
+                                            new Packets(Program.this));
+                        }
+                    })
+                    .connect(address);
             channel = connect.channel();
             connect.addListener(done -> {
                 if (done.isSuccess()) {
                     MqttProperties properties = new MqttProperties();
                     if (five()) {
                         properties.add(new MqttProperties.IntegerProperty(
-                            MqttPropertyType.SESSION_EXPIRY_INTERVAL.value(), 600));
+                                MqttPropertyType.SESSION_EXPIRY_INTERVAL.value(), 600));
                     }
-                    channel.writeAndFlush(MqttMessageBuilders.connect().protocolVersion(version).clientId(id)
-                        .cleanSession(false).keepAlive(60).properties(properties).build());
+                    channel.writeAndFlush(MqttMessageBuilders.connect()
+                            .protocolVersion(version)
+                            .clientId(id)
+                            .cleanSession(false)
+                            .keepAlive(60)
+                            .properties(properties)
+                            .build());
                 } else {
                     gone(connect.channel());
                 }
@@ -196,14 +205,16 @@
             }
             ready = true;
             if (ack.variableHeader().properties().getProperty(MqttPropertyType.RECEIVE_MAXIMUM.value())
-                instanceof MqttProperties.IntegerProperty p) {
+                    instanceof MqttProperties.IntegerProperty p) {
                 most = p.value();
             }
             if (!ack.variableHeader().isSessionPresent()) {
                 // The relay holds no ids of an earlier session.
                 out.values().removeIf(o -> o.released || o.over);
-                channel.write(MqttMessageBuilders.subscribe().messageId(nextPacket())
-                    .addSubscription(MqttQoS.AT_LEAST_ONCE, "answers/" + id).build());
+                channel.write(MqttMessageBuilders.subscribe()
+                        .messageId(nextPacket())
+                        .addSubscription(MqttQoS.AT_LEAST_ONCE, "answers/" + id)
+                        .build());
             }
             out.forEach((p, o) -> {
                 if (o.released) {
@@ -226,13 +237,17 @@
         private void handIn(Handed message) {
             Out fresh = new Out(message);
             waiting.addLast(fresh);
-            machine.loop().schedule(() -> {
-                if (!fresh.over && !fresh.released) {
-                    fresh.over = true;
-                    waiting.remove(fresh);
-                    message.heard().left();
-                }
-            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+            machine.loop()
+                    .schedule(
+                            () -> {
+                                if (!fresh.over && !fresh.released) {
+                                    fresh.over = true;
+                                    waiting.remove(fresh);
+                                    message.heard().left();
+                                }
+                            },
+                            ANSWER_MS,
+                            TimeUnit.MILLISECONDS);
             go();
         }
 
@@ -247,21 +262,24 @@
 
         private MqttMessage publish(int p, Handed m, boolean again) {
             String topic = "bills/" + m.messageClass().name() + "/" + m.destination() + "/" + m.id() + "/key-"
-                + m.line() + "/" + Math.max(1, m.left().getAsLong());
-            return new MqttPublishMessage(new MqttFixedHeader(MqttMessageType.PUBLISH, again, qos, false, 0),
-                new MqttPublishVariableHeader(topic, p, MqttProperties.NO_PROPERTIES),
-                Unpooled.wrappedBuffer(new byte[script.traffic().bodyBytes()]));
+                    + m.line() + "/" + Math.max(1, m.left().getAsLong());
+            return new MqttPublishMessage(
+                    new MqttFixedHeader(MqttMessageType.PUBLISH, again, qos, false, 0),
+                    new MqttPublishVariableHeader(topic, p, MqttProperties.NO_PROPERTIES),
+                    Unpooled.wrappedBuffer(new byte[script.traffic().bodyBytes()]));
         }
 
         private MqttMessage release(int p) {
-            return new MqttMessage(new MqttFixedHeader(MqttMessageType.PUBREL, false,
-                MqttQoS.AT_LEAST_ONCE, false, 0), MqttMessageIdVariableHeader.from(p));
+            return new MqttMessage(
+                    new MqttFixedHeader(MqttMessageType.PUBREL, false, MqttQoS.AT_LEAST_ONCE, false, 0),
+                    MqttMessageIdVariableHeader.from(p));
         }
 
         private void acknowledged(MqttMessage ack, boolean received) {
             int p = ((MqttMessageIdVariableHeader) ack.variableHeader()).messageId();
             int reason = ack.variableHeader() instanceof MqttPubReplyMessageVariableHeader head
-                ? head.reasonCode() & 0xff : 0;
+                    ? head.reasonCode() & 0xff
+                    : 0;
             Out o = out.get(p);
             boolean owned = received && reason < 0x80;
             if (owned) {
@@ -290,7 +308,8 @@
         }
 
         private long advice(MqttMessage ack) {
-            for (var property : ((MqttPubReplyMessageVariableHeader) ack.variableHeader()).properties()
+            for (var property : ((MqttPubReplyMessageVariableHeader) ack.variableHeader())
+                    .properties()
                     .getProperties(MqttPropertyType.USER_PROPERTY.value())) {
                 MqttProperties.StringPair pair = (MqttProperties.StringPair) property.value();
                 if (pair.key.equals("retry-after-ms")) {
@@ -319,9 +338,9 @@
                 contradictions += before.equals(outcome) ? 0 : 1;
                 unmarked += publish.fixedHeader().isDup() ? 0 : 1;
             }
-            channel.writeAndFlush(new MqttMessage(new MqttFixedHeader(MqttMessageType.PUBACK, false,
-                MqttQoS.AT_MOST_ONCE, false, 0),
-                MqttMessageIdVariableHeader.from(publish.variableHeader().packetId())));
+            channel.writeAndFlush(new MqttMessage(
+                    new MqttFixedHeader(MqttMessageType.PUBACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                    MqttMessageIdVariableHeader.from(publish.variableHeader().packetId())));
         }
     }
 
@@ -348,7 +367,7 @@
                 }
                 case PUBLISH -> program.answer((MqttPublishMessage) packet);
                 case DISCONNECT -> context.close();
-                default -> { }
+                default -> {}
             }
         }
 
--- a/src/main/java/brambletray/stage/RealStage.java
+++ b/src/main/java/brambletray/stage/RealStage.java
@@ -34,8 +34,7 @@
 
     private final Script script;
     private final Path folder;
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Scene scene;
     private final List<Node> relays = new ArrayList<>();
@@ -44,7 +43,7 @@
      * {@code folder}: for the relays' configurations and journals; {@code agent}: where the agent listens.
      */
     public RealStage(Script script, long seed, Path folder, InetSocketAddress agent)
-        throws InterruptedException, ExecutionException {
+            throws InterruptedException, ExecutionException {
         this.script = script;
         this.folder = folder;
         InetAddress here = agent.getAddress();
@@ -80,7 +79,7 @@
 
     /** Writes the configuration of a relay that will listen there; the platform's form. */
     public Path configure(int relay, InetSocketAddress listen)
-        throws IOException, InterruptedException, ExecutionException {
+            throws IOException, InterruptedException, ExecutionException {
         Path file = folder.resolve("relay-" + relay + ".json");
         scene.writeFiles(relay, folder, listen.getAddress(), 0);
         return Files.writeString(file, on(() -> scene.config(relay, listen, SOCKETS, DISK_MB)));
@@ -108,7 +107,8 @@
     public void begin() throws InterruptedException, ExecutionException {
         List<InetSocketAddress> addresses = relays.stream().map(Node::address).toList();
         List<InetSocketAddress> mqtt = relays.stream()
-            .map(r -> RelayConfig.speaksMqtt(script) ? r.mqttAddress() : null).toList();
+                .map(r -> RelayConfig.speaksMqtt(script) ? r.mqttAddress() : null)
+                .toList();
         on(() -> {
             scene.begin(addresses, mqtt);
             return null;
@@ -118,15 +118,19 @@
     /** Calls this once a second on the stage's thread, until it says that it is enough; then returns. */
     public void watch(Watcher watcher) throws InterruptedException, ExecutionException {
         CompletableFuture<Void> over = new CompletableFuture<>();
-        loop.scheduleAtFixedRate(() -> {
-            try {
-                if (!watcher.look(scene)) {
-                    over.complete(null);
-                }
-            } catch (RuntimeException e) {
-                over.completeExceptionally(e);
-            }
-        }, 1, 1, TimeUnit.SECONDS);
+        loop.scheduleAtFixedRate(
+                () -> {
+                    try {
+                        if (!watcher.look(scene)) {
+                            over.complete(null);
+                        }
+                    } catch (RuntimeException e) {
+                        over.completeExceptionally(e);
+                    }
+                },
+                1,
+                1,
+                TimeUnit.SECONDS);
         over.get();
     }
 
--- a/src/main/java/brambletray/stage/RelayConfig.java
+++ b/src/main/java/brambletray/stage/RelayConfig.java
@@ -15,11 +15,18 @@
     private static final JsonFactory JSON = new JsonFactory();
     private static final int ATTEMPTS = 12, CONNECT_MS = 1_500, ADVICE_MS = 3_000, DRAIN_MS = 250;
 
-    private RelayConfig() { }
+    private RelayConfig() {}
 
     /** {@code known}: the list of hosts as last had, as JSON. */
-    static String json(Script script, int relay, String listen, String discovery, long seed, int sockets,
-                       double diskMb, String known) {
+    static String json(
+            Script script,
+            int relay,
+            String listen,
+            String discovery,
+            long seed,
+            int sockets,
+            double diskMb,
+            String known) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(text)) {
             out.useDefaultPrettyPrinter();
@@ -52,8 +59,9 @@
      */
     static boolean speaksMqtt(Script script) {
         return script.traffic().mqttShare() > 0
-            || script.partners().stream().flatMap(p -> p.endpoints().stream())
-            .anyMatch(e -> !e.protocol().equals("http"));
+                || script.partners().stream()
+                        .flatMap(p -> p.endpoints().stream())
+                        .anyMatch(e -> !e.protocol().equals("http"));
     }
 
     static String mqttFile(int relay) {
@@ -62,7 +70,8 @@
 
     private static void settings(JsonGenerator out, Script script, int relay) throws IOException {
         Script.Fleet fleet = script.fleet();
-        List<String> kinds = script.partners().stream().map(PartnerSpec::kind).distinct().toList();
+        List<String> kinds =
+                script.partners().stream().map(PartnerSpec::kind).distinct().toList();
         out.writeStartObject();
         out.writeNumberField("rank", relay);
         out.writeNumberField("balancers", fleet.relays());
@@ -76,7 +85,8 @@
         out.writeBooleanField("retry-after", true);
         out.writeNumberField("max-retry-after", ADVICE_MS);
         out.writeNumberField("connect-timeout", CONNECT_MS);
-        out.writeNumberField("keepalive", of(script, p -> p.connections().idle() / 1e6).min().orElse(0));
+        out.writeNumberField(
+                "keepalive", of(script, p -> p.connections().idle() / 1e6).min().orElse(0));
         out.writeNumberField("most-tries", ATTEMPTS);
         out.writeNumberField("open-cap", fleet.open());
         out.writeNumberField("max-streams", 1);
@@ -87,14 +97,18 @@
         out.writeNumberField("refusal-cost", 0.03);
         out.writeArrayFieldStart("kind-apart");
         for (String kind : kinds) {
-            out.writeBoolean(script.partners().stream().filter(p -> p.kind().equals(kind))
-                .allMatch(PartnerSpec::apart));
+            out.writeBoolean(script.partners().stream()
+                    .filter(p -> p.kind().equals(kind))
+                    .allMatch(PartnerSpec::apart));
         }
         out.writeEndArray();
         out.writeArrayFieldStart("bundle-max");
         for (String kind : kinds) {
-            out.writeNumber(script.partners().stream().filter(p -> p.kind().equals(kind))
-                .mapToInt(PartnerSpec::bundle).min().orElse(1));
+            out.writeNumber(script.partners().stream()
+                    .filter(p -> p.kind().equals(kind))
+                    .mapToInt(PartnerSpec::bundle)
+                    .min()
+                    .orElse(1));
         }
         out.writeEndArray();
         out.writeArrayFieldStart("carriage");
@@ -106,10 +120,13 @@
         out.writeObjectFieldStart("rules");
         out.writeNumberField("answer-slack", 20);
         out.writeNumberField("stop-sending-within", DRAIN_MS);
-        out.writeNumberField("fall-multiple", of(script, p -> p.cold().multiple()).min().orElse(1));
-        out.writeNumberField("tip-after", of(script, p -> p.cold().fall() / 1e6).min().orElse(1));
+        out.writeNumberField(
+                "fall-multiple", of(script, p -> p.cold().multiple()).min().orElse(1));
+        out.writeNumberField(
+                "tip-after", of(script, p -> p.cold().fall() / 1e6).min().orElse(1));
         out.writeNumberField("cold-from", of(script, p -> p.cold().from()).min().orElse(1));
-        out.writeNumberField("cold", of(script, p -> p.cold().warm() / 1e6).max().orElse(0));
+        out.writeNumberField(
+                "cold", of(script, p -> p.cold().warm() / 1e6).max().orElse(0));
         out.writeEndObject();
         out.writeObjectFieldStart("deductions");
         out.writeNumberField("handshake", 0.06);
@@ -125,11 +142,13 @@
             out.writeNumberField("hard-limit", c.limit());
             out.writeNumberField("worth", c.worth());
             out.writeNumberField("late-worth", c.lateWorth());
-            out.writeStringField("semantics", switch (c.effect()) {
-                case "safe" -> "retryable";
-                case "unsafe" -> "fragile";
-                default -> "dedup";
-            });
+            out.writeStringField(
+                    "semantics",
+                    switch (c.effect()) {
+                        case "safe" -> "retryable";
+                        case "unsafe" -> "fragile";
+                        default -> "dedup";
+                    });
             out.writeStringField("group", byZone ? "zone" : "all");
             out.writeNumberField("window", c.window());
             out.writeEndObject();
--- a/src/main/java/brambletray/stage/Scene.java
+++ b/src/main/java/brambletray/stage/Scene.java
@@ -50,7 +50,7 @@
     private final Crowd crowd;
     private final List<Registry> registries = new ArrayList<>();
     private final List<Agent> agents = new ArrayList<>();
-    private BiConsumer<Integer, InetSocketAddress> whenAgentMoved = (relay, address) -> { };
+    private BiConsumer<Integer, InetSocketAddress> whenAgentMoved = (relay, address) -> {};
     private final long seed;
     private long notices;
 
@@ -111,11 +111,16 @@
     }
 
     private Agent agent(int relay) {
-        return new Agent(machine, registries.get(relay), ledger, plan.caller(relay), front::now,
-            (caller, message, handedBack, retryIn) -> {
-                notices++;
-                crowd.noticed(message, handedBack, retryIn);
-            });
+        return new Agent(
+                machine,
+                registries.get(relay),
+                ledger,
+                plan.caller(relay),
+                front::now,
+                (caller, message, handedBack, retryIn) -> {
+                    notices++;
+                    crowd.noticed(message, handedBack, retryIn);
+                });
     }
 
     /** The agent of a relay goes to another address; the old one ends 1.5 s later. */
@@ -151,8 +156,15 @@
      * The configuration file of a relay, in the platform's form; {@code listen}: where its clients connect.
      */
     public String config(int relay, InetSocketAddress listen, int sockets, double diskMb) {
-        return RelayConfig.json(script, relay, text(listen), text(agents.get(relay).address()),
-            new SplittableRandom(seed + relay).nextLong(), sockets, diskMb, agents.get(relay).known());
+        return RelayConfig.json(
+                script,
+                relay,
+                text(listen),
+                text(agents.get(relay).address()),
+                new SplittableRandom(seed + relay).nextLong(),
+                sockets,
+                diskMb,
+                agents.get(relay).known());
     }
 
     /**
@@ -161,9 +173,9 @@
      */
     public void writeFiles(int relay, Path folder, InetAddress listen, int mqttPort) throws IOException {
         if (RelayConfig.speaksMqtt(script)) {
-            Files.writeString(folder.resolve(RelayConfig.mqttFile(relay)),
-                "listen: " + listen.getHostAddress() + ":" + mqttPort + "\ntopic: "
-                    + MqttClients.TOPIC + "\n");
+            Files.writeString(
+                    folder.resolve(RelayConfig.mqttFile(relay)),
+                    "listen: " + listen.getHostAddress() + ":" + mqttPort + "\ntopic: " + MqttClients.TOPIC + "\n");
         }
     }
 
@@ -241,8 +253,7 @@
     /** A relay that was killed at this time (ns) serves again. */
     void restarted(int relay, long killed) {
         ledger.restarted(plan.caller(relay));
-        ledger.witness().saw(front.now(), plan.caller(relay), "serves again, dead since "
-            + killed / 1_000_000 + " ms");
+        ledger.witness().saw(front.now(), plan.caller(relay), "serves again, dead since " + killed / 1_000_000 + " ms");
         score.restarted(killed, front.now());
     }
 
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -19,6 +19,7 @@
     private static final long SECOND = 1_000_000_000L;
     /** ns; a message whose time is up by so much, and that has neither been delivered nor ended, is lost. */
     private static final long LOST_AFTER = 300_000_000L;
+
     private static final long AFTER_RESTART = 1_500_000_000L;
     private static final int STRETCH_S = 10;
     private static final int LOST_TOLD_MOST = 100;
@@ -43,6 +44,7 @@
         final String id;
         /** Taken on, or answered anything else; when a notice came, -1 for none. */
         boolean taken, refused;
+
         long noticed = -1;
         boolean handedBack;
 
@@ -55,10 +57,24 @@
      * All figures of one run. {@code open}: of those given up, the ones with no notice yet. {@code lost}:
      * ids of messages that were taken on and got no end in time.
      */
-    public record Result(long asked, long delivered, long late, long handedBack, long givenUp,
-                         long turnedAway, long unanswered, long open, double whole, double worst,
-                         double score, List<String> lost, long lostCount, List<Ledger.Breach> breaches,
-                         long breachCount, List<Double> bySecond, Map<String, Double> byClass) {
+    public record Result(
+            long asked,
+            long delivered,
+            long late,
+            long handedBack,
+            long givenUp,
+            long turnedAway,
+            long unanswered,
+            long open,
+            double whole,
+            double worst,
+            double score,
+            List<String> lost,
+            long lostCount,
+            List<Ledger.Breach> breaches,
+            long breachCount,
+            List<Double> bySecond,
+            Map<String, Double> byClass) {
         /** True when every message had its end and no rule was broken. */
         public boolean clean() {
             return lostCount == 0 && breachCount == 0;
@@ -235,11 +251,24 @@
         }
         Map<String, Double> byClass = new TreeMap<>();
         classes.forEach((name, w) -> byClass.put(name, w.got / w.asked));
-        return new Result(lines.size(), delivered, late, handedBack, givenUp, turnedAway, unanswered, open,
-            share,
-            worst,
-            0.7 * share + 0.3 * worst, lost, lostCount, ledger.breaches(), ledger.breachCount(), bySecond,
-            byClass);
+        return new Result(
+                lines.size(),
+                delivered,
+                late,
+                handedBack,
+                givenUp,
+                turnedAway,
+                unanswered,
+                open,
+                share,
+                worst,
+                0.7 * share + 0.3 * worst,
+                lost,
+                lostCount,
+                ledger.breaches(),
+                ledger.breachCount(),
+                bySecond,
+                byClass);
     }
 
     /** As a share: full within the aim, then evenly less to the class's late worth at its limit. */
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -35,6 +35,7 @@
 public final class SimStage implements AutoCloseable {
     /** What the wall clocks show at the start; Unix time, ms. */
     private static final long UNIX = 1_900_000_000_000L;
+
     private static final int SOCKETS = 1_024;
     private static final long DISK = 3_000_000;
     /** ns; between looks at what relays use. */
@@ -43,6 +44,7 @@
     private static final double CUT = 0.2;
     /** Disagreements that are told. */
     private static final int TOLD_MOST = 10;
+
     private static final int PORT = 8_080, MQTT_PORT = 1_883;
 
     private final Script script;
@@ -73,13 +75,18 @@
      * fault.
      */
     public SimStage(Script script, long seed, Path folder, UnaryOperator<String> told)
-        throws IOException, Config.Unusable {
+            throws IOException, Config.Unusable {
         this(script, seed, folder, told, null);
     }
 
     /** {@code surroundings}: of each relay at each start, in the place of its agent; null for that. */
-    SimStage(Script script, long seed, Path folder, UnaryOperator<String> told,
-             IntFunction<Instance.Surroundings> surroundings) throws IOException, Config.Unusable {
+    SimStage(
+            Script script,
+            long seed,
+            Path folder,
+            UnaryOperator<String> told,
+            IntFunction<Instance.Surroundings> surroundings)
+            throws IOException, Config.Unusable {
         this.told = told;
         this.surroundings = surroundings;
         this.script = script;
@@ -124,8 +131,11 @@
             start(i);
         }
         settle();
-        scene.begin(addresses, addresses.stream()
-            .map(a -> new InetSocketAddress(a.getAddress(), MQTT_PORT)).toList());
+        scene.begin(
+                addresses,
+                addresses.stream()
+                        .map(a -> new InetSocketAddress(a.getAddress(), MQTT_PORT))
+                        .toList());
     }
 
     private void settle() {
@@ -158,9 +168,10 @@
         for (var partner : script.partners()) {
             for (var endpoint : partner.endpoints()) {
                 for (int relay = 0; relay < fleet.relays(); relay++) {
-                    boolean near = fleet.zones().get(relay % fleet.zones().size()).equals(endpoint.zone());
-                    SimNetwork.Way way = new SimNetwork.Way(near ? fleet.sameZone() : fleet.crossZone(),
-                        fleet.jitter());
+                    boolean near =
+                            fleet.zones().get(relay % fleet.zones().size()).equals(endpoint.zone());
+                    SimNetwork.Way way =
+                            new SimNetwork.Way(near ? fleet.sameZone() : fleet.crossZone(), fleet.jitter());
                     network.way(relayIp(relay), partnerIp(index), way);
                     network.way(partnerIp(index), relayIp(relay), way);
                 }
@@ -176,14 +187,17 @@
         scene.writeFiles(relay, folder, relayIp(relay), MQTT_PORT);
         Config config = Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
         Machine machine = simulation.machine(relayIp(relay));
-        Journal journal = Journal.open(disks.get(relay), DISK, promise,
-            config.settings().allowed().attempts());
+        Journal journal = Journal.open(
+                disks.get(relay), DISK, promise, config.settings().allowed().attempts());
         machines.set(relay, machine);
         running.add(relay);
         machine.loop().execute(() -> {
             try {
-                instances.set(relay, surroundings == null ? new Instance(machine, config, journal)
-                    : new Instance(machine, config, journal, surroundings.apply(relay)));
+                instances.set(
+                        relay,
+                        surroundings == null
+                                ? new Instance(machine, config, journal)
+                                : new Instance(machine, config, journal, surroundings.apply(relay)));
             } catch (Wire.Malformed e) {
                 throw new IllegalStateException("the scene's own list cannot be read", e);
             }
@@ -264,8 +278,8 @@
     /** Starts a relay again on its folder. */
     public void restart(int relay) throws IOException, Config.Unusable {
         // One that was to die of a write or send that never came dies now.
-        disks.get(relay).whenWritten(() -> { });
-        simulation.network().whenSent(machine -> { });
+        disks.get(relay).whenWritten(() -> {});
+        simulation.network().whenSent(machine -> {});
         kill(relay);
         simulation.network().unmute(relayIp(relay));
         scene.restarted(relay, killedAt.getOrDefault(relay, 0L));
@@ -279,8 +293,13 @@
 
     /** Plays the script to its end, and until all that was taken on has ended. */
     public Score.Result play() {
-        long most = script.length() + script.classes().stream().mapToLong(Script.MessageClass::limit).max()
-            .orElse(0) * 1_000_000 + 2_000_000_000L;
+        long most = script.length()
+                + script.classes().stream()
+                                .mapToLong(Script.MessageClass::limit)
+                                .max()
+                                .orElse(0)
+                        * 1_000_000
+                + 2_000_000_000L;
         simulation.runUntil(script.length(), this::endDoomed);
         simulation.runUntil(most, () -> endDoomed() || scene.over());
         audit();
@@ -299,7 +318,8 @@
     /** Looks at what each relay uses, a few times a second. */
     private void measure() {
         for (int i = 0; i < disks.size(); i++) {
-            mostConnections = Math.max(mostConnections, simulation.network().at(relayIp(i)).size());
+            mostConnections = Math.max(
+                    mostConnections, simulation.network().at(relayIp(i)).size());
             mostDisk = Math.max(mostDisk, disks.get(i).used());
         }
         audit();
@@ -308,7 +328,8 @@
     /** Holds loop, module and journal of each relay against one another. */
     private void audit() {
         for (int relay : running) {
-            String told = instances.get(relay) == null ? null : instances.get(relay).disagreement();
+            String told =
+                    instances.get(relay) == null ? null : instances.get(relay).disagreement();
             if (told != null && disagreements.size() < TOLD_MOST) {
                 disagreements.add("relay " + relay + " at " + simulation.now() / 1_000_000 + " ms: " + told);
             }
--- a/src/main/java/brambletray/standalone/AgentSource.java
+++ b/src/main/java/brambletray/standalone/AgentSource.java
@@ -22,6 +22,7 @@
 final class AgentSource implements Watch.Taker {
     /** By which the reconciler and the log know it. */
     static final String NAME = "agent";
+
     private static final Logger LOG = LoggerFactory.getLogger(AgentSource.class);
     /** As in files: the relay learns what such a host takes. */
     private static final double RATE = 10;
@@ -84,10 +85,16 @@
         try {
             InetSocketAddress dial = Addresses.parse(host.text("dial"));
             double rate = host.number("share", RATE);
-            return new Entry(name, dial.getAddress().getHostAddress(), dial.getPort(),
-                host.text("protocol", "http"), host.whole("block"), host.text("site", ""),
-                host.text("class", ""), rate > 0 ? rate : RATE,
-                health.equals("ready") ? Entry.State.READY : Entry.State.DRAINING);
+            return new Entry(
+                    name,
+                    dial.getAddress().getHostAddress(),
+                    dial.getPort(),
+                    host.text("protocol", "http"),
+                    host.whole("block"),
+                    host.text("site", ""),
+                    host.text("class", ""),
+                    rate > 0 ? rate : RATE,
+                    health.equals("ready") ? Entry.State.READY : Entry.State.DRAINING);
         } catch (Wire.Malformed e) {
             LOG.warn("the agent's entry of host {} left out: {}", name, e.getMessage());
             return null;
--- a/src/main/java/brambletray/standalone/InventoryPlatform.java
+++ b/src/main/java/brambletray/standalone/InventoryPlatform.java
@@ -53,12 +53,12 @@
     private final Reconciler reconciler;
     /** Names of the sources, the one that counts most first. */
     private final List<String> sources = new ArrayList<>();
+
     private final List<Follower> followers = new ArrayList<>();
     private final AgentSource agent;
     private long version;
 
-    InventoryPlatform(Machine machine, Standalone settings, HostList hosts, Loop loop, Store store,
-                      Executor reader) {
+    InventoryPlatform(Machine machine, Standalone settings, HostList hosts, Loop loop, Store store, Executor reader) {
         this.settings = settings;
         this.hosts = hosts;
         this.loop = loop;
@@ -68,15 +68,24 @@
         for (Path file : settings.inventories()) {
             String name = file.toString();
             sources.add(name);
-            followers.add(new Follower(machine, file, settings.pollMs(), settings.settleMs(),
-                settings.events(), reader, parsed -> offer(name, parsed, onLoop)));
+            followers.add(new Follower(
+                    machine,
+                    file,
+                    settings.pollMs(),
+                    settings.settleMs(),
+                    settings.events(),
+                    reader,
+                    parsed -> offer(name, parsed, onLoop)));
         }
         if (settings.agent() == null) {
             agent = null;
         } else {
             sources.add(AgentSource.NAME);
-            agent = new AgentSource(machine, settings.agent(), revision -> reader.execute(
-                () -> offer(AgentSource.NAME, new Inventory.Parsed(revision, true), onLoop)));
+            agent = new AgentSource(
+                    machine,
+                    settings.agent(),
+                    revision -> reader.execute(
+                            () -> offer(AgentSource.NAME, new Inventory.Parsed(revision, true), onLoop)));
         }
         this.reconciler = new Reconciler(settings.removeMost(), sources);
     }
@@ -98,9 +107,11 @@
             } catch (Faults | IOException e) {
                 read.add(false);
                 faults.add(e instanceof Faults ? e.getMessage() : e.toString());
-                LOG.warn("the inventory {} is of no use, {}: {}", name, former.contains(name)
-                    ? "its last good version is served" : "and no good version of it is kept",
-                    e.getMessage());
+                LOG.warn(
+                        "the inventory {} is of no use, {}: {}",
+                        name,
+                        former.contains(name) ? "its last good version is served" : "and no good version of it is kept",
+                        e.getMessage());
             }
         }
         if (reconciler.held().hosts().isEmpty() && agent == null) {
@@ -125,15 +136,17 @@
         for (Chain chain : store.chains(LAST_GOOD)) {
             try {
                 byte[] text = store.read(chain, 0);
-                String head = new String(text, StandardCharsets.UTF_8).lines().findFirst().orElse("");
+                String head = new String(text, StandardCharsets.UTF_8)
+                        .lines()
+                        .findFirst()
+                        .orElse("");
                 // A store from before there were several sources names none: it was that of the one file.
                 String name = head.startsWith(SOURCE) ? head.substring(SOURCE.length()) : sources.get(0);
                 if (!sources.contains(name) || !known.add(name)) {
                     continue;
                 }
                 Inventory.Parsed kept = Inventory.parse("last-good.csv", text);
-                if (reconciler.offer(name, kept.revision(), kept.sealed())
-                        instanceof Reconciler.Taken taken) {
+                if (reconciler.offer(name, kept.revision(), kept.sealed()) instanceof Reconciler.Taken taken) {
                     slices(taken).forEach(this::listed);
                 }
             } catch (Faults | IOException e) {
@@ -150,18 +163,29 @@
     private void offer(String source, Inventory.Parsed parsed, Executor on) {
         Reconciler.Verdict verdict = reconciler.offer(source, parsed.revision(), parsed.sealed());
         if (verdict instanceof Reconciler.HeldBack held) {
-            LOG.warn("the inventory {} is held back: {}; if it is meant as it stands, end it with the line"
-                + " '# end of inventory: {} hosts'", source, held.unsealed()
-                    ? "its last line does not seal it, as the one before did" : "it takes "
-                    + (held.change().removed().size() + held.change().drained().size())
-                    + " hosts away, and an edit may take " + held.most(), parsed.revision().hosts().size());
+            LOG.warn(
+                    "the inventory {} is held back: {}; if it is meant as it stands, end it with the line"
+                            + " '# end of inventory: {} hosts'",
+                    source,
+                    held.unsealed()
+                            ? "its last line does not seal it, as the one before did"
+                            : "it takes "
+                                    + (held.change().removed().size()
+                                            + held.change().drained().size())
+                                    + " hosts away, and an edit may take " + held.most(),
+                    parsed.revision().hosts().size());
         } else if (verdict instanceof Reconciler.Taken taken) {
-            LOG.info("inventory {}: {} hosts in all, {} new, {} gone, {} moved, {} draining, {} altered",
-                source, taken.hosts().size(), taken.change().added().size(),
-                taken.change().removed().size(), taken.change().moved().size(),
-                taken.change().drained().size(), taken.change().altered().size());
+            LOG.info(
+                    "inventory {}: {} hosts in all, {} new, {} gone, {} moved, {} draining, {} altered",
+                    source,
+                    taken.hosts().size(),
+                    taken.change().added().size(),
+                    taken.change().removed().size(),
+                    taken.change().moved().size(),
+                    taken.change().drained().size(),
+                    taken.change().altered().size());
             byte[] text = (SOURCE + source + "\n" + Inventory.write(taken.revision(), true, taken.sealed()))
-                .getBytes(StandardCharsets.UTF_8);
+                    .getBytes(StandardCharsets.UTF_8);
             for (Wire.Fields slice : slices(taken)) {
                 // A turn of its own for each: messages are served in between.
                 on.execute(() -> listed(slice));
@@ -183,8 +207,10 @@
             store.put(LAST_GOOD, key, text);
             loop.staged();
         } else {
-            LOG.warn("the inventory of {} bytes does not fit into the store beside the messages: after a"
-                + " restart on a bad file the version before it counts; raise disk_mb", text.length);
+            LOG.warn(
+                    "the inventory of {} bytes does not fit into the store beside the messages: after a"
+                            + " restart on a bad file the version before it counts; raise disk_mb",
+                    text.length);
         }
     }
 
@@ -206,7 +232,7 @@
         for (int from = 0; from < order.size(); from += SLICE) {
             Map<String, Entry> slice = new LinkedHashMap<>();
             order.subList(from, Math.min(order.size(), from + SLICE))
-                .forEach(key -> slice.put(key, taken.hosts().get(key)));
+                    .forEach(key -> slice.put(key, taken.hosts().get(key)));
             slices.add(decoded(slice, false));
         }
         return slices;
--- a/src/main/java/brambletray/standalone/Outcomes.java
+++ b/src/main/java/brambletray/standalone/Outcomes.java
@@ -35,8 +35,9 @@
         String json() {
             StringBuilder out = new StringBuilder("{\"message\":\"");
             JsonStringEncoder.getInstance().quoteAsString(id, out);
-            out.append("\",\"outcome\":\"").append(end == End.DELIVERED ? "delivered"
-                : end == End.HANDED_BACK ? "handed_back" : "given_up").append('"');
+            out.append("\",\"outcome\":\"")
+                    .append(end == End.DELIVERED ? "delivered" : end == End.HANDED_BACK ? "handed_back" : "given_up")
+                    .append('"');
             if (retryMs > 0) {
                 out.append(",\"retry_in_ms\":").append(retryMs);
             }
@@ -44,7 +45,7 @@
         }
     }
 
-    private record Kept(Outcome outcome, Chain chain) { }
+    private record Kept(Outcome outcome, Chain chain) {}
 
     private final Store store;
     private final Loop loop;
@@ -55,9 +56,10 @@
     private final Map<String, Kept> kept = new LinkedHashMap<>();
     /** Ids that the URL has not acknowledged; empty where there is none. */
     private final Set<String> untold = new LinkedHashSet<>();
+
     private final boolean tells;
     private final Set<String> staged = new LinkedHashSet<>();
-    private Runnable whenUntold = () -> { };
+    private Runnable whenUntold = () -> {};
     private long next = 1;
     private boolean full;
 
@@ -74,8 +76,7 @@
             next = Math.max(next, chain.key() + 1);
             try {
                 DataInputStream in = new DataInputStream(new ByteArrayInputStream(store.read(chain, 0)));
-                Outcome outcome = new Outcome(in.readUTF(), End.values()[in.readByte()], in.readLong(),
-                    in.readLong());
+                Outcome outcome = new Outcome(in.readUTF(), End.values()[in.readByte()], in.readLong(), in.readLong());
                 kept.put(outcome.id(), new Kept(outcome, chain));
                 if (tells) {
                     // Perhaps told before: the URL hears of it again, which it can tell by the id.
@@ -166,9 +167,11 @@
                 return;
             }
             if (over && !full) {
-                LOG.warn("{} answers are kept: from now on the eldest go before their time; raise"
-                    + " answers.most"
-                    + " and disk_mb, or shorten answers.keep_s", most);
+                LOG.warn(
+                        "{} answers are kept: from now on the eldest go before their time; raise"
+                                + " answers.most"
+                                + " and disk_mb, or shorten answers.keep_s",
+                        most);
                 full = true;
             }
             untold.remove(eldest.outcome.id());
--- a/src/main/java/brambletray/standalone/Poster.java
+++ b/src/main/java/brambletray/standalone/Poster.java
@@ -60,27 +60,32 @@
         batch.forEach(o -> lines.append(o.json()).append('\n'));
         Attempt attempt = new Attempt(batch);
         ChannelFuture connect = machine.dialling(PATIENCE_MS, new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel fresh) {
-                fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(64 * 1024), attempt);
-            }
-        }).connect(to);
-        attempt.timer = machine.loop().schedule(() -> {
-            connect.channel().close();
-            attempt.over(null);
-        }, PATIENCE_MS, TimeUnit.MILLISECONDS);
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(64 * 1024), attempt);
+                    }
+                })
+                .connect(to);
+        attempt.timer = machine.loop()
+                .schedule(
+                        () -> {
+                            connect.channel().close();
+                            attempt.over(null);
+                        },
+                        PATIENCE_MS,
+                        TimeUnit.MILLISECONDS);
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 attempt.over(null);
                 return;
             }
-            DefaultFullHttpRequest post = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                path,
-                Unpooled.copiedBuffer(lines, StandardCharsets.UTF_8));
-            post.headers().set(HttpHeaderNames.HOST, to.getAddress().getHostAddress() + ":" + to.getPort())
-                .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
-                .set(HttpHeaderNames.CONNECTION, "close")
-                .set(HttpHeaderNames.CONTENT_LENGTH, post.content().readableBytes());
+            DefaultFullHttpRequest post = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.POST, path, Unpooled.copiedBuffer(lines, StandardCharsets.UTF_8));
+            post.headers()
+                    .set(HttpHeaderNames.HOST, to.getAddress().getHostAddress() + ":" + to.getPort())
+                    .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
+                    .set(HttpHeaderNames.CONNECTION, "close")
+                    .set(HttpHeaderNames.CONTENT_LENGTH, post.content().readableBytes());
             connect.channel().writeAndFlush(post);
         });
     }
@@ -110,9 +115,12 @@
                 return;
             }
             if (!unheard) {
-                LOG.warn("{} final answers not acknowledged by {}:{} ({}), posted until they are",
-                    batch.size(),
-                    to.getAddress().getHostAddress(), to.getPort(), status == null ? "no answer" : status);
+                LOG.warn(
+                        "{} final answers not acknowledged by {}:{} ({}), posted until they are",
+                        batch.size(),
+                        to.getAddress().getHostAddress(),
+                        to.getPort(),
+                        status == null ? "no answer" : status);
             }
             unheard = true;
             machine.loop().schedule(Poster.this::post, again, TimeUnit.MILLISECONDS);
--- a/src/main/java/brambletray/standalone/Standalone.java
+++ b/src/main/java/brambletray/standalone/Standalone.java
@@ -31,10 +31,21 @@
  * @param postTo where they are posted, null for nowhere
  * @param siblings what names its siblings, null for none
  */
-record Standalone(Config config, List<Path> inventories, InetSocketAddress agent, double removeMost,
-                  long pollMs, long settleMs, boolean events,
-                  List<String> zones, List<String> kinds, long keepMs, int answersMost,
-                  InetSocketAddress postTo, String postPath, SiblingsFile siblings) {
+record Standalone(
+        Config config,
+        List<Path> inventories,
+        InetSocketAddress agent,
+        double removeMost,
+        long pollMs,
+        long settleMs,
+        boolean events,
+        List<String> zones,
+        List<String> kinds,
+        long keepMs,
+        int answersMost,
+        InetSocketAddress postTo,
+        String postPath,
+        SiblingsFile siblings) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final double TENANT_RATE = 1e9;
     private static final int SEED_MOST = Integer.MAX_VALUE;
@@ -44,8 +55,7 @@
         YamlFile.Content content = YamlFile.read(path);
         Section root = content.root();
         InetSocketAddress listen = address(root, "listen", root.text("listen", "127.0.0.1:8080"));
-        InetSocketAddress console = root.has("console")
-            ? address(root, "console", root.text("console")) : null;
+        InetSocketAddress console = root.has("console") ? address(root, "console", root.text("console")) : null;
         Path state = path.resolveSibling(root.text("folder", "state"));
         InetSocketAddress agent = root.has("agent") ? address(root, "agent", root.text("agent")) : null;
         List<Path> inventories = new ArrayList<>();
@@ -61,15 +71,17 @@
         int diskMb = root.whole("disk_mb", 64, 1, 100_000);
         int sockets = root.whole("sockets", 1_024, 64, 1_000_000);
         int seed = root.whole("seed", 1, 0, SEED_MOST);
-        Store.Promise promise = root.word("outlasts", "machine", "process", "machine").equals("machine")
-            ? Store.Promise.MACHINE : Store.Promise.PROCESS;
+        Store.Promise promise =
+                root.word("outlasts", "machine", "process", "machine").equals("machine")
+                        ? Store.Promise.MACHINE
+                        : Store.Promise.PROCESS;
         MqttSettings mqtt = null;
         if (root.has("mqtt")) {
             mqtt = MqttSettings.read(path.resolveSibling(root.text("mqtt")));
         }
         Path quotas = root.has("quotas") ? path.resolveSibling(root.text("quotas")) : null;
-        SiblingsFile siblings = root.has("siblings")
-            ? SiblingsFile.read(path.resolveSibling(root.text("siblings"))) : null;
+        SiblingsFile siblings =
+                root.has("siblings") ? SiblingsFile.read(path.resolveSibling(root.text("siblings"))) : null;
         List<String> tenants = root.texts("tenants", false);
         List<String> zones = names(root, "zones");
         List<String> kinds = names(root, "kinds");
@@ -82,8 +94,7 @@
         Section answers = root.section("answers", false);
         int keep = answers.whole("keep_s", 600, 1, 86_400 * 7);
         int most = answers.whole("most", 20_000, 100, 10_000_000);
-        InetSocketAddress postTo = answers.has("post_to")
-            ? address(answers, "post_to", answers.text("post_to")) : null;
+        InetSocketAddress postTo = answers.has("post_to") ? address(answers, "post_to", answers.text("post_to")) : null;
         String postPath = answers.text("post_path", "/answers");
         if (!postPath.startsWith("/")) {
             answers.fault("post_path", "expected a path that begins with /");
@@ -94,10 +105,32 @@
         content.file().check();
         Files.createDirectories(state);
         try {
-            Config config = Config.of(listen, console, state, seed, sockets, diskMb * 1_000_000L, promise,
-                Wire.decode(settings), mqtt, quotas);
-            return new Standalone(config, inventories, agent, removeMost, poll, settle, events, zones, kinds,
-                keep * 1_000L, most, postTo, postPath, siblings);
+            Config config = Config.of(
+                    listen,
+                    console,
+                    state,
+                    seed,
+                    sockets,
+                    diskMb * 1_000_000L,
+                    promise,
+                    Wire.decode(settings),
+                    mqtt,
+                    quotas);
+            return new Standalone(
+                    config,
+                    inventories,
+                    agent,
+                    removeMost,
+                    poll,
+                    settle,
+                    events,
+                    zones,
+                    kinds,
+                    keep * 1_000L,
+                    most,
+                    postTo,
+                    postPath,
+                    siblings);
         } catch (Wire.Malformed e) {
             throw new IllegalStateException("settings of the relay's own can be read", e);
         }
@@ -119,7 +152,7 @@
 
     /** The settings in the form that the platform gives them in. */
     private static String settings(Section root, List<String> zones, List<String> kinds, List<String> tenants)
-        throws IOException {
+            throws IOException {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(text)) {
             out.writeStartObject();
@@ -198,11 +231,13 @@
         out.writeNumberField("aim", c.whole("aim_ms", Math.min(2_000, limit), 1, limit));
         out.writeNumberField("hard-limit", limit);
         out.writeNumberField("late-worth", c.number("late_worth", 0.3, 0, 1));
-        out.writeStringField("semantics", switch (c.word("effect", "unsafe", "safe", "keyed", "unsafe")) {
-            case "safe" -> "retryable";
-            case "keyed" -> "dedup";
-            default -> "fragile";
-        });
+        out.writeStringField(
+                "semantics",
+                switch (c.word("effect", "unsafe", "safe", "keyed", "unsafe")) {
+                    case "safe" -> "retryable";
+                    case "keyed" -> "dedup";
+                    default -> "fragile";
+                });
         out.writeNumberField("window", c.whole("window_ms", 0, 0, 3_600_000));
         out.writeEndObject();
         c.done();
--- a/src/main/java/brambletray/standalone/StandaloneRelay.java
+++ b/src/main/java/brambletray/standalone/StandaloneRelay.java
@@ -56,7 +56,7 @@
     public static int serve(Path file, Path inventory) {
         try {
             StandaloneRelay relay = new StandaloneRelay(Standalone.read(file, inventory), thread());
-            return Node.serve(() -> relay.settings.config(), relay, node -> { });
+            return Node.serve(() -> relay.settings.config(), relay, node -> {});
         } catch (Faults | Config.Unusable e) {
             System.err.println(e.getMessage());
         } catch (IOException e) {
@@ -74,7 +74,8 @@
     @Override
     public void beforeOwning(Machine machine, Journal journal) throws IOException {
         if (settings.siblings() != null) {
-            comingBack = new ComingBack(machine, settings.siblings(), settings.config().settings());
+            comingBack = new ComingBack(
+                    machine, settings.siblings(), settings.config().settings());
             String refusal = comingBack.before(journal);
             if (refusal != null) {
                 throw new NotToBeOwned(refusal);
@@ -105,8 +106,14 @@
 
     @Override
     public Ends ends(Machine machine, Loop relay, Store store, Ends mqtt) {
-        outcomes = new Outcomes(store, relay, machine.clock(), mqtt, settings.keepMs(),
-            settings.answersMost(), settings.postTo() != null);
+        outcomes = new Outcomes(
+                store,
+                relay,
+                machine.clock(),
+                mqtt,
+                settings.keepMs(),
+                settings.answersMost(),
+                settings.postTo() != null);
         if (settings.postTo() != null) {
             new Poster(machine, outcomes, settings.postTo(), settings.postPath()).wake();
         }
--- a/src/main/java/brambletray/store/Chain.java
+++ b/src/main/java/brambletray/store/Chain.java
@@ -6,7 +6,7 @@
 /** All live records of one key: the one that began it and those behind it, in order. */
 public final class Chain {
     /** Where a value stands. */
-    record Place(Segment segment, long at, int length) { }
+    record Place(Segment segment, long at, int length) {}
 
     final byte space;
     final long key;
@@ -15,6 +15,7 @@
     long bytes;
     /** Bytes kept free for records that may still come. */
     long reserved;
+
     boolean doubtful;
     boolean dead;
 
--- a/src/main/java/brambletray/store/Layout.java
+++ b/src/main/java/brambletray/store/Layout.java
@@ -26,12 +26,13 @@
     static final int SEGMENT_HEAD = 40, FRAME_HEAD = 8, FRAME_FIXED = 16, RECORD_HEAD = 14;
     /** Of a frame's length; a larger one is damage. */
     static final int FRAME_MOST = 64 << 20;
+
     static final int MARK_SLOT = 32;
     static final String MANIFEST = "MANIFEST", FRESH_MANIFEST = "MANIFEST.new", MARK = "MARK", LOCK = "LOCK";
     /** Sorts of records: begins a key's chain anew; goes behind it; ends it; marks it as doubtful. */
     static final byte PUT = 1, APPEND = 2, DELETE = 3, DOUBT = 4;
 
-    private Layout() { }
+    private Layout() {}
 
     static String segmentName(long id) {
         return String.format("seg-%010d", id);
@@ -50,14 +51,22 @@
     /** {@code bytes}: what follows the checksum. */
     static int frameCrc(long store, long segment, byte[] bytes, int from, int length) {
         CRC32C crc = new CRC32C();
-        crc.update(ByteBuffer.allocate(20).putLong(store).putLong(segment).putInt(length).flip());
+        crc.update(ByteBuffer.allocate(20)
+                .putLong(store)
+                .putLong(segment)
+                .putInt(length)
+                .flip());
         crc.update(bytes, from, length);
         return (int) crc.getValue();
     }
 
     static byte[] segmentHead(long store, long segment, long first) {
-        ByteBuffer head = ByteBuffer.allocate(SEGMENT_HEAD).put(SEGMENT_MAGIC).putInt(FORMAT).putLong(store)
-            .putLong(segment).putLong(first);
+        ByteBuffer head = ByteBuffer.allocate(SEGMENT_HEAD)
+                .put(SEGMENT_MAGIC)
+                .putInt(FORMAT)
+                .putLong(store)
+                .putLong(segment)
+                .putLong(first);
         return head.putInt(crc(head.array(), 0, SEGMENT_HEAD - 4)).array();
     }
 
--- a/src/main/java/brambletray/store/Manifest.java
+++ b/src/main/java/brambletray/store/Manifest.java
@@ -8,13 +8,17 @@
 /** Which segments there are, the oldest first. */
 record Manifest(long store, long nextSegment, List<Entry> segments) {
     /** {@code sealed}: its length when the next one was begun; -1 while it is written to. */
-    record Entry(long segment, long first, long sealed) { }
+    record Entry(long segment, long first, long sealed) {}
 
     private static final int FIXED = 32, EACH = 24, SEGMENTS_MOST = 1_000_000;
 
     byte[] bytes() {
-        ByteBuffer out = ByteBuffer.allocate(FIXED + EACH * segments.size() + 4).put(Layout.MANIFEST_MAGIC)
-            .putInt(Layout.FORMAT).putLong(store).putLong(nextSegment).putInt(segments.size());
+        ByteBuffer out = ByteBuffer.allocate(FIXED + EACH * segments.size() + 4)
+                .put(Layout.MANIFEST_MAGIC)
+                .putInt(Layout.FORMAT)
+                .putLong(store)
+                .putLong(nextSegment)
+                .putInt(segments.size());
         for (Entry e : segments) {
             out.putLong(e.segment()).putLong(e.first()).putLong(e.sealed());
         }
--- a/src/main/java/brambletray/store/MemoryDisk.java
+++ b/src/main/java/brambletray/store/MemoryDisk.java
@@ -42,8 +42,8 @@
 
     private final Map<String, Node> names = new TreeMap<>();
     private final Map<String, Node> keptNames = new TreeMap<>();
-    private Fault fault = (operation, name, bytes) -> { };
-    private Runnable whenWritten = () -> { };
+    private Fault fault = (operation, name, bytes) -> {};
+    private Runnable whenWritten = () -> {};
     private boolean locked;
     private boolean dead;
 
@@ -203,8 +203,7 @@
         MemoryDisk after = new MemoryDisk();
         Map<Node, Node> copies = new IdentityHashMap<>();
         names.forEach((name, node) -> after.names.put(name, copies.computeIfAbsent(node, Node::copy)));
-        keptNames.forEach((name, node) -> after.keptNames.put(name, copies.computeIfAbsent(node,
-            Node::copy)));
+        keptNames.forEach((name, node) -> after.keptNames.put(name, copies.computeIfAbsent(node, Node::copy)));
         return after;
     }
 
@@ -238,9 +237,12 @@
             return node.kept.clone();
         }
         int most = Math.max(node.seen.length, node.kept.length);
-        int length = random.nextInt(3) == 0 ? node.kept.length : random.nextInt(2) == 0 ? node.seen.length
-            : Math.min(node.kept.length, node.seen.length)
-                + random.nextInt(Math.abs(node.seen.length - node.kept.length) + 1);
+        int length = random.nextInt(3) == 0
+                ? node.kept.length
+                : random.nextInt(2) == 0
+                        ? node.seen.length
+                        : Math.min(node.kept.length, node.seen.length)
+                                + random.nextInt(Math.abs(node.seen.length - node.kept.length) + 1);
         byte[] left = new byte[most];
         System.arraycopy(node.kept, 0, left, 0, node.kept.length);
         for (int at = 0; at < most; at += BLOCK) {
@@ -274,7 +276,9 @@
 
     /** Bytes that all files take up, each in whole blocks. */
     public long used() {
-        return names.values().stream().mapToLong(n -> (n.seen.length + BLOCK - 1L) / BLOCK * BLOCK).sum();
+        return names.values().stream()
+                .mapToLong(n -> (n.seen.length + BLOCK - 1L) / BLOCK * BLOCK)
+                .sum();
     }
 
     @Override
--- a/src/main/java/brambletray/store/RealDisk.java
+++ b/src/main/java/brambletray/store/RealDisk.java
@@ -50,8 +50,9 @@
                 }
                 from += got;
             }
-            return bytes.position() == bytes.capacity() ? bytes.array()
-                : Arrays.copyOf(bytes.array(), bytes.position());
+            return bytes.position() == bytes.capacity()
+                    ? bytes.array()
+                    : Arrays.copyOf(bytes.array(), bytes.position());
         }
 
         @Override
@@ -78,11 +79,13 @@
     @Override
     public File open(String name, boolean create) throws IOException {
         Path file = folder.resolve(name);
-        return new Open(create
-            ? FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE)
-            : readOnly ? FileChannel.open(file, StandardOpenOption.READ)
-            : FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE));
+        return new Open(
+                create
+                        ? FileChannel.open(
+                                file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)
+                        : readOnly
+                                ? FileChannel.open(file, StandardOpenOption.READ)
+                                : FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE));
     }
 
     @Override
@@ -92,8 +95,11 @@
 
     @Override
     public void rename(String from, String to) throws IOException {
-        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE,
-            StandardCopyOption.REPLACE_EXISTING);
+        Files.move(
+                folder.resolve(from),
+                folder.resolve(to),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
     }
 
     @Override
@@ -104,7 +110,10 @@
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString()).sorted().toList();
+            return files.filter(Files::isRegularFile)
+                    .map(f -> f.getFileName().toString())
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -132,8 +141,8 @@
 
     @Override
     public AutoCloseable lock(String name) throws IOException {
-        FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE);
+        FileChannel channel =
+                FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock;
         try {
             lock = channel.tryLock();
--- a/src/main/java/brambletray/store/Replay.java
+++ b/src/main/java/brambletray/store/Replay.java
@@ -14,8 +14,7 @@
     /** Takes what is read. */
     interface Reader {
         /** A record; {@code at}: offset of its value in the segment's file. */
-        void record(long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at,
-            int length);
+        void record(long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at, int length);
 
         /** Records that were acknowledged may be missing here: all that was told before is doubtful. */
         void hole();
@@ -64,8 +63,7 @@
         for (int i = 0; i < manifest.segments().size(); i++) {
             Manifest.Entry segment = manifest.segments().get(i);
             if (segment.first() > expected) {
-                hole(segment, 0, "records " + expected + " to " + (segment.first() - 1)
-                    + " are missing before it");
+                hole(segment, 0, "records " + expected + " to " + (segment.first() - 1) + " are missing before it");
                 expected = segment.first();
             }
             segment(segment, i == manifest.segments().size() - 1);
@@ -78,14 +76,18 @@
         }
         long marked = Layout.readMark(mark, manifest.store());
         if (marked < 0) {
-            damage(Layout.MARK, 0, Damage.Kind.HOLE,
-                "neither slot checks: whether the last records are here is"
-                + " not known");
+            damage(
+                    Layout.MARK,
+                    0,
+                    Damage.Kind.HOLE,
+                    "neither slot checks: whether the last records are here is" + " not known");
             reader.hole();
         } else if (marked >= expected) {
-            damage(Layout.segmentName(last().segment()), tail, Damage.Kind.HOLE, "ends with record "
-                + (expected - 1)
-                + ", but " + marked + " was acknowledged");
+            damage(
+                    Layout.segmentName(last().segment()),
+                    tail,
+                    Damage.Kind.HOLE,
+                    "ends with record " + (expected - 1) + ", but " + marked + " was acknowledged");
             reader.hole();
             expected = marked + 1;
         }
@@ -123,8 +125,13 @@
         byte[] head = Layout.segmentHead(manifest.store(), segment.segment(), segment.first());
         if (all.length < head.length || !Arrays.equals(head, 0, head.length, all, 0, head.length)) {
             // Frames name their segment in their checksums: those that check are this segment's all the same.
-            damage(name, 0, Damage.Kind.HARMLESS, all.length < head.length ? "the head is cut"
-                : "the head is not this segment's: altered, or another segment's file");
+            damage(
+                    name,
+                    0,
+                    Damage.Kind.HARMLESS,
+                    all.length < head.length
+                            ? "the head is cut"
+                            : "the head is not this segment's: altered, or another segment's file");
         }
         int at = Layout.SEGMENT_HEAD;
         while (at < all.length) {
@@ -155,11 +162,9 @@
         long end = segment.sealed() >= 0 ? segment.sealed() : all.length;
         if (segment.sealed() >= 0 && at < segment.sealed()) {
             long missing = end - at;
-            damage(name, at, Damage.Kind.HARMLESS, "the last " + missing
-                + " bytes can't be read or are missing");
+            damage(name, at, Damage.Kind.HARMLESS, "the last " + missing + " bytes can't be read or are missing");
         } else if (at < all.length && last) {
-            damage(name, at, Damage.Kind.TORN_TAIL, "the last " + (all.length - at)
-                + " bytes are no whole record");
+            damage(name, at, Damage.Kind.TORN_TAIL, "the last " + (all.length - at) + " bytes are no whole record");
         }
     }
 
@@ -180,8 +185,7 @@
             return 0;
         }
         int length = in.getInt(at);
-        if (length < Layout.FRAME_FIXED || length > Layout.FRAME_MOST
-            || length > all.length - at - Layout.FRAME_HEAD) {
+        if (length < Layout.FRAME_FIXED || length > Layout.FRAME_MOST || length > all.length - at - Layout.FRAME_HEAD) {
             return 0;
         }
         int crc = Layout.frameCrc(manifest.store(), segment.segment(), all, at + Layout.FRAME_HEAD, length);
--- a/src/main/java/brambletray/store/Segment.java
+++ b/src/main/java/brambletray/store/Segment.java
@@ -10,6 +10,7 @@
     final Disk.File file;
     /** Where the next frame goes, or where it was sealed. */
     long tail;
+
     boolean sealed;
     /** Chains that begin here; they have to be copied before it can go. */
     final Set<Chain> begun = new LinkedHashSet<>();
--- a/src/main/java/brambletray/store/Store.java
+++ b/src/main/java/brambletray/store/Store.java
@@ -21,8 +21,10 @@
 public final class Store implements AutoCloseable {
     /** What a commit outlasts. */
     public enum Promise {
-        /** The process: written, not synced. */ PROCESS,
-        /** The machine: one sync for each commit. */ MACHINE
+        /** The process: written, not synced. */
+        PROCESS,
+        /** The machine: one sync for each commit. */
+        MACHINE
     }
 
     /**
@@ -30,10 +32,10 @@
      * @param promise what a commit outlasts
      * @param cache bytes of values kept in memory
      */
-    public record Options(long limit, Promise promise, long cache) { }
+    public record Options(long limit, Promise promise, long cache) {}
 
     /** What was found when it was opened. */
-    public record Found(List<Damage> damages, int doubtful, long records) { }
+    public record Found(List<Damage> damages, int doubtful, long records) {}
 
     private static final int BLOCK = 512;
     private static final long SEGMENT_LEAST = 16 * 1024, SEGMENT_MOST = 16 << 20;
@@ -65,6 +67,7 @@
     private long next;
     /** All up to here outlasts what was promised. */
     private long safe;
+
     private long nextSegment;
     private long live;
     private long reserved;
@@ -73,6 +76,7 @@
      * again.
      */
     private boolean spoilt;
+
     private long markFailures;
     private Found found;
 
@@ -157,7 +161,7 @@
         for (String name : disk.list()) {
             // Left by a crash: made and not yet in the manifest, or dropped from it and not yet deleted.
             boolean known = manifest.segments().stream()
-                .anyMatch(e -> Layout.segmentName(e.segment()).equals(name));
+                    .anyMatch(e -> Layout.segmentName(e.segment()).equals(name));
             if (Layout.isSegment(name) && !known || name.equals(Layout.FRESH_MANIFEST)) {
                 disk.delete(name);
             }
@@ -165,16 +169,14 @@
         Map<Long, Segment> byId = new LinkedHashMap<>();
         for (Manifest.Entry e : manifest.segments()) {
             Disk.File file = disk.open(Layout.segmentName(e.segment()), true);
-            Segment segment = new Segment(e.segment(), e.first(), file, Math.max(e.sealed(),
-                Layout.SEGMENT_HEAD));
+            Segment segment = new Segment(e.segment(), e.first(), file, Math.max(e.sealed(), Layout.SEGMENT_HEAD));
             segment.sealed = true;
             byId.put(e.segment(), segment);
             opened.segments.add(segment);
         }
         Replay replay = new Replay(disk, manifest, new Replay.Reader() {
             @Override
-            public void record(long sequence, Manifest.Entry in, byte sort, byte space, long key, int at,
-                int length) {
+            public void record(long sequence, Manifest.Entry in, byte sort, byte space, long key, int at, int length) {
                 opened.apply(sort, space, key, new Chain.Place(byId.get(in.segment()), at, length));
             }
 
@@ -186,8 +188,10 @@
         replay.run();
         opened.next = replay.next();
         opened.safe = opened.next - 1;
-        int doubtful = (int) opened.spaces.values().stream().flatMap(m -> m.values().stream())
-            .filter(Chain::doubtful).count();
+        int doubtful = (int) opened.spaces.values().stream()
+                .flatMap(m -> m.values().stream())
+                .filter(Chain::doubtful)
+                .count();
         opened.found = new Found(List.copyOf(replay.damages()), doubtful, replay.records());
         opened.goOn(replay.tail());
         return opened;
@@ -311,8 +315,8 @@
         if (value == null) {
             value = place.segment().file.read(place.at(), place.length());
             if (value.length != place.length()) {
-                throw new IOException(Layout.segmentName(place.segment().id) + " at " + place.at()
-                    + ": ends inside a record");
+                throw new IOException(
+                        Layout.segmentName(place.segment().id) + " at " + place.at() + ": ends inside a record");
             }
             cache.put(place, value);
         }
@@ -422,9 +426,11 @@
             length += s.bytes();
         }
         Segment segment = roomFor(Layout.FRAME_HEAD + length);
-        ByteBuffer frame = ByteBuffer.allocate(Layout.FRAME_HEAD
-            + length).putInt(length).putInt(0).putLong(next)
-            .putLong(options.promise() == Promise.MACHINE ? safe : next - 1);
+        ByteBuffer frame = ByteBuffer.allocate(Layout.FRAME_HEAD + length)
+                .putInt(length)
+                .putInt(0)
+                .putLong(next)
+                .putLong(options.promise() == Promise.MACHINE ? safe : next - 1);
         long[] places = new long[batch.size()];
         for (int i = 0; i < places.length; i++) {
             Staged s = batch.get(i);
@@ -567,7 +573,7 @@
     /** True when there is more that is dead than it is worth to keep, or little room is left. */
     public boolean wantsCompaction() {
         return segments.size() > 1
-            && (used() > 2 * live + 3 * segmentSize || used() > options.limit() - 2 * segmentSize);
+                && (used() > 2 * live + 3 * segmentSize || used() > options.limit() - 2 * segmentSize);
     }
 
     /**
--- a/src/main/java/brambletray/store/StoreTools.java
+++ b/src/main/java/brambletray/store/StoreTools.java
@@ -13,11 +13,10 @@
 
 /** Looks at a store from outside; writes nothing but what a salvage makes in another folder. */
 public final class StoreTools {
-    private StoreTools() { }
+    private StoreTools() {}
 
     /** One record as it stands in a file. */
-    public record Record(String file, long at, long sequence, String sort, int space, long key,
-        byte[] value) { }
+    public record Record(String file, long at, long sequence, String sort, int space, long key, byte[] value) {}
 
     /** Takes records one by one. */
     public interface Records {
@@ -25,11 +24,11 @@
     }
 
     /** Figures of a name space. */
-    public record Space(int chains, int doubtful, long values, long bytes) { }
+    public record Space(int chains, int doubtful, long values, long bytes) {}
 
     /** Figures of a store: for each segment its name, bytes and what of it is live; for each name space. */
-    public record Figures(long store, Map<String, long[]> segments, Map<Integer, Space> spaces, long records,
-                          long next) { }
+    public record Figures(
+            long store, Map<String, long[]> segments, Map<Integer, Space> spaces, long records, long next) {}
 
     private static String sort(byte sort) {
         return switch (sort) {
@@ -42,15 +41,14 @@
     }
 
     private interface Seen {
-        void record(long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at,
-            int length);
+        void record(long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at, int length);
     }
 
     private static Replay replay(Disk disk, Seen seen, Runnable hole) throws IOException {
         Replay replay = new Replay(disk, Store.manifest(disk), new Replay.Reader() {
             @Override
-            public void record(long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at,
-                               int length) {
+            public void record(
+                    long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at, int length) {
                 seen.record(sequence, segment, sort, space, key, at, length);
             }
 
@@ -71,13 +69,14 @@
         if (!disk.exists(Layout.MANIFEST)) {
             throw new UntrustedStore(noStore(disk));
         }
-        return replay(disk, (sequence, segment, sort, space, key, at, length) -> { }, () -> { }).damages();
+        return replay(disk, (sequence, segment, sort, space, key, at, length) -> {}, () -> {})
+                .damages();
     }
 
     private static String noStore(Disk disk) throws IOException {
         return disk.list().stream().anyMatch(Layout::isSegment)
-            ? "MANIFEST is missing, but there are segments"
-            : "no store: there is no MANIFEST";
+                ? "MANIFEST is missing, but there are segments"
+                : "no store: there is no MANIFEST";
     }
 
     /** Tells every record, dead ones too, in the order in which they were written. */
@@ -88,20 +87,29 @@
         Map<Long, Disk.File> files = new HashMap<>();
         IOException[] failed = {null};
         try {
-            replay(disk, (sequence, segment, sort, space, key, at, length) -> {
-                try {
-                    String name = Layout.segmentName(segment.segment());
-                    Disk.File file = files.get(segment.segment());
-                    if (file == null) {
-                        file = disk.open(name, false);
-                        files.put(segment.segment(), file);
-                    }
-                    told.record(new Record(name, at - Layout.RECORD_HEAD, sequence, sort(sort), space, key,
-                        file.read(at, length)));
-                } catch (IOException e) {
-                    failed[0] = e;
-                }
-            }, () -> { });
+            replay(
+                    disk,
+                    (sequence, segment, sort, space, key, at, length) -> {
+                        try {
+                            String name = Layout.segmentName(segment.segment());
+                            Disk.File file = files.get(segment.segment());
+                            if (file == null) {
+                                file = disk.open(name, false);
+                                files.put(segment.segment(), file);
+                            }
+                            told.record(new Record(
+                                    name,
+                                    at - Layout.RECORD_HEAD,
+                                    sequence,
+                                    sort(sort),
+                                    space,
+                                    key,
+                                    file.read(at, length)));
+                        } catch (IOException e) {
+                            failed[0] = e;
+                        }
+                    },
+                    () -> {});
         } finally {
             for (Disk.File file : files.values()) {
                 file.close();
@@ -118,7 +126,7 @@
         private boolean doubtful;
     }
 
-    private record Key(byte space, long key) { }
+    private record Key(byte space, long key) {}
 
     /** What is live, by segment and by name space. */
     public static Figures stat(Disk disk) throws IOException {
@@ -126,26 +134,31 @@
             throw new UntrustedStore(noStore(disk));
         }
         Map<Key, Sum> chains = new HashMap<>();
-        Replay replay = replay(disk, (sequence, segment, sort, space, key, at, length) -> {
-            Key name = new Key(space, key);
-            long[] value = {segment.segment(), (long) Layout.RECORD_HEAD + length};
-            switch (sort) {
-                case Layout.PUT -> {
-                    Sum sum = new Sum();
-                    sum.values.add(value);
-                    chains.put(name, sum);
-                }
-                case Layout.APPEND -> chains.computeIfPresent(name, (n, sum) -> {
-                    sum.values.add(value);
-                    return sum;
-                });
-                case Layout.DOUBT -> chains.computeIfPresent(name, (n, sum) -> {
-                    sum.doubtful = true;
-                    return sum;
-                });
-                default -> chains.remove(name);
-            }
-        }, () -> chains.values().forEach(sum -> sum.doubtful = true));
+        Replay replay = replay(
+                disk,
+                (sequence, segment, sort, space, key, at, length) -> {
+                    Key name = new Key(space, key);
+                    long[] value = {segment.segment(), (long) Layout.RECORD_HEAD + length};
+                    switch (sort) {
+                        case Layout.PUT -> {
+                            Sum sum = new Sum();
+                            sum.values.add(value);
+                            chains.put(name, sum);
+                        }
+                        case Layout.APPEND ->
+                            chains.computeIfPresent(name, (n, sum) -> {
+                                sum.values.add(value);
+                                return sum;
+                            });
+                        case Layout.DOUBT ->
+                            chains.computeIfPresent(name, (n, sum) -> {
+                                sum.doubtful = true;
+                                return sum;
+                            });
+                        default -> chains.remove(name);
+                    }
+                },
+                () -> chains.values().forEach(sum -> sum.doubtful = true));
         Manifest manifest = Store.manifest(disk);
         Map<String, long[]> segments = new TreeMap<>();
         for (Manifest.Entry e : manifest.segments()) {
@@ -166,10 +179,14 @@
                 segments.get(Layout.segmentName(value[0]))[1] += value[1];
             }
             long more = bytes;
-            spaces.merge((int) key.space(), new Space(1, sum.doubtful ? 1 : 0, sum.values.size(), more),
-                (a, b) -> new Space(a.chains() + b.chains(), a.doubtful() + b.doubtful(), a.values()
-                    + b.values(),
-                    a.bytes() + b.bytes()));
+            spaces.merge(
+                    (int) key.space(),
+                    new Space(1, sum.doubtful ? 1 : 0, sum.values.size(), more),
+                    (a, b) -> new Space(
+                            a.chains() + b.chains(),
+                            a.doubtful() + b.doubtful(),
+                            a.values() + b.values(),
+                            a.bytes() + b.bytes()));
         });
         return new Figures(manifest.store(), segments, spaces, replay.records(), replay.next());
     }
@@ -188,8 +205,8 @@
         IOException[] failed = {null};
         Replay replay = new Replay(from, manifest, new Replay.Reader() {
             @Override
-            public void record(long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at,
-                               int length) {
+            public void record(
+                    long sequence, Manifest.Entry segment, byte sort, byte space, long key, int at, int length) {
                 try {
                     Key name = new Key(space, key);
                     Disk.File file = files.get(segment.segment());
@@ -224,8 +241,10 @@
         }
         try (Store store = Store.open(to, new Store.Options(limit, Store.Promise.MACHINE, 0))) {
             for (Map.Entry<Key, List<byte[]>> entry : chains.entrySet()) {
-                Chain chain = store.put(entry.getKey().space(), entry.getKey().key(),
-                    entry.getValue().get(0));
+                Chain chain = store.put(
+                        entry.getKey().space(),
+                        entry.getKey().key(),
+                        entry.getValue().get(0));
                 entry.getValue().stream().skip(1).forEach(value -> store.append(chain, value));
                 store.doubt(chain);
                 store.commit();
--- a/src/main/java/brambletray/tray/berth/Berth.java
+++ b/src/main/java/brambletray/tray/berth/Berth.java
@@ -31,10 +31,33 @@
  * @param contracts parts of the rules that are in force
  * @param file where all this stands
  */
-public record Berth(String node, String role, String hardware, Set<String> serves, String ip, String zone, String region,
-        Map<String, String> zones, Address frontEnd, Address readiness, Address control, int innerLow, int innerHigh, List<Address> seeds,
-        boolean initialStart, boolean lossCounted, Resources limits, Path dataDir, int beatMs, int machineLosses, int zoneLosses,
-        int regionLosses, Set<String> contracts, Bounds bounds, Platform platform, Path file) {
+public record Berth(
+        String node,
+        String role,
+        String hardware,
+        Set<String> serves,
+        String ip,
+        String zone,
+        String region,
+        Map<String, String> zones,
+        Address frontEnd,
+        Address readiness,
+        Address control,
+        int innerLow,
+        int innerHigh,
+        List<Address> seeds,
+        boolean initialStart,
+        boolean lossCounted,
+        Resources limits,
+        Path dataDir,
+        int beatMs,
+        int machineLosses,
+        int zoneLosses,
+        int regionLosses,
+        Set<String> contracts,
+        Bounds bounds,
+        Platform platform,
+        Path file) {
     /** The variable that holds the file's path. */
     public static final String VARIABLE = "BRAMBLETRAY_NODE_FILE";
 
@@ -53,14 +76,33 @@
 
     static Berth from(Settings in, Path path) {
         int[] inner = in.ports("internal-port-range");
-        return new Berth(in.need("node-name"), in.text("role", ""), in.text("hardware-class", ""),
-            Collections.unmodifiableSet(in.set("served-roles")), in.ip("ip-address"), in.need("zone"), in.text("region", ""),
-            Collections.unmodifiableMap(in.below("zones")), in.address("bind-addresses.front-end"), in.address("bind-addresses.readiness"),
-            in.address("bind-addresses.control-plane"), inner[0], inner[1], in.addresses("seed-peers"), in.flag("initial-start", false),
-            in.flag("loss-counted", false), Resources.from(in), in.path("data-dir"), in.positive("keepalive-ms", 1_000),
-            in.whole("fault-tolerance.machine-losses", 1), in.whole("fault-tolerance.zones", 0),
-            in.whole("fault-tolerance.region-losses", 0), Collections.unmodifiableSet(in.set("active-contracts")), Bounds.from(in),
-            Platform.from(in), path);
+        return new Berth(
+                in.need("node-name"),
+                in.text("role", ""),
+                in.text("hardware-class", ""),
+                Collections.unmodifiableSet(in.set("served-roles")),
+                in.ip("ip-address"),
+                in.need("zone"),
+                in.text("region", ""),
+                Collections.unmodifiableMap(in.below("zones")),
+                in.address("bind-addresses.front-end"),
+                in.address("bind-addresses.readiness"),
+                in.address("bind-addresses.control-plane"),
+                inner[0],
+                inner[1],
+                in.addresses("seed-peers"),
+                in.flag("initial-start", false),
+                in.flag("loss-counted", false),
+                Resources.from(in),
+                in.path("data-dir"),
+                in.positive("keepalive-ms", 1_000),
+                in.whole("fault-tolerance.machine-losses", 1),
+                in.whole("fault-tolerance.zones", 0),
+                in.whole("fault-tolerance.region-losses", 0),
+                Collections.unmodifiableSet(in.set("active-contracts")),
+                Bounds.from(in),
+                Platform.from(in),
+                path);
     }
 
     /** A value that this program can't do without; {@link BerthFault} where the file has none under that field. */
--- a/src/main/java/brambletray/tray/berth/Bounds.java
+++ b/src/main/java/brambletray/tray/berth/Bounds.java
@@ -20,15 +20,41 @@
  * @param recoveryS within which service is back after trouble
  * @param limitShedSlack refusals that are free at a limit
  */
-public record Bounds(double seedLagS, double reuseHoldS, int contactMs, int ackMs, double syncS, int drainMs, double graceS, int lossSlackMs,
-        int configApplyMs, int revertSlackMs, int stretchMaxMs, double retryBudgetRatio, double retryWindowS, double retryBudgetSlack,
-        double recoveryS, double limitShedSlack) {
+public record Bounds(
+        double seedLagS,
+        double reuseHoldS,
+        int contactMs,
+        int ackMs,
+        double syncS,
+        int drainMs,
+        double graceS,
+        int lossSlackMs,
+        int configApplyMs,
+        int revertSlackMs,
+        int stretchMaxMs,
+        double retryBudgetRatio,
+        double retryWindowS,
+        double retryBudgetSlack,
+        double recoveryS,
+        double limitShedSlack) {
 
     static Bounds from(Settings in) {
-        return new Bounds(in.real("bounds.seed-lag-s", 3), in.real("bounds.reuse-hold-s", 2), in.whole("bounds.contact-ms", 4_000),
-            in.whole("bounds.ack-ms", 5_000), in.real("bounds.sync-s", 4), in.whole("bounds.drain-ms", 3_000), in.real("bounds.grace-s", 6),
-            in.whole("bounds.loss-slack-ms", 200), in.whole("bounds.config-apply-ms", 3_000), in.whole("bounds.revert-slack-ms", 250),
-            in.whole("bounds.stretch-max-ms", 12_000), in.real("bounds.retry-budget-ratio", 0.2), in.real("bounds.retry-window-s", 10),
-            in.real("bounds.retry-budget-slack", 20), in.real("bounds.recovery-s", 12), in.real("bounds.limit-shed-slack", 10));
+        return new Bounds(
+                in.real("bounds.seed-lag-s", 3),
+                in.real("bounds.reuse-hold-s", 2),
+                in.whole("bounds.contact-ms", 4_000),
+                in.whole("bounds.ack-ms", 5_000),
+                in.real("bounds.sync-s", 4),
+                in.whole("bounds.drain-ms", 3_000),
+                in.real("bounds.grace-s", 6),
+                in.whole("bounds.loss-slack-ms", 200),
+                in.whole("bounds.config-apply-ms", 3_000),
+                in.whole("bounds.revert-slack-ms", 250),
+                in.whole("bounds.stretch-max-ms", 12_000),
+                in.real("bounds.retry-budget-ratio", 0.2),
+                in.real("bounds.retry-window-s", 10),
+                in.real("bounds.retry-budget-slack", 20),
+                in.real("bounds.recovery-s", 12),
+                in.real("bounds.limit-shed-slack", 10));
     }
 }
--- a/src/main/java/brambletray/tray/berth/Platform.java
+++ b/src/main/java/brambletray/tray/berth/Platform.java
@@ -10,7 +10,10 @@
  */
 public record Platform(Address address, double ratePerS, double dutyRatePerS, int lagMs) {
     static Platform from(Settings in) {
-        return new Platform(in.address("cloud-api.address"), in.real("cloud-api.rate-per-s", 10), in.real("cloud-api.duty-rate-s", 10),
-            in.whole("cloud-api.lag-ms", 1_000));
+        return new Platform(
+                in.address("cloud-api.address"),
+                in.real("cloud-api.rate-per-s", 10),
+                in.real("cloud-api.duty-rate-s", 10),
+                in.whole("cloud-api.lag-ms", 1_000));
     }
 }
--- a/src/main/java/brambletray/tray/berth/Resources.java
+++ b/src/main/java/brambletray/tray/berth/Resources.java
@@ -12,7 +12,12 @@
  */
 public record Resources(double cpuShare, double cpuCores, int memoryMb, int maxFds, double linkMbps, int diskMb) {
     static Resources from(Settings in) {
-        return new Resources(in.real("limits.cpu-share", 1), in.real("limits.cpu-cores", 1), in.whole("limits.memory-mb", 256),
-            in.whole("limits.max-fds", 1_024), in.real("limits.link-mbps", 1_000), in.whole("limits.disk-mb", 0));
+        return new Resources(
+                in.real("limits.cpu-share", 1),
+                in.real("limits.cpu-cores", 1),
+                in.whole("limits.memory-mb", 256),
+                in.whole("limits.max-fds", 1_024),
+                in.real("limits.link-mbps", 1_000),
+                in.whole("limits.disk-mb", 0));
     }
 }
--- a/src/main/java/brambletray/tray/berth/Settings.java
+++ b/src/main/java/brambletray/tray/berth/Settings.java
@@ -28,12 +28,18 @@
     static Settings read(Path path) {
         try {
             if (Files.size(path) > LARGEST) {
-                throw new BerthFault("berth.unreadable", path + ": larger than " + LARGEST + " bytes, expected a settings file", null);
+                throw new BerthFault(
+                        "berth.unreadable",
+                        path + ": larger than " + LARGEST + " bytes, expected a settings file",
+                        null);
             }
             return parse(path.toString(), Files.readString(path, StandardCharsets.UTF_8));
         } catch (IOException e) {
-            throw new BerthFault("berth.unreadable", path + ": can't be read (" + e.getClass().getSimpleName()
-                + "), expected a settings file with lines a.b=value", e);
+            throw new BerthFault(
+                    "berth.unreadable",
+                    path + ": can't be read (" + e.getClass().getSimpleName()
+                            + "), expected a settings file with lines a.b=value",
+                    e);
         }
     }
 
@@ -54,7 +60,10 @@
             if (equals < 1) {
                 throw new BerthFault("berth.bad-line", file + ':' + number + ": expected a.b=value", null);
             }
-            read.put(line.substring(0, equals).strip(), line.substring(equals + 1).strip(), number);
+            read.put(
+                    line.substring(0, equals).strip(),
+                    line.substring(equals + 1).strip(),
+                    number);
         }
         return read;
     }
@@ -62,15 +71,21 @@
     private void put(String field, String value, int number) {
         Integer former = lines.put(field, number);
         if (former != null) {
-            throw new BerthFault("berth.twice", file + ':' + number + ": " + field + ": expected once, stands in line " + former + " too", null);
+            throw new BerthFault(
+                    "berth.twice",
+                    file + ':' + number + ": " + field + ": expected once, stands in line " + former + " too",
+                    null);
         }
         values.put(field, value);
     }
 
     private BerthFault bad(String field, String expected) {
         String value = values.get(field);
-        return new BerthFault("berth.bad-field", file + ':' + lines.get(field) + ": " + field + ": expected " + expected + ", found '"
-            + (value.length() > 60 ? value.substring(0, 60) + "..." : value) + "'", null);
+        return new BerthFault(
+                "berth.bad-field",
+                file + ':' + lines.get(field) + ": " + field + ": expected " + expected + ", found '"
+                        + (value.length() > 60 ? value.substring(0, 60) + "..." : value) + "'",
+                null);
     }
 
     /** A field that must be there. */
--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -49,6 +49,7 @@
     private static final Tale TALE = Tale.of("carry");
     /** ms: between ticks, each of which costs a wake-up; between figures in the log. */
     private static final int TICK = 50, FIGURES = 5_000;
+
     private static final int BEAT = 200;
     /** Addresses of hosts that are remembered, to know their calls by. */
     private static final int HOSTS = 4_096;
@@ -96,13 +97,25 @@
         self = new Peer(berth.node(), berth.zone(), inner.toString(), life, Peer.IN);
         iam = new Iam(self.name(), self.address(), false);
         lines = new Lines(machine, 4_000, tally);
-        Laws laws = Laws.of(berth.bounds().retryBudgetRatio(), (int) berth.bounds().retryBudgetSlack(),
-            (int) (berth.bounds().retryWindowS() * 1_000), Math.max(1, berth.zones().size()));
+        Laws laws = Laws.of(
+                berth.bounds().retryBudgetRatio(),
+                (int) berth.bounds().retryBudgetSlack(),
+                (int) (berth.bounds().retryWindowS() * 1_000),
+                Math.max(1, berth.zones().size()));
         String nonces = self.name() + "-" + Long.toHexString(life & 0xffffffffL);
         hall = new Hall(self.name(), self.zone(), nonces, laws, new HallWays(), this::now);
         steward = new Steward(new StewardWays(), new Spots(), this::now);
-        flow = new Flow(machine, self.name(), self.zone(), () -> creed, steward, hostIps::containsKey, lines, tally,
-            Math.min(48L << 20, (long) berth.limits().memoryMb() << 17), life);
+        flow = new Flow(
+                machine,
+                self.name(),
+                self.zone(),
+                () -> creed,
+                steward,
+                hostIps::containsKey,
+                lines,
+                tally,
+                Math.min(48L << 20, (long) berth.limits().memoryMb() << 17),
+                life);
         front = new Front(machine, flow, CLIENTS);
         mesh = new Mesh(machine, speech, inner, iam, new Peers());
         tether = new Tether(machine, speech, iam, members(berth), (int) life, new HubEar());
@@ -135,7 +148,9 @@
 
     void open(Address frontEnd, Address readiness) {
         front.open(frontEnd).addListener(done -> opened("front-end", frontEnd, done.cause()));
-        new Readiness(machine, this::ready).open(readiness).addListener(done -> opened("readiness", readiness, done.cause()));
+        new Readiness(machine, this::ready)
+                .open(readiness)
+                .addListener(done -> opened("readiness", readiness, done.cause()));
         machine.loop().scheduleWithFixedDelay(this::tick, TICK, TICK, TimeUnit.MILLISECONDS);
         TALE.tell("started", "node", self.name(), "zone", self.zone(), "life", Long.toHexString(self.life()));
     }
@@ -173,8 +188,17 @@
             }
             if (now - figuresAt > FIGURES) {
                 figuresAt = now;
-                List<Object> facts = new ArrayList<>(List.of("waiting", steward.waiting(), "held", steward.held(), "seats", hall.seats(),
-                    "revision", creed.revision(), "connections", front.connections()));
+                List<Object> facts = new ArrayList<>(List.of(
+                        "waiting",
+                        steward.waiting(),
+                        "held",
+                        steward.held(),
+                        "seats",
+                        hall.seats(),
+                        "revision",
+                        creed.revision(),
+                        "connections",
+                        front.connections()));
                 facts.addAll(List.of(tally.facts()));
                 TALE.tell("figures", facts.toArray());
             }
@@ -244,13 +268,30 @@
             creed = next;
             watch.self(self, creed.revision());
             hall.creed(creed);
-            TALE.tell("configuration", "revision", creed.revision(), "before", before, "routes", creed.routes().size(), "bytes", bytes,
-                "ms", ms);
+            TALE.tell(
+                    "configuration",
+                    "revision",
+                    creed.revision(),
+                    "before",
+                    before,
+                    "routes",
+                    creed.routes().size(),
+                    "bytes",
+                    bytes,
+                    "ms",
+                    ms);
         }
 
         @Override
         public void refused(CreedFault fault) {
-            TALE.warn("configuration not taken", "revision", creed.revision(), "code", fault.code(), "why", fault.getMessage());
+            TALE.warn(
+                    "configuration not taken",
+                    "revision",
+                    creed.revision(),
+                    "code",
+                    fault.code(),
+                    "why",
+                    fault.getMessage());
         }
     }
 
@@ -271,7 +312,16 @@
         hall.roster(homes, gone);
         steward.roster(homes);
         watch.ring(new Ring(next), now());
-        TALE.tell("roster", "term", next.term(), "number", next.number(), "peers", next.peers().size(), "gone", gone);
+        TALE.tell(
+                "roster",
+                "term",
+                next.term(),
+                "number",
+                next.number(),
+                "peers",
+                next.peers().size(),
+                "gone",
+                gone);
         if (!next.lists(self)) {
             tether.say(new Hello(self, roster.term(), roster.number(), creed.revision(), tether.term()));
         }
--- a/src/main/java/brambletray/tray/carry/Hall.java
+++ b/src/main/java/brambletray/tray/carry/Hall.java
@@ -177,7 +177,12 @@
         specs.clear();
         long now = now();
         for (Service service : creed.services().values()) {
-            Spec spec = new Spec(service.name(), service.memoryMb(), service.bootMs(), service.most(), targets.getOrDefault(service.name(), 0));
+            Spec spec = new Spec(
+                    service.name(),
+                    service.memoryMb(),
+                    service.bootMs(),
+                    service.most(),
+                    targets.getOrDefault(service.name(), 0));
             specs.put(service.name(), spec);
             seats.spec(spec, now);
             before.remove(service.name());
@@ -192,8 +197,11 @@
     /** Services whose start cannot be hidden behind their target have one warm host at their root, from the configuration on. */
     private void warm() {
         for (Spec spec : specs.values()) {
-            if (spec.targetMs() > 0 && spec.bootMs() > spec.targetMs() && !seats.holds(spec.service())
-                    && zone.equals(homes.rootZone(spec.service())) && isHome(spec.service())) {
+            if (spec.targetMs() > 0
+                    && spec.bootMs() > spec.targetMs()
+                    && !seats.holds(spec.service())
+                    && zone.equals(homes.rootZone(spec.service()))
+                    && isHome(spec.service())) {
                 seats.take(spec.service(), zone, others(), now());
             }
         }
--- a/src/main/java/brambletray/tray/carry/Mesh.java
+++ b/src/main/java/brambletray/tray/carry/Mesh.java
@@ -57,7 +57,7 @@
 
     void roster(Roster next) {
         roster = next;
-        for (Iterator<Map.Entry<String, Spoke>> each = spokes.entrySet().iterator(); each.hasNext();) {
+        for (Iterator<Map.Entry<String, Spoke>> each = spokes.entrySet().iterator(); each.hasNext(); ) {
             Map.Entry<String, Spoke> one = each.next();
             Peer peer = next.find(one.getKey());
             if (peer == null || !peer.address().equals(one.getValue().peer.address())) {
@@ -86,7 +86,8 @@
             Spoke made = new Spoke();
             made.peer = peer;
             made.downSince = now();
-            made.dialler = new Dialler(machine, speech, Address.parse(peer.address()), new Dialled(name, made), name.hashCode());
+            made.dialler = new Dialler(
+                    machine, speech, Address.parse(peer.address()), new Dialled(name, made), name.hashCode());
             spokes.put(name, made);
             return made;
         }
@@ -140,7 +141,7 @@
 
     private final class Called implements Handler {
         @Override
-        public void up(Link link) { }
+        public void up(Link link) {}
 
         @Override
         public void heard(Link link, Object frame) {
--- a/src/main/java/brambletray/tray/carry/Steward.java
+++ b/src/main/java/brambletray/tray/carry/Steward.java
@@ -89,6 +89,7 @@
     private final Map<Long, Place> places = new HashMap<>();
     /** Services whose seat in a zone other than the root's serves us. */
     private final Map<String, String> seats = new HashMap<>();
+
     private Homes homes = new Homes(Roster.NONE);
 
     Steward(Ways ways, Spots spots, LongSupplier clock) {
@@ -245,11 +246,13 @@
             Peer home = homes.homeOf(place.service, place.zone);
             if (home != null && !home.name().equals(place.home)) {
                 place.home = home.name();
-                told.computeIfAbsent(home.name(), name -> new HashMap<>()).computeIfAbsent(place.service, service -> new ArrayList<>())
-                    .add(place.grant);
+                told.computeIfAbsent(home.name(), name -> new HashMap<>())
+                        .computeIfAbsent(place.service, service -> new ArrayList<>())
+                        .add(place.grant);
             }
         }
-        told.forEach((home, services) -> services.forEach((service, grants) -> tell(home, new Held(ways.self(), service, grants))));
+        told.forEach((home, services) ->
+                services.forEach((service, grants) -> tell(home, new Held(ways.self(), service, grants))));
         reroute();
     }
 
@@ -265,7 +268,8 @@
     void reroute() {
         for (Pending one : new ArrayList<>(pending.values())) {
             Peer home = one.zone == null ? null : home(one.ask.service(), one.zone);
-            if (pending.get(one.ask.id()) == one && (home == null || !home.name().equals(one.home))) {
+            if (pending.get(one.ask.id()) == one
+                    && (home == null || !home.name().equals(one.home))) {
                 if (home == null) {
                     one.zone = null;
                 }
