--- a/src/main/java/brambletray/tray/carry/Tether.java
+++ b/src/main/java/brambletray/tray/carry/Tether.java
@@ -32,6 +32,7 @@
     private static final int SLEPT = 500;
     /** ms after which a roster that was asked for is asked for again. */
     private static final int ROSTER = 1_000;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
     /** ms that a member is given to come up and say where the helm is, and the helm to pulse. */
     private static final int TRY = 400;
@@ -64,7 +65,7 @@
         void attached(long term);
     }
 
-    private record Avoided(Address helm, long term, long until) { }
+    private record Avoided(Address helm, long term, long until) {}
 
     private final Machine machine;
     private final Speech speech;
@@ -75,6 +76,7 @@
     private long since;
     /** ms from {@link #since} until the next member is asked. */
     private int patience = TRY;
+
     private Avoided avoided = new Avoided(null, 0, Long.MIN_VALUE / 2);
     private long pulsed = Long.MIN_VALUE / 2;
     private long term;
@@ -199,8 +201,18 @@
     private boolean counts(long under, Object frame) {
         boolean yes = attached && under == term;
         if (!yes) {
-            TALE.tell("not taken", "frame", frame.getClass().getSimpleName(), "from", dialler.to(), "its term", under, "term", term,
-                "attached", attached);
+            TALE.tell(
+                    "not taken",
+                    "frame",
+                    frame.getClass().getSimpleName(),
+                    "from",
+                    dialler.to(),
+                    "its term",
+                    under,
+                    "term",
+                    term,
+                    "attached",
+                    attached);
         }
         return yes;
     }
@@ -234,7 +246,18 @@
 
     private void pulse(Pulse pulse, long now) {
         if (pulse.term() < term) {
-            TALE.tell("not taken", "frame", "Pulse", "from", dialler.to(), "its term", pulse.term(), "term", term, "attached", attached);
+            TALE.tell(
+                    "not taken",
+                    "frame",
+                    "Pulse",
+                    "from",
+                    dialler.to(),
+                    "its term",
+                    pulse.term(),
+                    "term",
+                    term,
+                    "attached",
+                    attached);
             return;
         }
         boolean fresh = !attached || pulse.term() > term;
--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -27,15 +27,16 @@
     private static final int FINGERPRINT_BYTES = 16;
 
     /** A change's fingerprint: the first half of its SHA-256. */
-    private record Fingerprint(long high, long low) { }
+    private record Fingerprint(long high, long low) {}
 
-    private record Step(long revision, Fingerprint fingerprint) { }
+    private record Step(long revision, Fingerprint fingerprint) {}
 
     private Creed creed = Creed.NONE;
     private final ArrayDeque<Step> history = new ArrayDeque<>();
     private final Map<Fingerprint, Long> taken = new HashMap<>();
     /** What the last change that was judged leads to: it mostly comes back as the next to be delivered. */
     private Fingerprint judged;
+
     private Creed outcome;
 
     public Creed creed() {
@@ -96,8 +97,9 @@
         try {
             Change change = Change.from(bytes);
             if (change.base() != creed.revision()) {
-                return forgotten(change.base()) ? new Verdict.Forgotten(history.peek().revision)
-                    : new Verdict.Stale(creed.revision());
+                return forgotten(change.base())
+                        ? new Verdict.Forgotten(history.peek().revision)
+                        : new Verdict.Stale(creed.revision());
             }
             if (!fingerprint.equals(judged)) {
                 outcome = change.on(creed);
@@ -124,7 +126,8 @@
 
     private static Fingerprint fingerprint(byte[] change) {
         try {
-            ByteBuffer digest = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(change));
+            ByteBuffer digest =
+                    ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(change));
             return new Fingerprint(digest.getLong(), digest.getLong());
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
@@ -157,7 +160,8 @@
         try {
             byte format = in.get();
             if (format != FORMAT) {
-                throw new CreedFault("bad-snapshot", "", "expected a snapshot of format " + FORMAT + ", found " + format);
+                throw new CreedFault(
+                        "bad-snapshot", "", "expected a snapshot of format " + FORMAT + ", found " + format);
             }
             int count = in.getInt();
             for (int i = 0; i < count; i++) {
--- a/src/main/java/brambletray/tray/creed/Creed.java
+++ b/src/main/java/brambletray/tray/creed/Creed.java
@@ -41,8 +41,10 @@
             for (int i = 0; i < route.shares().size(); i++) {
                 String service = route.shares().get(i).service();
                 if (!services.containsKey(service)) {
-                    throw new CreedFault("unknown-service", "routes[" + CreedJson.brief(route.name()) + "].service",
-                        "expected a service of the configuration, found " + CreedJson.brief(service));
+                    throw new CreedFault(
+                            "unknown-service",
+                            "routes[" + CreedJson.brief(route.name()) + "].service",
+                            "expected a service of the configuration, found " + CreedJson.brief(service));
                 }
             }
         }
@@ -64,14 +66,21 @@
                 parts.put(field, in.raw(field), body);
             }
         }
-        return new Creed(revision, routes(in, new LinkedHashMap<>()), services(in, new LinkedHashMap<>()),
-            in.has(LIMITS) ? Limits.from(in.below(LIMITS)) : Limits.USUAL, parts);
+        return new Creed(
+                revision,
+                routes(in, new LinkedHashMap<>()),
+                services(in, new LinkedHashMap<>()),
+                in.has(LIMITS) ? Limits.from(in.below(LIMITS)) : Limits.USUAL,
+                parts);
     }
 
     /** This one, if its revision is above the current one's; else {@link CreedFault}. */
     public Creed after(Creed current) {
         if (revision <= current.revision) {
-            throw new CreedFault("old-revision", REVISION, "expected more than the current " + current.revision + ", found " + revision);
+            throw new CreedFault(
+                    "old-revision",
+                    REVISION,
+                    "expected more than the current " + current.revision + ", found " + revision);
         }
         return this;
     }
@@ -100,7 +109,8 @@
                 }
             }
             if (upsert.has(LIMITS)) {
-                nextLimits = Limits.from(Fields.from(LIMITS, CreedJson.read(changed.field(LIMITS)).plain()));
+                nextLimits = Limits.from(Fields.from(
+                        LIMITS, CreedJson.read(changed.field(LIMITS)).plain()));
             }
         }
         if (in.has("withdraw")) {
@@ -109,7 +119,8 @@
         return new Creed(next, nextRoutes, nextServices, nextLimits, changed).after(this);
     }
 
-    private static void withdraw(Fields in, Set<String> set, Parts changed, Map<String, Route> routes, Map<String, Service> services) {
+    private static void withdraw(
+            Fields in, Set<String> set, Parts changed, Map<String, Route> routes, Map<String, Service> services) {
         for (String table : in.names()) {
             List<CreedJson.Value> names = in.list(table);
             for (int i = 0; names != null && i < names.size(); i++) {
@@ -117,7 +128,10 @@
                     throw in.fault("wrong-type", table + '[' + i + ']', "expected a name");
                 }
                 if (set.contains(table + '/' + name)) {
-                    throw in.fault("ambiguous", table + '[' + i + ']', "expected a name that isn't in upsert too, found " + CreedJson.brief(name));
+                    throw in.fault(
+                            "ambiguous",
+                            table + '[' + i + ']',
+                            "expected a name that isn't in upsert too, found " + CreedJson.brief(name));
                 }
                 changed.remove(table, name);
                 if (table.equals(Parts.ROUTES)) {
@@ -157,7 +171,8 @@
 
     private static void once(Set<String> seen, String table, String name) {
         if (!seen.add(name)) {
-            throw new CreedFault("duplicate-name", table + '[' + CreedJson.brief(name) + "].name", "expected each name once");
+            throw new CreedFault(
+                    "duplicate-name", table + '[' + CreedJson.brief(name) + "].name", "expected each name once");
         }
     }
 
@@ -187,15 +202,20 @@
      */
     public Creed apply(Delta delta) {
         if (delta.base() != 0 && delta.base() != revision) {
-            throw new CreedFault("stale", "", "expected a difference from " + revision + ", found one from " + delta.base());
+            throw new CreedFault(
+                    "stale", "", "expected a difference from " + revision + ", found one from " + delta.base());
         }
         if (delta.revision() <= revision) {
-            throw new CreedFault("not-newer", "", "expected a revision above " + revision + ", found " + delta.revision());
+            throw new CreedFault(
+                    "not-newer", "", "expected a revision above " + revision + ", found " + delta.revision());
         }
         Creed next = delta.base() == 0 ? NONE.with(delta) : with(delta);
         if (next.digest() != delta.digest()) {
-            throw new CreedFault("digest", "", "expected the digest " + Long.toHexString(delta.digest()) + " of revision " + delta.revision()
-                + ", found " + Long.toHexString(next.digest()));
+            throw new CreedFault(
+                    "digest",
+                    "",
+                    "expected the digest " + Long.toHexString(delta.digest()) + " of revision " + delta.revision()
+                            + ", found " + Long.toHexString(next.digest()));
         }
         return next;
     }
@@ -206,7 +226,8 @@
         Map<String, Service> nextServices = new LinkedHashMap<>(services);
         long nextSum = sum();
         for (Delta.Entry entry : delta.entries()) {
-            nextSum += Digest.of(entry) - Digest.of(entry.table(), entry.name(), parts.entry(entry.table(), entry.name()));
+            nextSum +=
+                    Digest.of(entry) - Digest.of(entry.table(), entry.name(), parts.entry(entry.table(), entry.name()));
             changed.set(entry.table(), entry.name(), entry.body());
             if (entry.table().equals(Parts.ROUTES)) {
                 put(nextRoutes, entry, Route::from);
@@ -224,13 +245,18 @@
         if (entry.body() == null) {
             items.remove(entry.name());
         } else {
-            items.put(entry.name(), read.apply(Fields.from(entry.table() + '[' + CreedJson.brief(entry.name()) + ']',
-                CreedJson.read(entry.body()).plain())));
+            items.put(
+                    entry.name(),
+                    read.apply(Fields.from(
+                            entry.table() + '[' + CreedJson.brief(entry.name()) + ']',
+                            CreedJson.read(entry.body()).plain())));
         }
     }
 
     private static Limits limits(byte[] field) {
-        return field == null || field[0] != '{' ? Limits.USUAL : Limits.from(Fields.from(LIMITS, CreedJson.read(field).plain()));
+        return field == null || field[0] != '{'
+                ? Limits.USUAL
+                : Limits.from(Fields.from(LIMITS, CreedJson.read(field).plain()));
     }
 
     /** The same for the same content, whatever the order of its entries: 64 bits over the revision and the sum over all entries. */
@@ -255,7 +281,8 @@
         if (sum == 0 && before.sum != 0) {
             long next = before.sum;
             for (Parts.Key key : changed) {
-                next += Digest.of(key.table(), key.name(), entry(key)) - Digest.of(key.table(), key.name(), before.entry(key));
+                next += Digest.of(key.table(), key.name(), entry(key))
+                        - Digest.of(key.table(), key.name(), before.entry(key));
             }
             sum = next;
         }
--- a/src/main/java/brambletray/tray/creed/CreedJson.java
+++ b/src/main/java/brambletray/tray/creed/CreedJson.java
@@ -21,7 +21,8 @@
     /** Made at the first use: it costs tens of ms of a slow core. */
     private static final class Maker {
         static final DslJson<Object> JSON = new DslJson<>(new DslJson.Settings<>()
-            .unknownNumbers(JsonReader.UnknownNumberParsing.LONG_AND_BIGDECIMAL).errorInfo(JsonReader.ErrorInfo.MINIMAL));
+                .unknownNumbers(JsonReader.UnknownNumberParsing.LONG_AND_BIGDECIMAL)
+                .errorInfo(JsonReader.ErrorInfo.MINIMAL));
     }
 
     /** A value: {@code Map<String, Value>}, {@code List<Value>}, String, Long, BigDecimal, Boolean or null; from and to in the body. */
@@ -54,13 +55,17 @@
             }
             for (int i = value.to; i < body.length; i++) {
                 if (body[i] > ' ') {
-                    throw new CreedFault("unreadable", "", "expected nothing after the object, found more at byte " + i);
+                    throw new CreedFault(
+                            "unreadable", "", "expected nothing after the object, found more at byte " + i);
                 }
             }
             return value;
         } catch (IOException | NumberFormatException | ArithmeticException | IndexOutOfBoundsException e) {
-            throw new CreedFault("unreadable", "", "expected whole JSON, broken near byte " + json.reader.getCurrentIndex() + " of "
-                + body.length, e);
+            throw new CreedFault(
+                    "unreadable",
+                    "",
+                    "expected whole JSON, broken near byte " + json.reader.getCurrentIndex() + " of " + body.length,
+                    e);
         }
     }
 
@@ -112,8 +117,11 @@
             reader.getNextToken();
             String field = at.isEmpty() ? brief(name) : at;
             if (fields.put(name, value(field)) != null) {
-                throw new CreedFault("duplicate-field", field, "expected each field once, found " + brief(name) + " twice near byte "
-                    + reader.getCurrentIndex());
+                throw new CreedFault(
+                        "duplicate-field",
+                        field,
+                        "expected each field once, found " + brief(name) + " twice near byte "
+                                + reader.getCurrentIndex());
             }
             byte next = reader.getNextToken();
             if (next == '}') {
--- a/src/main/java/brambletray/tray/creed/CreedText.java
+++ b/src/main/java/brambletray/tray/creed/CreedText.java
@@ -12,7 +12,7 @@
     /** Objects and lists inside each other. */
     static final int DEEPEST = 64;
 
-    private CreedText() { }
+    private CreedText() {}
 
     static void check(byte[] body) {
         boolean high = false;
@@ -33,7 +33,8 @@
                 quoted = true;
             } else if (b == '{' || b == '[') {
                 if (++depth > DEEPEST) {
-                    throw new CreedFault("too-deep", "", "expected at most " + DEEPEST + " levels, found more at byte " + i);
+                    throw new CreedFault(
+                            "too-deep", "", "expected at most " + DEEPEST + " levels, found more at byte " + i);
                 }
             } else if (b == '}' || b == ']') {
                 depth--;
@@ -50,8 +51,10 @@
     }
 
     private static void decode(byte[] body) {
-        CharsetDecoder decoder = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
-            .onUnmappableCharacter(CodingErrorAction.REPORT);
+        CharsetDecoder decoder = StandardCharsets.UTF_8
+                .newDecoder()
+                .onMalformedInput(CodingErrorAction.REPORT)
+                .onUnmappableCharacter(CodingErrorAction.REPORT);
         ByteBuffer in = ByteBuffer.wrap(body);
         CharBuffer sink = CharBuffer.allocate(4_096);
         CoderResult result;
--- a/src/main/java/brambletray/tray/creed/Delta.java
+++ b/src/main/java/brambletray/tray/creed/Delta.java
@@ -21,7 +21,7 @@
     private static final int GONE = -1;
 
     /** One entry: {@code table} empty: a field that holds no named items; {@code body} null: withdrawn. */
-    public record Entry(String table, String name, byte[] body) { }
+    public record Entry(String table, String name, byte[] body) {}
 
     /** As it goes over a slow link: deflated. The same content gives the same bytes. */
     public byte[] packed() {
--- a/src/main/java/brambletray/tray/creed/Digest.java
+++ b/src/main/java/brambletray/tray/creed/Digest.java
@@ -11,7 +11,7 @@
     private static final long BASIS = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Digest() { }
+    private Digest() {}
 
     static long of(Delta.Entry entry) {
         return of(entry.table(), entry.name(), entry.body());
--- a/src/main/java/brambletray/tray/creed/Fields.java
+++ b/src/main/java/brambletray/tray/creed/Fields.java
@@ -118,7 +118,10 @@
             }
         }
         if (number < least || number > most) {
-            throw fault("out-of-range", field, "expected a whole number from " + least + " to " + most + ", found " + number);
+            throw fault(
+                    "out-of-range",
+                    field,
+                    "expected a whole number from " + least + " to " + most + ", found " + number);
         }
         return number;
     }
--- a/src/main/java/brambletray/tray/creed/History.java
+++ b/src/main/java/brambletray/tray/creed/History.java
@@ -17,7 +17,7 @@
     /** Versions that are remembered, and names that these touched together; beyond either the oldest are forgotten. */
     static final int VERSIONS = 4_096, NAMES = 65_536;
 
-    private record Step(long from, Set<Parts.Key> touched) { }
+    private record Step(long from, Set<Parts.Key> touched) {}
 
     private final ArrayDeque<Step> steps = new ArrayDeque<>();
     private int names;
@@ -50,14 +50,17 @@
 
     /** From this revision to the current one; null: it isn't remembered, or the whole is no larger. */
     public Delta since(long base) {
-        Set<Parts.Key> touched = new TreeSet<>(Comparator.comparing(Parts.Key::table).thenComparing(Parts.Key::name));
+        Set<Parts.Key> touched =
+                new TreeSet<>(Comparator.comparing(Parts.Key::table).thenComparing(Parts.Key::name));
         long from = current.revision();
-        for (Iterator<Step> back = steps.descendingIterator(); from != base && back.hasNext();) {
+        for (Iterator<Step> back = steps.descendingIterator(); from != base && back.hasNext(); ) {
             Step step = back.next();
             touched.addAll(step.touched);
             from = step.from;
         }
-        if (from != base || base == 0 || touched.size() > current.routes().size() + current.services().size()) {
+        if (from != base
+                || base == 0
+                || touched.size() > current.routes().size() + current.services().size()) {
             return null;
         }
         List<Delta.Entry> entries = new ArrayList<>(touched.size());
--- a/src/main/java/brambletray/tray/creed/Limits.java
+++ b/src/main/java/brambletray/tray/creed/Limits.java
@@ -13,7 +13,10 @@
     static final Limits USUAL = new Limits(16_384, 262_144, 3_000, 15_000);
 
     static Limits from(Fields in) {
-        return new Limits(in.whole("max-header-bytes", 1, USUAL.headerBytes), in.whole("max-body-bytes", 0, USUAL.bodyBytes),
-            in.whole("header-timeout-ms", 1, USUAL.headerMs), in.whole("idle-timeout-ms", 1, USUAL.idleMs));
+        return new Limits(
+                in.whole("max-header-bytes", 1, USUAL.headerBytes),
+                in.whole("max-body-bytes", 0, USUAL.bodyBytes),
+                in.whole("header-timeout-ms", 1, USUAL.headerMs),
+                in.whole("idle-timeout-ms", 1, USUAL.idleMs));
     }
 }
--- a/src/main/java/brambletray/tray/creed/Packing.java
+++ b/src/main/java/brambletray/tray/creed/Packing.java
@@ -7,7 +7,7 @@
 
 /** Differences of configurations are packed for slow and dear links: a whole one shrinks to about a tenth. */
 final class Packing {
-    private Packing() { }
+    private Packing() {}
 
     /** Bytes unpacked: twice the largest configuration, as names and lengths come on top of an entry's own bytes. */
     private static final int MOST = 2 * CreedJson.LARGEST;
--- a/src/main/java/brambletray/tray/creed/Parts.java
+++ b/src/main/java/brambletray/tray/creed/Parts.java
@@ -19,7 +19,7 @@
     static final String SERVICES = "services";
 
     /** Where an entry stands: {@code table} empty: a field by itself. */
-    record Key(String table, String name) { }
+    record Key(String table, String name) {}
 
     private static final String FIELD = "";
 
@@ -59,8 +59,10 @@
 
     private static byte[] overlay(byte[] former, CreedJson.Value value, byte[] body) {
         Map<String, byte[]> merged = new LinkedHashMap<>();
-        ((Map<?, ?>) CreedJson.read(former).plain()).forEach((field, old) -> merged.put((String) field, ((CreedJson.Value) old).cut(former)));
-        ((Map<?, ?>) value.plain()).forEach((field, now) -> merged.put((String) field, ((CreedJson.Value) now).cut(body)));
+        ((Map<?, ?>) CreedJson.read(former).plain())
+                .forEach((field, old) -> merged.put((String) field, ((CreedJson.Value) old).cut(former)));
+        ((Map<?, ?>) value.plain())
+                .forEach((field, now) -> merged.put((String) field, ((CreedJson.Value) now).cut(body)));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         merged.forEach((field, raw) -> {
             out.write(out.size() == 0 ? '{' : ',');
@@ -76,7 +78,8 @@
         Set<String> names = new HashSet<>();
         if (plain instanceof List<?> list) {
             for (Object entry : list) {
-                if (((CreedJson.Value) entry).plain() instanceof Map<?, ?> map && map.get("name") instanceof CreedJson.Value name) {
+                if (((CreedJson.Value) entry).plain() instanceof Map<?, ?> map
+                        && map.get("name") instanceof CreedJson.Value name) {
                     names.add(table + '/' + name.plain());
                 }
             }
@@ -143,7 +146,9 @@
             tables.computeIfAbsent(table, n -> new LinkedHashMap<>()).put(name, body);
         } else {
             remove(table, name);
-            if (!table.equals(ROUTES) && !table.equals(SERVICES) && tables.getOrDefault(table, Map.of()).isEmpty()) {
+            if (!table.equals(ROUTES)
+                    && !table.equals(SERVICES)
+                    && tables.getOrDefault(table, Map.of()).isEmpty()) {
                 tables.remove(table);
             }
         }
@@ -172,8 +177,10 @@
         Map<String, byte[]> items = new LinkedHashMap<>();
         for (Object entry : list) {
             CreedJson.Value item = (CreedJson.Value) entry;
-            if (!(item.plain() instanceof Map<?, ?> map) || !(map.get("name") instanceof CreedJson.Value name)
-                    || !(name.plain() instanceof String text) || items.put(text, item.cut(body)) != null) {
+            if (!(item.plain() instanceof Map<?, ?> map)
+                    || !(map.get("name") instanceof CreedJson.Value name)
+                    || !(name.plain() instanceof String text)
+                    || items.put(text, item.cut(body)) != null) {
                 return null;
             }
         }
@@ -226,8 +233,11 @@
             if (c == '"' || c == '\\') {
                 key.append('\\').append(c);
             } else if (c < ' ' || c > '~') {
-                key.append("\\u").append(Character.forDigit(c >> 12, 16)).append(Character.forDigit(c >> 8 & 15, 16))
-                    .append(Character.forDigit(c >> 4 & 15, 16)).append(Character.forDigit(c & 15, 16));
+                key.append("\\u")
+                        .append(Character.forDigit(c >> 12, 16))
+                        .append(Character.forDigit(c >> 8 & 15, 16))
+                        .append(Character.forDigit(c >> 4 & 15, 16))
+                        .append(Character.forDigit(c & 15, 16));
             } else {
                 key.append(c);
             }
--- a/src/main/java/brambletray/tray/creed/Places.java
+++ b/src/main/java/brambletray/tray/creed/Places.java
@@ -20,8 +20,10 @@
             Host host = hosts.computeIfAbsent(route.host(), h -> new Host());
             Route other = host.routes.put(route.prefix(), route);
             if (other != null) {
-                throw new CreedFault("same-place", "routes[" + CreedJson.brief(route.name()) + "].path-prefix",
-                    "expected a host and prefix of its own, shares them with " + CreedJson.brief(other.name()));
+                throw new CreedFault(
+                        "same-place",
+                        "routes[" + CreedJson.brief(route.name()) + "].path-prefix",
+                        "expected a host and prefix of its own, shares them with " + CreedJson.brief(other.name()));
             }
             host.longest = Math.max(host.longest, route.prefix().length());
         }
--- a/src/main/java/brambletray/tray/creed/Route.java
+++ b/src/main/java/brambletray/tray/creed/Route.java
@@ -15,7 +15,15 @@
  * @param retryCount to how many hosts one try may be sent; who sends takes 0 as 1
  * @param shares services with their weights, at least one weight above 0
  */
-public record Route(String name, String host, String prefix, boolean repeatable, int timeoutMs, int targetMs, int priority, int retryCount,
+public record Route(
+        String name,
+        String host,
+        String prefix,
+        boolean repeatable,
+        int timeoutMs,
+        int targetMs,
+        int priority,
+        int retryCount,
         List<Share> shares) {
 
     /** The service for a number drawn evenly from 0 to 1 (1 left out). */
@@ -51,15 +59,29 @@
         }
         String prefix = at.need("path-prefix");
         if (prefix.charAt(0) != '/' || prefix.charAt(prefix.length() - 1) != '/') {
-            throw at.fault("bad-prefix", "path-prefix", "expected a path that begins and ends with a slash, found " + CreedJson.brief(prefix));
+            throw at.fault(
+                    "bad-prefix",
+                    "path-prefix",
+                    "expected a path that begins and ends with a slash, found " + CreedJson.brief(prefix));
         }
         String kind = at.need("route-type");
         if (!kind.equals("idempotent") && !kind.equals("non_idempotent")) {
-            throw at.fault("bad-route-type", "route-type", "expected idempotent or non_idempotent, found " + CreedJson.brief(kind));
+            throw at.fault(
+                    "bad-route-type",
+                    "route-type",
+                    "expected idempotent or non_idempotent, found " + CreedJson.brief(kind));
         }
         int timeout = at.whole("timeout-ms", 1, 60_000);
-        return new Route(name, host, prefix, kind.equals("idempotent"), timeout, at.whole("target-ms", 0, timeout), at.whole("priority", 0, 0),
-            at.whole("retry-count", 0, 1), shares(at));
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind.equals("idempotent"),
+                timeout,
+                at.whole("target-ms", 0, timeout),
+                at.whole("priority", 0, 0),
+                at.whole("retry-count", 0, 1),
+                shares(at));
     }
 
     /**
--- a/src/main/java/brambletray/tray/creed/Service.java
+++ b/src/main/java/brambletray/tray/creed/Service.java
@@ -13,7 +13,12 @@
     static Service from(Fields in) {
         String name = in.name();
         Fields at = in.at("services[" + CreedJson.brief(name) + ']');
-        return new Service(name, at.whole("memory-mb", 1, 128), at.whole("boot-ms", 0, 1_000), at.whole("max-concurrency", 1, 1),
-            at.whole("max-connections", 0, 16), at.text("health-path"));
+        return new Service(
+                name,
+                at.whole("memory-mb", 1, 128),
+                at.whole("boot-ms", 0, 1_000),
+                at.whole("max-concurrency", 1, 1),
+                at.whole("max-connections", 0, 16),
+                at.text("health-path"));
     }
 }
--- a/src/main/java/brambletray/tray/flow/Answer.java
+++ b/src/main/java/brambletray/tray/flow/Answer.java
@@ -14,6 +14,7 @@
     final long length;
     /** No body follows, whatever the headers say: an answer to HEAD, 204, 304. */
     final boolean bare;
+
     private final MemoryBudget hold;
     private List<ByteBuf> body = new ArrayList<>(2);
     private long size;
--- a/src/main/java/brambletray/tray/flow/AnswerWriter.java
+++ b/src/main/java/brambletray/tray/flow/AnswerWriter.java
@@ -69,7 +69,8 @@
     }
 
     void own(int status, String code, int comeBackMs, CharSequence id, boolean bare, boolean close) {
-        channel.writeAndFlush(Heads.own(channel.alloc(), status, Rejection.reason(status), code, comeBackMs, id, bare, close));
+        channel.writeAndFlush(
+                Heads.own(channel.alloc(), status, Rejection.reason(status), code, comeBackMs, id, bare, close));
     }
 
     void proceed() {
--- a/src/main/java/brambletray/tray/flow/Broker.java
+++ b/src/main/java/brambletray/tray/flow/Broker.java
@@ -16,5 +16,5 @@
     void forget(long askId);
 
     /** A connection to this host is up: a booting one has started. */
-    default void up(Grant grant) { }
+    default void up(Grant grant) {}
 }
--- a/src/main/java/brambletray/tray/flow/Carriage.java
+++ b/src/main/java/brambletray/tray/flow/Carriage.java
@@ -24,6 +24,7 @@
     private Client client;
     /** Where the answer comes from that is given on as it comes. */
     private Stop flowing;
+
     private Future<?> timer;
     private long timerAt;
     private boolean held = true, over;
@@ -210,8 +211,20 @@
         flow.tally().late += status == 504 ? 1 : 0;
         flow.tally().failed += status == 502 ? 1 : 0;
         if (!refused) {
-            flow.murmur().tell(flow.now(), "gave-up", "status", status, "id", id, "service", plan.service(), "hosts", stops.size(), "took",
-                flow.now() - parcel.at());
+            flow.murmur()
+                    .tell(
+                            flow.now(),
+                            "gave-up",
+                            "status",
+                            status,
+                            "id",
+                            id,
+                            "service",
+                            plan.service(),
+                            "hosts",
+                            stops.size(),
+                            "took",
+                            flow.now() - parcel.at());
         }
         String code = refused ? "flow.no-place" : status == 504 ? "flow.out-of-time" : "flow.host-failed";
         to().own(status, code, !refused ? -1 : comeBackMs < 0 ? Flow.COME_BACK_MS : comeBackMs, id, parcel.head());
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -19,7 +19,13 @@
     /** ms; after the last answer: what still comes is thrown away, lest a reset takes the answer with it. */
     private static final int LINGER_MS = 1_000;
 
-    private enum State { IDLE, HEAD, BODY, BUSY, LAST }
+    private enum State {
+        IDLE,
+        HEAD,
+        BODY,
+        BUSY,
+        LAST
+    }
 
     private final Front front;
     private final Limits limits;
@@ -31,6 +37,7 @@
     private State state = State.IDLE;
     /** When the state began, ms. */
     private long since;
+
     private Carriage carriage;
     private boolean close, catchingUp;
 
@@ -75,8 +82,10 @@
 
     private void take(Object part) {
         try {
-            Rejection turn = part instanceof HttpObject object && object.decoderResult().isFailure()
-                ? Rejection.of(object.decoderResult().cause()) : null;
+            Rejection turn =
+                    part instanceof HttpObject object && object.decoderResult().isFailure()
+                            ? Rejection.of(object.decoderResult().cause())
+                            : null;
             if (turn == null && part instanceof HttpRequest request) {
                 turn = began(request);
             }
@@ -119,7 +128,9 @@
     // ---- Out ------------------------------------------------------------------------------------
     String ip() {
         if (ip == null) {
-            ip = channel.remoteAddress() instanceof InetSocketAddress peer ? peer.getAddress().getHostAddress() : "";
+            ip = channel.remoteAddress() instanceof InetSocketAddress peer
+                    ? peer.getAddress().getHostAddress()
+                    : "";
         }
         return ip;
     }
@@ -206,7 +217,7 @@
             case HEAD -> late(spent >= limits.headerMs());
             case BODY -> late(spent >= limits.idleMs());
             case LAST -> closeIf(spent >= LINGER_MS);
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/brambletray/tray/flow/ClientDecoder.java
+++ b/src/main/java/brambletray/tray/flow/ClientDecoder.java
@@ -25,13 +25,17 @@
     private final Client client;
     /** Of what has been looked at: the last byte, and how many bytes beyond the reader's place. */
     private byte last;
+
     private int seen;
     /** What comes next belongs to a head; nothing more is looked at. */
     private boolean head = true, over;
 
     ClientDecoder(Client client, int headerBytes) {
-        super(new HttpDecoderConfig().setMaxHeaderSize(headerBytes).setMaxInitialLineLength(headerBytes).setMaxChunkSize(PIECE_MOST)
-            .setInitialBufferSize(256));
+        super(new HttpDecoderConfig()
+                .setMaxHeaderSize(headerBytes)
+                .setMaxInitialLineLength(headerBytes)
+                .setMaxChunkSize(PIECE_MOST)
+                .setInitialBufferSize(256));
         this.client = client;
     }
 
@@ -67,7 +71,8 @@
     /** In the order of what was read: the requests before it have their turn first. */
     private static HttpObject malformed() {
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-        request.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("a header that goes on in the next line")));
+        request.setDecoderResult(
+                DecoderResult.failure(new IllegalArgumentException("a header that goes on in the next line")));
         return request;
     }
 
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -44,8 +44,17 @@
      * are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the
      * shares of routes.
      */
-    public Flow(Machine machine, String edge, String zone, Supplier<Creed> creed, Broker broker, Predicate<String> isHost, Lines lines,
-                Tally tally, long mostBytes, long seed) {
+    public Flow(
+            Machine machine,
+            String edge,
+            String zone,
+            Supplier<Creed> creed,
+            Broker broker,
+            Predicate<String> isHost,
+            Lines lines,
+            Tally tally,
+            long mostBytes,
+            long seed) {
         this.machine = machine;
         this.edge = edge;
         this.zone = zone;
@@ -123,10 +132,18 @@
         }
         String service = route.pick(shares.nextDouble());
         Service known = now.services().get(service);
-        long end = parcel.at() + Math.min(remaining(headers.get(Parcel.REMAINING), route.timeoutMs()), route.timeoutMs());
-        Plan plan = new Plan(service, route.repeatable(), Math.max(1, route.retryCount()), route.priority(), route.targetMs(),
-            isHost.test(client.ip()), end);
-        Carriage carriage = new Carriage(this, client, parcel, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
+        long end =
+                parcel.at() + Math.min(remaining(headers.get(Parcel.REMAINING), route.timeoutMs()), route.timeoutMs());
+        Plan plan = new Plan(
+                service,
+                route.repeatable(),
+                Math.max(1, route.retryCount()),
+                route.priority(),
+                route.targetMs(),
+                isHost.test(client.ip()),
+                end);
+        Carriage carriage = new Carriage(
+                this, client, parcel, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
         trips++;
         waiting++;
         client.carried(carriage);
--- a/src/main/java/brambletray/tray/flow/Framing.java
+++ b/src/main/java/brambletray/tray/flow/Framing.java
@@ -15,6 +15,7 @@
 record Framing(long length) {
     /** Its end can't be told from a connection that broke off, or can be read in two ways: no answer (rule MIXED). */
     static final Framing NONE = new Framing(Long.MIN_VALUE);
+
     private static final Framing CHUNKS = new Framing(-1);
 
     /** {@code bare}: no body follows, whatever the headers say. */
--- a/src/main/java/brambletray/tray/flow/Front.java
+++ b/src/main/java/brambletray/tray/flow/Front.java
@@ -36,13 +36,14 @@
     /** Listens; the future fails where the address can't be had. */
     public ChannelFuture open(Address at) {
         ChannelFuture bound = machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                Limits limits = flow.limits();
-                Client client = new Client(Front.this, limits);
-                channel.pipeline().addLast(new ClientDecoder(client, limits.headerBytes()), client);
-            }
-        }).bind(new InetSocketAddress(at.host(), at.port()));
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        Limits limits = flow.limits();
+                        Client client = new Client(Front.this, limits);
+                        channel.pipeline().addLast(new ClientDecoder(client, limits.headerBytes()), client);
+                    }
+                })
+                .bind(new InetSocketAddress(at.host(), at.port()));
         listener = bound.channel();
         return bound;
     }
--- a/src/main/java/brambletray/tray/flow/Heads.java
+++ b/src/main/java/brambletray/tray/flow/Heads.java
@@ -17,11 +17,14 @@
     private static final int ROOM = 512;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private Heads() { }
+    private Heads() {}
 
     /** {@code remaining}: what the host is told it has left, ms. */
     static ByteBuf request(ByteBufAllocator memory, Parcel parcel, String host, long remaining) {
-        ByteBuf out = memory.buffer(ROOM + (parcel.body().readableBytes() <= HostConnection.JOINED ? parcel.body().readableBytes() : 0));
+        ByteBuf out = memory.buffer(ROOM
+                + (parcel.body().readableBytes() <= HostConnection.JOINED
+                        ? parcel.body().readableBytes()
+                        : 0));
         ascii(out, parcel.method());
         out.writeByte(' ');
         ascii(out, parcel.uri());
@@ -57,8 +60,15 @@
     /**
      * An answer of ours, with the fault's code in its body. {@code comeBackMs}: -1 for no {@code Retry-After}; {@code id}: null for none.
      */
-    static ByteBuf own(ByteBufAllocator memory, int status, String reason, String code, int comeBackMs, CharSequence id, boolean bare,
-                       boolean close) {
+    static ByteBuf own(
+            ByteBufAllocator memory,
+            int status,
+            String reason,
+            String code,
+            int comeBackMs,
+            CharSequence id,
+            boolean bare,
+            boolean close) {
         ByteBuf out = status(memory, status, reason);
         if (id != null) {
             header(out, "Brambletray-Attempt-Id", id);
@@ -119,7 +129,9 @@
         while (entries.hasNext()) {
             Map.Entry<CharSequence, CharSequence> entry = entries.next();
             CharSequence name = entry.getKey();
-            if (!Hops.ofOneConnection(name) && !(toHost && Hops.setAnew(name)) && (named.isEmpty() || !Hops.in(named, name))) {
+            if (!Hops.ofOneConnection(name)
+                    && !(toHost && Hops.setAnew(name))
+                    && (named.isEmpty() || !Hops.in(named, name))) {
                 header(out, name, entry.getValue());
             }
         }
@@ -129,7 +141,7 @@
     private static List<String> named(HttpHeaders headers) {
         List<String> names = new ArrayList<>(2);
         for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
-            for (int from = 0; from <= value.length();) {
+            for (int from = 0; from <= value.length(); ) {
                 int comma = value.indexOf(',', from);
                 int to = comma < 0 ? value.length() : comma;
                 String name = value.substring(from, to).strip();
--- a/src/main/java/brambletray/tray/flow/Hops.java
+++ b/src/main/java/brambletray/tray/flow/Hops.java
@@ -5,7 +5,7 @@
 
 /** Which headers belong to one connection only (RFC 9110, 7.6.1). */
 final class Hops {
-    private Hops() { }
+    private Hops() {}
 
     /** Never passed on; lengths are among them, as they are set anew. */
     static boolean ofOneConnection(CharSequence name) {
--- a/src/main/java/brambletray/tray/flow/HostConnection.java
+++ b/src/main/java/brambletray/tray/flow/HostConnection.java
@@ -31,9 +31,11 @@
     private Channel channel;
     /** What it is at; null while it is idle. */
     private Reading reading;
+
     private boolean written, keep = true, fresh = true;
     /** ms of the steady clock; how long it may be idle, ms, by the host's word if {@code told}. */
     long idleSince;
+
     private int idleMs;
     private boolean told;
 
@@ -116,7 +118,8 @@
             channel.writeAndFlush(head, promise);
         } else {
             channel.write(head, promise);
-            channel.writeAndFlush(body.retainedDuplicate()).addListener(done -> written |= done.isSuccess() && begun == reading);
+            channel.writeAndFlush(body.retainedDuplicate())
+                    .addListener(done -> written |= done.isSuccess() && begun == reading);
         }
     }
 
--- a/src/main/java/brambletray/tray/flow/HostDecoder.java
+++ b/src/main/java/brambletray/tray/flow/HostDecoder.java
@@ -15,8 +15,11 @@
     private final HostConnection line;
 
     HostDecoder(HostConnection line) {
-        super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST).setMaxInitialLineLength(LINE_MOST).setMaxChunkSize(PIECE_MOST)
-            .setInitialBufferSize(256));
+        super(new HttpDecoderConfig()
+                .setMaxHeaderSize(HEAD_MOST)
+                .setMaxInitialLineLength(LINE_MOST)
+                .setMaxChunkSize(PIECE_MOST)
+                .setInitialBufferSize(256));
         this.line = line;
     }
 
--- a/src/main/java/brambletray/tray/flow/HostPool.java
+++ b/src/main/java/brambletray/tray/flow/HostPool.java
@@ -18,9 +18,11 @@
     final ArrayDeque<Errand> waiting = new ArrayDeque<>(2);
     /** Those that only want to know whether it is up. */
     final List<Consumer<Boolean>> knocks = new ArrayList<>(0);
+
     int dialling;
     /** It has refused so far: one connection at a time is tried. */
     boolean unborn;
+
     boolean gone;
     Future<?> retry;
 
--- a/src/main/java/brambletray/tray/flow/KeepAlive.java
+++ b/src/main/java/brambletray/tray/flow/KeepAlive.java
@@ -4,7 +4,7 @@
 final class KeepAlive {
     private static final int SECONDS_MOST = 3_600, MARGIN_MS = 1_000;
 
-    private KeepAlive() { }
+    private KeepAlive() {}
 
     /** The seconds of {@code timeout=5, max=100}; -1: not told. */
     static int timeout(String value) {
--- a/src/main/java/brambletray/tray/flow/Leg.java
+++ b/src/main/java/brambletray/tray/flow/Leg.java
@@ -9,6 +9,7 @@
     final long grantedAt;
     /** When its first byte went out, ms; -1 before: until then it cannot have run. */
     long sentAt = -1;
+
     boolean live = true;
     /** For whoever carries it out. */
     Object tag;
--- a/src/main/java/brambletray/tray/flow/Lines.java
+++ b/src/main/java/brambletray/tray/flow/Lines.java
@@ -29,6 +29,7 @@
     private final Murmur murmur = new Murmur();
     /** ms; for connections whose host has not said how long it keeps them. */
     final int idleMs;
+
     private final Machine machine;
     private final Bootstrap bootstrap;
     private final Map<String, HostPool> pools = new HashMap<>();
@@ -94,7 +95,7 @@
     private HostConnection take(HostPool pool, Errand errand) {
         long now = now();
         HostConnection newest = null;
-        for (Iterator<HostConnection> lines = pool.idle.descendingIterator(); lines.hasNext();) {
+        for (Iterator<HostConnection> lines = pool.idle.descendingIterator(); lines.hasNext(); ) {
             HostConnection line = lines.next();
             if (line.usable(now, errand.careful()) && !errand.met(line)) {
                 if (now - line.idleSince >= REST_MS) {
@@ -140,8 +141,9 @@
     /** One for each that waits, within the bound; one at a time where the host has refused so far. */
     private void dial(HostPool pool) {
         int wanted = pool.unborn ? Math.min(1, pool.waiting.size()) : pool.waiting.size();
-        while (pool.dialling < wanted && pool.retry == null
-            && pool.lines.size() + pool.dialling < pool.waiting.peek().mostLines()) {
+        while (pool.dialling < wanted
+                && pool.retry == null
+                && pool.lines.size() + pool.dialling < pool.waiting.peek().mostLines()) {
             connect(pool);
         }
     }
@@ -179,7 +181,7 @@
         tell(pool, false);
         Errand refused = null;
         boolean booting = false;
-        for (Iterator<Errand> errands = pool.waiting.iterator(); errands.hasNext();) {
+        for (Iterator<Errand> errands = pool.waiting.iterator(); errands.hasNext(); ) {
             Errand errand = errands.next();
             if (errand.booting() && !pool.gone) {
                 booting = true;
@@ -190,11 +192,15 @@
         }
         if (booting && pool.retry == null) {
             pool.unborn = true;
-            pool.retry = machine.loop().schedule(() -> {
-                pool.retry = null;
-                dial(pool);
-                forgetIfEmpty(pool);
-            }, BOOTING_MS, TimeUnit.MILLISECONDS);
+            pool.retry = machine.loop()
+                    .schedule(
+                            () -> {
+                                pool.retry = null;
+                                dial(pool);
+                                forgetIfEmpty(pool);
+                            },
+                            BOOTING_MS,
+                            TimeUnit.MILLISECONDS);
         }
         if (refused != null) {
             refused.unreached();
--- a/src/main/java/brambletray/tray/flow/Parcel.java
+++ b/src/main/java/brambletray/tray/flow/Parcel.java
@@ -8,8 +8,11 @@
  * announced, if only an empty one.
  */
 record Parcel(String method, String uri, HttpHeaders headers, ByteBuf body, boolean bodied, long at) {
-    static final String ID = "brambletray-attempt-id", REMAINING = "brambletray-deadline-remaining", TARGET = "brambletray-target-instance",
-        SEAL = "brambletray-response-seal", NOT_EXECUTED = "brambletray-not-executed";
+    static final String ID = "brambletray-attempt-id",
+            REMAINING = "brambletray-deadline-remaining",
+            TARGET = "brambletray-target-instance",
+            SEAL = "brambletray-response-seal",
+            NOT_EXECUTED = "brambletray-not-executed";
 
     boolean head() {
         return method.equals("HEAD");
--- a/src/main/java/brambletray/tray/flow/Readiness.java
+++ b/src/main/java/brambletray/tray/flow/Readiness.java
@@ -34,17 +34,22 @@
     /** Listens; the future fails where the address can't be had. */
     public ChannelFuture open(Address at) {
         return machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                if (open.size() >= CONNECTIONS_MOST) {
-                    open.poll().close();
-                }
-                open.add(channel);
-                channel.closeFuture().addListener(closed -> open.remove(channel));
-                channel.pipeline().addLast(new HttpRequestDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST)
-                    .setMaxInitialLineLength(HEAD_MOST)), new Probe());
-            }
-        }).bind(new InetSocketAddress(at.host(), at.port()));
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        if (open.size() >= CONNECTIONS_MOST) {
+                            open.poll().close();
+                        }
+                        open.add(channel);
+                        channel.closeFuture().addListener(closed -> open.remove(channel));
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpRequestDecoder(new HttpDecoderConfig()
+                                                .setMaxHeaderSize(HEAD_MOST)
+                                                .setMaxInitialLineLength(HEAD_MOST)),
+                                        new Probe());
+                    }
+                })
+                .bind(new InetSocketAddress(at.host(), at.port()));
     }
 
     private final class Probe extends SimpleChannelInboundHandler<HttpObject> {
@@ -52,7 +57,8 @@
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             boolean bad = part.decoderResult().isFailure();
             if (part instanceof HttpRequest request) {
-                int status = bad ? 400 : !Parcel.path(request.uri()).equals(PATH) ? 404 : ready.getAsBoolean() ? 200 : 503;
+                int status =
+                        bad ? 400 : !Parcel.path(request.uri()).equals(PATH) ? 404 : ready.getAsBoolean() ? 200 : 503;
                 boolean close = bad || !HttpUtil.isKeepAlive(request);
                 ChannelFuture written = context.writeAndFlush(Heads.empty(context.alloc(), status, close));
                 if (close) {
--- a/src/main/java/brambletray/tray/flow/Reading.java
+++ b/src/main/java/brambletray/tray/flow/Reading.java
@@ -87,15 +87,19 @@
             // Guards rule TWICE: a late one of the request before looks the same, and proves nothing of this one.
             verdict = Verdict.JUNK;
         }
-        lasting &= HttpUtil.isKeepAlive(head) && !verdict.nameless() && !errand.parcel().head();
+        lasting &= HttpUtil.isKeepAlive(head)
+                && !verdict.nameless()
+                && !errand.parcel().head();
         skipping = verdict == Verdict.SURPLUS;
         if (skipping) {
             tally.surplus++;
-            // Where one came, more may: no other request goes out here. And how long it is can't be told by the rules of an answer to HEAD.
+            // Where one came, more may: no other request goes out here. And how long it is can't be told by the rules
+            // of an answer to HEAD.
             lasting = false;
             return !errand.parcel().head() && ++ahead <= AHEAD_MOST;
         }
-        answer = new Answer(status, head.status().reasonPhrase(), head.headers(), framing.length(), bare, errand.hold());
+        answer =
+                new Answer(status, head.status().reasonPhrase(), head.headers(), framing.length(), bare, errand.hold());
         withheld = verdict.promise();
         dropping = withheld || verdict.fate() != Fate.SERVED && verdict.fate() != Fate.FAILED;
         return verdict != Verdict.JUNK;
--- a/src/main/java/brambletray/tray/flow/Rejection.java
+++ b/src/main/java/brambletray/tray/flow/Rejection.java
@@ -18,13 +18,17 @@
     static final Rejection TOO_LARGE = new Rejection(413, "flow.body-too-large");
     static final Rejection FULL = new Rejection(503, "flow.memory-full");
     private static final Rejection MALFORMED = new Rejection(400, "flow.malformed"),
-        HEAD_TOO_LARGE = new Rejection(431, "flow.head-too-large"),
-        LENGTHS = new Rejection(400, "flow.lengths"), HOST = new Rejection(400, "flow.host"), VERSION = new Rejection(505, "flow.version"),
-        FORM = new Rejection(400, "flow.path");
+            HEAD_TOO_LARGE = new Rejection(431, "flow.head-too-large"),
+            LENGTHS = new Rejection(400, "flow.lengths"),
+            HOST = new Rejection(400, "flow.host"),
+            VERSION = new Rejection(505, "flow.version"),
+            FORM = new Rejection(400, "flow.path");
 
     /** What the decoder could not read. */
     static Rejection of(Throwable cause) {
-        return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException ? HEAD_TOO_LARGE : MALFORMED;
+        return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
+                ? HEAD_TOO_LARGE
+                : MALFORMED;
     }
 
     /** A head that could be read; null: go on. Guards rule UNASKED: hosts must see the same request that we do. */
@@ -37,10 +41,12 @@
         if (!hosts.hasNext() || ((CharSequence) hosts.next()).length() == 0 || hosts.hasNext()) {
             return HOST;
         }
-        Iterator<? extends CharSequence> encodings = headers.valueCharSequenceIterator(HttpHeaderNames.TRANSFER_ENCODING);
+        Iterator<? extends CharSequence> encodings =
+                headers.valueCharSequenceIterator(HttpHeaderNames.TRANSFER_ENCODING);
         if (encodings.hasNext()) {
-            if (!"chunked".contentEquals(lower(encodings.next())) || encodings.hasNext()
-                || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            if (!"chunked".contentEquals(lower(encodings.next()))
+                    || encodings.hasNext()
+                    || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
                 return LENGTHS;
             }
         } else if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
--- a/src/main/java/brambletray/tray/flow/RequestReader.java
+++ b/src/main/java/brambletray/tray/flow/RequestReader.java
@@ -57,8 +57,11 @@
     Parcel whole() {
         HttpHeaders headers = head.headers();
         HttpMethod method = head.method();
-        boolean bodied = size > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-            || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT);
+        boolean bodied = size > 0
+                || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+                || method.equals(HttpMethod.POST)
+                || method.equals(HttpMethod.PUT);
         // A copy, lest a small body keep the large buffer that it was read into.
         ByteBuf body = size == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.buffer(size, size);
         for (int i = 0; i < parts.size(); i++) {
--- a/src/main/java/brambletray/tray/flow/Tally.java
+++ b/src/main/java/brambletray/tray/flow/Tally.java
@@ -15,6 +15,7 @@
      * answers given on while they came.
      */
     public long dialled, undialled, stale, surplus, streamed;
+
     private final long[] fates = new long[FATES.length];
 
     void fate(Fate fate) {
@@ -29,10 +30,46 @@
     /** Names and values in turn, as {@link brambletray.tray.tale.Tale#tell} takes them; fates that never came are left out. */
     public Object[] facts() {
         java.util.List<Object> facts = new java.util.ArrayList<>(64);
-        add(facts, "requests", requests, "passed", passed, "unrouted", unrouted, "refused", refused, "failed", failed, "late", late,
-            "wrong", wrong, "left", left, "asks", asks, "sends", sends, "copies", copies, "copies_won", copiesWon,
-            "copies_refused", copiesRefused, "agains", agains, "dialled", dialled, "undialled", undialled, "stale", stale,
-            "surplus", surplus, "streamed", streamed);
+        add(
+                facts,
+                "requests",
+                requests,
+                "passed",
+                passed,
+                "unrouted",
+                unrouted,
+                "refused",
+                refused,
+                "failed",
+                failed,
+                "late",
+                late,
+                "wrong",
+                wrong,
+                "left",
+                left,
+                "asks",
+                asks,
+                "sends",
+                sends,
+                "copies",
+                copies,
+                "copies_won",
+                copiesWon,
+                "copies_refused",
+                copiesRefused,
+                "agains",
+                agains,
+                "dialled",
+                dialled,
+                "undialled",
+                undialled,
+                "stale",
+                stale,
+                "surplus",
+                surplus,
+                "streamed",
+                streamed);
         for (Fate fate : FATES) {
             add(facts, fate.name().toLowerCase(java.util.Locale.ROOT), of(fate));
         }
--- a/src/main/java/brambletray/tray/flow/Trip.java
+++ b/src/main/java/brambletray/tray/flow/Trip.java
@@ -33,15 +33,18 @@
     private final long lastCall;
     /** The ask that is out; 0 for none. */
     private long asking;
+
     private boolean askingCopy;
     private int sentHosts, unreached, copyAsks;
     /** ms; 0: no copy is due. */
     private long copyAt;
     /** A host has or may have run it, and its answer was not one. */
     private boolean unproven;
+
     private int comeBackMs = -1;
     /** A host's own failure: the answer if nothing better comes. */
     private Leg held;
+
     private Leg flowing;
     private boolean settled;
 
@@ -87,13 +90,24 @@
         asking = askIds.getAsLong();
         askingCopy = copy;
         copyAsks += copy ? 1 : 0;
-        hands.ask(new Ask(asking, edge, zone, plan.service(), plan.priority(), (int) Math.min(Integer.MAX_VALUE, plan.end() - now),
-            plan.targetMs(), copy, sentHosts > 0, plan.inner(), legs.hosts()));
+        hands.ask(new Ask(
+                asking,
+                edge,
+                zone,
+                plan.service(),
+                plan.priority(),
+                (int) Math.min(Integer.MAX_VALUE, plan.end() - now),
+                plan.targetMs(),
+                copy,
+                sentHosts > 0,
+                plan.inner(),
+                legs.hosts()));
     }
 
     void granted(Grant grant, long now) {
         if (grant.askId() != asking) {
-            // Guards places against leaking: this ask was forgotten while its grant was under way. One that comes twice is in use.
+            // Guards places against leaking: this ask was forgotten while its grant was under way. One that comes twice
+            // is in use.
             if (!legs.holds(grant.askId())) {
                 hands.forget(grant.askId());
             }
@@ -220,7 +234,10 @@
             return;
         }
         copyAt = 0;
-        if (now < lastCall && sentHosts < plan.mostHosts() && (plan.repeatable() || !unproven) && unreached < UNREACHED_MOST) {
+        if (now < lastCall
+                && sentHosts < plan.mostHosts()
+                && (plan.repeatable() || !unproven)
+                && unreached < UNREACHED_MOST) {
             request(false, now);
         } else {
             conclude(now);
--- a/src/main/java/brambletray/tray/flow/Verdict.java
+++ b/src/main/java/brambletray/tray/flow/Verdict.java
@@ -14,18 +14,24 @@
 record Verdict(Fate fate, boolean promise, boolean nameless) {
     static final Verdict SURPLUS = new Verdict(null, false, false);
     static final Verdict JUNK = new Verdict(Fate.BROKEN, false, false);
-    private static final Verdict SERVED = new Verdict(Fate.SERVED, false, false), FAILED = new Verdict(Fate.FAILED, false, false),
-        PROMISED = new Verdict(Fate.FAILED, true, false), NOT_RUN = new Verdict(Fate.NOT_RUN, false, false),
-        WRONG_HOST = new Verdict(Fate.WRONG_HOST, false, false), NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true),
-        WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
+    private static final Verdict SERVED = new Verdict(Fate.SERVED, false, false),
+            FAILED = new Verdict(Fate.FAILED, false, false),
+            PROMISED = new Verdict(Fate.FAILED, true, false),
+            NOT_RUN = new Verdict(Fate.NOT_RUN, false, false),
+            WRONG_HOST = new Verdict(Fate.WRONG_HOST, false, false),
+            NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true),
+            WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
 
     /** For a log line: what an answer that isn't one carries. */
     static String traits(int status, HttpHeaders headers) {
-        return "status " + status + (headers.contains(Parcel.ID) ? "" : ", no id") + (headers.contains(Parcel.SEAL) ? "" : ", no seal")
-            + (headers.contains(Parcel.NOT_EXECUTED) ? ", not executed" : "")
-            + (headers.contains(HttpHeaderNames.CONTENT_ENCODING) ? ", encoded" : "")
-            + (headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING) ? ""
-                : ", no length");
+        return "status " + status + (headers.contains(Parcel.ID) ? "" : ", no id")
+                + (headers.contains(Parcel.SEAL) ? "" : ", no seal")
+                + (headers.contains(Parcel.NOT_EXECUTED) ? ", not executed" : "")
+                + (headers.contains(HttpHeaderNames.CONTENT_ENCODING) ? ", encoded" : "")
+                + (headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                                || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+                        ? ""
+                        : ", no length");
     }
 
     /** {@code id}: of the request that the connection is at. */
--- a/src/main/java/brambletray/tray/home/Ask.java
+++ b/src/main/java/brambletray/tray/home/Ask.java
@@ -5,5 +5,15 @@
 /** A request for a place at a host of a service. {@code remainingMs} and {@code targetMs}: ms; {@code again}: it has reached a host already
  * and draws on the budget of further tries; {@code inner}: a call made by a host of ours; {@code copy}: the delayed copy, granted only
  * where a place is free now; {@code avoid}: hosts that had it. */
-public record Ask(long id, String edge, String zone, String service, int priority, int remainingMs, int targetMs, boolean copy,
-                  boolean again, boolean inner, List<String> avoid) { }
+public record Ask(
+        long id,
+        String edge,
+        String zone,
+        String service,
+        int priority,
+        int remainingMs,
+        int targetMs,
+        boolean copy,
+        boolean again,
+        boolean inner,
+        List<String> avoid) {}
--- a/src/main/java/brambletray/tray/home/Crew.java
+++ b/src/main/java/brambletray/tray/home/Crew.java
@@ -171,7 +171,8 @@
         } else if (now - post.bornAt > 6L * starts.bootMs(ward.spec) + 2000) {
             drop(post, "never came up", now);
         } else {
-            post.nextKnock = now + Math.max(ward.laws.scale().knockMs(), starts.bootMs(ward.spec) / (waiting > 0 ? 25 : 8));
+            post.nextKnock =
+                    now + Math.max(ward.laws.scale().knockMs(), starts.bootMs(ward.spec) / (waiting > 0 ? 25 : 8));
         }
     }
 
@@ -204,7 +205,9 @@
     }
 
     private static long knockDue(Post post) {
-        return post.knockedAt == Long.MIN_VALUE ? post.nextKnock : Math.max(post.nextKnock, post.knockedAt + KNOCK_LOST_MS);
+        return post.knockedAt == Long.MIN_VALUE
+                ? post.nextKnock
+                : Math.max(post.nextKnock, post.knockedAt + KNOCK_LOST_MS);
     }
 
     void tick(long now) {
--- a/src/main/java/brambletray/tray/home/Desk.java
+++ b/src/main/java/brambletray/tray/home/Desk.java
@@ -102,7 +102,8 @@
     private void decide(Ask ask, boolean extra, long now) {
         Laws.Queue law = ward.laws.queue();
         int work = scaler.demand.workMs(ward.spec);
-        int wait = Math.max(crew.posts.anyUnknown() ? taking.waitMs(now) : 0, scaler.waitMs(line.ahead(ask, work, now), herd, now));
+        int wait = Math.max(
+                crew.posts.anyUnknown() ? taking.waitMs(now) : 0, scaler.waitMs(line.ahead(ask, work, now), herd, now));
         int target = ask.targetMs() > 0 ? ask.targetMs() : ask.remainingMs();
         boolean fits = wait + work <= ask.remainingMs() && !line.full();
         if (fits && wait + work <= law.safe() * target) {
--- a/src/main/java/brambletray/tray/home/Forecast.java
+++ b/src/main/java/brambletray/tray/home/Forecast.java
@@ -9,6 +9,7 @@
 final class Forecast {
     /** Never, ms. */
     static final int NEVER = Integer.MAX_VALUE / 4;
+
     private final long[] boots = new long[32];
     private int starts;
     private double working;
--- a/src/main/java/brambletray/tray/home/Holders.java
+++ b/src/main/java/brambletray/tray/home/Holders.java
@@ -55,7 +55,19 @@
     private void mark(Held held, long now) {
         for (Grant grant : held.grants()) {
             if (!taking.isListed()) {
-                crew.take(new Host(grant.host(), ward.service(), grant.address(), ward.zone, ward.zone, "", "", Host.UP, 0), false, now);
+                crew.take(
+                        new Host(
+                                grant.host(),
+                                ward.service(),
+                                grant.address(),
+                                ward.zone,
+                                ward.zone,
+                                "",
+                                "",
+                                Host.UP,
+                                0),
+                        false,
+                        now);
             }
             Post post = crew.posts.find(grant.host());
             if (post != null) {
--- a/src/main/java/brambletray/tray/home/Keeping.java
+++ b/src/main/java/brambletray/tray/home/Keeping.java
@@ -49,7 +49,8 @@
 
     /** The break-even of a start against memory, ms. */
     int breakEvenMs(Spec spec, int bootMs) {
-        return (int) Math.max(law.leastMs(), Math.min(law.mostMs(), startGbS(spec, bootMs) * 1024_000 / spec.memoryMb()));
+        return (int)
+                Math.max(law.leastMs(), Math.min(law.mostMs(), startGbS(spec, bootMs) * 1024_000 / spec.memoryMb()));
     }
 
     /** The span for the last host, ms. */
--- a/src/main/java/brambletray/tray/home/Line.java
+++ b/src/main/java/brambletray/tray/home/Line.java
@@ -100,8 +100,11 @@
 
     /** How many would go before such an ask. */
     int ahead(Ask ask, int workMs, long now) {
-        long key = now + ask.remainingMs() + (long) ask.priority() * law.ageMs() - (ask.inner() ? law.innerMs() : 0)
-            + (workMs > ask.targetMs() ? law.lateMs() : 0);
+        long key = now
+                + ask.remainingMs()
+                + (long) ask.priority() * law.ageMs()
+                - (ask.inner() ? law.innerMs() : 0)
+                + (workMs > ask.targetMs() ? law.lateMs() : 0);
         int n = 0;
         for (int i = 0; i < waiters.size(); i++) {
             Waiter waiter = waiters.get(i);
--- a/src/main/java/brambletray/tray/home/Pace.java
+++ b/src/main/java/brambletray/tray/home/Pace.java
@@ -8,6 +8,7 @@
 public final class Pace {
     /** ms, before any answer is known. */
     public static final int FIRST_MS = 200;
+
     private static final int MEMORY = 512;
     private static final int CLASSES = 136;
     private static final int ENOUGH = 8;
--- a/src/main/java/brambletray/tray/home/Places.java
+++ b/src/main/java/brambletray/tray/home/Places.java
@@ -92,7 +92,7 @@
 
     /** Forgets the places at a host that is no more. */
     void drop(Post post) {
-        for (Iterator<Map<Long, Place>> edges = byEdge.values().iterator(); edges.hasNext();) {
+        for (Iterator<Map<Long, Place>> edges = byEdge.values().iterator(); edges.hasNext(); ) {
             Map<Long, Place> of = edges.next();
             int before = of.size();
             of.values().removeIf(place -> place.post == post);
--- a/src/main/java/brambletray/tray/home/Post.java
+++ b/src/main/java/brambletray/tray/home/Post.java
@@ -12,9 +12,11 @@
     final long bornAt;
     /** Born under this seat: all its places are known here. */
     final boolean own;
+
     int state;
     /** Places granted and not given back, those kept closed included. */
     int held;
+
     long fullUntil;
     long pausedUntil;
     int pauses;
@@ -22,6 +24,7 @@
     int misses;
     /** An answer from it was cut off or never came; a knock will tell. */
     boolean doubted;
+
     double blame;
     long blamedAt;
     double tookMs;
--- a/src/main/java/brambletray/tray/home/Posts.java
+++ b/src/main/java/brambletray/tray/home/Posts.java
@@ -188,7 +188,7 @@
                 post.misses++;
                 pause(post, now);
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/brambletray/tray/home/Scaler.java
+++ b/src/main/java/brambletray/tray/home/Scaler.java
@@ -106,8 +106,11 @@
                 if (now - post.leavingSince >= ward.laws.choice().leaveMs()) {
                     crew.end(post, now);
                 }
-            } else if (closing || n > least && (n > keep || n == 1) && now - takenAt >= ward.laws.keep().settleMs()
-                && now - post.idleSince >= span(n)) {
+            } else if (closing
+                    || n > least
+                            && (n > keep || n == 1)
+                            && now - takenAt >= ward.laws.keep().settleMs()
+                            && now - post.idleSince >= span(n)) {
                 crew.end(post, now);
                 n--;
             }
@@ -133,9 +136,12 @@
                 return now + 1;
             }
             if (post.leaving()) {
-                next = Math.min(next, Math.max(now + 1, post.leavingSince + ward.laws.choice().leaveMs()));
+                next = Math.min(
+                        next,
+                        Math.max(now + 1, post.leavingSince + ward.laws.choice().leaveMs()));
             } else if (n > least) {
-                long at = Math.max(post.idleSince + span(n), takenAt + ward.laws.keep().settleMs());
+                long at = Math.max(
+                        post.idleSince + span(n), takenAt + ward.laws.keep().settleMs());
                 next = Math.min(next, at > now ? at : now + 500);
             }
         }
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/tray/home/Seat.java
@@ -16,6 +16,7 @@
 final class Seat {
     /** Where the heap of {@link Seats} has it. */
     long scheduled = Long.MAX_VALUE;
+
     private final Ward ward;
     private final Places places;
     private final Starts starts;
--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/tray/home/Seats.java
@@ -22,7 +22,7 @@
 public final class Seats {
     private static final Tale TALE = Tale.of("home");
 
-    private record Due(long at, Seat seat) { }
+    private record Due(long at, Seat seat) {}
 
     private final String zone;
     private final Laws laws;
--- a/src/main/java/brambletray/tray/home/Spec.java
+++ b/src/main/java/brambletray/tray/home/Spec.java
@@ -8,7 +8,10 @@
 public record Spec(String service, int memoryMb, int bootMs, int most, int targetMs) {
     public Spec {
         if (most < 1 || memoryMb < 1 || bootMs < 0) {
-            throw new HomeFault("home.spec", "service " + service + ": memory-mb and max-concurrency of 1 or more, boot-ms of 0 or more", null);
+            throw new HomeFault(
+                    "home.spec",
+                    "service " + service + ": memory-mb and max-concurrency of 1 or more, boot-ms of 0 or more",
+                    null);
         }
     }
 
--- a/src/main/java/brambletray/tray/home/Starts.java
+++ b/src/main/java/brambletray/tray/home/Starts.java
@@ -89,7 +89,7 @@
 
     /** Repeats what is not answered; gives up what has been so for long. */
     void tick(int urgency, Out out, long now) {
-        for (Iterator<Wanted> each = wanted.iterator(); each.hasNext();) {
+        for (Iterator<Wanted> each = wanted.iterator(); each.hasNext(); ) {
             Wanted one = each.next();
             if (now - one.since >= law.dropMs()) {
                 each.remove();
--- a/src/main/java/brambletray/tray/keep/Dispatch.java
+++ b/src/main/java/brambletray/tray/keep/Dispatch.java
@@ -10,7 +10,7 @@
     private final Map<String, Node<H>> methods = new HashMap<>();
 
     /** What was found, and what a {@code *} stood for (null if there was none). */
-    record Found<H>(H handler, String part) { }
+    record Found<H>(H handler, String part) {}
 
     private static final class Node<H> {
         private final Map<String, Node<H>> next = new HashMap<>();
--- a/src/main/java/brambletray/tray/keep/Door.java
+++ b/src/main/java/brambletray/tray/keep/Door.java
@@ -50,22 +50,25 @@
     /** Listens; the future fails with what the system says where it cannot. */
     ChannelFuture open(Machine machine, Address at) {
         return machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S) {
                     @Override
-                    protected void channelIdle(ChannelHandlerContext context, io.netty.handler.timeout.IdleStateEvent event) {
-                        context.close();
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S) {
+                            @Override
+                            protected void channelIdle(
+                                    ChannelHandlerContext context, io.netty.handler.timeout.IdleStateEvent event) {
+                                context.close();
+                            }
+                        });
+                        calls(channel);
                     }
-                });
-                calls(channel);
-            }
-        }).bind(new InetSocketAddress(at.host(), at.port()));
+                })
+                .bind(new InetSocketAddress(at.host(), at.port()));
     }
 
     /** The handlers of a connection's calls, at the end of its pipeline. */
     void calls(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(4_096, 16_384, 8_192), new HttpObjectAggregator(BODY, true), new Visit());
+        channel.pipeline()
+                .addLast(new HttpServerCodec(4_096, 16_384, 8_192), new HttpObjectAggregator(BODY, true), new Visit());
     }
 
     private final class Visit extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -105,13 +108,17 @@
             int query = uri.indexOf('?');
             String path = query < 0 ? uri : uri.substring(0, query);
             boolean[] given = new boolean[1];
-            Call call = new Call(request.method().name(), path, request.headers().get(BASE), ByteBufUtil.getBytes(request.content()),
-                (status, json, headers) -> {
-                    if (!given[0]) {
-                        given[0] = true;
-                        reply(context, keep, status, json, headers);
-                    }
-                });
+            Call call = new Call(
+                    request.method().name(),
+                    path,
+                    request.headers().get(BASE),
+                    ByteBufUtil.getBytes(request.content()),
+                    (status, json, headers) -> {
+                        if (!given[0]) {
+                            given[0] = true;
+                            reply(context, keep, status, json, headers);
+                        }
+                    });
             Dispatch.Found<Desk> found = path.startsWith("/") ? table.find(call.method(), path) : null;
             if (found == null) {
                 call.refuse(404, "keep.no-such-call", call.method() + " " + path);
@@ -149,9 +156,11 @@
             }
         }
 
-        private void reply(ChannelHandlerContext context, boolean keep, int status, byte[] json, Map<String, String> headers) {
+        private void reply(
+                ChannelHandlerContext context, boolean keep, int status, byte[] json, Map<String, String> headers) {
             ByteBuf body = json == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(json);
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
+            DefaultFullHttpResponse answer =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (json != null) {
                 answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
@@ -160,7 +169,8 @@
             if (!keep) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, "close");
             }
-            context.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+            context.writeAndFlush(answer)
+                    .addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
             next(context, keep);
         }
 
--- a/src/main/java/brambletray/tray/keep/Greeter.java
+++ b/src/main/java/brambletray/tray/keep/Greeter.java
@@ -51,9 +51,16 @@
         boolean inTouch = status.standing() == Standing.MEMBER;
         boolean here = holder != null && holder.member().life() == status.me().life();
         boolean named = holder != null && (here ? hubTerm == holder.term() : inTouch);
-        List<String> reached = status.inForce() ? status.members().stream().map(inner).toList() : List.of();
-        return new Welcome(named ? inner.apply(holder.member()) : "", named ? holder.term() : 0, inTouch,
-            status.inForce() ? status.number() : 0, reached, newest.term(), newest.number());
+        List<String> reached =
+                status.inForce() ? status.members().stream().map(inner).toList() : List.of();
+        return new Welcome(
+                named ? inner.apply(holder.member()) : "",
+                named ? holder.term() : 0,
+                inTouch,
+                status.inForce() ? status.number() : 0,
+                reached,
+                newest.term(),
+                newest.number());
     }
 
     void came(String name, Link link) {
@@ -98,7 +105,9 @@
         }
         boolean doubt = noneSince != NEVER && now - noneSince < Hub.DOUBT;
         guests.forEach((link, guest) -> {
-            if (guest.told != null && !guest.told.equals(key) && !(doubt && !guest.told.helmAddress().isEmpty())) {
+            if (guest.told != null
+                    && !guest.told.equals(key)
+                    && !(doubt && !guest.told.helmAddress().isEmpty())) {
                 say(link, guest, say);
             }
         });
--- a/src/main/java/brambletray/tray/keep/Hub.java
+++ b/src/main/java/brambletray/tray/keep/Hub.java
@@ -48,6 +48,7 @@
     private static final int PULSE = 250;
     /** ms without the right to act after which edges are let go: a late tick of this process puts its lease in doubt for one round only. */
     static final int DOUBT = 100;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     private static final class Edge {
@@ -71,6 +72,7 @@
     private Pulse pulse;
     /** Since when the newest configuration is on its way to edges, ms; {@link #NEVER}: all have it. */
     private long spreadingSince = NEVER;
+
     private long lapsedAt = NEVER;
     private final Machine machine;
     private final Authority authority;
@@ -93,7 +95,14 @@
         void fenced(long term);
     }
 
-    Hub(Machine machine, Berth berth, long term, Supplier<Creed> creed, Publisher publisher, Authority authority, long now) {
+    Hub(
+            Machine machine,
+            Berth berth,
+            long term,
+            Supplier<Creed> creed,
+            Publisher publisher,
+            Authority authority,
+            long now) {
         this.machine = machine;
         this.authority = authority;
         this.term = term;
@@ -102,9 +111,16 @@
         pulse = new Pulse(term, 0, 0);
         census = new Census(term, now, this::roster);
         brambletray.tray.berth.Platform told = berth.need("cloud-api.address", berth.platform());
-        platform = new Platform(machine, new InetSocketAddress(told.address().host(), told.address().port()),
-            new Platform.Name(berth.node(), term), told.ratePerS());
-        yard = new Yard(new Terms(berth.zones(), told.lagMs(), told.ratePerS(), told.dutyRatePerS()), new YardHands(), this::homeOf, now);
+        platform = new Platform(
+                machine,
+                new InetSocketAddress(told.address().host(), told.address().port()),
+                new Platform.Name(berth.node(), term),
+                told.ratePerS());
+        yard = new Yard(
+                new Terms(berth.zones(), told.lagMs(), told.ratePerS(), told.dutyRatePerS()),
+                new YardHands(),
+                this::homeOf,
+                now);
         creed(now);
         TALE.tell("begins", "term", term, "revision", creed.get().revision());
     }
@@ -165,7 +181,16 @@
         if (roster.number() == 1) {
             yard.expect(names);
         }
-        TALE.tell("roster", "term", roster.term(), "number", roster.number(), "peers", roster.peers().size(), "why", why);
+        TALE.tell(
+                "roster",
+                "term",
+                roster.term(),
+                "number",
+                roster.number(),
+                "peers",
+                roster.peers().size(),
+                "why",
+                why);
     }
 
     void heard(String name, Link link, Object frame, long now) {
@@ -195,7 +220,10 @@
             census.told(roster, now);
         } else if (frame instanceof Fetch fetch) {
             fetch(edge, fetch, now);
-        } else if (frame instanceof RosterFetch && edge.open && authority.mayAct() && census.roster().number() > 0) {
+        } else if (frame instanceof RosterFetch
+                && edge.open
+                && authority.mayAct()
+                && census.roster().number() > 0) {
             edge.link.say(census.roster());
         }
     }
@@ -214,7 +242,9 @@
     /** Tells once when all edges on the line serve by the newest configuration. */
     private void spread(long now) {
         long newest = revision();
-        if (spreadingSince != NEVER && newest > 0 && edges.values().stream().allMatch(edge -> edge.revision >= newest)) {
+        if (spreadingSince != NEVER
+                && newest > 0
+                && edges.values().stream().allMatch(edge -> edge.revision >= newest)) {
             TALE.tell("spread", "term", term, "revision", newest, "edges", edges.size(), "ms", now - spreadingSince);
             spreadingSince = NEVER;
         }
@@ -284,7 +314,9 @@
         lapsedAt = NEVER;
         census.tick(now);
         yard.tick(now);
-        if (now - pulsedAt >= PULSE || revision() != pulse.revision() || census.roster().number() != pulse.roster()) {
+        if (now - pulsedAt >= PULSE
+                || revision() != pulse.revision()
+                || census.roster().number() != pulse.roster()) {
             pulseAll(now);
         }
     }
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -70,10 +70,12 @@
     private final Greeter edges = new Greeter(this::welcome);
     /** Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges have. */
     private final History history = new History();
+
     private final Publisher publisher = new Publisher(history);
     private Hub hub;
     /** Steady ms since when this process is to end, and since when the others go on without it; -1: not so. */
     private long leavingAt = -1;
+
     private long leftAt = -1;
     /** The term of the helm that is held here, 0 for none. */
     private long held;
@@ -85,7 +87,7 @@
      * @param store writes to that disk; replies come on the machine's loop
      * @param exit ends the process; may return, and nothing of it counts from then on
      */
-    record Environment(Machine machine, Map<String, byte[]> kept, DurableStore store, Runnable exit) { }
+    record Environment(Machine machine, Map<String, byte[]> kept, DurableStore store, Runnable exit) {}
 
     /** On the loop; {@link #start} follows. {@code life}, {@code origin}: drawn at random, not 0. */
     Keep(Berth berth, Environment environment, long life, long origin) {
@@ -96,12 +98,32 @@
         Map<String, byte[]> kept = environment.kept();
         address = berth.control().toString();
         operators = new Operators(new MemberOrder(), this::creedChanged);
-        kin = new Kin(machine, speech, new Address(berth.ip(), berth.innerLow()), new Iam(berth.node(), address, true), new KinEar());
-        members = new Members(address, berth.node(), berth.zone(), life, origin, Kept.read(kept), seeds(berth), berth.initialStart(),
-            settings(berth), new MemberOut(), operators, now());
+        kin = new Kin(
+                machine,
+                speech,
+                new Address(berth.ip(), berth.innerLow()),
+                new Iam(berth.node(), address, true),
+                new KinEar());
+        members = new Members(
+                address,
+                berth.node(),
+                berth.zone(),
+                life,
+                origin,
+                Kept.read(kept),
+                seeds(berth),
+                berth.initialStart(),
+                settings(berth),
+                new MemberOut(),
+                operators,
+                now());
         vow = new Vow(HELM, members.status().me(), kept.get(Vow.key(HELM)), Spans.usual(), new VowOut(), now());
-        views = new Views(new Sights(members::status, () -> operators.charter().creed(), () -> vow.holder(now()),
-            () -> hub != null && mayAct() ? hub : null, this::now));
+        views = new Views(new Sights(
+                members::status,
+                () -> operators.charter().creed(),
+                () -> vow.holder(now()),
+                () -> hub != null && mayAct() ? hub : null,
+                this::now));
     }
 
     private static Settings settings(Berth berth) {
@@ -132,12 +154,14 @@
         }
         Environment real = new Environment(machine, kept, new Scribe(trove, machine.loop()), () -> System.exit(0));
         Keep[] made = new Keep[1];
-        machine.loop().submit(() -> {
-            made[0] = new Keep(berth, real, life, origin);
-            made[0].start();
-            Signals.on("HUP", () -> machine.loop().execute(made[0]::reread));
-            Signals.on("TERM", () -> machine.loop().execute(made[0]::leave));
-        }).sync();
+        machine.loop()
+                .submit(() -> {
+                    made[0] = new Keep(berth, real, life, origin);
+                    made[0].start();
+                    Signals.on("HUP", () -> machine.loop().execute(made[0]::reread));
+                    Signals.on("TERM", () -> machine.loop().execute(made[0]::leave));
+                })
+                .sync();
         made[0].open().sync();
         TALE.tell("started", "node", berth.node(), "control", control, "kept", kept.size());
     }
@@ -157,7 +181,7 @@
 
     /** The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost, and its life with it. */
     private static Trove open(Path dir) throws InterruptedException {
-        for (;;) {
+        for (; ; ) {
             try {
                 return Trove.open(dir);
             } catch (TroveFault fault) {
@@ -229,13 +253,21 @@
 
     private Welcome welcome() {
         long hubTerm = hub == null ? 0 : hub.term();
-        return Greeter.welcome(members.status(), vow.holder(now()), hubTerm, hub == null ? Roster.NONE : hub.newest(), this::inner);
+        return Greeter.welcome(
+                members.status(), vow.holder(now()), hubTerm, hub == null ? Roster.NONE : hub.newest(), this::inner);
     }
 
     private void creedChanged() {
         Creed creed = operators.charter().creed();
         history.become(creed);
-        TALE.tell("configuration", "revision", creed.revision(), "routes", creed.routes().size(), "services", creed.services().size());
+        TALE.tell(
+                "configuration",
+                "revision",
+                creed.revision(),
+                "routes",
+                creed.routes().size(),
+                "services",
+                creed.services().size());
         if (hub != null) {
             hub.creed(now());
         }
--- a/src/main/java/brambletray/tray/keep/Kin.java
+++ b/src/main/java/brambletray/tray/keep/Kin.java
@@ -67,8 +67,12 @@
                 return;
             }
             spoke = new Spoke();
-            spoke.dialler = new Dialler(machine, speech, new Address(Address.parse(address).host(), port), new Dialled(address),
-                address.hashCode());
+            spoke.dialler = new Dialler(
+                    machine,
+                    speech,
+                    new Address(Address.parse(address).host(), port),
+                    new Dialled(address),
+                    address.hashCode());
             spokes.put(address, spoke);
         }
         spoke.usedAt = now();
@@ -76,7 +80,7 @@
     }
 
     void tick(long now) {
-        for (Iterator<Spoke> each = spokes.values().iterator(); each.hasNext();) {
+        for (Iterator<Spoke> each = spokes.values().iterator(); each.hasNext(); ) {
             Spoke spoke = each.next();
             if (now - spoke.usedAt > UNUSED) {
                 each.remove();
@@ -122,7 +126,7 @@
 
     private final class Called implements Handler {
         @Override
-        public void up(Link link) { }
+        public void up(Link link) {}
 
         @Override
         public void heard(Link link, Object frame) {
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -50,10 +50,10 @@
         void confirm(long token);
     }
 
-    private record Change(Call call, Verb verb, long base, long since) { }
+    private record Change(Call call, Verb verb, long base, long since) {}
 
     /** A confirming round and the call that waits for it. */
-    private record Round(Call call, long since, Runnable yes, Runnable no) { }
+    private record Round(Call call, long since, Runnable yes, Runnable no) {}
 
     private static final byte[] DONE = {'{', '}'};
 
@@ -84,8 +84,8 @@
 
     void register(Dispatch<Door.Desk> table) {
         table.on("POST", "/brambletray/configuration/replace", (call, part) -> change(call, Verb.REPLACE))
-            .on("POST", "/brambletray/configuration/modify", (call, part) -> change(call, Verb.MODIFY))
-            .on("GET", "/brambletray/configuration/show", (call, part) -> show(call));
+                .on("POST", "/brambletray/configuration/modify", (call, part) -> change(call, Verb.MODIFY))
+                .on("GET", "/brambletray/configuration/show", (call, part) -> show(call));
     }
 
     /** Steady ms. Ends calls that have waited too long. */
@@ -122,7 +122,9 @@
         if (successor != null) return successor;
         Status status = order.status();
         boolean heard = !status.leading() && status.standing() == Standing.MEMBER && status.leader() != null;
-        return heard && !status.leader().address().equals(status.me().address()) ? status.leader().address() : null;
+        return heard && !status.leader().address().equals(status.me().address())
+                ? status.leader().address()
+                : null;
     }
 
     private boolean inTouch() {
@@ -262,8 +264,18 @@
         inFlight = null;
         Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
         boolean taken = verdict instanceof Verdict.TakenBefore;
-        TALE.tell("change", "verb", change.verb, "base", change.base, "outcome", outcome, "taken", taken, "revision",
-            charter.creed().revision());
+        TALE.tell(
+                "change",
+                "verb",
+                change.verb,
+                "base",
+                change.base,
+                "outcome",
+                outcome,
+                "taken",
+                taken,
+                "revision",
+                charter.creed().revision());
         if (taken || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
             answer(change.call, verdict);
         } else if (outcome != Outcome.REFUSED || order.successor() == null || !sendOn(change.call)) {
@@ -274,14 +286,22 @@
 
     private static void answer(Call call, Verdict verdict) {
         if (verdict instanceof Verdict.Invalid invalid) {
-            TALE.tell("refused", "code", invalid.fault().code(), "why", invalid.fault().getMessage());
+            TALE.tell(
+                    "refused",
+                    "code",
+                    invalid.fault().code(),
+                    "why",
+                    invalid.fault().getMessage());
             call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
         } else if (verdict instanceof Verdict.Stale stale) {
             TALE.tell("refused", "code", "keep.stale", "base", call.base(), "current", stale.current());
             call.refuse(412, "keep.stale", "the current revision is " + stale.current());
         } else if (verdict instanceof Verdict.Forgotten forgotten) {
-            call.refuse(503, "keep.forgotten", "what was taken before revision " + forgotten.oldest()
-                + " isn't remembered; look at the configuration");
+            call.refuse(
+                    503,
+                    "keep.forgotten",
+                    "what was taken before revision " + forgotten.oldest()
+                            + " isn't remembered; look at the configuration");
         } else {
             call.give(200, DONE);
         }
--- a/src/main/java/brambletray/tray/keep/Sights.java
+++ b/src/main/java/brambletray/tray/keep/Sights.java
@@ -10,7 +10,8 @@
 import java.util.function.Supplier;
 
 /** What a running member shows in its {@link Views}. {@code hub}: gives null while the helm is not held here. */
-record Sights(Supplier<Status> member, Supplier<Creed> creed, Supplier<Holder> holder, Supplier<Hub> hub, LongSupplier clock)
+record Sights(
+        Supplier<Status> member, Supplier<Creed> creed, Supplier<Holder> holder, Supplier<Hub> hub, LongSupplier clock)
         implements Views.Source {
     @Override
     public Status status() {
--- a/src/main/java/brambletray/tray/keep/Views.java
+++ b/src/main/java/brambletray/tray/keep/Views.java
@@ -63,10 +63,10 @@
 
     void register(Dispatch<Door.Desk> table) {
         table.on("GET", AT + "views", (call, part) -> call.give(200, views()))
-            .on("GET", AT + "duties", (call, part) -> call.give(200, duties()))
-            .on("GET", AT + "edges", (call, part) -> atHelm(call, this::edges))
-            .on("GET", AT + "hosts", (call, part) -> atHelm(call, book -> hosts(book, null)))
-            .on("GET", AT + "hosts/*", (call, part) -> atHelm(call, book -> hosts(book, part)));
+                .on("GET", AT + "duties", (call, part) -> call.give(200, duties()))
+                .on("GET", AT + "edges", (call, part) -> atHelm(call, this::edges))
+                .on("GET", AT + "hosts", (call, part) -> atHelm(call, book -> hosts(book, null)))
+                .on("GET", AT + "hosts/*", (call, part) -> atHelm(call, book -> hosts(book, part)));
     }
 
     /** Remembers since when the holder is known. */
@@ -88,10 +88,15 @@
         Holder helm = source.helm();
         if (book != null) {
             call.give(200, page.of(book));
-        } else if (helm == null || helm.member().address().equals(source.status().me().address())) {
+        } else if (helm == null
+                || helm.member().address().equals(source.status().me().address())) {
             call.refuse(503, "keep.no-helm", "nobody is known to hold the helm at present");
         } else {
-            call.answer().give(307, null, Map.of("Location", "http://" + helm.member().address() + call.path()));
+            call.answer()
+                    .give(
+                            307,
+                            null,
+                            Map.of("Location", "http://" + helm.member().address() + call.path()));
         }
     }
 
@@ -101,34 +106,59 @@
 
     private byte[] views() {
         Status status = source.status();
-        Sheet sheet = head().text("address", status.me().address()).text("life", Long.toHexString(status.me().life()))
-            .text("standing", status.standing().name().toLowerCase(java.util.Locale.ROOT)).number("view", status.number())
-            .flag("in-force", status.inForce()).flag("settled", status.settled())
-            .text("leader", status.leader() == null ? null : status.leader().name()).flag("leading", status.leading())
-            .number("commit", status.commit()).number("delivered", status.delivered()).flag("ill", status.ill())
-            .number("revision", source.revision()).list("members");
+        Sheet sheet = head().text("address", status.me().address())
+                .text("life", Long.toHexString(status.me().life()))
+                .text("standing", status.standing().name().toLowerCase(java.util.Locale.ROOT))
+                .number("view", status.number())
+                .flag("in-force", status.inForce())
+                .flag("settled", status.settled())
+                .text("leader", status.leader() == null ? null : status.leader().name())
+                .flag("leading", status.leading())
+                .number("commit", status.commit())
+                .number("delivered", status.delivered())
+                .flag("ill", status.ill())
+                .number("revision", source.revision())
+                .list("members");
         for (Member member : status.members()) {
-            sheet.item().text("name", member.name()).text("address", member.address()).text("life", Long.toHexString(member.life())).end();
+            sheet.item()
+                    .text("name", member.name())
+                    .text("address", member.address())
+                    .text("life", Long.toHexString(member.life()))
+                    .end();
         }
         return sheet.close().bytes();
     }
 
     private byte[] duties() {
         Holder helm = source.helm();
-        Sheet sheet = head().list("duties").item().text("duty", HELM).text("holder", helm == null ? null : helm.member().name())
-            .text("address", helm == null ? null : helm.member().address()).number("term", helm == null ? 0 : helm.term())
-            .number("since-ms", source.now() - since).flag("here", source.book() != null);
+        Sheet sheet = head().list("duties")
+                .item()
+                .text("duty", HELM)
+                .text("holder", helm == null ? null : helm.member().name())
+                .text("address", helm == null ? null : helm.member().address())
+                .number("term", helm == null ? 0 : helm.term())
+                .number("since-ms", source.now() - since)
+                .flag("here", source.book() != null);
         return sheet.end().close().bytes();
     }
 
     private byte[] edges(Book book) {
         Roster roster = book.roster();
-        Sheet sheet = head().number("term", roster.term()).number("number", roster.number()).number("revision", source.revision()).list("edges");
+        Sheet sheet = head().number("term", roster.term())
+                .number("number", roster.number())
+                .number("revision", source.revision())
+                .list("edges");
         for (Peer peer : roster.peers()) {
             long has = book.has(peer.name());
-            sheet.item().text("name", peer.name()).text("zone", peer.zone()).text("address", peer.address())
-                .text("life", Long.toHexString(peer.life())).text("state", peer.in() ? "in" : "leaving").flag("linked", has >= 0)
-                .number("revision", Math.max(0, has)).end();
+            sheet.item()
+                    .text("name", peer.name())
+                    .text("zone", peer.zone())
+                    .text("address", peer.address())
+                    .text("life", Long.toHexString(peer.life()))
+                    .text("state", peer.in() ? "in" : "leaving")
+                    .flag("linked", has >= 0)
+                    .number("revision", Math.max(0, has))
+                    .end();
         }
         return sheet.close().bytes();
     }
@@ -136,10 +166,16 @@
     private byte[] hosts(Book book, String service) {
         Sheet sheet = head().number("known", book.known()).list("hosts");
         for (Host host : book.hosts(service)) {
-            sheet.item().text("id", host.id()).text("service", host.service()).text("address", host.address()).text("zone", host.zone())
-                .text("seat", host.seat()).text("worker", host.worker())
-                .text("state", host.state() >= 0 && host.state() < STATES.length ? STATES[host.state()] : "?")
-                .number("age-ms", host.bornAgoMs()).end();
+            sheet.item()
+                    .text("id", host.id())
+                    .text("service", host.service())
+                    .text("address", host.address())
+                    .text("zone", host.zone())
+                    .text("seat", host.seat())
+                    .text("worker", host.worker())
+                    .text("state", host.state() >= 0 && host.state() < STATES.length ? STATES[host.state()] : "?")
+                    .number("age-ms", host.bornAgoMs())
+                    .end();
         }
         return sheet.close().bytes();
     }
--- a/src/main/java/brambletray/tray/lap/Booth.java
+++ b/src/main/java/brambletray/tray/lap/Booth.java
@@ -33,7 +33,9 @@
  * ceases at the deadline, answers 421 for another host's. For the loop only.
  */
 final class Booth {
-    static final String ID = "Brambletray-Attempt-Id", REMAINING = "Brambletray-Deadline-Remaining", SEAL = "Brambletray-Response-Seal";
+    static final String ID = "Brambletray-Attempt-Id",
+            REMAINING = "Brambletray-Deadline-Remaining",
+            SEAL = "Brambletray-Response-Seal";
     static final String TARGET = "Brambletray-Target-Instance", NOT_EXECUTED = "Brambletray-Not-Executed";
     /** s after which an idle connection is closed. */
     private static final int IDLE_S = 10;
@@ -63,11 +65,17 @@
     /** Listens; the future fails where the address can't be had. */
     ChannelFuture open(InetSocketAddress at) {
         ChannelFuture bound = machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new HttpServerCodec(), new HttpObjectAggregator(BODY), new Visit());
-            }
-        }).bind(at);
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new IdleStateHandler(0, 0, IDLE_S),
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(BODY),
+                                        new Visit());
+                    }
+                })
+                .bind(at);
         listener = bound.channel();
         return bound;
     }
@@ -141,12 +149,21 @@
             String path = request.uri();
             byte[] asked = ByteBufUtil.getBytes(request.content());
             int ms = work.getAsInt();
-            end = machine.loop().schedule(() -> {
-                ended();
-                byte[] body = ms <= remaining ? body(attempt) : new byte[0];
-                answer(context, ms <= remaining ? 200 : 504, attempt, body,
-                    ms <= remaining ? Seal.of(id, attempt, method, path, asked, body) : null, false);
-            }, Math.min(ms, remaining), TimeUnit.MILLISECONDS);
+            end = machine.loop()
+                    .schedule(
+                            () -> {
+                                ended();
+                                byte[] body = ms <= remaining ? body(attempt) : new byte[0];
+                                answer(
+                                        context,
+                                        ms <= remaining ? 200 : 504,
+                                        attempt,
+                                        body,
+                                        ms <= remaining ? Seal.of(id, attempt, method, path, asked, body) : null,
+                                        false);
+                            },
+                            Math.min(ms, remaining),
+                            TimeUnit.MILLISECONDS);
         }
 
         private void ended() {
@@ -166,9 +183,10 @@
             answer(context, status, attempt, new byte[0], null, true);
         }
 
-        private void answer(ChannelHandlerContext context, int status, String attempt, byte[] body, String seal, boolean notRun) {
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
-                Unpooled.wrappedBuffer(body));
+        private void answer(
+                ChannelHandlerContext context, int status, String attempt, byte[] body, String seal, boolean notRun) {
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
             if (attempt != null) {
                 answer.headers().set(ID, attempt);
@@ -179,8 +197,10 @@
             if (notRun) {
                 answer.headers().set(NOT_EXECUTED, "1");
             }
-            answer.headers().set(leaving ? HttpHeaderNames.CONNECTION : "Keep-Alive", leaving ? "close" : "timeout=" + IDLE_S);
-            context.writeAndFlush(answer).addListener(leaving ? ChannelFutureListener.CLOSE : ChannelFutureListener.CLOSE_ON_FAILURE);
+            answer.headers()
+                    .set(leaving ? HttpHeaderNames.CONNECTION : "Keep-Alive", leaving ? "close" : "timeout=" + IDLE_S);
+            context.writeAndFlush(answer)
+                    .addListener(leaving ? ChannelFutureListener.CLOSE : ChannelFutureListener.CLOSE_ON_FAILURE);
         }
 
         @Override
--- a/src/main/java/brambletray/tray/lap/Callers.java
+++ b/src/main/java/brambletray/tray/lap/Callers.java
@@ -14,6 +14,7 @@
 final class Callers implements Visit.Ways {
     /** Of ten requests, so many go to busy services. */
     private static final int BUSY_OF_TEN = 7;
+
     private static final int CLIENTS = 500;
     /** Requests under way; beyond them, what comes is counted as failed. */
     private static final int MOST = 5_000;
@@ -30,7 +31,14 @@
     private final Map<Visit, ScheduledFuture<?>> underWay = new HashMap<>();
     private ScheduledFuture<?> pace;
 
-    Callers(Machine machine, Site site, Fronts fronts, Map<String, Route> routes, Ledger ledger, Counts counts, long seed) {
+    Callers(
+            Machine machine,
+            Site site,
+            Fronts fronts,
+            Map<String, Route> routes,
+            Ledger ledger,
+            Counts counts,
+            long seed) {
         this.machine = machine;
         this.site = site;
         this.fronts = fronts;
@@ -38,7 +46,9 @@
         this.counts = counts;
         this.wires = new Wires(machine);
         this.random = new Random(seed);
-        busy = routes.values().stream().filter(route -> route.shares().get(0).service().startsWith("busy")).toList();
+        busy = routes.values().stream()
+                .filter(route -> route.shares().get(0).service().startsWith("busy"))
+                .toList();
         rare = routes.values().stream().filter(route -> !busy.contains(route)).toList();
     }
 
@@ -66,8 +76,11 @@
         Route route = of.get(random.nextInt(of.size()));
         int client = random.nextInt(CLIENTS);
         String path = route.prefix() + Integer.toHexString(random.nextInt());
-        byte[] body = route.repeatable() ? new byte[0] : ("{\"amount\":" + random.nextInt(1_000) + '}').getBytes(StandardCharsets.US_ASCII);
-        Visit visit = new Visit(route, Site.ZONES.get(client % Site.ZONES.size()), client, path, body, ledger, this, now());
+        byte[] body = route.repeatable()
+                ? new byte[0]
+                : ("{\"amount\":" + random.nextInt(1_000) + '}').getBytes(StandardCharsets.US_ASCII);
+        Visit visit =
+                new Visit(route, Site.ZONES.get(client % Site.ZONES.size()), client, path, body, ledger, this, now());
         underWay.put(visit, machine.loop().schedule(visit::expired, route.timeoutMs(), TimeUnit.MILLISECONDS));
         visit.go(now());
     }
--- a/src/main/java/brambletray/tray/lap/Child.java
+++ b/src/main/java/brambletray/tray/lap/Child.java
@@ -19,8 +19,17 @@
     static final int DELAY = 500;
     /** Starts of one process, after which it stays down. */
     private static final int STARTS = 50;
-    private static final List<String> MACHINE = List.of("-Xms48m", "-Xmx160m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-        "-XX:-UsePerfData", "-XX:MaxDirectMemorySize=64m", "--add-opens", "java.base/sun.nio.ch=ALL-UNNAMED");
+
+    private static final List<String> MACHINE = List.of(
+            "-Xms48m",
+            "-Xmx160m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-XX:MaxDirectMemorySize=64m",
+            "--add-opens",
+            "java.base/sun.nio.ch=ALL-UNNAMED");
 
     private final Site site;
     private final Site.Place place;
@@ -55,14 +64,19 @@
                 Files.createDirectories(folder.resolve("disk"));
             }
             Path settings = Files.writeString(folder.resolve("node.conf"), site.settings(place, starts == 0));
-            ProcessBuilder builder = new ProcessBuilder(command()).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
-            builder.environment().put(brambletray.tray.berth.Berth.VARIABLE, settings.toAbsolutePath().toString());
+            ProcessBuilder builder = new ProcessBuilder(command())
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+            builder.environment()
+                    .put(
+                            brambletray.tray.berth.Berth.VARIABLE,
+                            settings.toAbsolutePath().toString());
             process = builder.start();
             starts++;
             Process mine = process;
-            mine.onExit().thenRun(() -> ended(mine))
-                .thenRunAsync(this::start, CompletableFuture.delayedExecutor(DELAY, TimeUnit.MILLISECONDS));
+            mine.onExit()
+                    .thenRun(() -> ended(mine))
+                    .thenRunAsync(this::start, CompletableFuture.delayedExecutor(DELAY, TimeUnit.MILLISECONDS));
         } catch (IOException e) {
             throw new LapFault("no-process", place.name() + " cannot be started: " + e.getMessage(), e);
         }
--- a/src/main/java/brambletray/tray/lap/Fair.java
+++ b/src/main/java/brambletray/tray/lap/Fair.java
@@ -48,7 +48,7 @@
     /** Opens and closes what has started and ended since the last look. */
     void look() {
         long now = machine.clock().nanos() / 1_000_000;
-        for (Iterator<Map.Entry<String, Booth>> each = booths.entrySet().iterator(); each.hasNext();) {
+        for (Iterator<Map.Entry<String, Booth>> each = booths.entrySet().iterator(); each.hasNext(); ) {
             Map.Entry<String, Booth> one = each.next();
             if (!stand.up(one.getKey(), now)) {
                 each.remove();
@@ -71,7 +71,8 @@
         IntSupplier work = () -> (int) (workMs * pace * (0.6 + 0.8 * random.nextDouble()));
         Booth booth = new Booth(machine, id, service, ledger, work);
         booths.put(id, booth);
-        booth.open(new InetSocketAddress(at.host(), at.port())).addListener(done -> failures += done.isSuccess() ? 0 : 1);
+        booth.open(new InetSocketAddress(at.host(), at.port()))
+                .addListener(done -> failures += done.isSuccess() ? 0 : 1);
     }
 
     /** Hosts that have started and not ended. */
--- a/src/main/java/brambletray/tray/lap/Folders.java
+++ b/src/main/java/brambletray/tray/lap/Folders.java
@@ -13,7 +13,7 @@
 
 /** The folder and the ports of one run of the stand-in. */
 final class Folders {
-    private Folders() { }
+    private Folders() {}
 
     /** The folder that was named, which has to be empty or new; or, for null, one of its own. */
     static Path dir(Path named) {
@@ -29,7 +29,11 @@
             }
             return named;
         } catch (IOException e) {
-            throw new LapFault("bad-plan", "--dir " + named + ": expected a folder that can be written, found " + e.getClass().getSimpleName(), e);
+            throw new LapFault(
+                    "bad-plan",
+                    "--dir " + named + ": expected a folder that can be written, found "
+                            + e.getClass().getSimpleName(),
+                    e);
         }
     }
 
--- a/src/main/java/brambletray/tray/lap/Glance.java
+++ b/src/main/java/brambletray/tray/lap/Glance.java
@@ -10,7 +10,7 @@
 final class Glance {
     private static final int PATIENCE = 800;
 
-    private record Seen(long view, long term, String helm) { }
+    private record Seen(long view, long term, String helm) {}
 
     private final Operator operator;
     private final List<Address> members;
@@ -24,14 +24,15 @@
     /** Asks them all; what they say is shown from then on, and nothing of one that doesn't answer. */
     void ask() {
         for (Address member : members) {
-            operator.ask(member, "/brambletray/system/views", PATIENCE).thenCombine(
-                operator.ask(member, "/brambletray/system/duties", PATIENCE), Glance::read).thenAccept(now -> {
-                    if (now == null) {
-                        seen.remove(member);
-                    } else {
-                        seen.put(member, now);
-                    }
-                });
+            operator.ask(member, "/brambletray/system/views", PATIENCE)
+                    .thenCombine(operator.ask(member, "/brambletray/system/duties", PATIENCE), Glance::read)
+                    .thenAccept(now -> {
+                        if (now == null) {
+                            seen.remove(member);
+                        } else {
+                            seen.put(member, now);
+                        }
+                    });
         }
     }
 
@@ -46,10 +47,13 @@
         }
         try {
             Map<String, Object> view = Json.object(views.body());
-            Map<String, Object> duty = Json.list(Json.object(duties.body()), "duties").get(0);
+            Map<String, Object> duty =
+                    Json.list(Json.object(duties.body()), "duties").get(0);
             boolean there = Boolean.TRUE.equals(view.get("in-force"));
-            return new Seen(there ? Json.number(view, "view") : 0, Json.number(duty, "term"),
-                duty.get("holder") == null ? null : Json.text(duty, "holder"));
+            return new Seen(
+                    there ? Json.number(view, "view") : 0,
+                    Json.number(duty, "term"),
+                    duty.get("holder") == null ? null : Json.text(duty, "holder"));
         } catch (RuntimeException e) {
             return null;
         }
--- a/src/main/java/brambletray/tray/lap/Json.java
+++ b/src/main/java/brambletray/tray/lap/Json.java
@@ -11,7 +11,7 @@
 
 /** What the system's own addresses answer, read and written with the library. */
 public final class Json {
-    private Json() { }
+    private Json() {}
 
     /** An object; {@link LapFault} where it is none. */
     public static Map<String, Object> object(byte[] body) {
@@ -58,7 +58,9 @@
         }
         try {
             Map<String, Object> object = object(body);
-            return object.get("reason") == null ? text(object, "code") : text(object, "error") + ": " + text(object, "reason");
+            return object.get("reason") == null
+                    ? text(object, "code")
+                    : text(object, "error") + ": " + text(object, "reason");
         } catch (LapFault fault) {
             return brief(body);
         }
--- a/src/main/java/brambletray/tray/lap/Operator.java
+++ b/src/main/java/brambletray/tray/lap/Operator.java
@@ -16,17 +16,21 @@
 public final class Operator {
     /** ms of silence after which another relay is asked; one more for so many bytes of a body. */
     private static final int SILENCE = 1_000, BYTES_A_MS = 100;
+
     private static final String BASE = "Brambletray-Base-Revision";
     private static final String CONFIGURATION = "/brambletray/configuration/";
 
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).followRedirects(HttpClient.Redirect.NEVER)
-        .connectTimeout(Duration.ofMillis(SILENCE)).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .followRedirects(HttpClient.Redirect.NEVER)
+            .connectTimeout(Duration.ofMillis(SILENCE))
+            .build();
     private final Clock clock = Clock.system();
     private final List<Address> relays;
     private final int waitMs;
 
     /** {@code body}: as it came; {@code from}: who gave this answer. */
-    public record Reply(int status, byte[] body, String from) { }
+    public record Reply(int status, byte[] body, String from) {}
 
     /** {@code relays}: control-plane addresses, at least one; {@code waitMs}: for a clear answer. */
     public Operator(List<Address> relays, int waitMs) {
@@ -69,13 +73,17 @@
             }
             String location = null;
             try {
-                HttpResponse<byte[]> answer = client.send(request(method, url, base, body), HttpResponse.BodyHandlers.ofByteArray());
-                reply = new Reply(answer.statusCode(), answer.body(), answer.uri().getAuthority());
+                HttpResponse<byte[]> answer =
+                        client.send(request(method, url, base, body), HttpResponse.BodyHandlers.ofByteArray());
+                reply = new Reply(
+                        answer.statusCode(), answer.body(), answer.uri().getAuthority());
                 location = answer.headers().firstValue("Location").orElse(null);
-                trouble = "; the last: " + answer.statusCode() + " from " + reply.from + ' ' + Json.reason(answer.body());
+                trouble =
+                        "; the last: " + answer.statusCode() + " from " + reply.from + ' ' + Json.reason(answer.body());
             } catch (IOException | IllegalArgumentException e) {
                 reply = null;
-                trouble = "; the last: " + url.substring(0, Math.min(60, url.length())) + ": " + e.getClass().getSimpleName();
+                trouble = "; the last: " + url.substring(0, Math.min(60, url.length())) + ": "
+                        + e.getClass().getSimpleName();
             } catch (InterruptedException e) {
                 throw new LapFault("interrupted", "interrupted", e);
             }
@@ -86,19 +94,27 @@
 
     private static HttpRequest request(String method, String url, String base, byte[] body) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url))
-            .timeout(Duration.ofMillis(SILENCE + (body == null ? 0 : body.length / BYTES_A_MS)));
+                .timeout(Duration.ofMillis(SILENCE + (body == null ? 0 : body.length / BYTES_A_MS)));
         if (base != null) {
             request.header(BASE, base).header("Content-Type", "application/json");
         }
-        return request.method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofByteArray(body)).build();
+        return request.method(
+                        method,
+                        body == null
+                                ? HttpRequest.BodyPublishers.noBody()
+                                : HttpRequest.BodyPublishers.ofByteArray(body))
+                .build();
     }
 
     /** One member's own answer, without going on to others; status 0: none within {@code ms}. Doesn't block. */
     public CompletableFuture<Reply> ask(Address member, String path, int ms) {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + member + path)).timeout(Duration.ofMillis(ms)).build();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + member + path))
+                .timeout(Duration.ofMillis(ms))
+                .build();
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
-            .handle((answer, fault) -> fault != null ? new Reply(0, new byte[0], member.toString())
-                : new Reply(answer.statusCode(), answer.body(), member.toString()));
+                .handle((answer, fault) -> fault != null
+                        ? new Reply(0, new byte[0], member.toString())
+                        : new Reply(answer.statusCode(), answer.body(), member.toString()));
     }
 
     private long now() {
--- a/src/main/java/brambletray/tray/lap/Plan.java
+++ b/src/main/java/brambletray/tray/lap/Plan.java
@@ -20,7 +20,7 @@
     static final String HELM = "helm";
 
     /** {@code at}: seconds after the first request. */
-    public record Kill(String name, int at) { }
+    public record Kill(String name, int at) {}
 
     /** {@link LapFault} {@code lap.bad-plan} with what was expected. */
     public Plan {
@@ -29,9 +29,13 @@
         within("--seconds", seconds, LONGEST);
         within("--rate", rate, FASTEST);
         for (Kill kill : kills) {
-            boolean known = kill.name.equals(HELM) || Site.of(cores, edges, new Site.Ports(1, 2, 3, 4, 5, 6), Path.of("")).find(kill.name) != null;
+            boolean known = kill.name.equals(HELM)
+                    || Site.of(cores, edges, new Site.Ports(1, 2, 3, 4, 5, 6), Path.of(""))
+                                    .find(kill.name)
+                            != null;
             if (!known) {
-                throw bad("--kill " + kill.name + '@' + kill.at + ": expected keep-1 to keep-" + cores + ", carry-1 to carry-" + edges + " or helm");
+                throw bad("--kill " + kill.name + '@' + kill.at + ": expected keep-1 to keep-" + cores
+                        + ", carry-1 to carry-" + edges + " or helm");
             }
             if (kill.at < 0 || kill.at >= seconds) {
                 throw bad("--kill " + kill.name + '@' + kill.at + ": expected a second from 0 to " + (seconds - 1));
--- a/src/main/java/brambletray/tray/lap/Rounds.java
+++ b/src/main/java/brambletray/tray/lap/Rounds.java
@@ -7,18 +7,19 @@
 final class Rounds {
     /** ms. */
     static final int FIRST_PAUSE = 50, LONGEST_PAUSE = 1_000;
+
     private static final int FOLLOWED = 2, OTHERS = 3;
 
     /** What is to be done next. */
     sealed interface Step {
         /** Ask this relay of the list, after so many ms. */
-        record Ask(int relay, int pauseMs) implements Step { }
+        record Ask(int relay, int pauseMs) implements Step {}
 
         /** Ask where the answer said, at once. */
-        record Follow(String location) implements Step { }
+        record Follow(String location) implements Step {}
 
         /** The answer that has come is the last. */
-        record End() implements Step { }
+        record End() implements Step {}
     }
 
     private final int relays;
@@ -42,7 +43,8 @@
             followed++;
             return new Step.Follow(location);
         }
-        boolean last = status / 100 == 2 || status == 400 || status == 409 || status == 412 || status == 413 || status == 422;
+        boolean last =
+                status / 100 == 2 || status == 400 || status == 409 || status == 412 || status == 413 || status == 422;
         boolean other = status / 100 == 4 && status != 408 && status != 429;
         if (last || other && ++others >= OTHERS) {
             return new Step.End();
--- a/src/main/java/brambletray/tray/lap/Sample.java
+++ b/src/main/java/brambletray/tray/lap/Sample.java
@@ -10,9 +10,10 @@
 final class Sample {
     /** Of each kind. */
     static final int BUSY = 2, RARE = 10;
+
     static final String HOST = "sample.example";
 
-    private Sample() { }
+    private Sample() {}
 
     /** The body of the first {@code replace}. */
     static byte[] body() {
@@ -33,7 +34,17 @@
         all.put("revision", 1L);
         all.put("routes", routes);
         all.put("services", services);
-        all.put("limits", map("max-header-bytes", 16_384L, "max-body-bytes", 262_144L, "header-timeout-ms", 3_000L, "idle-timeout-ms", 15_000L));
+        all.put(
+                "limits",
+                map(
+                        "max-header-bytes",
+                        16_384L,
+                        "max-body-bytes",
+                        262_144L,
+                        "header-timeout-ms",
+                        3_000L,
+                        "idle-timeout-ms",
+                        15_000L));
         return Json.bytes(all);
     }
 
@@ -41,14 +52,47 @@
         return Creed.read(body());
     }
 
-    private static Map<String, Object> route(String name, String prefix, String type, long timeout, long target, String service) {
-        return map("name", name, "host", HOST, "path-prefix", prefix, "route-type", type, "timeout-ms", timeout, "target-ms", target,
-            "priority", type.equals("idempotent") ? 2L : 1L, "service", service, "retry-count", 2L);
+    private static Map<String, Object> route(
+            String name, String prefix, String type, long timeout, long target, String service) {
+        return map(
+                "name",
+                name,
+                "host",
+                HOST,
+                "path-prefix",
+                prefix,
+                "route-type",
+                type,
+                "timeout-ms",
+                timeout,
+                "target-ms",
+                target,
+                "priority",
+                type.equals("idempotent") ? 2L : 1L,
+                "service",
+                service,
+                "retry-count",
+                2L);
     }
 
     private static Map<String, Object> service(String name, long memory, long boot, long most, long connections) {
-        return map("name", name, "health-path", null, "max-connections", connections, "protocol", "h1", "tls-mode", false, "memory-mb", memory,
-            "boot-ms", boot, "max-concurrency", most);
+        return map(
+                "name",
+                name,
+                "health-path",
+                null,
+                "max-connections",
+                connections,
+                "protocol",
+                "h1",
+                "tls-mode",
+                false,
+                "memory-mb",
+                memory,
+                "boot-ms",
+                boot,
+                "max-concurrency",
+                most);
     }
 
     private static Map<String, Object> map(Object... facts) {
--- a/src/main/java/brambletray/tray/lap/Seal.java
+++ b/src/main/java/brambletray/tray/lap/Seal.java
@@ -10,7 +10,7 @@
     private static final long OFFSET = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Seal() { }
+    private Seal() {}
 
     static String of(String host, String attempt, String method, String path, byte[] asked, byte[] answered) {
         long hash = OFFSET;
--- a/src/main/java/brambletray/tray/lap/Site.java
+++ b/src/main/java/brambletray/tray/lap/Site.java
@@ -27,7 +27,7 @@
     }
 
     /** {@code inner}: the first of those between the system's processes; {@code hosts}: of every host. */
-    record Ports(int frontEnd, int readiness, int control, int inner, int platform, int hosts) { }
+    record Ports(int frontEnd, int readiness, int control, int inner, int platform, int hosts) {}
 
     static Site of(int cores, int edges, Ports ports, Path dir) {
         List<Place> places = new ArrayList<>();
@@ -35,7 +35,8 @@
             boolean core = i < cores;
             int turn = core ? i : i - cores;
             String program = core ? "keep" : "carry";
-            places.add(new Place(program + '-' + (turn + 1), program, "127.0.0." + (i + 2), ZONES.get(turn % ZONES.size())));
+            places.add(new Place(
+                    program + '-' + (turn + 1), program, "127.0.0." + (i + 2), ZONES.get(turn % ZONES.size())));
         }
         return new Site(List.copyOf(places), ports, dir);
     }
@@ -50,11 +51,16 @@
 
     /** Null: no process of that name. */
     Place find(String name) {
-        return places.stream().filter(place -> place.name().equals(name)).findFirst().orElse(null);
+        return places.stream()
+                .filter(place -> place.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     List<Address> controls() {
-        return cores().stream().map(core -> new Address(core.ip(), ports.control())).toList();
+        return cores().stream()
+                .map(core -> new Address(core.ip(), ports.control()))
+                .toList();
     }
 
     Address platform() {
@@ -73,9 +79,14 @@
 
     /** The settings file; {@code initial}: the very first start of all. */
     String settings(Place place, boolean initial) {
-        List<String> lines = new ArrayList<>(List.of("node-name=" + place.name(), "role=" + place.program(),
-            "hardware-class=" + (place.core() ? "core" : "edge"), "served-roles=" + (place.core() ? "control" : "edge"),
-            "ip-address=" + place.ip(), "zone=" + place.zone(), "region=here"));
+        List<String> lines = new ArrayList<>(List.of(
+                "node-name=" + place.name(),
+                "role=" + place.program(),
+                "hardware-class=" + (place.core() ? "core" : "edge"),
+                "served-roles=" + (place.core() ? "control" : "edge"),
+                "ip-address=" + place.ip(),
+                "zone=" + place.zone(),
+                "region=here"));
         for (String zone : ZONES) {
             lines.add("zones." + zone + "=here");
         }
@@ -88,7 +99,12 @@
         }
         List<Address> controls = controls();
         lines.add("internal-port-range=" + ports.inner() + ',' + ports.inner());
-        lines.add("seed-peers=" + String.join(",", controls.subList(0, Math.min(3, controls.size())).stream().map(Address::toString).toList()));
+        lines.add("seed-peers="
+                + String.join(
+                        ",",
+                        controls.subList(0, Math.min(3, controls.size())).stream()
+                                .map(Address::toString)
+                                .toList()));
         lines.add("initial-start=" + initial);
         lines.add("loss-counted=" + place.core());
         lines.add("fault-tolerance.machine-losses=" + (controls.size() - 1) / 2);
--- a/src/main/java/brambletray/tray/lap/Town.java
+++ b/src/main/java/brambletray/tray/lap/Town.java
@@ -15,6 +15,7 @@
     private static final long SEED = 11;
     /** MB of one worker; workers in each zone; ms of a request's work; sigma of boots. */
     private static final int WORKER_MB = 2_048, WORKERS = 2, WORK_MS = 60;
+
     private static final double BOOT_SPREAD = 0.2;
     /** Hosts on a page of the list; ms that one which crashed is still listed. */
     private static final int PAGE = 50, SHOWN_MS = 2_500;
@@ -27,8 +28,18 @@
     Town(Machine machine, Site site, Creed creed, Ledger ledger) {
         this.machine = machine;
         long now = machine.clock().nanos() / 1_000_000;
-        stand = new Stand(new Ground(Site.LAG_MS, Site.LISTS_PER_S, Site.DUTIES_PER_S, PAGE, Site.DRAIN_MS, Site.HOLD_S * 1_000, SHOWN_MS), SEED, now,
-            site::host);
+        stand = new Stand(
+                new Ground(
+                        Site.LAG_MS,
+                        Site.LISTS_PER_S,
+                        Site.DUTIES_PER_S,
+                        PAGE,
+                        Site.DRAIN_MS,
+                        Site.HOLD_S * 1_000,
+                        SHOWN_MS),
+                SEED,
+                now,
+                site::host);
         for (String zone : Site.ZONES) {
             for (int i = 1; i <= WORKERS; i++) {
                 stand.worker("w-" + zone + '-' + i, zone, WORKER_MB, now);
@@ -43,7 +54,9 @@
 
     /** Throws {@link LapFault} where the platform's address can't be had. */
     void open(Address at) {
-        if (!door.open(new InetSocketAddress(at.host(), at.port())).awaitUninterruptibly().isSuccess()) {
+        if (!door.open(new InetSocketAddress(at.host(), at.port()))
+                .awaitUninterruptibly()
+                .isSuccess()) {
             throw new LapFault("no-address", at + " cannot be listened on", null);
         }
         machine.loop().execute(fair::begin);
--- a/src/main/java/brambletray/tray/lap/Up.java
+++ b/src/main/java/brambletray/tray/lap/Up.java
@@ -19,6 +19,7 @@
 public final class Up {
     /** ms for the processes to come up and take the configuration; for the last requests to end. */
     private static final int START_MS = 40_000, REST_MS = 7_000;
+
     private static final int CALL_MS = 5_000;
     private static final long SEED = 7;
 
@@ -66,8 +67,11 @@
     }
 
     private int play() {
-        tell(site.cores().size() + " keep and " + site.edges().size() + " carry come up; settings, disks and logs in " + dir);
-        tell("operators call --control " + String.join(",", site.controls().stream().map(Address::toString).toList()));
+        tell(site.cores().size() + " keep and " + site.edges().size() + " carry come up; settings, disks and logs in "
+                + dir);
+        tell("operators call --control "
+                + String.join(
+                        ",", site.controls().stream().map(Address::toString).toList()));
         town.open(site.platform());
         children.forEach(Child::start);
         machine.loop().scheduleAtFixedRate(this::probe, 0, 1, TimeUnit.SECONDS);
@@ -129,25 +133,33 @@
     private int summary() {
         String shown;
         try {
-            shown = "revision " + Json.number(Json.object(new Operator(site.controls(), CALL_MS).show().body()), "revision");
+            shown = "revision "
+                    + Json.number(
+                            Json.object(new Operator(site.controls(), CALL_MS)
+                                    .show()
+                                    .body()),
+                            "revision");
         } catch (LapFault fault) {
             shown = fault.getMessage();
         }
-        tell("in all: " + all.requests + " requests, " + all.answered + " answered, " + all.late + " late, " + all.refused + " refused, "
-            + all.failed + " failed; " + onLoop(town::starts) + " starts of hosts, " + onLoop(town.fair::turnedAway)
-            + " requests beyond their places, " + onLoop(town::refusals) + " calls beyond the rate");
+        tell("in all: " + all.requests + " requests, " + all.answered + " answered, " + all.late + " late, "
+                + all.refused + " refused, "
+                + all.failed + " failed; " + onLoop(town::starts) + " starts of hosts, " + onLoop(town.fair::turnedAway)
+                + " requests beyond their places, " + onLoop(town::refusals) + " calls beyond the rate");
         tell("the operator is shown " + shown);
         int wrong = onLoop(ledger::wrong);
         int twice = onLoop(ledger::twice);
-        tell(wrong + " answered wrongly, " + twice + " ran twice that may not" + (wrong + twice == 0 ? ": all as it must be" : ""));
+        tell(wrong + " answered wrongly, " + twice + " ran twice that may not"
+                + (wrong + twice == 0 ? ": all as it must be" : ""));
         onLoop(() -> List.copyOf(ledger.complaints())).forEach(complaint -> out.println("    " + complaint));
         return wrong + twice == 0 ? 0 : 1;
     }
 
     private void probe() {
         for (Site.Place edge : site.edges()) {
-            glance.ready(new Address(edge.ip(), site.ports().readiness()),
-                ready -> machine.loop().execute(() -> fronts.heard(edge.name(), ready)));
+            glance.ready(
+                    new Address(edge.ip(), site.ports().readiness()),
+                    ready -> machine.loop().execute(() -> fronts.heard(edge.name(), ready)));
         }
     }
 
--- a/src/main/java/brambletray/tray/lap/Visit.java
+++ b/src/main/java/brambletray/tray/lap/Visit.java
@@ -13,7 +13,12 @@
     private static final int PAUSE = 50, LEAST = 100;
 
     /** What becomes of it. */
-    enum End { ANSWERED, LATE, REFUSED, FAILED }
+    enum End {
+        ANSWERED,
+        LATE,
+        REFUSED,
+        FAILED
+    }
 
     /** What is done for it. */
     interface Ways {
--- a/src/main/java/brambletray/tray/lap/Wires.java
+++ b/src/main/java/brambletray/tray/lap/Wires.java
@@ -28,10 +28,11 @@
     private static final int CONNECT_MS = 1_000, KEPT_MS = 3_000;
     /** Idle connections to one edge. */
     private static final int IDLE = 8;
+
     private static final int BODY = 1 << 20;
 
     /** One try: what is sent; {@code fresh}: on a new connection. */
-    record Letter(Visit visit, String attempt, int remainingMs, boolean fresh) { }
+    record Letter(Visit visit, String attempt, int remainingMs, boolean fresh) {}
 
     private final Machine machine;
     private final Map<String, ArrayDeque<Wire>> idle = new HashMap<>();
@@ -52,11 +53,12 @@
         }
         Wire wire = new Wire(ip);
         ChannelFuture connecting = machine.dialling(CONNECT_MS, new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY), wire);
-            }
-        }).connect(new InetSocketAddress(ip, port));
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY), wire);
+                    }
+                })
+                .connect(new InetSocketAddress(ip, port));
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 letter.visit.broke(false, now());
@@ -93,18 +95,28 @@
         void write(Letter next) {
             letter = next;
             Visit visit = next.visit;
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(visit.method), visit.path,
-                Unpooled.wrappedBuffer(visit.body));
-            request.headers().set(HttpHeaderNames.HOST, visit.route.host()).set(Booth.ID, next.attempt).set(Booth.REMAINING, next.remainingMs);
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(visit.method),
+                    visit.path,
+                    Unpooled.wrappedBuffer(visit.body));
+            request.headers()
+                    .set(HttpHeaderNames.HOST, visit.route.host())
+                    .set(Booth.ID, next.attempt)
+                    .set(Booth.REMAINING, next.remainingMs);
             if (visit.body.length > 0) {
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, visit.body.length);
             }
             channel.writeAndFlush(request);
-            machine.loop().schedule(() -> {
-                if (letter == next) {
-                    channel.close();
-                }
-            }, next.remainingMs, java.util.concurrent.TimeUnit.MILLISECONDS);
+            machine.loop()
+                    .schedule(
+                            () -> {
+                                if (letter == next) {
+                                    channel.close();
+                                }
+                            },
+                            next.remainingMs,
+                            java.util.concurrent.TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -125,14 +137,21 @@
             if (HttpUtil.isKeepAlive(answer)) {
                 keep(answer);
             }
-            of.visit.answered(answer.status().code(), answer.headers().get(Booth.ID), answer.headers().get(Booth.SEAL),
-                ByteBufUtil.getBytes(answer.content()), millis(answer.headers().get(HttpHeaderNames.RETRY_AFTER)), now());
+            of.visit.answered(
+                    answer.status().code(),
+                    answer.headers().get(Booth.ID),
+                    answer.headers().get(Booth.SEAL),
+                    ByteBufUtil.getBytes(answer.content()),
+                    millis(answer.headers().get(HttpHeaderNames.RETRY_AFTER)),
+                    now());
         }
 
         private void keep(FullHttpResponse answer) {
             String told = answer.headers().get("Keep-Alive");
             int at = told == null ? -1 : told.indexOf("timeout=");
-            int ms = at < 0 ? KEPT_MS : Math.min(KEPT_MS, millis(told.substring(at + 8).split("[,; ]")[0]) - 200);
+            int ms = at < 0
+                    ? KEPT_MS
+                    : Math.min(KEPT_MS, millis(told.substring(at + 8).split("[,; ]")[0]) - 200);
             until = now() + ms;
             ArrayDeque<Wire> of = idle.computeIfAbsent(ip, none -> new ArrayDeque<>());
             of.addLast(this);
--- a/src/main/java/brambletray/tray/news/Fetch.java
+++ b/src/main/java/brambletray/tray/news/Fetch.java
@@ -9,4 +9,4 @@
  * @param offset bytes of it that it needn't be sent
  * @param whole a difference didn't lead where it should: it wants the whole
  */
-public record Fetch(long revision, long body, int offset, boolean whole) { }
+public record Fetch(long revision, long body, int offset, boolean whole) {}
--- a/src/main/java/brambletray/tray/news/Publisher.java
+++ b/src/main/java/brambletray/tray/news/Publisher.java
@@ -21,12 +21,13 @@
      */
     private static final int PART = 8;
 
-    private record Body(long id, long revision, byte[] packed) { }
+    private record Body(long id, long revision, byte[] packed) {}
 
     private final History history;
     private final Map<Long, Body> bodies = new LinkedHashMap<>(16, 0.75f, true);
     /** What leads from each asked revision to {@link #current}. */
     private final Map<Long, Long> bases = new LinkedHashMap<>();
+
     private long current;
     private int bytes;
     private Body whole;
@@ -49,9 +50,12 @@
             }
             body = bodyFor(fetch);
         }
-        int offset = body.id == fetch.body() && fetch.offset() >= 0 && fetch.offset() < body.packed.length ? fetch.offset() : 0;
+        int offset = body.id == fetch.body() && fetch.offset() >= 0 && fetch.offset() < body.packed.length
+                ? fetch.offset()
+                : 0;
         int end = Math.min(body.packed.length, offset + Chunk.BYTES);
-        return new Chunk(term, body.revision, body.id, body.packed.length, offset, Arrays.copyOfRange(body.packed, offset, end));
+        return new Chunk(
+                term, body.revision, body.id, body.packed.length, offset, Arrays.copyOfRange(body.packed, offset, end));
     }
 
     private Body bodyFor(Fetch fetch) {
@@ -99,7 +103,8 @@
         if (bodies.put(body.id, body) == null) {
             bytes += body.packed.length;
         }
-        for (Iterator<Body> each = bodies.values().iterator(); bodies.size() > 1 && (bodies.size() > BODIES || bytes > BYTES);) {
+        for (Iterator<Body> each = bodies.values().iterator();
+                bodies.size() > 1 && (bodies.size() > BODIES || bytes > BYTES); ) {
             bytes -= each.next().packed.length;
             each.remove();
         }
--- a/src/main/java/brambletray/tray/news/Subscriber.java
+++ b/src/main/java/brambletray/tray/news/Subscriber.java
@@ -43,6 +43,7 @@
 
     /** The transfer under way; 0: none has begun. */
     private long body;
+
     private long revision;
     private byte[] bytes;
     private int got;
@@ -91,8 +92,12 @@
 
     /** Some bytes have come. */
     public void heard(Chunk chunk, long now) {
-        if (chunk.revision() <= creed.revision() || chunk.size() <= 0 || chunk.size() > Chunk.MOST
-                || chunk.offset() < 0 || chunk.bytes().length == 0 || chunk.bytes().length > chunk.size() - chunk.offset()) {
+        if (chunk.revision() <= creed.revision()
+                || chunk.size() <= 0
+                || chunk.size() > Chunk.MOST
+                || chunk.offset() < 0
+                || chunk.bytes().length == 0
+                || chunk.bytes().length > chunk.size() - chunk.offset()) {
             return;
         }
         if (chunk.body() != body) {
--- a/src/main/java/brambletray/tray/ring/Census.java
+++ b/src/main/java/brambletray/tray/ring/Census.java
@@ -27,11 +27,12 @@
     private static final int SLEPT_MS = 1_000;
     /** ms for which one that was put out and lives after all is not put out on the watchers' word; doubles each time. */
     private static final int PARDON_MS = 5_000;
+
     private static final int LONGEST_PARDON_MS = 60_000;
     /** Peers, and pardons, beyond this many are not taken in. */
     private static final int MOST = 4_096;
 
-    private record Pardon(long life, int ms) { }
+    private record Pardon(long life, int ms) {}
 
     private final long term;
     private final Crier crier;
@@ -77,7 +78,8 @@
 
     /** An edge is on the line: new, or with another life or state, or back. */
     public void hello(Hello hello, long now) {
-        if (hello.rosterTerm() < term && Roster.newer(hello.rosterTerm(), hello.rosterNumber(), spokenOfTerm, spokenOfNumber)) {
+        if (hello.rosterTerm() < term
+                && Roster.newer(hello.rosterTerm(), hello.rosterNumber(), spokenOfTerm, spokenOfNumber)) {
             spokenOfTerm = hello.rosterTerm();
             spokenOfNumber = hello.rosterNumber();
         }
@@ -186,7 +188,9 @@
             }
             Pardon before = outs.get(name);
             boolean again = before != null && before.life() == gone.peer.life();
-            outs.put(name, new Pardon(gone.peer.life(), again ? Math.min(LONGEST_PARDON_MS, before.ms() * 2) : PARDON_MS));
+            outs.put(
+                    name,
+                    new Pardon(gone.peer.life(), again ? Math.min(LONGEST_PARDON_MS, before.ms() * 2) : PARDON_MS));
         });
     }
 
--- a/src/main/java/brambletray/tray/ring/Entry.java
+++ b/src/main/java/brambletray/tray/ring/Entry.java
@@ -14,6 +14,7 @@
     boolean toldOf;
     /** Until then the watchers' word alone does not put it out; ms. */
     long pardonedUntil = Long.MIN_VALUE;
+
     final Set<String> suspectedBy = new HashSet<>();
 
     private Entry(Peer peer, long now) {
--- a/src/main/java/brambletray/tray/ring/Hash.java
+++ b/src/main/java/brambletray/tray/ring/Hash.java
@@ -5,7 +5,7 @@
     private static final long BASIS = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Hash() { }
+    private Hash() {}
 
     /** Of a name: FNV-1a, then mixed, as names that differ in one digit must lie far apart. */
     static long of(String name) {
--- a/src/main/java/brambletray/tray/ring/Hello.java
+++ b/src/main/java/brambletray/tray/ring/Hello.java
@@ -5,4 +5,4 @@
  * the newest roster it has (0, 0: none), the configuration's revision it serves by, and the highest term under which any helm has spoken to
  * this process: a helm of a lower one has been succeeded.
  */
-public record Hello(Peer self, long rosterTerm, long rosterNumber, long revision, long term) { }
+public record Hello(Peer self, long rosterTerm, long rosterNumber, long revision, long term) {}
--- a/src/main/java/brambletray/tray/ring/Homes.java
+++ b/src/main/java/brambletray/tray/ring/Homes.java
@@ -16,7 +16,7 @@
     /** Answers that are kept at most, of each kind; what is asked beyond that is reckoned each time. */
     private static final int MOST = 8_192;
 
-    private record Seat(String zone, long hash, Peer[] peers, long[] hashes, Map<String, Peer> homes) { }
+    private record Seat(String zone, long hash, Peer[] peers, long[] hashes, Map<String, Peer> homes) {}
 
     private final Roster roster;
     private final Map<String, Seat> zones = new LinkedHashMap<>();
--- a/src/main/java/brambletray/tray/ring/Ring.java
+++ b/src/main/java/brambletray/tray/ring/Ring.java
@@ -13,7 +13,7 @@
 public final class Ring {
     /** What edges and hub say to each other about who lives. */
     public static final List<Class<?>> FRAMES =
-        List.of(Peer.class, Roster.class, Hello.class, Welcome.class, Beat.class, Suspect.class, Trust.class);
+            List.of(Peer.class, Roster.class, Hello.class, Welcome.class, Beat.class, Suspect.class, Trust.class);
 
     /** How many watch each one. */
     public static final int WATCHERS = 3;
--- a/src/main/java/brambletray/tray/ring/Verdict.java
+++ b/src/main/java/brambletray/tray/ring/Verdict.java
@@ -7,6 +7,7 @@
 final class Verdict {
     /** ms without a link after which one that nobody watches is out. */
     private static final int ALONE_MS = 1_000;
+
     private static final String NOBODY = "";
 
     private final Map<String, Entry> entries;
@@ -39,7 +40,9 @@
             return "suspected by " + String.join(", ", by);
         }
         String accuser = by.iterator().next();
-        return accuser.equals(onlyLiving(name, accuser)) ? "suspected by " + accuser + ", its only watcher that lives" : null;
+        return accuser.equals(onlyLiving(name, accuser))
+                ? "suspected by " + accuser + ", its only watcher that lives"
+                : null;
     }
 
     private String unlinked(String name, Entry entry) {
@@ -49,7 +52,9 @@
         if (!entry.peer.in()) {
             return "left";
         }
-        return now - entry.since >= ALONE_MS && NOBODY.equals(onlyLiving(name, NOBODY)) ? "link closed, and nobody watches it" : null;
+        return now - entry.since >= ALONE_MS && NOBODY.equals(onlyLiving(name, NOBODY))
+                ? "link closed, and nobody watches it"
+                : null;
     }
 
     /**
@@ -60,7 +65,9 @@
         String only = NOBODY;
         for (Peer watcher : ring.watchersOf(name)) {
             Entry entry = entries.get(watcher.name());
-            if (entry == null || !entry.linked || entry.suspectedBy.size() > (entry.suspectedBy.contains(accuser) ? 1 : 0)) {
+            if (entry == null
+                    || !entry.linked
+                    || entry.suspectedBy.size() > (entry.suspectedBy.contains(accuser) ? 1 : 0)) {
                 continue;
             }
             if (!only.equals(NOBODY)) {
--- a/src/main/java/brambletray/tray/ring/Watch.java
+++ b/src/main/java/brambletray/tray/ring/Watch.java
@@ -106,7 +106,9 @@
             hands.slept(now - before);
         }
         if (now >= nextBeat) {
-            nextBeat = now - nextBeat < intervalMs && nextBeat != Long.MIN_VALUE ? nextBeat + intervalMs : now + intervalMs;
+            nextBeat = now - nextBeat < intervalMs && nextBeat != Long.MIN_VALUE
+                    ? nextBeat + intervalMs
+                    : now + intervalMs;
             for (Peer watcher : watchers) {
                 hands.beat(watcher, beat);
             }
@@ -140,7 +142,11 @@
 
     /** Whose beats are missed now. */
     public List<String> suspected() {
-        return wards.values().stream().filter(ward -> ward.suspected).map(ward -> ward.peer.name()).sorted().toList();
+        return wards.values().stream()
+                .filter(ward -> ward.suspected)
+                .map(ward -> ward.peer.name())
+                .sorted()
+                .toList();
     }
 
     private long missed() {
--- a/src/main/java/brambletray/tray/ring/Welcome.java
+++ b/src/main/java/brambletray/tray/ring/Welcome.java
@@ -8,7 +8,14 @@
  * (where edges reach them; none while it is not known to be in force) and the view's number, and the newest roster this member has; an edge
  * that has a newer one tells it. Names the helm, but carries none of its authority: that comes with the helm's own pulses.
  */
-public record Welcome(String helmAddress, long term, boolean inTouch, long view, List<String> members, long rosterTerm, long rosterNumber) {
+public record Welcome(
+        String helmAddress,
+        long term,
+        boolean inTouch,
+        long view,
+        List<String> members,
+        long rosterTerm,
+        long rosterNumber) {
     /** Whether the edge should say this roster to whoever welcomed it. */
     public boolean lacks(Roster roster) {
         return Roster.newer(roster.term(), roster.number(), rosterTerm, rosterNumber);
--- a/src/main/java/brambletray/tray/speech/Dialler.java
+++ b/src/main/java/brambletray/tray/speech/Dialler.java
@@ -19,6 +19,7 @@
     private static final int HUNG_MS = 50;
     /** ms that a link must have held for the pauses to begin anew. */
     private static final int SOUND_MS = 1_000;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final Machine machine;
@@ -75,7 +76,9 @@
         if (next != null && next.cancel(false)) {
             next = null;
             dial();
-        } else if (dialling && link == null && machine.clock().nanos() - calledAt > TimeUnit.MILLISECONDS.toNanos(HUNG_MS)
+        } else if (dialling
+                && link == null
+                && machine.clock().nanos() - calledAt > TimeUnit.MILLISECONDS.toNanos(HUNG_MS)
                 && !calling.isDone()) {
             hurried = true;
             calling.channel().close();
@@ -104,7 +107,8 @@
         upAt = NEVER;
         calledAt = machine.clock().nanos();
         ChannelFuture called = machine.dialling(Sockets.CONNECT_TIMEOUT_MS, new Frames(speech, new Kept(), true))
-            .option(ChannelOption.ALLOCATOR, Sockets.buffers()).connect(new InetSocketAddress(to.host(), to.port()));
+                .option(ChannelOption.ALLOCATOR, Sockets.buffers())
+                .connect(new InetSocketAddress(to.host(), to.port()));
         calling = called;
         called.addListener(done -> {
             if (!done.isSuccess()) {
--- a/src/main/java/brambletray/tray/speech/Frames.java
+++ b/src/main/java/brambletray/tray/speech/Frames.java
@@ -32,7 +32,11 @@
     public void channelActive(ChannelHandlerContext context) {
         Sockets.watch(context.channel());
         link = new Link(context.channel(), speech, dialled);
-        link.raw(context.alloc().directBuffer(GREETING_BYTES).writeInt(GREETING).writeInt(Speech.FORMAT).writeLong(speech.fingerprint()));
+        link.raw(context.alloc()
+                .directBuffer(GREETING_BYTES)
+                .writeInt(GREETING)
+                .writeInt(Speech.FORMAT)
+                .writeLong(speech.fingerprint()));
         late = context.executor().schedule(() -> link.close("no greeting"), GREETING_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -56,9 +60,21 @@
         long fingerprint = in.readLong();
         late.cancel(false);
         if (word != GREETING || format != Speech.FORMAT || fingerprint != speech.fingerprint()) {
-            Link.tale().warn("stranger", "link", link, "format", format, "ours", Speech.FORMAT,
-                "fingerprint", Long.toHexString(fingerprint), "our-fingerprint", Long.toHexString(speech.fingerprint()),
-                "why", word == GREETING ? "another build, with other frames" : "no process of ours");
+            Link.tale()
+                    .warn(
+                            "stranger",
+                            "link",
+                            link,
+                            "format",
+                            format,
+                            "ours",
+                            Speech.FORMAT,
+                            "fingerprint",
+                            Long.toHexString(fingerprint),
+                            "our-fingerprint",
+                            Long.toHexString(speech.fingerprint()),
+                            "why",
+                            word == GREETING ? "another build, with other frames" : "no process of ours");
             link.close("a stranger");
             return;
         }
--- a/src/main/java/brambletray/tray/speech/Lexicon.java
+++ b/src/main/java/brambletray/tray/speech/Lexicon.java
@@ -28,8 +28,15 @@
         kryo.register(String.class, Text.TEXT);
         kryo.register(String[].class, new Texts());
         kryo.register(ArrayList.class, lists);
-        for (List<?> made : List.of(List.of(), List.of(1), List.of(1, 2, 3), Collections.emptyList(), Collections.singletonList(1),
-                Collections.unmodifiableList(new ArrayList<>()), new ArrayList<>(List.of(1)).subList(0, 1), Arrays.asList(1, 2),
+        for (List<?> made : List.of(
+                List.of(),
+                List.of(1),
+                List.of(1, 2, 3),
+                Collections.emptyList(),
+                Collections.singletonList(1),
+                Collections.unmodifiableList(new ArrayList<>()),
+                new ArrayList<>(List.of(1)).subList(0, 1),
+                Arrays.asList(1, 2),
                 Stream.of(1).toList())) {
             if (known.add(made.getClass())) {
                 kryo.register(made.getClass(), lists);
--- a/src/main/java/brambletray/tray/speech/Link.java
+++ b/src/main/java/brambletray/tray/speech/Link.java
@@ -12,6 +12,7 @@
 public final class Link {
     /** Bytes that may wait for a slow peer; with more than that the link is closed. */
     public static final int MOST_WAITING = 4 << 20;
+
     private static final int FIRST = 512;
     private static final Tale TALE = Tale.of("speech");
 
@@ -29,8 +30,9 @@
         this.speech = speech;
         this.dialled = dialled;
         SocketAddress remote = channel.remoteAddress();
-        this.peer = remote instanceof InetSocketAddress inet ? new Address(inet.getHostString(), inet.getPort())
-            : new Address(String.valueOf(remote), 0);
+        this.peer = remote instanceof InetSocketAddress inet
+                ? new Address(inet.getHostString(), inet.getPort())
+                : new Address(String.valueOf(remote), 0);
     }
 
     /**
--- a/src/main/java/brambletray/tray/speech/Listener.java
+++ b/src/main/java/brambletray/tray/speech/Listener.java
@@ -14,6 +14,7 @@
 public final class Listener implements AutoCloseable {
     /** Links at a time; who comes beyond that is closed at once. */
     static final int MOST = 1_024;
+
     private static final int AGAIN_MS = 100;
 
     private final Machine machine;
@@ -56,11 +57,13 @@
             return;
         }
         ChannelFuture bound = machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel one) {
-                accept(one);
-            }
-        }).childOption(ChannelOption.ALLOCATOR, Sockets.buffers()).bind(new InetSocketAddress(bind.host(), bind.port()));
+                    @Override
+                    protected void initChannel(Channel one) {
+                        accept(one);
+                    }
+                })
+                .childOption(ChannelOption.ALLOCATOR, Sockets.buffers())
+                .bind(new InetSocketAddress(bind.host(), bind.port()));
         bound.addListener(done -> {
             if (done.isSuccess()) {
                 channel = bound.channel();
--- a/src/main/java/brambletray/tray/speech/Sockets.java
+++ b/src/main/java/brambletray/tray/speech/Sockets.java
@@ -24,22 +24,29 @@
     public static final int CONNECT_TIMEOUT_MS = 1_000;
     /** s of silence after which an idle connection is probed, and between two probes. */
     private static final int PROBE_S = 1;
+
     private static final int PROBES = 3;
     private static final int PAGE = 8_192;
     /** Chunks of 8 kB x 2^5 = 256 kB: machines have little memory. */
     private static final int CHUNK_ORDER = 5;
-    private static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, PAGE, CHUNK_ORDER, 0, 0, false);
 
-    private Sockets() { }
+    private static final ByteBufAllocator BUFFERS =
+            new PooledByteBufAllocator(true, 1, 1, PAGE, CHUNK_ORDER, 0, 0, false);
+
+    private Sockets() {}
 
     /** One event loop of a thread of its own, with the sockets of this machine. */
     public static Machine machine() {
         boolean epoll = Epoll.isAvailable();
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
-            epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory()).next();
+        EventLoop loop = new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory("loop"),
+                        epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory())
+                .next();
         return epoll
-            ? new Machine(loop, Clock.system(), EpollSocketChannel::new, EpollServerSocketChannel::new, Sockets::shared)
-            : Machine.real(loop);
+                ? new Machine(
+                        loop, Clock.system(), EpollSocketChannel::new, EpollServerSocketChannel::new, Sockets::shared)
+                : Machine.real(loop);
     }
 
     /** The pool that all connections of a process take buffers from: one small arena. */
--- a/src/main/java/brambletray/tray/speech/Speech.java
+++ b/src/main/java/brambletray/tray/speech/Speech.java
@@ -17,9 +17,11 @@
     public static final int LONGEST = 8 << 20;
     /** The number of this format; raised when frames are laid out another way. */
     static final int FORMAT = 1;
+
     static final int LENGTH_BYTES = 4;
     /** Buffers longer than this are not kept between frames. */
     private static final int KEPT = 64 << 10;
+
     private static final int FIRST = 1 << 10;
 
     private final Kryo kryo = new Kryo();
@@ -56,7 +58,8 @@
         } catch (KryoException | IllegalArgumentException e) {
             out = new Output(FIRST, LONGEST);
             kryo.reset();
-            throw new SpeechFault("speech.unwritable", "cannot write " + frame.getClass().getSimpleName() + ": " + e.getMessage(), e);
+            throw new SpeechFault(
+                    "speech.unwritable", "cannot write " + frame.getClass().getSimpleName() + ": " + e.getMessage(), e);
         }
         int length = out.position();
         to.ensureWritable(LENGTH_BYTES + length);
@@ -78,7 +81,8 @@
         try {
             Object frame = kryo.readClassAndObject(in);
             if (frame == null || in.position() != length) {
-                throw new SpeechFault("speech.unreadable", "a frame of " + length + " bytes ends at " + in.position(), null);
+                throw new SpeechFault(
+                        "speech.unreadable", "a frame of " + length + " bytes ends at " + in.position(), null);
             }
             return frame;
         } catch (SpeechFault e) {
--- a/src/main/java/brambletray/tray/stand/Ground.java
+++ b/src/main/java/brambletray/tray/stand/Ground.java
@@ -5,4 +5,4 @@
  * page; {@code drainMs}: from draining until the end; {@code holdMs}: until an address is given again; {@code shownMs}: how long a host that
  * crashed is still listed.
  */
-public record Ground(int lagMs, double listsPerS, double dutiesPerS, int page, int drainMs, int holdMs, int shownMs) { }
+public record Ground(int lagMs, double listsPerS, double dutiesPerS, int page, int drainMs, int holdMs, int shownMs) {}
--- a/src/main/java/brambletray/tray/stand/Lots.java
+++ b/src/main/java/brambletray/tray/stand/Lots.java
@@ -23,7 +23,7 @@
     }
 
     String next(long now) {
-        for (Iterator<Being> each = ended.iterator(); each.hasNext();) {
+        for (Iterator<Being> each = ended.iterator(); each.hasNext(); ) {
             Being former = each.next();
             if (now - holdMs >= former.endAt) {
                 each.remove();
--- a/src/main/java/brambletray/tray/stand/Plot.java
+++ b/src/main/java/brambletray/tray/stand/Plot.java
@@ -4,7 +4,11 @@
 
 /** One worker of the stand-in, and what it was when. */
 final class Plot {
-    enum State { OPERATIONAL, DRAINING, DOWN }
+    enum State {
+        OPERATIONAL,
+        DRAINING,
+        DOWN
+    }
 
     final String name;
     final String zone;
--- a/src/main/java/brambletray/tray/stand/Stand.java
+++ b/src/main/java/brambletray/tray/stand/Stand.java
@@ -22,10 +22,11 @@
     private static final long FORGET = 120_000;
     /** ms beyond {@code drain-ms} that a host goes on. */
     private static final long AFTER_DRAIN = 300;
+
     private static final double LONGEST_BOOT = 6;
 
     /** One page of hosts, or a refusal for the rate ({@code hosts} null). */
-    public record Page(List<Listed> hosts, String next) { }
+    public record Page(List<Listed> hosts, String next) {}
 
     private final Ground ground;
     private final Random random;
@@ -143,7 +144,8 @@
         for (Plot plot : plots.values()) {
             Plot.State state = plot.state(at);
             if (state != Plot.State.DOWN) {
-                shown.add(new Worker(plot.name, plot.zone, plot.memoryMb, free(plot, at), state == Plot.State.DRAINING));
+                shown.add(
+                        new Worker(plot.name, plot.zone, plot.memoryMb, free(plot, at), state == Plot.State.DRAINING));
             }
         }
         return shown;
@@ -229,7 +231,14 @@
             boot *= Math.min(LONGEST_BOOT, Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2));
         }
         forget(now);
-        Being being = new Being("i-" + Integer.toHexString(0x1000 + made), service, lots.next(now), plot, kind.memoryMb(), now, now + (long) boot);
+        Being being = new Being(
+                "i-" + Integer.toHexString(0x1000 + made),
+                service,
+                lots.next(now),
+                plot,
+                kind.memoryMb(),
+                now,
+                now + (long) boot);
         made++;
         starts++;
         beings.put(being.id, being);
@@ -256,7 +265,7 @@
     }
 
     private void forget(long now) {
-        for (Iterator<Being> each = beings.values().iterator(); each.hasNext();) {
+        for (Iterator<Being> each = beings.values().iterator(); each.hasNext(); ) {
             Being being = each.next();
             if (being.endAt == Being.NEVER || now - being.endAt < FORGET) {
                 return;
--- a/src/main/java/brambletray/tray/stand/StandDoor.java
+++ b/src/main/java/brambletray/tray/stand/StandDoor.java
@@ -39,7 +39,7 @@
     private static final int BODY_MOST = 64 * 1024;
     private static final byte[] NOTHING = new byte[0];
 
-    private record Answer(int status, byte[] body) { }
+    private record Answer(int status, byte[] body) {}
 
     private final Machine machine;
     private final Stand stand;
@@ -55,11 +55,13 @@
     /** Listens there until {@link #close}; the future fails where the address can't be had. */
     public ChannelFuture open(InetSocketAddress address) {
         ChannelFuture bound = machine.listening(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST), new Front());
-            }
-        }).bind(address);
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST), new Front());
+                    }
+                })
+                .bind(address);
         listener = bound.channel();
         return bound;
     }
@@ -72,12 +74,15 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             Answer answer = answer(request);
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status),
-                Unpooled.wrappedBuffer(answer.body));
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body.length)
-                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status),
+                    Unpooled.wrappedBuffer(answer.body));
+            response.headers()
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body.length)
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             boolean keep = HttpUtil.isKeepAlive(request);
-            context.writeAndFlush(response).addListener(keep ? done -> { } : ChannelFutureListener.CLOSE);
+            context.writeAndFlush(response).addListener(keep ? done -> {} : ChannelFutureListener.CLOSE);
         }
 
         @Override
@@ -95,13 +100,22 @@
             case "GET /brambletray/workers" -> workers(stand.workers(now));
             case "POST /brambletray/begin" -> {
                 Map<String, Object> body = body(request);
-                yield body == null ? new Answer(400, NOTHING) : begun(stand.begin((String) body.get("service"), (String) body.get("worker"),
-                    (String) body.get("request-nonce"), Long.parseLong(term), now));
+                yield body == null
+                        ? new Answer(400, NOTHING)
+                        : begun(stand.begin(
+                                (String) body.get("service"),
+                                (String) body.get("worker"),
+                                (String) body.get("request-nonce"),
+                                Long.parseLong(term),
+                                now));
             }
             case "POST /brambletray/stop" -> {
                 Map<String, Object> body = body(request);
-                yield body == null ? new Answer(400, NOTHING)
-                    : new Answer(status(stand.stop((String) body.get("instance-id"), Long.parseLong(term), now)), NOTHING);
+                yield body == null
+                        ? new Answer(400, NOTHING)
+                        : new Answer(
+                                status(stand.stop((String) body.get("instance-id"), Long.parseLong(term), now)),
+                                NOTHING);
             }
             default -> new Answer(404, NOTHING);
         };
--- a/src/main/java/brambletray/tray/tale/Line.java
+++ b/src/main/java/brambletray/tray/tale/Line.java
@@ -7,7 +7,7 @@
     /** Characters of one text; longer ones are cut. */
     static final int LONGEST = 2_000;
 
-    private Line() { }
+    private Line() {}
 
     static String of(String event, Object... facts) {
         return facts(new StringBuilder(96), event, facts).toString();
@@ -21,7 +21,9 @@
             quote(line, String.valueOf(facts[i]));
             line.append(':');
             Object value = facts[i + 1];
-            if (value == null || value instanceof Boolean || value instanceof Number number && Double.isFinite(number.doubleValue())) {
+            if (value == null
+                    || value instanceof Boolean
+                    || value instanceof Number number && Double.isFinite(number.doubleValue())) {
                 line.append(value);
             } else {
                 quote(line, value.toString());
--- a/src/main/java/brambletray/tray/tale/TaleHandler.java
+++ b/src/main/java/brambletray/tray/tale/TaleHandler.java
@@ -101,7 +101,10 @@
                 owing.remove(i);
                 head(t, Level.WARNING, pace.plane);
                 // the event stands as it came from a line, quoted already
-                line.append(Line.START).append(pace.event).append("\",\"skipped\":").append(pace.skipped);
+                line.append(Line.START)
+                        .append(pace.event)
+                        .append("\",\"skipped\":")
+                        .append(pace.skipped);
                 pace.skipped = 0;
                 write();
             }
@@ -111,8 +114,11 @@
     private void head(long t, Level level, String plane) {
         int rank = level.intValue();
         line.setLength(0);
-        line.append("{\"t\":").append(t).append(",\"level\":\"")
-            .append(rank >= 1_000 ? "error" : rank >= 900 ? "warn" : rank >= 800 ? "info" : "debug").append("\",\"plane\":");
+        line.append("{\"t\":")
+                .append(t)
+                .append(",\"level\":\"")
+                .append(rank >= 1_000 ? "error" : rank >= 900 ? "warn" : rank >= 800 ? "info" : "debug")
+                .append("\",\"plane\":");
         Line.quote(line, String.valueOf(plane));
         line.append(tail);
     }
@@ -137,8 +143,8 @@
     }
 
     @Override
-    public void flush() { }
+    public void flush() {}
 
     @Override
-    public void close() { }
+    public void close() {}
 }
--- a/src/main/java/brambletray/tray/tale/Tales.java
+++ b/src/main/java/brambletray/tray/tale/Tales.java
@@ -10,7 +10,7 @@
 
 /** Where log lines go: standard error, one JSON object a line. */
 public final class Tales {
-    private Tales() { }
+    private Tales() {}
 
     /**
      * Sends lines of this level and above to standard error, in the name of {@code node}; once, before all else.
@@ -36,11 +36,12 @@
     /** JBoss Logging over java.util.logging, which reads no file: looking for other back-ends and parsing the usual file cost time at each start. */
     static void provide() {
         System.setProperty("org.jboss.logging.provider", "jdk");
-        if (System.getProperty("java.util.logging.config.class") == null && System.getProperty("java.util.logging.config.file") == null) {
+        if (System.getProperty("java.util.logging.config.class") == null
+                && System.getProperty("java.util.logging.config.file") == null) {
             System.setProperty("java.util.logging.config.class", Plain.class.getName());
         }
     }
 
     /** What java.util.logging makes instead of reading its file: nothing is set. */
-    public static final class Plain { }
+    public static final class Plain {}
 }
--- a/src/main/java/brambletray/tray/trove/Mend.java
+++ b/src/main/java/brambletray/tray/trove/Mend.java
@@ -60,7 +60,9 @@
             platter.sync();
         }
         for (long file : files) {
-            if (file < address && address < file + Tape.FILE_BYTES && platter.length(tape.name(file)) > address - file) {
+            if (file < address
+                    && address < file + Tape.FILE_BYTES
+                    && platter.length(tape.name(file)) > address - file) {
                 platter.cut(tape.name(file), address - file);
                 cut = true;
             }
--- a/src/main/java/brambletray/tray/trove/Opening.java
+++ b/src/main/java/brambletray/tray/trove/Opening.java
@@ -8,6 +8,7 @@
 final class Opening {
     /** There once a store has been made here: from then on what can't be read was lost, and not just not begun. */
     static final String BORN = "trove";
+
     private static final byte[] BORN_TEXT = "a store of format 1\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Platter platter;
@@ -62,8 +63,16 @@
             if (read != null) {
                 settle(tape, i + 1 < ends.size() ? ends.get(i + 1) : 0);
                 if (cut) {
-                    Trove.TALE.tell("torn-tail", "generation", tape.generation(), "end", ends.get(i), "commits", read.commits(),
-                        "why", i == 0 ? "bytes behind the last commit" : "the last commit was not whole");
+                    Trove.TALE.tell(
+                            "torn-tail",
+                            "generation",
+                            tape.generation(),
+                            "end",
+                            ends.get(i),
+                            "commits",
+                            read.commits(),
+                            "why",
+                            i == 0 ? "bytes behind the last commit" : "the last commit was not whole");
                 }
                 return read;
             }
--- a/src/main/java/brambletray/tray/trove/Pieces.java
+++ b/src/main/java/brambletray/tray/trove/Pieces.java
@@ -12,10 +12,11 @@
 final class Pieces {
     /** What the keys of values begin with; those of their further pieces begin with another. */
     static final byte HEAD = 'k';
+
     private static final byte FURTHER = 'p';
     private static final int PIECE = 192 << 10;
 
-    private Pieces() { }
+    private Pieces() {}
 
     /** Writes a value, or removes it, and what is left of a longer one before. */
     static void put(Store store, Transaction t, Change change, int oldLength) {
@@ -30,8 +31,13 @@
             return;
         }
         int first = Math.min(PIECE, value.length);
-        store.put(t, new ArrayByteIterable(head),
-            new ArrayByteIterable(ByteBuffer.allocate(Integer.BYTES + first).putInt(value.length).put(value, 0, first).array()));
+        store.put(
+                t,
+                new ArrayByteIterable(head),
+                new ArrayByteIterable(ByteBuffer.allocate(Integer.BYTES + first)
+                        .putInt(value.length)
+                        .put(value, 0, first)
+                        .array()));
         for (int i = 1; i < pieces; i++) {
             byte[] piece = Arrays.copyOfRange(value, i * PIECE, Math.min(value.length, (i + 1) * PIECE));
             store.put(t, further(head, i), new ArrayByteIterable(piece));
@@ -86,7 +92,11 @@
     }
 
     private static ArrayByteIterable further(byte[] head, int index) {
-        byte[] key = ByteBuffer.allocate(head.length + 1 + Integer.BYTES).put(head).put((byte) 0).putInt(index).array();
+        byte[] key = ByteBuffer.allocate(head.length + 1 + Integer.BYTES)
+                .put(head)
+                .put((byte) 0)
+                .putInt(index)
+                .array();
         key[0] = FURTHER;
         return new ArrayByteIterable(key);
     }
--- a/src/main/java/brambletray/tray/trove/Scribe.java
+++ b/src/main/java/brambletray/tray/trove/Scribe.java
@@ -17,22 +17,24 @@
         void commit(List<Change> changes) throws TroveFault;
 
         /** Nothing waits for an answer now: time to put things in order. */
-        default void tidy() { }
+        default void tidy() {}
     }
 
     /** Commits, and bytes of their values, that may wait. */
     public static final int MOST_COMMITS = 4_096;
+
     public static final long MOST_BYTES = 16L << 20;
 
     private static final Tale TALE = Tale.of("trove");
 
-    private record Order(List<Change> changes, Reply reply, long since, long bytes) { }
+    private record Order(List<Change> changes, Reply reply, long since, long bytes) {}
 
     private final Disk disk;
     private final Executor loop;
     private final Thread thread;
     /** Called under the lock. */
     private final Runnable due;
+
     private List<Order> waiting = new ArrayList<>();
     private long waitingBytes;
     private long writingSince = -1;
@@ -166,7 +168,16 @@
             disk.commit(changes);
             return null;
         } catch (TroveFault e) {
-            TALE.warn("commit-failed", "code", e.code(), "commits", orders.size(), "changes", changes.size(), "why", e.getMessage());
+            TALE.warn(
+                    "commit-failed",
+                    "code",
+                    e.code(),
+                    "commits",
+                    orders.size(),
+                    "changes",
+                    changes.size(),
+                    "why",
+                    e.getMessage());
             return e;
         } catch (RuntimeException | Error e) {
             TALE.warn("commit-failed", "commits", orders.size(), "changes", changes.size(), "why", e);
--- a/src/main/java/brambletray/tray/trove/Seal.java
+++ b/src/main/java/brambletray/tray/trove/Seal.java
@@ -13,7 +13,12 @@
     static final Seal NEW = new Seal(0, 0, 0);
 
     byte[] bytes() {
-        return ByteBuffer.allocate(BYTES).putInt(FORMAT).putLong(commit).putInt(count).putLong(sum).array();
+        return ByteBuffer.allocate(BYTES)
+                .putInt(FORMAT)
+                .putLong(commit)
+                .putInt(count)
+                .putLong(sum)
+                .array();
     }
 
     /** @throws TroveFault {@code trove.format} */
--- a/src/main/java/brambletray/tray/trove/Tape.java
+++ b/src/main/java/brambletray/tray/trove/Tape.java
@@ -17,6 +17,7 @@
 final class Tape extends AbstractDataWriter implements DataReader {
     /** Bytes of a file; all but the newest have just that length. */
     static final int FILE_BYTES = 1 << 20;
+
     private static final String ENDING = ".xd";
     private static final int GENERATION_DIGITS = 8;
     private static final int ADDRESS_DIGITS = 12;
--- a/src/main/java/brambletray/tray/trove/Trove.java
+++ b/src/main/java/brambletray/tray/trove/Trove.java
@@ -18,10 +18,12 @@
 public final class Trove implements AutoCloseable, Scribe.Disk {
     /** Bytes of a key's UTF-8, and of a value. */
     public static final int LONGEST_KEY = 1_024;
+
     public static final int LONGEST = 8 << 20;
     static final Tale TALE = Tale.of("trove");
     /** Bytes of files that are always allowed, and how many times what is in force. */
     private static final long ROOMY = 8L << 20;
+
     private static final int TIMES = 4;
     /** Bytes after which a tidying that failed is tried again. */
     private static final long AGAIN = 4L << 20;
@@ -116,8 +118,12 @@
     public void commit(List<Change> changes) throws TroveFault {
         for (Change change : changes) {
             if (change.key().length() > LONGEST_KEY || change.value() != null && change.value().length > LONGEST) {
-                throw new TroveFault("trove.too-long", "the value of " + change.key().substring(0, Math.min(64, change.key().length()))
-                    + " is too long", null);
+                throw new TroveFault(
+                        "trove.too-long",
+                        "the value of "
+                                + change.key()
+                                        .substring(0, Math.min(64, change.key().length())) + " is too long",
+                        null);
             }
         }
         try {
@@ -241,6 +247,9 @@
         UncheckedIOException io = Vault.ioIn(thrown);
         String why = io == null ? thrown.toString() : io.getCause().getMessage();
         boolean full = why != null && (why.contains("No space left") || why.contains("quota"));
-        return new TroveFault(full ? "trove.full" : "trove.refused", full ? "the disk is full: " + why : "the disk refuses: " + why, thrown);
+        return new TroveFault(
+                full ? "trove.full" : "trove.refused",
+                full ? "the disk is full: " + why : "the disk refuses: " + why,
+                thrown);
     }
 }
--- a/src/main/java/brambletray/tray/trove/Vault.java
+++ b/src/main/java/brambletray/tray/trove/Vault.java
@@ -9,7 +9,6 @@
 import jetbrains.exodus.ArrayByteIterable;
 import jetbrains.exodus.ByteIterable;
 import jetbrains.exodus.env.Cursor;
-import jetbrains.exodus.env.Environment;
 import jetbrains.exodus.env.EnvironmentConfig;
 import jetbrains.exodus.env.EnvironmentImpl;
 import jetbrains.exodus.env.Environments;
@@ -26,7 +25,7 @@
     private static final int CACHE_PAGE = 64 << 10;
     private static final ArrayByteIterable SEAL = new ArrayByteIterable(new byte[] {'s'});
 
-    private record Mark(long part, int length) { }
+    private record Mark(long part, int length) {}
 
     private final Tape tape;
     private final EnvironmentImpl environment;
@@ -39,11 +38,18 @@
     private Vault(Tape tape) {
         this.tape = tape;
         EnvironmentConfig config = new EnvironmentConfig();
-        config.setManagementEnabled(false).setEnvGatherStatistics(false).setEnvMonitorTxnsExpirationTimeout(0)
-            .setLogDurableWrite(true).setLogFileSize(Tape.FILE_BYTES >> 10)
-            .setMemoryUsage(CACHE_BYTES).setLogCachePageSize(CACHE_PAGE).setFullFileReadonly(false).setEnvCloseForcedly(true)
-            .setGcEnabled(false).setGcStartIn(Integer.MAX_VALUE)
-            .setLogDataReaderWriterProvider(DataReaderWriterProvider.IN_MEMORY_READER_WRITER_PROVIDER);
+        config.setManagementEnabled(false)
+                .setEnvGatherStatistics(false)
+                .setEnvMonitorTxnsExpirationTimeout(0)
+                .setLogDurableWrite(true)
+                .setLogFileSize(Tape.FILE_BYTES >> 10)
+                .setMemoryUsage(CACHE_BYTES)
+                .setLogCachePageSize(CACHE_PAGE)
+                .setFullFileReadonly(false)
+                .setEnvCloseForcedly(true)
+                .setGcEnabled(false)
+                .setGcStartIn(Integer.MAX_VALUE)
+                .setLogDataReaderWriterProvider(DataReaderWriterProvider.IN_MEMORY_READER_WRITER_PROVIDER);
         environment = (EnvironmentImpl) Environments.newInstance(LogConfig.create(tape, tape), config);
     }
 
@@ -51,7 +57,8 @@
     static Vault make(Tape tape) {
         Vault vault = new Vault(tape);
         vault.seal = Seal.NEW;
-        vault.store = vault.environment.computeInTransaction(t -> vault.environment.openStore(STORE, StoreConfig.WITHOUT_DUPLICATES, t));
+        vault.store = vault.environment.computeInTransaction(
+                t -> vault.environment.openStore(STORE, StoreConfig.WITHOUT_DUPLICATES, t));
         vault.noteEnd();
         return vault;
     }
@@ -99,7 +106,8 @@
         if (!environment.computeInReadonlyTransaction(t -> environment.storeExists(STORE, t))) {
             return false;
         }
-        store = environment.computeInReadonlyTransaction(t -> environment.openStore(STORE, StoreConfig.USE_EXISTING, t));
+        store = environment.computeInReadonlyTransaction(
+                t -> environment.openStore(STORE, StoreConfig.USE_EXISTING, t));
         return environment.computeInReadonlyTransaction(t -> {
             ByteIterable sealed = store.get(t, SEAL);
             seal = sealed == null ? null : Seal.of(Pieces.bytes(sealed));
@@ -170,7 +178,8 @@
                     if (key[0] != Pieces.HEAD || !Pieces.name(key).startsWith(prefix)) {
                         break;
                     }
-                    found.add(Map.entry(Pieces.name(key), Pieces.whole(store, t, key, Pieces.bytes(cursor.getValue()))));
+                    found.add(
+                            Map.entry(Pieces.name(key), Pieces.whole(store, t, key, Pieces.bytes(cursor.getValue()))));
                     value = cursor.getNext() ? cursor.getValue() : null;
                 }
             }
@@ -186,7 +195,9 @@
         try {
             for (Change change : changes) {
                 Mark old = changed.containsKey(change.key()) ? changed.get(change.key()) : marks.get(change.key());
-                Mark now = change.value() == null ? null : new Mark(Seal.part(Pieces.utf(change.key()), change.value()), change.value().length);
+                Mark now = change.value() == null
+                        ? null
+                        : new Mark(Seal.part(Pieces.utf(change.key()), change.value()), change.value().length);
                 Pieces.put(store, t, change, old == null ? 0 : old.length());
                 changed.put(change.key(), now);
                 next = next.with(old == null ? 0 : old.part(), now == null ? 0 : now.part());
--- a/src/main/java/brambletray/tray/verb/Check.java
+++ b/src/main/java/brambletray/tray/verb/Check.java
@@ -10,7 +10,10 @@
 /** Reads a settings file or a configuration as the programs do, and says what is wrong with it. */
 final class Check extends Verb {
     /** What the file should be. */
-    enum Kind { settings, configuration }
+    enum Kind {
+        settings,
+        configuration
+    }
 
     @Argument(index = 0, required = true, metaVar = "settings|configuration", usage = "what the file should be")
     Kind kind;
@@ -29,7 +32,8 @@
             settings(out);
         } else {
             Creed creed = read(file);
-            out.println(file + ": revision " + creed.revision() + ", " + creed.routes().size() + " routes, " + creed.services().size() + " services");
+            out.println(file + ": revision " + creed.revision() + ", "
+                    + creed.routes().size() + " routes, " + creed.services().size() + " services");
         }
         return OK;
     }
@@ -45,8 +49,8 @@
         }
         berth.need("internal-port-range", berth.innerLow() == 0 ? null : berth.innerLow());
         berth.need("seed-peers", berth.seeds().isEmpty() ? null : berth.seeds());
-        out.println(file + ": " + berth.node() + ", for " + (berth.control() != null ? "keep" : "carry") + " at " + berth.ip() + " in " + berth.zone()
-            + ", " + berth.seeds().size() + " seeds");
+        out.println(file + ": " + berth.node() + ", for " + (berth.control() != null ? "keep" : "carry") + " at "
+                + berth.ip() + " in " + berth.zone() + ", " + berth.seeds().size() + " seeds");
     }
 
     /** {@link UsageFault} with file, field and what was expected. */
--- a/src/main/java/brambletray/tray/verb/Configuration.java
+++ b/src/main/java/brambletray/tray/verb/Configuration.java
@@ -10,7 +10,7 @@
 
 /** The verbs around the configuration. */
 final class Configuration {
-    private Configuration() { }
+    private Configuration() {}
 
     /** Shows the newest. */
     static final class Show extends Remote {
@@ -30,7 +30,8 @@
 
     private static byte[] body(Operator.Reply reply) {
         if (reply.status() != 200) {
-            throw new LapFault("refused", reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()), null);
+            throw new LapFault(
+                    "refused", reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()), null);
         }
         return reply.body();
     }
@@ -44,7 +45,10 @@
         @Argument(required = true, metaVar = "FILE", usage = "the body, JSON")
         Path file;
 
-        @Option(name = "--base", metaVar = "N", usage = "the revision that it builds on, 0 for the first; without it, the one that is shown")
+        @Option(
+                name = "--base",
+                metaVar = "N",
+                usage = "the revision that it builds on, 0 for the first; without it, the one that is shown")
         Long base;
 
         Deliver(String verb) {
@@ -53,8 +57,9 @@
 
         @Override
         String purpose() {
-            return verb.equals("replace") ? "delivers a whole configuration and waits until it is taken"
-                : "delivers a change (upsert, withdraw) and waits until it is taken";
+            return verb.equals("replace")
+                    ? "delivers a whole configuration and waits until it is taken"
+                    : "delivers a change (upsert, withdraw) and waits until it is taken";
         }
 
         @Override
--- a/src/main/java/brambletray/tray/verb/Files.java
+++ b/src/main/java/brambletray/tray/verb/Files.java
@@ -8,7 +8,7 @@
     /** Bytes; a larger file is no configuration. */
     private static final long MOST = 4 << 20;
 
-    private Files() { }
+    private Files() {}
 
     /** {@link UsageFault} with file and reason. */
     static byte[] read(Path file) {
@@ -18,7 +18,10 @@
             }
             return java.nio.file.Files.readAllBytes(file);
         } catch (IOException e) {
-            throw new UsageFault(file + ": expected a file that can be read, found " + e.getClass().getSimpleName(), e);
+            throw new UsageFault(
+                    file + ": expected a file that can be read, found "
+                            + e.getClass().getSimpleName(),
+                    e);
         }
     }
 }
