--- a/src/main/java/brambletray/tray/verb/Look.java
+++ b/src/main/java/brambletray/tray/verb/Look.java
@@ -20,7 +20,7 @@
     private static final String AT = "/brambletray/system/";
     private static final int EACH_MS = 2_000;
 
-    private Look() { }
+    private Look() {}
 
     /** One that prints. */
     abstract static class Sight extends Remote {
@@ -41,7 +41,10 @@
         final Map<String, Object> get(String path) {
             Operator.Reply reply = operator().get(path);
             if (reply.status() != 200) {
-                throw new LapFault("refused", reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()), null);
+                throw new LapFault(
+                        "refused",
+                        reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()),
+                        null);
             }
             return Json.object(reply.body());
         }
@@ -54,7 +57,9 @@
                 asked.put(member.toString(), operator.ask(member, AT + path, EACH_MS));
             }
             Map<String, Object> answers = new LinkedHashMap<>();
-            asked.forEach((member, reply) -> answers.put(member, reply.join().status() == 200 ? Json.object(reply.join().body()) : null));
+            asked.forEach((member, reply) -> answers.put(
+                    member,
+                    reply.join().status() == 200 ? Json.object(reply.join().body()) : null));
             return answers;
         }
     }
@@ -73,7 +78,8 @@
 
         @Override
         int run(PrintStream out, PrintStream err) {
-            Table table = new Table("member", "node", "standing", "view", "in force", "members", "leader", "commit", "revision", "ill");
+            Table table = new Table(
+                    "member", "node", "standing", "view", "in force", "members", "leader", "commit", "revision", "ill");
             int[] code = {OK};
             Map<String, Object> answers = each("views");
             answers.forEach((member, answer) -> {
@@ -83,10 +89,23 @@
                     return;
                 }
                 Map<String, Object> one = object(answer);
-                List<String> names = Json.list(one, "members").stream().map(other -> Json.text(other, "name")).toList();
-                table.row(member, one.get("node"), one.get("standing"), one.get("view"), one.get("in-force"), String.join(" ", names),
-                    one.get("leader"), one.get("commit"), one.get("revision"), one.get("ill"));
-                if (Boolean.TRUE.equals(one.get("ill")) || !Boolean.TRUE.equals(one.get("in-force")) || !"member".equals(one.get("standing"))) {
+                List<String> names = Json.list(one, "members").stream()
+                        .map(other -> Json.text(other, "name"))
+                        .toList();
+                table.row(
+                        member,
+                        one.get("node"),
+                        one.get("standing"),
+                        one.get("view"),
+                        one.get("in-force"),
+                        String.join(" ", names),
+                        one.get("leader"),
+                        one.get("commit"),
+                        one.get("revision"),
+                        one.get("ill"));
+                if (Boolean.TRUE.equals(one.get("ill"))
+                        || !Boolean.TRUE.equals(one.get("in-force"))
+                        || !"member".equals(one.get("standing"))) {
                     code[0] = NO;
                 }
             });
@@ -113,8 +132,13 @@
                     return;
                 }
                 for (Map<String, Object> duty : Json.list(object(answer), "duties")) {
-                    table.row(member, duty.get("duty"), duty.get("holder"), duty.get("term"), Json.number(duty, "since-ms") / 1_000,
-                        duty.get("here"));
+                    table.row(
+                            member,
+                            duty.get("duty"),
+                            duty.get("holder"),
+                            duty.get("term"),
+                            Json.number(duty, "since-ms") / 1_000,
+                            duty.get("here"));
                     held[0] |= duty.get("holder") != null;
                 }
             });
@@ -135,8 +159,14 @@
             Map<String, Object> answer = get(AT + "edges");
             Table table = new Table("edge", "zone", "address", "life", "state", "linked", "revision");
             for (Map<String, Object> edge : Json.list(answer, "edges")) {
-                table.row(edge.get("name"), edge.get("zone"), edge.get("address"), edge.get("life"), edge.get("state"), edge.get("linked"),
-                    edge.get("revision"));
+                table.row(
+                        edge.get("name"),
+                        edge.get("zone"),
+                        edge.get("address"),
+                        edge.get("life"),
+                        edge.get("state"),
+                        edge.get("linked"),
+                        edge.get("revision"));
             }
             print(out, answer, table);
             return OK;
@@ -158,8 +188,15 @@
             Map<String, Object> answer = get(AT + "hosts" + (service == null ? "" : '/' + service));
             Table table = new Table("id", "service", "address", "zone", "seat", "worker", "state", "age s");
             for (Map<String, Object> host : Json.list(answer, "hosts")) {
-                table.row(host.get("id"), host.get("service"), host.get("address"), host.get("zone"), host.get("seat"), host.get("worker"),
-                    host.get("state"), Json.number(host, "age-ms") / 1_000);
+                table.row(
+                        host.get("id"),
+                        host.get("service"),
+                        host.get("address"),
+                        host.get("zone"),
+                        host.get("seat"),
+                        host.get("worker"),
+                        host.get("state"),
+                        Json.number(host, "age-ms") / 1_000);
             }
             print(out, answer, table);
             return OK;
@@ -180,8 +217,12 @@
         int run(PrintStream out, PrintStream err) {
             List<Peer> peers = new ArrayList<>();
             for (Map<String, Object> edge : Json.list(get(AT + "edges"), "edges")) {
-                peers.add(new Peer(Json.text(edge, "name"), Json.text(edge, "zone"), Json.text(edge, "address"), 0,
-                    "in".equals(edge.get("state")) ? Peer.IN : Peer.LEAVING));
+                peers.add(new Peer(
+                        Json.text(edge, "name"),
+                        Json.text(edge, "zone"),
+                        Json.text(edge, "address"),
+                        0,
+                        "in".equals(edge.get("state")) ? Peer.IN : Peer.LEAVING));
             }
             Homes homes = new Homes(new Roster(1, 1, peers));
             List<String> heads = new ArrayList<>(List.of("service"));
--- a/src/main/java/brambletray/tray/verb/Programs.java
+++ b/src/main/java/brambletray/tray/verb/Programs.java
@@ -15,7 +15,7 @@
 
 /** Starts one of the system's programs with the settings file that the environment names; 2 and one line on standard error where it cannot. */
 public final class Programs {
-    private Programs() { }
+    private Programs() {}
 
     /**
      * {@code system VERB ...}, {@code args} as they came: the programs are started here, with no class of the command line loaded; all else is up to
@@ -30,7 +30,7 @@
 
     /** {@code keep} or {@code carry}; returns only where it cannot start. */
     public static int run(String program) {
-        Signals.on("HUP", () -> { });
+        Signals.on("HUP", () -> {});
         try {
             Berth berth = Berth.fromEnvironment();
             Clock clock = Clock.system();
@@ -49,7 +49,7 @@
             System.err.println("cannot start: " + e);
             return 2;
         }
-        for (;;) {
+        for (; ; ) {
             LockSupport.park();
         }
     }
--- a/src/main/java/brambletray/tray/verb/Remote.java
+++ b/src/main/java/brambletray/tray/verb/Remote.java
@@ -10,7 +10,11 @@
 abstract class Remote extends Verb {
     private static final int LONGEST_S = 600;
 
-    @Option(name = "--control", required = true, metaVar = "IP:PORT[,..]", usage = "control-plane addresses of members of the core")
+    @Option(
+            name = "--control",
+            required = true,
+            metaVar = "IP:PORT[,..]",
+            usage = "control-plane addresses of members of the core")
     String control;
 
     @Option(name = "--wait", metaVar = "S", usage = "seconds to try for a clear answer")
--- a/src/main/java/brambletray/tray/verb/UpVerb.java
+++ b/src/main/java/brambletray/tray/verb/UpVerb.java
@@ -22,17 +22,23 @@
     @Option(name = "--rate", metaVar = "N", usage = "requests a second")
     int rate = 40;
 
-    @Option(name = "--kill", metaVar = "NAME@S", usage =
-        "ends that process (keep-1, carry-2, ..., or helm: whoever holds it) at once in that second; may be given again")
+    @Option(
+            name = "--kill",
+            metaVar = "NAME@S",
+            usage =
+                    "ends that process (keep-1, carry-2, ..., or helm: whoever holds it) at once in that second; may be given again")
     List<String> kills = new ArrayList<>();
 
-    @Option(name = "--dir", metaVar = "D", usage = "a new or empty folder for settings, disks and logs; without it, one that is removed at the end")
+    @Option(
+            name = "--dir",
+            metaVar = "D",
+            usage = "a new or empty folder for settings, disks and logs; without it, one that is removed at the end")
     Path dir;
 
     @Override
     String purpose() {
         return "puts the whole system up on this machine with a stand-in of the platform, hosts and clients, and shows what happens;"
-            + " 1 where a request was answered wrongly or ran twice that may not";
+                + " 1 where a request was answered wrongly or ran twice that may not";
     }
 
     @Override
--- a/src/main/java/brambletray/tray/verb/Verbs.java
+++ b/src/main/java/brambletray/tray/verb/Verbs.java
@@ -33,7 +33,7 @@
         TABLE.put("up", UpVerb::new);
     }
 
-    private Verbs() { }
+    private Verbs() {}
 
     /** {@code args}: what follows {@code system}. */
     static int run(String[] args, PrintStream out, PrintStream err) {
@@ -43,11 +43,13 @@
         }
         Supplier<Verb> made = TABLE.get(args[0]);
         if (made == null) {
-            err.println("system: expected one of keep, carry, " + String.join(", ", TABLE.keySet()) + "; found " + args[0]);
+            err.println(
+                    "system: expected one of keep, carry, " + String.join(", ", TABLE.keySet()) + "; found " + args[0]);
             return Verb.BAD;
         }
         Verb verb = made.get();
-        CmdLineParser parser = new CmdLineParser(verb, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null));
+        CmdLineParser parser = new CmdLineParser(
+                verb, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null));
         try {
             parser.parseArgument(Arrays.copyOfRange(args, 1, args.length));
             if (verb.help) {
@@ -65,7 +67,8 @@
     }
 
     private static void usage(String name, Verb verb, PrintStream out) {
-        CmdLineParser parser = new CmdLineParser(verb, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null));
+        CmdLineParser parser = new CmdLineParser(
+                verb, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null));
         StringWriter synopsis = new StringWriter();
         parser.printSingleLineUsage(synopsis, null);
         out.println("system " + name + synopsis + ": " + verb.purpose());
@@ -77,10 +80,12 @@
     }
 
     private static void help(PrintStream to) {
-        to.println("system VERB ...: the whole system of docs/system.md, its programs and what operators need. system VERB --help says more.");
+        to.println(
+                "system VERB ...: the whole system of docs/system.md, its programs and what operators need. system VERB --help says more.");
         to.println("  keep     the program of a core machine, with the settings file that BRAMBLETRAY_NODE_FILE names");
         to.println("  carry    the program of an edge, in the same way");
-        TABLE.forEach((name, verb) -> to.println("  " + name + " ".repeat(9 - name.length()) + verb.get().purpose()));
+        TABLE.forEach((name, verb) -> to.println(
+                "  " + name + " ".repeat(9 - name.length()) + verb.get().purpose()));
         to.println("Exit codes: 0 all well, 1 a verdict that is not, 2 bad input.");
     }
 }
--- a/src/main/java/brambletray/tray/view/Answers.java
+++ b/src/main/java/brambletray/tray/view/Answers.java
@@ -61,7 +61,8 @@
     Frame.Told longest() {
         Frame.Told longest = null;
         for (Frame.Told told : all) {
-            if (told.view().ballot().equals(top.ballot()) && (longest == null || told.end() > longest.end())) longest = told;
+            if (told.view().ballot().equals(top.ballot()) && (longest == null || told.end() > longest.end()))
+                longest = told;
         }
         return longest;
     }
@@ -97,7 +98,8 @@
         }
         List<Member> all = members(everyone);
         List<Member> some = members(well);
-        boolean rest = well.contains(this.all.get(0)) && enough(well) && (tolerance.bears(some) || some.size() == all.size());
+        boolean rest =
+                well.contains(this.all.get(0)) && enough(well) && (tolerance.bears(some) || some.size() == all.size());
         return rest ? some : all;
     }
 
@@ -110,8 +112,10 @@
     private boolean isIn(Frame.Told told) {
         for (Roll roll : chain) {
             for (Member member : roll.members()) {
-                boolean same = member.life() != 0 ? member.life() == told.me().life()
-                        : member.address().equals(told.me().address()) && !told.view().equals(View.NOTHING);
+                boolean same = member.life() != 0
+                        ? member.life() == told.me().life()
+                        : member.address().equals(told.me().address())
+                                && !told.view().equals(View.NOTHING);
                 if (same) return true;
             }
         }
--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -17,9 +17,15 @@
     private static final int FETCH_MS = 30_000;
     /** Silence after which a member that fetches the new view's log isn't waited for: longer than its disk may take for the last piece. */
     private static final int PULLED_MS = 2000;
+
     private static final int MOST_PAST = 64;
 
-    private enum Phase { ASKING, PROMISING, FETCHING, INSTALLING }
+    private enum Phase {
+        ASKING,
+        PROMISING,
+        FETCHING,
+        INSTALLING
+    }
 
     private final Desk desk;
     private final Members members;
@@ -43,7 +49,13 @@
     private Log base;
 
     /** {@code doubted} aren't waited for; {@code shunned} are left out if the rest is enough. */
-    Changing(Desk desk, Members members, Set<Long> doubted, Set<Long> shunned, Map<Long, Frame.Knock> newcomers, String why) {
+    Changing(
+            Desk desk,
+            Members members,
+            Set<Long> doubted,
+            Set<Long> shunned,
+            Map<Long, Frame.Knock> newcomers,
+            String why) {
         this.desk = desk;
         this.members = members;
         this.doubted = doubted;
@@ -52,7 +64,18 @@
         this.since = desk.now;
         desk.seen = Math.max(desk.seen, Math.max(desk.promised.number(), desk.view.number())) + 1;
         ballot = new Ballot(desk.seen, desk.me.life());
-        desk.out.tell("view.change", "ballot", ballot, "view", desk.view.ballot(), "why", why, "newcomers", newcomers.size(), "end", desk.log.end());
+        desk.out.tell(
+                "view.change",
+                "ballot",
+                ballot,
+                "view",
+                desk.view.ballot(),
+                "why",
+                why,
+                "newcomers",
+                newcomers.size(),
+                "end",
+                desk.log.end());
         ask(desk.view);
         stop();
         weigh();
@@ -87,8 +110,20 @@
         boolean open = phase == Phase.ASKING || phase == Phase.PROMISING;
         if (!open || !told.ballot().equals(ballot) || told.me().life() == desk.me.life()) return;
         if (tolds.put(told.me().life(), told) == null) {
-            desk.out.tell("view.told", "ballot", ballot, "by", told.me().name(), "view", told.view().ballot(), "inForce", told.inForce(), "end",
-                    told.end(), "ill", told.ill());
+            desk.out.tell(
+                    "view.told",
+                    "ballot",
+                    ballot,
+                    "by",
+                    told.me().name(),
+                    "view",
+                    told.view().ballot(),
+                    "inForce",
+                    told.inForce(),
+                    "end",
+                    told.end(),
+                    "ill",
+                    told.ill());
         }
         int before = asked.size();
         ask(told.view());
@@ -104,7 +139,8 @@
         } else if (nay.calm()) {
             Member who = asked.get(from);
             if (who != null) calm.add(who.life());
-            if (phase == Phase.ASKING && 2 * calm.size() >= desk.view.members().size()) members.drop("the leader is well", desk.set.silentMs());
+            if (phase == Phase.ASKING && 2 * calm.size() >= desk.view.members().size())
+                members.drop("the leader is well", desk.set.silentMs());
         }
     }
 
@@ -125,7 +161,9 @@
         }
         if (enoughAt < 0) enoughAt = desk.now;
         if (phase == Phase.PROMISING) return;
-        int wait = now.top.founding() ? desk.set.foundMs() : members.fresh() ? 3 * desk.set.gatherMs() : desk.set.gatherMs();
+        int wait = now.top.founding()
+                ? desk.set.foundMs()
+                : members.fresh() ? 3 * desk.set.gatherMs() : desk.set.gatherMs();
         if (desk.now - enoughAt < wait && missing(now)) return;
         phase = Phase.PROMISING;
         phaseAt = desk.now;
@@ -138,7 +176,8 @@
 
     private boolean missing(Answers now) {
         for (Member member : asked.values()) {
-            if (!now.heard(member.address()) && !doubted.contains(member.life()) && !desk.dead.contains(member.life())) return true;
+            if (!now.heard(member.address()) && !doubted.contains(member.life()) && !desk.dead.contains(member.life()))
+                return true;
         }
         return false;
     }
@@ -166,7 +205,9 @@
         Log fetched = transfer.log();
         Frame.Told longest = chosen.longest();
         // who told may have gone on to a higher ballot, and its log with it
-        boolean same = fetched != null && fetched.end() == longest.end() && fetched.endView().equals(longest.endView());
+        boolean same = fetched != null
+                && fetched.end() == longest.end()
+                && fetched.endView().equals(longest.endView());
         if (same) install(fetched);
         else members.drop("log can't be fetched", desk.set.staggerMs());
     }
@@ -174,10 +215,15 @@
     private void install(Log log) {
         List<Member> in = chosen.next(shunned, desk.set.tolerance());
         for (Frame.Knock knock : newcomers.values()) {
-            boolean free = in.stream().noneMatch(member -> member.address().equals(knock.me().address()));
+            boolean free = in.stream()
+                    .noneMatch(member -> member.address().equals(knock.me().address()));
             // who has fallen behind since it knocked gets the rest outside of the change, and knocks again
-            boolean near = log.since(knock.end(), knock.endView(), knock.commit()).isShort();
-            if (free && near && in.size() < Settings.MOST && !desk.dead.contains(knock.me().life())) in.add(knock.me());
+            boolean near =
+                    log.since(knock.end(), knock.endView(), knock.commit()).isShort();
+            if (free
+                    && near
+                    && in.size() < Settings.MOST
+                    && !desk.dead.contains(knock.me().life())) in.add(knock.me());
         }
         List<Roll> past = chosen.past();
         if (past.size() > MOST_PAST) {
@@ -188,7 +234,16 @@
         base = log;
         next = new View(ballot, List.copyOf(in), List.copyOf(past));
         phaseAt = desk.now;
-        desk.out.tell("view.install", "ballot", ballot, "members", Desk.names(in), "end", log.end(), "from", chosen.top.ballot());
+        desk.out.tell(
+                "view.install",
+                "ballot",
+                ballot,
+                "members",
+                Desk.names(in),
+                "end",
+                log.end(),
+                "from",
+                chosen.top.ballot());
         say();
         if (next.members().size() == 1) keep();
     }
@@ -212,9 +267,12 @@
             if (member.life() == desk.me.life() || installed.contains(member.life())) continue;
             Frame.Told told = chosen.of(member.life());
             Frame.Knock knock = newcomers.get(member.life());
-            Patch patch = told != null ? base.since(told.end(), told.endView(), told.commit())
+            Patch patch = told != null
+                    ? base.since(told.end(), told.endView(), told.commit())
                     : base.since(knock.end(), knock.endView(), knock.commit());
-            Frame frame = patch.isShort() ? new Frame.Install(next, patch) : new Frame.Offer(next, base.end(), base.endView());
+            Frame frame = patch.isShort()
+                    ? new Frame.Install(next, patch)
+                    : new Frame.Offer(next, base.end(), base.endView());
             desk.out.send(member.address(), frame);
         }
     }
@@ -239,7 +297,8 @@
     }
 
     void unfit(long life) {
-        if (phase == Phase.INSTALLING && next.has(life)) members.again(Set.of(life), "patch of " + Long.toHexString(life) + " doesn't fit");
+        if (phase == Phase.INSTALLING && next.has(life))
+            members.again(Set.of(life), "patch of " + Long.toHexString(life) + " doesn't fit");
     }
 
     void tick() {
@@ -249,14 +308,14 @@
                 if (phase == Phase.ASKING) weigh();
             }
             case FETCHING -> {
-                if (transfer.failed() || desk.now - phaseAt > FETCH_MS) members.drop("log isn't fetched in time", desk.set.staggerMs());
+                if (transfer.failed() || desk.now - phaseAt > FETCH_MS)
+                    members.drop("log isn't fetched in time", desk.set.staggerMs());
                 else transfer.tick();
             }
             default -> {
                 if (desk.now - phaseAt > desk.set.installMs() && (spared() || desk.now - pulledAt > PULLED_MS)) {
                     members.again(absent(), "not kept by all in time");
-                }
-                else if (desk.now - askedAt >= 2 * AGAIN_MS) say();
+                } else if (desk.now - askedAt >= 2 * AGAIN_MS) say();
             }
         }
     }
--- a/src/main/java/brambletray/tray/view/Codec.java
+++ b/src/main/java/brambletray/tray/view/Codec.java
@@ -13,8 +13,7 @@
     /** 1: without the zones of members; still read. */
     private static final int FORM = 2;
 
-    private Codec() {
-    }
+    private Codec() {}
 
     interface Writing {
         void to(DataOutputStream out) throws IOException;
@@ -48,7 +47,8 @@
     static <T> T read(byte[] bytes, Reading<T> reading) {
         try (Input in = new Input(bytes)) {
             if (in.form < 1 || in.form > FORM) {
-                throw new ViewFault("view.form", "kept in form " + in.form + ", this program reads forms up to " + FORM);
+                throw new ViewFault(
+                        "view.form", "kept in form " + in.form + ", this program reads forms up to " + FORM);
             }
             return reading.from(in);
         } catch (IOException e) {
@@ -83,7 +83,8 @@
         boolean zones = !(in instanceof Input input) || input.form > 1;
         int count = in.readInt();
         List<Member> members = new ArrayList<>();
-        for (int i = 0; i < count; i++) members.add(new Member(in.readUTF(), in.readUTF(), in.readLong(), zones ? in.readUTF() : ""));
+        for (int i = 0; i < count; i++)
+            members.add(new Member(in.readUTF(), in.readUTF(), in.readLong(), zones ? in.readUTF() : ""));
         return members;
     }
 
--- a/src/main/java/brambletray/tray/view/Confirms.java
+++ b/src/main/java/brambletray/tray/view/Confirms.java
@@ -55,7 +55,10 @@
     void asked(String from, Frame.Ask ask) {
         if (!desk.works(ask.view())) return;
         boolean leads = members.leading();
-        desk.out.send(from, new Frame.Same(ask.view(), desk.me.life(), ask.seq(), leads ? desk.commit : -1, leads && desk.settled()));
+        desk.out.send(
+                from,
+                new Frame.Same(
+                        ask.view(), desk.me.life(), ask.seq(), leads ? desk.commit : -1, leads && desk.settled()));
     }
 
     void same(Frame.Same same) {
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -18,13 +18,16 @@
     final Quill quill;
     /** Drawn at each start of the process: the origin of its proposals. */
     final long origin;
+
     Member me;
     /** Last view kept; null for who was never in one; the list of seeds for a founder. */
     View view;
+
     boolean inForce;
     Ballot promised = Ballot.NONE;
     /** Highest number heard of. */
     long seen;
+
     Log log = Log.empty();
     final Set<Long> dead = new LinkedHashSet<>();
     final Set<String> known = new LinkedHashSet<>();
@@ -36,6 +39,7 @@
     long floor = Long.MAX_VALUE;
     /** Up to here the log is on the disk, as a log of the present view. */
     long held;
+
     long now;
     /** This process is about to end. */
     boolean leaving;
@@ -44,9 +48,9 @@
     /** Transfers begun in this process. */
     long transfers;
     /** Called when the state above has jumped by a snapshot. */
-    Runnable jumped = () -> { };
+    Runnable jumped = () -> {};
     /** Called for each entry delivered. */
-    java.util.function.Consumer<Entry> passed = entry -> { };
+    java.util.function.Consumer<Entry> passed = entry -> {};
 
     Desk(Settings set, Out out, Matter matter, long origin) {
         this.set = set;
@@ -111,7 +115,8 @@
     /** Keeps a proposed view with its log. False if that log would lose what is known to be kept: then nothing is changed. */
     boolean accept(View next, Log chosen) {
         boolean both = commit >= chosen.base() && commit >= log.base();
-        boolean broken = chosen.end() < commit || (both && !chosen.viewAt(commit).equals(log.viewAt(commit)));
+        boolean broken =
+                chosen.end() < commit || (both && !chosen.viewAt(commit).equals(log.viewAt(commit)));
         if (broken) {
             out.tell("view.trim-behind-commit", "view", next.ballot(), "end", chosen.end(), "commit", commit);
             return false;
@@ -148,7 +153,16 @@
         inForce = true;
         view = new View(view.ballot(), view.members(), List.of());
         quill.put(Kept.VIEW, Codec.view(view, true), now);
-        out.tell("view.in-force", "view", view.ballot(), "members", names(view.members()), "leader", view.leader().name(), "end", log.end());
+        out.tell(
+                "view.in-force",
+                "view",
+                view.ballot(),
+                "members",
+                names(view.members()),
+                "leader",
+                view.leader().name(),
+                "end",
+                log.end());
         out.changed();
     }
 
@@ -180,8 +194,16 @@
     }
 
     Frame.Told told(Ballot ballot) {
-        return new Frame.Told(ballot, me, view == null ? View.NOTHING : view, inForce, log.end(), log.endView(), commit,
-                ill(), List.copyOf(dead));
+        return new Frame.Told(
+                ballot,
+                me,
+                view == null ? View.NOTHING : view,
+                inForce,
+                log.end(),
+                log.endView(),
+                commit,
+                ill(),
+                List.copyOf(dead));
     }
 
     static String names(List<Member> members) {
--- a/src/main/java/brambletray/tray/view/Entry.java
+++ b/src/main/java/brambletray/tray/view/Entry.java
@@ -9,5 +9,4 @@
  * @param token  that process's own number for it
  * @param bytes  opaque here
  */
-public record Entry(long index, Ballot view, long origin, long token, byte[] bytes) {
-}
+public record Entry(long index, Ballot view, long origin, long token, byte[] bytes) {}
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -21,6 +21,7 @@
     private View left;
     /** The log of a view that is being installed, on its way here in pieces. */
     private StateTransfer transfer;
+
     private Frame.Offer offered;
 
     Following(Desk desk, Members members) {
@@ -104,7 +105,10 @@
     void beat(String from, Frame.Beat beat) {
         View view = desk.view;
         if (view == null || !view.ballot().equals(beat.view())) {
-            boolean old = view != null && desk.inForce && view.ballot().above(beat.view()) && !view.has(beat.view().who());
+            boolean old = view != null
+                    && desk.inForce
+                    && view.ballot().above(beat.view())
+                    && !view.has(beat.view().who());
             if (old) desk.out.send(from, new Frame.Left(view));
             return;
         }
@@ -119,7 +123,8 @@
             }
             desk.commitTo(beat.commit());
         }
-        desk.out.send(from, new Frame.Back(view.ballot(), desk.me.life(), beat.seq(), desk.held, desk.promised, desk.ill()));
+        desk.out.send(
+                from, new Frame.Back(view.ballot(), desk.me.life(), beat.seq(), desk.held, desk.promised, desk.ill()));
     }
 
     void append(String from, Frame.Append append) {
@@ -129,7 +134,16 @@
         if (append.after() > desk.log.end() || desk.quill.crowded(8 << 20)) return;
         Ballot at = desk.log.viewAt(append.after());
         if (at != null && !at.equals(append.afterView())) {
-            desk.out.tell("view.logs-differ", "view", append.view(), "place", append.after(), "mine", at, "leader", append.afterView());
+            desk.out.tell(
+                    "view.logs-differ",
+                    "view",
+                    append.view(),
+                    "place",
+                    append.after(),
+                    "mine",
+                    at,
+                    "leader",
+                    append.afterView());
             return;
         }
         long before = desk.log.end();
@@ -174,7 +188,16 @@
             desk.promise(stop.ballot());
             int wait = (view.founding() ? desk.set.foundMs() : 0) + desk.set.silentMs();
             quiet(wait + (desk.view == null ? 0 : (long) rank() * desk.set.staggerMs()));
-            desk.out.tell("view.promise", "ballot", stop.ballot(), "to", stop.from().name(), "view", view.ballot(), "end", desk.log.end());
+            desk.out.tell(
+                    "view.promise",
+                    "ballot",
+                    stop.ballot(),
+                    "to",
+                    stop.from().name(),
+                    "view",
+                    view.ballot(),
+                    "end",
+                    desk.log.end());
         }
         desk.quill.then(() -> {
             boolean over = desk.view != null && desk.view.ballot().equals(stop.ballot());
@@ -189,7 +212,14 @@
             left = view;
             for (Member member : view.members()) desk.meet(member.address());
             members.yield();
-            desk.out.tell("view.left-out", "mine", desk.view.ballot(), "now", view.ballot(), "members", Desk.names(view.members()));
+            desk.out.tell(
+                    "view.left-out",
+                    "mine",
+                    desk.view.ballot(),
+                    "now",
+                    view.ballot(),
+                    "members",
+                    Desk.names(view.members()));
             desk.out.changed();
         }
     }
@@ -203,7 +233,9 @@
             install(from, new Frame.Install(next, null), base);
         } else {
             // the same log, offered anew: what has come of it stays
-            boolean same = transfer != null && transfer.from().equals(from) && offered.end() == offer.end()
+            boolean same = transfer != null
+                    && transfer.from().equals(from)
+                    && offered.end() == offer.end()
                     && offered.endView().equals(offer.endView());
             if (same) transfer.goOn(next.ballot());
             else transfer = new StateTransfer(desk, from, base, next.ballot());
--- a/src/main/java/brambletray/tray/view/Gate.java
+++ b/src/main/java/brambletray/tray/view/Gate.java
@@ -13,8 +13,7 @@
     private static final int FORGIVEN_MS = 20_000;
 
     /** How often a member was taken out lately, and until when it stays out. */
-    private record Penalty(int times, long at, long until) {
-    }
+    private record Penalty(int times, long at, long until) {}
 
     private final Desk desk;
     private final Members members;
@@ -22,6 +21,7 @@
     private final Map<Long, Long> waitingAt = new HashMap<>();
     /** When newcomers that haven't got the state yet were heard last. */
     private final Map<Long, Long> arriving = new HashMap<>();
+
     private final Map<String, Penalty> penalties = new HashMap<>();
     private final Map<String, Long> asked = new HashMap<>();
     private long nonce;
@@ -41,7 +41,8 @@
             return;
         }
         if (desk.view.has(who.life())) return;
-        if (knock.view().above(desk.view.ballot())) desk.seen = Math.max(desk.seen, knock.view().number());
+        if (knock.view().above(desk.view.ballot()))
+            desk.seen = Math.max(desk.seen, knock.view().number());
         if (!members.leading()) {
             if (desk.view.ballot().who() != desk.me.life()) desk.out.send(from, new Frame.Come(desk.view, false));
             return;
@@ -82,7 +83,10 @@
     }
 
     private boolean proves(Member now, Member before) {
-        return before.address().equals(now.address()) && before.life() != now.life() && before.life() != 0 && before.life() != desk.me.life()
+        return before.address().equals(now.address())
+                && before.life() != now.life()
+                && before.life() != 0
+                && before.life() != desk.me.life()
                 && !desk.dead.contains(before.life());
     }
 
@@ -97,7 +101,14 @@
             }
         }
         if (desk.bury(lost)) {
-            desk.out.tell("view.disk-lost", "address", here.me().address(), "life", Long.toHexString(here.me().life()), "lost", lost);
+            desk.out.tell(
+                    "view.disk-lost",
+                    "address",
+                    here.me().address(),
+                    "life",
+                    Long.toHexString(here.me().life()),
+                    "lost",
+                    lost);
             members.buried();
         }
     }
@@ -114,7 +125,9 @@
     /** Newcomers that wait and were heard of late. */
     Map<Long, Frame.Knock> waiting() {
         if (waiting.isEmpty()) return Map.of();
-        waiting.keySet().removeIf(life -> desk.now - waitingAt.get(life) > WAIT_MS || desk.view.has(life) || desk.dead.contains(life));
+        waiting.keySet()
+                .removeIf(life ->
+                        desk.now - waitingAt.get(life) > WAIT_MS || desk.view.has(life) || desk.dead.contains(life));
         // changes and compactions since the knock: a change of view that can't let it in isn't begun for it
         waiting.values().removeIf(knock -> !near(desk.log.since(knock.end(), knock.endView(), knock.commit())));
         waitingAt.keySet().retainAll(waiting.keySet());
--- a/src/main/java/brambletray/tray/view/Kept.java
+++ b/src/main/java/brambletray/tray/view/Kept.java
@@ -17,9 +17,18 @@
  * @param dead    lives whose disks are proven lost
  * @param known   addresses of members met
  */
-public record Kept(long life, List<String> seeds, Ballot promise, View view, boolean inForce, Log log, List<Long> dead, List<String> known) {
+public record Kept(
+        long life,
+        List<String> seeds,
+        Ballot promise,
+        View view,
+        boolean inForce,
+        Log log,
+        List<Long> dead,
+        List<String> known) {
     /** All keys of this plane begin so. */
     public static final String PREFIX = "view.";
+
     static final String LIFE = "view.life";
     static final String SEEDS = "view.seeds";
     static final String PROMISE = "view.promise";
@@ -41,10 +50,12 @@
         List<String> seeds = map.containsKey(SEEDS) ? Codec.read(map.get(SEEDS), Codec::strings) : List.of();
         Ballot promise = map.containsKey(PROMISE) ? Codec.read(map.get(PROMISE), Codec::ballot) : Ballot.NONE;
         boolean inForce = map.containsKey(VIEW) && Codec.read(map.get(VIEW), in -> in.readBoolean());
-        View view = map.containsKey(VIEW) ? Codec.read(map.get(VIEW), in -> {
-            in.readBoolean();
-            return Codec.view(in);
-        }) : null;
+        View view = map.containsKey(VIEW)
+                ? Codec.read(map.get(VIEW), in -> {
+                    in.readBoolean();
+                    return Codec.view(in);
+                })
+                : null;
         List<Long> dead = map.containsKey(DEAD) ? Codec.read(map.get(DEAD), Codec::longs) : List.of();
         List<String> known = map.containsKey(KNOWN) ? Codec.read(map.get(KNOWN), Codec::strings) : List.of();
         return new Kept(life, seeds, promise, view, inForce, log(map), dead, known);
@@ -59,7 +70,9 @@
         for (byte[] value : sorted.values()) entries.add(Codec.read(value, Codec::entry));
         Log log = Log.empty();
         if (map.containsKey(SNAP)) {
-            log = Codec.read(map.get(SNAP), in -> new Log(in.readLong(), Codec.ballot(in), in.readNBytes(in.readInt()), List.of()));
+            log = Codec.read(
+                    map.get(SNAP),
+                    in -> new Log(in.readLong(), Codec.ballot(in), in.readNBytes(in.readInt()), List.of()));
         }
         for (Entry entry : entries) log.append(entry);
         return log;
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -68,7 +68,12 @@
     private Frame.Knock mine() {
         Log log = base();
         long commit = hand != null ? handCommit : desk.commit;
-        return new Frame.Knock(desk.me, desk.view == null ? Ballot.NONE : desk.view.ballot(), log.end(), log.endView(), Math.min(commit, log.end()));
+        return new Frame.Knock(
+                desk.me,
+                desk.view == null ? Ballot.NONE : desk.view.ballot(),
+                log.end(),
+                log.endView(),
+                Math.min(commit, log.end()));
     }
 
     /** The view in force; its leader says whether what is in hand is near enough. */
--- a/src/main/java/brambletray/tray/view/Leading.java
+++ b/src/main/java/brambletray/tray/view/Leading.java
@@ -16,6 +16,7 @@
     private static final int OPEN_BYTES = 1 << 20;
     /** Silence after which entries are sent again, and how many of their bytes a ms may take besides: 1 Mbit/s. */
     private static final int RESEND_MS = 200;
+
     private static final int RESEND_BYTES = 125;
     private static final int WELL_MS = 350;
     private static final int STOPPED_MS = 300;
@@ -44,8 +45,7 @@
     }
 
     /** A proposal already given a place in this view. */
-    private record Given(long origin, long token) {
-    }
+    private record Given(long origin, long token) {}
 
     private final Desk desk;
     private final View view;
@@ -88,7 +88,8 @@
         if (desk.draining) return false;
         if (desk.log.end() - desk.commit >= OPEN_ENTRIES || desk.quill.crowded(4 << 20)) return false;
         recent.add(given);
-        if (recent.size() > RECENT + OPEN_ENTRIES) recent.remove(recent.iterator().next());
+        if (recent.size() > RECENT + OPEN_ENTRIES)
+            recent.remove(recent.iterator().next());
         Entry entry = new Entry(desk.log.end() + 1, view.ballot(), origin, token, bytes);
         desk.append(entry);
         desk.quill.then(() -> {
@@ -107,11 +108,14 @@
         if (flying > OPEN_BYTES) return;
         if (peer.next <= desk.log.base()) {
             // can't be: what is compacted all members have on disk
-            desk.out.tell("view.behind-snapshot", "member", peer.member.name(), "next", peer.next, "base", desk.log.base());
+            desk.out.tell(
+                    "view.behind-snapshot", "member", peer.member.name(), "next", peer.next, "base", desk.log.base());
             return;
         }
         List<Entry> entries = desk.log.after(peer.next - 1, APPEND);
-        desk.out.send(peer.member.address(), new Frame.Append(view.ballot(), peer.next - 1, desk.log.viewAt(peer.next - 1), entries, desk.commit));
+        desk.out.send(
+                peer.member.address(),
+                new Frame.Append(view.ballot(), peer.next - 1, desk.log.viewAt(peer.next - 1), entries, desk.commit));
         if (peer.movedAt < 0) peer.movedAt = desk.now;
         peer.next += entries.size();
     }
@@ -195,7 +199,8 @@
         if (desk.commit <= said) return;
         said = desk.commit;
         for (Peer peer : peers.values()) {
-            desk.out.send(peer.member.address(),
+            desk.out.send(
+                    peer.member.address(),
                     new Frame.Append(view.ballot(), desk.log.end(), desk.log.endView(), List.of(), desk.commit));
         }
     }
@@ -204,7 +209,9 @@
         beatAt = desk.now;
         if (++seq % CALL_BEATS == 0) call();
         for (Peer peer : peers.values()) {
-            desk.out.send(peer.member.address(), new Frame.Beat(view.ballot(), seq, desk.commit, desk.floor, true, desk.ill()));
+            desk.out.send(
+                    peer.member.address(),
+                    new Frame.Beat(view.ballot(), seq, desk.commit, desk.floor, true, desk.ill()));
         }
     }
 
--- a/src/main/java/brambletray/tray/view/Leaving.java
+++ b/src/main/java/brambletray/tray/view/Leaving.java
@@ -23,8 +23,16 @@
         this.desk = desk;
         this.members = members;
         since = desk.now;
-        desk.out.tell("view.leave", "view", desk.view == null ? "none" : desk.view.ballot(), "leading", members.leading(),
-                "commit", desk.commit, "end", desk.log.end());
+        desk.out.tell(
+                "view.leave",
+                "view",
+                desk.view == null ? "none" : desk.view.ballot(),
+                "leading",
+                members.leading(),
+                "commit",
+                desk.commit,
+                "end",
+                desk.log.end());
     }
 
     /** Whether the process may end. */
@@ -56,14 +64,23 @@
     private void bye() {
         saidAt = desk.now;
         for (Member member : desk.view.members()) {
-            if (member.life() != desk.me.life()) desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), desk.me.life()));
+            if (member.life() != desk.me.life())
+                desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), desk.me.life()));
         }
     }
 
     private void end(String how) {
         why = how;
         View view = members.without() != null ? members.without() : desk.view;
-        desk.out.tell("view.leave-over", "why", how, "ms", desk.now - since, "view", view == null ? "none" : view.ballot(), "members",
+        desk.out.tell(
+                "view.leave-over",
+                "why",
+                how,
+                "ms",
+                desk.now - since,
+                "view",
+                view == null ? "none" : view.ballot(),
+                "members",
                 view == null ? "" : Desk.names(view.members()));
         desk.out.changed();
     }
--- a/src/main/java/brambletray/tray/view/Log.java
+++ b/src/main/java/brambletray/tray/view/Log.java
@@ -12,9 +12,11 @@
 final class Log {
     /** A snapshot is taken after so many delivered entries, or so many bytes in entries. */
     static final int ENTRIES = 256;
+
     static final int BYTES = 1 << 20;
     /** Entries before the snapshot that are remembered, in memory only, for who lacks little of them; and their bytes. */
     private static final int TRAIL_ENTRIES = 512;
+
     private static final int TRAIL_BYTES = 1 << 20;
 
     private long base;
@@ -24,6 +26,7 @@
     private long bytes;
     /** Those that the last compactions took out of {@link #entries}, up to the snapshot's place without gaps. */
     private final ArrayDeque<Entry> trail = new ArrayDeque<>();
+
     private long trailBytes;
     /** View of the entry before the first of these. */
     private Ballot trailView = Ballot.NONE;
@@ -86,7 +89,8 @@
     /** Bytes of the entries after one place up to another, of those behind the snapshot. */
     long bytes(long after, long to) {
         long some = 0;
-        for (long place = Math.max(after, base) + 1; place <= Math.min(to, end()); place++) some += at(place).bytes().length;
+        for (long place = Math.max(after, base) + 1; place <= Math.min(to, end()); place++)
+            some += at(place).bytes().length;
         return some;
     }
 
@@ -136,7 +140,12 @@
     }
 
     private Patch cut(long place) {
-        return new Patch(false, place, viewAt(place), new byte[0], List.copyOf(entries.subList((int) (place - base), entries.size())));
+        return new Patch(
+                false,
+                place,
+                viewAt(place),
+                new byte[0],
+                List.copyOf(entries.subList((int) (place - base), entries.size())));
     }
 
     /** This log after the patch, or null if the patch doesn't fit. */
@@ -181,7 +190,8 @@
     static void differences(Log before, Log now, Map<String, byte[]> changes) {
         if (before.base != now.base || !before.baseView.equals(now.baseView)) changes.put(Kept.SNAP, Codec.snap(now));
         for (Entry entry : before.entries) {
-            if (!entry.view().equals(now.viewAt(entry.index())) || entry.index() <= now.base) changes.put(Kept.key(entry.index()), null);
+            if (!entry.view().equals(now.viewAt(entry.index())) || entry.index() <= now.base)
+                changes.put(Kept.key(entry.index()), null);
         }
         for (Entry entry : now.entries) {
             if (entry.index() <= before.base || !entry.view().equals(before.viewAt(entry.index()))) {
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -14,10 +14,34 @@
 public final class Members {
     /** All frames, for registration with the codec; the records within them come first. */
     public static final List<Class<?>> FRAMES = List.of(
-            Ballot.class, Member.class, Roll.class, View.class, Entry.class, Patch.class, Frame.Beat.class, Frame.Back.class,
-            Frame.Append.class, Frame.Ack.class, Frame.Stop.class, Frame.Told.class, Frame.Nay.class, Frame.Install.class,
-            Frame.Offer.class, Frame.Installed.class, Frame.Unfit.class, Frame.Left.class, Frame.Knock.class, Frame.Come.class, Frame.Met.class,
-            Frame.Who.class, Frame.Here.class, Frame.Pull.class, Frame.Piece.class, Frame.Bye.class, Frame.Submit.class, Frame.Ask.class,
+            Ballot.class,
+            Member.class,
+            Roll.class,
+            View.class,
+            Entry.class,
+            Patch.class,
+            Frame.Beat.class,
+            Frame.Back.class,
+            Frame.Append.class,
+            Frame.Ack.class,
+            Frame.Stop.class,
+            Frame.Told.class,
+            Frame.Nay.class,
+            Frame.Install.class,
+            Frame.Offer.class,
+            Frame.Installed.class,
+            Frame.Unfit.class,
+            Frame.Left.class,
+            Frame.Knock.class,
+            Frame.Come.class,
+            Frame.Met.class,
+            Frame.Who.class,
+            Frame.Here.class,
+            Frame.Pull.class,
+            Frame.Piece.class,
+            Frame.Bye.class,
+            Frame.Submit.class,
+            Frame.Ask.class,
             Frame.Same.class);
 
     private final Desk desk;
@@ -34,6 +58,7 @@
     private long tickAt;
     /** When each member that is about to end first said so. */
     private final Map<Long, Long> leavers = new LinkedHashMap<>();
+
     private Leaving leaving;
 
     /**
@@ -47,8 +72,19 @@
      * @param initialStart whether the settings say that the whole system starts for the first time
      * @param now          steady clock, ms
      */
-    public Members(String address, String name, String zone, long freshLife, long origin, Kept kept, List<String> seeds,
-            boolean initialStart, Settings settings, Out out, Matter matter, long now) {
+    public Members(
+            String address,
+            String name,
+            String zone,
+            long freshLife,
+            long origin,
+            Kept kept,
+            List<String> seeds,
+            boolean initialStart,
+            Settings settings,
+            Out out,
+            Matter matter,
+            long now) {
         desk = new Desk(settings, out, matter, origin);
         desk.now = now;
         tickAt = now;
@@ -77,8 +113,18 @@
         desk.passed = proposals::delivered;
         desk.jumped = proposals::jumped;
         desk.quill.then(() -> born = true);
-        out.tell("view.start", "life", Long.toHexString(desk.me.life()), "empty", empty, "founder", !founders.isEmpty(), "view",
-                desk.view == null ? "none" : desk.view.ballot(), "end", desk.log.end());
+        out.tell(
+                "view.start",
+                "life",
+                Long.toHexString(desk.me.life()),
+                "empty",
+                empty,
+                "founder",
+                !founders.isEmpty(),
+                "view",
+                desk.view == null ? "none" : desk.view.ballot(),
+                "end",
+                desk.log.end());
         desk.quill.flush(now);
     }
 
@@ -154,9 +200,11 @@
         Set<Long> without = leader == null || leader.life() == desk.me.life() ? Set.of() : Set.of(leader.life());
         boolean released = following.released() && !without.isEmpty();
         if (released) {
-            // told on before the Stop that follows on the same link: who hasn't heard it would refuse, as the leader is well
+            // told on before the Stop that follows on the same link: who hasn't heard it would refuse, as the leader is
+            // well
             for (Member member : desk.view.members()) {
-                if (member.life() != desk.me.life()) desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), leader.life()));
+                if (member.life() != desk.me.life())
+                    desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), leader.life()));
             }
         }
         change(without, released ? without : Set.of(), released ? "leader leaves" : "leader silent");
@@ -278,12 +326,25 @@
         View view = desk.view;
         boolean founding = view != null && view.founding();
         boolean well = leading != null ? leading.well() : following.calm();
-        Standing standing = knocking.active() ? Standing.KNOCKING : founding ? Standing.FOUNDING
-                : desk.inForce && desk.works(view.ballot()) && well ? Standing.MEMBER : Standing.STOPPED;
+        Standing standing = knocking.active()
+                ? Standing.KNOCKING
+                : founding
+                        ? Standing.FOUNDING
+                        : desk.inForce && desk.works(view.ballot()) && well ? Standing.MEMBER : Standing.STOPPED;
         List<Member> members = view == null || founding ? List.of() : view.members();
-        return new Status(standing, desk.me, view == null ? 0 : view.number(), desk.before, members,
-                view == null ? null : view.leader(), leading != null,
-                desk.inForce && !founding, desk.settled(), desk.commit, desk.delivered, desk.ill());
+        return new Status(
+                standing,
+                desk.me,
+                view == null ? 0 : view.number(),
+                desk.before,
+                members,
+                view == null ? null : view.leader(),
+                leading != null,
+                desk.inForce && !founding,
+                desk.settled(),
+                desk.commit,
+                desk.delivered,
+                desk.ill());
     }
 
     /** Control-plane address of the leader that the others go on with, once this process is about to end and is out; else null. */
--- a/src/main/java/brambletray/tray/view/Proposals.java
+++ b/src/main/java/brambletray/tray/view/Proposals.java
@@ -16,6 +16,7 @@
         final long until;
         /** View whose leader was given it; null when it is certain that no leader can still give it a place. */
         Ballot sent;
+
         long sentAt;
 
         Pending(byte[] bytes, long until) {
@@ -50,7 +51,8 @@
         for (Map.Entry<Long, Pending> one : pending.entrySet()) {
             Pending item = one.getValue();
             if (item.sent != null && !item.sent.equals(desk.view.ballot())) {
-                // that view's leader has stopped: what isn't in the log that this view began with never got a place that lasts
+                // that view's leader has stopped: what isn't in the log that this view began with never got a place
+                // that lasts
                 if (desk.log.has(desk.origin, one.getKey())) continue;
                 item.sent = null;
             }
@@ -60,7 +62,9 @@
             } else if (desk.view.leader().life() != desk.me.life()) {
                 item.sent = desk.view.ballot();
                 item.sentAt = desk.now;
-                desk.out.send(desk.view.leader().address(), new Frame.Submit(item.sent, desk.origin, one.getKey(), item.bytes));
+                desk.out.send(
+                        desk.view.leader().address(),
+                        new Frame.Submit(item.sent, desk.origin, one.getKey(), item.bytes));
             }
         }
     }
--- a/src/main/java/brambletray/tray/view/Quorum.java
+++ b/src/main/java/brambletray/tray/view/Quorum.java
@@ -17,8 +17,7 @@
  * In the founding list lives aren't known, members are counted by address, and nobody is proven dead.
  */
 final class Quorum {
-    private Quorum() {
-    }
+    private Quorum() {}
 
     static boolean enough(List<Member> members, Collection<Member> answered, Set<Long> dead) {
         int heard = 0;
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -16,11 +16,11 @@
 final class Serving {
     /** Cuts, of a few megabytes each, and receivers at a time. */
     private static final int MOST_CUTS = 4;
+
     private static final int MOST = 16;
     private static final int KEEP_MS = 3000;
 
-    private record Cut(Ballot view, boolean whole, long after, long end, byte[] bytes) {
-    }
+    private record Cut(Ballot view, boolean whole, long after, long end, byte[] bytes) {}
 
     private static final class Receiver {
         long id;
@@ -74,7 +74,8 @@
             if (same && cut.view.equals(pull.view())) return cut;
             cuts.add(cut);
         }
-        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST) receivers.values().removeIf(other -> other.over);
+        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST)
+            receivers.values().removeIf(other -> other.over);
         if (receivers.size() >= MOST) return null;
         cuts.clear();
         for (Receiver other : receivers.values()) cuts.add(other.cut);
@@ -84,7 +85,10 @@
         // a whole one does for everybody; what has come since is fetched in another round
         Cut newest = null;
         for (Cut cut : cuts) {
-            boolean fits = cut.whole && cut.view.equals(pull.view()) && pull.view().equals(Ballot.NONE) && cut.end > pull.end();
+            boolean fits = cut.whole
+                    && cut.view.equals(pull.view())
+                    && pull.view().equals(Ballot.NONE)
+                    && cut.end > pull.end();
             if (fits && (newest == null || cut.end > newest.end)) newest = cut;
         }
         return newest;
@@ -93,7 +97,8 @@
     /** The state as it is now, where that is less than what it was made of: changes replace each other. */
     private Patch lighter(Patch patch) {
         Log log = desk.log;
-        List<Entry> rest = List.copyOf(log.entries().subList((int) (desk.delivered - log.base()), log.entries().size()));
+        List<Entry> rest = List.copyOf(log.entries()
+                .subList((int) (desk.delivered - log.base()), log.entries().size()));
         Patch fresh = new Patch(true, desk.delivered, log.viewAt(desk.delivered), desk.matter.snapshot(), rest);
         return fresh.bytes() < patch.bytes() ? fresh : patch;
     }
--- a/src/main/java/brambletray/tray/view/Settings.java
+++ b/src/main/java/brambletray/tray/view/Settings.java
@@ -16,8 +16,19 @@
  * @param proposeMs  how long a proposal is held before its outcome is called unclear
  * @param leaveMs    how long a member that is told to end stays at most, so that others go on without it: grace-s less a margin
  */
-public record Settings(Tolerance tolerance, int beatMs, int silentMs, int ackMs, int illMs, int sleepMs, int staggerMs, int gatherMs, int foundMs,
-        int installMs, int proposeMs, int leaveMs) {
+public record Settings(
+        Tolerance tolerance,
+        int beatMs,
+        int silentMs,
+        int ackMs,
+        int illMs,
+        int sleepMs,
+        int staggerMs,
+        int gatherMs,
+        int foundMs,
+        int installMs,
+        int proposeMs,
+        int leaveMs) {
     /** Most members of a view. */
     static final int MOST = 9;
 
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -7,12 +7,14 @@
 final class StateTransfer {
     /** Bytes of a piece, and pieces asked for ahead. */
     static final int PIECE = 64 << 10;
+
     private static final int WINDOW = 4;
     /**
      * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what
      * keeps the same pieces from being sent again and again. Doubles each time.
      */
     private static final int AGAIN_MS = 500;
+
     private static final int GIVE_UP_MS = 4000;
     private static final int MOST = 64 << 20;
 
@@ -73,7 +75,10 @@
         int until = total < 0 ? 1 : Math.min(got + WINDOW, (total + PIECE - 1) / PIECE);
         for (; asked < until; asked++) {
             saidAt = desk.now;
-            desk.out.send(from, new Frame.Pull(id, asked * PIECE, view, mine.end(), mine.endView(), Math.min(desk.commit, mine.end())));
+            desk.out.send(
+                    from,
+                    new Frame.Pull(
+                            id, asked * PIECE, view, mine.end(), mine.endView(), Math.min(desk.commit, mine.end())));
         }
     }
 
--- a/src/main/java/brambletray/tray/view/Status.java
+++ b/src/main/java/brambletray/tray/view/Status.java
@@ -18,6 +18,16 @@
  * @param delivered last place delivered here
  * @param ill       whether its own disk is in trouble
  */
-public record Status(Standing standing, Member me, long number, long before, List<Member> members, Member leader, boolean leading, boolean inForce,
-        boolean settled, long commit, long delivered, boolean ill) {
-}
+public record Status(
+        Standing standing,
+        Member me,
+        long number,
+        long before,
+        List<Member> members,
+        Member leader,
+        boolean leading,
+        boolean inForce,
+        boolean settled,
+        long commit,
+        long delivered,
+        boolean ill) {}
--- a/src/main/java/brambletray/tray/vow/Ballots.java
+++ b/src/main/java/brambletray/tray/vow/Ballots.java
@@ -8,26 +8,20 @@
     String duty();
 
     /** A candidate asks for its term; with {@code probe} only whether it would be granted. */
-    record Plea(String duty, boolean probe, long view, long term, long seq, Member from) implements Ballots {
-    }
+    record Plea(String duty, boolean probe, long view, long term, long seq, Member from) implements Ballots {}
 
     /** Granted (kept before it is said), or would be. */
-    record Grant(String duty, boolean probe, long term, long seq, long life) implements Ballots {
-    }
+    record Grant(String duty, boolean probe, long term, long seq, long life) implements Ballots {}
 
     /** Not granted or not renewed: a higher term was granted, or the lease of another runs for so long. */
-    record Deny(String duty, long term, long granted, int remainingMs, long life) implements Ballots {
-    }
+    record Deny(String duty, long term, long granted, int remainingMs, long life) implements Ballots {}
 
     /** The holder renews its lease. */
-    record Renew(String duty, long view, long term, long seq, Member from) implements Ballots {
-    }
+    record Renew(String duty, long view, long term, long seq, Member from) implements Ballots {}
 
     /** Renewed. */
-    record Agree(String duty, long term, long seq, long life) implements Ballots {
-    }
+    record Agree(String duty, long term, long seq, long life) implements Ballots {}
 
     /** The holder has stopped acting, or a candidate has given up (next is 0 then); the next one may stand at once. */
-    record Vacate(String duty, long term, long life, long next) implements Ballots {
-    }
+    record Vacate(String duty, long term, long life, long next) implements Ballots {}
 }
--- a/src/main/java/brambletray/tray/vow/Holder.java
+++ b/src/main/java/brambletray/tray/vow/Holder.java
@@ -8,5 +8,4 @@
  * @param term   fence: grows only, over restarts and lost disks
  * @param member that holds it
  */
-public record Holder(long term, Member member) {
-}
+public record Holder(long term, Member member) {}
--- a/src/main/java/brambletray/tray/vow/Seat.java
+++ b/src/main/java/brambletray/tray/vow/Seat.java
@@ -11,17 +11,20 @@
     boolean in;
     /** Number and members of the last view that it was in. */
     long view;
+
     List<Member> members = List.of();
     long since = Long.MIN_VALUE / 2;
     /** Number of the view that this one came from, if known to have been in force; else -1. */
     long before = -1;
     /** Since when the view before was in force here: ever, for who has seen none. */
     private long beforeSince = Long.MIN_VALUE / 2;
+
     private boolean follows;
 
     /** Takes in how it stands now; true when the view is another one. */
     boolean look(Status status, long now) {
-        // one alone after a restart has the newest changes on disk, but can't deliver them: it must not act on the snapshot's state
+        // one alone after a restart has the newest changes on disk, but can't deliver them: it must not act on the
+        // snapshot's state
         in = status.standing() == Standing.MEMBER && status.inForce() && status.settled();
         if (!in || view == status.number()) return false;
         before = status.before();
--- a/src/main/java/brambletray/tray/vow/Voter.java
+++ b/src/main/java/brambletray/tray/vow/Voter.java
@@ -23,6 +23,7 @@
     private long heldIn;
     /** What is known of it was read from the disk, and no lease has been agreed to since. */
     private boolean reborn;
+
     private Holder holder;
     private long takenUntil;
     private long named;
@@ -41,7 +42,8 @@
         if (kept == null) return;
         ByteBuffer in = ByteBuffer.wrap(kept);
         byte form = in.get();
-        if (form != FORM && form != FORM_BEFORE) throw new VowFault("vow.form", "kept in form " + kept[0] + ", this program reads form " + FORM);
+        if (form != FORM && form != FORM_BEFORE)
+            throw new VowFault("vow.form", "kept in form " + kept[0] + ", this program reads form " + FORM);
         granted = in.getLong();
         grantedTo = in.getLong();
         heldIn = form == FORM ? in.getLong() : 0;
@@ -84,7 +86,9 @@
 
     /** Whether this term would be granted to this life now. Who asks holds nothing any more: its own lease stands in nobody's way. */
     boolean would(long term, long life, long now) {
-        boolean free = now >= takenUntil || (holder != null && holder.member().life() == life) || (reborn && grantedTo == life);
+        boolean free = now >= takenUntil
+                || (holder != null && holder.member().life() == life)
+                || (reborn && grantedTo == life);
         return free && (term > granted || (term == granted && grantedTo == life));
     }
 
@@ -123,7 +127,8 @@
 
     /** The holder says that it has stopped. */
     boolean vacate(long term, long life, long next, long now) {
-        if (holder == null || holder.term() != term || holder.member().life() != life || now >= takenUntil) return false;
+        if (holder == null || holder.term() != term || holder.member().life() != life || now >= takenUntil)
+            return false;
         takenUntil = now;
         named = next;
         return true;
@@ -143,7 +148,14 @@
         flyingThen = then;
         then = new ArrayList<>();
         Map<String, byte[]> changes = new HashMap<>();
-        changes.put(key, ByteBuffer.allocate(25).put(FORM).putLong(granted).putLong(grantedTo).putLong(heldIn).array());
+        changes.put(
+                key,
+                ByteBuffer.allocate(25)
+                        .put(FORM)
+                        .putLong(granted)
+                        .putLong(grantedTo)
+                        .putLong(heldIn)
+                        .array());
         out.persist(++ticket, changes);
     }
 
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/tray/vow/Vow.java
@@ -20,10 +20,16 @@
  */
 public final class Vow {
     /** All frames, for registration with the codec; {@link Member} is registered by the view. */
-    public static final List<Class<?>> FRAMES = List.of(Ballots.Plea.class, Ballots.Grant.class, Ballots.Deny.class, Ballots.Renew.class,
-            Ballots.Agree.class, Ballots.Vacate.class);
+    public static final List<Class<?>> FRAMES = List.of(
+            Ballots.Plea.class,
+            Ballots.Grant.class,
+            Ballots.Deny.class,
+            Ballots.Renew.class,
+            Ballots.Agree.class,
+            Ballots.Vacate.class);
     /** Terms of one view. */
     private static final int RANGE = 20;
+
     private static final int AGAIN_MS = 150;
     private static final int NAMED_MS = 600;
     private static final int FIRST_MS = 300;
@@ -35,6 +41,7 @@
     private final Voter voter;
     /** The last view in which this life held the duty before its process ended, until it has won it again; 0 for none. */
     private long resuming;
+
     private boolean willing = true;
     private final Seat seat = new Seat();
     private Tenure tenure;
@@ -243,7 +250,8 @@
 
     private void denied(Ballots.Deny deny) {
         seen = Math.max(seen, deny.granted() >>> RANGE <= seat.view ? deny.granted() : 0);
-        if (tenure == null || tenure.won || tenure.term != deny.term() || !tenure.refuse(deny.life(), seat.members)) return;
+        if (tenure == null || tenure.won || tenure.term != deny.term() || !tenure.refuse(deny.life(), seat.members))
+            return;
         giveUp(Math.max(20, Math.min(deny.remainingMs(), AGAIN_MS)));
     }
 
@@ -264,7 +272,8 @@
         if (!seat.in || plea.view() != seat.view) return;
         Member who = plea.from();
         if (!voter.would(plea.term(), who.life(), now)) {
-            if (from != null) out.send(from, new Ballots.Deny(duty, plea.term(), voter.granted(), voter.remaining(now), me.life()));
+            if (from != null)
+                out.send(from, new Ballots.Deny(duty, plea.term(), voter.granted(), voter.remaining(now), me.life()));
             else if (tenure != null && !tenure.won) giveUp(AGAIN_MS);
             return;
         }
--- a/src/main/java/brambletray/tray/yard/Answers.java
+++ b/src/main/java/brambletray/tray/yard/Answers.java
@@ -7,6 +7,7 @@
     private static final Tale TALE = Tale.of("yard");
     /** Answers that are remembered, and ms for which. */
     private static final int MOST = 8_192;
+
     private static final long AGE = 60_000;
     /** ms between two log lines of starts that were turned down. */
     private static final long SELDOM = 1_000;
@@ -32,7 +33,11 @@
         String id = started.get(need.nonce(), now);
         if (id != null) {
             Life life = registry.get(id);
-            hands.tell(edge, life == null || life.stopping ? new NoRoom(need.nonce(), 0) : new Born(need.nonce(), life.host(now)));
+            hands.tell(
+                    edge,
+                    life == null || life.stopping
+                            ? new NoRoom(need.nonce(), 0)
+                            : new Born(need.nonce(), life.host(now)));
             return true;
         }
         NoRoom no = turnedDown.get(need.nonce(), now);
@@ -63,7 +68,8 @@
             if (!start.unclear) {
                 registry.reused(begun.address(), begun.id(), now);
             }
-            life = new Life(begun.id(), start.service, begun.address(), start.nonce, now).at(start.zone, start.seat, start.worker);
+            life = new Life(begun.id(), start.service, begun.address(), start.nonce, now)
+                    .at(start.zone, start.seat, start.worker);
             registry.add(life);
         }
         started.put(start.nonce, life.id, now);
@@ -85,7 +91,18 @@
     public void turnedDown(Start start, int comeBackMs, String why, long now) {
         untold++;
         if (now - toldAt >= SELDOM) {
-            TALE.tell("no start", "service", start.service, "seat", start.seat, "why", why, "come back", comeBackMs, "as many", untold);
+            TALE.tell(
+                    "no start",
+                    "service",
+                    start.service,
+                    "seat",
+                    start.seat,
+                    "why",
+                    why,
+                    "come back",
+                    comeBackMs,
+                    "as many",
+                    untold);
             toldAt = now;
             untold = 0;
         }
--- a/src/main/java/brambletray/tray/yard/Caller.java
+++ b/src/main/java/brambletray/tray/yard/Caller.java
@@ -41,9 +41,11 @@
 
     /** ms for a whole answer: more while none comes in time, for a slow platform is better than none; and for a connection to come up. */
     private static final int PATIENCE = 1_500, PATIENCE_MOST = 4_000, CONNECT = 1_000;
+
     private static final int LINES_MOST = 32, KEPT_MOST = 4, QUEUE_MOST = 256;
     /** ms; an idle connection is not used after that. */
     private static final long IDLE = 4_000;
+
     private static final int HEAD_MOST = 16 * 1024, BODY_MOST = 4 * 1024 * 1024;
     private static final byte[] NOTHING = new byte[0];
 
@@ -151,8 +153,11 @@
             machine.loop().execute(() -> reply.came(0, NOTHING));
             return;
         }
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, body == null ? HttpMethod.GET : HttpMethod.POST, path,
-            body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                body == null ? HttpMethod.GET : HttpMethod.POST,
+                path,
+                body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
         HttpHeaders fields = request.headers();
         fields.set(HttpHeaderNames.HOST, host);
         if (body != null) {
@@ -203,7 +208,11 @@
             Bootstrap bootstrap = machine.dialling(CONNECT, new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(HEAD_MOST, HEAD_MOST, 8 * 1024), new HttpObjectAggregator(BODY_MOST), line);
+                    channel.pipeline()
+                            .addLast(
+                                    new HttpClientCodec(HEAD_MOST, HEAD_MOST, 8 * 1024),
+                                    new HttpObjectAggregator(BODY_MOST),
+                                    line);
                 }
             });
             ChannelFuture connecting = bootstrap.connect(address);
--- a/src/main/java/brambletray/tray/yard/Claim.java
+++ b/src/main/java/brambletray/tray/yard/Claim.java
@@ -1,4 +1,4 @@
 package brambletray.tray.yard;
 
 /** An edge is the home of a seat from now on, and asks for its hosts. */
-public record Claim(String service, String seat) { }
+public record Claim(String service, String seat) {}
--- a/src/main/java/brambletray/tray/yard/Fleet.java
+++ b/src/main/java/brambletray/tray/yard/Fleet.java
@@ -20,7 +20,7 @@
     private static final long LATE = 100;
 
     /** What a list changed: workers that have begun to drain, and workers that are down; {@code doubt}: one was not shown, for the first time. */
-    record News(List<String> draining, List<String> down, boolean doubt) { }
+    record News(List<String> draining, List<String> down, boolean doubt) {}
 
     private final long lag;
     private final Map<String, Spot> spots = new LinkedHashMap<>();
@@ -57,7 +57,7 @@
             spot.listed(worker, askedAt - lag);
         }
         boolean doubt = false;
-        for (Iterator<Spot> each = spots.values().iterator(); each.hasNext();) {
+        for (Iterator<Spot> each = spots.values().iterator(); each.hasNext(); ) {
             Spot spot = each.next();
             if (shown.contains(spot.name)) {
                 continue;
--- a/src/main/java/brambletray/tray/yard/Gone.java
+++ b/src/main/java/brambletray/tray/yard/Gone.java
@@ -1,4 +1,4 @@
 package brambletray.tray.yard;
 
 /** A host has ended. */
-public record Gone(String id, String service) { }
+public record Gone(String id, String service) {}
--- a/src/main/java/brambletray/tray/yard/Leaving.java
+++ b/src/main/java/brambletray/tray/yard/Leaving.java
@@ -1,4 +1,4 @@
 package brambletray.tray.yard;
 
 /** A host is listed as draining, or its worker is: nothing new goes there. */
-public record Leaving(String id, String service) { }
+public record Leaving(String id, String service) {}
--- a/src/main/java/brambletray/tray/yard/Mine.java
+++ b/src/main/java/brambletray/tray/yard/Mine.java
@@ -3,4 +3,4 @@
 import java.util.List;
 
 /** What an edge's seats know of hosts, told to a new holder of the helm. */
-public record Mine(List<Host> hosts) { }
+public record Mine(List<Host> hosts) {}
--- a/src/main/java/brambletray/tray/yard/Muster.java
+++ b/src/main/java/brambletray/tray/yard/Muster.java
@@ -16,6 +16,7 @@
     private static final long LATE = 200;
     /** ms, and times the mean of a start: a start that takes longer has failed. */
     private static final long BOOT_MOST = 10_000;
+
     private static final int BOOTS_MOST = 6;
     /** ms; a host that has ended may be on the list for so long: it crashed, or its stop had work to await. */
     private static final long AFTER_END = 10_000;
@@ -101,7 +102,7 @@
         }
         TALE.tell("orphan adopted", "host", listed.id(), "service", listed.service(), "seat", listed.zone());
         Life life = new Life(listed.id(), listed.service(), listed.address(), listed.id(), now)
-            .at(listed.zone(), listed.zone(), listed.worker());
+                .at(listed.zone(), listed.zone(), listed.worker());
         life.up(now);
         if (listed.draining()) {
             life.state = Host.LEAVING;
--- a/src/main/java/brambletray/tray/yard/NoRoom.java
+++ b/src/main/java/brambletray/tray/yard/NoRoom.java
@@ -1,4 +1,4 @@
 package brambletray.tray.yard;
 
 /** No start now; {@code comeBackMs}: ms until it is worth asking again. */
-public record NoRoom(String nonce, int comeBackMs) { }
+public record NoRoom(String nonce, int comeBackMs) {}
--- a/src/main/java/brambletray/tray/yard/Pace.java
+++ b/src/main/java/brambletray/tray/yard/Pace.java
@@ -7,11 +7,13 @@
 final class Pace {
     /** Calls without an answer at a time. */
     static final int WINDOW_MOST = 64;
+
     private static final int WINDOW_LEAST = 4;
     /** ms of the full rate that may be called at once. */
     private static final double BURST = 100;
     /** ms without calls after a 429. */
     private static final long REST = 100;
+
     private static final double LEAST_SHARE = 0.1;
     private static final double SLOWER = 0.7;
     private static final double FASTER = 0.01;
--- a/src/main/java/brambletray/tray/yard/Pages.java
+++ b/src/main/java/brambletray/tray/yard/Pages.java
@@ -16,14 +16,19 @@
     private final JsonWriter writer = json.newWriter();
 
     /** One page of hosts; {@code next} null on the last. */
-    record Page(List<Listed> hosts, String next) { }
+    record Page(List<Listed> hosts, String next) {}
 
     Page hosts(byte[] body) {
         Map<String, Object> page = object(body);
         List<Listed> hosts = new ArrayList<>();
         for (Map<String, Object> entry : entries(page, "instances")) {
-            hosts.add(new Listed(text(entry, "instance-id"), text(entry, "service"), text(entry, "address"), text(entry, "zone"),
-                entry.get("worker") instanceof String worker ? worker : null, "draining".equals(entry.get("oper-state"))));
+            hosts.add(new Listed(
+                    text(entry, "instance-id"),
+                    text(entry, "service"),
+                    text(entry, "address"),
+                    text(entry, "zone"),
+                    entry.get("worker") instanceof String worker ? worker : null,
+                    "draining".equals(entry.get("oper-state"))));
         }
         return new Page(hosts, page.get("next-token") instanceof String next && !next.isEmpty() ? next : null);
     }
@@ -31,8 +36,12 @@
     List<Worker> workers(byte[] body) {
         List<Worker> workers = new ArrayList<>();
         for (Map<String, Object> entry : entries(object(body), "workers")) {
-            workers.add(new Worker(text(entry, "name"), text(entry, "zone"), number(entry, "memory-mb"), number(entry, "free-memory-mb"),
-                "draining".equals(entry.get("oper-state"))));
+            workers.add(new Worker(
+                    text(entry, "name"),
+                    text(entry, "zone"),
+                    number(entry, "memory-mb"),
+                    number(entry, "free-memory-mb"),
+                    "draining".equals(entry.get("oper-state"))));
         }
         return workers;
     }
--- a/src/main/java/brambletray/tray/yard/Placement.java
+++ b/src/main/java/brambletray/tray/yard/Placement.java
@@ -29,8 +29,9 @@
             }
             int far = terms.distance(zone, spot.zone);
             int crew = fleet.crew(spot.name, service);
-            boolean better = best == null || far < bestFar
-                || far == bestFar && (crew < bestCrew || crew == bestCrew && free > bestFree);
+            boolean better = best == null
+                    || far < bestFar
+                    || far == bestFar && (crew < bestCrew || crew == bestCrew && free > bestFree);
             if (better) {
                 best = spot;
                 bestFar = far;
--- a/src/main/java/brambletray/tray/yard/Platform.java
+++ b/src/main/java/brambletray/tray/yard/Platform.java
@@ -21,7 +21,7 @@
     private static final long PAGE_PAUSE = 200;
 
     /** What the platform is told of its caller: {@code holder} is the node's name, {@code fence} the term of its duty. */
-    public record Name(String holder, long fence) { }
+    public record Name(String holder, long fence) {}
 
     /** A list that came, or not: {@code complete} only with its last page. */
     @FunctionalInterface
@@ -42,7 +42,9 @@
     public Platform(Machine machine, InetSocketAddress address, Name name, double perS) {
         this.machine = machine;
         this.caller = new Caller(machine, address);
-        this.headers = new String[] {"Brambletray-Duty-Holder", name.holder(), "Brambletray-Fence-Token", Long.toString(name.fence())};
+        this.headers = new String[] {
+            "Brambletray-Duty-Holder", name.holder(), "Brambletray-Fence-Token", Long.toString(name.fence())
+        };
         this.perMs = perS * 0.9 / 1000;
         this.tokensAt = now();
     }
@@ -50,17 +52,23 @@
     /** {@code POST /brambletray/begin}. */
     public void begin(String service, String worker, String nonce, Consumer<Begun> whenAnswered) {
         byte[] body = pages.object("service", service, "worker", worker, "request-nonce", nonce);
-        caller.call("/brambletray/begin", body, (status, answer) -> whenAnswered.accept(begun(status, answer)), headers);
+        caller.call(
+                "/brambletray/begin", body, (status, answer) -> whenAnswered.accept(begun(status, answer)), headers);
     }
 
     /** {@code POST /brambletray/stop}. */
     public void stop(String id, Consumer<Result> whenAnswered) {
-        caller.call("/brambletray/stop", pages.object("instance-id", id), (status, answer) -> whenAnswered.accept(result(status)), headers);
+        caller.call(
+                "/brambletray/stop",
+                pages.object("instance-id", id),
+                (status, answer) -> whenAnswered.accept(result(status)),
+                headers);
     }
 
     /** {@code GET /brambletray/workers}; null: they did not come. */
     public void workers(Consumer<List<Worker>> whenAnswered) {
-        paced(() -> caller.call("/brambletray/workers", null, (status, answer) -> whenAnswered.accept(workers(status, answer))));
+        paced(() -> caller.call(
+                "/brambletray/workers", null, (status, answer) -> whenAnswered.accept(workers(status, answer))));
     }
 
     /** {@code GET /instances}, page by page. */
@@ -75,10 +83,16 @@
     }
 
     private void page(List<Listed> before, String token, int number, int tried, Lister whenAnswered) {
-        String path = token == null ? "/instances" : "/instances?page-token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
+        String path = token == null
+                ? "/instances"
+                : "/instances?page-token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
         paced(() -> caller.call(path, null, (status, body) -> {
             if (status == 429 && tried < PAGE_TRIES && !closed) {
-                machine.loop().schedule(() -> page(before, token, number, tried + 1, whenAnswered), PAGE_PAUSE, TimeUnit.MILLISECONDS);
+                machine.loop()
+                        .schedule(
+                                () -> page(before, token, number, tried + 1, whenAnswered),
+                                PAGE_PAUSE,
+                                TimeUnit.MILLISECONDS);
                 return;
             }
             Pages.Page page = hosts(status, body);
--- a/src/main/java/brambletray/tray/yard/Polls.java
+++ b/src/main/java/brambletray/tray/yard/Polls.java
@@ -6,6 +6,7 @@
     private static final long HOSTS = 700, WORKERS = 1_000, IDLE = 3_000, HASTE = 300;
     /** ms; a list that has not been answered by then is asked for again. */
     private static final long LOST = 10_000;
+
     private static final long PAUSE_LEAST = 100, PAUSE_MOST = 1_000;
 
     /** One of the two lists. */
--- a/src/main/java/brambletray/tray/yard/Recall.java
+++ b/src/main/java/brambletray/tray/yard/Recall.java
@@ -63,7 +63,7 @@
 
     private void remember(String edge, Host host, long now) {
         Life life = new Life(host.id(), host.service(), host.address(), host.nonce(), now - host.bornAgoMs())
-            .at(host.zone(), host.seat(), host.worker());
+                .at(host.zone(), host.seat(), host.worker());
         life.state = host.state();
         if (host.state() != Host.BOOTING) {
             life.upAt = now;
--- a/src/main/java/brambletray/tray/yard/Recent.java
+++ b/src/main/java/brambletray/tray/yard/Recent.java
@@ -6,7 +6,7 @@
 
 /** What happened lately by name: bounded in number and age (ms), the oldest goes first. */
 final class Recent<V> {
-    private record Entry<V>(V value, long at) { }
+    private record Entry<V>(V value, long at) {}
 
     private final Map<String, Entry<V>> entries = new LinkedHashMap<>();
     private final int most;
--- a/src/main/java/brambletray/tray/yard/Registry.java
+++ b/src/main/java/brambletray/tray/yard/Registry.java
@@ -13,10 +13,11 @@
     private static final Tale TALE = Tale.of("yard");
     /** Ended hosts, and ms, for which an id is remembered: lists that lag may show it still. */
     private static final int PAST_MOST = 8_192;
+
     private static final long PAST_AGE = 60_000;
 
     /** Why a host ended. {@code stopped}: the platform has confirmed the stop. */
-    record End(String why, boolean stopped) { }
+    record End(String why, boolean stopped) {}
 
     private final Hands hands;
     private final Homes homes;
--- a/src/main/java/brambletray/tray/yard/Settling.java
+++ b/src/main/java/brambletray/tray/yard/Settling.java
@@ -15,6 +15,7 @@
 final class Settling {
     /** ms. */
     private static final long MOST = 1_500;
+
     private static final int CLAIMS_MOST = 4_096;
 
     private final long until;
--- a/src/main/java/brambletray/tray/yard/Start.java
+++ b/src/main/java/brambletray/tray/yard/Start.java
@@ -16,11 +16,13 @@
     String worker;
     /** Of the worker. */
     String zone;
+
     Spot.Hold hold;
     /** A call of it is without its answer. */
     boolean out;
     /** A call of it got no answer: it may have been made, and is called again with the same nonce and worker. */
     boolean unclear;
+
     int tries;
     long next;
     final Set<String> refused = new HashSet<>(2);
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/tray/yard/Starts.java
@@ -22,6 +22,7 @@
     private static final long LOOK = 250;
     /** ms until a home had better ask again: when all is full, when nothing could be called, when the service is not known. */
     static final int FULL = 500, BUSY = 300, NO_SERVICE = 500;
+
     private static final int REFUSALS_MOST = 8;
     /** ms between calls without an answer. */
     private static final long PAUSE_LEAST = 50, PAUSE_MOST = 1_000;
@@ -42,7 +43,8 @@
     private final Ends ends;
     private final Map<String, Start> open = new HashMap<>();
     private final TreeSet<Start> waiting = new TreeSet<>(Comparator.<Start>comparingInt(start -> -start.urgency)
-        .thenComparingLong(start -> start.since).thenComparing(start -> start.nonce));
+            .thenComparingLong(start -> start.since)
+            .thenComparing(start -> start.nonce));
     private final List<Start> called = new ArrayList<>();
     private final Map<String, Integer> pending = new HashMap<>();
     private long nextLook;
@@ -159,7 +161,8 @@
             case FENCED, UNKNOWN -> {
                 boolean fenced = begun.result() == Result.FENCED;
                 start.unclear |= !fenced;
-                start.next = now + (fenced ? PAUSE_MOST : Math.min(PAUSE_MOST, PAUSE_LEAST << Math.min(start.tries - 1, 5)));
+                start.next =
+                        now + (fenced ? PAUSE_MOST : Math.min(PAUSE_MOST, PAUSE_LEAST << Math.min(start.tries - 1, 5)));
             }
             default -> {
                 release(start);
@@ -171,7 +174,16 @@
 
     /** 409: the nonce has not been used, so it is free for another worker. */
     private void refused(Start start, long now) {
-        TALE.debug("refused", "service", start.service, "worker", start.worker, "nonce", start.nonce, "refusals", start.refused.size() + 1);
+        TALE.debug(
+                "refused",
+                "service",
+                start.service,
+                "worker",
+                start.worker,
+                "nonce",
+                start.nonce,
+                "refusals",
+                start.refused.size() + 1);
         Size size = sizes.apply(start.service);
         fleet.refused(start.worker, size == null ? 1 : size.memoryMb(), now);
         polls.hasten();
@@ -193,7 +205,11 @@
         Spot spot = size == null ? null : placement.choose(start.service, size.memoryMb(), start.seat, start.refused);
         if (spot == null) {
             drop(start);
-            ends.turnedDown(start, size == null ? NO_SERVICE : FULL, size == null ? "no such service" : "no room anywhere", now);
+            ends.turnedDown(
+                    start,
+                    size == null ? NO_SERVICE : FULL,
+                    size == null ? "no such service" : "no room anywhere",
+                    now);
             return false;
         }
         waiting.remove(start);
--- a/src/main/java/brambletray/tray/yard/Stops.java
+++ b/src/main/java/brambletray/tray/yard/Stops.java
@@ -70,7 +70,7 @@
 
     /** True when one has been called. */
     boolean callOne(long now) {
-        for (Iterator<Stop> each = waiting.iterator(); each.hasNext();) {
+        for (Iterator<Stop> each = waiting.iterator(); each.hasNext(); ) {
             Stop stop = each.next();
             if (stop.next <= now) {
                 each.remove();
--- a/src/main/java/brambletray/tray/yard/Strays.java
+++ b/src/main/java/brambletray/tray/yard/Strays.java
@@ -14,6 +14,7 @@
     private static final long REMOVED = 10_000;
     /** ms; hosts of a seat that its home has not claimed are stopped after that. */
     private static final long LONELY = 8_000;
+
     private static final int CLAIMS_MOST = 16_384;
 
     private final Registry registry;
--- a/src/main/java/brambletray/tray/yard/Yard.java
+++ b/src/main/java/brambletray/tray/yard/Yard.java
@@ -12,8 +12,18 @@
  */
 public final class Yard {
     /** The frames of this plane, for the links. */
-    public static final List<Class<?>> FRAMES = List.of(Need.class, Host.class, Born.class, NoRoom.class, Leaving.class, Gone.class, Quit.class,
-        Seen.class, Claim.class, Hosts.class, Mine.class);
+    public static final List<Class<?>> FRAMES = List.of(
+            Need.class,
+            Host.class,
+            Born.class,
+            NoRoom.class,
+            Leaving.class,
+            Gone.class,
+            Quit.class,
+            Seen.class,
+            Claim.class,
+            Hosts.class,
+            Mine.class);
 
     private static final Tale TALE = Tale.of("yard");
     /** ms; a stop that has waited so long goes before starts. */
@@ -47,7 +57,12 @@
         registry = new Registry(hands, homes, fleet);
         pace = new Pace(terms.dutyRatePerS(), now);
         polls = new Polls(terms.ratePerS());
-        stops = new Stops(hands, registry, fleet, pace, service -> sizes.getOrDefault(service, new Size(0, 0)).memoryMb());
+        stops = new Stops(
+                hands,
+                registry,
+                fleet,
+                pace,
+                service -> sizes.getOrDefault(service, new Size(0, 0)).memoryMb());
         answers = new Answers(hands, homes, registry, fleet);
         starts = new Starts(hands, fleet, terms, pace, polls, service -> sizes.get(service), answers);
         muster = new Muster(registry, stops, starts, service -> sizes.get(service), terms.lagMs());
--- a/src/main/java/brambletray/wire/Wire.java
+++ b/src/main/java/brambletray/wire/Wire.java
@@ -17,7 +17,7 @@
 public final class Wire {
     private static final JsonFactory JSON = new JsonFactory();
 
-    private Wire() { }
+    private Wire() {}
 
     /** A line that is not what the wire's description allows. */
     public static final class Malformed extends IOException {
@@ -131,7 +131,8 @@
         } catch (Malformed e) {
             throw e;
         } catch (IOException e) {
-            throw new Malformed("bad JSON: " + e.getMessage().lines().findFirst().orElse(""));
+            throw new Malformed(
+                    "bad JSON: " + e.getMessage().lines().findFirst().orElse(""));
         }
     }
 
@@ -153,13 +154,20 @@
                 }
                 return list;
             }
-            case VALUE_STRING: return parser.getText();
-            case VALUE_NUMBER_INT: return parser.getNumberValue();
-            case VALUE_NUMBER_FLOAT: return parser.getDoubleValue();
-            case VALUE_TRUE: return Boolean.TRUE;
-            case VALUE_FALSE: return Boolean.FALSE;
-            case VALUE_NULL: return null;
-            default: throw new Malformed("unexpected " + parser.currentToken());
+            case VALUE_STRING:
+                return parser.getText();
+            case VALUE_NUMBER_INT:
+                return parser.getNumberValue();
+            case VALUE_NUMBER_FLOAT:
+                return parser.getDoubleValue();
+            case VALUE_TRUE:
+                return Boolean.TRUE;
+            case VALUE_FALSE:
+                return Boolean.FALSE;
+            case VALUE_NULL:
+                return null;
+            default:
+                throw new Malformed("unexpected " + parser.currentToken());
         }
     }
 
@@ -170,9 +178,16 @@
         Fields prices = s.object("deductions");
         List<Relay.MessageClass> classes = new ArrayList<>();
         for (Fields c : s.objects("profiles")) {
-            classes.add(new Relay.MessageClass(c.text("name", ""), c.time("aim"), c.time("hard-limit"),
-                c.number("worth", 1), c.number("late-worth", 0), effect(c.text("semantics")),
-                c.text("group", "all").equals("zone"), c.time("window", 0), c.flag("sequential")));
+            classes.add(new Relay.MessageClass(
+                    c.text("name", ""),
+                    c.time("aim"),
+                    c.time("hard-limit"),
+                    c.number("worth", 1),
+                    c.number("late-worth", 0),
+                    effect(c.text("semantics")),
+                    c.text("group", "all").equals("zone"),
+                    c.time("window", 0),
+                    c.flag("sequential")));
         }
         List<Relay.Tenant> tenants = new ArrayList<>();
         for (Fields t : s.objects("tenants")) {
@@ -190,20 +205,40 @@
         for (Object fee : info.list("carriage")) {
             fees.add(fee instanceof Number n ? n.doubleValue() : 0.0);
         }
-        return new Relay.Settings((int) s.whole("rank", 0), (int) s.whole("balancers", 1),
-            (int) s.whole("zone", 0),
-            info.text("late", "linear").equals("halving"), s.number("over-share-worth", 1),
-            weights(s.text("weights", "none")), classes, tenants, kinds,
-            new Relay.Allowed((int) info.whole("call-slots", 1), (int) allowed.whole("open-cap", 1000),
-                (int) allowed.whole("most-tries", 1), allowed.flag("second-copies"), allowed.flag("cancel"),
-                (int) allowed.whole("max-streams", 1),
-                allowed.time("connect-timeout", 0), allowed.time("keepalive", 0),
-                allowed.flag("retry-after") ? allowed.time("max-retry-after", 0) : 0),
-            new Relay.Rules(rules.time("stop-sending-within", 0), rules.number("fall-multiple", 1),
-                rules.time("tip-after", 1), rules.number("cold-from", 1), rules.time("cold", 0),
-                rules.time("key-rest", 0), rules.time("answer-slack", 0)),
-            new Relay.Prices(info.number("refusal-cost", 0), prices.number("handshake", 0),
-                prices.number("cross-zone", 0), prices.number("waste", 0), fees));
+        return new Relay.Settings(
+                (int) s.whole("rank", 0),
+                (int) s.whole("balancers", 1),
+                (int) s.whole("zone", 0),
+                info.text("late", "linear").equals("halving"),
+                s.number("over-share-worth", 1),
+                weights(s.text("weights", "none")),
+                classes,
+                tenants,
+                kinds,
+                new Relay.Allowed(
+                        (int) info.whole("call-slots", 1),
+                        (int) allowed.whole("open-cap", 1000),
+                        (int) allowed.whole("most-tries", 1),
+                        allowed.flag("second-copies"),
+                        allowed.flag("cancel"),
+                        (int) allowed.whole("max-streams", 1),
+                        allowed.time("connect-timeout", 0),
+                        allowed.time("keepalive", 0),
+                        allowed.flag("retry-after") ? allowed.time("max-retry-after", 0) : 0),
+                new Relay.Rules(
+                        rules.time("stop-sending-within", 0),
+                        rules.number("fall-multiple", 1),
+                        rules.time("tip-after", 1),
+                        rules.number("cold-from", 1),
+                        rules.time("cold", 0),
+                        rules.time("key-rest", 0),
+                        rules.time("answer-slack", 0)),
+                new Relay.Prices(
+                        info.number("refusal-cost", 0),
+                        prices.number("handshake", 0),
+                        prices.number("cross-zone", 0),
+                        prices.number("waste", 0),
+                        fees));
     }
 
     private static Relay.Effect effect(String word) throws Malformed {
--- a/src/main/java/brambletray/yaml/Section.java
+++ b/src/main/java/brambletray/yaml/Section.java
@@ -184,8 +184,10 @@
     /** A mapping in it, where nothing at all ({@code name:}) stands for one without fields. */
     public Section sectionOrEmpty(String field) {
         asked.add(field);
-        if (values.get(field) instanceof ScalarNode scalar && (scalar.getValue().isEmpty()
-            || scalar.getValue().equals("null") || scalar.getValue().equals("~"))) {
+        if (values.get(field) instanceof ScalarNode scalar
+                && (scalar.getValue().isEmpty()
+                        || scalar.getValue().equals("null")
+                        || scalar.getValue().equals("~"))) {
             return new Section(file, scalar, named(field));
         }
         return section(field, false);
@@ -254,8 +256,9 @@
     public void done() {
         for (Map.Entry<String, Node> key : keys.entrySet()) {
             if (!asked.contains(key.getKey())) {
-                file.fault(key.getValue(), "'" + named(key.getKey()) + "' is not known here: expected one of "
-                    + String.join(", ", asked));
+                file.fault(
+                        key.getValue(),
+                        "'" + named(key.getKey()) + "' is not known here: expected one of " + String.join(", ", asked));
             }
         }
     }
--- a/src/main/java/brambletray/yaml/YamlFile.java
+++ b/src/main/java/brambletray/yaml/YamlFile.java
@@ -26,7 +26,7 @@
 public final class YamlFile {
     private static final int BYTES_MOST = 4 << 20, FAULTS_MOST = 100;
 
-    private record Fault(int line, int column, String text) { }
+    private record Fault(int line, int column, String text) {}
 
     private final String name;
     private final List<Fault> faults = new ArrayList<>();
@@ -37,7 +37,7 @@
     }
 
     /** What stands in a file, to be read section by section. */
-    public record Content(YamlFile file, Section root) { }
+    public record Content(YamlFile file, Section root) {}
 
     /** Reads a file; a file that is no YAML, or no mapping, is one fault. */
     public static Content read(Path path) throws Faults, IOException {
@@ -59,8 +59,10 @@
     public static Content parse(String name, String text, String listField, int most) throws Faults {
         YamlFile file = new YamlFile(name);
         try {
-            LoadSettings settings =
-                LoadSettings.builder().setLabel(name).setCodePointLimit(most).build();
+            LoadSettings settings = LoadSettings.builder()
+                    .setLabel(name)
+                    .setCodePointLimit(most)
+                    .build();
             Optional<Node> root = new Compose(settings).composeString(text);
             if (root.orElse(null) instanceof SequenceNode list && listField != null) {
                 // A plain list is read as the one field of a mapping.
@@ -76,8 +78,8 @@
             throw new Faults(List.of(name + ":1:1: expected a mapping of names to values"));
         } catch (MarkedYamlEngineException e) {
             Mark mark = e.getProblemMark().orElse(null);
-            throw new Faults(List.of(name + ":" + (mark == null ? "1:1" : place(mark)) + ": not YAML: "
-                + e.getProblem()));
+            throw new Faults(
+                    List.of(name + ":" + (mark == null ? "1:1" : place(mark)) + ": not YAML: " + e.getProblem()));
         } catch (YamlEngineException e) {
             throw new Faults(List.of(name + ":1:1: not YAML: " + e.getMessage()));
         }
@@ -90,8 +92,7 @@
     /** Notes a fault at a node; reading goes on, so that all faults are told at once. */
     void fault(Node at, String text) {
         Mark mark = at.getStartMark().orElse(null);
-        faults.add(new Fault(mark == null ? 1 : mark.getLine() + 1, mark == null ? 1 : mark.getColumn() + 1,
-            text));
+        faults.add(new Fault(mark == null ? 1 : mark.getLine() + 1, mark == null ? 1 : mark.getColumn() + 1, text));
     }
 
     /** Guards against files that are small and mean something huge: a node may stand in one place only. */
--- a/src/test/java/brambletray/admission/QuotaDoorTest.java
+++ b/src/test/java/brambletray/admission/QuotaDoorTest.java
@@ -2,9 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import brambletray.core.Door;
 import brambletray.message.Body;
 import brambletray.message.Message;
-import brambletray.core.Door;
 import brambletray.quota.Member;
 import brambletray.runtime.Clock;
 import brambletray.serve.Config;
@@ -35,14 +35,21 @@
     Path folder;
 
     private static String header(List<String> head, String name) {
-        return head.stream().filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ":")).map(h -> h.substring(h.indexOf(' ') + 1)).findFirst().orElse(null);
+        return head.stream()
+                .filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                .map(h -> h.substring(h.indexOf(' ') + 1))
+                .findFirst()
+                .orElse(null);
     }
 
     @Test
     void whatIsBeyondALimitIsRefusedWithATime() throws Exception {
-        try (HostStub host = new HostStub(); PlatformStub platform = new PlatformStub(folder)) {
-            Files.writeString(folder.resolve("quotas.yaml"), "name: all\nlimits: [{messages: 2, in_s: 600}]\nmembers:\n"
-                + "  - {name: pay, match: {class: pay}, limits: [{messages: 1, in_s: 60}]}\n");
+        try (HostStub host = new HostStub();
+                PlatformStub platform = new PlatformStub(folder)) {
+            Files.writeString(
+                    folder.resolve("quotas.yaml"),
+                    "name: all\nlimits: [{messages: 2, in_s: 600}]\nmembers:\n"
+                            + "  - {name: pay, match: {class: pay}, limits: [{messages: 1, in_s: 60}]}\n");
             platform.more = "\"quotas\":\"quotas.yaml\",";
             try (Node relay = platform.relay(PlatformStub.host("a", host.port(), 7, "ready"));
                     var client = new PlatformStub.Client(relay)) {
@@ -55,9 +62,15 @@
                 assertTrue(client.post("m3", "bill", 7, 16_000).get(0).contains("202"));
                 host.call().answer(HostStub.OK);
                 assertTrue(client.post("m4", "bill", 7, 16_000).get(0).contains("503"), "the limit above");
-                String view = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
-                    + relay.address().getPort() + "/v1/quotas")).build(), HttpResponse.BodyHandlers.ofString()).body();
-                Wire.Fields all = Wire.decode("{\"all\":" + view + "}").objects("all").get(0);
+                String view = HttpClient.newHttpClient()
+                        .send(
+                                HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                                                + relay.address().getPort() + "/v1/quotas"))
+                                        .build(),
+                                HttpResponse.BodyHandlers.ofString())
+                        .body();
+                Wire.Fields all =
+                        Wire.decode("{\"all\":" + view + "}").objects("all").get(0);
                 assertEquals("all", all.text("path"));
                 assertEquals(2, all.object("messages").whole("used_in_all"));
                 assertEquals(2, all.object("messages").whole("refused_in_all"));
@@ -76,9 +89,12 @@
     /** Room held on loan is wanted by one with a right to it: what still waits ends by a notice, harmlessly. */
     @Test
     void whatWaitsOnLoanIsHandedBack() throws Exception {
-        try (HostStub host = new HostStub(); PlatformStub platform = new PlatformStub(folder)) {
-            Files.writeString(folder.resolve("quotas.yaml"), "name: all\nheld: 4\nmembers:\n"
-                + "  - {name: bill, match: {class: bill}, share: {held: 2}}\n  - {name: pay, match: {class: pay}, share: {held: 2}}\n");
+        try (HostStub host = new HostStub();
+                PlatformStub platform = new PlatformStub(folder)) {
+            Files.writeString(
+                    folder.resolve("quotas.yaml"),
+                    "name: all\nheld: 4\nmembers:\n"
+                            + "  - {name: bill, match: {class: bill}, share: {held: 2}}\n  - {name: pay, match: {class: pay}, share: {held: 2}}\n");
             platform.more = "\"quotas\":\"quotas.yaml\",";
             platform.openCap = 50;
             try (Node relay = platform.relay(PlatformStub.host("a", host.port(), 7, "ready"));
@@ -102,8 +118,10 @@
     @ParameterizedTest
     @ValueSource(ints = {100, 640})
     void aLongWindowOutlastsTheProcess(int most) throws Exception {
-        Member tree = QuotaFile.parse("q.yaml", "name: all\nlimits: [{messages: 10000, in_s: 3600}]\nmembers:\n"
-            + "  - {name: bill, match: {class: bill}, limits: [{messages: " + most + ", in_s: 60}]}\n");
+        Member tree = QuotaFile.parse(
+                "q.yaml",
+                "name: all\nlimits: [{messages: 10000, in_s: 3600}]\nmembers:\n"
+                        + "  - {name: bill, match: {class: bill}, limits: [{messages: " + most + ", in_s: 60}]}\n");
         for (int killedAfter = 1; killedAfter < 100; killedAfter += 7) {
             MemoryDisk disk = new MemoryDisk();
             int taken = 0;
@@ -135,6 +153,7 @@
 
     @Test
     void theExampleIsRight() throws Exception {
-        assertEquals(3, QuotaFile.read(Path.of("deploy", "quotas.yaml")).members().size());
+        assertEquals(
+                3, QuotaFile.read(Path.of("deploy", "quotas.yaml")).members().size());
     }
 }
--- a/src/test/java/brambletray/cli/OperatorVerbsTest.java
+++ b/src/test/java/brambletray/cli/OperatorVerbsTest.java
@@ -31,14 +31,17 @@
 
     @Test
     void eachCommandCallsTheRelayAndTellsItsAnswer() throws Exception {
-        try (PlatformStub platform = new PlatformStub(folder); HostStub host = new HostStub()) {
+        try (PlatformStub platform = new PlatformStub(folder);
+                HostStub host = new HostStub()) {
             platform.more = "\"console\":\"127.0.0.1:0\",";
-            try (Node relay = new Node(Config.read(platform.configure(platform, host("s-1", host.port(), 7, "ready"))))) {
+            try (Node relay =
+                    new Node(Config.read(platform.configure(platform, host("s-1", host.port(), 7, "ready"))))) {
                 String at = "127.0.0.1:" + relay.consoleAddress().getPort();
                 assertEquals("ready", run(0, "status", "--console", at));
                 assertTrue(run(0, "status", "--metrics", "--console", at).contains("svc.hosts_known:1|g"));
                 assertEquals("s-1 is out", run(0, "maintenance", "enter", "s-1", "--console", at));
-                assertTrue(run(1, "maintenance", "exit", "s 9/", "--console", at).contains("name"));
+                assertTrue(
+                        run(1, "maintenance", "exit", "s 9/", "--console", at).contains("name"));
                 assertTrue(run(0, "maintenance", "exit", "s-1", "--console", at).startsWith("s-1 is in use"));
                 run(0, "standby", "--console", at);
                 assertEquals("ready, clients are sent away", run(0, "status", "--console", at));
--- a/src/test/java/brambletray/console/CallTableTest.java
+++ b/src/test/java/brambletray/console/CallTableTest.java
@@ -50,21 +50,41 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"GET, /status, ready", "GET, /status/metrics, figures", "GET, /status?x=1, ready",
-        "POST, /maintenance/enter/s-1, out s-1", "POST, /maintenance/exit/s-1, in s-1",
-        "POST, /maintenance/enter/a%20b, out a b", "POST, /maintenance/enter/a+b, out a+b",
-        "POST, /maintenance/enter/.., out ..", "POST, /standby, away", "POST, /active, back"})
+    @CsvSource({
+        "GET, /status, ready",
+        "GET, /status/metrics, figures",
+        "GET, /status?x=1, ready",
+        "POST, /maintenance/enter/s-1, out s-1",
+        "POST, /maintenance/exit/s-1, in s-1",
+        "POST, /maintenance/enter/a%20b, out a b",
+        "POST, /maintenance/enter/a+b, out a+b",
+        "POST, /maintenance/enter/.., out ..",
+        "POST, /standby, away",
+        "POST, /active, back"
+    })
     void eachCallIsCarriedOutOnce(String method, String uri, String what) {
         assertEquals(200, call(method, uri));
         assertEquals(List.of(what), done);
     }
 
     @ParameterizedTest
-    @CsvSource({"GET, /, 404", "GET, /healthz, 404", "GET, /status/, 404", "POST, /status, 405", "GET, /standby, 405",
-        "PUT, /active, 405", "GET, /maintenance/enter/s-1, 405", "POST, /maintenance/enter/, 400",
-        "POST, /maintenance/enter, 404", "POST, /maintenance/enter/../x, 400", "POST, /maintenance/enter/a%2Fb, 400",
-        "POST, /maintenance/enter/%, 400", "POST, /maintenance/enter/%zz, 400", "POST, /maintenance/enter/%00, 400",
-        "POST, /maintenance/leave/s-1, 404"})
+    @CsvSource({
+        "GET, /, 404",
+        "GET, /healthz, 404",
+        "GET, /status/, 404",
+        "POST, /status, 405",
+        "GET, /standby, 405",
+        "PUT, /active, 405",
+        "GET, /maintenance/enter/s-1, 405",
+        "POST, /maintenance/enter/, 400",
+        "POST, /maintenance/enter, 404",
+        "POST, /maintenance/enter/../x, 400",
+        "POST, /maintenance/enter/a%2Fb, 400",
+        "POST, /maintenance/enter/%, 400",
+        "POST, /maintenance/enter/%zz, 400",
+        "POST, /maintenance/enter/%00, 400",
+        "POST, /maintenance/leave/s-1, 404"
+    })
     void whatIsNoCallTouchesNothing(String method, String uri, int status) {
         assertEquals(status, call(method, uri));
         assertEquals(List.of(), done);
--- a/src/test/java/brambletray/control/Bench.java
+++ b/src/test/java/brambletray/control/Bench.java
@@ -21,15 +21,23 @@
 
     static Settings settings(int slots, boolean copies, int relays, int attempts, int open) {
         List<MessageClass> classes = List.of(
-            new MessageClass("a", SECOND, 5 * SECOND, 2, 0, Effect.SAFE, false, 0, false),
-            new MessageClass("b", 4 * SECOND, 16 * SECOND, 1, 0.5, Effect.KEYED, false, 10 * SECOND, false),
-            new MessageClass("c", 3 * SECOND, 28 * SECOND, 4, 0.5, Effect.UNSAFE, false, 0, true),
-            new MessageClass("d", 3 * SECOND, 16 * SECOND, 1, 0.4, Effect.KEYED, true, 10 * SECOND, false));
-        return new Settings(0, relays, 0, false, 0.2, Weights.NOMINAL, classes, List.of(new Tenant("t", 50)),
-            List.of(new Kind(false, 1), new Kind(true, 1), new Kind(true, 10)),
-            new Allowed(slots, open, attempts, copies, true, 1, 1500 * MS, 10 * SECOND, 3 * SECOND),
-            new Rules(250 * MS, 2.5, 3 * SECOND, 0.15, 10 * SECOND, 50 * MS, 20 * MS),
-            new Prices(0.05, 0.06, 0, 0.05, List.of(0.0, 0.0)));
+                new MessageClass("a", SECOND, 5 * SECOND, 2, 0, Effect.SAFE, false, 0, false),
+                new MessageClass("b", 4 * SECOND, 16 * SECOND, 1, 0.5, Effect.KEYED, false, 10 * SECOND, false),
+                new MessageClass("c", 3 * SECOND, 28 * SECOND, 4, 0.5, Effect.UNSAFE, false, 0, true),
+                new MessageClass("d", 3 * SECOND, 16 * SECOND, 1, 0.4, Effect.KEYED, true, 10 * SECOND, false));
+        return new Settings(
+                0,
+                relays,
+                0,
+                false,
+                0.2,
+                Weights.NOMINAL,
+                classes,
+                List.of(new Tenant("t", 50)),
+                List.of(new Kind(false, 1), new Kind(true, 1), new Kind(true, 10)),
+                new Allowed(slots, open, attempts, copies, true, 1, 1500 * MS, 10 * SECOND, 3 * SECOND),
+                new Rules(250 * MS, 2.5, 3 * SECOND, 0.15, 10 * SECOND, 50 * MS, 20 * MS),
+                new Prices(0.05, 0.06, 0, 0.05, List.of(0.0, 0.0)));
     }
 
     Bench(Settings set) {
@@ -73,7 +81,7 @@
     /** Lets time pass in steps of 5 ms, as a host with a clock of that grain would; returns all actions on the way. */
     List<Action> pass(long span) {
         List<Action> all = new ArrayList<>();
-        for (long end = now + span; now < end;) {
+        for (long end = now + span; now < end; ) {
             now += 5 * MS;
             if (wakeAt <= now) {
                 all.addAll(turn());
@@ -89,7 +97,8 @@
     }
 
     Accepted message(int cls, long destination, String key) {
-        return new Accepted("m" + next++, cls, 0, key, now + set.classes().get(cls).life(), destination);
+        return new Accepted(
+                "m" + next++, cls, 0, key, now + set.classes().get(cls).life(), destination);
     }
 
     static Ended ended(Send send, int attempt, Outcome outcome) {
@@ -97,11 +106,15 @@
     }
 
     static Ended ended(Send send, int attempt, Outcome outcome, long waitFor) {
-        return new Ended(send.id(), attempt, send.endpoint(), outcome, outcome == Outcome.OK, waitFor, 100 * MS, -1, -1);
+        return new Ended(
+                send.id(), attempt, send.endpoint(), outcome, outcome == Outcome.OK, waitFor, 100 * MS, -1, -1);
     }
 
     static List<Send> sends(List<Action> actions) {
-        return actions.stream().filter(Send.class::isInstance).map(Send.class::cast).toList();
+        return actions.stream()
+                .filter(Send.class::isInstance)
+                .map(Send.class::cast)
+                .toList();
     }
 
     static <T extends Action> long count(List<Action> actions, Class<T> type) {
--- a/src/test/java/brambletray/control/ControlTest.java
+++ b/src/test/java/brambletray/control/ControlTest.java
@@ -33,7 +33,9 @@
         assertEquals(first.id(), copies.get(0).id());
         assertNotEquals(first.endpoint(), copies.get(0).endpoint());
         List<Action> after = b.turn(ended(copies.get(0), 1, Outcome.OK));
-        assertEquals(List.of(new Cancel(first.id(), 0)), after.stream().filter(Cancel.class::isInstance).toList());
+        assertEquals(
+                List.of(new Cancel(first.id(), 0)),
+                after.stream().filter(Cancel.class::isInstance).toList());
     }
 
     /** Taken out by hand, off the list, on it again: nothing goes there until it is put back, however often it was taken. */
@@ -62,7 +64,8 @@
         Bench b = new Bench(settings(8, false, 2));
         b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 20))));
         b.turn(new Excluded(11, true));
-        assertTrue(sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).isEmpty());
+        assertTrue(
+                sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).isEmpty());
         assertTrue(sends(b.pass(2 * SECOND)).isEmpty(), "all of its destination is out: messages wait");
         b.turn(new Excluded(11, false));
         List<Send> trial = sends(b.pass(2 * SECOND));
@@ -88,8 +91,11 @@
         b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 4))));
         b.turn(new Excluded(11, true));
         b.turn(b.message(1, 1));
-        Refuse refuse = b.turn(b.message(1, 1)).stream().filter(Refuse.class::isInstance).map(Refuse.class::cast)
-            .findFirst().orElseThrow();
+        Refuse refuse = b.turn(b.message(1, 1)).stream()
+                .filter(Refuse.class::isInstance)
+                .map(Refuse.class::cast)
+                .findFirst()
+                .orElseThrow();
         assertEquals(3 * SECOND, refuse.retryAfter());
     }
 
@@ -125,7 +131,9 @@
         for (int zone = 0; zone < 2; zone++) {
             Bench b = bench(1, 8, false);
             Event again = recovered(b, 3, earlier(b, SECOND, zone, true));
-            assertEquals(11 + zone, sends(b.control.turn(b.now, List.of(again))).get(0).endpoint());
+            assertEquals(
+                    11 + zone,
+                    sends(b.control.turn(b.now, List.of(again))).get(0).endpoint());
         }
     }
 
@@ -161,7 +169,9 @@
     @Test
     void windowStartsAtOneGrowsToThreeQuartersAndCountsCopies() {
         Bench b = bench(0, 8, true);
-        assertEquals(1, sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).size());
+        assertEquals(
+                1,
+                sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).size());
         Bench warm = bench(0, 8, true);
         warm.warmUp(20, 1);
         List<Event> many = new ArrayList<>();
@@ -253,7 +263,9 @@
         List<Action> end = b.turn(ended(sent.get(0), 0, Outcome.TIMEOUT));
         assertEquals(1, count(end, Fail.class));
         assertTrue(sends(end).isEmpty(), "the key rests");
-        assertEquals(List.of(two.id()), sends(b.pass(3 * SECOND)).stream().map(Send::id).toList());
+        assertEquals(
+                List.of(two.id()),
+                sends(b.pass(3 * SECOND)).stream().map(Send::id).toList());
     }
 
     @Test
@@ -271,14 +283,28 @@
     void bundleSharesOneSlot() {
         Bench b = bench(2, 1, false);
         Bench plain = bench(1, 1, false);
-        assertEquals(3, sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).size());
-        assertEquals(1, sends(plain.turn(plain.message(1, 1), plain.message(1, 1))).size());
+        assertEquals(
+                3,
+                sends(b.turn(b.message(1, 1), b.message(1, 1), b.message(1, 1))).size());
+        assertEquals(
+                1, sends(plain.turn(plain.message(1, 1), plain.message(1, 1))).size());
     }
 
     private static Settings unrated(int relays) {
         Settings s = settings(40, true, relays, 8, 400);
-        return new Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(), Weights.NONE, s.classes(),
-            s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices());
+        return new Settings(
+                s.rank(),
+                s.relays(),
+                s.zone(),
+                s.halvingLate(),
+                s.overShareWorth(),
+                Weights.NONE,
+                s.classes(),
+                s.tenants(),
+                s.kinds(),
+                s.allowed(),
+                s.rules(),
+                s.prices());
     }
 
     /**
@@ -293,7 +319,7 @@
         int refused = 0;
         double left = 5;
         // Of ten calls a second another relay uses half; of what comes beyond, each is refused.
-        for (long end = b.now + 30 * SECOND; b.now < end;) {
+        for (long end = b.now + 30 * SECOND; b.now < end; ) {
             List<Send> out = new ArrayList<>(sends(b.turn(b.message(1, 1))));
             out.addAll(sends(b.pass(50 * MS)));
             left = Math.min(5, left + 0.25);
@@ -304,8 +330,8 @@
                 sent++;
                 refused += taken ? 0 : 1;
                 int attempt = b.checker.messages.get(s.id()).sends.size() - 1;
-                out.addAll(sends(b.turn(new Ended(s.id(), attempt, 11, taken ? Outcome.OK : Outcome.FULL, taken, 0, 10 * MS,
-                    left / 5, 10))));
+                out.addAll(sends(b.turn(new Ended(
+                        s.id(), attempt, 11, taken ? Outcome.OK : Outcome.FULL, taken, 0, 10 * MS, left / 5, 10))));
             }
         }
         assertTrue(sent - refused > 120, "taken of 150: " + (sent - refused));
@@ -319,20 +345,22 @@
         b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 1))));
         b.warmUp(30, 1);
         List<Send> out = new ArrayList<>();
-        for (long down = b.now + 6 * SECOND; b.now < down;) {
+        for (long down = b.now + 6 * SECOND; b.now < down; ) {
             out.addAll(sends(b.turn(b.message(1, 1))));
             out.addAll(sends(b.pass(100 * MS)));
             for (Send s : List.copyOf(out)) {
-                out.addAll(sends(b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1, Outcome.ERROR))));
+                out.addAll(sends(
+                        b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1, Outcome.ERROR))));
             }
             out.clear();
         }
         int back = 0;
-        for (long end = b.now + 3 * SECOND; b.now < end;) {
+        for (long end = b.now + 3 * SECOND; b.now < end; ) {
             out.addAll(sends(b.pass(20 * MS)));
             back += out.size();
             for (Send s : List.copyOf(out)) {
-                out.addAll(sends(b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1, Outcome.OK))));
+                out.addAll(sends(
+                        b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1, Outcome.OK))));
                 out.remove(s);
             }
         }
@@ -372,7 +400,8 @@
     void aWaitToldInAGoodAnswerIsHeeded() {
         Bench b = bench(0, 8, false);
         Send s = sends(b.turn(b.message(0, 1))).get(0);
-        assertTrue(sends(b.turn(ended(s, 0, Outcome.OK, SECOND), b.message(0, 1))).isEmpty());
+        assertTrue(
+                sends(b.turn(ended(s, 0, Outcome.OK, SECOND), b.message(0, 1))).isEmpty());
         assertTrue(sends(b.pass(995 * MS)).isEmpty());
         assertEquals(1, sends(b.pass(20 * MS)).size());
     }
@@ -411,8 +440,12 @@
             five.add(b.message(i == 2 ? 1 : 0, 9));
         }
         List<Action> actions = b.turn(five);
-        assertEquals(List.of(((Accepted) five.get(2)).id()),
-            actions.stream().filter(Refuse.class::isInstance).map(a -> ((Refuse) a).id()).toList());
+        assertEquals(
+                List.of(((Accepted) five.get(2)).id()),
+                actions.stream()
+                        .filter(Refuse.class::isInstance)
+                        .map(a -> ((Refuse) a).id())
+                        .toList());
     }
 
     /** Found on merkez-atolye: one failing zone sent the whole of a shared destination to trials. */
@@ -428,8 +461,10 @@
                 Send s = out.remove(0);
                 b.now += 20 * MS;
                 served += s.endpoint() == 12 ? 1 : 0;
-                out.addAll(sends(b.turn(ended(s, b.checker.messages.get(s.id()).sends.size() - 1,
-                    s.endpoint() == 12 ? Outcome.OK : Outcome.ERROR))));
+                out.addAll(sends(b.turn(ended(
+                        s,
+                        b.checker.messages.get(s.id()).sends.size() - 1,
+                        s.endpoint() == 12 ? Outcome.OK : Outcome.ERROR))));
             }
             out.addAll(sends(b.pass(100 * MS)));
         }
@@ -592,8 +627,9 @@
 
     private static Bench relays(int many) {
         Bench b = new Bench(settings(64, false, many));
-        b.turn(new Listed(ListKind.WHOLE,
-            List.of(endpoint(11, 0, 1, 1, 600), endpoint(12, 0, 1, 1, 600), endpoint(21, 0, 1, 2, 600))));
+        b.turn(new Listed(
+                ListKind.WHOLE,
+                List.of(endpoint(11, 0, 1, 1, 600), endpoint(12, 0, 1, 1, 600), endpoint(21, 0, 1, 2, 600))));
         for (int i = 0; i < 8; i++) {
             Send s = firstSend(b, b.message(1, 1 + i % 2));
             b.turn(reported(s, Outcome.OK));
@@ -626,7 +662,8 @@
         Set<Long> closed = new HashSet<>();
         for (int i = 0; i < 8; i++) {
             Accepted m = b.message(1, 3);
-            List<Action> after = new ArrayList<>(b.turn(ended(firstSend(b, m), 0, Outcome.FULL), new Withdrawn(m.id())));
+            List<Action> after =
+                    new ArrayList<>(b.turn(ended(firstSend(b, m), 0, Outcome.FULL), new Withdrawn(m.id())));
             after.stream().filter(Close.class::isInstance).forEach(a -> closed.add(((Close) a).endpoint()));
             b.pass(SECOND);
         }
@@ -673,7 +710,8 @@
         long closed = 0;
         for (int i = 0; i < 4; i++) {
             Accepted m = b.message(1, 3);
-            List<Action> after = new ArrayList<>(b.turn(reported(firstSend(b, m), Outcome.FULL), new Withdrawn(m.id())));
+            List<Action> after =
+                    new ArrayList<>(b.turn(reported(firstSend(b, m), Outcome.FULL), new Withdrawn(m.id())));
             closed += count(after, Close.class);
             b.pass(5 * SECOND);
         }
@@ -719,7 +757,7 @@
         for (int i = 0; i < 300; i++) {
             out.addAll(sends(b.turn(b.message(1, 1))));
         }
-        for (long down = b.now + 3 * SECOND, end = b.now + 14 * SECOND; b.now < Math.min(end, until);) {
+        for (long down = b.now + 3 * SECOND, end = b.now + 14 * SECOND; b.now < Math.min(end, until); ) {
             out.addAll(sends(b.pass(5 * MS)));
             for (int n = out.size(); n > 0; n--) {
                 Send s = out.poll();
@@ -802,16 +840,18 @@
         b.warmUp(20, 1);
         for (int i = 0; i < 3; i++) {
             b.pass(3 * SECOND);
-            sends(b.turn(b.message(2, 1))).forEach(s ->
-                b.turn(new Ended(s.id(), 0, 11, Outcome.ERROR, true, 0, 100 * MS, -1, -1)));
+            sends(b.turn(b.message(2, 1)))
+                    .forEach(s -> b.turn(new Ended(s.id(), 0, 11, Outcome.ERROR, true, 0, 100 * MS, -1, -1)));
         }
         List<Event> events = new ArrayList<>();
         events.add(new Listed(ListKind.CHANGES, List.of(endpoint(12, 0, 1, 1, 50))));
         for (int i = 0; i < 8; i++) {
             events.add(b.message(0, 1));
         }
-        long cold = sends(b.turn(events)).stream().filter(s -> s.endpoint() == 12).count()
-            + sends(b.pass(SECOND)).stream().filter(s -> s.endpoint() == 12).count();
+        long cold = sends(b.turn(events)).stream()
+                        .filter(s -> s.endpoint() == 12)
+                        .count()
+                + sends(b.pass(SECOND)).stream().filter(s -> s.endpoint() == 12).count();
         assertTrue(cold <= 1, "one trial at a time, sent " + cold);
     }
 
@@ -843,15 +883,17 @@
     @Test
     void oddButLegalEventsAreAbsorbed() {
         Bench b = bench(0, 8, true);
-        assertTrue(sends(b.control.turn(b.now, List.of(new Ended("x", 0, 11, Outcome.OK, true, 0, 1, -1, -1),
-            new Withdrawn("x"), new Due()))).isEmpty());
+        assertTrue(sends(b.control.turn(
+                        b.now,
+                        List.of(new Ended("x", 0, 11, Outcome.OK, true, 0, 1, -1, -1), new Withdrawn("x"), new Due())))
+                .isEmpty());
         Accepted m = b.message(0, 1);
         Send s = sends(b.turn(m)).get(0);
         List<Action> gone = b.turn(new Withdrawn(m.id()));
         assertEquals(1, count(gone, Cancel.class));
         b.turn(new Withdrawn(m.id()));
         assertTrue(b.turn(new Ended(s.id(), 0, 11, Outcome.CANCELLED, true, 0, 1, -1, -1)).stream()
-            .noneMatch(a -> a instanceof Fail || a instanceof Refuse || a instanceof Send));
+                .noneMatch(a -> a instanceof Fail || a instanceof Refuse || a instanceof Send));
     }
 
     @Test
--- a/src/test/java/brambletray/control/EmbeddingTest.java
+++ b/src/test/java/brambletray/control/EmbeddingTest.java
@@ -28,8 +28,9 @@
             for (Action action : control.turn(clock, List.of(events))) {
                 if (action instanceof Send s) {
                     int attempt = attempts.merge(s.id(), 1, Integer::sum) - 1;
-                    network.add(Map.entry(clock + 30_000,
-                        new Ended(s.id(), attempt, s.endpoint(), Outcome.OK, true, 0, 30_000, -1, -1)));
+                    network.add(Map.entry(
+                            clock + 30_000,
+                            new Ended(s.id(), attempt, s.endpoint(), Outcome.OK, true, 0, 30_000, -1, -1)));
                 } else if (action instanceof Wake w) {
                     timers.add(clock + w.after());
                 }
--- a/src/test/java/brambletray/control/RandomStreamTest.java
+++ b/src/test/java/brambletray/control/RandomStreamTest.java
@@ -13,7 +13,7 @@
 
 /** Seeded random legal streams of events, every action past the rule checker. */
 class RandomStreamTest {
-    private record Flight(Send send, int attempt, long at, Outcome outcome, long waitFor) { }
+    private record Flight(Send send, int attempt, long at, Outcome outcome, long waitFor) {}
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
@@ -63,13 +63,23 @@
                     flying.remove(f);
                     RuleChecker.Seen s = b.checker.messages.get(f.send.id());
                     boolean over = s.over || f.outcome == Outcome.OK;
-                    events.add(new Ended(f.send.id(), f.attempt, f.send.endpoint(), f.outcome, over, f.waitFor,
-                        f.at, random.nextDouble(), random.nextInt(3) == 0 ? 5 : -1));
+                    events.add(new Ended(
+                            f.send.id(),
+                            f.attempt,
+                            f.send.endpoint(),
+                            f.outcome,
+                            over,
+                            f.waitFor,
+                            f.at,
+                            random.nextDouble(),
+                            random.nextInt(3) == 0 ? 5 : -1));
                 }
             }
             if (step < 4000 && random.nextInt(oneIn) == 0) {
-                Accepted m = b.message(random.nextInt(4), 1 + random.nextInt(3),
-                    random.nextBoolean() ? "k" + random.nextInt(4) : null);
+                Accepted m = b.message(
+                        random.nextInt(4),
+                        1 + random.nextInt(3),
+                        random.nextBoolean() ? "k" + random.nextInt(4) : null);
                 taken.add(m);
                 events.add(m);
             }
@@ -89,7 +99,8 @@
                     flying.add(flight(b, s, random, trouble));
                 } else if (a instanceof Cancel c) {
                     flying.replaceAll(f -> f.send.id().equals(c.id()) && f.attempt == c.attempt()
-                        ? new Flight(f.send, f.attempt, b.now + 5 * MS, Outcome.CANCELLED, 0) : f);
+                            ? new Flight(f.send, f.attempt, b.now + 5 * MS, Outcome.CANCELLED, 0)
+                            : f);
                 }
             }
         }
@@ -123,8 +134,9 @@
         List<Endpoint> items = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             if (whole ? random.nextInt(8) > 0 : random.nextInt(3) == 0) {
-                Listing listing = whole || random.nextInt(3) > 0 ? Listing.READY
-                    : random.nextBoolean() ? Listing.DRAINING : Listing.GONE;
+                Listing listing = whole || random.nextInt(3) > 0
+                        ? Listing.READY
+                        : random.nextBoolean() ? Listing.DRAINING : Listing.GONE;
                 int dest = 1 + i % 3;
                 items.add(new Endpoint(100 + i, i % 2, dest - 1, dest, listing, 4 + dest));
             }
--- a/src/test/java/brambletray/control/RuleChecker.java
+++ b/src/test/java/brambletray/control/RuleChecker.java
@@ -51,6 +51,7 @@
     private final Map<Long, Long> waits = new HashMap<>();
     /** Endpoints under the return budget: set by a test that declares an outage and its end. */
     final Map<Long, Long> coldSince = new HashMap<>();
+
     private final Map<Long, ArrayDeque<Long>> sends = new HashMap<>();
     int breaches;
 
@@ -81,8 +82,8 @@
             if (e.waitFor() > 0) {
                 waits.merge(lane(endpoints.get(e.endpoint())), now + e.waitFor(), Math::max);
             }
-            boolean rests = e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET
-                || e.outcome() == Outcome.CANCELLED;
+            boolean rests =
+                    e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET || e.outcome() == Outcome.CANCELLED;
             if (s.taken.key() != null && s.cls.inOrder() && rests) {
                 keyRest.put(s.taken.key(), now + set.rules().keyRest());
             }
@@ -105,8 +106,9 @@
             }
             if (e.kind() == ListKind.WHOLE) {
                 List<Long> named = e.endpoints().stream().map(Endpoint::id).toList();
-                endpoints.keySet().stream().filter(id -> !named.contains(id))
-                    .forEach(id -> drained.putIfAbsent(id, now));
+                endpoints.keySet().stream()
+                        .filter(id -> !named.contains(id))
+                        .forEach(id -> drained.putIfAbsent(id, now));
             }
         }
     }
@@ -125,8 +127,9 @@
             Seen s = messages.get(a.id());
             require(!s.over, "1: a second final answer");
             boolean zoneBound = s.cls.effect() == Effect.KEYED && s.cls.zoneGroup();
-            require(s.cls.effect() == Effect.SAFE || s.cls.effect() == Effect.KEYED && !zoneBound || !s.anyMaybeRan(),
-                "2: refused though it may have run");
+            require(
+                    s.cls.effect() == Effect.SAFE || s.cls.effect() == Effect.KEYED && !zoneBound || !s.anyMaybeRan(),
+                    "2: refused though it may have run");
             end(s, now);
         } else if (action instanceof Fail a) {
             Seen s = messages.get(a.id());
@@ -191,10 +194,15 @@
         recent.addLast(now);
         recent.removeIf(t -> t <= now - set.rules().tipAfter());
         double warm = set.rules().coldFrom()
-            + (1 - set.rules().coldFrom()) * Math.min(1.0, (double) Math.max(0, now - cold) / set.rules().cold());
-        double limit = set.rules().fallMultiple() * to.weight() * warm * set.rules().tipAfter() / 1e6
-            / set.relays();
-        require(recent.size() <= Math.max(1, limit), "4: pushed a returning endpoint, " + recent.size() + " > " + limit);
+                + (1 - set.rules().coldFrom())
+                        * Math.min(
+                                1.0,
+                                (double) Math.max(0, now - cold) / set.rules().cold());
+        double limit =
+                set.rules().fallMultiple() * to.weight() * warm * set.rules().tipAfter() / 1e6 / set.relays();
+        require(
+                recent.size() <= Math.max(1, limit),
+                "4: pushed a returning endpoint, " + recent.size() + " > " + limit);
     }
 
     /** Every message whose time is up must be over; call at the end of each turn. */
--- a/src/test/java/brambletray/core/EvidenceTest.java
+++ b/src/test/java/brambletray/core/EvidenceTest.java
@@ -41,12 +41,20 @@
         }
     }
 
-    private static final Relay.Settings SETTINGS = new Relay.Settings(0, 2, 0, false, 0.5, Relay.Weights.ROUGH,
-        List.of(new Relay.MessageClass("read", 2 * SECOND, 60 * SECOND, 1, 0.3, Relay.Effect.SAFE, false, 0, false)),
-        List.of(), List.of(new Relay.Kind(true, 1)),
-        new Relay.Allowed(20, 1_000, 10, false, false, 1, 500 * MS, 15 * SECOND, 3 * SECOND),
-        new Relay.Rules(250 * MS, 2, 3 * SECOND, 0.2, 12 * SECOND, 3 * SECOND, 0),
-        new Relay.Prices(0.1, 0.01, 0, 0, List.of()));
+    private static final Relay.Settings SETTINGS = new Relay.Settings(
+            0,
+            2,
+            0,
+            false,
+            0.5,
+            Relay.Weights.ROUGH,
+            List.of(new Relay.MessageClass(
+                    "read", 2 * SECOND, 60 * SECOND, 1, 0.3, Relay.Effect.SAFE, false, 0, false)),
+            List.of(),
+            List.of(new Relay.Kind(true, 1)),
+            new Relay.Allowed(20, 1_000, 10, false, false, 1, 500 * MS, 15 * SECOND, 3 * SECOND),
+            new Relay.Rules(250 * MS, 2, 3 * SECOND, 0.2, 12 * SECOND, 3 * SECOND, 0),
+            new Relay.Prices(0.1, 0.01, 0, 0, List.of()));
 
     private final MemoryDisk disk = new MemoryDisk();
     private final Time time = new Time();
@@ -68,11 +76,12 @@
         Relay.Listed update(long seq, boolean whole, String... hostsAndHealth) throws Wire.Malformed {
             List<String> entries = new ArrayList<>();
             for (String h : hostsAndHealth) {
-                entries.add("{\"host\":\"" + h.split(" ")[0] + "\",\"dial\":\"127.0.0.1:1\",\"site\":\"z\",\"class\":\"k\","
-                    + "\"block\":1,\"health\":\"" + h.split(" ")[1] + "\",\"share\":50}");
+                entries.add(
+                        "{\"host\":\"" + h.split(" ")[0] + "\",\"dial\":\"127.0.0.1:1\",\"site\":\"z\",\"class\":\"k\","
+                                + "\"block\":1,\"health\":\"" + h.split(" ")[1] + "\",\"share\":50}");
             }
-            return hosts.update(Wire.decode("{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":["
-                + String.join(",", entries) + "]}"));
+            return hosts.update(Wire.decode(
+                    "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", entries) + "]}"));
         }
 
         List<Relay.Action> turn(List<Relay.Event> events) {
@@ -101,7 +110,7 @@
 
         List<Relay.Send> pass(long span) {
             List<Relay.Send> sends = new ArrayList<>();
-            for (long until = time.micros + span; time.micros < until;) {
+            for (long until = time.micros + span; time.micros < until; ) {
                 time.micros += 10 * MS;
                 sends.addAll(sends(turn(List.of(new Relay.Due()))));
             }
@@ -109,8 +118,17 @@
         }
 
         void ended(Relay.Send send, Relay.Outcome outcome, long wait, double limit) {
-            turn(List.of(new Relay.Ended(send.id(), attempts.get(send.id()) - 1, send.endpoint(), outcome, false, wait, 5 * MS,
-                limit > 0 ? 0.5 : -1, limit, true)));
+            turn(List.of(new Relay.Ended(
+                    send.id(),
+                    attempts.get(send.id()) - 1,
+                    send.endpoint(),
+                    outcome,
+                    false,
+                    wait,
+                    5 * MS,
+                    limit > 0 ? 0.5 : -1,
+                    limit,
+                    true)));
         }
 
         long number(String host) {
@@ -127,7 +145,10 @@
     }
 
     private static List<Relay.Send> sends(List<Relay.Action> actions) {
-        return actions.stream().filter(Relay.Send.class::isInstance).map(Relay.Send.class::cast).toList();
+        return actions.stream()
+                .filter(Relay.Send.class::isInstance)
+                .map(Relay.Send.class::cast)
+                .toList();
     }
 
     /** Rule 6: noted in the batch of the turn that heard it, for the next life's every message. */
@@ -163,7 +184,8 @@
             life.start(life.update(1, true, "b ready"));
             life.evidence.look();
             life.listed(life.update(2, false, "a ready"));
-            assertTrue(life.control.known(life.number("b")).failing(), "its sibling was shut, and it was not heard from");
+            assertTrue(
+                    life.control.known(life.number("b")).failing(), "its sibling was shut, and it was not heard from");
             assertTrue(life.control.known(life.number("b")).waitFor() > 40 * SECOND);
         }
     }
@@ -279,7 +301,9 @@
             }
         }
         try (Life life = new Life()) {
-            assertTrue(life.store.chains(HostNotes.SPACE).size() <= 70, "" + life.store.chains(HostNotes.SPACE).size());
+            assertTrue(
+                    life.store.chains(HostNotes.SPACE).size() <= 70,
+                    "" + life.store.chains(HostNotes.SPACE).size());
         }
     }
 }
--- a/src/test/java/brambletray/core/LoopAuditTest.java
+++ b/src/test/java/brambletray/core/LoopAuditTest.java
@@ -26,8 +26,9 @@
 /** Loop, module and journal hold the same messages, whatever ends one; and where they do not, that is seen. */
 class LoopAuditTest {
     private static final long S = 1_000_000;
-    private static final String LIST = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\"10.0.0.9:1\",\"site\":\"a\","
-        + "\"class\":\"m\",\"block\":7,\"health\":\"ready\",\"share\":50}]}";
+    private static final String LIST =
+            "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\"10.0.0.9:1\",\"site\":\"a\","
+                    + "\"class\":\"m\",\"block\":7,\"health\":\"ready\",\"share\":50}]}";
 
     private final List<Consumer<Reply>> out = new ArrayList<>();
     private final Simulation simulation = new Simulation(1, 1_900_000_000_000L);
@@ -41,24 +42,34 @@
     void begin() throws Exception {
         machine = simulation.machine(InetAddress.getByAddress(new byte[] {10, 0, 0, 1}));
         HostList hosts = new HostList(List.of("a"), List.of("m"));
-        Relay.Settings settings = new Relay.Settings(0, 1, 0, false, 0, Relay.Weights.ROUGH, List.of(
-            new Relay.MessageClass("bill", 2 * S, 16 * S, 1, 0.3, Relay.Effect.KEYED, false, 15 * S, false),
-            new Relay.MessageClass("pay", 2 * S, 16 * S, 1, 0.3, Relay.Effect.UNSAFE, false, 0, false)), List.of(),
-            List.of(new Relay.Kind(true, 1)), new Relay.Allowed(8, 6, 12, false, true, 1, S, 15 * S, 3 * S),
-            new Relay.Rules(250_000, 2, 3 * S, 0.2, 12 * S, 0, 20_000), new Relay.Prices(0, 0, 0, 0, List.of()));
+        Relay.Settings settings = new Relay.Settings(
+                0,
+                1,
+                0,
+                false,
+                0,
+                Relay.Weights.ROUGH,
+                List.of(
+                        new Relay.MessageClass("bill", 2 * S, 16 * S, 1, 0.3, Relay.Effect.KEYED, false, 15 * S, false),
+                        new Relay.MessageClass("pay", 2 * S, 16 * S, 1, 0.3, Relay.Effect.UNSAFE, false, 0, false)),
+                List.of(),
+                List.of(new Relay.Kind(true, 1)),
+                new Relay.Allowed(8, 6, 12, false, true, 1, S, 15 * S, 3 * S),
+                new Relay.Rules(250_000, 2, 3 * S, 0.2, 12 * S, 0, 20_000),
+                new Relay.Prices(0, 0, 0, 0, List.of()));
         journal = Journal.open(disk, 3_000_000, Store.Promise.PROCESS, 12);
         Calls calls = new Calls() {
             @Override
             public Call call(Host host, Message message, long patience, Consumer<Reply> whenEnded) {
                 out.add(whenEnded);
-                return () -> { };
+                return () -> {};
             }
 
             @Override
-            public void takeBack(Host host) { }
+            public void takeBack(Host host) {}
 
             @Override
-            public void closeIdle(Host host) { }
+            public void closeIdle(Host host) {}
 
             @Override
             public boolean forget(Host host) {
@@ -67,7 +78,7 @@
         };
         Platform platform = new Platform() {
             @Override
-            public void watch() { }
+            public void watch() {}
 
             @Override
             public void notice(Journal.Entry entry) {
@@ -80,7 +91,7 @@
             }
 
             @Override
-            public void move(InetSocketAddress agent) { }
+            public void move(InetSocketAddress agent) {}
         };
         loop = new Loop(machine, 1, settings, hosts, calls, journal, figures);
         machine.loop().execute(() -> {
@@ -99,33 +110,43 @@
 
     private String hand(String id, String messageClass, long millis) {
         String[] met = {"nothing"};
-        machine.loop().execute(() -> loop.accept(new Message(id, messageClass, 0, null, "k-" + id, 7,
-            machine.clock().unixMillis() + millis, Body.of(new byte[10])), new Answer() {
-                @Override
-                public void taken() {
-                    met[0] = "taken";
-                }
-
-                @Override
-                public void held() {
-                    met[0] = "held";
-                }
-
-                @Override
-                public void conflict() {
-                    met[0] = "conflict";
-                }
-
-                @Override
-                public void refused(long retryAfter) {
-                    met[0] = "refused";
-                }
-
-                @Override
-                public void failed() {
-                    met[0] = "failed";
-                }
-            }));
+        machine.loop()
+                .execute(() -> loop.accept(
+                        new Message(
+                                id,
+                                messageClass,
+                                0,
+                                null,
+                                "k-" + id,
+                                7,
+                                machine.clock().unixMillis() + millis,
+                                Body.of(new byte[10])),
+                        new Answer() {
+                            @Override
+                            public void taken() {
+                                met[0] = "taken";
+                            }
+
+                            @Override
+                            public void held() {
+                                met[0] = "held";
+                            }
+
+                            @Override
+                            public void conflict() {
+                                met[0] = "conflict";
+                            }
+
+                            @Override
+                            public void refused(long retryAfter) {
+                                met[0] = "refused";
+                            }
+
+                            @Override
+                            public void failed() {
+                                met[0] = "failed";
+                            }
+                        }));
         pass(0);
         return met[0];
     }
--- a/src/test/java/brambletray/emulator/EndpointTest.java
+++ b/src/test/java/brambletray/emulator/EndpointTest.java
@@ -23,16 +23,27 @@
             rig.send(0);
         }
         rig.run(1_000);
-        assertEquals(List.of("0 m6 Refused", "100 m1 Delivered", "100 m2 Delivered", "200 m3 Delivered",
-            "200 m4 Delivered", "300 m5 Delivered"), rig.answers());
+        assertEquals(
+                List.of(
+                        "0 m6 Refused",
+                        "100 m1 Delivered",
+                        "100 m2 Delivered",
+                        "200 m3 Delivered",
+                        "200 m4 Delivered",
+                        "300 m5 Delivered"),
+                rig.answers());
         assertEquals(Answer.Reason.QUEUE_FULL, reason(rig.got.get(0)));
     }
 
     /** At one instant: ends first, then the script in the file's order, then arrivals. */
     @Test
     void whatHappensAtOneInstantHasAnOrder() {
-        Rig rig = new Rig(plain(), List.of(step(100, 200, new Step.Shut(false)), step(100, 300, new Step.Slow(4)),
-            step(100, 100, new Step.Drain(true))));
+        Rig rig = new Rig(
+                plain(),
+                List.of(
+                        step(100, 200, new Step.Shut(false)),
+                        step(100, 300, new Step.Slow(4)),
+                        step(100, 100, new Step.Drain(true))));
         rig.send(0);
         rig.send(100);
         rig.run(100);
@@ -48,14 +59,17 @@
         rig.send(150);
         rig.send(200);
         rig.send(250);
-        assertTrue(rig.got.stream().allMatch(g -> g.answer() instanceof Answer.Refused), rig.answers().toString());
+        assertTrue(
+                rig.got.stream().allMatch(g -> g.answer() instanceof Answer.Refused),
+                rig.answers().toString());
     }
 
     /** 20 calls a second warm, 0.2 of it cold, twice that over 3 s: the 25th call at once is too much, not the 24th. */
     @Test
     void aColdPartnerThatIsPushedFallsAtTheScriptedInstantAndStaysDown() {
-        Rig rig = new Rig(with(plain(), 2, new Law.Constant(ms(100)), 1_000, new Limit.None()),
-            List.of(step(0, 1_000, new Step.Down())));
+        Rig rig = new Rig(
+                with(plain(), 2, new Law.Constant(ms(100)), 1_000, new Limit.None()),
+                List.of(step(0, 1_000, new Step.Down())));
         rig.run(1_000);
         assertEquals(0.2, rig.endpoint.warmth(ms(1_000)), 1e-9);
         for (int i = 0; i < 24; i++) {
@@ -73,8 +87,9 @@
     /** The same partner under a load that grows with its warmth never falls, and serves all of it. */
     @Test
     void aColdPartnerThatIsLetWarmDoesNotFall() {
-        Rig rig = new Rig(with(plain(), 2, new Law.Constant(ms(100)), 1_000, new Limit.None()),
-            List.of(step(0, 1_000, new Step.Down())));
+        Rig rig = new Rig(
+                with(plain(), 2, new Law.Constant(ms(100)), 1_000, new Limit.None()),
+                List.of(step(0, 1_000, new Step.Down())));
         double at = 1_000;
         int sent = 0;
         while (at < 15_000) {
@@ -106,14 +121,18 @@
     @ParameterizedTest
     @ValueSource(ints = {16, 17})
     void whoPushedItOverIsToldByWhatTheyHadSeen(int knowing) {
-        Rig rig = new Rig(with(plain(), 2, new Law.Constant(ms(100)), 1_000, new Limit.None()),
-            List.of(step(0, 1_000, new Step.Shut(false))));
+        Rig rig = new Rig(
+                with(plain(), 2, new Law.Constant(ms(100)), 1_000, new Limit.None()),
+                List.of(step(0, 1_000, new Step.Shut(false))));
         rig.send(500, "knows", "x", null);
         for (int i = 0; i < 25; i++) {
             rig.send(1_000, i < knowing ? "knows" : "new", "m" + i, null);
         }
         assertTrue(rig.endpoint.fallen());
-        assertEquals(knowing * 3 >= 25 * 2, rig.ledger.breachCount() == 1, rig.ledger.breaches().toString());
+        assertEquals(
+                knowing * 3 >= 25 * 2,
+                rig.ledger.breachCount() == 1,
+                rig.ledger.breaches().toString());
     }
 
     /** A full queue is lost with its process: none of it runs, later or at all, and it is empty when it is back. */
@@ -125,7 +144,9 @@
         }
         rig.run(10_000);
         assertEquals(6, rig.got.size());
-        assertEquals(5, rig.got.stream().filter(g -> g.answer() instanceof Answer.Reset).count());
+        assertEquals(
+                5,
+                rig.got.stream().filter(g -> g.answer() instanceof Answer.Reset).count());
         for (int i = 1; i <= 6; i++) {
             assertEquals(0, rig.ledger.effects("m" + i));
         }
@@ -281,7 +302,8 @@
     /** Several messages in one call use one place of the limit and one server, and each of them takes effect once. */
     @Test
     void aCallOfSeveralMessagesCountsOnceAndEachTakesEffect() {
-        Rig rig = new Rig(with(plain(), 1, new Law.Constant(ms(100)), 0, new Limit.Span(1, ms(10_000), false)), List.of());
+        Rig rig = new Rig(
+                with(plain(), 1, new Law.Constant(ms(100)), 0, new Limit.Span(1, ms(10_000), false)), List.of());
         Call first = new Call("relay", "a", "key-a", false);
         first.together(List.of(new Call("relay", "b", "key-b", false), new Call("relay", "c", null, false)));
         rig.endpoint.arrive(0, first);
@@ -299,17 +321,35 @@
     @Test
     void loadReportsAreOldByTheirDelay() {
         PartnerSpec s = with(plain(), 50, new Law.Constant(ms(10)), 50, new Limit.Span(10, ms(10_000), false));
-        s = new PartnerSpec(s.name(), 1, "kind", 1, true, 50, s.service(), 50, s.limit(), s.waits(),
-            new PartnerSpec.Reports(ms(500), ms(100)), s.connections(), s.keys(), s.cold(), s.abandoned(), 1, 1,
-            s.endpoints());
+        s = new PartnerSpec(
+                s.name(),
+                1,
+                "kind",
+                1,
+                true,
+                50,
+                s.service(),
+                50,
+                s.limit(),
+                s.waits(),
+                new PartnerSpec.Reports(ms(500), ms(100)),
+                s.connections(),
+                s.keys(),
+                s.cold(),
+                s.abandoned(),
+                1,
+                1,
+                s.endpoints());
         Rig rig = new Rig(s, List.of());
         rig.send(1);
         rig.send(2);
         rig.send(550);
         rig.send(620);
         rig.run(1_000);
-        List<Double> left = rig.got.stream().map(g -> ((Answer.Delivered) g.answer()).load())
-            .map(l -> l == null ? -1 : l.left()).toList();
+        List<Double> left = rig.got.stream()
+                .map(g -> ((Answer.Delivered) g.answer()).load())
+                .map(l -> l == null ? -1 : l.left())
+                .toList();
         // At 11 and 12 ms nothing is old enough; at 560 ms the value of 0 is shown; at 630 ms that of 500.
         assertEquals(List.of(-1.0, -1.0, 1.0, 0.8), left);
     }
--- a/src/test/java/brambletray/emulator/QueueTheoryTest.java
+++ b/src/test/java/brambletray/emulator/QueueTheoryTest.java
@@ -11,7 +11,7 @@
 class QueueTheoryTest {
     private static final double MEAN_MS = 10;
 
-    private record Measured(double queued, double waitMs, double refused) { }
+    private record Measured(double queued, double waitMs, double refused) {}
 
     private static Measured play(int servers, int places, Law law, double load, int calls, long seed) {
         PartnerSpec spec = Rig.with(Rig.plain(), servers, law, places, new Limit.None());
@@ -19,10 +19,10 @@
         Endpoint endpoint = world.endpoints().get(0);
         endpoint.sink(new Endpoint.Sink() {
             @Override
-            public void answer(Call call, Answer answer) { }
+            public void answer(Call call, Answer answer) {}
 
             @Override
-            public void reachChanged() { }
+            public void reachChanged() {}
         });
         SplittableRandom random = new SplittableRandom(seed + 1);
         double at = 0;
@@ -41,7 +41,7 @@
         }
 
         @Override
-        void effect(long now, Call call, String endpoint) { }
+        void effect(long now, Call call, String endpoint) {}
     }
 
     private static void near(double theory, double measured, String what) {
--- a/src/test/java/brambletray/emulator/Rig.java
+++ b/src/test/java/brambletray/emulator/Rig.java
@@ -5,7 +5,7 @@
 
 /** One partner in the hands of a test: answers are kept with their times. Times in ms. */
 final class Rig implements Endpoint.Sink {
-    record Got(double at, String message, Answer answer) { }
+    record Got(double at, String message, Answer answer) {}
 
     final List<Got> got = new ArrayList<>();
     final Ledger ledger = new Ledger(250_000_000L);
@@ -25,15 +25,47 @@
 
     /** A partner with constant service of 100 ms, two servers, a queue of three, no limit; never cold for long. */
     static PartnerSpec plain() {
-        return new PartnerSpec("p", 1, "kind", 1, true, 2, new Law.Constant(ms(100)), 3, new Limit.None(),
-            new PartnerSpec.Waits(1, 0, 0), null, new PartnerSpec.Connections(100, 0, ms(15_000)),
-            new PartnerSpec.Keys(ms(15_000), false), new PartnerSpec.Cold(0.2, ms(10_000), 2, ms(3_000), 0),
-            PartnerSpec.Abandoned.RUNS, 20, 1, List.of(new PartnerSpec.EndpointSpec("p", "a")));
+        return new PartnerSpec(
+                "p",
+                1,
+                "kind",
+                1,
+                true,
+                2,
+                new Law.Constant(ms(100)),
+                3,
+                new Limit.None(),
+                new PartnerSpec.Waits(1, 0, 0),
+                null,
+                new PartnerSpec.Connections(100, 0, ms(15_000)),
+                new PartnerSpec.Keys(ms(15_000), false),
+                new PartnerSpec.Cold(0.2, ms(10_000), 2, ms(3_000), 0),
+                PartnerSpec.Abandoned.RUNS,
+                20,
+                1,
+                List.of(new PartnerSpec.EndpointSpec("p", "a")));
     }
 
     static PartnerSpec with(PartnerSpec s, int servers, Law law, int queue, Limit limit) {
-        return new PartnerSpec(s.name(), s.destination(), s.kind(), s.traffic(), s.apart(), servers, law, queue, limit,
-            s.waits(), s.reports(), s.connections(), s.keys(), s.cold(), s.abandoned(), s.listedRate(), s.bundle(), s.endpoints());
+        return new PartnerSpec(
+                s.name(),
+                s.destination(),
+                s.kind(),
+                s.traffic(),
+                s.apart(),
+                servers,
+                law,
+                queue,
+                limit,
+                s.waits(),
+                s.reports(),
+                s.connections(),
+                s.keys(),
+                s.cold(),
+                s.abandoned(),
+                s.listedRate(),
+                s.bundle(),
+                s.endpoints());
     }
 
     static Step step(double at, double until, Step.What what) {
@@ -65,8 +97,10 @@
     }
 
     List<String> answers() {
-        return got.stream().map(g -> Math.round(g.at()) + " " + g.message() + " "
-            + g.answer().getClass().getSimpleName()).toList();
+        return got.stream()
+                .map(g -> Math.round(g.at()) + " " + g.message() + " "
+                        + g.answer().getClass().getSimpleName())
+                .toList();
     }
 
     @Override
--- a/src/test/java/brambletray/fleet/ComingBackTest.java
+++ b/src/test/java/brambletray/fleet/ComingBackTest.java
@@ -24,8 +24,10 @@
 @Timeout(value = 240, unit = TimeUnit.SECONDS)
 class ComingBackTest {
     private static final String[] NAMES = {"r0", "r1", "r2"};
+
     @TempDir
     Path folder;
+
     private final Map<String, RelayProcess> relays = new LinkedHashMap<>();
     private Links links;
     private HostStub host;
@@ -35,8 +37,9 @@
         links = new Links(NAMES);
         host = new HostStub();
         Files.writeString(folder.resolve("key"), "a key of more than 16 bytes");
-        Files.writeString(folder.resolve("hosts.csv"),
-            "name,address,port,destination,rate\na,127.0.0.1," + host.port() + ",7,50\n");
+        Files.writeString(
+                folder.resolve("hosts.csv"),
+                "name,address,port,destination,rate\na,127.0.0.1," + host.port() + ",7,50\n");
     }
 
     @AfterEach
@@ -52,11 +55,14 @@
 
     private void configure(String name, String state, String more) throws IOException {
         StringBuilder siblings = new StringBuilder("cluster: test\nname: " + name
-            + "\nlisten: 127.0.0.1:0\nkey_file: key\nbeat_ms: 50\n" + more + "siblings:\n");
+                + "\nlisten: 127.0.0.1:0\nkey_file: key\nbeat_ms: 50\n" + more + "siblings:\n");
         for (String other : NAMES) {
             if (!other.equals(name)) {
-                siblings.append("  - {name: ").append(other).append(", address: '")
-                    .append(links.address(name, other)).append("'}\n");
+                siblings.append("  - {name: ")
+                        .append(other)
+                        .append(", address: '")
+                        .append(links.address(name, other))
+                        .append("'}\n");
             }
         }
         Files.writeString(folder.resolve("siblings-" + name + ".yaml"), siblings);
@@ -71,7 +77,8 @@
               - {name: pay, effect: unsafe, limit_ms: 60000}
               - {name: bill, effect: keyed, limit_ms: 60000, window_ms: 60000}
               - {name: read, effect: safe, limit_ms: 60000}
-            """.formatted(state, more.contains("alone") ? "" : "siblings: siblings-" + name + ".yaml"));
+            """.formatted(
+                        state, more.contains("alone") ? "" : "siblings: siblings-" + name + ".yaml"));
     }
 
     /** Starts a process; notes for its name go to it from now on. */
--- a/src/test/java/brambletray/fleet/DatesTest.java
+++ b/src/test/java/brambletray/fleet/DatesTest.java
@@ -18,19 +18,22 @@
 /** Processes that are killed while times run: a told wait, a deadline, and a wall clock that is stepped meanwhile. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class DatesTest {
-    private static final String HOUR = "-Dbrambletray.wall_step_ms=3600000", HOUR_BACK =
-        "-Dbrambletray.wall_step_ms=-3600000";
+    private static final String HOUR = "-Dbrambletray.wall_step_ms=3600000",
+            HOUR_BACK = "-Dbrambletray.wall_step_ms=-3600000";
     private static final long WAIT_S = 6;
+
     @TempDir
     Path folder;
+
     private final List<RelayProcess> relays = new ArrayList<>();
     private HostStub host;
 
     @BeforeEach
     void begin() throws IOException {
         host = new HostStub();
-        Files.writeString(folder.resolve("hosts.csv"),
-            "name,address,port,destination,rate\na,127.0.0.1," + host.port() + ",7,50\n");
+        Files.writeString(
+                folder.resolve("hosts.csv"),
+                "name,address,port,destination,rate\na,127.0.0.1," + host.port() + ",7,50\n");
         Files.writeString(folder.resolve("relay.yaml"), """
             listen: 127.0.0.1:0
             folder: state
--- a/src/test/java/brambletray/fleet/Links.java
+++ b/src/test/java/brambletray/fleet/Links.java
@@ -17,7 +17,15 @@
 /** Datagrams between processes go by way of here: one port for each link and direction, each with its fault. */
 final class Links implements AutoCloseable {
     /** What happens to a datagram of one link. */
-    enum Fault { NONE, CUT, TWICE, /** Each goes after the one that comes behind it. */ SWAPPED, /** One bit is changed. */ FORGED }
+    enum Fault {
+        NONE,
+        CUT,
+        TWICE,
+        /** Each goes after the one that comes behind it. */
+        SWAPPED,
+        /** One bit is changed. */
+        FORGED
+    }
 
     private static final class Link {
         final DatagramChannel in;
@@ -42,8 +50,8 @@
         for (String from : names) {
             for (String to : names) {
                 if (!from.equals(to)) {
-                    DatagramChannel in = DatagramChannel.open()
-                        .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                    DatagramChannel in =
+                            DatagramChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
                     in.configureBlocking(false);
                     in.register(selector, SelectionKey.OP_READ, to);
                     links.put(from + ">" + to, new Link(in));
@@ -118,7 +126,7 @@
 
     private void carry(Link link, String to, byte[] datagram) {
         switch (link.fault) {
-            case CUT -> { }
+            case CUT -> {}
             case TWICE -> {
                 send(link, to, datagram);
                 send(link, to, datagram);
--- a/src/test/java/brambletray/fleet/RelayProcess.java
+++ b/src/test/java/brambletray/fleet/RelayProcess.java
@@ -22,6 +22,7 @@
 final class RelayProcess implements AutoCloseable {
     /** s; far beyond what a machine with other work needs. */
     static final int PATIENCE_S = 60;
+
     private static final HttpClient HTTP = HttpClient.newHttpClient();
 
     private final Process process;
@@ -29,9 +30,17 @@
     private boolean over;
 
     RelayProcess(Path config, String... options) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp",
-            System.getProperty("java.class.path"), "brambletray.Main", "serve", "--config", config.toString()));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx48m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "brambletray.Main",
+                "serve",
+                "--config",
+                config.toString()));
         command.addAll(1, List.of(options));
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         Thread reader = new Thread(this::read, "lines of " + config);
@@ -97,17 +106,25 @@
     }
 
     HttpResponse<String> post(String id, String messageClass, int destination) throws Exception {
-        return HTTP.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + "/" + messageClass))
-            .header("X-Request-ID", id).header("X-Priority-Class", messageClass)
-            .header("X-Timeout-Ms", "60000").header("X-Envelope", "dest=" + destination)
-            .header("Idempotency-Key", "key-" + id).POST(HttpRequest.BodyPublishers.ofString("x")).build(),
-            HttpResponse.BodyHandlers.ofString());
+        return HTTP.send(
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + "/" + messageClass))
+                        .header("X-Request-ID", id)
+                        .header("X-Priority-Class", messageClass)
+                        .header("X-Timeout-Ms", "60000")
+                        .header("X-Envelope", "dest=" + destination)
+                        .header("Idempotency-Key", "key-" + id)
+                        .POST(HttpRequest.BodyPublishers.ofString("x"))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     /** How a message stands. */
     String answer(String id) throws Exception {
-        return HTTP.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + "/v1/messages/" + id))
-            .build(), HttpResponse.BodyHandlers.ofString()).body();
+        return HTTP.send(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + "/v1/messages/" + id))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body();
     }
 
     /** Waits until a message has ended in such a way. */
@@ -124,7 +141,9 @@
 
     /** A signal by name, to this process alone. */
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** SIGKILL; returns when it is gone. */
--- a/src/test/java/brambletray/handover/CodecTest.java
+++ b/src/test/java/brambletray/handover/CodecTest.java
@@ -29,19 +29,37 @@
 class CodecTest {
     private static final long S = 1_000_000;
 
-    private static final Settings SETTINGS = new Settings(0, 2, 0, false, 0.2, Weights.NOMINAL,
-        List.of(new MessageClass("a", S, 5 * S, 2, 0, Effect.SAFE, false, 0, false),
-            new MessageClass("c", 3 * S, 28 * S, 4, 0.5, Effect.UNSAFE, false, 0, true)),
-        List.of(new Tenant("t", 50)), List.of(new Kind(true, 1)),
-        new Allowed(4, 100, 8, true, true, 1, S, 10 * S, 3 * S),
-        new Rules(250_000, 2.5, 3 * S, 0.15, 10 * S, 50_000, 20_000), new Prices(0.05, 0.06, 0, 0.05, List.of()));
+    private static final Settings SETTINGS = new Settings(
+            0,
+            2,
+            0,
+            false,
+            0.2,
+            Weights.NOMINAL,
+            List.of(
+                    new MessageClass("a", S, 5 * S, 2, 0, Effect.SAFE, false, 0, false),
+                    new MessageClass("c", 3 * S, 28 * S, 4, 0.5, Effect.UNSAFE, false, 0, true)),
+            List.of(new Tenant("t", 50)),
+            List.of(new Kind(true, 1)),
+            new Allowed(4, 100, 8, true, true, 1, S, 10 * S, 3 * S),
+            new Rules(250_000, 2.5, 3 * S, 0.15, 10 * S, 50_000, 20_000),
+            new Prices(0.05, 0.06, 0, 0.05, List.of()));
 
-    private static final List<Frame> FRAMES = List.of(new Frame.Hello(1, "digest"), new Frame.Welcome(true, 3),
-        new Frame.TurnedAway("no"), new Frame.Answered(5, Frame.Met.REFUSED, 1_000), new Frame.Withdraw("id"),
-        new Frame.Exclude(9, "s-1", true), new Frame.Told(9, 404, "none"), new Frame.Drained(true),
-        new Frame.Owner(false), new Frame.Declined(), new Frame.Kept(),
-        new Frame.Ended("a", 2, "s-1", new Reply(Outcome.FULL, false, 5, 6, 0.5, 20, true)),
-        new Frame.Cancel("a", 1), new Frame.TakeBack("s-1"));
+    private static final List<Frame> FRAMES = List.of(
+            new Frame.Hello(1, "digest"),
+            new Frame.Welcome(true, 3),
+            new Frame.TurnedAway("no"),
+            new Frame.Answered(5, Frame.Met.REFUSED, 1_000),
+            new Frame.Withdraw("id"),
+            new Frame.Exclude(9, "s-1", true),
+            new Frame.Told(9, 404, "none"),
+            new Frame.Drained(true),
+            new Frame.Owner(false),
+            new Frame.Declined(),
+            new Frame.Kept(),
+            new Frame.Ended("a", 2, "s-1", new Reply(Outcome.FULL, false, 5, 6, 0.5, 20, true)),
+            new Frame.Cancel("a", 1),
+            new Frame.TakeBack("s-1"));
 
     private static ByteBuf bytes(Frame... frames) {
         EmbeddedChannel out = new EmbeddedChannel(new FrameCodec());
@@ -71,8 +89,9 @@
     @Test
     void aMessageAndTheStateArriveAsTheyWere() throws IOException {
         Message m = new Message("a", "bill", 2, null, "key", 7, 123, Body.of(new byte[] {0, 1, -1}));
-        Frame.State state = new Frame.State(5, 6, Map.of("s-1", 4_000_000_000L),
-            List.of(new Handoff.Out("a", 0, "s-1", true)), new byte[] {1, 2, 3});
+        Frame.State state = new Frame.State(
+                5, 6, Map.of("s-1", 4_000_000_000L), List.of(new Handoff.Out("a", 0, "s-1", true)), new byte[] {1, 2, 3
+                });
         EmbeddedChannel in = new EmbeddedChannel(new FrameCodec());
         in.writeInbound(bytes(new Frame.Submit(4, m), state));
         Frame.Submit submit = in.readInbound();
@@ -105,16 +124,25 @@
         EmbeddedChannel in = new EmbeddedChannel(new FrameCodec());
         assertThrows(Exception.class, () -> in.writeInbound(Unpooled.buffer().writeInt(Integer.MAX_VALUE)));
         EmbeddedChannel longer = new EmbeddedChannel(new FrameCodec());
-        assertThrows(Exception.class,
-            () -> longer.writeInbound(Unpooled.buffer().writeInt(2).writeByte(12).writeByte(0)));
+        assertThrows(
+                Exception.class,
+                () -> longer.writeInbound(
+                        Unpooled.buffer().writeInt(2).writeByte(12).writeByte(0)));
     }
 
     /** A module with messages waiting, out and over, a wait, an outage and a host taken out. */
     private static Control busy() {
         Control control = new Control(1, SETTINGS);
-        control.turn(0, List.of(new Listed(ListKind.WHOLE, List.of(
-            new Endpoint(1, 0, 0, 1, Listing.READY, 50), new Endpoint(2, 0, 0, 2, Listing.READY, 50),
-            new Endpoint(3, 0, 0, 3, Listing.READY, 50))), new Excluded(3, true)));
+        control.turn(
+                0,
+                List.of(
+                        new Listed(
+                                ListKind.WHOLE,
+                                List.of(
+                                        new Endpoint(1, 0, 0, 1, Listing.READY, 50),
+                                        new Endpoint(2, 0, 0, 2, Listing.READY, 50),
+                                        new Endpoint(3, 0, 0, 3, Listing.READY, 50))),
+                        new Excluded(3, true)));
         for (int i = 0; i < 30; i++) {
             control.turn(i * 1_000L, List.of(new Accepted("m" + i, i % 2, 0, "k" + i % 3, 5 * S, 1 + i % 3)));
         }
@@ -129,8 +157,11 @@
         for (int step = 0; step < 20; step++) {
             byte[] left = MemoryCodec.encode(busy().memory());
             Control stayed = new Control(9, SETTINGS, MemoryCodec.decode(left));
-            Control moved = new Control(9, SETTINGS, MemoryCodec.decode(MemoryCodec.encode(
-                new Control(9, SETTINGS, MemoryCodec.decode(left)).memory())));
+            Control moved = new Control(
+                    9,
+                    SETTINGS,
+                    MemoryCodec.decode(
+                            MemoryCodec.encode(new Control(9, SETTINGS, MemoryCodec.decode(left)).memory())));
             long at = 60_000 + step * 150_000L;
             List<Event> events = List.of(new Due(), new Accepted("n", 0, 0, null, 8 * S, 1));
             assertEquals(stayed.turn(at, events), moved.turn(at, events));
@@ -179,15 +210,29 @@
             byte[] all = bytes.toByteArray();
             CRC32C crc = new CRC32C();
             crc.update(all, 20, all.length - 20);
-            ByteBuffer.wrap(all).putLong(0x4252545354415445L).putLong(Memory.VERSION).putInt((int) crc.getValue());
+            ByteBuffer.wrap(all)
+                    .putLong(0x4252545354415445L)
+                    .putLong(Memory.VERSION)
+                    .putInt((int) crc.getValue());
             assertThrows(IOException.class, () -> MemoryCodec.decode(all));
         }
     }
 
     @Test
     void settingsThatMeanSomethingElseAreToldApart() {
-        Settings other = new Settings(0, 3, 0, false, 0.2, Weights.NOMINAL, SETTINGS.classes(), SETTINGS.tenants(),
-            SETTINGS.kinds(), SETTINGS.allowed(), SETTINGS.rules(), SETTINGS.prices());
+        Settings other = new Settings(
+                0,
+                3,
+                0,
+                false,
+                0.2,
+                Weights.NOMINAL,
+                SETTINGS.classes(),
+                SETTINGS.tenants(),
+                SETTINGS.kinds(),
+                SETTINGS.allowed(),
+                SETTINGS.rules(),
+                SETTINGS.prices());
         assertNotEquals(MemoryCodec.digest(SETTINGS), MemoryCodec.digest(other));
         assertEquals(MemoryCodec.digest(SETTINGS), MemoryCodec.digest(SETTINGS));
         assertNotNull(Relay.Outcome.valueOf("OK"));
--- a/src/test/java/brambletray/handover/TenureTest.java
+++ b/src/test/java/brambletray/handover/TenureTest.java
@@ -21,9 +21,22 @@
     private static final int DEPTH = 15;
 
     /** What may be wrong: each has to be seen by the search. */
-    private enum Fault { NONE, OWNS_WITHOUT_LOCK, NEVER_TAKES_BACK, NEVER_FOLLOWS }
+    private enum Fault {
+        NONE,
+        OWNS_WITHOUT_LOCK,
+        NEVER_TAKES_BACK,
+        NEVER_FOLLOWS
+    }
 
-    private enum Say { HELLO, WELCOME, TURNED, STATE, OWNER, DECLINED, KEPT }
+    private enum Say {
+        HELLO,
+        WELCOME,
+        TURNED,
+        STATE,
+        OWNER,
+        DECLINED,
+        KEPT
+    }
 
     /** One process: its machine, whether it lives, holds the lock, and what it has said that is on the way. */
     private static final class Process {
@@ -79,7 +92,7 @@
                     case DECLINE -> say(i, Say.DECLINED);
                     case KEEP -> say(i, Say.KEPT);
                     case LEAVE, END -> die(i);
-                    default -> { }
+                    default -> {}
                 }
             }
         }
@@ -92,15 +105,17 @@
 
         void hear(int i) {
             Tenure t = p[i].tenure;
-            act(i, switch (p[i].inbox.poll()) {
-                case HELLO -> t.asked();
-                case WELCOME -> t.joined();
-                case TURNED -> t.turnedAway("no place", now);
-                case STATE -> t.received(now);
-                case OWNER -> t.confirmed();
-                case DECLINED -> t.declined();
-                case KEPT -> t.kept();
-            });
+            act(
+                    i,
+                    switch (p[i].inbox.poll()) {
+                        case HELLO -> t.asked();
+                        case WELCOME -> t.joined();
+                        case TURNED -> t.turnedAway("no place", now);
+                        case STATE -> t.received(now);
+                        case OWNER -> t.confirmed();
+                        case DECLINED -> t.declined();
+                        case KEPT -> t.kept();
+                    });
         }
 
         /** What is on the way to it is still read; then it finds the link gone. */
@@ -183,10 +198,15 @@
 
         private String describe(int i) {
             Process q = p[i];
-            return q.tenure == null ? "-" : q.tenure.phase().getClass().getSimpleName() + q.alive + q.lock + q.told
-                + q.inbox
-                + (q.tenure.phase() instanceof Tenure.Yielding y ? (now - y.since()) / 300_000_000L : "")
-                + (q.tenure.phase() instanceof Tenure.Receiving y ? (now - y.since()) / 300_000_000L : "");
+            return q.tenure == null
+                    ? "-"
+                    : q.tenure.phase().getClass().getSimpleName()
+                            + q.alive
+                            + q.lock
+                            + q.told
+                            + q.inbox
+                            + (q.tenure.phase() instanceof Tenure.Yielding y ? (now - y.since()) / 300_000_000L : "")
+                            + (q.tenure.phase() instanceof Tenure.Receiving y ? (now - y.since()) / 300_000_000L : "");
         }
     }
 
--- a/src/test/java/brambletray/http/hosts/BundleTest.java
+++ b/src/test/java/brambletray/http/hosts/BundleTest.java
@@ -34,7 +34,8 @@
 class BundleTest {
     private static final long LONG = 60_000_000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HostPool pool = new HostPool(Machine.real(group.next()), LONG, 15_000_000, n -> { }, new Descriptors(1_000));
+    private final HostPool pool =
+            new HostPool(Machine.real(group.next()), LONG, 15_000_000, n -> {}, new Descriptors(1_000));
     private final Host listed = new Host(1, "s-1");
     private final BlockingQueue<Map.Entry<String, Reply>> replies = new LinkedBlockingQueue<>();
 
@@ -75,7 +76,7 @@
 
     private static String states(String a, String b, String c) {
         return "[{\"id\":\"a\",\"state\":\"" + a + "\"},{\"more\":[{}],\"id\":\"b\",\"state\":\"" + b
-            + "\"},{\"id\":\"c\",\"state\":\"" + c + "\"}]";
+                + "\"},{\"id\":\"c\",\"state\":\"" + c + "\"}]";
     }
 
     @Test
@@ -85,8 +86,10 @@
             HostStub.Call call = host.call();
             assertEquals("POST /v1/messages:batch HTTP/1.1", call.head().get(0));
             assertNull(call.header("X-Request-ID"));
-            assertEquals("[{\"id\":\"a\",\"key\":\"key-a\",\"body\":\"AAAA\"},{\"id\":\"b\",\"key\":\"key-b\",\"body\":\"\"},"
-                + "{\"id\":\"c\",\"key\":\"key-c\",\"body\":\"AAAAAAAAAAAAAA==\"}]", call.body());
+            assertEquals(
+                    "[{\"id\":\"a\",\"key\":\"key-a\",\"body\":\"AAAA\"},{\"id\":\"b\",\"key\":\"key-b\",\"body\":\"\"},"
+                            + "{\"id\":\"c\",\"key\":\"key-c\",\"body\":\"AAAAAAAAAAAAAA==\"}]",
+                    call.body());
             call.answer(answer(200, "X-Server-Load: x0=0.1,x1=4\r\n", states("accepted", "deferred", "fault")));
             assertEquals(Map.of("a", Outcome.OK, "b", Outcome.FULL, "c", Outcome.ERROR), outcomes(3));
             bundle(host, part("d", LONG, 1), part("e", LONG, 1));
@@ -102,8 +105,17 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"429, Retry-After: 0.5, FULL, 500000", "503, , FULL, 0", "503, X-No-Slot: 1, NOT_SENT, 0", "500, , ERROR, 0",
-        "413, , NOT_SENT, 0", "400, , NOT_SENT, 0", "410, , ERROR, 0", "504, , ERROR, 0", "302, , ERROR, 0"})
+    @CsvSource({
+        "429, Retry-After: 0.5, FULL, 500000",
+        "503, , FULL, 0",
+        "503, X-No-Slot: 1, NOT_SENT, 0",
+        "500, , ERROR, 0",
+        "413, , NOT_SENT, 0",
+        "400, , NOT_SENT, 0",
+        "410, , ERROR, 0",
+        "504, , ERROR, 0",
+        "302, , ERROR, 0"
+    })
     void anAnswerToAllHoldsForEach(int status, String head, Outcome outcome, long wait) throws Exception {
         try (HostStub host = new HostStub()) {
             three(host);
@@ -131,9 +143,21 @@
 
     /** Guards the rule on effects: where an answer does not say that a message never ran, it may have run. */
     @ParameterizedTest
-    @ValueSource(strings = {"", "ok", "{}", "[", "[]", "[{\"id\":\"a\",\"state\":\"deferred\"}", "[{\"id\":\"x\",\"state\":\"deferred\"}]",
-        "[{\"id\":\"a\",\"state\":\"deferred\"},{\"id\":\"a\",\"state\":\"accepted\"}]", "[{\"id\":\"a\"}]",
-        "[{\"state\":\"deferred\"}]", "[{\"id\":\"a\",\"state\":\"deferred\"}] x", "[{\"id\":\"a\",\"state\":[\"deferred\"]}]"})
+    @ValueSource(
+            strings = {
+                "",
+                "ok",
+                "{}",
+                "[",
+                "[]",
+                "[{\"id\":\"a\",\"state\":\"deferred\"}",
+                "[{\"id\":\"x\",\"state\":\"deferred\"}]",
+                "[{\"id\":\"a\",\"state\":\"deferred\"},{\"id\":\"a\",\"state\":\"accepted\"}]",
+                "[{\"id\":\"a\"}]",
+                "[{\"state\":\"deferred\"}]",
+                "[{\"id\":\"a\",\"state\":\"deferred\"}] x",
+                "[{\"id\":\"a\",\"state\":[\"deferred\"]}]"
+            })
     void anAnswerThatDoesNotTellMayHaveRun(String body) throws Exception {
         try (HostStub host = new HostStub()) {
             three(host);
@@ -144,7 +168,11 @@
 
     /** A status line of 200 is no delivery where the answer must name each message. */
     @ParameterizedTest
-    @CsvSource({"HTTP/1.1 200 OK|Content-Length: 50||[{\"id\", RESET", "HTTP/1.1 200 OK|Content-Length: 5, ERROR", "'', RESET"})
+    @CsvSource({
+        "HTTP/1.1 200 OK|Content-Length: 50||[{\"id\", RESET",
+        "HTTP/1.1 200 OK|Content-Length: 5, ERROR",
+        "'', RESET"
+    })
     void aConnectionThatBreaksInTheAnswerMayHaveRun(String text, Outcome outcome) throws Exception {
         try (HostStub host = new HostStub()) {
             three(host);
@@ -192,7 +220,8 @@
             HostStub.Call call = host.call();
             assertTrue(Long.parseLong(call.header("X-Timeout-Ms")) > 1_000);
             assertEquals(Map.of("a", Outcome.TIMEOUT), outcomes(1));
-            call.answer(answer(200, "", "[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}]"));
+            call.answer(
+                    answer(200, "", "[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}]"));
             assertEquals(Map.of("b", Outcome.OK), outcomes(1));
         }
     }
@@ -208,7 +237,9 @@
             assertEquals("a", calls.get(0).header("X-Request-ID"));
             assertTrue(calls.get(1).body().length() < 64 * 1024);
             calls.get(0).answer(HostStub.OK);
-            calls.get(1).answer(answer(200, "", "[{\"id\":\"b\",\"state\":\"accepted\"},{\"id\":\"c\",\"state\":\"accepted\"}]"));
+            calls.get(1)
+                    .answer(answer(
+                            200, "", "[{\"id\":\"b\",\"state\":\"accepted\"},{\"id\":\"c\",\"state\":\"accepted\"}]"));
             assertEquals(Map.of("a", Outcome.OK, "b", Outcome.OK, "c", Outcome.OK), outcomes(3));
         }
     }
@@ -218,10 +249,12 @@
     void aCallThatWaitsForItsConnectionIsTakenBackWhole() throws Exception {
         try (HostStub host = new HostStub()) {
             listed.dial = new InetSocketAddress(PlatformStub.LOOPBACK, host.port());
-            group.next().submit(() -> {
-                pool.bundle(listed, List.of(part("a", LONG, 1), part("b", LONG, 1)));
-                pool.takeBack(listed);
-            }).get();
+            group.next()
+                    .submit(() -> {
+                        pool.bundle(listed, List.of(part("a", LONG, 1), part("b", LONG, 1)));
+                        pool.takeBack(listed);
+                    })
+                    .get();
             assertEquals(Map.of("a", Outcome.NOT_SENT, "b", Outcome.NOT_SENT), outcomes(2));
             assertTrue(host.quiet());
         }
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -44,13 +44,15 @@
     }
 
     private HostPool pool(long keepAlive) {
-        return new HostPool(Machine.real(group.next()), LONG, keepAlive, n -> { }, new Descriptors(1_000));
+        return new HostPool(Machine.real(group.next()), LONG, keepAlive, n -> {}, new Descriptors(1_000));
     }
 
     private Calls.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
         listed.dial = new InetSocketAddress(PlatformStub.LOOPBACK, port);
         Message message = new Message("a", "bill", 0, null, null, 7, 0, Body.of(new byte[bytes]));
-        return group.next().submit(() -> pool.call(listed, message, patience, replies::add)).get();
+        return group.next()
+                .submit(() -> pool.call(listed, message, patience, replies::add))
+                .get();
     }
 
     private Reply reply() throws InterruptedException {
@@ -58,15 +60,24 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"200, , OK, true, 0", "500, , ERROR, false, 0", "429, Retry-After: 0.283, FULL, false, 283000",
-        "429, , FULL, false, 0", "503, , FULL, false, 0", "503, X-No-Slot: 1, NOT_SENT, false, 0",
-        "504, , NOT_SENT, false, 0", "410, , NOT_SENT, true, 0", "418, , ERROR, false, 0"})
+    @CsvSource({
+        "200, , OK, true, 0",
+        "500, , ERROR, false, 0",
+        "429, Retry-After: 0.283, FULL, false, 283000",
+        "429, , FULL, false, 0",
+        "503, , FULL, false, 0",
+        "503, X-No-Slot: 1, NOT_SENT, false, 0",
+        "504, , NOT_SENT, false, 0",
+        "410, , NOT_SENT, true, 0",
+        "418, , ERROR, false, 0"
+    })
     void anAnswerMeansWhatTheTableSays(int status, String header, Outcome outcome, boolean over, long wait)
             throws Exception {
         try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
-            host.call().answer("HTTP/1.1 " + status + " x\r\nX-Server-Load: x0=0.4,x1=25\r\n"
-                + (header == null ? "" : header + "\r\n") + "Content-Length: 0\r\n\r\n");
+            host.call()
+                    .answer("HTTP/1.1 " + status + " x\r\nX-Server-Load: x0=0.4,x1=25\r\n"
+                            + (header == null ? "" : header + "\r\n") + "Content-Length: 0\r\n\r\n");
             Reply reply = reply();
             assertEquals(outcome, reply.outcome());
             assertEquals(over, reply.over());
@@ -81,9 +92,14 @@
      * of the answer came with its first line, and whatever becomes of the rest.
      */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n|Content-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n|!",
-        "HTTP/1.1 200 OK\r\nContent-Le|ngth: -4\r\n\r\n", "HTTP/1.1 200 OK\r\n|\0\1\2: \r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nx|!"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n|Content-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n|!",
+                "HTTP/1.1 200 OK\r\nContent-Le|ngth: -4\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n|\0\1\2: \r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nx|!"
+            })
     void aDeliveredMessageIsOverAtTheFirstLineOfItsAnswer(String pieces) throws Exception {
         try (HostStub host = new HostStub()) {
             call(pool(KEEP_ALIVE), host.port(), LONG, 10);
@@ -105,7 +121,7 @@
     @Test
     void aCallTakesTheDescriptorOfTheLongestIdleConnectionAndNoneOfAnothersShare() throws Exception {
         Descriptors descriptors = new Descriptors(64);
-        HostPool pool = new HostPool(Machine.real(group.next()), LONG, KEEP_ALIVE, n -> { }, descriptors);
+        HostPool pool = new HostPool(Machine.real(group.next()), LONG, KEEP_ALIVE, n -> {}, descriptors);
         int share = descriptors.share(Descriptors.Owner.HOSTS);
         List<HostStub> hosts = new ArrayList<>();
         try {
@@ -141,12 +157,22 @@
         Descriptors descriptors = new Descriptors(64);
         Machine real = Machine.real(group.next());
         boolean[] refuses = {true};
-        HostPool pool = new HostPool(new Machine(real.loop(), real.clock(), () -> {
-            if (refuses[0]) {
-                throw new ChannelException("Too many open files");
-            }
-            return real.sockets().newChannel();
-        }, real.listeners(), real.sharedListeners()), LONG, KEEP_ALIVE, n -> { }, descriptors);
+        HostPool pool = new HostPool(
+                new Machine(
+                        real.loop(),
+                        real.clock(),
+                        () -> {
+                            if (refuses[0]) {
+                                throw new ChannelException("Too many open files");
+                            }
+                            return real.sockets().newChannel();
+                        },
+                        real.listeners(),
+                        real.sharedListeners()),
+                LONG,
+                KEEP_ALIVE,
+                n -> {},
+                descriptors);
         try (HostStub host = new HostStub()) {
             for (int i = 0; i <= descriptors.share(Descriptors.Owner.HOSTS); i++) {
                 call(pool, listed, host);
@@ -308,12 +334,18 @@
 
     /** Guards the rule on duplicates: only a good answer proves that a call never ran; and a 200 is true at once. */
     @ParameterizedTest
-    @CsvSource({"HTTP/1.1 429 x|Retry-After: 1|Content-Length: 5000000000||, ERROR",
-        "HTTP/1.1 503 x|Transfer-Encoding: chunked||zz|, ERROR", "HTTP/1.1 504 x|Content-Length: -4||, ERROR",
-        "HTTP/1.1 410 x|bad header||, ERROR", "HTTP/1.1 503 x|Content-Length: 9||half, ERROR", "noise||, ERROR",
+    @CsvSource({
+        "HTTP/1.1 429 x|Retry-After: 1|Content-Length: 5000000000||, ERROR",
+        "HTTP/1.1 503 x|Transfer-Encoding: chunked||zz|, ERROR",
+        "HTTP/1.1 504 x|Content-Length: -4||, ERROR",
+        "HTTP/1.1 410 x|bad header||, ERROR",
+        "HTTP/1.1 503 x|Content-Length: 9||half, ERROR",
+        "noise||, ERROR",
         "HTTP/1.1 101 Switching Protocols||HTTP/1.1 503 x|Content-Length: 0||, ERROR",
-        "HTTP/1.1 200 OK|Content-Length: 3000000000||, OK", "HTTP/1.1 200 OK|Content-Length: many||, OK",
-        "HTTP/1.1 200 OK|X-Endless: , OK"})
+        "HTTP/1.1 200 OK|Content-Length: 3000000000||, OK",
+        "HTTP/1.1 200 OK|Content-Length: many||, OK",
+        "HTTP/1.1 200 OK|X-Endless: , OK"
+    })
     void aSpoiltAnswerMayHaveRunUnlessItsStatusLineSays200(String answer, Outcome outcome) throws Exception {
         try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
@@ -347,9 +379,11 @@
 
     /** Guards the next call against an answer that is not its own: what comes behind one ends the connection. */
     @ParameterizedTest
-    @CsvSource({"HTTP/1.1 200 OK|Content-Length: 0||HTTP/1.1 503 x|Content-Length: 0||, OK",
+    @CsvSource({
+        "HTTP/1.1 200 OK|Content-Length: 0||HTTP/1.1 503 x|Content-Length: 0||, OK",
         "HTTP/1.1 503 x|Content-Length: 0||noise, FULL",
-        "HTTP/1.1 100 Continue||HTTP/1.1 103 Hints||HTTP/1.1 429 x|Content-Length: 0||HTTP/1, FULL"})
+        "HTTP/1.1 100 Continue||HTTP/1.1 103 Hints||HTTP/1.1 429 x|Content-Length: 0||HTTP/1, FULL"
+    })
     void aGoodAnswerCountsAndWhatComesBehindItDoesNot(String answer, Outcome outcome) throws Exception {
         try (HostStub host = new HostStub()) {
             HostPool pool = pool(KEEP_ALIVE);
--- a/src/test/java/brambletray/inventory/FollowerTest.java
+++ b/src/test/java/brambletray/inventory/FollowerTest.java
@@ -36,8 +36,10 @@
 class FollowerTest {
     private static final int REWRITES = Integer.getInteger("rewrites", 40);
     private static final int POLL = 2, SETTLE = 10;
+
     @TempDir
     Path folder;
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final ExecutorService reader = Executors.newSingleThreadExecutor();
@@ -45,7 +47,12 @@
     private Follower follower;
 
     /** How a file is replaced. */
-    enum Way { RENAME, IN_PLACE, LINK, FOLDER }
+    enum Way {
+        RENAME,
+        IN_PLACE,
+        LINK,
+        FOLDER
+    }
 
     private void follow(Path file) throws Exception {
         follower = new Follower(Machine.real(loop), file, POLL, SETTLE, reader, read::add);
@@ -63,8 +70,9 @@
     private static byte[] version(int number) {
         Map<String, Entry> hosts = new LinkedHashMap<>();
         for (int i = 0; i < 5 + number % 20; i++) {
-            hosts.put("h" + i, new Entry("h" + i, "192.0.2." + (i + 1), 80, "http", 7, "a", "m", number,
-                Entry.State.READY));
+            hosts.put(
+                    "h" + i,
+                    new Entry("h" + i, "192.0.2." + (i + 1), 80, "http", 7, "a", "m", number, Entry.State.READY));
         }
         return Inventory.write(new Revision(hosts), true).getBytes(StandardCharsets.UTF_8);
     }
@@ -72,7 +80,8 @@
     private static int number(Inventory.Parsed parsed) {
         int number = (int) parsed.revision().hosts().get("h0").rate();
         assertTrue(parsed.sealed());
-        assertTrue(parsed.revision().hosts().values().stream().allMatch(e -> e.rate() == number), "two versions in one");
+        assertTrue(
+                parsed.revision().hosts().values().stream().allMatch(e -> e.rate() == number), "two versions in one");
         assertEquals(5 + number % 20, parsed.revision().hosts().size(), "half a version");
         return number;
     }
@@ -80,11 +89,16 @@
     private void write(Way way, int number) throws IOException {
         byte[] text = version(number);
         switch (way) {
-            case RENAME -> Files.move(Files.write(folder.resolve("new"), text), folder.resolve("hosts.csv"),
-                StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            case RENAME ->
+                Files.move(
+                        Files.write(folder.resolve("new"), text),
+                        folder.resolve("hosts.csv"),
+                        StandardCopyOption.ATOMIC_MOVE,
+                        StandardCopyOption.REPLACE_EXISTING);
             case IN_PLACE -> {
                 // In pieces, as an editor does that writes as it goes.
-                try (RandomAccessFile file = new RandomAccessFile(folder.resolve("hosts.csv").toFile(), "rw")) {
+                try (RandomAccessFile file =
+                        new RandomAccessFile(folder.resolve("hosts.csv").toFile(), "rw")) {
                     file.setLength(0);
                     for (int from = 0; from < text.length; from += 97) {
                         file.write(text, from, Math.min(97, text.length - from));
@@ -96,8 +110,11 @@
                 Path link = folder.resolve("link");
                 Files.deleteIfExists(link);
                 Files.createSymbolicLink(link, to);
-                Files.move(link, folder.resolve("hosts.csv"), StandardCopyOption.ATOMIC_MOVE,
-                    StandardCopyOption.REPLACE_EXISTING);
+                Files.move(
+                        link,
+                        folder.resolve("hosts.csv"),
+                        StandardCopyOption.ATOMIC_MOVE,
+                        StandardCopyOption.REPLACE_EXISTING);
             }
             default -> {
                 // A folder that is taken away and put back with another file in it.
@@ -136,16 +153,20 @@
             took[n - 1] = System.nanoTime() - from;
         }
         long[] sorted = Arrays.stream(took).filter(t -> t >= 0).sorted().toArray();
-        System.out.printf("%s: from edit to effect %.1f ms (50 %%), %.1f ms (99 %%); poll %d ms, settle %d ms%n", way,
-            sorted[sorted.length / 2] / 1e6, sorted[sorted.length * 99 / 100] / 1e6, POLL, SETTLE);
+        System.out.printf(
+                "%s: from edit to effect %.1f ms (50 %%), %.1f ms (99 %%); poll %d ms, settle %d ms%n",
+                way, sorted[sorted.length / 2] / 1e6, sorted[sorted.length * 99 / 100] / 1e6, POLL, SETTLE);
     }
 
     /** The system's events alone: the file would be looked at by turns an hour later. */
     @ParameterizedTest
-    @EnumSource(value = Way.class, names = {"RENAME", "IN_PLACE"})
+    @EnumSource(
+            value = Way.class,
+            names = {"RENAME", "IN_PLACE"})
     void eventsTellOfAnEditAtOnce(Way way) throws Exception {
         write(way, 1);
-        follower = new Follower(Machine.real(loop), folder.resolve("hosts.csv"), 3_600_000, SETTLE, true, reader, read::add);
+        follower = new Follower(
+                Machine.real(loop), folder.resolve("hosts.csv"), 3_600_000, SETTLE, true, reader, read::add);
         loop.submit(() -> follower.begin(true)).get();
         for (int n = 2; n <= REWRITES / 4; n++) {
             write(way, n);
