--- a/src/test/java/brambletray/inventory/InventoryBench.java
+++ b/src/test/java/brambletray/inventory/InventoryBench.java
@@ -18,13 +18,23 @@
     /** As the relay has it. */
     private static final int SLICE = 100;
 
-    private InventoryBench() { }
+    private InventoryBench() {}
 
     private static Revision hosts(int many, int altered) {
         Map<String, Entry> hosts = new LinkedHashMap<>();
         for (int i = 0; i < many; i++) {
-            hosts.put("host-" + i, new Entry("host-" + i, "10." + (i >> 16) + "." + (i >> 8 & 255) + "." + (i & 255), 8_080,
-                "http", 1 + i / 4, "a", "m", i < altered ? 20 : 10, Entry.State.READY));
+            hosts.put(
+                    "host-" + i,
+                    new Entry(
+                            "host-" + i,
+                            "10." + (i >> 16) + "." + (i >> 8 & 255) + "." + (i & 255),
+                            8_080,
+                            "http",
+                            1 + i / 4,
+                            "a",
+                            "m",
+                            i < altered ? 20 : 10,
+                            Entry.State.READY));
         }
         return new Revision(hosts);
     }
@@ -48,12 +58,13 @@
         for (double rate : new double[] {10, 20}) {
             List<String> lines = new ArrayList<>();
             for (Map.Entry<String, Entry> e : all.entrySet()) {
-                lines.add("{\"host\":\"" + e.getKey() + "\",\"dial\":\"" + e.getValue().address() + ":8080\",\"site\":\"a\","
-                    + "\"class\":\"m\",\"block\":" + e.getValue().destination() + ",\"health\":\"ready\",\"share\":" + rate + "}");
+                lines.add("{\"host\":\"" + e.getKey() + "\",\"dial\":\""
+                        + e.getValue().address() + ":8080\",\"site\":\"a\"," + "\"class\":\"m\",\"block\":"
+                        + e.getValue().destination() + ",\"health\":\"ready\",\"share\":" + rate + "}");
             }
             for (int from = 0; from < lines.size(); from += SLICE) {
                 Wire.Fields slice = Wire.decode("{\"seq\":" + ++seq + ",\"whole\":false,\"hosts\":["
-                    + String.join(",", lines.subList(from, Math.min(lines.size(), from + SLICE))) + "]}");
+                        + String.join(",", lines.subList(from, Math.min(lines.size(), from + SLICE))) + "]}");
                 long collections = collections();
                 long began = System.nanoTime();
                 control.turn(now += 1_000, List.of(hosts.update(slice)));
@@ -67,19 +78,32 @@
     }
 
     private static long collections() {
-        return ManagementFactory.getGarbageCollectorMXBeans().stream().mapToLong(gc -> gc.getCollectionCount()).sum();
+        return ManagementFactory.getGarbageCollectorMXBeans().stream()
+                .mapToLong(gc -> gc.getCollectionCount())
+                .sum();
     }
 
     private static Relay.Settings settings() {
-        return new Relay.Settings(0, 1, 0, false, 1, Relay.Weights.ROUGH, List.of(new Relay.MessageClass("bill", 2_000_000,
-            16_000_000, 1, 0.3, Relay.Effect.KEYED, false, 15_000_000, false)), List.of(), List.of(new Relay.Kind(true, 1)),
-            new Relay.Allowed(100, 1_000, 12, false, true, 1, 800_000, 15_000_000, 3_000_000),
-            new Relay.Rules(250_000, 2, 3_000_000, 0.2, 12_000_000, 0, 0), new Relay.Prices(0, 0, 0, 0, List.of()));
+        return new Relay.Settings(
+                0,
+                1,
+                0,
+                false,
+                1,
+                Relay.Weights.ROUGH,
+                List.of(new Relay.MessageClass(
+                        "bill", 2_000_000, 16_000_000, 1, 0.3, Relay.Effect.KEYED, false, 15_000_000, false)),
+                List.of(),
+                List.of(new Relay.Kind(true, 1)),
+                new Relay.Allowed(100, 1_000, 12, false, true, 1, 800_000, 15_000_000, 3_000_000),
+                new Relay.Rules(250_000, 2, 3_000_000, 0.2, 12_000_000, 0, 0),
+                new Relay.Prices(0, 0, 0, 0, List.of()));
     }
 
     public static void main(String[] args) throws Exception {
         System.out.println(Runtime.getRuntime().availableProcessors() + " processors; the best of five; ms");
-        System.out.println("hosts      CSV bytes   read CSV  read YAML    compare  pass on: decode, take in    heap a host");
+        System.out.println(
+                "hosts      CSV bytes   read CSV  read YAML    compare  pass on: decode, take in    heap a host");
         for (int many : new int[] {100, 10_000, 100_000}) {
             byte[] csv = Inventory.write(hosts(many, 0), true).getBytes(StandardCharsets.UTF_8);
             byte[] yaml = Inventory.write(hosts(many, 0), false).getBytes(StandardCharsets.UTF_8);
@@ -102,9 +126,15 @@
                 var taken = (Reconciler.Taken) reconciler.offer(next, true);
                 best[2] = Math.min(best[2], ms(from));
                 StringBuilder list = new StringBuilder("{\"seq\":1,\"whole\":true,\"hosts\":[");
-                taken.hosts().forEach((key, e) -> list.append(list.length() > 40 ? "," : "").append("{\"host\":\"").append(key)
-                    .append("\",\"dial\":\"").append(e.address()).append(":8080\",\"site\":\"a\",\"class\":\"m\",\"block\":")
-                    .append(e.destination()).append(",\"health\":\"ready\",\"share\":10}"));
+                taken.hosts()
+                        .forEach((key, e) -> list.append(list.length() > 40 ? "," : "")
+                                .append("{\"host\":\"")
+                                .append(key)
+                                .append("\",\"dial\":\"")
+                                .append(e.address())
+                                .append(":8080\",\"site\":\"a\",\"class\":\"m\",\"block\":")
+                                .append(e.destination())
+                                .append(",\"health\":\"ready\",\"share\":10}"));
                 String json = list.append("]}").toString();
                 HostList hosts = new HostList(List.of("a"), List.of("m"));
                 from = System.nanoTime();
@@ -122,11 +152,25 @@
                 slices(taken.hosts(), pauses);
             }
             pauses.sort(null);
-            System.out.printf(Locale.ROOT, "  the loop's turns of 100 hosts at most, with the module: %.2f ms (50 %%), %.2f (99 %%),"
-                + " %.2f the longest of %d%n", pauses.get(pauses.size() / 2), pauses.get(pauses.size() * 99 / 100),
-                pauses.get(pauses.size() - 1), pauses.size());
-            System.out.printf(Locale.ROOT, "%-7d %12d %10.1f %10s %10.2f %10.2f %10.2f %10.0f bytes%n", many, csv.length, best[0],
-                best[1] > 1e8 ? "-" : String.format(Locale.ROOT, "%.1f", best[1]), best[2], best[3], best[4], heap);
+            System.out.printf(
+                    Locale.ROOT,
+                    "  the loop's turns of 100 hosts at most, with the module: %.2f ms (50 %%), %.2f (99 %%),"
+                            + " %.2f the longest of %d%n",
+                    pauses.get(pauses.size() / 2),
+                    pauses.get(pauses.size() * 99 / 100),
+                    pauses.get(pauses.size() - 1),
+                    pauses.size());
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-7d %12d %10.1f %10s %10.2f %10.2f %10.2f %10.0f bytes%n",
+                    many,
+                    csv.length,
+                    best[0],
+                    best[1] > 1e8 ? "-" : String.format(Locale.ROOT, "%.1f", best[1]),
+                    best[2],
+                    best[3],
+                    best[4],
+                    heap);
         }
     }
 }
--- a/src/test/java/brambletray/inventory/InventoryTest.java
+++ b/src/test/java/brambletray/inventory/InventoryTest.java
@@ -58,8 +58,11 @@
         assertEquals(8443, n2.port());
         assertEquals(Destinations.number("north-grid"), n2.destination());
         assertEquals(Entry.State.DRAINING, ansible.hosts().get("s1").state());
-        assertEquals(ansible, Inventory.parse("spreadsheet.csv", file("spreadsheet.csv")).revision());
-        assertEquals(ansible, Inventory.parse("outputs.yaml", file("outputs.yaml")).revision());
+        assertEquals(
+                ansible,
+                Inventory.parse("spreadsheet.csv", file("spreadsheet.csv")).revision());
+        assertEquals(
+                ansible, Inventory.parse("outputs.yaml", file("outputs.yaml")).revision());
     }
 
     @Test
@@ -67,55 +70,74 @@
         Revision plain = csv(HEAD + "a,192.0.2.1,80,7\nb,192.0.2.2,80,7\n");
         assertEquals(plain, csv("\uFEFF" + HEAD + "a,192.0.2.1,80,7\nb,192.0.2.2,80,7\n"));
         assertEquals(plain, csv((HEAD + "a,192.0.2.1,80,7\nb,192.0.2.2,80,7").replace("\n", "\r\n")));
-        assertEquals(plain, csv("# kept by hand\n\nDestination;Name;Port;Address\n7;\"a\";80;192.0.2.1\n\n7;b;80;192.0.2.2\n"));
+        assertEquals(
+                plain,
+                csv("# kept by hand\n\nDestination;Name;Port;Address\n7;\"a\";80;192.0.2.1\n\n7;b;80;192.0.2.2\n"));
     }
 
     /** Each fault with its place, all of them at once. */
     @Test
     void everyFaultIsToldAtOnce() {
-        List<String> lines = faults("a.csv", (HEAD + "a,partner.example,80,7\n-x,192.0.2.2,0,7\nc,192.0.2.3,80\n"
-            + "d,192.0.2.4,80,\n").getBytes(StandardCharsets.UTF_8));
-        assertEquals(List.of(
-            "a.csv:2:2: address: expected an IP address, for names are not looked up, not 'partner.example'",
-            "a.csv:3:1: name: expected letters, digits, '.', '_', ':' and '-', up to 200, not '-x'",
-            "a.csv:3:3: port: expected a whole number from 1 to 65535, not '0'",
-            "a.csv:4:3: expected 4 fields as in the header, not 3",
-            "a.csv:5:4: destination: expected a value"), lines);
+        List<String> lines = faults(
+                "a.csv",
+                (HEAD + "a,partner.example,80,7\n-x,192.0.2.2,0,7\nc,192.0.2.3,80\n" + "d,192.0.2.4,80,\n")
+                        .getBytes(StandardCharsets.UTF_8));
+        assertEquals(
+                List.of(
+                        "a.csv:2:2: address: expected an IP address, for names are not looked up, not 'partner.example'",
+                        "a.csv:3:1: name: expected letters, digits, '.', '_', ':' and '-', up to 200, not '-x'",
+                        "a.csv:3:3: port: expected a whole number from 1 to 65535, not '0'",
+                        "a.csv:4:3: expected 4 fields as in the header, not 3",
+                        "a.csv:5:4: destination: expected a value"),
+                lines);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "name,address,port\\na,192.0.2.1,80|header: expected a column destination",
-        "name,name,port\\n|at most once",
-        "name,address,port,destination\\na,192.0.2.1,80,7\\na,192.0.2.2,80,7|line 2 has it too",
-        "name,address,port,destination\\na,192.0.2.1,80,7\\nb,192.0.2.1,80,8|'a' has them too",
-        "name,address,port,destination\\n\"a,192.0.2.1,80,7|not CSV",
-        "name,address,port,destination\\na,192.0.2.1,80,7\\n# end of inventory: 2 hosts|expected them to be as many",
-        "name,address,port,destination\\n|at least one host"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "name,address,port\\na,192.0.2.1,80|header: expected a column destination",
+                "name,name,port\\n|at most once",
+                "name,address,port,destination\\na,192.0.2.1,80,7\\na,192.0.2.2,80,7|line 2 has it too",
+                "name,address,port,destination\\na,192.0.2.1,80,7\\nb,192.0.2.1,80,8|'a' has them too",
+                "name,address,port,destination\\n\"a,192.0.2.1,80,7|not CSV",
+                "name,address,port,destination\\na,192.0.2.1,80,7\\n# end of inventory: 2 hosts|expected them to be as many",
+                "name,address,port,destination\\n|at least one host"
+            })
     void wrongCsvIsTurnedAway(String text, String expected) {
         List<String> lines = faults("a.csv", text.replace("\\n", "\n").getBytes(StandardCharsets.UTF_8));
         assertTrue(lines.get(0).contains(expected), lines.toString());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "hosts:\n  - {name: a, name: b}\n", "a: &x [1]\nb: *x\n", "hosts: 5\n",
-        "all: {hosts: {a: {ansible_host: 192.0.2.1, brambletray_port: 80}}}\n", "- {name: a, colour: red}\n"})
+    @ValueSource(
+            strings = {
+                "",
+                "hosts:\n  - {name: a, name: b}\n",
+                "a: &x [1]\nb: *x\n",
+                "hosts: 5\n",
+                "all: {hosts: {a: {ansible_host: 192.0.2.1, brambletray_port: 80}}}\n",
+                "- {name: a, colour: red}\n"
+            })
     void wrongYamlIsTurnedAway(String text) {
         assertFalse(faults("a.yaml", text.getBytes(StandardCharsets.UTF_8)).isEmpty());
     }
 
     @Test
     void whatIsNoTextIsTurnedAway() {
-        assertTrue(faults("a.csv", (HEAD + "\u00e4,192.0.2.1,80,7\n").getBytes(StandardCharsets.ISO_8859_1)).get(0)
-            .contains("expected UTF-8"));
-        assertTrue(faults("a.csv", HEAD.getBytes(StandardCharsets.UTF_16LE)).get(0).contains("null characters"));
+        assertTrue(faults("a.csv", (HEAD + "\u00e4,192.0.2.1,80,7\n").getBytes(StandardCharsets.ISO_8859_1))
+                .get(0)
+                .contains("expected UTF-8"));
+        assertTrue(
+                faults("a.csv", HEAD.getBytes(StandardCharsets.UTF_16LE)).get(0).contains("null characters"));
     }
 
     /** Whatever a sealed file is cut to, it is refused, or not sealed; only the whole one is both. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aSealedFileCutAnywhereIsSeen(boolean asCsv) throws Exception {
-        Revision revision = Inventory.parse("ansible.yaml", file("ansible.yaml")).revision();
+        Revision revision =
+                Inventory.parse("ansible.yaml", file("ansible.yaml")).revision();
         String name = asCsv ? "a.csv" : "a.yaml";
         byte[] whole = Inventory.write(revision, asCsv).getBytes(StandardCharsets.UTF_8);
         assertEquals(revision, Inventory.parse(name, whole).revision());
@@ -137,13 +159,18 @@
     @Test
     void aSealedAnsibleFileCutAnywhereIsSeen() throws Exception {
         String text = Files.readString(Path.of("src", "test", "resources", "inventory", "ansible.yaml"));
-        int hosts = Inventory.parse("a.yaml", text.getBytes(StandardCharsets.UTF_8)).revision().hosts().size();
-        byte[] whole = (text.stripTrailing() + "\n# end of inventory: " + hosts + " hosts").getBytes(StandardCharsets.UTF_8);
+        int hosts = Inventory.parse("a.yaml", text.getBytes(StandardCharsets.UTF_8))
+                .revision()
+                .hosts()
+                .size();
+        byte[] whole =
+                (text.stripTrailing() + "\n# end of inventory: " + hosts + " hosts").getBytes(StandardCharsets.UTF_8);
         assertTrue(Inventory.parse("a.yaml", whole).sealed());
         int refused = 0;
         for (int length = 0; length < whole.length; length++) {
             try {
-                assertFalse(Inventory.parse("a.yaml", Arrays.copyOf(whole, length)).sealed(), "cut to " + length);
+                assertFalse(
+                        Inventory.parse("a.yaml", Arrays.copyOf(whole, length)).sealed(), "cut to " + length);
             } catch (Faults e) {
                 refused++;
             }
@@ -182,13 +209,13 @@
     void aMoveIsTheOldOneGoneAndANewOne() {
         Reconciler reconciler = new Reconciler(1);
         reconciler.offer(hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), false);
-        var moved = (Reconciler.Taken) reconciler.offer(
-            hosts(host("a", 9, Entry.State.READY), host("b", 2, Entry.State.DRAINING)), false);
+        var moved = (Reconciler.Taken)
+                reconciler.offer(hosts(host("a", 9, Entry.State.READY), host("b", 2, Entry.State.DRAINING)), false);
         assertEquals(List.of("a"), moved.change().moved());
         assertEquals(List.of("b"), moved.change().drained());
         assertEquals(List.of("a~1", "b"), List.copyOf(moved.hosts().keySet()));
-        var back = (Reconciler.Taken) reconciler.offer(
-            hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.DRAINING)), false);
+        var back = (Reconciler.Taken)
+                reconciler.offer(hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.DRAINING)), false);
         assertTrue(back.hosts().containsKey("a~2"), "its history is another host's");
     }
 
@@ -202,14 +229,25 @@
             Map<String, Entry> next = new LinkedHashMap<>();
             for (int h = 0; h < 8; h++) {
                 if (random.nextInt(3) > 0) {
-                    next.put("h" + h, new Entry("h" + h, "192.0.2." + (random.nextInt(3) * 10 + h), 80, "http",
-                        1 + random.nextInt(2), "a", "m1", 1 + random.nextInt(2), Entry.State.READY));
+                    next.put(
+                            "h" + h,
+                            new Entry(
+                                    "h" + h,
+                                    "192.0.2." + (random.nextInt(3) * 10 + h),
+                                    80,
+                                    "http",
+                                    1 + random.nextInt(2),
+                                    "a",
+                                    "m1",
+                                    1 + random.nextInt(2),
+                                    Entry.State.READY));
                 }
             }
             if (reconciler.offer(new Revision(next), false) instanceof Reconciler.Taken taken) {
                 assertEquals(next.size(), taken.hosts().size());
-                taken.hosts().forEach((key, entry) ->
-                    assertEquals(places.computeIfAbsent(key, k -> entry.place()), entry.place(), key + " moved"));
+                taken.hosts()
+                        .forEach((key, entry) -> assertEquals(
+                                places.computeIfAbsent(key, k -> entry.place()), entry.place(), key + " moved"));
             }
         }
     }
@@ -222,17 +260,27 @@
     @Test
     void sourcesInTheirOrder() {
         Reconciler reconciler = new Reconciler(1, List.of("first", "second"));
-        counted(reconciler.offer("second", hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), true));
+        counted(reconciler.offer(
+                "second", hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), true));
         var both = counted(reconciler.offer("first", hosts(host("a", 9, Entry.State.READY)), true));
         assertEquals(List.of("a~1", "b"), List.copyOf(both.keySet()), "it is where the first source has it");
-        var drained = counted(reconciler.offer("second",
-            hosts(host("a", 1, Entry.State.DRAINING), host("b", 2, Entry.State.READY)), true));
+        var drained = counted(reconciler.offer(
+                "second", hosts(host("a", 1, Entry.State.DRAINING), host("b", 2, Entry.State.READY)), true));
         assertEquals(Entry.State.DRAINING, drained.get("a~1").state());
         assertEquals(host("a", 9, Entry.State.READY).place(), drained.get("a~1").place());
-        assertTrue(((Reconciler.Taken) reconciler.offer("second", hosts(host("a", 3, Entry.State.DRAINING),
-            host("b", 2, Entry.State.READY)), true)).change().isEmpty(), "where the second has it counts for nothing");
+        assertTrue(
+                ((Reconciler.Taken) reconciler.offer(
+                                "second",
+                                hosts(host("a", 3, Entry.State.DRAINING), host("b", 2, Entry.State.READY)),
+                                true))
+                        .change()
+                        .isEmpty(),
+                "where the second has it counts for nothing");
         var fallen = counted(reconciler.offer("first", hosts(host("c", 4, Entry.State.READY)), true));
-        assertEquals(List.of("c", "a~2", "b"), List.copyOf(fallen.keySet()), "no longer in the first, it is where the second has it");
+        assertEquals(
+                List.of("c", "a~2", "b"),
+                List.copyOf(fallen.keySet()),
+                "no longer in the first, it is where the second has it");
         assertEquals(Entry.State.DRAINING, fallen.get("a~2").state());
         var gone = (Reconciler.Taken) reconciler.offer("second", hosts(host("b", 2, Entry.State.READY)), true);
         assertEquals(List.of("a~2"), gone.gone());
@@ -242,7 +290,8 @@
     @Test
     void anAddressCountsOnceOverAllSources() {
         Reconciler reconciler = new Reconciler(1, List.of("first", "second"));
-        counted(reconciler.offer("second", hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), true));
+        counted(reconciler.offer(
+                "second", hosts(host("a", 1, Entry.State.READY), host("b", 2, Entry.State.READY)), true));
         var hosts = counted(reconciler.offer("first", hosts(host("other", 1, Entry.State.READY)), true));
         assertEquals(Set.of("other", "b"), hosts.keySet());
     }
@@ -255,9 +304,14 @@
         Arrays.setAll(ten, i -> host("h" + i, i + 1, Entry.State.READY));
         reconciler.offer("first", hosts(Arrays.copyOf(ten, 5)), true);
         reconciler.offer("second", hosts(Arrays.copyOfRange(ten, 5, 10)), false);
-        assertInstanceOf(Reconciler.HeldBack.class, reconciler.offer("second", hosts(ten[5]), false), "four of its five");
-        assertInstanceOf(Reconciler.HeldBack.class, reconciler.offer("first", hosts(Arrays.copyOf(ten, 4)), false), "sealed before");
-        assertInstanceOf(Reconciler.Taken.class, reconciler.offer("second", hosts(Arrays.copyOfRange(ten, 6, 10)), false));
+        assertInstanceOf(
+                Reconciler.HeldBack.class, reconciler.offer("second", hosts(ten[5]), false), "four of its five");
+        assertInstanceOf(
+                Reconciler.HeldBack.class,
+                reconciler.offer("first", hosts(Arrays.copyOf(ten, 4)), false),
+                "sealed before");
+        assertInstanceOf(
+                Reconciler.Taken.class, reconciler.offer("second", hosts(Arrays.copyOfRange(ten, 6, 10)), false));
         assertEquals(9, reconciler.held().hosts().size());
     }
 
@@ -266,12 +320,15 @@
     void theSchemaKnowsTheFields() throws Exception {
         var schema = brambletray.wire.Wire.decode(Files.readString(Path.of("deploy", "inventory.schema.json")));
         var host = schema.object("$defs").object("host");
-        assertEquals(new TreeSet<>(Rows.FIELDS), new TreeSet<>(host.object("properties").values().keySet()));
+        assertEquals(
+                new TreeSet<>(Rows.FIELDS),
+                new TreeSet<>(host.object("properties").values().keySet()));
         for (Object protocol : host.object("properties").object("protocol").list("enum")) {
             csv("name,address,port,destination,protocol\na,192.0.2.1,80,7," + protocol + "\n");
         }
-        List<String> lines = faults("a.csv", "name,address,port,destination,protocol\na,192.0.2.1,80,7,x\n"
-            .getBytes(StandardCharsets.UTF_8));
+        List<String> lines = faults(
+                "a.csv",
+                "name,address,port,destination,protocol\na,192.0.2.1,80,7,x\n".getBytes(StandardCharsets.UTF_8));
         for (Object protocol : host.object("properties").object("protocol").list("enum")) {
             assertTrue(lines.get(0).contains((String) protocol), lines.toString());
         }
--- a/src/test/java/brambletray/journal/JournalTest.java
+++ b/src/test/java/brambletray/journal/JournalTest.java
@@ -63,9 +63,14 @@
                 assertEquals(7, entry.message.destination());
                 assertEquals(1_900_000_000_000L, entry.message.deadline());
                 assertArrayEquals(new byte[300], entry.message.body().bytes());
-                assertEquals(List.of(1_000L, 2_000L), entry.attempts.stream().map(a -> a.sent).toList());
-                assertEquals(List.of(2, 1), entry.attempts.stream().map(a -> a.zone).toList());
-                assertEquals(List.of(false, true), entry.attempts.stream().map(a -> a.mayHaveRun).toList());
+                assertEquals(
+                        List.of(1_000L, 2_000L),
+                        entry.attempts.stream().map(a -> a.sent).toList());
+                assertEquals(
+                        List.of(2, 1), entry.attempts.stream().map(a -> a.zone).toList());
+                assertEquals(
+                        List.of(false, true),
+                        entry.attempts.stream().map(a -> a.mayHaveRun).toList());
                 assertEquals(new Journal.End(true, 500_000), entry.end);
             }
         }
@@ -135,15 +140,19 @@
             assertFalse(refused.held());
             assertFalse(refused.uncertain());
             assertThrows(IOException.class, journal::commit);
-            disk.fault((what, name, bytes) -> { });
+            disk.fault((what, name, bytes) -> {});
             journal.sent(entry, 2_000, 1);
             journal.commit();
         }
         try (Journal journal = open()) {
             assertEquals(List.of("a", "b"), ids(journal));
             Journal.Entry a = journal.owed().iterator().next();
-            assertEquals(List.of(false, true), a.attempts.stream().map(x -> x.mayHaveRun).toList());
-            assertEquals(List.of(1_000L, 2_000L), a.attempts.stream().map(x -> x.sent).toList());
+            assertEquals(
+                    List.of(false, true),
+                    a.attempts.stream().map(x -> x.mayHaveRun).toList());
+            assertEquals(
+                    List.of(1_000L, 2_000L),
+                    a.attempts.stream().map(x -> x.sent).toList());
             assertNotNull(List.copyOf(journal.owed()).get(1).end);
         }
     }
@@ -161,7 +170,7 @@
         assertThrows(IOException.class, journal::commit);
         assertFalse(entry.held());
         assertTrue(entry.uncertain());
-        disk.fault((what, name, bytes) -> { });
+        disk.fault((what, name, bytes) -> {});
         assertTrue(take(journal, "b", 10).held());
         journal.abandon();
         try (Journal again = Journal.open(disk.killed(), LIMIT, Store.Promise.MACHINE, 12)) {
@@ -255,25 +264,30 @@
                     out.writeBoolean(true);
                     out.writeLong(7_000);
                 }
-                default -> { }
+                default -> {}
             }
             CRC32 crc = new CRC32();
             crc.update(bytes.toByteArray());
-            all.write(ByteBuffer.allocate(8).putInt(bytes.size()).putInt((int) crc.getValue()).array());
+            all.write(ByteBuffer.allocate(8)
+                    .putInt(bytes.size())
+                    .putInt((int) crc.getValue())
+                    .array());
             bytes.writeTo(all);
         }
         return all.toByteArray();
     }
 
-    private static final String[] LIFE = {"taken 1 a", "taken 2 b", "sent 1 1000", "notrun 1 0", "sent 1 2000",
-        "closed 2", "taken 3 c", "ended 3"};
+    private static final String[] LIFE = {
+        "taken 1 a", "taken 2 b", "sent 1 1000", "notrun 1 0", "sent 1 2000", "closed 2", "taken 3 c", "ended 3"
+    };
 
     private void assertMoved(Journal journal) throws IOException {
         assertEquals(List.of("a", "c"), ids(journal));
         Journal.Entry a = journal.owed().iterator().next();
         assertEquals("hello", new String(a.message.body().bytes(), java.nio.charset.StandardCharsets.US_ASCII));
         assertEquals("key-a", a.message.idempotencyKey());
-        assertEquals(List.of(false, true), a.attempts.stream().map(x -> x.mayHaveRun).toList());
+        assertEquals(
+                List.of(false, true), a.attempts.stream().map(x -> x.mayHaveRun).toList());
         assertEquals(new Journal.End(true, 7_000), List.copyOf(journal.owed()).get(1).end);
     }
 
@@ -311,8 +325,9 @@
                     // Killed.
                 }
                 for (int draw = 0; draw < 10; draw++) {
-                    MemoryDisk after = promise == Store.Promise.PROCESS ? moving.killed()
-                        : moving.cut(new java.util.SplittableRandom(at * 100 + draw));
+                    MemoryDisk after = promise == Store.Promise.PROCESS
+                            ? moving.killed()
+                            : moving.cut(new java.util.SplittableRandom(at * 100 + draw));
                     try (Journal journal = Journal.open(after, LIMIT, promise, 12)) {
                         assertMoved(journal);
                     }
--- a/src/test/java/brambletray/kept/KeptTest.java
+++ b/src/test/java/brambletray/kept/KeptTest.java
@@ -14,13 +14,43 @@
     private static final Send RAN = new Send(NOW - 5_000, 0, true), NEVER = new Send(NOW - 6_000, 0, false);
 
     private static KeptMessage message(Effect effect, String key, Send... sends) {
-        return new KeptMessage(1, "m", "bill", new ClassRules(effect, WINDOW, false), 0, null, key, 7, NOW - 3_000,
-            NOW - 2_000, "out of time", 0, List.of(sends), 0, 10, false);
+        return new KeptMessage(
+                1,
+                "m",
+                "bill",
+                new ClassRules(effect, WINDOW, false),
+                0,
+                null,
+                key,
+                7,
+                NOW - 3_000,
+                NOW - 2_000,
+                "out of time",
+                0,
+                List.of(sends),
+                0,
+                10,
+                false);
     }
 
     private static KeptMessage doubtful(KeptMessage m) {
-        return new KeptMessage(m.number(), m.id(), m.messageClass(), m.rules(), 0, null, m.key(), 7, m.deadline(), m.ended(),
-            m.reason(), 0, m.sends(), 0, 10, true);
+        return new KeptMessage(
+                m.number(),
+                m.id(),
+                m.messageClass(),
+                m.rules(),
+                0,
+                null,
+                m.key(),
+                7,
+                m.deadline(),
+                m.ended(),
+                m.reason(),
+                0,
+                m.sends(),
+                0,
+                10,
+                true);
     }
 
     private static String judged(KeptMessage m, long now) {
@@ -38,7 +68,10 @@
             KeptMessage m = message(effect, "k", NEVER, NEVER);
             assertEquals("may, bound by 0", judged(m, NOW + 86_400_000));
             assertEquals("may, bound by 0", judged(m, 8, null, NOW, 3));
-            assertEquals(effect == Effect.SAFE ? "may, bound by 0" : "proof", judged(doubtful(m), NOW), "records may be missing");
+            assertEquals(
+                    effect == Effect.SAFE ? "may, bound by 0" : "proof",
+                    judged(doubtful(m), NOW),
+                    "records may be missing");
         }
     }
 
@@ -73,20 +106,39 @@
     void aWordThatItWasNotDoneCountsForSendsBeforeIt() {
         KeptMessage m = message(Effect.UNSAFE, null, RAN);
         assertEquals("may, bound by 0", judged(m, 7, new Judge.NotDone("ann", "asked them", NOW - 1_000), NOW, 0));
-        assertEquals("proof", judged(m, 7, new Judge.NotDone("ann", "asked them", NOW - 2_500), NOW, 0), "older than its end");
+        assertEquals(
+                "proof",
+                judged(m, 7, new Judge.NotDone("ann", "asked them", NOW - 2_500), NOW, 0),
+                "older than its end");
         KeptMessage later = m.again(List.of(RAN, new Send(NOW, 0, true)), NOW + 1, "out of time", 0);
         assertEquals("proof", judged(later, 7, new Judge.NotDone("ann", "asked them", NOW - 1_000), NOW + 2, 0));
         assertEquals(1, later.redrives());
     }
 
     private static Rule rule(String name, int times, double perSecond, long olderThan) {
-        return new Rule(name, Set.of(), Set.of(), Set.of(), olderThan, times, new Rule.SendAgain(4_000, perSecond, 0, 0, 0));
+        return new Rule(
+                name, Set.of(), Set.of(), Set.of(), olderThan, times, new Rule.SendAgain(4_000, perSecond, 0, 0, 0));
     }
 
     private static KeptMessage numbered(int number) {
         KeptMessage m = message(Effect.SAFE, null);
-        return new KeptMessage(number, "m" + number, m.messageClass(), m.rules(), 0, null, null, 7, m.deadline(), m.ended(),
-            m.reason(), 0, m.sends(), 0, 10, false);
+        return new KeptMessage(
+                number,
+                "m" + number,
+                m.messageClass(),
+                m.rules(),
+                0,
+                null,
+                null,
+                7,
+                m.deadline(),
+                m.ended(),
+                m.reason(),
+                0,
+                m.sends(),
+                0,
+                10,
+                false);
     }
 
     /** A partner that returns cold gets one redrive, then more with each that it takes; none once it fails again. */
@@ -132,8 +184,23 @@
         for (long now = NOW; now < NOW + 60_000; now += 50) {
             for (int d = 0; d < 40; d++) {
                 KeptMessage m = numbered(d);
-                m = new KeptMessage(d, m.id(), m.messageClass(), m.rules(), 0, null, null, gone, m.deadline(), m.ended(),
-                    m.reason(), 0, m.sends(), 0, 10, false);
+                m = new KeptMessage(
+                        d,
+                        m.id(),
+                        m.messageClass(),
+                        m.rules(),
+                        0,
+                        null,
+                        null,
+                        gone,
+                        m.deadline(),
+                        m.ended(),
+                        m.reason(),
+                        0,
+                        m.sends(),
+                        0,
+                        10,
+                        false);
                 if (r.decide(m, null, now, 0) instanceof Redrives.Go go) {
                     r.begun(go, now);
                     gone++;
@@ -147,8 +214,9 @@
     void theFirstRuleThatMatchesDecidesAndSaysWhy() {
         Rule hold = new Rule("hold", Set.of("bill"), Set.of(7L), Set.of(), 0, 3, new Rule.Hold());
         Rule late = rule("late", 1, 10, 3_000);
-        assertEquals("hold: holds it for a person",
-            ((Redrives.Wait) new Redrives(List.of(hold, late), null).decide(numbered(1), null, NOW, 0)).why());
+        assertEquals(
+                "hold: holds it for a person",
+                ((Redrives.Wait) new Redrives(List.of(hold, late), null).decide(numbered(1), null, NOW, 0)).why());
         Redrives r = new Redrives(List.of(late), null);
         assertEquals("late: not old enough", ((Redrives.Wait) r.decide(numbered(1), null, NOW, 0)).why());
         assertTrue(r.decide(numbered(1), null, NOW + 1_000, 0) instanceof Redrives.Go);
--- a/src/test/java/brambletray/membership/HostListTest.java
+++ b/src/test/java/brambletray/membership/HostListTest.java
@@ -29,25 +29,41 @@
         Relay.Listed other = update(list(), PlatformStub.list(1, true, two, one));
         assertEquals(listed.endpoints().get(0), other.endpoints().get(1));
         assertEquals(listed.endpoints().get(1), other.endpoints().get(0));
-        assertEquals(new Relay.Endpoint(listed.endpoints().get(0).id(), 0, 1, 7, Relay.Listing.READY, 50),
-            listed.endpoints().get(0));
-        assertTrue(listed.endpoints().get(0).id() >= 0 && listed.endpoints().get(0).id() < 1L << 32);
+        assertEquals(
+                new Relay.Endpoint(listed.endpoints().get(0).id(), 0, 1, 7, Relay.Listing.READY, 50),
+                listed.endpoints().get(0));
+        assertTrue(
+                listed.endpoints().get(0).id() >= 0 && listed.endpoints().get(0).id() < 1L << 32);
     }
 
     /** "plumless" and "buckeroo" have one CRC-32: they must still be two hosts. */
     @Test
     void namesThatCollideGetNumbersOfTheirOwn() throws Wire.Malformed {
-        Relay.Listed listed = update(list(), PlatformStub.list(1, true, PlatformStub.host("plumless", 80, 7, "ready"),
-            PlatformStub.host("buckeroo", 81, 7, "ready")));
-        assertNotEquals(listed.endpoints().get(0).id(), listed.endpoints().get(1).id());
+        Relay.Listed listed = update(
+                list(),
+                PlatformStub.list(
+                        1,
+                        true,
+                        PlatformStub.host("plumless", 80, 7, "ready"),
+                        PlatformStub.host("buckeroo", 81, 7, "ready")));
+        assertNotEquals(
+                listed.endpoints().get(0).id(), listed.endpoints().get(1).id());
     }
 
     @Test
     void aWholeListLeavesOutWhatIsGoneAndABadEntrySpoilsNoOther() throws Wire.Malformed {
         HostList list = list();
-        long gone = update(list, PlatformStub.list(1, true, PlatformStub.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
-        Relay.Listed next = update(list, PlatformStub.list(2, true, PlatformStub.host("s-2", 80, 7, "ready"),
-            PlatformStub.host("s-3", 80, 7, "ready").replace("\"m2\"", "\"m9\"")));
+        long gone = update(list, PlatformStub.list(1, true, PlatformStub.host("s-1", 80, 7, "ready")))
+                .endpoints()
+                .get(0)
+                .id();
+        Relay.Listed next = update(
+                list,
+                PlatformStub.list(
+                        2,
+                        true,
+                        PlatformStub.host("s-2", 80, 7, "ready"),
+                        PlatformStub.host("s-3", 80, 7, "ready").replace("\"m2\"", "\"m9\"")));
         assertEquals(1, next.endpoints().size());
         assertFalse(list.host(gone).ready);
         assertTrue(list.knows(7), "a destination stays known while its hosts are gone");
@@ -58,7 +74,10 @@
     @Test
     void aHostThatIsGoneCanBeForgotten() throws Wire.Malformed {
         HostList list = list();
-        long number = update(list, PlatformStub.list(1, true, PlatformStub.host("s-1", 80, 7, "ready"))).endpoints().get(0).id();
+        long number = update(list, PlatformStub.list(1, true, PlatformStub.host("s-1", 80, 7, "ready")))
+                .endpoints()
+                .get(0)
+                .id();
         Host first = list.host(number);
         update(list, PlatformStub.list(2, true, PlatformStub.host("s-2", 80, 7, "ready")));
         assertTrue(first.gone);
--- a/src/test/java/brambletray/mqtt/MqttBench.java
+++ b/src/test/java/brambletray/mqtt/MqttBench.java
@@ -61,12 +61,17 @@
 final class MqttBench {
     private static final int CLIENTS = 32, BODY = 200, CONNECTIONS = Integer.getInteger("connections", 10_000);
     private static final int SECONDS = Integer.getInteger("seconds", 8);
-    private static final MultiThreadIoEventLoopGroup GROUP = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private static final MultiThreadIoEventLoopGroup GROUP =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-    private MqttBench() { }
+    private MqttBench() {}
 
     /** How clients hand in. */
-    private enum Way { HTTP, MQTT_QOS1, MQTT_QOS2 }
+    private enum Way {
+        HTTP,
+        MQTT_QOS1,
+        MQTT_QOS2
+    }
 
     private static long ids;
 
@@ -74,20 +79,27 @@
     private record Relay(Process process, InetSocketAddress http, InetSocketAddress mqtt) {
         /** User and system time, s. */
         double cpu() throws Exception {
-            String[] stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).split("\\) ")[1].split(" ");
+            String[] stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"))
+                    .split("\\) ")[1]
+                    .split(" ");
             return (Long.parseLong(stat[11]) + Long.parseLong(stat[12])) / 100.0;
         }
 
         /** Heap that lives, kB, after a collection. */
         long heapKb() throws Exception {
-            String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+            String jcmd =
+                    Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
             for (int i = 0; i < 2; i++) {
-                new ProcessBuilder(jcmd, "" + process.pid(), "GC.run").redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+                new ProcessBuilder(jcmd, "" + process.pid(), "GC.run")
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .start()
+                        .waitFor();
             }
             Process info = new ProcessBuilder(jcmd, "" + process.pid(), "GC.heap_info").start();
             String text = new String(info.getInputStream().readAllBytes());
-            Matcher used = Pattern.compile("(?:def new|tenured) generation.*used (\\d+)K").matcher(text);
+            Matcher used = Pattern.compile("(?:def new|tenured) generation.*used (\\d+)K")
+                    .matcher(text);
             long sum = 0;
             while (used.find()) {
                 sum += Long.parseLong(used.group(1));
@@ -110,16 +122,26 @@
         platform.openCap = 2_000;
         platform.slots = 1_000;
         platform.more = "\"mqtt\":\"mqtt.yaml\",";
-        Files.writeString(folder.resolve("mqtt.yaml"), "listen: 127.0.0.1:0\nlimits: {connections: 20000,"
-            + " sessions: 20000, remember_s: 5, receive_maximum: 100}\n");
-        var env = platform.configure(platform, PlatformStub.host("s-1", partner, 7, "ready")
-            .replace("\"share\":50", "\"share\":20000"));
+        Files.writeString(
+                folder.resolve("mqtt.yaml"),
+                "listen: 127.0.0.1:0\nlimits: {connections: 20000,"
+                        + " sessions: 20000, remember_s: 5, receive_maximum: 100}\n");
+        var env = platform.configure(
+                platform, PlatformStub.host("s-1", partner, 7, "ready").replace("\"share\":50", "\"share\":20000"));
         Path config = Path.of(env.get("EDGE_CONFIG"));
-        Files.writeString(config, Files.readString(config).replace("\"sockets\":1024,\"disk_mb\":3",
-            "\"sockets\":60000,\"disk_mb\":300"));
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC", "-Xmx256m", "-cp", System.getProperty("java.class.path"), "brambletray.Main", "serve")
-            .redirectErrorStream(true);
+        Files.writeString(
+                config,
+                Files.readString(config)
+                        .replace("\"sockets\":1024,\"disk_mb\":3", "\"sockets\":60000,\"disk_mb\":300"));
+        ProcessBuilder builder = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-Xmx256m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "brambletray.Main",
+                        "serve")
+                .redirectErrorStream(true);
         builder.environment().putAll(env);
         Process process = builder.start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroy));
@@ -127,7 +149,7 @@
         InetSocketAddress http = null;
         InetSocketAddress mqtt = null;
         // Its warm-up serves too, before, and takes no MQTT: what counts is the address told after MQTT's.
-        for (String line; (mqtt == null || http == null) && (line = out.readLine()) != null;) {
+        for (String line; (mqtt == null || http == null) && (line = out.readLine()) != null; ) {
             Matcher at = Pattern.compile("(serving|MQTT clients) on .*:(\\d+)").matcher(line);
             if (at.find()) {
                 var address = new InetSocketAddress(PlatformStub.LOOPBACK, Integer.parseInt(at.group(2)));
@@ -151,22 +173,35 @@
 
     /** A partner that answers at once. */
     private static int partner() throws Exception {
-        return ((InetSocketAddress) new ServerBootstrap().group(GROUP).channel(NioServerSocketChannel.class)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(65_536),
-                        new SimpleChannelInboundHandler<FullHttpRequest>() {
+        return ((InetSocketAddress) new ServerBootstrap()
+                        .group(GROUP)
+                        .channel(NioServerSocketChannel.class)
+                        .childHandler(new ChannelInitializer<Channel>() {
                             @Override
-                            protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-                                var ok = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                                    Unpooled.EMPTY_BUFFER);
-                                ok.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-                                context.writeAndFlush(ok);
+                            protected void initChannel(Channel c) {
+                                c.pipeline()
+                                        .addLast(
+                                                new HttpServerCodec(),
+                                                new HttpObjectAggregator(65_536),
+                                                new SimpleChannelInboundHandler<FullHttpRequest>() {
+                                                    @Override
+                                                    protected void channelRead0(
+                                                            ChannelHandlerContext context, FullHttpRequest request) {
+                                                        var ok = new DefaultFullHttpResponse(
+                                                                HttpVersion.HTTP_1_1,
+                                                                HttpResponseStatus.OK,
+                                                                Unpooled.EMPTY_BUFFER);
+                                                        ok.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+                                                        context.writeAndFlush(ok);
+                                                    }
+                                                });
                             }
-                        });
-                }
-            }).bind(PlatformStub.LOOPBACK, 0).sync().channel().localAddress()).getPort();
+                        })
+                        .bind(PlatformStub.LOOPBACK, 0)
+                        .sync()
+                        .channel()
+                        .localAddress())
+                .getPort();
     }
 
     /** What a round saw; latencies in us. */
@@ -186,8 +221,12 @@
         String latencies() {
             long[] sorted = Arrays.copyOf(latency, count);
             Arrays.sort(sorted);
-            return String.format(Locale.ROOT, "%6d %6d %6d us", sorted[count / 2], sorted[count * 99 / 100],
-                sorted[(int) (count * 999L / 1_000)]);
+            return String.format(
+                    Locale.ROOT,
+                    "%6d %6d %6d us",
+                    sorted[count / 2],
+                    sorted[count * 99 / 100],
+                    sorted[(int) (count * 999L / 1_000)]);
         }
     }
 
@@ -212,8 +251,12 @@
                 ready.countDown();
                 return;
             }
-            channel.writeAndFlush(MqttMessageBuilders.connect().clientId(name())
-                .protocolVersion(MqttVersion.MQTT_5).cleanSession(true).keepAlive(600).build());
+            channel.writeAndFlush(MqttMessageBuilders.connect()
+                    .clientId(name())
+                    .protocolVersion(MqttVersion.MQTT_5)
+                    .cleanSession(true)
+                    .keepAlive(600)
+                    .build());
         }
 
         private String name() {
@@ -233,18 +276,28 @@
             began = due;
             String id = "b" + ids++;
             if (way == Way.HTTP) {
-                var http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/bill",
-                    Unpooled.wrappedBuffer(new byte[BODY]));
-                http.headers().set("Host", "x").set("X-Request-ID", id).set("X-Priority-Class", "bill")
-                    .set("X-Timeout-Ms", 8_000).set("X-Envelope", "dest=7").set("Idempotency-Key", id)
-                    .set(HttpHeaderNames.CONTENT_LENGTH, BODY);
+                var http = new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.POST, "/bill", Unpooled.wrappedBuffer(new byte[BODY]));
+                http.headers()
+                        .set("Host", "x")
+                        .set("X-Request-ID", id)
+                        .set("X-Priority-Class", "bill")
+                        .set("X-Timeout-Ms", 8_000)
+                        .set("X-Envelope", "dest=7")
+                        .set("Idempotency-Key", id)
+                        .set(HttpHeaderNames.CONTENT_LENGTH, BODY);
                 channel.writeAndFlush(http);
             } else {
                 packet = packet >= 60_000 ? 1 : packet + 1;
-                channel.writeAndFlush(new MqttPublishMessage(new MqttFixedHeader(MqttMessageType.PUBLISH, false,
-                    way == Way.MQTT_QOS1 ? MqttQoS.AT_LEAST_ONCE : MqttQoS.EXACTLY_ONCE, false, 0),
-                    new MqttPublishVariableHeader("bills/bill/7/" + id, packet, MqttProperties.NO_PROPERTIES),
-                    Unpooled.wrappedBuffer(new byte[BODY])));
+                channel.writeAndFlush(new MqttPublishMessage(
+                        new MqttFixedHeader(
+                                MqttMessageType.PUBLISH,
+                                false,
+                                way == Way.MQTT_QOS1 ? MqttQoS.AT_LEAST_ONCE : MqttQoS.EXACTLY_ONCE,
+                                false,
+                                0),
+                        new MqttPublishVariableHeader("bills/bill/7/" + id, packet, MqttProperties.NO_PROPERTIES),
+                        Unpooled.wrappedBuffer(new byte[BODY])));
             }
         }
 
@@ -269,23 +322,28 @@
             MqttMessage p = (MqttMessage) in;
             switch (p.fixedHeader().messageType()) {
                 case CONNACK -> {
-                    channel.writeAndFlush(MqttMessageBuilders.subscribe().messageId(65_000)
-                        .addSubscription(MqttQoS.AT_LEAST_ONCE, "answers/" + name()).build());
+                    channel.writeAndFlush(MqttMessageBuilders.subscribe()
+                            .messageId(65_000)
+                            .addSubscription(MqttQoS.AT_LEAST_ONCE, "answers/" + name())
+                            .build());
                     ready.countDown();
                 }
                 // A final answer.
-                case PUBLISH -> channel.writeAndFlush(new MqttMessage(new MqttFixedHeader(MqttMessageType.PUBACK, false,
-                    MqttQoS.AT_MOST_ONCE, false, 0),
-                    MqttMessageIdVariableHeader.from(((MqttPublishMessage) p).variableHeader().packetId())));
+                case PUBLISH ->
+                    channel.writeAndFlush(new MqttMessage(
+                            new MqttFixedHeader(MqttMessageType.PUBACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                            MqttMessageIdVariableHeader.from(
+                                    ((MqttPublishMessage) p).variableHeader().packetId())));
                 case PUBACK -> answered(reason(p) == 0);
                 case PUBREC -> {
                     if (reason(p) == 0) {
-                        channel.writeAndFlush(new MqttMessage(new MqttFixedHeader(MqttMessageType.PUBREL, false,
-                            MqttQoS.AT_LEAST_ONCE, false, 0), MqttMessageIdVariableHeader.from(packet)));
+                        channel.writeAndFlush(new MqttMessage(
+                                new MqttFixedHeader(MqttMessageType.PUBREL, false, MqttQoS.AT_LEAST_ONCE, false, 0),
+                                MqttMessageIdVariableHeader.from(packet)));
                     }
                     answered(reason(p) == 0);
                 }
-                default -> { }
+                default -> {}
             }
         }
 
@@ -300,23 +358,28 @@
         for (int i = 0; i < many; i++) {
             Client client = new Client(way, ready);
             clients.add(client);
-            new Bootstrap().group(GROUP).channel(NioSocketChannel.class).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    client.channel = c;
-                    if (way == Way.HTTP) {
-                        c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(65_536), client);
-                    } else {
-                        c.pipeline().addLast(new MqttDecoder(65_536), MqttEncoder.INSTANCE, client);
-                    }
-                }
-            }).connect(way == Way.HTTP ? relay.http : relay.mqtt).addListener(done -> {
-                if (done.isSuccess()) {
-                    client.connected();
-                } else {
-                    System.out.println("no connection: " + done.cause());
-                }
-            });
+            new Bootstrap()
+                    .group(GROUP)
+                    .channel(NioSocketChannel.class)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            client.channel = c;
+                            if (way == Way.HTTP) {
+                                c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(65_536), client);
+                            } else {
+                                c.pipeline().addLast(new MqttDecoder(65_536), MqttEncoder.INSTANCE, client);
+                            }
+                        }
+                    })
+                    .connect(way == Way.HTTP ? relay.http : relay.mqtt)
+                    .addListener(done -> {
+                        if (done.isSuccess()) {
+                            client.connected();
+                        } else {
+                            System.out.println("no connection: " + done.cause());
+                        }
+                    });
         }
         if (!ready.await(60, TimeUnit.SECONDS)) {
             System.out.println(ready.getCount() + " of " + many + " not connected within 60 s");
@@ -339,8 +402,13 @@
         double used = relay.cpu() - cpu;
         long taken = seen.taken;
         if (tell) {
-            System.out.printf(Locale.ROOT, "%-10s flat out: %7.0f taken/s, %6.0f refused/s, CPU %5.1f us a message%n", way,
-                taken / took, seen.refused / took, used * 1e6 / Math.max(1, taken + seen.refused));
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-10s flat out: %7.0f taken/s, %6.0f refused/s, CPU %5.1f us a message%n",
+                    way,
+                    taken / took,
+                    seen.refused / took,
+                    used * 1e6 / Math.max(1, taken + seen.refused));
         }
         clients.forEach(c -> c.channel.close().awaitUninterruptibly());
         return taken / took;
@@ -371,8 +439,14 @@
         };
         loop.execute(tick[0]);
         over.await();
-        System.out.printf(Locale.ROOT, "%-10s at %6.0f/s: %s (50, 99, 99.9 %%), refused %d, CPU %5.1f us a message%n", way,
-            rate, seen.latencies(), seen.refused, (relay.cpu() - cpu) * 1e6 / many);
+        System.out.printf(
+                Locale.ROOT,
+                "%-10s at %6.0f/s: %s (50, 99, 99.9 %%), refused %d, CPU %5.1f us a message%n",
+                way,
+                rate,
+                seen.latencies(),
+                seen.refused,
+                (relay.cpu() - cpu) * 1e6 / many);
         clients.forEach(c -> c.channel.close().awaitUninterruptibly());
     }
 
@@ -385,9 +459,16 @@
         List<Client> clients = clients(relay, way, CONNECTIONS);
         double took = (System.nanoTime() - began) / 1e9;
         long open = clients.stream().filter(c -> c.channel.isActive()).count();
-        System.out.printf(Locale.ROOT, "%-10s %d connections at once: all there after %.2f s, %d open;"
-            + " heap %.0f bytes each, resident %.0f bytes each%n", way, CONNECTIONS, took, open,
-            (relay.heapKb() - heap) * 1024.0 / CONNECTIONS, (relay.residentKb() - resident) * 1024.0 / CONNECTIONS);
+        System.out.printf(
+                Locale.ROOT,
+                "%-10s %d connections at once: all there after %.2f s, %d open;"
+                        + " heap %.0f bytes each, resident %.0f bytes each%n",
+                way,
+                CONNECTIONS,
+                took,
+                open,
+                (relay.heapKb() - heap) * 1024.0 / CONNECTIONS,
+                (relay.residentKb() - resident) * 1024.0 / CONNECTIONS);
         clients.forEach(c -> c.channel.close());
         relay.process.destroy();
         relay.process.waitFor();
@@ -396,8 +477,9 @@
     public static void main(String[] args) throws Exception {
         Path folder = Files.createTempDirectory("mqtt-bench");
         int partner = partner();
-        System.out.println(Runtime.getRuntime().availableProcessors() + " processors, " + CLIENTS + " clients, bodies of "
-            + BODY + " bytes, " + SECONDS + " s a round; relay, clients and partner on one machine");
+        System.out.println(
+                Runtime.getRuntime().availableProcessors() + " processors, " + CLIENTS + " clients, bodies of " + BODY
+                        + " bytes, " + SECONDS + " s a round; relay, clients and partner on one machine");
         Relay relay = relay(Files.createDirectory(folder.resolve("rate")), partner);
         for (Way way : Way.values()) {
             flatOut(relay, way, 4, false);
--- a/src/test/java/brambletray/mqtt/MqttClientsTest.java
+++ b/src/test/java/brambletray/mqtt/MqttClientsTest.java
@@ -37,8 +37,10 @@
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class MqttClientsTest {
     private static final MqttProperties NONE = MqttProperties.NO_PROPERTIES;
+
     @TempDir
     Path folder;
+
     private PlatformStub platform;
     private HostStub host;
     private String limits = "{}";
@@ -57,8 +59,9 @@
     }
 
     private Node relay() throws Exception {
-        Files.writeString(folder.resolve("mqtt.yaml"), "listen: 127.0.0.1:0\ntopic: bills/{class}/{destination}/{id}\n"
-            + "limits: " + limits + "\n" + more);
+        Files.writeString(
+                folder.resolve("mqtt.yaml"),
+                "listen: 127.0.0.1:0\ntopic: bills/{class}/{destination}/{id}\n" + "limits: " + limits + "\n" + more);
         platform.more = "\"mqtt\":\"mqtt.yaml\",";
         platform.openCap = 50;
         return platform.relay(host("s-1", host.port(), 7, "ready"));
@@ -71,7 +74,8 @@
     private static MqttStub connected(Node relay, MqttVersion version, String id) throws InterruptedException {
         MqttStub client = stub(relay, version).connect(id, false, 600);
         MqttConnAckMessage ack = (MqttConnAckMessage) client.expect(MqttMessageType.CONNACK);
-        assertEquals(MqttConnectReturnCode.CONNECTION_ACCEPTED, ack.variableHeader().connectReturnCode());
+        assertEquals(
+                MqttConnectReturnCode.CONNECTION_ACCEPTED, ack.variableHeader().connectReturnCode());
         return client;
     }
 
@@ -87,9 +91,12 @@
 
     /** Guards against a second path: taken on, delivered by a call like any other, and answered once. */
     @ParameterizedTest
-    @EnumSource(value = MqttVersion.class, names = {"MQTT_3_1_1", "MQTT_5"})
+    @EnumSource(
+            value = MqttVersion.class,
+            names = {"MQTT_3_1_1", "MQTT_5"})
     void aPublishIsDeliveredAndAnsweredOnce(MqttVersion version) throws Exception {
-        try (Node relay = relay(); MqttStub client = connected(relay, version, "meter")) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, version, "meter")) {
             client.subscribe("answers/meter");
             client.publish("bills/bill/7/a", 1, 1, false, NONE, "line of a");
             assertEquals(0, reason(client.expect(MqttMessageType.PUBACK)));
@@ -105,24 +112,36 @@
 
     @Test
     void theResponseTopicAndCorrelationDataOfMqtt5AreHeeded() throws Exception {
-        try (Node relay = relay(); MqttStub client = connected(relay, MqttVersion.MQTT_5, "meter")) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, MqttVersion.MQTT_5, "meter")) {
             client.subscribe("mine/#");
-            client.publish("bills/bill/7/a", 1, 1, false, MqttStub.properties("mine/x", "corr", "key", "k-1", "time", "9000"),
-                "x");
+            client.publish(
+                    "bills/bill/7/a",
+                    1,
+                    1,
+                    false,
+                    MqttStub.properties("mine/x", "corr", "key", "k-1", "time", "9000"),
+                    "x");
             client.expect(MqttMessageType.PUBACK);
             HostStub.Call call = host.call();
             assertEquals("k-1", call.header("Idempotency-Key"));
             call.answer(HostStub.OK);
             var answer = (io.netty.handler.codec.mqtt.MqttPublishMessage) client.expect(MqttMessageType.PUBLISH);
             assertEquals("mine/x", answer.variableHeader().topicName());
-            assertArrayEquals("corr".getBytes(), ((MqttProperties.BinaryProperty) answer.variableHeader().properties()
-                .getProperty(MqttProperties.MqttPropertyType.CORRELATION_DATA.value())).value());
+            assertArrayEquals(
+                    "corr".getBytes(),
+                    ((MqttProperties.BinaryProperty) answer.variableHeader()
+                                    .properties()
+                                    .getProperty(MqttProperties.MqttPropertyType.CORRELATION_DATA.value()))
+                            .value());
         }
     }
 
     /** QoS 2: the id is held across reconnects and a restart until PUBREL; sent again, it is no second message. */
     @ParameterizedTest
-    @EnumSource(value = MqttVersion.class, names = {"MQTT_3_1_1", "MQTT_5"})
+    @EnumSource(
+            value = MqttVersion.class,
+            names = {"MQTT_3_1_1", "MQTT_5"})
     void aQos2PublishIsTakenOnceAcrossARestart(MqttVersion version) throws Exception {
         try (Node relay = relay()) {
             MqttStub client = connected(relay, version, "meter");
@@ -170,7 +189,8 @@
             assertEquals(0, reason(other.expect(MqttMessageType.PUBACK)));
             other.close();
         }
-        try (Node relay = relay(); MqttStub client = connected(relay, MqttVersion.MQTT_5, "meter")) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, MqttVersion.MQTT_5, "meter")) {
             client.publish("bills/pay/7/a", 1, 1, true, NONE, "x");
             client.expect(MqttMessageType.PUBACK);
             client.publish("bills/pay/7/b", 2, 1, false, NONE, "x");
@@ -187,8 +207,11 @@
             client = connected(relay, MqttVersion.MQTT_5, "meter");
             client.subscribe("answers/meter");
         }
-        try (Node relay = relay(); MqttStub again = stub(relay, MqttVersion.MQTT_5).connect("meter", false, 600)) {
-            assertTrue(((MqttConnAckMessage) again.expect(MqttMessageType.CONNACK)).variableHeader().isSessionPresent());
+        try (Node relay = relay();
+                MqttStub again = stub(relay, MqttVersion.MQTT_5).connect("meter", false, 600)) {
+            assertTrue(((MqttConnAckMessage) again.expect(MqttMessageType.CONNACK))
+                    .variableHeader()
+                    .isSessionPresent());
         }
         client.close();
     }
@@ -209,14 +232,18 @@
             }
         }
         for (int i = 0; i < 2; i++) {
-            try (Node relay = relay(); MqttStub client = stub(relay, MqttVersion.MQTT_5).connect("meter", false, 600)) {
+            try (Node relay = relay();
+                    MqttStub client = stub(relay, MqttVersion.MQTT_5).connect("meter", false, 600)) {
                 MqttConnAckMessage ack = (MqttConnAckMessage) client.expect(MqttMessageType.CONNACK);
                 assertTrue(ack.variableHeader().isSessionPresent());
                 if (i == 0) {
                     assertEquals("answers/meter {\"message\":\"a\",\"outcome\":\"delivered\"}", client.answer());
                 }
                 // Its acknowledgement has been noted before this one is.
-                client.channel.writeAndFlush(MqttMessageBuilders.unsubscribe().messageId(3).addTopicFilter("x").build());
+                client.channel.writeAndFlush(MqttMessageBuilders.unsubscribe()
+                        .messageId(3)
+                        .addTopicFilter("x")
+                        .build());
                 client.expect(MqttMessageType.UNSUBACK);
                 assertTrue(client.quiet());
             }
@@ -226,7 +253,8 @@
     /** A message that is given up is told to its client and to the platform. */
     @Test
     void aMessageThatIsGivenUpIsToldBothWays() throws Exception {
-        try (Node relay = relay(); MqttStub client = connected(relay, MqttVersion.MQTT_5, "meter")) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, MqttVersion.MQTT_5, "meter")) {
             client.subscribe("answers/meter");
             client.publish("bills/bill/7/a", 1, 1, false, MqttStub.properties(null, null, "time", "400"), "x");
             client.expect(MqttMessageType.PUBACK);
@@ -239,13 +267,14 @@
     /** A second connection with the same id takes over; the elder is told, and the answer goes to the second. */
     @Test
     void aSecondConnectionTakesOver() throws Exception {
-        try (Node relay = relay(); MqttStub first = connected(relay, MqttVersion.MQTT_5, "meter")) {
+        try (Node relay = relay();
+                MqttStub first = connected(relay, MqttVersion.MQTT_5, "meter")) {
             first.subscribe("answers/meter");
             first.publish("bills/bill/7/a", 1, 1, false, NONE, "x");
             first.expect(MqttMessageType.PUBACK);
             try (MqttStub second = connected(relay, MqttVersion.MQTT_5, "meter")) {
-                var head = (MqttReasonCodeAndPropertiesVariableHeader) first.expect(MqttMessageType.DISCONNECT)
-                    .variableHeader();
+                var head = (MqttReasonCodeAndPropertiesVariableHeader)
+                        first.expect(MqttMessageType.DISCONNECT).variableHeader();
                 assertEquals(0x8E, head.reasonCode() & 0xff);
                 assertTrue(first.closed());
                 deliver("a");
@@ -257,11 +286,15 @@
     /** What is not taken on: MQTT 5 is told why and when to come back, 3.1.1 is never told a success. */
     @Test
     void refusalsClaimNoSuccess() throws Exception {
-        try (Node relay = relay(); MqttStub five = connected(relay, MqttVersion.MQTT_5, "five")) {
+        try (Node relay = relay();
+                MqttStub five = connected(relay, MqttVersion.MQTT_5, "five")) {
             String[] bad = {"other/bill/7/a", "bills/bill/7", "bills/wobble/7/a", "bills/bill/8/a", "bills/bill/x/a"};
             for (int i = 0; i < bad.length; i++) {
                 five.publish(bad[i], i + 1, 1 + i % 2, false, NONE, "x");
-                assertEquals(0x90, reason(five.expect(i % 2 == 0 ? MqttMessageType.PUBACK : MqttMessageType.PUBREC)), bad[i]);
+                assertEquals(
+                        0x90,
+                        reason(five.expect(i % 2 == 0 ? MqttMessageType.PUBACK : MqttMessageType.PUBREC)),
+                        bad[i]);
             }
             five.publish("bills/bill/7/zero", 0, 0, false, NONE, "x");
             int taken = 0;
@@ -273,7 +306,9 @@
             } while (reason(ack) == 0 && taken < 200);
             assertEquals(0x97, reason(ack));
             var properties = ((MqttPubReplyMessageVariableHeader) ack.variableHeader()).properties();
-            assertFalse(properties.getProperties(MqttProperties.MqttPropertyType.USER_PROPERTY.value()).isEmpty());
+            assertFalse(properties
+                    .getProperties(MqttProperties.MqttPropertyType.USER_PROPERTY.value())
+                    .isEmpty());
             try (MqttStub three = connected(relay, MqttVersion.MQTT_3_1_1, "three")) {
                 three.publish("bills/pay/7/n", 1, 1, false, NONE, "x");
                 assertTrue(three.closed());
@@ -283,18 +318,25 @@
 
     @Test
     void namesAndPasswordsAreChecked() throws Exception {
-        Files.writeString(folder.resolve("users.txt"), "# who may\n"
-            + Users.line("solar", "secret", new byte[] {1, 2, 3, 4}, 1_000, "bills/bill/#") + "\n");
+        Files.writeString(
+                folder.resolve("users.txt"),
+                "# who may\n" + Users.line("solar", "secret", new byte[] {1, 2, 3, 4}, 1_000, "bills/bill/#") + "\n");
         more = "users: users.txt\n";
         try (Node relay = relay()) {
             for (String password : new String[] {"wrong", "secret"}) {
                 try (MqttStub client = stub(relay, MqttVersion.MQTT_5)) {
-                    client.channel.writeAndFlush(MqttMessageBuilders.connect().clientId("c").username("solar")
-                        .password(password.getBytes()).protocolVersion(MqttVersion.MQTT_5).cleanSession(true).build());
+                    client.channel.writeAndFlush(MqttMessageBuilders.connect()
+                            .clientId("c")
+                            .username("solar")
+                            .password(password.getBytes())
+                            .protocolVersion(MqttVersion.MQTT_5)
+                            .cleanSession(true)
+                            .build());
                     MqttConnAckMessage ack = (MqttConnAckMessage) client.expect(MqttMessageType.CONNACK);
                     if (password.equals("wrong")) {
-                        assertEquals(MqttConnectReturnCode.CONNECTION_REFUSED_BAD_USERNAME_OR_PASSWORD,
-                            ack.variableHeader().connectReturnCode());
+                        assertEquals(
+                                MqttConnectReturnCode.CONNECTION_REFUSED_BAD_USERNAME_OR_PASSWORD,
+                                ack.variableHeader().connectReturnCode());
                         assertTrue(client.closed());
                     } else {
                         client.publish("bills/pay/7/a", 1, 1, false, NONE, "x");
@@ -334,8 +376,8 @@
                         }
                     }
                     if (i < 5) {
-                        var head = (MqttReasonCodeAndPropertiesVariableHeader) client.expect(MqttMessageType.DISCONNECT)
-                            .variableHeader();
+                        var head = (MqttReasonCodeAndPropertiesVariableHeader)
+                                client.expect(MqttMessageType.DISCONNECT).variableHeader();
                         assertEquals(cases[i][0], head.reasonCode() & 0xff, "case " + i);
                     }
                     assertTrue(client.closed());
@@ -385,18 +427,31 @@
     }
 
     private static Object publish(String id, int packet) {
-        return MqttMessageBuilders.publish().topicName("bills/bill/7/" + id).messageId(packet)
-            .qos(io.netty.handler.codec.mqtt.MqttQoS.AT_LEAST_ONCE)
-            .payload(io.netty.buffer.Unpooled.copiedBuffer("x", java.nio.charset.StandardCharsets.UTF_8)).build();
+        return MqttMessageBuilders.publish()
+                .topicName("bills/bill/7/" + id)
+                .messageId(packet)
+                .qos(io.netty.handler.codec.mqtt.MqttQoS.AT_LEAST_ONCE)
+                .payload(io.netty.buffer.Unpooled.copiedBuffer("x", java.nio.charset.StandardCharsets.UTF_8))
+                .build();
     }
 
     /** Packets split at every byte, and many in one piece, are the same packets. */
     @ParameterizedTest
-    @EnumSource(value = MqttVersion.class, names = {"MQTT_3_1_1", "MQTT_5"})
+    @EnumSource(
+            value = MqttVersion.class,
+            names = {"MQTT_3_1_1", "MQTT_5"})
     void packetsMayComeInPiecesOrTogether(MqttVersion version) throws Exception {
         try (Node relay = relay()) {
-            byte[] all = bytes(MqttMessageBuilders.connect().clientId("meter").protocolVersion(version).cleanSession(true)
-                .keepAlive(60).build(), publish("a", 1), publish("b", 2), publish("c", 3));
+            byte[] all = bytes(
+                    MqttMessageBuilders.connect()
+                            .clientId("meter")
+                            .protocolVersion(version)
+                            .cleanSession(true)
+                            .keepAlive(60)
+                            .build(),
+                    publish("a", 1),
+                    publish("b", 2),
+                    publish("c", 3));
             for (int round = 0; round < 2; round++) {
                 try (MqttStub client = stub(relay, version)) {
                     if (round == 0) {
@@ -444,24 +499,28 @@
     @Test
     void pahoForMqtt5GetsItsAnswers() throws Exception {
         try (Node relay = relay()) {
-            var client = new org.eclipse.paho.mqttv5.client.MqttClient(uri(relay), "paho5",
-                new org.eclipse.paho.mqttv5.client.persist.MemoryPersistence());
+            var client = new org.eclipse.paho.mqttv5.client.MqttClient(
+                    uri(relay), "paho5", new org.eclipse.paho.mqttv5.client.persist.MemoryPersistence());
             var options = new org.eclipse.paho.mqttv5.client.MqttConnectionOptions();
             options.setCleanStart(false);
             options.setSessionExpiryInterval(60L);
             client.connect(options);
             BlockingQueue<String> answers = new LinkedBlockingQueue<>();
-            client.subscribe(new org.eclipse.paho.mqttv5.common.MqttSubscription[] {
-                new org.eclipse.paho.mqttv5.common.MqttSubscription("answers/paho5", 1)},
-                new org.eclipse.paho.mqttv5.client.IMqttMessageListener[] {
-                    (topic, message) -> answers.add(new String(message.getPayload()))});
+            client.subscribe(
+                    new org.eclipse.paho.mqttv5.common.MqttSubscription[] {
+                        new org.eclipse.paho.mqttv5.common.MqttSubscription("answers/paho5", 1)
+                    },
+                    new org.eclipse.paho.mqttv5.client.IMqttMessageListener[] {
+                        (topic, message) -> answers.add(new String(message.getPayload()))
+                    });
             for (int qos = 1; qos <= 2; qos++) {
                 var message = new org.eclipse.paho.mqttv5.common.MqttMessage("x".getBytes());
                 message.setQos(qos);
                 client.publish("bills/bill/7/p" + qos, message);
                 deliver("p" + qos);
-                assertEquals("{\"message\":\"p" + qos + "\",\"outcome\":\"delivered\"}",
-                    answers.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
+                assertEquals(
+                        "{\"message\":\"p" + qos + "\",\"outcome\":\"delivered\"}",
+                        answers.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
             }
             client.disconnect();
             client.close();
@@ -471,8 +530,8 @@
     @Test
     void pahoForMqtt311GetsItsAnswers() throws Exception {
         try (Node relay = relay()) {
-            var client = new org.eclipse.paho.client.mqttv3.MqttClient(uri(relay), "paho3",
-                new org.eclipse.paho.client.mqttv3.persist.MemoryPersistence());
+            var client = new org.eclipse.paho.client.mqttv3.MqttClient(
+                    uri(relay), "paho3", new org.eclipse.paho.client.mqttv3.persist.MemoryPersistence());
             var options = new org.eclipse.paho.client.mqttv3.MqttConnectOptions();
             options.setCleanSession(false);
             client.connect(options);
@@ -481,8 +540,9 @@
             for (int qos = 1; qos <= 2; qos++) {
                 client.publish("bills/bill/7/p" + qos, "x".getBytes(), qos, false);
                 deliver("p" + qos);
-                assertEquals("{\"message\":\"p" + qos + "\",\"outcome\":\"delivered\"}",
-                    answers.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
+                assertEquals(
+                        "{\"message\":\"p" + qos + "\",\"outcome\":\"delivered\"}",
+                        answers.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
             }
             client.disconnect();
             client.close();
--- a/src/test/java/brambletray/mqtt/MqttHostsTest.java
+++ b/src/test/java/brambletray/mqtt/MqttHostsTest.java
@@ -25,8 +25,10 @@
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class MqttHostsTest {
     private static final String TAKEN = "HTTP/1.1 202 Accepted";
+
     @TempDir
     Path folder;
+
     private PlatformStub platform;
 
     @BeforeEach
@@ -48,7 +50,7 @@
 
     private static String mqtt(String name, MqttHostStub stub, String protocol) {
         return host(name, stub.port(), 7, "ready")
-            .replace("\"health\"", "\"protocol\":\"" + protocol + "\",\"health\"");
+                .replace("\"health\"", "\"protocol\":\"" + protocol + "\",\"health\"");
     }
 
     private static void idle(Node relay) throws Exception {
@@ -59,7 +61,8 @@
 
     @Test
     void aCallIsOnePublishAndItsAcknowledgementTheOutcome() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner));
                 var client = new PlatformStub.Client(relay)) {
             for (String id : new String[] {"a", "b"}) {
                 assertEquals(TAKEN, client.post(id, "bill", 7, 16_000).get(0));
@@ -79,7 +82,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"pay", "bill"})
     void aBreakBeforeTheAcknowledgementMayHaveRun(String messageClass) throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", messageClass, 7, 16_000).get(0));
             partner.publish().reset();
@@ -98,7 +102,8 @@
     /** A server that shuts down ends what is out as perhaps run; what comes after goes to another connection. */
     @Test
     void aServerThatShutsDownAmidACall() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             MqttHostStub.Publish first = partner.publish();
@@ -114,7 +119,8 @@
     /** Guards rule 6: a told wait by reason code holds for every message, and a refusal never ran. */
     @Test
     void aToldWaitByReasonCodeIsHeeded() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
             long refused = System.nanoTime();
@@ -132,7 +138,8 @@
     /** The partner's receive maximum bounds the calls out. */
     @Test
     void aReceiveMaximumOfOneIsKept() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(1); Node relay = platform.relay(mqtt("s-1", partner));
+        try (MqttHostStub partner = new MqttHostStub(1);
+                Node relay = platform.relay(mqtt("s-1", partner));
                 var client = new PlatformStub.Client(relay)) {
             for (int i = 0; i < 6; i++) {
                 assertEquals(TAKEN, client.post("m" + i, "bill", 7, 16_000).get(0));
@@ -152,7 +159,8 @@
     /** A PUBREC is the outcome; its PUBREL follows, and a PUBCOMP frees the id. */
     @Test
     void byQosTwoThePubrecIsTheOutcome() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(1); Node relay = platform.relay(mqtt("s-1", partner, "mqtt-qos2"));
+        try (MqttHostStub partner = new MqttHostStub(1);
+                Node relay = platform.relay(mqtt("s-1", partner, "mqtt-qos2"));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
             assertTrue(partner.connect().anew(), "an unknown session was taken up");
@@ -179,7 +187,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"mqtt-qos2", "mqtt-3.1.1-qos2"})
     void aKeptSessionClearsUpWhatWasOut(String protocol) throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner, protocol));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner, protocol));
                 var client = new PlatformStub.Client(relay)) {
             partner.sessionPresent = true;
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
@@ -200,7 +209,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"mqtt-qos2", "mqtt-3.1.1-qos2"})
     void aLostSessionLeavesItUnknown(String protocol) throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner, protocol));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner, protocol));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
             partner.publish().reset();
@@ -212,7 +222,8 @@
     /** The connection breaks between PUBREC and PUBREL: the PUBREL comes first on the next one, and nothing twice. */
     @Test
     void aBreakBetweenPubrecAndPubcomp() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner, "mqtt-qos2"));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner, "mqtt-qos2"));
                 var client = new PlatformStub.Client(relay)) {
             partner.sessionPresent = true;
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
@@ -302,7 +313,8 @@
     @ParameterizedTest
     @ValueSource(ints = {0x8B, 0x9C, 0x9D, 0x89})
     void aDisconnectIsARefusalWithAWait(int reason) throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); Node relay = platform.relay(mqtt("s-1", partner));
+        try (MqttHostStub partner = new MqttHostStub(10);
+                Node relay = platform.relay(mqtt("s-1", partner));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
             MqttHostStub.Publish a = partner.publish();
@@ -323,7 +335,8 @@
     /** Endpoints of one destination may speak different protocols. */
     @Test
     void oneDestinationByHttpAndMqtt() throws Exception {
-        try (MqttHostStub partner = new MqttHostStub(10); HostStub http = new HostStub();
+        try (MqttHostStub partner = new MqttHostStub(10);
+                HostStub http = new HostStub();
                 Node relay = platform.relay(mqtt("s-1", partner), host("s-2", http.port(), 7, "ready"));
                 var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
--- a/src/test/java/brambletray/mqtt/MqttStatementsTest.java
+++ b/src/test/java/brambletray/mqtt/MqttStatementsTest.java
@@ -38,8 +38,10 @@
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class MqttStatementsTest {
     private static final MqttProperties NONE = MqttProperties.NO_PROPERTIES;
+
     @TempDir
     Path folder;
+
     private PlatformStub platform;
     private HostStub host;
 
@@ -73,8 +75,11 @@
     }
 
     private static int code(MqttStub client) throws InterruptedException {
-        return ((MqttConnAckMessage) client.expect(MqttMessageType.CONNACK)).variableHeader().connectReturnCode()
-            .byteValue() & 0xff;
+        return ((MqttConnAckMessage) client.expect(MqttMessageType.CONNACK))
+                        .variableHeader()
+                        .connectReturnCode()
+                        .byteValue()
+                & 0xff;
     }
 
     private static MqttProperties told(MqttPropertyType type, int value, MqttPropertyType other, int otherValue) {
@@ -129,7 +134,8 @@
     /** 3.8.4-8: no answer goes out at a higher QoS than the subscription was granted. */
     @Test
     void aSubscriptionOfQos0GetsQos0() throws Exception {
-        try (Node relay = relay(); MqttStub client = connected(relay, "meter", NONE)) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, "meter", NONE)) {
             client.subscribe("answers/meter", MqttQoS.AT_MOST_ONCE);
             client.publish("bills/bill/7/a", 1, 1, false, NONE, "x");
             client.expect(MqttMessageType.PUBACK);
@@ -143,7 +149,8 @@
     @Test
     void anAnswerLargerThanTheClientTakesIsNotSent() throws Exception {
         MqttProperties small = told(MqttPropertyType.MAXIMUM_PACKET_SIZE, 100, MqttPropertyType.RECEIVE_MAXIMUM, 5);
-        try (Node relay = relay(); MqttStub client = connected(relay, "m", small)) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, "m", small)) {
             client.subscribe("answers/m");
             String longId = "a".repeat(60);
             client.publish("bills/bill/7/" + longId, 1, 1, false, NONE, "x");
@@ -160,14 +167,17 @@
     @Test
     void theClientsReceiveMaximumIsKept() throws Exception {
         MqttProperties one = told(MqttPropertyType.RECEIVE_MAXIMUM, 1, MqttPropertyType.SESSION_EXPIRY_INTERVAL, 60);
-        try (Node relay = relay(); MqttStub client = connected(relay, "m", one)) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, "m", one)) {
             client.subscribe("answers/m");
             for (String id : new String[] {"a", "b"}) {
                 client.publish("bills/bill/7/" + id, id.charAt(0), 1, false, NONE, "x");
                 client.expect(MqttMessageType.PUBACK);
                 deliver(id);
                 if (id.equals("a")) {
-                    int packet = ((MqttPublishMessage) client.expect(MqttMessageType.PUBLISH)).variableHeader().packetId();
+                    int packet = ((MqttPublishMessage) client.expect(MqttMessageType.PUBLISH))
+                            .variableHeader()
+                            .packetId();
                     client.publish("bills/bill/7/c", 9, 1, false, NONE, "x");
                     client.expect(MqttMessageType.PUBACK);
                     deliver("c");
@@ -192,18 +202,21 @@
         Files.writeString(folder.resolve("mqtt.yaml"), "listen: 127.0.0.1:0\n");
         platform.more = "\"mqtt\":\"mqtt.yaml\",";
         platform.openCap = 1;
-        MqttProperties asked = told(MqttPropertyType.REQUEST_PROBLEM_INFORMATION, wanted,
-            MqttPropertyType.RECEIVE_MAXIMUM, 5);
+        MqttProperties asked =
+                told(MqttPropertyType.REQUEST_PROBLEM_INFORMATION, wanted, MqttPropertyType.RECEIVE_MAXIMUM, 5);
         try (Node relay = platform.relay(host("s-1", host.port(), 7, "ready"));
                 MqttStub client = connected(relay, "m", asked)) {
             boolean refused = false;
             for (int i = 1; i <= 20 && !refused; i++) {
                 client.publish("bills/bill/7/m" + i, i, 1, false, NONE, "x");
-                var head = (MqttPubReplyMessageVariableHeader) client.expect(MqttMessageType.PUBACK).variableHeader();
+                var head = (MqttPubReplyMessageVariableHeader)
+                        client.expect(MqttMessageType.PUBACK).variableHeader();
                 refused = (head.reasonCode() & 0xff) == 0x97;
                 if (refused) {
-                    assertEquals(wanted == 1, head.properties().listAll().stream()
-                        .anyMatch(p -> p.propertyId() == MqttPropertyType.USER_PROPERTY.value()));
+                    assertEquals(
+                            wanted == 1,
+                            head.properties().listAll().stream()
+                                    .anyMatch(p -> p.propertyId() == MqttPropertyType.USER_PROPERTY.value()));
                 }
             }
             assertTrue(refused, "nothing was refused");
@@ -212,24 +225,35 @@
 
     /** What CONNACK says is not there, and what is no MQTT, ends the connection with its reason. */
     @ParameterizedTest
-    @CsvSource({"retained,0x9A", "shared,0x9E", "identifier,0xA1", "no filter,0x82", "auth,0x82", "null in a topic,0x81"})
+    @CsvSource({"retained,0x9A", "shared,0x9E", "identifier,0xA1", "no filter,0x82", "auth,0x82", "null in a topic,0x81"
+    })
     void whatIsNotThereIsTurnedAway(String what, String reason) throws Exception {
-        try (Node relay = relay(); MqttStub client = connected(relay, "m", NONE)) {
+        try (Node relay = relay();
+                MqttStub client = connected(relay, "m", NONE)) {
             switch (what) {
                 // Raw, for the packets are wrong on purpose.
                 case "retained" -> client.raw(publish(0x33, "bills/bill/7/a"));
-                case "shared" -> client.channel.writeAndFlush(MqttMessageBuilders.subscribe().messageId(3)
-                    .addSubscription(MqttQoS.AT_LEAST_ONCE, "$share/g/answers/m").build());
-                case "identifier" -> client.channel.writeAndFlush(MqttMessageBuilders.subscribe().messageId(3)
-                    .addSubscription(MqttQoS.AT_LEAST_ONCE, "answers/m")
-                    .properties(told(MqttPropertyType.SUBSCRIPTION_IDENTIFIER, 4,
-                        MqttPropertyType.SUBSCRIPTION_IDENTIFIER, 4)).build());
+                case "shared" ->
+                    client.channel.writeAndFlush(MqttMessageBuilders.subscribe()
+                            .messageId(3)
+                            .addSubscription(MqttQoS.AT_LEAST_ONCE, "$share/g/answers/m")
+                            .build());
+                case "identifier" ->
+                    client.channel.writeAndFlush(MqttMessageBuilders.subscribe()
+                            .messageId(3)
+                            .addSubscription(MqttQoS.AT_LEAST_ONCE, "answers/m")
+                            .properties(told(
+                                    MqttPropertyType.SUBSCRIPTION_IDENTIFIER,
+                                    4,
+                                    MqttPropertyType.SUBSCRIPTION_IDENTIFIER,
+                                    4))
+                            .build());
                 case "no filter" -> client.raw(new byte[] {(byte) 0x82, 3, 0, 5, 0});
                 case "auth" -> client.raw(new byte[] {(byte) 0xF0, 2, 0x18, 0});
                 default -> client.raw(publish(0x32, "bills/bill/7/a\0b"));
             }
-            var head = (MqttReasonCodeAndPropertiesVariableHeader) client.expect(MqttMessageType.DISCONNECT)
-                .variableHeader();
+            var head = (MqttReasonCodeAndPropertiesVariableHeader)
+                    client.expect(MqttMessageType.DISCONNECT).variableHeader();
             assertEquals(Integer.decode(reason), head.reasonCode() & 0xff);
             assertTrue(client.closed());
         }
@@ -251,17 +275,19 @@
     @ParameterizedTest
     @CsvSource({"method,0x8C", "will,0x9A", "receive,0x82", "packet,0x82"})
     void aConnectThatCannotBeServedIsRefused(String what, String reason) throws Exception {
-        try (Node relay = relay(); MqttStub client = stub(relay)) {
+        try (Node relay = relay();
+                MqttStub client = stub(relay)) {
             MqttProperties properties = new MqttProperties();
             switch (what) {
-                case "method" -> properties.add(new MqttProperties.StringProperty(
-                    MqttPropertyType.AUTHENTICATION_METHOD.value(), "SCRAM-SHA-1"));
+                case "method" ->
+                    properties.add(new MqttProperties.StringProperty(
+                            MqttPropertyType.AUTHENTICATION_METHOD.value(), "SCRAM-SHA-1"));
                 case "receive" -> properties.add(new IntegerProperty(MqttPropertyType.RECEIVE_MAXIMUM.value(), 0));
                 case "packet" -> properties.add(new IntegerProperty(MqttPropertyType.MAXIMUM_PACKET_SIZE.value(), 0));
-                default -> { }
+                default -> {}
             }
-            client.connect("m", true, properties,
-                what.equals("will") ? "bills/bill/7/w" : null, 0, what.equals("will"));
+            client.connect(
+                    "m", true, properties, what.equals("will") ? "bills/bill/7/w" : null, 0, what.equals("will"));
             assertEquals(Integer.decode(reason), code(client));
             assertTrue(client.closed());
         }
@@ -270,7 +296,8 @@
     /** 1.5.4-2: a null character in a string closes the connection. */
     @Test
     void anIdWithANullCharacterIsNoMqtt() throws Exception {
-        try (Node relay = relay(); MqttStub client = stub(relay)) {
+        try (Node relay = relay();
+                MqttStub client = stub(relay)) {
             client.connect("a\0b", true, NONE, null, 0, false);
             assertTrue(client.closed());
         }
@@ -305,7 +332,8 @@
     /** A client that reads nothing: what waits for it is bounded, then it is closed, and others are served on. */
     @Test
     void aClientThatDoesNotReadIsClosed() throws Exception {
-        try (Node relay = relay(); MqttStub slow = new MqttStub(relay.mqttAddress(), MqttVersion.MQTT_5, 2_048);
+        try (Node relay = relay();
+                MqttStub slow = new MqttStub(relay.mqttAddress(), MqttVersion.MQTT_5, 2_048);
                 MqttStub other = connected(relay, "other", NONE)) {
             slow.connect("slow", true, NONE, null, 0, false);
             assertEquals(0, code(slow));
@@ -316,7 +344,11 @@
                 pings[i] = (byte) 0xC0;
             }
             // Each ping asks for an answer of two bytes, until the relay holds a MiB of them and hangs up.
-            while (channel.pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(pings)).await().isSuccess()) {
+            while (channel.pipeline()
+                    .firstContext()
+                    .writeAndFlush(Unpooled.wrappedBuffer(pings))
+                    .await()
+                    .isSuccess()) {
                 assertTrue(channel.isActive());
             }
             other.subscribe("answers/other");
--- a/src/test/java/brambletray/mqtt/hosts/OutboundSessionTest.java
+++ b/src/test/java/brambletray/mqtt/hosts/OutboundSessionTest.java
@@ -104,15 +104,17 @@
                     assertFalse("delivered".equals(call.told) && acted == 0, "seed " + seed + ": never acted");
                 }
             }
-            resolved += (int) calls.stream().filter(c -> c.mayRunLate && "delivered".equals(c.told)).count();
+            resolved += (int) calls.stream()
+                    .filter(c -> c.mayRunLate && "delivered".equals(c.told))
+                    .count();
             lostCalls += (int) calls.stream().filter(c -> "lost".equals(c.told)).count();
         }
         assertTrue(resolved > 500, resolved + " cleared up");
         assertTrue(lostCalls > 100, lostCalls + " lost with the session");
     }
 
-    private static void arrive(OutboundSession<Call> session, Server server, List<Runnable> down, int packet,
-                               Call call) {
+    private static void arrive(
+            OutboundSession<Call> session, Server server, List<Runnable> down, int packet, Call call) {
         server.publish(packet, call);
         down.add(() -> {
             Call told = session.received(packet);
--- a/src/test/java/brambletray/partners/BundleTest.java
+++ b/src/test/java/brambletray/partners/BundleTest.java
@@ -29,7 +29,8 @@
     void theAnswerNamesEachMessage() {
         Call call = new Call("relay", "a", null, true);
         call.together(List.of(new Call("relay", "b", null, true)));
-        assertEquals("[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}]",
-            Bundle.accepted(call).toString(StandardCharsets.UTF_8));
+        assertEquals(
+                "[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}]",
+                Bundle.accepted(call).toString(StandardCharsets.UTF_8));
     }
 }
--- a/src/test/java/brambletray/quota/Crowd.java
+++ b/src/test/java/brambletray/quota/Crowd.java
@@ -18,15 +18,16 @@
     static final long MS = 1_000, SECOND = 1_000_000;
 
     /** What was taken on, by the path of its member. */
-    record Taken(long at, String path, long bytes) { }
+    record Taken(long at, String path, long bytes) {}
 
-    private record Due(long at, long number, Source source, Asked message, long tries) { }
+    private record Due(long at, long number, Source source, Asked message, long tries) {}
 
     /** One client of a member. */
     static final class Source {
         final String tenant;
         /** Messages a second; 0 for none just now. */
         double perSecond;
+
         long bytes = 100, heldFor;
         long asked, taken, refused, waited, next;
 
@@ -40,8 +41,8 @@
     Member tree;
     final List<Taken> all = new ArrayList<>();
     final Map<String, Source> sources = new HashMap<>();
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-        : Long.compare(a.number, b.number));
+    private final PriorityQueue<Due> due =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private final PriorityQueue<Object[]> ends = new PriorityQueue<>((a, b) -> Long.compare((long) a[0], (long) b[0]));
     private final java.util.Set<String> waiting = new java.util.HashSet<>();
     final List<String> recalled = new ArrayList<>();
@@ -124,7 +125,9 @@
 
     /** Messages of a path, and of all below it, taken on in [from, until). */
     long taken(String path, long from, long until) {
-        return all.stream().filter(t -> t.at >= from && t.at < until && (t.path + "/").startsWith(path + "/")).count();
+        return all.stream()
+                .filter(t -> t.at >= from && t.at < until && (t.path + "/").startsWith(path + "/"))
+                .count();
     }
 
     /** Violations: windows of any limit, wherever they begin, that hold more than it allows. */
@@ -135,7 +138,9 @@
     }
 
     private void check(Member m, List<String> found) {
-        List<Taken> own = all.stream().filter(t -> (t.path + "/").startsWith(m.path() + "/")).toList();
+        List<Taken> own = all.stream()
+                .filter(t -> (t.path + "/").startsWith(m.path() + "/"))
+                .toList();
         for (Limit l : m.limits()) {
             long sum = 0;
             int from = 0;
--- a/src/test/java/brambletray/quota/QuotaBench.java
+++ b/src/test/java/brambletray/quota/QuotaBench.java
@@ -15,7 +15,7 @@
 final class QuotaBench {
     private static final int DECISIONS = 300_000;
 
-    private QuotaBench() { }
+    private QuotaBench() {}
 
     /** Members of one parent, one for each leaf, each with a limit and its share. */
     private static Member level(String name, String path, int at, int depth, int leaves, int[] next, long second) {
@@ -27,12 +27,29 @@
                 int part = at + 1 == depth ? 1 : (int) Math.ceil(left / (double) (most - i));
                 left -= part;
                 String own = "m" + i;
-                below.add(level(own, path + "/" + own, at + 1, depth, part, next, Math.max(1, second * part / Math.max(1, leaves))));
+                below.add(level(
+                        own,
+                        path + "/" + own,
+                        at + 1,
+                        depth,
+                        part,
+                        next,
+                        Math.max(1, second * part / Math.max(1, leaves))));
             }
         }
         Match match = below.isEmpty() ? new Match("t" + next[0]++, null, List.of()) : Match.ANY;
-        return new Member(name, path, List.of(new Limit(Dimension.MESSAGES, 1_000_000, second)), Long.MAX_VALUE,
-            at == 1 ? Map.of() : Map.of(Dimension.MESSAGES, second), 0, 1, 0, true, match, below);
+        return new Member(
+                name,
+                path,
+                List.of(new Limit(Dimension.MESSAGES, 1_000_000, second)),
+                Long.MAX_VALUE,
+                at == 1 ? Map.of() : Map.of(Dimension.MESSAGES, second),
+                0,
+                1,
+                0,
+                true,
+                match,
+                below);
     }
 
     private static long used() {
@@ -52,7 +69,8 @@
 
     public static void main(String[] args) {
         System.out.println(Runtime.getRuntime().availableProcessors() + " processors; best of three");
-        System.out.println("paths     depth   ns a decision   taken on   bytes a path, idle   ns, a token bucket for each path");
+        System.out.println(
+                "paths     depth   ns a decision   taken on   bytes a path, idle   ns, a token bucket for each path");
         for (int paths : new int[] {10, 1_000, 100_000}) {
             for (int depth : new int[] {4, 8}) {
                 double best = 1e9;
@@ -81,8 +99,15 @@
                     Reference.reachabilityFence(List.of(tree, quotas));
                     bucket = Math.min(bucket, buckets(paths, asked));
                 }
-                System.out.printf(Locale.ROOT, "%-9d %-7d %13.0f %9.0f%% %20.0f %34.0f%n", paths, depth, best,
-                    100.0 * taken / DECISIONS, heap, bucket);
+                System.out.printf(
+                        Locale.ROOT,
+                        "%-9d %-7d %13.0f %9.0f%% %20.0f %34.0f%n",
+                        paths,
+                        depth,
+                        best,
+                        100.0 * taken / DECISIONS,
+                        heap,
+                        bucket);
             }
         }
     }
@@ -91,8 +116,18 @@
     private static Member chain(int leaves, int depth) {
         Member at = level("g" + (depth - 1), path(depth - 1), 1, 2, leaves, new int[1], leaves * 4L);
         for (int d = depth - 2; d >= 1; d--) {
-            at = new Member("g" + d, path(d), List.of(new Limit(Dimension.MESSAGES, 1_000_000, leaves * 4L)), Long.MAX_VALUE,
-                d == 1 ? Map.of() : Map.of(Dimension.MESSAGES, leaves * 4L), 0, 1, 0, true, Match.ANY, List.of(at));
+            at = new Member(
+                    "g" + d,
+                    path(d),
+                    List.of(new Limit(Dimension.MESSAGES, 1_000_000, leaves * 4L)),
+                    Long.MAX_VALUE,
+                    d == 1 ? Map.of() : Map.of(Dimension.MESSAGES, leaves * 4L),
+                    0,
+                    1,
+                    0,
+                    true,
+                    Match.ANY,
+                    List.of(at));
         }
         return at;
     }
--- a/src/test/java/brambletray/quota/QuotasTest.java
+++ b/src/test/java/brambletray/quota/QuotasTest.java
@@ -24,11 +24,13 @@
     private static final int TREES = Integer.getInteger("trees", 15);
 
     private static String org(String name, int share, String more) {
-        return "  - {name: " + name + ", share: {messages: " + share + "}, match: {tenant: " + name + "}" + more + "}\n";
+        return "  - {name: " + name + ", share: {messages: " + share + "}, match: {tenant: " + name + "}" + more
+                + "}\n";
     }
 
     private static String two(int limit, int a, int b) {
-        return "name: all\nlimits: [{messages: " + limit + ", in_s: 1}]\nmembers:\n" + org("a", a, "") + org("b", b, "");
+        return "name: all\nlimits: [{messages: " + limit + ", in_s: 1}]\nmembers:\n" + org("a", a, "")
+                + org("b", b, "");
     }
 
     private static Member random(SplittableRandom random, String above, int depth, long parentSecond) {
@@ -38,7 +40,8 @@
         if (depth == 1 || random.nextInt(3) > 0) {
             for (long window : new long[] {SECOND, 10 * SECOND, 60 * SECOND}) {
                 if (window == SECOND || random.nextInt(3) == 0) {
-                    limits.add(new Limit(Dimension.MESSAGES, window, Math.max(1, random.nextInt(60) * window / SECOND / 2)));
+                    limits.add(new Limit(
+                            Dimension.MESSAGES, window, Math.max(1, random.nextInt(60) * window / SECOND / 2)));
                 }
                 if (random.nextInt(4) == 0) {
                     limits.add(new Limit(Dimension.BYTES, window, 500 + random.nextInt(20_000) * window / SECOND));
@@ -56,9 +59,18 @@
         if (depth > 1 && parentSecond != Long.MAX_VALUE && random.nextBoolean()) {
             share.put(Dimension.MESSAGES, Math.max(1, Math.min(second, parentSecond)));
         }
-        return new Member(name, path, limits, random.nextInt(4) == 0 ? 1 + random.nextInt(50) : Long.MAX_VALUE, share,
-            0, 1 + random.nextInt(5), random.nextInt(3), random.nextInt(4) > 0, many == 0 && depth > 1
-            ? new Match(path, null, List.of()) : Match.ANY, below);
+        return new Member(
+                name,
+                path,
+                limits,
+                random.nextInt(4) == 0 ? 1 + random.nextInt(50) : Long.MAX_VALUE,
+                share,
+                0,
+                1 + random.nextInt(5),
+                random.nextInt(3),
+                random.nextInt(4) > 0,
+                many == 0 && depth > 1 ? new Match(path, null, List.of()) : Match.ANY,
+                below);
     }
 
     private static void leaves(Member m, List<String> paths) {
@@ -79,13 +91,16 @@
             List<String> paths = new ArrayList<>();
             leaves(crowd.tree, paths);
             for (int step = 0; step < 120; step++) {
-                Source s = crowd.source(paths.get(random.nextInt(paths.size())), random.nextInt(3) == 0 ? 0 : random.nextInt(120));
+                Source s = crowd.source(
+                        paths.get(random.nextInt(paths.size())), random.nextInt(3) == 0 ? 0 : random.nextInt(120));
                 s.bytes = 1 + random.nextInt(random.nextInt(5) == 0 ? 5_000 : 200);
                 s.heldFor = random.nextInt(2) * random.nextInt(2_000_000);
                 crowd.pass(1 + random.nextInt(1_000_000));
             }
             assertEquals(List.of(), crowd.violations(), "seed " + seed);
-            decisions += crowd.sources.values().stream().mapToLong(s -> s.taken + s.refused).sum();
+            decisions += crowd.sources.values().stream()
+                    .mapToLong(s -> s.taken + s.refused)
+                    .sum();
             taken += crowd.all.size();
         }
         System.out.println(decisions + " decisions, " + taken + " taken on, over " + TREES + " trees: no limit broken");
@@ -108,8 +123,9 @@
             assertEquals(List.of(), crowd.violations());
         }
         Arrays.sort(parts);
-        System.out.printf("a lender's part of its share in the second after it asks: least %.2f, 1 %% %.2f, 50 %% %.2f%n",
-            parts[0], parts[0], parts[30]);
+        System.out.printf(
+                "a lender's part of its share in the second after it asks: least %.2f, 1 %% %.2f, 50 %% %.2f%n",
+                parts[0], parts[0], parts[30]);
         assertTrue(parts[0] >= 0.95, "least " + parts[0]);
     }
 
@@ -125,20 +141,23 @@
     @Test
     void whatIsNotLentStaysIdle() throws Exception {
         Crowd crowd = new Crowd("name: all\nlimits: [{messages: 100, in_s: 1}]\nmembers:\n" + org("a", 30, "")
-            + org("b", 60, ", lends: false"));
+                + org("b", 60, ", lends: false"));
         crowd.source("a", 300);
         crowd.pass(10 * SECOND);
         long of = crowd.taken("all/a", crowd.now - 5 * SECOND, crowd.now);
         assertTrue(of <= 200 && of >= 190, "of 40 a second in 5 s: " + of);
         crowd.source("b", 60);
         crowd.pass(2 * SECOND);
-        assertTrue(crowd.taken("all/b", crowd.now - 2 * SECOND, crowd.now) >= 118, "nobody else has its share at any time");
+        assertTrue(
+                crowd.taken("all/b", crowd.now - 2 * SECOND, crowd.now) >= 118,
+                "nobody else has its share at any time");
     }
 
     /** Ten lend to one, and all ask back at once. */
     @Test
     void allAskBackAtOnce() throws Exception {
-        StringBuilder yaml = new StringBuilder("name: all\nlimits: [{messages: 110, in_s: 1}]\nmembers:\n" + org("big", 10, ""));
+        StringBuilder yaml =
+                new StringBuilder("name: all\nlimits: [{messages: 110, in_s: 1}]\nmembers:\n" + org("big", 10, ""));
         for (int i = 0; i < 10; i++) {
             yaml.append(org("s" + i, 10, ""));
         }
@@ -199,14 +218,17 @@
         long b = crowd.now;
         crowd.source("b", 45);
         crowd.pass(2 * SECOND);
-        assertTrue(crowd.taken("all/org/b", b, b + SECOND) >= 38, "b has its share within a second: "
-            + crowd.taken("all/org/b", b, b + SECOND));
+        assertTrue(
+                crowd.taken("all/org/b", b, b + SECOND) >= 38,
+                "b has its share within a second: " + crowd.taken("all/org/b", b, b + SECOND));
         long a = crowd.now;
         crowd.source("a", 60);
         crowd.pass(3 * SECOND);
-        assertTrue(crowd.taken("all/a", a, a + SECOND) >= 47, "a within a second: " + crowd.taken("all/a", a, a + SECOND));
-        assertTrue(crowd.taken("all/org/b", a + SECOND, a + 3 * SECOND) >= 78, "b keeps its own: "
-            + crowd.taken("all/org/b", a + SECOND, a + 3 * SECOND));
+        assertTrue(
+                crowd.taken("all/a", a, a + SECOND) >= 47, "a within a second: " + crowd.taken("all/a", a, a + SECOND));
+        assertTrue(
+                crowd.taken("all/org/b", a + SECOND, a + 3 * SECOND) >= 78,
+                "b keeps its own: " + crowd.taken("all/org/b", a + SECOND, a + 3 * SECOND));
         long c = crowd.taken("all/org/c", a + SECOND, a + 3 * SECOND);
         assertTrue(c >= 18, "and c its own: " + c);
         assertEquals(List.of(), crowd.violations());
@@ -216,15 +238,16 @@
     @Test
     void loansLeaveTheLongWindowsToTheirLenders() throws Exception {
         Crowd crowd = new Crowd("name: all\nlimits: [{messages: 100, in_s: 1}, {messages: 500, in_s: 10}]\nmembers:\n"
-            + org("a", 20, "") + org("b", 30, ""));
+                + org("a", 20, "") + org("b", 30, ""));
         crowd.source("a", 300);
         crowd.pass(20 * SECOND);
         long asks = crowd.now;
         crowd.source("b", 40);
         crowd.pass(10 * SECOND);
         assertTrue(crowd.taken("all/b", asks, asks + SECOND) >= 28, "" + crowd.taken("all/b", asks, asks + SECOND));
-        assertTrue(crowd.taken("all/b", asks + SECOND, asks + 10 * SECOND) >= 0.97 * 270, "of 270: "
-            + crowd.taken("all/b", asks + SECOND, asks + 10 * SECOND));
+        assertTrue(
+                crowd.taken("all/b", asks + SECOND, asks + 10 * SECOND) >= 0.97 * 270,
+                "of 270: " + crowd.taken("all/b", asks + SECOND, asks + 10 * SECOND));
         assertEquals(List.of(), crowd.violations());
     }
 
@@ -232,7 +255,7 @@
     @Test
     void loansGoByWeightAndPriority() throws Exception {
         Crowd crowd = new Crowd("name: all\nlimits: [{messages: 120, in_s: 1}]\nmembers:\n" + org("idle", 90, "")
-            + org("a", 10, ", weight: 2") + org("b", 10, ", weight: 1"));
+                + org("a", 10, ", weight: 2") + org("b", 10, ", weight: 1"));
         crowd.source("a", 300);
         crowd.source("b", 300);
         crowd.pass(20 * SECOND);
@@ -241,7 +264,7 @@
         assertTrue(a / b > 1.6 && a / b < 2.4, "lent " + a + " and " + b);
         assertTrue(a + b > 0.93 * 1_000, "in use " + (a + b) + " of 1000");
         Crowd ranked = new Crowd("name: all\nlimits: [{messages: 120, in_s: 1}]\nmembers:\n" + org("idle", 90, "")
-            + org("a", 10, ", priority: 1") + org("b", 10, ""));
+                + org("a", 10, ", priority: 1") + org("b", 10, ""));
         ranked.source("a", 300);
         ranked.source("b", 300);
         ranked.pass(20 * SECOND);
@@ -269,7 +292,8 @@
     /** A clump, or one message, that is larger than its window's limit never fits, and is told so; a clump comes in by parts. */
     @Test
     void whatNeverFits() throws Exception {
-        Quotas q = new Quotas(QuotaFile.parse("q.yaml", "name: all\nlimits: [{bytes: 1000, in_s: 10}, {messages: 5, in_s: 1}]\n"));
+        Quotas q = new Quotas(
+                QuotaFile.parse("q.yaml", "name: all\nlimits: [{bytes: 1000, in_s: 10}, {messages: 5, in_s: 1}]\n"));
         Verdict.Refused never = (Verdict.Refused) q.ask(SECOND, asked("1", 1_001));
         assertEquals(Window.NEVER, never.after());
         assertEquals("1000 bytes in 10 s", never.limit());
@@ -307,8 +331,11 @@
     /** Room among messages held, on loan: the newest that waits is handed back; what was sent is not. */
     @Test
     void whatWaitsOnLoanIsHandedBack() throws Exception {
-        Quotas q = new Quotas(QuotaFile.parse("q.yaml", "name: all\nheld: 10\nmembers:\n"
-            + "  - {name: a, share: {held: 4}, match: {tenant: a}}\n  - {name: b, share: {held: 6}, match: {tenant: b}}\n"));
+        Quotas q = new Quotas(
+                QuotaFile.parse(
+                        "q.yaml",
+                        "name: all\nheld: 10\nmembers:\n"
+                                + "  - {name: a, share: {held: 4}, match: {tenant: a}}\n  - {name: b, share: {held: 6}, match: {tenant: b}}\n"));
         for (int i = 0; i < 10; i++) {
             assertInstanceOf(Verdict.Taken.class, q.ask(SECOND, new Asked("a" + i, "a", "c", 1, 1)));
         }
@@ -339,7 +366,10 @@
             q.ask(SECOND + i * 10 * MS, new Asked("a" + i, "a", "c", 1, 1));
         }
         long t = SECOND + 600 * MS;
-        q.reload(t, QuotaFile.parse("q.yaml", "name: all\nlimits: [{messages: 20, in_s: 1}]\nmembers:\n" + org("b", 10, "")));
+        q.reload(
+                t,
+                QuotaFile.parse(
+                        "q.yaml", "name: all\nlimits: [{messages: 20, in_s: 1}]\nmembers:\n" + org("b", 10, "")));
         assertInstanceOf(Verdict.Waits.class, q.ask(t, new Asked("x", "b", "c", 1, 1)), "60 are out of 20");
         q.ended("x");
         assertEquals(60, q.standing(t, Dimension.MESSAGES).get(0).held());
@@ -351,7 +381,8 @@
         assertEquals(0, q.standing(t, Dimension.MESSAGES).get(0).held());
         assertInstanceOf(Verdict.Taken.class, q.ask(t + SECOND, new Asked("y", "b", "c", 1, 1)));
         assertEquals("all", q.pathOf(new Asked("z", "a", "c", 1, 1)), "its messages are the root's now");
-        assertThrows(IllegalArgumentException.class, () -> q.reload(t + SECOND, QuotaFile.parse("q.yaml", "name: other\n")));
+        assertThrows(
+                IllegalArgumentException.class, () -> q.reload(t + SECOND, QuotaFile.parse("q.yaml", "name: other\n")));
         assertThrows(IllegalArgumentException.class, () -> q.ask(t, asked("back", 1)));
     }
 
@@ -359,7 +390,8 @@
     @ParameterizedTest
     @ValueSource(ints = {100, 10_000})
     void manyIdleMembers(int many) throws Exception {
-        StringBuilder yaml = new StringBuilder("name: all\nlimits: [{messages: " + 2 * many + ", in_s: 1}]\nmembers:\n");
+        StringBuilder yaml =
+                new StringBuilder("name: all\nlimits: [{messages: " + 2 * many + ", in_s: 1}]\nmembers:\n");
         for (int i = 0; i < many; i++) {
             yaml.append(org("t" + i, 2, ""));
         }
@@ -372,17 +404,25 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"name: all\nlimits: [{messages: 10}]|in_s", "name: a/b|letters", "name: all\nlimits: [{in_s: 1}]|messages or bytes",
-        "name: all\nlimits: [{messages: 10, in_s: 1}]\nmembers: [{name: a, share: {messages: 11}}]|add up to 11",
-        "name: all\nlimits: [{messages: 600, in_s: 60}]\nmembers: [{name: a, share: {messages: 11}}]|bear, 10",
-        "name: all\nheld: 3\nmembers: [{name: a, share: {held: 4}}]|held below all add up to 4",
-        "name: all\nmembers: [{name: a}, {name: a}]|a name of its own", "name: all\ncolour: red|colour",
-        "name: all\nmembers: [{name: a, share: {messages: 2}, members: [{name: b, share: {messages: 3}}]}]|its own share, 2",
-        "name: all\nmembers: [{name: a, match: {destinations: [x]}}]|expected numbers"})
+    @ValueSource(
+            strings = {
+                "name: all\nlimits: [{messages: 10}]|in_s",
+                "name: a/b|letters",
+                "name: all\nlimits: [{in_s: 1}]|messages or bytes",
+                "name: all\nlimits: [{messages: 10, in_s: 1}]\nmembers: [{name: a, share: {messages: 11}}]|add up to 11",
+                "name: all\nlimits: [{messages: 600, in_s: 60}]\nmembers: [{name: a, share: {messages: 11}}]|bear, 10",
+                "name: all\nheld: 3\nmembers: [{name: a, share: {held: 4}}]|held below all add up to 4",
+                "name: all\nmembers: [{name: a}, {name: a}]|a name of its own",
+                "name: all\ncolour: red|colour",
+                "name: all\nmembers: [{name: a, share: {messages: 2}, members: [{name: b, share: {messages: 3}}]}]|its own share, 2",
+                "name: all\nmembers: [{name: a, match: {destinations: [x]}}]|expected numbers"
+            })
     void aFaultyFileIsTold(String both) {
         String[] parts = both.split("\\|");
         var faults = assertThrows(brambletray.yaml.Faults.class, () -> QuotaFile.parse("q.yaml", parts[0]));
-        assertTrue(faults.getMessage().startsWith("q.yaml:") && faults.getMessage().contains(parts[1]), faults.getMessage());
+        assertTrue(
+                faults.getMessage().startsWith("q.yaml:") && faults.getMessage().contains(parts[1]),
+                faults.getMessage());
     }
 
     /** This relay's part: those of all ranks add up to the whole, and a relay that dies takes none from the others. */
--- a/src/test/java/brambletray/recovery/AskingTest.java
+++ b/src/test/java/brambletray/recovery/AskingTest.java
@@ -27,14 +27,17 @@
     void theNewestFolderGoesOn() {
         assertEquals(new Finding.Continues(), all(FOLDER, seen(FOLDER), seen(new Standing(7, 2, 120))));
         assertEquals(new Finding.Continues(), all(FOLDER, seen(new Standing(7, 3, 99)), new Account.Never(1)));
-        assertEquals(new Finding.Continues(), all(new Standing(8, 4, 1), seen(FOLDER), seen(FOLDER)),
-            "one made after a loss");
+        assertEquals(
+                new Finding.Continues(),
+                all(new Standing(8, 4, 1), seen(FOLDER), seen(FOLDER)),
+                "one made after a loss");
     }
 
     @Test
     void anOlderOneIsRolledBackWhoeverSaysIt() {
-        for (Standing later : new Standing[] {new Standing(7, 3, 101), new Standing(7, 4, 1),
-                new Standing(8, 3, 1), new Standing(8, 4, 1)}) {
+        for (Standing later : new Standing[] {
+            new Standing(7, 3, 101), new Standing(7, 4, 1), new Standing(8, 3, 1), new Standing(8, 4, 1)
+        }) {
             assertEquals(new Finding.RolledBack(later, 11_000), all(FOLDER, seen(FOLDER), seen(later)));
             assertEquals(new Finding.RolledBack(later, 11_000), all(FOLDER, seen(later), null));
             assertEquals(new Finding.RolledBack(later, 11_000), all(FOLDER, new Account.Never(9), seen(later)));
@@ -51,7 +54,8 @@
     @Test
     void anEmptyOneIsTheFirstOnlyForWitnessesThatWereUpForLongEnough() {
         assertEquals(new Finding.First(), all(null, new Account.Never(16_000), new Account.Never(90_000)));
-        assertEquals(new Finding.Unconfirmed(true, 15_700), all(null, new Account.Never(300), new Account.Never(90_000)));
+        assertEquals(
+                new Finding.Unconfirmed(true, 15_700), all(null, new Account.Never(300), new Account.Never(90_000)));
         assertEquals(new Finding.Unconfirmed(true, 16_000), all(null, new Account.Never(90_000), null));
     }
 
--- a/src/test/java/brambletray/recovery/RecollectionTest.java
+++ b/src/test/java/brambletray/recovery/RecollectionTest.java
@@ -59,8 +59,9 @@
                 long left = Math.max(0, until - back);
                 assertTrue(believed <= left, "seed " + seed + ": believed " + believed + " of " + left);
                 boolean noted = until - now >= Recollection.WAIT_LEAST / 1_000;
-                assertTrue(!noted || believed >= left - Recollection.WAIT_SAME / 1_000,
-                    "seed " + seed + ": believed " + believed + " of " + left);
+                assertTrue(
+                        !noted || believed >= left - Recollection.WAIT_SAME / 1_000,
+                        "seed " + seed + ": believed " + believed + " of " + left);
             }
             assertTrue(notes <= told, "a note without news");
         }
@@ -71,15 +72,16 @@
         Known failing = new Known(0, true, Known.WARM, 40, 8);
         Recollection.Note note = new Recollection().worth(at(0), "h", Recollection.IN_USE, failing);
         assertEquals(failing, after(note).believed("h", at(Recollection.LIMIT_BELIEVED), COLD));
-        assertEquals(new Known(0, true, Known.WARM, 0, 0),
-            after(note).believed("h", at(Recollection.LIMIT_BELIEVED + 1), COLD));
+        assertEquals(
+                new Known(0, true, Known.WARM, 0, 0),
+                after(note).believed("h", at(Recollection.LIMIT_BELIEVED + 1), COLD));
         assertEquals(Known.NOTHING, after(note).believed("h", at(Recollection.HEALTH_BELIEVED + 1), COLD));
     }
 
     @Test
     void aColdHostGoesOnWarmingUp() {
-        Recollection.Note note = new Recollection().worth(at(0), "h", Recollection.IN_USE,
-            new Known(0, false, 2_000_000, 0, 5));
+        Recollection.Note note =
+                new Recollection().worth(at(0), "h", Recollection.IN_USE, new Known(0, false, 2_000_000, 0, 5));
         assertEquals(9_000_000, after(note).believed("h", at(7_000), COLD).warming());
         assertEquals(Known.NOTHING, after(note).believed("h", at(10_000), COLD), "warm by now");
         assertEquals(0, after(note).believed("h", new Moment(9, 0, 0), COLD).warming(), "from the beginning");
@@ -105,7 +107,8 @@
         assertTrue(next.leftSince("h", 11));
         assertFalse(next.leftSince("h", 12));
         assertFalse(next.leftSince("g", 11));
-        assertFalse(after(life.worth(at(9), "h", Recollection.IN_USE, Known.NOTHING)).leftSince("h", 11));
+        assertFalse(after(life.worth(at(9), "h", Recollection.IN_USE, Known.NOTHING))
+                .leftSince("h", 11));
     }
 
     @Test
--- a/src/test/java/brambletray/rehearsal/RehearsalTest.java
+++ b/src/test/java/brambletray/rehearsal/RehearsalTest.java
@@ -25,6 +25,7 @@
         classes: [{name: bill, effect: keyed, window_ms: 15000}, {name: pay, effect: unsafe}, {name: read, effect: safe}]
         partners: [{name: p, endpoints: 2}]
         """;
+
     @TempDir
     Path folder;
 
@@ -36,32 +37,38 @@
     @ParameterizedTest
     @MethodSource("nights")
     void everyNightIsWithinItsBounds(String name) throws Exception {
-        Verdict verdict = Kit.play(List.of(Night.read(name)), 1, 1, folder, v -> { }).get(0);
+        Verdict verdict =
+                Kit.play(List.of(Night.read(name)), 1, 1, folder, v -> {}).get(0);
         assertEquals(List.of(), verdict.faults());
     }
 
     /** Same build, nights and seeds: the same bytes, however many are played at once. */
     @Test
     void theVerdictIsTheSameEveryTime() throws Exception {
-        List<Night> nights = List.of(Night.parse("a.yaml", SMALL
-            + "relay_events: [{at_s: 2, relay: all, back_after_s: 1}]\n"), Night.parse("b.yaml", SMALL));
-        String first = Reports.json(Kit.play(nights, 3, 1, Files.createDirectory(folder.resolve("a")), v -> { }));
-        List<Verdict> again = Kit.play(nights, 3, 4, Files.createDirectory(folder.resolve("b")), v -> { });
+        List<Night> nights = List.of(
+                Night.parse("a.yaml", SMALL + "relay_events: [{at_s: 2, relay: all, back_after_s: 1}]\n"),
+                Night.parse("b.yaml", SMALL));
+        String first = Reports.json(Kit.play(nights, 3, 1, Files.createDirectory(folder.resolve("a")), v -> {}));
+        List<Verdict> again = Kit.play(nights, 3, 4, Files.createDirectory(folder.resolve("b")), v -> {});
         assertEquals(first, Reports.json(again));
         assertEquals(64, Reports.hash(again).length());
-        assertFalse(again.get(0).plays().get(0).trace() == again.get(1).plays().get(0).trace());
+        assertFalse(again.get(0).plays().get(0).trace()
+                == again.get(1).plays().get(0).trace());
     }
 
     /** The bound is on the middle seed: exactly at it is enough, above it is not, and one bad seed is no verdict. */
     @Test
     void theMiddleOfTheSeedsDecides() throws Exception {
         Night night = Night.parse("a.yaml", SMALL);
-        List<Play> plays = Kit.play(List.of(night), 3, 2, folder, v -> { }).get(0).plays();
+        List<Play> plays =
+                Kit.play(List.of(night), 3, 2, folder, v -> {}).get(0).plays();
         double middle = Verdict.middle(plays);
         assertTrue(verdict(night, plays, middle).passed());
         Verdict above = verdict(night, plays, Math.nextUp(middle));
         assertFalse(above.passed());
-        assertTrue(above.faults().get(0).contains("the middle score of 3 seeds"), above.faults().toString());
+        assertTrue(
+                above.faults().get(0).contains("the middle score of 3 seeds"),
+                above.faults().toString());
         assertTrue(plays.stream().mapToDouble(p -> p.result().score()).min().orElse(0) <= middle);
     }
 
@@ -72,19 +79,25 @@
     /** A relay that loses its folder loses what it took on: the judges see it, though nothing at the relay does. */
     @Test
     void aLostFolderIsSeen() throws Exception {
-        Night night = Night.parse("a.yaml", SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
-            + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n");
-        Verdict verdict = Kit.play(List.of(night), 1, 1, folder, v -> { }).get(0);
+        Night night = Night.parse(
+                "a.yaml",
+                SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
+                        + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n");
+        Verdict verdict = Kit.play(List.of(night), 1, 1, folder, v -> {}).get(0);
         assertFalse(verdict.passed());
-        assertTrue(verdict.faults().get(0).contains("had no end in time"), verdict.faults().toString());
+        assertTrue(
+                verdict.faults().get(0).contains("had no end in time"),
+                verdict.faults().toString());
     }
 
     /** The page on a message says what became of it, where and when, and is the same each time. */
     @Test
     void aBrokenRuleComesWithTheStoryOfItsMessage() throws Exception {
-        Night night = Night.parse("a.yaml", SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
-            + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n");
-        Verdict verdict = Kit.play(List.of(night), 1, 1, folder, v -> { }).get(0);
+        Night night = Night.parse(
+                "a.yaml",
+                SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
+                        + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n");
+        Verdict verdict = Kit.play(List.of(night), 1, 1, folder, v -> {}).get(0);
         List<Story> stories = Kit.stories(verdict, 2, folder);
         assertEquals(2, stories.size());
         List<String> told = stories.get(0).told();
@@ -92,7 +105,11 @@
         assertTrue(told.stream().anyMatch(l -> l.endsWith("answered 202")), told.toString());
         assertTrue(told.stream().anyMatch(l -> l.contains("relay 0: kill and lose folder")), told.toString());
         assertTrue(told.stream().noneMatch(l -> l.contains("answered as delivered")), "it was lost: " + told);
-        assertEquals(told, Kit.stories(verdict, 1, Files.createDirectory(folder.resolve("again"))).get(0).told());
+        assertEquals(
+                told,
+                Kit.stories(verdict, 1, Files.createDirectory(folder.resolve("again")))
+                        .get(0)
+                        .told());
     }
 
     /**
@@ -104,13 +121,21 @@
     void aRelayKilledAtEveryPoint(String how, int runs) throws Exception {
         long[] restarted = {0, 0};
         for (int number = 1; number <= 30; number++) {
-            Night night = Night.parse("a.yaml", SMALL.replace("length_s: 6", "length_s: 3").replace("per_s: 20", "per_s: 200")
-                + "front_notices_s: 0.1\nrelay_events: [{at_s: 1, relay: 0, do: " + how + ", number: " + number
-                + ", back_after_s: 0.8}]\n");
-            Verdict verdict = Kit.play(List.of(night), 1, 1, Files.createDirectory(folder.resolve("n" + number)), v -> { }).get(0);
+            Night night = Night.parse(
+                    "a.yaml",
+                    SMALL.replace("length_s: 6", "length_s: 3").replace("per_s: 20", "per_s: 200")
+                            + "front_notices_s: 0.1\nrelay_events: [{at_s: 1, relay: 0, do: " + how + ", number: "
+                            + number
+                            + ", back_after_s: 0.8}]\n");
+            Verdict verdict = Kit.play(
+                            List.of(night), 1, 1, Files.createDirectory(folder.resolve("n" + number)), v -> {})
+                    .get(0);
             assertEquals(List.of(), verdict.faults(), () -> {
                 try {
-                    return how + " " + Kit.stories(verdict, 1, folder).stream().map(Story::told).toList();
+                    return how + " "
+                            + Kit.stories(verdict, 1, folder).stream()
+                                    .map(Story::told)
+                                    .toList();
                 } catch (Exception e) {
                     return e.toString();
                 }
@@ -126,7 +151,8 @@
     @Test
     void connectionsAndDiskAreJudged() throws Exception {
         Night night = Night.parse("a.yaml", SMALL + "bounds: {connections: 3, disk_bytes: 1000}\n");
-        List<String> faults = Kit.play(List.of(night), 1, 1, folder, v -> { }).get(0).faults();
+        List<String> faults =
+                Kit.play(List.of(night), 1, 1, folder, v -> {}).get(0).faults();
         assertEquals(2, faults.size(), faults.toString());
         assertTrue(faults.get(0).contains("connections open at once: expected 3 at most"), faults.toString());
         assertTrue(faults.get(1).contains("bytes: expected 1000 at most"), faults.toString());
@@ -135,15 +161,16 @@
     /** The reference of a hunt differs from the build by tries and copies alone. */
     @Test
     void theReferenceTriesOnce() {
-        assertEquals("{\"most-tries\":1,\"second-copies\":false,\"x\":2}",
-            Hunt.oneTry("{\"most-tries\":12,\"second-copies\": true,\"x\":2}"));
+        assertEquals(
+                "{\"most-tries\":1,\"second-copies\":false,\"x\":2}",
+                Hunt.oneTry("{\"most-tries\":12,\"second-copies\": true,\"x\":2}"));
     }
 
     /** A build with a fault that shows only when a partner vanishes: here, folders that are lost, by the base itself. */
     @Test
     void aHuntFindsAndShrinks() throws Exception {
         String base = SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
-            + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n";
+                + "relay_events: [{at_s: 3, relay: all, do: kill_and_lose_folder, back_after_s: 1}]\n";
         Hunt hunt = new Hunt(base, folder);
         Hunt.Find find = null;
         for (long draw = 1; draw <= 20 && find == null; draw++) {
@@ -170,8 +197,9 @@
         assertTrue(Comparison.chance(mixed) > 0.5);
         Night night = Night.parse("a.yaml", SMALL);
         Night slower = Night.parse("a.yaml", SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 2200}"));
-        String fast = Reports.json(Kit.play(List.of(night), 7, 2, Files.createDirectory(folder.resolve("a")), v -> { }));
-        String slow = Reports.json(Kit.play(List.of(slower), 7, 2, Files.createDirectory(folder.resolve("b")), v -> { }));
+        String fast = Reports.json(Kit.play(List.of(night), 7, 2, Files.createDirectory(folder.resolve("a")), v -> {}));
+        String slow =
+                Reports.json(Kit.play(List.of(slower), 7, 2, Files.createDirectory(folder.resolve("b")), v -> {}));
         assertFalse(Comparison.of(fast, fast).get(0).beyondNoise());
         Comparison.Row row = Comparison.of(fast, slow).get(0);
         assertTrue(row.beyondNoise() && row.mean() < 0, row.toString());
@@ -180,10 +208,11 @@
     @Test
     void reportsCanBeRead() throws Exception {
         Night night = Night.parse("a.yaml", SMALL + "about: 'less < more & \"quotes\"'\nbounds: {score: 1}\n");
-        List<Verdict> verdicts = Kit.play(List.of(night), 1, 1, folder, v -> { });
+        List<Verdict> verdicts = Kit.play(List.of(night), 1, 1, folder, v -> {});
         var builder = DocumentBuilderFactory.newInstance().newDocumentBuilder();
-        var suite = builder.parse(new ByteArrayInputStream(Reports.junit(verdicts).getBytes(StandardCharsets.UTF_8)))
-            .getDocumentElement();
+        var suite = builder.parse(
+                        new ByteArrayInputStream(Reports.junit(verdicts).getBytes(StandardCharsets.UTF_8)))
+                .getDocumentElement();
         assertEquals("1", suite.getAttribute("tests"));
         assertEquals(verdicts.get(0).passed() ? "0" : "1", suite.getAttribute("failures"));
         String page = Reports.html(verdicts);
@@ -193,11 +222,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"relay_events: [{at_s: 1, relay: 2}]|relay", "bounds: {score: 2}|score",
-        "relay_events: [{at_s: 1, relay: 0, do: sleep}]|expected one of kill, kill_and_lose_folder", "bound: 1|not known"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "relay_events: [{at_s: 1, relay: 2}]|relay",
+                "bounds: {score: 2}|score",
+                "relay_events: [{at_s: 1, relay: 0, do: sleep}]|expected one of kill, kill_and_lose_folder",
+                "bound: 1|not known"
+            })
     void aFaultyNightIsTold(String more, String expected) {
         Faults faults = assertThrows(Faults.class, () -> Night.parse("a.yaml", SMALL + more + "\n"));
-        assertTrue(faults.getMessage().startsWith("a.yaml:7:") && faults.getMessage().contains(expected),
-            faults.getMessage());
+        assertTrue(
+                faults.getMessage().startsWith("a.yaml:7:")
+                        && faults.getMessage().contains(expected),
+                faults.getMessage());
     }
 }
--- a/src/test/java/brambletray/serve/ConsoleTest.java
+++ b/src/test/java/brambletray/serve/ConsoleTest.java
@@ -28,6 +28,7 @@
 
     @TempDir
     Path folder;
+
     private PlatformStub platform;
     private HostStub one, other;
 
@@ -59,7 +60,8 @@
     /** The whole answer to a call: what comes until the relay closes. */
     static String call(Node relay, String line) throws IOException {
         try (Socket socket = connect(relay)) {
-            socket.getOutputStream().write((line + " HTTP/1.1\r\nHost: operators\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write((line + " HTTP/1.1\r\nHost: operators\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
     }
@@ -70,8 +72,12 @@
 
     private static Map<String, Long> figures(Node relay) throws IOException {
         Map<String, Long> figures = new HashMap<>();
-        call(relay, "GET /status/metrics").lines().filter(l -> l.startsWith("svc.")).forEach(l ->
-            figures.put(l.substring(4, l.indexOf(':')), Long.parseLong(l.substring(l.indexOf(':') + 1, l.indexOf('|')))));
+        call(relay, "GET /status/metrics")
+                .lines()
+                .filter(l -> l.startsWith("svc."))
+                .forEach(l -> figures.put(
+                        l.substring(4, l.indexOf(':')),
+                        Long.parseLong(l.substring(l.indexOf(':') + 1, l.indexOf('|')))));
         return figures;
     }
 
@@ -84,7 +90,8 @@
     /** Guards the sum: whatever becomes of a message, it is counted once, and what was never taken on too. */
     @Test
     void figuresAddUpOverEachWayInWhichAMessageEnds() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("delivered", "bill", 7, 16_000).get(0));
             HostStub.Call call = nextCall();
             assertEquals(1, figures(relay).get("in_flight"));
@@ -127,7 +134,8 @@
     /** Guards the rule on drains: a host taken out gets nothing new, over a list that names it, and a restart. */
     @Test
     void aHostTakenOutStaysOutUntilItIsPutBack() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertSays(404, call(relay, "POST /maintenance/enter/s-9"));
             assertSays(200, call(relay, "POST /maintenance/enter/s-1"));
             assertSays(200, call(relay, "POST /maintenance/enter/s-1"));
@@ -143,7 +151,8 @@
             awaitIdle(relay);
             assertTrue(one.quiet());
         }
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(1, figures(relay).get("hosts_excluded"));
             for (int i = 0; i < 3; i++) {
                 assertEquals(TAKEN, client.post("b" + i, "bill", 7, 16_000).get(0));
@@ -163,8 +172,12 @@
     @Test
     void aDrainedRelaySendsItsClientsAwayAndComesBack() throws Exception {
         try (Node relay = relay()) {
-            try (var idle = new PlatformStub.Client(relay); var client = new PlatformStub.Client(relay)) {
-                assertEquals("HTTP/1.1 200 OK", idle.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+            try (var idle = new PlatformStub.Client(relay);
+                    var client = new PlatformStub.Client(relay)) {
+                assertEquals(
+                        "HTTP/1.1 200 OK",
+                        idle.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
                 assertSays(200, call(relay, "POST /standby"));
                 List<String> answer = client.post("a", "bill", 7, 16_000);
                 assertEquals(TAKEN, answer.get(0));
@@ -174,13 +187,18 @@
                 assertTrue(idle.closed(), "held idle");
             }
             try (var client = new PlatformStub.Client(relay)) {
-                assertEquals("HTTP/1.1 503 Service Unavailable",
-                    client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertEquals(
+                        "HTTP/1.1 503 Service Unavailable",
+                        client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
             }
             assertSays(200, call(relay, "GET /status"));
             assertSays(200, call(relay, "POST /active"));
             try (var client = new PlatformStub.Client(relay)) {
-                assertEquals("HTTP/1.1 200 OK", client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertEquals(
+                        "HTTP/1.1 200 OK",
+                        client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
                 assertEquals(TAKEN, client.post("b", "bill", 7, 16_000).get(0));
                 nextCall().answer(HostStub.OK);
             }
@@ -231,7 +249,10 @@
             assertSays(200, call(relay, "GET /status"));
             assertEquals(0, figures(relay).get("hosts_excluded"));
             try (var client = new PlatformStub.Client(relay)) {
-                assertEquals("HTTP/1.1 200 OK", client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertEquals(
+                        "HTTP/1.1 200 OK",
+                        client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
             }
         }
     }
--- a/src/test/java/brambletray/serve/HandoverTest.java
+++ b/src/test/java/brambletray/serve/HandoverTest.java
@@ -26,6 +26,7 @@
 
     @TempDir
     Path folder;
+
     private PlatformStub platform;
     private HostStub host;
 
@@ -92,7 +93,8 @@
     /** What is out stays with the process that sent it, and ends where the message has gone. */
     @Test
     void aMessageThatIsOutIsHandedOnAndNotSentTwice() throws Exception {
-        try (Node one = first(); var client = new PlatformStub.Client(one)) {
+        try (Node one = first();
+                var client = new PlatformStub.Client(one)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             HostStub.Call out = host.call();
             assertEquals(TAKEN, client.post("unsafe", "pay", 7, 16_000).get(0));
@@ -115,8 +117,10 @@
     /** Both serve: what is handed in at the one that does not own goes through the other, either way round. */
     @Test
     void clientsOfBothAreServedThroughTheOneThatOwns() throws Exception {
-        try (Node one = first(); Node two = second(one)) {
-            try (var there = clientOf(two); var here = clientOf(one)) {
+        try (Node one = first();
+                Node two = second(one)) {
+            try (var there = clientOf(two);
+                    var here = clientOf(one)) {
                 assertEquals(TAKEN, there.post("a", "bill", 7, 16_000).get(0));
                 host.call().answer(HostStub.OK);
                 awaitIdle(one);
@@ -175,7 +179,8 @@
     /** The new process is gone before it was asked to take over: nothing has been. */
     @Test
     void whereTheNewProcessDiesTheOldOneServesOn() throws Exception {
-        try (Node one = first(); var client = new PlatformStub.Client(one)) {
+        try (Node one = first();
+                var client = new PlatformStub.Client(one)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             HostStub.Call out = host.call();
             Node two = second(one);
@@ -219,7 +224,9 @@
         Node one = first();
         Node two = second(one);
         ExecutionException fault = assertThrows(ExecutionException.class, () -> second(one));
-        assertTrue(fault.getCause().getMessage().contains("already"), fault.getCause().getMessage());
+        assertTrue(
+                fault.getCause().getMessage().contains("already"),
+                fault.getCause().getMessage());
         leaving(one).join();
         awaitOwner(two);
         Node three = second(two);
@@ -264,13 +271,17 @@
             leaving(one).join();
             awaitOwner(two);
             try (var client = new PlatformStub.Client(two)) {
-                assertEquals("HTTP/1.1 503 Service Unavailable",
-                    client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertEquals(
+                        "HTTP/1.1 503 Service Unavailable",
+                        client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
             }
             assertTrue(ConsoleTest.call(two, "POST /active").startsWith("HTTP/1.1 200"));
             try (var client = new PlatformStub.Client(two)) {
-                assertEquals("HTTP/1.1 200 OK",
-                    client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertEquals(
+                        "HTTP/1.1 200 OK",
+                        client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
             }
         }
     }
--- a/src/test/java/brambletray/serve/NodeTest.java
+++ b/src/test/java/brambletray/serve/NodeTest.java
@@ -29,6 +29,7 @@
 
     @TempDir
     Path folder;
+
     private PlatformStub platform;
     private HostStub host;
 
@@ -56,7 +57,8 @@
 
     @Test
     void aMessageGoesOnUnchangedOverAKeptConnection() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             HostStub.Call first = host.call();
             assertEquals("POST /v1/messages HTTP/1.1", first.head().get(0));
@@ -78,7 +80,10 @@
             long before = Files.size(platform.journal());
             List<String> good = PlatformStub.Client.headers("x", "bill", 7, 900);
             try (var client = new PlatformStub.Client(relay)) {
-                assertEquals("HTTP/1.1 200 OK", client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+                assertEquals(
+                        "HTTP/1.1 200 OK",
+                        client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0])
+                                .get(0));
                 assertStatus(404, client.post("x", "wobble", 7, 900));
                 assertStatus(404, client.post("x", "bill", 8, 900));
                 assertStatus(404, client.post("/other", good, ""));
@@ -112,7 +117,8 @@
      */
     @Test
     void connectionsThatBreakAreNotHeldAgainstTheirHost() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             host.call().answer(HostStub.OK);
             awaitClosedJournal(relay);
@@ -144,7 +150,8 @@
      */
     @Test
     void aMessageThatTimesOutIsNotHeldAgainstItsHost() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             for (String id : List.of("a", "b")) {
                 assertEquals(TAKEN, client.post(id, "bill", 7, 16_000).get(0));
                 host.call().answer(HostStub.OK);
@@ -171,7 +178,8 @@
     void aMessageWithLittleTimeGoesBeforeThoseThatCanWait() throws Exception {
         // Of two that go out at once, on connections of their own, either may come first.
         platform.slots = 1;
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("first", "bill", 7, 16_000).get(0));
             HostStub.Call first = host.call();
             assertEquals(TAKEN, client.post("patient", "bill", 7, 16_000).get(0));
@@ -191,7 +199,8 @@
         platform.bundle = 3;
         platform.slots = 1;
         platform.openCap = 10;
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("first", "bill", 7, 16_000).get(0));
             HostStub.Call first = host.call();
             assertEquals("first", first.header("X-Request-ID"));
@@ -202,7 +211,7 @@
             HostStub.Call batch = host.call();
             assertEquals("POST /v1/messages:batch HTTP/1.1", batch.head().get(0));
             String answer = "[{\"id\":\"m0\",\"state\":\"accepted\"},{\"id\":\"m1\",\"state\":\"deferred\"},"
-                + "{\"id\":\"m2\",\"state\":\"accepted\"}]";
+                    + "{\"id\":\"m2\",\"state\":\"accepted\"}]";
             batch.answer("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length() + "\r\n\r\n" + answer);
             HostStub.Call rest = host.call();
             assertTrue(rest.body().contains("\"m1\"") && rest.body().contains("\"m3\""), rest.body());
@@ -222,7 +231,8 @@
     @Test
     void callsHaveLessTimeWhileSlotsAreScarceAndCallsAreLost() throws Exception {
         platform.slots = 1;
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             long least = Long.MAX_VALUE;
             // The first eight make the usual time known; of the others each first call is lost.
             for (int i = 0; i < 20 && least >= 1_000; i++) {
@@ -244,8 +254,9 @@
         try (Node relay = platform.relay(host("s-1", host.port(), 7, "ready"), host("s-2", host.port(), 8, "ready"));
                 var client = new PlatformStub.Client(relay)) {
             int held = 0;
-            while (client.post("/bill", PlatformStub.Client.headers("a" + held, "bill", 7, 16_000), body).get(0)
-                .equals(TAKEN)) {
+            while (client.post("/bill", PlatformStub.Client.headers("a" + held, "bill", 7, 16_000), body)
+                    .get(0)
+                    .equals(TAKEN)) {
                 held++;
             }
             HostStub.Call first = host.call();
@@ -273,7 +284,8 @@
     /** Guards the cap on messages held: the client is told to come back, not left waiting. */
     @Test
     void aboveTheOpenCapAMessageIsRefusedWithATimeToComeBack() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             // The module gives back one that it may when the cap is reached, so unsafe ones that are out hold it.
             int taken = 0;
             List<String> answer = client.post("m0", "pay", 7, 16_000);
@@ -291,7 +303,8 @@
     void aMessageThatIsGivenUpEndsByANoticeThatIsRepeatedUntilItIsAcknowledged() throws Exception {
         platform.noticeStatuses.add(500);
         platform.noticeStatuses.add(503);
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 300).get(0));
             assertNotNull(host.call());
             String notice = "{\"message\":\"a\",\"outcome\":\"given_up\"}";
@@ -309,7 +322,8 @@
     @Test
     void aKeyedMessageThatWasOutIsSentAgainAfterARestart() throws Exception {
         HostStub.Call before;
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
             before = host.call();
         }
@@ -327,7 +341,8 @@
     /** Guards against double effects: an unsafe call that was out at the kill may have run. */
     @Test
     void anUnsafeMessageThatWasOutIsGivenUpAfterARestart() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 16_000).get(0));
             assertNotNull(host.call());
         }
@@ -342,7 +357,8 @@
     @Test
     void anUnsafeMessageThatNeverRanIsSentAfterARestart() throws Exception {
         long told;
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 60_000).get(0));
             long before = Files.size(platform.journal());
             told = System.nanoTime();
@@ -359,7 +375,8 @@
 
     @Test
     void aMessageWhoseTimePassedWhileTheRelayWasDownStillGetsItsNotice() throws Exception {
-        try (Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "bill", 7, 400).get(0));
             assertNotNull(host.call());
         }
@@ -372,9 +389,11 @@
     /** Guards the rule on drains: a host that the watch calls draining gets nothing new. */
     @Test
     void aDrainingHostGetsNothingNewAndItsReplacementDoes() throws Exception {
-        try (HostStub other = new HostStub(); Node relay = relay(); var client = new PlatformStub.Client(relay)) {
-            platform.changes.add(list(2, false, host("s-1", host.port(), 7, "draining"),
-                host("s-2", other.port(), 7, "ready")));
+        try (HostStub other = new HostStub();
+                Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
+            platform.changes.add(
+                    list(2, false, host("s-1", host.port(), 7, "draining"), host("s-2", other.port(), 7, "ready")));
             // The third watch is only asked for once the second list has been taken in.
             platform.changes.add(list(3, false));
             while (!platform.changes.isEmpty()) {
@@ -392,7 +411,9 @@
     /** Guards the watch against standing still, and against asking without a pause, after a list it cannot read. */
     @Test
     void theWatchGoesOnAfterAListThatCannotBeRead() throws Exception {
-        try (HostStub other = new HostStub(); Node relay = relay(); var client = new PlatformStub.Client(relay)) {
+        try (HostStub other = new HostStub();
+                Node relay = relay();
+                var client = new PlatformStub.Client(relay)) {
             platform.changes.add("{\"seq\":2,\"whole\":true,\"hosts\":[{}]}");
             platform.changes.add("nonsense");
             platform.changes.add(list(3, true, host("s-2", other.port(), 8, "ready")));
@@ -436,8 +457,9 @@
     void anUnusableConfigurationIsOnePlainLine() throws IOException {
         assertThrows(Config.Unusable.class, () -> Config.read(Map.of()));
         Path file = Files.writeString(folder.resolve("bad.json"), "{\"listen\":");
-        var fault = assertThrows(Config.Unusable.class,
-            () -> Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", folder.toString())));
+        var fault = assertThrows(
+                Config.Unusable.class,
+                () -> Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", folder.toString())));
         assertEquals(1, fault.getMessage().lines().count());
         assertThrows(Wire.Malformed.class, () -> Addresses.parse("localhost:80"));
         assertEquals(2, Node.serve(Map.of()));
--- a/src/test/java/brambletray/serve/ReloadTest.java
+++ b/src/test/java/brambletray/serve/ReloadTest.java
@@ -21,8 +21,10 @@
 class ReloadTest {
     @TempDir
     Path folder;
+
     @TempDir
     Path otherFolder;
+
     private PlatformStub old;
     private PlatformStub next;
 
@@ -41,7 +43,9 @@
     /** Guards against a watch that hangs on at the old address, and against versions that mean nothing at the new. */
     @Test
     void theWatchGoesToTheNewAddressAtOnceAndAsksForTheWholeList() throws Exception {
-        try (HostStub host = new HostStub(); Node relay = old.relay(); var client = new PlatformStub.Client(relay)) {
+        try (HostStub host = new HostStub();
+                Node relay = old.relay();
+                var client = new PlatformStub.Client(relay)) {
             assertEquals("/v1/servers?after=1&wait_ms=20000", old.watch());
             relay.reload(old.configure(next));
             assertEquals("/v1/servers", next.watch());
@@ -49,7 +53,8 @@
             old.changes.add(list(90, true));
             next.changes.add(list(3, true, host("s-2", host.port(), 8, "ready")));
             assertEquals("/v1/servers?after=3&wait_ms=20000", next.watch());
-            assertEquals("HTTP/1.1 202 Accepted", client.post("a", "bill", 8, 16_000).get(0));
+            assertEquals(
+                    "HTTP/1.1 202 Accepted", client.post("a", "bill", 8, 16_000).get(0));
             assertEquals("a", host.call().header("X-Request-ID"));
         }
     }
@@ -60,7 +65,8 @@
         for (int i = 0; i < 10_000; i++) {
             old.noticeStatuses.add(503);
         }
-        try (HostStub host = new HostStub(); Node relay = old.relay(host("s-1", host.port(), 7, "ready"));
+        try (HostStub host = new HostStub();
+                Node relay = old.relay(host("s-1", host.port(), 7, "ready"));
                 var client = new PlatformStub.Client(relay)) {
             client.post("a", "bill", 7, 300);
             assertNotNull(old.notice());
@@ -90,15 +96,23 @@
     @Test
     void aHangupIsNotTheEndOfTheProcess() throws Exception {
         Map<String, String> env = old.configure(old);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "brambletray.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "brambletray.Main",
+                "serve");
         builder.environment().putAll(env);
-        Process relay = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        Process relay = builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
         try {
             assertNotNull(old.watch());
             for (PlatformStub to : new PlatformStub[] {next, old, next}) {
                 old.configure(to);
-                new ProcessBuilder("kill", "-HUP", Long.toString(relay.pid())).start().waitFor();
+                new ProcessBuilder("kill", "-HUP", Long.toString(relay.pid()))
+                        .start()
+                        .waitFor();
                 assertEquals("/v1/servers", to.watch());
             }
             assertTrue(relay.isAlive());
--- a/src/test/java/brambletray/siblings/NoteCodecTest.java
+++ b/src/test/java/brambletray/siblings/NoteCodecTest.java
@@ -11,8 +11,11 @@
 
 class NoteCodecTest {
     private static final byte[] KEY = "0123456789abcdef".getBytes();
-    private static final List<Note> NOTES = List.of(new Note.Beat("r-1", new Standing(-7, 3, 9), 12), new Note.Ask("r-2", -5),
-        new Note.Tell("r-3", 5, new Account.Seen(new Standing(1, 2, 3), 4, 5)), new Note.Tell("r-3", 5, new Account.Never(77)));
+    private static final List<Note> NOTES = List.of(
+            new Note.Beat("r-1", new Standing(-7, 3, 9), 12),
+            new Note.Ask("r-2", -5),
+            new Note.Tell("r-3", 5, new Account.Seen(new Standing(1, 2, 3), 4, 5)),
+            new Note.Tell("r-3", 5, new Account.Never(77)));
     private final NoteCodec codec = new NoteCodec("north", KEY);
 
     @Test
@@ -53,10 +56,12 @@
     @Test
     void anotherClusterOrAnotherKeyIsNamed() {
         byte[] bytes = new NoteCodec("south", KEY).bytes(NOTES.get(0));
-        assertEquals("a note of cluster 'south', this is 'north'",
-            assertThrows(IOException.class, () -> codec.read(bytes)).getMessage());
+        assertEquals(
+                "a note of cluster 'south', this is 'north'",
+                assertThrows(IOException.class, () -> codec.read(bytes)).getMessage());
         byte[] forged = new NoteCodec("north", "fedcba9876543210".getBytes()).bytes(NOTES.get(0));
-        assertEquals("a note whose keyed hash does not fit",
-            assertThrows(IOException.class, () -> codec.read(forged)).getMessage());
+        assertEquals(
+                "a note whose keyed hash does not fit",
+                assertThrows(IOException.class, () -> codec.read(forged)).getMessage());
     }
 }
--- a/src/test/java/brambletray/siblings/SiblingsTest.java
+++ b/src/test/java/brambletray/siblings/SiblingsTest.java
@@ -30,6 +30,7 @@
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class SiblingsTest {
     private static final byte[] KEY = "0123456789abcdef".getBytes();
+
     @TempDir
     Path folder;
 
@@ -46,17 +47,26 @@
         try (DatagramSocket witness = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             witness.setSoTimeout(30_000);
             NoteCodec codec = new NoteCodec("c", KEY);
-            SiblingsFile file = new SiblingsFile("c", "me", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                Map.of("w", (InetSocketAddress) witness.getLocalSocketAddress()), KEY, 50, 30_000, false);
+            SiblingsFile file = new SiblingsFile(
+                    "c",
+                    "me",
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    Map.of("w", (InetSocketAddress) witness.getLocalSocketAddress()),
+                    KEY,
+                    50,
+                    30_000,
+                    false);
             Store store = Store.open(new MemoryDisk(), new Store.Options(1_000_000, Store.Promise.PROCESS, 1_000));
             Siblings siblings = new Siblings(Machine.real(group.next()), file, store);
             siblings.listen().sync();
             Standing own = new Standing(1, 2, 3), later = new Standing(1, 9, 3);
             Future<Finding> found = siblings.ask(own, 1_000);
             Note.Ask ask = (Note.Ask) receive(witness, codec);
-            for (Note note : new Note[] {new Note.Tell("w", ask.nonce() + 1, new Account.Seen(later, 9_000, 1)),
-                    new Note.Tell("stranger", ask.nonce(), new Account.Seen(later, 9_000, 1)),
-                    new Note.Tell("w", ask.nonce(), new Account.Seen(own, 9_000, 1))}) {
+            for (Note note : new Note[] {
+                new Note.Tell("w", ask.nonce() + 1, new Account.Seen(later, 9_000, 1)),
+                new Note.Tell("stranger", ask.nonce(), new Account.Seen(later, 9_000, 1)),
+                new Note.Tell("w", ask.nonce(), new Account.Seen(own, 9_000, 1))
+            }) {
                 byte[] bytes = codec.bytes(note);
                 witness.send(new DatagramPacket(bytes, bytes.length, siblings.address()));
             }
@@ -97,7 +107,8 @@
               - {name: x, address: '127.0.0.1'}
               - {name: x, address: '127.0.0.1:2', port: 3}
             """);
-        for (String part : new String[] {"s.yaml:1:", "s.yaml:3:", "s.yaml:5:", "s.yaml:7:", "s.yaml:8:", "s.yaml:9:"}) {
+        for (String part :
+                new String[] {"s.yaml:1:", "s.yaml:3:", "s.yaml:5:", "s.yaml:7:", "s.yaml:8:", "s.yaml:9:"}) {
             assertTrue(said.contains(part), part + " in " + said);
         }
         assertTrue(faults("""
--- a/src/test/java/brambletray/siblings/SightingsSimTest.java
+++ b/src/test/java/brambletray/siblings/SightingsSimTest.java
@@ -29,7 +29,7 @@
     private static final long BEAT = 250, LONGEST = 16_000, PATIENCE = 2_000;
     private static final Store.Options OPTIONS = new Store.Options(1_000_000, Store.Promise.PROCESS, 1_000);
 
-    private record Event(long at, long order, Runnable what) { }
+    private record Event(long at, long order, Runnable what) {}
 
     private static final class Witness {
         MemoryDisk disk = new MemoryDisk();
@@ -38,12 +38,13 @@
         boolean up, stopped, cut;
         /** What it was handed, as told by nobody but this test. */
         Standing handed;
+
         final List<Runnable> waiting = new ArrayList<>();
     }
 
     private SplittableRandom random;
     private final PriorityQueue<Event> events =
-        new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final List<Witness> witnesses = new ArrayList<>();
     private long now, order;
     private int loss;
@@ -161,7 +162,11 @@
         }
     }
 
-    private enum Folder { KEPT, OLDER, EMPTY }
+    private enum Folder {
+        KEPT,
+        OLDER,
+        EMPTY
+    }
 
     /** One story; what was found, by what was done to the folder. */
     private String story(Map<Folder, Integer> stories) {
@@ -194,7 +199,7 @@
                         up(w);
                     }
                     case 2 -> w.cut = !w.cut;
-                    default -> { }
+                    default -> {}
                 }
             }
         }
@@ -217,8 +222,9 @@
         Folder kind = Folder.values()[random.nextInt(3)];
         stories.merge(kind, 1, Integer::sum);
         Standing newest = folder.get(folder.size() - 1);
-        Standing own = kind == Folder.EMPTY ? null : kind == Folder.KEPT ? newest
-            : folder.get(random.nextInt(folder.size() - 1));
+        Standing own = kind == Folder.EMPTY
+                ? null
+                : kind == Folder.KEPT ? newest : folder.get(random.nextInt(folder.size() - 1));
         boolean stale = own == null || own.behind(newest);
         Question q = new Question(own);
         runUntil(now + PATIENCE + 1);
--- a/src/test/java/brambletray/simhost/SimHostTest.java
+++ b/src/test/java/brambletray/simhost/SimHostTest.java
@@ -10,7 +10,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
@@ -39,13 +38,15 @@
         {"verb":"Eob"}
         """;
 
-    private record Result(int code, String out, String err) { }
+    private record Result(int code, String out, String err) {}
 
     private static Result serve(String input) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int code = SimHost.serve(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
-            new PrintStream(err, true, StandardCharsets.UTF_8));
+        int code = SimHost.serve(
+                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                out,
+                new PrintStream(err, true, StandardCharsets.UTF_8));
         return new Result(code, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
     }
 
@@ -65,14 +66,22 @@
     @Test
     void aRestartForgetsAndADeadInstanceIsUnknown() throws IOException {
         Result r = serve(START + "{\"verb\":\"Batch\",\"sim-time\":1001.0,\"frame\":2}\n{\"verb\":\"Down\",\"i\":3}\n"
-            + "{\"verb\":\"TickDue\",\"i\":3,\"label\":1}\n");
+                + "{\"verb\":\"TickDue\",\"i\":3,\"label\":1}\n");
         assertEquals(1, r.code);
         assertEquals("line 8: instance 3 never started\n", r.err);
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"nonsense", "[1]", "{\"verb\":\"Batch\"}", "{\"no\":1}", "{\"verb\":\"Eob\"}",
-        "{\"verb\":\"Batch\",\"sim-time\":\"x\",\"frame\":1}", "{\"verb\":\"Batch\",\"sim-time\":1,\"frame\":1} {}"})
+    @ValueSource(
+            strings = {
+                "nonsense",
+                "[1]",
+                "{\"verb\":\"Batch\"}",
+                "{\"no\":1}",
+                "{\"verb\":\"Eob\"}",
+                "{\"verb\":\"Batch\",\"sim-time\":\"x\",\"frame\":1}",
+                "{\"verb\":\"Batch\",\"sim-time\":1,\"frame\":1} {}"
+            })
     void malformedLinesAreNamedOnStandardError(String line) throws IOException {
         Result r = serve(line + "\n");
         assertEquals(1, r.code);
@@ -81,9 +90,14 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{\"verb\":\"Wobble\",\"i\":3}", "{\"verb\":\"Accept\",\"i\":3,\"ref\":\"a\"}",
-        "{\"verb\":\"TickDue\",\"i\":9}", "{\"verb\":\"Verdict\",\"i\":3,\"ref\":\"a\",\"host\":1,\"rc\":\"Q\"}",
-        "{\"verb\":\"Membership\",\"i\":3,\"epoch\":1,\"roster-id\":7,\"mode\":\"full\"}"})
+    @ValueSource(
+            strings = {
+                "{\"verb\":\"Wobble\",\"i\":3}",
+                "{\"verb\":\"Accept\",\"i\":3,\"ref\":\"a\"}",
+                "{\"verb\":\"TickDue\",\"i\":9}",
+                "{\"verb\":\"Verdict\",\"i\":3,\"ref\":\"a\",\"host\":1,\"rc\":\"Q\"}",
+                "{\"verb\":\"Membership\",\"i\":3,\"epoch\":1,\"roster-id\":7,\"mode\":\"full\"}"
+            })
     void badEventsAreNamedToo(String line) throws IOException {
         Result r = serve(START + "{\"verb\":\"Batch\",\"sim-time\":1001.0,\"frame\":2}\n" + line + "\n");
         assertEquals(1, r.code);
@@ -103,12 +117,16 @@
         Path sources = Path.of("src/main/java/brambletray");
         String deployed = Files.readString(Path.of("deploy/balancer.toml"));
         Matcher policy = Pattern.compile("\\w[\\w/]*/(\\w+\\.java)")
-            .matcher(deployed.substring(deployed.indexOf("policy = ["), deployed.indexOf("]", deployed.indexOf("policy = ["))));
+                .matcher(deployed.substring(
+                        deployed.indexOf("policy = ["), deployed.indexOf("]", deployed.indexOf("policy = ["))));
         long lines = 0;
-        Set<String> files = new TreeSet<>(Set.of("Control.java", "Turn.java", "Relay.java", "State.java", "Memory.java"));
+        Set<String> files =
+                new TreeSet<>(Set.of("Control.java", "Turn.java", "Relay.java", "State.java", "Memory.java"));
         while (policy.find()) {
             files.add(policy.group(1));
-            lines += Files.readAllLines(Path.of(policy.group())).stream().filter(l -> !l.isBlank()).count();
+            lines += Files.readAllLines(Path.of(policy.group())).stream()
+                    .filter(l -> !l.isBlank())
+                    .count();
         }
         assertTrue(lines > 1000 && lines <= 1200, "at most 1200 lines: " + lines);
         assertEquals(files, Set.of(sources.resolve("control").toFile().list()), "no file of decisions is left out");
@@ -116,7 +134,9 @@
         try (var walk = Files.walk(sources)) {
             for (Path file : walk.filter(Files::isRegularFile).toList()) {
                 for (String line : Files.readAllLines(file)) {
-                    assertTrue(line.length() <= (file.startsWith(sources.resolve("tray")) ? 160 : 110), file + ": " + line);
+                    assertTrue(
+                            line.length() <= (file.startsWith(sources.resolve("tray")) ? 160 : 110),
+                            file + ": " + line);
                 }
             }
         }
--- a/src/test/java/brambletray/simulation/SimNetworkTest.java
+++ b/src/test/java/brambletray/simulation/SimNetworkTest.java
@@ -81,12 +81,13 @@
     void serve() {
         simulation.network().usual(new SimNetwork.Way(10 * MS, 0));
         server.listening(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                accepted = channel;
-                channel.pipeline().addLast(new Watch("server"));
-            }
-        }).bind(door);
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted = channel;
+                        channel.pipeline().addLast(new Watch("server"));
+                    }
+                })
+                .bind(door);
         simulation.runUntil(0);
     }
 
@@ -159,8 +160,8 @@
         if (n > 0) {
             seen.add("30 server " + "0123456789".substring(0, n));
         }
-        seen.addAll(List.of("30 client Connection reset", "30 client closed", "30 server Connection reset",
-            "30 server closed"));
+        seen.addAll(List.of(
+                "30 client Connection reset", "30 client closed", "30 server Connection reset", "30 server closed"));
         assertEquals(seen.stream().sorted().toList(), log.stream().sorted().toList());
     }
 
@@ -289,9 +290,13 @@
         connected();
         simulation.network().cut(away, home);
         simulation.runUntil(2_000 * MS);
-        assertEquals(List.of("1520 client Connection timed out", "1520 client closed", "1520 server Connection timed out",
-            "1520 server closed"),
-            log.stream().sorted().toList());
+        assertEquals(
+                List.of(
+                        "1520 client Connection timed out",
+                        "1520 client closed",
+                        "1520 server Connection timed out",
+                        "1520 server closed"),
+                log.stream().sorted().toList());
     }
 
     /** A frozen process does nothing; what came for it is there when it goes on. */
@@ -322,7 +327,11 @@
         assertEquals(List.of(), log);
         simulation.runUntil(600 * MS);
         assertEquals(3, log.size(), log.toString());
-        assertTrue(log.get(0).contains("early") && log.get(1).contains("late") && log.get(2).equals("542 timer"), log.toString());
+        assertTrue(
+                log.get(0).contains("early")
+                        && log.get(1).contains("late")
+                        && log.get(2).equals("542 timer"),
+                log.toString());
         assertTrue(accepted.isActive());
     }
 
--- a/src/test/java/brambletray/stage/DamagedStoreTest.java
+++ b/src/test/java/brambletray/stage/DamagedStoreTest.java
@@ -25,8 +25,10 @@
 class DamagedStoreTest {
     private static final boolean FULL = "full".equals(System.getProperty("torture"));
     private static final long S = 1_000_000_000L;
+
     @TempDir
     Path folder;
+
     private int runs;
 
     private static Script script() throws Exception {
@@ -89,24 +91,26 @@
         for (int i = 0; i < cases; i++) {
             int number = i;
             long seed = random.nextLong();
-            boolean survived = survives(disk -> {
-                SplittableRandom draw = new SplittableRandom(seed);
-                MemoryDisk left = disk.killed();
-                List<String> names = left.list();
-                String name = names.get(number % 5 == 0 ? draw.nextInt(names.size()) : names.size() - 1);
-                byte[] bytes = left.bytes(name);
-                if (bytes.length == 0) {
-                    return left;
-                }
-                int at = draw.nextInt(bytes.length);
-                if (number % 2 == 0) {
-                    left.damage(name, Arrays.copyOf(bytes, at));
-                } else {
-                    bytes[at] ^= (byte) (1 << draw.nextInt(8));
-                    left.damage(name, bytes);
-                }
-                return left;
-            }, "case " + i);
+            boolean survived = survives(
+                    disk -> {
+                        SplittableRandom draw = new SplittableRandom(seed);
+                        MemoryDisk left = disk.killed();
+                        List<String> names = left.list();
+                        String name = names.get(number % 5 == 0 ? draw.nextInt(names.size()) : names.size() - 1);
+                        byte[] bytes = left.bytes(name);
+                        if (bytes.length == 0) {
+                            return left;
+                        }
+                        int at = draw.nextInt(bytes.length);
+                        if (number % 2 == 0) {
+                            left.damage(name, Arrays.copyOf(bytes, at));
+                        } else {
+                            bytes[at] ^= (byte) (1 << draw.nextInt(8));
+                            left.damage(name, bytes);
+                        }
+                        return left;
+                    },
+                    "case " + i);
             back += survived ? 1 : 0;
         }
         assertTrue(back > cases * 8 / 10, back + " of " + cases + " came back");
@@ -117,18 +121,23 @@
     void aLogCutAtAnyRecordsEndIsSeen() throws Exception {
         for (int back = 1; back <= (FULL ? 400 : 40); back++) {
             int records = back;
-            survives(disk -> {
-                MemoryDisk left = disk.killed();
-                String name = left.list().stream().filter(n -> n.startsWith("seg-")).reduce((a, b) -> b).orElseThrow();
-                byte[] bytes = left.bytes(name);
-                java.util.ArrayList<Integer> ends = new java.util.ArrayList<>();
-                for (int at = 40; at + 8 <= bytes.length;) {
-                    at += 8 + java.nio.ByteBuffer.wrap(bytes).getInt(at);
-                    ends.add(at);
-                }
-                left.damage(name, Arrays.copyOf(bytes, ends.get(Math.max(0, ends.size() - 1 - records))));
-                return left;
-            }, back + " records cut off");
+            survives(
+                    disk -> {
+                        MemoryDisk left = disk.killed();
+                        String name = left.list().stream()
+                                .filter(n -> n.startsWith("seg-"))
+                                .reduce((a, b) -> b)
+                                .orElseThrow();
+                        byte[] bytes = left.bytes(name);
+                        java.util.ArrayList<Integer> ends = new java.util.ArrayList<>();
+                        for (int at = 40; at + 8 <= bytes.length; ) {
+                            at += 8 + java.nio.ByteBuffer.wrap(bytes).getInt(at);
+                            ends.add(at);
+                        }
+                        left.damage(name, Arrays.copyOf(bytes, ends.get(Math.max(0, ends.size() - 1 - records))));
+                        return left;
+                    },
+                    back + " records cut off");
         }
     }
 }
--- a/src/test/java/brambletray/stage/HardCasesTest.java
+++ b/src/test/java/brambletray/stage/HardCasesTest.java
@@ -19,6 +19,7 @@
 /** The relay at a partner's worst moments, in simulated time; and relays with a fault, which must be caught. */
 class HardCasesTest {
     private static final long S = 1_000_000_000L;
+
     @TempDir
     Path folder;
 
@@ -31,8 +32,12 @@
               - {name: p, service: {law: constant, mean_ms: 100}, servers: 2, %s}
             events:
             %s
-            """.formatted(head, partner, String.join("\n", java.util.Arrays.stream(events).map(e -> "  - " + e)
-                .toList())));
+            """.formatted(
+                head,
+                partner,
+                String.join(
+                        "\n",
+                        java.util.Arrays.stream(events).map(e -> "  - " + e).toList())));
     }
 
     private SimStage stage(Script script) throws Exception {
@@ -49,8 +54,13 @@
     @ParameterizedTest
     @ValueSource(strings = {"unsafe", "keyed", "safe"})
     void aPauseLongerThanTheDeadlineAnswersLateAndNothingTakesEffectTwice(String effect) throws Exception {
-        Score.Result r = play(script("traffic: {per_s: 6}\nclasses: [{name: bill, aim_ms: 1000, limit_ms: 2000, effect: "
-            + effect + "}]", "queue: 30", "{at_s: 5, for_s: 4, on: p, do: pause}"), t -> t);
+        Score.Result r = play(
+                script(
+                        "traffic: {per_s: 6}\nclasses: [{name: bill, aim_ms: 1000, limit_ms: 2000, effect: " + effect
+                                + "}]",
+                        "queue: 30",
+                        "{at_s: 5, for_s: 4, on: p, do: pause}"),
+                t -> t);
         Set<Ledger.Rule> broken = r.breaches().stream().map(Ledger.Breach::rule).collect(Collectors.toSet());
         // A safe message may run twice; nothing else may.
         broken.removeIf(rule -> effect.equals("safe") && rule == Ledger.Rule.EFFECT_TWICE);
@@ -63,8 +73,10 @@
     @ParameterizedTest
     @ValueSource(strings = {"shut", "down", "hang", "vanish"})
     void aPartnerThatReturnsColdIsNotPushedOver(String outage) throws Exception {
-        try (SimStage stage = stage(script("traffic: {per_s: 12}\nfleet: {relays: 2}", "queue: 8",
-            "{at_s: 4, for_s: 6, on: p, do: " + outage + "}"))) {
+        try (SimStage stage = stage(script(
+                "traffic: {per_s: 12}\nfleet: {relays: 2}",
+                "queue: 8",
+                "{at_s: 4, for_s: 6, on: p, do: " + outage + "}"))) {
             Score.Result r = stage.play();
             assertTrue(r.clean(), r.breaches() + " " + r.lost());
             Endpoint p = stage.scene().world().endpoint("p");
@@ -77,8 +89,11 @@
     /** Guards rule 3: calls are out, more wait, and the relay hears of the drain a second later. */
     @Test
     void aDrainWhileCallsAreOut() throws Exception {
-        try (SimStage stage = stage(script("traffic: {per_s: 15}", "queue: 20, endpoints: 2",
-            "{at_s: 5, on: p.1, do: drain}", "{at_s: 20, on: p.2, do: leave, for_s: 5}"))) {
+        try (SimStage stage = stage(script(
+                "traffic: {per_s: 15}",
+                "queue: 20, endpoints: 2",
+                "{at_s: 5, on: p.1, do: drain}",
+                "{at_s: 20, on: p.2, do: leave, for_s: 5}"))) {
             stage.runUntil(5 * S + 1_400_000_000L);
             long before = stage.scene().world().endpoint("p.1").tally().arrived;
             Score.Result r = stage.play();
@@ -90,11 +105,15 @@
     /** Guards against a call that goes to the address of a host that has left, and counts for its successor. */
     @Test
     void aHostReplacedAtTheSameAddress() throws Exception {
-        try (SimStage stage = stage(script("traffic: {per_s: 8}", "queue: 20",
-            "{at_s: 8, on: p, do: replace}", "{at_s: 18, on: p, do: replace}"))) {
+        try (SimStage stage = stage(script(
+                "traffic: {per_s: 8}",
+                "queue: 20",
+                "{at_s: 8, on: p, do: replace}",
+                "{at_s: 18, on: p, do: replace}"))) {
             Score.Result r = stage.play();
             assertTrue(r.clean(), r.breaches().toString());
-            assertEquals("p-r2", stage.scene().world().host(stage.scene().world().endpoint("p")));
+            assertEquals(
+                    "p-r2", stage.scene().world().host(stage.scene().world().endpoint("p")));
             assertTrue(r.delivered() > r.asked() * 8 / 10, r.toString());
         }
     }
@@ -102,9 +121,10 @@
     /** Idle connections of all relays fill the cap of a partner; messages still come through. */
     @Test
     void aConnectionCapThatIdleConnectionsReach() throws Exception {
-        try (SimStage stage = stage(script("traffic: {per_s: 12}\nfleet: {relays: 4}",
-            "queue: 8, connections: {cap: 6, handshake_ms: 20}", "{at_s: 25, on: p, do: list_moved}"
-                .replace("on: p, ", "")))) {
+        try (SimStage stage = stage(script(
+                "traffic: {per_s: 12}\nfleet: {relays: 4}",
+                "queue: 8, connections: {cap: 6, handshake_ms: 20}",
+                "{at_s: 25, on: p, do: list_moved}".replace("on: p, ", "")))) {
             Score.Result r = stage.play();
             assertTrue(r.clean(), r.breaches().toString());
             Endpoint p = stage.scene().world().endpoint("p");
@@ -117,9 +137,11 @@
     /** Guards what is owed: a relay is killed and comes back on its folder while the partner is full. */
     @Test
     void aRelayKilledWhileThePartnersQueueIsFull() throws Exception {
-        try (SimStage stage = stage(script("traffic: {per_s: 25, until_s: 12}\n"
-            + "classes: [{name: pay, aim_ms: 2000, limit_ms: 16000, effect: unsafe}]", "queue: 6",
-            "{at_s: 2, for_s: 8, on: p, do: slow, factor: 3}"))) {
+        try (SimStage stage = stage(script(
+                "traffic: {per_s: 25, until_s: 12}\n"
+                        + "classes: [{name: pay, aim_ms: 2000, limit_ms: 16000, effect: unsafe}]",
+                "queue: 6",
+                "{at_s: 2, for_s: 8, on: p, do: slow, factor: 3}"))) {
             stage.runUntil(6 * S);
             assertTrue(stage.scene().world().endpoint("p").inHand() > 0);
             stage.kill(0);
@@ -134,9 +156,13 @@
     /** The agent stalls and moves while a host is replaced: the relay ends with the true list. */
     @Test
     void aListThatStallsAndMovesIsCaughtUpWith() throws Exception {
-        try (SimStage stage = stage(script("traffic: {per_s: 8}", "queue: 20, endpoints: 2",
-            "{at_s: 5, for_s: 8, do: list_stalled}", "{at_s: 7, on: p.1, do: drain}", "{at_s: 18, do: list_moved}",
-            "{at_s: 20, on: p.2, do: replace}"))) {
+        try (SimStage stage = stage(script(
+                "traffic: {per_s: 8}",
+                "queue: 20, endpoints: 2",
+                "{at_s: 5, for_s: 8, do: list_stalled}",
+                "{at_s: 7, on: p.1, do: drain}",
+                "{at_s: 18, do: list_moved}",
+                "{at_s: 20, on: p.2, do: replace}"))) {
             Score.Result r = stage.play();
             assertTrue(r.clean(), r.breaches().toString());
             assertTrue(r.delivered() > r.asked() * 8 / 10, r.toString());
@@ -148,22 +174,28 @@
      * unsafe class called safe, routes that share their waits called apart, a cold partner called warm.
      */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"fragile\" | \"retryable\" | EFFECT_TWICE | 16 | queue: 20",
-        "\"kind-apart\" : [ false ] | \"kind-apart\" : [ true ] | WAIT_IGNORED | 16"
-            + " | queue: 20, endpoints: 3, routes_apart: false, limit: {per_s: 4, burst: 2}, told_waits: {share: 1}",
-        "\"cold-from\" : 0.05 | \"cold-from\" : 1.0 | PUSHED_OVER | 60"
-            + " | queue: 2, cold: {from: 0.05, warm_ms: 20000, multiple: 1.5, slack_calls: 4}"})
-    void aRelayWithAFaultIsCaughtByTheGroundTruth(String truth, String told, Ledger.Rule rule, int perSecond,
-            String partner) throws Exception {
-        Script script = script("traffic: {per_s: " + perSecond + "}\nfleet: {relays: 6}\nclasses: [{name: pay, effect: unsafe}]", partner,
-            "{at_s: 5, for_s: 4, on: p, do: shut, told_waits: false}",
-            "{at_s: 15, for_s: 10, on: p, do: spoil, reset_after: 0.3}");
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"fragile\" | \"retryable\" | EFFECT_TWICE | 16 | queue: 20",
+                "\"kind-apart\" : [ false ] | \"kind-apart\" : [ true ] | WAIT_IGNORED | 16"
+                        + " | queue: 20, endpoints: 3, routes_apart: false, limit: {per_s: 4, burst: 2}, told_waits: {share: 1}",
+                "\"cold-from\" : 0.05 | \"cold-from\" : 1.0 | PUSHED_OVER | 60"
+                        + " | queue: 2, cold: {from: 0.05, warm_ms: 20000, multiple: 1.5, slack_calls: 4}"
+            })
+    void aRelayWithAFaultIsCaughtByTheGroundTruth(
+            String truth, String told, Ledger.Rule rule, int perSecond, String partner) throws Exception {
+        Script script = script(
+                "traffic: {per_s: " + perSecond + "}\nfleet: {relays: 6}\nclasses: [{name: pay, effect: unsafe}]",
+                partner,
+                "{at_s: 5, for_s: 4, on: p, do: shut, told_waits: false}",
+                "{at_s: 15, for_s: 10, on: p, do: spoil, reset_after: 0.3}");
         Score.Result good = play(script, t -> t);
         assertTrue(good.clean(), good.breaches().toString());
         Score.Result bad = play(script, t -> {
-            String lie = t.replace(truth, told).replace("\"fall-multiple\" : 1.5", "\"fall-multiple\" : 100.0")
-                .replace("\"cold\" : 20000.0", "\"cold\" : 1.0");
+            String lie = t.replace(truth, told)
+                    .replace("\"fall-multiple\" : 1.5", "\"fall-multiple\" : 100.0")
+                    .replace("\"cold\" : 20000.0", "\"cold\" : 1.0");
             lie = rule == Ledger.Rule.PUSHED_OVER ? lie.replace("\"balancers\" : 6", "\"balancers\" : 1") : lie;
             assertNotEquals(t, lie, "the configuration does not hold " + truth);
             return lie;
--- a/src/test/java/brambletray/stage/InventoryNightTest.java
+++ b/src/test/java/brambletray/stage/InventoryNightTest.java
@@ -44,6 +44,7 @@
     private static final int SEEDS = Integer.getInteger("seeds", 8);
     /** From the edit until the relay has read the file: it looks every 50 ms, and the file has to stand for 100. */
     private static final long LEARNT = 220 * MS;
+
     @TempDir
     Path folder;
 
@@ -84,8 +85,18 @@
             Map<String, Entry> listed = new LinkedHashMap<>();
             all.forEach((name, e) -> {
                 if (now.get(name) != null) {
-                    listed.put(name, new Entry(name, e.address(), e.port(), e.protocol(), e.destination(), e.zone(),
-                        e.kind(), e.rate(), now.get(name)));
+                    listed.put(
+                            name,
+                            new Entry(
+                                    name,
+                                    e.address(),
+                                    e.port(),
+                                    e.protocol(),
+                                    e.destination(),
+                                    e.zone(),
+                                    e.kind(),
+                                    e.rate(),
+                                    now.get(name)));
                 }
             });
             return Inventory.write(new Revision(listed), true).getBytes(StandardCharsets.UTF_8);
@@ -111,8 +122,11 @@
                 default -> Entry.State.READY;
             };
             String partner = name.substring(0, 1);
-            long left = now.entrySet().stream().filter(e -> e.getKey().startsWith(partner)
-                && !e.getKey().equals(name) && e.getValue() == Entry.State.READY).count();
+            long left = now.entrySet().stream()
+                    .filter(e -> e.getKey().startsWith(partner)
+                            && !e.getKey().equals(name)
+                            && e.getValue() == Entry.State.READY)
+                    .count();
             now.put(name, left == 0 ? Entry.State.READY : next);
             byte[] whole = text();
             if (random.nextInt(3) == 0) {
@@ -154,7 +168,8 @@
 
                 @Override
                 public void notice(Journal.Entry entry) {
-                    stage[0].scene().noticed(entry.message.id(), entry.end.handedBack(), entry.end.retryAfter() / 1_000);
+                    stage[0].scene()
+                            .noticed(entry.message.id(), entry.end.handedBack(), entry.end.retryAfter() / 1_000);
                     platform.notice(entry);
                 }
 
@@ -199,8 +214,18 @@
             int index = 0;
             for (var partner : script.partners()) {
                 for (var e : partner.endpoints()) {
-                    editor.all.put(e.name(), new Entry(e.name(), "10.2.0." + ++index, 8_080, "http", partner.destination(),
-                        e.zone(), "partner", partner.listedRate(), Entry.State.READY));
+                    editor.all.put(
+                            e.name(),
+                            new Entry(
+                                    e.name(),
+                                    "10.2.0." + ++index,
+                                    8_080,
+                                    "http",
+                                    partner.destination(),
+                                    e.zone(),
+                                    "partner",
+                                    partner.listedRate(),
+                                    Entry.State.READY));
                     editor.now.put(e.name(), Entry.State.READY);
                 }
             }
@@ -234,8 +259,12 @@
                     }
                 }
                 Score.Result r = night.play();
-                assertEquals(List.of(), r.breaches().stream()
-                    .filter(b -> b.rule() != Ledger.Rule.EFFECT_TWICE || !night.isSafe(b.message())).toList(), "seed " + seed);
+                assertEquals(
+                        List.of(),
+                        r.breaches().stream()
+                                .filter(b -> b.rule() != Ledger.Rule.EFFECT_TWICE || !night.isSafe(b.message()))
+                                .toList(),
+                        "seed " + seed);
                 assertEquals(0, r.lostCount(), "seed " + seed + ": " + r.lost());
                 delivered += r.delivered();
             }
--- a/src/test/java/brambletray/stage/MqttNightTest.java
+++ b/src/test/java/brambletray/stage/MqttNightTest.java
@@ -19,6 +19,7 @@
 class MqttNightTest {
     private static final long S = 1_000_000_000L;
     private static final int SEEDS = Integer.getInteger("seeds", 12);
+
     @TempDir
     Path folder;
 
@@ -26,7 +27,8 @@
     private static Script script(int seed) throws Exception {
         String m = seed % 2 == 0 ? "mqtt" : "mqtt-qos2";
         String n = new String[] {"mqtt-3.1.1-qos2", "mqtt", "mqtt-3.1.1", "mqtt-qos2"}[seed / 2 % 4];
-        return ScriptReader.parse("mqtt.yaml", """
+        return ScriptReader.parse(
+                "mqtt.yaml", """
             name: mqtt-night
             length_s: 24
             fleet: {relays: 2, slots: 24, open: 120}
@@ -69,8 +71,12 @@
                 // Clients that are away when the last message ends come back for its answer.
                 stage.runUntil(40 * S);
                 // A safe message may run twice; nothing else may.
-                assertEquals(List.of(), r.breaches().stream()
-                    .filter(b -> b.rule() != Ledger.Rule.EFFECT_TWICE || !stage.isSafe(b.message())).toList(), "seed " + seed);
+                assertEquals(
+                        List.of(),
+                        r.breaches().stream()
+                                .filter(b -> b.rule() != Ledger.Rule.EFFECT_TWICE || !stage.isSafe(b.message()))
+                                .toList(),
+                        "seed " + seed);
                 assertEquals(0, r.lostCount(), "seed " + seed + ": " + r.lost());
                 assertTrue(stage.scene().world().endpoint("m.2").tally().delivered() > 20, "little came by MQTT");
                 delivered += r.delivered();
