--- a/src/test/java/brambletray/stage/QuotaNightTest.java
+++ b/src/test/java/brambletray/stage/QuotaNightTest.java
@@ -16,20 +16,26 @@
 class QuotaNightTest {
     private static final int SMALL = 30, SEEDS = Integer.getInteger("seeds", 2);
     private static final double EACH = 0.8;
+
     @TempDir
     Path folder;
+
     private int plays;
 
     /** {@code rush}: messages a second of the large one. */
     private static String script(double rush) {
         StringBuilder classes = new StringBuilder("classes:\n");
         if (rush > 0) {
-            classes.append("  - {name: rush, share: ").append(rush).append(", effect: keyed, aim_ms: 2000, limit_ms: 16000,"
-                + " window_ms: 15000}\n");
+            classes.append("  - {name: rush, share: ")
+                    .append(rush)
+                    .append(", effect: keyed, aim_ms: 2000, limit_ms: 16000," + " window_ms: 15000}\n");
         }
         for (int i = 0; i < SMALL; i++) {
-            classes.append("  - {name: s").append(i).append(", share: ").append(EACH)
-                .append(", effect: keyed, aim_ms: 2000, limit_ms: 16000, window_ms: 15000}\n");
+            classes.append("  - {name: s")
+                    .append(i)
+                    .append(", share: ")
+                    .append(EACH)
+                    .append(", effect: keyed, aim_ms: 2000, limit_ms: 16000, window_ms: 15000}\n");
         }
         return """
             name: month-end
@@ -48,10 +54,11 @@
     }
 
     private static String quotas() {
-        // The partner takes 44 a second, and through this relay some 36; the large one has a right to 4 of these, the small ones together to 32.
+        // The partner takes 44 a second, and through this relay some 36; the large one has a right to 4 of these, the
+        // small ones together to 32.
         StringBuilder yaml = new StringBuilder("name: all\nlimits: [{messages: 36, in_s: 1}]\nheld: 240\nmembers:\n"
-            + "  - {name: rush, share: {messages: 4, held: 24}, match: {class: rush}}\n"
-            + "  - name: small\n    share: {messages: 32, held: 180}\n    members:\n");
+                + "  - {name: rush, share: {messages: 4, held: 24}, match: {class: rush}}\n"
+                + "  - name: small\n    share: {messages: 32, held: 180}\n    members:\n");
         for (int i = 0; i < SMALL; i++) {
             yaml.append("      - {name: s" + i + ", match: {class: s" + i + "}}\n");
         }
@@ -61,7 +68,8 @@
     private Score.Result play(String script, long seed, boolean withQuotas) throws Exception {
         Path own = Files.createDirectories(folder.resolve("" + plays++));
         Files.writeString(own.resolve("quotas.yaml"), quotas());
-        UnaryOperator<String> told = config -> withQuotas ? config.replaceFirst("\\{", "{\"quotas\":\"quotas.yaml\",") : config;
+        UnaryOperator<String> told =
+                config -> withQuotas ? config.replaceFirst("\\{", "{\"quotas\":\"quotas.yaml\",") : config;
         try (SimStage stage = new SimStage(ScriptReader.parse("q.yaml", script), seed, own, told)) {
             // On whole streams, as its figure has always been taken: ROADMAP tells how it stands on cut ones.
             stage.simulation().network().cutStreams(0, seed);
@@ -70,8 +78,11 @@
     }
 
     private static double small(Score.Result r) {
-        return r.byClass().entrySet().stream().filter(e -> e.getKey().startsWith("s")).mapToDouble(e -> e.getValue()).average()
-            .orElseThrow();
+        return r.byClass().entrySet().stream()
+                .filter(e -> e.getKey().startsWith("s"))
+                .mapToDouble(e -> e.getValue())
+                .average()
+                .orElseThrow();
     }
 
     private static double delivered(Score.Result r) {
@@ -96,8 +107,16 @@
                 mean[i] += row[i] / rows.size();
             }
         });
-        System.out.printf(Locale.ROOT, "small ones: alone %.3f, beside the rush %.3f, with quotas %.3f; delivered in all %.0f and %.0f"
-            + " (%d seeds)%n", mean[0], mean[1], mean[2], mean[3], mean[4], SEEDS);
+        System.out.printf(
+                Locale.ROOT,
+                "small ones: alone %.3f, beside the rush %.3f, with quotas %.3f; delivered in all %.0f and %.0f"
+                        + " (%d seeds)%n",
+                mean[0],
+                mean[1],
+                mean[2],
+                mean[3],
+                mean[4],
+                SEEDS);
         assertTrue(mean[2] > mean[0] - 0.05, "small ones with quotas " + mean[2] + ", alone " + mean[0]);
         assertTrue(mean[2] > mean[1] + 0.3, "and without " + mean[1]);
         assertTrue(mean[4] > 0.97 * mean[3], "fairness costs " + mean[4] + " of " + mean[3]);
--- a/src/test/java/brambletray/stage/SimStageTest.java
+++ b/src/test/java/brambletray/stage/SimStageTest.java
@@ -17,7 +17,7 @@
     @TempDir
     Path folder;
 
-    private record Run(Score.Result result, long trace, long events) { }
+    private record Run(Score.Result result, long trace, long events) {}
 
     private int runs;
 
@@ -25,7 +25,8 @@
         try (SimStage stage = new SimStage(script, seed, folder.resolve("run-" + runs++))) {
             Score.Result result = stage.play();
             assertEquals(List.of(), stage.disagreements());
-            return new Run(result, stage.simulation().trace(), stage.simulation().events());
+            return new Run(
+                    result, stage.simulation().trace(), stage.simulation().events());
         }
     }
 
@@ -47,9 +48,9 @@
         for (long seed = 1; seed <= 2; seed++) {
             Score.Result r = play(ScriptReader.builtIn(night), seed).result();
             told.add(r.asked() + " asked, " + r.delivered() + " delivered, " + r.late() + " late, "
-                + r.handedBack() + " back, " + r.givenUp() + " up, " + r.turnedAway() + " away, "
-                + r.unanswered() + " un; score " + r.score() + " lost " + r.lost() + " breaches "
-                + r.breaches().stream().limit(3).toList());
+                    + r.handedBack() + " back, " + r.givenUp() + " up, " + r.turnedAway() + " away, "
+                    + r.unanswered() + " un; score " + r.score() + " lost " + r.lost() + " breaches "
+                    + r.breaches().stream().limit(3).toList());
             assertTrue(r.clean(), told.toString());
         }
         System.out.println(night + told);
--- a/src/test/java/brambletray/standalone/StandaloneTest.java
+++ b/src/test/java/brambletray/standalone/StandaloneTest.java
@@ -31,8 +31,10 @@
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class StandaloneTest {
     private static final String HEAD = "name,address,port,destination,rate\n";
+
     @TempDir
     Path folder;
+
     private final HttpClient http = HttpClient.newHttpClient();
 
     private Path config(String more) throws IOException {
@@ -50,8 +52,11 @@
 
     private void hosts(String rows) throws IOException {
         Path fresh = Files.writeString(folder.resolve("hosts.new"), HEAD + rows);
-        Files.move(fresh, folder.resolve("hosts.csv"), StandardCopyOption.REPLACE_EXISTING,
-            StandardCopyOption.ATOMIC_MOVE);
+        Files.move(
+                fresh,
+                folder.resolve("hosts.csv"),
+                StandardCopyOption.REPLACE_EXISTING,
+                StandardCopyOption.ATOMIC_MOVE);
     }
 
     private static String row(String name, HostStub host, int destination) {
@@ -59,17 +64,27 @@
     }
 
     private String get(Node relay, String id) throws Exception {
-        HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
-            + relay.address().getPort() + "/v1/messages/" + id)).build(), HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> answer = http.send(
+                HttpRequest.newBuilder(
+                                URI.create("http://127.0.0.1:" + relay.address().getPort() + "/v1/messages/" + id))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
         return answer.statusCode() == 200 ? answer.body() : "" + answer.statusCode();
     }
 
     private int post(Node relay, String id, String messageClass, int destination) throws Exception {
-        return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + relay.address().getPort() + "/"
-            + messageClass)).header("X-Request-ID", id).header("X-Priority-Class", messageClass)
-            .header("X-Timeout-Ms", "16000").header("X-Envelope", "dest=" + destination)
-            .header("Idempotency-Key", "key-" + id).POST(HttpRequest.BodyPublishers.ofString("x")).build(),
-            HttpResponse.BodyHandlers.discarding()).statusCode();
+        return http.send(
+                        HttpRequest.newBuilder(URI.create(
+                                        "http://127.0.0.1:" + relay.address().getPort() + "/" + messageClass))
+                                .header("X-Request-ID", id)
+                                .header("X-Priority-Class", messageClass)
+                                .header("X-Timeout-Ms", "16000")
+                                .header("X-Envelope", "dest=" + destination)
+                                .header("Idempotency-Key", "key-" + id)
+                                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding())
+                .statusCode();
     }
 
     private static void await(BooleanSupplier state) {
@@ -123,8 +138,8 @@
         url.start();
         try (HostStub host = new HostStub()) {
             hosts(row("a", host, 7));
-            try (Node relay = StandaloneRelay.start(config("answers: {post_to: '127.0.0.1:"
-                    + url.getAddress().getPort() + "', post_path: /told}\n"))) {
+            try (Node relay = StandaloneRelay.start(
+                    config("answers: {post_to: '127.0.0.1:" + url.getAddress().getPort() + "', post_path: /told}\n"))) {
                 assertEquals(202, post(relay, "m1", "pay", 7));
                 host.call().reset();
                 String told = "{\"message\":\"m1\",\"outcome\":\"given_up\"}\n";
@@ -132,8 +147,9 @@
                 assertEquals(told, posts.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
                 assertEquals(202, post(relay, "m2", "bill", 7));
                 host.call().answer(HostStub.OK);
-                assertEquals("{\"message\":\"m2\",\"outcome\":\"delivered\"}\n",
-                    posts.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
+                assertEquals(
+                        "{\"message\":\"m2\",\"outcome\":\"delivered\"}\n",
+                        posts.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS));
             }
         } finally {
             url.stop(0);
@@ -143,7 +159,9 @@
     /** Guards rule 3: what is taken out gets nothing new, and what was bound for it alone has its end. */
     @Test
     void anEditTakesEffectWhileMessagesAreOut() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub(); HostStub third = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub();
+                HostStub third = new HostStub()) {
             hosts(row("a", first, 7));
             try (Node relay = StandaloneRelay.start(config(""))) {
                 // A destination may have one call out at first, and one more after each success.
@@ -181,7 +199,8 @@
     /** The last endpoint of a destination is taken out with an unsafe call out that then breaks: one final answer. */
     @Test
     void aDestinationsLastEndpointIsTakenOut() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub()) {
             hosts(row("a", first, 7));
             try (Node relay = StandaloneRelay.start(config(""))) {
                 assertEquals(202, post(relay, "m1", "pay", 7));
@@ -220,7 +239,8 @@
     /** Taken out and put back again at once, with a message waiting and one out: each has its one end, and its one call. */
     @Test
     void aHostThatIsTakenOutAndPutBackAtOnce() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub()) {
             hosts(row("a", first, 7) + row("b", second, 8));
             try (Node relay = StandaloneRelay.start(config(""))) {
                 assertEquals(202, post(relay, "m0", "bill", 7));
@@ -236,7 +256,8 @@
                 HostStub.Call next = first.call();
                 assertEquals("m1", next.header("X-Request-ID"));
                 next.answer(HostStub.OK);
-                await(() -> state(relay, "m1").contains("delivered") && state(relay, "m0").contains("delivered"));
+                await(() -> state(relay, "m1").contains("delivered")
+                        && state(relay, "m0").contains("delivered"));
                 assertTrue(first.quiet());
             }
         }
@@ -245,7 +266,8 @@
     /** A file that vanishes takes no host away; back again, it counts. */
     @Test
     void aFileThatVanishesAndReturns() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub()) {
             hosts(row("a", first, 7));
             try (Node relay = StandaloneRelay.start(config(""))) {
                 Files.delete(folder.resolve("hosts.csv"));
@@ -261,20 +283,26 @@
     /** The same host in two files: one that drains it is enough, and it stays while one of them names it. */
     @Test
     void aHostInTwoFilesThatDisagree() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub(); HostStub third = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub();
+                HostStub third = new HostStub()) {
             hosts(row("a", first, 7) + row("b", second, 8));
             Path more = folder.resolve("more.yaml");
             String listed = "- {name: a, address: 127.0.0.1, port: " + first.port() + ", destination: 7, state: %s}\n";
             Files.writeString(more, listed.formatted("ready"));
             Path config = config("");
-            Files.writeString(config, Files.readString(config).replace("inventory: hosts.csv", "inventory: [hosts.csv, more.yaml]"));
+            Files.writeString(
+                    config,
+                    Files.readString(config).replace("inventory: hosts.csv", "inventory: [hosts.csv, more.yaml]"));
             try (Node relay = StandaloneRelay.start(config)) {
                 assertEquals(202, post(relay, "m1", "bill", 7));
                 first.call().answer(HostStub.OK);
                 await(() -> idle(relay));
                 // What comes with the drain in one edit tells that it was taken in.
-                Files.writeString(more, listed.formatted("draining") + "- {name: c, address: 127.0.0.1, port: "
-                    + third.port() + ", destination: 9}\n");
+                Files.writeString(
+                        more,
+                        listed.formatted("draining") + "- {name: c, address: 127.0.0.1, port: " + third.port()
+                                + ", destination: 9}\n");
                 await(() -> postOk(relay, "m2", 9));
                 assertEquals("m2", third.call().header("X-Request-ID"));
                 assertEquals(202, post(relay, "m3", "bill", 7));
@@ -305,14 +333,19 @@
     /** An agent beside a file: both lists count, the agent's holds while it is silent and over a restart. */
     @Test
     void anAgentBesideAFile() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub(); HostStub third = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub();
+                HostStub third = new HostStub()) {
             Path config;
             try (PlatformStub platform = new PlatformStub(folder)) {
                 hosts(row("a", first, 7));
                 String agent = platform.configure(platform).get("EDGE_DISCOVERY");
                 config = config("agent: " + agent + "\n");
-                platform.changes.add(PlatformStub.list(1, true, PlatformStub.host("b", second.port(), 8, "ready"),
-                    PlatformStub.host("a", third.port(), 9, "ready")));
+                platform.changes.add(PlatformStub.list(
+                        1,
+                        true,
+                        PlatformStub.host("b", second.port(), 8, "ready"),
+                        PlatformStub.host("a", third.port(), 9, "ready")));
                 try (Node relay = StandaloneRelay.start(config)) {
                     await(() -> postOk(relay, "m1", 8));
                     assertEquals("m1", second.call().header("X-Request-ID"));
@@ -339,7 +372,8 @@
     /** SIGHUP has the file read at once, in the middle of an edit too: half a file changes nothing. */
     @Test
     void aHangupAmidAnEdit() throws Exception {
-        try (HostStub first = new HostStub(); HostStub second = new HostStub()) {
+        try (HostStub first = new HostStub();
+                HostStub second = new HostStub()) {
             hosts(row("a", first, 7));
             Path config = config("");
             Files.writeString(config, Files.readString(config).replace("poll_ms: 10", "poll_ms: 60000, events: false"));
@@ -365,19 +399,27 @@
     @Test
     void withNoFileAndNoLastGoodOneThereIsNoStart() throws Exception {
         Path config = config("");
-        Exception none = assertThrows(Exception.class, () -> StandaloneRelay.start(config).close());
+        Exception none = assertThrows(
+                Exception.class, () -> StandaloneRelay.start(config).close());
         assertTrue(none.getCause().getMessage().contains("no inventory"), none.toString());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"zone: x|zone: expected one of default", "colour: red|is not known here",
-        "guards: {remove_most: 2}|guards", "answers: {post_to: here}|expected an IP address and a port"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "zone: x|zone: expected one of default",
+                "colour: red|is not known here",
+                "guards: {remove_most: 2}|guards",
+                "answers: {post_to: here}|expected an IP address and a port"
+            })
     void aFaultyConfigurationIsTold(String more, String expected) throws IOException {
-        Path config = Files.writeString(folder.resolve("relay.yaml"),
-            "inventory: h.csv\nclasses: [{name: a}]\n" + more + "\n");
+        Path config = Files.writeString(
+                folder.resolve("relay.yaml"), "inventory: h.csv\nclasses: [{name: a}]\n" + more + "\n");
         Exception fault = assertThrows(brambletray.yaml.Faults.class, () -> Standalone.read(config, null));
-        assertTrue(fault.getMessage().contains(expected) && fault.getMessage().contains("relay.yaml:3:"),
-            fault.getMessage());
+        assertTrue(
+                fault.getMessage().contains(expected) && fault.getMessage().contains("relay.yaml:3:"),
+                fault.getMessage());
         assertEquals(2, StandaloneRelay.serve(config, null));
     }
 
@@ -387,8 +429,9 @@
         for (String file : new String[] {"standalone.yaml", "inventory.csv"}) {
             Files.copy(Path.of("deploy", file), folder.resolve(file));
         }
-        Files.writeString(folder.resolve("standalone.yaml"), Files.readString(folder.resolve("standalone.yaml"))
-            .replace("127.0.0.1:8080", "127.0.0.1:0"));
+        Files.writeString(
+                folder.resolve("standalone.yaml"),
+                Files.readString(folder.resolve("standalone.yaml")).replace("127.0.0.1:8080", "127.0.0.1:0"));
         try (Node relay = StandaloneRelay.start(folder.resolve("standalone.yaml"))) {
             assertEquals(404, post(relay, "m1", "bill-post", 5));
             assertEquals(202, post(relay, "m1", "bill-post", 1));
--- a/src/test/java/brambletray/store/FormerJournal.java
+++ b/src/test/java/brambletray/store/FormerJournal.java
@@ -43,6 +43,7 @@
     private static final double LIVE_SHARE = 0.4;
     /** Bytes of a send with its outcome, and of an end with its notice. */
     private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
+
     private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
@@ -58,7 +59,7 @@
     }
 
     /** The end that was decided for a message; its notice is owed until it is acknowledged. */
-    public record End(boolean handedBack, long retryAfter) { }
+    public record End(boolean handedBack, long retryAfter) {}
 
     /** A message that something is owed for. */
     public static final class Entry {
@@ -82,6 +83,7 @@
     private FileChannel out;
     /** A write has failed: the file is written anew before the next. */
     private boolean behind;
+
     private long size;
     private long reserved;
     private long last;
@@ -148,7 +150,7 @@
     /** Nothing more is owed: delivered, withdrawn, or its notice acknowledged. */
     public void closed(Entry entry) throws IOException {
         forget(entry.number);
-        append(record(CLOSED, entry.number, o -> { }));
+        append(record(CLOSED, entry.number, o -> {}));
     }
 
     @Override
@@ -180,7 +182,7 @@
     private void write(FileChannel channel, byte[] record) throws IOException {
         long before = channel.position();
         try {
-            for (ByteBuffer left = ByteBuffer.wrap(record); left.hasRemaining();) {
+            for (ByteBuffer left = ByteBuffer.wrap(record); left.hasRemaining(); ) {
                 channel.write(left);
             }
         } catch (IOException e) {
@@ -191,9 +193,8 @@
 
     /** Writes what is owed to a new file and puts it in the old one's place. */
     private void rewrite() throws IOException {
-        FileChannel next = FileChannel.open(fresh, StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE);
+        FileChannel next = FileChannel.open(
+                fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
         try {
             for (Entry entry : entries.values()) {
                 write(next, taken(entry));
@@ -233,8 +234,9 @@
             byte[] content = new byte[length];
             in.get(content);
             if (crc(content) != check) {
-                LOG.warn("journal cut at a record that does not check, {} bytes dropped",
-                    in.remaining() + length + HEAD);
+                LOG.warn(
+                        "journal cut at a record that does not check, {} bytes dropped",
+                        in.remaining() + length + HEAD);
                 return;
             }
             try {
@@ -279,8 +281,11 @@
         out.writeLong(number);
         body.write(out);
         byte[] bytes = content.toByteArray();
-        return ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).putInt(crc(bytes))
-            .put(bytes).array();
+        return ByteBuffer.allocate(HEAD + bytes.length)
+                .putInt(bytes.length)
+                .putInt(crc(bytes))
+                .put(bytes)
+                .array();
     }
 
     private static byte[] taken(Entry entry) throws IOException {
@@ -299,9 +304,15 @@
     }
 
     private static Message message(DataInputStream in) throws IOException {
-        return new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
-            in.readLong(),
-            in.readLong(), brambletray.message.Body.of(in.readNBytes(in.readInt())));
+        return new Message(
+                in.readUTF(),
+                in.readUTF(),
+                in.readInt(),
+                optional(in),
+                optional(in),
+                in.readLong(),
+                in.readLong(),
+                brambletray.message.Body.of(in.readNBytes(in.readInt())));
     }
 
     private static byte[] sent(Entry entry, Attempt attempt) throws IOException {
--- a/src/test/java/brambletray/store/Life.java
+++ b/src/test/java/brambletray/store/Life.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -34,9 +33,11 @@
     private final State now = new State();
     /** States after each acknowledged batch, the empty one first; and the batch that is under way, or null. */
     final List<State> acknowledged = new ArrayList<>(List.of(new State()));
+
     State underWay;
     /** A batch failed with its end unknown. */
     boolean uncertain;
+
     private long nextKey;
     Store store;
 
--- a/src/test/java/brambletray/store/StoreBench.java
+++ b/src/test/java/brambletray/store/StoreBench.java
@@ -21,7 +21,7 @@
     private static final int BODY = 200, HELD = 200;
     private static final long LIMIT = 3_000_000;
 
-    private StoreBench() { }
+    private StoreBench() {}
 
     private interface Lives {
         void run(int lives) throws IOException;
@@ -83,8 +83,14 @@
             took[i] = (System.nanoTime() - began) / 1e3 / lives;
         }
         Arrays.sort(took);
-        System.out.printf(Locale.ROOT, "%-52s %8.2f us a life (%.2f to %.2f), %,.0f records a second%n", what,
-            took[2], took[0], took[4], 3e6 / took[2]);
+        System.out.printf(
+                Locale.ROOT,
+                "%-52s %8.2f us a life (%.2f to %.2f), %,.0f records a second%n",
+                what,
+                took[2],
+                took[0],
+                took[4],
+                3e6 / took[2]);
         return took[2];
     }
 
@@ -92,7 +98,8 @@
         System.out.println("Cost of a message's life (taken with 200 bytes, sent, closed; 200 held), median of five:");
         double bare = time("three bare writes of the same bytes", 60_000, lives -> {
             Path f = folder();
-            try (FileChannel c = FileChannel.open(f.resolve("x"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            try (FileChannel c =
+                    FileChannel.open(f.resolve("x"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
                 byte[][] pieces = {new byte[320], new byte[51], new byte[38]};
                 long at = 0;
                 for (int i = 0; i < lives; i++) {
@@ -139,7 +146,10 @@
         });
         double h2 = time("H2 MVStore, a commit each, outlasts the process", 6_000, lives -> {
             Path f = folder();
-            try (MVStore s = new MVStore.Builder().fileName(f.resolve("h2").toString()).autoCommitDisabled().open()) {
+            try (MVStore s = new MVStore.Builder()
+                    .fileName(f.resolve("h2").toString())
+                    .autoCommitDisabled()
+                    .open()) {
                 MVMap<Long, byte[]> taken = s.openMap("taken");
                 MVMap<Long, byte[]> sent = s.openMap("sent");
                 for (long i = 0; i < lives; i++) {
@@ -156,8 +166,14 @@
             }
             clear(f);
         });
-        System.out.printf(Locale.ROOT, "ratios: store to former journal %.2f, one batch a turn to former %.2f, to bare"
-            + " writes %.2f, H2 to store %.1f%n%n", store / former, turn / former, turn / bare, h2 / store);
+        System.out.printf(
+                Locale.ROOT,
+                "ratios: store to former journal %.2f, one batch a turn to former %.2f, to bare"
+                        + " writes %.2f, H2 to store %.1f%n%n",
+                store / former,
+                turn / former,
+                turn / bare,
+                h2 / store);
     }
 
     private static void syncs() throws IOException {
@@ -175,8 +191,12 @@
                         }
                     }
                     j.commit();
-                    System.out.printf(Locale.ROOT, "  %3d waiting, %-22s %,9.0f%n", waiting,
-                        group ? "one sync for all" : "one sync each", lives * 1e9 / (System.nanoTime() - began));
+                    System.out.printf(
+                            Locale.ROOT,
+                            "  %3d waiting, %-22s %,9.0f%n",
+                            waiting,
+                            group ? "one sync for all" : "one sync each",
+                            lives * 1e9 / (System.nanoTime() - began));
                 }
                 clear(f);
             }
@@ -187,8 +207,13 @@
     private static String percentiles(long[] nanos, int n) {
         long[] sorted = Arrays.copyOf(nanos, n);
         Arrays.sort(sorted);
-        return String.format(Locale.ROOT, "50 %% %.3f  99 %% %.3f  99.9 %% %.3f  worst %.3f ms", sorted[n / 2] / 1e6,
-            sorted[n * 99 / 100] / 1e6, sorted[(int) (n * 0.999)] / 1e6, sorted[n - 1] / 1e6);
+        return String.format(
+                Locale.ROOT,
+                "50 %% %.3f  99 %% %.3f  99.9 %% %.3f  worst %.3f ms",
+                sorted[n / 2] / 1e6,
+                sorted[n * 99 / 100] / 1e6,
+                sorted[(int) (n * 0.999)] / 1e6,
+                sorted[n - 1] / 1e6);
     }
 
     /** What one call holds the event loop up for, with the folder nearly full of messages of 8 KiB. */
@@ -211,8 +236,8 @@
                     }
                     took[n++] = System.nanoTime() - began;
                 }
-                System.out.println((round == 0 ? "  (warming up) " : "  ") + "former journal, " + open.size() + " held: "
-                    + percentiles(took, n));
+                System.out.println((round == 0 ? "  (warming up) " : "  ") + "former journal, " + open.size()
+                        + " held: " + percentiles(took, n));
             }
             clear(f);
             f = folder();
@@ -236,7 +261,7 @@
                     }
                 }
                 System.out.println((round == 0 ? "  (warming up) " : "  ") + "store, " + open.size() + " held: "
-                    + percentiles(took, n));
+                        + percentiles(took, n));
             }
             clear(f);
         }
@@ -259,8 +284,12 @@
             long began = System.nanoTime();
             try (Store s = Store.open(new RealDisk(f), new Store.Options(4L << 30, Store.Promise.PROCESS, 0))) {
                 double took = (System.nanoTime() - began) / 1e6;
-                System.out.printf(Locale.ROOT, "  %,9d records: %.1f ms, %.2f us a record%n", s.found().records(), took,
-                    took * 1e3 / records);
+                System.out.printf(
+                        Locale.ROOT,
+                        "  %,9d records: %.1f ms, %.2f us a record%n",
+                        s.found().records(),
+                        took,
+                        took * 1e3 / records);
             }
             clear(f);
         }
@@ -276,8 +305,12 @@
                     j.commit();
                     held++;
                 }
-                System.out.printf(Locale.ROOT, "3 MB hold %,d messages with a body of %,d bytes; %,.0f bytes on disk each%n",
-                    held, body, j.store().live() / (double) held);
+                System.out.printf(
+                        Locale.ROOT,
+                        "3 MB hold %,d messages with a body of %,d bytes; %,.0f bytes on disk each%n",
+                        held,
+                        body,
+                        j.store().live() / (double) held);
             }
             clear(f);
         }
--- a/src/test/java/brambletray/store/StoreTest.java
+++ b/src/test/java/brambletray/store/StoreTest.java
@@ -110,17 +110,20 @@
         byte[] altered = bytes.clone();
         altered[250] ^= 1;
         damaged.damage("seg-0000000001", altered);
-        assertEquals(List.of("seg-0000000001 at 178: records 2 to 2 can't be read"),
-            StoreTools.verify(damaged).stream().map(Damage::toString).toList());
+        assertEquals(
+                List.of("seg-0000000001 at 178: records 2 to 2 can't be read"),
+                StoreTools.verify(damaged).stream().map(Damage::toString).toList());
         damaged = disk.killed();
         damaged.damage("seg-0000000001", Arrays.copyOf(bytes, bytes.length - 5));
-        assertEquals(List.of(Damage.Kind.TORN_TAIL, Damage.Kind.HOLE),
-            StoreTools.verify(damaged).stream().map(Damage::kind).toList());
+        assertEquals(
+                List.of(Damage.Kind.TORN_TAIL, Damage.Kind.HOLE),
+                StoreTools.verify(damaged).stream().map(Damage::kind).toList());
         damaged = disk.killed();
         damaged.damage("MANIFEST", new byte[80]);
         MemoryDisk bad = damaged;
-        assertEquals("MANIFEST is not one: it begins with other bytes",
-            assertThrows(UntrustedStore.class, () -> StoreTools.verify(bad)).getMessage());
+        assertEquals(
+                "MANIFEST is not one: it begins with other bytes",
+                assertThrows(UntrustedStore.class, () -> StoreTools.verify(bad)).getMessage());
         assertThrows(UntrustedStore.class, () -> Store.open(bad, Life.options(Store.Promise.PROCESS)));
         damaged.damage("MANIFEST", null);
         assertThrows(UntrustedStore.class, () -> Store.open(bad, Life.options(Store.Promise.PROCESS)));
@@ -157,16 +160,20 @@
             StoreTools.Figures figures = StoreTools.stat(disk);
             assertEquals(3, figures.records());
             assertEquals(new StoreTools.Space(1, 0, 1, 34), figures.spaces().get(1));
-            assertEquals(store.live(), figures.segments().values().stream().mapToLong(s -> s[1]).sum());
+            assertEquals(
+                    store.live(),
+                    figures.segments().values().stream().mapToLong(s -> s[1]).sum());
         }
         List<String> dumped = new ArrayList<>();
-        StoreTools.dump(disk, r -> dumped.add("#" + r.sequence() + " " + r.sort() + " " + r.key() + " " + r.value().length));
+        StoreTools.dump(
+                disk, r -> dumped.add("#" + r.sequence() + " " + r.sort() + " " + r.key() + " " + r.value().length));
         assertEquals(List.of("#1 put 1 10", "#2 put 2 20", "#3 delete 1 0"), dumped);
     }
 
     /** On real files: what is written is read back, a second process is turned away, and reading needs no right to write. */
     @Test
-    void aFolderOfTheFileSystemIsOneProcesss(@org.junit.jupiter.api.io.TempDir java.nio.file.Path folder) throws IOException {
+    void aFolderOfTheFileSystemIsOneProcesss(@org.junit.jupiter.api.io.TempDir java.nio.file.Path folder)
+            throws IOException {
         Store.Options options = Life.options(Store.Promise.MACHINE);
         try (Store store = Store.open(new RealDisk(folder), options)) {
             for (int i = 0; i < 400; i++) {
--- a/src/test/java/brambletray/store/StoreTortureTest.java
+++ b/src/test/java/brambletray/store/StoreTortureTest.java
@@ -23,6 +23,7 @@
     private static final boolean FULL = "full".equals(System.getProperty("torture"));
     /** Cases by kind, and the kind under way. */
     private static final java.util.TreeMap<String, Long> CASES = new java.util.TreeMap<>();
+
     private static String kind = "";
 
     @AfterAll
@@ -66,9 +67,11 @@
         Life.State state = Life.read(store);
         CASES.merge(kind, 1L, Long::sum);
         if (!state.equals(life.last()) && !state.equals(life.underWay)) {
-            fail(where + ": holds " + state.chains().keySet() + ", acknowledged " + life.last().chains().keySet()
-                + ", under way " + (life.underWay == null ? null : life.underWay.chains().keySet()) + "; "
-                + store.found().damages());
+            fail(where + ": holds " + state.chains().keySet() + ", acknowledged "
+                    + life.last().chains().keySet()
+                    + ", under way "
+                    + (life.underWay == null ? null : life.underWay.chains().keySet()) + "; "
+                    + store.found().damages());
         }
         assertEquals(0, store.found().doubtful(), where + ": " + store.found().damages());
     }
@@ -162,8 +165,11 @@
             for (Chain chain : store.chains(Life.SPACE)) {
                 if (!chain.doubtful()) {
                     sure.add(chain.key());
-                    assertEquals(truth.chains().get(chain.key()), state.chains().get(chain.key()),
-                        where + ": key " + chain.key() + " is held for certain; " + store.found().damages());
+                    assertEquals(
+                            truth.chains().get(chain.key()),
+                            state.chains().get(chain.key()),
+                            where + ": key " + chain.key() + " is held for certain; "
+                                    + store.found().damages());
                 }
             }
             boolean hole = store.found().damages().stream().anyMatch(d -> d.kind() == Damage.Kind.HOLE);
@@ -179,8 +185,11 @@
             assertEquals(state, Life.read(again), where + ": second recovery differs");
             for (Chain chain : again.chains(Life.SPACE)) {
                 if (!chain.doubtful()) {
-                    assertEquals(truth.chains().get(chain.key()), state.chains().get(chain.key()),
-                        where + ": doubt about key " + chain.key() + " is forgotten; " + again.found().damages());
+                    assertEquals(
+                            truth.chains().get(chain.key()),
+                            state.chains().get(chain.key()),
+                            where + ": doubt about key " + chain.key() + " is forgotten; "
+                                    + again.found().damages());
                 }
             }
         }
@@ -310,14 +319,17 @@
                 continue;
             }
             // The process goes on with the store that it has: a further batch must work, and all of it last.
-            disk.fault((what, name, bytes) -> { });
+            disk.fault((what, name, bytes) -> {});
             Chain added = life.store.put(Life.SPACE, 1_000_000, new byte[] {1, 2, 3});
             life.store.commit();
             assertEquals(1, added.size());
             Life.State open = Life.read(life.store);
             MemoryDisk after = promise == Store.Promise.MACHINE ? disk.cut(random) : disk.killed();
             try (Store store = Store.open(after, Life.options(promise))) {
-                assertEquals(open, Life.read(store), "error at " + at + ": " + store.found().damages());
+                assertEquals(
+                        open,
+                        Life.read(store),
+                        "error at " + at + ": " + store.found().damages());
                 open.chains().remove(1_000_000L);
                 assertTrue(open.equals(life.last()) || open.equals(life.underWay), "error at " + at);
                 CASES.merge(kind, 1L, Long::sum);
--- a/src/test/java/brambletray/stub/HostStub.java
+++ b/src/test/java/brambletray/stub/HostStub.java
@@ -29,8 +29,11 @@
         }
 
         public String header(String name) {
-            return head.stream().filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ": "))
-                .map(h -> h.substring(name.length() + 2)).findFirst().orElse(null);
+            return head.stream()
+                    .filter(h -> h.toLowerCase().startsWith(name.toLowerCase() + ": "))
+                    .map(h -> h.substring(name.length() + 2))
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
@@ -59,8 +62,7 @@
     private static Call read(Socket socket) throws IOException {
         List<String> head = head(socket.getInputStream());
         int length = Integer.parseInt(new Call(socket, head, "").header("Content-Length"));
-        return new Call(socket, head,
-            new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8));
+        return new Call(socket, head, new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8));
     }
 
     public int port() {
@@ -74,7 +76,8 @@
 
     /** Waits until the relay has closed the connection of a call; false if it has not in a long time. */
     public boolean ended(Call call) throws InterruptedException {
-        for (Socket socket = over.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS); socket != null;
+        for (Socket socket = over.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS);
+                socket != null;
                 socket = over.poll(PlatformStub.PATIENCE_S, TimeUnit.SECONDS)) {
             if (socket == call.socket()) {
                 return true;
@@ -102,7 +105,10 @@
             }
             text.write(next);
         }
-        return text.toString(StandardCharsets.ISO_8859_1).lines().filter(line -> !line.isEmpty()).toList();
+        return text.toString(StandardCharsets.ISO_8859_1)
+                .lines()
+                .filter(line -> !line.isEmpty())
+                .toList();
     }
 
     private interface Task {
--- a/src/test/java/brambletray/stub/MqttHostStub.java
+++ b/src/test/java/brambletray/stub/MqttHostStub.java
@@ -31,10 +31,12 @@
 
 /** A partner's MQTT 5 server whose acknowledgements the test gives one by one. */
 public final class MqttHostStub implements AutoCloseable {
-    private static final MultiThreadIoEventLoopGroup GROUP = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private static final MultiThreadIoEventLoopGroup GROUP =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     /** One PUBLISH as it came. */
-    public record Publish(Channel channel, int packet, String topic, String id, String key, String body, boolean again) {
+    public record Publish(
+            Channel channel, int packet, String topic, String id, String key, String body, boolean again) {
         /** Acknowledges it; {@code retryAfterMs} null for no advice. */
         public void ack(int reason, String retryAfterMs) {
             reply(MqttMessageType.PUBACK, reason, retryAfterMs);
@@ -56,8 +58,8 @@
                 properties.add(new MqttProperties.UserProperty("retry-after-ms", retryAfterMs));
             }
             channel.writeAndFlush(new MqttMessage(
-                new MqttFixedHeader(type, false, MqttQoS.AT_MOST_ONCE, false, 0),
-                new MqttPubReplyMessageVariableHeader(packet, (byte) reason, properties)));
+                    new MqttFixedHeader(type, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                    new MqttPubReplyMessageVariableHeader(packet, (byte) reason, properties)));
         }
 
         public void reset() {
@@ -75,13 +77,13 @@
                 properties.add(new MqttProperties.UserProperty("retry-after-ms", retryAfterMs));
             }
             channel.writeAndFlush(new MqttMessage(
-                new MqttFixedHeader(MqttMessageType.DISCONNECT, false, MqttQoS.AT_MOST_ONCE, false, 0),
-                new MqttReasonCodeAndPropertiesVariableHeader((byte) reason, properties)));
+                    new MqttFixedHeader(MqttMessageType.DISCONNECT, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                    new MqttReasonCodeAndPropertiesVariableHeader((byte) reason, properties)));
         }
     }
 
     /** A CONNECT as it came. */
-    public record Connect(Channel channel, String client, int version, boolean anew) { }
+    public record Connect(Channel channel, String client, int version, boolean anew) {}
 
     private final BlockingQueue<Publish> publishes = new LinkedBlockingQueue<>();
     private final BlockingQueue<Connect> connects = new LinkedBlockingQueue<>();
@@ -90,16 +92,23 @@
     public volatile boolean sessionPresent;
     /** Whether it answers pings. */
     public volatile boolean pongs = true;
+
     private final Channel listener;
 
     public MqttHostStub(int receiveMaximum) throws InterruptedException {
-        listener = new ServerBootstrap().group(GROUP).channel(NioServerSocketChannel.class)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new MqttDecoder(1 << 20), MqttEncoder.INSTANCE, new Packets(receiveMaximum));
-                }
-            }).bind(PlatformStub.LOOPBACK, 0).sync().channel();
+        listener = new ServerBootstrap()
+                .group(GROUP)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline()
+                                .addLast(new MqttDecoder(1 << 20), MqttEncoder.INSTANCE, new Packets(receiveMaximum));
+                    }
+                })
+                .bind(PlatformStub.LOOPBACK, 0)
+                .sync()
+                .channel();
     }
 
     private final class Packets extends SimpleChannelInboundHandler<MqttMessage> {
@@ -113,15 +122,18 @@
         protected void channelRead0(ChannelHandlerContext context, MqttMessage packet) {
             if (packet instanceof MqttConnectMessage connect) {
                 boolean anew = connect.variableHeader().isCleanSession();
-                connects.add(new Connect(context.channel(), connect.payload().clientIdentifier(),
-                    connect.variableHeader().version(), anew));
+                connects.add(new Connect(
+                        context.channel(),
+                        connect.payload().clientIdentifier(),
+                        connect.variableHeader().version(),
+                        anew));
                 MqttProperties properties = new MqttProperties();
                 properties.add(new MqttProperties.IntegerProperty(
-                    MqttProperties.MqttPropertyType.RECEIVE_MAXIMUM.value(), receiveMaximum));
+                        MqttProperties.MqttPropertyType.RECEIVE_MAXIMUM.value(), receiveMaximum));
                 context.writeAndFlush(new MqttConnAckMessage(
-                    new MqttFixedHeader(MqttMessageType.CONNACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
-                    new MqttConnAckVariableHeader(MqttConnectReturnCode.CONNECTION_ACCEPTED,
-                        sessionPresent && !anew, properties)));
+                        new MqttFixedHeader(MqttMessageType.CONNACK, false, MqttQoS.AT_MOST_ONCE, false, 0),
+                        new MqttConnAckVariableHeader(
+                                MqttConnectReturnCode.CONNECTION_ACCEPTED, sessionPresent && !anew, properties)));
             } else if (packet instanceof MqttPublishMessage p) {
                 String[] told = new String[2];
                 for (var property : p.variableHeader().properties().getProperties(38)) {
@@ -129,13 +141,19 @@
                     told[0] = pair.key.equals("id") ? pair.value : told[0];
                     told[1] = pair.key.equals("key") ? pair.value : told[1];
                 }
-                publishes.add(new Publish(context.channel(), p.variableHeader().packetId(), p.variableHeader().topicName(),
-                    told[0], told[1], p.payload().toString(StandardCharsets.UTF_8), p.fixedHeader().isDup()));
+                publishes.add(new Publish(
+                        context.channel(),
+                        p.variableHeader().packetId(),
+                        p.variableHeader().topicName(),
+                        told[0],
+                        told[1],
+                        p.payload().toString(StandardCharsets.UTF_8),
+                        p.fixedHeader().isDup()));
             } else if (packet.fixedHeader().messageType() == MqttMessageType.PUBREL) {
                 releases.add(((MqttMessageIdVariableHeader) packet.variableHeader()).messageId());
             } else if (packet.fixedHeader().messageType() == MqttMessageType.PINGREQ && pongs) {
                 context.writeAndFlush(new MqttMessage(
-                    new MqttFixedHeader(MqttMessageType.PINGRESP, false, MqttQoS.AT_MOST_ONCE, false, 0)));
+                        new MqttFixedHeader(MqttMessageType.PINGRESP, false, MqttQoS.AT_MOST_ONCE, false, 0)));
             }
         }
 
--- a/src/test/java/brambletray/stub/PlatformStub.java
+++ b/src/test/java/brambletray/stub/PlatformStub.java
@@ -38,6 +38,7 @@
     public int bundle = 1;
     /** Messages that it may hold. */
     public int openCap = 4;
+
     private final HttpServer agent;
     private final Path folder;
 
@@ -71,8 +72,9 @@
     }
 
     public static String host(String name, int port, int block, String health) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"a\",\"class\":\"m2\",\"block\":"
-            + block + ",\"health\":\"" + health + "\",\"share\":50,\"born_ms\":0}";
+        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + port
+                + "\",\"site\":\"a\",\"class\":\"m2\",\"block\":" + block + ",\"health\":\"" + health
+                + "\",\"share\":50,\"born_ms\":0}";
     }
 
     public static String list(int version, boolean whole, String... hosts) {
@@ -99,9 +101,15 @@
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":8000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
-            """.formatted(discovery.agent.getAddress().getPort(), more, list(1, true, hosts), openCap, slots, bundle, bundle));
-        return Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString(),
-            "EDGE_DISCOVERY", "127.0.0.1:" + agent.getAddress().getPort());
+            """.formatted(
+                discovery.agent.getAddress().getPort(), more, list(1, true, hosts), openCap, slots, bundle, bundle));
+        return Map.of(
+                "EDGE_CONFIG",
+                file.toString(),
+                "EDGE_STATE",
+                state.toString(),
+                "EDGE_DISCOVERY",
+                "127.0.0.1:" + agent.getAddress().getPort());
     }
 
     public Path journal() {
@@ -132,8 +140,12 @@
         }
 
         public static List<String> headers(String id, String messageClass, int destination, long time) {
-            return List.of("X-Request-ID: " + id, "X-Priority-Class: " + messageClass, "X-Timeout-Ms: " + time,
-                "Idempotency-Key: key-" + id, "X-Envelope: dest=" + destination);
+            return List.of(
+                    "X-Request-ID: " + id,
+                    "X-Priority-Class: " + messageClass,
+                    "X-Timeout-Ms: " + time,
+                    "Idempotency-Key: key-" + id,
+                    "X-Envelope: dest=" + destination);
         }
 
         /** Hands a message in; the answer's head, with its status line first. */
@@ -143,8 +155,10 @@
 
         public List<String> post(String path, List<String> headers, String text) throws IOException {
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
-            return raw("POST " + path + " HTTP/1.1\r\nHost: api.internal\r\n" + String.join("\r\n", headers)
-                + "\r\nContent-Length: " + body.length + "\r\n\r\n", body);
+            return raw(
+                    "POST " + path + " HTTP/1.1\r\nHost: api.internal\r\n" + String.join("\r\n", headers)
+                            + "\r\nContent-Length: " + body.length + "\r\n\r\n",
+                    body);
         }
 
         public List<String> raw(String head, byte[] body) throws IOException {
@@ -158,8 +172,9 @@
         /** Hands a message in and resets the connection at once, without hearing the answer. */
         public void leaveAfter(String head, String text) throws IOException {
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
-            socket.getOutputStream().write((head + "Content-Length: " + body.length + "\r\n\r\n")
-                .getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream()
+                    .write((head + "Content-Length: " + body.length + "\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             socket.getOutputStream().write(body);
             socket.setSoLinger(true, 0);
             socket.close();
--- a/src/test/java/brambletray/tray/berth/BerthTest.java
+++ b/src/test/java/brambletray/tray/berth/BerthTest.java
@@ -72,17 +72,41 @@
 
     @Test
     void everyField() {
-        assertEquals(new Berth("n1", "carry", "edge", Set.of("edge", "control"), "10.1.0.3", "za", "south", Map.of("za", "south", "zb", "north"),
-            new Address("10.1.0.3", 8241), new Address("10.1.0.3", 8246), new Address("10.1.0.3", 8248), 7400, 7415,
-            List.of(new Address("10.1.0.6", 8248), new Address("10.2.0.27", 8248)), false, true, new Resources(0.75, 2, 430, 4100, 1000, 128),
-            Path.of("/data/x"), 1200, 2, 1, 3, Set.of("base", "drain"),
-            new Bounds(31, 32, 33, 34, 35, 36, 37.5, 38, 39, 40, 41, 0.42, 43, 44, 45, 46),
-            new Platform(new Address("10.200.0.15", 8240), 26, 105, 800), Path.of("node.conf")), berth(FULL));
+        assertEquals(
+                new Berth(
+                        "n1",
+                        "carry",
+                        "edge",
+                        Set.of("edge", "control"),
+                        "10.1.0.3",
+                        "za",
+                        "south",
+                        Map.of("za", "south", "zb", "north"),
+                        new Address("10.1.0.3", 8241),
+                        new Address("10.1.0.3", 8246),
+                        new Address("10.1.0.3", 8248),
+                        7400,
+                        7415,
+                        List.of(new Address("10.1.0.6", 8248), new Address("10.2.0.27", 8248)),
+                        false,
+                        true,
+                        new Resources(0.75, 2, 430, 4100, 1000, 128),
+                        Path.of("/data/x"),
+                        1200,
+                        2,
+                        1,
+                        3,
+                        Set.of("base", "drain"),
+                        new Bounds(31, 32, 33, 34, 35, 36, 37.5, 38, 39, 40, 41, 0.42, 43, 44, 45, 46),
+                        new Platform(new Address("10.200.0.15", 8240), 26, 105, 800),
+                        Path.of("node.conf")),
+                berth(FULL));
     }
 
     @Test
     void whatIsMissingAndWhatIsUnknown() {
-        Berth berth = berth("# by hand\r\n\r\n" + LEAST.replace("\n", "\r\n") + "new.field=[1, 2]=3\nbounds.new-ms=x\nrole=\ndata-dir=");
+        Berth berth = berth("# by hand\r\n\r\n" + LEAST.replace("\n", "\r\n")
+                + "new.field=[1, 2]=3\nbounds.new-ms=x\nrole=\ndata-dir=");
         assertEquals("n1", berth.node());
         assertEquals(4_000, berth.bounds().contactMs());
         assertEquals(1, berth.machineLosses());
@@ -90,8 +114,10 @@
         assertNull(berth.frontEnd());
         assertNull(berth.dataDir());
         assertNull(berth.platform().address());
-        assertEquals("node.conf: data-dir: expected in the file, is missing",
-            assertThrows(BerthFault.class, () -> berth.need("data-dir", berth.dataDir())).getMessage());
+        assertEquals(
+                "node.conf: data-dir: expected in the file, is missing",
+                assertThrows(BerthFault.class, () -> berth.need("data-dir", berth.dataDir()))
+                        .getMessage());
     }
 
     /** The line is the fifth, below those that are needed and an empty one. */
@@ -122,8 +148,10 @@
         """)
     void badLines(String line, String code, String message) {
         BerthFault fault = assertThrows(BerthFault.class, () -> berth(LEAST + '\n' + line + "\nx=y"));
-        String expected = message.replace("PORTS", "node.conf:5: internal-port-range: expected two ports from 1 to 65535, the lower one first, found")
-            .replace("ADDRESS", "node.conf:5: cloud-api.address: expected an address such as 10.1.0.3:8241, found");
+        String expected = message.replace(
+                        "PORTS",
+                        "node.conf:5: internal-port-range: expected two ports from 1 to 65535, the lower one first, found")
+                .replace("ADDRESS", "node.conf:5: cloud-api.address: expected an address such as 10.1.0.3:8241, found");
         assertEquals("berth." + code + ' ' + expected, fault.code() + ' ' + fault.getMessage());
     }
 
@@ -139,7 +167,9 @@
     @Test
     void readAgainAsTheFileStandsThen(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("node.conf");
-        assertEquals("berth.unreadable", assertThrows(BerthFault.class, () -> Berth.read(file)).code());
+        assertEquals(
+                "berth.unreadable",
+                assertThrows(BerthFault.class, () -> Berth.read(file)).code());
         Files.writeString(file, FULL);
         Berth first = Berth.read(file);
         Files.writeString(file, FULL.replace("bounds.drain-ms=36", "bounds.drain-ms=3600"));
@@ -148,6 +178,8 @@
         assertThrows(BerthFault.class, first::reread);
         assertEquals(36, first.bounds().drainMs());
         Files.write(file, new byte[] {(byte) 0xff, '='});
-        assertEquals("berth.unreadable", assertThrows(BerthFault.class, first::reread).code());
+        assertEquals(
+                "berth.unreadable",
+                assertThrows(BerthFault.class, first::reread).code());
     }
 }
--- a/src/test/java/brambletray/tray/carry/CandidatesTest.java
+++ b/src/test/java/brambletray/tray/carry/CandidatesTest.java
@@ -25,7 +25,8 @@
     private static String next(Candidates candidates, int times) {
         StringBuilder names = new StringBuilder();
         for (int i = 0; i < times; i++) {
-            names.append((char) ('a' + Integer.parseInt(candidates.next(null).host().substring(7)) - 1));
+            names.append(
+                    (char) ('a' + Integer.parseInt(candidates.next(null).host().substring(7)) - 1));
         }
         return names.toString();
     }
--- a/src/test/java/brambletray/tray/carry/CarryHelloTest.java
+++ b/src/test/java/brambletray/tray/carry/CarryHelloTest.java
@@ -23,9 +23,10 @@
 
 /** What the whole program of an edge says of itself, on each link to a member of the core. */
 class CarryHelloTest {
-    private static final String SETTINGS = "node-name=edge-1\nrole=carry\nip-address=10.0.0.2\nzone=za\nzones.za=south\n"
-        + "bind-addresses.front-end=10.0.0.2:8241\nbind-addresses.readiness=10.0.0.2:8246\ninternal-port-range=7400,7415\n"
-        + "seed-peers=10.0.0.1:8248\n";
+    private static final String SETTINGS =
+            "node-name=edge-1\nrole=carry\nip-address=10.0.0.2\nzone=za\nzones.za=south\n"
+                    + "bind-addresses.front-end=10.0.0.2:8241\nbind-addresses.readiness=10.0.0.2:8246\ninternal-port-range=7400,7415\n"
+                    + "seed-peers=10.0.0.1:8248\n";
 
     @Test
     void itsHelloTellsTheHighestTermThatItHasSeenInThisLifeOnEveryLink() throws UnknownHostException {
@@ -35,7 +36,7 @@
         List<Long> terms = new ArrayList<>();
         new Listener(core, new Speech(Lexis.ALL), new Address("10.0.0.1", 7_400), new Handler() {
             @Override
-            public void up(Link link) { }
+            public void up(Link link) {}
 
             @Override
             public void heard(Link link, Object frame) {
@@ -47,10 +48,10 @@
             }
 
             @Override
-            public void down(Link link, String why) { }
+            public void down(Link link, String why) {}
         });
         SimCarry[] carry = new SimCarry[1];
-        edge.loop().execute(() -> carry[0] = SimCarry.start(SimBerth.of(SETTINGS), edge, 1, code -> { }));
+        edge.loop().execute(() -> carry[0] = SimCarry.start(SimBerth.of(SETTINGS), edge, 1, code -> {}));
         simulation.runUntil(TimeUnit.SECONDS.toNanos(3));
         assertEquals(List.of(0L, 8L, 8L), terms.subList(0, 3));
         assertFalse(carry[0].ready(), "no configuration has come");
--- a/src/test/java/brambletray/tray/carry/StewardTest.java
+++ b/src/test/java/brambletray/tray/carry/StewardTest.java
@@ -67,10 +67,19 @@
 
         @Override
         public boolean say(String edge, Object frame) {
-            said.add(edge + " " + (frame instanceof Ask ask ? "ask " + ask.id()
-                : frame instanceof Done done ? "done " + done.askId() + " " + done.host() + " " + done.fate()
-                : frame instanceof Held held ? "held " + held.grants().stream().map(Grant::host).toList()
-                : frame instanceof Forget forget ? "forget " + forget.askId() : frame.toString()));
+            said.add(edge + " "
+                    + (frame instanceof Ask ask
+                            ? "ask " + ask.id()
+                            : frame instanceof Done done
+                                    ? "done " + done.askId() + " " + done.host() + " " + done.fate()
+                                    : frame instanceof Held held
+                                            ? "held "
+                                                    + held.grants().stream()
+                                                            .map(Grant::host)
+                                                            .toList()
+                                            : frame instanceof Forget forget
+                                                    ? "forget " + forget.askId()
+                                                    : frame.toString()));
             return true;
         }
 
@@ -87,10 +96,10 @@
 
     private static final class Nothing implements Steward.Spots {
         @Override
-        public void host(String address) { }
+        public void host(String address) {}
 
         @Override
-        public void heldHere(Held held) { }
+        public void heldHere(Held held) {}
     }
 
     private static Homes homes(long number, String... names) {
@@ -208,10 +217,10 @@
 
     /** One course: this edge's steward and a home's seats, over links that break while words are on their way. */
     private static final class Walk implements Steward.Ways, Steward.Spots, Out {
-        private record Event(long at, long order, Runnable what) { }
+        private record Event(long at, long order, Runnable what) {}
 
         private final PriorityQueue<Event> events =
-            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+                new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
         private final SplittableRandom random;
         private final Steward steward = new Steward(this, this, () -> this.now);
         private final Seats seats = new Seats("z", "n", Laws.of(0.2, 100, 10_000, 1), this);
@@ -291,10 +300,10 @@
         }
 
         @Override
-        public void host(String address) { }
+        public void host(String address) {}
 
         @Override
-        public void heldHere(Held held) { }
+        public void heldHere(Held held) {}
 
         /** Lost while it is waited for, late, or twice. */
         @Override
@@ -318,16 +327,16 @@
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) { }
+        public void elsewhere(String edge, Elsewhere elsewhere) {}
 
         @Override
-        public void need(Need need) { }
+        public void need(Need need) {}
 
         @Override
-        public void quit(Quit quit) { }
+        public void quit(Quit quit) {}
 
         @Override
-        public void seen(Seen seen) { }
+        public void seen(Seen seen) {}
 
         @Override
         public void claim(Claim claim) {
@@ -348,7 +357,8 @@
             steward.ask(ask(id), new Taker() {
                 @Override
                 public void granted(Grant grant) {
-                    assertTrue(granted.add(id) && !over.contains(id), "one word to an ask, and none to one that is over");
+                    assertTrue(
+                            granted.add(id) && !over.contains(id), "one word to an ask, and none to one that is over");
                     int used = inUse.merge(grant.host(), 1, Integer::sum);
                     assertTrue(used <= MOST, "host " + grant.host() + " has " + used);
                     at(now + holdMs, () -> {
@@ -407,8 +417,11 @@
                 until(now + 100);
                 steward.again(HOME);
             }
-            int late = (int) over.stream().filter(id -> id > ids - HOSTS * MOST && !granted.contains(id)).count();
-            assertEquals(HOSTS * MOST, granted.size() - before + late, "places that are not free though nobody holds them");
+            int late = (int) over.stream()
+                    .filter(id -> id > ids - HOSTS * MOST && !granted.contains(id))
+                    .count();
+            assertEquals(
+                    HOSTS * MOST, granted.size() - before + late, "places that are not free though nobody holds them");
         }
     }
 
--- a/src/test/java/brambletray/tray/carry/TetherTest.java
+++ b/src/test/java/brambletray/tray/carry/TetherTest.java
@@ -62,8 +62,10 @@
     /** Runs until the edge is attached under this term, at most so long; ms that it took. */
     private long untilAttached(long term, long most) {
         long from = simulation.now();
-        assertTrue(simulation.runUntil(from + TimeUnit.MILLISECONDS.toNanos(most), () -> tether.attached() && tether.term() == term),
-            "not attached under term " + term + " after " + most + " ms: " + heard);
+        assertTrue(
+                simulation.runUntil(
+                        from + TimeUnit.MILLISECONDS.toNanos(most), () -> tether.attached() && tether.term() == term),
+                "not attached under term " + term + " after " + most + " ms: " + heard);
         return TimeUnit.NANOSECONDS.toMillis(simulation.now() - from);
     }
 
@@ -82,12 +84,18 @@
         for (String seed : seeds) {
             addresses.add(Address.parse(at(seed)));
         }
-        tether = new Tether(machine, new Speech(Lexis.ALL), new Iam("edge-1", "10.0.1.1:" + PORT, false), addresses, 0, heard);
-        machine.loop().scheduleWithFixedDelay(() -> {
-            if (!asleep) {
-                tether.tick(machine.clock().nanos() / 1_000_000);
-            }
-        }, 50, 50, TimeUnit.MILLISECONDS);
+        tether = new Tether(
+                machine, new Speech(Lexis.ALL), new Iam("edge-1", "10.0.1.1:" + PORT, false), addresses, 0, heard);
+        machine.loop()
+                .scheduleWithFixedDelay(
+                        () -> {
+                            if (!asleep) {
+                                tether.tick(machine.clock().nanos() / 1_000_000);
+                            }
+                        },
+                        50,
+                        50,
+                        TimeUnit.MILLISECONDS);
     }
 
     /** A member of the core that welcomes edges as it is told, and pulses while it holds the helm. */
@@ -104,16 +112,22 @@
             this.name = name;
             Machine here = simulation.machine(ip(Address.parse(at(name)).host()));
             new Listener(here, new Speech(Lexis.ALL), Address.parse(at(name)), this);
-            here.loop().scheduleWithFixedDelay(() -> {
-                if (term > 0) {
-                    say(new Pulse(term, 0, roster));
-                }
-            }, 250, 250, TimeUnit.MILLISECONDS);
+            here.loop()
+                    .scheduleWithFixedDelay(
+                            () -> {
+                                if (term > 0) {
+                                    say(new Pulse(term, 0, roster));
+                                }
+                            },
+                            250,
+                            250,
+                            TimeUnit.MILLISECONDS);
         }
 
         /** Names this one as the helm from now on, and says so to who waits here. */
         Core names(String helm, long under) {
-            return welcomes(new Welcome(helm.isEmpty() ? "" : at(helm), under, true, welcome.view(), welcome.members(), 0, 0));
+            return welcomes(
+                    new Welcome(helm.isEmpty() ? "" : at(helm), under, true, welcome.view(), welcome.members(), 0, 0));
         }
 
         /** Is out of touch with the others from now on, names nobody and holds nothing. */
@@ -424,7 +438,8 @@
         untilAttached(9, 300);
         long cut = simulation.now();
         core("c").names("a", 9);
-        // a's lease: the last agreement was sent right before the cut, so it acts for 800 ms more; out of touch it is after 350.
+        // a's lease: the last agreement was sent right before the cut, so it acts for 800 ms more; out of touch it is
+        // after 350.
         run(800);
         core("a").cutOff();
         // The others hold the lease of a to run for 1,200 ms; the next is chosen 250 ms later.
--- a/src/test/java/brambletray/tray/creed/CharterTest.java
+++ b/src/test/java/brambletray/tray/creed/CharterTest.java
@@ -22,7 +22,8 @@
     }
 
     private byte[] fine(Verb verb, long base, byte[] body) {
-        return assertInstanceOf(Verdict.Fine.class, charter.judge(verb, base, body)).change();
+        return assertInstanceOf(Verdict.Fine.class, charter.judge(verb, base, body))
+                .change();
     }
 
     private void take(Verb verb, long base, byte[] body) {
@@ -34,7 +35,11 @@
         assertEquals(new Verdict.Stale(0), charter.judge(Verb.REPLACE, 5, Sample.bytes(Sample.two(7))));
         byte[] change = fine(Verb.REPLACE, 0, Sample.bytes(Sample.two(7)));
         assertEquals(0, charter.creed().revision(), "judged only");
-        assertEquals(7, assertInstanceOf(Verdict.Taken.class, charter.deliver(change)).creed().revision());
+        assertEquals(
+                7,
+                assertInstanceOf(Verdict.Taken.class, charter.deliver(change))
+                        .creed()
+                        .revision());
         assertEquals(7, charter.creed().revision());
     }
 
@@ -93,8 +98,9 @@
             long base = current - random.nextInt(2);
             long revision = current + random.nextInt(4);
             Verb verb = random.nextInt(20) == 0 ? Verb.REPLACE : Verb.MODIFY;
-            byte[] body = verb == Verb.REPLACE ? Sample.bytes(Sample.two(revision))
-                : move(revision, List.of("a", "b", "z").get(random.nextInt(3)));
+            byte[] body = verb == Verb.REPLACE
+                    ? Sample.bytes(Sample.two(revision))
+                    : move(revision, List.of("a", "b", "z").get(random.nextInt(3)));
             boolean again = random.nextInt(5) == 0 && !changes.isEmpty();
             byte[] change = again ? changes.get(random.nextInt(changes.size())) : new Change(verb, base, body).bytes();
             changes.add(change);
@@ -143,16 +149,22 @@
         apart.restore(snapshot);
         assertArrayEquals(snapshot, apart.snapshot(), "nothing of the former state stays");
         apart.deliver(judged);
-        assertEquals("r1", apart.creed().match("h.example", "/one/").name(), "what was judged before was of another state");
+        assertEquals(
+                "r1", apart.creed().match("h.example", "/one/").name(), "what was judged before was of another state");
         other.restore(new byte[0]);
         assertEquals(0, other.creed().revision(), "empty bytes are the state before the first change");
         assertEquals(new Verdict.Stale(0), other.judge(Verb.MODIFY, 7, move(9, "b")));
         other.restore(snapshot);
         for (int length : new int[] {3, 20, snapshot.length - 1}) {
-            assertThrows(CreedFault.class, () -> other.restore(Arrays.copyOf(snapshot, length)), () -> "taken with " + length + " bytes");
+            assertThrows(
+                    CreedFault.class,
+                    () -> other.restore(Arrays.copyOf(snapshot, length)),
+                    () -> "taken with " + length + " bytes");
         }
         snapshot[0] = 77;
-        assertEquals("creed.bad-snapshot", assertThrows(CreedFault.class, () -> other.restore(snapshot)).code());
+        assertEquals(
+                "creed.bad-snapshot",
+                assertThrows(CreedFault.class, () -> other.restore(snapshot)).code());
         assertEquals(9, other.creed().revision(), "a bad snapshot changes nothing");
     }
 
@@ -162,9 +174,17 @@
         for (int i = 1; i <= Charter.REMEMBERED; i++) {
             take(Verb.MODIFY, i, move(i + 1, "a"));
         }
-        assertEquals(new Verdict.Forgotten(2), charter.judge(Verb.REPLACE, 0, Sample.bytes(Sample.two(1))), "it was taken: not refused");
-        assertEquals(new Verdict.Forgotten(2), charter.deliver(new Change(Verb.REPLACE, 0, Sample.bytes(Sample.two(1))).bytes()));
-        assertEquals(new Verdict.Stale(Charter.REMEMBERED + 1), charter.judge(Verb.MODIFY, 2, move(3, "b")), "that base is remembered");
+        assertEquals(
+                new Verdict.Forgotten(2),
+                charter.judge(Verb.REPLACE, 0, Sample.bytes(Sample.two(1))),
+                "it was taken: not refused");
+        assertEquals(
+                new Verdict.Forgotten(2),
+                charter.deliver(new Change(Verb.REPLACE, 0, Sample.bytes(Sample.two(1))).bytes()));
+        assertEquals(
+                new Verdict.Stale(Charter.REMEMBERED + 1),
+                charter.judge(Verb.MODIFY, 2, move(3, "b")),
+                "that base is remembered");
         assertEquals(new Verdict.TakenBefore(2), charter.judge(Verb.MODIFY, 1, move(2, "a")));
         Charter other = new Charter();
         other.restore(charter.snapshot());
--- a/src/test/java/brambletray/tray/creed/CreedTest.java
+++ b/src/test/java/brambletray/tray/creed/CreedTest.java
@@ -18,11 +18,18 @@
 class CreedTest {
     @Test
     void fieldsAndTheirDefaults() {
-        String least = "{'name':'r','host':'H.example:8080','path-prefix':'/','route-type':'non_idempotent','timeout-ms':900.0,'service':'a'}";
-        Creed creed = Sample.creed(Sample.whole(3, least + ',' + Sample.route("q", "h", "/x/", "a"),
-            "{'name':'a','health-path':'/h'}," + Sample.service("b")));
-        assertEquals(new Route("r", "h.example", "/", false, 900, 900, 0, 1, List.of(new Share("a", 1))), creed.routes().get("r"));
-        assertEquals(new Route("q", "h", "/x/", true, 2500, 400, 2, 2, List.of(new Share("a", 1))), creed.routes().get("q"));
+        String least =
+                "{'name':'r','host':'H.example:8080','path-prefix':'/','route-type':'non_idempotent','timeout-ms':900.0,'service':'a'}";
+        Creed creed = Sample.creed(Sample.whole(
+                3,
+                least + ',' + Sample.route("q", "h", "/x/", "a"),
+                "{'name':'a','health-path':'/h'}," + Sample.service("b")));
+        assertEquals(
+                new Route("r", "h.example", "/", false, 900, 900, 0, 1, List.of(new Share("a", 1))),
+                creed.routes().get("r"));
+        assertEquals(
+                new Route("q", "h", "/x/", true, 2500, 400, 2, 2, List.of(new Share("a", 1))),
+                creed.routes().get("q"));
         assertEquals("/h", creed.services().get("a").healthPath());
         assertEquals(new Service("b", 512, 750, 4, 72, null), creed.services().get("b"));
         assertEquals(Limits.USUAL, creed.limits());
@@ -33,9 +40,11 @@
     @Test
     void unknownFieldsComeBackAsTheyWere() {
         String odd = "{'a':[1,2.50,-0.0,1e3,123456789012345678901234567890,true,null,{'b':'\\u00e9\\n'}]}";
-        String body = "{'revision':5,'routes':[" + Sample.route("r", "h", "/", "a").replace("}", ",'tenant':" + odd + "}") + "],'services':["
-            + Sample.service("a").replace("}", ",'tls-mode':false}") + "],'quotas':[{'name':'q1','n':1},{'name':'q2','n':2}],'x':" + odd
-            + ",'twins':[{'name':'t','n':1},{'name':'t','n':2}],'limits':{'max-body-bytes':10,'odd':1.0}}";
+        String body = "{'revision':5,'routes':["
+                + Sample.route("r", "h", "/", "a").replace("}", ",'tenant':" + odd + "}") + "],'services':["
+                + Sample.service("a").replace("}", ",'tls-mode':false}")
+                + "],'quotas':[{'name':'q1','n':1},{'name':'q2','n':2}],'x':" + odd
+                + ",'twins':[{'name':'t','n':1},{'name':'t','n':2}],'limits':{'max-body-bytes':10,'odd':1.0}}";
         Creed creed = Sample.creed(body);
         assertEquals(body, Sample.text(creed.json()));
         String spaced = body.replace(",'", " ,\n '");
@@ -44,47 +53,81 @@
         assertArrayEquals(shown, Creed.read(shown).json());
 
         String added = Sample.route("s", "h", "/s/", "a");
-        Creed next = creed.modify(Sample.bytes("{'revision':6,'upsert':{'quotas':[{'name':'q1','n':7}],'limits':{'idle-timeout-ms':99},"
-            + "'services':[],'routes':[" + added + "]},'withdraw':{'quotas':['q2','q9'],'never':['x']}}"));
-        assertEquals(body.replace("'revision':5", "'revision':6").replace("{'name':'q1','n':1},{'name':'q2','n':2}", "{'name':'q1','n':7}")
-            .replace("'odd':1.0", "'odd':1.0,'idle-timeout-ms':99").replace("],'services'", ',' + added + "],'services'"),
-            Sample.text(next.json()));
+        Creed next = creed.modify(
+                Sample.bytes("{'revision':6,'upsert':{'quotas':[{'name':'q1','n':7}],'limits':{'idle-timeout-ms':99},"
+                        + "'services':[],'routes':[" + added + "]},'withdraw':{'quotas':['q2','q9'],'never':['x']}}"));
+        assertEquals(
+                body.replace("'revision':5", "'revision':6")
+                        .replace("{'name':'q1','n':1},{'name':'q2','n':2}", "{'name':'q1','n':7}")
+                        .replace("'odd':1.0", "'odd':1.0,'idle-timeout-ms':99")
+                        .replace("],'services'", ',' + added + "],'services'"),
+                Sample.text(next.json()));
         assertEquals(new Limits(16_384, 10, 3_000, 99), next.limits());
         assertEquals(body, Sample.text(creed.json()), "the base is changed");
     }
 
     @Test
     void namedItemsAreReplacedAddedAndRemoved() {
-        Creed next = Sample.creed(Sample.two(7)).modify(Sample.bytes("{'revision':20,'upsert':{'routes':["
-            + Sample.route("r1", "h.example", "/uno/", "c") + "],'services':[" + Sample.service("c")
-            + "]},'withdraw':{'routes':['r2','r-old'],'services':['b']}}"));
+        Creed next = Sample.creed(Sample.two(7))
+                .modify(Sample.bytes("{'revision':20,'upsert':{'routes':["
+                        + Sample.route("r1", "h.example", "/uno/", "c") + "],'services':[" + Sample.service("c")
+                        + "]},'withdraw':{'routes':['r2','r-old'],'services':['b']}}"));
         assertEquals(20, next.revision());
         assertEquals(List.of("r1"), List.copyOf(next.routes().keySet()));
         assertEquals(List.of("a", "c"), List.copyOf(next.services().keySet()));
         assertEquals("c", next.match("h.example", "/uno/x").pick(0));
         assertNull(next.match("h.example", "/one/x"));
         assertNull(next.match("h.example", "/two/x"));
-        assertEquals(1, Creed.NONE.modify(Sample.bytes("{'revision':1,'withdraw':{'routes':[]}}")).revision());
+        assertEquals(
+                1,
+                Creed.NONE
+                        .modify(Sample.bytes("{'revision':1,'withdraw':{'routes':[]}}"))
+                        .revision());
     }
 
     /** A change may swap the places of two routes. */
     @Test
     void onlyWhatItBecomesHasToBeValid() {
-        Creed next = Sample.creed(Sample.two(7)).modify(Sample.bytes("{'revision':8,'upsert':{'routes':["
-            + Sample.route("r2", "h.example", "/one/", "b") + ',' + Sample.route("r1", "h.example", "/two/", "a") + "]}}"));
+        Creed next = Sample.creed(Sample.two(7))
+                .modify(Sample.bytes(
+                        "{'revision':8,'upsert':{'routes':[" + Sample.route("r2", "h.example", "/one/", "b") + ','
+                                + Sample.route("r1", "h.example", "/two/", "a") + "]}}"));
         assertEquals("r2", next.match("h.example", "/one/").name());
         assertEquals("r1", next.match("h.example", "/two/").name());
     }
 
     @ParameterizedTest(name = "{0}{1}")
-    @CsvSource(nullValues = "404", value = {
-        "h.example,/a/b/c,ab", "h.example,/a/b/,ab", "h.example,/a/b,a", "h.example,/a/bb/c,a", "h.example,/a/,a", "h.example,/a,404",
-        "H.EXAMPLE,/a/x,a", "h.example:8080,/a/x,a", "h.example,/a/x?y=/a/b/,a", "h.example,/?/a/,404", "h.example,//a/b/,404",
-        "other.example,/a/x,other", "other.example,/,other", "none.example,/a/x,404", "h.example,'',404", "h.example,*,404",
-        "h.example,/a/b/c/d/e/f/g/h/i/j/k/l/m/n/o/p,ab", "h.example,/a/////////////////////////////////////////////////,a"})
+    @CsvSource(
+            nullValues = "404",
+            value = {
+                "h.example,/a/b/c,ab",
+                "h.example,/a/b/,ab",
+                "h.example,/a/b,a",
+                "h.example,/a/bb/c,a",
+                "h.example,/a/,a",
+                "h.example,/a,404",
+                "H.EXAMPLE,/a/x,a",
+                "h.example:8080,/a/x,a",
+                "h.example,/a/x?y=/a/b/,a",
+                "h.example,/?/a/,404",
+                "h.example,//a/b/,404",
+                "other.example,/a/x,other",
+                "other.example,/,other",
+                "none.example,/a/x,404",
+                "h.example,'',404",
+                "h.example,*,404",
+                "h.example,/a/b/c/d/e/f/g/h/i/j/k/l/m/n/o/p,ab",
+                "h.example,/a/////////////////////////////////////////////////,a"
+            })
     void theLongestPrefixWins(String host, String path, String route) {
-        Creed creed = Sample.creed(Sample.whole(1, Sample.route("a", "h.example", "/a/", "s") + ',' + Sample.route("ab", "h.example", "/a/b/", "s")
-            + ',' + Sample.route("other", "other.example", "/", "s"), Sample.service("s")));
+        Creed creed = Sample.creed(Sample.whole(
+                1,
+                Sample.route("a", "h.example", "/a/", "s")
+                        + ','
+                        + Sample.route("ab", "h.example", "/a/b/", "s")
+                        + ','
+                        + Sample.route("other", "other.example", "/", "s"),
+                Sample.service("s")));
         Route match = creed.match(host, path);
         assertEquals(route, match == null ? null : match.name());
     }
@@ -98,8 +141,12 @@
         'services':['b','b','a','b']
         """)
     void partsByWeight(String split) {
-        Route route = Sample.creed(Sample.whole(1, Sample.route("r", "h", "/", "a").replace("'service':'a'", split),
-            Sample.service("a") + ',' + Sample.service("b") + ',' + Sample.service("c"))).routes().get("r");
+        Route route = Sample.creed(Sample.whole(
+                        1,
+                        Sample.route("r", "h", "/", "a").replace("'service':'a'", split),
+                        Sample.service("a") + ',' + Sample.service("b") + ',' + Sample.service("c")))
+                .routes()
+                .get("r");
         Map<String, Integer> picked = new HashMap<>();
         for (int i = 0; i < 1_000; i++) {
             picked.merge(route.pick(i / 1_000.0), 1, Integer::sum);
@@ -114,14 +161,19 @@
         byte[] body = Sample.bytes("{'revision':9,'withdraw':{'routes':['r1']}}");
         byte[] change = new Change(Verb.MODIFY, 7, body).bytes();
         assertArrayEquals(base.modify(body).json(), base.apply(change).json());
-        assertEquals("creed.stale", assertThrows(CreedFault.class, () -> base.apply(change).apply(change)).code());
+        assertEquals(
+                "creed.stale",
+                assertThrows(CreedFault.class, () -> base.apply(change).apply(change))
+                        .code());
         byte[] packed = base.packed();
         assertArrayEquals(base.json(), Creed.unpack(packed).json());
         packed[packed.length / 2] ^= 1;
         assertThrows(CreedFault.class, () -> Creed.unpack(packed));
         assertThrows(CreedFault.class, () -> Creed.unpack(Arrays.copyOf(base.packed(), 40)));
         byte[] bomb = Packing.pack(new byte[64 << 20]);
-        assertEquals("creed.bad-packing", assertThrows(CreedFault.class, () -> Creed.unpack(bomb)).code());
+        assertEquals(
+                "creed.bad-packing",
+                assertThrows(CreedFault.class, () -> Creed.unpack(bomb)).code());
     }
 
     @Test
@@ -131,7 +183,9 @@
         Creed large = base.modify(Sample.bytes("{'revision':2,'upsert':{'a':'" + filler + "'}}"));
         for (String more : List.of("'b':'" + filler + "'", "'quotas':[{'name':'q','x':'" + filler + "'}]")) {
             byte[] body = Sample.bytes("{'revision':3,'upsert':{" + more + "}}");
-            assertEquals("creed.too-large", assertThrows(CreedFault.class, () -> large.modify(body)).code());
+            assertEquals(
+                    "creed.too-large",
+                    assertThrows(CreedFault.class, () -> large.modify(body)).code());
         }
         assertEquals(2, Creed.read(large.json()).revision());
     }
--- a/src/test/java/brambletray/tray/creed/DeltaTest.java
+++ b/src/test/java/brambletray/tray/creed/DeltaTest.java
@@ -22,21 +22,28 @@
 
     /** {@code count} services, each with a route. */
     private static Creed large(long revision, int count) {
-        return Sample.creed(Sample.whole(revision,
-            IntStream.range(0, count).mapToObj(i -> Sample.route("r" + i, "h" + i % 7 + ".example", "/p" + i + "/", "s" + i))
-                .collect(Collectors.joining(",")),
-            IntStream.range(0, count).mapToObj(i -> Sample.service("s" + i)).collect(Collectors.joining(","))));
+        return Sample.creed(Sample.whole(
+                revision,
+                IntStream.range(0, count)
+                        .mapToObj(i -> Sample.route("r" + i, "h" + i % 7 + ".example", "/p" + i + "/", "s" + i))
+                        .collect(Collectors.joining(",")),
+                IntStream.range(0, count).mapToObj(i -> Sample.service("s" + i)).collect(Collectors.joining(","))));
     }
 
     /** Near the longest body: many short routes to one service. */
     private static Creed routes(long revision, int count) {
-        return Sample.creed(Sample.whole(revision, IntStream.range(0, count).mapToObj(i -> "{'name':'r" + i + "','host':'h','path-prefix':'/"
-            + i + "/','route-type':'idempotent','timeout-ms':2500,'service':'s0'}").collect(Collectors.joining(",")), Sample.service("s0")));
+        return Sample.creed(Sample.whole(
+                revision,
+                IntStream.range(0, count)
+                        .mapToObj(i -> "{'name':'r" + i + "','host':'h','path-prefix':'/" + i
+                                + "/','route-type':'idempotent','timeout-ms':2500,'service':'s0'}")
+                        .collect(Collectors.joining(",")),
+                Sample.service("s0")));
     }
 
     private static Creed modified(Creed base, String upsert, String withdraw) {
-        return base.modify(Sample.bytes("{'revision':" + (base.revision() + 1) + ",'upsert':{" + upsert + "},'withdraw':{" + withdraw
-            + "}}"));
+        return base.modify(Sample.bytes(
+                "{'revision':" + (base.revision() + 1) + ",'upsert':{" + upsert + "},'withdraw':{" + withdraw + "}}"));
     }
 
     private static Creed route(Creed base, String name, String prefix, String service) {
@@ -74,7 +81,11 @@
             Creed after = route(before, "r5", "/moved/", "s0");
             many.become(after);
             Delta delta = many.since(1);
-            assertEquals(List.of("routes/r5"), delta.entries().stream().map(e -> e.table() + "/" + e.name()).toList());
+            assertEquals(
+                    List.of("routes/r5"),
+                    delta.entries().stream()
+                            .map(e -> e.table() + "/" + e.name())
+                            .toList());
             assertTrue(delta.packed().length < 300, "bytes: " + delta.packed().length);
             assertSame(after, travelled(before, delta));
         }
@@ -126,8 +137,11 @@
         for (int names = 0; names <= History.NAMES; names += 2 * count) {
             assertTrue(step == 1 || history.remembers(1), "after " + names + " names");
             step++;
-            history.become(step % 2 == 1 ? large(step, count)
-                : Sample.creed(Sample.whole(step, Sample.route("only", "h.example", "/", "t"), Sample.service("t"))));
+            history.become(
+                    step % 2 == 1
+                            ? large(step, count)
+                            : Sample.creed(Sample.whole(
+                                    step, Sample.route("only", "h.example", "/", "t"), Sample.service("t"))));
         }
         assertTrue(!history.remembers(1));
         assertTrue(history.remembers(step - 1));
@@ -158,7 +172,8 @@
     @Test
     void aReplacementThatChangesLittleIsToldAsLittle() {
         history.become(large(1, 40));
-        Creed after = Sample.creed(new String(large(2, 40).json(), java.nio.charset.StandardCharsets.UTF_8).replace("/p7/", "/other/"));
+        Creed after = Sample.creed(
+                new String(large(2, 40).json(), java.nio.charset.StandardCharsets.UTF_8).replace("/p7/", "/other/"));
         history.become(after);
         assertEquals(1, history.since(1).entries().size());
         assertSame(after, travelled(large(1, 40), history.since(1)));
@@ -181,7 +196,8 @@
     void aResultThatIsNotTheSendersIsNotTaken() {
         Creed one = Sample.creed(Sample.two(1));
         history.become(one);
-        history.become(modified(one, "'routes':[" + Sample.route("r3", "h.example", "/three/", "a") + "]", "'routes':['r1']"));
+        history.become(
+                modified(one, "'routes':[" + Sample.route("r3", "h.example", "/three/", "a") + "]", "'routes':['r1']"));
         Delta good = history.since(1);
         List<Delta> wrong = new ArrayList<>();
         for (int i = 0; i < good.entries().size(); i++) {
@@ -216,13 +232,20 @@
     @Test
     void theDigestIsOfTheContentAlone() {
         Creed one = Sample.creed(Sample.two(1));
-        assertEquals(one.digest(), Sample.creed(new String(one.json(), java.nio.charset.StandardCharsets.UTF_8)).digest());
+        assertEquals(
+                one.digest(),
+                Sample.creed(new String(one.json(), java.nio.charset.StandardCharsets.UTF_8))
+                        .digest());
         assertNotEquals(one.digest(), Sample.creed(Sample.two(2)).digest());
         Creed there = route(one, "r9", "/nine/", "a");
         Creed back = modified(there, "", "'routes':['r9']");
         assertEquals(Sample.creed(Sample.two(3)).digest(), back.digest());
-        String otherOrder = Sample.route("r2", "h.example", "/two/", "b") + ',' + Sample.route("r1", "h.example", "/one/", "a");
-        assertEquals(Sample.creed(Sample.whole(1, otherOrder, Sample.service("b") + ',' + Sample.service("a"))).digest(), one.digest());
+        String otherOrder =
+                Sample.route("r2", "h.example", "/two/", "b") + ',' + Sample.route("r1", "h.example", "/one/", "a");
+        assertEquals(
+                Sample.creed(Sample.whole(1, otherOrder, Sample.service("b") + ',' + Sample.service("a")))
+                        .digest(),
+                one.digest());
     }
 
     /** Changes at random, fields and tables that aren't understood among them; edges at random versions follow. */
@@ -251,7 +274,8 @@
     private static Creed change(Creed creed, Random random) {
         int i = random.nextInt(6);
         return switch (random.nextInt(9)) {
-            case 0, 1 -> route(creed, "x" + i, "/x" + i + "/" + random.nextInt(3) + "/", random.nextBoolean() ? "a" : "b");
+            case 0, 1 ->
+                route(creed, "x" + i, "/x" + i + "/" + random.nextInt(3) + "/", random.nextBoolean() ? "a" : "b");
             case 2 -> modified(creed, "", "'routes':['x" + i + "']");
             case 3 -> modified(creed, "'services':[" + Sample.service("s" + i) + "]", "");
             case 4 -> modified(creed, "", "'services':['s" + i + "']");
--- a/src/test/java/brambletray/tray/creed/InvalidTest.java
+++ b/src/test/java/brambletray/tray/creed/InvalidTest.java
@@ -117,7 +117,9 @@
         {'a':1,'\\u0061':2}|duplicate-field
         """)
     void notOneWholeObject(String body, String code) {
-        assertEquals("creed." + code, assertThrows(CreedFault.class, () -> Sample.creed(body)).code());
+        assertEquals(
+                "creed." + code,
+                assertThrows(CreedFault.class, () -> Sample.creed(body)).code());
     }
 
     @Test
@@ -137,7 +139,10 @@
         refused(assertThrows(CreedFault.class, () -> Creed.read(body)), "unreadable", "");
         String deep = "[".repeat(63) + "]".repeat(63);
         assertEquals(7, Sample.creed("{'x':" + deep + ',' + GOOD.substring(1)).revision());
-        refused(assertThrows(CreedFault.class, () -> Sample.creed("{'x':[" + deep + "]," + GOOD.substring(1))), "too-deep", "");
+        refused(
+                assertThrows(CreedFault.class, () -> Sample.creed("{'x':[" + deep + "]," + GOOD.substring(1))),
+                "too-deep",
+                "");
         String filler = " ".repeat(CreedJson.LARGEST - GOOD.length());
         assertEquals(7, Sample.creed(GOOD + filler).revision());
         refused(assertThrows(CreedFault.class, () -> Sample.creed(GOOD + filler + ' ')), "too-large", "");
@@ -167,7 +172,8 @@
     @Test
     void changesThatMoveARouteOntoAnother() {
         Creed base = Sample.creed(GOOD);
-        byte[] body = Sample.bytes("{'revision':9,'upsert':{'routes':[" + Sample.route("r3", "h.example", "/two/", "a") + "]}}");
+        byte[] body = Sample.bytes(
+                "{'revision':9,'upsert':{'routes':[" + Sample.route("r3", "h.example", "/two/", "a") + "]}}");
         refused(assertThrows(CreedFault.class, () -> base.modify(body)), "same-place", "routes[r3].path-prefix");
     }
 
@@ -179,11 +185,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'',-1", "x,-1", "-1,-1", "5x,-1", "+5,-1", "9223372036854775808,-1", "12345678901234567890,-1",
-        "0,0", "57,57", "1234567890123456789,1234567890123456789"})
+    @CsvSource({
+        "'',-1",
+        "x,-1",
+        "-1,-1",
+        "5x,-1",
+        "+5,-1",
+        "9223372036854775808,-1",
+        "12345678901234567890,-1",
+        "0,0",
+        "57,57",
+        "1234567890123456789,1234567890123456789"
+    })
     void bases(String header, long base) {
         if (base < 0) {
-            assertEquals("creed.bad-base", assertThrows(CreedFault.class, () -> Charter.base(header)).code());
+            assertEquals(
+                    "creed.bad-base",
+                    assertThrows(CreedFault.class, () -> Charter.base(header)).code());
         } else {
             assertEquals(base, Charter.base(header));
         }
--- a/src/test/java/brambletray/tray/creed/Sample.java
+++ b/src/test/java/brambletray/tray/creed/Sample.java
@@ -4,7 +4,7 @@
 
 /** Bodies for tests: single quotes stand for double ones. */
 final class Sample {
-    private Sample() { }
+    private Sample() {}
 
     static byte[] bytes(String text) {
         return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
@@ -16,11 +16,13 @@
 
     static String route(String name, String host, String prefix, String service) {
         return "{'name':'" + name + "','host':'" + host + "','path-prefix':'" + prefix
-            + "','route-type':'idempotent','timeout-ms':2500,'target-ms':400,'priority':2,'service':'" + service + "','retry-count':2}";
+                + "','route-type':'idempotent','timeout-ms':2500,'target-ms':400,'priority':2,'service':'" + service
+                + "','retry-count':2}";
     }
 
     static String service(String name) {
-        return "{'name':'" + name + "','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}";
+        return "{'name':'" + name
+                + "','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}";
     }
 
     static String whole(long revision, String routes, String services) {
@@ -29,8 +31,10 @@
 
     /** Routes r1 (to a) and r2 (to b) at {@code h.example}. */
     static String two(long revision) {
-        return whole(revision, route("r1", "h.example", "/one/", "a") + ',' + route("r2", "h.example", "/two/", "b"),
-            service("a") + ',' + service("b"));
+        return whole(
+                revision,
+                route("r1", "h.example", "/one/", "a") + ',' + route("r2", "h.example", "/two/", "b"),
+                service("a") + ',' + service("b"));
     }
 
     static Creed creed(String body) {
--- a/src/test/java/brambletray/tray/drill/Book.java
+++ b/src/test/java/brambletray/tray/drill/Book.java
@@ -21,7 +21,7 @@
     private static final int SLACK = 100;
 
     /** One answer to a reading. */
-    private record Shown(int order, long revision, long askedAt, long at, int mostAcked) { }
+    private record Shown(int order, long revision, long askedAt, long at, int mostAcked) {}
 
     private final World world;
     private final Map<Integer, Order> orders = new LinkedHashMap<>();
@@ -29,10 +29,12 @@
     private final Set<Order> open = new LinkedHashSet<>();
     /** Of valid ones, by their base. */
     private final Map<Long, Integer> given = new HashMap<>();
+
     private final Map<Long, Order> ackedByBase = new HashMap<>();
     private final Map<Long, Order> ackedByRevision = new HashMap<>();
     /** Newest acknowledged revision, by the time from which it was. */
     private final TreeMap<Long, Order> acked = new TreeMap<>();
+
     private final List<Shown> shown = new ArrayList<>();
     private final Map<Integer, String> inForce = new LinkedHashMap<>();
     private String broken;
@@ -125,13 +127,18 @@
         reads++;
         long must = revisionAcked(askedAt - 1);
         if (revision < must) {
-            fail("OLD-READ", "shows " + revision + " (o" + order + "), asked at " + askedAt + ", " + must + " was acknowledged before");
+            fail(
+                    "OLD-READ",
+                    "shows " + revision + " (o" + order + "), asked at " + askedAt + ", " + must
+                            + " was acknowledged before");
         }
         for (Shown before : shown) {
             if (before.at < askedAt && before.revision > revision) {
-                fail("READ-GOES-BACK", "shows " + revision + " (o" + order + "), asked at " + askedAt + ", " + before.revision + " (o"
-                    + before.order
-                    + ") was shown at " + before.at);
+                fail(
+                        "READ-GOES-BACK",
+                        "shows " + revision + " (o" + order + "), asked at " + askedAt + ", " + before.revision + " (o"
+                                + before.order
+                                + ") was shown at " + before.at);
             }
         }
         known(order, revision);
@@ -179,9 +186,12 @@
         }
         long must = revisionAcked(world.now() - World.APPLY - SLACK);
         if (revision < must && world.settledSince() >= 0 && world.now() - edge.outAt > World.CONTACT + SLACK) {
-            fail("EDGE-BEHIND", edge.name + (edge.ready() ? " (ready)" : " (not ready)") + " holds " + revision + ", " + must
-                + " was acknowledged over " + World.APPLY + " ms ago; out of touch last at " + edge.outAt + ", settled since "
-                + world.settledSince());
+            fail(
+                    "EDGE-BEHIND",
+                    edge.name + (edge.ready() ? " (ready)" : " (not ready)") + " holds " + revision + ", " + must
+                            + " was acknowledged over " + World.APPLY + " ms ago; out of touch last at " + edge.outAt
+                            + ", settled since "
+                            + world.settledSince());
         }
     }
 
@@ -214,7 +224,9 @@
                 fail("LOST", order + " acknowledged at " + order.ackedAt + " did not lead to o" + last);
             }
             if (order.refusedAt >= 0 && taken.contains(order.id)) {
-                fail("TAKEN-REFUSED", order + " refused with " + order.refusal + " at " + order.refusedAt + " led to o" + last);
+                fail(
+                        "TAKEN-REFUSED",
+                        order + " refused with " + order.refusal + " at " + order.refusedAt + " led to o" + last);
             }
         }
         inForce.forEach((id, where) -> {
@@ -237,7 +249,10 @@
         }
         Order next = at + 1 < chain.size() ? chain.get(at + 1) : null;
         if (next == null || next.sentAt > order.refusedAt) {
-            fail("VALID-REFUSED", order + " refused with " + order.refusal + " at " + order.refusedAt + ", next on the same base: " + next);
+            fail(
+                    "VALID-REFUSED",
+                    order + " refused with " + order.refusal + " at " + order.refusedAt + ", next on the same base: "
+                            + next);
         }
     }
 
--- a/src/test/java/brambletray/tray/drill/CoreNode.java
+++ b/src/test/java/brambletray/tray/drill/CoreNode.java
@@ -55,7 +55,10 @@
     }
 
     boolean sick() {
-        return disk.full || disk.syncMs > world.syncMs || disk.hungUntil > TimeUnit.NANOSECONDS.toMillis(world.simulation.clock().nanos());
+        return disk.full
+                || disk.syncMs > world.syncMs
+                || disk.hungUntil
+                        > TimeUnit.NANOSECONDS.toMillis(world.simulation.clock().nanos());
     }
 
     SimKeep keep() {
@@ -85,18 +88,26 @@
         long life = world.random.nextLong() | 1;
         long origin = world.random.nextLong() | 1;
         String settings = settings(initial);
-        here.loop().execute(() -> keep = SimKeep.start(SimBerth.of(settings), here, disk.read(), store.store(),
-            () -> world.director.loop().execute(() -> exited(mine)), life, origin));
+        here.loop()
+                .execute(() -> keep = SimKeep.start(
+                        SimBerth.of(settings),
+                        here,
+                        disk.read(),
+                        store.store(),
+                        () -> world.director.loop().execute(() -> exited(mine)),
+                        life,
+                        origin));
     }
 
     private String settings(boolean initial) {
         return "node-name=" + name + "\nrole=keep\nhardware-class=core\nserved-roles=control\nip-address=" + ip
-            + "\nzone=z1\nregion=r\nzones.z1=r"
-            + "\nbind-addresses.control-plane=" + control() + "\ninternal-port-range=7400,7415\nseed-peers=" + world.seeds()
-            + "\ninitial-start="
-            + initial + "\nloss-counted=true\nfault-tolerance.machine-losses=" + world.script.losses()
-            + "\ncloud-api.address=10.200.0.1:" + World.PLATFORM
-            + "\ncloud-api.rate-per-s=4\ncloud-api.lag-ms=800\ncloud-api.duty-rate-s=20\n";
+                + "\nzone=z1\nregion=r\nzones.z1=r"
+                + "\nbind-addresses.control-plane=" + control() + "\ninternal-port-range=7400,7415\nseed-peers="
+                + world.seeds()
+                + "\ninitial-start="
+                + initial + "\nloss-counted=true\nfault-tolerance.machine-losses=" + world.script.losses()
+                + "\ncloud-api.address=10.200.0.1:" + World.PLATFORM
+                + "\ncloud-api.rate-per-s=4\ncloud-api.lag-ms=800\ncloud-api.duty-rate-s=20\n";
     }
 
     private void exited(int which) {
--- a/src/test/java/brambletray/tray/drill/Course.java
+++ b/src/test/java/brambletray/tray/drill/Course.java
@@ -11,11 +11,24 @@
 final class Course {
     /** ms for which orders go on after the last trouble; after which all must have come to an end; and for the last readings. */
     private static final int CALM = 9_000, END = 20_000, READ = 15_000;
+
     private static final int LOOK = 50;
 
     /** {@code broken}: null, or the rule and why. {@code trace}: a hash of all that passed on the network. */
-    record Result(Script script, String broken, int orders, int acknowledged, int refused, int resent, int reads, long longestSettled,
-        long longest, int left, int cutShort, long trace, List<String> faults) { }
+    record Result(
+            Script script,
+            String broken,
+            int orders,
+            int acknowledged,
+            int refused,
+            int resent,
+            int reads,
+            long longestSettled,
+            long longest,
+            int left,
+            int cutShort,
+            long trace,
+            List<String> faults) {}
 
     private final World world;
     private final Book book;
@@ -75,8 +88,20 @@
         }
         world.cores.forEach(core -> core.kill(false));
         world.edges.forEach(EdgeNode::kill);
-        return new Result(script, book.broken(), book.made(), book.acknowledged, book.refused, book.resent, book.reads, book.longestSettled,
-            book.longest, world.left, world.cutShort, world.simulation.trace(), tap.faults());
+        return new Result(
+                script,
+                book.broken(),
+                book.made(),
+                book.acknowledged,
+                book.refused,
+                book.resent,
+                book.reads,
+                book.longestSettled,
+                book.longest,
+                world.left,
+                world.cutShort,
+                world.simulation.trace(),
+                tap.faults());
     }
 
     private void look() {
@@ -128,7 +153,9 @@
 
     // ---- Troubles -------------------------------------------------------------------------------
     private CoreNode target(Trouble trouble) {
-        CoreNode found = trouble.who() == Trouble.Who.LEADER ? world.leader() : trouble.who() == Trouble.Who.HELM ? world.helm() : null;
+        CoreNode found = trouble.who() == Trouble.Who.LEADER
+                ? world.leader()
+                : trouble.who() == Trouble.Who.HELM ? world.helm() : null;
         return found != null ? found : world.cores.get(trouble.arg() % world.cores.size());
     }
 
@@ -217,12 +244,13 @@
             }
             case AFTER_ACK_KILL -> operators.whenAcknowledged(member -> afterAck(member, trouble, false));
             case AFTER_ACK_WIPE -> operators.whenAcknowledged(member -> afterAck(member, trouble, true));
-            case AFTER_ACK_ALL -> operators.whenAcknowledged(member -> {
-                if (!over) {
-                    // not within the call that brings the answer
-                    world.director.loop().execute(() -> all(trouble));
-                }
-            });
+            case AFTER_ACK_ALL ->
+                operators.whenAcknowledged(member -> {
+                    if (!over) {
+                        // not within the call that brings the answer
+                        world.director.loop().execute(() -> all(trouble));
+                    }
+                });
             case ALL_KILL, ALL_POWER -> all(trouble);
             case EDGE_KILL -> {
                 edge.kill();
--- a/src/test/java/brambletray/tray/drill/Drill.java
+++ b/src/test/java/brambletray/tray/drill/Drill.java
@@ -18,7 +18,7 @@
     /** Courses after which the count so far is printed. */
     private static final int OFTEN = 100;
 
-    private Drill() { }
+    private Drill() {}
 
     /** Exit code 1: a rule was broken. */
     public static void main(String[] args) {
@@ -47,7 +47,8 @@
         int most = Integer.getInteger("drill.shrink", 5);
         int enough = Integer.getInteger("drill.enough", Integer.MAX_VALUE);
         for (long seed = first; seed < first + seeds && broken.size() < enough; seed++) {
-            Course.Result result = Course.play(course == null ? Script.draw(seed, members) : Script.parse(seed + "/" + course), null);
+            Course.Result result =
+                    Course.play(course == null ? Script.draw(seed, members) : Script.parse(seed + "/" + course), null);
             count.add(result);
             if (!result.faults().isEmpty()) {
                 System.out.println("drill: seed " + seed + " with " + members + ", faults told: " + result.faults());
@@ -98,9 +99,11 @@
 
         String line(int members, long first) {
             return "drill: " + played + " courses with " + members + " members from seed " + first + ", " + acknowledged
-                + " orders acknowledged, " + refused + " refused, " + resent + " sent again after an answer, " + reads
-                + " readings; longest " + longest + " ms without acknowledgement in a settled core; " + left
-                + " ended by themselves after SIGTERM, " + cutShort + " by the grace; broken " + rules + "; troubles " + troubles;
+                    + " orders acknowledged, " + refused + " refused, " + resent + " sent again after an answer, "
+                    + reads
+                    + " readings; longest " + longest + " ms without acknowledgement in a settled core; " + left
+                    + " ended by themselves after SIGTERM, " + cutShort + " by the grace; broken " + rules
+                    + "; troubles " + troubles;
         }
     }
 }
--- a/src/test/java/brambletray/tray/drill/EdgeNode.java
+++ b/src/test/java/brambletray/tray/drill/EdgeNode.java
@@ -42,12 +42,18 @@
         Machine here = machine;
         long life = world.random.nextLong() | 1;
         String settings = "node-name=" + name + "\nrole=carry\nhardware-class=edge\nserved-roles=edge\nip-address=" + ip
-            + "\nzone=z1\nregion=r\nzones.z1=r\nbind-addresses.front-end=" + ip + ":" + World.FRONT + "\nbind-addresses.readiness="
-            + ip + ":"
-            + World.READY + "\ninternal-port-range=7400,7415\nseed-peers=" + world.seeds()
-            + "\ninitial-start=false\nloss-counted=false\nfault-tolerance.machine-losses=" + world.script.losses() + "\n";
-        here.loop().execute(() -> carry = SimCarry.start(SimBerth.of(settings), here, life, code ->
-            world.director.loop().execute(this::kill)));
+                + "\nzone=z1\nregion=r\nzones.z1=r\nbind-addresses.front-end=" + ip + ":" + World.FRONT
+                + "\nbind-addresses.readiness="
+                + ip + ":"
+                + World.READY + "\ninternal-port-range=7400,7415\nseed-peers=" + world.seeds()
+                + "\ninitial-start=false\nloss-counted=false\nfault-tolerance.machine-losses=" + world.script.losses()
+                + "\n";
+        here.loop()
+                .execute(() -> carry = SimCarry.start(
+                        SimBerth.of(settings),
+                        here,
+                        life,
+                        code -> world.director.loop().execute(this::kill)));
     }
 
     void kill() {
@@ -98,6 +104,8 @@
     /** The order that this configuration came of; 0: none. */
     static int order(Creed creed) {
         Route mark = creed.routes().get("mark");
-        return mark == null ? 0 : Integer.parseInt(mark.prefix().substring(2, mark.prefix().indexOf("/p")));
+        return mark == null
+                ? 0
+                : Integer.parseInt(mark.prefix().substring(2, mark.prefix().indexOf("/p")));
     }
 }
--- a/src/test/java/brambletray/tray/drill/HttpCall.java
+++ b/src/test/java/brambletray/tray/drill/HttpCall.java
@@ -36,29 +36,41 @@
 
     /** {@code body} null: a GET. {@code base} null: none is said. */
     static void make(Machine machine, Address to, String path, Long base, byte[] body, Reply reply) {
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, body == null ? HttpMethod.GET
-            : HttpMethod.POST, path,
-            body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
-        request.headers().set("Host", to.toString()).set("Content-Length", body == null ? 0 : body.length).set("Connection", "close");
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                body == null ? HttpMethod.GET : HttpMethod.POST,
+                path,
+                body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set("Host", to.toString())
+                .set("Content-Length", body == null ? 0 : body.length)
+                .set("Connection", "close");
         if (base != null) {
             request.headers().set("Brambletray-Base-Revision", base.toString());
         }
         HttpCall call = new HttpCall(request, reply);
         int patience = PATIENCE + (body == null ? 0 : body.length / 100_000 * PATIENCE_MORE);
         Channel channel = machine.dialling(patience, new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel made) {
-                made.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(8 << 20), call);
-            }
-        }).connect(new InetSocketAddress(to.host(), to.port())).addListener(done -> {
-            if (!done.isSuccess()) {
-                call.end(0, null, new byte[0]);
-            }
-        }).channel();
-        machine.loop().schedule(() -> {
-            call.end(0, null, new byte[0]);
-            channel.close();
-        }, patience, TimeUnit.MILLISECONDS);
+                    @Override
+                    protected void initChannel(Channel made) {
+                        made.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(8 << 20), call);
+                    }
+                })
+                .connect(new InetSocketAddress(to.host(), to.port()))
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        call.end(0, null, new byte[0]);
+                    }
+                })
+                .channel();
+        machine.loop()
+                .schedule(
+                        () -> {
+                            call.end(0, null, new byte[0]);
+                            channel.close();
+                        },
+                        patience,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void end(int status, String location, byte[] body) {
--- a/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
+++ b/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
@@ -51,8 +51,13 @@
     }
 
     private void send(CoreNode to, Order order, HttpCall.Reply reply) {
-        HttpCall.make(caller, Address.parse(to.control()), "/brambletray/configuration/" + (order.whole ? "replace" : "modify"), order.base,
-            order.body, reply);
+        HttpCall.make(
+                caller,
+                Address.parse(to.control()),
+                "/brambletray/configuration/" + (order.whole ? "replace" : "modify"),
+                order.base,
+                order.body,
+                reply);
     }
 
     /** Sends it to the members in turn, on by 307, until it is acknowledged. */
@@ -74,9 +79,17 @@
             return;
         }
         asked += 3;
-        HttpCall.make(caller, Address.parse(isolated.control()), "/brambletray/configuration/show", null, null,
-            (status, location, body) -> judge("show", status));
-        send(isolated, Order.valid(90, 1, 0, 91, false, 0), (status, location, body) -> judge("a change on another version", status));
+        HttpCall.make(
+                caller,
+                Address.parse(isolated.control()),
+                "/brambletray/configuration/show",
+                null,
+                null,
+                (status, location, body) -> judge("show", status));
+        send(
+                isolated,
+                Order.valid(90, 1, 0, 91, false, 0),
+                (status, location, body) -> judge("a change on another version", status));
         send(isolated, Order.invalid(92, 1, 1, 0), (status, location, body) -> judge("an invalid change", status));
         world.after(world.now() < cutAt + LEASE ? 100 : 700, this::tempt);
     }
@@ -98,7 +111,8 @@
         if (since > 2_500 && anew.creed() != Creed.NONE && anew.creed().revision() < 2) {
             wrong.add(anew.name + " started anew and was handed " + anew.creed().revision() + " at " + since);
         }
-        boolean spread = anew.creed().revision() >= 2 && world.edges.get(2).creed().revision() >= 2;
+        boolean spread =
+                anew.creed().revision() >= 2 && world.edges.get(2).creed().revision() >= 2;
         if (spreadAt < 0 && spread) {
             spreadAt = world.now();
         }
@@ -144,8 +158,9 @@
         world.edges.forEach(edge -> world.at(world.random.nextInt(300), edge::start));
         boolean[] first = new boolean[1];
         world.at(500, () -> sendUntilTaken(Order.valid(1, 0, 0, 1, true, 0), world.cores, 0, () -> first[0] = true));
-        assertTrue(until(9_000, () -> first[0] && world.edges.stream().allMatch(EdgeNode::ready) && world.helm() != null),
-            "at rest: " + wrong);
+        assertTrue(
+                until(9_000, () -> first[0] && world.edges.stream().allMatch(EdgeNode::ready) && world.helm() != null),
+                "at rest: " + wrong);
         until(world.now() + 3_000 + world.random.nextInt(1_000));
         isolated = world.helm();
         cutAt = world.now();
@@ -155,8 +170,9 @@
         cut(alone, false);
         List<CoreNode> rest = new ArrayList<>(world.cores);
         rest.remove(isolated);
-        world.after(world.random.nextInt(400),
-            () -> sendUntilTaken(Order.valid(2, 1, 1, 2, false, 0), rest, 0, () -> ackedAt = world.now()));
+        world.after(
+                world.random.nextInt(400),
+                () -> sendUntilTaken(Order.valid(2, 1, 1, 2, false, 0), rest, 0, () -> ackedAt = world.now()));
         // Its lease is over then, but its hub is still there.
         world.after(830, alone::kill);
         world.after(850, alone::start);
@@ -167,7 +183,10 @@
         until(cutAt + CUT);
         isolate(true);
         cut(alone, true);
-        boolean all = until(cutAt + CUT + 8_000, () -> world.edges.stream().allMatch(edge -> edge.ready() && edge.creed().revision() == 2));
+        boolean all = until(
+                cutAt + CUT + 8_000,
+                () -> world.edges.stream()
+                        .allMatch(edge -> edge.ready() && edge.creed().revision() == 2));
         if (!all) {
             wrong.add("not all edges serve by the newest 8 s after the cut");
         }
@@ -195,23 +214,28 @@
         one.isolate(false);
         List<Class<?>> said = new ArrayList<>();
         Machine edge = world.machine(World.ip(10, 9, 0, 2), "edge");
-        new Dialler(edge, new Speech(Lexis.ALL), new Address(one.isolated.ip, World.INNER), new Handler() {
-            @Override
-            public void up(Link link) {
-                link.say(new Iam("edge-9", "10.9.0.2:7400", false));
-                link.say(new Hello(new Peer("edge-9", "z1", "10.9.0.2:7400", 1, Peer.IN), 0, 0, 0, term));
-            }
+        new Dialler(
+                edge,
+                new Speech(Lexis.ALL),
+                new Address(one.isolated.ip, World.INNER),
+                new Handler() {
+                    @Override
+                    public void up(Link link) {
+                        link.say(new Iam("edge-9", "10.9.0.2:7400", false));
+                        link.say(new Hello(new Peer("edge-9", "z1", "10.9.0.2:7400", 1, Peer.IN), 0, 0, 0, term));
+                    }
 
-            @Override
-            public void heard(Link link, Object frame) {
-                if (!(frame instanceof Welcome) && !said.contains(frame.getClass())) {
-                    said.add(frame.getClass());
-                }
-            }
+                    @Override
+                    public void heard(Link link, Object frame) {
+                        if (!(frame instanceof Welcome) && !said.contains(frame.getClass())) {
+                            said.add(frame.getClass());
+                        }
+                    }
 
-            @Override
-            public void down(Link link, String why) { }
-        }, 1);
+                    @Override
+                    public void down(Link link, String why) {}
+                },
+                1);
         one.until(world.now() + 300);
         world.cores.forEach(core -> core.kill(false));
         return said;
@@ -231,7 +255,8 @@
                     wrong.add(members + " members, seed " + seed + ": " + each);
                 }
                 if (one.ackedAt < 0 || one.spreadAt < 0) {
-                    wrong.add(members + " members, seed " + seed + ": acknowledged " + one.ackedAt + ", spread " + one.spreadAt);
+                    wrong.add(members + " members, seed " + seed + ": acknowledged " + one.ackedAt + ", spread "
+                            + one.spreadAt);
                 }
                 asked += one.asked;
                 acked[at] = one.ackedAt - one.cutAt;
@@ -240,9 +265,11 @@
         }
         Arrays.sort(acked);
         Arrays.sort(spread);
-        System.out.println("isolated helm: " + at + " courses, asked " + asked + " times what it must not answer; ms from the cut "
-            + "to the next acknowledgement: median " + acked[at / 2] + ", longest " + acked[at - 1] + "; from that to the edges: median "
-            + spread[at / 2] + ", longest " + spread[at - 1]);
+        System.out.println(
+                "isolated helm: " + at + " courses, asked " + asked + " times what it must not answer; ms from the cut "
+                        + "to the next acknowledgement: median " + acked[at / 2] + ", longest " + acked[at - 1]
+                        + "; from that to the edges: median "
+                        + spread[at / 2] + ", longest " + spread[at - 1]);
         assertEquals(List.of(), wrong);
         assertTrue(spread[at - 1] <= World.APPLY, "config-apply-ms: " + spread[at - 1]);
     }
--- a/src/test/java/brambletray/tray/drill/LogTap.java
+++ b/src/test/java/brambletray/tray/drill/LogTap.java
@@ -44,11 +44,13 @@
     @Override
     public void publish(LogRecord entry) {
         String message = String.valueOf(entry.getMessage());
-        if (message.contains("tick failed") || message.contains("handler-failed") || message.contains("link-failed")
-            || !message.startsWith("\"event\"") && entry.getLevel().intValue() >= Level.WARNING.intValue()) {
+        if (message.contains("tick failed")
+                || message.contains("handler-failed")
+                || message.contains("link-failed")
+                || !message.startsWith("\"event\"") && entry.getLevel().intValue() >= Level.WARNING.intValue()) {
             if (faults.size() < 20) {
-                faults.add(world.now() + " " + world.running() + " " + message + (entry.getThrown() == null ? "" : " "
-                    + entry.getThrown()));
+                faults.add(world.now() + " " + world.running() + " " + message
+                        + (entry.getThrown() == null ? "" : " " + entry.getThrown()));
             }
         }
         if (lines != null) {
@@ -57,7 +59,7 @@
     }
 
     @Override
-    public void flush() { }
+    public void flush() {}
 
     @Override
     public void close() {
--- a/src/test/java/brambletray/tray/drill/Operator.java
+++ b/src/test/java/brambletray/tray/drill/Operator.java
@@ -46,6 +46,7 @@
     private long knownRevision;
     /** Changes still to be given without a pause. */
     int burst;
+
     private boolean ending;
     /** Counts errands: late answers to an earlier one are passed over. */
     private int errand;
@@ -157,40 +158,42 @@
         if (order.sentAt < 0) {
             order.sentAt = world.now();
         }
-        run(new Errand() {
-            @Override
-            public String path() {
-                return order.path();
-            }
+        run(
+                new Errand() {
+                    @Override
+                    public String path() {
+                        return order.path();
+                    }
 
-            @Override
-            public Long base() {
-                return order.base;
-            }
+                    @Override
+                    public Long base() {
+                        return order.base;
+                    }
 
-            @Override
-            public byte[] body() {
-                return order.body;
-            }
+                    @Override
+                    public byte[] body() {
+                        return order.body;
+                    }
 
-            @Override
-            public boolean answered(int status, byte[] body, long askedAt, String member) {
-                if (status == 200) {
-                    book.acked(order);
-                    all.acknowledged(member);
-                    own.add(order);
-                    if (order.revision > knownRevision) {
-                        knownOrder = order.id;
-                        knownRevision = order.revision;
+                    @Override
+                    public boolean answered(int status, byte[] body, long askedAt, String member) {
+                        if (status == 200) {
+                            book.acked(order);
+                            all.acknowledged(member);
+                            own.add(order);
+                            if (order.revision > knownRevision) {
+                                knownOrder = order.id;
+                                knownRevision = order.revision;
+                            }
+                            rest();
+                        } else {
+                            book.refused(order, status, askedAt);
+                            show(FEW);
+                        }
+                        return true;
                     }
-                    rest();
-                } else {
-                    book.refused(order, status, askedAt);
-                    show(FEW);
-                }
-                return true;
-            }
-        }, tries);
+                },
+                tries);
     }
 
     /** Reads; {@code tries}: at most. */
@@ -204,38 +207,40 @@
     }
 
     private void show(int tries, Runnable then) {
-        run(new Errand() {
-            @Override
-            public String path() {
-                return "/brambletray/configuration/show";
-            }
+        run(
+                new Errand() {
+                    @Override
+                    public String path() {
+                        return "/brambletray/configuration/show";
+                    }
 
-            @Override
-            public Long base() {
-                return null;
-            }
+                    @Override
+                    public Long base() {
+                        return null;
+                    }
 
-            @Override
-            public byte[] body() {
-                return null;
-            }
+                    @Override
+                    public byte[] body() {
+                        return null;
+                    }
 
-            @Override
-            public boolean answered(int status, byte[] body, long askedAt, String member) {
-                if (status == 200) {
-                    String text = new String(body, StandardCharsets.UTF_8);
-                    Matcher mark = MARK.matcher(text);
-                    Matcher revision = REVISION.matcher(text);
-                    knownOrder = mark.find() ? Integer.parseInt(mark.group(1)) : 0;
-                    knownRevision = revision.find() ? Long.parseLong(revision.group(1)) : 0;
-                    book.shown(knownOrder, knownRevision, askedAt);
-                } else {
-                    book.fail("READ-REFUSED", "show: " + status);
-                }
-                then.run();
-                return true;
-            }
-        }, tries);
+                    @Override
+                    public boolean answered(int status, byte[] body, long askedAt, String member) {
+                        if (status == 200) {
+                            String text = new String(body, StandardCharsets.UTF_8);
+                            Matcher mark = MARK.matcher(text);
+                            Matcher revision = REVISION.matcher(text);
+                            knownOrder = mark.find() ? Integer.parseInt(mark.group(1)) : 0;
+                            knownRevision = revision.find() ? Long.parseLong(revision.group(1)) : 0;
+                            book.shown(knownOrder, knownRevision, askedAt);
+                        } else {
+                            book.fail("READ-REFUSED", "show: " + status);
+                        }
+                        then.run();
+                        return true;
+                    }
+                },
+                tries);
     }
 
     private void run(Errand what, int tries) {
@@ -248,28 +253,39 @@
     private void attempt(Errand what, String member, int hops, int tried, int tries, int pause) {
         int mine = errand;
         long askedAt = world.now();
-        HttpCall.make(machine, Address.parse(member), what.path(), what.base(), what.body(), (status, location, body) -> {
-            if (mine != errand) {
-                return;
-            }
-            if (status == 307 && hops < HOPS && location != null) {
-                String next = location.substring("http://".length());
-                attempt(what, next.substring(0, next.indexOf('/')), hops + 1, tried, tries, pause);
-            } else if (status == 200 || status >= 400 && status < 500 && status != 408 && status != 429) {
-                what.answered(status, body, askedAt, member);
-            } else if (tried >= tries) {
-                rest();
-            } else {
-                machine.loop().schedule(() -> attempt(what, other(member), 0, tried + 1, tries, Math.min(PAUSE_MOST, pause * 2)),
-                    pause, TimeUnit.MILLISECONDS);
-            }
-        });
+        HttpCall.make(
+                machine, Address.parse(member), what.path(), what.base(), what.body(), (status, location, body) -> {
+                    if (mine != errand) {
+                        return;
+                    }
+                    if (status == 307 && hops < HOPS && location != null) {
+                        String next = location.substring("http://".length());
+                        attempt(what, next.substring(0, next.indexOf('/')), hops + 1, tried, tries, pause);
+                    } else if (status == 200 || status >= 400 && status < 500 && status != 408 && status != 429) {
+                        what.answered(status, body, askedAt, member);
+                    } else if (tried >= tries) {
+                        rest();
+                    } else {
+                        machine.loop()
+                                .schedule(
+                                        () -> attempt(
+                                                what,
+                                                other(member),
+                                                0,
+                                                tried + 1,
+                                                tries,
+                                                Math.min(PAUSE_MOST, pause * 2)),
+                                        pause,
+                                        TimeUnit.MILLISECONDS);
+                    }
+                });
     }
 
     private String other(String than) {
         List<String> members = world.list();
         int at = members.indexOf(than);
-        return at < 0 ? members.get(random.nextInt(members.size()))
-            : members.get((at + 1 + random.nextInt(Math.max(1, members.size() - 1))) % members.size());
+        return at < 0
+                ? members.get(random.nextInt(members.size()))
+                : members.get((at + 1 + random.nextInt(Math.max(1, members.size() - 1))) % members.size());
     }
 }
--- a/src/test/java/brambletray/tray/drill/Order.java
+++ b/src/test/java/brambletray/tray/drill/Order.java
@@ -4,18 +4,23 @@
 
 /** One order of an operator: a change with a number of its own, which says on whose change it builds. */
 final class Order {
-    enum Kind { VALID, INVALID }
+    enum Kind {
+        VALID,
+        INVALID
+    }
 
     final int id;
     final Kind kind;
     /** The change that it builds on; 0: none. */
     final int parent;
+
     final long base;
     final long revision;
     final boolean whole;
     final byte[] body;
     /** Course ms; -1: not yet. */
     long sentAt = -1;
+
     long ackedAt = -1;
     long refusedAt = -1;
     int refusal;
@@ -33,26 +38,39 @@
     }
 
     private static String route(String name, String prefix, String service, int timeout) {
-        return "{'name':'" + name + "','host':'h.example','path-prefix':'" + prefix + "','route-type':'idempotent','timeout-ms':" + timeout
-            + ",'target-ms':400,'priority':2,'service':'" + service + "','retry-count':2}";
+        return "{'name':'" + name + "','host':'h.example','path-prefix':'" + prefix
+                + "','route-type':'idempotent','timeout-ms':" + timeout + ",'target-ms':400,'priority':2,'service':'"
+                + service + "','retry-count':2}";
     }
 
     private static final String SERVICES =
-        "'services':[{'name':'a','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}]";
+            "'services':[{'name':'a','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}]";
 
     /** {@code ballast}: bytes of further routes, about. */
     static Order valid(int id, int parent, long base, long revision, boolean whole, int ballast) {
         String mark = route("mark", "/o" + id + "/p" + parent + "/", "a", 2_500);
         if (!whole) {
-            return new Order(id, Kind.VALID, parent, base, revision, false, "{'revision':" + revision + ",'upsert':{'routes':[" + mark
-                + "]}}");
+            return new Order(
+                    id,
+                    Kind.VALID,
+                    parent,
+                    base,
+                    revision,
+                    false,
+                    "{'revision':" + revision + ",'upsert':{'routes':[" + mark + "]}}");
         }
         StringBuilder routes = new StringBuilder(mark);
         for (int i = 0; routes.length() < ballast; i++) {
             routes.append(',').append(route("b" + i, "/b" + i + "/" + id + "/", "a", 2_500));
         }
-        return new Order(id, Kind.VALID, parent, base, revision, true,
-            "{'revision':" + revision + ",'routes':[" + routes + "]," + SERVICES + "}");
+        return new Order(
+                id,
+                Kind.VALID,
+                parent,
+                base,
+                revision,
+                true,
+                "{'revision':" + revision + ",'routes':[" + routes + "]," + SERVICES + "}");
     }
 
     /** {@code flaw}: which of the faults it has. */
@@ -61,10 +79,13 @@
         String prefix = "/o" + id + "/p" + parent + "/";
         String text = switch (flaw % 6) {
             case 0 -> "{'revision':" + base + ",'routes':[" + route("mark", prefix, "a", 2_500) + "]," + SERVICES + "}";
-            case 1 -> "{'revision':" + revision + ",'routes':[" + route("mark", prefix, "nobody", 2_500) + "]," + SERVICES + "}";
+            case 1 ->
+                "{'revision':" + revision + ",'routes':[" + route("mark", prefix, "nobody", 2_500) + "]," + SERVICES
+                        + "}";
             case 2 -> "{'revision':" + revision + ",'routes':[" + route("mark", prefix, "a", 0) + "]," + SERVICES + "}";
-            case 3 -> "{'revision':" + revision + ",'routes':[" + route("mark", prefix, "a", 9) + "," + route("twin", prefix, "a", 9) + "],"
-                + SERVICES + "}";
+            case 3 ->
+                "{'revision':" + revision + ",'routes':[" + route("mark", prefix, "a", 9) + ","
+                        + route("twin", prefix, "a", 9) + "]," + SERVICES + "}";
             case 4 -> "{'revision':" + revision + ",'routes':[" + route("mark", prefix, "a", 2_500);
             default -> "not JSON at all";
         };
@@ -81,6 +102,7 @@
 
     @Override
     public String toString() {
-        return "o" + id + "(" + kind + (whole ? " replace " : " modify ") + revision + " on " + base + " by o" + parent + ")";
+        return "o" + id + "(" + kind + (whole ? " replace " : " modify ") + revision + " on " + base + " by o" + parent
+                + ")";
     }
 }
--- a/src/test/java/brambletray/tray/drill/PlatformDesk.java
+++ b/src/test/java/brambletray/tray/drill/PlatformDesk.java
@@ -20,19 +20,23 @@
 final class PlatformDesk extends SimpleChannelInboundHandler<FullHttpRequest> {
     static void open(Machine machine, Address at) {
         machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(65_536), new PlatformDesk());
-            }
-        }).bind(new InetSocketAddress(at.host(), at.port()));
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(65_536), new PlatformDesk());
+                    }
+                })
+                .bind(new InetSocketAddress(at.host(), at.port()));
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        byte[] json = (request.uri().startsWith("/instances") ? "{\"instances\":[],\"next-token\":null}" : "{\"workers\":[]}")
-            .getBytes(StandardCharsets.US_ASCII);
-        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-            Unpooled.wrappedBuffer(json));
+        byte[] json = (request.uri().startsWith("/instances")
+                        ? "{\"instances\":[],\"next-token\":null}"
+                        : "{\"workers\":[]}")
+                .getBytes(StandardCharsets.US_ASCII);
+        DefaultFullHttpResponse answer =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(json));
         answer.headers().setInt("Content-Length", json.length).set("Content-Type", "application/json");
         context.writeAndFlush(answer);
     }
--- a/src/test/java/brambletray/tray/drill/Script.java
+++ b/src/test/java/brambletray/tray/drill/Script.java
@@ -37,8 +37,11 @@
                 replaced++;
             }
             if (trouble.kind().counted) {
-                int[] span = {trouble.at(), trouble.at() + held(trouble), trouble.kind().all() ? 9 : 1};
-                if (most(lost, span) > losses && !(trouble.kind().all() && most(lost, new int[] {span[0], span[1], 0}) == 0)) {
+                int[] span = {
+                    trouble.at(), trouble.at() + held(trouble), trouble.kind().all() ? 9 : 1
+                };
+                if (most(lost, span) > losses
+                        && !(trouble.kind().all() && most(lost, new int[] {span[0], span[1], 0}) == 0)) {
                     continue;
                 }
                 lost.add(span);
@@ -87,8 +90,8 @@
         int at = FIRST + random.nextInt(end - FIRST);
         Trouble.Who who = Trouble.Who.values()[random.nextInt(3)];
         int span = switch (kind) {
-            case CUT_CORE, CUT_ALL, CUT_OUT, CUT_IN -> random.nextInt(3) == 0 ? 200 + random.nextInt(4_000) : 15_000
-                + random.nextInt(8_000);
+            case CUT_CORE, CUT_ALL, CUT_OUT, CUT_IN ->
+                random.nextInt(3) == 0 ? 200 + random.nextInt(4_000) : 15_000 + random.nextInt(8_000);
             case FREEZE -> random.nextInt(3) == 0 ? 10_000 + random.nextInt(10_000) : 200 + random.nextInt(4_000);
             case SLOW_DISK -> 2_000 + random.nextInt(15_000);
             case HUNG_DISK, FULL_DISK -> 300 + random.nextInt(6_000);
@@ -100,7 +103,8 @@
             case SLOW_LINK -> 1_000 + random.nextInt(8_000);
             case ANSWERS_LOST -> 300 + random.nextInt(3_000);
             case EDGE_CUT, EDGE_FREEZE -> 500 + random.nextInt(10_000);
-            case KILL, POWER, WIPE -> random.nextInt(4) == 0 ? 5_000 + random.nextInt(15_000) : 200 + random.nextInt(3_000);
+            case KILL, POWER, WIPE ->
+                random.nextInt(4) == 0 ? 5_000 + random.nextInt(15_000) : 200 + random.nextInt(3_000);
             default -> 200 + random.nextInt(3_000);
         };
         return new Trouble(kind, at, who, span, random.nextInt(1 << 20));
@@ -117,7 +121,7 @@
     @Override
     public String toString() {
         return seed + "/" + members + "/" + losses + "/" + endMs + "/"
-            + troubles.stream().map(Trouble::toString).collect(Collectors.joining(","));
+                + troubles.stream().map(Trouble::toString).collect(Collectors.joining(","));
     }
 
     static Script parse(String text) {
@@ -128,7 +132,11 @@
                 troubles.add(Trouble.parse(one));
             }
         }
-        return new Script(Long.parseLong(part[0]), Integer.parseInt(part[1]), Integer.parseInt(part[2]), Integer.parseInt(part[3]),
-            troubles);
+        return new Script(
+                Long.parseLong(part[0]),
+                Integer.parseInt(part[1]),
+                Integer.parseInt(part[2]),
+                Integer.parseInt(part[3]),
+                troubles);
     }
 }
--- a/src/test/java/brambletray/tray/drill/Shrinker.java
+++ b/src/test/java/brambletray/tray/drill/Shrinker.java
@@ -5,7 +5,7 @@
 
 /** Takes troubles out of a script for as long as the same rule breaks. */
 final class Shrinker {
-    private Shrinker() { }
+    private Shrinker() {}
 
     static Course.Result shrink(Course.Result first) {
         Course.Result best = first;
--- a/src/test/java/brambletray/tray/drill/Trouble.java
+++ b/src/test/java/brambletray/tray/drill/Trouble.java
@@ -11,7 +11,11 @@
  * @param arg  drawn: further choices within the kind
  */
 record Trouble(Kind kind, int at, Who who, int span, int arg) {
-    enum Who { LEADER, HELM, ANY }
+    enum Who {
+        LEADER,
+        HELM,
+        ANY
+    }
 
     /** {@code counted}: a core machine counts as lost while it lasts. */
     enum Kind {
@@ -84,7 +88,11 @@
 
     static Trouble parse(String text) {
         String[] part = text.trim().toUpperCase(Locale.ROOT).split(":");
-        return new Trouble(Kind.valueOf(part[0]), Integer.parseInt(part[1]), Who.valueOf(part[2]), Integer.parseInt(part[3]),
-            Integer.parseInt(part[4]));
+        return new Trouble(
+                Kind.valueOf(part[0]),
+                Integer.parseInt(part[1]),
+                Who.valueOf(part[2]),
+                Integer.parseInt(part[3]),
+                Integer.parseInt(part[4]));
     }
 }
--- a/src/test/java/brambletray/tray/drill/World.java
+++ b/src/test/java/brambletray/tray/drill/World.java
@@ -37,10 +37,12 @@
     final int syncMs;
     /** Machines of the core that have not been removed. */
     final List<CoreNode> cores = new ArrayList<>();
+
     final List<EdgeNode> edges = new ArrayList<>();
     private final Map<List<InetAddress>, Integer> cuts = new HashMap<>();
     /** Control addresses as operators know them, with the times from and to which the machines were there. */
     private final Map<String, long[]> listed = new LinkedHashMap<>();
+
     private final Map<Machine, String> names = new HashMap<>();
     /** What all get at the first start. */
     private final String founders;
@@ -49,7 +51,8 @@
     /** Links that are in trouble otherwise than by a cut within the core. */
     int troubledLinks;
     /** Told of a fault of the course's own. */
-    Consumer<String> whenFailed = why -> { };
+    Consumer<String> whenFailed = why -> {};
+
     private long disturbedAt;
     private long settledSince = -1;
 
@@ -238,7 +241,9 @@
 
     CoreNode leader() {
         for (CoreNode core : cores) {
-            if (core.running() && core.keep().status().leading() && core.keep().status().inForce()) {
+            if (core.running()
+                    && core.keep().status().leading()
+                    && core.keep().status().inForce()) {
                 return core;
             }
         }
--- a/src/test/java/brambletray/tray/flow/Caller.java
+++ b/src/test/java/brambletray/tray/flow/Caller.java
@@ -58,8 +58,11 @@
             String body = in.substring(end + 4, end + 4 + length);
             String comeBack = Server.header(head, "retry-after");
             boolean ours = body.startsWith("{\"code\"");
-            sees(status + (!comeBack.isEmpty() ? " in " + comeBack : ours || length == 0 ? "" : length > 100 ? " " + length : " " + body)
-                + (Server.header(head, "connection").equals("close") ? " close" : ""));
+            sees(status
+                    + (!comeBack.isEmpty()
+                            ? " in " + comeBack
+                            : ours || length == 0 ? "" : length > 100 ? " " + length : " " + body)
+                    + (Server.header(head, "connection").equals("close") ? " close" : ""));
             in.delete(0, end + 4 + length);
         }
     }
@@ -70,10 +73,13 @@
         String ms = words.length > 2 ? words[2] : "4000";
         switch (words[0]) {
             case "asks" -> say("GET /r/x?q=1 HTTP/1.1\r\n" + rest(id, ms) + "\r\n");
-            case "asks-twice" -> say("GET /r/x HTTP/1.1\r\n" + rest(id, "4000") + "\r\nGET /r/x HTTP/1.1\r\n" + rest(ms, "4000") + "\r\n");
+            case "asks-twice" ->
+                say("GET /r/x HTTP/1.1\r\n" + rest(id, "4000") + "\r\nGET /r/x HTTP/1.1\r\n" + rest(ms, "4000")
+                        + "\r\n");
             case "posts" -> say("POST /r/x HTTP/1.1\r\n" + rest(id, ms) + "Content-Length: 5\r\n\r\nhello");
-            case "trickles" -> say("POST /r/x HTTP/1.1\r\n" + rest(id, ms)
-                + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n");
+            case "trickles" ->
+                say("POST /r/x HTTP/1.1\r\n" + rest(id, ms)
+                        + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n");
             case "begins" -> say("GET /r/x HTTP/1.1\r\nHost: h.example\r\n");
             case "nowhere" -> say("GET /none HTTP/1.1\r\n" + rest(id, ms) + "\r\n");
             case "sleeps" -> channel.config().setAutoRead(false);
@@ -91,7 +97,8 @@
     }
 
     private static String rest(String id, String ms) {
-        return "Host: h.example\r\nBrambletray-Attempt-Id: " + id + "\r\nBrambletray-Deadline-Remaining: " + ms + "\r\n";
+        return "Host: h.example\r\nBrambletray-Attempt-Id: " + id + "\r\nBrambletray-Deadline-Remaining: " + ms
+                + "\r\n";
     }
 
     void say(String bytes) {
@@ -102,10 +109,14 @@
             return;
         }
         channel = machine.dialling(1_000, new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel made) {
-                made.pipeline().addLast(new Connection());
-            }
-        }).connect(front).addListener((io.netty.channel.ChannelFuture done) -> done.channel().writeAndFlush(out)).channel();
+                    @Override
+                    protected void initChannel(Channel made) {
+                        made.pipeline().addLast(new Connection());
+                    }
+                })
+                .connect(front)
+                .addListener(
+                        (io.netty.channel.ChannelFuture done) -> done.channel().writeAndFlush(out))
+                .channel();
     }
 }
--- a/src/test/java/brambletray/tray/flow/Course.java
+++ b/src/test/java/brambletray/tray/flow/Course.java
@@ -29,7 +29,7 @@
     private static final Address FRONT = new Address("10.0.0.1", 8241);
     private static final int HOSTS_MOST = 3, MOST_HOSTS = 3;
 
-    private record Waiting(Ask ask, Taker taker) { }
+    private record Waiting(Ask ask, Taker taker) {}
 
     private final SplittableRandom random;
     private final Simulation simulation;
@@ -43,6 +43,7 @@
     private final ArrayDeque<Waiting> asks = new ArrayDeque<>();
     /** Places out, by ask. */
     private final Map<Long, Integer> held = new HashMap<>();
+
     private final int steps, pause, twice;
     private int ids;
 
@@ -71,12 +72,21 @@
         int count = 2 + random.nextInt(HOSTS_MOST - 1);
         for (int i = 0; i < count; i++) {
             String ip = "10.0.1." + (i + 1);
-            hosts.add(new TroubledHost("h" + i, machine(ip), new InetSocketAddress(ip, 8080), ruling, random.split(), trouble,
-                small ? 2 : 6));
+            hosts.add(new TroubledHost(
+                    "h" + i,
+                    machine(ip),
+                    new InetSocketAddress(ip, 8080),
+                    ruling,
+                    random.split(),
+                    trouble,
+                    small ? 2 : 6));
         }
         for (int i = 0; i < 2; i++) {
-            clients.add(new WalkClient(machine("10.0.2." + (i + 1)), new InetSocketAddress(FRONT.host(), FRONT.port()), ruling,
-                random.split()));
+            clients.add(new WalkClient(
+                    machine("10.0.2." + (i + 1)),
+                    new InetSocketAddress(FRONT.host(), FRONT.port()),
+                    ruling,
+                    random.split()));
         }
     }
 
@@ -93,14 +103,16 @@
     }
 
     private static Creed creed() {
-        String route = "{'name':'%s','host':'h.example','path-prefix':'/%s/','route-type':'%s','timeout-ms':2000,'target-ms':400,"
-            + "'priority':1,'service':'s','retry-count':" + MOST_HOSTS + "}";
+        String route =
+                "{'name':'%s','host':'h.example','path-prefix':'/%s/','route-type':'%s','timeout-ms':2000,'target-ms':400,"
+                        + "'priority':1,'service':'s','retry-count':" + MOST_HOSTS + "}";
         return Creed.read(("{'revision':1,'routes':[" + route.formatted("r", "r", "idempotent") + ","
-            + route.formatted("n", "n", "non_idempotent")
-            + "],'services':[{'name':'s','health-path':null,'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,"
-            + "'boot-ms':500,'max-concurrency':4}],'limits':{'max-header-bytes':2048,'max-body-bytes':40000,'header-timeout-ms':3000,"
-            + "'idle-timeout-ms':15000}}")
-            .replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+                        + route.formatted("n", "n", "non_idempotent")
+                        + "],'services':[{'name':'s','health-path':null,'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,"
+                        + "'boot-ms':500,'max-concurrency':4}],'limits':{'max-header-bytes':2048,'max-body-bytes':40000,'header-timeout-ms':3000,"
+                        + "'idle-timeout-ms':15000}}")
+                .replace('\'', '"')
+                .getBytes(StandardCharsets.UTF_8));
     }
 
     // ---- The broker -----------------------------------------------------------------------------
@@ -111,7 +123,11 @@
         if (random.nextInt(3) > 0) {
             answer(one);
         } else {
-            edge.loop().schedule(() -> answer(one), random.nextInt(random.nextInt(8) == 0 ? 900 : 30), TimeUnit.MILLISECONDS);
+            edge.loop()
+                    .schedule(
+                            () -> answer(one),
+                            random.nextInt(random.nextInt(8) == 0 ? 900 : 30),
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -132,12 +148,18 @@
 
     private void grant(Waiting one) {
         // At times the one that has had it: it may be the only one left.
-        String had = one.ask().avoid().isEmpty() || random.nextBoolean() ? null : one.ask().avoid().get(0);
+        String had = one.ask().avoid().isEmpty() || random.nextBoolean()
+                ? null
+                : one.ask().avoid().get(0);
         TroubledHost host = had == null ? pick(hosts) : hosts.get(had.charAt(1) - '0');
         // The home knows one place an ask, however often it says so.
         held.put(one.ask().id(), 1);
-        one.taker().granted(new Grant(one.ask().id(), host.name, "10.0.1." + (host.name.charAt(1) - '0' + 1) + ":8080",
-            random.nextInt(6) == 0));
+        one.taker()
+                .granted(new Grant(
+                        one.ask().id(),
+                        host.name,
+                        "10.0.1." + (host.name.charAt(1) - '0' + 1) + ":8080",
+                        random.nextInt(6) == 0));
     }
 
     @Override
@@ -199,7 +221,8 @@
             // Not a byte more passes until the machine is back, which resets what was open.
             simulation.network().vanish(inet("10.0.1." + (1 + random.nextInt(hosts.size()))));
         } else if (dice < 97) {
-            // A partition, in one direction or both: what is sent waits, and comes once it heals, whoever has been told what meanwhile.
+            // A partition, in one direction or both: what is sent waits, and comes once it heals, whoever has been told
+            // what meanwhile.
             int at = random.nextInt(hosts.size());
             InetAddress host = inet("10.0.1." + (at + 1));
             hosts.get(at).unseeing(Long.MAX_VALUE);
@@ -231,9 +254,16 @@
 
     private void request() {
         boolean repeatable = random.nextInt(3) == 0;
-        String body = random.nextInt(3) > 0 ? "" : "b" + ids + "x".repeat(
-            random.nextInt(4) == 0 ? 9_000 + random.nextInt(20_000) : random.nextInt(3) == 0
-                ? 500 + random.nextInt(5_000) : random.nextInt(40));
+        String body = random.nextInt(3) > 0
+                ? ""
+                : "b" + ids
+                        + "x"
+                                .repeat(
+                                        random.nextInt(4) == 0
+                                                ? 9_000 + random.nextInt(20_000)
+                                                : random.nextInt(3) == 0
+                                                        ? 500 + random.nextInt(5_000)
+                                                        : random.nextInt(40));
         String method = !body.isEmpty() ? "POST" : random.nextInt(8) == 0 ? "HEAD" : "GET";
         String uri = (repeatable ? "/r/" : "/n/") + "p" + ids + "?q=" + ids;
         Ruling.Try one = ruling.asked(new Ruling.Try("t" + ids++, method, uri, body, repeatable));
@@ -357,7 +387,7 @@
             }
         }
         System.out.println(bad + " bad; tries " + tries + " successes " + successes + " promises " + promises + " "
-            + java.util.Arrays.toString(all.facts())
-            + " s " + (System.nanoTime() - began) / 1e9);
+                + java.util.Arrays.toString(all.facts())
+                + " s " + (System.nanoTime() - began) / 1e9);
     }
 }
--- a/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
@@ -24,8 +24,11 @@
     @Test
     void noRuleIsBrokenWhateverHappens() {
         // A course is one thread's from its making to its end.
-        List<String> broken = IntStream.range(0, PARTS).parallel().mapToObj(i -> Course.hunt(".*", SEED + (long) i * COURSES / PARTS,
-            COURSES / PARTS, STEPS)).filter(Objects::nonNull).toList();
+        List<String> broken = IntStream.range(0, PARTS)
+                .parallel()
+                .mapToObj(i -> Course.hunt(".*", SEED + (long) i * COURSES / PARTS, COURSES / PARTS, STEPS))
+                .filter(Objects::nonNull)
+                .toList();
         assertEquals(List.of(), broken);
     }
 
@@ -64,8 +67,10 @@
             all.failed += of.failed;
             all.late += of.late;
         }
-        String seen = tries + " tries, " + successes + " successes, " + promises + " promises " + java.util.Arrays.toString(all.facts());
+        String seen = tries + " tries, " + successes + " successes, " + promises + " promises "
+                + java.util.Arrays.toString(all.facts());
         assertTrue(successes > tries / 3 && promises > tries / 20, seen);
-        assertTrue(all.surplus > 10 && all.streamed > 10 && all.copiesWon > 10 && all.failed > 100 && all.late > 20, seen);
+        assertTrue(
+                all.surplus > 10 && all.streamed > 10 && all.copiesWon > 10 && all.failed > 100 && all.late > 20, seen);
     }
 }
--- a/src/test/java/brambletray/tray/flow/FlowFeaturesTest.java
+++ b/src/test/java/brambletray/tray/flow/FlowFeaturesTest.java
@@ -11,4 +11,4 @@
 @SelectPackages("brambletray/tray/flow")
 @ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.flow")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-public class FlowFeaturesTest { }
+public class FlowFeaturesTest {}
--- a/src/test/java/brambletray/tray/flow/Mutant.java
+++ b/src/test/java/brambletray/tray/flow/Mutant.java
@@ -46,7 +46,10 @@
             String name = edits[i];
             String source = sources.computeIfAbsent(name, Mutant::source);
             String there = edits[i + 1];
-            assertEquals(1, (source.length() - source.replace(there, "").length()) / there.length(), "times in " + name + ": " + there);
+            assertEquals(
+                    1,
+                    (source.length() - source.replace(there, "").length()) / there.length(),
+                    "times in " + name + ": " + there);
             sources.put(name, source.replace(there, edits[i + 2]));
         }
         return new Mutant(compile(sources));
@@ -63,30 +66,39 @@
     private static Map<String, byte[]> compile(Map<String, String> sources) {
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         Map<String, ByteArrayOutputStream> made = new HashMap<>();
-        JavaFileManager files = new ForwardingJavaFileManager<JavaFileManager>(compiler.getStandardFileManager(null, null, null)) {
-            @Override
-            public JavaFileObject getJavaFileForOutput(Location at, String type, JavaFileObject.Kind kind, javax.tools.FileObject sibling) {
-                return new SimpleJavaFileObject(URI.create("memory:///" + type.replace('.', '/') + ".class"), kind) {
+        JavaFileManager files =
+                new ForwardingJavaFileManager<JavaFileManager>(compiler.getStandardFileManager(null, null, null)) {
                     @Override
-                    public OutputStream openOutputStream() {
-                        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-                        made.put(type, bytes);
-                        return bytes;
+                    public JavaFileObject getJavaFileForOutput(
+                            Location at, String type, JavaFileObject.Kind kind, javax.tools.FileObject sibling) {
+                        return new SimpleJavaFileObject(
+                                URI.create("memory:///" + type.replace('.', '/') + ".class"), kind) {
+                            @Override
+                            public OutputStream openOutputStream() {
+                                ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+                                made.put(type, bytes);
+                                return bytes;
+                            }
+                        };
                     }
                 };
-            }
-        };
         List<JavaFileObject> units = new ArrayList<>();
-        sources.forEach((name, text) -> units.add(new SimpleJavaFileObject(
-            URI.create("memory:///" + name + ".java"), JavaFileObject.Kind.SOURCE) {
-            @Override
-            public CharSequence getCharContent(boolean ignoreEncodingErrors) {
-                return text;
-            }
-        }));
+        sources.forEach((name, text) -> units.add(
+                new SimpleJavaFileObject(URI.create("memory:///" + name + ".java"), JavaFileObject.Kind.SOURCE) {
+                    @Override
+                    public CharSequence getCharContent(boolean ignoreEncodingErrors) {
+                        return text;
+                    }
+                }));
         StringBuilder errors = new StringBuilder();
-        boolean done = compiler.getTask(null, files, told -> errors.append(told).append('\n'),
-            List.of("-proc:none", "-classpath", System.getProperty("java.class.path")), null, units).call();
+        boolean done = compiler.getTask(
+                        null,
+                        files,
+                        told -> errors.append(told).append('\n'),
+                        List.of("-proc:none", "-classpath", System.getProperty("java.class.path")),
+                        null,
+                        units)
+                .call();
         assertEquals(true, done, errors.toString());
         Map<String, byte[]> classes = new HashMap<>();
         made.forEach((type, bytes) -> classes.put(type, bytes.toByteArray()));
@@ -123,7 +135,8 @@
     /** What {@link Course#hunt} finds in it, or null. */
     String hunt(String rules, long from, int courses, int steps) {
         try {
-            Method hunt = loadClass(Course.class.getName()).getDeclaredMethod("hunt", String.class, long.class, int.class, int.class);
+            Method hunt = loadClass(Course.class.getName())
+                    .getDeclaredMethod("hunt", String.class, long.class, int.class, int.class);
             hunt.setAccessible(true);
             return (String) hunt.invoke(null, rules, from, courses, steps);
         } catch (ClassNotFoundException | NoSuchMethodException | IllegalAccessException e) {
--- a/src/test/java/brambletray/tray/flow/Places.java
+++ b/src/test/java/brambletray/tray/flow/Places.java
@@ -9,11 +9,12 @@
 
 /** The broker of a drawn timeline. */
 final class Places extends Actor implements Broker {
-    private record Waiting(Ask ask, Taker taker) { }
+    private record Waiting(Ask ask, Taker taker) {}
 
     private final ArrayDeque<Waiting> asks = new ArrayDeque<>();
     /** Granted before it is asked for. */
     private final ArrayDeque<String[]> ready = new ArrayDeque<>();
+
     private final Map<Long, String> held = new HashMap<>();
     private final Street street;
 
@@ -25,7 +26,7 @@
     public void ask(Ask ask, Taker taker) {
         asks.add(new Waiting(ask, taker));
         sees("wants" + (ask.copy() ? " copy" : ask.again() ? " again" : "") + (ask.inner() ? " inner" : "")
-            + (ask.avoid().isEmpty() ? "" : " but " + String.join(" ", ask.avoid())));
+                + (ask.avoid().isEmpty() ? "" : " but " + String.join(" ", ask.avoid())));
         if (!ready.isEmpty()) {
             grant(ready.remove());
         }
--- a/src/test/java/brambletray/tray/flow/Ruling.java
+++ b/src/test/java/brambletray/tray/flow/Ruling.java
@@ -20,6 +20,7 @@
         final Set<String> sealed = new HashSet<>();
         /** Statuses of the host's answers that were no success, and of such as are no answer. */
         final Set<Integer> others = new HashSet<>();
+
         boolean answered;
 
         Try(String id, String method, String uri, String body, boolean repeatable) {
@@ -59,7 +60,9 @@
             return null;
         }
         if (!one.method.equals(method) || !one.uri.equals(uri) || body != null && !one.body.equals(body)) {
-            breaks("UNASKED", id + " was changed: " + method + " " + uri + " " + (body == null ? "-" : body.length() + " bytes"));
+            breaks(
+                    "UNASKED",
+                    id + " was changed: " + method + " " + uri + " " + (body == null ? "-" : body.length() + " bytes"));
         }
         if (!host.equals(target)) {
             breaks("ROUTE", id + " names " + target + " at " + host);
@@ -101,7 +104,9 @@
                 breaks("MIXED", of.id + " has a success without a seal");
             }
             if (!of.sealed.contains(body)) {
-                breaks("MIXED", of.id + " has a success with a body that no host gave it: " + brief(body) + " of " + of.sealed);
+                breaks(
+                        "MIXED",
+                        of.id + " has a success with a body that no host gave it: " + brief(body) + " of " + of.sealed);
             }
         }
         if (status == 429 || status == 503 || status == 408 || status == 421) {
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -27,6 +27,7 @@
     private final Set<Channel> open = new LinkedHashSet<>();
     /** The last request, as it came. */
     String request = "";
+
     int connections;
     private Channel listener;
     private String extra = "";
@@ -40,11 +41,13 @@
 
     private void rise() {
         listener = machine.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new Connection());
-            }
-        }).bind(address).channel();
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new Connection());
+                    }
+                })
+                .bind(address)
+                .channel();
     }
 
     private final class Connection extends ChannelInboundHandlerAdapter {
@@ -71,7 +74,8 @@
                 in.delete(0, end + 4 + length);
                 String id = header(request, "brambletray-attempt-id");
                 at.put(id, context.channel());
-                sees("reads " + id + (name.equals(header(request, "brambletray-target-instance")) ? "" : " of another"));
+                sees("reads " + id
+                        + (name.equals(header(request, "brambletray-target-instance")) ? "" : " of another"));
                 end = in.indexOf("\r\n\r\n");
             }
         }
@@ -95,10 +99,12 @@
     }
 
     static String header(String head, String name) {
-        for (int at = 0; at >= 0 && at < head.length();) {
+        for (int at = 0; at >= 0 && at < head.length(); ) {
             int end = head.indexOf("\r\n", at);
             int colon = at + name.length();
-            if (head.regionMatches(true, at, name, 0, name.length()) && colon < head.length() && head.charAt(colon) == ':') {
+            if (head.regionMatches(true, at, name, 0, name.length())
+                    && colon < head.length()
+                    && head.charAt(colon) == ':') {
                 return head.substring(colon + 1, end < 0 ? head.length() : end).strip();
             }
             at = end < 0 ? -1 : end + 2;
@@ -121,26 +127,57 @@
             case "declines" -> whole(id, id, "503 Service Unavailable", "Brambletray-Not-Executed: 1\r\n", "");
             case "misdirects" -> whole(id, null, "421 Misdirected Request", "", "");
             case "leaves" -> whole(id, id, "200 OK", "Connection: close\r\nBrambletray-Response-Seal: s\r\n", body);
-            case "keeps" -> whole(id, id, "200 OK", "Keep-Alive: timeout=" + words[2] + "\r\nBrambletray-Response-Seal: s\r\n", body);
+            case "keeps" ->
+                whole(
+                        id,
+                        id,
+                        "200 OK",
+                        "Keep-Alive: timeout=" + words[2] + "\r\nBrambletray-Response-Seal: s\r\n",
+                        body);
             case "unsealed" -> whole(id, id, "200 OK", "", body);
             case "unnamed" -> whole(id, null, "200 OK", "Brambletray-Response-Seal: s\r\n", body);
             case "encodes" -> whole(id, id, "200 OK", "Content-Encoding: br\r\nBrambletray-Response-Seal: s\r\n", body);
             case "endless" -> say(id, head(id, "200 OK", "Brambletray-Response-Seal: s\r\n") + "\r\n" + body);
-            case "chunks" -> say(id, head(id, "200 OK", "Transfer-Encoding: chunked\r\nBrambletray-Response-Seal: s\r\n") + "\r\n2\r\n"
-                + body.substring(0, 2) + "\r\n" + Integer.toHexString(body.length() - 2) + "\r\n" + body.substring(2) + "\r\n0\r\n\r\n");
-            case "heads" -> say(id, head(id, "200 OK", "Content-Length: 100\r\nBrambletray-Response-Seal: s\r\n") + "\r\n");
-            case "begins" -> say(id, head(id, "200 OK", "Content-Length: 100\r\nBrambletray-Response-Seal: s\r\n") + "\r\n" + body);
-            case "pours" -> say(id, head(id, "200 OK", "Content-Length: " + 2 * LARGE + "\r\nBrambletray-Response-Seal: s\r\n") + "\r\n"
-                + "x".repeat(LARGE));
+            case "chunks" ->
+                say(
+                        id,
+                        head(id, "200 OK", "Transfer-Encoding: chunked\r\nBrambletray-Response-Seal: s\r\n")
+                                + "\r\n2\r\n" + body.substring(0, 2) + "\r\n" + Integer.toHexString(body.length() - 2)
+                                + "\r\n" + body.substring(2) + "\r\n0\r\n\r\n");
+            case "heads" ->
+                say(id, head(id, "200 OK", "Content-Length: 100\r\nBrambletray-Response-Seal: s\r\n") + "\r\n");
+            case "begins" ->
+                say(id, head(id, "200 OK", "Content-Length: 100\r\nBrambletray-Response-Seal: s\r\n") + "\r\n" + body);
+            case "pours" ->
+                say(
+                        id,
+                        head(id, "200 OK", "Content-Length: " + 2 * LARGE + "\r\nBrambletray-Response-Seal: s\r\n")
+                                + "\r\n" + "x".repeat(LARGE));
             case "ends" -> say(id, "x".repeat(LARGE));
-            case "codes" -> say(id, head(id, "200 OK", "Transfer-Encoding: gzip, chunked\r\nBrambletray-Response-Seal: s\r\n")
-                + "\r\n2\r\nxy\r\n0\r\n\r\n");
-            case "codes-nothing" -> whole(id, id, "200 OK", "Transfer-Encoding: identity\r\nBrambletray-Response-Seal: s\r\n", body);
-            case "is-of-another-version" -> say(id, head(id, "200 OK", "Content-Length: 2\r\nBrambletray-Response-Seal: s\r\n")
-                .replace("/1.1", "/2.0") + "\r\nxy");
+            case "codes" ->
+                say(
+                        id,
+                        head(id, "200 OK", "Transfer-Encoding: gzip, chunked\r\nBrambletray-Response-Seal: s\r\n")
+                                + "\r\n2\r\nxy\r\n0\r\n\r\n");
+            case "codes-nothing" ->
+                whole(id, id, "200 OK", "Transfer-Encoding: identity\r\nBrambletray-Response-Seal: s\r\n", body);
+            case "is-of-another-version" ->
+                say(
+                        id,
+                        head(id, "200 OK", "Content-Length: 2\r\nBrambletray-Response-Seal: s\r\n")
+                                        .replace("/1.1", "/2.0")
+                                + "\r\nxy");
             case "fails-at-length" -> whole(id, id, "500 Internal Server Error", "", "x".repeat(LARGE));
-            case "blurts" -> open.iterator().next().writeAndFlush(Unpooled.copiedBuffer(head(null, "503 Service Unavailable",
-                "Brambletray-Not-Executed: 1\r\nContent-Length: 0\r\n") + "\r\n", StandardCharsets.ISO_8859_1));
+            case "blurts" ->
+                open.iterator()
+                        .next()
+                        .writeAndFlush(Unpooled.copiedBuffer(
+                                head(
+                                                null,
+                                                "503 Service Unavailable",
+                                                "Brambletray-Not-Executed: 1\r\nContent-Length: 0\r\n")
+                                        + "\r\n",
+                                StandardCharsets.ISO_8859_1));
             case "garbles" -> say(id, "\u0001\u0002\u0003 nothing of this is an answer\r\n\r\n");
             case "adds-blanks" -> extra = "\r\n \u0000";
             case "adds" -> extra = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
--- a/src/test/java/brambletray/tray/flow/ShellTest.java
+++ b/src/test/java/brambletray/tray/flow/ShellTest.java
@@ -27,10 +27,11 @@
 
 /** The same classes on real sockets of this machine. */
 class ShellTest {
-    private static final String CREED = "{'revision':1,'routes':[{'name':'r','host':'h.example','path-prefix':'/r/','route-type':'idempotent',"
-        + "'timeout-ms':4000,'target-ms':400,'priority':1,'service':'s','retry-count':2}],'services':[{'name':'s','health-path':null,"
-        + "'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,'boot-ms':500,'max-concurrency':4}],'limits':"
-        + "{'max-header-bytes':2048,'max-body-bytes':10000,'header-timeout-ms':3000,'idle-timeout-ms':15000}}";
+    private static final String CREED =
+            "{'revision':1,'routes':[{'name':'r','host':'h.example','path-prefix':'/r/','route-type':'idempotent',"
+                    + "'timeout-ms':4000,'target-ms':400,'priority':1,'service':'s','retry-count':2}],'services':[{'name':'s','health-path':null,"
+                    + "'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,'boot-ms':500,'max-concurrency':4}],'limits':"
+                    + "{'max-header-bytes':2048,'max-body-bytes':10000,'header-timeout-ms':3000,'idle-timeout-ms':15000}}";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Machine machine = Machine.real(group.next());
@@ -43,8 +44,10 @@
         host = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 8);
         host.createContext("/", exchange -> {
             told = exchange.getRequestMethod() + " " + exchange.getRequestURI() + " "
-                + exchange.getRequestHeaders().getFirst("Brambletray-Target-Instance") + " " + new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.US_ASCII);
-            exchange.getResponseHeaders().set("Brambletray-Attempt-Id", exchange.getRequestHeaders().getFirst("Brambletray-Attempt-Id"));
+                    + exchange.getRequestHeaders().getFirst("Brambletray-Target-Instance") + " "
+                    + new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.US_ASCII);
+            exchange.getResponseHeaders()
+                    .set("Brambletray-Attempt-Id", exchange.getRequestHeaders().getFirst("Brambletray-Attempt-Id"));
             exchange.getResponseHeaders().set("Brambletray-Response-Seal", "s");
             exchange.sendResponseHeaders(200, 5);
             exchange.getResponseBody().write("hello".getBytes(StandardCharsets.US_ASCII));
@@ -77,7 +80,12 @@
         Broker broker = new Broker() {
             @Override
             public void ask(Ask ask, Taker taker) {
-                machine.loop().execute(() -> taker.granted(new Grant(ask.id(), "i-1", "127.0.0.1:" + host.getAddress().getPort(), false)));
+                machine.loop()
+                        .execute(() -> taker.granted(new Grant(
+                                ask.id(),
+                                "i-1",
+                                "127.0.0.1:" + host.getAddress().getPort(),
+                                false)));
             }
 
             @Override
@@ -91,14 +99,35 @@
             }
         };
         InetSocketAddress at = onLoop(() -> {
-            Tally tally = new Tally();
-            Flow flow = new Flow(machine, "e", "z", () -> creed, broker, ip -> false, new Lines(machine, 4_000, tally), tally, 48 << 20, 1);
-            return new Front(machine, flow, 100).open(new Address("127.0.0.1", 0));
-        }).sync().channel().localAddress() instanceof InetSocketAddress bound ? bound : null;
-        String answer = exchange(at, "POST /r/x?q=1 HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\nConnection: close\r\n"
-            + "Content-Length: 3\r\n\r\nabc");
+                                    Tally tally = new Tally();
+                                    Flow flow = new Flow(
+                                            machine,
+                                            "e",
+                                            "z",
+                                            () -> creed,
+                                            broker,
+                                            ip -> false,
+                                            new Lines(machine, 4_000, tally),
+                                            tally,
+                                            48 << 20,
+                                            1);
+                                    return new Front(machine, flow, 100).open(new Address("127.0.0.1", 0));
+                                })
+                                .sync()
+                                .channel()
+                                .localAddress()
+                        instanceof InetSocketAddress bound
+                ? bound
+                : null;
+        String answer = exchange(
+                at,
+                "POST /r/x?q=1 HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\nConnection: close\r\n"
+                        + "Content-Length: 3\r\n\r\nabc");
         assertTrue(answer.startsWith("HTTP/1.1 200 OK\r\n") && answer.endsWith("\r\n\r\nhello"), answer);
-        assertTrue(answer.contains("\r\nBrambletray-Response-Seal: s\r\n") || answer.toLowerCase().contains("brambletray-response-seal: s"), answer);
+        assertTrue(
+                answer.contains("\r\nBrambletray-Response-Seal: s\r\n")
+                        || answer.toLowerCase().contains("brambletray-response-seal: s"),
+                answer);
         assertEquals("POST /r/x?q=1 i-1 abc", told);
         assertEquals(Fate.SERVED, fate.get(5, TimeUnit.SECONDS));
     }
@@ -106,13 +135,22 @@
     @Test
     void readiness() throws Exception {
         AtomicBoolean ready = new AtomicBoolean();
-        InetSocketAddress at = (InetSocketAddress) onLoop(() -> new Readiness(machine, ready::get).open(new Address("127.0.0.1", 0))).sync().channel()
-            .localAddress();
+        InetSocketAddress at =
+                (InetSocketAddress) onLoop(() -> new Readiness(machine, ready::get).open(new Address("127.0.0.1", 0)))
+                        .sync()
+                        .channel()
+                        .localAddress();
         String probe = "GET /brambletray/readiness HTTP/1.1\r\nHost: x\r\n";
         assertTrue(exchange(at, probe + "Connection: close\r\n\r\n").startsWith("HTTP/1.1 503 "));
         ready.set(true);
         String answers = exchange(at, probe + "\r\n" + probe + "Connection: close\r\n\r\n");
-        assertEquals(2, Arrays.stream(answers.split("\r\n")).filter("HTTP/1.1 200 OK"::equals).count(), answers);
-        assertTrue(exchange(at, "GET /else HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").startsWith("HTTP/1.1 404 "));
+        assertEquals(
+                2,
+                Arrays.stream(answers.split("\r\n"))
+                        .filter("HTTP/1.1 200 OK"::equals)
+                        .count(),
+                answers);
+        assertTrue(exchange(at, "GET /else HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .startsWith("HTTP/1.1 404 "));
     }
 }
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -33,7 +33,17 @@
     Street() {
         edge = machine(FRONT.host());
         lines = new Lines(edge, 4_000, tally);
-        flow = new Flow(edge, "edge-1", "zone-1", () -> creed, places, ip -> ip.startsWith("10.0.1."), lines, tally, 48 << 20, 1);
+        flow = new Flow(
+                edge,
+                "edge-1",
+                "zone-1",
+                () -> creed,
+                places,
+                ip -> ip.startsWith("10.0.1."),
+                lines,
+                tally,
+                48 << 20,
+                1);
         front = new Front(edge, flow, 100);
         front.open(FRONT);
         actors.put("broker", places);
@@ -41,11 +51,15 @@
     }
 
     void route(String type, int hosts) {
-        creed = Creed.read(("{\"revision\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path-prefix\":\"/r/\",\"route-type\":\"" + type
-            + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":" + hosts
-            + "}],\"services\":[{\"name\":\"s\",\"health-path\":null,\"max-connections\":8,\"protocol\":\"h1\",\"tls-mode\":false,\"memory-mb\":128,"
-            + "\"boot-ms\":500,\"max-concurrency\":4}],\"limits\":{\"max-header-bytes\":2048,\"max-body-bytes\":10000,\"header-timeout-ms\":3000,"
-            + "\"idle-timeout-ms\":15000}}").getBytes(StandardCharsets.UTF_8));
+        creed = Creed.read(
+                ("{\"revision\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path-prefix\":\"/r/\",\"route-type\":\""
+                                + type
+                                + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":"
+                                + hosts
+                                + "}],\"services\":[{\"name\":\"s\",\"health-path\":null,\"max-connections\":8,\"protocol\":\"h1\",\"tls-mode\":false,\"memory-mb\":128,"
+                                + "\"boot-ms\":500,\"max-concurrency\":4}],\"limits\":{\"max-header-bytes\":2048,\"max-body-bytes\":10000,\"header-timeout-ms\":3000,"
+                                + "\"idle-timeout-ms\":15000}}")
+                        .getBytes(StandardCharsets.UTF_8));
     }
 
     private Machine machine(String ip) {
@@ -72,11 +86,16 @@
     Actor actor(String name) {
         Actor actor = actors.get(name);
         if (actor == null) {
-            actor = name.equals("edge") ? new Edge() : name.startsWith("client")
-                ? new Caller(machine(name.contains("-at-") ? "10.0.1.200" : "10.0.2." + ++machines),
-                    new InetSocketAddress(FRONT.host(), FRONT.port()))
-                : new Server(name, machine("10.0.1." + (name.charAt(0) - 'a' + 1)),
-                    new InetSocketAddress("10.0.1." + (name.charAt(0) - 'a' + 1), 8080));
+            actor = name.equals("edge")
+                    ? new Edge()
+                    : name.startsWith("client")
+                            ? new Caller(
+                                    machine(name.contains("-at-") ? "10.0.1.200" : "10.0.2." + ++machines),
+                                    new InetSocketAddress(FRONT.host(), FRONT.port()))
+                            : new Server(
+                                    name,
+                                    machine("10.0.1." + (name.charAt(0) - 'a' + 1)),
+                                    new InetSocketAddress("10.0.1." + (name.charAt(0) - 'a' + 1), 8080));
             actors.put(name, actor);
             settle();
         }
--- a/src/test/java/brambletray/tray/flow/TripWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/TripWalkTest.java
@@ -35,14 +35,17 @@
 
         World(long seed) {
             random = new SplittableRandom(seed);
-            plan = new Plan("s", random.nextBoolean(), 1 + random.nextInt(3), 1, 400, false, now + 1 + random.nextInt(600));
+            plan = new Plan(
+                    "s", random.nextBoolean(), 1 + random.nextInt(3), 1, 400, false, now + 1 + random.nextInt(600));
             trip = new Trip(plan, this, () -> 1 + random.nextInt(200), () -> ++ids, "e", "z", now);
         }
 
         @Override
         public void ask(Ask ask) {
             assertTrue(asks.isEmpty(), "one ask at a time");
-            assertTrue(!ask.copy() || plan.repeatable() && !legs.isEmpty(), "a copy only of what is out and may be repeated");
+            assertTrue(
+                    !ask.copy() || plan.repeatable() && !legs.isEmpty(),
+                    "a copy only of what is out and may be repeated");
             assertEquals(!sentTo.isEmpty(), ask.again(), "again: it has reached a host");
             assertTrue(ask.remainingMs() > 0, "time is left");
             asks.add(ask);
@@ -193,7 +196,9 @@
 
         private void sent(Leg leg) {
             assertTrue(plan.repeatable() || mayHaveRun == 0, "must not run twice (rule TWICE)");
-            assertTrue(sentTo.add(leg.grant.host()) && sentTo.size() <= plan.mostHosts(), "to another host each time, as many as allowed");
+            assertTrue(
+                    sentTo.add(leg.grant.host()) && sentTo.size() <= plan.mostHosts(),
+                    "to another host each time, as many as allowed");
             mayHaveRun++;
             trip.sent(leg, now);
         }
--- a/src/test/java/brambletray/tray/flow/TroubledHost.java
+++ b/src/test/java/brambletray/tray/flow/TroubledHost.java
@@ -24,6 +24,7 @@
 final class TroubledHost {
     /** ms; what was sent is read at the other end by then, unless that stands still. */
     private static final int SURELY_THERE = 60;
+
     private static final String SEAL = "Brambletray-Response-Seal: s\r\n", SHED = "Brambletray-Not-Executed: 1\r\n";
 
     final String name;
@@ -38,7 +39,14 @@
     private long unseeingUntil;
 
     /** {@code trouble}: percent of answers that are not plain; {@code large}: of so many bodies one is. */
-    TroubledHost(String name, Machine machine, InetSocketAddress address, Ruling ruling, SplittableRandom random, int trouble, int large) {
+    TroubledHost(
+            String name,
+            Machine machine,
+            InetSocketAddress address,
+            Ruling ruling,
+            SplittableRandom random,
+            int trouble,
+            int large) {
         this.name = name;
         this.machine = machine;
         this.address = address;
@@ -52,11 +60,13 @@
     void rise() {
         if (listener == null) {
             listener = machine.listening(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new Connection(channel));
-                }
-            }).bind(address).channel();
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(new Connection(channel));
+                        }
+                    })
+                    .bind(address)
+                    .channel();
         }
     }
 
@@ -89,9 +99,14 @@
     }
 
     /** {@code runs}: whether that is work; {@code then}: what becomes of the connection. */
-    private record Answer(String bytes, boolean runs, Then then, String surplus) { }
+    private record Answer(String bytes, boolean runs, Then then, String surplus) {}
 
-    private enum Then { STAYS, FIN, RESET, CLOSING }
+    private enum Then {
+        STAYS,
+        FIN,
+        RESET,
+        CLOSING
+    }
 
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final Channel channel;
@@ -117,7 +132,8 @@
             if (random.nextInt(200) < trouble / 20) {
                 // Speaks before it is spoken to; but a refusal says there that what follows does not run.
                 String bytes = surplus("none", "");
-                send(bytes.contains("Brambletray-Attempt-Id") || !bytes.startsWith("HTTP") ? bytes : "surplus").addListener(out -> seen());
+                send(bytes.contains("Brambletray-Attempt-Id") || !bytes.startsWith("HTTP") ? bytes : "surplus")
+                        .addListener(out -> seen());
             }
         }
 
@@ -165,14 +181,21 @@
             } else if (ending) {
                 ruling.breaks("OWED", "a request at " + name + " where none may follow");
             } else if (now() > surplusSeen && now() > unseeingUntil) {
-                ruling.breaks("OWED", "a request at " + name + " on a connection with surplus bytes that were there long before");
+                ruling.breaks(
+                        "OWED",
+                        "a request at " + name + " on a connection with surplus bytes that were there long before");
             }
         }
 
         private void work(String head, String body) {
             String[] line = head.substring(0, head.indexOf("\r\n")).split(" ");
-            Ruling.Try one = ruling.arrived(Server.header(head, "brambletray-attempt-id"), line[0], line[1], body, name,
-                Server.header(head, "brambletray-target-instance"));
+            Ruling.Try one = ruling.arrived(
+                    Server.header(head, "brambletray-attempt-id"),
+                    line[0],
+                    line[1],
+                    body,
+                    name,
+                    Server.header(head, "brambletray-target-instance"));
             if (one == null) {
                 return;
             }
@@ -186,14 +209,17 @@
             }
             at = one;
             int dice = random.nextInt(100);
-            int delay = dice < 30 ? 0 : dice < 85 ? random.nextInt(30) : dice < 95 ? random.nextInt(300) : random.nextInt(2_500);
+            int delay = dice < 30
+                    ? 0
+                    : dice < 85 ? random.nextInt(30) : dice < 95 ? random.nextInt(300) : random.nextInt(2_500);
             machine.loop().schedule(() -> pour(answer, answer.bytes()), delay, TimeUnit.MILLISECONDS);
         }
 
         /** In one piece, or in several with pauses between. */
         private void pour(Answer answer, String rest) {
             pouring = true;
-            int size = rest.length() > 1 && random.nextInt(4) == 0 ? 1 + random.nextInt(rest.length() - 1) : rest.length();
+            int size =
+                    rest.length() > 1 && random.nextInt(4) == 0 ? 1 + random.nextInt(rest.length() - 1) : rest.length();
             boolean last = size == rest.length();
             if (last) {
                 pouring = false;
@@ -203,23 +229,31 @@
             boolean together = last && random.nextBoolean();
             ChannelFuture sent = send(rest.substring(0, size) + (together ? answer.surplus() : ""));
             if (!last) {
-                machine.loop().schedule(() -> pour(answer, rest.substring(size)), random.nextInt(20), TimeUnit.MILLISECONDS);
+                machine.loop()
+                        .schedule(() -> pour(answer, rest.substring(size)), random.nextInt(20), TimeUnit.MILLISECONDS);
                 return;
             }
             if (!answer.surplus().isEmpty()) {
                 if (together) {
                     sent.addListener(out -> seen());
                 } else {
-                    machine.loop().schedule(() -> late(answer.surplus()), random.nextInt(random.nextBoolean() ? 8 : 120),
-                        TimeUnit.MILLISECONDS);
+                    machine.loop()
+                            .schedule(
+                                    () -> late(answer.surplus()),
+                                    random.nextInt(random.nextBoolean() ? 8 : 120),
+                                    TimeUnit.MILLISECONDS);
                 }
             }
             switch (answer.then()) {
                 case FIN -> ((DuplexChannel) channel).shutdownOutput();
                 case RESET -> reset(channel);
-                case CLOSING -> machine.loop().schedule(() -> ((DuplexChannel) channel).shutdownOutput(), random.nextInt(40),
-                    TimeUnit.MILLISECONDS);
-                default -> { }
+                case CLOSING ->
+                    machine.loop()
+                            .schedule(
+                                    () -> ((DuplexChannel) channel).shutdownOutput(),
+                                    random.nextInt(40),
+                                    TimeUnit.MILLISECONDS);
+                default -> {}
             }
         }
 
@@ -253,7 +287,10 @@
             case 6 -> new Answer("", random.nextInt(4) > 0, random.nextBoolean() ? Then.FIN : Then.RESET, "");
             case 7 -> cut(one);
             case 8, 9, 10 -> spoilt(one);
-            default -> random.nextInt(4) == 0 ? new Answer(null, true, Then.STAYS, "") : new Answer(good(one, false), true, Then.STAYS, "");
+            default ->
+                random.nextInt(4) == 0
+                        ? new Answer(null, true, Then.STAYS, "")
+                        : new Answer(good(one, false), true, Then.STAYS, "");
         };
     }
 
@@ -272,19 +309,27 @@
 
     private String chunked(String body) {
         StringBuilder out = new StringBuilder();
-        for (int at = 0; at < body.length();) {
+        for (int at = 0; at < body.length(); ) {
             int size = Math.min(body.length() - at, 1 + random.nextInt(body.length()));
-            out.append(Integer.toHexString(size)).append(random.nextInt(4) == 0 ? ";a=b" : "").append("\r\n")
-                .append(body, at, at + size).append("\r\n");
+            out.append(Integer.toHexString(size))
+                    .append(random.nextInt(4) == 0 ? ";a=b" : "")
+                    .append("\r\n")
+                    .append(body, at, at + size)
+                    .append("\r\n");
             at += size;
         }
-        return out.append("0\r\n").append(random.nextInt(3) == 0 ? "X-Trailer: t\r\n" : "").append("\r\n").toString();
+        return out.append("0\r\n")
+                .append(random.nextInt(3) == 0 ? "X-Trailer: t\r\n" : "")
+                .append("\r\n")
+                .toString();
     }
 
     /** A whole, sealed answer. */
     private String good(Ruling.Try one, boolean closing) {
-        String headers = SEAL + (closing ? "Connection: close\r\n"
-            : random.nextInt(4) == 0 ? "Keep-Alive: timeout=" + random.nextInt(4) + "\r\n" : "");
+        String headers = SEAL
+                + (closing
+                        ? "Connection: close\r\n"
+                        : random.nextInt(4) == 0 ? "Keep-Alive: timeout=" + random.nextInt(4) + "\r\n" : "");
         String before = random.nextInt(12) == 0 ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" : "";
         if (random.nextInt(15) == 0) {
             one.sealed.add("");
@@ -296,9 +341,10 @@
             return before + head("200 OK", one.id, headers) + "Content-Length: " + body.length() + "\r\n\r\n";
         }
         one.sealed.add(body);
-        return before + (random.nextInt(3) == 0
-            ? head("200 OK", one.id, headers + "Transfer-Encoding: chunked\r\n") + "\r\n" + chunked(body)
-            : sized("200 OK", one.id, headers, body));
+        return before
+                + (random.nextInt(3) == 0
+                        ? head("200 OK", one.id, headers + "Transfer-Encoding: chunked\r\n") + "\r\n" + chunked(body)
+                        : sized("200 OK", one.id, headers, body));
     }
 
     private Answer failed(Ruling.Try one) {
@@ -325,14 +371,19 @@
     }
 
     private String notRun(String id) {
-        return random.nextInt(3) == 0 ? sized("421 Misdirected Request", id, "", "")
-            : sized(random.nextBoolean() ? "503 Service Unavailable" : "429 Too Many Requests", id, SHED, "");
+        return random.nextInt(3) == 0
+                ? sized("421 Misdirected Request", id, "", "")
+                : sized(random.nextBoolean() ? "503 Service Unavailable" : "429 Too Many Requests", id, SHED, "");
     }
 
     private Answer cut(Ruling.Try one) {
         String whole = good(one, false);
         int size = 1 + random.nextInt(Math.max(1, whole.length() - 1));
-        return new Answer(whole.substring(0, Math.min(size, whole.length() - 1)), true, random.nextBoolean() ? Then.FIN : Then.RESET, "");
+        return new Answer(
+                whole.substring(0, Math.min(size, whole.length() - 1)),
+                true,
+                random.nextBoolean() ? Then.FIN : Then.RESET,
+                "");
     }
 
     /** Bytes that are no answer, or not a success; none of their bodies may reach a client as one. */
@@ -352,9 +403,12 @@
             case 7 -> head("200 OK", id, SEAL) + "\r\n" + body;
             case 8 -> "\u0001\u0002 nothing of this is an answer\r\n\r\n";
             case 9 -> head("101 Switching Protocols", id, "Upgrade: x\r\n") + "\r\n" + body;
-            case 10 -> sized("200 OK", id, SEAL + "Transfer-Encoding: gzip, chunked\r\n", "")
-                .replace("Content-Length: 0\r\n", "") + chunked(body);
-            case 11 -> head("200 OK", id, SEAL + "Transfer-Encoding: chunked\r\n") + "\r\n2\r\n" + body + "\r\n0\r\n\r\n";
+            case 10 ->
+                sized("200 OK", id, SEAL + "Transfer-Encoding: gzip, chunked\r\n", "")
+                                .replace("Content-Length: 0\r\n", "")
+                        + chunked(body);
+            case 11 ->
+                head("200 OK", id, SEAL + "Transfer-Encoding: chunked\r\n") + "\r\n2\r\n" + body + "\r\n0\r\n\r\n";
             case 12 -> sized("200 OK", id, SEAL, body).replace("HTTP/1.1", "HTTP/2.0");
             case 13 -> sized("200 OK", id, SEAL + SHED, body);
             case 14 -> sized("200 OK", id, SEAL + "Transfer-Encoding: identity\r\n", body);
