--- a/src/test/java/brambletray/tray/flow/WalkClient.java
+++ b/src/test/java/brambletray/tray/flow/WalkClient.java
@@ -39,6 +39,7 @@
         int least;
         /** Until it is up. */
         final ArrayDeque<ByteBuf> unsent = new ArrayDeque<>(1);
+
         Channel channel;
         /** Nothing more is sent on it. */
         boolean over;
@@ -104,16 +105,19 @@
             in.delete(0, to);
             waiting.poll();
             over |= Server.header(head, "connection").equals("close");
-            ruling.answer(of, status, Server.header(head, "brambletray-attempt-id"),
-                !Server.header(head, "brambletray-response-seal").isEmpty(),
-                bare ? "" : body[0]);
+            ruling.answer(
+                    of,
+                    status,
+                    Server.header(head, "brambletray-attempt-id"),
+                    !Server.header(head, "brambletray-response-seal").isEmpty(),
+                    bare ? "" : body[0]);
             return true;
         }
 
         /** Where it ends; -1: not yet. */
         private int chunks(int from, String[] body) {
             StringBuilder all = new StringBuilder();
-            for (int at = from;;) {
+            for (int at = from; ; ) {
                 int line = in.indexOf("\r\n", at);
                 if (line < 0) {
                     return -1;
@@ -150,8 +154,8 @@
     /** Sends it, on the connection at hand or on a new one; {@code ahead}: also while others wait there. */
     void send(Ruling.Try one, String headers, boolean ahead) {
         boolean close = random.nextInt(12) == 0;
-        String head = one.method + " " + one.uri + " HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: " + one.id + "\r\n" + headers
-            + (close ? "Connection: close\r\n" : "");
+        String head = one.method + " " + one.uri + " HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: " + one.id
+                + "\r\n" + headers + (close ? "Connection: close\r\n" : "");
         String bytes;
         if (one.body.isEmpty()) {
             bytes = head + "\r\n";
@@ -160,10 +164,12 @@
         } else {
             int first = 1 + random.nextInt(one.body.length());
             bytes = head + "Transfer-Encoding: chunked\r\n\r\n"
-                + Integer.toHexString(first) + "\r\n" + one.body.substring(0, first) + "\r\n"
-                + (first < one.body.length() ? Integer.toHexString(one.body.length() - first) + "\r\n"
-                    + one.body.substring(first) + "\r\n" : "")
-                + "0\r\n\r\n";
+                    + Integer.toHexString(first) + "\r\n" + one.body.substring(0, first) + "\r\n"
+                    + (first < one.body.length()
+                            ? Integer.toHexString(one.body.length() - first) + "\r\n" + one.body.substring(first)
+                                    + "\r\n"
+                            : "")
+                    + "0\r\n\r\n";
         }
         Connection at = connection;
         ByteBuf out = Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1);
@@ -172,11 +178,13 @@
             connection = made;
             made.waiting.add(one);
             made.channel = machine.dialling(1_000, new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(made);
-                }
-            }).connect(front).channel();
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(made);
+                        }
+                    })
+                    .connect(front)
+                    .channel();
             made.write(out);
         } else {
             at.waiting.add(one);
--- a/src/test/java/brambletray/tray/flow/WireTest.java
+++ b/src/test/java/brambletray/tray/flow/WireTest.java
@@ -33,27 +33,28 @@
 
     /** Rule UNASKED: two readings of one stream of bytes are one too many. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-        "Content-Length: 3, 4\r\n\r\nabcd",
-        "Content-Length: -3\r\n\r\n",
-        "Content-Length: +3\r\n\r\nabc",
-        "Content-Length: 3x\r\n\r\nabc",
-        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
-        "Host: other.example\r\n\r\n",
-        "X-Folded: a\r\n b\r\n\r\n",
-        "X-Folded: a\r\n\tTransfer-Encoding: chunked\r\n\r\n",
-        "X y: a\r\n\r\n",
-        ": a\r\n\r\n",
-        "X-Bare: a\rContent-Length: 3\r\n\r\nabc",
-        "X-Null: a\u0000b\r\n\r\n",
-        "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
-        "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
-    })
+    @ValueSource(
+            strings = {
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                "Content-Length: 3, 4\r\n\r\nabcd",
+                "Content-Length: -3\r\n\r\n",
+                "Content-Length: +3\r\n\r\nabc",
+                "Content-Length: 3x\r\n\r\nabc",
+                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+                "Host: other.example\r\n\r\n",
+                "X-Folded: a\r\n b\r\n\r\n",
+                "X-Folded: a\r\n\tTransfer-Encoding: chunked\r\n\r\n",
+                "X y: a\r\n\r\n",
+                ": a\r\n\r\n",
+                "X-Bare: a\rContent-Length: 3\r\n\r\nabc",
+                "X-Null: a\u0000b\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
+            })
     void whatCanBeReadInTwoWaysIsTurnedAway(String rest) {
         assertEquals(List.of("400 close", "closed"), saysSlowly(HEAD + rest));
         assertEquals(List.of(), host.look());
@@ -184,8 +185,9 @@
     @Test
     void everyByteByItself() {
         street.simulation.network().segment(1);
-        says("POST /r/x?a=b%20c HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "3\r\nabc\r\n1\r\nd\r\n0\r\nX-Trailer: t\r\n\r\n");
+        says(
+                "POST /r/x?a=b%20c HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "3\r\nabc\r\n1\r\nd\r\n0\r\nX-Trailer: t\r\n\r\n");
         host.act("chunks r1".split(" "));
         street.settle();
         assertEquals(List.of("200 a:r1"), client.look());
@@ -195,11 +197,14 @@
 
     @Test
     void headersOfOneConnectionStayBehind() {
-        says("GET /r/x HTTP/1.1\r\nHost: h.example:80\r\nBrambletray-Attempt-Id: r1\r\nBrambletray-Deadline-Remaining: 900\r\n"
-            + "Brambletray-Target-Instance: forged\r\nConnection: keep-alive, X-Hop, Host, Brambletray-Attempt-Id\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n"
-            + "TE: trailers\r\nUpgrade: h2c\r\nProxy-Authorization: x\r\nX-Kept: \u00e9 1\r\nx-kept: 2\r\nAccept: */*\r\n\r\n");
-        assertEquals("GET /r/x HTTP/1.1\r\nHost: h.example:80\r\nBrambletray-Attempt-Id: r1\r\nX-Kept: \u00e9 1\r\nx-kept: 2\r\nAccept: */*\r\n"
-            + "Brambletray-Target-Instance: a\r\nBrambletray-Deadline-Remaining: 890\r\n\r\n", host.request);
+        says(
+                "GET /r/x HTTP/1.1\r\nHost: h.example:80\r\nBrambletray-Attempt-Id: r1\r\nBrambletray-Deadline-Remaining: 900\r\n"
+                        + "Brambletray-Target-Instance: forged\r\nConnection: keep-alive, X-Hop, Host, Brambletray-Attempt-Id\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n"
+                        + "TE: trailers\r\nUpgrade: h2c\r\nProxy-Authorization: x\r\nX-Kept: \u00e9 1\r\nx-kept: 2\r\nAccept: */*\r\n\r\n");
+        assertEquals(
+                "GET /r/x HTTP/1.1\r\nHost: h.example:80\r\nBrambletray-Attempt-Id: r1\r\nX-Kept: \u00e9 1\r\nx-kept: 2\r\nAccept: */*\r\n"
+                        + "Brambletray-Target-Instance: a\r\nBrambletray-Deadline-Remaining: 890\r\n\r\n",
+                host.request);
     }
 
     @Test
@@ -208,18 +213,27 @@
         street.until(500);
         street.places.act(new String[] {"grants", "a"});
         street.settle();
-        assertEquals("3490", Server.header(host.request, "brambletray-deadline-remaining"), "of the route's timeout, which is shorter");
+        assertEquals(
+                "3490",
+                Server.header(host.request, "brambletray-deadline-remaining"),
+                "of the route's timeout, which is shorter");
     }
 
     @Test
     void tooMuch() {
-        assertEquals("431 close", says(HEAD + "X: " + "y".repeat(3_000) + "\r\n\r\n").get(0));
+        assertEquals(
+                "431 close", says(HEAD + "X: " + "y".repeat(3_000) + "\r\n\r\n").get(0));
         client = (Caller) street.actor("client2");
-        assertEquals("431 close", says("GET /r/" + "y".repeat(3_000) + " HTTP/1.1\r\n").get(0));
+        assertEquals(
+                "431 close",
+                says("GET /r/" + "y".repeat(3_000) + " HTTP/1.1\r\n").get(0));
         client = (Caller) street.actor("client3");
         assertEquals("413 close", says(HEAD + "Content-Length: 10001\r\n\r\n").get(0));
         client = (Caller) street.actor("client4");
-        assertEquals("413 close", says(HEAD + "Transfer-Encoding: chunked\r\n\r\n2711\r\n" + "x".repeat(10_001)).get(0));
+        assertEquals(
+                "413 close",
+                says(HEAD + "Transfer-Encoding: chunked\r\n\r\n2711\r\n" + "x".repeat(10_001))
+                        .get(0));
         assertEquals(List.of(), host.look());
     }
 
@@ -237,11 +251,19 @@
     @Test
     void noIdNoHostNoVersion() {
         assertEquals(List.of("400"), says("GET /r/x HTTP/1.1\r\nHost: h.example\r\n\r\n"), "the connection can go on");
-        assertEquals("400 close", says("GET /r/x HTTP/1.1\r\nBrambletray-Attempt-Id: r1\r\n\r\n").get(0));
+        assertEquals(
+                "400 close",
+                says("GET /r/x HTTP/1.1\r\nBrambletray-Attempt-Id: r1\r\n\r\n").get(0));
         client = (Caller) street.actor("client2");
-        assertEquals("505 close", says("GET /r/x HTTP/1.0\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n\r\n").get(0));
+        assertEquals(
+                "505 close",
+                says("GET /r/x HTTP/1.0\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n\r\n")
+                        .get(0));
         client = (Caller) street.actor("client3");
-        assertEquals("400 close", says("GET http://h.example/r/x HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n\r\n").get(0));
+        assertEquals(
+                "400 close",
+                says("GET http://h.example/r/x HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n\r\n")
+                        .get(0));
         assertEquals(List.of(), host.look());
     }
 
@@ -287,7 +309,9 @@
     @Test
     void memoryIsBounded() {
         assertTrue(street.flow.hold().take(48 << 20));
-        assertEquals("503 in 0.200 close", says(HEAD + "Content-Length: 5\r\n\r\nhello").get(0));
+        assertEquals(
+                "503 in 0.200 close",
+                says(HEAD + "Content-Length: 5\r\n\r\nhello").get(0));
         assertFalse(street.flow.hold().take(1));
     }
 
--- a/src/test/java/brambletray/tray/home/Drawing.java
+++ b/src/test/java/brambletray/tray/home/Drawing.java
@@ -27,7 +27,7 @@
 final class Drawing {
     private static final String SERVICE = "s";
 
-    private record Knock(long at, String host) { }
+    private record Knock(long at, String host) {}
 
     private final Spec spec;
     private final Laws laws;
@@ -106,7 +106,8 @@
                 String seen = String.join("; ", heard);
                 heard.clear();
                 if (!seen.equals(cells[i])) {
-                    throw new AssertionError(names.get(i) + " at " + until + " ms: drawn '" + cells[i] + "', seen '" + seen + "' in\n" + line);
+                    throw new AssertionError(names.get(i) + " at " + until + " ms: drawn '" + cells[i] + "', seen '"
+                            + seen + "' in\n" + line);
                 }
             }
         }
@@ -180,8 +181,15 @@
     private void edge(Seats seats, String edge, String[] word) {
         switch (word[0]) {
             case "ask" -> seats.ask(asked(edge, word), false, now);
-            case "done" -> seats.done(edge, new Done(Long.parseLong(word[1]), grants.get(edge + word[1]),
-                Fate.valueOf(word[2].toUpperCase(Locale.ROOT)), Integer.parseInt(word[3])), now);
+            case "done" ->
+                seats.done(
+                        edge,
+                        new Done(
+                                Long.parseLong(word[1]),
+                                grants.get(edge + word[1]),
+                                Fate.valueOf(word[2].toUpperCase(Locale.ROOT)),
+                                Integer.parseInt(word[3])),
+                        now);
             case "forget" -> seats.forget(edge, new Forget(Long.parseLong(word[1]), SERVICE), now);
             case "held" -> {
                 List<Grant> held = new ArrayList<>();
@@ -191,7 +199,7 @@
                 seats.held(new Held(edge, SERVICE, held), now);
             }
             case "X" -> seats.edgeGone(edge, now);
-            case "z", "~" -> { }
+            case "z", "~" -> {}
             default -> throw new IllegalArgumentException(word[0]);
         }
     }
@@ -213,8 +221,18 @@
                 default -> flags.add(word[i]);
             }
         }
-        return new Ask(Long.parseLong(word[1]), edge, zone, SERVICE, priority, left, target, flags.contains("copy"), flags.contains("again"),
-            flags.contains("inner"), avoid);
+        return new Ask(
+                Long.parseLong(word[1]),
+                edge,
+                zone,
+                SERVICE,
+                priority,
+                left,
+                target,
+                flags.contains("copy"),
+                flags.contains("again"),
+                flags.contains("inner"),
+                avoid);
     }
 
     private final class Shell implements Out {
@@ -258,7 +276,7 @@
         }
 
         @Override
-        public void seen(Seen seen) { }
+        public void seen(Seen seen) {}
 
         @Override
         public void claim(Claim claim) {
--- a/src/test/java/brambletray/tray/home/HomeFeaturesTest.java
+++ b/src/test/java/brambletray/tray/home/HomeFeaturesTest.java
@@ -14,4 +14,4 @@
 @SelectPackages("brambletray.tray.home")
 @ConfigurationParameter(key = GLUE_PROPERTY_NAME, value = "brambletray.tray.home")
 @ConfigurationParameter(key = PLUGIN_PUBLISH_QUIET_PROPERTY_NAME, value = "true")
-class HomeFeaturesTest { }
+class HomeFeaturesTest {}
--- a/src/test/java/brambletray/tray/home/LawsTest.java
+++ b/src/test/java/brambletray/tray/home/LawsTest.java
@@ -70,7 +70,9 @@
             while (!extra.isEmpty() && extra.peek() <= now - 10_000) {
                 extra.poll();
             }
-            assertTrue(extra.size() <= 0.2 * requests.size() + 25, "at " + now + ": " + extra.size() + " of " + requests.size());
+            assertTrue(
+                    extra.size() <= 0.2 * requests.size() + 25,
+                    "at " + now + ": " + extra.size() + " of " + requests.size());
         }
         assertTrue(granted > 100);
     }
--- a/src/test/java/brambletray/tray/home/MoveTest.java
+++ b/src/test/java/brambletray/tray/home/MoveTest.java
@@ -25,10 +25,10 @@
     private static final int MOST = 4;
     private static final int EDGES = 4;
 
-    private record Event(long at, long order, int life, Runnable what) { }
+    private record Event(long at, long order, int life, Runnable what) {}
 
-    private final java.util.PriorityQueue<Event> events =
-        new java.util.PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final java.util.PriorityQueue<Event> events = new java.util.PriorityQueue<>(
+            (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final List<Map<Long, Ask>> waiting = new ArrayList<>();
     private final List<Map<Long, String>> held = new ArrayList<>();
     private final Map<String, Integer> inUse = new HashMap<>();
@@ -64,7 +64,18 @@
     }
 
     private void ask(int edge) {
-        Ask ask = new Ask(++ids, "e" + edge, "east", "s", random.nextInt(3), 60_000, 60_000, false, false, random.nextInt(10) == 0, List.of());
+        Ask ask = new Ask(
+                ++ids,
+                "e" + edge,
+                "east",
+                "s",
+                random.nextInt(3),
+                60_000,
+                60_000,
+                false,
+                false,
+                random.nextInt(10) == 0,
+                List.of());
         waiting.get(edge).put(ask.id(), ask);
         later(1 + random.nextInt(3), life, () -> home.ask(ask, false, now));
     }
@@ -154,16 +165,16 @@
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) { }
+        public void elsewhere(String edge, Elsewhere elsewhere) {}
 
         @Override
-        public void need(Need need) { }
+        public void need(Need need) {}
 
         @Override
-        public void quit(Quit quit) { }
+        public void quit(Quit quit) {}
 
         @Override
-        public void seen(Seen seen) { }
+        public void seen(Seen seen) {}
 
         @Override
         public void claim(Claim claim) {
@@ -175,6 +186,6 @@
         }
 
         @Override
-        public void knock(String service, String hostId, String address) { }
+        public void knock(String service, String hostId, String address) {}
     }
 }
--- a/src/test/java/brambletray/tray/home/Town.java
+++ b/src/test/java/brambletray/tray/home/Town.java
@@ -21,9 +21,17 @@
  * seed. Counts what the clients and the operator would.
  */
 final class Town {
-    record Kind(String service, int priority, int targetMs, int deadlineMs, double worth, double late, double workMs, double inner) { }
-
-    private record Event(double at, long order, Runnable what) { }
+    record Kind(
+            String service,
+            int priority,
+            int targetMs,
+            int deadlineMs,
+            double worth,
+            double late,
+            double workMs,
+            double inner) {}
+
+    private record Event(double at, long order, Runnable what) {}
 
     static final class Machine {
         final Host host;
@@ -50,7 +58,7 @@
     private final Map<String, String> elsewhere = new HashMap<>();
     private final Set<String> planned = new HashSet<>();
     private final PriorityQueue<Event> events =
-        new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private long order;
     private long ids;
     private int hostIds;
@@ -176,8 +184,18 @@
 
         void ask(String to) {
             asked = to;
-            Ask ask = new Ask(id, zone, zone, kind.service, kind.priority, (int) (end - now), kind.targetMs, false, tried > 0,
-                parent != null, List.of());
+            Ask ask = new Ask(
+                    id,
+                    zone,
+                    zone,
+                    kind.service,
+                    kind.priority,
+                    (int) (end - now),
+                    kind.targetMs,
+                    false,
+                    tried > 0,
+                    parent != null,
+                    List.of());
             link(zone, to, () -> seats(to, seats -> seats.ask(ask, false, (long) now)));
         }
 
@@ -201,7 +219,15 @@
                     double at = now + work;
                     if (random.nextDouble() < kind.inner) {
                         Kind call = new Kind(kind.service, 2, kind.targetMs, kind.deadlineMs, 0, 0, kind.workMs, 0);
-                        at(now + work / 2, () -> new Try(call, there, now, end, () -> at(now + work / 2, () -> ready(grant, machine, sent))).start());
+                        at(
+                                now + work / 2,
+                                () -> new Try(
+                                                call,
+                                                there,
+                                                now,
+                                                end,
+                                                () -> at(now + work / 2, () -> ready(grant, machine, sent)))
+                                        .start());
                     } else {
                         at(at, () -> ready(grant, machine, sent));
                     }
@@ -279,7 +305,16 @@
         if (known != null) {
             return known;
         }
-        Host host = new Host("h" + ++hostIds, need.service(), "10.0.0.1:" + hostIds, zone, need.seat(), "w", need.nonce(), Host.BOOTING, 0);
+        Host host = new Host(
+                "h" + ++hostIds,
+                need.service(),
+                "10.0.0.1:" + hostIds,
+                zone,
+                need.seat(),
+                "w",
+                need.nonce(),
+                Host.BOOTING,
+                0);
         byNonce.put(need.nonce(), host);
         Machine machine = new Machine(host, now);
         machine.upAt = now + lognormal(specs.get(need.service()).bootMs(), 0.3);
@@ -359,11 +394,16 @@
         }
 
         @Override
-        public void seen(Seen seen) { }
+        public void seen(Seen seen) {}
 
         @Override
         public void claim(Claim claim) {
-            at(now + 3, () -> seats(zone, seats -> seats.hosts(new Hosts(claim.service(), claim.seat(), new ArrayList<>()), (long) now)));
+            at(
+                    now + 3,
+                    () -> seats(
+                            zone,
+                            seats -> seats.hosts(
+                                    new Hosts(claim.service(), claim.seat(), new ArrayList<>()), (long) now)));
         }
 
         @Override
@@ -390,9 +430,22 @@
         StringBuilder sorts = new StringBuilder();
         bySort.forEach((name, sum) -> sorts.append(String.format(" %s %.0f GB-s %.0f starts", name, sum[0], sum[1])));
         double cost = gbSeconds() * priceGbS + starts * priceStart + crossed * priceCross;
-        return String.format("worth %.3f  net %.3f  in time %.1f%%  late %.1f%%  refused %d  unserved %d  starts %d  GB-s %.0f  crossed %.1f%%"
-            + "  most hosts %d  turned away %d  sent on %d  of %d %s", worth / owed, (worth - cost) / owed, 100.0 * inTime / requests,
-            100.0 * late / requests, refused, unserved, starts, gbSeconds(), 100.0 * crossed / requests, mostHosts, turnedAway, sentOn,
-            requests, sorts);
+        return String.format(
+                "worth %.3f  net %.3f  in time %.1f%%  late %.1f%%  refused %d  unserved %d  starts %d  GB-s %.0f  crossed %.1f%%"
+                        + "  most hosts %d  turned away %d  sent on %d  of %d %s",
+                worth / owed,
+                (worth - cost) / owed,
+                100.0 * inTime / requests,
+                100.0 * late / requests,
+                refused,
+                unserved,
+                starts,
+                gbSeconds(),
+                100.0 * crossed / requests,
+                mostHosts,
+                turnedAway,
+                sentOn,
+                requests,
+                sorts);
     }
 }
--- a/src/test/java/brambletray/tray/home/TownMain.java
+++ b/src/test/java/brambletray/tray/home/TownMain.java
@@ -5,10 +5,24 @@
 
 /** Prints waits, hosts and starts of a town under different laws: {@code TownMain [seeds]}. */
 public final class TownMain {
-    private TownMain() { }
+    private TownMain() {}
 
-    record Site(int zones, double crossMs, double perS, int deskBootMs, int deskTarget, int deskDeadline, int deskWork, int claimTarget,
-                int claimWork, int rareBootMs, int rareTarget, int rareDeadline, double priceGbS, double priceStart, double priceCross) { }
+    record Site(
+            int zones,
+            double crossMs,
+            double perS,
+            int deskBootMs,
+            int deskTarget,
+            int deskDeadline,
+            int deskWork,
+            int claimTarget,
+            int claimWork,
+            int rareBootMs,
+            int rareTarget,
+            int rareDeadline,
+            double priceGbS,
+            double priceStart,
+            double priceCross) {}
 
     static final Site LARGE = new Site(3, 1.4, 210, 1400, 300, 4000, 60, 400, 90, 900, 1500, 8000, 1.1, 0.45, 0.075);
     static final Site FAST = new Site(4, 0.5, 210, 750, 400, 2500, 80, 500, 120, 500, 1000, 5000, 1.1, 0.15, 0.02);
@@ -31,17 +45,72 @@
         town.at(15000, () -> {
             for (String zone : zones) {
                 double rate = site.perS / site.zones;
-                spread(town, zone, "desk", 6, rate * 0.6, burst, length, 2, site.deskTarget, site.deskDeadline, 1, 0.3, site.deskWork, 0.3);
-                spread(town, zone, "desk", 6, rate * 0.2, 1, length, 1, site.claimTarget, site.deskDeadline, 2, 0.6, site.claimWork, 0);
-                spread(town, zone, "rare", 105, rate * 0.2, rareBurst, length, 2, site.rareTarget, site.rareDeadline, 1, 0.3, site.deskWork, 0);
+                spread(
+                        town,
+                        zone,
+                        "desk",
+                        6,
+                        rate * 0.6,
+                        burst,
+                        length,
+                        2,
+                        site.deskTarget,
+                        site.deskDeadline,
+                        1,
+                        0.3,
+                        site.deskWork,
+                        0.3);
+                spread(
+                        town,
+                        zone,
+                        "desk",
+                        6,
+                        rate * 0.2,
+                        1,
+                        length,
+                        1,
+                        site.claimTarget,
+                        site.deskDeadline,
+                        2,
+                        0.6,
+                        site.claimWork,
+                        0);
+                spread(
+                        town,
+                        zone,
+                        "rare",
+                        105,
+                        rate * 0.2,
+                        rareBurst,
+                        length,
+                        2,
+                        site.rareTarget,
+                        site.rareDeadline,
+                        1,
+                        0.3,
+                        site.deskWork,
+                        0);
             }
         });
         town.runUntil(length);
         return town;
     }
 
-    private static void spread(Town town, String zone, String name, int services, double perS, double burst, double until, int priority, int target,
-                               int deadline, double worth, double late, double work, double inner) {
+    private static void spread(
+            Town town,
+            String zone,
+            String name,
+            int services,
+            double perS,
+            double burst,
+            double until,
+            int priority,
+            int target,
+            int deadline,
+            double worth,
+            double late,
+            double work,
+            double inner) {
         double sum = 0;
         for (int i = 0; i < services; i++) {
             sum += Math.pow(i + 1, -0.9);
@@ -49,7 +118,12 @@
         for (int i = 0; i < services; i++) {
             double rate = perS * Math.pow(i + 1, -0.9) / sum;
             Town.Kind kind = new Town.Kind(name + i, priority, target, deadline, worth, late, work, inner);
-            town.arrivals(kind, zone, now -> now > 26500 && now < 30000 ? rate * burst : rate, rate * Math.max(1, burst), until);
+            town.arrivals(
+                    kind,
+                    zone,
+                    now -> now > 26500 && now < 30000 ? rate * burst : rate,
+                    rate * Math.max(1, burst),
+                    until);
         }
     }
 
@@ -65,15 +139,18 @@
         String[] values = args[2].split(",");
         for (String value : values) {
             double v = Double.parseDouble(value);
-            show(args[1] + " " + value, switch (args[1]) {
-                case "k" -> standard.scaling(v, 3, 0.15);
-                case "tail" -> standard.scaling(1, v, 0.15);
-                case "burst" -> standard.scaling(1, 3, v);
-                case "cross" -> standard.crossing(v);
-                case "start" -> standard.keeping(v, 0.6);
-                case "late" -> standard.keeping(0.4, v);
-                default -> throw new IllegalArgumentException(args[1]);
-            }, seeds);
+            show(
+                    args[1] + " " + value,
+                    switch (args[1]) {
+                        case "k" -> standard.scaling(v, 3, 0.15);
+                        case "tail" -> standard.scaling(1, v, 0.15);
+                        case "burst" -> standard.scaling(1, 3, v);
+                        case "cross" -> standard.crossing(v);
+                        case "start" -> standard.keeping(v, 0.6);
+                        case "late" -> standard.keeping(0.4, v);
+                        default -> throw new IllegalArgumentException(args[1]);
+                    },
+                    seeds);
         }
     }
 
@@ -85,12 +162,21 @@
                 Town last = null;
                 for (int seed = 1; seed <= seeds; seed++) {
                     last = play(site, seed, laws, burst[0], burst[1]);
-                    double cost = last.gbSeconds() * site.priceGbS + last.starts * site.priceStart + last.crossed * site.priceCross;
+                    double cost = last.gbSeconds() * site.priceGbS
+                            + last.starts * site.priceStart
+                            + last.crossed * site.priceCross;
                     net += (last.worth - cost) / last.owed;
                     worth += last.worth / last.owed;
                 }
-                System.out.printf("%-18s %s x%.1f x%.1f  NET %.4f WORTH %.4f | %s%n", title, site == LARGE ? "large" : "fast ", burst[0], burst[1],
-                    net / seeds, worth / seeds, last.figures(site.priceGbS, site.priceStart, site.priceCross));
+                System.out.printf(
+                        "%-18s %s x%.1f x%.1f  NET %.4f WORTH %.4f | %s%n",
+                        title,
+                        site == LARGE ? "large" : "fast ",
+                        burst[0],
+                        burst[1],
+                        net / seeds,
+                        worth / seeds,
+                        last.figures(site.priceGbS, site.priceStart, site.priceCross));
             }
         }
     }
--- a/src/test/java/brambletray/tray/keep/DoorTest.java
+++ b/src/test/java/brambletray/tray/keep/DoorTest.java
@@ -55,7 +55,8 @@
         assertEquals(2, calls.size());
         String both = got();
         assertTrue(both.startsWith("HTTP/1.1 200 OK") && both.indexOf("HTTP/1.1 404") > 0, both);
-        assertEquals(both.indexOf("HTTP/1.1 404"), both.lastIndexOf("HTTP/1.1"), "an answer for a call that waits: " + both);
+        assertEquals(
+                both.indexOf("HTTP/1.1 404"), both.lastIndexOf("HTTP/1.1"), "an answer for a call that waits: " + both);
         calls.get(1).answer().give(307, null, Map.of("Location", "http://10.0.0.2:90/x"));
         assertTrue(got().contains("Location: http://10.0.0.2:90/x"));
     }
--- a/src/test/java/brambletray/tray/keep/GreeterTest.java
+++ b/src/test/java/brambletray/tray/keep/GreeterTest.java
@@ -23,20 +23,25 @@
 
     @Test
     void anotherIsNamedByWhoIsInTouch() {
-        assertEquals(new Welcome("b", 70, true, 7, List.of("a", "b"), 60, 3), welcome(Standing.MEMBER, true, new Holder(70, OTHER), 0));
+        assertEquals(
+                new Welcome("b", 70, true, 7, List.of("a", "b"), 60, 3),
+                welcome(Standing.MEMBER, true, new Holder(70, OTHER), 0));
     }
 
     @Test
     void whoIsCutOffNamesNoOther() {
         for (Standing standing : List.of(Standing.STOPPED, Standing.KNOCKING)) {
-            assertEquals(new Welcome("", 0, false, 7, List.of("a", "b"), 60, 3), welcome(standing, true, new Holder(70, OTHER), 0));
+            assertEquals(
+                    new Welcome("", 0, false, 7, List.of("a", "b"), 60, 3),
+                    welcome(standing, true, new Holder(70, OTHER), 0));
         }
     }
 
     @Test
     void itselfIsNamedWhileItsHubIsOfThatTermEvenDuringAChangeOfView() {
         assertEquals("a", welcome(Standing.MEMBER, true, new Holder(70, ME), 70).helmAddress());
-        assertEquals("a", welcome(Standing.STOPPED, true, new Holder(70, ME), 70).helmAddress());
+        assertEquals(
+                "a", welcome(Standing.STOPPED, true, new Holder(70, ME), 70).helmAddress());
         assertEquals("", welcome(Standing.MEMBER, true, new Holder(70, ME), 0).helmAddress());
         assertEquals("", welcome(Standing.MEMBER, true, new Holder(71, ME), 70).helmAddress());
     }
--- a/src/test/java/brambletray/tray/keep/HubTest.java
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -86,8 +86,10 @@
     }
 
     private static Creed creed(long revision) {
-        return Creed.read(("{\"revision\":" + revision + ",\"routes\":[],\"services\":[{\"name\":\"tea\",\"health-path\":null,"
-            + "\"max-connections\":72,\"memory-mb\":512,\"boot-ms\":750,\"max-concurrency\":4}]}").getBytes(StandardCharsets.US_ASCII));
+        return Creed.read(
+                ("{\"revision\":" + revision + ",\"routes\":[],\"services\":[{\"name\":\"tea\",\"health-path\":null,"
+                                + "\"max-connections\":72,\"memory-mb\":512,\"boot-ms\":750,\"max-concurrency\":4}]}")
+                        .getBytes(StandardCharsets.US_ASCII));
     }
 
     private long ms() {
@@ -104,18 +106,30 @@
 
     @BeforeEach
     void begin() throws IOException {
-        Path file = Files.writeString(folder.resolve("node.conf"), "node-name=core-1\nip-address=10.0.0.1\nzone=za\nzones.za=south\n"
-            + "cloud-api.address=10.0.0.9:8240\ncloud-api.rate-per-s=26.0\ncloud-api.duty-rate-s=105.0\ncloud-api.lag-ms=800\n");
+        Path file = Files.writeString(
+                folder.resolve("node.conf"),
+                "node-name=core-1\nip-address=10.0.0.1\nzone=za\nzones.za=south\n"
+                        + "cloud-api.address=10.0.0.9:8240\ncloud-api.rate-per-s=26.0\ncloud-api.duty-rate-s=105.0\ncloud-api.lag-ms=800\n");
         stand.worker("w-1", "za", 4_000, ms());
         stand.service("tea", new Kind(512, 750, 0));
         new StandDoor(cloud, stand).open(new InetSocketAddress("10.0.0.9", 8_240));
         history.become(creed);
         hub = new Hub(core, Berth.read(file), TERM, () -> creed, new Publisher(history), new Authority(), ms());
-        new Kin(core, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Iam("core-1", "10.0.0.1:90", true), new Ear());
-        core.loop().scheduleWithFixedDelay(() -> {
-            hub.tick(ms());
-            greeter.tick(ms());
-        }, 50, 50, TimeUnit.MILLISECONDS);
+        new Kin(
+                core,
+                new Speech(Lexis.ALL),
+                new Address("10.0.0.1", PORT),
+                new Iam("core-1", "10.0.0.1:90", true),
+                new Ear());
+        core.loop()
+                .scheduleWithFixedDelay(
+                        () -> {
+                            hub.tick(ms());
+                            greeter.tick(ms());
+                        },
+                        50,
+                        50,
+                        TimeUnit.MILLISECONDS);
     }
 
     private final class Authority implements Hub.Authority {
@@ -143,10 +157,10 @@
 
     private final class Ear implements Kin.Ear {
         @Override
-        public void member(String address, Object frame) { }
+        public void member(String address, Object frame) {}
 
         @Override
-        public void gone(String address) { }
+        public void gone(String address) {}
 
         @Override
         public void edge(String name, Link link) {
@@ -180,31 +194,36 @@
 
     /** An edge dials and says its Hello. */
     private void come() {
-        edge = new Dialler(front, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Handler() {
-            @Override
-            public void up(Link link) {
-                link.say(new Iam("edge-1", "10.0.0.2:" + PORT, false));
-                link.say(new Hello(new Peer("edge-1", "za", "10.0.0.2:" + PORT, 1, Peer.IN), 0, 0, 0, 0));
-            }
-
-            @Override
-            public void heard(Link link, Object frame) {
-                heard.add(frame);
-                if (frame instanceof Pulse pulse) {
-                    fetch(link, pulse);
-                } else if (frame instanceof Chunk chunk) {
-                    has = chunk.revision();
-                    link.say(new Fetch(has, 0, 0, false));
-                } else if (frame instanceof Roster roster) {
-                    listed = roster.number();
-                }
-            }
-
-            @Override
-            public void down(Link link, String why) {
-                heard.add("down");
-            }
-        }, 1);
+        edge = new Dialler(
+                front,
+                new Speech(Lexis.ALL),
+                new Address("10.0.0.1", PORT),
+                new Handler() {
+                    @Override
+                    public void up(Link link) {
+                        link.say(new Iam("edge-1", "10.0.0.2:" + PORT, false));
+                        link.say(new Hello(new Peer("edge-1", "za", "10.0.0.2:" + PORT, 1, Peer.IN), 0, 0, 0, 0));
+                    }
+
+                    @Override
+                    public void heard(Link link, Object frame) {
+                        heard.add(frame);
+                        if (frame instanceof Pulse pulse) {
+                            fetch(link, pulse);
+                        } else if (frame instanceof Chunk chunk) {
+                            has = chunk.revision();
+                            link.say(new Fetch(has, 0, 0, false));
+                        } else if (frame instanceof Roster roster) {
+                            listed = roster.number();
+                        }
+                    }
+
+                    @Override
+                    public void down(Link link, String why) {
+                        heard.add("down");
+                    }
+                },
+                1);
     }
 
     private void become(Creed next) {
@@ -219,7 +238,8 @@
 
     /** Nothing that was heard bears authority. */
     private void assertNothingWithAuthority() {
-        List<Object> bearing = heard.stream().filter(frame -> !(frame instanceof Welcome)).toList();
+        List<Object> bearing =
+                heard.stream().filter(frame -> !(frame instanceof Welcome)).toList();
         assertEquals(List.of(), bearing);
     }
 
@@ -228,7 +248,9 @@
         come();
         run(1_000);
         List<Object> first = heard.subList(0, 3);
-        assertEquals(List.of(Welcome.class, Pulse.class, Chunk.class), first.stream().map(Object::getClass).toList());
+        assertEquals(
+                List.of(Welcome.class, Pulse.class, Chunk.class),
+                first.stream().map(Object::getClass).toList());
         assertEquals(ADDRESS, all(Welcome.class).get(0).helmAddress());
         assertEquals(new Pulse(TERM, 9, 0), heard.get(1));
         assertEquals(TERM, all(Chunk.class).get(0).term());
@@ -249,9 +271,16 @@
         assertFalse(all(Welcome.class).get(0).inTouch());
         acts = true;
         run(400);
-        Object pulse = heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow();
-        assertEquals(new Pulse(TERM, 12, 1), pulse, "the lease is back: the link is opened by a pulse, and the newest follows");
-        assertEquals(List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
+        Object pulse = heard.stream()
+                .filter(frame -> !(frame instanceof Welcome))
+                .findFirst()
+                .orElseThrow();
+        assertEquals(
+                new Pulse(TERM, 12, 1),
+                pulse,
+                "the lease is back: the link is opened by a pulse, and the newest follows");
+        assertEquals(
+                List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
     }
 
     @Test
@@ -273,7 +302,13 @@
         heard.clear();
         acts = true;
         run(300);
-        assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass());
+        assertEquals(
+                Pulse.class,
+                heard.stream()
+                        .filter(frame -> !(frame instanceof Welcome))
+                        .findFirst()
+                        .orElseThrow()
+                        .getClass());
         assertEquals(12, all(Chunk.class).get(0).revision());
     }
 
@@ -306,7 +341,13 @@
         run(5);
         assertEquals(List.of(), heard, "the edge would not take it, and would miss it");
         run(300);
-        assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass());
+        assertEquals(
+                Pulse.class,
+                heard.stream()
+                        .filter(frame -> !(frame instanceof Welcome))
+                        .findFirst()
+                        .orElseThrow()
+                        .getClass());
     }
 
     @Test
@@ -316,7 +357,8 @@
         heard.clear();
         edge.say(new Need("coffee", "za", "n-1", 1));
         run(40);
-        assertEquals(List.of("n-1"), all(NoRoom.class).stream().map(NoRoom::nonce).toList(), "no such service");
+        assertEquals(
+                List.of("n-1"), all(NoRoom.class).stream().map(NoRoom::nonce).toList(), "no such service");
         heard.clear();
         acts = false;
         edge.say(new Need("coffee", "za", "n-1", 1));
@@ -349,7 +391,8 @@
         become(creed(12));
         applied = true;
         run(100);
-        assertEquals(List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
+        assertEquals(
+                List.of(12L), all(Chunk.class).stream().map(Chunk::revision).toList());
     }
 
     @Test
@@ -368,8 +411,14 @@
         edge.say(new Fetch(0, 0, 0, false));
         edge.say(new RosterFetch(0, 0));
         run(300);
-        assertEquals(Pulse.class, heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow().getClass(),
-            "let go, and not taken up again yet");
+        assertEquals(
+                Pulse.class,
+                heard.stream()
+                        .filter(frame -> !(frame instanceof Welcome))
+                        .findFirst()
+                        .orElseThrow()
+                        .getClass(),
+                "let go, and not taken up again yet");
     }
 
     @Test
@@ -391,7 +440,9 @@
             heard.clear();
             become(creed(20 + i));
             run(5);
-            assertEquals(List.of(20L + i), all(Chunk.class).stream().map(Chunk::revision).toList());
+            assertEquals(
+                    List.of(20L + i),
+                    all(Chunk.class).stream().map(Chunk::revision).toList());
         }
     }
 
@@ -439,7 +490,12 @@
         acts = true;
         greeter.hub(hub, ms());
         run(10);
-        assertEquals(new Pulse(TERM, 9, 0), heard.stream().filter(frame -> !(frame instanceof Welcome)).findFirst().orElseThrow());
+        assertEquals(
+                new Pulse(TERM, 9, 0),
+                heard.stream()
+                        .filter(frame -> !(frame instanceof Welcome))
+                        .findFirst()
+                        .orElseThrow());
     }
 
     /** Bytes a second: 2 Mbit/s, over which 600 kB of a configuration need 2.4 s. */
@@ -466,27 +522,32 @@
                 throw new IllegalStateException(fault);
             }
         });
-        new Dialler(front, new Speech(Lexis.ALL), new Address("10.0.0.1", PORT), new Handler() {
-            @Override
-            public void up(Link link) {
-                up[0] = link;
-                link.say(new Iam("edge-1", "10.0.0.2:" + PORT, false));
-                link.say(new Hello(new Peer("edge-1", "za", "10.0.0.2:" + PORT, 1, Peer.IN), 0, 0, 0, 0));
-            }
-
-            @Override
-            public void heard(Link link, Object frame) {
-                if (frame instanceof Pulse pulse) {
-                    pulses.add(ms());
-                    subscriber[0].newest(pulse.revision(), ms());
-                } else if (frame instanceof Chunk chunk) {
-                    subscriber[0].heard(chunk, ms());
-                }
-            }
-
-            @Override
-            public void down(Link link, String why) { }
-        }, 1);
+        new Dialler(
+                front,
+                new Speech(Lexis.ALL),
+                new Address("10.0.0.1", PORT),
+                new Handler() {
+                    @Override
+                    public void up(Link link) {
+                        up[0] = link;
+                        link.say(new Iam("edge-1", "10.0.0.2:" + PORT, false));
+                        link.say(new Hello(new Peer("edge-1", "za", "10.0.0.2:" + PORT, 1, Peer.IN), 0, 0, 0, 0));
+                    }
+
+                    @Override
+                    public void heard(Link link, Object frame) {
+                        if (frame instanceof Pulse pulse) {
+                            pulses.add(ms());
+                            subscriber[0].newest(pulse.revision(), ms());
+                        } else if (frame instanceof Chunk chunk) {
+                            subscriber[0].heard(chunk, ms());
+                        }
+                    }
+
+                    @Override
+                    public void down(Link link, String why) {}
+                },
+                1);
         run(1_000);
         assertEquals(List.of(9L), took);
         pulses.clear();
@@ -509,7 +570,7 @@
             filler.append(Long.toString(random.nextLong() >>> 1, 36));
         }
         return Creed.read(("{\"revision\":" + revision + ",\"routes\":[],\"services\":[],\"note\":\"" + filler + "\"}")
-            .getBytes(StandardCharsets.US_ASCII));
+                .getBytes(StandardCharsets.US_ASCII));
     }
 
     private Berth berth() {
--- a/src/test/java/brambletray/tray/keep/KinTest.java
+++ b/src/test/java/brambletray/tray/keep/KinTest.java
@@ -45,25 +45,31 @@
     private Kin member(String ip) {
         Machine machine = simulation.machine(ip(ip));
         Kin[] made = new Kin[1];
-        machine.loop().execute(() -> made[0] = new Kin(machine, new Speech(Lexis.ALL), new Address(ip, PORT), new Iam(ip, ip + ":90", true),
-            new Kin.Ear() {
-                @Override
-                public void member(String address, Object frame) {
-                    heard.add(TimeUnit.NANOSECONDS.toMillis(simulation.now()) + " " + ip + " hears " + address);
-                }
+        machine.loop()
+                .execute(() -> made[0] = new Kin(
+                        machine,
+                        new Speech(Lexis.ALL),
+                        new Address(ip, PORT),
+                        new Iam(ip, ip + ":90", true),
+                        new Kin.Ear() {
+                            @Override
+                            public void member(String address, Object frame) {
+                                heard.add(TimeUnit.NANOSECONDS.toMillis(simulation.now()) + " " + ip + " hears "
+                                        + address);
+                            }
 
-                @Override
-                public void gone(String address) { }
+                            @Override
+                            public void gone(String address) {}
 
-                @Override
-                public void edge(String name, Link link) { }
+                            @Override
+                            public void edge(String name, Link link) {}
 
-                @Override
-                public void edge(String name, Link link, Object frame) { }
+                            @Override
+                            public void edge(String name, Link link, Object frame) {}
 
-                @Override
-                public void edgeGone(String name, Link link) { }
-            }));
+                            @Override
+                            public void edgeGone(String name, Link link) {}
+                        }));
         simulation.runUntil(simulation.now());
         return made[0];
     }
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -18,17 +18,19 @@
 
 /** Operators' calls at one member, with the order scripted: what is answered, and only once it is certain. */
 class OperatorsTest {
-    private static final String SERVICE = "{'name':'%s','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,"
-        + "'max-concurrency':4}";
-    private static final String ROUTE = "{'name':'r','host':'h.example','path-prefix':'/one/','route-type':'idempotent','timeout-ms':2500,"
-        + "'target-ms':400,'priority':2,'service':'%s','retry-count':2}";
+    private static final String SERVICE =
+            "{'name':'%s','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,"
+                    + "'max-concurrency':4}";
+    private static final String ROUTE =
+            "{'name':'r','host':'h.example','path-prefix':'/one/','route-type':'idempotent','timeout-ms':2500,"
+                    + "'target-ms':400,'priority':2,'service':'%s','retry-count':2}";
 
     private static final Member ME = new Member("10.0.0.1:90", "core-1", 0xa1);
     private static final Member OTHER = new Member("10.0.0.2:90", "core-2", 0xa2);
 
     private final Dispatch<Door.Desk> table = new Dispatch<>();
     private final Scripted order = new Scripted();
-    private final Operators operators = new Operators(order, () -> { });
+    private final Operators operators = new Operators(order, () -> {});
     private long index;
 
     OperatorsTest() {
@@ -94,7 +96,8 @@
             items.add(SERVICE.formatted(service));
         }
         String routes = ROUTE.formatted(services[0]);
-        return bytes("{'revision':" + revision + ",'routes':[" + routes + "],'services':[" + String.join(",", items) + "]}");
+        return bytes(
+                "{'revision':" + revision + ",'routes':[" + routes + "],'services':[" + String.join(",", items) + "]}");
     }
 
     private static byte[] move(long revision, String service) {
@@ -183,7 +186,7 @@
     @Test
     void takenBeforeByASnapshotIsSeenAfterTheRound() {
         begin();
-        Operators newer = new Operators(new Scripted(), () -> { });
+        Operators newer = new Operators(new Scripted(), () -> {});
         newer.restore(operators.snapshot());
         newer.deliver(2, elsewhere(operators.snapshot(), "replace", 5, whole(8, "a", "b")));
         newer.deliver(3, elsewhere(newer.snapshot(), "modify", 8, move(9, "b")));
@@ -215,7 +218,7 @@
         assertEquals(200, mine.status, "it is in force, what came after it lost: " + mine.body);
 
         byte[] first = elsewhere(operators.snapshot(), "modify", 7, move(10, "a"));
-        Operators ahead = new Operators(new Scripted(), () -> { });
+        Operators ahead = new Operators(new Scripted(), () -> {});
         ahead.restore(operators.snapshot());
         ahead.deliver(9, first);
         byte[] second = elsewhere(ahead.snapshot(), "modify", 10, move(12, "a"));
@@ -354,7 +357,12 @@
         for (int i = 0; i < 70; i++) {
             replies.add(modify(5, move(7 + i, "a")));
         }
-        assertEquals(5, replies.stream().filter(reply -> reply.status != null && reply.status == 503).count(), "one under way, 64 wait");
+        assertEquals(
+                5,
+                replies.stream()
+                        .filter(reply -> reply.status != null && reply.status == 503)
+                        .count(),
+                "one under way, 64 wait");
         operators.tick(3_600);
         assertTrue(replies.stream().allMatch(reply -> reply.status != null && reply.status == 503));
         keep();
@@ -370,7 +378,12 @@
         for (int i = 0; i < 8; i++) {
             replies.add(modify(5, large));
         }
-        assertEquals(3, replies.stream().filter(reply -> reply.status != null && reply.status == 503).count(), "24 MB in all");
+        assertEquals(
+                3,
+                replies.stream()
+                        .filter(reply -> reply.status != null && reply.status == 503)
+                        .count(),
+                "24 MB in all");
         keep();
         assertEquals(200, open.status);
         assertNull(modify(5, large).status, "a sixth, now that none is under way");
@@ -396,7 +409,9 @@
         while (!order.confirms.isEmpty()) confirm(false);
         for (Reply reply : List.of(under, waiting, show, stale, late)) {
             assertEquals(307, reply.status);
-            assertTrue(reply.headers.get("Location").startsWith("http://10.0.0.2:90/brambletray/configuration/"), reply.headers::toString);
+            assertTrue(
+                    reply.headers.get("Location").startsWith("http://10.0.0.2:90/brambletray/configuration/"),
+                    reply.headers::toString);
         }
         assertTrue(operators.idle());
     }
--- a/src/test/java/brambletray/tray/keep/OrdersChecker.java
+++ b/src/test/java/brambletray/tray/keep/OrdersChecker.java
@@ -20,6 +20,7 @@
     private final Map<OrdersModel.Written, Long> refusedAt = new HashMap<>();
     /** When it was first known to an operator that so high a revision is in force. */
     private final Map<Long, Long> knownAt = new HashMap<>();
+
     private final Set<OrdersModel.Written> confirmed = new HashSet<>();
 
     private static void must(boolean holds, String why) {
@@ -44,7 +45,9 @@
     void answered(OrdersModel.Written change, int status, long at) {
         if (status == 200) {
             must(change.valid(), "invalid and acknowledged: " + change);
-            must(!refusals.containsKey(change), "refused with " + refusals.get(change) + ", then acknowledged: " + change);
+            must(
+                    !refusals.containsKey(change),
+                    "refused with " + refusals.get(change) + ", then acknowledged: " + change);
             taken(change, at);
             confirmed.add(change);
             return;
@@ -55,12 +58,18 @@
         must(status == 412 || !change.valid(), "valid and refused with 400: " + change);
         refusals.put(change, status);
         refusedAt.put(change, at);
-        must(status == 400 || rival(change, at), "refused with 412 though nobody else had sent a change on that version: " + change);
+        must(
+                status == 400 || rival(change, at),
+                "refused with 412 though nobody else had sent a change on that version: " + change);
     }
 
     private boolean rival(OrdersModel.Written change, long at) {
-        return sentAt.entrySet().stream().anyMatch(one -> one.getKey() != change && one.getKey().valid()
-            && one.getKey().base() == change.base() && one.getValue() < at && !refusals.containsKey(one.getKey()));
+        return sentAt.entrySet().stream()
+                .anyMatch(one -> one.getKey() != change
+                        && one.getKey().valid()
+                        && one.getKey().base() == change.base()
+                        && one.getValue() < at
+                        && !refusals.containsKey(one.getKey()));
     }
 
     /** This change is known to be, or to have been, in force. */
@@ -74,9 +83,12 @@
 
     void shown(long revision, int mark, long askedAt, long at) {
         Integer before = marks.putIfAbsent(revision, mark);
-        must(before == null || before == mark, "revision " + revision + " was shown with " + before + " and with " + mark);
-        knownAt.forEach((known, when) -> must(known <= revision || when > askedAt, "shown " + revision + ", asked at " + askedAt
-            + "; " + known + " was known at " + when));
+        must(
+                before == null || before == mark,
+                "revision " + revision + " was shown with " + before + " and with " + mark);
+        knownAt.forEach((known, when) -> must(
+                known <= revision || when > askedAt,
+                "shown " + revision + ", asked at " + askedAt + "; " + known + " was known at " + when));
         if (revision == 0) {
             return;
         }
@@ -89,17 +101,21 @@
 
     /** After calm: the last one has to be through, and each one in force builds on one that was, or may have been. */
     void end(OrdersModel.Written last) {
-        must(confirmed.contains(last), "not acknowledged though all was calm: " + last + ", refused: " + refusals.get(last));
+        must(
+                confirmed.contains(last),
+                "not acknowledged though all was calm: " + last + ", refused: " + refusals.get(last));
         refusedAt.forEach((change, at) -> {
             OrdersModel.Written other = byBase.get(change.base());
             boolean proper = change.valid() && refusals.get(change) == 412;
-            must(!proper || (other == null ? rival(change, at) : sentAt.get(other) < at),
-                "refused with 412 before there was another: " + change);
+            must(
+                    !proper || (other == null ? rival(change, at) : sentAt.get(other) < at),
+                    "refused with 412 before there was another: " + change);
         });
         for (OrdersModel.Written change : byBase.values()) {
             for (OrdersModel.Written other : byBase.values()) {
-                must(other.base() >= change.revision() || change.base() >= other.revision() || other == change,
-                    "no line: " + change + " and " + other);
+                must(
+                        other.base() >= change.revision() || change.base() >= other.revision() || other == change,
+                        "no line: " + change + " and " + other);
             }
         }
     }
--- a/src/test/java/brambletray/tray/keep/OrdersModel.java
+++ b/src/test/java/brambletray/tray/keep/OrdersModel.java
@@ -25,7 +25,7 @@
     private static final String AT = "/brambletray/configuration/";
 
     /** A change as an operator wrote it. {@code mark}: the timeout of its route, of this change only. */
-    record Written(int id, String verb, long base, long revision, int mark, boolean valid, byte[] body) { }
+    record Written(int id, String verb, long base, long revision, int mark, boolean valid, byte[] body) {}
 
     private final class Pending {
         private final Machine from;
@@ -45,7 +45,7 @@
         }
     }
 
-    private record Question(Machine from, int boot, long token, int need, long since) { }
+    private record Question(Machine from, int boot, long token, int need, long since) {}
 
     private final class Machine implements Operators.Order {
         private final Member me;
@@ -66,7 +66,7 @@
 
         private void begin() {
             boot++;
-            operators = new Operators(this, () -> { });
+            operators = new Operators(this, () -> {});
             table = new Dispatch<>();
             operators.register(table);
             operators.restore(disk);
@@ -153,8 +153,17 @@
                     arrivals.add(() -> answered(mine, status, json, headers));
                 }
             };
-            to.table.find(method, path).handler().handle(new Call(method, path, written == null ? null : Long.toString(written.base),
-                written == null ? new byte[0] : written.body, answer), null);
+            to.table
+                    .find(method, path)
+                    .handler()
+                    .handle(
+                            new Call(
+                                    method,
+                                    path,
+                                    written == null ? null : Long.toString(written.base),
+                                    written == null ? new byte[0] : written.body,
+                                    answer),
+                            null);
         }
 
         private void answered(int mine, int status, byte[] json, Map<String, String> headers) {
@@ -197,6 +206,7 @@
     private int view = 1;
     /** Of the view in force; null while it is changed. */
     private Machine leader;
+
     private long electAt;
     private long known;
     private boolean calm;
@@ -212,18 +222,18 @@
 
     /** Plays; returns how many changes were acknowledged. AssertionError where a rule is broken. */
     int play(long ms) {
-        for (long end = now + ms; now < end;) {
+        for (long end = now + ms; now < end; ) {
             step();
         }
         calm = true;
         machines.forEach(this::heal);
-        for (long end = now + 8_000; now < end;) {
+        for (long end = now + 8_000; now < end; ) {
             step();
         }
         sendings.clear();
         Written last = write(true);
         sendings.add(new Sending(last));
-        for (long end = now + 5_000; now < end;) {
+        for (long end = now + 5_000; now < end; ) {
             step();
         }
         checker.end(last);
@@ -235,7 +245,10 @@
     }
 
     private Machine machine(String location) {
-        return machines.stream().filter(one -> location.startsWith("http://" + one.me.address() + "/")).findFirst().orElseThrow();
+        return machines.stream()
+                .filter(one -> location.startsWith("http://" + one.me.address() + "/"))
+                .findFirst()
+                .orElseThrow();
     }
 
     private void step() {
@@ -272,7 +285,7 @@
             case 3, 4, 5 -> heal(one);
             case 6 -> restart(one);
             case 7 -> jump(one);
-            default -> { }
+            default -> {}
         }
         // one that is cut off finds out in its own time
         for (Machine machine : machines) {
@@ -324,7 +337,8 @@
 
     private void elect() {
         if (leader == null && now >= electAt) {
-            List<Machine> there = machines.stream().filter(machine -> !machine.cut).toList();
+            List<Machine> there =
+                    machines.stream().filter(machine -> !machine.cut).toList();
             lead(there.get(random.nextInt(there.size())));
         }
         for (Machine one : machines) {
@@ -427,19 +441,28 @@
             revision = low ? base : revision;
             service = low ? service : "nowhere";
         }
-        String route = "{'name':'r','host':'h.example','path-prefix':'/one/','route-type':'idempotent','timeout-ms':" + mark
-            + ",'target-ms':400,'priority':2,'service':'" + service + "','retry-count':2}";
+        String route = "{'name':'r','host':'h.example','path-prefix':'/one/','route-type':'idempotent','timeout-ms':"
+                + mark + ",'target-ms':400,'priority':2,'service':'" + service + "','retry-count':2}";
         String items = "'services':[" + service("s" + base) + "," + service("s" + revision) + "]";
-        String text = whole ? "{'revision':" + revision + ",'routes':[" + route + "]," + items + "}"
-            : "{'revision':" + revision + ",'upsert':{'routes':[" + route + "],'services':[" + service("s" + revision) + "]}}";
-        Written written = new Written(id, whole ? "replace" : "modify", base, revision, mark, valid,
-            text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+        String text = whole
+                ? "{'revision':" + revision + ",'routes':[" + route + "]," + items + "}"
+                : "{'revision':" + revision + ",'upsert':{'routes':[" + route + "],'services':["
+                        + service("s" + revision) + "]}}";
+        Written written = new Written(
+                id,
+                whole ? "replace" : "modify",
+                base,
+                revision,
+                mark,
+                valid,
+                text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
         sent.add(written);
         checker.sent(written, now);
         return written;
     }
 
     private static String service(String name) {
-        return "{'name':'" + name + "','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}";
+        return "{'name':'" + name
+                + "','health-path':null,'max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}";
     }
 }
--- a/src/test/java/brambletray/tray/keep/SimKeep.java
+++ b/src/test/java/brambletray/tray/keep/SimKeep.java
@@ -14,8 +14,14 @@
         this.keep = keep;
     }
 
-    public static SimKeep start(Berth berth, Machine machine, Map<String, byte[]> kept, DurableStore store, Runnable exit, long life,
-        long origin) {
+    public static SimKeep start(
+            Berth berth,
+            Machine machine,
+            Map<String, byte[]> kept,
+            DurableStore store,
+            Runnable exit,
+            long life,
+            long origin) {
         Keep keep = new Keep(berth, new Keep.Environment(machine, kept, store, exit), life, origin);
         keep.start();
         keep.open();
--- a/src/test/java/brambletray/tray/keep/ViewsTest.java
+++ b/src/test/java/brambletray/tray/keep/ViewsTest.java
@@ -58,8 +58,12 @@
     private static final class Known implements Views.Book {
         @Override
         public Roster roster() {
-            return new Roster(70, 3, List.of(new Peer("edge-1", "north", "10.0.1.1:91", 0xb1, Peer.IN),
-                new Peer("edge-2", "south", "10.0.1.2:91", 0xb2, Peer.LEAVING)));
+            return new Roster(
+                    70,
+                    3,
+                    List.of(
+                            new Peer("edge-1", "north", "10.0.1.1:91", 0xb1, Peer.IN),
+                            new Peer("edge-2", "south", "10.0.1.2:91", 0xb2, Peer.LEAVING)));
         }
 
         @Override
@@ -69,7 +73,16 @@
 
         @Override
         public List<Host> hosts(String service) {
-            return List.of(new Host("i-1", service == null ? "any" : service, "10.0.2.1:80", "north", "south", "w-1", "n", Host.UP, 1_500));
+            return List.of(new Host(
+                    "i-1",
+                    service == null ? "any" : service,
+                    "10.0.2.1:80",
+                    "north",
+                    "south",
+                    "w-1",
+                    "n",
+                    Host.UP,
+                    1_500));
         }
 
         @Override
@@ -80,11 +93,14 @@
 
     private void get(String path) {
         Dispatch.Found<Door.Desk> found = table.find("GET", path);
-        found.handler().handle(new Call("GET", path, null, new byte[0], (given, json, more) -> {
-            status = given;
-            body = json == null ? null : new String(json, StandardCharsets.UTF_8);
-            headers = more;
-        }), found.part());
+        found.handler()
+                .handle(
+                        new Call("GET", path, null, new byte[0], (given, json, more) -> {
+                            status = given;
+                            body = json == null ? null : new String(json, StandardCharsets.UTF_8);
+                            headers = more;
+                        }),
+                        found.part());
     }
 
     ViewsTest() {
@@ -95,24 +111,32 @@
     void aMemberSaysWhereItStands() {
         get("/brambletray/system/views");
         assertEquals(200, status);
-        assertEquals("{\"node\":\"core-\\\"1\\\"\",\"address\":\"10.0.0.1:90\",\"life\":\"a1\",\"standing\":\"stopped\",\"view\":7,\"in-force\":true,"
-            + "\"settled\":false,\"leader\":\"core-2\",\"leading\":false,\"commit\":12,\"delivered\":11,\"ill\":true,\"revision\":9,\"members\":["
-            + "{\"name\":\"core-2\",\"address\":\"10.0.0.2:90\",\"life\":\"a2\"},"
-            + "{\"name\":\"core-\\\"1\\\"\",\"address\":\"10.0.0.1:90\",\"life\":\"a1\"}]}", body);
+        assertEquals(
+                "{\"node\":\"core-\\\"1\\\"\",\"address\":\"10.0.0.1:90\",\"life\":\"a1\",\"standing\":\"stopped\",\"view\":7,\"in-force\":true,"
+                        + "\"settled\":false,\"leader\":\"core-2\",\"leading\":false,\"commit\":12,\"delivered\":11,\"ill\":true,\"revision\":9,\"members\":["
+                        + "{\"name\":\"core-2\",\"address\":\"10.0.0.2:90\",\"life\":\"a2\"},"
+                        + "{\"name\":\"core-\\\"1\\\"\",\"address\":\"10.0.0.1:90\",\"life\":\"a1\"}]}",
+                body);
     }
 
     @Test
     void theHelmIsKnownSinceItsTermWasSeen() {
         get("/brambletray/system/duties");
-        assertTrue(body.contains("{\"duty\":\"helm\",\"holder\":null,\"address\":null,\"term\":0,\"since-ms\":0,\"here\":false}"), body);
+        assertTrue(
+                body.contains(
+                        "{\"duty\":\"helm\",\"holder\":null,\"address\":null,\"term\":0,\"since-ms\":0,\"here\":false}"),
+                body);
         helm = new Holder(70, TWO);
         now = 2_000;
         views.tick();
         now = 5_500;
         views.tick();
         get("/brambletray/system/duties");
-        assertTrue(body.contains("{\"duty\":\"helm\",\"holder\":\"core-2\",\"address\":\"10.0.0.2:90\",\"term\":70,\"since-ms\":3500,"
-            + "\"here\":false}"), body);
+        assertTrue(
+                body.contains(
+                        "{\"duty\":\"helm\",\"holder\":\"core-2\",\"address\":\"10.0.0.2:90\",\"term\":70,\"since-ms\":3500,"
+                                + "\"here\":false}"),
+                body);
     }
 
     @Test
@@ -133,12 +157,16 @@
     void theHelmShowsEdgesAndHosts() {
         here = true;
         get("/brambletray/system/edges");
-        assertEquals("{\"node\":\"core-\\\"1\\\"\",\"term\":70,\"number\":3,\"revision\":9,\"edges\":[{\"name\":\"edge-1\",\"zone\":\"north\","
-            + "\"address\":\"10.0.1.1:91\",\"life\":\"b1\",\"state\":\"in\",\"linked\":true,\"revision\":9},{\"name\":\"edge-2\",\"zone\":\"south\","
-            + "\"address\":\"10.0.1.2:91\",\"life\":\"b2\",\"state\":\"leaving\",\"linked\":false,\"revision\":0}]}", body);
+        assertEquals(
+                "{\"node\":\"core-\\\"1\\\"\",\"term\":70,\"number\":3,\"revision\":9,\"edges\":[{\"name\":\"edge-1\",\"zone\":\"north\","
+                        + "\"address\":\"10.0.1.1:91\",\"life\":\"b1\",\"state\":\"in\",\"linked\":true,\"revision\":9},{\"name\":\"edge-2\",\"zone\":\"south\","
+                        + "\"address\":\"10.0.1.2:91\",\"life\":\"b2\",\"state\":\"leaving\",\"linked\":false,\"revision\":0}]}",
+                body);
         get("/brambletray/system/hosts/tea");
-        assertEquals("{\"node\":\"core-\\\"1\\\"\",\"known\":4,\"hosts\":[{\"id\":\"i-1\",\"service\":\"tea\",\"address\":\"10.0.2.1:80\","
-            + "\"zone\":\"north\",\"seat\":\"south\",\"worker\":\"w-1\",\"state\":\"up\",\"age-ms\":1500}]}", body);
+        assertEquals(
+                "{\"node\":\"core-\\\"1\\\"\",\"known\":4,\"hosts\":[{\"id\":\"i-1\",\"service\":\"tea\",\"address\":\"10.0.2.1:80\","
+                        + "\"zone\":\"north\",\"seat\":\"south\",\"worker\":\"w-1\",\"state\":\"up\",\"age-ms\":1500}]}",
+                body);
         get("/brambletray/system/hosts");
         assertTrue(body.contains("\"service\":\"any\""), body);
     }
--- a/src/test/java/brambletray/tray/lap/JudgingTest.java
+++ b/src/test/java/brambletray/tray/lap/JudgingTest.java
@@ -71,7 +71,10 @@
         visit.answered(503, "t0", null, NONE, 3_000, 1_000);
         visit.go(2_333);
         visit.broke(true, 2_400);
-        assertEquals(List.of("0:4000", "pause 1333", "1:2667", "FAILED"), done, "Retry-After counts up to a third of the time left");
+        assertEquals(
+                List.of("0:4000", "pause 1333", "1:2667", "FAILED"),
+                done,
+                "Retry-After counts up to a third of the time left");
     }
 
     @Test
@@ -92,13 +95,20 @@
     void whatBelongsToAnotherIsWrong() {
         whole(visit("read-1"), "t9", 1_100);
         Visit cut = visit("read-1");
-        cut.answered(200, "t1", Seal.of("i-1", "t1", "GET", cut.path, NONE, "whole".getBytes(StandardCharsets.US_ASCII)),
-            "who".getBytes(StandardCharsets.US_ASCII), -1, 1_100);
+        cut.answered(
+                200,
+                "t1",
+                Seal.of("i-1", "t1", "GET", cut.path, NONE, "whole".getBytes(StandardCharsets.US_ASCII)),
+                "who".getBytes(StandardCharsets.US_ASCII),
+                -1,
+                1_100);
         visit("read-1").answered(404, "t2", null, NONE, -1, 1_100);
         Visit other = visit("read-1");
         other.answered(200, "t2", Seal.of("i-1", "t3", "GET", other.path, NONE, NONE), NONE, -1, 1_100);
         assertEquals(4, ledger.wrong());
-        assertTrue(ledger.complaints().get(2).contains("denied with 404"), ledger.complaints().toString());
+        assertTrue(
+                ledger.complaints().get(2).contains("denied with 404"),
+                ledger.complaints().toString());
     }
 
     @Test
@@ -161,9 +171,12 @@
         counts.requests = 40;
         counts.answered = 39;
         counts.failed = 1;
-        assertEquals("    7        40        39     0        0       1      9     -  -", counts.turn().line(7, 9, 0, null));
+        assertEquals(
+                "    7        40        39     0        0       1      9     -  -",
+                counts.turn().line(7, 9, 0, null));
         assertEquals(0, counts.requests);
-        assertEquals(Counts.head().indexOf("helm"), counts.line(1, 1, 3, "keep-1").indexOf("keep-1"));
+        assertEquals(
+                Counts.head().indexOf("helm"), counts.line(1, 1, 3, "keep-1").indexOf("keep-1"));
         assertFalse(Seal.holds("no seal", "a", "GET", "/", NONE, NONE));
         assertFalse(Seal.holds(null, "a", "GET", "/", NONE, NONE));
     }
--- a/src/test/java/brambletray/tray/lap/PlatformDoorTest.java
+++ b/src/test/java/brambletray/tray/lap/PlatformDoorTest.java
@@ -32,11 +32,17 @@
     /** {@code lagMs} below 0: lists show what is yet to come, so that no test waits for it. */
     private void open(int lagMs, double listsPerS, double dutiesPerS) {
         long now = machine.clock().nanos() / 1_000_000;
-        Stand stand = new Stand(new Ground(lagMs, listsPerS, dutiesPerS, 2, 3_000, 2_000, 2_500), 3, now, made -> "127.9.0." + (made + 1) + ":80");
+        Stand stand = new Stand(
+                new Ground(lagMs, listsPerS, dutiesPerS, 2, 3_000, 2_000, 2_500),
+                3,
+                now,
+                made -> "127.9.0." + (made + 1) + ":80");
         stand.worker("w-1", "east", 450, now);
         stand.service("tea", new Kind(100, 400, 0));
         door = new StandDoor(machine, stand);
-        Channel listener = door.open(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+        Channel listener = door.open(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
         at = "http://127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
@@ -47,13 +53,17 @@
     }
 
     private HttpResponse<byte[]> call(String path, String body) throws IOException, InterruptedException {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(at + path)).header("Brambletray-Fence-Token", "4");
-        return client.send((body == null ? request.GET() : request.POST(HttpRequest.BodyPublishers.ofString(body))).build(),
-            HttpResponse.BodyHandlers.ofByteArray());
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(URI.create(at + path)).header("Brambletray-Fence-Token", "4");
+        return client.send(
+                (body == null ? request.GET() : request.POST(HttpRequest.BodyPublishers.ofString(body))).build(),
+                HttpResponse.BodyHandlers.ofByteArray());
     }
 
     private HttpResponse<byte[]> begin(String worker, String nonce) throws IOException, InterruptedException {
-        return call("/brambletray/begin", "{\"service\":\"tea\",\"worker\":\"" + worker + "\",\"request-nonce\":\"" + nonce + "\"}");
+        return call(
+                "/brambletray/begin",
+                "{\"service\":\"tea\",\"worker\":\"" + worker + "\",\"request-nonce\":\"" + nonce + "\"}");
     }
 
     @Test
@@ -67,18 +77,31 @@
         }
         assertEquals(409, begin("w-1", "n-5").statusCode(), "no room");
         assertEquals(409, begin("w-9", "n-5").statusCode(), "no such worker");
-        assertEquals(400, call("/brambletray/begin", "{\"service\":\"coffee\",\"worker\":\"w-1\",\"request-nonce\":\"n\"}").statusCode());
+        assertEquals(
+                400,
+                call("/brambletray/begin", "{\"service\":\"coffee\",\"worker\":\"w-1\",\"request-nonce\":\"n\"}")
+                        .statusCode());
         assertEquals(400, call("/brambletray/begin", "{\"service\":\"tea\"").statusCode());
-        assertEquals(404, call("/brambletray/stop", "{\"instance-id\":\"i-none\"}").statusCode());
-        assertEquals(200, call("/brambletray/stop", "{\"instance-id\":\"" + first.get("instance-id") + "\"}").statusCode());
+        assertEquals(
+                404, call("/brambletray/stop", "{\"instance-id\":\"i-none\"}").statusCode());
+        assertEquals(
+                200,
+                call("/brambletray/stop", "{\"instance-id\":\"" + first.get("instance-id") + "\"}")
+                        .statusCode());
         assertEquals(200, begin("w-1", "n-6").statusCode(), "its memory is free again");
     }
 
     @Test
     void callsBeyondTheRateAreTurnedAway() throws IOException, InterruptedException {
         open(0, 0.001, 0.001);
-        assertEquals(List.of(200, 429), List.of(begin("w-1", "n-1").statusCode(), begin("w-1", "n-2").statusCode()));
-        assertEquals(List.of(200, 429), List.of(call("/instances", null).statusCode(), call("/brambletray/workers", null).statusCode()));
+        assertEquals(
+                List.of(200, 429),
+                List.of(begin("w-1", "n-1").statusCode(), begin("w-1", "n-2").statusCode()));
+        assertEquals(
+                List.of(200, 429),
+                List.of(
+                        call("/instances", null).statusCode(),
+                        call("/brambletray/workers", null).statusCode()));
     }
 
     @Test
@@ -89,11 +112,14 @@
         }
         Map<String, Object> page = Json.object(call("/instances", null).body());
         assertEquals(2, Json.list(page, "instances").size());
-        Map<String, Object> last = Json.object(call("/instances?page-token=" + page.get("next-token"), null).body());
+        Map<String, Object> last = Json.object(
+                call("/instances?page-token=" + page.get("next-token"), null).body());
         assertEquals(1, Json.list(last, "instances").size());
         assertTrue(last.containsKey("next-token") && last.get("next-token") == null);
         assertEquals("w-1", Json.list(last, "instances").get(0).get("worker"));
-        Map<String, Object> worker = Json.list(Json.object(call("/brambletray/workers", null).body()), "workers").get(0);
+        Map<String, Object> worker = Json.list(
+                        Json.object(call("/brambletray/workers", null).body()), "workers")
+                .get(0);
         assertEquals(150L, worker.get("free-memory-mb"));
         assertEquals("operational", worker.get("oper-state"));
         door.close();
--- a/src/test/java/brambletray/tray/lap/RoundsTest.java
+++ b/src/test/java/brambletray/tray/lap/RoundsTest.java
@@ -10,19 +10,26 @@
 class RoundsTest {
     @ParameterizedTest
     @CsvSource({
-        "200, E", "400, E", "409, E", "412, E", "413, E", "422, E",
+        "200, E",
+        "400, E",
+        "409, E",
+        "412, E",
+        "413, E",
+        "422, E",
         "307 200, F E",
         "307 307 307 200, F F 1+50 E",
         "307 307 503 307 200, F F 1+50 F E",
         "0 503 408 429 500 502 200, 1+50 2+100 0+200 1+400 2+800 0+1000 E",
         "404 404 404, 1+50 2+100 E",
-        "404 503 404 404, 1+50 2+100 0+200 E"})
+        "404 503 404 404, 1+50 2+100 0+200 E"
+    })
     void goesOn(String answers, String expected) {
         Rounds rounds = new Rounds(3, 0);
         assertEquals(new Rounds.Step.Ask(0, 0), rounds.first());
         StringBuilder done = new StringBuilder();
         for (String answer : answers.split(" ")) {
-            Rounds.Step step = rounds.next(Integer.parseInt(answer), answer.equals("307") ? "http://10.0.0.9:1/x" : null);
+            Rounds.Step step =
+                    rounds.next(Integer.parseInt(answer), answer.equals("307") ? "http://10.0.0.9:1/x" : null);
             if (step instanceof Rounds.Step.Ask ask) {
                 done.append(ask.relay()).append('+').append(ask.pauseMs()).append(' ');
             } else {
--- a/src/test/java/brambletray/tray/lap/SiteTest.java
+++ b/src/test/java/brambletray/tray/lap/SiteTest.java
@@ -30,12 +30,14 @@
         Site site = Site.of(5, 2, new Site.Ports(8_001, 8_002, 8_003, 8_004, 8_005, 8_006), dir);
         Berth keep = berth(site, "keep-4", true);
         assertEquals("127.0.0.5:8003", keep.control().toString());
-        assertEquals("[127.0.0.2:8003, 127.0.0.3:8003, 127.0.0.4:8003]", keep.seeds().toString());
+        assertEquals(
+                "[127.0.0.2:8003, 127.0.0.3:8003, 127.0.0.4:8003]", keep.seeds().toString());
         assertEquals(2, keep.machineLosses());
         assertEquals("127.0.0.1:8005", keep.platform().address().toString());
         assertTrue(keep.initialStart() && keep.lossCounted() && keep.dataDir().isAbsolute());
         Berth carry = berth(site, "carry-2", false);
-        assertEquals("127.0.0.8:8001 127.0.0.8:8002 west", carry.frontEnd() + " " + carry.readiness() + ' ' + carry.zone());
+        assertEquals(
+                "127.0.0.8:8001 127.0.0.8:8002 west", carry.frontEnd() + " " + carry.readiness() + ' ' + carry.zone());
         assertEquals(8_004, carry.innerLow());
         assertEquals(2, carry.zones().size());
         assertTrue(!carry.initialStart() && carry.dataDir() == null);
@@ -53,17 +55,26 @@
     @Test
     void aFolderWithSomethingInItIsLeftAlone() throws IOException {
         Files.writeString(dir.resolve("mine"), "x");
-        assertTrue(assertThrows(LapFault.class, () -> Folders.dir(dir)).getMessage().contains("expected a new or empty folder"));
+        assertTrue(assertThrows(LapFault.class, () -> Folders.dir(dir))
+                .getMessage()
+                .contains("expected a new or empty folder"));
     }
 
     @ParameterizedTest
-    @CsvSource({"0, 3, 20, 40, '', --cores: expected a number from 1 to 9", "3, 17, 20, 40, '', --edges: expected",
-        "3, 3, 0, 40, '', --seconds: expected", "3, 3, 20, 5000, '', --rate: expected", "3, 3, 20, 40, carry-4@1, expected keep-1 to keep-3",
-        "3, 3, 20, 40, keep-1@20, expected a second from 0 to 19"})
+    @CsvSource({
+        "0, 3, 20, 40, '', --cores: expected a number from 1 to 9",
+        "3, 17, 20, 40, '', --edges: expected",
+        "3, 3, 0, 40, '', --seconds: expected",
+        "3, 3, 20, 5000, '', --rate: expected",
+        "3, 3, 20, 40, carry-4@1, expected keep-1 to keep-3",
+        "3, 3, 20, 40, keep-1@20, expected a second from 0 to 19"
+    })
     void plansHaveBounds(int cores, int edges, int seconds, int rate, String kill, String expected) {
-        List<Plan.Kill> kills = kill.isEmpty() ? List.of()
-            : List.of(new Plan.Kill(kill.split("@")[0], Integer.parseInt(kill.split("@")[1])));
-        String message = assertThrows(LapFault.class, () -> new Plan(cores, edges, seconds, rate, kills, null)).getMessage();
+        List<Plan.Kill> kills = kill.isEmpty()
+                ? List.of()
+                : List.of(new Plan.Kill(kill.split("@")[0], Integer.parseInt(kill.split("@")[1])));
+        String message = assertThrows(LapFault.class, () -> new Plan(cores, edges, seconds, rate, kills, null))
+                .getMessage();
         assertTrue(message.contains(expected), message);
     }
 }
--- a/src/test/java/brambletray/tray/lap/StandInTest.java
+++ b/src/test/java/brambletray/tray/lap/StandInTest.java
@@ -35,7 +35,8 @@
 
     private static InetAddress address(int... parts) {
         try {
-            return InetAddress.getByAddress(new byte[] {(byte) parts[0], (byte) parts[1], (byte) parts[2], (byte) parts[3]});
+            return InetAddress.getByAddress(
+                    new byte[] {(byte) parts[0], (byte) parts[1], (byte) parts[2], (byte) parts[3]});
         } catch (UnknownHostException e) {
             throw new IllegalStateException(e);
         }
@@ -60,7 +61,8 @@
         }
 
         void ask(String id, String more) {
-            String request = "GET /a/b HTTP/1.1\r\nHost: h\r\n" + (id == null ? "" : "Brambletray-Attempt-Id: " + id + "\r\n") + more + "\r\n";
+            String request = "GET /a/b HTTP/1.1\r\nHost: h\r\n"
+                    + (id == null ? "" : "Brambletray-Attempt-Id: " + id + "\r\n") + more + "\r\n";
             coming.channel().writeAndFlush(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
         }
 
@@ -110,14 +112,18 @@
         third.ask("c", "Brambletray-Target-Instance: i-2\r\n");
         fourth.ask(null, "");
         pass(WORK + 20);
-        assertEquals("200 503 421 400", String.join(" ", first.status(), second.status(), third.status(), fourth.status()));
+        assertEquals(
+                "200 503 421 400", String.join(" ", first.status(), second.status(), third.status(), fourth.status()));
         String body = first.heard.substring(first.heard.indexOf("\r\n\r\n") + 4);
         String seal = Seal.of("i-1", "a", "GET", "/a/b", new byte[0], body.getBytes(StandardCharsets.US_ASCII));
-        assertTrue(first.heard.toString().toLowerCase().contains("brambletray-response-seal: " + seal), first.heard.toString());
+        assertTrue(
+                first.heard.toString().toLowerCase().contains("brambletray-response-seal: " + seal),
+                first.heard.toString());
         for (Talk talk : List.of(second, third, fourth)) {
             assertTrue(talk.heard.toString().toLowerCase().contains("brambletray-not-executed"), talk.heard.toString());
         }
-        assertTrue(second.heard.toString().toLowerCase().contains("brambletray-attempt-id: b"), second.heard.toString());
+        assertTrue(
+                second.heard.toString().toLowerCase().contains("brambletray-attempt-id: b"), second.heard.toString());
         assertEquals(0, ledger.wrong());
     }
 
@@ -164,7 +170,8 @@
 
     @Test
     void aBootingHostRefusesConnections() {
-        Stand stand = new Stand(new Ground(800, 10, 50, 50, 3_000, 2_000, 2_500), 3, ms(), made -> "127.9.0." + (made + 1) + ":80");
+        Stand stand = new Stand(
+                new Ground(800, 10, 50, 50, 3_000, 2_000, 2_500), 3, ms(), made -> "127.9.0." + (made + 1) + ":80");
         stand.worker("w", "east", 1_000, ms());
         stand.service("tea", new Kind(100, 400, 0));
         Fair fair = new Fair(town, stand, Map.of("tea", new Service("tea", 100, 400, 1, 16, null)), ledger, WORK, 1);
--- a/src/test/java/brambletray/tray/news/Town.java
+++ b/src/test/java/brambletray/tray/news/Town.java
@@ -20,7 +20,7 @@
     static final int PULSE = 250;
     private static final int HEAD = 60;
 
-    private record Event(long at, long order, Runnable what) { }
+    private record Event(long at, long order, Runnable what) {}
 
     final class Edge implements Subscriber.Out {
         final int number;
@@ -111,8 +111,10 @@
     long now;
     /** ms one way. */
     int way = 1;
+
     private final int rate;
-    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private long order;
 
     /** {@code rate}: bytes a ms of each link. */
@@ -196,9 +198,13 @@
 
     /** So many services with a route each. */
     static Creed large(long revision, int count) {
-        return Creed.read(bytes("{'revision':" + revision + ",'routes':["
-            + IntStream.range(0, count).mapToObj(i -> route("r" + i, i * 7919L % 99_991)).collect(Collectors.joining(","))
-            + "],'services':[{'name':'s','max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}]}"));
+        return Creed.read(
+                bytes(
+                        "{'revision':" + revision + ",'routes':["
+                                + IntStream.range(0, count)
+                                        .mapToObj(i -> route("r" + i, i * 7919L % 99_991))
+                                        .collect(Collectors.joining(","))
+                                + "],'services':[{'name':'s','max-connections':72,'memory-mb':512,'boot-ms':750,'max-concurrency':4}]}"));
     }
 
     /** One that packs badly: {@code bytes} of digits at random in it. */
@@ -208,17 +214,18 @@
         while (filler.length() < bytes) {
             filler.append(Long.toString(random.nextLong() >>> 1, 36));
         }
-        return Creed.read(bytes("{'revision':" + revision + ",'routes':[" + route("r", 1) + "],'services':[{'name':'s'}],'note':'" + filler
-            + "'}"));
+        return Creed.read(bytes("{'revision':" + revision + ",'routes':[" + route("r", 1)
+                + "],'services':[{'name':'s'}],'note':'" + filler + "'}"));
     }
 
     static String route(String name, long path) {
         return "{'name':'" + name + "','host':'h.example','path-prefix':'/" + path
-            + "/','route-type':'idempotent','timeout-ms':2500,'target-ms':400,'priority':2,'service':'s','retry-count':2}";
+                + "/','route-type':'idempotent','timeout-ms':2500,'target-ms':400,'priority':2,'service':'s','retry-count':2}";
     }
 
     static Creed moved(Creed base, String route, long path) {
-        return base.modify(bytes("{'revision':" + (base.revision() + 1) + ",'upsert':{'routes':[" + route(route, path) + "]}}"));
+        return base.modify(
+                bytes("{'revision':" + (base.revision() + 1) + ",'upsert':{'routes':[" + route(route, path) + "]}}"));
     }
 
     static Chunk broken(Chunk chunk) {
--- a/src/test/java/brambletray/tray/news/TravelTest.java
+++ b/src/test/java/brambletray/tray/news/TravelTest.java
@@ -18,7 +18,9 @@
 
     private static void assertCalm(Town town) {
         for (Town.Edge edge : town.edges) {
-            assertTrue(edge.longestSilence < 500, "edge " + edge.number + " heard no pulse for " + edge.longestSilence + " ms");
+            assertTrue(
+                    edge.longestSilence < 500,
+                    "edge " + edge.number + " heard no pulse for " + edge.longestSilence + " ms");
         }
     }
 
@@ -121,7 +123,9 @@
         town.run(3_000);
         assertTrue(town.all(1));
         int size = packed(creed);
-        assertTrue(town.edges.get(0).bytes < size * 115L / 100 + 2_000, town.edges.get(0).bytes + " of " + size + ", " + before + " before");
+        assertTrue(
+                town.edges.get(0).bytes < size * 115L / 100 + 2_000,
+                town.edges.get(0).bytes + " of " + size + ", " + before + " before");
         assertEquals(1, town.edges.get(0).wholes);
     }
 
@@ -165,7 +169,8 @@
         Chunk again = publisher.answer(new Fetch(0, 0, 0, false), 1);
         assertEquals(first, again.body());
         assertEquals(1, again.revision());
-        assertEquals(2, publisher.answer(new Fetch(1, 0, 0, true), 1).revision(), "no whole one that the asker has already");
+        assertEquals(
+                2, publisher.answer(new Fetch(1, 0, 0, true), 1).revision(), "no whole one that the asker has already");
         history.become(Town.dense(9, 40_000));
         assertEquals(9, publisher.answer(new Fetch(0, 0, 0, false), 1).revision());
     }
@@ -177,9 +182,18 @@
         history.become(Town.dense(1, 40_000));
         Chunk begun = publisher.answer(new Fetch(0, 12_345, Chunk.BYTES, false), 1);
         assertEquals(0, begun.offset());
-        assertEquals(Chunk.BYTES, publisher.answer(new Fetch(0, begun.body(), Chunk.BYTES, false), 1).offset());
-        assertEquals(0, publisher.answer(new Fetch(0, begun.body(), begun.size(), false), 1).offset());
-        assertEquals(0, publisher.answer(new Fetch(0, begun.body(), -1, false), 1).offset());
+        assertEquals(
+                Chunk.BYTES,
+                publisher
+                        .answer(new Fetch(0, begun.body(), Chunk.BYTES, false), 1)
+                        .offset());
+        assertEquals(
+                0,
+                publisher
+                        .answer(new Fetch(0, begun.body(), begun.size(), false), 1)
+                        .offset());
+        assertEquals(
+                0, publisher.answer(new Fetch(0, begun.body(), -1, false), 1).offset());
     }
 
     @Test
@@ -295,9 +309,14 @@
     void oddChunksDoNoHarm() {
         Town town = new Town(1, SLOW);
         Subscriber edge = town.edges.get(0).subscriber;
-        for (Chunk odd : List.of(new Chunk(1, 5, 1, -1, 0, new byte[1]), new Chunk(1, 5, 1, Integer.MAX_VALUE, 0, new byte[1]),
-                new Chunk(1, 5, 1, 10, -1, new byte[1]), new Chunk(1, 5, 1, 10, 0, new byte[11]), new Chunk(1, 5, 1, 10, 9, new byte[1]),
-                new Chunk(1, 5, 1, 10, 0, new byte[0]), new Chunk(1, 5, 1, 10, 0, new byte[10]))) {
+        for (Chunk odd : List.of(
+                new Chunk(1, 5, 1, -1, 0, new byte[1]),
+                new Chunk(1, 5, 1, Integer.MAX_VALUE, 0, new byte[1]),
+                new Chunk(1, 5, 1, 10, -1, new byte[1]),
+                new Chunk(1, 5, 1, 10, 0, new byte[11]),
+                new Chunk(1, 5, 1, 10, 9, new byte[1]),
+                new Chunk(1, 5, 1, 10, 0, new byte[0]),
+                new Chunk(1, 5, 1, 10, 0, new byte[10]))) {
             edge.heard(odd, 0);
         }
         town.become(Town.large(6, 50));
--- a/src/test/java/brambletray/tray/ring/HomesTest.java
+++ b/src/test/java/brambletray/tray/ring/HomesTest.java
@@ -21,14 +21,20 @@
         List<Peer> peers = new ArrayList<>();
         for (int zone = 0; zone < zones; zone++) {
             for (int i = 0; i < each; i++) {
-                peers.add(new Peer("edge-" + zone + "-" + i, "zone-" + zone, "10." + zone + ".0." + i + ":7400", 1, Peer.IN));
+                peers.add(new Peer(
+                        "edge-" + zone + "-" + i, "zone-" + zone, "10." + zone + ".0." + i + ":7400", 1, Peer.IN));
             }
         }
         return Roster.of(1, 1, peers);
     }
 
     private static Roster without(Roster roster, String name) {
-        return Roster.of(1, roster.number() + 1, roster.peers().stream().filter(peer -> !peer.name().equals(name)).toList());
+        return Roster.of(
+                1,
+                roster.number() + 1,
+                roster.peers().stream()
+                        .filter(peer -> !peer.name().equals(name))
+                        .toList());
     }
 
     @Test
@@ -122,7 +128,8 @@
     @Test
     void hashesStayAsTheyAre() {
         assertEquals(HASH_OF_A, Hash.of("a"));
-        assertEquals("edge-0-1", new Homes(roster(1, 3)).homeOf("svc-1", "zone-0").name());
+        assertEquals(
+                "edge-0-1", new Homes(roster(1, 3)).homeOf("svc-1", "zone-0").name());
     }
 
     private static final long HASH_OF_A = 198_367_012_849_983_736L;
--- a/src/test/java/brambletray/tray/ring/Lane.java
+++ b/src/test/java/brambletray/tray/ring/Lane.java
@@ -9,10 +9,10 @@
 /** One process of a drawn timeline: an edge, with its watch, or what the hub's machine runs. Its inbox stands for its sockets. */
 abstract class Lane {
     /** A frame on its way; {@code at}: when it arrives. */
-    record Mail(long at, String from, Object frame) { }
+    record Mail(long at, String from, Object frame) {}
 
     /** The link of this life of an edge to the hub is closed. */
-    record Parted(long life) { }
+    record Parted(long life) {}
 
     final String name;
     final Deque<Mail> inbox = new ArrayDeque<>();
@@ -53,6 +53,7 @@
         private Roster roster = Roster.NONE;
         /** Whose suspicion it has told since it began. */
         final TreeSet<String> told = new TreeSet<>();
+
         int sleeps;
 
         Edge(Village village, String name) {
@@ -164,7 +165,10 @@
             if (frame instanceof Hello hello) {
                 census.hello(hello, now);
                 Roster newest = census.newest();
-                village.send(name, from, new Welcome(name, census.roster().term(), true, 1, List.of(), newest.term(), newest.number()));
+                village.send(
+                        name,
+                        from,
+                        new Welcome(name, census.roster().term(), true, 1, List.of(), newest.term(), newest.number()));
                 if (census.roster().number() > 0) {
                     village.send(name, from, census.roster());
                 }
--- a/src/test/java/brambletray/tray/ring/RingFeaturesTest.java
+++ b/src/test/java/brambletray/tray/ring/RingFeaturesTest.java
@@ -11,4 +11,4 @@
 @SelectPackages("brambletray.tray.ring")
 @ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.ring")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-public class RingFeaturesTest { }
+public class RingFeaturesTest {}
--- a/src/test/java/brambletray/tray/ring/RingSteps.java
+++ b/src/test/java/brambletray/tray/ring/RingSteps.java
@@ -36,7 +36,8 @@
     public void noPathToWatcher(String one) {
         List<Peer> all = new ArrayList<>();
         village.names().forEach(name -> all.add(new Peer(name, name.substring(0, 1), name + ":7400", 0, Peer.IN)));
-        village.cutBetween(one, new Ring(Roster.of(1, 1, all)).watchersOf(one).get(0).name());
+        village.cutBetween(
+                one, new Ring(Roster.of(1, 1, all)).watchersOf(one).get(0).name());
     }
 
     @Given("no path between zones {word} and {word}")
@@ -90,7 +91,8 @@
         switch (words[0]) {
             case "calm" -> assertEquals(said, village.hub().said.size(), where);
             case "silent" -> assertEquals(0, village.hub().roster().number(), where);
-            case "in" -> assertEquals(named.equals(List.of("all")) ? new TreeSet<>(all) : new TreeSet<>(named), in, where);
+            case "in" ->
+                assertEquals(named.equals(List.of("all")) ? new TreeSet<>(all) : new TreeSet<>(named), in, where);
             case "out" -> {
                 TreeSet<String> others = new TreeSet<>(all);
                 others.removeAll(in);
--- a/src/test/java/brambletray/tray/ring/Village.java
+++ b/src/test/java/brambletray/tray/ring/Village.java
@@ -16,9 +16,10 @@
     private static final int WAY = 3;
     /** ms of silence after which a connection gives up. */
     private static final int GIVES_UP = 2_500;
+
     private static final long BEGIN = 1_000_000;
 
-    private record Link(String one, String other) { }
+    private record Link(String one, String other) {}
 
     private final Lane.Hub hub = new Lane.Hub(this);
     private final Map<String, Lane.Edge> edges = new LinkedHashMap<>();
@@ -67,7 +68,7 @@
             case 'X' -> killed(lane);
             case '!', '~', 'z' -> silentSince.put(name, now);
             case 'L' -> ((Lane.Edge) lane).leave();
-            case '.' -> { }
+            case '.' -> {}
             default -> throw new IllegalArgumentException("no sign: " + sign);
         }
     }
@@ -101,7 +102,8 @@
 
     private void killed(Lane lane) {
         lane.inbox.clear();
-        held.keySet().removeIf(link -> link.one().equals(lane.name) || link.other().equals(lane.name));
+        held.keySet()
+                .removeIf(link -> link.one().equals(lane.name) || link.other().equals(lane.name));
         if (lane instanceof Lane.Edge edge) {
             part(edge);
         }
@@ -128,8 +130,13 @@
 
     void send(String from, String to, Object frame) {
         Lane other = lane(to);
-        if (other == null || other.sign == '.' || other.sign == 'X' || other.sign == '!' || cuts.contains(Set.of(from, to))
-            || to.equals(HUB) && parted.contains(from) || from.equals(HUB) && parted.contains(to)) {
+        if (other == null
+                || other.sign == '.'
+                || other.sign == 'X'
+                || other.sign == '!'
+                || cuts.contains(Set.of(from, to))
+                || to.equals(HUB) && parted.contains(from)
+                || from.equals(HUB) && parted.contains(to)) {
             return;
         }
         if (lane(from).cut() || other.cut()) {
@@ -165,7 +172,9 @@
             Lane lane = lane(one.getKey());
             if (now - one.getValue() == GIVES_UP && lane.sign != 'z' && lane instanceof Lane.Edge edge) {
                 parted.add(edge.name);
-                held.keySet().removeIf(link -> link.one().equals(edge.name) || link.other().equals(edge.name));
+                held.keySet()
+                        .removeIf(link ->
+                                link.one().equals(edge.name) || link.other().equals(edge.name));
                 part(edge);
             }
         }
--- a/src/test/java/brambletray/tray/ring/WatchTest.java
+++ b/src/test/java/brambletray/tray/ring/WatchTest.java
@@ -65,7 +65,9 @@
     @Test
     void beatsGoToAllWatchersEachInterval() {
         run(2_000, 1, 2, 3);
-        assertEquals(List.of("edge-1", "edge-2", "edge-3"), beats.subList(0, 3).stream().sorted().toList());
+        assertEquals(
+                List.of("edge-1", "edge-2", "edge-3"),
+                beats.subList(0, 3).stream().sorted().toList());
         assertEquals(3 * 2_000 / INTERVAL, beats.size());
         assertEquals(List.of(), told);
     }
--- a/src/test/java/brambletray/tray/speech/LinkTest.java
+++ b/src/test/java/brambletray/tray/speech/LinkTest.java
@@ -26,9 +26,9 @@
     private static final long SEED = 99;
     private static final int PORT = 7_400;
 
-    record Word(int number, String text) { }
+    record Word(int number, String text) {}
 
-    record Other(int number) { }
+    record Other(int number) {}
 
     private final Simulation simulation = new Simulation(SEED, 0);
     private final InetAddress here = ip("10.0.0.1");
@@ -131,12 +131,14 @@
     void callsAgainWithGrowingPausesUntilSomebodyIsThere() {
         List<Long> calls = new ArrayList<>();
         Channel refusing = called.listening(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                calls.add(TimeUnit.NANOSECONDS.toMillis(simulation.now()));
-                channel.close();
-            }
-        }).bind(new InetSocketAddress(there, PORT)).channel();
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        calls.add(TimeUnit.NANOSECONDS.toMillis(simulation.now()));
+                        channel.close();
+                    }
+                })
+                .bind(new InetSocketAddress(there, PORT))
+                .channel();
         dial(mine);
         run(10_000);
         assertTrue(calls.size() > 10 && calls.size() < 20, calls.toString());
@@ -180,7 +182,8 @@
     void aCallerThatDoesNotGreetIsCutOff() {
         listen(theirs);
         Channel silent = caller.dialling(1_000, new ChannelInboundHandlerAdapter())
-            .connect(new InetSocketAddress(there, PORT)).channel();
+                .connect(new InetSocketAddress(there, PORT))
+                .channel();
         run(1_900);
         assertTrue(silent.isActive());
         run(200);
@@ -190,7 +193,8 @@
 
     @Test
     void aFrameThatCannotBeReadEndsTheLink() {
-        for (byte[] bad : List.of(new byte[] {0x7f, 0, 0, 0}, new byte[] {0, 0, 0, 3, 1, 2, 3}, new byte[] {0, 0, 0, 0})) {
+        for (byte[] bad :
+                List.of(new byte[] {0x7f, 0, 0, 0}, new byte[] {0, 0, 0, 3, 1, 2, 3}, new byte[] {0, 0, 0, 0})) {
             Heard heard = new Heard();
             Listener listener = listen(heard);
             Dialler dialler = dial(mine);
--- a/src/test/java/brambletray/tray/speech/SpeechTest.java
+++ b/src/test/java/brambletray/tray/speech/SpeechTest.java
@@ -18,26 +18,50 @@
 class SpeechTest {
     private static final int SEED = 4_711;
 
-    enum Colour { RED, GREEN }
+    enum Colour {
+        RED,
+        GREEN
+    }
 
     sealed interface Shape {
-        record Dot(int x) implements Shape { }
+        record Dot(int x) implements Shape {}
 
-        record Row(List<Dot> dots, Shape last) implements Shape { }
+        record Row(List<Dot> dots, Shape last) implements Shape {}
     }
 
-    record Inner(String name, long life) { }
+    record Inner(String name, long life) {}
 
-    record All(long a, int b, boolean c, double d, String e, Colour f, Inner g, List<Inner> h, List<String> i, List<List<Long>> j, Object k) { }
+    record All(
+            long a,
+            int b,
+            boolean c,
+            double d,
+            String e,
+            Colour f,
+            Inner g,
+            List<Inner> h,
+            List<String> i,
+            List<List<Long>> j,
+            Object k) {}
 
-    record Blob(String name, byte[] bytes) { }
+    record Blob(String name, byte[] bytes) {}
 
-    record Stranger(int a) { }
+    record Stranger(int a) {}
 
     private final Speech speech = new Speech(List.of(List.of(All.class, Blob.class, Shape.class)));
 
-    private static final All FULL = new All(Long.MIN_VALUE, -7, true, 0.25, "grün \u20ac", Colour.GREEN, new Inner("x", 3),
-        List.of(new Inner("y", -1), new Inner(null, Long.MAX_VALUE)), List.of("", "z"), List.of(List.of(1L, 2L), List.of()), new Inner("k", 0));
+    private static final All FULL = new All(
+            Long.MIN_VALUE,
+            -7,
+            true,
+            0.25,
+            "grün \u20ac",
+            Colour.GREEN,
+            new Inner("x", 3),
+            List.of(new Inner("y", -1), new Inner(null, Long.MAX_VALUE)),
+            List.of("", "z"),
+            List.of(List.of(1L, 2L), List.of()),
+            new Inner("k", 0));
 
     @Test
     void whatIsSaidIsHeard() {
@@ -53,7 +77,12 @@
     @Test
     void listsOfAnyMakeAreHeardAsEqualLists() {
         List<String> names = new ArrayList<>(List.of("a", "b"));
-        for (List<String> list : List.of(names, names.subList(0, 1), Arrays.asList("q"), List.<String>of(), Stream.of("s").toList())) {
+        for (List<String> list : List.of(
+                names,
+                names.subList(0, 1),
+                Arrays.asList("q"),
+                List.<String>of(),
+                Stream.of("s").toList())) {
             All all = new All(0, 0, false, 0, "", Colour.RED, null, List.of(), list, List.of(), list);
             assertEquals(all, speech.echo(all));
         }
@@ -62,9 +91,14 @@
     @Test
     void whatIsNotRegisteredIsNotSaidAndLeavesNoBytes() {
         ByteBuf out = Unpooled.buffer();
-        assertEquals("speech.unwritable", assertThrows(SpeechFault.class, () -> speech.write(new Stranger(1), out)).code());
-        assertEquals("speech.unwritable",
-            assertThrows(SpeechFault.class, () -> speech.write(new Blob("", new byte[Speech.LONGEST]), out)).code());
+        assertEquals(
+                "speech.unwritable",
+                assertThrows(SpeechFault.class, () -> speech.write(new Stranger(1), out))
+                        .code());
+        assertEquals(
+                "speech.unwritable",
+                assertThrows(SpeechFault.class, () -> speech.write(new Blob("", new byte[Speech.LONGEST]), out))
+                        .code());
         assertEquals(0, out.readableBytes());
         assertEquals(FULL, speech.echo(FULL));
     }
@@ -96,8 +130,11 @@
 
     @Test
     void anotherLayoutHasAnotherFingerprint() {
-        assertEquals(speech.fingerprint(), new Speech(List.of(List.of(All.class), List.of(Blob.class, Shape.class))).fingerprint());
-        assertNotEquals(speech.fingerprint(), new Speech(List.of(List.of(Blob.class, All.class, Shape.class))).fingerprint());
+        assertEquals(
+                speech.fingerprint(),
+                new Speech(List.of(List.of(All.class), List.of(Blob.class, Shape.class))).fingerprint());
+        assertNotEquals(
+                speech.fingerprint(), new Speech(List.of(List.of(Blob.class, All.class, Shape.class))).fingerprint());
         assertNotEquals(speech.fingerprint(), new Speech(List.of(List.of(All.class, Blob.class))).fingerprint());
     }
 }
--- a/src/test/java/brambletray/tray/tale/TaleTest.java
+++ b/src/test/java/brambletray/tray/tale/TaleTest.java
@@ -41,10 +41,12 @@
         tale.debug("unheard");
         tale.tell("lost", "edge", "e\n1", "ms", 12, "share", 0.5, "bad", Double.NaN, "sure", true, "why", null, "odd");
         tale.warn("worse");
-        assertEquals(List.of(
-            "{\"t\":1234,\"level\":\"info\",\"plane\":\"ring\",\"node\":\"n1\",\"event\":\"lost\",\"edge\":\"e\\u000a1\",\"ms\":12,\"share\":0.5,"
-                + "\"bad\":\"NaN\",\"sure\":true,\"why\":null}",
-            "{\"t\":1234,\"level\":\"warn\",\"plane\":\"ring\",\"node\":\"n1\",\"event\":\"worse\"}"), lines());
+        assertEquals(
+                List.of(
+                        "{\"t\":1234,\"level\":\"info\",\"plane\":\"ring\",\"node\":\"n1\",\"event\":\"lost\",\"edge\":\"e\\u000a1\",\"ms\":12,\"share\":0.5,"
+                                + "\"bad\":\"NaN\",\"sure\":true,\"why\":null}",
+                        "{\"t\":1234,\"level\":\"warn\",\"plane\":\"ring\",\"node\":\"n1\",\"event\":\"worse\"}"),
+                lines());
     }
 
     @Test
@@ -52,10 +54,16 @@
         publish(Level.SEVERE, "up {0} \"now\"", null);
         publish(Level.FINE, Line.of("a\"b"), new IllegalStateException("no\tway"));
         List<String> lines = lines();
-        assertEquals("{\"t\":1234,\"level\":\"error\",\"plane\":\"view\",\"node\":\"n\\\"1\",\"event\":\"foreign\",\"text\":\"up {0} \\\"now\\\"\"}",
-            lines.get(0));
-        assertTrue(lines.get(1).contains("\"level\":\"debug\"") && lines.get(1).contains("\"event\":\"a\\\"b\",\"thrown\":"
-            + "\"java.lang.IllegalStateException: no\\u0009way\",\"at\":\"brambletray.tray.tale.TaleTest."), lines.get(1));
+        assertEquals(
+                "{\"t\":1234,\"level\":\"error\",\"plane\":\"view\",\"node\":\"n\\\"1\",\"event\":\"foreign\",\"text\":\"up {0} \\\"now\\\"\"}",
+                lines.get(0));
+        assertTrue(
+                lines.get(1).contains("\"level\":\"debug\"")
+                        && lines.get(1)
+                                .contains(
+                                        "\"event\":\"a\\\"b\",\"thrown\":"
+                                                + "\"java.lang.IllegalStateException: no\\u0009way\",\"at\":\"brambletray.tray.tale.TaleTest."),
+                lines.get(1));
     }
 
     @Test
@@ -72,7 +80,11 @@
         event("other");
         List<String> lines = lines();
         assertEquals(2, lines.size());
-        assertTrue(lines.get(0).endsWith("\"plane\":\"view\",\"node\":\"n\\\"1\",\"event\":\"a \\\"flood\\\"\",\"skipped\":31}"), lines.get(0));
+        assertTrue(
+                lines.get(0)
+                        .endsWith(
+                                "\"plane\":\"view\",\"node\":\"n\\\"1\",\"event\":\"a \\\"flood\\\"\",\"skipped\":31}"),
+                lines.get(0));
         for (int i = 0; i < TaleHandler.MOST + 1; i++) {
             event("flood");
         }
--- a/src/test/java/brambletray/tray/trove/Ghost.java
+++ b/src/test/java/brambletray/tray/trove/Ghost.java
@@ -15,13 +15,14 @@
  * all of it is gone. Each file that was made or removed since the folder's last sync is there or not, by itself.
  */
 final class Ghost implements Platter {
-    private record Write(int at, byte[] bytes) { }
+    private record Write(int at, byte[] bytes) {}
 
     private static final class Item {
         private byte[] bytes = new byte[0];
         private int length;
         /** What was synced, or null: not even that there is such a file. */
         private byte[] kept;
+
         private int keptLength;
         private final List<Write> later = new ArrayList<>();
 
@@ -101,7 +102,8 @@
     private final Map<String, Item> files = new TreeMap<>();
     /** The files under their names as the folder was last synced. */
     private final Map<String, Item> named = new TreeMap<>();
-    private Runnable watcher = () -> { };
+
+    private Runnable watcher = () -> {};
     private long room = Long.MAX_VALUE;
     private boolean refusing;
     private boolean full;
@@ -198,7 +200,10 @@
     }
 
     private String newestName() {
-        return files.keySet().stream().filter(name -> name.endsWith(".xd")).reduce((a, b) -> b).orElseThrow();
+        return files.keySet().stream()
+                .filter(name -> name.endsWith(".xd"))
+                .reduce((a, b) -> b)
+                .orElseThrow();
     }
 
     private static byte[] put(byte[] into, int at, byte[] bytes) {
@@ -263,7 +268,7 @@
             }
 
             @Override
-            public void close() { }
+            public void close() {}
         };
     }
 
--- a/src/test/java/brambletray/tray/trove/ScribeTest.java
+++ b/src/test/java/brambletray/tray/trove/ScribeTest.java
@@ -21,14 +21,16 @@
     private final BlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
     private final List<String> heard = new ArrayList<>();
     private TroveFault fault;
-    private final Scribe scribe = new Scribe(changes -> {
-        writing.countDown();
-        disk.acquireUninterruptibly();
-        written.add(changes);
-        if (fault != null) {
-            throw fault;
-        }
-    }, loop::add);
+    private final Scribe scribe = new Scribe(
+            changes -> {
+                writing.countDown();
+                disk.acquireUninterruptibly();
+                written.add(changes);
+                if (fault != null) {
+                    throw fault;
+                }
+            },
+            loop::add);
 
     @AfterEach
     void end() {
--- a/src/test/java/brambletray/tray/trove/TroveTest.java
+++ b/src/test/java/brambletray/tray/trove/TroveTest.java
@@ -55,7 +55,7 @@
     private static boolean holds(Trove trove, Map<String, byte[]> expected) {
         List<Map.Entry<String, byte[]>> all = trove.prefix("");
         return all.size() == expected.size()
-            && all.stream().allMatch(e -> Arrays.equals(e.getValue(), expected.get(e.getKey())));
+                && all.stream().allMatch(e -> Arrays.equals(e.getValue(), expected.get(e.getKey())));
     }
 
     private static byte[] value(Random random, int length) {
@@ -68,7 +68,9 @@
         for (int i = 0; i < commits; i++) {
             List<Change> changes = new ArrayList<>();
             for (int j = random.nextInt(3); j >= 0; j--) {
-                changes.add(new Change("key-" + random.nextInt(6), random.nextInt(8) == 0 ? null : value(random, random.nextInt(longest))));
+                changes.add(new Change(
+                        "key-" + random.nextInt(6),
+                        random.nextInt(8) == 0 ? null : value(random, random.nextInt(longest))));
             }
             changes.add(new Change("number", new byte[] {(byte) i, (byte) (i >> 8)}));
             commit(trove, changes.toArray(new Change[0]));
@@ -80,11 +82,21 @@
     void keepsWhatWasCommittedAndNothingElse(@TempDir Path dir) {
         Random random = new Random(SEED);
         try (Trove trove = Trove.open(dir)) {
-            commit(trove, new Change("a.1", value(random, 3)), new Change("a.2", value(random, 700_000)), new Change("b", new byte[0]));
-            commit(trove, new Change("a.1", value(random, 9)), new Change("a.1", null), new Change("c", value(random, 5)));
+            commit(
+                    trove,
+                    new Change("a.1", value(random, 3)),
+                    new Change("a.2", value(random, 700_000)),
+                    new Change("b", new byte[0]));
+            commit(
+                    trove,
+                    new Change("a.1", value(random, 9)),
+                    new Change("a.1", null),
+                    new Change("c", value(random, 5)));
             commit(trove, new Change("a.2", value(random, 300_000)));
             assertNull(trove.get("a.1"));
-            assertEquals(List.of("a.2"), trove.prefix("a.").stream().map(Map.Entry::getKey).toList());
+            assertEquals(
+                    List.of("a.2"),
+                    trove.prefix("a.").stream().map(Map.Entry::getKey).toList());
         }
         try (Trove again = Trove.open(dir)) {
             assertTrue(holds(again, kept));
@@ -147,8 +159,14 @@
         try (Trove again = Trove.open(found)) {
             assertTrue(holds(again, kept) || holds(again, tried), where);
             again.commit(List.of(new Change("after", new byte[] {1})));
-            assertEquals(1, found.names().stream().filter(name -> name.endsWith(".xd")).map(name -> name.substring(0, 8)).distinct().count(),
-                "generations, " + where);
+            assertEquals(
+                    1,
+                    found.names().stream()
+                            .filter(name -> name.endsWith(".xd"))
+                            .map(name -> name.substring(0, 8))
+                            .distinct()
+                            .count(),
+                    "generations, " + where);
         } catch (TroveFault e) {
             throw new AssertionError(where, e);
         }
@@ -189,8 +207,8 @@
         if (first[0] != null) {
             throw first[0];
         }
-        System.out.println("trove: " + seen[0] + " steps, " + seen[1] + " losses of power, " + seen[2] + " after a kill, most unsynced "
-            + "names " + seen[3] + ", generations " + seen[4]);
+        System.out.println("trove: " + seen[0] + " steps, " + seen[1] + " losses of power, " + seen[2]
+                + " after a kill, most unsynced " + "names " + seen[3] + ", generations " + seen[4]);
         assertTrue(seen[4] > 2, "hardly compacted");
         assertTrue(seen[3] >= 2, "hardly a name was unsynced");
     }
@@ -206,7 +224,8 @@
                 steps = refusing(at, span, random, seen);
             }
         }
-        System.out.println("trove: refused at each of " + steps + " steps, " + seen[0] + " faults told, " + seen[1] + " losses of power");
+        System.out.println("trove: refused at each of " + steps + " steps, " + seen[0] + " faults told, " + seen[1]
+                + " losses of power");
         assertTrue(seen[0] > steps, "hardly a fault was told");
         assertTrue(seen[2] > steps, "hardly compacted");
     }
@@ -229,8 +248,9 @@
         for (int i = 0; i < 14; i++) {
             boolean hurt = step[0] >= at && checks < 2;
             String where = "seed " + SEED + " refused at " + at + " for " + span + ", commit " + i;
-            Change[] changes = {new Change("key-0", value(values, 60_000)), new Change("number", new byte[] {(byte) i})};
-            for (boolean done = false; !done;) {
+            Change[] changes = {new Change("key-0", value(values, 60_000)), new Change("number", new byte[] {(byte) i})
+            };
+            for (boolean done = false; !done; ) {
                 try {
                     commit(trove, changes);
                     done = true;
@@ -271,7 +291,7 @@
             assertTrue(holds(again, kept) || holds(again, tried), where);
             again.prefix("").forEach(entry -> read.put(entry.getKey(), entry.getValue()));
             same(found, read, random, where + ", then dark: what had been read", seen);
-            found.watch(() -> { });
+            found.watch(() -> {});
             again.commit(List.of(new Change("after", new byte[] {1})));
             read.put("after", new byte[] {1});
             same(found, read, random, where + ", gone on, then dark", seen);
@@ -309,8 +329,9 @@
             byte[] bytes = copy.newest();
             byte[] longer = Arrays.copyOf(bytes, bytes.length + 1 + random.nextInt(30_000));
             if (i % 3 > 0) {
-                byte[] garbage = i % 3 == 1 ? value(random, longer.length - bytes.length)
-                    : Arrays.copyOfRange(bytes, Math.max(0, 2 * bytes.length - longer.length), bytes.length);
+                byte[] garbage = i % 3 == 1
+                        ? value(random, longer.length - bytes.length)
+                        : Arrays.copyOfRange(bytes, Math.max(0, 2 * bytes.length - longer.length), bytes.length);
                 System.arraycopy(garbage, 0, longer, bytes.length, garbage.length);
             }
             copy.newest(longer);
@@ -368,7 +389,10 @@
                 assertTrue(holds(trove, kept));
                 for (int i = 0; i < 3; i++) {
                     List<Change> more = List.of(new Change("x", new byte[9]));
-                    assertEquals("trove.full", assertThrows(TroveFault.class, () -> trove.commit(more)).code());
+                    assertEquals(
+                            "trove.full",
+                            assertThrows(TroveFault.class, () -> trove.commit(more))
+                                    .code());
                 }
                 assertTrue(holds(trove, kept));
                 found.full(false);
@@ -405,7 +429,9 @@
                 Files.write(file, new byte[5_000]);
             }
         }
-        assertEquals("trove.broken", assertThrows(TroveFault.class, () -> Trove.open(dir)).code());
+        assertEquals(
+                "trove.broken",
+                assertThrows(TroveFault.class, () -> Trove.open(dir)).code());
         Trove.abandon(dir);
         try (Trove trove = Trove.open(dir)) {
             assertTrue(holds(trove, Map.of()));
--- a/src/test/java/brambletray/tray/verb/RemoteTest.java
+++ b/src/test/java/brambletray/tray/verb/RemoteTest.java
@@ -22,7 +22,8 @@
 
 /** Verbs that call members, against members that answer as they are told: loopback, ports of the system's choice. */
 class RemoteTest {
-    private static final String CONFIGURATION = "{\"revision\":3,\"routes\":[],\"services\":[{\"name\":\"tea\"},{\"name\":\"milk\"}]}";
+    private static final String CONFIGURATION =
+            "{\"revision\":3,\"routes\":[],\"services\":[{\"name\":\"tea\"},{\"name\":\"milk\"}]}";
 
     @TempDir
     Path dir;
@@ -96,8 +97,13 @@
         on("one configuration/replace", 307, at(two));
         on("two configuration/replace", 200, "{}");
         assertEquals(0, run("replace", file.toString(), "--control", at(one) + ',' + at(two)));
-        assertEquals(List.of("one configuration/show", "two configuration/show", "one configuration/replace on 2",
-            "two configuration/replace on 2"), asked);
+        assertEquals(
+                List.of(
+                        "one configuration/show",
+                        "two configuration/show",
+                        "one configuration/replace on 2",
+                        "two configuration/replace on 2"),
+                asked);
         assertEquals("taken by " + at(two) + ", on top of revision 2\n", said());
     }
 
@@ -113,10 +119,19 @@
 
     @Test
     void membersAreAskedOneByOne() {
-        on("one system/views", 200, "{\"node\":\"k1\",\"standing\":\"member\",\"view\":4,\"in-force\":true,\"leader\":\"k1\",\"commit\":5,"
-            + "\"ill\":false,\"revision\":3,\"members\":[{\"name\":\"k1\"},{\"name\":\"k2\"}]}");
+        on(
+                "one system/views",
+                200,
+                "{\"node\":\"k1\",\"standing\":\"member\",\"view\":4,\"in-force\":true,\"leader\":\"k1\",\"commit\":5,"
+                        + "\"ill\":false,\"revision\":3,\"members\":[{\"name\":\"k1\"},{\"name\":\"k2\"}]}");
         assertEquals(0, run("views", "--control", at(one)));
-        assertTrue(said().lines().skip(1).findFirst().orElse("").matches(at(one) + " +k1 +member +4 +true +k1 k2 +k1 +5 +3 +false"), said());
+        assertTrue(
+                said().lines()
+                        .skip(1)
+                        .findFirst()
+                        .orElse("")
+                        .matches(at(one) + " +k1 +member +4 +true +k1 k2 +k1 +5 +3 +false"),
+                said());
         on("two system/views", 200, "{\"node\":\"k2\",\"standing\":\"stopped\",\"in-force\":true,\"ill\":false}");
         assertEquals(1, run("views", "--control", at(one) + ',' + at(two)), "one of them is in no view in force");
         out.reset();
@@ -130,12 +145,19 @@
     @Test
     void whatTheHelmKnowsIsAskedThere() {
         on("one system/hosts/tea", 307, at(two));
-        on("two system/hosts/tea", 200, "{\"hosts\":[{\"id\":\"i-1\",\"service\":\"tea\",\"state\":\"up\",\"age-ms\":2500}]}");
+        on(
+                "two system/hosts/tea",
+                200,
+                "{\"hosts\":[{\"id\":\"i-1\",\"service\":\"tea\",\"state\":\"up\",\"age-ms\":2500}]}");
         assertEquals(0, run("hosts", "tea", "--control", at(one)));
         assertTrue(said().contains("i-1  tea"), said());
         StringBuilder edges = new StringBuilder("{\"edges\":[{\"name\":\"e1\",\"zone\":\"east\",\"state\":\"in\"}");
         for (int i = 2; i <= 9; i++) {
-            edges.append(",{\"name\":\"e").append(i).append("\",\"zone\":\"west\",\"state\":\"").append(i == 2 ? "in" : "leaving").append("\"}");
+            edges.append(",{\"name\":\"e")
+                    .append(i)
+                    .append("\",\"zone\":\"west\",\"state\":\"")
+                    .append(i == 2 ? "in" : "leaving")
+                    .append("\"}");
         }
         on("one system/edges", 200, edges.append("]}").toString());
         on("one configuration/show", 200, CONFIGURATION);
--- a/src/test/java/brambletray/tray/verb/VerbsTest.java
+++ b/src/test/java/brambletray/tray/verb/VerbsTest.java
@@ -27,8 +27,9 @@
         data-dir=/data
         cloud-api.address=10.2.0.1:80
         """;
-    private static final String CONFIGURATION = "{\"revision\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/a/\","
-        + "\"route-type\":\"idempotent\",\"timeout-ms\":100,\"service\":\"tea\"}],\"services\":[{\"name\":\"tea\"}]}";
+    private static final String CONFIGURATION =
+            "{\"revision\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/a/\","
+                    + "\"route-type\":\"idempotent\",\"timeout-ms\":100,\"service\":\"tea\"}],\"services\":[{\"name\":\"tea\"}]}";
 
     @TempDir
     Path dir;
@@ -54,31 +55,36 @@
     @ValueSource(strings = {"check", "show", "replace", "modify", "views", "duties", "edges", "hosts", "homes", "up"})
     void everyVerbHasHelp(String verb) {
         assertEquals(0, run(verb, "--help"));
-        assertTrue(out.toString(StandardCharsets.UTF_8).startsWith("system " + verb + ' '), out.toString(StandardCharsets.UTF_8));
+        assertTrue(
+                out.toString(StandardCharsets.UTF_8).startsWith("system " + verb + ' '),
+                out.toString(StandardCharsets.UTF_8));
         assertEquals(0, err.size());
         assertEquals(0, run("--help"));
         assertTrue(out.toString(StandardCharsets.UTF_8).contains("\n  " + verb + ' '));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "fly | system: expected one of keep, carry, check",
-        "keep now | system: expected one of",
-        "show | show: Option \"--control\" is required",
-        "show --control | show: Option \"--control\" takes an operand",
-        "views --control here:1 | views: --control: expected an address such as 10.1.0.3:8241, found 'here:1'",
-        "views --control 10.0.0.1:1 --wait x | views: \"x\" is not a valid value for \"--wait\"",
-        "duties --control 10.0.0.1:1 --wait 0 | duties: --wait: expected seconds from 1 to 600, found 0",
-        "replace --control 10.0.0.1:1 | replace: Argument \"FILE\" is required",
-        "replace no-such-file --control 10.0.0.1:1 | replace: no-such-file: expected a file that can be read, found NoSuchFileException",
-        "modify no-such-file --control 10.0.0.1:1 | modify: no-such-file: expected a file",
-        "check | check: Argument \"settings|configuration\" is required",
-        "check taste x | check: \"taste\" is not a valid value for",
-        "check settings no-such-file | check: no-such-file: can't be read (NoSuchFileException), expected a settings file",
-        "up --kill carry-1 | up: --kill: expected NAME@S such as carry-1@5, found 'carry-1'",
-        "up --kill carry-7@2 | up: --kill carry-7@2: expected keep-1 to keep-3, carry-1 to carry-4 or helm",
-        "up --seconds 0 | up: --seconds: expected a number from 1 to 600, found 0",
-        "up --faster | up: \"--faster\" is not a valid option"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "fly | system: expected one of keep, carry, check",
+                "keep now | system: expected one of",
+                "show | show: Option \"--control\" is required",
+                "show --control | show: Option \"--control\" takes an operand",
+                "views --control here:1 | views: --control: expected an address such as 10.1.0.3:8241, found 'here:1'",
+                "views --control 10.0.0.1:1 --wait x | views: \"x\" is not a valid value for \"--wait\"",
+                "duties --control 10.0.0.1:1 --wait 0 | duties: --wait: expected seconds from 1 to 600, found 0",
+                "replace --control 10.0.0.1:1 | replace: Argument \"FILE\" is required",
+                "replace no-such-file --control 10.0.0.1:1 | replace: no-such-file: expected a file that can be read, found NoSuchFileException",
+                "modify no-such-file --control 10.0.0.1:1 | modify: no-such-file: expected a file",
+                "check | check: Argument \"settings|configuration\" is required",
+                "check taste x | check: \"taste\" is not a valid value for",
+                "check settings no-such-file | check: no-such-file: can't be read (NoSuchFileException), expected a settings file",
+                "up --kill carry-1 | up: --kill: expected NAME@S such as carry-1@5, found 'carry-1'",
+                "up --kill carry-7@2 | up: --kill carry-7@2: expected keep-1 to keep-3, carry-1 to carry-4 or helm",
+                "up --seconds 0 | up: --seconds: expected a number from 1 to 600, found 0",
+                "up --faster | up: \"--faster\" is not a valid option"
+            })
     void badInputIsOneLineAndTwo(String args, String expected) {
         assertEquals(2, run(args.strip().split(" ")));
         String line = complaint();
@@ -92,9 +98,13 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"data-dir=/data, '', data-dir: expected in the file", "seed-peers=10.1.0.6:8248, '', seed-peers: expected in the file",
-        "10.1.0.3:8248, 10.1.0.3, :4: bind-addresses.control-plane: expected an address such as", "zone=za, zone, :3: expected a.b=value",
-        "bind-addresses.control-plane=10.1.0.3:8248, '', bind-addresses.front-end: expected in the file"})
+    @CsvSource({
+        "data-dir=/data, '', data-dir: expected in the file",
+        "seed-peers=10.1.0.6:8248, '', seed-peers: expected in the file",
+        "10.1.0.3:8248, 10.1.0.3, :4: bind-addresses.control-plane: expected an address such as",
+        "zone=za, zone, :3: expected a.b=value",
+        "bind-addresses.control-plane=10.1.0.3:8248, '', bind-addresses.front-end: expected in the file"
+    })
     void badSettingsAreNamedWithTheirLine(String what, String instead, String expected) throws IOException {
         String file = file(KEEP.replace(what, instead));
         assertEquals(2, run("check", "settings", file));
@@ -109,8 +119,11 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'\"tea\"}],\"services', '\"tee\"}],\"services', routes[r].service: expected a service of the configuration",
-        "100, 0, routes[r].timeout-ms: expected a whole number from 1", "'}]}', '', expected whole JSON"})
+    @CsvSource({
+        "'\"tea\"}],\"services', '\"tee\"}],\"services', routes[r].service: expected a service of the configuration",
+        "100, 0, routes[r].timeout-ms: expected a whole number from 1",
+        "'}]}', '', expected whole JSON"
+    })
     void badConfigurationsAreNamedWithTheirField(String what, String instead, String expected) throws IOException {
         String file = file(CONFIGURATION.replace(what, instead));
         assertEquals(2, run("check", "configuration", file));
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -16,12 +16,14 @@
 final class Board {
     /** Machines: the founders and the newcomer. */
     static final int SIZE = 4;
+
     private static final int FOUNDERS = 3;
     private static final int STEP_MS = 400;
     private static final String[] NAMES = {"a", "b", "c", "d"};
     private static final List<String> SEEDS = List.of("a", "b", "c");
     private static final int FAR = 1_000_000_000;
-    private static final Settings SETTINGS = new Settings(Tolerance.ofMachines(1), FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR, FAR);
+    private static final Settings SETTINGS =
+            new Settings(Tolerance.ofMachines(1), FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR, FAR);
 
     /** What may still happen: impatience, losses of power, losses of disks, planned ends, the start of the newcomer. */
     record Purse(int impatience, int power, int disks, int leaves, int newcomers) {
@@ -53,8 +55,18 @@
             flying = null;
             long fresh = 100 * (number + 1) + boot;
             members = null;
-            members = new Members(NAMES[number], NAMES[number], "", fresh, 1000 * (number + 1) + boot, Kept.read(kept), SEEDS,
-                    initial, SETTINGS, this, this,
+            members = new Members(
+                    NAMES[number],
+                    NAMES[number],
+                    "",
+                    fresh,
+                    1000 * (number + 1) + boot,
+                    Kept.read(kept),
+                    SEEDS,
+                    initial,
+                    SETTINGS,
+                    this,
+                    this,
                     board.now);
             life = members.status().me().life();
         }
@@ -85,18 +97,17 @@
         }
 
         @Override
-        public void confirmed(long token, boolean yes) {
-        }
+        public void confirmed(long token, boolean yes) {}
 
         @Override
-        public void changed() {
-        }
+        public void changed() {}
 
         @Override
         public void tell(String event, Object... facts) {
             if (!board.talks) return;
             StringBuilder line = new StringBuilder(NAMES[number]).append(' ').append(event);
-            for (int i = 0; i < facts.length; i += 2) line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
+            for (int i = 0; i < facts.length; i += 2)
+                line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
             System.out.println(line);
         }
 
@@ -132,6 +143,7 @@
     int acknowledged;
     /** Processes that have left; newcomers let in. */
     int left;
+
     boolean joined;
     boolean talks;
 
@@ -187,7 +199,8 @@
     private boolean intact() {
         if (views.isEmpty()) return false;
         View latest = views.lastEntry().getValue();
-        return latest.members().size() > 1 && latest.members().stream().noneMatch(member -> lost.contains(member.life()));
+        return latest.members().size() > 1
+                && latest.members().stream().noneMatch(member -> lost.contains(member.life()));
     }
 
     void play(int move) {
@@ -201,7 +214,10 @@
         }
         Seat seat = seats[move % SIZE];
         int kind = (move - SIZE * SIZE) / SIZE;
-        if (talks) System.out.println(NAMES[move % SIZE] + " " + List.of("sync", "impatient", "power", "disk", "leaves", "comes").get(kind));
+        if (talks)
+            System.out.println(NAMES[move % SIZE] + " "
+                    + List.of("sync", "impatient", "power", "disk", "leaves", "comes")
+                            .get(kind));
         if (kind == 0) {
             seat.sync();
         } else if (kind == 1) {
@@ -224,7 +240,11 @@
             seat.members.tick(now);
         } else {
             boolean disk = kind == 3;
-            purse = new Purse(purse.impatience, purse.power - (disk ? 0 : 1), purse.disks - (disk ? 1 : 0), purse.leaves,
+            purse = new Purse(
+                    purse.impatience,
+                    purse.power - (disk ? 0 : 1),
+                    purse.disks - (disk ? 1 : 0),
+                    purse.leaves,
                     purse.newcomers);
             if (disk) {
                 lost.add(seat.life);
@@ -247,7 +267,8 @@
     private void end(Seat seat) {
         View latest = views.lastEntry().getValue();
         boolean alone = latest.members().size() == 1;
-        if (latest.has(seat.life) && !alone) throw new AssertionError(NAMES[seat.number] + " has left, and is in " + latest);
+        if (latest.has(seat.life) && !alone)
+            throw new AssertionError(NAMES[seat.number] + " has left, and is in " + latest);
         boolean one = !latest.has(seat.life) && alone && lost.isEmpty();
         if (one) throw new AssertionError(NAMES[seat.number] + " has left one disk: " + latest);
         left++;
@@ -263,7 +284,8 @@
         joined |= status.members().stream().anyMatch(member -> member.address().equals(NAMES[FOUNDERS]));
         View mine = new View(new Ballot(status.number(), status.leader().life()), status.members(), List.of());
         View other = views.putIfAbsent(status.number(), mine);
-        if (other != null && !other.equals(mine)) throw new AssertionError("two views of number " + status.number() + ": " + other + ", " + mine);
+        if (other != null && !other.equals(mine))
+            throw new AssertionError("two views of number " + status.number() + ": " + other + ", " + mine);
         if (status.leading() && seat.proposedIn < status.number()) {
             seat.proposedIn = status.number();
             seat.members.propose(status.number(), ("v" + status.number()).getBytes(StandardCharsets.UTF_8), now);
--- a/src/test/java/brambletray/tray/view/CatchUpTest.java
+++ b/src/test/java/brambletray/tray/view/CatchUpTest.java
@@ -18,8 +18,7 @@
     /** Bytes besides the state itself: what is remembered of each change, frames of the change of view, knocks. */
     private static final int SOME = 48 << 10;
 
-    private record Case(int changes, int bytes, int rate, int everyMs, long mostMs) {
-    }
+    private record Case(int changes, int bytes, int rate, int everyMs, long mostMs) {}
 
     private static final List<Case> CASES = List.of(
             new Case(500, 1 << 10, FULL, 0, 2_000), new Case(500, 1 << 10, SLOW, 0, 4_000),
@@ -31,7 +30,8 @@
 
     @Test
     void aMemberThatWasAwayForHundredsOfChangesIsInAgainSoon() {
-        System.out.println("| changes missed | bytes each | link, Mbit/s | changes meanwhile | back in the view, s | bytes to it, kB |");
+        System.out.println(
+                "| changes missed | bytes each | link, Mbit/s | changes meanwhile | back in the view, s | bytes to it, kB |");
         System.out.println("| ---: | ---: | ---: | --- | ---: | ---: |");
         for (Case one : CASES) play(one);
     }
@@ -50,7 +50,8 @@
             world.until(world.now + PACE_MS);
         }
         world.until(world.now + 1000);
-        assertTrue(world.oracle.acknowledged.size() == one.changes(), "acknowledged " + world.oracle.acknowledged.size());
+        assertTrue(
+                world.oracle.acknowledged.size() == one.changes(), "acknowledged " + world.oracle.acknowledged.size());
         for (String other : List.of("a", "b")) world.rate("c", other, one.rate());
         long before = bytes(world);
         long begin = world.now;
@@ -67,12 +68,20 @@
         long bytes = bytes(world) - before;
         long most = one.everyMs() > 0 ? 4L * one.bytes() + SOME : one.bytes() + SOME;
         assertTrue(bytes < most, one + ": bytes " + bytes);
-        System.out.printf(Locale.ROOT, "| %d | %d kB | %d | %s | %.2f | %d |%n", one.changes(), one.bytes() >> 10, one.rate() / 125,
-                one.everyMs() == 0 ? "none" : "every " + one.everyMs() / 1000.0 + " s", (world.now - begin) / 1000.0, bytes >> 10);
+        System.out.printf(
+                Locale.ROOT,
+                "| %d | %d kB | %d | %s | %.2f | %d |%n",
+                one.changes(),
+                one.bytes() >> 10,
+                one.rate() / 125,
+                one.everyMs() == 0 ? "none" : "every " + one.everyMs() / 1000.0 + " s",
+                (world.now - begin) / 1000.0,
+                bytes >> 10);
     }
 
     private static boolean back(SimWorld world, SimNode away) {
-        if (away.members.status().standing() != Standing.MEMBER || !away.members.status().inForce()) return false;
+        if (away.members.status().standing() != Standing.MEMBER
+                || !away.members.status().inForce()) return false;
         return away.state.containsAll(world.oracle.acknowledged);
     }
 
--- a/src/test/java/brambletray/tray/view/Core.java
+++ b/src/test/java/brambletray/tray/view/Core.java
@@ -15,7 +15,9 @@
     Core(List<String> names, Tolerance tolerance) {
         world = new SimWorld(1, Settings.usual(tolerance, 5000));
         world.jitter = false;
-        List<String> seeds = names.subList(0, Math.min(3, names.size())).stream().map(Core::address).toList();
+        List<String> seeds = names.subList(0, Math.min(3, names.size())).stream()
+                .map(Core::address)
+                .toList();
         for (String name : names) machine(name, seeds).initial = true;
     }
 
@@ -32,11 +34,16 @@
     /** Starts and waits until all are in. */
     public void found() {
         world.nodes.values().forEach(SimNode::start);
-        world.await(() -> {
-            SimNode leader = world.leader();
-            return leader != null && leader.members.status().members().size() == world.nodes.size()
-                    && world.nodes.values().stream().allMatch(node -> node.members.status().standing() == Standing.MEMBER);
-        }, 5000, "founding");
+        world.await(
+                () -> {
+                    SimNode leader = world.leader();
+                    return leader != null
+                            && leader.members.status().members().size() == world.nodes.size()
+                            && world.nodes.values().stream()
+                                    .allMatch(node -> node.members.status().standing() == Standing.MEMBER);
+                },
+                5000,
+                "founding");
         world.nodes.values().forEach(node -> node.initial = false);
         world.until(world.now + 500);
     }
--- a/src/test/java/brambletray/tray/view/ExplorationTest.java
+++ b/src/test/java/brambletray/tray/view/ExplorationTest.java
@@ -24,6 +24,7 @@
     private int most;
     /** States, or walks, in which a process has left, and in which the newcomer was in a view in force. */
     private int lefts;
+
     private int joins;
     private int bound;
     private int depth;
@@ -80,7 +81,8 @@
             Random random = new Random(seed);
             int newcomers = random.nextInt(2);
             int impatience = 1 + random.nextInt(5);
-            Board.Purse purse = new Board.Purse(impatience, random.nextInt(3), random.nextInt(2), random.nextInt(2), newcomers);
+            Board.Purse purse =
+                    new Board.Purse(impatience, random.nextInt(3), random.nextInt(2), random.nextInt(2), newcomers);
             Board board = new Board(purse);
             board.found();
             try {
@@ -93,10 +95,11 @@
             if (board.joined) joins++;
             played++;
         }
-        System.out.println("exploration: " + played + " walks, " + steps + " steps, at most " + most + " changes acknowledged, one left in "
-                + lefts + ", the newcomer was let in in " + joins);
+        System.out.println("exploration: " + played + " walks, " + steps + " steps, at most " + most
+                + " changes acknowledged, one left in " + lefts + ", the newcomer was let in in " + joins);
         assertTrue(most >= 2, "hardly anything was acknowledged");
-        assertTrue(walks < WALKS || lefts > 100 && joins > 100, "hardly anybody left or came in: " + lefts + ", " + joins);
+        assertTrue(
+                walks < WALKS || lefts > 100 && joins > 100, "hardly anybody left or came in: " + lefts + ", " + joins);
     }
 
     private static int stroll(Board board, Random random, boolean newcomer) {
@@ -132,8 +135,12 @@
         int disks = Integer.getInteger("view.disks", 1);
         int impatience = Integer.getInteger("view.impatience", 2);
         if (one != null) {
-            Board board = new Board(new Board.Purse(impatience, power, disks,
-                    Integer.getInteger("view.leaves", 0), Integer.getInteger("view.newcomers", 0)));
+            Board board = new Board(new Board.Purse(
+                    impatience,
+                    power,
+                    disks,
+                    Integer.getInteger("view.leaves", 0),
+                    Integer.getInteger("view.newcomers", 0)));
             board.found();
             board.talks = true;
             for (String move : one.split("[, ]+")) board.play(Integer.parseInt(move));
@@ -160,7 +167,8 @@
             explore(purse);
             all += states;
             System.out.println("exploration " + purse + ": " + states + " states"
-                    + (states >= bound ? " (bound)" : ", all") + ", " + ends + " ends, depth " + depth + ", one left in "
+                    + (states >= bound ? " (bound)" : ", all") + ", " + ends + " ends, depth " + depth
+                    + ", one left in "
                     + lefts + ", the newcomer in in " + joins);
         }
         assertTrue(all > 1000 && most >= 2, all + " states, at most " + most + " changes acknowledged");
--- a/src/test/java/brambletray/tray/view/Fingerprint.java
+++ b/src/test/java/brambletray/tray/view/Fingerprint.java
@@ -20,8 +20,7 @@
     private long b = 0x9e3779b97f4a7c15L;
 
     /** Two hashes in one word would collide too often for millions of states: this is one of 128 bits. */
-    record Print(long a, long b) {
-    }
+    record Print(long a, long b) {}
 
     static Print of(Object... objects) {
         Fingerprint print = new Fingerprint();
@@ -44,7 +43,8 @@
         Class<?> type = object.getClass();
         if (object instanceof Number number) add(number.longValue());
         else if (object instanceof Boolean yes) add(yes ? 3 : 2);
-        else if (object instanceof CharSequence || object instanceof Enum) add(object.toString().hashCode());
+        else if (object instanceof CharSequence || object instanceof Enum)
+            add(object.toString().hashCode());
         else if (object instanceof byte[] bytes) add(java.util.Arrays.hashCode(bytes));
         else if (object instanceof Out || object instanceof Matter || object instanceof Class) add(4);
         else {
--- a/src/test/java/brambletray/tray/view/Frames.java
+++ b/src/test/java/brambletray/tray/view/Frames.java
@@ -10,12 +10,14 @@
     static final long MOST_WAITING = Link.MOST_WAITING;
     private static final int SMALL = 64;
 
-    private Frames() {
-    }
+    private Frames() {}
 
     static int bytes(Object frame) {
         if (frame instanceof Frame.Append append) return SMALL + bytes(append.entries());
-        if (frame instanceof Frame.Install install) return 4 * SMALL + install.patch().snapshot().length + bytes(install.patch().entries());
+        if (frame instanceof Frame.Install install)
+            return 4 * SMALL
+                    + install.patch().snapshot().length
+                    + bytes(install.patch().entries());
         if (frame instanceof Frame.Piece piece) return SMALL + piece.bytes().length;
         if (frame instanceof Frame.Submit submit) return SMALL + submit.bytes().length;
         return frame instanceof Frame.Told || frame instanceof Frame.Come ? 4 * SMALL : SMALL;
--- a/src/test/java/brambletray/tray/view/FramesTest.java
+++ b/src/test/java/brambletray/tray/view/FramesTest.java
@@ -5,11 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brambletray.tray.speech.Speech;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -76,7 +76,9 @@
             return Codec.view(in);
         });
         Member member = new Member("a:1", "core-a", 2);
-        assertEquals(new View(new Ballot(5, 2), List.of(member), List.of(new Roll(new Ballot(4, 3), List.of(member)))), view);
+        assertEquals(
+                new View(new Ballot(5, 2), List.of(member), List.of(new Roll(new Ballot(4, 3), List.of(member)))),
+                view);
         Member placed = new Member("a:1", "core-a", 2, "z");
         View now = new View(new Ballot(5, 2), List.of(placed), List.of());
         assertEquals(now, Codec.read(Codec.view(now, true), in -> {
--- a/src/test/java/brambletray/tray/view/LeaveTest.java
+++ b/src/test/java/brambletray/tray/view/LeaveTest.java
@@ -26,7 +26,12 @@
     private static final int PLANNED_MS = 100;
 
     /** What happens to the first machine. */
-    private enum Trouble { KILLED, LEAVES, REPLACED, REPLACED_THEN_LOSS }
+    private enum Trouble {
+        KILLED,
+        LEAVES,
+        REPLACED,
+        REPLACED_THEN_LOSS
+    }
 
     /** One course: machines, calls all the time, the longest stretches without an answer. */
     private static final class Course {
@@ -60,8 +65,10 @@
 
         boolean allIn(int machines) {
             SimNode leader = world.leader();
-            return leader != null && leader.members.status().members().size() == machines
-                    && live.stream().allMatch(node -> node.up() && node.members.status().standing() == Standing.MEMBER);
+            return leader != null
+                    && leader.members.status().members().size() == machines
+                    && live.stream()
+                            .allMatch(node -> node.up() && node.members.status().standing() == Standing.MEMBER);
         }
 
         /** Calls for so long. */
@@ -174,14 +181,16 @@
         Long only = Long.getLong("leave.seed");
         for (int machines = 3; machines <= 5; machines += 2) {
             for (Trouble trouble : Trouble.values()) {
-                List<List<Long>> stretches = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+                List<List<Long>> stretches =
+                        List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
                 for (long seed = only == null ? 1 : only; seed <= (only == null ? courses : only); seed++) {
                     Course course = new Course(seed, machines, only != null);
                     try {
                         long[] some = course.play(trouble);
                         for (int i = 0; i < some.length; i++) stretches.get(i).add(some[i]);
                         if (trouble != Trouble.KILLED && Math.max(some[0], some[1]) >= PLANNED_MS) {
-                            broken.add(machines + " " + trouble + " seed " + seed + ": ack " + some[0] + ", read " + some[1]);
+                            broken.add(machines + " " + trouble + " seed " + seed + ": ack " + some[0] + ", read "
+                                    + some[1]);
                         }
                     } catch (AssertionError | RuntimeException e) {
                         course.world.tales.forEach(System.out::println);
@@ -189,8 +198,10 @@
                     }
                     if (only != null) course.world.tales.forEach(System.out::println);
                 }
-                System.out.println("leave: " + machines + " " + trouble + " (50 %, 99 %, worst; ms): ack " + figures(stretches.get(0))
-                        + ", read " + figures(stretches.get(1)) + "; after it: ack " + figures(stretches.get(2)) + ", read "
+                System.out.println("leave: " + machines + " " + trouble + " (50 %, 99 %, worst; ms): ack "
+                        + figures(stretches.get(0))
+                        + ", read " + figures(stretches.get(1)) + "; after it: ack " + figures(stretches.get(2))
+                        + ", read "
                         + figures(stretches.get(3)));
             }
         }
@@ -199,6 +210,7 @@
 
     private static String figures(List<Long> all) {
         Collections.sort(all);
-        return all.get(all.size() / 2) + " " + all.get(Math.min(all.size() - 1, all.size() * 99 / 100)) + " " + all.get(all.size() - 1);
+        return all.get(all.size() / 2) + " " + all.get(Math.min(all.size() - 1, all.size() * 99 / 100)) + " "
+                + all.get(all.size() - 1);
     }
 }
--- a/src/test/java/brambletray/tray/view/LogTest.java
+++ b/src/test/java/brambletray/tray/view/LogTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** What a log gives to one that lacks some of it, before and after it was compacted. */
@@ -55,7 +54,8 @@
     void anotherEntryAtARememberedPlaceIsReplacedWithAllBehindTheSnapshot() {
         Log log = log(300, FIRST);
         log.compact(300, new byte[STATE]);
-        for (long end : new long[] {250, 290, 300}) assertTrue(log.since(end, SECOND, 0).whole(), "end " + end);
+        for (long end : new long[] {250, 290, 300})
+            assertTrue(log.since(end, SECOND, 0).whole(), "end " + end);
         Log later = log(250, FIRST);
         for (int i = 251; i <= 300; i++) later.append(entry(i, SECOND));
         later.compact(300, new byte[STATE]);
--- a/src/test/java/brambletray/tray/view/MemberTest.java
+++ b/src/test/java/brambletray/tray/view/MemberTest.java
@@ -42,12 +42,10 @@
         }
 
         @Override
-        public void changed() {
-        }
+        public void changed() {}
 
         @Override
-        public void tell(String event, Object... facts) {
-        }
+        public void tell(String event, Object... facts) {}
     };
 
     private final Matter matter = new Matter() {
@@ -57,8 +55,7 @@
         }
 
         @Override
-        public void restore(byte[] snapshot) {
-        }
+        public void restore(byte[] snapshot) {}
 
         @Override
         public void deliver(long index, byte[] change) {
@@ -69,7 +66,8 @@
     /** Member b of a view in force that a leads. */
     private Members follower() {
         Kept kept = new Kept(2, List.of(), VIEW.ballot(), VIEW, true, Log.empty(), List.of(), List.of());
-        return new Members("b", "b", "", 9, 77, kept, List.of("a", "b", "c"), false, Settings.usual(1), out, matter, now);
+        return new Members(
+                "b", "b", "", 9, 77, kept, List.of("a", "b", "c"), false, Settings.usual(1), out, matter, now);
     }
 
     private <T> T last(Class<T> type) {
@@ -84,7 +82,8 @@
     }
 
     private static Frame.Append append(long after, long commit) {
-        return new Frame.Append(VIEW.ballot(), after, after == 0 ? Ballot.NONE : VIEW.ballot(), List.of(entry(after + 1)), commit);
+        return new Frame.Append(
+                VIEW.ballot(), after, after == 0 ? Ballot.NONE : VIEW.ballot(), List.of(entry(after + 1)), commit);
     }
 
     @Test
@@ -147,7 +146,9 @@
         b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
         b.propose(2, new byte[] {2}, now);
         for (int i = 0; i < 100; i++) b.tick(now += 40);
-        assertEquals(List.of(Outcome.UNCLEAR, Outcome.REFUSED), said.stream().filter(one -> one instanceof Outcome).toList());
+        assertEquals(
+                List.of(Outcome.UNCLEAR, Outcome.REFUSED),
+                said.stream().filter(one -> one instanceof Outcome).toList());
     }
 
     @Test
--- a/src/test/java/brambletray/tray/view/Oracle.java
+++ b/src/test/java/brambletray/tray/view/Oracle.java
@@ -22,6 +22,7 @@
     private final SimWorld world;
     /** What was delivered anywhere, by place. */
     final TreeMap<Long, String> order = new TreeMap<>();
+
     private final Set<String> ordered = new HashSet<>();
     final Set<String> acknowledged = new HashSet<>();
     final Set<String> refused = new HashSet<>();
@@ -32,11 +33,13 @@
     private final Map<String, Long> lifeAt = new HashMap<>();
     /** Machines whose disk was lost, or that take the place of one, and that aren't members yet. */
     final Set<String> recovering = new HashSet<>();
+
     View latest;
     private long latestAt;
     private long troubleAt = Long.MIN_VALUE / 2;
     /** Whether disks are lost sooner after one another than is promised; then nobody promises that it goes on, only that nothing breaks. */
     boolean harsh;
+
     int unclear;
     int confirmedOk;
     long tokens;
@@ -68,7 +71,8 @@
     /** Whether one more disk may be lost without losing what is kept on more disks than one. */
     boolean intact() {
         if (latest == null || latest.members().size() < 2 || world.now - latestAt < SPREAD_MS) return false;
-        recovering.removeIf(address -> latest.at(address) != null && latest.at(address).life() == lifeAt.getOrDefault(address, 0L));
+        recovering.removeIf(
+                address -> latest.at(address) != null && latest.at(address).life() == lifeAt.getOrDefault(address, 0L));
         if (!recovering.isEmpty()) {
             troubleAt = world.now;
             return false;
@@ -99,7 +103,8 @@
     void delivered(SimNode node, long index, String text) {
         String other = order.putIfAbsent(index, text);
         ordered.add(text);
-        if (other != null && !other.equals(text)) fail(node.address + " delivers " + text + " at " + index + ", others " + other);
+        if (other != null && !other.equals(text))
+            fail(node.address + " delivers " + text + " at " + index + ", others " + other);
         if (refused.contains(text)) fail(text + " was refused and is delivered");
     }
 
@@ -150,7 +155,8 @@
         }
         List<String> first = new ArrayList<>(live.get(0).state);
         for (SimNode node : live) {
-            if (!node.state.equals(first)) fail(node.address + " differs from " + live.get(0).address + ": " + node.state + " " + first);
+            if (!node.state.equals(first))
+                fail(node.address + " differs from " + live.get(0).address + ": " + node.state + " " + first);
         }
     }
 
--- a/src/test/java/brambletray/tray/view/PausesTest.java
+++ b/src/test/java/brambletray/tray/view/PausesTest.java
@@ -26,10 +26,15 @@
     /** The smallest ack-ms of the deployments, ms. */
     private static final int ACK_MS = 5_000;
 
-    private enum Trouble { CUT, KILLED, FROZEN, SLOW_DISK }
+    private enum Trouble {
+        CUT,
+        KILLED,
+        FROZEN,
+        SLOW_DISK
+    }
 
     /** Longest pauses of one course, ms: without an acknowledgement, without a confirmed read. */
-    private record Pauses(long acks, long reads) { }
+    private record Pauses(long acks, long reads) {}
 
     private final class Course {
         private final Random random;
@@ -155,13 +160,15 @@
                         acks[i] = pauses.acks;
                         reads[i] = pauses.reads;
                         if (pauses.acks >= ACK_MS) {
-                            broken.add(machines + " members, " + trouble + ", leader " + leader + ", seed " + (first + i) + ": " + pauses);
+                            broken.add(machines + " members, " + trouble + ", leader " + leader + ", seed "
+                                    + (first + i) + ": " + pauses);
                         }
                     }
                     Arrays.sort(acks);
                     Arrays.sort(reads);
-                    System.out.println("pauses: " + machines + " members, " + (leader ? "leader " : "follower ") + trouble + ", " + seeds
-                            + " courses: acknowledgements " + spread(acks) + "; reads " + spread(reads));
+                    System.out.println("pauses: " + machines + " members, " + (leader ? "leader " : "follower ")
+                            + trouble + ", " + seeds + " courses: acknowledgements " + spread(acks) + "; reads "
+                            + spread(reads));
                 }
             }
         }
--- a/src/test/java/brambletray/tray/view/Picture.java
+++ b/src/test/java/brambletray/tray/view/Picture.java
@@ -39,8 +39,7 @@
     private long begin;
     private int confirms;
 
-    private record Trap(SimNode node, String how, char when, String frame) {
-    }
+    private record Trap(SimNode node, String how, char when, String frame) {}
 
     public Picture(SimWorld world, Words more) {
         this.world = world;
@@ -63,7 +62,9 @@
             }
             String time = cells.get(0);
             boolean by = time.startsWith("<");
-            long at = time.startsWith("+") ? last + Long.parseLong(time.substring(1)) : Long.parseLong(by ? time.substring(1) : time);
+            long at = time.startsWith("+")
+                    ? last + Long.parseLong(time.substring(1))
+                    : Long.parseLong(by ? time.substring(1) : time);
             if (!by) world.until(begin + at);
             for (int i = 1; i < cells.size(); i++) act(world.nodes.get(columns.get(i - 1)), cells.get(i));
             see(columns, cells, by ? begin + at : world.now, line);
@@ -151,7 +152,9 @@
 
     private Trap trap(SimNode node, char when, Object frame) {
         for (Trap trap : traps) {
-            if (trap.node == node && trap.when == when && trap.frame.equals(frame.getClass().getSimpleName())) return trap;
+            if (trap.node == node
+                    && trap.when == when
+                    && trap.frame.equals(frame.getClass().getSimpleName())) return trap;
         }
         return null;
     }
--- a/src/test/java/brambletray/tray/view/PictureSteps.java
+++ b/src/test/java/brambletray/tray/view/PictureSteps.java
@@ -74,6 +74,7 @@
     @Then("all that are up agree and have all that was acknowledged")
     public void agree() {
         core.world.until(core.world.now + 500);
-        core.world.oracle.end(core.world.nodes.values().stream().filter(SimNode::up).toList());
+        core.world.oracle.end(
+                core.world.nodes.values().stream().filter(SimNode::up).toList());
     }
 }
--- a/src/test/java/brambletray/tray/view/PicturesTest.java
+++ b/src/test/java/brambletray/tray/view/PicturesTest.java
@@ -11,5 +11,4 @@
 @SelectPackages("brambletray.tray.view")
 @ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.view")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-class PicturesTest {
-}
+class PicturesTest {}
--- a/src/test/java/brambletray/tray/view/QuorumTest.java
+++ b/src/test/java/brambletray/tray/view/QuorumTest.java
@@ -55,7 +55,8 @@
                     pairs++;
                     boolean meet = (one[0] & other[0]) != 0;
                     boolean bothAfter = (one[0] & other[1]) == one[0] && (other[0] & one[1]) == other[0];
-                    assertTrue(meet || bothAfter, members + " " + one[0] + "/" + one[1] + " " + other[0] + "/" + other[1]);
+                    assertTrue(
+                            meet || bothAfter, members + " " + one[0] + "/" + one[1] + " " + other[0] + "/" + other[1]);
                 }
             }
         }
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -26,6 +26,7 @@
     public Rider rider;
     /** Counts processes; what was meant for an earlier one is dropped. */
     int boot;
+
     public boolean initial;
     String zone = "";
     public long frozenUntil;
@@ -33,6 +34,7 @@
     public final List<String> state = new ArrayList<>();
     /** The same, to look a change up. */
     final java.util.Set<String> has = new java.util.HashSet<>();
+
     long delivered;
     boolean down = true;
     final List<Runnable> deferred = new ArrayList<>();
@@ -55,8 +57,19 @@
         long fresh = world.random.nextLong() | 1;
         Kept kept = Kept.read(disk.kept);
         members = null;
-        members = new Members(address, address, zone, fresh, world.random.nextLong() | 1, kept, seeds, initial, world.settings,
-                new Ways(boot), new State(), world.now);
+        members = new Members(
+                address,
+                address,
+                zone,
+                fresh,
+                world.random.nextLong() | 1,
+                kept,
+                seeds,
+                initial,
+                world.settings,
+                new Ways(boot),
+                new State(),
+                world.now);
         world.oracle.born(this, members.status().me().life());
         rider = world.riders == null ? null : world.riders.apply(this);
         tick(boot);
@@ -191,15 +204,21 @@
         }
 
         @Override
-        public void changed() {
-        }
+        public void changed() {}
 
         @Override
         public void tell(String event, Object... facts) {
-            if (event.equals("view.behind-snapshot")) world.oracle.fail(address + " can't send what a member lacks: " + List.of(facts));
+            if (event.equals("view.behind-snapshot"))
+                world.oracle.fail(address + " can't send what a member lacks: " + List.of(facts));
             if (!world.talks) return;
-            StringBuilder line = new StringBuilder().append(world.now).append(' ').append(address).append(' ').append(event);
-            for (int i = 0; i < facts.length; i += 2) line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
+            StringBuilder line = new StringBuilder()
+                    .append(world.now)
+                    .append(' ')
+                    .append(address)
+                    .append(' ')
+                    .append(event);
+            for (int i = 0; i < facts.length; i += 2)
+                line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
             world.tales.add(line.toString());
         }
     }
--- a/src/test/java/brambletray/tray/view/SimWorld.java
+++ b/src/test/java/brambletray/tray/view/SimWorld.java
@@ -10,8 +10,7 @@
 
 /** Machines, links and disks in simulated time. One seed gives one course of events. */
 public final class SimWorld {
-    private record Event(long at, long seq, SimNode node, int boot, Runnable run) {
-    }
+    private record Event(long at, long seq, SimNode node, int boot, Runnable run) {}
 
     /** One direction of a link. */
     static final class Link {
@@ -22,6 +21,7 @@
         int rate;
         /** When all that was said is out; with more than may wait by then, the link closes and that is lost. */
         double freeAt;
+
         long bytes;
         int breaks;
         long lastAt;
@@ -42,16 +42,18 @@
     public java.util.function.Function<SimNode, SimNode.Rider> riders;
     /** Makes snapshots larger, and changes. */
     String ballast = "";
+
     String padding = "";
     public long now = 1000;
     private long seq;
     /** Frames sent so far; and a chance to act on one before it goes: returns false to lose it. */
     long frames;
+
     Tap tap = (from, to, frame) -> true;
     /** How a frame comes to the other side. */
     java.util.function.UnaryOperator<Object> post = frame -> frame;
     /** Told of each frame once it has been dealt with. */
-    java.util.function.BiConsumer<SimNode, Object> ear = (node, frame) -> { };
+    java.util.function.BiConsumer<SimNode, Object> ear = (node, frame) -> {};
 
     interface Tap {
         boolean pass(SimNode from, String to, Object frame);
@@ -96,7 +98,9 @@
         }
         if (target == null || (link.loss > 0 && random.nextDouble() < link.loss)) return;
         int size = Frames.bytes(frame);
-        if (size > Frames.LONGEST) oracle.fail(from.address + " says a frame of " + size + " bytes: " + frame.getClass().getSimpleName());
+        if (size > Frames.LONGEST)
+            oracle.fail(from.address + " says a frame of " + size + " bytes: "
+                    + frame.getClass().getSimpleName());
         link.bytes += size;
         if (link.rate > 0) {
             later(from, target, link, size, post.apply(frame));
--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -12,6 +12,7 @@
 class StateTransferTest {
     /** 2 Mbit/s, in bytes a ms. */
     private static final int SLOW = 250;
+
     private static final int MB = 1 << 20;
 
     private SimWorld world;
@@ -43,7 +44,8 @@
     private static boolean in(SimWorld world, String name) {
         SimNode leader = world.leader();
         if (leader == null || !leader.members.status().inForce()) return false;
-        return leader.members.status().members().stream().anyMatch(member -> member.name().equals(name));
+        return leader.members.status().members().stream()
+                .anyMatch(member -> member.name().equals(name));
     }
 
     private static void takes(SimWorld world, SimNode at, long span, String what) {
@@ -60,7 +62,10 @@
         for (int i = 0; i < 12; i++) world.oracle.propose(world.leader());
         world.until(world.now + 50);
         world.nodes.get("b").kill(true);
-        world.await(() -> world.nodes.get("a").state.size() == 12 && world.nodes.get("c").state.size() == 12, 12_000,
+        world.await(
+                () -> world.nodes.get("a").state.size() == 12
+                        && world.nodes.get("c").state.size() == 12,
+                12_000,
                 "twelve changes of 1 MB at two of three, 20 Mbit/s between them");
         assertEquals(0, world.link("a", "c").breaks);
     }
@@ -86,12 +91,17 @@
     void aMemberThatAnswersButNeverKeepsTheViewIsLeftOutOfTheNext() {
         core("a", "b", "c", "d", "e");
         world.padding = "p".repeat(MB);
-        world.tap = (from, to, frame) -> !(to.equals("e") && (frame instanceof Frame.Piece || frame instanceof Frame.Append));
+        world.tap = (from, to, frame) ->
+                !(to.equals("e") && (frame instanceof Frame.Piece || frame instanceof Frame.Append));
         for (int i = 0; i < 4; i++) world.oracle.propose(world.leader());
         world.until(world.now + 100);
         world.padding = "";
         world.nodes.get("a").kill(true);
-        takes(world, world.nodes.get("b"), 4_500, "a change after the loss of the leader, with one to whom no piece comes");
+        takes(
+                world,
+                world.nodes.get("b"),
+                4_500,
+                "a change after the loss of the leader, with one to whom no piece comes");
         assertFalse(in(world, "e"));
         world.tap = (from, to, frame) -> true;
         world.await(() -> in(world, "e"), 6000, "back in");
@@ -113,7 +123,8 @@
         assertFalse(in(world, "e"));
         world.nodes.get("a").kill(true);
         long lost = world.now;
-        world.await(() -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without the giver");
+        world.await(
+                () -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without the giver");
         for (int i = 0; i < 200 && !in(world, "e"); i++) changes(world, 1, 200);
         assertTrue(in(world, "e"), "not back in");
         assertTrue(world.now - lost < 12_500, "back only " + (world.now - lost) + " ms after the loss of its giver");
@@ -148,7 +159,9 @@
         world.padding = "p".repeat(MB / 4);
         takes(world, world.nodes.get("b"), 2000, "256 kB at 4 Mbit/s");
         world.until(world.now + 1000);
-        assertTrue(world.link("a", "c").bytes - before < MB / 4 + 16_000, "bytes " + (world.link("a", "c").bytes - before));
+        assertTrue(
+                world.link("a", "c").bytes - before < MB / 4 + 16_000,
+                "bytes " + (world.link("a", "c").bytes - before));
         assertTrue(in(world, "c"));
     }
 
@@ -223,7 +236,9 @@
                 for (SimNode node : world.nodes.values()) {
                     Status status = node.members.status();
                     if (!status.leading() || !status.settled()) continue;
-                    assertTrue(node.state.containsAll(world.oracle.acknowledged), node.address + " leads with old state at " + world.now);
+                    assertTrue(
+                            node.state.containsAll(world.oracle.acknowledged),
+                            node.address + " leads with old state at " + world.now);
                 }
                 if (i % 10 == 0) world.nodes.values().forEach(world.oracle::confirm);
             }
@@ -239,7 +254,7 @@
     void aMemberWithAFullDiskIsLeftOutAndComesBackWithRoom() {
         for (String full : List.of("a", "b")) {
             core("a", "b", "c");
-                world.nodes.get(full).disk.full = true;
+            world.nodes.get(full).disk.full = true;
             SimNode other = world.nodes.get("c");
             takes(world, other, 3000, "a change while the disk of " + full + " is full");
             world.await(() -> !in(world, full), 3000, full + " left out");
@@ -247,7 +262,8 @@
             world.nodes.get(full).kill(false);
             world.until(world.now + 300);
             world.nodes.get(full).start();
-            for (int i = 0; i < 30; i++) takes(world, other, 1000, "changes while " + full + " is there again, its disk still full");
+            for (int i = 0; i < 30; i++)
+                takes(world, other, 1000, "changes while " + full + " is there again, its disk still full");
             assertFalse(in(world, full));
             world.nodes.get(full).disk.full = false;
             world.await(() -> in(world, full), 3000, full + " is back");
--- a/src/test/java/brambletray/tray/view/ToleranceTest.java
+++ b/src/test/java/brambletray/tray/view/ToleranceTest.java
@@ -35,7 +35,8 @@
         for (int size = 0; size <= 5; size++) {
             for (int placed = 0; placed < 1 << 2 * size; placed++) {
                 List<Member> members = new ArrayList<>();
-                for (int i = 0; i < size; i++) members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
+                for (int i = 0; i < size; i++)
+                    members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
                 for (int all = 0; all < 64; all++) {
                     Tolerance tolerance = new Tolerance(all & 3, all >> 2 & 3, all >> 4, REGIONS);
                     boolean expected = outlasts(members, tolerance.machines(), Member::address)
@@ -54,6 +55,7 @@
         List<Member> two = List.of(new Member("a", "a", 1), new Member("b", "b", 2));
         assertTrue(Tolerance.ofMachines(1).bears(two));
         assertFalse(new Tolerance(1, 1, 0, Map.of()).bears(two));
-        assertFalse(new Tolerance(1, 0, 1, REGIONS).bears(List.of(new Member("a", "a", 1, "x"), new Member("b", "b", 2, "y"))));
+        assertFalse(new Tolerance(1, 0, 1, REGIONS)
+                .bears(List.of(new Member("a", "a", 1, "x"), new Member("b", "b", 2, "y"))));
     }
 }
--- a/src/test/java/brambletray/tray/view/Weather.java
+++ b/src/test/java/brambletray/tray/view/Weather.java
@@ -12,7 +12,7 @@
     private final int machines;
     private int replaced;
     /** What else may happen to a process at times. */
-    public java.util.function.Consumer<SimNode> prank = node -> { };
+    public java.util.function.Consumer<SimNode> prank = node -> {};
 
     public Weather(long seed, boolean talks) {
         random = new Random(seed);
@@ -79,7 +79,10 @@
         world.heal();
         // those that are about to end, as planned, do
         world.until(world.now + 350);
-        world.await(() -> live.stream().noneMatch(node -> node.up() && node.members.leaving()), 6000, "those that leave have left");
+        world.await(
+                () -> live.stream().noneMatch(node -> node.up() && node.members.leaving()),
+                6000,
+                "those that leave have left");
         for (SimNode node : live) {
             if (!node.up()) node.start();
         }
@@ -95,7 +98,8 @@
         for (SimNode node : live) {
             if (!node.up()) return false;
             Status status = node.members.status();
-            if (status.standing() != Standing.MEMBER || status.number() != leader.members.status().number()) return false;
+            if (status.standing() != Standing.MEMBER
+                    || status.number() != leader.members.status().number()) return false;
         }
         return leader.members.status().members().size() == live.size();
     }
--- a/src/test/java/brambletray/tray/view/WeatherTest.java
+++ b/src/test/java/brambletray/tray/view/WeatherTest.java
@@ -28,7 +28,8 @@
             played++;
             if (only != null) break;
         }
-        System.out.println("weather: " + played + " courses, " + acknowledged + " changes acknowledged, " + views + " views");
+        System.out.println(
+                "weather: " + played + " courses, " + acknowledged + " changes acknowledged, " + views + " views");
         assertTrue(acknowledged > played, "hardly anything was acknowledged");
     }
 }
--- a/src/test/java/brambletray/tray/vow/DutyPicturesTest.java
+++ b/src/test/java/brambletray/tray/vow/DutyPicturesTest.java
@@ -11,5 +11,4 @@
 @SelectPackages("brambletray.tray.vow")
 @ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.vow")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-class DutyPicturesTest {
-}
+class DutyPicturesTest {}
--- a/src/test/java/brambletray/tray/vow/DutySteps.java
+++ b/src/test/java/brambletray/tray/vow/DutySteps.java
@@ -27,7 +27,11 @@
         core.world.talks = Boolean.getBoolean("view.talks");
         core.world.riders = node -> new Ride(node, this);
         core.found();
-        core.world.await(() -> core.world.nodes.values().stream().anyMatch(node -> ride(node).vow.mayAct(core.world.now)), 2000, "a holder");
+        core.world.await(
+                () -> core.world.nodes.values().stream()
+                        .anyMatch(node -> ride(node).vow.mayAct(core.world.now)),
+                2000,
+                "a holder");
         core.world.until(core.world.now + 300);
     }
 
@@ -67,7 +71,8 @@
     public Boolean seen(SimNode node, String word) {
         if (word.startsWith("sees:")) {
             Holder holder = ride(node).vow.holder(core.world.now);
-            return word.substring(5).equals(holder == null ? "none" : holder.member().address());
+            return word.substring(5)
+                    .equals(holder == null ? "none" : holder.member().address());
         }
         return switch (word) {
             case "H" -> node.up() && ride(node).vow.mayAct(core.world.now);
--- a/src/test/java/brambletray/tray/vow/Ride.java
+++ b/src/test/java/brambletray/tray/vow/Ride.java
@@ -20,7 +20,8 @@
     Ride(SimNode node, Witness witness) {
         this.node = node;
         this.witness = witness;
-        vow = new Vow("helm", node.members.status().me(), node.disk.kept.get(Vow.key("helm")), Spans.usual(), this, now());
+        vow = new Vow(
+                "helm", node.members.status().me(), node.disk.kept.get(Vow.key("helm")), Spans.usual(), this, now());
     }
 
     private long now() {
@@ -80,6 +81,8 @@
 
     @Override
     public void tell(String event, Object... facts) {
-        if (node.world.talks) node.world.tales.add(node.world.now + " " + node.address + " " + event + " " + java.util.Arrays.toString(facts));
+        if (node.world.talks)
+            node.world.tales.add(
+                    node.world.now + " " + node.address + " " + event + " " + java.util.Arrays.toString(facts));
     }
 }
--- a/src/test/java/brambletray/tray/vow/VowWeatherTest.java
+++ b/src/test/java/brambletray/tray/vow/VowWeatherTest.java
@@ -31,7 +31,10 @@
 
         @Override
         public void act(SimNode node, long term) {
-            if (term < acted) weather.world().oracle.fail(node.address + " acts under " + term + " after " + actor.address + " under " + acted);
+            if (term < acted)
+                weather.world()
+                        .oracle
+                        .fail(node.address + " acts under " + term + " after " + actor.address + " under " + acted);
             acted = term;
             actor = node;
             actedAt = weather.world().now;
@@ -49,7 +52,12 @@
         };
         try {
             weather.play();
-            if (!weather.harsh()) weather.world().await(() -> weather.world().now - witness.actedAt < 100, 3000, "somebody acts after all is calm");
+            if (!weather.harsh())
+                weather.world()
+                        .await(
+                                () -> weather.world().now - witness.actedAt < 100,
+                                3000,
+                                "somebody acts after all is calm");
         } catch (AssertionError | RuntimeException e) {
             weather.world().tales.forEach(System.out::println);
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
--- a/src/test/java/brambletray/tray/yard/Cloud.java
+++ b/src/test/java/brambletray/tray/yard/Cloud.java
@@ -9,7 +9,11 @@
 /** The stand-in of the platform behind a network that may lose answers, or all. */
 final class Cloud {
     /** How the platform is: it answers; it does as it is told but no answer arrives; nothing arrives. */
-    enum Mood { ANSWERS, MUTE, AWAY }
+    enum Mood {
+        ANSWERS,
+        MUTE,
+        AWAY
+    }
 
     private static final long DELAY = 5, PATIENCE = 1_500;
 
--- a/src/test/java/brambletray/tray/yard/Hub.java
+++ b/src/test/java/brambletray/tray/yard/Hub.java
@@ -67,7 +67,8 @@
 
     @Override
     public void askList() {
-        scene.cloud.list(java.util.List.of(), null, (hosts, complete) -> alive(() -> yard.listed(hosts, complete, now())));
+        scene.cloud.list(
+                java.util.List.of(), null, (hosts, complete) -> alive(() -> yard.listed(hosts, complete, now())));
     }
 
     @Override
--- a/src/test/java/brambletray/tray/yard/PlatformTest.java
+++ b/src/test/java/brambletray/tray/yard/PlatformTest.java
@@ -75,7 +75,11 @@
         }
         pass(50);
         assertEquals(5, begun.size());
-        assertTrue(begun.stream().allMatch(one -> one.result() == Result.OK && one.address().endsWith(":8080")), begun.toString());
+        assertTrue(
+                begun.stream()
+                        .allMatch(one ->
+                                one.result() == Result.OK && one.address().endsWith(":8080")),
+                begun.toString());
         pass(1_500);
         List<List<Listed>> lists = new ArrayList<>();
         List<List<Worker>> workers = new ArrayList<>();
@@ -85,8 +89,9 @@
         });
         platform.workers(workers::add);
         pass(1_000);
-        assertEquals(new TreeSet<>(begun.stream().map(Begun::id).toList()),
-            new TreeSet<>(lists.get(0).stream().map(Listed::id).toList()));
+        assertEquals(
+                new TreeSet<>(begun.stream().map(Begun::id).toList()),
+                new TreeSet<>(lists.get(0).stream().map(Listed::id).toList()));
         assertEquals(List.of(new Worker("w-1", "north", 4_000, 1_500, false)), workers.get(0));
         List<Result> stopped = new ArrayList<>();
         platform.stop(begun.get(0).id(), stopped::add);
@@ -145,11 +150,16 @@
     /** A server that answers 200, {@code late} ms late, and closes a connection after so many calls without a word. */
     private void serve(InetSocketAddress address, int calls, long late) {
         far.listening(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(9_000), new Server(calls, late));
-            }
-        }).bind(address);
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(9_000),
+                                        new Server(calls, late));
+                    }
+                })
+                .bind(address);
         pass(5);
     }
 
@@ -216,7 +226,13 @@
     @Test
     void whatIsNoAnswerIsAFaultWithACode() {
         Pages pages = new Pages();
-        for (String body : List.of("", "[]", "{\"instances\":3}", "{\"instances\":[{\"instance-id\":\"i-1\"}]}", "{\"instances\":[", "null")) {
+        for (String body : List.of(
+                "",
+                "[]",
+                "{\"instances\":3}",
+                "{\"instances\":[{\"instance-id\":\"i-1\"}]}",
+                "{\"instances\":[",
+                "null")) {
             try {
                 pages.hosts(body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
                 throw new AssertionError(body);
@@ -224,6 +240,8 @@
                 assertEquals("yard.platform-answer", e.code());
             }
         }
-        assertNull(pages.hosts("{\"instances\":[],\"next-token\":null,\"more\":{\"a\":[1]}}".getBytes(java.nio.charset.StandardCharsets.UTF_8)).next());
+        assertNull(pages.hosts("{\"instances\":[],\"next-token\":null,\"more\":{\"a\":[1]}}"
+                        .getBytes(java.nio.charset.StandardCharsets.UTF_8))
+                .next());
     }
 }
--- a/src/test/java/brambletray/tray/yard/Play.java
+++ b/src/test/java/brambletray/tray/yard/Play.java
@@ -71,24 +71,44 @@
             case "fills" -> fill(words.get(1), words.get(2), now);
             case "begins" -> scene.cloud.stand.begin(service, words.get(1), words.get(2), 1, now);
             case "ebbs" -> scene.cloud.stand.drainHost(find(words.get(1)).id(), now);
-            case "slows" -> scene.cloud.stand.service(words.get(1), new brambletray.tray.stand.Kind(100, Integer.parseInt(words.get(2)), 0));
+            case "slows" ->
+                scene.cloud.stand.service(
+                        words.get(1), new brambletray.tray.stand.Kind(100, Integer.parseInt(words.get(2)), 0));
             case "ends" -> scene.cloud.stand.crashHost(find(words.get(1)).id(), now);
             case "forgets" -> scene.cloud.stand.service(words.get(1), null);
-            case "runs" -> assertEquals(Integer.parseInt(words.get(1)),
-                scene.cloud.stand.there(words.size() > 2 ? words.get(2) : service, now).size(), line);
+            case "runs" ->
+                assertEquals(
+                        Integer.parseInt(words.get(1)),
+                        scene.cloud
+                                .stand
+                                .there(words.size() > 2 ? words.get(2) : service, now)
+                                .size(),
+                        line);
             case "started" -> assertEquals(Integer.parseInt(words.get(1)), scene.cloud.stand.starts(), line);
-            case "called" -> assertTrue(scene.cloud.begins <= Integer.parseInt(words.get(2)), line + ": " + scene.cloud.begins);
-            case "refused" -> assertTrue(scene.cloud.stand.refusals() <= Integer.parseInt(words.get(2)),
-                line + ": " + scene.cloud.stand.refusals());
+            case "called" ->
+                assertTrue(scene.cloud.begins <= Integer.parseInt(words.get(2)), line + ": " + scene.cloud.begins);
+            case "refused" ->
+                assertTrue(
+                        scene.cloud.stand.refusals() <= Integer.parseInt(words.get(2)),
+                        line + ": " + scene.cloud.stand.refusals());
             default -> throw new IllegalArgumentException(line);
         }
     }
 
     /** Somebody else takes all that is free there but so many MB: which the lists show only later. */
     private void fill(String worker, String left, long now) {
-        int free = scene.cloud.stand.workers(now).stream().filter(one -> one.name().equals(worker)).findFirst().orElseThrow().freeMb();
+        int free = scene.cloud.stand.workers(now).stream()
+                .filter(one -> one.name().equals(worker))
+                .findFirst()
+                .orElseThrow()
+                .freeMb();
         scene.cloud.stand.service("other", new brambletray.tray.stand.Kind(free - Integer.parseInt(left), 100_000, 0));
-        assertEquals(Result.OK, scene.cloud.stand.begin("other", worker, "fills " + worker, 1, now).result());
+        assertEquals(
+                Result.OK,
+                scene.cloud
+                        .stand
+                        .begin("other", worker, "fills " + worker, 1, now)
+                        .result());
     }
 
     private void edge(Edge edge, List<String> words, String line) {
@@ -104,7 +124,8 @@
             case "of" -> service = words.get(1);
             case "quits" -> edge.quit(find(words.get(1)));
             case "takes" -> scene.move(service, words.get(1), edge.name);
-            case "lost" -> rest.forEach(nonce -> assertTrue(edge.gone.contains(find(nonce).id()), line));
+            case "lost" ->
+                rest.forEach(nonce -> assertTrue(edge.gone.contains(find(nonce).id()), line));
             case "heir" -> scene.inherit(words.get(1), edge.name);
             case "X" -> scene.edgeDies(edge.name);
             case "has" -> assertEquals(new TreeSet<>(rest), nonces(edge), line);
@@ -119,10 +140,20 @@
             case "none" -> assertEquals(Set.of(), nonces(edge), line);
             case "waits" -> rest.forEach(nonce -> assertTrue(edge.needs.containsKey(nonce), line));
             case "refused" -> rest.forEach(nonce -> assertNotNull(edge.turnedDown.get(nonce), line));
-            case "leaving" -> rest.forEach(nonce -> assertTrue(edge.leaving.contains(find(nonce).id()), line));
-            case "staying" -> rest.forEach(nonce -> assertTrue(!edge.leaving.contains(find(nonce).id()), line));
-            case "on" -> assertEquals(words.get(2), scene.cloud.stand.where(find(words.get(1)).id(), scene.wires.now()), line);
-            case "same" -> assertEquals(scene.cloud.stand.address(find(words.get(1)).id()), scene.cloud.stand.address(find(words.get(2)).id()), line);
+            case "leaving" ->
+                rest.forEach(
+                        nonce -> assertTrue(edge.leaving.contains(find(nonce).id()), line));
+            case "staying" ->
+                rest.forEach(
+                        nonce -> assertTrue(!edge.leaving.contains(find(nonce).id()), line));
+            case "on" ->
+                assertEquals(
+                        words.get(2), scene.cloud.stand.where(find(words.get(1)).id(), scene.wires.now()), line);
+            case "same" ->
+                assertEquals(
+                        scene.cloud.stand.address(find(words.get(1)).id()),
+                        scene.cloud.stand.address(find(words.get(2)).id()),
+                        line);
             case "unheard" -> rest.forEach(nonce -> assertNull(edge.turnedDown.get(nonce), line));
             default -> throw new IllegalArgumentException(line);
         }
--- a/src/test/java/brambletray/tray/yard/Timeline.java
+++ b/src/test/java/brambletray/tray/yard/Timeline.java
@@ -6,7 +6,7 @@
 /** A drawn timeline: a head line of names, then lines of ms and what happens, or is to be seen, in each column. */
 record Timeline(List<String> names, List<Row> rows) {
     /** {@code cells}: one a name, with what happens there, in order. */
-    record Row(long at, List<List<String>> cells, String drawn) { }
+    record Row(long at, List<List<String>> cells, String drawn) {}
 
     static Timeline read(String drawn) {
         List<String> lines = drawn.strip().lines().toList();
--- a/src/test/java/brambletray/tray/yard/Wires.java
+++ b/src/test/java/brambletray/tray/yard/Wires.java
@@ -4,9 +4,10 @@
 
 /** Virtual time: what is to happen, in order of its ms and then of its coming. */
 final class Wires {
-    private record Due(long at, long number, Runnable what) { }
+    private record Due(long at, long number, Runnable what) {}
 
-    private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final PriorityQueue<Due> dues =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private long now;
     private long number;
 
--- a/src/test/java/brambletray/tray/yard/YardChaosTest.java
+++ b/src/test/java/brambletray/tray/yard/YardChaosTest.java
@@ -44,20 +44,28 @@
                 case 2 -> scene.cloud.mood = Cloud.Mood.MUTE;
                 case 3 -> scene.cloud.mood = Cloud.Mood.AWAY;
                 case 4, 5, 6 -> scene.cloud.mood = Cloud.Mood.ANSWERS;
-                case 7 -> scene.cloud.stand.crash("w-" + random.nextInt(6), 2_000 + random.nextInt(5_000), scene.wires.now());
+                case 7 ->
+                    scene.cloud.stand.crash("w-" + random.nextInt(6), 2_000 + random.nextInt(5_000), scene.wires.now());
                 case 8 -> crashOne(scene, random);
                 case 9 -> {
                     if (step == 9 || step % 90 == 0) {
                         scene.cloud.stand.drain("w-" + random.nextInt(6), scene.wires.now());
                     }
                 }
-                case 10, 11, 12, 13 -> edge.hosts.values().stream().skip(edge.hosts.size() / 2).findFirst().ifPresent(edge::quit);
+                case 10, 11, 12, 13 ->
+                    edge.hosts.values().stream()
+                            .skip(edge.hosts.size() / 2)
+                            .findFirst()
+                            .ifPresent(edge::quit);
                 case 14 -> edge.asleep = true;
                 case 15, 16 -> edge.wake();
-                case 17, 18, 19, 20, 21, 22, 23, 24 -> edge.need(new Need(random.nextBoolean() ? "tea" : "cup", edge.name, "n-" + nonces++, 0));
-                default -> { }
+                case 17, 18, 19, 20, 21, 22, 23, 24 ->
+                    edge.need(new Need(random.nextBoolean() ? "tea" : "cup", edge.name, "n-" + nonces++, 0));
+                default -> {}
             }
-            scene.edges.values().forEach(one -> one.hosts.values().forEach(host -> born.putIfAbsent(host.id(), scene.wires.now())));
+            scene.edges
+                    .values()
+                    .forEach(one -> one.hosts.values().forEach(host -> born.putIfAbsent(host.id(), scene.wires.now())));
         }
         calm(scene, seed);
     }
--- a/src/test/java/brambletray/tray/yard/YardFeaturesTest.java
+++ b/src/test/java/brambletray/tray/yard/YardFeaturesTest.java
@@ -11,4 +11,4 @@
 @SelectPackages("brambletray.tray.yard")
 @ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.yard")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-public class YardFeaturesTest { }
+public class YardFeaturesTest {}
--- a/src/test/java/brambletray/tray/yard/YardTest.java
+++ b/src/test/java/brambletray/tray/yard/YardTest.java
@@ -28,10 +28,10 @@
         }
 
         @Override
-        public void askList() { }
+        public void askList() {}
 
         @Override
-        public void askWorkers() { }
+        public void askWorkers() {}
     };
     private final Yard yard = new Yard(new Terms(Map.of(), 800, 20, 50), hands, (service, seat) -> "edge-" + seat, 0);
 
@@ -74,6 +74,8 @@
         for (int i = 0; i < 3_000; i++) {
             yard.need("edge-north", new Need("tea", "north", "n-" + i, 0), 10);
         }
-        assertTrue(done.size() >= 900 && done.stream().allMatch(one -> one.contains("NoRoom")), done.size() + " turned down");
+        assertTrue(
+                done.size() >= 900 && done.stream().allMatch(one -> one.contains("NoRoom")),
+                done.size() + " turned down");
     }
 }
