flow: an answer is not cut while a slow client still takes it

Cause: a client's connection counted as at rest as soon as its answer was handed to the connection, not once the bytes were out. So a client that took longer than 1 s for an answer that closes its connection (each answer of a draining edge) was cut; one that was still reading when the edge stopped accepting, or made room for another connection, was cut at once; and the idle time ran while the client read. Change: Client counts the idle and the closing time from the answer's last byte; an edge that stops accepting closes such a connection after its answer. A client that takes nothing is given up after 15 s, so held bytes stay bounded.

--- a/src/main/java/brambletray/tray/flow/AnswerWriter.java
+++ b/src/main/java/brambletray/tray/flow/AnswerWriter.java
@@ -13,6 +13,8 @@
 
     private final Channel channel;
     private boolean chunked;
+    /** Of the newest bytes: done once they and all before them are out. */
+    private ChannelFuture newest;
 
     AnswerWriter(Channel channel) {
         this.channel = channel;
@@ -21,14 +23,14 @@
     /** A host's whole answer. */
     void answer(Answer answer, boolean close) {
         chunked = false;
-        channel.write(Heads.answer(channel.alloc(), answer, true, close));
+        newest = channel.write(Heads.answer(channel.alloc(), answer, true, close));
         body(answer);
     }
 
     /** The head of a host's answer and what has come of its body. */
     void flow(Answer answer, boolean close) {
         chunked = answer.length < 0;
-        channel.write(Heads.answer(channel.alloc(), answer, false, close));
+        newest = channel.write(Heads.answer(channel.alloc(), answer, false, close));
         body(answer);
     }
 
@@ -45,9 +47,11 @@
     }
 
     private ChannelFuture piece(ByteBuf bytes) {
-        if (!chunked) {
-            return channel.write(bytes);
-        }
+        newest = chunked ? chunk(bytes) : channel.write(bytes);
+        return newest;
+    }
+
+    private ChannelFuture chunk(ByteBuf bytes) {
         ByteBuf size = channel.alloc().buffer(10);
         size.writeCharSequence(Integer.toHexString(bytes.readableBytes()), StandardCharsets.US_ASCII);
         channel.write(size.writeByte('\r').writeByte('\n'));
@@ -64,12 +68,13 @@
 
     void flowed() {
         if (chunked) {
-            channel.writeAndFlush(channel.alloc().buffer(LAST_CHUNK.length).writeBytes(LAST_CHUNK));
+            newest = channel.writeAndFlush(
+                    channel.alloc().buffer(LAST_CHUNK.length).writeBytes(LAST_CHUNK));
         }
     }
 
     void own(int status, String code, int comeBackMs, CharSequence id, boolean bare, boolean close) {
-        channel.writeAndFlush(
+        newest = channel.writeAndFlush(
                 Heads.own(channel.alloc(), status, Rejection.reason(status), code, comeBackMs, id, bare, close));
     }
 
@@ -77,6 +82,18 @@
         channel.writeAndFlush(Heads.proceed(channel.alloc()));
     }
 
+    /** Whether bytes wait here because the client does not take them yet. */
+    boolean isWriting() {
+        return newest != null && !newest.isDone();
+    }
+
+    /** Runs {@code then} once all that has been written so far is out, or can't go out any more. */
+    void whenWritten(Runnable then) {
+        if (isWriting()) {
+            newest.addListener(done -> then.run());
+        }
+    }
+
     /** Nothing more will be written; to close at once could reset the connection, and the last answer be lost with it. */
     void last() {
         ChannelFuture written = channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER);
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -18,6 +18,8 @@
 final class Client extends ChannelInboundHandlerAdapter {
     /** ms; after the last answer: what still comes is thrown away, lest a reset takes the answer with it. */
     private static final int LINGER_MS = 1_000;
+    /** ms; a client that has not taken its whole answer by then is given up. */
+    private static final int WRITING_MOST_MS = 15_000;
 
     private enum State {
         IDLE,
@@ -173,6 +175,7 @@
 
     private void answered() {
         carriage = null;
+        pen.whenWritten(this::written);
         if (close) {
             last();
             return;
@@ -191,6 +194,13 @@
         }
     }
 
+    /** The client has taken its answer: its rest begins now. */
+    private void written() {
+        if (state == State.IDLE || state == State.LAST) {
+            since = front.now();
+        }
+    }
+
     private void last() {
         enter(State.LAST);
         drop();
@@ -213,10 +223,10 @@
     void look(long now) {
         long spent = now - since;
         switch (state) {
-            case IDLE -> closeIf(spent >= limits.idleMs());
+            case IDLE -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : limits.idleMs()));
             case HEAD -> late(spent >= limits.headerMs());
             case BODY -> late(spent >= limits.idleMs());
-            case LAST -> closeIf(spent >= LINGER_MS);
+            case LAST -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : LINGER_MS));
             default -> {}
         }
     }
@@ -233,8 +243,18 @@
         }
     }
 
+    /** Nothing has begun on it, and nothing is owed on it. */
     boolean idle() {
-        return state == State.IDLE && ahead.isEmpty();
+        return state == State.IDLE && ahead.isEmpty() && !pen.isWriting();
+    }
+
+    /** The edge leaves: closes the connection unless a request has begun on it; an answer under way goes out first. */
+    void leave() {
+        if (idle()) {
+            channel.close();
+        } else if (state == State.IDLE && ahead.isEmpty()) {
+            last();
+        }
     }
 
     void closeNow() {
--- a/src/main/java/brambletray/tray/flow/Front.java
+++ b/src/main/java/brambletray/tray/flow/Front.java
@@ -69,16 +69,14 @@
         draining = true;
     }
 
-    /** Takes no new connections, and closes those on which no request has begun. */
+    /** Takes no new connections, and closes those on which no request has begun, once the answer before is out. */
     public void stopAccepting() {
         draining = true;
         if (listener != null) {
             Machine.close(listener);
         }
         for (Client client : List.copyOf(clients)) {
-            if (client.idle()) {
-                client.closeNow();
-            }
+            client.leave();
         }
     }
 
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -18,7 +18,7 @@
 
 /** A host of a drawn timeline, byte by byte: it answers as it is told. */
 final class Server extends Actor {
-    private static final int LARGE = 700_000;
+    private static final int LARGE = 700_000, MEDIUM = 100_000;
 
     private final String name;
     private final Machine machine;
@@ -118,6 +118,7 @@
         String body = name + ":" + id;
         switch (words[0]) {
             case "answers" -> whole(id, id, "200 OK", "Brambletray-Response-Seal: s\r\n", body);
+            case "answers-at-length" -> whole(id, id, "200 OK", "Brambletray-Response-Seal: s\r\n", "x".repeat(MEDIUM));
             case "echoes" -> whole(words[3], id, "200 OK", "Brambletray-Response-Seal: s\r\n", body);
             case "fails" -> whole(id, id, "500 Internal Server Error", "", body);
             case "expires" -> whole(id, id, "504 Gateway Timeout", "", body);
