flow: a leaving edge answers what still waits before its process ends

Cause: 300 ms before the end of the grace time the process ended whatever was under way; a request that had been read whole and still waited for a host, or was at a silent one, ended with a closed connection. Change: GracefulShutdown holds the order of leaving, which stood in the program of the edge: drain, stop accepting at 5/12 of the grace time, end once nothing is under way. New: 600 ms before its end each request that waits is answered (503 if it provably never ran, else 502), and requests read after that are refused at once; answers that have begun go on. It begins before the edge tells others, so a fault there can't stop it, and it ends the process once.

--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -8,6 +8,7 @@
 import brambletray.tray.creed.CreedFault;
 import brambletray.tray.flow.Flow;
 import brambletray.tray.flow.Front;
+import brambletray.tray.flow.GracefulShutdown;
 import brambletray.tray.flow.Lines;
 import brambletray.tray.flow.Readiness;
 import brambletray.tray.flow.Tally;
@@ -65,6 +66,7 @@
     private final Lines lines;
     private final Flow flow;
     private final Front front;
+    private final GracefulShutdown shutdown;
     private final Steward steward;
     private final Hall hall;
     private final Mesh mesh;
@@ -117,6 +119,7 @@
                 Math.min(48L << 20, (long) berth.limits().memoryMb() << 17),
                 life);
         front = new Front(machine, flow, CLIENTS);
+        shutdown = new GracefulShutdown(machine, flow, front, exit);
         mesh = new Mesh(machine, speech, inner, iam, new Peers());
         tether = new Tether(machine, speech, iam, members(berth), (int) life, new HubEar());
         watch = new Watch(self, BEAT, new WatchHands());
@@ -222,7 +225,7 @@
         }
     }
 
-    private void reread() {
+    void reread() {
         try {
             tether.members(members(berth.reread()));
             TALE.tell("settings read again");
@@ -232,27 +235,17 @@
     }
 
     /** Says so first, serves on until clients have been sent elsewhere, then ends with nothing under way. */
-    private void leave() {
+    void leave() {
         if (leaving) {
             return;
         }
         leaving = true;
+        long grace = (long) (berth.bounds().graceS() * 1_000);
+        TALE.tell("leaving", "grace-ms", grace, "in-flight", flow.inFlight());
+        shutdown.begin(grace);
         self = self.leaving();
         watch.self(self, creed.revision());
         tether.say(new Hello(self, roster.term(), roster.number(), creed.revision(), tether.term()));
-        front.drain();
-        long grace = (long) (berth.bounds().graceS() * 1_000);
-        TALE.tell("leaving", "grace-ms", grace, "in-flight", flow.inFlight());
-        machine.loop().schedule(front::stopAccepting, grace * 5 / 12, TimeUnit.MILLISECONDS);
-        machine.loop().scheduleWithFixedDelay(() -> end(false), grace * 5 / 12 + 100, 50, TimeUnit.MILLISECONDS);
-        machine.loop().schedule(() -> end(true), grace - 300, TimeUnit.MILLISECONDS);
-    }
-
-    private void end(boolean late) {
-        if (late || flow.underWay() == 0 && front.connections() == 0) {
-            TALE.tell("ended", "in-flight", flow.inFlight());
-            exit.accept(0);
-        }
     }
 
     // ---- News -----------------------------------------------------------------------------------
--- a/src/main/java/brambletray/tray/flow/Carriage.java
+++ b/src/main/java/brambletray/tray/flow/Carriage.java
@@ -57,6 +57,12 @@
         }
     }
 
+    /** The process ends: the client is answered now unless its answer has begun. */
+    void giveUp() {
+        trip.giveUp(flow.now());
+        settle();
+    }
+
     /** The client can take more of an answer. */
     void roomAgain() {
         if (flowing != null) {
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -248,6 +248,13 @@
         return state == State.IDLE && ahead.isEmpty() && !pen.isWriting();
     }
 
+    /** The process ends: the request that is at work is answered now. */
+    void giveUp() {
+        if (carriage != null) {
+            carriage.giveUp();
+        }
+    }
+
     /** The edge leaves: closes the connection unless a request has begun on it; an answer under way goes out first. */
     void leave() {
         if (idle()) {
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -38,6 +38,8 @@
     private final Map<String, Pace> paces = new HashMap<>();
     private long asks;
     private int waiting, trips;
+    /** The process is about to end: each new request is refused. */
+    private boolean refusing;
 
     /**
      * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls
@@ -96,6 +98,11 @@
         return hold;
     }
 
+    /** From now on each new request is refused: nothing is left of the time in which it could be served. */
+    void refuseNew() {
+        refusing = true;
+    }
+
     /** A request that could not be read. */
     void turnedAway(int status) {
         tally.wrong += status == 503 ? 0 : 1;
@@ -125,9 +132,9 @@
             own(client, parcel, 404, "flow.no-route", -1, id);
             return;
         }
-        if (trips >= TRIPS_MOST) {
+        if (refusing || trips >= TRIPS_MOST) {
             tally.refused++;
-            own(client, parcel, 503, "flow.full", COME_BACK_MS, id);
+            own(client, parcel, 503, refusing ? "flow.ending" : "flow.full", COME_BACK_MS, id);
             return;
         }
         String service = route.pick(shares.nextDouble());
--- a/src/main/java/brambletray/tray/flow/Front.java
+++ b/src/main/java/brambletray/tray/flow/Front.java
@@ -65,12 +65,12 @@
     }
 
     /** From now on each answer ends its connection; new ones are still taken. */
-    public void drain() {
+    void drain() {
         draining = true;
     }
 
     /** Takes no new connections, and closes those on which no request has begun, once the answer before is out. */
-    public void stopAccepting() {
+    void stopAccepting() {
         draining = true;
         if (listener != null) {
             Machine.close(listener);
@@ -80,6 +80,14 @@
         }
     }
 
+    /** Answers each request that still waits, and from now on each new one at once: the process is about to end. */
+    void giveUp() {
+        flow.refuseNew();
+        for (Client client : List.copyOf(clients)) {
+            client.giveUp();
+        }
+    }
+
     /** Connections of clients now. */
     public int connections() {
         return clients.size();
--- /dev/null
+++ b/src/main/java/brambletray/tray/flow/GracefulShutdown.java
@@ -0,0 +1,73 @@
+package brambletray.tray.flow;
+
+import brambletray.runtime.Machine;
+import brambletray.tray.tale.Tale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+
+/**
+ * Ends an edge's service of requests within the grace time that a process has after SIGTERM.
+ *
+ * <p>New connections are taken until clients have been sent elsewhere. What has been read is served on. The process ends once no request is
+ * under way and no client is connected. Shortly before the grace time is over, each request that still waits is answered by the edge, so that
+ * no client that sent a whole request is left without an answer. For the loop only.
+ */
+public final class GracefulShutdown {
+    private static final Tale TALE = Tale.of("flow");
+    /** The part of the grace time in which new connections are still taken, in twelfths. */
+    private static final int ACCEPTING_TWELFTHS = 5;
+    /** ms before the end of the grace time: what still waits is answered then. */
+    private static final int ANSWER_MARGIN_MS = 600;
+    /** ms before the end of the grace time: the process has ended by itself then. */
+    private static final int EXIT_MARGIN_MS = 300;
+    /** ms after the last connection was taken until the process may end; between looks whether it can. */
+    private static final int FIRST_LOOK_MS = 100, LOOK_MS = 50;
+
+    private final Machine machine;
+    private final Flow flow;
+    private final Front front;
+    private final IntConsumer exit;
+    private boolean begun, ended;
+
+    /** {@code exit}: ends the process with this code. */
+    public GracefulShutdown(Machine machine, Flow flow, Front front, IntConsumer exit) {
+        this.machine = machine;
+        this.flow = flow;
+        this.front = front;
+        this.exit = exit;
+    }
+
+    /** Begins; a second call changes nothing. {@code graceMs}: from the signal to SIGKILL. */
+    public void begin(long graceMs) {
+        if (begun) {
+            return;
+        }
+        begun = true;
+        front.drain();
+        long acceptingMs = graceMs * ACCEPTING_TWELFTHS / 12;
+        after(acceptingMs, front::stopAccepting);
+        after(graceMs - ANSWER_MARGIN_MS, front::giveUp);
+        after(graceMs - EXIT_MARGIN_MS, this::end);
+        machine.loop()
+                .scheduleWithFixedDelay(this::endIfDone, acceptingMs + FIRST_LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void after(long ms, Runnable then) {
+        machine.loop().schedule(then, Math.max(0, ms), TimeUnit.MILLISECONDS);
+    }
+
+    private void endIfDone() {
+        if (flow.underWay() == 0 && front.connections() == 0) {
+            end();
+        }
+    }
+
+    private void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        TALE.tell("ended", "in-flight", flow.inFlight());
+        exit.accept(0);
+    }
+}
--- a/src/main/java/brambletray/tray/flow/Trip.java
+++ b/src/main/java/brambletray/tray/flow/Trip.java
@@ -285,6 +285,13 @@
         conclude(now);
     }
 
+    /** No time is left, though the request's own is not over: the client is answered now unless its answer has begun. */
+    void giveUp(long now) {
+        if (!settled) {
+            timeUp(now);
+        }
+    }
+
     /** The client has gone: what no host has is dropped, the rest is left to finish (breaking off is priced). */
     void gone(long now) {
         if (!settled) {
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 /** An edge's front in simulated time, on a simulated network: the production classes between scripted clients, broker and hosts. */
 final class Street {
@@ -117,6 +118,11 @@
         }
     }
 
+    /** The orderly end of the edge's process. */
+    GracefulShutdown shutdown(IntConsumer exit) {
+        return new GracefulShutdown(edge, flow, front, exit);
+    }
+
     void until(long ms) {
         simulation.runUntil(TimeUnit.MILLISECONDS.toNanos(ms));
     }
