flow: a request that was read ahead keeps its time and is served by a leaving edge

Cause: the time of a request that a client sends behind another began when its turn came, not when it was read: it could be held for its route's timeout once more. And a draining edge closed the connection after the next answer, with requests dropped that it had read. Change: Client keeps with each part read ahead when it was read; an answer of a draining edge closes the connection only if nothing more has been read there.

--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -29,10 +29,15 @@
         LAST
     }
 
+    /** A part of a request, and when it was read, ms of the steady clock. */
+    private record Ahead(Object part, long at) {}
+
     private final Front front;
     private final Limits limits;
     private final RequestReader draft;
-    private final ArrayDeque<Object> ahead = new ArrayDeque<>(0);
+    /** What was read while the request before it is at work. */
+    private final ArrayDeque<Ahead> ahead = new ArrayDeque<>(0);
+
     private Channel channel;
     private AnswerWriter pen;
     private String ip;
@@ -75,21 +80,21 @@
             ReferenceCountUtil.release(part);
         } else if (state == State.BUSY || !ahead.isEmpty()) {
             // One request at a time: the next ones wait, and no more is read meanwhile.
-            ahead.add(part);
+            ahead.add(new Ahead(part, front.now()));
             channel.config().setAutoRead(false);
         } else {
-            take(part);
+            take(part, front.now());
         }
     }
 
-    private void take(Object part) {
+    private void take(Object part, long at) {
         try {
             Rejection turn =
                     part instanceof HttpObject object && object.decoderResult().isFailure()
                             ? Rejection.of(object.decoderResult().cause())
                             : null;
             if (turn == null && part instanceof HttpRequest request) {
-                turn = began(request);
+                turn = began(request, at);
             }
             if (turn == null && part instanceof HttpContent content) {
                 turn = came(content);
@@ -102,10 +107,10 @@
         }
     }
 
-    private Rejection began(HttpRequest request) {
+    private Rejection began(HttpRequest request, long at) {
         enter(State.BODY);
-        close = front.draining() || !HttpUtil.isKeepAlive(request);
-        Rejection turn = draft.head(request, since);
+        close = !HttpUtil.isKeepAlive(request);
+        Rejection turn = draft.head(request, at);
         if (turn == null && HttpUtil.is100ContinueExpected(request)) {
             pen.proceed();
         }
@@ -137,16 +142,21 @@
         return ip;
     }
 
+    /** The edge leaves, and no request waits here that has been read already. */
+    private boolean isLast() {
+        return front.draining() && ahead.isEmpty();
+    }
+
     /** A host's whole answer. */
     void answer(Answer answer) {
-        close |= front.draining();
+        close |= isLast();
         pen.answer(answer, close);
         answered();
     }
 
     /** The head of a host's answer and what has come of its body; the rest follows by {@link #more}. */
     void flow(Answer answer) {
-        close |= front.draining();
+        close |= isLast();
         pen.flow(answer, close);
     }
 
@@ -163,7 +173,7 @@
 
     /** An answer of ours. */
     void own(int status, String code, int comeBackMs, CharSequence id, boolean bare) {
-        close |= front.draining();
+        close |= isLast();
         pen.own(status, code, comeBackMs, id, bare, close);
         answered();
     }
@@ -185,7 +195,8 @@
             catchingUp = true;
             while (!ahead.isEmpty() && state != State.BUSY && state != State.LAST) {
                 bytes();
-                take(ahead.poll());
+                Ahead next = ahead.poll();
+                take(next.part(), next.at());
             }
             catchingUp = false;
         }
@@ -275,7 +286,7 @@
 
     private void drop() {
         draft.drop();
-        ahead.forEach(ReferenceCountUtil::release);
+        ahead.forEach(next -> ReferenceCountUtil.release(next.part()));
         ahead.clear();
     }
 
