flow: a request whose body stops is answered at its route's timeout

Cause: until a body was whole, only the idle time of the connection (15 s as configured) ended a request; it could be held long past its route's timeout without an answer. Change: Client sets a timer when a body does not come whole with its head, for the time at which the request is over (route's timeout or the client's deadline), and answers 408 then: it has not run.

--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -11,8 +11,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /** One connection of a client: puts one request at a time together, and writes its one answer before it looks at the next. */
 final class Client extends ChannelInboundHandlerAdapter {
@@ -45,6 +47,9 @@
     /** When the state began, ms. */
     private long since;
 
+    /** Answers a request of whose body not all came with its head, once its time is over. */
+    private Future<?> overdue;
+
     private Carriage carriage;
     private boolean close, catchingUp;
 
@@ -127,6 +132,34 @@
         return turn;
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        watchBody();
+    }
+
+    private void watchBody() {
+        if (state != State.BODY || overdue != null) {
+            return;
+        }
+        long end = draft.end(front.flow());
+        if (end != Long.MAX_VALUE) {
+            overdue =
+                    channel.eventLoop().schedule(this::overdue, Math.max(0, end - front.now()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void overdue() {
+        overdue = null;
+        late(state == State.BODY);
+    }
+
+    private void stopWatchingBody() {
+        if (overdue != null) {
+            overdue.cancel(false);
+            overdue = null;
+        }
+    }
+
     /** Who brings the answer to the request that was read last. */
     void carried(Carriage by) {
         carriage = by;
@@ -203,6 +236,7 @@
         if (ahead.isEmpty() && state != State.LAST) {
             channel.config().setAutoRead(true);
         }
+        watchBody();
     }
 
     /** The client has taken its answer: its rest begins now. */
@@ -280,6 +314,7 @@
     }
 
     private void enter(State next) {
+        stopWatchingBody();
         state = next;
         since = front.now();
     }
@@ -300,7 +335,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         front.went(this);
-        state = State.LAST;
+        enter(State.LAST);
         drop();
         Carriage left = carriage;
         carriage = null;
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -139,8 +139,6 @@
         }
         String service = route.pick(shares.nextDouble());
         Service known = now.services().get(service);
-        long end =
-                parcel.at() + Math.min(remaining(headers.get(Parcel.REMAINING), route.timeoutMs()), route.timeoutMs());
         Plan plan = new Plan(
                 service,
                 route.repeatable(),
@@ -148,7 +146,7 @@
                 route.priority(),
                 route.targetMs(),
                 isHost.test(client.ip()),
-                end);
+                end(headers, route, parcel.at()));
         Carriage carriage = new Carriage(
                 this, client, parcel, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
         trips++;
@@ -165,6 +163,17 @@
         client.own(status, code, comeBackMs, id, bare);
     }
 
+    /** When the time of a request with this head is over, ms; {@link Long#MAX_VALUE} where it has no route. */
+    long end(HttpHeaders headers, String uri, long at) {
+        Route route = creed.get().match(headers.get(HttpHeaderNames.HOST), Parcel.path(uri));
+        return route == null ? Long.MAX_VALUE : end(headers, route, at);
+    }
+
+    private static long end(HttpHeaders headers, Route route, long at) {
+        int untold = route.timeoutMs();
+        return at + Math.min(remaining(headers.get(Parcel.REMAINING), untold), untold);
+    }
+
     /** ms; what is not a number counts as untold. */
     private static long remaining(String told, int untold) {
         if (told == null || told.isEmpty() || told.length() > 9) {
--- a/src/main/java/brambletray/tray/flow/RequestReader.java
+++ b/src/main/java/brambletray/tray/flow/RequestReader.java
@@ -32,6 +32,11 @@
         return Rejection.of(request, limits);
     }
 
+    /** When the time of the request that is being read is over, ms of the steady clock. */
+    long end(Flow flow) {
+        return head == null ? Long.MAX_VALUE : flow.end(head.headers(), head.uri(), at);
+    }
+
     boolean bare() {
         return head != null && head.method().equals(HttpMethod.HEAD);
     }
