flow: limits in force when a request begins hold for it, on open connections too

Cause: a client's connection kept the limits of the moment at which it was opened. After a configuration that raises max-body-bytes a request on an open connection was still turned away by the older one, and an idle time once set stayed for the life of the connection. Change: Client takes the limits when a request begins, and keeps them for that request; a connection at rest is kept for the longer of the time known then and the newest. Not changed: max-header-bytes, which the decoder of a connection takes once.

--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -35,7 +35,9 @@
     private record Ahead(Object part, long at) {}
 
     private final Front front;
-    private final Limits limits;
+    /** Those in force when the newest request began: a change amid a request does not end it. */
+    private Limits limits;
+
     private final RequestReader draft;
     /** What was read while the request before it is at work. */
     private final ArrayDeque<Ahead> ahead = new ArrayDeque<>(0);
@@ -56,7 +58,7 @@
     Client(Front front, Limits limits) {
         this.front = front;
         this.limits = limits;
-        this.draft = new RequestReader(front.hold(), limits);
+        this.draft = new RequestReader(front.hold());
         this.since = front.now();
     }
 
@@ -75,6 +77,7 @@
     /** Bytes are here, of whatever. */
     void bytes() {
         if (state == State.IDLE) {
+            limits = front.flow().limits();
             enter(State.HEAD);
         }
     }
@@ -115,7 +118,7 @@
     private Rejection began(HttpRequest request, long at) {
         enter(State.BODY);
         close = !HttpUtil.isKeepAlive(request);
-        Rejection turn = draft.head(request, at);
+        Rejection turn = draft.head(request, at, limits);
         if (turn == null && HttpUtil.is100ContinueExpected(request)) {
             pen.proceed();
         }
@@ -268,7 +271,7 @@
     void look(long now) {
         long spent = now - since;
         switch (state) {
-            case IDLE -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : limits.idleMs()));
+            case IDLE -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : idleMs()));
             case HEAD -> late(spent >= limits.headerMs());
             case BODY -> late(spent >= limits.idleMs());
             case LAST -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : LINGER_MS));
@@ -276,6 +279,11 @@
         }
     }
 
+    /** A client knows the limits of when its last request began, or newer ones: the longer time is kept. */
+    private int idleMs() {
+        return Math.max(limits.idleMs(), front.flow().limits().idleMs());
+    }
+
     private void closeIf(boolean due) {
         if (due) {
             channel.close();
--- a/src/main/java/brambletray/tray/flow/RequestReader.java
+++ b/src/main/java/brambletray/tray/flow/RequestReader.java
@@ -14,20 +14,22 @@
 /** The request that is being read on one connection: its head, and its body as far as it has come. */
 final class RequestReader {
     private final MemoryBudget hold;
-    private final Limits limits;
+    /** Those in force when the request began. */
+    private Limits limits;
+
     private final List<ByteBuf> parts = new ArrayList<>(1);
     private HttpRequest head;
     private long at;
     private int size;
 
-    RequestReader(MemoryBudget hold, Limits limits) {
+    RequestReader(MemoryBudget hold) {
         this.hold = hold;
-        this.limits = limits;
     }
 
     /** Null: go on; else why it is turned away. */
-    Rejection head(HttpRequest request, long now) {
+    Rejection head(HttpRequest request, long now, Limits inForce) {
         head = request;
+        limits = inForce;
         at = now;
         return Rejection.of(request, limits);
     }
--- /dev/null
+++ b/src/test/java/brambletray/tray/flow/ConfigurationChangeTest.java
@@ -0,0 +1,125 @@
+package brambletray.tray.flow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import brambletray.tray.creed.Limits;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A request that an edge has begun to read gets a whole answer, whatever configuration comes meanwhile. */
+class ConfigurationChangeTest {
+    private static final Limits USUAL = new Limits(2_048, 10_000, 3_000, 15_000);
+    private static final Limits LOWER = new Limits(1_024, 4, 1_000, 2_000);
+
+    private final Street street = new Street();
+    private Caller client;
+    private Server host;
+
+    @BeforeEach
+    void open() {
+        street.route("r", "non_idempotent", 1, USUAL);
+        client = (Caller) street.actor("client");
+        host = (Server) street.actor("a");
+    }
+
+    private void does(Actor actor, long ms, String what) {
+        street.until(ms);
+        actor.act(what.split(" "));
+        street.settle();
+    }
+
+    private List<String> seenUntil(long ms) {
+        street.until(ms);
+        return client.look();
+    }
+
+    private void withdrawTheRoute() {
+        street.route("other", "non_idempotent", 1, USUAL);
+    }
+
+    private void beginsToPost() {
+        client.say(
+                "POST /r/x HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nhe");
+        street.settle();
+    }
+
+    @Test
+    void limitsAreLoweredWhileABodyIsRead() {
+        does(street.places, 0, "grants a");
+        beginsToPost();
+        street.route("r", "non_idempotent", 1, LOWER);
+        street.until(2_500);
+        client.say("llo");
+        does(host, 2_600, "answers r1");
+        assertEquals(List.of("200 a:r1"), seenUntil(2_700));
+        street.atRest();
+    }
+
+    @Test
+    void aConnectionThatRestedUnderTheOldLimitsIsStillTaken() {
+        does(street.places, 0, "grants a");
+        does(street.places, 0, "grants a");
+        does(client, 0, "asks r1");
+        does(host, 10, "answers r1");
+        street.until(100);
+        street.route("r", "non_idempotent", 1, LOWER);
+        does(client, 11_900, "asks r2");
+        does(host, 12_000, "answers r2");
+        assertEquals(List.of("200 a:r1", "200 a:r2"), seenUntil(12_100));
+    }
+
+    @Test
+    void raisedLimitsHoldOnConnectionsThatAreOpenAlready() {
+        street.route("r", "non_idempotent", 1, LOWER);
+        does(street.places, 0, "grants a");
+        does(street.places, 0, "grants a");
+        does(client, 0, "asks r1");
+        does(host, 10, "answers r1");
+        street.until(100);
+        street.route("r", "non_idempotent", 1, USUAL);
+        does(client, 5_000, "posts r2");
+        does(host, 5_010, "answers r2");
+        assertEquals(List.of("200 a:r1", "200 a:r2"), seenUntil(5_100));
+    }
+
+    @Test
+    void theRouteIsWithdrawnWhileARequestIsRead() {
+        beginsToPost();
+        withdrawTheRoute();
+        client.say("llo");
+        assertEquals(List.of("404"), seenUntil(100));
+        street.atRest();
+    }
+
+    @Test
+    void theRouteIsWithdrawnWhileARequestWaits() {
+        does(client, 0, "posts r1");
+        withdrawTheRoute();
+        does(street.places, 100, "grants a");
+        does(host, 200, "answers r1");
+        assertEquals(List.of("200 a:r1"), seenUntil(300));
+        street.atRest();
+    }
+
+    @Test
+    void theRouteIsWithdrawnWhileAHostIsAtWork() {
+        does(street.places, 0, "grants a");
+        does(client, 0, "posts r1");
+        withdrawTheRoute();
+        does(host, 3_900, "answers r1");
+        assertEquals(List.of("200 a:r1"), seenUntil(3_950));
+        street.atRest();
+    }
+
+    @Test
+    void theRouteIsWithdrawnWhileAnAnswerIsStreamed() {
+        does(street.places, 0, "grants a");
+        does(client, 0, "asks r1");
+        does(host, 100, "pours r1");
+        withdrawTheRoute();
+        does(host, 3_000, "ends r1");
+        assertEquals(List.of("200 1400000"), seenUntil(3_500));
+        street.atRest();
+    }
+}
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -6,6 +6,7 @@
 import brambletray.simulation.Simulation;
 import brambletray.tray.berth.Address;
 import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.Limits;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -52,15 +53,22 @@
     }
 
     void route(String type, int hosts) {
-        creed = Creed.read(
-                ("{\"revision\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path-prefix\":\"/r/\",\"route-type\":\""
-                                + type
-                                + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":"
-                                + hosts
-                                + "}],\"services\":[{\"name\":\"s\",\"health-path\":null,\"max-connections\":8,\"protocol\":\"h1\",\"tls-mode\":false,\"memory-mb\":128,"
-                                + "\"boot-ms\":500,\"max-concurrency\":4}],\"limits\":{\"max-header-bytes\":2048,\"max-body-bytes\":10000,\"header-timeout-ms\":3000,"
-                                + "\"idle-timeout-ms\":15000}}")
-                        .getBytes(StandardCharsets.UTF_8));
+        route("r", type, hosts, new Limits(2_048, 10_000, 3_000, 15_000));
+    }
+
+    /** The only route there is: of this name, and for the paths below it. */
+    void route(String name, String type, int hosts, Limits limits) {
+        creed = Creed.read(("{\"revision\":1,\"routes\":[{\"name\":\""
+                        + name + "\",\"host\":\"h.example\",\"path-prefix\":\"/" + name + "/\",\"route-type\":\""
+                        + type
+                        + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":"
+                        + hosts
+                        + "}],\"services\":[{\"name\":\"s\",\"health-path\":null,\"max-connections\":8,\"protocol\":\"h1\",\"tls-mode\":false,\"memory-mb\":128,"
+                        + "\"boot-ms\":500,\"max-concurrency\":4}],\"limits\":{\"max-header-bytes\":"
+                        + limits.headerBytes()
+                        + ",\"max-body-bytes\":" + limits.bodyBytes() + ",\"header-timeout-ms\":"
+                        + limits.headerMs() + ",\"idle-timeout-ms\":" + limits.idleMs() + "}}")
+                .getBytes(StandardCharsets.UTF_8));
     }
 
     private Machine machine(String ip) {
