flow: a status beyond 599 is no answer; the walk judges sealed failures and retry counts

Cause: an answer of a host with a status that HTTP does not have was passed on as a failure; of one with four digits a client reads three, and takes the rest of the answer for something else. Change: Verdict counts it as no answer. The walk's hosts seal failures, refusals and 1xx, and send such statuses; routes have retry-count 0 to 3. Ruling holds that a failure under a seal is, by status and body, one that a host gave to this try (MIXED), and that a try comes to hosts no more often than its own route allows, and runs on no more of them (BUDGET; before, 3 for all routes). Seven planted faults more.

--- a/src/main/java/brambletray/tray/flow/Verdict.java
+++ b/src/main/java/brambletray/tray/flow/Verdict.java
@@ -22,6 +22,9 @@
             NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true),
             WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
 
+    /** The highest status that HTTP has. */
+    private static final int STATUS_MOST = 599;
+
     /** For a log line: what an answer that isn't one carries. */
     static String traits(int status, HttpHeaders headers) {
         return "status " + status + (headers.contains(Parcel.ID) ? "" : ", no id")
@@ -46,6 +49,10 @@
                 return JUNK;
             }
         }
+        if (status > STATUS_MOST) {
+            // Guards clients against a status that is none: of four digits they may read three.
+            return JUNK;
+        }
         if (status == 421) {
             return nameless ? WRONG_HOST_NAMELESS : WRONG_HOST;
         }
--- a/src/test/java/brambletray/tray/flow/Course.java
+++ b/src/test/java/brambletray/tray/flow/Course.java
@@ -27,7 +27,9 @@
  */
 final class Course implements Broker {
     private static final Address FRONT = new Address("10.0.0.1", 8241);
-    private static final int HOSTS_MOST = 3, MOST_HOSTS = 3;
+    private static final int HOSTS_MOST = 3;
+    /** The {@code retry-count} of a route goes from 0 to this. */
+    private static final int RETRY_COUNT_MOST = 3;
 
     private record Waiting(Ask ask, Taker taker) {}
 
@@ -37,7 +39,7 @@
     private final Flow flow;
     private final Lines lines;
     private final Tally tally = new Tally();
-    private final Ruling ruling = new Ruling(MOST_HOSTS);
+    private final Ruling ruling = new Ruling();
     private final List<WalkClient> clients = new ArrayList<>();
     private final List<TroubledHost> hosts = new ArrayList<>();
     private final ArrayDeque<Waiting> asks = new ArrayDeque<>();
@@ -104,10 +106,14 @@
 
     private static Creed creed() {
         String route =
-                "{'name':'%s','host':'h.example','path-prefix':'/%s/','route-type':'%s','timeout-ms':2000,'target-ms':400,"
-                        + "'priority':1,'service':'s','retry-count':" + MOST_HOSTS + "}";
-        return Creed.read(("{'revision':1,'routes':[" + route.formatted("r", "r", "idempotent") + ","
-                        + route.formatted("n", "n", "non_idempotent")
+                "{'name':'%1$s','host':'h.example','path-prefix':'/%1$s/','route-type':'%2$s','timeout-ms':2000,'target-ms':400,"
+                        + "'priority':1,'service':'s','retry-count':%3$d}";
+        List<String> routes = new ArrayList<>();
+        for (int count = 0; count <= RETRY_COUNT_MOST; count++) {
+            routes.add(route.formatted("r" + count, "idempotent", count));
+            routes.add(route.formatted("n" + count, "non_idempotent", count));
+        }
+        return Creed.read(("{'revision':1,'routes':[" + String.join(",", routes)
                         + "],'services':[{'name':'s','health-path':null,'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,"
                         + "'boot-ms':500,'max-concurrency':4}],'limits':{'max-header-bytes':2048,'max-body-bytes':40000,'header-timeout-ms':3000,"
                         + "'idle-timeout-ms':15000}}")
@@ -265,8 +271,9 @@
                                                         ? 500 + random.nextInt(5_000)
                                                         : random.nextInt(40));
         String method = !body.isEmpty() ? "POST" : random.nextInt(8) == 0 ? "HEAD" : "GET";
-        String uri = (repeatable ? "/r/" : "/n/") + "p" + ids + "?q=" + ids;
-        Ruling.Try one = ruling.asked(new Ruling.Try("t" + ids++, method, uri, body, repeatable));
+        int count = random.nextInt(RETRY_COUNT_MOST + 1);
+        String uri = (repeatable ? "/r" : "/n") + count + "/p" + ids + "?q=" + ids;
+        Ruling.Try one = ruling.asked(new Ruling.Try("t" + ids++, method, uri, body, repeatable, Math.max(1, count)));
         int left = random.nextInt(4) == 0 ? 1 + random.nextInt(120) : 200 + random.nextInt(2_500);
         pick(clients).send(one, "Brambletray-Deadline-Remaining: " + left + "\r\n", random.nextInt(10) == 0);
     }
--- a/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE, REFUSED, and that no
+ * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE, REFUSED, BUDGET, and that no
  * connection carries a request while anything is owed on it). {@code -Dbrambletray.courses=N} plays more, {@code -Dbrambletray.seed=N}
  * begins elsewhere.
  */
@@ -54,12 +54,16 @@
         int tries = 0;
         int successes = 0;
         int promises = 0;
+        int sealedFailures = 0;
+        int ranAgain = 0;
         for (long seed = 1; seed <= 150; seed++) {
             Course course = new Course(seed, STEPS);
             assertEquals(List.of(), course.play(), "seed " + seed);
             tries += course.ruling().tries();
             successes += course.ruling().successes;
             promises += course.ruling().promises;
+            sealedFailures += course.ruling().sealedFailures;
+            ranAgain += course.ruling().ranAgain;
             Tally of = course.tally();
             all.surplus += of.surplus;
             all.streamed += of.streamed;
@@ -69,6 +73,9 @@
         }
         String seen = tries + " tries, " + successes + " successes, " + promises + " promises "
                 + java.util.Arrays.toString(all.facts());
+        assertTrue(
+                sealedFailures > 20 && ranAgain > 20,
+                sealedFailures + " sealed failures, " + ranAgain + " at another host again; " + seen);
         assertTrue(successes > tries / 3 && promises > tries / 20, seen);
         assertTrue(
                 all.surplus > 10 && all.streamed > 10 && all.copiesWon > 10 && all.failed > 100 && all.late > 20, seen);
--- a/src/test/java/brambletray/tray/flow/PlantedFaultsTest.java
+++ b/src/test/java/brambletray/tray/flow/PlantedFaultsTest.java
@@ -173,6 +173,48 @@
                         "Client",
                         "} else if (state == State.BUSY || !ahead.isEmpty()) {",
                         "} else if (!ahead.isEmpty()) {"),
+                fault(
+                        "a host's failure with another status and its seal",
+                        "MIXED",
+                        "Reading",
+                        "new Answer(status, head",
+                        "new Answer(status == 504 ? 502 : status, head"),
+                fault(
+                        "a failure of the edge's own that bears a seal",
+                        "MIXED",
+                        "Heads",
+                        "        if (comeBackMs >= 0) {",
+                        "        header(out, \"Brambletray-Response-Seal\", \"s\");\n        if (comeBackMs >= 0) {"),
+                fault(
+                        "a status that is none",
+                        "MIXED",
+                        "Verdict",
+                        "        if (status > STATUS_MOST) {",
+                        "        if (status < 0) {"),
+                fault(
+                        "the hosts of copies are not counted",
+                        "BUDGET",
+                        "Trip",
+                        "        sentHosts++;",
+                        "        sentHosts += leg.copy ? 0 : 1;"),
+                fault(
+                        "a copy beyond the last host allowed",
+                        "BUDGET",
+                        "Trip",
+                        "return !settled && plan.repeatable() && sentHosts < plan.mostHosts() && sentHosts > 0;",
+                        "return !settled && plan.repeatable() && sentHosts > 0;"),
+                fault(
+                        "a try after a failure beyond the last host allowed",
+                        "BUDGET",
+                        "Trip",
+                        "                && sentHosts < plan.mostHosts()\n                && (plan",
+                        "                && (plan"),
+                fault(
+                        "a retry-count of 0 is no bound",
+                        "BUDGET",
+                        "Flow",
+                        "Math.max(1, route.retryCount())",
+                        "route.retryCount() == 0 ? 9 : route.retryCount()"),
                 fault(
                         "a second answer for a client that has one",
                         "MIXED|FAULT",
--- a/src/test/java/brambletray/tray/flow/Ruling.java
+++ b/src/test/java/brambletray/tray/flow/Ruling.java
@@ -13,6 +13,13 @@
     static final class Try {
         final String id, method, uri, body;
         final boolean repeatable;
+        /** To how many hosts it may be sent: {@code retry-count} of its route, 1 at least. */
+        final int mostHosts;
+        /** Hosts that have begun work on it. */
+        final Set<String> ranAt = new HashSet<>();
+        /** Status and body of each failure that a host gave it under its own seal. */
+        final Set<String> sealedFailures = new HashSet<>();
+
         int runs, arrivals;
         /** The status that promised that it has not run; 0: none. */
         int promised;
@@ -23,24 +30,21 @@
 
         boolean answered;
 
-        Try(String id, String method, String uri, String body, boolean repeatable) {
+        Try(String id, String method, String uri, String body, boolean repeatable, int mostHosts) {
             this.id = id;
             this.method = method;
             this.uri = uri;
             this.body = body;
             this.repeatable = repeatable;
+            this.mostHosts = mostHosts;
         }
     }
 
     private final Map<String, Try> tries = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
-    final int mostHosts;
-    int successes, promises, answers;
-
-    /** {@code mostHosts}: {@code retry-count} of the routes. */
-    Ruling(int mostHosts) {
-        this.mostHosts = mostHosts;
-    }
+    int successes, promises, answers, sealedFailures;
+    /** Tries that ran on more than one host. */
+    int ranAgain;
 
     void breaks(String rule, String how) {
         broken.add(rule + ": " + how);
@@ -67,14 +71,20 @@
         if (!host.equals(target)) {
             breaks("ROUTE", id + " names " + target + " at " + host);
         }
-        if (++one.arrivals > mostHosts) {
-            breaks("BUDGET", id + " at more than " + mostHosts + " hosts");
+        if (++one.arrivals > one.mostHosts) {
+            breaks("BUDGET", id + " came to a host more often than " + one.mostHosts + " times");
         }
         return one;
     }
 
     /** A host has begun work on it. */
-    void ran(Try one) {
+    void ran(Try one, String host) {
+        if (one.ranAt.add(host) && one.ranAt.size() > 1) {
+            ranAgain++;
+        }
+        if (one.ranAt.size() > one.mostHosts) {
+            breaks("BUDGET", one.id + " ran at " + one.ranAt + ", and may at " + one.mostHosts);
+        }
         if (++one.runs > 1 && !one.repeatable) {
             breaks("TWICE", one.id);
         }
@@ -98,6 +108,15 @@
         if (!id.isEmpty() && !id.equals(of.id)) {
             breaks("MIXED", "the answer of " + id + " to " + of.id);
         }
+        if (status < 200 || status > 599) {
+            breaks("MIXED", of.id + " has the status " + status);
+        }
+        if (status / 100 != 2 && seal) {
+            sealedFailures++;
+            if (!of.sealedFailures.contains(status + " " + body)) {
+                breaks("MIXED", of.id + " has a sealed " + status + " that no host gave it: " + brief(body));
+            }
+        }
         if (status / 100 == 2) {
             successes++;
             if (!seal) {
--- a/src/test/java/brambletray/tray/flow/TroubledHost.java
+++ b/src/test/java/brambletray/tray/flow/TroubledHost.java
@@ -201,7 +201,7 @@
             }
             Answer answer = draw(one, body == null);
             if (answer.runs()) {
-                ruling.ran(one);
+                ruling.ran(one, name);
             }
             if (answer.bytes() == null) {
                 at = one;
@@ -330,7 +330,7 @@
                 + (closing
                         ? "Connection: close\r\n"
                         : random.nextInt(4) == 0 ? "Keep-Alive: timeout=" + random.nextInt(4) + "\r\n" : "");
-        String before = random.nextInt(12) == 0 ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" : "";
+        String before = random.nextInt(12) == 0 ? "HTTP/1.1 103 Early Hints\r\n" + SEAL + "\r\n" : "";
         if (random.nextInt(15) == 0) {
             one.sealed.add("");
             return before + head("204 No Content", one.id, headers) + "\r\n";
@@ -357,7 +357,11 @@
             default -> "500 Internal Server Error";
         };
         String body = one.method.equals("HEAD") ? "" : body(one);
-        return new Answer(sized(status, one.id, "", body), true, Then.STAYS, "");
+        boolean sealed = random.nextInt(4) > 0;
+        if (sealed) {
+            one.sealedFailures.add(status.substring(0, 3) + " " + body);
+        }
+        return new Answer(sized(status, one.id, sealed ? SEAL : "", body), true, Then.STAYS, "");
     }
 
     private Answer shed(Ruling.Try one) {
@@ -371,9 +375,14 @@
     }
 
     private String notRun(String id) {
+        String seal = random.nextInt(3) == 0 ? SEAL : "";
         return random.nextInt(3) == 0
-                ? sized("421 Misdirected Request", id, "", "")
-                : sized(random.nextBoolean() ? "503 Service Unavailable" : "429 Too Many Requests", id, SHED, "");
+                ? sized("421 Misdirected Request", id, seal, "")
+                : sized(
+                        random.nextBoolean() ? "503 Service Unavailable" : "429 Too Many Requests",
+                        id,
+                        SHED + seal,
+                        "");
     }
 
     private Answer cut(Ruling.Try one) {
@@ -388,7 +397,7 @@
 
     /** Bytes that are no answer, or not a success; none of their bodies may reach a client as one. */
     private Answer spoilt(Ruling.Try one) {
-        int kind = random.nextInt(16);
+        int kind = random.nextInt(18);
         String body = "spoilt" + kind + ":" + body(one);
         String id = one.id;
         // Where no body follows, how its end is told is no fault.
@@ -412,6 +421,8 @@
             case 12 -> sized("200 OK", id, SEAL, body).replace("HTTP/1.1", "HTTP/2.0");
             case 13 -> sized("200 OK", id, SEAL + SHED, body);
             case 14 -> sized("200 OK", id, SEAL + "Transfer-Encoding: identity\r\n", body);
+            case 16 -> sized("799 Beyond", id, SEAL, body);
+            case 17 -> sized("1000 Beyond", id, SEAL, body);
             default -> sized("200 OK", id, SEAL + "X-Cut: a\u0000\r\n", body);
         };
         boolean ends = bytes.startsWith("\u0001") || bytes.contains("\r\n\r\nspoilt") && random.nextBoolean();
