Tests: faults of a request's time and of planned work, planted and found by the timelines

A host of a drawn timeline that is told to answer what it does not have fails the test by name, not by a null; the process may not have ended while a request is read.

--- a/src/test/java/brambletray/tray/flow/GracefulShutdownTest.java
+++ b/src/test/java/brambletray/tray/flow/GracefulShutdownTest.java
@@ -89,6 +89,7 @@
         street.until(2_400);
         client.say(POST + "Brambletray-Attempt-Id: r1\r\n\r\nhe");
         street.until(4_000);
+        assertEquals(List.of(), exits);
         client.say("llo");
         does(host, 4_100, "answers r1");
         assertEquals(List.of("200 a:r1 close", "closed"), seenUntil(4_200));
--- a/src/test/java/brambletray/tray/flow/Mutant.java
+++ b/src/test/java/brambletray/tray/flow/Mutant.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.lang.reflect.Constructor;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Method;
 import java.net.URI;
@@ -52,7 +53,7 @@
                     "times in " + name + ": " + there);
             sources.put(name, source.replace(there, edits[i + 2]));
         }
-        return new Mutant(compile(sources));
+        return new Mutant(sources.isEmpty() ? Map.of() : compile(sources));
     }
 
     private static String source(String name) {
@@ -132,6 +133,32 @@
         return defineClass(name, bytes, 0, bytes.length);
     }
 
+    /** Runs one method of a test, on a new instance, after its {@code open}; what it asserts in vain, or null. */
+    String fails(Class<?> test, String method) {
+        try {
+            Class<?> loaded = loadClass(test.getName());
+            Constructor<?> constructor = loaded.getDeclaredConstructor();
+            constructor.setAccessible(true);
+            Object instance = constructor.newInstance();
+            run(loaded, "open", instance);
+            run(loaded, method, instance);
+            return null;
+        } catch (InvocationTargetException e) {
+            if (e.getCause() instanceof AssertionError failed) {
+                return String.valueOf(failed.getMessage());
+            }
+            throw new IllegalStateException(e.getCause());
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void run(Class<?> type, String method, Object on) throws ReflectiveOperationException {
+        Method found = type.getDeclaredMethod(method);
+        found.setAccessible(true);
+        found.invoke(on);
+    }
+
     /** What {@link Course#hunt} finds in it, or null. */
     String hunt(String rules, long from, int courses, int steps) {
         try {
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -1,5 +1,7 @@
 package brambletray.tray.flow;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -212,7 +214,9 @@
     }
 
     private void say(String id, String bytes) {
-        at.get(id).writeAndFlush(Unpooled.copiedBuffer(bytes + extra, StandardCharsets.ISO_8859_1));
+        Channel on = at.get(id);
+        assertNotNull(on, id + " is not at " + name);
+        on.writeAndFlush(Unpooled.copiedBuffer(bytes + extra, StandardCharsets.ISO_8859_1));
         extra = "";
     }
 }
