--- /dev/null
+++ b/src/test/java/brambletray/tray/carry/CarrySignalsTest.java
@@ -0,0 +1,75 @@
+package brambletray.tray.carry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import brambletray.runtime.Machine;
+import brambletray.simulation.Simulation;
+import brambletray.tray.berth.SimBerth;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the whole program of an edge makes of signals, in simulated time. */
+class CarrySignalsTest {
+    private static final String SETTINGS =
+            "node-name=edge-1\nrole=carry\nip-address=10.0.0.2\nzone=za\nzones.za=south\n"
+                    + "bind-addresses.front-end=10.0.0.2:8241\nbind-addresses.readiness=10.0.0.2:8246\ninternal-port-range=7400,7415\n"
+                    + "seed-peers=10.0.0.1:8248\nbounds.grace-s=6\n";
+
+    private final Simulation simulation = new Simulation(3, 0);
+    private final List<String> exits = new ArrayList<>();
+    private final SimCarry[] carry = new SimCarry[1];
+    private Machine edge;
+
+    @BeforeEach
+    void start() throws UnknownHostException {
+        edge = simulation.machine(InetAddress.getByName("10.0.0.2"));
+        edge.loop()
+                .execute(() -> carry[0] = SimCarry.start(
+                        SimBerth.of(SETTINGS),
+                        edge,
+                        1,
+                        code -> exits.add(code + " at " + TimeUnit.NANOSECONDS.toMillis(simulation.now()))));
+        until(1_000);
+    }
+
+    private void until(long ms) {
+        simulation.runUntil(TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    private void signals(long ms, Runnable signal) {
+        until(ms);
+        edge.loop().execute(signal);
+    }
+
+    @Test
+    void aSecondTermChangesNothing() {
+        signals(1_000, carry[0]::terminate);
+        signals(1_500, carry[0]::terminate);
+        signals(3_000, carry[0]::terminate);
+        until(20_000);
+        assertEquals(List.of("0 at 3600"), exits);
+    }
+
+    @Test
+    void aHangupIsNotTheEndOfTheProcess() {
+        signals(1_000, carry[0]::hangUp);
+        signals(1_010, carry[0]::hangUp);
+        until(20_000);
+        assertEquals(List.of(), exits);
+    }
+
+    @Test
+    void aHangupWhileTheProcessLeavesChangesNothing() {
+        signals(1_000, carry[0]::terminate);
+        signals(1_500, carry[0]::hangUp);
+        until(20_000);
+        assertEquals(List.of("0 at 3600"), exits);
+        assertFalse(carry[0].ready());
+    }
+}
--- a/src/test/java/brambletray/tray/carry/SimCarry.java
+++ b/src/test/java/brambletray/tray/carry/SimCarry.java
@@ -23,6 +23,16 @@
         return carry.creed();
     }
 
+    /** SIGHUP. */
+    void hangUp() {
+        carry.reread();
+    }
+
+    /** SIGTERM. */
+    void terminate() {
+        carry.leave();
+    }
+
     public boolean ready() {
         return carry.ready();
     }
