--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -11,13 +11,17 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /** One connection of a client: puts one request at a time together, and writes its one answer before it looks at the next. */
 final class Client extends ChannelInboundHandlerAdapter {
     /** ms; after the last answer: what still comes is thrown away, lest a reset takes the answer with it. */
     private static final int LINGER_MS = 1_000;
+    /** ms; a client that has not taken its whole answer by then is given up. */
+    private static final int WRITING_MOST_MS = 15_000;
 
     private enum State {
         IDLE,
@@ -27,10 +31,17 @@
         LAST
     }
 
+    /** A part of a request, and when it was read, ms of the steady clock. */
+    private record Ahead(Object part, long at) {}
+
     private final Front front;
-    private final Limits limits;
+    /** Those in force when the newest request began: a change amid a request does not end it. */
+    private Limits limits;
+
     private final RequestReader draft;
-    private final ArrayDeque<Object> ahead = new ArrayDeque<>(0);
+    /** What was read while the request before it is at work. */
+    private final ArrayDeque<Ahead> ahead = new ArrayDeque<>(0);
+
     private Channel channel;
     private AnswerWriter pen;
     private String ip;
@@ -38,13 +49,16 @@
     /** When the state began, ms. */
     private long since;
 
+    /** Answers a request of whose body not all came with its head, once its time is over. */
+    private Future<?> overdue;
+
     private Carriage carriage;
     private boolean close, catchingUp;
 
     Client(Front front, Limits limits) {
         this.front = front;
         this.limits = limits;
-        this.draft = new RequestReader(front.hold(), limits);
+        this.draft = new RequestReader(front.hold());
         this.since = front.now();
     }
 
@@ -63,6 +77,7 @@
     /** Bytes are here, of whatever. */
     void bytes() {
         if (state == State.IDLE) {
+            limits = front.flow().limits();
             enter(State.HEAD);
         }
     }
@@ -73,21 +88,21 @@
             ReferenceCountUtil.release(part);
         } else if (state == State.BUSY || !ahead.isEmpty()) {
             // One request at a time: the next ones wait, and no more is read meanwhile.
-            ahead.add(part);
+            ahead.add(new Ahead(part, front.now()));
             channel.config().setAutoRead(false);
         } else {
-            take(part);
+            take(part, front.now());
         }
     }
 
-    private void take(Object part) {
+    private void take(Object part, long at) {
         try {
             Rejection turn =
                     part instanceof HttpObject object && object.decoderResult().isFailure()
                             ? Rejection.of(object.decoderResult().cause())
                             : null;
             if (turn == null && part instanceof HttpRequest request) {
-                turn = began(request);
+                turn = began(request, at);
             }
             if (turn == null && part instanceof HttpContent content) {
                 turn = came(content);
@@ -100,10 +115,10 @@
         }
     }
 
-    private Rejection began(HttpRequest request) {
+    private Rejection began(HttpRequest request, long at) {
         enter(State.BODY);
-        close = front.draining() || !HttpUtil.isKeepAlive(request);
-        Rejection turn = draft.head(request, since);
+        close = !HttpUtil.isKeepAlive(request);
+        Rejection turn = draft.head(request, at, limits);
         if (turn == null && HttpUtil.is100ContinueExpected(request)) {
             pen.proceed();
         }
@@ -120,6 +135,34 @@
         return turn;
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        watchBody();
+    }
+
+    private void watchBody() {
+        if (state != State.BODY || overdue != null) {
+            return;
+        }
+        long end = draft.end(front.flow());
+        if (end != Long.MAX_VALUE) {
+            overdue =
+                    channel.eventLoop().schedule(this::overdue, Math.max(0, end - front.now()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void overdue() {
+        overdue = null;
+        late(state == State.BODY);
+    }
+
+    private void stopWatchingBody() {
+        if (overdue != null) {
+            overdue.cancel(false);
+            overdue = null;
+        }
+    }
+
     /** Who brings the answer to the request that was read last. */
     void carried(Carriage by) {
         carriage = by;
@@ -135,16 +178,21 @@
         return ip;
     }
 
+    /** The edge leaves, and no request waits here that has been read already. */
+    private boolean isLast() {
+        return front.draining() && ahead.isEmpty();
+    }
+
     /** A host's whole answer. */
     void answer(Answer answer) {
-        close |= front.draining();
+        close |= isLast();
         pen.answer(answer, close);
         answered();
     }
 
     /** The head of a host's answer and what has come of its body; the rest follows by {@link #more}. */
     void flow(Answer answer) {
-        close |= front.draining();
+        close |= isLast();
         pen.flow(answer, close);
     }
 
@@ -161,7 +209,7 @@
 
     /** An answer of ours. */
     void own(int status, String code, int comeBackMs, CharSequence id, boolean bare) {
-        close |= front.draining();
+        close |= isLast();
         pen.own(status, code, comeBackMs, id, bare, close);
         answered();
     }
@@ -173,6 +221,7 @@
 
     private void answered() {
         carriage = null;
+        pen.whenWritten(this::written);
         if (close) {
             last();
             return;
@@ -182,13 +231,22 @@
             catchingUp = true;
             while (!ahead.isEmpty() && state != State.BUSY && state != State.LAST) {
                 bytes();
-                take(ahead.poll());
+                Ahead next = ahead.poll();
+                take(next.part(), next.at());
             }
             catchingUp = false;
         }
         if (ahead.isEmpty() && state != State.LAST) {
             channel.config().setAutoRead(true);
         }
+        watchBody();
+    }
+
+    /** The client has taken its answer: its rest begins now. */
+    private void written() {
+        if (state == State.IDLE || state == State.LAST) {
+            since = front.now();
+        }
     }
 
     private void last() {
@@ -213,14 +271,19 @@
     void look(long now) {
         long spent = now - since;
         switch (state) {
-            case IDLE -> closeIf(spent >= limits.idleMs());
+            case IDLE -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : idleMs()));
             case HEAD -> late(spent >= limits.headerMs());
             case BODY -> late(spent >= limits.idleMs());
-            case LAST -> closeIf(spent >= LINGER_MS);
+            case LAST -> closeIf(spent >= (pen.isWriting() ? WRITING_MOST_MS : LINGER_MS));
             default -> {}
         }
     }
 
+    /** A client knows the limits of when its last request began, or newer ones: the longer time is kept. */
+    private int idleMs() {
+        return Math.max(limits.idleMs(), front.flow().limits().idleMs());
+    }
+
     private void closeIf(boolean due) {
         if (due) {
             channel.close();
@@ -233,8 +296,25 @@
         }
     }
 
+    /** Nothing has begun on it, and nothing is owed on it. */
     boolean idle() {
-        return state == State.IDLE && ahead.isEmpty();
+        return state == State.IDLE && ahead.isEmpty() && !pen.isWriting();
+    }
+
+    /** The process ends: the request that is at work is answered now. */
+    void giveUp() {
+        if (carriage != null) {
+            carriage.giveUp();
+        }
+    }
+
+    /** The edge leaves: closes the connection unless a request has begun on it; an answer under way goes out first. */
+    void leave() {
+        if (idle()) {
+            channel.close();
+        } else if (state == State.IDLE && ahead.isEmpty()) {
+            last();
+        }
     }
 
     void closeNow() {
@@ -242,13 +322,14 @@
     }
 
     private void enter(State next) {
+        stopWatchingBody();
         state = next;
         since = front.now();
     }
 
     private void drop() {
         draft.drop();
-        ahead.forEach(ReferenceCountUtil::release);
+        ahead.forEach(next -> ReferenceCountUtil.release(next.part()));
         ahead.clear();
     }
 
@@ -262,7 +343,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         front.went(this);
-        state = State.LAST;
+        enter(State.LAST);
         drop();
         Carriage left = carriage;
         carriage = null;
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -38,6 +38,8 @@
     private final Map<String, Pace> paces = new HashMap<>();
     private long asks;
     private int waiting, trips;
+    /** The process is about to end: each new request is refused. */
+    private boolean refusing;
 
     /**
      * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls
@@ -96,6 +98,11 @@
         return hold;
     }
 
+    /** From now on each new request is refused: nothing is left of the time in which it could be served. */
+    void refuseNew() {
+        refusing = true;
+    }
+
     /** A request that could not be read. */
     void turnedAway(int status) {
         tally.wrong += status == 503 ? 0 : 1;
@@ -125,15 +132,13 @@
             own(client, parcel, 404, "flow.no-route", -1, id);
             return;
         }
-        if (trips >= TRIPS_MOST) {
+        if (refusing || trips >= TRIPS_MOST) {
             tally.refused++;
-            own(client, parcel, 503, "flow.full", COME_BACK_MS, id);
+            own(client, parcel, 503, refusing ? "flow.ending" : "flow.full", COME_BACK_MS, id);
             return;
         }
         String service = route.pick(shares.nextDouble());
         Service known = now.services().get(service);
-        long end =
-                parcel.at() + Math.min(remaining(headers.get(Parcel.REMAINING), route.timeoutMs()), route.timeoutMs());
         Plan plan = new Plan(
                 service,
                 route.repeatable(),
@@ -141,7 +146,7 @@
                 route.priority(),
                 route.targetMs(),
                 isHost.test(client.ip()),
-                end);
+                end(headers, route, parcel.at()));
         Carriage carriage = new Carriage(
                 this, client, parcel, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
         trips++;
@@ -158,6 +163,17 @@
         client.own(status, code, comeBackMs, id, bare);
     }
 
+    /** When the time of a request with this head is over, ms; {@link Long#MAX_VALUE} where it has no route. */
+    long end(HttpHeaders headers, String uri, long at) {
+        Route route = creed.get().match(headers.get(HttpHeaderNames.HOST), Parcel.path(uri));
+        return route == null ? Long.MAX_VALUE : end(headers, route, at);
+    }
+
+    private static long end(HttpHeaders headers, Route route, long at) {
+        int untold = route.timeoutMs();
+        return at + Math.min(remaining(headers.get(Parcel.REMAINING), untold), untold);
+    }
+
     /** ms; what is not a number counts as untold. */
     private static long remaining(String told, int untold) {
         if (told == null || told.isEmpty() || told.length() > 9) {
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -1,5 +1,7 @@
 package brambletray.tray.flow;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,7 +20,7 @@
 
 /** A host of a drawn timeline, byte by byte: it answers as it is told. */
 final class Server extends Actor {
-    private static final int LARGE = 700_000;
+    private static final int LARGE = 700_000, MEDIUM = 100_000;
 
     private final String name;
     private final Machine machine;
@@ -118,6 +120,7 @@
         String body = name + ":" + id;
         switch (words[0]) {
             case "answers" -> whole(id, id, "200 OK", "Brambletray-Response-Seal: s\r\n", body);
+            case "answers-at-length" -> whole(id, id, "200 OK", "Brambletray-Response-Seal: s\r\n", "x".repeat(MEDIUM));
             case "echoes" -> whole(words[3], id, "200 OK", "Brambletray-Response-Seal: s\r\n", body);
             case "fails" -> whole(id, id, "500 Internal Server Error", "", body);
             case "expires" -> whole(id, id, "504 Gateway Timeout", "", body);
@@ -211,7 +214,9 @@
     }
 
     private void say(String id, String bytes) {
-        at.get(id).writeAndFlush(Unpooled.copiedBuffer(bytes + extra, StandardCharsets.ISO_8859_1));
+        Channel on = at.get(id);
+        assertNotNull(on, id + " is not at " + name);
+        on.writeAndFlush(Unpooled.copiedBuffer(bytes + extra, StandardCharsets.ISO_8859_1));
         extra = "";
     }
 }
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -6,6 +6,7 @@
 import brambletray.simulation.Simulation;
 import brambletray.tray.berth.Address;
 import brambletray.tray.creed.Creed;
+import brambletray.tray.creed.Limits;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 /** An edge's front in simulated time, on a simulated network: the production classes between scripted clients, broker and hosts. */
 final class Street {
@@ -51,15 +53,22 @@
     }
 
     void route(String type, int hosts) {
-        creed = Creed.read(
-                ("{\"revision\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path-prefix\":\"/r/\",\"route-type\":\""
-                                + type
-                                + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":"
-                                + hosts
-                                + "}],\"services\":[{\"name\":\"s\",\"health-path\":null,\"max-connections\":8,\"protocol\":\"h1\",\"tls-mode\":false,\"memory-mb\":128,"
-                                + "\"boot-ms\":500,\"max-concurrency\":4}],\"limits\":{\"max-header-bytes\":2048,\"max-body-bytes\":10000,\"header-timeout-ms\":3000,"
-                                + "\"idle-timeout-ms\":15000}}")
-                        .getBytes(StandardCharsets.UTF_8));
+        route("r", type, hosts, new Limits(2_048, 10_000, 3_000, 15_000));
+    }
+
+    /** The only route there is: of this name, and for the paths below it. */
+    void route(String name, String type, int hosts, Limits limits) {
+        creed = Creed.read(("{\"revision\":1,\"routes\":[{\"name\":\""
+                        + name + "\",\"host\":\"h.example\",\"path-prefix\":\"/" + name + "/\",\"route-type\":\""
+                        + type
+                        + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":"
+                        + hosts
+                        + "}],\"services\":[{\"name\":\"s\",\"health-path\":null,\"max-connections\":8,\"protocol\":\"h1\",\"tls-mode\":false,\"memory-mb\":128,"
+                        + "\"boot-ms\":500,\"max-concurrency\":4}],\"limits\":{\"max-header-bytes\":"
+                        + limits.headerBytes()
+                        + ",\"max-body-bytes\":" + limits.bodyBytes() + ",\"header-timeout-ms\":"
+                        + limits.headerMs() + ",\"idle-timeout-ms\":" + limits.idleMs() + "}}")
+                .getBytes(StandardCharsets.UTF_8));
     }
 
     private Machine machine(String ip) {
@@ -117,6 +126,11 @@
         }
     }
 
+    /** The orderly end of the edge's process. */
+    GracefulShutdown shutdown(IntConsumer exit) {
+        return new GracefulShutdown(edge, flow, front, exit);
+    }
+
     void until(long ms) {
         simulation.runUntil(TimeUnit.MILLISECONDS.toNanos(ms));
     }
