Admission: no kind of request and no calls of hosts are starved in a long overload

Cause: the queue ordered by urgency alone. Where one kind (urgent requests, or calls of hosts at a service that they and clients use) filled a service by itself, the others were served 0 to 1 in 100 as often. A full queue refused calls of hosts, whose callers don't come back. With one slot a host, a request could hold the only slot while its own call waited for it until the deadline. Change: FairShare counts outcomes by kind; a kind served less than half as often as all goes first until it no longer is, may use the slots kept for calls once these use them themselves, and is queued rather than sent away. A full queue gives up the one that would go last. Calls that wait while no slot comes back for longer than a request takes start a host, and from then on a second slot is kept for calls. In LawsTest two calls have new parameters, no check has changed; Town fails a parent whose call fails, as hosts do (500), where it went on before.

--- a/src/main/java/brambletray/tray/home/Desk.java
+++ b/src/main/java/brambletray/tray/home/Desk.java
@@ -4,7 +4,8 @@
  * Gives out the places of a seat: at once, by the line, or not. What is said to an ask that finds no place free, P being the reckoned wait:
  * (a) P + work within the safe share of its target: it waits; (b) P within what a client heeds of its remaining time: it is refused at once,
  * with when to come back (served within its target from then on, it earns more than a late answer); (c) P + work within its time: it waits;
- * (d) it is refused at once. Calls of hosts and further tries are not sent away while they can wait: their callers don't come back.
+ * (d) it is refused at once. Calls of hosts, further tries and kinds that are behind their fair share are not sent away while they can wait:
+ * their callers don't come back, or would meet the same again.
  */
 final class Desk {
     private final Ward ward;
@@ -13,6 +14,7 @@
     private final Places places;
     private final Room room;
     private final Taking taking;
+    private final FairShare shares = new FairShare();
     private final Line line;
     private final Budget budget;
     private final Herd herd = new Herd();
@@ -24,7 +26,7 @@
         this.places = places;
         this.room = room;
         this.taking = taking;
-        line = new Line(ward.laws.queue());
+        line = new Line(ward.laws.queue(), shares);
         budget = new Budget(ward.laws.again());
     }
 
@@ -46,10 +48,10 @@
             return;
         }
         if (taking.unlisted(now)) {
-            if (line.full() || ask.copy()) {
-                ward.refuse(ask, ask.copy() ? -1 : taking.waitMs(now));
-            } else {
-                line.join(ask, now);
+            if (ask.copy()) {
+                ward.refuse(ask, -1);
+            } else if (!join(ask, now)) {
+                refuse(ask, taking.waitMs(now), now);
             }
             return;
         }
@@ -78,7 +80,34 @@
         }
     }
 
-    /** The host for an ask that may be granted now, or null. Plain requests leave the places kept for calls of hosts, copies a quarter of all. */
+    /** Puts an ask into the queue; false where that is full of those that go before it. */
+    private boolean join(Ask ask, long now) {
+        if (line.full()) {
+            Line.Waiter displaced = line.displace(ask, scaler.demand.workMs(ward.spec), now);
+            if (displaced == null) {
+                return false;
+            }
+            refuse(displaced.ask, -1, now);
+        }
+        line.join(ask, now);
+        return true;
+    }
+
+    private void refuse(Ask ask, int comeBackMs, long now) {
+        shares.lost(ask, now);
+        ward.refuse(ask, comeBackMs);
+    }
+
+    /** An edge no longer waits for this one, whose time is mostly over. */
+    void forget(Line.Waiter waiter, long now) {
+        line.remove(waiter);
+        shares.lost(waiter.ask, now);
+    }
+
+    /**
+     * The host for an ask that may be granted now, or null. Plain requests leave the places kept for calls of hosts, copies a quarter of all. A
+     * kind that is behind its fair share only has to leave them to calls altogether, whether these use them now or not: calls may fill the service.
+     */
     private Post free(Ask ask, long now) {
         int total = scaler.working(now);
         int kept = ask.inner() ? 0 : room.kept(total, now);
@@ -86,16 +115,25 @@
             kept = Math.max(kept, room.fromCopies(total));
         }
         if (kept > 0 && crew.posts.free(ward.most(), now) <= kept) {
-            return null;
+            boolean fair = !ask.copy() && shares.of(ask).isBehind() && behindMay(total, kept);
+            if (!fair) {
+                return null;
+            }
         }
         return crew.posts.choose(ask, ward.most(), taking.blind(now), now);
     }
 
+    /** Whether requests of clients hold so few places that those kept for calls would stay theirs. */
+    private boolean behindMay(int total, int kept) {
+        return places.ofClients() < total - kept;
+    }
+
     private void grant(Ask ask, long remainingMs, Post post, long now) {
+        shares.served(ask, now);
         if (ask.again() || ask.copy()) {
             budget.spend(ask.copy(), now);
         }
-        places.take(ask.edge(), ask.id(), post, remainingMs, now);
+        places.take(ask, post, remainingMs, now);
         ward.out.grant(ask.edge(), new Grant(ask.id(), post.id, post.address, false));
     }
 
@@ -105,21 +143,27 @@
         int wait = Math.max(
                 crew.posts.anyUnknown() ? taking.waitMs(now) : 0, scaler.waitMs(line.ahead(ask, work, now), herd, now));
         int target = ask.targetMs() > 0 ? ask.targetMs() : ask.remainingMs();
-        boolean fits = wait + work <= ask.remainingMs() && !line.full();
-        if (fits && wait + work <= law.safe() * target) {
-            line.join(ask, now);
-            return;
-        }
+        // What goes before all others waits for one place only, whatever is reckoned from the rest.
+        boolean first = ask.inner() || shares.of(ask).isBehind();
+        boolean fits = (first ? 0 : wait) + work <= ask.remainingMs();
         int back = wait + law.marginMs();
         boolean heeded = back <= law.third() * ask.remainingMs();
-        if (fits && (ask.inner() || extra || !heeded)) {
-            line.join(ask, now);
+        boolean stays = first || extra || !heeded || wait + work <= law.safe() * target;
+        if (fits && stays && join(ask, now)) {
             return;
         }
         if (heeded) {
             herd.promise(wait, now);
         }
-        ward.refuse(ask, extra ? -1 : back);
+        refuse(ask, extra ? -1 : back, now);
+    }
+
+    /**
+     * Calls of hosts that have waited for longer than a request takes, and no place has come back meanwhile: their parents may hold all of them.
+     */
+    int stalledCalls(long now) {
+        int work = scaler.demand.workMs(ward.spec);
+        return now - places.lastBack() < work ? 0 : line.callsBefore(now - work);
     }
 
     /** Gives free places to those in line, and refuses those whose time no longer suffices. */
@@ -129,7 +173,7 @@
         }
         int work = scaler.demand.workMs(ward.spec);
         for (Line.Waiter over = line.hopeless(work, now); over != null; over = line.hopeless(work, now)) {
-            ward.refuse(over.ask, -1);
+            refuse(over.ask, -1, now);
         }
         if (taking.unlisted(now)) {
             return;
@@ -137,11 +181,12 @@
         line.round();
         while (line.size() > 0) {
             int free = crew.posts.free(ward.most(), now);
-            int kept = room.kept(scaler.working(now), now);
+            int total = scaler.working(now);
+            int kept = room.kept(total, now);
             if (free == 0 && ward.laws.choice().leaveMs() <= 0) {
                 return;
             }
-            Line.Waiter first = line.next(kept > 0 && free <= kept, work, now);
+            Line.Waiter first = line.next(kept > 0 && free <= kept, behindMay(total, kept), work, now);
             if (first == null) {
                 return;
             }
--- a/src/main/java/brambletray/tray/home/Line.java
+++ b/src/main/java/brambletray/tray/home/Line.java
@@ -5,8 +5,8 @@
 
 /**
  * Those who wait for a place. First whose key is smallest: the end of its time, plus {@code ageMs} a rank of priority, less {@code innerMs}
- * for calls of hosts, plus {@code lateMs} once it cannot be in time any more. Keys hold still while newcomers' ends move on, so none starves.
- * Bounded by {@code most}.
+ * for calls of hosts, plus {@code lateMs} once it cannot be in time any more; before all of these, kinds that are behind their fair share
+ * ({@link FairShare}). Bounded by {@code most}: beyond it, who would go last makes room for who would go before.
  */
 final class Line {
     static final class Waiter {
@@ -15,10 +15,12 @@
         final long end;
         final long aim;
         final long key;
+        final FairShare.Kind kind;
         int passed;
 
-        Waiter(Ask ask, long now, Laws.Queue law) {
+        Waiter(Ask ask, FairShare.Kind kind, long now, Laws.Queue law) {
             this.ask = ask;
+            this.kind = kind;
             since = now;
             end = now + ask.remainingMs();
             aim = now + ask.targetMs();
@@ -26,12 +28,17 @@
         }
     }
 
+    /** Before any key that time alone can make, ms. */
+    private static final long BEHIND_MS = 1L << 40;
+
     private final Laws.Queue law;
+    private final FairShare shares;
     private final List<Waiter> waiters = new ArrayList<>();
     private int round;
 
-    Line(Laws.Queue law) {
+    Line(Laws.Queue law, FairShare shares) {
         this.law = law;
+        this.shares = shares;
     }
 
     int size() {
@@ -57,7 +64,7 @@
     }
 
     Waiter join(Ask ask, long now) {
-        Waiter waiter = new Waiter(ask, now, law);
+        Waiter waiter = new Waiter(ask, shares.of(ask), now, law);
         waiters.add(waiter);
         return waiter;
     }
@@ -75,16 +82,20 @@
         round++;
     }
 
-    /** The one whose turn it is, of those not passed over in this round; null where there is none. */
-    Waiter next(boolean onlyInner, int workMs, long now) {
+    /**
+     * The one whose turn it is, of those not passed over in this round; null where there is none. {@code onlyCalls}: requests of clients may not
+     * have what is free, but for kinds that are behind where {@code behindToo}.
+     */
+    Waiter next(boolean onlyCalls, boolean behindToo, int workMs, long now) {
         Waiter best = null;
         long bestKey = Long.MAX_VALUE;
         for (int i = 0; i < waiters.size(); i++) {
             Waiter waiter = waiters.get(i);
-            if (waiter.passed == round || onlyInner && !waiter.ask.inner()) {
+            boolean barred = onlyCalls && !waiter.ask.inner() && !(behindToo && waiter.kind.isBehind());
+            if (barred || waiter.passed == round) {
                 continue;
             }
-            long key = waiter.key + (now + workMs > waiter.aim ? law.lateMs() : 0);
+            long key = key(waiter, workMs, now);
             if (key < bestKey) {
                 bestKey = key;
                 best = waiter;
@@ -98,23 +109,48 @@
         waiter.passed = round;
     }
 
+    private long key(Waiter waiter, int workMs, long now) {
+        long late = now + workMs > waiter.aim ? law.lateMs() : 0;
+        return waiter.key + late - (waiter.kind.isBehind() ? BEHIND_MS : 0);
+    }
+
     /** How many would go before such an ask. */
     int ahead(Ask ask, int workMs, long now) {
-        long key = now
-                + ask.remainingMs()
-                + (long) ask.priority() * law.ageMs()
-                - (ask.inner() ? law.innerMs() : 0)
-                + (workMs > ask.targetMs() ? law.lateMs() : 0);
+        long key = key(new Waiter(ask, shares.of(ask), now, law), workMs, now);
         int n = 0;
         for (int i = 0; i < waiters.size(); i++) {
-            Waiter waiter = waiters.get(i);
-            if (waiter.key + (now + workMs > waiter.aim ? law.lateMs() : 0) <= key) {
+            if (key(waiters.get(i), workMs, now) <= key) {
                 n++;
             }
         }
         return n;
     }
 
+    /** Makes room in a full queue: takes out and returns the one that would go last, if such an ask would go before it; else null. */
+    Waiter displace(Ask ask, int workMs, long now) {
+        long key = key(new Waiter(ask, shares.of(ask), now, law), workMs, now);
+        Waiter last = null;
+        for (int i = 0; i < waiters.size(); i++) {
+            long one = key(waiters.get(i), workMs, now);
+            if (one > key) {
+                key = one;
+                last = waiters.get(i);
+            }
+        }
+        waiters.remove(last);
+        return last;
+    }
+
+    /** Calls of hosts that have waited since before {@code moment}. */
+    int callsBefore(long moment) {
+        int n = 0;
+        for (int i = 0; i < waiters.size(); i++) {
+            Waiter waiter = waiters.get(i);
+            n += waiter.ask.inner() && waiter.since < moment ? 1 : 0;
+        }
+        return n;
+    }
+
     /** Removes and returns one whose time no longer suffices; null where there is none. */
     Waiter hopeless(int workMs, long now) {
         for (int i = 0; i < waiters.size(); i++) {
--- a/src/main/java/brambletray/tray/home/Place.java
+++ b/src/main/java/brambletray/tray/home/Place.java
@@ -4,6 +4,9 @@
 final class Place {
     final String edge;
     final long ask;
+    /** Held by a call of a host, as far as is known. */
+    final boolean call;
+
     final Post post;
     /** The end of the request's time, ms of the steady clock. */
     final long requestEnd;
@@ -14,9 +17,10 @@
     /** Closed because its edge was taken for gone, which has not given it back. */
     boolean lost;
 
-    Place(String edge, long ask, Post post, long requestEnd, long ends) {
+    Place(String edge, long ask, boolean call, Post post, long requestEnd, long ends) {
         this.edge = edge;
         this.ask = ask;
+        this.call = call;
         this.post = post;
         this.requestEnd = requestEnd;
         this.ends = ends;
--- a/src/main/java/brambletray/tray/home/Places.java
+++ b/src/main/java/brambletray/tray/home/Places.java
@@ -16,6 +16,8 @@
     private final Map<String, Map<Long, Place>> byEdge = new HashMap<>();
     private long nextEnd = Long.MAX_VALUE;
     private int size;
+    private int calls;
+    private long lastBack = Long.MIN_VALUE / 2;
 
     Places(Laws.Limit law) {
         this.law = law;
@@ -27,11 +29,16 @@
     }
 
     /** Takes a place at a host for a request that has {@code remainingMs} left. */
-    Place take(String edge, long ask, Post post, long remainingMs, long now) {
+    Place take(Ask ask, Post post, long remainingMs, long now) {
+        return take(ask.edge(), ask.id(), ask.inner(), post, remainingMs, now);
+    }
+
+    private Place take(String edge, long ask, boolean call, Post post, long remainingMs, long now) {
         long requestEnd = now + remainingMs;
-        Place place = new Place(edge, ask, post, requestEnd, requestEnd + law.lostMs());
+        Place place = new Place(edge, ask, call, post, requestEnd, requestEnd + law.lostMs());
         byEdge.computeIfAbsent(edge, e -> new HashMap<>()).put(ask, place);
         post.held++;
+        calls += call ? 1 : 0;
         size++;
         nextEnd = Math.min(nextEnd, place.ends);
         return place;
@@ -41,7 +48,7 @@
     void told(String edge, long ask, Post post, long remainingMs, long now) {
         Place known = find(edge, ask);
         if (known == null) {
-            take(edge, ask, post, remainingMs, now);
+            take(edge, ask, false, post, remainingMs, now);
         } else if (known.closed && known.post == post) {
             reopen(known, now + remainingMs);
         }
@@ -95,7 +102,10 @@
         for (Iterator<Map<Long, Place>> edges = byEdge.values().iterator(); edges.hasNext(); ) {
             Map<Long, Place> of = edges.next();
             int before = of.size();
-            of.values().removeIf(place -> place.post == post);
+            of.values().removeIf(place -> {
+                calls -= place.post == post && place.call ? 1 : 0;
+                return place.post == post;
+            });
             size -= before - of.size();
             if (of.isEmpty()) {
                 edges.remove();
@@ -134,8 +144,20 @@
         return size;
     }
 
+    /** Places held by requests of clients, those whose asks are not known included. */
+    int ofClients() {
+        return size - calls;
+    }
+
+    /** When a place came back last. */
+    long lastBack() {
+        return lastBack;
+    }
+
     private void release(Place place, long now) {
         size--;
+        calls -= place.call ? 1 : 0;
+        lastBack = now;
         if (--place.post.held == 0) {
             place.post.idleSince = now;
         }
--- a/src/main/java/brambletray/tray/home/Scaler.java
+++ b/src/main/java/brambletray/tray/home/Scaler.java
@@ -64,7 +64,8 @@
     private int wanted(double rate, long now) {
         double need = demand.places(rate, ward.spec);
         int n = (int) Math.ceil(need / ward.most() - 1e-9);
-        while (n > 0 && n * ward.most() - room.kept(n * ward.most(), now) < need) {
+        int least = room.leastPlaces(now);
+        while (n > 0 && (n * ward.most() < least || n * ward.most() - room.kept(n * ward.most(), now) < need)) {
             n++;
         }
         return n;
@@ -92,6 +93,21 @@
         }
     }
 
+    /** Starts hosts for calls whose parents hold all places, unless so many boot already: no place would come back by itself. */
+    void relieve(int stalledCalls, int waiting, long now) {
+        if (stalledCalls == 0) {
+            return;
+        }
+        room.stalled(now);
+        int booting = crew.posts.count(Host.BOOTING);
+        int wanted = (stalledCalls + ward.most() - 1) / ward.most();
+        for (int under = booting + starts.open(); under < wanted; under++) {
+            if (starts.may(booting, crew.posts.well(now), now)) {
+                starts.ask(waiting, ward.out, now);
+            }
+        }
+    }
+
     /** Ends hosts that are empty and no longer worth their memory. {@code least}: hosts kept whatever happens; {@code closing}: none is. */
     void retire(int least, boolean closing, long now) {
         List<Post> all = crew.posts.all();
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/tray/home/Seat.java
@@ -153,7 +153,7 @@
     void forget(String edge, long ask, long now) {
         Line.Waiter waiter = desk.line().find(edge, ask);
         if (waiter != null) {
-            desk.line().remove(waiter);
+            desk.forget(waiter, now);
         }
         Place place = places.find(edge, ask);
         if (place != null && !place.closed) {
@@ -223,6 +223,7 @@
         }
         boolean wanted = desk.line().size() > 0 || warm() > 0 || crew.replacing(now) || !root() && annex.warming(now);
         scaler.scale(wanted ? 1 : 0, desk.pressing(now), now);
+        scaler.relieve(desk.stalledCalls(now), desk.line().size(), now);
     }
 
     void tick(long now) {
--- a/src/test/java/brambletray/tray/home/LawsTest.java
+++ b/src/test/java/brambletray/tray/home/LawsTest.java
@@ -152,13 +152,13 @@
 
     @Test
     void noClassWaitsForEver() {
-        Line line = new Line(LAWS.queue());
+        Line line = new Line(LAWS.queue(), new FairShare());
         line.join(new Ask(1, "a", "east", "s", 2, 4000, 60_000, false, false, false, List.of()), 0);
         long id = 2;
         for (long now = 0; now < 20_000; now += 10) {
             line.join(new Ask(id++, "a", "east", "s", 0, 4000, 60_000, false, false, false, List.of()), now);
             line.round();
-            Line.Waiter next = line.next(false, 10, now);
+            Line.Waiter next = line.next(false, false, 10, now);
             line.remove(next);
             if (next.ask.id() == 1) {
                 assertTrue(now >= 3900 && now < 4100, "" + now);
@@ -230,6 +230,62 @@
         assertEquals(0, room.kept(40, 12_000));
     }
 
+    @Test
+    void onceCallsHaveStalledOneOfTwoPlacesIsKept() {
+        Room room = new Room(LAWS.room());
+        room.inner(1000);
+        assertEquals(0, room.leastPlaces(1001));
+        room.stalled(1100);
+        assertEquals(2, room.leastPlaces(1101));
+        assertEquals(1, room.kept(2, 1101));
+        assertEquals(0, room.kept(1, 1101), "the only place is for all");
+        room.inner(10_000);
+        assertEquals(2, room.leastPlaces(15_000), "as long as calls come");
+        assertEquals(0, room.leastPlaces(25_000));
+    }
+
+    private static Ask ranked(long id, int priority, boolean call) {
+        return new Ask(id, "a", "east", "s", priority, 4000, 1000, false, false, call, List.of());
+    }
+
+    @Test
+    void aKindIsBehindWhileItIsServedLessThanHalfAsOftenAsAll() {
+        FairShare shares = new FairShare();
+        for (int i = 0; i < 100; i++) {
+            shares.served(ranked(i, 0, false), 10 * i);
+        }
+        Ask low = ranked(1000, 2, false);
+        assertFalse(shares.of(low).isBehind(), "nothing is known of it");
+        shares.lost(low, 1000);
+        shares.lost(low, 1000);
+        assertTrue(shares.of(low).isBehind());
+        shares.served(low, 1001);
+        assertTrue(shares.of(low).isBehind(), "one of three");
+        shares.served(low, 1002);
+        shares.served(low, 1003);
+        assertFalse(shares.of(low).isBehind(), "three of five");
+        for (int i = 0; i < 5; i++) {
+            shares.lost(ranked(1000, 2, true), 1100);
+        }
+        assertTrue(shares.of(ranked(1, 2, true)).isBehind(), "calls of hosts are a kind of their own");
+        assertFalse(shares.of(low).isBehind());
+        shares.served(ranked(1, 0, false), 80_000);
+        assertFalse(shares.of(ranked(1, 2, true)).isBehind(), "outcomes fade");
+    }
+
+    @Test
+    void aFullQueueTakesWhoGoesBeforeTheLast() {
+        Line line = new Line(LAWS.queue(), new FairShare());
+        while (!line.full()) {
+            line.join(ranked(line.size(), 1, false), line.size());
+        }
+        assertEquals(null, line.displace(ranked(1000, 2, false), 10, 300));
+        assertEquals(
+                LAWS.queue().most() - 1,
+                line.displace(ranked(1001, 1, true), 10, 300).ask.id());
+        assertFalse(line.full());
+    }
+
     @Test
     void noncesAreUniqueAndShort() {
         Nonces nonces = new Nonces("node-1.7");
--- a/src/test/java/brambletray/tray/home/Town.java
+++ b/src/test/java/brambletray/tray/home/Town.java
@@ -5,6 +5,7 @@
 import brambletray.tray.yard.Host;
 import brambletray.tray.yard.Hosts;
 import brambletray.tray.yard.Need;
+import brambletray.tray.yard.NoRoom;
 import brambletray.tray.yard.Quit;
 import brambletray.tray.yard.Seen;
 import java.util.ArrayList;
@@ -15,6 +16,8 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * Zones, each with one edge that is home of the zone's seats; a platform that starts hosts; clients that come by chance. Simulated time, one
@@ -31,6 +34,16 @@
             double workMs,
             double inner) {}
 
+    /** Requests, or calls of hosts, of one kind. */
+    static final class Count {
+        int asked;
+        int served;
+
+        double share() {
+            return asked == 0 ? 1 : (double) served / asked;
+        }
+    }
+
     private record Event(double at, long order, Runnable what) {}
 
     static final class Machine {
@@ -53,6 +66,13 @@
     final Map<String, Spec> specs = new HashMap<>();
     final Map<String, Seats> homes = new HashMap<>();
     final Map<String, Machine> machines = new HashMap<>();
+    /** The call that a host of a service makes, where it is not one to the same service. */
+    final Map<String, Kind> callOf = new HashMap<>();
+    /** Hosts of a service for which the platform has room, where that is limited. */
+    final Map<String, Integer> roomFor = new HashMap<>();
+    /** By kind: requests of clients, and calls of hosts, that have ended. */
+    final Map<String, Count> counts = new TreeMap<>();
+
     private final Map<String, Host> byNonce = new HashMap<>();
     private final Map<Long, Try> tries = new HashMap<>();
     private final Map<String, String> elsewhere = new HashMap<>();
@@ -145,7 +165,7 @@
         }
     }
 
-    private void seats(String zone, java.util.function.Consumer<Seats> what) {
+    private void seats(String zone, Consumer<Seats> what) {
         what.accept(homes.get(zone));
         wake(zone);
     }
@@ -156,7 +176,9 @@
         final String zone;
         final double first;
         final double end;
-        final Runnable parent;
+        /** What the host that calls does with the outcome; null: a client asks. */
+        final Consumer<Boolean> parent;
+
         double begun;
         boolean back;
         boolean counted;
@@ -165,7 +187,7 @@
         int tried;
         String asked;
 
-        Try(Kind kind, String zone, double first, double end, Runnable parent) {
+        Try(Kind kind, String zone, double first, double end, Consumer<Boolean> parent) {
             this.kind = kind;
             this.zone = zone;
             this.first = first;
@@ -218,30 +240,25 @@
                     double work = 3 + lognormal(kind.workMs, 0.5);
                     double at = now + work;
                     if (random.nextDouble() < kind.inner) {
-                        Kind call = new Kind(kind.service, 2, kind.targetMs, kind.deadlineMs, 0, 0, kind.workMs, 0);
-                        at(
-                                now + work / 2,
-                                () -> new Try(
-                                                call,
-                                                there,
-                                                now,
-                                                end,
-                                                () -> at(now + work / 2, () -> ready(grant, machine, sent)))
-                                        .start());
+                        Kind same = new Kind(kind.service, 2, kind.targetMs, kind.deadlineMs, 0, 0, kind.workMs, 0);
+                        Kind call = callOf.getOrDefault(kind.service, same);
+                        Consumer<Boolean> then = ok -> at(now + work / 2, () -> ready(grant, machine, sent, ok));
+                        at(now + work / 2, () -> new Try(call, there, now, end, then).start());
                     } else {
-                        at(at, () -> ready(grant, machine, sent));
+                        at(at, () -> ready(grant, machine, sent, true));
                     }
                 }
             });
         }
 
-        void ready(Grant grant, Machine machine, double sent) {
+        /** The host's work is done; {@code ok}: its call was served, else it answers 500. */
+        void ready(Grant grant, Machine machine, double sent, boolean ok) {
             if (machine.dead) {
                 finish(grant, Fate.BROKEN, sent, false);
                 return;
             }
             machine.busy--;
-            link(machine.host.zone(), zone, () -> finish(grant, Fate.SERVED, sent, true));
+            link(machine.host.zone(), zone, () -> finish(grant, ok ? Fate.SERVED : Fate.FAILED, sent, ok));
         }
 
         void finish(Grant grant, Fate fate, double sent, boolean served) {
@@ -250,7 +267,7 @@
             link(zone, to, () -> seats(to, seats -> seats.done(zone, done, (long) now)));
             if (served) {
                 end(true);
-            } else if (now + 50 < end && tried < 3) {
+            } else if (fate != Fate.FAILED && now + 50 < end && tried < 3) {
                 start();
             } else {
                 end(false);
@@ -259,8 +276,13 @@
 
         void end(boolean served) {
             tries.remove(id);
+            boolean ok = served && now <= end;
+            String name = (parent == null ? "" : "call of ") + kind.service + " rank " + kind.priority;
+            Count count = counts.computeIfAbsent(name, n -> new Count());
+            count.asked++;
+            count.served += ok ? 1 : 0;
             if (parent != null) {
-                parent.run();
+                parent.accept(ok);
                 return;
             }
             if (!served || now > end) {
@@ -299,6 +321,14 @@
         return mean * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
     }
 
+    private boolean full(String service) {
+        int hosts = 0;
+        for (Machine machine : machines.values()) {
+            hosts += machine.host.service().equals(service) ? 1 : 0;
+        }
+        return hosts >= roomFor.getOrDefault(service, Integer.MAX_VALUE);
+    }
+
     /** Starts a host as the platform does. */
     private Host begin(Need need, String zone) {
         Host known = byNonce.get(need.nonce());
@@ -377,6 +407,10 @@
         @Override
         public void need(Need need) {
             at(now + 8, () -> {
+                if (!byNonce.containsKey(need.nonce()) && full(need.service())) {
+                    at(now + 4, () -> seats(zone, seats -> seats.noRoom(new NoRoom(need.nonce(), 500), (long) now)));
+                    return;
+                }
                 Host host = begin(need, zone);
                 at(now + 4, () -> seats(zone, seats -> seats.born(new Born(need.nonce(), host), (long) now)));
             });
@@ -417,7 +451,7 @@
     }
 
     /** Memory and starts by the first letters of services. */
-    private final Map<String, double[]> bySort = new java.util.TreeMap<>();
+    private final Map<String, double[]> bySort = new TreeMap<>();
 
     private void tally(Machine machine) {
         double[] sum = bySort.computeIfAbsent(machine.host.service().substring(0, 4), s -> new double[2]);
