Admission: what edges tell of held slots counts, also before this edge knows it is home

Cause: rosters reach edges at different moments. An edge with the newer roster told the new home which slots it holds; that one, with the older roster, dropped the word, waited 400 ms for it later in vain, and gave the slots out again: more than max-concurrency at an instance. A slot told early and given back before the home knew its hosts stayed taken until 8.5 s later. Change: Hall remembers such words for 2 s and hands them on when it becomes home; a slot given back meanwhile is taken out of them, there and in Holders.

--- a/src/main/java/brambletray/tray/carry/Hall.java
+++ b/src/main/java/brambletray/tray/carry/Hall.java
@@ -45,6 +45,14 @@
     /** ms between two looks for seats that are another edge's by now. */
     private static final int SWEEP = 1_000;
 
+    /** ms for which slots told of a seat that is not held here are remembered: rosters reach edges at different moments. */
+    private static final int EARLY_MS = 2_000;
+    /** Of these words, remembered at a time. */
+    private static final int EARLY_MOST = 1_024;
+
+    /** What an edge told of the slots it holds, before this edge knew that it is home. */
+    private record Early(Held held, long at) {}
+
     /** Where its words go. */
     interface Ways {
         void grant(String edge, Grant grant);
@@ -68,6 +76,7 @@
     private final LongSupplier clock;
     private final ArrayDeque<Runnable> todo = new ArrayDeque<>();
     private final Map<String, Spec> specs = new HashMap<>();
+    private final List<Early> early = new ArrayList<>();
     private Homes homes = new Homes(Roster.NONE);
     private boolean doing;
     private long swept;
@@ -102,7 +111,7 @@
 
     void ask(Ask ask, boolean stay) {
         if (!seats.holds(ask.service())) {
-            seats.take(ask.service(), homes.rootZone(ask.service()), others(), now());
+            take(ask.service(), homes.rootZone(ask.service()));
         }
         if (!seats.ask(ask, stay, now())) {
             ways.refuse(ask.edge(), new Refuse(ask.id(), -1));
@@ -110,6 +119,33 @@
         then();
     }
 
+    /** Becomes home of a service, and is told what edges have said of its slots already. */
+    private void take(String service, String rootZone) {
+        seats.take(service, rootZone, others(), now());
+        if (!seats.holds(service)) {
+            return;
+        }
+        for (Early one : early) {
+            if (one.held.service().equals(service) && now() - one.at <= EARLY_MS) {
+                seats.held(one.held, now());
+            }
+        }
+        early.removeIf(one -> one.held.service().equals(service));
+    }
+
+    private void remember(Held held) {
+        early.removeIf(one -> now() - one.at > EARLY_MS
+                || one.held.edge().equals(held.edge()) && one.held.service().equals(held.service()));
+        if (early.size() < EARLY_MOST) {
+            early.add(new Early(held, now()));
+        }
+    }
+
+    /** A slot told early has been given back, or will not be used. */
+    private void dropEarly(String edge, long askId) {
+        early.replaceAll(one -> one.held.edge().equals(edge) ? new Early(one.held.without(askId), one.at) : one);
+    }
+
     private List<String> others() {
         List<String> names = new ArrayList<>();
         for (Peer peer : homes.roster().peers()) {
@@ -121,20 +157,26 @@
     }
 
     void done(String edge, Done done) {
+        dropEarly(edge, done.askId());
         seats.done(edge, done, now());
         then();
     }
 
     void forget(String edge, Forget forget) {
+        dropEarly(edge, forget.askId());
         seats.forget(edge, forget, now());
         then();
     }
 
     void held(Held held) {
-        if (!seats.holds(held.service()) && isHome(held.service())) {
-            seats.take(held.service(), homes.rootZone(held.service()), others(), now());
+        if (seats.holds(held.service())) {
+            seats.held(held, now());
+        } else {
+            remember(held);
+            if (isHome(held.service())) {
+                take(held.service(), homes.rootZone(held.service()));
+            }
         }
-        seats.held(held, now());
         then();
     }
 
@@ -202,7 +244,7 @@
                     && !seats.holds(spec.service())
                     && zone.equals(homes.rootZone(spec.service()))
                     && isHome(spec.service())) {
-                seats.take(spec.service(), zone, others(), now());
+                take(spec.service(), zone);
             }
         }
     }
@@ -211,6 +253,7 @@
     void roster(Homes next, List<String> gone) {
         homes = next;
         for (String edge : gone) {
+            early.removeIf(one -> one.held.edge().equals(edge));
             seats.edgeGone(edge, now());
         }
         sweep();
--- a/src/main/java/brambletray/tray/home/Holders.java
+++ b/src/main/java/brambletray/tray/home/Holders.java
@@ -33,6 +33,11 @@
         taking.told(held.edge());
     }
 
+    /** A place told early has been given back. */
+    void done(String edge, long askId) {
+        early.replaceAll(held -> held.edge().equals(edge) ? held.without(askId) : held);
+    }
+
     /** The hub has listed the hosts. */
     void listed(long now) {
         taking.listed();
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/tray/home/Seat.java
@@ -145,12 +145,19 @@
     }
 
     void done(String edge, Done done, long now) {
+        holders.done(edge, done.askId());
         if (desk.done(edge, done, now)) {
             after(now);
         }
     }
 
+    /** A place at a host that is not known here (yet) has been given back. */
+    void doneEarly(String edge, Done done) {
+        holders.done(edge, done.askId());
+    }
+
     void forget(String edge, long ask, long now) {
+        holders.done(edge, ask);
         Line.Waiter waiter = desk.line().find(edge, ask);
         if (waiter != null) {
             desk.forget(waiter, now);
--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/tray/home/Seats.java
@@ -126,6 +126,8 @@
         if (seat != null) {
             seat.done(edge, done, now);
             plan(seat, now);
+        } else {
+            seats.values().forEach(one -> one.doneEarly(edge, done));
         }
     }
 
--- a/src/test/java/brambletray/tray/carry/StewardTest.java
+++ b/src/test/java/brambletray/tray/carry/StewardTest.java
@@ -102,7 +102,7 @@
         public void heldHere(Held held) {}
     }
 
-    private static Homes homes(long number, String... names) {
+    static Homes homes(long number, String... names) {
         List<Peer> peers = new ArrayList<>();
         for (String name : names) {
             peers.add(new Peer(name, "z", name + ":1", 1, Peer.IN));
