Admission: the retry budget holds in every window, also where a home moves thrice in it

Cause: a home counts the further tries that it grants itself. A new one begins with an empty window, so each move within one window brought another half of the slack: 94 to 126 further tries where 76 are allowed. Change: a home that takes a service over keeps to a third of its share in its first window, unless the hub lists no instances.

--- a/src/main/java/brambletray/tray/home/Desk.java
+++ b/src/main/java/brambletray/tray/home/Desk.java
@@ -34,6 +34,16 @@
         return line;
     }
 
+    /** The service may have had another home, which has spent of the budget what is not known here. */
+    void takenOver(long now) {
+        budget.takenOver(now);
+    }
+
+    /** The service has no hosts: it has had no home whose further tries reached any of late. */
+    void takenFirst() {
+        budget.takenFirst();
+    }
+
     /** Those in line and those told to come back. */
     int pressing(long now) {
         return line.size() + herd.open(now);
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/tray/home/Seat.java
@@ -70,8 +70,11 @@
         withdrawn = false;
     }
 
-    void expect(Collection<String> edges) {
+    void expect(Collection<String> edges, long now) {
         taking.expect(edges);
+        if (!edges.isEmpty()) {
+            desk.takenOver(now);
+        }
     }
 
     /** The service is no more: hosts end as they become empty, those in line are refused. */
@@ -182,6 +185,9 @@
     }
 
     void hosts(Hosts hosts, long now) {
+        if (hosts.hosts().isEmpty() && !taking.isListed()) {
+            desk.takenFirst();
+        }
         for (Host host : hosts.hosts()) {
             crew.take(host, false, now);
         }
--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/tray/home/Seats.java
@@ -76,7 +76,7 @@
         Seat seat = seats.get(service);
         if (seat == null) {
             seat = new Seat(new Ward(spec, zone, laws, out), rootZone, nonces, forecast, seatOf, now);
-            seat.expect(edges);
+            seat.expect(edges, now);
             seats.put(service, seat);
         } else if (seat.rootZone().equals(rootZone)) {
             return;
--- /dev/null
+++ b/src/test/java/brambletray/tray/home/BudgetMoveTest.java
@@ -0,0 +1,138 @@
+package brambletray.tray.home;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.tray.yard.Claim;
+import brambletray.tray.yard.Host;
+import brambletray.tray.yard.Hosts;
+import brambletray.tray.yard.Need;
+import brambletray.tray.yard.Quit;
+import brambletray.tray.yard.Seen;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Rule BUDGET across moves of a service's home: clients press with further tries all the time, and the home moves up to three times in one window.
+ * Virtual time; the seed is in the test's name.
+ */
+class BudgetMoveTest {
+    private static final double RATIO = 0.2;
+    private static final int SLACK = 56;
+    private static final int WINDOW_MS = 10_000;
+    private static final int LENGTH_MS = 60_000;
+    private static final int REQUEST_EVERY_MS = 100;
+    private static final int TRY_EVERY_MS = 10;
+
+    private final List<Long> requests = new ArrayList<>();
+    private final List<Long> furtherTries = new ArrayList<>();
+    private final List<Grant> given = new ArrayList<>();
+    private Seats home;
+    private long now;
+    private long ids;
+
+    @TestFactory
+    List<DynamicTest> furtherTriesStayWithinTheBudgetOfEverySlidingWindow() {
+        List<DynamicTest> tests = new ArrayList<>();
+        for (long seed = 1; seed <= 20; seed++) {
+            long one = seed;
+            tests.add(DynamicTest.dynamicTest("seed " + one, () -> new BudgetMoveTest().play(one)));
+        }
+        return tests;
+    }
+
+    private void play(long seed) {
+        Random random = new Random(seed);
+        move(List.of());
+        List<Long> moves = new ArrayList<>();
+        while (now < LENGTH_MS) {
+            now++;
+            home.tick(now);
+            giveBack();
+            boolean recentEnough = moves.size() < 3 || now - moves.get(moves.size() - 3) > 2 * WINDOW_MS;
+            if (recentEnough && random.nextInt(1_500) == 0) {
+                moves.add(now);
+                move(List.of("a"));
+            }
+            if (now % REQUEST_EVERY_MS == 0) {
+                requests.add(now);
+                ask(false);
+            }
+            if (now % TRY_EVERY_MS == 5) {
+                ask(true);
+            }
+        }
+        assertTrue(furtherTries.size() > 50, "seed " + seed + ": further tries are granted: " + furtherTries.size());
+        for (long start : furtherTries) {
+            long tries = within(furtherTries, start);
+            double most = RATIO * within(requests, start) + SLACK;
+            assertTrue(
+                    tries <= most,
+                    () -> "seed " + seed + ": " + tries + " of " + most + " from " + start + ", moves " + moves);
+        }
+    }
+
+    private static long within(List<Long> times, long start) {
+        return times.stream()
+                .filter(at -> at >= start && at < start + WINDOW_MS)
+                .count();
+    }
+
+    private void ask(boolean again) {
+        Ask ask = new Ask(++ids, "a", "east", "s", 1, 50, 50, false, again, false, List.of());
+        home.ask(ask, false, now);
+    }
+
+    private void giveBack() {
+        for (Grant grant : given) {
+            home.done("a", new Done(grant.askId(), grant.host(), Fate.SERVED, 1), now);
+        }
+        given.clear();
+    }
+
+    /** Another edge is home; {@code others}: edges that may hold slots given out by the one before. */
+    private void move(List<String> others) {
+        home = new Seats("east", "n" + now, Laws.of(RATIO, SLACK, WINDOW_MS, 1), new Edge());
+        home.spec(new Spec("s", 128, 500, 64, 1_000), now);
+        home.take("s", "east", others, now);
+        Host host = new Host("h1", "s", "a:1", "east", "east", "w", "n", Host.UP, 60_000);
+        home.hosts(new Hosts("s", "east", List.of(host)), now);
+        for (String edge : others) {
+            home.held(new Held(edge, "s", List.of()), now);
+        }
+    }
+
+    /** Counts further tries that are granted; gives each slot back at once. */
+    private final class Edge implements Out {
+        @Override
+        public void grant(String edge, Grant grant) {
+            if (now % TRY_EVERY_MS == 5) {
+                furtherTries.add(now);
+            }
+            given.add(grant);
+        }
+
+        @Override
+        public void refuse(String edge, Refuse refuse) {}
+
+        @Override
+        public void elsewhere(String edge, Elsewhere elsewhere) {}
+
+        @Override
+        public void need(Need need) {}
+
+        @Override
+        public void quit(Quit quit) {}
+
+        @Override
+        public void seen(Seen seen) {}
+
+        @Override
+        public void claim(Claim claim) {}
+
+        @Override
+        public void knock(String service, String hostId, String address) {}
+    }
+}
