Provisioning: idle instances make room for services that a later configuration brings

Cause: services keep idle instances for up to 60 s, and one warm instance for ever where a start is slow. Change: where a start for which requests wait finds no room, the hub tells the homes (new frame Reclaim) to end instances idle for 16 s or longer; the age falls to a quarter each time, to 0.5 s at least, until there is room. For 10 s no instance is kept warm for nobody.

--- a/src/main/java/brambletray/tray/carry/Hall.java
+++ b/src/main/java/brambletray/tray/carry/Hall.java
@@ -27,6 +27,7 @@
 import brambletray.tray.yard.Need;
 import brambletray.tray.yard.NoRoom;
 import brambletray.tray.yard.Quit;
+import brambletray.tray.yard.Reclaim;
 import brambletray.tray.yard.Seen;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -203,6 +204,8 @@
             seats.leaving(leaving, now);
         } else if (frame instanceof Gone gone) {
             seats.gone(gone, now);
+        } else if (frame instanceof Reclaim reclaim) {
+            seats.reclaim(reclaim, now);
         }
         then();
     }
--- a/src/main/java/brambletray/tray/home/Scaler.java
+++ b/src/main/java/brambletray/tray/home/Scaler.java
@@ -133,6 +133,17 @@
         }
     }
 
+    /** Ends hosts that have been idle for so long, for others that need their memory. */
+    void reclaim(int idleMs, long now) {
+        List<Post> all = crew.posts.all();
+        for (int i = all.size() - 1; i >= 0; i--) {
+            Post post = all.get(i);
+            if (post.up() && post.held == 0 && now - post.idleSince >= idleMs) {
+                crew.end(post, now);
+            }
+        }
+    }
+
     private int span(int n) {
         int boot = starts.bootMs(ward.spec);
         return n == 1 ? keeping.spanMs(ward.spec, boot) : keeping.breakEvenMs(ward.spec, boot);
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/tray/home/Seat.java
@@ -14,6 +14,9 @@
  * its time; what is to be done goes out through {@link Out}.
  */
 final class Seat {
+    /** ms after a lack of room in which no host is kept, or started, for nobody. */
+    private static final int RECLAIM_MS = 10_000;
+
     /** Where the heap of {@link Seats} has it. */
     long scheduled = Long.MAX_VALUE;
 
@@ -29,6 +32,7 @@
     private final Holders holders;
     private String rootZone;
     private boolean withdrawn;
+    private long noWarmUntil = Long.MIN_VALUE;
 
     Seat(Ward ward, String rootZone, Nonces nonces, Forecast forecast, Map<String, Seat> seatOf, long now) {
         this.ward = ward;
@@ -93,9 +97,9 @@
         return ward.zone.equals(rootZone);
     }
 
-    /** Hosts kept whatever happens: one at the root where a cold start cannot be hidden. */
-    private int warm() {
-        return !withdrawn && root() && ward.spec.slowToStart() ? 1 : 0;
+    /** Hosts kept whatever happens: one at the root where a cold start cannot be hidden, unless others lack its memory. */
+    private int warm(long now) {
+        return !withdrawn && root() && ward.spec.slowToStart() && now >= noWarmUntil ? 1 : 0;
     }
 
     private boolean closing(long now) {
@@ -208,6 +212,14 @@
         return true;
     }
 
+    /** No worker has room: hosts that have been idle for so long end, and none is kept warm for a while. */
+    void reclaim(int idleMs, long now) {
+        noWarmUntil = now + RECLAIM_MS;
+        if (desk.line().size() == 0) {
+            scaler.reclaim(idleMs, now);
+        }
+    }
+
     void leaving(String id, long now) {
         if (crew.leaving(id, now)) {
             after(now);
@@ -234,7 +246,8 @@
         if (withdrawn || taking.unlisted(now)) {
             return;
         }
-        boolean wanted = desk.line().size() > 0 || warm() > 0 || crew.replacing(now) || !root() && annex.warming(now);
+        boolean wanted =
+                desk.line().size() > 0 || warm(now) > 0 || crew.replacing(now) || !root() && annex.warming(now);
         scaler.scale(wanted ? 1 : 0, desk.pressing(now), now);
         scaler.relieve(desk.stalledCalls(now), desk.line().size(), now);
     }
@@ -247,13 +260,16 @@
         crew.tick(now);
         after(now);
         if (!taking.unlisted(now)) {
-            scaler.retire(warm(), closing(now), now);
+            scaler.retire(warm(now), closing(now), now);
         }
     }
 
     long nextDue(long now) {
         long next = Math.min(taking.nextDue(now), Math.min(places.nextEnd(), starts.nextDue(now)));
-        next = Math.min(next, Math.min(crew.nextDue(now), scaler.nextDue(warm(), closing(now), now)));
+        next = Math.min(next, Math.min(crew.nextDue(now), scaler.nextDue(warm(now), closing(now), now)));
+        if (now < noWarmUntil) {
+            next = Math.min(next, noWarmUntil);
+        }
         return Math.min(next, desk.nextDue(now));
     }
 
--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/tray/home/Seats.java
@@ -8,6 +8,7 @@
 import brambletray.tray.yard.Leaving;
 import brambletray.tray.yard.Mine;
 import brambletray.tray.yard.NoRoom;
+import brambletray.tray.yard.Reclaim;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -182,6 +183,14 @@
         }
     }
 
+    /** No worker has room: instances that have been idle for so long end, that others may start. */
+    public void reclaim(Reclaim reclaim, long now) {
+        for (Seat seat : seats.values()) {
+            seat.reclaim(reclaim.idleMs(), now);
+            plan(seat, now);
+        }
+    }
+
     public void leaving(Leaving leaving, long now) {
         Seat seat = seats.get(leaving.service());
         if (seat != null) {
--- a/src/main/java/brambletray/tray/yard/Start.java
+++ b/src/main/java/brambletray/tray/yard/Start.java
@@ -9,6 +9,7 @@
     final String service;
     final String seat;
     final long since;
+
     String edge;
     int urgency;
     long askedAt;
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/tray/yard/Starts.java
@@ -41,6 +41,7 @@
     private final Polls polls;
     private final Function<String, Size> sizes;
     private final Ends ends;
+    private final MemoryPressure pressure;
     private final Map<String, Start> open = new HashMap<>();
     private final TreeSet<Start> waiting = new TreeSet<>(Comparator.<Start>comparingInt(start -> -start.urgency)
             .thenComparingLong(start -> start.since)
@@ -49,7 +50,15 @@
     private final Map<String, Integer> pending = new HashMap<>();
     private long nextLook;
 
-    Starts(Hands hands, Fleet fleet, Terms terms, Pace pace, Polls polls, Function<String, Size> sizes, Ends ends) {
+    Starts(
+            Hands hands,
+            Fleet fleet,
+            Terms terms,
+            Pace pace,
+            Polls polls,
+            Function<String, Size> sizes,
+            Ends ends,
+            MemoryPressure pressure) {
         this.hands = hands;
         this.fleet = fleet;
         this.placement = new Placement(fleet, terms);
@@ -57,6 +66,7 @@
         this.polls = polls;
         this.sizes = sizes;
         this.ends = ends;
+        this.pressure = pressure;
     }
 
     boolean empty() {
@@ -193,6 +203,9 @@
         start.unclear = false;
         if (start.refused.size() >= REFUSALS_MOST) {
             open.remove(start.nonce);
+            if (start.urgency > 0) {
+                pressure.noRoom(now);
+            }
             ends.turnedDown(start, FULL, "refused by " + start.refused.size() + " workers", now);
         } else {
             waiting.add(start);
@@ -205,6 +218,9 @@
         Spot spot = size == null ? null : placement.choose(start.service, size.memoryMb(), start.seat, start.refused);
         if (spot == null) {
             drop(start);
+            if (size != null && start.urgency > 0) {
+                pressure.noRoom(now);
+            }
             ends.turnedDown(
                     start,
                     size == null ? NO_SERVICE : FULL,
--- a/src/main/java/brambletray/tray/yard/Yard.java
+++ b/src/main/java/brambletray/tray/yard/Yard.java
@@ -23,7 +23,8 @@
             Seen.class,
             Claim.class,
             Hosts.class,
-            Mine.class);
+            Mine.class,
+            Reclaim.class);
 
     private static final Tale TALE = Tale.of("yard");
     /** ms; a stop that has waited so long goes before starts. */
@@ -64,7 +65,8 @@
                 pace,
                 service -> sizes.getOrDefault(service, new Size(0, 0)).memoryMb());
         answers = new Answers(hands, homes, registry, fleet);
-        starts = new Starts(hands, fleet, terms, pace, polls, service -> sizes.get(service), answers);
+        MemoryPressure pressure = new MemoryPressure(hands, homes, registry);
+        starts = new Starts(hands, fleet, terms, pace, polls, service -> sizes.get(service), answers, pressure);
         muster = new Muster(registry, stops, starts, service -> sizes.get(service), terms.lagMs());
         settling = new Settling(now);
         strays = new Strays(registry, homes, stops);
--- a/src/test/java/brambletray/tray/yard/Edge.java
+++ b/src/test/java/brambletray/tray/yard/Edge.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /** An edge in a scene: asks with the same nonce until it is answered, quits until it is told, says what it knows to each new hub. */
-final class Edge {
+class Edge {
     private static final long LINK = 2, AGAIN = 300;
 
     final String name;
--- /dev/null
+++ b/src/test/java/brambletray/tray/yard/LateRoutesTest.java
@@ -0,0 +1,261 @@
+package brambletray.tray.yard;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.tray.home.Ask;
+import brambletray.tray.home.Done;
+import brambletray.tray.home.Elsewhere;
+import brambletray.tray.home.Fate;
+import brambletray.tray.home.Grant;
+import brambletray.tray.home.Laws;
+import brambletray.tray.home.Out;
+import brambletray.tray.home.Refuse;
+import brambletray.tray.home.Seats;
+import brambletray.tray.home.Spec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Rule CONFIG, routes added later: services that come by a later configuration are served as well as the first ones, right after they come and in
+ * the calm that follows, also where instances of the first ones fill the workers. A home, the hub and the platform in virtual time; the seed is in the
+ * test's name.
+ */
+class LateRoutesTest {
+    private static final int WORKERS = 4;
+    private static final int WORKER_MB = 4_000;
+    private static final int INSTANCE_MB = 400;
+    private static final int FIRST_SERVICES = 39;
+    private static final int LATER_SERVICES = 24;
+    private static final int BOOT_MS = 500;
+    private static final int TARGET_MS = 400;
+    private static final int DEADLINE_MS = 2_500;
+    private static final int WORK_MS = 80;
+    private static final int FIRST_EVERY_MS = 20_000;
+    private static final int LATER_EVERY_MS = 4_000;
+    private static final long ADDED_AT = 60_000;
+    private static final long JUST_ADDED_MS = 8_000;
+    private static final long END = 150_000;
+    private static final int TRIES = 4;
+    /** The rule says a quarter. */
+    private static final double LEAST_SHARE = 0.5;
+
+    /** Requests of some services in some span. */
+    private static final class Count {
+        private int asked;
+        private int served;
+
+        private double share() {
+            return (double) served / Math.max(1, asked);
+        }
+
+        @Override
+        public String toString() {
+            return served + " of " + asked;
+        }
+    }
+
+    private final Scene scene = new Scene(26, 26);
+    private final Count first = new Count();
+    private final Count justAdded = new Count();
+    private final Count calm = new Count();
+    private Random random;
+    private SeatEdge home;
+    private long ids;
+
+    @TestFactory
+    List<DynamicTest> servicesAddedLaterAreServedAsWellAsTheFirstOnFullWorkers() {
+        return seeds(FIRST_SERVICES);
+    }
+
+    @TestFactory
+    List<DynamicTest> servicesAddedLaterAreServedAsWellAsTheFirstWhereThereIsRoom() {
+        return seeds(10);
+    }
+
+    private static List<DynamicTest> seeds(int firstServices) {
+        List<DynamicTest> tests = new ArrayList<>();
+        for (long seed = 1; seed <= 5; seed++) {
+            long one = seed;
+            tests.add(DynamicTest.dynamicTest("seed " + one, () -> new LateRoutesTest().play(one, firstServices)));
+        }
+        return tests;
+    }
+
+    private void play(long seed, int firstServices) {
+        random = new Random(seed);
+        for (int i = 0; i < WORKERS; i++) {
+            scene.worker("w-" + i, "north", "upper", WORKER_MB);
+        }
+        home = new SeatEdge();
+        scene.edges.put("north", home);
+        scene.hubWins();
+        for (int i = 0; i < firstServices; i++) {
+            add("first" + i, FIRST_EVERY_MS);
+        }
+        scene.wires.in(ADDED_AT, () -> {
+            for (int i = 0; i < LATER_SERVICES; i++) {
+                add("later" + i, LATER_EVERY_MS);
+            }
+        });
+        scene.wires.runTo(END);
+        String seen = "seed " + seed + ": first " + first + ", just added " + justAdded + ", later " + calm;
+        assertTrue(first.share() > 0.8, seen);
+        assertTrue(justAdded.asked >= 20 && justAdded.share() >= LEAST_SHARE * first.share(), seen);
+        assertTrue(calm.share() >= LEAST_SHARE * first.share(), seen);
+    }
+
+    private void add(String service, int everyMs) {
+        scene.service(service, INSTANCE_MB, BOOT_MS);
+        scene.hub.yard.creed(scene.creed, scene.wires.now());
+        home.add(new Spec(service, INSTANCE_MB, BOOT_MS, 1, TARGET_MS));
+        arrive(service, everyMs);
+    }
+
+    private void arrive(String service, int everyMs) {
+        scene.wires.in(random.nextInt(2 * everyMs), () -> {
+            new Request(service).start();
+            arrive(service, everyMs);
+        });
+    }
+
+    private Count count(String service, long sentAt) {
+        if (service.startsWith("first")) {
+            return first;
+        }
+        return sentAt < ADDED_AT + JUST_ADDED_MS ? justAdded : calm;
+    }
+
+    /** A request of a client, which comes back as it is told, a few times. */
+    private final class Request {
+        private final String service;
+        private final long sentAt = scene.wires.now();
+        private int tries;
+
+        Request(String service) {
+            this.service = service;
+            if (sentAt < END - DEADLINE_MS) {
+                count(service, sentAt).asked++;
+            }
+        }
+
+        private int left() {
+            return (int) (sentAt + DEADLINE_MS - scene.wires.now());
+        }
+
+        void start() {
+            if (left() > 0 && tries++ < TRIES) {
+                home.ask(this);
+            }
+        }
+
+        void refused(int comeBackMs) {
+            scene.wires.in(Math.max(1, Math.min(comeBackMs < 0 ? 200 : comeBackMs, left() / 3)), this::start);
+        }
+
+        void served() {
+            if (left() > 0 && sentAt < END - DEADLINE_MS) {
+                count(service, sentAt).served++;
+            }
+        }
+    }
+
+    /** An edge that is home of all seats, as the program wires it up. */
+    private final class SeatEdge extends Edge implements Out {
+        private final Map<Long, Request> asked = new HashMap<>();
+        private final Seats seats = new Seats("north", "n", Laws.of(0.2, 50, 10_000, 1), this);
+
+        SeatEdge() {
+            super(scene, "north");
+            scene.wires.every(5, () -> {
+                if (seats.nextDue() <= scene.wires.now()) {
+                    seats.tick(scene.wires.now());
+                }
+            });
+        }
+
+        void add(Spec spec) {
+            seats.spec(spec, scene.wires.now());
+            seats.take(spec.service(), "north", List.of(), scene.wires.now());
+        }
+
+        void ask(Request request) {
+            asked.put(++ids, request);
+            Ask ask = new Ask(
+                    ids, name, "north", request.service, 1, request.left(), TARGET_MS, false, false, false, List.of());
+            seats.ask(ask, false, scene.wires.now());
+        }
+
+        private void later(long ms, Runnable what) {
+            scene.wires.in(ms, what);
+        }
+
+        @Override
+        void heard(Object frame) {
+            long now = scene.wires.now();
+            if (frame instanceof Born born) {
+                seats.born(born, now);
+            } else if (frame instanceof Hosts hosts) {
+                seats.hosts(hosts, now);
+            } else if (frame instanceof NoRoom noRoom) {
+                seats.noRoom(noRoom, now);
+            } else if (frame instanceof Leaving leave) {
+                seats.leaving(leave, now);
+            } else if (frame instanceof Gone gone) {
+                seats.gone(gone, now);
+            } else if (frame instanceof Reclaim reclaim) {
+                seats.reclaim(reclaim, now);
+            }
+        }
+
+        @Override
+        public void grant(String edge, Grant grant) {
+            Request request = asked.remove(grant.askId());
+            Done done = new Done(grant.askId(), grant.host(), Fate.SERVED, WORK_MS);
+            later(WORK_MS, () -> {
+                request.served();
+                seats.done(name, done, scene.wires.now());
+            });
+        }
+
+        @Override
+        public void refuse(String edge, Refuse refuse) {
+            Request request = asked.remove(refuse.askId());
+            later(1, () -> request.refused(refuse.comeBackMs()));
+        }
+
+        @Override
+        public void elsewhere(String edge, Elsewhere elsewhere) {
+            throw new AssertionError(elsewhere);
+        }
+
+        @Override
+        public void need(Need need) {
+            say(need);
+        }
+
+        @Override
+        public void quit(Quit quit) {
+            say(quit);
+        }
+
+        @Override
+        public void seen(Seen seen) {
+            say(seen);
+        }
+
+        @Override
+        public void claim(Claim claim) {
+            say(claim);
+        }
+
+        @Override
+        public void knock(String service, String host, String address) {
+            later(1, () -> seats.knocked(host, scene.cloud.stand.up(host, scene.wires.now()), scene.wires.now()));
+        }
+    }
+}
