Provisioning: a service's first start is not overtaken for ever by the many of another

Cause: starts went by urgency alone. At the rate that the platform accepts, services with long queues took all of it, and the only start of a service with one request waiting was forgotten after 3 s. Change: a start's turn is its age, 20 ms earlier for each request that waits (50 at most), 200 ms later for each start of its service that is as urgent and was wanted before it. Result: LateRoutesTest.aStartForOneRequestIsNotOvertakenForEverByThoseForMany: no start within 4 s before; passes.

--- a/src/main/java/brambletray/tray/yard/Start.java
+++ b/src/main/java/brambletray/tray/yard/Start.java
@@ -9,6 +9,8 @@
     final String service;
     final String seat;
     final long since;
+    /** Starts of the same service and seat, as urgent, that were wanted before it. */
+    final int rank;
 
     String edge;
     int urgency;
@@ -28,13 +30,14 @@
     long next;
     final Set<String> refused = new HashSet<>(2);
 
-    Start(String edge, Need need, long now) {
+    Start(String edge, Need need, int rank, long now) {
         this.nonce = need.nonce();
         this.service = need.service();
         this.seat = need.seat();
         this.edge = edge;
         this.urgency = need.urgency();
         this.since = now;
+        this.rank = rank;
         this.askedAt = now;
     }
 }
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/tray/yard/Starts.java
@@ -18,6 +18,10 @@
     private static final int MOST = 2_048;
     /** ms; a start that has not been called, and not been asked for again for so long, is forgotten. */
     private static final long FORGET = 3_000;
+    /** ms of waiting that each request that waits for the start counts as, and how many count: none is overtaken for ever. */
+    private static final int URGENCY_MS = 20, URGENCY_MOST = 50;
+    /** ms that a start comes later for each start of its service, as urgent, that is wanted before it: a first one goes before a tenth. */
+    private static final int RANK_MS = 200;
     /** ms between two looks at all that wait. */
     private static final long LOOK = 250;
     /** ms until a home had better ask again: when all is full, when nothing could be called, when the service is not known. */
@@ -43,9 +47,8 @@
     private final Ends ends;
     private final MemoryPressure pressure;
     private final Map<String, Start> open = new HashMap<>();
-    private final TreeSet<Start> waiting = new TreeSet<>(Comparator.<Start>comparingInt(start -> -start.urgency)
-            .thenComparingLong(start -> start.since)
-            .thenComparing(start -> start.nonce));
+    private final TreeSet<Start> waiting =
+            new TreeSet<>(Comparator.comparingLong(Starts::turn).thenComparing(start -> start.nonce));
     private final List<Start> called = new ArrayList<>();
     private final Map<String, Integer> pending = new HashMap<>();
     private long nextLook;
@@ -69,6 +72,24 @@
         this.pressure = pressure;
     }
 
+    /** The smallest goes first. */
+    private static long turn(Start start) {
+        return start.since + (long) RANK_MS * start.rank - (long) URGENCY_MS * Math.min(URGENCY_MOST, start.urgency);
+    }
+
+    /** Starts of the same service and seat that are as urgent, and not answered. */
+    private int before(Need need) {
+        int n = 0;
+        for (Start start : open.values()) {
+            n += start.service.equals(need.service())
+                            && start.seat.equals(need.seat())
+                            && start.urgency >= need.urgency()
+                    ? 1
+                    : 0;
+        }
+        return n;
+    }
+
     boolean empty() {
         return open.isEmpty();
     }
@@ -82,7 +103,7 @@
     void want(String edge, Need need, long now) {
         Start start = open.get(need.nonce());
         if (start == null) {
-            start = new Start(edge, need, now);
+            start = new Start(edge, need, before(need), now);
             if (open.size() >= MOST) {
                 ends.turnedDown(start, BUSY, "too many wait", now);
                 return;
--- a/src/test/java/brambletray/tray/yard/LateRoutesTest.java
+++ b/src/test/java/brambletray/tray/yard/LateRoutesTest.java
@@ -1,5 +1,6 @@
 package brambletray.tray.yard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brambletray.tray.home.Ask;
@@ -18,6 +19,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
 
 /**
@@ -77,6 +79,21 @@
         return seeds(10);
     }
 
+    /** The platform takes fewer starts than services with long queues ask for: the first start of another service still comes soon. */
+    @Test
+    void aStartForOneRequestIsNotOvertakenForEverByThoseForMany() {
+        Scene slow = new Scene(5, 5);
+        slow.worker("w-0", "north", "upper", 1_000_000);
+        slow.service("first", 100, BOOT_MS);
+        slow.service("later", 100, BOOT_MS);
+        Edge edge = slow.edge("north");
+        slow.hubWins();
+        slow.wires.every(100, () -> edge.need(new Need("first", "north", "first-" + slow.wires.now(), 200)));
+        slow.wires.in(2_000, () -> edge.need(new Need("later", "north", "later", 1)));
+        slow.wires.runTo(6_000);
+        assertNotNull(edge.host("later"), "no start of it within 4 s");
+    }
+
     private static List<DynamicTest> seeds(int firstServices) {
         List<DynamicTest> tests = new ArrayList<>();
         for (long seed = 1; seed <= 5; seed++) {
