--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/tray/home/Seats.java
@@ -8,6 +8,7 @@
 import brambletray.tray.yard.Leaving;
 import brambletray.tray.yard.Mine;
 import brambletray.tray.yard.NoRoom;
+import brambletray.tray.yard.Reclaim;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -76,7 +77,7 @@
         Seat seat = seats.get(service);
         if (seat == null) {
             seat = new Seat(new Ward(spec, zone, laws, out), rootZone, nonces, forecast, seatOf, now);
-            seat.expect(edges);
+            seat.expect(edges, now);
             seats.put(service, seat);
         } else if (seat.rootZone().equals(rootZone)) {
             return;
@@ -126,6 +127,8 @@
         if (seat != null) {
             seat.done(edge, done, now);
             plan(seat, now);
+        } else {
+            seats.values().forEach(one -> one.doneEarly(edge, done));
         }
     }
 
@@ -180,6 +183,14 @@
         }
     }
 
+    /** No worker has room: instances that have been idle for so long end, that others may start. */
+    public void reclaim(Reclaim reclaim, long now) {
+        for (Seat seat : seats.values()) {
+            seat.reclaim(reclaim.idleMs(), now);
+            plan(seat, now);
+        }
+    }
+
     public void leaving(Leaving leaving, long now) {
         Seat seat = seats.get(leaving.service());
         if (seat != null) {
