Move the drill to src/main and give it a verb, system drill

Cause: the drill could be played only by test properties of DrillTest or by a main of its own among the tests, so no operator or engineer could run it from the jar, and a broken course had no drawn timeline.

Change: the rig is the package brambletray.tray.drill, above keep and carry; ArchitectureTest has the plane beside lap. The stand-ins that it needs (SimBerth, SimStore, SimKeep, SimCarry) move with it. `system drill` plays courses by members, seed, count and threads, shrinks broken ones and replays one with its timeline, as text or JSON; exit codes 0, 1, 2. Log lines are handed to the course that plays on their thread, so courses run side by side. Course is parted into Course, FaultInjector and NetworkFaults. DrillTest uses the runner, and now fails as well when a program logs a fault of its own; aSeedIsACourse plays the same course on two threads at once, one of them with a timeline.

--- a/src/test/java/brambletray/tray/drill/Book.java
+++ b/src/main/java/brambletray/tray/drill/Book.java
@@ -56,6 +56,7 @@
     void fail(String rule, String why) {
         if (broken == null) {
             broken = rule + " at " + world.now() + ": " + why;
+            world.note(Timeline.OPERATORS, "BROKEN " + rule);
         }
     }
 
@@ -96,6 +97,7 @@
         }
         order.ackedAt = world.now();
         acknowledged++;
+        world.timeline.acknowledged();
         longest = Math.max(longest, order.ackedAt - order.sentAt);
         Order same = ackedByBase.put(order.base, order);
         if (same != null) {
--- a/src/test/java/brambletray/tray/drill/CoreNode.java
+++ b/src/main/java/brambletray/tray/drill/CoreNode.java
@@ -4,7 +4,9 @@
 import brambletray.tray.berth.SimBerth;
 import brambletray.tray.keep.SimKeep;
 import brambletray.tray.trove.SimStore;
+import brambletray.tray.view.Status;
 import java.net.InetAddress;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** One machine of the core: a disk that stays, and a process that comes and goes. */
@@ -25,6 +27,8 @@
     /** Counts processes. */
     private int boot;
 
+    private String notedRole = "";
+
     CoreNode(World world, int number, boolean first) {
         this.world = world;
         this.first = first;
@@ -78,6 +82,7 @@
             dark = false;
             world.simulation.network().comeBack(address);
         }
+        world.note(name, "start");
         boolean initial = first && !began;
         began = true;
         told = false;
@@ -112,6 +117,7 @@
 
     private void exited(int which) {
         if (which == boot && machine != null) {
+            world.note(name, "ends by itself");
             kill(false);
             if (told) {
                 world.left++;
@@ -127,6 +133,7 @@
             return;
         }
         world.disturb();
+        world.note(name, power ? "power lost" : "killed");
         if (power) {
             dark = true;
             world.simulation.network().vanish(address);
@@ -150,6 +157,7 @@
     void terminate() {
         if (running()) {
             world.disturb();
+            world.note(name, "SIGTERM");
             told = true;
             SimKeep leaving = keep;
             machine.loop().execute(leaving::leave);
@@ -161,6 +169,7 @@
             return;
         }
         world.disturb();
+        world.note(name, still ? "frozen" : "thawed");
         frozen = still;
         if (still) {
             world.simulation.freeze(machine);
@@ -169,9 +178,29 @@
         }
     }
 
+    /** Puts on the timeline what it is in the core, where that has changed. */
+    void noteRole() {
+        String role = running() ? role() : "";
+        if (!role.equals(notedRole)) {
+            notedRole = role;
+            if (!role.isEmpty()) {
+                world.note(name, role);
+            }
+        }
+    }
+
+    private String role() {
+        Status status = keep.status();
+        String standing = status.leading() && status.inForce()
+                ? "leads"
+                : status.standing().toString().toLowerCase(Locale.ROOT);
+        return standing + " view " + status.number() + (keep.mayAct() ? ", helm" : "");
+    }
+
     /** The disk is lost with the power. */
     void wipe() {
         kill(true);
+        world.note(name, "disk lost");
         disk = new SimStore.Platter(world.syncMs);
     }
 }
--- /dev/null
+++ b/src/main/java/brambletray/tray/drill/CourseReplay.java
@@ -0,0 +1,78 @@
+package brambletray.tray.drill;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Plays one course again and draws its timeline: one column for each process, time downwards, faults in place. */
+public final class CourseReplay {
+    private final Course.Result result;
+    private final Timeline timeline;
+
+    private CourseReplay(Course.Result result, Timeline timeline) {
+        this.result = result;
+        this.timeline = timeline;
+    }
+
+    /**
+     * Plays the course.
+     *
+     * @param course   a script, SEED/MEMBERS/LOSSES/END-MS/TROUBLES, or a seed alone
+     * @param members  core machines of a course that is named by its seed alone
+     * @param shrink   whether a broken course is shrunk first; the shortest one is drawn
+     * @param logLines takes the log lines of all processes, or null
+     * @throws DrillFault where the course cannot be read
+     */
+    public static CourseReplay play(String course, int members, boolean shrink, Consumer<String> logLines) {
+        Script script = script(course, members);
+        if (shrink) {
+            Course.Result first = Course.play(script, null);
+            script = first.broken() == null ? script : Shrinker.shrink(first).script();
+        }
+        Timeline timeline = Timeline.recording();
+        return new CourseReplay(Course.play(script, logLines, timeline), timeline);
+    }
+
+    private static Script script(String course, int members) {
+        if (course.contains("/")) {
+            return Script.parse(course);
+        }
+        DrillPlan.check("members", members, DrillPlan.MEMBERS_LEAST, DrillPlan.MEMBERS_MOST);
+        return Script.draw(Script.seed(course), members);
+    }
+
+    /** The rule that was broken, when and why, or null. */
+    public String broken() {
+        return result.broken();
+    }
+
+    /** The course as {@link #play} reads it. */
+    public String script() {
+        return result.script().toString();
+    }
+
+    /** The timeline as text, and what the course came to. */
+    public String text() {
+        return "course " + script() + "\n" + timeline.draw() + verdict() + "\n";
+    }
+
+    private String verdict() {
+        String counts = result.acknowledged() + " orders acknowledged, " + result.refused() + " refused, "
+                + result.resent() + " sent again after an answer, " + result.reads() + " readings";
+        return (broken() == null ? "all rules hold: " : "BROKEN " + broken() + "\n") + counts;
+    }
+
+    /** The same as a JSON object: maps, lists, numbers and texts. */
+    public Map<String, Object> json() {
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("script", script());
+        json.put("broken", broken());
+        json.put("acknowledged", result.acknowledged());
+        json.put("refused", result.refused());
+        json.put("resent", result.resent());
+        json.put("reads", result.reads());
+        json.put("program-faults", result.faults());
+        json.put("timeline", timeline.json());
+        return json;
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/tray/drill/DrillFault.java
@@ -0,0 +1,12 @@
+package brambletray.tray.drill;
+
+import brambletray.tray.fault.Fault;
+
+/** A plan or a script of a drill that cannot be played; the message says which field, and what was expected. */
+public final class DrillFault extends Fault {
+    private static final long serialVersionUID = 1L;
+
+    DrillFault(String message) {
+        super("drill.bad-input", message, null);
+    }
+}
--- a/src/test/java/brambletray/tray/drill/EdgeNode.java
+++ b/src/main/java/brambletray/tray/drill/EdgeNode.java
@@ -36,6 +36,7 @@
         if (machine != null) {
             return;
         }
+        world.note(name, "start");
         newest = 0;
         outAt = world.now();
         machine = world.machine(address, name);
@@ -58,6 +59,7 @@
 
     void kill() {
         if (machine != null) {
+            world.note(name, "killed");
             outAt = world.now();
             world.simulation.kill(machine);
             machine = null;
@@ -70,6 +72,7 @@
         if (machine == null || frozen == still) {
             return;
         }
+        world.note(name, still ? "frozen" : "thawed");
         outAt = world.now();
         frozen = still;
         if (still) {
--- a/src/test/java/brambletray/tray/drill/Script.java
+++ b/src/main/java/brambletray/tray/drill/Script.java
@@ -12,6 +12,8 @@
     static final int SYNC = 4_000, GRACE = 6_000;
     /** ms before the first trouble, at least. */
     private static final int FIRST = 5_000;
+    /** ms; the longest course that is read. */
+    static final int END_MOST = 600_000;
 
     static Script draw(long seed, int members) {
         SplittableRandom random = new SplittableRandom(mix(seed * 31 + members));
@@ -19,13 +21,13 @@
         int end = 16_000 + random.nextInt(20_000);
         int wanted = 2 + random.nextInt(6);
         List<Trouble> drawn = new ArrayList<>();
-        List<int[]> lost = new ArrayList<>();
+        List<Loss> lost = new ArrayList<>();
         int replaced = 0;
         for (int i = 0; i < 4 * wanted && drawn.size() < wanted; i++) {
             Trouble trouble = one(random, end);
             if (!lost.isEmpty() && random.nextInt(3) == 0) {
                 // the next loss as soon as the one before counts no more
-                trouble = trouble.beginning(lost.get(lost.size() - 1)[1] + random.nextInt(600));
+                trouble = trouble.beginning(lost.get(lost.size() - 1).untilMs() + random.nextInt(600));
                 if (trouble.at() > end) {
                     continue;
                 }
@@ -37,14 +39,12 @@
                 replaced++;
             }
             if (trouble.kind().counted) {
-                int[] span = {
-                    trouble.at(), trouble.at() + held(trouble), trouble.kind().all() ? 9 : 1
-                };
-                if (most(lost, span) > losses
-                        && !(trouble.kind().all() && most(lost, new int[] {span[0], span[1], 0}) == 0)) {
+                Loss loss = Loss.of(trouble);
+                boolean all = trouble.kind().all();
+                if (most(lost, loss) > losses && !(all && most(lost, loss.ofMachines(0)) == 0)) {
                     continue;
                 }
-                lost.add(span);
+                lost.add(loss);
             }
             drawn.add(trouble);
         }
@@ -59,24 +59,47 @@
         return z ^ z >>> 33;
     }
 
-    /** ms for which it counts as a loss. */
-    private static int held(Trouble trouble) {
-        return switch (trouble.kind()) {
-            case REPLACE_PLANNED, LEAVE -> trouble.span() + GRACE + SYNC;
-            case AFTER_ACK_KILL, AFTER_ACK_WIPE, AFTER_ACK_ALL -> trouble.span() + SYNC + 4_000;
-            default -> trouble.span() + SYNC;
-        };
+    /** Machines that count as lost for a span of the course, ms from its start. */
+    private record Loss(int fromMs, int untilMs, int machines) {
+        /** More than any course may lose. */
+        private static final int ALL = 9;
+
+        static Loss of(Trouble trouble) {
+            int machines = trouble.kind().all() ? ALL : 1;
+            return new Loss(trouble.at(), trouble.at() + held(trouble), machines);
+        }
+
+        Loss ofMachines(int count) {
+            return new Loss(fromMs, untilMs, count);
+        }
+
+        boolean meets(Loss other) {
+            return fromMs < other.untilMs && other.fromMs < untilMs;
+        }
+
+        boolean lastsAt(int moment) {
+            return fromMs <= moment && moment < untilMs;
+        }
+
+        /** ms for which it counts as a loss. */
+        private static int held(Trouble trouble) {
+            return switch (trouble.kind()) {
+                case REPLACE_PLANNED, LEAVE -> trouble.span() + GRACE + SYNC;
+                case AFTER_ACK_KILL, AFTER_ACK_WIPE, AFTER_ACK_ALL -> trouble.span() + SYNC + 4_000;
+                default -> trouble.span() + SYNC;
+            };
+        }
     }
 
-    /** Losses at once, with this one, at the worst moment. */
-    private static int most(List<int[]> lost, int[] span) {
-        int most = span[2];
-        for (int[] at : lost) {
-            int moment = Math.max(at[0], span[0]);
-            if (at[0] < span[1] && span[0] < at[1]) {
-                int sum = span[2];
-                for (int[] other : lost) {
-                    sum += other[0] <= moment && moment < other[1] ? other[2] : 0;
+    /** Machines lost at once, with this loss, at the worst moment. */
+    private static int most(List<Loss> lost, Loss added) {
+        int most = added.machines();
+        for (Loss loss : lost) {
+            if (loss.meets(added)) {
+                int moment = Math.max(loss.fromMs(), added.fromMs());
+                int sum = added.machines();
+                for (Loss other : lost) {
+                    sum += other.lastsAt(moment) ? other.machines() : 0;
                 }
                 most = Math.max(most, sum);
             }
@@ -124,19 +147,39 @@
                 + troubles.stream().map(Trouble::toString).collect(Collectors.joining(","));
     }
 
+    /** Reads SEED/MEMBERS/LOSSES/END-MS/TROUBLES; {@link DrillFault} where it is none. */
     static Script parse(String text) {
         String[] part = text.trim().split("/", -1);
+        if (part.length != 5) {
+            throw new DrillFault("course: expected SEED/MEMBERS/LOSSES/END-MS/TROUBLES, found '" + text + "'");
+        }
+        int members = number("members", part[1], DrillPlan.MEMBERS_LEAST, DrillPlan.MEMBERS_MOST);
+        int losses = number("losses", part[2], 0, members - 1);
+        int endMs = number("end", part[3], 1, END_MOST);
         List<Trouble> troubles = new ArrayList<>();
         for (String one : part[4].split(",")) {
             if (!one.isBlank()) {
                 troubles.add(Trouble.parse(one));
             }
         }
-        return new Script(
-                Long.parseLong(part[0]),
-                Integer.parseInt(part[1]),
-                Integer.parseInt(part[2]),
-                Integer.parseInt(part[3]),
-                troubles);
+        return new Script(seed(part[0]), members, losses, endMs, troubles);
+    }
+
+    /** A seed, from 0; {@link DrillFault} where it is none. */
+    static long seed(String text) {
+        if (!text.matches("\\d{1,18}")) {
+            throw new DrillFault("course: seed: expected a number from 0, found '" + text + "'");
+        }
+        return Long.parseLong(text);
+    }
+
+    /** A field of a script; {@link DrillFault} where it is no number of this range. */
+    static int number(String field, String text, int least, int most) {
+        int value = text.matches("\\d{1,9}") ? Integer.parseInt(text) : -1;
+        if (value < least || value > most) {
+            throw new DrillFault("course: " + field + ": expected a number from " + least + " to " + most + ", found '"
+                    + text + "'");
+        }
+        return value;
     }
 }
--- a/src/test/java/brambletray/tray/drill/Trouble.java
+++ b/src/main/java/brambletray/tray/drill/Trouble.java
@@ -1,5 +1,6 @@
 package brambletray.tray.drill;
 
+import java.util.Arrays;
 import java.util.Locale;
 
 /**
@@ -11,6 +12,8 @@
  * @param arg  drawn: further choices within the kind
  */
 record Trouble(Kind kind, int at, Who who, int span, int arg) {
+    private static final int ARGUMENT_MOST = (1 << 20) - 1;
+
     enum Who {
         LEADER,
         HELM,
@@ -86,13 +89,27 @@
         return kind + ":" + at + ":" + who + ":" + span + ":" + arg;
     }
 
+    /** Reads KIND:AT-MS:WHO:SPAN-MS:ARGUMENT; {@link DrillFault} where it is none. */
     static Trouble parse(String text) {
         String[] part = text.trim().toUpperCase(Locale.ROOT).split(":");
+        if (part.length != 5) {
+            throw new DrillFault("course: trouble: expected KIND:AT-MS:WHO:SPAN-MS:ARGUMENT, found '" + text + "'");
+        }
         return new Trouble(
-                Kind.valueOf(part[0]),
-                Integer.parseInt(part[1]),
-                Who.valueOf(part[2]),
-                Integer.parseInt(part[3]),
-                Integer.parseInt(part[4]));
+                named("kind", part[0], Kind.values()),
+                Script.number("at", part[1], 0, Script.END_MOST),
+                named("who", part[2], Who.values()),
+                Script.number("span", part[3], 0, Script.END_MOST),
+                Script.number("argument", part[4], 0, ARGUMENT_MOST));
+    }
+
+    private static <T extends Enum<T>> T named(String field, String text, T[] values) {
+        for (T value : values) {
+            if (value.name().equals(text)) {
+                return value;
+            }
+        }
+        throw new DrillFault("course: trouble: " + field + ": expected one of " + Arrays.toString(values) + ", found '"
+                + text + "'");
     }
 }
--- a/src/test/java/brambletray/tray/drill/World.java
+++ b/src/main/java/brambletray/tray/drill/World.java
@@ -52,6 +52,8 @@
     int troubledLinks;
     /** Told of a fault of the course's own. */
     Consumer<String> whenFailed = why -> {};
+    /** What happened to each process, where it is wanted. */
+    Timeline timeline = Timeline.none();
 
     private long disturbedAt;
     private long settledSince = -1;
@@ -162,6 +164,11 @@
         return String.join(",", all);
     }
 
+    /** Puts this on the timeline of a process. */
+    void note(String process, String text) {
+        timeline.note(now(), process, text);
+    }
+
     CoreNode at(String control) {
         for (CoreNode core : cores) {
             if (core.control().equals(control)) {
--- a/src/main/java/brambletray/tray/verb/Verbs.java
+++ b/src/main/java/brambletray/tray/verb/Verbs.java
@@ -31,6 +31,7 @@
         TABLE.put("hosts", Look.Hosts::new);
         TABLE.put("homes", Look.Seats::new);
         TABLE.put("up", UpVerb::new);
+        TABLE.put("drill", DrillVerb::new);
     }
 
     private Verbs() {}
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -74,7 +74,7 @@
     /** The planes of the system, from the bottom up. */
     private static final List<String> PLANES = List.of(
             "fault", "tale", "berth", "creed", "speech", "trove", "view", "vow", "ring", "yard", "home", "flow", "news",
-            "stand", "keep", "carry", "lap", "verb");
+            "stand", "keep", "carry", "lap", "drill", "verb");
 
     @Test
     void eachPlaneUsesOnlyThoseBelowIt() {
--- a/src/test/java/brambletray/tray/drill/DrillTest.java
+++ b/src/test/java/brambletray/tray/drill/DrillTest.java
@@ -1,21 +1,31 @@
 package brambletray.tray.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** The control side under drawn troubles: the production programs in simulated time. {@link Drill} says how to play more, or one again. */
+/** The control side under drawn troubles: the production programs in simulated time. The verb {@code system drill} plays more, or one again. */
 class DrillTest {
     private static final int SEEDS = 6;
 
-    @Test
-    void operatorsAndEdgesSeeOneOrderUnderTroubles() {
-        assertEquals(List.of(), Drill.broken(SEEDS));
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void operatorsAndEdgesSeeOneOrderUnderTroubles(int members) {
+        DrillReport report = DrillRunner.run(new DrillPlan(members, 1, SEEDS, 1, null, true), sofar -> {});
+        assertEquals(List.of(), report.broken());
+        assertEquals(List.of(), report.programFaults());
+        assertEquals(SEEDS, report.played());
     }
 
     /** Whatever broke a rule once stays among the courses. */
@@ -35,11 +45,16 @@
         assertEquals(List.of(), broken);
     }
 
-    /** One seed is one course, whatever was played before it. */
+    /** One seed is one course, whatever was played before it or is played beside it, drawn or not. */
     @Test
-    void aSeedIsACourse() {
-        Course.Result one = Course.play(Script.draw(7, 3), null);
-        Course.Result again = Course.play(Script.parse(Script.draw(7, 3).toString()), null);
-        assertEquals(one, again);
+    void aSeedIsACourse() throws Exception {
+        Script script = Script.draw(7, 3);
+        ExecutorService beside = Executors.newSingleThreadExecutor();
+        Future<Course.Result> other = beside.submit(() -> Course.play(Script.parse(script.toString()), null));
+        Timeline timeline = Timeline.recording();
+        Course.Result one = Course.play(script, null, timeline);
+        beside.shutdown();
+        assertEquals(one, other.get());
+        assertTrue(timeline.draw().startsWith("ms "), timeline.draw());
     }
 }
--- a/src/test/java/brambletray/tray/verb/VerbsTest.java
+++ b/src/test/java/brambletray/tray/verb/VerbsTest.java
@@ -52,7 +52,9 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"check", "show", "replace", "modify", "views", "duties", "edges", "hosts", "homes", "up"})
+    @ValueSource(
+            strings = {"check", "show", "replace", "modify", "views", "duties", "edges", "hosts", "homes", "up", "drill"
+            })
     void everyVerbHasHelp(String verb) {
         assertEquals(0, run(verb, "--help"));
         assertTrue(
@@ -83,6 +85,18 @@
                 "up --kill carry-1 | up: --kill: expected NAME@S such as carry-1@5, found 'carry-1'",
                 "up --kill carry-7@2 | up: --kill carry-7@2: expected keep-1 to keep-3, carry-1 to carry-4 or helm",
                 "up --seconds 0 | up: --seconds: expected a number from 1 to 600, found 0",
+                "drill --members 2 | drill: --members: expected a number from 3 to 9, found 2",
+                "drill --courses 0 | drill: --courses: expected a number from 1 to 10000000, found 0",
+                "drill --threads 0 | drill: --threads: expected a number from 1 to 64, found 0",
+                "drill --seed -1 | drill: --seed: expected a number from 0, found -1",
+                "drill --seed x | drill: \"x\" is not a valid value for \"--seed\"",
+                "drill --course 3/1 | drill: course: expected SEED/MEMBERS/LOSSES/END-MS/TROUBLES, found '1/3/1'",
+                "drill --replay x | drill: course: seed: expected a number from 0, found 'x'",
+                "drill --replay 1/3/3/9000/ | drill: course: losses: expected a number from 0 to 2, found '3'",
+                "drill --replay 1/3/1/9000/FLOOD:1:ANY:1:1 | drill: course: trouble: kind: expected one of [CUT_CORE, ",
+                "drill --replay 1/3/1/9000/KILL:1:ALL:1:1 | drill: course: trouble: who: expected one of [LEADER, ",
+                "drill --replay 1/3/1/9000/KILL:1:ANY | drill: course: trouble: expected KIND:AT-MS:WHO:SPAN-MS:ARGUMENT",
+                "drill --log | drill: option \"--log\" requires the option(s) [--replay]",
                 "up --faster | up: \"--faster\" is not a valid option"
             })
     void badInputIsOneLineAndTwo(String args, String expected) {
