Links of the core: heartbeats, entries and ballots go before pieces of a state transfer

Cause: a link was first in, first out. Four pieces of 64 kB ahead of a heartbeat take a second on a link of 2 Mbit/s, which is longer than the silence after which a member is suspected.

Change: pieces are bulk frames (Link.sayBulk, BulkQueue): one at a time is handed to the connection, the rest waits in the process (512 kB at most) and yields to all other frames. Pieces are 16 kB instead of 64 kB, four ahead as before.

New: KinTest.aHeartbeatStandsBehindOnePieceAtMost and two in LinkTest.

--- a/src/main/java/brambletray/tray/keep/Kin.java
+++ b/src/main/java/brambletray/tray/keep/Kin.java
@@ -8,6 +8,7 @@
 import brambletray.tray.speech.Link;
 import brambletray.tray.speech.Listener;
 import brambletray.tray.speech.Speech;
+import brambletray.tray.view.Frame;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -76,7 +77,12 @@
             spokes.put(address, spoke);
         }
         spoke.usedAt = now();
-        spoke.dialler.say(frame);
+        if (frame instanceof Frame.Piece) {
+            // pieces of a state transfer never stand in front of heartbeats, entries, acknowledgements and ballots
+            spoke.dialler.sayBulk(frame);
+        } else {
+            spoke.dialler.say(frame);
+        }
     }
 
     void tick(long now) {
--- a/src/main/java/brambletray/tray/speech/Dialler.java
+++ b/src/main/java/brambletray/tray/speech/Dialler.java
@@ -67,6 +67,11 @@
         return link != null && link.say(frame);
     }
 
+    /** Says a frame that yields to all others of the link ({@link Link#sayBulk}); false if there is no link or it is full. */
+    public boolean sayBulk(Object frame) {
+        return link != null && link.sayBulk(frame);
+    }
+
     /**
      * Someone says the other end is there: calls now, and the pauses begin anew. A call that began while its machine was away hangs until
      * its packet is sent again, a second later; it is given up for a new one.
--- a/src/main/java/brambletray/tray/speech/Link.java
+++ b/src/main/java/brambletray/tray/speech/Link.java
@@ -12,6 +12,8 @@
 public final class Link {
     /** Bytes that may wait for a slow peer; with more than that the link is closed. */
     public static final int MOST_WAITING = 4 << 20;
+    /** Bytes of bulk frames that may wait; what is said beyond that is dropped, as who lacks it asks for it again. */
+    public static final int MOST_BULK_WAITING = 512 << 10;
 
     private static final int FIRST = 512;
     private static final Tale TALE = Tale.of("speech");
@@ -20,6 +22,7 @@
     private final Speech speech;
     private final Address peer;
     private final boolean dialled;
+    private final BulkQueue bulk;
     private Object tag;
     private ByteBuf turn;
     private boolean open = true;
@@ -29,6 +32,7 @@
         this.channel = channel;
         this.speech = speech;
         this.dialled = dialled;
+        this.bulk = new BulkQueue(channel);
         SocketAddress remote = channel.remoteAddress();
         this.peer = remote instanceof InetSocketAddress inet
                 ? new Address(inet.getHostString(), inet.getPort())
@@ -63,10 +67,34 @@
         return true;
     }
 
+    /**
+     * Sends a frame that yields to those of {@link #say}: they overtake it, and stand behind one bulk frame of this link at most. Bulk frames
+     * keep their order among each other.
+     *
+     * @return false if the link is closed, or the frame is dropped as {@link #MOST_BULK_WAITING} bytes wait
+     * @throws SpeechFault {@code speech.unwritable}
+     */
+    public boolean sayBulk(Object frame) {
+        if (!open || bulk.bytes() > MOST_BULK_WAITING) {
+            return false;
+        }
+        ByteBuf bytes = channel.alloc().directBuffer(FIRST);
+        try {
+            speech.write(frame, bytes);
+        } catch (SpeechFault fault) {
+            bytes.release();
+            throw fault;
+        }
+        bulk.add(bytes);
+        channel.eventLoop().execute(bulk::advance);
+        return true;
+    }
+
     /** Bytes that were said and have not left this process. */
     public long waiting() {
         ChannelOutboundBuffer queue = channel.unsafe().outboundBuffer();
-        return (queue == null ? 0 : queue.totalPendingWriteBytes()) + (turn == null ? 0 : turn.readableBytes());
+        long handed = queue == null ? 0 : queue.totalPendingWriteBytes();
+        return handed + (turn == null ? 0 : turn.readableBytes()) + bulk.bytes();
     }
 
     /** Ends the link once what was said has been handed to the socket. */
@@ -79,6 +107,7 @@
         if (open) {
             open = false;
             this.why = why;
+            bulk.clear();
             flush();
             channel.close();
         }
@@ -118,6 +147,7 @@
         if (why == null) {
             why = reason;
         }
+        bulk.clear();
         if (turn != null) {
             turn.release();
             turn = null;
--- a/src/main/java/brambletray/tray/speech/Sockets.java
+++ b/src/main/java/brambletray/tray/speech/Sockets.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -26,6 +27,9 @@
     private static final int PROBE_S = 1;
 
     private static final int PROBES = 3;
+    /** Bytes of a connection with bulk frames that the kernel may hold unsent: 66 ms of a link of 2 Mbit/s. */
+    private static final long UNSENT_BYTES = 16 << 10;
+
     private static final int PAGE = 8_192;
     /** Chunks of 8 kB x 2^5 = 256 kB: machines have little memory. */
     private static final int CHUNK_ORDER = 5;
@@ -65,6 +69,21 @@
         }
     }
 
+    /**
+     * Bounds what the kernel holds of this connection and hasn't sent, so that a frame said now doesn't stand behind megabytes there. Without
+     * effect where the transport has no such option.
+     */
+    static void boundUnsent(Channel channel) {
+        if (!(channel instanceof EpollSocketChannel)) {
+            return;
+        }
+        try {
+            channel.config().setOption(EpollChannelOption.TCP_NOTSENT_LOWAT, UNSENT_BYTES);
+        } catch (ChannelException refused) {
+            Link.tale().tell("no bound of unsent bytes", "why", refused.getMessage());
+        }
+    }
+
     private static EpollServerSocketChannel shared() {
         EpollServerSocketChannel channel = new EpollServerSocketChannel();
         channel.config().setReusePort(true);
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -5,9 +5,9 @@
 
 /** Gets what a log lacks from one other member, in pieces, a few at a time. */
 final class StateTransfer {
-    /** Bytes of a piece, and pieces asked for ahead. */
-    static final int PIECE = 64 << 10;
-
+    /** Bytes of a piece: 66 ms of a link of 2 Mbit/s, which is what a heartbeat said after one may have to wait. */
+    static final int PIECE = 16 << 10;
+    /** Pieces asked for ahead; no more bytes are ever on their way to one receiver. */
     private static final int WINDOW = 4;
     /**
      * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what
--- a/src/test/java/brambletray/tray/keep/KinTest.java
+++ b/src/test/java/brambletray/tray/keep/KinTest.java
@@ -12,11 +12,17 @@
 import brambletray.tray.news.RosterFetch;
 import brambletray.tray.speech.Link;
 import brambletray.tray.speech.Speech;
+import brambletray.tray.view.Ballot;
+import brambletray.tray.view.Frame;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Links between members in simulated time: a machine that comes back is heard, and spoken to, at once. */
@@ -42,7 +48,15 @@
         }
     }
 
+    /** Notes when, where and from whom a frame comes. */
     private Kin member(String ip) {
+        return member(
+                ip,
+                (from, frame) ->
+                        heard.add(TimeUnit.NANOSECONDS.toMillis(simulation.now()) + " " + ip + " hears " + from));
+    }
+
+    private Kin member(String ip, BiConsumer<String, Object> told) {
         Machine machine = simulation.machine(ip(ip));
         Kin[] made = new Kin[1];
         machine.loop()
@@ -54,8 +68,7 @@
                         new Kin.Ear() {
                             @Override
                             public void member(String address, Object frame) {
-                                heard.add(TimeUnit.NANOSECONDS.toMillis(simulation.now()) + " " + ip + " hears "
-                                        + address);
+                                told.accept(address, frame);
                             }
 
                             @Override
@@ -106,4 +119,47 @@
         }
         assertEquals(List.of(), heard);
     }
+
+    /**
+     * A state transfer of a second's bytes on a link of 2 Mbit/s, and a heartbeat every 100 ms.
+     *
+     * <pre>
+     *   ms    giver                        link (250 bytes a ms)          receiver
+     *   0     64 pieces of 4 kB are said   piece 1, 2, 3 ...
+     *   100   heartbeat 1                  overtakes all pieces but one   hears it by 200
+     *   ...
+     *   1000  heartbeat 10                                                hears it by 1100
+     *         the pieces come in order
+     * </pre>
+     */
+    @Test
+    void aHeartbeatStandsBehindOnePieceAtMost() {
+        int pieceBytes = 4 << 10;
+        int pieces = 64;
+        simulation.network().rate(ip("10.0.0.1"), 250_000);
+        simulation.network().window(pieceBytes);
+        Map<Long, Long> beatAt = new TreeMap<>();
+        List<Integer> offsets = new ArrayList<>();
+        Kin giver = member("10.0.0.1");
+        member("10.0.0.2", (from, frame) -> {
+            if (frame instanceof Frame.Piece piece) {
+                offsets.add(piece.offset());
+            } else if (frame instanceof Frame.Beat beat) {
+                beatAt.put(beat.seq(), TimeUnit.NANOSECONDS.toMillis(simulation.now()));
+            }
+        });
+        giver.say("10.0.0.2:90", new RosterFetch(1, 1));
+        simulation.runUntil(ms(500));
+        for (int i = 0; i < pieces; i++) {
+            giver.say("10.0.0.2:90", new Frame.Piece(1, i, pieces, new byte[pieceBytes]));
+        }
+        for (long seq = 1; seq <= 10; seq++) {
+            simulation.runUntil(ms(500 + 100 * seq));
+            giver.say("10.0.0.2:90", new Frame.Beat(Ballot.NONE, seq, 0, 0, true, false));
+        }
+        simulation.runUntil(ms(3_000));
+        assertEquals(10, beatAt.size(), beatAt::toString);
+        beatAt.forEach((seq, at) -> assertTrue(at - (500 + 100 * seq) <= 100, "heartbeats heard at " + beatAt));
+        assertEquals(IntStream.range(0, pieces).boxed().toList(), offsets);
+    }
 }
--- a/src/test/java/brambletray/tray/speech/LinkTest.java
+++ b/src/test/java/brambletray/tray/speech/LinkTest.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Links in simulated time, over a network that cuts what is sent into pieces. */
@@ -255,4 +256,47 @@
         run(200);
         assertEquals(List.of("up"), second.events);
     }
+
+    @Test
+    void aFrameOvertakesAllBulkFramesButOne() {
+        listen(theirs);
+        Dialler dialler = dial(mine);
+        run(100);
+        simulation.network().rate(here, 100_000);
+        simulation.network().window(1_000);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(dialler.sayBulk(new Word(i, "x".repeat(10_000))));
+        }
+        run(150);
+        dialler.say(new Word(100, "before"));
+        run(3_000);
+        List<Integer> numbers =
+                theirs.frames.stream().map(frame -> ((Word) frame).number()).toList();
+        int place = numbers.indexOf(100);
+        assertTrue(place >= 1 && place <= 3, numbers.toString());
+        assertEquals(
+                IntStream.range(0, 20).boxed().toList(),
+                numbers.stream().filter(number -> number < 100).toList());
+        assertEquals(0, dialler.link().waiting());
+    }
+
+    @Test
+    void bulkFramesForAPeerThatIsCutOffAreDroppedAndTheLinkStays() {
+        listen(theirs);
+        Dialler dialler = dial(mine);
+        run(100);
+        simulation.network().vanish(there);
+        Link link = dialler.link();
+        Word word = new Word(0, "x".repeat(50_000));
+        int said = 0;
+        while (said < 1_000 && link.sayBulk(word)) {
+            said++;
+            run(1);
+        }
+        assertTrue(said * 50_000 <= Link.MOST_BULK_WAITING + 300_000, "said " + said);
+        assertTrue(link.open());
+        link.close("enough");
+        run(10);
+        assertEquals(0, link.waiting());
+    }
 }
