A state transfer goes on from the next giver where the first one dies

Cause: a learner dropped what it had when its giver fell silent, and fetched all of it again from the next one.

Change: each cut has a name with a digest of its bytes (CutDigest). The learner keeps its pieces and asks the next giver under that name; the giver packs the cut again, by a replay on a scratch state where its own has moved on (Matter.replay), and goes on if the digest agrees. Where it can't, it answers with the first piece of its own cut: the learner begins anew and says so (view.transfer-anew). All bytes are compared with the digest at the end. A log offered by the next proposer of a view is gone on with in the same way.

Tests that stand in for the state got the new method.

--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -11,6 +11,7 @@
 import brambletray.tray.view.Status;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -312,6 +313,14 @@
         return charter.snapshot();
     }
 
+    @Override
+    public byte[] replay(byte[] snapshot, List<byte[]> changes) {
+        Charter other = new Charter();
+        other.restore(snapshot);
+        changes.forEach(other::deliver);
+        return other.snapshot();
+    }
+
     @Override
     public void restore(byte[] snapshot) {
         boolean fresh = snapshot.length == 0 && charter.creed().revision() == 0;
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -9,6 +9,8 @@
     private static final int START_MS = 100;
     private static final int HINT_MS = 250;
     private static final int CALM_MS = 350;
+    /** Silence after which the part of a log that has come is dropped: longer than a change of view after the loss of its proposer. */
+    private static final int FORGET_MS = 10_000;
 
     private final Desk desk;
     private final Members members;
@@ -73,6 +75,7 @@
 
     void installed() {
         left = null;
+        transfer = null;
         byeAt = -1;
         leaderAt = desk.now;
         quietUntil = Long.MIN_VALUE / 2;
@@ -232,15 +235,19 @@
         if (kept || desk.promised.above(next.ballot())) {
             install(from, new Frame.Install(next, null), base);
         } else {
-            // the same log, offered anew: what has come of it stays
+            // the same log, offered anew, perhaps by another proposer: what has come of it stays
             boolean same = transfer != null
-                    && transfer.from().equals(from)
                     && offered.end() == offer.end()
                     && offered.endView().equals(offer.endView());
-            if (same) transfer.goOn(next.ballot());
-            else transfer = new StateTransfer(desk, from, base, next.ballot());
             offered = offer;
-            if (!same) transfer.tick();
+            if (same && transfer.from().equals(from) && !transfer.failed()) {
+                transfer.goOn(next.ballot());
+            } else if (same && transfer.resumable()) {
+                transfer.resume(from, next.ballot());
+            } else {
+                transfer = new StateTransfer(desk, from, base, next.ballot());
+                transfer.tick();
+            }
         }
     }
 
@@ -259,8 +266,10 @@
 
     void tick() {
         if (transfer == null) return;
-        transfer.tick();
-        if (transfer.failed() || desk.promised.above(transfer.view())) transfer = null;
+        boolean useless = transfer.failed() && !transfer.resumable();
+        if (useless || transfer.idleMs() > FORGET_MS) transfer = null;
+        // a later change of view is under way: if it offers the same log, what has come stays
+        else if (!desk.promised.above(transfer.view())) transfer.tick();
     }
 
     /** A proposed view: kept if no higher promise forbids it and the patch fits. */
--- a/src/main/java/brambletray/tray/view/Frame.java
+++ b/src/main/java/brambletray/tray/view/Frame.java
@@ -67,12 +67,13 @@
 
     /**
      * Asks for a piece of what its log lacks, given what it has. {@code view}: whose log, one that is being installed; {@link Ballot#NONE}
-     * for the receiver's own.
+     * for the receiver's own. {@code cut}: of what has come already, perhaps from another member.
      */
-    record Pull(long id, int offset, Ballot view, long end, Ballot endView, long commit) implements Frame {}
+    record Pull(long id, int offset, Ballot view, long end, Ballot endView, long commit, CutDigest cut)
+            implements Frame {}
 
-    /** A piece; a total below 0 says that there is nothing to be had here. */
-    record Piece(long id, int offset, int total, byte[] bytes) implements Frame {}
+    /** A piece; a total below 0 says that there is nothing to be had here. One of another cut at offset 0 begins the transfer anew. */
+    record Piece(long id, int offset, int total, byte[] bytes, CutDigest cut) implements Frame {}
 
     /** This member is about to end, as planned: go on without it. */
     record Bye(Ballot view, long life) implements Frame {}
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -17,6 +17,9 @@
     private Log hand;
     private long handCommit;
     private StateTransfer transfer;
+    /** One whose giver fell silent or has nothing to give; the next giver goes on with it. */
+    private StateTransfer interrupted;
+
     private long knockAt = Long.MIN_VALUE / 2;
     private long transferredAt = Long.MIN_VALUE / 2;
 
@@ -42,17 +45,23 @@
     void accepted() {
         hand = null;
         transfer = null;
+        interrupted = null;
     }
 
     void tick(Iterable<String> seeds) {
         if (transfer != null) {
             transfer.tick();
-            if (transfer.failed()) transfer = null;
+            if (transfer.failed()) interrupt();
         }
         if (!(active() || unsure()) || desk.ill() || desk.leaving || desk.now - knockAt < AGAIN_MS) return;
         knock(seeds);
     }
 
+    private void interrupt() {
+        if (transfer.resumable()) interrupted = transfer;
+        transfer = null;
+    }
+
     void knock(Iterable<String> seeds) {
         if (desk.leaving) return;
         knockAt = desk.now;
@@ -84,7 +93,7 @@
         Member leader = come.view().leader();
         // the giver may be gone, and another one lead
         boolean leads = leader != null && leader.address().equals(from);
-        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) transfer = null;
+        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) interrupt();
         if (leader == null || come.fit() || transfer != null) return;
         if (!leader.address().equals(from)) {
             desk.out.send(leader.address(), mine());
@@ -92,12 +101,26 @@
         }
         if (desk.now - transferredAt < AGAIN_MS) return;
         transferredAt = desk.now;
+        fetch(from);
+    }
+
+    private void fetch(String from) {
+        if (interrupted != null) {
+            transfer = interrupted;
+            interrupted = null;
+            transfer.resume(from, Ballot.NONE);
+            return;
+        }
         transfer = new StateTransfer(desk, from, base(), Ballot.NONE);
         transfer.tick();
     }
 
     void piece(Frame.Piece piece) {
         if (transfer == null || !transfer.piece(piece)) return;
+        if (transfer.failed()) {
+            interrupt();
+            return;
+        }
         if (transfer.log() != null) {
             hand = transfer.log();
             handCommit = transfer.commit();
--- a/src/main/java/brambletray/tray/view/Log.java
+++ b/src/main/java/brambletray/tray/view/Log.java
@@ -94,6 +94,11 @@
         return some;
     }
 
+    /** Entries after one place up to another; both lie between the snapshot's place and the end. */
+    List<Entry> between(long after, long to) {
+        return List.copyOf(entries.subList((int) (after - base), (int) (to - base)));
+    }
+
     /** Entries after a place, up to so many bytes but one at least. */
     List<Entry> after(long place, int most) {
         List<Entry> some = new ArrayList<>();
--- a/src/main/java/brambletray/tray/view/Matter.java
+++ b/src/main/java/brambletray/tray/view/Matter.java
@@ -1,5 +1,7 @@
 package brambletray.tray.view;
 
+import java.util.List;
+
 /** The state above the order; the same at all members after the same place. Called on the loop only. */
 public interface Matter {
     /** The whole state now. */
@@ -8,6 +10,11 @@
     /** Replaces the state by one that {@link #snapshot} gave somewhere; empty bytes mean the state before the first change. */
     void restore(byte[] snapshot);
 
+    /**
+     * What {@link #snapshot} would give after a restore from {@code snapshot} and these changes; the state itself stays as it is.
+     */
+    byte[] replay(byte[] snapshot, List<byte[]> changes);
+
     /** The next change. Once for each place between a restore and the end of the process, in order. Must not throw. */
     void deliver(long index, byte[] change);
 }
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -20,6 +20,7 @@
             View.class,
             Entry.class,
             Patch.class,
+            CutDigest.class,
             Frame.Beat.class,
             Frame.Back.class,
             Frame.Append.class,
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -1,5 +1,6 @@
 package brambletray.tray.view;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -20,7 +21,12 @@
     private static final int MOST = 16;
     private static final int KEEP_MS = 3000;
 
-    private record Cut(Ballot view, boolean whole, long after, long end, byte[] bytes) {}
+    private record Cut(Ballot view, CutDigest name, byte[] bytes) {
+        static Cut of(Ballot view, Patch patch, long commit) {
+            byte[] packed = Codec.patch(patch, commit);
+            return new Cut(view, CutDigest.of(patch, commit, packed), packed);
+        }
+    }
 
     private static final class Receiver {
         long id;
@@ -42,10 +48,16 @@
     void pull(String from, Frame.Pull pull) {
         Receiver receiver = receivers.get(from);
         Log log = logs.apply(pull.view());
+        int offset = pull.offset();
         if (receiver == null || receiver.id != pull.id()) {
-            Cut cut = pull.offset() == 0 ? cut(from, pull, log) : null;
+            receivers.remove(from);
+            Cut cut = log == null ? null : same(pull, log);
+            if (cut == null && log != null) {
+                cut = cut(pull, log);
+                offset = 0;
+            }
             if (cut == null) {
-                desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), -1, new byte[0]));
+                desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), -1, new byte[0], CutDigest.NONE));
                 return;
             }
             receiver = new Receiver();
@@ -55,22 +67,56 @@
         }
         receiver.usedAt = desk.now;
         byte[] bytes = receiver.cut.bytes;
-        int size = Math.min(StateTransfer.PIECE, bytes.length - pull.offset());
+        int size = Math.min(StateTransfer.PIECE, bytes.length - offset);
         if (size <= 0) return;
-        receiver.over |= pull.offset() + size == bytes.length;
-        byte[] piece = java.util.Arrays.copyOfRange(bytes, pull.offset(), pull.offset() + size);
-        desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), bytes.length, piece));
+        receiver.over |= offset + size == bytes.length;
+        byte[] piece = java.util.Arrays.copyOfRange(bytes, offset, offset + size);
+        desk.out.send(from, new Frame.Piece(pull.id(), offset, bytes.length, piece, receiver.cut.name));
+    }
+
+    /** The cut of which the receiver has got a part from another member, or from this one before its restart; null if it isn't to be had here. */
+    private Cut same(Frame.Pull pull, Log log) {
+        CutDigest name = pull.cut();
+        if (name.equals(CutDigest.NONE)) return null;
+        for (Receiver other : receivers.values()) {
+            if (other.cut.name.equals(name)) return other.cut;
+        }
+        if (receivers.size() >= MOST) return null;
+        Patch patch = name.whole() ? whole(name, log) : tail(name, pull, log);
+        if (patch == null) return null;
+        byte[] packed = Codec.patch(patch, name.commit());
+        return name.matches(packed) ? new Cut(pull.view(), name, packed) : null;
+    }
+
+    /** The state at the cut's place, made again from this log, and the entries behind it; null where this log begins later or ends earlier. */
+    private Patch whole(CutDigest name, Log log) {
+        long after = name.after();
+        if (after < log.base() || name.end() < after || name.end() > log.end()) return null;
+        byte[] state = log.snapshot();
+        if (after > log.base()) {
+            List<byte[]> changes = new ArrayList<>();
+            log.between(log.base(), after).forEach(entry -> changes.add(entry.bytes()));
+            state = desk.matter.replay(state, changes);
+        }
+        return new Patch(true, after, log.viewAt(after), state, log.between(after, name.end()));
+    }
+
+    private static Patch tail(CutDigest name, Frame.Pull pull, Log log) {
+        Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
+        if (patch.whole() || patch.after() != name.after() || patch.end() < name.end() || name.end() < name.after())
+            return null;
+        List<Entry> entries = patch.entries().subList(0, (int) (name.end() - name.after()));
+        return new Patch(false, patch.after(), patch.afterView(), patch.snapshot(), entries);
     }
 
-    private Cut cut(String from, Frame.Pull pull, Log log) {
-        receivers.remove(from);
-        if (log == null) return null;
+    private Cut cut(Frame.Pull pull, Log log) {
         Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
         if (pull.view().equals(Ballot.NONE) && !patch.isShort()) patch = lighter(patch);
         Set<Cut> cuts = new HashSet<>();
         for (Receiver other : receivers.values()) {
             Cut cut = other.cut;
-            boolean same = cut.whole == patch.whole() && cut.after == patch.after() && cut.end == patch.end();
+            CutDigest name = cut.name;
+            boolean same = name.whole() == patch.whole() && name.after() == patch.after() && name.end() == patch.end();
             if (same && cut.view.equals(pull.view())) return cut;
             cuts.add(cut);
         }
@@ -80,16 +126,16 @@
         cuts.clear();
         for (Receiver other : receivers.values()) cuts.add(other.cut);
         if (cuts.size() < MOST_CUTS) {
-            return new Cut(pull.view(), patch.whole(), patch.after(), patch.end(), Codec.patch(patch, desk.commit));
+            return Cut.of(pull.view(), patch, desk.commit);
         }
         // a whole one does for everybody; what has come since is fetched in another round
         Cut newest = null;
         for (Cut cut : cuts) {
-            boolean fits = cut.whole
+            boolean fits = cut.name.whole()
                     && cut.view.equals(pull.view())
                     && pull.view().equals(Ballot.NONE)
-                    && cut.end > pull.end();
-            if (fits && (newest == null || cut.end > newest.end)) newest = cut;
+                    && cut.name.end() > pull.end();
+            if (fits && (newest == null || cut.name.end() > newest.name.end())) newest = cut;
         }
         return newest;
     }
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -19,10 +19,13 @@
     private static final int MOST = 64 << 20;
 
     private final Desk desk;
-    private final String from;
+    private String from;
     private final Log mine;
     private Ballot view;
-    private final long id;
+    private long id;
+    /** Of the bytes of which the pieces are. */
+    private CutDigest cut = CutDigest.NONE;
+
     private final List<byte[]> pieces = new ArrayList<>();
     private int total = -1;
     private int asked;
@@ -33,6 +36,8 @@
     private Log log;
     private long commit;
     private boolean failed;
+    /** What has come is no log, so nothing of it is of use. */
+    private boolean spoilt;
 
     /** {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has itself. */
     StateTransfer(Desk desk, String from, Log mine, Ballot view) {
@@ -40,14 +45,36 @@
         this.desk = desk;
         this.from = from;
         this.mine = mine;
-        this.id = desk.origin ^ (++desk.transfers << 1);
+        this.id = nextId();
         this.movedAt = desk.now;
     }
 
+    private long nextId() {
+        return desk.origin ^ (++desk.transfers << 1);
+    }
+
     String from() {
         return from;
     }
 
+    /** Whether a part has come that another giver may go on from. */
+    boolean resumable() {
+        return !pieces.isEmpty() && !spoilt;
+    }
+
+    /** Asks another giver, or the same one again, for what hasn't come. */
+    void resume(String giver, Ballot of) {
+        desk.out.tell("view.transfer-resumed", "from", giver, "before", from, "bytes", got * PIECE, "of", total);
+        from = giver;
+        view = of;
+        id = nextId();
+        failed = false;
+        movedAt = desk.now;
+        againMs = AGAIN_MS;
+        asked = got;
+        more();
+    }
+
     Ballot view() {
         return view;
     }
@@ -78,18 +105,27 @@
             desk.out.send(
                     from,
                     new Frame.Pull(
-                            id, asked * PIECE, view, mine.end(), mine.endView(), Math.min(desk.commit, mine.end())));
+                            id,
+                            asked * PIECE,
+                            view,
+                            mine.end(),
+                            mine.endView(),
+                            Math.min(desk.commit, mine.end()),
+                            cut));
         }
     }
 
     /** Takes a piece; true when it is over, well or not. */
     boolean piece(Frame.Piece piece) {
         if (piece.id() != id || log != null || failed) return false;
-        if (piece.total() < 0 || piece.total() > MOST || (total >= 0 && total != piece.total())) {
+        if (piece.total() < 0 || piece.total() > MOST) {
             failed = true;
             return true;
         }
+        if (piece.offset() == 0 && !pieces.isEmpty() && !piece.cut().equals(cut)) begin();
         if (piece.offset() != got * PIECE) return false;
+        if (pieces.isEmpty()) cut = piece.cut();
+        if (!piece.cut().equals(cut)) return false;
         total = piece.total();
         pieces.add(piece.bytes());
         got++;
@@ -104,6 +140,15 @@
         return true;
     }
 
+    /** The giver has another state: what has come is of no use with it. */
+    private void begin() {
+        desk.out.tell("view.transfer-anew", "from", from, "bytes", got * PIECE, "why", "the giver packs another cut");
+        pieces.clear();
+        got = 0;
+        asked = 0;
+        total = -1;
+    }
+
     private void join() {
         byte[] whole = new byte[total];
         int at = 0;
@@ -112,11 +157,18 @@
             at += piece.length;
         }
         pieces.clear();
+        if (!cut.matches(whole)) {
+            desk.out.tell("view.transfer-spoilt", "from", from, "bytes", total);
+            spoilt = true;
+            failed = true;
+            return;
+        }
         log = Codec.read(whole, in -> {
             commit = in.readLong();
             return mine.patched(Codec.patch(in));
         });
         failed = log == null;
+        spoilt = failed;
     }
 
     boolean failed() {
--- a/src/test/java/brambletray/tray/keep/KinTest.java
+++ b/src/test/java/brambletray/tray/keep/KinTest.java
@@ -13,6 +13,7 @@
 import brambletray.tray.speech.Link;
 import brambletray.tray.speech.Speech;
 import brambletray.tray.view.Ballot;
+import brambletray.tray.view.CutDigest;
 import brambletray.tray.view.Frame;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
@@ -29,6 +30,8 @@
 class KinTest {
     private static final int PORT = 7_400;
 
+    private static final CutDigest NOTHING_BEFORE = new CutDigest(0, false, 0, 0, 0);
+
     private final Simulation simulation = new Simulation(7, 0);
     private final List<String> heard = new ArrayList<>();
 
@@ -151,7 +154,7 @@
         giver.say("10.0.0.2:90", new RosterFetch(1, 1));
         simulation.runUntil(ms(500));
         for (int i = 0; i < pieces; i++) {
-            giver.say("10.0.0.2:90", new Frame.Piece(1, i, pieces, new byte[pieceBytes]));
+            giver.say("10.0.0.2:90", new Frame.Piece(1, i, pieces, new byte[pieceBytes], NOTHING_BEFORE));
         }
         for (long seq = 1; seq <= 10; seq++) {
             simulation.runUntil(ms(500 + 100 * seq));
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -1,5 +1,6 @@
 package brambletray.tray.keep;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -183,6 +184,21 @@
         assertEquals(9, operators.charter().creed().revision());
     }
 
+    /** What a member that goes on with another's state transfer packs has to be the same to the byte. */
+    @Test
+    void aReplayGivesTheSnapshotOfWhoHasDeliveredTheSame() {
+        begin();
+        byte[] before = operators.snapshot();
+        byte[] adds = elsewhere(before, "replace", 5, whole(8, "a", "b"));
+        operators.deliver(++index, adds);
+        byte[] moves = elsewhere(operators.snapshot(), "modify", 8, move(9, "b"));
+        operators.deliver(++index, moves);
+        byte[] after = operators.snapshot();
+        Operators other = new Operators(new Scripted(), () -> {});
+        assertArrayEquals(after, other.replay(before, List.of(adds, moves)));
+        assertEquals(0, other.charter().creed().revision(), "a replay changes nothing");
+    }
+
     @Test
     void takenBeforeByASnapshotIsSeenAfterTheRound() {
         begin();
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -116,6 +116,14 @@
             return String.join("\n", state).getBytes(StandardCharsets.UTF_8);
         }
 
+        @Override
+        public byte[] replay(byte[] snapshot, List<byte[]> changes) {
+            List<String> lines = new ArrayList<>();
+            if (snapshot.length > 0) lines.add(new String(snapshot, StandardCharsets.UTF_8));
+            changes.forEach(change -> lines.add(new String(change, StandardCharsets.UTF_8)));
+            return String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
+        }
+
         @Override
         public void restore(byte[] snapshot) {
             state.clear();
--- a/src/test/java/brambletray/tray/view/MemberTest.java
+++ b/src/test/java/brambletray/tray/view/MemberTest.java
@@ -54,6 +54,11 @@
             return new byte[0];
         }
 
+        @Override
+        public byte[] replay(byte[] snapshot, List<byte[]> changes) {
+            return new byte[0];
+        }
+
         @Override
         public void restore(byte[] snapshot) {}
 
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -152,6 +152,19 @@
             return (delivered + " " + world.ballast + "\n" + String.join("\n", state)).getBytes(StandardCharsets.UTF_8);
         }
 
+        @Override
+        public byte[] replay(byte[] snapshot, List<byte[]> changes) {
+            List<String> lines = new ArrayList<>();
+            long at = 0;
+            if (snapshot.length > 0) {
+                lines.addAll(List.of(new String(snapshot, StandardCharsets.UTF_8).split("\n")));
+                at = Long.parseLong(lines.remove(0).split(" ")[0]);
+            }
+            for (byte[] change : changes) lines.add(new String(change, StandardCharsets.UTF_8).split(" ")[0]);
+            String all = (at + changes.size()) + " " + world.ballast + "\n" + String.join("\n", lines);
+            return all.getBytes(StandardCharsets.UTF_8);
+        }
+
         @Override
         public void restore(byte[] snapshot) {
             state.clear();
--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -27,7 +27,7 @@
 
     @AfterEach
     void tell() {
-        world.tales.forEach(System.out::println);
+        if (Boolean.getBoolean("view.talks")) world.tales.forEach(System.out::println);
     }
 
     private static void around(SimWorld world, String name, int rate) {
@@ -134,6 +134,96 @@
         world.oracle.end(List.copyOf(world.nodes.values()));
     }
 
+    /**
+     * A learner has more than half of a state of 2 MB when its giver is lost.
+     *
+     * <pre>
+     *   a (giver)      b (next leader)               e (learner, 2 Mbit/s)
+     *   piece ...                                    pulls from a
+     *   piece 64                                     has more than half
+     *   lost           view without a in force       (cut off)
+     *                  changes                       (cut off)
+     *                                                knocks; goes on at b where a stopped
+     *                  the rest                      let in
+     * </pre>
+     */
+    private long learnerWhoseGiverIsLost(int changesMeanwhile) {
+        core("a", "b", "c", "d", "e");
+        world.talks = true;
+        world.ballast = "b".repeat(2 * MB);
+        world.nodes.get("e").kill(true);
+        world.await(() -> !in(world, "e"), 3000, "the view without it");
+        changes(world, 3 * Log.ENTRIES + 10, 12);
+        around(world, "e", SLOW);
+        world.nodes.get("e").start();
+        world.await(() -> world.link("a", "e").bytes > 5 * MB / 4, 12_000, "more than half of the state");
+        world.nodes.get("a").kill(true);
+        world.await(() -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without a");
+        for (String other : List.of("b", "c", "d")) world.cut("e", other, true);
+        changes(world, changesMeanwhile, 5);
+        for (String other : List.of("b", "c", "d")) world.cut("e", other, false);
+        world.await(() -> in(world, "e"), 20_000, "the learner is let in");
+        long rest = world.link("b", "e").bytes;
+        world.nodes.get("a").start();
+        world.await(() -> in(world, "a"), 4000, "the first giver is back");
+        world.until(world.now + 500);
+        world.oracle.end(List.copyOf(world.nodes.values()));
+        return rest;
+    }
+
+    private boolean told(String event) {
+        return world.tales.stream().anyMatch(line -> line.contains(" " + event + " "));
+    }
+
+    @Test
+    void aLearnerGoesOnAtTheNextGiverWhereTheFirstStopped() {
+        long rest = learnerWhoseGiverIsLost(0);
+        assertTrue(told("view.transfer-resumed"));
+        assertFalse(told("view.transfer-anew"));
+        assertTrue(rest < MB, "bytes of the second giver " + rest);
+    }
+
+    /** The second giver has a later state by then, and makes the first one's again. */
+    @Test
+    void aLearnerGoesOnAtTheNextGiverThoughTheStateHasMovedOn() {
+        long rest = learnerWhoseGiverIsLost(20);
+        assertTrue(told("view.transfer-resumed"));
+        assertFalse(told("view.transfer-anew"));
+        assertTrue(rest < MB, "bytes of the second giver " + rest);
+    }
+
+    /** The second giver has compacted what it would need for that: the learner begins anew, and says so. */
+    @Test
+    void aLearnerBeginsAnewWhereTheNextGiverCannotMakeTheSameState() {
+        long rest = learnerWhoseGiverIsLost(2 * Log.ENTRIES);
+        assertTrue(told("view.transfer-anew"));
+        assertTrue(rest > 2 * MB, "bytes of the second giver " + rest);
+    }
+
+    /** One bit of a piece is another on the way, which TCP doesn't see now and then. */
+    @Test
+    void bytesThatAreNotThoseOfTheDigestAreNoState() {
+        core("a", "b", "c");
+        world.talks = true;
+        world.node("d", List.of("a", "b", "c"));
+        world.ballast = "b".repeat(MB);
+        changes(world, 3 * Log.ENTRIES + 10, 12);
+        boolean[] spoil = {true};
+        world.post = frame -> {
+            if (!(frame instanceof Frame.Piece piece) || piece.offset() != StateTransfer.PIECE || !spoil[0])
+                return frame;
+            spoil[0] = false;
+            byte[] other = piece.bytes().clone();
+            other[100] ^= 1;
+            return new Frame.Piece(piece.id(), piece.offset(), piece.total(), other, piece.cut());
+        };
+        world.nodes.get("d").start();
+        world.await(() -> in(world, "d"), 5000, "let in");
+        assertTrue(told("view.transfer-spoilt"));
+        world.until(world.now + 500);
+        world.oracle.end(List.copyOf(world.nodes.values()));
+    }
+
     /** The leader compacts again and again while a learner fetches: what the learner lacks afterwards is little all the same. */
     @Test
     void compactionWhileALearnerFetchesDoesNotMakeItBeginAnew() {
