Loop and disk writer share one queue with one lock; every order of turns is played

Cause: what the loop and the writer share (waiting commits, what is being written) was spread over Scribe under `synchronized`, which no test could drive: turns of the threads were left to chance. Change: trove.CommitQueue holds all of it, each method one critical section under one lock; the log handler takes a lock in the same way. Tests give both a lock at which turns change over (interleaving.Turns).

--- a/src/main/java/brambletray/tray/tale/TaleHandler.java
+++ b/src/main/java/brambletray/tray/tale/TaleHandler.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.logging.ErrorManager;
 import java.util.logging.Handler;
@@ -22,6 +23,9 @@
     /** Events that are told apart; those beyond them share one count. */
     static final int EVENTS = 256;
 
+    /** Held for each line as a whole: the loop, the disk writer and the system's threads all log. */
+    private final ReentrantLock lock;
+
     private final OutputStream out;
     private final LongSupplier now;
     private final String tail;
@@ -44,6 +48,11 @@
 
     /** {@code now}: ms since the process began. */
     TaleHandler(OutputStream out, LongSupplier now, String node) {
+        this(out, now, node, new ReentrantLock());
+    }
+
+    TaleHandler(OutputStream out, LongSupplier now, String node, ReentrantLock lock) {
+        this.lock = lock;
         this.out = out;
         this.now = now;
         StringBuilder quoted = new StringBuilder(",\"node\":");
@@ -52,10 +61,19 @@
     }
 
     @Override
-    public synchronized void publish(LogRecord entry) {
+    public void publish(LogRecord entry) {
         if (!isLoggable(entry)) {
             return;
         }
+        lock.lock();
+        try {
+            write(entry);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void write(LogRecord entry) {
         long t = now.getAsLong();
         String message = String.valueOf(entry.getMessage());
         boolean ours = message.startsWith(Line.START);
--- a/src/main/java/brambletray/tray/trove/Scribe.java
+++ b/src/main/java/brambletray/tray/trove/Scribe.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.concurrent.locks.ReentrantLock;
 
 /**
  * Writes for the loop, on a thread of its own: all that waits goes into one durable commit, in order; of several changes of
@@ -16,7 +17,7 @@
     public interface Disk {
         void commit(List<Change> changes) throws TroveFault;
 
-        /** Nothing waits for an answer now: time to put things in order. */
+        /** Nothing waits for an answer now: time to put things in entry. */
         default void tidy() {}
     }
 
@@ -27,25 +28,19 @@
 
     private static final Tale TALE = Tale.of("trove");
 
-    private record Order(List<Change> changes, Reply reply, long since, long bytes) {}
-
     private final Disk disk;
     private final Executor loop;
+    private final CommitQueue queue;
     private final Thread thread;
-    /** Called under the lock. */
+    /** Called on the loop after each commit that was taken in. */
     private final Runnable due;
 
-    private List<Order> waiting = new ArrayList<>();
-    private long waitingBytes;
-    private long writingSince = -1;
-    private int writing;
-    private boolean closed;
-
     /** Starts the thread; {@code loop} runs the replies. */
     public Scribe(Disk disk, Executor loop) {
         this.disk = disk;
         this.loop = loop;
-        due = this::notifyAll;
+        queue = queue(new ReentrantLock());
+        due = () -> {};
         thread = new Thread(this::run, "scribe");
         thread.setDaemon(true);
         thread.start();
@@ -56,9 +51,23 @@
         this.disk = disk;
         this.loop = loop;
         this.due = due;
+        queue = queue(new ReentrantLock());
+        thread = null;
+    }
+
+    /** Without a thread, for tests that choose the turns: {@link #run} is called on one of theirs. */
+    Scribe(Disk disk, Executor loop, ReentrantLock lock) {
+        this.disk = disk;
+        this.loop = loop;
+        due = () -> {};
+        queue = queue(lock);
         thread = null;
     }
 
+    private static CommitQueue queue(ReentrantLock lock) {
+        return new CommitQueue(MOST_COMMITS, MOST_BYTES, lock);
+    }
+
     /** {@inheritDoc} {@code now}: as {@link #oldestWaitMs} will be asked with. */
     @Override
     public boolean commit(List<Change> changes, long now, Reply reply) {
@@ -66,35 +75,27 @@
         for (Change change : changes) {
             bytes += change.value() == null ? 0 : change.value().length;
         }
-        synchronized (this) {
-            if (closed || waiting.size() >= MOST_COMMITS || waitingBytes > 0 && waitingBytes + bytes > MOST_BYTES) {
-                return false;
-            }
-            waiting.add(new Order(changes, reply, now, bytes));
-            waitingBytes += bytes;
+        boolean taken = queue.add(new CommitQueue.Entry(changes, reply, now, bytes));
+        if (taken) {
             due.run();
         }
-        return true;
+        return taken;
     }
 
     /** ms that the commit which has waited longest has waited, on the disk or for it; 0 if none does. */
-    public synchronized long oldestWaitMs(long now) {
-        if (writingSince >= 0) {
-            return Math.max(0, now - writingSince);
-        }
-        return waiting.isEmpty() ? 0 : Math.max(0, now - waiting.get(0).since());
+    public long oldestWaitMs(long now) {
+        return queue.oldestWaitMs(now);
     }
 
     /** Commits that wait or are being written. */
-    public synchronized int pending() {
-        return waiting.size() + writing;
+    public int pending() {
+        return queue.size();
     }
 
     /** Takes no more; what waits is still written. Does not wait for it: a disk may hang. */
     @Override
-    public synchronized void close() {
-        closed = true;
-        notifyAll();
+    public void close() {
+        queue.close();
     }
 
     /** Waits up to so many ms for all that was asked for; true if it is done. */
@@ -108,31 +109,26 @@
         return !thread.isAlive();
     }
 
-    private void run() {
-        for (List<Order> orders = take(); orders != null; orders = take()) {
-            finish(orders);
+    /** Writes until the queue is closed and empty: what the thread does. */
+    void run() {
+        for (List<CommitQueue.Entry> entries = queue.take(); entries != null; entries = queue.take()) {
+            finish(entries);
         }
     }
 
-    private void finish(List<Order> orders) {
-        TroveFault fault = write(orders);
-        synchronized (this) {
-            writingSince = -1;
-            writing = 0;
-        }
-        reply(orders, fault);
+    private void finish(List<CommitQueue.Entry> entries) {
+        TroveFault fault = write(entries);
+        queue.finished();
+        reply(entries, fault);
         if (fault == null) {
             tidy();
         }
     }
 
     /** All that waits, taken as the thread would take it: the rest, to be run once, writes it and replies. Null: nothing waits. */
-    synchronized Runnable batch() {
-        if (waiting.isEmpty()) {
-            return null;
-        }
-        List<Order> orders = take();
-        return () -> finish(orders);
+    Runnable batch() {
+        List<CommitQueue.Entry> entries = queue.poll();
+        return entries == null ? null : () -> finish(entries);
     }
 
     private void tidy() {
@@ -143,27 +139,8 @@
         }
     }
 
-    private synchronized List<Order> take() {
-        while (waiting.isEmpty() && !closed) {
-            try {
-                wait();
-            } catch (InterruptedException e) {
-                closed = true;
-            }
-        }
-        if (waiting.isEmpty()) {
-            return null;
-        }
-        List<Order> orders = waiting;
-        waiting = new ArrayList<>();
-        waitingBytes = 0;
-        writingSince = Math.max(0, orders.get(0).since());
-        writing = orders.size();
-        return orders;
-    }
-
-    private TroveFault write(List<Order> orders) {
-        List<Change> changes = orders.size() == 1 ? orders.get(0).changes() : merged(orders);
+    private TroveFault write(List<CommitQueue.Entry> entries) {
+        List<Change> changes = entries.size() == 1 ? entries.get(0).changes() : merged(entries);
         try {
             disk.commit(changes);
             return null;
@@ -173,36 +150,36 @@
                     "code",
                     e.code(),
                     "commits",
-                    orders.size(),
+                    entries.size(),
                     "changes",
                     changes.size(),
                     "why",
                     e.getMessage());
             return e;
         } catch (RuntimeException | Error e) {
-            TALE.warn("commit-failed", "commits", orders.size(), "changes", changes.size(), "why", e);
+            TALE.warn("commit-failed", "commits", entries.size(), "changes", changes.size(), "why", e);
             return new TroveFault("trove.refused", "cannot write: " + e, e);
         }
     }
 
-    private static List<Change> merged(List<Order> orders) {
+    private static List<Change> merged(List<CommitQueue.Entry> entries) {
         Map<String, Change> last = new HashMap<>();
-        for (Order order : orders) {
-            for (Change change : order.changes()) {
+        for (CommitQueue.Entry entry : entries) {
+            for (Change change : entry.changes()) {
                 last.put(change.key(), change);
             }
         }
         return new ArrayList<>(last.values());
     }
 
-    private void reply(List<Order> orders, TroveFault fault) {
+    private void reply(List<CommitQueue.Entry> entries, TroveFault fault) {
         try {
             loop.execute(() -> {
-                for (Order order : orders) {
+                for (CommitQueue.Entry entry : entries) {
                     if (fault == null) {
-                        order.reply().done();
+                        entry.reply().done();
                     } else {
-                        order.reply().failed(fault);
+                        entry.reply().failed(fault);
                     }
                 }
             });
--- /dev/null
+++ b/src/test/java/brambletray/tray/tale/TaleTurnsTest.java
@@ -0,0 +1,87 @@
+package brambletray.tray.tale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.tray.interleaving.Turns;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+/** Threads that log at the same time, under every order of their turns. */
+class TaleTurnsTest {
+    /** What was written; another thread may go on before each write. */
+    private static final class Output extends ByteArrayOutputStream {
+        private final Turns turns;
+        private int writes;
+
+        private Output(Turns turns) {
+            this.turns = turns;
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int count) {
+            turns.point();
+            writes++;
+            super.write(bytes, offset, count);
+        }
+    }
+
+    private static void publish(TaleHandler handler, String event, int lines) {
+        for (int i = 0; i < lines; i++) {
+            LogRecord entry = new LogRecord(Level.INFO, Line.of(event, "number", i));
+            entry.setLoggerName(event);
+            handler.publish(entry);
+        }
+    }
+
+    @Test
+    void eachLineOfEachThreadIsWholeAndOneWrite() {
+        int orders = Turns.everyOrder(turns -> {
+            Output out = new Output(turns);
+            long[] clock = new long[1];
+            TaleHandler handler = new TaleHandler(
+                    out,
+                    () -> {
+                        turns.point();
+                        return clock[0]++;
+                    },
+                    "n",
+                    turns.lock());
+            turns.thread("loop", () -> publish(handler, "loop", 3));
+            turns.thread("writer", () -> publish(handler, "writer", 2));
+            turns.thread("signal", () -> publish(handler, "signal", 1));
+            turns.run();
+            List<String> lines = out.toString(StandardCharsets.UTF_8).lines().toList();
+            assertEquals(6, lines.size());
+            assertEquals(6, out.writes);
+            for (int i = 0; i < lines.size(); i++) {
+                String line = lines.get(i);
+                assertTrue(
+                        line.matches("\\{\"t\":" + i + ",\"level\":\"info\",\"plane\":\"(\\w+)\",\"node\":\"n\","
+                                + "\"event\":\"\\1\",\"number\":\\d}"),
+                        line);
+            }
+        });
+        System.out.println("log: " + orders + " orders of turns");
+        assertTrue(orders > 50, "few orders: " + orders);
+    }
+
+    /** Lines of one event beyond the bound are counted, whoever writes them. */
+    @Test
+    void noLineIsCountedTwiceOrNotAtAll() {
+        int orders = Turns.everyOrder(turns -> {
+            Output out = new Output(turns);
+            TaleHandler handler = new TaleHandler(out, () -> 0, "n", turns.lock());
+            publish(handler, "same", TaleHandler.MOST - 1);
+            turns.thread("loop", () -> publish(handler, "same", 2));
+            turns.thread("writer", () -> publish(handler, "same", 2));
+            turns.run();
+            assertEquals(TaleHandler.MOST, out.writes);
+        });
+        assertTrue(orders > 5, "few orders: " + orders);
+    }
+}
--- /dev/null
+++ b/src/test/java/brambletray/tray/trove/WriterTurnsTest.java
@@ -0,0 +1,220 @@
+package brambletray.tray.trove;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.tray.interleaving.Turns;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** The loop and the thread that writes, under every order of their turns. */
+class WriterTurnsTest {
+    private static final int NO_FAILURE = -1;
+    private static final long NOW_MS = 10;
+
+    @BeforeAll
+    static void quietly() {
+        Logger.getLogger("trove").setLevel(Level.OFF);
+    }
+
+    /** One course: the disk, the loop's tasks, and what the loop has heard. */
+    private static final class Course {
+        private final Turns turns;
+        private final Queue<Runnable> loop = new ArrayDeque<>();
+        private final Map<String, Integer> disk = new TreeMap<>();
+        private final List<String> heard = new ArrayList<>();
+        private final Scribe writer;
+        private final int failing;
+        private int writes;
+
+        /** {@code failing}: which write the disk refuses. */
+        private Course(Turns turns, int failing) {
+            this.turns = turns;
+            this.failing = failing;
+            writer = new Scribe(this::write, this::execute, turns.lock());
+            turns.thread("writer", writer::run);
+        }
+
+        private void write(List<Change> changes) {
+            turns.point();
+            if (writes++ == failing) {
+                throw new TroveFault("trove.full", "no room", null);
+            }
+            changes.forEach(change -> disk.put(change.key(), (int) change.value()[0]));
+            turns.point();
+        }
+
+        private void execute(Runnable task) {
+            turns.point();
+            loop.add(task);
+        }
+
+        private void turnOfLoop() {
+            turns.point();
+            for (Runnable task = loop.poll(); task != null; task = loop.poll()) {
+                task.run();
+            }
+        }
+
+        /** Asks for key = value, values growing, and notes what is heard of it. */
+        private void commit(String key, int value) {
+            String name = key + value;
+            assertTrue(writer.commit(
+                    List.of(new Change(key, new byte[] {(byte) value})), NOW_MS, new DurableStore.Reply() {
+                        @Override
+                        public void done() {
+                            assertTrue(
+                                    disk.getOrDefault(key, 0) >= value, name + " is acknowledged and not on the disk");
+                            heard.add(name + " done");
+                        }
+
+                        @Override
+                        public void failed(TroveFault fault) {
+                            heard.add(name + ' ' + fault.code());
+                        }
+                    }));
+        }
+
+        private void end() {
+            turns.run();
+            turnOfLoop();
+            assertEquals(0, writer.pending());
+            assertEquals(0, writer.oldestWaitMs(NOW_MS));
+        }
+    }
+
+    @Test
+    void everyCommitIsAnsweredOnceInOrderAndOnlyOnceItIsDurable() {
+        int orders = Turns.everyOrder(turns -> {
+            Course course = new Course(turns, NO_FAILURE);
+            turns.thread("loop", () -> {
+                course.commit("a", 1);
+                course.commit("a", 2);
+                course.turnOfLoop();
+                course.commit("b", 3);
+                course.writer.close();
+            });
+            course.end();
+            assertEquals(List.of("a1 done", "a2 done", "b3 done"), course.heard);
+            assertEquals(Map.of("a", 2, "b", 3), course.disk);
+        });
+        System.out.println("writer: " + orders + " orders of turns");
+        assertTrue(orders > 200, "few orders: " + orders);
+    }
+
+    @Test
+    void aFullDiskFailsWhatWasWrittenWithItAndNothingElse() {
+        int orders = 0;
+        for (int failing = 0; failing < 3; failing++) {
+            int refused = failing;
+            orders += Turns.everyOrder(turns -> {
+                Course course = new Course(turns, refused);
+                turns.thread("loop", () -> {
+                    course.commit("a", 1);
+                    course.commit("b", 2);
+                    course.commit("c", 3);
+                    course.writer.close();
+                });
+                course.end();
+                assertEquals(3, course.heard.size(), course.heard::toString);
+                assertEquals("a1", course.heard.get(0).substring(0, 2));
+                assertEquals("b2", course.heard.get(1).substring(0, 2));
+                boolean wasRefused = course.writes > refused;
+                assertEquals(
+                        wasRefused,
+                        course.heard.stream().anyMatch(one -> one.endsWith("trove.full")),
+                        course.heard::toString);
+            });
+        }
+        System.out.println("writer on a full disk: " + orders + " orders of turns");
+        assertTrue(orders > 200, "few orders: " + orders);
+    }
+
+    @Test
+    void whatTheLoopReadsOfTheQueueIsNeverOfTwoMoments() {
+        int orders = Turns.everyOrder(turns -> {
+            Course course = new Course(turns, NO_FAILURE);
+            turns.thread("loop", () -> {
+                course.commit("a", 1);
+                int pending = course.writer.pending();
+                long wait = course.writer.oldestWaitMs(NOW_MS + 5);
+                assertTrue(pending == 0 || pending == 1, "pending " + pending);
+                assertTrue(wait == 0 || wait == 5, "waits " + wait);
+                assertTrue(pending > 0 || wait == 0, "nothing is pending, and yet it waits " + wait);
+                course.writer.close();
+            });
+            course.end();
+        });
+        assertTrue(orders > 10, "few orders: " + orders);
+    }
+
+    /** Between two threads stands one lock: no method of the queue goes without it. */
+    @Test
+    void eachMethodOfTheQueueTakesTheLockOnce() {
+        Turns.everyOrder(turns -> {
+            Turns.CountingLock lock = turns.lock();
+            CommitQueue queue = new CommitQueue(4, 100, lock);
+            CommitQueue.Entry entry = new CommitQueue.Entry(List.of(), null, NOW_MS, 1);
+            List<Runnable> methods = List.of(
+                    () -> assertNull(queue.poll()),
+                    () -> assertTrue(queue.add(entry)),
+                    () -> assertEquals(1, queue.size()),
+                    () -> assertEquals(5, queue.oldestWaitMs(NOW_MS + 5)),
+                    () -> assertEquals(List.of(entry), queue.take()),
+                    queue::finished,
+                    queue::close,
+                    () -> assertNull(queue.take()));
+            turns.thread("one", () -> {
+                for (int i = 0; i < methods.size(); i++) {
+                    int before = lock.taken();
+                    methods.get(i).run();
+                    assertEquals(before + 1, lock.taken(), "method " + i);
+                    assertTrue(!lock.isHeldByCurrentThread(), "method " + i + " keeps the lock");
+                }
+            });
+            turns.run();
+        });
+    }
+
+    /** The test of the test: a queue that looks and takes in two critical sections loses a commit in some order, and that is seen. */
+    @Test
+    void aRaceIsSeen() {
+        boolean[] lost = new boolean[1];
+        Turns.everyOrder(turns -> {
+            ReentrantLock lock = turns.lock();
+            List<Integer> waiting = new ArrayList<>();
+            List<Integer> taken = new ArrayList<>();
+            turns.thread("loop", () -> {
+                add(lock, waiting, 1);
+                add(lock, waiting, 2);
+            });
+            turns.thread("writer", () -> {
+                lock.lock();
+                taken.addAll(waiting);
+                lock.unlock();
+                lock.lock();
+                waiting.clear();
+                lock.unlock();
+            });
+            turns.run();
+            lost[0] |= taken.size() + waiting.size() < 2;
+        });
+        assertTrue(lost[0], "the race wasn't met");
+    }
+
+    private static void add(ReentrantLock lock, List<Integer> waiting, int number) {
+        lock.lock();
+        waiting.add(number);
+        lock.unlock();
+    }
+}
