--- a/src/main/java/brambletray/tray/news/Signals.java
+++ b/src/main/java/brambletray/tray/news/Signals.java
@@ -1,41 +1,39 @@
 package brambletray.tray.news;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import sun.misc.Signal;
 
-/** Signals of the system: one that no one handles ends a process. */
+/**
+ * Signals of the system. One that no one handles ends a process; one that is expected but has no handler yet is kept for it.
+ */
 public final class Signals {
-    private static final Map<String, Runnable> HANDLERS = new HashMap<>();
-    /** Signals that came before their handler. */
-    private static final Set<String> HELD = new HashSet<>();
+    private static final Map<String, SignalLatch> LATCHES = new ConcurrentHashMap<>();
 
     private Signals() {}
 
-    /** From now on this signal is kept for the handler that {@link #on} sets later. {@code name}: without SIG. */
-    public static void hold(String name) {
-        Signal.handle(new Signal(name), signal -> came(name));
+    /** From now on the signal {@code name} (without SIG) doesn't end the process; the first handler is given one that comes before it. */
+    public static void expect(String name) {
+        latch(name);
     }
 
-    /** {@code name} without SIG; {@code then} runs on a thread of the system's, or here and now for a signal that was held. */
+    /** {@code name} without SIG; {@code then} runs on a thread of the system's, or on this one for a signal that has come already. */
     public static void on(String name, Runnable then) {
-        hold(name);
-        synchronized (Signals.class) {
-            HANDLERS.put(name, then);
-            if (HELD.remove(name)) {
-                then.run();
-            }
-        }
+        latch(name).handler(then);
     }
 
-    static synchronized void came(String name) {
-        Runnable handler = HANDLERS.get(name);
-        if (handler == null) {
-            HELD.add(name);
-        } else {
-            handler.run();
-        }
+    /** The signal has come. For the system's thread, and for tests. */
+    static void arrived(String name) {
+        latch(name).arrived();
+    }
+
+    private static SignalLatch latch(String name) {
+        return LATCHES.computeIfAbsent(name, Signals::install);
+    }
+
+    private static SignalLatch install(String name) {
+        SignalLatch latch = new SignalLatch();
+        Signal.handle(new Signal(name), signal -> latch.arrived());
+        return latch;
     }
 }
--- a/src/main/java/brambletray/tray/verb/Programs.java
+++ b/src/main/java/brambletray/tray/verb/Programs.java
@@ -30,9 +30,9 @@
 
     /** {@code keep} or {@code carry}; returns only where it cannot start. */
     public static int run(String program) {
-        Signals.hold("HUP");
+        Signals.expect("HUP");
         if (program.equals("carry")) {
-            Signals.hold("TERM");
+            Signals.expect("TERM");
         }
         try {
             Berth berth = Berth.fromEnvironment();
--- a/src/test/java/brambletray/tray/news/SignalsTest.java
+++ b/src/test/java/brambletray/tray/news/SignalsTest.java
@@ -14,13 +14,13 @@
     @Test
     void oneThatCameBeforeItsHandlerIsNotLostAndCountsOnce() {
         AtomicInteger handled = new AtomicInteger();
-        Signals.hold("WINCH");
-        Signals.came("WINCH");
-        Signals.came("WINCH");
+        Signals.expect("WINCH");
+        Signals.arrived("WINCH");
+        Signals.arrived("WINCH");
         assertEquals(0, handled.get());
         Signals.on("WINCH", handled::incrementAndGet);
         assertEquals(1, handled.get());
-        Signals.came("WINCH");
+        Signals.arrived("WINCH");
         assertEquals(2, handled.get());
     }
 
