--- a/src/test/java/brambletray/tray/flow/TroubledHost.java
+++ b/src/test/java/brambletray/tray/flow/TroubledHost.java
@@ -335,6 +335,16 @@
             one.sealed.add("");
             return before + head("204 No Content", one.id, headers) + "\r\n";
         }
+        if (random.nextInt(25) == 0) {
+            // No body follows, whatever length it names.
+            one.sealedFailures.add("304 ");
+            return before
+                    + head(
+                            "304 Not Modified",
+                            one.id,
+                            headers + (random.nextBoolean() ? "Content-Length: 500\r\n" : ""))
+                    + "\r\n";
+        }
         String body = body(one);
         if (one.method.equals("HEAD")) {
             one.sealed.add("");
