The digest of a state transfer keeps the plane of views pure

Nobody forges a state here; what is to be told apart are states that differ and bytes that were spoilt.

--- a/src/main/java/brambletray/tray/view/CutDigest.java
+++ b/src/main/java/brambletray/tray/view/CutDigest.java
@@ -1,14 +1,14 @@
 package brambletray.tray.view;
 
-import java.nio.ByteBuffer;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
+import java.util.zip.Checksum;
 
 /**
  * Names the bytes of a state transfer, so that another member can go on with them where the first one stopped: what is needed to pack them
  * again, and a digest that tells whether the result is the same.
  *
- * @param digest the first eight bytes of the SHA-256 of the packed bytes; 0 in {@link #NONE} only
+ * @param digest CRC-32 and CRC-32C of the packed bytes, 64 bits together; 0 in {@link #NONE} only
  * @param whole  whether a snapshot replaces all that the receiver has
  * @param after  place behind which the entries follow; the snapshot's place when whole
  * @param end    last place
@@ -29,12 +29,12 @@
     }
 
     private static long digest(byte[] packed) {
-        try {
-            long first = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(packed))
-                    .getLong();
-            return first == 0 ? 1 : first;
-        } catch (NoSuchAlgorithmException e) {
-            throw new ViewFault("view.digest", "the runtime has no SHA-256", e);
-        }
+        long digest = sum(new CRC32(), packed) << Integer.SIZE | sum(new CRC32C(), packed);
+        return digest == 0 ? 1 : digest;
+    }
+
+    private static long sum(Checksum checksum, byte[] packed) {
+        checksum.update(packed, 0, packed.length);
+        return checksum.getValue();
     }
 }
