A core machine that is gone for good can be declared dead; zones with half of the view are warned of

Cause: of two members, one lost for good at another address left the other waiting for ever: only a wiped disk at the same address proves a loss. A view of which zones that may be lost hold half was not told of.

Change: POST /brambletray/system/dead/ADDRESS and the verb declare-dead, confirmed by the member's life; refused while the machine answers or was heard in the last 10 s, while the view works, and where a majority would be dead (DeathOrders). Each member warns of zones that hold half of the view in force (view.zones-hold-half); views shows them, and the zone of each member.

--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -22,6 +22,7 @@
 import brambletray.tray.trove.Scribe;
 import brambletray.tray.trove.Trove;
 import brambletray.tray.trove.TroveFault;
+import brambletray.tray.view.Declaration;
 import brambletray.tray.view.Frame;
 import brambletray.tray.view.Kept;
 import brambletray.tray.view.Member;
@@ -41,6 +42,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The program of the core: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has run. */
 public final class Keep {
@@ -120,6 +122,7 @@
         vow = new Vow(HELM, members.status().me(), kept.get(Vow.key(HELM)), Spans.usual(), new VowOut(), now());
         views = new Views(new Sights(
                 members::status,
+                members::zonesHoldingHalf,
                 () -> operators.charter().creed(),
                 () -> vow.holder(now()),
                 () -> hub != null && mayAct() ? hub : null,
@@ -176,9 +179,14 @@
         Dispatch<Door.Desk> table = new Dispatch<>();
         operators.register(table);
         views.register(table);
+        new MemberOrders(this::declareDead).register(table);
         return new Door(table).open(machine, berth.control());
     }
 
+    private void declareDead(String address, long life, Consumer<Declaration> then) {
+        members.declareDead(address, life, now(), result -> machine.loop().execute(() -> then.accept(result)));
+    }
+
     /** The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost, and its life with it. */
     private static Trove open(Path dir) throws InterruptedException {
         for (; ; ) {
@@ -409,6 +417,11 @@
         public void tell(String event, Object... facts) {
             TALE.tell(event, facts);
         }
+
+        @Override
+        public void warn(String event, Object... facts) {
+            TALE.warn(event, facts);
+        }
     }
 
     private final class HubAuthority implements Hub.Authority {
--- /dev/null
+++ b/src/main/java/brambletray/tray/keep/MemberOrders.java
@@ -0,0 +1,69 @@
+package brambletray.tray.keep;
+
+import brambletray.tray.view.Declaration;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/**
+ * Operators' orders about members of the core: {@code POST /brambletray/system/dead/ADDRESS} declares that the machine at this control-plane address is gone
+ * for good, with its disk. The body confirms it: the member's life in hex, as {@code views} shows it. The member that is asked decides and answers
+ * for itself. For the loop only.
+ */
+final class MemberOrders {
+    private static final int HEX = 16;
+
+    /** Declares a member dead; the outcome comes on the loop. */
+    interface Declare {
+        void dead(String address, long life, Consumer<Declaration> then);
+    }
+
+    private final Declare declare;
+
+    MemberOrders(Declare declare) {
+        this.declare = declare;
+    }
+
+    void register(Dispatch<Door.Desk> table) {
+        table.on("POST", Views.AT + "dead/*", this::dead);
+    }
+
+    private void dead(Call call, String address) {
+        long life;
+        try {
+            life = Long.parseUnsignedLong(new String(call.body(), StandardCharsets.UTF_8).strip(), HEX);
+        } catch (NumberFormatException e) {
+            call.refuse(400, "keep.unconfirmed", "expected as body the life of the member in hex, as views shows it");
+            return;
+        }
+        declare.dead(address, life, result -> answer(call, address, life, result));
+    }
+
+    private static void answer(Call call, String address, long life, Declaration result) {
+        switch (result) {
+            case DECLARED ->
+                call.give(
+                        200,
+                        new Sheet()
+                                .text("address", address)
+                                .text("life", Long.toHexString(life))
+                                .flag("declared-dead", true)
+                                .bytes());
+            case NO_MEMBER ->
+                call.refuse(404, "keep.no-member", "no other member of the view here has this address and this life");
+            case NOT_NEEDED ->
+                call.refuse(409, "keep.not-needed", "the view is at work here, nothing waits for that machine");
+            case HEARD ->
+                call.refuse(
+                        409,
+                        "keep.heard",
+                        "the machine answers, or was heard lately, or this process hasn't listened for 10 s");
+            case TOO_MANY ->
+                call.refuse(
+                        409,
+                        "keep.too-many",
+                        "with it a majority of a view would be dead, and acknowledged changes with it");
+            case BUSY -> call.refuse(503, "keep.busy", "another order is being looked into");
+            default -> throw new IllegalStateException("no answer for " + result);
+        }
+    }
+}
--- a/src/main/java/brambletray/tray/keep/Sights.java
+++ b/src/main/java/brambletray/tray/keep/Sights.java
@@ -11,13 +11,23 @@
 
 /** What a running member shows in its {@link Views}. {@code hub}: gives null while the helm is not held here. */
 record Sights(
-        Supplier<Status> member, Supplier<Creed> creed, Supplier<Holder> holder, Supplier<Hub> hub, LongSupplier clock)
+        Supplier<Status> member,
+        Supplier<List<String>> zonesHoldingHalf,
+        Supplier<Creed> creed,
+        Supplier<Holder> holder,
+        Supplier<Hub> hub,
+        LongSupplier clock)
         implements Views.Source {
     @Override
     public Status status() {
         return member.get();
     }
 
+    @Override
+    public List<String> zonesThatHoldHalf() {
+        return zonesHoldingHalf.get();
+    }
+
     @Override
     public long revision() {
         return creed.get().revision();
--- a/src/main/java/brambletray/tray/keep/Views.java
+++ b/src/main/java/brambletray/tray/keep/Views.java
@@ -25,6 +25,9 @@
     interface Source {
         Status status();
 
+        /** Zones, or else regions, that may be lost and hold half of the view or more; empty where the rest would go on. */
+        List<String> zonesThatHoldHalf();
+
         /** Of the configuration in force here. */
         long revision();
 
@@ -106,6 +109,7 @@
 
     private byte[] views() {
         Status status = source.status();
+        List<String> half = source.zonesThatHoldHalf();
         Sheet sheet = head().text("address", status.me().address())
                 .text("life", Long.toHexString(status.me().life()))
                 .text("standing", status.standing().name().toLowerCase(java.util.Locale.ROOT))
@@ -118,12 +122,14 @@
                 .number("delivered", status.delivered())
                 .flag("ill", status.ill())
                 .number("revision", source.revision())
+                .text("zones-holding-half", half.isEmpty() ? null : String.join(" ", half))
                 .list("members");
         for (Member member : status.members()) {
             sheet.item()
                     .text("name", member.name())
                     .text("address", member.address())
                     .text("life", Long.toHexString(member.life()))
+                    .text("zone", member.zone())
                     .end();
         }
         return sheet.close().bytes();
--- a/src/main/java/brambletray/tray/lap/Operator.java
+++ b/src/main/java/brambletray/tray/lap/Operator.java
@@ -117,6 +117,19 @@
                         : new Reply(answer.statusCode(), answer.body(), member.toString()));
     }
 
+    /** Gives one member an order, without going on to others; status 0: no answer within {@code ms}, and the order may have been carried out. */
+    public Reply order(Address member, String path, byte[] body, int ms) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + member + path))
+                .timeout(Duration.ofMillis(ms))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .handle((answer, fault) -> fault != null
+                        ? new Reply(0, new byte[0], member.toString())
+                        : new Reply(answer.statusCode(), answer.body(), member.toString()))
+                .join();
+    }
+
     private long now() {
         return clock.nanos() / 1_000_000;
     }
--- a/src/main/java/brambletray/tray/verb/Verbs.java
+++ b/src/main/java/brambletray/tray/verb/Verbs.java
@@ -18,6 +18,9 @@
  */
 final class Verbs {
     private static final int WIDTH = 110;
+    /** Columns for a verb's name in the list of them. */
+    private static final int NAME_WIDTH = 14;
+
     private static final Map<String, Supplier<Verb>> TABLE = new LinkedHashMap<>();
 
     static {
@@ -30,6 +33,7 @@
         TABLE.put("edges", Look.Edges::new);
         TABLE.put("hosts", Look.Hosts::new);
         TABLE.put("homes", Look.Seats::new);
+        TABLE.put("declare-dead", DeclareDead::new);
         TABLE.put("up", UpVerb::new);
     }
 
@@ -82,10 +86,11 @@
     private static void help(PrintStream to) {
         to.println(
                 "system VERB ...: the whole system of docs/system.md, its programs and what operators need. system VERB --help says more.");
-        to.println("  keep     the program of a core machine, with the settings file that BRAMBLETRAY_NODE_FILE names");
-        to.println("  carry    the program of an edge, in the same way");
-        TABLE.forEach((name, verb) -> to.println(
-                "  " + name + " ".repeat(9 - name.length()) + verb.get().purpose()));
+        to.println(
+                "  keep          the program of a core machine, with the settings file that BRAMBLETRAY_NODE_FILE names");
+        to.println("  carry         the program of an edge, in the same way");
+        TABLE.forEach((name, verb) -> to.println("  " + name + " ".repeat(NAME_WIDTH - name.length())
+                + verb.get().purpose()));
         to.println("Exit codes: 0 all well, 1 a verdict that is not, 2 bad input.");
     }
 }
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -163,9 +163,27 @@
                 view.leader().name(),
                 "end",
                 log.end());
+        warnOfZones();
         out.changed();
     }
 
+    /** Zones that may be lost with half of the view or more: said by each member, once for each view that is in force. */
+    private void warnOfZones() {
+        List<String> zones = set.tolerance().holdingHalf(view.members());
+        if (!zones.isEmpty()) {
+            out.warn(
+                    "view.zones-hold-half",
+                    "view",
+                    view.ballot(),
+                    "zones",
+                    String.join(" ", zones),
+                    "members",
+                    names(view.members()),
+                    "why",
+                    "if they are lost, the rest waits until they are back");
+        }
+    }
+
     /** Puts an entry at the end; {@code then} runs once it is on the disk. */
     void append(Entry entry) {
         log.append(entry);
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * One member of the core: views, the order of changes, changes of view. Pure: time, frames and syncs come in, {@link Out} says what is to
@@ -51,6 +52,7 @@
     private final Gate gate;
     private final Proposals proposals;
     private final Confirms confirms;
+    private final DeathOrders deathOrders;
     private final Ear ear;
     private List<String> seeds;
     private boolean born;
@@ -110,6 +112,7 @@
         gate = new Gate(desk, this);
         proposals = new Proposals(desk, this);
         confirms = new Confirms(desk, this);
+        deathOrders = new DeathOrders(desk, this);
         ear = new Ear(desk, this, following, knocking, gate, confirms);
         desk.passed = proposals::delivered;
         desk.jumped = proposals::jumped;
@@ -147,6 +150,7 @@
             ear.tick();
             proposals.tick();
             confirms.work();
+            deathOrders.tick();
         }
         leave();
     }
@@ -242,10 +246,24 @@
     /** A frame from the member at this control-plane address. */
     public void heard(String from, Object frame, long now) {
         enter(now);
+        deathOrders.heard(from);
         if (born && frame instanceof Frame known) ear.hear(from, known);
         leave();
     }
 
+    /**
+     * An operator declares that the machine of this member is gone for good, with its disk, and will never answer again. The order is the operator's
+     * word and no proof: it must not be given on both sides of a partition. {@code then} is told what became of it, now or within
+     * a few seconds, and may not call back into this object before it returns.
+     *
+     * @param life as {@link Status#members} has it
+     */
+    public void declareDead(String address, long life, long now, Consumer<Declaration> then) {
+        enter(now);
+        deathOrders.order(address, life, then);
+        leave();
+    }
+
     /** The batch of this ticket is on the disk. */
     public void synced(long ticket, long now) {
         enter(now);
@@ -348,6 +366,12 @@
                 desk.ill());
     }
 
+    /** Zones, or else regions, that may be lost and hold half of the view in force or more; empty where the rest would go on. */
+    public List<String> zonesHoldingHalf() {
+        boolean known = desk.view != null && desk.inForce && !desk.view.founding();
+        return known ? desk.set.tolerance().holdingHalf(desk.view.members()) : List.of();
+    }
+
     /** Control-plane address of the leader that the others go on with, once this process is about to end and is out; else null. */
     public String successor() {
         return desk.leaving && following.fallen() ? following.left().leader().address() : null;
--- a/src/main/java/brambletray/tray/view/Out.java
+++ b/src/main/java/brambletray/tray/view/Out.java
@@ -24,4 +24,9 @@
 
     /** An event to log: pairs of a name and a value. */
     void tell(String event, Object... facts);
+
+    /** The same, for what an operator should act on. */
+    default void warn(String event, Object... facts) {
+        tell(event, facts);
+    }
 }
--- a/src/main/java/brambletray/tray/view/Tolerance.java
+++ b/src/main/java/brambletray/tray/view/Tolerance.java
@@ -1,9 +1,13 @@
 package brambletray.tray.view;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * What may be lost at once, with its disks, while all that is kept stays kept ({@code fault-tolerance} of the settings): so many machines, or
@@ -33,4 +37,26 @@
         }
         return members.size() > machines && in.size() > zones && over.size() > regions;
     }
+
+    /**
+     * Zones, or else regions, that may be lost at once and hold half of these members or more. Their loss leaves no majority: what is kept stays kept, but
+     * nothing goes on until they are back. Empty where there are none.
+     */
+    List<String> holdingHalf(Collection<Member> members) {
+        List<String> some = holdingHalf(members, zones, Member::zone);
+        return some.isEmpty()
+                ? holdingHalf(members, regions, member -> regionOf.getOrDefault(member.zone(), ""))
+                : some;
+    }
+
+    private static List<String> holdingHalf(Collection<Member> members, int losses, Function<Member, String> group) {
+        Map<String, Integer> sizes = new TreeMap<>();
+        members.forEach(member -> sizes.merge(group.apply(member), 1, Integer::sum));
+        List<String> largest = sizes.keySet().stream()
+                .sorted(Comparator.<String>comparingInt(sizes::get).reversed().thenComparing(name -> name))
+                .limit(losses)
+                .toList();
+        int held = largest.stream().mapToInt(sizes::get).sum();
+        return held > 0 && 2 * held >= members.size() ? largest : List.of();
+    }
 }
--- /dev/null
+++ b/src/test/java/brambletray/tray/keep/MemberOrdersTest.java
@@ -0,0 +1,85 @@
+package brambletray.tray.keep;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.tray.view.Declaration;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** The call by which a member is declared dead: what it has to name, and each of its answers. */
+class MemberOrdersTest {
+    private static final String PATH = "/brambletray/system/dead/10.0.0.2:90";
+
+    private final Dispatch<Door.Desk> table = new Dispatch<>();
+    private final List<String> ordered = new ArrayList<>();
+    private Consumer<Declaration> then;
+    private Integer status;
+    private String body;
+
+    MemberOrdersTest() {
+        new MemberOrders((address, life, told) -> {
+                    ordered.add(address + " " + Long.toHexString(life));
+                    then = told;
+                })
+                .register(table);
+    }
+
+    private void post(String confirmation) {
+        status = null;
+        Dispatch.Found<Door.Desk> found = table.find("POST", PATH);
+        byte[] bytes = confirmation.getBytes(StandardCharsets.UTF_8);
+        found.handler()
+                .handle(
+                        new Call("POST", PATH, null, bytes, (given, json, more) -> {
+                            status = given;
+                            body = new String(json, StandardCharsets.UTF_8);
+                        }),
+                        found.part());
+    }
+
+    @Test
+    void anOrderThatNamesNoLifeIsNotGiven() {
+        for (String none : List.of("", "yes", "-1", "0x1f", "11112222333344445")) {
+            post(none);
+            assertEquals(400, status, none);
+            assertTrue(body.contains("keep.unconfirmed"), body);
+        }
+        assertEquals(List.of(), ordered);
+    }
+
+    @Test
+    void anOrderIsAnsweredOnceItIsDecided() {
+        post("fedcba9876543210\n");
+        assertEquals(List.of("10.0.0.2:90 fedcba9876543210"), ordered);
+        assertNull(status);
+        then.accept(Declaration.DECLARED);
+        assertEquals(200, status);
+        assertEquals("{\"address\":\"10.0.0.2:90\",\"life\":\"fedcba9876543210\",\"declared-dead\":true}", body);
+    }
+
+    @Test
+    void eachRefusalSaysWhy() {
+        Map<Declaration, String> refusals = Map.of(
+                Declaration.NO_MEMBER, "404 keep.no-member",
+                Declaration.NOT_NEEDED, "409 keep.not-needed",
+                Declaration.HEARD, "409 keep.heard",
+                Declaration.TOO_MANY, "409 keep.too-many",
+                Declaration.BUSY, "503 keep.busy");
+        for (Declaration result : Declaration.values()) {
+            if (result == Declaration.DECLARED) {
+                continue;
+            }
+            post("a2");
+            then.accept(result);
+            String[] expected = refusals.get(result).split(" ");
+            assertEquals(Integer.parseInt(expected[0]), status, result.name());
+            assertTrue(body.contains("\"" + expected[1] + "\""), body);
+        }
+    }
+}
--- a/src/test/java/brambletray/tray/view/ToleranceTest.java
+++ b/src/test/java/brambletray/tray/view/ToleranceTest.java
@@ -50,6 +50,49 @@
         assertTrue(cases > 80_000);
     }
 
+    /** Whether a majority is left whichever so many of the groups are lost. */
+    private static boolean leavesMajority(List<Member> members, int losses, Function<Member, String> group) {
+        List<String> all = members.stream().map(group).distinct().sorted().toList();
+        for (int lost = 0; lost < 1 << all.size(); lost++) {
+            if (Integer.bitCount(lost) > losses) continue;
+            int gone = lost;
+            long rest = members.stream()
+                    .filter(member -> (gone >> all.indexOf(group.apply(member)) & 1) == 0)
+                    .count();
+            if (2 * rest <= members.size()) return false;
+        }
+        return true;
+    }
+
+    /** All placements of up to five members in four zones, against losing each set of zones, or of regions, in turn. */
+    @Test
+    void zonesThatMayBeLostWithHalfOfTheMembersAreNamed() {
+        int warned = 0;
+        for (int size = 1; size <= 5; size++) {
+            for (int placed = 0; placed < 1 << 2 * size; placed++) {
+                List<Member> members = new ArrayList<>();
+                for (int i = 0; i < size; i++)
+                    members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
+                for (int all = 0; all < 16; all++) {
+                    Tolerance tolerance = new Tolerance(1, all & 3, all >> 2, REGIONS);
+                    boolean sound = leavesMajority(members, tolerance.zones(), Member::zone)
+                            && leavesMajority(members, tolerance.regions(), member -> REGIONS.get(member.zone()));
+                    assertEquals(sound, tolerance.holdingHalf(members).isEmpty(), () -> tolerance + " " + members);
+                    warned += sound ? 0 : 1;
+                }
+            }
+        }
+        assertTrue(warned > 1_000);
+        List<Member> four = List.of(
+                new Member("a", "a", 1, "z0"),
+                new Member("b", "b", 2, "z0"),
+                new Member("c", "c", 3, "z2"),
+                new Member("d", "d", 4, "z3"));
+        assertEquals(List.of("z0"), new Tolerance(1, 1, 0, REGIONS).holdingHalf(four));
+        assertEquals(List.of("r0"), new Tolerance(1, 0, 1, REGIONS).holdingHalf(four));
+        assertEquals(List.of(), new Tolerance(1, 0, 0, REGIONS).holdingHalf(four));
+    }
+
     @Test
     void membersWhoseZoneIsNotKnownCountAsOfOne() {
         List<Member> two = List.of(new Member("a", "a", 1), new Member("b", "b", 2));
--- /dev/null
+++ b/src/test/java/brambletray/tray/view/ZoneWarningTest.java
@@ -0,0 +1,86 @@
+package brambletray.tray.view;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Zones that may be lost with half of the core: what is told of it, what is kept, what waits. */
+class ZoneWarningTest {
+    private SimWorld world;
+
+    private void core(String... names) {
+        Core core = new Core(List.of(names), new Tolerance(1, 1, 0, Map.of()));
+        world = core.world;
+        world.talks = true;
+        core.found();
+    }
+
+    private long warnings(String member) {
+        return world.tales.stream()
+                .filter(line -> line.contains(" " + member + " view.zones-hold-half "))
+                .count();
+    }
+
+    /**
+     * <pre>
+     *   ms     a/y         b/y         c/z          d/z
+     *   0      view of four in force; each warns that one zone holds half
+     *   100    change kept by all
+     *   200                            lost         lost
+     *   5200   waits       waits
+     *          what was acknowledged is on both disks
+     *   5200                           back         back
+     *          all go on
+     * </pre>
+     */
+    @Test
+    void aZoneWithHalfOfTheCoreIsWarnedOfAndItsLossLosesNothingButTime() {
+        core("a/y", "b/y", "c/z", "d/z");
+        for (String name : List.of("a", "b", "c", "d")) {
+            assertTrue(warnings(name) >= 1, name + " doesn't warn");
+            assertEquals(List.of("y"), world.nodes.get(name).members.zonesHoldingHalf());
+        }
+        long token = world.oracle.propose(world.leader());
+        world.await(() -> world.oracle.acknowledged.contains("c" + token), 1_000, "a change of all");
+        for (String name : List.of("c", "d")) world.nodes.get(name).kill(true);
+        world.until(world.now + 5_000);
+        assertEquals(Standing.STOPPED, world.nodes.get("a").members.status().standing());
+        assertTrue(world.nodes.get("a").state.contains("c" + token));
+        for (String name : List.of("c", "d")) world.nodes.get(name).start();
+        world.await(
+                () -> world.leader() != null
+                        && world.leader().members.status().members().size() == 4,
+                4_000,
+                "all four go on");
+        world.until(world.now + 500);
+        world.oracle.end(List.copyOf(world.nodes.values()));
+    }
+
+    @Test
+    void aCoreOfWhichNoZoneHoldsHalfIsNotWarnedOf() {
+        core("a/x", "b/y", "c/z");
+        for (String name : List.of("a", "b", "c")) {
+            assertEquals(0, warnings(name));
+            assertEquals(List.of(), world.nodes.get(name).members.zonesHoldingHalf());
+        }
+    }
+
+    /** It is told anew for a view that has become so, here by the loss of a machine. */
+    @Test
+    void aViewThatHasBecomeSoIsWarnedOf() {
+        core("a/x", "b/y", "c/z", "d/x", "e/y");
+        assertEquals(0, warnings("a"));
+        world.nodes.get("c").kill(true);
+        world.await(
+                () -> world.leader() != null
+                        && world.leader().members.status().members().size() == 4,
+                3_000,
+                "the view of four");
+        world.until(world.now + 500);
+        assertEquals(1, warnings("a"));
+        assertEquals(1, warnings("b"));
+    }
+}
