SIGTERM before a program runs ends it with 0; a second one and a later SIGHUP change nothing

Cause: SIGTERM was handled only once the program ran. A member that waits for its disk, which it does for as long as that lasts, was ended by the virtual machine with 143, as was any process in its first tenths of a second.

Change: Signals handles both signals from the first line on, as one state: SIGTERM before the program runs exits with 0, SIGHUP is remembered until then, the first SIGTERM counts, what comes after it doesn't.

--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -141,11 +141,22 @@
         machine.loop().execute(() -> {
             Carry carry = new Carry(berth, machine, life, System::exit);
             carry.open(frontEnd, readiness);
-            Signals.on("HUP", () -> machine.loop().execute(carry::reread));
-            Signals.on("TERM", () -> machine.loop().execute(carry::leave));
+            Signals.heardBy(carry.new Signalled());
         });
     }
 
+    private final class Signalled implements Signals.Program {
+        @Override
+        public void terminate() {
+            machine.loop().execute(Carry.this::leave);
+        }
+
+        @Override
+        public void reload() {
+            machine.loop().execute(Carry.this::reread);
+        }
+    }
+
     void open(Address frontEnd, Address readiness) {
         front.open(frontEnd).addListener(done -> opened("front-end", frontEnd, done.cause()));
         new Readiness(machine, this::ready)
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -161,8 +161,7 @@
                 .submit(() -> {
                     made[0] = new Keep(berth, real, life, origin);
                     made[0].start();
-                    Signals.on("HUP", () -> machine.loop().execute(made[0]::reread));
-                    Signals.on("TERM", () -> machine.loop().execute(made[0]::leave));
+                    Signals.heardBy(made[0].new Signalled());
                 })
                 .sync();
         made[0].open().sync();
@@ -316,6 +315,18 @@
         }
     }
 
+    private final class Signalled implements Signals.Program {
+        @Override
+        public void terminate() {
+            machine.loop().execute(Keep.this::leave);
+        }
+
+        @Override
+        public void reload() {
+            machine.loop().execute(Keep.this::reread);
+        }
+    }
+
     private final class MemberOrder implements Operators.Order {
         @Override
         public Status status() {
--- a/src/main/java/brambletray/tray/news/Signals.java
+++ b/src/main/java/brambletray/tray/news/Signals.java
@@ -1,13 +1,75 @@
 package brambletray.tray.news;
 
+import java.util.function.IntConsumer;
 import sun.misc.Signal;
 
-/** Signals of the system: one that no one handles ends a process. */
+/**
+ * SIGTERM and SIGHUP of one process, from the first line of its main on. A signal that nobody handles ends a virtual machine with 143 or 129, which counts
+ * as a process that failed.
+ *
+ * <p>Until the program runs, SIGTERM ends the process with 0, as nothing has been served, and SIGHUP is remembered. From then on the program
+ * hears the first SIGTERM, and each SIGHUP that comes before it. What comes after the first SIGTERM changes nothing. Thread-safe.
+ */
 public final class Signals {
-    private Signals() {}
+    private static final Signals PROCESS = new Signals(System::exit);
 
-    /** {@code name} without SIG; {@code then} runs on a thread of the system's. */
-    public static void on(String name, Runnable then) {
-        Signal.handle(new Signal(name), signal -> then.run());
+    private final IntConsumer exit;
+    private Program program;
+    private boolean terminated;
+    private boolean reloadDue;
+
+    /** A program that runs. Called on a thread of the system's; neither method may block or throw. */
+    public interface Program {
+        /** SIGTERM: ends in order, with exit code 0. */
+        void terminate();
+
+        /** SIGHUP: the settings file may have changed. */
+        void reload();
+    }
+
+    Signals(IntConsumer exit) {
+        this.exit = exit;
+    }
+
+    /** The first line of a program's main. */
+    public static void handle() {
+        Signal.handle(new Signal("TERM"), signal -> PROCESS.terminate());
+        Signal.handle(new Signal("HUP"), signal -> PROCESS.reload());
+    }
+
+    /** The program of this process runs, and hears of signals from now on. */
+    public static void heardBy(Program program) {
+        PROCESS.runs(program);
+    }
+
+    synchronized void runs(Program started) {
+        program = started;
+        if (reloadDue && !terminated) {
+            reloadDue = false;
+            program.reload();
+        }
+    }
+
+    synchronized void terminate() {
+        if (terminated) {
+            return;
+        }
+        terminated = true;
+        if (program == null) {
+            exit.accept(0);
+        } else {
+            program.terminate();
+        }
+    }
+
+    synchronized void reload() {
+        if (terminated) {
+            return;
+        }
+        if (program == null) {
+            reloadDue = true;
+        } else {
+            program.reload();
+        }
     }
 }
--- a/src/main/java/brambletray/tray/verb/Programs.java
+++ b/src/main/java/brambletray/tray/verb/Programs.java
@@ -30,7 +30,7 @@
 
     /** {@code keep} or {@code carry}; returns only where it cannot start. */
     public static int run(String program) {
-        Signals.on("HUP", () -> {});
+        Signals.handle();
         try {
             Berth berth = Berth.fromEnvironment();
             Clock clock = Clock.system();
--- /dev/null
+++ b/src/test/java/brambletray/tray/news/SignalsTest.java
@@ -0,0 +1,68 @@
+package brambletray.tray.news;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a process does at signals, in each order in which they may come. */
+class SignalsTest {
+    private final List<String> done = new ArrayList<>();
+    private final Signals signals = new Signals(code -> done.add("exit " + code));
+
+    private final Signals.Program program = new Signals.Program() {
+        @Override
+        public void terminate() {
+            done.add("terminate");
+        }
+
+        @Override
+        public void reload() {
+            done.add("reload");
+        }
+    };
+
+    @Test
+    void aProgramHearsEachHangUpAndTheFirstTermination() {
+        signals.runs(program);
+        signals.reload();
+        signals.reload();
+        signals.terminate();
+        assertEquals(List.of("reload", "reload", "terminate"), done);
+    }
+
+    @Test
+    void aSecondTerminationChangesNothing() {
+        signals.runs(program);
+        signals.terminate();
+        signals.terminate();
+        signals.terminate();
+        assertEquals(List.of("terminate"), done);
+    }
+
+    @Test
+    void aHangUpAfterATerminationChangesNothing() {
+        signals.runs(program);
+        signals.terminate();
+        signals.reload();
+        assertEquals(List.of("terminate"), done);
+    }
+
+    @Test
+    void aTerminationBeforeTheProgramRunsEndsTheProcessWithZero() {
+        signals.terminate();
+        signals.terminate();
+        signals.runs(program);
+        assertEquals(List.of("exit 0"), done);
+    }
+
+    @Test
+    void aHangUpBeforeTheProgramRunsIsHeardOnceItRuns() {
+        signals.reload();
+        signals.reload();
+        assertEquals(List.of(), done);
+        signals.runs(program);
+        assertEquals(List.of("reload"), done);
+    }
+}
