--- a/src/main/java/brambletray/tray/news/Signals.java
+++ b/src/main/java/brambletray/tray/news/Signals.java
@@ -1,39 +1,97 @@
 package brambletray.tray.news;
 
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.IntConsumer;
 import sun.misc.Signal;
 
 /**
- * Signals of the system. One that no one handles ends a process; one that is expected but has no handler yet is kept for it.
+ * SIGTERM and SIGHUP of one process, from the first line of its main on. A signal that nobody handles ends a virtual
+ * machine with 143 or 129, which counts as a process that failed.
+ *
+ * <p>Until the program runs, SIGTERM ends the process with 0, as nothing has been served, and SIGHUP is remembered. From then on the program
+ * hears the first SIGTERM, and each SIGHUP that comes before it. What comes after the first SIGTERM changes nothing. Thread-safe.
  */
 public final class Signals {
-    private static final Map<String, SignalLatch> LATCHES = new ConcurrentHashMap<>();
+    private static final Signals PROCESS = new Signals(System::exit);
 
-    private Signals() {}
+    private final IntConsumer exit;
+    private final ReentrantLock lock;
+    private Program program;
+    private boolean terminated;
+    private boolean reloadDue;
 
-    /** From now on the signal {@code name} (without SIG) doesn't end the process; the first handler is given one that comes before it. */
-    public static void expect(String name) {
-        latch(name);
+    /** A program that runs. Called on a thread of the system's; neither method may block or throw. */
+    public interface Program {
+        /** SIGTERM: ends in order, with exit code 0. */
+        void terminate();
+
+        /** SIGHUP: the settings file may have changed. */
+        void reload();
+    }
+
+    Signals(IntConsumer exit) {
+        this(exit, new ReentrantLock());
+    }
+
+    Signals(IntConsumer exit, ReentrantLock lock) {
+        this.exit = exit;
+        this.lock = lock;
+    }
+
+    /** The first line of a program's main. */
+    public static void handle() {
+        Signal.handle(new Signal("TERM"), signal -> PROCESS.terminate());
+        Signal.handle(new Signal("HUP"), signal -> PROCESS.reload());
     }
 
-    /** {@code name} without SIG; {@code then} runs on a thread of the system's, or on this one for a signal that has come already. */
-    public static void on(String name, Runnable then) {
-        latch(name).handler(then);
+    /** The program of this process runs, and hears of signals from now on. */
+    public static void heardBy(Program program) {
+        PROCESS.runs(program);
     }
 
-    /** The signal has come. For the system's thread, and for tests. */
-    static void arrived(String name) {
-        latch(name).arrived();
+    void runs(Program started) {
+        lock.lock();
+        try {
+            program = started;
+            if (reloadDue && !terminated) {
+                reloadDue = false;
+                program.reload();
+            }
+        } finally {
+            lock.unlock();
+        }
     }
 
-    private static SignalLatch latch(String name) {
-        return LATCHES.computeIfAbsent(name, Signals::install);
+    void terminate() {
+        lock.lock();
+        try {
+            if (terminated) {
+                return;
+            }
+            terminated = true;
+            if (program == null) {
+                exit.accept(0);
+            } else {
+                program.terminate();
+            }
+        } finally {
+            lock.unlock();
+        }
     }
 
-    private static SignalLatch install(String name) {
-        SignalLatch latch = new SignalLatch();
-        Signal.handle(new Signal(name), signal -> latch.arrived());
-        return latch;
+    void reload() {
+        lock.lock();
+        try {
+            if (terminated) {
+                return;
+            }
+            if (program == null) {
+                reloadDue = true;
+            } else {
+                program.reload();
+            }
+        } finally {
+            lock.unlock();
+        }
     }
 }
--- a/src/main/java/brambletray/tray/verb/Programs.java
+++ b/src/main/java/brambletray/tray/verb/Programs.java
@@ -30,10 +30,7 @@
 
     /** {@code keep} or {@code carry}; returns only where it cannot start. */
     public static int run(String program) {
-        Signals.expect("HUP");
-        if (program.equals("carry")) {
-            Signals.expect("TERM");
-        }
+        Signals.handle();
         try {
             Berth berth = Berth.fromEnvironment();
             Clock clock = Clock.system();
