--- a/src/main/java/brambletray/admission/QuotaDoor.java
+++ b/src/main/java/brambletray/admission/QuotaDoor.java
@@ -44,7 +44,8 @@
     private final Store store;
     private final List<String> tenants;
     private final Quotas quotas;
-    private final int rank, relays;
+    private final int rank;
+    private final int relays;
     private final Map<String, Chain> kept = new HashMap<>();
     private long keys;
 
--- a/src/main/java/brambletray/admission/QuotaFile.java
+++ b/src/main/java/brambletray/admission/QuotaFile.java
@@ -27,7 +27,9 @@
     private static final int MEMBERS_MOST = 200_000;
     private static final int CHARACTERS_MOST = 32 << 20;
     /** Messages, or bytes, of one limit; a window of a day is the longest. */
-    private static final double AMOUNT_MOST = 1e12, WINDOW_S_MOST = 86_400;
+    private static final double AMOUNT_MOST = 1e12;
+
+    private static final double WINDOW_S_MOST = 86_400;
 
     private int members;
 
--- a/src/main/java/brambletray/check/EmulatorCheck.java
+++ b/src/main/java/brambletray/check/EmulatorCheck.java
@@ -23,7 +23,10 @@
  */
 public final class EmulatorCheck {
     /** What the wire may add whatever the bound: ms of latency, calls in hand, and calls refused or not. */
-    private static final double LATENCY_FLOOR = 3, HELD_FLOOR = 0.06, CALLS_FLOOR = 1.5;
+    private static final double LATENCY_FLOOR = 3;
+
+    private static final double HELD_FLOOR = 0.06;
+    private static final double CALLS_FLOOR = 1.5;
     /** How long after the script's end calls may still end; ns. */
     private static final long AFTER = 30_000_000_000L;
 
--- a/src/main/java/brambletray/check/WireRun.java
+++ b/src/main/java/brambletray/check/WireRun.java
@@ -32,7 +32,8 @@
  */
 final class WireRun {
     private static final Logger LOG = LoggerFactory.getLogger(WireRun.class);
-    private static final int CONNECT_MS = 60_000, BODY_MOST = 64 * 1024;
+    private static final int CONNECT_MS = 60_000;
+    private static final int BODY_MOST = 64 * 1024;
 
     private final Machine machine;
     private final Plan plan;
--- a/src/main/java/brambletray/console/Console.java
+++ b/src/main/java/brambletray/console/Console.java
@@ -44,10 +44,13 @@
     /** Connections at once; clients of the relay have a bound of their own, and take none of these. */
     private static final int CALLERS_MOST = 24;
 
-    private static final int HEAD_MOST = 8 * 1024, BODY_MOST = 64 * 1024, DISCARD_MOST = 256 * 1024;
+    private static final int HEAD_MOST = 8 * 1024;
+    private static final int BODY_MOST = 64 * 1024;
+    private static final int DISCARD_MOST = 256 * 1024;
     /** ns; from the connect until the whole call is here, and from its answer until its connection closes. */
-    private static final long CALL_MOST = TimeUnit.MILLISECONDS.toNanos(900),
-            LINGER = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long CALL_MOST = TimeUnit.MILLISECONDS.toNanos(900);
+
+    private static final long LINGER = TimeUnit.MILLISECONDS.toNanos(500);
     /** ms; between looks for callers whose time is over. */
     private static final long SWEEP = 100;
 
@@ -61,7 +64,10 @@
     }
 
     /** The call that asks for an upgrade, and what to. */
-    private static final String UPGRADE_PATH = "/handover", UPGRADE_TO = "brambletray-handover", BEARER = "Bearer ";
+    private static final String UPGRADE_PATH = "/handover";
+
+    private static final String UPGRADE_TO = "brambletray-handover";
+    private static final String BEARER = "Bearer ";
 
     private final Machine machine;
     private final Clock clock;
@@ -126,7 +132,9 @@
         private final Channel channel;
         private long since = clock.nanos();
         /** The call is being carried out; it has been answered. */
-        private boolean calling, answered;
+        private boolean calling;
+
+        private boolean answered;
 
         private HttpRequest head;
         private int discarded;
--- a/src/main/java/brambletray/control/Control.java
+++ b/src/main/java/brambletray/control/Control.java
@@ -1,8 +1,26 @@
 package brambletray.control;
 
-import brambletray.control.Relay.*;
-import brambletray.control.State.*;
-import java.util.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Due;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Event;
+import brambletray.control.Relay.Excluded;
+import brambletray.control.Relay.Known;
+import brambletray.control.Relay.Listed;
+import brambletray.control.Relay.Recalled;
+import brambletray.control.Relay.Remembered;
+import brambletray.control.Relay.Settings;
+import brambletray.control.Relay.Withdrawn;
+import brambletray.control.State.Attempt;
+import brambletray.control.State.Dest;
+import brambletray.control.State.Entry;
+import brambletray.control.State.Key;
+import brambletray.control.State.Msg;
+import brambletray.control.State.Route;
+import java.util.List;
+import java.util.Objects;
+import java.util.SplittableRandom;
 
 /**
  * The module: all decisions of one relay. The interface (settings, events, actions) is in Relay.java.
--- a/src/main/java/brambletray/control/Memory.java
+++ b/src/main/java/brambletray/control/Memory.java
@@ -39,15 +39,23 @@
     final PriorityQueue<Entry> agenda = new PriorityQueue<>();
     final Bucket[] shares;
     /** us, by kind: how long idle connections are held (endpoints may take few), and trusted to be alive. */
-    final double[] holds, trusts;
+    final double[] holds;
+
+    final double[] trusts;
     /** By kind: the share of calls after a refusal that get in. */
     final double[] eases;
     /** By kind: whether some endpoint has told its limit in an answer, so that all that read a call do. */
     final boolean[] tells;
     /** us of the module's clock, at its last turn and its first, and counts. */
-    long now, beganAt, seq, turns;
+    long now;
+
+    long beganAt;
+    long seq;
+    long turns;
 
-    int slotsUsed, open, logged;
+    int slotsUsed;
+    int open;
+    int logged;
     double lost;
 
     Memory(int tenants, int kinds) {
--- a/src/main/java/brambletray/control/State.java
+++ b/src/main/java/brambletray/control/State.java
@@ -52,10 +52,18 @@
         Dest dest;
         Key key;
         /** {@code number}: by order of arrival. */
-        long deadline, aim, number;
-
-        int band, extras, open, timeouts;
-        boolean queued, ended, halving;
+        long deadline;
+
+        long aim;
+        long number;
+
+        int band;
+        int extras;
+        int open;
+        int timeouts;
+        boolean queued;
+        boolean ended;
+        boolean halving;
         double full;
         final List<Attempt> attempts = new ArrayList<>(2);
 
@@ -113,9 +121,16 @@
         Route route;
         Call call;
         /** {@code idle}: how long its connection had been idle; -1 for a new one. */
-        long sent, idle = -1;
+        long sent;
+
+        long idle = -1;
 
-        boolean done, cancelled, trial, again, overdue, maybeRan = true;
+        boolean done;
+        boolean cancelled;
+        boolean trial;
+        boolean again;
+        boolean overdue;
+        boolean maybeRan = true;
 
         Attempt(Msg msg, Route route, long sent) {
             this.msg = msg;
@@ -150,7 +165,8 @@
     /** What holds one slot: one message, or a bundle. */
     static final class Call implements Serializable {
         private static final long serialVersionUID = Memory.VERSION;
-        int open, size;
+        int open;
+        int size;
         /** How its messages ended so far. */
         final EnumSet<Relay.Outcome> told = EnumSet.noneOf(Relay.Outcome.class);
     }
@@ -248,10 +264,15 @@
         private static final long serialVersionUID = Memory.VERSION;
         final Bucket bucket = new Bucket();
         /** {@code rated}: the weight is a rate that was listed or told, in calls a second. */
-        boolean rated, told;
+        boolean rated;
 
-        double weight, pace;
-        long waitUntil, backoffUntil, refusedAt;
+        boolean told;
+
+        double weight;
+        double pace;
+        long waitUntil;
+        long backoffUntil;
+        long refusedAt;
         /** Refusals in a row, those of calls that were out together counted once. */
         int refusals;
     }
@@ -260,27 +281,47 @@
     static final class Route implements Serializable {
         private static final long serialVersionUID = Memory.VERSION;
         long id;
-        int zone, kind;
+        int zone;
+        int kind;
         Dest dest;
         Lane lane;
         /** {@code out}: taken out by hand. */
-        boolean ready, confirmed, out;
+        boolean ready;
+
+        boolean confirmed;
+        boolean out;
 
         Health health = Health.GOOD;
         /** {@code broken}: new connections in a row that broke, with no answer between. */
-        int inflight, failRun, broken, trials, overdue;
+        int inflight;
+
+        int failRun;
+        int broken;
+        int trials;
+        int overdue;
         /** Times in a row that it had no place for a connection, and how many calls may be out there. */
-        int crowded, places = Integer.MAX_VALUE;
+        int crowded;
+
+        int places = Integer.MAX_VALUE;
         /** us; when it last had none, or when {@code places} last grew. */
         long crowdedAt = -1;
         /** {@code heldBefore}: us; how long its kind's connections were held before its connects failed. */
-        double latency, failing, heldBefore;
+        double latency;
 
-        long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
+        double failing;
+        double heldBefore;
+
+        long backoffUntil;
+        long lastOk;
+        long lastOkSent = -1;
+        long outSince;
+        long returnAt;
+        long lastSent;
         double spacing;
         final ArrayDeque<Long> idle = new ArrayDeque<>();
         Call bundle;
-        long bundleTurn = -1, goneAt;
+        long bundleTurn = -1;
+        long goneAt;
 
         Route(long id, int zone, int kind) {
             this.id = id;
@@ -314,9 +355,18 @@
         /** Messages a second that come in for it, when the last one came. */
         double usualRate;
 
-        double window = 1, copies = 1, latest, usual;
-        int kind = -1, calls, waiting, overdue, refusals;
-        long lookAt, refusedAt, backoffUntil;
+        double window = 1;
+        double copies = 1;
+        double latest;
+        double usual;
+        int kind = -1;
+        int calls;
+        int waiting;
+        int overdue;
+        int refusals;
+        long lookAt;
+        long refusedAt;
+        long backoffUntil;
 
         Dest(int bands) {
             this.bands = new Band[bands];
--- a/src/main/java/brambletray/control/Turn.java
+++ b/src/main/java/brambletray/control/Turn.java
@@ -1,13 +1,23 @@
 package brambletray.control;
 
-import brambletray.control.Relay.*;
-import brambletray.control.State.*;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Log;
+import brambletray.control.Relay.Wake;
+import brambletray.control.State.Duty;
+import brambletray.control.State.Entry;
+import brambletray.control.State.Route;
 import java.io.Serializable;
-import java.util.*;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
 
 /** One turn: its time, the actions that it asks for, and the timers (agenda). It decides nothing. */
 final class Turn {
-    static final long MS = 1_000L, SECOND = 1_000_000L, NEVER = Long.MAX_VALUE;
+    static final long MS = 1_000L;
+    static final long SECOND = 1_000_000L;
+    static final long NEVER = Long.MAX_VALUE;
     /** Log lines at most: operators keep only the first few hundred. */
     private static final int LOG_LINES = 100;
     /** Routes whose calls ended in this turn. */
--- a/src/main/java/brambletray/core/Compaction.java
+++ b/src/main/java/brambletray/core/Compaction.java
@@ -13,7 +13,9 @@
 final class Compaction {
     private static final Logger LOG = LoggerFactory.getLogger(Compaction.class);
     /** How long one slice may take, ns; the gap to the next, us. */
-    private static final long SLICE = 500_000, GAP = 2_000;
+    private static final long SLICE = 500_000;
+
+    private static final long GAP = 2_000;
 
     private final EventLoop loop;
     private final Clock clock;
--- a/src/main/java/brambletray/emulator/Endpoint.java
+++ b/src/main/java/brambletray/emulator/Endpoint.java
@@ -65,7 +65,9 @@
     private long clock;
     private int connections;
     private Reach reach = Reach.OPEN;
-    private boolean fallen, hung, draining;
+    private boolean fallen;
+    private boolean hung;
+    private boolean draining;
     private double slow = 1;
     private Spoils spoils = Spoils.NONE;
     /** Shut until then, and whether refusals tell so; Long.MIN_VALUE when it is not. */
--- a/src/main/java/brambletray/emulator/Tally.java
+++ b/src/main/java/brambletray/emulator/Tally.java
@@ -5,19 +5,30 @@
 
 /** What one endpoint did, counted by itself; times in ns. */
 public final class Tally {
-    public long arrived, failed, reset, spoilt, unanswered, abandoned;
-    public long connections, connectionsRefused;
-    public int mostConnections, mostQueued;
+    public long arrived;
+    public long failed;
+    public long reset;
+    public long spoilt;
+    public long unanswered;
+    public long abandoned;
+    public long connections;
+    public long connectionsRefused;
+    public int mostConnections;
+    public int mostQueued;
     /** The most that came to it while it was cold, as a share of what it bears. */
     public double heaviest;
     /** When it fell over; -1 if it has not. */
     public long fellAt = -1;
 
     public final Map<Answer.Reason, Long> refused = new EnumMap<>(Answer.Reason.class);
-    private long delivered, began;
-    private double latency, wait;
-    private double queueTime, busyTime;
-    private long since = -1, begin = -1;
+    private long delivered;
+    private long began;
+    private double latency;
+    private double wait;
+    private double queueTime;
+    private double busyTime;
+    private long since = -1;
+    private long begin = -1;
 
     void served(long nanos) {
         delivered++;
--- a/src/main/java/brambletray/handover/FrameCodec.java
+++ b/src/main/java/brambletray/handover/FrameCodec.java
@@ -32,22 +32,22 @@
     static final int FRAME_MOST = 8 << 20;
 
     private static final int LIST_MOST = 100_000;
-    private static final int HELLO = 1,
-            WELCOME = 2,
-            TURNED_AWAY = 3,
-            SUBMIT = 4,
-            ANSWERED = 5,
-            WITHDRAW = 6,
-            EXCLUDE = 7,
-            TOLD = 8,
-            DRAINED = 9,
-            STATE = 10,
-            OWNER = 11,
-            DECLINED = 12,
-            KEPT = 13,
-            ENDED = 14,
-            CANCEL = 15,
-            TAKE_BACK = 16;
+    private static final int HELLO = 1;
+    private static final int WELCOME = 2;
+    private static final int TURNED_AWAY = 3;
+    private static final int SUBMIT = 4;
+    private static final int ANSWERED = 5;
+    private static final int WITHDRAW = 6;
+    private static final int EXCLUDE = 7;
+    private static final int TOLD = 8;
+    private static final int DRAINED = 9;
+    private static final int STATE = 10;
+    private static final int OWNER = 11;
+    private static final int DECLINED = 12;
+    private static final int KEPT = 13;
+    private static final int ENDED = 14;
+    private static final int CANCEL = 15;
+    private static final int TAKE_BACK = 16;
 
     @Override
     protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf out) throws IOException {
--- a/src/main/java/brambletray/handover/Joining.java
+++ b/src/main/java/brambletray/handover/Joining.java
@@ -25,13 +25,18 @@
  */
 final class Joining extends SimpleChannelInboundHandler<HttpObject> {
     /** The path, and the protocol's name. */
-    static final String PATH = "/handover", PROTOCOL = "brambletray-handover";
+    static final String PATH = "/handover";
+
+    static final String PROTOCOL = "brambletray-handover";
     /** ms; to connect, and to be answered. */
-    private static final int CONNECT = 300, ANSWER = 1_000;
+    private static final int CONNECT = 300;
+
+    private static final int ANSWER = 1_000;
 
     private final Meeting meeting;
     private final Consumer<Channel> then;
-    private boolean over, upgraded;
+    private boolean over;
+    private boolean upgraded;
 
     private Joining(Meeting meeting, Consumer<Channel> then) {
         this.meeting = meeting;
--- a/src/main/java/brambletray/handover/Meeting.java
+++ b/src/main/java/brambletray/handover/Meeting.java
@@ -16,7 +16,8 @@
  * and a secret that only those who may read the folder know.
  */
 record Meeting(InetSocketAddress address, String secret) {
-    static final String NAME = "HANDOVER", FRESH = "HANDOVER.new";
+    static final String NAME = "HANDOVER";
+    static final String FRESH = "HANDOVER.new";
     private static final int MOST = 4_096;
     private static final JsonFactory JSON = new JsonFactory();
 
--- a/src/main/java/brambletray/handover/MemoryCodec.java
+++ b/src/main/java/brambletray/handover/MemoryCodec.java
@@ -25,7 +25,9 @@
 final class MemoryCodec {
     private static final long MAGIC = 0x4252545354415445L;
     private static final int HEAD = 20;
-    private static final int OBJECTS_MOST = 2_000_000, DEPTH_MOST = 2_000, ARRAY_MOST = 1 << 20;
+    private static final int OBJECTS_MOST = 2_000_000;
+    private static final int DEPTH_MOST = 2_000;
+    private static final int ARRAY_MOST = 1 << 20;
     private static final ObjectInputFilter ONLY = ObjectInputFilter.Config.createFilter(
             "maxrefs=" + OBJECTS_MOST + ";maxdepth=" + DEPTH_MOST + ";maxarray=" + ARRAY_MOST
                     + ";brambletray.control.*;java.util.*;java.lang.Long;java.lang.Number;java.lang.Enum;"
--- a/src/main/java/brambletray/handover/Succession.java
+++ b/src/main/java/brambletray/handover/Succession.java
@@ -50,7 +50,9 @@
 
     private final FarCalls far;
     /** To the process that this one follows, and to the one that follows this; null where there is none. */
-    private Link before, after;
+    private Link before;
+
+    private Link after;
     /** Messages that came from the other process while it is open who owns. */
     private final List<Frame.Submit> deferred = new ArrayList<>();
 
@@ -60,7 +62,9 @@
     /** The one that follows has the same settings: the module's memory means the same there. */
     private boolean sameSettings;
 
-    private boolean joining, ticking, stopped;
+    private boolean joining;
+    private boolean ticking;
+    private boolean stopped;
 
     public Succession(Machine machine, Duties duties, Disk disk, Relay.Settings settings) {
         this.machine = machine;
--- a/src/main/java/brambletray/http/clients/Server.java
+++ b/src/main/java/brambletray/http/clients/Server.java
@@ -55,7 +55,8 @@
  */
 public final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
-    private static final int BODY_MOST = 64 * 1024, HEAD_MOST = 8 * 1024;
+    private static final int BODY_MOST = 64 * 1024;
+    private static final int HEAD_MOST = 8 * 1024;
     /** ns; from its first byte (on a new connection from the connect) until a request is here as a whole. */
     private static final long REQUEST_MOST = TimeUnit.MILLISECONDS.toNanos(2_300);
     /** ns; a connection with no request open is closed after this. */
@@ -150,7 +151,10 @@
         /** When it connected, had its last answer, or sent the first byte of the request that is open. */
         private long since = clock.nanos();
         /** A request has begun; some request has been answered; the last answer has been given. */
-        private boolean busy, served, last;
+        private boolean busy;
+
+        private boolean served;
+        private boolean last;
 
         private int discarded;
 
--- a/src/main/java/brambletray/http/clients/Submission.java
+++ b/src/main/java/brambletray/http/clients/Submission.java
@@ -13,7 +13,8 @@
 
 /** Reads the message that a request hands in, by the protocol's section on clients and relays. */
 record Submission(Intake intake, Clock clock) {
-    private static final int ID_MOST = 128, KEY_MOST = 256;
+    private static final int ID_MOST = 128;
+    private static final int KEY_MOST = 256;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
     /**
--- a/src/main/java/brambletray/http/hosts/Answers.java
+++ b/src/main/java/brambletray/http/hosts/Answers.java
@@ -8,7 +8,10 @@
 /** The protocol's table of what a host's answer means. */
 final class Answers {
     /** A share left or a limit in calls a second beyond these is no report; nor is a wait (s) beyond that. */
-    private static final double SHARE_MOST = 10, LIMIT_MOST = 100_000, WAIT_MOST = 3_600;
+    private static final double SHARE_MOST = 10;
+
+    private static final double LIMIT_MOST = 100_000;
+    private static final double WAIT_MOST = 3_600;
 
     private Answers() {}
 
--- a/src/main/java/brambletray/http/hosts/Batch.java
+++ b/src/main/java/brambletray/http/hosts/Batch.java
@@ -21,7 +21,9 @@
     static final String PATH = "/v1/messages:batch";
     private static final JsonFactory JSON = new JsonFactory();
     /** Bytes of a message's entry besides its body, id and key; bytes of Base64 for three of a body. */
-    private static final int ENTRY = 32, ENCODED = 4;
+    private static final int ENTRY = 32;
+
+    private static final int ENCODED = 4;
 
     private Batch() {}
 
--- a/src/main/java/brambletray/http/hosts/HostPool.java
+++ b/src/main/java/brambletray/http/hosts/HostPool.java
@@ -60,11 +60,16 @@
 public final class HostPool implements Calls {
     private static final Logger LOG = LoggerFactory.getLogger(HostPool.class);
     /** ms; a connection is not used again, and is closed, so long before the host may close it. */
-    private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
+    private static final long IDLE_MARGIN = 1_000;
+
+    private static final long SWEEP = 250;
     /** ns; an answer that has begun and is not at its end by then will not be waited for. */
     private static final long ANSWER_MOST = TimeUnit.SECONDS.toNanos(2);
     /** Bytes of an answer's head and body, and 1xx answers ahead of it; what goes beyond is spoilt. */
-    private static final int HEAD_MOST = 8 * 1024, BODY_MOST = 64 * 1024, AHEAD_MOST = 8;
+    private static final int HEAD_MOST = 8 * 1024;
+
+    private static final int BODY_MOST = 64 * 1024;
+    private static final int AHEAD_MOST = 8;
     /** ns; a connection rests so long before its next call: more may come right behind an answer. */
     private static final long REST = TimeUnit.MILLISECONDS.toNanos(5);
 
@@ -415,11 +420,13 @@
         private HttpResponse head;
 
         private Reply reply;
-        private int body, ahead;
+        private int body;
+        private int ahead;
         /** The answer's body, where it names messages; at most {@link #BODY_MOST}. */
         private final ByteArrayOutputStream told = new ByteArrayOutputStream(0);
 
-        private boolean complete, keep = true;
+        private boolean complete;
+        private boolean keep = true;
         /** When the answer began to come; 0 before. */
         private long answeredAt;
 
--- a/src/main/java/brambletray/inventory/Follower.java
+++ b/src/main/java/brambletray/inventory/Follower.java
@@ -26,15 +26,21 @@
 
     private final Machine machine;
     private final Path file;
-    private final long pollMs, settleMs;
+    private final long pollMs;
+    private final long settleMs;
     private final Consumer<Inventory.Parsed> whenRead;
     private final Executor reader;
     private final boolean events;
     private FolderEvents folders;
-    private Look last, taken;
+    private Look last;
+    private Look taken;
     private long changedAt;
-    private boolean reading, closed, touched, touchedAgain;
-    private Future<?> timer, settled;
+    private boolean reading;
+    private boolean closed;
+    private boolean touched;
+    private boolean touchedAgain;
+    private Future<?> timer;
+    private Future<?> settled;
     private String complaint;
 
     /**
--- a/src/main/java/brambletray/inventory/Rows.java
+++ b/src/main/java/brambletray/inventory/Rows.java
@@ -17,7 +17,8 @@
     static final List<String> FIELDS =
             List.of("name", "address", "port", "protocol", "destination", "zone", "kind", "rate", "state");
     private static final Set<String> PROTOCOLS = Set.of("http", "mqtt", "mqtt-qos2", "mqtt-3.1.1", "mqtt-3.1.1-qos2");
-    private static final int FAULTS_MOST = 100, HOSTS_MOST = 200_000;
+    private static final int FAULTS_MOST = 100;
+    private static final int HOSTS_MOST = 200_000;
     /** Calls a second of a host that tells none: the relay learns what it takes from there. */
     private static final double RATE = 10;
 
--- a/src/main/java/brambletray/journal/Journal.java
+++ b/src/main/java/brambletray/journal/Journal.java
@@ -40,8 +40,13 @@
     public static final int NO_ZONE = -1;
 
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
-    private static final byte TAKEN = 0, SENT = 1, NOT_RUN = 2, ENDED = 3;
-    private static final int SENT_BYTES = 13, NOT_RUN_BYTES = 3, ENDED_BYTES = 10;
+    private static final byte TAKEN = 0;
+    private static final byte SENT = 1;
+    private static final byte NOT_RUN = 2;
+    private static final byte ENDED = 3;
+    private static final int SENT_BYTES = 13;
+    private static final int NOT_RUN_BYTES = 3;
+    private static final int ENDED_BYTES = 10;
     /** Bytes of values kept in memory; what is held may be more. */
     private static final long CACHE = 4 << 20;
     /** Bytes staged at most before they are written: a batch stays well below a segment. */
@@ -73,7 +78,9 @@
 
         private Chain chain;
         /** Its last commit failed: it was never taken on; or nobody knows. */
-        private boolean refused, uncertain;
+        private boolean refused;
+
+        private boolean uncertain;
 
         private Entry(long number, Message message) {
             this.number = number;
--- a/src/main/java/brambletray/journal/OldJournal.java
+++ b/src/main/java/brambletray/journal/OldJournal.java
@@ -21,10 +21,16 @@
  * endian. A tail that does not check is cut off.
  */
 final class OldJournal {
-    static final String FILE = "journal", FRESH = "journal.new";
+    static final String FILE = "journal";
+    static final String FRESH = "journal.new";
     private static final Logger LOG = LoggerFactory.getLogger(OldJournal.class);
-    private static final int HEAD = 8, RECORD_MOST = 1 << 20;
-    private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
+    private static final int HEAD = 8;
+    private static final int RECORD_MOST = 1 << 20;
+    private static final byte TAKEN = 1;
+    private static final byte SENT = 2;
+    private static final byte NOT_RUN = 3;
+    private static final byte ENDED = 4;
+    private static final byte CLOSED = 5;
 
     /** A message that something is owed for, as it stood in the file. */
     record Owed(Message message, List<Journal.Attempt> attempts, Journal.End[] end) {}
--- a/src/main/java/brambletray/kept/Redrives.java
+++ b/src/main/java/brambletray/kept/Redrives.java
@@ -16,7 +16,9 @@
     /** Redrives out to one destination at most. */
     public static final int OUT_MOST = 8;
     /** ms. */
-    public static final long REST = 5_000, REST_MOST = 600_000;
+    public static final long REST = 5_000;
+
+    public static final long REST_MOST = 600_000;
     /** Destinations remembered; those at rest and without redrives are forgotten first. */
     private static final int PLACES_MOST = 100_000;
 
--- a/src/main/java/brambletray/membership/Discovery.java
+++ b/src/main/java/brambletray/membership/Discovery.java
@@ -26,7 +26,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
     private static final JsonFactory JSON = new JsonFactory();
     /** ms; a notice not acknowledged within this is posted again; gap between tries. */
-    private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
+    private static final long NOTICE_PATIENCE = 2_000;
+
+    private static final long AGAIN = 100;
 
     private static final int NOTICES_MOST = 100;
 
@@ -39,7 +41,9 @@
     /** The next post, where it waits for a gap to pass. */
     private Future<?> postDue;
 
-    private boolean posting, unheard, watching;
+    private boolean posting;
+    private boolean unheard;
+    private boolean watching;
 
     public Discovery(
             Machine machine,
--- a/src/main/java/brambletray/membership/Watch.java
+++ b/src/main/java/brambletray/membership/Watch.java
@@ -14,7 +14,10 @@
 public final class Watch {
     private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
     /** ms; how long a watch may wait, its answer is awaited past that, and the gap after a failure. */
-    private static final long WAIT = 20_000, WAIT_SLACK = 2_000, AGAIN = 100;
+    private static final long WAIT = 20_000;
+
+    private static final long WAIT_SLACK = 2_000;
+    private static final long AGAIN = 100;
 
     /** Who takes the lists in. */
     public interface Taker {
--- a/src/main/java/brambletray/mqtt/clients/MqttClient.java
+++ b/src/main/java/brambletray/mqtt/clients/MqttClient.java
@@ -58,32 +58,39 @@
 final class MqttClient extends SimpleChannelInboundHandler<MqttMessage> {
     private static final Logger LOG = LoggerFactory.getLogger(MqttClient.class);
     /** Reason codes of MQTT 5.0, section 2.4. */
-    static final int SUCCESS = 0x00,
-            DISCONNECT_WITH_WILL = 0x04,
-            NO_SUBSCRIPTION = 0x11,
-            UNSPECIFIED = 0x80,
-            MALFORMED = 0x81,
-            PROTOCOL_ERROR = 0x82,
-            IMPLEMENTATION = 0x83,
-            UNSUPPORTED_VERSION = 0x84,
-            ID_NOT_VALID = 0x85,
-            BAD_USER = 0x86,
-            NOT_AUTHORISED = 0x87,
-            SHUTTING_DOWN = 0x8B,
-            TAKEN_OVER = 0x8E,
-            FILTER_INVALID = 0x8F,
-            TOPIC_INVALID = 0x90,
-            ID_IN_USE = 0x91,
-            ID_NOT_FOUND = 0x92,
-            RECEIVE_MAXIMUM = 0x93,
-            ALIAS_INVALID = 0x94,
-            QUOTA = 0x97,
-            RETAIN_UNSUPPORTED = 0x9A,
-            SHARED_UNSUPPORTED = 0x9E,
-            IDENTIFIERS_UNSUPPORTED = 0xA1;
-
-    private static final int ALIASES = 16, ID_MOST = 128, KEY_MOST = 256, CLIENT_ID_MOST = 256, TOPIC_MOST = 1_024;
-    private static final long TIME_MOST_MS = 3_600_000, READ_LATE_MS = 150, CONNECT_WITHIN_MS = 2_300;
+    static final int SUCCESS = 0x00;
+
+    static final int DISCONNECT_WITH_WILL = 0x04;
+    static final int NO_SUBSCRIPTION = 0x11;
+    static final int UNSPECIFIED = 0x80;
+    static final int MALFORMED = 0x81;
+    static final int PROTOCOL_ERROR = 0x82;
+    static final int IMPLEMENTATION = 0x83;
+    static final int UNSUPPORTED_VERSION = 0x84;
+    static final int ID_NOT_VALID = 0x85;
+    static final int BAD_USER = 0x86;
+    static final int NOT_AUTHORISED = 0x87;
+    static final int SHUTTING_DOWN = 0x8B;
+    static final int TAKEN_OVER = 0x8E;
+    static final int FILTER_INVALID = 0x8F;
+    static final int TOPIC_INVALID = 0x90;
+    static final int ID_IN_USE = 0x91;
+    static final int ID_NOT_FOUND = 0x92;
+    static final int RECEIVE_MAXIMUM = 0x93;
+    static final int ALIAS_INVALID = 0x94;
+    static final int QUOTA = 0x97;
+    static final int RETAIN_UNSUPPORTED = 0x9A;
+    static final int SHARED_UNSUPPORTED = 0x9E;
+    static final int IDENTIFIERS_UNSUPPORTED = 0xA1;
+
+    private static final int ALIASES = 16;
+    private static final int ID_MOST = 128;
+    private static final int KEY_MOST = 256;
+    private static final int CLIENT_ID_MOST = 256;
+    private static final int TOPIC_MOST = 1_024;
+    private static final long TIME_MOST_MS = 3_600_000;
+    private static final long READ_LATE_MS = 150;
+    private static final long CONNECT_WITHIN_MS = 2_300;
     /** A PUBACK with advice is no longer than this. */
     private static final int ADVICE_BYTES = 48;
     /** Bytes that wait for a client that does not read, before it is closed. */
@@ -98,8 +105,11 @@
     private Session session;
     private ConnectOptions options;
     private OutboundAnswers outbound;
-    private boolean five, connected, ended;
-    private String clientId = "", filter = "#";
+    private boolean five;
+    private boolean connected;
+    private boolean ended;
+    private String clientId = "";
+    private String filter = "#";
     private Will will;
     private int keepAliveSeconds;
     private final Map<Integer, String> aliases = new HashMap<>();
--- a/src/main/java/brambletray/mqtt/clients/Sessions.java
+++ b/src/main/java/brambletray/mqtt/clients/Sessions.java
@@ -29,15 +29,16 @@
  */
 final class Sessions implements Ends {
     private static final Logger LOG = LoggerFactory.getLogger(Sessions.class);
-    static final byte SESSIONS = 2, TAKEN = 3;
-    private static final byte SNAPSHOT = 0,
-            RECEIVED = 1,
-            RELEASED = 2,
-            ANSWER = 3,
-            ANSWERED = 4,
-            LEFT = 5,
-            SUBSCRIBED = 6,
-            UNSUBSCRIBED = 7;
+    static final byte SESSIONS = 2;
+    static final byte TAKEN = 3;
+    private static final byte SNAPSHOT = 0;
+    private static final byte RECEIVED = 1;
+    private static final byte RELEASED = 2;
+    private static final byte ANSWER = 3;
+    private static final byte ANSWERED = 4;
+    private static final byte LEFT = 5;
+    private static final byte SUBSCRIBED = 6;
+    private static final byte UNSUBSCRIBED = 7;
     /** Notes behind a session's snapshot before it is written anew. */
     private static final int NOTES_MOST = 64;
 
@@ -51,7 +52,8 @@
     /** Ids taken on lately, the eldest first. */
     private final LinkedHashMap<String, Taken> taken = new LinkedHashMap<>();
 
-    private long nextKey = 1, nextTaken = 1;
+    private long nextKey = 1;
+    private long nextTaken = 1;
     private long dropped;
 
     /** Sessions with notes in the batch that is not committed yet. */
--- a/src/main/java/brambletray/mqtt/clients/Users.java
+++ b/src/main/java/brambletray/mqtt/clients/Users.java
@@ -19,7 +19,8 @@
  * to. Empty lines and lines that begin with # are passed over.
  */
 public final class Users {
-    private static final int HASH_BITS = 256, ITERATIONS_MOST = 1_000_000;
+    private static final int HASH_BITS = 256;
+    private static final int ITERATIONS_MOST = 1_000_000;
 
     private record User(int iterations, byte[] salt, byte[] hash, String filter) {}
 
--- a/src/main/java/brambletray/mqtt/hosts/MqttOutcomes.java
+++ b/src/main/java/brambletray/mqtt/hosts/MqttOutcomes.java
@@ -7,16 +7,16 @@
  * 3.14).
  */
 final class MqttOutcomes {
-    static final int QUOTA_EXCEEDED = 0x97,
-            SERVER_BUSY = 0x89,
-            SERVER_UNAVAILABLE = 0x88,
-            RATE_EXCEEDED = 0x9F,
-            RECEIVE_MAXIMUM_EXCEEDED = 0x93,
-            SHUTTING_DOWN = 0x8B,
-            USE_ANOTHER = 0x9C,
-            MOVED = 0x9D,
-            ID_NOT_FOUND = 0x92,
-            UNAVAILABLE_3 = 3;
+    static final int QUOTA_EXCEEDED = 0x97;
+    static final int SERVER_BUSY = 0x89;
+    static final int SERVER_UNAVAILABLE = 0x88;
+    static final int RATE_EXCEEDED = 0x9F;
+    static final int RECEIVE_MAXIMUM_EXCEEDED = 0x93;
+    static final int SHUTTING_DOWN = 0x8B;
+    static final int USE_ANOTHER = 0x9C;
+    static final int MOVED = 0x9D;
+    static final int ID_NOT_FOUND = 0x92;
+    static final int UNAVAILABLE_3 = 3;
 
     private MqttOutcomes() {}
 
--- a/src/main/java/brambletray/mqtt/hosts/OutCall.java
+++ b/src/main/java/brambletray/mqtt/hosts/OutCall.java
@@ -14,7 +14,8 @@
     final Message message;
     private final Clock clock;
     private final Consumer<Reply> whenEnded;
-    private final long began, until;
+    private final long began;
+    private final long until;
     Future<?> timer;
     /** The last byte has been handed to a socket: from then on it may run. */
     boolean written;
--- a/src/main/java/brambletray/mqtt/hosts/PartnerLine.java
+++ b/src/main/java/brambletray/mqtt/hosts/PartnerLine.java
@@ -35,12 +35,14 @@
  */
 final class PartnerLine {
     private static final Logger LOG = LoggerFactory.getLogger(PartnerLine.class);
-    private static final int PACKET_MOST = 64 * 1024, HEAD_MOST = 1_024;
+    private static final int PACKET_MOST = 64 * 1024;
+    private static final int HEAD_MOST = 1_024;
     /** ns. */
-    private static final long RESUME_MOST = 2_000_000_000L,
-            BACK_OFF = 50_000_000L,
-            BACK_OFF_MOST = 800_000_000L,
-            PING_PATIENCE = 2_000_000_000L;
+    private static final long RESUME_MOST = 2_000_000_000L;
+
+    private static final long BACK_OFF = 50_000_000L;
+    private static final long BACK_OFF_MOST = 800_000_000L;
+    private static final long PING_PATIENCE = 2_000_000_000L;
     /** us: for a server that says that it goes, and not for how long. */
     private static final long LEAVING = 1_000_000;
 
@@ -56,10 +58,20 @@
     private final ArrayDeque<OutCall> waiting = new ArrayDeque<>();
 
     private Channel channel;
-    private boolean ready, anew, closeWhenIdle, used;
+    private boolean ready;
+    private boolean anew;
+    private boolean closeWhenIdle;
+    private boolean used;
     private int packetMost;
-    private long keepAlive, heldUntil, resumeBy, backOff = BACK_OFF, lastRead, lastWrite, pinged;
-    private Future<?> watch, resume;
+    private long keepAlive;
+    private long heldUntil;
+    private long resumeBy;
+    private long backOff = BACK_OFF;
+    private long lastRead;
+    private long lastWrite;
+    private long pinged;
+    private Future<?> watch;
+    private Future<?> resume;
 
     /** {@code connectTimeout}: ms. */
     PartnerLine(
--- a/src/main/java/brambletray/partners/MqttPartner.java
+++ b/src/main/java/brambletray/partners/MqttPartner.java
@@ -36,8 +36,11 @@
  * it ends with the connection; by QoS 2 it belongs to the client's session.
  */
 final class MqttPartner extends SimpleChannelInboundHandler<MqttMessage> implements Line {
-    private static final int PACKET_MOST = 256 * 1024, RECEIVE_MAXIMUM = 64;
-    static final int QUOTA_EXCEEDED = 0x97, UNSPECIFIED = 0x80, ID_NOT_FOUND = 0x92;
+    private static final int PACKET_MOST = 256 * 1024;
+    private static final int RECEIVE_MAXIMUM = 64;
+    static final int QUOTA_EXCEEDED = 0x97;
+    static final int UNSPECIFIED = 0x80;
+    static final int ID_NOT_FOUND = 0x92;
 
     private final Door door;
     private final Map<NetCall, Integer> calls = new LinkedHashMap<>();
@@ -46,7 +49,8 @@
 
     private Channel channel;
     private MqttSession session;
-    private boolean admitted, five;
+    private boolean admitted;
+    private boolean five;
     private boolean fresh = true;
 
     private MqttPartner(Door door) {
--- a/src/main/java/brambletray/partners/MqttSession.java
+++ b/src/main/java/brambletray/partners/MqttSession.java
@@ -16,7 +16,8 @@
  */
 final class MqttSession implements Line {
     private final Door door;
-    private final Map<Integer, NetCall> underWay = new LinkedHashMap<>(), received = new LinkedHashMap<>();
+    private final Map<Integer, NetCall> underWay = new LinkedHashMap<>();
+    private final Map<Integer, NetCall> received = new LinkedHashMap<>();
     /** Null while the client is away. */
     private MqttPartner connection;
 
--- a/src/main/java/brambletray/quota/Node.java
+++ b/src/main/java/brambletray/quota/Node.java
@@ -25,11 +25,16 @@
         /** Used in the last second. */
         final Window used = new Window(SECOND);
         /** Wished for in the last second and not had yet; of that, what there was a right to. */
-        final Window wished = new Window(SECOND), rightful = new Window(SECOND);
+        final Window wished = new Window(SECOND);
+
+        final Window rightful = new Window(SECOND);
         /** Of what its members used: what was beyond their shares. */
         final Window lent = new Window(LEASE);
         /** Sums since the start, for the live view. */
-        long usedInAll, borrowedInAll, refusedInAll;
+        long usedInAll;
+
+        long borrowedInAll;
+        long refusedInAll;
     }
 
     final Node parent;
--- a/src/main/java/brambletray/quota/Quotas.java
+++ b/src/main/java/brambletray/quota/Quotas.java
@@ -51,7 +51,8 @@
     private final Map<String, Asked> atDoor = new HashMap<>();
 
     private final Set<Node> noteDue = new LinkedHashSet<>();
-    private long now, seq;
+    private long now;
+    private long seq;
 
     /** Of a message that is held: its member, and its place among those that wait there. */
     private record Holder(Node member, long seq) {}
--- a/src/main/java/brambletray/quota/Window.java
+++ b/src/main/java/brambletray/quota/Window.java
@@ -11,14 +11,16 @@
  */
 final class Window {
     static final long NEVER = Long.MAX_VALUE;
-    private static final int MOST = 260, SLOTS = 128;
+    private static final int MOST = 260;
+    private static final int SLOTS = 128;
     private static final int FEW = 8;
 
     private final long length;
     /** A ring: time and amount by turns; null while nothing counts. */
     private long[] ring;
 
-    private int head, count;
+    private int head;
+    private int count;
     private long sum;
 
     /** {@code length}: us. */
--- a/src/main/java/brambletray/recovery/Recollection.java
+++ b/src/main/java/brambletray/recovery/Recollection.java
@@ -14,11 +14,15 @@
     /** us; a wait that ends later than noted by no more than this is the same one. */
     static final long WAIT_SAME = 20_000;
     /** Changes of a pace and of a limit that are worth a note, as parts of what is noted. */
-    static final double PACE_MOVED = 0.25, LIMIT_MOVED = 0.05;
+    static final double PACE_MOVED = 0.25;
+
+    static final double LIMIT_MOVED = 0.05;
     /** ms between two notes of one host, but for a longer wait, an outage, a drain. */
     static final long EVERY = 1_000;
     /** ms for which limits and paces are believed, and that a host fails or warms up. */
-    static final long LIMIT_BELIEVED = 30_000, HEALTH_BELIEVED = 60_000;
+    static final long LIMIT_BELIEVED = 30_000;
+
+    static final long HEALTH_BELIEVED = 60_000;
     /** Hosts of which something is noted at most. */
     public static final int MOST = 512;
 
--- a/src/main/java/brambletray/rehearsal/Night.java
+++ b/src/main/java/brambletray/rehearsal/Night.java
@@ -43,7 +43,9 @@
             "bulk-returns",
             "counters-cut");
     /** What the platform gives a relay on its smallest days: descriptors, and bytes of lasting folder. */
-    private static final int CONNECTIONS = 384, DISK = 3_000_000;
+    private static final int CONNECTIONS = 384;
+
+    private static final int DISK = 3_000_000;
 
     private static final double DAY_S = 86_400;
 
--- a/src/main/java/brambletray/rehearsal/RelayEvent.java
+++ b/src/main/java/brambletray/rehearsal/RelayEvent.java
@@ -10,6 +10,7 @@
  * @param backAfter ns from {@code at} until it is started again
  */
 public record RelayEvent(long at, int relay, What what, int number, long backAfter) {
+    /** The kinds of events: a kill, and when it falls or what it takes along. */
     public enum What {
         KILL,
         KILL_AND_LOSE_FOLDER,
--- a/src/main/java/brambletray/rehearsal/Reports.java
+++ b/src/main/java/brambletray/rehearsal/Reports.java
@@ -16,7 +16,8 @@
 /** Verdicts as JSON, as JUnit's XML, and as one page that needs nothing besides itself. */
 public final class Reports {
     private static final JsonFactory JSON = new JsonFactory();
-    private static final int WIDTH = 720, HEIGHT = 120;
+    private static final int WIDTH = 720;
+    private static final int HEIGHT = 120;
 
     private Reports() {}
 
--- a/src/main/java/brambletray/script/ScriptReader.java
+++ b/src/main/java/brambletray/script/ScriptReader.java
@@ -27,8 +27,11 @@
  * counts.
  */
 public final class ScriptReader {
-    private static final double DAY_S = 86_400, MS_MOST = 86_400_000, RATE_MOST = 1_000_000;
-    private static final int PARTNERS_MOST = 10_000, ENDPOINTS_MOST = 100;
+    private static final double DAY_S = 86_400;
+    private static final double MS_MOST = 86_400_000;
+    private static final double RATE_MOST = 1_000_000;
+    private static final int PARTNERS_MOST = 10_000;
+    private static final int ENDPOINTS_MOST = 100;
     /** Scripts that come with the program. */
     public static final List<String> BUILT_IN =
             List.of("demo", "quiet-night", "first-night", "second-night", "third-night", "check");
--- a/src/main/java/brambletray/serve/Instance.java
+++ b/src/main/java/brambletray/serve/Instance.java
@@ -59,9 +59,13 @@
      * ms from SIGTERM: clients are served on for the first, all is over by the second (SIGKILL may come at
      * 3.7 s).
      */
-    private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
+    private static final long SERVE_ON = 600;
+
+    private static final long LEAVE_BY = 3_300;
     /** ms from SIGTERM, where a successor serves: clients that stayed are cut, calls cancelled. */
-    private static final long CUT_AT = 2_700, CANCEL_AT = 3_000;
+    private static final long CUT_AT = 2_700;
+
+    private static final long CANCEL_AT = 3_000;
     /** ms; between looks whether all that is held has ended. */
     private static final long LOOK = 20;
     /** Bytes of the folder that the file of the hand-over takes, while it is made anew too. */
@@ -83,7 +87,9 @@
     private final Succession succession;
     private final Promise<Void> serving;
     private final Relay.Listed known;
-    private ChannelFuture bound, mqttBound, consoleBound;
+    private ChannelFuture bound;
+    private ChannelFuture mqttBound;
+    private ChannelFuture consoleBound;
     private MqttFront mqtt;
     private QuotaDoor door;
     /** While this process owns the folder; after it was handed on, the loop of what is still out. */
--- a/src/main/java/brambletray/serve/WarmUp.java
+++ b/src/main/java/brambletray/serve/WarmUp.java
@@ -45,9 +45,10 @@
  */
 final class WarmUp {
     private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
-    private static final int MESSAGES = 600, SILENT_MOST_MS = 5_000;
-    private static final long TIME_MOST = TimeUnit.SECONDS.toNanos(5),
-            TIME_BESIDE = TimeUnit.MILLISECONDS.toNanos(2_200);
+    private static final int MESSAGES = 600;
+    private static final int SILENT_MOST_MS = 5_000;
+    private static final long TIME_MOST = TimeUnit.SECONDS.toNanos(5);
+    private static final long TIME_BESIDE = TimeUnit.MILLISECONDS.toNanos(2_200);
 
     private WarmUp() {}
 
--- a/src/main/java/brambletray/siblings/NoteCodec.java
+++ b/src/main/java/brambletray/siblings/NoteCodec.java
@@ -24,7 +24,11 @@
     static final int NAME_MOST = 40;
 
     private static final int HASH = 16;
-    private static final byte FORM = 1, BEAT = 1, ASK = 2, SEEN = 3, NEVER = 4;
+    private static final byte FORM = 1;
+    private static final byte BEAT = 1;
+    private static final byte ASK = 2;
+    private static final byte SEEN = 3;
+    private static final byte NEVER = 4;
 
     private final String cluster;
     private final Mac mac;
--- a/src/main/java/brambletray/siblings/Siblings.java
+++ b/src/main/java/brambletray/siblings/Siblings.java
@@ -35,7 +35,9 @@
 final class Siblings {
     private static final Logger LOG = LoggerFactory.getLogger(Siblings.class);
     /** ms between two questions; and between two complaints about notes that are of no use. */
-    private static final long ASK_EVERY = 100, COMPLAIN_EVERY = 10_000;
+    private static final long ASK_EVERY = 100;
+
+    private static final long COMPLAIN_EVERY = 10_000;
 
     private final Machine machine;
     private final SiblingsFile file;
@@ -47,7 +49,8 @@
     private Asking asking;
     private Promise<Finding> answer;
     private Future<?> asks;
-    private long beats, complainedAt = Long.MIN_VALUE;
+    private long beats;
+    private long complainedAt = Long.MIN_VALUE;
 
     /** {@code store}: read now; written to from {@link #live} on, on the loop. */
     Siblings(Machine machine, SiblingsFile file, Store store) {
--- a/src/main/java/brambletray/siblings/SiblingsFile.java
+++ b/src/main/java/brambletray/siblings/SiblingsFile.java
@@ -33,7 +33,9 @@
         int beatMs,
         int askMs,
         boolean trusting) {
-    private static final int KEY_LEAST = 16, KEY_MOST = 1_024, OTHERS_MOST = 300;
+    private static final int KEY_LEAST = 16;
+    private static final int KEY_MOST = 1_024;
+    private static final int OTHERS_MOST = 300;
 
     /** Reads and checks it whole, and the file of the key beside it. */
     public static SiblingsFile read(Path path) throws Faults, IOException {
--- a/src/main/java/brambletray/simulation/SimChannel.java
+++ b/src/main/java/brambletray/simulation/SimChannel.java
@@ -63,12 +63,16 @@
 
     private final SimConfig config = new SimConfig(this);
     private final ArrayDeque<byte[]> inbox = new ArrayDeque<>();
-    private InetSocketAddress local, remote;
+    private InetSocketAddress local;
+    private InetSocketAddress remote;
     private SimChannel peer;
     private State state = State.NEW;
     private ChannelPromise connecting;
     private Future<?> connectTimer;
-    private boolean readPending, finArrived, finSent, inputShut;
+    private boolean readPending;
+    private boolean finArrived;
+    private boolean finSent;
+    private boolean inputShut;
     /** Bytes sent and not yet read at the other end. */
     private int onTheWay;
     /** Bytes that still pass before the connection is cut; -1: no cut. */
--- a/src/main/java/brambletray/simulation/SimNetwork.java
+++ b/src/main/java/brambletray/simulation/SimNetwork.java
@@ -39,7 +39,13 @@
     /** ns; between the pieces of what was cut, at most. */
     private static final long GAP = TimeUnit.MILLISECONDS.toNanos(3);
     /** Kinds of events in the trace. */
-    static final int SYN = 1, ACCEPTED = 2, REFUSED = 3, DATA = 4, FIN = 5, RST = 6;
+    static final int SYN = 1;
+
+    static final int ACCEPTED = 2;
+    static final int REFUSED = 3;
+    static final int DATA = 4;
+    static final int FIN = 5;
+    static final int RST = 6;
 
     /** How long the way takes between two machines; {@code jitter}: up to this share longer, at random. */
     public record Way(long nanos, double jitter) {}
@@ -53,12 +59,14 @@
     /** Bytes a second that a machine's link carries each way, and until when either is taken (ticker, ns). */
     private final Map<InetAddress, Long> rates = new HashMap<>();
 
-    private final Map<InetAddress, Long> sending = new HashMap<>(), receiving = new HashMap<>();
+    private final Map<InetAddress, Long> sending = new HashMap<>();
+    private final Map<InetAddress, Long> receiving = new HashMap<>();
     private final Set<InetAddress> vanished = new LinkedHashSet<>();
     private final Set<SimChannel> open = new LinkedHashSet<>();
     private Way usual = new Way(0, 0);
     private BiConsumer<SimChannel, SimChannel> whenConnected = (client, server) -> {};
-    private int segment = WINDOW, window = WINDOW;
+    private int segment = WINDOW;
+    private int window = WINDOW;
     private double cutShare;
     private SplittableRandom cuts;
     private int nextPort = 32_768;
--- a/src/main/java/brambletray/stage/Crowd.java
+++ b/src/main/java/brambletray/stage/Crowd.java
@@ -18,7 +18,10 @@
  */
 final class Crowd {
     /** A client waits so long before it comes again on its own; ms. */
-    private static final int BACKOFF_LEAST_MS = 720, BACKOFF_MOST_MS = 1_300, ADVICE_MOST_MS = 3_000;
+    private static final int BACKOFF_LEAST_MS = 720;
+
+    private static final int BACKOFF_MOST_MS = 1_300;
+    private static final int ADVICE_MOST_MS = 3_000;
 
     private final Machine machine;
     private final Script script;
--- a/src/main/java/brambletray/stage/HttpClients.java
+++ b/src/main/java/brambletray/stage/HttpClients.java
@@ -32,7 +32,9 @@
 final class HttpClients implements Clients {
     private static final Logger LOG = LoggerFactory.getLogger(HttpClients.class);
     /** How long a client waits for the answer to a request; ms. */
-    private static final int ANSWER_MS = 400, CONNECT_MS = 400;
+    private static final int ANSWER_MS = 400;
+
+    private static final int CONNECT_MS = 400;
     /** A kept connection is not used after this time; ns. */
     private static final long KEPT = TimeUnit.MILLISECONDS.toNanos(1_900);
 
--- a/src/main/java/brambletray/stage/MqttClients.java
+++ b/src/main/java/brambletray/stage/MqttClients.java
@@ -46,7 +46,10 @@
  */
 final class MqttClients implements Clients {
     static final String TOPIC = "bills/{class}/{destination}/{id}/{key}/{time}";
-    private static final int PROGRAMS = 4, PACKET_MOST = 64 * 1024, CONNECT_MS = 400, BACK_MS = 250;
+    private static final int PROGRAMS = 4;
+    private static final int PACKET_MOST = 64 * 1024;
+    private static final int CONNECT_MS = 400;
+    private static final int BACK_MS = 250;
     /** How long a client waits for the acknowledgement of one PUBLISH, over all connections; ms. */
     private static final int ANSWER_MS = 2_500;
     /** Of what a relay lets a client have out at once where it tells no other figure. */
@@ -57,7 +60,9 @@
     private final List<List<Program>> relays = new ArrayList<>();
     private final Map<String, String> answers = new LinkedHashMap<>();
     private final Set<String> unanswered = new LinkedHashSet<>();
-    private long taken, contradictions, unmarked;
+    private long taken;
+    private long contradictions;
+    private long unmarked;
     private int next;
     private boolean stopped;
 
@@ -125,7 +130,8 @@
     /** One PUBLISH that is not acknowledged yet, or whose QoS 2 is not at its end. */
     private static final class Out {
         final Handed message;
-        boolean released, over;
+        boolean released;
+        boolean over;
 
         Out(Handed message) {
             this.message = message;
@@ -142,7 +148,8 @@
         private InetSocketAddress address;
         private Channel channel;
         private boolean ready;
-        private int packet, most = RECEIVE_MAXIMUM;
+        private int packet;
+        private int most = RECEIVE_MAXIMUM;
 
         Program(String id, int index) {
             this.id = id;
--- a/src/main/java/brambletray/stage/RelayConfig.java
+++ b/src/main/java/brambletray/stage/RelayConfig.java
@@ -13,7 +13,10 @@
 /** The configuration that the platform would give a relay of one script; its form is that of EDGE_CONFIG. */
 final class RelayConfig {
     private static final JsonFactory JSON = new JsonFactory();
-    private static final int ATTEMPTS = 12, CONNECT_MS = 1_500, ADVICE_MS = 3_000, DRAIN_MS = 250;
+    private static final int ATTEMPTS = 12;
+    private static final int CONNECT_MS = 1_500;
+    private static final int ADVICE_MS = 3_000;
+    private static final int DRAIN_MS = 250;
 
     private RelayConfig() {}
 
--- a/src/main/java/brambletray/stage/Score.java
+++ b/src/main/java/brambletray/stage/Score.java
@@ -26,7 +26,8 @@
 
     /** A share of the worth: of all lines, and of those asked for in each second. */
     private static final class Worth {
-        private double asked, got;
+        private double asked;
+        private double got;
     }
 
     private static final class Line {
@@ -43,7 +44,9 @@
     private static final class Try {
         final String id;
         /** Taken on, or answered anything else; when a notice came, -1 for none. */
-        boolean taken, refused;
+        boolean taken;
+
+        boolean refused;
 
         long noticed = -1;
         boolean handedBack;
--- a/src/main/java/brambletray/stage/SimStage.java
+++ b/src/main/java/brambletray/stage/SimStage.java
@@ -45,7 +45,8 @@
     /** Disagreements that are told. */
     private static final int TOLD_MOST = 10;
 
-    private static final int PORT = 8_080, MQTT_PORT = 1_883;
+    private static final int PORT = 8_080;
+    private static final int MQTT_PORT = 1_883;
 
     private final Script script;
     private final Path folder;
@@ -56,14 +57,16 @@
     private final List<MemoryDisk> disks = new ArrayList<>();
     private final List<Instance> instances = new ArrayList<>();
     private final Map<Integer, Long> killedAt = new HashMap<>();
-    private final Set<Integer> running = new HashSet<>(), doomed = new TreeSet<>();
+    private final Set<Integer> running = new HashSet<>();
+    private final Set<Integer> doomed = new TreeSet<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final IntFunction<Instance.Surroundings> surroundings;
     private Store.Promise promise = Store.Promise.PROCESS;
     private int agentPort = PORT;
     private int mostConnections;
     private final List<String> disagreements = new ArrayList<>();
-    private long mostDisk, measureAt;
+    private long mostDisk;
+    private long measureAt;
 
     /** {@code folder}: for the relays' configurations; their journals are in memory. */
     public SimStage(Script script, long seed, Path folder) throws IOException, Config.Unusable {
--- a/src/main/java/brambletray/standalone/InventoryPlatform.java
+++ b/src/main/java/brambletray/standalone/InventoryPlatform.java
@@ -49,7 +49,8 @@
     private final HostList hosts;
     private final Loop loop;
     private final Store store;
-    private final Executor onLoop, reader;
+    private final Executor onLoop;
+    private final Executor reader;
     private final Reconciler reconciler;
     /** Names of the sources, the one that counts most first. */
     private final List<String> sources = new ArrayList<>();
--- a/src/main/java/brambletray/standalone/Poster.java
+++ b/src/main/java/brambletray/standalone/Poster.java
@@ -29,13 +29,17 @@
  */
 final class Poster {
     private static final Logger LOG = LoggerFactory.getLogger(Poster.class);
-    private static final int MOST = 100, PATIENCE_MS = 2_000, AGAIN_MS = 100, AGAIN_MOST_MS = 5_000;
+    private static final int MOST = 100;
+    private static final int PATIENCE_MS = 2_000;
+    private static final int AGAIN_MS = 100;
+    private static final int AGAIN_MOST_MS = 5_000;
 
     private final Machine machine;
     private final Outcomes outcomes;
     private final InetSocketAddress to;
     private final String path;
-    private boolean posting, unheard;
+    private boolean posting;
+    private boolean unheard;
     private int again = AGAIN_MS;
 
     Poster(Machine machine, Outcomes outcomes, InetSocketAddress to, String path) {
--- a/src/main/java/brambletray/store/Layout.java
+++ b/src/main/java/brambletray/store/Layout.java
@@ -23,14 +23,24 @@
     static final int FORMAT = 1;
     static final byte[] SEGMENT_MAGIC = "BRTSEG\r\n".getBytes(StandardCharsets.US_ASCII);
     static final byte[] MANIFEST_MAGIC = "BRTMAN\r\n".getBytes(StandardCharsets.US_ASCII);
-    static final int SEGMENT_HEAD = 40, FRAME_HEAD = 8, FRAME_FIXED = 16, RECORD_HEAD = 14;
+    static final int SEGMENT_HEAD = 40;
+    static final int FRAME_HEAD = 8;
+    static final int FRAME_FIXED = 16;
+    static final int RECORD_HEAD = 14;
     /** Of a frame's length; a larger one is damage. */
     static final int FRAME_MOST = 64 << 20;
 
     static final int MARK_SLOT = 32;
-    static final String MANIFEST = "MANIFEST", FRESH_MANIFEST = "MANIFEST.new", MARK = "MARK", LOCK = "LOCK";
+    static final String MANIFEST = "MANIFEST";
+    static final String FRESH_MANIFEST = "MANIFEST.new";
+    static final String MARK = "MARK";
+    static final String LOCK = "LOCK";
     /** Sorts of records: begins a key's chain anew; goes behind it; ends it; marks it as doubtful. */
-    static final byte PUT = 1, APPEND = 2, DELETE = 3, DOUBT = 4;
+    static final byte PUT = 1;
+
+    static final byte APPEND = 2;
+    static final byte DELETE = 3;
+    static final byte DOUBT = 4;
 
     private Layout() {}
 
--- a/src/main/java/brambletray/store/Manifest.java
+++ b/src/main/java/brambletray/store/Manifest.java
@@ -10,7 +10,9 @@
     /** {@code sealed}: its length when the next one was begun; -1 while it is written to. */
     record Entry(long segment, long first, long sealed) {}
 
-    private static final int FIXED = 32, EACH = 24, SEGMENTS_MOST = 1_000_000;
+    private static final int FIXED = 32;
+    private static final int EACH = 24;
+    private static final int SEGMENTS_MOST = 1_000_000;
 
     byte[] bytes() {
         ByteBuffer out = ByteBuffer.allocate(FIXED + EACH * segments.size() + 4)
--- a/src/main/java/brambletray/store/Store.java
+++ b/src/main/java/brambletray/store/Store.java
@@ -38,7 +38,8 @@
     public record Found(List<Damage> damages, int doubtful, long records) {}
 
     private static final int BLOCK = 512;
-    private static final long SEGMENT_LEAST = 16 * 1024, SEGMENT_MOST = 16 << 20;
+    private static final long SEGMENT_LEAST = 16 * 1024;
+    private static final long SEGMENT_MOST = 16 << 20;
     /** Parts of the limit that one segment takes. */
     private static final int PARTS = 12;
     /** Bytes for MANIFEST, its successor, MARK and what the file system rounds up. */
--- a/src/main/java/brambletray/tray/berth/Address.java
+++ b/src/main/java/brambletray/tray/berth/Address.java
@@ -12,7 +12,10 @@
         return new Address(text.substring(0, colon), port);
     }
 
-    /** Whether the first {@code end} characters are four numbers up to 255 with dots between them: no name is ever looked up. */
+    /**
+     * Whether the first {@code end} characters are four numbers up to 255 with dots between them: no name is ever
+     * looked up.
+     */
     static boolean dotted(String text, int end) {
         int at = 0;
         for (int part = 0; part < 4; part++) {
--- a/src/main/java/brambletray/tray/berth/Berth.java
+++ b/src/main/java/brambletray/tray/berth/Berth.java
@@ -113,7 +113,9 @@
         return value;
     }
 
-    /** The same file as it stands now, for SIGHUP; what can't be used now is a {@link BerthFault}, and this one goes on. */
+    /**
+     * The same file as it stands now, for SIGHUP; what can't be used now is a {@link BerthFault}, and this one goes on.
+     */
     public Berth reread() {
         return read(file);
     }
--- a/src/main/java/brambletray/tray/berth/Bounds.java
+++ b/src/main/java/brambletray/tray/berth/Bounds.java
@@ -1,7 +1,8 @@
 package brambletray.tray.berth;
 
 /**
- * The figures of the rules, {@code bounds.*} in the settings; names end in their unit: S seconds, Ms milliseconds, none a count or a share.
+ * The figures of the rules, {@code bounds.*} in the settings; names end in their unit: S seconds, Ms milliseconds, none
+ * a count or a share.
  *
  * @param seedLagS how far lists of seeds lag behind
  * @param reuseHoldS how long the address of a host that ended isn't given to another
--- a/src/main/java/brambletray/tray/berth/Settings.java
+++ b/src/main/java/brambletray/tray/berth/Settings.java
@@ -43,7 +43,10 @@
         }
     }
 
-    /** Line by line, each with its number for the messages; {@code #} begins a comment line, no line continues in the next. */
+    /**
+     * Line by line, each with its number for the messages; {@code #} begins a comment line, no line continues in the
+     * next.
+     */
     static Settings parse(String file, String text) {
         Settings read = new Settings(file);
         int number = 0;
--- a/src/main/java/brambletray/tray/carry/Candidates.java
+++ b/src/main/java/brambletray/tray/carry/Candidates.java
@@ -7,9 +7,9 @@
 import java.util.Set;
 
 /**
- * The members of the core that an edge may ask for the helm, and in which order: those of the newest view that it was told of, then those
- * that its settings have named, which may all be stale by then. Each process begins at another place, so that not all ask the same one.
- * Pure.
+ * The members of the core that an edge may ask for the helm, and in which order: those of the newest view that it was
+ * told of, then those that its settings have named, which may all be stale by then. Each process begins at another
+ * place, so that not all ask the same one. Pure.
  */
 final class Candidates {
     /** Addresses of the settings that are remembered. */
--- a/src/main/java/brambletray/tray/carry/Carry.java
+++ b/src/main/java/brambletray/tray/carry/Carry.java
@@ -44,11 +44,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 
-/** The program of an edge: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has run. */
+/**
+ * The program of an edge: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has
+ * run.
+ */
 public final class Carry {
     private static final Tale TALE = Tale.of("carry");
     /** ms: between ticks, each of which costs a wake-up; between figures in the log. */
-    private static final int TICK = 50, FIGURES = 5_000;
+    private static final int TICK = 50;
+
+    private static final int FIGURES = 5_000;
 
     private static final int BEAT = 200;
     /** Addresses of hosts that are remembered, to know their calls by. */
@@ -88,7 +93,9 @@
     /** When the seats are called next, ms. */
     private long hallAt = Long.MAX_VALUE;
 
-    /** On the loop; {@link #open} follows. {@code life}: drawn at random; {@code exit}: ends the process with this code. */
+    /**
+     * On the loop; {@link #open} follows. {@code life}: drawn at random; {@code exit}: ends the process with this code.
+     */
     Carry(Berth berth, Machine machine, long life, IntConsumer exit) {
         this.exit = exit;
         this.berth = berth;
--- a/src/main/java/brambletray/tray/carry/Hall.java
+++ b/src/main/java/brambletray/tray/carry/Hall.java
@@ -38,8 +38,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * The seats of which this edge is home, and what they say to whom. What seats want done is done after they have returned, as they must not be called
- * back from within. For the loop only.
+ * The seats of which this edge is home, and what they say to whom. What seats want done is done after they have
+ * returned, as they must not be called back from within. For the loop only.
  */
 final class Hall {
     /** ms between two looks for seats that are another edge's by now. */
@@ -194,7 +194,10 @@
         then();
     }
 
-    /** Services whose start cannot be hidden behind their target have one warm host at their root, from the configuration on. */
+    /**
+     * Services whose start cannot be hidden behind their target have one warm host at their root, from the
+     * configuration on.
+     */
     private void warm() {
         for (Spec spec : specs.values()) {
             if (spec.targetMs() > 0
--- a/src/main/java/brambletray/tray/carry/Mesh.java
+++ b/src/main/java/brambletray/tray/carry/Mesh.java
@@ -15,8 +15,8 @@
 import java.util.Map;
 
 /**
- * Links among edges. Each dials those that it has something to say to first; answers go back on the link on which the question came. Links to
- * peers that have left the roster are closed. For the loop only.
+ * Links among edges. Each dials those that it has something to say to first; answers go back on the link on which the
+ * question came. Links to peers that have left the roster are closed. For the loop only.
  */
 final class Mesh {
     /** ms for which a link must be down before its peer is passed over. */
@@ -70,7 +70,10 @@
         }
     }
 
-    /** To a peer of the roster, on a link that is dialled if there is none yet (and then is lost, but {@link Ear#up} tells when to say it again). */
+    /**
+     * To a peer of the roster, on a link that is dialled if there is none yet (and then is lost, but {@link Ear#up}
+     * tells when to say it again).
+     */
     boolean say(String name, Object frame) {
         Spoke spoke = spoke(name);
         return spoke != null && spoke.dialler.say(frame);
--- a/src/main/java/brambletray/tray/carry/Steward.java
+++ b/src/main/java/brambletray/tray/carry/Steward.java
@@ -22,15 +22,18 @@
 import java.util.function.LongSupplier;
 
 /**
- * Where an edge's requests get their places: the home of the service, which is this edge or another. Asks that a home has not answered when
- * it goes are asked anew at the next one; places held there are told to it. For the loop only.
+ * Where an edge's requests get their places: the home of the service, which is this edge or another. Asks that a home
+ * has not answered when it goes are asked anew at the next one; places held there are told to it. For the loop only.
  *
- * <p>An ask is idempotent: the same one again, on a new link, gets the same place. A grant counts once, and only from the home that is
- * asked now (fencing): any other is given back at once as {@link Fate#UNUSED}, lest its place stay taken until its request's time is over.
+ * <p>An ask is idempotent: the same one again, on a new link, gets the same place. A grant counts once, and only from
+ * the home that is asked now (fencing): any other is given back at once as {@link Fate#UNUSED}, lest its place stay
+ * taken until its request's time is over.
  */
 final class Steward implements Broker {
     /** Times that one ask is sent on by seats that are not open, before the root is told to serve it. */
-    private static final int HOPS = 2, HOPS_MOST = 5;
+    private static final int HOPS = 2;
+
+    private static final int HOPS_MOST = 5;
     /** ms told where no home can be reached. */
     private static final int COME_BACK = 800;
     /** Asks that wait. */
--- a/src/main/java/brambletray/tray/carry/Tether.java
+++ b/src/main/java/brambletray/tray/carry/Tether.java
@@ -17,12 +17,13 @@
 import java.util.List;
 
 /**
- * An edge's link to the holder of the helm. Any member of the core says who that is, and says it again as soon as that changes; a holder
- * that stops pulsing, or says that its lease has run out, is left for the next member that answers. For the loop only.
+ * An edge's link to the holder of the helm. Any member of the core says who that is, and says it again as soon as that
+ * changes; a holder that stops pulsing, or says that its lease has run out, is left for the next member that answers.
+ * For the loop only.
  *
- * <p>Terms fence it: the highest one seen in this life is remembered across links and told in each Hello. A helm of a lower term is not
- * attached to and a hint to one is not followed; what a helm says counts only on a link on which it has pulsed, and only under the term
- * of that pulse.
+ * <p>Terms fence it: the highest one seen in this life is remembered across links and told in each Hello. A helm of a
+ * lower term is not attached to and a hint to one is not followed; what a helm says counts only on a link on which it
+ * has pulsed, and only under the term of that pulse.
  */
 final class Tether implements Handler {
     private static final Tale TALE = Tale.of("carry");
@@ -36,11 +37,20 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
     /** ms that a member is given to come up and say where the helm is, and the helm to pulse. */
     private static final int TRY = 400;
-    /** ms to stay with a member that is in touch with the others and knows of no helm: it says so as soon as there is one. */
+    /**
+     * ms to stay with a member that is in touch with the others and knows of no helm: it says so as soon as there is
+     * one.
+     */
     private static final int WAIT = 1_000;
-    /** ms to stay with a member that is out of touch: it may be cut off from the rest for long, or a view may be about to begin. */
+    /**
+     * ms to stay with a member that is out of touch: it may be cut off from the rest for long, or a view may be about
+     * to begin.
+     */
     private static final int SHORT = 150;
-    /** ms for which a helm that did not pulse, or let us go, is not returned to on others' word, which may be as old as its lease. */
+    /**
+     * ms for which a helm that did not pulse, or let us go, is not returned to on others' word, which may be as old as
+     * its lease.
+     */
     private static final int AVOID = 600;
 
     /** What an edge does with what it hears. */
--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/tray/creed/Charter.java
@@ -11,14 +11,15 @@
 import java.util.Map;
 
 /**
- * What all members of a core agree on about configurations: the current one, and which changes led to it, so that a change sent
- * again is answered like the first time. Pure: the same changes delivered in the same order lead to the same state, byte for byte.
- * For one thread.
+ * What all members of a core agree on about configurations: the current one, and which changes led to it, so that a
+ * change sent again is answered like the first time. Pure: the same changes delivered in the same order lead to the
+ * same state, byte for byte. For one thread.
  */
 public final class Charter {
     /**
-     * Taken changes that are remembered, in snapshots too (24 bytes each); an operator sends a change again within seconds, and a day holds
-     * hundreds. What builds on a revision from before them is not refused: {@link Verdict.Forgotten}.
+     * Taken changes that are remembered, in snapshots too (24 bytes each); an operator sends a change again within
+     * seconds, and a day holds hundreds. What builds on a revision from before them is not refused:
+     * {@link Verdict.Forgotten}.
      */
     static final int REMEMBERED = 2_000;
 
@@ -43,7 +44,9 @@
         return creed;
     }
 
-    /** The revision that a call names as its base; 0 for the first. {@link CreedFault} where it is missing or no number. */
+    /**
+     * The revision that a call names as its base; 0 for the first. {@link CreedFault} where it is missing or no number.
+     */
     public static long base(String header) {
         boolean digits = header != null && !header.isEmpty() && header.chars().allMatch(c -> c >= '0' && c <= '9');
         try {
@@ -56,15 +59,18 @@
         throw new CreedFault("bad-base", "Brambletray-Base-Revision", "expected a revision's number");
     }
 
-    /** Whether this very change was taken: for good, whatever came on top of it since. False also where it is no longer remembered. */
+    /**
+     * Whether this very change was taken: for good, whatever came on top of it since. False also where it is no longer
+     * remembered.
+     */
     public boolean taken(Verb verb, long base, byte[] body) {
         return body.length <= CreedJson.LARGEST && taken.containsKey(fingerprint(new Change(verb, base, body).bytes()));
     }
 
     /**
      * What would become of this change as things stand: {@code Fine}, {@code TakenBefore}, {@code Stale},
-     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on an old base, and
-     * where it was the last one its revision isn't above the current one.
+     * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on
+     * an old base, and where it was the last one its revision isn't above the current one.
      */
     public Verdict judge(Verb verb, long base, byte[] body) {
         if (body.length > CreedJson.LARGEST) {
@@ -76,8 +82,8 @@
     }
 
     /**
-     * A change at its place in the order; {@code Taken}, or why it is not: another may have come before it since it was judged, and
-     * then nothing changes here or on any other member.
+     * A change at its place in the order; {@code Taken}, or why it is not: another may have come before it since it was
+     * judged, and then nothing changes here or on any other member.
      */
     public Verdict deliver(byte[] change) {
         Verdict verdict = weigh(change);
@@ -146,8 +152,8 @@
     }
 
     /**
-     * Becomes what that snapshot holds, empty bytes being the state before the first change; {@link CreedFault} where it can't be read, and
-     * then nothing changes.
+     * Becomes what that snapshot holds, empty bytes being the state before the first change; {@link CreedFault} where
+     * it can't be read, and then nothing changes.
      */
     public void restore(byte[] snapshot) {
         if (snapshot.length == 0) {
--- a/src/main/java/brambletray/tray/creed/Creed.java
+++ b/src/main/java/brambletray/tray/creed/Creed.java
@@ -9,8 +9,8 @@
 import java.util.function.Function;
 
 /**
- * A configuration in full: valid, never changed, of one revision (page PROTOCOL, The operator). What isn't understood in it is
- * kept and shown. Safe to be read by any thread.
+ * A configuration in full: valid, never changed, of one revision (page PROTOCOL, The operator). What isn't understood
+ * in it is kept and shown. Safe to be read by any thread.
  */
 public final class Creed {
     /** Revision 0: nothing is routed. The first configuration builds on it. */
@@ -51,7 +51,10 @@
         places = new Places(routes.values());
     }
 
-    /** The body of a replacement; {@link CreedFault} where it is invalid. Whether its revision is above another's says {@link #after}. */
+    /**
+     * The body of a replacement; {@link CreedFault} where it is invalid. Whether its revision is above another's says
+     * {@link #after}.
+     */
     public static Creed read(byte[] body) {
         Fields in = Fields.from("", CreedJson.read(body).plain());
         long revision = in.number(REVISION, 1, Long.MAX_VALUE);
@@ -86,9 +89,9 @@
     }
 
     /**
-     * This one with named items added, replaced ({@code upsert}) and removed ({@code withdraw}); fields of {@code upsert} that hold no
-     * items, as limits, are replaced, those of an object one by one. A name to remove that isn't there is gone already.
-     * {@link CreedFault} where the change is invalid, or what would become of it.
+     * This one with named items added, replaced ({@code upsert}) and removed ({@code withdraw}); fields of
+     * {@code upsert} that hold no items, as limits, are replaced, those of an object one by one. A name to remove that
+     * isn't there is gone already. {@link CreedFault} where the change is invalid, or what would become of it.
      */
     public Creed modify(byte[] body) {
         Fields in = Fields.from("", CreedJson.read(body).plain());
@@ -177,8 +180,9 @@
     }
 
     /**
-     * This one with a taken change ({@link Verdict.Fine#change}) on top, for those who follow: far smaller than the whole.
-     * {@link CreedFault} {@code creed.stale} where the change builds on another revision: ask for the whole then.
+     * This one with a taken change ({@link Verdict.Fine#change}) on top, for those who follow: far smaller than the
+     * whole. {@link CreedFault} {@code creed.stale} where the change builds on another revision: ask for the whole
+     * then.
      */
     public Creed apply(byte[] change) {
         return Change.from(change).on(this);
@@ -195,10 +199,10 @@
     }
 
     /**
-     * This one with a difference on top, entry by entry; one of base 0 holds a whole configuration and is put on nothing.
-     * {@link CreedFault} {@code creed.stale} where it builds on another revision, {@code creed.not-newer} where it leads to no later
-     * one, {@code creed.digest} where the result isn't what the sender has, and the other codes where an entry can't be read: ask for
-     * the whole then.
+     * This one with a difference on top, entry by entry; one of base 0 holds a whole configuration and is put on
+     * nothing. {@link CreedFault} {@code creed.stale} where it builds on another revision, {@code creed.not-newer}
+     * where it leads to no later one, {@code creed.digest} where the result isn't what the sender has, and the other
+     * codes where an entry can't be read: ask for the whole then.
      */
     public Creed apply(Delta delta) {
         if (delta.base() != 0 && delta.base() != revision) {
@@ -259,7 +263,10 @@
                 : Limits.from(Fields.from(LIMITS, CreedJson.read(field).plain()));
     }
 
-    /** The same for the same content, whatever the order of its entries: 64 bits over the revision and the sum over all entries. */
+    /**
+     * The same for the same content, whatever the order of its entries: 64 bits over the revision and the sum over all
+     * entries.
+     */
     public long digest() {
         return Digest.of(revision, sum());
     }
@@ -275,7 +282,10 @@
         return known;
     }
 
-    /** Names of entries in which this one differs from {@code before}, byte for byte; what is known of that one's digest is used here. */
+    /**
+     * Names of entries in which this one differs from {@code before}, byte for byte; what is known of that one's digest
+     * is used here.
+     */
     Set<Parts.Key> changedSince(Creed before) {
         Set<Parts.Key> changed = parts.changedSince(before.parts);
         if (sum == 0 && before.sum != 0) {
@@ -298,7 +308,10 @@
         return parts.entries();
     }
 
-    /** The route for a request: of those of its host (any case, with or without port) the one with the longest prefix; null: 404. */
+    /**
+     * The route for a request: of those of its host (any case, with or without port) the one with the longest prefix;
+     * null: 404.
+     */
     public Route match(CharSequence host, String path) {
         return places.match(host, path);
     }
--- a/src/main/java/brambletray/tray/creed/CreedJson.java
+++ b/src/main/java/brambletray/tray/creed/CreedJson.java
@@ -11,8 +11,8 @@
 import java.util.Map;
 
 /**
- * Reads a body whole, keeping for each value where it stands: what isn't understood is kept as the bytes it came in, so that
- * a configuration is shown as it was sent, to the last digit.
+ * Reads a body whole, keeping for each value where it stands: what isn't understood is kept as the bytes it came in, so
+ * that a configuration is shown as it was sent, to the last digit.
  */
 final class CreedJson {
     /** Bytes of a body. */
@@ -25,7 +25,10 @@
                 .errorInfo(JsonReader.ErrorInfo.MINIMAL));
     }
 
-    /** A value: {@code Map<String, Value>}, {@code List<Value>}, String, Long, BigDecimal, Boolean or null; from and to in the body. */
+    /**
+     * A value: {@code Map<String, Value>}, {@code List<Value>}, String, Long, BigDecimal, Boolean or null; from and to
+     * in the body.
+     */
     record Value(Object plain, int from, int to) {
         byte[] cut(byte[] body) {
             return Arrays.copyOfRange(body, from, to);
--- a/src/main/java/brambletray/tray/creed/CreedText.java
+++ b/src/main/java/brambletray/tray/creed/CreedText.java
@@ -7,7 +7,10 @@
 import java.nio.charset.CodingErrorAction;
 import java.nio.charset.StandardCharsets;
 
-/** What must hold of a body's bytes before it is read: the library below takes more than JSON allows, and goes as deep as the body does. */
+/**
+ * What must hold of a body's bytes before it is read: the library below takes more than JSON allows, and goes as deep
+ * as the body does.
+ */
 final class CreedText {
     /** Objects and lists inside each other. */
     static final int DEEPEST = 64;
@@ -67,7 +70,10 @@
         } while (result.isOverflow());
     }
 
-    /** A number as JSON writes it: the library takes {@code +1}, {@code 05.1} and {@code 1.}, too, and they would be shown as they came. */
+    /**
+     * A number as JSON writes it: the library takes {@code +1}, {@code 05.1} and {@code 1.}, too, and they would be
+     * shown as they came.
+     */
     static void number(byte[] body, int from, int to) {
         int at = body[from] == '-' ? from + 1 : from;
         int whole = digits(body, at, to);
--- a/src/main/java/brambletray/tray/creed/Delta.java
+++ b/src/main/java/brambletray/tray/creed/Delta.java
@@ -11,7 +11,8 @@
 import java.util.List;
 
 /**
- * What leads from one revision of the configuration to a later one: the entries that were set and withdrawn between them.
+ * What leads from one revision of the configuration to a later one: the entries that were set and withdrawn between
+ * them.
  *
  * @param base the revision that it is put on; 0: on nothing, it holds the whole
  * @param digest of the result ({@link Creed#digest})
--- a/src/main/java/brambletray/tray/creed/History.java
+++ b/src/main/java/brambletray/tray/creed/History.java
@@ -9,13 +9,15 @@
 import java.util.TreeSet;
 
 /**
- * Which entries the last versions of the configuration touched, so that who has one of these is told what has changed since, and no
- * more. Only names are kept: the entries themselves are the current one's. Each member follows along, so that a new holder of the duty
- * can go on. Pure; one thread.
+ * Which entries the last versions of the configuration touched, so that who has one of these is told what has changed
+ * since, and no more. Only names are kept: the entries themselves are the current one's. Each member follows along, so
+ * that a new holder of the duty can go on. Pure; one thread.
  */
 public final class History {
     /** Versions that are remembered, and names that these touched together; beyond either the oldest are forgotten. */
-    static final int VERSIONS = 4_096, NAMES = 65_536;
+    static final int VERSIONS = 4_096;
+
+    static final int NAMES = 65_536;
 
     private record Step(long from, Set<Parts.Key> touched) {}
 
--- a/src/main/java/brambletray/tray/creed/Parts.java
+++ b/src/main/java/brambletray/tray/creed/Parts.java
@@ -11,8 +11,8 @@
 import java.util.Set;
 
 /**
- * A configuration as it was sent, in pieces: lists of named items (tables) item by item, all other fields whole. So named items
- * can be replaced without a loss in the rest, known or not. Never changed once a {@link Creed} holds it.
+ * A configuration as it was sent, in pieces: lists of named items (tables) item by item, all other fields whole. So
+ * named items can be replaced without a loss in the rest, known or not. Never changed once a {@link Creed} holds it.
  */
 final class Parts {
     static final String ROUTES = "routes";
--- a/src/main/java/brambletray/tray/creed/Route.java
+++ b/src/main/java/brambletray/tray/creed/Route.java
@@ -85,8 +85,9 @@
     }
 
     /**
-     * One service by its name, or several with weights: a list of names or of objects with {@code service} (or {@code name}) and
-     * {@code weight}, or an object of names with weights, under any of the words below. The pages name weights and show no example.
+     * One service by its name, or several with weights: a list of names or of objects with {@code service} (or
+     * {@code name}) and {@code weight}, or an object of names with weights, under any of the words below. The pages
+     * name weights and show no example.
      */
     private static List<Share> shares(Fields in) {
         String under = null;
--- a/src/main/java/brambletray/tray/creed/Verdict.java
+++ b/src/main/java/brambletray/tray/creed/Verdict.java
@@ -2,7 +2,10 @@
 
 /** What a {@link Charter} says of a change. */
 public sealed interface Verdict {
-    /** It may be taken as things stand: {@code change} goes into the order, and {@link Charter#deliver} says what became of it. */
+    /**
+     * It may be taken as things stand: {@code change} goes into the order, and {@link Charter#deliver} says what became
+     * of it.
+     */
     record Fine(byte[] change) implements Verdict {}
 
     /** Delivered: this is the configuration from here on. */
@@ -15,8 +18,8 @@
     record Stale(long current) implements Verdict {}
 
     /**
-     * It builds on a revision from before those that are remembered, the oldest of which is this: it may have been taken then or not, so
-     * there is no clear answer: 503.
+     * It builds on a revision from before those that are remembered, the oldest of which is this: it may have been
+     * taken then or not, so there is no clear answer: 503.
      */
     record Forgotten(long oldest) implements Verdict {}
 
--- a/src/main/java/brambletray/tray/flow/AnswerWriter.java
+++ b/src/main/java/brambletray/tray/flow/AnswerWriter.java
@@ -77,7 +77,9 @@
         channel.writeAndFlush(Heads.proceed(channel.alloc()));
     }
 
-    /** Nothing more will be written; to close at once could reset the connection, and the last answer be lost with it. */
+    /**
+     * Nothing more will be written; to close at once could reset the connection, and the last answer be lost with it.
+     */
     void last() {
         ChannelFuture written = channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER);
         if (channel instanceof DuplexChannel duplex) {
--- a/src/main/java/brambletray/tray/flow/Carriage.java
+++ b/src/main/java/brambletray/tray/flow/Carriage.java
@@ -10,7 +10,10 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** Carries out what a {@link Trip} wants, and tells it what happens: between one client, the broker and the lines to hosts. */
+/**
+ * Carries out what a {@link Trip} wants, and tells it what happens: between one client, the broker and the lines to
+ * hosts.
+ */
 final class Carriage implements Hands {
     private final Flow flow;
     private final Parcel parcel;
@@ -27,7 +30,8 @@
 
     private Future<?> timer;
     private long timerAt;
-    private boolean held = true, over;
+    private boolean held = true;
+    private boolean over;
 
     Carriage(Flow flow, Client client, Parcel parcel, String id, Plan plan, int mostLines) {
         this.flow = flow;
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -14,7 +14,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 
-/** One connection of a client: puts one request at a time together, and writes its one answer before it looks at the next. */
+/**
+ * One connection of a client: puts one request at a time together, and writes its one answer before it looks at the
+ * next.
+ */
 final class Client extends ChannelInboundHandlerAdapter {
     /** ms; after the last answer: what still comes is thrown away, lest a reset takes the answer with it. */
     private static final int LINGER_MS = 1_000;
@@ -39,7 +42,8 @@
     private long since;
 
     private Carriage carriage;
-    private boolean close, catchingUp;
+    private boolean close;
+    private boolean catchingUp;
 
     Client(Front front, Limits limits) {
         this.front = front;
--- a/src/main/java/brambletray/tray/flow/ClientDecoder.java
+++ b/src/main/java/brambletray/tray/flow/ClientDecoder.java
@@ -16,8 +16,8 @@
 import java.util.List;
 
 /**
- * Reads requests strictly: two lengths, and a header that goes on in the next line, are how one request hides in another (rule UNASKED),
- * and are malformed here.
+ * Reads requests strictly: two lengths, and a header that goes on in the next line, are how one request hides in
+ * another (rule UNASKED), and are malformed here.
  */
 final class ClientDecoder extends HttpRequestDecoder {
     private static final int PIECE_MOST = 64 * 1024;
@@ -28,7 +28,9 @@
 
     private int seen;
     /** What comes next belongs to a head; nothing more is looked at. */
-    private boolean head = true, over;
+    private boolean head = true;
+
+    private boolean over;
 
     ClientDecoder(Client client, int headerBytes) {
         super(new HttpDecoderConfig()
--- a/src/main/java/brambletray/tray/flow/Errand.java
+++ b/src/main/java/brambletray/tray/flow/Errand.java
@@ -3,7 +3,10 @@
 import brambletray.tray.home.Fate;
 import io.netty.buffer.ByteBuf;
 
-/** A request on its way to one host: what a connection needs to know of it, and whom it tells. Told in this order, each at most once. */
+/**
+ * A request on its way to one host: what a connection needs to know of it, and whom it tells. Told in this order, each
+ * at most once.
+ */
 interface Errand {
     Parcel parcel();
 
@@ -33,7 +36,8 @@
     boolean met(HostConnection line);
 
     /**
-     * False: its time is over, and it is not to go out. Asked right before it does, as timers may be late where the machine stood still.
+     * False: its time is over, and it is not to go out. Asked right before it does, as timers may be late where the
+     * machine stood still.
      */
     boolean wanted();
 
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -37,12 +37,13 @@
     private final SplittableRandom shares;
     private final Map<String, Pace> paces = new HashMap<>();
     private long asks;
-    private int waiting, trips;
+    private int waiting;
+    private int trips;
 
     /**
-     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls
-     * are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the
-     * shares of routes.
+     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we
+     * know, whose calls are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new
+     * ones are refused; {@code seed}: for the shares of routes.
      */
     public Flow(
             Machine machine,
--- a/src/main/java/brambletray/tray/flow/Framing.java
+++ b/src/main/java/brambletray/tray/flow/Framing.java
@@ -8,7 +8,8 @@
 import java.util.Iterator;
 
 /**
- * How the end of a host's answer is told (RFC 9112, 6.3). {@code length}: bytes; -1: in chunks, or no body follows and none was said.
+ * How the end of a host's answer is told (RFC 9112, 6.3). {@code length}: bytes; -1: in chunks, or no body follows and
+ * none was said.
  *
  * <p>The decoder has refused two lengths, and a length with chunks, already.
  */
--- a/src/main/java/brambletray/tray/flow/Hands.java
+++ b/src/main/java/brambletray/tray/flow/Hands.java
@@ -4,7 +4,10 @@
 import brambletray.tray.home.Fate;
 import brambletray.tray.home.Grant;
 
-/** What a {@link Trip} wants done. The first word to the client ({@link #pass}, {@link #flow}, {@link #own}) is the only one. */
+/**
+ * What a {@link Trip} wants done. The first word to the client ({@link #pass}, {@link #flow}, {@link #own}) is the only
+ * one.
+ */
 interface Hands {
     /** For a place; the answer may come at once. */
     void ask(Ask ask);
--- a/src/main/java/brambletray/tray/flow/Heads.java
+++ b/src/main/java/brambletray/tray/flow/Heads.java
@@ -12,7 +12,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Writes heads of requests to hosts and of answers to clients: end-to-end headers as they came, those of one connection anew. */
+/**
+ * Writes heads of requests to hosts and of answers to clients: end-to-end headers as they came, those of one connection
+ * anew.
+ */
 final class Heads {
     private static final int ROOM = 512;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -58,7 +61,8 @@
     }
 
     /**
-     * An answer of ours, with the fault's code in its body. {@code comeBackMs}: -1 for no {@code Retry-After}; {@code id}: null for none.
+     * An answer of ours, with the fault's code in its body. {@code comeBackMs}: -1 for no {@code Retry-After};
+     * {@code id}: null for none.
      */
     static ByteBuf own(
             ByteBufAllocator memory,
--- a/src/main/java/brambletray/tray/flow/HostConnection.java
+++ b/src/main/java/brambletray/tray/flow/HostConnection.java
@@ -14,12 +14,12 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * One connection to a host, one request at a time. An answer counts when it is whole and echoes the request's id; surplus answers are
- * skipped whole; anything else ends the connection, and what it was at is {@link Fate#BROKEN}.
+ * One connection to a host, one request at a time. An answer counts when it is whole and echoes the request's id;
+ * surplus answers are skipped whole; anything else ends the connection, and what it was at is {@link Fate#BROKEN}.
  *
- * <p>It serves another request only when nothing is owed on it in either direction: the request was written to its last byte, its answer
- * was whole, alone and named, nothing came behind it, and neither side has said that it closes. Whatever else ends a request ends its
- * connection.
+ * <p>It serves another request only when nothing is owed on it in either direction: the request was written to its last
+ * byte, its answer was whole, alone and named, nothing came behind it, and neither side has said that it closes.
+ * Whatever else ends a request ends its connection.
  */
 final class HostConnection extends ChannelInboundHandlerAdapter {
     /** Bytes of a body that travel in one piece with their head. */
@@ -32,7 +32,9 @@
     /** What it is at; null while it is idle. */
     private Reading reading;
 
-    private boolean written, keep = true, fresh = true;
+    private boolean written;
+    private boolean keep = true;
+    private boolean fresh = true;
     /** ms of the steady clock; how long it may be idle, ms, by the host's word if {@code told}. */
     long idleSince;
 
@@ -64,7 +66,9 @@
         keep = false;
     }
 
-    /** Bytes that come while nobody can have asked for them: not a byte of what waits has gone out, it can go elsewhere. */
+    /**
+     * Bytes that come while nobody can have asked for them: not a byte of what waits has gone out, it can go elsewhere.
+     */
     void unasked() {
         if (reading != null) {
             unsent();
--- a/src/main/java/brambletray/tray/flow/HostDecoder.java
+++ b/src/main/java/brambletray/tray/flow/HostDecoder.java
@@ -8,9 +8,14 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
-/** Reads answers of hosts. Bytes that no request waits for are not looked at: they end the connection (connection poisoning). */
+/**
+ * Reads answers of hosts. Bytes that no request waits for are not looked at: they end the connection (connection
+ * poisoning).
+ */
 final class HostDecoder extends HttpResponseDecoder {
-    private static final int HEAD_MOST = 16 * 1024, LINE_MOST = 4 * 1024, PIECE_MOST = 64 * 1024;
+    private static final int HEAD_MOST = 16 * 1024;
+    private static final int LINE_MOST = 4 * 1024;
+    private static final int PIECE_MOST = 64 * 1024;
 
     private final HostConnection line;
 
--- a/src/main/java/brambletray/tray/flow/KeepAlive.java
+++ b/src/main/java/brambletray/tray/flow/KeepAlive.java
@@ -2,7 +2,8 @@
 
 /** How long a host says that it keeps a connection (PROTOCOL, Hosts: in whole seconds, if there are any). */
 final class KeepAlive {
-    private static final int SECONDS_MOST = 3_600, MARGIN_MS = 1_000;
+    private static final int SECONDS_MOST = 3_600;
+    private static final int MARGIN_MS = 1_000;
 
     private KeepAlive() {}
 
@@ -21,7 +22,10 @@
         return to == from ? -1 : seconds;
     }
 
-    /** How long of these seconds a connection may be idle and used again, ms: the last quarter, a second at most, is left to the host. */
+    /**
+     * How long of these seconds a connection may be idle and used again, ms: the last quarter, a second at most, is
+     * left to the host.
+     */
     static int within(int seconds) {
         int ms = Math.min(seconds, SECONDS_MOST) * 1_000;
         return ms - Math.min(MARGIN_MS, ms / 4);
--- a/src/main/java/brambletray/tray/flow/Legs.java
+++ b/src/main/java/brambletray/tray/flow/Legs.java
@@ -83,7 +83,9 @@
         }
     }
 
-    /** Nobody waits any more: what no host has is dropped, the rest is left to finish there; true where there is such. */
+    /**
+     * Nobody waits any more: what no host has is dropped, the rest is left to finish there; true where there is such.
+     */
     boolean leave(long now) {
         for (int i = 0; i < all.size(); i++) {
             Leg leg = all.get(i);
--- a/src/main/java/brambletray/tray/flow/Lines.java
+++ b/src/main/java/brambletray/tray/flow/Lines.java
@@ -19,7 +19,10 @@
     /** ms; a connection whose host has not said how long it keeps it is this long good for what must not run twice. */
     static final int UNTOLD_MS = 500;
     /** ms until a connection comes up; between tries at a booting host; between looks for idle ones. */
-    private static final int CONNECT_MS = 300, BOOTING_MS = 40, SWEEP_MS = 500;
+    private static final int CONNECT_MS = 300;
+
+    private static final int BOOTING_MS = 40;
+    private static final int SWEEP_MS = 500;
     /** ms; a host that has answered so lately is there. */
     private static final int FRESH_MS = 1_000;
     /** ms; more may come right behind an answer: a connection that has rested so long is preferred. */
--- a/src/main/java/brambletray/tray/flow/Parcel.java
+++ b/src/main/java/brambletray/tray/flow/Parcel.java
@@ -4,15 +4,15 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
- * A request as a client sent it, read whole. {@code at}: when its head was here, ms of the steady clock; {@code bodied}: a body was
- * announced, if only an empty one.
+ * A request as a client sent it, read whole. {@code at}: when its head was here, ms of the steady clock;
+ * {@code bodied}: a body was announced, if only an empty one.
  */
 record Parcel(String method, String uri, HttpHeaders headers, ByteBuf body, boolean bodied, long at) {
-    static final String ID = "brambletray-attempt-id",
-            REMAINING = "brambletray-deadline-remaining",
-            TARGET = "brambletray-target-instance",
-            SEAL = "brambletray-response-seal",
-            NOT_EXECUTED = "brambletray-not-executed";
+    static final String ID = "brambletray-attempt-id";
+    static final String REMAINING = "brambletray-deadline-remaining";
+    static final String TARGET = "brambletray-target-instance";
+    static final String SEAL = "brambletray-response-seal";
+    static final String NOT_EXECUTED = "brambletray-not-executed";
 
     boolean head() {
         return method.equals("HEAD");
--- a/src/main/java/brambletray/tray/flow/Readiness.java
+++ b/src/main/java/brambletray/tray/flow/Readiness.java
@@ -16,10 +16,13 @@
 import java.util.ArrayDeque;
 import java.util.function.BooleanSupplier;
 
-/** {@code GET /brambletray/readiness}: 200 while this edge calls itself ready, 503 else (PROTOCOL, How clients arrive). */
+/**
+ * {@code GET /brambletray/readiness}: 200 while this edge calls itself ready, 503 else (PROTOCOL, How clients arrive).
+ */
 public final class Readiness {
     private static final String PATH = "/brambletray/readiness";
-    private static final int CONNECTIONS_MOST = 32, HEAD_MOST = 4 * 1024;
+    private static final int CONNECTIONS_MOST = 32;
+    private static final int HEAD_MOST = 4 * 1024;
 
     private final Machine machine;
     private final BooleanSupplier ready;
--- a/src/main/java/brambletray/tray/flow/Reading.java
+++ b/src/main/java/brambletray/tray/flow/Reading.java
@@ -8,8 +8,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * How far the answer to one request has come on one connection: what is skipped, held back until it is whole, or given on as it comes. Only
- * a success is given on as it comes: what else is too large to be held is read to its end and counts as a failure without an answer.
+ * How far the answer to one request has come on one connection: what is skipped, held back until it is whole, or given
+ * on as it comes. Only a success is given on as it comes: what else is too large to be held is read to its end and
+ * counts as a failure without an answer.
  */
 final class Reading {
     /** Bytes of an answer that are held until it is whole: a cut one never reaches a client, and can be tried again. */
@@ -22,7 +23,13 @@
     private final boolean reused;
     private Verdict verdict;
     private Answer answer;
-    private boolean sent, skipping, flowing, dropping, withheld, complete, lasting = true;
+    private boolean sent;
+    private boolean skipping;
+    private boolean flowing;
+    private boolean dropping;
+    private boolean withheld;
+    private boolean complete;
+    private boolean lasting = true;
     private int ahead;
 
     /** {@code reused}: its connection has carried another request before, whose late bytes may still come. */
--- a/src/main/java/brambletray/tray/flow/Rejection.java
+++ b/src/main/java/brambletray/tray/flow/Rejection.java
@@ -12,17 +12,18 @@
 import java.util.Iterator;
 
 /**
- * Why a request is turned away before any route is looked for; its connection ends with the answer. {@code code}: as in answers' bodies.
+ * Why a request is turned away before any route is looked for; its connection ends with the answer. {@code code}: as in
+ * answers' bodies.
  */
 record Rejection(int status, String code) {
     static final Rejection TOO_LARGE = new Rejection(413, "flow.body-too-large");
     static final Rejection FULL = new Rejection(503, "flow.memory-full");
-    private static final Rejection MALFORMED = new Rejection(400, "flow.malformed"),
-            HEAD_TOO_LARGE = new Rejection(431, "flow.head-too-large"),
-            LENGTHS = new Rejection(400, "flow.lengths"),
-            HOST = new Rejection(400, "flow.host"),
-            VERSION = new Rejection(505, "flow.version"),
-            FORM = new Rejection(400, "flow.path");
+    private static final Rejection MALFORMED = new Rejection(400, "flow.malformed");
+    private static final Rejection HEAD_TOO_LARGE = new Rejection(431, "flow.head-too-large");
+    private static final Rejection LENGTHS = new Rejection(400, "flow.lengths");
+    private static final Rejection HOST = new Rejection(400, "flow.host");
+    private static final Rejection VERSION = new Rejection(505, "flow.version");
+    private static final Rejection FORM = new Rejection(400, "flow.path");
 
     /** What the decoder could not read. */
     static Rejection of(Throwable cause) {
--- a/src/main/java/brambletray/tray/flow/Stop.java
+++ b/src/main/java/brambletray/tray/flow/Stop.java
@@ -9,7 +9,9 @@
     private final Leg leg;
     private final long hostEnd;
     /** The connection that is at it, and the last that was. */
-    private HostConnection line, last;
+    private HostConnection line;
+
+    private HostConnection last;
     /** Whole, and not yet given to the client. */
     private Answer answer;
     /** Given on while it comes. */
--- a/src/main/java/brambletray/tray/flow/Tally.java
+++ b/src/main/java/brambletray/tray/flow/Tally.java
@@ -6,15 +6,40 @@
 public final class Tally {
     private static final Fate[] FATES = Fate.values();
 
-    /** Requests read whole; answered by a host; 404; 503 of ours; 502; 504; other 4xx of ours; clients gone before their answer. */
-    public long requests, passed, unrouted, refused, failed, late, wrong, left;
-    /** Asks; sends to hosts; copies among them; copies that answered first; asks for another host after a failed one; copies refused. */
-    public long asks, sends, copies, copiesWon, agains, copiesRefused;
     /**
-     * Connections that came up at hosts; tries that did not; kept ones found closed before a byte was sent; surplus answers skipped;
-     * answers given on while they came.
+     * Requests read whole; answered by a host; 404; 503 of ours; 502; 504; other 4xx of ours; clients gone before their
+     * answer.
      */
-    public long dialled, undialled, stale, surplus, streamed;
+    public long requests;
+
+    public long passed;
+    public long unrouted;
+    public long refused;
+    public long failed;
+    public long late;
+    public long wrong;
+    public long left;
+    /**
+     * Asks; sends to hosts; copies among them; copies that answered first; asks for another host after a failed one;
+     * copies refused.
+     */
+    public long asks;
+
+    public long sends;
+    public long copies;
+    public long copiesWon;
+    public long agains;
+    public long copiesRefused;
+    /**
+     * Connections that came up at hosts; tries that did not; kept ones found closed before a byte was sent; surplus
+     * answers skipped; answers given on while they came.
+     */
+    public long dialled;
+
+    public long undialled;
+    public long stale;
+    public long surplus;
+    public long streamed;
 
     private final long[] fates = new long[FATES.length];
 
@@ -27,7 +52,10 @@
         return fates[fate.ordinal()];
     }
 
-    /** Names and values in turn, as {@link brambletray.tray.tale.Tale#tell} takes them; fates that never came are left out. */
+    /**
+     * Names and values in turn, as {@link brambletray.tray.tale.Tale#tell} takes them; fates that never came are left
+     * out.
+     */
     public Object[] facts() {
         java.util.List<Object> facts = new java.util.ArrayList<>(64);
         add(
--- a/src/main/java/brambletray/tray/flow/Trip.java
+++ b/src/main/java/brambletray/tray/flow/Trip.java
@@ -7,21 +7,27 @@
 import java.util.function.LongSupplier;
 
 /**
- * One request's life, from when it was read to its one answer and to the end of its work at hosts. Pure: events come in with their time,
- * what is to be done goes out through {@link Hands}.
+ * One request's life, from when it was read to its one answer and to the end of its work at hosts. Pure: events come in
+ * with their time, what is to be done goes out through {@link Hands}.
  *
- * <p>What may be sent where: a repeatable request to at most {@code mostHosts} hosts; any other to the next one only after proof that it
- * did not run (rule TWICE). The design on the ordinary path: when no answer has come after the service's delay, a copy goes to another host
- * if a place is free there now; the first answer settles, the others are cancelled. A request that has been given up is answered at once:
- * 503 if it provably never ran (rule REFUSED), 504 at the end of its time, 502 else.
+ * <p>What may be sent where: a repeatable request to at most {@code mostHosts} hosts; any other to the next one only
+ * after proof that it did not run (rule TWICE). The design on the ordinary path: when no answer has come after the
+ * service's delay, a copy goes to another host if a place is free there now; the first answer settles, the others are
+ * cancelled. A request that has been given up is answered at once: 503 if it provably never ran (rule REFUSED), 504 at
+ * the end of its time, 502 else.
  */
 final class Trip {
     /** ms before the end: our own answer has to reach the client; and so much sooner does a host stop. */
-    private static final int ANSWER_MARGIN = 20, HOST_MARGIN = 10;
+    private static final int ANSWER_MARGIN = 20;
+
+    private static final int HOST_MARGIN = 10;
     /** ms after the end: a host that has said nothing by then will not. */
     private static final int LINGER = 150;
     /** ms until a copy that found no place asks again, at least; how often one asks; hosts that may be out of reach. */
-    private static final int COPY_AGAIN = 50, COPY_ASKS = 4, UNREACHED_MOST = 4;
+    private static final int COPY_AGAIN = 50;
+
+    private static final int COPY_ASKS = 4;
+    private static final int UNREACHED_MOST = 4;
 
     private final Plan plan;
     private final Hands hands;
@@ -35,7 +41,9 @@
     private long asking;
 
     private boolean askingCopy;
-    private int sentHosts, unreached, copyAsks;
+    private int sentHosts;
+    private int unreached;
+    private int copyAsks;
     /** ms; 0: no copy is due. */
     private long copyAt;
     /** A host has or may have run it, and its answer was not one. */
@@ -163,8 +171,9 @@
     }
 
     /**
-     * A host's whole answer, or what stands for one: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code withheld}: it must not be passed
-     * on, as its status promises that the request did not run (408, 421, 429, 503) without proof of it, or it was too large to be held.
+     * A host's whole answer, or what stands for one: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code withheld}:
+     * it must not be passed on, as its status promises that the request did not run (408, 421, 429, 503) without proof
+     * of it, or it was too large to be held.
      */
     void ended(Leg leg, Fate fate, boolean withheld, long now) {
         int took = (int) (now - (leg.sent() ? leg.sentAt : leg.grantedAt));
--- a/src/main/java/brambletray/tray/flow/Verdict.java
+++ b/src/main/java/brambletray/tray/flow/Verdict.java
@@ -8,19 +8,20 @@
 /**
  * What the head of a host's answer says, once the whole answer is here (PROTOCOL, Hosts; rules MIXED, TWICE, REFUSED).
  *
- * <p>{@code fate}: null for a surplus answer, which belongs to another request and is skipped. {@code promise}: the status promises that
- * the request did not run, without proof. {@code nameless}: it carries no id, so what else comes on its connection can't be told apart.
+ * <p>{@code fate}: null for a surplus answer, which belongs to another request and is skipped. {@code promise}: the
+ * status promises that the request did not run, without proof. {@code nameless}: it carries no id, so what else comes
+ * on its connection can't be told apart.
  */
 record Verdict(Fate fate, boolean promise, boolean nameless) {
     static final Verdict SURPLUS = new Verdict(null, false, false);
     static final Verdict JUNK = new Verdict(Fate.BROKEN, false, false);
-    private static final Verdict SERVED = new Verdict(Fate.SERVED, false, false),
-            FAILED = new Verdict(Fate.FAILED, false, false),
-            PROMISED = new Verdict(Fate.FAILED, true, false),
-            NOT_RUN = new Verdict(Fate.NOT_RUN, false, false),
-            WRONG_HOST = new Verdict(Fate.WRONG_HOST, false, false),
-            NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true),
-            WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
+    private static final Verdict SERVED = new Verdict(Fate.SERVED, false, false);
+    private static final Verdict FAILED = new Verdict(Fate.FAILED, false, false);
+    private static final Verdict PROMISED = new Verdict(Fate.FAILED, true, false);
+    private static final Verdict NOT_RUN = new Verdict(Fate.NOT_RUN, false, false);
+    private static final Verdict WRONG_HOST = new Verdict(Fate.WRONG_HOST, false, false);
+    private static final Verdict NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true);
+    private static final Verdict WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
 
     /** For a log line: what an answer that isn't one carries. */
     static String traits(int status, HttpHeaders headers) {
--- a/src/main/java/brambletray/tray/home/Annex.java
+++ b/src/main/java/brambletray/tray/home/Annex.java
@@ -1,9 +1,9 @@
 package brambletray.tray.home;
 
 /**
- * The seat of a zone other than the root's. It serves while it has hosts that are up; while it has none, asks go back to the root and a first
- * host boots. When its demand has long been too low to pay for hosts of its own, it closes: asks go back to the root, and its hosts end as they
- * become empty.
+ * The seat of a zone other than the root's. It serves while it has hosts that are up; while it has none, asks go back
+ * to the root and a first host boots. When its demand has long been too low to pay for hosts of its own, it closes:
+ * asks go back to the root, and its hosts end as they become empty.
  */
 final class Annex {
     private final Laws.Spread law;
@@ -15,7 +15,10 @@
         this.law = law;
     }
 
-    /** Whether an ask is sent back to the root. {@code rate}: this seat's requests per ms, slowly; {@code pays}: what pays for hosts. */
+    /**
+     * Whether an ask is sent back to the root. {@code rate}: this seat's requests per ms, slowly; {@code pays}: what
+     * pays for hosts.
+     */
     boolean away(boolean anyUp, double rate, double pays, int bootMs, long now) {
         if (closed(now)) {
             return true;
--- a/src/main/java/brambletray/tray/home/Ask.java
+++ b/src/main/java/brambletray/tray/home/Ask.java
@@ -2,9 +2,10 @@
 
 import java.util.List;
 
-/** A request for a place at a host of a service. {@code remainingMs} and {@code targetMs}: ms; {@code again}: it has reached a host already
- * and draws on the budget of further tries; {@code inner}: a call made by a host of ours; {@code copy}: the delayed copy, granted only
- * where a place is free now; {@code avoid}: hosts that had it. */
+/**
+ * A request for a place at a host of a service. {@code remainingMs} and {@code targetMs}: ms; {@code again}: it has
+ * reached a host already and draws on the budget of further tries; {@code inner}: a call made by a host of ours;
+ * {@code copy}: the delayed copy, granted only where a place is free now; {@code avoid}: hosts that had it. */
 public record Ask(
         long id,
         String edge,
--- a/src/main/java/brambletray/tray/home/Budget.java
+++ b/src/main/java/brambletray/tray/home/Budget.java
@@ -1,9 +1,9 @@
 package brambletray.tray.home;
 
 /**
- * Rule BUDGET at a seat: arrivals beyond the first of each request, in any sliding window, stay within ratio x requests + the seat's share of
- * the slack. Requests are counted low (first asks of clients only, whole buckets inside the window), further arrivals high (buckets that touch
- * it). Copies get at most half of what the others leave.
+ * Rule BUDGET at a seat: arrivals beyond the first of each request, in any sliding window, stay within ratio x requests
+ * + the seat's share of the slack. Requests are counted low (first asks of clients only, whole buckets inside the
+ * window), further arrivals high (buckets that touch it). Copies get at most half of what the others leave.
  */
 final class Budget {
     private static final int BUCKETS = 40;
--- a/src/main/java/brambletray/tray/home/Crew.java
+++ b/src/main/java/brambletray/tray/home/Crew.java
@@ -48,7 +48,10 @@
         posts = new Posts(ward.laws.choice());
     }
 
-    /** A host told by the hub; new ones are taken in. {@code own}: born under this home, so that all its places are known here. */
+    /**
+     * A host told by the hub; new ones are taken in. {@code own}: born under this home, so that all its places are
+     * known here.
+     */
     void take(Host host, boolean own, long now) {
         Post post = posts.find(host.id());
         if (post == null) {
@@ -184,7 +187,10 @@
         }
     }
 
-    /** A try that found no host, by an edge or by a knock. The second in a row drops it, unless most hosts don't answer: then it may be us. */
+    /**
+     * A try that found no host, by an edge or by a knock. The second in a row drops it, unless most hosts don't answer:
+     * then it may be us.
+     */
     void miss(Post post, long now) {
         posts.judge(post, Fate.UNREACHED, 0, now);
         int up = 0;
--- a/src/main/java/brambletray/tray/home/Demand.java
+++ b/src/main/java/brambletray/tray/home/Demand.java
@@ -1,9 +1,9 @@
 package brambletray.tray.home;
 
 /**
- * How many places a seat's traffic needs. Little: rate x answer time, where the rate goes up fast (the fast rate less {@code sure} standard
- * errors) and down slowly. Headroom: enough that the share e^-tail of requests waits longer than the slack of the target, no more than
- * k roots of the load, and {@code burst} of the load besides.
+ * How many places a seat's traffic needs. Little: rate x answer time, where the rate goes up fast (the fast rate less
+ * {@code sure} standard errors) and down slowly. Headroom: enough that the share e^-tail of requests waits longer than
+ * the slack of the target, no more than k roots of the load, and {@code burst} of the load besides.
  */
 final class Demand {
     private final Laws.Scale law;
--- a/src/main/java/brambletray/tray/home/Desk.java
+++ b/src/main/java/brambletray/tray/home/Desk.java
@@ -1,10 +1,11 @@
 package brambletray.tray.home;
 
 /**
- * Gives out the places of a seat: at once, by the line, or not. What is said to an ask that finds no place free, P being the reckoned wait:
- * (a) P + work within the safe share of its target: it waits; (b) P within what a client heeds of its remaining time: it is refused at once,
- * with when to come back (served within its target from then on, it earns more than a late answer); (c) P + work within its time: it waits;
- * (d) it is refused at once. Calls of hosts and further tries are not sent away while they can wait: their callers don't come back.
+ * Gives out the places of a seat: at once, by the line, or not. What is said to an ask that finds no place free, P
+ * being the reckoned wait: (a) P + work within the safe share of its target: it waits; (b) P within what a client heeds
+ * of its remaining time: it is refused at once, with when to come back (served within its target from then on, it earns
+ * more than a late answer); (c) P + work within its time: it waits; (d) it is refused at once. Calls of hosts and
+ * further tries are not sent away while they can wait: their callers don't come back.
  */
 final class Desk {
     private final Ward ward;
@@ -78,7 +79,10 @@
         }
     }
 
-    /** The host for an ask that may be granted now, or null. Plain requests leave the places kept for calls of hosts, copies a quarter of all. */
+    /**
+     * The host for an ask that may be granted now, or null. Plain requests leave the places kept for calls of hosts,
+     * copies a quarter of all.
+     */
     private Post free(Ask ask, long now) {
         int total = scaler.working(now);
         int kept = ask.inner() ? 0 : room.kept(total, now);
--- a/src/main/java/brambletray/tray/home/Forecast.java
+++ b/src/main/java/brambletray/tray/home/Forecast.java
@@ -3,8 +3,9 @@
 import java.util.Arrays;
 
 /**
- * How long until a place is free for the one after {@code ahead} others. Places that are up come free at places / answer time; each start
- * under way brings its places at the rest of its boot. Those told to come back count as ahead of whom they will meet.
+ * How long until a place is free for the one after {@code ahead} others. Places that are up come free at places /
+ * answer time; each start under way brings its places at the rest of its boot. Those told to come back count as ahead
+ * of whom they will meet.
  */
 final class Forecast {
     /** Never, ms. */
--- a/src/main/java/brambletray/tray/home/Forget.java
+++ b/src/main/java/brambletray/tray/home/Forget.java
@@ -1,4 +1,7 @@
 package brambletray.tray.home;
 
-/** An edge no longer waits for the answer to an ask: it leaves the line; a place granted meanwhile is given back, as nothing was sent. */
+/**
+ * An edge no longer waits for the answer to an ask: it leaves the line; a place granted meanwhile is given back, as
+ * nothing was sent.
+ */
 public record Forget(long askId, String service) {}
--- a/src/main/java/brambletray/tray/home/Herd.java
+++ b/src/main/java/brambletray/tray/home/Herd.java
@@ -1,8 +1,8 @@
 package brambletray.tray.home;
 
 /**
- * Those refused with a time to come back: each is counted as ahead of whoever is refused after it, so that they are told one moment after the
- * other and not one instant. Remembers the last 256 promised returns until they are due.
+ * Those refused with a time to come back: each is counted as ahead of whoever is refused after it, so that they are
+ * told one moment after the other and not one instant. Remembers the last 256 promised returns until they are due.
  */
 final class Herd {
     private static final int MOST = 256;
--- a/src/main/java/brambletray/tray/home/Holders.java
+++ b/src/main/java/brambletray/tray/home/Holders.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * What edges tell a new home that they hold. Kept until the hub has listed the hosts; where it doesn't in time, the hosts that edges hold places
- * at are taken from them: rebuilt from those who told it first.
+ * What edges tell a new home that they hold. Kept until the hub has listed the hosts; where it doesn't in time, the
+ * hosts that edges hold places at are taken from them: rebuilt from those who told it first.
  */
 final class Holders {
     private static final int EARLY_MOST = 256;
--- a/src/main/java/brambletray/tray/home/Keeping.java
+++ b/src/main/java/brambletray/tray/home/Keeping.java
@@ -1,9 +1,10 @@
 package brambletray.tray.home;
 
 /**
- * How long the last host of a seat is kept idle. Each span of the seat without a request is a gap; a host kept through it costs memory, one
- * that ended before it is over costs a start (and what lateness the start brings). The span kept is the one that would have been cheapest over
- * the gaps seen, with a few gaps of every length put in beforehand. Older gaps fade.
+ * How long the last host of a seat is kept idle. Each span of the seat without a request is a gap; a host kept through
+ * it costs memory, one that ended before it is over costs a start (and what lateness the start brings). The span kept
+ * is the one that would have been cheapest over the gaps seen, with a few gaps of every length put in beforehand. Older
+ * gaps fade.
  */
 final class Keeping {
     private static final int CLASSES = 18;
--- a/src/main/java/brambletray/tray/home/Laws.java
+++ b/src/main/java/brambletray/tray/home/Laws.java
@@ -1,7 +1,8 @@
 package brambletray.tray.home;
 
 /**
- * All that the laws of a seat are drawn with; nothing here belongs to a site. Times in ms, memory prices in GB-seconds of a host's memory.
+ * All that the laws of a seat are drawn with; nothing here belongs to a site. Times in ms, memory prices in GB-seconds
+ * of a host's memory.
  */
 public record Laws(
         Limit limit,
@@ -14,32 +15,48 @@
         Taking taking,
         Spread spread) {
 
-    /** {@code lostMs}: a place is lost this long after the end of its request; {@code goneMs}: how long at most a place of an edge that is
-     * gone stays closed; {@code fullMs}: how long a host that turned a request away is counted fuller by one. */
+    /**
+     * {@code lostMs}: a place is lost this long after the end of its request; {@code goneMs}: how long at most a place
+     * of an edge that is gone stays closed; {@code fullMs}: how long a host that turned a request away is counted
+     * fuller by one.
+     */
     public record Limit(int lostMs, int goneMs, int fullMs) {}
 
-    /** {@code slow}: a host whose answers take this many times the others' is used last; {@code pauseMs}, {@code pauseMostMs}: pause of a
-     * failing host, doubled each time; {@code blame}: failures that earn one; {@code leaveMs}: how long a leaving host is still used where
-     * nothing else is free (0: not at all; must stay well below {@code drain-ms}). */
+    /**
+     * {@code slow}: a host whose answers take this many times the others' is used last; {@code pauseMs},
+     * {@code pauseMostMs}: pause of a failing host, doubled each time; {@code blame}: failures that earn one;
+     * {@code leaveMs}: how long a leaving host is still used where nothing else is free (0: not at all; must stay well
+     * below {@code drain-ms}).
+     */
     public record Choice(double slow, int pauseMs, int pauseMostMs, double blame, int leaveMs) {}
 
-    /** {@code most}: waiting asks of a seat; {@code ageMs}: a rank of priority is worth this much of waiting; {@code innerMs}: so is a call of
-     * a host; {@code lateMs}: so is being in time; {@code safe}: share of the target that a reckoned wait may use up; {@code marginMs}: added
-     * to a time for coming back; {@code third}: share of its remaining time that a client heeds. */
+    /**
+     * {@code most}: waiting asks of a seat; {@code ageMs}: a rank of priority is worth this much of waiting;
+     * {@code innerMs}: so is a call of a host; {@code lateMs}: so is being in time; {@code safe}: share of the target
+     * that a reckoned wait may use up; {@code marginMs}: added to a time for coming back; {@code third}: share of its
+     * remaining time that a client heeds.
+     */
     public record Queue(int most, int ageMs, int innerMs, int lateMs, double safe, int marginMs, double third) {}
 
-    /** Places kept for calls of hosts: one of every {@code of}, from {@code least} places on, as long as such a call was seen within
-     * {@code forMs}. */
+    /**
+     * Places kept for calls of hosts: one of every {@code of}, from {@code least} places on, as long as such a call was
+     * seen within {@code forMs}. */
     public record Room(int of, int least, int forMs) {}
 
-    /** Rule BUDGET: {@code ratio} and {@code slack} as stated, {@code windowMs}; {@code share}: the part of the slack that this seat may use. */
+    /**
+     * Rule BUDGET: {@code ratio} and {@code slack} as stated, {@code windowMs}; {@code share}: the part of the slack
+     * that this seat may use.
+     */
     public record Again(double ratio, int slack, int windowMs, double share) {}
 
-    /** {@code fastMs}, {@code slowMs}: memory of the two rates, the fast one counting less {@code sure} standard errors; {@code k}: headroom
-     * in roots of the load; {@code tail}: ln(1/share of requests that may find the wait too long); {@code burst}: headroom as a share of the
-     * load; {@code atOnce}: starts under way of one seat, with two more for each host that works;
-     * {@code againMs}: an unanswered need is repeated; {@code dropMs}: it is given up; {@code knockMs}: between knocks
-     * at a booting host, at least; else a 25th of the boot while asks wait, an 8th while none does. */
+    /**
+     * {@code fastMs}, {@code slowMs}: memory of the two rates, the fast one counting less {@code sure} standard errors;
+     * {@code k}: headroom in roots of the load; {@code tail}: ln(1/share of requests that may find the wait too long);
+     * {@code burst}: headroom as a share of the load; {@code atOnce}: starts under way of one seat, with two more for
+     * each host that works; {@code againMs}: an unanswered need is repeated; {@code dropMs}: it is given up;
+     * {@code knockMs}: between knocks at a booting host, at least; else a 25th of the boot while asks wait, an 8th
+     * while none does.
+     */
     public record Scale(
             int fastMs,
             int slowMs,
@@ -52,16 +69,25 @@
             int dropMs,
             int knockMs) {}
 
-    /** {@code startGbS}: price of a start; {@code lateGbS}: price of a request made late; {@code leastMs}: no idle host ends sooner;
-     * {@code settleMs}: none ends this soon after the seat was taken over; {@code mostMs}: none is kept idle longer, but for the warm one. */
+    /**
+     * {@code startGbS}: price of a start; {@code lateGbS}: price of a request made late; {@code leastMs}: no idle host
+     * ends sooner; {@code settleMs}: none ends this soon after the seat was taken over; {@code mostMs}: none is kept
+     * idle longer, but for the warm one.
+     */
     public record Keep(double startGbS, double lateGbS, int leastMs, int settleMs, int mostMs) {}
 
-    /** {@code hostsMs}: wait for the hub's list; {@code heldMs}: wait for the edges to tell what they hold; {@code againMs}: claim repeated;
-     * {@code requestMs}: rest of a request's time where an edge tells of its place (they don't say). */
+    /**
+     * {@code hostsMs}: wait for the hub's list; {@code heldMs}: wait for the edges to tell what they hold;
+     * {@code againMs}: claim repeated; {@code requestMs}: rest of a request's time where an edge tells of its place
+     * (they don't say).
+     */
     public record Taking(int hostsMs, int heldMs, int againMs, int requestMs) {}
 
-    /** {@code crossGbS}: price of one request and answer across zones; {@code openMs}: demand must have paid for so long before a zone's own
-     * seat opens; {@code closeShare}, {@code closeMs}: and been below that share of it for so long before it closes. */
+    /**
+     * {@code crossGbS}: price of one request and answer across zones; {@code openMs}: demand must have paid for so long
+     * before a zone's own seat opens; {@code closeShare}, {@code closeMs}: and been below that share of it for so long
+     * before it closes.
+     */
     public record Spread(double crossGbS, int openMs, double closeShare, int closeMs) {}
 
     /** The laws as they stand, with the site's budget of further tries and its number of zones. */
--- a/src/main/java/brambletray/tray/home/Line.java
+++ b/src/main/java/brambletray/tray/home/Line.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * Those who wait for a place. First whose key is smallest: the end of its time, plus {@code ageMs} a rank of priority, less {@code innerMs}
- * for calls of hosts, plus {@code lateMs} once it cannot be in time any more. Keys hold still while newcomers' ends move on, so none starves.
- * Bounded by {@code most}.
+ * Those who wait for a place. First whose key is smallest: the end of its time, plus {@code ageMs} a rank of priority,
+ * less {@code innerMs} for calls of hosts, plus {@code lateMs} once it cannot be in time any more. Keys hold still
+ * while newcomers' ends move on, so none starves. Bounded by {@code most}.
  */
 final class Line {
     static final class Waiter {
--- a/src/main/java/brambletray/tray/home/Nonces.java
+++ b/src/main/java/brambletray/tray/home/Nonces.java
@@ -1,6 +1,9 @@
 package brambletray.tray.home;
 
-/** Nonces of starts, unique by their prefix (node and life, given from outside) and a counter. At most 64 bytes, as the platform wants. */
+/**
+ * Nonces of starts, unique by their prefix (node and life, given from outside) and a counter. At most 64 bytes, as the
+ * platform wants.
+ */
 final class Nonces {
     private final String prefix;
     private long counter;
--- a/src/main/java/brambletray/tray/home/Out.java
+++ b/src/main/java/brambletray/tray/home/Out.java
@@ -5,7 +5,10 @@
 import brambletray.tray.yard.Quit;
 import brambletray.tray.yard.Seen;
 
-/** What seats want done. Called from inside the calls to {@link Seats}; whoever implements it must not call back into them. */
+/**
+ * What seats want done. Called from inside the calls to {@link Seats}; whoever implements it must not call back into
+ * them.
+ */
 public interface Out {
     /** To an edge: a place. */
     void grant(String edge, Grant grant);
--- a/src/main/java/brambletray/tray/home/Pace.java
+++ b/src/main/java/brambletray/tray/home/Pace.java
@@ -1,9 +1,9 @@
 package brambletray.tray.home;
 
 /**
- * The delay of the delayed copy (the design, SimpleSpeculativeExecution with our percentile): above about nine in ten of a service's recent
- * answers, 200 ms before any are known. Answer times are counted in classes an eighth of an octave wide; when {@value #MEMORY} are held, all
- * counts are halved, so that old ones fade. Bounded: 136 counts.
+ * The delay of the delayed copy (the design, SimpleSpeculativeExecution with our percentile): above about nine in ten
+ * of a service's recent answers, 200 ms before any are known. Answer times are counted in classes an eighth of an
+ * octave wide; when {@value #MEMORY} are held, all counts are halved, so that old ones fade. Bounded: 136 counts.
  */
 public final class Pace {
     /** ms, before any answer is known. */
--- a/src/main/java/brambletray/tray/home/Places.java
+++ b/src/main/java/brambletray/tray/home/Places.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 
 /**
- * Rule LIMIT at a seat: a host never holds more than {@code max-concurrency} places granted and not given back. A place comes back by
- * {@link Done}; is kept closed for a span where the host may still be at work; is lost when its edge is gone (closed for at most
- * {@code goneMs}) or {@code lostMs} after the end of its request's time.
+ * Rule LIMIT at a seat: a host never holds more than {@code max-concurrency} places granted and not given back. A place
+ * comes back by {@link Done}; is kept closed for a span where the host may still be at work; is lost when its edge is
+ * gone (closed for at most {@code goneMs}) or {@code lostMs} after the end of its request's time.
  */
 final class Places {
     private final Laws.Limit law;
@@ -53,7 +53,10 @@
         place.ends = requestEnd + law.lostMs();
     }
 
-    /** An edge that was taken for gone asks again: it has not had its place, which is still its own. False: it has given it back. */
+    /**
+     * An edge that was taken for gone asks again: it has not had its place, which is still its own. False: it has given
+     * it back.
+     */
     boolean backFrom(Place place) {
         if (place.closed && place.lost) {
             reopen(place, place.requestEnd);
--- a/src/main/java/brambletray/tray/home/Posts.java
+++ b/src/main/java/brambletray/tray/home/Posts.java
@@ -5,8 +5,9 @@
 import java.util.List;
 
 /**
- * The hosts of a seat, oldest first, and the choice among them: one that is well and not on the ask's list of those to avoid; in the asker's
- * zone; not its last place; the oldest, so that superfluous ones run idle. Slow and failing ones come last, suspects not at all.
+ * The hosts of a seat, oldest first, and the choice among them: one that is well and not on the ask's list of those to
+ * avoid; in the asker's zone; not its last place; the oldest, so that superfluous ones run idle. Slow and failing ones
+ * come last, suspects not at all.
  */
 final class Posts {
     private final Laws.Choice law;
--- a/src/main/java/brambletray/tray/home/Rate.java
+++ b/src/main/java/brambletray/tray/home/Rate.java
@@ -1,6 +1,9 @@
 package brambletray.tray.home;
 
-/** Events per ms, with a memory that fades by e in {@code tau} ms; right from the start, as the part of the memory not yet filled is left out. */
+/**
+ * Events per ms, with a memory that fades by e in {@code tau} ms; right from the start, as the part of the memory not
+ * yet filled is left out.
+ */
 final class Rate {
     private final double tau;
     private double sum;
--- a/src/main/java/brambletray/tray/home/Room.java
+++ b/src/main/java/brambletray/tray/home/Room.java
@@ -1,8 +1,9 @@
 package brambletray.tray.home;
 
 /**
- * Room for calls of hosts: they need a place while their parent holds one, so a service full of parents would wait for itself. Where such calls
- * were seen lately, one of every {@code of} places is kept for them, from {@code least} places on.
+ * Room for calls of hosts: they need a place while their parent holds one, so a service full of parents would wait for
+ * itself. Where such calls were seen lately, one of every {@code of} places is kept for them, from {@code least} places
+ * on.
  */
 final class Room {
     private final Laws.Room law;
--- a/src/main/java/brambletray/tray/home/Scaler.java
+++ b/src/main/java/brambletray/tray/home/Scaler.java
@@ -4,8 +4,9 @@
 import java.util.List;
 
 /**
- * How many hosts a seat has. Up: Little's places with headroom ({@link Demand}), room for calls of hosts, and starts until the last one in line
- * waits a bearable time; counting what boots already. Down: hosts that are empty, no longer wanted, and idle for longer than a start is worth.
+ * How many hosts a seat has. Up: Little's places with headroom ({@link Demand}), room for calls of hosts, and starts
+ * until the last one in line waits a bearable time; counting what boots already. Down: hosts that are empty, no longer
+ * wanted, and idle for longer than a start is worth.
  */
 final class Scaler {
     final Demand demand;
@@ -70,7 +71,10 @@
         return n;
     }
 
-    /** Starts what is missing. {@code least}: hosts wanted whatever the demand; {@code waiting}: those in line and promised to be back. */
+    /**
+     * Starts what is missing. {@code least}: hosts wanted whatever the demand; {@code waiting}: those in line and
+     * promised to be back.
+     */
     void scale(int least, int waiting, long now) {
         int booting = crew.posts.count(Host.BOOTING);
         int well = crew.posts.well(now);
@@ -92,7 +96,10 @@
         }
     }
 
-    /** Ends hosts that are empty and no longer worth their memory. {@code least}: hosts kept whatever happens; {@code closing}: none is. */
+    /**
+     * Ends hosts that are empty and no longer worth their memory. {@code least}: hosts kept whatever happens;
+     * {@code closing}: none is.
+     */
     void retire(int least, boolean closing, long now) {
         List<Post> all = crew.posts.all();
         int n = crew.posts.well(now);
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/tray/home/Seat.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 
 /**
- * One seat: gives out the places at the hosts of one service to edges, and keeps as many hosts as its demand needs. What happens comes in with
- * its time; what is to be done goes out through {@link Out}.
+ * One seat: gives out the places at the hosts of one service to edges, and keeps as many hosts as its demand needs.
+ * What happens comes in with its time; what is to be done goes out through {@link Out}.
  */
 final class Seat {
     /** Where the heap of {@link Seats} has it. */
--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/tray/home/Seats.java
@@ -16,8 +16,9 @@
 import java.util.PriorityQueue;
 
 /**
- * All seats that an edge is home of, in one zone. Pure: {@code now} is in ms of a steady clock and never goes back. One thread. Seats that have
- * nothing to do cost nothing: {@link #tick} touches only those that are due, {@link #nextDue} tells when the next one is.
+ * All seats that an edge is home of, in one zone. Pure: {@code now} is in ms of a steady clock and never goes back. One
+ * thread. Seats that have nothing to do cost nothing: {@link #tick} touches only those that are due, {@link #nextDue}
+ * tells when the next one is.
  */
 public final class Seats {
     private static final Tale TALE = Tale.of("home");
@@ -64,9 +65,9 @@
     }
 
     /**
-     * This edge is home of a service's seat in this zone from now on; {@code rootZone}: where the service's root seat is; {@code edges}: those
-     * that may hold places given out by another home before, empty where there was none. A seat that is held already only learns the root.
-     * Services unknown to {@link #spec} are left out.
+     * This edge is home of a service's seat in this zone from now on; {@code rootZone}: where the service's root seat
+     * is; {@code edges}: those that may hold places given out by another home before, empty where there was none. A
+     * seat that is held already only learns the root. Services unknown to {@link #spec} are left out.
      */
     public void take(String service, String rootZone, Collection<String> edges, long now) {
         Spec spec = specs.get(service);
@@ -108,8 +109,9 @@
         return seats.containsKey(service);
     }
 
-    /** An edge asks for a place; false where no seat of the service is held here. {@code stay}: it is to be served here although another zone's
-     * seat might be better, as that one cannot be reached. */
+    /**
+     * An edge asks for a place; false where no seat of the service is held here. {@code stay}: it is to be served here
+     * although another zone's seat might be better, as that one cannot be reached. */
     public boolean ask(Ask ask, boolean stay, long now) {
         Seat seat = seats.get(ask.service());
         if (seat == null) {
--- a/src/main/java/brambletray/tray/home/Spec.java
+++ b/src/main/java/brambletray/tray/home/Spec.java
@@ -1,9 +1,9 @@
 package brambletray.tray.home;
 
 /**
- * What a seat has to know of its service. {@code memoryMb}: of one host; {@code bootMs}: the average time of a start; {@code most}: requests
- * that one host may hold at a time ({@code max-concurrency}); {@code targetMs}: the smallest target of the routes that lead here, 0 where
- * none does.
+ * What a seat has to know of its service. {@code memoryMb}: of one host; {@code bootMs}: the average time of a start;
+ * {@code most}: requests that one host may hold at a time ({@code max-concurrency}); {@code targetMs}: the smallest
+ * target of the routes that lead here, 0 where none does.
  */
 public record Spec(String service, int memoryMb, int bootMs, int most, int targetMs) {
     public Spec {
--- a/src/main/java/brambletray/tray/home/Spread.java
+++ b/src/main/java/brambletray/tray/home/Spread.java
@@ -4,9 +4,10 @@
 import java.util.Map;
 
 /**
- * At the root seat: which zones have a seat of their own. One opens where the zone's demand would pay for hosts of its own (crossing saved
- * beside a host's memory) or fill a whole host, for {@code openMs}. An opening seat is sent one ask, and boots; the root serves the others
- * until the boot must be over. An ask that comes back from a zone tells that its seat is not open (any more).
+ * At the root seat: which zones have a seat of their own. One opens where the zone's demand would pay for hosts of its
+ * own (crossing saved beside a host's memory) or fill a whole host, for {@code openMs}. An opening seat is sent one
+ * ask, and boots; the root serves the others until the boot must be over. An ask that comes back from a zone tells that
+ * its seat is not open (any more).
  */
 final class Spread {
     private static final int RETURNS = 32;
--- a/src/main/java/brambletray/tray/home/Starts.java
+++ b/src/main/java/brambletray/tray/home/Starts.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * The starts that a seat has asked for and that are not answered yet. A nonce is made once per start and repeated until it is answered, so
- * that whoever carries it out makes one host of it. Bounded by {@code atOnce}.
+ * The starts that a seat has asked for and that are not answered yet. A nonce is made once per start and repeated until
+ * it is answered, so that whoever carries it out makes one host of it. Bounded by {@code atOnce}.
  */
 final class Starts {
     private static final class Wanted {
--- a/src/main/java/brambletray/tray/home/Taking.java
+++ b/src/main/java/brambletray/tray/home/Taking.java
@@ -6,9 +6,9 @@
 import java.util.Set;
 
 /**
- * The first moments of a home. The hub is asked for the seat's hosts; asks wait until it answers ({@code hostsMs} at most, then the seat
- * behaves as one without hosts). The edges tell which places they hold; until all have, or {@code heldMs} are over, only hosts born under this
- * home are given out.
+ * The first moments of a home. The hub is asked for the seat's hosts; asks wait until it answers ({@code hostsMs} at
+ * most, then the seat behaves as one without hosts). The edges tell which places they hold; until all have, or
+ * {@code heldMs} are over, only hosts born under this home are given out.
  */
 final class Taking {
     private final Laws.Taking law;
--- a/src/main/java/brambletray/tray/keep/Dispatch.java
+++ b/src/main/java/brambletray/tray/keep/Dispatch.java
@@ -4,7 +4,8 @@
 import java.util.Map;
 
 /**
- * One table for all calls from outside: method, then path segment by segment. A segment {@code *} takes any one and is handed on.
+ * One table for all calls from outside: method, then path segment by segment. A segment {@code *} takes any one and is
+ * handed on.
  */
 final class Dispatch<H> {
     private final Map<String, Node<H>> methods = new HashMap<>();
--- a/src/main/java/brambletray/tray/keep/Door.java
+++ b/src/main/java/brambletray/tray/keep/Door.java
@@ -26,8 +26,9 @@
 
 /**
  * The control-plane address: calls of hosts and operators, one table of method and path segments. A body has at most
- * {@link #BODY} bytes (413 beyond), a connection that is silent for {@link #IDLE_S} is closed. Calls of one connection are dealt with one
- * after the other, as answers bear no sign of which call they are to; a caller that sends more than {@link #AHEAD} ahead is cut off.
+ * {@link #BODY} bytes (413 beyond), a connection that is silent for {@link #IDLE_S} is closed. Calls of one connection
+ * are dealt with one after the other, as answers bear no sign of which call they are to; a caller that sends more than
+ * {@link #AHEAD} ahead is cut off.
  */
 final class Door {
     static final int BODY = 4 << 20;
@@ -128,8 +129,8 @@
         }
 
         /**
-         * The next call of this connection, once the one before it has its answer; none after one that closes it. By way of the loop, since
-         * whoever gives an answer may be in the midst of its own calls.
+         * The next call of this connection, once the one before it has its answer; none after one that closes it. By
+         * way of the loop, since whoever gives an answer may be in the midst of its own calls.
          */
         private void next(ChannelHandlerContext context, boolean keep) {
             if (!keep) {
--- a/src/main/java/brambletray/tray/keep/Greeter.java
+++ b/src/main/java/brambletray/tray/keep/Greeter.java
@@ -15,9 +15,10 @@
 import java.util.function.Supplier;
 
 /**
- * The edges that have a link to this member, whether it holds the helm or not: each is told by a Welcome where the helm is, and again
- * when that, or where this member itself stands, has changed. So an edge that waits at a member in touch learns of a new helm at once,
- * and one that waits at a member that is cut off learns that it should go on. For the loop only.
+ * The edges that have a link to this member, whether it holds the helm or not: each is told by a Welcome where the helm
+ * is, and again when that, or where this member itself stands, has changed. So an edge that waits at a member in touch
+ * learns of a new helm at once, and one that waits at a member that is cut off learns that it should go on. For the
+ * loop only.
  */
 final class Greeter {
     private static final long NEVER = Long.MIN_VALUE;
@@ -43,9 +44,9 @@
     }
 
     /**
-     * What a member says to edges that stands like this. It names itself as the helm while its hub may act ({@code hubTerm}, 0: it has
-     * none), another only while it is in touch itself: who is cut off may not know that the other has been succeeded. {@code inner}:
-     * where edges reach a member.
+     * What a member says to edges that stands like this. It names itself as the helm while its hub may act
+     * ({@code hubTerm}, 0: it has none), another only while it is in touch itself: who is cut off may not know that the
+     * other has been succeeded. {@code inner}: where edges reach a member.
      */
     static Welcome welcome(Status status, Holder holder, long hubTerm, Roster newest, Function<Member, String> inner) {
         boolean inTouch = status.standing() == Standing.MEMBER;
@@ -91,7 +92,9 @@
         });
     }
 
-    /** Every 50 ms or so; steady ms. That there is no helm any more is said once that has lasted for {@link Hub#DOUBT}. */
+    /**
+     * Every 50 ms or so; steady ms. That there is no helm any more is said once that has lasted for {@link Hub#DOUBT}.
+     */
     void tick(long now) {
         if (guests.isEmpty()) {
             return;
--- a/src/main/java/brambletray/tray/keep/Hub.java
+++ b/src/main/java/brambletray/tray/keep/Hub.java
@@ -39,14 +39,17 @@
 import java.util.function.Supplier;
 
 /**
- * What the holder of the helm does in its term: tells edges of each other, of configurations and of hosts, and starts and stops hosts. It
- * begins knowing nothing, and is told by those who knew first. For the loop only.
+ * What the holder of the helm does in its term: tells edges of each other, of configurations and of hosts, and starts
+ * and stops hosts. It begins knowing nothing, and is told by those who knew first. For the loop only.
  */
 final class Hub {
     private static final Tale TALE = Tale.of("hub");
     /** ms between pulses. */
     private static final int PULSE = 250;
-    /** ms without the right to act after which edges are let go: a late tick of this process puts its lease in doubt for one round only. */
+    /**
+     * ms without the right to act after which edges are let go: a late tick of this process puts its lease in doubt for
+     * one round only.
+     */
     static final int DOUBT = 100;
 
     private static final long NEVER = Long.MIN_VALUE;
@@ -83,8 +86,8 @@
         boolean mayAct();
 
         /**
-         * Whether all that was kept before the view in force has been applied here. Until then the configuration that is known here may
-         * be older than one that was acknowledged.
+         * Whether all that was kept before the view in force has been applied here. Until then the configuration that
+         * is known here may be older than one that was acknowledged.
          */
         boolean applied();
 
@@ -321,7 +324,10 @@
         }
     }
 
-    /** The term is over: nothing more is called, nor said but that. The links stay, by which edges are told of the next helm. */
+    /**
+     * The term is over: nothing more is called, nor said but that. The links stay, by which edges are told of the next
+     * helm.
+     */
     void end() {
         platform.close();
         letGo("the term is over");
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -42,7 +42,10 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** The program of the core: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has run. */
+/**
+ * The program of the core: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has
+ * run.
+ */
 public final class Keep {
     private static final Tale TALE = Tale.of("keep");
     /** ms between ticks, each of which costs a wake-up. */
@@ -68,7 +71,10 @@
     private final Vow vow;
     private final Views views;
     private final Greeter edges = new Greeter(this::welcome);
-    /** Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges have. */
+    /**
+     * Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges
+     * have.
+     */
     private final History history = new History();
 
     private final Publisher publisher = new Publisher(history);
@@ -143,7 +149,10 @@
         return seeds;
     }
 
-    /** Runs until it is told to end. {@code life}, {@code origin}: drawn at random. Throws {@link TroveFault} where the disk cannot be used. */
+    /**
+     * Runs until it is told to end. {@code life}, {@code origin}: drawn at random. Throws {@link TroveFault} where the
+     * disk cannot be used.
+     */
     public static void begin(Berth berth, long life, long origin) throws InterruptedException {
         Machine machine = Sockets.machine();
         Address control = berth.need("bind-addresses.control-plane", berth.control());
@@ -179,7 +188,10 @@
         return new Door(table).open(machine, berth.control());
     }
 
-    /** The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost, and its life with it. */
+    /**
+     * The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost,
+     * and its life with it.
+     */
     private static Trove open(Path dir) throws InterruptedException {
         for (; ; ) {
             try {
@@ -223,7 +235,10 @@
         }
     }
 
-    /** There is a hub for the term that is held, and for no other; one that was won but may not act yet is taken up at a later tick. */
+    /**
+     * There is a hub for the term that is held, and for no other; one that was won but may not act yet is taken up at a
+     * later tick.
+     */
     private void takeUp() {
         long now = now();
         if (hub != null && hub.term() != held) {
--- a/src/main/java/brambletray/tray/keep/Kin.java
+++ b/src/main/java/brambletray/tray/keep/Kin.java
@@ -13,8 +13,9 @@
 import java.util.Map;
 
 /**
- * Links of one member: to the other members, which are known by their control-plane addresses, and from edges. What a member says goes by the link
- * that it has dialled, what it hears comes by those that were dialled to it. For the loop only.
+ * Links of one member: to the other members, which are known by their control-plane addresses, and from edges. What a
+ * member says goes by the link that it has dialled, what it hears comes by those that were dialled to it. For the loop
+ * only.
  */
 final class Kin {
     /** ms without a word after which a link to a member is given up. */
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/tray/keep/Operators.java
@@ -14,12 +14,14 @@
 import java.util.Map;
 
 /**
- * The operators' calls at one member: judged by the configuration as it stands, put into the one order, answered once they are kept. One
- * change is under way at a time, so that the next is judged by what came of it. A member that does not lead sends the caller on by 307.
+ * The operators' calls at one member: judged by the configuration as it stands, put into the one order, answered once
+ * they are kept. One change is under way at a time, so that the next is judged by what came of it. A member that does
+ * not lead sends the caller on by 307.
  *
- * <p>A refusal is final to an operator (400 and 412 end its call at once), so it is a read and takes a confirming round (read index) like
- * one: a member that has been cut off still believes to lead and judges by an old configuration. Where the configuration moved on in the
- * meantime, the change is judged anew. What was taken before needs no round: what has been delivered here is kept.
+ * <p>A refusal is final to an operator (400 and 412 end its call at once), so it is a read and takes a confirming round
+ * (read index) like one: a member that has been cut off still believes to lead and judges by an old configuration.
+ * Where the configuration moved on in the meantime, the change is judged anew. What was taken before needs no round:
+ * what has been delivered here is kept.
  */
 final class Operators implements Matter {
     private static final Tale TALE = Tale.of("keep");
@@ -27,11 +29,19 @@
     private static final int QUEUE = 64;
     /** Bytes of bodies of calls that wait here, beyond which a further one is told to come back: six of the largest. */
     private static final long HELD = 24 << 20;
-    /** ms that a call may wait before it gets no clear answer; below ack-ms of all deployments, so that a caller asks again in time. */
+    /**
+     * ms that a call may wait before it gets no clear answer; below ack-ms of all deployments, so that a caller asks
+     * again in time.
+     */
     private static final int PATIENCE = 2_500;
-    /** The same at a member out of touch: callers wait a second and then go to another, which an answer lets them do at once. */
+    /**
+     * The same at a member out of touch: callers wait a second and then go to another, which an answer lets them do at
+     * once.
+     */
     private static final int HOLD = 800;
-    /** ms out of touch after which no call is held: that is longer than a change of view takes, this member is cut off. */
+    /**
+     * ms out of touch after which no call is held: that is longer than a change of view takes, this member is cut off.
+     */
     private static final int CUT_OFF = 1_500;
 
     /** What the operators' calls need of the member. */
@@ -39,7 +49,10 @@
         /** Where it stands now. */
         Status status();
 
-        /** Control-plane address of the leader that the others go on with, once this member has been told to end and is out; else null. */
+        /**
+         * Control-plane address of the leader that the others go on with, once this member has been told to end and is
+         * out; else null.
+         */
         default String successor() {
             return null;
         }
@@ -102,9 +115,9 @@
     }
 
     /**
-     * Whether it may judge: it leads the view in force, hears a majority of it and its disk is well. A member that begins a change of
-     * view, or has promised to one, doesn't; nor does it name the former leader, as two that name each other would send a caller round in
-     * a circle.
+     * Whether it may judge: it leads the view in force, hears a majority of it and its disk is well. A member that
+     * begins a change of view, or has promised to one, doesn't; nor does it name the former leader, as two that name
+     * each other would send a caller round in a circle.
      */
     private boolean leading() {
         Status status = order.status();
@@ -119,7 +132,9 @@
     /** Control-plane address of the leader, if it is another and heard; else null. */
     private String leader() {
         String successor = order.successor();
-        if (successor != null) return successor;
+        if (successor != null) {
+            return successor;
+        }
         Status status = order.status();
         boolean heard = !status.leading() && status.standing() == Standing.MEMBER && status.leader() != null;
         return heard && !status.leader().address().equals(status.me().address())
@@ -185,7 +200,10 @@
         }
     }
 
-    /** What was taken before is acknowledged by any member that has it delivered: that is kept, whoever leads and whatever came since. */
+    /**
+     * What was taken before is acknowledged by any member that has it delivered: that is kept, whoever leads and
+     * whatever came since.
+     */
     private void change(Call call, Verb verb) {
         long base;
         try {
@@ -253,8 +271,8 @@
     }
 
     /**
-     * What the change came to is read off the charter, not off the last delivery: between the delivery and this call others may have been
-     * delivered, such as the proposal of a former leader that was resubmitted to this one.
+     * What the change came to is read off the charter, not off the last delivery: between the delivery and this call
+     * others may have been delivered, such as the proposal of a former leader that was resubmitted to this one.
      */
     void outcome(long of, Outcome outcome) {
         if (of != proposal || inFlight == null) {
--- a/src/main/java/brambletray/tray/keep/Views.java
+++ b/src/main/java/brambletray/tray/keep/Views.java
@@ -10,8 +10,9 @@
 import java.util.Map;
 
 /**
- * What operators may look at, below {@code /brambletray/system}. Each member answers for itself where it stands ({@code views}) and who it holds to
- * have the duty ({@code duties}); edges and hosts are known at the helm, and callers are sent there by 307. Nothing is changed here. The loop's.
+ * What operators may look at, below {@code /brambletray/system}. Each member answers for itself where it stands
+ * ({@code views}) and who it holds to have the duty ({@code duties}); edges and hosts are known at the helm, and
+ * callers are sent there by 307. Nothing is changed here. The loop's.
  */
 final class Views {
     static final String AT = "/brambletray/system/";
--- a/src/main/java/brambletray/tray/lap/Booth.java
+++ b/src/main/java/brambletray/tray/lap/Booth.java
@@ -29,18 +29,21 @@
 import java.util.function.IntSupplier;
 
 /**
- * One host that has started (page PROTOCOL, Hosts): works on so many requests at once and turns the rest away, drops one whose connection closes,
- * ceases at the deadline, answers 421 for another host's. For the loop only.
+ * One host that has started (page PROTOCOL, Hosts): works on so many requests at once and turns the rest away, drops
+ * one whose connection closes, ceases at the deadline, answers 421 for another host's. For the loop only.
  */
 final class Booth {
-    static final String ID = "Brambletray-Attempt-Id",
-            REMAINING = "Brambletray-Deadline-Remaining",
-            SEAL = "Brambletray-Response-Seal";
-    static final String TARGET = "Brambletray-Target-Instance", NOT_EXECUTED = "Brambletray-Not-Executed";
+    static final String ID = "Brambletray-Attempt-Id";
+    static final String REMAINING = "Brambletray-Deadline-Remaining";
+    static final String SEAL = "Brambletray-Response-Seal";
+    static final String TARGET = "Brambletray-Target-Instance";
+    static final String NOT_EXECUTED = "Brambletray-Not-Executed";
     /** s after which an idle connection is closed. */
     private static final int IDLE_S = 10;
     /** Bytes of a request's body, and of an answer's. */
-    private static final int BODY = 1 << 20, ANSWER = 600;
+    private static final int BODY = 1 << 20;
+
+    private static final int ANSWER = 600;
 
     private final Machine machine;
     private final String id;
--- a/src/main/java/brambletray/tray/lap/Callers.java
+++ b/src/main/java/brambletray/tray/lap/Callers.java
@@ -10,7 +10,9 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-/** Clients: a steady trickle of requests that doesn't wait for answers, most of them to few services. For the loop only. */
+/**
+ * Clients: a steady trickle of requests that doesn't wait for answers, most of them to few services. For the loop only.
+ */
 final class Callers implements Visit.Ways {
     /** Of ten requests, so many go to busy services. */
     private static final int BUSY_OF_TEN = 7;
--- a/src/main/java/brambletray/tray/lap/Child.java
+++ b/src/main/java/brambletray/tray/lap/Child.java
@@ -11,8 +11,8 @@
 import java.util.function.Consumer;
 
 /**
- * One process of the system: started with a settings file of its own, started again after a short delay when it has ended, ended by its own handle
- * and never by name.
+ * One process of the system: started with a settings file of its own, started again after a short delay when it has
+ * ended, ended by its own handle and never by name.
  */
 final class Child {
     /** ms from a process's end until it is started again. */
--- a/src/main/java/brambletray/tray/lap/Fair.java
+++ b/src/main/java/brambletray/tray/lap/Fair.java
@@ -14,8 +14,8 @@
 import java.util.function.IntSupplier;
 
 /**
- * All hosts of the stand-in: follows what the platform has begun and ended, and has each listen from the end of its boot until its end. Until then
- * its address refuses connections. For the loop only.
+ * All hosts of the stand-in: follows what the platform has begun and ended, and has each listen from the end of its
+ * boot until its end. Until then its address refuses connections. For the loop only.
  */
 final class Fair {
     /** ms between two looks at the platform. */
--- a/src/main/java/brambletray/tray/lap/Fronts.java
+++ b/src/main/java/brambletray/tray/lap/Fronts.java
@@ -6,8 +6,9 @@
 import java.util.Map;
 
 /**
- * Which edges the stand-in's platform sends new connections to (page PROTOCOL, How clients arrive): those that call themselves ready; one that
- * misses twice is out until it says so again; with fewer than half of a zone's in, all of them; with none, those of the other zones. Pure.
+ * Which edges the stand-in's platform sends new connections to (page PROTOCOL, How clients arrive): those that call
+ * themselves ready; one that misses twice is out until it says so again; with fewer than half of a zone's in, all of
+ * them; with none, those of the other zones. Pure.
  */
 final class Fronts {
     private static final int MISSES = 2;
--- a/src/main/java/brambletray/tray/lap/Ledger.java
+++ b/src/main/java/brambletray/tray/lap/Ledger.java
@@ -6,7 +6,8 @@
 import java.util.Map;
 
 /**
- * What hosts ran and what clients were told, request by request, and what of it must not be (pages RULES: TWICE, REFUSED, UNASKED, MIXED). Pure.
+ * What hosts ran and what clients were told, request by request, and what of it must not be (pages RULES: TWICE,
+ * REFUSED, UNASKED, MIXED). Pure.
  */
 final class Ledger {
     /** Tries that are remembered; beyond them nothing further is judged. */
--- a/src/main/java/brambletray/tray/lap/Operator.java
+++ b/src/main/java/brambletray/tray/lap/Operator.java
@@ -15,7 +15,9 @@
 /** Calls the control-plane addresses as an operator does; blocks. What to do after each answer says {@link Rounds}. */
 public final class Operator {
     /** ms of silence after which another relay is asked; one more for so many bytes of a body. */
-    private static final int SILENCE = 1_000, BYTES_A_MS = 100;
+    private static final int SILENCE = 1_000;
+
+    private static final int BYTES_A_MS = 100;
 
     private static final String BASE = "Brambletray-Base-Revision";
     private static final String CONFIGURATION = "/brambletray/configuration/";
--- a/src/main/java/brambletray/tray/lap/Plan.java
+++ b/src/main/java/brambletray/tray/lap/Plan.java
@@ -14,7 +14,8 @@
  * @param dir where settings, disks and logs are kept; null: in a folder that is removed at the end
  */
 public record Plan(int cores, int edges, int seconds, int rate, List<Kill> kills, Path dir) {
-    public static final int LONGEST = 600, FASTEST = 1_000;
+    public static final int LONGEST = 600;
+    public static final int FASTEST = 1_000;
 
     /** Stands for the process that holds the helm at that moment. */
     static final String HELM = "helm";
--- a/src/main/java/brambletray/tray/lap/Rounds.java
+++ b/src/main/java/brambletray/tray/lap/Rounds.java
@@ -1,14 +1,18 @@
 package brambletray.tray.lap;
 
 /**
- * How a call of an operator goes from relay to relay (page PROTOCOL, The operator): 307 is followed twice; after a failure, a 5xx, a 408 or 429, or
- * silence the next relay is asked after a pause that grows; 400, 409, 412, 413 and 422 end it at once, any other 4xx the third time. Pure.
+ * How a call of an operator goes from relay to relay (page PROTOCOL, The operator): 307 is followed twice; after a
+ * failure, a 5xx, a 408 or 429, or silence the next relay is asked after a pause that grows; 400, 409, 412, 413 and 422
+ * end it at once, any other 4xx the third time. Pure.
  */
 final class Rounds {
     /** ms. */
-    static final int FIRST_PAUSE = 50, LONGEST_PAUSE = 1_000;
+    static final int FIRST_PAUSE = 50;
 
-    private static final int FOLLOWED = 2, OTHERS = 3;
+    static final int LONGEST_PAUSE = 1_000;
+
+    private static final int FOLLOWED = 2;
+    private static final int OTHERS = 3;
 
     /** What is to be done next. */
     sealed interface Step {
--- a/src/main/java/brambletray/tray/lap/Sample.java
+++ b/src/main/java/brambletray/tray/lap/Sample.java
@@ -6,10 +6,15 @@
 import java.util.List;
 import java.util.Map;
 
-/** The small configuration that the stand-in is tried with: a few services that get most of the requests, and more that get few. */
+/**
+ * The small configuration that the stand-in is tried with: a few services that get most of the requests, and more that
+ * get few.
+ */
 final class Sample {
     /** Of each kind. */
-    static final int BUSY = 2, RARE = 10;
+    static final int BUSY = 2;
+
+    static final int RARE = 10;
 
     static final String HOST = "sample.example";
 
--- a/src/main/java/brambletray/tray/lap/Seal.java
+++ b/src/main/java/brambletray/tray/lap/Seal.java
@@ -3,8 +3,9 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * The stand-in's {@code Brambletray-Response-Seal}: the host's id, a dot, and a hash of what was asked, as the host got it, and of what was answered.
- * So a client sees whether its request arrived unchanged and whether the answer is its own and whole.
+ * The stand-in's {@code Brambletray-Response-Seal}: the host's id, a dot, and a hash of what was asked, as the host got
+ * it, and of what was answered. So a client sees whether its request arrived unchanged and whether the answer is its
+ * own and whole.
  */
 final class Seal {
     private static final long OFFSET = 0xcbf29ce484222325L;
--- a/src/main/java/brambletray/tray/lap/Site.java
+++ b/src/main/java/brambletray/tray/lap/Site.java
@@ -6,18 +6,26 @@
 import java.util.List;
 
 /**
- * Which machines the stand-in has and what their processes are told: addresses from 127.0.0.2 on, the same ports on each, as the system asks
- * for (page DEPLOY, What a process is told).
+ * Which machines the stand-in has and what their processes are told: addresses from 127.0.0.2 on, the same ports on
+ * each, as the system asks for (page DEPLOY, What a process is told).
  */
 record Site(List<Place> places, Ports ports, Path dir) {
     /** The most of each: a view has up to nine members. */
-    static final int CORES = 9, EDGES = 16;
+    static final int CORES = 9;
+
+    static final int EDGES = 16;
     /** The zones in which machines and workers stand, in turn. */
     static final List<String> ZONES = List.of("east", "west");
     /** How far the platform's lists lag behind, ms, and the calls that it takes a second. */
-    static final int LAG_MS = 800, LISTS_PER_S = 26, DUTIES_PER_S = 50;
+    static final int LAG_MS = 800;
+
+    static final int LISTS_PER_S = 26;
+    static final int DUTIES_PER_S = 50;
     /** ms from draining until the end; s until an address is given again; s from SIGTERM to SIGKILL. */
-    static final int DRAIN_MS = 3_000, HOLD_S = 2, GRACE_S = 2;
+    static final int DRAIN_MS = 3_000;
+
+    static final int HOLD_S = 2;
+    static final int GRACE_S = 2;
 
     /** One machine and the program that runs on it; its name is the process's name. */
     record Place(String name, String program, String ip, String zone) {
--- a/src/main/java/brambletray/tray/lap/Town.java
+++ b/src/main/java/brambletray/tray/lap/Town.java
@@ -14,11 +14,16 @@
 final class Town {
     private static final long SEED = 11;
     /** MB of one worker; workers in each zone; ms of a request's work; sigma of boots. */
-    private static final int WORKER_MB = 2_048, WORKERS = 2, WORK_MS = 60;
+    private static final int WORKER_MB = 2_048;
+
+    private static final int WORKERS = 2;
+    private static final int WORK_MS = 60;
 
     private static final double BOOT_SPREAD = 0.2;
     /** Hosts on a page of the list; ms that one which crashed is still listed. */
-    private static final int PAGE = 50, SHOWN_MS = 2_500;
+    private static final int PAGE = 50;
+
+    private static final int SHOWN_MS = 2_500;
 
     private final Machine machine;
     private final StandDoor door;
--- a/src/main/java/brambletray/tray/lap/Up.java
+++ b/src/main/java/brambletray/tray/lap/Up.java
@@ -13,12 +13,14 @@
 import java.util.concurrent.locks.LockSupport;
 
 /**
- * Puts the whole system up on this machine, sends it a trickle of requests and shows second by second what becomes of them. Bounded in time; its
- * processes are ended by their handles.
+ * Puts the whole system up on this machine, sends it a trickle of requests and shows second by second what becomes of
+ * them. Bounded in time; its processes are ended by their handles.
  */
 public final class Up {
     /** ms for the processes to come up and take the configuration; for the last requests to end. */
-    private static final int START_MS = 40_000, REST_MS = 7_000;
+    private static final int START_MS = 40_000;
+
+    private static final int REST_MS = 7_000;
 
     private static final int CALL_MS = 5_000;
     private static final long SEED = 7;
@@ -50,7 +52,9 @@
         site.places().forEach(place -> children.add(new Child(site, place, this::tell)));
     }
 
-    /** Plays it; 0: all as it must be, 1: a request was answered wrongly or ran twice, or the system did not come up. */
+    /**
+     * Plays it; 0: all as it must be, 1: a request was answered wrongly or ran twice, or the system did not come up.
+     */
     public static int run(Plan plan, PrintStream out) {
         Up up = new Up(plan, out);
         Thread hook = new Thread(() -> {
--- a/src/main/java/brambletray/tray/lap/Visit.java
+++ b/src/main/java/brambletray/tray/lap/Visit.java
@@ -3,14 +3,19 @@
 import brambletray.tray.creed.Route;
 
 /**
- * One request of a client, with its tries (page PROTOCOL, Answers): repeatable ones are sent again after any failure, others only after a promise or
- * where no connection came up; Retry-After is kept to for up to a third of the time left. Pure; times are steady ms.
+ * One request of a client, with its tries (page PROTOCOL, Answers): repeatable ones are sent again after any failure,
+ * others only after a promise or where no connection came up; Retry-After is kept to for up to a third of the time
+ * left. Pure; times are steady ms.
  */
 final class Visit {
     /** Tries of one request. */
     static final int TRIES = 4;
-    /** ms: the pause where no Retry-After was given, which doubles; the least time left in which another try is of use. */
-    private static final int PAUSE = 50, LEAST = 100;
+    /**
+     * ms: the pause where no Retry-After was given, which doubles; the least time left in which another try is of use.
+     */
+    private static final int PAUSE = 50;
+
+    private static final int LEAST = 100;
 
     /** What becomes of it. */
     enum End {
@@ -22,7 +27,10 @@
 
     /** What is done for it. */
     interface Ways {
-        /** Sends a try; {@code turn} counts them from 0. One of {@code answered} and {@code broke} follows. Returns the try's id. */
+        /**
+         * Sends a try; {@code turn} counts them from 0. One of {@code answered} and {@code broke} follows. Returns the
+         * try's id.
+         */
         String send(Visit visit, int turn, int remainingMs);
 
         /** Calls {@link Visit#go} after so many ms. */
--- a/src/main/java/brambletray/tray/lap/Wires.java
+++ b/src/main/java/brambletray/tray/lap/Wires.java
@@ -25,7 +25,9 @@
 /** Connections of clients to edges: kept for a few requests one after another, or opened for one. For the loop only. */
 final class Wires {
     /** ms for a new connection to come up; for which an idle one is kept where the edge says nothing. */
-    private static final int CONNECT_MS = 1_000, KEPT_MS = 3_000;
+    private static final int CONNECT_MS = 1_000;
+
+    private static final int KEPT_MS = 3_000;
     /** Idle connections to one edge. */
     private static final int IDLE = 8;
 
--- a/src/main/java/brambletray/tray/news/Chunk.java
+++ b/src/main/java/brambletray/tray/news/Chunk.java
@@ -9,7 +9,10 @@
  * @param offset of these
  */
 public record Chunk(long term, long revision, long body, int size, int offset, byte[] bytes) {
-    /** Bytes of a chunk, but for the last: 33 ms of a link of 2 Mbit/s, which a heartbeat or a request may have to wait behind it. */
+    /**
+     * Bytes of a chunk, but for the last: 33 ms of a link of 2 Mbit/s, which a heartbeat or a request may have to wait
+     * behind it.
+     */
     public static final int BYTES = 8 << 10;
     /** Bytes of a transfer: the longest configuration, packed however badly. */
     static final int MOST = 9 << 20;
--- a/src/main/java/brambletray/tray/news/Fetch.java
+++ b/src/main/java/brambletray/tray/news/Fetch.java
@@ -1,8 +1,8 @@
 package brambletray.tray.news;
 
 /**
- * An edge asks the helm for a chunk of what it lacks of the configuration; it also says what it has, and does so alone when it has
- * just taken a version.
+ * An edge asks the helm for a chunk of what it lacks of the configuration; it also says what it has, and does so alone
+ * when it has just taken a version.
  *
  * @param revision that it serves by; 0: none
  * @param body the transfer that it goes on with; 0: a new one
--- a/src/main/java/brambletray/tray/news/Iam.java
+++ b/src/main/java/brambletray/tray/news/Iam.java
@@ -1,4 +1,7 @@
 package brambletray.tray.news;
 
-/** The first frame on a link: who dialled. {@code address}: where it listens for links; {@code keep}: a member of the core. */
+/**
+ * The first frame on a link: who dialled. {@code address}: where it listens for links; {@code keep}: a member of the
+ * core.
+ */
 public record Iam(String name, String address, boolean keep) {}
--- a/src/main/java/brambletray/tray/news/Publisher.java
+++ b/src/main/java/brambletray/tray/news/Publisher.java
@@ -8,16 +8,21 @@
 import java.util.Map;
 
 /**
- * The helm's side of how configurations reach edges: it answers each {@link Fetch} with one {@link Chunk}, of the difference from what
- * the edge has, or of a whole one where that isn't remembered. It keeps nothing about edges: who asks says where it is, so a transfer
- * goes on at any helm. Packed bodies are shared by all who need the same. Pure; for one thread.
+ * The helm's side of how configurations reach edges: it answers each {@link Fetch} with one {@link Chunk}, of the
+ * difference from what the edge has, or of a whole one where that isn't remembered. It keeps nothing about edges: who
+ * asks says where it is, so a transfer goes on at any helm. Packed bodies are shared by all who need the same. Pure;
+ * for one thread.
  */
 public final class Publisher {
-    /** Bodies that are kept, and bytes of them together; the least lately asked for go first, but never the last one. */
-    static final int BODIES = 256, BYTES = 8 << 20;
     /**
-     * A whole one is packed anew when what has changed since is more than this part of it: under many changes, those who need the whole
-     * share one, and take what has changed since on top.
+     * Bodies that are kept, and bytes of them together; the least lately asked for go first, but never the last one.
+     */
+    static final int BODIES = 256;
+
+    static final int BYTES = 8 << 20;
+    /**
+     * A whole one is packed anew when what has changed since is more than this part of it: under many changes, those
+     * who need the whole share one, and take what has changed since on top.
      */
     private static final int PART = 8;
 
--- a/src/main/java/brambletray/tray/news/RosterFetch.java
+++ b/src/main/java/brambletray/tray/news/RosterFetch.java
@@ -1,4 +1,6 @@
 package brambletray.tray.news;
 
-/** An edge asks the helm for its newest roster, as a pulse speaks of a later one than it has: one question at a time. */
+/**
+ * An edge asks the helm for its newest roster, as a pulse speaks of a later one than it has: one question at a time.
+ */
 public record RosterFetch(long term, long number) {}
--- a/src/main/java/brambletray/tray/news/Subscriber.java
+++ b/src/main/java/brambletray/tray/news/Subscriber.java
@@ -5,25 +5,33 @@
 import brambletray.tray.creed.Delta;
 
 /**
- * An edge's side of how configurations reach it: it fetches what it lacks, chunk after chunk, at the pace of its link. What has come
- * of a transfer is kept when the helm changes or the link ends, and the transfer goes on from there. It never goes back. Pure; times are
- * ms of a steady clock.
+ * An edge's side of how configurations reach it: it fetches what it lacks, chunk after chunk, at the pace of its link.
+ * What has come of a transfer is kept when the helm changes or the link ends, and the transfer goes on from there. It
+ * never goes back. Pure; times are ms of a steady clock.
  */
 public final class Subscriber {
-    /** Chunks that are asked for ahead, so that a link is never idle; more would only stand in front of heartbeats and requests. */
+    /**
+     * Chunks that are asked for ahead, so that a link is never idle; more would only stand in front of heartbeats and
+     * requests.
+     */
     static final int AHEAD = 2;
     /**
-     * ms without a chunk after which it is asked for again, doubled each time until one comes. A link that ends is asked anew at once; this is
-     * for a helm that kept silent as its lease was in doubt. What is asked twice comes twice, on a link that may be full already.
+     * ms without a chunk after which it is asked for again, doubled each time until one comes. A link that ends is
+     * asked anew at once; this is for a helm that kept silent as its lease was in doubt. What is asked twice comes
+     * twice, on a link that may be full already.
      */
-    static final int AGAIN = 500, LONGEST = 4_000;
+    static final int AGAIN = 500;
+
+    static final int LONGEST = 4_000;
 
     /** What comes out. */
     public interface Out {
         /** To the helm; lost where there is none. */
         void fetch(Fetch fetch);
 
-        /** Another configuration is in force here; {@code bytes} on the wire, in {@code ms} from the first question on. */
+        /**
+         * Another configuration is in force here; {@code bytes} on the wire, in {@code ms} from the first question on.
+         */
         void took(Creed creed, int bytes, long ms);
 
         /** What had come doesn't lead to what the helm has. */
--- a/src/main/java/brambletray/tray/ring/Census.java
+++ b/src/main/java/brambletray/tray/ring/Census.java
@@ -8,9 +8,9 @@
 
 /**
  * The hub's book of who lives among the edges. In comes who says {@link Hello}. Out goes who is suspected by two of the
- * others; or by all its watchers that live where that is one; or by one while its link to the hub is closed; or whose link
- * is closed and who was leaving or has nobody to watch it. A new hub begins with the newest roster that an edge tells it and
- * takes those that it hasn't heard as in for {@link #HOLD_MS}. Pure; times are ms of a steady clock.
+ * others; or by all its watchers that live where that is one; or by one while its link to the hub is closed; or whose
+ * link is closed and who was leaving or has nobody to watch it. A new hub begins with the newest roster that an edge
+ * tells it and takes those that it hasn't heard as in for {@link #HOLD_MS}. Pure; times are ms of a steady clock.
  */
 public final class Census {
     /** What comes out. */
@@ -21,11 +21,15 @@
 
     /** ms for which a new hub takes those as in that another roster lists and that it has not heard itself. */
     public static final int HOLD_MS = 2_000;
-    /** ms for which a new hub says no roster if nobody has told it one: the first to come may be one that knows none. */
+    /**
+     * ms for which a new hub says no roster if nobody has told it one: the first to come may be one that knows none.
+     */
     public static final int QUIET_MS = 300;
     /** ms between two ticks from which on the hub itself has slept: what was suspected may be old. */
     private static final int SLEPT_MS = 1_000;
-    /** ms for which one that was put out and lives after all is not put out on the watchers' word; doubles each time. */
+    /**
+     * ms for which one that was put out and lives after all is not put out on the watchers' word; doubles each time.
+     */
     private static final int PARDON_MS = 5_000;
 
     private static final int LONGEST_PARDON_MS = 60_000;
@@ -194,7 +198,10 @@
         });
     }
 
-    /** One that was put out by the watchers' word and lives after all: the path between them may be cut, and it shall not come and go. */
+    /**
+     * One that was put out by the watchers' word and lives after all: the path between them may be cut, and it shall
+     * not come and go.
+     */
     private void pardon(Entry entry, long now) {
         Pardon out = outs.get(entry.peer.name());
         if (out != null && out.life() == entry.peer.life()) {
@@ -202,7 +209,10 @@
         }
     }
 
-    /** Whether so much is known that a roster may be said: what an edge has spoken of was told, or nobody knew one for a while. */
+    /**
+     * Whether so much is known that a roster may be said: what an edge has spoken of was told, or nobody knew one for a
+     * while.
+     */
     private boolean ready(long now) {
         if (roster.number() > 0 || now >= holdUntil) {
             return true;
--- a/src/main/java/brambletray/tray/ring/Homes.java
+++ b/src/main/java/brambletray/tray/ring/Homes.java
@@ -9,8 +9,8 @@
 
 /**
  * Which peer is home of a service, in each zone, by one roster: the one with the highest hash of service and name among
- * those that are in (rendezvous hashing). So a change of the roster moves only services of those who came or went, and every
- * process that has the roster finds the same home. Answers are kept; a new roster begins a new one of these.
+ * those that are in (rendezvous hashing). So a change of the roster moves only services of those who came or went, and
+ * every process that has the roster finds the same home. Answers are kept; a new roster begins a new one of these.
  */
 public final class Homes {
     /** Answers that are kept at most, of each kind; what is asked beyond that is reckoned each time. */
@@ -66,7 +66,9 @@
         return keep(seat.homes(), service, seat.peers()[best]);
     }
 
-    /** The home and those that would be home without it, the next best first; {@code most} of them or as many as are in. */
+    /**
+     * The home and those that would be home without it, the next best first; {@code most} of them or as many as are in.
+     */
     public List<Peer> homes(String service, String zone, int most) {
         Seat seat = zones.get(zone);
         if (seat == null) {
@@ -85,7 +87,10 @@
         return best;
     }
 
-    /** The zone whose home lends a rare service to the others: found like a home, among the zones that have peers in; null if none has. */
+    /**
+     * The zone whose home lends a rare service to the others: found like a home, among the zones that have peers in;
+     * null if none has.
+     */
     public String rootZone(String service) {
         String known = roots.get(service);
         if (known != null) {
--- a/src/main/java/brambletray/tray/ring/Peer.java
+++ b/src/main/java/brambletray/tray/ring/Peer.java
@@ -1,8 +1,8 @@
 package brambletray.tray.ring;
 
 /**
- * One process among the edges. {@code address}: ip:port where the others reach it; {@code life}: another at each start of
- * the process; {@code state}: {@link #IN}, or {@link #LEAVING} once it winds up.
+ * One process among the edges. {@code address}: ip:port where the others reach it; {@code life}: another at each start
+ * of the process; {@code state}: {@link #IN}, or {@link #LEAVING} once it winds up.
  */
 public record Peer(String name, String zone, String address, long life, int state) {
     public static final int IN = 0;
--- a/src/main/java/brambletray/tray/ring/Ring.java
+++ b/src/main/java/brambletray/tray/ring/Ring.java
@@ -7,8 +7,9 @@
 import java.util.Map;
 
 /**
- * The peers of one roster in a circle, by the hash of their names: each is watched by the next three that are in. If those
- * are all of its own zone, the third is the next one of another zone, so that a zone that falls silent is seen from outside.
+ * The peers of one roster in a circle, by the hash of their names: each is watched by the next three that are in. If
+ * those are all of its own zone, the third is the next one of another zone, so that a zone that falls silent is seen
+ * from outside.
  */
 public final class Ring {
     /** What edges and hub say to each other about who lives. */
--- a/src/main/java/brambletray/tray/ring/Verdict.java
+++ b/src/main/java/brambletray/tray/ring/Verdict.java
@@ -58,8 +58,9 @@
     }
 
     /**
-     * The only watcher of a peer that lives, {@link #NOBODY} if there is none, or null if there are several. One that somebody
-     * suspects may be dead as well; the accuser's own word is no proof of that, as it may have lost touch with all of them.
+     * The only watcher of a peer that lives, {@link #NOBODY} if there is none, or null if there are several. One that
+     * somebody suspects may be dead as well; the accuser's own word is no proof of that, as it may have lost touch with
+     * all of them.
      */
     private String onlyLiving(String name, String accuser) {
         String only = NOBODY;
--- a/src/main/java/brambletray/tray/ring/Watch.java
+++ b/src/main/java/brambletray/tray/ring/Watch.java
@@ -26,7 +26,10 @@
 
     /** Intervals without a beat until a ward is suspected, in halves. */
     private static final int MISSED_HALVES = 7;
-    /** Intervals that a ward has beyond that for its first beat: it may learn of us later than we of it, and has to connect. */
+    /**
+     * Intervals that a ward has beyond that for its first beat: it may learn of us later than we of it, and has to
+     * connect.
+     */
     private static final int FIRST = 5;
     /** Intervals between two ticks from which on we have slept. */
     private static final int SLEPT = 3;
@@ -123,8 +126,8 @@
     }
 
     /**
-     * A hub has welcomed us: the next tick tells it what is suspected. But who misses all its wards, and was out of the hub's
-     * touch as well, doubts itself: it has been cut off rather than they, and waits anew.
+     * A hub has welcomed us: the next tick tells it what is suspected. But who misses all its wards, and was out of the
+     * hub's touch as well, doubts itself: it has been cut off rather than they, and waits anew.
      */
     public void hub() {
         boolean all = wards.size() > 1;
--- a/src/main/java/brambletray/tray/speech/Dialler.java
+++ b/src/main/java/brambletray/tray/speech/Dialler.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Keeps a link to one address: calls it, and calls again whenever the link ends, after pauses that grow from 50 ms to 1 s
- * and are shortened by up to a quarter, by the seed, so that many do not call in step. For the loop only.
+ * Keeps a link to one address: calls it, and calls again whenever the link ends, after pauses that grow from 50 ms to 1
+ * s and are shortened by up to a quarter, by the seed, so that many do not call in step. For the loop only.
  */
 public final class Dialler implements AutoCloseable {
     static final int FIRST_PAUSE_MS = 50;
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Someone says the other end is there: calls now, and the pauses begin anew. A call that began while its machine was away hangs until
-     * its packet is sent again, a second later; it is given up for a new one.
+     * Someone says the other end is there: calls now, and the pauses begin anew. A call that began while its machine
+     * was away hangs until its packet is sent again, a second later; it is given up for a new one.
      */
     public void hurry() {
         pauseMs = FIRST_PAUSE_MS;
--- a/src/main/java/brambletray/tray/speech/Listener.java
+++ b/src/main/java/brambletray/tray/speech/Listener.java
@@ -10,7 +10,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Takes in links at one address. An address that is still held by the process before us is tried again until it is free. */
+/**
+ * Takes in links at one address. An address that is still held by the process before us is tried again until it is
+ * free.
+ */
 public final class Listener implements AutoCloseable {
     /** Links at a time; who comes beyond that is closed at once. */
     static final int MOST = 1_024;
--- a/src/main/java/brambletray/tray/speech/Lists.java
+++ b/src/main/java/brambletray/tray/speech/Lists.java
@@ -9,7 +9,10 @@
 import java.util.Collections;
 import java.util.List;
 
-/** Lists of any make; they are read as lists that cannot be changed. Each element takes a byte at least, which bounds what a length may say. */
+/**
+ * Lists of any make; they are read as lists that cannot be changed. Each element takes a byte at least, which bounds
+ * what a length may say.
+ */
 final class Lists extends Serializer<List<?>> {
     @Override
     public void write(Kryo kryo, Output out, List<?> list) {
--- a/src/main/java/brambletray/tray/speech/Shape.java
+++ b/src/main/java/brambletray/tray/speech/Shape.java
@@ -11,8 +11,8 @@
 import java.lang.reflect.RecordComponent;
 
 /**
- * Records, component after component, each by a {@link Part} that is chosen once by its declared type. Three times faster
- * than Kryo's own way, which looks the type of every number up.
+ * Records, component after component, each by a {@link Part} that is chosen once by its declared type. Three times
+ * faster than Kryo's own way, which looks the type of every number up.
  */
 final class Shape<T> extends Serializer<T> {
     private final Method[] getters;
--- a/src/main/java/brambletray/tray/speech/Sockets.java
+++ b/src/main/java/brambletray/tray/speech/Sockets.java
@@ -54,7 +54,9 @@
         return BUFFERS;
     }
 
-    /** Sets what lets a connection notice that its other end is cut off or without power, where the transport knows how. */
+    /**
+     * Sets what lets a connection notice that its other end is cut off or without power, where the transport knows how.
+     */
     public static void watch(Channel channel) {
         if (channel instanceof EpollSocketChannel) {
             channel.config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
--- a/src/main/java/brambletray/tray/speech/Speech.java
+++ b/src/main/java/brambletray/tray/speech/Speech.java
@@ -9,8 +9,8 @@
 import java.util.List;
 
 /**
- * How frames are written: four bytes of length, then class and object as Kryo has them. Only classes that were registered
- * are written or read. One a process, for the loop only.
+ * How frames are written: four bytes of length, then class and object as Kryo has them. Only classes that were
+ * registered are written or read. One a process, for the loop only.
  */
 public final class Speech {
     /** Bytes of the longest frame, without its length. */
@@ -30,7 +30,10 @@
     private final Input in = new Input();
     private byte[] scratch = new byte[FIRST];
 
-    /** For frames of these classes, and those that their components name; every process lists the same in the same order. */
+    /**
+     * For frames of these classes, and those that their components name; every process lists the same in the same
+     * order.
+     */
     public Speech(List<List<Class<?>>> frames) {
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
@@ -49,7 +52,8 @@
     /**
      * Appends a frame; the buffer is unchanged if that fails.
      *
-     * @throws SpeechFault {@code speech.unwritable}, for a class that is not registered or a frame over {@link #LONGEST}
+     * @throws SpeechFault {@code speech.unwritable}, for a class that is not registered or a frame over
+     * {@link #LONGEST}
      */
     void write(Object frame, ByteBuf to) {
         out.reset();
--- a/src/main/java/brambletray/tray/stand/Ground.java
+++ b/src/main/java/brambletray/tray/stand/Ground.java
@@ -1,8 +1,8 @@
 package brambletray.tray.stand;
 
 /**
- * The platform's ways. {@code lagMs}: age of its lists; {@code listsPerS}, {@code dutiesPerS}: calls accepted a second; {@code page}: hosts on a
- * page; {@code drainMs}: from draining until the end; {@code holdMs}: until an address is given again; {@code shownMs}: how long a host that
- * crashed is still listed.
+ * The platform's ways. {@code lagMs}: age of its lists; {@code listsPerS}, {@code dutiesPerS}: calls accepted a second;
+ * {@code page}: hosts on a page; {@code drainMs}: from draining until the end; {@code holdMs}: until an address is
+ * given again; {@code shownMs}: how long a host that crashed is still listed.
  */
 public record Ground(int lagMs, double listsPerS, double dutiesPerS, int page, int drainMs, int holdMs, int shownMs) {}
