--- a/src/main/java/brambletray/tray/stand/Kind.java
+++ b/src/main/java/brambletray/tray/stand/Kind.java
@@ -1,4 +1,7 @@
 package brambletray.tray.stand;
 
-/** A service as the platform knows it: MB of a host, mean ms of its start, and how far starts spread (sigma of a log-normal; 0: all alike). */
+/**
+ * A service as the platform knows it: MB of a host, mean ms of its start, and how far starts spread (sigma of a
+ * log-normal; 0: all alike).
+ */
 public record Kind(int memoryMb, int bootMs, double spread) {}
--- a/src/main/java/brambletray/tray/stand/Stand.java
+++ b/src/main/java/brambletray/tray/stand/Stand.java
@@ -14,8 +14,8 @@
 import java.util.function.IntFunction;
 
 /**
- * The platform as its protocol describes it. Every method takes the time, ms, which never goes back; whoever wants a network with delays,
- * lost answers or silence puts it in between.
+ * The platform as its protocol describes it. Every method takes the time, ms, which never goes back; whoever wants a
+ * network with delays, lost answers or silence puts it in between.
  */
 public final class Stand {
     /** ms after which a host that has ended is forgotten. */
@@ -113,7 +113,10 @@
         return Result.OK;
     }
 
-    /** {@code GET /instances}; {@code token} null: the first page. A page may start anew where hosts have ended meanwhile. */
+    /**
+     * {@code GET /instances}; {@code token} null: the first page. A page may start anew where hosts have ended
+     * meanwhile.
+     */
     public Page list(String token, long now) {
         if (!lists.pass(now)) {
             return new Page(null, null);
--- a/src/main/java/brambletray/tray/tale/Tale.java
+++ b/src/main/java/brambletray/tray/tale/Tale.java
@@ -3,8 +3,9 @@
 import org.jboss.logging.Logger;
 
 /**
- * Log lines that say why: one JSON object a line, through JBoss Logging. {@code Tale.of("view").tell("installed", "view", 7, "why", "...")}.
- * Rare at the ordinary pace, complete around a change. {@link Tales#begin} says where they go.
+ * Log lines that say why: one JSON object a line, through JBoss Logging.
+ * {@code Tale.of("view").tell("installed", "view", 7, "why", "...")}. Rare at the ordinary pace, complete around a
+ * change. {@link Tales#begin} says where they go.
  */
 public final class Tale {
     static {
--- a/src/main/java/brambletray/tray/tale/TaleHandler.java
+++ b/src/main/java/brambletray/tray/tale/TaleHandler.java
@@ -15,7 +15,9 @@
 
 /** Prints each record as one JSON object on one line, at most {@value #MOST} of one event in {@value #SPAN} ms. */
 final class TaleHandler extends Handler {
-    /** Lines of one event in a span; the rest are counted into one line, which comes with the first line after the span. */
+    /**
+     * Lines of one event in a span; the rest are counted into one line, which comes with the first line after the span.
+     */
     static final int MOST = 20;
     /** ms. */
     static final int SPAN = 1_000;
--- a/src/main/java/brambletray/tray/tale/Tales.java
+++ b/src/main/java/brambletray/tray/tale/Tales.java
@@ -33,7 +33,10 @@
         root.setLevel(level);
     }
 
-    /** JBoss Logging over java.util.logging, which reads no file: looking for other back-ends and parsing the usual file cost time at each start. */
+    /**
+     * JBoss Logging over java.util.logging, which reads no file: looking for other back-ends and parsing the usual file
+     * cost time at each start.
+     */
     static void provide() {
         System.setProperty("org.jboss.logging.provider", "jdk");
         if (System.getProperty("java.util.logging.config.class") == null
--- a/src/main/java/brambletray/tray/trove/Mend.java
+++ b/src/main/java/brambletray/tray/trove/Mend.java
@@ -7,13 +7,13 @@
 import java.util.List;
 
 /**
- * Finds where commits end on a tape, by its bytes alone, and cuts off what lies behind one. Xodus has no sums in its log: it
- * takes any last root that reads like one, even if bytes before it never reached the disk. So a commit that was being synced
- * when the power went can look whole; {@link Vault} checks what is in it, and has this cut it off.
+ * Finds where commits end on a tape, by its bytes alone, and cuts off what lies behind one. Xodus has no sums in its
+ * log: it takes any last root that reads like one, even if bytes before it never reached the disk. So a commit that was
+ * being synced when the power went can look whole; {@link Vault} checks what is in it, and has this cut it off.
  *
- * <p>A log is a row of items: a byte of type (its highest bit turned), a number of a structure, a length, and so many bytes;
- * numbers have seven bits a byte, lowest first, the last byte marked. A zero type is padding of one byte. A root (type 1)
- * ends each commit and holds three numbers, the third the sum of the others and 199.
+ * <p>A log is a row of items: a byte of type (its highest bit turned), a number of a structure, a length, and so many
+ * bytes; numbers have seven bits a byte, lowest first, the last byte marked. A zero type is padding of one byte. A root
+ * (type 1) ends each commit and holds three numbers, the third the sum of the others and 199.
  */
 final class Mend {
     private static final int TURN = 0x80;
--- a/src/main/java/brambletray/tray/trove/Opening.java
+++ b/src/main/java/brambletray/tray/trove/Opening.java
@@ -4,7 +4,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** What is done before a store can be read: finds the generation that counts, or begins the first, and cuts off what is torn. */
+/**
+ * What is done before a store can be read: finds the generation that counts, or begins the first, and cuts off what is
+ * torn.
+ */
 final class Opening {
     /** There once a store has been made here: from then on what can't be read was lost, and not just not begun. */
     static final String BORN = "trove";
@@ -81,9 +84,9 @@
     }
 
     /**
-     * Makes durable what has just been read. After a kill, a commit that had not returned may be read although it was never
-     * synced, and files may stand under names that were not: who opens acts on both, so a loss of power must not take them
-     * back. What lies before {@code from}, the end of the commit before, had returned and is durable already.
+     * Makes durable what has just been read. After a kill, a commit that had not returned may be read although it was
+     * never synced, and files may stand under names that were not: who opens acts on both, so a loss of power must not
+     * take them back. What lies before {@code from}, the end of the commit before, had returned and is durable already.
      */
     private void settle(Tape tape, long from) throws IOException {
         for (long file : tape.addresses()) {
--- a/src/main/java/brambletray/tray/trove/Pieces.java
+++ b/src/main/java/brambletray/tray/trove/Pieces.java
@@ -8,7 +8,10 @@
 import jetbrains.exodus.env.Store;
 import jetbrains.exodus.env.Transaction;
 
-/** How keys and values lie in a store: a value that is long is cut into pieces, as none may be longer than a file of the log. */
+/**
+ * How keys and values lie in a store: a value that is long is cut into pieces, as none may be longer than a file of the
+ * log.
+ */
 final class Pieces {
     /** What the keys of values begin with; those of their further pieces begin with another. */
     static final byte HEAD = 'k';
--- a/src/main/java/brambletray/tray/trove/Platter.java
+++ b/src/main/java/brambletray/tray/trove/Platter.java
@@ -37,6 +37,8 @@
     /** On return all that is in a file stays, whatever happens; not the file's name, if that is new. */
     void sync(String name) throws IOException;
 
-    /** On return all files that were made or removed are so, whatever happens; until then each may come or go by itself. */
+    /**
+     * On return all files that were made or removed are so, whatever happens; until then each may come or go by itself.
+     */
     void sync() throws IOException;
 }
--- a/src/main/java/brambletray/tray/trove/Scribe.java
+++ b/src/main/java/brambletray/tray/trove/Scribe.java
@@ -8,8 +8,9 @@
 import java.util.concurrent.Executor;
 
 /**
- * Writes for the loop, on a thread of its own: all that waits goes into one durable commit, in order; of several changes of
- * one key only the last is written. Who asked hears on the loop, in the order of asking. A failed commit is not tried again.
+ * Writes for the loop, on a thread of its own: all that waits goes into one durable commit, in order; of several
+ * changes of one key only the last is written. Who asked hears on the loop, in the order of asking. A failed commit is
+ * not tried again.
  */
 public final class Scribe implements AutoCloseable, DurableStore {
     /** What is written to; {@link Trove#commit}, or a stand-in. */
@@ -51,7 +52,10 @@
         thread.start();
     }
 
-    /** Without a thread, for simulated time: {@code due} is called whenever something has come to wait, {@link #batch} takes it. */
+    /**
+     * Without a thread, for simulated time: {@code due} is called whenever something has come to wait, {@link #batch}
+     * takes it.
+     */
     Scribe(Disk disk, Executor loop, Runnable due) {
         this.disk = disk;
         this.loop = loop;
@@ -126,7 +130,10 @@
         }
     }
 
-    /** All that waits, taken as the thread would take it: the rest, to be run once, writes it and replies. Null: nothing waits. */
+    /**
+     * All that waits, taken as the thread would take it: the rest, to be run once, writes it and replies. Null: nothing
+     * waits.
+     */
     synchronized Runnable batch() {
         if (waiting.isEmpty()) {
             return null;
--- a/src/main/java/brambletray/tray/trove/Seal.java
+++ b/src/main/java/brambletray/tray/trove/Seal.java
@@ -4,8 +4,8 @@
 import java.util.zip.CRC32C;
 
 /**
- * What each commit says of the whole store: the format, the number of the commit, and count and sum of all that is in it. A
- * store whose entries do not add up to its seal is torn.
+ * What each commit says of the whole store: the format, the number of the commit, and count and sum of all that is in
+ * it. A store whose entries do not add up to its seal is torn.
  */
 record Seal(long commit, int count, long sum) {
     static final int FORMAT = 1;
--- a/src/main/java/brambletray/tray/trove/Tape.java
+++ b/src/main/java/brambletray/tray/trove/Tape.java
@@ -11,8 +11,8 @@
 import jetbrains.exodus.io.RemoveBlockType;
 
 /**
- * One generation of a store: the files that Xodus' log is written to and read from, named by generation and address. In the
- * place of Xodus' own files, which lock, look at the machine's beans and never sync the folder after a removal.
+ * One generation of a store: the files that Xodus' log is written to and read from, named by generation and address. In
+ * the place of Xodus' own files, which lock, look at the machine's beans and never sync the folder after a removal.
  */
 final class Tape extends AbstractDataWriter implements DataReader {
     /** Bytes of a file; all but the newest have just that length. */
--- a/src/main/java/brambletray/tray/trove/Trove.java
+++ b/src/main/java/brambletray/tray/trove/Trove.java
@@ -12,8 +12,8 @@
  * {@link #commit} has returned for is there after any kill or loss of power. One thread commits; any may read.
  *
  * <p>The files are of one generation, and grow with each commit. Once they hold much more than what is in force,
- * {@link #tidy} writes that into a new generation and removes the old one before any other commit. So where two generations
- * are found, nothing was kept in the newer one alone, and if that is torn the older one is whole.
+ * {@link #tidy} writes that into a new generation and removes the old one before any other commit. So where two
+ * generations are found, nothing was kept in the newer one alone, and if that is torn the older one is whole.
  */
 public final class Trove implements AutoCloseable, Scribe.Disk {
     /** Bytes of a key's UTF-8, and of a value. */
@@ -48,10 +48,11 @@
     }
 
     /**
-     * Opens what is in this folder, or begins it. The last commit that had not returned when the process or the power went
-     * may be there or not.
+     * Opens what is in this folder, or begins it. The last commit that had not returned when the process or the power
+     * went may be there or not.
      *
-     * @throws TroveFault {@code trove.broken}: something is there but no whole store, as if the disk were lost (the caller
+     * @throws TroveFault {@code trove.broken}: something is there but no whole store, as if the disk were lost (the
+     * caller
      *     may {@link #abandon} it); {@code trove.format}; {@code trove.refused} and {@code trove.full}: the disk is in
      *     trouble, and a later try may do
      */
@@ -111,7 +112,8 @@
     /**
      * Makes these changes, in this order, all or none; durable on return.
      *
-     * @throws TroveFault {@code trove.full}, {@code trove.refused}: not made, unless the process ends before the next call;
+     * @throws TroveFault {@code trove.full}, {@code trove.refused}: not made, unless the process ends before the next
+     * call;
      *     that one may do. {@code trove.too-long}: nothing was done
      */
     @Override
@@ -140,8 +142,8 @@
     }
 
     /**
-     * If the files hold much more than what is in force: begins a new generation. To be called between commits, where a pause
-     * hurts least; a commit does it itself once there is twice as much.
+     * If the files hold much more than what is in force: begins a new generation. To be called between commits, where a
+     * pause hurts least; a commit does it itself once there is twice as much.
      */
     @Override
     public void tidy() {
@@ -187,7 +189,10 @@
         }
     }
 
-    /** After a failure: what was left of it is cut off, and the store opened again where the last commit that returned ends. */
+    /**
+     * After a failure: what was left of it is cut off, and the store opened again where the last commit that returned
+     * ends.
+     */
     private void heal() throws IOException {
         if (closed) {
             throw new TroveFault("trove.closed", "the store is closed", null);
--- a/src/main/java/brambletray/tray/trove/TroveFault.java
+++ b/src/main/java/brambletray/tray/trove/TroveFault.java
@@ -3,10 +3,10 @@
 import brambletray.tray.fault.Fault;
 
 /**
- * What a disk did not do: {@code trove.full} (no room: what was there stays there, a later commit may do, and until one has, reads may
- * fail), {@code trove.refused} (the disk refuses to write or read: the same), {@code trove.broken} (what is on the disk is no whole
- * store, not even one commit back: as if the disk were lost), {@code trove.format} (a store of another format),
- * {@code trove.closed}.
+ * What a disk did not do: {@code trove.full} (no room: what was there stays there, a later commit may do, and until one
+ * has, reads may fail), {@code trove.refused} (the disk refuses to write or read: the same), {@code trove.broken} (what
+ * is on the disk is no whole store, not even one commit back: as if the disk were lost), {@code trove.format} (a store
+ * of another format), {@code trove.closed}.
  */
 public final class TroveFault extends Fault {
     private static final long serialVersionUID = 1L;
--- a/src/main/java/brambletray/tray/verb/Configuration.java
+++ b/src/main/java/brambletray/tray/verb/Configuration.java
@@ -38,7 +38,9 @@
 
     /** Delivers a whole one, or a change. */
     static final class Deliver extends Remote {
-        private static final int INVALID = 400, TOO_LARGE = 413, UNFIT = 422;
+        private static final int INVALID = 400;
+        private static final int TOO_LARGE = 413;
+        private static final int UNFIT = 422;
 
         private final String verb;
 
--- a/src/main/java/brambletray/tray/verb/Programs.java
+++ b/src/main/java/brambletray/tray/verb/Programs.java
@@ -13,13 +13,16 @@
 import java.util.concurrent.locks.LockSupport;
 import org.jboss.logging.Logger;
 
-/** Starts one of the system's programs with the settings file that the environment names; 2 and one line on standard error where it cannot. */
+/**
+ * Starts one of the system's programs with the settings file that the environment names; 2 and one line on standard
+ * error where it cannot.
+ */
 public final class Programs {
     private Programs() {}
 
     /**
-     * {@code system VERB ...}, {@code args} as they came: the programs are started here, with no class of the command line loaded; all else is up to
-     * {@link Verbs}. Returns the exit code.
+     * {@code system VERB ...}, {@code args} as they came: the programs are started here, with no class of the command
+     * line loaded; all else is up to {@link Verbs}. Returns the exit code.
      */
     public static int system(String[] args, PrintStream out, PrintStream err) {
         if (args.length == 2 && (args[1].equals("keep") || args[1].equals("carry"))) {
--- a/src/main/java/brambletray/tray/verb/Verbs.java
+++ b/src/main/java/brambletray/tray/verb/Verbs.java
@@ -13,8 +13,8 @@
 import org.kohsuke.args4j.ParserProperties;
 
 /**
- * {@code system VERB ...}: one table of verbs, each read by args4j. Exit codes: 0 all well, 1 a verdict that is not, 2 bad input, with one line on
- * standard error that says what was expected.
+ * {@code system VERB ...}: one table of verbs, each read by args4j. Exit codes: 0 all well, 1 a verdict that is not, 2
+ * bad input, with one line on standard error that says what was expected.
  */
 final class Verbs {
     private static final int WIDTH = 110;
--- a/src/main/java/brambletray/tray/view/Answers.java
+++ b/src/main/java/brambletray/tray/view/Answers.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * What was told in one attempt to change the view, this member's own answer first: which view counts, who has to be asked, whether that is
- * enough.
+ * What was told in one attempt to change the view, this member's own answer first: which view counts, who has to be
+ * asked, whether that is enough.
  */
 final class Answers {
     final List<Frame.Told> all;
@@ -23,20 +23,26 @@
         View latest = all.get(0).view();
         dead = new HashSet<>(all.get(0).dead());
         for (Frame.Told told : all) {
-            if (told.view().ballot().above(latest.ballot())) latest = told.view();
+            if (told.view().ballot().above(latest.ballot())) {
+                latest = told.view();
+            }
             dead.retainAll(told.dead());
         }
         top = latest;
         chain = new ArrayList<>();
         for (Roll roll : top.chain(false)) {
             chain.add(roll);
-            if (known(roll.ballot())) break;
+            if (known(roll.ballot())) {
+                break;
+            }
         }
     }
 
     private boolean known(Ballot view) {
         for (Frame.Told told : all) {
-            if (told.inForce() && told.view().ballot().equals(view)) return true;
+            if (told.inForce() && told.view().ballot().equals(view)) {
+                return true;
+            }
         }
         return view.equals(Ballot.NONE);
     }
@@ -45,14 +51,21 @@
         return enough(all);
     }
 
-    /** Whether these of the answers are enough for every one of the views. Who has kept nothing yet is none of the founders, whatever its address. */
+    /**
+     * Whether these of the answers are enough for every one of the views. Who has kept nothing yet is none of the
+     * founders, whatever its address.
+     */
     boolean enough(List<Frame.Told> some) {
         for (Roll roll : chain) {
             List<Member> answered = new ArrayList<>();
             for (Frame.Told told : some) {
-                if (!roll.ballot().equals(Ballot.NONE) || !told.view().equals(View.NOTHING)) answered.add(told.me());
+                if (!roll.ballot().equals(Ballot.NONE) || !told.view().equals(View.NOTHING)) {
+                    answered.add(told.me());
+                }
+            }
+            if (!Quorum.enough(roll.members(), answered, dead)) {
+                return false;
             }
-            if (!Quorum.enough(roll.members(), answered, dead)) return false;
         }
         return true;
     }
@@ -61,8 +74,9 @@
     Frame.Told longest() {
         Frame.Told longest = null;
         for (Frame.Told told : all) {
-            if (told.view().ballot().equals(top.ballot()) && (longest == null || told.end() > longest.end()))
+            if (told.view().ballot().equals(top.ballot()) && (longest == null || told.end() > longest.end())) {
                 longest = told;
+            }
         }
         return longest;
     }
@@ -70,31 +84,39 @@
     /** Answer of this life, or null. */
     Frame.Told of(long life) {
         for (Frame.Told told : all) {
-            if (told.me().life() == life) return told;
+            if (told.me().life() == life) {
+                return told;
+            }
         }
         return null;
     }
 
     boolean heard(String address) {
         for (Frame.Told told : all) {
-            if (told.me().address().equals(address)) return true;
+            if (told.me().address().equals(address)) {
+                return true;
+            }
         }
         return false;
     }
 
     /**
-     * Who of them is to be in the next view: members of any of the views, without the ill and the shunned if the rest is enough. The
-     * proposer is always in; it gets the log like a newcomer if it was in none of them.
+     * Who of them is to be in the next view: members of any of the views, without the ill and the shunned if the rest
+     * is enough. The proposer is always in; it gets the log like a newcomer if it was in none of them.
      */
     List<Member> next(Set<Long> shunned, Tolerance tolerance) {
         List<Frame.Told> everyone = new ArrayList<>();
         everyone.add(all.get(0));
         for (Frame.Told told : all) {
-            if (!everyone.contains(told) && isIn(told)) everyone.add(told);
+            if (!everyone.contains(told) && isIn(told)) {
+                everyone.add(told);
+            }
         }
         List<Frame.Told> well = new ArrayList<>();
         for (Frame.Told told : everyone) {
-            if (!told.ill() && !shunned.contains(told.me().life())) well.add(told);
+            if (!told.ill() && !shunned.contains(told.me().life())) {
+                well.add(told);
+            }
         }
         List<Member> all = members(everyone);
         List<Member> some = members(well);
@@ -105,7 +127,9 @@
 
     private static List<Member> members(List<Frame.Told> tolds) {
         List<Member> members = new ArrayList<>();
-        for (Frame.Told told : tolds) members.add(told.me());
+        for (Frame.Told told : tolds) {
+            members.add(told.me());
+        }
         return members;
     }
 
@@ -116,7 +140,9 @@
                         ? member.life() == told.me().life()
                         : member.address().equals(told.me().address())
                                 && !told.view().equals(View.NOTHING);
-                if (same) return true;
+                if (same) {
+                    return true;
+                }
             }
         }
         return false;
@@ -127,7 +153,9 @@
         List<Roll> some = new ArrayList<>();
         Set<Set<Member>> sets = new HashSet<>();
         for (Roll roll : chain) {
-            if (sets.add(new HashSet<>(roll.members()))) some.add(roll);
+            if (sets.add(new HashSet<>(roll.members()))) {
+                some.add(roll);
+            }
         }
         return some;
     }
--- a/src/main/java/brambletray/tray/view/Ballot.java
+++ b/src/main/java/brambletray/tray/view/Ballot.java
@@ -1,8 +1,8 @@
 package brambletray.tray.view;
 
 /**
- * Number of an attempt to change the view, and the name of the view that it installs. Ordered by number, then by the life of the member that
- * counts it, so no two attempts are equal.
+ * Number of an attempt to change the view, and the name of the view that it installs. Ordered by number, then by the
+ * life of the member that counts it, so no two attempts are equal.
  *
  * @param number grows; the number of the view in status, logs and terms
  * @param who    life of the member that makes the attempt and leads the view that comes of it
--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/tray/view/Changing.java
@@ -8,14 +8,17 @@
 import java.util.Set;
 
 /**
- * One attempt to change the view, at the member that begins it: ask, promise, fetch the longest log, install. It ends with a view in force that this
- * member leads, or is given up for a higher ballot.
+ * One attempt to change the view, at the member that begins it: ask, promise, fetch the longest log, install. It ends
+ * with a view in force that this member leads, or is given up for a higher ballot.
  */
 final class Changing {
     private static final int AGAIN_MS = 100;
     /** Fetching goes on while pieces come, but not longer than this: on a link of 2 Mbit/s enough for 7 MB. */
     private static final int FETCH_MS = 30_000;
-    /** Silence after which a member that fetches the new view's log isn't waited for: longer than its disk may take for the last piece. */
+    /**
+     * Silence after which a member that fetches the new view's log isn't waited for: longer than its disk may take for
+     * the last piece.
+     */
     private static final int PULLED_MS = 2000;
 
     private static final int MOST_PAST = 64;
@@ -93,7 +96,9 @@
     private void ask(View view) {
         for (Roll roll : view.chain(view == desk.view && desk.inForce)) {
             for (Member member : roll.members()) {
-                if (!member.address().equals(desk.me.address())) asked.putIfAbsent(member.address(), member);
+                if (!member.address().equals(desk.me.address())) {
+                    asked.putIfAbsent(member.address(), member);
+                }
             }
         }
     }
@@ -102,13 +107,17 @@
         askedAt = desk.now;
         Answers now = answers();
         for (String address : asked.keySet()) {
-            if (!now.heard(address)) desk.out.send(address, new Frame.Stop(ballot, desk.me, List.copyOf(desk.dead)));
+            if (!now.heard(address)) {
+                desk.out.send(address, new Frame.Stop(ballot, desk.me, List.copyOf(desk.dead)));
+            }
         }
     }
 
     void told(Frame.Told told) {
         boolean open = phase == Phase.ASKING || phase == Phase.PROMISING;
-        if (!open || !told.ballot().equals(ballot) || told.me().life() == desk.me.life()) return;
+        if (!open || !told.ballot().equals(ballot) || told.me().life() == desk.me.life()) {
+            return;
+        }
         if (tolds.put(told.me().life(), told) == null) {
             desk.out.tell(
                     "view.told",
@@ -127,20 +136,27 @@
         }
         int before = asked.size();
         ask(told.view());
-        if (desk.bury(told.dead()) || asked.size() > before) stop();
+        if (desk.bury(told.dead()) || asked.size() > before) {
+            stop();
+        }
         weigh();
     }
 
     void nay(Frame.Nay nay, String from) {
-        if (!nay.ballot().equals(ballot)) return;
+        if (!nay.ballot().equals(ballot)) {
+            return;
+        }
         desk.seen = Math.max(desk.seen, nay.promised().number());
         if (nay.promised().above(ballot) || nay.promised().number() >= ballot.number() && !nay.calm()) {
             members.drop("promised " + nay.promised(), (long) (1 + members.rank()) * desk.set.staggerMs());
         } else if (nay.calm()) {
             Member who = asked.get(from);
-            if (who != null) calm.add(who.life());
-            if (phase == Phase.ASKING && 2 * calm.size() >= desk.view.members().size())
+            if (who != null) {
+                calm.add(who.life());
+            }
+            if (phase == Phase.ASKING && 2 * calm.size() >= desk.view.members().size()) {
                 members.drop("the leader is well", desk.set.silentMs());
+            }
         }
     }
 
@@ -159,25 +175,36 @@
             enoughAt = -1;
             return;
         }
-        if (enoughAt < 0) enoughAt = desk.now;
-        if (phase == Phase.PROMISING) return;
+        if (enoughAt < 0) {
+            enoughAt = desk.now;
+        }
+        if (phase == Phase.PROMISING) {
+            return;
+        }
         int wait = now.top.founding()
                 ? desk.set.foundMs()
                 : members.fresh() ? 3 * desk.set.gatherMs() : desk.set.gatherMs();
-        if (desk.now - enoughAt < wait && missing(now)) return;
+        if (desk.now - enoughAt < wait && missing(now)) {
+            return;
+        }
         phase = Phase.PROMISING;
         phaseAt = desk.now;
         members.stopLeading();
         desk.promise(ballot);
         desk.quill.then(() -> {
-            if (members.changing() == this && desk.promised.equals(ballot)) choose();
+            if (members.changing() == this && desk.promised.equals(ballot)) {
+                choose();
+            }
         });
     }
 
     private boolean missing(Answers now) {
         for (Member member : asked.values()) {
-            if (!now.heard(member.address()) && !doubted.contains(member.life()) && !desk.dead.contains(member.life()))
+            if (!now.heard(member.address())
+                    && !doubted.contains(member.life())
+                    && !desk.dead.contains(member.life())) {
                 return true;
+            }
         }
         return false;
     }
@@ -201,15 +228,20 @@
     }
 
     void piece(Frame.Piece piece) {
-        if (phase != Phase.FETCHING || !transfer.piece(piece)) return;
+        if (phase != Phase.FETCHING || !transfer.piece(piece)) {
+            return;
+        }
         Log fetched = transfer.log();
         Frame.Told longest = chosen.longest();
         // who told may have gone on to a higher ballot, and its log with it
         boolean same = fetched != null
                 && fetched.end() == longest.end()
                 && fetched.endView().equals(longest.endView());
-        if (same) install(fetched);
-        else members.drop("log can't be fetched", desk.set.staggerMs());
+        if (same) {
+            install(fetched);
+        } else {
+            members.drop("log can't be fetched", desk.set.staggerMs());
+        }
     }
 
     private void install(Log log) {
@@ -223,7 +255,9 @@
             if (free
                     && near
                     && in.size() < Settings.MOST
-                    && !desk.dead.contains(knock.me().life())) in.add(knock.me());
+                    && !desk.dead.contains(knock.me().life())) {
+                in.add(knock.me());
+            }
         }
         List<Roll> past = chosen.past();
         if (past.size() > MOST_PAST) {
@@ -245,26 +279,37 @@
                 "from",
                 chosen.top.ballot());
         say();
-        if (next.members().size() == 1) keep();
+        if (next.members().size() == 1) {
+            keep();
+        }
     }
 
-    /** All others have kept it. This member comes last: while it hasn't, the view can't be in force, and an attempt that fails binds nobody to it. */
+    /**
+     * All others have kept it. This member comes last: while it hasn't, the view can't be in force, and an attempt that
+     * fails binds nobody to it.
+     */
     private void keep() {
-        if (desk.view.ballot().equals(ballot)) return;
+        if (desk.view.ballot().equals(ballot)) {
+            return;
+        }
         if (!desk.accept(next, base)) {
             members.drop("trim behind what is kept", desk.set.silentMs());
             return;
         }
         members.accepted();
         desk.quill.then(() -> {
-            if (members.changing() == this && desk.works(ballot)) installed(desk.me.life());
+            if (members.changing() == this && desk.works(ballot)) {
+                installed(desk.me.life());
+            }
         });
     }
 
     private void say() {
         askedAt = desk.now;
         for (Member member : next.members()) {
-            if (member.life() == desk.me.life() || installed.contains(member.life())) continue;
+            if (member.life() == desk.me.life() || installed.contains(member.life())) {
+                continue;
+            }
             Frame.Told told = chosen.of(member.life());
             Frame.Knock knock = newcomers.get(member.life());
             Patch patch = told != null
@@ -279,43 +324,62 @@
 
     /** The log of the view of this name, which a member fetches in pieces; null if it isn't being installed. */
     Log offered(Ballot view) {
-        if (phase != Phase.INSTALLING || !ballot.equals(view)) return null;
+        if (phase != Phase.INSTALLING || !ballot.equals(view)) {
+            return null;
+        }
         pulledAt = desk.now;
         return base;
     }
 
     void installed(long life) {
-        if (phase != Phase.INSTALLING || !next.has(life) || !installed.add(life)) return;
-        if (installed.size() == next.members().size() - 1 && !installed.contains(desk.me.life())) keep();
-        if (installed.size() < next.members().size()) return;
+        if (phase != Phase.INSTALLING || !next.has(life) || !installed.add(life)) {
+            return;
+        }
+        if (installed.size() == next.members().size() - 1 && !installed.contains(desk.me.life())) {
+            keep();
+        }
+        if (installed.size() < next.members().size()) {
+            return;
+        }
         List<String> out = new ArrayList<>();
         for (Member member : asked.values()) {
-            if (next.at(member.address()) == null) out.add(member.address());
+            if (next.at(member.address()) == null) {
+                out.add(member.address());
+            }
         }
         desk.out.tell("view.installed", "ballot", ballot, "ms", desk.now - since);
         members.lead(out);
     }
 
     void unfit(long life) {
-        if (phase == Phase.INSTALLING && next.has(life))
+        if (phase == Phase.INSTALLING && next.has(life)) {
             members.again(Set.of(life), "patch of " + Long.toHexString(life) + " doesn't fit");
+        }
     }
 
     void tick() {
         switch (phase) {
             case ASKING, PROMISING -> {
-                if (desk.now - askedAt >= AGAIN_MS) stop();
-                if (phase == Phase.ASKING) weigh();
+                if (desk.now - askedAt >= AGAIN_MS) {
+                    stop();
+                }
+                if (phase == Phase.ASKING) {
+                    weigh();
+                }
             }
             case FETCHING -> {
-                if (transfer.failed() || desk.now - phaseAt > FETCH_MS)
+                if (transfer.failed() || desk.now - phaseAt > FETCH_MS) {
                     members.drop("log isn't fetched in time", desk.set.staggerMs());
-                else transfer.tick();
+                } else {
+                    transfer.tick();
+                }
             }
             default -> {
                 if (desk.now - phaseAt > desk.set.installMs() && (spared() || desk.now - pulledAt > PULLED_MS)) {
                     members.again(absent(), "not kept by all in time");
-                } else if (desk.now - askedAt >= 2 * AGAIN_MS) say();
+                } else if (desk.now - askedAt >= 2 * AGAIN_MS) {
+                    say();
+                }
             }
         }
     }
@@ -332,7 +396,9 @@
     private Set<Long> absent() {
         Set<Long> absent = new HashSet<>();
         for (Member member : next.members()) {
-            if (!installed.contains(member.life())) absent.add(member.life());
+            if (!installed.contains(member.life())) {
+                absent.add(member.life());
+            }
         }
         absent.remove(desk.me.life());
         return absent;
--- a/src/main/java/brambletray/tray/view/Codec.java
+++ b/src/main/java/brambletray/tray/view/Codec.java
@@ -83,8 +83,9 @@
         boolean zones = !(in instanceof Input input) || input.form > 1;
         int count = in.readInt();
         List<Member> members = new ArrayList<>();
-        for (int i = 0; i < count; i++)
+        for (int i = 0; i < count; i++) {
             members.add(new Member(in.readUTF(), in.readUTF(), in.readLong(), zones ? in.readUTF() : ""));
+        }
         return members;
     }
 
@@ -107,7 +108,9 @@
         List<Member> members = members(in);
         int count = in.readInt();
         List<Roll> past = new ArrayList<>();
-        for (int i = 0; i < count; i++) past.add(new Roll(ballot(in), members(in)));
+        for (int i = 0; i < count; i++) {
+            past.add(new Roll(ballot(in), members(in)));
+        }
         return new View(ballot, members, past);
     }
 
@@ -143,7 +146,9 @@
             ballot(out, patch.afterView());
             bytes(out, patch.snapshot());
             out.writeInt(patch.entries().size());
-            for (Entry entry : patch.entries()) entry(out, entry);
+            for (Entry entry : patch.entries()) {
+                entry(out, entry);
+            }
         });
     }
 
@@ -155,21 +160,27 @@
         byte[] snapshot = bytes(in);
         int count = in.readInt();
         List<Entry> entries = new ArrayList<>();
-        for (int i = 0; i < count; i++) entries.add(entry(in));
+        for (int i = 0; i < count; i++) {
+            entries.add(entry(in));
+        }
         return new Patch(whole, after, afterView, snapshot, entries);
     }
 
     static byte[] strings(List<String> strings) {
         return write(out -> {
             out.writeInt(strings.size());
-            for (String string : strings) out.writeUTF(string);
+            for (String string : strings) {
+                out.writeUTF(string);
+            }
         });
     }
 
     static List<String> strings(DataInputStream in) throws IOException {
         int count = in.readInt();
         List<String> strings = new ArrayList<>();
-        for (int i = 0; i < count; i++) strings.add(in.readUTF());
+        for (int i = 0; i < count; i++) {
+            strings.add(in.readUTF());
+        }
         return strings;
     }
 
@@ -178,14 +189,18 @@
             List<Long> all = new ArrayList<>();
             longs.forEach(all::add);
             out.writeInt(all.size());
-            for (long one : all) out.writeLong(one);
+            for (long one : all) {
+                out.writeLong(one);
+            }
         });
     }
 
     static List<Long> longs(DataInputStream in) throws IOException {
         int count = in.readInt();
         List<Long> longs = new ArrayList<>();
-        for (int i = 0; i < count; i++) longs.add(in.readLong());
+        for (int i = 0; i < count; i++) {
+            longs.add(in.readLong());
+        }
         return longs;
     }
 
@@ -196,7 +211,9 @@
 
     private static byte[] bytes(DataInputStream in) throws IOException {
         int length = in.readInt();
-        if (length < 0 || length > 64 << 20) throw new IOException("length " + length);
+        if (length < 0 || length > 64 << 20) {
+            throw new IOException("length " + length);
+        }
         return in.readNBytes(length);
     }
 }
--- a/src/main/java/brambletray/tray/view/Confirms.java
+++ b/src/main/java/brambletray/tray/view/Confirms.java
@@ -7,10 +7,11 @@
 import java.util.Set;
 
 /**
- * Asks all members of the view whether it is still theirs, so that what is read here is no older than anything acknowledged before the
- * question (a read index). A majority is enough, the leader among it, which adds up to where all is kept: before a later view can
- * acknowledge anything, a {@link Quorum} of this one has stopped for it, and a quorum shares a member with every majority; that one doesn't
- * say afterwards that the view is still its own. So one silent member holds up no read and no refusal, as it does commits until it is out.
+ * Asks all members of the view whether it is still theirs, so that what is read here is no older than anything
+ * acknowledged before the question (a read index). A majority is enough, the leader among it, which adds up to where
+ * all is kept: before a later view can acknowledge anything, a {@link Quorum} of this one has stopped for it, and a
+ * quorum shares a member with every majority; that one doesn't say afterwards that the view is still its own. So one
+ * silent member holds up no read and no refusal, as it does commits until it is out.
  */
 final class Confirms {
     private static final int AGAIN_MS = 200;
@@ -53,7 +54,9 @@
     }
 
     void asked(String from, Frame.Ask ask) {
-        if (!desk.works(ask.view())) return;
+        if (!desk.works(ask.view())) {
+            return;
+        }
         boolean leads = members.leading();
         desk.out.send(
                 from,
@@ -63,9 +66,13 @@
 
     void same(Frame.Same same) {
         for (Round round : rounds) {
-            if (round.view == null || !round.view.equals(same.view()) || round.seq != same.seq()) continue;
+            if (round.view == null || !round.view.equals(same.view()) || round.seq != same.seq()) {
+                continue;
+            }
             if (same.life() == same.view().who()) {
-                if (!same.settled()) continue;
+                if (!same.settled()) {
+                    continue;
+                }
                 round.target = same.commit();
             }
             round.same.add(same.life());
@@ -74,20 +81,28 @@
     }
 
     void work() {
-        if (rounds.isEmpty()) return;
+        if (rounds.isEmpty()) {
+            return;
+        }
         boolean may = desk.view != null && desk.inForce && desk.works(desk.view.ballot()) && !members.fallen();
         List<Round> over = new ArrayList<>();
         Iterator<Round> all = rounds.iterator();
         while (all.hasNext()) {
             Round round = all.next();
-            if (may) ask(round);
+            if (may) {
+                ask(round);
+            }
             boolean yes = may && done(round);
-            if (!yes && desk.now <= round.until && !(desk.leaving && members.fallen())) continue;
+            if (!yes && desk.now <= round.until && !(desk.leaving && members.fallen())) {
+                continue;
+            }
             all.remove();
             round.target = yes ? 1 : -1;
             over.add(round);
         }
-        for (Round round : over) desk.out.confirmed(round.token, round.target > 0);
+        for (Round round : over) {
+            desk.out.confirmed(round.token, round.target > 0);
+        }
     }
 
     private void ask(Round round) {
@@ -98,7 +113,9 @@
             round.target = -1;
             round.saidAt = desk.now - AGAIN_MS;
         }
-        if (desk.now - round.saidAt < AGAIN_MS) return;
+        if (desk.now - round.saidAt < AGAIN_MS) {
+            return;
+        }
         round.saidAt = desk.now;
         for (Member member : desk.view.members()) {
             if (member.life() != desk.me.life() && !round.same.contains(member.life())) {
@@ -108,8 +125,12 @@
     }
 
     private boolean done(Round round) {
-        if (2 * (round.same.size() + 1) <= desk.view.members().size()) return false;
-        if (members.leading()) return desk.settled();
+        if (2 * (round.same.size() + 1) <= desk.view.members().size()) {
+            return false;
+        }
+        if (members.leading()) {
+            return desk.settled();
+        }
         return round.target >= 0 && desk.delivered >= round.target;
     }
 }
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What one member knows and has promised. In memory it runs ahead of the disk; nothing of it is said before the {@link Quill} has it synced. */
+/**
+ * What one member knows and has promised. In memory it runs ahead of the disk; nothing of it is said before the
+ * {@link Quill} has it synced.
+ */
 final class Desk {
     private static final int MOST_DEAD = 64;
     private static final int MOST_KNOWN = 16;
@@ -98,21 +101,34 @@
     /** Keeps lives whose disks are proven lost; they count only after the sync. Returns whether one is new. */
     boolean bury(Iterable<Long> lives) {
         boolean some = false;
-        for (long life : lives) some |= life != me.life() && dead.add(life);
-        if (!some) return false;
-        while (dead.size() > MOST_DEAD) dead.remove(dead.iterator().next());
+        for (long life : lives) {
+            some |= life != me.life() && dead.add(life);
+        }
+        if (!some) {
+            return false;
+        }
+        while (dead.size() > MOST_DEAD) {
+            dead.remove(dead.iterator().next());
+        }
         quill.put(Kept.DEAD, Codec.longs(dead), now);
         return true;
     }
 
     void meet(String address) {
-        if (address.equals(me.address()) || known.contains(address)) return;
-        while (known.size() >= MOST_KNOWN) known.remove(known.iterator().next());
+        if (address.equals(me.address()) || known.contains(address)) {
+            return;
+        }
+        while (known.size() >= MOST_KNOWN) {
+            known.remove(known.iterator().next());
+        }
         known.add(address);
         quill.put(Kept.KNOWN, Codec.strings(new ArrayList<>(known)), now);
     }
 
-    /** Keeps a proposed view with its log. False if that log would lose what is known to be kept: then nothing is changed. */
+    /**
+     * Keeps a proposed view with its log. False if that log would lose what is known to be kept: then nothing is
+     * changed.
+     */
     boolean accept(View next, Log chosen) {
         boolean both = commit >= chosen.base() && commit >= log.base();
         boolean broken =
@@ -130,13 +146,19 @@
         before = next.past().size() == 1 ? next.past().get(0).ballot().number() : -1;
         floor = Long.MAX_VALUE;
         held = 0;
-        if (next.ballot().above(promised)) promise(next.ballot());
+        if (next.ballot().above(promised)) {
+            promise(next.ballot());
+        }
         quill.put(changes, now);
         quill.put(Kept.VIEW, Codec.view(view, false), now);
-        for (Member member : next.members()) meet(member.address());
+        for (Member member : next.members()) {
+            meet(member.address());
+        }
         long end = log.end();
         quill.then(() -> {
-            if (view == next) held = Math.max(held, end);
+            if (view == next) {
+                held = Math.max(held, end);
+            }
         });
         if (jump) {
             matter.restore(log.snapshot());
@@ -181,7 +203,9 @@
             matter.deliver(entry.index(), entry.bytes());
             passed.accept(entry);
         }
-        if (!log.full(delivered)) return;
+        if (!log.full(delivered)) {
+            return;
+        }
         Log before = new Log(log.base(), log.baseView(), log.snapshot(), log.entries());
         log.compact(delivered, matter.snapshot());
         Map<String, byte[]> changes = new LinkedHashMap<>();
@@ -209,7 +233,9 @@
     static String names(List<Member> members) {
         StringBuilder names = new StringBuilder();
         for (Member member : members) {
-            if (names.length() > 0) names.append(' ');
+            if (names.length() > 0) {
+                names.append(' ');
+            }
             names.append(member.name()).append('/').append(Long.toHexString(member.life()));
         }
         return names.toString();
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -1,9 +1,9 @@
 package brambletray.tray.view;
 
 /**
- * The part of a member that follows: keeps what the leader sends, answers its beats, stops for a change of view, and begins one itself when
- * the leader is silent. The order of rank (the leader first, then as in the list) and the patience that grows with it keep two from
- * beginning at once.
+ * The part of a member that follows: keeps what the leader sends, answers its beats, stops for a change of view, and
+ * begins one itself when the leader is silent. The order of rank (the leader first, then as in the list) and the
+ * patience that grows with it keep two from beginning at once.
  */
 final class Following {
     private static final int START_MS = 100;
@@ -58,7 +58,9 @@
 
     /** The leader is about to end: the next in rank takes over at once. */
     void bye() {
-        if (byeAt < 0) byeAt = desk.now;
+        if (byeAt < 0) {
+            byeAt = desk.now;
+        }
     }
 
     /** Whether the leader has said that it is about to end. */
@@ -82,7 +84,9 @@
     int rank() {
         int rank = 0;
         for (Member member : desk.view.members()) {
-            if (member.address().equals(desk.me.address())) return rank;
+            if (member.address().equals(desk.me.address())) {
+                return rank;
+            }
             rank++;
         }
         return rank;
@@ -90,15 +94,23 @@
 
     void gone(String address) {
         Member leader = desk.view == null ? null : desk.view.leader();
-        if (leader != null && leader.address().equals(address)) hintAt = desk.now;
+        if (leader != null && leader.address().equals(address)) {
+            hintAt = desk.now;
+        }
     }
 
     /** Whether it is time to begin a change: the leader has been silent for long enough. */
     boolean impatient() {
-        if (desk.view == null || left != null || desk.now < quietUntil) return false;
-        if (byeAt >= 0) return desk.now - byeAt >= (long) (rank() - 1) * desk.set.staggerMs();
+        if (desk.view == null || left != null || desk.now < quietUntil) {
+            return false;
+        }
+        if (byeAt >= 0) {
+            return desk.now - byeAt >= (long) (rank() - 1) * desk.set.staggerMs();
+        }
         int patience = heard ? desk.set.silentMs() : START_MS;
-        if (heard && hintAt >= leaderAt && desk.now - hintAt < 2000) patience = HINT_MS;
+        if (heard && hintAt >= leaderAt && desk.now - hintAt < 2000) {
+            patience = HINT_MS;
+        }
         return desk.now - leaderAt > patience + (long) rank() * desk.set.staggerMs();
     }
 
@@ -109,12 +121,18 @@
                     && desk.inForce
                     && view.ballot().above(beat.view())
                     && !view.has(beat.view().who());
-            if (old) desk.out.send(from, new Frame.Left(view));
+            if (old) {
+                desk.out.send(from, new Frame.Left(view));
+            }
+            return;
+        }
+        if (members.leading()) {
             return;
         }
-        if (members.leading()) return;
         if (!desk.stopped()) {
-            if (!beat.ill()) leaderAt = desk.now;
+            if (!beat.ill()) {
+                leaderAt = desk.now;
+            }
             heard = true;
             desk.floor = beat.floor();
             if (beat.inForce() && !desk.inForce) {
@@ -128,10 +146,14 @@
     }
 
     void append(String from, Frame.Append append) {
-        if (!desk.works(append.view()) || members.leading()) return;
+        if (!desk.works(append.view()) || members.leading()) {
+            return;
+        }
         leaderAt = desk.now;
         heard = true;
-        if (append.after() > desk.log.end() || desk.quill.crowded(8 << 20)) return;
+        if (append.after() > desk.log.end() || desk.quill.crowded(8 << 20)) {
+            return;
+        }
         Ballot at = desk.log.viewAt(append.after());
         if (at != null && !at.equals(append.afterView())) {
             desk.out.tell(
@@ -148,15 +170,21 @@
         }
         long before = desk.log.end();
         for (Entry entry : append.entries()) {
-            if (entry.index() == desk.log.end() + 1) desk.append(entry);
+            if (entry.index() == desk.log.end() + 1) {
+                desk.append(entry);
+            }
         }
         long end = desk.log.end();
         if (end > before) {
             View view = desk.view;
             desk.quill.then(() -> {
-                if (!desk.view.ballot().equals(view.ballot())) return;
+                if (!desk.view.ballot().equals(view.ballot())) {
+                    return;
+                }
                 desk.held = Math.max(desk.held, end);
-                if (!desk.stopped()) desk.out.send(from, new Frame.Ack(view.ballot(), desk.me.life(), end));
+                if (!desk.stopped()) {
+                    desk.out.send(from, new Frame.Ack(view.ballot(), desk.me.life(), end));
+                }
             });
         } else if (!append.entries().isEmpty()) {
             desk.out.send(from, new Frame.Ack(desk.view.ballot(), desk.me.life(), desk.held));
@@ -201,16 +229,22 @@
         }
         desk.quill.then(() -> {
             boolean over = desk.view != null && desk.view.ballot().equals(stop.ballot());
-            if (desk.promised.equals(stop.ballot()) && !over) desk.out.send(from, desk.told(stop.ballot()));
+            if (desk.promised.equals(stop.ballot()) && !over) {
+                desk.out.send(from, desk.told(stop.ballot()));
+            }
         });
     }
 
     void left(Frame.Left gone) {
         View view = gone.view();
-        if (desk.view == null || !view.ballot().above(desk.view.ballot()) || view.has(desk.me.life())) return;
+        if (desk.view == null || !view.ballot().above(desk.view.ballot()) || view.has(desk.me.life())) {
+            return;
+        }
         if (left == null || view.ballot().above(left.ballot())) {
             left = view;
-            for (Member member : view.members()) desk.meet(member.address());
+            for (Member member : view.members()) {
+                desk.meet(member.address());
+            }
             members.yield();
             desk.out.tell(
                     "view.left-out",
@@ -224,10 +258,14 @@
         }
     }
 
-    /** A proposed view whose log is longer than a frame may be: it is fetched first, while no higher promise forbids it. */
+    /**
+     * A proposed view whose log is longer than a frame may be: it is fetched first, while no higher promise forbids it.
+     */
     void offer(String from, Frame.Offer offer, Log base) {
         View next = offer.view();
-        if (!next.has(desk.me.life())) return;
+        if (!next.has(desk.me.life())) {
+            return;
+        }
         boolean kept = desk.view != null && desk.view.ballot().equals(next.ballot());
         if (kept || desk.promised.above(next.ballot())) {
             install(from, new Frame.Install(next, null), base);
@@ -237,36 +275,55 @@
                     && transfer.from().equals(from)
                     && offered.end() == offer.end()
                     && offered.endView().equals(offer.endView());
-            if (same) transfer.goOn(next.ballot());
-            else transfer = new StateTransfer(desk, from, base, next.ballot());
+            if (same) {
+                transfer.goOn(next.ballot());
+            } else {
+                transfer = new StateTransfer(desk, from, base, next.ballot());
+            }
             offered = offer;
-            if (!same) transfer.tick();
+            if (!same) {
+                transfer.tick();
+            }
         }
     }
 
     void piece(Frame.Piece piece) {
-        if (transfer == null) return;
+        if (transfer == null) {
+            return;
+        }
         boolean over = transfer.piece(piece);
         // it is about to be in a view: an attempt of its own would end the transfer
         quiet(desk.set.silentMs() + (desk.view == null ? 0 : (long) rank() * desk.set.staggerMs()));
-        if (!over) return;
+        if (!over) {
+            return;
+        }
         Log log = transfer.log();
         String from = transfer.from();
         transfer = null;
-        if (log == null || log.end() != offered.end() || !log.endView().equals(offered.endView())) return;
-        if (!desk.promised.above(offered.view().ballot())) keep(from, offered.view(), log);
+        if (log == null || log.end() != offered.end() || !log.endView().equals(offered.endView())) {
+            return;
+        }
+        if (!desk.promised.above(offered.view().ballot())) {
+            keep(from, offered.view(), log);
+        }
     }
 
     void tick() {
-        if (transfer == null) return;
+        if (transfer == null) {
+            return;
+        }
         transfer.tick();
-        if (transfer.failed() || desk.promised.above(transfer.view())) transfer = null;
+        if (transfer.failed() || desk.promised.above(transfer.view())) {
+            transfer = null;
+        }
     }
 
     /** A proposed view: kept if no higher promise forbids it and the patch fits. */
     void install(String from, Frame.Install install, Log base) {
         View next = install.view();
-        if (!next.has(desk.me.life())) return;
+        if (!next.has(desk.me.life())) {
+            return;
+        }
         if (desk.leaving && (desk.view == null || left != null)) {
             // let in by a knock that is older than its leaving: nobody is to wait for it
             desk.out.send(from, new Frame.Unfit(next.ballot(), desk.me.life()));
@@ -297,7 +354,9 @@
 
     private void say(String from, View next) {
         desk.quill.then(() -> {
-            if (desk.works(next.ballot())) desk.out.send(from, new Frame.Installed(next.ballot(), desk.me.life()));
+            if (desk.works(next.ballot())) {
+                desk.out.send(from, new Frame.Installed(next.ballot(), desk.me.life()));
+            }
         });
     }
 }
--- a/src/main/java/brambletray/tray/view/Frame.java
+++ b/src/main/java/brambletray/tray/view/Frame.java
@@ -38,7 +38,9 @@
     /** The new view and what the receiver's log lacks. */
     record Install(View view, Patch patch) implements Frame {}
 
-    /** The same where the receiver lacks more than goes in one frame: it is to fetch the log that ends so, in pieces. */
+    /**
+     * The same where the receiver lacks more than goes in one frame: it is to fetch the log that ends so, in pieces.
+     */
     record Offer(View view, long end, Ballot endView) implements Frame {}
 
     /** View and log are on this member's disk. */
@@ -66,8 +68,8 @@
     record Here(long nonce, Member me) implements Frame {}
 
     /**
-     * Asks for a piece of what its log lacks, given what it has. {@code view}: whose log, one that is being installed; {@link Ballot#NONE}
-     * for the receiver's own.
+     * Asks for a piece of what its log lacks, given what it has. {@code view}: whose log, one that is being installed;
+     * {@link Ballot#NONE} for the receiver's own.
      */
     record Pull(long id, int offset, Ballot view, long end, Ballot endView, long commit) implements Frame {}
 
--- a/src/main/java/brambletray/tray/view/Gate.java
+++ b/src/main/java/brambletray/tray/view/Gate.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Who asks to be let in, at a member of the view: proves lost disks, and gathers newcomers for the leader's next change of view. */
+/**
+ * Who asks to be let in, at a member of the view: proves lost disks, and gathers newcomers for the leader's next change
+ * of view.
+ */
 final class Gate {
     private static final int NEAR_ENTRIES = 64;
     private static final int MOST = 8;
@@ -34,29 +37,46 @@
 
     void knock(String from, Frame.Knock knock) {
         Member who = knock.me();
-        if (desk.dead.contains(who.life()) || who.life() == desk.me.life()) return;
-        if (desk.view != null) challenge(who);
+        if (desk.dead.contains(who.life()) || who.life() == desk.me.life()) {
+            return;
+        }
+        if (desk.view != null) {
+            challenge(who);
+        }
         if (desk.view == null || !desk.inForce || members.fallen() || desk.view.founding()) {
-            if (!desk.known.isEmpty()) desk.out.send(from, new Frame.Met(List.copyOf(desk.known)));
+            if (!desk.known.isEmpty()) {
+                desk.out.send(from, new Frame.Met(List.copyOf(desk.known)));
+            }
+            return;
+        }
+        if (desk.view.has(who.life())) {
             return;
         }
-        if (desk.view.has(who.life())) return;
-        if (knock.view().above(desk.view.ballot()))
+        if (knock.view().above(desk.view.ballot())) {
             desk.seen = Math.max(desk.seen, knock.view().number());
+        }
         if (!members.leading()) {
-            if (desk.view.ballot().who() != desk.me.life()) desk.out.send(from, new Frame.Come(desk.view, false));
+            if (desk.view.ballot().who() != desk.me.life()) {
+                desk.out.send(from, new Frame.Come(desk.view, false));
+            }
             return;
         }
         boolean fit = near(desk.log.since(knock.end(), knock.endView(), knock.commit()));
         desk.out.send(from, new Frame.Come(desk.view, fit));
         if (!fit) {
-            if (arriving.size() < MOST) arriving.put(who.life(), desk.now);
+            if (arriving.size() < MOST) {
+                arriving.put(who.life(), desk.now);
+            }
             return;
         }
         arriving.remove(who.life());
         Penalty penalty = penalties.get(who.address());
-        if (penalty != null && desk.now < penalty.until()) return;
-        if (waiting.size() >= MOST && !waiting.containsKey(who.life())) return;
+        if (penalty != null && desk.now < penalty.until()) {
+            return;
+        }
+        if (waiting.size() >= MOST && !waiting.containsKey(who.life())) {
+            return;
+        }
         waiting.put(who.life(), knock);
         waitingAt.put(who.life(), desk.now);
     }
@@ -67,8 +87,12 @@
 
     /** Another life at the address of one of ours: asked who it is now, so that an old frame proves nothing. */
     private void challenge(Member who) {
-        if (!older(who)) return;
-        if (asked.size() > MOST) asked.clear();
+        if (!older(who)) {
+            return;
+        }
+        if (asked.size() > MOST) {
+            asked.clear();
+        }
         asked.put(who.address(), ++nonce);
         desk.out.send(who.address(), new Frame.Who(nonce));
     }
@@ -76,7 +100,9 @@
     private boolean older(Member who) {
         for (Roll roll : desk.view.chain(false)) {
             for (Member member : roll.members()) {
-                if (proves(who, member)) return true;
+                if (proves(who, member)) {
+                    return true;
+                }
             }
         }
         return false;
@@ -92,12 +118,16 @@
 
     void here(Frame.Here here) {
         Long mine = asked.get(here.me().address());
-        if (mine == null || mine != here.nonce() || desk.view == null) return;
+        if (mine == null || mine != here.nonce() || desk.view == null) {
+            return;
+        }
         asked.remove(here.me().address());
         java.util.Set<Long> lost = new java.util.LinkedHashSet<>();
         for (Roll roll : desk.view.chain(false)) {
             for (Member member : roll.members()) {
-                if (proves(here.me(), member)) lost.add(member.life());
+                if (proves(here.me(), member)) {
+                    lost.add(member.life());
+                }
             }
         }
         if (desk.bury(lost)) {
@@ -118,13 +148,17 @@
         Penalty old = penalties.get(address);
         int times = old == null || desk.now - old.at() > FORGIVEN_MS ? 1 : old.times() + 1;
         long wait = times <= 2 ? 0 : Math.min(4000, 250L << Math.min(times - 2, 4));
-        if (penalties.size() > 32) penalties.clear();
+        if (penalties.size() > 32) {
+            penalties.clear();
+        }
         penalties.put(address, new Penalty(times, desk.now, desk.now + wait));
     }
 
     /** Newcomers that wait and were heard of late. */
     Map<Long, Frame.Knock> waiting() {
-        if (waiting.isEmpty()) return Map.of();
+        if (waiting.isEmpty()) {
+            return Map.of();
+        }
         waiting.keySet()
                 .removeIf(life ->
                         desk.now - waitingAt.get(life) > WAIT_MS || desk.view.has(life) || desk.dead.contains(life));
--- a/src/main/java/brambletray/tray/view/Kept.java
+++ b/src/main/java/brambletray/tray/view/Kept.java
@@ -45,7 +45,9 @@
 
     /** Rebuilds it from all keys that begin with {@link #PREFIX}. Throws {@link ViewFault} when they can't be read. */
     public static Kept read(Map<String, byte[]> map) {
-        if (!map.containsKey(LIFE)) return none();
+        if (!map.containsKey(LIFE)) {
+            return none();
+        }
         long life = Codec.read(map.get(LIFE), in -> in.readLong());
         List<String> seeds = map.containsKey(SEEDS) ? Codec.read(map.get(SEEDS), Codec::strings) : List.of();
         Ballot promise = map.containsKey(PROMISE) ? Codec.read(map.get(PROMISE), Codec::ballot) : Ballot.NONE;
@@ -64,17 +66,23 @@
     private static Log log(Map<String, byte[]> map) {
         TreeMap<String, byte[]> sorted = new TreeMap<>();
         map.forEach((key, value) -> {
-            if (key.startsWith(LOG)) sorted.put(key, value);
+            if (key.startsWith(LOG)) {
+                sorted.put(key, value);
+            }
         });
         List<Entry> entries = new ArrayList<>();
-        for (byte[] value : sorted.values()) entries.add(Codec.read(value, Codec::entry));
+        for (byte[] value : sorted.values()) {
+            entries.add(Codec.read(value, Codec::entry));
+        }
         Log log = Log.empty();
         if (map.containsKey(SNAP)) {
             log = Codec.read(
                     map.get(SNAP),
                     in -> new Log(in.readLong(), Codec.ballot(in), in.readNBytes(in.readInt()), List.of()));
         }
-        for (Entry entry : entries) log.append(entry);
+        for (Entry entry : entries) {
+            log.append(entry);
+        }
         return log;
     }
 
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -4,8 +4,9 @@
 import java.util.Set;
 
 /**
- * The part of a member that isn't in: knocks at all it knows, gets the state from the leader into its hand (memory only: nothing of it
- * counts before a view is installed with it), knocks again. A half-got state leaves nothing behind when the process dies.
+ * The part of a member that isn't in: knocks at all it knows, gets the state from the leader into its hand (memory
+ * only: nothing of it counts before a view is installed with it), knocks again. A half-got state leaves nothing behind
+ * when the process dies.
  */
 final class Knocking {
     private static final int AGAIN_MS = 250;
@@ -47,22 +48,32 @@
     void tick(Iterable<String> seeds) {
         if (transfer != null) {
             transfer.tick();
-            if (transfer.failed()) transfer = null;
+            if (transfer.failed()) {
+                transfer = null;
+            }
+        }
+        if (!(active() || unsure()) || desk.ill() || desk.leaving || desk.now - knockAt < AGAIN_MS) {
+            return;
         }
-        if (!(active() || unsure()) || desk.ill() || desk.leaving || desk.now - knockAt < AGAIN_MS) return;
         knock(seeds);
     }
 
     void knock(Iterable<String> seeds) {
-        if (desk.leaving) return;
+        if (desk.leaving) {
+            return;
+        }
         knockAt = desk.now;
         Set<String> all = new LinkedHashSet<>();
         seeds.forEach(all::add);
         all.addAll(desk.known);
-        if (following.left() != null) following.left().members().forEach(member -> all.add(member.address()));
+        if (following.left() != null) {
+            following.left().members().forEach(member -> all.add(member.address()));
+        }
         all.remove(desk.me.address());
         Frame.Knock knock = mine();
-        for (String address : all) desk.out.send(address, knock);
+        for (String address : all) {
+            desk.out.send(address, knock);
+        }
     }
 
     private Frame.Knock mine() {
@@ -78,26 +89,40 @@
 
     /** The view in force; its leader says whether what is in hand is near enough. */
     void come(String from, Frame.Come come) {
-        if (!active()) following.left(new Frame.Left(come.view()));
-        if (!active()) return;
-        for (Member member : come.view().members()) desk.meet(member.address());
+        if (!active()) {
+            following.left(new Frame.Left(come.view()));
+        }
+        if (!active()) {
+            return;
+        }
+        for (Member member : come.view().members()) {
+            desk.meet(member.address());
+        }
         Member leader = come.view().leader();
         // the giver may be gone, and another one lead
         boolean leads = leader != null && leader.address().equals(from);
-        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) transfer = null;
-        if (leader == null || come.fit() || transfer != null) return;
+        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) {
+            transfer = null;
+        }
+        if (leader == null || come.fit() || transfer != null) {
+            return;
+        }
         if (!leader.address().equals(from)) {
             desk.out.send(leader.address(), mine());
             return;
         }
-        if (desk.now - transferredAt < AGAIN_MS) return;
+        if (desk.now - transferredAt < AGAIN_MS) {
+            return;
+        }
         transferredAt = desk.now;
         transfer = new StateTransfer(desk, from, base(), Ballot.NONE);
         transfer.tick();
     }
 
     void piece(Frame.Piece piece) {
-        if (transfer == null || !transfer.piece(piece)) return;
+        if (transfer == null || !transfer.piece(piece)) {
+            return;
+        }
         if (transfer.log() != null) {
             hand = transfer.log();
             handCommit = transfer.commit();
--- a/src/main/java/brambletray/tray/view/Leading.java
+++ b/src/main/java/brambletray/tray/view/Leading.java
@@ -63,9 +63,13 @@
         own = desk.log.end();
         since = desk.now;
         for (Member member : view.members()) {
-            if (member.life() != desk.me.life()) peers.put(member.life(), new Peer(member, own, desk.now));
+            if (member.life() != desk.me.life()) {
+                peers.put(member.life(), new Peer(member, own, desk.now));
+            }
+        }
+        for (Entry entry : desk.log.entries()) {
+            recent.add(new Given(entry.origin(), entry.token()));
         }
-        for (Entry entry : desk.log.entries()) recent.add(new Given(entry.origin(), entry.token()));
         count();
         beat();
     }
@@ -74,38 +78,57 @@
     boolean well() {
         int well = 1;
         for (Peer peer : peers.values()) {
-            if (peer.stoppedAt < 0 && desk.now - peer.heardAt <= WELL_MS) well++;
+            if (peer.stoppedAt < 0 && desk.now - peer.heardAt <= WELL_MS) {
+                well++;
+            }
         }
         return 2 * well > view.members().size() && !desk.ill();
     }
 
     /** Gives a proposal a place, unless it has one; false when too much is open. */
     boolean take(long origin, long token, byte[] bytes) {
-        if (!desk.works(view.ballot())) return false;
+        if (!desk.works(view.ballot())) {
+            return false;
+        }
         Given given = new Given(origin, token);
-        if (recent.contains(given)) return true;
+        if (recent.contains(given)) {
+            return true;
+        }
         // what is under way is to be kept before another leads: nothing more is begun
-        if (desk.draining) return false;
-        if (desk.log.end() - desk.commit >= OPEN_ENTRIES || desk.quill.crowded(4 << 20)) return false;
+        if (desk.draining) {
+            return false;
+        }
+        if (desk.log.end() - desk.commit >= OPEN_ENTRIES || desk.quill.crowded(4 << 20)) {
+            return false;
+        }
         recent.add(given);
-        if (recent.size() > RECENT + OPEN_ENTRIES)
+        if (recent.size() > RECENT + OPEN_ENTRIES) {
             recent.remove(recent.iterator().next());
+        }
         Entry entry = new Entry(desk.log.end() + 1, view.ballot(), origin, token, bytes);
         desk.append(entry);
         desk.quill.then(() -> {
-            if (!desk.view.ballot().equals(view.ballot())) return;
+            if (!desk.view.ballot().equals(view.ballot())) {
+                return;
+            }
             own = Math.max(own, entry.index());
             desk.held = Math.max(desk.held, own);
             count();
         });
-        for (Peer peer : peers.values()) send(peer);
+        for (Peer peer : peers.values()) {
+            send(peer);
+        }
         return true;
     }
 
     private void send(Peer peer) {
-        if (peer.next > desk.log.end() || peer.next - peer.acked > OPEN_ENTRIES) return;
+        if (peer.next > desk.log.end() || peer.next - peer.acked > OPEN_ENTRIES) {
+            return;
+        }
         long flying = desk.log.bytes(peer.acked, peer.next - 1);
-        if (flying > OPEN_BYTES) return;
+        if (flying > OPEN_BYTES) {
+            return;
+        }
         if (peer.next <= desk.log.base()) {
             // can't be: what is compacted all members have on disk
             desk.out.tell(
@@ -116,13 +139,17 @@
         desk.out.send(
                 peer.member.address(),
                 new Frame.Append(view.ballot(), peer.next - 1, desk.log.viewAt(peer.next - 1), entries, desk.commit));
-        if (peer.movedAt < 0) peer.movedAt = desk.now;
+        if (peer.movedAt < 0) {
+            peer.movedAt = desk.now;
+        }
         peer.next += entries.size();
     }
 
     void ack(long life, long index) {
         Peer peer = peers.get(life);
-        if (peer == null) return;
+        if (peer == null) {
+            return;
+        }
         if (index > peer.acked && index <= desk.log.end()) {
             peer.acked = index;
             peer.next = Math.max(peer.next, index + 1);
@@ -134,9 +161,13 @@
 
     void back(Frame.Back back) {
         Peer peer = peers.get(back.life());
-        if (peer == null) return;
+        if (peer == null) {
+            return;
+        }
         // who was away couldn't acknowledge: its disk is timed from its return
-        if (desk.now - peer.heardAt > WELL_MS && peer.movedAt >= 0) peer.movedAt = desk.now;
+        if (desk.now - peer.heardAt > WELL_MS && peer.movedAt >= 0) {
+            peer.movedAt = desk.now;
+        }
         peer.heardAt = desk.now;
         peer.ill = back.ill();
         desk.seen = Math.max(desk.seen, back.promised().number());
@@ -160,15 +191,21 @@
 
     /** Kept is what all members have on disk, when one of them is left whichever of those that may be lost are. */
     private void count() {
-        if (!desk.works(view.ballot()) || !desk.set.tolerance().bears(view.members())) return;
+        if (!desk.works(view.ballot()) || !desk.set.tolerance().bears(view.members())) {
+            return;
+        }
         long all = own;
-        for (Peer peer : peers.values()) all = Math.min(all, peer.acked);
-        if (all > desk.commit || desk.delivered < desk.commit) desk.commitTo(all);
+        for (Peer peer : peers.values()) {
+            all = Math.min(all, peer.acked);
+        }
+        if (all > desk.commit || desk.delivered < desk.commit) {
+            desk.commitTo(all);
+        }
     }
 
     /**
-     * Whether the view has been in force for a while, so that a planned change of it (a newcomer, a leave) doesn't follow so close on the
-     * last that callers feel both as one pause.
+     * Whether the view has been in force for a while, so that a planned change of it (a newcomer, a leave) doesn't
+     * follow so close on the last that callers feel both as one pause.
      */
     boolean rested() {
         return desk.now - since >= REST_MS;
@@ -176,7 +213,9 @@
 
     void gone(String address) {
         for (Peer peer : peers.values()) {
-            if (peer.member.address().equals(address)) peer.hintAt = desk.now;
+            if (peer.member.address().equals(address)) {
+                peer.hintAt = desk.now;
+            }
         }
     }
 
@@ -191,12 +230,16 @@
     }
 
     void tick() {
-        if (desk.now - beatAt >= desk.set.beatMs()) beat();
+        if (desk.now - beatAt >= desk.set.beatMs()) {
+            beat();
+        }
     }
 
     /** Tells the others soon what is kept. */
     void flush() {
-        if (desk.commit <= said) return;
+        if (desk.commit <= said) {
+            return;
+        }
         said = desk.commit;
         for (Peer peer : peers.values()) {
             desk.out.send(
@@ -207,7 +250,9 @@
 
     private void beat() {
         beatAt = desk.now;
-        if (++seq % CALL_BEATS == 0) call();
+        if (++seq % CALL_BEATS == 0) {
+            call();
+        }
         for (Peer peer : peers.values()) {
             desk.out.send(
                     peer.member.address(),
@@ -217,10 +262,14 @@
 
     /** After a change of view: who has left may be back with another disk and know nobody. */
     private void call() {
-        if (desk.known.isEmpty() || desk.now - since > CALL_MS) return;
+        if (desk.known.isEmpty() || desk.now - since > CALL_MS) {
+            return;
+        }
         Frame.Met met = new Frame.Met(List.copyOf(desk.known));
         for (String address : desk.known) {
-            if (view.at(address) == null) desk.out.send(address, met);
+            if (view.at(address) == null) {
+                desk.out.send(address, met);
+            }
         }
     }
 
@@ -230,7 +279,9 @@
         for (Peer peer : peers.values()) {
             long silence = desk.now - peer.heardAt;
             boolean hint = peer.hintAt >= peer.heardAt && silence > WELL_MS;
-            if (silence > desk.set.silentMs() || hint) silent.add(peer.member.life());
+            if (silence > desk.set.silentMs() || hint) {
+                silent.add(peer.member.life());
+            }
         }
         return silent;
     }
@@ -241,7 +292,9 @@
         for (Peer peer : peers.values()) {
             boolean there = desk.now - peer.heardAt <= WELL_MS;
             boolean late = peer.movedAt >= 0 && desk.now - peer.movedAt > desk.set.ackMs();
-            if (there && (peer.ill || late)) slow.add(peer.member.life());
+            if (there && (peer.ill || late)) {
+                slow.add(peer.member.life());
+            }
         }
         return slow;
     }
@@ -249,14 +302,18 @@
     /** Whether a member has stopped for another's change of which nothing came. */
     boolean stuck() {
         for (Peer peer : peers.values()) {
-            if (peer.stoppedAt >= 0 && desk.now - peer.stoppedAt > STOPPED_MS) return true;
+            if (peer.stoppedAt >= 0 && desk.now - peer.stoppedAt > STOPPED_MS) {
+                return true;
+            }
         }
         return false;
     }
 
     List<Member> others() {
         List<Member> others = new ArrayList<>();
-        for (Peer peer : peers.values()) others.add(peer.member);
+        for (Peer peer : peers.values()) {
+            others.add(peer.member);
+        }
         return others;
     }
 }
--- a/src/main/java/brambletray/tray/view/Log.java
+++ b/src/main/java/brambletray/tray/view/Log.java
@@ -6,15 +6,18 @@
 import java.util.Map;
 
 /**
- * The order as one member has it: a snapshot of the state after some place, and the entries behind it. Two logs that have an entry of the same
- * place and view are the same up to there: within a view one leader gives the places, and all its members begin with one log.
+ * The order as one member has it: a snapshot of the state after some place, and the entries behind it. Two logs that
+ * have an entry of the same place and view are the same up to there: within a view one leader gives the places, and all
+ * its members begin with one log.
  */
 final class Log {
     /** A snapshot is taken after so many delivered entries, or so many bytes in entries. */
     static final int ENTRIES = 256;
 
     static final int BYTES = 1 << 20;
-    /** Entries before the snapshot that are remembered, in memory only, for who lacks little of them; and their bytes. */
+    /**
+     * Entries before the snapshot that are remembered, in memory only, for who lacks little of them; and their bytes.
+     */
     private static final int TRAIL_ENTRIES = 512;
 
     private static final int TRAIL_BYTES = 1 << 20;
@@ -36,7 +39,9 @@
         this.baseView = baseView;
         this.snapshot = snapshot;
         this.entries = new ArrayList<>(entries);
-        for (Entry entry : entries) bytes += entry.bytes().length;
+        for (Entry entry : entries) {
+            bytes += entry.bytes().length;
+        }
     }
 
     static Log empty() {
@@ -71,7 +76,9 @@
 
     /** View of the entry at this place; null when the place is behind the snapshot or not there. */
     Ballot viewAt(long place) {
-        if (place == base) return baseView;
+        if (place == base) {
+            return baseView;
+        }
         return place < base || place > end() ? null : at(place).view();
     }
 
@@ -81,7 +88,9 @@
     }
 
     void append(Entry entry) {
-        if (entry.index() != end() + 1) throw new ViewFault("view.gap", "entry " + entry.index() + " after " + end());
+        if (entry.index() != end() + 1) {
+            throw new ViewFault("view.gap", "entry " + entry.index() + " after " + end());
+        }
         entries.add(entry);
         bytes += entry.bytes().length;
     }
@@ -89,8 +98,9 @@
     /** Bytes of the entries after one place up to another, of those behind the snapshot. */
     long bytes(long after, long to) {
         long some = 0;
-        for (long place = Math.max(after, base) + 1; place <= Math.min(to, end()); place++)
+        for (long place = Math.max(after, base) + 1; place <= Math.min(to, end()); place++) {
             some += at(place).bytes().length;
+        }
         return some;
     }
 
@@ -101,7 +111,9 @@
         for (long at = place + 1; at <= end(); at++) {
             Entry entry = at(at);
             size += entry.bytes().length + 64;
-            if (size > most && !some.isEmpty()) break;
+            if (size > most && !some.isEmpty()) {
+                break;
+            }
             some.add(entry);
         }
         return some;
@@ -110,15 +122,24 @@
     /** Whether an entry of this proposal is there. */
     boolean has(long origin, long token) {
         for (Entry entry : entries) {
-            if (entry.origin() == origin && entry.token() == token) return true;
+            if (entry.origin() == origin && entry.token() == token) {
+                return true;
+            }
         }
         return false;
     }
 
-    /** What a log lacks that ends so, and of which all up to {@code commit} is known to be kept (and so is in every later log). */
+    /**
+     * What a log lacks that ends so, and of which all up to {@code commit} is known to be kept (and so is in every
+     * later log).
+     */
     Patch since(long end, Ballot endView, long commit) {
-        if (endView.equals(viewAt(end))) return cut(end);
-        if (commit >= base && commit <= end()) return cut(commit);
+        if (endView.equals(viewAt(end))) {
+            return cut(end);
+        }
+        if (commit >= base && commit <= end()) {
+            return cut(commit);
+        }
         Patch whole = new Patch(true, base, baseView, snapshot, List.copyOf(entries));
         Patch tail = trail(end, endView);
         return tail != null && tail.bytes() <= whole.bytes() ? tail : whole;
@@ -127,14 +148,22 @@
     /** What follows a place before the snapshot; null if it isn't known any more, or the entry there is another. */
     private Patch trail(long end, Ballot endView) {
         long before = base - trail.size();
-        if (end < before || end >= base) return null;
+        if (end < before || end >= base) {
+            return null;
+        }
         List<Entry> some = new ArrayList<>();
         Ballot view = trailView;
         for (Entry entry : trail) {
-            if (entry.index() == end) view = entry.view();
-            if (entry.index() > end) some.add(entry);
+            if (entry.index() == end) {
+                view = entry.view();
+            }
+            if (entry.index() > end) {
+                some.add(entry);
+            }
+        }
+        if (!view.equals(endView)) {
+            return null;
         }
-        if (!view.equals(endView)) return null;
         some.addAll(entries);
         return new Patch(false, end, endView, new byte[0], some);
     }
@@ -150,10 +179,16 @@
 
     /** This log after the patch, or null if the patch doesn't fit. */
     Log patched(Patch patch) {
-        if (patch.whole()) return new Log(patch.after(), patch.afterView(), patch.snapshot(), patch.entries());
-        if (!patch.afterView().equals(viewAt(patch.after()))) return null;
+        if (patch.whole()) {
+            return new Log(patch.after(), patch.afterView(), patch.snapshot(), patch.entries());
+        }
+        if (!patch.afterView().equals(viewAt(patch.after()))) {
+            return null;
+        }
         Log log = new Log(base, baseView, snapshot, entries.subList(0, (int) (patch.after() - base)));
-        for (Entry entry : patch.entries()) log.append(entry);
+        for (Entry entry : patch.entries()) {
+            log.append(entry);
+        }
         log.trail.addAll(trail);
         log.trailBytes = trailBytes;
         log.trailView = trailView;
@@ -169,7 +204,9 @@
     void compact(long place, byte[] state) {
         Ballot view = viewAt(place);
         List<Entry> gone = entries.subList(0, (int) (place - base));
-        if (trail.isEmpty()) trailView = baseView;
+        if (trail.isEmpty()) {
+            trailView = baseView;
+        }
         for (Entry entry : gone) {
             bytes -= entry.bytes().length;
             trail.add(entry);
@@ -188,10 +225,13 @@
 
     /** Puts into the map what turns the kept form of one log into that of the other. */
     static void differences(Log before, Log now, Map<String, byte[]> changes) {
-        if (before.base != now.base || !before.baseView.equals(now.baseView)) changes.put(Kept.SNAP, Codec.snap(now));
+        if (before.base != now.base || !before.baseView.equals(now.baseView)) {
+            changes.put(Kept.SNAP, Codec.snap(now));
+        }
         for (Entry entry : before.entries) {
-            if (!entry.view().equals(now.viewAt(entry.index())) || entry.index() <= now.base)
+            if (!entry.view().equals(now.viewAt(entry.index())) || entry.index() <= now.base) {
                 changes.put(Kept.key(entry.index()), null);
+            }
         }
         for (Entry entry : now.entries) {
             if (entry.index() <= before.base || !entry.view().equals(before.viewAt(entry.index()))) {
--- a/src/main/java/brambletray/tray/view/Matter.java
+++ b/src/main/java/brambletray/tray/view/Matter.java
@@ -5,7 +5,10 @@
     /** The whole state now. */
     byte[] snapshot();
 
-    /** Replaces the state by one that {@link #snapshot} gave somewhere; empty bytes mean the state before the first change. */
+    /**
+     * Replaces the state by one that {@link #snapshot} gave somewhere; empty bytes mean the state before the first
+     * change.
+     */
     void restore(byte[] snapshot);
 
     /** The next change. Once for each place between a restore and the end of the process, in order. Must not throw. */
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 
 /**
- * One member of the core: views, the order of changes, changes of view. Pure: time, frames and syncs come in, {@link Out} says what is to
- * be done. One thread only. See the package's page for the rules and why they hold.
+ * One member of the core: views, the order of changes, changes of view. Pure: time, frames and syncs come in,
+ * {@link Out} says what is to be done. One thread only. See the package's page for the rules and why they hold.
  */
 public final class Members {
     /** All frames, for registration with the codec; the records within them come first. */
@@ -139,8 +139,12 @@
         enter(now);
         tickAt = now;
         if (born) {
-            if (leading != null) leading.tick();
-            if (changing != null) changing.tick();
+            if (leading != null) {
+                leading.tick();
+            }
+            if (changing != null) {
+                changing.tick();
+            }
             decide();
             knock();
             ear.tick();
@@ -152,17 +156,27 @@
 
     private void enter(long now) {
         desk.now = Math.max(now, desk.now);
-        if (desk.now - tickAt <= desk.set.sleepMs()) return;
+        if (desk.now - tickAt <= desk.set.sleepMs()) {
+            return;
+        }
         desk.out.tell("view.slept", "ms", desk.now - tickAt);
         tickAt = desk.now;
         following.doubt();
-        if (leading != null) leading.doubt();
-        if (changing != null && changing.asking()) changing = null;
+        if (leading != null) {
+            leading.doubt();
+        }
+        if (changing != null && changing.asking()) {
+            changing = null;
+        }
     }
 
     private void leave() {
-        if (leaving != null && born) leaving.tick();
-        if (leading != null) leading.flush();
+        if (leaving != null && born) {
+            leaving.tick();
+        }
+        if (leading != null) {
+            leading.flush();
+        }
         desk.quill.flush(desk.now);
     }
 
@@ -171,9 +185,13 @@
         if (changing != null && changing.asking() && leading == null && following.calm() && !desk.stopped()) {
             drop("the leader is heard again", 0);
         }
-        if (changing != null || desk.view == null || desk.ill()) return;
+        if (changing != null || desk.view == null || desk.ill()) {
+            return;
+        }
         if (leading == null) {
-            if (!desk.leaving && following.impatient()) takeOver();
+            if (!desk.leaving && following.impatient()) {
+                takeOver();
+            }
             return;
         }
         Set<Long> silent = leading.silent();
@@ -189,8 +207,11 @@
             change(Set.of(), Set.of(), "a disk is lost");
         } else if (leading.rested()) {
             Set<Long> leaves = leaves();
-            if (!gate.waiting().isEmpty()) change(leaves, leaves, "newcomers");
-            else if (!leaves.isEmpty() && !awaited()) change(leaves, leaves, "leaves");
+            if (!gate.waiting().isEmpty()) {
+                change(leaves, leaves, "newcomers");
+            } else if (!leaves.isEmpty() && !awaited()) {
+                change(leaves, leaves, "leaves");
+            }
         }
     }
 
@@ -203,8 +224,9 @@
             // told on before the Stop that follows on the same link: who hasn't heard it would refuse, as the leader is
             // well
             for (Member member : desk.view.members()) {
-                if (member.life() != desk.me.life())
+                if (member.life() != desk.me.life()) {
                     desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), leader.life()));
+                }
             }
         }
         change(without, released ? without : Set.of(), released ? "leader leaves" : "leader silent");
@@ -213,17 +235,24 @@
     /** Members that are about to end, if the rest can go on without them and bears the losses; else none. */
     private Set<Long> leaves() {
         leavers.keySet().removeIf(life -> !desk.view.has(life));
-        if (leavers.isEmpty()) return Set.of();
+        if (leavers.isEmpty()) {
+            return Set.of();
+        }
         List<Member> rest = new ArrayList<>(desk.view.members());
         rest.removeIf(member -> leavers.containsKey(member.life()));
         boolean enough = desk.set.tolerance().bears(rest) && Quorum.enough(desk.view.members(), rest, desk.dead);
         return enough ? Set.copyOf(leavers.keySet()) : Set.of();
     }
 
-    /** Whether who is about to end stays, as the one that takes its place is on its way: for half of what the leaver has, at most. */
+    /**
+     * Whether who is about to end stays, as the one that takes its place is on its way: for half of what the leaver
+     * has, at most.
+     */
     private boolean awaited() {
         for (long at : leavers.values()) {
-            if (2 * (desk.now - at) > desk.set.leaveMs()) return false;
+            if (2 * (desk.now - at) > desk.set.leaveMs()) {
+                return false;
+            }
         }
         return gate.expecting();
     }
@@ -241,7 +270,9 @@
     /** A frame from the member at this control-plane address. */
     public void heard(String from, Object frame, long now) {
         enter(now);
-        if (born && frame instanceof Frame known) ear.hear(from, known);
+        if (born && frame instanceof Frame known) {
+            ear.hear(from, known);
+        }
         leave();
     }
 
@@ -252,10 +283,15 @@
         leave();
     }
 
-    /** The batch of this ticket could not be written; nothing is known of what is on the disk of it. It will be tried again. */
+    /**
+     * The batch of this ticket could not be written; nothing is known of what is on the disk of it. It will be tried
+     * again.
+     */
     public void syncFailed(long ticket, long now) {
         enter(now);
-        if (!desk.quill.failing()) desk.out.tell("view.disk-refuses", "ticket", ticket);
+        if (!desk.quill.failing()) {
+            desk.out.tell("view.disk-refuses", "ticket", ticket);
+        }
         desk.quill.failed(ticket, desk.now);
         leave();
     }
@@ -264,18 +300,25 @@
     public void gone(String address, long now) {
         enter(now);
         following.gone(address);
-        if (leading != null) leading.gone(address);
+        if (leading != null) {
+            leading.gone(address);
+        }
         leave();
     }
 
-    /** Proposes a change; its outcome comes through {@link Out#outcome}. A token is used once in the life of a process. */
+    /**
+     * Proposes a change; its outcome comes through {@link Out#outcome}. A token is used once in the life of a process.
+     */
     public void propose(long token, byte[] bytes, long now) {
         enter(now);
         proposals.propose(token, bytes);
         leave();
     }
 
-    /** Asks whether what has been delivered here is no older than all that was acknowledged until now: {@link Out#confirmed}. */
+    /**
+     * Asks whether what has been delivered here is no older than all that was acknowledged until now:
+     * {@link Out#confirmed}.
+     */
     public void confirm(long token, long now) {
         enter(now);
         confirms.confirm(token);
@@ -283,8 +326,8 @@
     }
 
     /**
-     * This process is about to end, as planned (SIGTERM): others lead and go on without it, and it doesn't come in again.
-     * {@link #left} says when.
+     * This process is about to end, as planned (SIGTERM): others lead and go on without it, and it doesn't come in
+     * again. {@link #left} says when.
      */
     public void leave(long now) {
         enter(now);
@@ -295,7 +338,10 @@
         leave();
     }
 
-    /** Whether this process may end: a view without it is in force, or it has waited for as long as it may ({@link Settings#leaveMs}). */
+    /**
+     * Whether this process may end: a view without it is in force, or it has waited for as long as it may
+     * ({@link Settings#leaveMs}).
+     */
     public boolean left() {
         return leaving != null && leaving.over();
     }
@@ -308,16 +354,25 @@
     /** A member is about to end. */
     void bye(String from, Frame.Bye bye) {
         View view = desk.view;
-        if (view == null) return;
+        if (view == null) {
+            return;
+        }
         if (!view.ballot().equals(bye.view())) {
             // the view without it is in force, and it hasn't heard of it
             boolean out = desk.inForce && view.ballot().above(bye.view()) && !view.has(bye.life());
-            if (out) desk.out.send(from, new Frame.Left(view));
+            if (out) {
+                desk.out.send(from, new Frame.Left(view));
+            }
+            return;
+        }
+        if (!view.has(bye.life()) || bye.life() == desk.me.life()) {
             return;
         }
-        if (!view.has(bye.life()) || bye.life() == desk.me.life()) return;
-        if (leading != null) leavers.putIfAbsent(bye.life(), desk.now);
-        else if (bye.life() == view.ballot().who()) following.bye();
+        if (leading != null) {
+            leavers.putIfAbsent(bye.life(), desk.now);
+        } else if (bye.life() == view.ballot().who()) {
+            following.bye();
+        }
         decide();
     }
 
@@ -347,7 +402,10 @@
                 desk.ill());
     }
 
-    /** Control-plane address of the leader that the others go on with, once this process is about to end and is out; else null. */
+    /**
+     * Control-plane address of the leader that the others go on with, once this process is about to end and is out;
+     * else null.
+     */
     public String successor() {
         return desk.leaving && following.fallen() ? following.left().leader().address() : null;
     }
@@ -412,7 +470,9 @@
     }
 
     void stopLeading() {
-        if (leading == null) return;
+        if (leading == null) {
+            return;
+        }
         leading = null;
         gate.clear();
         desk.out.changed();
@@ -425,7 +485,10 @@
         following.quiet(pauseMs);
     }
 
-    /** Begins anew at once, without waiting for these; who answers all the same is left out if the rest is enough: it would hold it up again. */
+    /**
+     * Begins anew at once, without waiting for these; who answers all the same is left out if the rest is enough: it
+     * would hold it up again.
+     */
     void again(Set<Long> absent, String why) {
         changing = null;
         change(absent, absent, why);
@@ -450,13 +513,17 @@
         desk.draining = false;
         gate.clear();
         leading = new Leading(desk);
-        for (String address : new ArrayList<>(leftOut)) desk.out.send(address, new Frame.Left(desk.view));
+        for (String address : new ArrayList<>(leftOut)) {
+            desk.out.send(address, new Frame.Left(desk.view));
+        }
         desk.out.changed();
         proposals.pump();
     }
 
     /** A disk is proven lost: an attempt under way is made anew with it. */
     void buried() {
-        if (changing != null && changing.asking()) again(Set.of(), "a disk is lost");
+        if (changing != null && changing.asking()) {
+            again(Set.of(), "a disk is lost");
+        }
     }
 }
--- a/src/main/java/brambletray/tray/view/Patch.java
+++ b/src/main/java/brambletray/tray/view/Patch.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * What turns one log into another: all behind a place is dropped and these entries are put there; or, whole, all is replaced.
+ * What turns one log into another: all behind a place is dropped and these entries are put there; or, whole, all is
+ * replaced.
  *
  * @param whole     whether the snapshot replaces everything
  * @param after     place that stays as the last one (the snapshot's when whole)
@@ -13,8 +14,8 @@
  */
 public record Patch(boolean whole, long after, Ballot afterView, byte[] snapshot, List<Entry> entries) {
     /**
-     * Bytes of a patch that may go in one frame with a new view, 0.26 s of a link of 2 Mbit/s: {@link Settings#installMs} has to bear it.
-     * What is longer is fetched in pieces.
+     * Bytes of a patch that may go in one frame with a new view, 0.26 s of a link of 2 Mbit/s:
+     * {@link Settings#installMs} has to bear it. What is longer is fetched in pieces.
      */
     static final int SHORT = 64 << 10;
     /** Bytes that an entry takes besides its own. */
@@ -27,7 +28,9 @@
     /** Bytes, nearly. */
     long bytes() {
         long bytes = snapshot.length;
-        for (Entry entry : entries) bytes += EACH + entry.bytes().length;
+        for (Entry entry : entries) {
+            bytes += EACH + entry.bytes().length;
+        }
         return bytes;
     }
 
--- a/src/main/java/brambletray/tray/view/Proposals.java
+++ b/src/main/java/brambletray/tray/view/Proposals.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Proposals of this process until their outcome is known: given to the leader of each view in turn, so long as they aren't in the order. */
+/**
+ * Proposals of this process until their outcome is known: given to the leader of each view in turn, so long as they
+ * aren't in the order.
+ */
 final class Proposals {
     private static final int AGAIN_MS = 300;
     private static final int MOST = 256;
@@ -47,18 +50,26 @@
 
     /** Gives what waits to the leader of the view in force. */
     void pump() {
-        if (pending.isEmpty() || !desk.inForce || !desk.works(desk.view.ballot()) || members.fallen()) return;
+        if (pending.isEmpty() || !desk.inForce || !desk.works(desk.view.ballot()) || members.fallen()) {
+            return;
+        }
         for (Map.Entry<Long, Pending> one : pending.entrySet()) {
             Pending item = one.getValue();
             if (item.sent != null && !item.sent.equals(desk.view.ballot())) {
                 // that view's leader has stopped: what isn't in the log that this view began with never got a place
                 // that lasts
-                if (desk.log.has(desk.origin, one.getKey())) continue;
+                if (desk.log.has(desk.origin, one.getKey())) {
+                    continue;
+                }
                 item.sent = null;
             }
-            if (item.sent != null && desk.now - item.sentAt < AGAIN_MS) continue;
+            if (item.sent != null && desk.now - item.sentAt < AGAIN_MS) {
+                continue;
+            }
             if (members.leading()) {
-                if (item.sent == null && members.take(one.getKey(), item.bytes)) item.sent = desk.view.ballot();
+                if (item.sent == null && members.take(one.getKey(), item.bytes)) {
+                    item.sent = desk.view.ballot();
+                }
             } else if (desk.view.leader().life() != desk.me.life()) {
                 item.sent = desk.view.ballot();
                 item.sentAt = desk.now;
@@ -71,7 +82,9 @@
 
     void delivered(Entry entry) {
         Pending item = entry.origin() == desk.origin ? pending.remove(entry.token()) : null;
-        if (item == null) return;
+        if (item == null) {
+            return;
+        }
         waiting -= item.bytes.length;
         desk.out.outcome(entry.token(), Outcome.COMMITTED);
     }
@@ -82,7 +95,9 @@
     }
 
     void tick() {
-        if (pending.isEmpty()) return;
+        if (pending.isEmpty()) {
+            return;
+        }
         // who is about to end doesn't come in again: callers are to go on to the others now
         end(item -> desk.now > item.until || desk.leaving && members.fallen());
         pump();
@@ -91,7 +106,9 @@
     private void end(java.util.function.Predicate<Pending> which) {
         List<Long> over = new ArrayList<>();
         for (Map.Entry<Long, Pending> one : pending.entrySet()) {
-            if (which.test(one.getValue())) over.add(one.getKey());
+            if (which.test(one.getValue())) {
+                over.add(one.getKey());
+            }
         }
         for (long token : over) {
             Pending item = pending.remove(token);
--- a/src/main/java/brambletray/tray/view/Quill.java
+++ b/src/main/java/brambletray/tray/view/Quill.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Writes on their way to the disk: gathered into one batch while the one before is being synced, kept in order, tried again after a
- * failure. What is to be said once they are synced waits here.
+ * Writes on their way to the disk: gathered into one batch while the one before is being synced, kept in order, tried
+ * again after a failure. What is to be said once they are synced waits here.
  */
 final class Quill {
     private static final int RETRY_MS = 250;
@@ -31,9 +31,13 @@
 
     /** Changes to keep with the next batch; a null value removes. */
     void put(String key, byte[] value, long now) {
-        if (openSince < 0) openSince = now;
+        if (openSince < 0) {
+            openSince = now;
+        }
         open.put(key, value);
-        if (value != null) size += value.length;
+        if (value != null) {
+            size += value.length;
+        }
     }
 
     void put(Map<String, byte[]> changes, long now) {
@@ -47,10 +51,14 @@
 
     /** Hands over the next batch if none is out. */
     void flush(long now) {
-        if (flying != null || (failed && now < retryAt)) return;
+        if (flying != null || (failed && now < retryAt)) {
+            return;
+        }
         while (open.isEmpty()) {
             List<Runnable> runs = then;
-            if (runs.isEmpty()) return;
+            if (runs.isEmpty()) {
+                return;
+            }
             then = new ArrayList<>();
             runs.forEach(Runnable::run);
         }
@@ -66,7 +74,9 @@
     }
 
     void synced(long which) {
-        if (flying == null || which != ticket) return;
+        if (flying == null || which != ticket) {
+            return;
+        }
         List<Runnable> runs = flyingThen;
         flying = null;
         flyingThen = null;
@@ -76,7 +86,9 @@
 
     /** The batch goes in front of what came after it, and is tried again after a pause. */
     void failed(long which, long now) {
-        if (flying == null || which != ticket) return;
+        if (flying == null || which != ticket) {
+            return;
+        }
         flying.putAll(open);
         flyingThen.addAll(then);
         open = flying;
@@ -96,7 +108,9 @@
 
     /** Milliseconds that the oldest write has been waiting; 0 when none is. */
     long age(long now) {
-        if (flying != null) return now - flyingSince;
+        if (flying != null) {
+            return now - flyingSince;
+        }
         return openSince < 0 ? 0 : now - openSince;
     }
 
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -9,9 +9,9 @@
 import java.util.function.Function;
 
 /**
- * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on. Receivers that lack the same
- * share a cut, so many newcomers take no more memory than one. A receiver that has been silent for a while, or has all when another needs
- * room, is forgotten.
+ * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on.
+ * Receivers that lack the same share a cut, so many newcomers take no more memory than one. A receiver that has been
+ * silent for a while, or has all when another needs room, is forgotten.
  */
 final class Serving {
     /** Cuts, of a few megabytes each, and receivers at a time. */
@@ -33,7 +33,10 @@
     private final Function<Ballot, Log> logs;
     private final Map<String, Receiver> receivers = new LinkedHashMap<>();
 
-    /** {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own; null if none. */
+    /**
+     * {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own;
+     * null if none.
+     */
     Serving(Desk desk, Function<Ballot, Log> logs) {
         this.desk = desk;
         this.logs = logs;
@@ -56,7 +59,9 @@
         receiver.usedAt = desk.now;
         byte[] bytes = receiver.cut.bytes;
         int size = Math.min(StateTransfer.PIECE, bytes.length - pull.offset());
-        if (size <= 0) return;
+        if (size <= 0) {
+            return;
+        }
         receiver.over |= pull.offset() + size == bytes.length;
         byte[] piece = java.util.Arrays.copyOfRange(bytes, pull.offset(), pull.offset() + size);
         desk.out.send(from, new Frame.Piece(pull.id(), pull.offset(), bytes.length, piece));
@@ -64,21 +69,32 @@
 
     private Cut cut(String from, Frame.Pull pull, Log log) {
         receivers.remove(from);
-        if (log == null) return null;
+        if (log == null) {
+            return null;
+        }
         Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
-        if (pull.view().equals(Ballot.NONE) && !patch.isShort()) patch = lighter(patch);
+        if (pull.view().equals(Ballot.NONE) && !patch.isShort()) {
+            patch = lighter(patch);
+        }
         Set<Cut> cuts = new HashSet<>();
         for (Receiver other : receivers.values()) {
             Cut cut = other.cut;
             boolean same = cut.whole == patch.whole() && cut.after == patch.after() && cut.end == patch.end();
-            if (same && cut.view.equals(pull.view())) return cut;
+            if (same && cut.view.equals(pull.view())) {
+                return cut;
+            }
             cuts.add(cut);
         }
-        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST)
+        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST) {
             receivers.values().removeIf(other -> other.over);
-        if (receivers.size() >= MOST) return null;
+        }
+        if (receivers.size() >= MOST) {
+            return null;
+        }
         cuts.clear();
-        for (Receiver other : receivers.values()) cuts.add(other.cut);
+        for (Receiver other : receivers.values()) {
+            cuts.add(other.cut);
+        }
         if (cuts.size() < MOST_CUTS) {
             return new Cut(pull.view(), patch.whole(), patch.after(), patch.end(), Codec.patch(patch, desk.commit));
         }
@@ -89,7 +105,9 @@
                     && cut.view.equals(pull.view())
                     && pull.view().equals(Ballot.NONE)
                     && cut.end > pull.end();
-            if (fits && (newest == null || cut.end > newest.end)) newest = cut;
+            if (fits && (newest == null || cut.end > newest.end)) {
+                newest = cut;
+            }
         }
         return newest;
     }
@@ -104,10 +122,14 @@
     }
 
     void tick() {
-        if (receivers.isEmpty()) return;
+        if (receivers.isEmpty()) {
+            return;
+        }
         Iterator<Receiver> all = receivers.values().iterator();
         while (all.hasNext()) {
-            if (desk.now - all.next().usedAt > KEEP_MS) all.remove();
+            if (desk.now - all.next().usedAt > KEEP_MS) {
+                all.remove();
+            }
         }
     }
 }
--- a/src/main/java/brambletray/tray/view/Settings.java
+++ b/src/main/java/brambletray/tray/view/Settings.java
@@ -1,7 +1,8 @@
 package brambletray.tray.view;
 
 /**
- * Spans in milliseconds and bounds. A machine counts as lost until sync-s after its return, so its way back in has to be shorter than that.
+ * Spans in milliseconds and bounds. A machine counts as lost until sync-s after its return, so its way back in has to
+ * be shorter than that.
  *
  * @param tolerance  what may be lost at once: a change is kept once it is on disks that outlast this
  * @param beatMs     between beats of the leader
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -10,8 +10,8 @@
 
     private static final int WINDOW = 4;
     /**
-     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what
-     * keeps the same pieces from being sent again and again. Doubles each time.
+     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow
+     * link patience is what keeps the same pieces from being sent again and again. Doubles each time.
      */
     private static final int AGAIN_MS = 500;
 
@@ -34,7 +34,10 @@
     private long commit;
     private boolean failed;
 
-    /** {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has itself. */
+    /**
+     * {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has
+     * itself.
+     */
     StateTransfer(Desk desk, String from, Log mine, Ballot view) {
         this.view = view;
         this.desk = desk;
@@ -64,8 +67,12 @@
 
     /** Asks again for what hasn't come. */
     void tick() {
-        if (desk.now - movedAt > GIVE_UP_MS) failed = true;
-        if (failed || log != null || (asked > 0 && desk.now - Math.max(saidAt, movedAt) < againMs)) return;
+        if (desk.now - movedAt > GIVE_UP_MS) {
+            failed = true;
+        }
+        if (failed || log != null || (asked > 0 && desk.now - Math.max(saidAt, movedAt) < againMs)) {
+            return;
+        }
         againMs = Math.min(2 * againMs, GIVE_UP_MS);
         asked = got;
         more();
@@ -84,19 +91,25 @@
 
     /** Takes a piece; true when it is over, well or not. */
     boolean piece(Frame.Piece piece) {
-        if (piece.id() != id || log != null || failed) return false;
+        if (piece.id() != id || log != null || failed) {
+            return false;
+        }
         if (piece.total() < 0 || piece.total() > MOST || (total >= 0 && total != piece.total())) {
             failed = true;
             return true;
         }
-        if (piece.offset() != got * PIECE) return false;
+        if (piece.offset() != got * PIECE) {
+            return false;
+        }
         total = piece.total();
         pieces.add(piece.bytes());
         got++;
         movedAt = desk.now;
         againMs = AGAIN_MS;
         if (got * PIECE < total) {
-            if (asked < got) asked = got;
+            if (asked < got) {
+                asked = got;
+            }
             more();
             return false;
         }
--- a/src/main/java/brambletray/tray/view/Tolerance.java
+++ b/src/main/java/brambletray/tray/view/Tolerance.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * What may be lost at once, with its disks, while all that is kept stays kept ({@code fault-tolerance} of the settings): so many machines, or
- * all machines of so many zones, or of so many regions.
+ * What may be lost at once, with its disks, while all that is kept stays kept ({@code fault-tolerance} of the
+ * settings): so many machines, or all machines of so many zones, or of so many regions.
  *
  * @param machines that may be lost
  * @param zones    that may be lost
@@ -21,8 +21,8 @@
     }
 
     /**
-     * Whether a change that is on the disks of all of these outlasts each such loss: whichever machines, zones or regions go, one of them is left.
-     * Members whose zone isn't known count as of one zone.
+     * Whether a change that is on the disks of all of these outlasts each such loss: whichever machines, zones or
+     * regions go, one of them is left. Members whose zone isn't known count as of one zone.
      */
     boolean bears(Collection<Member> members) {
         Set<String> in = new HashSet<>();
--- a/src/main/java/brambletray/tray/view/View.java
+++ b/src/main/java/brambletray/tray/view/View.java
@@ -18,14 +18,18 @@
     public List<Roll> chain(boolean inForce) {
         List<Roll> all = new ArrayList<>();
         all.add(new Roll(ballot, members));
-        if (!inForce) all.addAll(past);
+        if (!inForce) {
+            all.addAll(past);
+        }
         return all;
     }
 
     /** The member that leads. In the founding list nobody does. */
     public Member leader() {
         for (Member member : members) {
-            if (member.life() == ballot.who()) return member;
+            if (member.life() == ballot.who()) {
+                return member;
+            }
         }
         return null;
     }
@@ -38,7 +42,9 @@
     /** Member of this life, or null. */
     public Member member(long life) {
         for (Member member : members) {
-            if (member.life() == life) return member;
+            if (member.life() == life) {
+                return member;
+            }
         }
         return null;
     }
@@ -46,7 +52,9 @@
     /** Member at this address, or null. */
     public Member at(String address) {
         for (Member member : members) {
-            if (member.address().equals(address)) return member;
+            if (member.address().equals(address)) {
+                return member;
+            }
         }
         return null;
     }
@@ -64,7 +72,9 @@
     /** The list of seeds as a view before the first: lives aren't known. */
     static View ofSeeds(List<String> seeds) {
         List<Member> members = new ArrayList<>();
-        for (String seed : seeds) members.add(new Member(seed, seed, 0));
+        for (String seed : seeds) {
+            members.add(new Member(seed, seed, 0));
+        }
         return new View(Ballot.NONE, members, List.of());
     }
 }
--- a/src/main/java/brambletray/tray/vow/Seat.java
+++ b/src/main/java/brambletray/tray/vow/Seat.java
@@ -7,7 +7,10 @@
 
 /** What a member knows of the view in force, and since when. */
 final class Seat {
-    /** Whether this member is in it now, in touch with its leader, and has delivered all that earlier views may have acknowledged. */
+    /**
+     * Whether this member is in it now, in touch with its leader, and has delivered all that earlier views may have
+     * acknowledged.
+     */
     boolean in;
     /** Number and members of the last view that it was in. */
     long view;
@@ -26,7 +29,9 @@
         // one alone after a restart has the newest changes on disk, but can't deliver them: it must not act on the
         // snapshot's state
         in = status.standing() == Standing.MEMBER && status.inForce() && status.settled();
-        if (!in || view == status.number()) return false;
+        if (!in || view == status.number()) {
+            return false;
+        }
         before = status.before();
         follows = before == view;
         beforeSince = since;
@@ -39,14 +44,17 @@
     /** Place in the list of the view, the leader's being 0; -1 when not in. */
     int rank(long life) {
         for (int i = 0; i < members.size(); i++) {
-            if (members.get(i).life() == life) return i;
+            if (members.get(i).life() == life) {
+                return i;
+            }
         }
         return -1;
     }
 
     /**
-     * Whether any lease of an earlier view that still runs is known to a member of this one: it followed at once on one that had been in force here
-     * for as long as a lease is held to run, and some member of this view was asked to agree in that one.
+     * Whether any lease of an earlier view that still runs is known to a member of this one: it followed at once on one
+     * that had been in force here for as long as a lease is held to run, and some member of this view was asked to
+     * agree in that one.
      */
     boolean quick(long now, int vacantMs) {
         return follows && now - beforeSince >= vacantMs;
--- a/src/main/java/brambletray/tray/vow/Spans.java
+++ b/src/main/java/brambletray/tray/vow/Spans.java
@@ -1,9 +1,9 @@
 package brambletray.tray.vow;
 
 /**
- * Spans in milliseconds. A holder acts for {@code actMs} from the sending of what a majority agreed to; the others hold the duty taken for
- * {@code vacantMs} from hearing it, which is later and longer: so the old holder has stopped before a new one begins, by steady clocks that
- * run alike.
+ * Spans in milliseconds. A holder acts for {@code actMs} from the sending of what a majority agreed to; the others hold
+ * the duty taken for {@code vacantMs} from hearing it, which is later and longer: so the old holder has stopped before
+ * a new one begins, by steady clocks that run alike.
  *
  * @param renewMs   between renewals
  * @param actMs     how long the holder acts on a renewal
--- a/src/main/java/brambletray/tray/vow/Tenure.java
+++ b/src/main/java/brambletray/tray/vow/Tenure.java
@@ -36,7 +36,9 @@
 
     /** A member agreed to the message of this number. */
     void agree(long life, long number) {
-        if (number <= seq - SEQS || number > seq) return;
+        if (number <= seq - SEQS || number > seq) {
+            return;
+        }
         agreed.merge(life, sentAt[(int) (number % SEQS)], Math::max);
     }
 
@@ -45,14 +47,18 @@
         refused.add(life);
         int against = 0;
         for (Member member : members) {
-            if (refused.contains(member.life())) against++;
+            if (refused.contains(member.life())) {
+                against++;
+            }
         }
         return probe || 2 * against >= members.size();
     }
 
     boolean all(List<Member> members) {
         for (Member member : members) {
-            if (!agreed.containsKey(member.life())) return false;
+            if (!agreed.containsKey(member.life())) {
+                return false;
+            }
         }
         return true;
     }
@@ -61,7 +67,9 @@
     long agreedAt(List<Member> members) {
         long[] times = new long[members.size()];
         int i = 0;
-        for (Member member : members) times[i++] = agreed.getOrDefault(member.life(), Long.MIN_VALUE / 2);
+        for (Member member : members) {
+            times[i++] = agreed.getOrDefault(member.life(), Long.MIN_VALUE / 2);
+        }
         java.util.Arrays.sort(times);
         return times.length == 0 ? Long.MIN_VALUE / 2 : times[times.length - (times.length / 2 + 1)];
     }
--- a/src/main/java/brambletray/tray/vow/Voter.java
+++ b/src/main/java/brambletray/tray/vow/Voter.java
@@ -39,11 +39,14 @@
         this.out = out;
         this.spans = spans;
         takenUntil = now;
-        if (kept == null) return;
+        if (kept == null) {
+            return;
+        }
         ByteBuffer in = ByteBuffer.wrap(kept);
         byte form = in.get();
-        if (form != FORM && form != FORM_BEFORE)
+        if (form != FORM && form != FORM_BEFORE) {
             throw new VowFault("vow.form", "kept in form " + kept[0] + ", this program reads form " + FORM);
+        }
         granted = in.getLong();
         grantedTo = in.getLong();
         heldIn = form == FORM ? in.getLong() : 0;
@@ -79,12 +82,17 @@
         return named;
     }
 
-    /** The last view in which this life held the duty before its process ended, as far as this disk knows; 0 for none. */
+    /**
+     * The last view in which this life held the duty before its process ended, as far as this disk knows; 0 for none.
+     */
     long heldBefore(long life) {
         return reborn && grantedTo == life ? heldIn : 0;
     }
 
-    /** Whether this term would be granted to this life now. Who asks holds nothing any more: its own lease stands in nobody's way. */
+    /**
+     * Whether this term would be granted to this life now. Who asks holds nothing any more: its own lease stands in
+     * nobody's way.
+     */
     boolean would(long term, long life, long now) {
         boolean free = now >= takenUntil
                 || (holder != null && holder.member().life() == life)
@@ -101,7 +109,9 @@
 
     /** Agrees to a lease unless a higher term was granted. */
     boolean renew(long view, long term, Member from, long now, Runnable run) {
-        if (term < granted || (term == granted && grantedTo != from.life())) return false;
+        if (term < granted || (term == granted && grantedTo != from.life())) {
+            return false;
+        }
         keep(term, from.life());
         dirty |= heldIn != view;
         heldIn = view;
@@ -111,7 +121,9 @@
     }
 
     private void keep(long term, long life) {
-        if (term == granted && grantedTo == life) return;
+        if (term == granted && grantedTo == life) {
+            return;
+        }
         granted = term;
         grantedTo = life;
         heldIn = 0;
@@ -127,18 +139,23 @@
 
     /** The holder says that it has stopped. */
     boolean vacate(long term, long life, long next, long now) {
-        if (holder == null || holder.term() != term || holder.member().life() != life || now >= takenUntil)
+        if (holder == null || holder.term() != term || holder.member().life() != life || now >= takenUntil) {
             return false;
+        }
         takenUntil = now;
         named = next;
         return true;
     }
 
     void flush(long now) {
-        if (flying || now < retryAt) return;
+        if (flying || now < retryAt) {
+            return;
+        }
         if (!dirty) {
             List<Runnable> runs = then;
-            if (runs.isEmpty()) return;
+            if (runs.isEmpty()) {
+                return;
+            }
             then = new ArrayList<>();
             runs.forEach(Runnable::run);
             return;
@@ -160,7 +177,9 @@
     }
 
     void synced(long which) {
-        if (!flying || which != ticket) return;
+        if (!flying || which != ticket) {
+            return;
+        }
         flying = false;
         List<Runnable> runs = flyingThen;
         flyingThen = new ArrayList<>();
@@ -168,7 +187,9 @@
     }
 
     void failed(long which, long now) {
-        if (!flying || which != ticket) return;
+        if (!flying || which != ticket) {
+            return;
+        }
         flying = false;
         dirty = true;
         flyingThen.addAll(then);
--- a/src/main/java/brambletray/tray/yard/Caller.java
+++ b/src/main/java/brambletray/tray/yard/Caller.java
@@ -29,8 +29,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * HTTP/1.1 calls to one address over a few connections that are kept, one call at a time on each. All of them may be repeated: one that
- * meets a kept connection as it closes is sent again on a new one. On its loop only.
+ * HTTP/1.1 calls to one address over a few connections that are kept, one call at a time on each. All of them may be
+ * repeated: one that meets a kept connection as it closes is sent again on a new one. On its loop only.
  */
 final class Caller {
     /** What came of a call; called once. {@code status} 0: no whole answer in time. */
@@ -39,14 +39,23 @@
         void came(int status, byte[] body);
     }
 
-    /** ms for a whole answer: more while none comes in time, for a slow platform is better than none; and for a connection to come up. */
-    private static final int PATIENCE = 1_500, PATIENCE_MOST = 4_000, CONNECT = 1_000;
+    /**
+     * ms for a whole answer: more while none comes in time, for a slow platform is better than none; and for a
+     * connection to come up.
+     */
+    private static final int PATIENCE = 1_500;
 
-    private static final int LINES_MOST = 32, KEPT_MOST = 4, QUEUE_MOST = 256;
+    private static final int PATIENCE_MOST = 4_000;
+    private static final int CONNECT = 1_000;
+
+    private static final int LINES_MOST = 32;
+    private static final int KEPT_MOST = 4;
+    private static final int QUEUE_MOST = 256;
     /** ms; an idle connection is not used after that. */
     private static final long IDLE = 4_000;
 
-    private static final int HEAD_MOST = 16 * 1024, BODY_MOST = 4 * 1024 * 1024;
+    private static final int HEAD_MOST = 16 * 1024;
+    private static final int BODY_MOST = 4 * 1024 * 1024;
     private static final byte[] NOTHING = new byte[0];
 
     /** One call until its reply. */
--- a/src/main/java/brambletray/tray/yard/Fleet.java
+++ b/src/main/java/brambletray/tray/yard/Fleet.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 
 /**
- * The workers, and the memory free on them: what the platform's list says, which is {@code lag} ms old, less what has been started
- * since, plus what has been stopped since.
+ * The workers, and the memory free on them: what the platform's list says, which is {@code lag} ms old, less what has
+ * been started since, plus what has been stopped since.
  */
 final class Fleet {
     /** Lists in a row without a worker until it counts as down. */
@@ -19,7 +19,10 @@
     /** ms; how much later than its stated lag a list may be. */
     private static final long LATE = 100;
 
-    /** What a list changed: workers that have begun to drain, and workers that are down; {@code doubt}: one was not shown, for the first time. */
+    /**
+     * What a list changed: workers that have begun to drain, and workers that are down; {@code doubt}: one was not
+     * shown, for the first time.
+     */
     record News(List<String> draining, List<String> down, boolean doubt) {}
 
     private final long lag;
--- a/src/main/java/brambletray/tray/yard/Hands.java
+++ b/src/main/java/brambletray/tray/yard/Hands.java
@@ -1,6 +1,9 @@
 package brambletray.tray.yard;
 
-/** What the yard wants done. The answers come back through {@link Yard}'s methods, later and never from within these calls. */
+/**
+ * What the yard wants done. The answers come back through {@link Yard}'s methods, later and never from within these
+ * calls.
+ */
 public interface Hands {
     /** Says a frame to an edge; lost if there is no link. */
     void tell(String edge, Object frame);
--- a/src/main/java/brambletray/tray/yard/Host.java
+++ b/src/main/java/brambletray/tray/yard/Host.java
@@ -1,7 +1,10 @@
 package brambletray.tray.yard;
 
-/** A host of a service as the system knows it. {@code zone}: where its worker stands; {@code seat}: the zone whose home gives out its places;
- * {@code state}: 0 booting, 1 up, 2 leaving; {@code bornAgoMs}: ms since its start call was answered. */
+/**
+ * A host of a service as the system knows it. {@code zone}: where its worker stands; {@code seat}: the zone whose home
+ * gives out its places; {@code state}: 0 booting, 1 up, 2 leaving; {@code bornAgoMs}: ms since its start call was
+ * answered.
+ */
 public record Host(
         String id,
         String service,
--- a/src/main/java/brambletray/tray/yard/Pace.java
+++ b/src/main/java/brambletray/tray/yard/Pace.java
@@ -1,8 +1,8 @@
 package brambletray.tray.yard;
 
 /**
- * How fast starts and stops may be called: so many a second with a small burst, fewer after 429, and fewer at a time while the platform
- * does not answer.
+ * How fast starts and stops may be called: so many a second with a small burst, fewer after 429, and fewer at a time
+ * while the platform does not answer.
  */
 final class Pace {
     /** Calls without an answer at a time. */
--- a/src/main/java/brambletray/tray/yard/Pages.java
+++ b/src/main/java/brambletray/tray/yard/Pages.java
@@ -10,7 +10,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** The platform's JSON, read and written. What is not as the protocol says is a fault; fields that are not known are passed over. */
+/**
+ * The platform's JSON, read and written. What is not as the protocol says is a fault; fields that are not known are
+ * passed over.
+ */
 final class Pages {
     private final DslJson<Object> json = new DslJson<>();
     private final JsonWriter writer = json.newWriter();
--- a/src/main/java/brambletray/tray/yard/Platform.java
+++ b/src/main/java/brambletray/tray/yard/Platform.java
@@ -11,16 +11,20 @@
 import java.util.function.Consumer;
 
 /**
- * The platform's interface: starts, stops and lists, over HTTP ({@code cloud-api.address}). Says who it is and under which fence with each
- * start and stop; never asks for more pages a second than the platform accepts. Every call is answered once. On its loop only.
+ * The platform's interface: starts, stops and lists, over HTTP ({@code cloud-api.address}). Says who it is and under
+ * which fence with each start and stop; never asks for more pages a second than the platform accepts. Every call is
+ * answered once. On its loop only.
  */
 public final class Platform {
     private static final Tale TALE = Tale.of("yard");
-    private static final int PAGES_MOST = 64, PAGE_TRIES = 3;
+    private static final int PAGES_MOST = 64;
+    private static final int PAGE_TRIES = 3;
     /** ms before a page that was refused is asked for again. */
     private static final long PAGE_PAUSE = 200;
 
-    /** What the platform is told of its caller: {@code holder} is the node's name, {@code fence} the term of its duty. */
+    /**
+     * What the platform is told of its caller: {@code holder} is the node's name, {@code fence} the term of its duty.
+     */
     public record Name(String holder, long fence) {}
 
     /** A list that came, or not: {@code complete} only with its last page. */
--- a/src/main/java/brambletray/tray/yard/Polls.java
+++ b/src/main/java/brambletray/tray/yard/Polls.java
@@ -1,13 +1,24 @@
 package brambletray.tray.yard;
 
-/** When the platform's lists are asked for: often while there are hosts, seldom otherwise, with growing pauses while it does not answer. */
+/**
+ * When the platform's lists are asked for: often while there are hosts, seldom otherwise, with growing pauses while it
+ * does not answer.
+ */
 final class Polls {
-    /** ms between lists of hosts, of workers, of either while nothing runs, and the least between two of workers after a refusal. */
-    private static final long HOSTS = 700, WORKERS = 1_000, IDLE = 3_000, HASTE = 300;
+    /**
+     * ms between lists of hosts, of workers, of either while nothing runs, and the least between two of workers after a
+     * refusal.
+     */
+    private static final long HOSTS = 700;
+
+    private static final long WORKERS = 1_000;
+    private static final long IDLE = 3_000;
+    private static final long HASTE = 300;
     /** ms; a list that has not been answered by then is asked for again. */
     private static final long LOST = 10_000;
 
-    private static final long PAUSE_LEAST = 100, PAUSE_MOST = 1_000;
+    private static final long PAUSE_LEAST = 100;
+    private static final long PAUSE_MOST = 1_000;
 
     /** One of the two lists. */
     static final class Poll {
--- a/src/main/java/brambletray/tray/yard/Recall.java
+++ b/src/main/java/brambletray/tray/yard/Recall.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * What edges know is taken in, and put right. Who told of a host first is right about its seat; another seat's home is told that it is gone. An
- * edge that has been without its link is told what it has missed.
+ * What edges know is taken in, and put right. Who told of a host first is right about its seat; another seat's home is
+ * told that it is gone. An edge that has been without its link is told what it has missed.
  */
 final class Recall {
     private static final Tale TALE = Tale.of("yard");
--- a/src/main/java/brambletray/tray/yard/Registry.java
+++ b/src/main/java/brambletray/tray/yard/Registry.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** The hosts that are known, and those that ended lately. Whoever is home of a host's seat is told what becomes of it. */
+/**
+ * The hosts that are known, and those that ended lately. Whoever is home of a host's seat is told what becomes of it.
+ */
 final class Registry {
     private static final Tale TALE = Tale.of("yard");
     /** Ended hosts, and ms, for which an id is remembered: lists that lag may show it still. */
--- a/src/main/java/brambletray/tray/yard/Settling.java
+++ b/src/main/java/brambletray/tray/yard/Settling.java
@@ -9,8 +9,8 @@
 import java.util.function.BiConsumer;
 
 /**
- * A new holder of the duty knows nothing: it waits until all edges have told what they know, or for a time, before it calls a host unknown,
- * or tells a home that it has none.
+ * A new holder of the duty knows nothing: it waits until all edges have told what they know, or for a time, before it
+ * calls a host unknown, or tells a home that it has none.
  */
 final class Settling {
     /** ms. */
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/tray/yard/Starts.java
@@ -10,8 +10,8 @@
 import java.util.function.Function;
 
 /**
- * The starts that homes want. Each goes through with the one nonce that its home chose, so that nobody, a successor included, starts it
- * twice: without an answer it is called again at the same worker, after 409 at another one.
+ * The starts that homes want. Each goes through with the one nonce that its home chose, so that nobody, a successor
+ * included, starts it twice: without an answer it is called again at the same worker, after 409 at another one.
  */
 final class Starts {
     private static final Tale TALE = Tale.of("yard");
@@ -20,12 +20,20 @@
     private static final long FORGET = 3_000;
     /** ms between two looks at all that wait. */
     private static final long LOOK = 250;
-    /** ms until a home had better ask again: when all is full, when nothing could be called, when the service is not known. */
-    static final int FULL = 500, BUSY = 300, NO_SERVICE = 500;
+    /**
+     * ms until a home had better ask again: when all is full, when nothing could be called, when the service is not
+     * known.
+     */
+    static final int FULL = 500;
+
+    static final int BUSY = 300;
+    static final int NO_SERVICE = 500;
 
     private static final int REFUSALS_MOST = 8;
     /** ms between calls without an answer. */
-    private static final long PAUSE_LEAST = 50, PAUSE_MOST = 1_000;
+    private static final long PAUSE_LEAST = 50;
+
+    private static final long PAUSE_MOST = 1_000;
 
     /** What becomes of a start. */
     interface Ends {
--- a/src/main/java/brambletray/tray/yard/Stops.java
+++ b/src/main/java/brambletray/tray/yard/Stops.java
@@ -12,7 +12,9 @@
     private static final Tale TALE = Tale.of("yard");
     private static final int MOST = 8_192;
     /** ms between two calls for one host. */
-    private static final long PAUSE_LEAST = 100, PAUSE_MOST = 1_000;
+    private static final long PAUSE_LEAST = 100;
+
+    private static final long PAUSE_MOST = 1_000;
 
     private static final class Stop {
         private final String id;
--- a/src/main/java/brambletray/tray/yard/Strays.java
+++ b/src/main/java/brambletray/tray/yard/Strays.java
@@ -6,8 +6,9 @@
 import java.util.Set;
 
 /**
- * Hosts that nobody wants, and that cost their memory until somebody stops them: those of a service that is gone from the configuration, and
- * those of a seat whose home has never asked for it, as its former home died or they were found on the list.
+ * Hosts that nobody wants, and that cost their memory until somebody stops them: those of a service that is gone from
+ * the configuration, and those of a seat whose home has never asked for it, as its former home died or they were found
+ * on the list.
  */
 final class Strays {
     /** ms; hosts of a service that is gone are stopped after that. */
--- a/src/main/java/brambletray/tray/yard/Terms.java
+++ b/src/main/java/brambletray/tray/yard/Terms.java
@@ -4,7 +4,8 @@
 
 /**
  * What a deployment says about its platform. {@code zones}: zone to region; {@code lagMs}: how old its lists are, ms;
- * {@code ratePerS}: lists accepted a second; {@code dutyRatePerS}: starts and stops accepted a second, from all together.
+ * {@code ratePerS}: lists accepted a second; {@code dutyRatePerS}: starts and stops accepted a second, from all
+ * together.
  */
 public record Terms(Map<String, String> zones, int lagMs, double ratePerS, double dutyRatePerS) {
     /** 0 in one zone, 1 in one region, 2 beyond. */
--- a/src/main/java/brambletray/tray/yard/Yard.java
+++ b/src/main/java/brambletray/tray/yard/Yard.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * The registry of hosts, at the one holder of the duty: starts and stops them as homes ask, tells homes what becomes of them. A state
- * machine: times (ms of a steady clock) and events go in, {@link Hands} are told what to do. One thread.
+ * The registry of hosts, at the one holder of the duty: starts and stops them as homes ask, tells homes what becomes of
+ * them. A state machine: times (ms of a steady clock) and events go in, {@link Hands} are told what to do. One thread.
  */
 public final class Yard {
     /** The frames of this plane, for the links. */
@@ -72,12 +72,17 @@
         began = now;
     }
 
-    /** The edges whose {@link Mine} is awaited before a host counts as known to nobody; without it, 1.5 s are waited. */
+    /**
+     * The edges whose {@link Mine} is awaited before a host counts as known to nobody; without it, 1.5 s are waited.
+     */
     public void expect(Set<String> edges) {
         settling.expect(edges);
     }
 
-    /** The services of the configuration in force. Hosts of those that are not in it are stopped after 10 s, unless their homes are faster. */
+    /**
+     * The services of the configuration in force. Hosts of those that are not in it are stopped after 10 s, unless
+     * their homes are faster.
+     */
     public void creed(Map<String, Size> services, long now) {
         told = true;
         sizes = Map.copyOf(services);
@@ -121,8 +126,8 @@
     }
 
     /**
-     * A new home of a seat: is told its hosts, and each that becomes known later by {@link Born}. A hub that has just begun, and knows none, says
-     * so only once it has been told and has seen a list.
+     * A new home of a seat: is told its hosts, and each that becomes known later by {@link Born}. A hub that has just
+     * begun, and knows none, says so only once it has been told and has seen a list.
      */
     public void claim(String edge, Claim claim, long now) {
         strays.claimed(claim.service(), claim.seat(), edge);
@@ -154,7 +159,10 @@
         settling.told(edge);
     }
 
-    /** The platform's list. {@code complete}: all of its pages have come; else no absence is concluded from it, and it is asked for again soon. */
+    /**
+     * The platform's list. {@code complete}: all of its pages have come; else no absence is concluded from it, and it
+     * is asked for again soon.
+     */
     public void listed(List<Listed> list, boolean complete, long now) {
         long asked = polls.hosts.came(now, complete);
         muster.take(list, asked, complete, told && settling.over(now), now);
--- a/src/main/java/brambletray/yaml/YamlFile.java
+++ b/src/main/java/brambletray/yaml/YamlFile.java
@@ -24,7 +24,8 @@
  * told together by {@link #check}. No objects are made of it, anchors are refused, and it has a size.
  */
 public final class YamlFile {
-    private static final int BYTES_MOST = 4 << 20, FAULTS_MOST = 100;
+    private static final int BYTES_MOST = 4 << 20;
+    private static final int FAULTS_MOST = 100;
 
     private record Fault(int line, int column, String text) {}
 
--- a/src/test/java/brambletray/control/Bench.java
+++ b/src/test/java/brambletray/control/Bench.java
@@ -1,12 +1,31 @@
 package brambletray.control;
 
-import brambletray.control.Relay.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Allowed;
+import brambletray.control.Relay.Due;
+import brambletray.control.Relay.Effect;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Endpoint;
+import brambletray.control.Relay.Event;
+import brambletray.control.Relay.Kind;
+import brambletray.control.Relay.Listing;
+import brambletray.control.Relay.MessageClass;
+import brambletray.control.Relay.Outcome;
+import brambletray.control.Relay.Prices;
+import brambletray.control.Relay.Rules;
+import brambletray.control.Relay.Send;
+import brambletray.control.Relay.Settings;
+import brambletray.control.Relay.Tenant;
+import brambletray.control.Relay.Wake;
+import brambletray.control.Relay.Weights;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Drives one Control by script: events in, actions out, every one of them past the rule checker. */
 final class Bench {
-    static final long MS = 1_000, SECOND = 1_000_000;
+    static final long MS = 1_000;
+    static final long SECOND = 1_000_000;
     final Settings set;
     final RuleChecker checker;
     final Control control;
@@ -14,7 +33,10 @@
     long wakeAt = Long.MAX_VALUE;
     private int next;
 
-    /** Classes: 0 safe, 1 keyed (group all), 2 unsafe in order, 3 keyed (zone group). Kinds: 0 shared, 1 apart, 2 bundles. */
+    /**
+     * Classes: 0 safe, 1 keyed (group all), 2 unsafe in order, 3 keyed (zone group). Kinds: 0 shared, 1 apart, 2
+     * bundles.
+     */
     static Settings settings(int slots, boolean copies, int relays) {
         return settings(slots, copies, relays, 8, 200);
     }
--- a/src/test/java/brambletray/control/ControlTest.java
+++ b/src/test/java/brambletray/control/ControlTest.java
@@ -1,9 +1,35 @@
 package brambletray.control;
 
-import static brambletray.control.Bench.*;
+import static brambletray.control.Bench.MS;
+import static brambletray.control.Bench.SECOND;
+import static brambletray.control.Bench.count;
+import static brambletray.control.Bench.ended;
+import static brambletray.control.Bench.endpoint;
+import static brambletray.control.Bench.sends;
+import static brambletray.control.Bench.settings;
 import static org.junit.jupiter.api.Assertions.*;
 
-import brambletray.control.Relay.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Cancel;
+import brambletray.control.Relay.Close;
+import brambletray.control.Relay.Due;
+import brambletray.control.Relay.Earlier;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Endpoint;
+import brambletray.control.Relay.Event;
+import brambletray.control.Relay.Excluded;
+import brambletray.control.Relay.Fail;
+import brambletray.control.Relay.ListKind;
+import brambletray.control.Relay.Listed;
+import brambletray.control.Relay.Listing;
+import brambletray.control.Relay.Log;
+import brambletray.control.Relay.Outcome;
+import brambletray.control.Relay.Refuse;
+import brambletray.control.Relay.Send;
+import brambletray.control.Relay.Settings;
+import brambletray.control.Relay.Weights;
+import brambletray.control.Relay.Withdrawn;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -38,7 +64,10 @@
                 after.stream().filter(Cancel.class::isInstance).toList());
     }
 
-    /** Taken out by hand, off the list, on it again: nothing goes there until it is put back, however often it was taken. */
+    /**
+     * Taken out by hand, off the list, on it again: nothing goes there until it is put back, however often it was
+     * taken.
+     */
     @Test
     void anEndpointTakenOutGetsNothingUntilItIsPutBack() {
         Bench b = bench(1, 8, false);
@@ -116,7 +145,8 @@
     @Test
     void recoveredMessagesKeepTheirHistory() {
         Bench b = new Bench(settings(8, false, 2));
-        Earlier ran = earlier(b, SECOND, 0, true), old = earlier(b, 10 * SECOND, 0, true);
+        Earlier ran = earlier(b, SECOND, 0, true);
+        Earlier old = earlier(b, 10 * SECOND, 0, true);
         Earlier never = earlier(b, SECOND, 0, false);
         assertEquals(1, count(recover(2, ran), Fail.class), "unsafe and may have run");
         assertEquals(1, sends(recover(2, never)).size(), "unsafe and never ran");
@@ -308,8 +338,8 @@
     }
 
     /**
-     * Guards partners whose rates no list names against refusals without end: a limit told in answers is the pace, shared
-     * by the relays.
+     * Guards partners whose rates no list names against refusals without end: a limit told in answers is the pace,
+     * shared by the relays.
      */
     @Test
     void aLimitToldInAnswersPacesWhatNoListRates() {
--- a/src/test/java/brambletray/control/EmbeddingTest.java
+++ b/src/test/java/brambletray/control/EmbeddingTest.java
@@ -2,7 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
-import brambletray.control.Relay.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Due;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Event;
+import brambletray.control.Relay.ListKind;
+import brambletray.control.Relay.Listed;
+import brambletray.control.Relay.Outcome;
+import brambletray.control.Relay.Send;
+import brambletray.control.Relay.Wake;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/brambletray/control/RandomStreamTest.java
+++ b/src/test/java/brambletray/control/RandomStreamTest.java
@@ -1,9 +1,23 @@
 package brambletray.control;
 
-import static brambletray.control.Bench.*;
+import static brambletray.control.Bench.MS;
+import static brambletray.control.Bench.SECOND;
+import static brambletray.control.Bench.settings;
 import static org.junit.jupiter.api.Assertions.*;
 
-import brambletray.control.Relay.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Cancel;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Endpoint;
+import brambletray.control.Relay.Event;
+import brambletray.control.Relay.Excluded;
+import brambletray.control.Relay.ListKind;
+import brambletray.control.Relay.Listed;
+import brambletray.control.Relay.Listing;
+import brambletray.control.Relay.Outcome;
+import brambletray.control.Relay.Send;
+import brambletray.control.Relay.Withdrawn;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
--- a/src/test/java/brambletray/control/RuleChecker.java
+++ b/src/test/java/brambletray/control/RuleChecker.java
@@ -1,6 +1,23 @@
 package brambletray.control;
 
-import brambletray.control.Relay.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Action;
+import brambletray.control.Relay.Cancel;
+import brambletray.control.Relay.Effect;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Endpoint;
+import brambletray.control.Relay.Event;
+import brambletray.control.Relay.Excluded;
+import brambletray.control.Relay.Fail;
+import brambletray.control.Relay.ListKind;
+import brambletray.control.Relay.Listed;
+import brambletray.control.Relay.Listing;
+import brambletray.control.Relay.MessageClass;
+import brambletray.control.Relay.Outcome;
+import brambletray.control.Relay.Refuse;
+import brambletray.control.Relay.Send;
+import brambletray.control.Relay.Settings;
+import brambletray.control.Relay.Withdrawn;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/brambletray/control/RuleCheckerTest.java
+++ b/src/test/java/brambletray/control/RuleCheckerTest.java
@@ -1,9 +1,20 @@
 package brambletray.control;
 
-import static brambletray.control.Bench.*;
+import static brambletray.control.Bench.SECOND;
+import static brambletray.control.Bench.endpoint;
+import static brambletray.control.Bench.settings;
 import static org.junit.jupiter.api.Assertions.*;
 
-import brambletray.control.Relay.*;
+import brambletray.control.Relay.Accepted;
+import brambletray.control.Relay.Ended;
+import brambletray.control.Relay.Endpoint;
+import brambletray.control.Relay.Fail;
+import brambletray.control.Relay.ListKind;
+import brambletray.control.Relay.Listed;
+import brambletray.control.Relay.Listing;
+import brambletray.control.Relay.Outcome;
+import brambletray.control.Relay.Refuse;
+import brambletray.control.Relay.Send;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/brambletray/core/EvidenceTest.java
+++ b/src/test/java/brambletray/core/EvidenceTest.java
@@ -20,7 +20,8 @@
 
 /** Lives of one relay on one store, its module told what the last one knew. */
 class EvidenceTest {
-    private static final long MS = 1_000, SECOND = 1_000_000;
+    private static final long MS = 1_000;
+    private static final long SECOND = 1_000_000;
 
     private static final class Time implements Ticker {
         long micros = 1_000_000;
--- a/src/test/java/brambletray/core/LoopAuditTest.java
+++ b/src/test/java/brambletray/core/LoopAuditTest.java
@@ -174,7 +174,8 @@
     @Test
     void whatIsStagedAnewAfterABatchThatFailedWaits() {
         int[] tries = {0};
-        boolean[] fails = {false}, noted = {false};
+        boolean[] fails = {false};
+        boolean[] noted = {false};
         disk.fault((operation, name, bytes) -> {
             if (fails[0] && operation.equals("write") && ++tries[0] < 1_000) {
                 throw new IOException("Too many open files");
--- a/src/test/java/brambletray/emulator/EndpointTest.java
+++ b/src/test/java/brambletray/emulator/EndpointTest.java
@@ -1,6 +1,9 @@
 package brambletray.emulator;
 
-import static brambletray.emulator.Rig.*;
+import static brambletray.emulator.Rig.ms;
+import static brambletray.emulator.Rig.plain;
+import static brambletray.emulator.Rig.step;
+import static brambletray.emulator.Rig.with;
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.ArrayList;
--- a/src/test/java/brambletray/fleet/DatesTest.java
+++ b/src/test/java/brambletray/fleet/DatesTest.java
@@ -18,8 +18,8 @@
 /** Processes that are killed while times run: a told wait, a deadline, and a wall clock that is stepped meanwhile. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class DatesTest {
-    private static final String HOUR = "-Dbrambletray.wall_step_ms=3600000",
-            HOUR_BACK = "-Dbrambletray.wall_step_ms=-3600000";
+    private static final String HOUR = "-Dbrambletray.wall_step_ms=3600000";
+    private static final String HOUR_BACK = "-Dbrambletray.wall_step_ms=-3600000";
     private static final long WAIT_S = 6;
 
     @TempDir
--- a/src/test/java/brambletray/handover/TenureTest.java
+++ b/src/test/java/brambletray/handover/TenureTest.java
@@ -41,7 +41,9 @@
     /** One process: its machine, whether it lives, holds the lock, and what it has said that is on the way. */
     private static final class Process {
         Tenure tenure;
-        boolean alive, lock, told;
+        boolean alive;
+        boolean lock;
+        boolean told;
         final ArrayDeque<Say> inbox = new ArrayDeque<>();
     }
 
@@ -64,7 +66,8 @@
         }
 
         void act(int i, List<Step> steps) {
-            Process me = p[i], other = p[1 - i];
+            Process me = p[i];
+            Process other = p[1 - i];
             for (Step step : steps) {
                 switch (step) {
                     case OPEN -> {
--- a/src/test/java/brambletray/http/hosts/HostPoolTest.java
+++ b/src/test/java/brambletray/http/hosts/HostPoolTest.java
@@ -33,7 +33,8 @@
 /** Each way in which a call can end, by the protocol's table. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class HostPoolTest {
-    private static final long LONG = 60_000_000, KEEP_ALIVE = 15_000_000;
+    private static final long LONG = 60_000_000;
+    private static final long KEEP_ALIVE = 15_000_000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
     private final Host listed = new Host(1, "s-1");
--- a/src/test/java/brambletray/inventory/FollowerTest.java
+++ b/src/test/java/brambletray/inventory/FollowerTest.java
@@ -35,7 +35,8 @@
 @Timeout(value = 300, unit = TimeUnit.SECONDS)
 class FollowerTest {
     private static final int REWRITES = Integer.getInteger("rewrites", 40);
-    private static final int POLL = 2, SETTLE = 10;
+    private static final int POLL = 2;
+    private static final int SETTLE = 10;
 
     @TempDir
     Path folder;
--- a/src/test/java/brambletray/inventory/InventoryBench.java
+++ b/src/test/java/brambletray/inventory/InventoryBench.java
@@ -49,7 +49,9 @@
         return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
     }
 
-    /** What the loop does of a revision: 100 hosts a turn, taken in by the list and by a module that knows all of them. */
+    /**
+     * What the loop does of a revision: 100 hosts a turn, taken in by the list and by a module that knows all of them.
+     */
     private static void slices(Map<String, Entry> all, List<Double> pauses) throws Exception {
         HostList hosts = new HostList(List.of("a"), List.of("m"));
         Control control = new Control(1, settings());
--- a/src/test/java/brambletray/inventory/InventoryTest.java
+++ b/src/test/java/brambletray/inventory/InventoryTest.java
@@ -256,7 +256,10 @@
         return ((Reconciler.Taken) verdict).hosts();
     }
 
-    /** Of a host in two sources the first tells where it is, any may take new work from it, and one is enough to keep it. */
+    /**
+     * Of a host in two sources the first tells where it is, any may take new work from it, and one is enough to keep
+     * it.
+     */
     @Test
     void sourcesInTheirOrder() {
         Reconciler reconciler = new Reconciler(1, List.of("first", "second"));
--- a/src/test/java/brambletray/journal/JournalTest.java
+++ b/src/test/java/brambletray/journal/JournalTest.java
@@ -18,7 +18,8 @@
 
 /** What is owed outlasts the process, within the limit of the folder. */
 class JournalTest {
-    private static final long LIMIT = 3_000_000, NOW = 1_899_999_990_000L;
+    private static final long LIMIT = 3_000_000;
+    private static final long NOW = 1_899_999_990_000L;
     private MemoryDisk disk = new MemoryDisk();
 
     private Journal open() throws IOException {
--- a/src/test/java/brambletray/kept/KeptTest.java
+++ b/src/test/java/brambletray/kept/KeptTest.java
@@ -10,8 +10,10 @@
 
 /** What may be sent again, when, and how many: by the table of cases that docs/kept.md names. */
 class KeptTest {
-    private static final long NOW = 1_790_000_000_000L, WINDOW = 15_000;
-    private static final Send RAN = new Send(NOW - 5_000, 0, true), NEVER = new Send(NOW - 6_000, 0, false);
+    private static final long NOW = 1_790_000_000_000L;
+    private static final long WINDOW = 15_000;
+    private static final Send RAN = new Send(NOW - 5_000, 0, true);
+    private static final Send NEVER = new Send(NOW - 6_000, 0, false);
 
     private static KeptMessage message(Effect effect, String key, Send... sends) {
         return new KeptMessage(
--- a/src/test/java/brambletray/mqtt/MqttBench.java
+++ b/src/test/java/brambletray/mqtt/MqttBench.java
@@ -59,7 +59,9 @@
  * one.
  */
 final class MqttBench {
-    private static final int CLIENTS = 32, BODY = 200, CONNECTIONS = Integer.getInteger("connections", 10_000);
+    private static final int CLIENTS = 32;
+    private static final int BODY = 200;
+    private static final int CONNECTIONS = Integer.getInteger("connections", 10_000);
     private static final int SECONDS = Integer.getInteger("seconds", 8);
     private static final MultiThreadIoEventLoopGroup GROUP =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -206,7 +208,8 @@
 
     /** What a round saw; latencies in us. */
     private static final class Seen {
-        long taken, refused;
+        long taken;
+        long refused;
         long[] latency = new long[1 << 20];
         int count;
 
@@ -238,7 +241,8 @@
         private Seen seen;
         private long began;
         private final ArrayDeque<Long> late = new ArrayDeque<>();
-        private boolean closed, busy;
+        private boolean closed;
+        private boolean busy;
         private int packet;
 
         Client(Way way, CountDownLatch ready) {
--- a/src/test/java/brambletray/mqtt/MqttHostsTest.java
+++ b/src/test/java/brambletray/mqtt/MqttHostsTest.java
@@ -242,7 +242,9 @@
         }
     }
 
-    /** The relay is killed with a PUBLISH out: the old session is forgotten on both sides, nothing unsafe is repeated. */
+    /**
+     * The relay is killed with a PUBLISH out: the old session is forgotten on both sides, nothing unsafe is repeated.
+     */
     @Test
     void aRelayKilledBeforePubrecBeginsAnew() throws Exception {
         try (MqttHostStub partner = new MqttHostStub(10)) {
--- a/src/test/java/brambletray/operations/ExclusionsTest.java
+++ b/src/test/java/brambletray/operations/ExclusionsTest.java
@@ -1,6 +1,9 @@
 package brambletray.operations;
 
-import static brambletray.operations.Exclusions.Verdict.*;
+import static brambletray.operations.Exclusions.Verdict.CHANGED;
+import static brambletray.operations.Exclusions.Verdict.FULL;
+import static brambletray.operations.Exclusions.Verdict.UNCHANGED;
+import static brambletray.operations.Exclusions.Verdict.UNKNOWN;
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.List;
--- a/src/test/java/brambletray/quota/Crowd.java
+++ b/src/test/java/brambletray/quota/Crowd.java
@@ -15,7 +15,8 @@
  * was taken on, and checks it by counting, without any of the windows that the code counts in.
  */
 final class Crowd {
-    static final long MS = 1_000, SECOND = 1_000_000;
+    static final long MS = 1_000;
+    static final long SECOND = 1_000_000;
 
     /** What was taken on, by the path of its member. */
     record Taken(long at, String path, long bytes) {}
@@ -28,8 +29,13 @@
         /** Messages a second; 0 for none just now. */
         double perSecond;
 
-        long bytes = 100, heldFor;
-        long asked, taken, refused, waited, next;
+        long bytes = 100;
+        long heldFor;
+        long asked;
+        long taken;
+        long refused;
+        long waited;
+        long next;
 
         Source(String tenant, double perSecond) {
             this.tenant = tenant;
--- a/src/test/java/brambletray/quota/QuotaBench.java
+++ b/src/test/java/brambletray/quota/QuotaBench.java
@@ -11,7 +11,10 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-/** Time of a decision and heap of a path, for trees of 10 to 100,000 paths, beside a plain token bucket; run by bench/quota. */
+/**
+ * Time of a decision and heap of a path, for trees of 10 to 100,000 paths, beside a plain token bucket; run by
+ * bench/quota.
+ */
 final class QuotaBench {
     private static final int DECISIONS = 300_000;
 
--- a/src/test/java/brambletray/quota/QuotasTest.java
+++ b/src/test/java/brambletray/quota/QuotasTest.java
@@ -20,7 +20,8 @@
 
 /** Limits, shares and loans, in virtual time. */
 class QuotasTest {
-    private static final long MS = Crowd.MS, SECOND = Crowd.SECOND;
+    private static final long MS = Crowd.MS;
+    private static final long SECOND = Crowd.SECOND;
     private static final int TREES = Integer.getInteger("trees", 15);
 
     private static String org(String name, int share, String more) {
@@ -80,7 +81,10 @@
         m.members().forEach(b -> leaves(b, paths));
     }
 
-    /** Whatever the tree, and whoever asks when: every limit holds over every window. -Dtrees=100 for ten million decisions. */
+    /**
+     * Whatever the tree, and whoever asks when: every limit holds over every window. -Dtrees=100 for ten million
+     * decisions.
+     */
     @Test
     void everyLimitHoldsOverEveryWindow() {
         long decisions = 0;
@@ -107,7 +111,9 @@
         assertTrue(taken > 1_000 && decisions > taken);
     }
 
-    /** A borrower at full speed when the lender's own peak begins: the lender has its share from the first second on. */
+    /**
+     * A borrower at full speed when the lender's own peak begins: the lender has its share from the first second on.
+     */
     @Test
     void aLenderHasItsShareWithinASecond() throws Exception {
         double[] parts = new double[60];
@@ -289,7 +295,10 @@
         return new Asked(id, "a", "c", 1, bytes);
     }
 
-    /** A clump, or one message, that is larger than its window's limit never fits, and is told so; a clump comes in by parts. */
+    /**
+     * A clump, or one message, that is larger than its window's limit never fits, and is told so; a clump comes in by
+     * parts.
+     */
     @Test
     void whatNeverFits() throws Exception {
         Quotas q = new Quotas(
@@ -308,7 +317,9 @@
         assertTrue(at >= 3 * SECOND && at < 3.2 * SECOND, "in " + (at - SECOND));
     }
 
-    /** Two dimensions: many small messages stop at one, few large ones at the other, and neither takes the other's room. */
+    /**
+     * Two dimensions: many small messages stop at one, few large ones at the other, and neither takes the other's room.
+     */
     @Test
     void twoDimensions() throws Exception {
         Crowd crowd = new Crowd("""
@@ -358,7 +369,10 @@
         assertEquals(List.of(), past.recall(), "beyond its share b has no right to a's");
     }
 
-    /** Another file: lower limits bind by what is out, a member that is gone keeps what it holds, and what was used counts on. */
+    /**
+     * Another file: lower limits bind by what is out, a member that is gone keeps what it holds, and what was used
+     * counts on.
+     */
     @Test
     void anotherFile() throws Exception {
         Quotas q = new Quotas(QuotaFile.parse("q.yaml", two(100, 50, 50)));
--- a/src/test/java/brambletray/recovery/RecollectionTest.java
+++ b/src/test/java/brambletray/recovery/RecollectionTest.java
@@ -43,8 +43,10 @@
             SplittableRandom random = new SplittableRandom(seed);
             Recollection life = new Recollection();
             Recollection.Note last = null;
-            long now = 0, until = 0;
-            int told = 0, notes = 0;
+            long now = 0;
+            long until = 0;
+            int told = 0;
+            int notes = 0;
             for (int step = 0; step < 200; step++) {
                 now += random.nextInt(1, 400);
                 if (random.nextInt(3) == 0) {
--- a/src/test/java/brambletray/rehearsal/RehearsalTest.java
+++ b/src/test/java/brambletray/rehearsal/RehearsalTest.java
@@ -166,7 +166,9 @@
                 Hunt.oneTry("{\"most-tries\":12,\"second-copies\": true,\"x\":2}"));
     }
 
-    /** A build with a fault that shows only when a partner vanishes: here, folders that are lost, by the base itself. */
+    /**
+     * A build with a fault that shows only when a partner vanishes: here, folders that are lost, by the base itself.
+     */
     @Test
     void aHuntFindsAndShrinks() throws Exception {
         String base = SMALL.replace("endpoints: 2", "endpoints: 2, service: {mean_ms: 900}")
--- a/src/test/java/brambletray/serve/ConsoleTest.java
+++ b/src/test/java/brambletray/serve/ConsoleTest.java
@@ -30,7 +30,8 @@
     Path folder;
 
     private PlatformStub platform;
-    private HostStub one, other;
+    private HostStub one;
+    private HostStub other;
 
     @BeforeEach
     void begin() throws IOException {
--- a/src/test/java/brambletray/serve/NodeTest.java
+++ b/src/test/java/brambletray/serve/NodeTest.java
@@ -162,7 +162,8 @@
             HostStub.Call later = host.call();
             assertEquals("e", later.header("X-Request-ID"));
             later.answer(HostStub.OK);
-            HostStub.Call one = host.call(), other = host.call();
+            HostStub.Call one = host.call();
+            HostStub.Call other = host.call();
             assertNotEquals(one.header("X-Request-ID"), other.header("X-Request-ID"));
             assertTrue(host.open(one), "one at a time only");
             long first = Long.parseLong(slow.get(0).header("X-Timeout-Ms"));
--- a/src/test/java/brambletray/siblings/SiblingsTest.java
+++ b/src/test/java/brambletray/siblings/SiblingsTest.java
@@ -59,7 +59,8 @@
             Store store = Store.open(new MemoryDisk(), new Store.Options(1_000_000, Store.Promise.PROCESS, 1_000));
             Siblings siblings = new Siblings(Machine.real(group.next()), file, store);
             siblings.listen().sync();
-            Standing own = new Standing(1, 2, 3), later = new Standing(1, 9, 3);
+            Standing own = new Standing(1, 2, 3);
+            Standing later = new Standing(1, 9, 3);
             Future<Finding> found = siblings.ask(own, 1_000);
             Note.Ask ask = (Note.Ask) receive(witness, codec);
             for (Note note : new Note[] {
--- a/src/test/java/brambletray/siblings/SightingsSimTest.java
+++ b/src/test/java/brambletray/siblings/SightingsSimTest.java
@@ -26,7 +26,9 @@
  */
 class SightingsSimTest {
     private static final int SEEDS = 3_000;
-    private static final long BEAT = 250, LONGEST = 16_000, PATIENCE = 2_000;
+    private static final long BEAT = 250;
+    private static final long LONGEST = 16_000;
+    private static final long PATIENCE = 2_000;
     private static final Store.Options OPTIONS = new Store.Options(1_000_000, Store.Promise.PROCESS, 1_000);
 
     private record Event(long at, long order, Runnable what) {}
@@ -35,7 +37,9 @@
         MemoryDisk disk = new MemoryDisk();
         Store store;
         Sightings sightings;
-        boolean up, stopped, cut;
+        boolean up;
+        boolean stopped;
+        boolean cut;
         /** What it was handed, as told by nobody but this test. */
         Standing handed;
 
@@ -46,7 +50,8 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final List<Witness> witnesses = new ArrayList<>();
-    private long now, order;
+    private long now;
+    private long order;
     private int loss;
 
     private static SightingsSimTest of(int seed) {
--- a/src/test/java/brambletray/simulation/SimNetworkTest.java
+++ b/src/test/java/brambletray/simulation/SimNetworkTest.java
@@ -29,9 +29,11 @@
 class SimNetworkTest {
     private static final long MS = 1_000_000;
     private final Simulation simulation = new Simulation(1, 1_900_000_000_000L);
-    private final InetAddress home = address(1), away = address(2);
+    private final InetAddress home = address(1);
+    private final InetAddress away = address(2);
     private final InetSocketAddress door = new InetSocketAddress(away, 80);
-    private final Machine client = simulation.machine(home), server = simulation.machine(away);
+    private final Machine client = simulation.machine(home);
+    private final Machine server = simulation.machine(away);
     private final List<String> log = new ArrayList<>();
     private Channel accepted;
 
@@ -265,7 +267,10 @@
         assertTrue(log.contains("910 server up"), log.toString());
     }
 
-    /** An end whose bytes stay unanswered gives up; what it had sent is lost, and the other end hears of it once it sends. */
+    /**
+     * An end whose bytes stay unanswered gives up; what it had sent is lost, and the other end hears of it once it
+     * sends.
+     */
     @Test
     void anEndGivesUpWhenNothingIsAnswered() {
         simulation.network().patience(80, 500 * MS, 1_000 * MS);
--- a/src/test/java/brambletray/stage/InventoryNightTest.java
+++ b/src/test/java/brambletray/stage/InventoryNightTest.java
@@ -40,7 +40,8 @@
  * 250 ms after the relay can know, no message without its end, no effect twice.
  */
 class InventoryNightTest {
-    private static final long S = 1_000_000_000L, MS = 1_000_000;
+    private static final long S = 1_000_000_000L;
+    private static final long MS = 1_000_000;
     private static final int SEEDS = Integer.getInteger("seeds", 8);
     /** From the edit until the relay has read the file: it looks every 50 ms, and the file has to stand for 100. */
     private static final long LEARNT = 220 * MS;
@@ -73,7 +74,8 @@
         private final Map<String, Entry> all = new LinkedHashMap<>();
         private final Map<String, Entry.State> now = new HashMap<>();
         private final SplittableRandom random;
-        private int edits, cuts;
+        private int edits;
+        private int cuts;
         private long stamps;
 
         Editor(long seed) {
--- a/src/test/java/brambletray/stage/QuotaNightTest.java
+++ b/src/test/java/brambletray/stage/QuotaNightTest.java
@@ -14,7 +14,8 @@
 
 /** One organisation at twenty times its share beside thirty small ones, against whole relays in simulated time. */
 class QuotaNightTest {
-    private static final int SMALL = 30, SEEDS = Integer.getInteger("seeds", 2);
+    private static final int SMALL = 30;
+    private static final int SEEDS = Integer.getInteger("seeds", 2);
     private static final double EACH = 0.8;
 
     @TempDir
--- a/src/test/java/brambletray/standalone/StandaloneTest.java
+++ b/src/test/java/brambletray/standalone/StandaloneTest.java
@@ -236,7 +236,9 @@
         }
     }
 
-    /** Taken out and put back again at once, with a message waiting and one out: each has its one end, and its one call. */
+    /**
+     * Taken out and put back again at once, with a message waiting and one out: each has its one end, and its one call.
+     */
     @Test
     void aHostThatIsTakenOutAndPutBackAtOnce() throws Exception {
         try (HostStub first = new HostStub();
--- a/src/test/java/brambletray/store/FormerJournal.java
+++ b/src/test/java/brambletray/store/FormerJournal.java
@@ -33,7 +33,8 @@
  */
 final class FormerJournal implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(FormerJournal.class);
-    private static final int HEAD = 8, RECORD_MOST = 1 << 20;
+    private static final int HEAD = 8;
+    private static final int RECORD_MOST = 1 << 20;
     /** Bytes kept clear of the limit, for what the file system rounds up. */
     private static final long CLEAR = 8_192;
     /**
@@ -42,9 +43,15 @@
      */
     private static final double LIVE_SHARE = 0.4;
     /** Bytes of a send with its outcome, and of an end with its notice. */
-    private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
+    private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11);
 
-    private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
+    private static final int END_BYTES = (HEAD + 18) + (HEAD + 9);
+
+    private static final byte TAKEN = 1;
+    private static final byte SENT = 2;
+    private static final byte NOT_RUN = 3;
+    private static final byte ENDED = 4;
+    private static final byte CLOSED = 5;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
     public static final class Attempt {
--- a/src/test/java/brambletray/store/StoreBench.java
+++ b/src/test/java/brambletray/store/StoreBench.java
@@ -18,7 +18,8 @@
 
 /** Measures the store beside the former journal, H2 MVStore and bare writes; run by bench/store. */
 final class StoreBench {
-    private static final int BODY = 200, HELD = 200;
+    private static final int BODY = 200;
+    private static final int HELD = 200;
     private static final long LIMIT = 3_000_000;
 
     private StoreBench() {}
--- a/src/test/java/brambletray/store/StoreTest.java
+++ b/src/test/java/brambletray/store/StoreTest.java
@@ -170,7 +170,10 @@
         assertEquals(List.of("#1 put 1 10", "#2 put 2 20", "#3 delete 1 0"), dumped);
     }
 
-    /** On real files: what is written is read back, a second process is turned away, and reading needs no right to write. */
+    /**
+     * On real files: what is written is read back, a second process is turned away, and reading needs no right to
+     * write.
+     */
     @Test
     void aFolderOfTheFileSystemIsOneProcesss(@org.junit.jupiter.api.io.TempDir java.nio.file.Path folder)
             throws IOException {
--- a/src/test/java/brambletray/tray/carry/StewardTest.java
+++ b/src/test/java/brambletray/tray/carry/StewardTest.java
@@ -35,9 +35,14 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** An edge and the home of a service, between which words come twice, late, or not at all: each ask has one place, and none is lost. */
+/**
+ * An edge and the home of a service, between which words come twice, late, or not at all: each ask has one place, and
+ * none is lost.
+ */
 class StewardTest {
-    private static final String EDGE = "e1", HOME = "h1", SERVICE = "s";
+    private static final String EDGE = "e1";
+    private static final String HOME = "h1";
+    private static final String SERVICE = "s";
 
     // ---- Word by word ---------------------------------------------------------------------------
     private final List<String> said = new ArrayList<>();
@@ -150,7 +155,10 @@
         assertEquals(1, steward.held());
     }
 
-    /** The home lost its memory of the first and has granted another: that is free again, and the home knows which is in use. */
+    /**
+     * The home lost its memory of the first and has granted another: that is free again, and the home knows which is in
+     * use.
+     */
     @Test
     void aSecondGrantAtAnotherHostIsGivenBack() {
         steward.roster(homes(1, HOME));
@@ -213,7 +221,8 @@
     }
 
     // ---- At random ------------------------------------------------------------------------------
-    private static final int HOSTS = 3, MOST = 2;
+    private static final int HOSTS = 3;
+    private static final int MOST = 2;
 
     /** One course: this edge's steward and a home's seats, over links that break while words are on their way. */
     private static final class Walk implements Steward.Ways, Steward.Spots, Out {
@@ -225,8 +234,13 @@
         private final Steward steward = new Steward(this, this, () -> this.now);
         private final Seats seats = new Seats("z", "n", Laws.of(0.2, 100, 10_000, 1), this);
         private final Map<String, Integer> inUse = new HashMap<>();
-        private final Set<Long> granted = new HashSet<>(), over = new HashSet<>();
-        private long now = 1_000, order, ids, lastToHome, lastToEdge;
+        private final Set<Long> granted = new HashSet<>();
+        private final Set<Long> over = new HashSet<>();
+        private long now = 1_000;
+        private long order;
+        private long ids;
+        private long lastToHome;
+        private long lastToEdge;
         private int twice;
 
         Walk(long seed) {
@@ -260,7 +274,9 @@
             throw new AssertionError("not home");
         }
 
-        /** Asks are lost at times, or come late on a link that is down already; what gives a place back is not, here. */
+        /**
+         * Asks are lost at times, or come late on a link that is down already; what gives a place back is not, here.
+         */
         @Override
         public boolean say(String edge, Object frame) {
             boolean ask = frame instanceof Ask;
--- a/src/test/java/brambletray/tray/carry/TetherTest.java
+++ b/src/test/java/brambletray/tray/carry/TetherTest.java
@@ -32,7 +32,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-/** How an edge finds the helm and keeps to it, against members of the core that say what the test has them say, on a simulated network. */
+/**
+ * How an edge finds the helm and keeps to it, against members of the core that say what the test has them say, on a
+ * simulated network.
+ */
 class TetherTest {
     private static final int PORT = 7_400;
 
@@ -412,8 +415,8 @@
     }
 
     /**
-     * The worst way from an isolated helm to the real one: five members, of which two are away, one silent and one cut off with the
-     * edge's own helm still pulsing until its lease is over; seeds that are all stale by then.
+     * The worst way from an isolated helm to the real one: five members, of which two are away, one silent and one cut
+     * off with the edge's own helm still pulsing until its lease is over; seeds that are all stale by then.
      */
     @Test
     void theWorstWayIsShorterThanAConfigurationMayTake() {
--- a/src/test/java/brambletray/tray/creed/CharterTest.java
+++ b/src/test/java/brambletray/tray/creed/CharterTest.java
@@ -12,7 +12,10 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** What members agree on: one of two changes on one base, the same answer for a change sent again, the same state everywhere. */
+/**
+ * What members agree on: one of two changes on one base, the same answer for a change sent again, the same state
+ * everywhere.
+ */
 class CharterTest {
     private final Charter charter = new Charter();
 
@@ -83,7 +86,10 @@
         take(Verb.MODIFY, 7, move(9, "b"));
     }
 
-    /** Drawn changes, half of them misfits, at three members: one that judges, one that follows, one that joins by a snapshot midway. */
+    /**
+     * Drawn changes, half of them misfits, at three members: one that judges, one that follows, one that joins by a
+     * snapshot midway.
+     */
     @Test
     void allMembersComeToTheSameState() {
         long seed = 20_260_417;
--- a/src/test/java/brambletray/tray/creed/DeltaTest.java
+++ b/src/test/java/brambletray/tray/creed/DeltaTest.java
@@ -16,7 +16,10 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-/** Configurations by difference: who has one version gets what leads to the current one, and knows that it came out right. */
+/**
+ * Configurations by difference: who has one version gets what leads to the current one, and knows that it came out
+ * right.
+ */
 class DeltaTest {
     private final History history = new History();
 
--- a/src/test/java/brambletray/tray/creed/InvalidTest.java
+++ b/src/test/java/brambletray/tray/creed/InvalidTest.java
@@ -109,7 +109,7 @@
         {'a':NaN}|unreadable
         {'a':'\\x'}|unreadable
         {'a':'\\u12g4'}|unreadable
-        {'a':'x	y'}|unreadable
+        {'a':'x\ty'}|unreadable
         {\u2003'a':1}|unreadable
         {\013'a':1}|unreadable
         {'a':0. }|unreadable
--- a/src/test/java/brambletray/tray/drill/Book.java
+++ b/src/test/java/brambletray/tray/drill/Book.java
@@ -12,8 +12,8 @@
 import java.util.TreeMap;
 
 /**
- * Judges by what operators were told and what edges serve by, and by nothing else. What was taken is known at the end: each change names
- * the one
+ * Judges by what operators were told and what edges serve by, and by nothing else. What was taken is known at the end:
+ * each change names the one
  * it builds on, so the configuration that is read back names all that led to it.
  */
 final class Book {
@@ -43,7 +43,9 @@
     int resent;
     int reads;
     /** ms: the longest time for which a proper order stood unacknowledged in a settled core; and in any. */
-    long longestSettled, longest;
+    long longestSettled;
+
+    long longest;
 
     Book(World world) {
         this.world = world;
--- a/src/test/java/brambletray/tray/drill/Drill.java
+++ b/src/test/java/brambletray/tray/drill/Drill.java
@@ -6,12 +6,12 @@
 import java.util.TreeMap;
 
 /**
- * Plays courses one after the other, and shrinks those that break. Properties, of the test and of this class's own main: {@code
- * drill.seeds},
- * {@code drill.first}: how many courses, and from which seed on; {@code drill.members}: 3 or 5, else both; {@code drill.shrink}: how
- * many of
- * the broken are shrunk; {@code drill.enough}: ends after so many; {@code drill.script}: plays this one, as a failure prints it, with
- * all log
+ * Plays courses one after the other, and shrinks those that break. Properties, of the test and of this class's own
+ * main: {@code drill.seeds},
+ * {@code drill.first}: how many courses, and from which seed on; {@code drill.members}: 3 or 5, else both;
+ * {@code drill.shrink}: how many of
+ * the broken are shrunk; {@code drill.enough}: ends after so many; {@code drill.script}: plays this one, as a failure
+ * prints it, with all log
  * lines; {@code drill.course}: the same without its seed, members/losses/end/troubles, played by each seed.
  */
 public final class Drill {
@@ -25,7 +25,10 @@
         System.exit(broken(Integer.getInteger("drill.seeds", 100)).isEmpty() ? 0 : 1);
     }
 
-    /** What was broken, with its shortest script; {@code usual}: courses for each count of members where no property says otherwise. */
+    /**
+     * What was broken, with its shortest script; {@code usual}: courses for each count of members where no property
+     * says otherwise.
+     */
     static List<String> broken(int usual) {
         String one = System.getProperty("drill.script");
         if (one != null) {
--- a/src/test/java/brambletray/tray/drill/DrillTest.java
+++ b/src/test/java/brambletray/tray/drill/DrillTest.java
@@ -9,7 +9,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The control side under drawn troubles: the production programs in simulated time. {@link Drill} says how to play more, or one again. */
+/**
+ * The control side under drawn troubles: the production programs in simulated time. {@link Drill} says how to play
+ * more, or one again.
+ */
 class DrillTest {
     private static final int SEEDS = 6;
 
--- a/src/test/java/brambletray/tray/drill/HttpCall.java
+++ b/src/test/java/brambletray/tray/drill/HttpCall.java
@@ -17,14 +17,19 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
-/** One HTTP call over a connection of its own; a second of silence, or a connection that ends, is status 0. Answered once. */
+/**
+ * One HTTP call over a connection of its own; a second of silence, or a connection that ends, is status 0. Answered
+ * once.
+ */
 final class HttpCall extends SimpleChannelInboundHandler<FullHttpResponse> {
     interface Reply {
         void came(int status, String location, byte[] body);
     }
 
     /** ms, and ms more for each 100 kB. */
-    static final int PATIENCE = 1_000, PATIENCE_MORE = 300;
+    static final int PATIENCE = 1_000;
+
+    static final int PATIENCE_MORE = 300;
 
     private final DefaultFullHttpRequest request;
     private Reply reply;
--- a/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
+++ b/src/test/java/brambletray/tray/drill/IsolatedHelmTest.java
@@ -23,8 +23,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Point 1 of the users' letter, brought about with the production programs in simulated time: the holder of the helm, which leads as
- * well, is cut off from the rest of the core for 20 s, operators and edges still reach it, and one edge reaches nobody else.
+ * Point 1 of the users' letter, brought about with the production programs in simulated time: the holder of the helm,
+ * which leads as well, is cut off from the rest of the core for 20 s, operators and edges still reach it, and one edge
+ * reaches nobody else.
  */
 class IsolatedHelmTest {
     private static final int SEEDS = Integer.getInteger("isolated.seeds", 6);
@@ -195,14 +196,19 @@
         return this;
     }
 
-    /** A helm whose lease runs is asked by an edge that has heard of a higher term: it says nothing, as no majority agrees anew. */
+    /**
+     * A helm whose lease runs is asked by an edge that has heard of a higher term: it says nothing, as no majority
+     * agrees anew.
+     */
     @Test
     void anIsolatedHelmThatHearsOfAHigherTermIsSilentThoughItsLeaseRuns() {
         assertEquals(List.of(Pulse.class), saidTo(0), "who knows of no higher term is told at once");
         assertEquals(List.of(), saidTo(Long.MAX_VALUE));
     }
 
-    /** Kinds of frames with authority that an edge is told in the first 300 ms of a cut, whose Hello bears this term. */
+    /**
+     * Kinds of frames with authority that an edge is told in the first 300 ms of a cut, whose Hello bears this term.
+     */
     private static List<Class<?>> saidTo(long term) {
         IsolatedHelmTest one = new IsolatedHelmTest();
         World world = new World(new Script(3, 3, 1, 60_000, List.of()));
--- a/src/test/java/brambletray/tray/drill/Operator.java
+++ b/src/test/java/brambletray/tray/drill/Operator.java
@@ -12,14 +12,16 @@
 import java.util.regex.Pattern;
 
 /**
- * One operator: gives orders, reads, sends again what was unclear, and at times what was clear. As the pages say: follows 307 twice,
- * goes on to
+ * One operator: gives orders, reads, sends again what was unclear, and at times what was clear. As the pages say:
+ * follows 307 twice, goes on to
  * another member after a failure, a 5xx, a 408 or 429, or a second of silence, with a pause that grows.
  */
 final class Operator {
     private static final Pattern MARK = Pattern.compile("\"path-prefix\":\"/o(\\d+)/p\\d+/\"");
     private static final Pattern REVISION = Pattern.compile("\"revision\":(\\d+)");
-    private static final int PAUSE = 100, PAUSE_MOST = 1_000, HOPS = 2;
+    private static final int PAUSE = 100;
+    private static final int PAUSE_MOST = 1_000;
+    private static final int HOPS = 2;
     /** Tries at what need not come to an end. */
     private static final int FEW = 5;
 
--- a/src/test/java/brambletray/tray/drill/Script.java
+++ b/src/test/java/brambletray/tray/drill/Script.java
@@ -6,10 +6,17 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 
-/** A course's troubles, drawn from its seed or shrunk from another's. All else is drawn from the seed while it plays. */
+/**
+ * A course's troubles, drawn from its seed or shrunk from another's. All else is drawn from the seed while it plays.
+ */
 record Script(long seed, int members, int losses, int endMs, List<Trouble> troubles) {
-    /** ms that a machine counts as lost after its return (sync-s), and how long a machine that leaves may take (grace-s). */
-    static final int SYNC = 4_000, GRACE = 6_000;
+    /**
+     * ms that a machine counts as lost after its return (sync-s), and how long a machine that leaves may take
+     * (grace-s).
+     */
+    static final int SYNC = 4_000;
+
+    static final int GRACE = 6_000;
     /** ms before the first trouble, at least. */
     private static final int FIRST = 5_000;
 
--- a/src/test/java/brambletray/tray/drill/Trouble.java
+++ b/src/test/java/brambletray/tray/drill/Trouble.java
@@ -51,7 +51,10 @@
         AFTER_ACK_KILL(true),
         /** And its disk is lost. */
         AFTER_ACK_WIPE(true),
-        /** Right after the next acknowledgement all machines lose power, some their disks as well, as many as may be lost. */
+        /**
+         * Right after the next acknowledgement all machines lose power, some their disks as well, as many as may be
+         * lost.
+         */
         AFTER_ACK_ALL(true),
         /** All processes, or all machines, at once; some with the loss of as many disks as may be lost. */
         ALL_KILL(true),
--- a/src/test/java/brambletray/tray/drill/World.java
+++ b/src/test/java/brambletray/tray/drill/World.java
@@ -18,17 +18,27 @@
 import java.util.function.Consumer;
 
 /**
- * Machines of a course, the links between them, and when the core counts as settled (page RULES). Times: ms since the start of the
- * course.
+ * Machines of a course, the links between them, and when the core counts as settled (page RULES). Times: ms since the
+ * start of the course.
  */
 final class World {
-    static final int CONTROL = 8_248, INNER = 7_400, FRONT = 8_241, READY = 8_246, PLATFORM = 8_240;
+    static final int CONTROL = 8_248;
+    static final int INNER = 7_400;
+    static final int FRONT = 8_241;
+    static final int READY = 8_246;
+    static final int PLATFORM = 8_240;
     /** Bounds of the deployments, ms. */
-    static final int CONTACT = 4_000, APPLY = 3_000, ACK = 5_000, SEED_LAG = 3_000;
+    static final int CONTACT = 4_000;
+
+    static final int APPLY = 3_000;
+    static final int ACK = 5_000;
+    static final int SEED_LAG = 3_000;
     /** ns one way, and up to so large a share more. */
     static final SimNetwork.Way USUAL = new SimNetwork.Way(1_400_000, 0.3);
     /** A user timeout, and idle time before probes, as the program sets them on its links. */
-    private static final long GIVE_UP = TimeUnit.MILLISECONDS.toNanos(2_500), IDLE = TimeUnit.SECONDS.toNanos(1);
+    private static final long GIVE_UP = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    private static final long IDLE = TimeUnit.SECONDS.toNanos(1);
 
     final Script script;
     final Simulation simulation;
@@ -47,7 +57,9 @@
     /** What all get at the first start. */
     private final String founders;
     /** Processes that ended by themselves after SIGTERM, and those that were ended by the grace. */
-    int left, cutShort;
+    int left;
+
+    int cutShort;
     /** Links that are in trouble otherwise than by a cut within the core. */
     int troubledLinks;
     /** Told of a fault of the course's own. */
--- a/src/test/java/brambletray/tray/flow/Course.java
+++ b/src/test/java/brambletray/tray/flow/Course.java
@@ -22,12 +22,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One random course of an edge's front: the production classes from the client's socket to the host's on a simulated network and clock,
- * between clients, a broker and hosts that do at random what the pages allow and what trouble does. The same seed gives the same course.
+ * One random course of an edge's front: the production classes from the client's socket to the host's on a simulated
+ * network and clock, between clients, a broker and hosts that do at random what the pages allow and what trouble does.
+ * The same seed gives the same course.
  */
 final class Course implements Broker {
     private static final Address FRONT = new Address("10.0.0.1", 8241);
-    private static final int HOSTS_MOST = 3, MOST_HOSTS = 3;
+    private static final int HOSTS_MOST = 3;
+    private static final int MOST_HOSTS = 3;
 
     private record Waiting(Ask ask, Taker taker) {}
 
@@ -44,7 +46,9 @@
     /** Places out, by ask. */
     private final Map<Long, Integer> held = new HashMap<>();
 
-    private final int steps, pause, twice;
+    private final int steps;
+    private final int pause;
+    private final int twice;
     private int ids;
 
     Course(long seed, int steps) {
@@ -333,7 +337,10 @@
         return tally;
     }
 
-    /** Plays so many courses from this seed on; what the first one broke that broke one of these rules (a regular expression), or null. */
+    /**
+     * Plays so many courses from this seed on; what the first one broke that broke one of these rules (a regular
+     * expression), or null.
+     */
     static String hunt(String rules, long from, int courses, int steps) {
         for (long seed = from; seed < from + courses; seed++) {
             List<String> broken;
--- a/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
@@ -13,12 +13,14 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE, REFUSED, and that no
- * connection carries a request while anything is owed on it). {@code -Dbrambletray.courses=N} plays more, {@code -Dbrambletray.seed=N}
- * begins elsewhere.
+ * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE,
+ * REFUSED, and that no connection carries a request while anything is owed on it). {@code -Dbrambletray.courses=N}
+ * plays more, {@code -Dbrambletray.seed=N} begins elsewhere.
  */
 class ExchangeWalkTest {
-    private static final int COURSES = Integer.getInteger("brambletray.courses", 2_000), STEPS = 40, PARTS = 4;
+    private static final int COURSES = Integer.getInteger("brambletray.courses", 2_000);
+    private static final int STEPS = 40;
+    private static final int PARTS = 4;
     private static final long SEED = Long.getLong("brambletray.seed", 1);
 
     @Test
--- a/src/test/java/brambletray/tray/flow/Mutant.java
+++ b/src/test/java/brambletray/tray/flow/Mutant.java
@@ -24,9 +24,9 @@
 import javax.tools.ToolProvider;
 
 /**
- * This package with a faulty step planted in its sources, compiled in memory and loaded beside the sound one: so no production class needs
- * a switch for its own faults. A step is found by its text, which must be there exactly once: who changes the line is told to look at the
- * fault too.
+ * This package with a faulty step planted in its sources, compiled in memory and loaded beside the sound one: so no
+ * production class needs a switch for its own faults. A step is found by its text, which must be there exactly once:
+ * who changes the line is told to look at the fault too.
  */
 final class Mutant extends ClassLoader {
     private static final Path SOURCES = Path.of("src/main/java");
@@ -39,7 +39,10 @@
         this.changed = changed;
     }
 
-    /** {@code edits}: of a class of this package by its simple name: what is there, and what stands there instead, in threes. */
+    /**
+     * {@code edits}: of a class of this package by its simple name: what is there, and what stands there instead, in
+     * threes.
+     */
     static Mutant of(String... edits) {
         Map<String, String> sources = new HashMap<>();
         for (int i = 0; i < edits.length; i += 3) {
--- a/src/test/java/brambletray/tray/flow/PlantedFaultsTest.java
+++ b/src/test/java/brambletray/tray/flow/PlantedFaultsTest.java
@@ -11,7 +11,8 @@
 
 /** Each fault that {@link ExchangeWalkTest} is there to find, planted, and found by the rule that it breaks. */
 class PlantedFaultsTest {
-    private static final int COURSES = Integer.getInteger("brambletray.planted", 4_000), STEPS = 40;
+    private static final int COURSES = Integer.getInteger("brambletray.planted", 4_000);
+    private static final int STEPS = 40;
 
     private static Arguments fault(String what, String rule, String... edits) {
         return Arguments.of(what, rule, edits);
--- a/src/test/java/brambletray/tray/flow/Ruling.java
+++ b/src/test/java/brambletray/tray/flow/Ruling.java
@@ -11,9 +11,13 @@
 final class Ruling {
     /** One try of a client. {@code sent}: what a host must be handed: method, path and body. */
     static final class Try {
-        final String id, method, uri, body;
+        final String id;
+        final String method;
+        final String uri;
+        final String body;
         final boolean repeatable;
-        int runs, arrivals;
+        int runs;
+        int arrivals;
         /** The status that promised that it has not run; 0: none. */
         int promised;
         /** Whole bodies of the host's sealed answers. */
@@ -35,7 +39,9 @@
     private final Map<String, Try> tries = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     final int mostHosts;
-    int successes, promises, answers;
+    int successes;
+    int promises;
+    int answers;
 
     /** {@code mostHosts}: {@code retry-count} of the routes. */
     Ruling(int mostHosts) {
--- a/src/test/java/brambletray/tray/flow/Sheet.java
+++ b/src/test/java/brambletray/tray/flow/Sheet.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A drawn timeline: a line of names, then lines of ms and, in each column, what is done and what is seen, with commas between. */
+/**
+ * A drawn timeline: a line of names, then lines of ms and, in each column, what is done and what is seen, with commas
+ * between.
+ */
 record Sheet(List<String> names, List<Row> rows) {
     /** {@code cells}: one a name. */
     record Row(long at, List<List<String>> cells, String drawn) {}
