--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/tray/flow/Street.java
@@ -15,7 +15,10 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** An edge's front in simulated time, on a simulated network: the production classes between scripted clients, broker and hosts. */
+/**
+ * An edge's front in simulated time, on a simulated network: the production classes between scripted clients, broker
+ * and hosts.
+ */
 final class Street {
     static final Address FRONT = new Address("10.0.0.1", 8241);
 
@@ -81,7 +84,8 @@
     }
 
     /**
-     * By the name: {@code client...} is one, one {@code -at-} a host calls from there, {@code edge} is told to drain; every other a host.
+     * By the name: {@code client...} is one, one {@code -at-} a host calls from there, {@code edge} is told to drain;
+     * every other a host.
      */
     Actor actor(String name) {
         Actor actor = actors.get(name);
@@ -132,7 +136,10 @@
         simulation.runUntil(simulation.now());
     }
 
-    /** Each row: time passes, then what is drawn is done from left to right; then what was seen must be what is drawn, and nothing else. */
+    /**
+     * Each row: time passes, then what is drawn is done from left to right; then what was seen must be what is drawn,
+     * and nothing else.
+     */
     void play(String drawn) {
         Sheet sheet = Sheet.read(drawn);
         sheet.names().forEach(this::actor);
--- a/src/test/java/brambletray/tray/flow/TripWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/TripWalkTest.java
@@ -17,7 +17,8 @@
 
 /** Walks at random through what may happen to a request, and holds the rules at each step. A failure names its seed. */
 class TripWalkTest {
-    private static final int WALKS = 30_000, STEPS = 60;
+    private static final int WALKS = 30_000;
+    private static final int STEPS = 60;
 
     /** The world of one walk: the broker, hosts and the client. */
     private static final class World implements Hands {
@@ -29,9 +30,16 @@
         final Set<Long> held = new HashSet<>();
         final Map<Leg, Boolean> legs = new HashMap<>();
         final Set<String> sentTo = new HashSet<>();
-        int mayHaveRun, words, hosts;
-        long now = 1_000, ids, saidAt = -1;
-        boolean gone, flowing, ended, settling;
+        int mayHaveRun;
+        int words;
+        int hosts;
+        long now = 1_000;
+        long ids;
+        long saidAt = -1;
+        boolean gone;
+        boolean flowing;
+        boolean ended;
+        boolean settling;
 
         World(long seed) {
             random = new SplittableRandom(seed);
--- a/src/test/java/brambletray/tray/flow/TroubledHost.java
+++ b/src/test/java/brambletray/tray/flow/TroubledHost.java
@@ -18,24 +18,28 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A host of a {@link Course}, drawn byte by byte: it answers, fails, sheds, dies, answers early, cuts off, spoils, and adds (PROTOCOL,
- * Hosts), and tells the {@link Ruling} what it runs.
+ * A host of a {@link Course}, drawn byte by byte: it answers, fails, sheds, dies, answers early, cuts off, spoils, and
+ * adds (PROTOCOL, Hosts), and tells the {@link Ruling} what it runs.
  */
 final class TroubledHost {
     /** ms; what was sent is read at the other end by then, unless that stands still. */
     private static final int SURELY_THERE = 60;
 
-    private static final String SEAL = "Brambletray-Response-Seal: s\r\n", SHED = "Brambletray-Not-Executed: 1\r\n";
+    private static final String SEAL = "Brambletray-Response-Seal: s\r\n";
+    private static final String SHED = "Brambletray-Not-Executed: 1\r\n";
 
     final String name;
     private final Machine machine;
     private final InetSocketAddress address;
     private final Ruling ruling;
     private final SplittableRandom random;
-    private final int trouble, large;
+    private final int trouble;
+    private final int large;
     private final Set<Channel> open = new LinkedHashSet<>();
     private Channel listener;
-    /** ms: the relay stood still or was cut off until then; what comes from it before may have been written unseeing. */
+    /**
+     * ms: the relay stood still or was cut off until then; what comes from it before may have been written unseeing.
+     */
     private long unseeingUntil;
 
     /** {@code trouble}: percent of answers that are not plain; {@code large}: of so many bodies one is. */
--- a/src/test/java/brambletray/tray/flow/WalkClient.java
+++ b/src/test/java/brambletray/tray/flow/WalkClient.java
@@ -15,7 +15,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
-/** A client of a {@link Course}: keeps a connection, sends ahead at times, hangs up at times, and reads what comes to the letter. */
+/**
+ * A client of a {@link Course}: keeps a connection, sends ahead at times, hangs up at times, and reads what comes to
+ * the letter.
+ */
 final class WalkClient {
     private final Machine machine;
     private final InetSocketAddress front;
--- a/src/test/java/brambletray/tray/flow/WireTest.java
+++ b/src/test/java/brambletray/tray/flow/WireTest.java
@@ -88,7 +88,10 @@
         assertEquals(List.of("reads r1"), host.look());
     }
 
-    /** Rule REFUSED: with no room to hold an answer, one that promises what nothing proves must not be given on while it comes. */
+    /**
+     * Rule REFUSED: with no room to hold an answer, one that promises what nothing proves must not be given on while it
+     * comes.
+     */
     @Test
     void aPromiseIsNotGivenOnAsItComes() {
         street.route("non_idempotent", 2);
@@ -126,7 +129,10 @@
         assertEquals(List.of("wants", "a UNREACHED 0", "wants but a"), street.places.look());
     }
 
-    /** A host that has refused gets the request again on another connection: a second refusal, late on the first, would bear its id. */
+    /**
+     * A host that has refused gets the request again on another connection: a second refusal, late on the first, would
+     * bear its id.
+     */
     @Test
     void aRequestIsOnOneConnectionOnce() {
         street.route("non_idempotent", 3);
@@ -144,7 +150,10 @@
         assertEquals(2, host.connections, "both are kept");
     }
 
-    /** A kept connection that turns out closed before a byte of the request is out: that one has run nowhere, and goes out on another. */
+    /**
+     * A kept connection that turns out closed before a byte of the request is out: that one has run nowhere, and goes
+     * out on another.
+     */
     @Test
     void whatNeverWentOutOnAKeptConnectionGoesOutOnAnother() {
         street.route("non_idempotent", 1);
@@ -166,7 +175,9 @@
         assertEquals(1, street.tally.stale);
     }
 
-    /** A machine that stood still past the end of a request's time: its connection comes up first, its timer after it. */
+    /**
+     * A machine that stood still past the end of a request's time: its connection comes up first, its timer after it.
+     */
     @Test
     void whatIsOverIsNotSentWhenTheMachineWakes() {
         street.route("non_idempotent", 2);
--- a/src/test/java/brambletray/tray/home/Drawing.java
+++ b/src/test/java/brambletray/tray/home/Drawing.java
@@ -19,10 +19,10 @@
 import java.util.Set;
 
 /**
- * Plays a drawn timeline: time downwards in ms, one column a relay. Cells of edges are what they do ({@code ask 1}, {@code done 1 served 60},
- * {@code forget 1}, {@code held 1 h1, 2 h2}; X: it dies; ~ and z: nothing is heard of it), those of {@code hub} what it says, those of
- * {@code hosts} which answer knocks from then on. Cells of homes are what must have been said there since the row before; X: it dies and the
- * next home takes over.
+ * Plays a drawn timeline: time downwards in ms, one column a relay. Cells of edges are what they do ({@code ask 1},
+ * {@code done 1 served 60}, {@code forget 1}, {@code held 1 h1, 2 h2}; X: it dies; ~ and z: nothing is heard of it),
+ * those of {@code hub} what it says, those of {@code hosts} which answer knocks from then on. Cells of homes are what
+ * must have been said there since the row before; X: it dies and the next home takes over.
  */
 final class Drawing {
     private static final String SERVICE = "s";
--- a/src/test/java/brambletray/tray/home/MoveTest.java
+++ b/src/test/java/brambletray/tray/home/MoveTest.java
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * A home dies again and again with all places out and lines waiting, messages under way; whatever the order of events, no host ever has more than
- * its places in use, and all asks get their place.
+ * A home dies again and again with all places out and lines waiting, messages under way; whatever the order of events,
+ * no host ever has more than its places in use, and all asks get their place.
  */
 class MoveTest {
     private static final int HOSTS = 10;
--- a/src/test/java/brambletray/tray/home/Town.java
+++ b/src/test/java/brambletray/tray/home/Town.java
@@ -17,8 +17,8 @@
 import java.util.Set;
 
 /**
- * Zones, each with one edge that is home of the zone's seats; a platform that starts hosts; clients that come by chance. Simulated time, one
- * seed. Counts what the clients and the operator would.
+ * Zones, each with one edge that is home of the zone's seats; a platform that starts hosts; clients that come by
+ * chance. Simulated time, one seed. Counts what the clients and the operator would.
  */
 final class Town {
     record Kind(
--- a/src/test/java/brambletray/tray/home/TownTest.java
+++ b/src/test/java/brambletray/tray/home/TownTest.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** A whole town in simulated time: hundreds of thousands of events under one seed, see {@link TownMain} for the figures of others. */
+/**
+ * A whole town in simulated time: hundreds of thousands of events under one seed, see {@link TownMain} for the figures
+ * of others.
+ */
 class TownTest {
     /** 700 services whose hosts have ended again: nothing is due any more, whatever the time. */
     @Test
--- a/src/test/java/brambletray/tray/keep/HubTest.java
+++ b/src/test/java/brambletray/tray/keep/HubTest.java
@@ -49,7 +49,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What the helm says to edges, and when it holds its tongue: hub, greeter and links of one member, on a simulated network. */
+/**
+ * What the helm says to edges, and when it holds its tongue: hub, greeter and links of one member, on a simulated
+ * network.
+ */
 class HubTest {
     private static final int PORT = 7_400;
     private static final long TERM = 70;
--- a/src/test/java/brambletray/tray/keep/KinTest.java
+++ b/src/test/java/brambletray/tray/keep/KinTest.java
@@ -74,7 +74,10 @@
         return made[0];
     }
 
-    /** The call began while the other was without power and would hang for a second; the other's own call says that it is there. */
+    /**
+     * The call began while the other was without power and would hang for a second; the other's own call says that it
+     * is there.
+     */
     @Test
     void whoIsBackIsSpokenToAtOnce() {
         Kin one = member("10.0.0.1");
--- a/src/test/java/brambletray/tray/keep/OperatorsTest.java
+++ b/src/test/java/brambletray/tray/keep/OperatorsTest.java
@@ -169,7 +169,10 @@
         assertTrue(order.confirms.isEmpty());
     }
 
-    /** Judged by an old configuration, confirmed on a newer one: a route to a service that only the newer one has is valid. */
+    /**
+     * Judged by an old configuration, confirmed on a newer one: a route to a service that only the newer one has is
+     * valid.
+     */
     @Test
     void whatMovedOnBeforeTheRoundIsJudgedAnew() {
         begin();
@@ -206,7 +209,10 @@
         assertTrue(order.confirms.isEmpty());
     }
 
-    /** A former leader's proposals come into the order right after or before ours, and are delivered before our outcome is said. */
+    /**
+     * A former leader's proposals come into the order right after or before ours, and are delivered before our outcome
+     * is said.
+     */
     @Test
     void theAnswerIsOfTheChangeItselfNotOfTheLastDelivered() {
         begin();
@@ -278,7 +284,10 @@
         assertTrue(order.tokens.isEmpty());
     }
 
-    /** A member that is cut off says so before its caller gives up on it; one amid a change of view keeps the call until it is over. */
+    /**
+     * A member that is cut off says so before its caller gives up on it; one amid a change of view keeps the call until
+     * it is over.
+     */
     @Test
     void callsWaitForALeaderButNotForLong() {
         begin();
@@ -406,7 +415,9 @@
         order.successor = "10.0.0.2:90";
         operators.changed();
         operators.outcome(order.tokens.remove(), Outcome.REFUSED);
-        while (!order.confirms.isEmpty()) confirm(false);
+        while (!order.confirms.isEmpty()) {
+            confirm(false);
+        }
         for (Reply reply : List.of(under, waiting, show, stale, late)) {
             assertEquals(307, reply.status);
             assertTrue(
--- a/src/test/java/brambletray/tray/keep/OrdersChecker.java
+++ b/src/test/java/brambletray/tray/keep/OrdersChecker.java
@@ -6,9 +6,10 @@
 import java.util.Set;
 
 /**
- * Judges a course by what its operators saw on their calls, as the pages put it: of all changes on one version one prevails, a number means
- * one configuration, what was taken is acknowledged again or left unclear, what was refused or invalid is never in force, no proper order
- * is refused but for another version that is in place, and nobody reads what is older than what had been acknowledged when it asked.
+ * Judges a course by what its operators saw on their calls, as the pages put it: of all changes on one version one
+ * prevails, a number means one configuration, what was taken is acknowledged again or left unclear, what was refused or
+ * invalid is never in force, no proper order is refused but for another version that is in place, and nobody reads what
+ * is older than what had been acknowledged when it asked.
  */
 final class OrdersChecker {
     private final Map<Long, OrdersModel.Written> byBase = new HashMap<>();
--- a/src/test/java/brambletray/tray/keep/OrdersModel.java
+++ b/src/test/java/brambletray/tray/keep/OrdersModel.java
@@ -11,11 +11,12 @@
 import java.util.Random;
 
 /**
- * A core of several members, each with production {@link Operators}, on one order of changes that keeps what the package {@code view}
- * promises and no more: a proposal comes into the order once, twice, late, after its caller was told that it is unclear, or never; outcomes
- * come after further deliveries; a member that is cut off believes to lead for a while; members restart from an old snapshot, or jump ahead
- * by one. One seed gives one course. Operators send what they have to any member, follow 307 twice, go elsewhere after a second of silence,
- * lose answers and send again, also long after. The {@link OrdersChecker} hears only what they saw.
+ * A core of several members, each with production {@link Operators}, on one order of changes that keeps what the
+ * package {@code view} promises and no more: a proposal comes into the order once, twice, late, after its caller was
+ * told that it is unclear, or never; outcomes come after further deliveries; a member that is cut off believes to lead
+ * for a while; members restart from an old snapshot, or jump ahead by one. One seed gives one course. Operators send
+ * what they have to any member, follow 307 twice, go elsewhere after a second of silence, lose answers and send again,
+ * also long after. The {@link OrdersChecker} hears only what they saw.
  */
 final class OrdersModel {
     private static final int STEP_MS = 10;
--- a/src/test/java/brambletray/tray/keep/OrdersModelTest.java
+++ b/src/test/java/brambletray/tray/keep/OrdersModelTest.java
@@ -5,8 +5,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Random courses of operators and members, each with its own seed. {@code -Dorders.seeds=N} plays more, {@code -Dorders.first=S} begins
- * at that seed, {@code -Dorders.seed=S} plays that one.
+ * Random courses of operators and members, each with its own seed. {@code -Dorders.seeds=N} plays more,
+ * {@code -Dorders.first=S} begins at that seed, {@code -Dorders.seed=S} plays that one.
  */
 class OrdersModelTest {
     private static final int SEEDS = 150;
--- a/src/test/java/brambletray/tray/lap/RoundsTest.java
+++ b/src/test/java/brambletray/tray/lap/RoundsTest.java
@@ -6,7 +6,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** An operator's way from relay to relay: answers as numbers (0: silence, 307: to another place), what is done as letters. */
+/**
+ * An operator's way from relay to relay: answers as numbers (0: silence, 307: to another place), what is done as
+ * letters.
+ */
 class RoundsTest {
     @ParameterizedTest
     @CsvSource({
--- a/src/test/java/brambletray/tray/news/Town.java
+++ b/src/test/java/brambletray/tray/news/Town.java
@@ -13,8 +13,8 @@
 import java.util.stream.IntStream;
 
 /**
- * A helm and edges in virtual time, each edge on a link of so many bytes a ms to it: what is sent on a link waits for all that
- * was sent on it before. Pulses go as the helm's do.
+ * A helm and edges in virtual time, each edge on a link of so many bytes a ms to it: what is sent on a link waits for
+ * all that was sent on it before. Pulses go as the helm's do.
  */
 final class Town {
     static final int PULSE = 250;
--- a/src/test/java/brambletray/tray/ring/Lane.java
+++ b/src/test/java/brambletray/tray/ring/Lane.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.TreeSet;
 
-/** One process of a drawn timeline: an edge, with its watch, or what the hub's machine runs. Its inbox stands for its sockets. */
+/**
+ * One process of a drawn timeline: an edge, with its watch, or what the hub's machine runs. Its inbox stands for its
+ * sockets.
+ */
 abstract class Lane {
     /** A frame on its way; {@code at}: when it arrives. */
     record Mail(long at, String from, Object frame) {}
--- a/src/test/java/brambletray/tray/ring/RingSteps.java
+++ b/src/test/java/brambletray/tray/ring/RingSteps.java
@@ -12,8 +12,8 @@
 import java.util.TreeSet;
 
 /**
- * Reads the pictures. Signs: {@code |} runs, {@code X} is killed, {@code !} loses power, {@code ~} is cut off from all, {@code z} sleeps,
- * {@code L} is leaving, {@code .} is not there; a {@code |} after one of the last kinds is a start.
+ * Reads the pictures. Signs: {@code |} runs, {@code X} is killed, {@code !} loses power, {@code ~} is cut off from all,
+ * {@code z} sleeps, {@code L} is leaving, {@code .} is not there; a {@code |} after one of the last kinds is a start.
  */
 public class RingSteps {
     private final Village village = new Village();
--- a/src/test/java/brambletray/tray/ring/Village.java
+++ b/src/test/java/brambletray/tray/ring/Village.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Edges and a hub in simulated time, each a turn every 50 ms. What is said takes 3 ms; behind a cut it waits, or is lost once the link gives up. */
+/**
+ * Edges and a hub in simulated time, each a turn every 50 ms. What is said takes 3 ms; behind a cut it waits, or is
+ * lost once the link gives up.
+ */
 final class Village {
     static final String HUB = "hub";
     static final int INTERVAL = 200;
--- a/src/test/java/brambletray/tray/trove/Ghost.java
+++ b/src/test/java/brambletray/tray/trove/Ghost.java
@@ -11,8 +11,9 @@
 import java.util.TreeSet;
 
 /**
- * A folder in memory that loses power. Of a file stays what was synced; of what was written later each piece is there, missing or torn, or
- * all of it is gone. Each file that was made or removed since the folder's last sync is there or not, by itself.
+ * A folder in memory that loses power. Of a file stays what was synced; of what was written later each piece is there,
+ * missing or torn, or all of it is gone. Each file that was made or removed since the folder's last sync is there or
+ * not, by itself.
  */
 final class Ghost implements Platter {
     private record Write(int at, byte[] bytes) {}
@@ -148,7 +149,10 @@
         return List.copyOf(names);
     }
 
-    /** What may be found after a loss of power: with every subset of the unsynced names, and drawn fates of unsynced writes. */
+    /**
+     * What may be found after a loss of power: with every subset of the unsynced names, and drawn fates of unsynced
+     * writes.
+     */
     List<Ghost> afterLosses(Random random) {
         int names = unsynced().size();
         List<Ghost> all = new ArrayList<>();
--- a/src/test/java/brambletray/tray/trove/SimStore.java
+++ b/src/test/java/brambletray/tray/trove/SimStore.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A disk in simulated time, and the production Scribe of one process on it: a sync takes its time, fails, or is cut short by a loss of
- * power.
+ * A disk in simulated time, and the production Scribe of one process on it: a sync takes its time, fails, or is cut
+ * short by a loss of power.
  */
 public final class SimStore implements Scribe.Disk {
     /** What stays when the process ends. */
--- a/src/test/java/brambletray/tray/trove/TroveTest.java
+++ b/src/test/java/brambletray/tray/trove/TroveTest.java
@@ -137,7 +137,9 @@
         assertTrue(most < 12 << 20, "most " + most);
     }
 
-    /** The power goes at any step: in commits, at the edge of files, between generations, in the mending after a loss. */
+    /**
+     * The power goes at any step: in commits, at the edge of files, between generations, in the mending after a loss.
+     */
     @Test
     void aLossOfPowerTakesNothingThatReturned() {
         Random random = new Random(SEED);
@@ -176,9 +178,10 @@
     }
 
     /**
-     * Each step of opening, appending, rolling to a further file and compacting: the process is killed there, or the power goes with every
-     * subset of the names that the folder hasn't been synced with. What opens then is all that returned, with the commit under way or
-     * without; and once a process has opened it, a loss of power takes nothing of what it has read.
+     * Each step of opening, appending, rolling to a further file and compacting: the process is killed there, or the
+     * power goes with every subset of the names that the folder hasn't been synced with. What opens then is all that
+     * returned, with the commit under way or without; and once a process has opened it, a loss of power takes nothing
+     * of what it has read.
      */
     @Test
     void atEachStepEverySubsetOfUnsyncedNamesLeavesAPrefixWithAllThatReturned() {
@@ -213,7 +216,10 @@
         assertTrue(seen[3] >= 2, "hardly a name was unsynced");
     }
 
-    /** The disk refuses one step, or is full for a while from there: what fails is said to fail, and losses of power find all that didn't. */
+    /**
+     * The disk refuses one step, or is full for a while from there: what fails is said to fail, and losses of power
+     * find all that didn't.
+     */
     @Test
     void aDiskThatRefusesAtAnyStepLosesNothingThatReturns() {
         Random random = new Random(SEED);
@@ -377,7 +383,10 @@
         assertTrue(holds(Trove.open(disk.afterLoss(random)), kept));
     }
 
-    /** A process that is started again while its disk is full reads what it had, writes nothing, and goes on once there is room. */
+    /**
+     * A process that is started again while its disk is full reads what it had, writes nothing, and goes on once there
+     * is room.
+     */
     @Test
     void aFullDiskIsOpenedAndReadAndWrittenOnceThereIsRoom() {
         Random random = new Random(SEED);
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -9,9 +9,9 @@
 import java.util.TreeMap;
 
 /**
- * Three members and one that may come later, their disks and links, moved by hand: each move is the next frame of a link, the end of a
- * sync, the impatience of a member, a loss of power or of a disk, a planned end, the start of the newcomer. The same moves give the same
- * board.
+ * Three members and one that may come later, their disks and links, moved by hand: each move is the next frame of a
+ * link, the end of a sync, the impatience of a member, a loss of power or of a disk, a planned end, the start of the
+ * newcomer. The same moves give the same board.
  */
 final class Board {
     /** Machines: the founders and the newcomer. */
@@ -84,8 +84,11 @@
 
         void sync() {
             flying.forEach((key, value) -> {
-                if (value == null) kept.remove(key);
-                else kept.put(key, value);
+                if (value == null) {
+                    kept.remove(key);
+                } else {
+                    kept.put(key, value);
+                }
             });
             flying = null;
             members.synced(ticket, board.now);
@@ -93,7 +96,9 @@
 
         @Override
         public void outcome(long token, Outcome outcome) {
-            if (outcome == Outcome.COMMITTED) board.acknowledged++;
+            if (outcome == Outcome.COMMITTED) {
+                board.acknowledged++;
+            }
         }
 
         @Override
@@ -104,10 +109,13 @@
 
         @Override
         public void tell(String event, Object... facts) {
-            if (!board.talks) return;
+            if (!board.talks) {
+                return;
+            }
             StringBuilder line = new StringBuilder(NAMES[number]).append(' ').append(event);
-            for (int i = 0; i < facts.length; i += 2)
+            for (int i = 0; i < facts.length; i += 2) {
                 line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
+            }
             System.out.println(line);
         }
 
@@ -119,16 +127,22 @@
         @Override
         public void restore(byte[] snapshot) {
             state.clear();
-            if (snapshot.length > 0) state.addAll(List.of(new String(snapshot, StandardCharsets.UTF_8).split("\n")));
+            if (snapshot.length > 0) {
+                state.addAll(List.of(new String(snapshot, StandardCharsets.UTF_8).split("\n")));
+            }
         }
 
         @Override
         public void deliver(long index, byte[] change) {
             String text = new String(change, StandardCharsets.UTF_8);
-            if (state.contains(text)) throw new AssertionError(text + " twice at " + NAMES[number]);
+            if (state.contains(text)) {
+                throw new AssertionError(text + " twice at " + NAMES[number]);
+            }
             state.add(text);
             String other = board.order.putIfAbsent(index, text);
-            if (other == null || other.equals(text)) return;
+            if (other == null || other.equals(text)) {
+                return;
+            }
             throw new AssertionError(NAMES[number] + " delivers " + text + " at " + index + ", before it was " + other);
         }
     }
@@ -150,10 +164,14 @@
     Board(Purse purse) {
         this.purse = purse;
         for (int i = 0; i < SIZE; i++) {
-            for (int j = 0; j < SIZE; j++) links.add(new ArrayDeque<>());
+            for (int j = 0; j < SIZE; j++) {
+                links.add(new ArrayDeque<>());
+            }
             seats[i] = new Seat(this, i);
         }
-        for (int i = 0; i < FOUNDERS; i++) seats[i].start(true);
+        for (int i = 0; i < FOUNDERS; i++) {
+            seats[i].start(true);
+        }
     }
 
     /** Founds the core: the first member leads, nothing is under way. */
@@ -163,7 +181,9 @@
         seats[0].members.tick(now);
         drain();
         // told to the others that the view is in force by their leader's next beat
-        if (!seats[0].members.status().leading()) throw new AssertionError("not founded");
+        if (!seats[0].members.status().leading()) {
+            throw new AssertionError("not founded");
+        }
     }
 
     private void drain() {
@@ -171,21 +191,30 @@
         while (moved) {
             moved = false;
             for (int move = 0; move < SIZE * SIZE + SIZE; move++) {
-                if (!may(move)) continue;
+                if (!may(move)) {
+                    continue;
+                }
                 play(move);
                 moved = true;
             }
         }
     }
 
-    /** Moves: first the next frame of a link, then for each: sync, impatience, loss of power, of the disk, planned end, first start. */
+    /**
+     * Moves: first the next frame of a link, then for each: sync, impatience, loss of power, of the disk, planned end,
+     * first start.
+     */
     static final int MOVES = SIZE * SIZE + 6 * SIZE;
 
     boolean may(int move) {
-        if (move < SIZE * SIZE) return !links.get(move).isEmpty();
+        if (move < SIZE * SIZE) {
+            return !links.get(move).isEmpty();
+        }
         Seat seat = seats[move % SIZE];
         int kind = (move - SIZE * SIZE) / SIZE;
-        if (seat.members == null) return kind == 5 && purse.newcomers > 0 && seat.number >= FOUNDERS && seat.boot == 0;
+        if (seat.members == null) {
+            return kind == 5 && purse.newcomers > 0 && seat.number >= FOUNDERS && seat.boot == 0;
+        }
         return switch (kind) {
             case 0 -> seat.flying != null;
             case 1 -> purse.impatience > 0;
@@ -197,7 +226,9 @@
     }
 
     private boolean intact() {
-        if (views.isEmpty()) return false;
+        if (views.isEmpty()) {
+            return false;
+        }
         View latest = views.lastEntry().getValue();
         return latest.members().size() > 1
                 && latest.members().stream().noneMatch(member -> lost.contains(member.life()));
@@ -206,18 +237,23 @@
     void play(int move) {
         if (move < SIZE * SIZE) {
             Frame frame = links.get(move).poll();
-            if (seats[move % SIZE].members == null) return;
-            if (talks) System.out.println(NAMES[move / SIZE] + ">" + NAMES[move % SIZE] + " " + frame);
+            if (seats[move % SIZE].members == null) {
+                return;
+            }
+            if (talks) {
+                System.out.println(NAMES[move / SIZE] + ">" + NAMES[move % SIZE] + " " + frame);
+            }
             seats[move % SIZE].members.heard(NAMES[move / SIZE], frame, now);
             look(seats[move % SIZE]);
             return;
         }
         Seat seat = seats[move % SIZE];
         int kind = (move - SIZE * SIZE) / SIZE;
-        if (talks)
+        if (talks) {
             System.out.println(NAMES[move % SIZE] + " "
                     + List.of("sync", "impatient", "power", "disk", "leaves", "comes")
                             .get(kind));
+        }
         if (kind == 0) {
             seat.sync();
         } else if (kind == 1) {
@@ -267,10 +303,13 @@
     private void end(Seat seat) {
         View latest = views.lastEntry().getValue();
         boolean alone = latest.members().size() == 1;
-        if (latest.has(seat.life) && !alone)
+        if (latest.has(seat.life) && !alone) {
             throw new AssertionError(NAMES[seat.number] + " has left, and is in " + latest);
+        }
         boolean one = !latest.has(seat.life) && alone && lost.isEmpty();
-        if (one) throw new AssertionError(NAMES[seat.number] + " has left one disk: " + latest);
+        if (one) {
+            throw new AssertionError(NAMES[seat.number] + " has left one disk: " + latest);
+        }
         left++;
         cut(seat);
         seat.flying = null;
@@ -280,12 +319,15 @@
     /** Holds the rules, and has each new leader propose something. */
     private void look(Seat seat) {
         Status status = seat.members.status();
-        if (!status.inForce()) return;
+        if (!status.inForce()) {
+            return;
+        }
         joined |= status.members().stream().anyMatch(member -> member.address().equals(NAMES[FOUNDERS]));
         View mine = new View(new Ballot(status.number(), status.leader().life()), status.members(), List.of());
         View other = views.putIfAbsent(status.number(), mine);
-        if (other != null && !other.equals(mine))
+        if (other != null && !other.equals(mine)) {
             throw new AssertionError("two views of number " + status.number() + ": " + other + ", " + mine);
+        }
         if (status.leading() && seat.proposedIn < status.number()) {
             seat.proposedIn = status.number();
             seat.members.propose(status.number(), ("v" + status.number()).getBytes(StandardCharsets.UTF_8), now);
--- a/src/test/java/brambletray/tray/view/CatchUpTest.java
+++ b/src/test/java/brambletray/tray/view/CatchUpTest.java
@@ -7,9 +7,10 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * How long a member of three that was away for so many changes takes from the start of its process until it is in the view again with all
- * that was acknowledged, and how many bytes go to it: in simulated ms, with all its links at one rate. Printed; the bounds on time are wide.
- * The state is as large as one change, as a configuration that replaces another is.
+ * How long a member of three that was away for so many changes takes from the start of its process until it is in the
+ * view again with all that was acknowledged, and how many bytes go to it: in simulated ms, with all its links at one
+ * rate. Printed; the bounds on time are wide. The state is as large as one change, as a configuration that replaces
+ * another is.
  */
 class CatchUpTest {
     private static final int FULL = 125_000;
@@ -33,7 +34,9 @@
         System.out.println(
                 "| changes missed | bytes each | link, Mbit/s | changes meanwhile | back in the view, s | bytes to it, kB |");
         System.out.println("| ---: | ---: | ---: | --- | ---: | ---: |");
-        for (Case one : CASES) play(one);
+        for (Case one : CASES) {
+            play(one);
+        }
     }
 
     private void play(Case one) {
@@ -52,7 +55,9 @@
         world.until(world.now + 1000);
         assertTrue(
                 world.oracle.acknowledged.size() == one.changes(), "acknowledged " + world.oracle.acknowledged.size());
-        for (String other : List.of("a", "b")) world.rate("c", other, one.rate());
+        for (String other : List.of("a", "b")) {
+            world.rate("c", other, one.rate());
+        }
         long before = bytes(world);
         long begin = world.now;
         long next = begin + 100;
@@ -81,7 +86,9 @@
 
     private static boolean back(SimWorld world, SimNode away) {
         if (away.members.status().standing() != Standing.MEMBER
-                || !away.members.status().inForce()) return false;
+                || !away.members.status().inForce()) {
+            return false;
+        }
         return away.state.containsAll(world.oracle.acknowledged);
     }
 
--- a/src/test/java/brambletray/tray/view/Core.java
+++ b/src/test/java/brambletray/tray/view/Core.java
@@ -18,7 +18,9 @@
         List<String> seeds = names.subList(0, Math.min(3, names.size())).stream()
                 .map(Core::address)
                 .toList();
-        for (String name : names) machine(name, seeds).initial = true;
+        for (String name : names) {
+            machine(name, seeds).initial = true;
+        }
     }
 
     private static String address(String name) {
--- a/src/test/java/brambletray/tray/view/ExplorationTest.java
+++ b/src/test/java/brambletray/tray/view/ExplorationTest.java
@@ -10,9 +10,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Every order in which the frames and syncs of changes of view can come about, with a purse of impatience, losses of power and of disks,
- * planned ends and newcomers, up to a bound of states. {@code -Dview.states=N}, {@code -Dview.walks=N} go further;
- * {@code -Dview.moves=1,2,3} plays one course and tells.
+ * Every order in which the frames and syncs of changes of view can come about, with a purse of impatience, losses of
+ * power and of disks, planned ends and newcomers, up to a bound of states. {@code -Dview.states=N},
+ * {@code -Dview.walks=N} go further; {@code -Dview.moves=1,2,3} plays one course and tells.
  */
 class ExplorationTest {
     private static final int STATES = 10_000;
@@ -32,7 +32,9 @@
     private Board board(Board.Purse purse, List<Integer> moves) {
         Board board = new Board(purse);
         board.found();
-        for (int move : moves) board.play(move);
+        for (int move : moves) {
+            board.play(move);
+        }
         return board;
     }
 
@@ -43,20 +45,32 @@
     }
 
     private void walk(Board.Purse purse, Board board, List<Integer> moves) {
-        if (states >= bound || !seen.add(board.print())) return;
+        if (states >= bound || !seen.add(board.print())) {
+            return;
+        }
         states++;
         depth = Math.max(depth, moves.size());
         most = Math.max(most, board.acknowledged);
-        if (board.left > 0) lefts++;
-        if (board.joined) joins++;
+        if (board.left > 0) {
+            lefts++;
+        }
+        if (board.joined) {
+            joins++;
+        }
         Board here = board;
         boolean some = false;
         boolean[] may = new boolean[Board.MOVES];
-        for (int move = 0; move < Board.MOVES; move++) may[move] = board.may(move);
         for (int move = 0; move < Board.MOVES; move++) {
-            if (!may[move] || states >= bound) continue;
+            may[move] = board.may(move);
+        }
+        for (int move = 0; move < Board.MOVES; move++) {
+            if (!may[move] || states >= bound) {
+                continue;
+            }
             some = true;
-            if (here == null) here = board(purse, moves);
+            if (here == null) {
+                here = board(purse, moves);
+            }
             moves.add(move);
             try {
                 here.play(move);
@@ -67,7 +81,9 @@
             moves.remove(moves.size() - 1);
             here = null;
         }
-        if (!some) ends++;
+        if (!some) {
+            ends++;
+        }
     }
 
     /** Random walks with a fuller purse reach further than the bound of states. */
@@ -91,8 +107,12 @@
                 throw new AssertionError("walk " + seed + ": " + e.getMessage(), e);
             }
             most = Math.max(most, board.acknowledged);
-            if (board.left > 0) lefts++;
-            if (board.joined) joins++;
+            if (board.left > 0) {
+                lefts++;
+            }
+            if (board.joined) {
+                joins++;
+            }
             played++;
         }
         System.out.println("exploration: " + played + " walks, " + steps + " steps, at most " + most
@@ -106,23 +126,33 @@
         int[] may = new int[Board.MOVES];
         // a walk may favour some links: the others' frames come late
         boolean[] slow = new boolean[Board.MOVES];
-        for (int i = 0; i < Board.SIZE * (Board.SIZE + 1); i++) slow[i] = random.nextInt(4) == 0;
+        for (int i = 0; i < Board.SIZE * (Board.SIZE + 1); i++) {
+            slow[i] = random.nextInt(4) == 0;
+        }
         // else a newcomer hardly ever has the state while the leader that it knocked at still leads
         int calm = newcomer ? random.nextInt(80) : 0;
-        if (newcomer) board.play(Board.MOVES - 1);
+        if (newcomer) {
+            board.play(Board.MOVES - 1);
+        }
         for (int step = 0; step < 400; step++) {
             int count = 0;
             for (int move = 0; move < Board.MOVES; move++) {
-                if (board.may(move) && (!slow[move] || step < calm || random.nextInt(20) == 0)) may[count++] = move;
+                if (board.may(move) && (!slow[move] || step < calm || random.nextInt(20) == 0)) {
+                    may[count++] = move;
+                }
             }
             if (count == 0) {
-                if (random.nextInt(4) == 0) return step;
+                if (random.nextInt(4) == 0) {
+                    return step;
+                }
                 continue;
             }
             int move = may[random.nextInt(count)];
             // mishaps are rarer than frames
             boolean mishap = move >= Board.SIZE * (Board.SIZE + 1);
-            if (mishap && (step < calm || random.nextInt(6) > 0)) continue;
+            if (mishap && (step < calm || random.nextInt(6) > 0)) {
+                continue;
+            }
             board.play(move);
         }
         return 400;
@@ -143,19 +173,25 @@
                     Integer.getInteger("view.newcomers", 0)));
             board.found();
             board.talks = true;
-            for (String move : one.split("[, ]+")) board.play(Integer.parseInt(move));
+            for (String move : one.split("[, ]+")) {
+                board.play(Integer.parseInt(move));
+            }
             return;
         }
         bound = Integer.getInteger("view.states", STATES);
         List<Board.Purse> purses = new ArrayList<>();
         for (int i = 1; i <= impatience; i++) {
             for (int p = 0; p <= power; p++) {
-                for (int d = 0; d <= disks; d++) purses.add(new Board.Purse(i, p, d));
+                for (int d = 0; d <= disks; d++) {
+                    purses.add(new Board.Purse(i, p, d));
+                }
             }
         }
         // with a planned end, and a newcomer at the same time
         for (int i = 1; i <= impatience; i++) {
-            for (int n = 0; n <= 1; n++) purses.add(new Board.Purse(i, 0, n * disks, 1, n));
+            for (int n = 0; n <= 1; n++) {
+                purses.add(new Board.Purse(i, 0, n * disks, 1, n));
+            }
         }
         int all = 0;
         for (Board.Purse purse : purses) {
--- a/src/test/java/brambletray/tray/view/Fingerprint.java
+++ b/src/test/java/brambletray/tray/view/Fingerprint.java
@@ -24,7 +24,9 @@
 
     static Print of(Object... objects) {
         Fingerprint print = new Fingerprint();
-        for (Object object : objects) print.visit(object);
+        for (Object object : objects) {
+            print.visit(object);
+        }
         return new Print(print.a, print.b);
     }
 
@@ -41,16 +43,23 @@
             return;
         }
         Class<?> type = object.getClass();
-        if (object instanceof Number number) add(number.longValue());
-        else if (object instanceof Boolean yes) add(yes ? 3 : 2);
-        else if (object instanceof CharSequence || object instanceof Enum)
+        if (object instanceof Number number) {
+            add(number.longValue());
+        } else if (object instanceof Boolean yes) {
+            add(yes ? 3 : 2);
+        } else if (object instanceof CharSequence || object instanceof Enum) {
             add(object.toString().hashCode());
-        else if (object instanceof byte[] bytes) add(java.util.Arrays.hashCode(bytes));
-        else if (object instanceof Out || object instanceof Matter || object instanceof Class) add(4);
-        else {
+        } else if (object instanceof byte[] bytes) {
+            add(java.util.Arrays.hashCode(bytes));
+        } else if (object instanceof Out || object instanceof Matter || object instanceof Class) {
+            add(4);
+        } else {
             Integer at = seen.putIfAbsent(object, seen.size());
-            if (at != null) add(1000 + at);
-            else enter(object, type);
+            if (at != null) {
+                add(1000 + at);
+            } else {
+                enter(object, type);
+            }
         }
     }
 
@@ -66,7 +75,9 @@
                 visit(value);
             });
         } else if (type.isArray()) {
-            for (int i = 0; i < Array.getLength(object); i++) visit(Array.get(object, i));
+            for (int i = 0; i < Array.getLength(object); i++) {
+                visit(Array.get(object, i));
+            }
         } else {
             for (Field field : FIELDS.computeIfAbsent(type, Fingerprint::fields)) {
                 try {
@@ -82,7 +93,9 @@
         List<Field> all = new ArrayList<>();
         for (Class<?> at = type; at != null && at != Object.class; at = at.getSuperclass()) {
             for (Field field : at.getDeclaredFields()) {
-                if (Modifier.isStatic(field.getModifiers())) continue;
+                if (Modifier.isStatic(field.getModifiers())) {
+                    continue;
+                }
                 field.setAccessible(true);
                 all.add(field);
             }
--- a/src/test/java/brambletray/tray/view/Frames.java
+++ b/src/test/java/brambletray/tray/view/Frames.java
@@ -13,19 +13,28 @@
     private Frames() {}
 
     static int bytes(Object frame) {
-        if (frame instanceof Frame.Append append) return SMALL + bytes(append.entries());
-        if (frame instanceof Frame.Install install)
+        if (frame instanceof Frame.Append append) {
+            return SMALL + bytes(append.entries());
+        }
+        if (frame instanceof Frame.Install install) {
             return 4 * SMALL
                     + install.patch().snapshot().length
                     + bytes(install.patch().entries());
-        if (frame instanceof Frame.Piece piece) return SMALL + piece.bytes().length;
-        if (frame instanceof Frame.Submit submit) return SMALL + submit.bytes().length;
+        }
+        if (frame instanceof Frame.Piece piece) {
+            return SMALL + piece.bytes().length;
+        }
+        if (frame instanceof Frame.Submit submit) {
+            return SMALL + submit.bytes().length;
+        }
         return frame instanceof Frame.Told || frame instanceof Frame.Come ? 4 * SMALL : SMALL;
     }
 
     private static int bytes(List<Entry> entries) {
         int bytes = 0;
-        for (Entry entry : entries) bytes += SMALL + entry.bytes().length;
+        for (Entry entry : entries) {
+            bytes += SMALL + entry.bytes().length;
+        }
         return bytes;
     }
 }
--- a/src/test/java/brambletray/tray/view/LeaveTest.java
+++ b/src/test/java/brambletray/tray/view/LeaveTest.java
@@ -9,15 +9,19 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * How long nothing is acknowledged, and no read is confirmed, when a member leaves as planned, comes back, is replaced, and when another is
- * lost for good after that: seeded courses, the longest stretch of each. {@code -Dleave.seeds=N} plays N courses of each kind (200 for
- * the figures of docs/control.md), {@code -Dleave.seed=S} one and tells; {@code -Dleave.measure=true} measures and holds nothing.
+ * How long nothing is acknowledged, and no read is confirmed, when a member leaves as planned, comes back, is replaced,
+ * and when another is lost for good after that: seeded courses, the longest stretch of each. {@code -Dleave.seeds=N}
+ * plays N courses of each kind (200 for the figures of docs/control.md), {@code -Dleave.seed=S} one and tells;
+ * {@code -Dleave.measure=true} measures and holds nothing.
  */
 class LeaveTest {
     private static final int COURSES = 20;
     /** ms between two calls, in turn at all members that are up. */
     private static final int CALL_MS = 10;
-    /** ms from the end of a process to its next start, and from the start of a replacement to when the leaver is told: at most. */
+    /**
+     * ms from the end of a process to its next start, and from the start of a replacement to when the leaver is told:
+     * at most.
+     */
     private static final int AWAY_MS = 1500;
     /** A machine counts as lost until so long, in ms, after its return; a second loss comes right after. */
     private static final int SYNC_MS = 4000;
@@ -75,7 +79,9 @@
         void play(long span) {
             long end = world.now + span;
             while (world.now < end) {
-                if (world.now % CALL_MS == 0) call();
+                if (world.now % CALL_MS == 0) {
+                    call();
+                }
                 world.until(world.now + 1);
                 look();
             }
@@ -83,14 +89,20 @@
 
         private void call() {
             SimNode node = live.get(++calls % live.size());
-            if (!node.up()) return;
+            if (!node.up()) {
+                return;
+            }
             world.oracle.propose(node);
             world.oracle.confirm(node);
         }
 
         private void look() {
-            if (world.oracle.acknowledged.size() > acked) ackedAt = world.now;
-            if (world.oracle.confirmedOk > read) readAt = world.now;
+            if (world.oracle.acknowledged.size() > acked) {
+                ackedAt = world.now;
+            }
+            if (world.oracle.confirmedOk > read) {
+                readAt = world.now;
+            }
             acked = world.oracle.acknowledged.size();
             read = world.oracle.confirmedOk;
             longestAck = Math.max(longestAck, world.now - ackedAt);
@@ -112,15 +124,22 @@
 
         private void ends(SimNode node, int boot) {
             world.later(world.now + 50, () -> {
-                if (node.boot != boot || !node.up()) return;
-                if (node.members.left()) node.kill(false);
-                else ends(node, boot);
+                if (node.boot != boot || !node.up()) {
+                    return;
+                }
+                if (node.members.left()) {
+                    node.kill(false);
+                } else {
+                    ends(node, boot);
+                }
             });
         }
 
         SimNode victim() {
             SimNode leader = world.leader();
-            if (random.nextBoolean()) return leader;
+            if (random.nextBoolean()) {
+                return leader;
+            }
             return live.stream().filter(node -> node != leader).toList().get(random.nextInt(live.size() - 1));
         }
 
@@ -161,7 +180,9 @@
                 play(SYNC_MS);
                 world.await(() -> allIn(machines), 1000, "after a second loss");
             } else if (live.contains(first)) {
-                if (first.up()) first.kill(false);
+                if (first.up()) {
+                    first.kill(false);
+                }
                 first.start();
                 play(SYNC_MS);
                 world.await(() -> allIn(machines), 1, "back after sync-s");
@@ -187,7 +208,9 @@
                     Course course = new Course(seed, machines, only != null);
                     try {
                         long[] some = course.play(trouble);
-                        for (int i = 0; i < some.length; i++) stretches.get(i).add(some[i]);
+                        for (int i = 0; i < some.length; i++) {
+                            stretches.get(i).add(some[i]);
+                        }
                         if (trouble != Trouble.KILLED && Math.max(some[0], some[1]) >= PLANNED_MS) {
                             broken.add(machines + " " + trouble + " seed " + seed + ": ack " + some[0] + ", read "
                                     + some[1]);
@@ -196,7 +219,9 @@
                         course.world.tales.forEach(System.out::println);
                         throw new AssertionError(machines + " " + trouble + " seed " + seed + ": " + e.getMessage(), e);
                     }
-                    if (only != null) course.world.tales.forEach(System.out::println);
+                    if (only != null) {
+                        course.world.tales.forEach(System.out::println);
+                    }
                 }
                 System.out.println("leave: " + machines + " " + trouble + " (50 %, 99 %, worst; ms): ack "
                         + figures(stretches.get(0))
@@ -205,7 +230,9 @@
                         + figures(stretches.get(3)));
             }
         }
-        if (!Boolean.getBoolean("leave.measure")) assertTrue(broken.isEmpty(), () -> "paused for too long: " + broken);
+        if (!Boolean.getBoolean("leave.measure")) {
+            assertTrue(broken.isEmpty(), () -> "paused for too long: " + broken);
+        }
     }
 
     private static String figures(List<Long> all) {
--- a/src/test/java/brambletray/tray/view/LogTest.java
+++ b/src/test/java/brambletray/tray/view/LogTest.java
@@ -14,7 +14,9 @@
 
     private static Log log(int entries, Ballot view) {
         Log log = Log.empty();
-        for (int i = 1; i <= entries; i++) log.append(entry(i, view));
+        for (int i = 1; i <= entries; i++) {
+            log.append(entry(i, view));
+        }
         return log;
     }
 
@@ -40,7 +42,9 @@
         Log log = log(300, FIRST);
         log.compact(300, new byte[STATE]);
         assertTrue(log.since(100, FIRST, 0).whole());
-        for (int i = 301; i <= 1000; i++) log.append(entry(i, FIRST));
+        for (int i = 301; i <= 1000; i++) {
+            log.append(entry(i, FIRST));
+        }
         log.compact(1000, new byte[1 << 20]);
         assertTrue(log.since(400, FIRST, 0).whole(), "not remembered any more");
         assertFalse(log.since(600, FIRST, 0).whole());
@@ -49,15 +53,21 @@
         assertTrue(log.since(487, FIRST, 0).whole());
     }
 
-    /** A member that ends with entries that nobody kept: they are not taken for ours, though their places are remembered. */
+    /**
+     * A member that ends with entries that nobody kept: they are not taken for ours, though their places are
+     * remembered.
+     */
     @Test
     void anotherEntryAtARememberedPlaceIsReplacedWithAllBehindTheSnapshot() {
         Log log = log(300, FIRST);
         log.compact(300, new byte[STATE]);
-        for (long end : new long[] {250, 290, 300})
+        for (long end : new long[] {250, 290, 300}) {
             assertTrue(log.since(end, SECOND, 0).whole(), "end " + end);
+        }
         Log later = log(250, FIRST);
-        for (int i = 251; i <= 300; i++) later.append(entry(i, SECOND));
+        for (int i = 251; i <= 300; i++) {
+            later.append(entry(i, SECOND));
+        }
         later.compact(300, new byte[STATE]);
         assertFalse(later.since(251, SECOND, 0).whole());
         assertTrue(later.since(251, FIRST, 0).whole());
--- a/src/test/java/brambletray/tray/view/MemberTest.java
+++ b/src/test/java/brambletray/tray/view/MemberTest.java
@@ -72,7 +72,9 @@
 
     private <T> T last(Class<T> type) {
         for (int i = said.size() - 1; i >= 0; i--) {
-            if (type.isInstance(said.get(i))) return type.cast(said.get(i));
+            if (type.isInstance(said.get(i))) {
+                return type.cast(said.get(i));
+            }
         }
         return null;
     }
@@ -145,7 +147,9 @@
         assertEquals(VIEW.ballot(), last(Frame.Submit.class).view());
         b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
         b.propose(2, new byte[] {2}, now);
-        for (int i = 0; i < 100; i++) b.tick(now += 40);
+        for (int i = 0; i < 100; i++) {
+            b.tick(now += 40);
+        }
         assertEquals(
                 List.of(Outcome.UNCLEAR, Outcome.REFUSED),
                 said.stream().filter(one -> one instanceof Outcome).toList());
--- a/src/test/java/brambletray/tray/view/Oracle.java
+++ b/src/test/java/brambletray/tray/view/Oracle.java
@@ -9,11 +9,14 @@
 import java.util.TreeMap;
 
 /**
- * Sees all and holds the rules: one order, nothing acknowledged lost, nothing delivered twice, one view a number, reads not older than
- * acknowledgements.
+ * Sees all and holds the rules: one order, nothing acknowledged lost, nothing delivered twice, one view a number, reads
+ * not older than acknowledgements.
  */
 public final class Oracle {
-    /** A second machine isn't lost so soon after the view without the first came in force that only its leader knows of it. */
+    /**
+     * A second machine isn't lost so soon after the view without the first came in force that only its leader knows of
+     * it.
+     */
     private static final int SPREAD_MS = 300;
 
     /** A machine counts as lost for so long after its return. */
@@ -37,7 +40,10 @@
     View latest;
     private long latestAt;
     private long troubleAt = Long.MIN_VALUE / 2;
-    /** Whether disks are lost sooner after one another than is promised; then nobody promises that it goes on, only that nothing breaks. */
+    /**
+     * Whether disks are lost sooner after one another than is promised; then nobody promises that it goes on, only that
+     * nothing breaks.
+     */
     boolean harsh;
 
     int unclear;
@@ -63,30 +69,40 @@
 
     void wiped(SimNode node) {
         recovering.add(node.address);
-        if (world.talks) world.tales.add(world.now + " " + node.address + " wiped");
+        if (world.talks) {
+            world.tales.add(world.now + " " + node.address + " wiped");
+        }
         lives.remove(lifeAt.getOrDefault(node.address, 0L));
         lifeAt.put(node.address, 0L);
     }
 
     /** Whether one more disk may be lost without losing what is kept on more disks than one. */
     boolean intact() {
-        if (latest == null || latest.members().size() < 2 || world.now - latestAt < SPREAD_MS) return false;
+        if (latest == null || latest.members().size() < 2 || world.now - latestAt < SPREAD_MS) {
+            return false;
+        }
         recovering.removeIf(
                 address -> latest.at(address) != null && latest.at(address).life() == lifeAt.getOrDefault(address, 0L));
         if (!recovering.isEmpty()) {
             troubleAt = world.now;
             return false;
         }
-        if (!harsh && world.now - troubleAt < LOST_MS) return false;
+        if (!harsh && world.now - troubleAt < LOST_MS) {
+            return false;
+        }
         for (Member member : latest.members()) {
-            if (!lives.contains(member.life())) return false;
+            if (!lives.contains(member.life())) {
+                return false;
+            }
         }
         return true;
     }
 
     void look(SimNode node) {
         Status status = node.members.status();
-        if (!status.inForce()) return;
+        if (!status.inForce()) {
+            return;
+        }
         View view = views.get(status.number());
         View mine = new View(new Ballot(status.number(), status.leader().life()), status.members(), List.of());
         if (view == null) {
@@ -103,9 +119,12 @@
     void delivered(SimNode node, long index, String text) {
         String other = order.putIfAbsent(index, text);
         ordered.add(text);
-        if (other != null && !other.equals(text))
+        if (other != null && !other.equals(text)) {
             fail(node.address + " delivers " + text + " at " + index + ", others " + other);
-        if (refused.contains(text)) fail(text + " was refused and is delivered");
+        }
+        if (refused.contains(text)) {
+            fail(text + " was refused and is delivered");
+        }
     }
 
     long propose(SimNode node) {
@@ -120,10 +139,14 @@
     void outcome(SimNode node, long token, Outcome outcome) {
         String text = proposed.get(token);
         if (outcome == Outcome.COMMITTED) {
-            if (!ordered.contains(text)) fail(text + " acknowledged but not in the order");
+            if (!ordered.contains(text)) {
+                fail(text + " acknowledged but not in the order");
+            }
             acknowledged.add(text);
         } else if (outcome == Outcome.REFUSED) {
-            if (ordered.contains(text)) fail(text + " refused but in the order");
+            if (ordered.contains(text)) {
+                fail(text + " refused but in the order");
+            }
             refused.add(text);
         } else {
             unclear++;
@@ -139,10 +162,14 @@
 
     void confirmed(SimNode node, long token, boolean yes) {
         Set<String> must = expected.remove(token);
-        if (!yes) return;
+        if (!yes) {
+            return;
+        }
         confirmedOk++;
         for (String text : must) {
-            if (!node.has.contains(text)) fail(node.address + " reads without " + text + ", acknowledged before");
+            if (!node.has.contains(text)) {
+                fail(node.address + " reads without " + text + ", acknowledged before");
+            }
         }
     }
 
@@ -150,13 +177,16 @@
     void end(List<SimNode> live) {
         for (String text : acknowledged) {
             for (SimNode node : live) {
-                if (!node.has.contains(text)) fail(node.address + " has lost " + text);
+                if (!node.has.contains(text)) {
+                    fail(node.address + " has lost " + text);
+                }
             }
         }
         List<String> first = new ArrayList<>(live.get(0).state);
         for (SimNode node : live) {
-            if (!node.state.equals(first))
+            if (!node.state.equals(first)) {
                 fail(node.address + " differs from " + live.get(0).address + ": " + node.state + " " + first);
+            }
         }
     }
 
--- a/src/test/java/brambletray/tray/view/PausesTest.java
+++ b/src/test/java/brambletray/tray/view/PausesTest.java
@@ -9,10 +9,11 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * The longest pauses of a core amid trouble, as its callers meet them: eight operators, each with one order under way (sent again elsewhere
- * after a second of silence, and 100 ms after each answer the next), and a reader that asks everywhere every 25 ms.
- * {@code -Dpauses.seeds=N} plays more courses of each kind, {@code -Dpauses.first=S} begins at that seed; the figures are printed, in
- * simulated ms. The trouble begins 1 s into the course and lasts 20 s; pauses count from its beginning to 4 s past its end.
+ * The longest pauses of a core amid trouble, as its callers meet them: eight operators, each with one order under way
+ * (sent again elsewhere after a second of silence, and 100 ms after each answer the next), and a reader that asks
+ * everywhere every 25 ms. {@code -Dpauses.seeds=N} plays more courses of each kind, {@code -Dpauses.first=S} begins at
+ * that seed; the figures are printed, in simulated ms. The trouble begins 1 s into the course and lasts 20 s; pauses
+ * count from its beginning to 4 s past its end.
  */
 class PausesTest {
     private static final int SEEDS = 2;
@@ -51,22 +52,30 @@
                 nodes[i] = world.node(String.valueOf((char) ('a' + i)), List.of("a", "b", "c"));
                 nodes[i].initial = true;
             }
-            for (SimNode node : nodes) world.later(world.now + random.nextInt(300), node::start);
+            for (SimNode node : nodes) {
+                world.later(world.now + random.nextInt(300), node::start);
+            }
             world.until(world.now + 400);
             world.await(this::whole, 20_000, "all in one view");
-            for (SimNode node : nodes) node.initial = false;
+            for (SimNode node : nodes) {
+                node.initial = false;
+            }
         }
 
         private boolean whole() {
             SimNode leader = world.leader();
-            if (leader == null || leader.members.status().members().size() < nodes.length) return false;
+            if (leader == null || leader.members.status().members().size() < nodes.length) {
+                return false;
+            }
             return Arrays.stream(nodes).allMatch(node -> node.members.status().standing() == Standing.MEMBER);
         }
 
         Pauses play(Trouble trouble, boolean leader) {
             span(1_000, new long[2]);
             SimNode ill = world.leader();
-            while (!leader && ill == world.leader()) ill = nodes[random.nextInt(nodes.length)];
+            while (!leader && ill == world.leader()) {
+                ill = nodes[random.nextInt(nodes.length)];
+            }
             strike(ill, trouble, true);
             long[] worst = new long[2];
             long[] last = span(TROUBLE_MS, worst, world.now, world.now);
@@ -79,19 +88,28 @@
             switch (trouble) {
                 case CUT -> {
                     for (SimNode other : nodes) {
-                        if (other != ill) world.cut(ill.address, other.address, on);
+                        if (other != ill) {
+                            world.cut(ill.address, other.address, on);
+                        }
                     }
                 }
                 case KILLED -> {
-                    if (on) ill.kill(random.nextBoolean());
-                    else ill.start();
+                    if (on) {
+                        ill.kill(random.nextBoolean());
+                    } else {
+                        ill.start();
+                    }
                 }
                 case FROZEN -> {
-                    if (on) ill.frozenUntil = world.now + TROUBLE_MS;
+                    if (on) {
+                        ill.frozenUntil = world.now + TROUBLE_MS;
+                    }
                 }
                 default -> ill.disk.syncMs *= on ? 25 : 1;
             }
-            if (!on) ill.disk.syncMs = 5;
+            if (!on) {
+                ill.disk.syncMs = 5;
+            }
         }
 
         private void span(long ms, long[] worst) {
@@ -106,15 +124,23 @@
             long ackAt = lastAck;
             long readAt = lastRead;
             while (world.now < end) {
-                for (int i = 0; i < OPERATORS; i++) order(i);
+                for (int i = 0; i < OPERATORS; i++) {
+                    order(i);
+                }
                 if (world.now % READ_MS < STEP_MS) {
                     for (SimNode node : nodes) {
-                        if (node.up() && node.frozenUntil <= world.now) world.oracle.confirm(node);
+                        if (node.up() && node.frozenUntil <= world.now) {
+                            world.oracle.confirm(node);
+                        }
                     }
                 }
                 world.until(world.now + STEP_MS);
-                if (world.oracle.acknowledged.size() > acks) ackAt = world.now;
-                if (world.oracle.confirmedOk > reads) readAt = world.now;
+                if (world.oracle.acknowledged.size() > acks) {
+                    ackAt = world.now;
+                }
+                if (world.oracle.confirmedOk > reads) {
+                    readAt = world.now;
+                }
                 acks = world.oracle.acknowledged.size();
                 reads = world.oracle.confirmedOk;
                 worst[0] = Math.max(worst[0], world.now - ackAt);
@@ -132,7 +158,9 @@
                 since[i] = world.now;
             }
             SimNode node = nodes[random.nextInt(nodes.length)];
-            if (token[i] != 0 || world.now < since[i]) return;
+            if (token[i] != 0 || world.now < since[i]) {
+                return;
+            }
             since[i] = world.now;
             // a caller of a process that is down or asleep hears nothing
             boolean there = node.up() && node.frozenUntil <= world.now;
--- a/src/test/java/brambletray/tray/view/Picture.java
+++ b/src/test/java/brambletray/tray/view/Picture.java
@@ -6,8 +6,9 @@
 import java.util.Map;
 
 /**
- * A drawn timeline: one column a machine, time (ms) downwards. A row at {@code 300} is played at that time; a row at {@code <900} waits
- * until all that it says is seen, at the latest then; a row at {@code +200} comes so long after the row above. Words of a cell, joined by commas:
+ * A drawn timeline: one column a machine, time (ms) downwards. A row at {@code 300} is played at that time; a row at
+ * {@code <900} waits until all that it says is seen, at the latest then; a row at {@code +200} comes so long after the
+ * row above. Words of a cell, joined by commas:
  * <pre>
  * ^        starts                       X        its process is killed          XX     its machine loses power
  * W        loses power and disk         z500     is frozen for 500 ms           ~  ~b  is cut from all, from b
@@ -54,7 +55,9 @@
         long last = 0;
         List<String> columns = null;
         for (String line : drawn.split("\n")) {
-            if (line.isBlank()) continue;
+            if (line.isBlank()) {
+                continue;
+            }
             List<String> cells = List.of(line.trim().split("\\s+"));
             if (columns == null) {
                 columns = cells;
@@ -65,8 +68,12 @@
             long at = time.startsWith("+")
                     ? last + Long.parseLong(time.substring(1))
                     : Long.parseLong(by ? time.substring(1) : time);
-            if (!by) world.until(begin + at);
-            for (int i = 1; i < cells.size(); i++) act(world.nodes.get(columns.get(i - 1)), cells.get(i));
+            if (!by) {
+                world.until(begin + at);
+            }
+            for (int i = 1; i < cells.size(); i++) {
+                act(world.nodes.get(columns.get(i - 1)), cells.get(i));
+            }
             see(columns, cells, by ? begin + at : world.now, line);
             last = by ? world.now - begin : at;
         }
@@ -74,13 +81,17 @@
 
     private void act(SimNode node, String cell) {
         for (String word : cell.split(",")) {
-            if (word.equals(".") || !more.act(node, word)) act(node, word, ' ');
+            if (word.equals(".") || !more.act(node, word)) {
+                act(node, word, ' ');
+            }
         }
     }
 
     private void act(SimNode node, String word, char none) {
         int at = word.indexOf('@');
-        if (at < 0 && word.charAt(0) != '~') at = Math.max(word.indexOf('>'), word.indexOf('<'));
+        if (at < 0 && word.charAt(0) != '~') {
+            at = Math.max(word.indexOf('>'), word.indexOf('<'));
+        }
         if (at > 0) {
             traps.add(new Trap(node, word.substring(0, at), word.charAt(at), word.substring(at + 1)));
         } else if (word.equals("^")) {
@@ -118,14 +129,22 @@
     }
 
     private void end(SimNode node, String how) {
-        if (node.up()) node.kill(how.equals("XX") || how.equals("W"));
-        if (how.equals("W")) node.wipe();
+        if (node.up()) {
+            node.kill(how.equals("XX") || how.equals("W"));
+        }
+        if (how.equals("W")) {
+            node.wipe();
+        }
     }
 
     private void cut(SimNode node, String from) {
-        if (from.startsWith(">")) world.one(node.address, from.substring(1), true);
-        else if (!from.isEmpty()) world.cut(node.address, from, true);
-        else world.nodes.keySet().forEach(other -> world.cut(node.address, other, true));
+        if (from.startsWith(">")) {
+            world.one(node.address, from.substring(1), true);
+        } else if (!from.isEmpty()) {
+            world.cut(node.address, from, true);
+        } else {
+            world.nodes.keySet().forEach(other -> world.cut(node.address, other, true));
+        }
     }
 
     private boolean pass(SimNode from, String to, Object frame) {
@@ -145,7 +164,9 @@
 
     private void heard(SimNode node, Object frame) {
         Trap trap = trap(node, '<', frame);
-        if (trap == null) return;
+        if (trap == null) {
+            return;
+        }
         traps.remove(trap);
         act(node, trap.how, ' ');
     }
@@ -154,7 +175,9 @@
         for (Trap trap : traps) {
             if (trap.node == node
                     && trap.when == when
-                    && trap.frame.equals(frame.getClass().getSimpleName())) return trap;
+                    && trap.frame.equals(frame.getClass().getSimpleName())) {
+                return trap;
+            }
         }
         return null;
     }
@@ -162,8 +185,12 @@
     private void see(List<String> columns, List<String> cells, long limit, String line) {
         while (true) {
             String missing = missing(columns, cells);
-            if (missing == null) return;
-            if (world.now >= limit) world.oracle.fail("not seen: " + missing + " in the row: " + line.trim());
+            if (missing == null) {
+                return;
+            }
+            if (world.now >= limit) {
+                world.oracle.fail("not seen: " + missing + " in the row: " + line.trim());
+            }
             world.until(world.now + 5);
         }
     }
@@ -171,7 +198,9 @@
     private String missing(List<String> columns, List<String> cells) {
         for (int i = 1; i < cells.size(); i++) {
             for (String word : cells.get(i).split(",")) {
-                if (!seen(world.nodes.get(columns.get(i - 1)), word)) return columns.get(i - 1) + " " + word;
+                if (!seen(world.nodes.get(columns.get(i - 1)), word)) {
+                    return columns.get(i - 1) + " " + word;
+                }
             }
         }
         return null;
@@ -179,18 +208,40 @@
 
     private boolean seen(SimNode node, String word) {
         Boolean other = more.seen(node, word);
-        if (other != null) return other;
-        if (word.startsWith("ok:")) return world.oracle.acknowledged.contains(text(word.substring(3)));
-        if (word.startsWith("no:")) return !world.oracle.acknowledged.contains(text(word.substring(3)));
-        if (word.startsWith("=")) return node.state.contains(text(word.substring(1)));
-        if (word.startsWith("!")) return !node.state.contains(text(word.substring(1)));
-        if (word.equals("left") || word.equals("stays")) return node.members.left() == word.equals("left");
-        if (word.equals("?ok")) return world.oracle.confirmedOk > confirms;
-        if (!word.matches("[LMSKV]\\d?")) return true;
-        if (!node.up()) return false;
+        if (other != null) {
+            return other;
+        }
+        if (word.startsWith("ok:")) {
+            return world.oracle.acknowledged.contains(text(word.substring(3)));
+        }
+        if (word.startsWith("no:")) {
+            return !world.oracle.acknowledged.contains(text(word.substring(3)));
+        }
+        if (word.startsWith("=")) {
+            return node.state.contains(text(word.substring(1)));
+        }
+        if (word.startsWith("!")) {
+            return !node.state.contains(text(word.substring(1)));
+        }
+        if (word.equals("left") || word.equals("stays")) {
+            return node.members.left() == word.equals("left");
+        }
+        if (word.equals("?ok")) {
+            return world.oracle.confirmedOk > confirms;
+        }
+        if (!word.matches("[LMSKV]\\d?")) {
+            return true;
+        }
+        if (!node.up()) {
+            return false;
+        }
         Status status = node.members.status();
-        if (word.startsWith("V")) return status.number() == number(word, 1);
-        if (word.length() > 1 && status.members().size() != word.charAt(1) - '0') return false;
+        if (word.startsWith("V")) {
+            return status.number() == number(word, 1);
+        }
+        if (word.length() > 1 && status.members().size() != word.charAt(1) - '0') {
+            return false;
+        }
         return switch (word.charAt(0)) {
             case 'L' -> status.leading();
             case 'M' -> status.standing() == Standing.MEMBER;
@@ -200,7 +251,9 @@
     }
 
     private String text(String name) {
-        if (!tokens.containsKey(name)) throw new IllegalArgumentException("nobody proposed " + name);
+        if (!tokens.containsKey(name)) {
+            throw new IllegalArgumentException("nobody proposed " + name);
+        }
         return "c" + tokens.get(name);
     }
 }
--- a/src/test/java/brambletray/tray/view/QuorumTest.java
+++ b/src/test/java/brambletray/tray/view/QuorumTest.java
@@ -12,14 +12,18 @@
 class QuorumTest {
     private static List<Member> members(int size) {
         List<Member> members = new ArrayList<>();
-        for (int i = 0; i < size; i++) members.add(new Member("m" + i, "m" + i, i + 1));
+        for (int i = 0; i < size; i++) {
+            members.add(new Member("m" + i, "m" + i, i + 1));
+        }
         return members;
     }
 
     private static List<Member> some(List<Member> members, int bits) {
         List<Member> some = new ArrayList<>();
         for (int i = 0; i < members.size(); i++) {
-            if ((bits >> i & 1) == 1) some.add(members.get(i));
+            if ((bits >> i & 1) == 1) {
+                some.add(members.get(i));
+            }
         }
         return some;
     }
@@ -35,8 +39,8 @@
     }
 
     /**
-     * All pairs of answers and proven deaths for up to six members. Where two don't meet, each would have answered after the death of all
-     * of the other.
+     * All pairs of answers and proven deaths for up to six members. Where two don't meet, each would have answered
+     * after the death of all of the other.
      */
     @Test
     void anyTwoMeet() {
@@ -47,7 +51,9 @@
             List<int[]> quorums = new ArrayList<>();
             for (int answered = 0; answered < all; answered++) {
                 for (int dead = 0; dead < all; dead++) {
-                    if (enough(members, answered, dead)) quorums.add(new int[] {answered, dead});
+                    if (enough(members, answered, dead)) {
+                        quorums.add(new int[] {answered, dead});
+                    }
                 }
             }
             for (int[] one : quorums) {
--- a/src/test/java/brambletray/tray/view/SimDisk.java
+++ b/src/test/java/brambletray/tray/view/SimDisk.java
@@ -4,7 +4,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** A disk in simulated time: what is synced, and batches under way (one a writer) that a loss of power may take away or leave. */
+/**
+ * A disk in simulated time: what is synced, and batches under way (one a writer) that a loss of power may take away or
+ * leave.
+ */
 public final class SimDisk {
     public final Map<String, byte[]> kept = new HashMap<>();
     private final Map<Integer, Map<String, byte[]>> flying = new TreeMap<>();
@@ -19,15 +22,22 @@
 
     void end(int writer) {
         Map<String, byte[]> changes = flying.remove(writer);
-        if (changes == null) return;
+        if (changes == null) {
+            return;
+        }
         changes.forEach((key, value) -> {
-            if (value == null) kept.remove(key);
-            else kept.put(key, value);
+            if (value == null) {
+                kept.remove(key);
+            } else {
+                kept.put(key, value);
+            }
         });
     }
 
     void endAll() {
-        for (int writer : flying.keySet().toArray(new Integer[0])) end(writer);
+        for (int writer : flying.keySet().toArray(new Integer[0])) {
+            end(writer);
+        }
     }
 
     void drop(int writer) {
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -91,15 +91,26 @@
             return;
         }
         boolean full = disk.full;
-        if (full) disk.drop(writer);
-        else disk.end(writer);
+        if (full) {
+            disk.drop(writer);
+        } else {
+            disk.end(writer);
+        }
         if (writer == 1) {
-            if (full) rider.failed(ticket);
-            else rider.synced(ticket);
+            if (full) {
+                rider.failed(ticket);
+            } else {
+                rider.synced(ticket);
+            }
         } else {
-            if (full) members.syncFailed(ticket, world.now);
-            else members.synced(ticket, world.now);
-            if (members != null) world.oracle.look(this);
+            if (full) {
+                members.syncFailed(ticket, world.now);
+            } else {
+                members.synced(ticket, world.now);
+            }
+            if (members != null) {
+                world.oracle.look(this);
+            }
         }
     }
 
@@ -107,8 +118,12 @@
         world.at(this, which, world.now + 40, () -> {
             if (members != null) {
                 members.tick(world.now);
-                if (members != null) world.oracle.look(this);
-                if (rider != null) rider.tick();
+                if (members != null) {
+                    world.oracle.look(this);
+                }
+                if (rider != null) {
+                    rider.tick();
+                }
             }
             tick(which);
         });
@@ -120,8 +135,11 @@
         down = true;
         members = null;
         rider = null;
-        if (power && (!world.jitter || world.random.nextBoolean())) disk.dropAll();
-        else disk.endAll();
+        if (power && (!world.jitter || world.random.nextBoolean())) {
+            disk.dropAll();
+        } else {
+            disk.endAll();
+        }
     }
 
     void wipe() {
@@ -136,10 +154,14 @@
     }
 
     void hear(String from, Object frame) {
-        if (members == null) return;
+        if (members == null) {
+            return;
+        }
         if (frame instanceof Frame) {
             members.heard(from, frame, world.now);
-            if (members != null) world.oracle.look(this);
+            if (members != null) {
+                world.oracle.look(this);
+            }
         } else if (rider != null) {
             rider.heard(from, frame);
         }
@@ -157,20 +179,28 @@
             state.clear();
             has.clear();
             delivered = 0;
-            if (snapshot.length == 0) return;
+            if (snapshot.length == 0) {
+                return;
+            }
             String[] lines = new String(snapshot, StandardCharsets.UTF_8).split("\n");
             delivered = Long.parseLong(lines[0].split(" ")[0]);
-            for (int i = 1; i < lines.length; i++) state.add(lines[i]);
+            for (int i = 1; i < lines.length; i++) {
+                state.add(lines[i]);
+            }
             has.addAll(state);
         }
 
         @Override
         public void deliver(long index, byte[] change) {
-            if (index != delivered + 1) world.oracle.fail(address + " delivers " + index + " after " + delivered);
+            if (index != delivered + 1) {
+                world.oracle.fail(address + " delivers " + index + " after " + delivered);
+            }
             delivered = index;
             String whole = new String(change, StandardCharsets.UTF_8);
             String text = whole.indexOf(' ') < 0 ? whole : whole.substring(0, whole.indexOf(' '));
-            if (!has.add(text)) world.oracle.fail(address + " delivers " + text + " twice");
+            if (!has.add(text)) {
+                world.oracle.fail(address + " delivers " + text + " twice");
+            }
             state.add(text);
             world.oracle.delivered(SimNode.this, index, text);
         }
@@ -208,17 +238,21 @@
 
         @Override
         public void tell(String event, Object... facts) {
-            if (event.equals("view.behind-snapshot"))
+            if (event.equals("view.behind-snapshot")) {
                 world.oracle.fail(address + " can't send what a member lacks: " + List.of(facts));
-            if (!world.talks) return;
+            }
+            if (!world.talks) {
+                return;
+            }
             StringBuilder line = new StringBuilder()
                     .append(world.now)
                     .append(' ')
                     .append(address)
                     .append(' ')
                     .append(event);
-            for (int i = 0; i < facts.length; i += 2)
+            for (int i = 0; i < facts.length; i += 2) {
                 line.append(' ').append(facts[i]).append('=').append(facts[i + 1]);
+            }
             world.tales.add(line.toString());
         }
     }
--- a/src/test/java/brambletray/tray/view/SimWorld.java
+++ b/src/test/java/brambletray/tray/view/SimWorld.java
@@ -89,18 +89,25 @@
 
     public void send(SimNode from, String to, Object frame) {
         frames++;
-        if (!tap.pass(from, to, frame) || from.down) return;
+        if (!tap.pass(from, to, frame) || from.down) {
+            return;
+        }
         SimNode target = nodes.get(to);
         Link link = link(from.address, to);
         if (link.cut) {
-            if (link.held.size() < 64 && random.nextInt(3) == 0) link.held.add(frame);
+            if (link.held.size() < 64 && random.nextInt(3) == 0) {
+                link.held.add(frame);
+            }
+            return;
+        }
+        if (target == null || (link.loss > 0 && random.nextDouble() < link.loss)) {
             return;
         }
-        if (target == null || (link.loss > 0 && random.nextDouble() < link.loss)) return;
         int size = Frames.bytes(frame);
-        if (size > Frames.LONGEST)
+        if (size > Frames.LONGEST) {
             oracle.fail(from.address + " says a frame of " + size + " bytes: "
                     + frame.getClass().getSimpleName());
+        }
         link.bytes += size;
         if (link.rate > 0) {
             later(from, target, link, size, post.apply(frame));
@@ -132,7 +139,9 @@
             return;
         }
         at(target, target.boot, link.lastAt, () -> {
-            if (link.breaks == breaks) target.hear(from.address, frame);
+            if (link.breaks == breaks) {
+                target.hear(from.address, frame);
+            }
         });
     }
 
@@ -150,10 +159,14 @@
     void one(String from, String to, boolean cut) {
         Link link = link(from, to);
         link.cut = cut;
-        if (cut) return;
+        if (cut) {
+            return;
+        }
         SimNode target = nodes.get(to);
         for (Object frame : link.held) {
-            if (target.up()) at(target, target.boot, now + link.delayMs, () -> target.hear(from, frame));
+            if (target.up()) {
+                at(target, target.boot, now + link.delayMs, () -> target.hear(from, frame));
+            }
         }
         link.held.clear();
     }
@@ -177,7 +190,9 @@
                     link.freeAt = now;
                     link.lastAt = now;
                     link.rate = 0;
-                    if (nodes.get(a).up()) nodes.get(a).members.gone(b, now);
+                    if (nodes.get(a).up()) {
+                        nodes.get(a).members.gone(b, now);
+                    }
                 }
                 one(a, b, false);
             }
@@ -186,20 +201,28 @@
 
     /** Plays until a time. */
     public void until(long when) {
-        while (!queue.isEmpty() && queue.peek().at <= when) step();
+        while (!queue.isEmpty() && queue.peek().at <= when) {
+            step();
+        }
         now = Math.max(now, when);
     }
 
     /** Plays the next event; false when there is none. */
     boolean step() {
         Event event = queue.poll();
-        if (event == null) return false;
+        if (event == null) {
+            return false;
+        }
         now = Math.max(now, event.at);
         SimNode node = event.node;
         if (node != null) {
-            if (node.boot != event.boot || node.down) return true;
+            if (node.boot != event.boot || node.down) {
+                return true;
+            }
             if (node.frozenUntil > now) {
-                if (node.deferred.isEmpty()) later(node.frozenUntil, () -> thaw(node));
+                if (node.deferred.isEmpty()) {
+                    later(node.frozenUntil, () -> thaw(node));
+                }
                 node.deferred.add(() -> at(node, event.boot, now, event.run));
                 return true;
             }
@@ -223,7 +246,9 @@
     public long await(java.util.function.BooleanSupplier condition, long span, String what) {
         long begin = now;
         while (!condition.getAsBoolean()) {
-            if (now - begin > span) oracle.fail("not within " + span + " ms: " + what);
+            if (now - begin > span) {
+                oracle.fail("not within " + span + " ms: " + what);
+            }
             until(now + 10);
         }
         return now - begin;
@@ -231,7 +256,9 @@
 
     SimNode leader() {
         for (SimNode node : nodes.values()) {
-            if (node.up() && node.members.status().leading()) return node;
+            if (node.up() && node.members.status().leading()) {
+                return node;
+            }
         }
         return null;
     }
--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -31,19 +31,25 @@
     }
 
     private static void around(SimWorld world, String name, int rate) {
-        for (String other : world.nodes.keySet()) world.rate(name, other, rate);
+        for (String other : world.nodes.keySet()) {
+            world.rate(name, other, rate);
+        }
     }
 
     private static void changes(SimWorld world, int count, int everyMs) {
         for (int i = 0; i < count; i++) {
-            if (world.leader() != null) world.oracle.propose(world.leader());
+            if (world.leader() != null) {
+                world.oracle.propose(world.leader());
+            }
             world.until(world.now + everyMs);
         }
     }
 
     private static boolean in(SimWorld world, String name) {
         SimNode leader = world.leader();
-        if (leader == null || !leader.members.status().inForce()) return false;
+        if (leader == null || !leader.members.status().inForce()) {
+            return false;
+        }
         return leader.members.status().members().stream()
                 .anyMatch(member -> member.name().equals(name));
     }
@@ -53,13 +59,18 @@
         world.await(() -> world.oracle.acknowledged.contains("c" + token), span, what);
     }
 
-    /** Twelve large changes are on their way when another member dies: all have to be on the only other disk before anything goes on. */
+    /**
+     * Twelve large changes are on their way when another member dies: all have to be on the only other disk before
+     * anything goes on.
+     */
     @Test
     void aViewThatNeedsAMemberThatLacksMoreThanAFrameIsInstalledInPieces() {
         core("a", "b", "c");
         around(world, "c", 10 * SLOW);
         world.padding = "p".repeat(MB);
-        for (int i = 0; i < 12; i++) world.oracle.propose(world.leader());
+        for (int i = 0; i < 12; i++) {
+            world.oracle.propose(world.leader());
+        }
         world.until(world.now + 50);
         world.nodes.get("b").kill(true);
         world.await(
@@ -70,13 +81,18 @@
         assertEquals(0, world.link("a", "c").breaks);
     }
 
-    /** The same, where the member that lacks much isn't needed: it is left out, the rest goes on, and it comes in again as a learner. */
+    /**
+     * The same, where the member that lacks much isn't needed: it is left out, the rest goes on, and it comes in again
+     * as a learner.
+     */
     @Test
     void aMemberThatLacksMuchOnASlowLinkIsLeftOutAndLetInAgain() {
         core("a", "b", "c", "d", "e");
         around(world, "e", SLOW);
         world.padding = "p".repeat(MB);
-        for (int i = 0; i < 4; i++) world.oracle.propose(world.leader());
+        for (int i = 0; i < 4; i++) {
+            world.oracle.propose(world.leader());
+        }
         world.until(world.now + 100);
         world.padding = "";
         world.nodes.get("a").kill(true);
@@ -86,14 +102,19 @@
         assertEquals(0, world.link("b", "e").breaks);
     }
 
-    /** The same where it answers at once, but nothing of the log comes to it: it is there, and would be asked to keep each next view. */
+    /**
+     * The same where it answers at once, but nothing of the log comes to it: it is there, and would be asked to keep
+     * each next view.
+     */
     @Test
     void aMemberThatAnswersButNeverKeepsTheViewIsLeftOutOfTheNext() {
         core("a", "b", "c", "d", "e");
         world.padding = "p".repeat(MB);
         world.tap = (from, to, frame) ->
                 !(to.equals("e") && (frame instanceof Frame.Piece || frame instanceof Frame.Append));
-        for (int i = 0; i < 4; i++) world.oracle.propose(world.leader());
+        for (int i = 0; i < 4; i++) {
+            world.oracle.propose(world.leader());
+        }
         world.until(world.now + 100);
         world.padding = "";
         world.nodes.get("a").kill(true);
@@ -107,7 +128,10 @@
         world.await(() -> in(world, "e"), 6000, "back in");
     }
 
-    /** A member is away for hundreds of changes of 256 kB, comes back on a slow link while more are made; its giver is lost midway. */
+    /**
+     * A member is away for hundreds of changes of 256 kB, comes back on a slow link while more are made; its giver is
+     * lost midway.
+     */
     @Test
     void aMemberThatWasAwayCatchesUpWhileChangesGoOnAndItsGiverIsLost() {
         core("a", "b", "c", "d", "e");
@@ -125,7 +149,9 @@
         long lost = world.now;
         world.await(
                 () -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without the giver");
-        for (int i = 0; i < 200 && !in(world, "e"); i++) changes(world, 1, 200);
+        for (int i = 0; i < 200 && !in(world, "e"); i++) {
+            changes(world, 1, 200);
+        }
         assertTrue(in(world, "e"), "not back in");
         assertTrue(world.now - lost < 12_500, "back only " + (world.now - lost) + " ms after the loss of its giver");
         world.nodes.get("a").start();
@@ -134,7 +160,10 @@
         world.oracle.end(List.copyOf(world.nodes.values()));
     }
 
-    /** The leader compacts again and again while a learner fetches: what the learner lacks afterwards is little all the same. */
+    /**
+     * The leader compacts again and again while a learner fetches: what the learner lacks afterwards is little all the
+     * same.
+     */
     @Test
     void compactionWhileALearnerFetchesDoesNotMakeItBeginAnew() {
         core("a", "b", "c");
@@ -144,12 +173,16 @@
         around(world, "d", SLOW);
         world.nodes.get("d").start();
         long begin = world.now;
-        while (!in(world, "d") && world.now - begin < 30_000) changes(world, 1, 12);
+        while (!in(world, "d") && world.now - begin < 30_000) {
+            changes(world, 1, 12);
+        }
         assertTrue(in(world, "d"), "not let in");
         assertTrue(world.link("a", "d").bytes < 3 * MB, "bytes " + world.link("a", "d").bytes);
     }
 
-    /** On a link that takes its time an entry is on its way for longer than it takes to send it again: it is sent once. */
+    /**
+     * On a link that takes its time an entry is on its way for longer than it takes to send it again: it is sent once.
+     */
     @Test
     void whatIsOnItsWayOnASlowLinkIsNotSentAgain() {
         core("a", "b", "c");
@@ -165,7 +198,10 @@
         assertTrue(in(world, "c"));
     }
 
-    /** Many changes at once to a member on a slow link: no more is under way to it than its link bears, so the link stays. */
+    /**
+     * Many changes at once to a member on a slow link: no more is under way to it than its link bears, so the link
+     * stays.
+     */
     @Test
     void noMoreIsUnderWayToAMemberThanItsLinkBears() {
         core("a", "b", "c");
@@ -184,7 +220,9 @@
     @Test
     void fiveNewcomersAtOnceAreServedTogether() {
         core("a", "b", "c");
-        for (String name : List.of("d", "e", "f", "g", "h")) world.node(name, List.of("a", "b", "c"));
+        for (String name : List.of("d", "e", "f", "g", "h")) {
+            world.node(name, List.of("a", "b", "c"));
+        }
         world.ballast = "b".repeat(2 * MB);
         changes(world, 3 * Log.ENTRIES + 10, 12);
         for (String name : List.of("d", "e", "f", "g", "h")) {
@@ -200,7 +238,10 @@
         assertTrue(world.now - begin < 7_000, "took " + (world.now - begin));
     }
 
-    /** Large changes come faster than a newcomer can be let in: no change of view is begun that couldn't let it in, as each is a pause. */
+    /**
+     * Large changes come faster than a newcomer can be let in: no change of view is begun that couldn't let it in, as
+     * each is a pause.
+     */
     @Test
     void noViewIsChangedForANewcomerThatHasFallenBehindAgain() {
         core("a", "b", "c");
@@ -214,7 +255,10 @@
         world.await(() -> in(world, "d"), 2000, "let in when it is calm");
     }
 
-    /** The longest log of the last view counts, not who is there first: one that was away for hundreds of changes leads nobody with it. */
+    /**
+     * The longest log of the last view counts, not who is there first: one that was away for hundreds of changes leads
+     * nobody with it.
+     */
     @Test
     void aMemberOfLongAgoThatIsBackFirstDoesNotLeadWithItsOldState() {
         for (boolean wiped : new boolean[] {false, true}) {
@@ -226,21 +270,31 @@
             changes(world, 600, 10);
             world.until(world.now + 500);
             around(world, "a", SLOW);
-            for (String name : List.of("b", "c")) world.nodes.get(name).kill(true);
-            if (wiped) world.nodes.get("c").wipe();
+            for (String name : List.of("b", "c")) {
+                world.nodes.get(name).kill(true);
+            }
+            if (wiped) {
+                world.nodes.get("c").wipe();
+            }
             world.nodes.get("a").start();
             world.until(world.now + 2000);
-            for (String name : List.of("b", "c")) world.nodes.get(name).start();
+            for (String name : List.of("b", "c")) {
+                world.nodes.get(name).start();
+            }
             for (int i = 0; i < 400; i++) {
                 world.until(world.now + 10);
                 for (SimNode node : world.nodes.values()) {
                     Status status = node.members.status();
-                    if (!status.leading() || !status.settled()) continue;
+                    if (!status.leading() || !status.settled()) {
+                        continue;
+                    }
                     assertTrue(
                             node.state.containsAll(world.oracle.acknowledged),
                             node.address + " leads with old state at " + world.now);
                 }
-                if (i % 10 == 0) world.nodes.values().forEach(world.oracle::confirm);
+                if (i % 10 == 0) {
+                    world.nodes.values().forEach(world.oracle::confirm);
+                }
             }
             assertTrue(world.oracle.confirmedOk > 0, "nothing was read");
             world.await(() -> in(world, "a") && in(world, "b") && in(world, "c"), 6000, "all are in");
@@ -249,7 +303,10 @@
         }
     }
 
-    /** A member whose disk is full says that it is ill and is left out, also over a restart, and comes back once there is room. */
+    /**
+     * A member whose disk is full says that it is ill and is left out, also over a restart, and comes back once there
+     * is room.
+     */
     @Test
     void aMemberWithAFullDiskIsLeftOutAndComesBackWithRoom() {
         for (String full : List.of("a", "b")) {
@@ -258,12 +315,15 @@
             SimNode other = world.nodes.get("c");
             takes(world, other, 3000, "a change while the disk of " + full + " is full");
             world.await(() -> !in(world, full), 3000, full + " left out");
-            for (int i = 0; i < 30; i++) takes(world, other, 1000, "changes without " + full);
+            for (int i = 0; i < 30; i++) {
+                takes(world, other, 1000, "changes without " + full);
+            }
             world.nodes.get(full).kill(false);
             world.until(world.now + 300);
             world.nodes.get(full).start();
-            for (int i = 0; i < 30; i++)
+            for (int i = 0; i < 30; i++) {
                 takes(world, other, 1000, "changes while " + full + " is there again, its disk still full");
+            }
             assertFalse(in(world, full));
             world.nodes.get(full).disk.full = false;
             world.await(() -> in(world, full), 3000, full + " is back");
--- a/src/test/java/brambletray/tray/view/ToleranceTest.java
+++ b/src/test/java/brambletray/tray/view/ToleranceTest.java
@@ -21,22 +21,30 @@
         members.forEach(member -> groups.add(group.apply(member)));
         List<String> all = List.copyOf(groups);
         for (int lost = 0; lost < 1 << all.size(); lost++) {
-            if (Integer.bitCount(lost) > losses) continue;
+            if (Integer.bitCount(lost) > losses) {
+                continue;
+            }
             int gone = lost;
-            if (members.stream().allMatch(member -> (gone >> all.indexOf(group.apply(member)) & 1) == 1)) return false;
+            if (members.stream().allMatch(member -> (gone >> all.indexOf(group.apply(member)) & 1) == 1)) {
+                return false;
+            }
         }
         return true;
     }
 
-    /** All placements of up to five members in four zones, all tolerances of up to three, against losing everything in turn. */
+    /**
+     * All placements of up to five members in four zones, all tolerances of up to three, against losing everything in
+     * turn.
+     */
     @Test
     void aChangeIsKeptWhenOneDiskIsLeftWhateverIsLost() {
         int cases = 0;
         for (int size = 0; size <= 5; size++) {
             for (int placed = 0; placed < 1 << 2 * size; placed++) {
                 List<Member> members = new ArrayList<>();
-                for (int i = 0; i < size; i++)
+                for (int i = 0; i < size; i++) {
                     members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
+                }
                 for (int all = 0; all < 64; all++) {
                     Tolerance tolerance = new Tolerance(all & 3, all >> 2 & 3, all >> 4, REGIONS);
                     boolean expected = outlasts(members, tolerance.machines(), Member::address)
--- a/src/test/java/brambletray/tray/view/Weather.java
+++ b/src/test/java/brambletray/tray/view/Weather.java
@@ -21,7 +21,9 @@
         world.talks = talks;
         world.oracle.harsh = seed % 4 == 0;
         // large changes on links that take their time
-        if (seed % 5 == 2) world.padding = "p".repeat(24 << 10);
+        if (seed % 5 == 2) {
+            world.padding = "p".repeat(24 << 10);
+        }
         List<String> seeds = List.of("a", "b", "c");
         for (int i = 0; i < machines; i++) {
             SimNode node = world.node(String.valueOf((char) ('a' + i)), seeds);
@@ -41,10 +43,16 @@
 
     /** Plays; returns how many changes were acknowledged. */
     public int play() {
-        for (SimNode node : live) world.later(world.now + random.nextInt(400), node::start);
+        for (SimNode node : live) {
+            world.later(world.now + random.nextInt(400), node::start);
+        }
         world.until(world.now + 500);
-        if (random.nextInt(4) > 0) settle(8000);
-        for (SimNode node : live) node.initial = false;
+        if (random.nextInt(4) > 0) {
+            settle(8000);
+        }
+        for (SimNode node : live) {
+            node.initial = false;
+        }
         int rounds = 3 + random.nextInt(10);
         for (int i = 0; i < rounds; i++) {
             int faults = 1 + random.nextInt(3);
@@ -55,8 +63,11 @@
             work(random.nextInt(1500));
             if (random.nextInt(3) == 0) {
                 calm();
-                if (world.oracle.harsh) work(2000);
-                else settle(9000);
+                if (world.oracle.harsh) {
+                    work(2000);
+                } else {
+                    settle(9000);
+                }
             }
         }
         calm();
@@ -84,7 +95,9 @@
                 6000,
                 "those that leave have left");
         for (SimNode node : live) {
-            if (!node.up()) node.start();
+            if (!node.up()) {
+                node.start();
+            }
         }
     }
 
@@ -94,19 +107,27 @@
 
     private boolean settled() {
         SimNode leader = world.leader();
-        if (leader == null) return false;
+        if (leader == null) {
+            return false;
+        }
         for (SimNode node : live) {
-            if (!node.up()) return false;
+            if (!node.up()) {
+                return false;
+            }
             Status status = node.members.status();
             if (status.standing() != Standing.MEMBER
-                    || status.number() != leader.members.status().number()) return false;
+                    || status.number() != leader.members.status().number()) {
+                return false;
+            }
         }
         return leader.members.status().members().size() == live.size();
     }
 
     private boolean alike() {
         for (SimNode node : live) {
-            if (!node.state.equals(live.get(0).state)) return false;
+            if (!node.state.equals(live.get(0).state)) {
+                return false;
+            }
         }
         return true;
     }
@@ -117,9 +138,14 @@
             world.until(Math.min(end, world.now + 1 + random.nextInt(120)));
             SimNode node = any();
             if (node.up() && node.frozenUntil <= world.now) {
-                if (random.nextInt(20) == 0) prank.accept(node);
-                if (random.nextInt(4) == 0) world.oracle.confirm(node);
-                else world.oracle.propose(node);
+                if (random.nextInt(20) == 0) {
+                    prank.accept(node);
+                }
+                if (random.nextInt(4) == 0) {
+                    world.oracle.confirm(node);
+                } else {
+                    world.oracle.propose(node);
+                }
             }
         }
     }
@@ -131,7 +157,9 @@
     /** A process that has been told to end does so once it may, and is started again. */
     private void ends(SimNode node, int boot) {
         world.later(world.now + 50, () -> {
-            if (node.boot != boot || !node.up()) return;
+            if (node.boot != boot || !node.up()) {
+                return;
+            }
             if (!node.members.left()) {
                 ends(node, boot);
                 return;
@@ -144,7 +172,9 @@
     private void restart(SimNode node, int ms) {
         int boot = node.boot;
         world.later(world.now + ms, () -> {
-            if (node.boot == boot && node.down && live.contains(node)) node.start();
+            if (node.boot == boot && node.down && live.contains(node)) {
+                node.start();
+            }
         });
     }
 
@@ -153,13 +183,17 @@
         SimNode other = any();
         switch (random.nextInt(14)) {
             case 0, 1 -> {
-                if (node.up()) node.kill(random.nextBoolean());
+                if (node.up()) {
+                    node.kill(random.nextBoolean());
+                }
                 restart(node, 100 + random.nextInt(3000));
             }
             case 2 -> world.cut(node.address, other.address, true);
             case 3 -> world.one(node.address, other.address, true);
             case 4 -> {
-                for (SimNode one : live) world.cut(node.address, one.address, true);
+                for (SimNode one : live) {
+                    world.cut(node.address, one.address, true);
+                }
             }
             case 5 -> node.frozenUntil = Math.max(node.frozenUntil, world.now + 200 + random.nextInt(3000));
             case 6 -> node.disk.syncMs = 5 + random.nextInt(300);
@@ -168,10 +202,14 @@
             case 9 -> {
                 boolean power = random.nextBoolean();
                 for (SimNode one : live) {
-                    if (one.up()) one.kill(power);
+                    if (one.up()) {
+                        one.kill(power);
+                    }
                     restart(one, 100 + random.nextInt(1200));
                 }
-                if (random.nextBoolean()) wipe(node);
+                if (random.nextBoolean()) {
+                    wipe(node);
+                }
             }
             case 10 -> wipe(node);
             case 12 -> {
@@ -183,25 +221,37 @@
             case 11 -> {
                 world.link(node.address, other.address).loss = random.nextDouble();
                 world.link(other.address, node.address).delayMs = 2 + random.nextInt(200);
-                if (!world.padding.isEmpty()) world.rate(node.address, other.address, 100 + random.nextInt(2000));
+                if (!world.padding.isEmpty()) {
+                    world.rate(node.address, other.address, 100 + random.nextInt(2000));
+                }
             }
             default -> replace(node);
         }
-        if (random.nextInt(3) == 0) world.heal();
+        if (random.nextInt(3) == 0) {
+            world.heal();
+        }
     }
 
     private void wipe(SimNode node) {
-        if (!world.oracle.intact()) return;
-        if (node.up()) node.kill(true);
+        if (!world.oracle.intact()) {
+            return;
+        }
+        if (node.up()) {
+            node.kill(true);
+        }
         node.wipe();
         restart(node, 100 + random.nextInt(2000));
     }
 
     /** A machine is lost for good, another comes at a new address, before or after. */
     private void replace(SimNode node) {
-        if (replaced >= 2 || !world.oracle.intact() || !settled()) return;
+        if (replaced >= 2 || !world.oracle.intact() || !settled()) {
+            return;
+        }
         replaced++;
-        if (node.up()) node.kill(true);
+        if (node.up()) {
+            node.kill(true);
+        }
         node.wipe();
         world.oracle.recovering.remove(node.address);
         live.remove(node);
--- a/src/test/java/brambletray/tray/view/WeatherTest.java
+++ b/src/test/java/brambletray/tray/view/WeatherTest.java
@@ -4,7 +4,10 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Hundreds of random courses of faults, each with its own seed. {@code -Dview.seeds=N} plays more, {@code -Dview.seed=S} plays one and tells. */
+/**
+ * Hundreds of random courses of faults, each with its own seed. {@code -Dview.seeds=N} plays more,
+ * {@code -Dview.seed=S} plays one and tells.
+ */
 class WeatherTest {
     private static final int SEEDS = 500;
 
@@ -26,7 +29,9 @@
             }
             views += weather.world().oracle.views();
             played++;
-            if (only != null) break;
+            if (only != null) {
+                break;
+            }
         }
         System.out.println(
                 "weather: " + played + " courses, " + acknowledged + " changes acknowledged, " + views + " views");
--- a/src/test/java/brambletray/tray/vow/DutySteps.java
+++ b/src/test/java/brambletray/tray/vow/DutySteps.java
@@ -10,9 +10,10 @@
 import java.util.Map;
 
 /**
- * Steps of the drawn timelines of the duty. Further words: H may act; h may not; check: asks whether it may act, and remembers the term;
- * act: acts under that term; done, fenced: what the platform said, which refuses terms below the highest it has seen; yield: hands over;
- * sees:b takes b for the holder; doubt: hears that somebody has seen a higher term than its own.
+ * Steps of the drawn timelines of the duty. Further words: H may act; h may not; check: asks whether it may act, and
+ * remembers the term; act: acts under that term; done, fenced: what the platform said, which refuses terms below the
+ * highest it has seen; yield: hands over; sees:b takes b for the holder; doubt: hears that somebody has seen a higher
+ * term than its own.
  */
 public final class DutySteps implements Picture.Words, Ride.Witness {
     private Core core;
@@ -85,12 +86,16 @@
 
     @Override
     public void won(SimNode node, long term) {
-        if (term <= won) core.world.oracle.fail(node.address + " won " + term + " after " + won);
+        if (term <= won) {
+            core.world.oracle.fail(node.address + " won " + term + " after " + won);
+        }
         won = term;
     }
 
     @Override
     public void act(SimNode node, long term) {
-        if (term < won) core.world.oracle.fail(node.address + " may act under " + term + " after " + won + " was won");
+        if (term < won) {
+            core.world.oracle.fail(node.address + " may act under " + term + " after " + won + " was won");
+        }
     }
 }
--- a/src/test/java/brambletray/tray/vow/Ride.java
+++ b/src/test/java/brambletray/tray/vow/Ride.java
@@ -36,8 +36,12 @@
     }
 
     private void act() {
-        if (!vow.mayAct(now())) return;
-        if (term == 0) node.world.oracle.fail(node.address + " may act without a term");
+        if (!vow.mayAct(now())) {
+            return;
+        }
+        if (term == 0) {
+            node.world.oracle.fail(node.address + " may act without a term");
+        }
         witness.act(node, term);
     }
 
@@ -81,8 +85,9 @@
 
     @Override
     public void tell(String event, Object... facts) {
-        if (node.world.talks)
+        if (node.world.talks) {
             node.world.tales.add(
                     node.world.now + " " + node.address + " " + event + " " + java.util.Arrays.toString(facts));
+        }
     }
 }
--- a/src/test/java/brambletray/tray/vow/VowWeatherTest.java
+++ b/src/test/java/brambletray/tray/vow/VowWeatherTest.java
@@ -6,7 +6,10 @@
 import brambletray.tray.view.Weather;
 import org.junit.jupiter.api.Test;
 
-/** The duty in the same weather as the views: terms only grow, and nobody acts under a term after another has acted under a higher one. */
+/**
+ * The duty in the same weather as the views: terms only grow, and nobody acts under a term after another has acted
+ * under a higher one.
+ */
 class VowWeatherTest {
 
     /** Sees who acts under which term. */
@@ -24,17 +27,20 @@
 
         @Override
         public void won(SimNode node, long term) {
-            if (term <= won) weather.world().oracle.fail(node.address + " won term " + term + " after " + won);
+            if (term <= won) {
+                weather.world().oracle.fail(node.address + " won term " + term + " after " + won);
+            }
             won = term;
             terms++;
         }
 
         @Override
         public void act(SimNode node, long term) {
-            if (term < acted)
+            if (term < acted) {
                 weather.world()
                         .oracle
                         .fail(node.address + " acts under " + term + " after " + actor.address + " under " + acted);
+            }
             acted = term;
             actor = node;
             actedAt = weather.world().now;
@@ -52,12 +58,13 @@
         };
         try {
             weather.play();
-            if (!weather.harsh())
+            if (!weather.harsh()) {
                 weather.world()
                         .await(
                                 () -> weather.world().now - witness.actedAt < 100,
                                 3000,
                                 "somebody acts after all is calm");
+            }
         } catch (AssertionError | RuntimeException e) {
             weather.world().tales.forEach(System.out::println);
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
@@ -75,7 +82,9 @@
         for (long seed = first; seed < first + seeds; seed++) {
             terms += play(seed, only != null).terms;
             played++;
-            if (only != null) break;
+            if (only != null) {
+                break;
+            }
         }
         System.out.println("vow: " + played + " courses, " + terms + " terms");
         assertTrue(terms >= played, "hardly anybody won");
--- a/src/test/java/brambletray/tray/yard/Cloud.java
+++ b/src/test/java/brambletray/tray/yard/Cloud.java
@@ -15,7 +15,8 @@
         AWAY
     }
 
-    private static final long DELAY = 5, PATIENCE = 1_500;
+    private static final long DELAY = 5;
+    private static final long PATIENCE = 1_500;
 
     final Stand stand;
     Mood mood = Mood.ANSWERS;
--- a/src/test/java/brambletray/tray/yard/Hub.java
+++ b/src/test/java/brambletray/tray/yard/Hub.java
@@ -4,7 +4,8 @@
 
 /** One holder of the duty in a scene. */
 final class Hub implements Hands {
-    private static final long LINK = 2, TICK = 50;
+    private static final long LINK = 2;
+    private static final long TICK = 50;
 
     final Yard yard;
     private final Scene scene;
--- a/src/test/java/brambletray/tray/yard/Play.java
+++ b/src/test/java/brambletray/tray/yard/Play.java
@@ -11,8 +11,8 @@
 import java.util.TreeSet;
 
 /**
- * Plays a drawn timeline. Columns: {@code hub}, {@code platform}, edges by name. Verbs are listed in the switches; a check is made at the
- * moment of its line.
+ * Plays a drawn timeline. Columns: {@code hub}, {@code platform}, edges by name. Verbs are listed in the switches; a
+ * check is made at the moment of its line.
  */
 final class Play {
     private final Scene scene;
--- a/src/test/java/brambletray/tray/yard/Scene.java
+++ b/src/test/java/brambletray/tray/yard/Scene.java
@@ -8,9 +8,13 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** A platform, edges and one hub after the other, in virtual time. The edge named like a zone is home of all seats of it, until it is moved. */
+/**
+ * A platform, edges and one hub after the other, in virtual time. The edge named like a zone is home of all seats of
+ * it, until it is moved.
+ */
 final class Scene {
-    static final int LAG = 800, PAGE = 15;
+    static final int LAG = 800;
+    static final int PAGE = 15;
 
     final Wires wires = new Wires();
     final Cloud cloud;
--- a/src/test/java/brambletray/tray/yard/YardChaosTest.java
+++ b/src/test/java/brambletray/tray/yard/YardChaosTest.java
@@ -11,7 +11,10 @@
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
-/** Hubs, platform, workers and hosts fail at random; once it is calm, homes know what runs, each host is known once, and nothing runs in vain. */
+/**
+ * Hubs, platform, workers and hosts fail at random; once it is calm, homes know what runs, each host is known once, and
+ * nothing runs in vain.
+ */
 class YardChaosTest {
     private static final int SEEDS = Integer.getInteger("yard.seeds", 25);
     private static final long FIRST = Long.getLong("yard.first", 1);
