--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/tray/flow/Client.java
@@ -16,7 +16,10 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
-/** One connection of a client: puts one request at a time together, and writes its one answer before it looks at the next. */
+/**
+ * One connection of a client: puts one request at a time together, and writes its one answer before it looks at the
+ * next.
+ */
 final class Client extends ChannelInboundHandlerAdapter {
     /** ms; after the last answer: what still comes is thrown away, lest a reset takes the answer with it. */
     private static final int LINGER_MS = 1_000;
@@ -53,7 +56,8 @@
     private Future<?> overdue;
 
     private Carriage carriage;
-    private boolean close, catchingUp;
+    private boolean close;
+    private boolean catchingUp;
 
     Client(Front front, Limits limits) {
         this.front = front;
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -42,9 +42,9 @@
     private boolean refusing;
 
     /**
-     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we know, whose calls
-     * are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new ones are refused; {@code seed}: for the
-     * shares of routes.
+     * {@code edge}, {@code zone}: this machine's, for asks; {@code isHost}: whether an IP address is that of a host we
+     * know, whose calls are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new
+     * ones are refused; {@code seed}: for the shares of routes.
      */
     public Flow(
             Machine machine,
--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/tray/keep/Keep.java
@@ -44,7 +44,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** The program of the core: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has run. */
+/**
+ * The program of the core: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has
+ * run.
+ */
 public final class Keep {
     private static final Tale TALE = Tale.of("keep");
     /** ms between ticks, each of which costs a wake-up. */
@@ -70,7 +73,10 @@
     private final Vow vow;
     private final Views views;
     private final Greeter edges = new Greeter(this::welcome);
-    /** Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges have. */
+    /**
+     * Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges
+     * have.
+     */
     private final History history = new History();
 
     private final Publisher publisher = new Publisher(history);
@@ -146,7 +152,10 @@
         return seeds;
     }
 
-    /** Runs until it is told to end. {@code life}, {@code origin}: drawn at random. Throws {@link TroveFault} where the disk cannot be used. */
+    /**
+     * Runs until it is told to end. {@code life}, {@code origin}: drawn at random. Throws {@link TroveFault} where the
+     * disk cannot be used.
+     */
     public static void begin(Berth berth, long life, long origin) throws InterruptedException {
         Machine machine = Sockets.machine();
         Address control = berth.need("bind-addresses.control-plane", berth.control());
@@ -230,7 +239,10 @@
         }
     }
 
-    /** There is a hub for the term that is held, and for no other; one that was won but may not act yet is taken up at a later tick. */
+    /**
+     * There is a hub for the term that is held, and for no other; one that was won but may not act yet is taken up at a
+     * later tick.
+     */
     private void takeUp() {
         long now = now();
         if (hub != null && hub.term() != held) {
--- a/src/main/java/brambletray/tray/view/Frame.java
+++ b/src/main/java/brambletray/tray/view/Frame.java
@@ -38,7 +38,9 @@
     /** The new view and what the receiver's log lacks. */
     record Install(View view, Patch patch) implements Frame {}
 
-    /** The same where the receiver lacks more than goes in one frame: it is to fetch the log that ends so, in pieces. */
+    /**
+     * The same where the receiver lacks more than goes in one frame: it is to fetch the log that ends so, in pieces.
+     */
     record Offer(View view, long end, Ballot endView) implements Frame {}
 
     /** View and log are on this member's disk. */
--- a/src/main/java/brambletray/tray/view/Matter.java
+++ b/src/main/java/brambletray/tray/view/Matter.java
@@ -7,7 +7,10 @@
     /** The whole state now. */
     byte[] snapshot();
 
-    /** Replaces the state by one that {@link #snapshot} gave somewhere; empty bytes mean the state before the first change. */
+    /**
+     * Replaces the state by one that {@link #snapshot} gave somewhere; empty bytes mean the state before the first
+     * change.
+     */
     void restore(byte[] snapshot);
 
     /**
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -10,9 +10,9 @@
 import java.util.function.Function;
 
 /**
- * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on. Receivers that lack the same
- * share a cut, so many newcomers take no more memory than one. A receiver that has been silent for a while, or has all when another needs
- * room, is forgotten.
+ * Gives others what their logs lack, in pieces of a cut that stays as it is while changes and compactions go on.
+ * Receivers that lack the same share a cut, so many newcomers take no more memory than one. A receiver that has been
+ * silent for a while, or has all when another needs room, is forgotten.
  */
 final class Serving {
     /** Cuts, of a few megabytes each, and receivers at a time. */
@@ -39,7 +39,10 @@
     private final Function<Ballot, Log> logs;
     private final Map<String, Receiver> receivers = new LinkedHashMap<>();
 
-    /** {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own; null if none. */
+    /**
+     * {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own;
+     * null if none.
+     */
     Serving(Desk desk, Function<Ballot, Log> logs) {
         this.desk = desk;
         this.logs = logs;
@@ -111,7 +114,9 @@
 
     private Cut cut(Frame.Pull pull, Log log) {
         Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
-        if (pull.view().equals(Ballot.NONE) && !patch.isShort()) patch = lighter(patch);
+        if (pull.view().equals(Ballot.NONE) && !patch.isShort()) {
+            patch = lighter(patch);
+        }
         Set<Cut> cuts = new HashSet<>();
         for (Receiver other : receivers.values()) {
             Cut cut = other.cut;
@@ -120,11 +125,16 @@
             if (same && cut.view.equals(pull.view())) return cut;
             cuts.add(cut);
         }
-        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST)
+        if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST) {
             receivers.values().removeIf(other -> other.over);
-        if (receivers.size() >= MOST) return null;
+        }
+        if (receivers.size() >= MOST) {
+            return null;
+        }
         cuts.clear();
-        for (Receiver other : receivers.values()) cuts.add(other.cut);
+        for (Receiver other : receivers.values()) {
+            cuts.add(other.cut);
+        }
         if (cuts.size() < MOST_CUTS) {
             return Cut.of(pull.view(), patch, desk.commit);
         }
@@ -150,10 +160,14 @@
     }
 
     void tick() {
-        if (receivers.isEmpty()) return;
+        if (receivers.isEmpty()) {
+            return;
+        }
         Iterator<Receiver> all = receivers.values().iterator();
         while (all.hasNext()) {
-            if (desk.now - all.next().usedAt > KEEP_MS) all.remove();
+            if (desk.now - all.next().usedAt > KEEP_MS) {
+                all.remove();
+            }
         }
     }
 }
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -10,8 +10,8 @@
     /** Pieces asked for ahead; no more bytes are ever on their way to one receiver. */
     private static final int WINDOW = 4;
     /**
-     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow link patience is what
-     * keeps the same pieces from being sent again and again. Doubles each time.
+     * Silence after which all that is missing is asked for again: pieces are lost with their link only, so on a slow
+     * link patience is what keeps the same pieces from being sent again and again. Doubles each time.
      */
     private static final int AGAIN_MS = 500;
 
@@ -39,7 +39,10 @@
     /** What has come is no log, so nothing of it is of use. */
     private boolean spoilt;
 
-    /** {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has itself. */
+    /**
+     * {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has
+     * itself.
+     */
     StateTransfer(Desk desk, String from, Log mine, Ballot view) {
         this.view = view;
         this.desk = desk;
@@ -91,8 +94,12 @@
 
     /** Asks again for what hasn't come. */
     void tick() {
-        if (desk.now - movedAt > GIVE_UP_MS) failed = true;
-        if (failed || log != null || (asked > 0 && desk.now - Math.max(saidAt, movedAt) < againMs)) return;
+        if (desk.now - movedAt > GIVE_UP_MS) {
+            failed = true;
+        }
+        if (failed || log != null || (asked > 0 && desk.now - Math.max(saidAt, movedAt) < againMs)) {
+            return;
+        }
         againMs = Math.min(2 * againMs, GIVE_UP_MS);
         asked = got;
         more();
@@ -132,7 +139,9 @@
         movedAt = desk.now;
         againMs = AGAIN_MS;
         if (got * PIECE < total) {
-            if (asked < got) asked = got;
+            if (asked < got) {
+                asked = got;
+            }
             more();
             return false;
         }
--- a/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
+++ b/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
@@ -18,7 +18,9 @@
  * begins elsewhere.
  */
 class ExchangeWalkTest {
-    private static final int COURSES = Integer.getInteger("brambletray.courses", 2_000), STEPS = 40, PARTS = 4;
+    private static final int COURSES = Integer.getInteger("brambletray.courses", 2_000);
+    private static final int STEPS = 40;
+    private static final int PARTS = 4;
     private static final long SEED = Long.getLong("brambletray.seed", 1);
 
     @Test
--- a/src/test/java/brambletray/tray/flow/Ruling.java
+++ b/src/test/java/brambletray/tray/flow/Ruling.java
@@ -11,7 +11,10 @@
 final class Ruling {
     /** One try of a client. {@code sent}: what a host must be handed: method, path and body. */
     static final class Try {
-        final String id, method, uri, body;
+        final String id;
+        final String method;
+        final String uri;
+        final String body;
         final boolean repeatable;
         /** To how many hosts it may be sent: {@code retry-count} of its route, 1 at least. */
         final int mostHosts;
--- a/src/test/java/brambletray/tray/home/Town.java
+++ b/src/test/java/brambletray/tray/home/Town.java
@@ -20,8 +20,8 @@
 import java.util.function.Consumer;
 
 /**
- * Zones, each with one edge that is home of the zone's seats; a platform that starts hosts; clients that come by chance. Simulated time, one
- * seed. Counts what the clients and the operator would.
+ * Zones, each with one edge that is home of the zone's seats; a platform that starts hosts; clients that come by
+ * chance. Simulated time, one seed. Counts what the clients and the operator would.
  */
 final class Town {
     record Kind(
