The helm's former holder resumes over several views where a member attests them

Cause: at a restart of all, two members often go on before the third is back, which comes in by a second change of view. The holder's next process resumed over one view only, and waited 1.2 s otherwise.

Change: a plea names the view that the duty was last held in; a voter that has kept the views since, each straight from the one before, attests that all members of those between are in the present one with their disks (Seat.descendsFrom, Grant.descends). Without an attestation, or once the candidate has agreed to another's lease, the wait stands.

--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -11,6 +11,7 @@
 final class Desk {
     private static final int MOST_DEAD = 64;
     private static final int MOST_KNOWN = 16;
+    private static final int MOST_LINEAGE = 8;
 
     Settings set;
     final Out out;
@@ -35,6 +36,8 @@
     long delivered;
     /** Number of the view that the present one came from, if known to be in force; else -1. */
     long before = -1;
+    /** Views that the present one came from, each straight from the one before it, as kept by this process. */
+    List<Roll> lineage = List.of();
     /** Where the log ended when the view was installed: what earlier views may have acknowledged lies up to there. */
     long floor = Long.MAX_VALUE;
     /** Up to here the log is on the disk, as a log of the present view. */
@@ -125,6 +128,7 @@
         Log.differences(log, chosen, changes);
         boolean jump = chosen.base() > delivered;
         log = chosen;
+        lineage = lineage(next);
         view = next;
         inForce = false;
         before = next.past().size() == 1 ? next.past().get(0).ballot().number() : -1;
@@ -148,6 +152,16 @@
         return true;
     }
 
+    /** That of the present view and the one after it, where the next came straight from it; else what the next tells of itself. */
+    private List<Roll> lineage(View next) {
+        if (next.past().size() != 1) return List.of();
+        Roll last = next.past().get(0);
+        if (view == null || !view.ballot().equals(last.ballot())) return List.of(last);
+        List<Roll> longer = new ArrayList<>(lineage);
+        longer.add(last);
+        return List.copyOf(longer.subList(Math.max(0, longer.size() - MOST_LINEAGE), longer.size()));
+    }
+
     /** The view is in force: all its members have kept it. */
     void force() {
         inForce = true;
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -363,7 +363,8 @@
                 desk.settled(),
                 desk.commit,
                 desk.delivered,
-                desk.ill());
+                desk.ill(),
+                desk.lineage);
     }
 
     /** Zones, or else regions, that may be lost and hold half of the view in force or more; empty where the rest would go on. */
--- a/src/main/java/brambletray/tray/view/Status.java
+++ b/src/main/java/brambletray/tray/view/Status.java
@@ -17,6 +17,8 @@
  * @param commit    last place known to be kept
  * @param delivered last place delivered here
  * @param ill       whether its own disk is in trouble
+ * @param lineage   views that its last view came from, each straight from the one before it, as this process has kept them; the last is that of
+ *     number {@code before}
  */
 public record Status(
         Standing standing,
@@ -30,4 +32,24 @@
         boolean settled,
         long commit,
         long delivered,
-        boolean ill) {}
+        boolean ill,
+        List<Roll> lineage) {
+    /** Without a lineage. */
+    public Status(
+            Standing standing,
+            Member me,
+            long number,
+            long before,
+            List<Member> members,
+            Member leader,
+            boolean leading,
+            boolean inForce,
+            boolean settled,
+            long commit,
+            long delivered,
+            boolean ill) {
+        this(
+                standing, me, number, before, members, leader, leading, inForce, settled, commit, delivered, ill,
+                List.of());
+    }
+}
--- a/src/main/java/brambletray/tray/vow/Ballots.java
+++ b/src/main/java/brambletray/tray/vow/Ballots.java
@@ -7,11 +7,15 @@
     /** Name of the duty. */
     String duty();
 
-    /** A candidate asks for its term; with {@code probe} only whether it would be granted. */
-    record Plea(String duty, boolean probe, long view, long term, long seq, Member from) implements Ballots {}
-
-    /** Granted (kept before it is said), or would be. */
-    record Grant(String duty, boolean probe, long term, long seq, long life) implements Ballots {}
+    /**
+     * A candidate asks for its term; with {@code probe} only whether it would be granted. {@code heldIn}: the last view in which its former process held
+     * the duty, 0 for none.
+     */
+    record Plea(String duty, boolean probe, long view, long term, long seq, Member from, long heldIn)
+            implements Ballots {}
+
+    /** Granted (kept before it is said), or would be. {@code descends}: this voter knows that no lease of others since {@code heldIn} is unheard of. */
+    record Grant(String duty, boolean probe, long term, long seq, long life, boolean descends) implements Ballots {}
 
     /** Not granted or not renewed: a higher term was granted, or the lease of another runs for so long. */
     record Deny(String duty, long term, long granted, int remainingMs, long life) implements Ballots {}
--- a/src/main/java/brambletray/tray/vow/Seat.java
+++ b/src/main/java/brambletray/tray/vow/Seat.java
@@ -1,9 +1,12 @@
 package brambletray.tray.vow;
 
 import brambletray.tray.view.Member;
+import brambletray.tray.view.Roll;
 import brambletray.tray.view.Standing;
 import brambletray.tray.view.Status;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** What a member knows of the view in force, and since when. */
 final class Seat {
@@ -14,12 +17,11 @@
 
     List<Member> members = List.of();
     long since = Long.MIN_VALUE / 2;
-    /** Number of the view that this one came from, if known to have been in force; else -1. */
-    long before = -1;
     /** Since when the view before was in force here: ever, for who has seen none. */
     private long beforeSince = Long.MIN_VALUE / 2;
 
     private boolean follows;
+    private List<Roll> lineage = List.of();
 
     /** Takes in how it stands now; true when the view is another one. */
     boolean look(Status status, long now) {
@@ -27,12 +29,32 @@
         // snapshot's state
         in = status.standing() == Standing.MEMBER && status.inForce() && status.settled();
         if (!in || view == status.number()) return false;
-        before = status.before();
-        follows = before == view;
+        follows = status.before() == view;
         beforeSince = since;
         since = now;
         view = status.number();
         members = status.members();
+        lineage = status.lineage();
+        return true;
+    }
+
+    /**
+     * Whether this view came from the one of that number by views each of which has all its members, with their disks, in this one. Then whoever held
+     * the duty in one of them, or won it in the first one last, was granted it by a member of this view, which remembers that.
+     */
+    boolean descendsFrom(long number) {
+        int first = -1;
+        for (int i = 0; i < lineage.size(); i++) {
+            if (lineage.get(i).ballot().number() == number) first = i;
+        }
+        if (first < 0) return false;
+        Set<Long> lives = new HashSet<>();
+        members.forEach(member -> lives.add(member.life()));
+        for (Roll between : lineage.subList(first + 1, lineage.size())) {
+            for (Member member : between.members()) {
+                if (!lives.contains(member.life())) return false;
+            }
+        }
         return true;
     }
 
--- a/src/main/java/brambletray/tray/vow/Tenure.java
+++ b/src/main/java/brambletray/tray/vow/Tenure.java
@@ -17,6 +17,9 @@
     private final Map<Long, Long> agreed = new HashMap<>();
     private final Set<Long> refused = new HashSet<>();
     private long seq;
+    /** A voter knows that this view descends from the one that the duty was held in. */
+    boolean descends;
+
     boolean won;
     long saidAt = Long.MIN_VALUE / 2;
     final long since;
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/tray/vow/Vow.java
@@ -39,7 +39,12 @@
     private final Spans spans;
     private final Out out;
     private final Voter voter;
-    /** The last view in which this life held the duty before its process ended, until it has won it again; 0 for none. */
+    /**
+     * The last view in which this life held the duty before its process ended, until it has won it again or has agreed to another's; 0 for none. Its
+     * own lease is over with its process. Whoever won after it was granted by a majority, of that view or of a later one; a
+     * view that descends from it ({@link Seat#descendsFrom}) has a member of each such majority, which refuses until that lease is over. So once all
+     * of such a view have granted there is nothing to wait for.
+     */
     private long resuming;
 
     private boolean willing = true;
@@ -107,7 +112,7 @@
 
     private void stand() {
         if (now < pauseUntil) return;
-        if (resumes()) {
+        if (resuming != 0) {
             begin(true);
             return;
         }
@@ -134,7 +139,8 @@
             return;
         }
         if (now - tenure.saidAt < AGAIN_MS) return;
-        Ballots.Plea plea = new Ballots.Plea(duty, tenure.probe, seat.view, tenure.term, tenure.next(now), me);
+        Ballots.Plea plea =
+                new Ballots.Plea(duty, tenure.probe, seat.view, tenure.term, tenure.next(now), me, resuming);
         for (Member member : seat.members) {
             if (member.life() != me.life()) out.send(member.address(), plea);
         }
@@ -150,8 +156,12 @@
         if (tenure == null || tenure.won) return;
         long agreedAt = tenure.agreedAt(seat.members);
         if (now - agreedAt >= spans.actMs()) return;
-        boolean all = (seat.quick(now, spans.vacantMs()) || resumes()) && tenure.all(seat.members);
-        if (!all && now - seat.since < spans.vacantMs()) return;
+        boolean all = tenure.all(seat.members);
+        boolean quick = seat.quick(now, spans.vacantMs()) || tenure.descends;
+        if (!(all && quick) && now - seat.since < spans.vacantMs()) {
+            if (all && resuming != 0) withdraw();
+            return;
+        }
         if (tenure.probe) {
             begin(false);
             return;
@@ -163,12 +173,10 @@
         renew();
     }
 
-    /**
-     * Whether this life held the duty in the view right before this one, and its process has ended since: then no lease of an earlier view
-     * runs, its own is over, and whoever won after it has a voter in this view that refuses. So once all have granted there is nothing to wait for.
-     */
-    private boolean resumes() {
-        return resuming != 0 && resuming == seat.before;
+    /** All would grant, but nobody knows that this view descends from the one that the duty was held in: the usual wait. */
+    private void withdraw() {
+        resuming = 0;
+        if (tenure.probe) tenure = null;
     }
 
     private void hold() {
@@ -235,6 +243,7 @@
         else if (frame instanceof Ballots.Grant grant) {
             if (tenure != null && tenure.term == grant.term() && tenure.probe == grant.probe()) {
                 tenure.agree(grant.life(), grant.seq());
+                tenure.descends |= grant.descends() && resuming != 0;
                 count();
             }
         } else if (frame instanceof Ballots.Agree agree) {
@@ -279,12 +288,14 @@
         }
         boolean better = from != null && tenure != null && tenure.probe && seat.rank(who.life()) < seat.rank(me.life());
         if (better) giveUp(2 * spans.staggerMs());
+        if (!plea.probe() && from != null) resuming = 0;
         if (plea.probe()) grant(from, plea);
         else voter.grant(plea.term(), who, now, () -> grant(from, plea));
     }
 
     private void grant(String from, Ballots.Plea plea) {
-        Ballots.Grant grant = new Ballots.Grant(duty, plea.probe(), plea.term(), plea.seq(), me.life());
+        boolean descends = plea.heldIn() != 0 && seat.descendsFrom(plea.heldIn());
+        Ballots.Grant grant = new Ballots.Grant(duty, plea.probe(), plea.term(), plea.seq(), me.life(), descends);
         if (from != null) out.send(from, grant);
         else hear(null, grant);
     }
@@ -296,6 +307,7 @@
             if (from != null) out.send(from, agree);
             else hear(null, agree);
         });
+        if (yes && from != null) resuming = 0;
         if (!yes && from != null) out.send(from, new Ballots.Deny(duty, renew.term(), voter.granted(), 0, me.life()));
     }
 
--- /dev/null
+++ b/src/test/java/brambletray/tray/vow/ResumptionTest.java
@@ -0,0 +1,240 @@
+package brambletray.tray.vow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brambletray.tray.view.Ballot;
+import brambletray.tray.view.Member;
+import brambletray.tray.view.Roll;
+import brambletray.tray.view.Standing;
+import brambletray.tray.view.Status;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/**
+ * All processes were killed; A held the duty in view 5 and wants it back. Whether it has to wait for a lease that may run depends on the views since.
+ *
+ * <pre>
+ *   view 5   A B C     A holds the duty
+ *   (all killed)
+ *   view 6   A B       or B C
+ *   view 7   A B C     A has the grants of all: at once, or after 1.2 s
+ * </pre>
+ */
+class ResumptionTest {
+    private static final Member A = new Member("a", "a", 0xa);
+    private static final Member B = new Member("b", "b", 0xb);
+    private static final Member C = new Member("c", "c", 0xc);
+    private static final Member B_ANEW = new Member("b", "b", 0xbb);
+    private static final long HELD = 5L << 20 | 1;
+    private static final int TICK_MS = 25;
+
+    private static final Roll FIVE = roll(5, A, B, C);
+
+    private final Map<Member, Vow> vows = new HashMap<>();
+    private final Map<Member, Status> seats = new HashMap<>();
+    private final List<Runnable> mail = new ArrayList<>();
+    private long now = 10_000;
+
+    private static Roll roll(long number, Member... members) {
+        return new Roll(new Ballot(number, members[0].life()), List.of(members));
+    }
+
+    /** What the disk has of a term that was granted to this life and renewed in view 5. */
+    private static byte[] kept(Member holder) {
+        return ByteBuffer.allocate(25)
+                .put((byte) 2)
+                .putLong(HELD)
+                .putLong(holder.life())
+                .putLong(5)
+                .array();
+    }
+
+    private void start(Member me, byte[] disk) {
+        Vow[] made = new Vow[1];
+        made[0] = new Vow(
+                "helm",
+                me,
+                disk,
+                Spans.usual(),
+                new Out() {
+                    @Override
+                    public void send(String address, Ballots frame) {
+                        mail.add(() -> vows.forEach((to, vow) -> {
+                            if (to.address().equals(address)) vow.heard(me.address(), frame, now);
+                        }));
+                    }
+
+                    @Override
+                    public void persist(long ticket, Map<String, byte[]> changes) {
+                        mail.add(() -> made[0].synced(ticket, now));
+                    }
+
+                    @Override
+                    public void won(long term) {}
+
+                    @Override
+                    public void lost(long term) {}
+
+                    @Override
+                    public void tell(String event, Object... facts) {}
+                },
+                now);
+        vows.put(me, made[0]);
+    }
+
+    private void view(Member me, Roll view, Roll... lineage) {
+        long before =
+                lineage.length == 0 ? -1 : lineage[lineage.length - 1].ballot().number();
+        List<Member> members = view.members();
+        seats.put(
+                me,
+                new Status(
+                        Standing.MEMBER,
+                        me,
+                        view.ballot().number(),
+                        before,
+                        members,
+                        members.get(0),
+                        members.get(0).equals(me),
+                        true,
+                        true,
+                        0,
+                        0,
+                        false,
+                        List.of(lineage)));
+        vows.get(me).view(seats.get(me), now);
+    }
+
+    private void run(long ms) {
+        for (long until = now + ms; now < until; now += TICK_MS) {
+            vows.forEach((me, vow) -> {
+                if (seats.containsKey(me)) vow.view(seats.get(me), now);
+                vow.tick(now);
+            });
+            while (!mail.isEmpty()) mail.remove(0).run();
+        }
+    }
+
+    private boolean holds(Member me) {
+        return vows.get(me).mayAct(now);
+    }
+
+    private void startAll() {
+        start(A, kept(A));
+        start(B, kept(A));
+        start(C, kept(A));
+    }
+
+    @Test
+    void overOneViewAtOnce() {
+        startAll();
+        Roll six = roll(6, A, B, C);
+        for (Member each : List.of(A, B, C)) view(each, six, FIVE);
+        run(200);
+        assertTrue(holds(A));
+    }
+
+    @Test
+    void overTwoViewsAtOnceWhereAllOfTheFirstAreInTheSecond() {
+        startAll();
+        Roll six = roll(6, A, B);
+        Roll seven = roll(7, A, B, C);
+        view(A, seven, FIVE, six);
+        view(B, seven, FIVE, six);
+        view(C, seven, six);
+        run(200);
+        assertTrue(holds(A));
+    }
+
+    /** The former holder is the last to be back, and knows of the views since by a voter's word. */
+    @Test
+    void overTwoViewsByTheWordOfAVoterWhoWasInBoth() {
+        startAll();
+        Roll six = roll(6, B, C);
+        Roll seven = roll(7, A, B, C);
+        view(A, seven, six);
+        view(B, seven, FIVE, six);
+        view(C, seven, FIVE, six);
+        run(200);
+        assertTrue(holds(A));
+    }
+
+    /** B has been wiped between the views: that it had granted to C in view 5, which may act for a while, nobody remembers. */
+    @Test
+    void notAtOnceWhereOneOfAViewBetweenIsGone() {
+        start(A, kept(A));
+        start(B_ANEW, null);
+        Roll six = roll(6, A, B);
+        Roll seven = roll(7, A, B_ANEW);
+        view(A, seven, FIVE, six);
+        view(B_ANEW, seven, six);
+        run(1_150);
+        assertFalse(holds(A) || holds(B_ANEW), "one acts while a lease of view 5 may run");
+        run(2_000);
+        assertTrue(holds(A) || holds(B_ANEW));
+    }
+
+    /** Nobody knows which view was before the one between. */
+    @Test
+    void notAtOnceWhereTheViewsBetweenAreNotKnown() {
+        startAll();
+        Roll six = roll(6, B, C);
+        Roll seven = roll(7, A, B, C);
+        for (Member each : List.of(A, B, C)) view(each, seven, six);
+        run(1_150);
+        assertFalse(holds(A) || holds(B) || holds(C));
+        run(2_000);
+        assertEquals(1, List.of(A, B, C).stream().filter(this::holds).count());
+    }
+
+    /** B granted to C after A held it in view 5: B refuses for as long as that lease may run. */
+    @Test
+    void notAtOnceWhereAnotherHasWonItSince() {
+        start(A, kept(A));
+        start(B, kept(C));
+        Roll six = roll(6, A, B);
+        view(A, six, FIVE);
+        view(B, six, FIVE);
+        run(1_150);
+        assertFalse(holds(A) || holds(B));
+    }
+
+    /** The grants of a majority are not enough: the one that refuses may be the only one here that knows of the lease. */
+    @Test
+    void notAtOnceWhereOneOfThreeRefuses() {
+        start(A, kept(A));
+        start(B, kept(A));
+        start(C, kept(C));
+        Roll six = roll(6, A, B, C);
+        for (Member each : List.of(A, B, C)) view(each, six, FIVE);
+        run(1_150);
+        assertFalse(holds(A) || holds(B) || holds(C));
+    }
+
+    /** It doesn't take back what another holds in the meantime. */
+    @Test
+    void notAtAllWhileAnotherHoldsIt() {
+        start(B, kept(A));
+        start(C, kept(A));
+        Roll six = roll(6, B, C);
+        view(B, six, FIVE);
+        view(C, six, FIVE);
+        run(3_000);
+        assertTrue(holds(B));
+        start(A, kept(A));
+        Roll seven = roll(7, A, B, C);
+        view(A, seven, six);
+        view(B, seven, FIVE, six);
+        view(C, seven, FIVE, six);
+        for (int i = 0; i < 100; i++) {
+            run(TICK_MS);
+            assertTrue(holds(B) && !holds(A));
+        }
+    }
+}
