--- a/src/main/java/brambletray/tray/drill/Course.java
+++ b/src/main/java/brambletray/tray/drill/Course.java
@@ -6,7 +6,9 @@
 /** Plays one script. */
 final class Course {
     /** ms for which orders go on after the last trouble; after which all must have come to an end; and for the last readings. */
-    private static final int CALM = 9_000, END = 20_000, READ = 15_000;
+    private static final int CALM = 9_000;
+    private static final int END = 20_000;
+    private static final int READ = 15_000;
 
     private static final int LOOK = 50;
 
--- a/src/main/java/brambletray/tray/drill/HttpCall.java
+++ b/src/main/java/brambletray/tray/drill/HttpCall.java
@@ -24,7 +24,8 @@
     }
 
     /** ms, and ms more for each 100 kB. */
-    static final int PATIENCE = 1_000, PATIENCE_MORE = 300;
+    static final int PATIENCE = 1_000;
+    static final int PATIENCE_MORE = 300;
 
     private final DefaultFullHttpRequest request;
     private Reply reply;
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/tray/flow/Flow.java
@@ -37,7 +37,8 @@
     private final SplittableRandom shares;
     private final Map<String, Pace> paces = new HashMap<>();
     private long asks;
-    private int waiting, trips;
+    private int waiting;
+    private int trips;
     /** The process is about to end: each new request is refused. */
     private boolean refusing;
 
--- a/src/main/java/brambletray/tray/flow/GracefulShutdown.java
+++ b/src/main/java/brambletray/tray/flow/GracefulShutdown.java
@@ -21,13 +21,15 @@
     /** ms before the end of the grace time: the process has ended by itself then. */
     private static final int EXIT_MARGIN_MS = 300;
     /** ms after the last connection was taken until the process may end; between looks whether it can. */
-    private static final int FIRST_LOOK_MS = 100, LOOK_MS = 50;
+    private static final int FIRST_LOOK_MS = 100;
+    private static final int LOOK_MS = 50;
 
     private final Machine machine;
     private final Flow flow;
     private final Front front;
     private final IntConsumer exit;
-    private boolean begun, ended;
+    private boolean begun;
+    private boolean ended;
 
     /** {@code exit}: ends the process with this code. */
     public GracefulShutdown(Machine machine, Flow flow, Front front, IntConsumer exit) {
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/tray/yard/Starts.java
@@ -19,7 +19,8 @@
     /** ms; a start that has not been called, and not been asked for again for so long, is forgotten. */
     private static final long FORGET = 3_000;
     /** ms of waiting that each request that waits for the start counts as, and how many count: none is overtaken for ever. */
-    private static final int URGENCY_MS = 20, URGENCY_MOST = 50;
+    private static final int URGENCY_MS = 20;
+    private static final int URGENCY_MOST = 50;
     /** ms that a start comes later for each start of its service, as urgent, that is wanted before it: a first one goes before a tenth. */
     private static final int RANK_MS = 200;
     /** ms between two looks at all that wait. */
--- a/src/test/java/brambletray/tray/flow/Ruling.java
+++ b/src/test/java/brambletray/tray/flow/Ruling.java
@@ -23,7 +23,8 @@
         /** Status and body of each failure that a host gave it under its own seal. */
         final Set<String> sealedFailures = new HashSet<>();
 
-        int runs, arrivals;
+        int runs;
+        int arrivals;
         /** The status that promised that it has not run; 0: none. */
         int promised;
         /** Whole bodies of the host's sealed answers. */
@@ -45,7 +46,10 @@
 
     private final Map<String, Try> tries = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
-    int successes, promises, answers, sealedFailures;
+    int successes;
+    int promises;
+    int answers;
+    int sealedFailures;
     /** Tries that ran on more than one host. */
     int ranAgain;
 
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/tray/flow/Server.java
@@ -20,7 +20,8 @@
 
 /** A host of a drawn timeline, byte by byte: it answers as it is told. */
 final class Server extends Actor {
-    private static final int LARGE = 700_000, MEDIUM = 100_000;
+    private static final int LARGE = 700_000;
+    private static final int MEDIUM = 100_000;
 
     private final String name;
     private final Machine machine;
--- a/src/test/java/brambletray/tray/yard/Edge.java
+++ b/src/test/java/brambletray/tray/yard/Edge.java
@@ -9,7 +9,8 @@
 
 /** An edge in a scene: asks with the same nonce until it is answered, quits until it is told, says what it knows to each new hub. */
 class Edge {
-    private static final long LINK = 2, AGAIN = 300;
+    private static final long LINK = 2;
+    private static final long AGAIN = 300;
 
     final String name;
     final Map<String, Host> hosts = new LinkedHashMap<>();
