--- a/src/main/java/brambletray/tray/drill/CoreNode.java
+++ b/src/main/java/brambletray/tray/drill/CoreNode.java
@@ -11,6 +11,9 @@
 
 /** One machine of the core: a disk that stays, and a process that comes and goes. */
 final class CoreNode {
+    /** ms before the end of the grace from which a process may end although others count on it. */
+    private static final int GRACE_MARGIN_MS = 1_100;
+
     private final World world;
     final String name;
     final String ip;
@@ -24,6 +27,8 @@
     private boolean frozen;
     private boolean dark;
     private boolean told;
+    /** When SIGTERM came, ms of the course. */
+    private long toldAt;
     /** Counts processes. */
     private int boot;
 
@@ -118,6 +123,10 @@
     private void exited(int which) {
         if (which == boot && machine != null) {
             world.note(name, "ends by itself");
+            if (told && endsEarly()) {
+                world.whenLeftEarly.accept(name + " ended " + (world.now() - toldAt)
+                        + " ms after SIGTERM, a member of the newest view in force");
+            }
             kill(false);
             if (told) {
                 world.left++;
@@ -127,6 +136,25 @@
         }
     }
 
+    /**
+     * Whether the others still count on this process, which has been told to end: it is a member of the newest view that any running
+     * member knows, that view is in force and has others in it, and its time is not nearly over.
+     */
+    private boolean endsEarly() {
+        if (keep == null || world.now() - toldAt >= Script.GRACE - GRACE_MARGIN_MS) {
+            return false;
+        }
+        Status newest = keep.status();
+        long life = newest.me().life();
+        for (CoreNode other : world.cores) {
+            if (other.running() && other.keep.status().number() >= newest.number()) {
+                newest = other.keep.status();
+            }
+        }
+        boolean member = newest.members().stream().anyMatch(each -> each.life() == life);
+        return newest.inForce() && member && newest.members().size() > 1;
+    }
+
     /** The process ends at once; with {@code power}, the machine says nothing more until it is back. */
     void kill(boolean power) {
         if (machine == null) {
@@ -159,6 +187,7 @@
             world.disturb();
             world.note(name, "SIGTERM");
             told = true;
+            toldAt = world.now();
             SimKeep leaving = keep;
             machine.loop().execute(leaving::leave);
         }
--- a/src/main/java/brambletray/tray/drill/Course.java
+++ b/src/main/java/brambletray/tray/drill/Course.java
@@ -38,6 +38,7 @@
         world.timeline = timeline;
         book = new Book(world);
         world.whenFailed = why -> book.fail("RIG", why);
+        world.whenLeftEarly = why -> book.fail("LEFT-EARLY", why);
         operators = new Operators(world, book);
         faults = new FaultInjector(world, operators);
     }
--- a/src/main/java/brambletray/tray/drill/World.java
+++ b/src/main/java/brambletray/tray/drill/World.java
@@ -52,6 +52,8 @@
     int troubledLinks;
     /** Told of a fault of the course's own. */
     Consumer<String> whenFailed = why -> {};
+    /** Told of a process that ended after SIGTERM while the others counted on it. */
+    Consumer<String> whenLeftEarly = why -> {};
     /** What happened to each process, where it is wanted. */
     Timeline timeline = Timeline.none();
 
--- a/src/test/java/brambletray/tray/view/MemberTest.java
+++ b/src/test/java/brambletray/tray/view/MemberTest.java
@@ -170,4 +170,40 @@
         b.synced(ticket, now);
         assertEquals(1, last(Long.class));
     }
+
+    /** An entry whose sync ends after the promise: the change of view counts it by what is told, not by an acknowledgement. */
+    @Test
+    void whoHasStoppedAcknowledgesNoEntryThatIsSyncedLaterAndConfirmsNoRead() {
+        Members b = follower();
+        b.heard("a", append(0, 0), now);
+        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        b.synced(ticket, now);
+        b.synced(ticket, now);
+        assertEquals(1, last(Frame.Told.class).end());
+        assertNull(last(Frame.Ack.class));
+        b.heard("c", new Frame.Ask(VIEW.ballot(), 1), now);
+        assertNull(last(Frame.Same.class));
+    }
+
+    /** The giver's log may have changed since it was offered: only the one that was offered is kept with the view. */
+    @Test
+    void keepsNoOtherLogThanTheOneThatWasOffered() {
+        View next = new View(new Ballot(6, 1), List.of(A, B, C), List.of());
+        Members b = follower();
+        b.heard("a", new Frame.Offer(next, 2, VIEW.ballot()), now);
+        b.heard("a", piece(last(Frame.Pull.class), List.of(entry(1))), now);
+        b.synced(ticket, now);
+        assertNull(last(Frame.Installed.class), "one entry, where two were offered");
+        assertEquals(5, b.status().number());
+        b.heard("a", new Frame.Offer(next, 2, VIEW.ballot()), now);
+        b.heard("a", piece(last(Frame.Pull.class), List.of(entry(1), entry(2))), now);
+        b.synced(ticket, now);
+        assertEquals(next.ballot(), last(Frame.Installed.class).view());
+    }
+
+    /** All of it in one piece. */
+    private static Frame.Piece piece(Frame.Pull asked, List<Entry> entries) {
+        byte[] bytes = Codec.patch(new Patch(false, 0, Ballot.NONE, new byte[0], entries), 0);
+        return new Frame.Piece(asked.id(), 0, bytes.length, bytes);
+    }
 }
--- /dev/null
+++ b/src/test/java/brambletray/tray/view/RecordingOut.java
@@ -0,0 +1,57 @@
+package brambletray.tray.view;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Keeps the frames that one member sends; everything else that it says is dropped. */
+final class RecordingOut implements Out {
+    /** A frame and the address that it was sent to. */
+    record Sent(String address, Frame frame) {}
+
+    final List<Sent> sent = new ArrayList<>();
+
+    @Override
+    public void send(String address, Frame frame) {
+        sent.add(new Sent(address, frame));
+    }
+
+    /** Frames of this type to this address. */
+    <T extends Frame> List<T> sentTo(String address, Class<T> type) {
+        return sent.stream()
+                .filter(one -> one.address().equals(address) && type.isInstance(one.frame()))
+                .map(one -> type.cast(one.frame()))
+                .toList();
+    }
+
+    @Override
+    public void persist(long ticket, Map<String, byte[]> changes) {}
+
+    @Override
+    public void outcome(long token, Outcome outcome) {}
+
+    @Override
+    public void confirmed(long token, boolean yes) {}
+
+    @Override
+    public void changed() {}
+
+    @Override
+    public void tell(String event, Object... facts) {}
+
+    /** A state machine without a state. */
+    static Matter stateless() {
+        return new Matter() {
+            @Override
+            public byte[] snapshot() {
+                return new byte[0];
+            }
+
+            @Override
+            public void restore(byte[] snapshot) {}
+
+            @Override
+            public void deliver(long index, byte[] change) {}
+        };
+    }
+}
