--- a/src/test/java/brambletray/tray/verb/VerbsTest.java
+++ b/src/test/java/brambletray/tray/verb/VerbsTest.java
@@ -147,4 +147,15 @@
         assertEquals(2, run("replace", file, "--control", "10.0.0.1:1"), "it isn't sent at all");
         assertTrue(complaint().contains(expected));
     }
+
+    @Test
+    void aDrillThatHoldsIsZeroAndItsReplayDrawsATimeline() {
+        assertEquals(0, run("drill", "--course", "3/1/6000/KILL:5000:LEADER:300:0", "--courses", "1", "--json"));
+        String report = out.toString(StandardCharsets.UTF_8);
+        assertTrue(report.contains("\"courses\":1,") && report.contains("\"broken\":[]"), report);
+        out.reset();
+        assertEquals(0, run("drill", "--replay", "1/3/1/6000/KILL:5000:LEADER:300:0"));
+        String text = out.toString(StandardCharsets.UTF_8);
+        assertTrue(text.contains("core-1") && text.contains("killed") && text.contains("all rules hold"), text);
+    }
 }
