--- a/src/main/java/brambletray/tray/drill/Course.java
+++ b/src/main/java/brambletray/tray/drill/Course.java
@@ -7,6 +7,7 @@
 final class Course {
     /** ms for which orders go on after the last trouble; after which all must have come to an end; and for the last readings. */
     private static final int CALM = 9_000;
+
     private static final int END = 20_000;
     private static final int READ = 15_000;
 
--- a/src/main/java/brambletray/tray/drill/HttpCall.java
+++ b/src/main/java/brambletray/tray/drill/HttpCall.java
@@ -25,6 +25,7 @@
 
     /** ms, and ms more for each 100 kB. */
     static final int PATIENCE = 1_000;
+
     static final int PATIENCE_MORE = 300;
 
     private final DefaultFullHttpRequest request;
--- a/src/main/java/brambletray/tray/flow/GracefulShutdown.java
+++ b/src/main/java/brambletray/tray/flow/GracefulShutdown.java
@@ -22,6 +22,7 @@
     private static final int EXIT_MARGIN_MS = 300;
     /** ms after the last connection was taken until the process may end; between looks whether it can. */
     private static final int FIRST_LOOK_MS = 100;
+
     private static final int LOOK_MS = 50;
 
     private final Machine machine;
--- a/src/main/java/brambletray/tray/view/DeathOrders.java
+++ b/src/main/java/brambletray/tray/view/DeathOrders.java
@@ -46,20 +46,31 @@
     }
 
     private Declaration refusal(Member who) {
-        if (who == null) { return Declaration.NO_MEMBER; }
-        if (order != null) { return Declaration.BUSY; }
-        if (members.status().standing() == Standing.MEMBER) { return Declaration.NOT_NEEDED; }
-        if (desk.now - Math.max(startedAt, heardAt.getOrDefault(who.address(), startedAt)) < SILENT_MS)
-            { return Declaration.HEARD; }
+        if (who == null) {
+            return Declaration.NO_MEMBER;
+        }
+        if (order != null) {
+            return Declaration.BUSY;
+        }
+        if (members.status().standing() == Standing.MEMBER) {
+            return Declaration.NOT_NEEDED;
+        }
+        if (desk.now - Math.max(startedAt, heardAt.getOrDefault(who.address(), startedAt)) < SILENT_MS) {
+            return Declaration.HEARD;
+        }
         return tooMany(who) ? Declaration.TOO_MANY : null;
     }
 
     /** The member of the last view, or of one that it came from; null if there is none, or it is this one. */
     private Member find(String address, long life) {
-        if (desk.view == null || desk.view.founding() || life == desk.me.life()) { return null; }
+        if (desk.view == null || desk.view.founding() || life == desk.me.life()) {
+            return null;
+        }
         for (Roll roll : desk.view.chain(desk.inForce)) {
             for (Member member : roll.members()) {
-                if (member.life() == life && life != 0 && member.address().equals(address)) { return member; }
+                if (member.life() == life && life != 0 && member.address().equals(address)) {
+                    return member;
+                }
             }
         }
         return null;
@@ -70,13 +81,17 @@
             long gone = roll.members().stream()
                     .filter(member -> member.life() == who.life() || desk.dead.contains(member.life()))
                     .count();
-            if (gone >= roll.members().size() / 2 + 1) { return true; }
+            if (gone >= roll.members().size() / 2 + 1) {
+                return true;
+            }
         }
         return false;
     }
 
     void tick() {
-        if (order == null) { return; }
+        if (order == null) {
+            return;
+        }
         Member who = order.who();
         if (heardAt.getOrDefault(who.address(), startedAt) >= order.since()) {
             end(Declaration.HEARD);
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/tray/view/Desk.java
@@ -176,9 +176,13 @@
 
     /** That of the present view and the one after it, where the next came straight from it; else what the next tells of itself. */
     private List<Roll> lineage(View next) {
-        if (next.past().size() != 1) { return List.of(); }
+        if (next.past().size() != 1) {
+            return List.of();
+        }
         Roll last = next.past().get(0);
-        if (view == null || !view.ballot().equals(last.ballot())) { return List.of(last); }
+        if (view == null || !view.ballot().equals(last.ballot())) {
+            return List.of(last);
+        }
         List<Roll> longer = new ArrayList<>(lineage);
         longer.add(last);
         return List.copyOf(longer.subList(Math.max(0, longer.size() - MOST_LINEAGE), longer.size()));
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/tray/view/Following.java
@@ -311,11 +311,17 @@
     }
 
     void tick() {
-        if (transfer == null) { return; }
+        if (transfer == null) {
+            return;
+        }
         boolean useless = transfer.failed() && !transfer.resumable();
-        if (useless || transfer.idleMs() > FORGET_MS) { transfer = null; }
+        if (useless || transfer.idleMs() > FORGET_MS) {
+            transfer = null;
+        }
         // a later change of view is under way: if it offers the same log, what has come stays
-        else if (!desk.promised.above(transfer.view())) { transfer.tick(); }
+        else if (!desk.promised.above(transfer.view())) {
+            transfer.tick();
+        }
     }
 
     /** A proposed view: kept if no higher promise forbids it and the patch fits. */
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -52,13 +52,17 @@
     void tick(Iterable<String> seeds) {
         if (transfer != null) {
             transfer.tick();
-            if (transfer.failed()) { interrupt(); }
+            if (transfer.failed()) {
+                interrupt();
+            }
         }
         knock(seeds);
     }
 
     private void interrupt() {
-        if (transfer.resumable()) { interrupted = transfer; }
+        if (transfer.resumable()) {
+            interrupted = transfer;
+        }
         transfer = null;
     }
 
@@ -105,8 +109,12 @@
         Member leader = come.view().leader();
         // the giver may be gone, and another one lead
         boolean leads = leader != null && leader.address().equals(from);
-        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) { interrupt(); }
-        if (leader == null || come.fit() || transfer != null) { return; }
+        if (leads && transfer != null && !transfer.from().equals(from) && transfer.idleMs() > IDLE_MS) {
+            interrupt();
+        }
+        if (leader == null || come.fit() || transfer != null) {
+            return;
+        }
         if (!leader.address().equals(from)) {
             desk.out.send(leader.address(), mine());
             return;
@@ -130,7 +138,9 @@
     }
 
     void piece(Frame.Piece piece) {
-        if (transfer == null || !transfer.piece(piece)) { return; }
+        if (transfer == null || !transfer.piece(piece)) {
+            return;
+        }
         if (transfer.failed()) {
             interrupt();
             return;
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/tray/view/Members.java
@@ -276,7 +276,9 @@
     public void heard(String from, Object frame, long now) {
         enter(now);
         deathOrders.heard(from);
-        if (born && frame instanceof Frame known) { ear.hear(from, known); }
+        if (born && frame instanceof Frame known) {
+            ear.hear(from, known);
+        }
         leave();
     }
 
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/tray/view/Serving.java
@@ -71,7 +71,9 @@
         receiver.usedAt = desk.now;
         byte[] bytes = receiver.cut.bytes;
         int size = Math.min(StateTransfer.PIECE, bytes.length - offset);
-        if (size <= 0) { return; }
+        if (size <= 0) {
+            return;
+        }
         receiver.over |= offset + size == bytes.length;
         byte[] piece = java.util.Arrays.copyOfRange(bytes, offset, offset + size);
         desk.out.send(from, new Frame.Piece(pull.id(), offset, bytes.length, piece, receiver.cut.name));
@@ -80,13 +82,21 @@
     /** The cut of which the receiver has got a part from another member, or from this one before its restart; null if it isn't to be had here. */
     private Cut same(Frame.Pull pull, Log log) {
         CutDigest name = pull.cut();
-        if (name.equals(CutDigest.NONE)) { return null; }
+        if (name.equals(CutDigest.NONE)) {
+            return null;
+        }
         for (Receiver other : receivers.values()) {
-            if (other.cut.name.equals(name)) { return other.cut; }
+            if (other.cut.name.equals(name)) {
+                return other.cut;
+            }
+        }
+        if (receivers.size() >= MOST) {
+            return null;
         }
-        if (receivers.size() >= MOST) { return null; }
         Patch patch = name.whole() ? whole(name, log) : tail(name, pull, log);
-        if (patch == null) { return null; }
+        if (patch == null) {
+            return null;
+        }
         byte[] packed = Codec.patch(patch, name.commit());
         return name.matches(packed) ? new Cut(pull.view(), name, packed) : null;
     }
@@ -94,7 +104,9 @@
     /** The state at the cut's place, made again from this log, and the entries behind it; null where this log begins later or ends earlier. */
     private Patch whole(CutDigest name, Log log) {
         long after = name.after();
-        if (after < log.base() || name.end() < after || name.end() > log.end()) { return null; }
+        if (after < log.base() || name.end() < after || name.end() > log.end()) {
+            return null;
+        }
         byte[] state = log.snapshot();
         if (after > log.base()) {
             List<byte[]> changes = new ArrayList<>();
@@ -106,8 +118,9 @@
 
     private static Patch tail(CutDigest name, Frame.Pull pull, Log log) {
         Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
-        if (patch.whole() || patch.after() != name.after() || patch.end() < name.end() || name.end() < name.after())
-            { return null; }
+        if (patch.whole() || patch.after() != name.after() || patch.end() < name.end() || name.end() < name.after()) {
+            return null;
+        }
         List<Entry> entries = patch.entries().subList(0, (int) (name.end() - name.after()));
         return new Patch(false, patch.after(), patch.afterView(), patch.snapshot(), entries);
     }
@@ -122,7 +135,9 @@
             Cut cut = other.cut;
             CutDigest name = cut.name;
             boolean same = name.whole() == patch.whole() && name.after() == patch.after() && name.end() == patch.end();
-            if (same && cut.view.equals(pull.view())) { return cut; }
+            if (same && cut.view.equals(pull.view())) {
+                return cut;
+            }
             cuts.add(cut);
         }
         if (cuts.size() >= MOST_CUTS || receivers.size() >= MOST) {
@@ -145,7 +160,9 @@
                     && cut.view.equals(pull.view())
                     && pull.view().equals(Ballot.NONE)
                     && cut.name.end() > pull.end();
-            if (fits && (newest == null || cut.name.end() > newest.name.end())) { newest = cut; }
+            if (fits && (newest == null || cut.name.end() > newest.name.end())) {
+                newest = cut;
+            }
         }
         return newest;
     }
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/tray/view/StateTransfer.java
@@ -124,15 +124,25 @@
 
     /** Takes a piece; true when it is over, well or not. */
     boolean piece(Frame.Piece piece) {
-        if (piece.id() != id || log != null || failed) { return false; }
+        if (piece.id() != id || log != null || failed) {
+            return false;
+        }
         if (piece.total() < 0 || piece.total() > MOST) {
             failed = true;
             return true;
         }
-        if (piece.offset() == 0 && !pieces.isEmpty() && !piece.cut().equals(cut)) { begin(); }
-        if (piece.offset() != got * PIECE) { return false; }
-        if (pieces.isEmpty()) { cut = piece.cut(); }
-        if (!piece.cut().equals(cut)) { return false; }
+        if (piece.offset() == 0 && !pieces.isEmpty() && !piece.cut().equals(cut)) {
+            begin();
+        }
+        if (piece.offset() != got * PIECE) {
+            return false;
+        }
+        if (pieces.isEmpty()) {
+            cut = piece.cut();
+        }
+        if (!piece.cut().equals(cut)) {
+            return false;
+        }
         total = piece.total();
         pieces.add(piece.bytes());
         got++;
--- a/src/main/java/brambletray/tray/vow/Seat.java
+++ b/src/main/java/brambletray/tray/vow/Seat.java
@@ -31,7 +31,9 @@
         // one alone after a restart has the newest changes on disk, but can't deliver them: it must not act on the
         // snapshot's state
         in = status.standing() == Standing.MEMBER && status.inForce() && status.settled();
-        if (!in || view == status.number()) { return false; }
+        if (!in || view == status.number()) {
+            return false;
+        }
         follows = status.before() == view;
         beforeSince = since;
         since = now;
@@ -48,14 +50,20 @@
     boolean descendsFrom(long number) {
         int first = -1;
         for (int i = 0; i < lineage.size(); i++) {
-            if (lineage.get(i).ballot().number() == number) { first = i; }
+            if (lineage.get(i).ballot().number() == number) {
+                first = i;
+            }
+        }
+        if (first < 0) {
+            return false;
         }
-        if (first < 0) { return false; }
         Set<Long> lives = new HashSet<>();
         members.forEach(member -> lives.add(member.life()));
         for (Roll between : lineage.subList(first + 1, lineage.size())) {
             for (Member member : between.members()) {
-                if (!lives.contains(member.life())) { return false; }
+                if (!lives.contains(member.life())) {
+                    return false;
+                }
             }
         }
         return true;
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/tray/vow/Vow.java
@@ -123,7 +123,9 @@
     }
 
     private void stand() {
-        if (now < pauseUntil) { return; }
+        if (now < pauseUntil) {
+            return;
+        }
         if (resuming != 0) {
             begin(true);
             return;
@@ -161,7 +163,9 @@
             giveUp(AGAIN_MS);
             return;
         }
-        if (now - tenure.saidAt < AGAIN_MS) { return; }
+        if (now - tenure.saidAt < AGAIN_MS) {
+            return;
+        }
         Ballots.Plea plea =
                 new Ballots.Plea(duty, tenure.probe, seat.view, tenure.term, tenure.next(now), me, resuming);
         for (Member member : seat.members) {
@@ -182,11 +186,15 @@
             return;
         }
         long agreedAt = tenure.agreedAt(seat.members);
-        if (now - agreedAt >= spans.actMs()) { return; }
+        if (now - agreedAt >= spans.actMs()) {
+            return;
+        }
         boolean all = tenure.all(seat.members);
         boolean quick = seat.quick(now, spans.vacantMs()) || tenure.descends;
         if (!(all && quick) && now - seat.since < spans.vacantMs()) {
-            if (all && resuming != 0) { withdraw(); }
+            if (all && resuming != 0) {
+                withdraw();
+            }
             return;
         }
         if (tenure.probe) {
@@ -203,7 +211,9 @@
     /** All would grant, but nobody knows that this view descends from the one that the duty was held in: the usual wait. */
     private void withdraw() {
         resuming = 0;
-        if (tenure.probe) { tenure = null; }
+        if (tenure.probe) {
+            tenure = null;
+        }
     }
 
     private void hold() {
@@ -342,17 +352,27 @@
             return;
         }
         boolean better = from != null && tenure != null && tenure.probe && seat.rank(who.life()) < seat.rank(me.life());
-        if (better) { giveUp(2 * spans.staggerMs()); }
-        if (!plea.probe() && from != null) { resuming = 0; }
-        if (plea.probe()) { grant(from, plea); }
-        else { voter.grant(plea.term(), who, now, () -> grant(from, plea)); }
+        if (better) {
+            giveUp(2 * spans.staggerMs());
+        }
+        if (!plea.probe() && from != null) {
+            resuming = 0;
+        }
+        if (plea.probe()) {
+            grant(from, plea);
+        } else {
+            voter.grant(plea.term(), who, now, () -> grant(from, plea));
+        }
     }
 
     private void grant(String from, Ballots.Plea plea) {
         boolean descends = plea.heldIn() != 0 && seat.descendsFrom(plea.heldIn());
         Ballots.Grant grant = new Ballots.Grant(duty, plea.probe(), plea.term(), plea.seq(), me.life(), descends);
-        if (from != null) { out.send(from, grant); }
-        else { hear(null, grant); }
+        if (from != null) {
+            out.send(from, grant);
+        } else {
+            hear(null, grant);
+        }
     }
 
     private void renew(String from, Ballots.Renew renew) {
@@ -367,8 +387,12 @@
                 hear(null, agree);
             }
         });
-        if (yes && from != null) { resuming = 0; }
-        if (!yes && from != null) { out.send(from, new Ballots.Deny(duty, renew.term(), voter.granted(), 0, me.life())); }
+        if (yes && from != null) {
+            resuming = 0;
+        }
+        if (!yes && from != null) {
+            out.send(from, new Ballots.Deny(duty, renew.term(), voter.granted(), 0, me.life()));
+        }
     }
 
     /** The grant of this ticket is kept. */
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/tray/yard/Starts.java
@@ -20,6 +20,7 @@
     private static final long FORGET = 3_000;
     /** ms of waiting that each request that waits for the start counts as, and how many count: none is overtaken for ever. */
     private static final int URGENCY_MS = 20;
+
     private static final int URGENCY_MOST = 50;
     /** ms that a start comes later for each start of its service, as urgent, that is wanted before it: a first one goes before a tenth. */
     private static final int RANK_MS = 200;
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/tray/view/Board.java
@@ -127,7 +127,9 @@
         @Override
         public byte[] replay(byte[] snapshot, List<byte[]> changes) {
             List<String> lines = new ArrayList<>();
-            if (snapshot.length > 0) { lines.add(new String(snapshot, StandardCharsets.UTF_8)); }
+            if (snapshot.length > 0) {
+                lines.add(new String(snapshot, StandardCharsets.UTF_8));
+            }
             changes.forEach(change -> lines.add(new String(change, StandardCharsets.UTF_8)));
             return String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
         }
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -182,7 +182,9 @@
                 lines.addAll(List.of(new String(snapshot, StandardCharsets.UTF_8).split("\n")));
                 at = Long.parseLong(lines.remove(0).split(" ")[0]);
             }
-            for (byte[] change : changes) { lines.add(new String(change, StandardCharsets.UTF_8).split(" ")[0]); }
+            for (byte[] change : changes) {
+                lines.add(new String(change, StandardCharsets.UTF_8).split(" ")[0]);
+            }
             String all = (at + changes.size()) + " " + world.ballast + "\n" + String.join("\n", lines);
             return all.getBytes(StandardCharsets.UTF_8);
         }
--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/tray/view/StateTransferTest.java
@@ -27,7 +27,9 @@
 
     @AfterEach
     void tell() {
-        if (Boolean.getBoolean("view.talks")) { world.tales.forEach(System.out::println); }
+        if (Boolean.getBoolean("view.talks")) {
+            world.tales.forEach(System.out::println);
+        }
     }
 
     private static void around(SimWorld world, String name, int rate) {
@@ -185,9 +187,13 @@
         world.await(() -> world.link("a", "e").bytes > 5 * MB / 4, 12_000, "more than half of the state");
         world.nodes.get("a").kill(true);
         world.await(() -> world.leader() != null && in(world, "b") && !in(world, "a"), 3000, "the view without a");
-        for (String other : List.of("b", "c", "d")) { world.cut("e", other, true); }
+        for (String other : List.of("b", "c", "d")) {
+            world.cut("e", other, true);
+        }
         changes(world, changesMeanwhile, 5);
-        for (String other : List.of("b", "c", "d")) { world.cut("e", other, false); }
+        for (String other : List.of("b", "c", "d")) {
+            world.cut("e", other, false);
+        }
         world.await(() -> in(world, "e"), 20_000, "the learner is let in");
         long rest = world.link("b", "e").bytes;
         world.nodes.get("a").start();
@@ -236,8 +242,9 @@
         changes(world, 3 * Log.ENTRIES + 10, 12);
         boolean[] spoil = {true};
         world.post = frame -> {
-            if (!(frame instanceof Frame.Piece piece) || piece.offset() != StateTransfer.PIECE || !spoil[0])
-                { return frame; }
+            if (!(frame instanceof Frame.Piece piece) || piece.offset() != StateTransfer.PIECE || !spoil[0]) {
+                return frame;
+            }
             spoil[0] = false;
             byte[] other = piece.bytes().clone();
             other[100] ^= 1;
--- a/src/test/java/brambletray/tray/view/ToleranceTest.java
+++ b/src/test/java/brambletray/tray/view/ToleranceTest.java
@@ -62,12 +62,16 @@
     private static boolean leavesMajority(List<Member> members, int losses, Function<Member, String> group) {
         List<String> all = members.stream().map(group).distinct().sorted().toList();
         for (int lost = 0; lost < 1 << all.size(); lost++) {
-            if (Integer.bitCount(lost) > losses) { continue; }
+            if (Integer.bitCount(lost) > losses) {
+                continue;
+            }
             int gone = lost;
             long rest = members.stream()
                     .filter(member -> (gone >> all.indexOf(group.apply(member)) & 1) == 0)
                     .count();
-            if (2 * rest <= members.size()) { return false; }
+            if (2 * rest <= members.size()) {
+                return false;
+            }
         }
         return true;
     }
@@ -79,8 +83,9 @@
         for (int size = 1; size <= 5; size++) {
             for (int placed = 0; placed < 1 << 2 * size; placed++) {
                 List<Member> members = new ArrayList<>();
-                for (int i = 0; i < size; i++)
-                    { members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3))); }
+                for (int i = 0; i < size; i++) {
+                    members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
+                }
                 for (int all = 0; all < 16; all++) {
                     Tolerance tolerance = new Tolerance(1, all & 3, all >> 2, REGIONS);
                     boolean sound = leavesMajority(members, tolerance.zones(), Member::zone)
--- a/src/test/java/brambletray/tray/view/ZoneWarningTest.java
+++ b/src/test/java/brambletray/tray/view/ZoneWarningTest.java
@@ -45,11 +45,15 @@
         }
         long token = world.oracle.propose(world.leader());
         world.await(() -> world.oracle.acknowledged.contains("c" + token), 1_000, "a change of all");
-        for (String name : List.of("c", "d")) { world.nodes.get(name).kill(true); }
+        for (String name : List.of("c", "d")) {
+            world.nodes.get(name).kill(true);
+        }
         world.until(world.now + 5_000);
         assertEquals(Standing.STOPPED, world.nodes.get("a").members.status().standing());
         assertTrue(world.nodes.get("a").state.contains("c" + token));
-        for (String name : List.of("c", "d")) { world.nodes.get(name).start(); }
+        for (String name : List.of("c", "d")) {
+            world.nodes.get(name).start();
+        }
         world.await(
                 () -> world.leader() != null
                         && world.leader().members.status().members().size() == 4,
--- a/src/test/java/brambletray/tray/vow/ResumptionTest.java
+++ b/src/test/java/brambletray/tray/vow/ResumptionTest.java
@@ -66,7 +66,9 @@
                     @Override
                     public void send(String address, Ballots frame) {
                         mail.add(() -> vows.forEach((to, vow) -> {
-                            if (to.address().equals(address)) { vow.heard(me.address(), frame, now); }
+                            if (to.address().equals(address)) {
+                                vow.heard(me.address(), frame, now);
+                            }
                         }));
                     }
 
@@ -114,10 +116,14 @@
     private void run(long ms) {
         for (long until = now + ms; now < until; now += TICK_MS) {
             vows.forEach((me, vow) -> {
-                if (seats.containsKey(me)) { vow.view(seats.get(me), now); }
+                if (seats.containsKey(me)) {
+                    vow.view(seats.get(me), now);
+                }
                 vow.tick(now);
             });
-            while (!mail.isEmpty()) { mail.remove(0).run(); }
+            while (!mail.isEmpty()) {
+                mail.remove(0).run();
+            }
         }
     }
 
@@ -135,7 +141,9 @@
     void overOneViewAtOnce() {
         startAll();
         Roll six = roll(6, A, B, C);
-        for (Member each : List.of(A, B, C)) { view(each, six, FIVE); }
+        for (Member each : List.of(A, B, C)) {
+            view(each, six, FIVE);
+        }
         run(200);
         assertTrue(holds(A));
     }
@@ -186,7 +194,9 @@
         startAll();
         Roll six = roll(6, B, C);
         Roll seven = roll(7, A, B, C);
-        for (Member each : List.of(A, B, C)) { view(each, seven, six); }
+        for (Member each : List.of(A, B, C)) {
+            view(each, seven, six);
+        }
         run(1_150);
         assertFalse(holds(A) || holds(B) || holds(C));
         run(2_000);
@@ -212,7 +222,9 @@
         start(B, kept(A));
         start(C, kept(C));
         Roll six = roll(6, A, B, C);
-        for (Member each : List.of(A, B, C)) { view(each, six, FIVE); }
+        for (Member each : List.of(A, B, C)) {
+            view(each, six, FIVE);
+        }
         run(1_150);
         assertFalse(holds(A) || holds(B) || holds(C));
     }
