--- a/src/test/java/brambletray/tray/view/MemberTest.java
+++ b/src/test/java/brambletray/tray/view/MemberTest.java
@@ -212,7 +212,8 @@
 
     /** All of it in one piece. */
     private static Frame.Piece piece(Frame.Pull asked, List<Entry> entries) {
-        byte[] bytes = Codec.patch(new Patch(false, 0, Ballot.NONE, new byte[0], entries), 0);
-        return new Frame.Piece(asked.id(), 0, bytes.length, bytes);
+        Patch patch = new Patch(false, 0, Ballot.NONE, new byte[0], entries);
+        byte[] bytes = Codec.patch(patch, 0);
+        return new Frame.Piece(asked.id(), 0, bytes.length, bytes, CutDigest.of(patch, 0, bytes));
     }
 }
--- a/src/test/java/brambletray/tray/view/RecordingOut.java
+++ b/src/test/java/brambletray/tray/view/RecordingOut.java
@@ -47,6 +47,11 @@
                 return new byte[0];
             }
 
+            @Override
+            public byte[] replay(byte[] snapshot, List<byte[]> changes) {
+                return new byte[0];
+            }
+
             @Override
             public void restore(byte[] snapshot) {}
 
--- a/src/test/java/brambletray/tray/view/ServingTest.java
+++ b/src/test/java/brambletray/tray/view/ServingTest.java
@@ -21,7 +21,7 @@
         Log log = new Log(0, Ballot.NONE, new byte[0], List.of(entry));
         Serving serving = new Serving(desk, view -> log);
         for (int i = 0; i < RECEIVERS; i++) {
-            serving.pull("learner-" + i, new Frame.Pull(i + 1, 0, INSTALLING, 0, Ballot.NONE, 0));
+            serving.pull("learner-" + i, new Frame.Pull(i + 1, 0, INSTALLING, 0, Ballot.NONE, 0, CutDigest.NONE));
         }
         for (int i = 0; i < RECEIVERS; i++) {
             List<Frame.Piece> pieces = out.sentTo("learner-" + i, Frame.Piece.class);
