--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -82,6 +82,7 @@
 
     private void write(int writer, int process, long ticket, Map<String, byte[]> changes) {
         disk.begin(writer, changes);
+        world.later(world.now, () -> world.atDisk.accept(this));
         world.at(this, process, world.now + world.syncMs(disk), () -> finish(writer, process, ticket));
     }
 
@@ -90,6 +91,8 @@
             world.at(this, process, world.now + 10, () -> finish(writer, process, ticket));
             return;
         }
+        world.atDisk.accept(this);
+        if (process != boot) return;
         boolean full = disk.full;
         if (full) disk.drop(writer);
         else disk.end(writer);
--- a/src/test/java/brambletray/tray/view/SimWorld.java
+++ b/src/test/java/brambletray/tray/view/SimWorld.java
@@ -55,6 +55,9 @@
     /** Told of each frame once it has been dealt with. */
     java.util.function.BiConsumer<SimNode, Object> ear = (node, frame) -> {};
 
+    /** Told once a write has begun, and once more when its sync is about to return. */
+    java.util.function.Consumer<SimNode> atDisk = node -> {};
+
     interface Tap {
         boolean pass(SimNode from, String to, Object frame);
     }
