--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/tray/view/Knocking.java
@@ -56,6 +56,9 @@
                 interrupt();
             }
         }
+        if (!(active() || unsure()) || desk.ill() || desk.leaving || desk.now - knockAt < AGAIN_MS) {
+            return;
+        }
         knock(seeds);
     }
 
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/tray/view/SimNode.java
@@ -92,7 +92,9 @@
             return;
         }
         world.atDisk.accept(this);
-        if (process != boot) return;
+        if (process != boot) {
+            return;
+        }
         boolean full = disk.full;
         if (full) {
             disk.drop(writer);
