--- a/src/main/java/brambletray/Main.java
+++ b/src/main/java/brambletray/Main.java
@@ -1,10 +1,10 @@
 package brambletray;
 
 import brambletray.cli.Verbs;
+import brambletray.platform.cli.ProgramLauncher;
 import brambletray.serve.Node;
 import brambletray.simhost.SimHost;
 import brambletray.standalone.StandaloneRelay;
-import brambletray.tray.verb.Programs;
 import java.io.IOException;
 import java.nio.file.Path;
 
@@ -20,11 +20,11 @@
     }
 
     public static int run(String[] args) throws IOException {
-        if (args.length == 1 && (args[0].equals("carry") || args[0].equals("keep"))) {
-            return Programs.run(args[0]);
+        if (args.length == 1 && (args[0].equals("edge") || args[0].equals("controlplane"))) {
+            return ProgramLauncher.run(args[0]);
         }
         if (args.length > 0 && args[0].equals("system")) {
-            return Programs.system(args, System.out, System.err);
+            return ProgramLauncher.system(args, System.out, System.err);
         }
         if (args.length == 1 && args[0].equals("simhost")) {
             return SimHost.serve(System.in, System.out, System.err);
--- /dev/null
+++ b/src/main/java/brambletray/platform/admission/AdmissionException.java
@@ -0,0 +1,12 @@
+package brambletray.platform.admission;
+
+import brambletray.platform.errors.PlatformException;
+
+/** What this plane cannot take: codes {@code home.*}. */
+public final class AdmissionException extends PlatformException {
+    private static final long serialVersionUID = 1L;
+
+    public AdmissionException(String code, String message, Throwable cause) {
+        super(code, message, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/platform/admission/AdmissionFrames.java
@@ -0,0 +1,18 @@
+package brambletray.platform.admission;
+
+import java.util.List;
+
+/** The plane's frames, in the order in which Kryo registers them. */
+public final class AdmissionFrames {
+    public static final List<Class<?>> FRAMES = List.of(
+            SlotRequest.class,
+            SlotGrant.class,
+            SlotRefusal.class,
+            SlotRedirect.class,
+            SlotRelease.class,
+            AttemptOutcome.class,
+            HeldSlots.class,
+            SlotRequestCancel.class);
+
+    private AdmissionFrames() {}
+}
--- a/src/main/java/brambletray/tray/home/Laws.java
+++ b/src/main/java/brambletray/platform/admission/AdmissionParameters.java
@@ -1,10 +1,10 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * All that the laws of a seat are drawn with; nothing here belongs to a site. Times in ms, memory prices in GB-seconds
  * of a host's memory.
  */
-public record Laws(
+public record AdmissionParameters(
         Limit limit,
         Choice choice,
         Queue queue,
@@ -91,8 +91,8 @@
     public record Spread(double crossGbS, int openMs, double closeShare, int closeMs) {}
 
     /** The laws as they stand, with the site's budget of further tries and its number of zones. */
-    public static Laws of(double budgetRatio, int budgetSlack, int windowMs, int zones) {
-        return new Laws(
+    public static AdmissionParameters of(double budgetRatio, int budgetSlack, int windowMs, int zones) {
+        return new AdmissionParameters(
                 new Limit(500, 1500, 300),
                 new Choice(1.7, 200, 5000, 2.0, 0),
                 new Queue(256, 2000, 8000, 1500, 0.9, 20, 1.0 / 3),
@@ -105,8 +105,8 @@
     }
 
     /** The same with another price of crossing zones, GB-seconds a request. */
-    public Laws crossing(double gbS) {
-        return new Laws(
+    public AdmissionParameters crossing(double gbS) {
+        return new AdmissionParameters(
                 limit,
                 choice,
                 queue,
@@ -119,8 +119,8 @@
     }
 
     /** The same, with leaving hosts used for {@code ms} more where nothing else is free. */
-    public Laws leaving(int ms) {
-        return new Laws(
+    public AdmissionParameters leaving(int ms) {
+        return new AdmissionParameters(
                 limit,
                 new Choice(choice.slow(), choice.pauseMs(), choice.pauseMostMs(), choice.blame(), ms),
                 queue,
@@ -133,8 +133,8 @@
     }
 
     /** The same with other prices of keeping, GB-seconds. */
-    public Laws keeping(double startGbS, double lateGbS) {
-        return new Laws(
+    public AdmissionParameters keepAlive(double startGbS, double lateGbS) {
+        return new AdmissionParameters(
                 limit,
                 choice,
                 queue,
@@ -147,8 +147,8 @@
     }
 
     /** The same with other headroom. */
-    public Laws scaling(double k, double tail, double burst) {
-        return new Laws(
+    public AdmissionParameters scaling(double k, double tail, double burst) {
+        return new AdmissionParameters(
                 limit,
                 choice,
                 queue,
--- a/src/main/java/brambletray/tray/home/Fate.java
+++ b/src/main/java/brambletray/platform/admission/AttemptOutcome.java
@@ -1,7 +1,7 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /** What became of a request at a host. */
-public enum Fate {
+public enum AttemptOutcome {
     /** A whole answer came. */
     SERVED,
     /** The host turned it away as full, and has said that it did not run. */
--- a/src/main/java/brambletray/tray/home/Rate.java
+++ b/src/main/java/brambletray/platform/admission/EventRate.java
@@ -1,16 +1,16 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * Events per ms, with a memory that fades by e in {@code tau} ms; right from the start, as the part of the memory not
  * yet filled is left out.
  */
-final class Rate {
+final class EventRate {
     private final double tau;
     private double sum;
     private long last;
     private long first = Long.MIN_VALUE;
 
-    Rate(int tauMs) {
+    EventRate(int tauMs) {
         tau = tauMs;
     }
 
--- a/src/main/java/brambletray/tray/home/FairShare.java
+++ b/src/main/java/brambletray/platform/admission/FairShare.java
@@ -1,12 +1,15 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * How often each kind of request of one service is served, against all of them. The queue orders by urgency; where urgent kinds alone fill
- * the service, the others would never be served. A kind that is served less than half as often as all is <em>behind</em>, and goes first until it
- * no longer is: weighted fair queueing with a guaranteed minimum. Only outcomes count, and older ones fade, so an idle or a cold service has no
+ * How often each kind of request of one service is served, against all of them. The queue orders by urgency; where
+ * urgent kinds alone fill
+ * the service, the others would never be served. A kind that is served less than half as often as all is
+ * <em>behind</em>, and goes first until it
+ * no longer is: weighted fair queueing with a guaranteed minimum. Only outcomes count, and older ones fade, so an idle
+ * or a cold service has no
  * kind that is behind. One thread.
  */
 final class FairShare {
@@ -30,13 +33,13 @@
         private double lost;
         private boolean behind;
 
-        private Kind(Ask ask) {
+        private Kind(SlotRequest ask) {
             call = ask.inner();
             priority = ask.priority();
             targetMs = ask.targetMs();
         }
 
-        private boolean includes(Ask ask) {
+        private boolean includes(SlotRequest ask) {
             return call == ask.inner() && priority == ask.priority() && targetMs == ask.targetMs();
         }
 
@@ -50,7 +53,7 @@
     private long fadedAt = Long.MIN_VALUE;
 
     /** The kind of an ask. */
-    Kind of(Ask ask) {
+    Kind of(SlotRequest ask) {
         for (int i = 0; i < kinds.size(); i++) {
             if (kinds.get(i).includes(ask)) {
                 return kinds.get(i);
@@ -65,7 +68,7 @@
     }
 
     /** An ask has been given a slot. */
-    void served(Ask ask, long now) {
+    void served(SlotRequest ask, long now) {
         if (counts(ask)) {
             of(ask).served++;
             judge(now);
@@ -73,7 +76,7 @@
     }
 
     /** An ask has been refused, or its time has run out in the queue. */
-    void lost(Ask ask, long now) {
+    void lost(SlotRequest ask, long now) {
         if (counts(ask)) {
             of(ask).lost++;
             judge(now);
@@ -81,7 +84,7 @@
     }
 
     /** Further tries and copies are bounded by their budget, whatever their kind. */
-    private static boolean counts(Ask ask) {
+    private static boolean counts(SlotRequest ask) {
         return !ask.again() && !ask.copy();
     }
 
--- a/src/main/java/brambletray/tray/home/Pace.java
+++ b/src/main/java/brambletray/platform/admission/HedgeDelay.java
@@ -1,11 +1,11 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * The delay of the delayed copy (the design, SimpleSpeculativeExecution with our percentile): above about nine in ten
  * of a service's recent answers, 200 ms before any are known. Answer times are counted in classes an eighth of an
  * octave wide; when {@value #MEMORY} are held, all counts are halved, so that old ones fade. Bounded: 136 counts.
  */
-public final class Pace {
+public final class HedgeDelay {
     /** ms, before any answer is known. */
     public static final int FIRST_MS = 200;
 
--- a/src/main/java/brambletray/tray/home/Holders.java
+++ b/src/main/java/brambletray/platform/admission/HeldSlotsRecovery.java
@@ -1,6 +1,6 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Host;
+import brambletray.platform.provisioning.InstanceInfo;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -8,23 +8,23 @@
  * What edges tell a new home that they hold. Kept until the hub has listed the hosts; where it doesn't in time, the
  * hosts that edges hold places at are taken from them: rebuilt from those who told it first.
  */
-final class Holders {
+final class HeldSlotsRecovery {
     private static final int EARLY_MOST = 256;
 
-    private final Ward ward;
-    private final Crew crew;
-    private final Places places;
-    private final Taking taking;
-    private final List<Held> early = new ArrayList<>();
+    private final QueueContext context;
+    private final InstancePool instances;
+    private final InstanceSlots places;
+    private final QueueTakeover taking;
+    private final List<HeldSlots> early = new ArrayList<>();
 
-    Holders(Ward ward, Crew crew, Places places, Taking taking) {
-        this.ward = ward;
-        this.crew = crew;
+    HeldSlotsRecovery(QueueContext context, InstancePool instances, InstanceSlots places, QueueTakeover taking) {
+        this.context = context;
+        this.instances = instances;
         this.places = places;
         this.taking = taking;
     }
 
-    void told(Held held, long now) {
+    void told(HeldSlots held, long now) {
         if (taking.unlisted(now) && early.size() < EARLY_MOST) {
             early.add(held);
         } else {
@@ -51,32 +51,33 @@
     }
 
     private void markEarly(long now) {
-        for (Held held : early) {
+        for (HeldSlots held : early) {
             mark(held, now);
         }
         early.clear();
     }
 
-    private void mark(Held held, long now) {
-        for (Grant grant : held.grants()) {
+    private void mark(HeldSlots held, long now) {
+        for (SlotGrant grant : held.grants()) {
             if (!taking.isListed()) {
-                crew.take(
-                        new Host(
+                instances.take(
+                        new InstanceInfo(
                                 grant.host(),
-                                ward.service(),
+                                context.service(),
                                 grant.address(),
-                                ward.zone,
-                                ward.zone,
+                                context.zone,
+                                context.zone,
                                 "",
                                 "",
-                                Host.UP,
+                                InstanceInfo.UP,
                                 0),
                         false,
                         now);
             }
-            Post post = crew.posts.find(grant.host());
+            PooledInstance post = instances.posts.find(grant.host());
             if (post != null) {
-                places.told(held.edge(), grant.askId(), post, ward.laws.taking().requestMs(), now);
+                places.told(
+                        held.edge(), grant.askId(), post, context.laws.taking().requestMs(), now);
             }
         }
     }
--- a/src/main/java/brambletray/tray/home/Places.java
+++ b/src/main/java/brambletray/platform/admission/InstanceSlots.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,34 +8,35 @@
 
 /**
  * Rule LIMIT at a seat: a host never holds more than {@code max-concurrency} places granted and not given back. A place
- * comes back by {@link Done}; is kept closed for a span where the host may still be at work; is lost when its edge is
+ * comes back by {@link SlotRelease}; is kept closed for a span where the host may still be at work; is lost when its
+ * edge is
  * gone (closed for at most {@code goneMs}) or {@code lostMs} after the end of its request's time.
  */
-final class Places {
-    private final Laws.Limit law;
-    private final Map<String, Map<Long, Place>> byEdge = new HashMap<>();
+final class InstanceSlots {
+    private final AdmissionParameters.Limit law;
+    private final Map<String, Map<Long, Slot>> byEdge = new HashMap<>();
     private long nextEnd = Long.MAX_VALUE;
     private int size;
     private int calls;
     private long lastBack = Long.MIN_VALUE / 2;
 
-    Places(Laws.Limit law) {
+    InstanceSlots(AdmissionParameters.Limit law) {
         this.law = law;
     }
 
-    Place find(String edge, long ask) {
-        Map<Long, Place> of = byEdge.get(edge);
+    Slot find(String edge, long ask) {
+        Map<Long, Slot> of = byEdge.get(edge);
         return of == null ? null : of.get(ask);
     }
 
     /** Takes a place at a host for a request that has {@code remainingMs} left. */
-    Place take(Ask ask, Post post, long remainingMs, long now) {
+    Slot take(SlotRequest ask, PooledInstance post, long remainingMs, long now) {
         return take(ask.edge(), ask.id(), ask.inner(), post, remainingMs, now);
     }
 
-    private Place take(String edge, long ask, boolean call, Post post, long remainingMs, long now) {
+    private Slot take(String edge, long ask, boolean call, PooledInstance post, long remainingMs, long now) {
         long requestEnd = now + remainingMs;
-        Place place = new Place(edge, ask, call, post, requestEnd, requestEnd + law.lostMs());
+        Slot place = new Slot(edge, ask, call, post, requestEnd, requestEnd + law.lostMs());
         byEdge.computeIfAbsent(edge, e -> new HashMap<>()).put(ask, place);
         post.held++;
         calls += call ? 1 : 0;
@@ -45,8 +46,8 @@
     }
 
     /** An edge tells of a place given out before, or taken for lost. */
-    void told(String edge, long ask, Post post, long remainingMs, long now) {
-        Place known = find(edge, ask);
+    void told(String edge, long ask, PooledInstance post, long remainingMs, long now) {
+        Slot known = find(edge, ask);
         if (known == null) {
             take(edge, ask, false, post, remainingMs, now);
         } else if (known.closed && known.post == post) {
@@ -54,7 +55,7 @@
         }
     }
 
-    private void reopen(Place place, long requestEnd) {
+    private void reopen(Slot place, long requestEnd) {
         place.closed = false;
         place.lost = false;
         place.ends = requestEnd + law.lostMs();
@@ -64,7 +65,7 @@
      * An edge that was taken for gone asks again: it has not had its place, which is still its own. False: it has given
      * it back.
      */
-    boolean backFrom(Place place) {
+    boolean backFrom(Slot place) {
         if (place.closed && place.lost) {
             reopen(place, place.requestEnd);
         }
@@ -72,8 +73,8 @@
     }
 
     /** Frees it at once. */
-    void free(Place place, long now) {
-        Map<Long, Place> of = byEdge.get(place.edge);
+    void free(Slot place, long now) {
+        Map<Long, Slot> of = byEdge.get(place.edge);
         if (of != null && of.remove(place.ask, place)) {
             if (of.isEmpty()) {
                 byEdge.remove(place.edge);
@@ -83,7 +84,7 @@
     }
 
     /** Keeps it closed for {@code spanMs}, no longer than its request's time: the host may still be at work. */
-    void close(Place place, long spanMs, long now) {
+    void close(Slot place, long spanMs, long now) {
         place.closed = true;
         place.ends = Math.max(now + 1, Math.min(now + spanMs, Math.min(place.ends, place.requestEnd + law.lostMs())));
         nextEnd = Math.min(nextEnd, place.ends);
@@ -91,9 +92,9 @@
 
     /** An edge is gone: its places stay closed for a while, as the hosts may still be at work. */
     void gone(String edge, long now) {
-        Map<Long, Place> of = byEdge.get(edge);
+        Map<Long, Slot> of = byEdge.get(edge);
         if (of != null) {
-            for (Place place : of.values()) {
+            for (Slot place : of.values()) {
                 place.lost |= !place.closed;
                 close(place, Math.max(0, Math.min(law.goneMs(), place.requestEnd - now)), now);
             }
@@ -101,9 +102,9 @@
     }
 
     /** Forgets the places at a host that is no more. */
-    void drop(Post post) {
-        for (Iterator<Map<Long, Place>> edges = byEdge.values().iterator(); edges.hasNext(); ) {
-            Map<Long, Place> of = edges.next();
+    void drop(PooledInstance post) {
+        for (Iterator<Map<Long, Slot>> edges = byEdge.values().iterator(); edges.hasNext(); ) {
+            Map<Long, Slot> of = edges.next();
             int before = of.size();
             of.values().removeIf(place -> {
                 calls -= place.post == post && place.call ? 1 : 0;
@@ -122,10 +123,10 @@
         if (nextEnd > now) {
             return false;
         }
-        List<Place> over = new ArrayList<>();
+        List<Slot> over = new ArrayList<>();
         nextEnd = Long.MAX_VALUE;
-        for (Map<Long, Place> of : byEdge.values()) {
-            for (Place place : of.values()) {
+        for (Map<Long, Slot> of : byEdge.values()) {
+            for (Slot place : of.values()) {
                 if (place.ends <= now) {
                     over.add(place);
                 } else {
@@ -133,7 +134,7 @@
                 }
             }
         }
-        for (Place place : over) {
+        for (Slot place : over) {
             free(place, now);
         }
         return !over.isEmpty();
@@ -157,7 +158,7 @@
         return lastBack;
     }
 
-    private void release(Place place, long now) {
+    private void release(Slot place, long now) {
         size--;
         calls -= place.call ? 1 : 0;
         lastBack = now;
--- a/src/main/java/brambletray/tray/home/Keeping.java
+++ b/src/main/java/brambletray/platform/admission/KeepAlivePolicy.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * How long the last host of a seat is kept idle. Each span of the seat without a request is a gap; a host kept through
@@ -6,7 +6,7 @@
  * is the one that would have been cheapest over the gaps seen, with a few gaps of every length put in beforehand. Older
  * gaps fade.
  */
-final class Keeping {
+final class KeepAlivePolicy {
     private static final int CLASSES = 18;
     /** Upper ends of the classes, ms: from 100 ms on, each half as long again. */
     private static final int[] ENDS = new int[CLASSES];
@@ -19,11 +19,11 @@
         }
     }
 
-    private final Laws.Keep law;
+    private final AdmissionParameters.Keep law;
     private float[] gaps;
     private long lastAt = Long.MIN_VALUE;
 
-    Keeping(Laws.Keep law) {
+    KeepAlivePolicy(AdmissionParameters.Keep law) {
         this.law = law;
     }
 
@@ -43,19 +43,19 @@
     }
 
     /** The price of a start, GB-seconds, with its share of lateness. */
-    double startGbS(Spec spec, int bootMs) {
+    double startGbS(ServiceSpec spec, int bootMs) {
         double late = spec.targetMs() <= 0 ? 0 : Math.min(1, Math.max(0, 2.0 * bootMs / spec.targetMs() - 1));
         return law.startGbS() + law.lateGbS() * late * late;
     }
 
     /** The break-even of a start against memory, ms. */
-    int breakEvenMs(Spec spec, int bootMs) {
+    int breakEvenMs(ServiceSpec spec, int bootMs) {
         return (int)
                 Math.max(law.leastMs(), Math.min(law.mostMs(), startGbS(spec, bootMs) * 1024_000 / spec.memoryMb()));
     }
 
     /** The span for the last host, ms. */
-    int spanMs(Spec spec, int bootMs) {
+    int spanMs(ServiceSpec spec, int bootMs) {
         int even = breakEvenMs(spec, bootMs);
         if (gaps == null) {
             return even;
--- a/src/main/java/brambletray/tray/home/Room.java
+++ b/src/main/java/brambletray/platform/admission/NestedCallReserve.java
@@ -1,19 +1,21 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
- * Room for calls of hosts: they need a place while their parent holds one, so a service full of parents would wait for itself. Where such calls
- * were seen lately, one of every {@code of} places is kept for them, from {@code least} places on. A service whose parents were seen to hold all
+ * Room for calls of hosts: they need a place while their parent holds one, so a service full of parents would wait for
+ * itself. Where such calls
+ * were seen lately, one of every {@code of} places is kept for them, from {@code least} places on. A service whose
+ * parents were seen to hold all
  * places while their calls waited is kept at two places at least, and one of them for calls.
  */
-final class Room {
+final class NestedCallReserve {
     /** Places of which one can be kept: one for a parent, one for its call. */
     private static final int STALL_LEAST = 2;
 
-    private final Laws.Room law;
+    private final AdmissionParameters.Room law;
     private long seenAt = Long.MIN_VALUE / 2;
     private long stalledAt = Long.MIN_VALUE / 2;
 
-    Room(Laws.Room law) {
+    NestedCallReserve(AdmissionParameters.Room law) {
         this.law = law;
     }
 
--- a/src/main/java/brambletray/tray/home/Starts.java
+++ b/src/main/java/brambletray/platform/admission/PendingStarts.java
@@ -1,6 +1,6 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Need;
+import brambletray.platform.provisioning.StartRequest;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -9,7 +9,7 @@
  * The starts that a seat has asked for and that are not answered yet. A nonce is made once per start and repeated until
  * it is answered, so that whoever carries it out makes one host of it. Bounded by {@code atOnce}.
  */
-final class Starts {
+final class PendingStarts {
     private static final class Wanted {
         final String nonce;
         final long since;
@@ -22,15 +22,15 @@
         }
     }
 
-    private final Laws.Scale law;
+    private final AdmissionParameters.Scale law;
     private final String service;
     private final String seat;
-    private final Nonces nonces;
+    private final StartNonces nonces;
     private final List<Wanted> wanted = new ArrayList<>();
     private long blockedUntil = Long.MIN_VALUE;
     private double bootMs = -1;
 
-    Starts(Laws.Scale law, String service, String seat, Nonces nonces) {
+    PendingStarts(AdmissionParameters.Scale law, String service, String seat, StartNonces nonces) {
         this.law = law;
         this.service = service;
         this.seat = seat;
@@ -38,11 +38,11 @@
     }
 
     /** How long a start takes here: as measured, as configured until then, ms. */
-    int bootMs(Spec spec) {
+    int bootMs(ServiceSpec spec) {
         return bootMs < 0 ? Math.max(1, spec.bootMs()) : (int) bootMs;
     }
 
-    void measured(long tookMs, Spec spec) {
+    void measured(long tookMs, ServiceSpec spec) {
         if (bootMs < 0) {
             bootMs = spec.bootMs();
         }
@@ -60,7 +60,7 @@
 
     /** For how long the platform has no room, ms; 0 where it has. */
     int blockedMs(long now) {
-        return blockedUntil > now ? (int) Math.min(Forecast.NEVER / 2, blockedUntil - now) : 0;
+        return blockedUntil > now ? (int) Math.min(SlotForecast.NEVER / 2, blockedUntil - now) : 0;
     }
 
     /** Whether one more may be under way: {@code atOnce}, and two for each host that works. */
@@ -68,11 +68,11 @@
         return now >= blockedUntil && wanted.size() + booting < law.atOnce() + 2 * working;
     }
 
-    void ask(int urgency, Out out, long now) {
+    void ask(int urgency, AdmissionActions out, long now) {
         Wanted one = new Wanted(nonces.next(), now);
         one.next = now + law.againMs();
         wanted.add(one);
-        out.need(new Need(service, seat, one.nonce, urgency));
+        out.need(new StartRequest(service, seat, one.nonce, urgency));
     }
 
     boolean born(String nonce) {
@@ -88,7 +88,7 @@
     }
 
     /** Repeats what is not answered; gives up what has been so for long. */
-    void tick(int urgency, Out out, long now) {
+    void tick(int urgency, AdmissionActions out, long now) {
         for (Iterator<Wanted> each = wanted.iterator(); each.hasNext(); ) {
             Wanted one = each.next();
             if (now - one.since >= law.dropMs()) {
@@ -96,7 +96,7 @@
             } else if (one.next <= now) {
                 one.tries++;
                 one.next = now + Math.min(4L * law.againMs(), (long) law.againMs() << Math.min(3, one.tries));
-                out.need(new Need(service, seat, one.nonce, urgency));
+                out.need(new StartRequest(service, seat, one.nonce, urgency));
             }
         }
     }
--- a/src/main/java/brambletray/tray/home/Post.java
+++ b/src/main/java/brambletray/platform/admission/PooledInstance.java
@@ -1,9 +1,9 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Host;
+import brambletray.platform.provisioning.InstanceInfo;
 
 /** A host as its seat sees it: its places, and how it has behaved of late. */
-final class Post {
+final class PooledInstance {
     final String id;
     final String address;
     final String zone;
@@ -34,7 +34,7 @@
     long nextKnock;
     long knockedAt = Long.MIN_VALUE;
 
-    Post(Host host, boolean own, long now) {
+    PooledInstance(InstanceInfo host, boolean own, long now) {
         this.id = host.id();
         this.address = host.address();
         this.zone = host.zone();
@@ -48,15 +48,15 @@
     }
 
     boolean up() {
-        return state == Host.UP;
+        return state == InstanceInfo.UP;
     }
 
     boolean booting() {
-        return state == Host.BOOTING;
+        return state == InstanceInfo.BOOTING;
     }
 
     boolean leaving() {
-        return state == Host.LEAVING;
+        return state == InstanceInfo.LEAVING;
     }
 
     /** Free places, as far as this seat can know. */
@@ -69,7 +69,7 @@
         return misses > 0 && pausedUntil > now;
     }
 
-    Host toHost(String service, String seat, long now) {
-        return new Host(id, service, address, zone, seat, worker, nonce, state, now - bornAt);
+    InstanceInfo toHost(String service, String seat, long now) {
+        return new InstanceInfo(id, service, address, zone, seat, worker, nonce, state, now - bornAt);
     }
 }
--- a/src/main/java/brambletray/tray/home/Posts.java
+++ b/src/main/java/brambletray/platform/admission/PooledInstances.java
@@ -1,6 +1,6 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Host;
+import brambletray.platform.provisioning.InstanceInfo;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -9,19 +9,19 @@
  * avoid; in the asker's zone; not its last place; the oldest, so that superfluous ones run idle. Slow and failing ones
  * come last, suspects not at all.
  */
-final class Posts {
-    private final Laws.Choice law;
-    private final List<Post> posts = new ArrayList<>();
+final class PooledInstances {
+    private final AdmissionParameters.Choice law;
+    private final List<PooledInstance> posts = new ArrayList<>();
 
-    Posts(Laws.Choice law) {
+    PooledInstances(AdmissionParameters.Choice law) {
         this.law = law;
     }
 
-    List<Post> all() {
+    List<PooledInstance> all() {
         return posts;
     }
 
-    Post find(String id) {
+    PooledInstance find(String id) {
         for (int i = 0; i < posts.size(); i++) {
             if (posts.get(i).id.equals(id)) {
                 return posts.get(i);
@@ -30,7 +30,7 @@
         return null;
     }
 
-    void add(Post post) {
+    void add(PooledInstance post) {
         int at = posts.size();
         while (at > 0 && posts.get(at - 1).bornAt > post.bornAt) {
             at--;
@@ -38,7 +38,7 @@
         posts.add(at, post);
     }
 
-    void remove(Post post) {
+    void remove(PooledInstance post) {
         posts.remove(post);
     }
 
@@ -56,7 +56,7 @@
     int free(int most, long now) {
         int n = 0;
         for (int i = 0; i < posts.size(); i++) {
-            Post post = posts.get(i);
+            PooledInstance post = posts.get(i);
             if (post.up() && !post.suspect(now)) {
                 n += Math.max(0, post.free(most, now));
             }
@@ -76,12 +76,12 @@
     }
 
     /** The host for an ask, or null. {@code blind}: only hosts whose holders are all known. */
-    Post choose(Ask ask, int most, boolean blind, long now) {
+    PooledInstance choose(SlotRequest ask, int most, boolean blind, long now) {
         double usual = usualMs();
-        Post best = null;
+        PooledInstance best = null;
         int bestRank = Integer.MAX_VALUE;
         for (int i = 0; i < posts.size(); i++) {
-            Post post = posts.get(i);
+            PooledInstance post = posts.get(i);
             if (blind && !post.own || post.suspect(now)) {
                 continue;
             }
@@ -98,7 +98,7 @@
         return best;
     }
 
-    private int rank(Post post, Ask ask, int free, int most, double usual, long now) {
+    private int rank(PooledInstance post, SlotRequest ask, int free, int most, double usual, long now) {
         int rank = 0;
         if (post.leaving()) {
             if (law.leaveMs() <= 0 || now - post.leavingSince >= law.leaveMs()) {
@@ -130,9 +130,9 @@
     }
 
     /** Whether there is another host that works, or soon will. */
-    private boolean others(Post one, long now) {
+    private boolean others(PooledInstance one, long now) {
         for (int i = 0; i < posts.size(); i++) {
-            Post post = posts.get(i);
+            PooledInstance post = posts.get(i);
             if (post != one && !post.leaving() && !post.suspect(now)) {
                 return true;
             }
@@ -148,7 +148,7 @@
         double[] known = null;
         int n = 0;
         for (int i = 0; i < posts.size(); i++) {
-            Post post = posts.get(i);
+            PooledInstance post = posts.get(i);
             if (post.answers >= 8) {
                 if (known == null) {
                     known = new double[posts.size()];
@@ -165,7 +165,7 @@
     }
 
     /** What a host did with a request: its record, and a pause where it fails again and again. */
-    void judge(Post post, Fate fate, int tookMs, long now) {
+    void judge(PooledInstance post, AttemptOutcome fate, int tookMs, long now) {
         post.blame *= Math.exp((post.blamedAt - now) / 1000.0);
         post.blamedAt = now;
         switch (fate) {
@@ -193,7 +193,7 @@
         }
     }
 
-    void pause(Post post, long now) {
+    void pause(PooledInstance post, long now) {
         long span = Math.min(law.pauseMostMs(), (long) law.pauseMs() << Math.min(post.pauses, 8));
         post.pauses++;
         post.pausedUntil = Math.max(post.pausedUntil, now + span);
@@ -203,7 +203,7 @@
     long nextEase(long now) {
         long next = Long.MAX_VALUE;
         for (int i = 0; i < posts.size(); i++) {
-            Post post = posts.get(i);
+            PooledInstance post = posts.get(i);
             if (post.pausedUntil > now) {
                 next = Math.min(next, post.pausedUntil);
             }
@@ -225,6 +225,6 @@
     }
 
     boolean anyUp() {
-        return count(Host.UP) > 0;
+        return count(InstanceInfo.UP) > 0;
     }
 }
--- a/src/main/java/brambletray/tray/home/Taking.java
+++ b/src/main/java/brambletray/platform/admission/QueueTakeover.java
@@ -1,6 +1,6 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Claim;
+import brambletray.platform.provisioning.HomeClaim;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
@@ -10,8 +10,8 @@
  * most, then the seat behaves as one without hosts). The edges tell which places they hold; until all have, or
  * {@code heldMs} are over, only hosts born under this home are given out.
  */
-final class Taking {
-    private final Laws.Taking law;
+final class QueueTakeover {
+    private final AdmissionParameters.Taking law;
     private final String service;
     private final String seat;
     private final long since;
@@ -19,7 +19,7 @@
     private boolean listed;
     private long nextClaim;
 
-    Taking(Laws.Taking law, String service, String seat, long now) {
+    QueueTakeover(AdmissionParameters.Taking law, String service, String seat, long now) {
         this.law = law;
         this.service = service;
         this.seat = seat;
@@ -59,10 +59,10 @@
         return blind(now) ? Math.max(wait, (int) (since + law.heldMs() - now)) : wait;
     }
 
-    void tick(Out out, long now) {
+    void tick(AdmissionActions out, long now) {
         if (!listed && now >= nextClaim) {
             nextClaim = now + law.againMs();
-            out.claim(new Claim(service, seat));
+            out.claim(new HomeClaim(service, seat));
         }
     }
 
--- a/src/main/java/brambletray/tray/home/Herd.java
+++ b/src/main/java/brambletray/platform/admission/RefusedRequests.java
@@ -1,10 +1,10 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * Those refused with a time to come back: each is counted as ahead of whoever is refused after it, so that they are
  * told one moment after the other and not one instant. Remembers the last 256 promised returns until they are due.
  */
-final class Herd {
+final class RefusedRequests {
     private static final int MOST = 256;
     private final long[] due = new long[MOST];
     private int head;
--- a/src/main/java/brambletray/tray/home/Line.java
+++ b/src/main/java/brambletray/platform/admission/RequestQueue.java
@@ -1,16 +1,18 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * Those who wait for a place. First whose key is smallest: the end of its time, plus {@code ageMs} a rank of priority, less {@code innerMs}
- * for calls of hosts, plus {@code lateMs} once it cannot be in time any more; before all of these, kinds that are behind their fair share
+ * Those who wait for a place. First whose key is smallest: the end of its time, plus {@code ageMs} a rank of priority,
+ * less {@code innerMs}
+ * for calls of hosts, plus {@code lateMs} once it cannot be in time any more; before all of these, kinds that are
+ * behind their fair share
  * ({@link FairShare}). Bounded by {@code most}: beyond it, who would go last makes room for who would go before.
  */
-final class Line {
+final class RequestQueue {
     static final class Waiter {
-        final Ask ask;
+        final SlotRequest ask;
         final long since;
         final long end;
         final long aim;
@@ -18,7 +20,7 @@
         final FairShare.Kind kind;
         int passed;
 
-        Waiter(Ask ask, FairShare.Kind kind, long now, Laws.Queue law) {
+        Waiter(SlotRequest ask, FairShare.Kind kind, long now, AdmissionParameters.Queue law) {
             this.ask = ask;
             this.kind = kind;
             since = now;
@@ -31,12 +33,12 @@
     /** Before any key that time alone can make, ms. */
     private static final long BEHIND_MS = 1L << 40;
 
-    private final Laws.Queue law;
+    private final AdmissionParameters.Queue law;
     private final FairShare shares;
     private final List<Waiter> waiters = new ArrayList<>();
     private int round;
 
-    Line(Laws.Queue law, FairShare shares) {
+    RequestQueue(AdmissionParameters.Queue law, FairShare shares) {
         this.law = law;
         this.shares = shares;
     }
@@ -63,7 +65,7 @@
         return null;
     }
 
-    Waiter join(Ask ask, long now) {
+    Waiter join(SlotRequest ask, long now) {
         Waiter waiter = new Waiter(ask, shares.of(ask), now, law);
         waiters.add(waiter);
         return waiter;
@@ -83,7 +85,8 @@
     }
 
     /**
-     * The one whose turn it is, of those not passed over in this round; null where there is none. {@code onlyCalls}: requests of clients may not
+     * The one whose turn it is, of those not passed over in this round; null where there is none. {@code onlyCalls}:
+     * requests of clients may not
      * have what is free, but for kinds that are behind where {@code behindToo}.
      */
     Waiter next(boolean onlyCalls, boolean behindToo, int workMs, long now) {
@@ -115,7 +118,7 @@
     }
 
     /** How many would go before such an ask. */
-    int ahead(Ask ask, int workMs, long now) {
+    int ahead(SlotRequest ask, int workMs, long now) {
         long key = key(new Waiter(ask, shares.of(ask), now, law), workMs, now);
         int n = 0;
         for (int i = 0; i < waiters.size(); i++) {
@@ -126,8 +129,11 @@
         return n;
     }
 
-    /** Makes room in a full queue: takes out and returns the one that would go last, if such an ask would go before it; else null. */
-    Waiter displace(Ask ask, int workMs, long now) {
+    /**
+     * Makes room in a full queue: takes out and returns the one that would go last, if such an ask would go before it;
+     * else null.
+     */
+    Waiter displace(SlotRequest ask, int workMs, long now) {
         long key = key(new Waiter(ask, shares.of(ask), now, law), workMs, now);
         Waiter last = null;
         for (int i = 0; i < waiters.size(); i++) {
--- a/src/main/java/brambletray/tray/home/Budget.java
+++ b/src/main/java/brambletray/platform/admission/RetryBudget.java
@@ -1,19 +1,23 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
- * Rule BUDGET at a seat: arrivals beyond the first of each request, in any sliding window, stay within ratio x requests + the seat's share of
- * the slack. Requests are counted low (first asks of clients only, whole buckets inside the window), further arrivals high (buckets that touch
+ * Rule BUDGET at a seat: arrivals beyond the first of each request, in any sliding window, stay within ratio x requests
+ * + the seat's share of
+ * the slack. Requests are counted low (first asks of clients only, whole buckets inside the window), further arrivals
+ * high (buckets that touch
  * it). Copies get at most half of what the others leave.
  *
- * <p>A home that takes a service over does not know what the homes before it have spent in the window that is still open. So for the first
- * window its share of the slack is a third: the share of one home is half of the slack, so with three moves in one window the sum is the slack.
+ * <p>A home that takes a service over does not know what the homes before it have spent in the window that is still
+ * open. So for the first
+ * window its share of the slack is a third: the share of one home is half of the slack, so with three moves in one
+ * window the sum is the slack.
  */
-final class Budget {
+final class RetryBudget {
     private static final int BUCKETS = 40;
     /** Part of a home's share of the slack in its first window, where it has taken the service over. */
     private static final double TAKEN_OVER = 1.0 / 3;
 
-    private final Laws.Again law;
+    private final AdmissionParameters.Again law;
     private final int width;
     private final int[] requests = new int[BUCKETS + 1];
     private final int[] repeats = new int[BUCKETS + 1];
@@ -21,7 +25,7 @@
     private long head = Long.MIN_VALUE;
     private long reducedUntil = Long.MIN_VALUE;
 
-    Budget(Laws.Again law) {
+    RetryBudget(AdmissionParameters.Again law) {
         this.law = law;
         this.width = Math.max(1, law.windowMs() / BUCKETS);
     }
--- a/src/main/java/brambletray/tray/home/Seat.java
+++ b/src/main/java/brambletray/platform/admission/ServiceQueue.java
@@ -1,9 +1,9 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Born;
-import brambletray.tray.yard.Host;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.NoRoom;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceStarted;
+import brambletray.platform.provisioning.StartRefusal;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -11,65 +11,71 @@
 
 /**
  * One seat: gives out the places at the hosts of one service to edges, and keeps as many hosts as its demand needs.
- * What happens comes in with its time; what is to be done goes out through {@link Out}.
+ * What happens comes in with its time; what is to be done goes out through {@link AdmissionActions}.
  */
-final class Seat {
+final class ServiceQueue {
     /** ms after a lack of room in which no host is kept, or started, for nobody. */
     private static final int RECLAIM_MS = 10_000;
 
-    /** Where the heap of {@link Seats} has it. */
+    /** Where the heap of {@link ServiceQueues} has it. */
     long scheduled = Long.MAX_VALUE;
 
-    private final Ward ward;
-    private final Places places;
-    private final Starts starts;
-    private final Crew crew;
+    private final QueueContext context;
+    private final InstanceSlots places;
+    private final PendingStarts starts;
+    private final InstancePool instances;
     private final Scaler scaler;
-    private final Desk desk;
-    private final Taking taking;
-    private final Spread spread;
-    private final Annex annex;
-    private final Holders holders;
+    private final SlotAllocator desk;
+    private final QueueTakeover taking;
+    private final ZoneSpread spread;
+    private final ZoneServiceQueue zoneQueue;
+    private final HeldSlotsRecovery holders;
     private String rootZone;
     private boolean withdrawn;
     private long noWarmUntil = Long.MIN_VALUE;
 
-    Seat(Ward ward, String rootZone, Nonces nonces, Forecast forecast, Map<String, Seat> seatOf, long now) {
-        this.ward = ward;
+    ServiceQueue(
+            QueueContext context,
+            String rootZone,
+            StartNonces nonces,
+            SlotForecast forecast,
+            Map<String, ServiceQueue> seatOf,
+            long now) {
+        this.context = context;
         this.rootZone = rootZone;
-        Laws laws = ward.laws;
-        places = new Places(laws.limit());
-        starts = new Starts(laws.scale(), ward.service(), ward.zone, nonces);
-        crew = new Crew(ward, places, starts, new Crew.Index() {
+        AdmissionParameters laws = context.laws;
+        places = new InstanceSlots(laws.limit());
+        starts = new PendingStarts(laws.scale(), context.service(), context.zone, nonces);
+        instances = new InstancePool(context, places, starts, new InstancePool.Index() {
             @Override
             public void added(String host) {
-                seatOf.put(host, Seat.this);
+                seatOf.put(host, ServiceQueue.this);
             }
 
             @Override
             public void removed(String host) {
-                seatOf.remove(host, Seat.this);
+                seatOf.remove(host, ServiceQueue.this);
             }
         });
-        Room room = new Room(laws.room());
-        scaler = new Scaler(ward, crew, starts, room, forecast, now);
-        taking = new Taking(laws.taking(), ward.service(), ward.zone, now);
-        holders = new Holders(ward, crew, places, taking);
-        desk = new Desk(ward, crew, scaler, places, room, taking);
-        spread = new Spread(laws.spread());
-        annex = new Annex(laws.spread());
+        NestedCallReserve room = new NestedCallReserve(laws.room());
+        scaler = new Scaler(context, instances, starts, room, forecast, now);
+        taking = new QueueTakeover(laws.taking(), context.service(), context.zone, now);
+        holders = new HeldSlotsRecovery(context, instances, places, taking);
+        desk = new SlotAllocator(context, instances, scaler, places, room, taking);
+        spread = new ZoneSpread(laws.spread());
+        zoneQueue = new ZoneServiceQueue(laws.spread());
     }
 
     String service() {
-        return ward.service();
+        return context.service();
     }
 
     String rootZone() {
         return rootZone;
     }
 
-    void change(Spec changed, String root) {
-        ward.spec = changed;
+    void change(ServiceSpec changed, String root) {
+        context.spec = changed;
         rootZone = root;
         withdrawn = false;
     }
@@ -90,28 +96,30 @@
 
     /** Withdrawn, and nothing is left to end. */
     boolean over() {
-        return withdrawn && crew.empty() && starts.open() == 0;
+        return withdrawn && instances.empty() && starts.open() == 0;
     }
 
     private boolean root() {
-        return ward.zone.equals(rootZone);
+        return context.zone.equals(rootZone);
     }
 
-    /** Hosts kept whatever happens: one at the root where a cold start cannot be hidden, unless others lack its memory. */
+    /**
+     * Hosts kept whatever happens: one at the root where a cold start cannot be hidden, unless others lack its memory.
+     */
     private int warm(long now) {
-        return !withdrawn && root() && ward.spec.slowToStart() && now >= noWarmUntil ? 1 : 0;
+        return !withdrawn && root() && context.spec.slowToStart() && now >= noWarmUntil ? 1 : 0;
     }
 
     private boolean closing(long now) {
-        return withdrawn || !root() && annex.closed(now);
+        return withdrawn || !root() && zoneQueue.closed(now);
     }
 
     /** An edge asks. The same ask again: the same answer. {@code stay}: to be served here whatever the demand. */
-    void ask(Ask ask, boolean stay, long now) {
-        Place known = places.find(ask.edge(), ask.id());
+    void ask(SlotRequest ask, boolean stay, long now) {
+        Slot known = places.find(ask.edge(), ask.id());
         if (known != null) {
             if (places.backFrom(known)) {
-                ward.out.grant(ask.edge(), new Grant(ask.id(), known.post.id, known.post.address, false));
+                context.out.grant(ask.edge(), new SlotGrant(ask.id(), known.post.id, known.post.address, false));
             }
             return;
         }
@@ -119,11 +127,11 @@
             return;
         }
         if (withdrawn) {
-            ward.refuse(ask, -1);
+            context.refuse(ask, -1);
             return;
         }
         if (stay) {
-            annex.serveAnyway();
+            zoneQueue.serveAnyway();
         } else if (sentAway(ask, now)) {
             return;
         }
@@ -131,27 +139,27 @@
         scale(now);
     }
 
-    private boolean sentAway(Ask ask, long now) {
-        int work = scaler.demand.workMs(ward.spec);
-        int boot = starts.bootMs(ward.spec);
+    private boolean sentAway(SlotRequest ask, long now) {
+        int work = scaler.demand.workMs(context.spec);
+        int boot = starts.bootMs(context.spec);
         String to = ask.zone();
         if (root()) {
-            if (to.equals(ward.zone) || !spread.away(ask, ward.spec, work, boot, now)) {
+            if (to.equals(context.zone) || !spread.away(ask, context.spec, work, boot, now)) {
                 return false;
             }
         } else {
-            double pays = Spread.pays(ward.laws.spread(), ward.spec, work);
-            if (!annex.away(crew.posts.anyUp(), scaler.demand.slowRate(now), pays, boot, now)) {
+            double pays = ZoneSpread.pays(context.laws.spread(), context.spec, work);
+            if (!zoneQueue.away(instances.posts.anyUp(), scaler.demand.slowRate(now), pays, boot, now)) {
                 return false;
             }
             to = rootZone;
             scale(now);
         }
-        ward.out.elsewhere(ask.edge(), new Elsewhere(ward.service(), ask.id(), to));
+        context.out.elsewhere(ask.edge(), new SlotRedirect(context.service(), ask.id(), to));
         return true;
     }
 
-    void done(String edge, Done done, long now) {
+    void done(String edge, SlotRelease done, long now) {
         holders.done(edge, done.askId());
         if (desk.done(edge, done, now)) {
             after(now);
@@ -159,17 +167,17 @@
     }
 
     /** A place at a host that is not known here (yet) has been given back. */
-    void doneEarly(String edge, Done done) {
+    void doneEarly(String edge, SlotRelease done) {
         holders.done(edge, done.askId());
     }
 
     void forget(String edge, long ask, long now) {
         holders.done(edge, ask);
-        Line.Waiter waiter = desk.line().find(edge, ask);
+        RequestQueue.Waiter waiter = desk.line().find(edge, ask);
         if (waiter != null) {
             desk.forget(waiter, now);
         }
-        Place place = places.find(edge, ask);
+        Slot place = places.find(edge, ask);
         if (place != null && !place.closed) {
             places.free(place, now);
             after(now);
@@ -183,28 +191,28 @@
         after(now);
     }
 
-    void held(Held held, long now) {
+    void held(HeldSlots held, long now) {
         holders.told(held, now);
         after(now);
     }
 
-    void hosts(Hosts hosts, long now) {
+    void hosts(InstanceList hosts, long now) {
         if (hosts.hosts().isEmpty() && !taking.isListed()) {
             desk.takenFirst();
         }
-        for (Host host : hosts.hosts()) {
-            crew.take(host, false, now);
+        for (InstanceInfo host : hosts.hosts()) {
+            instances.take(host, false, now);
         }
         holders.listed(now);
         after(now);
     }
 
-    void born(Born born, long now) {
-        crew.take(born.host(), starts.born(born.nonce()), now);
+    void born(InstanceStarted born, long now) {
+        instances.take(born.host(), starts.born(born.nonce()), now);
         after(now);
     }
 
-    boolean noRoom(NoRoom answer, long now) {
+    boolean noRoom(StartRefusal answer, long now) {
         if (!starts.noRoom(answer.nonce(), answer.comeBackMs(), now)) {
             return false;
         }
@@ -221,19 +229,19 @@
     }
 
     void leaving(String id, long now) {
-        if (crew.leaving(id, now)) {
+        if (instances.leaving(id, now)) {
             after(now);
         }
     }
 
     void gone(String id, long now) {
-        if (crew.gone(id, now)) {
+        if (instances.gone(id, now)) {
             after(now);
         }
     }
 
     void knocked(String id, boolean ok, long now) {
-        crew.knocked(id, ok, desk.line().size(), now);
+        instances.knocked(id, ok, desk.line().size(), now);
         after(now);
     }
 
@@ -246,18 +254,20 @@
         if (withdrawn || taking.unlisted(now)) {
             return;
         }
-        boolean wanted =
-                desk.line().size() > 0 || warm(now) > 0 || crew.replacing(now) || !root() && annex.warming(now);
+        boolean wanted = desk.line().size() > 0
+                || warm(now) > 0
+                || instances.replacing(now)
+                || !root() && zoneQueue.warming(now);
         scaler.scale(wanted ? 1 : 0, desk.pressing(now), now);
         scaler.relieve(desk.stalledCalls(now), desk.line().size(), now);
     }
 
     void tick(long now) {
-        taking.tick(ward.out, now);
+        taking.tick(context.out, now);
         holders.tick(now);
         places.expire(now);
-        starts.tick(desk.line().size(), ward.out, now);
-        crew.tick(now);
+        starts.tick(desk.line().size(), context.out, now);
+        instances.tick(now);
         after(now);
         if (!taking.unlisted(now)) {
             scaler.retire(warm(now), closing(now), now);
@@ -266,17 +276,17 @@
 
     long nextDue(long now) {
         long next = Math.min(taking.nextDue(now), Math.min(places.nextEnd(), starts.nextDue(now)));
-        next = Math.min(next, Math.min(crew.nextDue(now), scaler.nextDue(warm(now), closing(now), now)));
+        next = Math.min(next, Math.min(instances.nextDue(now), scaler.nextDue(warm(now), closing(now), now)));
         if (now < noWarmUntil) {
             next = Math.min(next, noWarmUntil);
         }
         return Math.min(next, desk.nextDue(now));
     }
 
-    List<Host> mine(long now) {
-        List<Host> mine = new ArrayList<>();
-        for (Post post : crew.posts.all()) {
-            mine.add(post.toHost(ward.service(), ward.zone, now));
+    List<InstanceInfo> mine(long now) {
+        List<InstanceInfo> mine = new ArrayList<>();
+        for (PooledInstance post : instances.posts.all()) {
+            mine.add(post.toHost(context.service(), context.zone, now));
         }
         return mine;
     }
--- a/src/main/java/brambletray/tray/home/Seats.java
+++ b/src/main/java/brambletray/platform/admission/ServiceQueues.java
@@ -1,14 +1,14 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.tale.Tale;
-import brambletray.tray.yard.Born;
-import brambletray.tray.yard.Gone;
-import brambletray.tray.yard.Host;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.Leaving;
-import brambletray.tray.yard.Mine;
-import brambletray.tray.yard.NoRoom;
-import brambletray.tray.yard.Reclaim;
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.provisioning.InstanceDraining;
+import brambletray.platform.provisioning.InstanceGone;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceStarted;
+import brambletray.platform.provisioning.KnownInstances;
+import brambletray.platform.provisioning.Reclaim;
+import brambletray.platform.provisioning.StartRefusal;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -21,33 +21,33 @@
  * thread. Seats that have nothing to do cost nothing: {@link #tick} touches only those that are due, {@link #nextDue}
  * tells when the next one is.
  */
-public final class Seats {
-    private static final Tale TALE = Tale.of("home");
+public final class ServiceQueues {
+    private static final EventLog LOG = EventLog.of("admission");
 
-    private record Due(long at, Seat seat) {}
+    private record Due(long at, ServiceQueue seat) {}
 
     private final String zone;
-    private final Laws laws;
-    private final Nonces nonces;
-    private final Out out;
-    private final Forecast forecast = new Forecast();
-    private final Map<String, Seat> seats = new HashMap<>();
-    private final Map<String, Seat> seatOf = new HashMap<>();
-    private final Map<String, Spec> specs = new HashMap<>();
+    private final AdmissionParameters laws;
+    private final StartNonces nonces;
+    private final AdmissionActions out;
+    private final SlotForecast forecast = new SlotForecast();
+    private final Map<String, ServiceQueue> seats = new HashMap<>();
+    private final Map<String, ServiceQueue> seatOf = new HashMap<>();
+    private final Map<String, ServiceSpec> specs = new HashMap<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
 
     /** {@code zone}: the seats' zone; {@code prefix}: of nonces, unique to node and life, at most 48 characters. */
-    public Seats(String zone, String prefix, Laws laws, Out out) {
+    public ServiceQueues(String zone, String prefix, AdmissionParameters laws, AdmissionActions out) {
         this.zone = zone;
         this.laws = laws;
-        this.nonces = new Nonces(prefix);
+        this.nonces = new StartNonces(prefix);
         this.out = out;
     }
 
     /** A service is there, or has changed. Its seat, where this edge has it, goes by the new figures from now on. */
-    public void spec(Spec spec, long now) {
-        Spec before = specs.put(spec.service(), spec);
-        Seat seat = seats.get(spec.service());
+    public void spec(ServiceSpec spec, long now) {
+        ServiceSpec before = specs.put(spec.service(), spec);
+        ServiceQueue seat = seats.get(spec.service());
         if (seat != null && !spec.equals(before)) {
             seat.change(spec, seat.rootZone());
             seat.tick(now);
@@ -58,7 +58,7 @@
     /** A service is no more: its seat ends its hosts as they become empty, and then is given up. */
     public void withdraw(String service, long now) {
         specs.remove(service);
-        Seat seat = seats.get(service);
+        ServiceQueue seat = seats.get(service);
         if (seat != null) {
             seat.withdraw(now);
             plan(seat, now);
@@ -71,13 +71,13 @@
      * seat that is held already only learns the root. Services unknown to {@link #spec} are left out.
      */
     public void take(String service, String rootZone, Collection<String> edges, long now) {
-        Spec spec = specs.get(service);
+        ServiceSpec spec = specs.get(service);
         if (spec == null) {
             return;
         }
-        Seat seat = seats.get(service);
+        ServiceQueue seat = seats.get(service);
         if (seat == null) {
-            seat = new Seat(new Ward(spec, zone, laws, out), rootZone, nonces, forecast, seatOf, now);
+            seat = new ServiceQueue(new QueueContext(spec, zone, laws, out), rootZone, nonces, forecast, seatOf, now);
             seat.expect(edges, now);
             seats.put(service, seat);
         } else if (seat.rootZone().equals(rootZone)) {
@@ -91,12 +91,12 @@
 
     /** Another edge is home now: nothing more is sent; those in line are to be asked anew there by their edges. */
     public void cede(String service, long now) {
-        Seat seat = seats.remove(service);
+        ServiceQueue seat = seats.remove(service);
         if (seat != null) {
             seat.scheduled = Long.MIN_VALUE;
             seatOf.values().removeIf(one -> one == seat);
             if (seat.waiting() > 0 || seat.heldPlaces() > 0) {
-                TALE.tell("ceded", "service", service, "held", seat.heldPlaces(), "waiting", seat.waiting());
+                LOG.tell("ceded", "service", service, "held", seat.heldPlaces(), "waiting", seat.waiting());
             }
         }
     }
@@ -113,8 +113,8 @@
     /**
      * An edge asks for a place; false where no seat of the service is held here. {@code stay}: it is to be served here
      * although another zone's seat might be better, as that one cannot be reached. */
-    public boolean ask(Ask ask, boolean stay, long now) {
-        Seat seat = seats.get(ask.service());
+    public boolean ask(SlotRequest ask, boolean stay, long now) {
+        ServiceQueue seat = seats.get(ask.service());
         if (seat == null) {
             return false;
         }
@@ -124,8 +124,8 @@
     }
 
     /** An edge gives a place back. */
-    public void done(String edge, Done done, long now) {
-        Seat seat = seatOf.get(done.host());
+    public void done(String edge, SlotRelease done, long now) {
+        ServiceQueue seat = seatOf.get(done.host());
         if (seat != null) {
             seat.done(edge, done, now);
             plan(seat, now);
@@ -135,8 +135,8 @@
     }
 
     /** An edge no longer waits for an ask's answer, and will not use a grant that is on its way. */
-    public void forget(String edge, Forget forget, long now) {
-        Seat seat = seats.get(forget.service());
+    public void forget(String edge, SlotRequestCancel forget, long now) {
+        ServiceQueue seat = seats.get(forget.service());
         if (seat != null) {
             seat.forget(edge, forget.askId(), now);
             plan(seat, now);
@@ -144,8 +144,8 @@
     }
 
     /** An edge tells what it holds (an empty list tells as well). */
-    public void held(Held held, long now) {
-        Seat seat = seats.get(held.service());
+    public void held(HeldSlots held, long now) {
+        ServiceQueue seat = seats.get(held.service());
         if (seat != null) {
             seat.held(held, now);
             plan(seat, now);
@@ -154,30 +154,31 @@
 
     /** An edge is gone, by the roster: its places are closed for a while, its asks leave the lines. */
     public void edgeGone(String edge, long now) {
-        for (Seat seat : seats.values()) {
+        for (ServiceQueue seat : seats.values()) {
             seat.edgeGone(edge, now);
             plan(seat, now);
         }
     }
 
-    public void hosts(Hosts hosts, long now) {
-        Seat seat = zone.equals(hosts.seat()) ? seats.get(hosts.service()) : null;
+    public void hosts(InstanceList hosts, long now) {
+        ServiceQueue seat = zone.equals(hosts.seat()) ? seats.get(hosts.service()) : null;
         if (seat != null) {
             seat.hosts(hosts, now);
             plan(seat, now);
         }
     }
 
-    public void born(Born born, long now) {
-        Seat seat = zone.equals(born.host().seat()) ? seats.get(born.host().service()) : null;
+    public void born(InstanceStarted born, long now) {
+        ServiceQueue seat =
+                zone.equals(born.host().seat()) ? seats.get(born.host().service()) : null;
         if (seat != null) {
             seat.born(born, now);
             plan(seat, now);
         }
     }
 
-    public void noRoom(NoRoom answer, long now) {
-        for (Seat seat : seats.values()) {
+    public void noRoom(StartRefusal answer, long now) {
+        for (ServiceQueue seat : seats.values()) {
             if (seat.noRoom(answer, now)) {
                 plan(seat, now);
                 return;
@@ -187,31 +188,31 @@
 
     /** No worker has room: instances that have been idle for so long end, that others may start. */
     public void reclaim(Reclaim reclaim, long now) {
-        for (Seat seat : seats.values()) {
+        for (ServiceQueue seat : seats.values()) {
             seat.reclaim(reclaim.idleMs(), now);
             plan(seat, now);
         }
     }
 
-    public void leaving(Leaving leaving, long now) {
-        Seat seat = seats.get(leaving.service());
+    public void leaving(InstanceDraining leaving, long now) {
+        ServiceQueue seat = seats.get(leaving.service());
         if (seat != null) {
             seat.leaving(leaving.id(), now);
             plan(seat, now);
         }
     }
 
-    public void gone(Gone gone, long now) {
-        Seat seat = seats.get(gone.service());
+    public void gone(InstanceGone gone, long now) {
+        ServiceQueue seat = seats.get(gone.service());
         if (seat != null) {
             seat.gone(gone.id(), now);
             plan(seat, now);
         }
     }
 
-    /** The answer to {@link Out#knock}: whether a connection came up. */
+    /** The answer to {@link AdmissionActions#knock}: whether a connection came up. */
     public void knocked(String hostId, boolean ok, long now) {
-        Seat seat = seatOf.get(hostId);
+        ServiceQueue seat = seatOf.get(hostId);
         if (seat != null) {
             seat.knocked(hostId, ok, now);
             plan(seat, now);
@@ -219,12 +220,12 @@
     }
 
     /** All hosts that these seats know, for a new hub. */
-    public Mine mine(long now) {
-        List<Host> all = new ArrayList<>();
-        for (Seat seat : seats.values()) {
+    public KnownInstances mine(long now) {
+        List<InstanceInfo> all = new ArrayList<>();
+        for (ServiceQueue seat : seats.values()) {
             all.addAll(seat.mine(now));
         }
-        return new Mine(all);
+        return new KnownInstances(all);
     }
 
     /** Does what is due. */
@@ -249,7 +250,7 @@
         return due == null ? Long.MAX_VALUE : due.at;
     }
 
-    private void plan(Seat seat, long now) {
+    private void plan(ServiceQueue seat, long now) {
         long at = Math.max(now + 1, seat.nextDue(now));
         if (at < seat.scheduled && at != Long.MAX_VALUE && at > Long.MIN_VALUE) {
             seat.scheduled = at;
--- a/src/main/java/brambletray/tray/home/Spec.java
+++ b/src/main/java/brambletray/platform/admission/ServiceSpec.java
@@ -1,15 +1,15 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * What a seat has to know of its service. {@code memoryMb}: of one host; {@code bootMs}: the average time of a start;
  * {@code most}: requests that one host may hold at a time ({@code max-concurrency}); {@code targetMs}: the smallest
  * target of the routes that lead here, 0 where none does.
  */
-public record Spec(String service, int memoryMb, int bootMs, int most, int targetMs) {
-    public Spec {
+public record ServiceSpec(String service, int memoryMb, int bootMs, int most, int targetMs) {
+    public ServiceSpec {
         if (most < 1 || memoryMb < 1 || bootMs < 0) {
-            throw new HomeFault(
-                    "home.spec",
+            throw new AdmissionException(
+                    "admission.spec",
                     "service " + service + ": memory-mb and max-concurrency of 1 or more, boot-ms of 0 or more",
                     null);
         }
--- a/src/main/java/brambletray/tray/home/Place.java
+++ b/src/main/java/brambletray/platform/admission/Slot.java
@@ -1,13 +1,13 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /** One place at a host, held by one ask of one edge. */
-final class Place {
+final class Slot {
     final String edge;
     final long ask;
     /** Held by a call of a host, as far as is known. */
     final boolean call;
 
-    final Post post;
+    final PooledInstance post;
     /** The end of the request's time, ms of the steady clock. */
     final long requestEnd;
     /** When the place is free again whatever happens. */
@@ -17,7 +17,7 @@
     /** Closed because its edge was taken for gone, which has not given it back. */
     boolean lost;
 
-    Place(String edge, long ask, boolean call, Post post, long requestEnd, long ends) {
+    Slot(String edge, long ask, boolean call, PooledInstance post, long requestEnd, long ends) {
         this.edge = edge;
         this.ask = ask;
         this.call = call;
--- a/src/main/java/brambletray/tray/home/Desk.java
+++ b/src/main/java/brambletray/platform/admission/SlotAllocator.java
@@ -1,36 +1,46 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
- * Gives out the places of a seat: at once, by the line, or not. What is said to an ask that finds no place free, P being the reckoned wait:
- * (a) P + work within the safe share of its target: it waits; (b) P within what a client heeds of its remaining time: it is refused at once,
- * with when to come back (served within its target from then on, it earns more than a late answer); (c) P + work within its time: it waits;
- * (d) it is refused at once. Calls of hosts, further tries and kinds that are behind their fair share are not sent away while they can wait:
+ * Gives out the places of a seat: at once, by the line, or not. What is said to an ask that finds no place free, P
+ * being the reckoned wait:
+ * (a) P + work within the safe share of its target: it waits; (b) P within what a client heeds of its remaining time:
+ * it is refused at once,
+ * with when to come back (served within its target from then on, it earns more than a late answer); (c) P + work within
+ * its time: it waits;
+ * (d) it is refused at once. Calls of hosts, further tries and kinds that are behind their fair share are not sent away
+ * while they can wait:
  * their callers don't come back, or would meet the same again.
  */
-final class Desk {
-    private final Ward ward;
-    private final Crew crew;
+final class SlotAllocator {
+    private final QueueContext context;
+    private final InstancePool instances;
     private final Scaler scaler;
-    private final Places places;
-    private final Room room;
-    private final Taking taking;
+    private final InstanceSlots places;
+    private final NestedCallReserve room;
+    private final QueueTakeover taking;
     private final FairShare shares = new FairShare();
-    private final Line line;
-    private final Budget budget;
-    private final Herd herd = new Herd();
+    private final RequestQueue line;
+    private final RetryBudget budget;
+    private final RefusedRequests herd = new RefusedRequests();
 
-    Desk(Ward ward, Crew crew, Scaler scaler, Places places, Room room, Taking taking) {
-        this.ward = ward;
-        this.crew = crew;
+    SlotAllocator(
+            QueueContext context,
+            InstancePool instances,
+            Scaler scaler,
+            InstanceSlots places,
+            NestedCallReserve room,
+            QueueTakeover taking) {
+        this.context = context;
+        this.instances = instances;
         this.scaler = scaler;
         this.places = places;
         this.room = room;
         this.taking = taking;
-        line = new Line(ward.laws.queue(), shares);
-        budget = new Budget(ward.laws.again());
+        line = new RequestQueue(context.laws.queue(), shares);
+        budget = new RetryBudget(context.laws.again());
     }
 
-    Line line() {
+    RequestQueue line() {
         return line;
     }
 
@@ -50,32 +60,32 @@
     }
 
     /** An ask that is to be answered here. */
-    void ask(Ask ask, long now) {
+    void ask(SlotRequest ask, long now) {
         boolean extra = ask.again() || ask.copy();
         note(ask, extra, now);
         if (extra && !budget.may(ask.copy(), now)) {
-            ward.refuse(ask, -1);
+            context.refuse(ask, -1);
             return;
         }
         if (taking.unlisted(now)) {
             if (ask.copy()) {
-                ward.refuse(ask, -1);
+                context.refuse(ask, -1);
             } else if (!join(ask, now)) {
                 refuse(ask, taking.waitMs(now), now);
             }
             return;
         }
-        Post post = free(ask, now);
+        PooledInstance post = free(ask, now);
         if (post != null) {
             grant(ask, ask.remainingMs(), post, now);
         } else if (ask.copy()) {
-            ward.refuse(ask, -1);
+            context.refuse(ask, -1);
         } else {
             decide(ask, extra, now);
         }
     }
 
-    private void note(Ask ask, boolean extra, long now) {
+    private void note(SlotRequest ask, boolean extra, long now) {
         if (ask.inner()) {
             room.inner(now);
         }
@@ -83,7 +93,7 @@
             if (!ask.inner()) {
                 budget.request(now);
             }
-            scaler.keeping.arrived(places.size() == 0 && line.size() == 0, now);
+            scaler.keepAlive.arrived(places.size() == 0 && line.size() == 0, now);
         }
         if (!ask.copy()) {
             scaler.demand.arrived(now);
@@ -91,9 +101,9 @@
     }
 
     /** Puts an ask into the queue; false where that is full of those that go before it. */
-    private boolean join(Ask ask, long now) {
+    private boolean join(SlotRequest ask, long now) {
         if (line.full()) {
-            Line.Waiter displaced = line.displace(ask, scaler.demand.workMs(ward.spec), now);
+            RequestQueue.Waiter displaced = line.displace(ask, scaler.demand.workMs(context.spec), now);
             if (displaced == null) {
                 return false;
             }
@@ -103,34 +113,36 @@
         return true;
     }
 
-    private void refuse(Ask ask, int comeBackMs, long now) {
+    private void refuse(SlotRequest ask, int comeBackMs, long now) {
         shares.lost(ask, now);
-        ward.refuse(ask, comeBackMs);
+        context.refuse(ask, comeBackMs);
     }
 
     /** An edge no longer waits for this one, whose time is mostly over. */
-    void forget(Line.Waiter waiter, long now) {
+    void forget(RequestQueue.Waiter waiter, long now) {
         line.remove(waiter);
         shares.lost(waiter.ask, now);
     }
 
     /**
-     * The host for an ask that may be granted now, or null. Plain requests leave the places kept for calls of hosts, copies a quarter of all. A
-     * kind that is behind its fair share only has to leave them to calls altogether, whether these use them now or not: calls may fill the service.
+     * The host for an ask that may be granted now, or null. Plain requests leave the places kept for calls of hosts,
+     * copies a quarter of all. A
+     * kind that is behind its fair share only has to leave them to calls altogether, whether these use them now or not:
+     * calls may fill the service.
      */
-    private Post free(Ask ask, long now) {
+    private PooledInstance free(SlotRequest ask, long now) {
         int total = scaler.working(now);
         int kept = ask.inner() ? 0 : room.kept(total, now);
         if (ask.copy()) {
             kept = Math.max(kept, room.fromCopies(total));
         }
-        if (kept > 0 && crew.posts.free(ward.most(), now) <= kept) {
+        if (kept > 0 && instances.posts.free(context.most(), now) <= kept) {
             boolean fair = !ask.copy() && shares.of(ask).isBehind() && behindMay(total, kept);
             if (!fair) {
                 return null;
             }
         }
-        return crew.posts.choose(ask, ward.most(), taking.blind(now), now);
+        return instances.posts.choose(ask, context.most(), taking.blind(now), now);
     }
 
     /** Whether requests of clients hold so few places that those kept for calls would stay theirs. */
@@ -138,20 +150,21 @@
         return places.ofClients() < total - kept;
     }
 
-    private void grant(Ask ask, long remainingMs, Post post, long now) {
+    private void grant(SlotRequest ask, long remainingMs, PooledInstance post, long now) {
         shares.served(ask, now);
         if (ask.again() || ask.copy()) {
             budget.spend(ask.copy(), now);
         }
         places.take(ask, post, remainingMs, now);
-        ward.out.grant(ask.edge(), new Grant(ask.id(), post.id, post.address, false));
+        context.out.grant(ask.edge(), new SlotGrant(ask.id(), post.id, post.address, false));
     }
 
-    private void decide(Ask ask, boolean extra, long now) {
-        Laws.Queue law = ward.laws.queue();
-        int work = scaler.demand.workMs(ward.spec);
+    private void decide(SlotRequest ask, boolean extra, long now) {
+        AdmissionParameters.Queue law = context.laws.queue();
+        int work = scaler.demand.workMs(context.spec);
         int wait = Math.max(
-                crew.posts.anyUnknown() ? taking.waitMs(now) : 0, scaler.waitMs(line.ahead(ask, work, now), herd, now));
+                instances.posts.anyUnknown() ? taking.waitMs(now) : 0,
+                scaler.waitMs(line.ahead(ask, work, now), herd, now));
         int target = ask.targetMs() > 0 ? ask.targetMs() : ask.remainingMs();
         // What goes before all others waits for one place only, whatever is reckoned from the rest.
         boolean first = ask.inner() || shares.of(ask).isBehind();
@@ -169,10 +182,11 @@
     }
 
     /**
-     * Calls of hosts that have waited for longer than a request takes, and no place has come back meanwhile: their parents may hold all of them.
+     * Calls of hosts that have waited for longer than a request takes, and no place has come back meanwhile: their
+     * parents may hold all of them.
      */
     int stalledCalls(long now) {
-        int work = scaler.demand.workMs(ward.spec);
+        int work = scaler.demand.workMs(context.spec);
         return now - places.lastBack() < work ? 0 : line.callsBefore(now - work);
     }
 
@@ -181,8 +195,8 @@
         if (line.size() == 0) {
             return;
         }
-        int work = scaler.demand.workMs(ward.spec);
-        for (Line.Waiter over = line.hopeless(work, now); over != null; over = line.hopeless(work, now)) {
+        int work = scaler.demand.workMs(context.spec);
+        for (RequestQueue.Waiter over = line.hopeless(work, now); over != null; over = line.hopeless(work, now)) {
             refuse(over.ask, -1, now);
         }
         if (taking.unlisted(now)) {
@@ -190,24 +204,24 @@
         }
         line.round();
         while (line.size() > 0) {
-            int free = crew.posts.free(ward.most(), now);
+            int free = instances.posts.free(context.most(), now);
             int total = scaler.working(now);
             int kept = room.kept(total, now);
-            if (free == 0 && ward.laws.choice().leaveMs() <= 0) {
+            if (free == 0 && context.laws.choice().leaveMs() <= 0) {
                 return;
             }
-            Line.Waiter first = line.next(kept > 0 && free <= kept, behindMay(total, kept), work, now);
+            RequestQueue.Waiter first = line.next(kept > 0 && free <= kept, behindMay(total, kept), work, now);
             if (first == null) {
                 return;
             }
-            Post post = free(first.ask, now);
+            PooledInstance post = free(first.ask, now);
             if (post == null) {
                 line.pass(first);
                 continue;
             }
             line.remove(first);
             if (first.ask.again() && !budget.may(false, now)) {
-                ward.refuse(first.ask, -1);
+                context.refuse(first.ask, -1);
             } else {
                 grant(first.ask, first.end - now, post, now);
             }
@@ -215,45 +229,47 @@
     }
 
     /** A place comes back; false where it is not out any more. */
-    boolean done(String edge, Done done, long now) {
-        Place place = places.find(edge, done.askId());
+    boolean done(String edge, SlotRelease done, long now) {
+        Slot place = places.find(edge, done.askId());
         if (place == null || place.closed || !place.post.id.equals(done.host())) {
             return false;
         }
-        Post post = place.post;
+        PooledInstance post = place.post;
         switch (done.fate()) {
             case SERVED, FAILED -> {
                 places.free(place, now);
                 scaler.demand.answered(done.tookMs());
             }
-            case CANCELLED, SILENT, BROKEN -> places.close(place, scaler.demand.tailMs(ward.spec), now);
+            case CANCELLED, SILENT, BROKEN -> places.close(place, scaler.demand.tailMs(context.spec), now);
             case NOT_RUN -> {
                 places.free(place, now);
-                post.fullUntil = now + ward.laws.limit().fullMs();
+                post.fullUntil = now + context.laws.limit().fullMs();
             }
             case WRONG_HOST, UNREACHED, UNUSED -> places.free(place, now);
         }
         switch (done.fate()) {
-            case UNREACHED -> crew.miss(post, now);
-            case WRONG_HOST -> crew.drop(post, "wrong host", now);
+            case UNREACHED -> instances.miss(post, now);
+            case WRONG_HOST -> instances.drop(post, "wrong host", now);
             case SILENT, BROKEN -> {
-                crew.posts.judge(post, done.fate(), done.tookMs(), now);
-                crew.doubt(post, now);
+                instances.posts.judge(post, done.fate(), done.tookMs(), now);
+                instances.doubt(post, now);
             }
-            default -> crew.posts.judge(post, done.fate(), done.tookMs(), now);
+            default -> instances.posts.judge(post, done.fate(), done.tookMs(), now);
         }
         return true;
     }
 
     /** Nothing will be served here any more. */
     void refuseAll() {
-        for (Line.Waiter waiter : line.all()) {
-            ward.refuse(waiter.ask, -1);
+        for (RequestQueue.Waiter waiter : line.all()) {
+            context.refuse(waiter.ask, -1);
         }
         line.all().clear();
     }
 
     long nextDue(long now) {
-        return line.size() == 0 ? Long.MAX_VALUE : Math.min(now + 100, line.nextEnd(scaler.demand.workMs(ward.spec)));
+        return line.size() == 0
+                ? Long.MAX_VALUE
+                : Math.min(now + 100, line.nextEnd(scaler.demand.workMs(context.spec)));
     }
 }
--- a/src/main/java/brambletray/tray/home/Demand.java
+++ b/src/main/java/brambletray/platform/admission/SlotDemand.java
@@ -1,22 +1,22 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * How many places a seat's traffic needs. Little: rate x answer time, where the rate goes up fast (the fast rate less
  * {@code sure} standard errors) and down slowly. Headroom: enough that the share e^-tail of requests waits longer than
  * the slack of the target, no more than k roots of the load, and {@code burst} of the load besides.
  */
-final class Demand {
-    private final Laws.Scale law;
-    private final Rate fast;
-    private final Rate slow;
-    private final Pace took = new Pace();
+final class SlotDemand {
+    private final AdmissionParameters.Scale law;
+    private final EventRate fast;
+    private final EventRate slow;
+    private final HedgeDelay took = new HedgeDelay();
     private double workMs;
     private int answers;
 
-    Demand(Laws.Scale law) {
+    SlotDemand(AdmissionParameters.Scale law) {
         this.law = law;
-        fast = new Rate(law.fastMs());
-        slow = new Rate(law.slowMs());
+        fast = new EventRate(law.fastMs());
+        slow = new EventRate(law.slowMs());
     }
 
     void arrived(long now) {
@@ -31,7 +31,7 @@
     }
 
     /** The mean time that a request holds a place, ms; before any is known a quarter of the target, 100 ms at most. */
-    int workMs(Spec spec) {
+    int workMs(ServiceSpec spec) {
         if (answers > 0) {
             return Math.max(1, (int) Math.ceil(workMs));
         }
@@ -39,7 +39,7 @@
     }
 
     /** The time within which nine in ten answers come, ms. */
-    int tailMs(Spec spec) {
+    int tailMs(ServiceSpec spec) {
         return took.percentile(0.9, 2 * workMs(spec));
     }
 
@@ -55,7 +55,7 @@
     }
 
     /** Places needed at a rate. */
-    double places(double rate, Spec spec) {
+    double places(double rate, ServiceSpec spec) {
         if (rate <= 0) {
             return 0;
         }
--- a/src/main/java/brambletray/tray/home/Forecast.java
+++ b/src/main/java/brambletray/platform/admission/SlotForecast.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import java.util.Arrays;
 
@@ -7,7 +7,7 @@
  * answer time; each start under way brings its places at the rest of its boot. Those told to come back count as ahead
  * of whom they will meet.
  */
-final class Forecast {
+final class SlotForecast {
     /** Never, ms. */
     static final int NEVER = Integer.MAX_VALUE / 4;
 
@@ -18,7 +18,7 @@
     private int most;
     private long now;
 
-    Forecast reset(int workingPlaces, int workMs, int most, long now) {
+    SlotForecast reset(int workingPlaces, int workMs, int most, long now) {
         starts = 0;
         working = workingPlaces;
         this.workMs = workMs;
--- /dev/null
+++ b/src/main/java/brambletray/platform/admission/SlotRefusal.java
@@ -0,0 +1,4 @@
+package brambletray.platform.admission;
+
+/** No place. {@code comeBackMs}: when to ask again; -1: not known. */
+public record SlotRefusal(long askId, int comeBackMs) {}
--- a/src/main/java/brambletray/tray/home/Forget.java
+++ b/src/main/java/brambletray/platform/admission/SlotRequestCancel.java
@@ -1,7 +1,7 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * An edge no longer waits for the answer to an ask: it leaves the line; a place granted meanwhile is given back, as
  * nothing was sent.
  */
-public record Forget(long askId, String service) {}
+public record SlotRequestCancel(long askId, String service) {}
--- a/src/main/java/brambletray/tray/home/Nonces.java
+++ b/src/main/java/brambletray/platform/admission/StartNonces.java
@@ -1,16 +1,17 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * Nonces of starts, unique by their prefix (node and life, given from outside) and a counter. At most 64 bytes, as the
  * platform wants.
  */
-final class Nonces {
+final class StartNonces {
     private final String prefix;
     private long counter;
 
-    Nonces(String prefix) {
+    StartNonces(String prefix) {
         if (prefix.length() > 48) {
-            throw new HomeFault("home.nonce", "a prefix of nonces has at most 48 characters: " + prefix, null);
+            throw new AdmissionException(
+                    "admission.nonce", "a prefix of nonces has at most 48 characters: " + prefix, null);
         }
         this.prefix = prefix;
     }
--- a/src/main/java/brambletray/tray/home/Annex.java
+++ b/src/main/java/brambletray/platform/admission/ZoneServiceQueue.java
@@ -1,17 +1,17 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 /**
  * The seat of a zone other than the root's. It serves while it has hosts that are up; while it has none, asks go back
  * to the root and a first host boots. When its demand has long been too low to pay for hosts of its own, it closes:
  * asks go back to the root, and its hosts end as they become empty.
  */
-final class Annex {
-    private final Laws.Spread law;
+final class ZoneServiceQueue {
+    private final AdmissionParameters.Spread law;
     private long lowSince = Long.MIN_VALUE;
     private long closedUntil = Long.MIN_VALUE;
     private long warmUntil = Long.MIN_VALUE;
 
-    Annex(Laws.Spread law) {
+    ZoneServiceQueue(AdmissionParameters.Spread law) {
         this.law = law;
     }
 
--- a/src/main/java/brambletray/tray/home/Spread.java
+++ b/src/main/java/brambletray/platform/admission/ZoneSpread.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -9,33 +9,33 @@
  * ask, and boots; the root serves the others until the boot must be over. An ask that comes back from a zone tells that
  * its seat is not open (any more).
  */
-final class Spread {
+final class ZoneSpread {
     private static final int RETURNS = 32;
 
     private static final class Zone {
-        final Rate rate = new Rate(2000);
+        final EventRate rate = new EventRate(2000);
         long aboveSince = Long.MIN_VALUE;
         boolean open;
         long warmAt;
     }
 
-    private final Laws.Spread law;
+    private final AdmissionParameters.Spread law;
     private final Map<String, Zone> zones = new HashMap<>();
     private final long[] sent = new long[RETURNS];
     private int sentAt;
 
-    Spread(Laws.Spread law) {
+    ZoneSpread(AdmissionParameters.Spread law) {
         this.law = law;
     }
 
     /** Requests per ms above which a zone pays for hosts of its own. */
-    static double pays(Laws.Spread law, Spec spec, int workMs) {
+    static double pays(AdmissionParameters.Spread law, ServiceSpec spec, int workMs) {
         double byPrice = law.crossGbS() <= 0 ? Double.MAX_VALUE : spec.memoryMb() / 1024.0 / law.crossGbS() / 1000;
         return Math.min(byPrice, (double) spec.most() / Math.max(1, workMs));
     }
 
     /** Whether an ask from {@code zone} is sent to that zone's seat. */
-    boolean away(Ask ask, Spec spec, int workMs, int bootMs, long now) {
+    boolean away(SlotRequest ask, ServiceSpec spec, int workMs, int bootMs, long now) {
         Zone zone = zones.computeIfAbsent(ask.zone(), z -> new Zone());
         if (!ask.copy() && !ask.again()) {
             zone.rate.add(now);
@@ -70,7 +70,7 @@
         return true;
     }
 
-    private static long key(Ask ask) {
+    private static long key(SlotRequest ask) {
         return ask.id() * 31 + ask.edge().hashCode() | 1;
     }
 }
--- /dev/null
+++ b/src/main/java/brambletray/platform/cli/CheckVerb.java
@@ -0,0 +1,67 @@
+package brambletray.platform.cli;
+
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.ConfigurationException;
+import brambletray.platform.settings.NodeSettings;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+
+/** Reads a settings file or a configuration as the programs do, and says what is wrong with it. */
+final class CheckVerb extends Verb {
+    /** What the file should be. */
+    enum Kind {
+        settings,
+        configuration
+    }
+
+    @Argument(index = 0, required = true, metaVar = "settings|configuration", usage = "what the file should be")
+    Kind kind;
+
+    @Argument(index = 1, required = true, metaVar = "FILE", usage = "the file")
+    Path file;
+
+    @Override
+    String purpose() {
+        return "says whether a settings file, or a whole configuration, can be used: file, field and what was expected";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) {
+        if (kind == Kind.settings) {
+            settings(out);
+        } else {
+            Configuration configuration = read(file);
+            out.println(file + ": revision " + configuration.revision() + ", "
+                    + configuration.routes().size() + " routes, "
+                    + configuration.services().size() + " services");
+        }
+        return OK;
+    }
+
+    private void settings(PrintStream out) {
+        NodeSettings nodeSettings = NodeSettings.read(file);
+        if (nodeSettings.control() != null) {
+            nodeSettings.need("data-dir", nodeSettings.dataDir());
+            nodeSettings.need("cloud-api.address", nodeSettings.platform().address());
+        } else {
+            nodeSettings.need("bind-addresses.front-end", nodeSettings.frontEnd());
+            nodeSettings.need("bind-addresses.readiness", nodeSettings.readiness());
+        }
+        nodeSettings.need("internal-port-range", nodeSettings.innerLow() == 0 ? null : nodeSettings.innerLow());
+        nodeSettings.need("seed-peers", nodeSettings.seeds().isEmpty() ? null : nodeSettings.seeds());
+        out.println(file + ": " + nodeSettings.node() + ", for "
+                + (nodeSettings.control() != null ? "controlplane" : "edge") + " at " + nodeSettings.ip() + " in "
+                + nodeSettings.zone() + ", " + nodeSettings.seeds().size() + " seeds");
+    }
+
+    /** {@link UsageException} with file, field and what was expected. */
+    static Configuration read(Path file) {
+        byte[] body = InputFiles.read(file);
+        try {
+            return Configuration.read(body);
+        } catch (ConfigurationException fault) {
+            throw new UsageException(file + ": " + fault.getMessage(), fault);
+        }
+    }
+}
--- a/src/main/java/brambletray/tray/verb/Configuration.java
+++ b/src/main/java/brambletray/platform/cli/ConfigurationVerbs.java
@@ -1,19 +1,19 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
-import brambletray.tray.lap.Json;
-import brambletray.tray.lap.LapFault;
-import brambletray.tray.lap.Operator;
+import brambletray.platform.localsystem.JsonValues;
+import brambletray.platform.localsystem.LocalSystemException;
+import brambletray.platform.localsystem.OperatorClient;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
 /** The verbs around the configuration. */
-final class Configuration {
-    private Configuration() {}
+final class ConfigurationVerbs {
+    private ConfigurationVerbs() {}
 
     /** Shows the newest. */
-    static final class Show extends Remote {
+    static final class Show extends RemoteVerb {
         @Override
         String purpose() {
             return "prints the newest configuration in full, as JSON";
@@ -28,16 +28,18 @@
         }
     }
 
-    private static byte[] body(Operator.Reply reply) {
+    private static byte[] body(OperatorClient.Reply reply) {
         if (reply.status() != 200) {
-            throw new LapFault(
-                    "refused", reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()), null);
+            throw new LocalSystemException(
+                    "refused",
+                    reply.from() + " answered " + reply.status() + ' ' + JsonValues.reason(reply.body()),
+                    null);
         }
         return reply.body();
     }
 
     /** Delivers a whole one, or a change. */
-    static final class Deliver extends Remote {
+    static final class Deliver extends RemoteVerb {
         private static final int INVALID = 400;
         private static final int TOO_LARGE = 413;
         private static final int UNFIT = 422;
@@ -67,17 +69,18 @@
         @Override
         int run(PrintStream out, PrintStream err) {
             if (verb.equals("replace")) {
-                Check.read(file);
+                CheckVerb.read(file);
             }
-            byte[] body = Files.read(file);
-            Operator operator = operator();
-            long on = base != null ? base : Json.number(Json.object(body(operator.show())), "revision");
-            Operator.Reply reply = operator.deliver(verb, on, body);
+            byte[] body = InputFiles.read(file);
+            OperatorClient operator = operator();
+            long on = base != null ? base : JsonValues.number(JsonValues.object(body(operator.show())), "revision");
+            OperatorClient.Reply reply = operator.deliver(verb, on, body);
             if (reply.status() == 200) {
                 out.println("taken by " + reply.from() + ", on top of revision " + on);
                 return OK;
             }
-            err.println(file + ": " + reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()));
+            err.println(
+                    file + ": " + reply.from() + " answered " + reply.status() + ' ' + JsonValues.reason(reply.body()));
             return reply.status() == INVALID || reply.status() == TOO_LARGE || reply.status() == UNFIT ? BAD : NO;
         }
     }
--- a/src/main/java/brambletray/tray/verb/DeclareDead.java
+++ b/src/main/java/brambletray/platform/cli/DeclareDead.java
@@ -1,15 +1,15 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
-import brambletray.tray.berth.Address;
-import brambletray.tray.lap.Json;
-import brambletray.tray.lap.Operator;
+import brambletray.platform.localsystem.JsonValues;
+import brambletray.platform.localsystem.OperatorClient;
+import brambletray.platform.settings.Address;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
 /** Orders one member to declare another's machine dead, with the life as confirmation. */
-final class DeclareDead extends Remote {
+final class DeclareDead extends RemoteVerb {
     private static final String AT = "/brambletray/system/dead/";
     private static final int ANSWER_MS = 10_000;
 
@@ -32,18 +32,19 @@
     int run(PrintStream out, PrintStream err) {
         Address target = address(dead);
         if (members().size() != 1) {
-            throw new UsageFault("--control: expected the one member that is to go on without it", null);
+            throw new UsageException("--control: expected the one member that is to go on without it", null);
         }
         if (!life.matches("[0-9a-f]{1,16}")) {
-            throw new UsageFault("--life: expected up to 16 hex digits, found '" + life + "'", null);
+            throw new UsageException("--life: expected up to 16 hex digits, found '" + life + "'", null);
         }
         byte[] confirmation = life.getBytes(StandardCharsets.UTF_8);
-        Operator.Reply reply = operator().order(members().get(0), AT + target, confirmation, ANSWER_MS);
+        OperatorClient.Reply reply = operator().order(members().get(0), AT + target, confirmation, ANSWER_MS);
         if (reply.status() == 200) {
             out.println(target + " counts as dead at " + reply.from());
             return OK;
         }
-        String reason = reply.status() == 0 ? "no answer; ask again" : reply.status() + " " + Json.reason(reply.body());
+        String reason =
+                reply.status() == 0 ? "no answer; ask again" : reply.status() + " " + JsonValues.reason(reply.body());
         err.println("declare-dead: " + reply.from() + ": " + reason);
         return NO;
     }
@@ -52,7 +53,7 @@
         try {
             return Address.parse(text);
         } catch (IllegalArgumentException e) {
-            throw new UsageFault("MEMBER: expected " + e.getMessage() + ", found '" + text + "'", e);
+            throw new UsageException("MEMBER: expected " + e.getMessage() + ", found '" + text + "'", e);
         }
     }
 }
--- a/src/main/java/brambletray/tray/verb/DrillVerb.java
+++ b/src/main/java/brambletray/platform/cli/DrillVerb.java
@@ -1,11 +1,11 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
+import brambletray.platform.drill.CourseReplay;
+import brambletray.platform.drill.DrillPlan;
+import brambletray.platform.drill.DrillReport;
+import brambletray.platform.drill.DrillRunner;
+import brambletray.platform.localsystem.JsonValues;
 import brambletray.runtime.Clock;
-import brambletray.tray.drill.CourseReplay;
-import brambletray.tray.drill.DrillPlan;
-import brambletray.tray.drill.DrillReport;
-import brambletray.tray.drill.DrillRunner;
-import brambletray.tray.lap.Json;
 import java.io.PrintStream;
 import java.util.Locale;
 import java.util.Map;
@@ -111,7 +111,7 @@
     }
 
     private static void printJson(PrintStream out, Map<String, Object> answer) {
-        byte[] bytes = Json.bytes(answer);
+        byte[] bytes = JsonValues.bytes(answer);
         out.write(bytes, 0, bytes.length);
         out.println();
     }
--- a/src/main/java/brambletray/tray/verb/Programs.java
+++ b/src/main/java/brambletray/platform/cli/ProgramLauncher.java
@@ -1,12 +1,12 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
+import brambletray.platform.controlplane.ControlPlaneProgram;
+import brambletray.platform.distribution.ProcessSignals;
+import brambletray.platform.edge.EdgeProgram;
+import brambletray.platform.errors.PlatformException;
+import brambletray.platform.logging.LogOutput;
+import brambletray.platform.settings.NodeSettings;
 import brambletray.runtime.Clock;
-import brambletray.tray.berth.Berth;
-import brambletray.tray.carry.Carry;
-import brambletray.tray.fault.Fault;
-import brambletray.tray.keep.Keep;
-import brambletray.tray.news.Signals;
-import brambletray.tray.tale.Tales;
 import java.io.PrintStream;
 import java.security.SecureRandom;
 import java.util.Arrays;
@@ -17,15 +17,15 @@
  * Starts one of the system's programs with the settings file that the environment names; 2 and one line on standard
  * error where it cannot.
  */
-public final class Programs {
-    private Programs() {}
+public final class ProgramLauncher {
+    private ProgramLauncher() {}
 
     /**
      * {@code system VERB ...}, {@code args} as they came: the programs are started here, with no class of the command
      * line loaded; all else is up to {@link Verbs}. Returns the exit code.
      */
     public static int system(String[] args, PrintStream out, PrintStream err) {
-        if (args.length == 2 && (args[1].equals("keep") || args[1].equals("carry"))) {
+        if (args.length == 2 && (args[1].equals("controlplane") || args[1].equals("edge"))) {
             return run(args[1]);
         }
         return Verbs.run(Arrays.copyOfRange(args, 1, args.length), out, err);
@@ -33,18 +33,18 @@
 
     /** {@code keep} or {@code carry}; returns only where it cannot start. */
     public static int run(String program) {
-        Signals.handle();
+        ProcessSignals.handle();
         try {
-            Berth berth = Berth.fromEnvironment();
+            NodeSettings nodeSettings = NodeSettings.fromEnvironment();
             Clock clock = Clock.system();
-            Tales.begin(berth.node(), java.util.logging.Level.INFO, () -> clock.micros() / 1_000);
+            LogOutput.begin(nodeSettings.node(), java.util.logging.Level.INFO, () -> clock.micros() / 1_000);
             SecureRandom random = new SecureRandom();
-            if (program.equals("keep")) {
-                Keep.begin(berth, random.nextLong() | 1, random.nextLong() | 1);
+            if (program.equals("controlplane")) {
+                ControlPlaneProgram.begin(nodeSettings, random.nextLong() | 1, random.nextLong() | 1);
             } else {
-                Carry.begin(berth, random.nextLong() >>> 1 | 1);
+                EdgeProgram.begin(nodeSettings, random.nextLong() >>> 1 | 1);
             }
-        } catch (Fault fault) {
+        } catch (PlatformException fault) {
             System.err.println(fault.getMessage());
             return 2;
         } catch (Exception e) {
--- a/src/main/java/brambletray/tray/verb/Remote.java
+++ b/src/main/java/brambletray/platform/cli/RemoteVerb.java
@@ -1,13 +1,13 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
-import brambletray.tray.berth.Address;
-import brambletray.tray.lap.Operator;
+import brambletray.platform.localsystem.OperatorClient;
+import brambletray.platform.settings.Address;
 import java.util.ArrayList;
 import java.util.List;
 import org.kohsuke.args4j.Option;
 
 /** A verb that calls members of the core. */
-abstract class Remote extends Verb {
+abstract class RemoteVerb extends Verb {
     private static final int LONGEST_S = 600;
 
     @Option(
@@ -20,23 +20,23 @@
     @Option(name = "--wait", metaVar = "S", usage = "seconds to try for a clear answer")
     int wait = 15;
 
-    /** {@link UsageFault} where one is none. */
+    /** {@link UsageException} where one is none. */
     final List<Address> members() {
         List<Address> members = new ArrayList<>();
         for (String one : control.split(",")) {
             try {
                 members.add(Address.parse(one.strip()));
             } catch (IllegalArgumentException e) {
-                throw new UsageFault("--control: expected " + e.getMessage() + ", found '" + one + "'", e);
+                throw new UsageException("--control: expected " + e.getMessage() + ", found '" + one + "'", e);
             }
         }
         return members;
     }
 
-    final Operator operator() {
+    final OperatorClient operator() {
         if (wait < 1 || wait > LONGEST_S) {
-            throw new UsageFault("--wait: expected seconds from 1 to " + LONGEST_S + ", found " + wait, null);
+            throw new UsageException("--wait: expected seconds from 1 to " + LONGEST_S + ", found " + wait, null);
         }
-        return new Operator(members(), wait * 1_000);
+        return new OperatorClient(members(), wait * 1_000);
     }
 }
--- a/src/main/java/brambletray/tray/verb/Look.java
+++ b/src/main/java/brambletray/platform/cli/StatusVerbs.java
@@ -1,12 +1,12 @@
-package brambletray.tray.verb;
-
-import brambletray.tray.berth.Address;
-import brambletray.tray.lap.Json;
-import brambletray.tray.lap.LapFault;
-import brambletray.tray.lap.Operator;
-import brambletray.tray.ring.Homes;
-import brambletray.tray.ring.Peer;
-import brambletray.tray.ring.Roster;
+package brambletray.platform.cli;
+
+import brambletray.platform.failuredetection.HomeAssignment;
+import brambletray.platform.failuredetection.Peer;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.localsystem.JsonValues;
+import brambletray.platform.localsystem.LocalSystemException;
+import brambletray.platform.localsystem.OperatorClient;
+import brambletray.platform.settings.Address;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -16,20 +16,20 @@
 import org.kohsuke.args4j.Option;
 
 /** The verbs that look at how the system stands, as a table or as JSON. */
-final class Look {
+final class StatusVerbs {
     private static final String AT = "/brambletray/system/";
     private static final int EACH_MS = 2_000;
 
-    private Look() {}
+    private StatusVerbs() {}
 
     /** One that prints. */
-    abstract static class Sight extends Remote {
+    abstract static class Sight extends RemoteVerb {
         @Option(name = "--json", usage = "prints JSON, as the members answer it")
         boolean json;
 
-        final void print(PrintStream out, Object answer, Table table) {
+        final void print(PrintStream out, Object answer, TextTable table) {
             if (json) {
-                byte[] bytes = Json.bytes(answer);
+                byte[] bytes = JsonValues.bytes(answer);
                 out.write(bytes, 0, bytes.length);
                 out.println();
             } else {
@@ -37,29 +37,31 @@
             }
         }
 
-        /** An answer of whoever knows; {@link LapFault} where there is none. */
+        /** An answer of whoever knows; {@link LocalSystemException} where there is none. */
         final Map<String, Object> get(String path) {
-            Operator.Reply reply = operator().get(path);
+            OperatorClient.Reply reply = operator().get(path);
             if (reply.status() != 200) {
-                throw new LapFault(
+                throw new LocalSystemException(
                         "refused",
-                        reply.from() + " answered " + reply.status() + ' ' + Json.reason(reply.body()),
+                        reply.from() + " answered " + reply.status() + ' ' + JsonValues.reason(reply.body()),
                         null);
             }
-            return Json.object(reply.body());
+            return JsonValues.object(reply.body());
         }
 
         /** What each of the members says of itself; null for one that says nothing. */
         final Map<String, Object> each(String path) {
-            Operator operator = operator();
-            Map<String, java.util.concurrent.CompletableFuture<Operator.Reply>> asked = new LinkedHashMap<>();
+            OperatorClient operator = operator();
+            Map<String, java.util.concurrent.CompletableFuture<OperatorClient.Reply>> asked = new LinkedHashMap<>();
             for (Address member : members()) {
                 asked.put(member.toString(), operator.ask(member, AT + path, EACH_MS));
             }
             Map<String, Object> answers = new LinkedHashMap<>();
             asked.forEach((member, reply) -> answers.put(
                     member,
-                    reply.join().status() == 200 ? Json.object(reply.join().body()) : null));
+                    reply.join().status() == 200
+                            ? JsonValues.object(reply.join().body())
+                            : null));
             return answers;
         }
     }
@@ -78,7 +80,7 @@
 
         @Override
         int run(PrintStream out, PrintStream err) {
-            Table table = new Table(
+            TextTable table = new TextTable(
                     "member", "node", "standing", "view", "in force", "members", "leader", "commit", "revision", "ill");
             int[] code = {OK};
             Map<String, Object> answers = each("views");
@@ -89,8 +91,8 @@
                     return;
                 }
                 Map<String, Object> one = object(answer);
-                List<String> names = Json.list(one, "members").stream()
-                        .map(other -> Json.text(other, "name"))
+                List<String> names = JsonValues.list(one, "members").stream()
+                        .map(other -> JsonValues.text(other, "name"))
                         .toList();
                 table.row(
                         member,
@@ -123,7 +125,7 @@
 
         @Override
         int run(PrintStream out, PrintStream err) {
-            Table table = new Table("member", "duty", "holder", "term", "known for s", "here");
+            TextTable table = new TextTable("member", "duty", "holder", "term", "known for s", "here");
             boolean[] held = new boolean[1];
             Map<String, Object> answers = each("duties");
             answers.forEach((member, answer) -> {
@@ -131,13 +133,13 @@
                     table.row(member, "-", "no answer");
                     return;
                 }
-                for (Map<String, Object> duty : Json.list(object(answer), "duties")) {
+                for (Map<String, Object> duty : JsonValues.list(object(answer), "duties")) {
                     table.row(
                             member,
                             duty.get("duty"),
                             duty.get("holder"),
                             duty.get("term"),
-                            Json.number(duty, "since-ms") / 1_000,
+                            JsonValues.number(duty, "since-ms") / 1_000,
                             duty.get("here"));
                     held[0] |= duty.get("holder") != null;
                 }
@@ -157,8 +159,8 @@
         @Override
         int run(PrintStream out, PrintStream err) {
             Map<String, Object> answer = get(AT + "edges");
-            Table table = new Table("edge", "zone", "address", "life", "state", "linked", "revision");
-            for (Map<String, Object> edge : Json.list(answer, "edges")) {
+            TextTable table = new TextTable("edge", "zone", "address", "life", "state", "linked", "revision");
+            for (Map<String, Object> edge : JsonValues.list(answer, "edges")) {
                 table.row(
                         edge.get("name"),
                         edge.get("zone"),
@@ -186,8 +188,8 @@
         @Override
         int run(PrintStream out, PrintStream err) {
             Map<String, Object> answer = get(AT + "hosts" + (service == null ? "" : '/' + service));
-            Table table = new Table("id", "service", "address", "zone", "seat", "worker", "state", "age s");
-            for (Map<String, Object> host : Json.list(answer, "hosts")) {
+            TextTable table = new TextTable("id", "service", "address", "zone", "seat", "worker", "state", "age s");
+            for (Map<String, Object> host : JsonValues.list(answer, "hosts")) {
                 table.row(
                         host.get("id"),
                         host.get("service"),
@@ -196,7 +198,7 @@
                         host.get("seat"),
                         host.get("worker"),
                         host.get("state"),
-                        Json.number(host, "age-ms") / 1_000);
+                        JsonValues.number(host, "age-ms") / 1_000);
             }
             print(out, answer, table);
             return OK;
@@ -216,21 +218,21 @@
         @Override
         int run(PrintStream out, PrintStream err) {
             List<Peer> peers = new ArrayList<>();
-            for (Map<String, Object> edge : Json.list(get(AT + "edges"), "edges")) {
+            for (Map<String, Object> edge : JsonValues.list(get(AT + "edges"), "edges")) {
                 peers.add(new Peer(
-                        Json.text(edge, "name"),
-                        Json.text(edge, "zone"),
-                        Json.text(edge, "address"),
+                        JsonValues.text(edge, "name"),
+                        JsonValues.text(edge, "zone"),
+                        JsonValues.text(edge, "address"),
                         0,
                         "in".equals(edge.get("state")) ? Peer.IN : Peer.LEAVING));
             }
-            Homes homes = new Homes(new Roster(1, 1, peers));
+            HomeAssignment homes = new HomeAssignment(new Roster(1, 1, peers));
             List<String> heads = new ArrayList<>(List.of("service"));
             heads.addAll(homes.zones());
-            Table table = new Table(heads.toArray(String[]::new));
+            TextTable table = new TextTable(heads.toArray(String[]::new));
             Map<String, Object> answer = new LinkedHashMap<>();
-            for (Map<String, Object> one : Json.list(get("/brambletray/configuration/show"), "services")) {
-                String name = Json.text(one, "name");
+            for (Map<String, Object> one : JsonValues.list(get("/brambletray/configuration/show"), "services")) {
+                String name = JsonValues.text(one, "name");
                 if (service == null || service.equals(name)) {
                     Map<String, Object> row = new LinkedHashMap<>();
                     List<Object> cells = new ArrayList<>(List.of(name));
--- a/src/main/java/brambletray/tray/verb/Table.java
+++ b/src/main/java/brambletray/platform/cli/TextTable.java
@@ -1,18 +1,18 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Columns as wide as what stands in them. */
-final class Table {
+final class TextTable {
     private final List<String[]> rows = new ArrayList<>();
 
-    Table(String... heads) {
+    TextTable(String... heads) {
         rows.add(heads);
     }
 
-    Table row(Object... cells) {
+    TextTable row(Object... cells) {
         String[] row = new String[rows.get(0).length];
         for (int i = 0; i < row.length; i++) {
             row[i] = i < cells.length && cells[i] != null ? cells[i].toString() : "-";
--- a/src/main/java/brambletray/tray/verb/UpVerb.java
+++ b/src/main/java/brambletray/platform/cli/UpVerb.java
@@ -1,7 +1,7 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
-import brambletray.tray.lap.Plan;
-import brambletray.tray.lap.Up;
+import brambletray.platform.localsystem.LocalRunPlan;
+import brambletray.platform.localsystem.LocalSystem;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -26,7 +26,7 @@
             name = "--kill",
             metaVar = "NAME@S",
             usage =
-                    "ends that process (keep-1, carry-2, ..., or helm: whoever holds it) at once in that second; may be given again")
+                    "ends that process (controlplane-1, edge-2, ..., or helm: whoever holds it) at once in that second; may be given again")
     List<String> kills = new ArrayList<>();
 
     @Option(
@@ -43,15 +43,16 @@
 
     @Override
     int run(PrintStream out, PrintStream err) {
-        List<Plan.Kill> plan = new ArrayList<>();
+        List<LocalRunPlan.Kill> plan = new ArrayList<>();
         for (String kill : kills) {
             int at = kill.lastIndexOf('@');
             try {
-                plan.add(new Plan.Kill(kill.substring(0, Math.max(0, at)), Integer.parseInt(kill.substring(at + 1))));
+                plan.add(new LocalRunPlan.Kill(
+                        kill.substring(0, Math.max(0, at)), Integer.parseInt(kill.substring(at + 1))));
             } catch (NumberFormatException e) {
-                throw new UsageFault("--kill: expected NAME@S such as carry-1@5, found '" + kill + "'", e);
+                throw new UsageException("--kill: expected NAME@S such as edge-1@5, found '" + kill + "'", e);
             }
         }
-        return Up.run(new Plan(cores, edges, seconds, rate, plan, dir), out);
+        return LocalSystem.run(new LocalRunPlan(cores, edges, seconds, rate, plan, dir), out);
     }
 }
--- a/src/main/java/brambletray/tray/verb/Verb.java
+++ b/src/main/java/brambletray/platform/cli/Verb.java
@@ -1,4 +1,4 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
 import java.io.PrintStream;
 import org.kohsuke.args4j.Option;
@@ -17,6 +17,6 @@
     /** One line: what it does. */
     abstract String purpose();
 
-    /** Does it; the exit code. {@link UsageFault} for input that can't be used. */
+    /** Does it; the exit code. {@link UsageException} for input that can't be used. */
     abstract int run(PrintStream out, PrintStream err);
 }
--- a/src/main/java/brambletray/tray/verb/Verbs.java
+++ b/src/main/java/brambletray/platform/cli/Verbs.java
@@ -1,7 +1,7 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
-import brambletray.tray.fault.Fault;
-import brambletray.tray.lap.LapFault;
+import brambletray.platform.errors.PlatformException;
+import brambletray.platform.localsystem.LocalSystemException;
 import java.io.PrintStream;
 import java.io.StringWriter;
 import java.util.Arrays;
@@ -24,15 +24,15 @@
     private static final Map<String, Supplier<Verb>> TABLE = new LinkedHashMap<>();
 
     static {
-        TABLE.put("check", Check::new);
-        TABLE.put("show", Configuration.Show::new);
-        TABLE.put("replace", () -> new Configuration.Deliver("replace"));
-        TABLE.put("modify", () -> new Configuration.Deliver("modify"));
-        TABLE.put("views", Look.Views::new);
-        TABLE.put("duties", Look.Duties::new);
-        TABLE.put("edges", Look.Edges::new);
-        TABLE.put("hosts", Look.Hosts::new);
-        TABLE.put("homes", Look.Seats::new);
+        TABLE.put("check", CheckVerb::new);
+        TABLE.put("show", ConfigurationVerbs.Show::new);
+        TABLE.put("replace", () -> new ConfigurationVerbs.Deliver("replace"));
+        TABLE.put("modify", () -> new ConfigurationVerbs.Deliver("modify"));
+        TABLE.put("views", StatusVerbs.Views::new);
+        TABLE.put("duties", StatusVerbs.Duties::new);
+        TABLE.put("edges", StatusVerbs.Edges::new);
+        TABLE.put("hosts", StatusVerbs.Hosts::new);
+        TABLE.put("homes", StatusVerbs.Seats::new);
         TABLE.put("declare-dead", DeclareDead::new);
         TABLE.put("up", UpVerb::new);
         TABLE.put("drill", DrillVerb::new);
@@ -48,8 +48,8 @@
         }
         Supplier<Verb> made = TABLE.get(args[0]);
         if (made == null) {
-            err.println(
-                    "system: expected one of keep, carry, " + String.join(", ", TABLE.keySet()) + "; found " + args[0]);
+            err.println("system: expected one of controlplane, edge, " + String.join(", ", TABLE.keySet()) + "; found "
+                    + args[0]);
             return Verb.BAD;
         }
         Verb verb = made.get();
@@ -65,9 +65,11 @@
         } catch (CmdLineException e) {
             err.println(args[0] + ": " + line(e.getMessage()) + "; see 'system " + args[0] + " --help'");
             return Verb.BAD;
-        } catch (Fault fault) {
+        } catch (PlatformException fault) {
             err.println(args[0] + ": " + line(fault.getMessage()));
-            return fault instanceof LapFault && !fault.code().equals("lap.bad-plan") ? Verb.NO : Verb.BAD;
+            return fault instanceof LocalSystemException && !fault.code().equals("localsystem.bad-plan")
+                    ? Verb.NO
+                    : Verb.BAD;
         }
     }
 
--- a/src/main/java/brambletray/tray/verb/package-info.java
+++ b/src/main/java/brambletray/platform/cli/package-info.java
@@ -1,2 +1,2 @@
 /** The command line of the system, {@code system VERB ...}, and the start of its programs, which load none of it. */
-package brambletray.tray.verb;
+package brambletray.platform.cli;
--- a/src/main/java/brambletray/tray/creed/History.java
+++ b/src/main/java/brambletray/platform/configuration/ChangeHistory.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,28 +13,28 @@
  * since, and no more. Only names are kept: the entries themselves are the current one's. Each member follows along, so
  * that a new holder of the duty can go on. Pure; one thread.
  */
-public final class History {
+public final class ChangeHistory {
     /** Versions that are remembered, and names that these touched together; beyond either the oldest are forgotten. */
     static final int VERSIONS = 4_096;
 
     static final int NAMES = 65_536;
 
-    private record Step(long from, Set<Parts.Key> touched) {}
+    private record Step(long from, Set<ConfigurationDocument.Key> touched) {}
 
     private final ArrayDeque<Step> steps = new ArrayDeque<>();
     private int names;
-    private Creed current = Creed.NONE;
+    private Configuration current = Configuration.NONE;
 
-    public Creed current() {
+    public Configuration current() {
         return current;
     }
 
     /** This one is in force from here on; what came in between, if anything did, is taken as one step. */
-    public void become(Creed next) {
+    public void become(Configuration next) {
         if (next.revision() <= current.revision()) {
             return;
         }
-        if (current != Creed.NONE) {
+        if (current != Configuration.NONE) {
             Step step = new Step(current.revision(), next.changedSince(current));
             steps.add(step);
             names += step.touched.size();
@@ -51,9 +51,9 @@
     }
 
     /** From this revision to the current one; null: it isn't remembered, or the whole is no larger. */
-    public Delta since(long base) {
-        Set<Parts.Key> touched =
-                new TreeSet<>(Comparator.comparing(Parts.Key::table).thenComparing(Parts.Key::name));
+    public ConfigurationDelta since(long base) {
+        Set<ConfigurationDocument.Key> touched = new TreeSet<>(
+                Comparator.comparing(ConfigurationDocument.Key::table).thenComparing(ConfigurationDocument.Key::name));
         long from = current.revision();
         for (Iterator<Step> back = steps.descendingIterator(); from != base && back.hasNext(); ) {
             Step step = back.next();
@@ -65,17 +65,18 @@
                 || touched.size() > current.routes().size() + current.services().size()) {
             return null;
         }
-        List<Delta.Entry> entries = new ArrayList<>(touched.size());
-        for (Parts.Key key : touched) {
-            entries.add(new Delta.Entry(key.table(), key.name(), current.entry(key)));
+        List<ConfigurationDelta.Entry> entries = new ArrayList<>(touched.size());
+        for (ConfigurationDocument.Key key : touched) {
+            entries.add(new ConfigurationDelta.Entry(key.table(), key.name(), current.entry(key)));
         }
-        return new Delta(base, current.revision(), current.digest(), entries);
+        return new ConfigurationDelta(base, current.revision(), current.digest(), entries);
     }
 
     /** The whole of the current one, for who has none that is remembered. */
-    public Delta whole() {
-        List<Delta.Entry> entries = new ArrayList<>();
-        current.entries().forEach((key, body) -> entries.add(new Delta.Entry(key.table(), key.name(), body)));
-        return new Delta(0, current.revision(), current.digest(), entries);
+    public ConfigurationDelta whole() {
+        List<ConfigurationDelta.Entry> entries = new ArrayList<>();
+        current.entries()
+                .forEach((key, body) -> entries.add(new ConfigurationDelta.Entry(key.table(), key.name(), body)));
+        return new ConfigurationDelta(0, current.revision(), current.digest(), entries);
     }
 }
--- a/src/main/java/brambletray/tray/creed/Verb.java
+++ b/src/main/java/brambletray/platform/configuration/ChangeKind.java
@@ -1,7 +1,7 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 /** How a body changes the configuration. */
-public enum Verb {
+public enum ChangeKind {
     /** The body is the whole of the next one. */
     REPLACE,
     /** The body names items to set and to remove. */
--- a/src/main/java/brambletray/tray/creed/Limits.java
+++ b/src/main/java/brambletray/platform/configuration/ClientLimits.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 /**
  * What a client may send and how long it may take.
@@ -8,12 +8,12 @@
  * @param headerMs until the headers have come
  * @param idleMs without a request
  */
-public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
+public record ClientLimits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
     /** Where a configuration states none. */
-    static final Limits USUAL = new Limits(16_384, 262_144, 3_000, 15_000);
+    static final ClientLimits USUAL = new ClientLimits(16_384, 262_144, 3_000, 15_000);
 
-    static Limits from(Fields in) {
-        return new Limits(
+    static ClientLimits from(JsonFields in) {
+        return new ClientLimits(
                 in.whole("max-header-bytes", 1, USUAL.headerBytes),
                 in.whole("max-body-bytes", 0, USUAL.bodyBytes),
                 in.whole("header-timeout-ms", 1, USUAL.headerMs),
--- a/src/main/java/brambletray/tray/creed/Creed.java
+++ b/src/main/java/brambletray/platform/configuration/Configuration.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.util.Collections;
 import java.util.HashSet;
@@ -12,9 +12,10 @@
  * A configuration in full: valid, never changed, of one revision (page PROTOCOL, The operator). What isn't understood
  * in it is kept and shown. Safe to be read by any thread.
  */
-public final class Creed {
+public final class Configuration {
     /** Revision 0: nothing is routed. The first configuration builds on it. */
-    public static final Creed NONE = new Creed(0, Map.of(), Map.of(), Limits.USUAL, new Parts());
+    public static final Configuration NONE =
+            new Configuration(0, Map.of(), Map.of(), ClientLimits.USUAL, new ConfigurationDocument());
 
     private static final String REVISION = "revision";
     private static final String LIMITS = "limits";
@@ -22,65 +23,71 @@
     private final long revision;
     private final Map<String, Route> routes;
     private final Map<String, Service> services;
-    private final Limits limits;
-    private final Places places;
-    private final Parts parts;
+    private final ClientLimits limits;
+    private final RouteTable places;
+    private final ConfigurationDocument parts;
     /** Over all entries; 0: not counted yet. Two threads that count it at once find the same. */
     private long sum;
 
-    private Creed(long revision, Map<String, Route> routes, Map<String, Service> services, Limits limits, Parts parts) {
+    private Configuration(
+            long revision,
+            Map<String, Route> routes,
+            Map<String, Service> services,
+            ClientLimits limits,
+            ConfigurationDocument parts) {
         this.revision = revision;
         this.routes = Collections.unmodifiableMap(routes);
         this.services = Collections.unmodifiableMap(services);
         this.limits = limits;
         this.parts = parts;
-        if (parts.size() > CreedJson.LARGEST) {
-            throw CreedJson.tooLarge(parts.size());
+        if (parts.size() > ConfigurationJson.LARGEST) {
+            throw ConfigurationJson.tooLarge(parts.size());
         }
         for (Route route : routes.values()) {
             for (int i = 0; i < route.shares().size(); i++) {
                 String service = route.shares().get(i).service();
                 if (!services.containsKey(service)) {
-                    throw new CreedFault(
+                    throw new ConfigurationException(
                             "unknown-service",
-                            "routes[" + CreedJson.brief(route.name()) + "].service",
-                            "expected a service of the configuration, found " + CreedJson.brief(service));
+                            "routes[" + ConfigurationJson.brief(route.name()) + "].service",
+                            "expected a service of the configuration, found " + ConfigurationJson.brief(service));
                 }
             }
         }
-        places = new Places(routes.values());
+        places = new RouteTable(routes.values());
     }
 
     /**
-     * The body of a replacement; {@link CreedFault} where it is invalid. Whether its revision is above another's says
+     * The body of a replacement; {@link ConfigurationException} where it is invalid. Whether its revision is above
+     * another's says
      * {@link #after}.
      */
-    public static Creed read(byte[] body) {
-        Fields in = Fields.from("", CreedJson.read(body).plain());
+    public static Configuration read(byte[] body) {
+        JsonFields in = JsonFields.from("", ConfigurationJson.read(body).plain());
         long revision = in.number(REVISION, 1, Long.MAX_VALUE);
-        for (String table : List.of(Parts.ROUTES, Parts.SERVICES)) {
+        for (String table : List.of(ConfigurationDocument.ROUTES, ConfigurationDocument.SERVICES)) {
             if (!in.has(table)) {
                 throw in.fault("missing", table, "expected a list, is missing");
             }
         }
-        Parts parts = new Parts();
+        ConfigurationDocument parts = new ConfigurationDocument();
         for (String field : in.names()) {
             if (!field.equals(REVISION)) {
                 parts.put(field, in.raw(field), body);
             }
         }
-        return new Creed(
+        return new Configuration(
                 revision,
                 routes(in, new LinkedHashMap<>()),
                 services(in, new LinkedHashMap<>()),
-                in.has(LIMITS) ? Limits.from(in.below(LIMITS)) : Limits.USUAL,
+                in.has(LIMITS) ? ClientLimits.from(in.below(LIMITS)) : ClientLimits.USUAL,
                 parts);
     }
 
-    /** This one, if its revision is above the current one's; else {@link CreedFault}. */
-    public Creed after(Creed current) {
+    /** This one, if its revision is above the current one's; else {@link ConfigurationException}. */
+    public Configuration after(Configuration current) {
         if (revision <= current.revision) {
-            throw new CreedFault(
+            throw new ConfigurationException(
                     "old-revision",
                     REVISION,
                     "expected more than the current " + current.revision + ", found " + revision);
@@ -91,41 +98,46 @@
     /**
      * This one with named items added, replaced ({@code upsert}) and removed ({@code withdraw}); fields of
      * {@code upsert} that hold no items, as limits, are replaced, those of an object one by one. A name to remove that
-     * isn't there is gone already. {@link CreedFault} where the change is invalid, or what would become of it.
+     * isn't there is gone already. {@link ConfigurationException} where the change is invalid, or what would become of
+     * it.
      */
-    public Creed modify(byte[] body) {
-        Fields in = Fields.from("", CreedJson.read(body).plain());
+    public Configuration modify(byte[] body) {
+        JsonFields in = JsonFields.from("", ConfigurationJson.read(body).plain());
         long next = in.number(REVISION, 1, Long.MAX_VALUE);
-        Parts changed = parts.copy();
+        ConfigurationDocument changed = parts.copy();
         Map<String, Route> nextRoutes = new LinkedHashMap<>(routes);
         Map<String, Service> nextServices = new LinkedHashMap<>(services);
-        Limits nextLimits = limits;
+        ClientLimits nextLimits = limits;
         Set<String> set = new HashSet<>();
         if (in.has("upsert")) {
-            Fields upsert = in.below("upsert");
+            JsonFields upsert = in.below("upsert");
             routes(upsert, nextRoutes);
             services(upsert, nextServices);
             for (String field : upsert.names()) {
                 if (upsert.has(field)) {
                     changed.put(field, upsert.raw(field), body);
-                    set.addAll(Parts.names(field, upsert.value(field)));
+                    set.addAll(ConfigurationDocument.names(field, upsert.value(field)));
                 }
             }
             if (upsert.has(LIMITS)) {
-                nextLimits = Limits.from(Fields.from(
-                        LIMITS, CreedJson.read(changed.field(LIMITS)).plain()));
+                nextLimits = ClientLimits.from(JsonFields.from(
+                        LIMITS, ConfigurationJson.read(changed.field(LIMITS)).plain()));
             }
         }
         if (in.has("withdraw")) {
             withdraw(in.below("withdraw"), set, changed, nextRoutes, nextServices);
         }
-        return new Creed(next, nextRoutes, nextServices, nextLimits, changed).after(this);
+        return new Configuration(next, nextRoutes, nextServices, nextLimits, changed).after(this);
     }
 
     private static void withdraw(
-            Fields in, Set<String> set, Parts changed, Map<String, Route> routes, Map<String, Service> services) {
+            JsonFields in,
+            Set<String> set,
+            ConfigurationDocument changed,
+            Map<String, Route> routes,
+            Map<String, Service> services) {
         for (String table : in.names()) {
-            List<CreedJson.Value> names = in.list(table);
+            List<ConfigurationJson.Value> names = in.list(table);
             for (int i = 0; names != null && i < names.size(); i++) {
                 if (!(names.get(i).plain() instanceof String name)) {
                     throw in.fault("wrong-type", table + '[' + i + ']', "expected a name");
@@ -134,12 +146,12 @@
                     throw in.fault(
                             "ambiguous",
                             table + '[' + i + ']',
-                            "expected a name that isn't in upsert too, found " + CreedJson.brief(name));
+                            "expected a name that isn't in upsert too, found " + ConfigurationJson.brief(name));
                 }
                 changed.remove(table, name);
-                if (table.equals(Parts.ROUTES)) {
+                if (table.equals(ConfigurationDocument.ROUTES)) {
                     routes.remove(name);
-                } else if (table.equals(Parts.SERVICES)) {
+                } else if (table.equals(ConfigurationDocument.SERVICES)) {
                     services.remove(name);
                 }
             }
@@ -147,75 +159,82 @@
     }
 
     /** Adds the routes of this object to those known; each of them once. */
-    private static Map<String, Route> routes(Fields in, Map<String, Route> into) {
+    private static Map<String, Route> routes(JsonFields in, Map<String, Route> into) {
         Set<String> seen = new HashSet<>();
-        for (CreedJson.Value item : items(in, Parts.ROUTES)) {
-            Route route = Route.from(Fields.from(Parts.ROUTES + '[' + seen.size() + ']', item.plain()));
-            once(seen, Parts.ROUTES, route.name());
+        for (ConfigurationJson.Value item : items(in, ConfigurationDocument.ROUTES)) {
+            Route route =
+                    Route.from(JsonFields.from(ConfigurationDocument.ROUTES + '[' + seen.size() + ']', item.plain()));
+            once(seen, ConfigurationDocument.ROUTES, route.name());
             into.put(route.name(), route);
         }
         return into;
     }
 
-    private static Map<String, Service> services(Fields in, Map<String, Service> into) {
+    private static Map<String, Service> services(JsonFields in, Map<String, Service> into) {
         Set<String> seen = new HashSet<>();
-        for (CreedJson.Value item : items(in, Parts.SERVICES)) {
-            Service service = Service.from(Fields.from(Parts.SERVICES + '[' + seen.size() + ']', item.plain()));
-            once(seen, Parts.SERVICES, service.name());
+        for (ConfigurationJson.Value item : items(in, ConfigurationDocument.SERVICES)) {
+            Service service = Service.from(
+                    JsonFields.from(ConfigurationDocument.SERVICES + '[' + seen.size() + ']', item.plain()));
+            once(seen, ConfigurationDocument.SERVICES, service.name());
             into.put(service.name(), service);
         }
         return into;
     }
 
-    private static List<CreedJson.Value> items(Fields in, String table) {
-        List<CreedJson.Value> items = in.list(table);
+    private static List<ConfigurationJson.Value> items(JsonFields in, String table) {
+        List<ConfigurationJson.Value> items = in.list(table);
         return items == null ? List.of() : items;
     }
 
     private static void once(Set<String> seen, String table, String name) {
         if (!seen.add(name)) {
-            throw new CreedFault(
-                    "duplicate-name", table + '[' + CreedJson.brief(name) + "].name", "expected each name once");
+            throw new ConfigurationException(
+                    "duplicate-name",
+                    table + '[' + ConfigurationJson.brief(name) + "].name",
+                    "expected each name once");
         }
     }
 
     /**
-     * This one with a taken change ({@link Verdict.Fine#change}) on top, for those who follow: far smaller than the
-     * whole. {@link CreedFault} {@code creed.stale} where the change builds on another revision: ask for the whole
+     * This one with a taken change ({@link ChangeDecision.Fine#change}) on top, for those who follow: far smaller than
+     * the
+     * whole. {@link ConfigurationException} {@code creed.stale} where the change builds on another revision: ask for
+     * the whole
      * then.
      */
-    public Creed apply(byte[] change) {
-        return Change.from(change).on(this);
+    public Configuration apply(byte[] change) {
+        return ConfigurationChange.from(change).on(this);
     }
 
     /** {@link #json} packed, for a slow or dear link. */
     public byte[] packed() {
-        return Packing.pack(json());
+        return DeltaCompression.pack(json());
     }
 
-    /** From {@link #packed}; {@link CreedFault}. */
-    public static Creed unpack(byte[] packed) {
-        return read(Packing.unpack(packed));
+    /** From {@link #packed}; {@link ConfigurationException}. */
+    public static Configuration unpack(byte[] packed) {
+        return read(DeltaCompression.unpack(packed));
     }
 
     /**
      * This one with a difference on top, entry by entry; one of base 0 holds a whole configuration and is put on
-     * nothing. {@link CreedFault} {@code creed.stale} where it builds on another revision, {@code creed.not-newer}
+     * nothing. {@link ConfigurationException} {@code creed.stale} where it builds on another revision, {@code
+     * creed.not-newer}
      * where it leads to no later one, {@code creed.digest} where the result isn't what the sender has, and the other
      * codes where an entry can't be read: ask for the whole then.
      */
-    public Creed apply(Delta delta) {
+    public Configuration apply(ConfigurationDelta delta) {
         if (delta.base() != 0 && delta.base() != revision) {
-            throw new CreedFault(
+            throw new ConfigurationException(
                     "stale", "", "expected a difference from " + revision + ", found one from " + delta.base());
         }
         if (delta.revision() <= revision) {
-            throw new CreedFault(
+            throw new ConfigurationException(
                     "not-newer", "", "expected a revision above " + revision + ", found " + delta.revision());
         }
-        Creed next = delta.base() == 0 ? NONE.with(delta) : with(delta);
+        Configuration next = delta.base() == 0 ? NONE.with(delta) : with(delta);
         if (next.digest() != delta.digest()) {
-            throw new CreedFault(
+            throw new ConfigurationException(
                     "digest",
                     "",
                     "expected the digest " + Long.toHexString(delta.digest()) + " of revision " + delta.revision()
@@ -224,43 +243,44 @@
         return next;
     }
 
-    private Creed with(Delta delta) {
-        Parts changed = parts.copy();
+    private Configuration with(ConfigurationDelta delta) {
+        ConfigurationDocument changed = parts.copy();
         Map<String, Route> nextRoutes = new LinkedHashMap<>(routes);
         Map<String, Service> nextServices = new LinkedHashMap<>(services);
         long nextSum = sum();
-        for (Delta.Entry entry : delta.entries()) {
-            nextSum +=
-                    Digest.of(entry) - Digest.of(entry.table(), entry.name(), parts.entry(entry.table(), entry.name()));
+        for (ConfigurationDelta.Entry entry : delta.entries()) {
+            nextSum += ConfigurationDigest.of(entry)
+                    - ConfigurationDigest.of(entry.table(), entry.name(), parts.entry(entry.table(), entry.name()));
             changed.set(entry.table(), entry.name(), entry.body());
-            if (entry.table().equals(Parts.ROUTES)) {
+            if (entry.table().equals(ConfigurationDocument.ROUTES)) {
                 put(nextRoutes, entry, Route::from);
-            } else if (entry.table().equals(Parts.SERVICES)) {
+            } else if (entry.table().equals(ConfigurationDocument.SERVICES)) {
                 put(nextServices, entry, Service::from);
             }
         }
-        Limits nextLimits = changed.field(LIMITS) == parts.field(LIMITS) ? limits : limits(changed.field(LIMITS));
-        Creed next = new Creed(delta.revision(), nextRoutes, nextServices, nextLimits, changed);
+        ClientLimits nextLimits = changed.field(LIMITS) == parts.field(LIMITS) ? limits : limits(changed.field(LIMITS));
+        Configuration next = new Configuration(delta.revision(), nextRoutes, nextServices, nextLimits, changed);
         next.sum = nextSum;
         return next;
     }
 
-    private static <T> void put(Map<String, T> items, Delta.Entry entry, Function<Fields, T> read) {
+    private static <T> void put(Map<String, T> items, ConfigurationDelta.Entry entry, Function<JsonFields, T> read) {
         if (entry.body() == null) {
             items.remove(entry.name());
         } else {
             items.put(
                     entry.name(),
-                    read.apply(Fields.from(
-                            entry.table() + '[' + CreedJson.brief(entry.name()) + ']',
-                            CreedJson.read(entry.body()).plain())));
+                    read.apply(JsonFields.from(
+                            entry.table() + '[' + ConfigurationJson.brief(entry.name()) + ']',
+                            ConfigurationJson.read(entry.body()).plain())));
         }
     }
 
-    private static Limits limits(byte[] field) {
+    private static ClientLimits limits(byte[] field) {
         return field == null || field[0] != '{'
-                ? Limits.USUAL
-                : Limits.from(Fields.from(LIMITS, CreedJson.read(field).plain()));
+                ? ClientLimits.USUAL
+                : ClientLimits.from(
+                        JsonFields.from(LIMITS, ConfigurationJson.read(field).plain()));
     }
 
     /**
@@ -268,14 +288,16 @@
      * entries.
      */
     public long digest() {
-        return Digest.of(revision, sum());
+        return ConfigurationDigest.of(revision, sum());
     }
 
     private long sum() {
         long known = sum;
         if (known == 0) {
-            for (Map.Entry<Parts.Key, byte[]> one : parts.entries().entrySet()) {
-                known += Digest.of(one.getKey().table(), one.getKey().name(), one.getValue());
+            for (Map.Entry<ConfigurationDocument.Key, byte[]> one :
+                    parts.entries().entrySet()) {
+                known += ConfigurationDigest.of(
+                        one.getKey().table(), one.getKey().name(), one.getValue());
             }
             sum = known;
         }
@@ -286,13 +308,13 @@
      * Names of entries in which this one differs from {@code before}, byte for byte; what is known of that one's digest
      * is used here.
      */
-    Set<Parts.Key> changedSince(Creed before) {
-        Set<Parts.Key> changed = parts.changedSince(before.parts);
+    Set<ConfigurationDocument.Key> changedSince(Configuration before) {
+        Set<ConfigurationDocument.Key> changed = parts.changedSince(before.parts);
         if (sum == 0 && before.sum != 0) {
             long next = before.sum;
-            for (Parts.Key key : changed) {
-                next += Digest.of(key.table(), key.name(), entry(key))
-                        - Digest.of(key.table(), key.name(), before.entry(key));
+            for (ConfigurationDocument.Key key : changed) {
+                next += ConfigurationDigest.of(key.table(), key.name(), entry(key))
+                        - ConfigurationDigest.of(key.table(), key.name(), before.entry(key));
             }
             sum = next;
         }
@@ -300,11 +322,11 @@
     }
 
     /** As bytes, or null: it isn't there. */
-    byte[] entry(Parts.Key key) {
+    byte[] entry(ConfigurationDocument.Key key) {
         return parts.entry(key.table(), key.name());
     }
 
-    Map<Parts.Key, byte[]> entries() {
+    Map<ConfigurationDocument.Key, byte[]> entries() {
         return parts.entries();
     }
 
@@ -335,7 +357,7 @@
         return services;
     }
 
-    public Limits limits() {
+    public ClientLimits limits() {
         return limits;
     }
 }
--- a/src/main/java/brambletray/tray/creed/Delta.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationDelta.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -15,9 +15,9 @@
  * them.
  *
  * @param base the revision that it is put on; 0: on nothing, it holds the whole
- * @param digest of the result ({@link Creed#digest})
+ * @param digest of the result ({@link Configuration#digest})
  */
-public record Delta(long base, long revision, long digest, List<Entry> entries) {
+public record ConfigurationDelta(long base, long revision, long digest, List<Entry> entries) {
     private static final byte FORMAT = 1;
     private static final int GONE = -1;
 
@@ -41,12 +41,12 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return Packing.pack(bytes.toByteArray());
+        return DeltaCompression.pack(bytes.toByteArray());
     }
 
     /** A number for these bytes, never 0: the same for the same, so that a transfer is known again. */
     public static long id(byte[] packed) {
-        long id = Digest.of(packed);
+        long id = ConfigurationDigest.of(packed);
         return id == 0 ? 1 : id;
     }
 
@@ -57,9 +57,9 @@
         }
     }
 
-    /** From {@link #packed}; {@link CreedFault} {@code creed.bad-packing} or {@code creed.bad-delta}. */
-    public static Delta unpack(byte[] packed) {
-        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(Packing.unpack(packed)))) {
+    /** From {@link #packed}; {@link ConfigurationException} {@code creed.bad-packing} or {@code creed.bad-delta}. */
+    public static ConfigurationDelta unpack(byte[] packed) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(DeltaCompression.unpack(packed)))) {
             byte format = in.readByte();
             if (format != FORMAT) {
                 throw bad("a difference of format " + FORMAT + ", found " + format, null);
@@ -77,7 +77,7 @@
             if (in.available() > 0) {
                 throw bad("nothing after its entries", null);
             }
-            return new Delta(base, revision, digest, entries);
+            return new ConfigurationDelta(base, revision, digest, entries);
         } catch (IOException e) {
             throw bad("a whole difference", e);
         }
@@ -102,7 +102,7 @@
         return in.readNBytes(length);
     }
 
-    private static CreedFault bad(String expected, Throwable cause) {
-        return new CreedFault("bad-delta", "", "expected " + expected, cause);
+    private static ConfigurationException bad(String expected, Throwable cause) {
+        return new ConfigurationException("bad-delta", "", "expected " + expected, cause);
     }
 }
--- a/src/main/java/brambletray/tray/creed/Digest.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationDigest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.nio.charset.StandardCharsets;
 
@@ -8,13 +8,13 @@
  * base, a lost or kept entry, and faults of ours; not against somebody who makes entries collide, as only members of
  * the core write them.
  */
-final class Digest {
+final class ConfigurationDigest {
     private static final long BASIS = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Digest() {}
+    private ConfigurationDigest() {}
 
-    static long of(Delta.Entry entry) {
+    static long of(ConfigurationDelta.Entry entry) {
         return of(entry.table(), entry.name(), entry.body());
     }
 
--- a/src/main/java/brambletray/tray/creed/Parts.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -12,9 +12,10 @@
 
 /**
  * A configuration as it was sent, in pieces: lists of named items (tables) item by item, all other fields whole. So
- * named items can be replaced without a loss in the rest, known or not. Never changed once a {@link Creed} holds it.
+ * named items can be replaced without a loss in the rest, known or not. Never changed once a {@link Configuration}
+ * holds it.
  */
-final class Parts {
+final class ConfigurationDocument {
     static final String ROUTES = "routes";
     static final String SERVICES = "services";
 
@@ -26,13 +27,13 @@
     private final Map<String, Map<String, byte[]>> tables = new LinkedHashMap<>();
     private final Map<String, byte[]> fields = new LinkedHashMap<>();
 
-    Parts() {
+    ConfigurationDocument() {
         tables.put(ROUTES, new LinkedHashMap<>());
         tables.put(SERVICES, new LinkedHashMap<>());
     }
 
-    Parts copy() {
-        Parts copy = new Parts();
+    ConfigurationDocument copy() {
+        ConfigurationDocument copy = new ConfigurationDocument();
         tables.forEach((name, items) -> copy.tables.put(name, new LinkedHashMap<>(items)));
         copy.fields.putAll(fields);
         return copy;
@@ -43,7 +44,7 @@
     }
 
     /** Adds a field, or replaces it; in a table, items by their names, and in an object its fields. */
-    void put(String name, CreedJson.Value value, byte[] body) {
+    void put(String name, ConfigurationJson.Value value, byte[] body) {
         Map<String, byte[]> items = items(value, body);
         byte[] former = fields.get(name);
         if (items != null) {
@@ -57,12 +58,12 @@
         }
     }
 
-    private static byte[] overlay(byte[] former, CreedJson.Value value, byte[] body) {
+    private static byte[] overlay(byte[] former, ConfigurationJson.Value value, byte[] body) {
         Map<String, byte[]> merged = new LinkedHashMap<>();
-        ((Map<?, ?>) CreedJson.read(former).plain())
-                .forEach((field, old) -> merged.put((String) field, ((CreedJson.Value) old).cut(former)));
+        ((Map<?, ?>) ConfigurationJson.read(former).plain())
+                .forEach((field, old) -> merged.put((String) field, ((ConfigurationJson.Value) old).cut(former)));
         ((Map<?, ?>) value.plain())
-                .forEach((field, now) -> merged.put((String) field, ((CreedJson.Value) now).cut(body)));
+                .forEach((field, now) -> merged.put((String) field, ((ConfigurationJson.Value) now).cut(body)));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         merged.forEach((field, raw) -> {
             out.write(out.size() == 0 ? '{' : ',');
@@ -78,8 +79,8 @@
         Set<String> names = new HashSet<>();
         if (plain instanceof List<?> list) {
             for (Object entry : list) {
-                if (((CreedJson.Value) entry).plain() instanceof Map<?, ?> map
-                        && map.get("name") instanceof CreedJson.Value name) {
+                if (((ConfigurationJson.Value) entry).plain() instanceof Map<?, ?> map
+                        && map.get("name") instanceof ConfigurationJson.Value name) {
                     names.add(table + '/' + name.plain());
                 }
             }
@@ -117,7 +118,7 @@
     }
 
     /** Keys of entries that are here and not the same in the other, or there and not here. */
-    Set<Key> changedSince(Parts other) {
+    Set<Key> changedSince(ConfigurationDocument other) {
         Set<Key> changed = new LinkedHashSet<>();
         entries().forEach((key, body) -> {
             byte[] former = other.entry(key.table, key.name);
@@ -165,20 +166,20 @@
         return raw[at] == ']';
     }
 
-    private static boolean empty(CreedJson.Value value) {
+    private static boolean empty(ConfigurationJson.Value value) {
         return value.plain() instanceof List<?> list && list.isEmpty();
     }
 
     /** The items of a list of objects with names of their own; null: it is something else. */
-    private static Map<String, byte[]> items(CreedJson.Value value, byte[] body) {
+    private static Map<String, byte[]> items(ConfigurationJson.Value value, byte[] body) {
         if (!(value.plain() instanceof List<?> list) || list.isEmpty()) {
             return null;
         }
         Map<String, byte[]> items = new LinkedHashMap<>();
         for (Object entry : list) {
-            CreedJson.Value item = (CreedJson.Value) entry;
+            ConfigurationJson.Value item = (ConfigurationJson.Value) entry;
             if (!(item.plain() instanceof Map<?, ?> map)
-                    || !(map.get("name") instanceof CreedJson.Value name)
+                    || !(map.get("name") instanceof ConfigurationJson.Value name)
                     || !(name.plain() instanceof String text)
                     || items.put(text, item.cut(body)) != null) {
                 return null;
--- a/src/main/java/brambletray/tray/creed/CreedFault.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationException.java
@@ -1,19 +1,19 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
-import brambletray.tray.fault.Fault;
+import brambletray.platform.errors.PlatformException;
 
 /** A configuration, a change of it or a stored one can't be taken; callers answer 400 with code and message. */
-public final class CreedFault extends Fault {
+public final class ConfigurationException extends PlatformException {
     private static final long serialVersionUID = 1L;
 
     private final String field;
 
-    CreedFault(String code, String field, String reason, Throwable cause) {
-        super("creed." + code, field.isEmpty() ? reason : field + ": " + reason, cause);
+    ConfigurationException(String code, String field, String reason, Throwable cause) {
+        super("configuration." + code, field.isEmpty() ? reason : field + ": " + reason, cause);
         this.field = field;
     }
 
-    CreedFault(String code, String field, String reason) {
+    ConfigurationException(String code, String field, String reason) {
         this(code, field, reason, null);
     }
 
--- a/src/main/java/brambletray/tray/creed/CreedJson.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationJson.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonReader;
@@ -14,7 +14,7 @@
  * Reads a body whole, keeping for each value where it stands: what isn't understood is kept as the bytes it came in, so
  * that a configuration is shown as it was sent, to the last digit.
  */
-final class CreedJson {
+final class ConfigurationJson {
     /** Bytes of a body. */
     static final int LARGEST = 4 << 20;
 
@@ -38,33 +38,33 @@
     private final byte[] body;
     private final JsonReader<Object> reader;
 
-    private CreedJson(byte[] body) {
+    private ConfigurationJson(byte[] body) {
         this.body = body;
         reader = Maker.JSON.newReader(body);
     }
 
-    /** The whole body as one object; {@link CreedFault} where it isn't exactly one. */
+    /** The whole body as one object; {@link ConfigurationException} where it isn't exactly one. */
     static Value read(byte[] body) {
         if (body.length > LARGEST) {
             throw tooLarge(body.length);
         }
-        CreedText.check(body);
-        CreedJson json = new CreedJson(body);
+        JsonTextValidator.check(body);
+        ConfigurationJson json = new ConfigurationJson(body);
         try {
             json.reader.getNextToken();
             Value value = json.value("");
             if (!(value.plain instanceof Map)) {
-                throw new CreedFault("wrong-type", "", "expected an object");
+                throw new ConfigurationException("wrong-type", "", "expected an object");
             }
             for (int i = value.to; i < body.length; i++) {
                 if (body[i] > ' ') {
-                    throw new CreedFault(
+                    throw new ConfigurationException(
                             "unreadable", "", "expected nothing after the object, found more at byte " + i);
                 }
             }
             return value;
         } catch (IOException | NumberFormatException | ArithmeticException | IndexOutOfBoundsException e) {
-            throw new CreedFault(
+            throw new ConfigurationException(
                     "unreadable",
                     "",
                     "expected whole JSON, broken near byte " + json.reader.getCurrentIndex() + " of " + body.length,
@@ -72,8 +72,8 @@
         }
     }
 
-    static CreedFault tooLarge(long found) {
-        return new CreedFault("too-large", "", "expected at most " + LARGEST + " bytes, found " + found);
+    static ConfigurationException tooLarge(long found) {
+        return new ConfigurationException("too-large", "", "expected at most " + LARGEST + " bytes, found " + found);
     }
 
     private Value value(String at) throws IOException {
@@ -92,7 +92,7 @@
             to--;
         }
         if (plain instanceof Number) {
-            CreedText.number(body, from, to);
+            JsonTextValidator.number(body, from, to);
         }
         return new Value(plain, from, to);
     }
@@ -120,7 +120,7 @@
             reader.getNextToken();
             String field = at.isEmpty() ? brief(name) : at;
             if (fields.put(name, value(field)) != null) {
-                throw new CreedFault(
+                throw new ConfigurationException(
                         "duplicate-field",
                         field,
                         "expected each field once, found " + brief(name) + " twice near byte "
--- a/src/main/java/brambletray/tray/creed/Charter.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -15,11 +15,11 @@
  * change sent again is answered like the first time. Pure: the same changes delivered in the same order lead to the
  * same state, byte for byte. For one thread.
  */
-public final class Charter {
+public final class ConfigurationStateMachine {
     /**
      * Taken changes that are remembered, in snapshots too (24 bytes each); an operator sends a change again within
      * seconds, and a day holds hundreds. What builds on a revision from before them is not refused:
-     * {@link Verdict.Forgotten}.
+     * {@link ChangeDecision.Forgotten}.
      */
     static final int REMEMBERED = 2_000;
 
@@ -32,20 +32,21 @@
 
     private record Step(long revision, Fingerprint fingerprint) {}
 
-    private Creed creed = Creed.NONE;
+    private Configuration configuration = Configuration.NONE;
     private final ArrayDeque<Step> history = new ArrayDeque<>();
     private final Map<Fingerprint, Long> taken = new HashMap<>();
     /** What the last change that was judged leads to: it mostly comes back as the next to be delivered. */
     private Fingerprint judged;
 
-    private Creed outcome;
+    private Configuration outcome;
 
-    public Creed creed() {
-        return creed;
+    public Configuration configuration() {
+        return configuration;
     }
 
     /**
-     * The revision that a call names as its base; 0 for the first. {@link CreedFault} where it is missing or no number.
+     * The revision that a call names as its base; 0 for the first. {@link ConfigurationException} where it is missing
+     * or no number.
      */
     public static long base(String header) {
         boolean digits = header != null && !header.isEmpty() && header.chars().allMatch(c -> c >= '0' && c <= '9');
@@ -56,15 +57,16 @@
         } catch (NumberFormatException e) {
             // above all numbers that a revision can have
         }
-        throw new CreedFault("bad-base", "Brambletray-Base-Revision", "expected a revision's number");
+        throw new ConfigurationException("bad-base", "Brambletray-Base-Revision", "expected a revision's number");
     }
 
     /**
      * Whether this very change was taken: for good, whatever came on top of it since. False also where it is no longer
      * remembered.
      */
-    public boolean taken(Verb verb, long base, byte[] body) {
-        return body.length <= CreedJson.LARGEST && taken.containsKey(fingerprint(new Change(verb, base, body).bytes()));
+    public boolean taken(ChangeKind verb, long base, byte[] body) {
+        return body.length <= ConfigurationJson.LARGEST
+                && taken.containsKey(fingerprint(new ConfigurationChange(verb, base, body).bytes()));
     }
 
     /**
@@ -72,48 +74,48 @@
      * {@code Forgotten} or {@code Invalid}. Whether it was taken before is asked first: a change that was taken is on
      * an old base, and where it was the last one its revision isn't above the current one.
      */
-    public Verdict judge(Verb verb, long base, byte[] body) {
-        if (body.length > CreedJson.LARGEST) {
-            return new Verdict.Invalid(CreedJson.tooLarge(body.length));
+    public ChangeDecision judge(ChangeKind verb, long base, byte[] body) {
+        if (body.length > ConfigurationJson.LARGEST) {
+            return new ChangeDecision.Invalid(ConfigurationJson.tooLarge(body.length));
         }
-        byte[] change = new Change(verb, base, body).bytes();
-        Verdict verdict = weigh(change);
-        return verdict instanceof Verdict.Taken ? new Verdict.Fine(change) : verdict;
+        byte[] change = new ConfigurationChange(verb, base, body).bytes();
+        ChangeDecision verdict = weigh(change);
+        return verdict instanceof ChangeDecision.Taken ? new ChangeDecision.Fine(change) : verdict;
     }
 
     /**
      * A change at its place in the order; {@code Taken}, or why it is not: another may have come before it since it was
      * judged, and then nothing changes here or on any other member.
      */
-    public Verdict deliver(byte[] change) {
-        Verdict verdict = weigh(change);
-        if (verdict instanceof Verdict.Taken fresh) {
-            creed = fresh.creed();
-            remember(new Step(creed.revision(), judged));
+    public ChangeDecision deliver(byte[] change) {
+        ChangeDecision verdict = weigh(change);
+        if (verdict instanceof ChangeDecision.Taken fresh) {
+            configuration = fresh.configuration();
+            remember(new Step(configuration.revision(), judged));
         }
         return verdict;
     }
 
-    private Verdict weigh(byte[] bytes) {
+    private ChangeDecision weigh(byte[] bytes) {
         Fingerprint fingerprint = fingerprint(bytes);
         Long before = taken.get(fingerprint);
         if (before != null) {
-            return new Verdict.TakenBefore(before);
+            return new ChangeDecision.TakenBefore(before);
         }
         try {
-            Change change = Change.from(bytes);
-            if (change.base() != creed.revision()) {
+            ConfigurationChange change = ConfigurationChange.from(bytes);
+            if (change.base() != configuration.revision()) {
                 return forgotten(change.base())
-                        ? new Verdict.Forgotten(history.peek().revision)
-                        : new Verdict.Stale(creed.revision());
+                        ? new ChangeDecision.Forgotten(history.peek().revision)
+                        : new ChangeDecision.Stale(configuration.revision());
             }
             if (!fingerprint.equals(judged)) {
-                outcome = change.on(creed);
+                outcome = change.on(configuration);
                 judged = fingerprint;
             }
-            return new Verdict.Taken(outcome);
-        } catch (CreedFault fault) {
-            return new Verdict.Invalid(fault);
+            return new ChangeDecision.Taken(outcome);
+        } catch (ConfigurationException fault) {
+            return new ChangeDecision.Invalid(fault);
         }
     }
 
@@ -142,7 +144,7 @@
 
     /** All of it: format, the taken changes from the oldest on, the current configuration. */
     public byte[] snapshot() {
-        byte[] json = creed == Creed.NONE ? new byte[0] : creed.json();
+        byte[] json = configuration == Configuration.NONE ? new byte[0] : configuration.json();
         ByteBuffer out = ByteBuffer.allocate(1 + 4 + history.size() * (8 + FINGERPRINT_BYTES) + json.length);
         out.put(FORMAT).putInt(history.size());
         for (Step step : history) {
@@ -152,21 +154,22 @@
     }
 
     /**
-     * Becomes what that snapshot holds, empty bytes being the state before the first change; {@link CreedFault} where
+     * Becomes what that snapshot holds, empty bytes being the state before the first change; {@link
+     * ConfigurationException} where
      * it can't be read, and then nothing changes.
      */
     public void restore(byte[] snapshot) {
         if (snapshot.length == 0) {
-            become(Creed.NONE, List.of());
+            become(Configuration.NONE, List.of());
             return;
         }
         ByteBuffer in = ByteBuffer.wrap(snapshot);
         ArrayDeque<Step> read = new ArrayDeque<>();
-        Creed current;
+        Configuration current;
         try {
             byte format = in.get();
             if (format != FORMAT) {
-                throw new CreedFault(
+                throw new ConfigurationException(
                         "bad-snapshot", "", "expected a snapshot of format " + FORMAT + ", found " + format);
             }
             int count = in.getInt();
@@ -175,15 +178,15 @@
             }
             byte[] json = new byte[in.remaining()];
             in.get(json);
-            current = json.length == 0 ? Creed.NONE : Creed.read(json);
+            current = json.length == 0 ? Configuration.NONE : Configuration.read(json);
         } catch (BufferUnderflowException e) {
-            throw new CreedFault("bad-snapshot", "", "expected a whole snapshot, its end is missing", e);
+            throw new ConfigurationException("bad-snapshot", "", "expected a whole snapshot, its end is missing", e);
         }
         become(current, read);
     }
 
-    private void become(Creed current, Collection<Step> read) {
-        creed = current;
+    private void become(Configuration current, Collection<Step> read) {
+        configuration = current;
         judged = null;
         outcome = null;
         history.clear();
--- a/src/main/java/brambletray/tray/creed/Packing.java
+++ b/src/main/java/brambletray/platform/configuration/DeltaCompression.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.io.ByteArrayOutputStream;
 import java.util.zip.DataFormatException;
@@ -6,11 +6,11 @@
 import java.util.zip.Inflater;
 
 /** Differences of configurations are packed for slow and dear links: a whole one shrinks to about a tenth. */
-final class Packing {
-    private Packing() {}
+final class DeltaCompression {
+    private DeltaCompression() {}
 
     /** Bytes unpacked: twice the largest configuration, as names and lengths come on top of an entry's own bytes. */
-    private static final int MOST = 2 * CreedJson.LARGEST;
+    private static final int MOST = 2 * ConfigurationJson.LARGEST;
 
     static byte[] pack(byte[] json) {
         Deflater deflater = new Deflater();
@@ -38,12 +38,12 @@
                 int count = inflater.inflate(part);
                 out.write(part, 0, count);
                 if (count == 0 && !inflater.finished() || out.size() > MOST) {
-                    throw new CreedFault("bad-packing", "", "expected a whole configuration, packed");
+                    throw new ConfigurationException("bad-packing", "", "expected a whole configuration, packed");
                 }
             }
             return out.toByteArray();
         } catch (DataFormatException e) {
-            throw new CreedFault("bad-packing", "", "expected a whole configuration, packed", e);
+            throw new ConfigurationException("bad-packing", "", "expected a whole configuration, packed", e);
         } finally {
             inflater.end();
         }
--- a/src/main/java/brambletray/tray/creed/Fields.java
+++ b/src/main/java/brambletray/platform/configuration/JsonFields.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.math.BigDecimal;
 import java.util.List;
@@ -6,34 +6,34 @@
 import java.util.Set;
 
 /** The fields of one object, each read as what it should be; faults say which, and where. */
-final class Fields {
+final class JsonFields {
     private final String at;
-    private final Map<String, CreedJson.Value> map;
+    private final Map<String, ConfigurationJson.Value> map;
 
-    private Fields(String at, Map<String, CreedJson.Value> map) {
+    private JsonFields(String at, Map<String, ConfigurationJson.Value> map) {
         this.at = at;
         this.map = map;
     }
 
     /** The fields of this value, which stands at {@code at}. */
     @SuppressWarnings("unchecked")
-    static Fields from(String at, Object plain) {
+    static JsonFields from(String at, Object plain) {
         if (!(plain instanceof Map)) {
-            throw new CreedFault("wrong-type", at, "expected an object");
+            throw new ConfigurationException("wrong-type", at, "expected an object");
         }
-        return new Fields(at, (Map<String, CreedJson.Value>) plain);
+        return new JsonFields(at, (Map<String, ConfigurationJson.Value>) plain);
     }
 
     /** The same fields, under a better name. */
-    Fields at(String where) {
-        return new Fields(where, map);
+    JsonFields at(String where) {
+        return new JsonFields(where, map);
     }
 
-    Fields of(String field, Object plain) {
+    JsonFields of(String field, Object plain) {
         return from(path(field), plain);
     }
 
-    Fields below(String field) {
+    JsonFields below(String field) {
         return of(field, value(field));
     }
 
@@ -47,11 +47,11 @@
 
     /** Null: missing, or null. */
     Object value(String field) {
-        CreedJson.Value value = map.get(field);
+        ConfigurationJson.Value value = map.get(field);
         return value == null ? null : value.plain();
     }
 
-    CreedJson.Value raw(String field) {
+    ConfigurationJson.Value raw(String field) {
         return map.get(field);
     }
 
@@ -59,8 +59,8 @@
         return at.isEmpty() ? field : at + '.' + field;
     }
 
-    CreedFault fault(String code, String field, String reason) {
-        return new CreedFault(code, path(field), reason);
+    ConfigurationException fault(String code, String field, String reason) {
+        return new ConfigurationException(code, path(field), reason);
     }
 
     String name() {
@@ -86,12 +86,12 @@
 
     /** A list of anything; null where it is missing. */
     @SuppressWarnings("unchecked")
-    List<CreedJson.Value> list(String field) {
+    List<ConfigurationJson.Value> list(String field) {
         Object value = value(field);
         if (value != null && !(value instanceof List)) {
             throw fault("wrong-type", field, "expected a list");
         }
-        return (List<CreedJson.Value>) value;
+        return (List<ConfigurationJson.Value>) value;
     }
 
     int whole(String field, int least, int otherwise) {
--- a/src/main/java/brambletray/tray/creed/CreedText.java
+++ b/src/main/java/brambletray/platform/configuration/JsonTextValidator.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
@@ -11,11 +11,11 @@
  * What must hold of a body's bytes before it is read: the library below takes more than JSON allows, and goes as deep
  * as the body does.
  */
-final class CreedText {
+final class JsonTextValidator {
     /** Objects and lists inside each other. */
     static final int DEEPEST = 64;
 
-    private CreedText() {}
+    private JsonTextValidator() {}
 
     static void check(byte[] body) {
         boolean high = false;
@@ -36,7 +36,7 @@
                 quoted = true;
             } else if (b == '{' || b == '[') {
                 if (++depth > DEEPEST) {
-                    throw new CreedFault(
+                    throw new ConfigurationException(
                             "too-deep", "", "expected at most " + DEEPEST + " levels, found more at byte " + i);
                 }
             } else if (b == '}' || b == ']') {
@@ -104,7 +104,7 @@
         return at;
     }
 
-    private static CreedFault unreadable(String found, int at) {
-        return new CreedFault("unreadable", "", "expected whole JSON, found " + found + " at byte " + at);
+    private static ConfigurationException unreadable(String found, int at) {
+        return new ConfigurationException("unreadable", "", "expected whole JSON, found " + found + " at byte " + at);
     }
 }
--- a/src/main/java/brambletray/tray/creed/Route.java
+++ b/src/main/java/brambletray/platform/configuration/Route.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -24,7 +24,7 @@
         int targetMs,
         int priority,
         int retryCount,
-        List<Share> shares) {
+        List<ServiceShare> shares) {
 
     /** The service for a number drawn evenly from 0 to 1 (1 left out). */
     public String pick(double u) {
@@ -38,7 +38,7 @@
         double left = u * sum;
         String last = null;
         for (int i = 0; i < shares.size(); i++) {
-            Share share = shares.get(i);
+            ServiceShare share = shares.get(i);
             if (share.weight() > 0) {
                 last = share.service();
                 left -= share.weight();
@@ -50,10 +50,10 @@
         return last;
     }
 
-    static Route from(Fields in) {
+    static Route from(JsonFields in) {
         String name = in.name();
-        Fields at = in.at("routes[" + CreedJson.brief(name) + ']');
-        String host = Places.bare(at.need("host"));
+        JsonFields at = in.at("routes[" + ConfigurationJson.brief(name) + ']');
+        String host = RouteTable.bare(at.need("host"));
         if (host.isEmpty()) {
             throw at.fault("missing", "host", "expected a host's name");
         }
@@ -62,14 +62,14 @@
             throw at.fault(
                     "bad-prefix",
                     "path-prefix",
-                    "expected a path that begins and ends with a slash, found " + CreedJson.brief(prefix));
+                    "expected a path that begins and ends with a slash, found " + ConfigurationJson.brief(prefix));
         }
         String kind = at.need("route-type");
         if (!kind.equals("idempotent") && !kind.equals("non_idempotent")) {
             throw at.fault(
                     "bad-route-type",
                     "route-type",
-                    "expected idempotent or non_idempotent, found " + CreedJson.brief(kind));
+                    "expected idempotent or non_idempotent, found " + ConfigurationJson.brief(kind));
         }
         int timeout = at.whole("timeout-ms", 1, 60_000);
         return new Route(
@@ -89,7 +89,7 @@
      * {@code name}) and {@code weight}, or an object of names with weights, under any of the words below. The pages
      * name weights and show no example.
      */
-    private static List<Share> shares(Fields in) {
+    private static List<ServiceShare> shares(JsonFields in) {
         String under = null;
         for (String word : new String[] {"split", "services", "weights", "service"}) {
             if (in.has(word)) {
@@ -100,22 +100,22 @@
         if (under == null) {
             throw in.fault("missing", "service", "expected a service's name");
         }
-        List<Share> shares = new ArrayList<>(1);
+        List<ServiceShare> shares = new ArrayList<>(1);
         Object value = in.value(under);
         if (value instanceof List<?> list) {
             for (int i = 0; i < list.size(); i++) {
-                shares.add(share(in, under + '[' + i + ']', ((CreedJson.Value) list.get(i)).plain()));
+                shares.add(share(in, under + '[' + i + ']', ((ConfigurationJson.Value) list.get(i)).plain()));
             }
         } else if (value instanceof java.util.Map<?, ?>) {
-            Fields weights = in.below(under);
+            JsonFields weights = in.below(under);
             for (String service : weights.names()) {
-                shares.add(new Share(service, weights.real(service, 1)));
+                shares.add(new ServiceShare(service, weights.real(service, 1)));
             }
         } else {
-            return List.of(new Share(in.need(under), 1));
+            return List.of(new ServiceShare(in.need(under), 1));
         }
         double sum = 0;
-        for (Share share : shares) {
+        for (ServiceShare share : shares) {
             sum += share.weight();
         }
         if (!(sum > 0) || Double.isInfinite(sum)) {
@@ -124,11 +124,11 @@
         return List.copyOf(shares);
     }
 
-    private static Share share(Fields in, String at, Object value) {
+    private static ServiceShare share(JsonFields in, String at, Object value) {
         if (value instanceof String service && !service.isEmpty()) {
-            return new Share(service, 1);
+            return new ServiceShare(service, 1);
         }
-        Fields part = in.of(at, value);
-        return new Share(part.need(part.has("service") ? "service" : "name"), part.real("weight", 1));
+        JsonFields part = in.of(at, value);
+        return new ServiceShare(part.need(part.has("service") ? "service" : "name"), part.real("weight", 1));
     }
 }
--- a/src/main/java/brambletray/tray/creed/Places.java
+++ b/src/main/java/brambletray/platform/configuration/RouteTable.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** Routes by host and prefix: one look-up for the host, then one for each slash of the path, from its end on. */
-final class Places {
+final class RouteTable {
     private static final class Host {
         final Map<String, Route> routes = new HashMap<>();
         int longest;
@@ -14,16 +14,17 @@
 
     private final Map<String, Host> hosts = new HashMap<>();
 
-    /** {@link CreedFault} where two routes share host and prefix. */
-    Places(Collection<Route> routes) {
+    /** {@link ConfigurationException} where two routes share host and prefix. */
+    RouteTable(Collection<Route> routes) {
         for (Route route : routes) {
             Host host = hosts.computeIfAbsent(route.host(), h -> new Host());
             Route other = host.routes.put(route.prefix(), route);
             if (other != null) {
-                throw new CreedFault(
+                throw new ConfigurationException(
                         "same-place",
-                        "routes[" + CreedJson.brief(route.name()) + "].path-prefix",
-                        "expected a host and prefix of its own, shares them with " + CreedJson.brief(other.name()));
+                        "routes[" + ConfigurationJson.brief(route.name()) + "].path-prefix",
+                        "expected a host and prefix of its own, shares them with "
+                                + ConfigurationJson.brief(other.name()));
             }
             host.longest = Math.max(host.longest, route.prefix().length());
         }
--- a/src/main/java/brambletray/tray/creed/Service.java
+++ b/src/main/java/brambletray/platform/configuration/Service.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 /**
  * A service.
@@ -10,9 +10,9 @@
  * @param healthPath null: there is none
  */
 public record Service(String name, int memoryMb, int bootMs, int most, int maxConnections, String healthPath) {
-    static Service from(Fields in) {
+    static Service from(JsonFields in) {
         String name = in.name();
-        Fields at = in.at("services[" + CreedJson.brief(name) + ']');
+        JsonFields at = in.at("services[" + ConfigurationJson.brief(name) + ']');
         return new Service(
                 name,
                 at.whole("memory-mb", 1, 128),
