--- a/src/main/java/brambletray/tray/keep/Keep.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -1,40 +1,40 @@
-package brambletray.tray.keep;
-
+package brambletray.platform.controlplane;
+
+import brambletray.platform.configuration.ChangeHistory;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.distribution.ConfigurationPublisher;
+import brambletray.platform.distribution.FrameTypes;
+import brambletray.platform.distribution.LinkIntroduction;
+import brambletray.platform.distribution.ProcessSignals;
+import brambletray.platform.election.ElectionMessages;
+import brambletray.platform.election.LeaseElection;
+import brambletray.platform.election.LeaseTimings;
+import brambletray.platform.failuredetection.EdgeHello;
+import brambletray.platform.failuredetection.EdgeWelcome;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.replication.Declaration;
+import brambletray.platform.replication.DurableState;
+import brambletray.platform.replication.FaultTolerance;
+import brambletray.platform.replication.Frame;
+import brambletray.platform.replication.Member;
+import brambletray.platform.replication.ProposalOutcome;
+import brambletray.platform.replication.Replica;
+import brambletray.platform.replication.ReplicaStatus;
+import brambletray.platform.replication.ReplicationActions;
+import brambletray.platform.replication.ReplicationSettings;
+import brambletray.platform.settings.Address;
+import brambletray.platform.settings.NodeSettings;
+import brambletray.platform.settings.SettingsException;
+import brambletray.platform.storage.DurableStore;
+import brambletray.platform.storage.KeyChange;
+import brambletray.platform.storage.KeyValueStore;
+import brambletray.platform.storage.StorageException;
+import brambletray.platform.storage.SyncWriter;
+import brambletray.platform.transport.FrameCodec;
+import brambletray.platform.transport.Link;
+import brambletray.platform.transport.Sockets;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.berth.Berth;
-import brambletray.tray.berth.BerthFault;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.History;
-import brambletray.tray.news.Iam;
-import brambletray.tray.news.Lexis;
-import brambletray.tray.news.Publisher;
-import brambletray.tray.news.Signals;
-import brambletray.tray.ring.Hello;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.ring.Welcome;
-import brambletray.tray.speech.Link;
-import brambletray.tray.speech.Sockets;
-import brambletray.tray.speech.Speech;
-import brambletray.tray.tale.Tale;
-import brambletray.tray.trove.Change;
-import brambletray.tray.trove.DurableStore;
-import brambletray.tray.trove.Scribe;
-import brambletray.tray.trove.Trove;
-import brambletray.tray.trove.TroveFault;
-import brambletray.tray.view.Declaration;
-import brambletray.tray.view.Frame;
-import brambletray.tray.view.Kept;
-import brambletray.tray.view.Member;
-import brambletray.tray.view.Members;
-import brambletray.tray.view.Out;
-import brambletray.tray.view.Outcome;
-import brambletray.tray.view.Settings;
-import brambletray.tray.view.Status;
-import brambletray.tray.view.Tolerance;
-import brambletray.tray.vow.Ballots;
-import brambletray.tray.vow.Spans;
-import brambletray.tray.vow.Vow;
 import io.netty.channel.ChannelFuture;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -48,8 +48,8 @@
  * The program of the core: puts the planes together, and decides nothing. For the loop only, once {@link #begin} has
  * run.
  */
-public final class Keep {
-    private static final Tale TALE = Tale.of("keep");
+public final class ControlPlaneProgram {
+    private static final EventLog LOG = EventLog.of("controlplane");
     /** ms between ticks, each of which costs a wake-up. */
     private static final int TICK = 50;
     /** ms until a disk that could not be opened is tried again. */
@@ -59,28 +59,28 @@
     /** ms that its last answers are given to go out. */
     private static final int LAST_WORDS = 100;
 
-    private static final String HELM = "helm";
+    private static final String COORDINATOR = "helm";
 
-    private final Berth berth;
+    private final NodeSettings nodeSettings;
     private final Machine machine;
-    private final Speech speech = new Speech(Lexis.ALL);
+    private final FrameCodec speech = new FrameCodec(FrameTypes.ALL);
     private final String address;
     private final DurableStore store;
     private final Runnable exit;
-    private final Operators operators;
-    private final Members members;
-    private final Kin kin;
-    private final Vow vow;
-    private final Views views;
-    private final Greeter edges = new Greeter(this::welcome);
+    private final OperatorCalls operators;
+    private final Replica members;
+    private final PeerLinks peerLinks;
+    private final LeaseElection election;
+    private final OperatorViews views;
+    private final EdgeGreeter edges = new EdgeGreeter(this::welcome);
     /**
      * Kept by each member, whether it holds the helm or not: the next holder goes on with differences from what edges
      * have.
      */
-    private final History history = new History();
+    private final ChangeHistory history = new ChangeHistory();
 
-    private final Publisher publisher = new Publisher(history);
-    private Hub hub;
+    private final ConfigurationPublisher publisher = new ConfigurationPublisher(history);
+    private EdgeCoordinator hub;
     /** Steady ms since when this process is to end, and since when the others go on without it; -1: not so. */
     private long leavingAt = -1;
 
@@ -98,83 +98,95 @@
     record Environment(Machine machine, Map<String, byte[]> kept, DurableStore store, Runnable exit) {}
 
     /** On the loop; {@link #start} follows. {@code life}, {@code origin}: drawn at random, not 0. */
-    Keep(Berth berth, Environment environment, long life, long origin) {
-        this.berth = berth;
+    ControlPlaneProgram(NodeSettings nodeSettings, Environment environment, long life, long origin) {
+        this.nodeSettings = nodeSettings;
         machine = environment.machine();
         store = environment.store();
         exit = environment.exit();
         Map<String, byte[]> kept = environment.kept();
-        address = berth.control().toString();
-        operators = new Operators(new MemberOrder(), this::creedChanged);
-        kin = new Kin(
+        address = nodeSettings.control().toString();
+        operators = new OperatorCalls(new MemberOrder(), this::creedChanged);
+        peerLinks = new PeerLinks(
                 machine,
                 speech,
-                new Address(berth.ip(), berth.innerLow()),
-                new Iam(berth.node(), address, true),
+                new Address(nodeSettings.ip(), nodeSettings.innerLow()),
+                new LinkIntroduction(nodeSettings.node(), address, true),
                 new KinEar());
-        members = new Members(
+        members = new Replica(
                 address,
-                berth.node(),
-                berth.zone(),
+                nodeSettings.node(),
+                nodeSettings.zone(),
                 life,
                 origin,
-                Kept.read(kept),
-                seeds(berth),
-                berth.initialStart(),
-                settings(berth),
+                DurableState.read(kept),
+                seeds(nodeSettings),
+                nodeSettings.initialStart(),
+                settings(nodeSettings),
                 new MemberOut(),
                 operators,
                 now());
-        vow = new Vow(HELM, members.status().me(), kept.get(Vow.key(HELM)), Spans.usual(), new VowOut(), now());
-        views = new Views(new Sights(
+        election = new LeaseElection(
+                COORDINATOR,
+                members.status().me(),
+                kept.get(LeaseElection.key(COORDINATOR)),
+                LeaseTimings.usual(),
+                new VowOut(),
+                now());
+        views = new OperatorViews(new StatusSources(
                 members::status,
                 members::zonesHoldingHalf,
-                () -> operators.charter().creed(),
-                () -> vow.holder(now()),
+                () -> operators.stateMachine().configuration(),
+                () -> election.holder(now()),
                 () -> hub != null && mayAct() ? hub : null,
                 this::now));
     }
 
-    private static Settings settings(Berth berth) {
-        Tolerance borne = new Tolerance(berth.machineLosses(), berth.zoneLosses(), berth.regionLosses(), berth.zones());
-        return Settings.usual(borne, leaveMs(berth));
+    private static ReplicationSettings settings(NodeSettings nodeSettings) {
+        FaultTolerance borne = new FaultTolerance(
+                nodeSettings.machineLosses(),
+                nodeSettings.zoneLosses(),
+                nodeSettings.regionLosses(),
+                nodeSettings.zones());
+        return ReplicationSettings.usual(borne, leaveMs(nodeSettings));
     }
 
     /** How long a process that is told to end stays at most, ms: grace-s less a margin, in which it ends by itself. */
-    private static int leaveMs(Berth berth) {
-        int grace = (int) (berth.bounds().graceS() * 1_000);
+    private static int leaveMs(NodeSettings nodeSettings) {
+        int grace = (int) (nodeSettings.bounds().graceS() * 1_000);
         return Math.max(grace / 2, grace - 1_000);
     }
 
-    private static List<String> seeds(Berth berth) {
+    private static List<String> seeds(NodeSettings nodeSettings) {
         List<String> seeds = new ArrayList<>();
-        berth.seeds().forEach(seed -> seeds.add(seed.toString()));
+        nodeSettings.seeds().forEach(seed -> seeds.add(seed.toString()));
         return seeds;
     }
 
     /**
-     * Runs until it is told to end. {@code life}, {@code origin}: drawn at random. Throws {@link TroveFault} where the
+     * Runs until it is told to end. {@code life}, {@code origin}: drawn at random. Throws {@link StorageException}
+     * where the
      * disk cannot be used.
      */
-    public static void begin(Berth berth, long life, long origin) throws InterruptedException {
+    public static void begin(NodeSettings nodeSettings, long life, long origin) throws InterruptedException {
         Machine machine = Sockets.machine();
-        Address control = berth.need("bind-addresses.control-plane", berth.control());
-        Trove trove = open(berth.need("data-dir", berth.dataDir()));
+        Address control = nodeSettings.need("bind-addresses.control-plane", nodeSettings.control());
+        KeyValueStore keyValueStore = open(nodeSettings.need("data-dir", nodeSettings.dataDir()));
         Map<String, byte[]> kept = new HashMap<>();
-        for (Map.Entry<String, byte[]> one : trove.prefix("")) {
+        for (Map.Entry<String, byte[]> one : keyValueStore.prefix("")) {
             kept.put(one.getKey(), one.getValue());
         }
-        Environment real = new Environment(machine, kept, new Scribe(trove, machine.loop()), () -> System.exit(0));
-        Keep[] made = new Keep[1];
+        Environment real =
+                new Environment(machine, kept, new SyncWriter(keyValueStore, machine.loop()), () -> System.exit(0));
+        ControlPlaneProgram[] made = new ControlPlaneProgram[1];
         machine.loop()
                 .submit(() -> {
-                    made[0] = new Keep(berth, real, life, origin);
+                    made[0] = new ControlPlaneProgram(nodeSettings, real, life, origin);
                     made[0].start();
-                    Signals.heardBy(made[0].new Signalled());
+                    ProcessSignals.heardBy(made[0].new Signalled());
                 })
                 .sync();
         made[0].open().sync();
-        TALE.tell("started", "node", berth.node(), "control", control, "kept", kept.size());
+        LOG.tell("started", "node", nodeSettings.node(), "control", control, "kept", kept.size());
     }
 
     /** Ticks from now on; on the loop. */
@@ -184,27 +196,30 @@
 
     /** Listens at the control-plane address; the future fails with what the system says where it cannot. */
     ChannelFuture open() {
-        Dispatch<Door.Desk> table = new Dispatch<>();
+        Dispatch<ControlPlaneServer.Desk> table = new Dispatch<>();
         operators.register(table);
         views.register(table);
         new MemberOrders(this::declareDead).register(table);
-        return new Door(table).open(machine, berth.control());
+        return new ControlPlaneServer(table).open(machine, nodeSettings.control());
     }
 
     private void declareDead(String address, long life, Consumer<Declaration> then) {
         members.declareDead(address, life, now(), result -> machine.loop().execute(() -> then.accept(result)));
     }
 
-    /** The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost, and its life with it. */
-    private static Trove open(Path dir) throws InterruptedException {
+    /**
+     * The disk, for as long as it takes: one that refuses is tried again, one that holds no whole store counts as lost,
+     * and its life with it.
+     */
+    private static KeyValueStore open(Path dir) throws InterruptedException {
         for (; ; ) {
             try {
-                return Trove.open(dir);
-            } catch (TroveFault fault) {
-                TALE.warn("disk not opened", "code", fault.code(), "why", fault.getMessage());
-                if (fault.code().equals("trove.broken")) {
-                    Trove.abandon(dir);
-                } else if (fault.code().equals("trove.format")) {
+                return KeyValueStore.open(dir);
+            } catch (StorageException fault) {
+                LOG.warn("disk not opened", "code", fault.code(), "why", fault.getMessage());
+                if (fault.code().equals("storage.broken")) {
+                    KeyValueStore.abandon(dir);
+                } else if (fault.code().equals("storage.format")) {
                     throw fault;
                 } else {
                     TimeUnit.MILLISECONDS.sleep(DISK_AGAIN);
@@ -222,9 +237,9 @@
             long now = now();
             members.tick(now);
             operators.tick(now);
-            kin.tick(now);
-            vow.view(members.status(), now);
-            vow.tick(now);
+            peerLinks.tick(now);
+            election.view(members.status(), now);
+            election.tick(now);
             views.tick();
             takeUp();
             if (hub != null) {
@@ -235,7 +250,7 @@
                 depart(now);
             }
         } catch (RuntimeException e) {
-            TALE.warn("tick failed", "why", e, "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "");
+            LOG.warn("tick failed", "why", e, "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "");
         }
     }
 
@@ -249,56 +264,67 @@
             hub.end();
             hub = null;
         }
-        if (hub == null && held != 0 && vow.mayAct(now)) {
-            hub = new Hub(machine, berth, held, () -> operators.charter().creed(), publisher, new HubAuthority(), now);
+        if (hub == null && held != 0 && election.mayAct(now)) {
+            hub = new EdgeCoordinator(
+                    machine,
+                    nodeSettings,
+                    held,
+                    () -> operators.stateMachine().configuration(),
+                    publisher,
+                    new HubAuthority(),
+                    now);
             edges.hub(hub, now);
         }
     }
 
     /** Where this member stands. */
-    Status status() {
+    ReplicaStatus status() {
         return members.status();
     }
 
     /** Whether it holds the helm, and may act by it now. */
     boolean mayAct() {
-        return vow.mayAct(now());
+        return election.mayAct(now());
     }
 
     /** Where edges reach a member of the core. */
     private String inner(Member member) {
-        return new Address(Address.parse(member.address()).host(), berth.innerLow()).toString();
+        return new Address(Address.parse(member.address()).host(), nodeSettings.innerLow()).toString();
     }
 
-    private Welcome welcome() {
+    private EdgeWelcome welcome() {
         long hubTerm = hub == null ? 0 : hub.term();
-        return Greeter.welcome(
-                members.status(), vow.holder(now()), hubTerm, hub == null ? Roster.NONE : hub.newest(), this::inner);
+        return EdgeGreeter.welcome(
+                members.status(),
+                election.holder(now()),
+                hubTerm,
+                hub == null ? Roster.NONE : hub.newest(),
+                this::inner);
     }
 
     private void creedChanged() {
-        Creed creed = operators.charter().creed();
-        history.become(creed);
-        TALE.tell(
+        Configuration configuration = operators.stateMachine().configuration();
+        history.become(configuration);
+        LOG.tell(
                 "configuration",
                 "revision",
-                creed.revision(),
+                configuration.revision(),
                 "routes",
-                creed.routes().size(),
+                configuration.routes().size(),
                 "services",
-                creed.services().size());
+                configuration.services().size());
         if (hub != null) {
-            hub.creed(now());
+            hub.configuration(now());
         }
     }
 
     private void reread() {
         try {
-            Berth now = berth.reread();
+            NodeSettings now = nodeSettings.reread();
             members.settings(settings(now), seeds(now));
-            TALE.tell("settings read again");
-        } catch (BerthFault fault) {
-            TALE.warn("settings not used", "code", fault.code(), "why", fault.getMessage());
+            LOG.tell("settings read again");
+        } catch (SettingsException fault) {
+            LOG.warn("settings not used", "code", fault.code(), "why", fault.getMessage());
         }
     }
 
@@ -308,10 +334,10 @@
             return;
         }
         leavingAt = now();
-        TALE.tell("leaving");
-        int most = leaveMs(berth);
+        LOG.tell("leaving");
+        int most = leaveMs(nodeSettings);
         machine.loop().schedule(exit, most + Math.min(500, most / 10), TimeUnit.MILLISECONDS);
-        vow.yield(leavingAt);
+        election.yield(leavingAt);
         members.leave(leavingAt);
     }
 
@@ -322,26 +348,26 @@
         }
         boolean still = leftAt < 0 || !operators.idle();
         if (!still && now - leftAt >= LAST_WORDS && now - leavingAt >= STAY) {
-            TALE.tell("left", "ms", now - leavingAt);
+            LOG.tell("left", "ms", now - leavingAt);
             exit.run();
         }
     }
 
-    private final class Signalled implements Signals.Program {
+    private final class Signalled implements ProcessSignals.Program {
         @Override
         public void terminate() {
-            machine.loop().execute(Keep.this::leave);
+            machine.loop().execute(ControlPlaneProgram.this::leave);
         }
 
         @Override
         public void reload() {
-            machine.loop().execute(Keep.this::reread);
+            machine.loop().execute(ControlPlaneProgram.this::reread);
         }
     }
 
-    private final class MemberOrder implements Operators.Order {
+    private final class MemberOrder implements OperatorCalls.Order {
         @Override
-        public Status status() {
+        public ReplicaStatus status() {
             return members.status();
         }
 
@@ -363,8 +389,8 @@
 
     /** Keeps changes durably; one of the two follows, on the loop. */
     private void keep(Map<String, byte[]> changes, Runnable done, Runnable failed) {
-        List<Change> all = new ArrayList<>(changes.size());
-        changes.forEach((key, value) -> all.add(new Change(key, value)));
+        List<KeyChange> all = new ArrayList<>(changes.size());
+        changes.forEach((key, value) -> all.add(new KeyChange(key, value)));
         boolean taken = store.commit(all, now(), new DurableStore.Reply() {
             @Override
             public void done() {
@@ -372,7 +398,7 @@
             }
 
             @Override
-            public void failed(TroveFault fault) {
+            public void failed(StorageException fault) {
                 failed.run();
             }
         });
@@ -381,39 +407,39 @@
         }
     }
 
-    private final class VowOut implements brambletray.tray.vow.Out {
+    private final class VowOut implements brambletray.platform.election.ElectionActions {
         @Override
-        public void send(String to, Ballots frame) {
-            kin.say(to, frame);
+        public void send(String to, ElectionMessages frame) {
+            peerLinks.say(to, frame);
         }
 
         @Override
         public void persist(long ticket, Map<String, byte[]> changes) {
-            keep(changes, () -> vow.synced(ticket, now()), () -> vow.syncFailed(ticket, now()));
+            keep(changes, () -> election.synced(ticket, now()), () -> election.syncFailed(ticket, now()));
         }
 
         @Override
         public void won(long term) {
             held = term;
-            machine.loop().execute(Keep.this::takeUp);
+            machine.loop().execute(ControlPlaneProgram.this::takeUp);
         }
 
         @Override
         public void lost(long term) {
             held = 0;
-            machine.loop().execute(Keep.this::takeUp);
+            machine.loop().execute(ControlPlaneProgram.this::takeUp);
         }
 
         @Override
         public void tell(String event, Object... facts) {
-            TALE.tell(event, facts);
+            LOG.tell(event, facts);
         }
     }
 
-    private final class MemberOut implements Out {
+    private final class MemberOut implements ReplicationActions {
         @Override
         public void send(String to, Frame frame) {
-            kin.say(to, frame);
+            peerLinks.say(to, frame);
         }
 
         @Override
@@ -422,7 +448,7 @@
         }
 
         @Override
-        public void outcome(long token, Outcome outcome) {
+        public void outcome(long token, ProposalOutcome outcome) {
             machine.loop().execute(() -> operators.outcome(token, outcome));
         }
 
@@ -438,19 +464,19 @@
 
         @Override
         public void tell(String event, Object... facts) {
-            TALE.tell(event, facts);
+            LOG.tell(event, facts);
         }
 
         @Override
         public void warn(String event, Object... facts) {
-            TALE.warn(event, facts);
+            LOG.warn(event, facts);
         }
     }
 
-    private final class HubAuthority implements Hub.Authority {
+    private final class HubAuthority implements EdgeCoordinator.Authority {
         @Override
         public boolean mayAct() {
-            return Keep.this.mayAct();
+            return ControlPlaneProgram.this.mayAct();
         }
 
         @Override
@@ -459,21 +485,21 @@
         }
 
         @Override
-        public Welcome welcome() {
-            return Keep.this.welcome();
+        public EdgeWelcome welcome() {
+            return ControlPlaneProgram.this.welcome();
         }
 
         @Override
         public void fenced(long term) {
-            vow.doubt(term + 1, now());
+            election.doubt(term + 1, now());
         }
     }
 
-    private final class KinEar implements Kin.Ear {
+    private final class KinEar implements PeerLinks.Ear {
         @Override
         public void member(String from, Object frame) {
-            if (frame instanceof Ballots) {
-                vow.heard(from, frame, now());
+            if (frame instanceof ElectionMessages) {
+                election.heard(from, frame, now());
             } else {
                 members.heard(from, frame, now());
             }
@@ -491,8 +517,8 @@
 
         @Override
         public void edge(String name, Link link, Object frame) {
-            if (frame instanceof Hello hello) {
-                vow.doubt(hello.term(), now());
+            if (frame instanceof EdgeHello hello) {
+                election.doubt(hello.term(), now());
                 edges.hello(link, hello);
             }
             if (hub != null) {
--- a/src/main/java/brambletray/tray/keep/Door.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneServer.java
@@ -1,7 +1,7 @@
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -30,7 +30,7 @@
  * are dealt with one after the other, as answers bear no sign of which call they are to; a caller that sends more than
  * {@link #AHEAD} ahead is cut off.
  */
-final class Door {
+final class ControlPlaneServer {
     static final int BODY = 4 << 20;
     static final int IDLE_S = 30;
     static final int AHEAD = 8;
@@ -41,10 +41,10 @@
     /** One kind of call. */
     interface Desk {
         /** {@code part}: what a {@code *} in the path stood for, or null. */
-        void handle(Call call, String part);
+        void handle(ControlCall call, String part);
     }
 
-    Door(Dispatch<Desk> table) {
+    ControlPlaneServer(Dispatch<Desk> table) {
         this.table = table;
     }
 
@@ -102,14 +102,19 @@
             busy = true;
             boolean keep = HttpUtil.isKeepAlive(request);
             if (request.decoderResult().isFailure()) {
-                reply(context, false, 400, Faults.json("keep.malformed", "not a request of HTTP/1.1"), Map.of());
+                reply(
+                        context,
+                        false,
+                        400,
+                        ErrorBodies.json("controlplane.malformed", "not a request of HTTP/1.1"),
+                        Map.of());
                 return;
             }
             String uri = request.uri();
             int query = uri.indexOf('?');
             String path = query < 0 ? uri : uri.substring(0, query);
             boolean[] given = new boolean[1];
-            Call call = new Call(
+            ControlCall call = new ControlCall(
                     request.method().name(),
                     path,
                     request.headers().get(BASE),
@@ -122,7 +127,7 @@
                     });
             Dispatch.Found<Desk> found = path.startsWith("/") ? table.find(call.method(), path) : null;
             if (found == null) {
-                call.refuse(404, "keep.no-such-call", call.method() + " " + path);
+                call.refuse(404, "controlplane.no-such-call", call.method() + " " + path);
             } else {
                 found.handler().handle(call, found.part());
             }
--- a/src/main/java/brambletray/tray/keep/Dispatch.java
+++ b/src/main/java/brambletray/platform/controlplane/Dispatch.java
@@ -1,4 +1,4 @@
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/brambletray/tray/keep/Hub.java
+++ b/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
@@ -1,36 +1,36 @@
-package brambletray.tray.keep;
-
+package brambletray.platform.controlplane;
+
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Service;
+import brambletray.platform.distribution.ConfigurationPublisher;
+import brambletray.platform.distribution.CoordinatorHeartbeat;
+import brambletray.platform.distribution.DeltaChunk;
+import brambletray.platform.distribution.DeltaRequest;
+import brambletray.platform.distribution.RosterRequest;
+import brambletray.platform.failuredetection.EdgeHello;
+import brambletray.platform.failuredetection.EdgeWelcome;
+import brambletray.platform.failuredetection.HomeAssignment;
+import brambletray.platform.failuredetection.MembershipRegistry;
+import brambletray.platform.failuredetection.Peer;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.failuredetection.SuspicionReport;
+import brambletray.platform.failuredetection.SuspicionWithdrawal;
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.provisioning.CallResult;
+import brambletray.platform.provisioning.HomeClaim;
+import brambletray.platform.provisioning.InstanceSize;
+import brambletray.platform.provisioning.InstanceUp;
+import brambletray.platform.provisioning.KnownInstances;
+import brambletray.platform.provisioning.PlatformClient;
+import brambletray.platform.provisioning.PlatformTerms;
+import brambletray.platform.provisioning.Provisioner;
+import brambletray.platform.provisioning.ProvisioningActions;
+import brambletray.platform.provisioning.StartRequest;
+import brambletray.platform.provisioning.StartResponse;
+import brambletray.platform.provisioning.StopRequest;
+import brambletray.platform.settings.NodeSettings;
+import brambletray.platform.transport.Link;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Berth;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Service;
-import brambletray.tray.news.Chunk;
-import brambletray.tray.news.Fetch;
-import brambletray.tray.news.Publisher;
-import brambletray.tray.news.Pulse;
-import brambletray.tray.news.RosterFetch;
-import brambletray.tray.ring.Census;
-import brambletray.tray.ring.Hello;
-import brambletray.tray.ring.Homes;
-import brambletray.tray.ring.Peer;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.ring.Suspect;
-import brambletray.tray.ring.Trust;
-import brambletray.tray.ring.Welcome;
-import brambletray.tray.speech.Link;
-import brambletray.tray.tale.Tale;
-import brambletray.tray.yard.Begun;
-import brambletray.tray.yard.Claim;
-import brambletray.tray.yard.Hands;
-import brambletray.tray.yard.Mine;
-import brambletray.tray.yard.Need;
-import brambletray.tray.yard.Platform;
-import brambletray.tray.yard.Quit;
-import brambletray.tray.yard.Result;
-import brambletray.tray.yard.Seen;
-import brambletray.tray.yard.Size;
-import brambletray.tray.yard.Terms;
-import brambletray.tray.yard.Yard;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,8 +42,8 @@
  * What the holder of the helm does in its term: tells edges of each other, of configurations and of hosts, and starts
  * and stops hosts. It begins knowing nothing, and is told by those who knew first. For the loop only.
  */
-final class Hub {
-    private static final Tale TALE = Tale.of("hub");
+final class EdgeCoordinator {
+    private static final EventLog LOG = EventLog.of("hub");
     /** ms between pulses. */
     private static final int PULSE = 250;
     /**
@@ -64,15 +64,15 @@
     }
 
     private final long term;
-    private final Supplier<Creed> creed;
-    private final Publisher publisher;
+    private final Supplier<Configuration> configuration;
+    private final ConfigurationPublisher publisher;
     private final Map<String, Edge> edges = new HashMap<>();
-    private final Census census;
-    private final Yard yard;
-    private final Platform platform;
-    private Homes homes = new Homes(Roster.NONE);
+    private final MembershipRegistry membership;
+    private final Provisioner provisioner;
+    private final PlatformClient platform;
+    private HomeAssignment homes = new HomeAssignment(Roster.NONE);
     private long pulsedAt;
-    private Pulse pulse;
+    private CoordinatorHeartbeat pulse;
     /** Since when the newest configuration is on its way to edges, ms; {@link #NEVER}: all have it. */
     private long spreadingSince = NEVER;
 
@@ -92,40 +92,41 @@
         boolean applied();
 
         /** What this member says to an edge's Hello. */
-        Welcome welcome();
+        EdgeWelcome welcome();
 
         /** The platform has refused a call under this term, as it has seen a higher one. */
         void fenced(long term);
     }
 
-    Hub(
+    EdgeCoordinator(
             Machine machine,
-            Berth berth,
+            NodeSettings nodeSettings,
             long term,
-            Supplier<Creed> creed,
-            Publisher publisher,
+            Supplier<Configuration> configuration,
+            ConfigurationPublisher publisher,
             Authority authority,
             long now) {
         this.machine = machine;
         this.authority = authority;
         this.term = term;
-        this.creed = creed;
+        this.configuration = configuration;
         this.publisher = publisher;
-        pulse = new Pulse(term, 0, 0);
-        census = new Census(term, now, this::roster);
-        brambletray.tray.berth.Platform told = berth.need("cloud-api.address", berth.platform());
-        platform = new Platform(
+        pulse = new CoordinatorHeartbeat(term, 0, 0);
+        membership = new MembershipRegistry(term, now, this::roster);
+        brambletray.platform.settings.CloudApiSettings told =
+                nodeSettings.need("cloud-api.address", nodeSettings.platform());
+        platform = new PlatformClient(
                 machine,
                 new InetSocketAddress(told.address().host(), told.address().port()),
-                new Platform.Name(berth.node(), term),
+                new PlatformClient.Name(nodeSettings.node(), term),
                 told.ratePerS());
-        yard = new Yard(
-                new Terms(berth.zones(), told.lagMs(), told.ratePerS(), told.dutyRatePerS()),
+        provisioner = new Provisioner(
+                new PlatformTerms(nodeSettings.zones(), told.lagMs(), told.ratePerS(), told.dutyRatePerS()),
                 new YardHands(),
                 this::homeOf,
                 now);
-        creed(now);
-        TALE.tell("begins", "term", term, "revision", creed.get().revision());
+        configuration(now);
+        LOG.tell("begins", "term", term, "revision", configuration.get().revision());
     }
 
     long term() {
@@ -133,11 +134,11 @@
     }
 
     Roster newest() {
-        return census.newest();
+        return membership.newest();
     }
 
-    Yard yard() {
-        return yard;
+    Provisioner provisioner() {
+        return provisioner;
     }
 
     /** For operators: the revision that this edge says it serves by, or -1: it has no link here. */
@@ -152,16 +153,16 @@
     }
 
     /** Another configuration is in force. */
-    void creed(long now) {
-        Map<String, Size> sizes = new HashMap<>();
-        Creed current = creed.get();
-        if (current == Creed.NONE) {
+    void configuration(long now) {
+        Map<String, InstanceSize> sizes = new HashMap<>();
+        Configuration current = configuration.get();
+        if (current == Configuration.NONE) {
             return;
         }
         for (Service service : current.services().values()) {
-            sizes.put(service.name(), new Size(service.memoryMb(), service.bootMs()));
+            sizes.put(service.name(), new InstanceSize(service.memoryMb(), service.bootMs()));
         }
-        yard.creed(sizes, now);
+        provisioner.configuration(sizes, now);
         spreadingSince = now;
         if (authority.mayAct()) {
             pulseAll(now);
@@ -171,20 +172,20 @@
     /** For who may act, of what may be handed out: edges fetch what they lack. */
     private void pulseAll(long now) {
         pulsedAt = now;
-        pulse = new Pulse(term, revision(), census.roster().number());
+        pulse = new CoordinatorHeartbeat(term, revision(), membership.roster().number());
         edges.values().forEach(this::pulse);
     }
 
     private void roster(Roster roster, String why) {
-        homes = new Homes(roster);
+        homes = new HomeAssignment(roster);
         Set<String> names = new HashSet<>();
         for (Peer peer : roster.peers()) {
             names.add(peer.name());
         }
         if (roster.number() == 1) {
-            yard.expect(names);
+            provisioner.expect(names);
         }
-        TALE.tell(
+        LOG.tell(
                 "roster",
                 "term",
                 roster.term(),
@@ -197,7 +198,7 @@
     }
 
     void heard(String name, Link link, Object frame, long now) {
-        if (frame instanceof Hello hello) {
+        if (frame instanceof EdgeHello hello) {
             hello(name, link, hello, now);
             return;
         }
@@ -205,36 +206,36 @@
         if (edge == null || edge.link != link) {
             return;
         }
-        if (frame instanceof Need need) {
-            yard.need(name, need, now);
-        } else if (frame instanceof Quit quit) {
-            yard.quit(name, quit, now);
-        } else if (frame instanceof Seen seen) {
-            yard.seen(name, seen, now);
-        } else if (frame instanceof Claim claim) {
-            yard.claim(name, claim, now);
-        } else if (frame instanceof Mine mine) {
-            yard.mine(name, mine, now);
-        } else if (frame instanceof Suspect suspect) {
-            census.suspect(suspect);
-        } else if (frame instanceof Trust trust) {
-            census.trust(trust);
+        if (frame instanceof StartRequest need) {
+            provisioner.need(name, need, now);
+        } else if (frame instanceof StopRequest quit) {
+            provisioner.quit(name, quit, now);
+        } else if (frame instanceof InstanceUp seen) {
+            provisioner.seen(name, seen, now);
+        } else if (frame instanceof HomeClaim claim) {
+            provisioner.claim(name, claim, now);
+        } else if (frame instanceof KnownInstances mine) {
+            provisioner.mine(name, mine, now);
+        } else if (frame instanceof SuspicionReport suspect) {
+            membership.suspect(suspect);
+        } else if (frame instanceof SuspicionWithdrawal trust) {
+            membership.trust(trust);
         } else if (frame instanceof Roster roster) {
-            census.told(roster, now);
-        } else if (frame instanceof Fetch fetch) {
+            membership.told(roster, now);
+        } else if (frame instanceof DeltaRequest fetch) {
             fetch(edge, fetch, now);
-        } else if (frame instanceof RosterFetch
+        } else if (frame instanceof RosterRequest
                 && edge.open
                 && authority.mayAct()
-                && census.roster().number() > 0) {
-            edge.link.say(census.roster());
+                && membership.roster().number() > 0) {
+            edge.link.say(membership.roster());
         }
     }
 
-    private void fetch(Edge edge, Fetch fetch, long now) {
+    private void fetch(Edge edge, DeltaRequest fetch, long now) {
         edge.revision = fetch.revision();
         if (edge.open && authority.mayAct() && revision() > 0) {
-            Chunk chunk = publisher.answer(fetch, term);
+            DeltaChunk chunk = publisher.answer(fetch, term);
             if (chunk != null) {
                 edge.link.say(chunk);
             }
@@ -248,20 +249,21 @@
         if (spreadingSince != NEVER
                 && newest > 0
                 && edges.values().stream().allMatch(edge -> edge.revision >= newest)) {
-            TALE.tell("spread", "term", term, "revision", newest, "edges", edges.size(), "ms", now - spreadingSince);
+            LOG.tell("spread", "term", term, "revision", newest, "edges", edges.size(), "ms", now - spreadingSince);
             spreadingSince = NEVER;
         }
     }
 
-    private void hello(String name, Link link, Hello hello, long now) {
+    private void hello(String name, Link link, EdgeHello hello, long now) {
         Edge edge = edges.computeIfAbsent(name, none -> new Edge());
         edge.open &= edge.link == link;
         edge.link = link;
         edge.peer = hello.self();
         edge.revision = hello.revision();
-        census.hello(hello, now);
+        membership.hello(hello, now);
         if (authority.mayAct()) {
-            pulse = new Pulse(term, revision(), census.roster().number());
+            pulse = new CoordinatorHeartbeat(
+                    term, revision(), membership.roster().number());
             pulse(edge);
         }
     }
@@ -278,7 +280,7 @@
     /** Edges look elsewhere, until this hub pulses again. */
     private void letGo(String why) {
         int all = 0;
-        Welcome welcome = authority.welcome().withoutHelm();
+        EdgeWelcome welcome = authority.welcome().withoutHelm();
         for (Edge edge : edges.values()) {
             if (edge.open) {
                 all++;
@@ -286,11 +288,11 @@
             }
         }
         if (all > 0) {
-            TALE.tell("edges let go", "term", term, "why", why, "edges", all);
+            LOG.tell("edges let go", "term", term, "why", why, "edges", all);
         }
     }
 
-    private void letGo(Edge edge, Welcome welcome) {
+    private void letGo(Edge edge, EdgeWelcome welcome) {
         edge.open = false;
         edge.link.say(welcome);
     }
@@ -299,8 +301,8 @@
         Edge edge = edges.get(name);
         if (edge != null && edge.link == link) {
             edges.remove(name);
-            census.parted(name, edge.peer.life(), now);
-            yard.edgeGone(name, now);
+            membership.parted(name, edge.peer.life(), now);
+            provisioner.edgeGone(name, now);
         }
     }
 
@@ -315,11 +317,11 @@
             return;
         }
         lapsedAt = NEVER;
-        census.tick(now);
-        yard.tick(now);
+        membership.tick(now);
+        provisioner.tick(now);
         if (now - pulsedAt >= PULSE
                 || revision() != pulse.revision()
-                || census.roster().number() != pulse.roster()) {
+                || membership.roster().number() != pulse.roster()) {
             pulseAll(now);
         }
     }
@@ -332,10 +334,10 @@
         platform.close();
         letGo("the term is over");
         edges.clear();
-        TALE.tell("ends", "term", term);
+        LOG.tell("ends", "term", term);
     }
 
-    private final class YardHands implements Hands {
+    private final class YardHands implements ProvisioningActions {
         private long now() {
             return machine.clock().nanos() / 1_000_000;
         }
@@ -356,45 +358,45 @@
         @Override
         public void begin(String service, String worker, String nonce) {
             if (!authority.mayAct()) {
-                machine.loop().execute(() -> yard.begun(nonce, Begun.of(Result.UNKNOWN), now()));
+                machine.loop().execute(() -> provisioner.begun(nonce, StartResponse.of(CallResult.UNKNOWN), now()));
                 return;
             }
             platform.begin(service, worker, nonce, begun -> {
                 fenced(begun.result());
-                yard.begun(nonce, begun, now());
+                provisioner.begun(nonce, begun, now());
             });
         }
 
         @Override
         public void stop(String id) {
             if (!authority.mayAct()) {
-                machine.loop().execute(() -> yard.stopped(id, Result.UNKNOWN, now()));
+                machine.loop().execute(() -> provisioner.stopped(id, CallResult.UNKNOWN, now()));
                 return;
             }
             platform.stop(id, result -> {
                 fenced(result);
-                yard.stopped(id, result, now());
+                provisioner.stopped(id, result, now());
             });
         }
 
-        private void fenced(Result result) {
-            if (result == Result.FENCED) {
+        private void fenced(CallResult result) {
+            if (result == CallResult.FENCED) {
                 authority.fenced(term);
             }
         }
 
         @Override
         public void askList() {
-            platform.list((hosts, complete) -> yard.listed(hosts, complete, now()));
+            platform.list((hosts, complete) -> provisioner.listed(hosts, complete, now()));
         }
 
         @Override
         public void askWorkers() {
             platform.workers(workers -> {
                 if (workers == null) {
-                    yard.workersFailed(now());
+                    provisioner.workersFailed(now());
                 } else {
-                    yard.workers(workers, now());
+                    provisioner.workers(workers, now());
                 }
             });
         }
--- a/src/main/java/brambletray/tray/keep/Greeter.java
+++ b/src/main/java/brambletray/platform/controlplane/EdgeGreeter.java
@@ -1,13 +1,13 @@
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
 
-import brambletray.tray.ring.Hello;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.ring.Welcome;
-import brambletray.tray.speech.Link;
-import brambletray.tray.view.Member;
-import brambletray.tray.view.Standing;
-import brambletray.tray.view.Status;
-import brambletray.tray.vow.Holder;
+import brambletray.platform.election.LeaseHolder;
+import brambletray.platform.failuredetection.EdgeHello;
+import brambletray.platform.failuredetection.EdgeWelcome;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.replication.Member;
+import brambletray.platform.replication.ReplicaRole;
+import brambletray.platform.replication.ReplicaStatus;
+import brambletray.platform.transport.Link;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,26 +20,26 @@
  * learns of a new helm at once, and one that waits at a member that is cut off learns that it should go on. For the
  * loop only.
  */
-final class Greeter {
+final class EdgeGreeter {
     private static final long NEVER = Long.MIN_VALUE;
 
     private static final class Guest {
         private final String name;
-        private Hello hello;
+        private EdgeHello hello;
         /** The roster part left out, which the Welcome of a later Hello brings up to date. */
-        private Welcome told;
+        private EdgeWelcome told;
 
         Guest(String name) {
             this.name = name;
         }
     }
 
-    private final Supplier<Welcome> welcome;
+    private final Supplier<EdgeWelcome> welcome;
     private final Map<Link, Guest> guests = new LinkedHashMap<>();
     private long noneSince = NEVER;
 
     /** {@code welcome}: what this member says at that moment. */
-    Greeter(Supplier<Welcome> welcome) {
+    EdgeGreeter(Supplier<EdgeWelcome> welcome) {
         this.welcome = welcome;
     }
 
@@ -48,13 +48,14 @@
      * ({@code hubTerm}, 0: it has none), another only while it is in touch itself: who is cut off may not know that the
      * other has been succeeded. {@code inner}: where edges reach a member.
      */
-    static Welcome welcome(Status status, Holder holder, long hubTerm, Roster newest, Function<Member, String> inner) {
-        boolean inTouch = status.standing() == Standing.MEMBER;
+    static EdgeWelcome welcome(
+            ReplicaStatus status, LeaseHolder holder, long hubTerm, Roster newest, Function<Member, String> inner) {
+        boolean inTouch = status.standing() == ReplicaRole.MEMBER;
         boolean here = holder != null && holder.member().life() == status.me().life();
         boolean named = holder != null && (here ? hubTerm == holder.term() : inTouch);
         List<String> reached =
                 status.inForce() ? status.members().stream().map(inner).toList() : List.of();
-        return new Welcome(
+        return new EdgeWelcome(
                 named ? inner.apply(holder.member()) : "",
                 named ? holder.term() : 0,
                 inTouch,
@@ -73,7 +74,7 @@
     }
 
     /** Answers an edge's Hello. */
-    void hello(Link link, Hello hello) {
+    void hello(Link link, EdgeHello hello) {
         Guest guest = guests.get(link);
         if (guest != null) {
             guest.hello = hello;
@@ -82,8 +83,8 @@
     }
 
     /** The helm is held here from now on: its hub hears who is on the line. */
-    void hub(Hub hub, long now) {
-        Welcome say = welcome.get();
+    void hub(EdgeCoordinator hub, long now) {
+        EdgeWelcome say = welcome.get();
         new LinkedHashMap<>(guests).forEach((link, guest) -> {
             if (guest.hello != null) {
                 say(link, guest, say);
@@ -93,20 +94,21 @@
     }
 
     /**
-     * Every 50 ms or so; steady ms. That there is no helm any more is said once that has lasted for {@link Hub#DOUBT}.
+     * Every 50 ms or so; steady ms. That there is no helm any more is said once that has lasted for {@link
+     * EdgeCoordinator#DOUBT}.
      */
     void tick(long now) {
         if (guests.isEmpty()) {
             return;
         }
-        Welcome say = welcome.get();
-        Welcome key = key(say);
+        EdgeWelcome say = welcome.get();
+        EdgeWelcome key = key(say);
         if (!key.helmAddress().isEmpty()) {
             noneSince = NEVER;
         } else if (noneSince == NEVER) {
             noneSince = now;
         }
-        boolean doubt = noneSince != NEVER && now - noneSince < Hub.DOUBT;
+        boolean doubt = noneSince != NEVER && now - noneSince < EdgeCoordinator.DOUBT;
         guests.forEach((link, guest) -> {
             if (guest.told != null
                     && !guest.told.equals(key)
@@ -116,12 +118,12 @@
         });
     }
 
-    private void say(Link link, Guest guest, Welcome say) {
+    private void say(Link link, Guest guest, EdgeWelcome say) {
         link.say(say);
         guest.told = key(say);
     }
 
-    private static Welcome key(Welcome all) {
-        return new Welcome(all.helmAddress(), all.term(), all.inTouch(), all.view(), all.members(), 0, 0);
+    private static EdgeWelcome key(EdgeWelcome all) {
+        return new EdgeWelcome(all.helmAddress(), all.term(), all.inTouch(), all.view(), all.members(), 0, 0);
     }
 }
--- a/src/main/java/brambletray/tray/keep/Faults.java
+++ b/src/main/java/brambletray/platform/controlplane/ErrorBodies.java
@@ -1,11 +1,11 @@
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import java.nio.charset.StandardCharsets;
 
 /** Bodies of refusals: {@code {"error":code,"reason":...}}. */
-final class Faults {
-    private Faults() {}
+final class ErrorBodies {
+    private ErrorBodies() {}
 
     static byte[] json(String code, String reason) {
         JsonStringEncoder encoder = JsonStringEncoder.getInstance();
--- a/src/main/java/brambletray/tray/keep/Sheet.java
+++ b/src/main/java/brambletray/platform/controlplane/JsonObjectWriter.java
@@ -1,17 +1,17 @@
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
 
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonWriter;
 import com.dslplatform.json.NumberConverter;
 
 /** One JSON object for operators, written field by field. Loaded with the first such call, not at the start. */
-final class Sheet {
+final class JsonObjectWriter {
     private static final DslJson<Object> JSON = new DslJson<>();
 
     private final JsonWriter out = JSON.newWriter();
     private boolean first = true;
 
-    Sheet() {
+    JsonObjectWriter() {
         out.writeByte((byte) '{');
     }
 
@@ -30,7 +30,7 @@
     }
 
     /** {@code value}: null is written as such. */
-    Sheet text(String name, String value) {
+    JsonObjectWriter text(String name, String value) {
         field(name);
         if (value == null) {
             out.writeNull();
@@ -40,24 +40,24 @@
         return this;
     }
 
-    Sheet number(String name, long value) {
+    JsonObjectWriter number(String name, long value) {
         NumberConverter.serialize(value, field(name));
         return this;
     }
 
-    Sheet flag(String name, boolean value) {
+    JsonObjectWriter flag(String name, boolean value) {
         field(name).writeAscii(value ? "true" : "false");
         return this;
     }
 
     /** A list of objects begins, each of them with {@link #item}, until {@link #close}. */
-    Sheet list(String name) {
+    JsonObjectWriter list(String name) {
         field(name).writeByte((byte) '[');
         first = true;
         return this;
     }
 
-    Sheet item() {
+    JsonObjectWriter item() {
         between();
         out.writeByte((byte) '{');
         first = true;
@@ -65,14 +65,14 @@
     }
 
     /** Ends an {@link #item}. */
-    Sheet end() {
+    JsonObjectWriter end() {
         out.writeByte((byte) '}');
         first = false;
         return this;
     }
 
     /** Ends a {@link #list}. */
-    Sheet close() {
+    JsonObjectWriter close() {
         out.writeByte((byte) ']');
         first = false;
         return this;
--- a/src/main/java/brambletray/tray/keep/MemberOrders.java
+++ b/src/main/java/brambletray/platform/controlplane/MemberOrders.java
@@ -1,12 +1,14 @@
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
 
-import brambletray.tray.view.Declaration;
+import brambletray.platform.replication.Declaration;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
 /**
- * Operators' orders about members of the core: {@code POST /brambletray/system/dead/ADDRESS} declares that the machine at this control-plane address is gone
- * for good, with its disk. The body confirms it: the member's life in hex, as {@code views} shows it. The member that is asked decides and answers
+ * Operators' orders about members of the core: {@code POST /brambletray/system/dead/ADDRESS} declares that the machine
+ * at this control-plane address is gone
+ * for good, with its disk. The body confirms it: the member's life in hex, as {@code views} shows it. The member that
+ * is asked decides and answers
  * for itself. For the loop only.
  */
 final class MemberOrders {
@@ -23,46 +25,52 @@
         this.declare = declare;
     }
 
-    void register(Dispatch<Door.Desk> table) {
-        table.on("POST", Views.AT + "dead/*", this::dead);
+    void register(Dispatch<ControlPlaneServer.Desk> table) {
+        table.on("POST", OperatorViews.AT + "dead/*", this::dead);
     }
 
-    private void dead(Call call, String address) {
+    private void dead(ControlCall call, String address) {
         long life;
         try {
             life = Long.parseUnsignedLong(new String(call.body(), StandardCharsets.UTF_8).strip(), HEX);
         } catch (NumberFormatException e) {
-            call.refuse(400, "keep.unconfirmed", "expected as body the life of the member in hex, as views shows it");
+            call.refuse(
+                    400,
+                    "controlplane.unconfirmed",
+                    "expected as body the life of the member in hex, as views shows it");
             return;
         }
         declare.dead(address, life, result -> answer(call, address, life, result));
     }
 
-    private static void answer(Call call, String address, long life, Declaration result) {
+    private static void answer(ControlCall call, String address, long life, Declaration result) {
         switch (result) {
             case DECLARED ->
                 call.give(
                         200,
-                        new Sheet()
+                        new JsonObjectWriter()
                                 .text("address", address)
                                 .text("life", Long.toHexString(life))
                                 .flag("declared-dead", true)
                                 .bytes());
             case NO_MEMBER ->
-                call.refuse(404, "keep.no-member", "no other member of the view here has this address and this life");
+                call.refuse(
+                        404,
+                        "controlplane.no-member",
+                        "no other member of the view here has this address and this life");
             case NOT_NEEDED ->
-                call.refuse(409, "keep.not-needed", "the view is at work here, nothing waits for that machine");
+                call.refuse(409, "controlplane.not-needed", "the view is at work here, nothing waits for that machine");
             case HEARD ->
                 call.refuse(
                         409,
-                        "keep.heard",
+                        "controlplane.heard",
                         "the machine answers, or was heard lately, or this process hasn't listened for 10 s");
             case TOO_MANY ->
                 call.refuse(
                         409,
-                        "keep.too-many",
+                        "controlplane.too-many",
                         "with it a majority of a view would be dead, and acknowledged changes with it");
-            case BUSY -> call.refuse(503, "keep.busy", "another order is being looked into");
+            case BUSY -> call.refuse(503, "controlplane.busy", "another order is being looked into");
             default -> throw new IllegalStateException("no answer for " + result);
         }
     }
--- a/src/main/java/brambletray/tray/keep/Operators.java
+++ b/src/main/java/brambletray/platform/controlplane/OperatorCalls.java
@@ -1,14 +1,14 @@
-package brambletray.tray.keep;
-
-import brambletray.tray.creed.Charter;
-import brambletray.tray.creed.CreedFault;
-import brambletray.tray.creed.Verb;
-import brambletray.tray.creed.Verdict;
-import brambletray.tray.tale.Tale;
-import brambletray.tray.view.Matter;
-import brambletray.tray.view.Outcome;
-import brambletray.tray.view.Standing;
-import brambletray.tray.view.Status;
+package brambletray.platform.controlplane;
+
+import brambletray.platform.configuration.ChangeDecision;
+import brambletray.platform.configuration.ChangeKind;
+import brambletray.platform.configuration.ConfigurationException;
+import brambletray.platform.configuration.ConfigurationStateMachine;
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.replication.ProposalOutcome;
+import brambletray.platform.replication.ReplicaRole;
+import brambletray.platform.replication.ReplicaStatus;
+import brambletray.platform.replication.StateMachine;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -24,8 +24,8 @@
  * Where the configuration moved on in the meantime, the change is judged anew. What was taken before needs no round:
  * what has been delivered here is kept.
  */
-final class Operators implements Matter {
-    private static final Tale TALE = Tale.of("keep");
+final class OperatorCalls implements StateMachine {
+    private static final EventLog LOG = EventLog.of("controlplane");
     /** Changes that wait for the one under way, or for a leader. */
     private static final int QUEUE = 64;
     /** Bytes of bodies of calls that wait here, beyond which a further one is told to come back: six of the largest. */
@@ -48,7 +48,7 @@
     /** What the operators' calls need of the member. */
     interface Order {
         /** Where it stands now. */
-        Status status();
+        ReplicaStatus status();
 
         /**
          * Control-plane address of the leader that the others go on with, once this member has been told to end and is
@@ -64,16 +64,16 @@
         void confirm(long token);
     }
 
-    private record Change(Call call, Verb verb, long base, long since) {}
+    private record Change(ControlCall call, ChangeKind verb, long base, long since) {}
 
     /** A confirming round and the call that waits for it. */
-    private record Round(Call call, long since, Runnable yes, Runnable no) {}
+    private record Round(ControlCall call, long since, Runnable yes, Runnable no) {}
 
     private static final byte[] DONE = {'{', '}'};
 
     private final Order order;
     private final Runnable news;
-    private final Charter charter = new Charter();
+    private final ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
     private final ArrayDeque<Change> queue = new ArrayDeque<>();
     private final Map<Long, Round> rounds = new HashMap<>();
     private Change inFlight;
@@ -87,18 +87,18 @@
     private long outSince = -1;
 
     /** {@code news}: called after each new configuration. */
-    Operators(Order order, Runnable news) {
+    OperatorCalls(Order order, Runnable news) {
         this.order = order;
         this.news = news;
     }
 
-    Charter charter() {
-        return charter;
+    ConfigurationStateMachine stateMachine() {
+        return stateMachine;
     }
 
-    void register(Dispatch<Door.Desk> table) {
-        table.on("POST", "/brambletray/configuration/replace", (call, part) -> change(call, Verb.REPLACE))
-                .on("POST", "/brambletray/configuration/modify", (call, part) -> change(call, Verb.MODIFY))
+    void register(Dispatch<ControlPlaneServer.Desk> table) {
+        table.on("POST", "/brambletray/configuration/replace", (call, part) -> change(call, ChangeKind.REPLACE))
+                .on("POST", "/brambletray/configuration/modify", (call, part) -> change(call, ChangeKind.MODIFY))
                 .on("GET", "/brambletray/configuration/show", (call, part) -> show(call));
     }
 
@@ -111,7 +111,7 @@
         queue.removeIf(change -> late(change.since, inTouch) && busy(change.call));
         rounds.values().stream().filter(round -> late(round.since, inTouch)).forEach(round -> unsure(round.call));
         if (inFlight != null && late(inFlight.since, inTouch)) {
-            inFlight.call.refuse(503, "keep.unclear", "not known to be kept yet; send it again");
+            inFlight.call.refuse(503, "controlplane.unclear", "not known to be kept yet; send it again");
         }
     }
 
@@ -121,8 +121,8 @@
      * each other would send a caller round in a circle.
      */
     private boolean leading() {
-        Status status = order.status();
-        return status.leading() && status.standing() == Standing.MEMBER;
+        ReplicaStatus status = order.status();
+        return status.leading() && status.standing() == ReplicaRole.MEMBER;
     }
 
     /** Whether no call waits for its answer: the process may end. */
@@ -136,8 +136,8 @@
         if (successor != null) {
             return successor;
         }
-        Status status = order.status();
-        boolean heard = !status.leading() && status.standing() == Standing.MEMBER && status.leader() != null;
+        ReplicaStatus status = order.status();
+        boolean heard = !status.leading() && status.standing() == ReplicaRole.MEMBER && status.leader() != null;
         return heard && !status.leader().address().equals(status.me().address())
                 ? status.leader().address()
                 : null;
@@ -156,35 +156,35 @@
         next();
     }
 
-    private boolean sendOn(Call call) {
+    private boolean sendOn(ControlCall call) {
         if (leading()) {
             return false;
         }
         String leader = leader();
         if (leader == null) {
-            call.refuse(503, "keep.no-leader", "the members of the core are not in touch");
+            call.refuse(503, "controlplane.no-leader", "the members of the core are not in touch");
         } else {
             call.answer().give(307, null, Map.of("Location", "http://" + leader + call.path()));
         }
         return true;
     }
 
-    private static boolean busy(Call call) {
-        call.refuse(503, "keep.busy", "other changes are under way, or no leader is known");
+    private static boolean busy(ControlCall call) {
+        call.refuse(503, "controlplane.busy", "other changes are under way, or no leader is known");
         return true;
     }
 
-    private static void unsure(Call call) {
-        call.refuse(503, "keep.unsure", "not sure to know the newest");
+    private static void unsure(ControlCall call) {
+        call.refuse(503, "controlplane.unsure", "not sure to know the newest");
     }
 
-    private void show(Call call) {
+    private void show(ControlCall call) {
         if (!sendOn(call)) {
-            confirm(call, now, () -> call.give(200, charter.creed().json()));
+            confirm(call, now, () -> call.give(200, stateMachine.configuration().json()));
         }
     }
 
-    private void confirm(Call call, long since, Runnable yes) {
+    private void confirm(ControlCall call, long since, Runnable yes) {
         rounds.put(++token, new Round(call, since, yes, () -> {
             // this member has left meanwhile: another can say
             if (order.successor() == null || !sendOn(call)) {
@@ -205,16 +205,16 @@
      * What was taken before is acknowledged by any member that has it delivered: that is kept, whoever leads and
      * whatever came since.
      */
-    private void change(Call call, Verb verb) {
+    private void change(ControlCall call, ChangeKind verb) {
         long base;
         try {
-            base = Charter.base(call.base());
-        } catch (CreedFault fault) {
+            base = ConfigurationStateMachine.base(call.base());
+        } catch (ConfigurationException fault) {
             // a fault of the call itself, whatever the configuration
-            answer(call, new Verdict.Invalid(fault));
+            answer(call, new ChangeDecision.Invalid(fault));
             return;
         }
-        if (charter.taken(verb, base, call.body())) {
+        if (stateMachine.taken(verb, base, call.body())) {
             call.give(200, DONE);
         } else if (queue.size() >= QUEUE || held() + call.body().length > HELD) {
             busy(call);
@@ -248,12 +248,12 @@
     }
 
     private void judge(Change change) {
-        Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
-        if (verdict instanceof Verdict.Fine fine) {
+        ChangeDecision verdict = stateMachine.judge(change.verb, change.base, change.call.body());
+        if (verdict instanceof ChangeDecision.Fine fine) {
             inFlight = change;
             proposal = ++token;
             order.propose(proposal, fine.change());
-        } else if (verdict instanceof Verdict.TakenBefore || verdict instanceof Verdict.Forgotten) {
+        } else if (verdict instanceof ChangeDecision.TakenBefore || verdict instanceof ChangeDecision.Forgotten) {
             answer(change.call, verdict);
         } else {
             long judgedBy = version;
@@ -262,7 +262,7 @@
     }
 
     /** The round has confirmed what is known here now; what was known when the change was judged may be older. */
-    private void refuse(Change change, Verdict verdict, long judgedBy) {
+    private void refuse(Change change, ChangeDecision verdict, long judgedBy) {
         if (judgedBy == version) {
             answer(change.call, verdict);
         } else {
@@ -275,15 +275,15 @@
      * What the change came to is read off the charter, not off the last delivery: between the delivery and this call
      * others may have been delivered, such as the proposal of a former leader that was resubmitted to this one.
      */
-    void outcome(long of, Outcome outcome) {
+    void outcome(long of, ProposalOutcome outcome) {
         if (of != proposal || inFlight == null) {
             return;
         }
         Change change = inFlight;
         inFlight = null;
-        Verdict verdict = charter.judge(change.verb, change.base, change.call.body());
-        boolean taken = verdict instanceof Verdict.TakenBefore;
-        TALE.tell(
+        ChangeDecision verdict = stateMachine.judge(change.verb, change.base, change.call.body());
+        boolean taken = verdict instanceof ChangeDecision.TakenBefore;
+        LOG.tell(
                 "change",
                 "verb",
                 change.verb,
@@ -294,31 +294,31 @@
                 "taken",
                 taken,
                 "revision",
-                charter.creed().revision());
-        if (taken || outcome == Outcome.COMMITTED && verdict instanceof Verdict.Stale) {
+                stateMachine.configuration().revision());
+        if (taken || outcome == ProposalOutcome.COMMITTED && verdict instanceof ChangeDecision.Stale) {
             answer(change.call, verdict);
-        } else if (outcome != Outcome.REFUSED || order.successor() == null || !sendOn(change.call)) {
-            change.call.refuse(503, "keep.unclear", "not known to be kept; send it again");
+        } else if (outcome != ProposalOutcome.REFUSED || order.successor() == null || !sendOn(change.call)) {
+            change.call.refuse(503, "controlplane.unclear", "not known to be kept; send it again");
         }
         next();
     }
 
-    private static void answer(Call call, Verdict verdict) {
-        if (verdict instanceof Verdict.Invalid invalid) {
-            TALE.tell(
+    private static void answer(ControlCall call, ChangeDecision verdict) {
+        if (verdict instanceof ChangeDecision.Invalid invalid) {
+            LOG.tell(
                     "refused",
                     "code",
                     invalid.fault().code(),
                     "why",
                     invalid.fault().getMessage());
             call.refuse(400, invalid.fault().code(), invalid.fault().getMessage());
-        } else if (verdict instanceof Verdict.Stale stale) {
-            TALE.tell("refused", "code", "keep.stale", "base", call.base(), "current", stale.current());
-            call.refuse(412, "keep.stale", "the current revision is " + stale.current());
-        } else if (verdict instanceof Verdict.Forgotten forgotten) {
+        } else if (verdict instanceof ChangeDecision.Stale stale) {
+            LOG.tell("refused", "code", "controlplane.stale", "base", call.base(), "current", stale.current());
+            call.refuse(412, "controlplane.stale", "the current revision is " + stale.current());
+        } else if (verdict instanceof ChangeDecision.Forgotten forgotten) {
             call.refuse(
                     503,
-                    "keep.forgotten",
+                    "controlplane.forgotten",
                     "what was taken before revision " + forgotten.oldest()
                             + " isn't remembered; look at the configuration");
         } else {
@@ -328,12 +328,12 @@
 
     @Override
     public byte[] snapshot() {
-        return charter.snapshot();
+        return stateMachine.snapshot();
     }
 
     @Override
     public byte[] replay(byte[] snapshot, List<byte[]> changes) {
-        Charter other = new Charter();
+        ConfigurationStateMachine other = new ConfigurationStateMachine();
         other.restore(snapshot);
         changes.forEach(other::deliver);
         return other.snapshot();
@@ -341,8 +341,8 @@
 
     @Override
     public void restore(byte[] snapshot) {
-        boolean fresh = snapshot.length == 0 && charter.creed().revision() == 0;
-        charter.restore(snapshot);
+        boolean fresh = snapshot.length == 0 && stateMachine.configuration().revision() == 0;
+        stateMachine.restore(snapshot);
         version++;
         if (!fresh) {
             news.run();
@@ -351,7 +351,7 @@
 
     @Override
     public void deliver(long index, byte[] change) {
-        if (charter.deliver(change) instanceof Verdict.Taken) {
+        if (stateMachine.deliver(change) instanceof ChangeDecision.Taken) {
             version++;
             news.run();
         }
--- a/src/main/java/brambletray/tray/keep/Views.java
+++ b/src/main/java/brambletray/platform/controlplane/OperatorViews.java
@@ -1,11 +1,11 @@
-package brambletray.tray.keep;
-
-import brambletray.tray.ring.Peer;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.view.Member;
-import brambletray.tray.view.Status;
-import brambletray.tray.vow.Holder;
-import brambletray.tray.yard.Host;
+package brambletray.platform.controlplane;
+
+import brambletray.platform.election.LeaseHolder;
+import brambletray.platform.failuredetection.Peer;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.replication.Member;
+import brambletray.platform.replication.ReplicaStatus;
 import java.util.List;
 import java.util.Map;
 
@@ -14,26 +14,28 @@
  * ({@code views}) and who it holds to have the duty ({@code duties}); edges and hosts are known at the helm, and
  * callers are sent there by 307. Nothing is changed here. The loop's.
  */
-final class Views {
+final class OperatorViews {
     static final String AT = "/brambletray/system/";
     /** Hosts in one answer; {@code known} says how many there are. */
     static final int MOST = 4_096;
 
-    private static final String HELM = "helm";
+    private static final String COORDINATOR = "helm";
     private static final String[] STATES = {"booting", "up", "leaving"};
 
     /** What this member knows. */
     interface Source {
-        Status status();
+        ReplicaStatus status();
 
-        /** Zones, or else regions, that may be lost and hold half of the view or more; empty where the rest would go on. */
+        /**
+         * Zones, or else regions, that may be lost and hold half of the view or more; empty where the rest would go on.
+         */
         List<String> zonesThatHoldHalf();
 
         /** Of the configuration in force here. */
         long revision();
 
         /** Who holds the helm as far as known here, or null. */
-        Holder helm();
+        LeaseHolder coordinator();
 
         /** Null: the helm is not held here. */
         Book book();
@@ -50,7 +52,7 @@
         long has(String edge);
 
         /** At most {@link #MOST}; {@code service} null: of all. */
-        List<Host> hosts(String service);
+        List<InstanceInfo> hosts(String service);
 
         /** Hosts of all services. */
         int known();
@@ -60,12 +62,12 @@
     private long term;
     private long since;
 
-    Views(Source source) {
+    OperatorViews(Source source) {
         this.source = source;
         since = source.now();
     }
 
-    void register(Dispatch<Door.Desk> table) {
+    void register(Dispatch<ControlPlaneServer.Desk> table) {
         table.on("GET", AT + "views", (call, part) -> call.give(200, views()))
                 .on("GET", AT + "duties", (call, part) -> call.give(200, duties()))
                 .on("GET", AT + "edges", (call, part) -> atHelm(call, this::edges))
@@ -75,8 +77,8 @@
 
     /** Remembers since when the holder is known. */
     void tick() {
-        Holder helm = source.helm();
-        long now = helm == null ? 0 : helm.term();
+        LeaseHolder coordinator = source.coordinator();
+        long now = coordinator == null ? 0 : coordinator.term();
         if (now != term) {
             term = now;
             since = source.now();
@@ -87,31 +89,31 @@
         byte[] of(Book book);
     }
 
-    private void atHelm(Call call, Page page) {
+    private void atHelm(ControlCall call, Page page) {
         Book book = source.book();
-        Holder helm = source.helm();
+        LeaseHolder coordinator = source.coordinator();
         if (book != null) {
             call.give(200, page.of(book));
-        } else if (helm == null
-                || helm.member().address().equals(source.status().me().address())) {
-            call.refuse(503, "keep.no-helm", "nobody is known to hold the helm at present");
+        } else if (coordinator == null
+                || coordinator.member().address().equals(source.status().me().address())) {
+            call.refuse(503, "controlplane.no-helm", "nobody is known to hold the helm at present");
         } else {
             call.answer()
                     .give(
                             307,
                             null,
-                            Map.of("Location", "http://" + helm.member().address() + call.path()));
+                            Map.of("Location", "http://" + coordinator.member().address() + call.path()));
         }
     }
 
-    private Sheet head() {
-        return new Sheet().text("node", source.status().me().name());
+    private JsonObjectWriter head() {
+        return new JsonObjectWriter().text("node", source.status().me().name());
     }
 
     private byte[] views() {
-        Status status = source.status();
+        ReplicaStatus status = source.status();
         List<String> half = source.zonesThatHoldHalf();
-        Sheet sheet = head().text("address", status.me().address())
+        JsonObjectWriter sheet = head().text("address", status.me().address())
                 .text("life", Long.toHexString(status.me().life()))
                 .text("standing", status.standing().name().toLowerCase(java.util.Locale.ROOT))
                 .number("view", status.number())
@@ -137,13 +139,17 @@
     }
 
     private byte[] duties() {
-        Holder helm = source.helm();
-        Sheet sheet = head().list("duties")
+        LeaseHolder coordinator = source.coordinator();
+        JsonObjectWriter sheet = head().list("duties")
                 .item()
-                .text("duty", HELM)
-                .text("holder", helm == null ? null : helm.member().name())
-                .text("address", helm == null ? null : helm.member().address())
-                .number("term", helm == null ? 0 : helm.term())
+                .text("duty", COORDINATOR)
+                .text(
+                        "holder",
+                        coordinator == null ? null : coordinator.member().name())
+                .text(
+                        "address",
+                        coordinator == null ? null : coordinator.member().address())
+                .number("term", coordinator == null ? 0 : coordinator.term())
                 .number("since-ms", source.now() - since)
                 .flag("here", source.book() != null);
         return sheet.end().close().bytes();
@@ -151,7 +157,7 @@
 
     private byte[] edges(Book book) {
         Roster roster = book.roster();
-        Sheet sheet = head().number("term", roster.term())
+        JsonObjectWriter sheet = head().number("term", roster.term())
                 .number("number", roster.number())
                 .number("revision", source.revision())
                 .list("edges");
@@ -171,8 +177,8 @@
     }
 
     private byte[] hosts(Book book, String service) {
-        Sheet sheet = head().number("known", book.known()).list("hosts");
-        for (Host host : book.hosts(service)) {
+        JsonObjectWriter sheet = head().number("known", book.known()).list("hosts");
+        for (InstanceInfo host : book.hosts(service)) {
             sheet.item()
                     .text("id", host.id())
                     .text("service", host.service())
--- a/src/main/java/brambletray/tray/keep/Kin.java
+++ b/src/main/java/brambletray/platform/controlplane/PeerLinks.java
@@ -1,14 +1,14 @@
-package brambletray.tray.keep;
-
+package brambletray.platform.controlplane;
+
+import brambletray.platform.distribution.LinkIntroduction;
+import brambletray.platform.replication.Frame;
+import brambletray.platform.settings.Address;
+import brambletray.platform.transport.FrameCodec;
+import brambletray.platform.transport.Link;
+import brambletray.platform.transport.LinkDialer;
+import brambletray.platform.transport.LinkHandler;
+import brambletray.platform.transport.LinkListener;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.news.Iam;
-import brambletray.tray.speech.Dialler;
-import brambletray.tray.speech.Handler;
-import brambletray.tray.speech.Link;
-import brambletray.tray.speech.Listener;
-import brambletray.tray.speech.Speech;
-import brambletray.tray.view.Frame;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -18,7 +18,7 @@
  * member says goes by the link that it has dialled, what it hears comes by those that were dialled to it. For the loop
  * only.
  */
-final class Kin {
+final class PeerLinks {
     /** ms without a word after which a link to a member is given up. */
     private static final long UNUSED = 30_000;
     /** Members that links are kept to. */
@@ -41,25 +41,25 @@
     }
 
     private static final class Spoke {
-        private Dialler dialler;
+        private LinkDialer dialler;
         private long usedAt;
     }
 
     private final Machine machine;
-    private final Speech speech;
-    private final Iam self;
+    private final FrameCodec speech;
+    private final LinkIntroduction self;
     private final int port;
-    private final Ear ear;
+    private final Ear frameDispatcher;
     private final Map<String, Spoke> spokes = new HashMap<>();
 
     /** {@code port}: where members listen for links, on each machine the same. */
-    Kin(Machine machine, Speech speech, Address bind, Iam self, Ear ear) {
+    PeerLinks(Machine machine, FrameCodec speech, Address bind, LinkIntroduction self, Ear frameDispatcher) {
         this.machine = machine;
         this.speech = speech;
         this.self = self;
         this.port = bind.port();
-        this.ear = ear;
-        new Listener(machine, speech, bind, new Called());
+        this.frameDispatcher = frameDispatcher;
+        new LinkListener(machine, speech, bind, new Called());
     }
 
     void say(String address, Object frame) {
@@ -69,7 +69,7 @@
                 return;
             }
             spoke = new Spoke();
-            spoke.dialler = new Dialler(
+            spoke.dialler = new LinkDialer(
                     machine,
                     speech,
                     new Address(Address.parse(address).host(), port),
@@ -108,7 +108,7 @@
         return machine.clock().nanos() / 1_000_000;
     }
 
-    private final class Dialled implements Handler {
+    private final class Dialled implements LinkHandler {
         private final String address;
 
         Dialled(String address) {
@@ -122,33 +122,33 @@
 
         @Override
         public void heard(Link link, Object frame) {
-            ear.member(address, frame);
+            frameDispatcher.member(address, frame);
         }
 
         @Override
         public void down(Link link, String why) {
-            ear.gone(address);
+            frameDispatcher.gone(address);
         }
     }
 
-    private final class Called implements Handler {
+    private final class Called implements LinkHandler {
         @Override
         public void up(Link link) {}
 
         @Override
         public void heard(Link link, Object frame) {
-            if (link.tag() instanceof Iam iam) {
+            if (link.tag() instanceof LinkIntroduction iam) {
                 if (iam.keep()) {
-                    ear.member(iam.address(), frame);
+                    frameDispatcher.member(iam.address(), frame);
                 } else {
-                    ear.edge(iam.name(), link, frame);
+                    frameDispatcher.edge(iam.name(), link, frame);
                 }
-            } else if (frame instanceof Iam iam) {
+            } else if (frame instanceof LinkIntroduction iam) {
                 link.tag(iam);
                 if (iam.keep()) {
                     there(iam.address());
                 } else {
-                    ear.edge(iam.name(), link);
+                    frameDispatcher.edge(iam.name(), link);
                 }
             } else {
                 link.close("said something before its name");
@@ -157,8 +157,8 @@
 
         @Override
         public void down(Link link, String why) {
-            if (link.tag() instanceof Iam iam && !iam.keep()) {
-                ear.edgeGone(iam.name(), link);
+            if (link.tag() instanceof LinkIntroduction iam && !iam.keep()) {
+                frameDispatcher.edgeGone(iam.name(), link);
             }
         }
     }
--- a/src/main/java/brambletray/tray/keep/package-info.java
+++ b/src/main/java/brambletray/platform/controlplane/package-info.java
@@ -1,2 +1,2 @@
 /** The program on core members: it puts the planes together and decides nothing itself (docs/system.md). */
-package brambletray.tray.keep;
+package brambletray.platform.controlplane;
--- a/src/main/java/brambletray/tray/news/Publisher.java
+++ b/src/main/java/brambletray/platform/distribution/ConfigurationPublisher.java
@@ -1,19 +1,20 @@
-package brambletray.tray.news;
+package brambletray.platform.distribution;
 
-import brambletray.tray.creed.Delta;
-import brambletray.tray.creed.History;
+import brambletray.platform.configuration.ChangeHistory;
+import brambletray.platform.configuration.ConfigurationDelta;
 import java.util.Arrays;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * The helm's side of how configurations reach edges: it answers each {@link Fetch} with one {@link Chunk}, of the
+ * The helm's side of how configurations reach edges: it answers each {@link DeltaRequest} with one {@link DeltaChunk},
+ * of the
  * difference from what the edge has, or of a whole one where that isn't remembered. It keeps nothing about edges: who
  * asks says where it is, so a transfer goes on at any helm. Packed bodies are shared by all who need the same. Pure;
  * for one thread.
  */
-public final class Publisher {
+public final class ConfigurationPublisher {
     /**
      * Bodies that are kept, and bytes of them together; the least lately asked for go first, but never the last one.
      */
@@ -28,7 +29,7 @@
 
     private record Body(long id, long revision, byte[] packed) {}
 
-    private final History history;
+    private final ChangeHistory history;
     private final Map<Long, Body> bodies = new LinkedHashMap<>(16, 0.75f, true);
     /** What leads from each asked revision to {@link #current}. */
     private final Map<Long, Long> bases = new LinkedHashMap<>();
@@ -37,7 +38,7 @@
     private int bytes;
     private Body whole;
 
-    public Publisher(History history) {
+    public ConfigurationPublisher(ChangeHistory history) {
         this.history = history;
     }
 
@@ -47,7 +48,7 @@
     }
 
     /** A part of what the asker lacks, or null: it has the newest. */
-    public Chunk answer(Fetch fetch, long term) {
+    public DeltaChunk answer(DeltaRequest fetch, long term) {
         Body body = fetch.body() == 0 ? null : bodies.get(fetch.body());
         if (body == null || body.revision <= fetch.revision()) {
             if (fetch.revision() >= revision()) {
@@ -58,12 +59,12 @@
         int offset = body.id == fetch.body() && fetch.offset() >= 0 && fetch.offset() < body.packed.length
                 ? fetch.offset()
                 : 0;
-        int end = Math.min(body.packed.length, offset + Chunk.BYTES);
-        return new Chunk(
+        int end = Math.min(body.packed.length, offset + DeltaChunk.BYTES);
+        return new DeltaChunk(
                 term, body.revision, body.id, body.packed.length, offset, Arrays.copyOfRange(body.packed, offset, end));
     }
 
-    private Body bodyFor(Fetch fetch) {
+    private Body bodyFor(DeltaRequest fetch) {
         if (current != revision()) {
             current = revision();
             bases.clear();
@@ -74,7 +75,7 @@
         Long known = bases.get(fetch.revision());
         Body body = known == null ? null : bodies.get(known);
         if (body == null) {
-            Delta delta = history.since(fetch.revision());
+            ConfigurationDelta delta = history.since(fetch.revision());
             body = delta == null ? whole(fetch.revision()) : keep(pack(delta));
             if (bases.size() < BODIES) {
                 bases.put(fetch.revision(), body.id);
@@ -85,7 +86,7 @@
 
     private Body whole(long above) {
         if (whole != null && whole.revision > above) {
-            Delta since = whole.revision == revision() ? null : history.since(whole.revision);
+            ConfigurationDelta since = whole.revision == revision() ? null : history.since(whole.revision);
             if (whole.revision == revision() || since != null && since.packed().length <= whole.packed.length / PART) {
                 return keep(whole);
             }
@@ -99,9 +100,9 @@
         return bytes;
     }
 
-    private static Body pack(Delta delta) {
+    private static Body pack(ConfigurationDelta delta) {
         byte[] packed = delta.packed();
-        return new Body(Delta.id(packed), delta.revision(), packed);
+        return new Body(ConfigurationDelta.id(packed), delta.revision(), packed);
     }
 
     private Body keep(Body body) {
--- a/src/main/java/brambletray/tray/news/Subscriber.java
+++ b/src/main/java/brambletray/platform/distribution/ConfigurationSubscriber.java
@@ -1,15 +1,15 @@
-package brambletray.tray.news;
+package brambletray.platform.distribution;
 
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.CreedFault;
-import brambletray.tray.creed.Delta;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.ConfigurationDelta;
+import brambletray.platform.configuration.ConfigurationException;
 
 /**
  * An edge's side of how configurations reach it: it fetches what it lacks, chunk after chunk, at the pace of its link.
  * What has come of a transfer is kept when the helm changes or the link ends, and the transfer goes on from there. It
  * never goes back. Pure; times are ms of a steady clock.
  */
-public final class Subscriber {
+public final class ConfigurationSubscriber {
     /**
      * Chunks that are asked for ahead, so that a link is never idle; more would only stand in front of heartbeats and
      * requests.
@@ -27,19 +27,19 @@
     /** What comes out. */
     public interface Out {
         /** To the helm; lost where there is none. */
-        void fetch(Fetch fetch);
+        void fetch(DeltaRequest fetch);
 
         /**
          * Another configuration is in force here; {@code bytes} on the wire, in {@code ms} from the first question on.
          */
-        void took(Creed creed, int bytes, long ms);
+        void took(Configuration configuration, int bytes, long ms);
 
         /** What had come doesn't lead to what the helm has. */
-        void refused(CreedFault fault);
+        void refused(ConfigurationException fault);
     }
 
     private final Out out;
-    private Creed creed = Creed.NONE;
+    private Configuration configuration = Configuration.NONE;
     private long newest;
     private boolean whole;
     private boolean asking;
@@ -58,18 +58,18 @@
     /** Up to which offset chunks have been asked for. */
     private int asked;
 
-    public Subscriber(Out out) {
+    public ConfigurationSubscriber(Out out) {
         this.out = out;
     }
 
-    public Creed creed() {
-        return creed;
+    public Configuration configuration() {
+        return configuration;
     }
 
     /** The helm says which revision is the newest. */
     public void newest(long next, long now) {
         newest = next;
-        if (!asking && newest > creed.revision() && now >= notBefore) {
+        if (!asking && newest > configuration.revision() && now >= notBefore) {
             began = now;
             ask(now);
         }
@@ -94,15 +94,15 @@
     private void ask(long now) {
         asking = true;
         askedAt = now;
-        asked = got + Chunk.BYTES;
-        out.fetch(new Fetch(creed.revision(), body, got, whole));
+        asked = got + DeltaChunk.BYTES;
+        out.fetch(new DeltaRequest(configuration.revision(), body, got, whole));
     }
 
     /** Some bytes have come. */
-    public void heard(Chunk chunk, long now) {
-        if (chunk.revision() <= creed.revision()
+    public void heard(DeltaChunk chunk, long now) {
+        if (chunk.revision() <= configuration.revision()
                 || chunk.size() <= 0
-                || chunk.size() > Chunk.MOST
+                || chunk.size() > DeltaChunk.MOST
                 || chunk.offset() < 0
                 || chunk.bytes().length == 0
                 || chunk.bytes().length > chunk.size() - chunk.offset()) {
@@ -117,7 +117,7 @@
             revision = chunk.revision();
             bytes = new byte[chunk.size()];
             got = 0;
-            asked = Chunk.BYTES;
+            asked = DeltaChunk.BYTES;
         }
         if (chunk.size() != bytes.length || chunk.offset() != got) {
             return;
@@ -130,9 +130,9 @@
         if (got == bytes.length) {
             complete(now);
         } else {
-            while (asked < bytes.length && asked < got + AHEAD * Chunk.BYTES) {
-                out.fetch(new Fetch(creed.revision(), body, asked, whole));
-                asked += Chunk.BYTES;
+            while (asked < bytes.length && asked < got + AHEAD * DeltaChunk.BYTES) {
+                out.fetch(new DeltaRequest(configuration.revision(), body, asked, whole));
+                asked += DeltaChunk.BYTES;
             }
         }
     }
@@ -143,10 +143,10 @@
         bytes = null;
         got = 0;
         asking = false;
-        Creed next;
+        Configuration next;
         try {
-            next = creed.apply(Delta.unpack(all));
-        } catch (CreedFault fault) {
+            next = configuration.apply(ConfigurationDelta.unpack(all));
+        } catch (ConfigurationException fault) {
             // Where even the whole was no good the next question waits, so that it is not fetched in circles.
             notBefore = whole ? now + 2 * AGAIN : now;
             whole = true;
@@ -155,13 +155,13 @@
             return;
         }
         whole = false;
-        creed = next;
-        out.took(creed, all.length, now - began);
+        configuration = next;
+        out.took(configuration, all.length, now - began);
         began = now;
-        if (newest > creed.revision()) {
+        if (newest > configuration.revision()) {
             ask(now);
         } else {
-            out.fetch(new Fetch(creed.revision(), 0, 0, false));
+            out.fetch(new DeltaRequest(configuration.revision(), 0, 0, false));
         }
     }
 }
--- a/src/main/java/brambletray/tray/news/Chunk.java
+++ b/src/main/java/brambletray/platform/distribution/DeltaChunk.java
@@ -1,14 +1,15 @@
-package brambletray.tray.news;
+package brambletray.platform.distribution;
 
 /**
- * The helm's answer to a {@link Fetch}: some bytes of a packed {@link brambletray.tray.creed.Delta}.
+ * The helm's answer to a {@link DeltaRequest}: some bytes of a packed {@link
+ * brambletray.platform.configuration.ConfigurationDelta}.
  *
  * @param revision that it leads to
  * @param body which transfer: a digest of all its bytes, so that any helm can go on with it
  * @param size bytes of all of it
  * @param offset of these
  */
-public record Chunk(long term, long revision, long body, int size, int offset, byte[] bytes) {
+public record DeltaChunk(long term, long revision, long body, int size, int offset, byte[] bytes) {
     /**
      * Bytes of a chunk, but for the last: 33 ms of a link of 2 Mbit/s, which a heartbeat or a request may have to wait
      * behind it.
--- a/src/main/java/brambletray/tray/news/Fetch.java
+++ b/src/main/java/brambletray/platform/distribution/DeltaRequest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.news;
+package brambletray.platform.distribution;
 
 /**
  * An edge asks the helm for a chunk of what it lacks of the configuration; it also says what it has, and does so alone
@@ -9,4 +9,4 @@
  * @param offset bytes of it that it needn't be sent
  * @param whole a difference didn't lead where it should: it wants the whole
  */
-public record Fetch(long revision, long body, int offset, boolean whole) {}
+public record DeltaRequest(long revision, long body, int offset, boolean whole) {}
--- /dev/null
+++ b/src/main/java/brambletray/platform/distribution/FrameTypes.java
@@ -0,0 +1,23 @@
+package brambletray.platform.distribution;
+
+import brambletray.platform.admission.AdmissionFrames;
+import brambletray.platform.election.LeaseElection;
+import brambletray.platform.failuredetection.WatchRing;
+import brambletray.platform.provisioning.Provisioner;
+import brambletray.platform.replication.Replica;
+import java.util.List;
+
+/** All that processes of the system say to one another, in the order in which Kryo registers it. */
+public final class FrameTypes {
+    private static final List<Class<?>> NEWS = List.of(
+            LinkIntroduction.class,
+            CoordinatorHeartbeat.class,
+            DeltaRequest.class,
+            DeltaChunk.class,
+            RosterRequest.class);
+
+    public static final List<List<Class<?>>> ALL = List.of(
+            NEWS, WatchRing.FRAMES, AdmissionFrames.FRAMES, Provisioner.FRAMES, Replica.FRAMES, LeaseElection.FRAMES);
+
+    private FrameTypes() {}
+}
--- a/src/main/java/brambletray/tray/news/Signals.java
+++ b/src/main/java/brambletray/platform/distribution/ProcessSignals.java
@@ -1,4 +1,4 @@
-package brambletray.tray.news;
+package brambletray.platform.distribution;
 
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntConsumer;
@@ -8,11 +8,13 @@
  * SIGTERM and SIGHUP of one process, from the first line of its main on. A signal that nobody handles ends a virtual
  * machine with 143 or 129, which counts as a process that failed.
  *
- * <p>Until the program runs, SIGTERM ends the process with 0, as nothing has been served, and SIGHUP is remembered. From then on the program
- * hears the first SIGTERM, and each SIGHUP that comes before it. What comes after the first SIGTERM changes nothing. Thread-safe.
+ * <p>Until the program runs, SIGTERM ends the process with 0, as nothing has been served, and SIGHUP is remembered.
+ * From then on the program
+ * hears the first SIGTERM, and each SIGHUP that comes before it. What comes after the first SIGTERM changes nothing.
+ * Thread-safe.
  */
-public final class Signals {
-    private static final Signals PROCESS = new Signals(System::exit);
+public final class ProcessSignals {
+    private static final ProcessSignals PROCESS = new ProcessSignals(System::exit);
 
     private final IntConsumer exit;
     private final ReentrantLock lock;
@@ -29,11 +31,11 @@
         void reload();
     }
 
-    Signals(IntConsumer exit) {
+    ProcessSignals(IntConsumer exit) {
         this(exit, new ReentrantLock());
     }
 
-    Signals(IntConsumer exit, ReentrantLock lock) {
+    ProcessSignals(IntConsumer exit, ReentrantLock lock) {
         this.exit = exit;
         this.lock = lock;
     }
--- a/src/main/java/brambletray/tray/news/package-info.java
+++ b/src/main/java/brambletray/platform/distribution/package-info.java
@@ -1,2 +1,2 @@
 /** What edges and core members exchange besides the replicated log: status, pulses and configurations. */
-package brambletray.tray.news;
+package brambletray.platform.distribution;
--- a/src/main/java/brambletray/tray/drill/CoreNode.java
+++ b/src/main/java/brambletray/platform/drill/CoreNode.java
@@ -1,10 +1,10 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
+import brambletray.platform.controlplane.SimulatedControlPlane;
+import brambletray.platform.replication.ReplicaStatus;
+import brambletray.platform.settings.SimulatedSettings;
+import brambletray.platform.storage.SimulatedStore;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.SimBerth;
-import brambletray.tray.keep.SimKeep;
-import brambletray.tray.trove.SimStore;
-import brambletray.tray.view.Status;
 import java.net.InetAddress;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -18,12 +18,12 @@
     final String name;
     final String ip;
     final InetAddress address;
-    SimStore.Platter disk;
+    SimulatedStore.Platter disk;
     private final boolean first;
     private boolean began;
     private Machine machine;
-    private SimStore store;
-    private SimKeep keep;
+    private SimulatedStore store;
+    private SimulatedControlPlane keep;
     private boolean frozen;
     private boolean dark;
     private boolean told;
@@ -40,7 +40,7 @@
         name = "core-" + number;
         ip = "10.1." + number + ".1";
         address = World.ip(10, 1, number, 1);
-        disk = new SimStore.Platter(world.syncMs);
+        disk = new SimulatedStore.Platter(world.syncMs);
         world.listed(control());
     }
 
@@ -70,7 +70,7 @@
                         > TimeUnit.NANOSECONDS.toMillis(world.simulation.clock().nanos());
     }
 
-    SimKeep keep() {
+    SimulatedControlPlane keep() {
         return keep;
     }
 
@@ -94,13 +94,13 @@
         int mine = ++boot;
         machine = world.machine(address, name);
         Machine here = machine;
-        store = new SimStore(disk, here, world.random.split());
+        store = new SimulatedStore(disk, here, world.random.split());
         long life = world.random.nextLong() | 1;
         long origin = world.random.nextLong() | 1;
         String settings = settings(initial);
         here.loop()
-                .execute(() -> keep = SimKeep.start(
-                        SimBerth.of(settings),
+                .execute(() -> keep = SimulatedControlPlane.start(
+                        SimulatedSettings.of(settings),
                         here,
                         disk.read(),
                         store.store(),
@@ -137,14 +137,15 @@
     }
 
     /**
-     * Whether the others still count on this process, which has been told to end: it is a member of the newest view that any running
+     * Whether the others still count on this process, which has been told to end: it is a member of the newest view
+     * that any running
      * member knows, that view is in force and has others in it, and its time is not nearly over.
      */
     private boolean endsEarly() {
         if (keep == null || world.now() - toldAt >= Script.GRACE - GRACE_MARGIN_MS) {
             return false;
         }
-        Status newest = keep.status();
+        ReplicaStatus newest = keep.status();
         long life = newest.me().life();
         for (CoreNode other : world.cores) {
             if (other.running() && other.keep.status().number() >= newest.number()) {
@@ -188,7 +189,7 @@
             world.note(name, "SIGTERM");
             told = true;
             toldAt = world.now();
-            SimKeep leaving = keep;
+            SimulatedControlPlane leaving = keep;
             machine.loop().execute(leaving::leave);
         }
     }
@@ -219,7 +220,7 @@
     }
 
     private String role() {
-        Status status = keep.status();
+        ReplicaStatus status = keep.status();
         String standing = status.leading() && status.inForce()
                 ? "leads"
                 : status.standing().toString().toLowerCase(Locale.ROOT);
@@ -230,6 +231,6 @@
     void wipe() {
         kill(true);
         world.note(name, "disk lost");
-        disk = new SimStore.Platter(world.syncMs);
+        disk = new SimulatedStore.Platter(world.syncMs);
     }
 }
--- a/src/main/java/brambletray/tray/drill/Course.java
+++ b/src/main/java/brambletray/platform/drill/Course.java
@@ -1,11 +1,14 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import java.util.List;
 import java.util.function.Consumer;
 
 /** Plays one script. */
 final class Course {
-    /** ms for which orders go on after the last trouble; after which all must have come to an end; and for the last readings. */
+    /**
+     * ms for which orders go on after the last trouble; after which all must have come to an end; and for the last
+     * readings.
+     */
     private static final int CALM = 9_000;
 
     private static final int END = 20_000;
@@ -30,7 +33,7 @@
             List<String> faults) {}
 
     private final World world;
-    private final Book book;
+    private final DrillJudge book;
     private final Operators operators;
     private final Script script;
     private final FaultInjector faults;
@@ -39,7 +42,7 @@
         this.script = script;
         world = new World(script);
         world.timeline = timeline;
-        book = new Book(world);
+        book = new DrillJudge(world);
         world.whenFailed = why -> book.fail("RIG", why);
         world.whenLeftEarly = why -> book.fail("LEFT-EARLY", why);
         operators = new Operators(world, book);
--- a/src/main/java/brambletray/tray/drill/DrillFault.java
+++ b/src/main/java/brambletray/platform/drill/DrillFault.java
@@ -1,9 +1,9 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
-import brambletray.tray.fault.Fault;
+import brambletray.platform.errors.PlatformException;
 
 /** A plan or a script of a drill that cannot be played; the message says which field, and what was expected. */
-public final class DrillFault extends Fault {
+public final class DrillFault extends PlatformException {
     private static final long serialVersionUID = 1L;
 
     DrillFault(String message) {
--- a/src/main/java/brambletray/tray/drill/Book.java
+++ b/src/main/java/brambletray/platform/drill/DrillJudge.java
@@ -1,6 +1,6 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
-import brambletray.tray.creed.Creed;
+import brambletray.platform.configuration.Configuration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,7 +16,7 @@
  * each change names the one
  * it builds on, so the configuration that is read back names all that led to it.
  */
-final class Book {
+final class DrillJudge {
     /** ms that looks may lie apart. */
     private static final int SLACK = 100;
 
@@ -47,7 +47,7 @@
 
     long longest;
 
-    Book(World world) {
+    DrillJudge(World world) {
         this.world = world;
     }
 
@@ -177,14 +177,14 @@
     }
 
     private void look(EdgeNode edge) {
-        Creed creed = edge.creed();
-        long revision = creed.revision();
+        Configuration configuration = edge.configuration();
+        long revision = configuration.revision();
         if (revision < edge.newest) {
             fail("EDGE-GOES-BACK", edge.name + " from " + edge.newest + " to " + revision);
         }
         if (revision != edge.newest) {
             edge.newest = revision;
-            int order = EdgeNode.order(creed);
+            int order = EdgeNode.order(configuration);
             known(order, revision);
             inForce.putIfAbsent(order, "in force on " + edge.name + " at " + world.now());
         }
--- a/src/main/java/brambletray/tray/drill/DrillPlan.java
+++ b/src/main/java/brambletray/platform/drill/DrillPlan.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 /**
  * Which courses a drill plays.
--- a/src/main/java/brambletray/tray/drill/EdgeNode.java
+++ b/src/main/java/brambletray/platform/drill/EdgeNode.java
@@ -1,10 +1,10 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Route;
+import brambletray.platform.edge.SimulatedEdge;
+import brambletray.platform.settings.SimulatedSettings;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.SimBerth;
-import brambletray.tray.carry.SimCarry;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Route;
 import java.net.InetAddress;
 
 /** One machine of the edge, and its process: the whole program, with nobody calling it. */
@@ -14,7 +14,7 @@
     private final String ip;
     final InetAddress address;
     private Machine machine;
-    private SimCarry carry;
+    private SimulatedEdge carry;
     private boolean frozen;
     /** When it last was out of touch by itself or its links. */
     long outAt;
@@ -50,8 +50,8 @@
                 + "\ninitial-start=false\nloss-counted=false\nfault-tolerance.machine-losses=" + world.script.losses()
                 + "\n";
         here.loop()
-                .execute(() -> carry = SimCarry.start(
-                        SimBerth.of(settings),
+                .execute(() -> carry = SimulatedEdge.start(
+                        SimulatedSettings.of(settings),
                         here,
                         life,
                         code -> world.director.loop().execute(this::kill)));
@@ -95,9 +95,9 @@
         return false;
     }
 
-    /** The configuration that it serves by, or {@link Creed#NONE}. */
-    Creed creed() {
-        return carry == null ? Creed.NONE : carry.creed();
+    /** The configuration that it serves by, or {@link Configuration#NONE}. */
+    Configuration configuration() {
+        return carry == null ? Configuration.NONE : carry.configuration();
     }
 
     boolean ready() {
@@ -105,8 +105,8 @@
     }
 
     /** The order that this configuration came of; 0: none. */
-    static int order(Creed creed) {
-        Route mark = creed.routes().get("mark");
+    static int order(Configuration configuration) {
+        Route mark = configuration.routes().get("mark");
         return mark == null
                 ? 0
                 : Integer.parseInt(mark.prefix().substring(2, mark.prefix().indexOf("/p")));
--- a/src/main/java/brambletray/tray/drill/FaultInjector.java
+++ b/src/main/java/brambletray/platform/drill/FaultInjector.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -55,7 +55,7 @@
     private CoreNode target(Trouble trouble) {
         CoreNode found = switch (trouble.who()) {
             case LEADER -> world.leader();
-            case HELM -> world.helm();
+            case COORDINATOR -> world.coordinator();
             case ANY -> null;
         };
         return found != null ? found : world.cores.get(trouble.arg() % world.cores.size());
--- a/src/main/java/brambletray/tray/drill/HttpCall.java
+++ b/src/main/java/brambletray/platform/drill/HttpCall.java
@@ -1,7 +1,7 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -17,7 +17,10 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
-/** One HTTP call over a connection of its own; a second of silence, or a connection that ends, is status 0. Answered once. */
+/**
+ * One HTTP call over a connection of its own; a second of silence, or a connection that ends, is status 0. Answered
+ * once.
+ */
 final class HttpCall extends SimpleChannelInboundHandler<FullHttpResponse> {
     interface Reply {
         void came(int status, String location, byte[] body);
--- a/src/main/java/brambletray/tray/drill/LogRouter.java
+++ b/src/main/java/brambletray/platform/drill/LogRouter.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -6,7 +6,8 @@
 import java.util.logging.Logger;
 
 /**
- * Hands each log record to the course that plays on the thread it comes from. Stands in for the root logger's handlers while any course
+ * Hands each log record to the course that plays on the thread it comes from. Stands in for the root logger's handlers
+ * while any course
  * plays; they are put back after the last one.
  */
 final class LogRouter extends Handler {
--- a/src/main/java/brambletray/tray/drill/LogTap.java
+++ b/src/main/java/brambletray/platform/drill/LogTap.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/brambletray/tray/drill/NetworkFaults.java
+++ b/src/main/java/brambletray/platform/drill/NetworkFaults.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import brambletray.simulation.SimChannel;
 import brambletray.simulation.SimNetwork;
--- a/src/main/java/brambletray/tray/drill/Operator.java
+++ b/src/main/java/brambletray/platform/drill/Operator.java
@@ -1,7 +1,7 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,7 +38,7 @@
     }
 
     private final World world;
-    private final Book book;
+    private final DrillJudge book;
     private final Operators all;
     private final Machine machine;
     private final SplittableRandom random;
@@ -51,9 +51,9 @@
 
     private boolean ending;
     /** Counts errands: late answers to an earlier one are passed over. */
-    private int errand;
+    private int hostCall;
 
-    Operator(World world, Book book, Operators all, int number) {
+    Operator(World world, DrillJudge book, Operators all, int number) {
         this.world = world;
         this.book = book;
         this.all = all;
@@ -247,17 +247,17 @@
 
     private void run(Errand what, int tries) {
         busy = true;
-        errand++;
+        hostCall++;
         List<String> members = world.list();
         attempt(what, members.get(random.nextInt(members.size())), 0, 1, tries, PAUSE);
     }
 
     private void attempt(Errand what, String member, int hops, int tried, int tries, int pause) {
-        int mine = errand;
+        int mine = hostCall;
         long askedAt = world.now();
         HttpCall.make(
                 machine, Address.parse(member), what.path(), what.base(), what.body(), (status, location, body) -> {
-                    if (mine != errand) {
+                    if (mine != hostCall) {
                         return;
                     }
                     if (status == 307 && hops < HOPS && location != null) {
--- a/src/main/java/brambletray/tray/drill/Operators.java
+++ b/src/main/java/brambletray/platform/drill/Operators.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +15,7 @@
     /** Told once of the member that gives the next acknowledgement. */
     private Consumer<String> whenAcknowledged;
 
-    Operators(World world, Book book) {
+    Operators(World world, DrillJudge book) {
         pace = 200 + world.random.nextInt(1_300);
         ballast = world.script.seed() % 16 == 0 ? 40_000 : 0;
         for (int i = 1; i <= 4; i++) {
--- a/src/main/java/brambletray/tray/drill/PlatformDesk.java
+++ b/src/main/java/brambletray/platform/drill/PlatformDesk.java
@@ -1,7 +1,7 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/brambletray/tray/drill/Trouble.java
+++ b/src/main/java/brambletray/platform/drill/Trouble.java
@@ -1,4 +1,4 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
 import java.util.Arrays;
 import java.util.Locale;
@@ -16,7 +16,7 @@
 
     enum Who {
         LEADER,
-        HELM,
+        COORDINATOR,
         ANY
     }
 
@@ -54,7 +54,10 @@
         AFTER_ACK_KILL(true),
         /** And its disk is lost. */
         AFTER_ACK_WIPE(true),
-        /** Right after the next acknowledgement all machines lose power, some their disks as well, as many as may be lost. */
+        /**
+         * Right after the next acknowledgement all machines lose power, some their disks as well, as many as may be
+         * lost.
+         */
         AFTER_ACK_ALL(true),
         /** All processes, or all machines, at once; some with the loss of as many disks as may be lost. */
         ALL_KILL(true),
--- a/src/main/java/brambletray/tray/drill/World.java
+++ b/src/main/java/brambletray/platform/drill/World.java
@@ -1,9 +1,9 @@
-package brambletray.tray.drill;
+package brambletray.platform.drill;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
 import brambletray.simulation.SimNetwork;
 import brambletray.simulation.Simulation;
-import brambletray.tray.berth.Address;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
 import java.util.ArrayList;
@@ -271,7 +271,7 @@
         return null;
     }
 
-    CoreNode helm() {
+    CoreNode coordinator() {
         for (CoreNode core : cores) {
             if (core.running() && core.keep().mayAct()) {
                 return core;
--- a/src/main/java/brambletray/tray/carry/Candidates.java
+++ b/src/main/java/brambletray/platform/edge/CoordinatorCandidates.java
@@ -1,6 +1,6 @@
-package brambletray.tray.carry;
+package brambletray.platform.edge;
 
-import brambletray.tray.berth.Address;
+import brambletray.platform.settings.Address;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,7 +11,7 @@
  * told of, then those that its settings have named, which may all be stale by then. Each process begins at another
  * place, so that not all ask the same one. Pure.
  */
-final class Candidates {
+final class CoordinatorCandidates {
     /** Addresses of the settings that are remembered. */
     private static final int MOST = 16;
 
@@ -23,7 +23,7 @@
     private int at;
 
     /** {@code turn}: any number, another in each process. */
-    Candidates(int turn) {
+    CoordinatorCandidates(int turn) {
         this.turn = turn;
     }
 
--- a/src/main/java/brambletray/tray/carry/Tether.java
+++ b/src/main/java/brambletray/platform/edge/CoordinatorClient.java
@@ -1,18 +1,18 @@
-package brambletray.tray.carry;
+package brambletray.platform.edge;
 
+import brambletray.platform.distribution.CoordinatorHeartbeat;
+import brambletray.platform.distribution.DeltaChunk;
+import brambletray.platform.distribution.LinkIntroduction;
+import brambletray.platform.distribution.RosterRequest;
+import brambletray.platform.failuredetection.EdgeWelcome;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.settings.Address;
+import brambletray.platform.transport.FrameCodec;
+import brambletray.platform.transport.Link;
+import brambletray.platform.transport.LinkDialer;
+import brambletray.platform.transport.LinkHandler;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.news.Chunk;
-import brambletray.tray.news.Iam;
-import brambletray.tray.news.Pulse;
-import brambletray.tray.news.RosterFetch;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.ring.Welcome;
-import brambletray.tray.speech.Dialler;
-import brambletray.tray.speech.Handler;
-import brambletray.tray.speech.Link;
-import brambletray.tray.speech.Speech;
-import brambletray.tray.tale.Tale;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -25,8 +25,8 @@
  * lower term is not attached to and a hint to one is not followed; what a helm says counts only on a link on which it
  * has pulsed, and only under the term of that pulse.
  */
-final class Tether implements Handler {
-    private static final Tale TALE = Tale.of("carry");
+final class CoordinatorClient implements LinkHandler {
+    private static final EventLog LOG = EventLog.of("edge");
     /** ms without a sign of life after which the helm is looked for elsewhere; it pulses four times in that. */
     private static final int ADRIFT = 1_000;
     /** ms between two ticks from which on this process itself has slept, and what the helm said may lie unread. */
@@ -66,7 +66,7 @@
         void newest(long revision);
 
         /** A part of it, as was fetched. */
-        void chunk(Chunk chunk);
+        void chunk(DeltaChunk chunk);
 
         /** Everything else that the helm says. */
         void heard(Object frame);
@@ -75,14 +75,14 @@
         void attached(long term);
     }
 
-    private record Avoided(Address helm, long term, long until) {}
+    private record Avoided(Address coordinator, long term, long until) {}
 
     private final Machine machine;
-    private final Speech speech;
-    private final Iam self;
-    private final Ear ear;
-    private final Candidates candidates;
-    private Dialler dialler;
+    private final FrameCodec speech;
+    private final LinkIntroduction self;
+    private final Ear frameDispatcher;
+    private final CoordinatorCandidates candidates;
+    private LinkDialer dialler;
     private long since;
     /** ms from {@link #since} until the next member is asked. */
     private int patience = TRY;
@@ -95,12 +95,18 @@
     /** When the roster was asked for, and hasn't come; ms. */
     private long rosterAsked = NEVER;
 
-    Tether(Machine machine, Speech speech, Iam self, List<Address> members, int turn, Ear ear) {
+    CoordinatorClient(
+            Machine machine,
+            FrameCodec speech,
+            LinkIntroduction self,
+            List<Address> members,
+            int turn,
+            Ear frameDispatcher) {
         this.machine = machine;
         this.speech = speech;
         this.self = self;
-        this.ear = ear;
-        this.candidates = new Candidates(turn);
+        this.frameDispatcher = frameDispatcher;
+        this.candidates = new CoordinatorCandidates(turn);
         members(members);
     }
 
@@ -140,7 +146,7 @@
         attached = false;
         avoided = new Avoided(dialler.to(), term, now + AVOID);
         candidates.again();
-        TALE.tell("adrift", "helm", dialler.to(), "term", term, "why", why);
+        LOG.tell("adrift", "helm", dialler.to(), "term", term, "why", why);
     }
 
     private void turn(long now) {
@@ -155,14 +161,14 @@
         if (dialler != null && dialler.to().equals(member)) {
             dialler.hurry();
             if (dialler.up()) {
-                dialler.say(ear.hello());
+                dialler.say(frameDispatcher.hello());
             }
             return;
         }
         if (dialler != null) {
             dialler.close();
         }
-        dialler = new Dialler(machine, speech, member, this, now ^ member.hashCode());
+        dialler = new LinkDialer(machine, speech, member, this, now ^ member.hashCode());
     }
 
     private void stay(int ms, long now) {
@@ -177,7 +183,7 @@
     @Override
     public void up(Link link) {
         link.say(self);
-        link.say(ear.hello());
+        link.say(frameDispatcher.hello());
     }
 
     @Override
@@ -186,24 +192,24 @@
             return;
         }
         long now = now();
-        if (frame instanceof Welcome welcome) {
+        if (frame instanceof EdgeWelcome welcome) {
             welcome(welcome, now);
-        } else if (frame instanceof Pulse pulse) {
+        } else if (frame instanceof CoordinatorHeartbeat pulse) {
             pulse(pulse, now);
         } else if (frame instanceof Roster roster) {
             if (counts(roster.term(), frame)) {
                 pulsed = now;
                 rosterAsked = NEVER;
-                ear.roster(roster);
+                frameDispatcher.roster(roster);
             }
-        } else if (frame instanceof Chunk chunk) {
+        } else if (frame instanceof DeltaChunk chunk) {
             if (counts(chunk.term(), frame)) {
                 // Said by a helm that may act, as a pulse is.
                 pulsed = now;
-                ear.chunk(chunk);
+                frameDispatcher.chunk(chunk);
             }
         } else if (counts(term, frame)) {
-            ear.heard(frame);
+            frameDispatcher.heard(frame);
         }
     }
 
@@ -211,7 +217,7 @@
     private boolean counts(long under, Object frame) {
         boolean yes = attached && under == term;
         if (!yes) {
-            TALE.tell(
+            LOG.tell(
                     "not taken",
                     "frame",
                     frame.getClass().getSimpleName(),
@@ -227,15 +233,15 @@
         return yes;
     }
 
-    private void welcome(Welcome welcome, long now) {
+    private void welcome(EdgeWelcome welcome, long now) {
         List<Address> members = new ArrayList<>();
         welcome.members().forEach(member -> members.add(Address.parse(member)));
         candidates.members(welcome.view(), members);
         boolean named = !welcome.helmAddress().isEmpty() && welcome.term() >= term;
-        Address helm = named ? Address.parse(welcome.helmAddress()) : null;
-        boolean here = named && helm.equals(dialler.to());
-        if (here && welcome.lacks(ear.roster())) {
-            dialler.say(ear.roster());
+        Address coordinator = named ? Address.parse(welcome.helmAddress()) : null;
+        boolean here = named && coordinator.equals(dialler.to());
+        if (here && welcome.lacks(frameDispatcher.roster())) {
+            dialler.say(frameDispatcher.roster());
         }
         if (attached && named && welcome.term() == term) {
             return;
@@ -247,16 +253,18 @@
             stay(TRY, now);
         } else if (!named) {
             stay(welcome.inTouch() ? WAIT : SHORT, now);
-        } else if (helm.equals(avoided.helm()) && welcome.term() == avoided.term() && now < avoided.until()) {
+        } else if (coordinator.equals(avoided.coordinator())
+                && welcome.term() == avoided.term()
+                && now < avoided.until()) {
             stay((int) (avoided.until() - now), now);
         } else {
-            to(helm, now);
+            to(coordinator, now);
         }
     }
 
-    private void pulse(Pulse pulse, long now) {
+    private void pulse(CoordinatorHeartbeat pulse, long now) {
         if (pulse.term() < term) {
-            TALE.tell(
+            LOG.tell(
                     "not taken",
                     "frame",
                     "Pulse",
@@ -275,16 +283,16 @@
         term = pulse.term();
         attached = true;
         if (fresh) {
-            TALE.tell("attached", "helm", dialler.to(), "term", term);
+            LOG.tell("attached", "helm", dialler.to(), "term", term);
             rosterAsked = NEVER;
-            ear.attached(term);
+            frameDispatcher.attached(term);
         }
-        ear.newest(pulse.revision());
-        Roster roster = ear.roster();
+        frameDispatcher.newest(pulse.revision());
+        Roster roster = frameDispatcher.roster();
         boolean behind = pulse.roster() > 0 && (roster.term() != pulse.term() || roster.number() < pulse.roster());
         if (behind && now - rosterAsked > ROSTER) {
             rosterAsked = now;
-            dialler.say(new RosterFetch(roster.term(), roster.number()));
+            dialler.say(new RosterRequest(roster.term(), roster.number()));
         }
     }
 
--- a/src/main/java/brambletray/tray/carry/Mesh.java
+++ b/src/main/java/brambletray/platform/edge/EdgeLinks.java
@@ -1,15 +1,15 @@
-package brambletray.tray.carry;
-
+package brambletray.platform.edge;
+
+import brambletray.platform.distribution.LinkIntroduction;
+import brambletray.platform.failuredetection.Peer;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.settings.Address;
+import brambletray.platform.transport.FrameCodec;
+import brambletray.platform.transport.Link;
+import brambletray.platform.transport.LinkDialer;
+import brambletray.platform.transport.LinkHandler;
+import brambletray.platform.transport.LinkListener;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.news.Iam;
-import brambletray.tray.ring.Peer;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.speech.Dialler;
-import brambletray.tray.speech.Handler;
-import brambletray.tray.speech.Link;
-import brambletray.tray.speech.Listener;
-import brambletray.tray.speech.Speech;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -18,7 +18,7 @@
  * Links among edges. Each dials those that it has something to say to first; answers go back on the link on which the
  * question came. Links to peers that have left the roster are closed. For the loop only.
  */
-final class Mesh {
+final class EdgeLinks {
     /** ms for which a link must be down before its peer is passed over. */
     private static final int SHUN = 120;
 
@@ -35,24 +35,24 @@
 
     private static final class Spoke {
         private Peer peer;
-        private Dialler dialler;
+        private LinkDialer dialler;
         private long downSince = Long.MIN_VALUE;
     }
 
     private final Machine machine;
-    private final Speech speech;
-    private final Iam self;
-    private final Ear ear;
+    private final FrameCodec speech;
+    private final LinkIntroduction self;
+    private final Ear frameDispatcher;
     private final Map<String, Spoke> spokes = new HashMap<>();
     private final Map<String, Link> callers = new HashMap<>();
     private Roster roster = Roster.NONE;
 
-    Mesh(Machine machine, Speech speech, Address bind, Iam self, Ear ear) {
+    EdgeLinks(Machine machine, FrameCodec speech, Address bind, LinkIntroduction self, Ear frameDispatcher) {
         this.machine = machine;
         this.speech = speech;
         this.self = self;
-        this.ear = ear;
-        new Listener(machine, speech, bind, new Called());
+        this.frameDispatcher = frameDispatcher;
+        new LinkListener(machine, speech, bind, new Called());
     }
 
     void roster(Roster next) {
@@ -89,7 +89,7 @@
             Spoke made = new Spoke();
             made.peer = peer;
             made.downSince = now();
-            made.dialler = new Dialler(
+            made.dialler = new LinkDialer(
                     machine, speech, Address.parse(peer.address()), new Dialled(name, made), name.hashCode());
             spokes.put(name, made);
             return made;
@@ -113,7 +113,7 @@
         return machine.clock().nanos() / 1_000_000;
     }
 
-    private final class Dialled implements Handler {
+    private final class Dialled implements LinkHandler {
         private final String name;
         private final Spoke spoke;
 
@@ -125,34 +125,34 @@
         @Override
         public void up(Link link) {
             link.say(self);
-            ear.up(name);
+            frameDispatcher.up(name);
         }
 
         @Override
         public void heard(Link link, Object frame) {
-            ear.heard(name, frame);
+            frameDispatcher.heard(name, frame);
         }
 
         @Override
         public void down(Link link, String why) {
             spoke.downSince = now();
             if (spokes.get(name) == spoke) {
-                ear.down(name);
+                frameDispatcher.down(name);
             }
         }
     }
 
-    private final class Called implements Handler {
+    private final class Called implements LinkHandler {
         @Override
         public void up(Link link) {}
 
         @Override
         public void heard(Link link, Object frame) {
-            if (frame instanceof Iam iam) {
+            if (frame instanceof LinkIntroduction iam) {
                 link.tag(iam.name());
                 callers.put(iam.name(), link);
             } else if (link.tag() instanceof String name) {
-                ear.heard(name, frame);
+                frameDispatcher.heard(name, frame);
             } else {
                 link.close("said something before its name");
             }
--- a/src/main/java/brambletray/tray/carry/Hall.java
+++ b/src/main/java/brambletray/platform/edge/LocalAdmission.java
@@ -1,34 +1,34 @@
-package brambletray.tray.carry;
-
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Route;
-import brambletray.tray.creed.Service;
-import brambletray.tray.creed.Share;
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Done;
-import brambletray.tray.home.Elsewhere;
-import brambletray.tray.home.Forget;
-import brambletray.tray.home.Grant;
-import brambletray.tray.home.Held;
-import brambletray.tray.home.Laws;
-import brambletray.tray.home.Out;
-import brambletray.tray.home.Refuse;
-import brambletray.tray.home.Seats;
-import brambletray.tray.home.Spec;
-import brambletray.tray.ring.Homes;
-import brambletray.tray.ring.Peer;
-import brambletray.tray.ring.Roster;
-import brambletray.tray.yard.Born;
-import brambletray.tray.yard.Claim;
-import brambletray.tray.yard.Gone;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.Leaving;
-import brambletray.tray.yard.Mine;
-import brambletray.tray.yard.Need;
-import brambletray.tray.yard.NoRoom;
-import brambletray.tray.yard.Quit;
-import brambletray.tray.yard.Reclaim;
-import brambletray.tray.yard.Seen;
+package brambletray.platform.edge;
+
+import brambletray.platform.admission.AdmissionActions;
+import brambletray.platform.admission.AdmissionParameters;
+import brambletray.platform.admission.HeldSlots;
+import brambletray.platform.admission.ServiceQueues;
+import brambletray.platform.admission.ServiceSpec;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRedirect;
+import brambletray.platform.admission.SlotRefusal;
+import brambletray.platform.admission.SlotRelease;
+import brambletray.platform.admission.SlotRequest;
+import brambletray.platform.admission.SlotRequestCancel;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Route;
+import brambletray.platform.configuration.Service;
+import brambletray.platform.configuration.ServiceShare;
+import brambletray.platform.failuredetection.HomeAssignment;
+import brambletray.platform.failuredetection.Peer;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.provisioning.HomeClaim;
+import brambletray.platform.provisioning.InstanceDraining;
+import brambletray.platform.provisioning.InstanceGone;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceStarted;
+import brambletray.platform.provisioning.InstanceUp;
+import brambletray.platform.provisioning.KnownInstances;
+import brambletray.platform.provisioning.Reclaim;
+import brambletray.platform.provisioning.StartRefusal;
+import brambletray.platform.provisioning.StartRequest;
+import brambletray.platform.provisioning.StopRequest;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -42,25 +42,27 @@
  * The seats of which this edge is home, and what they say to whom. What seats want done is done after they have
  * returned, as they must not be called back from within. For the loop only.
  */
-final class Hall {
+final class LocalAdmission {
     /** ms between two looks for seats that are another edge's by now. */
     private static final int SWEEP = 1_000;
 
-    /** ms for which slots told of a seat that is not held here are remembered: rosters reach edges at different moments. */
+    /**
+     * ms for which slots told of a seat that is not held here are remembered: rosters reach edges at different moments.
+     */
     private static final int EARLY_MS = 2_000;
     /** Of these words, remembered at a time. */
     private static final int EARLY_MOST = 1_024;
 
     /** What an edge told of the slots it holds, before this edge knew that it is home. */
-    private record Early(Held held, long at) {}
+    private record Early(HeldSlots held, long at) {}
 
     /** Where its words go. */
     interface Ways {
-        void grant(String edge, Grant grant);
+        void grant(String edge, SlotGrant grant);
 
-        void refuse(String edge, Refuse refuse);
+        void refuse(String edge, SlotRefusal refuse);
 
-        void elsewhere(String edge, Elsewhere elsewhere);
+        void elsewhere(String edge, SlotRedirect elsewhere);
 
         void hub(Object frame);
 
@@ -72,22 +74,23 @@
 
     private final String self;
     private final String zone;
-    private final Seats seats;
+    private final ServiceQueues seats;
     private final Ways ways;
     private final LongSupplier clock;
     private final ArrayDeque<Runnable> todo = new ArrayDeque<>();
-    private final Map<String, Spec> specs = new HashMap<>();
+    private final Map<String, ServiceSpec> specs = new HashMap<>();
     private final List<Early> early = new ArrayList<>();
-    private Homes homes = new Homes(Roster.NONE);
+    private HomeAssignment homes = new HomeAssignment(Roster.NONE);
     private boolean doing;
     private long swept;
 
-    Hall(String self, String zone, String noncePrefix, Laws laws, Ways ways, LongSupplier clock) {
+    LocalAdmission(
+            String self, String zone, String noncePrefix, AdmissionParameters laws, Ways ways, LongSupplier clock) {
         this.self = self;
         this.zone = zone;
         this.ways = ways;
         this.clock = clock;
-        this.seats = new Seats(zone, noncePrefix, laws, new Later());
+        this.seats = new ServiceQueues(zone, noncePrefix, laws, new Later());
     }
 
     private long now() {
@@ -110,12 +113,12 @@
         ways.due(Math.min(seats.nextDue(), swept + SWEEP + 1));
     }
 
-    void ask(Ask ask, boolean stay) {
+    void ask(SlotRequest ask, boolean stay) {
         if (!seats.holds(ask.service())) {
             take(ask.service(), homes.rootZone(ask.service()));
         }
         if (!seats.ask(ask, stay, now())) {
-            ways.refuse(ask.edge(), new Refuse(ask.id(), -1));
+            ways.refuse(ask.edge(), new SlotRefusal(ask.id(), -1));
         }
         then();
     }
@@ -134,7 +137,7 @@
         early.removeIf(one -> one.held.service().equals(service));
     }
 
-    private void remember(Held held) {
+    private void remember(HeldSlots held) {
         early.removeIf(one -> now() - one.at > EARLY_MS
                 || one.held.edge().equals(held.edge()) && one.held.service().equals(held.service()));
         if (early.size() < EARLY_MOST) {
@@ -157,19 +160,19 @@
         return names;
     }
 
-    void done(String edge, Done done) {
+    void done(String edge, SlotRelease done) {
         dropEarly(edge, done.askId());
         seats.done(edge, done, now());
         then();
     }
 
-    void forget(String edge, Forget forget) {
+    void forget(String edge, SlotRequestCancel forget) {
         dropEarly(edge, forget.askId());
         seats.forget(edge, forget, now());
         then();
     }
 
-    void held(Held held) {
+    void held(HeldSlots held) {
         if (seats.holds(held.service())) {
             seats.held(held, now());
         } else {
@@ -194,15 +197,15 @@
     /** What the hub says. */
     void heard(Object frame) {
         long now = now();
-        if (frame instanceof Born born) {
+        if (frame instanceof InstanceStarted born) {
             seats.born(born, now);
-        } else if (frame instanceof Hosts hosts) {
+        } else if (frame instanceof InstanceList hosts) {
             seats.hosts(hosts, now);
-        } else if (frame instanceof NoRoom noRoom) {
+        } else if (frame instanceof StartRefusal noRoom) {
             seats.noRoom(noRoom, now);
-        } else if (frame instanceof Leaving leaving) {
+        } else if (frame instanceof InstanceDraining leaving) {
             seats.leaving(leaving, now);
-        } else if (frame instanceof Gone gone) {
+        } else if (frame instanceof InstanceGone gone) {
             seats.gone(gone, now);
         } else if (frame instanceof Reclaim reclaim) {
             seats.reclaim(reclaim, now);
@@ -211,18 +214,18 @@
     }
 
     /** Another configuration. */
-    void creed(Creed creed) {
+    void configuration(Configuration configuration) {
         Map<String, Integer> targets = new HashMap<>();
-        for (Route route : creed.routes().values()) {
-            for (Share share : route.shares()) {
+        for (Route route : configuration.routes().values()) {
+            for (ServiceShare share : route.shares()) {
                 targets.merge(share.service(), route.targetMs(), Math::min);
             }
         }
         Set<String> before = new HashSet<>(specs.keySet());
         specs.clear();
         long now = now();
-        for (Service service : creed.services().values()) {
-            Spec spec = new Spec(
+        for (Service service : configuration.services().values()) {
+            ServiceSpec spec = new ServiceSpec(
                     service.name(),
                     service.memoryMb(),
                     service.bootMs(),
@@ -244,7 +247,7 @@
      * configuration on.
      */
     private void warm() {
-        for (Spec spec : specs.values()) {
+        for (ServiceSpec spec : specs.values()) {
             if (spec.targetMs() > 0
                     && spec.bootMs() > spec.targetMs()
                     && !seats.holds(spec.service())
@@ -256,7 +259,7 @@
     }
 
     /** Another roster: {@code gone} are those that are no longer the process they were. */
-    void roster(Homes next, List<String> gone) {
+    void roster(HomeAssignment next, List<String> gone) {
         homes = next;
         for (String edge : gone) {
             early.removeIf(one -> one.held.edge().equals(edge));
@@ -289,7 +292,7 @@
         then();
     }
 
-    Mine mine() {
+    KnownInstances mine() {
         return seats.mine(now());
     }
 
@@ -297,39 +300,39 @@
         return seats.services().size();
     }
 
-    private final class Later implements Out {
+    private final class Later implements AdmissionActions {
         @Override
-        public void grant(String edge, Grant grant) {
+        public void grant(String edge, SlotGrant grant) {
             todo.add(() -> ways.grant(edge, grant));
         }
 
         @Override
-        public void refuse(String edge, Refuse refuse) {
+        public void refuse(String edge, SlotRefusal refuse) {
             todo.add(() -> ways.refuse(edge, refuse));
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) {
+        public void elsewhere(String edge, SlotRedirect elsewhere) {
             todo.add(() -> ways.elsewhere(edge, elsewhere));
         }
 
         @Override
-        public void need(Need need) {
+        public void need(StartRequest need) {
             todo.add(() -> ways.hub(need));
         }
 
         @Override
-        public void quit(Quit quit) {
+        public void quit(StopRequest quit) {
             todo.add(() -> ways.hub(quit));
         }
 
         @Override
-        public void seen(Seen seen) {
+        public void seen(InstanceUp seen) {
             todo.add(() -> ways.hub(seen));
         }
 
         @Override
-        public void claim(Claim claim) {
+        public void claim(HomeClaim claim) {
             todo.add(() -> ways.hub(claim));
         }
 
--- a/src/main/java/brambletray/tray/carry/Steward.java
+++ b/src/main/java/brambletray/platform/edge/SlotClient.java
@@ -1,18 +1,18 @@
-package brambletray.tray.carry;
-
-import brambletray.tray.flow.Broker;
-import brambletray.tray.flow.Taker;
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Done;
-import brambletray.tray.home.Elsewhere;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Forget;
-import brambletray.tray.home.Grant;
-import brambletray.tray.home.Held;
-import brambletray.tray.home.Refuse;
-import brambletray.tray.ring.Homes;
-import brambletray.tray.ring.Peer;
-import brambletray.tray.ring.Roster;
+package brambletray.platform.edge;
+
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.HeldSlots;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRedirect;
+import brambletray.platform.admission.SlotRefusal;
+import brambletray.platform.admission.SlotRelease;
+import brambletray.platform.admission.SlotRequest;
+import brambletray.platform.admission.SlotRequestCancel;
+import brambletray.platform.failuredetection.HomeAssignment;
+import brambletray.platform.failuredetection.Peer;
+import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.proxy.SlotBroker;
+import brambletray.platform.proxy.SlotRequester;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,10 +26,11 @@
  * has not answered when it goes are asked anew at the next one; places held there are told to it. For the loop only.
  *
  * <p>An ask is idempotent: the same one again, on a new link, gets the same place. A grant counts once, and only from
- * the home that is asked now (fencing): any other is given back at once as {@link Fate#UNUSED}, lest its place stay
+ * the home that is asked now (fencing): any other is given back at once as {@link AttemptOutcome#UNUSED}, lest its
+ * place stay
  * taken until its request's time is over.
  */
-final class Steward implements Broker {
+final class SlotClient implements SlotBroker {
     /** Times that one ask is sent on by seats that are not open, before the root is told to serve it. */
     private static final int HOPS = 2;
 
@@ -44,11 +45,11 @@
         String self();
 
         /** An ask for the seat of this edge; {@code stay}: not to be sent on again. */
-        void here(Ask ask, boolean stay);
+        void here(SlotRequest ask, boolean stay);
 
-        void doneHere(Done done);
+        void doneHere(SlotRelease done);
 
-        void forgetHere(Forget forget);
+        void forgetHere(SlotRequestCancel forget);
 
         boolean say(String edge, Object frame);
 
@@ -59,13 +60,13 @@
     }
 
     private static final class Pending {
-        private final Ask ask;
-        private final Taker taker;
+        private final SlotRequest ask;
+        private final SlotRequester taker;
         private String zone;
         private String home;
         private int hops;
 
-        Pending(Ask ask, Taker taker) {
+        Pending(SlotRequest ask, SlotRequester taker) {
             this.ask = ask;
             this.taker = taker;
         }
@@ -73,11 +74,11 @@
 
     private static final class Place {
         private final String service;
-        private final Grant grant;
+        private final SlotGrant grant;
         private final String zone;
         private String home;
 
-        Place(String service, Grant grant, String zone, String home) {
+        Place(String service, SlotGrant grant, String zone, String home) {
             this.service = service;
             this.grant = grant;
             this.zone = zone;
@@ -93,16 +94,16 @@
     /** Services whose seat in a zone other than the root's serves us. */
     private final Map<String, String> seats = new HashMap<>();
 
-    private Homes homes = new Homes(Roster.NONE);
+    private HomeAssignment homes = new HomeAssignment(Roster.NONE);
 
-    Steward(Ways ways, Spots spots, LongSupplier clock) {
+    SlotClient(Ways ways, Spots spots, LongSupplier clock) {
         this.ways = ways;
         this.spots = spots;
         this.clock = clock;
     }
 
     @Override
-    public void ask(Ask ask, Taker taker) {
+    public void ask(SlotRequest ask, SlotRequester taker) {
         if (pending.size() >= MOST) {
             taker.refused(COME_BACK);
             return;
@@ -148,10 +149,10 @@
     }
 
     @Override
-    public void done(Grant grant, Fate fate, int tookMs) {
+    public void done(SlotGrant grant, AttemptOutcome fate, int tookMs) {
         Place place = places.remove(grant.askId());
         if (place != null) {
-            give(place.home, new Done(grant.askId(), grant.host(), fate, tookMs));
+            give(place.home, new SlotRelease(grant.askId(), grant.host(), fate, tookMs));
         }
     }
 
@@ -163,15 +164,15 @@
         String home = one != null ? one.home : place != null ? place.home : null;
         if (home != null) {
             if (home.equals(ways.self())) {
-                ways.forgetHere(new Forget(askId, service));
+                ways.forgetHere(new SlotRequestCancel(askId, service));
             } else {
-                ways.say(home, new Forget(askId, service));
+                ways.say(home, new SlotRequestCancel(askId, service));
             }
         }
     }
 
     /** A home's answer. */
-    void granted(String home, Grant grant) {
+    void granted(String home, SlotGrant grant) {
         Pending one = pending.get(grant.askId());
         if (one == null || !home.equals(one.home)) {
             surplus(home, grant);
@@ -183,20 +184,20 @@
         one.taker.granted(grant);
     }
 
-    private void surplus(String home, Grant grant) {
+    private void surplus(String home, SlotGrant grant) {
         Place place = places.get(grant.askId());
         boolean ours = place != null && home.equals(place.home);
         if (ours && place.grant.host().equals(grant.host())) {
             return;
         }
-        give(home, new Done(grant.askId(), grant.host(), Fate.UNUSED, 0));
+        give(home, new SlotRelease(grant.askId(), grant.host(), AttemptOutcome.UNUSED, 0));
         if (ours) {
             // The home knows one place an ask: it has taken this one for ours, and is to know that which is.
             tell(home, held(home, place.service));
         }
     }
 
-    private void give(String home, Done done) {
+    private void give(String home, SlotRelease done) {
         if (home.equals(ways.self())) {
             ways.doneHere(done);
         } else {
@@ -204,17 +205,17 @@
         }
     }
 
-    private Held held(String home, String service) {
-        List<Grant> grants = new ArrayList<>();
+    private HeldSlots held(String home, String service) {
+        List<SlotGrant> grants = new ArrayList<>();
         for (Place place : places.values()) {
             if (home.equals(place.home) && service.equals(place.service)) {
                 grants.add(place.grant);
             }
         }
-        return new Held(ways.self(), service, grants);
+        return new HeldSlots(ways.self(), service, grants);
     }
 
-    void refused(String home, Refuse refuse) {
+    void refused(String home, SlotRefusal refuse) {
         Pending one = pending.get(refuse.askId());
         if (one != null && home.equals(one.home)) {
             pending.remove(refuse.askId());
@@ -223,7 +224,7 @@
     }
 
     /** A seat is not open: the ask goes on to another zone's, and so do the next ones. */
-    void elsewhere(String home, Elsewhere elsewhere) {
+    void elsewhere(String home, SlotRedirect elsewhere) {
         if (elsewhere.zone().equals(homes.rootZone(elsewhere.service()))) {
             seats.remove(elsewhere.service());
         } else if (elsewhere.zone().equals(ways.zone())) {
@@ -242,9 +243,9 @@
     }
 
     /** Another roster: homes that have changed are asked anew, and told what is held. */
-    void roster(Homes next) {
+    void roster(HomeAssignment next) {
         homes = next;
-        Map<String, Map<String, List<Grant>>> told = new HashMap<>();
+        Map<String, Map<String, List<SlotGrant>>> told = new HashMap<>();
         for (Place place : places.values()) {
             Peer home = homes.homeOf(place.service, place.zone);
             if (home != null && !home.name().equals(place.home)) {
@@ -255,11 +256,11 @@
             }
         }
         told.forEach((home, services) ->
-                services.forEach((service, grants) -> tell(home, new Held(ways.self(), service, grants))));
+                services.forEach((service, grants) -> tell(home, new HeldSlots(ways.self(), service, grants))));
         reroute();
     }
 
-    private void tell(String home, Held held) {
+    private void tell(String home, HeldSlots held) {
         if (home.equals(ways.self())) {
             spots.heldHere(held);
         } else {
@@ -317,6 +318,6 @@
         /** A host's address, which its own calls come from. */
         void host(String address);
 
-        void heldHere(Held held);
+        void heldHere(HeldSlots held);
     }
 }
--- a/src/main/java/brambletray/tray/carry/package-info.java
+++ b/src/main/java/brambletray/platform/edge/package-info.java
@@ -1,2 +1,2 @@
 /** The program on edges: it puts the planes together and decides nothing itself (docs/system.md). */
-package brambletray.tray.carry;
+package brambletray.platform.edge;
--- a/src/main/java/brambletray/tray/vow/Out.java
+++ b/src/main/java/brambletray/platform/election/ElectionActions.java
@@ -1,16 +1,16 @@
-package brambletray.tray.vow;
+package brambletray.platform.election;
 
 import java.util.Map;
 
-/** What a vow wants done. None of these may call back into {@link Vow} before they return. */
-public interface Out {
+/** What a vow wants done. None of these may call back into {@link LeaseElection} before they return. */
+public interface ElectionActions {
     /** Sends a frame; it may be lost. */
-    void send(String address, Ballots frame);
+    void send(String address, ElectionMessages frame);
 
-    /** Keeps this durably, then answers {@link Vow#synced} or {@link Vow#syncFailed}. */
+    /** Keeps this durably, then answers {@link LeaseElection#synced} or {@link LeaseElection#syncFailed}. */
     void persist(long ticket, Map<String, byte[]> changes);
 
-    /** This process has the duty now, under this term. It may act while {@link Vow#mayAct} says so. */
+    /** This process has the duty now, under this term. It may act while {@link LeaseElection#mayAct} says so. */
     void won(long term);
 
     /** This process has it no longer. */
--- /dev/null
+++ b/src/main/java/brambletray/platform/election/ElectionException.java
@@ -0,0 +1,12 @@
+package brambletray.platform.election;
+
+import brambletray.platform.errors.PlatformException;
+
+/** The kept state can't be read. */
+public final class ElectionException extends PlatformException {
+    private static final long serialVersionUID = 1L;
+
+    ElectionException(String code, String message) {
+        super(code, message, null);
+    }
+}
--- a/src/main/java/brambletray/tray/vow/Seat.java
+++ b/src/main/java/brambletray/platform/election/ElectionView.java
@@ -1,15 +1,15 @@
-package brambletray.tray.vow;
+package brambletray.platform.election;
 
-import brambletray.tray.view.Member;
-import brambletray.tray.view.Roll;
-import brambletray.tray.view.Standing;
-import brambletray.tray.view.Status;
+import brambletray.platform.replication.Member;
+import brambletray.platform.replication.ReplicaRole;
+import brambletray.platform.replication.ReplicaStatus;
+import brambletray.platform.replication.ViewMembership;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
 /** What a member knows of the view in force, and since when. */
-final class Seat {
+final class ElectionView {
     /**
      * Whether this member is in it now, in touch with its leader, and has delivered all that earlier views may have
      * acknowledged.
@@ -24,13 +24,13 @@
     private long beforeSince = Long.MIN_VALUE / 2;
 
     private boolean follows;
-    private List<Roll> lineage = List.of();
+    private List<ViewMembership> lineage = List.of();
 
     /** Takes in how it stands now; true when the view is another one. */
-    boolean look(Status status, long now) {
+    boolean look(ReplicaStatus status, long now) {
         // one alone after a restart has the newest changes on disk, but can't deliver them: it must not act on the
         // snapshot's state
-        in = status.standing() == Standing.MEMBER && status.inForce() && status.settled();
+        in = status.standing() == ReplicaRole.MEMBER && status.inForce() && status.settled();
         if (!in || view == status.number()) {
             return false;
         }
@@ -44,8 +44,10 @@
     }
 
     /**
-     * Whether this view came from the one of that number by views each of which has all its members, with their disks, in this one. Then whoever held
-     * the duty in one of them, or won it in the first one last, was granted it by a member of this view, which remembers that.
+     * Whether this view came from the one of that number by views each of which has all its members, with their disks,
+     * in this one. Then whoever held
+     * the duty in one of them, or won it in the first one last, was granted it by a member of this view, which
+     * remembers that.
      */
     boolean descendsFrom(long number) {
         int first = -1;
@@ -59,7 +61,7 @@
         }
         Set<Long> lives = new HashSet<>();
         members.forEach(member -> lives.add(member.life()));
-        for (Roll between : lineage.subList(first + 1, lineage.size())) {
+        for (ViewMembership between : lineage.subList(first + 1, lineage.size())) {
             for (Member member : between.members()) {
                 if (!lives.contains(member.life())) {
                     return false;
--- a/src/main/java/brambletray/tray/vow/Tenure.java
+++ b/src/main/java/brambletray/platform/election/Lease.java
@@ -1,6 +1,6 @@
-package brambletray.tray.vow;
+package brambletray.platform.election;
 
-import brambletray.tray.view.Member;
+import brambletray.platform.replication.Member;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /** One term from the first question to its end, at the candidate: who agreed to what was sent when. */
-final class Tenure {
+final class Lease {
     private static final int SEQS = 16;
 
     final long term;
@@ -24,7 +24,7 @@
     long saidAt = Long.MIN_VALUE / 2;
     final long since;
 
-    Tenure(long term, boolean probe, long now) {
+    Lease(long term, boolean probe, long now) {
         this.term = term;
         this.probe = probe;
         this.since = now;
--- a/src/main/java/brambletray/tray/vow/Vow.java
+++ b/src/main/java/brambletray/platform/election/LeaseElection.java
@@ -1,7 +1,7 @@
-package brambletray.tray.vow;
+package brambletray.platform.election;
 
-import brambletray.tray.view.Member;
-import brambletray.tray.view.Status;
+import brambletray.platform.replication.Member;
+import brambletray.platform.replication.ReplicaStatus;
 import java.util.List;
 
 /**
@@ -13,20 +13,22 @@
  * a member, which keeps the highest granted term on its disk before it says so and refuses lower and equal ones; a
  * member that loses its disk is out of that view. So nothing goes through the one order for it.
  *
- * <p>Why the old holder has stopped before a new one starts: it acts for {@link Spans#actMs} from the sending of what a
- * majority agreed to; each that agreed refuses others for {@link Spans#vacantMs} from hearing it. In one view the
+ * <p>Why the old holder has stopped before a new one starts: it acts for {@link LeaseTimings#actMs} from the sending of
+ * what a
+ * majority agreed to; each that agreed refuses others for {@link LeaseTimings#vacantMs} from hearing it. In one view
+ * the
  * majorities share a member. After a change of view some member of the new view had agreed in the old one, before it
  * stopped: a candidate waits for the answers of all, or until that long after it saw the view in force.
  */
-public final class Vow {
+public final class LeaseElection {
     /** All frames, for registration with the codec; {@link Member} is registered by the view. */
     public static final List<Class<?>> FRAMES = List.of(
-            Ballots.Plea.class,
-            Ballots.Grant.class,
-            Ballots.Deny.class,
-            Ballots.Renew.class,
-            Ballots.Agree.class,
-            Ballots.Vacate.class);
+            ElectionMessages.Plea.class,
+            ElectionMessages.Grant.class,
+            ElectionMessages.Deny.class,
+            ElectionMessages.Renew.class,
+            ElectionMessages.Agree.class,
+            ElectionMessages.Vacate.class);
     /** Terms of one view. */
     private static final int RANGE = 20;
 
@@ -36,43 +38,46 @@
 
     private final String duty;
     private final Member me;
-    private final Spans spans;
-    private final Out out;
-    private final Voter voter;
+    private final LeaseTimings spans;
+    private final ElectionActions out;
+    private final LeaseVoter voter;
     /**
-     * The last view in which this life held the duty before its process ended, until it has won it again or has agreed to another's; 0 for none. Its
-     * own lease is over with its process. Whoever won after it was granted by a majority, of that view or of a later one; a
-     * view that descends from it ({@link Seat#descendsFrom}) has a member of each such majority, which refuses until that lease is over. So once all
+     * The last view in which this life held the duty before its process ended, until it has won it again or has agreed
+     * to another's; 0 for none. Its
+     * own lease is over with its process. Whoever won after it was granted by a majority, of that view or of a later
+     * one; a
+     * view that descends from it ({@link ElectionView#descendsFrom}) has a member of each such majority, which refuses
+     * until that lease is over. So once all
      * of such a view have granted there is nothing to wait for.
      */
     private long resuming;
 
     private boolean willing = true;
-    private final Seat seat = new Seat();
-    private Tenure tenure;
+    private final ElectionView seat = new ElectionView();
+    private Lease lease;
     private long seen;
     private long doubtAt = Long.MIN_VALUE / 2;
     private long pauseUntil = Long.MIN_VALUE / 2;
     private long tickAt;
-    private Ballots.Vacate farewell;
+    private ElectionMessages.Vacate farewell;
     private long farewellUntil;
     private long now;
 
     /** {@code kept}: what the disk has under {@link #key}, or null. */
-    public Vow(String duty, Member me, byte[] kept, Spans spans, Out out, long now) {
+    public LeaseElection(String duty, Member me, byte[] kept, LeaseTimings spans, ElectionActions out, long now) {
         this.duty = duty;
         this.me = me;
         this.spans = spans;
         this.out = out;
         this.now = now;
         tickAt = now;
-        voter = new Voter(duty, kept, out, spans, now);
+        voter = new LeaseVoter(duty, kept, out, spans, now);
         resuming = voter.heldBefore(me.life());
     }
 
     /** Key under which the grant of a duty is kept. */
     public static String key(String duty) {
-        return Voter.key(duty);
+        return LeaseVoter.key(duty);
     }
 
     /** Whether this process wants the duty; a process that is told to end does not. */
@@ -81,10 +86,10 @@
     }
 
     /** The view as it stands now; to be called at each change and at each tick. */
-    public void view(Status status, long at) {
+    public void view(ReplicaStatus status, long at) {
         enter(at);
-        if (seat.look(status, now) && tenure != null && !tenure.won) {
-            tenure = null;
+        if (seat.look(status, now) && lease != null && !lease.won) {
+            lease = null;
         }
         leave();
     }
@@ -93,9 +98,9 @@
     public void tick(long at) {
         enter(at);
         tickAt = now;
-        if (tenure != null && tenure.won) {
+        if (lease != null && lease.won) {
             hold();
-        } else if (tenure != null) {
+        } else if (lease != null) {
             ask();
         } else if (seat.in && willing && farewell == null) {
             stand();
@@ -113,8 +118,8 @@
         }
         tickAt = now;
         doubtAt = now;
-        if (tenure != null && !tenure.won) {
-            tenure = null;
+        if (lease != null && !lease.won) {
+            lease = null;
         }
     }
 
@@ -154,20 +159,20 @@
         if (term >= (seat.view + 1) << RANGE) {
             return;
         }
-        tenure = new Tenure(term, probe, now);
+        lease = new Lease(term, probe, now);
         ask();
     }
 
     private void ask() {
-        if (!seat.in || now - tenure.since > spans.actMs()) {
+        if (!seat.in || now - lease.since > spans.actMs()) {
             giveUp(AGAIN_MS);
             return;
         }
-        if (now - tenure.saidAt < AGAIN_MS) {
+        if (now - lease.saidAt < AGAIN_MS) {
             return;
         }
-        Ballots.Plea plea =
-                new Ballots.Plea(duty, tenure.probe, seat.view, tenure.term, tenure.next(now), me, resuming);
+        ElectionMessages.Plea plea =
+                new ElectionMessages.Plea(duty, lease.probe, seat.view, lease.term, lease.next(now), me, resuming);
         for (Member member : seat.members) {
             if (member.life() != me.life()) {
                 out.send(member.address(), plea);
@@ -182,47 +187,49 @@
      * then agreed to any lease that still runs, and would have refused.
      */
     private void count() {
-        if (tenure == null || tenure.won) {
+        if (lease == null || lease.won) {
             return;
         }
-        long agreedAt = tenure.agreedAt(seat.members);
+        long agreedAt = lease.agreedAt(seat.members);
         if (now - agreedAt >= spans.actMs()) {
             return;
         }
-        boolean all = tenure.all(seat.members);
-        boolean quick = seat.quick(now, spans.vacantMs()) || tenure.descends;
+        boolean all = lease.all(seat.members);
+        boolean quick = seat.quick(now, spans.vacantMs()) || lease.descends;
         if (!(all && quick) && now - seat.since < spans.vacantMs()) {
             if (all && resuming != 0) {
                 withdraw();
             }
             return;
         }
-        if (tenure.probe) {
+        if (lease.probe) {
             begin(false);
             return;
         }
-        tenure.won = true;
+        lease.won = true;
         resuming = 0;
-        out.tell("vow.won", "duty", duty, "term", tenure.term, "view", seat.view);
-        out.won(tenure.term);
+        out.tell("election.won", "duty", duty, "term", lease.term, "view", seat.view);
+        out.won(lease.term);
         renew();
     }
 
-    /** All would grant, but nobody knows that this view descends from the one that the duty was held in: the usual wait. */
+    /**
+     * All would grant, but nobody knows that this view descends from the one that the duty was held in: the usual wait.
+     */
     private void withdraw() {
         resuming = 0;
-        if (tenure.probe) {
-            tenure = null;
+        if (lease.probe) {
+            lease = null;
         }
     }
 
     private void hold() {
-        boolean over = now - tenure.agreedAt(seat.members) >= spans.vacantMs();
+        boolean over = now - lease.agreedAt(seat.members) >= spans.vacantMs();
         if (over || (seat.in && seat.rank(me.life()) < 0)) {
             lose(over ? "not renewed" : "not in the view");
             return;
         }
-        if (now - tenure.saidAt >= spans.renewMs()) {
+        if (now - lease.saidAt >= spans.renewMs()) {
             renew();
         }
     }
@@ -231,7 +238,7 @@
         if (!seat.in) {
             return;
         }
-        Ballots.Renew renew = new Ballots.Renew(duty, seat.view, tenure.term, tenure.next(now), me);
+        ElectionMessages.Renew renew = new ElectionMessages.Renew(duty, seat.view, lease.term, lease.next(now), me);
         for (Member member : seat.members) {
             if (member.life() != me.life()) {
                 out.send(member.address(), renew);
@@ -241,10 +248,10 @@
     }
 
     private void lose(String why) {
-        long term = tenure.term;
-        tenure = null;
+        long term = lease.term;
+        lease = null;
         pauseUntil = now + spans.renewMs();
-        out.tell("vow.lost", "duty", duty, "term", term, "why", why);
+        out.tell("election.lost", "duty", duty, "term", term, "why", why);
         out.lost(term);
     }
 
@@ -252,14 +259,14 @@
     public void yield(long at) {
         enter(at);
         willing = false;
-        if (tenure != null && tenure.won) {
+        if (lease != null && lease.won) {
             long next = 0;
             for (Member member : seat.members) {
                 if (member.life() != me.life() && next == 0) {
                     next = member.life();
                 }
             }
-            farewell = new Ballots.Vacate(duty, tenure.term, me.life(), next);
+            farewell = new ElectionMessages.Vacate(duty, lease.term, me.life(), next);
             farewellUntil = now + spans.actMs();
             lose("handed over");
             bid();
@@ -282,42 +289,42 @@
     /** A frame from the member at this address. */
     public void heard(String from, Object frame, long at) {
         enter(at);
-        if (frame instanceof Ballots ballots && ballots.duty().equals(duty)) {
+        if (frame instanceof ElectionMessages ballots && ballots.duty().equals(duty)) {
             hear(from, ballots);
         }
         leave();
     }
 
-    private void hear(String from, Ballots frame) {
-        if (frame instanceof Ballots.Plea plea) {
+    private void hear(String from, ElectionMessages frame) {
+        if (frame instanceof ElectionMessages.Plea plea) {
             plea(from, plea);
-        } else if (frame instanceof Ballots.Renew renew) {
+        } else if (frame instanceof ElectionMessages.Renew renew) {
             renew(from, renew);
-        } else if (frame instanceof Ballots.Grant grant) {
-            if (tenure != null && tenure.term == grant.term() && tenure.probe == grant.probe()) {
-                tenure.agree(grant.life(), grant.seq());
-                tenure.descends |= grant.descends() && resuming != 0;
+        } else if (frame instanceof ElectionMessages.Grant grant) {
+            if (lease != null && lease.term == grant.term() && lease.probe == grant.probe()) {
+                lease.agree(grant.life(), grant.seq());
+                lease.descends |= grant.descends() && resuming != 0;
                 count();
             }
-        } else if (frame instanceof Ballots.Agree agree) {
-            if (tenure != null && tenure.won && tenure.term == agree.term()) {
-                tenure.agree(agree.life(), agree.seq());
+        } else if (frame instanceof ElectionMessages.Agree agree) {
+            if (lease != null && lease.won && lease.term == agree.term()) {
+                lease.agree(agree.life(), agree.seq());
             }
-        } else if (frame instanceof Ballots.Deny deny) {
+        } else if (frame instanceof ElectionMessages.Deny deny) {
             denied(deny);
-        } else if (frame instanceof Ballots.Vacate vacate) {
+        } else if (frame instanceof ElectionMessages.Vacate vacate) {
             if (voter.vacate(vacate.term(), vacate.life(), vacate.next(), now) && vacate.next() == me.life()) {
                 pauseUntil = now;
-                if (tenure == null && seat.in && willing) {
+                if (lease == null && seat.in && willing) {
                     stand();
                 }
             }
         }
     }
 
-    private void denied(Ballots.Deny deny) {
+    private void denied(ElectionMessages.Deny deny) {
         seen = Math.max(seen, deny.granted() >>> RANGE <= seat.view ? deny.granted() : 0);
-        if (tenure == null || tenure.won || tenure.term != deny.term() || !tenure.refuse(deny.life(), seat.members)) {
+        if (lease == null || lease.won || lease.term != deny.term() || !lease.refuse(deny.life(), seat.members)) {
             return;
         }
         giveUp(Math.max(20, Math.min(deny.remainingMs(), AGAIN_MS)));
@@ -325,33 +332,35 @@
 
     /** Stands no more for now; whoever granted needn't hold the duty taken. */
     private void giveUp(int pauseMs) {
-        if (!tenure.probe) {
-            Ballots.Vacate vacate = new Ballots.Vacate(duty, tenure.term, me.life(), 0);
-            voter.vacate(tenure.term, me.life(), 0, now);
+        if (!lease.probe) {
+            ElectionMessages.Vacate vacate = new ElectionMessages.Vacate(duty, lease.term, me.life(), 0);
+            voter.vacate(lease.term, me.life(), 0, now);
             for (Member member : seat.members) {
                 if (member.life() != me.life()) {
                     out.send(member.address(), vacate);
                 }
             }
         }
-        tenure = null;
+        lease = null;
         pauseUntil = now + pauseMs + (long) Math.max(0, seat.rank(me.life())) * spans.staggerMs() / 2;
     }
 
-    private void plea(String from, Ballots.Plea plea) {
+    private void plea(String from, ElectionMessages.Plea plea) {
         if (!seat.in || plea.view() != seat.view) {
             return;
         }
         Member who = plea.from();
         if (!voter.would(plea.term(), who.life(), now)) {
             if (from != null) {
-                out.send(from, new Ballots.Deny(duty, plea.term(), voter.granted(), voter.remaining(now), me.life()));
-            } else if (tenure != null && !tenure.won) {
+                out.send(
+                        from,
+                        new ElectionMessages.Deny(duty, plea.term(), voter.granted(), voter.remaining(now), me.life()));
+            } else if (lease != null && !lease.won) {
                 giveUp(AGAIN_MS);
             }
             return;
         }
-        boolean better = from != null && tenure != null && tenure.probe && seat.rank(who.life()) < seat.rank(me.life());
+        boolean better = from != null && lease != null && lease.probe && seat.rank(who.life()) < seat.rank(me.life());
         if (better) {
             giveUp(2 * spans.staggerMs());
         }
@@ -365,9 +374,10 @@
         }
     }
 
-    private void grant(String from, Ballots.Plea plea) {
+    private void grant(String from, ElectionMessages.Plea plea) {
         boolean descends = plea.heldIn() != 0 && seat.descendsFrom(plea.heldIn());
-        Ballots.Grant grant = new Ballots.Grant(duty, plea.probe(), plea.term(), plea.seq(), me.life(), descends);
+        ElectionMessages.Grant grant =
+                new ElectionMessages.Grant(duty, plea.probe(), plea.term(), plea.seq(), me.life(), descends);
         if (from != null) {
             out.send(from, grant);
         } else {
@@ -375,11 +385,11 @@
         }
     }
 
-    private void renew(String from, Ballots.Renew renew) {
+    private void renew(String from, ElectionMessages.Renew renew) {
         if (!seat.in || renew.view() != seat.view) {
             return;
         }
-        Ballots.Agree agree = new Ballots.Agree(duty, renew.term(), renew.seq(), me.life());
+        ElectionMessages.Agree agree = new ElectionMessages.Agree(duty, renew.term(), renew.seq(), me.life());
         boolean yes = voter.renew(renew.view(), renew.term(), renew.from(), now, () -> {
             if (from != null) {
                 out.send(from, agree);
@@ -391,7 +401,7 @@
             resuming = 0;
         }
         if (!yes && from != null) {
-            out.send(from, new Ballots.Deny(duty, renew.term(), voter.granted(), 0, me.life()));
+            out.send(from, new ElectionMessages.Deny(duty, renew.term(), voter.granted(), 0, me.life()));
         }
     }
 
@@ -411,10 +421,10 @@
 
     /** Whether this process may act under its term at this moment: to be asked right before each act. */
     public boolean mayAct(long at) {
-        if (tenure == null || !tenure.won || at - tickAt > spans.sleepMs()) {
+        if (lease == null || !lease.won || at - tickAt > spans.sleepMs()) {
             return false;
         }
-        long agreedAt = tenure.agreedAt(seat.members);
+        long agreedAt = lease.agreedAt(seat.members);
         return agreedAt >= doubtAt && at - agreedAt < spans.actMs();
     }
 
@@ -425,8 +435,8 @@
      */
     public void doubt(long higher, long at) {
         enter(at);
-        if (tenure != null && tenure.won && higher > tenure.term) {
-            out.tell("vow.doubt", "duty", duty, "term", tenure.term, "seen", higher);
+        if (lease != null && lease.won && higher > lease.term) {
+            out.tell("election.doubt", "duty", duty, "term", lease.term, "seen", higher);
             doubtAt = now;
             renew();
         }
@@ -437,11 +447,11 @@
      * Who has the duty as far as known here, or null. Itself only while it may act: that it has agreed to its own lease
      * is no lease.
      */
-    public Holder holder(long at) {
-        if (tenure != null && tenure.won) {
-            return mayAct(at) ? new Holder(tenure.term, me) : null;
+    public LeaseHolder holder(long at) {
+        if (lease != null && lease.won) {
+            return mayAct(at) ? new LeaseHolder(lease.term, me) : null;
         }
-        Holder other = voter.holder(at);
+        LeaseHolder other = voter.holder(at);
         return other == null || other.member().life() == me.life() ? null : other;
     }
 }
--- a/src/main/java/brambletray/tray/vow/Spans.java
+++ b/src/main/java/brambletray/platform/election/LeaseTimings.java
@@ -1,4 +1,4 @@
-package brambletray.tray.vow;
+package brambletray.platform.election;
 
 /**
  * Spans in milliseconds. A holder acts for {@code actMs} from the sending of what a majority agreed to; the others hold
@@ -11,9 +11,9 @@
  * @param sleepMs   lateness of its own tick after which a holder doubts itself
  * @param staggerMs between candidates of neighbouring rank
  */
-public record Spans(int renewMs, int actMs, int vacantMs, int sleepMs, int staggerMs) {
+public record LeaseTimings(int renewMs, int actMs, int vacantMs, int sleepMs, int staggerMs) {
     /** The usual spans. */
-    public static Spans usual() {
-        return new Spans(200, 800, 1200, 400, 250);
+    public static LeaseTimings usual() {
+        return new LeaseTimings(200, 800, 1200, 400, 250);
     }
 }
--- a/src/main/java/brambletray/tray/vow/Voter.java
+++ b/src/main/java/brambletray/platform/election/LeaseVoter.java
@@ -1,6 +1,6 @@
-package brambletray.tray.vow;
+package brambletray.platform.election;
 
-import brambletray.tray.view.Member;
+import brambletray.platform.replication.Member;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,15 +8,15 @@
 import java.util.Map;
 
 /** The part of a member that grants terms and keeps them, and knows whose lease runs. */
-final class Voter {
+final class LeaseVoter {
     private static final int RETRY_MS = 250;
     private static final byte FORM = 2;
     /** The form before, which did not tell in which view the term was held. */
     private static final byte FORM_BEFORE = 1;
 
     private final String key;
-    private final Out out;
-    private final Spans spans;
+    private final ElectionActions out;
+    private final LeaseTimings spans;
     private long granted;
     private long grantedTo;
     /** Number of the last view in which the holder of that term has renewed it here; 0 where it has not. */
@@ -24,7 +24,7 @@
     /** What is known of it was read from the disk, and no lease has been agreed to since. */
     private boolean reborn;
 
-    private Holder holder;
+    private LeaseHolder holder;
     private long takenUntil;
     private long named;
     private long ticket;
@@ -34,7 +34,7 @@
     private List<Runnable> then = new ArrayList<>();
     private List<Runnable> flyingThen = new ArrayList<>();
 
-    Voter(String duty, byte[] kept, Out out, Spans spans, long now) {
+    LeaseVoter(String duty, byte[] kept, ElectionActions out, LeaseTimings spans, long now) {
         this.key = key(duty);
         this.out = out;
         this.spans = spans;
@@ -45,7 +45,8 @@
         ByteBuffer in = ByteBuffer.wrap(kept);
         byte form = in.get();
         if (form != FORM && form != FORM_BEFORE) {
-            throw new VowFault("vow.form", "kept in form " + kept[0] + ", this program reads form " + FORM);
+            throw new ElectionException(
+                    "election.form", "kept in form " + kept[0] + ", this program reads form " + FORM);
         }
         granted = in.getLong();
         grantedTo = in.getLong();
@@ -64,7 +65,7 @@
     }
 
     /** Whose lease runs, or null. */
-    Holder holder(long now) {
+    LeaseHolder holder(long now) {
         return now < takenUntil ? holder : null;
     }
 
@@ -103,7 +104,7 @@
     /** Grants; {@code then} runs once it is kept. */
     void grant(long term, Member to, long now, Runnable run) {
         keep(term, to.life());
-        take(new Holder(term, to), now);
+        take(new LeaseHolder(term, to), now);
         then.add(run);
     }
 
@@ -115,7 +116,7 @@
         keep(term, from.life());
         dirty |= heldIn != view;
         heldIn = view;
-        take(new Holder(term, from), now);
+        take(new LeaseHolder(term, from), now);
         then.add(run);
         return true;
     }
@@ -130,7 +131,7 @@
         dirty = true;
     }
 
-    private void take(Holder who, long now) {
+    private void take(LeaseHolder who, long now) {
         holder = who;
         reborn = false;
         takenUntil = now + spans.vacantMs();
--- a/src/main/java/brambletray/tray/vow/package-info.java
+++ b/src/main/java/brambletray/platform/election/package-info.java
@@ -1,2 +1,2 @@
 /** Duties by ballots among the members of the view in force, under terms that only grow. */
-package brambletray.tray.vow;
+package brambletray.platform.election;
--- a/src/main/java/brambletray/tray/fault/Fault.java
+++ b/src/main/java/brambletray/platform/errors/PlatformException.java
@@ -1,16 +1,16 @@
-package brambletray.tray.fault;
+package brambletray.platform.errors;
 
 /**
  * What went wrong in one of the planes. Unchecked, with a code that log lines and answers carry; each plane has its own
  * subclass and turns the faults of those below into it.
  */
-public abstract class Fault extends RuntimeException {
+public abstract class PlatformException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     private final String code;
 
     /** {@code code}: plane, a dot, and what it is in lower case, as in {@code creed.unknown-service}. */
-    protected Fault(String code, String message, Throwable cause) {
+    protected PlatformException(String code, String message, Throwable cause) {
         super(message, cause);
         this.code = code;
     }
--- a/src/main/java/brambletray/tray/fault/package-info.java
+++ b/src/main/java/brambletray/platform/errors/package-info.java
@@ -1,2 +1,2 @@
 /** Unchecked errors with a code; each plane has its own subclass. */
-package brambletray.tray.fault;
+package brambletray.platform.errors;
--- a/src/main/java/brambletray/tray/ring/Welcome.java
+++ b/src/main/java/brambletray/platform/failuredetection/EdgeWelcome.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.List;
 
@@ -9,7 +9,7 @@
  * the view's number, and the newest roster this member has; an edge that has a newer one tells it. Names the helm, but
  * carries none of its authority: that comes with the helm's own pulses.
  */
-public record Welcome(
+public record EdgeWelcome(
         String helmAddress,
         long term,
         boolean inTouch,
@@ -23,7 +23,7 @@
     }
 
     /** The same by a member that names no helm. */
-    public Welcome withoutHelm() {
-        return new Welcome("", 0, inTouch, view, members, rosterTerm, rosterNumber);
+    public EdgeWelcome withoutHelm() {
+        return new EdgeWelcome("", 0, inTouch, view, members, rosterTerm, rosterNumber);
     }
 }
--- /dev/null
+++ b/src/main/java/brambletray/platform/failuredetection/Heartbeat.java
@@ -0,0 +1,4 @@
+package brambletray.platform.failuredetection;
+
+/** Edge to its watchers, each interval: I live. */
+public record Heartbeat(String name, long life, long revision, int state) {}
--- a/src/main/java/brambletray/tray/ring/Watch.java
+++ b/src/main/java/brambletray/platform/failuredetection/HeartbeatMonitor.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.HashMap;
 import java.util.List;
@@ -8,17 +8,17 @@
  * What an edge does on the ring: beats to its watchers, and suspects those whose beats it misses. One that slept doubts
  * itself first: it restarts all waits, as the others' beats may lie unread. Pure; times are ms of a steady clock.
  */
-public final class Watch {
+public final class HeartbeatMonitor {
     /** What is to be done. */
     public interface Hands {
         /** Say this to a watcher. */
-        void beat(Peer watcher, Beat beat);
+        void beat(Peer watcher, Heartbeat beat);
 
         /** Say this to the hub. */
-        void suspect(Suspect suspect);
+        void suspect(SuspicionReport suspect);
 
         /** Say this to the hub. */
-        void trust(Trust trust);
+        void trust(SuspicionWithdrawal trust);
 
         /** This process did not run for so long; what it believes may be old. */
         void slept(long ms);
@@ -52,49 +52,49 @@
     private final Hands hands;
     private final Map<String, Ward> wards = new HashMap<>();
     private List<Peer> watchers = List.of();
-    private Beat beat;
+    private Heartbeat beat;
     private long lastTick = Long.MIN_VALUE;
     private long nextBeat = Long.MIN_VALUE;
 
     /** {@code intervalMs}: ms between two beats; {@link #tick} is to be called about as often, or more often. */
-    public Watch(Peer self, int intervalMs, Hands hands) {
+    public HeartbeatMonitor(Peer self, int intervalMs, Hands hands) {
         this.name = self.name();
         this.intervalMs = intervalMs;
         this.hands = hands;
-        this.beat = new Beat(name, self.life(), 0, self.state());
+        this.beat = new Heartbeat(name, self.life(), 0, self.state());
     }
 
     /** What the next beats say of this process. */
     public void self(Peer self, long revision) {
-        beat = new Beat(name, self.life(), revision, self.state());
+        beat = new Heartbeat(name, self.life(), revision, self.state());
     }
 
     /** Another roster is in force: who stays keeps its wait, who is new has a longer one. */
-    public void ring(Ring ring, long now) {
+    public void ring(WatchRing ring, long now) {
         watchers = ring.watchersOf(name);
         Map<String, Ward> before = new HashMap<>(wards);
         wards.clear();
         for (Peer peer : ring.wardsOf(name)) {
-            Ward ward = before.get(peer.name());
-            if (ward == null || ward.peer.life() != peer.life()) {
-                ward = new Ward(peer);
-                ward.due = now + missed() + (long) FIRST * intervalMs;
+            Ward context = before.get(peer.name());
+            if (context == null || context.peer.life() != peer.life()) {
+                context = new Ward(peer);
+                context.due = now + missed() + (long) FIRST * intervalMs;
             }
-            wards.put(peer.name(), ward);
+            wards.put(peer.name(), context);
         }
         nextBeat = now;
     }
 
     /** A beat has come. */
-    public void heard(Beat from, long now) {
-        Ward ward = wards.get(from.name());
-        if (ward == null || ward.peer.life() != from.life()) {
+    public void heard(Heartbeat from, long now) {
+        Ward context = wards.get(from.name());
+        if (context == null || context.peer.life() != from.life()) {
             return;
         }
-        ward.due = Math.max(ward.due, now + missed());
-        if (ward.suspected) {
-            ward.suspected = false;
-            hands.trust(new Trust(from.name(), from.life(), name));
+        context.due = Math.max(context.due, now + missed());
+        if (context.suspected) {
+            context.suspected = false;
+            hands.trust(new SuspicionWithdrawal(from.name(), from.life(), name));
         }
     }
 
@@ -103,8 +103,8 @@
         long before = lastTick;
         lastTick = now;
         if (before != Long.MIN_VALUE && now - before > (long) SLEPT * intervalMs) {
-            for (Ward ward : wards.values()) {
-                ward.due = Math.max(ward.due, now + missed());
+            for (Ward context : wards.values()) {
+                context.due = Math.max(context.due, now + missed());
             }
             hands.slept(now - before);
         }
@@ -116,11 +116,11 @@
                 hands.beat(watcher, beat);
             }
         }
-        for (Ward ward : wards.values()) {
-            if (now >= ward.due && (!ward.suspected || now - ward.toldAt >= (long) AGAIN * intervalMs)) {
-                ward.suspected = true;
-                ward.toldAt = now;
-                hands.suspect(new Suspect(ward.peer.name(), ward.peer.life(), name));
+        for (Ward context : wards.values()) {
+            if (now >= context.due && (!context.suspected || now - context.toldAt >= (long) AGAIN * intervalMs)) {
+                context.suspected = true;
+                context.toldAt = now;
+                hands.suspect(new SuspicionReport(context.peer.name(), context.peer.life(), name));
             }
         }
     }
@@ -131,14 +131,14 @@
      */
     public void hub() {
         boolean all = wards.size() > 1;
-        for (Ward ward : wards.values()) {
-            all &= ward.suspected;
-            ward.toldAt = Long.MIN_VALUE / 2;
+        for (Ward context : wards.values()) {
+            all &= context.suspected;
+            context.toldAt = Long.MIN_VALUE / 2;
         }
         if (all) {
-            for (Ward ward : wards.values()) {
-                ward.suspected = false;
-                ward.due = lastTick + missed();
+            for (Ward context : wards.values()) {
+                context.suspected = false;
+                context.due = lastTick + missed();
             }
         }
     }
@@ -146,8 +146,8 @@
     /** Whose beats are missed now. */
     public List<String> suspected() {
         return wards.values().stream()
-                .filter(ward -> ward.suspected)
-                .map(ward -> ward.peer.name())
+                .filter(context -> context.suspected)
+                .map(context -> context.peer.name())
                 .sorted()
                 .toList();
     }
--- a/src/main/java/brambletray/tray/ring/Homes.java
+++ b/src/main/java/brambletray/platform/failuredetection/HomeAssignment.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,7 +12,7 @@
  * those that are in (rendezvous hashing). So a change of the roster moves only services of those who came or went, and
  * every process that has the roster finds the same home. Answers are kept; a new roster begins a new one of these.
  */
-public final class Homes {
+public final class HomeAssignment {
     /** Answers that are kept at most, of each kind; what is asked beyond that is reckoned each time. */
     private static final int MOST = 8_192;
 
@@ -22,7 +22,7 @@
     private final Map<String, Seat> zones = new LinkedHashMap<>();
     private final Map<String, String> roots = new HashMap<>();
 
-    public Homes(Roster roster) {
+    public HomeAssignment(Roster roster) {
         this.roster = roster;
         Map<String, List<Peer>> byZone = new TreeMap<>();
         for (Peer peer : roster.peers()) {
@@ -33,9 +33,9 @@
         byZone.forEach((zone, peers) -> {
             long[] hashes = new long[peers.size()];
             for (int i = 0; i < hashes.length; i++) {
-                hashes[i] = Hash.of(peers.get(i).name());
+                hashes[i] = StableHash.of(peers.get(i).name());
             }
-            zones.put(zone, new Seat(zone, Hash.of(zone), peers.toArray(new Peer[0]), hashes, new HashMap<>()));
+            zones.put(zone, new Seat(zone, StableHash.of(zone), peers.toArray(new Peer[0]), hashes, new HashMap<>()));
         });
     }
 
@@ -53,11 +53,11 @@
         if (known != null) {
             return known;
         }
-        long hash = Hash.of(service);
+        long hash = StableHash.of(service);
         int best = 0;
         long most = 0;
         for (int i = 0; i < seat.hashes().length; i++) {
-            long weight = Hash.of(hash, seat.hashes()[i]);
+            long weight = StableHash.of(hash, seat.hashes()[i]);
             if (i == 0 || Long.compareUnsigned(weight, most) > 0) {
                 best = i;
                 most = weight;
@@ -74,12 +74,13 @@
         if (seat == null) {
             return List.of();
         }
-        long hash = Hash.of(service);
+        long hash = StableHash.of(service);
         List<Integer> order = new ArrayList<>();
         for (int i = 0; i < seat.hashes().length; i++) {
             order.add(i);
         }
-        order.sort((a, b) -> Long.compareUnsigned(Hash.of(hash, seat.hashes()[b]), Hash.of(hash, seat.hashes()[a])));
+        order.sort((a, b) ->
+                Long.compareUnsigned(StableHash.of(hash, seat.hashes()[b]), StableHash.of(hash, seat.hashes()[a])));
         List<Peer> best = new ArrayList<>();
         for (int i = 0; i < most && i < order.size(); i++) {
             best.add(seat.peers()[order.get(i)]);
@@ -96,11 +97,11 @@
         if (known != null) {
             return known;
         }
-        long hash = Hash.of(service);
+        long hash = StableHash.of(service);
         String best = null;
         long most = 0;
         for (Seat seat : zones.values()) {
-            long weight = Hash.of(hash, seat.hash());
+            long weight = StableHash.of(hash, seat.hash());
             if (best == null || Long.compareUnsigned(weight, most) > 0) {
                 best = seat.zone();
                 most = weight;
--- a/src/main/java/brambletray/tray/ring/Entry.java
+++ b/src/main/java/brambletray/platform/failuredetection/MembershipEntry.java
@@ -1,10 +1,10 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.HashSet;
 import java.util.Set;
 
 /** What the hub knows of one peer, in this life. */
-final class Entry {
+final class MembershipEntry {
     Peer peer;
     /** Its link to the hub is open. */
     boolean linked;
@@ -17,19 +17,19 @@
 
     final Set<String> suspectedBy = new HashSet<>();
 
-    private Entry(Peer peer, long now) {
+    private MembershipEntry(Peer peer, long now) {
         this.peer = peer;
         this.since = now;
     }
 
-    static Entry heard(Peer peer, long now) {
-        Entry entry = new Entry(peer, now);
+    static MembershipEntry heard(Peer peer, long now) {
+        MembershipEntry entry = new MembershipEntry(peer, now);
         entry.linked = true;
         return entry;
     }
 
-    static Entry toldOf(Peer peer, long now) {
-        Entry entry = new Entry(peer, now);
+    static MembershipEntry toldOf(Peer peer, long now) {
+        MembershipEntry entry = new MembershipEntry(peer, now);
         entry.toldOf = true;
         return entry;
     }
