--- a/src/main/java/brambletray/tray/ring/Census.java
+++ b/src/main/java/brambletray/platform/failuredetection/MembershipRegistry.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -7,12 +7,13 @@
 import java.util.TreeMap;
 
 /**
- * The hub's book of who lives among the edges. In comes who says {@link Hello}. Out goes who is suspected by two of the
+ * The hub's book of who lives among the edges. In comes who says {@link EdgeHello}. Out goes who is suspected by two of
+ * the
  * others; or by all its watchers that live where that is one; or by one while its link to the hub is closed; or whose
  * link is closed and who was leaving or has nobody to watch it. A new hub begins with the newest roster that an edge
  * tells it and takes those that it hasn't heard as in for {@link #HOLD_MS}. Pure; times are ms of a steady clock.
  */
-public final class Census {
+public final class MembershipRegistry {
     /** What comes out. */
     public interface Crier {
         /** To be told to all edges; {@code why} names what came and went. */
@@ -40,7 +41,7 @@
 
     private final long term;
     private final Crier crier;
-    private final Map<String, Entry> entries = new TreeMap<>();
+    private final Map<String, MembershipEntry> entries = new TreeMap<>();
     private final Map<String, Pardon> outs = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -57,11 +58,11 @@
     private long spokenOfTerm;
     private long spokenOfNumber;
     private Roster roster;
-    private Ring ring = new Ring(Roster.NONE);
+    private WatchRing ring = new WatchRing(Roster.NONE);
     private boolean doubtful;
 
     /** The hub of this term begins. */
-    public Census(long term, long now, Crier crier) {
+    public MembershipRegistry(long term, long now, Crier crier) {
         this.term = term;
         this.crier = crier;
         this.began = now;
@@ -75,26 +76,26 @@
         return roster;
     }
 
-    /** What this hub's {@link Welcome} says that it has. */
+    /** What this hub's {@link EdgeWelcome} says that it has. */
     public Roster newest() {
         return roster.number() > 0 ? roster : told;
     }
 
     /** An edge is on the line: new, or with another life or state, or back. */
-    public void hello(Hello hello, long now) {
+    public void hello(EdgeHello hello, long now) {
         if (hello.rosterTerm() < term
                 && Roster.newer(hello.rosterTerm(), hello.rosterNumber(), spokenOfTerm, spokenOfNumber)) {
             spokenOfTerm = hello.rosterTerm();
             spokenOfNumber = hello.rosterNumber();
         }
         Peer self = hello.self();
-        Entry entry = entries.get(self.name());
+        MembershipEntry entry = entries.get(self.name());
         if (entry == null && entries.size() >= MOST) {
             return;
         }
         if (entry == null || entry.peer.life() != self.life()) {
             reasons.add(self.name() + (entry == null ? " came" : " came anew"));
-            entry = Entry.heard(self, now);
+            entry = MembershipEntry.heard(self, now);
             pardon(entry, now);
             entries.put(self.name(), entry);
         } else if (!entry.peer.equals(self)) {
@@ -106,7 +107,7 @@
         entry.suspectedBy.clear();
     }
 
-    /** An edge tells the roster that it has, as this hub's {@link Welcome} lacks it. */
+    /** An edge tells the roster that it has, as this hub's {@link EdgeWelcome} lacks it. */
     public void told(Roster other, long now) {
         if (other.term() >= term || !other.newerThan(told)) {
             return;
@@ -115,7 +116,7 @@
         holdUntil = Math.max(holdUntil, now + HOLD_MS);
         for (Peer peer : other.peers()) {
             if (!entries.containsKey(peer.name()) && entries.size() < MOST) {
-                entries.put(peer.name(), Entry.toldOf(peer, now));
+                entries.put(peer.name(), MembershipEntry.toldOf(peer, now));
                 reasons.add(peer.name() + " was told of");
             }
         }
@@ -123,7 +124,7 @@
 
     /** The link of this life of a peer to the hub is closed. */
     public void parted(String name, long life, long now) {
-        Entry entry = entries.get(name);
+        MembershipEntry entry = entries.get(name);
         if (entry != null && entry.peer.life() == life && entry.linked) {
             entry.linked = false;
             entry.since = now;
@@ -132,9 +133,9 @@
     }
 
     /** A watcher misses the beats of a peer. */
-    public void suspect(Suspect suspect) {
-        Entry entry = entries.get(suspect.name());
-        Entry by = entries.get(suspect.by());
+    public void suspect(SuspicionReport suspect) {
+        MembershipEntry entry = entries.get(suspect.name());
+        MembershipEntry by = entries.get(suspect.by());
         if (entry != null && entry != by && by != null && entry.peer.life() == suspect.life()) {
             entry.suspectedBy.add(suspect.by());
             doubtful = true;
@@ -142,8 +143,8 @@
     }
 
     /** It hears them again. */
-    public void trust(Trust trust) {
-        Entry entry = entries.get(trust.name());
+    public void trust(SuspicionWithdrawal trust) {
+        MembershipEntry entry = entries.get(trust.name());
         if (entry != null && entry.peer.life() == trust.life()) {
             entry.suspectedBy.remove(trust.by());
         }
@@ -152,7 +153,7 @@
     /** Time has passed: decides who is out, and says the roster if it has changed. To be called every 50 to 100 ms. */
     public void tick(long now) {
         if (now - lastTick > SLEPT_MS) {
-            for (Entry entry : entries.values()) {
+            for (MembershipEntry entry : entries.values()) {
                 entry.suspectedBy.clear();
                 entry.since = now;
             }
@@ -165,7 +166,7 @@
             List<Peer> peers = new ArrayList<>(entries.size());
             entries.values().forEach(entry -> peers.add(entry.peer));
             roster = Roster.of(term, roster.number() + 1, peers);
-            ring = new Ring(roster);
+            ring = new WatchRing(roster);
             String why = String.join("; ", reasons);
             reasons.clear();
             crier.roster(roster, why);
@@ -173,10 +174,10 @@
     }
 
     private void judge(long now) {
-        Verdict verdict = new Verdict(entries, ring, now, now < holdUntil);
+        SuspicionRule verdict = new SuspicionRule(entries, ring, now, now < holdUntil);
         Map<String, String> out = new TreeMap<>();
         doubtful = false;
-        for (Map.Entry<String, Entry> one : entries.entrySet()) {
+        for (Map.Entry<String, MembershipEntry> one : entries.entrySet()) {
             String why = verdict.of(one.getKey());
             if (why != null) {
                 out.put(one.getKey(), why);
@@ -186,8 +187,8 @@
         }
         out.forEach((name, why) -> {
             reasons.add(name + " is out: " + why);
-            Entry gone = entries.remove(name);
-            for (Entry entry : entries.values()) {
+            MembershipEntry gone = entries.remove(name);
+            for (MembershipEntry entry : entries.values()) {
                 entry.suspectedBy.remove(name);
             }
             Pardon before = outs.get(name);
@@ -202,7 +203,7 @@
      * One that was put out by the watchers' word and lives after all: the path between them may be cut, and it shall
      * not come and go.
      */
-    private void pardon(Entry entry, long now) {
+    private void pardon(MembershipEntry entry, long now) {
         Pardon out = outs.get(entry.peer.name());
         if (out != null && out.life() == entry.peer.life()) {
             entry.pardonedUntil = now + out.ms();
--- a/src/main/java/brambletray/tray/ring/Peer.java
+++ b/src/main/java/brambletray/platform/failuredetection/Peer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 /**
  * One process among the edges. {@code address}: ip:port where the others reach it; {@code life}: another at each start
--- a/src/main/java/brambletray/tray/ring/Roster.java
+++ b/src/main/java/brambletray/platform/failuredetection/Roster.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -28,7 +28,7 @@
         return null;
     }
 
-    /** Whether a process is listed as it is; if not, it should say its {@link Hello} again. */
+    /** Whether a process is listed as it is; if not, it should say its {@link EdgeHello} again. */
     public boolean lists(Peer self) {
         return self.equals(find(self.name()));
     }
--- a/src/main/java/brambletray/tray/ring/Hash.java
+++ b/src/main/java/brambletray/platform/failuredetection/StableHash.java
@@ -1,11 +1,11 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 /** Hashes that are the same in every process and every version. */
-final class Hash {
+final class StableHash {
     private static final long BASIS = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Hash() {}
+    private StableHash() {}
 
     /** Of a name: FNV-1a, then mixed, as names that differ in one digit must lie far apart. */
     static long of(String name) {
--- a/src/main/java/brambletray/tray/ring/Verdict.java
+++ b/src/main/java/brambletray/platform/failuredetection/SuspicionRule.java
@@ -1,22 +1,22 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.Map;
 import java.util.Set;
 
 /** The rule by which a peer is out. */
-final class Verdict {
+final class SuspicionRule {
     /** ms without a link after which one that nobody watches is out. */
     private static final int ALONE_MS = 1_000;
 
     private static final String NOBODY = "";
 
-    private final Map<String, Entry> entries;
-    private final Ring ring;
+    private final Map<String, MembershipEntry> entries;
+    private final WatchRing ring;
     private final long now;
     private final boolean held;
 
     /** {@code held}: a new hub still waits for those that it hasn't heard. */
-    Verdict(Map<String, Entry> entries, Ring ring, long now, boolean held) {
+    SuspicionRule(Map<String, MembershipEntry> entries, WatchRing ring, long now, boolean held) {
         this.entries = entries;
         this.ring = ring;
         this.now = now;
@@ -25,7 +25,7 @@
 
     /** Why this peer is out, or null if it isn't. */
     String of(String name) {
-        Entry entry = entries.get(name);
+        MembershipEntry entry = entries.get(name);
         Set<String> by = entry.suspectedBy;
         if (!entry.linked && !by.isEmpty()) {
             return "link closed, suspected by " + String.join(", ", by);
@@ -45,7 +45,7 @@
                 : null;
     }
 
-    private String unlinked(String name, Entry entry) {
+    private String unlinked(String name, MembershipEntry entry) {
         if (entry.toldOf) {
             return "not heard by this hub";
         }
@@ -65,7 +65,7 @@
     private String onlyLiving(String name, String accuser) {
         String only = NOBODY;
         for (Peer watcher : ring.watchersOf(name)) {
-            Entry entry = entries.get(watcher.name());
+            MembershipEntry entry = entries.get(watcher.name());
             if (entry == null
                     || !entry.linked
                     || entry.suspectedBy.size() > (entry.suspectedBy.contains(accuser) ? 1 : 0)) {
--- a/src/main/java/brambletray/tray/ring/Ring.java
+++ b/src/main/java/brambletray/platform/failuredetection/WatchRing.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -11,10 +11,16 @@
  * those are all of its own zone, the third is the next one of another zone, so that a zone that falls silent is seen
  * from outside.
  */
-public final class Ring {
+public final class WatchRing {
     /** What edges and hub say to each other about who lives. */
-    public static final List<Class<?>> FRAMES =
-            List.of(Peer.class, Roster.class, Hello.class, Welcome.class, Beat.class, Suspect.class, Trust.class);
+    public static final List<Class<?>> FRAMES = List.of(
+            Peer.class,
+            Roster.class,
+            EdgeHello.class,
+            EdgeWelcome.class,
+            Heartbeat.class,
+            SuspicionReport.class,
+            SuspicionWithdrawal.class);
 
     /** How many watch each one. */
     public static final int WATCHERS = 3;
@@ -23,11 +29,11 @@
     private final Map<String, List<Peer>> watchers = new HashMap<>();
     private final Map<String, List<Peer>> wards = new HashMap<>();
 
-    public Ring(Roster roster) {
+    public WatchRing(Roster roster) {
         this.roster = roster;
         Peer[] circle = roster.peers().toArray(new Peer[0]);
         Arrays.sort(circle, (a, b) -> {
-            int order = Long.compareUnsigned(Hash.of(a.name()), Hash.of(b.name()));
+            int order = Long.compareUnsigned(StableHash.of(a.name()), StableHash.of(b.name()));
             return order != 0 ? order : a.name().compareTo(b.name());
         });
         for (int i = 0; i < circle.length; i++) {
--- a/src/main/java/brambletray/tray/ring/package-info.java
+++ b/src/main/java/brambletray/platform/failuredetection/package-info.java
@@ -2,4 +2,4 @@
  * Who lives among the edges: each beats to a few others, who tell the hub whom they miss; the hub's roster; and which
  * edge is home of a service by that roster. Pure: time comes in, what is to be said goes out.
  */
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
--- a/src/main/java/brambletray/tray/lap/Child.java
+++ b/src/main/java/brambletray/platform/localsystem/ChildProcess.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import java.io.File;
 import java.io.IOException;
@@ -14,7 +14,7 @@
  * One process of the system: started with a settings file of its own, started again after a short delay when it has
  * ended, ended by its own handle and never by name.
  */
-final class Child {
+final class ChildProcess {
     /** ms from a process's end until it is started again. */
     static final int DELAY = 500;
     /** Starts of one process, after which it stays down. */
@@ -31,21 +31,21 @@
             "--add-opens",
             "java.base/sun.nio.ch=ALL-UNNAMED");
 
-    private final Site site;
-    private final Site.Place place;
+    private final LocalSite site;
+    private final LocalSite.Place place;
     private final Consumer<String> tell;
     private Process process;
     private int starts;
     private boolean ending;
 
     /** {@code tell}: is told in a line what became of it. */
-    Child(Site site, Site.Place place, Consumer<String> tell) {
+    ChildProcess(LocalSite site, LocalSite.Place place, Consumer<String> tell) {
         this.site = site;
         this.place = place;
         this.tell = tell;
     }
 
-    Site.Place place() {
+    LocalSite.Place place() {
         return place;
     }
 
@@ -69,7 +69,7 @@
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
             builder.environment()
                     .put(
-                            brambletray.tray.berth.Berth.VARIABLE,
+                            brambletray.platform.settings.NodeSettings.VARIABLE,
                             settings.toAbsolutePath().toString());
             process = builder.start();
             starts++;
@@ -78,7 +78,7 @@
                     .thenRun(() -> ended(mine))
                     .thenRunAsync(this::start, CompletableFuture.delayedExecutor(DELAY, TimeUnit.MILLISECONDS));
         } catch (IOException e) {
-            throw new LapFault("no-process", place.name() + " cannot be started: " + e.getMessage(), e);
+            throw new LocalSystemException("no-process", place.name() + " cannot be started: " + e.getMessage(), e);
         }
     }
 
--- a/src/main/java/brambletray/tray/lap/Wires.java
+++ b/src/main/java/brambletray/platform/localsystem/ClientConnections.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBufUtil;
@@ -23,7 +23,7 @@
 import java.util.Map;
 
 /** Connections of clients to edges: kept for a few requests one after another, or opened for one. For the loop only. */
-final class Wires {
+final class ClientConnections {
     /** ms for a new connection to come up; for which an idle one is kept where the edge says nothing. */
     private static final int CONNECT_MS = 1_000;
 
@@ -34,12 +34,12 @@
     private static final int BODY = 1 << 20;
 
     /** One try: what is sent; {@code fresh}: on a new connection. */
-    record Letter(Visit visit, String attempt, int remainingMs, boolean fresh) {}
+    record Letter(TrafficRequest visit, String attempt, int remainingMs, boolean fresh) {}
 
     private final Machine machine;
     private final Map<String, ArrayDeque<Wire>> idle = new HashMap<>();
 
-    Wires(Machine machine) {
+    ClientConnections(Machine machine) {
         this.machine = machine;
     }
 
@@ -96,7 +96,7 @@
 
         void write(Letter next) {
             letter = next;
-            Visit visit = next.visit;
+            TrafficRequest visit = next.visit;
             FullHttpRequest request = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
                     HttpMethod.valueOf(visit.method),
@@ -104,8 +104,8 @@
                     Unpooled.wrappedBuffer(visit.body));
             request.headers()
                     .set(HttpHeaderNames.HOST, visit.route.host())
-                    .set(Booth.ID, next.attempt)
-                    .set(Booth.REMAINING, next.remainingMs);
+                    .set(InstanceServer.ID, next.attempt)
+                    .set(InstanceServer.REMAINING, next.remainingMs);
             if (visit.body.length > 0) {
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, visit.body.length);
             }
@@ -141,8 +141,8 @@
             }
             of.visit.answered(
                     answer.status().code(),
-                    answer.headers().get(Booth.ID),
-                    answer.headers().get(Booth.SEAL),
+                    answer.headers().get(InstanceServer.ID),
+                    answer.headers().get(InstanceServer.SEAL),
                     ByteBufUtil.getBytes(answer.content()),
                     millis(answer.headers().get(HttpHeaderNames.RETRY_AFTER)),
                     now());
--- a/src/main/java/brambletray/tray/lap/Ledger.java
+++ b/src/main/java/brambletray/platform/localsystem/ExecutionLedger.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,7 +9,7 @@
  * What hosts ran and what clients were told, request by request, and what of it must not be (pages RULES: TWICE,
  * REFUSED, UNASKED, MIXED). Pure.
  */
-final class Ledger {
+final class ExecutionLedger {
     /** Tries that are remembered; beyond them nothing further is judged. */
     static final int MOST = 500_000;
     /** Complaints that are kept in words. */
--- a/src/main/java/brambletray/tray/lap/Fronts.java
+++ b/src/main/java/brambletray/platform/localsystem/FrontEndBalancer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,13 +10,13 @@
  * themselves ready; one that misses twice is out until it says so again; with fewer than half of a zone's in, all of
  * them; with none, those of the other zones. Pure.
  */
-final class Fronts {
+final class FrontEndBalancer {
     private static final int MISSES = 2;
 
-    private final List<Site.Place> edges;
+    private final List<LocalSite.Place> edges;
     private final Map<String, Integer> misses = new HashMap<>();
 
-    Fronts(List<Site.Place> edges) {
+    FrontEndBalancer(List<LocalSite.Place> edges) {
         this.edges = edges;
         edges.forEach(edge -> misses.put(edge.name(), MISSES));
     }
@@ -31,21 +31,21 @@
         return (int) edges.stream().filter(this::in).count();
     }
 
-    private boolean in(Site.Place edge) {
+    private boolean in(LocalSite.Place edge) {
         return misses.get(edge.name()) < MISSES;
     }
 
     /** For a client of this zone, by a hash of it; {@code turn}: 0 for its first try, other edges for further ones. */
-    Site.Place pick(String zone, int hash, int turn) {
-        List<Site.Place> of = of(zone);
+    LocalSite.Place pick(String zone, int hash, int turn) {
+        List<LocalSite.Place> of = of(zone);
         return of.get(Math.floorMod(hash + turn, of.size()));
     }
 
-    private List<Site.Place> of(String zone) {
-        List<Site.Place> own = new ArrayList<>();
-        List<Site.Place> ownIn = new ArrayList<>();
-        List<Site.Place> allIn = new ArrayList<>();
-        for (Site.Place edge : edges) {
+    private List<LocalSite.Place> of(String zone) {
+        List<LocalSite.Place> own = new ArrayList<>();
+        List<LocalSite.Place> ownIn = new ArrayList<>();
+        List<LocalSite.Place> allIn = new ArrayList<>();
+        for (LocalSite.Place edge : edges) {
             boolean here = edge.zone().equals(zone);
             if (here) {
                 own.add(edge);
--- a/src/main/java/brambletray/tray/lap/Fair.java
+++ b/src/main/java/brambletray/platform/localsystem/InstanceFleet.java
@@ -1,9 +1,9 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
+import brambletray.platform.configuration.Service;
+import brambletray.platform.platformstub.PlatformStub;
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Service;
-import brambletray.tray.stand.Stand;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,22 +17,28 @@
  * All hosts of the stand-in: follows what the platform has begun and ended, and has each listen from the end of its
  * boot until its end. Until then its address refuses connections. For the loop only.
  */
-final class Fair {
+final class InstanceFleet {
     /** ms between two looks at the platform. */
     private static final int LOOK = 5;
 
     private final Machine machine;
-    private final Stand stand;
+    private final PlatformStub stand;
     private final Map<String, Service> services;
-    private final Ledger ledger;
+    private final ExecutionLedger ledger;
     private final Random random;
     private final int workMs;
-    private final Map<String, Booth> booths = new HashMap<>();
+    private final Map<String, InstanceServer> booths = new HashMap<>();
     private int turnedAway;
     private int failures;
 
     /** {@code workMs}: about what a request takes at a host of ordinary speed. */
-    Fair(Machine machine, Stand stand, Map<String, Service> services, Ledger ledger, int workMs, long seed) {
+    InstanceFleet(
+            Machine machine,
+            PlatformStub stand,
+            Map<String, Service> services,
+            ExecutionLedger ledger,
+            int workMs,
+            long seed) {
         this.machine = machine;
         this.stand = stand;
         this.services = services;
@@ -48,8 +54,10 @@
     /** Opens and closes what has started and ended since the last look. */
     void look() {
         long now = machine.clock().nanos() / 1_000_000;
-        for (Iterator<Map.Entry<String, Booth>> each = booths.entrySet().iterator(); each.hasNext(); ) {
-            Map.Entry<String, Booth> one = each.next();
+        for (Iterator<Map.Entry<String, InstanceServer>> each =
+                        booths.entrySet().iterator();
+                each.hasNext(); ) {
+            Map.Entry<String, InstanceServer> one = each.next();
             if (!stand.up(one.getKey(), now)) {
                 each.remove();
                 one.getValue().stop();
@@ -69,7 +77,7 @@
         Address at = Address.parse(stand.address(id));
         double pace = 0.8 + 0.4 * random.nextDouble();
         IntSupplier work = () -> (int) (workMs * pace * (0.6 + 0.8 * random.nextDouble()));
-        Booth booth = new Booth(machine, id, service, ledger, work);
+        InstanceServer booth = new InstanceServer(machine, id, service, ledger, work);
         booths.put(id, booth);
         booth.open(new InetSocketAddress(at.host(), at.port()))
                 .addListener(done -> failures += done.isSuccess() ? 0 : 1);
@@ -83,7 +91,7 @@
     /** Requests that hosts turned away for want of a place. */
     int turnedAway() {
         int sum = turnedAway;
-        for (Booth booth : booths.values()) {
+        for (InstanceServer booth : booths.values()) {
             sum += booth.turnedAway();
         }
         return sum;
@@ -95,7 +103,7 @@
     }
 
     void end() {
-        new ArrayList<>(booths.values()).forEach(Booth::stop);
+        new ArrayList<>(booths.values()).forEach(InstanceServer::stop);
         booths.clear();
     }
 }
--- a/src/main/java/brambletray/tray/lap/Booth.java
+++ b/src/main/java/brambletray/platform/localsystem/InstanceServer.java
@@ -1,7 +1,7 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
+import brambletray.platform.configuration.Service;
 import brambletray.runtime.Machine;
-import brambletray.tray.creed.Service;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -32,7 +32,7 @@
  * One host that has started (page PROTOCOL, Hosts): works on so many requests at once and turns the rest away, drops
  * one whose connection closes, ceases at the deadline, answers 421 for another host's. For the loop only.
  */
-final class Booth {
+final class InstanceServer {
     static final String ID = "Brambletray-Attempt-Id";
     static final String REMAINING = "Brambletray-Deadline-Remaining";
     static final String SEAL = "Brambletray-Response-Seal";
@@ -48,7 +48,7 @@
     private final Machine machine;
     private final String id;
     private final Service service;
-    private final Ledger ledger;
+    private final ExecutionLedger ledger;
     private final IntSupplier work;
     private final Set<Channel> open = new HashSet<>();
     private Channel listener;
@@ -57,7 +57,7 @@
     private int turnedAway;
 
     /** {@code id}: its instance-id; {@code work}: ms that the next request takes. */
-    Booth(Machine machine, String id, Service service, Ledger ledger, IntSupplier work) {
+    InstanceServer(Machine machine, String id, Service service, ExecutionLedger ledger, IntSupplier work) {
         this.machine = machine;
         this.id = id;
         this.service = service;
@@ -162,7 +162,9 @@
                                         ms <= remaining ? 200 : 504,
                                         attempt,
                                         body,
-                                        ms <= remaining ? Seal.of(id, attempt, method, path, asked, body) : null,
+                                        ms <= remaining
+                                                ? ResponseSeal.of(id, attempt, method, path, asked, body)
+                                                : null,
                                         false);
                             },
                             Math.min(ms, remaining),
--- a/src/main/java/brambletray/tray/lap/Json.java
+++ b/src/main/java/brambletray/platform/localsystem/JsonValues.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonReader;
@@ -10,17 +10,17 @@
 import java.util.Map;
 
 /** What the system's own addresses answer, read and written with the library. */
-public final class Json {
-    private Json() {}
+public final class JsonValues {
+    private JsonValues() {}
 
-    /** An object; {@link LapFault} where it is none. */
+    /** An object; {@link LocalSystemException} where it is none. */
     public static Map<String, Object> object(byte[] body) {
         try {
             JsonReader<Object> reader = new DslJson<>().newReader(body);
             reader.getNextToken();
             return ObjectConverter.deserializeMap(reader);
         } catch (IOException | RuntimeException e) {
-            throw new LapFault("unreadable", "expected a JSON object, found " + brief(body), e);
+            throw new LocalSystemException("unreadable", "expected a JSON object, found " + brief(body), e);
         }
     }
 
@@ -61,7 +61,7 @@
             return object.get("reason") == null
                     ? text(object, "code")
                     : text(object, "error") + ": " + text(object, "reason");
-        } catch (LapFault fault) {
+        } catch (LocalSystemException fault) {
             return brief(body);
         }
     }
--- a/src/main/java/brambletray/tray/lap/Town.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalPlatform.java
@@ -1,17 +1,17 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Service;
+import brambletray.platform.platformstub.PlatformParameters;
+import brambletray.platform.platformstub.PlatformStub;
+import brambletray.platform.platformstub.PlatformStubServer;
+import brambletray.platform.platformstub.ServiceKind;
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Service;
-import brambletray.tray.stand.Ground;
-import brambletray.tray.stand.Kind;
-import brambletray.tray.stand.Stand;
-import brambletray.tray.stand.StandDoor;
 import java.net.InetSocketAddress;
 
 /** The platform and its hosts, on the loop of this process. */
-final class Town {
+final class LocalPlatform {
     private static final long SEED = 11;
     /** MB of one worker; workers in each zone; ms of a request's work; sigma of boots. */
     private static final int WORKER_MB = 2_048;
@@ -26,43 +26,43 @@
     private static final int SHOWN_MS = 2_500;
 
     private final Machine machine;
-    private final StandDoor door;
-    private final Stand stand;
-    final Fair fair;
+    private final PlatformStubServer door;
+    private final PlatformStub stand;
+    final InstanceFleet fair;
 
-    Town(Machine machine, Site site, Creed creed, Ledger ledger) {
+    LocalPlatform(Machine machine, LocalSite site, Configuration configuration, ExecutionLedger ledger) {
         this.machine = machine;
         long now = machine.clock().nanos() / 1_000_000;
-        stand = new Stand(
-                new Ground(
-                        Site.LAG_MS,
-                        Site.LISTS_PER_S,
-                        Site.DUTIES_PER_S,
+        stand = new PlatformStub(
+                new PlatformParameters(
+                        LocalSite.LAG_MS,
+                        LocalSite.LISTS_PER_S,
+                        LocalSite.DUTIES_PER_S,
                         PAGE,
-                        Site.DRAIN_MS,
-                        Site.HOLD_S * 1_000,
+                        LocalSite.DRAIN_MS,
+                        LocalSite.HOLD_S * 1_000,
                         SHOWN_MS),
                 SEED,
                 now,
                 site::host);
-        for (String zone : Site.ZONES) {
+        for (String zone : LocalSite.ZONES) {
             for (int i = 1; i <= WORKERS; i++) {
                 stand.worker("w-" + zone + '-' + i, zone, WORKER_MB, now);
             }
         }
-        for (Service service : creed.services().values()) {
-            stand.service(service.name(), new Kind(service.memoryMb(), service.bootMs(), BOOT_SPREAD));
+        for (Service service : configuration.services().values()) {
+            stand.service(service.name(), new ServiceKind(service.memoryMb(), service.bootMs(), BOOT_SPREAD));
         }
-        door = new StandDoor(machine, stand);
-        fair = new Fair(machine, stand, creed.services(), ledger, WORK_MS, SEED);
+        door = new PlatformStubServer(machine, stand);
+        fair = new InstanceFleet(machine, stand, configuration.services(), ledger, WORK_MS, SEED);
     }
 
-    /** Throws {@link LapFault} where the platform's address can't be had. */
+    /** Throws {@link LocalSystemException} where the platform's address can't be had. */
     void open(Address at) {
         if (!door.open(new InetSocketAddress(at.host(), at.port()))
                 .awaitUninterruptibly()
                 .isSuccess()) {
-            throw new LapFault("no-address", at + " cannot be listened on", null);
+            throw new LocalSystemException("no-address", at + " cannot be listened on", null);
         }
         machine.loop().execute(fair::begin);
     }
--- a/src/main/java/brambletray/tray/lap/Site.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalSite.java
@@ -1,6 +1,6 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
-import brambletray.tray.berth.Address;
+import brambletray.platform.settings.Address;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,7 +9,7 @@
  * Which machines the stand-in has and what their processes are told: addresses from 127.0.0.2 on, the same ports on
  * each, as the system asks for (page DEPLOY, What a process is told).
  */
-record Site(List<Place> places, Ports ports, Path dir) {
+record LocalSite(List<Place> places, Ports ports, Path dir) {
     /** The most of each: a view has up to nine members. */
     static final int CORES = 9;
 
@@ -30,23 +30,23 @@
     /** One machine and the program that runs on it; its name is the process's name. */
     record Place(String name, String program, String ip, String zone) {
         boolean core() {
-            return program.equals("keep");
+            return program.equals("controlplane");
         }
     }
 
     /** {@code inner}: the first of those between the system's processes; {@code hosts}: of every host. */
     record Ports(int frontEnd, int readiness, int control, int inner, int platform, int hosts) {}
 
-    static Site of(int cores, int edges, Ports ports, Path dir) {
+    static LocalSite of(int cores, int edges, Ports ports, Path dir) {
         List<Place> places = new ArrayList<>();
         for (int i = 0; i < cores + edges; i++) {
             boolean core = i < cores;
             int turn = core ? i : i - cores;
-            String program = core ? "keep" : "carry";
+            String program = core ? "controlplane" : "edge";
             places.add(new Place(
                     program + '-' + (turn + 1), program, "127.0.0." + (i + 2), ZONES.get(turn % ZONES.size())));
         }
-        return new Site(List.copyOf(places), ports, dir);
+        return new LocalSite(List.copyOf(places), ports, dir);
     }
 
     List<Place> cores() {
--- a/src/main/java/brambletray/tray/lap/Up.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalSystem.java
@@ -1,9 +1,9 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.settings.Address;
+import brambletray.platform.transport.Sockets;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.speech.Sockets;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,7 +16,7 @@
  * Puts the whole system up on this machine, sends it a trickle of requests and shows second by second what becomes of
  * them. Bounded in time; its processes are ended by their handles.
  */
-public final class Up {
+public final class LocalSystem {
     /** ms for the processes to come up and take the configuration; for the last requests to end. */
     private static final int START_MS = 40_000;
 
@@ -25,38 +25,38 @@
     private static final int CALL_MS = 5_000;
     private static final long SEED = 7;
 
-    private final Plan plan;
+    private final LocalRunPlan plan;
     private final PrintStream out;
     private final Machine machine = Sockets.machine();
     private final Path dir;
-    private final Site site;
-    private final Creed creed = Sample.creed();
-    private final Ledger ledger = new Ledger();
-    private final Counts counts = new Counts();
-    private final Counts all = new Counts();
-    private final Town town;
-    private final Fronts fronts;
-    private final Callers callers;
-    private final List<Child> children = new ArrayList<>();
-    private final Glance glance;
-
-    private Up(Plan plan, PrintStream out) {
+    private final LocalSite site;
+    private final Configuration configuration = SampleConfiguration.configuration();
+    private final ExecutionLedger ledger = new ExecutionLedger();
+    private final RequestCounts counts = new RequestCounts();
+    private final RequestCounts all = new RequestCounts();
+    private final LocalPlatform town;
+    private final FrontEndBalancer fronts;
+    private final TrafficGenerator callers;
+    private final List<ChildProcess> children = new ArrayList<>();
+    private final MemberStatusPoller glance;
+
+    private LocalSystem(LocalRunPlan plan, PrintStream out) {
         this.plan = plan;
         this.out = out;
-        dir = Folders.dir(plan.dir());
-        site = Site.of(plan.cores(), plan.edges(), Folders.ports(), dir);
-        town = new Town(machine, site, creed, ledger);
-        fronts = new Fronts(site.edges());
-        callers = new Callers(machine, site, fronts, creed.routes(), ledger, counts, SEED);
-        glance = new Glance(new Operator(site.controls(), CALL_MS), site.controls());
-        site.places().forEach(place -> children.add(new Child(site, place, this::tell)));
+        dir = RunDirectory.dir(plan.dir());
+        site = LocalSite.of(plan.cores(), plan.edges(), RunDirectory.ports(), dir);
+        town = new LocalPlatform(machine, site, configuration, ledger);
+        fronts = new FrontEndBalancer(site.edges());
+        callers = new TrafficGenerator(machine, site, fronts, configuration.routes(), ledger, counts, SEED);
+        glance = new MemberStatusPoller(new OperatorClient(site.controls(), CALL_MS), site.controls());
+        site.places().forEach(place -> children.add(new ChildProcess(site, place, this::tell)));
     }
 
     /**
      * Plays it; 0: all as it must be, 1: a request was answered wrongly or ran twice, or the system did not come up.
      */
-    public static int run(Plan plan, PrintStream out) {
-        Up up = new Up(plan, out);
+    public static int run(LocalRunPlan plan, PrintStream out) {
+        LocalSystem up = new LocalSystem(plan, out);
         Thread hook = new Thread(() -> {
             up.children.forEach(child -> child.await(0));
             up.tidy();
@@ -77,12 +77,13 @@
                 + String.join(
                         ",", site.controls().stream().map(Address::toString).toList()));
         town.open(site.platform());
-        children.forEach(Child::start);
+        children.forEach(ChildProcess::start);
         machine.loop().scheduleAtFixedRate(this::probe, 0, 1, TimeUnit.SECONDS);
         long began = now();
-        Operator.Reply taken = new Operator(site.controls(), START_MS).deliver("replace", 0, Sample.body());
+        OperatorClient.Reply taken =
+                new OperatorClient(site.controls(), START_MS).deliver("replace", 0, SampleConfiguration.body());
         if (taken.status() != 200) {
-            tell("the configuration was answered " + taken.status() + ' ' + Json.reason(taken.body()));
+            tell("the configuration was answered " + taken.status() + ' ' + JsonValues.reason(taken.body()));
             return 1;
         }
         while (onLoop(fronts::in) < site.edges().size()) {
@@ -98,14 +99,14 @@
     }
 
     private void traffic() {
-        out.println(Counts.head());
+        out.println(RequestCounts.head());
         long began = now();
         machine.loop().execute(() -> callers.begin(plan.rate()));
         for (int second = 0; second < plan.seconds(); second++) {
             glance.ask();
-            for (Plan.Kill kill : plan.kills()) {
+            for (LocalRunPlan.Kill kill : plan.kills()) {
                 if (kill.at() == second) {
-                    kill(kill.name().equals(Plan.HELM) ? glance.helm() : kill.name());
+                    kill(kill.name().equals(LocalRunPlan.COORDINATOR) ? glance.coordinator() : kill.name());
                 }
             }
             until(began + (second + 1) * 1_000L);
@@ -125,25 +126,25 @@
 
     private void kill(String name) {
         tell(name == null ? "nobody holds the helm" : name + " is killed");
-        children.stream().filter(child -> child.place().name().equals(name)).forEach(Child::kill);
+        children.stream().filter(child -> child.place().name().equals(name)).forEach(ChildProcess::kill);
     }
 
     private String line(int second) {
-        Counts past = counts.turn();
+        RequestCounts past = counts.turn();
         all.add(past);
-        return past.line(second, town.fair.up(), glance.view(), glance.helm());
+        return past.line(second, town.fair.up(), glance.view(), glance.coordinator());
     }
 
     private int summary() {
         String shown;
         try {
             shown = "revision "
-                    + Json.number(
-                            Json.object(new Operator(site.controls(), CALL_MS)
+                    + JsonValues.number(
+                            JsonValues.object(new OperatorClient(site.controls(), CALL_MS)
                                     .show()
                                     .body()),
                             "revision");
-        } catch (LapFault fault) {
+        } catch (LocalSystemException fault) {
             shown = fault.getMessage();
         }
         tell("in all: " + all.requests + " requests, " + all.answered + " answered, " + all.late + " late, "
@@ -160,7 +161,7 @@
     }
 
     private void probe() {
-        for (Site.Place edge : site.edges()) {
+        for (LocalSite.Place edge : site.edges()) {
             glance.ready(
                     new Address(edge.ip(), site.ports().readiness()),
                     ready -> machine.loop().execute(() -> fronts.heard(edge.name(), ready)));
@@ -168,8 +169,8 @@
     }
 
     private void end() {
-        children.forEach(Child::end);
-        children.forEach(child -> child.await(Site.GRACE_S * 1_000L + 500));
+        children.forEach(ChildProcess::end);
+        children.forEach(child -> child.await(LocalSite.GRACE_S * 1_000L + 500));
         onLoop(() -> {
             town.end();
             return 0;
@@ -180,7 +181,7 @@
 
     private void tidy() {
         if (plan.dir() == null) {
-            Folders.remove(dir);
+            RunDirectory.remove(dir);
         }
     }
 
--- a/src/main/java/brambletray/tray/lap/Glance.java
+++ b/src/main/java/brambletray/platform/localsystem/MemberStatusPoller.java
@@ -1,22 +1,22 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
-import brambletray.tray.berth.Address;
+import brambletray.platform.settings.Address;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 /** What the members of the core say of themselves, asked once a second without waiting. */
-final class Glance {
+final class MemberStatusPoller {
     private static final int PATIENCE = 800;
 
-    private record Seen(long view, long term, String helm) {}
+    private record Seen(long view, long term, String coordinator) {}
 
-    private final Operator operator;
+    private final OperatorClient operator;
     private final List<Address> members;
     private final Map<Address, Seen> seen = new ConcurrentHashMap<>();
 
-    Glance(Operator operator, List<Address> members) {
+    MemberStatusPoller(OperatorClient operator, List<Address> members) {
         this.operator = operator;
         this.members = members;
     }
@@ -25,7 +25,7 @@
     void ask() {
         for (Address member : members) {
             operator.ask(member, "/brambletray/system/views", PATIENCE)
-                    .thenCombine(operator.ask(member, "/brambletray/system/duties", PATIENCE), Glance::read)
+                    .thenCombine(operator.ask(member, "/brambletray/system/duties", PATIENCE), MemberStatusPoller::read)
                     .thenAccept(now -> {
                         if (now == null) {
                             seen.remove(member);
@@ -41,19 +41,19 @@
         operator.ask(edge, "/brambletray/readiness", PATIENCE).thenAccept(reply -> then.accept(reply.status() == 200));
     }
 
-    private static Seen read(Operator.Reply views, Operator.Reply duties) {
+    private static Seen read(OperatorClient.Reply views, OperatorClient.Reply duties) {
         if (views.status() != 200 || duties.status() != 200) {
             return null;
         }
         try {
-            Map<String, Object> view = Json.object(views.body());
+            Map<String, Object> view = JsonValues.object(views.body());
             Map<String, Object> duty =
-                    Json.list(Json.object(duties.body()), "duties").get(0);
+                    JsonValues.list(JsonValues.object(duties.body()), "duties").get(0);
             boolean there = Boolean.TRUE.equals(view.get("in-force"));
             return new Seen(
-                    there ? Json.number(view, "view") : 0,
-                    Json.number(duty, "term"),
-                    duty.get("holder") == null ? null : Json.text(duty, "holder"));
+                    there ? JsonValues.number(view, "view") : 0,
+                    JsonValues.number(duty, "term"),
+                    duty.get("holder") == null ? null : JsonValues.text(duty, "holder"));
         } catch (RuntimeException e) {
             return null;
         }
@@ -65,13 +65,13 @@
     }
 
     /** Who holds the helm by the latest term, or null. */
-    String helm() {
+    String coordinator() {
         Seen best = null;
         for (Seen one : seen.values()) {
-            if (one.helm != null && (best == null || one.term > best.term)) {
+            if (one.coordinator != null && (best == null || one.term > best.term)) {
                 best = one;
             }
         }
-        return best == null ? null : best.helm;
+        return best == null ? null : best.coordinator;
     }
 }
--- a/src/main/java/brambletray/tray/lap/Rounds.java
+++ b/src/main/java/brambletray/platform/localsystem/OperatorCallRetries.java
@@ -1,11 +1,11 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 /**
  * How a call of an operator goes from relay to relay (page PROTOCOL, The operator): 307 is followed twice; after a
  * failure, a 5xx, a 408 or 429, or silence the next relay is asked after a pause that grows; 400, 409, 412, 413 and 422
  * end it at once, any other 4xx the third time. Pure.
  */
-final class Rounds {
+final class OperatorCallRetries {
     /** ms. */
     static final int FIRST_PAUSE = 50;
 
@@ -32,7 +32,7 @@
     private int followed;
     private int others;
 
-    Rounds(int relays, int first) {
+    OperatorCallRetries(int relays, int first) {
         this.relays = relays;
         this.relay = first % relays;
     }
--- a/src/main/java/brambletray/tray/lap/Operator.java
+++ b/src/main/java/brambletray/platform/localsystem/OperatorClient.java
@@ -1,7 +1,7 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Clock;
-import brambletray.tray.berth.Address;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -12,8 +12,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 
-/** Calls the control-plane addresses as an operator does; blocks. What to do after each answer says {@link Rounds}. */
-public final class Operator {
+/**
+ * Calls the control-plane addresses as an operator does; blocks. What to do after each answer says {@link
+ * OperatorCallRetries}.
+ */
+public final class OperatorClient {
     /** ms of silence after which another relay is asked; one more for so many bytes of a body. */
     private static final int SILENCE = 1_000;
 
@@ -35,7 +38,7 @@
     public record Reply(int status, byte[] body, String from) {}
 
     /** {@code relays}: control-plane addresses, at least one; {@code waitMs}: for a clear answer. */
-    public Operator(List<Address> relays, int waitMs) {
+    public OperatorClient(List<Address> relays, int waitMs) {
         this.relays = relays;
         this.waitMs = waitMs;
     }
@@ -45,7 +48,9 @@
         return call("GET", CONFIGURATION + "show", null, null);
     }
 
-    /** {@code verb}: replace or modify; the answer, or {@link LapFault} where there is no clear one in time. */
+    /**
+     * {@code verb}: replace or modify; the answer, or {@link LocalSystemException} where there is no clear one in time.
+     */
     public Reply deliver(String verb, long base, byte[] body) {
         return call("POST", CONFIGURATION + verb, Long.toString(base), body);
     }
@@ -57,21 +62,21 @@
 
     private Reply call(String method, String path, String base, byte[] body) {
         long until = now() + waitMs;
-        Rounds rounds = new Rounds(relays.size(), 0);
-        Rounds.Step step = rounds.first();
+        OperatorCallRetries rounds = new OperatorCallRetries(relays.size(), 0);
+        OperatorCallRetries.Step step = rounds.first();
         Reply reply = null;
         String trouble = "";
-        while (!(step instanceof Rounds.Step.End)) {
+        while (!(step instanceof OperatorCallRetries.Step.End)) {
             String url;
-            if (step instanceof Rounds.Step.Follow follow) {
+            if (step instanceof OperatorCallRetries.Step.Follow follow) {
                 url = follow.location();
             } else {
-                Rounds.Step.Ask ask = (Rounds.Step.Ask) step;
+                OperatorCallRetries.Step.Ask ask = (OperatorCallRetries.Step.Ask) step;
                 LockSupport.parkNanos(ask.pauseMs() * 1_000_000L);
                 url = "http://" + relays.get(ask.relay()) + path;
             }
             if (now() >= until || Thread.currentThread().isInterrupted()) {
-                throw new LapFault("no-answer", "no clear answer in " + waitMs + " ms" + trouble, null);
+                throw new LocalSystemException("no-answer", "no clear answer in " + waitMs + " ms" + trouble, null);
             }
             String location = null;
             try {
@@ -80,14 +85,14 @@
                 reply = new Reply(
                         answer.statusCode(), answer.body(), answer.uri().getAuthority());
                 location = answer.headers().firstValue("Location").orElse(null);
-                trouble =
-                        "; the last: " + answer.statusCode() + " from " + reply.from + ' ' + Json.reason(answer.body());
+                trouble = "; the last: " + answer.statusCode() + " from " + reply.from + ' '
+                        + JsonValues.reason(answer.body());
             } catch (IOException | IllegalArgumentException e) {
                 reply = null;
                 trouble = "; the last: " + url.substring(0, Math.min(60, url.length())) + ": "
                         + e.getClass().getSimpleName();
             } catch (InterruptedException e) {
-                throw new LapFault("interrupted", "interrupted", e);
+                throw new LocalSystemException("interrupted", "interrupted", e);
             }
             step = rounds.next(reply == null ? 0 : reply.status, location);
         }
@@ -119,7 +124,10 @@
                         : new Reply(answer.statusCode(), answer.body(), member.toString()));
     }
 
-    /** Gives one member an order, without going on to others; status 0: no answer within {@code ms}, and the order may have been carried out. */
+    /**
+     * Gives one member an order, without going on to others; status 0: no answer within {@code ms}, and the order may
+     * have been carried out.
+     */
     public Reply order(Address member, String path, byte[] body, int ms) {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + member + path))
                 .timeout(Duration.ofMillis(ms))
--- a/src/main/java/brambletray/tray/lap/Counts.java
+++ b/src/main/java/brambletray/platform/localsystem/RequestCounts.java
@@ -1,7 +1,7 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 /** What became of requests: in one second, or in all. Pure. */
-final class Counts {
+final class RequestCounts {
     int requests;
     int answered;
     int late;
@@ -9,8 +9,8 @@
     int failed;
 
     /** Ends a second: returns what it was and begins the next. */
-    Counts turn() {
-        Counts past = new Counts();
+    RequestCounts turn() {
+        RequestCounts past = new RequestCounts();
         past.add(this);
         requests = 0;
         answered = 0;
@@ -20,7 +20,7 @@
         return past;
     }
 
-    void add(Counts other) {
+    void add(RequestCounts other) {
         requests += other.requests;
         answered += other.answered;
         late += other.late;
@@ -33,7 +33,7 @@
     }
 
     /** {@code view} 0: not known; {@code helm} null: vacant, or not known. */
-    String line(int second, int hosts, long view, String helm) {
+    String line(int second, int hosts, long view, String coordinator) {
         StringBuilder line = new StringBuilder();
         long[] values = {second, requests, answered, late, refused, failed, hosts, view};
         int[] widths = {5, 10, 10, 6, 9, 8, 7, 6};
@@ -41,6 +41,6 @@
             String value = i == 7 && view == 0 ? "-" : Long.toString(values[i]);
             line.append(" ".repeat(Math.max(1, widths[i] - value.length()))).append(value);
         }
-        return line.append("  ").append(helm == null ? "-" : helm).toString();
+        return line.append("  ").append(coordinator == null ? "-" : coordinator).toString();
     }
 }
--- a/src/main/java/brambletray/tray/lap/Seal.java
+++ b/src/main/java/brambletray/platform/localsystem/ResponseSeal.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import java.nio.charset.StandardCharsets;
 
@@ -7,11 +7,11 @@
  * it, and of what was answered. So a client sees whether its request arrived unchanged and whether the answer is its
  * own and whole.
  */
-final class Seal {
+final class ResponseSeal {
     private static final long OFFSET = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Seal() {}
+    private ResponseSeal() {}
 
     static String of(String host, String attempt, String method, String path, byte[] asked, byte[] answered) {
         long hash = OFFSET;
--- a/src/main/java/brambletray/tray/lap/Folders.java
+++ b/src/main/java/brambletray/platform/localsystem/RunDirectory.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -12,8 +12,8 @@
 import java.util.stream.Stream;
 
 /** The folder and the ports of one run of the stand-in. */
-final class Folders {
-    private Folders() {}
+final class RunDirectory {
+    private RunDirectory() {}
 
     /** The folder that was named, which has to be empty or new; or, for null, one of its own. */
     static Path dir(Path named) {
@@ -24,12 +24,13 @@
             Files.createDirectories(named);
             try (Stream<Path> inside = Files.list(named)) {
                 if (inside.findAny().isPresent()) {
-                    throw new LapFault("bad-plan", "--dir " + named + ": expected a new or empty folder", null);
+                    throw new LocalSystemException(
+                            "bad-plan", "--dir " + named + ": expected a new or empty folder", null);
                 }
             }
             return named;
         } catch (IOException e) {
-            throw new LapFault(
+            throw new LocalSystemException(
                     "bad-plan",
                     "--dir " + named + ": expected a folder that can be written, found "
                             + e.getClass().getSimpleName(),
@@ -38,7 +39,7 @@
     }
 
     /** Ports that nobody listens on at this moment, on any address. */
-    static Site.Ports ports() {
+    static LocalSite.Ports ports() {
         List<ServerSocket> held = new ArrayList<>();
         try {
             for (int i = 0; i < 6; i++) {
@@ -47,9 +48,9 @@
                 socket.bind(new InetSocketAddress(InetAddress.getByAddress(new byte[4]), 0));
             }
             int[] ports = held.stream().mapToInt(ServerSocket::getLocalPort).toArray();
-            return new Site.Ports(ports[0], ports[1], ports[2], ports[3], ports[4], ports[5]);
+            return new LocalSite.Ports(ports[0], ports[1], ports[2], ports[3], ports[4], ports[5]);
         } catch (IOException e) {
-            throw new LapFault("no-address", "no ports are free: " + e.getMessage(), e);
+            throw new LocalSystemException("no-address", "no ports are free: " + e.getMessage(), e);
         } finally {
             for (ServerSocket socket : held) {
                 try {
--- a/src/main/java/brambletray/tray/lap/Sample.java
+++ b/src/main/java/brambletray/platform/localsystem/SampleConfiguration.java
@@ -1,6 +1,6 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
-import brambletray.tray.creed.Creed;
+import brambletray.platform.configuration.Configuration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,7 +10,7 @@
  * The small configuration that the stand-in is tried with: a few services that get most of the requests, and more that
  * get few.
  */
-final class Sample {
+final class SampleConfiguration {
     /** Of each kind. */
     static final int BUSY = 2;
 
@@ -18,7 +18,7 @@
 
     static final String HOST = "sample.example";
 
-    private Sample() {}
+    private SampleConfiguration() {}
 
     /** The body of the first {@code replace}. */
     static byte[] body() {
@@ -50,11 +50,11 @@
                         3_000L,
                         "idle-timeout-ms",
                         15_000L));
-        return Json.bytes(all);
+        return JsonValues.bytes(all);
     }
 
-    static Creed creed() {
-        return Creed.read(body());
+    static Configuration configuration() {
+        return Configuration.read(body());
     }
 
     private static Map<String, Object> route(
--- a/src/main/java/brambletray/tray/lap/Callers.java
+++ b/src/main/java/brambletray/platform/localsystem/TrafficGenerator.java
@@ -1,7 +1,7 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
+import brambletray.platform.configuration.Route;
 import brambletray.runtime.Machine;
-import brambletray.tray.creed.Route;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -13,7 +13,7 @@
 /**
  * Clients: a steady trickle of requests that doesn't wait for answers, most of them to few services. For the loop only.
  */
-final class Callers implements Visit.Ways {
+final class TrafficGenerator implements TrafficRequest.Ways {
     /** Of ten requests, so many go to busy services. */
     private static final int BUSY_OF_TEN = 7;
 
@@ -22,31 +22,31 @@
     private static final int MOST = 5_000;
 
     private final Machine machine;
-    private final Site site;
-    private final Fronts fronts;
-    private final Ledger ledger;
-    private final Counts counts;
-    private final Wires wires;
+    private final LocalSite site;
+    private final FrontEndBalancer fronts;
+    private final ExecutionLedger ledger;
+    private final RequestCounts counts;
+    private final ClientConnections wires;
     private final Random random;
     private final List<Route> busy;
     private final List<Route> rare;
-    private final Map<Visit, ScheduledFuture<?>> underWay = new HashMap<>();
+    private final Map<TrafficRequest, ScheduledFuture<?>> underWay = new HashMap<>();
     private ScheduledFuture<?> pace;
 
-    Callers(
+    TrafficGenerator(
             Machine machine,
-            Site site,
-            Fronts fronts,
+            LocalSite site,
+            FrontEndBalancer fronts,
             Map<String, Route> routes,
-            Ledger ledger,
-            Counts counts,
+            ExecutionLedger ledger,
+            RequestCounts counts,
             long seed) {
         this.machine = machine;
         this.site = site;
         this.fronts = fronts;
         this.ledger = ledger;
         this.counts = counts;
-        this.wires = new Wires(machine);
+        this.wires = new ClientConnections(machine);
         this.random = new Random(seed);
         busy = routes.values().stream()
                 .filter(route -> route.shares().get(0).service().startsWith("busy"))
@@ -81,8 +81,8 @@
         byte[] body = route.repeatable()
                 ? new byte[0]
                 : ("{\"amount\":" + random.nextInt(1_000) + '}').getBytes(StandardCharsets.US_ASCII);
-        Visit visit =
-                new Visit(route, Site.ZONES.get(client % Site.ZONES.size()), client, path, body, ledger, this, now());
+        TrafficRequest visit = new TrafficRequest(
+                route, LocalSite.ZONES.get(client % LocalSite.ZONES.size()), client, path, body, ledger, this, now());
         underWay.put(visit, machine.loop().schedule(visit::expired, route.timeoutMs(), TimeUnit.MILLISECONDS));
         visit.go(now());
     }
@@ -92,22 +92,23 @@
     }
 
     @Override
-    public String send(Visit visit, int turn, int remainingMs) {
+    public String send(TrafficRequest visit, int turn, int remainingMs) {
         String attempt = Long.toHexString(random.nextLong() | Long.MIN_VALUE);
         visit.names(attempt, visit.attempt());
-        Site.Place edge = fronts.pick(visit.zone, visit.hash(), turn);
+        LocalSite.Place edge = fronts.pick(visit.zone, visit.hash(), turn);
         boolean fresh = turn > 0 || !visit.route.repeatable() || random.nextInt(3) == 0;
-        wires.send(edge.ip(), site.ports().frontEnd(), new Wires.Letter(visit, attempt, remainingMs, fresh));
+        wires.send(
+                edge.ip(), site.ports().frontEnd(), new ClientConnections.Letter(visit, attempt, remainingMs, fresh));
         return attempt;
     }
 
     @Override
-    public void pause(Visit visit, int ms) {
+    public void pause(TrafficRequest visit, int ms) {
         machine.loop().schedule(() -> visit.go(now()), ms, TimeUnit.MILLISECONDS);
     }
 
     @Override
-    public void over(Visit visit, Visit.End end) {
+    public void over(TrafficRequest visit, TrafficRequest.End end) {
         underWay.remove(visit).cancel(false);
         switch (end) {
             case ANSWERED -> counts.answered++;
--- a/src/main/java/brambletray/tray/lap/Visit.java
+++ b/src/main/java/brambletray/platform/localsystem/TrafficRequest.java
@@ -1,13 +1,13 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
-import brambletray.tray.creed.Route;
+import brambletray.platform.configuration.Route;
 
 /**
  * One request of a client, with its tries (page PROTOCOL, Answers): repeatable ones are sent again after any failure,
  * others only after a promise or where no connection came up; Retry-After is kept to for up to a third of the time
  * left. Pure; times are steady ms.
  */
-final class Visit {
+final class TrafficRequest {
     /** Tries of one request. */
     static final int TRIES = 4;
     /**
@@ -31,12 +31,12 @@
          * Sends a try; {@code turn} counts them from 0. One of {@code answered} and {@code broke} follows. Returns the
          * try's id.
          */
-        String send(Visit visit, int turn, int remainingMs);
+        String send(TrafficRequest visit, int turn, int remainingMs);
 
-        /** Calls {@link Visit#go} after so many ms. */
-        void pause(Visit visit, int ms);
+        /** Calls {@link TrafficRequest#go} after so many ms. */
+        void pause(TrafficRequest visit, int ms);
 
-        void over(Visit visit, End end);
+        void over(TrafficRequest visit, End end);
     }
 
     final Route route;
@@ -46,7 +46,7 @@
     final byte[] body;
     private final int hash;
     private final long began;
-    private final Ledger ledger;
+    private final ExecutionLedger ledger;
     private final Ways ways;
     private String attempt;
     private int turn;
@@ -54,7 +54,8 @@
     private boolean refused;
 
     /** {@code hash}: of the client. */
-    Visit(Route route, String zone, int hash, String path, byte[] body, Ledger ledger, Ways ways, long now) {
+    TrafficRequest(
+            Route route, String zone, int hash, String path, byte[] body, ExecutionLedger ledger, Ways ways, long now) {
         this.route = route;
         this.zone = zone;
         this.hash = hash;
@@ -105,7 +106,7 @@
             return;
         }
         if (status / 100 == 2) {
-            if (!attempt.equals(echo) || !Seal.holds(seal, attempt, method, path, body, answer)) {
+            if (!attempt.equals(echo) || !ResponseSeal.holds(seal, attempt, method, path, body, answer)) {
                 ledger.wrong(attempt + " on " + path + " got " + status + " with another's answer or a wrong one");
                 end(End.FAILED);
             } else {
--- a/src/main/java/brambletray/tray/lap/package-info.java
+++ b/src/main/java/brambletray/platform/localsystem/package-info.java
@@ -3,4 +3,4 @@
  * addresses, with the system's programs as processes of their own. For trying out and for showing what happens; nothing
  * in production leans on it.
  */
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
--- a/src/main/java/brambletray/tray/tale/TaleHandler.java
+++ b/src/main/java/brambletray/platform/logging/JsonLogHandler.java
@@ -1,4 +1,4 @@
-package brambletray.tray.tale;
+package brambletray.platform.logging;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -15,7 +15,7 @@
 import java.util.logging.LogRecord;
 
 /** Prints each record as one JSON object on one line, at most {@value #MOST} of one event in {@value #SPAN} ms. */
-final class TaleHandler extends Handler {
+final class JsonLogHandler extends Handler {
     /**
      * Lines of one event in a span; the rest are counted into one line, which comes with the first line after the span.
      */
@@ -49,16 +49,16 @@
     }
 
     /** {@code now}: ms since the process began. */
-    TaleHandler(OutputStream out, LongSupplier now, String node) {
+    JsonLogHandler(OutputStream out, LongSupplier now, String node) {
         this(out, now, node, new ReentrantLock());
     }
 
-    TaleHandler(OutputStream out, LongSupplier now, String node, ReentrantLock lock) {
+    JsonLogHandler(OutputStream out, LongSupplier now, String node, ReentrantLock lock) {
         this.lock = lock;
         this.out = out;
         this.now = now;
         StringBuilder quoted = new StringBuilder(",\"node\":");
-        Line.quote(quoted, node);
+        LogLine.quote(quoted, node);
         tail = quoted.append(',').toString();
     }
 
@@ -78,8 +78,8 @@
     private void write(LogRecord entry) {
         long t = now.getAsLong();
         String message = String.valueOf(entry.getMessage());
-        boolean ours = message.startsWith(Line.START);
-        Pace pace = pace(ours ? Line.event(message) : "foreign", t);
+        boolean ours = message.startsWith(LogLine.START);
+        Pace pace = pace(ours ? LogLine.event(message) : "foreign", t);
         owed(t);
         if (t - pace.since >= SPAN) {
             pace.since = t;
@@ -96,7 +96,7 @@
         if (ours) {
             line.append(message);
         } else {
-            Line.facts(line, "foreign", "text", message);
+            LogLine.facts(line, "foreign", "text", message);
         }
         if (entry.getThrown() != null) {
             thrown(entry.getThrown());
@@ -121,7 +121,7 @@
                 owing.remove(i);
                 head(t, Level.WARNING, pace.plane);
                 // the event stands as it came from a line, quoted already
-                line.append(Line.START)
+                line.append(LogLine.START)
                         .append(pace.event)
                         .append("\",\"skipped\":")
                         .append(pace.skipped);
@@ -139,17 +139,17 @@
                 .append(",\"level\":\"")
                 .append(rank >= 1_000 ? "error" : rank >= 900 ? "warn" : rank >= 800 ? "info" : "debug")
                 .append("\",\"plane\":");
-        Line.quote(line, String.valueOf(plane));
+        LogLine.quote(line, String.valueOf(plane));
         line.append(tail);
     }
 
     private void thrown(Throwable thrown) {
         line.append(",\"thrown\":");
-        Line.quote(line, thrown.toString());
+        LogLine.quote(line, thrown.toString());
         StackTraceElement[] trace = thrown.getStackTrace();
         if (trace.length > 0) {
             line.append(",\"at\":");
-            Line.quote(line, trace[0].toString());
+            LogLine.quote(line, trace[0].toString());
         }
     }
 
--- a/src/main/java/brambletray/tray/tale/Line.java
+++ b/src/main/java/brambletray/platform/logging/LogLine.java
@@ -1,13 +1,13 @@
-package brambletray.tray.tale;
+package brambletray.platform.logging;
 
 /** The inside of a log line: {@code "event":..., then each fact}, without the braces. */
-final class Line {
+final class LogLine {
     /** What each line of ours begins with. */
     static final String START = "\"event\":\"";
     /** Characters of one text; longer ones are cut. */
     static final int LONGEST = 2_000;
 
-    private Line() {}
+    private LogLine() {}
 
     static String of(String event, Object... facts) {
         return facts(new StringBuilder(96), event, facts).toString();
--- a/src/main/java/brambletray/tray/tale/Tales.java
+++ b/src/main/java/brambletray/platform/logging/LogOutput.java
@@ -1,4 +1,4 @@
-package brambletray.tray.tale;
+package brambletray.platform.logging;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
@@ -9,8 +9,8 @@
 import java.util.logging.Logger;
 
 /** Where log lines go: standard error, one JSON object a line. */
-public final class Tales {
-    private Tales() {}
+public final class LogOutput {
+    private LogOutput() {}
 
     /**
      * Sends lines of this level and above to standard error, in the name of {@code node}; once, before all else.
@@ -27,7 +27,7 @@
         for (Handler former : root.getHandlers()) {
             root.removeHandler(former);
         }
-        Handler handler = new TaleHandler(out, sinceStart, node);
+        Handler handler = new JsonLogHandler(out, sinceStart, node);
         handler.setLevel(Level.ALL);
         root.addHandler(handler);
         root.setLevel(level);
--- a/src/main/java/brambletray/tray/tale/package-info.java
+++ b/src/main/java/brambletray/platform/logging/package-info.java
@@ -1,2 +1,2 @@
 /** Log lines as JSON, with the reason of each event. */
-package brambletray.tray.tale;
+package brambletray.platform.logging;
--- a/src/main/java/brambletray/tray/stand/Lots.java
+++ b/src/main/java/brambletray/platform/platformstub/AddressPool.java
@@ -1,30 +1,30 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.function.IntFunction;
 
 /** Addresses of hosts: one of a host that has ended is given again after a while, whatever the service. */
-final class Lots {
-    private final ArrayDeque<Being> ended = new ArrayDeque<>();
+final class AddressPool {
+    private final ArrayDeque<StubInstance> ended = new ArrayDeque<>();
     private final int holdMs;
     private final IntFunction<String> fresh;
     private int made;
 
     /** {@code fresh}: the next address that was never given, by the number of those before. */
-    Lots(int holdMs, IntFunction<String> fresh) {
+    AddressPool(int holdMs, IntFunction<String> fresh) {
         this.holdMs = holdMs;
         this.fresh = fresh;
     }
 
     /** It has ended, or will at a time that is known. */
-    void ended(Being being) {
+    void ended(StubInstance being) {
         ended.add(being);
     }
 
     String next(long now) {
-        for (Iterator<Being> each = ended.iterator(); each.hasNext(); ) {
-            Being former = each.next();
+        for (Iterator<StubInstance> each = ended.iterator(); each.hasNext(); ) {
+            StubInstance former = each.next();
             if (now - holdMs >= former.endAt) {
                 each.remove();
                 return former.address;
--- a/src/main/java/brambletray/tray/stand/Gate.java
+++ b/src/main/java/brambletray/platform/platformstub/CallRateLimiter.java
@@ -1,13 +1,13 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
 /** So many calls a second, a quarter of a second's worth at once. */
-final class Gate {
+final class CallRateLimiter {
     private final double perMs;
     private final double most;
     private double tokens;
     private long at;
 
-    Gate(double perS, long now) {
+    CallRateLimiter(double perS, long now) {
         perMs = perS / 1000;
         most = Math.max(1, perS / 4);
         tokens = most;
--- a/src/main/java/brambletray/tray/stand/Stand.java
+++ b/src/main/java/brambletray/platform/platformstub/PlatformStub.java
@@ -1,9 +1,9 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
-import brambletray.tray.yard.Begun;
-import brambletray.tray.yard.Listed;
-import brambletray.tray.yard.Result;
-import brambletray.tray.yard.Worker;
+import brambletray.platform.provisioning.CallResult;
+import brambletray.platform.provisioning.ListedInstance;
+import brambletray.platform.provisioning.StartResponse;
+import brambletray.platform.provisioning.WorkerInfo;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -17,7 +17,7 @@
  * The platform as its protocol describes it. Every method takes the time, ms, which never goes back; whoever wants a
  * network with delays, lost answers or silence puts it in between.
  */
-public final class Stand {
+public final class PlatformStub {
     /** ms after which a host that has ended is forgotten. */
     private static final long FORGET = 120_000;
     /** ms beyond {@code drain-ms} that a host goes on. */
@@ -26,42 +26,42 @@
     private static final double LONGEST_BOOT = 6;
 
     /** One page of hosts, or a refusal for the rate ({@code hosts} null). */
-    public record Page(List<Listed> hosts, String next) {}
+    public record Page(List<ListedInstance> hosts, String next) {}
 
-    private final Ground ground;
+    private final PlatformParameters ground;
     private final Random random;
-    private final Gate lists;
-    private final Gate duties;
-    private final Map<String, Kind> kinds = new HashMap<>();
-    private final Map<String, Plot> plots = new LinkedHashMap<>();
-    private final Map<String, Being> beings = new LinkedHashMap<>();
+    private final CallRateLimiter lists;
+    private final CallRateLimiter duties;
+    private final Map<String, ServiceKind> kinds = new HashMap<>();
+    private final Map<String, StubWorker> plots = new LinkedHashMap<>();
+    private final Map<String, StubInstance> beings = new LinkedHashMap<>();
     private final Map<String, String> nonces = new HashMap<>();
-    private final Lots lots;
+    private final AddressPool lots;
     private long fence;
     private int made;
     private int starts;
     private int refusals;
 
     /** {@code seed}: of the times that starts take. */
-    public Stand(Ground ground, long seed, long now) {
+    public PlatformStub(PlatformParameters ground, long seed, long now) {
         this(ground, seed, now, made -> "10.9." + made / 250 + '.' + (1 + made % 250) + ":8080");
     }
 
     /** {@code fresh}: the address for the next host by the number of those made before, where none is free again. */
-    public Stand(Ground ground, long seed, long now, IntFunction<String> fresh) {
+    public PlatformStub(PlatformParameters ground, long seed, long now, IntFunction<String> fresh) {
         this.ground = ground;
         this.random = new Random(seed);
-        this.lots = new Lots(ground.holdMs(), fresh);
-        this.lists = new Gate(ground.listsPerS(), now);
-        this.duties = new Gate(ground.dutiesPerS(), now);
+        this.lots = new AddressPool(ground.holdMs(), fresh);
+        this.lists = new CallRateLimiter(ground.listsPerS(), now);
+        this.duties = new CallRateLimiter(ground.dutiesPerS(), now);
     }
 
     public void worker(String name, String zone, int memoryMb, long now) {
-        plots.put(name, new Plot(name, zone, memoryMb, now));
+        plots.put(name, new StubWorker(name, zone, memoryMb, now));
     }
 
     /** A service as it is from now on; {@code kind} null: it is gone. */
-    public void service(String name, Kind kind) {
+    public void service(String name, ServiceKind kind) {
         if (kind == null) {
             kinds.remove(name);
         } else {
@@ -70,47 +70,47 @@
     }
 
     /** {@code POST /brambletray/begin}. */
-    public Begun begin(String service, String worker, String nonce, long term, long now) {
+    public StartResponse begin(String service, String worker, String nonce, long term, long now) {
         if (!duties.pass(now)) {
             refusals++;
-            return Begun.of(Result.BUSY);
+            return StartResponse.of(CallResult.BUSY);
         }
         if (term < fence) {
-            return Begun.of(Result.FENCED);
+            return StartResponse.of(CallResult.FENCED);
         }
         fence = term;
-        Kind kind = kinds.get(service);
+        ServiceKind kind = kinds.get(service);
         if (kind == null || worker == null || nonce == null || nonce.isEmpty() || nonce.length() > 64) {
-            return Begun.of(Result.BAD);
+            return StartResponse.of(CallResult.BAD);
         }
-        Being known = beings.get(nonces.getOrDefault(service + ' ' + nonce, ""));
+        StubInstance known = beings.get(nonces.getOrDefault(service + ' ' + nonce, ""));
         if (known == null) {
-            Plot plot = plots.get(worker);
-            if (plot == null || plot.state(now) != Plot.State.OPERATIONAL || free(plot, now) < kind.memoryMb()) {
-                return Begun.of(Result.REFUSED);
+            StubWorker plot = plots.get(worker);
+            if (plot == null || plot.state(now) != StubWorker.State.OPERATIONAL || free(plot, now) < kind.memoryMb()) {
+                return StartResponse.of(CallResult.REFUSED);
             }
             known = make(service, kind, plot, now);
             nonces.put(service + ' ' + nonce, known.id);
         }
-        return new Begun(Result.OK, known.id, known.address);
+        return new StartResponse(CallResult.OK, known.id, known.address);
     }
 
     /** {@code POST /brambletray/stop}. */
-    public Result stop(String id, long term, long now) {
+    public CallResult stop(String id, long term, long now) {
         if (!duties.pass(now)) {
             refusals++;
-            return Result.BUSY;
+            return CallResult.BUSY;
         }
         if (term < fence) {
-            return Result.FENCED;
+            return CallResult.FENCED;
         }
         fence = term;
-        Being being = beings.get(id);
+        StubInstance being = beings.get(id);
         if (being == null) {
-            return Result.NO_SUCH;
+            return CallResult.NO_SUCH;
         }
         end(being, now, false);
-        return Result.OK;
+        return CallResult.OK;
     }
 
     /**
@@ -122,9 +122,9 @@
             return new Page(null, null);
         }
         long at = now - ground.lagMs();
-        List<Listed> page = new ArrayList<>();
+        List<ListedInstance> page = new ArrayList<>();
         boolean from = token == null;
-        for (Being being : beings.values()) {
+        for (StubInstance being : beings.values()) {
             from |= being.id.equals(token);
             if (!from || !being.listed(at, ground.shownMs())) {
                 continue;
@@ -132,23 +132,24 @@
             if (page.size() == ground.page()) {
                 return new Page(page, being.id);
             }
-            page.add(new Listed(being.id, being.service, being.address, being.zone, being.worker, being.drainAt <= at));
+            page.add(new ListedInstance(
+                    being.id, being.service, being.address, being.zone, being.worker, being.drainAt <= at));
         }
         return new Page(page, null);
     }
 
     /** {@code GET /brambletray/workers}; null: refused for the rate. */
-    public List<Worker> workers(long now) {
+    public List<WorkerInfo> workers(long now) {
         if (!lists.pass(now)) {
             return null;
         }
         long at = now - ground.lagMs();
-        List<Worker> shown = new ArrayList<>();
-        for (Plot plot : plots.values()) {
-            Plot.State state = plot.state(at);
-            if (state != Plot.State.DOWN) {
-                shown.add(
-                        new Worker(plot.name, plot.zone, plot.memoryMb, free(plot, at), state == Plot.State.DRAINING));
+        List<WorkerInfo> shown = new ArrayList<>();
+        for (StubWorker plot : plots.values()) {
+            StubWorker.State state = plot.state(at);
+            if (state != StubWorker.State.DOWN) {
+                shown.add(new WorkerInfo(
+                        plot.name, plot.zone, plot.memoryMb, free(plot, at), state == StubWorker.State.DRAINING));
             }
         }
         return shown;
@@ -156,8 +157,8 @@
 
     /** The worker drains: its hosts are listed as draining, and end. */
     public void drain(String worker, long now) {
-        plots.get(worker).turn(Plot.State.DRAINING, now);
-        for (Being being : beings.values()) {
+        plots.get(worker).turn(StubWorker.State.DRAINING, now);
+        for (StubInstance being : beings.values()) {
             if (being.worker.equals(worker)) {
                 drainHost(being.id, now);
             }
@@ -166,8 +167,8 @@
 
     /** One host is listed as draining, and ends. */
     public void drainHost(String id, long now) {
-        Being being = beings.get(id);
-        if (being.there(now) && being.drainAt == Being.NEVER) {
+        StubInstance being = beings.get(id);
+        if (being.there(now) && being.drainAt == StubInstance.NEVER) {
             lots.ended(being);
             being.drain(now, now + ground.drainMs() + AFTER_DRAIN);
         }
@@ -176,7 +177,7 @@
     /** The worker crashes, with all its hosts, and is back after so many ms. */
     public void crash(String worker, long ms, long now) {
         plots.get(worker).crash(now, ms);
-        for (Being being : beings.values()) {
+        for (StubInstance being : beings.values()) {
             if (being.worker.equals(worker)) {
                 end(being, now, true);
             }
@@ -190,20 +191,20 @@
 
     /** It would take connections now. */
     public boolean up(String id, long now) {
-        Being being = beings.get(id);
+        StubInstance being = beings.get(id);
         return being != null && being.up(now);
     }
 
     /** Where it runs or boots; null: it has ended, or there never was one. */
     public String where(String id, long now) {
-        Being being = beings.get(id);
+        StubInstance being = beings.get(id);
         return being != null && being.there(now) ? being.worker : null;
     }
 
     /** The ids of the hosts of a service that take memory now. */
     public List<String> there(String service, long now) {
         List<String> ids = new ArrayList<>();
-        for (Being being : beings.values()) {
+        for (StubInstance being : beings.values()) {
             if (being.service.equals(service) && being.there(now)) {
                 ids.add(being.id);
             }
@@ -213,7 +214,7 @@
 
     /** The host's address; null: none such. */
     public String address(String id) {
-        Being being = beings.get(id);
+        StubInstance being = beings.get(id);
         return being == null ? null : being.address;
     }
 
@@ -227,14 +228,14 @@
         return refusals;
     }
 
-    private Being make(String service, Kind kind, Plot plot, long now) {
+    private StubInstance make(String service, ServiceKind kind, StubWorker plot, long now) {
         double boot = kind.bootMs();
         if (kind.spread() > 0) {
             double sigma = kind.spread();
             boot *= Math.min(LONGEST_BOOT, Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2));
         }
         forget(now);
-        Being being = new Being(
+        StubInstance being = new StubInstance(
                 "i-" + Integer.toHexString(0x1000 + made),
                 service,
                 lots.next(now),
@@ -248,18 +249,18 @@
         return being;
     }
 
-    private void end(Being being, long now, boolean crash) {
+    private void end(StubInstance being, long now, boolean crash) {
         if (being.there(now)) {
-            if (being.drainAt == Being.NEVER) {
+            if (being.drainAt == StubInstance.NEVER) {
                 lots.ended(being);
             }
             being.end(now, crash);
         }
     }
 
-    private int free(Plot plot, long at) {
+    private int free(StubWorker plot, long at) {
         int free = plot.memoryMb;
-        for (Being being : beings.values()) {
+        for (StubInstance being : beings.values()) {
             if (being.worker.equals(plot.name) && being.there(at)) {
                 free -= being.memoryMb;
             }
@@ -268,9 +269,9 @@
     }
 
     private void forget(long now) {
-        for (Iterator<Being> each = beings.values().iterator(); each.hasNext(); ) {
-            Being being = each.next();
-            if (being.endAt == Being.NEVER || now - being.endAt < FORGET) {
+        for (Iterator<StubInstance> each = beings.values().iterator(); each.hasNext(); ) {
+            StubInstance being = each.next();
+            if (being.endAt == StubInstance.NEVER || now - being.endAt < FORGET) {
                 return;
             }
             each.remove();
--- a/src/main/java/brambletray/tray/stand/StandDoor.java
+++ b/src/main/java/brambletray/platform/platformstub/PlatformStubServer.java
@@ -1,10 +1,10 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
+import brambletray.platform.provisioning.CallResult;
+import brambletray.platform.provisioning.ListedInstance;
+import brambletray.platform.provisioning.StartResponse;
+import brambletray.platform.provisioning.WorkerInfo;
 import brambletray.runtime.Machine;
-import brambletray.tray.yard.Begun;
-import brambletray.tray.yard.Listed;
-import brambletray.tray.yard.Result;
-import brambletray.tray.yard.Worker;
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonReader;
 import com.dslplatform.json.JsonWriter;
@@ -35,19 +35,19 @@
 import java.util.concurrent.TimeUnit;
 
 /** The stand-in behind the platform's own interface: HTTP/1.1 and JSON, on sockets or simulated ones. */
-public final class StandDoor {
+public final class PlatformStubServer {
     private static final int BODY_MOST = 64 * 1024;
     private static final byte[] NOTHING = new byte[0];
 
     private record Answer(int status, byte[] body) {}
 
     private final Machine machine;
-    private final Stand stand;
+    private final PlatformStub stand;
     private final DslJson<Object> json = new DslJson<>();
     private final JsonWriter out = json.newWriter();
     private Channel listener;
 
-    public StandDoor(Machine machine, Stand stand) {
+    public PlatformStubServer(Machine machine, PlatformStub stand) {
         this.machine = machine;
         this.stand = stand;
     }
@@ -137,8 +137,8 @@
         }
     }
 
-    private Answer begun(Begun begun) {
-        if (begun.result() != Result.OK) {
+    private Answer begun(StartResponse begun) {
+        if (begun.result() != CallResult.OK) {
             return new Answer(status(begun.result()), NOTHING);
         }
         out.reset();
@@ -148,14 +148,14 @@
         return new Answer(200, out.toByteArray());
     }
 
-    private Answer list(Stand.Page page) {
+    private Answer list(PlatformStub.Page page) {
         if (page.hosts() == null) {
             return new Answer(429, NOTHING);
         }
         out.reset();
         out.writeAscii("{\"instances\":[");
         char before = ' ';
-        for (Listed host : page.hosts()) {
+        for (ListedInstance host : page.hosts()) {
             out.writeByte((byte) before);
             before = ',';
             text('{', "instance-id", host.id());
@@ -177,14 +177,14 @@
         return new Answer(200, out.toByteArray());
     }
 
-    private Answer workers(List<Worker> workers) {
+    private Answer workers(List<WorkerInfo> workers) {
         if (workers == null) {
             return new Answer(429, NOTHING);
         }
         out.reset();
         out.writeAscii("{\"workers\":[");
         char before = ' ';
-        for (Worker worker : workers) {
+        for (WorkerInfo worker : workers) {
             out.writeByte((byte) before);
             before = ',';
             text('{', "name", worker.name());
@@ -207,7 +207,7 @@
         out.writeString(value);
     }
 
-    private static int status(Result result) {
+    private static int status(CallResult result) {
         return switch (result) {
             case OK -> 200;
             case BAD -> 400;
--- a/src/main/java/brambletray/tray/stand/Kind.java
+++ b/src/main/java/brambletray/platform/platformstub/ServiceKind.java
@@ -1,7 +1,7 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
 /**
  * A service as the platform knows it: MB of a host, mean ms of its start, and how far starts spread (sigma of a
  * log-normal; 0: all alike).
  */
-public record Kind(int memoryMb, int bootMs, double spread) {}
+public record ServiceKind(int memoryMb, int bootMs, double spread) {}
--- a/src/main/java/brambletray/tray/stand/Being.java
+++ b/src/main/java/brambletray/platform/platformstub/StubInstance.java
@@ -1,7 +1,7 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
 /** One host of the stand-in, with the times of its life, ms. */
-final class Being {
+final class StubInstance {
     static final long NEVER = Long.MAX_VALUE;
 
     final String id;
@@ -16,7 +16,7 @@
     long endAt = NEVER;
     boolean crashed;
 
-    Being(String id, String service, String address, Plot plot, int memoryMb, long begunAt, long upAt) {
+    StubInstance(String id, String service, String address, StubWorker plot, int memoryMb, long begunAt, long upAt) {
         this.id = id;
         this.service = service;
         this.address = address;
--- a/src/main/java/brambletray/tray/stand/Plot.java
+++ b/src/main/java/brambletray/platform/platformstub/StubWorker.java
@@ -1,9 +1,9 @@
-package brambletray.tray.stand;
+package brambletray.platform.platformstub;
 
 import java.util.TreeMap;
 
 /** One worker of the stand-in, and what it was when. */
-final class Plot {
+final class StubWorker {
     enum State {
         OPERATIONAL,
         DRAINING,
@@ -15,7 +15,7 @@
     final int memoryMb;
     private final TreeMap<Long, State> states = new TreeMap<>();
 
-    Plot(String name, String zone, int memoryMb, long now) {
+    StubWorker(String name, String zone, int memoryMb, long now) {
         this.name = name;
         this.zone = zone;
         this.memoryMb = memoryMb;
--- a/src/main/java/brambletray/tray/yard/Pace.java
+++ b/src/main/java/brambletray/platform/provisioning/CallPacer.java
@@ -1,10 +1,10 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /**
  * How fast starts and stops may be called: so many a second with a small burst, fewer after 429, and fewer at a time
  * while the platform does not answer.
  */
-final class Pace {
+final class CallPacer {
     /** Calls without an answer at a time. */
     static final int WINDOW_MOST = 64;
 
@@ -28,7 +28,7 @@
     private int out;
 
     /** {@code perS}: calls accepted a second. A little below it is used, for calls bunch on their way. */
-    Pace(double perS, long now) {
+    CallPacer(double perS, long now) {
         full = perS * 0.95;
         burst = Math.max(1, full * BURST / 1000);
         rate = full;
@@ -49,7 +49,7 @@
         out++;
     }
 
-    void answered(Result result, long now) {
+    void answered(CallResult result, long now) {
         out--;
         switch (result) {
             case UNKNOWN -> window = Math.max(WINDOW_LEAST, window / 2);
--- a/src/main/java/brambletray/tray/yard/Result.java
+++ b/src/main/java/brambletray/platform/provisioning/CallResult.java
@@ -1,7 +1,7 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /** What came of a call to the platform that starts or stops a host. */
-public enum Result {
+public enum CallResult {
     /** 200. */
     OK,
     /** 409: no room on that worker, or it is down, draining or unknown; nothing was started. */
--- a/src/main/java/brambletray/tray/yard/Settling.java
+++ b/src/main/java/brambletray/platform/provisioning/CoordinatorTakeover.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -12,7 +12,7 @@
  * A new holder of the duty knows nothing: it waits until all edges have told what they know, or for a time, before it
  * calls a host unknown, or tells a home that it has none.
  */
-final class Settling {
+final class CoordinatorTakeover {
     /** ms. */
     private static final long MOST = 1_500;
 
@@ -24,9 +24,9 @@
     private boolean roster;
     private boolean done;
     private boolean listed;
-    private final Map<Claim, String> claims = new LinkedHashMap<>();
+    private final Map<HomeClaim, String> claims = new LinkedHashMap<>();
 
-    Settling(long now) {
+    CoordinatorTakeover(long now) {
         until = now + MOST;
     }
 
@@ -65,16 +65,16 @@
     }
 
     /** A claim that is to be answered once it is known whether there are hosts. */
-    void await(String edge, Claim claim) {
+    void await(String edge, HomeClaim claim) {
         if (claims.size() < CLAIMS_MOST) {
             claims.put(claim, edge);
         }
     }
 
     /** Hands out all claims that wait. */
-    void drain(BiConsumer<String, Claim> each) {
+    void drain(BiConsumer<String, HomeClaim> each) {
         if (!claims.isEmpty()) {
-            List<Map.Entry<Claim, String>> all = new ArrayList<>(claims.entrySet());
+            List<Map.Entry<HomeClaim, String>> all = new ArrayList<>(claims.entrySet());
             claims.clear();
             all.forEach(entry -> each.accept(entry.getValue(), entry.getKey()));
         }
--- a/src/main/java/brambletray/tray/yard/Homes.java
+++ b/src/main/java/brambletray/platform/provisioning/HomeLookup.java
@@ -1,8 +1,8 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /** Which edge is home of a seat now. */
 @FunctionalInterface
-public interface Homes {
+public interface HomeLookup {
     /** The edge's name; null while there is none. */
     String edge(String service, String seat);
 }
--- /dev/null
+++ b/src/main/java/brambletray/platform/provisioning/InstanceGone.java
@@ -0,0 +1,4 @@
+package brambletray.platform.provisioning;
+
+/** A host has ended. */
+public record InstanceGone(String id, String service) {}
--- a/src/main/java/brambletray/tray/yard/Host.java
+++ b/src/main/java/brambletray/platform/provisioning/InstanceInfo.java
@@ -1,11 +1,11 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /**
  * A host of a service as the system knows it. {@code zone}: where its worker stands; {@code seat}: the zone whose home
  * gives out its places; {@code state}: 0 booting, 1 up, 2 leaving; {@code bornAgoMs}: ms since its start call was
  * answered.
  */
-public record Host(
+public record InstanceInfo(
         String id,
         String service,
         String address,
--- a/src/main/java/brambletray/tray/yard/Life.java
+++ b/src/main/java/brambletray/platform/provisioning/InstanceLifecycle.java
@@ -1,7 +1,7 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /** One host, from the answer to its start until its end. */
-final class Life {
+final class InstanceLifecycle {
     final String id;
     final String service;
     final String address;
@@ -20,7 +20,7 @@
     /** Its stop is being called. */
     boolean stopping;
 
-    Life(String id, String service, String address, String nonce, long bornAt) {
+    InstanceLifecycle(String id, String service, String address, String nonce, long bornAt) {
         this.id = id;
         this.service = service;
         this.address = address;
@@ -28,7 +28,7 @@
         this.bornAt = bornAt;
     }
 
-    Life at(String itsZone, String itsSeat, String itsWorker) {
+    InstanceLifecycle at(String itsZone, String itsSeat, String itsWorker) {
         zone = itsZone;
         seat = itsSeat;
         worker = itsWorker;
@@ -39,12 +39,12 @@
         if (upAt < 0) {
             upAt = now;
         }
-        if (state == Host.BOOTING) {
-            state = Host.UP;
+        if (state == InstanceInfo.BOOTING) {
+            state = InstanceInfo.UP;
         }
     }
 
-    Host host(long now) {
-        return new Host(id, service, address, zone, seat, worker, nonce, state, now - bornAt);
+    InstanceInfo host(long now) {
+        return new InstanceInfo(id, service, address, zone, seat, worker, nonce, state, now - bornAt);
     }
 }
--- /dev/null
+++ b/src/main/java/brambletray/platform/provisioning/InstanceList.java
@@ -0,0 +1,6 @@
+package brambletray.platform.provisioning;
+
+import java.util.List;
+
+/** All hosts of a seat. */
+public record InstanceList(String service, String seat, List<InstanceInfo> hosts) {}
--- a/src/main/java/brambletray/tray/yard/Muster.java
+++ b/src/main/java/brambletray/platform/provisioning/InstanceListReconciler.java
@@ -1,6 +1,6 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -8,8 +8,8 @@
 import java.util.function.Function;
 
 /** Compares a whole list of the platform with what is known: who is up, leaving, gone, overdue, or known to nobody. */
-final class Muster {
-    private static final Tale TALE = Tale.of("yard");
+final class InstanceListReconciler {
+    private static final EventLog LOG = EventLog.of("provisioning");
     /** Whole lists in a row that do not show a host until it counts as gone. */
     private static final int MISSED_MOST = 2;
     /** ms; how much later than its stated lag a list may be. */
@@ -21,13 +21,18 @@
     /** ms; a host that has ended may be on the list for so long: it crashed, or its stop had work to await. */
     private static final long AFTER_END = 10_000;
 
-    private final Registry registry;
-    private final Stops stops;
-    private final Starts starts;
-    private final Function<String, Size> sizes;
+    private final InstanceRegistry registry;
+    private final InstanceStops stops;
+    private final InstanceStarts starts;
+    private final Function<String, InstanceSize> sizes;
     private final long lag;
 
-    Muster(Registry registry, Stops stops, Starts starts, Function<String, Size> sizes, long lagMs) {
+    InstanceListReconciler(
+            InstanceRegistry registry,
+            InstanceStops stops,
+            InstanceStarts starts,
+            Function<String, InstanceSize> sizes,
+            long lagMs) {
         this.registry = registry;
         this.stops = stops;
         this.starts = starts;
@@ -36,11 +41,11 @@
     }
 
     /** {@code asked}: when its first page was asked for; {@code settled}: who is unknown now is known to nobody. */
-    void take(List<Listed> list, long asked, boolean whole, boolean settled, long now) {
+    void take(List<ListedInstance> list, long asked, boolean whole, boolean settled, long now) {
         Set<String> shown = new HashSet<>(list.size() * 2);
-        for (Listed listed : list) {
+        for (ListedInstance listed : list) {
             shown.add(listed.id());
-            Life life = registry.get(listed.id());
+            InstanceLifecycle life = registry.get(listed.id());
             if (life != null) {
                 seen(life, listed, now);
             } else if (settled && whole) {
@@ -48,7 +53,7 @@
             }
         }
         if (whole) {
-            for (Life life : new ArrayList<>(registry.all())) {
+            for (InstanceLifecycle life : new ArrayList<>(registry.all())) {
                 if (!shown.contains(life.id)) {
                     absent(life, asked, now);
                 }
@@ -56,7 +61,7 @@
         }
     }
 
-    private void seen(Life life, Listed listed, long now) {
+    private void seen(InstanceLifecycle life, ListedInstance listed, long now) {
         life.missed = 0;
         life.up(now);
         registry.move(life, listed.zone(), listed.worker());
@@ -65,9 +70,9 @@
         }
     }
 
-    private void absent(Life life, long asked, long now) {
+    private void absent(InstanceLifecycle life, long asked, long now) {
         if (life.upAt < 0) {
-            Size size = sizes.apply(life.service);
+            InstanceSize size = sizes.apply(life.service);
             long boot = Math.max(BOOT_MOST, size == null ? 0 : (long) size.bootMs() * BOOTS_MOST);
             if (asked - life.bornAt > boot + lag) {
                 registry.gone(life, "has not started within " + boot + " ms", false, now);
@@ -79,16 +84,16 @@
     }
 
     /** On the list, and in nobody's books. */
-    private void unknown(Listed listed, long now) {
+    private void unknown(ListedInstance listed, long now) {
         if (stops.wanted(listed.id()) || starts.pending(listed.service())) {
             return;
         }
-        Registry.End end = registry.end(listed.id(), now);
+        InstanceRegistry.End end = registry.end(listed.id(), now);
         if (end != null) {
             if (registry.endedAgo(listed.id(), now) < AFTER_END + lag || listed.draining()) {
                 return;
             }
-            TALE.warn("still there", "host", listed.id(), "ended as", end.why());
+            LOG.warn("still there", "host", listed.id(), "ended as", end.why());
             registry.revive(listed.id());
             if (end.stopped()) {
                 stops.want(listed.id(), "stopped before, and still there", now);
@@ -96,16 +101,17 @@
             }
         }
         if (sizes.apply(listed.service()) == null) {
-            TALE.tell("orphan stopped", "host", listed.id(), "service", listed.service(), "why", "no such service");
+            LOG.tell("orphan stopped", "host", listed.id(), "service", listed.service(), "why", "no such service");
             stops.want(listed.id(), "of no service", now);
             return;
         }
-        TALE.tell("orphan adopted", "host", listed.id(), "service", listed.service(), "seat", listed.zone());
-        Life life = new Life(listed.id(), listed.service(), listed.address(), listed.id(), now)
+        LOG.tell("orphan adopted", "host", listed.id(), "service", listed.service(), "seat", listed.zone());
+        InstanceLifecycle life = new InstanceLifecycle(
+                        listed.id(), listed.service(), listed.address(), listed.id(), now)
                 .at(listed.zone(), listed.zone(), listed.worker());
         life.up(now);
         if (listed.draining()) {
-            life.state = Host.LEAVING;
+            life.state = InstanceInfo.LEAVING;
         }
         registry.add(life);
         registry.born(life, now);
--- a/src/main/java/brambletray/tray/yard/Starts.java
+++ b/src/main/java/brambletray/platform/provisioning/InstanceStarts.java
@@ -1,6 +1,6 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -13,16 +13,22 @@
  * The starts that homes want. Each goes through with the one nonce that its home chose, so that nobody, a successor
  * included, starts it twice: without an answer it is called again at the same worker, after 409 at another one.
  */
-final class Starts {
-    private static final Tale TALE = Tale.of("yard");
+final class InstanceStarts {
+    private static final EventLog LOG = EventLog.of("provisioning");
     private static final int MOST = 2_048;
     /** ms; a start that has not been called, and not been asked for again for so long, is forgotten. */
     private static final long FORGET = 3_000;
-    /** ms of waiting that each request that waits for the start counts as, and how many count: none is overtaken for ever. */
+    /**
+     * ms of waiting that each request that waits for the start counts as, and how many count: none is overtaken for
+     * ever.
+     */
     private static final int URGENCY_MS = 20;
 
     private static final int URGENCY_MOST = 50;
-    /** ms that a start comes later for each start of its service, as urgent, that is wanted before it: a first one goes before a tenth. */
+    /**
+     * ms that a start comes later for each start of its service, as urgent, that is wanted before it: a first one goes
+     * before a tenth.
+     */
     private static final int RANK_MS = 200;
     /** ms between two looks at all that wait. */
     private static final long LOOK = 250;
@@ -43,33 +49,33 @@
 
     /** What becomes of a start. */
     interface Ends {
-        void started(Start start, Begun begun, long now);
+        void started(PendingStart start, StartResponse begun, long now);
 
-        void turnedDown(Start start, int comeBackMs, String why, long now);
+        void turnedDown(PendingStart start, int comeBackMs, String why, long now);
     }
 
-    private final Hands hands;
-    private final Fleet fleet;
+    private final ProvisioningActions hands;
+    private final WorkerPool fleet;
     private final Placement placement;
-    private final Pace pace;
-    private final Polls polls;
-    private final Function<String, Size> sizes;
+    private final CallPacer pace;
+    private final ListPolling polls;
+    private final Function<String, InstanceSize> sizes;
     private final Ends ends;
     private final MemoryPressure pressure;
-    private final Map<String, Start> open = new HashMap<>();
-    private final TreeSet<Start> waiting =
-            new TreeSet<>(Comparator.comparingLong(Starts::turn).thenComparing(start -> start.nonce));
-    private final List<Start> called = new ArrayList<>();
+    private final Map<String, PendingStart> open = new HashMap<>();
+    private final TreeSet<PendingStart> waiting =
+            new TreeSet<>(Comparator.comparingLong(InstanceStarts::turn).thenComparing(start -> start.nonce));
+    private final List<PendingStart> called = new ArrayList<>();
     private final Map<String, Integer> pending = new HashMap<>();
     private long nextLook;
 
-    Starts(
-            Hands hands,
-            Fleet fleet,
-            Terms terms,
-            Pace pace,
-            Polls polls,
-            Function<String, Size> sizes,
+    InstanceStarts(
+            ProvisioningActions hands,
+            WorkerPool fleet,
+            PlatformTerms terms,
+            CallPacer pace,
+            ListPolling polls,
+            Function<String, InstanceSize> sizes,
             Ends ends,
             MemoryPressure pressure) {
         this.hands = hands;
@@ -83,14 +89,14 @@
     }
 
     /** The smallest goes first. */
-    private static long turn(Start start) {
+    private static long turn(PendingStart start) {
         return start.since + (long) RANK_MS * start.rank - (long) URGENCY_MS * Math.min(URGENCY_MOST, start.urgency);
     }
 
     /** Starts of the same service and seat that are as urgent, and not answered. */
-    private int before(Need need) {
+    private int before(StartRequest need) {
         int n = 0;
-        for (Start start : open.values()) {
+        for (PendingStart start : open.values()) {
             n += start.service.equals(need.service())
                             && start.seat.equals(need.seat())
                             && start.urgency >= need.urgency()
@@ -110,10 +116,10 @@
     }
 
     /** Wants it, or wants it still. */
-    void want(String edge, Need need, long now) {
-        Start start = open.get(need.nonce());
+    void want(String edge, StartRequest need, long now) {
+        PendingStart start = open.get(need.nonce());
         if (start == null) {
-            start = new Start(edge, need, before(need), now);
+            start = new PendingStart(edge, need, before(need), now);
             if (open.size() >= MOST) {
                 ends.turnedDown(start, BUSY, "too many wait", now);
                 return;
@@ -135,7 +141,7 @@
 
     /** An edge is gone: what it wanted and has not been called is not wanted any more. */
     void forget(String edge) {
-        for (Start start : new ArrayList<>(waiting)) {
+        for (PendingStart start : new ArrayList<>(waiting)) {
             if (start.edge.equals(edge)) {
                 drop(start);
             }
@@ -144,7 +150,7 @@
 
     /** The seat has another home: what its former one wanted and has not been called is not wanted any more. */
     void forget(String service, String seat, String home) {
-        for (Start start : new ArrayList<>(waiting)) {
+        for (PendingStart start : new ArrayList<>(waiting)) {
             if (start.service.equals(service) && start.seat.equals(seat) && !start.edge.equals(home)) {
                 drop(start);
             }
@@ -153,14 +159,17 @@
 
     /** True when one has been called. */
     boolean callOne(long now) {
-        for (Start start : called) {
+        for (PendingStart start : called) {
             if (!start.out && start.next <= now) {
                 call(start);
                 return true;
             }
         }
-        while (called.size() < Pace.WINDOW_MOST && fleet.known() && !waiting.isEmpty() && waiting.first().next <= now) {
-            Start start = waiting.first();
+        while (called.size() < CallPacer.WINDOW_MOST
+                && fleet.known()
+                && !waiting.isEmpty()
+                && waiting.first().next <= now) {
+            PendingStart start = waiting.first();
             if (place(start, now)) {
                 call(start);
                 return true;
@@ -175,7 +184,7 @@
             return;
         }
         nextLook = now + LOOK;
-        for (Start start : new ArrayList<>(waiting)) {
+        for (PendingStart start : new ArrayList<>(waiting)) {
             if (now - start.askedAt > FORGET) {
                 drop(start);
                 ends.turnedDown(start, BUSY, "could not be called for long", now);
@@ -183,9 +192,9 @@
         }
     }
 
-    void answered(String nonce, Begun begun, long now) {
+    void answered(String nonce, StartResponse begun, long now) {
         pace.answered(begun.result(), now);
-        Start start = open.get(nonce);
+        PendingStart start = open.get(nonce);
         if (start == null || !start.out) {
             return;
         }
@@ -200,7 +209,7 @@
             case REFUSED -> refused(start, now);
             case BUSY -> start.next = now;
             case FENCED, UNKNOWN -> {
-                boolean fenced = begun.result() == Result.FENCED;
+                boolean fenced = begun.result() == CallResult.FENCED;
                 start.unclear |= !fenced;
                 start.next =
                         now + (fenced ? PAUSE_MOST : Math.min(PAUSE_MOST, PAUSE_LEAST << Math.min(start.tries - 1, 5)));
@@ -214,8 +223,8 @@
     }
 
     /** 409: the nonce has not been used, so it is free for another worker. */
-    private void refused(Start start, long now) {
-        TALE.debug(
+    private void refused(PendingStart start, long now) {
+        LOG.debug(
                 "refused",
                 "service",
                 start.service,
@@ -225,7 +234,7 @@
                 start.nonce,
                 "refusals",
                 start.refused.size() + 1);
-        Size size = sizes.apply(start.service);
+        InstanceSize size = sizes.apply(start.service);
         fleet.refused(start.worker, size == null ? 1 : size.memoryMb(), now);
         polls.hasten();
         start.refused.add(start.worker);
@@ -244,9 +253,10 @@
     }
 
     /** Finds a worker for the first that waits; false: it has been turned down. */
-    private boolean place(Start start, long now) {
-        Size size = sizes.apply(start.service);
-        Spot spot = size == null ? null : placement.choose(start.service, size.memoryMb(), start.seat, start.refused);
+    private boolean place(PendingStart start, long now) {
+        InstanceSize size = sizes.apply(start.service);
+        WorkerCapacity spot =
+                size == null ? null : placement.choose(start.service, size.memoryMb(), start.seat, start.refused);
         if (spot == null) {
             drop(start);
             if (size != null && start.urgency > 0) {
@@ -263,33 +273,33 @@
         start.worker = spot.name;
         start.zone = spot.zone;
         start.hold = fleet.take(spot.name, size.memoryMb());
-        fleet.crew(spot.name, start.service, 1);
+        fleet.instances(spot.name, start.service, 1);
         called.add(start);
         pending.merge(start.service, 1, Integer::sum);
         return true;
     }
 
-    private void call(Start start) {
+    private void call(PendingStart start) {
         start.out = true;
         start.tries++;
         pace.called();
         hands.begin(start.service, start.worker, start.nonce);
     }
 
-    private void drop(Start start) {
+    private void drop(PendingStart start) {
         waiting.remove(start);
         open.remove(start.nonce);
     }
 
     /** It is not at its worker after all. */
-    private void release(Start start) {
+    private void release(PendingStart start) {
         uncall(start);
         fleet.untake(start.worker, start.hold);
     }
 
-    private void uncall(Start start) {
+    private void uncall(PendingStart start) {
         if (called.remove(start)) {
-            fleet.crew(start.worker, start.service, -1);
+            fleet.instances(start.worker, start.service, -1);
             pending.computeIfPresent(start.service, (name, many) -> many == 1 ? null : many - 1);
         }
     }
--- a/src/main/java/brambletray/tray/yard/Stops.java
+++ b/src/main/java/brambletray/platform/provisioning/InstanceStops.java
@@ -1,6 +1,6 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -8,8 +8,8 @@
 import java.util.function.ToIntFunction;
 
 /** Stops that homes or the yard want: each is called until the platform has said 200 or 404. */
-final class Stops {
-    private static final Tale TALE = Tale.of("yard");
+final class InstanceStops {
+    private static final EventLog LOG = EventLog.of("provisioning");
     private static final int MOST = 8_192;
     /** ms between two calls for one host. */
     private static final long PAUSE_LEAST = 100;
@@ -31,16 +31,21 @@
         }
     }
 
-    private final Hands hands;
-    private final Registry registry;
-    private final Fleet fleet;
-    private final Pace pace;
+    private final ProvisioningActions hands;
+    private final InstanceRegistry registry;
+    private final WorkerPool fleet;
+    private final CallPacer pace;
     private final ToIntFunction<String> memory;
     private final ArrayDeque<Stop> waiting = new ArrayDeque<>();
     private final Map<String, Stop> open = new HashMap<>();
 
     /** {@code memory}: MB of a host of a service. */
-    Stops(Hands hands, Registry registry, Fleet fleet, Pace pace, ToIntFunction<String> memory) {
+    InstanceStops(
+            ProvisioningActions hands,
+            InstanceRegistry registry,
+            WorkerPool fleet,
+            CallPacer pace,
+            ToIntFunction<String> memory) {
         this.hands = hands;
         this.registry = registry;
         this.fleet = fleet;
@@ -53,7 +58,7 @@
         if (open.containsKey(id) || open.size() >= MOST) {
             return;
         }
-        Life life = registry.get(id);
+        InstanceLifecycle life = registry.get(id);
         if (life != null) {
             life.stopping = true;
         }
@@ -91,7 +96,7 @@
         return first == null || first.next > now ? -1 : now - first.since;
     }
 
-    void answered(String id, Result result, long now) {
+    void answered(String id, CallResult result, long now) {
         pace.answered(result, now);
         Stop stop = open.get(id);
         if (stop == null) {
@@ -100,25 +105,25 @@
         switch (result) {
             case OK, NO_SUCH -> end(stop, result, now);
             case BAD, REFUSED -> {
-                TALE.warn("stop not understood", "host", id, "result", result);
+                LOG.warn("stop not understood", "host", id, "result", result);
                 end(stop, result, now);
             }
             default -> {
-                long pause = result == Result.FENCED ? PAUSE_MOST : PAUSE_LEAST << Math.min(stop.tries - 1, 4);
+                long pause = result == CallResult.FENCED ? PAUSE_MOST : PAUSE_LEAST << Math.min(stop.tries - 1, 4);
                 stop.next = now + Math.min(PAUSE_MOST, pause);
                 waiting.add(stop);
             }
         }
     }
 
-    private void end(Stop stop, Result result, long now) {
+    private void end(Stop stop, CallResult result, long now) {
         open.remove(stop.id);
-        Life life = registry.get(stop.id);
+        InstanceLifecycle life = registry.get(stop.id);
         if (life == null) {
             registry.ended(stop.id, stop.why, true, now);
             return;
         }
-        if (result == Result.OK) {
+        if (result == CallResult.OK) {
             fleet.gave(life.worker, memory.applyAsInt(life.service), now);
         }
         registry.gone(life, stop.why, true, now);
--- a/src/main/java/brambletray/tray/yard/Mine.java
+++ b/src/main/java/brambletray/platform/provisioning/KnownInstances.java
@@ -1,6 +1,6 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.List;
 
 /** What an edge's seats know of hosts, told to a new holder of the helm. */
-public record Mine(List<Host> hosts) {}
+public record KnownInstances(List<InstanceInfo> hosts) {}
--- a/src/main/java/brambletray/tray/yard/Polls.java
+++ b/src/main/java/brambletray/platform/provisioning/ListPolling.java
@@ -1,10 +1,10 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /**
  * When the platform's lists are asked for: often while there are hosts, seldom otherwise, with growing pauses while it
  * does not answer.
  */
-final class Polls {
+final class ListPolling {
     /**
      * ms between lists of hosts, of workers, of either while nothing runs, and the least between two of workers after a
      * refusal.
@@ -63,13 +63,13 @@
     final Poll workers;
 
     /** {@code perS}: lists accepted a second; at most half of that is used. */
-    Polls(double perS) {
+    ListPolling(double perS) {
         double stretch = Math.max(1, (1000.0 / HOSTS + 1000.0 / WORKERS) / (perS / 2));
         hosts = new Poll((long) (HOSTS * stretch));
         workers = new Poll((long) (WORKERS * stretch));
     }
 
-    void tick(long now, boolean working, Hands hands) {
+    void tick(long now, boolean working, ProvisioningActions hands) {
         if (workers.due(now, working)) {
             hands.askWorkers();
         }
--- a/src/main/java/brambletray/tray/yard/MemoryPressure.java
+++ b/src/main/java/brambletray/platform/provisioning/MemoryPressure.java
@@ -1,11 +1,13 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.LinkedHashSet;
 import java.util.Set;
 
 /**
- * What the hub does where no worker has room for a start for which requests wait: it has homes end idle instances, those that have been idle
- * longest first. It does not know which these are, so it names an age that falls from one notice to the next until there is room. Without it,
+ * What the hub does where no worker has room for a start for which requests wait: it has homes end idle instances,
+ * those that have been idle
+ * longest first. It does not know which these are, so it names an age that falls from one notice to the next until
+ * there is room. Without it,
  * instances that the first services keep idle would keep out the services that a later configuration brings.
  */
 final class MemoryPressure {
@@ -20,13 +22,13 @@
     /** ms without lack of room after which the age begins anew. */
     private static final long CALM_MS = 3_000;
 
-    private final Hands hands;
-    private final Homes homes;
-    private final Registry registry;
+    private final ProvisioningActions hands;
+    private final HomeLookup homes;
+    private final InstanceRegistry registry;
     private int idleMs = IDLE_MOST_MS;
     private long saidAt = Long.MIN_VALUE / 2;
 
-    MemoryPressure(Hands hands, Homes homes, Registry registry) {
+    MemoryPressure(ProvisioningActions hands, HomeLookup homes, InstanceRegistry registry) {
         this.hands = hands;
         this.homes = homes;
         this.registry = registry;
@@ -46,7 +48,7 @@
 
     private Set<String> homesOfHosts() {
         Set<String> edges = new LinkedHashSet<>();
-        for (Life life : registry.all()) {
+        for (InstanceLifecycle life : registry.all()) {
             String home = homes.edge(life.service, life.seat);
             if (home != null) {
                 edges.add(home);
--- a/src/main/java/brambletray/tray/yard/Strays.java
+++ b/src/main/java/brambletray/platform/provisioning/OrphanInstances.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,7 +10,7 @@
  * the configuration, and those of a seat whose home has never asked for it, as its former home died or they were found
  * on the list.
  */
-final class Strays {
+final class OrphanInstances {
     /** ms; hosts of a service that is gone are stopped after that. */
     private static final long REMOVED = 10_000;
     /** ms; hosts of a seat that its home has not claimed are stopped after that. */
@@ -18,22 +18,22 @@
 
     private static final int CLAIMS_MOST = 16_384;
 
-    private final Registry registry;
-    private final Homes homes;
-    private final Stops stops;
+    private final InstanceRegistry registry;
+    private final HomeLookup homes;
+    private final InstanceStops stops;
     private final Map<String, Long> removed = new HashMap<>();
-    private final Map<Claim, String> claims = new HashMap<>();
+    private final Map<HomeClaim, String> claims = new HashMap<>();
     private Set<String> services = Set.of();
     private boolean told;
 
-    Strays(Registry registry, Homes homes, Stops stops) {
+    OrphanInstances(InstanceRegistry registry, HomeLookup homes, InstanceStops stops) {
         this.registry = registry;
         this.homes = homes;
         this.stops = stops;
     }
 
     /** The services of the configuration in force. */
-    void creed(Set<String> names) {
+    void configuration(Set<String> names) {
         told = true;
         services = names;
         removed.keySet().removeAll(names);
@@ -45,7 +45,7 @@
             claims.keySet().removeIf(claim -> !services.contains(claim.service()));
         }
         if (claims.size() < CLAIMS_MOST) {
-            claims.put(new Claim(service, seat), edge);
+            claims.put(new HomeClaim(service, seat), edge);
         }
     }
 
@@ -56,7 +56,7 @@
 
     /** Looks at all hosts; with each list. */
     void look(long now) {
-        for (Life life : new ArrayList<>(registry.all())) {
+        for (InstanceLifecycle life : new ArrayList<>(registry.all())) {
             if (told && !services.contains(life.service)) {
                 long since = removed.computeIfAbsent(life.service, fresh -> now);
                 if (now - since >= REMOVED) {
@@ -73,8 +73,8 @@
     }
 
     /** Without any edge that could be home nobody can have claimed it. */
-    private boolean kept(Life life) {
+    private boolean kept(InstanceLifecycle life) {
         String home = homes.edge(life.service, life.seat);
-        return home == null || home.equals(claims.get(new Claim(life.service, life.seat)));
+        return home == null || home.equals(claims.get(new HomeClaim(life.service, life.seat)));
     }
 }
--- a/src/main/java/brambletray/tray/yard/Start.java
+++ b/src/main/java/brambletray/platform/provisioning/PendingStart.java
@@ -1,10 +1,10 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.HashSet;
 import java.util.Set;
 
 /** One start that a home wants, from its first asking until it is answered. */
-final class Start {
+final class PendingStart {
     final String nonce;
     final String service;
     final String seat;
@@ -20,7 +20,7 @@
     /** Of the worker. */
     String zone;
 
-    Spot.Hold hold;
+    WorkerCapacity.Hold hold;
     /** A call of it is without its answer. */
     boolean out;
     /** A call of it got no answer: it may have been made, and is called again with the same nonce and worker. */
@@ -30,7 +30,7 @@
     long next;
     final Set<String> refused = new HashSet<>(2);
 
-    Start(String edge, Need need, int rank, long now) {
+    PendingStart(String edge, StartRequest need, int rank, long now) {
         this.nonce = need.nonce();
         this.service = need.service();
         this.seat = need.seat();
--- a/src/main/java/brambletray/tray/yard/Placement.java
+++ b/src/main/java/brambletray/platform/provisioning/Placement.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.Set;
 
@@ -8,34 +8,34 @@
  * memory. Never on a worker that drains or that the last list did not show.
  */
 final class Placement {
-    private final Fleet fleet;
-    private final Terms terms;
+    private final WorkerPool fleet;
+    private final PlatformTerms terms;
 
-    Placement(Fleet fleet, Terms terms) {
+    Placement(WorkerPool fleet, PlatformTerms terms) {
         this.fleet = fleet;
         this.terms = terms;
     }
 
     /** {@code not}: workers that have refused this start. Null: no room anywhere. */
-    Spot choose(String service, int mb, String zone, Set<String> not) {
-        Spot best = null;
+    WorkerCapacity choose(String service, int mb, String zone, Set<String> not) {
+        WorkerCapacity best = null;
         int bestFar = 0;
         int bestCrew = 0;
         int bestFree = 0;
-        for (Spot spot : fleet.spots()) {
+        for (WorkerCapacity spot : fleet.spots()) {
             int free = spot.free();
             if (!spot.open() || free < mb || not.contains(spot.name)) {
                 continue;
             }
             int far = terms.distance(zone, spot.zone);
-            int crew = fleet.crew(spot.name, service);
+            int instances = fleet.instances(spot.name, service);
             boolean better = best == null
                     || far < bestFar
-                    || far == bestFar && (crew < bestCrew || crew == bestCrew && free > bestFree);
+                    || far == bestFar && (instances < bestCrew || instances == bestCrew && free > bestFree);
             if (better) {
                 best = spot;
                 bestFar = far;
-                bestCrew = crew;
+                bestCrew = instances;
                 bestFree = free;
             }
         }
--- a/src/main/java/brambletray/tray/yard/Platform.java
+++ b/src/main/java/brambletray/platform/provisioning/PlatformClient.java
@@ -1,7 +1,7 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
+import brambletray.platform.logging.EventLog;
 import brambletray.runtime.Machine;
-import brambletray.tray.tale.Tale;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -15,8 +15,8 @@
  * which fence with each start and stop; never asks for more pages a second than the platform accepts. Every call is
  * answered once. On its loop only.
  */
-public final class Platform {
-    private static final Tale TALE = Tale.of("yard");
+public final class PlatformClient {
+    private static final EventLog LOG = EventLog.of("provisioning");
     private static final int PAGES_MOST = 64;
     private static final int PAGE_TRIES = 3;
     /** ms before a page that was refused is asked for again. */
@@ -30,12 +30,12 @@
     /** A list that came, or not: {@code complete} only with its last page. */
     @FunctionalInterface
     public interface Lister {
-        void came(List<Listed> hosts, boolean complete);
+        void came(List<ListedInstance> hosts, boolean complete);
     }
 
     private final Machine machine;
-    private final Caller caller;
-    private final Pages pages = new Pages();
+    private final PlatformHttpClient caller;
+    private final PlatformJson pages = new PlatformJson();
     private final String[] headers;
     private final double perMs;
     private double tokens = 1;
@@ -43,9 +43,9 @@
     private boolean closed;
 
     /** {@code perS}: lists the platform accepts a second. */
-    public Platform(Machine machine, InetSocketAddress address, Name name, double perS) {
+    public PlatformClient(Machine machine, InetSocketAddress address, Name name, double perS) {
         this.machine = machine;
-        this.caller = new Caller(machine, address);
+        this.caller = new PlatformHttpClient(machine, address);
         this.headers = new String[] {
             "Brambletray-Duty-Holder", name.holder(), "Brambletray-Fence-Token", Long.toString(name.fence())
         };
@@ -54,14 +54,14 @@
     }
 
     /** {@code POST /brambletray/begin}. */
-    public void begin(String service, String worker, String nonce, Consumer<Begun> whenAnswered) {
+    public void begin(String service, String worker, String nonce, Consumer<StartResponse> whenAnswered) {
         byte[] body = pages.object("service", service, "worker", worker, "request-nonce", nonce);
         caller.call(
                 "/brambletray/begin", body, (status, answer) -> whenAnswered.accept(begun(status, answer)), headers);
     }
 
     /** {@code POST /brambletray/stop}. */
-    public void stop(String id, Consumer<Result> whenAnswered) {
+    public void stop(String id, Consumer<CallResult> whenAnswered) {
         caller.call(
                 "/brambletray/stop",
                 pages.object("instance-id", id),
@@ -70,7 +70,7 @@
     }
 
     /** {@code GET /brambletray/workers}; null: they did not come. */
-    public void workers(Consumer<List<Worker>> whenAnswered) {
+    public void workers(Consumer<List<WorkerInfo>> whenAnswered) {
         paced(() -> caller.call(
                 "/brambletray/workers", null, (status, answer) -> whenAnswered.accept(workers(status, answer))));
     }
@@ -86,7 +86,7 @@
         caller.close();
     }
 
-    private void page(List<Listed> before, String token, int number, int tried, Lister whenAnswered) {
+    private void page(List<ListedInstance> before, String token, int number, int tried, Lister whenAnswered) {
         String path = token == null
                 ? "/instances"
                 : "/instances?page-token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
@@ -99,7 +99,7 @@
                                 TimeUnit.MILLISECONDS);
                 return;
             }
-            Pages.Page page = hosts(status, body);
+            PlatformJson.Page page = hosts(status, body);
             if (page == null) {
                 whenAnswered.came(before, false);
                 return;
@@ -126,46 +126,46 @@
         }
     }
 
-    private Begun begun(int status, byte[] body) {
-        Result result = result(status);
-        if (result != Result.OK) {
-            return Begun.of(result);
+    private StartResponse begun(int status, byte[] body) {
+        CallResult result = result(status);
+        if (result != CallResult.OK) {
+            return StartResponse.of(result);
         }
         try {
             return pages.begun(body);
-        } catch (YardFault e) {
-            TALE.warn("answer not understood", "call", "begin", "code", e.code(), "why", e.getMessage());
-            return Begun.of(Result.UNKNOWN);
+        } catch (ProvisioningException e) {
+            LOG.warn("answer not understood", "call", "begin", "code", e.code(), "why", e.getMessage());
+            return StartResponse.of(CallResult.UNKNOWN);
         }
     }
 
-    private List<Worker> workers(int status, byte[] body) {
+    private List<WorkerInfo> workers(int status, byte[] body) {
         try {
             return status == 200 ? pages.workers(body) : null;
-        } catch (YardFault e) {
-            TALE.warn("answer not understood", "call", "workers", "code", e.code(), "why", e.getMessage());
+        } catch (ProvisioningException e) {
+            LOG.warn("answer not understood", "call", "workers", "code", e.code(), "why", e.getMessage());
             return null;
         }
     }
 
-    private Pages.Page hosts(int status, byte[] body) {
+    private PlatformJson.Page hosts(int status, byte[] body) {
         try {
             return status == 200 ? pages.hosts(body) : null;
-        } catch (YardFault e) {
-            TALE.warn("answer not understood", "call", "list", "code", e.code(), "why", e.getMessage());
+        } catch (ProvisioningException e) {
+            LOG.warn("answer not understood", "call", "list", "code", e.code(), "why", e.getMessage());
             return null;
         }
     }
 
-    private static Result result(int status) {
+    private static CallResult result(int status) {
         return switch (status) {
-            case 200 -> Result.OK;
-            case 400 -> Result.BAD;
-            case 403, 412 -> Result.FENCED;
-            case 404 -> Result.NO_SUCH;
-            case 409 -> Result.REFUSED;
-            case 429 -> Result.BUSY;
-            default -> Result.UNKNOWN;
+            case 200 -> CallResult.OK;
+            case 400 -> CallResult.BAD;
+            case 403, 412 -> CallResult.FENCED;
+            case 404 -> CallResult.NO_SUCH;
+            case 409 -> CallResult.REFUSED;
+            case 429 -> CallResult.BUSY;
+            default -> CallResult.UNKNOWN;
         };
     }
 
--- a/src/main/java/brambletray/tray/yard/Caller.java
+++ b/src/main/java/brambletray/platform/provisioning/PlatformHttpClient.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import brambletray.runtime.Machine;
 import io.netty.bootstrap.Bootstrap;
@@ -32,7 +32,7 @@
  * HTTP/1.1 calls to one address over a few connections that are kept, one call at a time on each. All of them may be
  * repeated: one that meets a kept connection as it closes is sent again on a new one. On its loop only.
  */
-final class Caller {
+final class PlatformHttpClient {
     /** What came of a call; called once. {@code status} 0: no whole answer in time. */
     @FunctionalInterface
     interface Reply {
@@ -150,7 +150,7 @@
     private int patience = PATIENCE;
     private boolean closed;
 
-    Caller(Machine machine, InetSocketAddress address) {
+    PlatformHttpClient(Machine machine, InetSocketAddress address) {
         this.machine = machine;
         this.address = address;
         this.host = address.getHostString() + ":" + address.getPort();
--- a/src/main/java/brambletray/tray/yard/Pages.java
+++ b/src/main/java/brambletray/platform/provisioning/PlatformJson.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonReader;
@@ -14,18 +14,18 @@
  * The platform's JSON, read and written. What is not as the protocol says is a fault; fields that are not known are
  * passed over.
  */
-final class Pages {
+final class PlatformJson {
     private final DslJson<Object> json = new DslJson<>();
     private final JsonWriter writer = json.newWriter();
 
     /** One page of hosts; {@code next} null on the last. */
-    record Page(List<Listed> hosts, String next) {}
+    record Page(List<ListedInstance> hosts, String next) {}
 
     Page hosts(byte[] body) {
         Map<String, Object> page = object(body);
-        List<Listed> hosts = new ArrayList<>();
+        List<ListedInstance> hosts = new ArrayList<>();
         for (Map<String, Object> entry : entries(page, "instances")) {
-            hosts.add(new Listed(
+            hosts.add(new ListedInstance(
                     text(entry, "instance-id"),
                     text(entry, "service"),
                     text(entry, "address"),
@@ -36,10 +36,10 @@
         return new Page(hosts, page.get("next-token") instanceof String next && !next.isEmpty() ? next : null);
     }
 
-    List<Worker> workers(byte[] body) {
-        List<Worker> workers = new ArrayList<>();
+    List<WorkerInfo> workers(byte[] body) {
+        List<WorkerInfo> workers = new ArrayList<>();
         for (Map<String, Object> entry : entries(object(body), "workers")) {
-            workers.add(new Worker(
+            workers.add(new WorkerInfo(
                     text(entry, "name"),
                     text(entry, "zone"),
                     number(entry, "memory-mb"),
@@ -49,9 +49,9 @@
         return workers;
     }
 
-    Begun begun(byte[] body) {
+    StartResponse begun(byte[] body) {
         Map<String, Object> answer = object(body);
-        return new Begun(Result.OK, text(answer, "instance-id"), text(answer, "address"));
+        return new StartResponse(CallResult.OK, text(answer, "instance-id"), text(answer, "address"));
     }
 
     /** An object of texts; names and values in turn. */
@@ -76,22 +76,26 @@
             reader.getNextToken();
             LinkedHashMap<String, Object> read = ObjectConverter.deserializeMap(reader);
             if (read == null) {
-                throw new YardFault("yard.platform-answer", "the platform's answer is no JSON object", null);
+                throw new ProvisioningException(
+                        "provisioning.platform-answer", "the platform's answer is no JSON object", null);
             }
             return read;
         } catch (IOException | RuntimeException e) {
-            throw new YardFault("yard.platform-answer", "the platform's answer cannot be read: " + e.getMessage(), e);
+            throw new ProvisioningException(
+                    "provisioning.platform-answer", "the platform's answer cannot be read: " + e.getMessage(), e);
         }
     }
 
     private static List<Map<String, Object>> entries(Map<String, Object> from, String name) {
         List<Map<String, Object>> entries = new ArrayList<>();
         if (!(from.get(name) instanceof List<?> list)) {
-            throw new YardFault("yard.platform-answer", "the platform's answer has no list '" + name + "'", null);
+            throw new ProvisioningException(
+                    "provisioning.platform-answer", "the platform's answer has no list '" + name + "'", null);
         }
         for (Object each : list) {
             if (!(each instanceof Map<?, ?>)) {
-                throw new YardFault("yard.platform-answer", "an entry of '" + name + "' is no object", null);
+                throw new ProvisioningException(
+                        "provisioning.platform-answer", "an entry of '" + name + "' is no object", null);
             }
             @SuppressWarnings("unchecked")
             Map<String, Object> entry = (Map<String, Object>) each;
@@ -104,13 +108,15 @@
         if (from.get(name) instanceof String text) {
             return text;
         }
-        throw new YardFault("yard.platform-answer", "the platform's answer has no text '" + name + "'", null);
+        throw new ProvisioningException(
+                "provisioning.platform-answer", "the platform's answer has no text '" + name + "'", null);
     }
 
     private static int number(Map<String, Object> from, String name) {
         if (from.get(name) instanceof Number number) {
             return number.intValue();
         }
-        throw new YardFault("yard.platform-answer", "the platform's answer has no number '" + name + "'", null);
+        throw new ProvisioningException(
+                "provisioning.platform-answer", "the platform's answer has no number '" + name + "'", null);
     }
 }
--- /dev/null
+++ b/src/main/java/brambletray/platform/provisioning/ProvisioningException.java
@@ -0,0 +1,12 @@
+package brambletray.platform.provisioning;
+
+import brambletray.platform.errors.PlatformException;
+
+/** A fault of this plane; {@code yard.platform-answer}: the platform's answer is not as the protocol says. */
+public final class ProvisioningException extends PlatformException {
+    private static final long serialVersionUID = 1L;
+
+    public ProvisioningException(String code, String message, Throwable cause) {
+        super(code, message, cause);
+    }
+}
--- a/src/main/java/brambletray/tray/yard/Recent.java
+++ b/src/main/java/brambletray/platform/provisioning/RecentNames.java
@@ -1,18 +1,18 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** What happened lately by name: bounded in number and age (ms), the oldest goes first. */
-final class Recent<V> {
+final class RecentNames<V> {
     private record Entry<V>(V value, long at) {}
 
     private final Map<String, Entry<V>> entries = new LinkedHashMap<>();
     private final int most;
     private final long age;
 
-    Recent(int most, long age) {
+    RecentNames(int most, long age) {
         this.most = most;
         this.age = age;
     }
--- a/src/main/java/brambletray/tray/yard/Answers.java
+++ b/src/main/java/brambletray/platform/provisioning/StartAnswers.java
@@ -1,10 +1,10 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 
 /** Tells homes what became of their starts, and the same again while they ask with the same nonce. */
-final class Answers implements Starts.Ends {
-    private static final Tale TALE = Tale.of("yard");
+final class StartAnswers implements InstanceStarts.Ends {
+    private static final EventLog LOG = EventLog.of("provisioning");
     /** Answers that are remembered, and ms for which. */
     private static final int MOST = 8_192;
 
@@ -12,16 +12,16 @@
     /** ms between two log lines of starts that were turned down. */
     private static final long SELDOM = 1_000;
 
-    private final Hands hands;
-    private final Homes homes;
-    private final Registry registry;
-    private final Fleet fleet;
-    private final Recent<String> started = new Recent<>(MOST, AGE);
-    private final Recent<NoRoom> turnedDown = new Recent<>(MOST, AGE);
+    private final ProvisioningActions hands;
+    private final HomeLookup homes;
+    private final InstanceRegistry registry;
+    private final WorkerPool fleet;
+    private final RecentNames<String> started = new RecentNames<>(MOST, AGE);
+    private final RecentNames<StartRefusal> turnedDown = new RecentNames<>(MOST, AGE);
     private long toldAt = Long.MIN_VALUE / 2;
     private int untold;
 
-    Answers(Hands hands, Homes homes, Registry registry, Fleet fleet) {
+    StartAnswers(ProvisioningActions hands, HomeLookup homes, InstanceRegistry registry, WorkerPool fleet) {
         this.hands = hands;
         this.homes = homes;
         this.registry = registry;
@@ -29,18 +29,18 @@
     }
 
     /** False: it has not been answered, or turned down so long ago that it may be tried once more. */
-    boolean again(String edge, Need need, long now) {
+    boolean again(String edge, StartRequest need, long now) {
         String id = started.get(need.nonce(), now);
         if (id != null) {
-            Life life = registry.get(id);
+            InstanceLifecycle life = registry.get(id);
             hands.tell(
                     edge,
                     life == null || life.stopping
-                            ? new NoRoom(need.nonce(), 0)
-                            : new Born(need.nonce(), life.host(now)));
+                            ? new StartRefusal(need.nonce(), 0)
+                            : new InstanceStarted(need.nonce(), life.host(now)));
             return true;
         }
-        NoRoom no = turnedDown.get(need.nonce(), now);
+        StartRefusal no = turnedDown.get(need.nonce(), now);
         if (no != null && turnedDown.ago(need.nonce(), now) < no.comeBackMs()) {
             hands.tell(edge, no);
             return true;
@@ -49,13 +49,13 @@
     }
 
     /** An edge has told which host its nonce was answered with. */
-    void known(Host host, long now) {
+    void known(InstanceInfo host, long now) {
         started.put(host.nonce(), host.id(), now);
     }
 
     @Override
-    public void started(Start start, Begun begun, long now) {
-        Life life = registry.get(begun.id());
+    public void started(PendingStart start, StartResponse begun, long now) {
+        InstanceLifecycle life = registry.get(begun.id());
         if (registry.end(begun.id(), now) != null) {
             turnedDown(start, 0, "host " + begun.id() + " has ended", now);
             return;
@@ -68,18 +68,18 @@
             if (!start.unclear) {
                 registry.reused(begun.address(), begun.id(), now);
             }
-            life = new Life(begun.id(), start.service, begun.address(), start.nonce, now)
+            life = new InstanceLifecycle(begun.id(), start.service, begun.address(), start.nonce, now)
                     .at(start.zone, start.seat, start.worker);
             registry.add(life);
         }
         started.put(start.nonce, life.id, now);
-        Born born = new Born(start.nonce, life.host(now));
+        InstanceStarted born = new InstanceStarted(start.nonce, life.host(now));
         hands.tell(start.edge, born);
         String home = homes.edge(start.service, start.seat);
         if (home != null && !home.equals(start.edge)) {
             hands.tell(home, born);
         }
-        Spot spot = fleet.spot(life.worker);
+        WorkerCapacity spot = fleet.spot(life.worker);
         if (spot == null) {
             registry.gone(life, "its worker is down", false, now);
         } else if (spot.draining()) {
@@ -88,10 +88,10 @@
     }
 
     @Override
-    public void turnedDown(Start start, int comeBackMs, String why, long now) {
+    public void turnedDown(PendingStart start, int comeBackMs, String why, long now) {
         untold++;
         if (now - toldAt >= SELDOM) {
-            TALE.tell(
+            LOG.tell(
                     "no start",
                     "service",
                     start.service,
@@ -106,7 +106,7 @@
             toldAt = now;
             untold = 0;
         }
-        NoRoom no = new NoRoom(start.nonce, comeBackMs);
+        StartRefusal no = new StartRefusal(start.nonce, comeBackMs);
         turnedDown.put(start.nonce, no, now);
         hands.tell(start.edge, no);
     }
--- a/src/main/java/brambletray/tray/yard/Need.java
+++ b/src/main/java/brambletray/platform/provisioning/StartRequest.java
@@ -1,6 +1,6 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 /**
  * A home asks for one more host. The nonce (at most 64 bytes) stays the same until it is answered, so that a start is
  * never made twice. {@code urgency}: the greater goes first. */
-public record Need(String service, String seat, String nonce, int urgency) {}
+public record StartRequest(String service, String seat, String nonce, int urgency) {}
--- /dev/null
+++ b/src/main/java/brambletray/platform/provisioning/StartResponse.java
@@ -0,0 +1,8 @@
+package brambletray.platform.provisioning;
+
+/** The answer to a start; {@code id} and {@code address} only where the result is OK. */
+public record StartResponse(CallResult result, String id, String address) {
+    public static StartResponse of(CallResult result) {
+        return new StartResponse(result, null, null);
+    }
+}
--- a/src/main/java/brambletray/tray/yard/Spot.java
+++ b/src/main/java/brambletray/platform/provisioning/WorkerCapacity.java
@@ -1,10 +1,10 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** One worker, and the memory free on it. */
-final class Spot {
+final class WorkerCapacity {
     /** Memory taken (or, if negative, given back) that the list may not show yet. */
     static final class Hold {
         private final int mb;
@@ -29,13 +29,13 @@
     private long refusedAt = Long.MIN_VALUE;
     private int refusedMb = Integer.MAX_VALUE;
 
-    Spot(Worker worker) {
+    WorkerCapacity(WorkerInfo worker) {
         name = worker.name();
         zone = worker.zone();
     }
 
     /** What the list shows, which is the state at {@code asOf}, ms, or later. */
-    void listed(Worker worker, long asOf) {
+    void listed(WorkerInfo worker, long asOf) {
         draining = worker.draining();
         missed = 0;
         listedFree = worker.freeMb();
--- a/src/main/java/brambletray/tray/yard/Fleet.java
+++ b/src/main/java/brambletray/platform/provisioning/WorkerPool.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,7 +13,7 @@
  * The workers, and the memory free on them: what the platform's list says, which is {@code lag} ms old, less what has
  * been started since, plus what has been stopped since.
  */
-final class Fleet {
+final class WorkerPool {
     /** Lists in a row without a worker until it counts as down. */
     private static final int MISSED_MOST = 2;
     /** ms; how much later than its stated lag a list may be. */
@@ -26,14 +26,14 @@
     record News(List<String> draining, List<String> down, boolean doubt) {}
 
     private final long lag;
-    private final Map<String, Spot> spots = new LinkedHashMap<>();
+    private final Map<String, WorkerCapacity> spots = new LinkedHashMap<>();
     private final Map<String, Map<String, Integer>> crews = new HashMap<>();
 
-    Fleet(long lagMs) {
+    WorkerPool(long lagMs) {
         this.lag = lagMs + LATE;
     }
 
-    Iterable<Spot> spots() {
+    Iterable<WorkerCapacity> spots() {
         return spots.values();
     }
 
@@ -42,26 +42,26 @@
     }
 
     /** Null: not on the last lists. */
-    Spot spot(String worker) {
+    WorkerCapacity spot(String worker) {
         return worker == null ? null : spots.get(worker);
     }
 
     /** A whole list of workers that was asked for at {@code askedAt}. */
-    News listed(List<Worker> workers, long askedAt) {
+    News listed(List<WorkerInfo> workers, long askedAt) {
         List<String> drains = new ArrayList<>(0);
         List<String> downs = new ArrayList<>(0);
         Set<String> shown = new HashSet<>();
-        for (Worker worker : workers) {
+        for (WorkerInfo worker : workers) {
             shown.add(worker.name());
-            Spot spot = spots.computeIfAbsent(worker.name(), name -> new Spot(worker));
+            WorkerCapacity spot = spots.computeIfAbsent(worker.name(), name -> new WorkerCapacity(worker));
             if (worker.draining() && !spot.draining()) {
                 drains.add(spot.name);
             }
             spot.listed(worker, askedAt - lag);
         }
         boolean doubt = false;
-        for (Iterator<Spot> each = spots.values().iterator(); each.hasNext(); ) {
-            Spot spot = each.next();
+        for (Iterator<WorkerCapacity> each = spots.values().iterator(); each.hasNext(); ) {
+            WorkerCapacity spot = each.next();
             if (shown.contains(spot.name)) {
                 continue;
             }
@@ -76,8 +76,8 @@
     }
 
     /** A start is being called there. Null where the worker is not known. */
-    Spot.Hold take(String worker, int mb) {
-        Spot spot = spots.get(worker);
+    WorkerCapacity.Hold take(String worker, int mb) {
+        WorkerCapacity spot = spots.get(worker);
         if (spot == null) {
             return null;
         }
@@ -85,15 +85,15 @@
     }
 
     /** The start has been made. */
-    void taken(Spot.Hold hold, long now) {
+    void taken(WorkerCapacity.Hold hold, long now) {
         if (hold != null) {
             hold.made(now);
         }
     }
 
     /** The start has not been made. */
-    void untake(String worker, Spot.Hold hold) {
-        Spot spot = spots.get(worker);
+    void untake(String worker, WorkerCapacity.Hold hold) {
+        WorkerCapacity spot = spots.get(worker);
         if (spot != null && hold != null) {
             spot.drop(hold);
         }
@@ -106,29 +106,29 @@
 
     /** The worker had no room for so much, whatever the list says. */
     void refused(String worker, int mb, long now) {
-        Spot spot = spots.get(worker);
+        WorkerCapacity spot = spots.get(worker);
         if (spot != null) {
             spot.refused(mb, now);
         }
     }
 
     /** One host more ({@code by} 1) or fewer (-1) of the service there. */
-    void crew(String worker, String service, int by) {
+    void instances(String worker, String service, int by) {
         if (worker == null) {
             return;
         }
-        Map<String, Integer> crew = crews.computeIfAbsent(worker, name -> new HashMap<>());
-        if (crew.merge(service, by, Integer::sum) <= 0) {
-            crew.remove(service);
-            if (crew.isEmpty()) {
+        Map<String, Integer> instances = crews.computeIfAbsent(worker, name -> new HashMap<>());
+        if (instances.merge(service, by, Integer::sum) <= 0) {
+            instances.remove(service);
+            if (instances.isEmpty()) {
                 crews.remove(worker);
             }
         }
     }
 
     /** Hosts of the service there, those whose start is being called included. */
-    int crew(String worker, String service) {
-        Map<String, Integer> crew = crews.get(worker);
-        return crew == null ? 0 : crew.getOrDefault(service, 0);
+    int instances(String worker, String service) {
+        Map<String, Integer> instances = crews.get(worker);
+        return instances == null ? 0 : instances.getOrDefault(service, 0);
     }
 }
--- a/src/main/java/brambletray/tray/flow/Leg.java
+++ b/src/main/java/brambletray/platform/proxy/Attempt.java
@@ -1,10 +1,10 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.SlotGrant;
 
 /** One request at one host, from the grant of its place to the place's return. */
-final class Leg {
-    final Grant grant;
+final class Attempt {
+    final SlotGrant grant;
     final boolean copy;
     final long grantedAt;
     /** When its first byte went out, ms; -1 before: until then it cannot have run. */
@@ -14,7 +14,7 @@
     /** For whoever carries it out. */
     Object tag;
 
-    Leg(Grant grant, boolean copy, long grantedAt) {
+    Attempt(SlotGrant grant, boolean copy, long grantedAt) {
         this.grant = grant;
         this.copy = copy;
         this.grantedAt = grantedAt;
--- a/src/main/java/brambletray/tray/flow/Legs.java
+++ b/src/main/java/brambletray/platform/proxy/Attempts.java
@@ -1,30 +1,30 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
 import java.util.ArrayList;
 import java.util.List;
 
 /** The hosts that one request has been sent to, and the places it holds there: each is given back exactly once. */
-final class Legs {
-    private final Hands hands;
+final class Attempts {
+    private final RequestActions hands;
     private final long end;
-    private final List<Leg> all = new ArrayList<>(2);
+    private final List<Attempt> all = new ArrayList<>(2);
     private final List<String> hosts = new ArrayList<>(2);
     private int live;
 
     /** {@code end}: when the request's time is over, ms. */
-    Legs(Hands hands, long end) {
+    Attempts(RequestActions hands, long end) {
         this.hands = hands;
         this.end = end;
     }
 
-    Leg add(Grant grant, boolean copy, long now) {
-        Leg leg = new Leg(grant, copy, now);
-        all.add(leg);
+    Attempt add(SlotGrant grant, boolean copy, long now) {
+        Attempt attempt = new Attempt(grant, copy, now);
+        all.add(attempt);
         hosts.add(grant.host());
         live++;
-        return leg;
+        return attempt;
     }
 
     int live() {
@@ -47,38 +47,38 @@
     }
 
     /** The place goes back with its fate; false where it is back already. */
-    boolean end(Leg leg, Fate fate, int took) {
-        if (!leg.live) {
+    boolean end(Attempt attempt, AttemptOutcome fate, int took) {
+        if (!attempt.live) {
             return false;
         }
-        leg.live = false;
+        attempt.live = false;
         live--;
-        hands.done(leg.grant, fate, took);
+        hands.done(attempt.grant, fate, took);
         return true;
     }
 
     /** Closes its connection; a place at which nothing was sent has not been used. */
-    void callOff(Leg leg, Fate fate, long now) {
-        hands.cancel(leg);
-        if (leg.sent()) {
-            end(leg, fate, (int) (now - leg.sentAt));
+    void callOff(Attempt attempt, AttemptOutcome fate, long now) {
+        hands.cancel(attempt);
+        if (attempt.sent()) {
+            end(attempt, fate, (int) (now - attempt.sentAt));
         } else {
-            leg.live = false;
+            attempt.live = false;
             live--;
-            hands.forget(leg.grant.askId());
+            hands.forget(attempt.grant.askId());
         }
     }
 
     /** The first usable answer settles: all others are called off. */
-    void callOffOthers(Leg winner, long now) {
+    void callOffOthers(Attempt winner, long now) {
         for (int i = 0; i < all.size(); i++) {
-            Leg leg = all.get(i);
-            if (leg.live && leg != winner) {
-                if (leg.sent() && !leg.copy) {
+            Attempt attempt = all.get(i);
+            if (attempt.live && attempt != winner) {
+                if (attempt.sent() && !attempt.copy) {
                     // Guards the delay of copies against forgetting the slow: it took this long at least.
-                    hands.took((int) (now - leg.sentAt));
+                    hands.took((int) (now - attempt.sentAt));
                 }
-                callOff(leg, Fate.CANCELLED, now);
+                callOff(attempt, AttemptOutcome.CANCELLED, now);
             }
         }
     }
@@ -88,9 +88,9 @@
      */
     boolean leave(long now) {
         for (int i = 0; i < all.size(); i++) {
-            Leg leg = all.get(i);
-            if (leg.live && !leg.sent()) {
-                callOff(leg, Fate.CANCELLED, now);
+            Attempt attempt = all.get(i);
+            if (attempt.live && !attempt.sent()) {
+                callOff(attempt, AttemptOutcome.CANCELLED, now);
             }
         }
         return live > 0;
@@ -99,9 +99,9 @@
     /** A host that has not answered by now will not. */
     void giveUp(long now) {
         for (int i = 0; i < all.size(); i++) {
-            Leg leg = all.get(i);
-            if (leg.live) {
-                callOff(leg, now >= end ? Fate.SILENT : Fate.CANCELLED, now);
+            Attempt attempt = all.get(i);
+            if (attempt.live) {
+                callOff(attempt, now >= end ? AttemptOutcome.SILENT : AttemptOutcome.CANCELLED, now);
             }
         }
     }
--- a/src/main/java/brambletray/tray/flow/Framing.java
+++ b/src/main/java/brambletray/platform/proxy/BodyFraming.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,14 +13,14 @@
  *
  * <p>The decoder has refused two lengths, and a length with chunks, already.
  */
-record Framing(long length) {
+record BodyFraming(long length) {
     /** Its end can't be told from a connection that broke off, or can be read in two ways: no answer (rule MIXED). */
-    static final Framing NONE = new Framing(Long.MIN_VALUE);
+    static final BodyFraming NONE = new BodyFraming(Long.MIN_VALUE);
 
-    private static final Framing CHUNKS = new Framing(-1);
+    private static final BodyFraming CHUNKS = new BodyFraming(-1);
 
     /** {@code bare}: no body follows, whatever the headers say. */
-    static Framing of(HttpResponse head, boolean bare) {
+    static BodyFraming of(HttpResponse head, boolean bare) {
         HttpVersion version = head.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             return NONE;
@@ -32,6 +32,6 @@
             return chunks && version.equals(HttpVersion.HTTP_1_1) ? CHUNKS : NONE;
         }
         long length = HttpUtil.getContentLength(head, -1L);
-        return length < 0 && !bare ? NONE : new Framing(length);
+        return length < 0 && !bare ? NONE : new BodyFraming(length);
     }
 }
--- a/src/main/java/brambletray/tray/flow/Client.java
+++ b/src/main/java/brambletray/platform/proxy/ClientConnection.java
@@ -1,6 +1,6 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.creed.Limits;
+import brambletray.platform.configuration.ClientLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -20,7 +20,7 @@
  * One connection of a client: puts one request at a time together, and writes its one answer before it looks at the
  * next.
  */
-final class Client extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** ms; after the last answer: what still comes is thrown away, lest a reset takes the answer with it. */
     private static final int LINGER_MS = 1_000;
     /** ms; a client that has not taken its whole answer by then is given up. */
@@ -37,16 +37,16 @@
     /** A part of a request, and when it was read, ms of the steady clock. */
     private record Ahead(Object part, long at) {}
 
-    private final Front front;
+    private final FrontEndServer front;
     /** Those in force when the newest request began: a change amid a request does not end it. */
-    private Limits limits;
+    private ClientLimits limits;
 
     private final RequestReader draft;
     /** What was read while the request before it is at work. */
     private final ArrayDeque<Ahead> ahead = new ArrayDeque<>(0);
 
     private Channel channel;
-    private AnswerWriter pen;
+    private ResponseWriter pen;
     private String ip;
     private State state = State.IDLE;
     /** When the state began, ms. */
@@ -55,11 +55,11 @@
     /** Answers a request of whose body not all came with its head, once its time is over. */
     private Future<?> overdue;
 
-    private Carriage carriage;
+    private RequestDriver driver;
     private boolean close;
     private boolean catchingUp;
 
-    Client(Front front, Limits limits) {
+    ClientConnection(FrontEndServer front, ClientLimits limits) {
         this.front = front;
         this.limits = limits;
         this.draft = new RequestReader(front.hold());
@@ -70,7 +70,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
-        pen = new AnswerWriter(channel);
+        pen = new ResponseWriter(channel);
     }
 
     @Override
@@ -132,9 +132,9 @@
     private Rejection came(HttpContent content) {
         Rejection turn = draft.body(content);
         if (turn == null && content instanceof LastHttpContent) {
-            Parcel parcel = draft.whole();
+            ClientRequest clientRequest = draft.whole();
             enter(State.BUSY);
-            front.flow().serve(this, parcel);
+            front.flow().serve(this, clientRequest);
         }
         return turn;
     }
@@ -168,8 +168,8 @@
     }
 
     /** Who brings the answer to the request that was read last. */
-    void carried(Carriage by) {
-        carriage = by;
+    void carried(RequestDriver by) {
+        driver = by;
     }
 
     // ---- Out ------------------------------------------------------------------------------------
@@ -188,14 +188,14 @@
     }
 
     /** A host's whole answer. */
-    void answer(Answer answer) {
+    void answer(HostResponse answer) {
         close |= isLast();
         pen.answer(answer, close);
         answered();
     }
 
     /** The head of a host's answer and what has come of its body; the rest follows by {@link #more}. */
-    void flow(Answer answer) {
+    void flow(HostResponse answer) {
         close |= isLast();
         pen.flow(answer, close);
     }
@@ -224,7 +224,7 @@
     }
 
     private void answered() {
-        carriage = null;
+        driver = null;
         pen.whenWritten(this::written);
         if (close) {
             last();
@@ -266,7 +266,7 @@
             boolean bare = draft.bare();
             close = true;
             front.flow().turnedAway(status);
-            own(status, code, status == 503 ? Flow.COME_BACK_MS : -1, null, bare);
+            own(status, code, status == 503 ? RequestRouter.COME_BACK_MS : -1, null, bare);
         }
     }
 
@@ -296,7 +296,7 @@
 
     private void late(boolean due) {
         if (due) {
-            turnAway(408, "flow.slow-request");
+            turnAway(408, "proxy.slow-request");
         }
     }
 
@@ -307,8 +307,8 @@
 
     /** The process ends: the request that is at work is answered now. */
     void giveUp() {
-        if (carriage != null) {
-            carriage.giveUp();
+        if (driver != null) {
+            driver.giveUp();
         }
     }
 
@@ -339,8 +339,8 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (channel.isWritable() && carriage != null) {
-            carriage.roomAgain();
+        if (channel.isWritable() && driver != null) {
+            driver.roomAgain();
         }
     }
 
@@ -349,8 +349,8 @@
         front.went(this);
         enter(State.LAST);
         drop();
-        Carriage left = carriage;
-        carriage = null;
+        RequestDriver left = driver;
+        driver = null;
         if (left != null) {
             left.gone();
         }
--- a/src/main/java/brambletray/tray/flow/Front.java
+++ b/src/main/java/brambletray/platform/proxy/FrontEndServer.java
@@ -1,8 +1,8 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
+import brambletray.platform.configuration.ClientLimits;
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Limits;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -14,19 +14,19 @@
 import java.util.concurrent.TimeUnit;
 
 /** What clients connect to (PROTOCOL, How clients arrive). The loop's. */
-public final class Front {
+public final class FrontEndServer {
     /** ms between looks at connections for their time. */
     private static final int SWEEP_MS = 250;
 
     private final Machine machine;
-    private final Flow flow;
+    private final RequestRouter flow;
     private final int mostClients;
-    private final Set<Client> clients = new LinkedHashSet<>();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private Channel listener;
     private boolean draining;
 
     /** {@code mostClients}: connections at once; the rest of the descriptors is for hosts and relays. */
-    public Front(Machine machine, Flow flow, int mostClients) {
+    public FrontEndServer(Machine machine, RequestRouter flow, int mostClients) {
         this.machine = machine;
         this.flow = flow;
         this.mostClients = mostClients;
@@ -38,9 +38,9 @@
         ChannelFuture bound = machine.listening(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        Limits limits = flow.limits();
-                        Client client = new Client(Front.this, limits);
-                        channel.pipeline().addLast(new ClientDecoder(client, limits.headerBytes()), client);
+                        ClientLimits limits = flow.limits();
+                        ClientConnection client = new ClientConnection(FrontEndServer.this, limits);
+                        channel.pipeline().addLast(new RequestDecoder(client, limits.headerBytes()), client);
                     }
                 })
                 .bind(new InetSocketAddress(at.host(), at.port()));
@@ -48,7 +48,7 @@
         return bound;
     }
 
-    Flow flow() {
+    RequestRouter flow() {
         return flow;
     }
 
@@ -75,7 +75,7 @@
         if (listener != null) {
             Machine.close(listener);
         }
-        for (Client client : List.copyOf(clients)) {
+        for (ClientConnection client : List.copyOf(clients)) {
             client.leave();
         }
     }
@@ -83,7 +83,7 @@
     /** Answers each request that still waits, and from now on each new one at once: the process is about to end. */
     void giveUp() {
         flow.refuseNew();
-        for (Client client : List.copyOf(clients)) {
+        for (ClientConnection client : List.copyOf(clients)) {
             client.giveUp();
         }
     }
@@ -93,10 +93,10 @@
         return clients.size();
     }
 
-    void came(Client client) {
+    void came(ClientConnection client) {
         clients.add(client);
         if (clients.size() > mostClients) {
-            for (Client other : clients) {
+            for (ClientConnection other : clients) {
                 if (other != client && other.idle()) {
                     other.closeNow();
                     return;
@@ -106,14 +106,14 @@
         }
     }
 
-    void went(Client client) {
+    void went(ClientConnection client) {
         clients.remove(client);
     }
 
     private void sweep() {
         if (!clients.isEmpty()) {
             long now = now();
-            for (Client client : new ArrayList<>(clients)) {
+            for (ClientConnection client : new ArrayList<>(clients)) {
                 client.look(now);
             }
         }
--- a/src/main/java/brambletray/tray/flow/GracefulShutdown.java
+++ b/src/main/java/brambletray/platform/proxy/GracefulShutdown.java
@@ -1,19 +1,21 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
+import brambletray.platform.logging.EventLog;
 import brambletray.runtime.Machine;
-import brambletray.tray.tale.Tale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 
 /**
  * Ends an edge's service of requests within the grace time that a process has after SIGTERM.
  *
- * <p>New connections are taken until clients have been sent elsewhere. What has been read is served on. The process ends once no request is
- * under way and no client is connected. Shortly before the grace time is over, each request that still waits is answered by the edge, so that
+ * <p>New connections are taken until clients have been sent elsewhere. What has been read is served on. The process
+ * ends once no request is
+ * under way and no client is connected. Shortly before the grace time is over, each request that still waits is
+ * answered by the edge, so that
  * no client that sent a whole request is left without an answer. For the loop only.
  */
 public final class GracefulShutdown {
-    private static final Tale TALE = Tale.of("flow");
+    private static final EventLog LOG = EventLog.of("proxy");
     /** The part of the grace time in which new connections are still taken, in twelfths. */
     private static final int ACCEPTING_TWELFTHS = 5;
     /** ms before the end of the grace time: what still waits is answered then. */
@@ -26,14 +28,14 @@
     private static final int LOOK_MS = 50;
 
     private final Machine machine;
-    private final Flow flow;
-    private final Front front;
+    private final RequestRouter flow;
+    private final FrontEndServer front;
     private final IntConsumer exit;
     private boolean begun;
     private boolean ended;
 
     /** {@code exit}: ends the process with this code. */
-    public GracefulShutdown(Machine machine, Flow flow, Front front, IntConsumer exit) {
+    public GracefulShutdown(Machine machine, RequestRouter flow, FrontEndServer front, IntConsumer exit) {
         this.machine = machine;
         this.flow = flow;
         this.front = front;
@@ -70,7 +72,7 @@
             return;
         }
         ended = true;
-        TALE.tell("ended", "in-flight", flow.inFlight());
+        LOG.tell("ended", "in-flight", flow.inFlight());
         exit.accept(0);
     }
 }
--- a/src/main/java/brambletray/tray/flow/Heads.java
+++ b/src/main/java/brambletray/platform/proxy/HeaderWriter.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -16,33 +16,33 @@
  * Writes heads of requests to hosts and of answers to clients: end-to-end headers as they came, those of one connection
  * anew.
  */
-final class Heads {
+final class HeaderWriter {
     private static final int ROOM = 512;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private Heads() {}
+    private HeaderWriter() {}
 
     /** {@code remaining}: what the host is told it has left, ms. */
-    static ByteBuf request(ByteBufAllocator memory, Parcel parcel, String host, long remaining) {
+    static ByteBuf request(ByteBufAllocator memory, ClientRequest clientRequest, String host, long remaining) {
         ByteBuf out = memory.buffer(ROOM
-                + (parcel.body().readableBytes() <= HostConnection.JOINED
-                        ? parcel.body().readableBytes()
+                + (clientRequest.body().readableBytes() <= HostConnection.JOINED
+                        ? clientRequest.body().readableBytes()
                         : 0));
-        ascii(out, parcel.method());
+        ascii(out, clientRequest.method());
         out.writeByte(' ');
-        ascii(out, parcel.uri());
+        ascii(out, clientRequest.uri());
         ascii(out, " HTTP/1.1\r\n");
-        headers(out, parcel.headers(), true);
+        headers(out, clientRequest.headers(), true);
         header(out, "Brambletray-Target-Instance", host);
         header(out, "Brambletray-Deadline-Remaining", Long.toString(Math.max(1, remaining)));
-        if (parcel.bodied()) {
-            header(out, "Content-Length", Integer.toString(parcel.body().readableBytes()));
+        if (clientRequest.bodied()) {
+            header(out, "Content-Length", Integer.toString(clientRequest.body().readableBytes()));
         }
         return end(out);
     }
 
     /** {@code whole}: all of the body is here; else it comes by the host's length, or in chunks. */
-    static ByteBuf answer(ByteBufAllocator memory, Answer answer, boolean whole, boolean close) {
+    static ByteBuf answer(ByteBufAllocator memory, HostResponse answer, boolean whole, boolean close) {
         ByteBuf out = status(memory, answer.status, answer.reason);
         headers(out, answer.headers, false);
         if (answer.bare) {
@@ -133,9 +133,9 @@
         while (entries.hasNext()) {
             Map.Entry<CharSequence, CharSequence> entry = entries.next();
             CharSequence name = entry.getKey();
-            if (!Hops.ofOneConnection(name)
-                    && !(toHost && Hops.setAnew(name))
-                    && (named.isEmpty() || !Hops.in(named, name))) {
+            if (!HopByHopHeaders.ofOneConnection(name)
+                    && !(toHost && HopByHopHeaders.setAnew(name))
+                    && (named.isEmpty() || !HopByHopHeaders.in(named, name))) {
                 header(out, name, entry.getValue());
             }
         }
--- a/src/main/java/brambletray/tray/flow/Hops.java
+++ b/src/main/java/brambletray/platform/proxy/HopByHopHeaders.java
@@ -1,11 +1,11 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.util.AsciiString;
 import java.util.List;
 
 /** Which headers belong to one connection only (RFC 9110, 7.6.1). */
-final class Hops {
-    private Hops() {}
+final class HopByHopHeaders {
+    private HopByHopHeaders() {}
 
     /** Never passed on; lengths are among them, as they are set anew. */
     static boolean ofOneConnection(CharSequence name) {
@@ -26,8 +26,8 @@
     static boolean setAnew(CharSequence name) {
         return switch (name.length()) {
             case 6 -> is(name, "expect");
-            case 27 -> is(name, Parcel.TARGET);
-            case 30 -> is(name, Parcel.REMAINING);
+            case 27 -> is(name, ClientRequest.TARGET);
+            case 30 -> is(name, ClientRequest.REMAINING);
             default -> false;
         };
     }
--- a/src/main/java/brambletray/tray/flow/Errand.java
+++ b/src/main/java/brambletray/platform/proxy/HostCall.java
@@ -1,14 +1,14 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
+import brambletray.platform.admission.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
 
 /**
  * A request on its way to one host: what a connection needs to know of it, and whom it tells. Told in this order, each
  * at most once.
  */
-interface Errand {
-    Parcel parcel();
+interface HostCall {
+    ClientRequest clientRequest();
 
     /** Its id, as the client sent it. */
     String id();
@@ -53,11 +53,11 @@
     void unreached();
 
     /** True: it is given on as it comes by {@link #more}; false: throw away what else comes. */
-    boolean flow(Answer answer);
+    boolean flow(HostResponse answer);
 
     /** Takes the bytes over. False: stop reading until {@link HostConnection#resume}. */
     boolean more(ByteBuf bytes);
 
     /** {@code answer}: null unless SERVED or FAILED, and where it is {@code withheld}; the errand's from now on. */
-    void ended(Fate fate, boolean withheld, Answer answer);
+    void ended(AttemptOutcome fate, boolean withheld, HostResponse answer);
 }
--- a/src/main/java/brambletray/tray/flow/HostConnection.java
+++ b/src/main/java/brambletray/platform/proxy/HostConnection.java
@@ -1,6 +1,6 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
+import brambletray.platform.admission.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,7 +15,8 @@
 
 /**
  * One connection to a host, one request at a time. An answer counts when it is whole and echoes the request's id;
- * surplus answers are skipped whole; anything else ends the connection, and what it was at is {@link Fate#BROKEN}.
+ * surplus answers are skipped whole; anything else ends the connection, and what it was at is {@link
+ * AttemptOutcome#BROKEN}.
  *
  * <p>It serves another request only when nothing is owed on it in either direction: the request was written to its last
  * byte, its answer was whole, alone and named, nothing came behind it, and neither side has said that it closes.
@@ -25,12 +26,12 @@
     /** Bytes of a body that travel in one piece with their head. */
     static final int JOINED = 8 * 1024;
 
-    private final Lines lines;
-    final HostPool pool;
-    final HostDecoder decoder = new HostDecoder(this);
+    private final HostConnectionPools lines;
+    final HostConnectionPool pool;
+    final ResponseDecoder decoder = new ResponseDecoder(this);
     private Channel channel;
     /** What it is at; null while it is idle. */
-    private Reading reading;
+    private ResponseReader reading;
 
     private boolean written;
     private boolean keep = true;
@@ -41,7 +42,7 @@
     private int idleMs;
     private boolean told;
 
-    HostConnection(Lines lines, HostPool pool) {
+    HostConnection(HostConnectionPools lines, HostConnectionPool pool) {
         this.lines = lines;
         this.pool = pool;
         this.idleMs = lines.idleMs;
@@ -78,7 +79,7 @@
     }
 
     boolean atHead() {
-        return reading != null && reading.errand().parcel().head();
+        return reading != null && reading.hostCall().clientRequest().head();
     }
 
     boolean open() {
@@ -99,7 +100,8 @@
 
     /** Whether a request may go out on it now; a careful one only where the host surely hasn't closed it. */
     boolean usable(long now, boolean careful) {
-        return channel.isActive() && now - idleSince < (careful && !told ? Math.min(idleMs, Lines.UNTOLD_MS) : idleMs);
+        return channel.isActive()
+                && now - idleSince < (careful && !told ? Math.min(idleMs, HostConnectionPools.UNTOLD_MS) : idleMs);
     }
 
     boolean stale(long now) {
@@ -107,13 +109,14 @@
     }
 
     // ---- Out ------------------------------------------------------------------------------------
-    void begin(Errand errand) {
-        Reading begun = new Reading(errand, lines.tally, !fresh);
+    void begin(HostCall hostCall) {
+        ResponseReader begun = new ResponseReader(hostCall, lines.counters, !fresh);
         reading = begun;
         written = false;
-        errand.up(this);
-        ByteBuf body = errand.parcel().body();
-        ByteBuf head = Heads.request(channel.alloc(), errand.parcel(), errand.host(), errand.hostEnd() - lines.now());
+        hostCall.up(this);
+        ByteBuf body = hostCall.clientRequest().body();
+        ByteBuf head = HeaderWriter.request(
+                channel.alloc(), hostCall.clientRequest(), hostCall.host(), hostCall.hostEnd() - lines.now());
         ChannelProgressivePromise promise = channel.newProgressivePromise();
         boolean joined = body.readableBytes() <= JOINED;
         promise.addListener(new Sent(begun, joined));
@@ -129,11 +132,11 @@
 
     /** Tells a request of which a byte has gone out, and may run, from one of which none has. */
     private final class Sent implements ChannelProgressiveFutureListener {
-        private final Reading of;
+        private final ResponseReader of;
         private final boolean all;
         private boolean begun;
 
-        Sent(Reading of, boolean all) {
+        Sent(ResponseReader of, boolean all) {
             this.of = of;
             this.all = all;
         }
@@ -143,7 +146,7 @@
             if (!begun && progress > 0) {
                 begun = true;
                 of.sent();
-                of.errand().sent();
+                of.hostCall().sent();
             }
         }
 
@@ -162,26 +165,26 @@
 
     /** Not a byte went out: it can go elsewhere. */
     private void unsent() {
-        Errand errand = reading.errand();
+        HostCall hostCall = reading.hostCall();
         reading = null;
         channel.close();
         if (fresh) {
             // Guards against knocking for ever at a host that takes connections only to reset them.
-            errand.unreached();
+            hostCall.unreached();
         } else {
-            lines.stale(errand);
+            lines.stale(hostCall);
         }
     }
 
     /** Ends this errand without a word, if it is at it; only closing the connection tells the host. */
-    void cancel(Errand errand) {
-        if (reading != null && reading.errand() == errand) {
+    void cancel(HostCall hostCall) {
+        if (reading != null && reading.hostCall() == hostCall) {
             cancel();
         }
     }
 
     private void cancel() {
-        Reading ended = reading;
+        ResponseReader ended = reading;
         reading = null;
         if (ended != null) {
             ended.drop();
@@ -201,7 +204,7 @@
             } else if (((HttpObject) part).decoderResult().isFailure()) {
                 broken("garbled");
             } else if (part instanceof HttpResponse head && !reading.head(head)) {
-                broken(Verdict.traits(head.status().code(), head.headers()));
+                broken(ResponseVerdict.traits(head.status().code(), head.headers()));
             } else if (part instanceof HttpContent content && !reading.content(content)) {
                 channel.config().setAutoRead(false);
             }
@@ -223,7 +226,7 @@
     }
 
     private void finish(boolean again) {
-        Reading ended = reading;
+        ResponseReader ended = reading;
         reading = null;
         fresh = false;
         if (again) {
@@ -235,15 +238,15 @@
         } else {
             channel.close();
         }
-        ended.errand().ended(ended.verdict().fate(), ended.withheld(), ended.answer());
+        ended.hostCall().ended(ended.verdict().fate(), ended.withheld(), ended.answer());
     }
 
     private void broken(String why) {
-        Reading ended = reading;
+        ResponseReader ended = reading;
         cancel();
         if (ended != null) {
-            lines.broken(ended.errand(), why);
-            ended.errand().ended(Fate.BROKEN, false, null);
+            lines.broken(ended.hostCall(), why);
+            ended.hostCall().ended(AttemptOutcome.BROKEN, false, null);
         }
     }
 
--- a/src/main/java/brambletray/tray/flow/HostPool.java
+++ b/src/main/java/brambletray/platform/proxy/HostConnectionPool.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -8,14 +8,14 @@
 import java.util.function.Consumer;
 
 /** The connections to one host, by its {@code instance-id}: a new life at an old address has its own. */
-final class HostPool {
+final class HostConnectionPool {
     final String id;
     final InetSocketAddress address;
     final List<HostConnection> lines = new ArrayList<>(2);
     /** Newest last. */
     final ArrayDeque<HostConnection> idle = new ArrayDeque<>(2);
     /** Those that wait for a connection. */
-    final ArrayDeque<Errand> waiting = new ArrayDeque<>(2);
+    final ArrayDeque<HostCall> waiting = new ArrayDeque<>(2);
     /** Those that only want to know whether it is up. */
     final List<Consumer<Boolean>> knocks = new ArrayList<>(0);
 
@@ -26,7 +26,7 @@
     boolean gone;
     Future<?> retry;
 
-    HostPool(String id, InetSocketAddress address) {
+    HostConnectionPool(String id, InetSocketAddress address) {
         this.id = id;
         this.address = address;
     }
--- a/src/main/java/brambletray/tray/flow/Lines.java
+++ b/src/main/java/brambletray/platform/proxy/HostConnectionPools.java
@@ -1,7 +1,7 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 
 /** Connections to hosts, kept and used again, newest first: new ones have a price and may hold a slot. The loop's. */
-public final class Lines {
+public final class HostConnectionPools {
     /** ms; a connection whose host has not said how long it keeps it is this long good for what must not run twice. */
     static final int UNTOLD_MS = 500;
     /** ms until a connection comes up; between tries at a booting host; between looks for idle ones. */
@@ -28,21 +28,21 @@
     /** ms; more may come right behind an answer: a connection that has rested so long is preferred. */
     private static final int REST_MS = 5;
 
-    final Tally tally;
-    private final Murmur murmur = new Murmur();
+    final RequestCounters counters;
+    private final RateLimitedLog rateLimitedLog = new RateLimitedLog();
     /** ms; for connections whose host has not said how long it keeps them. */
     final int idleMs;
 
     private final Machine machine;
     private final Bootstrap bootstrap;
-    private final Map<String, HostPool> pools = new HashMap<>();
+    private final Map<String, HostConnectionPool> pools = new HashMap<>();
     private boolean sweeping;
 
     /** {@code idleMs}: how long idle connections are kept whose host has not said, ms. */
-    public Lines(Machine machine, int idleMs, Tally tally) {
+    public HostConnectionPools(Machine machine, int idleMs, RequestCounters counters) {
         this.machine = machine;
         this.idleMs = idleMs;
-        this.tally = tally;
+        this.counters = counters;
         this.bootstrap = machine.dialling(CONNECT_MS, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -56,51 +56,51 @@
     }
 
     // ---- Requests -------------------------------------------------------------------------------
-    void send(Errand errand) {
-        if (!errand.wanted()) {
+    void send(HostCall hostCall) {
+        if (!hostCall.wanted()) {
             return;
         }
-        HostPool pool = pool(errand.host(), errand.address());
-        HostConnection line = pool.waiting.isEmpty() ? take(pool, errand) : null;
+        HostConnectionPool pool = pool(hostCall.host(), hostCall.address());
+        HostConnection line = pool.waiting.isEmpty() ? take(pool, hostCall) : null;
         if (line != null) {
-            line.begin(errand);
+            line.begin(hostCall);
         } else {
-            if (!pool.idle.isEmpty() && pool.lines.size() + pool.dialling >= errand.mostLines()) {
+            if (!pool.idle.isEmpty() && pool.lines.size() + pool.dialling >= hostCall.mostLines()) {
                 // Guards against waiting for room that only connections not good enough take up.
                 pool.idle.poll().close();
             }
-            pool.waiting.add(errand);
+            pool.waiting.add(hostCall);
             dial(pool);
         }
     }
 
     /** A host's bytes were no answer. */
-    void broken(Errand errand, String why) {
-        murmur.tell(now(), "broken", "host", errand.host(), "id", errand.id(), "why", why);
+    void broken(HostCall hostCall, String why) {
+        rateLimitedLog.tell(now(), "broken", "host", hostCall.host(), "id", hostCall.id(), "why", why);
     }
 
     /** Takes back one that is waiting for a connection. */
-    void withdraw(Errand errand) {
-        HostPool pool = pools.get(errand.host());
+    void withdraw(HostCall hostCall) {
+        HostConnectionPool pool = pools.get(hostCall.host());
         if (pool != null) {
-            pool.waiting.remove(errand);
+            pool.waiting.remove(hostCall);
             forgetIfEmpty(pool);
         }
     }
 
     /** Not a byte of it went out on a kept connection that turned out closed. */
-    void stale(Errand errand) {
-        tally.stale++;
-        errand.down();
-        send(errand);
+    void stale(HostCall hostCall) {
+        counters.stale++;
+        hostCall.down();
+        send(hostCall);
     }
 
-    private HostConnection take(HostPool pool, Errand errand) {
+    private HostConnection take(HostConnectionPool pool, HostCall hostCall) {
         long now = now();
         HostConnection newest = null;
         for (Iterator<HostConnection> lines = pool.idle.descendingIterator(); lines.hasNext(); ) {
             HostConnection line = lines.next();
-            if (line.usable(now, errand.careful()) && !errand.met(line)) {
+            if (line.usable(now, hostCall.careful()) && !hostCall.met(line)) {
                 if (now - line.idleSince >= REST_MS) {
                     lines.remove();
                     return line;
@@ -114,11 +114,11 @@
         return newest;
     }
 
-    private HostPool pool(String host, String address) {
-        HostPool pool = pools.get(host);
+    private HostConnectionPool pool(String host, String address) {
+        HostConnectionPool pool = pools.get(host);
         if (pool == null) {
             Address to = Address.parse(address);
-            pool = new HostPool(host, new InetSocketAddress(to.host(), to.port()));
+            pool = new HostConnectionPool(host, new InetSocketAddress(to.host(), to.port()));
             pools.put(host, pool);
         }
         return pool;
@@ -129,7 +129,7 @@
      * Tells whether a host takes connections; where one comes up, it is kept for the next request.
      */
     public void knock(String host, String address, Consumer<Boolean> up) {
-        HostPool pool = pool(host, address);
+        HostConnectionPool pool = pool(host, address);
         HostConnection last = pool.idle.peekLast();
         if (last != null && last.open() && now() - last.idleSince < FRESH_MS) {
             machine.loop().execute(() -> up.accept(true));
@@ -142,7 +142,7 @@
     }
 
     /** One for each that waits, within the bound; one at a time where the host has refused so far. */
-    private void dial(HostPool pool) {
+    private void dial(HostConnectionPool pool) {
         int wanted = pool.unborn ? Math.min(1, pool.waiting.size()) : pool.waiting.size();
         while (pool.dialling < wanted
                 && pool.retry == null
@@ -151,22 +151,22 @@
         }
     }
 
-    private void connect(HostPool pool) {
+    private void connect(HostConnectionPool pool) {
         pool.dialling++;
         bootstrap.connect(pool.address).addListener((io.netty.channel.ChannelFuture done) -> {
             pool.dialling--;
             if (done.isSuccess()) {
                 up(pool, done.channel());
             } else {
-                tally.undialled++;
+                counters.undialled++;
                 down(pool);
             }
             forgetIfEmpty(pool);
         });
     }
 
-    private void up(HostPool pool, Channel channel) {
-        tally.dialled++;
+    private void up(HostConnectionPool pool, Channel channel) {
+        counters.dialled++;
         pool.unborn = false;
         HostConnection line = new HostConnection(this, pool);
         channel.pipeline().addLast(line.decoder, line);
@@ -180,16 +180,16 @@
         dial(pool);
     }
 
-    private void down(HostPool pool) {
+    private void down(HostConnectionPool pool) {
         tell(pool, false);
-        Errand refused = null;
+        HostCall refused = null;
         boolean booting = false;
-        for (Iterator<Errand> errands = pool.waiting.iterator(); errands.hasNext(); ) {
-            Errand errand = errands.next();
-            if (errand.booting() && !pool.gone) {
+        for (Iterator<HostCall> errands = pool.waiting.iterator(); errands.hasNext(); ) {
+            HostCall hostCall = errands.next();
+            if (hostCall.booting() && !pool.gone) {
                 booting = true;
             } else if (refused == null) {
-                refused = errand;
+                refused = hostCall;
                 errands.remove();
             }
         }
@@ -214,7 +214,7 @@
         }
     }
 
-    private static void tell(HostPool pool, boolean up) {
+    private static void tell(HostConnectionPool pool, boolean up) {
         if (!pool.knocks.isEmpty()) {
             List<Consumer<Boolean>> told = List.copyOf(pool.knocks);
             pool.knocks.clear();
@@ -224,7 +224,7 @@
 
     /** A connection is free: for who waits, or for later. */
     void idle(HostConnection line) {
-        Errand next = next(line);
+        HostCall next = next(line);
         if (next != null) {
             line.begin(next);
             return;
@@ -242,10 +242,10 @@
         }
     }
 
-    private Errand next(HostConnection line) {
-        for (Errand errand : List.copyOf(line.pool.waiting)) {
-            if (!errand.met(line) && line.pool.waiting.remove(errand) && errand.wanted()) {
-                return errand;
+    private HostCall next(HostConnection line) {
+        for (HostCall hostCall : List.copyOf(line.pool.waiting)) {
+            if (!hostCall.met(line) && line.pool.waiting.remove(hostCall) && hostCall.wanted()) {
+                return hostCall;
             }
         }
         return null;
@@ -258,7 +258,7 @@
         forgetIfEmpty(line.pool);
     }
 
-    private void forgetIfEmpty(HostPool pool) {
+    private void forgetIfEmpty(HostConnectionPool pool) {
         if (pool.empty()) {
             pools.remove(pool.id, pool);
         }
@@ -269,7 +269,7 @@
         long now = now();
         List<HostConnection> stale = new ArrayList<>();
         boolean more = false;
-        for (HostPool pool : pools.values()) {
+        for (HostConnectionPool pool : pools.values()) {
             for (HostConnection line : pool.idle) {
                 if (line.stale(now)) {
                     stale.add(line);
@@ -287,7 +287,7 @@
 
     /** This host is gone, or leaves: what is under way ends, nothing else is kept. */
     public void gone(String host) {
-        HostPool pool = pools.get(host);
+        HostConnectionPool pool = pools.get(host);
         if (pool != null) {
             pool.gone = true;
             List.copyOf(pool.lines).forEach(HostConnection::retire);
@@ -297,7 +297,7 @@
     /** Connections open now. */
     public int open() {
         int open = 0;
-        for (HostPool pool : pools.values()) {
+        for (HostConnectionPool pool : pools.values()) {
             open += pool.lines.size();
         }
         return open;
