--- a/src/main/java/brambletray/tray/flow/Stop.java
+++ b/src/main/java/brambletray/platform/proxy/HostExchange.java
@@ -1,41 +1,41 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
+import brambletray.platform.admission.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
 
-/** A request at one of its hosts: between its {@link Carriage} and the connection. */
-final class Stop implements Errand {
-    private final Carriage carriage;
-    private final Leg leg;
+/** A request at one of its hosts: between its {@link RequestDriver} and the connection. */
+final class HostExchange implements HostCall {
+    private final RequestDriver driver;
+    private final Attempt attempt;
     private final long hostEnd;
     /** The connection that is at it, and the last that was. */
     private HostConnection line;
 
     private HostConnection last;
     /** Whole, and not yet given to the client. */
-    private Answer answer;
+    private HostResponse answer;
     /** Given on while it comes. */
-    private Answer coming;
+    private HostResponse coming;
 
-    Stop(Carriage carriage, Leg leg, long hostEnd) {
-        this.carriage = carriage;
-        this.leg = leg;
+    HostExchange(RequestDriver driver, Attempt attempt, long hostEnd) {
+        this.driver = driver;
+        this.attempt = attempt;
         this.hostEnd = hostEnd;
     }
 
     /** The whole answer; the caller's from now on. */
-    Answer take() {
-        Answer taken = answer;
+    HostResponse take() {
+        HostResponse taken = answer;
         answer = null;
         return taken;
     }
 
-    Answer coming() {
+    HostResponse coming() {
         return coming;
     }
 
     void drop() {
-        Answer dropped = take();
+        HostResponse dropped = take();
         if (dropped != null) {
             dropped.drop();
         }
@@ -47,7 +47,7 @@
         }
     }
 
-    void cancel(Lines lines) {
+    void cancel(HostConnectionPools lines) {
         if (line != null) {
             line.cancel(this);
             line = null;
@@ -59,38 +59,38 @@
 
     // ---- Errand ---------------------------------------------------------------------------------
     @Override
-    public Parcel parcel() {
-        return carriage.parcel();
+    public ClientRequest clientRequest() {
+        return driver.clientRequest();
     }
 
     @Override
     public String id() {
-        return carriage.id();
+        return driver.id();
     }
 
     @Override
     public String host() {
-        return leg.grant.host();
+        return attempt.grant.host();
     }
 
     @Override
     public String address() {
-        return leg.grant.address();
+        return attempt.grant.address();
     }
 
     @Override
     public boolean careful() {
-        return carriage.careful();
+        return driver.careful();
     }
 
     @Override
     public boolean booting() {
-        return leg.grant.booting();
+        return attempt.grant.booting();
     }
 
     @Override
     public int mostLines() {
-        return carriage.mostLines();
+        return driver.mostLines();
     }
 
     @Override
@@ -100,12 +100,12 @@
 
     @Override
     public MemoryBudget hold() {
-        return carriage.hold();
+        return driver.hold();
     }
 
     @Override
     public boolean met(HostConnection on) {
-        return carriage.met(on);
+        return driver.met(on);
     }
 
     boolean wasOn(HostConnection on) {
@@ -114,14 +114,14 @@
 
     @Override
     public boolean wanted() {
-        return carriage.wanted(leg);
+        return driver.wanted(attempt);
     }
 
     @Override
     public void up(HostConnection on) {
         line = on;
         last = on;
-        carriage.up(leg);
+        driver.up(attempt);
     }
 
     @Override
@@ -131,30 +131,30 @@
 
     @Override
     public void sent() {
-        carriage.sent(leg);
+        driver.sent(attempt);
     }
 
     @Override
     public void unreached() {
         line = null;
-        carriage.unreached(leg);
+        driver.unreached(attempt);
     }
 
     @Override
-    public boolean flow(Answer begun) {
+    public boolean flow(HostResponse begun) {
         coming = begun;
-        return carriage.flowing(leg);
+        return driver.flowing(attempt);
     }
 
     @Override
     public boolean more(ByteBuf bytes) {
-        return carriage.more(bytes);
+        return driver.more(bytes);
     }
 
     @Override
-    public void ended(Fate fate, boolean withheld, Answer whole) {
+    public void ended(AttemptOutcome fate, boolean withheld, HostResponse whole) {
         line = null;
         answer = coming == null ? whole : null;
-        carriage.ended(leg, fate, withheld);
+        driver.ended(attempt, fate, withheld);
     }
 }
--- a/src/main/java/brambletray/tray/flow/Answer.java
+++ b/src/main/java/brambletray/platform/proxy/HostResponse.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** A host's answer as far as it has come. Holds its bytes until it is given to a client or dropped. */
-final class Answer {
+final class HostResponse {
     final int status;
     final String reason;
     final HttpHeaders headers;
@@ -19,7 +19,7 @@
     private List<ByteBuf> body = new ArrayList<>(2);
     private long size;
 
-    Answer(int status, String reason, HttpHeaders headers, long length, boolean bare, MemoryBudget hold) {
+    HostResponse(int status, String reason, HttpHeaders headers, long length, boolean bare, MemoryBudget hold) {
         this.status = status;
         this.reason = reason;
         this.headers = headers;
--- a/src/main/java/brambletray/tray/flow/KeepAlive.java
+++ b/src/main/java/brambletray/platform/proxy/KeepAlive.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 /** How long a host says that it keeps a connection (PROTOCOL, Hosts: in whole seconds, if there are any). */
 final class KeepAlive {
--- a/src/main/java/brambletray/tray/flow/MemoryBudget.java
+++ b/src/main/java/brambletray/platform/proxy/MemoryBudget.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 /** Bytes of requests and answers held in memory at one time, all connections together, and their bound. */
 final class MemoryBudget {
--- a/src/main/java/brambletray/tray/flow/Murmur.java
+++ b/src/main/java/brambletray/platform/proxy/RateLimitedLog.java
@@ -1,12 +1,12 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 
 /** Tells a tale a few times a second at most: what goes wrong with one request may go wrong with thousands. */
-final class Murmur {
+final class RateLimitedLog {
     private static final int A_SECOND = 3;
 
-    private final Tale tale = Tale.of("flow");
+    private final EventLog log = EventLog.of("proxy");
     private long second;
     private int told;
 
@@ -17,7 +17,7 @@
             told = 0;
         }
         if (told++ < A_SECOND) {
-            tale.tell(event, facts);
+            log.tell(event, facts);
         }
     }
 }
--- a/src/main/java/brambletray/tray/flow/Readiness.java
+++ b/src/main/java/brambletray/platform/proxy/Readiness.java
@@ -1,7 +1,7 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -60,10 +60,11 @@
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             boolean bad = part.decoderResult().isFailure();
             if (part instanceof HttpRequest request) {
-                int status =
-                        bad ? 400 : !Parcel.path(request.uri()).equals(PATH) ? 404 : ready.getAsBoolean() ? 200 : 503;
+                int status = bad
+                        ? 400
+                        : !ClientRequest.path(request.uri()).equals(PATH) ? 404 : ready.getAsBoolean() ? 200 : 503;
                 boolean close = bad || !HttpUtil.isKeepAlive(request);
-                ChannelFuture written = context.writeAndFlush(Heads.empty(context.alloc(), status, close));
+                ChannelFuture written = context.writeAndFlush(HeaderWriter.empty(context.alloc(), status, close));
                 if (close) {
                     written.addListener(done -> context.close());
                 }
--- a/src/main/java/brambletray/tray/flow/Rejection.java
+++ b/src/main/java/brambletray/platform/proxy/Rejection.java
@@ -1,6 +1,6 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.creed.Limits;
+import brambletray.platform.configuration.ClientLimits;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -16,14 +16,14 @@
  * answers' bodies.
  */
 record Rejection(int status, String code) {
-    static final Rejection TOO_LARGE = new Rejection(413, "flow.body-too-large");
-    static final Rejection FULL = new Rejection(503, "flow.memory-full");
-    private static final Rejection MALFORMED = new Rejection(400, "flow.malformed");
-    private static final Rejection HEAD_TOO_LARGE = new Rejection(431, "flow.head-too-large");
-    private static final Rejection LENGTHS = new Rejection(400, "flow.lengths");
-    private static final Rejection HOST = new Rejection(400, "flow.host");
-    private static final Rejection VERSION = new Rejection(505, "flow.version");
-    private static final Rejection FORM = new Rejection(400, "flow.path");
+    static final Rejection TOO_LARGE = new Rejection(413, "proxy.body-too-large");
+    static final Rejection FULL = new Rejection(503, "proxy.memory-full");
+    private static final Rejection MALFORMED = new Rejection(400, "proxy.malformed");
+    private static final Rejection HEAD_TOO_LARGE = new Rejection(431, "proxy.head-too-large");
+    private static final Rejection LENGTHS = new Rejection(400, "proxy.lengths");
+    private static final Rejection HOST = new Rejection(400, "proxy.host");
+    private static final Rejection VERSION = new Rejection(505, "proxy.version");
+    private static final Rejection FORM = new Rejection(400, "proxy.path");
 
     /** What the decoder could not read. */
     static Rejection of(Throwable cause) {
@@ -33,7 +33,7 @@
     }
 
     /** A head that could be read; null: go on. Guards rule UNASKED: hosts must see the same request that we do. */
-    static Rejection of(HttpRequest request, Limits limits) {
+    static Rejection of(HttpRequest request, ClientLimits limits) {
         if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             return VERSION;
         }
--- a/src/main/java/brambletray/tray/flow/Hands.java
+++ b/src/main/java/brambletray/platform/proxy/RequestActions.java
@@ -1,35 +1,36 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
 
 /**
- * What a {@link Trip} wants done. The first word to the client ({@link #pass}, {@link #flow}, {@link #own}) is the only
+ * What a {@link RequestLifecycle} wants done. The first word to the client ({@link #pass}, {@link #flow}, {@link #own})
+ * is the only
  * one.
  */
-interface Hands {
+interface RequestActions {
     /** For a place; the answer may come at once. */
-    void ask(Ask ask);
+    void ask(SlotRequest ask);
 
     void forget(long askId);
 
     /** On a kept connection, or a new one; the host is to stop at {@code hostEnd}, ms of the steady clock. */
-    void send(Leg leg, long hostEnd);
+    void send(Attempt attempt, long hostEnd);
 
     /** Closes its connection, or stops waiting for one; nothing more is told of it. */
-    void cancel(Leg leg);
+    void cancel(Attempt attempt);
 
-    void done(Grant grant, Fate fate, int tookMs);
+    void done(SlotGrant grant, AttemptOutcome fate, int tookMs);
 
     /** How long this service's answers take, ms. */
     void took(int ms);
 
     /** The whole answer of this host is the client's. */
-    void pass(Leg leg);
+    void pass(Attempt attempt);
 
     /** So is this answer, of which more is still to come. */
-    void flow(Leg leg);
+    void flow(Attempt attempt);
 
     /** The answer that came by {@link #flow} is whole. */
     void flowed();
--- a/src/main/java/brambletray/tray/flow/Tally.java
+++ b/src/main/java/brambletray/platform/proxy/RequestCounters.java
@@ -1,10 +1,10 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
+import brambletray.platform.admission.AttemptOutcome;
 
 /** What has passed through this edge since it began; plain counts, for a log line every few seconds. The loop's. */
-public final class Tally {
-    private static final Fate[] FATES = Fate.values();
+public final class RequestCounters {
+    private static final AttemptOutcome[] FATES = AttemptOutcome.values();
 
     /**
      * Requests read whole; answered by a host; 404; 503 of ours; 502; 504; other 4xx of ours; clients gone before their
@@ -43,17 +43,18 @@
 
     private final long[] fates = new long[FATES.length];
 
-    void fate(Fate fate) {
+    void fate(AttemptOutcome fate) {
         fates[fate.ordinal()]++;
     }
 
     /** How often a request at a host had this end. */
-    public long of(Fate fate) {
+    public long of(AttemptOutcome fate) {
         return fates[fate.ordinal()];
     }
 
     /**
-     * Names and values in turn, as {@link brambletray.tray.tale.Tale#tell} takes them; fates that never came are left
+     * Names and values in turn, as {@link brambletray.platform.logging.EventLog#tell} takes them; fates that never came
+     * are left
      * out.
      */
     public Object[] facts() {
@@ -98,7 +99,7 @@
                 surplus,
                 "streamed",
                 streamed);
-        for (Fate fate : FATES) {
+        for (AttemptOutcome fate : FATES) {
             add(facts, fate.name().toLowerCase(java.util.Locale.ROOT), of(fate));
         }
         return facts.toArray();
--- a/src/main/java/brambletray/tray/flow/ClientDecoder.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDecoder.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,10 +19,10 @@
  * Reads requests strictly: two lengths, and a header that goes on in the next line, are how one request hides in
  * another (rule UNASKED), and are malformed here.
  */
-final class ClientDecoder extends HttpRequestDecoder {
+final class RequestDecoder extends HttpRequestDecoder {
     private static final int PIECE_MOST = 64 * 1024;
 
-    private final Client client;
+    private final ClientConnection client;
     /** Of what has been looked at: the last byte, and how many bytes beyond the reader's place. */
     private byte last;
 
@@ -32,7 +32,7 @@
 
     private boolean over;
 
-    ClientDecoder(Client client, int headerBytes) {
+    RequestDecoder(ClientConnection client, int headerBytes) {
         super(new HttpDecoderConfig()
                 .setMaxHeaderSize(headerBytes)
                 .setMaxInitialLineLength(headerBytes)
--- a/src/main/java/brambletray/tray/flow/Carriage.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDriver.java
@@ -1,9 +1,9 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
-import brambletray.tray.home.Pace;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.HedgeDelay;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
@@ -11,41 +11,49 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Carries out what a {@link Trip} wants, and tells it what happens: between one client, the broker and the lines to
+ * Carries out what a {@link RequestLifecycle} wants, and tells it what happens: between one client, the broker and the
+ * lines to
  * hosts.
  */
-final class Carriage implements Hands {
-    private final Flow flow;
-    private final Parcel parcel;
+final class RequestDriver implements RequestActions {
+    private final RequestRouter flow;
+    private final ClientRequest clientRequest;
     private final String id;
-    private final Plan plan;
+    private final RequestPlan plan;
     private final int mostLines;
-    private final Trip trip;
-    private final Pace pace;
-    private final List<Stop> stops = new ArrayList<>(2);
+    private final RequestLifecycle lifecycle;
+    private final HedgeDelay pace;
+    private final List<HostExchange> stops = new ArrayList<>(2);
     /** Null once it has its answer or is gone. */
-    private Client client;
+    private ClientConnection client;
     /** Where the answer comes from that is given on as it comes. */
-    private Stop flowing;
+    private HostExchange flowing;
 
     private Future<?> timer;
     private long timerAt;
     private boolean held = true;
     private boolean over;
 
-    Carriage(Flow flow, Client client, Parcel parcel, String id, Plan plan, int mostLines) {
+    RequestDriver(
+            RequestRouter flow,
+            ClientConnection client,
+            ClientRequest clientRequest,
+            String id,
+            RequestPlan plan,
+            int mostLines) {
         this.flow = flow;
         this.client = client;
-        this.parcel = parcel;
+        this.clientRequest = clientRequest;
         this.id = id;
         this.plan = plan;
         this.mostLines = mostLines;
         this.pace = flow.pace(plan.service());
-        this.trip = new Trip(plan, this, pace::delayMs, flow::nextAsk, flow.edge(), flow.zone(), flow.now());
+        this.lifecycle =
+                new RequestLifecycle(plan, this, pace::delayMs, flow::nextAsk, flow.edge(), flow.zone(), flow.now());
     }
 
     void begin() {
-        trip.begin(flow.now());
+        lifecycle.begin(flow.now());
         settle();
     }
 
@@ -53,17 +61,17 @@
     /** The client is gone; nobody reads what still comes. */
     void gone() {
         if (client != null) {
-            flow.tally().left++;
+            flow.counters().left++;
             to();
             roomAgain();
-            trip.gone(flow.now());
+            lifecycle.gone(flow.now());
             settle();
         }
     }
 
     /** The process ends: the client is answered now unless its answer has begun. */
     void giveUp() {
-        trip.giveUp(flow.now());
+        lifecycle.giveUp(flow.now());
         settle();
     }
 
@@ -75,8 +83,8 @@
     }
 
     /** The client, for its last word. */
-    private Client to() {
-        Client to = client;
+    private ClientConnection to() {
+        ClientConnection to = client;
         client = null;
         flow.answered();
         return to;
@@ -85,10 +93,10 @@
     // ---- Time -----------------------------------------------------------------------------------
     /** After each event: the next timer, and what is to be let go of. */
     private void settle() {
-        if (trip.settled()) {
+        if (lifecycle.settled()) {
             letGo();
         }
-        if (trip.over()) {
+        if (lifecycle.over()) {
             if (!over) {
                 over = true;
                 flow.over();
@@ -96,7 +104,7 @@
             stopTimer();
             return;
         }
-        long due = trip.due();
+        long due = lifecycle.due();
         if (timer == null || timerAt > due) {
             stopTimer();
             timerAt = due;
@@ -106,7 +114,7 @@
 
     private void tick() {
         timer = null;
-        trip.tick(flow.now());
+        lifecycle.tick(flow.now());
         settle();
     }
 
@@ -120,8 +128,8 @@
     private void letGo() {
         if (held) {
             held = false;
-            int bytes = parcel.body().readableBytes();
-            parcel.release();
+            int bytes = clientRequest.body().readableBytes();
+            clientRequest.release();
             flow.hold().give(bytes);
         }
         for (int i = 0; i < stops.size(); i++) {
@@ -131,20 +139,20 @@
 
     // ---- Hands ----------------------------------------------------------------------------------
     @Override
-    public void ask(Ask ask) {
-        flow.tally().asks++;
-        flow.tally().agains += ask.again() && !ask.copy() ? 1 : 0;
-        flow.broker().ask(ask, new Taker() {
+    public void ask(SlotRequest ask) {
+        flow.counters().asks++;
+        flow.counters().agains += ask.again() && !ask.copy() ? 1 : 0;
+        flow.broker().ask(ask, new SlotRequester() {
             @Override
-            public void granted(Grant grant) {
-                trip.granted(grant, flow.now());
+            public void granted(SlotGrant grant) {
+                lifecycle.granted(grant, flow.now());
                 settle();
             }
 
             @Override
             public void refused(int comeBackMs) {
-                flow.tally().copiesRefused += ask.copy() ? 1 : 0;
-                trip.refused(ask.id(), comeBackMs, flow.now());
+                flow.counters().copiesRefused += ask.copy() ? 1 : 0;
+                lifecycle.refused(ask.id(), comeBackMs, flow.now());
                 settle();
             }
         });
@@ -156,21 +164,21 @@
     }
 
     @Override
-    public void send(Leg leg, long hostEnd) {
-        Stop stop = new Stop(this, leg, hostEnd);
-        leg.tag = stop;
+    public void send(Attempt attempt, long hostEnd) {
+        HostExchange stop = new HostExchange(this, attempt, hostEnd);
+        attempt.tag = stop;
         stops.add(stop);
         flow.lines().send(stop);
     }
 
     @Override
-    public void cancel(Leg leg) {
-        ((Stop) leg.tag).cancel(flow.lines());
+    public void cancel(Attempt attempt) {
+        ((HostExchange) attempt.tag).cancel(flow.lines());
     }
 
     @Override
-    public void done(Grant grant, Fate fate, int tookMs) {
-        flow.tally().fate(fate);
+    public void done(SlotGrant grant, AttemptOutcome fate, int tookMs) {
+        flow.counters().fate(fate);
         flow.broker().done(grant, fate, tookMs);
     }
 
@@ -180,21 +188,21 @@
     }
 
     @Override
-    public void pass(Leg leg) {
-        passed(leg);
-        to().answer(((Stop) leg.tag).take());
+    public void pass(Attempt attempt) {
+        passed(attempt);
+        to().answer(((HostExchange) attempt.tag).take());
     }
 
     @Override
-    public void flow(Leg leg) {
-        passed(leg);
-        flowing = (Stop) leg.tag;
+    public void flow(Attempt attempt) {
+        passed(attempt);
+        flowing = (HostExchange) attempt.tag;
         client.flow(flowing.coming());
     }
 
-    private void passed(Leg leg) {
-        flow.tally().passed++;
-        flow.tally().copiesWon += leg.copy ? 1 : 0;
+    private void passed(Attempt attempt) {
+        flow.counters().passed++;
+        flow.counters().copiesWon += attempt.copy ? 1 : 0;
     }
 
     @Override
@@ -209,7 +217,7 @@
     public void cut() {
         flowing = null;
         if (client != null) {
-            flow.tally().failed++;
+            flow.counters().failed++;
             to().cut();
         }
     }
@@ -217,11 +225,11 @@
     @Override
     public void own(int status, int comeBackMs) {
         boolean refused = status == 503;
-        flow.tally().refused += refused ? 1 : 0;
-        flow.tally().late += status == 504 ? 1 : 0;
-        flow.tally().failed += status == 502 ? 1 : 0;
+        flow.counters().refused += refused ? 1 : 0;
+        flow.counters().late += status == 504 ? 1 : 0;
+        flow.counters().failed += status == 502 ? 1 : 0;
         if (!refused) {
-            flow.murmur()
+            flow.rateLimitedLog()
                     .tell(
                             flow.now(),
                             "gave-up",
@@ -234,15 +242,20 @@
                             "hosts",
                             stops.size(),
                             "took",
-                            flow.now() - parcel.at());
+                            flow.now() - clientRequest.at());
         }
-        String code = refused ? "flow.no-place" : status == 504 ? "flow.out-of-time" : "flow.host-failed";
-        to().own(status, code, !refused ? -1 : comeBackMs < 0 ? Flow.COME_BACK_MS : comeBackMs, id, parcel.head());
+        String code = refused ? "proxy.no-place" : status == 504 ? "proxy.out-of-time" : "proxy.host-failed";
+        to().own(
+                        status,
+                        code,
+                        !refused ? -1 : comeBackMs < 0 ? RequestRouter.COME_BACK_MS : comeBackMs,
+                        id,
+                        clientRequest.head());
     }
 
     // ---- From its stops -------------------------------------------------------------------------
-    Parcel parcel() {
-        return parcel;
+    ClientRequest clientRequest() {
+        return clientRequest;
     }
 
     String id() {
@@ -261,26 +274,26 @@
         return flow.hold();
     }
 
-    void up(Leg leg) {
-        if (leg.grant.booting()) {
-            flow.broker().up(leg.grant);
+    void up(Attempt attempt) {
+        if (attempt.grant.booting()) {
+            flow.broker().up(attempt.grant);
         }
     }
 
-    void sent(Leg leg) {
-        flow.tally().sends++;
-        flow.tally().copies += leg.copy ? 1 : 0;
-        trip.sent(leg, flow.now());
+    void sent(Attempt attempt) {
+        flow.counters().sends++;
+        flow.counters().copies += attempt.copy ? 1 : 0;
+        lifecycle.sent(attempt, flow.now());
         settle();
     }
 
-    void unreached(Leg leg) {
-        trip.unreached(leg, flow.now());
+    void unreached(Attempt attempt) {
+        lifecycle.unreached(attempt, flow.now());
         settle();
     }
 
-    boolean flowing(Leg leg) {
-        boolean wanted = trip.flowing(leg, flow.now());
+    boolean flowing(Attempt attempt) {
+        boolean wanted = lifecycle.flowing(attempt, flow.now());
         settle();
         return wanted;
     }
@@ -303,16 +316,16 @@
     }
 
     /** Whether its byte may still go out now. */
-    boolean wanted(Leg leg) {
-        if (trip.due() <= flow.now()) {
-            trip.tick(flow.now());
+    boolean wanted(Attempt attempt) {
+        if (lifecycle.due() <= flow.now()) {
+            lifecycle.tick(flow.now());
             settle();
         }
-        return leg.live;
+        return attempt.live;
     }
 
-    void ended(Leg leg, Fate fate, boolean withheld) {
-        trip.ended(leg, fate, withheld, flow.now());
+    void ended(Attempt attempt, AttemptOutcome fate, boolean withheld) {
+        lifecycle.ended(attempt, fate, withheld, flow.now());
         settle();
     }
 }
--- a/src/main/java/brambletray/tray/flow/Trip.java
+++ b/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
@@ -1,14 +1,14 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
  * One request's life, from when it was read to its one answer and to the end of its work at hosts. Pure: events come in
- * with their time, what is to be done goes out through {@link Hands}.
+ * with their time, what is to be done goes out through {@link RequestActions}.
  *
  * <p>What may be sent where: a repeatable request to at most {@code mostHosts} hosts; any other to the next one only
  * after proof that it did not run (rule TWICE). The design on the ordinary path: when no answer has come after the
@@ -16,7 +16,7 @@
  * cancelled. A request that has been given up is answered at once: 503 if it provably never ran (rule REFUSED), 504 at
  * the end of its time, 502 else.
  */
-final class Trip {
+final class RequestLifecycle {
     /** ms before the end: our own answer has to reach the client; and so much sooner does a host stop. */
     private static final int ANSWER_MARGIN = 20;
 
@@ -29,13 +29,13 @@
     private static final int COPY_ASKS = 4;
     private static final int UNREACHED_MOST = 4;
 
-    private final Plan plan;
-    private final Hands hands;
+    private final RequestPlan plan;
+    private final RequestActions hands;
     private final IntSupplier delayMs;
     private final LongSupplier askIds;
     private final String edge;
     private final String zone;
-    private final Legs legs;
+    private final Attempts attempts;
     private final long lastCall;
     /** The ask that is out; 0 for none. */
     private long asking;
@@ -51,19 +51,26 @@
 
     private int comeBackMs = -1;
     /** A host's own failure: the answer if nothing better comes. */
-    private Leg held;
+    private Attempt held;
 
-    private Leg flowing;
+    private Attempt flowing;
     private boolean settled;
 
-    Trip(Plan plan, Hands hands, IntSupplier delayMs, LongSupplier askIds, String edge, String zone, long now) {
+    RequestLifecycle(
+            RequestPlan plan,
+            RequestActions hands,
+            IntSupplier delayMs,
+            LongSupplier askIds,
+            String edge,
+            String zone,
+            long now) {
         this.plan = plan;
         this.hands = hands;
         this.delayMs = delayMs;
         this.askIds = askIds;
         this.edge = edge;
         this.zone = zone;
-        this.legs = new Legs(hands, plan.end());
+        this.attempts = new Attempts(hands, plan.end());
         this.lastCall = plan.end() - Math.min(ANSWER_MARGIN, Math.max(0, plan.end() - now) / 8);
     }
 
@@ -82,13 +89,13 @@
 
     /** Nothing more will happen. */
     boolean over() {
-        return settled && asking == 0 && legs.live() == 0;
+        return settled && asking == 0 && attempts.live() == 0;
     }
 
     /** When {@link #tick} is next needed, ms; {@link Long#MAX_VALUE}: never. */
     long due() {
         if (settled) {
-            return legs.live() == 0 ? Long.MAX_VALUE : plan.end() + LINGER;
+            return attempts.live() == 0 ? Long.MAX_VALUE : plan.end() + LINGER;
         }
         return copyAt != 0 && asking == 0 ? Math.min(copyAt, lastCall) : lastCall;
     }
@@ -98,7 +105,7 @@
         asking = askIds.getAsLong();
         askingCopy = copy;
         copyAsks += copy ? 1 : 0;
-        hands.ask(new Ask(
+        hands.ask(new SlotRequest(
                 asking,
                 edge,
                 zone,
@@ -109,14 +116,14 @@
                 copy,
                 sentHosts > 0,
                 plan.inner(),
-                legs.hosts()));
+                attempts.hosts()));
     }
 
-    void granted(Grant grant, long now) {
+    void granted(SlotGrant grant, long now) {
         if (grant.askId() != asking) {
             // Guards places against leaking: this ask was forgotten while its grant was under way. One that comes twice
             // is in use.
-            if (!legs.holds(grant.askId())) {
+            if (!attempts.holds(grant.askId())) {
                 hands.forget(grant.askId());
             }
             return;
@@ -132,7 +139,7 @@
             next(now);
             return;
         }
-        hands.send(legs.add(grant, askingCopy, now), plan.end() - HOST_MARGIN);
+        hands.send(attempts.add(grant, askingCopy, now), plan.end() - HOST_MARGIN);
     }
 
     void refused(long askId, int comeBackMs, long now) {
@@ -140,7 +147,7 @@
             return;
         }
         asking = 0;
-        if (askingCopy && legs.live() > 0) {
+        if (askingCopy && attempts.live() > 0) {
             copyAt = copyAsks < COPY_ASKS ? now + Math.max(COPY_AGAIN, comeBackMs) : 0;
         } else if (askingCopy) {
             next(now);
@@ -152,18 +159,18 @@
 
     // ---- At hosts -------------------------------------------------------------------------------
     /** The first byte has gone out. */
-    void sent(Leg leg, long now) {
-        if (!leg.live || leg.sent()) {
+    void sent(Attempt attempt, long now) {
+        if (!attempt.live || attempt.sent()) {
             return;
         }
-        leg.sentAt = now;
+        attempt.sentAt = now;
         sentHosts++;
         copyAt = copyWanted() ? now + Math.max(1, delayMs.getAsInt()) : 0;
     }
 
     /** No connection came up: it did not run, and did not arrive. */
-    void unreached(Leg leg, long now) {
-        if (legs.end(leg, Fate.UNREACHED, (int) (now - leg.grantedAt))) {
+    void unreached(Attempt attempt, long now) {
+        if (attempts.end(attempt, AttemptOutcome.UNREACHED, (int) (now - attempt.grantedAt))) {
             unreached++;
             copyAt = copyWanted() ? now + COPY_AGAIN : 0;
             next(now);
@@ -175,33 +182,33 @@
      * it must not be passed on, as its status promises that the request did not run (408, 421, 429, 503) without proof
      * of it, or it was too large to be held.
      */
-    void ended(Leg leg, Fate fate, boolean withheld, long now) {
-        int took = (int) (now - (leg.sent() ? leg.sentAt : leg.grantedAt));
-        if (!legs.end(leg, fate, took)) {
+    void ended(Attempt attempt, AttemptOutcome fate, boolean withheld, long now) {
+        int took = (int) (now - (attempt.sent() ? attempt.sentAt : attempt.grantedAt));
+        if (!attempts.end(attempt, fate, took)) {
             return;
         }
-        if (leg == flowing) {
+        if (attempt == flowing) {
             flowed(fate);
             return;
         }
-        if (fate == Fate.SERVED) {
+        if (fate == AttemptOutcome.SERVED) {
             hands.took(took);
             if (!settled) {
-                settle(leg, now);
-                hands.pass(leg);
+                settle(attempt, now);
+                hands.pass(attempt);
             }
             return;
         }
-        unproven |= fate == Fate.FAILED || fate == Fate.BROKEN;
-        if (fate == Fate.FAILED && !withheld) {
-            held = leg;
+        unproven |= fate == AttemptOutcome.FAILED || fate == AttemptOutcome.BROKEN;
+        if (fate == AttemptOutcome.FAILED && !withheld) {
+            held = attempt;
         }
         next(now);
     }
 
-    private void flowed(Fate fate) {
+    private void flowed(AttemptOutcome fate) {
         flowing = null;
-        if (fate == Fate.SERVED) {
+        if (fate == AttemptOutcome.SERVED) {
             hands.flowed();
         } else {
             hands.cut();
@@ -209,20 +216,20 @@
     }
 
     /** An answer too large to be held back is coming: true if it is the client's. */
-    boolean flowing(Leg leg, long now) {
-        if (settled || !leg.live) {
+    boolean flowing(Attempt attempt, long now) {
+        if (settled || !attempt.live) {
             return false;
         }
-        settle(leg, now);
-        flowing = leg;
-        hands.flow(leg);
+        settle(attempt, now);
+        flowing = attempt;
+        hands.flow(attempt);
         return true;
     }
 
     /** The first usable answer settles; what else is out is called off. */
-    private void settle(Leg winner, long now) {
+    private void settle(Attempt winner, long now) {
         close();
-        legs.callOffOthers(winner, now);
+        attempts.callOffOthers(winner, now);
     }
 
     /** No more is asked for. */
@@ -239,7 +246,7 @@
     // ---- What next ------------------------------------------------------------------------------
     /** After an end that is no answer: wait for what is out, go to another host, or give up. */
     private void next(long now) {
-        if (settled || asking != 0 || legs.live() > 0) {
+        if (settled || asking != 0 || attempts.live() > 0) {
             return;
         }
         copyAt = 0;
@@ -272,16 +279,16 @@
     void tick(long now) {
         if (settled) {
             if (now >= plan.end() + LINGER) {
-                legs.giveUp(now);
+                attempts.giveUp(now);
                 if (flowing != null) {
-                    flowed(Fate.SILENT);
+                    flowed(AttemptOutcome.SILENT);
                 }
             }
         } else if (now >= lastCall) {
             timeUp(now);
         } else if (copyAt != 0 && now >= copyAt && asking == 0) {
             copyAt = 0;
-            if (legs.live() > 0 && copyWanted()) {
+            if (attempts.live() > 0 && copyWanted()) {
                 request(true, now);
             }
         }
@@ -290,11 +297,13 @@
     /** The client is answered; what is at a host is left to finish there. */
     private void timeUp(long now) {
         close();
-        unproven |= legs.leave(now);
+        unproven |= attempts.leave(now);
         conclude(now);
     }
 
-    /** No time is left, though the request's own is not over: the client is answered now unless its answer has begun. */
+    /**
+     * No time is left, though the request's own is not over: the client is answered now unless its answer has begun.
+     */
     void giveUp(long now) {
         if (!settled) {
             timeUp(now);
@@ -305,7 +314,7 @@
     void gone(long now) {
         if (!settled) {
             close();
-            legs.leave(now);
+            attempts.leave(now);
         }
     }
 }
--- a/src/main/java/brambletray/tray/flow/Plan.java
+++ b/src/main/java/brambletray/platform/proxy/RequestPlan.java
@@ -1,8 +1,9 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 /**
  * What one request asks for. {@code end}: when its time is over, ms of the steady clock; {@code mostHosts}: to how many
  * hosts it may be sent ({@code retry-count}, 1 at least); {@code targetMs}: its aim, ms; {@code inner}: a host of ours
  * calls.
  */
-record Plan(String service, boolean repeatable, int mostHosts, int priority, int targetMs, boolean inner, long end) {}
+record RequestPlan(
+        String service, boolean repeatable, int mostHosts, int priority, int targetMs, boolean inner, long end) {}
--- a/src/main/java/brambletray/tray/flow/RequestReader.java
+++ b/src/main/java/brambletray/platform/proxy/RequestReader.java
@@ -1,6 +1,6 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.creed.Limits;
+import brambletray.platform.configuration.ClientLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpContent;
@@ -15,7 +15,7 @@
 final class RequestReader {
     private final MemoryBudget hold;
     /** Those in force when the request began. */
-    private Limits limits;
+    private ClientLimits limits;
 
     private final List<ByteBuf> parts = new ArrayList<>(1);
     private HttpRequest head;
@@ -27,7 +27,7 @@
     }
 
     /** Null: go on; else why it is turned away. */
-    Rejection head(HttpRequest request, long now, Limits inForce) {
+    Rejection head(HttpRequest request, long now, ClientLimits inForce) {
         head = request;
         limits = inForce;
         at = now;
@@ -35,7 +35,7 @@
     }
 
     /** When the time of the request that is being read is over, ms of the steady clock. */
-    long end(Flow flow) {
+    long end(RequestRouter flow) {
         return head == null ? Long.MAX_VALUE : flow.end(head.headers(), head.uri(), at);
     }
 
@@ -61,7 +61,7 @@
     }
 
     /** It is whole: whoever takes it gives its bytes back to the hold. */
-    Parcel whole() {
+    ClientRequest whole() {
         HttpHeaders headers = head.headers();
         HttpMethod method = head.method();
         boolean bodied = size > 0
@@ -77,9 +77,9 @@
         }
         parts.clear();
         size = 0;
-        Parcel parcel = new Parcel(method.name(), head.uri(), headers, body, bodied, at);
+        ClientRequest clientRequest = new ClientRequest(method.name(), head.uri(), headers, body, bodied, at);
         head = null;
-        return parcel;
+        return clientRequest;
     }
 
     void drop() {
--- a/src/main/java/brambletray/tray/flow/Flow.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -1,11 +1,11 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
+import brambletray.platform.admission.HedgeDelay;
+import brambletray.platform.configuration.ClientLimits;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Route;
+import brambletray.platform.configuration.Service;
 import brambletray.runtime.Machine;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Limits;
-import brambletray.tray.creed.Route;
-import brambletray.tray.creed.Service;
-import brambletray.tray.home.Pace;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashMap;
@@ -15,8 +15,8 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
-/** Finds each request's route and starts its {@link Trip}. The loop's. */
-public final class Flow {
+/** Finds each request's route and starts its {@link RequestLifecycle}. The loop's. */
+public final class RequestRouter {
     /** ms; told where nobody knows better when to come back. */
     static final int COME_BACK_MS = 200;
     /** ms; told while there is no configuration yet. */
@@ -27,15 +27,15 @@
     private final Machine machine;
     private final String edge;
     private final String zone;
-    private final Supplier<Creed> creed;
-    private final Broker broker;
+    private final Supplier<Configuration> configuration;
+    private final SlotBroker broker;
     private final Predicate<String> isHost;
-    private final Lines lines;
-    private final Tally tally;
+    private final HostConnectionPools lines;
+    private final RequestCounters counters;
     private final MemoryBudget hold;
-    private final Murmur murmur = new Murmur();
+    private final RateLimitedLog rateLimitedLog = new RateLimitedLog();
     private final SplittableRandom shares;
-    private final Map<String, Pace> paces = new HashMap<>();
+    private final Map<String, HedgeDelay> paces = new HashMap<>();
     private long asks;
     private int waiting;
     private int trips;
@@ -47,25 +47,25 @@
      * know, whose calls are inner ones; {@code mostBytes}: of requests and answers held at one time; above that new
      * ones are refused; {@code seed}: for the shares of routes.
      */
-    public Flow(
+    public RequestRouter(
             Machine machine,
             String edge,
             String zone,
-            Supplier<Creed> creed,
-            Broker broker,
+            Supplier<Configuration> configuration,
+            SlotBroker broker,
             Predicate<String> isHost,
-            Lines lines,
-            Tally tally,
+            HostConnectionPools lines,
+            RequestCounters counters,
             long mostBytes,
             long seed) {
         this.machine = machine;
         this.edge = edge;
         this.zone = zone;
-        this.creed = creed;
+        this.configuration = configuration;
         this.broker = broker;
         this.isHost = isHost;
         this.lines = lines;
-        this.tally = tally;
+        this.counters = counters;
         this.hold = new MemoryBudget(mostBytes);
         this.shares = new SplittableRandom(seed);
         // Guards against the ids of the process before, whose asks homes may still know.
@@ -87,12 +87,12 @@
         return hold.held();
     }
 
-    Limits limits() {
-        return creed.get().limits();
+    ClientLimits limits() {
+        return configuration.get().limits();
     }
 
-    Murmur murmur() {
-        return murmur;
+    RateLimitedLog rateLimitedLog() {
+        return rateLimitedLog;
     }
 
     MemoryBudget hold() {
@@ -106,73 +106,74 @@
 
     /** A request that could not be read. */
     void turnedAway(int status) {
-        tally.wrong += status == 503 ? 0 : 1;
-        tally.refused += status == 503 ? 1 : 0;
+        counters.wrong += status == 503 ? 0 : 1;
+        counters.refused += status == 503 ? 1 : 0;
     }
 
     /** Starts a request on its way, or answers it. */
-    void serve(Client client, Parcel parcel) {
-        tally.requests++;
-        HttpHeaders headers = parcel.headers();
-        Iterator<String> ids = headers.valueStringIterator(Parcel.ID);
+    void serve(ClientConnection client, ClientRequest clientRequest) {
+        counters.requests++;
+        HttpHeaders headers = clientRequest.headers();
+        Iterator<String> ids = headers.valueStringIterator(ClientRequest.ID);
         String id = ids.hasNext() ? ids.next() : "";
         if (id.isEmpty() || ids.hasNext()) {
-            tally.wrong++;
-            own(client, parcel, 400, "flow.no-id", -1, null);
+            counters.wrong++;
+            own(client, clientRequest, 400, "proxy.no-id", -1, null);
             return;
         }
-        Creed now = creed.get();
-        if (now == Creed.NONE) {
-            tally.refused++;
-            own(client, parcel, 503, "flow.no-configuration", NO_CREED_MS, id);
+        Configuration now = configuration.get();
+        if (now == Configuration.NONE) {
+            counters.refused++;
+            own(client, clientRequest, 503, "proxy.no-configuration", NO_CREED_MS, id);
             return;
         }
-        Route route = now.match(headers.get(HttpHeaderNames.HOST), parcel.path());
+        Route route = now.match(headers.get(HttpHeaderNames.HOST), clientRequest.path());
         if (route == null) {
-            tally.unrouted++;
-            own(client, parcel, 404, "flow.no-route", -1, id);
+            counters.unrouted++;
+            own(client, clientRequest, 404, "proxy.no-route", -1, id);
             return;
         }
         if (refusing || trips >= TRIPS_MOST) {
-            tally.refused++;
-            own(client, parcel, 503, refusing ? "flow.ending" : "flow.full", COME_BACK_MS, id);
+            counters.refused++;
+            own(client, clientRequest, 503, refusing ? "proxy.ending" : "proxy.full", COME_BACK_MS, id);
             return;
         }
         String service = route.pick(shares.nextDouble());
         Service known = now.services().get(service);
-        Plan plan = new Plan(
+        RequestPlan plan = new RequestPlan(
                 service,
                 route.repeatable(),
                 Math.max(1, route.retryCount()),
                 route.priority(),
                 route.targetMs(),
                 isHost.test(client.ip()),
-                end(headers, route, parcel.at()));
-        Carriage carriage = new Carriage(
-                this, client, parcel, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
+                end(headers, route, clientRequest.at()));
+        RequestDriver driver = new RequestDriver(
+                this, client, clientRequest, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
         trips++;
         waiting++;
-        client.carried(carriage);
-        carriage.begin();
+        client.carried(driver);
+        driver.begin();
     }
 
-    private void own(Client client, Parcel parcel, int status, String code, int comeBackMs, String id) {
-        int bytes = parcel.body().readableBytes();
-        boolean bare = parcel.head();
-        parcel.release();
+    private void own(
+            ClientConnection client, ClientRequest clientRequest, int status, String code, int comeBackMs, String id) {
+        int bytes = clientRequest.body().readableBytes();
+        boolean bare = clientRequest.head();
+        clientRequest.release();
         hold.give(bytes);
         client.own(status, code, comeBackMs, id, bare);
     }
 
     /** When the time of a request with this head is over, ms; {@link Long#MAX_VALUE} where it has no route. */
     long end(HttpHeaders headers, String uri, long at) {
-        Route route = creed.get().match(headers.get(HttpHeaderNames.HOST), Parcel.path(uri));
+        Route route = configuration.get().match(headers.get(HttpHeaderNames.HOST), ClientRequest.path(uri));
         return route == null ? Long.MAX_VALUE : end(headers, route, at);
     }
 
     private static long end(HttpHeaders headers, Route route, long at) {
         int untold = route.timeoutMs();
-        return at + Math.min(remaining(headers.get(Parcel.REMAINING), untold), untold);
+        return at + Math.min(remaining(headers.get(ClientRequest.REMAINING), untold), untold);
     }
 
     /** ms; what is not a number counts as untold. */
@@ -208,16 +209,16 @@
         return zone;
     }
 
-    Broker broker() {
+    SlotBroker broker() {
         return broker;
     }
 
-    Lines lines() {
+    HostConnectionPools lines() {
         return lines;
     }
 
-    Tally tally() {
-        return tally;
+    RequestCounters counters() {
+        return counters;
     }
 
     long nextAsk() {
@@ -225,14 +226,14 @@
     }
 
     /** The delay of copies to this service. Bounded by the services in force. */
-    Pace pace(String service) {
-        Pace pace = paces.get(service);
+    HedgeDelay pace(String service) {
+        HedgeDelay pace = paces.get(service);
         if (pace == null) {
-            Map<String, Service> services = creed.get().services();
+            Map<String, Service> services = configuration.get().services();
             if (paces.size() > 64 + 2 * services.size()) {
                 paces.keySet().retainAll(services.keySet());
             }
-            pace = new Pace();
+            pace = new HedgeDelay();
             paces.put(service, pace);
         }
         return pace;
--- a/src/main/java/brambletray/tray/flow/HostDecoder.java
+++ b/src/main/java/brambletray/platform/proxy/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,14 +12,14 @@
  * Reads answers of hosts. Bytes that no request waits for are not looked at: they end the connection (connection
  * poisoning).
  */
-final class HostDecoder extends HttpResponseDecoder {
+final class ResponseDecoder extends HttpResponseDecoder {
     private static final int HEAD_MOST = 16 * 1024;
     private static final int LINE_MOST = 4 * 1024;
     private static final int PIECE_MOST = 64 * 1024;
 
     private final HostConnection line;
 
-    HostDecoder(HostConnection line) {
+    ResponseDecoder(HostConnection line) {
         super(new HttpDecoderConfig()
                 .setMaxHeaderSize(HEAD_MOST)
                 .setMaxInitialLineLength(LINE_MOST)
--- a/src/main/java/brambletray/tray/flow/Reading.java
+++ b/src/main/java/brambletray/platform/proxy/ResponseReader.java
@@ -1,6 +1,6 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
+import brambletray.platform.admission.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
@@ -12,17 +12,17 @@
  * on as it comes. Only a success is given on as it comes: what else is too large to be held is read to its end and
  * counts as a failure without an answer.
  */
-final class Reading {
+final class ResponseReader {
     /** Bytes of an answer that are held until it is whole: a cut one never reaches a client, and can be tried again. */
     static final int HELD = 512 * 1024;
     /** Answers ahead of ours that are skipped: 1xx, or surplus. */
     private static final int AHEAD_MOST = 8;
 
-    private final Errand errand;
-    private final Tally tally;
+    private final HostCall hostCall;
+    private final RequestCounters counters;
     private final boolean reused;
-    private Verdict verdict;
-    private Answer answer;
+    private ResponseVerdict verdict;
+    private HostResponse answer;
     private boolean sent;
     private boolean skipping;
     private boolean flowing;
@@ -33,9 +33,9 @@
     private int ahead;
 
     /** {@code reused}: its connection has carried another request before, whose late bytes may still come. */
-    Reading(Errand errand, Tally tally, boolean reused) {
-        this.errand = errand;
-        this.tally = tally;
+    ResponseReader(HostCall hostCall, RequestCounters counters, boolean reused) {
+        this.hostCall = hostCall;
+        this.counters = counters;
         this.reused = reused;
     }
 
@@ -48,8 +48,8 @@
         return sent;
     }
 
-    Errand errand() {
-        return errand;
+    HostCall hostCall() {
+        return hostCall;
     }
 
     boolean complete() {
@@ -61,7 +61,7 @@
         return lasting;
     }
 
-    Verdict verdict() {
+    ResponseVerdict verdict() {
         return verdict;
     }
 
@@ -71,8 +71,10 @@
     }
 
     /** The whole answer, where it is one for clients; its bytes are the caller's. */
-    Answer answer() {
-        return !withheld && (verdict.fate() == Fate.SERVED || verdict.fate() == Fate.FAILED) ? answer : null;
+    HostResponse answer() {
+        return !withheld && (verdict.fate() == AttemptOutcome.SERVED || verdict.fate() == AttemptOutcome.FAILED)
+                ? answer
+                : null;
     }
 
     /** What the host says of how long it keeps the connection; null: nothing. */
@@ -87,29 +89,32 @@
             skipping = true;
             return status >= 100 && status != 101 && ++ahead <= AHEAD_MOST;
         }
-        boolean bare = status == 204 || status == 304 || errand.parcel().head();
-        Framing framing = Framing.of(head, bare);
-        verdict = framing == Framing.NONE ? Verdict.JUNK : Verdict.of(errand.id(), status, head.headers());
-        if (verdict.nameless() && reused && errand.careful()) {
+        boolean bare =
+                status == 204 || status == 304 || hostCall.clientRequest().head();
+        BodyFraming framing = BodyFraming.of(head, bare);
+        verdict = framing == BodyFraming.NONE
+                ? ResponseVerdict.JUNK
+                : ResponseVerdict.of(hostCall.id(), status, head.headers());
+        if (verdict.nameless() && reused && hostCall.careful()) {
             // Guards rule TWICE: a late one of the request before looks the same, and proves nothing of this one.
-            verdict = Verdict.JUNK;
+            verdict = ResponseVerdict.JUNK;
         }
         lasting &= HttpUtil.isKeepAlive(head)
                 && !verdict.nameless()
-                && !errand.parcel().head();
-        skipping = verdict == Verdict.SURPLUS;
+                && !hostCall.clientRequest().head();
+        skipping = verdict == ResponseVerdict.SURPLUS;
         if (skipping) {
-            tally.surplus++;
+            counters.surplus++;
             // Where one came, more may: no other request goes out here. And how long it is can't be told by the rules
             // of an answer to HEAD.
             lasting = false;
-            return !errand.parcel().head() && ++ahead <= AHEAD_MOST;
+            return !hostCall.clientRequest().head() && ++ahead <= AHEAD_MOST;
         }
-        answer =
-                new Answer(status, head.status().reasonPhrase(), head.headers(), framing.length(), bare, errand.hold());
+        answer = new HostResponse(
+                status, head.status().reasonPhrase(), head.headers(), framing.length(), bare, hostCall.hold());
         withheld = verdict.promise();
-        dropping = withheld || verdict.fate() != Fate.SERVED && verdict.fate() != Fate.FAILED;
-        return verdict != Verdict.JUNK;
+        dropping = withheld || verdict.fate() != AttemptOutcome.SERVED && verdict.fate() != AttemptOutcome.FAILED;
+        return verdict != ResponseVerdict.JUNK;
     }
 
     /** False: stop reading until the client has room again. */
@@ -130,7 +135,7 @@
             if (answer.add(bytes, HELD)) {
                 return true;
             }
-            flowing = verdict.fate() == Fate.SERVED && errand.flow(answer);
+            flowing = verdict.fate() == AttemptOutcome.SERVED && hostCall.flow(answer);
             if (!flowing) {
                 // Nobody waits for it any more, or it is a failure; but to break the host's work off has a price.
                 dropping = true;
@@ -139,9 +144,9 @@
                 answer.drop();
                 return true;
             }
-            tally.streamed++;
+            counters.streamed++;
         }
-        return errand.more(bytes);
+        return hostCall.more(bytes);
     }
 
     void drop() {
--- a/src/main/java/brambletray/tray/flow/Verdict.java
+++ b/src/main/java/brambletray/platform/proxy/ResponseVerdict.java
@@ -1,6 +1,6 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Fate;
+import brambletray.platform.admission.AttemptOutcome;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Iterator;
@@ -12,25 +12,26 @@
  * status promises that the request did not run, without proof. {@code nameless}: it carries no id, so what else comes
  * on its connection can't be told apart.
  */
-record Verdict(Fate fate, boolean promise, boolean nameless) {
-    static final Verdict SURPLUS = new Verdict(null, false, false);
-    static final Verdict JUNK = new Verdict(Fate.BROKEN, false, false);
-    private static final Verdict SERVED = new Verdict(Fate.SERVED, false, false);
-    private static final Verdict FAILED = new Verdict(Fate.FAILED, false, false);
-    private static final Verdict PROMISED = new Verdict(Fate.FAILED, true, false);
-    private static final Verdict NOT_RUN = new Verdict(Fate.NOT_RUN, false, false);
-    private static final Verdict WRONG_HOST = new Verdict(Fate.WRONG_HOST, false, false);
-    private static final Verdict NOT_RUN_NAMELESS = new Verdict(Fate.NOT_RUN, false, true);
-    private static final Verdict WRONG_HOST_NAMELESS = new Verdict(Fate.WRONG_HOST, false, true);
+record ResponseVerdict(AttemptOutcome fate, boolean promise, boolean nameless) {
+    static final ResponseVerdict SURPLUS = new ResponseVerdict(null, false, false);
+    static final ResponseVerdict JUNK = new ResponseVerdict(AttemptOutcome.BROKEN, false, false);
+    private static final ResponseVerdict SERVED = new ResponseVerdict(AttemptOutcome.SERVED, false, false);
+    private static final ResponseVerdict FAILED = new ResponseVerdict(AttemptOutcome.FAILED, false, false);
+    private static final ResponseVerdict PROMISED = new ResponseVerdict(AttemptOutcome.FAILED, true, false);
+    private static final ResponseVerdict NOT_RUN = new ResponseVerdict(AttemptOutcome.NOT_RUN, false, false);
+    private static final ResponseVerdict WRONG_HOST = new ResponseVerdict(AttemptOutcome.WRONG_HOST, false, false);
+    private static final ResponseVerdict NOT_RUN_NAMELESS = new ResponseVerdict(AttemptOutcome.NOT_RUN, false, true);
+    private static final ResponseVerdict WRONG_HOST_NAMELESS =
+            new ResponseVerdict(AttemptOutcome.WRONG_HOST, false, true);
 
     /** The highest status that HTTP has. */
     private static final int STATUS_MOST = 599;
 
     /** For a log line: what an answer that isn't one carries. */
     static String traits(int status, HttpHeaders headers) {
-        return "status " + status + (headers.contains(Parcel.ID) ? "" : ", no id")
-                + (headers.contains(Parcel.SEAL) ? "" : ", no seal")
-                + (headers.contains(Parcel.NOT_EXECUTED) ? ", not executed" : "")
+        return "status " + status + (headers.contains(ClientRequest.ID) ? "" : ", no id")
+                + (headers.contains(ClientRequest.SEAL) ? "" : ", no seal")
+                + (headers.contains(ClientRequest.NOT_EXECUTED) ? ", not executed" : "")
                 + (headers.contains(HttpHeaderNames.CONTENT_ENCODING) ? ", encoded" : "")
                 + (headers.contains(HttpHeaderNames.CONTENT_LENGTH)
                                 || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
@@ -39,8 +40,8 @@
     }
 
     /** {@code id}: of the request that the connection is at. */
-    static Verdict of(String id, int status, HttpHeaders headers) {
-        Iterator<? extends CharSequence> ids = headers.valueCharSequenceIterator(Parcel.ID);
+    static ResponseVerdict of(String id, int status, HttpHeaders headers) {
+        Iterator<? extends CharSequence> ids = headers.valueCharSequenceIterator(ClientRequest.ID);
         boolean nameless = !ids.hasNext();
         if (!nameless) {
             if (!id.contentEquals(ids.next())) {
@@ -57,14 +58,16 @@
         if (status == 421) {
             return nameless ? WRONG_HOST_NAMELESS : WRONG_HOST;
         }
-        if (headers.contains(Parcel.NOT_EXECUTED)) {
+        if (headers.contains(ClientRequest.NOT_EXECUTED)) {
             return status < 400 ? JUNK : nameless ? NOT_RUN_NAMELESS : NOT_RUN;
         }
         if (nameless) {
             return JUNK;
         }
         if (status / 100 == 2) {
-            return headers.contains(Parcel.SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING) ? SERVED : JUNK;
+            return headers.contains(ClientRequest.SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
+                    ? SERVED
+                    : JUNK;
         }
         if (status == 503 || status == 429 || status == 408) {
             return PROMISED;
--- a/src/main/java/brambletray/tray/flow/AnswerWriter.java
+++ b/src/main/java/brambletray/platform/proxy/ResponseWriter.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** Writes answers on a client's connection. */
-final class AnswerWriter {
+final class ResponseWriter {
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Channel channel;
@@ -16,25 +16,25 @@
     /** Of the newest bytes: done once they and all before them are out. */
     private ChannelFuture newest;
 
-    AnswerWriter(Channel channel) {
+    ResponseWriter(Channel channel) {
         this.channel = channel;
     }
 
     /** A host's whole answer. */
-    void answer(Answer answer, boolean close) {
+    void answer(HostResponse answer, boolean close) {
         chunked = false;
-        newest = channel.write(Heads.answer(channel.alloc(), answer, true, close));
+        newest = channel.write(HeaderWriter.answer(channel.alloc(), answer, true, close));
         body(answer);
     }
 
     /** The head of a host's answer and what has come of its body. */
-    void flow(Answer answer, boolean close) {
+    void flow(HostResponse answer, boolean close) {
         chunked = answer.length < 0;
-        newest = channel.write(Heads.answer(channel.alloc(), answer, false, close));
+        newest = channel.write(HeaderWriter.answer(channel.alloc(), answer, false, close));
         body(answer);
     }
 
-    private void body(Answer answer) {
+    private void body(HostResponse answer) {
         ChannelFuture written = null;
         List<ByteBuf> body = answer.take();
         for (int i = 0; i < body.size(); i++) {
@@ -75,11 +75,11 @@
 
     void own(int status, String code, int comeBackMs, CharSequence id, boolean bare, boolean close) {
         newest = channel.writeAndFlush(
-                Heads.own(channel.alloc(), status, Rejection.reason(status), code, comeBackMs, id, bare, close));
+                HeaderWriter.own(channel.alloc(), status, Rejection.reason(status), code, comeBackMs, id, bare, close));
     }
 
     void proceed() {
-        channel.writeAndFlush(Heads.proceed(channel.alloc()));
+        channel.writeAndFlush(HeaderWriter.proceed(channel.alloc()));
     }
 
     /** Whether bytes wait here because the client does not take them yet. */
@@ -94,7 +94,9 @@
         }
     }
 
-    /** Nothing more will be written; to close at once could reset the connection, and the last answer be lost with it. */
+    /**
+     * Nothing more will be written; to close at once could reset the connection, and the last answer be lost with it.
+     */
     void last() {
         ChannelFuture written = channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER);
         if (channel instanceof DuplexChannel duplex) {
--- a/src/main/java/brambletray/tray/flow/Broker.java
+++ b/src/main/java/brambletray/platform/proxy/SlotBroker.java
@@ -1,20 +1,20 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
 
 /** Where places at hosts come from: the homes of services, wherever they are. May answer from inside {@link #ask}. */
-public interface Broker {
+public interface SlotBroker {
     /** Asks for a place; the taker hears exactly one word, unless the ask is forgotten first. */
-    void ask(Ask ask, Taker taker);
+    void ask(SlotRequest ask, SlotRequester taker);
 
     /** Gives a place back, with what became of the request there; {@code tookMs}: from sending to the end, ms. */
-    void done(Grant grant, Fate fate, int tookMs);
+    void done(SlotGrant grant, AttemptOutcome fate, int tookMs);
 
     /** No place is wanted any more; one that was granted already has not been used, and is free again. */
     void forget(long askId);
 
     /** A connection to this host is up: a booting one has started. */
-    default void up(Grant grant) {}
+    default void up(SlotGrant grant) {}
 }
--- a/src/main/java/brambletray/tray/view/Ballot.java
+++ b/src/main/java/brambletray/platform/replication/Ballot.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 /**
  * Number of an attempt to change the view, and the name of the view that it installs. Ordered by number, then by the
--- a/src/main/java/brambletray/tray/view/CutDigest.java
+++ b/src/main/java/brambletray/platform/replication/CutDigest.java
@@ -1,11 +1,12 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.zip.CRC32;
 import java.util.zip.CRC32C;
 import java.util.zip.Checksum;
 
 /**
- * Names the bytes of a state transfer, so that another member can go on with them where the first one stopped: what is needed to pack them
+ * Names the bytes of a state transfer, so that another member can go on with them where the first one stopped: what is
+ * needed to pack them
  * again, and a digest that tells whether the result is the same.
  *
  * @param digest CRC-32 and CRC-32C of the packed bytes, 64 bits together; 0 in {@link #NONE} only
@@ -19,7 +20,7 @@
     static final CutDigest NONE = new CutDigest(0, false, 0, 0, 0);
 
     /** Of a patch, packed with this commit. */
-    static CutDigest of(Patch patch, long commit, byte[] packed) {
+    static CutDigest of(LogPatch patch, long commit, byte[] packed) {
         return new CutDigest(digest(packed), patch.whole(), patch.after(), patch.end(), commit);
     }
 
--- a/src/main/java/brambletray/tray/view/DeathOrders.java
+++ b/src/main/java/brambletray/platform/replication/DeathOrders.java
@@ -1,12 +1,14 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /**
- * Operators' orders that declare a machine dead which is gone for good and whose address never answers again. A declared death counts like a proven one
- * (see {@link Quorum}), so the order is refused while there is any sign that the machine lives, and while the view works without it.
+ * Operators' orders that declare a machine dead which is gone for good and whose address never answers again. A
+ * declared death counts like a proven one
+ * (see {@link Quorum}), so the order is refused while there is any sign that the machine lives, and while the view
+ * works without it.
  */
 final class DeathOrders {
     /** ms for which the machine must not have been heard, by a process that listened all the while. */
@@ -16,13 +18,13 @@
 
     private record Order(Member who, long since, Consumer<Declaration> then) {}
 
-    private final Desk desk;
-    private final Members members;
+    private final MemberState desk;
+    private final Replica members;
     private final long startedAt;
     private final Map<String, Long> heardAt = new HashMap<>();
     private Order order;
 
-    DeathOrders(Desk desk, Members members) {
+    DeathOrders(MemberState desk, Replica members) {
         this.desk = desk;
         this.members = members;
         startedAt = desk.now;
@@ -41,8 +43,9 @@
             return;
         }
         order = new Order(who, desk.now, then);
-        desk.out.tell("view.death-ordered", "member", who.name(), "address", address, "life", Long.toHexString(life));
-        desk.out.send(address, new Frame.Who(desk.origin ^ desk.now));
+        desk.out.tell(
+                "replication.death-ordered", "member", who.name(), "address", address, "life", Long.toHexString(life));
+        desk.out.send(address, new Frame.IdentityRequest(desk.origin ^ desk.now));
     }
 
     private Declaration refusal(Member who) {
@@ -52,7 +55,7 @@
         if (order != null) {
             return Declaration.BUSY;
         }
-        if (members.status().standing() == Standing.MEMBER) {
+        if (members.status().standing() == ReplicaRole.MEMBER) {
             return Declaration.NOT_NEEDED;
         }
         if (desk.now - Math.max(startedAt, heardAt.getOrDefault(who.address(), startedAt)) < SILENT_MS) {
@@ -66,7 +69,7 @@
         if (desk.view == null || desk.view.founding() || life == desk.me.life()) {
             return null;
         }
-        for (Roll roll : desk.view.chain(desk.inForce)) {
+        for (ViewMembership roll : desk.view.chain(desk.inForce)) {
             for (Member member : roll.members()) {
                 if (member.life() == life && life != 0 && member.address().equals(address)) {
                     return member;
@@ -77,7 +80,7 @@
     }
 
     private boolean tooMany(Member who) {
-        for (Roll roll : desk.view.chain(desk.inForce)) {
+        for (ViewMembership roll : desk.view.chain(desk.inForce)) {
             long gone = roll.members().stream()
                     .filter(member -> member.life() == who.life() || desk.dead.contains(member.life()))
                     .count();
@@ -104,9 +107,9 @@
         Consumer<Declaration> then = order.then();
         order = null;
         desk.bury(java.util.Set.of(who.life()));
-        desk.quill.then(() -> {
+        desk.writeAheadQueue.then(() -> {
             desk.out.tell(
-                    "view.declared-dead",
+                    "replication.declared-dead",
                     "member",
                     who.name(),
                     "address",
--- a/src/main/java/brambletray/tray/view/Kept.java
+++ b/src/main/java/brambletray/platform/replication/DurableState.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -17,13 +17,13 @@
  * @param dead    lives whose disks are proven lost
  * @param known   addresses of members met
  */
-public record Kept(
+public record DurableState(
         long life,
         List<String> seeds,
         Ballot promise,
         View view,
         boolean inForce,
-        Log log,
+        ReplicatedLog log,
         List<Long> dead,
         List<String> known) {
     /** All keys of this plane begin so. */
@@ -39,48 +39,57 @@
     static final String LOG = "view.log.";
 
     /** An empty disk. */
-    public static Kept none() {
-        return new Kept(0, List.of(), Ballot.NONE, null, false, Log.empty(), List.of(), List.of());
+    public static DurableState none() {
+        return new DurableState(0, List.of(), Ballot.NONE, null, false, ReplicatedLog.empty(), List.of(), List.of());
     }
 
-    /** Rebuilds it from all keys that begin with {@link #PREFIX}. Throws {@link ViewFault} when they can't be read. */
-    public static Kept read(Map<String, byte[]> map) {
+    /**
+     * Rebuilds it from all keys that begin with {@link #PREFIX}. Throws {@link ReplicationException} when they can't be
+     * read.
+     */
+    public static DurableState read(Map<String, byte[]> map) {
         if (!map.containsKey(LIFE)) {
             return none();
         }
-        long life = Codec.read(map.get(LIFE), in -> in.readLong());
-        List<String> seeds = map.containsKey(SEEDS) ? Codec.read(map.get(SEEDS), Codec::strings) : List.of();
-        Ballot promise = map.containsKey(PROMISE) ? Codec.read(map.get(PROMISE), Codec::ballot) : Ballot.NONE;
-        boolean inForce = map.containsKey(VIEW) && Codec.read(map.get(VIEW), in -> in.readBoolean());
+        long life = ReplicationCodec.read(map.get(LIFE), in -> in.readLong());
+        List<String> seeds =
+                map.containsKey(SEEDS) ? ReplicationCodec.read(map.get(SEEDS), ReplicationCodec::strings) : List.of();
+        Ballot promise = map.containsKey(PROMISE)
+                ? ReplicationCodec.read(map.get(PROMISE), ReplicationCodec::ballot)
+                : Ballot.NONE;
+        boolean inForce = map.containsKey(VIEW) && ReplicationCodec.read(map.get(VIEW), in -> in.readBoolean());
         View view = map.containsKey(VIEW)
-                ? Codec.read(map.get(VIEW), in -> {
+                ? ReplicationCodec.read(map.get(VIEW), in -> {
                     in.readBoolean();
-                    return Codec.view(in);
+                    return ReplicationCodec.view(in);
                 })
                 : null;
-        List<Long> dead = map.containsKey(DEAD) ? Codec.read(map.get(DEAD), Codec::longs) : List.of();
-        List<String> known = map.containsKey(KNOWN) ? Codec.read(map.get(KNOWN), Codec::strings) : List.of();
-        return new Kept(life, seeds, promise, view, inForce, log(map), dead, known);
+        List<Long> dead =
+                map.containsKey(DEAD) ? ReplicationCodec.read(map.get(DEAD), ReplicationCodec::longs) : List.of();
+        List<String> known =
+                map.containsKey(KNOWN) ? ReplicationCodec.read(map.get(KNOWN), ReplicationCodec::strings) : List.of();
+        return new DurableState(life, seeds, promise, view, inForce, log(map), dead, known);
     }
 
-    private static Log log(Map<String, byte[]> map) {
+    private static ReplicatedLog log(Map<String, byte[]> map) {
         TreeMap<String, byte[]> sorted = new TreeMap<>();
         map.forEach((key, value) -> {
             if (key.startsWith(LOG)) {
                 sorted.put(key, value);
             }
         });
-        List<Entry> entries = new ArrayList<>();
+        List<LogEntry> entries = new ArrayList<>();
         for (byte[] value : sorted.values()) {
-            entries.add(Codec.read(value, Codec::entry));
+            entries.add(ReplicationCodec.read(value, ReplicationCodec::entry));
         }
-        Log log = Log.empty();
+        ReplicatedLog log = ReplicatedLog.empty();
         if (map.containsKey(SNAP)) {
-            log = Codec.read(
+            log = ReplicationCodec.read(
                     map.get(SNAP),
-                    in -> new Log(in.readLong(), Codec.ballot(in), in.readNBytes(in.readInt()), List.of()));
+                    in -> new ReplicatedLog(
+                            in.readLong(), ReplicationCodec.ballot(in), in.readNBytes(in.readInt()), List.of()));
         }
-        for (Entry entry : entries) {
+        for (LogEntry entry : entries) {
             log.append(entry);
         }
         return log;
--- a/src/main/java/brambletray/tray/view/Tolerance.java
+++ b/src/main/java/brambletray/platform/replication/FaultTolerance.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.Collection;
 import java.util.Comparator;
@@ -18,10 +18,10 @@
  * @param regions  that may be lost
  * @param regionOf region of each zone; a zone that isn't named counts as of the region ""
  */
-public record Tolerance(int machines, int zones, int regions, Map<String, String> regionOf) {
+public record FaultTolerance(int machines, int zones, int regions, Map<String, String> regionOf) {
     /** Only machines are lost, not zones. */
-    public static Tolerance ofMachines(int machines) {
-        return new Tolerance(machines, 0, 0, Map.of());
+    public static FaultTolerance ofMachines(int machines) {
+        return new FaultTolerance(machines, 0, 0, Map.of());
     }
 
     /**
@@ -39,7 +39,8 @@
     }
 
     /**
-     * Zones, or else regions, that may be lost at once and hold half of these members or more. Their loss leaves no majority: what is kept stays kept, but
+     * Zones, or else regions, that may be lost at once and hold half of these members or more. Their loss leaves no
+     * majority: what is kept stays kept, but
      * nothing goes on until they are back. Empty where there are none.
      */
     List<String> holdingHalf(Collection<Member> members) {
--- a/src/main/java/brambletray/tray/view/Following.java
+++ b/src/main/java/brambletray/platform/replication/Follower.java
@@ -1,19 +1,22 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 /**
  * The part of a member that follows: keeps what the leader sends, answers its beats, stops for a change of view, and
  * begins one itself when the leader is silent. The order of rank (the leader first, then as in the list) and the
  * patience that grows with it keep two from beginning at once.
  */
-final class Following {
+final class Follower {
     private static final int START_MS = 100;
     private static final int HINT_MS = 250;
     private static final int CALM_MS = 350;
-    /** Silence after which the part of a log that has come is dropped: longer than a change of view after the loss of its proposer. */
+    /**
+     * Silence after which the part of a log that has come is dropped: longer than a change of view after the loss of
+     * its proposer.
+     */
     private static final int FORGET_MS = 10_000;
 
-    private final Desk desk;
-    private final Members members;
+    private final MemberState desk;
+    private final Replica members;
     private long leaderAt;
     private boolean heard;
     private long hintAt = Long.MIN_VALUE / 2;
@@ -24,9 +27,9 @@
     /** The log of a view that is being installed, on its way here in pieces. */
     private StateTransfer transfer;
 
-    private Frame.Offer offered;
+    private Frame.TransferOffer offered;
 
-    Following(Desk desk, Members members) {
+    Follower(MemberState desk, Replica members) {
         this.desk = desk;
         this.members = members;
         this.leaderAt = desk.now;
@@ -117,7 +120,7 @@
         return desk.now - leaderAt > patience + (long) rank() * desk.set.staggerMs();
     }
 
-    void beat(String from, Frame.Beat beat) {
+    void beat(String from, Frame.Heartbeat beat) {
         View view = desk.view;
         if (view == null || !view.ballot().equals(beat.view())) {
             boolean old = view != null
@@ -125,7 +128,7 @@
                     && view.ballot().above(beat.view())
                     && !view.has(beat.view().who());
             if (old) {
-                desk.out.send(from, new Frame.Left(view));
+                desk.out.send(from, new Frame.NotMember(view));
             }
             return;
         }
@@ -145,7 +148,9 @@
             desk.commitTo(beat.commit());
         }
         desk.out.send(
-                from, new Frame.Back(view.ballot(), desk.me.life(), beat.seq(), desk.held, desk.promised, desk.ill()));
+                from,
+                new Frame.HeartbeatAnswer(
+                        view.ballot(), desk.me.life(), beat.seq(), desk.held, desk.promised, desk.ill()));
     }
 
     void append(String from, Frame.Append append) {
@@ -154,13 +159,13 @@
         }
         leaderAt = desk.now;
         heard = true;
-        if (append.after() > desk.log.end() || desk.quill.crowded(8 << 20)) {
+        if (append.after() > desk.log.end() || desk.writeAheadQueue.crowded(8 << 20)) {
             return;
         }
         Ballot at = desk.log.viewAt(append.after());
         if (at != null && !at.equals(append.afterView())) {
             desk.out.tell(
-                    "view.logs-differ",
+                    "replication.logs-differ",
                     "view",
                     append.view(),
                     "place",
@@ -172,7 +177,7 @@
             return;
         }
         long before = desk.log.end();
-        for (Entry entry : append.entries()) {
+        for (LogEntry entry : append.entries()) {
             if (entry.index() == desk.log.end() + 1) {
                 desk.append(entry);
             }
@@ -180,7 +185,7 @@
         long end = desk.log.end();
         if (end > before) {
             View view = desk.view;
-            desk.quill.then(() -> {
+            desk.writeAheadQueue.then(() -> {
                 if (!desk.view.ballot().equals(view.ballot())) {
                     return;
                 }
@@ -195,24 +200,24 @@
         desk.commitTo(append.commit());
     }
 
-    void stop(String from, Frame.Stop stop) {
+    void stop(String from, Frame.StopRequest stop) {
         View view = desk.view == null ? View.NOTHING : desk.view;
         boolean firm = desk.inForce && !view.founding();
         if (firm && !view.has(stop.from().life())) {
-            desk.out.send(from, new Frame.Left(view));
+            desk.out.send(from, new Frame.NotMember(view));
             return;
         }
         desk.seen = Math.max(desk.seen, stop.ballot().number());
         desk.bury(stop.dead());
         Ballot most = members.reserved();
         if (most.above(stop.ballot()) || stop.ballot().number() <= view.number()) {
-            desk.out.send(from, new Frame.Nay(stop.ballot(), most, false));
+            desk.out.send(from, new Frame.Refuse(stop.ballot(), most, false));
             return;
         }
         if (!desk.promised.equals(stop.ballot())) {
             boolean leader = stop.from().life() == view.ballot().who();
             if (firm && !desk.stopped() && !leader && (members.leading() ? members.well() : calm())) {
-                desk.out.send(from, new Frame.Nay(stop.ballot(), most, true));
+                desk.out.send(from, new Frame.Refuse(stop.ballot(), most, true));
                 return;
             }
             members.yield();
@@ -220,7 +225,7 @@
             int wait = (view.founding() ? desk.set.foundMs() : 0) + desk.set.silentMs();
             quiet(wait + (desk.view == null ? 0 : (long) rank() * desk.set.staggerMs()));
             desk.out.tell(
-                    "view.promise",
+                    "replication.promise",
                     "ballot",
                     stop.ballot(),
                     "to",
@@ -230,7 +235,7 @@
                     "end",
                     desk.log.end());
         }
-        desk.quill.then(() -> {
+        desk.writeAheadQueue.then(() -> {
             boolean over = desk.view != null && desk.view.ballot().equals(stop.ballot());
             if (desk.promised.equals(stop.ballot()) && !over) {
                 desk.out.send(from, desk.told(stop.ballot()));
@@ -238,7 +243,7 @@
         });
     }
 
-    void left(Frame.Left gone) {
+    void left(Frame.NotMember gone) {
         View view = gone.view();
         if (desk.view == null || !view.ballot().above(desk.view.ballot()) || view.has(desk.me.life())) {
             return;
@@ -250,13 +255,13 @@
             }
             members.yield();
             desk.out.tell(
-                    "view.left-out",
+                    "replication.left-out",
                     "mine",
                     desk.view.ballot(),
                     "now",
                     view.ballot(),
                     "members",
-                    Desk.names(view.members()));
+                    MemberState.names(view.members()));
             desk.out.changed();
         }
     }
@@ -264,7 +269,7 @@
     /**
      * A proposed view whose log is longer than a frame may be: it is fetched first, while no higher promise forbids it.
      */
-    void offer(String from, Frame.Offer offer, Log base) {
+    void offer(String from, Frame.TransferOffer offer, ReplicatedLog base) {
         View next = offer.view();
         if (!next.has(desk.me.life())) {
             return;
@@ -299,7 +304,7 @@
         if (!over) {
             return;
         }
-        Log log = transfer.log();
+        ReplicatedLog log = transfer.log();
         String from = transfer.from();
         transfer = null;
         if (log == null || log.end() != offered.end() || !log.endView().equals(offered.endView())) {
@@ -325,31 +330,31 @@
     }
 
     /** A proposed view: kept if no higher promise forbids it and the patch fits. */
-    void install(String from, Frame.Install install, Log base) {
+    void install(String from, Frame.Install install, ReplicatedLog base) {
         View next = install.view();
         if (!next.has(desk.me.life())) {
             return;
         }
         if (desk.leaving && (desk.view == null || left != null)) {
             // let in by a knock that is older than its leaving: nobody is to wait for it
-            desk.out.send(from, new Frame.Unfit(next.ballot(), desk.me.life()));
+            desk.out.send(from, new Frame.PatchMismatch(next.ballot(), desk.me.life()));
             return;
         }
         if (desk.promised.above(next.ballot())) {
-            desk.out.send(from, new Frame.Nay(next.ballot(), desk.promised, false));
+            desk.out.send(from, new Frame.Refuse(next.ballot(), desk.promised, false));
             return;
         }
         if (desk.view == null || !desk.view.ballot().equals(next.ballot())) {
-            Log chosen = base.patched(install.patch());
+            ReplicatedLog chosen = base.patched(install.patch());
             keep(from, next, chosen != null ? chosen : desk.log.patched(install.patch()));
             return;
         }
         say(from, next);
     }
 
-    private void keep(String from, View next, Log chosen) {
+    private void keep(String from, View next, ReplicatedLog chosen) {
         if (chosen == null || !desk.accept(next, chosen)) {
-            desk.out.send(from, new Frame.Unfit(next.ballot(), desk.me.life()));
+            desk.out.send(from, new Frame.PatchMismatch(next.ballot(), desk.me.life()));
             return;
         }
         members.yield();
@@ -359,7 +364,7 @@
     }
 
     private void say(String from, View next) {
-        desk.quill.then(() -> {
+        desk.writeAheadQueue.then(() -> {
             if (desk.works(next.ballot())) {
                 desk.out.send(from, new Frame.Installed(next.ballot(), desk.me.life()));
             }
--- a/src/main/java/brambletray/tray/view/Ear.java
+++ b/src/main/java/brambletray/platform/replication/FrameDispatcher.java
@@ -1,29 +1,35 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.List;
 
 /** Hands each frame to the part of the member that it is for. */
-final class Ear {
-    private final Desk desk;
-    private final Members members;
-    private final Following following;
-    private final Knocking knocking;
-    private final Gate gate;
-    private final Confirms confirms;
-    private final Serving serving;
+final class FrameDispatcher {
+    private final MemberState desk;
+    private final Replica members;
+    private final Follower following;
+    private final JoinRequester joinRequester;
+    private final JoinAdmission gate;
+    private final ReadIndex confirms;
+    private final StateTransferServer serving;
 
-    Ear(Desk desk, Members members, Following following, Knocking knocking, Gate gate, Confirms confirms) {
+    FrameDispatcher(
+            MemberState desk,
+            Replica members,
+            Follower following,
+            JoinRequester joinRequester,
+            JoinAdmission gate,
+            ReadIndex confirms) {
         this.desk = desk;
         this.members = members;
         this.following = following;
-        this.knocking = knocking;
+        this.joinRequester = joinRequester;
         this.gate = gate;
         this.confirms = confirms;
-        serving = new Serving(desk, this::log);
+        serving = new StateTransferServer(desk, this::log);
     }
 
     /** The log of a view that is being installed by this member, or its own. */
-    private Log log(Ballot view) {
+    private ReplicatedLog log(Ballot view) {
         if (view.equals(Ballot.NONE)) {
             return desk.view == null ? null : desk.log;
         }
@@ -36,21 +42,21 @@
     }
 
     void hear(String from, Frame frame) {
-        if (frame instanceof Frame.Beat beat) {
+        if (frame instanceof Frame.Heartbeat beat) {
             following.beat(from, beat);
         } else if (frame instanceof Frame.Append append) {
             following.append(from, append);
         } else if (frame instanceof Frame.Install install) {
-            following.install(from, install, knocking.base());
-        } else if (frame instanceof Frame.Offer offer) {
-            following.offer(from, offer, knocking.base());
-        } else if (frame instanceof Frame.Stop stop) {
+            following.install(from, install, joinRequester.base());
+        } else if (frame instanceof Frame.TransferOffer offer) {
+            following.offer(from, offer, joinRequester.base());
+        } else if (frame instanceof Frame.StopRequest stop) {
             following.stop(from, stop);
             // who asks takes this address for a member: a knock shows that the disk is another one
             if (desk.view == null) {
-                knocking.knock(List.of(from));
+                joinRequester.knock(List.of(from));
             }
-        } else if (frame instanceof Frame.Left left) {
+        } else if (frame instanceof Frame.NotMember left) {
             following.left(left);
             if (following.fallen()) {
                 members.knock();
@@ -62,17 +68,17 @@
 
     private boolean leader(Frame frame) {
         if (frame instanceof Frame.Ack ack) {
-            Leading leading = members.leads(ack.view());
+            Leader leading = members.leads(ack.view());
             if (leading != null) {
                 leading.ack(ack.life(), ack.index());
             }
-        } else if (frame instanceof Frame.Back back) {
-            Leading leading = members.leads(back.view());
+        } else if (frame instanceof Frame.HeartbeatAnswer back) {
+            Leader leading = members.leads(back.view());
             if (leading != null) {
                 leading.back(back);
             }
         } else if (frame instanceof Frame.Submit submit) {
-            Leading leading = members.leads(submit.view());
+            Leader leading = members.leads(submit.view());
             if (leading != null) {
                 leading.take(submit.origin(), submit.token(), submit.bytes());
             }
@@ -83,12 +89,12 @@
     }
 
     private boolean change(String from, Frame frame) {
-        Changing changing = members.changing();
-        if (frame instanceof Frame.Told told) {
+        ViewChange changing = members.changing();
+        if (frame instanceof Frame.StopAnswer told) {
             if (changing != null) {
                 changing.told(told);
             }
-        } else if (frame instanceof Frame.Nay nay) {
+        } else if (frame instanceof Frame.Refuse nay) {
             if (changing != null) {
                 changing.nay(nay, from);
             }
@@ -96,7 +102,7 @@
             if (changing != null && changing.ballot().equals(installed.view())) {
                 changing.installed(installed.life());
             }
-        } else if (frame instanceof Frame.Unfit unfit) {
+        } else if (frame instanceof Frame.PatchMismatch unfit) {
             if (changing != null && changing.ballot().equals(unfit.view())) {
                 changing.unfit(unfit.life());
             }
@@ -107,30 +113,30 @@
     }
 
     private void rest(String from, Frame frame) {
-        if (frame instanceof Frame.Knock knock) {
+        if (frame instanceof Frame.JoinRequest knock) {
             gate.knock(from, knock);
-        } else if (frame instanceof Frame.Come come) {
-            knocking.come(from, come);
-        } else if (frame instanceof Frame.Met met) {
+        } else if (frame instanceof Frame.JoinAnswer come) {
+            joinRequester.come(from, come);
+        } else if (frame instanceof Frame.KnownMembers met) {
             desk.meet(from);
             met.addresses().forEach(desk::meet);
-        } else if (frame instanceof Frame.Who who) {
-            desk.out.send(from, new Frame.Here(who.nonce(), desk.me));
-        } else if (frame instanceof Frame.Here here) {
+        } else if (frame instanceof Frame.IdentityRequest who) {
+            desk.out.send(from, new Frame.IdentityAnswer(who.nonce(), desk.me));
+        } else if (frame instanceof Frame.IdentityAnswer here) {
             gate.here(here);
-        } else if (frame instanceof Frame.Pull pull) {
+        } else if (frame instanceof Frame.PieceRequest pull) {
             serving.pull(from, pull);
         } else if (frame instanceof Frame.Piece piece) {
-            knocking.piece(piece);
+            joinRequester.piece(piece);
             following.piece(piece);
             if (members.changing() != null) {
                 members.changing().piece(piece);
             }
-        } else if (frame instanceof Frame.Bye bye) {
+        } else if (frame instanceof Frame.Leave bye) {
             members.bye(from, bye);
-        } else if (frame instanceof Frame.Ask ask) {
+        } else if (frame instanceof Frame.ConfirmRequest ask) {
             confirms.asked(from, ask);
-        } else if (frame instanceof Frame.Same same) {
+        } else if (frame instanceof Frame.ConfirmAnswer same) {
             confirms.same(same);
         }
     }
--- a/src/main/java/brambletray/tray/view/Gate.java
+++ b/src/main/java/brambletray/platform/replication/JoinAdmission.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,7 +9,7 @@
  * Who asks to be let in, at a member of the view: proves lost disks, and gathers newcomers for the leader's next change
  * of view.
  */
-final class Gate {
+final class JoinAdmission {
     private static final int NEAR_ENTRIES = 64;
     private static final int MOST = 8;
     private static final int WAIT_MS = 1000;
@@ -18,9 +18,9 @@
     /** How often a member was taken out lately, and until when it stays out. */
     private record Penalty(int times, long at, long until) {}
 
-    private final Desk desk;
-    private final Members members;
-    private final Map<Long, Frame.Knock> waiting = new LinkedHashMap<>();
+    private final MemberState desk;
+    private final Replica members;
+    private final Map<Long, Frame.JoinRequest> waiting = new LinkedHashMap<>();
     private final Map<Long, Long> waitingAt = new HashMap<>();
     /** When newcomers that haven't got the state yet were heard last. */
     private final Map<Long, Long> arriving = new HashMap<>();
@@ -29,13 +29,13 @@
     private final Map<String, Long> asked = new HashMap<>();
     private long nonce;
 
-    Gate(Desk desk, Members members) {
+    JoinAdmission(MemberState desk, Replica members) {
         this.desk = desk;
         this.members = members;
         nonce = desk.origin;
     }
 
-    void knock(String from, Frame.Knock knock) {
+    void knock(String from, Frame.JoinRequest knock) {
         Member who = knock.me();
         if (desk.dead.contains(who.life()) || who.life() == desk.me.life()) {
             return;
@@ -45,7 +45,7 @@
         }
         if (desk.view == null || !desk.inForce || members.fallen() || desk.view.founding()) {
             if (!desk.known.isEmpty()) {
-                desk.out.send(from, new Frame.Met(List.copyOf(desk.known)));
+                desk.out.send(from, new Frame.KnownMembers(List.copyOf(desk.known)));
             }
             return;
         }
@@ -57,12 +57,12 @@
         }
         if (!members.leading()) {
             if (desk.view.ballot().who() != desk.me.life()) {
-                desk.out.send(from, new Frame.Come(desk.view, false));
+                desk.out.send(from, new Frame.JoinAnswer(desk.view, false));
             }
             return;
         }
         boolean fit = near(desk.log.since(knock.end(), knock.endView(), knock.commit()));
-        desk.out.send(from, new Frame.Come(desk.view, fit));
+        desk.out.send(from, new Frame.JoinAnswer(desk.view, fit));
         if (!fit) {
             if (arriving.size() < MOST) {
                 arriving.put(who.life(), desk.now);
@@ -81,7 +81,7 @@
         waitingAt.put(who.life(), desk.now);
     }
 
-    private static boolean near(Patch patch) {
+    private static boolean near(LogPatch patch) {
         return patch.entries().size() <= NEAR_ENTRIES && patch.isShort();
     }
 
@@ -94,11 +94,11 @@
             asked.clear();
         }
         asked.put(who.address(), ++nonce);
-        desk.out.send(who.address(), new Frame.Who(nonce));
+        desk.out.send(who.address(), new Frame.IdentityRequest(nonce));
     }
 
     private boolean older(Member who) {
-        for (Roll roll : desk.view.chain(false)) {
+        for (ViewMembership roll : desk.view.chain(false)) {
             for (Member member : roll.members()) {
                 if (proves(who, member)) {
                     return true;
@@ -116,14 +116,14 @@
                 && !desk.dead.contains(before.life());
     }
 
-    void here(Frame.Here here) {
+    void here(Frame.IdentityAnswer here) {
         Long mine = asked.get(here.me().address());
         if (mine == null || mine != here.nonce() || desk.view == null) {
             return;
         }
         asked.remove(here.me().address());
         java.util.Set<Long> lost = new java.util.LinkedHashSet<>();
-        for (Roll roll : desk.view.chain(false)) {
+        for (ViewMembership roll : desk.view.chain(false)) {
             for (Member member : roll.members()) {
                 if (proves(here.me(), member)) {
                     lost.add(member.life());
@@ -132,7 +132,7 @@
         }
         if (desk.bury(lost)) {
             desk.out.tell(
-                    "view.disk-lost",
+                    "replication.disk-lost",
                     "address",
                     here.me().address(),
                     "life",
@@ -155,7 +155,7 @@
     }
 
     /** Newcomers that wait and were heard of late. */
-    Map<Long, Frame.Knock> waiting() {
+    Map<Long, Frame.JoinRequest> waiting() {
         if (waiting.isEmpty()) {
             return Map.of();
         }
--- a/src/main/java/brambletray/tray/view/Knocking.java
+++ b/src/main/java/brambletray/platform/replication/JoinRequester.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -8,14 +8,14 @@
  * only: nothing of it counts before a view is installed with it), knocks again. A half-got state leaves nothing behind
  * when the process dies.
  */
-final class Knocking {
+final class JoinRequester {
     private static final int AGAIN_MS = 250;
     /** Silence of a giver after which another leader's word ends the transfer. */
     private static final int IDLE_MS = 1000;
 
-    private final Desk desk;
-    private final Following following;
-    private Log hand;
+    private final MemberState desk;
+    private final Follower following;
+    private ReplicatedLog hand;
     private long handCommit;
     private StateTransfer transfer;
     /** One whose giver fell silent or has nothing to give; the next giver goes on with it. */
@@ -24,7 +24,7 @@
     private long knockAt = Long.MIN_VALUE / 2;
     private long transferredAt = Long.MIN_VALUE / 2;
 
-    Knocking(Desk desk, Following following) {
+    JoinRequester(MemberState desk, Follower following) {
         this.desk = desk;
         this.following = following;
     }
@@ -39,7 +39,7 @@
     }
 
     /** The log that a patch is put on. */
-    Log base() {
+    ReplicatedLog base() {
         return hand != null && active() ? hand : desk.log;
     }
 
@@ -81,16 +81,16 @@
             following.left().members().forEach(member -> all.add(member.address()));
         }
         all.remove(desk.me.address());
-        Frame.Knock knock = mine();
+        Frame.JoinRequest knock = mine();
         for (String address : all) {
             desk.out.send(address, knock);
         }
     }
 
-    private Frame.Knock mine() {
-        Log log = base();
+    private Frame.JoinRequest mine() {
+        ReplicatedLog log = base();
         long commit = hand != null ? handCommit : desk.commit;
-        return new Frame.Knock(
+        return new Frame.JoinRequest(
                 desk.me,
                 desk.view == null ? Ballot.NONE : desk.view.ballot(),
                 log.end(),
@@ -99,9 +99,9 @@
     }
 
     /** The view in force; its leader says whether what is in hand is near enough. */
-    void come(String from, Frame.Come come) {
+    void come(String from, Frame.JoinAnswer come) {
         if (!active()) {
-            following.left(new Frame.Left(come.view()));
+            following.left(new Frame.NotMember(come.view()));
         }
         if (!active()) {
             return;
@@ -151,7 +151,7 @@
         if (transfer.log() != null) {
             hand = transfer.log();
             handCommit = transfer.commit();
-            desk.out.tell("view.transferred", "from", transfer.from(), "end", hand.end());
+            desk.out.tell("replication.transferred", "from", transfer.from(), "end", hand.end());
             desk.out.send(transfer.from(), mine());
         }
         transfer = null;
--- a/src/main/java/brambletray/tray/view/Leading.java
+++ b/src/main/java/brambletray/platform/replication/Leader.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,7 +9,7 @@
 import java.util.Set;
 
 /** The part of the leader of a view in force: gives places, sends entries, counts acknowledgements, beats, suspects. */
-final class Leading {
+final class Leader {
     private static final int APPEND = 256 << 10;
     private static final int OPEN_ENTRIES = 128;
     /** Bytes on their way to a member, besides the first entry: what more it lacks follows its acknowledgements. */
@@ -47,7 +47,7 @@
     /** A proposal already given a place in this view. */
     private record Given(long origin, long token) {}
 
-    private final Desk desk;
+    private final MemberState desk;
     private final View view;
     private final Map<Long, Peer> peers = new HashMap<>();
     private final Set<Given> recent = new LinkedHashSet<>();
@@ -57,7 +57,7 @@
     private long said;
     private final long since;
 
-    Leading(Desk desk) {
+    Leader(MemberState desk) {
         this.desk = desk;
         this.view = desk.view;
         own = desk.log.end();
@@ -67,7 +67,7 @@
                 peers.put(member.life(), new Peer(member, own, desk.now));
             }
         }
-        for (Entry entry : desk.log.entries()) {
+        for (LogEntry entry : desk.log.entries()) {
             recent.add(new Given(entry.origin(), entry.token()));
         }
         count();
@@ -98,16 +98,16 @@
         if (desk.draining) {
             return false;
         }
-        if (desk.log.end() - desk.commit >= OPEN_ENTRIES || desk.quill.crowded(4 << 20)) {
+        if (desk.log.end() - desk.commit >= OPEN_ENTRIES || desk.writeAheadQueue.crowded(4 << 20)) {
             return false;
         }
         recent.add(given);
         if (recent.size() > RECENT + OPEN_ENTRIES) {
             recent.remove(recent.iterator().next());
         }
-        Entry entry = new Entry(desk.log.end() + 1, view.ballot(), origin, token, bytes);
+        LogEntry entry = new LogEntry(desk.log.end() + 1, view.ballot(), origin, token, bytes);
         desk.append(entry);
-        desk.quill.then(() -> {
+        desk.writeAheadQueue.then(() -> {
             if (!desk.view.ballot().equals(view.ballot())) {
                 return;
             }
@@ -132,10 +132,16 @@
         if (peer.next <= desk.log.base()) {
             // can't be: what is compacted all members have on disk
             desk.out.tell(
-                    "view.behind-snapshot", "member", peer.member.name(), "next", peer.next, "base", desk.log.base());
+                    "replication.behind-snapshot",
+                    "member",
+                    peer.member.name(),
+                    "next",
+                    peer.next,
+                    "base",
+                    desk.log.base());
             return;
         }
-        List<Entry> entries = desk.log.after(peer.next - 1, APPEND);
+        List<LogEntry> entries = desk.log.after(peer.next - 1, APPEND);
         desk.out.send(
                 peer.member.address(),
                 new Frame.Append(view.ballot(), peer.next - 1, desk.log.viewAt(peer.next - 1), entries, desk.commit));
@@ -159,7 +165,7 @@
         send(peer);
     }
 
-    void back(Frame.Back back) {
+    void back(Frame.HeartbeatAnswer back) {
         Peer peer = peers.get(back.life());
         if (peer == null) {
             return;
@@ -256,7 +262,7 @@
         for (Peer peer : peers.values()) {
             desk.out.send(
                     peer.member.address(),
-                    new Frame.Beat(view.ballot(), seq, desk.commit, desk.floor, true, desk.ill()));
+                    new Frame.Heartbeat(view.ballot(), seq, desk.commit, desk.floor, true, desk.ill()));
         }
     }
 
@@ -265,7 +271,7 @@
         if (desk.known.isEmpty() || desk.now - since > CALL_MS) {
             return;
         }
-        Frame.Met met = new Frame.Met(List.copyOf(desk.known));
+        Frame.KnownMembers met = new Frame.KnownMembers(List.copyOf(desk.known));
         for (String address : desk.known) {
             if (view.at(address) == null) {
                 desk.out.send(address, met);
--- a/src/main/java/brambletray/tray/view/Patch.java
+++ b/src/main/java/brambletray/platform/replication/LogPatch.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.List;
 
@@ -12,10 +12,10 @@
  * @param snapshot  state after that place when whole, else empty
  * @param entries   those that follow
  */
-public record Patch(boolean whole, long after, Ballot afterView, byte[] snapshot, List<Entry> entries) {
+public record LogPatch(boolean whole, long after, Ballot afterView, byte[] snapshot, List<LogEntry> entries) {
     /**
      * Bytes of a patch that may go in one frame with a new view, 0.26 s of a link of 2 Mbit/s:
-     * {@link Settings#installMs} has to bear it. What is longer is fetched in pieces.
+     * {@link ReplicationSettings#installMs} has to bear it. What is longer is fetched in pieces.
      */
     static final int SHORT = 64 << 10;
     /** Bytes that an entry takes besides its own. */
@@ -28,7 +28,7 @@
     /** Bytes, nearly. */
     long bytes() {
         long bytes = snapshot.length;
-        for (Entry entry : entries) {
+        for (LogEntry entry : entries) {
             bytes += EACH + entry.bytes().length;
         }
         return bytes;
--- a/src/main/java/brambletray/tray/view/Desk.java
+++ b/src/main/java/brambletray/platform/replication/MemberState.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -9,17 +9,17 @@
 
 /**
  * What one member knows and has promised. In memory it runs ahead of the disk; nothing of it is said before the
- * {@link Quill} has it synced.
+ * {@link WriteAheadQueue} has it synced.
  */
-final class Desk {
+final class MemberState {
     private static final int MOST_DEAD = 64;
     private static final int MOST_KNOWN = 16;
     private static final int MOST_LINEAGE = 8;
 
-    Settings set;
-    final Out out;
-    final Matter matter;
-    final Quill quill;
+    ReplicationSettings set;
+    final ReplicationActions out;
+    final StateMachine stateMachine;
+    final WriteAheadQueue writeAheadQueue;
     /** Drawn at each start of the process: the origin of its proposals. */
     final long origin;
 
@@ -32,7 +32,7 @@
     /** Highest number heard of. */
     long seen;
 
-    Log log = Log.empty();
+    ReplicatedLog log = ReplicatedLog.empty();
     final Set<Long> dead = new LinkedHashSet<>();
     final Set<String> known = new LinkedHashSet<>();
     long commit;
@@ -40,7 +40,7 @@
     /** Number of the view that the present one came from, if known to be in force; else -1. */
     long before = -1;
     /** Views that the present one came from, each straight from the one before it, as kept by this process. */
-    List<Roll> lineage = List.of();
+    List<ViewMembership> lineage = List.of();
     /** Where the log ended when the view was installed: what earlier views may have acknowledged lies up to there. */
     long floor = Long.MAX_VALUE;
     /** Up to here the log is on the disk, as a log of the present view. */
@@ -56,17 +56,17 @@
     /** Called when the state above has jumped by a snapshot. */
     Runnable jumped = () -> {};
     /** Called for each entry delivered. */
-    java.util.function.Consumer<Entry> passed = entry -> {};
+    java.util.function.Consumer<LogEntry> passed = entry -> {};
 
-    Desk(Settings set, Out out, Matter matter, long origin) {
+    MemberState(ReplicationSettings set, ReplicationActions out, StateMachine stateMachine, long origin) {
         this.set = set;
         this.out = out;
-        this.matter = matter;
+        this.stateMachine = stateMachine;
         this.origin = origin;
-        this.quill = new Quill(out);
+        this.writeAheadQueue = new WriteAheadQueue(out);
     }
 
-    void load(Kept kept) {
+    void load(DurableState kept) {
         view = kept.view();
         inForce = kept.inForce();
         promised = kept.promise();
@@ -75,7 +75,7 @@
         held = log.end();
         dead.addAll(kept.dead());
         known.addAll(kept.known());
-        matter.restore(log.snapshot());
+        stateMachine.restore(log.snapshot());
         delivered = log.base();
         commit = log.base();
     }
@@ -91,13 +91,13 @@
     }
 
     boolean ill() {
-        return quill.failing() || quill.age(now) > set.illMs();
+        return writeAheadQueue.failing() || writeAheadQueue.age(now) > set.illMs();
     }
 
     void promise(Ballot ballot) {
         promised = ballot;
         seen = Math.max(seen, ballot.number());
-        quill.put(Kept.PROMISE, Codec.ballot(ballot), now);
+        writeAheadQueue.put(DurableState.PROMISE, ReplicationCodec.ballot(ballot), now);
         out.changed();
     }
 
@@ -113,7 +113,7 @@
         while (dead.size() > MOST_DEAD) {
             dead.remove(dead.iterator().next());
         }
-        quill.put(Kept.DEAD, Codec.longs(dead), now);
+        writeAheadQueue.put(DurableState.DEAD, ReplicationCodec.longs(dead), now);
         return true;
     }
 
@@ -125,23 +125,23 @@
             known.remove(known.iterator().next());
         }
         known.add(address);
-        quill.put(Kept.KNOWN, Codec.strings(new ArrayList<>(known)), now);
+        writeAheadQueue.put(DurableState.KNOWN, ReplicationCodec.strings(new ArrayList<>(known)), now);
     }
 
     /**
      * Keeps a proposed view with its log. False if that log would lose what is known to be kept: then nothing is
      * changed.
      */
-    boolean accept(View next, Log chosen) {
+    boolean accept(View next, ReplicatedLog chosen) {
         boolean both = commit >= chosen.base() && commit >= log.base();
         boolean broken =
                 chosen.end() < commit || (both && !chosen.viewAt(commit).equals(log.viewAt(commit)));
         if (broken) {
-            out.tell("view.trim-behind-commit", "view", next.ballot(), "end", chosen.end(), "commit", commit);
+            out.tell("replication.trim-behind-commit", "view", next.ballot(), "end", chosen.end(), "commit", commit);
             return false;
         }
         Map<String, byte[]> changes = new LinkedHashMap<>();
-        Log.differences(log, chosen, changes);
+        ReplicatedLog.differences(log, chosen, changes);
         boolean jump = chosen.base() > delivered;
         log = chosen;
         lineage = lineage(next);
@@ -153,19 +153,19 @@
         if (next.ballot().above(promised)) {
             promise(next.ballot());
         }
-        quill.put(changes, now);
-        quill.put(Kept.VIEW, Codec.view(view, false), now);
+        writeAheadQueue.put(changes, now);
+        writeAheadQueue.put(DurableState.VIEW, ReplicationCodec.view(view, false), now);
         for (Member member : next.members()) {
             meet(member.address());
         }
         long end = log.end();
-        quill.then(() -> {
+        writeAheadQueue.then(() -> {
             if (view == next) {
                 held = Math.max(held, end);
             }
         });
         if (jump) {
-            matter.restore(log.snapshot());
+            stateMachine.restore(log.snapshot());
             delivered = log.base();
             commit = Math.max(commit, delivered);
             jumped.run();
@@ -174,16 +174,19 @@
         return true;
     }
 
-    /** That of the present view and the one after it, where the next came straight from it; else what the next tells of itself. */
-    private List<Roll> lineage(View next) {
+    /**
+     * That of the present view and the one after it, where the next came straight from it; else what the next tells of
+     * itself.
+     */
+    private List<ViewMembership> lineage(View next) {
         if (next.past().size() != 1) {
             return List.of();
         }
-        Roll last = next.past().get(0);
+        ViewMembership last = next.past().get(0);
         if (view == null || !view.ballot().equals(last.ballot())) {
             return List.of(last);
         }
-        List<Roll> longer = new ArrayList<>(lineage);
+        List<ViewMembership> longer = new ArrayList<>(lineage);
         longer.add(last);
         return List.copyOf(longer.subList(Math.max(0, longer.size() - MOST_LINEAGE), longer.size()));
     }
@@ -192,9 +195,9 @@
     void force() {
         inForce = true;
         view = new View(view.ballot(), view.members(), List.of());
-        quill.put(Kept.VIEW, Codec.view(view, true), now);
+        writeAheadQueue.put(DurableState.VIEW, ReplicationCodec.view(view, true), now);
         out.tell(
-                "view.in-force",
+                "replication.in-force",
                 "view",
                 view.ballot(),
                 "members",
@@ -207,12 +210,14 @@
         out.changed();
     }
 
-    /** Zones that may be lost with half of the view or more: said by each member, once for each view that is in force. */
+    /**
+     * Zones that may be lost with half of the view or more: said by each member, once for each view that is in force.
+     */
     private void warnOfZones() {
         List<String> zones = set.tolerance().holdingHalf(view.members());
         if (!zones.isEmpty()) {
             out.warn(
-                    "view.zones-hold-half",
+                    "replication.zones-hold-half",
                     "view",
                     view.ballot(),
                     "zones",
@@ -225,36 +230,36 @@
     }
 
     /** Puts an entry at the end; {@code then} runs once it is on the disk. */
-    void append(Entry entry) {
+    void append(LogEntry entry) {
         log.append(entry);
-        quill.put(Kept.key(entry.index()), Codec.entry(entry), now);
+        writeAheadQueue.put(DurableState.key(entry.index()), ReplicationCodec.entry(entry), now);
     }
 
     /** All up to this place is kept on enough disks: delivers it. */
     void commitTo(long place) {
         commit = Math.max(commit, Math.min(place, log.end()));
         while (delivered < commit) {
-            Entry entry = log.at(delivered + 1);
+            LogEntry entry = log.at(delivered + 1);
             delivered++;
-            matter.deliver(entry.index(), entry.bytes());
+            stateMachine.deliver(entry.index(), entry.bytes());
             passed.accept(entry);
         }
         if (!log.full(delivered)) {
             return;
         }
-        Log before = new Log(log.base(), log.baseView(), log.snapshot(), log.entries());
-        log.compact(delivered, matter.snapshot());
+        ReplicatedLog before = new ReplicatedLog(log.base(), log.baseView(), log.snapshot(), log.entries());
+        log.compact(delivered, stateMachine.snapshot());
         Map<String, byte[]> changes = new LinkedHashMap<>();
-        Log.differences(before, log, changes);
-        quill.put(changes, now);
+        ReplicatedLog.differences(before, log, changes);
+        writeAheadQueue.put(changes, now);
     }
 
     boolean settled() {
         return inForce && commit >= floor;
     }
 
-    Frame.Told told(Ballot ballot) {
-        return new Frame.Told(
+    Frame.StopAnswer told(Ballot ballot) {
+        return new Frame.StopAnswer(
                 ballot,
                 me,
                 view == null ? View.NOTHING : view,
--- a/src/main/java/brambletray/tray/view/Leaving.java
+++ b/src/main/java/brambletray/platform/replication/PlannedLeave.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 /**
  * The part of a member that is about to end as planned: leadership transfer, then a reconfiguration without it. A
@@ -7,25 +7,25 @@
  * without this member is in force. That view has to bear the losses; while the rest doesn't (two members, no newcomer),
  * this member stays, for as long as it may.
  */
-final class Leaving {
+final class PlannedLeave {
     /** ms between two Byes: one may be lost, or may come to who can't act on it yet. */
     private static final int AGAIN_MS = 100;
     /** ms for what is under way to be kept; longer only when a member is in trouble. */
     private static final int DRAIN_MS = 300;
 
-    private final Desk desk;
-    private final Members members;
+    private final MemberState desk;
+    private final Replica members;
     private final long since;
     private long saidAt = Long.MIN_VALUE / 2;
     private long drainAt;
     private String why;
 
-    Leaving(Desk desk, Members members) {
+    PlannedLeave(MemberState desk, Replica members) {
         this.desk = desk;
         this.members = members;
         since = desk.now;
         desk.out.tell(
-                "view.leave",
+                "replication.leave",
                 "view",
                 desk.view == null ? "none" : desk.view.ballot(),
                 "leading",
@@ -77,7 +77,7 @@
         saidAt = desk.now;
         for (Member member : desk.view.members()) {
             if (member.life() != desk.me.life()) {
-                desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), desk.me.life()));
+                desk.out.send(member.address(), new Frame.Leave(desk.view.ballot(), desk.me.life()));
             }
         }
     }
@@ -86,7 +86,7 @@
         why = how;
         View view = members.without() != null ? members.without() : desk.view;
         desk.out.tell(
-                "view.leave-over",
+                "replication.leave-over",
                 "why",
                 how,
                 "ms",
@@ -94,7 +94,7 @@
                 "view",
                 view == null ? "none" : view.ballot(),
                 "members",
-                view == null ? "" : Desk.names(view.members()));
+                view == null ? "" : MemberState.names(view.members()));
         desk.out.changed();
     }
 }
--- a/src/main/java/brambletray/tray/view/Outcome.java
+++ b/src/main/java/brambletray/platform/replication/ProposalOutcome.java
@@ -1,7 +1,7 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 /** What became of a proposal. */
-public enum Outcome {
+public enum ProposalOutcome {
     /** In the order and kept on enough disks; delivered here just before. */
     COMMITTED,
     /** Not in the order, and it never will be. */
--- a/src/main/java/brambletray/tray/view/Proposals.java
+++ b/src/main/java/brambletray/platform/replication/Proposals.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -28,19 +28,19 @@
         }
     }
 
-    private final Desk desk;
-    private final Members members;
+    private final MemberState desk;
+    private final Replica members;
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private long waiting;
 
-    Proposals(Desk desk, Members members) {
+    Proposals(MemberState desk, Replica members) {
         this.desk = desk;
         this.members = members;
     }
 
     void propose(long token, byte[] bytes) {
         if (pending.size() >= MOST || waiting + bytes.length > MOST_BYTES) {
-            desk.out.outcome(token, Outcome.REFUSED);
+            desk.out.outcome(token, ProposalOutcome.REFUSED);
             return;
         }
         waiting += bytes.length;
@@ -80,13 +80,13 @@
         }
     }
 
-    void delivered(Entry entry) {
+    void delivered(LogEntry entry) {
         Pending item = entry.origin() == desk.origin ? pending.remove(entry.token()) : null;
         if (item == null) {
             return;
         }
         waiting -= item.bytes.length;
-        desk.out.outcome(entry.token(), Outcome.COMMITTED);
+        desk.out.outcome(entry.token(), ProposalOutcome.COMMITTED);
     }
 
     /** The state has jumped: whatever had been given to a leader may be in it. */
@@ -113,7 +113,7 @@
         for (long token : over) {
             Pending item = pending.remove(token);
             waiting -= item.bytes.length;
-            desk.out.outcome(token, item.sent == null ? Outcome.REFUSED : Outcome.UNCLEAR);
+            desk.out.outcome(token, item.sent == null ? ProposalOutcome.REFUSED : ProposalOutcome.UNCLEAR);
         }
     }
 }
--- a/src/main/java/brambletray/tray/view/Confirms.java
+++ b/src/main/java/brambletray/platform/replication/ReadIndex.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -13,7 +13,7 @@
  * quorum shares a member with every majority; that one doesn't say afterwards that the view is still its own. So one
  * silent member holds up no read and no refusal, as it does commits until it is out.
  */
-final class Confirms {
+final class ReadIndex {
     private static final int AGAIN_MS = 200;
     private static final int MOST = 256;
 
@@ -32,12 +32,12 @@
         }
     }
 
-    private final Desk desk;
-    private final Members members;
+    private final MemberState desk;
+    private final Replica members;
     private final List<Round> rounds = new ArrayList<>();
     private long seq;
 
-    Confirms(Desk desk, Members members) {
+    ReadIndex(MemberState desk, Replica members) {
         this.desk = desk;
         this.members = members;
         seq = desk.origin;
@@ -53,18 +53,18 @@
         work();
     }
 
-    void asked(String from, Frame.Ask ask) {
+    void asked(String from, Frame.ConfirmRequest ask) {
         if (!desk.works(ask.view())) {
             return;
         }
         boolean leads = members.leading();
         desk.out.send(
                 from,
-                new Frame.Same(
+                new Frame.ConfirmAnswer(
                         ask.view(), desk.me.life(), ask.seq(), leads ? desk.commit : -1, leads && desk.settled()));
     }
 
-    void same(Frame.Same same) {
+    void same(Frame.ConfirmAnswer same) {
         for (Round round : rounds) {
             if (round.view == null || !round.view.equals(same.view()) || round.seq != same.seq()) {
                 continue;
@@ -119,7 +119,7 @@
         round.saidAt = desk.now;
         for (Member member : desk.view.members()) {
             if (member.life() != desk.me.life() && !round.same.contains(member.life())) {
-                desk.out.send(member.address(), new Frame.Ask(round.view, round.seq));
+                desk.out.send(member.address(), new Frame.ConfirmRequest(round.view, round.seq));
             }
         }
     }
--- a/src/main/java/brambletray/tray/view/Members.java
+++ b/src/main/java/brambletray/platform/replication/Replica.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -10,59 +10,60 @@
 
 /**
  * One member of the core: views, the order of changes, changes of view. Pure: time, frames and syncs come in,
- * {@link Out} says what is to be done. One thread only. See the package's page for the rules and why they hold.
+ * {@link ReplicationActions} says what is to be done. One thread only. See the package's page for the rules and why
+ * they hold.
  */
-public final class Members {
+public final class Replica {
     /** All frames, for registration with the codec; the records within them come first. */
     public static final List<Class<?>> FRAMES = List.of(
             Ballot.class,
             Member.class,
-            Roll.class,
+            ViewMembership.class,
             View.class,
-            Entry.class,
-            Patch.class,
+            LogEntry.class,
+            LogPatch.class,
             CutDigest.class,
-            Frame.Beat.class,
-            Frame.Back.class,
+            Frame.Heartbeat.class,
+            Frame.HeartbeatAnswer.class,
             Frame.Append.class,
             Frame.Ack.class,
-            Frame.Stop.class,
-            Frame.Told.class,
-            Frame.Nay.class,
+            Frame.StopRequest.class,
+            Frame.StopAnswer.class,
+            Frame.Refuse.class,
             Frame.Install.class,
-            Frame.Offer.class,
+            Frame.TransferOffer.class,
             Frame.Installed.class,
-            Frame.Unfit.class,
-            Frame.Left.class,
-            Frame.Knock.class,
-            Frame.Come.class,
-            Frame.Met.class,
-            Frame.Who.class,
-            Frame.Here.class,
-            Frame.Pull.class,
+            Frame.PatchMismatch.class,
+            Frame.NotMember.class,
+            Frame.JoinRequest.class,
+            Frame.JoinAnswer.class,
+            Frame.KnownMembers.class,
+            Frame.IdentityRequest.class,
+            Frame.IdentityAnswer.class,
+            Frame.PieceRequest.class,
             Frame.Piece.class,
-            Frame.Bye.class,
+            Frame.Leave.class,
             Frame.Submit.class,
-            Frame.Ask.class,
-            Frame.Same.class);
+            Frame.ConfirmRequest.class,
+            Frame.ConfirmAnswer.class);
 
-    private final Desk desk;
-    private final Following following;
-    private final Knocking knocking;
-    private final Gate gate;
+    private final MemberState desk;
+    private final Follower following;
+    private final JoinRequester joinRequester;
+    private final JoinAdmission gate;
     private final Proposals proposals;
-    private final Confirms confirms;
+    private final ReadIndex confirms;
     private final DeathOrders deathOrders;
-    private final Ear ear;
+    private final FrameDispatcher frameDispatcher;
     private List<String> seeds;
     private boolean born;
-    private Leading leading;
-    private Changing changing;
+    private Leader leading;
+    private ViewChange changing;
     private long tickAt;
     /** When each member that is about to end first said so. */
     private final Map<Long, Long> leavers = new LinkedHashMap<>();
 
-    private Leaving leaving;
+    private PlannedLeave leaving;
 
     /**
      * @param address      of this machine's control-plane, as the others call it
@@ -75,20 +76,20 @@
      * @param initialStart whether the settings say that the whole system starts for the first time
      * @param now          steady clock, ms
      */
-    public Members(
+    public Replica(
             String address,
             String name,
             String zone,
             long freshLife,
             long origin,
-            Kept kept,
+            DurableState kept,
             List<String> seeds,
             boolean initialStart,
-            Settings settings,
-            Out out,
-            Matter matter,
+            ReplicationSettings settings,
+            ReplicationActions out,
+            StateMachine stateMachine,
             long now) {
-        desk = new Desk(settings, out, matter, origin);
+        desk = new MemberState(settings, out, stateMachine, origin);
         desk.now = now;
         tickAt = now;
         this.seeds = List.copyOf(seeds);
@@ -97,28 +98,28 @@
         desk.load(kept);
         List<String> founders = kept.seeds();
         if (empty) {
-            desk.quill.put(Kept.LIFE, Codec.write(o -> o.writeLong(freshLife)), now);
+            desk.writeAheadQueue.put(DurableState.LIFE, ReplicationCodec.write(o -> o.writeLong(freshLife)), now);
             if (initialStart && seeds.contains(address)) {
                 founders = this.seeds;
-                desk.quill.put(Kept.SEEDS, Codec.strings(founders), now);
+                desk.writeAheadQueue.put(DurableState.SEEDS, ReplicationCodec.strings(founders), now);
             }
         }
         if (desk.view == null && !founders.isEmpty()) {
             desk.view = View.ofSeeds(founders);
             desk.inForce = true;
         }
-        following = new Following(desk, this);
-        knocking = new Knocking(desk, following);
-        gate = new Gate(desk, this);
+        following = new Follower(desk, this);
+        joinRequester = new JoinRequester(desk, following);
+        gate = new JoinAdmission(desk, this);
         proposals = new Proposals(desk, this);
-        confirms = new Confirms(desk, this);
+        confirms = new ReadIndex(desk, this);
         deathOrders = new DeathOrders(desk, this);
-        ear = new Ear(desk, this, following, knocking, gate, confirms);
+        frameDispatcher = new FrameDispatcher(desk, this, following, joinRequester, gate, confirms);
         desk.passed = proposals::delivered;
         desk.jumped = proposals::jumped;
-        desk.quill.then(() -> born = true);
+        desk.writeAheadQueue.then(() -> born = true);
         out.tell(
-                "view.start",
+                "replication.start",
                 "life",
                 Long.toHexString(desk.me.life()),
                 "empty",
@@ -129,11 +130,11 @@
                 desk.view == null ? "none" : desk.view.ballot(),
                 "end",
                 desk.log.end());
-        desk.quill.flush(now);
+        desk.writeAheadQueue.flush(now);
     }
 
     /** The settings or the seeds have changed (SIGHUP). */
-    public void settings(Settings settings, List<String> newSeeds) {
+    public void settings(ReplicationSettings settings, List<String> newSeeds) {
         desk.set = settings;
         seeds = List.copyOf(newSeeds);
     }
@@ -151,7 +152,7 @@
             }
             decide();
             knock();
-            ear.tick();
+            frameDispatcher.tick();
             proposals.tick();
             confirms.work();
             deathOrders.tick();
@@ -164,7 +165,7 @@
         if (desk.now - tickAt <= desk.set.sleepMs()) {
             return;
         }
-        desk.out.tell("view.slept", "ms", desk.now - tickAt);
+        desk.out.tell("replication.slept", "ms", desk.now - tickAt);
         tickAt = desk.now;
         following.doubt();
         if (leading != null) {
@@ -182,7 +183,7 @@
         if (leading != null) {
             leading.flush();
         }
-        desk.quill.flush(desk.now);
+        desk.writeAheadQueue.flush(desk.now);
     }
 
     /** Begins a change of view where one is due. */
@@ -230,7 +231,7 @@
             // well
             for (Member member : desk.view.members()) {
                 if (member.life() != desk.me.life()) {
-                    desk.out.send(member.address(), new Frame.Bye(desk.view.ballot(), leader.life()));
+                    desk.out.send(member.address(), new Frame.Leave(desk.view.ballot(), leader.life()));
                 }
             }
         }
@@ -268,8 +269,8 @@
     }
 
     private void change(Set<Long> doubted, Set<Long> shunned, String why) {
-        Map<Long, Frame.Knock> newcomers = leading != null ? gate.waiting() : new LinkedHashMap<>();
-        changing = new Changing(desk, this, doubted, shunned, newcomers, why);
+        Map<Long, Frame.JoinRequest> newcomers = leading != null ? gate.waiting() : new LinkedHashMap<>();
+        changing = new ViewChange(desk, this, doubted, shunned, newcomers, why);
     }
 
     /** A frame from the member at this control-plane address. */
@@ -277,17 +278,19 @@
         enter(now);
         deathOrders.heard(from);
         if (born && frame instanceof Frame known) {
-            ear.hear(from, known);
+            frameDispatcher.hear(from, known);
         }
         leave();
     }
 
     /**
-     * An operator declares that the machine of this member is gone for good, with its disk, and will never answer again. The order is the operator's
-     * word and no proof: it must not be given on both sides of a partition. {@code then} is told what became of it, now or within
+     * An operator declares that the machine of this member is gone for good, with its disk, and will never answer
+     * again. The order is the operator's
+     * word and no proof: it must not be given on both sides of a partition. {@code then} is told what became of it, now
+     * or within
      * a few seconds, and may not call back into this object before it returns.
      *
-     * @param life as {@link Status#members} has it
+     * @param life as {@link ReplicaStatus#members} has it
      */
     public void declareDead(String address, long life, long now, Consumer<Declaration> then) {
         enter(now);
@@ -298,7 +301,7 @@
     /** The batch of this ticket is on the disk. */
     public void synced(long ticket, long now) {
         enter(now);
-        desk.quill.synced(ticket);
+        desk.writeAheadQueue.synced(ticket);
         leave();
     }
 
@@ -308,10 +311,10 @@
      */
     public void syncFailed(long ticket, long now) {
         enter(now);
-        if (!desk.quill.failing()) {
-            desk.out.tell("view.disk-refuses", "ticket", ticket);
+        if (!desk.writeAheadQueue.failing()) {
+            desk.out.tell("replication.disk-refuses", "ticket", ticket);
         }
-        desk.quill.failed(ticket, desk.now);
+        desk.writeAheadQueue.failed(ticket, desk.now);
         leave();
     }
 
@@ -326,7 +329,8 @@
     }
 
     /**
-     * Proposes a change; its outcome comes through {@link Out#outcome}. A token is used once in the life of a process.
+     * Proposes a change; its outcome comes through {@link ReplicationActions#outcome}. A token is used once in the life
+     * of a process.
      */
     public void propose(long token, byte[] bytes, long now) {
         enter(now);
@@ -336,7 +340,7 @@
 
     /**
      * Asks whether what has been delivered here is no older than all that was acknowledged until now:
-     * {@link Out#confirmed}.
+     * {@link ReplicationActions#confirmed}.
      */
     public void confirm(long token, long now) {
         enter(now);
@@ -352,14 +356,14 @@
         enter(now);
         if (leaving == null) {
             desk.leaving = true;
-            leaving = new Leaving(desk, this);
+            leaving = new PlannedLeave(desk, this);
         }
         leave();
     }
 
     /**
      * Whether this process may end: a view without it is in force, or it has waited for as long as it may
-     * ({@link Settings#leaveMs}).
+     * ({@link ReplicationSettings#leaveMs}).
      */
     public boolean left() {
         return leaving != null && leaving.over();
@@ -371,7 +375,7 @@
     }
 
     /** A member is about to end. */
-    void bye(String from, Frame.Bye bye) {
+    void bye(String from, Frame.Leave bye) {
         View view = desk.view;
         if (view == null) {
             return;
@@ -380,7 +384,7 @@
             // the view without it is in force, and it hasn't heard of it
             boolean out = desk.inForce && view.ballot().above(bye.view()) && !view.has(bye.life());
             if (out) {
-                desk.out.send(from, new Frame.Left(view));
+                desk.out.send(from, new Frame.NotMember(view));
             }
             return;
         }
@@ -396,17 +400,17 @@
     }
 
     /** What this member knows. */
-    public Status status() {
+    public ReplicaStatus status() {
         View view = desk.view;
         boolean founding = view != null && view.founding();
         boolean well = leading != null ? leading.well() : following.calm();
-        Standing standing = knocking.active()
-                ? Standing.KNOCKING
+        ReplicaRole standing = joinRequester.active()
+                ? ReplicaRole.KNOCKING
                 : founding
-                        ? Standing.FOUNDING
-                        : desk.inForce && desk.works(view.ballot()) && well ? Standing.MEMBER : Standing.STOPPED;
+                        ? ReplicaRole.FOUNDING
+                        : desk.inForce && desk.works(view.ballot()) && well ? ReplicaRole.MEMBER : ReplicaRole.STOPPED;
         List<Member> members = view == null || founding ? List.of() : view.members();
-        return new Status(
+        return new ReplicaStatus(
                 standing,
                 desk.me,
                 view == null ? 0 : view.number(),
@@ -422,13 +426,19 @@
                 desk.lineage);
     }
 
-    /** Zones, or else regions, that may be lost and hold half of the view in force or more; empty where the rest would go on. */
+    /**
+     * Zones, or else regions, that may be lost and hold half of the view in force or more; empty where the rest would
+     * go on.
+     */
     public List<String> zonesHoldingHalf() {
         boolean known = desk.view != null && desk.inForce && !desk.view.founding();
         return known ? desk.set.tolerance().holdingHalf(desk.view.members()) : List.of();
     }
 
-    /** Control-plane address of the leader that the others go on with, once this process is about to end and is out; else null. */
+    /**
+     * Control-plane address of the leader that the others go on with, once this process is about to end and is out;
+     * else null.
+     */
     public String successor() {
         return desk.leaving && following.fallen() ? following.left().leader().address() : null;
     }
@@ -463,18 +473,18 @@
         return following.rank();
     }
 
-    Changing changing() {
+    ViewChange changing() {
         return changing;
     }
 
     /** The part that leads, if this member leads the view of this name and may work in it; else null. */
-    Leading leads(Ballot view) {
+    Leader leads(Ballot view) {
         return leading != null && desk.works(view) ? leading : null;
     }
 
     /** Knocks, if there is reason to and it is time. */
     void knock() {
-        knocking.tick(seeds);
+        joinRequester.tick(seeds);
     }
 
     boolean take(long token, byte[] bytes) {
@@ -503,7 +513,7 @@
 
     /** Gives the attempt up; the next one not before the pause is over. */
     void drop(String why, long pauseMs) {
-        desk.out.tell("view.change-dropped", "ballot", changing.ballot(), "why", why);
+        desk.out.tell("replication.change-dropped", "ballot", changing.ballot(), "why", why);
         changing = null;
         following.quiet(pauseMs);
     }
@@ -519,7 +529,7 @@
 
     /** A view has been kept here. */
     void accepted() {
-        knocking.accepted();
+        joinRequester.accepted();
     }
 
     /** The view of this member is in force, said by its leader. */
@@ -535,9 +545,9 @@
         desk.floor = desk.log.end();
         desk.draining = false;
         gate.clear();
-        leading = new Leading(desk);
+        leading = new Leader(desk);
         for (String address : new ArrayList<>(leftOut)) {
-            desk.out.send(address, new Frame.Left(desk.view));
+            desk.out.send(address, new Frame.NotMember(desk.view));
         }
         desk.out.changed();
         proposals.pump();
--- a/src/main/java/brambletray/tray/view/Standing.java
+++ b/src/main/java/brambletray/platform/replication/ReplicaRole.java
@@ -1,7 +1,7 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 /** Where a member stands. */
-public enum Standing {
+public enum ReplicaRole {
     /** One of the seeds of a core that is not yet founded. */
     FOUNDING,
     /** In a view that is in force, and in touch with its leader. */
--- a/src/main/java/brambletray/tray/view/Status.java
+++ b/src/main/java/brambletray/platform/replication/ReplicaStatus.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.List;
 
@@ -17,11 +17,12 @@
  * @param commit    last place known to be kept
  * @param delivered last place delivered here
  * @param ill       whether its own disk is in trouble
- * @param lineage   views that its last view came from, each straight from the one before it, as this process has kept them; the last is that of
+ * @param lineage   views that its last view came from, each straight from the one before it, as this process has kept
+ * them; the last is that of
  *     number {@code before}
  */
-public record Status(
-        Standing standing,
+public record ReplicaStatus(
+        ReplicaRole standing,
         Member me,
         long number,
         long before,
@@ -33,10 +34,10 @@
         long commit,
         long delivered,
         boolean ill,
-        List<Roll> lineage) {
+        List<ViewMembership> lineage) {
     /** Without a lineage. */
-    public Status(
-            Standing standing,
+    public ReplicaStatus(
+            ReplicaRole standing,
             Member me,
             long number,
             long before,
--- a/src/main/java/brambletray/tray/view/Log.java
+++ b/src/main/java/brambletray/platform/replication/ReplicatedLog.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,7 +10,7 @@
  * have an entry of the same place and view are the same up to there: within a view one leader gives the places, and all
  * its members begin with one log.
  */
-final class Log {
+final class ReplicatedLog {
     /** A snapshot is taken after so many delivered entries, or so many bytes in entries. */
     static final int ENTRIES = 256;
 
@@ -25,27 +25,27 @@
     private long base;
     private Ballot baseView;
     private byte[] snapshot;
-    private final List<Entry> entries;
+    private final List<LogEntry> entries;
     private long bytes;
     /** Those that the last compactions took out of {@link #entries}, up to the snapshot's place without gaps. */
-    private final ArrayDeque<Entry> trail = new ArrayDeque<>();
+    private final ArrayDeque<LogEntry> trail = new ArrayDeque<>();
 
     private long trailBytes;
     /** View of the entry before the first of these. */
     private Ballot trailView = Ballot.NONE;
 
-    Log(long base, Ballot baseView, byte[] snapshot, List<Entry> entries) {
+    ReplicatedLog(long base, Ballot baseView, byte[] snapshot, List<LogEntry> entries) {
         this.base = base;
         this.baseView = baseView;
         this.snapshot = snapshot;
         this.entries = new ArrayList<>(entries);
-        for (Entry entry : entries) {
+        for (LogEntry entry : entries) {
             bytes += entry.bytes().length;
         }
     }
 
-    static Log empty() {
-        return new Log(0, Ballot.NONE, new byte[0], List.of());
+    static ReplicatedLog empty() {
+        return new ReplicatedLog(0, Ballot.NONE, new byte[0], List.of());
     }
 
     /** Place of the snapshot. */
@@ -61,7 +61,7 @@
         return snapshot;
     }
 
-    List<Entry> entries() {
+    List<LogEntry> entries() {
         return entries;
     }
 
@@ -83,13 +83,13 @@
     }
 
     /** Entry at a place after the snapshot's, up to the end. */
-    Entry at(long place) {
+    LogEntry at(long place) {
         return entries.get((int) (place - base - 1));
     }
 
-    void append(Entry entry) {
+    void append(LogEntry entry) {
         if (entry.index() != end() + 1) {
-            throw new ViewFault("view.gap", "entry " + entry.index() + " after " + end());
+            throw new ReplicationException("replication.gap", "entry " + entry.index() + " after " + end());
         }
         entries.add(entry);
         bytes += entry.bytes().length;
@@ -105,16 +105,16 @@
     }
 
     /** Entries after one place up to another; both lie between the snapshot's place and the end. */
-    List<Entry> between(long after, long to) {
+    List<LogEntry> between(long after, long to) {
         return List.copyOf(entries.subList((int) (after - base), (int) (to - base)));
     }
 
     /** Entries after a place, up to so many bytes but one at least. */
-    List<Entry> after(long place, int most) {
-        List<Entry> some = new ArrayList<>();
+    List<LogEntry> after(long place, int most) {
+        List<LogEntry> some = new ArrayList<>();
         int size = 0;
         for (long at = place + 1; at <= end(); at++) {
-            Entry entry = at(at);
+            LogEntry entry = at(at);
             size += entry.bytes().length + 64;
             if (size > most && !some.isEmpty()) {
                 break;
@@ -126,7 +126,7 @@
 
     /** Whether an entry of this proposal is there. */
     boolean has(long origin, long token) {
-        for (Entry entry : entries) {
+        for (LogEntry entry : entries) {
             if (entry.origin() == origin && entry.token() == token) {
                 return true;
             }
@@ -138,27 +138,27 @@
      * What a log lacks that ends so, and of which all up to {@code commit} is known to be kept (and so is in every
      * later log).
      */
-    Patch since(long end, Ballot endView, long commit) {
+    LogPatch since(long end, Ballot endView, long commit) {
         if (endView.equals(viewAt(end))) {
             return cut(end);
         }
         if (commit >= base && commit <= end()) {
             return cut(commit);
         }
-        Patch whole = new Patch(true, base, baseView, snapshot, List.copyOf(entries));
-        Patch tail = trail(end, endView);
+        LogPatch whole = new LogPatch(true, base, baseView, snapshot, List.copyOf(entries));
+        LogPatch tail = trail(end, endView);
         return tail != null && tail.bytes() <= whole.bytes() ? tail : whole;
     }
 
     /** What follows a place before the snapshot; null if it isn't known any more, or the entry there is another. */
-    private Patch trail(long end, Ballot endView) {
+    private LogPatch trail(long end, Ballot endView) {
         long before = base - trail.size();
         if (end < before || end >= base) {
             return null;
         }
-        List<Entry> some = new ArrayList<>();
+        List<LogEntry> some = new ArrayList<>();
         Ballot view = trailView;
-        for (Entry entry : trail) {
+        for (LogEntry entry : trail) {
             if (entry.index() == end) {
                 view = entry.view();
             }
@@ -170,11 +170,11 @@
             return null;
         }
         some.addAll(entries);
-        return new Patch(false, end, endView, new byte[0], some);
+        return new LogPatch(false, end, endView, new byte[0], some);
     }
 
-    private Patch cut(long place) {
-        return new Patch(
+    private LogPatch cut(long place) {
+        return new LogPatch(
                 false,
                 place,
                 viewAt(place),
@@ -183,15 +183,16 @@
     }
 
     /** This log after the patch, or null if the patch doesn't fit. */
-    Log patched(Patch patch) {
+    ReplicatedLog patched(LogPatch patch) {
         if (patch.whole()) {
-            return new Log(patch.after(), patch.afterView(), patch.snapshot(), patch.entries());
+            return new ReplicatedLog(patch.after(), patch.afterView(), patch.snapshot(), patch.entries());
         }
         if (!patch.afterView().equals(viewAt(patch.after()))) {
             return null;
         }
-        Log log = new Log(base, baseView, snapshot, entries.subList(0, (int) (patch.after() - base)));
-        for (Entry entry : patch.entries()) {
+        ReplicatedLog log =
+                new ReplicatedLog(base, baseView, snapshot, entries.subList(0, (int) (patch.after() - base)));
+        for (LogEntry entry : patch.entries()) {
             log.append(entry);
         }
         log.trail.addAll(trail);
@@ -208,18 +209,18 @@
     /** Replaces all up to this place by the state after it. */
     void compact(long place, byte[] state) {
         Ballot view = viewAt(place);
-        List<Entry> gone = entries.subList(0, (int) (place - base));
+        List<LogEntry> gone = entries.subList(0, (int) (place - base));
         if (trail.isEmpty()) {
             trailView = baseView;
         }
-        for (Entry entry : gone) {
+        for (LogEntry entry : gone) {
             bytes -= entry.bytes().length;
             trail.add(entry);
             trailBytes += entry.bytes().length;
         }
         gone.clear();
         while (trail.size() > TRAIL_ENTRIES || trailBytes > TRAIL_BYTES) {
-            Entry first = trail.remove();
+            LogEntry first = trail.remove();
             trailBytes -= first.bytes().length;
             trailView = first.view();
         }
@@ -229,18 +230,18 @@
     }
 
     /** Puts into the map what turns the kept form of one log into that of the other. */
-    static void differences(Log before, Log now, Map<String, byte[]> changes) {
+    static void differences(ReplicatedLog before, ReplicatedLog now, Map<String, byte[]> changes) {
         if (before.base != now.base || !before.baseView.equals(now.baseView)) {
-            changes.put(Kept.SNAP, Codec.snap(now));
+            changes.put(DurableState.SNAP, ReplicationCodec.snap(now));
         }
-        for (Entry entry : before.entries) {
+        for (LogEntry entry : before.entries) {
             if (!entry.view().equals(now.viewAt(entry.index())) || entry.index() <= now.base) {
-                changes.put(Kept.key(entry.index()), null);
+                changes.put(DurableState.key(entry.index()), null);
             }
         }
-        for (Entry entry : now.entries) {
+        for (LogEntry entry : now.entries) {
             if (entry.index() <= before.base || !entry.view().equals(before.viewAt(entry.index()))) {
-                changes.put(Kept.key(entry.index()), Codec.entry(entry));
+                changes.put(DurableState.key(entry.index()), ReplicationCodec.entry(entry));
             }
         }
     }
--- a/src/main/java/brambletray/tray/view/Out.java
+++ b/src/main/java/brambletray/platform/replication/ReplicationActions.java
@@ -1,9 +1,9 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.Map;
 
-/** What a member wants done. None of these may call back into {@link Members} before they return. */
-public interface Out {
+/** What a member wants done. None of these may call back into {@link Replica} before they return. */
+public interface ReplicationActions {
     /**
      * Sends a frame to the member at this address; it may be lost, but frames that arrive over one connection keep
      * their order.
@@ -11,21 +11,21 @@
     void send(String address, Frame frame);
 
     /**
-     * Keeps changes durably and all at once, then answers {@link Members#synced} or {@link Members#syncFailed} with the
+     * Keeps changes durably and all at once, then answers {@link Replica#synced} or {@link Replica#syncFailed} with the
      * ticket (later, on the loop). One is out at a time. A null value removes the key.
      */
     void persist(long ticket, Map<String, byte[]> changes);
 
     /** What became of a proposal of this process; said once for each. */
-    void outcome(long token, Outcome outcome);
+    void outcome(long token, ProposalOutcome outcome);
 
     /**
-     * Whether this process has seen all that was acknowledged before {@link Members#confirm} was called; said once for
+     * Whether this process has seen all that was acknowledged before {@link Replica#confirm} was called; said once for
      * each token.
      */
     void confirmed(long token, boolean yes);
 
-    /** The view, its leader or its being in force has changed: see {@link Members#status}. */
+    /** The view, its leader or its being in force has changed: see {@link Replica#status}. */
     void changed();
 
     /** An event to log: pairs of a name and a value. */
--- a/src/main/java/brambletray/tray/view/Codec.java
+++ b/src/main/java/brambletray/platform/replication/ReplicationCodec.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -9,11 +9,11 @@
 import java.util.List;
 
 /** Bytes of what is kept and of what is carried in pieces. Each begins with the version of its form. */
-final class Codec {
+final class ReplicationCodec {
     /** 1: without the zones of members; still read. */
     private static final int FORM = 2;
 
-    private Codec() {}
+    private ReplicationCodec() {}
 
     interface Writing {
         void to(DataOutputStream out) throws IOException;
@@ -29,7 +29,7 @@
             out.writeByte(FORM);
             writing.to(out);
         } catch (IOException e) {
-            throw new ViewFault("view.form", "cannot be written", e);
+            throw new ReplicationException("replication.form", "cannot be written", e);
         }
         return bytes.toByteArray();
     }
@@ -47,12 +47,12 @@
     static <T> T read(byte[] bytes, Reading<T> reading) {
         try (Input in = new Input(bytes)) {
             if (in.form < 1 || in.form > FORM) {
-                throw new ViewFault(
-                        "view.form", "kept in form " + in.form + ", this program reads forms up to " + FORM);
+                throw new ReplicationException(
+                        "replication.form", "kept in form " + in.form + ", this program reads forms up to " + FORM);
             }
             return reading.from(in);
         } catch (IOException e) {
-            throw new ViewFault("view.form", "cannot be read: " + e.getMessage(), e);
+            throw new ReplicationException("replication.form", "cannot be read: " + e.getMessage(), e);
         }
     }
 
@@ -95,7 +95,7 @@
             ballot(out, view.ballot());
             members(out, view.members());
             out.writeInt(view.past().size());
-            for (Roll roll : view.past()) {
+            for (ViewMembership roll : view.past()) {
                 ballot(out, roll.ballot());
                 members(out, roll.members());
             }
@@ -107,18 +107,18 @@
         Ballot ballot = ballot(in);
         List<Member> members = members(in);
         int count = in.readInt();
-        List<Roll> past = new ArrayList<>();
+        List<ViewMembership> past = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            past.add(new Roll(ballot(in), members(in)));
+            past.add(new ViewMembership(ballot(in), members(in)));
         }
         return new View(ballot, members, past);
     }
 
-    static byte[] entry(Entry entry) {
+    static byte[] entry(LogEntry entry) {
         return write(out -> entry(out, entry));
     }
 
-    private static void entry(DataOutputStream out, Entry entry) throws IOException {
+    private static void entry(DataOutputStream out, LogEntry entry) throws IOException {
         out.writeLong(entry.index());
         ballot(out, entry.view());
         out.writeLong(entry.origin());
@@ -126,11 +126,11 @@
         bytes(out, entry.bytes());
     }
 
-    static Entry entry(DataInputStream in) throws IOException {
-        return new Entry(in.readLong(), ballot(in), in.readLong(), in.readLong(), bytes(in));
+    static LogEntry entry(DataInputStream in) throws IOException {
+        return new LogEntry(in.readLong(), ballot(in), in.readLong(), in.readLong(), bytes(in));
     }
 
-    static byte[] snap(Log log) {
+    static byte[] snap(ReplicatedLog log) {
         return write(out -> {
             out.writeLong(log.base());
             ballot(out, log.baseView());
@@ -138,7 +138,7 @@
         });
     }
 
-    static byte[] patch(Patch patch, long commit) {
+    static byte[] patch(LogPatch patch, long commit) {
         return write(out -> {
             out.writeLong(commit);
             out.writeBoolean(patch.whole());
@@ -146,24 +146,24 @@
             ballot(out, patch.afterView());
             bytes(out, patch.snapshot());
             out.writeInt(patch.entries().size());
-            for (Entry entry : patch.entries()) {
+            for (LogEntry entry : patch.entries()) {
                 entry(out, entry);
             }
         });
     }
 
     /** The patch, after the place up to which all is kept. */
-    static Patch patch(DataInputStream in) throws IOException {
+    static LogPatch patch(DataInputStream in) throws IOException {
         boolean whole = in.readBoolean();
         long after = in.readLong();
         Ballot afterView = ballot(in);
         byte[] snapshot = bytes(in);
         int count = in.readInt();
-        List<Entry> entries = new ArrayList<>();
+        List<LogEntry> entries = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             entries.add(entry(in));
         }
-        return new Patch(whole, after, afterView, snapshot, entries);
+        return new LogPatch(whole, after, afterView, snapshot, entries);
     }
 
     static byte[] strings(List<String> strings) {
--- a/src/main/java/brambletray/tray/view/Settings.java
+++ b/src/main/java/brambletray/platform/replication/ReplicationSettings.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 /**
  * Spans in milliseconds and bounds. A machine counts as lost until sync-s after its return, so its way back in has to
@@ -15,10 +15,11 @@
  * @param foundMs    the same, at the founding
  * @param installMs  wait for all members of a proposed view to keep it
  * @param proposeMs  how long a proposal is held before its outcome is called unclear
- * @param leaveMs    how long a member that is told to end stays at most, so that others go on without it: grace-s less a margin
+ * @param leaveMs    how long a member that is told to end stays at most, so that others go on without it: grace-s less
+ * a margin
  */
-public record Settings(
-        Tolerance tolerance,
+public record ReplicationSettings(
+        FaultTolerance tolerance,
         int beatMs,
         int silentMs,
         int ackMs,
@@ -34,12 +35,12 @@
     static final int MOST = 9;
 
     /** The usual spans, with the shortest grace-s of all deployments, 6 s, less a margin. */
-    public static Settings usual(int losses) {
-        return usual(Tolerance.ofMachines(losses), 5000);
+    public static ReplicationSettings usual(int losses) {
+        return usual(FaultTolerance.ofMachines(losses), 5000);
     }
 
     /** The usual spans, and how long a member that is told to end stays at most. */
-    public static Settings usual(Tolerance tolerance, int leaveMs) {
-        return new Settings(tolerance, 100, 700, 1000, 700, 400, 200, 150, 1500, 700, 3000, leaveMs);
+    public static ReplicationSettings usual(FaultTolerance tolerance, int leaveMs) {
+        return new ReplicationSettings(tolerance, 100, 700, 1000, 700, 400, 200, 150, 1500, 700, 3000, leaveMs);
     }
 }
--- a/src/main/java/brambletray/tray/view/Matter.java
+++ b/src/main/java/brambletray/platform/replication/StateMachine.java
@@ -1,9 +1,9 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.List;
 
 /** The state above the order; the same at all members after the same place. Called on the loop only. */
-public interface Matter {
+public interface StateMachine {
     /** The whole state now. */
     byte[] snapshot();
 
@@ -14,7 +14,8 @@
     void restore(byte[] snapshot);
 
     /**
-     * What {@link #snapshot} would give after a restore from {@code snapshot} and these changes; the state itself stays as it is.
+     * What {@link #snapshot} would give after a restore from {@code snapshot} and these changes; the state itself stays
+     * as it is.
      */
     byte[] replay(byte[] snapshot, List<byte[]> changes);
 
--- a/src/main/java/brambletray/tray/view/StateTransfer.java
+++ b/src/main/java/brambletray/platform/replication/StateTransfer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -18,9 +18,9 @@
     private static final int GIVE_UP_MS = 4000;
     private static final int MOST = 64 << 20;
 
-    private final Desk desk;
+    private final MemberState desk;
     private String from;
-    private final Log mine;
+    private final ReplicatedLog mine;
     private Ballot view;
     private long id;
     /** Of the bytes of which the pieces are. */
@@ -33,7 +33,7 @@
     private int againMs = AGAIN_MS / 2;
     private long saidAt = Long.MIN_VALUE / 2;
     private long movedAt;
-    private Log log;
+    private ReplicatedLog log;
     private long commit;
     private boolean failed;
     /** What has come is no log, so nothing of it is of use. */
@@ -43,7 +43,7 @@
      * {@code view}: one that is being installed there, whose log is fetched; {@link Ballot#NONE} for what the giver has
      * itself.
      */
-    StateTransfer(Desk desk, String from, Log mine, Ballot view) {
+    StateTransfer(MemberState desk, String from, ReplicatedLog mine, Ballot view) {
         this.view = view;
         this.desk = desk;
         this.from = from;
@@ -67,7 +67,7 @@
 
     /** Asks another giver, or the same one again, for what hasn't come. */
     void resume(String giver, Ballot of) {
-        desk.out.tell("view.transfer-resumed", "from", giver, "before", from, "bytes", got * PIECE, "of", total);
+        desk.out.tell("replication.transfer-resumed", "from", giver, "before", from, "bytes", got * PIECE, "of", total);
         from = giver;
         view = of;
         id = nextId();
@@ -111,7 +111,7 @@
             saidAt = desk.now;
             desk.out.send(
                     from,
-                    new Frame.Pull(
+                    new Frame.PieceRequest(
                             id,
                             asked * PIECE,
                             view,
@@ -161,7 +161,8 @@
 
     /** The giver has another state: what has come is of no use with it. */
     private void begin() {
-        desk.out.tell("view.transfer-anew", "from", from, "bytes", got * PIECE, "why", "the giver packs another cut");
+        desk.out.tell(
+                "replication.transfer-anew", "from", from, "bytes", got * PIECE, "why", "the giver packs another cut");
         pieces.clear();
         got = 0;
         asked = 0;
@@ -177,14 +178,14 @@
         }
         pieces.clear();
         if (!cut.matches(whole)) {
-            desk.out.tell("view.transfer-spoilt", "from", from, "bytes", total);
+            desk.out.tell("replication.transfer-spoilt", "from", from, "bytes", total);
             spoilt = true;
             failed = true;
             return;
         }
-        log = Codec.read(whole, in -> {
+        log = ReplicationCodec.read(whole, in -> {
             commit = in.readLong();
-            return mine.patched(Codec.patch(in));
+            return mine.patched(ReplicationCodec.patch(in));
         });
         failed = log == null;
         spoilt = failed;
@@ -195,7 +196,7 @@
     }
 
     /** The log after the pieces; null while they are coming and when they didn't fit. */
-    Log log() {
+    ReplicatedLog log() {
         return log;
     }
 
--- a/src/main/java/brambletray/tray/view/Serving.java
+++ b/src/main/java/brambletray/platform/replication/StateTransferServer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -14,7 +14,7 @@
  * Receivers that lack the same share a cut, so many newcomers take no more memory than one. A receiver that has been
  * silent for a while, or has all when another needs room, is forgotten.
  */
-final class Serving {
+final class StateTransferServer {
     /** Cuts, of a few megabytes each, and receivers at a time. */
     private static final int MOST_CUTS = 4;
 
@@ -22,8 +22,8 @@
     private static final int KEEP_MS = 3000;
 
     private record Cut(Ballot view, CutDigest name, byte[] bytes) {
-        static Cut of(Ballot view, Patch patch, long commit) {
-            byte[] packed = Codec.patch(patch, commit);
+        static Cut of(Ballot view, LogPatch patch, long commit) {
+            byte[] packed = ReplicationCodec.patch(patch, commit);
             return new Cut(view, CutDigest.of(patch, commit, packed), packed);
         }
     }
@@ -35,22 +35,22 @@
         boolean over;
     }
 
-    private final Desk desk;
-    private final Function<Ballot, Log> logs;
+    private final MemberState desk;
+    private final Function<Ballot, ReplicatedLog> logs;
     private final Map<String, Receiver> receivers = new LinkedHashMap<>();
 
     /**
      * {@code logs}: of a view that is being installed the log it begins with; of {@link Ballot#NONE} this member's own;
      * null if none.
      */
-    Serving(Desk desk, Function<Ballot, Log> logs) {
+    StateTransferServer(MemberState desk, Function<Ballot, ReplicatedLog> logs) {
         this.desk = desk;
         this.logs = logs;
     }
 
-    void pull(String from, Frame.Pull pull) {
+    void pull(String from, Frame.PieceRequest pull) {
         Receiver receiver = receivers.get(from);
-        Log log = logs.apply(pull.view());
+        ReplicatedLog log = logs.apply(pull.view());
         int offset = pull.offset();
         if (receiver == null || receiver.id != pull.id()) {
             receivers.remove(from);
@@ -79,8 +79,11 @@
         desk.out.send(from, new Frame.Piece(pull.id(), offset, bytes.length, piece, receiver.cut.name));
     }
 
-    /** The cut of which the receiver has got a part from another member, or from this one before its restart; null if it isn't to be had here. */
-    private Cut same(Frame.Pull pull, Log log) {
+    /**
+     * The cut of which the receiver has got a part from another member, or from this one before its restart; null if it
+     * isn't to be had here.
+     */
+    private Cut same(Frame.PieceRequest pull, ReplicatedLog log) {
         CutDigest name = pull.cut();
         if (name.equals(CutDigest.NONE)) {
             return null;
@@ -93,16 +96,19 @@
         if (receivers.size() >= MOST) {
             return null;
         }
-        Patch patch = name.whole() ? whole(name, log) : tail(name, pull, log);
+        LogPatch patch = name.whole() ? whole(name, log) : tail(name, pull, log);
         if (patch == null) {
             return null;
         }
-        byte[] packed = Codec.patch(patch, name.commit());
+        byte[] packed = ReplicationCodec.patch(patch, name.commit());
         return name.matches(packed) ? new Cut(pull.view(), name, packed) : null;
     }
 
-    /** The state at the cut's place, made again from this log, and the entries behind it; null where this log begins later or ends earlier. */
-    private Patch whole(CutDigest name, Log log) {
+    /**
+     * The state at the cut's place, made again from this log, and the entries behind it; null where this log begins
+     * later or ends earlier.
+     */
+    private LogPatch whole(CutDigest name, ReplicatedLog log) {
         long after = name.after();
         if (after < log.base() || name.end() < after || name.end() > log.end()) {
             return null;
@@ -111,22 +117,22 @@
         if (after > log.base()) {
             List<byte[]> changes = new ArrayList<>();
             log.between(log.base(), after).forEach(entry -> changes.add(entry.bytes()));
-            state = desk.matter.replay(state, changes);
+            state = desk.stateMachine.replay(state, changes);
         }
-        return new Patch(true, after, log.viewAt(after), state, log.between(after, name.end()));
+        return new LogPatch(true, after, log.viewAt(after), state, log.between(after, name.end()));
     }
 
-    private static Patch tail(CutDigest name, Frame.Pull pull, Log log) {
-        Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
+    private static LogPatch tail(CutDigest name, Frame.PieceRequest pull, ReplicatedLog log) {
+        LogPatch patch = log.since(pull.end(), pull.endView(), pull.commit());
         if (patch.whole() || patch.after() != name.after() || patch.end() < name.end() || name.end() < name.after()) {
             return null;
         }
-        List<Entry> entries = patch.entries().subList(0, (int) (name.end() - name.after()));
-        return new Patch(false, patch.after(), patch.afterView(), patch.snapshot(), entries);
+        List<LogEntry> entries = patch.entries().subList(0, (int) (name.end() - name.after()));
+        return new LogPatch(false, patch.after(), patch.afterView(), patch.snapshot(), entries);
     }
 
-    private Cut cut(Frame.Pull pull, Log log) {
-        Patch patch = log.since(pull.end(), pull.endView(), pull.commit());
+    private Cut cut(Frame.PieceRequest pull, ReplicatedLog log) {
+        LogPatch patch = log.since(pull.end(), pull.endView(), pull.commit());
         if (pull.view().equals(Ballot.NONE) && !patch.isShort()) {
             patch = lighter(patch);
         }
@@ -168,11 +174,12 @@
     }
 
     /** The state as it is now, where that is less than what it was made of: changes replace each other. */
-    private Patch lighter(Patch patch) {
-        Log log = desk.log;
-        List<Entry> rest = List.copyOf(log.entries()
+    private LogPatch lighter(LogPatch patch) {
+        ReplicatedLog log = desk.log;
+        List<LogEntry> rest = List.copyOf(log.entries()
                 .subList((int) (desk.delivered - log.base()), log.entries().size()));
-        Patch fresh = new Patch(true, desk.delivered, log.viewAt(desk.delivered), desk.matter.snapshot(), rest);
+        LogPatch fresh =
+                new LogPatch(true, desk.delivered, log.viewAt(desk.delivered), desk.stateMachine.snapshot(), rest);
         return fresh.bytes() < patch.bytes() ? fresh : patch;
     }
 
--- a/src/main/java/brambletray/tray/view/Answers.java
+++ b/src/main/java/brambletray/platform/replication/StopAnswers.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -9,20 +9,20 @@
  * What was told in one attempt to change the view, this member's own answer first: which view counts, who has to be
  * asked, whether that is enough.
  */
-final class Answers {
-    final List<Frame.Told> all;
+final class StopAnswers {
+    final List<Frame.StopAnswer> all;
     /** The view with the highest ballot that anybody has kept. */
     final View top;
     /** The views whose members have to be asked: {@link #top}, and back to the last that is known to be in force. */
-    final List<Roll> chain;
+    final List<ViewMembership> chain;
     /** Deaths that all who answered knew of when they did. */
     final Set<Long> dead;
 
-    Answers(List<Frame.Told> all) {
+    StopAnswers(List<Frame.StopAnswer> all) {
         this.all = all;
         View latest = all.get(0).view();
         dead = new HashSet<>(all.get(0).dead());
-        for (Frame.Told told : all) {
+        for (Frame.StopAnswer told : all) {
             if (told.view().ballot().above(latest.ballot())) {
                 latest = told.view();
             }
@@ -30,7 +30,7 @@
         }
         top = latest;
         chain = new ArrayList<>();
-        for (Roll roll : top.chain(false)) {
+        for (ViewMembership roll : top.chain(false)) {
             chain.add(roll);
             if (known(roll.ballot())) {
                 break;
@@ -39,7 +39,7 @@
     }
 
     private boolean known(Ballot view) {
-        for (Frame.Told told : all) {
+        for (Frame.StopAnswer told : all) {
             if (told.inForce() && told.view().ballot().equals(view)) {
                 return true;
             }
@@ -55,10 +55,10 @@
      * Whether these of the answers are enough for every one of the views. Who has kept nothing yet is none of the
      * founders, whatever its address.
      */
-    boolean enough(List<Frame.Told> some) {
-        for (Roll roll : chain) {
+    boolean enough(List<Frame.StopAnswer> some) {
+        for (ViewMembership roll : chain) {
             List<Member> answered = new ArrayList<>();
-            for (Frame.Told told : some) {
+            for (Frame.StopAnswer told : some) {
                 if (!roll.ballot().equals(Ballot.NONE) || !told.view().equals(View.NOTHING)) {
                     answered.add(told.me());
                 }
@@ -71,9 +71,9 @@
     }
 
     /** Of those whose last view is the one that counts, the one with the longest log. */
-    Frame.Told longest() {
-        Frame.Told longest = null;
-        for (Frame.Told told : all) {
+    Frame.StopAnswer longest() {
+        Frame.StopAnswer longest = null;
+        for (Frame.StopAnswer told : all) {
             if (told.view().ballot().equals(top.ballot()) && (longest == null || told.end() > longest.end())) {
                 longest = told;
             }
@@ -82,8 +82,8 @@
     }
 
     /** Answer of this life, or null. */
-    Frame.Told of(long life) {
-        for (Frame.Told told : all) {
+    Frame.StopAnswer of(long life) {
+        for (Frame.StopAnswer told : all) {
             if (told.me().life() == life) {
                 return told;
             }
@@ -92,7 +92,7 @@
     }
 
     boolean heard(String address) {
-        for (Frame.Told told : all) {
+        for (Frame.StopAnswer told : all) {
             if (told.me().address().equals(address)) {
                 return true;
             }
@@ -104,16 +104,16 @@
      * Who of them is to be in the next view: members of any of the views, without the ill and the shunned if the rest
      * is enough. The proposer is always in; it gets the log like a newcomer if it was in none of them.
      */
-    List<Member> next(Set<Long> shunned, Tolerance tolerance) {
-        List<Frame.Told> everyone = new ArrayList<>();
+    List<Member> next(Set<Long> shunned, FaultTolerance tolerance) {
+        List<Frame.StopAnswer> everyone = new ArrayList<>();
         everyone.add(all.get(0));
-        for (Frame.Told told : all) {
+        for (Frame.StopAnswer told : all) {
             if (!everyone.contains(told) && isIn(told)) {
                 everyone.add(told);
             }
         }
-        List<Frame.Told> well = new ArrayList<>();
-        for (Frame.Told told : everyone) {
+        List<Frame.StopAnswer> well = new ArrayList<>();
+        for (Frame.StopAnswer told : everyone) {
             if (!told.ill() && !shunned.contains(told.me().life())) {
                 well.add(told);
             }
@@ -125,16 +125,16 @@
         return rest ? some : all;
     }
 
-    private static List<Member> members(List<Frame.Told> tolds) {
+    private static List<Member> members(List<Frame.StopAnswer> tolds) {
         List<Member> members = new ArrayList<>();
-        for (Frame.Told told : tolds) {
+        for (Frame.StopAnswer told : tolds) {
             members.add(told.me());
         }
         return members;
     }
 
-    private boolean isIn(Frame.Told told) {
-        for (Roll roll : chain) {
+    private boolean isIn(Frame.StopAnswer told) {
+        for (ViewMembership roll : chain) {
             for (Member member : roll.members()) {
                 boolean same = member.life() != 0
                         ? member.life() == told.me().life()
@@ -149,10 +149,10 @@
     }
 
     /** The views to be asked besides the next one, each set of members once. */
-    List<Roll> past() {
-        List<Roll> some = new ArrayList<>();
+    List<ViewMembership> past() {
+        List<ViewMembership> some = new ArrayList<>();
         Set<Set<Member>> sets = new HashSet<>();
-        for (Roll roll : chain) {
+        for (ViewMembership roll : chain) {
             if (sets.add(new HashSet<>(roll.members()))) {
                 some.add(roll);
             }
--- a/src/main/java/brambletray/tray/view/View.java
+++ b/src/main/java/brambletray/platform/replication/View.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,16 +8,17 @@
  *
  * @param ballot  name; its number is the view's number
  * @param members leader first
- * @param past    the view that this one came from, and further ones back to the last that was known to be in force when this one was proposed
+ * @param past    the view that this one came from, and further ones back to the last that was known to be in force when
+ * this one was proposed
  */
-public record View(Ballot ballot, List<Member> members, List<Roll> past) {
+public record View(Ballot ballot, List<Member> members, List<ViewMembership> past) {
     /** Told by who has kept no view yet. */
     static final View NOTHING = new View(new Ballot(-1, 0), List.of(), List.of());
 
     /** The views that have to be asked, this one first: only this one when it is known to be in force. */
-    public List<Roll> chain(boolean inForce) {
-        List<Roll> all = new ArrayList<>();
-        all.add(new Roll(ballot, members));
+    public List<ViewMembership> chain(boolean inForce) {
+        List<ViewMembership> all = new ArrayList<>();
+        all.add(new ViewMembership(ballot, members));
         if (!inForce) {
             all.addAll(past);
         }
--- a/src/main/java/brambletray/tray/view/Changing.java
+++ b/src/main/java/brambletray/platform/replication/ViewChange.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -11,7 +11,7 @@
  * One attempt to change the view, at the member that begins it: ask, promise, fetch the longest log, install. It ends
  * with a view in force that this member leads, or is given up for a higher ballot.
  */
-final class Changing {
+final class ViewChange {
     private static final int AGAIN_MS = 100;
     /** Fetching goes on while pieces come, but not longer than this: on a link of 2 Mbit/s enough for 7 MB. */
     private static final int FETCH_MS = 30_000;
@@ -30,14 +30,14 @@
         INSTALLING
     }
 
-    private final Desk desk;
-    private final Members members;
+    private final MemberState desk;
+    private final Replica members;
     private final Ballot ballot;
     private final Set<Long> doubted;
     private final Set<Long> shunned;
-    private final Map<Long, Frame.Knock> newcomers;
+    private final Map<Long, Frame.JoinRequest> newcomers;
     private final Map<String, Member> asked = new LinkedHashMap<>();
-    private final Map<Long, Frame.Told> tolds = new LinkedHashMap<>();
+    private final Map<Long, Frame.StopAnswer> tolds = new LinkedHashMap<>();
     private final Set<Long> calm = new HashSet<>();
     private final Set<Long> installed = new HashSet<>();
     private final long since;
@@ -48,16 +48,16 @@
     private long pulledAt = Long.MIN_VALUE / 2;
     private StateTransfer transfer;
     private View next;
-    private Answers chosen;
-    private Log base;
+    private StopAnswers chosen;
+    private ReplicatedLog base;
 
     /** {@code doubted} aren't waited for; {@code shunned} are left out if the rest is enough. */
-    Changing(
-            Desk desk,
-            Members members,
+    ViewChange(
+            MemberState desk,
+            Replica members,
             Set<Long> doubted,
             Set<Long> shunned,
-            Map<Long, Frame.Knock> newcomers,
+            Map<Long, Frame.JoinRequest> newcomers,
             String why) {
         this.desk = desk;
         this.members = members;
@@ -68,7 +68,7 @@
         desk.seen = Math.max(desk.seen, Math.max(desk.promised.number(), desk.view.number())) + 1;
         ballot = new Ballot(desk.seen, desk.me.life());
         desk.out.tell(
-                "view.change",
+                "replication.change",
                 "ballot",
                 ballot,
                 "view",
@@ -94,7 +94,7 @@
     }
 
     private void ask(View view) {
-        for (Roll roll : view.chain(view == desk.view && desk.inForce)) {
+        for (ViewMembership roll : view.chain(view == desk.view && desk.inForce)) {
             for (Member member : roll.members()) {
                 if (!member.address().equals(desk.me.address())) {
                     asked.putIfAbsent(member.address(), member);
@@ -105,22 +105,22 @@
 
     private void stop() {
         askedAt = desk.now;
-        Answers now = answers();
+        StopAnswers now = answers();
         for (String address : asked.keySet()) {
             if (!now.heard(address)) {
-                desk.out.send(address, new Frame.Stop(ballot, desk.me, List.copyOf(desk.dead)));
+                desk.out.send(address, new Frame.StopRequest(ballot, desk.me, List.copyOf(desk.dead)));
             }
         }
     }
 
-    void told(Frame.Told told) {
+    void told(Frame.StopAnswer told) {
         boolean open = phase == Phase.ASKING || phase == Phase.PROMISING;
         if (!open || !told.ballot().equals(ballot) || told.me().life() == desk.me.life()) {
             return;
         }
         if (tolds.put(told.me().life(), told) == null) {
             desk.out.tell(
-                    "view.told",
+                    "replication.told",
                     "ballot",
                     ballot,
                     "by",
@@ -142,7 +142,7 @@
         weigh();
     }
 
-    void nay(Frame.Nay nay, String from) {
+    void nay(Frame.Refuse nay, String from) {
         if (!nay.ballot().equals(ballot)) {
             return;
         }
@@ -161,16 +161,16 @@
     }
 
     /** All that was told, with what this member would say itself. */
-    private Answers answers() {
-        List<Frame.Told> all = new ArrayList<>();
+    private StopAnswers answers() {
+        List<Frame.StopAnswer> all = new ArrayList<>();
         all.add(desk.told(ballot));
         all.addAll(tolds.values());
-        return new Answers(all);
+        return new StopAnswers(all);
     }
 
     /** Goes on when enough have answered and the others have been waited for. */
     private void weigh() {
-        Answers now = answers();
+        StopAnswers now = answers();
         if (!now.enough()) {
             enoughAt = -1;
             return;
@@ -191,14 +191,14 @@
         phaseAt = desk.now;
         members.stopLeading();
         desk.promise(ballot);
-        desk.quill.then(() -> {
+        desk.writeAheadQueue.then(() -> {
             if (members.changing() == this && desk.promised.equals(ballot)) {
                 choose();
             }
         });
     }
 
-    private boolean missing(Answers now) {
+    private boolean missing(StopAnswers now) {
         for (Member member : asked.values()) {
             if (!now.heard(member.address())
                     && !doubted.contains(member.life())
@@ -216,7 +216,7 @@
             phase = Phase.ASKING;
             return;
         }
-        Frame.Told longest = chosen.longest();
+        Frame.StopAnswer longest = chosen.longest();
         phaseAt = desk.now;
         if (longest.me().life() == desk.me.life()) {
             install(desk.log);
@@ -231,8 +231,8 @@
         if (phase != Phase.FETCHING || !transfer.piece(piece)) {
             return;
         }
-        Log fetched = transfer.log();
-        Frame.Told longest = chosen.longest();
+        ReplicatedLog fetched = transfer.log();
+        Frame.StopAnswer longest = chosen.longest();
         // who told may have gone on to a higher ballot, and its log with it
         boolean same = fetched != null
                 && fetched.end() == longest.end()
@@ -244,9 +244,9 @@
         }
     }
 
-    private void install(Log log) {
+    private void install(ReplicatedLog log) {
         List<Member> in = chosen.next(shunned, desk.set.tolerance());
-        for (Frame.Knock knock : newcomers.values()) {
+        for (Frame.JoinRequest knock : newcomers.values()) {
             boolean free = in.stream()
                     .noneMatch(member -> member.address().equals(knock.me().address()));
             // who has fallen behind since it knocked gets the rest outside of the change, and knocks again
@@ -254,12 +254,12 @@
                     log.since(knock.end(), knock.endView(), knock.commit()).isShort();
             if (free
                     && near
-                    && in.size() < Settings.MOST
+                    && in.size() < ReplicationSettings.MOST
                     && !desk.dead.contains(knock.me().life())) {
                 in.add(knock.me());
             }
         }
-        List<Roll> past = chosen.past();
+        List<ViewMembership> past = chosen.past();
         if (past.size() > MOST_PAST) {
             members.drop("too many unfinished views", desk.set.silentMs());
             return;
@@ -269,11 +269,11 @@
         next = new View(ballot, List.copyOf(in), List.copyOf(past));
         phaseAt = desk.now;
         desk.out.tell(
-                "view.install",
+                "replication.install",
                 "ballot",
                 ballot,
                 "members",
-                Desk.names(in),
+                MemberState.names(in),
                 "end",
                 log.end(),
                 "from",
@@ -297,7 +297,7 @@
             return;
         }
         members.accepted();
-        desk.quill.then(() -> {
+        desk.writeAheadQueue.then(() -> {
             if (members.changing() == this && desk.works(ballot)) {
                 installed(desk.me.life());
             }
@@ -310,20 +310,20 @@
             if (member.life() == desk.me.life() || installed.contains(member.life())) {
                 continue;
             }
-            Frame.Told told = chosen.of(member.life());
-            Frame.Knock knock = newcomers.get(member.life());
-            Patch patch = told != null
+            Frame.StopAnswer told = chosen.of(member.life());
+            Frame.JoinRequest knock = newcomers.get(member.life());
+            LogPatch patch = told != null
                     ? base.since(told.end(), told.endView(), told.commit())
                     : base.since(knock.end(), knock.endView(), knock.commit());
             Frame frame = patch.isShort()
                     ? new Frame.Install(next, patch)
-                    : new Frame.Offer(next, base.end(), base.endView());
+                    : new Frame.TransferOffer(next, base.end(), base.endView());
             desk.out.send(member.address(), frame);
         }
     }
 
     /** The log of the view of this name, which a member fetches in pieces; null if it isn't being installed. */
-    Log offered(Ballot view) {
+    ReplicatedLog offered(Ballot view) {
         if (phase != Phase.INSTALLING || !ballot.equals(view)) {
             return null;
         }
@@ -347,7 +347,7 @@
                 out.add(member.address());
             }
         }
-        desk.out.tell("view.installed", "ballot", ballot, "ms", desk.now - since);
+        desk.out.tell("replication.installed", "ballot", ballot, "ms", desk.now - since);
         members.lead(out);
     }
 
--- a/src/main/java/brambletray/tray/view/Roll.java
+++ b/src/main/java/brambletray/platform/replication/ViewMembership.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.List;
 
@@ -8,4 +8,4 @@
  * @param ballot  name of the view
  * @param members those who have to be asked about what came after it
  */
-public record Roll(Ballot ballot, List<Member> members) {}
+public record ViewMembership(Ballot ballot, List<Member> members) {}
--- a/src/main/java/brambletray/tray/view/Quill.java
+++ b/src/main/java/brambletray/platform/replication/WriteAheadQueue.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -9,10 +9,10 @@
  * Writes on their way to the disk: gathered into one batch while the one before is being synced, kept in order, tried
  * again after a failure. What is to be said once they are synced waits here.
  */
-final class Quill {
+final class WriteAheadQueue {
     private static final int RETRY_MS = 250;
 
-    private final Out out;
+    private final ReplicationActions out;
     private Map<String, byte[]> open = new LinkedHashMap<>();
     private List<Runnable> then = new ArrayList<>();
     private long openSince = -1;
@@ -25,7 +25,7 @@
     private long size;
     private long flyingSize;
 
-    Quill(Out out) {
+    WriteAheadQueue(ReplicationActions out) {
         this.out = out;
     }
 
--- a/src/main/java/brambletray/tray/view/package-info.java
+++ b/src/main/java/brambletray/platform/replication/package-info.java
@@ -1,9 +1,11 @@
 /**
- * Members of the core, one order of changes, changes of view. Pure: {@link brambletray.tray.view.Members} reads no
+ * Members of the core, one order of changes, changes of view. Pure: {@link brambletray.platform.replication.Replica}
+ * reads no
  * clock, socket, disk or random source.
  *
  * <h2>In a view</h2>
- * A view has a name (a {@link brambletray.tray.view.Ballot}), members with a life each, and a leader: the member that
+ * A view has a name (a {@link brambletray.platform.replication.Ballot}), members with a life each, and a leader: the
+ * member that
  * proposed it. The leader gives places, keeps each change itself and sends it to all at once; each member keeps it and
  * says so. A change is <em>kept</em> once all members of the view have it on disk and these are more than the machines
  * that may be lost. Only then it is delivered, and acknowledged. A view is
@@ -15,9 +17,11 @@
  * stop. Who stops promises (on disk, before it says so) to acknowledge nothing under a lower ballot, and tells its last
  * view, where its log ends, and which lives it knows to be dead. Of the views that are told the one with the highest
  * ballot counts ({@code top}); its members are asked too. Enough have answered when there is a
- * {@link brambletray.tray.view.Quorum} of {@code top}, and, unless somebody knows that {@code top} is in force, of each
+ * {@link brambletray.platform.replication.Quorum} of {@code top}, and, unless somebody knows that {@code top} is in
+ * force, of each
  * view that it came from, back to the last that is known to be in force (a view carries these with it:
- * {@link brambletray.tray.view.View#past}). Of those whose last view is {@code top}, the longest log is taken, fetched
+ * {@link brambletray.platform.replication.View#past}). Of those whose last view is {@code top}, the longest log is
+ * taken, fetched
  * if it is another's. The new view's members are those that answered (the ill left out while the rest is enough by the
  * same rule) and newcomers that have the state.
  *
@@ -34,7 +38,8 @@
  * above it, it descends from {@code w}. Else {@code top} lies below; let {@code w} be the lowest view in force above
  * {@code top}. Going down from {@code w} and from {@code top}, both proposals have asked quorums of every view back to
  * one that was known to be in force; by the choice of {@code w} the two chains share a view in force, {@code s}. Any
- * two quorums of {@code s} share a member that still has its disk (see {@link brambletray.tray.view.Quorum}). That
+ * two quorums of {@code s} share a member that still has its disk (see {@link
+ * brambletray.platform.replication.Quorum}). That
  * member answered for {@code w} and, {@code w} being in force, has kept it; it can only have done so before it promised
  * {@code u}'s higher ballot; so it told {@code u}'s proposer of {@code w} or of a higher one, and {@code top} isn't
  * below. Contradiction.
@@ -63,7 +68,8 @@
  * process that dies on the way leaves nothing behind.
  *
  * <h2>State transfer</h2>
- * What doesn't fit in {@link brambletray.tray.view.Patch#SHORT} never rides on a change of view. Who isn't in is a
+ * What doesn't fit in {@link brambletray.platform.replication.LogPatch#SHORT} never rides on a change of view. Who
+ * isn't in is a
  * learner: it pulls a cut from the leader in pieces, the state as it is where that is less than the snapshot and the
  * entries behind it, and is let in once it lacks little; that is judged when it knocks, before a change begins for it,
  * and when the view is installed. The entries before a snapshot are remembered for a while, so a compaction doesn't
@@ -79,4 +85,4 @@
  * that grows with its rank. A member that hears the leader well refuses others' changes, so a lame link of one disturbs
  * nobody. A process whose own tick came late forgets all suspicion first.
  */
-package brambletray.tray.view;
+package brambletray.platform.replication;
--- a/src/main/java/brambletray/tray/berth/Address.java
+++ b/src/main/java/brambletray/platform/settings/Address.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 /** An IPv4 address by its number, and a port. */
 public record Address(String host, int port) {
--- a/src/main/java/brambletray/tray/berth/Bounds.java
+++ b/src/main/java/brambletray/platform/settings/Bounds.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 /**
  * The figures of the rules, {@code bounds.*} in the settings; names end in their unit: S seconds, Ms milliseconds, none
@@ -39,7 +39,7 @@
         double recoveryS,
         double limitShedSlack) {
 
-    static Bounds from(Settings in) {
+    static Bounds from(SettingsFields in) {
         return new Bounds(
                 in.real("bounds.seed-lag-s", 3),
                 in.real("bounds.reuse-hold-s", 2),
--- a/src/main/java/brambletray/tray/berth/Platform.java
+++ b/src/main/java/brambletray/platform/settings/CloudApiSettings.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 /**
  * Where the platform is called, {@code cloud-api.*} in the settings.
@@ -8,9 +8,9 @@
  * @param dutyRatePerS starts and stops a second, from all relays together
  * @param lagMs how far its lists lag behind
  */
-public record Platform(Address address, double ratePerS, double dutyRatePerS, int lagMs) {
-    static Platform from(Settings in) {
-        return new Platform(
+public record CloudApiSettings(Address address, double ratePerS, double dutyRatePerS, int lagMs) {
+    static CloudApiSettings from(SettingsFields in) {
+        return new CloudApiSettings(
                 in.address("cloud-api.address"),
                 in.real("cloud-api.rate-per-s", 10),
                 in.real("cloud-api.duty-rate-s", 10),
