--- a/src/main/java/brambletray/tray/berth/Berth.java
+++ b/src/main/java/brambletray/platform/settings/NodeSettings.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 import java.nio.file.Path;
 import java.util.Collections;
@@ -31,7 +31,7 @@
  * @param contracts parts of the rules that are in force
  * @param file where all this stands
  */
-public record Berth(
+public record NodeSettings(
         String node,
         String role,
         String hardware,
@@ -48,7 +48,7 @@
         List<Address> seeds,
         boolean initialStart,
         boolean lossCounted,
-        Resources limits,
+        ResourceLimits limits,
         Path dataDir,
         int beatMs,
         int machineLosses,
@@ -56,27 +56,27 @@
         int regionLosses,
         Set<String> contracts,
         Bounds bounds,
-        Platform platform,
+        CloudApiSettings platform,
         Path file) {
     /** The variable that holds the file's path. */
     public static final String VARIABLE = "BRAMBLETRAY_NODE_FILE";
 
     private static final String USUAL = "/etc/brambletray/node.conf";
 
-    /** From the file that the environment names, or the usual one; {@link BerthFault}. */
-    public static Berth fromEnvironment() {
+    /** From the file that the environment names, or the usual one; {@link SettingsException}. */
+    public static NodeSettings fromEnvironment() {
         String path = System.getenv(VARIABLE);
         return read(Path.of(path == null || path.isBlank() ? USUAL : path));
     }
 
-    /** From this file; {@link BerthFault} with one line where a field is missing or can't be used. */
-    public static Berth read(Path path) {
-        return from(Settings.read(path), path);
+    /** From this file; {@link SettingsException} with one line where a field is missing or can't be used. */
+    public static NodeSettings read(Path path) {
+        return from(SettingsFields.read(path), path);
     }
 
-    static Berth from(Settings in, Path path) {
+    static NodeSettings from(SettingsFields in, Path path) {
         int[] inner = in.ports("internal-port-range");
-        return new Berth(
+        return new NodeSettings(
                 in.need("node-name"),
                 in.text("role", ""),
                 in.text("hardware-class", ""),
@@ -93,7 +93,7 @@
                 in.addresses("seed-peers"),
                 in.flag("initial-start", false),
                 in.flag("loss-counted", false),
-                Resources.from(in),
+                ResourceLimits.from(in),
                 in.path("data-dir"),
                 in.positive("keepalive-ms", 1_000),
                 in.whole("fault-tolerance.machine-losses", 1),
@@ -101,22 +101,26 @@
                 in.whole("fault-tolerance.region-losses", 0),
                 Collections.unmodifiableSet(in.set("active-contracts")),
                 Bounds.from(in),
-                Platform.from(in),
+                CloudApiSettings.from(in),
                 path);
     }
 
-    /** A value that this program can't do without; {@link BerthFault} where the file has none under that field. */
+    /**
+     * A value that this program can't do without; {@link SettingsException} where the file has none under that field.
+     */
     public <T> T need(String field, T value) {
         if (value == null) {
-            throw new BerthFault("berth.missing", file + ": " + field + ": expected in the file, is missing", null);
+            throw new SettingsException(
+                    "settings.missing", file + ": " + field + ": expected in the file, is missing", null);
         }
         return value;
     }
 
     /**
-     * The same file as it stands now, for SIGHUP; what can't be used now is a {@link BerthFault}, and this one goes on.
+     * The same file as it stands now, for SIGHUP; what can't be used now is a {@link SettingsException}, and this one
+     * goes on.
      */
-    public Berth reread() {
+    public NodeSettings reread() {
         return read(file);
     }
 }
--- a/src/main/java/brambletray/tray/berth/Resources.java
+++ b/src/main/java/brambletray/platform/settings/ResourceLimits.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 /**
  * What a process may use, {@code limits.*} in the settings.
@@ -10,9 +10,9 @@
  * @param linkMbps Mbit/s of the machine's own link
  * @param diskMb 0: no disk
  */
-public record Resources(double cpuShare, double cpuCores, int memoryMb, int maxFds, double linkMbps, int diskMb) {
-    static Resources from(Settings in) {
-        return new Resources(
+public record ResourceLimits(double cpuShare, double cpuCores, int memoryMb, int maxFds, double linkMbps, int diskMb) {
+    static ResourceLimits from(SettingsFields in) {
+        return new ResourceLimits(
                 in.real("limits.cpu-share", 1),
                 in.real("limits.cpu-cores", 1),
                 in.whole("limits.memory-mb", 256),
--- a/src/main/java/brambletray/tray/berth/Settings.java
+++ b/src/main/java/brambletray/platform/settings/SettingsFields.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /** The fields of one settings file, by name, each read as what it should be or refused with its line. */
-final class Settings {
+final class SettingsFields {
     /** Bytes; a file beyond it isn't one of settings. */
     private static final long LARGEST = 1 << 20;
 
@@ -21,22 +21,22 @@
     private final Map<String, String> values = new LinkedHashMap<>();
     private final Map<String, Integer> lines = new HashMap<>();
 
-    private Settings(String file) {
+    private SettingsFields(String file) {
         this.file = file;
     }
 
-    static Settings read(Path path) {
+    static SettingsFields read(Path path) {
         try {
             if (Files.size(path) > LARGEST) {
-                throw new BerthFault(
-                        "berth.unreadable",
+                throw new SettingsException(
+                        "settings.unreadable",
                         path + ": larger than " + LARGEST + " bytes, expected a settings file",
                         null);
             }
             return parse(path.toString(), Files.readString(path, StandardCharsets.UTF_8));
         } catch (IOException e) {
-            throw new BerthFault(
-                    "berth.unreadable",
+            throw new SettingsException(
+                    "settings.unreadable",
                     path + ": can't be read (" + e.getClass().getSimpleName()
                             + "), expected a settings file with lines a.b=value",
                     e);
@@ -47,8 +47,8 @@
      * Line by line, each with its number for the messages; {@code #} begins a comment line, no line continues in the
      * next.
      */
-    static Settings parse(String file, String text) {
-        Settings read = new Settings(file);
+    static SettingsFields parse(String file, String text) {
+        SettingsFields read = new SettingsFields(file);
         int number = 0;
         int from = 0;
         while (from < text.length()) {
@@ -61,7 +61,7 @@
             }
             int equals = line.indexOf('=');
             if (equals < 1) {
-                throw new BerthFault("berth.bad-line", file + ':' + number + ": expected a.b=value", null);
+                throw new SettingsException("settings.bad-line", file + ':' + number + ": expected a.b=value", null);
             }
             read.put(
                     line.substring(0, equals).strip(),
@@ -74,18 +74,18 @@
     private void put(String field, String value, int number) {
         Integer former = lines.put(field, number);
         if (former != null) {
-            throw new BerthFault(
-                    "berth.twice",
+            throw new SettingsException(
+                    "settings.twice",
                     file + ':' + number + ": " + field + ": expected once, stands in line " + former + " too",
                     null);
         }
         values.put(field, value);
     }
 
-    private BerthFault bad(String field, String expected) {
+    private SettingsException bad(String field, String expected) {
         String value = values.get(field);
-        return new BerthFault(
-                "berth.bad-field",
+        return new SettingsException(
+                "settings.bad-field",
                 file + ':' + lines.get(field) + ": " + field + ": expected " + expected + ", found '"
                         + (value.length() > 60 ? value.substring(0, 60) + "..." : value) + "'",
                 null);
@@ -95,7 +95,8 @@
     String need(String field) {
         String value = values.get(field);
         if (value == null) {
-            throw new BerthFault("berth.missing", file + ": " + field + ": expected in the file, is missing", null);
+            throw new SettingsException(
+                    "settings.missing", file + ": " + field + ": expected in the file, is missing", null);
         }
         if (value.isEmpty()) {
             throw bad(field, "a value");
--- a/src/main/java/brambletray/tray/berth/package-info.java
+++ b/src/main/java/brambletray/platform/settings/package-info.java
@@ -1,2 +1,2 @@
 /** Berth: what a process is told of its place - the settings file, read, typed and checked. */
-package brambletray.tray.berth;
+package brambletray.platform.settings;
--- a/src/main/java/brambletray/tray/trove/CommitQueue.java
+++ b/src/main/java/brambletray/platform/storage/CommitQueue.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,12 +6,13 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * The commits between the loop, which asks for them, and the thread that writes them. This is all that the two share: each method is one
+ * The commits between the loop, which asks for them, and the thread that writes them. This is all that the two share:
+ * each method is one
  * critical section under one lock, held for no longer than a few field accesses and never while the disk works.
  */
 final class CommitQueue {
     /** A commit that was asked for; {@code askedAt}: ms of the steady clock, {@code bytes}: of its values. */
-    record Entry(List<Change> changes, DurableStore.Reply reply, long askedAt, long bytes) {}
+    record Entry(List<KeyChange> changes, DurableStore.Reply reply, long askedAt, long bytes) {}
 
     private static final long NOTHING_IS_WRITTEN = -1;
 
@@ -52,7 +53,9 @@
         }
     }
 
-    /** Takes all that waits, as what is being written from now on; waits for the first. Null: closed, and nothing waits. */
+    /**
+     * Takes all that waits, as what is being written from now on; waits for the first. Null: closed, and nothing waits.
+     */
     List<Entry> take() {
         lock.lock();
         try {
--- a/src/main/java/brambletray/tray/trove/Seal.java
+++ b/src/main/java/brambletray/platform/storage/CommitSummary.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
@@ -7,10 +7,10 @@
  * What each commit says of the whole store: the format, the number of the commit, and count and sum of all that is in
  * it. A store whose entries do not add up to its seal is torn.
  */
-record Seal(long commit, int count, long sum) {
+record CommitSummary(long commit, int count, long sum) {
     static final int FORMAT = 1;
     static final int BYTES = Integer.BYTES + Long.BYTES + Integer.BYTES + Long.BYTES;
-    static final Seal NEW = new Seal(0, 0, 0);
+    static final CommitSummary NEW = new CommitSummary(0, 0, 0);
 
     byte[] bytes() {
         return ByteBuffer.allocate(BYTES)
@@ -21,17 +21,20 @@
                 .array();
     }
 
-    /** @throws TroveFault {@code trove.format} */
-    static Seal of(byte[] bytes) {
+    /** @throws StorageException {@code trove.format} */
+    static CommitSummary of(byte[] bytes) {
         ByteBuffer in = ByteBuffer.wrap(bytes);
         if (bytes.length < Integer.BYTES) {
             return null;
         }
         int format = in.getInt();
         if (format != FORMAT && format > 0 && format < 1 << 16) {
-            throw new TroveFault("trove.format", "the store is of format " + format + ", expected " + FORMAT, null);
+            throw new StorageException(
+                    "storage.format", "the store is of format " + format + ", expected " + FORMAT, null);
         }
-        return format == FORMAT && bytes.length == BYTES ? new Seal(in.getLong(), in.getInt(), in.getLong()) : null;
+        return format == FORMAT && bytes.length == BYTES
+                ? new CommitSummary(in.getLong(), in.getInt(), in.getLong())
+                : null;
     }
 
     /** The part of an entry in the sum; sums of parts tell any two stores apart that a torn disk could make of one. */
@@ -47,11 +50,11 @@
     }
 
     /** With an entry more (old 0), less (new 0) or changed; 0 stands for no entry. */
-    Seal with(long old, long now) {
-        return new Seal(commit, count + (now != 0 ? 1 : 0) - (old != 0 ? 1 : 0), sum - old + now);
+    CommitSummary with(long old, long now) {
+        return new CommitSummary(commit, count + (now != 0 ? 1 : 0) - (old != 0 ? 1 : 0), sum - old + now);
     }
 
-    Seal next() {
-        return new Seal(commit + 1, count, sum);
+    CommitSummary next() {
+        return new CommitSummary(commit + 1, count, sum);
     }
 }
--- a/src/main/java/brambletray/tray/trove/Folder.java
+++ b/src/main/java/brambletray/platform/storage/DiskDirectory.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.io.File;
 import java.io.IOException;
@@ -10,10 +10,10 @@
 import java.util.List;
 
 /** A folder of this machine's disk. */
-final class Folder implements Platter {
+final class DiskDirectory implements Directory {
     private final Path dir;
 
-    Folder(Path dir) throws IOException {
+    DiskDirectory(Path dir) throws IOException {
         this.dir = dir;
         if (!Files.isDirectory(dir)) {
             Files.createDirectories(dir);
--- a/src/main/java/brambletray/tray/trove/DurableStore.java
+++ b/src/main/java/brambletray/platform/storage/DurableStore.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.util.List;
 
@@ -10,7 +10,7 @@
         void done();
 
         /** May be there or not: {@code fault} says why. */
-        void failed(TroveFault fault);
+        void failed(StorageException fault);
     }
 
     /**
@@ -19,5 +19,5 @@
      * @param now ms of the steady clock
      * @return false if too much waits: nothing is taken, and no reply comes
      */
-    boolean commit(List<Change> changes, long now, Reply reply);
+    boolean commit(List<KeyChange> changes, long now, Reply reply);
 }
--- a/src/main/java/brambletray/tray/trove/Change.java
+++ b/src/main/java/brambletray/platform/storage/KeyChange.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 /** One key's new value; null removes the key. Neither key nor value is changed once it has been handed over. */
-public record Change(String key, byte[] value) {}
+public record KeyChange(String key, byte[] value) {}
--- a/src/main/java/brambletray/tray/trove/Trove.java
+++ b/src/main/java/brambletray/platform/storage/KeyValueStore.java
@@ -1,6 +1,6 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
@@ -15,12 +15,12 @@
  * {@link #tidy} writes that into a new generation and removes the old one before any other commit. So where two
  * generations are found, nothing was kept in the newer one alone, and if that is torn the older one is whole.
  */
-public final class Trove implements AutoCloseable, Scribe.Disk {
+public final class KeyValueStore implements AutoCloseable, SyncWriter.Disk {
     /** Bytes of a key's UTF-8, and of a value. */
     public static final int LONGEST_KEY = 1_024;
 
     public static final int LONGEST = 8 << 20;
-    static final Tale TALE = Tale.of("trove");
+    static final EventLog LOG = EventLog.of("storage");
     /** Bytes of files that are always allowed, and how many times what is in force. */
     private static final long ROOMY = 8L << 20;
 
@@ -28,10 +28,10 @@
     /** Bytes after which a tidying that failed is tried again. */
     private static final long AGAIN = 4L << 20;
 
-    private final Platter platter;
-    private volatile Vault vault;
+    private final Directory directory;
+    private volatile StoreGeneration storeGeneration;
     private boolean hurt;
-    private Tape old;
+    private LogSegmentFile old;
     private long tidyAt;
     private final long roomy;
     private volatile boolean closed;
@@ -42,8 +42,8 @@
         }
     }
 
-    private Trove(Platter platter, long roomy) {
-        this.platter = platter;
+    private KeyValueStore(Directory directory, long roomy) {
+        this.directory = directory;
         this.roomy = roomy;
     }
 
@@ -51,51 +51,52 @@
      * Opens what is in this folder, or begins it. The last commit that had not returned when the process or the power
      * went may be there or not.
      *
-     * @throws TroveFault {@code trove.broken}: something is there but no whole store, as if the disk were lost (the
+     * @throws StorageException {@code trove.broken}: something is there but no whole store, as if the disk were lost
+     * (the
      * caller
      *     may {@link #abandon} it); {@code trove.format}; {@code trove.refused} and {@code trove.full}: the disk is in
      *     trouble, and a later try may do
      */
-    public static Trove open(Path dir) throws TroveFault {
+    public static KeyValueStore open(Path dir) throws StorageException {
         try {
-            return open(new Folder(dir));
+            return open(new DiskDirectory(dir));
         } catch (IOException e) {
             throw fault(e);
         }
     }
 
-    static Trove open(Platter platter) throws TroveFault {
-        return open(platter, ROOMY);
+    static KeyValueStore open(Directory directory) throws StorageException {
+        return open(directory, ROOMY);
     }
 
     /** {@code roomy}: bytes of files that are always allowed. */
-    static Trove open(Platter platter, long roomy) throws TroveFault {
-        Trove trove = new Trove(platter, roomy);
+    static KeyValueStore open(Directory directory, long roomy) throws StorageException {
+        KeyValueStore keyValueStore = new KeyValueStore(directory, roomy);
         try {
-            trove.vault = new Opening(platter).open();
+            keyValueStore.storeGeneration = new StoreOpening(directory).open();
         } catch (IOException | RuntimeException e) {
             throw fault(e);
         }
-        return trove;
+        return keyValueStore;
     }
 
     /** Removes a store that is broken, so that an empty one can be opened in its place; none may be open. */
-    public static void abandon(Path dir) throws TroveFault {
+    public static void abandon(Path dir) throws StorageException {
         try {
-            abandon(new Folder(dir));
+            abandon(new DiskDirectory(dir));
         } catch (IOException e) {
             throw fault(e);
         }
     }
 
-    static void abandon(Platter platter) throws TroveFault {
+    static void abandon(Directory directory) throws StorageException {
         try {
-            for (long generation : Tape.generations(platter)) {
-                new Tape(platter, generation).remove();
+            for (long generation : LogSegmentFile.generations(directory)) {
+                new LogSegmentFile(directory, generation).remove();
             }
-            platter.sync();
-            platter.remove(Opening.BORN);
-            platter.sync();
+            directory.sync();
+            directory.remove(StoreOpening.BORN);
+            directory.sync();
         } catch (IOException e) {
             throw fault(e);
         }
@@ -103,32 +104,33 @@
 
     /** The value of a key, or null. */
     public byte[] get(String key) {
-        return read(() -> vault.get(key));
+        return read(() -> storeGeneration.get(key));
     }
 
     /** All whose keys begin so, by key. */
     public List<Map.Entry<String, byte[]>> prefix(String prefix) {
-        return read(() -> vault.prefix(prefix));
+        return read(() -> storeGeneration.prefix(prefix));
     }
 
     /** The number of commits this store has had; after a restart at least that of the last one that returned. */
     public long commits() {
-        return vault.commits();
+        return storeGeneration.commits();
     }
 
     /**
      * Makes these changes, in this order, all or none; durable on return.
      *
-     * @throws TroveFault {@code trove.full}, {@code trove.refused}: not made, unless the process ends before the next
+     * @throws StorageException {@code trove.full}, {@code trove.refused}: not made, unless the process ends before the
+     * next
      * call;
      *     that one may do. {@code trove.too-long}: nothing was done
      */
     @Override
-    public void commit(List<Change> changes) throws TroveFault {
-        for (Change change : changes) {
+    public void commit(List<KeyChange> changes) throws StorageException {
+        for (KeyChange change : changes) {
             if (change.key().length() > LONGEST_KEY || change.value() != null && change.value().length > LONGEST) {
-                throw new TroveFault(
-                        "trove.too-long",
+                throw new StorageException(
+                        "storage.too-long",
                         "the value of "
                                 + change.key()
                                         .substring(0, Math.min(64, change.key().length())) + " is too long",
@@ -137,11 +139,11 @@
         }
         try {
             heal();
-            if (vault.used() >= 2 * room()) {
+            if (storeGeneration.used() >= 2 * room()) {
                 tidy();
                 heal();
             }
-            vault.commit(changes);
+            storeGeneration.commit(changes);
         } catch (IOException | RuntimeException e) {
             hurt = true;
             throw fault(e);
@@ -154,18 +156,19 @@
      */
     @Override
     public void tidy() {
-        long used = vault.used();
+        long used = storeGeneration.used();
         if (hurt || closed || used < room()) {
             return;
         }
-        Tape next = new Tape(platter, vault.tape().generation() + 1);
-        Vault fresh = null;
+        LogSegmentFile next =
+                new LogSegmentFile(directory, storeGeneration.segment().generation() + 1);
+        StoreGeneration fresh = null;
         try {
-            fresh = Vault.make(next);
-            vault.copyTo(fresh);
-            platter.sync();
+            fresh = StoreGeneration.make(next);
+            storeGeneration.copyTo(fresh);
+            directory.sync();
         } catch (IOException | RuntimeException e) {
-            TALE.warn("not-tidied", "bytes", used, "live", vault.live(), "why", e);
+            LOG.warn("not-tidied", "bytes", used, "live", storeGeneration.live(), "why", e);
             tidyAt = used + AGAIN;
             old = next;
             if (fresh != null) {
@@ -174,25 +177,25 @@
             tryRemoveOld();
             return;
         }
-        Vault before = vault;
-        vault = fresh;
+        StoreGeneration before = storeGeneration;
+        storeGeneration = fresh;
         tidyAt = 0;
         before.close();
-        old = before.tape();
+        old = before.segment();
         tryRemoveOld();
-        TALE.debug("tidied", "generation", next.generation(), "bytes", used, "live", fresh.live());
+        LOG.debug("tidied", "generation", next.generation(), "bytes", used, "live", fresh.live());
     }
 
     /** Bytes of the store's files. */
     public long used() {
-        return vault.used();
+        return storeGeneration.used();
     }
 
     @Override
     public void close() {
         closed = true;
-        if (vault != null) {
-            vault.close();
+        if (storeGeneration != null) {
+            storeGeneration.close();
         }
     }
 
@@ -202,41 +205,42 @@
      */
     private void heal() throws IOException {
         if (closed) {
-            throw new TroveFault("trove.closed", "the store is closed", null);
+            throw new StorageException("storage.closed", "the store is closed", null);
         }
         if (old != null) {
             removeOld();
         }
         if (hurt) {
-            Tape tape = new Tape(platter, vault.tape().generation());
-            vault.close();
-            new Mend(tape).cut(vault.end());
-            Vault healed = Vault.read(tape);
-            if (healed == null || healed.commits() != vault.commits()) {
-                throw new TroveFault("trove.refused", "the store does not read as it was written", null);
+            LogSegmentFile segment =
+                    new LogSegmentFile(directory, storeGeneration.segment().generation());
+            storeGeneration.close();
+            new StoreRepair(segment).cut(storeGeneration.end());
+            StoreGeneration healed = StoreGeneration.read(segment);
+            if (healed == null || healed.commits() != storeGeneration.commits()) {
+                throw new StorageException("storage.refused", "the store does not read as it was written", null);
             }
-            vault = healed;
+            storeGeneration = healed;
             hurt = false;
-            TALE.tell("healed", "generation", tape.generation(), "commits", healed.commits());
+            LOG.tell("healed", "generation", segment.generation(), "commits", healed.commits());
         }
     }
 
     /** Bytes that the files may have before a tidying. */
     private long room() {
-        return Math.max(tidyAt, Math.max(roomy, TIMES * vault.live()));
+        return Math.max(tidyAt, Math.max(roomy, TIMES * storeGeneration.live()));
     }
 
     private void tryRemoveOld() {
         try {
             removeOld();
         } catch (IOException e) {
-            TALE.warn("not-removed", "generation", old.generation(), "why", e);
+            LOG.warn("not-removed", "generation", old.generation(), "why", e);
         }
     }
 
     private void removeOld() throws IOException {
         old.remove();
-        platter.sync();
+        directory.sync();
         old = null;
     }
 
@@ -252,15 +256,15 @@
         }
     }
 
-    private static TroveFault fault(Exception thrown) {
-        if (thrown instanceof TroveFault fault) {
+    private static StorageException fault(Exception thrown) {
+        if (thrown instanceof StorageException fault) {
             return fault;
         }
-        UncheckedIOException io = Vault.ioIn(thrown);
+        UncheckedIOException io = StoreGeneration.ioIn(thrown);
         String why = io == null ? thrown.toString() : io.getCause().getMessage();
         boolean full = why != null && (why.contains("No space left") || why.contains("quota"));
-        return new TroveFault(
-                full ? "trove.full" : "trove.refused",
+        return new StorageException(
+                full ? "storage.full" : "storage.refused",
                 full ? "the disk is full: " + why : "the disk refuses: " + why,
                 thrown);
     }
--- a/src/main/java/brambletray/tray/trove/Tape.java
+++ b/src/main/java/brambletray/platform/storage/LogSegmentFile.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -14,7 +14,7 @@
  * One generation of a store: the files that Xodus' log is written to and read from, named by generation and address. In
  * the place of Xodus' own files, which lock, look at the machine's beans and never sync the folder after a removal.
  */
-final class Tape extends AbstractDataWriter implements DataReader {
+final class LogSegmentFile extends AbstractDataWriter implements DataReader {
     /** Bytes of a file; all but the newest have just that length. */
     static final int FILE_BYTES = 1 << 20;
 
@@ -23,21 +23,21 @@
     private static final int ADDRESS_DIGITS = 12;
     private static final int NAME_LENGTH = GENERATION_DIGITS + 1 + ADDRESS_DIGITS + ENDING.length();
 
-    private final Platter platter;
+    private final Directory directory;
     private final long generation;
-    private Platter.Pen pen;
+    private Directory.Pen pen;
     private Reel reel;
     private volatile boolean dead;
 
-    Tape(Platter platter, long generation) {
-        this.platter = platter;
+    LogSegmentFile(Directory directory, long generation) {
+        this.directory = directory;
         this.generation = generation;
     }
 
     /** The generations of which there are files, oldest first. */
-    static List<Long> generations(Platter platter) throws IOException {
+    static List<Long> generations(Directory directory) throws IOException {
         TreeSet<Long> found = new TreeSet<>();
-        for (String name : platter.names()) {
+        for (String name : directory.names()) {
             if (name.length() == NAME_LENGTH && name.endsWith(ENDING)) {
                 found.add(Long.parseLong(name.substring(0, GENERATION_DIGITS), 16));
             }
@@ -49,15 +49,15 @@
         return generation;
     }
 
-    Platter platter() {
-        return platter;
+    Directory directory() {
+        return directory;
     }
 
     /** The addresses of its files, in order. */
     List<Long> addresses() throws IOException {
         String prefix = hex(generation, GENERATION_DIGITS) + '-';
         TreeSet<Long> found = new TreeSet<>();
-        for (String name : platter.names()) {
+        for (String name : directory.names()) {
             if (name.length() == NAME_LENGTH && name.startsWith(prefix)) {
                 found.add(Long.parseLong(name.substring(prefix.length(), prefix.length() + ADDRESS_DIGITS), 16));
             }
@@ -72,7 +72,7 @@
     /** Removes all its files; the folder has still to be synced. */
     void remove() throws IOException {
         for (long address : addresses()) {
-            platter.remove(name(address));
+            directory.remove(name(address));
         }
     }
 
@@ -83,7 +83,7 @@
 
     @Override
     public String getLocation() {
-        return "generation " + generation + " in " + platter;
+        return "generation " + generation + " in " + directory;
     }
 
     @Override
@@ -129,7 +129,7 @@
     public void syncDirectory() {
         if (!dead) {
             io(() -> {
-                platter.sync();
+                directory.sync();
                 return null;
             });
         }
@@ -141,7 +141,7 @@
             if (dead) {
                 throw new IOException("the store is closed");
             }
-            pen = platter.open(name(address), length);
+            pen = directory.open(name(address), length);
             reel = new Reel(address);
             return reel;
         });
@@ -149,7 +149,7 @@
 
     @Override
     protected void closeImpl() {
-        Platter.Pen last = pen;
+        Directory.Pen last = pen;
         pen = null;
         io(() -> {
             last.close();
@@ -165,7 +165,7 @@
     @Override
     public void removeBlock(long address, RemoveBlockType type) {
         io(() -> {
-            platter.remove(name(address));
+            directory.remove(name(address));
             return null;
         });
     }
@@ -176,7 +176,7 @@
             if (dead) {
                 throw new IOException("the store is closed");
             }
-            platter.cut(name(address), length);
+            directory.cut(name(address), length);
             return null;
         });
     }
@@ -228,12 +228,12 @@
 
         @Override
         public long length() {
-            return platter.length(name(address));
+            return directory.length(name(address));
         }
 
         @Override
         public int read(byte[] output, long position, int offset, int count) {
-            return io(() -> platter.read(name(address), position, output, offset, count));
+            return io(() -> directory.read(name(address), position, output, offset, count));
         }
 
         @Override
--- a/src/main/java/brambletray/tray/trove/SimStore.java
+++ b/src/main/java/brambletray/platform/storage/SimulatedStore.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import brambletray.runtime.Machine;
 import java.util.HashMap;
@@ -12,7 +12,7 @@
  * A disk in simulated time, and the production Scribe of one process on it: a sync takes its time, fails, or is cut
  * short by a loss of power.
  */
-public final class SimStore implements Scribe.Disk {
+public final class SimulatedStore implements SyncWriter.Disk {
     /** What stays when the process ends. */
     public static final class Platter {
         private final Map<String, byte[]> kept = new TreeMap<>();
@@ -32,38 +32,38 @@
         }
     }
 
-    private final Platter platter;
+    private final Platter directory;
     private final Machine machine;
     private final SplittableRandom random;
-    private final Scribe scribe;
+    private final SyncWriter syncWriter;
     private Runnable writing;
 
-    public SimStore(Platter platter, Machine machine, SplittableRandom random) {
-        this.platter = platter;
+    public SimulatedStore(Platter directory, Machine machine, SplittableRandom random) {
+        this.directory = directory;
         this.machine = machine;
         this.random = random;
-        scribe = new Scribe(this, machine.loop(), () -> machine.loop().execute(this::begin));
+        syncWriter = new SyncWriter(this, machine.loop(), () -> machine.loop().execute(this::begin));
     }
 
     public DurableStore store() {
-        return scribe;
+        return syncWriter;
     }
 
     private void begin() {
         if (writing != null) {
             return;
         }
-        writing = scribe.batch();
+        writing = syncWriter.batch();
         if (writing != null) {
-            int ms = platter.full ? 1 : platter.syncMs + random.nextInt(platter.syncMs / 2 + 1);
+            int ms = directory.full ? 1 : directory.syncMs + random.nextInt(directory.syncMs / 2 + 1);
             machine.loop().schedule(this::end, ms, TimeUnit.MILLISECONDS);
         }
     }
 
     private void end() {
         long now = machine.clock().nanos() / 1_000_000;
-        if (platter.hungUntil > now) {
-            machine.loop().schedule(this::end, platter.hungUntil - now, TimeUnit.MILLISECONDS);
+        if (directory.hungUntil > now) {
+            machine.loop().schedule(this::end, directory.hungUntil - now, TimeUnit.MILLISECONDS);
             return;
         }
         Runnable batch = writing;
@@ -74,21 +74,21 @@
 
     /** The process is gone; what it was just writing may be there or not. */
     public void cutOff() {
-        if (writing != null && !platter.full && random.nextBoolean()) {
+        if (writing != null && !directory.full && random.nextBoolean()) {
             writing.run();
         }
     }
 
     @Override
-    public void commit(List<Change> changes) throws TroveFault {
-        if (platter.full) {
-            throw new TroveFault("trove.full", "no room", null);
+    public void commit(List<KeyChange> changes) throws StorageException {
+        if (directory.full) {
+            throw new StorageException("storage.full", "no room", null);
         }
-        for (Change change : changes) {
+        for (KeyChange change : changes) {
             if (change.value() == null) {
-                platter.kept.remove(change.key());
+                directory.kept.remove(change.key());
             } else {
-                platter.kept.put(change.key(), change.value());
+                directory.kept.put(change.key(), change.value());
             }
         }
     }
--- a/src/main/java/brambletray/tray/trove/TroveFault.java
+++ b/src/main/java/brambletray/platform/storage/StorageException.java
@@ -1,6 +1,6 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
-import brambletray.tray.fault.Fault;
+import brambletray.platform.errors.PlatformException;
 
 /**
  * What a disk did not do: {@code trove.full} (no room: what was there stays there, a later commit may do, and until one
@@ -8,10 +8,10 @@
  * is on the disk is no whole store, not even one commit back: as if the disk were lost), {@code trove.format} (a store
  * of another format), {@code trove.closed}.
  */
-public final class TroveFault extends Fault {
+public final class StorageException extends PlatformException {
     private static final long serialVersionUID = 1L;
 
-    TroveFault(String code, String message, Throwable cause) {
+    StorageException(String code, String message, Throwable cause) {
         super(code, message, cause);
     }
 }
--- a/src/main/java/brambletray/tray/trove/Vault.java
+++ b/src/main/java/brambletray/platform/storage/StoreGeneration.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -19,7 +19,7 @@
 import jetbrains.exodus.log.LogConfig;
 
 /** One generation, open: a Xodus store of keys and values, sealed by each commit. */
-final class Vault {
+final class StoreGeneration {
     private static final String STORE = "trove";
     private static final long CACHE_BYTES = 2L << 20;
     private static final int CACHE_PAGE = 64 << 10;
@@ -27,22 +27,22 @@
 
     private record Mark(long part, int length) {}
 
-    private final Tape tape;
+    private final LogSegmentFile segment;
     private final EnvironmentImpl environment;
     private final Map<String, Mark> marks = new HashMap<>();
     private Store store;
-    private Seal seal;
+    private CommitSummary seal;
     private long live;
     private long end;
 
-    private Vault(Tape tape) {
-        this.tape = tape;
+    private StoreGeneration(LogSegmentFile segment) {
+        this.segment = segment;
         EnvironmentConfig config = new EnvironmentConfig();
         config.setManagementEnabled(false)
                 .setEnvGatherStatistics(false)
                 .setEnvMonitorTxnsExpirationTimeout(0)
                 .setLogDurableWrite(true)
-                .setLogFileSize(Tape.FILE_BYTES >> 10)
+                .setLogFileSize(LogSegmentFile.FILE_BYTES >> 10)
                 .setMemoryUsage(CACHE_BYTES)
                 .setLogCachePageSize(CACHE_PAGE)
                 .setFullFileReadonly(false)
@@ -50,17 +50,17 @@
                 .setGcEnabled(false)
                 .setGcStartIn(Integer.MAX_VALUE)
                 .setLogDataReaderWriterProvider(DataReaderWriterProvider.IN_MEMORY_READER_WRITER_PROVIDER);
-        environment = (EnvironmentImpl) Environments.newInstance(LogConfig.create(tape, tape), config);
+        environment = (EnvironmentImpl) Environments.newInstance(LogConfig.create(segment, segment), config);
     }
 
     /** An empty one, not yet sealed: until its first commit it doesn't count. */
-    static Vault make(Tape tape) {
-        Vault vault = new Vault(tape);
-        vault.seal = Seal.NEW;
-        vault.store = vault.environment.computeInTransaction(
-                t -> vault.environment.openStore(STORE, StoreConfig.WITHOUT_DUPLICATES, t));
-        vault.noteEnd();
-        return vault;
+    static StoreGeneration make(LogSegmentFile segment) {
+        StoreGeneration storeGeneration = new StoreGeneration(segment);
+        storeGeneration.seal = CommitSummary.NEW;
+        storeGeneration.store = storeGeneration.environment.computeInTransaction(
+                t -> storeGeneration.environment.openStore(STORE, StoreConfig.WITHOUT_DUPLICATES, t));
+        storeGeneration.noteEnd();
+        return storeGeneration;
     }
 
     /**
@@ -68,15 +68,15 @@
      *
      * @throws UncheckedIOException if the disk does not read
      */
-    static Vault read(Tape tape) {
-        Vault vault = null;
+    static StoreGeneration read(LogSegmentFile segment) {
+        StoreGeneration storeGeneration = null;
         try {
-            vault = new Vault(tape);
-            if (vault.check()) {
-                vault.noteEnd();
-                return vault;
+            storeGeneration = new StoreGeneration(segment);
+            if (storeGeneration.check()) {
+                storeGeneration.noteEnd();
+                return storeGeneration;
             }
-        } catch (TroveFault e) {
+        } catch (StorageException e) {
             throw e;
         } catch (RuntimeException e) {
             UncheckedIOException io = ioIn(e);
@@ -84,8 +84,8 @@
                 throw io;
             }
         }
-        if (vault != null) {
-            vault.close();
+        if (storeGeneration != null) {
+            storeGeneration.close();
         }
         return null;
     }
@@ -110,23 +110,23 @@
                 t -> environment.openStore(STORE, StoreConfig.USE_EXISTING, t));
         return environment.computeInReadonlyTransaction(t -> {
             ByteIterable sealed = store.get(t, SEAL);
-            seal = sealed == null ? null : Seal.of(Pieces.bytes(sealed));
+            seal = sealed == null ? null : CommitSummary.of(ValueChunks.bytes(sealed));
             if (seal == null) {
                 return false;
             }
             long sum = 0;
             try (Cursor cursor = store.openCursor(t)) {
                 while (cursor.getNext()) {
-                    byte[] key = Pieces.bytes(cursor.getKey());
-                    if (key[0] != Pieces.HEAD) {
+                    byte[] key = ValueChunks.bytes(cursor.getKey());
+                    if (key[0] != ValueChunks.HEAD) {
                         continue;
                     }
-                    byte[] value = Pieces.whole(store, t, key, Pieces.bytes(cursor.getValue()));
+                    byte[] value = ValueChunks.whole(store, t, key, ValueChunks.bytes(cursor.getValue()));
                     if (value == null) {
                         return false;
                     }
-                    String name = Pieces.name(key);
-                    Mark mark = new Mark(Seal.part(Pieces.utf(name), value), value.length);
+                    String name = ValueChunks.name(key);
+                    Mark mark = new Mark(CommitSummary.part(ValueChunks.utf(name), value), value.length);
                     marks.put(name, mark);
                     live += value.length;
                     sum += mark.part();
@@ -136,8 +136,8 @@
         });
     }
 
-    Tape tape() {
-        return tape;
+    LogSegmentFile segment() {
+        return segment;
     }
 
     /** Where the last commit that was kept ends. */
@@ -161,9 +161,9 @@
 
     byte[] get(String key) {
         return environment.computeInReadonlyTransaction(t -> {
-            byte[] head = Pieces.head(key);
+            byte[] head = ValueChunks.head(key);
             ByteIterable found = store.get(t, new ArrayByteIterable(head));
-            return found == null ? null : Pieces.whole(store, t, head, Pieces.bytes(found));
+            return found == null ? null : ValueChunks.whole(store, t, head, ValueChunks.bytes(found));
         });
     }
 
@@ -172,14 +172,15 @@
         return environment.computeInReadonlyTransaction(t -> {
             List<Map.Entry<String, byte[]>> found = new ArrayList<>();
             try (Cursor cursor = store.openCursor(t)) {
-                ByteIterable value = cursor.getSearchKeyRange(new ArrayByteIterable(Pieces.head(prefix)));
+                ByteIterable value = cursor.getSearchKeyRange(new ArrayByteIterable(ValueChunks.head(prefix)));
                 while (value != null) {
-                    byte[] key = Pieces.bytes(cursor.getKey());
-                    if (key[0] != Pieces.HEAD || !Pieces.name(key).startsWith(prefix)) {
+                    byte[] key = ValueChunks.bytes(cursor.getKey());
+                    if (key[0] != ValueChunks.HEAD || !ValueChunks.name(key).startsWith(prefix)) {
                         break;
                     }
-                    found.add(
-                            Map.entry(Pieces.name(key), Pieces.whole(store, t, key, Pieces.bytes(cursor.getValue()))));
+                    found.add(Map.entry(
+                            ValueChunks.name(key),
+                            ValueChunks.whole(store, t, key, ValueChunks.bytes(cursor.getValue()))));
                     value = cursor.getNext() ? cursor.getValue() : null;
                 }
             }
@@ -188,17 +189,19 @@
     }
 
     /** Durable on return; throws what Xodus or the disk throws, and is then to be closed. */
-    void commit(List<Change> changes) {
+    void commit(List<KeyChange> changes) {
         Map<String, Mark> changed = new HashMap<>();
-        Seal next = seal.next();
+        CommitSummary next = seal.next();
         Transaction t = environment.beginExclusiveTransaction();
         try {
-            for (Change change : changes) {
+            for (KeyChange change : changes) {
                 Mark old = changed.containsKey(change.key()) ? changed.get(change.key()) : marks.get(change.key());
                 Mark now = change.value() == null
                         ? null
-                        : new Mark(Seal.part(Pieces.utf(change.key()), change.value()), change.value().length);
-                Pieces.put(store, t, change, old == null ? 0 : old.length());
+                        : new Mark(
+                                CommitSummary.part(ValueChunks.utf(change.key()), change.value()),
+                                change.value().length);
+                ValueChunks.put(store, t, change, old == null ? 0 : old.length());
                 changed.put(change.key(), now);
                 next = next.with(old == null ? 0 : old.part(), now == null ? 0 : now.part());
             }
@@ -222,20 +225,20 @@
     }
 
     /** Copies all into an empty vault, in one commit. */
-    void copyTo(Vault other) {
-        List<Change> all = new ArrayList<>();
-        prefix("").forEach(entry -> all.add(new Change(entry.getKey(), entry.getValue())));
-        other.seal = new Seal(seal.commit(), 0, 0);
+    void copyTo(StoreGeneration other) {
+        List<KeyChange> all = new ArrayList<>();
+        prefix("").forEach(entry -> all.add(new KeyChange(entry.getKey(), entry.getValue())));
+        other.seal = new CommitSummary(seal.commit(), 0, 0);
         other.commit(all);
     }
 
     /** Writes nothing more. */
     void close() {
-        tape.kill();
+        segment.kill();
         try {
             environment.close();
         } catch (RuntimeException e) {
-            Trove.TALE.debug("closed-badly", "why", e);
+            KeyValueStore.LOG.debug("closed-badly", "why", e);
         }
     }
 
--- a/src/main/java/brambletray/tray/trove/Opening.java
+++ b/src/main/java/brambletray/platform/storage/StoreOpening.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -8,68 +8,69 @@
  * What is done before a store can be read: finds the generation that counts, or begins the first, and cuts off what is
  * torn.
  */
-final class Opening {
+final class StoreOpening {
     /** There once a store has been made here: from then on what can't be read was lost, and not just not begun. */
     static final String BORN = "trove";
 
     private static final byte[] BORN_TEXT = "a store of format 1\n".getBytes(StandardCharsets.US_ASCII);
 
-    private final Platter platter;
+    private final Directory directory;
 
-    Opening(Platter platter) {
-        this.platter = platter;
+    StoreOpening(Directory directory) {
+        this.directory = directory;
     }
 
     /** The store as the last commit left it, or the one before if that is torn. */
-    Vault open() throws IOException {
-        List<Long> generations = Tape.generations(platter);
-        if (platter.length(BORN) == 0) {
+    StoreGeneration open() throws IOException {
+        List<Long> generations = LogSegmentFile.generations(directory);
+        if (directory.length(BORN) == 0) {
             for (long generation : generations) {
-                new Tape(platter, generation).remove();
+                new LogSegmentFile(directory, generation).remove();
             }
             return begin();
         }
         for (int i = generations.size() - 1; i >= 0; i--) {
-            Tape tape = new Tape(platter, generations.get(i));
-            Vault vault = whole(tape);
-            if (vault != null) {
-                removeOthers(generations, tape);
-                return vault;
+            LogSegmentFile segment = new LogSegmentFile(directory, generations.get(i));
+            StoreGeneration storeGeneration = whole(segment);
+            if (storeGeneration != null) {
+                removeOthers(generations, segment);
+                return storeGeneration;
             }
-            Trove.TALE.warn("torn-generation", "generation", tape.generation(), "older", i);
+            KeyValueStore.LOG.warn("torn-generation", "generation", segment.generation(), "older", i);
         }
-        throw new TroveFault("trove.broken", "no whole store in " + platter + ", generations " + generations, null);
+        throw new StorageException(
+                "storage.broken", "no whole store in " + directory + ", generations " + generations, null);
     }
 
-    private Vault begin() throws IOException {
-        Vault vault = Vault.make(new Tape(platter, 1));
-        vault.commit(List.of());
-        platter.sync();
-        Platter.Pen pen = platter.open(BORN, 0);
+    private StoreGeneration begin() throws IOException {
+        StoreGeneration storeGeneration = StoreGeneration.make(new LogSegmentFile(directory, 1));
+        storeGeneration.commit(List.of());
+        directory.sync();
+        Directory.Pen pen = directory.open(BORN, 0);
         try {
             pen.write(BORN_TEXT, 0, BORN_TEXT.length);
             pen.sync();
         } finally {
             pen.close();
         }
-        platter.sync();
-        return vault;
+        directory.sync();
+        return storeGeneration;
     }
 
     /** By its last commit, or the one before if the last is torn: only one is ever on its way to the disk. */
-    private Vault whole(Tape tape) throws IOException {
-        Mend mend = new Mend(tape);
+    private StoreGeneration whole(LogSegmentFile segment) throws IOException {
+        StoreRepair mend = new StoreRepair(segment);
         List<Long> ends = mend.ends(2);
         for (int i = 0; i < ends.size(); i++) {
             boolean cut = mend.cut(ends.get(i));
-            Vault read = Vault.read(new Tape(platter, tape.generation()));
+            StoreGeneration read = StoreGeneration.read(new LogSegmentFile(directory, segment.generation()));
             if (read != null) {
-                settle(tape, i + 1 < ends.size() ? ends.get(i + 1) : 0);
+                settle(segment, i + 1 < ends.size() ? ends.get(i + 1) : 0);
                 if (cut) {
-                    Trove.TALE.tell(
+                    KeyValueStore.LOG.tell(
                             "torn-tail",
                             "generation",
-                            tape.generation(),
+                            segment.generation(),
                             "end",
                             ends.get(i),
                             "commits",
@@ -88,24 +89,24 @@
      * never synced, and files may stand under names that were not: who opens acts on both, so a loss of power must not
      * take them back. What lies before {@code from}, the end of the commit before, had returned and is durable already.
      */
-    private void settle(Tape tape, long from) throws IOException {
-        for (long file : tape.addresses()) {
-            if (file + Tape.FILE_BYTES > from) {
-                platter.sync(tape.name(file));
+    private void settle(LogSegmentFile segment, long from) throws IOException {
+        for (long file : segment.addresses()) {
+            if (file + LogSegmentFile.FILE_BYTES > from) {
+                directory.sync(segment.name(file));
             }
         }
-        platter.sync(BORN);
-        platter.sync();
+        directory.sync(BORN);
+        directory.sync();
     }
 
-    private void removeOthers(List<Long> generations, Tape kept) throws IOException {
+    private void removeOthers(List<Long> generations, LogSegmentFile kept) throws IOException {
         for (long generation : generations) {
             if (generation != kept.generation()) {
-                new Tape(platter, generation).remove();
+                new LogSegmentFile(directory, generation).remove();
             }
         }
         if (generations.size() > 1) {
-            platter.sync();
+            directory.sync();
         }
     }
 }
--- a/src/main/java/brambletray/tray/trove/Mend.java
+++ b/src/main/java/brambletray/platform/storage/StoreRepair.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -9,25 +9,26 @@
 /**
  * Finds where commits end on a tape, by its bytes alone, and cuts off what lies behind one. Xodus has no sums in its
  * log: it takes any last root that reads like one, even if bytes before it never reached the disk. So a commit that was
- * being synced when the power went can look whole; {@link Vault} checks what is in it, and has this cut it off.
+ * being synced when the power went can look whole; {@link StoreGeneration} checks what is in it, and has this cut it
+ * off.
  *
  * <p>A log is a row of items: a byte of type (its highest bit turned), a number of a structure, a length, and so many
  * bytes; numbers have seven bits a byte, lowest first, the last byte marked. A zero type is padding of one byte. A root
  * (type 1) ends each commit and holds three numbers, the third the sum of the others and 199.
  */
-final class Mend {
+final class StoreRepair {
     private static final int TURN = 0x80;
     private static final int NULL = 0;
     private static final int ROOT = 1;
     private static final long ROOT_SUM = 199;
 
-    private final Tape tape;
+    private final LogSegmentFile segment;
     private byte[] bytes;
     private int at;
     private int end;
 
-    Mend(Tape tape) {
-        this.tape = tape;
+    StoreRepair(LogSegmentFile segment) {
+        this.segment = segment;
     }
 
     /** Where the last commits end, the newest first, at most {@code most}. */
@@ -45,25 +46,25 @@
 
     /** Cuts off all behind this address, durably; true if there was anything. */
     boolean cut(long address) throws IOException {
-        Platter platter = tape.platter();
+        Directory directory = segment.directory();
         boolean removed = false;
         boolean cut = false;
-        List<Long> files = tape.addresses();
+        List<Long> files = segment.addresses();
         for (int i = files.size() - 1; i >= 0; i--) {
             long file = files.get(i);
             if (file >= address) {
-                platter.remove(tape.name(file));
+                directory.remove(segment.name(file));
                 removed = true;
             }
         }
         if (removed) {
-            platter.sync();
+            directory.sync();
         }
         for (long file : files) {
             if (file < address
-                    && address < file + Tape.FILE_BYTES
-                    && platter.length(tape.name(file)) > address - file) {
-                platter.cut(tape.name(file), address - file);
+                    && address < file + LogSegmentFile.FILE_BYTES
+                    && directory.length(segment.name(file)) > address - file) {
+                directory.cut(segment.name(file), address - file);
                 cut = true;
             }
         }
@@ -74,23 +75,24 @@
     private List<Long> whole() throws IOException {
         List<Long> whole = new ArrayList<>();
         long next = -1;
-        for (long file : tape.addresses()) {
+        for (long file : segment.addresses()) {
             if (next >= 0 && file != next) {
                 break;
             }
             whole.add(file);
-            if (tape.platter().length(tape.name(file)) < Tape.FILE_BYTES) {
+            if (segment.directory().length(segment.name(file)) < LogSegmentFile.FILE_BYTES) {
                 break;
             }
-            next = file + Tape.FILE_BYTES;
+            next = file + LogSegmentFile.FILE_BYTES;
         }
         return whole;
     }
 
     private Deque<Long> roots(long file, int most) throws IOException {
-        int length = (int) Math.min(Tape.FILE_BYTES, tape.platter().length(tape.name(file)));
+        int length =
+                (int) Math.min(LogSegmentFile.FILE_BYTES, segment.directory().length(segment.name(file)));
         bytes = new byte[length];
-        end = tape.platter().read(tape.name(file), 0, bytes, 0, length);
+        end = segment.directory().read(segment.name(file), 0, bytes, 0, length);
         at = 0;
         Deque<Long> roots = new ArrayDeque<>();
         while (at < end) {
--- a/src/main/java/brambletray/tray/trove/Scribe.java
+++ b/src/main/java/brambletray/platform/storage/SyncWriter.java
@@ -1,6 +1,6 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,10 +13,10 @@
  * changes of one key only the last is written. Who asked hears on the loop, in the order of asking. A failed commit is
  * not tried again.
  */
-public final class Scribe implements AutoCloseable, DurableStore {
-    /** What is written to; {@link Trove#commit}, or a stand-in. */
+public final class SyncWriter implements AutoCloseable, DurableStore {
+    /** What is written to; {@link KeyValueStore#commit}, or a stand-in. */
     public interface Disk {
-        void commit(List<Change> changes) throws TroveFault;
+        void commit(List<KeyChange> changes) throws StorageException;
 
         /** Nothing waits for an answer now: time to put things in entry. */
         default void tidy() {}
@@ -27,7 +27,7 @@
 
     public static final long MOST_BYTES = 16L << 20;
 
-    private static final Tale TALE = Tale.of("trove");
+    private static final EventLog LOG = EventLog.of("storage");
 
     private final Disk disk;
     private final Executor loop;
@@ -37,7 +37,7 @@
     private final Runnable due;
 
     /** Starts the thread; {@code loop} runs the replies. */
-    public Scribe(Disk disk, Executor loop) {
+    public SyncWriter(Disk disk, Executor loop) {
         this.disk = disk;
         this.loop = loop;
         queue = queue(new ReentrantLock());
@@ -51,7 +51,7 @@
      * Without a thread, for simulated time: {@code due} is called whenever something has come to wait, {@link #batch}
      * takes it.
      */
-    Scribe(Disk disk, Executor loop, Runnable due) {
+    SyncWriter(Disk disk, Executor loop, Runnable due) {
         this.disk = disk;
         this.loop = loop;
         this.due = due;
@@ -60,7 +60,7 @@
     }
 
     /** Without a thread, for tests that choose the turns: {@link #run} is called on one of theirs. */
-    Scribe(Disk disk, Executor loop, ReentrantLock lock) {
+    SyncWriter(Disk disk, Executor loop, ReentrantLock lock) {
         this.disk = disk;
         this.loop = loop;
         due = () -> {};
@@ -74,9 +74,9 @@
 
     /** {@inheritDoc} {@code now}: as {@link #oldestWaitMs} will be asked with. */
     @Override
-    public boolean commit(List<Change> changes, long now, Reply reply) {
+    public boolean commit(List<KeyChange> changes, long now, Reply reply) {
         long bytes = 0;
-        for (Change change : changes) {
+        for (KeyChange change : changes) {
             bytes += change.value() == null ? 0 : change.value().length;
         }
         boolean taken = queue.add(new CommitQueue.Entry(changes, reply, now, bytes));
@@ -121,7 +121,7 @@
     }
 
     private void finish(List<CommitQueue.Entry> entries) {
-        TroveFault fault = write(entries);
+        StorageException fault = write(entries);
         queue.finished();
         reply(entries, fault);
         if (fault == null) {
@@ -129,7 +129,10 @@
         }
     }
 
-    /** All that waits, taken as the thread would take it: the rest, to be run once, writes it and replies. Null: nothing waits. */
+    /**
+     * All that waits, taken as the thread would take it: the rest, to be run once, writes it and replies. Null: nothing
+     * waits.
+     */
     Runnable batch() {
         List<CommitQueue.Entry> entries = queue.poll();
         return entries == null ? null : () -> finish(entries);
@@ -139,17 +142,17 @@
         try {
             disk.tidy();
         } catch (RuntimeException e) {
-            TALE.warn("not-tidied", "why", e);
+            LOG.warn("not-tidied", "why", e);
         }
     }
 
-    private TroveFault write(List<CommitQueue.Entry> entries) {
-        List<Change> changes = entries.size() == 1 ? entries.get(0).changes() : merged(entries);
+    private StorageException write(List<CommitQueue.Entry> entries) {
+        List<KeyChange> changes = entries.size() == 1 ? entries.get(0).changes() : merged(entries);
         try {
             disk.commit(changes);
             return null;
-        } catch (TroveFault e) {
-            TALE.warn(
+        } catch (StorageException e) {
+            LOG.warn(
                     "commit-failed",
                     "code",
                     e.code(),
@@ -161,22 +164,22 @@
                     e.getMessage());
             return e;
         } catch (RuntimeException | Error e) {
-            TALE.warn("commit-failed", "commits", entries.size(), "changes", changes.size(), "why", e);
-            return new TroveFault("trove.refused", "cannot write: " + e, e);
+            LOG.warn("commit-failed", "commits", entries.size(), "changes", changes.size(), "why", e);
+            return new StorageException("storage.refused", "cannot write: " + e, e);
         }
     }
 
-    private static List<Change> merged(List<CommitQueue.Entry> entries) {
-        Map<String, Change> last = new HashMap<>();
+    private static List<KeyChange> merged(List<CommitQueue.Entry> entries) {
+        Map<String, KeyChange> last = new HashMap<>();
         for (CommitQueue.Entry entry : entries) {
-            for (Change change : entry.changes()) {
+            for (KeyChange change : entry.changes()) {
                 last.put(change.key(), change);
             }
         }
         return new ArrayList<>(last.values());
     }
 
-    private void reply(List<CommitQueue.Entry> entries, TroveFault fault) {
+    private void reply(List<CommitQueue.Entry> entries, StorageException fault) {
         try {
             loop.execute(() -> {
                 for (CommitQueue.Entry entry : entries) {
@@ -188,7 +191,7 @@
                 }
             });
         } catch (RuntimeException e) {
-            TALE.debug("loop-is-gone", "why", e);
+            LOG.debug("loop-is-gone", "why", e);
         }
     }
 }
--- a/src/main/java/brambletray/tray/trove/Pieces.java
+++ b/src/main/java/brambletray/platform/storage/ValueChunks.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -12,17 +12,17 @@
  * How keys and values lie in a store: a value that is long is cut into pieces, as none may be longer than a file of the
  * log.
  */
-final class Pieces {
+final class ValueChunks {
     /** What the keys of values begin with; those of their further pieces begin with another. */
     static final byte HEAD = 'k';
 
     private static final byte FURTHER = 'p';
     private static final int PIECE = 192 << 10;
 
-    private Pieces() {}
+    private ValueChunks() {}
 
     /** Writes a value, or removes it, and what is left of a longer one before. */
-    static void put(Store store, Transaction t, Change change, int oldLength) {
+    static void put(Store store, Transaction t, KeyChange change, int oldLength) {
         byte[] value = change.value();
         int pieces = value == null ? 0 : Math.max(1, (value.length + PIECE - 1) / PIECE);
         byte[] head = head(change.key());
@@ -54,7 +54,7 @@
         }
         ByteBuffer in = ByteBuffer.wrap(first);
         int length = in.getInt();
-        if (length < in.remaining() || length > Trove.LONGEST) {
+        if (length < in.remaining() || length > KeyValueStore.LONGEST) {
             return null;
         }
         byte[] value = new byte[length];
--- a/src/main/java/brambletray/tray/speech/Bytes.java
+++ b/src/main/java/brambletray/platform/transport/ByteArraySerializer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -7,8 +7,8 @@
 import com.esotericsoftware.kryo.io.Output;
 
 /** Bytes, or null; no more are made room for than the frame has. */
-final class Bytes extends Serializer<byte[]> {
-    Bytes() {
+final class ByteArraySerializer extends Serializer<byte[]> {
+    ByteArraySerializer() {
         super(true, false);
     }
 
--- a/src/main/java/brambletray/tray/speech/Part.java
+++ b/src/main/java/brambletray/platform/transport/ComponentCodec.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -11,13 +11,13 @@
 import java.util.List;
 
 /** How a component of one type is written and read. */
-interface Part {
+interface ComponentCodec {
     void write(Kryo kryo, Output out, Object value);
 
     Object read(Kryo kryo, Input in);
 
     /** By the declared type; what it does not know goes with its class, as Kryo has it. */
-    static Part of(Type type) {
+    static ComponentCodec of(Type type) {
         if (type == long.class) {
             return new Longs();
         } else if (type == int.class) {
@@ -41,7 +41,7 @@
     }
 
     /** Whole numbers, short where they are small. */
-    final class Longs implements Part {
+    final class Longs implements ComponentCodec {
         @Override
         public void write(Kryo kryo, Output out, Object value) {
             out.writeVarLong((Long) value, false);
@@ -54,7 +54,7 @@
     }
 
     /** The same, of 32 bits. */
-    final class Ints implements Part {
+    final class Ints implements ComponentCodec {
         @Override
         public void write(Kryo kryo, Output out, Object value) {
             out.writeVarInt((Integer) value, false);
@@ -67,7 +67,7 @@
     }
 
     /** Yes or no. */
-    final class Flags implements Part {
+    final class Flags implements ComponentCodec {
         @Override
         public void write(Kryo kryo, Output out, Object value) {
             out.writeBoolean((Boolean) value);
@@ -80,7 +80,7 @@
     }
 
     /** Numbers with fractions. */
-    final class Doubles implements Part {
+    final class Doubles implements ComponentCodec {
         @Override
         public void write(Kryo kryo, Output out, Object value) {
             out.writeDouble((Double) value);
@@ -93,21 +93,21 @@
     }
 
     /** Text, or null. */
-    final class Words implements Part {
+    final class Words implements ComponentCodec {
         @Override
         public void write(Kryo kryo, Output out, Object value) {
-            Text.TEXT.write(kryo, out, (String) value);
+            TextSerializer.TEXT.write(kryo, out, (String) value);
         }
 
         @Override
         public Object read(Kryo kryo, Input in) {
-            return Text.TEXT.read(kryo, in, String.class);
+            return TextSerializer.TEXT.read(kryo, in, String.class);
         }
     }
 
     /** Bytes, or null. */
-    final class Raw implements Part {
-        private static final Bytes BYTES = new Bytes();
+    final class Raw implements ComponentCodec {
+        private static final ByteArraySerializer BYTES = new ByteArraySerializer();
 
         @Override
         public void write(Kryo kryo, Output out, Object value) {
@@ -121,7 +121,7 @@
     }
 
     /** One of a few, or null. */
-    final class Enums implements Part {
+    final class Enums implements ComponentCodec {
         private final Object[] constants;
 
         Enums(Object[] constants) {
@@ -144,7 +144,7 @@
     }
 
     /** A record of this very type, or null. */
-    final class Inner implements Part {
+    final class Inner implements ComponentCodec {
         private final Class<?> type;
 
         Inner(Class<?> type) {
@@ -166,10 +166,10 @@
     }
 
     /** A list, or null. An element takes a byte at least, which bounds what a length may say. */
-    final class Row implements Part {
-        private final Part element;
+    final class Row implements ComponentCodec {
+        private final ComponentCodec element;
 
-        Row(Part element) {
+        Row(ComponentCodec element) {
             this.element = element;
         }
 
@@ -205,7 +205,7 @@
     }
 
     /** Anything registered, with its class; or null. */
-    final class Any implements Part {
+    final class Any implements ComponentCodec {
         @Override
         public void write(Kryo kryo, Output out, Object value) {
             kryo.writeClassAndObject(out, value);
--- a/src/main/java/brambletray/tray/speech/Frames.java
+++ b/src/main/java/brambletray/platform/transport/FrameChannelHandler.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,20 +9,20 @@
 import java.util.concurrent.TimeUnit;
 
 /** The inside of a link: greets, checks the other's greeting, and turns bytes into frames. */
-final class Frames extends ByteToMessageDecoder {
+final class FrameChannelHandler extends ByteToMessageDecoder {
     private static final int GREETING = 0x42544b31;
     private static final int GREETING_BYTES = 16;
     /** ms for the other end to greet. */
     private static final int GREETING_MS = 2_000;
 
-    private final Speech speech;
-    private final Handler handler;
+    private final FrameCodec speech;
+    private final LinkHandler handler;
     private final boolean dialled;
     private Link link;
     private boolean greeted;
     private Future<?> late;
 
-    Frames(Speech speech, Handler handler, boolean dialled) {
+    FrameChannelHandler(FrameCodec speech, LinkHandler handler, boolean dialled) {
         this.speech = speech;
         this.handler = handler;
         this.dialled = dialled;
@@ -35,7 +35,7 @@
         link.raw(context.alloc()
                 .directBuffer(GREETING_BYTES)
                 .writeInt(GREETING)
-                .writeInt(Speech.FORMAT)
+                .writeInt(FrameCodec.FORMAT)
                 .writeLong(speech.fingerprint()));
         late = context.executor().schedule(() -> link.close("no greeting"), GREETING_MS, TimeUnit.MILLISECONDS);
     }
@@ -59,8 +59,8 @@
         int format = in.readInt();
         long fingerprint = in.readLong();
         late.cancel(false);
-        if (word != GREETING || format != Speech.FORMAT || fingerprint != speech.fingerprint()) {
-            Link.tale()
+        if (word != GREETING || format != FrameCodec.FORMAT || fingerprint != speech.fingerprint()) {
+            Link.log()
                     .warn(
                             "stranger",
                             "link",
@@ -68,7 +68,7 @@
                             "format",
                             format,
                             "ours",
-                            Speech.FORMAT,
+                            FrameCodec.FORMAT,
                             "fingerprint",
                             Long.toHexString(fingerprint),
                             "our-fingerprint",
@@ -83,22 +83,22 @@
     }
 
     private void frame(ByteBuf in) {
-        if (in.readableBytes() < Speech.LENGTH_BYTES) {
+        if (in.readableBytes() < FrameCodec.LENGTH_BYTES) {
             return;
         }
         int length = in.getInt(in.readerIndex());
-        if (length <= 0 || length > Speech.LONGEST) {
-            bad("speech.frame-too-long", "a frame of " + Integer.toUnsignedLong(length) + " bytes");
+        if (length <= 0 || length > FrameCodec.LONGEST) {
+            bad("transport.frame-too-long", "a frame of " + Integer.toUnsignedLong(length) + " bytes");
             return;
         }
-        if (in.readableBytes() < Speech.LENGTH_BYTES + length) {
+        if (in.readableBytes() < FrameCodec.LENGTH_BYTES + length) {
             return;
         }
-        in.skipBytes(Speech.LENGTH_BYTES);
+        in.skipBytes(FrameCodec.LENGTH_BYTES);
         Object frame;
         try {
             frame = speech.read(in, length);
-        } catch (SpeechFault e) {
+        } catch (TransportException e) {
             bad(e.code(), e.getMessage());
             return;
         }
@@ -106,7 +106,7 @@
     }
 
     private void bad(String code, String why) {
-        Link.tale().warn("bad-frame", "code", code, "link", link, "why", why);
+        Link.log().warn("bad-frame", "code", code, "link", link, "why", why);
         link.close(why);
     }
 
@@ -115,7 +115,7 @@
             step.run();
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
-            Link.tale().warn("handler-failed", "link", link, "why", e, "at", trace.length == 0 ? "" : trace[0]);
+            Link.log().warn("handler-failed", "link", link, "why", e, "at", trace.length == 0 ? "" : trace[0]);
             link.close("its handler failed: " + e);
         }
     }
@@ -148,7 +148,7 @@
             return;
         }
         if (!(cause instanceof IOException)) {
-            Link.tale().warn("link-failed", "link", link, "why", cause);
+            Link.log().warn("link-failed", "link", link, "why", cause);
         }
         link.close(String.valueOf(cause.getMessage()));
     }
--- a/src/main/java/brambletray/tray/speech/Speech.java
+++ b/src/main/java/brambletray/platform/transport/FrameCodec.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -12,7 +12,7 @@
  * How frames are written: four bytes of length, then class and object as Kryo has them. Only classes that were
  * registered are written or read. One a process, for the loop only.
  */
-public final class Speech {
+public final class FrameCodec {
     /** Bytes of the longest frame, without its length. */
     public static final int LONGEST = 8 << 20;
     /** The number of this format; raised when frames are laid out another way. */
@@ -34,10 +34,10 @@
      * For frames of these classes, and those that their components name; every process lists the same in the same
      * order.
      */
-    public Speech(List<List<Class<?>>> frames) {
+    public FrameCodec(List<List<Class<?>>> frames) {
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
-        Lexicon lexicon = new Lexicon(kryo);
+        FrameRegistry lexicon = new FrameRegistry(kryo);
         for (List<Class<?>> plane : frames) {
             plane.forEach(lexicon::add);
         }
@@ -52,7 +52,7 @@
     /**
      * Appends a frame; the buffer is unchanged if that fails.
      *
-     * @throws SpeechFault {@code speech.unwritable}, for a class that is not registered or a frame over
+     * @throws TransportException {@code speech.unwritable}, for a class that is not registered or a frame over
      * {@link #LONGEST}
      */
     void write(Object frame, ByteBuf to) {
@@ -62,8 +62,10 @@
         } catch (KryoException | IllegalArgumentException e) {
             out = new Output(FIRST, LONGEST);
             kryo.reset();
-            throw new SpeechFault(
-                    "speech.unwritable", "cannot write " + frame.getClass().getSimpleName() + ": " + e.getMessage(), e);
+            throw new TransportException(
+                    "transport.unwritable",
+                    "cannot write " + frame.getClass().getSimpleName() + ": " + e.getMessage(),
+                    e);
         }
         int length = out.position();
         to.ensureWritable(LENGTH_BYTES + length);
@@ -76,7 +78,7 @@
     /**
      * Reads the frame in the next {@code length} bytes, which are taken out of the buffer in any case.
      *
-     * @throws SpeechFault {@code speech.unreadable}, for bytes that are not one whole frame
+     * @throws TransportException {@code speech.unreadable}, for bytes that are not one whole frame
      */
     Object read(ByteBuf from, int length) {
         byte[] bytes = room(length);
@@ -85,15 +87,16 @@
         try {
             Object frame = kryo.readClassAndObject(in);
             if (frame == null || in.position() != length) {
-                throw new SpeechFault(
-                        "speech.unreadable", "a frame of " + length + " bytes ends at " + in.position(), null);
+                throw new TransportException(
+                        "transport.unreadable", "a frame of " + length + " bytes ends at " + in.position(), null);
             }
             return frame;
-        } catch (SpeechFault e) {
+        } catch (TransportException e) {
             throw e;
         } catch (RuntimeException e) {
             kryo.reset();
-            throw new SpeechFault("speech.unreadable", "cannot read a frame of " + length + " bytes: " + e, e);
+            throw new TransportException(
+                    "transport.unreadable", "cannot read a frame of " + length + " bytes: " + e, e);
         }
     }
 
--- a/src/main/java/brambletray/tray/speech/Lexicon.java
+++ b/src/main/java/brambletray/platform/transport/FrameRegistry.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import java.lang.reflect.ParameterizedType;
@@ -13,7 +13,7 @@
 import java.util.stream.Stream;
 
 /** The classes of frames: registers them in the order of their first mention, and hashes how they are laid out. */
-final class Lexicon {
+final class FrameRegistry {
     private static final long PRIME = 0x100000001b3L;
     private static final long BASIS = 0xcbf29ce484222325L;
 
@@ -21,12 +21,12 @@
     private final Set<Class<?>> known = new LinkedHashSet<>();
     private long hash = BASIS;
 
-    Lexicon(Kryo kryo) {
+    FrameRegistry(Kryo kryo) {
         this.kryo = kryo;
-        Lists lists = new Lists();
-        kryo.register(byte[].class, new Bytes());
-        kryo.register(String.class, Text.TEXT);
-        kryo.register(String[].class, new Texts());
+        ListSerializer lists = new ListSerializer();
+        kryo.register(byte[].class, new ByteArraySerializer());
+        kryo.register(String.class, TextSerializer.TEXT);
+        kryo.register(String[].class, new TextArraySerializer());
         kryo.register(ArrayList.class, lists);
         for (List<?> made : List.of(
                 List.of(),
@@ -53,7 +53,7 @@
             for (RecordComponent part : type.getRecordComponents()) {
                 named(part.getGenericType());
             }
-            kryo.register(type, new Shape<>(type));
+            kryo.register(type, new RecordSerializer<>(type));
         } else if (type.isSealed()) {
             for (Class<?> one : type.getPermittedSubclasses()) {
                 add(one);
--- a/src/main/java/brambletray/tray/speech/Link.java
+++ b/src/main/java/brambletray/platform/transport/Link.java
@@ -1,7 +1,7 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
-import brambletray.tray.berth.Address;
-import brambletray.tray.tale.Tale;
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.settings.Address;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -16,10 +16,10 @@
     public static final int MOST_BULK_WAITING = 512 << 10;
 
     private static final int FIRST = 512;
-    private static final Tale TALE = Tale.of("speech");
+    private static final EventLog LOG = EventLog.of("transport");
 
     private final Channel channel;
-    private final Speech speech;
+    private final FrameCodec speech;
     private final Address peer;
     private final boolean dialled;
     private final BulkQueue bulk;
@@ -28,7 +28,7 @@
     private boolean open = true;
     private String why;
 
-    Link(Channel channel, Speech speech, boolean dialled) {
+    Link(Channel channel, FrameCodec speech, boolean dialled) {
         this.channel = channel;
         this.speech = speech;
         this.dialled = dialled;
@@ -43,7 +43,7 @@
      * Sends a frame, with all others of this turn of the loop, at the turn's end.
      *
      * @return false if the link is closed, or is closed now as more than {@link #MOST_WAITING} bytes wait in it
-     * @throws SpeechFault {@code speech.unwritable}
+     * @throws TransportException {@code speech.unwritable}
      */
     public boolean say(Object frame) {
         if (!open) {
@@ -68,11 +68,12 @@
     }
 
     /**
-     * Sends a frame that yields to those of {@link #say}: they overtake it, and stand behind one bulk frame of this link at most. Bulk frames
+     * Sends a frame that yields to those of {@link #say}: they overtake it, and stand behind one bulk frame of this
+     * link at most. Bulk frames
      * keep their order among each other.
      *
      * @return false if the link is closed, or the frame is dropped as {@link #MOST_BULK_WAITING} bytes wait
-     * @throws SpeechFault {@code speech.unwritable}
+     * @throws TransportException {@code speech.unwritable}
      */
     public boolean sayBulk(Object frame) {
         if (!open || bulk.bytes() > MOST_BULK_WAITING) {
@@ -81,7 +82,7 @@
         ByteBuf bytes = channel.alloc().directBuffer(FIRST);
         try {
             speech.write(frame, bytes);
-        } catch (SpeechFault fault) {
+        } catch (TransportException fault) {
             bytes.release();
             throw fault;
         }
@@ -177,7 +178,7 @@
         return (dialled ? "to " : "from ") + peer;
     }
 
-    static Tale tale() {
-        return TALE;
+    static EventLog log() {
+        return LOG;
     }
 }
--- a/src/main/java/brambletray/tray/speech/Dialler.java
+++ b/src/main/java/brambletray/platform/transport/LinkDialer.java
@@ -1,7 +1,7 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -12,7 +12,7 @@
  * Keeps a link to one address: calls it, and calls again whenever the link ends, after pauses that grow from 50 ms to 1
  * s and are shortened by up to a quarter, by the seed, so that many do not call in step. For the loop only.
  */
-public final class Dialler implements AutoCloseable {
+public final class LinkDialer implements AutoCloseable {
     static final int FIRST_PAUSE_MS = 50;
     static final int LONGEST_PAUSE_MS = 1_000;
     /** ms after which a call that hasn't come up is taken for one to a machine that was away when it began. */
@@ -23,9 +23,9 @@
     private static final long NEVER = Long.MAX_VALUE;
 
     private final Machine machine;
-    private final Speech speech;
+    private final FrameCodec speech;
     private final Address to;
-    private final Handler handler;
+    private final LinkHandler handler;
     private long seed;
     private int pauseMs = FIRST_PAUSE_MS;
     private Link link;
@@ -38,7 +38,7 @@
     private long upAt = NEVER;
 
     /** Calls from the loop's next turn on; {@code handler} hears of each link that comes of it. */
-    public Dialler(Machine machine, Speech speech, Address to, Handler handler, long seed) {
+    public LinkDialer(Machine machine, FrameCodec speech, Address to, LinkHandler handler, long seed) {
         this.machine = machine;
         this.speech = speech;
         this.to = to;
@@ -67,7 +67,10 @@
         return link != null && link.say(frame);
     }
 
-    /** Says a frame that yields to all others of the link ({@link Link#sayBulk}); false if there is no link or it is full. */
+    /**
+     * Says a frame that yields to all others of the link ({@link Link#sayBulk}); false if there is no link or it is
+     * full.
+     */
     public boolean sayBulk(Object frame) {
         return link != null && link.sayBulk(frame);
     }
@@ -111,7 +114,8 @@
         dialling = true;
         upAt = NEVER;
         calledAt = machine.clock().nanos();
-        ChannelFuture called = machine.dialling(Sockets.CONNECT_TIMEOUT_MS, new Frames(speech, new Kept(), true))
+        ChannelFuture called = machine.dialling(
+                        Sockets.CONNECT_TIMEOUT_MS, new FrameChannelHandler(speech, new Kept(), true))
                 .option(ChannelOption.ALLOCATOR, Sockets.buffers())
                 .connect(new InetSocketAddress(to.host(), to.port()));
         calling = called;
@@ -154,7 +158,7 @@
     }
 
     /** Notes the link, for {@link #link()}, before the owner hears of it. */
-    private final class Kept implements Handler {
+    private final class Kept implements LinkHandler {
         @Override
         public void up(Link now) {
             link = now;
--- a/src/main/java/brambletray/tray/speech/Handler.java
+++ b/src/main/java/brambletray/platform/transport/LinkHandler.java
@@ -1,7 +1,7 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 /** The owner of links; called on the loop only. What it throws closes the link, so that both ends begin anew. */
-public interface Handler {
+public interface LinkHandler {
     /** The other end speaks as we do: frames may be said from now on. Once a link, before anything else. */
     void up(Link link);
 
--- a/src/main/java/brambletray/tray/speech/Listener.java
+++ b/src/main/java/brambletray/platform/transport/LinkListener.java
@@ -1,7 +1,7 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -14,16 +14,16 @@
  * Takes in links at one address. An address that is still held by the process before us is tried again until it is
  * free.
  */
-public final class Listener implements AutoCloseable {
+public final class LinkListener implements AutoCloseable {
     /** Links at a time; who comes beyond that is closed at once. */
     static final int MOST = 1_024;
 
     private static final int AGAIN_MS = 100;
 
     private final Machine machine;
-    private final Speech speech;
+    private final FrameCodec speech;
     private final Address bind;
-    private final Handler handler;
+    private final LinkHandler handler;
     private final CompletableFuture<Integer> port = new CompletableFuture<>();
     private Channel channel;
     private int links;
@@ -31,7 +31,7 @@
     private boolean closed;
 
     /** Listens from now on; may be called from any thread. */
-    public Listener(Machine machine, Speech speech, Address bind, Handler handler) {
+    public LinkListener(Machine machine, FrameCodec speech, Address bind, LinkHandler handler) {
         this.machine = machine;
         this.speech = speech;
         this.bind = bind;
@@ -78,7 +78,7 @@
             }
             if (!told) {
                 told = true;
-                Link.tale().warn("not-listening", "address", bind, "why", done.cause(), "again-ms", AGAIN_MS);
+                Link.log().warn("not-listening", "address", bind, "why", done.cause(), "again-ms", AGAIN_MS);
             }
             machine.loop().schedule(this::listen, AGAIN_MS, TimeUnit.MILLISECONDS);
         });
@@ -91,6 +91,6 @@
         }
         links++;
         one.closeFuture().addListener(done -> links--);
-        one.pipeline().addLast(new Frames(speech, handler, false));
+        one.pipeline().addLast(new FrameChannelHandler(speech, handler, false));
     }
 }
--- a/src/main/java/brambletray/tray/speech/Lists.java
+++ b/src/main/java/brambletray/platform/transport/ListSerializer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -13,7 +13,7 @@
  * Lists of any make; they are read as lists that cannot be changed. Each element takes a byte at least, which bounds
  * what a length may say.
  */
-final class Lists extends Serializer<List<?>> {
+final class ListSerializer extends Serializer<List<?>> {
     @Override
     public void write(Kryo kryo, Output out, List<?> list) {
         out.writeVarInt(list.size(), true);
--- a/src/main/java/brambletray/tray/speech/Shape.java
+++ b/src/main/java/brambletray/platform/transport/RecordSerializer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -11,24 +11,25 @@
 import java.lang.reflect.RecordComponent;
 
 /**
- * Records, component after component, each by a {@link Part} that is chosen once by its declared type. Three times
+ * Records, component after component, each by a {@link ComponentCodec} that is chosen once by its declared type. Three
+ * times
  * faster than Kryo's own way, which looks the type of every number up.
  */
-final class Shape<T> extends Serializer<T> {
+final class RecordSerializer<T> extends Serializer<T> {
     private final Method[] getters;
-    private final Part[] parts;
+    private final ComponentCodec[] parts;
     private final Constructor<T> maker;
 
-    Shape(Class<T> type) {
+    RecordSerializer(Class<T> type) {
         super(false, true);
         RecordComponent[] components = type.getRecordComponents();
         getters = new Method[components.length];
-        parts = new Part[components.length];
+        parts = new ComponentCodec[components.length];
         Class<?>[] types = new Class<?>[components.length];
         for (int i = 0; i < components.length; i++) {
             getters[i] = components[i].getAccessor();
             getters[i].setAccessible(true);
-            parts[i] = Part.of(components[i].getGenericType());
+            parts[i] = ComponentCodec.of(components[i].getGenericType());
             types[i] = components[i].getType();
         }
         try {
--- a/src/main/java/brambletray/tray/speech/Sockets.java
+++ b/src/main/java/brambletray/platform/transport/Sockets.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import brambletray.runtime.Clock;
 import brambletray.runtime.Machine;
@@ -72,7 +72,8 @@
     }
 
     /**
-     * Bounds what the kernel holds of this connection and hasn't sent, so that a frame said now doesn't stand behind megabytes there. Without
+     * Bounds what the kernel holds of this connection and hasn't sent, so that a frame said now doesn't stand behind
+     * megabytes there. Without
      * effect where the transport has no such option.
      */
     static void boundUnsent(Channel channel) {
@@ -82,7 +83,7 @@
         try {
             channel.config().setOption(EpollChannelOption.TCP_NOTSENT_LOWAT, UNSENT_BYTES);
         } catch (ChannelException refused) {
-            Link.tale().tell("no bound of unsent bytes", "why", refused.getMessage());
+            Link.log().tell("no bound of unsent bytes", "why", refused.getMessage());
         }
     }
 
--- a/src/main/java/brambletray/tray/speech/Texts.java
+++ b/src/main/java/brambletray/platform/transport/TextArraySerializer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -7,12 +7,12 @@
 import com.esotericsoftware.kryo.io.Output;
 
 /** Arrays of text. */
-final class Texts extends Serializer<String[]> {
+final class TextArraySerializer extends Serializer<String[]> {
     @Override
     public void write(Kryo kryo, Output out, String[] texts) {
         out.writeVarInt(texts.length, true);
         for (String text : texts) {
-            Text.TEXT.write(kryo, out, text);
+            TextSerializer.TEXT.write(kryo, out, text);
         }
     }
 
@@ -24,7 +24,7 @@
         }
         String[] texts = new String[size];
         for (int i = 0; i < size; i++) {
-            texts[i] = Text.TEXT.read(kryo, in, String.class);
+            texts[i] = TextSerializer.TEXT.read(kryo, in, String.class);
         }
         return texts;
     }
--- a/src/main/java/brambletray/tray/speech/Text.java
+++ b/src/main/java/brambletray/platform/transport/TextSerializer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -8,10 +8,10 @@
 import java.nio.charset.StandardCharsets;
 
 /** Text as UTF-8, or null. Kryo's own makes room for as many characters as a length says, whatever the frame has. */
-final class Text extends Serializer<String> {
-    static final Text TEXT = new Text();
+final class TextSerializer extends Serializer<String> {
+    static final TextSerializer TEXT = new TextSerializer();
 
-    private Text() {
+    private TextSerializer() {
         super(true, true);
     }
 
--- a/src/main/java/brambletray/tray/speech/SpeechFault.java
+++ b/src/main/java/brambletray/platform/transport/TransportException.java
@@ -1,15 +1,15 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
-import brambletray.tray.fault.Fault;
+import brambletray.platform.errors.PlatformException;
 
 /**
  * A frame that cannot be written or read: {@code speech.frame-too-long}, {@code speech.unreadable},
  * {@code speech.unwritable}.
  */
-public final class SpeechFault extends Fault {
+public final class TransportException extends PlatformException {
     private static final long serialVersionUID = 1L;
 
-    SpeechFault(String code, String message, Throwable cause) {
+    TransportException(String code, String message, Throwable cause) {
         super(code, message, cause);
     }
 }
--- a/src/main/java/brambletray/tray/yard/Listed.java
+++ /dev/null
@@ -1,7 +0,0 @@
-package brambletray.tray.yard;
-
-/**
- * One host as the platform's list shows it ({@code GET /instances}). A host is there only once it has started; the list
- * lags by {@code lag-ms}.
- */
-public record Listed(String id, String service, String address, String zone, String worker, boolean draining) {}
--- a/src/main/java/brambletray/tray/yard/Reclaim.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package brambletray.tray.yard;
-
-/** No worker has room for a start for which requests wait: homes end the instances that have been idle for {@code idleMs} or longer. */
-public record Reclaim(int idleMs) {}
--- a/src/main/java/brambletray/tray/yard/Seen.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package brambletray.tray.yard;
-
-/** A host has been seen to be up. */
-public record Seen(String id, String service) {}
--- a/src/main/java/brambletray/tray/yard/Worker.java
+++ /dev/null
@@ -1,6 +0,0 @@
-package brambletray.tray.yard;
-
-/**
- * One worker as the platform shows it ({@code GET /brambletray/workers}); one that is down is not shown. Memory in MB.
- */
-public record Worker(String name, String zone, int memoryMb, int freeMb, boolean draining) {}
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -73,8 +73,25 @@
 
     /** The planes of the system, from the bottom up. */
     private static final List<String> PLANES = List.of(
-            "fault", "tale", "berth", "creed", "speech", "trove", "view", "vow", "ring", "yard", "home", "flow", "news",
-            "stand", "keep", "carry", "lap", "drill", "verb");
+            "errors",
+            "logging",
+            "settings",
+            "configuration",
+            "transport",
+            "storage",
+            "replication",
+            "election",
+            "failuredetection",
+            "provisioning",
+            "admission",
+            "proxy",
+            "distribution",
+            "platformstub",
+            "controlplane",
+            "edge",
+            "localsystem",
+            "drill",
+            "cli");
 
     @Test
     void eachPlaneUsesOnlyThoseBelowIt() {
@@ -83,11 +100,11 @@
             if (!above.isEmpty()) {
                 noClasses()
                         .that()
-                        .resideInAPackage("brambletray.tray." + PLANES.get(i))
+                        .resideInAPackage("brambletray.platform." + PLANES.get(i))
                         .should()
                         .dependOnClassesThat()
                         .resideInAnyPackage(above.stream()
-                                .map(plane -> "brambletray.tray." + plane)
+                                .map(plane -> "brambletray.platform." + plane)
                                 .toArray(String[]::new))
                         .check(CODE);
             }
@@ -99,20 +116,20 @@
     void theRelayDoesNotKnowTheSystem() {
         noClasses()
                 .that()
-                .resideOutsideOfPackages("brambletray.tray..", "brambletray")
+                .resideOutsideOfPackages("brambletray.platform..", "brambletray")
                 .should()
                 .dependOnClassesThat()
-                .resideInAPackage("brambletray.tray..")
+                .resideInAPackage("brambletray.platform..")
                 .check(CODE);
     }
 
     /** What decides is handed its time, and does no I/O. */
     @Test
     void thePlanesThatDecideArePure() {
-        for (String plane : List.of("view", "vow", "ring", "home")) {
+        for (String plane : List.of("replication", "election", "failuredetection", "admission")) {
             noClasses()
                     .that()
-                    .resideInAPackage("brambletray.tray." + plane)
+                    .resideInAPackage("brambletray.platform." + plane)
                     .should()
                     .dependOnClassesThat()
                     .resideInAnyPackage(
--- a/src/test/java/brambletray/tray/home/LawsTest.java
+++ b/src/test/java/brambletray/platform/admission/AdmissionParametersTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,7 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.yard.Host;
+import brambletray.platform.provisioning.InstanceInfo;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -14,24 +14,25 @@
 import org.junit.jupiter.api.Test;
 
 /** Each law by itself. */
-class LawsTest {
-    private static final Laws LAWS = Laws.of(0.2, 50, 10_000, 1);
-    private static final Spec QUICK = new Spec("s", 128, 900, 1, 1500);
-    private static final Spec DESK = new Spec("s", 512, 1400, 4, 300);
+class AdmissionParametersTest {
+    private static final AdmissionParameters LAWS = AdmissionParameters.of(0.2, 50, 10_000, 1);
+    private static final ServiceSpec QUICK = new ServiceSpec("s", 128, 900, 1, 1500);
+    private static final ServiceSpec DESK = new ServiceSpec("s", 512, 1400, 4, 300);
 
-    private static Ask ask(long id, String zone, String... avoid) {
-        return new Ask(id, "a", zone, "s", 1, 1000, 300, false, false, false, List.of(avoid));
+    private static SlotRequest ask(long id, String zone, String... avoid) {
+        return new SlotRequest(id, "a", zone, "s", 1, 1000, 300, false, false, false, List.of(avoid));
     }
 
-    private static Post post(Posts posts, String id, String zone, long bornAgo) {
-        Post post = new Post(new Host(id, "s", "x", zone, zone, "w", "n", Host.UP, bornAgo), true, 10_000);
+    private static PooledInstance post(PooledInstances posts, String id, String zone, long bornAgo) {
+        PooledInstance post = new PooledInstance(
+                new InstanceInfo(id, "s", "x", zone, zone, "w", "n", InstanceInfo.UP, bornAgo), true, 10_000);
         posts.add(post);
         return post;
     }
 
     @Test
     void paceSitsAboveNineInTenAndForgets() {
-        Pace pace = new Pace();
+        HedgeDelay pace = new HedgeDelay();
         assertEquals(200, pace.delayMs());
         for (int i = 1; i <= 100; i++) {
             pace.add(i);
@@ -49,7 +50,7 @@
     @Test
     void budgetHoldsInEachSlidingWindow() {
         Random random = new Random(5);
-        Budget budget = new Budget(LAWS.again());
+        RetryBudget budget = new RetryBudget(LAWS.again());
         Deque<Long> requests = new ArrayDeque<>();
         Deque<Long> extra = new ArrayDeque<>();
         int granted = 0;
@@ -79,7 +80,7 @@
 
     @Test
     void copiesLeaveHalfOfTheBudget() {
-        Budget budget = new Budget(new Laws.Again(0, 20, 10_000, 1));
+        RetryBudget budget = new RetryBudget(new AdmissionParameters.Again(0, 20, 10_000, 1));
         int copies = 0;
         while (budget.may(true, 5)) {
             budget.spend(true, 5);
@@ -96,14 +97,14 @@
 
     @Test
     void forecastCountsWhatFreesAndWhatBoots() {
-        Forecast forecast = new Forecast().reset(4, 100, 4, 0);
+        SlotForecast forecast = new SlotForecast().reset(4, 100, 4, 0);
         assertEquals(25, forecast.waitMs(0));
         assertEquals(250, forecast.waitMs(9));
         forecast.boot(100);
         assertEquals(100, forecast.waitMs(7));
         assertTrue(forecast.waitMs(9) < 150);
-        assertEquals(Forecast.NEVER, new Forecast().reset(0, 100, 4, 0).waitMs(0));
-        Forecast cold = new Forecast().reset(0, 100, 1, 0);
+        assertEquals(SlotForecast.NEVER, new SlotForecast().reset(0, 100, 4, 0).waitMs(0));
+        SlotForecast cold = new SlotForecast().reset(0, 100, 1, 0);
         cold.boot(900);
         assertEquals(900, cold.waitMs(0));
         assertEquals(1000, cold.waitMs(1));
@@ -111,10 +112,10 @@
 
     @Test
     void hostsAreChosenByZoneAgeAndHealth() {
-        Posts posts = new Posts(LAWS.choice());
-        Post old = post(posts, "old", "east", 900);
-        Post young = post(posts, "young", "east", 100);
-        Post far = post(posts, "far", "west", 5000);
+        PooledInstances posts = new PooledInstances(LAWS.choice());
+        PooledInstance old = post(posts, "old", "east", 900);
+        PooledInstance young = post(posts, "young", "east", 100);
+        PooledInstance far = post(posts, "far", "west", 5000);
         assertEquals(old, posts.choose(ask(1, "east"), 4, false, 10_000));
         old.held = 3;
         assertEquals(young, posts.choose(ask(1, "east"), 4, false, 10_000));
@@ -123,26 +124,26 @@
         old.held = 4;
         assertEquals(far, posts.choose(ask(1, "east"), 4, false, 10_000));
         old.held = 0;
-        posts.judge(old, Fate.BROKEN, 10, 10_000);
+        posts.judge(old, AttemptOutcome.BROKEN, 10, 10_000);
         assertEquals(old, posts.choose(ask(1, "east"), 4, false, 10_000));
-        posts.judge(old, Fate.BROKEN, 10, 10_000);
+        posts.judge(old, AttemptOutcome.BROKEN, 10, 10_000);
         assertEquals(far, posts.choose(ask(1, "east"), 4, false, 10_000));
         assertEquals(old, posts.choose(ask(1, "east"), 4, false, 10_201));
-        posts.judge(old, Fate.UNREACHED, 10, 10_300);
-        far.state = Host.LEAVING;
+        posts.judge(old, AttemptOutcome.UNREACHED, 10, 10_300);
+        far.state = InstanceInfo.LEAVING;
         assertEquals(null, posts.choose(ask(1, "east"), 4, false, 10_300));
     }
 
     @Test
     void aHostSlowerThanTheOthersComesLast() {
-        Posts posts = new Posts(LAWS.choice());
-        Post slow = post(posts, "slow", "east", 900);
-        Post one = post(posts, "one", "east", 800);
-        Post two = post(posts, "two", "east", 700);
+        PooledInstances posts = new PooledInstances(LAWS.choice());
+        PooledInstance slow = post(posts, "slow", "east", 900);
+        PooledInstance one = post(posts, "one", "east", 800);
+        PooledInstance two = post(posts, "two", "east", 700);
         for (int i = 0; i < 10; i++) {
-            posts.judge(slow, Fate.SERVED, 300, 10_000);
-            posts.judge(one, Fate.SERVED, 100, 10_000);
-            posts.judge(two, Fate.SERVED, 110, 10_000);
+            posts.judge(slow, AttemptOutcome.SERVED, 300, 10_000);
+            posts.judge(one, AttemptOutcome.SERVED, 100, 10_000);
+            posts.judge(two, AttemptOutcome.SERVED, 110, 10_000);
         }
         assertEquals(one, posts.choose(ask(1, "east"), 4, false, 10_000));
         one.held = 4;
@@ -152,13 +153,13 @@
 
     @Test
     void noClassWaitsForEver() {
-        Line line = new Line(LAWS.queue(), new FairShare());
-        line.join(new Ask(1, "a", "east", "s", 2, 4000, 60_000, false, false, false, List.of()), 0);
+        RequestQueue line = new RequestQueue(LAWS.queue(), new FairShare());
+        line.join(new SlotRequest(1, "a", "east", "s", 2, 4000, 60_000, false, false, false, List.of()), 0);
         long id = 2;
         for (long now = 0; now < 20_000; now += 10) {
-            line.join(new Ask(id++, "a", "east", "s", 0, 4000, 60_000, false, false, false, List.of()), now);
+            line.join(new SlotRequest(id++, "a", "east", "s", 0, 4000, 60_000, false, false, false, List.of()), now);
             line.round();
-            Line.Waiter next = line.next(false, false, 10, now);
+            RequestQueue.Waiter next = line.next(false, false, 10, now);
             line.remove(next);
             if (next.ask.id() == 1) {
                 assertTrue(now >= 3900 && now < 4100, "" + now);
@@ -170,7 +171,7 @@
 
     @Test
     void demandRisesWithinHalfASecondAndFallsInSeconds() {
-        Demand demand = new Demand(LAWS.scale());
+        SlotDemand demand = new SlotDemand(LAWS.scale());
         for (int i = 0; i < 50; i++) {
             demand.answered(60);
         }
@@ -192,12 +193,12 @@
     /** Break-even: 0.4 GB-seconds a start. */
     @Test
     void idleHostsAreKeptForTheWorthOfAStart() {
-        Keeping keeping = new Keeping(LAWS.keep());
-        assertEquals(3200, keeping.breakEvenMs(QUICK, 700), 100);
-        assertEquals(800, keeping.breakEvenMs(new Spec("s", 512, 100, 4, 1000), 100), 50);
-        assertTrue(keeping.breakEvenMs(DESK, 1400) > 1900, "a start that makes late is worth more");
-        Keeping frequent = new Keeping(LAWS.keep());
-        Keeping rare = new Keeping(LAWS.keep());
+        KeepAlivePolicy keepAlive = new KeepAlivePolicy(LAWS.keep());
+        assertEquals(3200, keepAlive.breakEvenMs(QUICK, 700), 100);
+        assertEquals(800, keepAlive.breakEvenMs(new ServiceSpec("s", 512, 100, 4, 1000), 100), 50);
+        assertTrue(keepAlive.breakEvenMs(DESK, 1400) > 1900, "a start that makes late is worth more");
+        KeepAlivePolicy frequent = new KeepAlivePolicy(LAWS.keep());
+        KeepAlivePolicy rare = new KeepAlivePolicy(LAWS.keep());
         for (int i = 0; i < 30; i++) {
             frequent.arrived(true, i * 2000L);
             rare.arrived(true, i * 30_000L);
@@ -208,20 +209,20 @@
 
     @Test
     void aZoneReturnsToTheRootWhenItsDemandFalls() {
-        Annex annex = new Annex(LAWS.spread());
-        assertTrue(annex.away(false, 0.01, 0.005, 500, 0));
-        assertTrue(annex.warming(100));
-        assertFalse(annex.away(true, 0.01, 0.005, 500, 600));
-        assertFalse(annex.away(true, 0.001, 0.005, 500, 1000));
-        assertFalse(annex.away(true, 0.001, 0.005, 500, 4900));
-        assertTrue(annex.away(true, 0.001, 0.005, 500, 5100));
-        assertTrue(annex.closed(5200));
-        assertFalse(annex.warming(5200));
+        ZoneServiceQueue zoneQueue = new ZoneServiceQueue(LAWS.spread());
+        assertTrue(zoneQueue.away(false, 0.01, 0.005, 500, 0));
+        assertTrue(zoneQueue.warming(100));
+        assertFalse(zoneQueue.away(true, 0.01, 0.005, 500, 600));
+        assertFalse(zoneQueue.away(true, 0.001, 0.005, 500, 1000));
+        assertFalse(zoneQueue.away(true, 0.001, 0.005, 500, 4900));
+        assertTrue(zoneQueue.away(true, 0.001, 0.005, 500, 5100));
+        assertTrue(zoneQueue.closed(5200));
+        assertFalse(zoneQueue.warming(5200));
     }
 
     @Test
     void roomIsKeptOnlyWhereCallsOfHostsWereSeen() {
-        Room room = new Room(LAWS.room());
+        NestedCallReserve room = new NestedCallReserve(LAWS.room());
         assertEquals(0, room.kept(40, 1000));
         room.inner(1000);
         assertEquals(0, room.kept(3, 1001));
@@ -232,7 +233,7 @@
 
     @Test
     void onceCallsHaveStalledOneOfTwoPlacesIsKept() {
-        Room room = new Room(LAWS.room());
+        NestedCallReserve room = new NestedCallReserve(LAWS.room());
         room.inner(1000);
         assertEquals(0, room.leastPlaces(1001));
         room.stalled(1100);
@@ -244,8 +245,8 @@
         assertEquals(0, room.leastPlaces(25_000));
     }
 
-    private static Ask ranked(long id, int priority, boolean call) {
-        return new Ask(id, "a", "east", "s", priority, 4000, 1000, false, false, call, List.of());
+    private static SlotRequest ranked(long id, int priority, boolean call) {
+        return new SlotRequest(id, "a", "east", "s", priority, 4000, 1000, false, false, call, List.of());
     }
 
     @Test
@@ -254,7 +255,7 @@
         for (int i = 0; i < 100; i++) {
             shares.served(ranked(i, 0, false), 10 * i);
         }
-        Ask low = ranked(1000, 2, false);
+        SlotRequest low = ranked(1000, 2, false);
         assertFalse(shares.of(low).isBehind(), "nothing is known of it");
         shares.lost(low, 1000);
         shares.lost(low, 1000);
@@ -275,7 +276,7 @@
 
     @Test
     void aFullQueueTakesWhoGoesBeforeTheLast() {
-        Line line = new Line(LAWS.queue(), new FairShare());
+        RequestQueue line = new RequestQueue(LAWS.queue(), new FairShare());
         while (!line.full()) {
             line.join(ranked(line.size(), 1, false), line.size());
         }
@@ -288,9 +289,9 @@
 
     @Test
     void noncesAreUniqueAndShort() {
-        Nonces nonces = new Nonces("node-1.7");
+        StartNonces nonces = new StartNonces("node-1.7");
         assertNotEquals(nonces.next(), nonces.next());
         assertTrue(nonces.next().length() <= 64);
-        assertThrows(HomeFault.class, () -> new Nonces("x".repeat(49)));
+        assertThrows(AdmissionException.class, () -> new StartNonces("x".repeat(49)));
     }
 }
--- a/src/test/java/brambletray/tray/home/HomeSteps.java
+++ b/src/test/java/brambletray/platform/admission/AdmissionSteps.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,15 +9,15 @@
 import java.util.List;
 
 /** The words of this plane's features. */
-public class HomeSteps {
-    private Spec spec;
+public class AdmissionSteps {
+    private ServiceSpec spec;
     private String root = "east";
-    private Laws laws = Laws.of(0.2, 12, 10_000, 1);
-    private Town town;
+    private AdmissionParameters laws = AdmissionParameters.of(0.2, 12, 10_000, 1);
+    private SimulatedZones town;
 
     @Given("a service of {int} MB, {int} at once, {int} ms to start, its target {int} ms")
     public void service(int memoryMb, int most, int bootMs, int targetMs) {
-        spec = new Spec("s", memoryMb, bootMs, most, targetMs);
+        spec = new ServiceSpec("s", memoryMb, bootMs, most, targetMs);
     }
 
     @Given("its root seat is in zone {word}")
@@ -32,20 +32,20 @@
 
     @Given("a slack of {int} further tries, and none for each request")
     public void slack(int tries) {
-        laws = Laws.of(0, 2 * tries, 10_000, 1);
+        laws = AdmissionParameters.of(0, 2 * tries, 10_000, 1);
     }
 
     @Then("it goes")
     public void goes(String drawing) {
-        new Drawing(spec, laws, root).play(drawing);
+        new Timeline(spec, laws, root).play(drawing);
     }
 
     @Given("a town of {int} services like it in {int} zone(s)")
     public void town(int services, int zones) {
         List<String> names = List.of("east", "west", "north").subList(0, zones);
-        town = new Town(7, names, 1, laws);
+        town = new SimulatedZones(7, names, 1, laws);
         for (int i = 0; i < services; i++) {
-            town.add(new Spec("rare" + i, spec.memoryMb(), spec.bootMs(), spec.most(), spec.targetMs()));
+            town.add(new ServiceSpec("rare" + i, spec.memoryMb(), spec.bootMs(), spec.most(), spec.targetMs()));
         }
     }
 
@@ -54,7 +54,8 @@
         town.runUntil(1000);
         for (String service : town.specs.keySet()) {
             for (int i = 0; i < times; i++) {
-                Town.Kind kind = new Town.Kind(service, 2, spec.targetMs(), 8000, 1, 0.3, workMs, 0);
+                SimulatedZones.Kind kind =
+                        new SimulatedZones.Kind(service, 2, spec.targetMs(), 8000, 1, 0.3, workMs, 0);
                 town.at(1000 + town.random.nextInt(1000), () -> town.request(kind, "east"));
             }
         }
--- a/src/test/java/brambletray/tray/home/HomeFeaturesTest.java
+++ b/src/test/java/brambletray/platform/admission/AdmissionTimelinesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static io.cucumber.junit.platform.engine.Constants.GLUE_PROPERTY_NAME;
 import static io.cucumber.junit.platform.engine.Constants.PLUGIN_PUBLISH_QUIET_PROPERTY_NAME;
@@ -11,7 +11,7 @@
 /** The drawn timelines of this plane. */
 @Suite
 @IncludeEngines("cucumber")
-@SelectPackages("brambletray.tray.home")
-@ConfigurationParameter(key = GLUE_PROPERTY_NAME, value = "brambletray.tray.home")
+@SelectPackages("brambletray.platform.admission")
+@ConfigurationParameter(key = GLUE_PROPERTY_NAME, value = "brambletray.platform.admission")
 @ConfigurationParameter(key = PLUGIN_PUBLISH_QUIET_PROPERTY_NAME, value = "true")
-class HomeFeaturesTest {}
+class AdmissionTimelinesTest {}
--- a/src/test/java/brambletray/tray/home/BudgetMoveTest.java
+++ b/src/test/java/brambletray/platform/admission/BudgetMoveTest.java
@@ -1,13 +1,13 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.yard.Claim;
-import brambletray.tray.yard.Host;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.Need;
-import brambletray.tray.yard.Quit;
-import brambletray.tray.yard.Seen;
+import brambletray.platform.provisioning.HomeClaim;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceUp;
+import brambletray.platform.provisioning.StartRequest;
+import brambletray.platform.provisioning.StopRequest;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -15,7 +15,8 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Rule BUDGET across moves of a service's home: clients press with further tries all the time, and the home moves up to three times in one window.
+ * Rule BUDGET across moves of a service's home: clients press with further tries all the time, and the home moves up to
+ * three times in one window.
  * Virtual time; the seed is in the test's name.
  */
 class BudgetMoveTest {
@@ -28,8 +29,8 @@
 
     private final List<Long> requests = new ArrayList<>();
     private final List<Long> furtherTries = new ArrayList<>();
-    private final List<Grant> given = new ArrayList<>();
-    private Seats home;
+    private final List<SlotGrant> given = new ArrayList<>();
+    private ServiceQueues home;
     private long now;
     private long ids;
 
@@ -81,33 +82,33 @@
     }
 
     private void ask(boolean again) {
-        Ask ask = new Ask(++ids, "a", "east", "s", 1, 50, 50, false, again, false, List.of());
+        SlotRequest ask = new SlotRequest(++ids, "a", "east", "s", 1, 50, 50, false, again, false, List.of());
         home.ask(ask, false, now);
     }
 
     private void giveBack() {
-        for (Grant grant : given) {
-            home.done("a", new Done(grant.askId(), grant.host(), Fate.SERVED, 1), now);
+        for (SlotGrant grant : given) {
+            home.done("a", new SlotRelease(grant.askId(), grant.host(), AttemptOutcome.SERVED, 1), now);
         }
         given.clear();
     }
 
     /** Another edge is home; {@code others}: edges that may hold slots given out by the one before. */
     private void move(List<String> others) {
-        home = new Seats("east", "n" + now, Laws.of(RATIO, SLACK, WINDOW_MS, 1), new Edge());
-        home.spec(new Spec("s", 128, 500, 64, 1_000), now);
+        home = new ServiceQueues("east", "n" + now, AdmissionParameters.of(RATIO, SLACK, WINDOW_MS, 1), new Edge());
+        home.spec(new ServiceSpec("s", 128, 500, 64, 1_000), now);
         home.take("s", "east", others, now);
-        Host host = new Host("h1", "s", "a:1", "east", "east", "w", "n", Host.UP, 60_000);
-        home.hosts(new Hosts("s", "east", List.of(host)), now);
+        InstanceInfo host = new InstanceInfo("h1", "s", "a:1", "east", "east", "w", "n", InstanceInfo.UP, 60_000);
+        home.hosts(new InstanceList("s", "east", List.of(host)), now);
         for (String edge : others) {
-            home.held(new Held(edge, "s", List.of()), now);
+            home.held(new HeldSlots(edge, "s", List.of()), now);
         }
     }
 
     /** Counts further tries that are granted; gives each slot back at once. */
-    private final class Edge implements Out {
+    private final class Edge implements AdmissionActions {
         @Override
-        public void grant(String edge, Grant grant) {
+        public void grant(String edge, SlotGrant grant) {
             if (now % TRY_EVERY_MS == 5) {
                 furtherTries.add(now);
             }
@@ -115,22 +116,22 @@
         }
 
         @Override
-        public void refuse(String edge, Refuse refuse) {}
+        public void refuse(String edge, SlotRefusal refuse) {}
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) {}
+        public void elsewhere(String edge, SlotRedirect elsewhere) {}
 
         @Override
-        public void need(Need need) {}
+        public void need(StartRequest need) {}
 
         @Override
-        public void quit(Quit quit) {}
+        public void quit(StopRequest quit) {}
 
         @Override
-        public void seen(Seen seen) {}
+        public void seen(InstanceUp seen) {}
 
         @Override
-        public void claim(Claim claim) {}
+        public void claim(HomeClaim claim) {}
 
         @Override
         public void knock(String service, String hostId, String address) {}
--- a/src/test/java/brambletray/tray/home/MoveTest.java
+++ b/src/test/java/brambletray/platform/admission/QueueMoveTest.java
@@ -1,14 +1,14 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.yard.Claim;
-import brambletray.tray.yard.Host;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.Need;
-import brambletray.tray.yard.Quit;
-import brambletray.tray.yard.Seen;
+import brambletray.platform.provisioning.HomeClaim;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceUp;
+import brambletray.platform.provisioning.StartRequest;
+import brambletray.platform.provisioning.StopRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,7 +20,7 @@
  * A home dies again and again with all places out and lines waiting, messages under way; whatever the order of events,
  * no host ever has more than its places in use, and all asks get their place.
  */
-class MoveTest {
+class QueueMoveTest {
     private static final int HOSTS = 10;
     private static final int MOST = 4;
     private static final int EDGES = 4;
@@ -29,11 +29,11 @@
 
     private final java.util.PriorityQueue<Event> events = new java.util.PriorityQueue<>(
             (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
-    private final List<Map<Long, Ask>> waiting = new ArrayList<>();
+    private final List<Map<Long, SlotRequest>> waiting = new ArrayList<>();
     private final List<Map<Long, String>> held = new ArrayList<>();
     private final Map<String, Integer> inUse = new HashMap<>();
     private Random random;
-    private Seats home;
+    private ServiceQueues home;
     private int life;
     private long now;
     private long order;
@@ -47,24 +47,24 @@
     private void move() {
         life++;
         int mine = life;
-        home = new Seats("east", "n" + life, Laws.of(0.2, 10, 10_000, 1), new Shell(mine));
-        home.spec(new Spec("s", 512, 700, MOST, 300), now);
+        home = new ServiceQueues("east", "n" + life, AdmissionParameters.of(0.2, 10, 10_000, 1), new Shell(mine));
+        home.spec(new ServiceSpec("s", 512, 700, MOST, 300), now);
         List<String> edges = new ArrayList<>();
         for (int i = 0; i < EDGES; i++) {
             edges.add("e" + i);
             int edge = i;
             later(1 + random.nextInt(60), mine, () -> {
-                List<Grant> grants = new ArrayList<>();
-                held.get(edge).forEach((id, host) -> grants.add(new Grant(id, host, "", false)));
+                List<SlotGrant> grants = new ArrayList<>();
+                held.get(edge).forEach((id, host) -> grants.add(new SlotGrant(id, host, "", false)));
                 waiting.get(edge).values().forEach(ask -> later(1, mine, () -> home.ask(ask, false, now)));
-                home.held(new Held("e" + edge, "s", grants), now);
+                home.held(new HeldSlots("e" + edge, "s", grants), now);
             });
         }
         home.take("s", "east", edges, now);
     }
 
     private void ask(int edge) {
-        Ask ask = new Ask(
+        SlotRequest ask = new SlotRequest(
                 ++ids,
                 "e" + edge,
                 "east",
@@ -80,7 +80,7 @@
         later(1 + random.nextInt(3), life, () -> home.ask(ask, false, now));
     }
 
-    private void granted(int edge, Grant grant) {
+    private void granted(int edge, SlotGrant grant) {
         granted++;
         waiting.get(edge).remove(grant.askId());
         held.get(edge).put(grant.askId(), grant.host());
@@ -89,7 +89,11 @@
         later(20 + random.nextInt(400), -1, () -> {
             held.get(edge).remove(grant.askId());
             inUse.merge(grant.host(), -1, Integer::sum);
-            later(1, life, () -> home.done("e" + edge, new Done(grant.askId(), grant.host(), Fate.SERVED, 100), now));
+            later(
+                    1,
+                    life,
+                    () -> home.done(
+                            "e" + edge, new SlotRelease(grant.askId(), grant.host(), AttemptOutcome.SERVED, 100), now));
             ask(edge);
         });
     }
@@ -132,7 +136,7 @@
         }
         assertTrue(granted > 300, "seed " + seed + ": " + granted);
         int left = 0;
-        for (Map<Long, Ask> of : waiting) {
+        for (Map<Long, SlotRequest> of : waiting) {
             left += of.size();
         }
         int out = 0;
@@ -142,7 +146,7 @@
         assertEquals(60, left + out, "seed " + seed);
     }
 
-    private final class Shell implements Out {
+    private final class Shell implements AdmissionActions {
         private final int mine;
 
         Shell(int mine) {
@@ -150,7 +154,7 @@
         }
 
         @Override
-        public void grant(String edge, Grant grant) {
+        public void grant(String edge, SlotGrant grant) {
             int of = Integer.parseInt(edge.substring(1));
             later(1 + random.nextInt(3), mine, () -> {
                 if (waiting.get(of).containsKey(grant.askId())) {
@@ -160,29 +164,29 @@
         }
 
         @Override
-        public void refuse(String edge, Refuse refuse) {
+        public void refuse(String edge, SlotRefusal refuse) {
             throw new AssertionError("refused: " + refuse);
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) {}
+        public void elsewhere(String edge, SlotRedirect elsewhere) {}
 
         @Override
-        public void need(Need need) {}
+        public void need(StartRequest need) {}
 
         @Override
-        public void quit(Quit quit) {}
+        public void quit(StopRequest quit) {}
 
         @Override
-        public void seen(Seen seen) {}
+        public void seen(InstanceUp seen) {}
 
         @Override
-        public void claim(Claim claim) {
-            List<Host> hosts = new ArrayList<>();
+        public void claim(HomeClaim claim) {
+            List<InstanceInfo> hosts = new ArrayList<>();
             for (int i = 0; i < HOSTS; i++) {
-                hosts.add(new Host("h" + i, "s", "a", "east", "east", "w", "n", Host.UP, 5000));
+                hosts.add(new InstanceInfo("h" + i, "s", "a", "east", "east", "w", "n", InstanceInfo.UP, 5000));
             }
-            later(2 + random.nextInt(80), mine, () -> home.hosts(new Hosts("s", "east", hosts), now));
+            later(2 + random.nextInt(80), mine, () -> home.hosts(new InstanceList("s", "east", hosts), now));
         }
 
         @Override
--- a/src/test/java/brambletray/tray/home/Town.java
+++ b/src/test/java/brambletray/platform/admission/SimulatedZones.java
@@ -1,13 +1,13 @@
-package brambletray.tray.home;
-
-import brambletray.tray.yard.Born;
-import brambletray.tray.yard.Claim;
-import brambletray.tray.yard.Host;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.Need;
-import brambletray.tray.yard.NoRoom;
-import brambletray.tray.yard.Quit;
-import brambletray.tray.yard.Seen;
+package brambletray.platform.admission;
+
+import brambletray.platform.provisioning.HomeClaim;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceStarted;
+import brambletray.platform.provisioning.InstanceUp;
+import brambletray.platform.provisioning.StartRefusal;
+import brambletray.platform.provisioning.StartRequest;
+import brambletray.platform.provisioning.StopRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,7 +23,7 @@
  * Zones, each with one edge that is home of the zone's seats; a platform that starts hosts; clients that come by
  * chance. Simulated time, one seed. Counts what the clients and the operator would.
  */
-final class Town {
+final class SimulatedZones {
     record Kind(
             String service,
             int priority,
@@ -47,14 +47,14 @@
     private record Event(double at, long order, Runnable what) {}
 
     static final class Machine {
-        final Host host;
+        final InstanceInfo host;
         final double bornAt;
         double upAt;
         boolean up;
         boolean dead;
         int busy;
 
-        Machine(Host host, double bornAt) {
+        Machine(InstanceInfo host, double bornAt) {
             this.host = host;
             this.bornAt = bornAt;
         }
@@ -63,8 +63,8 @@
     final Random random;
     final List<String> zones;
     final double crossMs;
-    final Map<String, Spec> specs = new HashMap<>();
-    final Map<String, Seats> homes = new HashMap<>();
+    final Map<String, ServiceSpec> specs = new HashMap<>();
+    final Map<String, ServiceQueues> homes = new HashMap<>();
     final Map<String, Machine> machines = new HashMap<>();
     /** The call that a host of a service makes, where it is not one to the same service. */
     final Map<String, Kind> callOf = new HashMap<>();
@@ -73,7 +73,7 @@
     /** By kind: requests of clients, and calls of hosts, that have ended. */
     final Map<String, Count> counts = new TreeMap<>();
 
-    private final Map<String, Host> byNonce = new HashMap<>();
+    private final Map<String, InstanceInfo> byNonce = new HashMap<>();
     private final Map<Long, Try> tries = new HashMap<>();
     private final Map<String, String> elsewhere = new HashMap<>();
     private final Set<String> planned = new HashSet<>();
@@ -97,12 +97,12 @@
     double gbSeconds;
     int mostHosts;
 
-    Town(long seed, List<String> zones, double crossMs, Laws laws) {
+    SimulatedZones(long seed, List<String> zones, double crossMs, AdmissionParameters laws) {
         random = new Random(seed);
         this.zones = zones;
         this.crossMs = crossMs;
         for (String zone : zones) {
-            homes.put(zone, new Seats(zone, zone, laws, new Shell(zone)));
+            homes.put(zone, new ServiceQueues(zone, zone, laws, new Shell(zone)));
         }
     }
 
@@ -110,7 +110,7 @@
         return zones.get(Math.floorMod(service.hashCode() * 31 >> 3, zones.size()));
     }
 
-    void add(Spec spec) {
+    void add(ServiceSpec spec) {
         specs.put(spec.service(), spec);
         for (String zone : zones) {
             homes.get(zone).spec(spec, (long) now);
@@ -165,7 +165,7 @@
         }
     }
 
-    private void seats(String zone, Consumer<Seats> what) {
+    private void seats(String zone, Consumer<ServiceQueues> what) {
         what.accept(homes.get(zone));
         wake(zone);
     }
@@ -206,7 +206,7 @@
 
         void ask(String to) {
             asked = to;
-            Ask ask = new Ask(
+            SlotRequest ask = new SlotRequest(
                     id,
                     zone,
                     zone,
@@ -221,7 +221,7 @@
             link(zone, to, () -> seats(to, seats -> seats.ask(ask, false, (long) now)));
         }
 
-        void granted(Grant grant) {
+        void granted(SlotGrant grant) {
             Machine machine = machines.get(grant.host());
             String there = machine.host.zone();
             if (!there.equals(zone)) {
@@ -231,10 +231,10 @@
             tried++;
             link(zone, there, () -> {
                 if (!machine.up || machine.dead) {
-                    link(there, zone, () -> finish(grant, Fate.UNREACHED, sent, false));
+                    link(there, zone, () -> finish(grant, AttemptOutcome.UNREACHED, sent, false));
                 } else if (machine.busy >= specs.get(kind.service).most()) {
                     turnedAway++;
-                    link(there, zone, () -> finish(grant, Fate.NOT_RUN, sent, false));
+                    link(there, zone, () -> finish(grant, AttemptOutcome.NOT_RUN, sent, false));
                 } else {
                     machine.busy++;
                     double work = 3 + lognormal(kind.workMs, 0.5);
@@ -252,22 +252,25 @@
         }
 
         /** The host's work is done; {@code ok}: its call was served, else it answers 500. */
-        void ready(Grant grant, Machine machine, double sent, boolean ok) {
+        void ready(SlotGrant grant, Machine machine, double sent, boolean ok) {
             if (machine.dead) {
-                finish(grant, Fate.BROKEN, sent, false);
+                finish(grant, AttemptOutcome.BROKEN, sent, false);
                 return;
             }
             machine.busy--;
-            link(machine.host.zone(), zone, () -> finish(grant, ok ? Fate.SERVED : Fate.FAILED, sent, ok));
+            link(
+                    machine.host.zone(),
+                    zone,
+                    () -> finish(grant, ok ? AttemptOutcome.SERVED : AttemptOutcome.FAILED, sent, ok));
         }
 
-        void finish(Grant grant, Fate fate, double sent, boolean served) {
-            Done done = new Done(grant.askId(), grant.host(), fate, (int) (now - sent));
+        void finish(SlotGrant grant, AttemptOutcome fate, double sent, boolean served) {
+            SlotRelease done = new SlotRelease(grant.askId(), grant.host(), fate, (int) (now - sent));
             String to = asked;
             link(zone, to, () -> seats(to, seats -> seats.done(zone, done, (long) now)));
             if (served) {
                 end(true);
-            } else if (fate != Fate.FAILED && now + 50 < end && tried < 3) {
+            } else if (fate != AttemptOutcome.FAILED && now + 50 < end && tried < 3) {
                 start();
             } else {
                 end(false);
@@ -330,12 +333,12 @@
     }
 
     /** Starts a host as the platform does. */
-    private Host begin(Need need, String zone) {
-        Host known = byNonce.get(need.nonce());
+    private InstanceInfo begin(StartRequest need, String zone) {
+        InstanceInfo known = byNonce.get(need.nonce());
         if (known != null) {
             return known;
         }
-        Host host = new Host(
+        InstanceInfo host = new InstanceInfo(
                 "h" + ++hostIds,
                 need.service(),
                 "10.0.0.1:" + hostIds,
@@ -343,7 +346,7 @@
                 need.seat(),
                 "w",
                 need.nonce(),
-                Host.BOOTING,
+                InstanceInfo.BOOTING,
                 0);
         byNonce.put(need.nonce(), host);
         Machine machine = new Machine(host, now);
@@ -357,7 +360,7 @@
 
     void end(Machine machine) {
         if (machines.remove(machine.host.id()) != null) {
-            tally(machine);
+            counters(machine);
             gbSeconds += specs.get(machine.host.service()).memoryMb() / 1024.0 * (now - machine.bornAt) / 1000;
         }
     }
@@ -372,7 +375,7 @@
     }
 
     /** What a zone's seats want done. */
-    private final class Shell implements Out {
+    private final class Shell implements AdmissionActions {
         final String zone;
 
         Shell(String zone) {
@@ -380,19 +383,19 @@
         }
 
         @Override
-        public void grant(String edge, Grant grant) {
+        public void grant(String edge, SlotGrant grant) {
             Try one = tries.get(grant.askId());
             link(zone, edge, () -> one.granted(grant));
         }
 
         @Override
-        public void refuse(String edge, Refuse refuse) {
+        public void refuse(String edge, SlotRefusal refuse) {
             Try one = tries.get(refuse.askId());
             link(zone, edge, () -> one.refused(refuse.comeBackMs()));
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere word) {
+        public void elsewhere(String edge, SlotRedirect word) {
             sentOn++;
             Try one = tries.get(word.askId());
             link(zone, edge, () -> {
@@ -405,39 +408,47 @@
         }
 
         @Override
-        public void need(Need need) {
+        public void need(StartRequest need) {
             at(now + 8, () -> {
                 if (!byNonce.containsKey(need.nonce()) && full(need.service())) {
-                    at(now + 4, () -> seats(zone, seats -> seats.noRoom(new NoRoom(need.nonce(), 500), (long) now)));
+                    at(
+                            now + 4,
+                            () -> seats(zone, seats -> seats.noRoom(new StartRefusal(need.nonce(), 500), (long) now)));
                     return;
                 }
-                Host host = begin(need, zone);
-                at(now + 4, () -> seats(zone, seats -> seats.born(new Born(need.nonce(), host), (long) now)));
+                InstanceInfo host = begin(need, zone);
+                at(
+                        now + 4,
+                        () -> seats(zone, seats -> seats.born(new InstanceStarted(need.nonce(), host), (long) now)));
             });
         }
 
         @Override
-        public void quit(Quit quit) {
+        public void quit(StopRequest quit) {
             at(now + 8, () -> {
                 Machine machine = machines.get(quit.id());
                 if (machine != null) {
                     end(machine);
                 }
-                seats(zone, seats -> seats.gone(new brambletray.tray.yard.Gone(quit.id(), quit.service()), (long) now));
+                seats(
+                        zone,
+                        seats -> seats.gone(
+                                new brambletray.platform.provisioning.InstanceGone(quit.id(), quit.service()),
+                                (long) now));
             });
         }
 
         @Override
-        public void seen(Seen seen) {}
+        public void seen(InstanceUp seen) {}
 
         @Override
-        public void claim(Claim claim) {
+        public void claim(HomeClaim claim) {
             at(
                     now + 3,
                     () -> seats(
                             zone,
                             seats -> seats.hosts(
-                                    new Hosts(claim.service(), claim.seat(), new ArrayList<>()), (long) now)));
+                                    new InstanceList(claim.service(), claim.seat(), new ArrayList<>()), (long) now)));
         }
 
         @Override
@@ -453,14 +464,14 @@
     /** Memory and starts by the first letters of services. */
     private final Map<String, double[]> bySort = new TreeMap<>();
 
-    private void tally(Machine machine) {
+    private void counters(Machine machine) {
         double[] sum = bySort.computeIfAbsent(machine.host.service().substring(0, 4), s -> new double[2]);
         sum[0] += specs.get(machine.host.service()).memoryMb() / 1024.0 * (now - machine.bornAt) / 1000;
         sum[1]++;
     }
 
     String figures(double priceGbS, double priceStart, double priceCross) {
-        machines.values().forEach(this::tally);
+        machines.values().forEach(this::counters);
         StringBuilder sorts = new StringBuilder();
         bySort.forEach((name, sum) -> sorts.append(String.format(" %s %.0f GB-s %.0f starts", name, sum[0], sum[1])));
         double cost = gbSeconds() * priceGbS + starts * priceStart + crossed * priceCross;
--- a/src/test/java/brambletray/tray/home/TownMain.java
+++ b/src/test/java/brambletray/platform/admission/SimulatedZonesMain.java
@@ -1,11 +1,11 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import java.util.ArrayList;
 import java.util.List;
 
-/** Prints waits, hosts and starts of a town under different laws: {@code TownMain [seeds]}. */
-public final class TownMain {
-    private TownMain() {}
+/** Prints waits, hosts and starts of a town under different laws: {@code SimulatedZonesMain [seeds]}. */
+public final class SimulatedZonesMain {
+    private SimulatedZonesMain() {}
 
     record Site(
             int zones,
@@ -27,19 +27,19 @@
     static final Site LARGE = new Site(3, 1.4, 210, 1400, 300, 4000, 60, 400, 90, 900, 1500, 8000, 1.1, 0.45, 0.075);
     static final Site FAST = new Site(4, 0.5, 210, 750, 400, 2500, 80, 500, 120, 500, 1000, 5000, 1.1, 0.15, 0.02);
 
-    static Town play(Site site, long seed, Laws laws, double burst, double rareBurst) {
+    static SimulatedZones play(Site site, long seed, AdmissionParameters laws, double burst, double rareBurst) {
         List<String> zones = new ArrayList<>();
         for (int i = 0; i < site.zones; i++) {
             zones.add("zone-" + (char) ('a' + i));
         }
-        Town town = new Town(seed, zones, site.crossMs, laws);
+        SimulatedZones town = new SimulatedZones(seed, zones, site.crossMs, laws);
         double length = 49000;
         town.at(100, () -> {
             for (int i = 0; i < 6; i++) {
-                town.add(new Spec("desk" + i, 512, site.deskBootMs, 4, site.deskTarget));
+                town.add(new ServiceSpec("desk" + i, 512, site.deskBootMs, 4, site.deskTarget));
             }
             for (int i = 0; i < 105; i++) {
-                town.add(new Spec("rare" + i, 128, site.rareBootMs, 1, site.rareTarget));
+                town.add(new ServiceSpec("rare" + i, 128, site.rareBootMs, 1, site.rareTarget));
             }
         });
         town.at(15000, () -> {
@@ -97,7 +97,7 @@
     }
 
     private static void spread(
-            Town town,
+            SimulatedZones town,
             String zone,
             String name,
             int services,
@@ -117,7 +117,8 @@
         }
         for (int i = 0; i < services; i++) {
             double rate = perS * Math.pow(i + 1, -0.9) / sum;
-            Town.Kind kind = new Town.Kind(name + i, priority, target, deadline, worth, late, work, inner);
+            SimulatedZones.Kind kind =
+                    new SimulatedZones.Kind(name + i, priority, target, deadline, worth, late, work, inner);
             town.arrivals(
                     kind,
                     zone,
@@ -131,7 +132,7 @@
         int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 3;
         System.setProperty("java.util.logging.SimpleFormatter.format", "");
         java.util.logging.LogManager.getLogManager().reset();
-        Laws standard = Laws.of(0.2, 52, 10000, 3);
+        AdmissionParameters standard = AdmissionParameters.of(0.2, 52, 10000, 3);
         show("standard", standard, seeds);
         if (args.length < 2) {
             return;
@@ -146,20 +147,20 @@
                         case "tail" -> standard.scaling(1, v, 0.15);
                         case "burst" -> standard.scaling(1, 3, v);
                         case "cross" -> standard.crossing(v);
-                        case "start" -> standard.keeping(v, 0.6);
-                        case "late" -> standard.keeping(0.4, v);
+                        case "start" -> standard.keepAlive(v, 0.6);
+                        case "late" -> standard.keepAlive(0.4, v);
                         default -> throw new IllegalArgumentException(args[1]);
                     },
                     seeds);
         }
     }
 
-    private static void show(String title, Laws laws, int seeds) {
+    private static void show(String title, AdmissionParameters laws, int seeds) {
         for (Site site : new Site[] {LARGE, FAST}) {
             for (double[] burst : new double[][] {{1, 1}, {2.3, 1}, {1, 2.9}}) {
                 double net = 0;
                 double worth = 0;
-                Town last = null;
+                SimulatedZones last = null;
                 for (int seed = 1; seed <= seeds; seed++) {
                     last = play(site, seed, laws, burst[0], burst[1]);
                     double cost = last.gbSeconds() * site.priceGbS
--- a/src/test/java/brambletray/tray/home/TownTest.java
+++ b/src/test/java/brambletray/platform/admission/SimulatedZonesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,18 +7,19 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * A whole town in simulated time: hundreds of thousands of events under one seed, see {@link TownMain} for the figures
+ * A whole town in simulated time: hundreds of thousands of events under one seed, see {@link SimulatedZonesMain} for
+ * the figures
  * of others.
  */
-class TownTest {
+class SimulatedZonesTest {
     /** 700 services whose hosts have ended again: nothing is due any more, whatever the time. */
     @Test
     void idleSeatsCostNothing() {
-        Town town = new Town(3, List.of("east"), 1, Laws.of(0.2, 52, 10_000, 1));
+        SimulatedZones town = new SimulatedZones(3, List.of("east"), 1, AdmissionParameters.of(0.2, 52, 10_000, 1));
         for (int i = 0; i < 700; i++) {
-            town.add(new Spec("rare" + i, 128, 500, 1, 1500));
-            town.add(new Spec("desk" + i, 512, 1400, 4, 300));
-            Town.Kind kind = new Town.Kind("rare" + i, 1, 1500, 8000, 1, 0.3, 50, 0);
+            town.add(new ServiceSpec("rare" + i, 128, 500, 1, 1500));
+            town.add(new ServiceSpec("desk" + i, 512, 1400, 4, 300));
+            SimulatedZones.Kind kind = new SimulatedZones.Kind("rare" + i, 1, 1500, 8000, 1, 0.3, 50, 0);
             town.at(i, () -> town.request(kind, "east"));
         }
         town.runUntil(60_000);
@@ -29,9 +30,9 @@
 
     @Test
     void calmAndJumpsAreServedInTimeAtABearablePrice() {
-        Laws laws = Laws.of(0.2, 52, 10_000, 3);
+        AdmissionParameters laws = AdmissionParameters.of(0.2, 52, 10_000, 3);
         for (double[] burst : new double[][] {{1, 1}, {2.3, 1}, {1, 2.9}}) {
-            Town town = TownMain.play(TownMain.LARGE, 11, laws, burst[0], burst[1]);
+            SimulatedZones town = SimulatedZonesMain.play(SimulatedZonesMain.LARGE, 11, laws, burst[0], burst[1]);
             String seen = town.figures(1.1, 0.45, 0.075);
             assertEquals(0, town.turnedAway, "rule LIMIT: " + seen);
             assertTrue(town.unserved <= town.requests / 500, seen);
--- a/src/test/java/brambletray/tray/home/StarvationTest.java
+++ b/src/test/java/brambletray/platform/admission/StarvationTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +10,8 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Rule STARVED: over a long overload no kind of request, and no kind of call that hosts make, is served less than a quarter as often as
+ * Rule STARVED: over a long overload no kind of request, and no kind of call that hosts make, is served less than a
+ * quarter as often as
  * all requests. Simulated time; the seed is in the test's name. The tests ask for a third, as a margin.
  */
 class StarvationTest {
@@ -27,25 +28,25 @@
                 .toList();
     }
 
-    private static Town town(long seed) {
-        return new Town(seed, List.of("east"), 1, Laws.of(0.2, 52, 10_000, 1));
+    private static SimulatedZones town(long seed) {
+        return new SimulatedZones(seed, List.of("east"), 1, AdmissionParameters.of(0.2, 52, 10_000, 1));
     }
 
-    private static void add(Town town, String service, int hosts, int concurrency) {
-        town.add(new Spec(service, 128, BOOT_MS, concurrency, TARGET_MS));
+    private static void add(SimulatedZones town, String service, int hosts, int concurrency) {
+        town.add(new ServiceSpec(service, 128, BOOT_MS, concurrency, TARGET_MS));
         town.roomFor.put(service, hosts);
     }
 
-    private static Town.Kind kind(String service, int priority, double calls) {
-        return new Town.Kind(service, priority, TARGET_MS, DEADLINE_MS, 1, 0.3, WORK_MS, calls);
+    private static SimulatedZones.Kind kind(String service, int priority, double calls) {
+        return new SimulatedZones.Kind(service, priority, TARGET_MS, DEADLINE_MS, 1, 0.3, WORK_MS, calls);
     }
 
-    private static void load(Town town, Town.Kind kind, double perS) {
+    private static void load(SimulatedZones town, SimulatedZones.Kind kind, double perS) {
         town.at(1_000, () -> town.arrivals(kind, "east", at -> perS, perS, 1_000 + OVERLOAD_MS));
     }
 
     /** Plays to the end, and judges each kind of {@code counts} against all requests of clients. */
-    private static void judge(Town town) {
+    private static void judge(SimulatedZones town) {
         town.runUntil(1_000 + OVERLOAD_MS + 2 * DEADLINE_MS);
         int asked = 0;
         int served = 0;
@@ -71,7 +72,7 @@
         for (int[] size : new int[][] {{2, 1}, {8, 1}, {1, 4}, {8, 4}}) {
             String what = size[0] + " hosts of " + size[1] + " at once";
             tests.addAll(seeds(what, seed -> {
-                Town town = town(seed);
+                SimulatedZones town = town(seed);
                 add(town, "desk", size[0], size[1]);
                 double capacityPerS = 1000.0 * size[0] * size[1] / WORK_MS;
                 load(town, kind("desk", 1, 1), 2 * capacityPerS);
@@ -92,7 +93,7 @@
         List<DynamicTest> tests = new ArrayList<>();
         for (int concurrency : new int[] {1, 4}) {
             tests.addAll(seeds("a chain of three at " + concurrency + " at once", seed -> {
-                Town town = town(seed);
+                SimulatedZones town = town(seed);
                 int hosts = 8 / concurrency;
                 for (String service : List.of("front", "middle", "last")) {
                     add(town, service, hosts, concurrency);
@@ -111,7 +112,7 @@
         List<DynamicTest> tests = new ArrayList<>();
         for (int concurrency : new int[] {1, 4}) {
             tests.addAll(seeds("a leaf at " + concurrency + " at once", seed -> {
-                Town town = town(seed);
+                SimulatedZones town = town(seed);
                 add(town, "front", 32 / concurrency, concurrency);
                 add(town, "leaf", 4 / concurrency, concurrency);
                 town.callOf.put("front", kind("leaf", 2, 0));
@@ -128,7 +129,7 @@
         List<DynamicTest> tests = new ArrayList<>();
         for (int concurrency : new int[] {1, 4}) {
             tests.addAll(seeds("ranks at " + concurrency + " at once", seed -> {
-                Town town = town(seed);
+                SimulatedZones town = town(seed);
                 add(town, "desk", 8 / concurrency, concurrency);
                 load(town, kind("desk", 0, 0), 200);
                 load(town, kind("desk", 1, 0), 20);
@@ -142,12 +143,12 @@
     @TestFactory
     List<DynamicTest> aRequestThatFillsTheOnlyHostDoesNotWaitForItsOwnCallUntilItsDeadline() {
         return seeds("rare requests at one at once", seed -> {
-            Town town = town(seed);
-            town.add(new Spec("rare", 128, BOOT_MS, 1, 1_000));
-            Town.Kind rare = new Town.Kind("rare", 1, 1_000, 5_000, 1, 0.3, WORK_MS, 1);
+            SimulatedZones town = town(seed);
+            town.add(new ServiceSpec("rare", 128, BOOT_MS, 1, 1_000));
+            SimulatedZones.Kind rare = new SimulatedZones.Kind("rare", 1, 1_000, 5_000, 1, 0.3, WORK_MS, 1);
             load(town, rare, 0.5);
             judge(town);
-            Town.Count count = town.counts.get("rare rank 1");
+            SimulatedZones.Count count = town.counts.get("rare rank 1");
             assertTrue(count.share() > 0.95, () -> count.served + " of " + count.asked);
         });
     }
--- a/src/test/java/brambletray/tray/home/Drawing.java
+++ b/src/test/java/brambletray/platform/admission/Timeline.java
@@ -1,15 +1,15 @@
-package brambletray.tray.home;
+package brambletray.platform.admission;
 
-import brambletray.tray.yard.Born;
-import brambletray.tray.yard.Claim;
-import brambletray.tray.yard.Gone;
-import brambletray.tray.yard.Host;
-import brambletray.tray.yard.Hosts;
-import brambletray.tray.yard.Leaving;
-import brambletray.tray.yard.Need;
-import brambletray.tray.yard.NoRoom;
-import brambletray.tray.yard.Quit;
-import brambletray.tray.yard.Seen;
+import brambletray.platform.provisioning.HomeClaim;
+import brambletray.platform.provisioning.InstanceDraining;
+import brambletray.platform.provisioning.InstanceGone;
+import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.provisioning.InstanceList;
+import brambletray.platform.provisioning.InstanceStarted;
+import brambletray.platform.provisioning.InstanceUp;
+import brambletray.platform.provisioning.StartRefusal;
+import brambletray.platform.provisioning.StartRequest;
+import brambletray.platform.provisioning.StopRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,14 +24,14 @@
  * those of {@code hub} what it says, those of {@code hosts} which answer knocks from then on. Cells of homes are what
  * must have been said there since the row before; X: it dies and the next home takes over.
  */
-final class Drawing {
+final class Timeline {
     private static final String SERVICE = "s";
 
     private record Knock(long at, String host) {}
 
-    private final Spec spec;
-    private final Laws laws;
-    private final Map<String, Seats> homes = new HashMap<>();
+    private final ServiceSpec spec;
+    private final AdmissionParameters laws;
+    private final Map<String, ServiceQueues> homes = new HashMap<>();
     private final Map<String, List<String>> said = new HashMap<>();
     private final List<String> edges = new ArrayList<>();
     private final Map<String, String> grants = new HashMap<>();
@@ -43,7 +43,7 @@
     private List<String> names;
     private long now;
 
-    Drawing(Spec spec, Laws laws, String zone) {
+    Timeline(ServiceSpec spec, AdmissionParameters laws, String zone) {
         this.spec = spec;
         this.laws = laws;
         this.zone = zone;
@@ -70,7 +70,7 @@
         names = List.of(cells);
         for (String name : names.subList(1, names.size())) {
             if (name.startsWith("home")) {
-                homes.put(name, new Seats("east", name, laws, new Shell(name)));
+                homes.put(name, new ServiceQueues("east", name, laws, new Shell(name)));
                 said.put(name, new ArrayList<>());
                 if (home == null) {
                     home = name;
@@ -132,7 +132,7 @@
     }
 
     private void act(String name, String[] word) {
-        Seats seats = homes.get(home);
+        ServiceQueues seats = homes.get(home);
         switch (name) {
             case "hub" -> hub(seats, word);
             case "hosts" -> {
@@ -154,49 +154,51 @@
         }
     }
 
-    private void hub(Seats seats, String[] word) {
+    private void hub(ServiceQueues seats, String[] word) {
         switch (word[0]) {
             case "hosts" -> {
-                List<Host> hosts = new ArrayList<>();
+                List<InstanceInfo> hosts = new ArrayList<>();
                 for (int i = 1; i + 1 < word.length; i += 2) {
-                    hosts.add(host(word[i], word[i + 1].equals("up") ? Host.UP : Host.BOOTING, "n" + word[i]));
+                    hosts.add(host(
+                            word[i], word[i + 1].equals("up") ? InstanceInfo.UP : InstanceInfo.BOOTING, "n" + word[i]));
                 }
-                seats.hosts(new Hosts(SERVICE, "east", hosts), now);
+                seats.hosts(new InstanceList(SERVICE, "east", hosts), now);
             }
             case "born" -> {
                 String nonce = needs.remove(0);
-                seats.born(new Born(nonce, host(word[1], Host.BOOTING, nonce)), now);
+                seats.born(new InstanceStarted(nonce, host(word[1], InstanceInfo.BOOTING, nonce)), now);
             }
-            case "noroom" -> seats.noRoom(new NoRoom(needs.remove(0), Integer.parseInt(word[1])), now);
-            case "leaving" -> seats.leaving(new Leaving(word[1], SERVICE), now);
-            case "gone" -> seats.gone(new Gone(word[1], SERVICE), now);
+            case "noroom" -> seats.noRoom(new StartRefusal(needs.remove(0), Integer.parseInt(word[1])), now);
+            case "leaving" -> seats.leaving(new InstanceDraining(word[1], SERVICE), now);
+            case "gone" -> seats.gone(new InstanceGone(word[1], SERVICE), now);
             default -> throw new IllegalArgumentException(word[0]);
         }
     }
 
-    private static Host host(String id, int state, String nonce) {
-        return new Host(id, SERVICE, "at-" + id, "east", "east", "w", nonce, state, state == Host.UP ? 60_000 : 0);
+    private static InstanceInfo host(String id, int state, String nonce) {
+        return new InstanceInfo(
+                id, SERVICE, "at-" + id, "east", "east", "w", nonce, state, state == InstanceInfo.UP ? 60_000 : 0);
     }
 
-    private void edge(Seats seats, String edge, String[] word) {
+    private void edge(ServiceQueues seats, String edge, String[] word) {
         switch (word[0]) {
             case "ask" -> seats.ask(asked(edge, word), false, now);
             case "done" ->
                 seats.done(
                         edge,
-                        new Done(
+                        new SlotRelease(
                                 Long.parseLong(word[1]),
                                 grants.get(edge + word[1]),
-                                Fate.valueOf(word[2].toUpperCase(Locale.ROOT)),
+                                AttemptOutcome.valueOf(word[2].toUpperCase(Locale.ROOT)),
                                 Integer.parseInt(word[3])),
                         now);
-            case "forget" -> seats.forget(edge, new Forget(Long.parseLong(word[1]), SERVICE), now);
+            case "forget" -> seats.forget(edge, new SlotRequestCancel(Long.parseLong(word[1]), SERVICE), now);
             case "held" -> {
-                List<Grant> held = new ArrayList<>();
+                List<SlotGrant> held = new ArrayList<>();
                 for (int i = 1; i + 1 < word.length; i += 2) {
-                    held.add(new Grant(Long.parseLong(word[i]), word[i + 1], "at-" + word[i + 1], false));
+                    held.add(new SlotGrant(Long.parseLong(word[i]), word[i + 1], "at-" + word[i + 1], false));
                 }
-                seats.held(new Held(edge, SERVICE, held), now);
+                seats.held(new HeldSlots(edge, SERVICE, held), now);
             }
             case "X" -> seats.edgeGone(edge, now);
             case "z", "~" -> {}
@@ -204,7 +206,7 @@
         }
     }
 
-    private static Ask asked(String edge, String[] word) {
+    private static SlotRequest asked(String edge, String[] word) {
         int left = 4000;
         int target = 1000;
         int priority = 1;
@@ -221,7 +223,7 @@
                 default -> flags.add(word[i]);
             }
         }
-        return new Ask(
+        return new SlotRequest(
                 Long.parseLong(word[1]),
                 edge,
                 zone,
@@ -235,7 +237,7 @@
                 avoid);
     }
 
-    private final class Shell implements Out {
+    private final class Shell implements AdmissionActions {
         final String name;
 
         Shell(String name) {
@@ -247,23 +249,23 @@
         }
 
         @Override
-        public void grant(String edge, Grant grant) {
+        public void grant(String edge, SlotGrant grant) {
             grants.put(edge + grant.askId(), grant.host());
             say(edge + grant.askId() + " " + grant.host());
         }
 
         @Override
-        public void refuse(String edge, Refuse refuse) {
+        public void refuse(String edge, SlotRefusal refuse) {
             say(edge + refuse.askId() + " no " + refuse.comeBackMs());
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) {
+        public void elsewhere(String edge, SlotRedirect elsewhere) {
             say(edge + elsewhere.askId() + " to " + elsewhere.zone());
         }
 
         @Override
-        public void need(Need need) {
+        public void need(StartRequest need) {
             if (!needs.contains(need.nonce())) {
                 needs.add(need.nonce());
                 say("need");
@@ -271,15 +273,15 @@
         }
 
         @Override
-        public void quit(Quit quit) {
+        public void quit(StopRequest quit) {
             say("quit " + quit.id());
         }
 
         @Override
-        public void seen(Seen seen) {}
+        public void seen(InstanceUp seen) {}
 
         @Override
-        public void claim(Claim claim) {
+        public void claim(HomeClaim claim) {
             say("claim");
         }
 
--- a/src/test/java/brambletray/tray/verb/RemoteTest.java
+++ b/src/test/java/brambletray/platform/cli/RemoteTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -110,10 +110,13 @@
     @Test
     void refusalsAreVerdictsAndInvalidOnesBadInput() throws IOException {
         Path file = Files.writeString(dir.resolve("c"), CONFIGURATION);
-        on("one configuration/modify", 412, "{\"error\":\"keep.stale\",\"reason\":\"the current revision is 8\"}");
+        on(
+                "one configuration/modify",
+                412,
+                "{\"error\":\"controlplane.stale\",\"reason\":\"the current revision is 8\"}");
         assertEquals(1, run("modify", file.toString(), "--base", "7", "--control", at(one)));
-        assertTrue(err.toString().endsWith("412 keep.stale: the current revision is 8\n"), err.toString());
-        on("one configuration/modify", 400, "{\"error\":\"creed.missing\",\"reason\":\"routes: expected\"}");
+        assertTrue(err.toString().endsWith("412 controlplane.stale: the current revision is 8\n"), err.toString());
+        on("one configuration/modify", 400, "{\"error\":\"configuration.missing\",\"reason\":\"routes: expected\"}");
         assertEquals(2, run("modify", file.toString(), "--base", "7", "--control", at(one)));
     }
 
--- a/src/test/java/brambletray/tray/verb/VerbsTest.java
+++ b/src/test/java/brambletray/platform/cli/VerbsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.verb;
+package brambletray.platform.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -81,8 +81,8 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "fly | system: expected one of keep, carry, check",
-                "keep now | system: expected one of",
+                "fly | system: expected one of controlplane, edge, check",
+                "controlplane now | system: expected one of",
                 "show | show: Option \"--control\" is required",
                 "show --control | show: Option \"--control\" takes an operand",
                 "views --control here:1 | views: --control: expected an address such as 10.1.0.3:8241, found 'here:1'",
@@ -98,8 +98,8 @@
                 "check | check: Argument \"settings|configuration\" is required",
                 "check taste x | check: \"taste\" is not a valid value for",
                 "check settings no-such-file | check: no-such-file: can't be read (NoSuchFileException), expected a settings file",
-                "up --kill carry-1 | up: --kill: expected NAME@S such as carry-1@5, found 'carry-1'",
-                "up --kill carry-7@2 | up: --kill carry-7@2: expected keep-1 to keep-3, carry-1 to carry-4 or helm",
+                "up --kill edge-1 | up: --kill: expected NAME@S such as edge-1@5, found 'edge-1'",
+                "up --kill edge-7@2 | up: --kill edge-7@2: expected controlplane-1 to controlplane-3, edge-1 to edge-4 or helm",
                 "up --seconds 0 | up: --seconds: expected a number from 1 to 600, found 0",
                 "drill --members 2 | drill: --members: expected a number from 3 to 9, found 2",
                 "drill --courses 0 | drill: --courses: expected a number from 1 to 10000000, found 0",
@@ -124,7 +124,7 @@
     @Test
     void settingsAreChecked() throws IOException {
         assertEquals(0, run("check", "settings", file(KEEP)));
-        assertTrue(out.toString(StandardCharsets.UTF_8).endsWith("n1, for keep at 10.1.0.3 in za, 1 seeds\n"));
+        assertTrue(out.toString(StandardCharsets.UTF_8).endsWith("n1, for controlplane at 10.1.0.3 in za, 1 seeds\n"));
     }
 
     @ParameterizedTest
--- a/src/test/java/brambletray/tray/creed/DeltaTest.java
+++ b/src/test/java/brambletray/platform/configuration/ConfigurationDeltaTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.creed;
+package brambletray.platform.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -20,12 +20,12 @@
  * Configurations by difference: who has one version gets what leads to the current one, and knows that it came out
  * right.
  */
-class DeltaTest {
-    private final History history = new History();
+class ConfigurationDeltaTest {
+    private final ChangeHistory history = new ChangeHistory();
 
     /** {@code count} services, each with a route. */
-    private static Creed large(long revision, int count) {
-        return Sample.creed(Sample.whole(
+    private static Configuration large(long revision, int count) {
+        return Sample.configuration(Sample.whole(
                 revision,
                 IntStream.range(0, count)
                         .mapToObj(i -> Sample.route("r" + i, "h" + i % 7 + ".example", "/p" + i + "/", "s" + i))
@@ -34,8 +34,8 @@
     }
 
     /** Near the longest body: many short routes to one service. */
-    private static Creed routes(long revision, int count) {
-        return Sample.creed(Sample.whole(
+    private static Configuration routes(long revision, int count) {
+        return Sample.configuration(Sample.whole(
                 revision,
                 IntStream.range(0, count)
                         .mapToObj(i -> "{'name':'r" + i + "','host':'h','path-prefix':'/" + i
@@ -44,26 +44,26 @@
                 Sample.service("s0")));
     }
 
-    private static Creed modified(Creed base, String upsert, String withdraw) {
+    private static Configuration modified(Configuration base, String upsert, String withdraw) {
         return base.modify(Sample.bytes(
                 "{'revision':" + (base.revision() + 1) + ",'upsert':{" + upsert + "},'withdraw':{" + withdraw + "}}"));
     }
 
-    private static Creed route(Creed base, String name, String prefix, String service) {
+    private static Configuration route(Configuration base, String name, String prefix, String service) {
         return modified(base, "'routes':[" + Sample.route(name, "new.example", prefix, service) + "]", "");
     }
 
-    private static Creed travelled(Creed at, Delta delta) {
-        return at.apply(Delta.unpack(delta.packed()));
+    private static Configuration travelled(Configuration at, ConfigurationDelta delta) {
+        return at.apply(ConfigurationDelta.unpack(delta.packed()));
     }
 
-    private static TreeMap<String, String> content(Creed creed) {
+    private static TreeMap<String, String> content(Configuration configuration) {
         TreeMap<String, String> all = new TreeMap<>();
-        creed.entries().forEach((key, body) -> all.put(key.toString(), Sample.text(body)));
+        configuration.entries().forEach((key, body) -> all.put(key.toString(), Sample.text(body)));
         return all;
     }
 
-    private static void assertSame(Creed expected, Creed found) {
+    private static void assertSame(Configuration expected, Configuration found) {
         assertEquals(expected.revision(), found.revision());
         assertEquals(content(expected), content(found));
         assertEquals(expected.routes(), found.routes());
@@ -72,18 +72,18 @@
         assertEquals(expected.digest(), found.digest());
     }
 
-    private static String code(CreedFault fault) {
+    private static String code(ConfigurationException fault) {
         return fault.code();
     }
 
     @Test
     void oneRouteOfManyTravelsAlone() {
-        for (Creed before : List.of(large(1, 721), routes(1, 36_000))) {
-            History many = new History();
+        for (Configuration before : List.of(large(1, 721), routes(1, 36_000))) {
+            ChangeHistory many = new ChangeHistory();
             many.become(before);
-            Creed after = route(before, "r5", "/moved/", "s0");
+            Configuration after = route(before, "r5", "/moved/", "s0");
             many.become(after);
-            Delta delta = many.since(1);
+            ConfigurationDelta delta = many.since(1);
             assertEquals(
                     List.of("routes/r5"),
                     delta.entries().stream()
@@ -96,33 +96,34 @@
 
     @Test
     void theWholeTravelsPackedToWhoHasNothing() {
-        Creed creed = large(7, 721);
-        history.become(creed);
+        Configuration configuration = large(7, 721);
+        history.become(configuration);
         byte[] packed = history.whole().packed();
-        assertTrue(packed.length * 8 < creed.json().length, packed.length + " of " + creed.json().length);
-        assertSame(creed, Creed.NONE.apply(Delta.unpack(packed)));
-        assertSame(creed, large(3, 9).apply(Delta.unpack(packed)));
+        assertTrue(
+                packed.length * 8 < configuration.json().length, packed.length + " of " + configuration.json().length);
+        assertSame(configuration, Configuration.NONE.apply(ConfigurationDelta.unpack(packed)));
+        assertSame(configuration, large(3, 9).apply(ConfigurationDelta.unpack(packed)));
     }
 
     @Test
     void whoIsTwoThousandVersionsBehindGetsOneDifference() {
-        Creed first = large(1, 50);
-        Creed last = first;
+        Configuration first = large(1, 50);
+        Configuration last = first;
         history.become(first);
         for (int i = 0; i < 2_000; i++) {
             last = route(last, "r" + i % 20, "/v" + i + "/", "s3");
             history.become(last);
         }
-        Delta delta = history.since(1);
+        ConfigurationDelta delta = history.since(1);
         assertEquals(20, delta.entries().size());
         assertSame(last, travelled(first, delta));
     }
 
     @Test
     void onlySoManyVersionsAreRemembered() {
-        Creed last = large(1, 30);
+        Configuration last = large(1, 30);
         history.become(last);
-        for (int i = 0; i < History.VERSIONS; i++) {
+        for (int i = 0; i < ChangeHistory.VERSIONS; i++) {
             last = route(last, "r1", "/v" + i + "/", "s3");
             history.become(last);
         }
@@ -137,13 +138,13 @@
         int count = 4_000;
         history.become(large(1, count));
         int step = 1;
-        for (int names = 0; names <= History.NAMES; names += 2 * count) {
+        for (int names = 0; names <= ChangeHistory.NAMES; names += 2 * count) {
             assertTrue(step == 1 || history.remembers(1), "after " + names + " names");
             step++;
             history.become(
                     step % 2 == 1
                             ? large(step, count)
-                            : Sample.creed(Sample.whole(
+                            : Sample.configuration(Sample.whole(
                                     step, Sample.route("only", "h.example", "/", "t"), Sample.service("t"))));
         }
         assertTrue(!history.remembers(1));
@@ -152,11 +153,11 @@
 
     @Test
     void whatIsWithdrawnIsGone() {
-        Creed before = Sample.creed(Sample.two(1));
+        Configuration before = Sample.configuration(Sample.two(1));
         history.become(before);
-        Creed after = modified(before, "", "'routes':['r2'],'services':['b']");
+        Configuration after = modified(before, "", "'routes':['r2'],'services':['b']");
         history.become(after);
-        Creed found = travelled(before, history.since(1));
+        Configuration found = travelled(before, history.since(1));
         assertSame(after, found);
         assertNull(found.match("h.example", "/two/x"));
         assertNull(found.services().get("b"));
@@ -164,9 +165,9 @@
 
     @Test
     void aReplacementOfAllIsToldAsWhole() {
-        Creed before = large(1, 40);
+        Configuration before = large(1, 40);
         history.become(before);
-        Creed after = Sample.creed(Sample.two(9));
+        Configuration after = Sample.configuration(Sample.two(9));
         history.become(after);
         assertNull(history.since(1));
         assertSame(after, travelled(before, history.whole()));
@@ -175,7 +176,7 @@
     @Test
     void aReplacementThatChangesLittleIsToldAsLittle() {
         history.become(large(1, 40));
-        Creed after = Sample.creed(
+        Configuration after = Sample.configuration(
                 new String(large(2, 40).json(), java.nio.charset.StandardCharsets.UTF_8).replace("/p7/", "/other/"));
         history.become(after);
         assertEquals(1, history.since(1).entries().size());
@@ -184,37 +185,42 @@
 
     @Test
     void aDifferenceFromAnotherRevisionIsNotPutOn() {
-        Creed one = Sample.creed(Sample.two(1));
-        Creed two = route(one, "r3", "/three/", "a");
-        Creed three = route(two, "r4", "/four/", "a");
+        Configuration one = Sample.configuration(Sample.two(1));
+        Configuration two = route(one, "r3", "/three/", "a");
+        Configuration three = route(two, "r4", "/four/", "a");
         history.become(one);
         history.become(two);
         history.become(three);
-        assertEquals("creed.stale", code(assertThrows(CreedFault.class, () -> one.apply(history.since(2)))));
+        assertEquals(
+                "configuration.stale",
+                code(assertThrows(ConfigurationException.class, () -> one.apply(history.since(2)))));
         assertNull(history.since(17));
-        assertEquals("creed.not-newer", code(assertThrows(CreedFault.class, () -> three.apply(history.whole()))));
+        assertEquals(
+                "configuration.not-newer",
+                code(assertThrows(ConfigurationException.class, () -> three.apply(history.whole()))));
     }
 
     @Test
     void aResultThatIsNotTheSendersIsNotTaken() {
-        Creed one = Sample.creed(Sample.two(1));
+        Configuration one = Sample.configuration(Sample.two(1));
         history.become(one);
         history.become(
                 modified(one, "'routes':[" + Sample.route("r3", "h.example", "/three/", "a") + "]", "'routes':['r1']"));
-        Delta good = history.since(1);
-        List<Delta> wrong = new ArrayList<>();
+        ConfigurationDelta good = history.since(1);
+        List<ConfigurationDelta> wrong = new ArrayList<>();
         for (int i = 0; i < good.entries().size(); i++) {
-            List<Delta.Entry> fewer = new ArrayList<>(good.entries());
+            List<ConfigurationDelta.Entry> fewer = new ArrayList<>(good.entries());
             fewer.remove(i);
-            wrong.add(new Delta(1, good.revision(), good.digest(), fewer));
+            wrong.add(new ConfigurationDelta(1, good.revision(), good.digest(), fewer));
         }
-        wrong.add(new Delta(1, good.revision() + 1, good.digest(), good.entries()));
-        wrong.add(new Delta(1, good.revision(), good.digest() ^ 1, good.entries()));
-        for (Delta each : wrong) {
-            assertEquals("creed.digest", code(assertThrows(CreedFault.class, () -> one.apply(each))));
+        wrong.add(new ConfigurationDelta(1, good.revision() + 1, good.digest(), good.entries()));
+        wrong.add(new ConfigurationDelta(1, good.revision(), good.digest() ^ 1, good.entries()));
+        for (ConfigurationDelta each : wrong) {
+            assertEquals(
+                    "configuration.digest", code(assertThrows(ConfigurationException.class, () -> one.apply(each))));
         }
-        Creed other = Sample.creed(Sample.two(1).replace("/two/", "/too/"));
-        assertEquals("creed.digest", code(assertThrows(CreedFault.class, () -> other.apply(good))));
+        Configuration other = Sample.configuration(Sample.two(1).replace("/two/", "/too/"));
+        assertEquals("configuration.digest", code(assertThrows(ConfigurationException.class, () -> other.apply(good))));
         assertEquals(good.digest(), travelled(one, good).digest());
     }
 
@@ -228,25 +234,28 @@
             if (broken.length > 0) {
                 broken[random.nextInt(broken.length)] ^= (byte) (1 + random.nextInt(255));
             }
-            assertThrows(CreedFault.class, () -> Creed.NONE.apply(Delta.unpack(broken)), "broken " + i);
+            assertThrows(
+                    ConfigurationException.class,
+                    () -> Configuration.NONE.apply(ConfigurationDelta.unpack(broken)),
+                    "broken " + i);
         }
     }
 
     @Test
     void theDigestIsOfTheContentAlone() {
-        Creed one = Sample.creed(Sample.two(1));
+        Configuration one = Sample.configuration(Sample.two(1));
         assertEquals(
                 one.digest(),
-                Sample.creed(new String(one.json(), java.nio.charset.StandardCharsets.UTF_8))
+                Sample.configuration(new String(one.json(), java.nio.charset.StandardCharsets.UTF_8))
                         .digest());
-        assertNotEquals(one.digest(), Sample.creed(Sample.two(2)).digest());
-        Creed there = route(one, "r9", "/nine/", "a");
-        Creed back = modified(there, "", "'routes':['r9']");
-        assertEquals(Sample.creed(Sample.two(3)).digest(), back.digest());
+        assertNotEquals(one.digest(), Sample.configuration(Sample.two(2)).digest());
+        Configuration there = route(one, "r9", "/nine/", "a");
+        Configuration back = modified(there, "", "'routes':['r9']");
+        assertEquals(Sample.configuration(Sample.two(3)).digest(), back.digest());
         String otherOrder =
                 Sample.route("r2", "h.example", "/two/", "b") + ',' + Sample.route("r1", "h.example", "/one/", "a");
         assertEquals(
-                Sample.creed(Sample.whole(1, otherOrder, Sample.service("b") + ',' + Sample.service("a")))
+                Sample.configuration(Sample.whole(1, otherOrder, Sample.service("b") + ',' + Sample.service("a")))
                         .digest(),
                 one.digest());
     }
@@ -256,36 +265,42 @@
     void randomCoursesEndAlike() {
         for (int seed = 0; seed < 60; seed++) {
             Random random = new Random(seed);
-            History course = new History();
-            Creed creed = Sample.creed(Sample.two(1));
-            course.become(creed);
-            List<Creed> edges = new ArrayList<>(List.of(creed, creed, Creed.NONE));
+            ChangeHistory course = new ChangeHistory();
+            Configuration configuration = Sample.configuration(Sample.two(1));
+            course.become(configuration);
+            List<Configuration> edges = new ArrayList<>(List.of(configuration, configuration, Configuration.NONE));
             for (int step = 0; step < 40; step++) {
-                creed = change(creed, random);
-                course.become(random.nextInt(5) == 0 ? Creed.read(creed.json()) : creed);
+                configuration = change(configuration, random);
+                course.become(random.nextInt(5) == 0 ? Configuration.read(configuration.json()) : configuration);
                 int which = random.nextInt(edges.size());
-                Creed edge = edges.get(which);
-                Delta delta = course.since(edge.revision());
-                Creed next = travelled(edge, delta == null ? course.whole() : delta);
-                assertSame(creed, next);
-                assertEquals(content(creed), content(Creed.read(next.json())), "seed " + seed);
+                Configuration edge = edges.get(which);
+                ConfigurationDelta delta = course.since(edge.revision());
+                Configuration next = travelled(edge, delta == null ? course.whole() : delta);
+                assertSame(configuration, next);
+                assertEquals(content(configuration), content(Configuration.read(next.json())), "seed " + seed);
                 edges.set(which, next);
             }
         }
     }
 
-    private static Creed change(Creed creed, Random random) {
+    private static Configuration change(Configuration configuration, Random random) {
         int i = random.nextInt(6);
         return switch (random.nextInt(9)) {
             case 0, 1 ->
-                route(creed, "x" + i, "/x" + i + "/" + random.nextInt(3) + "/", random.nextBoolean() ? "a" : "b");
-            case 2 -> modified(creed, "", "'routes':['x" + i + "']");
-            case 3 -> modified(creed, "'services':[" + Sample.service("s" + i) + "]", "");
-            case 4 -> modified(creed, "", "'services':['s" + i + "']");
-            case 5 -> modified(creed, "'limits':{'max-body-bytes':" + (1_000 + i) + "}", "");
-            case 6 -> modified(creed, "'groups':[{'name':'g" + i % 2 + "','of':" + random.nextInt(3) + "}]", "");
-            case 7 -> modified(creed, "", "'groups':['g0','g1']");
-            default -> modified(creed, "'note':" + (i == 0 ? "[]" : i == 1 ? "[1]" : "{'k" + i + "':" + i + "}"), "");
+                route(
+                        configuration,
+                        "x" + i,
+                        "/x" + i + "/" + random.nextInt(3) + "/",
+                        random.nextBoolean() ? "a" : "b");
+            case 2 -> modified(configuration, "", "'routes':['x" + i + "']");
+            case 3 -> modified(configuration, "'services':[" + Sample.service("s" + i) + "]", "");
+            case 4 -> modified(configuration, "", "'services':['s" + i + "']");
+            case 5 -> modified(configuration, "'limits':{'max-body-bytes':" + (1_000 + i) + "}", "");
+            case 6 ->
+                modified(configuration, "'groups':[{'name':'g" + i % 2 + "','of':" + random.nextInt(3) + "}]", "");
+            case 7 -> modified(configuration, "", "'groups':['g0','g1']");
+            default ->
+                modified(configuration, "'note':" + (i == 0 ? "[]" : i == 1 ? "[1]" : "{'k" + i + "':" + i + "}"), "");
         };
     }
 }
--- /dev/null
+++ b/src/test/java/brambletray/platform/configuration/ConfigurationStateMachineTest.java
@@ -0,0 +1,224 @@
+package brambletray.platform.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What members agree on: one of two changes on one base, the same answer for a change sent again, the same state
+ * everywhere.
+ */
+class ConfigurationStateMachineTest {
+    private final ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+
+    private static byte[] move(long revision, String service) {
+        String route = Sample.route("r1", "h.example", "/one/", service);
+        return Sample.bytes("{'revision':" + revision + ",'upsert':{'routes':[" + route + "]}}");
+    }
+
+    private byte[] fine(ChangeKind verb, long base, byte[] body) {
+        return assertInstanceOf(ChangeDecision.Fine.class, stateMachine.judge(verb, base, body))
+                .change();
+    }
+
+    private void take(ChangeKind verb, long base, byte[] body) {
+        assertInstanceOf(ChangeDecision.Taken.class, stateMachine.deliver(fine(verb, base, body)));
+    }
+
+    @Test
+    void theFirstBuildsOnNothing() {
+        assertEquals(
+                new ChangeDecision.Stale(0), stateMachine.judge(ChangeKind.REPLACE, 5, Sample.bytes(Sample.two(7))));
+        byte[] change = fine(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(7)));
+        assertEquals(0, stateMachine.configuration().revision(), "judged only");
+        assertEquals(
+                7,
+                assertInstanceOf(ChangeDecision.Taken.class, stateMachine.deliver(change))
+                        .configuration()
+                        .revision());
+        assertEquals(7, stateMachine.configuration().revision());
+    }
+
+    @Test
+    void oneOfTwoOnTheSameBasePrevails() {
+        take(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(7)));
+        byte[] one = fine(ChangeKind.MODIFY, 7, move(9, "b"));
+        byte[] other = fine(ChangeKind.REPLACE, 7, Sample.bytes(Sample.two(12)));
+        assertInstanceOf(ChangeDecision.Taken.class, stateMachine.deliver(one));
+        assertEquals(new ChangeDecision.Stale(9), stateMachine.deliver(other));
+        assertEquals(9, stateMachine.configuration().revision());
+        assertEquals(
+                new ChangeDecision.Stale(9), stateMachine.judge(ChangeKind.REPLACE, 7, Sample.bytes(Sample.two(12))));
+    }
+
+    @Test
+    void sentAgainAfterItWasTaken() {
+        byte[] first = Sample.bytes(Sample.two(7));
+        take(ChangeKind.REPLACE, 0, first);
+        byte[] twice = fine(ChangeKind.MODIFY, 7, move(9, "b"));
+        assertInstanceOf(ChangeDecision.Taken.class, stateMachine.deliver(twice));
+        assertEquals(
+                new ChangeDecision.TakenBefore(9), stateMachine.deliver(twice), "put into the order by two members");
+        take(ChangeKind.MODIFY, 9, move(11, "a"));
+        assertEquals(new ChangeDecision.TakenBefore(7), stateMachine.judge(ChangeKind.REPLACE, 0, first));
+        assertEquals(new ChangeDecision.TakenBefore(9), stateMachine.judge(ChangeKind.MODIFY, 7, move(9, "b")));
+        assertEquals(
+                new ChangeDecision.Stale(11),
+                stateMachine.judge(ChangeKind.REPLACE, 7, first),
+                "the same body on another base");
+        assertEquals(
+                new ChangeDecision.Stale(11),
+                stateMachine.judge(ChangeKind.REPLACE, 9, move(11, "a")),
+                "by another verb");
+        assertEquals(11, stateMachine.configuration().revision());
+    }
+
+    @Test
+    void invalidOnesChangeNothing() {
+        take(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(7)));
+        byte[] before = stateMachine.snapshot();
+        ChangeDecision.Invalid invalid =
+                assertInstanceOf(ChangeDecision.Invalid.class, stateMachine.judge(ChangeKind.MODIFY, 7, move(9, "z")));
+        assertEquals("configuration.unknown-service", invalid.fault().code());
+        assertInstanceOf(
+                ChangeDecision.Invalid.class, stateMachine.judge(ChangeKind.REPLACE, 7, Sample.bytes(Sample.two(7))));
+        assertInstanceOf(
+                ChangeDecision.Invalid.class,
+                stateMachine.judge(ChangeKind.REPLACE, 7, new byte[ConfigurationJson.LARGEST + 1]));
+        assertInstanceOf(
+                ChangeDecision.Invalid.class,
+                stateMachine.deliver(new ConfigurationChange(ChangeKind.MODIFY, 7, move(9, "z")).bytes()));
+        assertInstanceOf(ChangeDecision.Invalid.class, stateMachine.deliver(new byte[] {9, 9, 9}));
+        assertArrayEquals(before, stateMachine.snapshot());
+        take(ChangeKind.MODIFY, 7, move(9, "b"));
+    }
+
+    /**
+     * Drawn changes, half of them misfits, at three members: one that judges, one that follows, one that joins by a
+     * snapshot midway.
+     */
+    @Test
+    void allMembersComeToTheSameState() {
+        long seed = 20_260_417;
+        Random random = new Random(seed);
+        ConfigurationStateMachine follower = new ConfigurationStateMachine();
+        ConfigurationStateMachine joiner = null;
+        List<byte[]> changes = new ArrayList<>();
+        take(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(1)));
+        follower.deliver(new ConfigurationChange(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(1))).bytes());
+        for (int i = 0; i < 300; i++) {
+            long current = stateMachine.configuration().revision();
+            long base = current - random.nextInt(2);
+            long revision = current + random.nextInt(4);
+            ChangeKind verb = random.nextInt(20) == 0 ? ChangeKind.REPLACE : ChangeKind.MODIFY;
+            byte[] body = verb == ChangeKind.REPLACE
+                    ? Sample.bytes(Sample.two(revision))
+                    : move(revision, List.of("a", "b", "z").get(random.nextInt(3)));
+            boolean again = random.nextInt(5) == 0 && !changes.isEmpty();
+            byte[] change = again
+                    ? changes.get(random.nextInt(changes.size()))
+                    : new ConfigurationChange(verb, base, body).bytes();
+            changes.add(change);
+            if (i == 150) {
+                joiner = new ConfigurationStateMachine();
+                joiner.restore(stateMachine.snapshot());
+            }
+            stateMachine.judge(verb, base, body);
+            stateMachine.deliver(change);
+            follower.deliver(change);
+            if (joiner != null) {
+                joiner.deliver(change);
+                assertArrayEquals(stateMachine.snapshot(), joiner.snapshot(), "seed " + seed + ", change " + i);
+            }
+            assertArrayEquals(stateMachine.snapshot(), follower.snapshot(), "seed " + seed + ", change " + i);
+        }
+        assertTrue(stateMachine.configuration().revision() > 50, "too few were taken");
+    }
+
+    /** Whatever number a configuration may have, the next can name it as its base. */
+    @Test
+    void theHighestNumbersAreBasesToo() {
+        long high = Long.MAX_VALUE - 1;
+        take(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(high)));
+        take(ChangeKind.MODIFY, ConfigurationStateMachine.base(Long.toString(high)), move(Long.MAX_VALUE, "b"));
+        assertEquals(Long.MAX_VALUE, stateMachine.configuration().revision());
+    }
+
+    @Test
+    void aSnapshotRemembersWhatWasTaken() {
+        ConfigurationStateMachine empty = new ConfigurationStateMachine();
+        empty.restore(stateMachine.snapshot());
+        assertEquals(0, empty.configuration().revision());
+        take(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(7)));
+        take(ChangeKind.MODIFY, 7, move(9, "b"));
+        byte[] snapshot = stateMachine.snapshot();
+        ConfigurationStateMachine other = new ConfigurationStateMachine();
+        other.restore(snapshot);
+        assertEquals(new ChangeDecision.TakenBefore(9), other.judge(ChangeKind.MODIFY, 7, move(9, "b")));
+        assertEquals("b", other.configuration().match("h.example", "/one/").pick(0));
+        byte[] judged = fine(ChangeKind.MODIFY, 9, Sample.bytes("{'revision':11}"));
+        take(ChangeKind.MODIFY, 9, Sample.bytes("{'revision':12}"));
+        ConfigurationStateMachine apart = new ConfigurationStateMachine();
+        apart.deliver(new ConfigurationChange(
+                        ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(9).replace("/one/", "/uno/")))
+                .bytes());
+        apart.judge(ChangeKind.MODIFY, 9, Sample.bytes("{'revision':11}"));
+        apart.restore(snapshot);
+        assertArrayEquals(snapshot, apart.snapshot(), "nothing of the former state stays");
+        apart.deliver(judged);
+        assertEquals(
+                "r1",
+                apart.configuration().match("h.example", "/one/").name(),
+                "what was judged before was of another state");
+        other.restore(new byte[0]);
+        assertEquals(0, other.configuration().revision(), "empty bytes are the state before the first change");
+        assertEquals(new ChangeDecision.Stale(0), other.judge(ChangeKind.MODIFY, 7, move(9, "b")));
+        other.restore(snapshot);
+        for (int length : new int[] {3, 20, snapshot.length - 1}) {
+            assertThrows(
+                    ConfigurationException.class,
+                    () -> other.restore(Arrays.copyOf(snapshot, length)),
+                    () -> "taken with " + length + " bytes");
+        }
+        snapshot[0] = 77;
+        assertEquals(
+                "configuration.bad-snapshot",
+                assertThrows(ConfigurationException.class, () -> other.restore(snapshot))
+                        .code());
+        assertEquals(9, other.configuration().revision(), "a bad snapshot changes nothing");
+    }
+
+    @Test
+    void onlySoManyAreRemembered() {
+        take(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(1)));
+        for (int i = 1; i <= ConfigurationStateMachine.REMEMBERED; i++) {
+            take(ChangeKind.MODIFY, i, move(i + 1, "a"));
+        }
+        assertEquals(
+                new ChangeDecision.Forgotten(2),
+                stateMachine.judge(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(1))),
+                "it was taken: not refused");
+        assertEquals(
+                new ChangeDecision.Forgotten(2),
+                stateMachine.deliver(
+                        new ConfigurationChange(ChangeKind.REPLACE, 0, Sample.bytes(Sample.two(1))).bytes()));
+        assertEquals(
+                new ChangeDecision.Stale(ConfigurationStateMachine.REMEMBERED + 1),
+                stateMachine.judge(ChangeKind.MODIFY, 2, move(3, "b")),
+                "that base is remembered");
+        assertEquals(new ChangeDecision.TakenBefore(2), stateMachine.judge(ChangeKind.MODIFY, 1, move(2, "a")));
+        ConfigurationStateMachine other = new ConfigurationStateMachine();
+        other.restore(stateMachine.snapshot());
+        assertArrayEquals(stateMachine.snapshot(), other.snapshot());
+        assertEquals(new ChangeDecision.TakenBefore(2), other.judge(ChangeKind.MODIFY, 1, move(2, "a")));
+        assertEquals(new ChangeDecision.Forgotten(2), other.judge(ChangeKind.MODIFY, 0, move(2, "a")));
+    }
+}
