--- a/src/test/java/brambletray/tray/ring/Lane.java
+++ b/src/test/java/brambletray/platform/failuredetection/TimelineColumn.java
@@ -1,4 +1,4 @@
-package brambletray.tray.ring;
+package brambletray.platform.failuredetection;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,7 +10,7 @@
  * One process of a drawn timeline: an edge, with its watch, or what the hub's machine runs. Its inbox stands for its
  * sockets.
  */
-abstract class Lane {
+abstract class TimelineColumn {
     /** A frame on its way; {@code at}: when it arrives. */
     record Mail(long at, String from, Object frame) {}
 
@@ -22,7 +22,7 @@
     /** What the picture shows now. */
     char sign = '.';
 
-    Lane(String name) {
+    TimelineColumn(String name) {
         this.name = name;
     }
 
@@ -48,18 +48,18 @@
     }
 
     /** An edge. */
-    static final class Edge extends Lane implements Watch.Hands {
-        private final Village village;
+    static final class Edge extends TimelineColumn implements HeartbeatMonitor.Hands {
+        private final SimulatedEdges village;
         private final String zone;
         private Peer self;
-        private Watch watch;
+        private HeartbeatMonitor watch;
         private Roster roster = Roster.NONE;
         /** Whose suspicion it has told since it began. */
         final TreeSet<String> told = new TreeSet<>();
 
         int sleeps;
 
-        Edge(Village village, String name) {
+        Edge(SimulatedEdges village, String name) {
             super(name);
             this.village = village;
             this.zone = name.substring(0, 1);
@@ -68,13 +68,13 @@
         void start(long life) {
             inbox.clear();
             self = new Peer(name, zone, name + ":7400", life, Peer.IN);
-            watch = new Watch(self, Village.INTERVAL, this);
+            watch = new HeartbeatMonitor(self, SimulatedEdges.INTERVAL, this);
             roster = Roster.NONE;
         }
 
         /** The link to the hub is up, or its own state is another. */
         void hello() {
-            village.send(name, Village.HUB, new Hello(self, roster.term(), roster.number(), 0, 0));
+            village.send(name, SimulatedEdges.HUB, new EdgeHello(self, roster.term(), roster.number(), 0, 0));
         }
 
         void leave() {
@@ -93,16 +93,16 @@
 
         @Override
         void read(String from, Object frame, long now) {
-            if (frame instanceof Beat beat) {
+            if (frame instanceof Heartbeat beat) {
                 watch.heard(beat, now);
-            } else if (frame instanceof Welcome welcome) {
+            } else if (frame instanceof EdgeWelcome welcome) {
                 if (welcome.lacks(roster)) {
-                    village.send(name, Village.HUB, roster);
+                    village.send(name, SimulatedEdges.HUB, roster);
                 }
                 watch.hub();
             } else if (frame instanceof Roster newer && newer.newerThan(roster)) {
                 roster = newer;
-                watch.ring(new Ring(newer), now);
+                watch.ring(new WatchRing(newer), now);
                 if (!newer.lists(self)) {
                     hello();
                 }
@@ -115,19 +115,19 @@
         }
 
         @Override
-        public void beat(Peer watcher, Beat beat) {
+        public void beat(Peer watcher, Heartbeat beat) {
             village.send(name, watcher.name(), beat);
         }
 
         @Override
-        public void suspect(Suspect suspect) {
+        public void suspect(SuspicionReport suspect) {
             told.add(suspect.name());
-            village.send(name, Village.HUB, suspect);
+            village.send(name, SimulatedEdges.HUB, suspect);
         }
 
         @Override
-        public void trust(Trust trust) {
-            village.send(name, Village.HUB, trust);
+        public void trust(SuspicionWithdrawal trust) {
+            village.send(name, SimulatedEdges.HUB, trust);
         }
 
         @Override
@@ -137,19 +137,19 @@
     }
 
     /** The hub. */
-    static final class Hub extends Lane {
-        private final Village village;
-        private Census census;
+    static final class Hub extends TimelineColumn {
+        private final SimulatedEdges village;
+        private MembershipRegistry membership;
         final List<String> said = new ArrayList<>();
 
-        Hub(Village village) {
-            super(Village.HUB);
+        Hub(SimulatedEdges village) {
+            super(SimulatedEdges.HUB);
             this.village = village;
         }
 
         void start(long term, long now) {
             inbox.clear();
-            census = new Census(term, now, (roster, why) -> {
+            membership = new MembershipRegistry(term, now, (roster, why) -> {
                 said.add(now() + " " + roster.term() + "." + roster.number() + " " + why);
                 village.tellAll(roster);
             });
@@ -160,35 +160,36 @@
         }
 
         Roster roster() {
-            return census.roster();
+            return membership.roster();
         }
 
         @Override
         void read(String from, Object frame, long now) {
-            if (frame instanceof Hello hello) {
-                census.hello(hello, now);
-                Roster newest = census.newest();
+            if (frame instanceof EdgeHello hello) {
+                membership.hello(hello, now);
+                Roster newest = membership.newest();
                 village.send(
                         name,
                         from,
-                        new Welcome(name, census.roster().term(), true, 1, List.of(), newest.term(), newest.number()));
-                if (census.roster().number() > 0) {
-                    village.send(name, from, census.roster());
+                        new EdgeWelcome(
+                                name, membership.roster().term(), true, 1, List.of(), newest.term(), newest.number()));
+                if (membership.roster().number() > 0) {
+                    village.send(name, from, membership.roster());
                 }
             } else if (frame instanceof Parted parted) {
-                census.parted(from, parted.life(), now);
+                membership.parted(from, parted.life(), now);
             } else if (frame instanceof Roster other) {
-                census.told(other, now);
-            } else if (frame instanceof Suspect suspect) {
-                census.suspect(suspect);
-            } else if (frame instanceof Trust trust) {
-                census.trust(trust);
+                membership.told(other, now);
+            } else if (frame instanceof SuspicionReport suspect) {
+                membership.suspect(suspect);
+            } else if (frame instanceof SuspicionWithdrawal trust) {
+                membership.trust(trust);
             }
         }
 
         @Override
         void tick(long now) {
-            census.tick(now);
+            membership.tick(now);
         }
     }
 }
--- a/src/test/java/brambletray/tray/interleaving/Turns.java
+++ b/src/test/java/brambletray/platform/interleaving/Turns.java
@@ -10,8 +10,10 @@
 import java.util.function.Consumer;
 
 /**
- * Threads of which one runs at a time, as on a machine of the bench, and which change over only at points: where a lock is taken, where a
- * condition is awaited, and where {@link #point} is called. Who goes on at each point is chosen; {@link #everyOrder} plays all choices.
+ * Threads of which one runs at a time, as on a machine of the bench, and which change over only at points: where a lock
+ * is taken, where a
+ * condition is awaited, and where {@link #point} is called. Who goes on at each point is chosen; {@link #everyOrder}
+ * plays all choices.
  * Nothing sleeps, and a choice always leads to the same course.
  */
 public final class Turns {
@@ -44,7 +46,8 @@
     }
 
     /**
-     * Plays a course under every order of its threads' turns: {@code course} sets it up, calls {@link #run} and checks what came of it.
+     * Plays a course under every order of its threads' turns: {@code course} sets it up, calls {@link #run} and checks
+     * what came of it.
      * Returns the number of orders; fails with the choices of the first order that fails.
      */
     public static int everyOrder(Consumer<Turns> course) {
--- a/src/test/java/brambletray/tray/lap/JudgingTest.java
+++ b/src/test/java/brambletray/platform/localsystem/JudgingTest.java
@@ -1,11 +1,11 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Route;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Route;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,16 +14,16 @@
 
 /** The parts of the stand-in that decide: clients' tries, what must not be, where clients are sent. */
 class JudgingTest {
-    private static final Creed CREED = Sample.creed();
+    private static final Configuration CREED = SampleConfiguration.configuration();
     private static final byte[] NONE = new byte[0];
 
-    private final Ledger ledger = new Ledger();
+    private final ExecutionLedger ledger = new ExecutionLedger();
     private final List<String> done = new ArrayList<>();
     private int sent;
 
-    private final Visit.Ways ways = new Visit.Ways() {
+    private final TrafficRequest.Ways ways = new TrafficRequest.Ways() {
         @Override
-        public String send(Visit visit, int turn, int remainingMs) {
+        public String send(TrafficRequest visit, int turn, int remainingMs) {
             String id = "t" + sent++;
             visit.names(id, visit.attempt());
             done.add(turn + ":" + remainingMs);
@@ -31,31 +31,31 @@
         }
 
         @Override
-        public void pause(Visit visit, int ms) {
+        public void pause(TrafficRequest visit, int ms) {
             done.add("pause " + ms);
         }
 
         @Override
-        public void over(Visit visit, Visit.End end) {
+        public void over(TrafficRequest visit, TrafficRequest.End end) {
             done.add(end.toString());
         }
     };
 
-    private Visit visit(String route) {
+    private TrafficRequest visit(String route) {
         Route of = CREED.routes().get(route);
-        Visit visit = new Visit(of, "east", 3, of.prefix() + "x", NONE, ledger, ways, 1_000);
+        TrafficRequest visit = new TrafficRequest(of, "east", 3, of.prefix() + "x", NONE, ledger, ways, 1_000);
         visit.go(1_000);
         return visit;
     }
 
-    private void whole(Visit visit, String id, long now) {
+    private void whole(TrafficRequest visit, String id, long now) {
         byte[] body = "abc".getBytes(StandardCharsets.US_ASCII);
-        visit.answered(200, id, Seal.of("i-1", id, visit.method, visit.path, NONE, body), body, -1, now);
+        visit.answered(200, id, ResponseSeal.of("i-1", id, visit.method, visit.path, NONE, body), body, -1, now);
     }
 
     @Test
     void aRepeatableRequestGoesOnAfterAnyFailure() {
-        Visit visit = visit("read-1");
+        TrafficRequest visit = visit("read-1");
         visit.broke(true, 1_100);
         visit.go(1_200);
         visit.answered(502, "t1", null, NONE, -1, 1_300);
@@ -67,7 +67,7 @@
 
     @Test
     void anotherOnlyAfterAPromise() {
-        Visit visit = visit("pay-1");
+        TrafficRequest visit = visit("pay-1");
         visit.answered(503, "t0", null, NONE, 3_000, 1_000);
         visit.go(2_333);
         visit.broke(true, 2_400);
@@ -79,7 +79,7 @@
 
     @Test
     void triesEndAndSoDoesTheTime() {
-        Visit visit = visit("read-1");
+        TrafficRequest visit = visit("read-1");
         for (int i = 0; i < 3; i++) {
             visit.broke(false, 1_000);
             visit.go(1_000);
@@ -94,17 +94,17 @@
     @Test
     void whatBelongsToAnotherIsWrong() {
         whole(visit("read-1"), "t9", 1_100);
-        Visit cut = visit("read-1");
+        TrafficRequest cut = visit("read-1");
         cut.answered(
                 200,
                 "t1",
-                Seal.of("i-1", "t1", "GET", cut.path, NONE, "whole".getBytes(StandardCharsets.US_ASCII)),
+                ResponseSeal.of("i-1", "t1", "GET", cut.path, NONE, "whole".getBytes(StandardCharsets.US_ASCII)),
                 "who".getBytes(StandardCharsets.US_ASCII),
                 -1,
                 1_100);
         visit("read-1").answered(404, "t2", null, NONE, -1, 1_100);
-        Visit other = visit("read-1");
-        other.answered(200, "t2", Seal.of("i-1", "t3", "GET", other.path, NONE, NONE), NONE, -1, 1_100);
+        TrafficRequest other = visit("read-1");
+        other.answered(200, "t2", ResponseSeal.of("i-1", "t3", "GET", other.path, NONE, NONE), NONE, -1, 1_100);
         assertEquals(4, ledger.wrong());
         assertTrue(
                 ledger.complaints().get(2).contains("denied with 404"),
@@ -136,28 +136,28 @@
 
     @Test
     void clientsAreSentToEdgesThatSayTheyAreReady() {
-        Site site = Site.of(1, 6, new Site.Ports(1, 2, 3, 4, 5, 6), Path.of("x"));
-        Fronts fronts = new Fronts(site.edges());
+        LocalSite site = LocalSite.of(1, 6, new LocalSite.Ports(1, 2, 3, 4, 5, 6), Path.of("x"));
+        FrontEndBalancer fronts = new FrontEndBalancer(site.edges());
         assertEquals(0, fronts.in());
-        for (Site.Place edge : site.edges()) {
+        for (LocalSite.Place edge : site.edges()) {
             fronts.heard(edge.name(), true);
         }
-        assertEquals("carry-1 carry-3 carry-5 carry-1", picks(fronts, "east", 4));
-        fronts.heard("carry-3", false);
-        assertEquals("carry-1 carry-3 carry-5", picks(fronts, "east", 3), "missed once");
-        fronts.heard("carry-3", false);
-        assertEquals("carry-1 carry-5", picks(fronts, "east", 2));
-        fronts.heard("carry-1", false);
-        fronts.heard("carry-1", false);
-        assertEquals("carry-1 carry-3 carry-5", picks(fronts, "east", 3), "fewer than half are in: all are used");
-        fronts.heard("carry-5", false);
-        fronts.heard("carry-5", false);
-        assertEquals("carry-2 carry-4 carry-6", picks(fronts, "east", 3), "none is in: the other zone's");
-        fronts.heard("carry-3", true);
+        assertEquals("edge-1 edge-3 edge-5 edge-1", picks(fronts, "east", 4));
+        fronts.heard("edge-3", false);
+        assertEquals("edge-1 edge-3 edge-5", picks(fronts, "east", 3), "missed once");
+        fronts.heard("edge-3", false);
+        assertEquals("edge-1 edge-5", picks(fronts, "east", 2));
+        fronts.heard("edge-1", false);
+        fronts.heard("edge-1", false);
+        assertEquals("edge-1 edge-3 edge-5", picks(fronts, "east", 3), "fewer than half are in: all are used");
+        fronts.heard("edge-5", false);
+        fronts.heard("edge-5", false);
+        assertEquals("edge-2 edge-4 edge-6", picks(fronts, "east", 3), "none is in: the other zone's");
+        fronts.heard("edge-3", true);
         assertEquals(4, fronts.in());
     }
 
-    private static String picks(Fronts fronts, String zone, int many) {
+    private static String picks(FrontEndBalancer fronts, String zone, int many) {
         StringBuilder picks = new StringBuilder();
         for (int turn = 0; turn < many; turn++) {
             picks.append(fronts.pick(zone, 0, turn).name()).append(' ');
@@ -167,7 +167,7 @@
 
     @Test
     void aSecondIsALine() {
-        Counts counts = new Counts();
+        RequestCounts counts = new RequestCounts();
         counts.requests = 40;
         counts.answered = 39;
         counts.failed = 1;
@@ -176,8 +176,9 @@
                 counts.turn().line(7, 9, 0, null));
         assertEquals(0, counts.requests);
         assertEquals(
-                Counts.head().indexOf("helm"), counts.line(1, 1, 3, "keep-1").indexOf("keep-1"));
-        assertFalse(Seal.holds("no seal", "a", "GET", "/", NONE, NONE));
-        assertFalse(Seal.holds(null, "a", "GET", "/", NONE, NONE));
+                RequestCounts.head().indexOf("helm"),
+                counts.line(1, 1, 3, "controlplane-1").indexOf("controlplane-1"));
+        assertFalse(ResponseSeal.holds("no seal", "a", "GET", "/", NONE, NONE));
+        assertFalse(ResponseSeal.holds(null, "a", "GET", "/", NONE, NONE));
     }
 }
--- a/src/test/java/brambletray/tray/lap/RoundsTest.java
+++ b/src/test/java/brambletray/platform/localsystem/OperatorCallRetriesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,7 +10,7 @@
  * An operator's way from relay to relay: answers as numbers (0: silence, 307: to another place), what is done as
  * letters.
  */
-class RoundsTest {
+class OperatorCallRetriesTest {
     @ParameterizedTest
     @CsvSource({
         "200, E",
@@ -27,16 +27,16 @@
         "404 503 404 404, 1+50 2+100 0+200 E"
     })
     void goesOn(String answers, String expected) {
-        Rounds rounds = new Rounds(3, 0);
-        assertEquals(new Rounds.Step.Ask(0, 0), rounds.first());
+        OperatorCallRetries rounds = new OperatorCallRetries(3, 0);
+        assertEquals(new OperatorCallRetries.Step.Ask(0, 0), rounds.first());
         StringBuilder done = new StringBuilder();
         for (String answer : answers.split(" ")) {
-            Rounds.Step step =
+            OperatorCallRetries.Step step =
                     rounds.next(Integer.parseInt(answer), answer.equals("307") ? "http://10.0.0.9:1/x" : null);
-            if (step instanceof Rounds.Step.Ask ask) {
+            if (step instanceof OperatorCallRetries.Step.Ask ask) {
                 done.append(ask.relay()).append('+').append(ask.pauseMs()).append(' ');
             } else {
-                done.append(step instanceof Rounds.Step.Follow ? "F " : "E ");
+                done.append(step instanceof OperatorCallRetries.Step.Follow ? "F " : "E ");
             }
         }
         assertEquals(expected, done.toString().strip());
@@ -45,9 +45,9 @@
     @ParameterizedTest
     @CsvSource({"1", "2"})
     void aSingleRelayIsAskedAgain(int times) {
-        Rounds rounds = new Rounds(1, 0);
+        OperatorCallRetries rounds = new OperatorCallRetries(1, 0);
         for (int i = 0; i < times; i++) {
-            assertTrue(rounds.next(503, null) instanceof Rounds.Step.Ask ask && ask.relay() == 0);
+            assertTrue(rounds.next(503, null) instanceof OperatorCallRetries.Step.Ask ask && ask.relay() == 0);
         }
     }
 }
--- a/src/test/java/brambletray/tray/lap/PlatformDoorTest.java
+++ b/src/test/java/brambletray/platform/localsystem/PlatformDoorTest.java
@@ -1,14 +1,14 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.platformstub.PlatformParameters;
+import brambletray.platform.platformstub.PlatformStub;
+import brambletray.platform.platformstub.PlatformStubServer;
+import brambletray.platform.platformstub.ServiceKind;
+import brambletray.platform.transport.Sockets;
 import brambletray.runtime.Machine;
-import brambletray.tray.speech.Sockets;
-import brambletray.tray.stand.Ground;
-import brambletray.tray.stand.Kind;
-import brambletray.tray.stand.Stand;
-import brambletray.tray.stand.StandDoor;
 import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -26,20 +26,20 @@
 class PlatformDoorTest {
     private final Machine machine = Sockets.machine();
     private final HttpClient client = HttpClient.newHttpClient();
-    private StandDoor door;
+    private PlatformStubServer door;
     private String at;
 
     /** {@code lagMs} below 0: lists show what is yet to come, so that no test waits for it. */
     private void open(int lagMs, double listsPerS, double dutiesPerS) {
         long now = machine.clock().nanos() / 1_000_000;
-        Stand stand = new Stand(
-                new Ground(lagMs, listsPerS, dutiesPerS, 2, 3_000, 2_000, 2_500),
+        PlatformStub stand = new PlatformStub(
+                new PlatformParameters(lagMs, listsPerS, dutiesPerS, 2, 3_000, 2_000, 2_500),
                 3,
                 now,
                 made -> "127.9.0." + (made + 1) + ":80");
         stand.worker("w-1", "east", 450, now);
-        stand.service("tea", new Kind(100, 400, 0));
-        door = new StandDoor(machine, stand);
+        stand.service("tea", new ServiceKind(100, 400, 0));
+        door = new PlatformStubServer(machine, stand);
         Channel listener = door.open(new InetSocketAddress("127.0.0.1", 0))
                 .syncUninterruptibly()
                 .channel();
@@ -69,9 +69,9 @@
     @Test
     void startsStopsAndRefuses() throws IOException, InterruptedException {
         open(0, 100, 100);
-        Map<String, Object> first = Json.object(begin("w-1", "n-1").body());
+        Map<String, Object> first = JsonValues.object(begin("w-1", "n-1").body());
         assertEquals("127.9.0.1:80", first.get("address"));
-        assertEquals(first, Json.object(begin("w-1", "n-1").body()), "a nonce that was seen: the same host");
+        assertEquals(first, JsonValues.object(begin("w-1", "n-1").body()), "a nonce that was seen: the same host");
         for (int i = 2; i <= 4; i++) {
             assertEquals(200, begin("w-1", "n-" + i).statusCode());
         }
@@ -110,21 +110,23 @@
         for (int i = 1; i <= 3; i++) {
             begin("w-1", "n-" + i);
         }
-        Map<String, Object> page = Json.object(call("/instances", null).body());
-        assertEquals(2, Json.list(page, "instances").size());
-        Map<String, Object> last = Json.object(
+        Map<String, Object> page = JsonValues.object(call("/instances", null).body());
+        assertEquals(2, JsonValues.list(page, "instances").size());
+        Map<String, Object> last = JsonValues.object(
                 call("/instances?page-token=" + page.get("next-token"), null).body());
-        assertEquals(1, Json.list(last, "instances").size());
+        assertEquals(1, JsonValues.list(last, "instances").size());
         assertTrue(last.containsKey("next-token") && last.get("next-token") == null);
-        assertEquals("w-1", Json.list(last, "instances").get(0).get("worker"));
-        Map<String, Object> worker = Json.list(
-                        Json.object(call("/brambletray/workers", null).body()), "workers")
+        assertEquals("w-1", JsonValues.list(last, "instances").get(0).get("worker"));
+        Map<String, Object> worker = JsonValues.list(
+                        JsonValues.object(call("/brambletray/workers", null).body()), "workers")
                 .get(0);
         assertEquals(150L, worker.get("free-memory-mb"));
         assertEquals("operational", worker.get("oper-state"));
         door.close();
         open(60_000, 100, 100);
         begin("w-1", "n-1");
-        assertEquals(List.of(), Json.list(Json.object(call("/instances", null).body()), "instances"));
+        assertEquals(
+                List.of(),
+                JsonValues.list(JsonValues.object(call("/instances", null).body()), "instances"));
     }
 }
--- a/src/test/java/brambletray/tray/lap/StandInTest.java
+++ b/src/test/java/brambletray/platform/localsystem/StandInTest.java
@@ -1,15 +1,15 @@
-package brambletray.tray.lap;
+package brambletray.platform.localsystem;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.Service;
+import brambletray.platform.platformstub.PlatformParameters;
+import brambletray.platform.platformstub.PlatformStub;
+import brambletray.platform.platformstub.ServiceKind;
 import brambletray.runtime.Machine;
 import brambletray.simulation.Simulation;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Service;
-import brambletray.tray.stand.Ground;
-import brambletray.tray.stand.Kind;
-import brambletray.tray.stand.Stand;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -31,7 +31,7 @@
     private final Simulation simulation = new Simulation(5, 1_900_000_000_000L);
     private final Machine town = simulation.machine(address(127, 0, 0, 1));
     private final Machine outside = simulation.machine(address(127, 0, 0, 9));
-    private final Ledger ledger = new Ledger();
+    private final ExecutionLedger ledger = new ExecutionLedger();
 
     private static InetAddress address(int... parts) {
         try {
@@ -87,15 +87,16 @@
         }
     }
 
-    private InetSocketAddress booth(Booth booth) {
+    private InetSocketAddress booth(InstanceServer booth) {
         InetSocketAddress at = new InetSocketAddress(address(127, 9, 0, 1), 80);
         booth.open(at);
         pass(5);
         return at;
     }
 
-    private Booth host(int most, int connections) {
-        return new Booth(town, "i-1", new Service("tea", 100, 400, most, connections, null), ledger, () -> WORK);
+    private InstanceServer host(int most, int connections) {
+        return new InstanceServer(
+                town, "i-1", new Service("tea", 100, 400, most, connections, null), ledger, () -> WORK);
     }
 
     @Test
@@ -115,7 +116,7 @@
         assertEquals(
                 "200 503 421 400", String.join(" ", first.status(), second.status(), third.status(), fourth.status()));
         String body = first.heard.substring(first.heard.indexOf("\r\n\r\n") + 4);
-        String seal = Seal.of("i-1", "a", "GET", "/a/b", new byte[0], body.getBytes(StandardCharsets.US_ASCII));
+        String seal = ResponseSeal.of("i-1", "a", "GET", "/a/b", new byte[0], body.getBytes(StandardCharsets.US_ASCII));
         assertTrue(
                 first.heard.toString().toLowerCase().contains("brambletray-response-seal: " + seal),
                 first.heard.toString());
@@ -129,7 +130,7 @@
 
     @Test
     void aHostCeasesAtTheDeadlineAndWhenNobodyWaits() {
-        Booth booth = host(1, 16);
+        InstanceServer booth = host(1, 16);
         InetSocketAddress at = booth(booth);
         Talk hurried = new Talk(at);
         pass(5);
@@ -148,7 +149,7 @@
 
     @Test
     void connectionsBeyondTheMostAreResetAndAStoppedHostEndsItsWork() {
-        Booth booth = host(4, 2);
+        InstanceServer booth = host(4, 2);
         InetSocketAddress at = booth(booth);
         Talk first = new Talk(at);
         Talk second = new Talk(at);
@@ -170,11 +171,15 @@
 
     @Test
     void aBootingHostRefusesConnections() {
-        Stand stand = new Stand(
-                new Ground(800, 10, 50, 50, 3_000, 2_000, 2_500), 3, ms(), made -> "127.9.0." + (made + 1) + ":80");
+        PlatformStub stand = new PlatformStub(
+                new PlatformParameters(800, 10, 50, 50, 3_000, 2_000, 2_500),
+                3,
+                ms(),
+                made -> "127.9.0." + (made + 1) + ":80");
         stand.worker("w", "east", 1_000, ms());
-        stand.service("tea", new Kind(100, 400, 0));
-        Fair fair = new Fair(town, stand, Map.of("tea", new Service("tea", 100, 400, 1, 16, null)), ledger, WORK, 1);
+        stand.service("tea", new ServiceKind(100, 400, 0));
+        InstanceFleet fair = new InstanceFleet(
+                town, stand, Map.of("tea", new Service("tea", 100, 400, 1, 16, null)), ledger, WORK, 1);
         town.loop().execute(fair::begin);
         String address = stand.begin("tea", "w", "n", 1, ms()).address();
         assertEquals("127.9.0.1:80", address);
@@ -197,14 +202,16 @@
     /** A host stands in the place of the edge. */
     @Test
     void clientsAskAndJudge() {
-        Creed creed = Sample.creed();
-        Site site = Site.of(1, 1, new Site.Ports(80, 2, 3, 4, 5, 6), Path.of("x"));
-        Booth edge = new Booth(town, "i-1", new Service("any", 1, 1, 40, 400, null), ledger, () -> WORK);
+        Configuration configuration = SampleConfiguration.configuration();
+        LocalSite site = LocalSite.of(1, 1, new LocalSite.Ports(80, 2, 3, 4, 5, 6), Path.of("x"));
+        InstanceServer edge =
+                new InstanceServer(town, "i-1", new Service("any", 1, 1, 40, 400, null), ledger, () -> WORK);
         edge.open(new InetSocketAddress(address(127, 0, 0, 3), 80));
-        Fronts fronts = new Fronts(site.edges());
-        fronts.heard("carry-1", true);
-        Counts counts = new Counts();
-        Callers callers = new Callers(outside, site, fronts, creed.routes(), ledger, counts, 1);
+        FrontEndBalancer fronts = new FrontEndBalancer(site.edges());
+        fronts.heard("edge-1", true);
+        RequestCounts counts = new RequestCounts();
+        TrafficGenerator callers =
+                new TrafficGenerator(outside, site, fronts, configuration.routes(), ledger, counts, 1);
         outside.loop().execute(() -> callers.begin(100));
         pass(1_995);
         outside.loop().execute(callers::stop);
--- a/src/test/java/brambletray/tray/tale/TaleTurnsTest.java
+++ b/src/test/java/brambletray/platform/logging/TaleTurnsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.tale;
+package brambletray.platform.logging;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -30,9 +30,9 @@
         }
     }
 
-    private static void publish(TaleHandler handler, String event, int lines) {
+    private static void publish(JsonLogHandler handler, String event, int lines) {
         for (int i = 0; i < lines; i++) {
-            LogRecord entry = new LogRecord(Level.INFO, Line.of(event, "number", i));
+            LogRecord entry = new LogRecord(Level.INFO, LogLine.of(event, "number", i));
             entry.setLoggerName(event);
             handler.publish(entry);
         }
@@ -43,7 +43,7 @@
         int orders = Turns.everyOrder(turns -> {
             Output out = new Output(turns);
             long[] clock = new long[1];
-            TaleHandler handler = new TaleHandler(
+            JsonLogHandler handler = new JsonLogHandler(
                     out,
                     () -> {
                         turns.point();
@@ -75,12 +75,12 @@
     void noLineIsCountedTwiceOrNotAtAll() {
         int orders = Turns.everyOrder(turns -> {
             Output out = new Output(turns);
-            TaleHandler handler = new TaleHandler(out, () -> 0, "n", turns.lock());
-            publish(handler, "same", TaleHandler.MOST - 1);
+            JsonLogHandler handler = new JsonLogHandler(out, () -> 0, "n", turns.lock());
+            publish(handler, "same", JsonLogHandler.MOST - 1);
             turns.thread("loop", () -> publish(handler, "same", 2));
             turns.thread("writer", () -> publish(handler, "same", 2));
             turns.run();
-            assertEquals(TaleHandler.MOST, out.writes);
+            assertEquals(JsonLogHandler.MOST, out.writes);
         });
         assertTrue(orders > 5, "few orders: " + orders);
     }
--- a/src/test/java/brambletray/tray/yard/Edge.java
+++ b/src/test/java/brambletray/platform/provisioning/Edge.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -7,18 +7,21 @@
 import java.util.Map;
 import java.util.Set;
 
-/** An edge in a scene: asks with the same nonce until it is answered, quits until it is told, says what it knows to each new hub. */
+/**
+ * An edge in a scene: asks with the same nonce until it is answered, quits until it is told, says what it knows to each
+ * new hub.
+ */
 class Edge {
     private static final long LINK = 2;
     private static final long AGAIN = 300;
 
     final String name;
-    final Map<String, Host> hosts = new LinkedHashMap<>();
-    final Map<String, Need> needs = new LinkedHashMap<>();
-    final Map<String, NoRoom> turnedDown = new LinkedHashMap<>();
+    final Map<String, InstanceInfo> hosts = new LinkedHashMap<>();
+    final Map<String, StartRequest> needs = new LinkedHashMap<>();
+    final Map<String, StartRefusal> turnedDown = new LinkedHashMap<>();
     final Set<String> leaving = new HashSet<>();
     final Set<String> gone = new HashSet<>();
-    private final Map<String, Quit> quits = new LinkedHashMap<>();
+    private final Map<String, StopRequest> quits = new LinkedHashMap<>();
     private final Scene scene;
     boolean dead;
     boolean asleep;
@@ -32,13 +35,13 @@
         scene.wires.every(AGAIN, this::again);
     }
 
-    void need(Need need) {
+    void need(StartRequest need) {
         needs.put(need.nonce(), need);
         say(need);
     }
 
-    void quit(Host host) {
-        quits.put(host.id(), new Quit(host.id(), host.service()));
+    void quit(InstanceInfo host) {
+        quits.put(host.id(), new StopRequest(host.id(), host.service()));
         say(quits.get(host.id()));
     }
 
@@ -66,43 +69,43 @@
         }
         needs.values().forEach(this::say);
         quits.values().forEach(this::say);
-        for (Host host : hosts.values()) {
-            if (host.state() == Host.BOOTING && scene.cloud.stand.up(host.id(), scene.wires.now())) {
-                say(new Seen(host.id(), host.service()));
+        for (InstanceInfo host : hosts.values()) {
+            if (host.state() == InstanceInfo.BOOTING && scene.cloud.stand.up(host.id(), scene.wires.now())) {
+                say(new InstanceUp(host.id(), host.service()));
             }
         }
     }
 
     /** There is a new hub. */
     void hub() {
-        say(new Mine(new ArrayList<>(hosts.values())));
+        say(new KnownInstances(new ArrayList<>(hosts.values())));
     }
 
     void heard(Object frame) {
         if (dead || deaf) {
             return;
         }
-        if (frame instanceof Born born) {
+        if (frame instanceof InstanceStarted born) {
             needs.remove(born.nonce());
             hosts.put(born.host().id(), born.host());
-        } else if (frame instanceof NoRoom no) {
+        } else if (frame instanceof StartRefusal no) {
             needs.remove(no.nonce());
             turnedDown.put(no.nonce(), no);
-        } else if (frame instanceof Leaving leave) {
+        } else if (frame instanceof InstanceDraining leave) {
             leaving.add(leave.id());
-        } else if (frame instanceof Gone end) {
+        } else if (frame instanceof InstanceGone end) {
             hosts.remove(end.id());
             quits.remove(end.id());
             gone.add(end.id());
-        } else if (frame instanceof Hosts all) {
+        } else if (frame instanceof InstanceList all) {
             empties += all.hosts().isEmpty() ? 1 : 0;
             all.hosts().forEach(host -> hosts.put(host.id(), host));
         }
     }
 
     /** The host that was started with this nonce. */
-    Host host(String nonce) {
-        List<Host> found = new ArrayList<>(hosts.values());
+    InstanceInfo host(String nonce) {
+        List<InstanceInfo> found = new ArrayList<>(hosts.values());
         found.removeIf(host -> !host.nonce().equals(nonce));
         return found.isEmpty() ? null : found.get(0);
     }
--- a/src/test/java/brambletray/tray/yard/Cloud.java
+++ b/src/test/java/brambletray/platform/provisioning/FlakyPlatform.java
@@ -1,13 +1,13 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
-import brambletray.tray.stand.Ground;
-import brambletray.tray.stand.Stand;
+import brambletray.platform.platformstub.PlatformParameters;
+import brambletray.platform.platformstub.PlatformStub;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
 /** The stand-in of the platform behind a network that may lose answers, or all. */
-final class Cloud {
+final class FlakyPlatform {
     /** How the platform is: it answers; it does as it is told but no answer arrives; nothing arrives. */
     enum Mood {
         ANSWERS,
@@ -18,43 +18,43 @@
     private static final long DELAY = 5;
     private static final long PATIENCE = 1_500;
 
-    final Stand stand;
+    final PlatformStub stand;
     Mood mood = Mood.ANSWERS;
     int begins;
     int stops;
     int lists;
     int workerLists;
-    private final Wires wires;
+    private final VirtualTime wires;
 
-    Cloud(Wires wires, Ground ground, long seed) {
+    FlakyPlatform(VirtualTime wires, PlatformParameters ground, long seed) {
         this.wires = wires;
-        this.stand = new Stand(ground, seed, 0);
+        this.stand = new PlatformStub(ground, seed, 0);
     }
 
-    void begin(String service, String worker, String nonce, long term, Consumer<Begun> back) {
+    void begin(String service, String worker, String nonce, long term, Consumer<StartResponse> back) {
         begins++;
-        call(() -> stand.begin(service, worker, nonce, term, wires.now()), Begun.of(Result.UNKNOWN), back);
+        call(() -> stand.begin(service, worker, nonce, term, wires.now()), StartResponse.of(CallResult.UNKNOWN), back);
     }
 
-    void stop(String id, long term, Consumer<Result> back) {
+    void stop(String id, long term, Consumer<CallResult> back) {
         stops++;
-        call(() -> stand.stop(id, term, wires.now()), Result.UNKNOWN, back);
+        call(() -> stand.stop(id, term, wires.now()), CallResult.UNKNOWN, back);
     }
 
     /** Null: it did not come. */
-    void workers(Consumer<List<Worker>> back) {
+    void workers(Consumer<List<WorkerInfo>> back) {
         workerLists++;
         call(() -> stand.workers(wires.now()), null, back);
     }
 
-    void list(List<Listed> before, String token, Platform.Lister back) {
+    void list(List<ListedInstance> before, String token, PlatformClient.Lister back) {
         lists++;
-        call(() -> stand.list(token, wires.now()), new Stand.Page(null, null), page -> {
+        call(() -> stand.list(token, wires.now()), new PlatformStub.Page(null, null), page -> {
             if (page.hosts() == null) {
                 back.came(before, false);
                 return;
             }
-            List<Listed> all = new ArrayList<>(before);
+            List<ListedInstance> all = new ArrayList<>(before);
             all.addAll(page.hosts());
             if (page.next() == null) {
                 back.came(all, true);
--- a/src/test/java/brambletray/tray/yard/LateRoutesTest.java
+++ b/src/test/java/brambletray/platform/provisioning/LateRoutesTest.java
@@ -1,18 +1,18 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Done;
-import brambletray.tray.home.Elsewhere;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
-import brambletray.tray.home.Laws;
-import brambletray.tray.home.Out;
-import brambletray.tray.home.Refuse;
-import brambletray.tray.home.Seats;
-import brambletray.tray.home.Spec;
+import brambletray.platform.admission.AdmissionActions;
+import brambletray.platform.admission.AdmissionParameters;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.ServiceQueues;
+import brambletray.platform.admission.ServiceSpec;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRedirect;
+import brambletray.platform.admission.SlotRefusal;
+import brambletray.platform.admission.SlotRelease;
+import brambletray.platform.admission.SlotRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,8 +23,10 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Rule CONFIG, routes added later: services that come by a later configuration are served as well as the first ones, right after they come and in
- * the calm that follows, also where instances of the first ones fill the workers. A home, the hub and the platform in virtual time; the seed is in the
+ * Rule CONFIG, routes added later: services that come by a later configuration are served as well as the first ones,
+ * right after they come and in
+ * the calm that follows, also where instances of the first ones fill the workers. A home, the hub and the platform in
+ * virtual time; the seed is in the
  * test's name.
  */
 class LateRoutesTest {
@@ -79,7 +81,10 @@
         return seeds(10);
     }
 
-    /** The platform takes fewer starts than services with long queues ask for: the first start of another service still comes soon. */
+    /**
+     * The platform takes fewer starts than services with long queues ask for: the first start of another service still
+     * comes soon.
+     */
     @Test
     void aStartForOneRequestIsNotOvertakenForEverByThoseForMany() {
         Scene slow = new Scene(5, 5);
@@ -88,8 +93,8 @@
         slow.service("later", 100, BOOT_MS);
         Edge edge = slow.edge("north");
         slow.hubWins();
-        slow.wires.every(100, () -> edge.need(new Need("first", "north", "first-" + slow.wires.now(), 200)));
-        slow.wires.in(2_000, () -> edge.need(new Need("later", "north", "later", 1)));
+        slow.wires.every(100, () -> edge.need(new StartRequest("first", "north", "first-" + slow.wires.now(), 200)));
+        slow.wires.in(2_000, () -> edge.need(new StartRequest("later", "north", "later", 1)));
         slow.wires.runTo(6_000);
         assertNotNull(edge.host("later"), "no start of it within 4 s");
     }
@@ -128,8 +133,8 @@
 
     private void add(String service, int everyMs) {
         scene.service(service, INSTANCE_MB, BOOT_MS);
-        scene.hub.yard.creed(scene.creed, scene.wires.now());
-        home.add(new Spec(service, INSTANCE_MB, BOOT_MS, 1, TARGET_MS));
+        scene.hub.provisioner.configuration(scene.configuration, scene.wires.now());
+        home.add(new ServiceSpec(service, INSTANCE_MB, BOOT_MS, 1, TARGET_MS));
         arrive(service, everyMs);
     }
 
@@ -182,9 +187,10 @@
     }
 
     /** An edge that is home of all seats, as the program wires it up. */
-    private final class SeatEdge extends Edge implements Out {
+    private final class SeatEdge extends Edge implements AdmissionActions {
         private final Map<Long, Request> asked = new HashMap<>();
-        private final Seats seats = new Seats("north", "n", Laws.of(0.2, 50, 10_000, 1), this);
+        private final ServiceQueues seats =
+                new ServiceQueues("north", "n", AdmissionParameters.of(0.2, 50, 10_000, 1), this);
 
         SeatEdge() {
             super(scene, "north");
@@ -195,14 +201,14 @@
             });
         }
 
-        void add(Spec spec) {
+        void add(ServiceSpec spec) {
             seats.spec(spec, scene.wires.now());
             seats.take(spec.service(), "north", List.of(), scene.wires.now());
         }
 
         void ask(Request request) {
             asked.put(++ids, request);
-            Ask ask = new Ask(
+            SlotRequest ask = new SlotRequest(
                     ids, name, "north", request.service, 1, request.left(), TARGET_MS, false, false, false, List.of());
             seats.ask(ask, false, scene.wires.now());
         }
@@ -214,15 +220,15 @@
         @Override
         void heard(Object frame) {
             long now = scene.wires.now();
-            if (frame instanceof Born born) {
+            if (frame instanceof InstanceStarted born) {
                 seats.born(born, now);
-            } else if (frame instanceof Hosts hosts) {
+            } else if (frame instanceof InstanceList hosts) {
                 seats.hosts(hosts, now);
-            } else if (frame instanceof NoRoom noRoom) {
+            } else if (frame instanceof StartRefusal noRoom) {
                 seats.noRoom(noRoom, now);
-            } else if (frame instanceof Leaving leave) {
+            } else if (frame instanceof InstanceDraining leave) {
                 seats.leaving(leave, now);
-            } else if (frame instanceof Gone gone) {
+            } else if (frame instanceof InstanceGone gone) {
                 seats.gone(gone, now);
             } else if (frame instanceof Reclaim reclaim) {
                 seats.reclaim(reclaim, now);
@@ -230,9 +236,9 @@
         }
 
         @Override
-        public void grant(String edge, Grant grant) {
+        public void grant(String edge, SlotGrant grant) {
             Request request = asked.remove(grant.askId());
-            Done done = new Done(grant.askId(), grant.host(), Fate.SERVED, WORK_MS);
+            SlotRelease done = new SlotRelease(grant.askId(), grant.host(), AttemptOutcome.SERVED, WORK_MS);
             later(WORK_MS, () -> {
                 request.served();
                 seats.done(name, done, scene.wires.now());
@@ -240,33 +246,33 @@
         }
 
         @Override
-        public void refuse(String edge, Refuse refuse) {
+        public void refuse(String edge, SlotRefusal refuse) {
             Request request = asked.remove(refuse.askId());
             later(1, () -> request.refused(refuse.comeBackMs()));
         }
 
         @Override
-        public void elsewhere(String edge, Elsewhere elsewhere) {
+        public void elsewhere(String edge, SlotRedirect elsewhere) {
             throw new AssertionError(elsewhere);
         }
 
         @Override
-        public void need(Need need) {
+        public void need(StartRequest need) {
             say(need);
         }
 
         @Override
-        public void quit(Quit quit) {
+        public void quit(StopRequest quit) {
             say(quit);
         }
 
         @Override
-        public void seen(Seen seen) {
+        public void seen(InstanceUp seen) {
             say(seen);
         }
 
         @Override
-        public void claim(Claim claim) {
+        public void claim(HomeClaim claim) {
             say(claim);
         }
 
--- a/src/test/java/brambletray/tray/yard/PlatformTest.java
+++ b/src/test/java/brambletray/platform/provisioning/PlatformTest.java
@@ -1,15 +1,15 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.platformstub.PlatformParameters;
+import brambletray.platform.platformstub.PlatformStub;
+import brambletray.platform.platformstub.PlatformStubServer;
+import brambletray.platform.platformstub.ServiceKind;
 import brambletray.runtime.Machine;
 import brambletray.simulation.Simulation;
-import brambletray.tray.stand.Ground;
-import brambletray.tray.stand.Kind;
-import brambletray.tray.stand.Stand;
-import brambletray.tray.stand.StandDoor;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -39,9 +39,10 @@
     private final InetSocketAddress door = new InetSocketAddress(there, 8240);
     private final Machine far = simulation.machine(there);
     private final Machine near = simulation.machine(address(2));
-    private final Stand stand = new Stand(new Ground(800, 10, 50, 2, 3_000, 2_000, 2_500), 3, ms());
-    private final StandDoor front = new StandDoor(far, stand);
-    private final Platform platform = new Platform(near, door, new Platform.Name("core-1", 7), 10);
+    private final PlatformStub stand =
+            new PlatformStub(new PlatformParameters(800, 10, 50, 2, 3_000, 2_000, 2_500), 3, ms());
+    private final PlatformStubServer front = new PlatformStubServer(far, stand);
+    private final PlatformClient platform = new PlatformClient(near, door, new PlatformClient.Name("core-1", 7), 10);
 
     private static InetAddress address(int last) {
         try {
@@ -62,14 +63,14 @@
     @BeforeEach
     void open() {
         stand.worker("w-1", "north", 4_000, ms());
-        stand.service("tea \"hot\"", new Kind(500, 400, 0));
+        stand.service("tea \"hot\"", new ServiceKind(500, 400, 0));
         front.open(door);
         pass(10);
     }
 
     @Test
     void startsStopsAndLists() {
-        List<Begun> begun = new ArrayList<>();
+        List<StartResponse> begun = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
             platform.begin("tea \"hot\"", "w-1", "n-" + i, begun::add);
         }
@@ -78,11 +79,11 @@
         assertTrue(
                 begun.stream()
                         .allMatch(one ->
-                                one.result() == Result.OK && one.address().endsWith(":8080")),
+                                one.result() == CallResult.OK && one.address().endsWith(":8080")),
                 begun.toString());
         pass(1_500);
-        List<List<Listed>> lists = new ArrayList<>();
-        List<List<Worker>> workers = new ArrayList<>();
+        List<List<ListedInstance>> lists = new ArrayList<>();
+        List<List<WorkerInfo>> workers = new ArrayList<>();
         platform.list((hosts, complete) -> {
             assertTrue(complete);
             lists.add(hosts);
@@ -90,26 +91,26 @@
         platform.workers(workers::add);
         pass(1_000);
         assertEquals(
-                new TreeSet<>(begun.stream().map(Begun::id).toList()),
-                new TreeSet<>(lists.get(0).stream().map(Listed::id).toList()));
-        assertEquals(List.of(new Worker("w-1", "north", 4_000, 1_500, false)), workers.get(0));
-        List<Result> stopped = new ArrayList<>();
+                new TreeSet<>(begun.stream().map(StartResponse::id).toList()),
+                new TreeSet<>(lists.get(0).stream().map(ListedInstance::id).toList()));
+        assertEquals(List.of(new WorkerInfo("w-1", "north", 4_000, 1_500, false)), workers.get(0));
+        List<CallResult> stopped = new ArrayList<>();
         platform.stop(begun.get(0).id(), stopped::add);
         platform.stop("i-none", stopped::add);
         platform.begin("milk", "w-1", "n-9", one -> stopped.add(one.result()));
         platform.begin("tea \"hot\"", "w-9", "n-9", one -> stopped.add(one.result()));
         pass(50);
-        assertEquals(List.of(Result.OK, Result.NO_SUCH, Result.BAD, Result.REFUSED), stopped);
+        assertEquals(List.of(CallResult.OK, CallResult.NO_SUCH, CallResult.BAD, CallResult.REFUSED), stopped);
     }
 
     @Test
     void aLaterFenceIsNoticed() {
-        List<Result> results = new ArrayList<>();
-        new Platform(near, door, new Platform.Name("core-2", 8), 10).stop("i-none", results::add);
+        List<CallResult> results = new ArrayList<>();
+        new PlatformClient(near, door, new PlatformClient.Name("core-2", 8), 10).stop("i-none", results::add);
         pass(20);
         platform.stop("i-none", results::add);
         pass(20);
-        assertEquals(List.of(Result.NO_SUCH, Result.FENCED), results);
+        assertEquals(List.of(CallResult.NO_SUCH, CallResult.FENCED), results);
     }
 
     @Test
@@ -127,19 +128,19 @@
 
     @Test
     void silenceIsUnknownAndKeptConnectionsThatBreakAreNoMatter() {
-        List<Result> results = new ArrayList<>();
+        List<CallResult> results = new ArrayList<>();
         platform.begin("tea \"hot\"", "w-1", "n-1", one -> results.add(one.result()));
         pass(20);
         simulation.network().mute(there);
         platform.begin("tea \"hot\"", "w-1", "n-2", one -> results.add(one.result()));
         pass(1_400);
-        assertEquals(List.of(Result.OK), results);
+        assertEquals(List.of(CallResult.OK), results);
         pass(200);
-        assertEquals(List.of(Result.OK, Result.UNKNOWN), results);
+        assertEquals(List.of(CallResult.OK, CallResult.UNKNOWN), results);
         simulation.network().unmute(there);
         platform.begin("tea \"hot\"", "w-1", "n-2", one -> results.add(one.result()));
         pass(50);
-        assertEquals(List.of(Result.OK, Result.UNKNOWN, Result.OK), results);
+        assertEquals(List.of(CallResult.OK, CallResult.UNKNOWN, CallResult.OK), results);
         simulation.network().vanish(there);
         simulation.network().comeBack(there);
         platform.begin("tea \"hot\"", "w-1", "n-3", one -> results.add(one.result()));
@@ -188,26 +189,26 @@
     void aSlowPlatformIsGivenMoreTime() {
         InetSocketAddress slow = new InetSocketAddress(there, 8242);
         serve(slow, 9, 1_700);
-        Platform other = new Platform(near, slow, new Platform.Name("core-1", 7), 10);
-        List<Result> results = new ArrayList<>();
+        PlatformClient other = new PlatformClient(near, slow, new PlatformClient.Name("core-1", 7), 10);
+        List<CallResult> results = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             other.stop("i-1", results::add);
             pass(2_000);
         }
-        assertEquals(List.of(Result.UNKNOWN, Result.OK), results);
+        assertEquals(List.of(CallResult.UNKNOWN, CallResult.OK), results);
     }
 
     @Test
     void aKeptConnectionThatClosesUnderACallIsNoMatter() {
         InetSocketAddress moody = new InetSocketAddress(there, 8241);
         serve(moody, 1, 0);
-        Platform other = new Platform(near, moody, new Platform.Name("core-1", 7), 10);
-        List<Result> results = new ArrayList<>();
+        PlatformClient other = new PlatformClient(near, moody, new PlatformClient.Name("core-1", 7), 10);
+        List<CallResult> results = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             other.stop("i-" + i, results::add);
             pass(50);
         }
-        assertEquals(List.of(Result.OK, Result.OK, Result.OK), results);
+        assertEquals(List.of(CallResult.OK, CallResult.OK, CallResult.OK), results);
     }
 
     @Test
@@ -220,12 +221,12 @@
         platform.workers(workers -> heard.add(workers == null));
         pass(1_200);
         assertEquals(3, heard.size(), heard.toString());
-        assertTrue(heard.containsAll(List.of(Result.UNKNOWN, false, true)), heard.toString());
+        assertTrue(heard.containsAll(List.of(CallResult.UNKNOWN, false, true)), heard.toString());
     }
 
     @Test
     void whatIsNoAnswerIsAFaultWithACode() {
-        Pages pages = new Pages();
+        PlatformJson pages = new PlatformJson();
         for (String body : List.of(
                 "",
                 "[]",
@@ -236,8 +237,8 @@
             try {
                 pages.hosts(body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
                 throw new AssertionError(body);
-            } catch (YardFault e) {
-                assertEquals("yard.platform-answer", e.code());
+            } catch (ProvisioningException e) {
+                assertEquals("provisioning.platform-answer", e.code());
             }
         }
         assertNull(pages.hosts("{\"instances\":[],\"next-token\":null,\"more\":{\"a\":[1]}}"
--- a/src/test/java/brambletray/tray/yard/YardSteps.java
+++ b/src/test/java/brambletray/platform/provisioning/ProvisioningSteps.java
@@ -1,10 +1,10 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.When;
 
 /** The sentences of the yard's features. */
-public final class YardSteps {
+public final class ProvisioningSteps {
     private Scene scene;
 
     @Given("a platform that accepts {int} starts and stops a second")
@@ -31,6 +31,6 @@
 
     @When("this is played")
     public void play(String drawn) {
-        new Play(scene).play(drawn);
+        new TimelinePlayer(scene).play(drawn);
     }
 }
--- a/src/test/java/brambletray/tray/yard/Scene.java
+++ b/src/test/java/brambletray/platform/provisioning/Scene.java
@@ -1,7 +1,7 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
-import brambletray.tray.stand.Ground;
-import brambletray.tray.stand.Kind;
+import brambletray.platform.platformstub.PlatformParameters;
+import brambletray.platform.platformstub.ServiceKind;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -16,10 +16,10 @@
     static final int LAG = 800;
     static final int PAGE = 15;
 
-    final Wires wires = new Wires();
-    final Cloud cloud;
+    final VirtualTime wires = new VirtualTime();
+    final FlakyPlatform cloud;
     final Map<String, Edge> edges = new LinkedHashMap<>();
-    final Map<String, Size> creed = new LinkedHashMap<>();
+    final Map<String, InstanceSize> configuration = new LinkedHashMap<>();
     private final Map<String, String> moved = new HashMap<>();
     private final Map<String, String> zones = new LinkedHashMap<>();
     private final double dutyRate;
@@ -29,7 +29,7 @@
     /** {@code dutyRate}: what the platform accepts; {@code thought}: what we were told it accepts. */
     Scene(double dutyRate, double thought) {
         this.dutyRate = thought;
-        this.cloud = new Cloud(wires, new Ground(LAG, 26, dutyRate, PAGE, 3_000, 2_000, 2_500), 7);
+        this.cloud = new FlakyPlatform(wires, new PlatformParameters(LAG, 26, dutyRate, PAGE, 3_000, 2_000, 2_500), 7);
     }
 
     void worker(String name, String zone, String region, int mb) {
@@ -38,8 +38,8 @@
     }
 
     void service(String name, int mb, int bootMs) {
-        creed.put(name, new Size(mb, bootMs));
-        cloud.stand.service(name, new Kind(mb, bootMs, 0));
+        configuration.put(name, new InstanceSize(mb, bootMs));
+        cloud.stand.service(name, new ServiceKind(mb, bootMs, 0));
     }
 
     Edge edge(String name) {
@@ -54,7 +54,7 @@
     /** The seat has another home. */
     void move(String service, String seat, String edge) {
         inherit(seat, edge);
-        edge(edge).say(new Claim(service, seat));
+        edge(edge).say(new HomeClaim(service, seat));
     }
 
     /** The seat has another home that doesn't know yet that it is wanted. */
@@ -64,7 +64,7 @@
     }
 
     void hubWins() {
-        hub = new Hub(this, new Terms(zones, LAG, 26, dutyRate), ++term, creed);
+        hub = new Hub(this, new PlatformTerms(zones, LAG, 26, dutyRate), ++term, configuration);
         Set<String> living = new TreeSet<>();
         edges.values().forEach(edge -> {
             if (!edge.dead) {
@@ -72,7 +72,7 @@
                 edge.hub();
             }
         });
-        hub.yard.expect(living);
+        hub.provisioner.expect(living);
     }
 
     void hubDies() {
@@ -84,18 +84,18 @@
         edge(name).dead = true;
         wires.in(200, () -> {
             if (hub != null) {
-                hub.yard.edgeGone(name, wires.now());
+                hub.provisioner.edgeGone(name, wires.now());
             }
         });
     }
 
     void add(String service) {
-        creed.put(service, new Size(400, 500));
-        hub.yard.creed(creed, wires.now());
+        configuration.put(service, new InstanceSize(400, 500));
+        hub.provisioner.configuration(configuration, wires.now());
     }
 
     void drop(String service) {
-        creed.remove(service);
-        hub.yard.creed(creed, wires.now());
+        configuration.remove(service);
+        hub.provisioner.configuration(configuration, wires.now());
     }
 }
--- a/src/test/java/brambletray/tray/yard/Timeline.java
+++ b/src/test/java/brambletray/platform/provisioning/Timeline.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/brambletray/tray/yard/Play.java
+++ b/src/test/java/brambletray/platform/provisioning/TimelinePlayer.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -14,11 +14,11 @@
  * Plays a drawn timeline. Columns: {@code hub}, {@code platform}, edges by name. Verbs are listed in the switches; a
  * check is made at the moment of its line.
  */
-final class Play {
+final class TimelinePlayer {
     private final Scene scene;
     private String service = "tea";
 
-    Play(Scene scene) {
+    TimelinePlayer(Scene scene) {
         this.scene = scene;
     }
 
@@ -55,7 +55,7 @@
             case "X" -> scene.hubDies();
             case "drops" -> scene.drop(words.get(1));
             case "adds" -> scene.add(words.get(1));
-            case "knows" -> assertEquals(Integer.parseInt(words.get(1)), scene.hub.yard.known(), line);
+            case "knows" -> assertEquals(Integer.parseInt(words.get(1)), scene.hub.provisioner.known(), line);
             default -> throw new IllegalArgumentException(line);
         }
     }
@@ -63,9 +63,9 @@
     private void platform(List<String> words, String line) {
         long now = scene.wires.now();
         switch (words.get(0)) {
-            case "~mute" -> scene.cloud.mood = Cloud.Mood.MUTE;
-            case "~away" -> scene.cloud.mood = Cloud.Mood.AWAY;
-            case "back" -> scene.cloud.mood = Cloud.Mood.ANSWERS;
+            case "~mute" -> scene.cloud.mood = FlakyPlatform.Mood.MUTE;
+            case "~away" -> scene.cloud.mood = FlakyPlatform.Mood.AWAY;
+            case "back" -> scene.cloud.mood = FlakyPlatform.Mood.ANSWERS;
             case "drains" -> scene.cloud.stand.drain(words.get(1), now);
             case "crashes" -> scene.cloud.stand.crash(words.get(1), Long.parseLong(words.get(2)), now);
             case "fills" -> fill(words.get(1), words.get(2), now);
@@ -73,7 +73,8 @@
             case "ebbs" -> scene.cloud.stand.drainHost(find(words.get(1)).id(), now);
             case "slows" ->
                 scene.cloud.stand.service(
-                        words.get(1), new brambletray.tray.stand.Kind(100, Integer.parseInt(words.get(2)), 0));
+                        words.get(1),
+                        new brambletray.platform.platformstub.ServiceKind(100, Integer.parseInt(words.get(2)), 0));
             case "ends" -> scene.cloud.stand.crashHost(find(words.get(1)).id(), now);
             case "forgets" -> scene.cloud.stand.service(words.get(1), null);
             case "runs" ->
@@ -102,9 +103,10 @@
                 .findFirst()
                 .orElseThrow()
                 .freeMb();
-        scene.cloud.stand.service("other", new brambletray.tray.stand.Kind(free - Integer.parseInt(left), 100_000, 0));
+        scene.cloud.stand.service(
+                "other", new brambletray.platform.platformstub.ServiceKind(free - Integer.parseInt(left), 100_000, 0));
         assertEquals(
-                Result.OK,
+                CallResult.OK,
                 scene.cloud
                         .stand
                         .begin("other", worker, "fills " + worker, 1, now)
@@ -114,11 +116,11 @@
     private void edge(Edge edge, List<String> words, String line) {
         List<String> rest = words.subList(1, words.size());
         switch (words.get(0)) {
-            case "needs" -> rest.forEach(nonce -> edge.need(new Need(service, edge.name, nonce, 0)));
-            case "urges" -> rest.forEach(nonce -> edge.need(new Need(service, edge.name, nonce, 5)));
+            case "needs" -> rest.forEach(nonce -> edge.need(new StartRequest(service, edge.name, nonce, 0)));
+            case "urges" -> rest.forEach(nonce -> edge.need(new StartRequest(service, edge.name, nonce, 5)));
             case "many" -> {
                 for (int i = 0; i < Integer.parseInt(words.get(2)); i++) {
-                    edge.need(new Need(service, edge.name, words.get(1) + i, 0));
+                    edge.need(new StartRequest(service, edge.name, words.get(1) + i, 0));
                 }
             }
             case "of" -> service = words.get(1);
@@ -165,10 +167,10 @@
         return nonces;
     }
 
-    private final java.util.Map<String, Host> met = new java.util.HashMap<>();
+    private final java.util.Map<String, InstanceInfo> met = new java.util.HashMap<>();
 
     /** A host by its nonce, whoever has it or had it when it was last asked for. */
-    private Host find(String nonce) {
+    private InstanceInfo find(String nonce) {
         for (Edge edge : scene.edges.values()) {
             if (edge.host(nonce) != null) {
                 met.put(nonce, edge.host(nonce));
--- a/src/test/java/brambletray/tray/yard/Wires.java
+++ b/src/test/java/brambletray/platform/provisioning/VirtualTime.java
@@ -1,9 +1,9 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import java.util.PriorityQueue;
 
 /** Virtual time: what is to happen, in order of its ms and then of its coming. */
-final class Wires {
+final class VirtualTime {
     private record Due(long at, long number, Runnable what) {}
 
     private final PriorityQueue<Due> dues =
--- a/src/test/java/brambletray/tray/yard/YardChaosTest.java
+++ b/src/test/java/brambletray/platform/provisioning/YardChaosTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,8 +16,8 @@
  * nothing runs in vain.
  */
 class YardChaosTest {
-    private static final int SEEDS = Integer.getInteger("yard.seeds", 25);
-    private static final long FIRST = Long.getLong("yard.first", 1);
+    private static final int SEEDS = Integer.getInteger("provisioning.seeds", 25);
+    private static final long FIRST = Long.getLong("provisioning.first", 1);
     private static final List<String> ZONES = List.of("north", "south", "far");
 
     @Test
@@ -44,9 +44,9 @@
             Edge edge = scene.edge(ZONES.get(random.nextInt(3)));
             switch (random.nextInt(40)) {
                 case 0, 1 -> turnHub(scene);
-                case 2 -> scene.cloud.mood = Cloud.Mood.MUTE;
-                case 3 -> scene.cloud.mood = Cloud.Mood.AWAY;
-                case 4, 5, 6 -> scene.cloud.mood = Cloud.Mood.ANSWERS;
+                case 2 -> scene.cloud.mood = FlakyPlatform.Mood.MUTE;
+                case 3 -> scene.cloud.mood = FlakyPlatform.Mood.AWAY;
+                case 4, 5, 6 -> scene.cloud.mood = FlakyPlatform.Mood.ANSWERS;
                 case 7 ->
                     scene.cloud.stand.crash("w-" + random.nextInt(6), 2_000 + random.nextInt(5_000), scene.wires.now());
                 case 8 -> crashOne(scene, random);
@@ -63,7 +63,7 @@
                 case 14 -> edge.asleep = true;
                 case 15, 16 -> edge.wake();
                 case 17, 18, 19, 20, 21, 22, 23, 24 ->
-                    edge.need(new Need(random.nextBoolean() ? "tea" : "cup", edge.name, "n-" + nonces++, 0));
+                    edge.need(new StartRequest(random.nextBoolean() ? "tea" : "cup", edge.name, "n-" + nonces++, 0));
                 default -> {}
             }
             scene.edges
@@ -74,7 +74,7 @@
     }
 
     private static void calm(Scene scene, long seed) {
-        scene.cloud.mood = Cloud.Mood.ANSWERS;
+        scene.cloud.mood = FlakyPlatform.Mood.ANSWERS;
         scene.edges.values().forEach(Edge::wake);
         if (scene.hub == null) {
             scene.hubWins();
@@ -89,7 +89,7 @@
         running.addAll(scene.cloud.stand.there("cup", scene.wires.now()));
         assertEquals(new TreeSet<>(running), new TreeSet<>(known), "seed " + seed);
         assertEquals(known.size(), new TreeSet<>(known).size(), "seed " + seed + ": known twice");
-        assertEquals(known.size(), scene.hub.yard.known(), "seed " + seed);
+        assertEquals(known.size(), scene.hub.provisioner.known(), "seed " + seed);
     }
 
     private static void turnHub(Scene scene) {
--- a/src/test/java/brambletray/tray/yard/YardFeaturesTest.java
+++ b/src/test/java/brambletray/platform/provisioning/YardFeaturesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.yard;
+package brambletray.platform.provisioning;
 
 import org.junit.platform.suite.api.ConfigurationParameter;
 import org.junit.platform.suite.api.IncludeEngines;
@@ -8,7 +8,7 @@
 /** Plays the drawn timelines of the yard. */
 @Suite
 @IncludeEngines("cucumber")
-@SelectPackages("brambletray.tray.yard")
-@ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.yard")
+@SelectPackages("brambletray.platform.provisioning")
+@ConfigurationParameter(key = "cucumber.glue", value = "brambletray.platform.provisioning")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
 public class YardFeaturesTest {}
--- a/src/test/java/brambletray/tray/flow/Actor.java
+++ b/src/test/java/brambletray/platform/proxy/Actor.java
@@ -1,9 +1,9 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import java.util.ArrayList;
 import java.util.List;
 
-/** One column of a {@link Sheet}: does what is drawn, and notes what it sees. */
+/** One column of a {@link Timeline}: does what is drawn, and notes what it sees. */
 abstract class Actor {
     private final List<String> seen = new ArrayList<>();
 
--- a/src/test/java/brambletray/tray/flow/ConfigurationChangeTest.java
+++ b/src/test/java/brambletray/platform/proxy/ConfigurationChangeTest.java
@@ -1,26 +1,26 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import brambletray.tray.creed.Limits;
+import brambletray.platform.configuration.ClientLimits;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** A request that an edge has begun to read gets a whole answer, whatever configuration comes meanwhile. */
 class ConfigurationChangeTest {
-    private static final Limits USUAL = new Limits(2_048, 10_000, 3_000, 15_000);
-    private static final Limits LOWER = new Limits(1_024, 4, 1_000, 2_000);
+    private static final ClientLimits USUAL = new ClientLimits(2_048, 10_000, 3_000, 15_000);
+    private static final ClientLimits LOWER = new ClientLimits(1_024, 4, 1_000, 2_000);
 
-    private final Street street = new Street();
-    private Caller client;
-    private Server host;
+    private final SimulatedProxy street = new SimulatedProxy();
+    private ScriptedClient client;
+    private ScriptedHost host;
 
     @BeforeEach
     void open() {
         street.route("r", "non_idempotent", 1, USUAL);
-        client = (Caller) street.actor("client");
-        host = (Server) street.actor("a");
+        client = (ScriptedClient) street.actor("client");
+        host = (ScriptedHost) street.actor("a");
     }
 
     private void does(Actor actor, long ms, String what) {
--- a/src/test/java/brambletray/tray/flow/WalkClient.java
+++ b/src/test/java/brambletray/platform/proxy/CourseClient.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
@@ -16,18 +16,19 @@
 import java.util.SplittableRandom;
 
 /**
- * A client of a {@link Course}: keeps a connection, sends ahead at times, hangs up at times, and reads what comes to
+ * A client of a {@link RandomCourse}: keeps a connection, sends ahead at times, hangs up at times, and reads what comes
+ * to
  * the letter.
  */
-final class WalkClient {
+final class CourseClient {
     private final Machine machine;
     private final InetSocketAddress front;
-    private final Ruling ruling;
+    private final CourseJudge ruling;
     private final SplittableRandom random;
     private final List<Channel> asleep = new ArrayList<>();
     private Connection connection;
 
-    WalkClient(Machine machine, InetSocketAddress front, Ruling ruling, SplittableRandom random) {
+    CourseClient(Machine machine, InetSocketAddress front, CourseJudge ruling, SplittableRandom random) {
         this.machine = machine;
         this.front = front;
         this.ruling = ruling;
@@ -36,7 +37,7 @@
 
     /** One connection, with the tries that wait on it, oldest first. */
     private final class Connection extends ChannelInboundHandlerAdapter {
-        final ArrayDeque<Ruling.Try> waiting = new ArrayDeque<>();
+        final ArrayDeque<CourseJudge.Try> waiting = new ArrayDeque<>();
         final StringBuilder in = new StringBuilder();
         /** So many bytes must be here before the next answer can be whole. */
         int least;
@@ -89,10 +90,10 @@
                 in.delete(0, end + 4);
                 return true;
             }
-            Ruling.Try of = waiting.peek();
+            CourseJudge.Try of = waiting.peek();
             boolean bare = status == 204 || status == 304 || of != null && of.method.equals("HEAD");
-            String length = Server.header(head, "content-length");
-            boolean chunked = Server.header(head, "transfer-encoding").equals("chunked");
+            String length = ScriptedHost.header(head, "content-length");
+            boolean chunked = ScriptedHost.header(head, "transfer-encoding").equals("chunked");
             if (!bare && length.isEmpty() == !chunked) {
                 ruling.breaks("MIXED", "no telling where it ends: " + head);
             }
@@ -107,12 +108,12 @@
             }
             in.delete(0, to);
             waiting.poll();
-            over |= Server.header(head, "connection").equals("close");
+            over |= ScriptedHost.header(head, "connection").equals("close");
             ruling.answer(
                     of,
                     status,
-                    Server.header(head, "brambletray-attempt-id"),
-                    !Server.header(head, "brambletray-response-seal").isEmpty(),
+                    ScriptedHost.header(head, "brambletray-attempt-id"),
+                    !ScriptedHost.header(head, "brambletray-response-seal").isEmpty(),
                     bare ? "" : body[0]);
             return true;
         }
@@ -155,7 +156,7 @@
     }
 
     /** Sends it, on the connection at hand or on a new one; {@code ahead}: also while others wait there. */
-    void send(Ruling.Try one, String headers, boolean ahead) {
+    void send(CourseJudge.Try one, String headers, boolean ahead) {
         boolean close = random.nextInt(12) == 0;
         String head = one.method + " " + one.uri + " HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: " + one.id
                 + "\r\n" + headers + (close ? "Connection: close\r\n" : "");
--- a/src/test/java/brambletray/tray/flow/Ruling.java
+++ b/src/test/java/brambletray/platform/proxy/CourseJudge.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /** Judges a course by what its clients and hosts saw, as RULES does: nothing of the relay's own state is asked. */
-final class Ruling {
+final class CourseJudge {
     /** One try of a client. {@code sent}: what a host must be handed: method, path and body. */
     static final class Try {
         final String id;
--- a/src/test/java/brambletray/tray/flow/ExchangeWalkTest.java
+++ b/src/test/java/brambletray/platform/proxy/ExchangeCoursesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,11 +13,13 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE, REFUSED, BUDGET, and that no
- * connection carries a request while anything is owed on it). {@code -Dbrambletray.courses=N} plays more, {@code -Dbrambletray.seed=N}
+ * Random exchanges through the production classes, judged by what clients and hosts saw (rules MIXED, UNASKED, TWICE,
+ * REFUSED, BUDGET, and that no
+ * connection carries a request while anything is owed on it). {@code -Dbrambletray.courses=N} plays more, {@code
+ * -Dbrambletray.seed=N}
  * begins elsewhere.
  */
-class ExchangeWalkTest {
+class ExchangeCoursesTest {
     private static final int COURSES = Integer.getInteger("brambletray.courses", 2_000);
     private static final int STEPS = 40;
     private static final int PARTS = 4;
@@ -28,7 +30,7 @@
         // A course is one thread's from its making to its end.
         List<String> broken = IntStream.range(0, PARTS)
                 .parallel()
-                .mapToObj(i -> Course.hunt(".*", SEED + (long) i * COURSES / PARTS, COURSES / PARTS, STEPS))
+                .mapToObj(i -> RandomCourse.hunt(".*", SEED + (long) i * COURSES / PARTS, COURSES / PARTS, STEPS))
                 .filter(Objects::nonNull)
                 .toList();
         assertEquals(List.of(), broken);
@@ -52,21 +54,21 @@
     /** Guards against a test that proves nothing: all that is to be judged does happen. */
     @Test
     void theCoursesBringAboutWhatTheyAreFor() {
-        Tally all = new Tally();
+        RequestCounters all = new RequestCounters();
         int tries = 0;
         int successes = 0;
         int promises = 0;
         int sealedFailures = 0;
         int ranAgain = 0;
         for (long seed = 1; seed <= 150; seed++) {
-            Course course = new Course(seed, STEPS);
+            RandomCourse course = new RandomCourse(seed, STEPS);
             assertEquals(List.of(), course.play(), "seed " + seed);
             tries += course.ruling().tries();
             successes += course.ruling().successes;
             promises += course.ruling().promises;
             sealedFailures += course.ruling().sealedFailures;
             ranAgain += course.ruling().ranAgain;
-            Tally of = course.tally();
+            RequestCounters of = course.counters();
             all.surplus += of.surplus;
             all.streamed += of.streamed;
             all.copiesWon += of.copiesWon;
--- a/src/test/java/brambletray/tray/flow/GracefulShutdownTest.java
+++ b/src/test/java/brambletray/platform/proxy/GracefulShutdownTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,22 +7,25 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** From SIGTERM on: each request that was read whole gets a whole answer, and the process ends by itself with 0 within its grace time. */
+/**
+ * From SIGTERM on: each request that was read whole gets a whole answer, and the process ends by itself with 0 within
+ * its grace time.
+ */
 class GracefulShutdownTest {
     private static final long GRACE_MS = 6_000;
     private static final String POST = "POST /r/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n";
 
-    private final Street street = new Street();
+    private final SimulatedProxy street = new SimulatedProxy();
     private final List<String> exits = new ArrayList<>();
     private GracefulShutdown shutdown;
-    private Caller client;
-    private Server host;
+    private ScriptedClient client;
+    private ScriptedHost host;
 
     @BeforeEach
     void open() {
         street.route("non_idempotent", 1);
-        client = (Caller) street.actor("client");
-        host = (Server) street.actor("a");
+        client = (ScriptedClient) street.actor("client");
+        host = (ScriptedHost) street.actor("a");
         shutdown = street.shutdown(code -> exits.add(code + " at " + street.simulation.now() / 1_000_000));
         shutdown.begin(GRACE_MS);
     }
--- a/src/test/java/brambletray/tray/flow/Mutant.java
+++ b/src/test/java/brambletray/platform/proxy/Mutant.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -162,10 +162,10 @@
         found.invoke(on);
     }
 
-    /** What {@link Course#hunt} finds in it, or null. */
+    /** What {@link RandomCourse#hunt} finds in it, or null. */
     String hunt(String rules, long from, int courses, int steps) {
         try {
-            Method hunt = loadClass(Course.class.getName())
+            Method hunt = loadClass(RandomCourse.class.getName())
                     .getDeclaredMethod("hunt", String.class, long.class, int.class, int.class);
             hunt.setAccessible(true);
             return (String) hunt.invoke(null, rules, from, courses, steps);
--- a/src/test/java/brambletray/tray/flow/PipelinedRequestTest.java
+++ b/src/test/java/brambletray/platform/proxy/PipelinedRequestTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -8,15 +8,15 @@
 
 /** A request that a client sends while the one before it is at work. Routes of 4 s. */
 class PipelinedRequestTest {
-    private final Street street = new Street();
-    private Caller client;
-    private Server host;
+    private final SimulatedProxy street = new SimulatedProxy();
+    private ScriptedClient client;
+    private ScriptedHost host;
 
     @BeforeEach
     void open() {
         street.route("non_idempotent", 1);
-        client = (Caller) street.actor("client");
-        host = (Server) street.actor("a");
+        client = (ScriptedClient) street.actor("client");
+        host = (ScriptedHost) street.actor("a");
         street.places.act("grants a".split(" "));
         client.act("asks-twice r1 r2".split(" "));
         street.settle();
--- a/src/test/java/brambletray/tray/flow/PlantedFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedFaultsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/** Each fault that {@link ExchangeWalkTest} is there to find, planted, and found by the rule that it breaks. */
+/** Each fault that {@link ExchangeCoursesTest} is there to find, planted, and found by the rule that it breaks. */
 class PlantedFaultsTest {
     private static final int COURSES = Integer.getInteger("brambletray.planted", 4_000);
     private static final int STEPS = 40;
@@ -35,7 +35,7 @@
                 fault(
                         "a line on which a surplus answer came is used again",
                         "OWED",
-                        "Reading",
+                        "ResponseReader",
                         "            lasting = false;\n",
                         ""),
                 fault(
@@ -47,37 +47,37 @@
                 fault(
                         "the id is not looked at",
                         "MIXED",
-                        "Verdict",
+                        "ResponseVerdict",
                         "if (!id.contentEquals(ids.next())) {",
                         "if (ids.next().length() == 0) {"),
                 fault(
                         "the id is not looked at where the answer comes in chunks",
                         "MIXED",
-                        "Reading",
-                        "Verdict.of(errand.id(), status",
-                        "Verdict.of(framing.length() >= 0 ? errand.id() : String.valueOf(head.headers().get(Parcel.ID)), status"),
+                        "ResponseReader",
+                        "ResponseVerdict.of(hostCall.id(), status",
+                        "ResponseVerdict.of(framing.length() >= 0 ? hostCall.id() : String.valueOf(head.headers().get(ClientRequest.ID)), status"),
                 fault(
                         "an answer without an id is one",
                         "MIXED",
-                        "Verdict",
+                        "ResponseVerdict",
                         "        if (nameless) {\n            return JUNK;",
                         "        if (nameless && status >= 300) {\n            return JUNK;"),
                 fault(
                         "a success without a seal",
                         "MIXED",
-                        "Verdict",
-                        "headers.contains(Parcel.SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)",
+                        "ResponseVerdict",
+                        "headers.contains(ClientRequest.SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)",
                         "true"),
                 fault(
                         "a refusal without a name proves that the next request did not run",
                         "TWICE|REFUSED",
-                        "Reading",
-                        "if (verdict.nameless() && reused && errand.careful()) {",
+                        "ResponseReader",
+                        "if (verdict.nameless() && reused && hostCall.careful()) {",
                         "if (false) {"),
                 fault(
                         "a request sent again on a line that may still bear its first refusal",
                         "TWICE|REFUSED",
-                        "Carriage",
+                        "RequestDriver",
                         "            if (stops.get(i).wasOn(line)) {",
                         "            if (false) {"),
                 fault(
@@ -96,145 +96,145 @@
                         "sent again after a reset of a kept line that had answered nothing yet",
                         "TWICE|REFUSED",
                         "HostConnection",
-                        "        Reading ended = reading;\n        cancel();\n        if (ended != null) {",
-                        "        Reading ended = reading;\n        cancel();\n        if (ended != null && !fresh && ended.verdict() == null) {\n"
-                                + "            lines.stale(ended.errand());\n        } else if (ended != null) {"),
+                        "        ResponseReader ended = reading;\n        cancel();\n        if (ended != null) {",
+                        "        ResponseReader ended = reading;\n        cancel();\n        if (ended != null && !fresh && ended.verdict() == null) {\n"
+                                + "            lines.stale(ended.hostCall());\n        } else if (ended != null) {"),
                 fault(
                         "a refused request is written when its connection comes up late",
                         "TWICE|REFUSED",
-                        "Lines",
-                        "            pool.waiting.remove(errand);\n",
+                        "HostConnectionPools",
+                        "            pool.waiting.remove(hostCall);\n",
                         "",
-                        "Lines",
-                        "        if (!errand.wanted()) {\n            return;\n        }\n",
+                        "HostConnectionPools",
+                        "        if (!hostCall.wanted()) {\n            return;\n        }\n",
                         "",
-                        "Lines",
-                        "line.pool.waiting.remove(errand) && errand.wanted()",
-                        "line.pool.waiting.remove(errand)"),
+                        "HostConnectionPools",
+                        "line.pool.waiting.remove(hostCall) && hostCall.wanted()",
+                        "line.pool.waiting.remove(hostCall)"),
                 fault(
                         "out of time at a host: told that it did not run",
                         "REFUSED",
-                        "Trip",
-                        "        unproven |= legs.leave(now);",
-                        "        legs.leave(now);"),
+                        "RequestLifecycle",
+                        "        unproven |= attempts.leave(now);",
+                        "        attempts.leave(now);"),
                 fault(
                         "a broken answer proves that it did not run",
                         "TWICE|REFUSED",
-                        "Trip",
-                        "unproven |= fate == Fate.FAILED || fate == Fate.BROKEN;",
-                        "unproven |= fate == Fate.FAILED;"),
+                        "RequestLifecycle",
+                        "unproven |= fate == AttemptOutcome.FAILED || fate == AttemptOutcome.BROKEN;",
+                        "unproven |= fate == AttemptOutcome.FAILED;"),
                 fault(
                         "a host's promise without proof is passed on",
                         "REFUSED",
-                        "Verdict",
+                        "ResponseVerdict",
                         "            return PROMISED;",
                         "            return FAILED;"),
                 fault(
                         "a promise is given on as it comes",
                         "REFUSED",
-                        "Reading",
+                        "ResponseReader",
                         "        dropping = withheld || verdict",
                         "        dropping = verdict",
-                        "Reading",
-                        "flowing = verdict.fate() == Fate.SERVED && errand.flow(answer);",
-                        "flowing = errand.flow(answer);"),
+                        "ResponseReader",
+                        "flowing = verdict.fate() == AttemptOutcome.SERVED && hostCall.flow(answer);",
+                        "flowing = hostCall.flow(answer);"),
                 fault(
                         "an answer that ended early is ended as if whole",
                         "MIXED",
-                        "Trip",
+                        "RequestLifecycle",
                         "            hands.cut();",
                         "            hands.flowed();"),
                 fault(
                         "what is cut off is closed in order, with its last chunk",
                         "MIXED",
-                        "Client",
+                        "ClientConnection",
                         "    void cut() {\n",
                         "    void cut() {\n        pen.flowed();\n"),
                 fault(
                         "an answer that ends with its connection is whole",
                         "MIXED",
-                        "Framing",
-                        "return length < 0 && !bare ? NONE : new Framing(length);",
-                        "return new Framing(length);"),
+                        "BodyFraming",
+                        "return length < 0 && !bare ? NONE : new BodyFraming(length);",
+                        "return new BodyFraming(length);"),
                 fault(
                         "chunks behind another coding",
                         "MIXED",
-                        "Framing",
+                        "BodyFraming",
                         "equalsIgnoreCase(\"chunked\") && !codings.hasNext()",
                         "toLowerCase().endsWith(\"chunked\")"),
                 fault(
                         "a grant that comes twice is used twice",
                         "TWICE|BUDGET|REFUSED|PLACE|FAULT",
-                        "Trip",
+                        "RequestLifecycle",
                         "if (grant.askId() != asking) {",
                         "if (grant.askId() != asking && settled) {"),
                 fault(
                         "what a client sends ahead is served at once",
                         "MIXED|FAULT",
-                        "Client",
+                        "ClientConnection",
                         "} else if (state == State.BUSY || !ahead.isEmpty()) {",
                         "} else if (!ahead.isEmpty()) {"),
                 fault(
                         "a host's failure with another status and its seal",
                         "MIXED",
-                        "Reading",
-                        "new Answer(status, head",
-                        "new Answer(status == 504 ? 502 : status, head"),
+                        "ResponseReader",
+                        "                status, head.status()",
+                        "                status == 504 ? 502 : status, head.status()"),
                 fault(
                         "a failure of the edge's own that bears a seal",
                         "MIXED",
-                        "Heads",
+                        "HeaderWriter",
                         "        if (comeBackMs >= 0) {",
                         "        header(out, \"Brambletray-Response-Seal\", \"s\");\n        if (comeBackMs >= 0) {"),
                 fault(
                         "a status that is none",
                         "MIXED",
-                        "Verdict",
+                        "ResponseVerdict",
                         "        if (status > STATUS_MOST) {",
                         "        if (status < 0) {"),
                 fault(
                         "the hosts of copies are not counted",
                         "BUDGET",
-                        "Trip",
+                        "RequestLifecycle",
                         "        sentHosts++;",
-                        "        sentHosts += leg.copy ? 0 : 1;"),
+                        "        sentHosts += attempt.copy ? 0 : 1;"),
                 fault(
                         "a copy beyond the last host allowed",
                         "BUDGET",
-                        "Trip",
+                        "RequestLifecycle",
                         "return !settled && plan.repeatable() && sentHosts < plan.mostHosts() && sentHosts > 0;",
                         "return !settled && plan.repeatable() && sentHosts > 0;"),
                 fault(
                         "a try after a failure beyond the last host allowed",
                         "BUDGET",
-                        "Trip",
+                        "RequestLifecycle",
                         "                && sentHosts < plan.mostHosts()\n                && (plan",
                         "                && (plan"),
                 fault(
                         "a retry-count of 0 is no bound",
                         "BUDGET",
-                        "Flow",
+                        "RequestRouter",
                         "Math.max(1, route.retryCount())",
                         "route.retryCount() == 0 ? 9 : route.retryCount()"),
                 fault(
                         "a second answer for a client that has one",
                         "MIXED|FAULT",
-                        "Carriage",
-                        "        Client to = client;\n        client = null;\n",
-                        "        Client to = client;\n",
-                        "Trip",
-                        "            if (!settled) {\n                settle(leg, now);",
-                        "            if (true) {\n                settle(leg, now);"));
+                        "RequestDriver",
+                        "        ClientConnection to = client;\n        client = null;\n",
+                        "        ClientConnection to = client;\n",
+                        "RequestLifecycle",
+                        "            if (!settled) {\n                settle(attempt, now);",
+                        "            if (true) {\n                settle(attempt, now);"));
     }
 
     @BeforeAll
     static void hush() {
-        ExchangeWalkTest.hush();
+        ExchangeCoursesTest.hush();
     }
 
     @AfterAll
     static void unhush() {
-        ExchangeWalkTest.unhush();
+        ExchangeCoursesTest.unhush();
     }
 
     @ParameterizedTest(name = "{0}")
--- a/src/test/java/brambletray/tray/flow/PlantedTimelineFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedTimelineFaultsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -20,28 +20,28 @@
                         "an answer that closes its connection is cut after a second",
                         SlowReaderTest.class,
                         "theAnswerThatClosesAConnectionOfADrainingEdgeIsTakenToItsEnd",
-                        "Client",
+                        "ClientConnection",
                         "pen.isWriting() ? WRITING_MOST_MS : LINGER_MS",
                         "LINGER_MS"),
                 fault(
                         "an answer on its way counts as a rest",
                         SlowReaderTest.class,
                         "anEdgeThatStopsAcceptingDoesNotCutAnAnswerOnItsWay",
-                        "Client",
+                        "ClientConnection",
                         "ahead.isEmpty() && !pen.isWriting();",
                         "ahead.isEmpty();"),
                 fault(
                         "the idle time begins when the answer is written",
                         SlowReaderTest.class,
                         "theIdleTimeBeginsWhenTheAnswerIsTaken",
-                        "Client",
+                        "ClientConnection",
                         "        pen.whenWritten(this::written);\n",
                         ""),
                 fault(
                         "a client that never reads is kept",
                         SlowReaderTest.class,
                         "aClientThatNeverReadsIsGivenUp",
-                        "Client",
+                        "ClientConnection",
                         "WRITING_MOST_MS = 15_000;",
                         "WRITING_MOST_MS = 150_000;"),
                 fault(
@@ -62,8 +62,8 @@
                         "a stream is cut when the rest is answered",
                         GracefulShutdownTest.class,
                         "aStreamThatIsStillComingShortlyBeforeTheEndIsNotCutForThat",
-                        "Client",
-                        "            carriage.giveUp();",
+                        "ClientConnection",
+                        "            driver.giveUp();",
                         "            cut();"),
                 fault(
                         "the process ends while a request is being read",
@@ -76,7 +76,7 @@
                         "what is read at the last moment is served",
                         GracefulShutdownTest.class,
                         "aRequestThatIsReadWholeAtTheLastMomentIsRefusedAtOnce",
-                        "Front",
+                        "FrontEndServer",
                         "        flow.refuseNew();\n",
                         ""),
                 fault(
@@ -90,108 +90,108 @@
                         "what was read ahead is dropped by an edge that leaves",
                         PipelinedRequestTest.class,
                         "anEdgeThatLeavesServesItBeforeItClosesTheConnection",
-                        "Client",
+                        "ClientConnection",
                         "front.draining() && ahead.isEmpty();",
                         "front.draining();"),
                 fault(
                         "the time of what was read ahead begins with its turn",
                         PipelinedRequestTest.class,
                         "itsTimeBeginsWhenItIsRead",
-                        "Client",
+                        "ClientConnection",
                         "take(next.part(), next.at());",
                         "take(next.part(), front.now());"),
                 fault(
                         "no timer while a place is waited for",
                         RouteTimeoutTest.class,
                         "noPlaceIsEverGranted",
-                        "Trip",
+                        "RequestLifecycle",
                         "        return copyAt != 0 && asking == 0 ? Math.min(copyAt, lastCall) : lastCall;",
-                        "        return copyAt != 0 && asking == 0 ? Math.min(copyAt, lastCall) : legs.live() > 0 ? lastCall : plan.end() + 300;"),
+                        "        return copyAt != 0 && asking == 0 ? Math.min(copyAt, lastCall) : attempts.live() > 0 ? lastCall : plan.end() + 300;"),
                 fault(
                         "an answer that has begun at the host holds its client past the timeout",
                         RouteTimeoutTest.class,
                         "theHostsAnswerIsNotWholeYet",
-                        "Trip",
+                        "RequestLifecycle",
                         "        this.lastCall = plan.end() - Math",
                         "        this.lastCall = plan.end() + 300 - Math"),
                 fault(
                         "a stream is waited for past the timeout",
                         RouteTimeoutTest.class,
                         "aStreamedAnswerStops",
-                        "Trip",
+                        "RequestLifecycle",
                         "LINGER = 150;",
                         "LINGER = 400;"),
                 fault(
                         "a stream that its client does not read is waited for past the timeout",
                         RouteTimeoutTest.class,
                         "theClientDoesNotReadAStreamedAnswer",
-                        "Trip",
+                        "RequestLifecycle",
                         "LINGER = 150;",
                         "LINGER = 400;"),
                 fault(
                         "a body that stops has no time of its own",
                         RouteTimeoutTest.class,
                         "theClientsBodyStops",
-                        "Client",
+                        "ClientConnection",
                         "    public void channelReadComplete(ChannelHandlerContext context) {\n        watchBody();",
                         "    public void channelReadComplete(ChannelHandlerContext context) {"),
                 fault(
                         "a body that stops behind another request has no time of its own",
                         RouteTimeoutTest.class,
                         "theClientsBodyStopsBehindAnotherRequest",
-                        "Client",
+                        "ClientConnection",
                         "            channel.config().setAutoRead(true);\n        }\n        watchBody();",
                         "            channel.config().setAutoRead(true);\n        }"),
                 fault(
                         "a timer of the body that outlives it",
                         RouteTimeoutTest.class,
                         "aBodyThatIsWholeInTimeIsNotAnsweredForItsSlowness",
-                        "Client",
+                        "ClientConnection",
                         "        stopWatchingBody();\n",
                         "",
-                        "Client",
+                        "ClientConnection",
                         "late(state == State.BODY);",
                         "late(true);",
-                        "Client",
+                        "ClientConnection",
                         "if (state != State.LAST && state != State.BUSY) {",
                         "if (state != State.LAST) {"),
                 fault(
                         "lowered limits end a request that is being read",
                         ConfigurationChangeTest.class,
                         "limitsAreLoweredWhileABodyIsRead",
-                        "Client",
+                        "ClientConnection",
                         "        Rejection turn = draft.body(content);",
                         "        Rejection turn = front.flow().limits().bodyBytes() < 5 ? Rejection.TOO_LARGE : draft.body(content);"),
                 fault(
                         "a rest allowed by the limits before is cut short",
                         ConfigurationChangeTest.class,
                         "aConnectionThatRestedUnderTheOldLimitsIsStillTaken",
-                        "Client",
+                        "ClientConnection",
                         "        return Math.max(limits.idleMs(), front.flow().limits().idleMs());",
                         "        return front.flow().limits().idleMs();"),
                 fault(
                         "limits of when the connection was opened",
                         ConfigurationChangeTest.class,
                         "raisedLimitsHoldOnConnectionsThatAreOpenAlready",
-                        "Client",
+                        "ClientConnection",
                         "            limits = front.flow().limits();\n",
                         ""),
                 fault(
                         "a withdrawn route ends what waits",
                         ConfigurationChangeTest.class,
                         "theRouteIsWithdrawnWhileARequestWaits",
-                        "Carriage",
-                        "                trip.granted(grant, flow.now());",
-                        "                if (flow.end(parcel.headers(), parcel.uri(), 0) == Long.MAX_VALUE) {\n"
+                        "RequestDriver",
+                        "                lifecycle.granted(grant, flow.now());",
+                        "                if (flow.end(clientRequest.headers(), clientRequest.uri(), 0) == Long.MAX_VALUE) {\n"
                                 + "                    client.cut();\n                }\n"
-                                + "                trip.granted(grant, flow.now());"),
+                                + "                lifecycle.granted(grant, flow.now());"),
                 fault(
                         "a withdrawn route ends what is streamed",
                         ConfigurationChangeTest.class,
                         "theRouteIsWithdrawnWhileAnAnswerIsStreamed",
-                        "Carriage",
+                        "RequestDriver",
                         "        return client.more(bytes);",
-                        "        if (flow.end(parcel.headers(), parcel.uri(), 0) == Long.MAX_VALUE) {\n"
+                        "        if (flow.end(clientRequest.headers(), clientRequest.uri(), 0) == Long.MAX_VALUE) {\n"
                                 + "            client.cut();\n        }\n"
                                 + "        return client.more(bytes);"));
     }
--- a/src/test/java/brambletray/tray/flow/FlowSteps.java
+++ b/src/test/java/brambletray/platform/proxy/ProxySteps.java
@@ -1,12 +1,12 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 
 /** The sentences of the features of this plane. */
-public final class FlowSteps {
-    private final Street street = new Street();
+public final class ProxySteps {
+    private final SimulatedProxy street = new SimulatedProxy();
 
     @Given("a route of type {word} for {int} host(s)")
     public void route(String type, int hosts) {
--- a/src/test/java/brambletray/tray/flow/FlowFeaturesTest.java
+++ b/src/test/java/brambletray/platform/proxy/ProxyTimelinesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import org.junit.platform.suite.api.ConfigurationParameter;
 import org.junit.platform.suite.api.IncludeEngines;
@@ -8,7 +8,7 @@
 /** Plays the drawn timelines of requests through an edge. */
 @Suite
 @IncludeEngines("cucumber")
-@SelectPackages("brambletray/tray/flow")
-@ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.flow")
+@SelectPackages("brambletray/platform/proxy")
+@ConfigurationParameter(key = "cucumber.glue", value = "brambletray.platform.proxy")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-public class FlowFeaturesTest {}
+public class ProxyTimelinesTest {}
--- a/src/test/java/brambletray/tray/flow/Course.java
+++ b/src/test/java/brambletray/platform/proxy/RandomCourse.java
@@ -1,14 +1,14 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
 import brambletray.simulation.SimChannel;
 import brambletray.simulation.SimNetwork;
 import brambletray.simulation.Simulation;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -26,22 +26,22 @@
  * network and clock, between clients, a broker and hosts that do at random what the pages allow and what trouble does.
  * The same seed gives the same course.
  */
-final class Course implements Broker {
+final class RandomCourse implements SlotBroker {
     private static final Address FRONT = new Address("10.0.0.1", 8241);
     private static final int HOSTS_MOST = 3;
     /** The {@code retry-count} of a route goes from 0 to this. */
     private static final int RETRY_COUNT_MOST = 3;
 
-    private record Waiting(Ask ask, Taker taker) {}
+    private record Waiting(SlotRequest ask, SlotRequester taker) {}
 
     private final SplittableRandom random;
     private final Simulation simulation;
     private final Machine edge;
-    private final Flow flow;
-    private final Lines lines;
-    private final Tally tally = new Tally();
-    private final Ruling ruling = new Ruling();
-    private final List<WalkClient> clients = new ArrayList<>();
+    private final RequestRouter flow;
+    private final HostConnectionPools lines;
+    private final RequestCounters counters = new RequestCounters();
+    private final CourseJudge ruling = new CourseJudge();
+    private final List<CourseClient> clients = new ArrayList<>();
     private final List<TroubledHost> hosts = new ArrayList<>();
     private final ArrayDeque<Waiting> asks = new ArrayDeque<>();
     /** Places out, by ask. */
@@ -52,7 +52,7 @@
     private final int twice;
     private int ids;
 
-    Course(long seed, int steps) {
+    RandomCourse(long seed, int steps) {
         this.steps = steps;
         random = new SplittableRandom(seed);
         simulation = new Simulation(seed, 1_900_000_000_000L);
@@ -66,13 +66,14 @@
         pause = 5 + random.nextInt(60);
         twice = random.nextInt(20);
         edge = machine(FRONT.host());
-        lines = new Lines(edge, 4_000, tally);
+        lines = new HostConnectionPools(edge, 4_000, counters);
         // A small memory brings answers on the way that are given on while they come.
         boolean small = random.nextInt(3) == 0;
         long memory = small ? 4_000 + random.nextInt(8_000) : 48 << 20;
-        Creed creed = creed();
-        flow = new Flow(edge, "edge-1", "zone-1", () -> creed, this, ip -> false, lines, tally, memory, seed);
-        new Front(edge, flow, 100).open(FRONT);
+        Configuration configuration = configuration();
+        flow = new RequestRouter(
+                edge, "edge-1", "zone-1", () -> configuration, this, ip -> false, lines, counters, memory, seed);
+        new FrontEndServer(edge, flow, 100).open(FRONT);
         int trouble = 10 + random.nextInt(70);
         int count = 2 + random.nextInt(HOSTS_MOST - 1);
         for (int i = 0; i < count; i++) {
@@ -87,7 +88,7 @@
                     small ? 2 : 6));
         }
         for (int i = 0; i < 2; i++) {
-            clients.add(new WalkClient(
+            clients.add(new CourseClient(
                     machine("10.0.2." + (i + 1)),
                     new InetSocketAddress(FRONT.host(), FRONT.port()),
                     ruling,
@@ -107,7 +108,7 @@
         }
     }
 
-    private static Creed creed() {
+    private static Configuration configuration() {
         String route =
                 "{'name':'%1$s','host':'h.example','path-prefix':'/%1$s/','route-type':'%2$s','timeout-ms':2000,'target-ms':400,"
                         + "'priority':1,'service':'s','retry-count':%3$d}";
@@ -116,7 +117,7 @@
             routes.add(route.formatted("r" + count, "idempotent", count));
             routes.add(route.formatted("n" + count, "non_idempotent", count));
         }
-        return Creed.read(("{'revision':1,'routes':[" + String.join(",", routes)
+        return Configuration.read(("{'revision':1,'routes':[" + String.join(",", routes)
                         + "],'services':[{'name':'s','health-path':null,'max-connections':8,'protocol':'h1','tls-mode':false,'memory-mb':128,"
                         + "'boot-ms':500,'max-concurrency':4}],'limits':{'max-header-bytes':2048,'max-body-bytes':40000,'header-timeout-ms':3000,"
                         + "'idle-timeout-ms':15000}}")
@@ -126,7 +127,7 @@
 
     // ---- The broker -----------------------------------------------------------------------------
     @Override
-    public void ask(Ask ask, Taker taker) {
+    public void ask(SlotRequest ask, SlotRequester taker) {
         Waiting one = new Waiting(ask, taker);
         asks.add(one);
         if (random.nextInt(3) > 0) {
@@ -164,7 +165,7 @@
         // The home knows one place an ask, however often it says so.
         held.put(one.ask().id(), 1);
         one.taker()
-                .granted(new Grant(
+                .granted(new SlotGrant(
                         one.ask().id(),
                         host.name,
                         "10.0.1." + (host.name.charAt(1) - '0' + 1) + ":8080",
@@ -172,7 +173,7 @@
     }
 
     @Override
-    public void done(Grant grant, Fate fate, int tookMs) {
+    public void done(SlotGrant grant, AttemptOutcome fate, int tookMs) {
         back(grant.askId());
     }
 
@@ -212,7 +213,7 @@
         } else if (dice < 66) {
             pick(clients).hangUp(random.nextBoolean());
         } else if (dice < 70) {
-            WalkClient client = pick(clients);
+            CourseClient client = pick(clients);
             if (random.nextInt(3) == 0) {
                 client.sleeps();
             } else {
@@ -276,7 +277,8 @@
         String method = !body.isEmpty() ? "POST" : random.nextInt(8) == 0 ? "HEAD" : "GET";
         int count = random.nextInt(RETRY_COUNT_MOST + 1);
         String uri = (repeatable ? "/r" : "/n") + count + "/p" + ids + "?q=" + ids;
-        Ruling.Try one = ruling.asked(new Ruling.Try("t" + ids++, method, uri, body, repeatable, Math.max(1, count)));
+        CourseJudge.Try one =
+                ruling.asked(new CourseJudge.Try("t" + ids++, method, uri, body, repeatable, Math.max(1, count)));
         int left = random.nextInt(4) == 0 ? 1 + random.nextInt(120) : 200 + random.nextInt(2_500);
         pick(clients).send(one, "Brambletray-Deadline-Remaining: " + left + "\r\n", random.nextInt(10) == 0);
     }
@@ -312,7 +314,7 @@
     private void calm() {
         heal();
         hosts.forEach(TroubledHost::rise);
-        clients.forEach(WalkClient::wakes);
+        clients.forEach(CourseClient::wakes);
     }
 
     private void atRest() {
@@ -335,12 +337,12 @@
         simulation.runUntil(simulation.now() + TimeUnit.MILLISECONDS.toNanos(ms));
     }
 
-    Ruling ruling() {
+    CourseJudge ruling() {
         return ruling;
     }
 
-    Tally tally() {
-        return tally;
+    RequestCounters counters() {
+        return counters;
     }
 
     /**
@@ -351,7 +353,7 @@
         for (long seed = from; seed < from + courses; seed++) {
             List<String> broken;
             try {
-                broken = new Course(seed, steps).play();
+                broken = new RandomCourse(seed, steps).play();
             } catch (RuntimeException | AssertionError e) {
                 StackTraceElement[] at = e.getStackTrace();
                 broken = List.of("FAULT: " + e + (at.length > 0 ? " at " + at[0] : ""));
@@ -374,9 +376,9 @@
         int tries = 0;
         int successes = 0;
         int promises = 0;
-        Tally all = new Tally();
+        RequestCounters all = new RequestCounters();
         for (long seed = from; seed < from + Long.parseLong(args[1]); seed++) {
-            Course course = new Course(seed, Integer.parseInt(args[2]));
+            RandomCourse course = new RandomCourse(seed, Integer.parseInt(args[2]));
             List<String> broken;
             try {
                 broken = course.play();
@@ -389,11 +391,11 @@
             tries += course.ruling.tries();
             successes += course.ruling.successes;
             promises += course.ruling.promises;
-            all.surplus += course.tally.surplus;
-            all.streamed += course.tally.streamed;
-            all.stale += course.tally.stale;
-            all.copies += course.tally.copies;
-            all.copiesWon += course.tally.copiesWon;
+            all.surplus += course.counters.surplus;
+            all.streamed += course.counters.streamed;
+            all.stale += course.counters.stale;
+            all.copies += course.counters.copies;
+            all.copiesWon += course.counters.copiesWon;
             if (!broken.isEmpty()) {
                 bad++;
                 System.out.println("seed " + seed + ": " + broken);
--- a/src/test/java/brambletray/tray/flow/TripWalkTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -1,11 +1,11 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,19 +16,19 @@
 import org.junit.jupiter.api.Test;
 
 /** Walks at random through what may happen to a request, and holds the rules at each step. A failure names its seed. */
-class TripWalkTest {
+class RequestLifecycleTest {
     private static final int WALKS = 30_000;
     private static final int STEPS = 60;
 
     /** The world of one walk: the broker, hosts and the client. */
-    private static final class World implements Hands {
+    private static final class World implements RequestActions {
         final SplittableRandom random;
-        final Plan plan;
-        final Trip trip;
-        final List<Ask> asks = new ArrayList<>();
-        final List<Ask> forgotten = new ArrayList<>();
+        final RequestPlan plan;
+        final RequestLifecycle lifecycle;
+        final List<SlotRequest> asks = new ArrayList<>();
+        final List<SlotRequest> forgotten = new ArrayList<>();
         final Set<Long> held = new HashSet<>();
-        final Map<Leg, Boolean> legs = new HashMap<>();
+        final Map<Attempt, Boolean> attempts = new HashMap<>();
         final Set<String> sentTo = new HashSet<>();
         int mayHaveRun;
         int words;
@@ -43,16 +43,16 @@
 
         World(long seed) {
             random = new SplittableRandom(seed);
-            plan = new Plan(
+            plan = new RequestPlan(
                     "s", random.nextBoolean(), 1 + random.nextInt(3), 1, 400, false, now + 1 + random.nextInt(600));
-            trip = new Trip(plan, this, () -> 1 + random.nextInt(200), () -> ++ids, "e", "z", now);
+            lifecycle = new RequestLifecycle(plan, this, () -> 1 + random.nextInt(200), () -> ++ids, "e", "z", now);
         }
 
         @Override
-        public void ask(Ask ask) {
+        public void ask(SlotRequest ask) {
             assertTrue(asks.isEmpty(), "one ask at a time");
             assertTrue(
-                    !ask.copy() || plan.repeatable() && !legs.isEmpty(),
+                    !ask.copy() || plan.repeatable() && !attempts.isEmpty(),
                     "a copy only of what is out and may be repeated");
             assertEquals(!sentTo.isEmpty(), ask.again(), "again: it has reached a host");
             assertTrue(ask.remainingMs() > 0, "time is left");
@@ -71,19 +71,20 @@
         }
 
         @Override
-        public void send(Leg leg, long hostEnd) {
-            assertTrue(hostEnd < plan.end() && legs.size() < plan.mostHosts(), "sent to more hosts than allowed");
-            legs.put(leg, false);
+        public void send(Attempt attempt, long hostEnd) {
+            assertTrue(hostEnd < plan.end() && attempts.size() < plan.mostHosts(), "sent to more hosts than allowed");
+            attempts.put(attempt, false);
         }
 
         @Override
-        public void cancel(Leg leg) {
-            assertTrue(legs.remove(leg) != null, "cancelled twice");
-            assertTrue(settling || now >= plan.end() || !leg.sent(), "work broken off that nobody had to break off");
+        public void cancel(Attempt attempt) {
+            assertTrue(attempts.remove(attempt) != null, "cancelled twice");
+            assertTrue(
+                    settling || now >= plan.end() || !attempt.sent(), "work broken off that nobody had to break off");
         }
 
         @Override
-        public void done(Grant grant, Fate fate, int tookMs) {
+        public void done(SlotGrant grant, AttemptOutcome fate, int tookMs) {
             assertTrue(held.remove(grant.askId()), "a place given back twice, or never had");
             assertTrue(tookMs >= 0, "a time");
         }
@@ -100,12 +101,12 @@
         }
 
         @Override
-        public void pass(Leg leg) {
+        public void pass(Attempt attempt) {
             word();
         }
 
         @Override
-        public void flow(Leg leg) {
+        public void flow(Attempt attempt) {
             word();
             flowing = true;
         }
@@ -132,17 +133,17 @@
             if (asks.isEmpty()) {
                 return;
             }
-            Ask ask = asks.remove(0);
+            SlotRequest ask = asks.remove(0);
             if (random.nextInt(4) == 0) {
-                trip.refused(ask.id(), random.nextInt(300) - 1, now);
+                lifecycle.refused(ask.id(), random.nextInt(300) - 1, now);
             } else {
                 grant(ask);
             }
         }
 
-        private void grant(Ask ask) {
+        private void grant(SlotRequest ask) {
             held.add(ask.id());
-            trip.granted(new Grant(ask.id(), "h" + ++hosts, "10.0.0.1:1", random.nextBoolean()), now);
+            lifecycle.granted(new SlotGrant(ask.id(), "h" + ++hosts, "10.0.0.1:1", random.nextBoolean()), now);
         }
 
         /** A grant that was under way while its ask was forgotten. */
@@ -154,69 +155,69 @@
 
         /** One that is in use comes once more; at another host, if the home forgot. */
         void sameGrant() {
-            List<Leg> all = new ArrayList<>(legs.keySet());
-            all.sort(java.util.Comparator.comparing(leg -> leg.grant.host()));
+            List<Attempt> all = new ArrayList<>(attempts.keySet());
+            all.sort(java.util.Comparator.comparing(attempt -> attempt.grant.host()));
             if (!all.isEmpty()) {
-                Leg leg = all.get(random.nextInt(all.size()));
-                int sent = legs.size();
-                String host = random.nextBoolean() ? leg.grant.host() : "h" + ++hosts;
-                trip.granted(new Grant(leg.grant.askId(), host, "10.0.0.1:1", false), now);
-                assertEquals(sent, legs.size(), "a grant that came twice was used twice");
-                assertTrue(held.contains(leg.grant.askId()), "a place in use was given back");
+                Attempt attempt = all.get(random.nextInt(all.size()));
+                int sent = attempts.size();
+                String host = random.nextBoolean() ? attempt.grant.host() : "h" + ++hosts;
+                lifecycle.granted(new SlotGrant(attempt.grant.askId(), host, "10.0.0.1:1", false), now);
+                assertEquals(sent, attempts.size(), "a grant that came twice was used twice");
+                assertTrue(held.contains(attempt.grant.askId()), "a place in use was given back");
             }
         }
 
         void host() {
-            if (legs.isEmpty()) {
+            if (attempts.isEmpty()) {
                 return;
             }
-            List<Leg> all = new ArrayList<>(legs.keySet());
-            all.sort(java.util.Comparator.comparing(leg -> leg.grant.host()));
-            Leg leg = all.get(random.nextInt(all.size()));
-            if (!leg.sent()) {
+            List<Attempt> all = new ArrayList<>(attempts.keySet());
+            all.sort(java.util.Comparator.comparing(attempt -> attempt.grant.host()));
+            Attempt attempt = all.get(random.nextInt(all.size()));
+            if (!attempt.sent()) {
                 if (random.nextInt(3) == 0) {
-                    legs.remove(leg);
-                    trip.unreached(leg, now);
+                    attempts.remove(attempt);
+                    lifecycle.unreached(attempt, now);
                 } else {
-                    sent(leg);
+                    sent(attempt);
                 }
                 return;
             }
-            if (random.nextInt(8) == 0 && !legs.get(leg)) {
+            if (random.nextInt(8) == 0 && !attempts.get(attempt)) {
                 settling = true;
-                legs.put(leg, trip.flowing(leg, now));
+                attempts.put(attempt, lifecycle.flowing(attempt, now));
                 settling = false;
                 return;
             }
-            boolean flows = legs.remove(leg);
-            Fate fate = switch (random.nextInt(5)) {
-                case 0 -> flows ? Fate.BROKEN : Fate.NOT_RUN;
-                case 1 -> flows ? Fate.BROKEN : Fate.WRONG_HOST;
-                case 2 -> flows ? Fate.SERVED : Fate.FAILED;
-                case 3 -> Fate.BROKEN;
-                default -> Fate.SERVED;
+            boolean flows = attempts.remove(attempt);
+            AttemptOutcome fate = switch (random.nextInt(5)) {
+                case 0 -> flows ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_RUN;
+                case 1 -> flows ? AttemptOutcome.BROKEN : AttemptOutcome.WRONG_HOST;
+                case 2 -> flows ? AttemptOutcome.SERVED : AttemptOutcome.FAILED;
+                case 3 -> AttemptOutcome.BROKEN;
+                default -> AttemptOutcome.SERVED;
             };
-            mayHaveRun -= fate == Fate.NOT_RUN || fate == Fate.WRONG_HOST ? 1 : 0;
-            settling = fate == Fate.SERVED;
-            trip.ended(leg, fate, random.nextBoolean(), now);
+            mayHaveRun -= fate == AttemptOutcome.NOT_RUN || fate == AttemptOutcome.WRONG_HOST ? 1 : 0;
+            settling = fate == AttemptOutcome.SERVED;
+            lifecycle.ended(attempt, fate, random.nextBoolean(), now);
             settling = false;
         }
 
-        private void sent(Leg leg) {
+        private void sent(Attempt attempt) {
             assertTrue(plan.repeatable() || mayHaveRun == 0, "must not run twice (rule TWICE)");
             assertTrue(
-                    sentTo.add(leg.grant.host()) && sentTo.size() <= plan.mostHosts(),
+                    sentTo.add(attempt.grant.host()) && sentTo.size() <= plan.mostHosts(),
                     "to another host each time, as many as allowed");
             mayHaveRun++;
-            trip.sent(leg, now);
+            lifecycle.sent(attempt, now);
         }
 
         void time(int ms) {
             long to = now + ms;
-            while (trip.due() <= to) {
-                now = Math.max(now, trip.due());
-                trip.tick(now);
-                assertTrue(trip.due() > now || trip.over(), "time stands still");
+            while (lifecycle.due() <= to) {
+                now = Math.max(now, lifecycle.due());
+                lifecycle.tick(now);
+                assertTrue(lifecycle.due() > now || lifecycle.over(), "time stands still");
             }
             now = to;
         }
@@ -224,7 +225,7 @@
         void leave() {
             if (words == 0) {
                 gone = true;
-                trip.gone(now);
+                lifecycle.gone(now);
             }
         }
     }
@@ -245,8 +246,8 @@
     }
 
     private static void walk(World world) {
-        world.trip.begin(world.now);
-        for (int step = 0; step < STEPS && !world.trip.over(); step++) {
+        world.lifecycle.begin(world.now);
+        for (int step = 0; step < STEPS && !world.lifecycle.over(); step++) {
             switch (world.random.nextInt(12)) {
                 case 0, 1, 2 -> world.broker();
                 case 3, 4, 5, 6 -> world.host();
@@ -266,10 +267,10 @@
         while (!world.forgotten.isEmpty()) {
             world.lateGrant();
         }
-        assertTrue(world.trip.over(), "it ends");
+        assertTrue(world.lifecycle.over(), "it ends");
         assertEquals(world.gone ? 0 : 1, world.words, "one answer, unless nobody waits");
         assertTrue(world.saidAt <= world.plan.end(), "in time");
         assertEquals(world.flowing, world.ended, "what flows ends");
-        assertTrue(world.held.isEmpty() && world.legs.isEmpty() && world.asks.isEmpty(), "nothing is left over");
+        assertTrue(world.held.isEmpty() && world.attempts.isEmpty() && world.asks.isEmpty(), "nothing is left over");
     }
 }
--- a/src/test/java/brambletray/tray/flow/RouteTimeoutTest.java
+++ b/src/test/java/brambletray/platform/proxy/RouteTimeoutTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -6,21 +6,24 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Whatever holds a request up, its client is answered at its route's timeout: 4 s here, where the client itself would wait for 9 s. */
+/**
+ * Whatever holds a request up, its client is answered at its route's timeout: 4 s here, where the client itself would
+ * wait for 9 s.
+ */
 class RouteTimeoutTest {
     private static final long TIMEOUT_MS = 4_000;
     /** ms past the timeout at which an answer that is still coming is ended: less than a quarter of a second. */
     private static final long STREAM_MARGIN_MS = 200;
 
-    private final Street street = new Street();
-    private Caller client;
-    private Server host;
+    private final SimulatedProxy street = new SimulatedProxy();
+    private ScriptedClient client;
+    private ScriptedHost host;
 
     @BeforeEach
     void open() {
         street.route("non_idempotent", 1);
-        client = (Caller) street.actor("client");
-        host = (Server) street.actor("a");
+        client = (ScriptedClient) street.actor("client");
+        host = (ScriptedHost) street.actor("a");
     }
 
     private void does(Actor actor, long ms, String what) {
--- a/src/test/java/brambletray/tray/flow/Places.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedBroker.java
@@ -1,29 +1,29 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 
 /** The broker of a drawn timeline. */
-final class Places extends Actor implements Broker {
-    private record Waiting(Ask ask, Taker taker) {}
+final class ScriptedBroker extends Actor implements SlotBroker {
+    private record Waiting(SlotRequest ask, SlotRequester taker) {}
 
     private final ArrayDeque<Waiting> asks = new ArrayDeque<>();
     /** Granted before it is asked for. */
     private final ArrayDeque<String[]> ready = new ArrayDeque<>();
 
     private final Map<Long, String> held = new HashMap<>();
-    private final Street street;
+    private final SimulatedProxy street;
 
-    Places(Street street) {
+    ScriptedBroker(SimulatedProxy street) {
         this.street = street;
     }
 
     @Override
-    public void ask(Ask ask, Taker taker) {
+    public void ask(SlotRequest ask, SlotRequester taker) {
         asks.add(new Waiting(ask, taker));
         sees("wants" + (ask.copy() ? " copy" : ask.again() ? " again" : "") + (ask.inner() ? " inner" : "")
                 + (ask.avoid().isEmpty() ? "" : " but " + String.join(" ", ask.avoid())));
@@ -33,7 +33,7 @@
     }
 
     @Override
-    public void done(Grant grant, Fate fate, int tookMs) {
+    public void done(SlotGrant grant, AttemptOutcome fate, int tookMs) {
         held.remove(grant.askId());
         sees(grant.host() + " " + fate + " " + tookMs);
     }
@@ -48,14 +48,14 @@
     }
 
     @Override
-    public void up(Grant grant) {
+    public void up(SlotGrant grant) {
         sees(grant.host() + " up");
     }
 
     private void grant(String[] words) {
         Waiting next = asks.remove();
         held.put(next.ask().id(), words[1]);
-        next.taker().granted(new Grant(next.ask().id(), words[1], street.address(words[1]), words.length > 2));
+        next.taker().granted(new SlotGrant(next.ask().id(), words[1], street.address(words[1]), words.length > 2));
     }
 
     /** Places out, or asked for. */
--- a/src/test/java/brambletray/tray/flow/Caller.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedClient.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
@@ -11,14 +11,14 @@
 import java.nio.charset.StandardCharsets;
 
 /** A client of a drawn timeline, on one connection as long as that lasts. */
-final class Caller extends Actor {
+final class ScriptedClient extends Actor {
     private final Machine machine;
     private final InetSocketAddress front;
     private Channel channel;
     private boolean bare;
     private final StringBuilder in = new StringBuilder();
 
-    Caller(Machine machine, InetSocketAddress front) {
+    ScriptedClient(Machine machine, InetSocketAddress front) {
         this.machine = machine;
         this.front = front;
     }
@@ -50,19 +50,19 @@
     private void answers() {
         for (int end = in.indexOf("\r\n\r\n"); end >= 0; end = in.indexOf("\r\n\r\n")) {
             String head = in.substring(0, end);
-            int length = bare ? 0 : Integer.parseInt("0" + Server.header(head, "content-length"));
+            int length = bare ? 0 : Integer.parseInt("0" + ScriptedHost.header(head, "content-length"));
             if (in.length() < end + 4 + length) {
                 return;
             }
             String status = head.substring(9, 12);
             String body = in.substring(end + 4, end + 4 + length);
-            String comeBack = Server.header(head, "retry-after");
+            String comeBack = ScriptedHost.header(head, "retry-after");
             boolean ours = body.startsWith("{\"code\"");
             sees(status
                     + (!comeBack.isEmpty()
                             ? " in " + comeBack
                             : ours || length == 0 ? "" : length > 100 ? " " + length : " " + body)
-                    + (Server.header(head, "connection").equals("close") ? " close" : ""));
+                    + (ScriptedHost.header(head, "connection").equals("close") ? " close" : ""));
             in.delete(0, end + 4 + length);
         }
     }
--- a/src/test/java/brambletray/tray/flow/Server.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedHost.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
@@ -19,7 +19,7 @@
 import java.util.Set;
 
 /** A host of a drawn timeline, byte by byte: it answers as it is told. */
-final class Server extends Actor {
+final class ScriptedHost extends Actor {
     private static final int LARGE = 700_000;
     private static final int MEDIUM = 100_000;
 
@@ -35,7 +35,7 @@
     private Channel listener;
     private String extra = "";
 
-    Server(String name, Machine machine, InetSocketAddress address) {
+    ScriptedHost(String name, Machine machine, InetSocketAddress address) {
         this.name = name;
         this.machine = machine;
         this.address = address;
--- a/src/test/java/brambletray/tray/flow/ShellTest.java
+++ b/src/test/java/brambletray/platform/proxy/ShellTest.java
@@ -1,14 +1,14 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.admission.AttemptOutcome;
+import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotRequest;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.home.Ask;
-import brambletray.tray.home.Fate;
-import brambletray.tray.home.Grant;
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -35,7 +35,7 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Machine machine = Machine.real(group.next());
-    private final CompletableFuture<Fate> fate = new CompletableFuture<>();
+    private final CompletableFuture<AttemptOutcome> fate = new CompletableFuture<>();
     private HttpServer host;
     private String told = "";
 
@@ -76,12 +76,13 @@
 
     @Test
     void aRequestThroughAllOfIt() throws Exception {
-        Creed creed = Creed.read(CREED.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
-        Broker broker = new Broker() {
+        Configuration configuration =
+                Configuration.read(CREED.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+        SlotBroker broker = new SlotBroker() {
             @Override
-            public void ask(Ask ask, Taker taker) {
+            public void ask(SlotRequest ask, SlotRequester taker) {
                 machine.loop()
-                        .execute(() -> taker.granted(new Grant(
+                        .execute(() -> taker.granted(new SlotGrant(
                                 ask.id(),
                                 "i-1",
                                 "127.0.0.1:" + host.getAddress().getPort(),
@@ -89,7 +90,7 @@
             }
 
             @Override
-            public void done(Grant grant, Fate with, int tookMs) {
+            public void done(SlotGrant grant, AttemptOutcome with, int tookMs) {
                 fate.complete(with);
             }
 
@@ -99,19 +100,19 @@
             }
         };
         InetSocketAddress at = onLoop(() -> {
-                                    Tally tally = new Tally();
-                                    Flow flow = new Flow(
+                                    RequestCounters counters = new RequestCounters();
+                                    RequestRouter flow = new RequestRouter(
                                             machine,
                                             "e",
                                             "z",
-                                            () -> creed,
+                                            () -> configuration,
                                             broker,
                                             ip -> false,
-                                            new Lines(machine, 4_000, tally),
-                                            tally,
+                                            new HostConnectionPools(machine, 4_000, counters),
+                                            counters,
                                             48 << 20,
                                             1);
-                                    return new Front(machine, flow, 100).open(new Address("127.0.0.1", 0));
+                                    return new FrontEndServer(machine, flow, 100).open(new Address("127.0.0.1", 0));
                                 })
                                 .sync()
                                 .channel()
@@ -129,7 +130,7 @@
                         || answer.toLowerCase().contains("brambletray-response-seal: s"),
                 answer);
         assertEquals("POST /r/x?q=1 i-1 abc", told);
-        assertEquals(Fate.SERVED, fate.get(5, TimeUnit.SECONDS));
+        assertEquals(AttemptOutcome.SERVED, fate.get(5, TimeUnit.SECONDS));
     }
 
     @Test
--- a/src/test/java/brambletray/tray/flow/Street.java
+++ b/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
@@ -1,12 +1,12 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import brambletray.platform.configuration.ClientLimits;
+import brambletray.platform.configuration.Configuration;
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
 import brambletray.simulation.Simulation;
-import brambletray.tray.berth.Address;
-import brambletray.tray.creed.Creed;
-import brambletray.tray.creed.Limits;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -21,47 +21,47 @@
  * An edge's front in simulated time, on a simulated network: the production classes between scripted clients, broker
  * and hosts.
  */
-final class Street {
+final class SimulatedProxy {
     static final Address FRONT = new Address("10.0.0.1", 8241);
 
     final Simulation simulation = new Simulation(1, 1_900_000_000_000L);
-    final Tally tally = new Tally();
-    final Places places = new Places(this);
+    final RequestCounters counters = new RequestCounters();
+    final ScriptedBroker places = new ScriptedBroker(this);
     final Map<String, Actor> actors = new LinkedHashMap<>();
     private final Machine edge;
-    final Lines lines;
-    final Flow flow;
-    final Front front;
-    private Creed creed = Creed.NONE;
+    final HostConnectionPools lines;
+    final RequestRouter flow;
+    final FrontEndServer front;
+    private Configuration configuration = Configuration.NONE;
     private int machines;
 
-    Street() {
+    SimulatedProxy() {
         edge = machine(FRONT.host());
-        lines = new Lines(edge, 4_000, tally);
-        flow = new Flow(
+        lines = new HostConnectionPools(edge, 4_000, counters);
+        flow = new RequestRouter(
                 edge,
                 "edge-1",
                 "zone-1",
-                () -> creed,
+                () -> configuration,
                 places,
                 ip -> ip.startsWith("10.0.1."),
                 lines,
-                tally,
+                counters,
                 48 << 20,
                 1);
-        front = new Front(edge, flow, 100);
+        front = new FrontEndServer(edge, flow, 100);
         front.open(FRONT);
         actors.put("broker", places);
         settle();
     }
 
     void route(String type, int hosts) {
-        route("r", type, hosts, new Limits(2_048, 10_000, 3_000, 15_000));
+        route("r", type, hosts, new ClientLimits(2_048, 10_000, 3_000, 15_000));
     }
 
     /** The only route there is: of this name, and for the paths below it. */
-    void route(String name, String type, int hosts, Limits limits) {
-        creed = Creed.read(("{\"revision\":1,\"routes\":[{\"name\":\""
+    void route(String name, String type, int hosts, ClientLimits limits) {
+        configuration = Configuration.read(("{\"revision\":1,\"routes\":[{\"name\":\""
                         + name + "\",\"host\":\"h.example\",\"path-prefix\":\"/" + name + "/\",\"route-type\":\""
                         + type
                         + "\",\"timeout-ms\":4000,\"target-ms\":400,\"priority\":1,\"service\":\"s\",\"retry-count\":"
@@ -102,10 +102,10 @@
             actor = name.equals("edge")
                     ? new Edge()
                     : name.startsWith("client")
-                            ? new Caller(
+                            ? new ScriptedClient(
                                     machine(name.contains("-at-") ? "10.0.1.200" : "10.0.2." + ++machines),
                                     new InetSocketAddress(FRONT.host(), FRONT.port()))
-                            : new Server(
+                            : new ScriptedHost(
                                     name,
                                     machine("10.0.1." + (name.charAt(0) - 'a' + 1)),
                                     new InetSocketAddress("10.0.1." + (name.charAt(0) - 'a' + 1), 8080));
@@ -155,9 +155,9 @@
      * and nothing else.
      */
     void play(String drawn) {
-        Sheet sheet = Sheet.read(drawn);
+        Timeline sheet = Timeline.read(drawn);
         sheet.names().forEach(this::actor);
-        for (Sheet.Row row : sheet.rows()) {
+        for (Timeline.Row row : sheet.rows()) {
             until(row.at());
             Map<String, List<String>> expected = new LinkedHashMap<>();
             for (int i = 0; i < sheet.names().size(); i++) {
--- a/src/test/java/brambletray/tray/flow/SlowReaderTest.java
+++ b/src/test/java/brambletray/platform/proxy/SlowReaderTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -6,21 +6,24 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** An answer that was given to a client is whole, however slowly the client takes it and whatever the edge does meanwhile. */
+/**
+ * An answer that was given to a client is whole, however slowly the client takes it and whatever the edge does
+ * meanwhile.
+ */
 class SlowReaderTest {
     /** Bytes that a connection holds while nobody reads: a fraction of an answer. */
     private static final int WINDOW = 10_000;
 
-    private final Street street = new Street();
-    private Caller client;
-    private Server host;
+    private final SimulatedProxy street = new SimulatedProxy();
+    private ScriptedClient client;
+    private ScriptedHost host;
 
     @BeforeEach
     void open() {
         street.route("non_idempotent", 1);
         street.simulation.network().window(WINDOW);
-        client = (Caller) street.actor("client");
-        host = (Server) street.actor("a");
+        client = (ScriptedClient) street.actor("client");
+        host = (ScriptedHost) street.actor("a");
     }
 
     /** A request whose answer of 100,000 bytes is here while its client reads nothing. */
--- a/src/test/java/brambletray/tray/flow/Sheet.java
+++ b/src/test/java/brambletray/platform/proxy/Timeline.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,11 +7,11 @@
  * A drawn timeline: a line of names, then lines of ms and, in each column, what is done and what is seen, with commas
  * between.
  */
-record Sheet(List<String> names, List<Row> rows) {
+record Timeline(List<String> names, List<Row> rows) {
     /** {@code cells}: one a name. */
     record Row(long at, List<List<String>> cells, String drawn) {}
 
-    static Sheet read(String drawn) {
+    static Timeline read(String drawn) {
         List<String> lines = drawn.strip().lines().toList();
         List<String> names = parts(lines.get(0), "\\|");
         List<Row> rows = new ArrayList<>();
@@ -23,7 +23,7 @@
             }
             rows.add(new Row(Long.parseLong(cells.get(0)), row, line.strip()));
         }
-        return new Sheet(names.subList(1, names.size()), rows);
+        return new Timeline(names.subList(1, names.size()), rows);
     }
 
     private static List<String> parts(String text, String by) {
--- a/src/test/java/brambletray/tray/flow/TroubledHost.java
+++ b/src/test/java/brambletray/platform/proxy/TroubledHost.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import brambletray.runtime.Machine;
 import io.netty.buffer.ByteBuf;
@@ -18,8 +18,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A host of a {@link Course}, drawn byte by byte: it answers, fails, sheds, dies, answers early, cuts off, spoils, and
- * adds (PROTOCOL, Hosts), and tells the {@link Ruling} what it runs.
+ * A host of a {@link RandomCourse}, drawn byte by byte: it answers, fails, sheds, dies, answers early, cuts off,
+ * spoils, and
+ * adds (PROTOCOL, Hosts), and tells the {@link CourseJudge} what it runs.
  */
 final class TroubledHost {
     /** ms; what was sent is read at the other end by then, unless that stands still. */
@@ -31,7 +32,7 @@
     final String name;
     private final Machine machine;
     private final InetSocketAddress address;
-    private final Ruling ruling;
+    private final CourseJudge ruling;
     private final SplittableRandom random;
     private final int trouble;
     private final int large;
@@ -47,7 +48,7 @@
             String name,
             Machine machine,
             InetSocketAddress address,
-            Ruling ruling,
+            CourseJudge ruling,
             SplittableRandom random,
             int trouble,
             int large) {
@@ -116,7 +117,7 @@
         private final Channel channel;
         private final StringBuilder in = new StringBuilder();
         /** What is at work here, unanswered. */
-        private Ruling.Try at;
+        private CourseJudge.Try at;
         /** Bytes that are still to come of a request that was answered early. */
         private int rest;
         /** In the midst of an answer. */
@@ -168,7 +169,7 @@
                 return;
             }
             String head = in.substring(0, end);
-            int length = Integer.parseInt("0" + Server.header(head, "content-length"));
+            int length = Integer.parseInt("0" + ScriptedHost.header(head, "content-length"));
             boolean whole = in.length() >= end + 4 + length;
             if (whole || random.nextInt(200) < trouble) {
                 String body = whole ? in.substring(end + 4, end + 4 + length) : null;
@@ -193,13 +194,13 @@
 
         private void work(String head, String body) {
             String[] line = head.substring(0, head.indexOf("\r\n")).split(" ");
-            Ruling.Try one = ruling.arrived(
-                    Server.header(head, "brambletray-attempt-id"),
+            CourseJudge.Try one = ruling.arrived(
+                    ScriptedHost.header(head, "brambletray-attempt-id"),
                     line[0],
                     line[1],
                     body,
                     name,
-                    Server.header(head, "brambletray-target-instance"));
+                    ScriptedHost.header(head, "brambletray-target-instance"));
             if (one == null) {
                 return;
             }
@@ -279,7 +280,7 @@
     }
 
     // ---- What it says ---------------------------------------------------------------------------
-    private Answer draw(Ruling.Try one, boolean early) {
+    private Answer draw(CourseJudge.Try one, boolean early) {
         if (random.nextInt(100) >= trouble) {
             return new Answer(good(one, false), true, Then.STAYS, "");
         }
@@ -298,7 +299,7 @@
         };
     }
 
-    private String body(Ruling.Try one) {
+    private String body(CourseJudge.Try one) {
         int pad = random.nextInt(large) == 0 ? 3_000 + random.nextInt(9_000) : random.nextInt(3) == 0 ? 400 : 0;
         return name + ":" + one.id + ":" + one.arrivals + "/" + ".".repeat(pad);
     }
@@ -329,7 +330,7 @@
     }
 
     /** A whole, sealed answer. */
-    private String good(Ruling.Try one, boolean closing) {
+    private String good(CourseJudge.Try one, boolean closing) {
         String headers = SEAL
                 + (closing
                         ? "Connection: close\r\n"
@@ -361,7 +362,7 @@
                         : sized("200 OK", one.id, headers, body));
     }
 
-    private Answer failed(Ruling.Try one) {
+    private Answer failed(CourseJudge.Try one) {
         String status = switch (random.nextInt(6)) {
             case 0 -> "504 Gateway Timeout";
             case 1 -> "503 Service Unavailable";
@@ -378,7 +379,7 @@
         return new Answer(sized(status, one.id, sealed ? SEAL : "", body), true, Then.STAYS, "");
     }
 
-    private Answer shed(Ruling.Try one) {
+    private Answer shed(CourseJudge.Try one) {
         String id = random.nextBoolean() ? one.id : null;
         String surplus = switch (random.nextInt(6)) {
             case 0, 1 -> notRun(one.id);
@@ -399,7 +400,7 @@
                         "");
     }
 
-    private Answer cut(Ruling.Try one) {
+    private Answer cut(CourseJudge.Try one) {
         String whole = good(one, false);
         int size = 1 + random.nextInt(Math.max(1, whole.length() - 1));
         return new Answer(
@@ -410,7 +411,7 @@
     }
 
     /** Bytes that are no answer, or not a success; none of their bodies may reach a client as one. */
-    private Answer spoilt(Ruling.Try one) {
+    private Answer spoilt(CourseJudge.Try one) {
         int kind = random.nextInt(18);
         String body = "spoilt" + kind + ":" + body(one);
         String id = one.id;
--- a/src/test/java/brambletray/tray/flow/WireTest.java
+++ b/src/test/java/brambletray/platform/proxy/WireTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.flow;
+package brambletray.platform.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,15 +13,15 @@
 /** What passes from a client's connection to a host's, byte by byte. */
 class WireTest {
     private static final String HEAD = "GET /r/x HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n";
-    private final Street street = new Street();
-    private Caller client;
-    private Server host;
+    private final SimulatedProxy street = new SimulatedProxy();
+    private ScriptedClient client;
+    private ScriptedHost host;
 
     @BeforeEach
     void open() {
         street.route("idempotent", 2);
-        client = (Caller) street.actor("client");
-        host = (Server) street.actor("a");
+        client = (ScriptedClient) street.actor("client");
+        host = (ScriptedHost) street.actor("a");
     }
 
     private List<String> says(String bytes) {
@@ -172,7 +172,7 @@
         street.simulation.network().window(65_536);
         street.settle();
         assertEquals(List.of("reads r2"), host.look());
-        assertEquals(1, street.tally.stale);
+        assertEquals(1, street.counters.stale);
     }
 
     /**
@@ -226,7 +226,7 @@
         street.settle();
         assertEquals(
                 "3490",
-                Server.header(host.request, "brambletray-deadline-remaining"),
+                ScriptedHost.header(host.request, "brambletray-deadline-remaining"),
                 "of the route's timeout, which is shorter");
     }
 
@@ -234,13 +234,13 @@
     void tooMuch() {
         assertEquals(
                 "431 close", says(HEAD + "X: " + "y".repeat(3_000) + "\r\n\r\n").get(0));
-        client = (Caller) street.actor("client2");
+        client = (ScriptedClient) street.actor("client2");
         assertEquals(
                 "431 close",
                 says("GET /r/" + "y".repeat(3_000) + " HTTP/1.1\r\n").get(0));
-        client = (Caller) street.actor("client3");
+        client = (ScriptedClient) street.actor("client3");
         assertEquals("413 close", says(HEAD + "Content-Length: 10001\r\n\r\n").get(0));
-        client = (Caller) street.actor("client4");
+        client = (ScriptedClient) street.actor("client4");
         assertEquals(
                 "413 close",
                 says(HEAD + "Transfer-Encoding: chunked\r\n\r\n2711\r\n" + "x".repeat(10_001))
@@ -265,12 +265,12 @@
         assertEquals(
                 "400 close",
                 says("GET /r/x HTTP/1.1\r\nBrambletray-Attempt-Id: r1\r\n\r\n").get(0));
-        client = (Caller) street.actor("client2");
+        client = (ScriptedClient) street.actor("client2");
         assertEquals(
                 "505 close",
                 says("GET /r/x HTTP/1.0\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n\r\n")
                         .get(0));
-        client = (Caller) street.actor("client3");
+        client = (ScriptedClient) street.actor("client3");
         assertEquals(
                 "400 close",
                 says("GET http://h.example/r/x HTTP/1.1\r\nHost: h.example\r\nBrambletray-Attempt-Id: r1\r\n\r\n")
@@ -310,8 +310,8 @@
 
     @Test
     void noConfigurationYet() {
-        Street bare = new Street();
-        Caller caller = (Caller) bare.actor("client");
+        SimulatedProxy bare = new SimulatedProxy();
+        ScriptedClient caller = (ScriptedClient) bare.actor("client");
         caller.act("asks r1".split(" "));
         bare.settle();
         assertEquals(List.of("503 in 0.800"), caller.look());
@@ -328,8 +328,8 @@
 
     @Test
     void comingBackIsToldInSeconds() {
-        assertEquals("0.007", Heads.seconds(7));
-        assertEquals("12.050", Heads.seconds(12_050));
+        assertEquals("0.007", HeaderWriter.seconds(7));
+        assertEquals("12.050", HeaderWriter.seconds(12_050));
     }
 
     @Test
--- a/src/test/java/brambletray/tray/view/CatchUpTest.java
+++ b/src/test/java/brambletray/platform/replication/CatchUpTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -85,7 +85,7 @@
     }
 
     private static boolean back(SimWorld world, SimNode away) {
-        if (away.members.status().standing() != Standing.MEMBER
+        if (away.members.status().standing() != ReplicaRole.MEMBER
                 || !away.members.status().inForce()) {
             return false;
         }
--- a/src/test/java/brambletray/tray/view/Core.java
+++ b/src/test/java/brambletray/platform/replication/Core.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.List;
 
@@ -8,12 +8,12 @@
 
     /** Machines founded together; the first three are the seeds. */
     public Core(List<String> names) {
-        this(names, Tolerance.ofMachines(1));
+        this(names, FaultTolerance.ofMachines(1));
     }
 
     /** The same; {@code a/z} stands in zone z. */
-    Core(List<String> names, Tolerance tolerance) {
-        world = new SimWorld(1, Settings.usual(tolerance, 5000));
+    Core(List<String> names, FaultTolerance tolerance) {
+        world = new SimWorld(1, ReplicationSettings.usual(tolerance, 5000));
         world.jitter = false;
         List<String> seeds = names.subList(0, Math.min(3, names.size())).stream()
                 .map(Core::address)
@@ -42,7 +42,7 @@
                     return leader != null
                             && leader.members.status().members().size() == world.nodes.size()
                             && world.nodes.values().stream()
-                                    .allMatch(node -> node.members.status().standing() == Standing.MEMBER);
+                                    .allMatch(node -> node.members.status().standing() == ReplicaRole.MEMBER);
                 },
                 5000,
                 "founding");
--- a/src/test/java/brambletray/tray/view/DeathOrdersTest.java
+++ b/src/test/java/brambletray/platform/replication/DeathOrdersTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,7 +8,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** An operator declares a machine dead: what it takes, what goes on after it, and that the machine can do no harm when it is there after all. */
+/**
+ * An operator declares a machine dead: what it takes, what goes on after it, and that the machine can do no harm when
+ * it is there after all.
+ */
 class DeathOrdersTest {
     private SimWorld world;
     private Declaration result;
@@ -72,7 +75,7 @@
         node("c").start();
         world.until(world.now + 20_000);
         assertFalse(in("c"), "let in without the other of two");
-        assertEquals(Standing.STOPPED, node("a").members.status().standing());
+        assertEquals(ReplicaRole.STOPPED, node("a").members.status().standing());
 
         assertEquals(Declaration.DECLARED, declared("a", "b", gone));
         world.await(() -> in("c") && !in("b"), 3_000, "the view of a and c");
@@ -154,7 +157,10 @@
         assertEquals(Declaration.NO_MEMBER, declared("a", "a", life("a")));
     }
 
-    /** Of three, two are gone at once: whatever the operator says, one alone can't show that it has all that two may have acknowledged. */
+    /**
+     * Of three, two are gone at once: whatever the operator says, one alone can't show that it has all that two may
+     * have acknowledged.
+     */
     @Test
     void aMajorityIsNeverDeclaredDead() {
         core("a", "b", "c");
@@ -166,7 +172,7 @@
         assertEquals(Declaration.DECLARED, declared("a", "b", first));
         assertEquals(Declaration.TOO_MANY, declared("a", "c", second));
         world.until(world.now + 3_000);
-        assertTrue(node("a").members.status().standing() != Standing.MEMBER);
+        assertTrue(node("a").members.status().standing() != ReplicaRole.MEMBER);
     }
 
     /** A declaration outlasts a kill right after it: it is on the disk before it counts. */
--- a/src/test/java/brambletray/tray/view/DiskPositionsTest.java
+++ b/src/test/java/brambletray/platform/replication/DiskPositionsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,8 +7,10 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * One course of a core: founded, changed, compacted, a member that lost its disk let in again, changed on. At each position of each
- * member's disk (a write has begun; its sync is about to return) one trouble: the disk refuses, the process is killed, the power goes, for
+ * One course of a core: founded, changed, compacted, a member that lost its disk let in again, changed on. At each
+ * position of each
+ * member's disk (a write has begun; its sync is about to return) one trouble: the disk refuses, the process is killed,
+ * the power goes, for
  * this member or for all at once. Nothing acknowledged is lost, and once all is calm changes are acknowledged again.
  */
 class DiskPositionsTest {
@@ -152,7 +154,7 @@
         return leader != null
                 && leader.members.status().members().size() == world.nodes.size()
                 && world.nodes.values().stream()
-                        .allMatch(node -> node.up() && node.members.status().standing() == Standing.MEMBER);
+                        .allMatch(node -> node.up() && node.members.status().standing() == ReplicaRole.MEMBER);
     }
 
     private static boolean alike(SimWorld world) {
--- a/src/test/java/brambletray/tray/view/ExplorationTest.java
+++ b/src/test/java/brambletray/platform/replication/ExplorationTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -29,8 +29,8 @@
     private int bound;
     private int depth;
 
-    private Board board(Board.Purse purse, List<Integer> moves) {
-        Board board = new Board(purse);
+    private SteppedWorld board(SteppedWorld.Purse purse, List<Integer> moves) {
+        SteppedWorld board = new SteppedWorld(purse);
         board.found();
         for (int move : moves) {
             board.play(move);
@@ -38,13 +38,13 @@
         return board;
     }
 
-    private void explore(Board.Purse purse) {
+    private void explore(SteppedWorld.Purse purse) {
         seen.clear();
         List<Integer> moves = new ArrayList<>();
         walk(purse, board(purse, moves), moves);
     }
 
-    private void walk(Board.Purse purse, Board board, List<Integer> moves) {
+    private void walk(SteppedWorld.Purse purse, SteppedWorld board, List<Integer> moves) {
         if (states >= bound || !seen.add(board.print())) {
             return;
         }
@@ -57,13 +57,13 @@
         if (board.joined) {
             joins++;
         }
-        Board here = board;
+        SteppedWorld here = board;
         boolean some = false;
-        boolean[] may = new boolean[Board.MOVES];
-        for (int move = 0; move < Board.MOVES; move++) {
+        boolean[] may = new boolean[SteppedWorld.MOVES];
+        for (int move = 0; move < SteppedWorld.MOVES; move++) {
             may[move] = board.may(move);
         }
-        for (int move = 0; move < Board.MOVES; move++) {
+        for (int move = 0; move < SteppedWorld.MOVES; move++) {
             if (!may[move] || states >= bound) {
                 continue;
             }
@@ -89,17 +89,17 @@
     /** Random walks with a fuller purse reach further than the bound of states. */
     @Test
     void noWalkBreaksARule() {
-        int walks = Integer.getInteger("view.walks", WALKS);
-        long first = Long.getLong("view.first", 1);
+        int walks = Integer.getInteger("replication.walks", WALKS);
+        long first = Long.getLong("replication.first", 1);
         int played = 0;
         long steps = 0;
         for (long seed = first; seed < first + walks; seed++) {
             Random random = new Random(seed);
             int newcomers = random.nextInt(2);
             int impatience = 1 + random.nextInt(5);
-            Board.Purse purse =
-                    new Board.Purse(impatience, random.nextInt(3), random.nextInt(2), random.nextInt(2), newcomers);
-            Board board = new Board(purse);
+            SteppedWorld.Purse purse = new SteppedWorld.Purse(
+                    impatience, random.nextInt(3), random.nextInt(2), random.nextInt(2), newcomers);
+            SteppedWorld board = new SteppedWorld(purse);
             board.found();
             try {
                 steps += stroll(board, random, newcomers > 0);
@@ -122,21 +122,21 @@
                 walks < WALKS || lefts > 100 && joins > 100, "hardly anybody left or came in: " + lefts + ", " + joins);
     }
 
-    private static int stroll(Board board, Random random, boolean newcomer) {
-        int[] may = new int[Board.MOVES];
+    private static int stroll(SteppedWorld board, Random random, boolean newcomer) {
+        int[] may = new int[SteppedWorld.MOVES];
         // a walk may favour some links: the others' frames come late
-        boolean[] slow = new boolean[Board.MOVES];
-        for (int i = 0; i < Board.SIZE * (Board.SIZE + 1); i++) {
+        boolean[] slow = new boolean[SteppedWorld.MOVES];
+        for (int i = 0; i < SteppedWorld.SIZE * (SteppedWorld.SIZE + 1); i++) {
             slow[i] = random.nextInt(4) == 0;
         }
         // else a newcomer hardly ever has the state while the leader that it knocked at still leads
         int calm = newcomer ? random.nextInt(80) : 0;
         if (newcomer) {
-            board.play(Board.MOVES - 1);
+            board.play(SteppedWorld.MOVES - 1);
         }
         for (int step = 0; step < 400; step++) {
             int count = 0;
-            for (int move = 0; move < Board.MOVES; move++) {
+            for (int move = 0; move < SteppedWorld.MOVES; move++) {
                 if (board.may(move) && (!slow[move] || step < calm || random.nextInt(20) == 0)) {
                     may[count++] = move;
                 }
@@ -149,7 +149,7 @@
             }
             int move = may[random.nextInt(count)];
             // mishaps are rarer than frames
-            boolean mishap = move >= Board.SIZE * (Board.SIZE + 1);
+            boolean mishap = move >= SteppedWorld.SIZE * (SteppedWorld.SIZE + 1);
             if (mishap && (step < calm || random.nextInt(6) > 0)) {
                 continue;
             }
@@ -160,17 +160,17 @@
 
     @Test
     void noOrderOfFramesAndSyncsBreaksARule() {
-        String one = System.getProperty("view.moves");
-        int power = Integer.getInteger("view.power", 1);
-        int disks = Integer.getInteger("view.disks", 1);
-        int impatience = Integer.getInteger("view.impatience", 2);
+        String one = System.getProperty("replication.moves");
+        int power = Integer.getInteger("replication.power", 1);
+        int disks = Integer.getInteger("replication.disks", 1);
+        int impatience = Integer.getInteger("replication.impatience", 2);
         if (one != null) {
-            Board board = new Board(new Board.Purse(
+            SteppedWorld board = new SteppedWorld(new SteppedWorld.Purse(
                     impatience,
                     power,
                     disks,
-                    Integer.getInteger("view.leaves", 0),
-                    Integer.getInteger("view.newcomers", 0)));
+                    Integer.getInteger("replication.leaves", 0),
+                    Integer.getInteger("replication.newcomers", 0)));
             board.found();
             board.talks = true;
             for (String move : one.split("[, ]+")) {
@@ -178,23 +178,23 @@
             }
             return;
         }
-        bound = Integer.getInteger("view.states", STATES);
-        List<Board.Purse> purses = new ArrayList<>();
+        bound = Integer.getInteger("replication.states", STATES);
+        List<SteppedWorld.Purse> purses = new ArrayList<>();
         for (int i = 1; i <= impatience; i++) {
             for (int p = 0; p <= power; p++) {
                 for (int d = 0; d <= disks; d++) {
-                    purses.add(new Board.Purse(i, p, d));
+                    purses.add(new SteppedWorld.Purse(i, p, d));
                 }
             }
         }
         // with a planned end, and a newcomer at the same time
         for (int i = 1; i <= impatience; i++) {
             for (int n = 0; n <= 1; n++) {
-                purses.add(new Board.Purse(i, 0, n * disks, 1, n));
+                purses.add(new SteppedWorld.Purse(i, 0, n * disks, 1, n));
             }
         }
         int all = 0;
-        for (Board.Purse purse : purses) {
+        for (SteppedWorld.Purse purse : purses) {
             states = 0;
             ends = 0;
             depth = 0;
--- a/src/test/java/brambletray/tray/view/ToleranceTest.java
+++ b/src/test/java/brambletray/platform/replication/FaultToleranceTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,7 +12,7 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 
-class ToleranceTest {
+class FaultToleranceTest {
     private static final Map<String, String> REGIONS = Map.of("z0", "r0", "z1", "r0", "z2", "r1", "z3", "r2");
 
     /** Whether one is left whichever so many of the groups are lost. */
@@ -46,7 +46,7 @@
                     members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
                 }
                 for (int all = 0; all < 64; all++) {
-                    Tolerance tolerance = new Tolerance(all & 3, all >> 2 & 3, all >> 4, REGIONS);
+                    FaultTolerance tolerance = new FaultTolerance(all & 3, all >> 2 & 3, all >> 4, REGIONS);
                     boolean expected = outlasts(members, tolerance.machines(), Member::address)
                             && outlasts(members, tolerance.zones(), Member::zone)
                             && outlasts(members, tolerance.regions(), member -> REGIONS.get(member.zone()));
@@ -87,7 +87,7 @@
                     members.add(new Member("m" + i, "m" + i, i + 1, "z" + (placed >> 2 * i & 3)));
                 }
                 for (int all = 0; all < 16; all++) {
-                    Tolerance tolerance = new Tolerance(1, all & 3, all >> 2, REGIONS);
+                    FaultTolerance tolerance = new FaultTolerance(1, all & 3, all >> 2, REGIONS);
                     boolean sound = leavesMajority(members, tolerance.zones(), Member::zone)
                             && leavesMajority(members, tolerance.regions(), member -> REGIONS.get(member.zone()));
                     assertEquals(sound, tolerance.holdingHalf(members).isEmpty(), () -> tolerance + " " + members);
@@ -101,17 +101,17 @@
                 new Member("b", "b", 2, "z0"),
                 new Member("c", "c", 3, "z2"),
                 new Member("d", "d", 4, "z3"));
-        assertEquals(List.of("z0"), new Tolerance(1, 1, 0, REGIONS).holdingHalf(four));
-        assertEquals(List.of("r0"), new Tolerance(1, 0, 1, REGIONS).holdingHalf(four));
-        assertEquals(List.of(), new Tolerance(1, 0, 0, REGIONS).holdingHalf(four));
+        assertEquals(List.of("z0"), new FaultTolerance(1, 1, 0, REGIONS).holdingHalf(four));
+        assertEquals(List.of("r0"), new FaultTolerance(1, 0, 1, REGIONS).holdingHalf(four));
+        assertEquals(List.of(), new FaultTolerance(1, 0, 0, REGIONS).holdingHalf(four));
     }
 
     @Test
     void membersWhoseZoneIsNotKnownCountAsOfOne() {
         List<Member> two = List.of(new Member("a", "a", 1), new Member("b", "b", 2));
-        assertTrue(Tolerance.ofMachines(1).bears(two));
-        assertFalse(new Tolerance(1, 1, 0, Map.of()).bears(two));
-        assertFalse(new Tolerance(1, 0, 1, REGIONS)
+        assertTrue(FaultTolerance.ofMachines(1).bears(two));
+        assertFalse(new FaultTolerance(1, 1, 0, Map.of()).bears(two));
+        assertFalse(new FaultTolerance(1, 0, 1, REGIONS)
                 .bears(List.of(new Member("a", "a", 1, "x"), new Member("b", "b", 2, "y"))));
     }
 }
--- a/src/test/java/brambletray/tray/view/Fingerprint.java
+++ b/src/test/java/brambletray/platform/replication/Fingerprint.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.lang.reflect.Array;
 import java.lang.reflect.Field;
@@ -51,7 +51,7 @@
             add(object.toString().hashCode());
         } else if (object instanceof byte[] bytes) {
             add(java.util.Arrays.hashCode(bytes));
-        } else if (object instanceof Out || object instanceof Matter || object instanceof Class) {
+        } else if (object instanceof ReplicationActions || object instanceof StateMachine || object instanceof Class) {
             add(4);
         } else {
             Integer at = seen.putIfAbsent(object, seen.size());
--- a/src/test/java/brambletray/tray/view/Frames.java
+++ b/src/test/java/brambletray/platform/replication/Frames.java
@@ -1,12 +1,12 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
-import brambletray.tray.speech.Link;
-import brambletray.tray.speech.Speech;
+import brambletray.platform.transport.FrameCodec;
+import brambletray.platform.transport.Link;
 import java.util.List;
 
 /** How long frames are on a link, nearly, and what a link bears. */
 final class Frames {
-    static final int LONGEST = Speech.LONGEST;
+    static final int LONGEST = FrameCodec.LONGEST;
     static final long MOST_WAITING = Link.MOST_WAITING;
     private static final int SMALL = 64;
 
@@ -27,12 +27,12 @@
         if (frame instanceof Frame.Submit submit) {
             return SMALL + submit.bytes().length;
         }
-        return frame instanceof Frame.Told || frame instanceof Frame.Come ? 4 * SMALL : SMALL;
+        return frame instanceof Frame.StopAnswer || frame instanceof Frame.JoinAnswer ? 4 * SMALL : SMALL;
     }
 
-    private static int bytes(List<Entry> entries) {
+    private static int bytes(List<LogEntry> entries) {
         int bytes = 0;
-        for (Entry entry : entries) {
+        for (LogEntry entry : entries) {
             bytes += SMALL + entry.bytes().length;
         }
         return bytes;
--- a/src/test/java/brambletray/tray/view/FramesTest.java
+++ b/src/test/java/brambletray/platform/replication/FramesTest.java
@@ -1,10 +1,10 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brambletray.tray.speech.Speech;
+import brambletray.platform.transport.FrameCodec;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -19,10 +19,10 @@
 class FramesTest {
     @Test
     void everyFrameIsRegisteredAndComesAsItWent() {
-        Speech speech = new Speech(List.of(Members.FRAMES));
+        FrameCodec speech = new FrameCodec(List.of(Replica.FRAMES));
         Set<Class<?>> seen = new HashSet<>();
         for (long seed = 1; seed <= 60; seed++) {
-            Weather weather = new Weather(seed, false);
+            RandomFaults weather = new RandomFaults(seed, false);
             weather.world().post = frame -> {
                 seen.add(frame.getClass());
                 return speech.echo(frame);
@@ -30,25 +30,25 @@
             weather.play();
         }
         // hardly ever seen: a patch that doesn't fit
-        seen.add(speech.echo(new Frame.Unfit(new Ballot(1, 2), 3)).getClass());
+        seen.add(speech.echo(new Frame.PatchMismatch(new Ballot(1, 2), 3)).getClass());
         Set<Class<?>> never = new HashSet<>(List.of(Frame.class.getPermittedSubclasses()));
         never.removeAll(seen);
         assertEquals(Set.of(), never, "frames never sent");
-        assertTrue(Members.FRAMES.containsAll(List.of(Frame.class.getPermittedSubclasses())));
+        assertTrue(Replica.FRAMES.containsAll(List.of(Frame.class.getPermittedSubclasses())));
     }
 
     @Test
     void aNewerFormIsRefusedInOneLine() {
         Map<String, byte[]> map = new HashMap<>();
         map.put("view.life", new byte[] {9, 0, 0, 0, 0, 0, 0, 0, 1});
-        ViewFault fault = assertThrows(ViewFault.class, () -> Kept.read(map));
-        assertEquals("view.form", fault.code());
+        ReplicationException fault = assertThrows(ReplicationException.class, () -> DurableState.read(map));
+        assertEquals("replication.form", fault.code());
         assertEquals("kept in form 9, this program reads forms up to 2", fault.getMessage());
     }
 
     @Test
     void anEmptyDiskIsNone() {
-        assertEquals(0, Kept.read(Map.of()).life());
+        assertEquals(0, DurableState.read(Map.of()).life());
     }
 
     /** As programs wrote it before the zones of members were kept. */
@@ -71,19 +71,22 @@
             out.writeUTF("core-a");
             out.writeLong(2);
         }
-        View view = Codec.read(bytes.toByteArray(), in -> {
+        View view = ReplicationCodec.read(bytes.toByteArray(), in -> {
             in.readBoolean();
-            return Codec.view(in);
+            return ReplicationCodec.view(in);
         });
         Member member = new Member("a:1", "core-a", 2);
         assertEquals(
-                new View(new Ballot(5, 2), List.of(member), List.of(new Roll(new Ballot(4, 3), List.of(member)))),
+                new View(
+                        new Ballot(5, 2),
+                        List.of(member),
+                        List.of(new ViewMembership(new Ballot(4, 3), List.of(member)))),
                 view);
         Member placed = new Member("a:1", "core-a", 2, "z");
         View now = new View(new Ballot(5, 2), List.of(placed), List.of());
-        assertEquals(now, Codec.read(Codec.view(now, true), in -> {
+        assertEquals(now, ReplicationCodec.read(ReplicationCodec.view(now, true), in -> {
             in.readBoolean();
-            return Codec.view(in);
+            return ReplicationCodec.view(in);
         }));
     }
 }
--- a/src/test/java/brambletray/tray/view/LeadingTest.java
+++ b/src/test/java/brambletray/platform/replication/LeadingTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -13,21 +13,21 @@
     private static final int HEARTBEAT_MS = 100;
 
     private final RecordingOut out = new RecordingOut();
-    private final Desk desk = new Desk(Settings.usual(1), out, RecordingOut.stateless(), 77);
+    private final MemberState desk = new MemberState(ReplicationSettings.usual(1), out, RecordingOut.stateless(), 77);
 
-    private Leading leading() {
+    private Leader leading() {
         desk.now = 1_000;
         desk.me = LEADER;
         desk.view = VIEW;
         desk.inForce = true;
-        return new Leading(desk);
+        return new Leader(desk);
     }
 
     /** Heartbeat answers without progress, for so long. */
-    private void answersWithoutProgress(Leading leading, int ms) {
+    private void answersWithoutProgress(Leader leading, int ms) {
         for (int passed = 0; passed < ms; passed += HEARTBEAT_MS) {
             desk.now += HEARTBEAT_MS;
-            leading.back(new Frame.Back(VIEW.ballot(), FOLLOWER.life(), passed, 0, VIEW.ballot(), false));
+            leading.back(new Frame.HeartbeatAnswer(VIEW.ballot(), FOLLOWER.life(), passed, 0, VIEW.ballot(), false));
         }
     }
 
@@ -48,7 +48,7 @@
      */
     @Test
     void waitsForAsLongAsTheBytesTakeBeforeItSendsThemAgain() {
-        Leading leading = leading();
+        Leader leading = leading();
         leading.take(77, 1, new byte[100_000]);
         answersWithoutProgress(leading, 600);
         assertEquals(1, timesSent(), "100 kB take 800 ms at 1 Mbit/s");
@@ -58,7 +58,7 @@
 
     @Test
     void sendsAFewBytesAgainSoon() {
-        Leading leading = leading();
+        Leader leading = leading();
         leading.take(77, 1, new byte[100]);
         answersWithoutProgress(leading, 300);
         assertEquals(2, timesSent());
--- a/src/test/java/brambletray/tray/view/LeaveTest.java
+++ b/src/test/java/brambletray/platform/replication/LeaveTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -52,7 +52,7 @@
 
         Course(long seed, int machines, boolean talks) {
             random = new Random(seed);
-            world = new SimWorld(seed, Settings.usual(machines / 2));
+            world = new SimWorld(seed, ReplicationSettings.usual(machines / 2));
             world.talks = talks;
             List<String> seeds = List.of("a", "b", "c");
             for (int i = 0; i < machines; i++) {
@@ -72,7 +72,7 @@
             return leader != null
                     && leader.members.status().members().size() == machines
                     && live.stream()
-                            .allMatch(node -> node.up() && node.members.status().standing() == Standing.MEMBER);
+                            .allMatch(node -> node.up() && node.members.status().standing() == ReplicaRole.MEMBER);
         }
 
         /** Calls for so long. */
--- a/src/test/java/brambletray/tray/view/LogTest.java
+++ b/src/test/java/brambletray/platform/replication/LogTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,34 +12,34 @@
     private static final Ballot SECOND = new Ballot(2, 2);
     private static final int STATE = 10_000;
 
-    private static Log log(int entries, Ballot view) {
-        Log log = Log.empty();
+    private static ReplicatedLog log(int entries, Ballot view) {
+        ReplicatedLog log = ReplicatedLog.empty();
         for (int i = 1; i <= entries; i++) {
             log.append(entry(i, view));
         }
         return log;
     }
 
-    private static Entry entry(long index, Ballot view) {
-        return new Entry(index, view, 7, index, new byte[100]);
+    private static LogEntry entry(long index, Ballot view) {
+        return new LogEntry(index, view, 7, index, new byte[100]);
     }
 
     @Test
     void whatACompactionTookAwayIsStillGivenToWhoLacksLittle() {
-        Log log = log(300, FIRST);
+        ReplicatedLog log = log(300, FIRST);
         log.compact(300, new byte[STATE]);
         log.append(entry(301, FIRST));
-        Patch patch = log.since(290, FIRST, 0);
+        LogPatch patch = log.since(290, FIRST, 0);
         assertFalse(patch.whole());
         assertEquals(11, patch.entries().size());
-        Log other = log(290, FIRST).patched(patch);
+        ReplicatedLog other = log(290, FIRST).patched(patch);
         assertEquals(301, other.end());
         assertEquals(FIRST, other.endView());
     }
 
     @Test
     void theStateIsGivenToWhoLacksMoreThanItWeighsOrThanIsRemembered() {
-        Log log = log(300, FIRST);
+        ReplicatedLog log = log(300, FIRST);
         log.compact(300, new byte[STATE]);
         assertTrue(log.since(100, FIRST, 0).whole());
         for (int i = 301; i <= 1000; i++) {
@@ -59,12 +59,12 @@
      */
     @Test
     void anotherEntryAtARememberedPlaceIsReplacedWithAllBehindTheSnapshot() {
-        Log log = log(300, FIRST);
+        ReplicatedLog log = log(300, FIRST);
         log.compact(300, new byte[STATE]);
         for (long end : new long[] {250, 290, 300}) {
             assertTrue(log.since(end, SECOND, 0).whole(), "end " + end);
         }
-        Log later = log(250, FIRST);
+        ReplicatedLog later = log(250, FIRST);
         for (int i = 251; i <= 300; i++) {
             later.append(entry(i, SECOND));
         }
--- a/src/test/java/brambletray/tray/view/MemberTest.java
+++ b/src/test/java/brambletray/platform/replication/MemberTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -20,7 +20,7 @@
     private long ticket;
     private long now = 1000;
 
-    private final Out out = new Out() {
+    private final ReplicationActions out = new ReplicationActions() {
         @Override
         public void send(String address, Frame frame) {
             said.add(frame);
@@ -32,7 +32,7 @@
         }
 
         @Override
-        public void outcome(long token, Outcome outcome) {
+        public void outcome(long token, ProposalOutcome outcome) {
             said.add(outcome);
         }
 
@@ -48,7 +48,7 @@
         public void tell(String event, Object... facts) {}
     };
 
-    private final Matter matter = new Matter() {
+    private final StateMachine stateMachine = new StateMachine() {
         @Override
         public byte[] snapshot() {
             return new byte[0];
@@ -69,10 +69,22 @@
     };
 
     /** Member b of a view in force that a leads. */
-    private Members follower() {
-        Kept kept = new Kept(2, List.of(), VIEW.ballot(), VIEW, true, Log.empty(), List.of(), List.of());
-        return new Members(
-                "b", "b", "", 9, 77, kept, List.of("a", "b", "c"), false, Settings.usual(1), out, matter, now);
+    private Replica follower() {
+        DurableState kept =
+                new DurableState(2, List.of(), VIEW.ballot(), VIEW, true, ReplicatedLog.empty(), List.of(), List.of());
+        return new Replica(
+                "b",
+                "b",
+                "",
+                9,
+                77,
+                kept,
+                List.of("a", "b", "c"),
+                false,
+                ReplicationSettings.usual(1),
+                out,
+                stateMachine,
+                now);
     }
 
     private <T> T last(Class<T> type) {
@@ -84,8 +96,8 @@
         return null;
     }
 
-    private static Entry entry(long index) {
-        return new Entry(index, VIEW.ballot(), 7, index, new byte[] {1});
+    private static LogEntry entry(long index) {
+        return new LogEntry(index, VIEW.ballot(), 7, index, new byte[] {1});
     }
 
     private static Frame.Append append(long after, long commit) {
@@ -95,7 +107,7 @@
 
     @Test
     void acknowledgesOnlyWhatIsOnTheDiskAndDeliversOnlyWhatIsKept() {
-        Members b = follower();
+        Replica b = follower();
         b.heard("a", append(0, 0), now);
         assertNull(last(Frame.Ack.class));
         b.synced(ticket, now);
@@ -107,64 +119,66 @@
 
     @Test
     void tellsOnlyAfterItsPromiseIsOnTheDiskAndThenAcknowledgesNothing() {
-        Members b = follower();
-        b.heard("c", new Frame.Stop(new Ballot(6, 3), C, List.of()), now + 3000);
-        assertNull(last(Frame.Told.class));
+        Replica b = follower();
+        b.heard("c", new Frame.StopRequest(new Ballot(6, 3), C, List.of()), now + 3000);
+        assertNull(last(Frame.StopAnswer.class));
         b.synced(ticket, now + 3000);
-        assertEquals(new Ballot(6, 3), last(Frame.Told.class).ballot());
+        assertEquals(new Ballot(6, 3), last(Frame.StopAnswer.class).ballot());
         b.heard("a", append(0, 0), now + 3000);
         b.synced(ticket, now + 3000);
         assertNull(last(Frame.Ack.class));
-        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now + 3000);
-        assertEquals(new Ballot(6, 3), last(Frame.Nay.class).promised());
+        b.heard("a", new Frame.StopRequest(new Ballot(6, 1), A, List.of()), now + 3000);
+        assertEquals(new Ballot(6, 3), last(Frame.Refuse.class).promised());
     }
 
     @Test
     void whoHearsItsLeaderRefusesOthersAndWhoIsntInIsToldSo() {
-        Members b = follower();
-        b.heard("a", new Frame.Beat(VIEW.ballot(), 1, 0, 0, true, false), now);
-        b.heard("c", new Frame.Stop(new Ballot(6, 3), C, List.of()), now + 100);
-        assertTrue(last(Frame.Nay.class).calm());
-        b.heard("d", new Frame.Stop(new Ballot(7, 4), new Member("d", "d", 4), List.of()), now + 3000);
-        assertEquals(VIEW, last(Frame.Left.class).view());
+        Replica b = follower();
+        b.heard("a", new Frame.Heartbeat(VIEW.ballot(), 1, 0, 0, true, false), now);
+        b.heard("c", new Frame.StopRequest(new Ballot(6, 3), C, List.of()), now + 100);
+        assertTrue(last(Frame.Refuse.class).calm());
+        b.heard("d", new Frame.StopRequest(new Ballot(7, 4), new Member("d", "d", 4), List.of()), now + 3000);
+        assertEquals(VIEW, last(Frame.NotMember.class).view());
     }
 
     @Test
     void onlyTheAnswerToItsOwnQuestionProvesADiskLost() {
-        Members b = follower();
-        b.heard("c", new Frame.Here(1, new Member("c", "c", 33)), now);
-        b.heard("c", new Frame.Knock(new Member("c", "c", 33), Ballot.NONE, 0, Ballot.NONE, 0), now);
-        long nonce = last(Frame.Who.class).nonce();
-        b.heard("c", new Frame.Here(nonce + 1, new Member("c", "c", 33)), now);
-        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        Replica b = follower();
+        b.heard("c", new Frame.IdentityAnswer(1, new Member("c", "c", 33)), now);
+        b.heard("c", new Frame.JoinRequest(new Member("c", "c", 33), Ballot.NONE, 0, Ballot.NONE, 0), now);
+        long nonce = last(Frame.IdentityRequest.class).nonce();
+        b.heard("c", new Frame.IdentityAnswer(nonce + 1, new Member("c", "c", 33)), now);
+        b.heard("a", new Frame.StopRequest(new Ballot(6, 1), A, List.of()), now);
         b.synced(ticket, now);
-        assertEquals(List.of(), last(Frame.Told.class).dead());
-        b.heard("c", new Frame.Here(nonce, new Member("c", "c", 33)), now);
+        assertEquals(List.of(), last(Frame.StopAnswer.class).dead());
+        b.heard("c", new Frame.IdentityAnswer(nonce, new Member("c", "c", 33)), now);
         b.synced(ticket, now);
-        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
-        assertEquals(List.of(3L), last(Frame.Told.class).dead());
+        b.heard("a", new Frame.StopRequest(new Ballot(6, 1), A, List.of()), now);
+        assertEquals(List.of(3L), last(Frame.StopAnswer.class).dead());
     }
 
     @Test
     void aProposalThatWasNeverGivenToALeaderIsRefusedAndOneThatWasIsUnclear() {
-        Members b = follower();
+        Replica b = follower();
         b.propose(1, new byte[] {1}, now);
         assertEquals(VIEW.ballot(), last(Frame.Submit.class).view());
-        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        b.heard("a", new Frame.StopRequest(new Ballot(6, 1), A, List.of()), now);
         b.propose(2, new byte[] {2}, now);
         for (int i = 0; i < 100; i++) {
             b.tick(now += 40);
         }
         assertEquals(
-                List.of(Outcome.UNCLEAR, Outcome.REFUSED),
-                said.stream().filter(one -> one instanceof Outcome).toList());
+                List.of(ProposalOutcome.UNCLEAR, ProposalOutcome.REFUSED),
+                said.stream().filter(one -> one instanceof ProposalOutcome).toList());
     }
 
     @Test
     void aLeaderTakesProposalsOfItsOwnViewOnlyAndEachOnce() {
         View alone = new View(new Ballot(5, 2), List.of(B), List.of());
-        Kept kept = new Kept(2, List.of(), alone.ballot(), alone, true, Log.empty(), List.of(), List.of());
-        Members b = new Members("b", "b", "", 9, 77, kept, List.of("b"), false, Settings.usual(0), out, matter, now);
+        DurableState kept = new DurableState(
+                2, List.of(), alone.ballot(), alone, true, ReplicatedLog.empty(), List.of(), List.of());
+        Replica b = new Replica(
+                "b", "b", "", 9, 77, kept, List.of("b"), false, ReplicationSettings.usual(0), out, stateMachine, now);
         for (int i = 0; i < 20 && !b.status().leading(); i++) {
             b.tick(now += 40);
             b.synced(ticket, now);
@@ -180,40 +194,43 @@
         assertEquals(1, last(Long.class));
     }
 
-    /** An entry whose sync ends after the promise: the change of view counts it by what is told, not by an acknowledgement. */
+    /**
+     * An entry whose sync ends after the promise: the change of view counts it by what is told, not by an
+     * acknowledgement.
+     */
     @Test
     void whoHasStoppedAcknowledgesNoEntryThatIsSyncedLaterAndConfirmsNoRead() {
-        Members b = follower();
+        Replica b = follower();
         b.heard("a", append(0, 0), now);
-        b.heard("a", new Frame.Stop(new Ballot(6, 1), A, List.of()), now);
+        b.heard("a", new Frame.StopRequest(new Ballot(6, 1), A, List.of()), now);
         b.synced(ticket, now);
         b.synced(ticket, now);
-        assertEquals(1, last(Frame.Told.class).end());
+        assertEquals(1, last(Frame.StopAnswer.class).end());
         assertNull(last(Frame.Ack.class));
-        b.heard("c", new Frame.Ask(VIEW.ballot(), 1), now);
-        assertNull(last(Frame.Same.class));
+        b.heard("c", new Frame.ConfirmRequest(VIEW.ballot(), 1), now);
+        assertNull(last(Frame.ConfirmAnswer.class));
     }
 
     /** The giver's log may have changed since it was offered: only the one that was offered is kept with the view. */
     @Test
     void keepsNoOtherLogThanTheOneThatWasOffered() {
         View next = new View(new Ballot(6, 1), List.of(A, B, C), List.of());
-        Members b = follower();
-        b.heard("a", new Frame.Offer(next, 2, VIEW.ballot()), now);
-        b.heard("a", piece(last(Frame.Pull.class), List.of(entry(1))), now);
+        Replica b = follower();
+        b.heard("a", new Frame.TransferOffer(next, 2, VIEW.ballot()), now);
+        b.heard("a", piece(last(Frame.PieceRequest.class), List.of(entry(1))), now);
         b.synced(ticket, now);
         assertNull(last(Frame.Installed.class), "one entry, where two were offered");
         assertEquals(5, b.status().number());
-        b.heard("a", new Frame.Offer(next, 2, VIEW.ballot()), now);
-        b.heard("a", piece(last(Frame.Pull.class), List.of(entry(1), entry(2))), now);
+        b.heard("a", new Frame.TransferOffer(next, 2, VIEW.ballot()), now);
+        b.heard("a", piece(last(Frame.PieceRequest.class), List.of(entry(1), entry(2))), now);
         b.synced(ticket, now);
         assertEquals(next.ballot(), last(Frame.Installed.class).view());
     }
 
     /** All of it in one piece. */
-    private static Frame.Piece piece(Frame.Pull asked, List<Entry> entries) {
-        Patch patch = new Patch(false, 0, Ballot.NONE, new byte[0], entries);
-        byte[] bytes = Codec.patch(patch, 0);
+    private static Frame.Piece piece(Frame.PieceRequest asked, List<LogEntry> entries) {
+        LogPatch patch = new LogPatch(false, 0, Ballot.NONE, new byte[0], entries);
+        byte[] bytes = ReplicationCodec.patch(patch, 0);
         return new Frame.Piece(asked.id(), 0, bytes.length, bytes, CutDigest.of(patch, 0, bytes));
     }
 }
--- a/src/test/java/brambletray/tray/view/QuorumTest.java
+++ b/src/test/java/brambletray/platform/replication/QuorumTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/brambletray/tray/view/Weather.java
+++ b/src/test/java/brambletray/platform/replication/RandomFaults.java
@@ -1,11 +1,11 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 
 /** Random faults and work in a simulated world: one seed, one course. */
-public final class Weather {
+public final class RandomFaults {
     private final SimWorld world;
     private final Random random;
     public final List<SimNode> live = new ArrayList<>();
@@ -14,10 +14,10 @@
     /** What else may happen to a process at times. */
     public java.util.function.Consumer<SimNode> prank = node -> {};
 
-    public Weather(long seed, boolean talks) {
+    public RandomFaults(long seed, boolean talks) {
         random = new Random(seed);
         machines = random.nextInt(4) == 0 ? 5 : 3;
-        world = new SimWorld(seed, Settings.usual(1));
+        world = new SimWorld(seed, ReplicationSettings.usual(1));
         world.talks = talks;
         world.oracle.harsh = seed % 4 == 0;
         // large changes on links that take their time
@@ -114,8 +114,8 @@
             if (!node.up()) {
                 return false;
             }
-            Status status = node.members.status();
-            if (status.standing() != Standing.MEMBER
+            ReplicaStatus status = node.members.status();
+            if (status.standing() != ReplicaRole.MEMBER
                     || status.number() != leader.members.status().number()) {
                 return false;
             }
