--- a/src/test/java/brambletray/tray/view/WeatherTest.java
+++ b/src/test/java/brambletray/platform/replication/RandomFaultsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,19 +8,19 @@
  * Hundreds of random courses of faults, each with its own seed. {@code -Dview.seeds=N} plays more,
  * {@code -Dview.seed=S} plays one and tells.
  */
-class WeatherTest {
+class RandomFaultsTest {
     private static final int SEEDS = 500;
 
     @Test
     void nothingAcknowledgedIsLostInAnyWeather() {
-        Long only = Long.getLong("view.seed");
-        int seeds = Integer.getInteger("view.seeds", SEEDS);
-        long first = Long.getLong("view.first", 1);
+        Long only = Long.getLong("replication.seed");
+        int seeds = Integer.getInteger("replication.seeds", SEEDS);
+        long first = Long.getLong("replication.first", 1);
         int played = 0;
         long acknowledged = 0;
         long views = 0;
         for (long seed = only != null ? only : first; seed < first + seeds; seed++) {
-            Weather weather = new Weather(seed, only != null);
+            RandomFaults weather = new RandomFaults(seed, only != null);
             try {
                 acknowledged += weather.play();
             } catch (AssertionError | RuntimeException e) {
--- a/src/test/java/brambletray/tray/view/RecordingOut.java
+++ b/src/test/java/brambletray/platform/replication/RecordingOut.java
@@ -1,11 +1,11 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
 /** Keeps the frames that one member sends; everything else that it says is dropped. */
-final class RecordingOut implements Out {
+final class RecordingOut implements ReplicationActions {
     /** A frame and the address that it was sent to. */
     record Sent(String address, Frame frame) {}
 
@@ -28,7 +28,7 @@
     public void persist(long ticket, Map<String, byte[]> changes) {}
 
     @Override
-    public void outcome(long token, Outcome outcome) {}
+    public void outcome(long token, ProposalOutcome outcome) {}
 
     @Override
     public void confirmed(long token, boolean yes) {}
@@ -40,8 +40,8 @@
     public void tell(String event, Object... facts) {}
 
     /** A state machine without a state. */
-    static Matter stateless() {
-        return new Matter() {
+    static StateMachine stateless() {
+        return new StateMachine() {
             @Override
             public byte[] snapshot() {
                 return new byte[0];
--- a/src/test/java/brambletray/tray/view/PicturesTest.java
+++ b/src/test/java/brambletray/platform/replication/ReplicationTimelinesTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import org.junit.platform.suite.api.ConfigurationParameter;
 import org.junit.platform.suite.api.IncludeEngines;
@@ -8,7 +8,7 @@
 /** The drawn timelines of views and of the order. */
 @Suite
 @IncludeEngines("cucumber")
-@SelectPackages("brambletray.tray.view")
-@ConfigurationParameter(key = "cucumber.glue", value = "brambletray.tray.view")
+@SelectPackages("brambletray.platform.replication")
+@ConfigurationParameter(key = "cucumber.glue", value = "brambletray.platform.replication")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-class PicturesTest {}
+class ReplicationTimelinesTest {}
--- a/src/test/java/brambletray/tray/view/Oracle.java
+++ b/src/test/java/brambletray/platform/replication/RuleChecker.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,7 +12,7 @@
  * Sees all and holds the rules: one order, nothing acknowledged lost, nothing delivered twice, one view a number, reads
  * not older than acknowledgements.
  */
-public final class Oracle {
+public final class RuleChecker {
     /**
      * A second machine isn't lost so soon after the view without the first came in force that only its leader knows of
      * it.
@@ -50,7 +50,7 @@
     int confirmedOk;
     long tokens;
 
-    Oracle(SimWorld world) {
+    RuleChecker(SimWorld world) {
         this.world = world;
     }
 
@@ -99,7 +99,7 @@
     }
 
     void look(SimNode node) {
-        Status status = node.members.status();
+        ReplicaStatus status = node.members.status();
         if (!status.inForce()) {
             return;
         }
@@ -136,14 +136,14 @@
         return token;
     }
 
-    void outcome(SimNode node, long token, Outcome outcome) {
+    void outcome(SimNode node, long token, ProposalOutcome outcome) {
         String text = proposed.get(token);
-        if (outcome == Outcome.COMMITTED) {
+        if (outcome == ProposalOutcome.COMMITTED) {
             if (!ordered.contains(text)) {
                 fail(text + " acknowledged but not in the order");
             }
             acknowledged.add(text);
-        } else if (outcome == Outcome.REFUSED) {
+        } else if (outcome == ProposalOutcome.REFUSED) {
             if (ordered.contains(text)) {
                 fail(text + " refused but in the order");
             }
--- a/src/test/java/brambletray/tray/view/ServingTest.java
+++ b/src/test/java/brambletray/platform/replication/ServingTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,16 +12,17 @@
     private static final int RECEIVERS = 8;
 
     private final RecordingOut out = new RecordingOut();
-    private final Desk desk = new Desk(Settings.usual(1), out, RecordingOut.stateless(), 77);
+    private final MemberState desk = new MemberState(ReplicationSettings.usual(1), out, RecordingOut.stateless(), 77);
 
     /** The log of a view that is being installed can be had only as it is: no other cut does in its stead. */
     @Test
     void allThatLackTheSameOfANewViewAreServedFromOneCut() {
-        Entry entry = new Entry(1, INSTALLING, 7, 1, new byte[2 * StateTransfer.PIECE]);
-        Log log = new Log(0, Ballot.NONE, new byte[0], List.of(entry));
-        Serving serving = new Serving(desk, view -> log);
+        LogEntry entry = new LogEntry(1, INSTALLING, 7, 1, new byte[2 * StateTransfer.PIECE]);
+        ReplicatedLog log = new ReplicatedLog(0, Ballot.NONE, new byte[0], List.of(entry));
+        StateTransferServer serving = new StateTransferServer(desk, view -> log);
         for (int i = 0; i < RECEIVERS; i++) {
-            serving.pull("learner-" + i, new Frame.Pull(i + 1, 0, INSTALLING, 0, Ballot.NONE, 0, CutDigest.NONE));
+            serving.pull(
+                    "learner-" + i, new Frame.PieceRequest(i + 1, 0, INSTALLING, 0, Ballot.NONE, 0, CutDigest.NONE));
         }
         for (int i = 0; i < RECEIVERS; i++) {
             List<Frame.Piece> pieces = out.sentTo("learner-" + i, Frame.Piece.class);
--- a/src/test/java/brambletray/tray/view/SimDisk.java
+++ b/src/test/java/brambletray/platform/replication/SimDisk.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/test/java/brambletray/tray/view/SimNode.java
+++ b/src/test/java/brambletray/platform/replication/SimNode.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -22,7 +22,7 @@
     public final String address;
     public final SimDisk disk = new SimDisk();
     List<String> seeds;
-    public Members members;
+    public Replica members;
     public Rider rider;
     /** Counts processes; what was meant for an earlier one is dropped. */
     int boot;
@@ -55,9 +55,9 @@
         has.clear();
         delivered = 0;
         long fresh = world.random.nextLong() | 1;
-        Kept kept = Kept.read(disk.kept);
+        DurableState kept = DurableState.read(disk.kept);
         members = null;
-        members = new Members(
+        members = new Replica(
                 address,
                 address,
                 zone,
@@ -170,10 +170,10 @@
         } else if (rider != null) {
             rider.heard(from, frame);
         }
-        world.ear.accept(this, frame);
+        world.frameDispatcher.accept(this, frame);
     }
 
-    private final class State implements Matter {
+    private final class State implements StateMachine {
         @Override
         public byte[] snapshot() {
             return (delivered + " " + world.ballast + "\n" + String.join("\n", state)).getBytes(StandardCharsets.UTF_8);
@@ -226,7 +226,7 @@
         }
     }
 
-    private final class Ways implements Out {
+    private final class Ways implements ReplicationActions {
         private final int mine;
 
         Ways(int mine) {
@@ -244,7 +244,7 @@
         }
 
         @Override
-        public void outcome(long token, Outcome outcome) {
+        public void outcome(long token, ProposalOutcome outcome) {
             world.oracle.outcome(SimNode.this, token, outcome);
         }
 
@@ -258,7 +258,7 @@
 
         @Override
         public void tell(String event, Object... facts) {
-            if (event.equals("view.behind-snapshot")) {
+            if (event.equals("replication.behind-snapshot")) {
                 world.oracle.fail(address + " can't send what a member lacks: " + List.of(facts));
             }
             if (!world.talks) {
--- a/src/test/java/brambletray/tray/view/SimWorld.java
+++ b/src/test/java/brambletray/platform/replication/SimWorld.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,8 +29,8 @@
     }
 
     public final Random random;
-    final Settings settings;
-    public final Oracle oracle = new Oracle(this);
+    final ReplicationSettings settings;
+    public final RuleChecker oracle = new RuleChecker(this);
     public final Map<String, SimNode> nodes = new LinkedHashMap<>();
     private final Map<String, Link> links = new HashMap<>();
     private final PriorityQueue<Event> queue =
@@ -53,7 +53,7 @@
     /** How a frame comes to the other side. */
     java.util.function.UnaryOperator<Object> post = frame -> frame;
     /** Told of each frame once it has been dealt with. */
-    java.util.function.BiConsumer<SimNode, Object> ear = (node, frame) -> {};
+    java.util.function.BiConsumer<SimNode, Object> frameDispatcher = (node, frame) -> {};
 
     /** Told once a write has begun, and once more when its sync is about to return. */
     java.util.function.Consumer<SimNode> atDisk = node -> {};
@@ -62,7 +62,7 @@
         boolean pass(SimNode from, String to, Object frame);
     }
 
-    public SimWorld(long seed, Settings settings) {
+    public SimWorld(long seed, ReplicationSettings settings) {
         random = new Random(seed);
         this.settings = settings;
     }
--- a/src/test/java/brambletray/tray/view/StateTransferTest.java
+++ b/src/test/java/brambletray/platform/replication/StateTransferTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -20,14 +20,14 @@
     private SimWorld core(String... names) {
         Core core = new Core(List.of(names));
         world = core.world;
-        world.talks = Boolean.getBoolean("view.talks");
+        world.talks = Boolean.getBoolean("replication.talks");
         core.found();
         return world;
     }
 
     @AfterEach
     void tell() {
-        if (Boolean.getBoolean("view.talks")) {
+        if (Boolean.getBoolean("replication.talks")) {
             world.tales.forEach(System.out::println);
         }
     }
@@ -181,7 +181,7 @@
         world.ballast = "b".repeat(2 * MB);
         world.nodes.get("e").kill(true);
         world.await(() -> !in(world, "e"), 3000, "the view without it");
-        changes(world, 3 * Log.ENTRIES + 10, 12);
+        changes(world, 3 * ReplicatedLog.ENTRIES + 10, 12);
         around(world, "e", SLOW);
         world.nodes.get("e").start();
         world.await(() -> world.link("a", "e").bytes > 5 * MB / 4, 12_000, "more than half of the state");
@@ -210,8 +210,8 @@
     @Test
     void aLearnerGoesOnAtTheNextGiverWhereTheFirstStopped() {
         long rest = learnerWhoseGiverIsLost(0);
-        assertTrue(told("view.transfer-resumed"));
-        assertFalse(told("view.transfer-anew"));
+        assertTrue(told("replication.transfer-resumed"));
+        assertFalse(told("replication.transfer-anew"));
         assertTrue(rest < MB, "bytes of the second giver " + rest);
     }
 
@@ -219,16 +219,16 @@
     @Test
     void aLearnerGoesOnAtTheNextGiverThoughTheStateHasMovedOn() {
         long rest = learnerWhoseGiverIsLost(20);
-        assertTrue(told("view.transfer-resumed"));
-        assertFalse(told("view.transfer-anew"));
+        assertTrue(told("replication.transfer-resumed"));
+        assertFalse(told("replication.transfer-anew"));
         assertTrue(rest < MB, "bytes of the second giver " + rest);
     }
 
     /** The second giver has compacted what it would need for that: the learner begins anew, and says so. */
     @Test
     void aLearnerBeginsAnewWhereTheNextGiverCannotMakeTheSameState() {
-        long rest = learnerWhoseGiverIsLost(2 * Log.ENTRIES);
-        assertTrue(told("view.transfer-anew"));
+        long rest = learnerWhoseGiverIsLost(2 * ReplicatedLog.ENTRIES);
+        assertTrue(told("replication.transfer-anew"));
         assertTrue(rest > 2 * MB, "bytes of the second giver " + rest);
     }
 
@@ -239,7 +239,7 @@
         world.talks = true;
         world.node("d", List.of("a", "b", "c"));
         world.ballast = "b".repeat(MB);
-        changes(world, 3 * Log.ENTRIES + 10, 12);
+        changes(world, 3 * ReplicatedLog.ENTRIES + 10, 12);
         boolean[] spoil = {true};
         world.post = frame -> {
             if (!(frame instanceof Frame.Piece piece) || piece.offset() != StateTransfer.PIECE || !spoil[0]) {
@@ -252,18 +252,21 @@
         };
         world.nodes.get("d").start();
         world.await(() -> in(world, "d"), 5000, "let in");
-        assertTrue(told("view.transfer-spoilt"));
+        assertTrue(told("replication.transfer-spoilt"));
         world.until(world.now + 500);
         world.oracle.end(List.copyOf(world.nodes.values()));
     }
 
-    /** The leader compacts again and again while a learner fetches: what the learner lacks afterwards is little all the same. */
+    /**
+     * The leader compacts again and again while a learner fetches: what the learner lacks afterwards is little all the
+     * same.
+     */
     @Test
     void compactionWhileALearnerFetchesDoesNotMakeItBeginAnew() {
         core("a", "b", "c");
         world.node("d", List.of("a", "b", "c"));
         world.ballast = "b".repeat(2 * MB);
-        changes(world, 3 * Log.ENTRIES + 10, 12);
+        changes(world, 3 * ReplicatedLog.ENTRIES + 10, 12);
         around(world, "d", SLOW);
         world.nodes.get("d").start();
         long begin = world.now;
@@ -318,7 +321,7 @@
             world.node(name, List.of("a", "b", "c"));
         }
         world.ballast = "b".repeat(2 * MB);
-        changes(world, 3 * Log.ENTRIES + 10, 12);
+        changes(world, 3 * ReplicatedLog.ENTRIES + 10, 12);
         for (String name : List.of("d", "e", "f", "g", "h")) {
             around(world, name, 2 * SLOW);
             world.nodes.get(name).start();
@@ -378,7 +381,7 @@
             for (int i = 0; i < 400; i++) {
                 world.until(world.now + 10);
                 for (SimNode node : world.nodes.values()) {
-                    Status status = node.members.status();
+                    ReplicaStatus status = node.members.status();
                     if (!status.leading() || !status.settled()) {
                         continue;
                     }
--- a/src/test/java/brambletray/tray/view/Board.java
+++ b/src/test/java/brambletray/platform/replication/SteppedWorld.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -13,7 +13,7 @@
  * link, the end of a sync, the impatience of a member, a loss of power or of a disk, a planned end, the start of the
  * newcomer. The same moves give the same board.
  */
-final class Board {
+final class SteppedWorld {
     /** Machines: the founders and the newcomer. */
     static final int SIZE = 4;
 
@@ -22,8 +22,8 @@
     private static final String[] NAMES = {"a", "b", "c", "d"};
     private static final List<String> SEEDS = List.of("a", "b", "c");
     private static final int FAR = 1_000_000_000;
-    private static final Settings SETTINGS =
-            new Settings(Tolerance.ofMachines(1), FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR, FAR);
+    private static final ReplicationSettings SETTINGS =
+            new ReplicationSettings(FaultTolerance.ofMachines(1), FAR, 1, FAR, FAR, FAR, 0, 0, 0, FAR, FAR, FAR);
 
     /** What may still happen: impatience, losses of power, losses of disks, planned ends, the start of the newcomer. */
     record Purse(int impatience, int power, int disks, int leaves, int newcomers) {
@@ -32,19 +32,19 @@
         }
     }
 
-    private static final class Seat implements Out, Matter {
-        final Board board;
+    private static final class Seat implements ReplicationActions, StateMachine {
+        final SteppedWorld board;
         final int number;
         Map<String, byte[]> kept = new HashMap<>();
         Map<String, byte[]> flying;
         long ticket;
         int boot;
         long life;
-        Members members;
+        Replica members;
         final List<String> state = new ArrayList<>();
         long proposedIn;
 
-        Seat(Board board, int number) {
+        Seat(SteppedWorld board, int number) {
             this.board = board;
             this.number = number;
         }
@@ -55,13 +55,13 @@
             flying = null;
             long fresh = 100 * (number + 1) + boot;
             members = null;
-            members = new Members(
+            members = new Replica(
                     NAMES[number],
                     NAMES[number],
                     "",
                     fresh,
                     1000 * (number + 1) + boot,
-                    Kept.read(kept),
+                    DurableState.read(kept),
                     SEEDS,
                     initial,
                     SETTINGS,
@@ -95,8 +95,8 @@
         }
 
         @Override
-        public void outcome(long token, Outcome outcome) {
-            if (outcome == Outcome.COMMITTED) {
+        public void outcome(long token, ProposalOutcome outcome) {
+            if (outcome == ProposalOutcome.COMMITTED) {
                 board.acknowledged++;
             }
         }
@@ -171,7 +171,7 @@
     boolean joined;
     boolean talks;
 
-    Board(Purse purse) {
+    SteppedWorld(Purse purse) {
         this.purse = purse;
         for (int i = 0; i < SIZE; i++) {
             for (int j = 0; j < SIZE; j++) {
@@ -328,7 +328,7 @@
 
     /** Holds the rules, and has each new leader propose something. */
     private void look(Seat seat) {
-        Status status = seat.members.status();
+        ReplicaStatus status = seat.members.status();
         if (!status.inForce()) {
             return;
         }
--- a/src/test/java/brambletray/tray/view/Picture.java
+++ b/src/test/java/brambletray/platform/replication/Timeline.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,16 +14,19 @@
  * W        loses power and disk         z500     is frozen for 500 ms           ~  ~b  is cut from all, from b
  * ~&gt;b      its frames to b are cut       -        all its links are well again
  * bye      is about to end, as planned          left     may end now               stays  may not end yet
- * full     its disk refuses writes      hung900  its disk hangs for 900 ms      slow90 its disk takes 90 ms      well  its disk is well again
+ * full     its disk refuses writes      hung900  its disk hangs for 900 ms      slow90 its disk takes 90 ms      well
+ * its disk is well again
  * +x       proposes x                   ?        asks whether it reads the newest
- * X@Stop   is killed as it is about to send its next Stop; XX@, W@, ~b@ likewise; X&gt;Stop: once it is sent; X&lt;Told: once it has
+ * X@Stop   is killed as it is about to send its next Stop; XX@, W@, ~b@ likewise; X&gt;Stop: once it is sent;
+ * X&lt;Told: once it has
  *          heard one; bye&lt; likewise
- * =x       has x                        !x       hasn't x                       ok:x   x was acknowledged        no:x  x wasn't (yet)
+ * =x       has x                        !x       hasn't x                       ok:x   x was acknowledged        no:x
+ * x wasn't (yet)
  * L M S K  leads, is a member, has stopped, knocks; L2, M3: in a view of so many        V1       the view's number is 1
  * .        nothing
  * </pre>
  */
-public final class Picture {
+public final class Timeline {
     /** Further words. */
     public interface Words {
         /** Acts on a word; false if it isn't one. */
@@ -42,11 +45,11 @@
 
     private record Trap(SimNode node, String how, char when, String frame) {}
 
-    public Picture(SimWorld world, Words more) {
+    public Timeline(SimWorld world, Words more) {
         this.world = world;
         this.more = more;
         world.tap = this::pass;
-        world.ear = this::heard;
+        world.frameDispatcher = this::heard;
     }
 
     /** Plays the rows; throws AssertionError where something isn't seen. */
@@ -235,7 +238,7 @@
         if (!node.up()) {
             return false;
         }
-        Status status = node.members.status();
+        ReplicaStatus status = node.members.status();
         if (word.startsWith("V")) {
             return status.number() == number(word, 1);
         }
@@ -244,9 +247,9 @@
         }
         return switch (word.charAt(0)) {
             case 'L' -> status.leading();
-            case 'M' -> status.standing() == Standing.MEMBER;
-            case 'S' -> status.standing() == Standing.STOPPED;
-            default -> status.standing() == Standing.KNOCKING;
+            case 'M' -> status.standing() == ReplicaRole.MEMBER;
+            case 'S' -> status.standing() == ReplicaRole.STOPPED;
+            default -> status.standing() == ReplicaRole.KNOCKING;
         };
     }
 
--- a/src/test/java/brambletray/tray/view/PictureSteps.java
+++ b/src/test/java/brambletray/platform/replication/TimelineSteps.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
@@ -7,9 +7,9 @@
 import java.util.Map;
 
 /** Steps of the drawn timelines. */
-public final class PictureSteps {
+public final class TimelineSteps {
     private Core core;
-    private Picture picture;
+    private Timeline picture;
 
     private static List<String> names(String list) {
         return List.of(list.split("[ ,]+"));
@@ -22,14 +22,14 @@
 
     @Given("a core of {string} at rest, of which one zone may be lost")
     public void aCoreInZones(String list) {
-        found(new Core(names(list), new Tolerance(1, 1, 0, Map.of())));
+        found(new Core(names(list), new FaultTolerance(1, 1, 0, Map.of())));
     }
 
     private void found(Core made) {
         core = made;
-        core.world.talks = Boolean.getBoolean("view.talks");
+        core.world.talks = Boolean.getBoolean("replication.talks");
         core.found();
-        picture = new Picture(core.world, new Picture.Words() {
+        picture = new Timeline(core.world, new Timeline.Words() {
             @Override
             public boolean act(SimNode node, String word) {
                 return false;
@@ -59,7 +59,7 @@
     @Given("a state of {int} kB")
     public void state(int kb) {
         core.world.ballast = "b".repeat(kb << 10);
-        changes(Log.ENTRIES + 10);
+        changes(ReplicatedLog.ENTRIES + 10);
     }
 
     @When("this happens")
--- a/src/test/java/brambletray/tray/view/ZoneWarningTest.java
+++ b/src/test/java/brambletray/platform/replication/ZoneWarningTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.view;
+package brambletray.platform.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,7 +12,7 @@
     private SimWorld world;
 
     private void core(String... names) {
-        Core core = new Core(List.of(names), new Tolerance(1, 1, 0, Map.of()));
+        Core core = new Core(List.of(names), new FaultTolerance(1, 1, 0, Map.of()));
         world = core.world;
         world.talks = true;
         core.found();
@@ -20,7 +20,7 @@
 
     private long warnings(String member) {
         return world.tales.stream()
-                .filter(line -> line.contains(" " + member + " view.zones-hold-half "))
+                .filter(line -> line.contains(" " + member + " replication.zones-hold-half "))
                 .count();
     }
 
@@ -49,7 +49,7 @@
             world.nodes.get(name).kill(true);
         }
         world.until(world.now + 5_000);
-        assertEquals(Standing.STOPPED, world.nodes.get("a").members.status().standing());
+        assertEquals(ReplicaRole.STOPPED, world.nodes.get("a").members.status().standing());
         assertTrue(world.nodes.get("a").state.contains("c" + token));
         for (String name : List.of("c", "d")) {
             world.nodes.get(name).start();
--- a/src/test/java/brambletray/tray/berth/BerthTest.java
+++ b/src/test/java/brambletray/platform/settings/NodeSettingsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.berth;
+package brambletray.platform.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -15,11 +15,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class BerthTest {
+class NodeSettingsTest {
     private static final String LEAST = "node-name=n1\nip-address=10.1.0.3\nzone=za\n";
 
     private static final String FULL = LEAST + """
-        role=carry
+        role=edge
         hardware-class=edge
         served-roles=edge,control
         region=south
@@ -66,16 +66,16 @@
         cloud-api.lag-ms=800
         """;
 
-    private static Berth berth(String text) {
-        return Berth.from(Settings.parse("node.conf", text), Path.of("node.conf"));
+    private static NodeSettings nodeSettings(String text) {
+        return NodeSettings.from(SettingsFields.parse("node.conf", text), Path.of("node.conf"));
     }
 
     @Test
     void everyField() {
         assertEquals(
-                new Berth(
+                new NodeSettings(
                         "n1",
-                        "carry",
+                        "edge",
                         "edge",
                         Set.of("edge", "control"),
                         "10.1.0.3",
@@ -90,7 +90,7 @@
                         List.of(new Address("10.1.0.6", 8248), new Address("10.2.0.27", 8248)),
                         false,
                         true,
-                        new Resources(0.75, 2, 430, 4100, 1000, 128),
+                        new ResourceLimits(0.75, 2, 430, 4100, 1000, 128),
                         Path.of("/data/x"),
                         1200,
                         2,
@@ -98,25 +98,25 @@
                         3,
                         Set.of("base", "drain"),
                         new Bounds(31, 32, 33, 34, 35, 36, 37.5, 38, 39, 40, 41, 0.42, 43, 44, 45, 46),
-                        new Platform(new Address("10.200.0.15", 8240), 26, 105, 800),
+                        new CloudApiSettings(new Address("10.200.0.15", 8240), 26, 105, 800),
                         Path.of("node.conf")),
-                berth(FULL));
+                nodeSettings(FULL));
     }
 
     @Test
     void whatIsMissingAndWhatIsUnknown() {
-        Berth berth = berth("# by hand\r\n\r\n" + LEAST.replace("\n", "\r\n")
+        NodeSettings nodeSettings = nodeSettings("# by hand\r\n\r\n" + LEAST.replace("\n", "\r\n")
                 + "new.field=[1, 2]=3\nbounds.new-ms=x\nrole=\ndata-dir=");
-        assertEquals("n1", berth.node());
-        assertEquals(4_000, berth.bounds().contactMs());
-        assertEquals(1, berth.machineLosses());
-        assertEquals(Set.of(), berth.serves());
-        assertNull(berth.frontEnd());
-        assertNull(berth.dataDir());
-        assertNull(berth.platform().address());
+        assertEquals("n1", nodeSettings.node());
+        assertEquals(4_000, nodeSettings.bounds().contactMs());
+        assertEquals(1, nodeSettings.machineLosses());
+        assertEquals(Set.of(), nodeSettings.serves());
+        assertNull(nodeSettings.frontEnd());
+        assertNull(nodeSettings.dataDir());
+        assertNull(nodeSettings.platform().address());
         assertEquals(
                 "node.conf: data-dir: expected in the file, is missing",
-                assertThrows(BerthFault.class, () -> berth.need("data-dir", berth.dataDir()))
+                assertThrows(SettingsException.class, () -> nodeSettings.need("data-dir", nodeSettings.dataDir()))
                         .getMessage());
     }
 
@@ -147,39 +147,43 @@
         =x                              | bad-line  | node.conf:5: expected a.b=value
         """)
     void badLines(String line, String code, String message) {
-        BerthFault fault = assertThrows(BerthFault.class, () -> berth(LEAST + '\n' + line + "\nx=y"));
+        SettingsException fault =
+                assertThrows(SettingsException.class, () -> nodeSettings(LEAST + '\n' + line + "\nx=y"));
         String expected = message.replace(
                         "PORTS",
                         "node.conf:5: internal-port-range: expected two ports from 1 to 65535, the lower one first, found")
                 .replace("ADDRESS", "node.conf:5: cloud-api.address: expected an address such as 10.1.0.3:8241, found");
-        assertEquals("berth." + code + ' ' + expected, fault.code() + ' ' + fault.getMessage());
+        assertEquals("settings." + code + ' ' + expected, fault.code() + ' ' + fault.getMessage());
     }
 
     @ParameterizedTest(name = "{0}")
     @CsvSource({"node-name", "ip-address", "zone"})
     void neededFields(String field) {
-        BerthFault missing = assertThrows(BerthFault.class, () -> berth(LEAST.replace(field, "x")));
+        SettingsException missing =
+                assertThrows(SettingsException.class, () -> nodeSettings(LEAST.replace(field, "x")));
         assertEquals("node.conf: " + field + ": expected in the file, is missing", missing.getMessage());
-        BerthFault empty = assertThrows(BerthFault.class, () -> berth(LEAST.replaceAll(field + "=.*", field + "=")));
-        assertEquals("berth.bad-field", empty.code());
+        SettingsException empty =
+                assertThrows(SettingsException.class, () -> nodeSettings(LEAST.replaceAll(field + "=.*", field + "=")));
+        assertEquals("settings.bad-field", empty.code());
     }
 
     @Test
     void readAgainAsTheFileStandsThen(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("node.conf");
         assertEquals(
-                "berth.unreadable",
-                assertThrows(BerthFault.class, () -> Berth.read(file)).code());
+                "settings.unreadable",
+                assertThrows(SettingsException.class, () -> NodeSettings.read(file))
+                        .code());
         Files.writeString(file, FULL);
-        Berth first = Berth.read(file);
+        NodeSettings first = NodeSettings.read(file);
         Files.writeString(file, FULL.replace("bounds.drain-ms=36", "bounds.drain-ms=3600"));
         assertEquals(3_600, first.reread().bounds().drainMs());
         Files.writeString(file, FULL.replace("bounds.drain-ms=36", "bounds.drain-ms=soon"));
-        assertThrows(BerthFault.class, first::reread);
+        assertThrows(SettingsException.class, first::reread);
         assertEquals(36, first.bounds().drainMs());
         Files.write(file, new byte[] {(byte) 0xff, '='});
         assertEquals(
-                "berth.unreadable",
-                assertThrows(BerthFault.class, first::reread).code());
+                "settings.unreadable",
+                assertThrows(SettingsException.class, first::reread).code());
     }
 }
--- a/src/test/java/brambletray/tray/trove/TroveTest.java
+++ b/src/test/java/brambletray/platform/storage/KeyValueStoreTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class TroveTest {
+class KeyValueStoreTest {
     private static final int SEED = 20_261;
     /** Bytes of files that a store of these tests is allowed, so that it is compacted soon. */
     private static final long SMALL = 512 << 10;
@@ -38,22 +38,22 @@
         Logger.getLogger("trove").setLevel(Level.OFF);
     }
 
-    private void commit(Trove trove, Change... changes) {
+    private void commit(KeyValueStore keyValueStore, KeyChange... changes) {
         tried = new TreeMap<>(kept);
-        for (Change change : changes) {
+        for (KeyChange change : changes) {
             if (change.value() == null) {
                 tried.remove(change.key());
             } else {
                 tried.put(change.key(), change.value());
             }
         }
-        trove.commit(List.of(changes));
+        keyValueStore.commit(List.of(changes));
         kept.clear();
         kept.putAll(tried);
     }
 
-    private static boolean holds(Trove trove, Map<String, byte[]> expected) {
-        List<Map.Entry<String, byte[]>> all = trove.prefix("");
+    private static boolean holds(KeyValueStore keyValueStore, Map<String, byte[]> expected) {
+        List<Map.Entry<String, byte[]>> all = keyValueStore.prefix("");
         return all.size() == expected.size()
                 && all.stream().allMatch(e -> Arrays.equals(e.getValue(), expected.get(e.getKey())));
     }
@@ -64,41 +64,41 @@
         return value;
     }
 
-    private void work(Trove trove, Random random, int commits, int longest) {
+    private void work(KeyValueStore keyValueStore, Random random, int commits, int longest) {
         for (int i = 0; i < commits; i++) {
-            List<Change> changes = new ArrayList<>();
+            List<KeyChange> changes = new ArrayList<>();
             for (int j = random.nextInt(3); j >= 0; j--) {
-                changes.add(new Change(
+                changes.add(new KeyChange(
                         "key-" + random.nextInt(6),
                         random.nextInt(8) == 0 ? null : value(random, random.nextInt(longest))));
             }
-            changes.add(new Change("number", new byte[] {(byte) i, (byte) (i >> 8)}));
-            commit(trove, changes.toArray(new Change[0]));
-            trove.tidy();
+            changes.add(new KeyChange("number", new byte[] {(byte) i, (byte) (i >> 8)}));
+            commit(keyValueStore, changes.toArray(new KeyChange[0]));
+            keyValueStore.tidy();
         }
     }
 
     @Test
     void keepsWhatWasCommittedAndNothingElse(@TempDir Path dir) {
         Random random = new Random(SEED);
-        try (Trove trove = Trove.open(dir)) {
+        try (KeyValueStore keyValueStore = KeyValueStore.open(dir)) {
             commit(
-                    trove,
-                    new Change("a.1", value(random, 3)),
-                    new Change("a.2", value(random, 700_000)),
-                    new Change("b", new byte[0]));
+                    keyValueStore,
+                    new KeyChange("a.1", value(random, 3)),
+                    new KeyChange("a.2", value(random, 700_000)),
+                    new KeyChange("b", new byte[0]));
             commit(
-                    trove,
-                    new Change("a.1", value(random, 9)),
-                    new Change("a.1", null),
-                    new Change("c", value(random, 5)));
-            commit(trove, new Change("a.2", value(random, 300_000)));
-            assertNull(trove.get("a.1"));
+                    keyValueStore,
+                    new KeyChange("a.1", value(random, 9)),
+                    new KeyChange("a.1", null),
+                    new KeyChange("c", value(random, 5)));
+            commit(keyValueStore, new KeyChange("a.2", value(random, 300_000)));
+            assertNull(keyValueStore.get("a.1"));
             assertEquals(
                     List.of("a.2"),
-                    trove.prefix("a.").stream().map(Map.Entry::getKey).toList());
+                    keyValueStore.prefix("a.").stream().map(Map.Entry::getKey).toList());
         }
-        try (Trove again = Trove.open(dir)) {
+        try (KeyValueStore again = KeyValueStore.open(dir)) {
             assertTrue(holds(again, kept));
             assertEquals(4, again.commits());
         }
@@ -106,14 +106,14 @@
 
     @Test
     void aCopyOfTheFolderAfterACommitHasIt(@TempDir Path dir, @TempDir Path copy) throws Exception {
-        try (Trove trove = Trove.open(dir)) {
-            work(trove, new Random(SEED), 30, 90_000);
+        try (KeyValueStore keyValueStore = KeyValueStore.open(dir)) {
+            work(keyValueStore, new Random(SEED), 30, 90_000);
             try (Stream<Path> files = Files.list(dir)) {
                 for (Path file : files.toList()) {
                     Files.copy(file, copy.resolve(file.getFileName()));
                 }
             }
-            try (Trove other = Trove.open(copy)) {
+            try (KeyValueStore other = KeyValueStore.open(copy)) {
                 assertTrue(holds(other, kept));
             }
         }
@@ -121,18 +121,18 @@
 
     @Test
     void staysSmallUnderTenThousandCommits() {
-        Ghost disk = new Ghost();
+        SimulatedDirectory disk = new SimulatedDirectory();
         Random random = new Random(SEED);
         long most = 0;
-        try (Trove trove = Trove.open(disk)) {
+        try (KeyValueStore keyValueStore = KeyValueStore.open(disk)) {
             byte[] value = value(random, 20_000);
             for (int i = 0; i < 10_000; i++) {
                 value[i % value.length]++;
-                trove.commit(List.of(new Change("key-" + i % 5, value.clone())));
-                trove.tidy();
+                keyValueStore.commit(List.of(new KeyChange("key-" + i % 5, value.clone())));
+                keyValueStore.tidy();
                 most = Math.max(most, disk.bytes());
             }
-            assertArrayEquals(value, trove.get("key-4"));
+            assertArrayEquals(value, keyValueStore.get("key-4"));
         }
         assertTrue(most < 12 << 20, "most " + most);
     }
@@ -143,7 +143,7 @@
     @Test
     void aLossOfPowerTakesNothingThatReturned() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
+        SimulatedDirectory disk = new SimulatedDirectory();
         int[] steps = new int[2];
         disk.watch(() -> {
             if (steps[0]++ < 24 || random.nextInt(7) == 0) {
@@ -153,14 +153,14 @@
                 afterwards(disk.afterLoss(random), random, where + " dark");
             }
         });
-        work(Trove.open(disk), new Random(SEED), 60, 400_000);
+        work(KeyValueStore.open(disk), new Random(SEED), 60, 400_000);
         assertTrue(steps[1] > 60, "too few losses");
     }
 
-    private void afterwards(Ghost found, Random random, String where) {
-        try (Trove again = Trove.open(found)) {
+    private void afterwards(SimulatedDirectory found, Random random, String where) {
+        try (KeyValueStore again = KeyValueStore.open(found)) {
             assertTrue(holds(again, kept) || holds(again, tried), where);
-            again.commit(List.of(new Change("after", new byte[] {1})));
+            again.commit(List.of(new KeyChange("after", new byte[] {1})));
             assertEquals(
                     1,
                     found.names().stream()
@@ -169,10 +169,10 @@
                             .distinct()
                             .count(),
                     "generations, " + where);
-        } catch (TroveFault e) {
+        } catch (StorageException e) {
             throw new AssertionError(where, e);
         }
-        try (Trove third = Trove.open(found.afterLoss(random))) {
+        try (KeyValueStore third = KeyValueStore.open(found.afterLoss(random))) {
             assertArrayEquals(new byte[] {1}, third.get("after"), where);
         }
     }
@@ -186,7 +186,7 @@
     @Test
     void atEachStepEverySubsetOfUnsyncedNamesLeavesAPrefixWithAllThatReturned() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
+        SimulatedDirectory disk = new SimulatedDirectory();
         int[] seen = new int[5];
         // what is thrown within the store's own step would come out as a fault of the disk
         AssertionError[] first = new AssertionError[1];
@@ -194,7 +194,8 @@
             String where = "seed " + SEED + " step " + seen[0]++;
             seen[3] = Math.max(seen[3], disk.unsynced().size());
             try {
-                for (Ghost found : first[0] != null ? List.<Ghost>of() : disk.afterLosses(random)) {
+                for (SimulatedDirectory found :
+                        first[0] != null ? List.<SimulatedDirectory>of() : disk.afterLosses(random)) {
                     seen[1]++;
                     prefix(found, where + " dark");
                 }
@@ -203,8 +204,8 @@
                 first[0] = first[0] == null ? e : first[0];
             }
         });
-        try (Trove trove = Trove.open(disk, SMALL)) {
-            work(trove, new Random(SEED), 24, 100_000);
+        try (KeyValueStore keyValueStore = KeyValueStore.open(disk, SMALL)) {
+            work(keyValueStore, new Random(SEED), 24, 100_000);
             seen[4] = Integer.parseInt(disk.names().get(0).substring(0, 8), 16);
         }
         if (first[0] != null) {
@@ -239,10 +240,10 @@
     private int refusing(int at, int span, Random random, int[] seen) {
         kept.clear();
         tried = new TreeMap<>();
-        Ghost disk = new Ghost();
+        SimulatedDirectory disk = new SimulatedDirectory();
         int[] step = new int[1];
-        Trove trove = Trove.open(disk, SMALL / 4);
-        work(trove, new Random(SEED), 7, 5_000);
+        KeyValueStore keyValueStore = KeyValueStore.open(disk, SMALL / 4);
+        work(keyValueStore, new Random(SEED), 7, 5_000);
         disk.watch(() -> {
             boolean now = step[0] >= at && step[0] < at + span;
             disk.refusing(now && span != FULL_STEPS);
@@ -254,20 +255,21 @@
         for (int i = 0; i < 14; i++) {
             boolean hurt = step[0] >= at && checks < 2;
             String where = "seed " + SEED + " refused at " + at + " for " + span + ", commit " + i;
-            Change[] changes = {new Change("key-0", value(values, 60_000)), new Change("number", new byte[] {(byte) i})
+            KeyChange[] changes = {
+                new KeyChange("key-0", value(values, 60_000)), new KeyChange("number", new byte[] {(byte) i})
             };
             for (boolean done = false; !done; ) {
                 try {
-                    commit(trove, changes);
+                    commit(keyValueStore, changes);
                     done = true;
-                } catch (TroveFault e) {
+                } catch (StorageException e) {
                     seen[0]++;
-                    assertTrue(e.code().equals("trove.refused") || e.code().equals("trove.full"), where + e);
+                    assertTrue(e.code().equals("storage.refused") || e.code().equals("storage.full"), where + e);
                     darkAfter(disk, random, where + " failed", seen);
                 }
             }
-            assertTrue(holds(trove, kept), where);
-            trove.tidy();
+            assertTrue(holds(keyValueStore, kept), where);
+            keyValueStore.tidy();
             if (hurt) {
                 checks++;
                 darkAfter(disk, random, where, seen);
@@ -277,50 +279,51 @@
         return step[0];
     }
 
-    private void darkAfter(Ghost disk, Random random, String where, int[] seen) {
-        for (Ghost found : disk.afterLosses(random)) {
+    private void darkAfter(SimulatedDirectory disk, Random random, String where, int[] seen) {
+        for (SimulatedDirectory found : disk.afterLosses(random)) {
             seen[1]++;
             prefix(found, where + " dark");
         }
     }
 
     /** Opened after a kill; the power goes at each step of that, or after it. */
-    private void killed(Ghost found, Random random, String where, int[] seen) {
+    private void killed(SimulatedDirectory found, Random random, String where, int[] seen) {
         found.watch(() -> {
-            for (Ghost later : found.afterLosses(random)) {
+            for (SimulatedDirectory later : found.afterLosses(random)) {
                 seen[2]++;
                 prefix(later, where + ", then dark while it opens");
             }
         });
         Map<String, byte[]> read = new TreeMap<>();
-        try (Trove again = Trove.open(found, SMALL)) {
+        try (KeyValueStore again = KeyValueStore.open(found, SMALL)) {
             assertTrue(holds(again, kept) || holds(again, tried), where);
             again.prefix("").forEach(entry -> read.put(entry.getKey(), entry.getValue()));
             same(found, read, random, where + ", then dark: what had been read", seen);
             found.watch(() -> {});
-            again.commit(List.of(new Change("after", new byte[] {1})));
+            again.commit(List.of(new KeyChange("after", new byte[] {1})));
             read.put("after", new byte[] {1});
             same(found, read, random, where + ", gone on, then dark", seen);
-        } catch (TroveFault e) {
+        } catch (StorageException e) {
             throw new AssertionError(where, e);
         }
     }
 
-    private static void same(Ghost disk, Map<String, byte[]> expected, Random random, String where, int[] seen) {
-        for (Ghost found : disk.afterLosses(random)) {
+    private static void same(
+            SimulatedDirectory disk, Map<String, byte[]> expected, Random random, String where, int[] seen) {
+        for (SimulatedDirectory found : disk.afterLosses(random)) {
             seen[2]++;
-            try (Trove again = Trove.open(found, SMALL)) {
+            try (KeyValueStore again = KeyValueStore.open(found, SMALL)) {
                 assertTrue(holds(again, expected), where);
-            } catch (TroveFault e) {
+            } catch (StorageException e) {
                 throw new AssertionError(where, e);
             }
         }
     }
 
-    private void prefix(Ghost found, String where) {
-        try (Trove again = Trove.open(found, SMALL)) {
+    private void prefix(SimulatedDirectory found, String where) {
+        try (KeyValueStore again = KeyValueStore.open(found, SMALL)) {
             assertTrue(holds(again, kept) || holds(again, tried), where);
-        } catch (TroveFault e) {
+        } catch (StorageException e) {
             throw new AssertionError(where, e);
         }
     }
@@ -328,10 +331,10 @@
     @Test
     void garbageAtTheEndIsCutOff() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
-        work(Trove.open(disk), random, 20, 40_000);
+        SimulatedDirectory disk = new SimulatedDirectory();
+        work(KeyValueStore.open(disk), random, 20, 40_000);
         for (int i = 0; i < 90; i++) {
-            Ghost copy = disk.afterKill();
+            SimulatedDirectory copy = disk.afterKill();
             byte[] bytes = copy.newest();
             byte[] longer = Arrays.copyOf(bytes, bytes.length + 1 + random.nextInt(30_000));
             if (i % 3 > 0) {
@@ -341,7 +344,7 @@
                 System.arraycopy(garbage, 0, longer, bytes.length, garbage.length);
             }
             copy.newest(longer);
-            try (Trove again = Trove.open(copy)) {
+            try (KeyValueStore again = KeyValueStore.open(copy)) {
                 assertTrue(holds(again, kept), "seed " + SEED + " case " + i);
             }
         }
@@ -350,18 +353,18 @@
     @Test
     void theLastCommitGivesWayToTheOneBeforeIfItIsTorn() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
-        Trove trove = Trove.open(disk);
-        work(trove, random, 20, 40_000);
+        SimulatedDirectory disk = new SimulatedDirectory();
+        KeyValueStore keyValueStore = KeyValueStore.open(disk);
+        work(keyValueStore, random, 20, 40_000);
         Map<String, byte[]> before = new TreeMap<>(kept);
         int end = disk.newest().length;
-        commit(trove, new Change("key-1", value(random, 30_000)), new Change("number", new byte[1]));
+        commit(keyValueStore, new KeyChange("key-1", value(random, 30_000)), new KeyChange("number", new byte[1]));
         for (int at = end; at < disk.newest().length; at += 391) {
-            Ghost copy = disk.afterKill();
+            SimulatedDirectory copy = disk.afterKill();
             byte[] bytes = copy.newest().clone();
             Arrays.fill(bytes, at, Math.min(bytes.length, at + 50), (byte) 0);
             copy.newest(bytes);
-            try (Trove again = Trove.open(copy)) {
+            try (KeyValueStore again = KeyValueStore.open(copy)) {
                 assertTrue(holds(again, before) || holds(again, kept), "hole at " + (at - end));
             }
         }
@@ -370,17 +373,17 @@
     @Test
     void aFullDiskFailsTheCommitAndNothingElse() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
-        Trove trove = Trove.open(disk);
-        work(trove, random, 10, 10_000);
+        SimulatedDirectory disk = new SimulatedDirectory();
+        KeyValueStore keyValueStore = KeyValueStore.open(disk);
+        work(keyValueStore, random, 10, 10_000);
         disk.room(disk.bytes() + 50_000);
-        TroveFault fault = assertThrows(TroveFault.class, () -> work(trove, random, 100, 10_000));
-        assertEquals("trove.full", fault.code());
-        assertTrue(holds(trove, kept));
-        assertTrue(holds(Trove.open(disk.afterKill()), kept));
+        StorageException fault = assertThrows(StorageException.class, () -> work(keyValueStore, random, 100, 10_000));
+        assertEquals("storage.full", fault.code());
+        assertTrue(holds(keyValueStore, kept));
+        assertTrue(holds(KeyValueStore.open(disk.afterKill()), kept));
         disk.room(Long.MAX_VALUE);
-        work(trove, random, 10, 10_000);
-        assertTrue(holds(Trove.open(disk.afterLoss(random)), kept));
+        work(keyValueStore, random, 10, 10_000);
+        assertTrue(holds(KeyValueStore.open(disk.afterLoss(random)), kept));
     }
 
     /**
@@ -390,48 +393,49 @@
     @Test
     void aFullDiskIsOpenedAndReadAndWrittenOnceThereIsRoom() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
-        work(Trove.open(disk), random, 30, 40_000);
-        for (Ghost found : List.of(disk.afterKill(), disk.afterLoss(random))) {
+        SimulatedDirectory disk = new SimulatedDirectory();
+        work(KeyValueStore.open(disk), random, 30, 40_000);
+        for (SimulatedDirectory found : List.of(disk.afterKill(), disk.afterLoss(random))) {
             found.full(true);
-            try (Trove trove = Trove.open(found)) {
-                assertTrue(holds(trove, kept));
+            try (KeyValueStore keyValueStore = KeyValueStore.open(found)) {
+                assertTrue(holds(keyValueStore, kept));
                 for (int i = 0; i < 3; i++) {
-                    List<Change> more = List.of(new Change("x", new byte[9]));
+                    List<KeyChange> more = List.of(new KeyChange("x", new byte[9]));
                     assertEquals(
-                            "trove.full",
-                            assertThrows(TroveFault.class, () -> trove.commit(more))
+                            "storage.full",
+                            assertThrows(StorageException.class, () -> keyValueStore.commit(more))
                                     .code());
                 }
-                assertTrue(holds(trove, kept));
+                assertTrue(holds(keyValueStore, kept));
                 found.full(false);
-                trove.commit(List.of(new Change("x", new byte[9])));
+                keyValueStore.commit(List.of(new KeyChange("x", new byte[9])));
             }
-            assertArrayEquals(new byte[9], Trove.open(found.afterLoss(random)).get("x"));
+            assertArrayEquals(
+                    new byte[9], KeyValueStore.open(found.afterLoss(random)).get("x"));
         }
     }
 
     @Test
     void aDiskThatRefusesForAWhileIsWrittenAgain() {
         Random random = new Random(SEED);
-        Ghost disk = new Ghost();
-        Trove trove = Trove.open(disk);
-        work(trove, random, 10, 10_000);
+        SimulatedDirectory disk = new SimulatedDirectory();
+        KeyValueStore keyValueStore = KeyValueStore.open(disk);
+        work(keyValueStore, random, 10, 10_000);
         disk.refusing(true);
         for (int i = 0; i < 3; i++) {
-            TroveFault fault = assertThrows(TroveFault.class, () -> work(trove, random, 1, 10_000));
-            assertEquals("trove.refused", fault.code());
+            StorageException fault = assertThrows(StorageException.class, () -> work(keyValueStore, random, 1, 10_000));
+            assertEquals("storage.refused", fault.code());
         }
         disk.refusing(false);
-        work(trove, random, 10, 10_000);
-        assertTrue(holds(trove, kept));
-        assertTrue(holds(Trove.open(disk.afterLoss(random)), kept));
+        work(keyValueStore, random, 10, 10_000);
+        assertTrue(holds(keyValueStore, kept));
+        assertTrue(holds(KeyValueStore.open(disk.afterLoss(random)), kept));
     }
 
     @Test
     void aStoreThatIsLostIsBrokenAndCanBeAbandoned(@TempDir Path dir) throws Exception {
-        try (Trove trove = Trove.open(dir)) {
-            work(trove, new Random(SEED), 5, 1_000);
+        try (KeyValueStore keyValueStore = KeyValueStore.open(dir)) {
+            work(keyValueStore, new Random(SEED), 5, 1_000);
         }
         try (Stream<Path> files = Files.list(dir)) {
             for (Path file : files.filter(f -> f.toString().endsWith(".xd")).toList()) {
@@ -439,11 +443,12 @@
             }
         }
         assertEquals(
-                "trove.broken",
-                assertThrows(TroveFault.class, () -> Trove.open(dir)).code());
-        Trove.abandon(dir);
-        try (Trove trove = Trove.open(dir)) {
-            assertTrue(holds(trove, Map.of()));
+                "storage.broken",
+                assertThrows(StorageException.class, () -> KeyValueStore.open(dir))
+                        .code());
+        KeyValueStore.abandon(dir);
+        try (KeyValueStore keyValueStore = KeyValueStore.open(dir)) {
+            assertTrue(holds(keyValueStore, Map.of()));
         }
     }
 }
--- a/src/test/java/brambletray/tray/trove/RefusedStepsTest.java
+++ b/src/test/java/brambletray/platform/storage/RefusedStepsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -18,7 +18,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * A disk that refuses from one step on, at each step of opening, of abandoning, and of commits with their compaction: what the caller is
+ * A disk that refuses from one step on, at each step of opening, of abandoning, and of commits with their compaction:
+ * what the caller is
  * told, what a kill or a loss of power finds at each later step, and that the store works again once there is room.
  */
 class RefusedStepsTest {
@@ -29,26 +30,26 @@
     private static final int VALUE_BYTES = 20_000;
 
     private static final int COMMITS = 8;
-    private static final Set<String> TROUBLE = Set.of("trove.full", "trove.refused");
+    private static final Set<String> TROUBLE = Set.of("storage.full", "storage.refused");
 
     /** How a disk refuses. */
     private enum Refusal {
         /** No room: nothing is written or made longer; syncs, cuts and removals go on. */
         FULL {
             @Override
-            void set(Ghost disk, boolean now) {
+            void set(SimulatedDirectory disk, boolean now) {
                 disk.full(now);
             }
         },
         /** Nothing that changes the disk is done. */
         EVERYTHING {
             @Override
-            void set(Ghost disk, boolean now) {
+            void set(SimulatedDirectory disk, boolean now) {
                 disk.refusing(now);
             }
         };
 
-        abstract void set(Ghost disk, boolean now);
+        abstract void set(SimulatedDirectory disk, boolean now);
     }
 
     private final Random random = new Random(SEED);
@@ -60,7 +61,7 @@
         Logger.getLogger("trove").setLevel(Level.OFF);
     }
 
-    private static Map<String, byte[]> contents(Trove store) {
+    private static Map<String, byte[]> contents(KeyValueStore store) {
         Map<String, byte[]> all = new TreeMap<>();
         store.prefix("").forEach(entry -> all.put(entry.getKey(), entry.getValue()));
         return all;
@@ -72,21 +73,21 @@
                         .allMatch(entry -> Arrays.equals(entry.getValue(), other.get(entry.getKey())));
     }
 
-    private static List<Change> changes(int number) {
+    private static List<KeyChange> changes(int number) {
         byte[] value = new byte[VALUE_BYTES];
         Arrays.fill(value, (byte) number);
-        return List.of(new Change("key-" + number % 2, value), new Change("number", new byte[] {(byte) number}));
+        return List.of(new KeyChange("key-" + number % 2, value), new KeyChange("number", new byte[] {(byte) number}));
     }
 
-    private static void put(Map<String, byte[]> to, List<Change> changes) {
+    private static void put(Map<String, byte[]> to, List<KeyChange> changes) {
         changes.forEach(change -> to.put(change.key(), change.value()));
     }
 
     /** Opens on a disk that may refuse; null, with the code noted, if it does. */
-    private Trove tryOpen(Ghost disk, String where) {
+    private KeyValueStore tryOpen(SimulatedDirectory disk, String where) {
         try {
-            return Trove.open(disk, SMALL);
-        } catch (TroveFault fault) {
+            return KeyValueStore.open(disk, SMALL);
+        } catch (StorageException fault) {
             assertTrue(TROUBLE.contains(fault.code()), where + ": " + fault.code());
             told.add(fault.code());
             return null;
@@ -94,30 +95,33 @@
     }
 
     /** Opened with room, it holds this or that, and takes another commit that lasts. */
-    private void worksAgain(Ghost disk, Map<String, byte[]> kept, Map<String, byte[]> tried, String where) {
+    private void worksAgain(
+            SimulatedDirectory disk, Map<String, byte[]> kept, Map<String, byte[]> tried, String where) {
         losses++;
-        try (Trove store = Trove.open(disk, SMALL)) {
+        try (KeyValueStore store = KeyValueStore.open(disk, SMALL)) {
             Map<String, byte[]> found = contents(store);
             assertTrue(same(found, kept) || same(found, tried), where + ": holds " + found.keySet());
-            store.commit(List.of(new Change("after", new byte[] {1})));
-        } catch (TroveFault fault) {
+            store.commit(List.of(new KeyChange("after", new byte[] {1})));
+        } catch (StorageException fault) {
             throw new AssertionError(where + ": " + fault.code(), fault);
         }
-        try (Trove store = Trove.open(disk.afterLoss(random), SMALL)) {
+        try (KeyValueStore store = KeyValueStore.open(disk.afterLoss(random), SMALL)) {
             assertArrayEquals(new byte[] {1}, store.get("after"), where);
         }
     }
 
-    private void worksAfterEveryEnd(Ghost disk, Map<String, byte[]> kept, Map<String, byte[]> tried, String where) {
+    private void worksAfterEveryEnd(
+            SimulatedDirectory disk, Map<String, byte[]> kept, Map<String, byte[]> tried, String where) {
         worksAgain(disk.afterKill(), kept, tried, where + ", killed");
-        for (Ghost dark : disk.afterLosses(random)) {
+        for (SimulatedDirectory dark : disk.afterLosses(random)) {
             worksAgain(dark, kept, tried, where + ", dark");
         }
     }
 
     /** Opening with the disk refusing from step {@code at} on; false if there is no such step. */
-    private boolean openRefused(Supplier<Ghost> found, Map<String, byte[]> kept, Refusal refusal, int at, String name) {
-        Ghost disk = found.get();
+    private boolean openRefused(
+            Supplier<SimulatedDirectory> found, Map<String, byte[]> kept, Refusal refusal, int at, String name) {
+        SimulatedDirectory disk = found.get();
         String where = name + ", " + refusal + " from step " + at;
         int[] step = new int[1];
         disk.watch(() -> {
@@ -125,7 +129,7 @@
                 refusal.set(disk, true);
             }
         });
-        Trove opened = tryOpen(disk, where);
+        KeyValueStore opened = tryOpen(disk, where);
         disk.watch(() -> {});
         if (opened != null) {
             assertTrue(same(contents(opened), kept), where + ": reads");
@@ -138,14 +142,14 @@
     }
 
     /** The same disk as another process or a later moment finds it: it refuses nothing. */
-    private static Ghost cleared(Ghost disk, Refusal refusal) {
+    private static SimulatedDirectory cleared(SimulatedDirectory disk, Refusal refusal) {
         refusal.set(disk, false);
-        Ghost copy = disk.afterKill();
+        SimulatedDirectory copy = disk.afterKill();
         refusal.set(disk, true);
         return copy;
     }
 
-    private int everyStepOfOpening(Supplier<Ghost> found, Map<String, byte[]> kept, String name) {
+    private int everyStepOfOpening(Supplier<SimulatedDirectory> found, Map<String, byte[]> kept, String name) {
         int steps = 0;
         for (Refusal refusal : Refusal.values()) {
             for (int at = 0; openRefused(found, kept, refusal, at, name); at++) {
@@ -155,20 +159,22 @@
         return steps;
     }
 
-    /** The first opening, on an empty disk; and that of what a kill or a loss of power left in the middle of a commit. */
+    /**
+     * The first opening, on an empty disk; and that of what a kill or a loss of power left in the middle of a commit.
+     */
     @Test
     void openingThatIsRefusedAtAnyStepIsToldAndLosesNothing() {
-        int steps = everyStepOfOpening(Ghost::new, Map.of(), "empty");
-        Ghost disk = new Ghost();
+        int steps = everyStepOfOpening(SimulatedDirectory::new, Map.of(), "empty");
+        SimulatedDirectory disk = new SimulatedDirectory();
         Map<String, byte[]> kept = new TreeMap<>();
-        try (Trove store = Trove.open(disk, SMALL)) {
+        try (KeyValueStore store = KeyValueStore.open(disk, SMALL)) {
             for (int i = 0; i < 3; i++) {
                 store.commit(changes(i));
                 put(kept, changes(i));
             }
         }
         steps += everyStepOfOpening(disk::afterKill, kept, "killed");
-        Ghost garbage = torn(disk);
+        SimulatedDirectory garbage = torn(disk);
         steps += everyStepOfOpening(garbage::afterKill, kept, "torn");
         System.out.println(
                 "refused while it opens: " + steps + " steps, " + losses + " openings afterwards, told " + told);
@@ -176,14 +182,17 @@
     }
 
     /** Bytes behind the last commit: opening has to cut them off. */
-    private static Ghost torn(Ghost disk) {
-        Ghost copy = disk.afterKill();
+    private static SimulatedDirectory torn(SimulatedDirectory disk) {
+        SimulatedDirectory copy = disk.afterKill();
         byte[] bytes = copy.newest();
         copy.newest(Arrays.copyOf(bytes, bytes.length + 777));
         return copy;
     }
 
-    /** Commits and compactions with the disk refusing from a step on; at each further step the process is killed or the power goes. */
+    /**
+     * Commits and compactions with the disk refusing from a step on; at each further step the process is killed or the
+     * power goes.
+     */
     @Test
     void whatReturnedBeforeARefusalIsThereAtEachLaterStep() {
         for (Refusal refusal : Refusal.values()) {
@@ -203,10 +212,10 @@
     /** Returns the generation of the store afterwards; 0 if there is no such step. */
     private int commitRefused(Refusal refusal, int at) {
         String where = refusal + " from step " + at;
-        Ghost disk = new Ghost();
+        SimulatedDirectory disk = new SimulatedDirectory();
         Map<String, byte[]> kept = new TreeMap<>();
         Map<String, byte[]> tried = new TreeMap<>();
-        Trove store = Trove.open(disk, SMALL);
+        KeyValueStore store = KeyValueStore.open(disk, SMALL);
         int[] step = new int[1];
         AssertionError[] first = new AssertionError[1];
         disk.watch(() -> {
@@ -243,11 +252,11 @@
         return step[0] > at ? Integer.parseInt(disk.names().get(0).substring(0, 8), 16) : 0;
     }
 
-    private boolean commits(Trove store, List<Change> changes, String where) {
+    private boolean commits(KeyValueStore store, List<KeyChange> changes, String where) {
         try {
             store.commit(changes);
             return true;
-        } catch (TroveFault fault) {
+        } catch (StorageException fault) {
             assertTrue(TROUBLE.contains(fault.code()), where + ": " + fault.code());
             told.add(fault.code());
             return false;
@@ -263,7 +272,10 @@
         }
     }
 
-    /** A broken store is given up: refused, killed or dark at any step, the next opening finds it broken still, or empty. */
+    /**
+     * A broken store is given up: refused, killed or dark at any step, the next opening finds it broken still, or
+     * empty.
+     */
     @Test
     void abandoningAtAnyStepLeavesABrokenStoreOrAnEmptyOne() {
         int steps = 0;
@@ -275,33 +287,33 @@
     }
 
     private boolean abandonRefused(int at) {
-        Ghost disk = new Ghost();
-        try (Trove store = Trove.open(disk, SMALL)) {
+        SimulatedDirectory disk = new SimulatedDirectory();
+        try (KeyValueStore store = KeyValueStore.open(disk, SMALL)) {
             store.commit(changes(1));
         }
         disk.newest(new byte[5_000]);
         int[] step = new int[1];
         disk.watch(() -> disk.refusing(step[0]++ == at));
         try {
-            Trove.abandon(disk);
-        } catch (TroveFault fault) {
-            assertEquals("trove.refused", fault.code(), "step " + at);
+            KeyValueStore.abandon(disk);
+        } catch (StorageException fault) {
+            assertEquals("storage.refused", fault.code(), "step " + at);
         }
         disk.watch(() -> {});
         disk.refusing(false);
         brokenOrEmpty(disk.afterKill(), "abandoned until step " + at + ", killed");
-        for (Ghost dark : disk.afterLosses(random)) {
+        for (SimulatedDirectory dark : disk.afterLosses(random)) {
             brokenOrEmpty(dark, "abandoned until step " + at + ", dark");
         }
         return step[0] > at;
     }
 
-    private void brokenOrEmpty(Ghost disk, String where) {
+    private void brokenOrEmpty(SimulatedDirectory disk, String where) {
         try {
-            Trove.open(disk, SMALL).close();
-        } catch (TroveFault fault) {
-            assertEquals("trove.broken", fault.code(), where);
-            Trove.abandon(disk);
+            KeyValueStore.open(disk, SMALL).close();
+        } catch (StorageException fault) {
+            assertEquals("storage.broken", fault.code(), where);
+            KeyValueStore.abandon(disk);
         }
         worksAgain(disk, Map.of(), Map.of(), where);
     }
--- a/src/test/java/brambletray/tray/trove/Ghost.java
+++ b/src/test/java/brambletray/platform/storage/SimulatedDirectory.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,7 +15,7 @@
  * missing or torn, or all of it is gone. Each file that was made or removed since the folder's last sync is there or
  * not, by itself.
  */
-final class Ghost implements Platter {
+final class SimulatedDirectory implements Directory {
     private record Write(int at, byte[] bytes) {}
 
     private static final class Item {
@@ -52,11 +52,12 @@
                 int fate = nothing ? 1 : random.nextInt(4);
                 int cut = write.bytes.length > 1 ? 1 + random.nextInt(write.bytes.length - 1) : 0;
                 if (fate == 0) {
-                    left = Ghost.put(left, write.at, write.bytes);
+                    left = SimulatedDirectory.put(left, write.at, write.bytes);
                 } else if (fate == 2 && cut > 0) {
-                    left = Ghost.put(left, write.at, Arrays.copyOf(write.bytes, cut));
+                    left = SimulatedDirectory.put(left, write.at, Arrays.copyOf(write.bytes, cut));
                 } else if (fate == 3 && cut > 0) {
-                    left = Ghost.put(left, write.at + cut, Arrays.copyOfRange(write.bytes, cut, write.bytes.length));
+                    left = SimulatedDirectory.put(
+                            left, write.at + cut, Arrays.copyOfRange(write.bytes, cut, write.bytes.length));
                 }
             }
             return left;
@@ -133,8 +134,8 @@
     }
 
     /** What is found after a kill: all that was written, synced or not. */
-    Ghost afterKill() {
-        Ghost next = new Ghost();
+    SimulatedDirectory afterKill() {
+        SimulatedDirectory next = new SimulatedDirectory();
         Map<Item, Item> copies = new IdentityHashMap<>();
         files.forEach((name, item) -> next.files.put(name, copies.computeIfAbsent(item, Item::copy)));
         named.forEach((name, item) -> next.named.put(name, copies.computeIfAbsent(item, Item::copy)));
@@ -153,9 +154,9 @@
      * What may be found after a loss of power: with every subset of the unsynced names, and drawn fates of unsynced
      * writes.
      */
-    List<Ghost> afterLosses(Random random) {
+    List<SimulatedDirectory> afterLosses(Random random) {
         int names = unsynced().size();
-        List<Ghost> all = new ArrayList<>();
+        List<SimulatedDirectory> all = new ArrayList<>();
         for (int i = 0; i < 1 << Math.min(names, MOST_NAMES); i++) {
             long subset = names <= MOST_NAMES ? i : random.nextLong();
             all.add(after(random, subset, true));
@@ -165,12 +166,12 @@
     }
 
     /** One of them. */
-    Ghost afterLoss(Random random) {
+    SimulatedDirectory afterLoss(Random random) {
         return after(random, random.nextLong(), random.nextInt(4) == 0);
     }
 
-    private Ghost after(Random random, long subset, boolean nothing) {
-        Ghost next = new Ghost();
+    private SimulatedDirectory after(Random random, long subset, boolean nothing) {
+        SimulatedDirectory next = new SimulatedDirectory();
         Map<String, Item> found = new TreeMap<>(named);
         List<String> unsynced = unsynced();
         for (int i = 0; i < unsynced.size(); i++) {
--- a/src/test/java/brambletray/tray/trove/ScribeTest.java
+++ b/src/test/java/brambletray/platform/storage/SyncWriterTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -14,14 +14,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-class ScribeTest {
+class SyncWriterTest {
     private final Semaphore disk = new Semaphore(0);
     private final CountDownLatch writing = new CountDownLatch(1);
-    private final List<List<Change>> written = new ArrayList<>();
+    private final List<List<KeyChange>> written = new ArrayList<>();
     private final BlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
     private final List<String> heard = new ArrayList<>();
-    private TroveFault fault;
-    private final Scribe scribe = new Scribe(
+    private StorageException fault;
+    private final SyncWriter syncWriter = new SyncWriter(
             changes -> {
                 writing.countDown();
                 disk.acquireUninterruptibly();
@@ -35,7 +35,7 @@
     @AfterEach
     void end() {
         disk.release(1_000);
-        assertTrue(scribe.drain(10_000));
+        assertTrue(syncWriter.drain(10_000));
     }
 
     private DurableStore.Reply reply(String name) {
@@ -46,7 +46,7 @@
             }
 
             @Override
-            public void failed(TroveFault why) {
+            public void failed(StorageException why) {
                 heard.add(name + ' ' + why.code());
             }
         };
@@ -58,12 +58,13 @@
 
     @Test
     void whatWaitsForAHungDiskIsOneCommitAfterwards() throws Exception {
-        assertTrue(scribe.commit(List.of(new Change("a", new byte[1])), 100, reply("first")));
+        assertTrue(syncWriter.commit(List.of(new KeyChange("a", new byte[1])), 100, reply("first")));
         writing.await();
-        assertTrue(scribe.commit(List.of(new Change("a", new byte[2]), new Change("b", null)), 200, reply("second")));
-        assertTrue(scribe.commit(List.of(new Change("a", new byte[3])), 300, reply("third")));
-        assertEquals(400, scribe.oldestWaitMs(500));
-        assertEquals(3, scribe.pending());
+        assertTrue(syncWriter.commit(
+                List.of(new KeyChange("a", new byte[2]), new KeyChange("b", null)), 200, reply("second")));
+        assertTrue(syncWriter.commit(List.of(new KeyChange("a", new byte[3])), 300, reply("third")));
+        assertEquals(400, syncWriter.oldestWaitMs(500));
+        assertEquals(3, syncWriter.pending());
         disk.release(2);
         turn();
         turn();
@@ -71,28 +72,28 @@
         assertEquals(2, written.size());
         assertEquals(2, written.get(1).size());
         assertTrue(written.get(1).stream().anyMatch(c -> c.key().equals("a") && c.value().length == 3));
-        assertEquals(0, scribe.oldestWaitMs(900));
+        assertEquals(0, syncWriter.oldestWaitMs(900));
     }
 
     @Test
     void aFailureIsToldAndTheNextGoesOn() throws Exception {
-        fault = new TroveFault("trove.full", "no room", null);
-        scribe.commit(List.of(new Change("a", new byte[1])), 0, reply("first"));
+        fault = new StorageException("storage.full", "no room", null);
+        syncWriter.commit(List.of(new KeyChange("a", new byte[1])), 0, reply("first"));
         disk.release();
         turn();
         fault = null;
-        scribe.commit(List.of(new Change("a", new byte[1])), 0, reply("second"));
+        syncWriter.commit(List.of(new KeyChange("a", new byte[1])), 0, reply("second"));
         disk.release();
         turn();
-        assertEquals(List.of("first trove.full", "second done"), heard);
+        assertEquals(List.of("first storage.full", "second done"), heard);
     }
 
     @Test
     void takesNoMoreThanItHasRoomFor() throws Exception {
-        scribe.commit(List.of(new Change("a", new byte[1])), 0, reply("first"));
+        syncWriter.commit(List.of(new KeyChange("a", new byte[1])), 0, reply("first"));
         writing.await();
-        byte[] large = new byte[(int) (Scribe.MOST_BYTES / 2 + 1)];
-        assertTrue(scribe.commit(List.of(new Change("b", large)), 0, reply("second")));
-        assertFalse(scribe.commit(List.of(new Change("c", large)), 0, reply("third")));
+        byte[] large = new byte[(int) (SyncWriter.MOST_BYTES / 2 + 1)];
+        assertTrue(syncWriter.commit(List.of(new KeyChange("b", large)), 0, reply("second")));
+        assertFalse(syncWriter.commit(List.of(new KeyChange("c", large)), 0, reply("third")));
     }
 }
--- a/src/test/java/brambletray/tray/trove/WriterTurnsTest.java
+++ b/src/test/java/brambletray/platform/storage/WriterTurnsTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.trove;
+package brambletray.platform.storage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -33,7 +33,7 @@
         private final Queue<Runnable> loop = new ArrayDeque<>();
         private final Map<String, Integer> disk = new TreeMap<>();
         private final List<String> heard = new ArrayList<>();
-        private final Scribe writer;
+        private final SyncWriter writer;
         private final int failing;
         private int writes;
 
@@ -41,14 +41,14 @@
         private Course(Turns turns, int failing) {
             this.turns = turns;
             this.failing = failing;
-            writer = new Scribe(this::write, this::execute, turns.lock());
+            writer = new SyncWriter(this::write, this::execute, turns.lock());
             turns.thread("writer", writer::run);
         }
 
-        private void write(List<Change> changes) {
+        private void write(List<KeyChange> changes) {
             turns.point();
             if (writes++ == failing) {
-                throw new TroveFault("trove.full", "no room", null);
+                throw new StorageException("storage.full", "no room", null);
             }
             changes.forEach(change -> disk.put(change.key(), (int) change.value()[0]));
         }
@@ -68,7 +68,7 @@
         private void commit(String key, int value) {
             String name = key + value;
             assertTrue(writer.commit(
-                    List.of(new Change(key, new byte[] {(byte) value})), NOW_MS, new DurableStore.Reply() {
+                    List.of(new KeyChange(key, new byte[] {(byte) value})), NOW_MS, new DurableStore.Reply() {
                         @Override
                         public void done() {
                             assertTrue(
@@ -77,7 +77,7 @@
                         }
 
                         @Override
-                        public void failed(TroveFault fault) {
+                        public void failed(StorageException fault) {
                             heard.add(name + ' ' + fault.code());
                         }
                     }));
@@ -129,7 +129,7 @@
                 boolean wasRefused = course.writes > refused;
                 assertEquals(
                         wasRefused,
-                        course.heard.stream().anyMatch(one -> one.endsWith("trove.full")),
+                        course.heard.stream().anyMatch(one -> one.endsWith("storage.full")),
                         course.heard::toString);
             });
         }
@@ -183,7 +183,10 @@
         });
     }
 
-    /** The test of the test: a queue that looks and takes in two critical sections loses a commit in some order, and that is seen. */
+    /**
+     * The test of the test: a queue that looks and takes in two critical sections loses a commit in some order, and
+     * that is seen.
+     */
     @Test
     void aRaceIsSeen() {
         boolean[] lost = new boolean[1];
--- a/src/test/java/brambletray/tray/speech/SpeechTest.java
+++ b/src/test/java/brambletray/platform/transport/FrameCodecTest.java
@@ -1,4 +1,4 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -15,7 +15,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-class SpeechTest {
+class FrameCodecTest {
     private static final int SEED = 4_711;
 
     enum Colour {
@@ -48,7 +48,7 @@
 
     record Stranger(int a) {}
 
-    private final Speech speech = new Speech(List.of(List.of(All.class, Blob.class, Shape.class)));
+    private final FrameCodec speech = new FrameCodec(List.of(List.of(All.class, Blob.class, Shape.class)));
 
     private static final All FULL = new All(
             Long.MIN_VALUE,
@@ -92,12 +92,14 @@
     void whatIsNotRegisteredIsNotSaidAndLeavesNoBytes() {
         ByteBuf out = Unpooled.buffer();
         assertEquals(
-                "speech.unwritable",
-                assertThrows(SpeechFault.class, () -> speech.write(new Stranger(1), out))
+                "transport.unwritable",
+                assertThrows(TransportException.class, () -> speech.write(new Stranger(1), out))
                         .code());
         assertEquals(
-                "speech.unwritable",
-                assertThrows(SpeechFault.class, () -> speech.write(new Blob("", new byte[Speech.LONGEST]), out))
+                "transport.unwritable",
+                assertThrows(
+                                TransportException.class,
+                                () -> speech.write(new Blob("", new byte[FrameCodec.LONGEST]), out))
                         .code());
         assertEquals(0, out.readableBytes());
         assertEquals(FULL, speech.echo(FULL));
@@ -107,7 +109,7 @@
     void bytesThatAreNoFrameAreAFaultAndNoMore() {
         ByteBuf good = Unpooled.buffer();
         speech.write(FULL, good);
-        good.skipBytes(Speech.LENGTH_BYTES);
+        good.skipBytes(FrameCodec.LENGTH_BYTES);
         byte[] bytes = new byte[good.readableBytes()];
         good.readBytes(bytes);
         Random random = new Random(SEED);
@@ -120,8 +122,8 @@
             try {
                 speech.read(Unpooled.wrappedBuffer(bad), bad.length);
                 read++;
-            } catch (SpeechFault e) {
-                assertEquals("speech.unreadable", e.code());
+            } catch (TransportException e) {
+                assertEquals("transport.unreadable", e.code());
             }
         }
         assertTrue(read < 20_000, "seed " + SEED);
@@ -132,9 +134,10 @@
     void anotherLayoutHasAnotherFingerprint() {
         assertEquals(
                 speech.fingerprint(),
-                new Speech(List.of(List.of(All.class), List.of(Blob.class, Shape.class))).fingerprint());
+                new FrameCodec(List.of(List.of(All.class), List.of(Blob.class, Shape.class))).fingerprint());
         assertNotEquals(
-                speech.fingerprint(), new Speech(List.of(List.of(Blob.class, All.class, Shape.class))).fingerprint());
-        assertNotEquals(speech.fingerprint(), new Speech(List.of(List.of(All.class, Blob.class))).fingerprint());
+                speech.fingerprint(),
+                new FrameCodec(List.of(List.of(Blob.class, All.class, Shape.class))).fingerprint());
+        assertNotEquals(speech.fingerprint(), new FrameCodec(List.of(List.of(All.class, Blob.class))).fingerprint());
     }
 }
--- a/src/test/java/brambletray/tray/speech/LinkTest.java
+++ b/src/test/java/brambletray/platform/transport/LinkTest.java
@@ -1,14 +1,14 @@
-package brambletray.tray.speech;
+package brambletray.platform.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.settings.Address;
 import brambletray.runtime.Machine;
 import brambletray.simulation.SimNetwork;
 import brambletray.simulation.Simulation;
-import brambletray.tray.berth.Address;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -36,8 +36,8 @@
     private final InetAddress there = ip("10.0.0.2");
     private final Machine caller = simulation.machine(here);
     private final Machine called = simulation.machine(there);
-    private final Speech speech = new Speech(List.of(List.of(Word.class)));
-    private final Speech answers = new Speech(List.of(List.of(Word.class)));
+    private final FrameCodec speech = new FrameCodec(List.of(List.of(Word.class)));
+    private final FrameCodec answers = new FrameCodec(List.of(List.of(Word.class)));
     private final Heard mine = new Heard();
     private final Heard theirs = new Heard();
     private long now;
@@ -56,7 +56,7 @@
     }
 
     /** Notes what a handler is told. */
-    private static class Heard implements Handler {
+    private static class Heard implements LinkHandler {
         final List<String> events = new ArrayList<>();
         final List<Object> frames = new ArrayList<>();
         Link link;
@@ -84,18 +84,18 @@
         simulation.runUntil(now);
     }
 
-    private Listener listen(Handler handler) {
-        return new Listener(called, answers, new Address("10.0.0.2", PORT), handler);
+    private LinkListener listen(LinkHandler handler) {
+        return new LinkListener(called, answers, new Address("10.0.0.2", PORT), handler);
     }
 
-    private Dialler dial(Handler handler) {
-        return new Dialler(caller, speech, new Address("10.0.0.2", PORT), handler, SEED);
+    private LinkDialer dial(LinkHandler handler) {
+        return new LinkDialer(caller, speech, new Address("10.0.0.2", PORT), handler, SEED);
     }
 
     @Test
     void framesArriveInTheOrderInWhichTheyWereSaid() {
         listen(theirs);
-        Dialler dialler = dial(mine);
+        LinkDialer dialler = dial(mine);
         run(100);
         assertEquals(List.of("up"), mine.events);
         assertEquals(List.of("up"), theirs.events);
@@ -115,7 +115,7 @@
     @Test
     void aTurnOfTheLoopIsOneWrite() {
         listen(theirs);
-        Dialler dialler = dial(mine);
+        LinkDialer dialler = dial(mine);
         run(100);
         int[] pieces = new int[1];
         simulation.network().segment(64 * 1024);
@@ -144,7 +144,7 @@
         run(10_000);
         assertTrue(calls.size() > 10 && calls.size() < 20, calls.toString());
         for (int i = 1; i < calls.size(); i++) {
-            long most = Math.min(Dialler.LONGEST_PAUSE_MS, (long) Dialler.FIRST_PAUSE_MS << i - 1);
+            long most = Math.min(LinkDialer.LONGEST_PAUSE_MS, (long) LinkDialer.FIRST_PAUSE_MS << i - 1);
             long pause = calls.get(i) - calls.get(i - 1);
             assertTrue(pause >= most * 3 / 4 && pause <= most + 10, calls.toString());
         }
@@ -157,7 +157,7 @@
     @Test
     void aLinkThatEndsIsCalledAgainAtOnceUnlessItIsClosed() {
         listen(theirs);
-        Dialler dialler = dial(mine);
+        LinkDialer dialler = dial(mine);
         run(2_000);
         theirs.link.close("enough");
         run(100);
@@ -171,8 +171,8 @@
 
     @Test
     void oneOfAnotherBuildIsNeverUp() {
-        Speech older = new Speech(List.of(List.of(Other.class)));
-        new Listener(called, older, new Address("10.0.0.2", PORT), theirs);
+        FrameCodec older = new FrameCodec(List.of(List.of(Other.class)));
+        new LinkListener(called, older, new Address("10.0.0.2", PORT), theirs);
         dial(mine);
         run(5_000);
         assertEquals(List.of(), mine.events);
@@ -197,8 +197,8 @@
         for (byte[] bad :
                 List.of(new byte[] {0x7f, 0, 0, 0}, new byte[] {0, 0, 0, 3, 1, 2, 3}, new byte[] {0, 0, 0, 0})) {
             Heard heard = new Heard();
-            Listener listener = listen(heard);
-            Dialler dialler = dial(mine);
+            LinkListener listener = listen(heard);
+            LinkDialer dialler = dial(mine);
             run(100);
             dialler.link().raw(Unpooled.wrappedBuffer(bad));
             run(20);
@@ -227,7 +227,7 @@
     @Test
     void whatWaitsForAPeerThatIsCutOffIsBounded() {
         listen(theirs);
-        Dialler dialler = dial(mine);
+        LinkDialer dialler = dial(mine);
         run(100);
         simulation.network().vanish(there);
         Link link = dialler.link();
@@ -245,10 +245,10 @@
 
     @Test
     void anAddressThatIsTakenIsWaitedFor() {
-        Listener first = listen(theirs);
+        LinkListener first = listen(theirs);
         run(50);
         Heard second = new Heard();
-        new Listener(simulation.machine(there), answers, new Address("10.0.0.2", PORT), second);
+        new LinkListener(simulation.machine(there), answers, new Address("10.0.0.2", PORT), second);
         run(500);
         first.close();
         run(200);
@@ -260,7 +260,7 @@
     @Test
     void aFrameOvertakesAllBulkFramesButOne() {
         listen(theirs);
-        Dialler dialler = dial(mine);
+        LinkDialer dialler = dial(mine);
         run(100);
         simulation.network().rate(here, 100_000);
         simulation.network().window(1_000);
@@ -283,7 +283,7 @@
     @Test
     void bulkFramesForAPeerThatIsCutOffAreDroppedAndTheLinkStays() {
         listen(theirs);
-        Dialler dialler = dial(mine);
+        LinkDialer dialler = dial(mine);
         run(100);
         simulation.network().vanish(there);
         Link link = dialler.link();
--- a/src/test/java/brambletray/simhost/SimHostTest.java
+++ b/src/test/java/brambletray/simhost/SimHostTest.java
@@ -135,7 +135,9 @@
         assertEquals(files, Set.of(sources.resolve("control").toFile().list()), "no file of decisions is left out");
     }
 
-    /** The formatter's width, for code and comments alike; wider lines are those that the ratchet of Checkstyle counts. */
+    /**
+     * The formatter's width, for code and comments alike; wider lines are those that the ratchet of Checkstyle counts.
+     */
     @Test
     void linesKeepTheFormattersWidth() throws IOException {
         Map<String, Long> tolerated = Files.readAllLines(Path.of("config/checkstyle/ratchet.txt")).stream()
--- a/src/test/resources/brambletray/tray/view/change.feature
+++ b/src/test/resources/brambletray/platform/replication/change.feature
@@ -22,9 +22,9 @@
 
     Examples:
       | how | step      |
-      | XX@ | Stop      |
-      | XX> | Stop      |
-      | XX< | Told      |
+      | XX@ | StopRequest      |
+      | XX> | StopRequest      |
+      | XX< | StopAnswer      |
       | XX@ | Install   |
 
   Scenario Outline: the leader of a change dies when another has kept the new view: it may be in force, so both are waited for (<how> <step>)
@@ -45,7 +45,7 @@
       | how | step      |
       | XX> | Install   |
       | XX< | Installed |
-      | XX@ | Beat      |
+      | XX@ | Heartbeat      |
 
   Scenario Outline: the other one of a change of two dies as it is about to say, or has just said, <step>
     When this happens
@@ -63,8 +63,8 @@
 
     Examples:
       | how | step      |
-      | XX@ | Told      |
-      | XX> | Told      |
+      | XX@ | StopAnswer      |
+      | XX> | StopAnswer      |
       | XX< | Install   |
       | XX@ | Installed |
 
--- a/src/test/resources/brambletray/tray/view/leave.feature
+++ b/src/test/resources/brambletray/platform/replication/leave.feature
@@ -47,7 +47,7 @@
     When this happens
       """
               a            b            c            d            e
-      0       bye          X@Left       .            .            .
+      0       bye          X@NotMember       .            .            .
       <1500   left         .            M3           M3           M3
       """
 
@@ -56,7 +56,7 @@
     When this happens
       """
               a            b            c
-      0       ~>c@Left     ~>c          bye
+      0       ~>c@NotMember     ~>c          bye
       300     L2           M2           stays
       310     -            -            .
       <450    L2           M2           left
@@ -77,8 +77,8 @@
 
     Examples:
       | who       | a         | c         | left a | left c | in a | in b | in c |
-      | a leader  | bye<Knock | .         | left   | .      | .    | L3   | M3   |
-      | another   | .         | bye<Knock | .      | left   | L3   | M3   | .    |
+      | a leader  | bye<JoinRequest | .         | left   | .      | .    | L3   | M3   |
+      | another   | .         | bye<JoinRequest | .      | left   | L3   | M3   | .    |
 
   Scenario: the newcomer dies on the way: the leaver goes without it
     Given a core of "a, b, c" at rest
@@ -87,7 +87,7 @@
     When this happens
       """
               a            b            c            d
-      0       bye<Knock    .            .            ^,X@Pull
+      0       bye<JoinRequest    .            .            ^,X@PieceRequest
       1000    stays,L3     M3           M3           .
       <1300   left         L2           M2           .
       """
@@ -137,7 +137,7 @@
     When this happens
       """
               a            b            c            d
-      0       .            .            .            ^,bye>Knock
+      0       .            .            .            ^,bye>JoinRequest
       <60     .            .            .            left
       400     L3,+x        M3           M3           .
       <450    ok:x         =x           =x           .
--- a/src/test/resources/brambletray/tray/view/newcomers.feature
+++ b/src/test/resources/brambletray/platform/replication/newcomers.feature
@@ -117,7 +117,7 @@
       1000    +x           .            .
       <1100   ok:x         =x           .
       1200    W            .            .
-      1500    ^,X>Here     .            .
+      1500    ^,X>IdentityAnswer     .            .
       <2600   .            L1           .
       2700    .            +y           .
       4000    .            L1,no:y      .
