--- a/src/main/java/brambletray/platform/controlplane/package-info.java
+++ b/src/main/java/brambletray/platform/controlplane/package-info.java
@@ -1,2 +1,5 @@
-/** The program on core members: it puts the planes together and decides nothing itself (docs/system.md). */
+/**
+ * The program of a core machine: it connects replication, election, provisioning and distribution to sockets and disk,
+ * and serves the operators' calls.
+ */
 package brambletray.platform.controlplane;
--- a/src/main/java/brambletray/platform/distribution/package-info.java
+++ b/src/main/java/brambletray/platform/distribution/package-info.java
@@ -1,2 +1,4 @@
-/** What edges and core members exchange besides the replicated log: status, pulses and configurations. */
+/**
+ * How configurations and rosters reach edges, and the frames that the system's processes exchange for it.
+ */
 package brambletray.platform.distribution;
--- a/src/main/java/brambletray/platform/edge/package-info.java
+++ b/src/main/java/brambletray/platform/edge/package-info.java
@@ -1,2 +1,5 @@
-/** The program on edges: it puts the planes together and decides nothing itself (docs/system.md). */
+/**
+ * The program of an edge machine: it connects proxy, admission and failure detection to sockets, and follows the
+ * coordinator.
+ */
 package brambletray.platform.edge;
--- a/src/main/java/brambletray/platform/failuredetection/package-info.java
+++ b/src/main/java/brambletray/platform/failuredetection/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Who lives among the edges: each beats to a few others, who tell the hub whom they miss; the hub's roster; and which
- * edge is home of a service by that roster. Pure: time comes in, what is to be said goes out.
+ * Failure detection among edges: each edge sends heartbeats to a few others on a ring, which report to the coordinator
+ * whom they miss. Also the coordinator's roster of live edges, and the assignment of services to edges by rendezvous
+ * hashing. Pure: time comes in as an argument, messages go out.
  */
 package brambletray.platform.failuredetection;
--- a/src/main/java/brambletray/platform/localsystem/package-info.java
+++ b/src/main/java/brambletray/platform/localsystem/package-info.java
@@ -1,6 +1,5 @@
 /**
- * A laptop's stand-in for all that is outside the system: the platform, hosts, clients and an operator, on loopback
- * addresses, with the system's programs as processes of their own. For trying out and for showing what happens; nothing
- * in production leans on it.
+ * A whole system on one machine: stand-ins of the platform, of instances, clients and an operator on loopback addresses,
+ * with the system's programs as child processes. For trying out; not used in production.
  */
 package brambletray.platform.localsystem;
--- a/src/main/java/brambletray/platform/platformstub/package-info.java
+++ b/src/main/java/brambletray/platform/platformstub/package-info.java
@@ -1,5 +1,5 @@
 /**
- * A stand-in of the platform: workers, hosts that boot and end, lists that lag, rates, nonces. A pure state machine,
- * for drawn timelines and simulated time, and behind a listener for a laptop. Nothing in production leans on it.
+ * A stand-in of the platform: workers, instances that boot and end, lists that lag, rate limits, nonces. A pure state
+ * machine for simulated time, and a listener around it for a local system. Not used in production.
  */
 package brambletray.platform.platformstub;
--- a/src/main/java/brambletray/platform/settings/package-info.java
+++ b/src/main/java/brambletray/platform/settings/package-info.java
@@ -1,2 +1,4 @@
-/** Berth: what a process is told of its place - the settings file, read, typed and checked. */
+/**
+ * The settings file that tells a process its name, addresses, limits and peers: read, typed and checked.
+ */
 package brambletray.platform.settings;
--- a/src/main/java/brambletray/platform/storage/package-info.java
+++ b/src/main/java/brambletray/platform/storage/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What a process keeps on its disk: keys and values in Xodus, with a seal on each commit, so that what a loss of power
- * has torn is found and cut off; and a thread of its own that writes, so that a disk that hangs holds up nobody else.
+ * Durable keys and values of one process, in Xodus. Each commit carries a checksum of the store, so that a commit torn by
+ * a loss of power is found and cut off. A thread of its own writes, so that a disk that hangs blocks nobody else.
  */
 package brambletray.platform.storage;
--- a/src/main/java/brambletray/platform/transport/package-info.java
+++ b/src/main/java/brambletray/platform/transport/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Frames between our processes: records, by Kryo, over TCP; what is said in one turn of the loop leaves in one piece.
+ * Links between the system's processes: typed frames, written with Kryo, over TCP. Frames that are sent in one turn of the
+ * event loop leave in one write.
  */
 package brambletray.platform.transport;
