--- a/src/main/java/brambletray/figures/Figures.java
+++ b/src/main/java/brambletray/figures/Figures.java
@@ -7,7 +7,7 @@
  * loop {@code taken = served + refused + failed + withdrawn - turned away + in flight}, by class.
  *
  * <p>Plain fields: a metrics library's counters are made for many threads, and cost a look-up and a fence
- * at each count that one loop has no need of (docs/operations.md).
+ * at each count that one loop has no need of (docs/oncall.md).
  */
 public final class Figures {
     /** How a message ended. */
--- a/src/main/java/brambletray/platform/cli/Verbs.java
+++ b/src/main/java/brambletray/platform/cli/Verbs.java
@@ -88,10 +88,10 @@
 
     private static void help(PrintStream to) {
         to.println(
-                "system VERB ...: the whole system of docs/system.md, its programs and what operators need. system VERB --help says more.");
+                "system VERB ...: the whole system of docs/architecture.md, its programs and what operators need. system VERB --help says more.");
         to.println(
-                "  keep          the program of a core machine, with the settings file that BRAMBLETRAY_NODE_FILE names");
-        to.println("  carry         the program of an edge, in the same way");
+                "  controlplane  the program of a core machine, with the settings file that BRAMBLETRAY_NODE_FILE names");
+        to.println("  edge          the program of an edge, in the same way");
         TABLE.forEach((name, verb) -> to.println("  " + name + " ".repeat(NAME_WIDTH - name.length())
                 + verb.get().purpose()));
         to.println("Exit codes: 0 all well, 1 a verdict that is not, 2 bad input.");
--- a/src/main/java/brambletray/platform/drill/EdgeNode.java
+++ b/src/main/java/brambletray/platform/drill/EdgeNode.java
@@ -14,7 +14,7 @@
     private final String ip;
     final InetAddress address;
     private Machine machine;
-    private SimulatedEdge carry;
+    private SimulatedEdge program;
     private boolean frozen;
     /** When it last was out of touch by itself or its links. */
     long outAt;
@@ -42,7 +42,7 @@
         machine = world.machine(address, name);
         Machine here = machine;
         long life = world.random.nextLong() | 1;
-        String settings = "node-name=" + name + "\nrole=carry\nhardware-class=edge\nserved-roles=edge\nip-address=" + ip
+        String settings = "node-name=" + name + "\nrole=edge\nhardware-class=edge\nserved-roles=edge\nip-address=" + ip
                 + "\nzone=z1\nregion=r\nzones.z1=r\nbind-addresses.front-end=" + ip + ":" + World.FRONT
                 + "\nbind-addresses.readiness="
                 + ip + ":"
@@ -50,7 +50,7 @@
                 + "\ninitial-start=false\nloss-counted=false\nfault-tolerance.machine-losses=" + world.script.losses()
                 + "\n";
         here.loop()
-                .execute(() -> carry = SimulatedEdge.start(
+                .execute(() -> program = SimulatedEdge.start(
                         SimulatedSettings.of(settings),
                         here,
                         life,
@@ -63,7 +63,7 @@
             outAt = world.now();
             world.simulation.kill(machine);
             machine = null;
-            carry = null;
+            program = null;
             frozen = false;
         }
     }
@@ -97,11 +97,11 @@
 
     /** The configuration that it serves by, or {@link Configuration#NONE}. */
     Configuration configuration() {
-        return carry == null ? Configuration.NONE : carry.configuration();
+        return program == null ? Configuration.NONE : program.configuration();
     }
 
     boolean ready() {
-        return carry != null && carry.ready();
+        return program != null && program.ready();
     }
 
     /** The order that this configuration came of; 0: none. */
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -150,9 +150,9 @@
             nodeSettings.need("internal-port-range", null);
         }
         machine.loop().execute(() -> {
-            EdgeProgram carry = new EdgeProgram(nodeSettings, machine, life, System::exit);
-            carry.open(frontEnd, readiness);
-            ProcessSignals.heardBy(carry.new Signalled());
+            EdgeProgram program = new EdgeProgram(nodeSettings, machine, life, System::exit);
+            program.open(frontEnd, readiness);
+            ProcessSignals.heardBy(program.new Signalled());
         });
     }
 
--- a/src/main/java/brambletray/platform/edge/SimulatedEdge.java
+++ b/src/main/java/brambletray/platform/edge/SimulatedEdge.java
@@ -7,33 +7,33 @@
 
 /** The production {@link EdgeProgram}, whole, on a simulated machine. */
 public final class SimulatedEdge {
-    private final EdgeProgram carry;
+    private final EdgeProgram program;
 
-    private SimulatedEdge(EdgeProgram carry) {
-        this.carry = carry;
+    private SimulatedEdge(EdgeProgram program) {
+        this.program = program;
     }
 
     public static SimulatedEdge start(NodeSettings nodeSettings, Machine machine, long life, IntConsumer exit) {
-        EdgeProgram carry = new EdgeProgram(nodeSettings, machine, life, exit);
-        carry.open(nodeSettings.frontEnd(), nodeSettings.readiness());
-        return new SimulatedEdge(carry);
+        EdgeProgram program = new EdgeProgram(nodeSettings, machine, life, exit);
+        program.open(nodeSettings.frontEnd(), nodeSettings.readiness());
+        return new SimulatedEdge(program);
     }
 
     public Configuration configuration() {
-        return carry.configuration();
+        return program.configuration();
     }
 
     /** SIGHUP. */
     void hangUp() {
-        carry.reread();
+        program.reread();
     }
 
     /** SIGTERM. */
     void terminate() {
-        carry.leave();
+        program.leave();
     }
 
     public boolean ready() {
-        return carry.ready();
+        return program.ready();
     }
 }
--- a/src/main/java/brambletray/platform/localsystem/LocalSystem.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalSystem.java
@@ -71,8 +71,8 @@
     }
 
     private int play() {
-        tell(site.cores().size() + " keep and " + site.edges().size() + " carry come up; settings, disks and logs in "
-                + dir);
+        tell(site.cores().size() + " controlplane and " + site.edges().size()
+                + " edge come up; settings, disks and logs in " + dir);
         tell("operators call --control "
                 + String.join(
                         ",", site.controls().stream().map(Address::toString).toList()));
