configuration: keyed routes, tenants and their keys are taken; the proxy names the tenant

Cause: Route knew idempotent and non_idempotent only, so the first configuration was answered 400 configuration.bad-route-type; tenants did not exist in the platform.

--- a/src/main/java/brambletray/platform/configuration/Configuration.java
+++ b/src/main/java/brambletray/platform/configuration/Configuration.java
@@ -15,7 +15,7 @@
 public final class Configuration {
     /** Revision 0: nothing is routed. The first configuration builds on it. */
     public static final Configuration NONE =
-            new Configuration(0, Map.of(), Map.of(), ClientLimits.DEFAULTS, new ConfigurationDocument());
+            new Configuration(0, Map.of(), Map.of(), Map.of(), ClientLimits.DEFAULTS, new ConfigurationDocument());
 
     private static final String REVISION = "revision";
     private static final String LIMITS = "limits";
@@ -23,8 +23,10 @@
     private final long revision;
     private final Map<String, Route> routes;
     private final Map<String, Service> services;
+    private final Map<String, Tenant> tenants;
     private final ClientLimits limits;
     private final RouteTable routeTable;
+    private final TenantTable tenantTable;
     private final ConfigurationDocument document;
     /** Over all entries; 0: not counted yet. Two threads that count it at once find the same. */
     private long entrySum;
@@ -33,11 +35,13 @@
             long revision,
             Map<String, Route> routes,
             Map<String, Service> services,
+            Map<String, Tenant> tenants,
             ClientLimits limits,
             ConfigurationDocument document) {
         this.revision = revision;
         this.routes = Collections.unmodifiableMap(routes);
         this.services = Collections.unmodifiableMap(services);
+        this.tenants = Collections.unmodifiableMap(tenants);
         this.limits = limits;
         this.document = document;
         if (document.size() > ConfigurationJson.MAX_BODY_BYTES) {
@@ -55,6 +59,7 @@
             }
         }
         routeTable = new RouteTable(routes.values());
+        tenantTable = new TenantTable(tenants.values());
     }
 
     /**
@@ -79,6 +84,7 @@
                 revision,
                 routes(in, new LinkedHashMap<>()),
                 services(in, new LinkedHashMap<>()),
+                tenants(in, new LinkedHashMap<>()),
                 in.has(LIMITS) ? ClientLimits.from(in.object(LIMITS)) : ClientLimits.DEFAULTS,
                 document);
     }
@@ -106,12 +112,14 @@
         ConfigurationDocument changed = document.copy();
         Map<String, Route> nextRoutes = new LinkedHashMap<>(routes);
         Map<String, Service> nextServices = new LinkedHashMap<>(services);
+        Map<String, Tenant> nextTenants = new LinkedHashMap<>(tenants);
         ClientLimits nextLimits = limits;
         Set<String> set = new HashSet<>();
         if (in.has("upsert")) {
             JsonFields upsert = in.object("upsert");
             routes(upsert, nextRoutes);
             services(upsert, nextServices);
+            tenants(upsert, nextTenants);
             for (String field : upsert.names()) {
                 if (upsert.has(field)) {
                     changed.put(field, upsert.rawValue(field), body);
@@ -124,9 +132,10 @@
             }
         }
         if (in.has("withdraw")) {
-            withdraw(in.object("withdraw"), set, changed, nextRoutes, nextServices);
+            withdraw(in.object("withdraw"), set, changed, nextRoutes, nextServices, nextTenants);
         }
-        return new Configuration(next, nextRoutes, nextServices, nextLimits, changed).requireNewerThan(this);
+        return new Configuration(next, nextRoutes, nextServices, nextTenants, nextLimits, changed)
+                .requireNewerThan(this);
     }
 
     private static void withdraw(
@@ -134,7 +143,8 @@
             Set<String> set,
             ConfigurationDocument changed,
             Map<String, Route> routes,
-            Map<String, Service> services) {
+            Map<String, Service> services,
+            Map<String, Tenant> tenants) {
         for (String table : in.names()) {
             List<ConfigurationJson.Value> names = in.list(table);
             for (int i = 0; names != null && i < names.size(); i++) {
@@ -152,6 +162,8 @@
                     routes.remove(name);
                 } else if (table.equals(ConfigurationDocument.SERVICES)) {
                     services.remove(name);
+                } else if (table.equals(ConfigurationDocument.TENANTS)) {
+                    tenants.remove(name);
                 }
             }
         }
@@ -180,6 +192,17 @@
         return into;
     }
 
+    private static Map<String, Tenant> tenants(JsonFields in, Map<String, Tenant> into) {
+        Set<String> seen = new HashSet<>();
+        for (ConfigurationJson.Value item : items(in, ConfigurationDocument.TENANTS)) {
+            Tenant tenant = Tenant.from(
+                    JsonFields.from(ConfigurationDocument.TENANTS + '[' + seen.size() + ']', item.content()));
+            requireUnique(seen, ConfigurationDocument.TENANTS, tenant.name());
+            into.put(tenant.name(), tenant);
+        }
+        return into;
+    }
+
     private static List<ConfigurationJson.Value> items(JsonFields in, String table) {
         List<ConfigurationJson.Value> items = in.list(table);
         return items == null ? List.of() : items;
@@ -243,6 +266,7 @@
         ConfigurationDocument changed = document.copy();
         Map<String, Route> nextRoutes = new LinkedHashMap<>(routes);
         Map<String, Service> nextServices = new LinkedHashMap<>(services);
+        Map<String, Tenant> nextTenants = new LinkedHashMap<>(tenants);
         long nextSum = computeEntrySum();
         for (ConfigurationDelta.Entry entry : delta.entries()) {
             nextSum += ConfigurationDigest.of(entry)
@@ -252,11 +276,14 @@
                 applyEntry(nextRoutes, entry, Route::from);
             } else if (entry.table().equals(ConfigurationDocument.SERVICES)) {
                 applyEntry(nextServices, entry, Service::from);
+            } else if (entry.table().equals(ConfigurationDocument.TENANTS)) {
+                applyEntry(nextTenants, entry, Tenant::from);
             }
         }
         ClientLimits nextLimits =
                 changed.field(LIMITS) == document.field(LIMITS) ? limits : limits(changed.field(LIMITS));
-        Configuration next = new Configuration(delta.revision(), nextRoutes, nextServices, nextLimits, changed);
+        Configuration next =
+                new Configuration(delta.revision(), nextRoutes, nextServices, nextTenants, nextLimits, changed);
         next.entrySum = nextSum;
         return next;
     }
@@ -356,6 +383,16 @@
         return services;
     }
 
+    /** By name, in the order in which they came; empty: no request needs a key. */
+    public Map<String, Tenant> tenants() {
+        return tenants;
+    }
+
+    /** The tenant that holds this API key; null: nobody does. */
+    public Tenant tenantOf(String key) {
+        return tenantTable.find(key);
+    }
+
     /** What clients may send. */
     public ClientLimits limits() {
         return limits;
--- a/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
@@ -18,6 +18,7 @@
 final class ConfigurationDocument {
     static final String ROUTES = "routes";
     static final String SERVICES = "services";
+    static final String TENANTS = "tenants";
 
     /** Where an entry stands: {@code table} empty: a field by itself. */
     record Key(String table, String name) {}
--- a/src/main/java/brambletray/platform/configuration/JsonFields.java
+++ b/src/main/java/brambletray/platform/configuration/JsonFields.java
@@ -124,6 +124,14 @@
         return number;
     }
 
+    boolean booleanOrDefault(String field, boolean defaultValue) {
+        Object value = value(field);
+        if (value != null && !(value instanceof Boolean)) {
+            throw error("wrong-type", field, "expected true or false");
+        }
+        return value == null ? defaultValue : (Boolean) value;
+    }
+
     /** A number of at least 0. */
     double nonNegativeDouble(String field, double defaultValue) {
         Object value = value(field);
--- a/src/main/java/brambletray/platform/configuration/Route.java
+++ b/src/main/java/brambletray/platform/configuration/Route.java
@@ -8,7 +8,8 @@
  *
  * @param host lower case, without port
  * @param prefix begins and ends with a slash
- * @param idempotent whether a request may run more than once
+ * @param kind what may be repeated
+ * @param isPublic whether requests need no key of a tenant
  * @param timeoutMs the longest that a request may take; above 0
  * @param latencyTargetMs an answer within it earns its full value
  * @param priority 0 is the highest rank
@@ -19,13 +20,19 @@
         String name,
         String host,
         String prefix,
-        boolean idempotent,
+        RouteKind kind,
+        boolean isPublic,
         int timeoutMs,
         int latencyTargetMs,
         int priority,
         int retryCount,
         List<ServiceShare> shares) {
 
+    /** Whether a request may run more than once. */
+    public boolean idempotent() {
+        return kind == RouteKind.IDEMPOTENT;
+    }
+
     /** The service for a number drawn evenly from 0 to 1 (1 left out). */
     public String selectService(double u) {
         if (shares.size() == 1) {
@@ -64,19 +71,13 @@
                     "path-prefix",
                     "expected a path that begins and ends with a slash, found " + ConfigurationJson.abbreviate(prefix));
         }
-        String kind = at.requiredText("route-type");
-        if (!kind.equals("idempotent") && !kind.equals("non_idempotent")) {
-            throw at.error(
-                    "bad-route-type",
-                    "route-type",
-                    "expected idempotent or non_idempotent, found " + ConfigurationJson.abbreviate(kind));
-        }
         int timeout = at.intOrDefault("timeout-ms", 1, 60_000);
         return new Route(
                 name,
                 host,
                 prefix,
-                kind.equals("idempotent"),
+                kind(at),
+                at.booleanOrDefault("public", false),
                 timeout,
                 at.intOrDefault("target-ms", 0, timeout),
                 at.intOrDefault("priority", 0, 0),
@@ -84,6 +85,18 @@
                 shares(at));
     }
 
+    private static RouteKind kind(JsonFields in) {
+        String word = in.requiredText("route-type");
+        RouteKind kind = RouteKind.of(word);
+        if (kind == null) {
+            throw in.error(
+                    "bad-route-type",
+                    "route-type",
+                    "expected idempotent, non_idempotent or keyed, found " + ConfigurationJson.abbreviate(word));
+        }
+        return kind;
+    }
+
     /**
      * One service by its name, or several with weights: a list of names or of objects with {@code service} (or
      * {@code name}) and {@code weight}, or an object of names with weights, under any of the words below. The pages
--- a/src/main/java/brambletray/platform/configuration/Service.java
+++ b/src/main/java/brambletray/platform/configuration/Service.java
@@ -8,9 +8,17 @@
  * @param maxConcurrency requests that an instance may have at a time
  * @param maxConnections connections that a host accepts, from all callers together
  * @param healthPath null: there is none
+ * @param selfDedupe whether its instances keep a record of operation keys of their own, so that an operation whose run
+ *     broke off may be sent again
  */
 public record Service(
-        String name, int memoryMb, int bootMs, int maxConcurrency, int maxConnections, String healthPath) {
+        String name,
+        int memoryMb,
+        int bootMs,
+        int maxConcurrency,
+        int maxConnections,
+        String healthPath,
+        boolean selfDedupe) {
     static Service from(JsonFields in) {
         String name = in.name();
         JsonFields at = in.withPath("services[" + ConfigurationJson.abbreviate(name) + ']');
@@ -20,6 +28,7 @@
                 at.intOrDefault("boot-ms", 0, 1_000),
                 at.intOrDefault("max-concurrency", 1, 1),
                 at.intOrDefault("max-connections", 0, 16),
-                at.text("health-path"));
+                at.text("health-path"),
+                at.booleanOrDefault("self-dedupe", false));
     }
 }
--- /dev/null
+++ b/src/main/java/brambletray/platform/configuration/Tenant.java
@@ -0,0 +1,54 @@
+package brambletray.platform.configuration;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * A tenant: who its keys belong to, and what it may send over all edges together. Keys are secrets: they are in no log
+ * line and no error.
+ *
+ * @param keyDigests of its API keys, at least one
+ * @param priority 0 is the highest rank; counts in place of the route's
+ * @param ratePerS requests a second; 0: no limit
+ * @param burstSize requests beyond the rate at one time
+ */
+public record Tenant(String name, List<KeyDigest> keyDigests, int priority, double ratePerS, double burstSize) {
+
+    /** Whether its requests are limited. */
+    public boolean isLimited() {
+        return ratePerS > 0;
+    }
+
+    static Tenant from(JsonFields in) {
+        String name = in.name();
+        JsonFields at = in.withPath("tenants[" + ConfigurationJson.abbreviate(name) + ']');
+        return new Tenant(
+                name,
+                keyDigests(at),
+                at.intOrDefault("priority", 0, 0),
+                at.nonNegativeDouble("rate-per-s", 0),
+                at.nonNegativeDouble("burst-size", 0));
+    }
+
+    private static List<KeyDigest> keyDigests(JsonFields in) {
+        List<ConfigurationJson.Value> keys = in.list("api-keys");
+        if (keys == null) {
+            return List.of();
+        }
+        Set<KeyDigest> seen = new HashSet<>();
+        List<KeyDigest> digests = new ArrayList<>(keys.size());
+        for (int i = 0; i < keys.size(); i++) {
+            if (!(keys.get(i).content() instanceof String key) || key.isEmpty()) {
+                throw in.error("bad-key", "api-keys[" + i + ']', "expected a text that is not empty");
+            }
+            KeyDigest digest = KeyDigest.of(key);
+            if (!seen.add(digest)) {
+                throw in.error("repeated-key", "api-keys[" + i + ']', "expected each key once");
+            }
+            digests.add(digest);
+        }
+        return List.copyOf(digests);
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/platform/configuration/TenantTable.java
@@ -0,0 +1,30 @@
+package brambletray.platform.configuration;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Tenants by their API keys. */
+final class TenantTable {
+    private final Map<KeyDigest, Tenant> tenants = new HashMap<>();
+
+    /** {@link ConfigurationException} where two tenants share a key. */
+    TenantTable(Collection<Tenant> all) {
+        for (Tenant tenant : all) {
+            for (KeyDigest digest : tenant.keyDigests()) {
+                Tenant other = tenants.put(digest, tenant);
+                if (other != null) {
+                    throw new ConfigurationException(
+                            "shared-key",
+                            "tenants[" + ConfigurationJson.abbreviate(tenant.name()) + "].api-keys",
+                            "expected keys of its own, shares one with " + ConfigurationJson.abbreviate(other.name()));
+                }
+            }
+        }
+    }
+
+    /** The tenant that holds this key; null: nobody does. */
+    Tenant find(String key) {
+        return tenants.get(KeyDigest.of(key));
+    }
+}
--- a/src/main/java/brambletray/platform/distribution/FrameTypes.java
+++ b/src/main/java/brambletray/platform/distribution/FrameTypes.java
@@ -3,7 +3,9 @@
 import brambletray.platform.admission.AdmissionMessages;
 import brambletray.platform.election.ElectionMessage;
 import brambletray.platform.failuredetection.WatchRing;
+import brambletray.platform.operations.OperationMessages;
 import brambletray.platform.provisioning.Provisioner;
+import brambletray.platform.quota.QuotaMessages;
 import brambletray.platform.replication.ReplicationMessage;
 import java.util.List;
 
@@ -20,6 +22,8 @@
             DISTRIBUTION,
             WatchRing.MESSAGES,
             AdmissionMessages.ALL,
+            QuotaMessages.ALL,
+            OperationMessages.ALL,
             Provisioner.MESSAGES,
             ReplicationMessage.TYPES,
             ElectionMessage.TYPES);
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -32,6 +32,7 @@
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
+import brambletray.platform.proxy.QuotaGate;
 import brambletray.platform.proxy.Readiness;
 import brambletray.platform.proxy.RequestCounters;
 import brambletray.platform.proxy.RequestRouter;
@@ -108,6 +109,7 @@
                 self.zone(),
                 () -> configuration,
                 slotClient,
+                QuotaGate.UNLIMITED,
                 instanceAddresses::contains,
                 connectionPools,
                 counters,
--- /dev/null
+++ b/src/main/java/brambletray/platform/operations/ClaimReleased.java
@@ -0,0 +1,4 @@
+package brambletray.platform.operations;
+
+/** The release is committed, or there was nothing to release. */
+public record ClaimReleased(ClaimId claim) {}
--- a/src/main/java/brambletray/platform/proxy/ClientRequest.java
+++ b/src/main/java/brambletray/platform/proxy/ClientRequest.java
@@ -11,6 +11,9 @@
     static final String ID = "brambletray-attempt-id";
     static final String REMAINING = "brambletray-deadline-remaining";
     static final String TARGET = "brambletray-target-instance";
+    static final String CREDENTIAL = "brambletray-credential";
+    static final String TENANT = "brambletray-tenant-name";
+    static final String OPERATION_KEY = "brambletray-operation-key";
     static final String SEAL = "brambletray-response-seal";
     static final String NOT_EXECUTED = "brambletray-not-executed";
 
--- a/src/main/java/brambletray/platform/proxy/RequestActions.java
+++ b/src/main/java/brambletray/platform/proxy/RequestActions.java
@@ -9,6 +9,15 @@
  * #startStreaming}, {@link #respond}) is the only one.
  */
 interface RequestActions {
+    /**
+     * Gets what has to come before a slot; {@link RequestLifecycle#onPrepared} or {@link
+     * RequestLifecycle#onPreparationRejected} follows, perhaps before this returns.
+     */
+    void prepare();
+
+    /** The preparation is not wanted any more; no callback follows. */
+    void cancelPreparation();
+
     /** Requests a slot; the callback may come before this returns. */
     void requestSlot(SlotRequest request);
 
--- a/src/main/java/brambletray/platform/proxy/RequestCounters.java
+++ b/src/main/java/brambletray/platform/proxy/RequestCounters.java
@@ -11,13 +11,15 @@
     private static final AttemptOutcome[] OUTCOMES = AttemptOutcome.values();
 
     /**
-     * Complete requests read; answered by an instance; 404; 503 of this edge; 502; 504; other 4xx of this edge;
-     * clients gone before their answer.
+     * Complete requests read; answered by an instance; 404; 401; 429; 503 of this edge; 502; 504; other 4xx of this
+     * edge; clients gone before their answer.
      */
     public long requests;
 
     public long answeredByInstances;
     public long unrouted;
+    public long unauthenticated;
+    public long overQuota;
     public long unavailable;
     public long failed;
     public long timedOut;
@@ -61,6 +63,8 @@
         accept(consumer, "requests", requests);
         accept(consumer, "passed", answeredByInstances);
         accept(consumer, "unrouted", unrouted);
+        accept(consumer, "unauthenticated", unauthenticated);
+        accept(consumer, "over_quota", overQuota);
         accept(consumer, "refused", unavailable);
         accept(consumer, "failed", failed);
         accept(consumer, "late", timedOut);
--- a/src/main/java/brambletray/platform/proxy/RequestDriver.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDriver.java
@@ -22,6 +22,7 @@
     private final int maxConnections;
     private final RequestLifecycle lifecycle;
     private final HedgeDelay hedgeDelay;
+    private final QuotaListener quotaListener = new QuotaListener();
     private final List<HostExchange> exchanges = new ArrayList<>(2);
     /** Null once it has its answer or is gone. */
     private ClientConnection client;
@@ -139,6 +140,36 @@
     }
 
     // ---- RequestActions -------------------------------------------------------------------------
+    @Override
+    public void prepare() {
+        router.quotaGate().acquire(plan.tenant(), quotaListener);
+    }
+
+    @Override
+    public void cancelPreparation() {
+        router.quotaGate().cancel(quotaListener);
+    }
+
+    private final class QuotaListener implements QuotaGate.Listener {
+        @Override
+        public void onAcquired() {
+            lifecycle.onPrepared(router.now());
+            afterEvent();
+        }
+
+        @Override
+        public void onExceeded(int retryAfterMs) {
+            lifecycle.onPreparationRejected(429, retryAfterMs);
+            afterEvent();
+        }
+
+        @Override
+        public void onUnavailable(int retryAfterMs) {
+            lifecycle.onPreparationRejected(503, retryAfterMs);
+            afterEvent();
+        }
+    }
+
     @Override
     public void requestSlot(SlotRequest request) {
         router.counters().slotRequests++;
@@ -225,8 +256,9 @@
 
     @Override
     public void respond(int status, int retryAfterMs) {
-        boolean refused = status == 503;
-        router.counters().unavailable += refused ? 1 : 0;
+        boolean refused = status == 503 || status == 429;
+        router.counters().unavailable += status == 503 ? 1 : 0;
+        router.counters().overQuota += status == 429 ? 1 : 0;
         router.counters().timedOut += status == 504 ? 1 : 0;
         router.counters().failed += status == 502 ? 1 : 0;
         if (!refused) {
@@ -239,7 +271,9 @@
                     .with("took", router.now() - clientRequest.receivedAtMs())
                     .log();
         }
-        String code = refused ? "proxy.no-place" : status == 504 ? "proxy.out-of-time" : "proxy.host-failed";
+        String code = status == 429
+                ? "proxy.over-quota"
+                : refused ? "proxy.no-place" : status == 504 ? "proxy.out-of-time" : "proxy.host-failed";
         clientForResponse()
                 .writeOwnResponse(
                         status,
--- a/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
+++ b/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
@@ -57,6 +57,8 @@
 
     private Attempt streamingAttempt;
     private boolean isSettled;
+    /** Waits for its right under the tenant's quota, and holds no slot yet. */
+    private boolean isPreparing;
 
     RequestLifecycle(
             RequestPlan plan,
@@ -79,11 +81,38 @@
     void start(long now) {
         if (now >= lastSendMs) {
             conclude(now);
+        } else if (plan.isLimited()) {
+            isPreparing = true;
+            actions.prepare();
         } else {
             requestSlot(false, now);
         }
     }
 
+    /** All that has to come before a slot has come. */
+    void onPrepared(long now) {
+        if (isPreparing) {
+            isPreparing = false;
+            requestSlot(false, now);
+        }
+    }
+
+    /** It may not run, and nothing has run: 429, 409 or 503. */
+    void onPreparationRejected(int status, int refusedForMs) {
+        if (isPreparing) {
+            isPreparing = false;
+            isSettled = true;
+            actions.respond(status, refusedForMs);
+        }
+    }
+
+    private void cancelPreparation() {
+        if (isPreparing) {
+            isPreparing = false;
+            actions.cancelPreparation();
+        }
+    }
+
     /** The client has its answer, or is gone. */
     boolean isSettled() {
         return isSettled;
@@ -298,6 +327,7 @@
 
     /** The client is answered; what is at a host is left to finish there. */
     private void onTimeout(long now) {
+        cancelPreparation();
         cancelPendingRequest();
         unproven |= attempts.onClientGone(now);
         conclude(now);
@@ -315,6 +345,7 @@
     /** The client has gone: what no host has is dropped, the rest is left to finish (breaking off is priced). */
     void onClientGone(long now) {
         if (!isSettled) {
+            cancelPreparation();
             cancelPendingRequest();
             attempts.onClientGone(now);
         }
--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -6,6 +6,7 @@
 import brambletray.platform.configuration.Configuration;
 import brambletray.platform.configuration.Route;
 import brambletray.platform.configuration.Service;
+import brambletray.platform.configuration.Tenant;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashMap;
@@ -29,6 +30,7 @@
     private final String zone;
     private final Supplier<Configuration> configuration;
     private final SlotBroker broker;
+    private final QuotaGate quotaGate;
     private final Predicate<String> isInstanceIp;
     private final HostConnectionPools connectionPools;
     private final RequestCounters counters;
@@ -53,6 +55,7 @@
             String zone,
             Supplier<Configuration> configuration,
             SlotBroker broker,
+            QuotaGate quotaGate,
             Predicate<String> isInstanceIp,
             HostConnectionPools connectionPools,
             RequestCounters counters,
@@ -63,6 +66,7 @@
         this.zone = zone;
         this.configuration = configuration;
         this.broker = broker;
+        this.quotaGate = quotaGate;
         this.isInstanceIp = isInstanceIp;
         this.connectionPools = connectionPools;
         this.counters = counters;
@@ -138,15 +142,23 @@
             respond(client, clientRequest, 503, rejectingNew ? "proxy.ending" : "proxy.full", RETRY_AFTER_MS, id);
             return;
         }
+        TenantAuthentication authentication = TenantAuthentication.of(headers, now, route);
+        if (!authentication.accepted()) {
+            counters.unauthenticated++;
+            respond(client, clientRequest, 401, "proxy.unknown-key", -1, id);
+            return;
+        }
+        Tenant tenant = authentication.tenant();
         String service = route.selectService(shares.nextDouble());
         Service known = now.services().get(service);
         RequestPlan plan = new RequestPlan(
                 service,
                 route.idempotent(),
                 Math.max(1, route.retryCount()),
-                route.priority(),
+                tenant == null ? route.priority() : tenant.priority(),
                 route.latencyTargetMs(),
                 isInstanceIp.test(client.clientIp()),
+                tenant,
                 deadlineMs(headers, route, clientRequest.receivedAtMs()));
         RequestDriver driver = new RequestDriver(
                 this, client, clientRequest, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
@@ -218,6 +230,10 @@
         return broker;
     }
 
+    QuotaGate quotaGate() {
+        return quotaGate;
+    }
+
     HostConnectionPools connectionPools() {
         return connectionPools;
     }
--- a/src/main/java/brambletray/platform/settings/DeploymentBounds.java
+++ b/src/main/java/brambletray/platform/settings/DeploymentBounds.java
@@ -19,6 +19,10 @@
  * @param retryWindowS the window in which they are counted
  * @param retryBudgetSlack what is free in each window
  * @param recoveryS within which service is restored after a fault
+ * @param keyWindowS for how long, from its first attempt, an operation runs at most once
+ * @param quotaWindowS the window in which the requests of a tenant are counted
+ * @param quotaOverage what a tenant may exceed its limit by in such a window, as a share of the limit
+ * @param quotaSlack what it may exceed the limit by besides
  * @param limitShedSlack rejections that are free at a limit
  */
 public record DeploymentBounds(
@@ -37,6 +41,10 @@
         double retryWindowS,
         double retryBudgetSlack,
         double recoveryS,
+        double keyWindowS,
+        double quotaWindowS,
+        double quotaOverage,
+        double quotaSlack,
         double limitShedSlack) {
 
     static DeploymentBounds from(SettingsFields in) {
@@ -56,6 +64,10 @@
                 in.nonNegativeDouble("bounds.retry-window-s", 10),
                 in.nonNegativeDouble("bounds.retry-budget-slack", 20),
                 in.nonNegativeDouble("bounds.recovery-s", 12),
+                in.nonNegativeDouble("bounds.key-window-s", 60),
+                in.nonNegativeDouble("bounds.quota-window-s", 5),
+                in.nonNegativeDouble("bounds.quota-overage", 0.1),
+                in.nonNegativeDouble("bounds.quota-slack", 20),
                 in.nonNegativeDouble("bounds.limit-shed-slack", 10));
     }
 }
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -85,6 +85,8 @@
             "failuredetection",
             "provisioning",
             "admission",
+            "quota",
+            "operations",
             "proxy",
             "distribution",
             "platformstub",
--- a/src/test/java/brambletray/platform/configuration/ConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/ConfigurationTest.java
@@ -25,14 +25,34 @@
                 least + ',' + Sample.route("q", "h", "/x/", "a"),
                 "{'name':'a','health-path':'/h'}," + Sample.service("b")));
         assertEquals(
-                new Route("r", "h.example", "/", false, 900, 900, 0, 1, List.of(new ServiceShare("a", 1))),
+                new Route(
+                        "r",
+                        "h.example",
+                        "/",
+                        RouteKind.NON_IDEMPOTENT,
+                        false,
+                        900,
+                        900,
+                        0,
+                        1,
+                        List.of(new ServiceShare("a", 1))),
                 configuration.routes().get("r"));
         assertEquals(
-                new Route("q", "h", "/x/", true, 2500, 400, 2, 2, List.of(new ServiceShare("a", 1))),
+                new Route(
+                        "q",
+                        "h",
+                        "/x/",
+                        RouteKind.IDEMPOTENT,
+                        false,
+                        2500,
+                        400,
+                        2,
+                        2,
+                        List.of(new ServiceShare("a", 1))),
                 configuration.routes().get("q"));
         assertEquals("/h", configuration.services().get("a").healthPath());
         assertEquals(
-                new Service("b", 512, 750, 4, 72, null),
+                new Service("b", 512, 750, 4, 72, null, false),
                 configuration.services().get("b"));
         assertEquals(ClientLimits.DEFAULTS, configuration.limits());
         assertThrows(
--- /dev/null
+++ b/src/test/java/brambletray/platform/configuration/TenantConfigurationTest.java
@@ -0,0 +1,112 @@
+package brambletray.platform.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tenants, their keys and keyed routes in configurations. */
+class TenantConfigurationTest {
+    private static final String ROUTES =
+            "\"routes\":[{\"name\":\"pay\",\"host\":\"h\",\"path-prefix\":\"/pay/\",\"route-type\":\"keyed\","
+                    + "\"service\":\"ledger\",\"public\":false},{\"name\":\"open\",\"host\":\"h\",\"path-prefix\":\"/open/\","
+                    + "\"route-type\":\"idempotent\",\"service\":\"ledger\",\"public\":true}]";
+    private static final String SERVICES = "\"services\":[{\"name\":\"ledger\",\"self-dedupe\":true}]";
+
+    private static byte[] body(int revision, String tenants) {
+        return ("{\"revision\":" + revision + ',' + ROUTES + ',' + SERVICES + ",\"tenants\":["
+                        + tenants.replace('\'', '"') + "]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Configuration read(String tenants) {
+        return Configuration.read(body(1, tenants));
+    }
+
+    private static Configuration modify(Configuration configuration, String change) {
+        return configuration.modify(change.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aFirstConfigurationWithKeyedRoutesAndTenantsIsTaken() {
+        Configuration configuration =
+                read("{'name':'acme','api-keys':['k1','k2'],'priority':1,'rate-per-s':110,'burst-size':55.5}");
+        assertEquals(RouteKind.KEYED, configuration.routes().get("pay").kind());
+        assertFalse(configuration.routes().get("pay").idempotent());
+        assertFalse(configuration.routes().get("pay").isPublic());
+        assertTrue(configuration.routes().get("open").isPublic());
+        assertTrue(configuration.services().get("ledger").selfDedupe());
+        Tenant tenant = configuration.tenantOf("k2");
+        assertEquals("acme", tenant.name());
+        assertEquals(1, tenant.priority());
+        assertEquals(110, tenant.ratePerS());
+        assertEquals(55.5, tenant.burstSize());
+        assertNull(configuration.tenantOf("k3"));
+        assertArrayEquals(
+                configuration.json(), Configuration.read(configuration.json()).json());
+    }
+
+    @Test
+    void noRateOrARateOfZeroIsNoLimit() {
+        Configuration configuration =
+                read("{'name':'a','api-keys':['k1']},{'name':'b','api-keys':['k2'],'rate-per-s':0}");
+        assertFalse(configuration.tenantOf("k1").isLimited());
+        assertFalse(configuration.tenantOf("k2").isLimited());
+    }
+
+    @Test
+    void keysAreAddedTakenAwayAndPassedOn() {
+        Configuration before = read("{'name':'a','api-keys':['k1','k2']},{'name':'b','api-keys':['k3']}");
+        Configuration passedOn = modify(
+                before,
+                "{'revision':2,'upsert':{'tenants':[{'name':'a','api-keys':['k1']},{'name':'b','api-keys':['k2','k3']}]}}");
+        assertEquals("b", passedOn.tenantOf("k2").name());
+        assertEquals("a", passedOn.tenantOf("k1").name());
+        Configuration withdrawn = modify(passedOn, "{'revision':3,'withdraw':{'tenants':['b']}}");
+        assertNull(withdrawn.tenantOf("k2"));
+        assertNull(withdrawn.tenantOf("k3"));
+        assertEquals("a", withdrawn.tenantOf("k1").name());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        {'name':'a','api-keys':['secret']},{'name':'b','api-keys':['secret']} | shared-key
+        {'name':'a','api-keys':['secret','secret']}                           | repeated-key
+        {'name':'a','api-keys':['']}                                          | bad-key
+        {'name':'a','api-keys':[7]}                                           | bad-key
+        {'name':'a','api-keys':'secret'}                                      | wrong-type
+        {'name':'a','api-keys':['secret']},{'name':'a','api-keys':['other']}  | duplicate-name
+        {'api-keys':['secret']}                                               | missing
+        {'name':'a','api-keys':['secret'],'rate-per-s':-1}                    | out-of-range
+        {'name':'a','api-keys':['secret'],'burst-size':-1}                    | out-of-range
+        {'name':'a','api-keys':['secret'],'priority':-1}                      | out-of-range
+        """)
+    void invalidTenantsAreRefusedWithoutShowingTheirKeys(String tenants, String code) {
+        ConfigurationException error = assertThrows(ConfigurationException.class, () -> read(tenants));
+        assertTrue(error.code().endsWith(code), error.code());
+        assertFalse(error.getMessage().contains("secret"), error.getMessage());
+    }
+
+    @Test
+    void aDeltaCarriesTenants() {
+        Configuration before = read("{'name':'a','api-keys':['k1']},{'name':'c','api-keys':['k9']}");
+        Configuration after = modify(
+                before,
+                "{'revision':2,'upsert':{'tenants':[{'name':'a','api-keys':['k4'],'rate-per-s':3}]},'withdraw':{'tenants':['c']}}");
+        ChangeHistory history = new ChangeHistory();
+        history.advanceTo(before);
+        history.advanceTo(after);
+        Configuration received = before.apply(history.deltaSince(1));
+        assertEquals(after.digest(), received.digest());
+        assertNull(received.tenantOf("k1"));
+        assertNull(received.tenantOf("k9"));
+        assertEquals(3, received.tenantOf("k4").ratePerS());
+    }
+}
--- a/src/test/java/brambletray/platform/localsystem/StandInTest.java
+++ b/src/test/java/brambletray/platform/localsystem/StandInTest.java
@@ -96,7 +96,7 @@
 
     private InstanceServer host(int most, int connections) {
         return new InstanceServer(
-                town, "i-1", new Service("tea", 100, 400, most, connections, null), ledger, () -> WORK);
+                town, "i-1", new Service("tea", 100, 400, most, connections, null, false), ledger, () -> WORK);
     }
 
     @Test
@@ -179,7 +179,7 @@
         stand.worker("w", "east", 1_000, ms());
         stand.service("tea", new ServiceKind(100, 400, 0));
         InstanceFleet fair = new InstanceFleet(
-                town, stand, Map.of("tea", new Service("tea", 100, 400, 1, 16, null)), ledger, WORK, 1);
+                town, stand, Map.of("tea", new Service("tea", 100, 400, 1, 16, null, false)), ledger, WORK, 1);
         town.loop().execute(fair::begin);
         String address = stand.startInstance("tea", "w", "n", 1, ms()).address();
         assertEquals("127.9.0.1:80", address);
@@ -205,7 +205,7 @@
         Configuration configuration = SampleConfiguration.configuration();
         LocalSite site = LocalSite.of(1, 1, new LocalSite.Ports(80, 2, 3, 4, 5, 6), Path.of("x"));
         InstanceServer edge =
-                new InstanceServer(town, "i-1", new Service("any", 1, 1, 40, 400, null), ledger, () -> WORK);
+                new InstanceServer(town, "i-1", new Service("any", 1, 1, 40, 400, null, false), ledger, () -> WORK);
         edge.open(new InetSocketAddress(address(127, 0, 0, 3), 80));
         FrontEndBalancer fronts = new FrontEndBalancer(site.edges());
         fronts.heard("edge-1", true);
--- a/src/test/java/brambletray/platform/proxy/RandomExchanges.java
+++ b/src/test/java/brambletray/platform/proxy/RandomExchanges.java
@@ -72,7 +72,17 @@
         long memory = small ? 4_000 + random.nextInt(8_000) : 48 << 20;
         Configuration configuration = configuration();
         flow = new RequestRouter(
-                edge, "edge-1", "zone-1", () -> configuration, this, ip -> false, lines, counters, memory, seed);
+                edge,
+                "edge-1",
+                "zone-1",
+                () -> configuration,
+                this,
+                QuotaGate.UNLIMITED,
+                ip -> false,
+                lines,
+                counters,
+                memory,
+                seed);
         new FrontEndServer(edge, flow, 100).listen(FRONT);
         int fault = 10 + random.nextInt(70);
         int count = 2 + random.nextInt(HOSTS_MOST - 1);
--- a/src/test/java/brambletray/platform/proxy/RealSocketsTest.java
+++ b/src/test/java/brambletray/platform/proxy/RealSocketsTest.java
@@ -107,6 +107,7 @@
                                             "z",
                                             () -> configuration,
                                             broker,
+                                            QuotaGate.UNLIMITED,
                                             ip -> false,
                                             new HostConnectionPools(machine, 4_000, counters),
                                             counters,
--- a/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -44,10 +44,27 @@
         World(long seed) {
             random = new SplittableRandom(seed);
             plan = new RequestPlan(
-                    "s", random.nextBoolean(), 1 + random.nextInt(3), 1, 400, false, now + 1 + random.nextInt(600));
+                    "s",
+                    random.nextBoolean(),
+                    1 + random.nextInt(3),
+                    1,
+                    400,
+                    false,
+                    null,
+                    now + 1 + random.nextInt(600));
             lifecycle = new RequestLifecycle(plan, this, () -> 1 + random.nextInt(200), () -> ++ids, "e", "z", now);
         }
 
+        @Override
+        public void prepare() {
+            throw new AssertionError("nothing to prepare without a tenant");
+        }
+
+        @Override
+        public void cancelPreparation() {
+            throw new AssertionError("nothing to prepare without a tenant");
+        }
+
         @Override
         public void requestSlot(SlotRequest ask) {
             assertTrue(asks.isEmpty(), "one ask at a time");
--- a/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
+++ b/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
@@ -44,6 +44,7 @@
                 "zone-1",
                 () -> configuration,
                 places,
+                QuotaGate.UNLIMITED,
                 ip -> ip.startsWith("10.0.1."),
                 lines,
                 counters,
--- a/src/test/java/brambletray/platform/settings/NodeSettingsTest.java
+++ b/src/test/java/brambletray/platform/settings/NodeSettingsTest.java
@@ -59,6 +59,10 @@
         bounds.retry-window-s=43
         bounds.retry-budget-slack=44
         bounds.recovery-s=45
+        bounds.key-window-s=47
+        bounds.quota-window-s=48
+        bounds.quota-overage=0.49
+        bounds.quota-slack=50
         bounds.limit-shed-slack=46
         cloud-api.address=10.200.0.15:8240
         cloud-api.rate-per-s=26.0
@@ -97,7 +101,8 @@
                         1,
                         3,
                         Set.of("base", "drain"),
-                        new DeploymentBounds(31, 32, 33, 34, 35, 36, 37.5, 38, 39, 40, 41, 0.42, 43, 44, 45, 46),
+                        new DeploymentBounds(
+                                31, 32, 33, 34, 35, 36, 37.5, 38, 39, 40, 41, 0.42, 43, 44, 45, 47, 48, 0.49, 50, 46),
                         new CloudApiSettings(new Address("10.200.0.15", 8240), 26, 105, 800),
                         Path.of("node.conf")),
                 nodeSettings(FULL));
