--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -13,6 +13,7 @@
 import brambletray.platform.election.LeaseHolder;
 import brambletray.platform.election.LeaseTimings;
 import brambletray.platform.logging.EventLog;
+import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.replication.DurableState;
 import brambletray.platform.replication.MemberRemovalOutcome;
 import brambletray.platform.replication.ProposalOutcome;
@@ -45,6 +46,8 @@
     private static final int TICK_INTERVAL_MS = 50;
 
     private static final String COORDINATOR_ROLE = "helm";
+    /** Proposals of operations bear tokens from here on, those of configurations lower ones. */
+    private static final long FIRST_OPERATIONS_TOKEN = 1L << 62;
 
     private final NodeSettings nodeSettings;
     private final Machine machine;
@@ -52,6 +55,7 @@
     private final String address;
     private final StoreCommits storeCommits;
     private final OperatorCalls operatorCalls;
+    private final OperationClaims operationClaims;
     private final Replica replica;
     private final PeerLinks peerLinks;
     private final LeaseElection election;
@@ -75,8 +79,14 @@
         storeCommits = new StoreCommits(machine, environment.store());
         Map<String, byte[]> stored = environment.stored();
         address = nodeSettings.controlPlane().toString();
-        coordinatorSupervisor = new CoordinatorSupervisor(machine, nodeSettings, new MemberAccess());
         operatorCalls = new OperatorCalls(new ReplicaAccess(), this::onConfigurationChanged);
+        OperationRegistry operationRegistry = new OperationRegistry(nowMs());
+        operationClaims = new OperationClaims(
+                operationRegistry,
+                new OperationAccess(),
+                (long) (nodeSettings.bounds().keyWindowS() * 1_000),
+                FIRST_OPERATIONS_TOKEN);
+        coordinatorSupervisor = new CoordinatorSupervisor(machine, nodeSettings, new MemberAccess(), operationClaims);
         peerLinks = new PeerLinks(
                 machine,
                 codec,
@@ -87,7 +97,7 @@
                 ReplicaSettings.config(nodeSettings, newIncarnation, origin),
                 DurableState.read(stored),
                 new ReplicationOutput(),
-                operatorCalls,
+                new CoreStateMachine(operatorCalls, operationRegistry, this::nowMs, operationClaims),
                 nowMs());
         shutdown = new MemberShutdown(machine, replica::mayTerminate, operatorCalls::isIdle, environment.exit());
         election = new LeaseElection(
@@ -192,6 +202,14 @@
         coordinatorSupervisor.onConfigurationChanged(configuration);
     }
 
+    private void onProposalCompleted(long token, ProposalOutcome outcome) {
+        if (operationClaims.isOwnToken(token)) {
+            operationClaims.onProposalCompleted(token, outcome);
+        } else {
+            operatorCalls.onProposalCompleted(token, outcome);
+        }
+    }
+
     private void reloadSettings() {
         SettingsReload.run(
                 nodeSettings,
@@ -244,6 +262,23 @@
         }
     }
 
+    private final class OperationAccess implements OperationClaims.Access {
+        @Override
+        public void propose(long token, byte[] change) {
+            machine.loop().execute(() -> replica.propose(token, change, nowMs()));
+        }
+
+        @Override
+        public void send(String edge, Object frame) {
+            coordinatorSupervisor.sendToEdge(edge, frame);
+        }
+
+        @Override
+        public long nowMs() {
+            return ControlPlaneProgram.this.nowMs();
+        }
+    }
+
     private final class ElectionOutput implements ElectionActions {
         @Override
         public void send(String to, ElectionMessage frame) {
@@ -286,7 +321,7 @@
 
         @Override
         public void proposalCompleted(long token, ProposalOutcome outcome) {
-            machine.loop().execute(() -> operatorCalls.onProposalCompleted(token, outcome));
+            machine.loop().execute(() -> onProposalCompleted(token, outcome));
         }
 
         @Override
--- a/src/main/java/brambletray/platform/controlplane/CoordinatorSupervisor.java
+++ b/src/main/java/brambletray/platform/controlplane/CoordinatorSupervisor.java
@@ -45,6 +45,7 @@
     private final Machine machine;
     private final NodeSettings nodeSettings;
     private final MemberAccess member;
+    private final ClaimHandler claims;
     private final EdgeGreeter edgeGreeter = new EdgeGreeter(this::welcome);
     /** At each member, coordinator or not: the next coordinator goes on with deltas from what edges have. */
     private final ChangeHistory changeHistory = new ChangeHistory();
@@ -54,10 +55,11 @@
     /** Term of the lease that is held here, 0 for none. */
     private long heldTerm;
 
-    CoordinatorSupervisor(Machine machine, NodeSettings nodeSettings, MemberAccess member) {
+    CoordinatorSupervisor(Machine machine, NodeSettings nodeSettings, MemberAccess member, ClaimHandler claims) {
         this.machine = machine;
         this.nodeSettings = nodeSettings;
         this.member = member;
+        this.claims = claims;
     }
 
     /** The coordinator while it may act, else null. */
@@ -65,6 +67,13 @@
         return coordinator != null && member.mayAct() ? coordinator : null;
     }
 
+    /** Sends to an edge that follows the coordinator here; lost where there is none. */
+    void sendToEdge(String name, Object frame) {
+        if (coordinator != null) {
+            coordinator.send(name, frame);
+        }
+    }
+
     /** The lease was won under this term. */
     void onLeaseWon(long term) {
         heldTerm = term;
@@ -128,7 +137,7 @@
 
     private void startCoordinator(long nowMs) {
         coordinator = new EdgeCoordinator(
-                machine, nodeSettings, heldTerm, member::configuration, publisher, new Authority(), nowMs);
+                machine, nodeSettings, heldTerm, member::configuration, publisher, new Authority(), claims, nowMs);
         edgeGreeter.onCoordinatorStarted(coordinator, nowMs);
     }
 
--- a/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
+++ b/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
@@ -18,6 +18,8 @@
 import brambletray.platform.failuredetection.SuspicionReport;
 import brambletray.platform.failuredetection.SuspicionWithdrawal;
 import brambletray.platform.logging.EventLog;
+import brambletray.platform.operations.ClaimRelease;
+import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.provisioning.HomeClaim;
 import brambletray.platform.provisioning.InstanceSize;
 import brambletray.platform.provisioning.InstanceUp;
@@ -56,6 +58,7 @@
 
     private final Machine machine;
     private final Authority authority;
+    private final ClaimHandler claims;
     private final long term;
     private final Supplier<Configuration> configuration;
     private final ConfigurationPublisher publisher;
@@ -97,9 +100,11 @@
             Supplier<Configuration> configuration,
             ConfigurationPublisher publisher,
             Authority authority,
+            ClaimHandler claims,
             long nowMs) {
         this.machine = machine;
         this.authority = authority;
+        this.claims = claims;
         this.term = term;
         this.configuration = configuration;
         this.publisher = publisher;
@@ -154,6 +159,11 @@
         return home == null ? null : home.name();
     }
 
+    /** Sends to an edge that follows this coordinator; lost where it does not, or this term may not act. */
+    void send(String name, Object frame) {
+        edges.sendWithAuthority(name, frame);
+    }
+
     /** Another configuration was applied. */
     void onConfigurationChanged(long nowMs) {
         Map<String, InstanceSize> sizes = new HashMap<>();
@@ -225,6 +235,10 @@
             onDeltaRequest(edge, request, nowMs);
         } else if (frame instanceof RosterRequest) {
             onRosterRequest(edge);
+        } else if (frame instanceof ClaimRequest request) {
+            claims.onClaim(name, request);
+        } else if (frame instanceof ClaimRelease request) {
+            claims.onRelease(name, request);
         }
     }
 
--- /dev/null
+++ b/src/main/java/brambletray/platform/controlplane/OperationClaims.java
@@ -0,0 +1,188 @@
+package brambletray.platform.controlplane;
+
+import brambletray.platform.logging.EventLog;
+import brambletray.platform.operations.ClaimGranted;
+import brambletray.platform.operations.ClaimHeld;
+import brambletray.platform.operations.ClaimId;
+import brambletray.platform.operations.ClaimRelease;
+import brambletray.platform.operations.ClaimReleased;
+import brambletray.platform.operations.ClaimRequest;
+import brambletray.platform.operations.ClaimUnavailable;
+import brambletray.platform.operations.OperationBatch;
+import brambletray.platform.operations.OperationCommand;
+import brambletray.platform.operations.OperationRegistry;
+import brambletray.platform.operations.OperationRegistry.Outcome;
+import brambletray.platform.operations.OperationRegistry.StandingClaim;
+import brambletray.platform.replication.ProposalOutcome;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Claims of edges on operations at one member: collected into batches, replicated, and answered once they are
+ * committed (group commit: while batches are in flight, commands gather for the next). A claim is acknowledged only
+ * after it has been applied, so it is on enough disks; whether this member still is the coordinator by then does not
+ * matter. For the event loop only.
+ */
+final class OperationClaims implements ClaimHandler, CoreStateMachine.Listener {
+    private static final EventLog LOG = EventLog.of("controlplane");
+    /** Batches that wait for their commit at one time. */
+    private static final int MAX_BATCHES_IN_FLIGHT = 2;
+
+    private static final int MAX_BATCH_COMMANDS = 512;
+    /** Commands that gather, beyond which a claim is refused. */
+    private static final int MAX_QUEUED_COMMANDS = 4_096;
+    /** Claims that are remembered at most: what the memory of a member bears. */
+    private static final int MAX_STANDING_CLAIMS = 200_000;
+    /** Time to retry that an edge is told where a claim could not be committed. */
+    private static final int RETRY_AFTER_MS = 300;
+
+    /** How commands are replicated and answered. */
+    interface Access {
+        /** Proposes a change; {@link #onProposalCompleted} follows, not before this returns. */
+        void propose(long token, byte[] change);
+
+        /** Sends to an edge that follows the coordinator here; lost where there is none. */
+        void send(String edge, Object frame);
+
+        /** Steady ms. */
+        long nowMs();
+    }
+
+    private enum CommandKind {
+        CLAIM,
+        RELEASE
+    }
+
+    /** What a command is recognised by when it comes again. */
+    private record CommandId(CommandKind kind, ClaimId claim) {
+        static CommandId of(OperationCommand command) {
+            return new CommandId(
+                    command instanceof OperationCommand.Claim ? CommandKind.CLAIM : CommandKind.RELEASE,
+                    command.claim());
+        }
+    }
+
+    /** A command on its way, and the edge that waits for it. */
+    private record PendingCommand(OperationCommand command, String edge) {}
+
+    private final OperationRegistry registry;
+    private final Access access;
+    private final long windowMs;
+    /** Not in a batch yet, in the order in which they came. */
+    private final ArrayDeque<PendingCommand> queue = new ArrayDeque<>();
+    /** In the queue or in a batch, and not answered. */
+    private final Map<CommandId, PendingCommand> pending = new HashMap<>();
+    /** Commands of the batches in flight, by the token of their proposal. */
+    private final Map<Long, List<CommandId>> batches = new HashMap<>();
+
+    private final long firstToken;
+    private long nextToken;
+
+    /**
+     * {@code windowMs}: for how long a claim stands; {@code firstToken}: tokens of proposals are drawn from here on.
+     */
+    OperationClaims(OperationRegistry registry, Access access, long windowMs, long firstToken) {
+        this.registry = registry;
+        this.access = access;
+        this.windowMs = windowMs;
+        this.firstToken = firstToken;
+        nextToken = firstToken;
+    }
+
+    /** Whether the proposal of this token is one of this object's. */
+    boolean isOwnToken(long token) {
+        return token >= firstToken;
+    }
+
+    @Override
+    public void onClaim(String edge, ClaimRequest request) {
+        StandingClaim holder = registry.holder(request.key());
+        if (holder != null) {
+            // what has been applied is committed: no need to ask the others
+            answerClaim(edge, request.claim(), holder);
+        } else if (queue.size() >= MAX_QUEUED_COMMANDS || registry.size() >= MAX_STANDING_CLAIMS) {
+            access.send(edge, new ClaimUnavailable(request.claim(), RETRY_AFTER_MS));
+        } else {
+            enqueue(edge, new OperationCommand.Claim(request.claim(), request.key(), edge));
+        }
+    }
+
+    @Override
+    public void onRelease(String edge, ClaimRelease request) {
+        enqueue(edge, new OperationCommand.Release(request.claim(), request.key()));
+    }
+
+    private void enqueue(String edge, OperationCommand command) {
+        PendingCommand added = new PendingCommand(command, edge);
+        if (pending.putIfAbsent(CommandId.of(command), added) == null) {
+            queue.add(added);
+            proposeNext();
+        }
+    }
+
+    private void proposeNext() {
+        while (!queue.isEmpty() && batches.size() < MAX_BATCHES_IN_FLIGHT) {
+            List<OperationCommand> commands = new ArrayList<>();
+            List<CommandId> ids = new ArrayList<>();
+            while (!queue.isEmpty() && commands.size() < MAX_BATCH_COMMANDS) {
+                OperationCommand command = queue.poll().command();
+                commands.add(command);
+                ids.add(CommandId.of(command));
+            }
+            long token = nextToken++;
+            batches.put(token, ids);
+            OperationBatch batch = new OperationBatch(registry.logTimeMs(access.nowMs()), windowMs, commands);
+            access.propose(token, batch.encode());
+        }
+    }
+
+    @Override
+    public void onOperationsApplied(List<Outcome> outcomes) {
+        for (Outcome outcome : outcomes) {
+            PendingCommand command = pending.remove(CommandId.of(outcome.command()));
+            if (command == null) {
+                continue;
+            }
+            if (command.command() instanceof OperationCommand.Claim) {
+                answerClaim(command.edge(), command.command().claim(), outcome.holder());
+            } else {
+                access.send(command.edge(), new ClaimReleased(command.command().claim()));
+            }
+        }
+    }
+
+    private void answerClaim(String edge, ClaimId claim, StandingClaim holder) {
+        access.send(
+                edge,
+                holder.id().equals(claim) ? new ClaimGranted(claim) : new ClaimHeld(claim, holder.id(), holder.edge()));
+    }
+
+    /** The outcome of a batch. What is not known to be committed may be applied later; its edges claim again. */
+    void onProposalCompleted(long token, ProposalOutcome outcome) {
+        List<CommandId> ids = batches.remove(token);
+        if (ids == null) {
+            return;
+        }
+        int unanswered = 0;
+        for (CommandId id : ids) {
+            PendingCommand command = pending.remove(id);
+            if (command == null) {
+                continue;
+            }
+            unanswered++;
+            if (id.kind() == CommandKind.CLAIM) {
+                access.send(command.edge(), new ClaimUnavailable(id.claim(), RETRY_AFTER_MS));
+            }
+        }
+        if (unanswered > 0) {
+            LOG.info("operation-batch-failed")
+                    .with("outcome", outcome)
+                    .with("commands", unanswered)
+                    .log();
+        }
+        proposeNext();
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/platform/operations/OperationBatch.java
@@ -0,0 +1,90 @@
+package brambletray.platform.operations;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Commands that are one entry of the replicated log.
+ *
+ * @param logTimeMs the proposer's {@link OperationRegistry#logTimeMs(long)} when it made the batch
+ * @param windowMs for how long its claims stand
+ */
+public record OperationBatch(long logTimeMs, long windowMs, List<OperationCommand> commands) {
+    /** First byte of an encoded batch; configuration changes begin with another. */
+    public static final byte FORMAT = 2;
+
+    private static final int CLAIM = 1;
+    private static final int RELEASE = 2;
+
+    /** Whether these bytes of the replicated log are a batch. */
+    public static boolean isBatch(byte[] entry) {
+        return entry.length > 0 && entry[0] == FORMAT;
+    }
+
+    /** The batch as bytes. */
+    public byte[] encode() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(32 + 64 * commands.size());
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(FORMAT);
+            out.writeLong(logTimeMs);
+            out.writeLong(windowMs);
+            out.writeInt(commands.size());
+            for (OperationCommand command : commands) {
+                write(command, out);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(OperationCommand command, DataOutputStream out) throws IOException {
+        out.writeByte(command instanceof OperationCommand.Claim ? CLAIM : RELEASE);
+        OperationCodec.write(command.claim(), out);
+        OperationCodec.write(command.key(), out);
+        if (command instanceof OperationCommand.Claim claim) {
+            out.writeUTF(claim.edge());
+        }
+    }
+
+    /** {@link OperationsException} for anything but what {@link #encode} has returned. */
+    public static OperationBatch decode(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            if (in.readByte() != FORMAT) {
+                throw new OperationsException("operations.bad-batch", "expected a batch of format " + FORMAT, null);
+            }
+            long logTimeMs = in.readLong();
+            long windowMs = in.readLong();
+            int count = in.readInt();
+            List<OperationCommand> commands = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                commands.add(read(in));
+            }
+            if (in.read() >= 0) {
+                throw new OperationsException("operations.bad-batch", "expected nothing after the last command", null);
+            }
+            return new OperationBatch(logTimeMs, windowMs, commands);
+        } catch (IOException e) {
+            throw new OperationsException("operations.bad-batch", "expected a complete batch: " + e.getMessage(), e);
+        }
+    }
+
+    private static OperationCommand read(DataInputStream in) throws IOException {
+        int kind = in.readByte();
+        ClaimId claim = OperationCodec.readClaimId(in);
+        OperationKey key = OperationCodec.readKey(in);
+        return switch (kind) {
+            case CLAIM -> new OperationCommand.Claim(claim, key, in.readUTF());
+            case RELEASE -> new OperationCommand.Release(claim, key);
+            default ->
+                throw new OperationsException(
+                        "operations.bad-batch", "expected a claim or a release, found kind " + kind, null);
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/platform/operations/OperationCodec.java
@@ -0,0 +1,28 @@
+package brambletray.platform.operations;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+/** How keys and claims are laid out in batches and snapshots. */
+final class OperationCodec {
+    private OperationCodec() {}
+
+    static void write(OperationKey key, DataOutputStream out) throws IOException {
+        out.writeLong(key.high());
+        out.writeLong(key.low());
+    }
+
+    static OperationKey readKey(DataInputStream in) throws IOException {
+        return new OperationKey(in.readLong(), in.readLong());
+    }
+
+    static void write(ClaimId claim, DataOutputStream out) throws IOException {
+        out.writeLong(claim.incarnation());
+        out.writeLong(claim.sequence());
+    }
+
+    static ClaimId readClaimId(DataInputStream in) throws IOException {
+        return new ClaimId(in.readLong(), in.readLong());
+    }
+}
--- a/src/test/java/brambletray/platform/controlplane/EdgeCoordinatorTest.java
+++ b/src/test/java/brambletray/platform/controlplane/EdgeCoordinatorTest.java
@@ -21,6 +21,8 @@
 import brambletray.platform.failuredetection.EdgeWelcome;
 import brambletray.platform.failuredetection.Peer;
 import brambletray.platform.failuredetection.Roster;
+import brambletray.platform.operations.ClaimRelease;
+import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.platformstub.PlatformParameters;
 import brambletray.platform.platformstub.PlatformStub;
 import brambletray.platform.platformstub.PlatformStubServer;
@@ -125,6 +127,7 @@
                 () -> configuration,
                 new ConfigurationPublisher(history),
                 new Authority(),
+                new NoClaims(),
                 ms());
         new PeerLinks(
                 core,
@@ -143,6 +146,18 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    private static final class NoClaims implements ClaimHandler {
+        @Override
+        public void onClaim(String edge, ClaimRequest request) {
+            throw new AssertionError("nobody claims here");
+        }
+
+        @Override
+        public void onRelease(String edge, ClaimRelease request) {
+            throw new AssertionError("nobody claims here");
+        }
+    }
+
     private final class Authority implements EdgeCoordinator.Authority {
         @Override
         public boolean mayAct() {
@@ -505,6 +520,7 @@
                 () -> configuration,
                 new ConfigurationPublisher(history),
                 new Authority(),
+                new NoClaims(),
                 ms());
         acts = false;
         come();
