quota: one giver at the coordinator grants each request of a limited tenant its right

Callers saw: a tenant was limited nowhere; the gate that the proxy asks admitted everything, so each edge let a flood through as though it were alone. Cause: nobody counted a tenant's requests over all edges. Change: the coordinator has one token bucket a tenant, which begins empty with each term. A lost coordinator is bridged by run-ahead shares, which are counted until nothing that was sent by them can fall into the same window.

--- a/src/main/java/brambletray/platform/controlplane/ConnectedEdges.java
+++ b/src/main/java/brambletray/platform/controlplane/ConnectedEdges.java
@@ -31,6 +31,14 @@
             return heartbeatSent;
         }
 
+        String name() {
+            return peer.name();
+        }
+
+        long incarnation() {
+            return peer.incarnation();
+        }
+
         void setServedRevision(long revision) {
             servedRevision = revision;
         }
--- a/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
+++ b/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
@@ -30,12 +30,15 @@
 import brambletray.platform.provisioning.ProvisioningActions;
 import brambletray.platform.provisioning.StartRequest;
 import brambletray.platform.provisioning.StopRequest;
+import brambletray.platform.quota.QuotaTerms;
+import brambletray.platform.quota.TenantUsage;
 import brambletray.platform.settings.CloudApiSettings;
 import brambletray.platform.settings.NodeSettings;
 import brambletray.platform.transport.Link;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -63,6 +66,7 @@
     private final Supplier<Configuration> configuration;
     private final ConfigurationPublisher publisher;
     private final ConnectedEdges edges;
+    private final EdgeQuotas quotas;
     private final MembershipRegistry membership;
     private final Provisioner provisioner;
     private final PlatformClient platform;
@@ -109,6 +113,7 @@
         this.configuration = configuration;
         this.publisher = publisher;
         edges = new ConnectedEdges(term, authority);
+        quotas = new EdgeQuotas(authority, QuotaTerms.from(nodeSettings.bounds()));
         heartbeat = new CoordinatorHeartbeat(term, 0, 0);
         membership = new MembershipRegistry(term, nowMs, this::onRoster);
         CloudApiSettings cloudApi = nodeSettings.require("cloud-api.address", nodeSettings.cloudApi());
@@ -149,6 +154,11 @@
         return provisioner;
     }
 
+    /** For operators: the quotas of the limited tenants. */
+    List<TenantUsage> tenantUsages(long nowMs) {
+        return quotas.usages(nowMs);
+    }
+
     /** For operators: the revision that this edge serves by, or -1 if it has no link here. */
     long servedRevision(String name) {
         return edges.servedRevision(name);
@@ -175,6 +185,7 @@
             sizes.put(service.name(), new InstanceSize(service.memoryMb(), service.bootMs()));
         }
         provisioner.onConfigurationChanged(sizes, nowMs);
+        quotas.onConfigurationChanged(current, nowMs);
         rolloutSinceMs = nowMs;
         if (authority.mayAct()) {
             sendHeartbeats(nowMs);
@@ -212,7 +223,7 @@
             return;
         }
         ConnectedEdge edge = edges.find(name, link);
-        if (edge == null) {
+        if (edge == null || quotas.receive(edge, frame, nowMs)) {
             return;
         }
         if (frame instanceof StartRequest startRequest) {
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -32,10 +32,10 @@
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
-import brambletray.platform.proxy.QuotaGate;
 import brambletray.platform.proxy.Readiness;
 import brambletray.platform.proxy.RequestCounters;
 import brambletray.platform.proxy.RequestRouter;
+import brambletray.platform.quota.QuotaResponse;
 import brambletray.platform.settings.Address;
 import brambletray.platform.settings.NodeSettings;
 import brambletray.platform.transport.FrameCodec;
@@ -72,6 +72,7 @@
     private final GracefulShutdown shutdown;
     private final SlotClient slotClient;
     private final LocalAdmission localAdmission;
+    private final QuotaClient quotaClient;
     private final EdgeLinks edgeLinks;
     private final CoordinatorClient coordinatorClient;
     private final ConfigurationSubscriber subscriber = new ConfigurationSubscriber(new SubscriberActions());
@@ -97,19 +98,20 @@
         self = new Peer(nodeSettings.node(), nodeSettings.zone(), inner.toString(), newIncarnation, Peer.ACTIVE);
         introduction = new LinkIntroduction(self.name(), self.address(), false);
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
-        AdmissionParameters parameters = admissionParameters(nodeSettings);
+        AdmissionParameters parameters = EdgeSettings.admissionParameters(nodeSettings);
         String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
         admissionTimer = new AdmissionTimer(machine, this::tickAdmission);
         localAdmission =
                 new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
+        quotaClient = new QuotaClient(this::sendToCoordinator, this::now, EdgeSettings.quotaWindowMs(nodeSettings));
         requestRouter = new RequestRouter(
                 machine,
                 self.name(),
                 self.zone(),
                 () -> configuration,
                 slotClient,
-                QuotaGate.UNLIMITED,
+                quotaClient,
                 instanceAddresses::contains,
                 connectionPools,
                 counters,
@@ -122,28 +124,12 @@
                 machine,
                 codec,
                 introduction,
-                coreMembers(nodeSettings),
+                EdgeSettings.coreMembers(nodeSettings),
                 (int) newIncarnation,
                 new CoordinatorListener());
         heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
     }
 
-    private static AdmissionParameters admissionParameters(NodeSettings nodeSettings) {
-        return AdmissionParameters.of(
-                nodeSettings.bounds().retryBudgetRatio(),
-                (int) nodeSettings.bounds().retryBudgetSlack(),
-                (int) (nodeSettings.bounds().retryWindowS() * 1_000),
-                Math.max(1, nodeSettings.zones().size()));
-    }
-
-    private static List<Address> coreMembers(NodeSettings nodeSettings) {
-        List<Address> members = new ArrayList<>();
-        for (Address seed : nodeSettings.seeds()) {
-            members.add(new Address(seed.host(), nodeSettings.internalPortLow()));
-        }
-        return members;
-    }
-
     /** Runs the program until SIGTERM; returns the process's exit code. {@code newIncarnation}: drawn at random. */
     public static void run(NodeSettings nodeSettings, long newIncarnation) {
         Machine machine = Sockets.machine();
@@ -204,6 +190,10 @@
         return !leaving && configuration != Configuration.NONE && roster.find(self.name()) != null;
     }
 
+    private boolean sendToCoordinator(Object frame) {
+        return coordinatorClient.send(frame);
+    }
+
     private long now() {
         return machine.clock().nanos() / 1_000_000;
     }
@@ -212,6 +202,7 @@
         try {
             long now = now();
             coordinatorClient.tick(now);
+            quotaClient.tick(coordinatorClient.isAttached());
             subscriber.tick(now);
             heartbeatMonitor.tick(now);
             admissionTimer.recover(now);
@@ -236,7 +227,8 @@
     }
 
     void reloadSettings() {
-        SettingsReload.run(nodeSettings, current -> coordinatorClient.onMembers(coreMembers(current)), LOG);
+        SettingsReload.run(
+                nodeSettings, current -> coordinatorClient.onMembers(EdgeSettings.coreMembers(current)), LOG);
     }
 
     /** Says so first, serves on until clients have been sent elsewhere, then ends with nothing under way. */
@@ -348,12 +340,17 @@
 
         @Override
         public void onFrame(Object frame) {
-            localAdmission.onCoordinatorFrame(frame);
+            if (frame instanceof QuotaResponse response) {
+                quotaClient.onResponse(response);
+            } else {
+                localAdmission.onCoordinatorFrame(frame);
+            }
         }
 
         @Override
         public void onAttached(long term) {
             heartbeatMonitor.onCoordinatorConnected();
+            quotaClient.onAttached(term);
             coordinatorClient.send(localAdmission.knownInstances());
             subscriber.onLinkUp(now());
         }
--- a/src/main/java/brambletray/platform/proxy/Attempts.java
+++ b/src/main/java/brambletray/platform/proxy/Attempts.java
@@ -63,12 +63,21 @@
         if (attempt.onSent()) {
             complete(attempt, outcome, (int) (now - attempt.sentAtMs));
         } else {
-            attempt.active = false;
-            activeCount--;
-            actions.cancelSlotRequest(attempt.grant.requestId());
+            releaseUnsent(attempt);
         }
     }
 
+    /** Releases the slot as unused; false if it has been released already. */
+    boolean releaseUnsent(Attempt attempt) {
+        if (!attempt.active) {
+            return false;
+        }
+        attempt.active = false;
+        activeCount--;
+        actions.cancelSlotRequest(attempt.grant.requestId());
+        return true;
+    }
+
     /** The first usable answer settles: all others are called off. */
     void cancelOthers(Attempt winner, long now) {
         for (int i = 0; i < all.size(); i++) {
--- a/src/main/java/brambletray/platform/proxy/HostCall.java
+++ b/src/main/java/brambletray/platform/proxy/HostCall.java
@@ -36,8 +36,8 @@
     boolean wasSentOn(HostConnection connection);
 
     /**
-     * False: its time is over, and it is not to go out. Asked right before it does, as timers may be late where the
-     * machine stood still.
+     * False: it is not to go out now, as its time is over, or as it needs another right under its tenant's quota and
+     * comes again with it. Asked right before it does, as timers may be late where the machine stood still.
      */
     boolean isStillWanted();
 
--- a/src/main/java/brambletray/platform/proxy/HostExchange.java
+++ b/src/main/java/brambletray/platform/proxy/HostExchange.java
@@ -8,6 +8,7 @@
     private final RequestDriver driver;
     private final Attempt attempt;
     private final long hostDeadlineMs;
+    private final SendPermit permit;
     /** The connection that is at it, and the last that was. */
     private HostConnection connection;
 
@@ -17,10 +18,11 @@
     /** Given on while it comes. */
     private HostResponse streamingResponse;
 
-    HostExchange(RequestDriver driver, Attempt attempt, long hostDeadlineMs) {
+    HostExchange(RequestDriver driver, Attempt attempt, long hostDeadlineMs, SendPermit permit) {
         this.driver = driver;
         this.attempt = attempt;
         this.hostDeadlineMs = hostDeadlineMs;
+        this.permit = permit;
     }
 
     /** The complete response; owned by the caller from now on. */
@@ -48,6 +50,7 @@
     }
 
     void cancel(HostConnectionPools pools) {
+        permit.cancel();
         if (connection != null) {
             connection.cancel(this);
             connection = null;
@@ -114,7 +117,7 @@
 
     @Override
     public boolean isStillWanted() {
-        return driver.isStillWanted(attempt);
+        return driver.isStillWanted(attempt) && permit.isReady();
     }
 
     @Override
@@ -131,6 +134,7 @@
 
     @Override
     public void onSent() {
+        permit.spend();
         driver.onSent(attempt);
     }
 
--- a/src/main/java/brambletray/platform/proxy/QuotaGate.java
+++ b/src/main/java/brambletray/platform/proxy/QuotaGate.java
@@ -8,7 +8,17 @@
     QuotaGate UNLIMITED = new QuotaGate() {
         @Override
         public void acquire(Tenant tenant, Listener listener) {
-            listener.onAcquired();
+            listener.onAcquired(new Right() {
+                @Override
+                public boolean isValid() {
+                    return true;
+                }
+
+                @Override
+                public void spend() {
+                    // there is nothing to count
+                }
+            });
         }
 
         @Override
@@ -23,10 +33,19 @@
     /** The request of this listener does not wait any more; it is not called from now on. */
     void cancel(Listener listener);
 
+    /** The right to send one request once, within a short time. */
+    interface Right {
+        /** Whether it may still be spent. */
+        boolean isValid();
+
+        /** The request is sent by it now. What is not spent in time goes back to the tenant. */
+        void spend();
+    }
+
     /** What one request hears. */
     interface Listener {
-        /** It may run. */
-        void onAcquired();
+        /** It may be sent once, soon. */
+        void onAcquired(Right right);
 
         /** The tenant is beyond its limit. */
         void onExceeded(int retryAfterMs);
--- a/src/main/java/brambletray/platform/proxy/RequestDriver.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDriver.java
@@ -23,6 +23,9 @@
     private final RequestLifecycle lifecycle;
     private final HedgeDelay hedgeDelay;
     private final QuotaListener quotaListener = new QuotaListener();
+    /** The right that was acquired before the first slot was asked for, until an attempt has it. */
+    private QuotaGate.Right preparedRight;
+
     private final List<HostExchange> exchanges = new ArrayList<>(2);
     /** Null once it has its answer or is gone. */
     private ClientConnection client;
@@ -152,7 +155,8 @@
 
     private final class QuotaListener implements QuotaGate.Listener {
         @Override
-        public void onAcquired() {
+        public void onAcquired(QuotaGate.Right right) {
+            preparedRight = right;
             lifecycle.onPrepared(router.now());
             afterEvent();
         }
@@ -197,12 +201,32 @@
 
     @Override
     public void sendToInstance(Attempt attempt, long hostDeadlineMs) {
-        HostExchange exchange = new HostExchange(this, attempt, hostDeadlineMs);
+        HostExchange exchange = new HostExchange(this, attempt, hostDeadlineMs, permit(attempt));
         attempt.tag = exchange;
         exchanges.add(exchange);
         router.connectionPools().send(exchange);
     }
 
+    private SendPermit permit(Attempt attempt) {
+        if (!plan.isLimited()) {
+            return SendPermit.UNLIMITED;
+        }
+        QuotaGate.Right right = preparedRight;
+        preparedRight = null;
+        return new SendPermit(router.quotaGate(), plan.tenant(), right, new SendPermit.Events() {
+            @Override
+            public void onPermitted() {
+                router.connectionPools().send((HostExchange) attempt.tag);
+            }
+
+            @Override
+            public void onRejected(int status, int retryAfterMs) {
+                lifecycle.onSendRejected(attempt, status, retryAfterMs, router.now());
+                afterEvent();
+            }
+        });
+    }
+
     @Override
     public void cancel(Attempt attempt) {
         ((HostExchange) attempt.tag).cancel(router.connectionPools());
--- a/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
+++ b/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
@@ -208,6 +208,20 @@
         }
     }
 
+    /** Nothing was sent: the tenant's quota has no right for it, or nobody can tell now. */
+    void onSendRejected(Attempt attempt, int status, int refusedForMs, long now) {
+        if (!attempts.releaseUnsent(attempt) || isSettled || pendingRequestId != 0 || attempts.activeCount() > 0) {
+            return;
+        }
+        if (unproven || withheldAttempt != null) {
+            conclude(now);
+        } else {
+            isSettled = true;
+            hedgeAtMs = 0;
+            actions.respond(status, refusedForMs);
+        }
+    }
+
     /**
      * The outcome of an attempt: SERVED, NOT_RUN, WRONG_HOST, FAILED or BROKEN. {@code withheld}: the response must
      * not be passed on, as its status promises that the request did not run (408, 421, 429, 503) without proof, or as
--- a/src/main/java/brambletray/platform/quota/QuotaRefusal.java
+++ b/src/main/java/brambletray/platform/quota/QuotaRefusal.java
@@ -1,4 +1,4 @@
 package brambletray.platform.quota;
 
 /** The tenant is beyond its limit. */
-public record QuotaRefusal(long id, int retryAfterMs) {}
+public record QuotaRefusal(long id, int retryAfterMs) implements QuotaResponse {}
--- /dev/null
+++ b/src/main/java/brambletray/platform/quota/RunAheadShares.java
@@ -0,0 +1,84 @@
+package brambletray.platform.quota;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+/**
+ * How many requests of one tenant each edge may send without a right once it has lost the coordinator (escrow). What
+ * all edges may send so never exceeds the total: a share that was given counts until nothing that was sent by it can
+ * fall into the same window as what comes after, whether the edge is heard of again or not.
+ */
+final class RunAheadShares {
+    /** What one edge may hold: by its newest grant, and by a larger one before that it may not have seen replaced. */
+    private static final class Share {
+        private int amount;
+        private long heldUntilMs;
+        private int formerAmount;
+        private long formerHeldUntilMs;
+
+        int counted(long nowMs) {
+            return nowMs < formerHeldUntilMs ? Math.max(amount, formerAmount) : amount;
+        }
+
+        void replace(int newAmount, long untilMs, long nowMs) {
+            int before = counted(nowMs);
+            if (newAmount < before) {
+                boolean formerIsLarger = nowMs < formerHeldUntilMs && formerAmount >= amount;
+                formerHeldUntilMs = formerIsLarger ? formerHeldUntilMs : heldUntilMs;
+                formerAmount = before;
+            }
+            amount = newAmount;
+            heldUntilMs = untilMs;
+        }
+
+        boolean isExpired(long nowMs) {
+            return nowMs >= heldUntilMs && nowMs >= formerHeldUntilMs;
+        }
+    }
+
+    private final Map<EdgeIncarnation, Share> shares = new HashMap<>();
+    private final long noneBeforeMs;
+
+    /** {@code noneBeforeMs}: until then shares of a former giver may be in use, and none are given. */
+    RunAheadShares(long noneBeforeMs) {
+        this.noneBeforeMs = noneBeforeMs;
+    }
+
+    /**
+     * Renews the share of an edge that has demand, evenly among those that have.
+     *
+     * @param available what all edges may hold together
+     * @param heldUntilMs until when it counts
+     */
+    int renew(EdgeIncarnation edge, int available, long heldUntilMs, long nowMs) {
+        if (nowMs < noneBeforeMs) {
+            return 0;
+        }
+        removeExpired(nowMs);
+        Share share = shares.computeIfAbsent(edge, none -> new Share());
+        int others = total(nowMs) - share.counted(nowMs);
+        int even = Math.max(1, available / shares.size());
+        int amount = Math.max(0, Math.min(even, available - others));
+        share.replace(amount, heldUntilMs, nowMs);
+        return amount;
+    }
+
+    /** What all edges may hold together now. */
+    int total(long nowMs) {
+        int total = 0;
+        for (Share share : shares.values()) {
+            total += share.isExpired(nowMs) ? 0 : share.counted(nowMs);
+        }
+        return total;
+    }
+
+    private void removeExpired(long nowMs) {
+        Iterator<Share> each = shares.values().iterator();
+        while (each.hasNext()) {
+            if (each.next().isExpired(nowMs)) {
+                each.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/platform/quota/TenantQuota.java
@@ -0,0 +1,74 @@
+package brambletray.platform.quota;
+
+import brambletray.platform.configuration.Tenant;
+
+/** The rights of one limited tenant at their giver. */
+final class TenantQuota {
+    private final QuotaTerms terms;
+    private final TokenBucket bucket;
+    private final RunAheadShares shares;
+    private final RecentGrants recentGrants = new RecentGrants();
+    private Tenant tenant;
+    private long granted;
+    private long refused;
+    private long debited;
+    private long returned;
+
+    /** Begins as a giver that knows nothing of what was given before: with an empty bucket, and without run-ahead. */
+    TenantQuota(Tenant tenant, QuotaTerms terms, long nowMs) {
+        this.tenant = tenant;
+        this.terms = terms;
+        bucket = new TokenBucket(tenant.ratePerS(), capacity(), nowMs);
+        shares = new RunAheadShares(nowMs + terms.runAheadHoldMs());
+    }
+
+    private double capacity() {
+        return terms.capacity(tenant.ratePerS(), tenant.burstSize());
+    }
+
+    void updateLimits(Tenant changed, long nowMs) {
+        tenant = changed;
+        bucket.updateLimits(tenant.ratePerS(), capacity(), nowMs);
+    }
+
+    QuotaResponse onRequest(EdgeIncarnation edge, long id, long nowMs) {
+        if (!bucket.tryTake(nowMs)) {
+            refused++;
+            return new QuotaRefusal(id, (int) Math.min(Integer.MAX_VALUE, bucket.untilNextMs(nowMs)));
+        }
+        granted++;
+        recentGrants.onGranted(nowMs);
+        return new QuotaGrant(id, shares.renew(edge, availableRunAhead(nowMs), nowMs + terms.runAheadHoldMs(), nowMs));
+    }
+
+    /** Less than the terms bear while the bucket is in debt. */
+    private int availableRunAhead(long nowMs) {
+        double debt = Math.max(0, -bucket.tokens(nowMs));
+        return (int) Math.max(0, terms.runAhead(tenant.ratePerS(), tenant.burstSize()) - Math.ceil(debt));
+    }
+
+    void onDebit(int requests, long nowMs) {
+        debited += requests;
+        bucket.debit(requests, nowMs);
+    }
+
+    void onReturn(int rights, long nowMs) {
+        int taken = recentGrants.takeBack(rights, nowMs);
+        returned += taken;
+        bucket.credit(taken, nowMs);
+    }
+
+    TenantUsage usage(long nowMs) {
+        return new TenantUsage(
+                tenant.name(),
+                tenant.ratePerS(),
+                tenant.burstSize(),
+                bucket.capacity(),
+                bucket.tokens(nowMs),
+                shares.total(nowMs),
+                granted,
+                refused,
+                debited,
+                returned);
+    }
+}
--- /dev/null
+++ b/src/main/java/brambletray/platform/quota/TenantUsage.java
@@ -0,0 +1,26 @@
+package brambletray.platform.quota;
+
+/**
+ * Why a tenant is refused or not, for operators.
+ *
+ * @param ratePerS its limit, requests a second; 0: none
+ * @param burst its limit at one time beyond the rate
+ * @param capacity the depth of its bucket
+ * @param tokens requests that would be granted at once; below 0: the debt
+ * @param runAhead what edges may send without rights
+ * @param granted rights since the coordinator began
+ * @param refused requests since then
+ * @param debited requests that were sent without a right since then
+ * @param returned rights that were not used since then
+ */
+public record TenantUsage(
+        String tenant,
+        double ratePerS,
+        double burst,
+        double capacity,
+        double tokens,
+        int runAhead,
+        long granted,
+        long refused,
+        long debited,
+        long returned) {}
