operations: the log's time keeps up with real time and never passes it; releases are remembered

What callers would have seen: a key's window that lasts five times as long under load, for ever where nothing else is committed; a window that ends early after a batch of a proposer that was behind; a key that nobody runs, held by a copy of a claim that was committed after its release; a member of the core that dies of an entry it cannot read. Cause: log time was counted from the apply of the last batch, so batches in flight and their latency were lost, and two proposers' times were compared; holder() knew the last batch only; a release left no trace; a full registry proposed no batch and so never emptied; decode threw out of apply. Change: LogClock counts what one proposer has measured between its own batches, and at another's first batch the time since that one had applied all before (proof in its comment, drawn test). Releases are remembered for the same time. At most 65,536 claims and releases are remembered (200,000 claims before).

--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -13,6 +13,7 @@
 import brambletray.platform.election.LeaseHolder;
 import brambletray.platform.election.LeaseTimings;
 import brambletray.platform.logging.EventLog;
+import brambletray.platform.operations.ClaimWindow;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.replication.DurableState;
 import brambletray.platform.replication.MemberRemovalOutcome;
@@ -80,11 +81,11 @@
         Map<String, byte[]> stored = environment.stored();
         address = nodeSettings.controlPlane().toString();
         operatorCalls = new OperatorCalls(new ReplicaAccess(), this::onConfigurationChanged);
-        OperationRegistry operationRegistry = new OperationRegistry(nowMs());
+        OperationRegistry operationRegistry = new OperationRegistry(origin, nowMs());
         operationClaims = new OperationClaims(
                 operationRegistry,
                 new OperationAccess(),
-                (long) (nodeSettings.bounds().keyWindowS() * 1_000),
+                ClaimWindow.standsForMs(nodeSettings.bounds().keyWindowS()),
                 FIRST_OPERATIONS_TOKEN);
         coordinatorSupervisor = new CoordinatorSupervisor(machine, nodeSettings, new MemberAccess(), operationClaims);
         peerLinks = new PeerLinks(
--- a/src/main/java/brambletray/platform/controlplane/CoreStateMachine.java
+++ b/src/main/java/brambletray/platform/controlplane/CoreStateMachine.java
@@ -1,7 +1,9 @@
 package brambletray.platform.controlplane;
 
+import brambletray.platform.logging.EventLog;
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationRegistry;
+import brambletray.platform.operations.OperationsException;
 import brambletray.platform.replication.StateMachine;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -14,6 +16,7 @@
  * are told apart by their first byte. A snapshot of the configuration alone, as earlier versions wrote it, can be read.
  */
 final class CoreStateMachine implements StateMachine {
+    private static final EventLog LOG = EventLog.of("controlplane");
     /** First byte of a snapshot of both; that of a configuration alone is another. */
     private static final byte SNAPSHOT_FORMAT = 2;
 
@@ -73,12 +76,15 @@
     @Override
     public byte[] replay(byte[] snapshot, List<byte[]> changes) {
         Parts parts = Parts.of(snapshot);
-        OperationRegistry replayed = new OperationRegistry(0);
+        OperationRegistry replayed = new OperationRegistry(0, 0);
         replayed.restore(parts.operations, 0);
         List<byte[]> configurationChanges = new ArrayList<>();
         for (byte[] change : changes) {
             if (OperationBatch.isBatch(change)) {
-                replayed.apply(OperationBatch.decode(change), 0);
+                OperationBatch batch = decode(change);
+                if (batch != null) {
+                    replayed.apply(batch, 0);
+                }
             } else {
                 configurationChanges.add(change);
             }
@@ -89,9 +95,24 @@
     @Override
     public void apply(long index, byte[] change) {
         if (OperationBatch.isBatch(change)) {
-            listener.onOperationsApplied(operations.apply(OperationBatch.decode(change), clock.getAsLong()));
+            OperationBatch batch = decode(change);
+            if (batch != null) {
+                listener.onOperationsApplied(operations.apply(batch, clock.getAsLong()));
+            }
         } else {
             configuration.apply(index, change);
         }
     }
+
+    /** Null where it cannot be read: then it is passed over, at all members alike. */
+    private static OperationBatch decode(byte[] change) {
+        try {
+            return OperationBatch.decode(change);
+        } catch (OperationsException e) {
+            LOG.warn("operation-batch-unreadable")
+                    .with("reason", e.getMessage())
+                    .log();
+            return null;
+        }
+    }
 }
--- a/src/main/java/brambletray/platform/controlplane/OperationClaims.java
+++ b/src/main/java/brambletray/platform/controlplane/OperationClaims.java
@@ -34,8 +34,10 @@
     private static final int MAX_BATCH_COMMANDS = 512;
     /** Commands that gather, beyond which a claim is refused. */
     private static final int MAX_QUEUED_COMMANDS = 4_096;
-    /** Claims that are remembered at most: what the memory of a member bears. */
-    private static final int MAX_STANDING_CLAIMS = 200_000;
+    /** Releases that gather, beyond which one is dropped; the edge sends it again. */
+    private static final int MAX_QUEUED_RELEASES = 4 * MAX_QUEUED_COMMANDS;
+    /** Claims and releases that are remembered, beyond which a claim is refused: 3 MB of a snapshot. */
+    static final int MAX_REMEMBERED = 65_536;
     /** Time to retry that an edge is told where a claim could not be committed. */
     private static final int RETRY_AFTER_MS = 300;
 
@@ -99,12 +101,15 @@
 
     @Override
     public void onClaim(String edge, ClaimRequest request) {
-        StandingClaim holder = registry.holder(request.key());
+        StandingClaim holder = registry.holder(request.key(), access.nowMs());
         if (holder != null) {
             // what has been applied is committed: no need to ask the others
             answerClaim(edge, request.claim(), holder);
-        } else if (queue.size() >= MAX_QUEUED_COMMANDS || registry.size() >= MAX_STANDING_CLAIMS) {
+        } else if (queue.size() >= MAX_QUEUED_COMMANDS) {
             access.send(edge, new ClaimUnavailable(request.claim(), RETRY_AFTER_MS));
+        } else if (registry.size() >= MAX_REMEMBERED) {
+            access.send(edge, new ClaimUnavailable(request.claim(), RETRY_AFTER_MS));
+            forgetExpired();
         } else {
             enqueue(edge, new OperationCommand.Claim(request.claim(), request.key(), edge));
         }
@@ -112,7 +117,16 @@
 
     @Override
     public void onRelease(String edge, ClaimRelease request) {
-        enqueue(edge, new OperationCommand.Release(request.claim(), request.key()));
+        if (queue.size() < MAX_QUEUED_RELEASES) {
+            enqueue(edge, new OperationCommand.Release(request.claim(), request.key()));
+        }
+    }
+
+    /** Claims expire with the log's time, which only batches advance: where there is none, an empty one. */
+    private void forgetExpired() {
+        if (batches.isEmpty()) {
+            propose(List.of());
+        }
     }
 
     private void enqueue(String edge, OperationCommand command) {
@@ -126,19 +140,19 @@
     private void proposeNext() {
         while (!queue.isEmpty() && batches.size() < MAX_BATCHES_IN_FLIGHT) {
             List<OperationCommand> commands = new ArrayList<>();
-            List<CommandId> ids = new ArrayList<>();
             while (!queue.isEmpty() && commands.size() < MAX_BATCH_COMMANDS) {
-                OperationCommand command = queue.poll().command();
-                commands.add(command);
-                ids.add(CommandId.of(command));
+                commands.add(queue.poll().command());
             }
-            long token = nextToken++;
-            batches.put(token, ids);
-            OperationBatch batch = new OperationBatch(registry.logTimeMs(access.nowMs()), windowMs, commands);
-            access.propose(token, batch.encode());
+            propose(commands);
         }
     }
 
+    private void propose(List<OperationCommand> commands) {
+        long token = nextToken++;
+        batches.put(token, commands.stream().map(CommandId::of).toList());
+        access.propose(token, new OperationBatch(registry.stamp(access.nowMs()), windowMs, commands).encode());
+    }
+
     @Override
     public void onOperationsApplied(List<Outcome> outcomes) {
         for (Outcome outcome : outcomes) {
@@ -154,10 +168,15 @@
         }
     }
 
+    /** {@code holder} null: the claim was released before. */
     private void answerClaim(String edge, ClaimId claim, StandingClaim holder) {
-        access.send(
-                edge,
-                holder.id().equals(claim) ? new ClaimGranted(claim) : new ClaimHeld(claim, holder.id(), holder.edge()));
+        if (holder == null) {
+            access.send(edge, new ClaimUnavailable(claim, RETRY_AFTER_MS));
+        } else if (holder.id().equals(claim)) {
+            access.send(edge, new ClaimGranted(claim));
+        } else {
+            access.send(edge, new ClaimHeld(claim, holder.id(), holder.edge()));
+        }
     }
 
     /** The outcome of a batch. What is not known to be committed may be applied later; its edges claim again. */
--- /dev/null
+++ b/src/main/java/brambletray/platform/operations/LogClock.java
@@ -0,0 +1,89 @@
+package brambletray.platform.operations;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+/**
+ * The time of the replicated log, ms. The same batches in the same order lead to the same time at all members. Pure,
+ * for one thread.
+ *
+ * <p>Invariant: between two batches of the log it advances by no more than the real time between the moments at which
+ * they were made (the latest of those up to each of them). It counts the time that one proposer has measured between
+ * its own batches, and at another proposer's first batches the time since that one had applied all before; what cannot
+ * be compared counts as nothing. So it stands still while no batch is committed for a restart, and steps of wall clocks
+ * do not reach it.
+ */
+final class LogClock {
+    private final long self;
+    private long timeMs;
+    /** Batches that have been applied. */
+    private long sequence;
+    /** Of the last batch; 0: none yet. */
+    private long proposer;
+    /** The latest of the proposer's batches that follow {@link #foreignSequence}, by its steady clock. */
+    private long lastMadeAtMs = Long.MIN_VALUE;
+    /** Number of the last batch that is not the proposer's. */
+    private long foreignSequence;
+    /** When this process had applied the last batch of another, by its steady clock, rounded up. */
+    private long foreignAppliedAtMs;
+
+    /** {@code self}: names this process, not 0; {@code nowMs}: steady clock. */
+    LogClock(long self, long nowMs) {
+        this.self = self;
+        foreignAppliedAtMs = nowMs + 1;
+    }
+
+    /** As of the last batch. */
+    long timeMs() {
+        return timeMs;
+    }
+
+    /** What the time would be after a batch that is made now and is the next in the log. */
+    long estimateMs(long nowMs) {
+        long since = proposer == self ? Math.max(foreignAppliedAtMs, lastMadeAtMs) : foreignAppliedAtMs;
+        return timeMs + Math.max(0, nowMs - since);
+    }
+
+    /** Of a batch that this process makes now. */
+    BatchStamp stamp(long nowMs) {
+        return new BatchStamp(self, nowMs, proposer == self ? foreignSequence : sequence, foreignAppliedAtMs);
+    }
+
+    /** The next batch of the log, applied here at {@code nowMs} of the steady clock. */
+    void advance(BatchStamp stamp, long nowMs) {
+        if (stamp.proposer() != proposer) {
+            proposer = stamp.proposer();
+            foreignSequence = sequence;
+            lastMadeAtMs = Long.MIN_VALUE;
+        }
+        if (stamp.foreignSequence() >= foreignSequence) {
+            long since = Math.max(stamp.foreignAppliedAtMs(), lastMadeAtMs);
+            timeMs += Math.max(0, stamp.madeAtMs() - since);
+        }
+        lastMadeAtMs = Math.max(lastMadeAtMs, stamp.madeAtMs());
+        sequence++;
+        if (proposer != self) {
+            foreignAppliedAtMs = nowMs + 1;
+        }
+    }
+
+    void write(DataOutputStream out) throws IOException {
+        out.writeLong(timeMs);
+        out.writeLong(sequence);
+        out.writeLong(proposer);
+        out.writeLong(lastMadeAtMs);
+        out.writeLong(foreignSequence);
+    }
+
+    /** The clock that {@link #write} has written, at this process and moment. */
+    static LogClock read(DataInputStream in, long self, long nowMs) throws IOException {
+        LogClock clock = new LogClock(self, nowMs);
+        clock.timeMs = in.readLong();
+        clock.sequence = in.readLong();
+        clock.proposer = in.readLong();
+        clock.lastMadeAtMs = in.readLong();
+        clock.foreignSequence = in.readLong();
+        return clock;
+    }
+}
--- a/src/main/java/brambletray/platform/operations/OperationBatch.java
+++ b/src/main/java/brambletray/platform/operations/OperationBatch.java
@@ -12,10 +12,10 @@
 /**
  * Commands that are one entry of the replicated log.
  *
- * @param logTimeMs the proposer's {@link OperationRegistry#logTimeMs(long)} when it made the batch
- * @param windowMs for how long its claims stand
+ * @param stamp when it was made
+ * @param windowMs for how long its claims stand, and its releases are remembered
  */
-public record OperationBatch(long logTimeMs, long windowMs, List<OperationCommand> commands) {
+public record OperationBatch(BatchStamp stamp, long windowMs, List<OperationCommand> commands) {
     /** First byte of an encoded batch; configuration changes begin with another. */
     public static final byte FORMAT = 2;
 
@@ -32,7 +32,7 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(32 + 64 * commands.size());
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(FORMAT);
-            out.writeLong(logTimeMs);
+            write(stamp, out);
             out.writeLong(windowMs);
             out.writeInt(commands.size());
             for (OperationCommand command : commands) {
@@ -44,6 +44,17 @@
         return bytes.toByteArray();
     }
 
+    private static void write(BatchStamp stamp, DataOutputStream out) throws IOException {
+        out.writeLong(stamp.proposer());
+        out.writeLong(stamp.madeAtMs());
+        out.writeLong(stamp.foreignSequence());
+        out.writeLong(stamp.foreignAppliedAtMs());
+    }
+
+    private static BatchStamp readStamp(DataInputStream in) throws IOException {
+        return new BatchStamp(in.readLong(), in.readLong(), in.readLong(), in.readLong());
+    }
+
     private static void write(OperationCommand command, DataOutputStream out) throws IOException {
         out.writeByte(command instanceof OperationCommand.Claim ? CLAIM : RELEASE);
         OperationCodec.write(command.claim(), out);
@@ -59,7 +70,7 @@
             if (in.readByte() != FORMAT) {
                 throw new OperationsException("operations.bad-batch", "expected a batch of format " + FORMAT, null);
             }
-            long logTimeMs = in.readLong();
+            BatchStamp stamp = readStamp(in);
             long windowMs = in.readLong();
             int count = in.readInt();
             List<OperationCommand> commands = new ArrayList<>();
@@ -69,7 +80,7 @@
             if (in.read() >= 0) {
                 throw new OperationsException("operations.bad-batch", "expected nothing after the last command", null);
             }
-            return new OperationBatch(logTimeMs, windowMs, commands);
+            return new OperationBatch(stamp, windowMs, commands);
         } catch (IOException e) {
             throw new OperationsException("operations.bad-batch", "expected a complete batch: " + e.getMessage(), e);
         }
--- a/src/main/java/brambletray/platform/operations/OperationRegistry.java
+++ b/src/main/java/brambletray/platform/operations/OperationRegistry.java
@@ -17,13 +17,13 @@
  * The claims that stand: the replicated state by which an operation runs at most once. Pure and deterministic: the same
  * batches in the same order lead to the same state at all members, byte for byte. For one thread.
  *
- * <p>Time is the log's: it only advances by what a proposer's steady clock has measured since the last batch, so it is
- * never ahead of real time, stands still while nothing is committed, and a claim stands for its window at least,
+ * <p>Time is the log's ({@link LogClock}): never faster than real time, so a claim stands for its window at least,
  * whatever clocks are stepped and whatever restarts.
  */
 public final class OperationRegistry {
     private static final byte SNAPSHOT_FORMAT = 1;
     private static final int CLAIM_BYTES = 44;
+    private static final int RELEASE_BYTES = 24;
 
     /** A claim that stands. {@code edge}: the name of the edge that drew it. */
     public record StandingClaim(ClaimId id, String edge, long expiresAtMs) {}
@@ -38,71 +38,105 @@
     /** In the order of their expiry, but for windows that were changed. */
     private final Map<OperationKey, StandingClaim> claims = new LinkedHashMap<>();
 
-    private long logTimeMs;
-    /** Steady clock of this process when {@link #logTimeMs} was reached, ms. */
-    private long reachedAtMs;
+    /**
+     * Claims that were released, and until when that is remembered: a copy of a claim that is committed after its
+     * release, out of an older proposal, does not stand.
+     */
+    private final Map<ClaimId, Long> released = new LinkedHashMap<>();
+
+    private final long self;
+    private LogClock clock;
 
-    /** {@code nowMs}: steady clock. */
-    public OperationRegistry(long nowMs) {
-        reachedAtMs = nowMs;
+    /** {@code self}: names this process, and no other before or after it; {@code nowMs}: steady clock. */
+    public OperationRegistry(long self, long nowMs) {
+        this.self = self;
+        clock = new LogClock(self, nowMs);
     }
 
-    /** The log's time at this moment of the steady clock, for the next batch. */
+    /** The stamp of a batch that this process makes now. */
+    public BatchStamp stamp(long nowMs) {
+        return clock.stamp(nowMs);
+    }
+
+    /** The log's time as far as it is known at this moment of the steady clock. */
     public long logTimeMs(long nowMs) {
-        return logTimeMs + Math.max(0, nowMs - reachedAtMs);
+        return clock.estimateMs(nowMs);
     }
 
-    /** The claim that stands on this key as of the last batch; null: none. */
-    public StandingClaim holder(OperationKey key) {
+    /**
+     * The claim that stands on this key at this moment of the steady clock; null: none, or one whose window may be
+     * over, which only the next batch can say.
+     */
+    public StandingClaim holder(OperationKey key, long nowMs) {
         StandingClaim claim = claims.get(key);
-        return claim == null || isExpired(claim) ? null : claim;
+        return claim == null || clock.estimateMs(nowMs) >= claim.expiresAtMs() ? null : claim;
     }
 
-    /** How many claims are remembered. */
+    private StandingClaim holder(OperationKey key) {
+        StandingClaim claim = claims.get(key);
+        return claim == null || isExpired(claim.expiresAtMs()) ? null : claim;
+    }
+
+    /** How many claims and releases are remembered. */
     public int size() {
-        return claims.size();
+        return claims.size() + released.size();
     }
 
     /** Applies a committed batch; {@code nowMs}: steady clock. */
     public List<Outcome> apply(OperationBatch batch, long nowMs) {
-        advanceTo(batch.logTimeMs(), nowMs);
+        clock.advance(batch.stamp(), nowMs);
+        removeExpired();
+        long expiresAtMs = clock.timeMs() + batch.windowMs();
         List<Outcome> outcomes = new ArrayList<>(batch.commands().size());
         for (OperationCommand command : batch.commands()) {
-            StandingClaim holder = holder(command.key());
-            if (command instanceof OperationCommand.Claim claim && holder == null) {
-                holder = new StandingClaim(claim.claim(), claim.edge(), logTimeMs + batch.windowMs());
-                claims.remove(claim.key());
-                claims.put(claim.key(), holder);
-            } else if (command instanceof OperationCommand.Release release
-                    && holder != null
-                    && holder.id().equals(release.claim())) {
-                claims.remove(release.key());
-                holder = null;
+            if (command instanceof OperationCommand.Claim claim) {
+                apply(claim, expiresAtMs);
+            } else {
+                applyRelease(command, expiresAtMs);
             }
-            outcomes.add(new Outcome(command, holder));
+            outcomes.add(new Outcome(command, holder(command.key())));
         }
         return outcomes;
     }
 
-    private void advanceTo(long timeMs, long nowMs) {
-        logTimeMs = Math.max(logTimeMs, timeMs);
-        reachedAtMs = nowMs;
-        Iterator<StandingClaim> oldest = claims.values().iterator();
-        while (oldest.hasNext() && isExpired(oldest.next())) {
-            oldest.remove();
+    private void apply(OperationCommand.Claim claim, long expiresAtMs) {
+        if (holder(claim.key()) == null && !released.containsKey(claim.claim())) {
+            // put anew, so that it is the last in order
+            claims.remove(claim.key());
+            claims.put(claim.key(), new StandingClaim(claim.claim(), claim.edge(), expiresAtMs));
+        }
+    }
+
+    private void applyRelease(OperationCommand release, long expiresAtMs) {
+        StandingClaim holder = claims.get(release.key());
+        if (holder != null && holder.id().equals(release.claim())) {
+            claims.remove(release.key());
+        }
+        released.putIfAbsent(release.claim(), expiresAtMs);
+    }
+
+    private void removeExpired() {
+        Iterator<StandingClaim> oldestClaim = claims.values().iterator();
+        while (oldestClaim.hasNext() && isExpired(oldestClaim.next().expiresAtMs())) {
+            oldestClaim.remove();
+        }
+        Iterator<Long> oldestRelease = released.values().iterator();
+        while (oldestRelease.hasNext() && isExpired(oldestRelease.next())) {
+            oldestRelease.remove();
         }
     }
 
-    private boolean isExpired(StandingClaim claim) {
-        return logTimeMs >= claim.expiresAtMs();
+    private boolean isExpired(long expiresAtMs) {
+        return clock.timeMs() >= expiresAtMs;
     }
 
-    /** The state as bytes: format, time, names of edges, claims. */
+    /** The state as bytes: format, clock, names of edges, claims, releases. */
     public byte[] snapshot() {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64 + CLAIM_BYTES * claims.size());
+        ByteArrayOutputStream bytes =
+                new ByteArrayOutputStream(64 + CLAIM_BYTES * claims.size() + RELEASE_BYTES * released.size());
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(SNAPSHOT_FORMAT);
-            out.writeLong(logTimeMs);
+            clock.write(out);
             Map<String, Integer> edges = new HashMap<>();
             List<String> names = new ArrayList<>();
             for (StandingClaim claim : claims.values()) {
@@ -121,6 +155,11 @@
                 out.writeLong(entry.getValue().expiresAtMs());
                 out.writeInt(edges.get(entry.getValue().edge()));
             }
+            out.writeInt(released.size());
+            for (Map.Entry<ClaimId, Long> entry : released.entrySet()) {
+                OperationCodec.write(entry.getKey(), out);
+                out.writeLong(entry.getValue());
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -132,15 +171,18 @@
      * where it cannot be read, and then nothing changes.
      */
     public void restore(byte[] snapshot, long nowMs) {
-        Map<OperationKey, StandingClaim> read = new LinkedHashMap<>();
-        long time = snapshot.length == 0 ? 0 : read(snapshot, read);
-        logTimeMs = time;
-        reachedAtMs = nowMs;
+        OperationRegistry other = new OperationRegistry(self, nowMs);
+        if (snapshot.length > 0) {
+            other.read(snapshot, nowMs);
+        }
+        clock = other.clock;
         claims.clear();
-        claims.putAll(read);
+        claims.putAll(other.claims);
+        released.clear();
+        released.putAll(other.released);
     }
 
-    private static long read(byte[] snapshot, Map<OperationKey, StandingClaim> into) {
+    private void read(byte[] snapshot, long nowMs) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(snapshot))) {
             byte format = in.readByte();
             if (format != SNAPSHOT_FORMAT) {
@@ -149,7 +191,7 @@
                         "expected a snapshot of format " + SNAPSHOT_FORMAT + ", found " + format,
                         null);
             }
-            long time = in.readLong();
+            clock = LogClock.read(in, self, nowMs);
             List<String> names = new ArrayList<>();
             for (int i = in.readInt(); i > 0; i--) {
                 names.add(in.readUTF());
@@ -158,9 +200,11 @@
                 OperationKey key = OperationCodec.readKey(in);
                 ClaimId claim = OperationCodec.readClaimId(in);
                 long expiresAtMs = in.readLong();
-                into.put(key, new StandingClaim(claim, names.get(in.readInt()), expiresAtMs));
+                claims.put(key, new StandingClaim(claim, names.get(in.readInt()), expiresAtMs));
+            }
+            for (int i = in.readInt(); i > 0; i--) {
+                released.put(OperationCodec.readClaimId(in), in.readLong());
             }
-            return time;
         } catch (IOException | IndexOutOfBoundsException e) {
             throw new OperationsException(
                     "operations.bad-snapshot", "expected a complete snapshot: " + e.getMessage(), e);
--- /dev/null
+++ b/src/test/java/brambletray/platform/operations/OperationRegistryTest.java
@@ -0,0 +1,156 @@
+package brambletray.platform.operations;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class OperationRegistryTest {
+    private static final long WINDOW_MS = 60_000;
+    private static final OperationKey KEY = OperationKey.of("tenant", "k-1");
+
+    private final OperationRegistry registry = new OperationRegistry(1, 0);
+
+    private static OperationCommand.Claim claim(long sequence, OperationKey key) {
+        return new OperationCommand.Claim(new ClaimId(7, sequence), key, "edge-1");
+    }
+
+    private static OperationCommand.Release release(long sequence, OperationKey key) {
+        return new OperationCommand.Release(new ClaimId(7, sequence), key);
+    }
+
+    private List<OperationRegistry.Outcome> apply(long nowMs, OperationCommand... commands) {
+        return registry.apply(new OperationBatch(registry.stamp(nowMs), WINDOW_MS, List.of(commands)), nowMs);
+    }
+
+    private long holderAfter(long nowMs, OperationCommand command) {
+        OperationRegistry.StandingClaim holder = apply(nowMs, command).get(0).holder();
+        return holder == null ? 0 : holder.id().sequence();
+    }
+
+    @Test
+    void theFirstOfTwoClaimsHolds() {
+        List<OperationRegistry.Outcome> outcomes = apply(10, claim(1, KEY), claim(2, KEY));
+        assertEquals(1, outcomes.get(0).holder().id().sequence());
+        assertEquals(1, outcomes.get(1).holder().id().sequence());
+        assertEquals("edge-1", outcomes.get(1).holder().edge());
+    }
+
+    @Test
+    void theSameClaimAgainHoldsAndDoesNotProlongItsWindow() {
+        apply(10, claim(1, KEY));
+        long expiresAtMs = registry.holder(KEY, 10).expiresAtMs();
+        assertEquals(1, holderAfter(5_000, claim(1, KEY)));
+        assertEquals(expiresAtMs, registry.holder(KEY, 5_000).expiresAtMs());
+    }
+
+    @Test
+    void aKeyIsHeldAt59900MsAndFreeAt60100() {
+        apply(1_000, claim(1, KEY));
+        assertEquals(1, holderAfter(60_900, claim(2, KEY)));
+        assertEquals(3, holderAfter(61_100, claim(3, KEY)));
+    }
+
+    @Test
+    void aWindowEndsWhereNothingElseWasCommitted() {
+        apply(1_000, claim(1, KEY));
+        assertNotNull(registry.holder(KEY, 60_900));
+        assertNull(registry.holder(KEY, 61_100));
+    }
+
+    @Test
+    void expiredClaimsAreForgottenByTheNextBatch() {
+        apply(1_000, claim(1, KEY));
+        apply(61_100);
+        assertEquals(0, registry.size());
+    }
+
+    @Test
+    void aReleasedKeyIsFreeForAnotherClaimAndNotForItsOwn() {
+        apply(10, claim(1, KEY));
+        assertEquals(0, holderAfter(20, release(1, KEY)));
+        assertEquals(0, holderAfter(30, claim(1, KEY)));
+        assertEquals(2, holderAfter(40, claim(2, KEY)));
+    }
+
+    @Test
+    void aClaimThatIsCommittedAfterItsReleaseDoesNotHold() {
+        apply(10, release(1, KEY));
+        assertEquals(0, holderAfter(20, claim(1, KEY)));
+    }
+
+    @Test
+    void aReleaseOfAnotherClaimFreesNothing() {
+        apply(10, claim(1, KEY));
+        assertEquals(1, holderAfter(20, release(2, KEY)));
+    }
+
+    @Test
+    void aReleaseThatComesAfterTheNextClaimFreesNothing() {
+        apply(10, claim(1, KEY), release(1, KEY), claim(2, KEY));
+        assertEquals(2, holderAfter(20, release(1, KEY)));
+    }
+
+    @Test
+    void aRestoredClaimStandsForItsWindowAtLeast() {
+        apply(1_000, claim(1, KEY));
+        apply(31_000);
+        OperationRegistry restarted = new OperationRegistry(2, 500_000);
+        restarted.restore(registry.snapshot(), 500_000);
+        assertNotNull(restarted.holder(KEY, 500_000));
+        assertNotNull(restarted.holder(KEY, 529_900));
+        assertNull(restarted.holder(KEY, 530_100));
+    }
+
+    @Test
+    void aSnapshotThatCannotBeReadChangesNothing() {
+        apply(10, claim(1, KEY));
+        byte[] snapshot = registry.snapshot();
+        for (int length = 1; length < snapshot.length; length++) {
+            byte[] part = Arrays.copyOf(snapshot, length);
+            assertThrows(OperationsException.class, () -> registry.restore(part, 20));
+        }
+        assertArrayEquals(snapshot, registry.snapshot());
+    }
+
+    /** Restored anywhere on the way, a member has the same bytes as one that has applied all. */
+    @Test
+    void theSameBatchesLeadToTheSameBytes() {
+        for (long seed = 1; seed <= 100; seed++) {
+            Random random = new Random(seed);
+            OperationRegistry proposer = new OperationRegistry(1, 0);
+            OperationRegistry other = new OperationRegistry(2, 0);
+            long nowMs = 0;
+            for (int i = 0; i < 60; i++) {
+                nowMs += random.nextInt(5_000);
+                OperationRegistry maker = random.nextInt(3) == 0 ? other : proposer;
+                OperationBatch batch = new OperationBatch(maker.stamp(nowMs), WINDOW_MS, drawn(random));
+                proposer.apply(batch, nowMs);
+                other.apply(OperationBatch.decode(batch.encode()), nowMs + random.nextInt(400));
+                assertArrayEquals(proposer.snapshot(), other.snapshot(), "seed " + seed);
+                if (random.nextInt(10) == 0) {
+                    byte[] snapshot = proposer.snapshot();
+                    other = new OperationRegistry(3 + i, nowMs);
+                    other.restore(snapshot, nowMs);
+                }
+            }
+        }
+    }
+
+    private static List<OperationCommand> drawn(Random random) {
+        List<OperationCommand> commands = new ArrayList<>();
+        for (int i = random.nextInt(6); i > 0; i--) {
+            OperationKey key = OperationKey.of("t", "k" + random.nextInt(8));
+            long sequence = random.nextInt(40);
+            commands.add(random.nextInt(3) == 0 ? release(sequence, key) : claim(sequence, key));
+        }
+        return commands;
+    }
+}
