--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -82,11 +82,7 @@
         address = nodeSettings.controlPlane().toString();
         operatorCalls = new OperatorCalls(new ReplicaAccess(), this::onConfigurationChanged);
         OperationRegistry operationRegistry = new OperationRegistry(origin, nowMs());
-        operationClaims = new OperationClaims(
-                operationRegistry,
-                new OperationAccess(),
-                ClaimWindow.standsForMs(nodeSettings.bounds().keyWindowS()),
-                FIRST_OPERATIONS_TOKEN);
+        operationClaims = operationClaims(operationRegistry);
         coordinatorSupervisor = new CoordinatorSupervisor(machine, nodeSettings, new MemberAccess(), operationClaims);
         peerLinks = new PeerLinks(
                 machine,
@@ -117,6 +113,14 @@
                 this::nowMs));
     }
 
+    private OperationClaims operationClaims(OperationRegistry registry) {
+        return new OperationClaims(
+                registry,
+                new OperationAccess(),
+                ClaimWindow.standsForMs(nodeSettings.bounds().keyWindowS()),
+                FIRST_OPERATIONS_TOKEN);
+    }
+
     /**
      * Runs the program until SIGTERM. {@code newIncarnation}, {@code origin}: drawn at random. Throws {@link
      * StorageException} if the disk cannot be used.
--- a/src/main/java/brambletray/platform/operations/OperationCommand.java
+++ b/src/main/java/brambletray/platform/operations/OperationCommand.java
@@ -2,8 +2,10 @@
 
 /** A change of the {@link OperationRegistry}, in the order of the replicated log. */
 public sealed interface OperationCommand {
+    /** The claim that is made or ended. */
     ClaimId claim();
 
+    /** The key that it claims or claimed. */
     OperationKey key();
 
     /**
--- a/src/test/java/brambletray/platform/replication/RuleChecker.java
+++ b/src/test/java/brambletray/platform/replication/RuleChecker.java
@@ -117,7 +117,7 @@
         }
     }
 
-    void delivered(SimulatedReplica node, long index, String text) {
+    public void delivered(SimulatedReplica node, long index, String text) {
         String other = order.putIfAbsent(index, text);
         ordered.add(text);
         if (other != null && !other.equals(text)) {
--- a/src/test/java/brambletray/platform/replication/SimulatedReplica.java
+++ b/src/test/java/brambletray/platform/replication/SimulatedReplica.java
@@ -18,12 +18,23 @@
         void syncFailed(long ticket);
     }
 
+    /** What the members replicate, in place of lists of texts, and the proposals that are its own. */
+    public interface Application {
+        StateMachine stateMachine();
+
+        boolean isOwnToken(long token);
+
+        void onProposalCompleted(long token, ProposalOutcome outcome);
+    }
+
     public final SimulatedReplicas world;
     public final String address;
     public final SimulatedReplicaDisk disk = new SimulatedReplicaDisk();
     List<String> seeds;
     public Replica replica;
     public Passenger passenger;
+    /** Null for lists of texts. */
+    public Application application;
     /** Counts processes; what was meant for an earlier one is dropped. */
     int processNumber;
 
@@ -33,7 +44,7 @@
     /** What this process has delivered, by place; places before the first are in the snapshot. */
     public final List<String> state = new ArrayList<>();
     /** The same, to look a change up. */
-    final java.util.Set<String> applied = new java.util.HashSet<>();
+    public final java.util.Set<String> applied = new java.util.HashSet<>();
 
     long appliedIndex;
     boolean down = true;
@@ -57,18 +68,24 @@
         long fresh = world.random.nextLong() | 1;
         DurableState durableState = DurableState.read(disk.kept);
         replica = null;
+        long origin = world.random.nextLong() | 1;
+        application = world.applications == null ? null : world.applications.make(this, origin);
         replica = new Replica(
-                new ReplicaConfig(
-                        address, address, zone, fresh, world.random.nextLong() | 1, seeds, initial, world.settings),
+                new ReplicaConfig(address, address, zone, fresh, origin, seeds, initial, world.settings),
                 durableState,
                 new Ways(processNumber),
-                new State(),
+                application == null ? new State() : application.stateMachine(),
                 world.now);
         world.ruleChecker.born(this, replica.status().self().incarnation());
         passenger = world.passengers == null ? null : world.passengers.apply(this);
         tick(processNumber);
     }
 
+    /** Runs it on this process's loop, unless the process ends before. */
+    public void execute(Runnable run) {
+        world.at(this, processNumber, world.now, run);
+    }
+
     /** Keeps changes of the rider. */
     public void persist(long ticket, Map<String, byte[]> changes) {
         write(1, processNumber, ticket, changes);
@@ -134,6 +151,7 @@
         down = true;
         replica = null;
         passenger = null;
+        application = null;
         if (power && (!world.jitter || world.random.nextBoolean())) {
             disk.dropAll();
         } else {
@@ -240,6 +258,10 @@
 
         @Override
         public void proposalCompleted(long token, ProposalOutcome outcome) {
+            if (application != null && application.isOwnToken(token)) {
+                execute(() -> application.onProposalCompleted(token, outcome));
+                return;
+            }
             world.ruleChecker.outcome(SimulatedReplica.this, token, outcome);
         }
 
--- a/src/test/java/brambletray/platform/replication/SimulatedReplicas.java
+++ b/src/test/java/brambletray/platform/replication/SimulatedReplicas.java
@@ -40,6 +40,8 @@
     public boolean jitter = true;
     /** Makes what rides on a process at its start; null for nothing. */
     public java.util.function.Function<SimulatedReplica, SimulatedReplica.Passenger> passengers;
+    /** Makes what a process replicates, at its start; null for lists of texts. */
+    public Applications applications;
     /** Makes snapshots larger, and changes. */
     String ballast = "";
 
@@ -58,6 +60,11 @@
     /** Told once a write has begun, and once more when its sync is about to return. */
     java.util.function.Consumer<SimulatedReplica> atDisk = node -> {};
 
+    /** {@code origin}: of the process's proposals. */
+    public interface Applications {
+        SimulatedReplica.Application make(SimulatedReplica node, long origin);
+    }
+
     interface Tap {
         boolean pass(SimulatedReplica from, String to, Object frame);
     }
@@ -82,7 +89,7 @@
     }
 
     /** Something that is no process's doing. */
-    void later(long when, Runnable run) {
+    public void later(long when, Runnable run) {
         at(null, 0, when, run);
     }
 
