--- a/src/test/java/brambletray/platform/controlplane/OperationHistoriesTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationHistoriesTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * No operation runs twice in its window, in random histories over simulated replicas. {@code -Doperations.seeds=N} plays
- * more, from {@code -Doperations.first=S} on.
+ * No operation runs twice in its window, in random histories over simulated replicas. {@code -Doperations.seeds=N}
+ * plays more, from {@code -Doperations.first=S} on.
  */
 class OperationHistoriesTest {
     private static final int SEEDS = 40;
