proxy, edge: keyed requests claim their operation and run once; repeats get the first one's answer

What callers saw: requests on keyed routes were served without any claim, so every attempt of an operation could run. Cause: the edge had no client for the core's claims and kept no answers. Change: RequestPreparation asks for the claim after the right under the quota and ends it once the request is over (released, done, unknown); OperationClient with ClaimClient, OperationResults and ResultQueries requests claims at the coordinator, resends them to the next one, releases until acknowledged, and gives the first answer to repeats here and at other edges. A key that is missing, empty or repeated is 400 proxy.no-operation-key.

--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -29,6 +29,7 @@
 import brambletray.platform.failuredetection.WatchRing;
 import brambletray.platform.logging.EventLog;
 import brambletray.platform.logging.LogEventBuilder;
+import brambletray.platform.operations.ResultResponse;
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
@@ -78,6 +79,8 @@
     private final HeartbeatMonitor heartbeatMonitor;
     private final InstanceAddresses instanceAddresses = new InstanceAddresses();
     private final AdmissionTimer admissionTimer;
+    private final OperationClient operationClient;
+    private final AdmissionTimer operationTimer;
     private Peer self;
     private Configuration configuration = Configuration.NONE;
     private Roster roster = Roster.NONE;
@@ -97,12 +100,18 @@
         self = new Peer(nodeSettings.node(), nodeSettings.zone(), inner.toString(), newIncarnation, Peer.ACTIVE);
         introduction = new LinkIntroduction(self.name(), self.address(), false);
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
-        AdmissionParameters parameters = admissionParameters(nodeSettings);
         String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
         admissionTimer = new AdmissionTimer(machine, this::tickAdmission);
-        localAdmission =
-                new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
+        localAdmission = new LocalAdmission(
+                self.name(),
+                self.zone(),
+                nonces,
+                admissionParameters(nodeSettings),
+                new AdmissionTransport(),
+                this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
+        operationTimer = new AdmissionTimer(machine, this::tickOperations);
+        operationClient = operationClient(newIncarnation);
         requestRouter = new RequestRouter(
                 machine,
                 self.name(),
@@ -110,24 +119,34 @@
                 () -> configuration,
                 slotClient,
                 QuotaGate.UNLIMITED,
+                operationClient,
                 instanceAddresses::contains,
                 connectionPools,
                 counters,
-                Math.min(48L << 20, (long) nodeSettings.limits().memoryMb() << 17),
+                maxBufferedBytes(),
                 newIncarnation);
         frontEndServer = new FrontEndServer(machine, requestRouter, MAX_CLIENTS);
         shutdown = new GracefulShutdown(machine, requestRouter, frontEndServer, exit);
         edgeLinks = new EdgeLinks(machine, codec, inner, introduction, new PeerListener());
-        coordinatorClient = new CoordinatorClient(
-                machine,
-                codec,
-                introduction,
-                coreMembers(nodeSettings),
-                (int) newIncarnation,
-                new CoordinatorListener());
+        coordinatorClient = coordinatorClient(newIncarnation);
         heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
     }
 
+    private CoordinatorClient coordinatorClient(long incarnation) {
+        return new CoordinatorClient(
+                machine, codec, introduction, coreMembers(nodeSettings), (int) incarnation, new CoordinatorListener());
+    }
+
+    private OperationClient operationClient(long incarnation) {
+        int windowMs = (int) (nodeSettings.bounds().keyWindowS() * 1_000);
+        return new OperationClient(incarnation, windowMs, new OperationLinks(), this::now);
+    }
+
+    /** Bytes of requests and answers that are buffered at one time. */
+    private long maxBufferedBytes() {
+        return Math.min(48L << 20, (long) nodeSettings.limits().memoryMb() << 17);
+    }
+
     private static AdmissionParameters admissionParameters(NodeSettings nodeSettings) {
         return AdmissionParameters.of(
                 nodeSettings.bounds().retryBudgetRatio(),
@@ -217,6 +236,7 @@
             admissionTimer.recover(now);
             if (now - metricsLoggedAtMs > METRICS_INTERVAL_MS) {
                 metricsLoggedAtMs = now;
+                operationClient.forgetOld();
                 LogEventBuilder line = LOG.info("figures")
                         .with("waiting", slotClient.pendingCount())
                         .with("held", slotClient.heldCount())
@@ -235,6 +255,10 @@
         localAdmission.tick();
     }
 
+    private void tickOperations() {
+        operationClient.tick();
+    }
+
     void reloadSettings() {
         SettingsReload.run(nodeSettings, current -> coordinatorClient.onMembers(coreMembers(current)), LOG);
     }
@@ -348,13 +372,16 @@
 
         @Override
         public void onFrame(Object frame) {
-            localAdmission.onCoordinatorFrame(frame);
+            if (!operationClient.onCoordinatorFrame(frame)) {
+                localAdmission.onCoordinatorFrame(frame);
+            }
         }
 
         @Override
         public void onAttached(long term) {
             heartbeatMonitor.onCoordinatorConnected();
             coordinatorClient.send(localAdmission.knownInstances());
+            operationClient.onAttached();
             subscriber.onLinkUp(now());
         }
     }
@@ -378,12 +405,15 @@
                 localAdmission.onHeldSlots(held);
             } else if (frame instanceof Heartbeat heartbeat) {
                 heartbeatMonitor.onHeartbeat(heartbeat, now());
+            } else {
+                operationClient.onEdgeFrame(peer, frame);
             }
         }
 
         @Override
         public void onLinkUp(String peer) {
             slotClient.onHomeReconnected(peer);
+            operationClient.onLinkUp(peer);
         }
 
         @Override
@@ -392,6 +422,39 @@
         }
     }
 
+    private final class OperationLinks implements OperationTransport {
+        @Override
+        public String self() {
+            return self.name();
+        }
+
+        @Override
+        public boolean sendToCoordinator(Object frame) {
+            return coordinatorClient.send(frame);
+        }
+
+        @Override
+        public boolean isReachable(String edge, long incarnation) {
+            Peer peer = roster.find(edge);
+            return peer != null && peer.incarnation() == incarnation && !edgeLinks.isUnreachable(edge);
+        }
+
+        @Override
+        public void sendToEdge(String edge, Object frame) {
+            edgeLinks.send(edge, frame);
+        }
+
+        @Override
+        public void respondToEdge(String edge, ResultResponse response) {
+            edgeLinks.respond(edge, response);
+        }
+
+        @Override
+        public void scheduleTick(long atMs) {
+            operationTimer.schedule(atMs);
+        }
+    }
+
     private final class MonitorActions implements HeartbeatMonitor.Actions {
         @Override
         public void sendHeartbeat(Peer watcher, Heartbeat heartbeat) {
--- /dev/null
+++ b/src/main/java/brambletray/platform/edge/OperationResults.java
@@ -0,0 +1,160 @@
+package brambletray.platform.edge;
+
+import brambletray.platform.operations.ClaimId;
+import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationState;
+import brambletray.platform.proxy.RecordedAnswer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * What became of the claims that this edge has requested, and the answers of instances, for attempts that repeat an
+ * operation. Bounded: the oldest answers are dropped first, and their claims are {@link OperationState#UNKNOWN} from
+ * then on. Times are steady ms. For the event loop only.
+ */
+final class OperationResults {
+    /** What is known of a claim; {@code answer}: null unless DONE. */
+    record Result(OperationState state, RecordedAnswer answer) {
+        static final Result RUNNING = new Result(OperationState.RUNNING, null);
+        static final Result NOT_RUN = new Result(OperationState.NOT_RUN, null);
+        static final Result UNKNOWN = new Result(OperationState.UNKNOWN, null);
+
+        static Result done(RecordedAnswer answer) {
+            return new Result(OperationState.DONE, answer);
+        }
+
+        int size() {
+            return answer == null ? 0 : answer.size();
+        }
+    }
+
+    private static final class Entry {
+        private final OperationKey key;
+        private final long claimedAtMs;
+        private Result result = Result.RUNNING;
+        private final List<Consumer<Result>> watchers = new ArrayList<>(0);
+
+        Entry(OperationKey key, long claimedAtMs) {
+            this.key = key;
+            this.claimedAtMs = claimedAtMs;
+        }
+    }
+
+    private final int retentionMs;
+    private final int maxEntries;
+    private final long maxBytes;
+    /** In the order in which they were claimed. */
+    private final LinkedHashMap<ClaimId, Entry> entries = new LinkedHashMap<>();
+    /** The newest claim of each operation. */
+    private final Map<OperationKey, ClaimId> claims = new HashMap<>();
+    /** Claims with an answer, oldest first; some of them have been forgotten since. */
+    private final ArrayDeque<ClaimId> answered = new ArrayDeque<>();
+
+    private long bytes;
+    /** The highest sequence of a forgotten claim. */
+    private long forgottenUpTo;
+
+    /**
+     * {@code retentionMs}: how long claims are remembered, counted from their request; {@code maxBytes}: of answers.
+     */
+    OperationResults(int retentionMs, int maxEntries, long maxBytes) {
+        this.retentionMs = retentionMs;
+        this.maxEntries = maxEntries;
+        this.maxBytes = maxBytes;
+    }
+
+    /** A claim is requested at this time: its request is running until {@link #end}. */
+    void onRequested(ClaimId claim, OperationKey key, long claimedAtMs) {
+        entries.put(claim, new Entry(key, claimedAtMs));
+        claims.put(key, claim);
+    }
+
+    /** The claim of this operation, if it was requested at or after this time; null: none. */
+    ClaimId claimSince(OperationKey key, long sinceMs) {
+        ClaimId claim = claims.get(key);
+        Entry entry = claim == null ? null : entries.get(claim);
+        return entry == null || entry.claimedAtMs < sinceMs ? null : claim;
+    }
+
+    /** The operation of a remembered claim; null for others. */
+    OperationKey key(ClaimId claim) {
+        Entry entry = entries.get(claim);
+        return entry == null ? null : entry.key;
+    }
+
+    /** What is known of a claim of this process. One that it has never requested will not run. */
+    Result find(ClaimId claim) {
+        Entry entry = entries.get(claim);
+        if (entry != null) {
+            return entry.result;
+        }
+        return claim.sequence() <= forgottenUpTo ? Result.UNKNOWN : Result.NOT_RUN;
+    }
+
+    /** Calls the watcher once, when this claim ends; only for one that is running. */
+    void watch(ClaimId claim, Consumer<Result> watcher) {
+        entries.get(claim).watchers.add(watcher);
+    }
+
+    /** The claim has ended so. Only the first end of a claim counts. */
+    void end(ClaimId claim, Result result) {
+        Entry entry = entries.get(claim);
+        if (entry == null || entry.result != Result.RUNNING) {
+            return;
+        }
+        entry.result = result;
+        if (result.answer() != null) {
+            bytes += result.size();
+            answered.add(claim);
+            dropAnswers();
+        }
+        List<Consumer<Result>> watchers = List.copyOf(entry.watchers);
+        entry.watchers.clear();
+        watchers.forEach(watcher -> watcher.accept(result));
+    }
+
+    private void dropAnswers() {
+        while (bytes > maxBytes && answered.size() > 1) {
+            Entry oldest = entries.get(answered.poll());
+            if (oldest != null) {
+                bytes -= oldest.result.size();
+                oldest.result = Result.UNKNOWN;
+            }
+        }
+    }
+
+    /** Forgets what is older than the retention, and the oldest beyond the bound; never what is running. */
+    void forgetOld(long nowMs) {
+        Iterator<Map.Entry<ClaimId, Entry>> oldest = entries.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Map.Entry<ClaimId, Entry> next = oldest.next();
+            Entry entry = next.getValue();
+            boolean old = nowMs - entry.claimedAtMs > retentionMs || entries.size() > maxEntries;
+            if (!old || entry.result == Result.RUNNING) {
+                return;
+            }
+            oldest.remove();
+            claims.remove(entry.key, next.getKey());
+            bytes -= entry.result.size();
+            forgottenUpTo = Math.max(forgottenUpTo, next.getKey().sequence());
+        }
+        while (!answered.isEmpty() && !entries.containsKey(answered.peek())) {
+            answered.poll();
+        }
+    }
+
+    /** Bytes of answers. */
+    long bytes() {
+        return bytes;
+    }
+
+    int size() {
+        return entries.size();
+    }
+}
--- a/src/main/java/brambletray/platform/proxy/Attempts.java
+++ b/src/main/java/brambletray/platform/proxy/Attempts.java
@@ -12,6 +12,7 @@
     private final List<Attempt> all = new ArrayList<>(2);
     private final List<String> instances = new ArrayList<>(2);
     private int activeCount;
+    private RunState endedRunState = RunState.NOT_RUN;
 
     /** {@code deadlineMs}: when the request's time is over, ms. */
     Attempts(RequestActions actions, long deadlineMs) {
@@ -41,6 +42,16 @@
         return false;
     }
 
+    /** What is known of whether the request ran at any host. */
+    RunState runState() {
+        for (int i = 0; i < all.size(); i++) {
+            if (all.get(i).active && all.get(i).onSent()) {
+                return endedRunState.and(RunState.MAY_HAVE_RUN);
+            }
+        }
+        return endedRunState;
+    }
+
     /** All so far, used or not reached. */
     List<String> instances() {
         return List.copyOf(instances);
@@ -53,6 +64,9 @@
         }
         attempt.active = false;
         activeCount--;
+        if (attempt.onSent()) {
+            endedRunState = endedRunState.and(RunState.of(outcome));
+        }
         actions.releaseSlot(attempt.grant, outcome, durationMs);
         return true;
     }
--- a/src/main/java/brambletray/platform/proxy/HeaderWriter.java
+++ b/src/main/java/brambletray/platform/proxy/HeaderWriter.java
@@ -127,15 +127,36 @@
         return ByteBufUtil.writeShortBE(out, '\r' << 8 | '\n');
     }
 
+    /** The headers that are not of one connection: names and values in turns. */
+    static List<String> endToEnd(HttpHeaders headers) {
+        List<String> named = namedByConnection(headers);
+        List<String> passed = new ArrayList<>(2 * headers.size());
+        Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
+        while (entries.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> entry = entries.next();
+            if (isEndToEnd(entry.getKey(), named)) {
+                passed.add(entry.getKey().toString());
+                passed.add(entry.getValue().toString());
+            }
+        }
+        return passed;
+    }
+
+    private static boolean isEndToEnd(CharSequence name, List<String> named) {
+        return !HopByHopHeaders.ofOneConnection(name) && (named.isEmpty() || !HopByHopHeaders.in(named, name));
+    }
+
+    private static List<String> namedByConnection(HttpHeaders headers) {
+        return headers.contains(HttpHeaderNames.CONNECTION) ? connectionHeaders(headers) : List.of();
+    }
+
     private static void headers(ByteBuf out, HttpHeaders headers, boolean toHost) {
-        List<String> named = headers.contains(HttpHeaderNames.CONNECTION) ? connectionHeaders(headers) : List.of();
+        List<String> named = namedByConnection(headers);
         Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
         while (entries.hasNext()) {
             Map.Entry<CharSequence, CharSequence> entry = entries.next();
             CharSequence name = entry.getKey();
-            if (!HopByHopHeaders.ofOneConnection(name)
-                    && !(toHost && HopByHopHeaders.setAnew(name))
-                    && (named.isEmpty() || !HopByHopHeaders.in(named, name))) {
+            if (isEndToEnd(name, named) && !(toHost && HopByHopHeaders.setAnew(name))) {
                 header(out, name, entry.getValue());
             }
         }
--- a/src/main/java/brambletray/platform/proxy/HostExchange.java
+++ b/src/main/java/brambletray/platform/proxy/HostExchange.java
@@ -155,6 +155,6 @@
     public void onEnded(AttemptOutcome outcome, boolean withheld, HostResponse complete) {
         connection = null;
         response = streamingResponse == null ? complete : null;
-        driver.onEnded(attempt, outcome, withheld);
+        driver.onEnded(attempt, outcome, withheld, response);
     }
 }
--- a/src/main/java/brambletray/platform/proxy/HostResponse.java
+++ b/src/main/java/brambletray/platform/proxy/HostResponse.java
@@ -1,6 +1,7 @@
 package brambletray.platform.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,6 +51,25 @@
         return true;
     }
 
+    /** Adds a copy of these bytes; false where too much is held. */
+    boolean addCopy(byte[] bytes) {
+        ByteBuf copy = Unpooled.wrappedBuffer(bytes);
+        return add(copy, bytes.length);
+    }
+
+    /** A copy of the bytes held. */
+    byte[] copyBody() {
+        byte[] copy = new byte[(int) size];
+        int at = 0;
+        for (int i = 0; i < body.size(); i++) {
+            ByteBuf part = body.get(i);
+            int bytes = part.readableBytes();
+            part.getBytes(part.readerIndex(), copy, at, bytes);
+            at += bytes;
+        }
+        return copy;
+    }
+
     /** Hands the bytes over; whoever takes them returns {@link #size} to the hold once they are written. */
     List<ByteBuf> takeBody() {
         List<ByteBuf> taken = body;
--- a/src/main/java/brambletray/platform/proxy/RequestActions.java
+++ b/src/main/java/brambletray/platform/proxy/RequestActions.java
@@ -15,8 +15,14 @@
      */
     void prepare();
 
-    /** The preparation is not wanted any more; no callback follows. */
-    void cancelPreparation();
+    /**
+     * The preparation is not wanted any more; no callback follows. Returns the status for a client that still waits:
+     * 503, 409 where an earlier attempt of its operation is in work, 504 where nobody knows what became of that one.
+     */
+    int cancelPreparation();
+
+    /** Answers with what an earlier attempt of the operation was answered. */
+    void passRecordedAnswer();
 
     /** Requests a slot; the callback may come before this returns. */
     void requestSlot(SlotRequest request);
--- a/src/main/java/brambletray/platform/proxy/RequestCounters.java
+++ b/src/main/java/brambletray/platform/proxy/RequestCounters.java
@@ -25,6 +25,10 @@
     public long timedOut;
     public long clientErrors;
     public long clientsGone;
+    /** Repeats of an operation that had the first attempt's answer; 409. */
+    public long repeatsAnswered;
+
+    public long repeatsInWork;
     /**
      * Slot requests; requests sent to hosts; hedged ones among them; hedged ones that answered first; retries;
      * copies refused.
@@ -70,6 +74,8 @@
         accept(consumer, "late", timedOut);
         accept(consumer, "wrong", clientErrors);
         accept(consumer, "left", clientsGone);
+        accept(consumer, "repeats_answered", repeatsAnswered);
+        accept(consumer, "repeats_in_work", repeatsInWork);
         accept(consumer, "asks", slotRequests);
         accept(consumer, "sends", sends);
         accept(consumer, "copies", hedges);
--- a/src/main/java/brambletray/platform/proxy/RequestDriver.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDriver.java
@@ -22,10 +22,12 @@
     private final int maxConnections;
     private final RequestLifecycle lifecycle;
     private final HedgeDelay hedgeDelay;
-    private final QuotaListener quotaListener = new QuotaListener();
+    private final RequestPreparation preparation;
     private final List<HostExchange> exchanges = new ArrayList<>(2);
     /** Null once it has its answer or is gone. */
     private ClientConnection client;
+    /** Of an earlier attempt of the operation; null: none. */
+    private RecordedAnswer recordedAnswer;
     /** Where the answer comes from that is given on as it comes. */
     private HostExchange streamingExchange;
 
@@ -48,6 +50,8 @@
         this.plan = plan;
         this.maxConnections = maxConnections;
         this.hedgeDelay = router.hedgeDelay(plan.service());
+        this.preparation =
+                new RequestPreparation(plan, router.quotaGate(), router.operationGate(), new PreparationListener());
         this.lifecycle = new RequestLifecycle(
                 plan, this, hedgeDelay::delayMs, router::nextRequestId, router.edge(), router.zone(), router.now());
     }
@@ -99,6 +103,7 @@
         if (lifecycle.isOver()) {
             if (!finished) {
                 finished = true;
+                preparation.onOver(lifecycle.runState());
                 router.onFinished();
             }
             stopTimer();
@@ -142,34 +147,46 @@
     // ---- RequestActions -------------------------------------------------------------------------
     @Override
     public void prepare() {
-        router.quotaGate().acquire(plan.tenant(), quotaListener);
+        preparation.start();
     }
 
     @Override
-    public void cancelPreparation() {
-        router.quotaGate().cancel(quotaListener);
+    public int cancelPreparation() {
+        return preparation.cancel();
     }
 
-    private final class QuotaListener implements QuotaGate.Listener {
+    private final class PreparationListener implements RequestPreparation.Listener {
         @Override
-        public void onAcquired() {
+        public void onPrepared() {
             lifecycle.onPrepared(router.now());
             afterEvent();
         }
 
         @Override
-        public void onExceeded(int retryAfterMs) {
-            lifecycle.onPreparationRejected(429, retryAfterMs);
+        public void onRejected(int status, int retryAfterMs) {
+            lifecycle.onPreparationRejected(status, retryAfterMs);
             afterEvent();
         }
 
         @Override
-        public void onUnavailable(int retryAfterMs) {
-            lifecycle.onPreparationRejected(503, retryAfterMs);
+        public void onRepeatAnswered(RecordedAnswer answer) {
+            recordedAnswer = answer;
+            lifecycle.onRepeatAnswered();
             afterEvent();
         }
     }
 
+    @Override
+    public void passRecordedAnswer() {
+        HostResponse response = recordedAnswer.toResponse(id, clientRequest.head(), router.memoryBudget());
+        if (response == null) {
+            respond(503, RequestRouter.RETRY_AFTER_MS);
+        } else {
+            router.counters().repeatsAnswered++;
+            clientForResponse().writeResponse(response);
+        }
+    }
+
     @Override
     public void requestSlot(SlotRequest request) {
         router.counters().slotRequests++;
@@ -257,6 +274,7 @@
     @Override
     public void respond(int status, int retryAfterMs) {
         boolean refused = status == 503 || status == 429;
+        router.counters().repeatsInWork += status == 409 ? 1 : 0;
         router.counters().unavailable += status == 503 ? 1 : 0;
         router.counters().overQuota += status == 429 ? 1 : 0;
         router.counters().timedOut += status == 504 ? 1 : 0;
@@ -271,18 +289,25 @@
                     .with("took", router.now() - clientRequest.receivedAtMs())
                     .log();
         }
-        String code = status == 429
-                ? "proxy.over-quota"
-                : refused ? "proxy.no-place" : status == 504 ? "proxy.out-of-time" : "proxy.host-failed";
         clientForResponse()
                 .writeOwnResponse(
                         status,
-                        code,
+                        code(status),
                         !refused ? -1 : retryAfterMs < 0 ? RequestRouter.RETRY_AFTER_MS : retryAfterMs,
                         id,
                         clientRequest.head());
     }
 
+    private static String code(int status) {
+        return switch (status) {
+            case 409 -> "proxy.operation-in-work";
+            case 429 -> "proxy.over-quota";
+            case 503 -> "proxy.no-place";
+            case 504 -> "proxy.out-of-time";
+            default -> "proxy.host-failed";
+        };
+    }
+
     // ---- From hosts -----------------------------------------------------------------------------
     ClientRequest clientRequest() {
         return clientRequest;
@@ -350,11 +375,17 @@
         if (lifecycle.nextDueMs() <= router.now()) {
             lifecycle.tick(router.now());
             afterEvent();
+        } else if (!preparation.allowsSending()) {
+            answerNow();
         }
         return attempt.active;
     }
 
-    void onEnded(Attempt attempt, AttemptOutcome outcome, boolean withheld) {
+    /** {@code response}: null where there is none that may be passed on. */
+    void onEnded(Attempt attempt, AttemptOutcome outcome, boolean withheld, HostResponse response) {
+        if (response != null) {
+            preparation.onHostAnswer(response);
+        }
         lifecycle.onEnded(attempt, outcome, withheld, router.now());
         afterEvent();
     }
--- a/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
+++ b/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
@@ -57,7 +57,7 @@
 
     private Attempt streamingAttempt;
     private boolean isSettled;
-    /** Waits for its right under the tenant's quota, and holds no slot yet. */
+    /** Waits for its right under the tenant's quota or the claim on its operation, and holds no slot yet. */
     private boolean isPreparing;
 
     RequestLifecycle(
@@ -81,7 +81,7 @@
     void start(long now) {
         if (now >= lastSendMs) {
             conclude(now);
-        } else if (plan.isLimited()) {
+        } else if (plan.needsPreparation()) {
             isPreparing = true;
             actions.prepare();
         } else {
@@ -91,13 +91,18 @@
 
     /** All that has to come before a slot has come. */
     void onPrepared(long now) {
-        if (isPreparing) {
-            isPreparing = false;
+        if (!isPreparing) {
+            return;
+        }
+        isPreparing = false;
+        if (now >= lastSendMs) {
+            conclude(now);
+        } else {
             requestSlot(false, now);
         }
     }
 
-    /** It may not run, and nothing has run: 429, 409 or 503. */
+    /** It may not run, and has not: 429, 503, or 502 where an earlier attempt may have run. */
     void onPreparationRejected(int status, int refusedForMs) {
         if (isPreparing) {
             isPreparing = false;
@@ -106,13 +111,20 @@
         }
     }
 
-    private void cancelPreparation() {
+    /** An earlier attempt of its operation has an answer, which is this one's too. */
+    void onRepeatAnswered() {
         if (isPreparing) {
             isPreparing = false;
-            actions.cancelPreparation();
+            isSettled = true;
+            actions.passRecordedAnswer();
         }
     }
 
+    /** What is known of whether it ran; final once it {@link #isOver}. */
+    RunState runState() {
+        return attempts.runState();
+    }
+
     /** The client has its answer, or is gone. */
     boolean isSettled() {
         return isSettled;
@@ -327,7 +339,12 @@
 
     /** The client is answered; what is at a host is left to finish there. */
     private void onTimeout(long now) {
-        cancelPreparation();
+        if (isPreparing) {
+            isPreparing = false;
+            isSettled = true;
+            actions.respond(actions.cancelPreparation(), -1);
+            return;
+        }
         cancelPendingRequest();
         unproven |= attempts.onClientGone(now);
         conclude(now);
@@ -345,7 +362,10 @@
     /** The client has gone: what no host has is dropped, the rest is left to finish (breaking off is priced). */
     void onClientGone(long now) {
         if (!isSettled) {
-            cancelPreparation();
+            if (isPreparing) {
+                isPreparing = false;
+                actions.cancelPreparation();
+            }
             cancelPendingRequest();
             attempts.onClientGone(now);
         }
--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -5,8 +5,10 @@
 import brambletray.platform.configuration.ClientLimits;
 import brambletray.platform.configuration.Configuration;
 import brambletray.platform.configuration.Route;
+import brambletray.platform.configuration.RouteKind;
 import brambletray.platform.configuration.Service;
 import brambletray.platform.configuration.Tenant;
+import brambletray.platform.operations.OperationKey;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashMap;
@@ -31,6 +33,7 @@
     private final Supplier<Configuration> configuration;
     private final SlotBroker broker;
     private final QuotaGate quotaGate;
+    private final OperationGate operationGate;
     private final Predicate<String> isInstanceIp;
     private final HostConnectionPools connectionPools;
     private final RequestCounters counters;
@@ -56,6 +59,7 @@
             Supplier<Configuration> configuration,
             SlotBroker broker,
             QuotaGate quotaGate,
+            OperationGate operationGate,
             Predicate<String> isInstanceIp,
             HostConnectionPools connectionPools,
             RequestCounters counters,
@@ -67,6 +71,7 @@
         this.configuration = configuration;
         this.broker = broker;
         this.quotaGate = quotaGate;
+        this.operationGate = operationGate;
         this.isInstanceIp = isInstanceIp;
         this.connectionPools = connectionPools;
         this.counters = counters;
@@ -149,6 +154,15 @@
             return;
         }
         Tenant tenant = authentication.tenant();
+        OperationKey operation = null;
+        if (route.kind() == RouteKind.KEYED) {
+            operation = operation(headers, tenant);
+            if (operation == null) {
+                counters.clientErrors++;
+                respond(client, clientRequest, 400, "proxy.no-operation-key", -1, id);
+                return;
+            }
+        }
         String service = route.selectService(shares.nextDouble());
         Service known = now.services().get(service);
         RequestPlan plan = new RequestPlan(
@@ -159,6 +173,8 @@
                 route.latencyTargetMs(),
                 isInstanceIp.test(client.clientIp()),
                 tenant,
+                operation,
+                known != null && known.selfDedupe(),
                 deadlineMs(headers, route, clientRequest.receivedAtMs()));
         RequestDriver driver = new RequestDriver(
                 this, client, clientRequest, id, plan, known == null ? 4 : Math.max(4, known.maxConnections() / 4));
@@ -168,6 +184,16 @@
         driver.start();
     }
 
+    /** The operation that the headers name; null where they name none, or more than one. */
+    private static OperationKey operation(HttpHeaders headers, Tenant tenant) {
+        Iterator<String> keys = headers.valueStringIterator(ClientRequest.OPERATION_KEY);
+        String key = keys.hasNext() ? keys.next().strip() : "";
+        if (key.isEmpty() || keys.hasNext()) {
+            return null;
+        }
+        return OperationKey.of(tenant == null ? "" : tenant.name(), key);
+    }
+
     private void respond(
             ClientConnection client,
             ClientRequest clientRequest,
@@ -234,6 +260,10 @@
         return quotaGate;
     }
 
+    OperationGate operationGate() {
+        return operationGate;
+    }
+
     HostConnectionPools connectionPools() {
         return connectionPools;
     }
--- a/src/test/java/brambletray/platform/proxy/RandomExchanges.java
+++ b/src/test/java/brambletray/platform/proxy/RandomExchanges.java
@@ -78,6 +78,7 @@
                 () -> configuration,
                 this,
                 QuotaGate.UNLIMITED,
+                OperationGate.UNCLAIMED,
                 ip -> false,
                 lines,
                 counters,
--- a/src/test/java/brambletray/platform/proxy/RealSocketsTest.java
+++ b/src/test/java/brambletray/platform/proxy/RealSocketsTest.java
@@ -108,6 +108,7 @@
                                             () -> configuration,
                                             broker,
                                             QuotaGate.UNLIMITED,
+                                            OperationGate.UNCLAIMED,
                                             ip -> false,
                                             new HostConnectionPools(machine, 4_000, counters),
                                             counters,
--- a/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -51,6 +51,8 @@
                     400,
                     false,
                     null,
+                    null,
+                    false,
                     now + 1 + random.nextInt(600));
             lifecycle = new RequestLifecycle(plan, this, () -> 1 + random.nextInt(200), () -> ++ids, "e", "z", now);
         }
@@ -61,10 +63,15 @@
         }
 
         @Override
-        public void cancelPreparation() {
+        public int cancelPreparation() {
             throw new AssertionError("nothing to prepare without a tenant");
         }
 
+        @Override
+        public void passRecordedAnswer() {
+            throw new AssertionError("nothing is recorded without an operation");
+        }
+
         @Override
         public void requestSlot(SlotRequest ask) {
             assertTrue(asks.isEmpty(), "one ask at a time");
--- a/src/test/java/brambletray/platform/proxy/ScriptedClient.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedClient.java
@@ -73,6 +73,12 @@
         String ms = words.length > 2 ? words[2] : "4000";
         switch (words[0]) {
             case "asks" -> say("GET /r/x?q=1 HTTP/1.1\r\n" + rest(id, ms) + "\r\n");
+            case "keys" ->
+                say("POST /r/x HTTP/1.1\r\n" + rest(id, ms) + "Brambletray-Operation-Key: k1\r\n"
+                        + "Content-Length: 5\r\n\r\nhello");
+            case "keys-twice" ->
+                say("POST /r/x HTTP/1.1\r\n" + rest(id, ms) + "Brambletray-Operation-Key: k1\r\n"
+                        + "Brambletray-Operation-Key: k2\r\nContent-Length: 0\r\n\r\n");
             case "asks-twice" ->
                 say("GET /r/x HTTP/1.1\r\n" + rest(id, "4000") + "\r\nGET /r/x HTTP/1.1\r\n" + rest(ms, "4000")
                         + "\r\n");
--- a/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
+++ b/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
@@ -27,6 +27,7 @@
     final Simulation simulation = new Simulation(1, 1_900_000_000_000L);
     final RequestCounters counters = new RequestCounters();
     final ScriptedBroker places = new ScriptedBroker(this);
+    final ScriptedOperations operations = new ScriptedOperations();
     final Map<String, Actor> actors = new LinkedHashMap<>();
     private final Machine edge;
     final HostConnectionPools lines;
@@ -45,6 +46,7 @@
                 () -> configuration,
                 places,
                 QuotaGate.UNLIMITED,
+                operations,
                 ip -> ip.startsWith("10.0.1."),
                 lines,
                 counters,
@@ -53,6 +55,7 @@
         front = new FrontEndServer(edge, flow, 100);
         front.listen(FRONT);
         actors.put("broker", places);
+        actors.put("claims", operations);
         settle();
     }
 
@@ -186,5 +189,6 @@
         assertEquals(0, flow.activeRequests(), "requests under way");
         assertEquals(0, flow.heldBytes(), "bytes held");
         assertEquals(0, places.open(), "places not given back");
+        assertEquals(0, operations.open(), "claims not ended");
     }
 }
