proxy: a key or route that only a newer configuration has is answered 503, not 401 or 404

Cause: RequestRouter refused by the configuration it had, whether or not that was the newest.

Change: ConfigurationSource says whether the configuration may be outdated: nothing newer is known only while an edge follows a coordinator that names a revision and that revision has come. Else 503 with 400 ms to retry; what the known configuration allows is served as before.

--- a/src/main/java/brambletray/platform/distribution/ConfigurationSubscriber.java
+++ b/src/main/java/brambletray/platform/distribution/ConfigurationSubscriber.java
@@ -66,7 +66,12 @@
         return configuration;
     }
 
-    /** The coordinator has announced the newest revision. */
+    /** Whether the last announcement spoke of nothing newer; false as well where it could not name a revision. */
+    public boolean isNewest() {
+        return newestRevision > 0 && configuration.revision() >= newestRevision;
+    }
+
+    /** The coordinator has announced the newest revision; 0: it cannot tell yet. */
     public void onNewestRevision(long next, long nowMs) {
         newestRevision = next;
         if (!requestPending && newestRevision > configuration.revision() && nowMs >= noRequestBeforeMs) {
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -29,6 +29,7 @@
 import brambletray.platform.failuredetection.WatchRing;
 import brambletray.platform.logging.EventLog;
 import brambletray.platform.logging.LogEventBuilder;
+import brambletray.platform.proxy.ConfigurationSource;
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
@@ -107,7 +108,7 @@
                 machine,
                 self.name(),
                 self.zone(),
-                () -> configuration,
+                new CurrentConfiguration(),
                 slotClient,
                 QuotaGate.UNLIMITED,
                 instanceAddresses::contains,
@@ -261,6 +262,18 @@
     }
 
     // ---- Callbacks ------------------------------------------------------------------------------
+    private final class CurrentConfiguration implements ConfigurationSource {
+        @Override
+        public Configuration current() {
+            return configuration;
+        }
+
+        @Override
+        public boolean mayBeOutdated() {
+            return !coordinatorClient.isAttached() || !subscriber.isNewest();
+        }
+    }
+
     private final class SubscriberActions implements ConfigurationSubscriber.Actions {
         @Override
         public void sendRequest(DeltaRequest request) {
--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 
 /** Finds each request's route and starts its {@link RequestLifecycle}. The loop's. */
 public final class RequestRouter {
@@ -22,13 +21,15 @@
     static final int RETRY_AFTER_MS = 200;
     /** Time to retry in ms while there is no configuration yet. */
     private static final int NO_CONFIGURATION_RETRY_MS = 800;
+    /** Time to retry in ms where the configuration here may be outdated: about what a change takes to arrive. */
+    private static final int OUTDATED_RETRY_MS = 400;
     /** Requests under way at one time. */
     private static final int MAX_REQUESTS = 8_000;
 
     private final Machine machine;
     private final String edge;
     private final String zone;
-    private final Supplier<Configuration> configuration;
+    private final ConfigurationSource configuration;
     private final SlotBroker broker;
     private final QuotaGate quotaGate;
     private final Predicate<String> isInstanceIp;
@@ -53,7 +54,7 @@
             Machine machine,
             String edge,
             String zone,
-            Supplier<Configuration> configuration,
+            ConfigurationSource configuration,
             SlotBroker broker,
             QuotaGate quotaGate,
             Predicate<String> isInstanceIp,
@@ -92,7 +93,7 @@
     }
 
     ClientLimits limits() {
-        return configuration.get().limits();
+        return configuration.current().limits();
     }
 
     RateLimitedLog rateLimitedLog() {
@@ -125,7 +126,7 @@
             respond(client, clientRequest, 400, "proxy.no-id", -1, null);
             return;
         }
-        Configuration now = configuration.get();
+        Configuration now = configuration.current();
         if (now == Configuration.NONE) {
             counters.unavailable++;
             respond(client, clientRequest, 503, "proxy.no-configuration", NO_CONFIGURATION_RETRY_MS, id);
@@ -133,8 +134,7 @@
         }
         Route route = now.match(headers.get(HttpHeaderNames.HOST), clientRequest.path());
         if (route == null) {
-            counters.unrouted++;
-            respond(client, clientRequest, 404, "proxy.no-route", -1, id);
+            deny(client, clientRequest, 404, "proxy.no-route", id);
             return;
         }
         if (rejectingNew || activeRequests >= MAX_REQUESTS) {
@@ -144,8 +144,7 @@
         }
         TenantAuthentication authentication = TenantAuthentication.of(headers, now, route);
         if (!authentication.accepted()) {
-            counters.unauthenticated++;
-            respond(client, clientRequest, 401, "proxy.unknown-key", -1, id);
+            deny(client, clientRequest, 401, "proxy.unknown-key", id);
             return;
         }
         Tenant tenant = authentication.tenant();
@@ -168,6 +167,18 @@
         driver.start();
     }
 
+    /** Answers a request that the configuration here does not allow; a newer one may allow it. */
+    private void deny(ClientConnection client, ClientRequest clientRequest, int status, String code, String id) {
+        if (configuration.mayBeOutdated()) {
+            counters.unavailable++;
+            respond(client, clientRequest, 503, "proxy.configuration-outdated", OUTDATED_RETRY_MS, id);
+            return;
+        }
+        counters.unrouted += status == 404 ? 1 : 0;
+        counters.unauthenticated += status == 401 ? 1 : 0;
+        respond(client, clientRequest, status, code, -1, id);
+    }
+
     private void respond(
             ClientConnection client,
             ClientRequest clientRequest,
@@ -184,7 +195,7 @@
 
     /** When the time of a request with this head is over, ms; {@link Long#MAX_VALUE} where it has no route. */
     long deadlineMs(HttpHeaders headers, String uri, long receivedAtMs) {
-        Route route = configuration.get().match(headers.get(HttpHeaderNames.HOST), ClientRequest.path(uri));
+        Route route = configuration.current().match(headers.get(HttpHeaderNames.HOST), ClientRequest.path(uri));
         return route == null ? Long.MAX_VALUE : deadlineMs(headers, route, receivedAtMs);
     }
 
@@ -250,7 +261,7 @@
     HedgeDelay hedgeDelay(String service) {
         HedgeDelay delay = hedgeDelays.get(service);
         if (delay == null) {
-            Map<String, Service> services = configuration.get().services();
+            Map<String, Service> services = configuration.current().services();
             if (hedgeDelays.size() > 64 + 2 * services.size()) {
                 hedgeDelays.keySet().retainAll(services.keySet());
             }
--- a/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
+++ b/src/test/java/brambletray/platform/proxy/SimulatedProxy.java
@@ -33,6 +33,9 @@
     final RequestRouter flow;
     final FrontEndServer front;
     private Configuration configuration = Configuration.NONE;
+    /** A newer configuration may be in force elsewhere. */
+    boolean outdated;
+
     private int machines;
 
     SimulatedProxy() {
@@ -42,7 +45,7 @@
                 edge,
                 "edge-1",
                 "zone-1",
-                () -> configuration,
+                new Source(),
                 places,
                 QuotaGate.UNLIMITED,
                 ip -> ip.startsWith("10.0.1."),
@@ -75,6 +78,22 @@
                 .getBytes(StandardCharsets.UTF_8));
     }
 
+    void configuration(String json) {
+        configuration = Configuration.read(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private final class Source implements ConfigurationSource {
+        @Override
+        public Configuration current() {
+            return configuration;
+        }
+
+        @Override
+        public boolean mayBeOutdated() {
+            return outdated;
+        }
+    }
+
     private Machine machine(String ip) {
         return simulation.machine(inet(ip));
     }
