provisioning: a start or stop that waited is sent only while its term may act

Callers saw: nothing yet; the rule on duty (a machine refused for a higher fence orders again with the same fence) could be broken by calls that were made before the refusal and sent after it.

Cause: FencedPlatformClient asked for the authority when a call was made. PlatformHttpClient then kept up to 256 calls for a connection, and sent a call again whose connection broke, without asking once more.

Change: the authority is asked right before each sending of a start or stop; one that may not be sent any more ends as UNKNOWN, as one without an answer does.

--- a/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
+++ b/src/main/java/brambletray/platform/controlplane/EdgeCoordinator.java
@@ -129,7 +129,8 @@
                 new InetSocketAddress(
                         cloudApi.address().host(), cloudApi.address().port()),
                 new PlatformClient.CallerIdentity(nodeSettings.node(), term),
-                cloudApi.ratePerS());
+                cloudApi.ratePerS(),
+                authority::mayAct);
     }
 
     private static PlatformTerms platformTerms(NodeSettings nodeSettings, CloudApiSettings cloudApi) {
--- a/src/main/java/brambletray/platform/provisioning/PlatformClient.java
+++ b/src/main/java/brambletray/platform/provisioning/PlatformClient.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -39,18 +40,24 @@
     private final PlatformHttpClient httpClient;
     private final PlatformJson json = new PlatformJson();
     private final String[] headers;
+    private final BooleanSupplier mayAct;
     private final double listsPerMs;
     private double tokens = 1;
     private long tokensUpdatedAtMs;
     private boolean closed;
 
-    /** {@code perS}: lists the platform accepts a second. */
-    public PlatformClient(Machine machine, InetSocketAddress address, CallerIdentity name, double perS) {
+    /**
+     * {@code perS}: lists the platform accepts a second; {@code mayAct}: whether the caller still holds its fencing
+     * token's term, asked right before a start or stop goes out.
+     */
+    public PlatformClient(
+            Machine machine, InetSocketAddress address, CallerIdentity name, double perS, BooleanSupplier mayAct) {
         this.machine = machine;
         this.httpClient = new PlatformHttpClient(machine, address);
         this.headers = new String[] {
             "Brambletray-Duty-Holder", name.holder(), "Brambletray-Fence-Token", Long.toString(name.fencingToken())
         };
+        this.mayAct = mayAct;
         this.listsPerMs = perS * 0.9 / 1000;
         this.tokensUpdatedAtMs = now();
     }
@@ -61,6 +68,7 @@
         httpClient.call(
                 "/brambletray/begin",
                 body,
+                mayAct,
                 (status, answer) -> whenAnswered.accept(parseStarted(status, answer)),
                 headers);
     }
@@ -70,14 +78,15 @@
         httpClient.call(
                 "/brambletray/stop",
                 json.object("instance-id", id),
+                mayAct,
                 (status, answer) -> whenAnswered.accept(resultOf(status)),
                 headers);
     }
 
     /** {@code GET /brambletray/workers}; null: they did not come. */
     public void workers(Consumer<List<WorkerInfo>> whenAnswered) {
-        runPaced(() -> httpClient.call(
-                "/brambletray/workers", null, (status, answer) -> whenAnswered.accept(parseWorkers(status, answer))));
+        runPaced(() -> httpClient.get(
+                "/brambletray/workers", (status, answer) -> whenAnswered.accept(parseWorkers(status, answer))));
     }
 
     /** {@code GET /instances}, page by page. */
@@ -95,7 +104,7 @@
         String path = token == null
                 ? "/instances"
                 : "/instances?page-token=" + URLEncoder.encode(token, StandardCharsets.UTF_8);
-        runPaced(() -> httpClient.call(path, null, (status, body) -> {
+        runPaced(() -> httpClient.get(path, (status, body) -> {
             if (status == 429 && tried < MAX_PAGE_ATTEMPTS && !closed) {
                 machine.loop()
                         .schedule(
--- a/src/main/java/brambletray/platform/provisioning/PlatformHttpClient.java
+++ b/src/main/java/brambletray/platform/provisioning/PlatformHttpClient.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * HTTP/1.1 calls to one address over a few keep-alive connections, one call at a time on each. All of them are
@@ -61,14 +62,16 @@
     /** One call until its reply. */
     private final class Call {
         private final FullHttpRequest request;
+        private final BooleanSupplier mayBeSent;
         private final ResponseCallback callback;
         private final Future<?> timer;
         private Connection connection;
         private boolean retried;
         private boolean ended;
 
-        private Call(FullHttpRequest request, ResponseCallback callback) {
+        private Call(FullHttpRequest request, BooleanSupplier mayBeSent, ResponseCallback callback) {
             this.request = request;
+            this.mayBeSent = mayBeSent;
             this.callback = callback;
             this.timer = machine.loop().schedule(this::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
         }
@@ -156,8 +159,16 @@
         this.host = address.getHostString() + ":" + address.getPort();
     }
 
-    /** {@code body} null: a GET. {@code headers}: names and values in turn. */
-    void call(String path, byte[] body, ResponseCallback callback, String... headers) {
+    /** Sends a GET. */
+    void get(String path, ResponseCallback callback) {
+        call(path, null, () -> true, callback);
+    }
+
+    /**
+     * {@code body} null: a GET. {@code mayBeSent}: asked right before each sending, as a call may wait for a
+     * connection; one that may not be sent any more ends without a response. {@code headers}: names and values in turn.
+     */
+    void call(String path, byte[] body, BooleanSupplier mayBeSent, ResponseCallback callback, String... headers) {
         if (closed || waiting.size() >= MAX_QUEUED_CALLS) {
             machine.loop().execute(() -> callback.onResponse(0, EMPTY_BODY));
             return;
@@ -176,7 +187,7 @@
         for (int i = 0; i + 1 < headers.length; i += 2) {
             fields.set(headers[i], headers[i + 1]);
         }
-        waiting.add(new Call(request, callback));
+        waiting.add(new Call(request, mayBeSent, callback));
         sendNext();
     }
 
@@ -201,11 +212,21 @@
             if (!connection.channel.isActive() || now() - connection.idleSinceMs > IDLE_TIMEOUT_MS) {
                 connection.channel.close();
             } else {
-                connection.send(waiting.poll());
+                sendFirst(connection);
             }
         }
     }
 
+    private void sendFirst(Connection connection) {
+        Call first = waiting.poll();
+        if (first.mayBeSent.getAsBoolean()) {
+            connection.send(first);
+        } else {
+            idle.push(connection);
+            first.complete(0, EMPTY_BODY);
+        }
+    }
+
     /** As many connections come up as calls wait, up to the most. */
     private void dial() {
         int coming = 0;
--- a/src/test/java/brambletray/platform/provisioning/PlatformClientTest.java
+++ b/src/test/java/brambletray/platform/provisioning/PlatformClientTest.java
@@ -34,6 +34,10 @@
 class PlatformClientTest {
     private static final long MS = 1_000_000;
 
+    private boolean mayAct = true;
+    /** Calls that {@link #serve} has read. */
+    private int callsRead;
+
     private final Simulation simulation = new Simulation(11, 1_900_000_000_000L);
     private final InetAddress there = address(1);
     private final InetSocketAddress door = new InetSocketAddress(there, 8240);
@@ -43,7 +47,7 @@
             new PlatformStub(new PlatformParameters(800, 10, 50, 2, 3_000, 2_000, 2_500), 3, ms());
     private final PlatformStubServer front = new PlatformStubServer(far, stand);
     private final PlatformClient platform =
-            new PlatformClient(near, door, new PlatformClient.CallerIdentity("core-1", 7), 10);
+            new PlatformClient(near, door, new PlatformClient.CallerIdentity("core-1", 7), 10, () -> mayAct);
 
     private static InetAddress address(int last) {
         try {
@@ -107,7 +111,8 @@
     @Test
     void aLaterFenceIsNoticed() {
         List<CallResult> results = new ArrayList<>();
-        new PlatformClient(near, door, new PlatformClient.CallerIdentity("core-2", 8), 10).stop("i-none", results::add);
+        new PlatformClient(near, door, new PlatformClient.CallerIdentity("core-2", 8), 10, () -> true)
+                .stop("i-none", results::add);
         pass(20);
         platform.stop("i-none", results::add);
         pass(20);
@@ -165,7 +170,7 @@
         pass(5);
     }
 
-    private static final class Server extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Server extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final long late;
         private int left;
 
@@ -176,6 +181,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            callsRead++;
             if (left-- == 0) {
                 context.close();
                 return;
@@ -190,7 +196,8 @@
     void aSlowPlatformIsGivenMoreTime() {
         InetSocketAddress slow = new InetSocketAddress(there, 8242);
         serve(slow, 9, 1_700);
-        PlatformClient other = new PlatformClient(near, slow, new PlatformClient.CallerIdentity("core-1", 7), 10);
+        PlatformClient other =
+                new PlatformClient(near, slow, new PlatformClient.CallerIdentity("core-1", 7), 10, () -> mayAct);
         List<CallResult> results = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             other.stop("i-1", results::add);
@@ -199,11 +206,52 @@
         assertEquals(List.of(CallResult.UNKNOWN, CallResult.OK), results);
     }
 
+    /** Rule Duty: a call that waited for a connection goes out only under a term that is still held. */
+    @Test
+    void aCallThatWaitedIsNotSentOnceTheTermIsOver() {
+        InetSocketAddress slow = new InetSocketAddress(there, 8242);
+        serve(slow, 99, 500);
+        PlatformClient other =
+                new PlatformClient(near, slow, new PlatformClient.CallerIdentity("core-1", 7), 10, () -> mayAct);
+        List<CallResult> results = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            other.stop("i-" + i, results::add);
+        }
+        pass(200);
+        int sentUnderTheTerm = callsRead;
+        assertTrue(sentUnderTheTerm > 0 && sentUnderTheTerm < 40, sentUnderTheTerm + " sent at once");
+        mayAct = false;
+        pass(1_200);
+        assertEquals(sentUnderTheTerm, callsRead);
+        assertEquals(40, results.size());
+        assertEquals(
+                40 - sentUnderTheTerm,
+                results.stream().filter(result -> result == CallResult.UNKNOWN).count());
+    }
+
+    /** The same for one whose connection broke under it. */
+    @Test
+    void aCallIsNotSentAgainOnceTheTermIsOver() {
+        InetSocketAddress moody = new InetSocketAddress(there, 8241);
+        serve(moody, 1, 0);
+        PlatformClient other =
+                new PlatformClient(near, moody, new PlatformClient.CallerIdentity("core-1", 7), 10, () -> mayAct);
+        List<CallResult> results = new ArrayList<>();
+        other.stop("i-1", results::add);
+        pass(50);
+        other.stop("i-2", results::add);
+        mayAct = false;
+        pass(50);
+        assertEquals(2, callsRead);
+        assertEquals(List.of(CallResult.OK, CallResult.UNKNOWN), results);
+    }
+
     @Test
     void aKeptConnectionThatClosesUnderACallIsNoMatter() {
         InetSocketAddress moody = new InetSocketAddress(there, 8241);
         serve(moody, 1, 0);
-        PlatformClient other = new PlatformClient(near, moody, new PlatformClient.CallerIdentity("core-1", 7), 10);
+        PlatformClient other =
+                new PlatformClient(near, moody, new PlatformClient.CallerIdentity("core-1", 7), 10, () -> mayAct);
         List<CallResult> results = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             other.stop("i-" + i, results::add);
