--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -1,7 +1,6 @@
 package brambletray.platform.edge;
 
 import brambletray.common.runtime.Machine;
-import brambletray.platform.admission.AdmissionParameters;
 import brambletray.platform.admission.HeldSlots;
 import brambletray.platform.admission.SlotGrant;
 import brambletray.platform.admission.SlotRedirect;
@@ -29,13 +28,14 @@
 import brambletray.platform.failuredetection.WatchRing;
 import brambletray.platform.logging.EventLog;
 import brambletray.platform.logging.LogEventBuilder;
+import brambletray.platform.operations.ResultResponse;
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
-import brambletray.platform.proxy.QuotaGate;
 import brambletray.platform.proxy.Readiness;
 import brambletray.platform.proxy.RequestCounters;
 import brambletray.platform.proxy.RequestRouter;
+import brambletray.platform.quota.QuotaResponse;
 import brambletray.platform.settings.Address;
 import brambletray.platform.settings.NodeSettings;
 import brambletray.platform.transport.FrameCodec;
@@ -72,12 +72,15 @@
     private final GracefulShutdown shutdown;
     private final SlotClient slotClient;
     private final LocalAdmission localAdmission;
+    private final QuotaClient quotaClient;
     private final EdgeLinks edgeLinks;
     private final CoordinatorClient coordinatorClient;
     private final ConfigurationSubscriber subscriber = new ConfigurationSubscriber(new SubscriberActions());
     private final HeartbeatMonitor heartbeatMonitor;
     private final InstanceAddresses instanceAddresses = new InstanceAddresses();
     private final AdmissionTimer admissionTimer;
+    private final OperationClient operationClient;
+    private final AdmissionTimer operationTimer;
     private Peer self;
     private Configuration configuration = Configuration.NONE;
     private Roster roster = Roster.NONE;
@@ -97,51 +100,52 @@
         self = new Peer(nodeSettings.node(), nodeSettings.zone(), inner.toString(), newIncarnation, Peer.ACTIVE);
         introduction = new LinkIntroduction(self.name(), self.address(), false);
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
-        AdmissionParameters parameters = admissionParameters(nodeSettings);
         String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
         admissionTimer = new AdmissionTimer(machine, this::tickAdmission);
-        localAdmission =
-                new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
+        localAdmission = new LocalAdmission(
+                self.name(),
+                self.zone(),
+                nonces,
+                EdgeSettings.admissionParameters(nodeSettings),
+                new AdmissionTransport(),
+                this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
+        quotaClient = new QuotaClient(this::sendToCoordinator, this::now, EdgeSettings.quotaWindowMs(nodeSettings));
+        operationTimer = new AdmissionTimer(machine, this::tickOperations);
+        operationClient = operationClient(newIncarnation);
         requestRouter = new RequestRouter(
                 machine,
                 self.name(),
                 self.zone(),
                 () -> configuration,
                 slotClient,
-                QuotaGate.UNLIMITED,
+                quotaClient,
+                operationClient,
                 instanceAddresses::contains,
                 connectionPools,
                 counters,
-                Math.min(48L << 20, (long) nodeSettings.limits().memoryMb() << 17),
+                EdgeSettings.maxBufferedBytes(nodeSettings),
                 newIncarnation);
         frontEndServer = new FrontEndServer(machine, requestRouter, MAX_CLIENTS);
         shutdown = new GracefulShutdown(machine, requestRouter, frontEndServer, exit);
         edgeLinks = new EdgeLinks(machine, codec, inner, introduction, new PeerListener());
-        coordinatorClient = new CoordinatorClient(
+        coordinatorClient = coordinatorClient(newIncarnation);
+        heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
+    }
+
+    private CoordinatorClient coordinatorClient(long incarnation) {
+        return new CoordinatorClient(
                 machine,
                 codec,
                 introduction,
-                coreMembers(nodeSettings),
-                (int) newIncarnation,
+                EdgeSettings.coreMembers(nodeSettings),
+                (int) incarnation,
                 new CoordinatorListener());
-        heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
-    }
-
-    private static AdmissionParameters admissionParameters(NodeSettings nodeSettings) {
-        return AdmissionParameters.of(
-                nodeSettings.bounds().retryBudgetRatio(),
-                (int) nodeSettings.bounds().retryBudgetSlack(),
-                (int) (nodeSettings.bounds().retryWindowS() * 1_000),
-                Math.max(1, nodeSettings.zones().size()));
     }
 
-    private static List<Address> coreMembers(NodeSettings nodeSettings) {
-        List<Address> members = new ArrayList<>();
-        for (Address seed : nodeSettings.seeds()) {
-            members.add(new Address(seed.host(), nodeSettings.internalPortLow()));
-        }
-        return members;
+    private OperationClient operationClient(long incarnation) {
+        return new OperationClient(
+                incarnation, EdgeSettings.keyWindowMs(nodeSettings), new OperationLinks(), this::now);
     }
 
     /** Runs the program until SIGTERM; returns the process's exit code. {@code newIncarnation}: drawn at random. */
@@ -204,6 +208,10 @@
         return !leaving && configuration != Configuration.NONE && roster.find(self.name()) != null;
     }
 
+    private boolean sendToCoordinator(Object frame) {
+        return coordinatorClient.send(frame);
+    }
+
     private long now() {
         return machine.clock().nanos() / 1_000_000;
     }
@@ -212,11 +220,13 @@
         try {
             long now = now();
             coordinatorClient.tick(now);
+            quotaClient.tick(coordinatorClient.isAttached());
             subscriber.tick(now);
             heartbeatMonitor.tick(now);
             admissionTimer.recover(now);
             if (now - metricsLoggedAtMs > METRICS_INTERVAL_MS) {
                 metricsLoggedAtMs = now;
+                operationClient.forgetOld();
                 LogEventBuilder line = LOG.info("figures")
                         .with("waiting", slotClient.pendingCount())
                         .with("held", slotClient.heldCount())
@@ -235,8 +245,13 @@
         localAdmission.tick();
     }
 
+    private void tickOperations() {
+        operationClient.tick();
+    }
+
     void reloadSettings() {
-        SettingsReload.run(nodeSettings, current -> coordinatorClient.onMembers(coreMembers(current)), LOG);
+        SettingsReload.run(
+                nodeSettings, current -> coordinatorClient.onMembers(EdgeSettings.coreMembers(current)), LOG);
     }
 
     /** Says so first, serves on until clients have been sent elsewhere, then ends with nothing under way. */
@@ -348,13 +363,19 @@
 
         @Override
         public void onFrame(Object frame) {
-            localAdmission.onCoordinatorFrame(frame);
+            if (frame instanceof QuotaResponse response) {
+                quotaClient.onResponse(response);
+            } else if (!operationClient.onCoordinatorFrame(frame)) {
+                localAdmission.onCoordinatorFrame(frame);
+            }
         }
 
         @Override
         public void onAttached(long term) {
             heartbeatMonitor.onCoordinatorConnected();
+            quotaClient.onAttached(term);
             coordinatorClient.send(localAdmission.knownInstances());
+            operationClient.onAttached();
             subscriber.onLinkUp(now());
         }
     }
@@ -378,12 +399,15 @@
                 localAdmission.onHeldSlots(held);
             } else if (frame instanceof Heartbeat heartbeat) {
                 heartbeatMonitor.onHeartbeat(heartbeat, now());
+            } else {
+                operationClient.onEdgeFrame(peer, frame);
             }
         }
 
         @Override
         public void onLinkUp(String peer) {
             slotClient.onHomeReconnected(peer);
+            operationClient.onLinkUp(peer);
         }
 
         @Override
@@ -392,6 +416,39 @@
         }
     }
 
+    private final class OperationLinks implements OperationTransport {
+        @Override
+        public String self() {
+            return self.name();
+        }
+
+        @Override
+        public boolean sendToCoordinator(Object frame) {
+            return coordinatorClient.send(frame);
+        }
+
+        @Override
+        public boolean isReachable(String edge, long incarnation) {
+            Peer peer = roster.find(edge);
+            return peer != null && peer.incarnation() == incarnation && !edgeLinks.isUnreachable(edge);
+        }
+
+        @Override
+        public void sendToEdge(String edge, Object frame) {
+            edgeLinks.send(edge, frame);
+        }
+
+        @Override
+        public void respondToEdge(String edge, ResultResponse response) {
+            edgeLinks.respond(edge, response);
+        }
+
+        @Override
+        public void scheduleTick(long atMs) {
+            operationTimer.schedule(atMs);
+        }
+    }
+
     private final class MonitorActions implements HeartbeatMonitor.Actions {
         @Override
         public void sendHeartbeat(Peer watcher, Heartbeat heartbeat) {
--- a/src/main/java/brambletray/platform/proxy/Attempts.java
+++ b/src/main/java/brambletray/platform/proxy/Attempts.java
@@ -12,6 +12,7 @@
     private final List<Attempt> all = new ArrayList<>(2);
     private final List<String> instances = new ArrayList<>(2);
     private int activeCount;
+    private RunState endedRunState = RunState.NOT_RUN;
 
     /** {@code deadlineMs}: when the request's time is over, ms. */
     Attempts(RequestActions actions, long deadlineMs) {
@@ -41,6 +42,16 @@
         return false;
     }
 
+    /** What is known of whether the request ran at any host. */
+    RunState runState() {
+        for (int i = 0; i < all.size(); i++) {
+            if (all.get(i).active && all.get(i).onSent()) {
+                return endedRunState.and(RunState.MAY_HAVE_RUN);
+            }
+        }
+        return endedRunState;
+    }
+
     /** All so far, used or not reached. */
     List<String> instances() {
         return List.copyOf(instances);
@@ -53,6 +64,9 @@
         }
         attempt.active = false;
         activeCount--;
+        if (attempt.onSent()) {
+            endedRunState = endedRunState.and(RunState.of(outcome));
+        }
         actions.releaseSlot(attempt.grant, outcome, durationMs);
         return true;
     }
@@ -63,12 +77,21 @@
         if (attempt.onSent()) {
             complete(attempt, outcome, (int) (now - attempt.sentAtMs));
         } else {
-            attempt.active = false;
-            activeCount--;
-            actions.cancelSlotRequest(attempt.grant.requestId());
+            releaseUnsent(attempt);
         }
     }
 
+    /** Releases the slot as unused; false if it has been released already. */
+    boolean releaseUnsent(Attempt attempt) {
+        if (!attempt.active) {
+            return false;
+        }
+        attempt.active = false;
+        activeCount--;
+        actions.cancelSlotRequest(attempt.grant.requestId());
+        return true;
+    }
+
     /** The first usable answer settles: all others are called off. */
     void cancelOthers(Attempt winner, long now) {
         for (int i = 0; i < all.size(); i++) {
