RequestDriver split; the random walk covers preparation; planted faults of tenants and claims

The client's side of a request is ClientReply, its exchanges are HostExchanges, what they have in common is HostCallContext, its timer is LoopTimer. Behaviour is unchanged; three planted faults follow their lines to the new classes.

RequestLifecycleTest walks through quota, claim, repeat, rejection and a send that is rejected, with the production RequestPreparation between gates drawn at random; its checks stay, and the end of the claim is checked too.

--- a/src/main/java/brambletray/platform/proxy/HostExchange.java
+++ b/src/main/java/brambletray/platform/proxy/HostExchange.java
@@ -6,6 +6,7 @@
 /** A request at one of its hosts: between its {@link RequestDriver} and the connection. */
 final class HostExchange implements HostCall {
     private final RequestDriver driver;
+    private final HostCallContext context;
     private final Attempt attempt;
     private final long hostDeadlineMs;
     private final SendPermit permit;
@@ -20,6 +21,7 @@
 
     HostExchange(RequestDriver driver, Attempt attempt, long hostDeadlineMs, SendPermit permit) {
         this.driver = driver;
+        this.context = driver.hostCallContext();
         this.attempt = attempt;
         this.hostDeadlineMs = hostDeadlineMs;
         this.permit = permit;
@@ -63,12 +65,12 @@
     // ---- HostCall -------------------------------------------------------------------------------
     @Override
     public ClientRequest clientRequest() {
-        return driver.clientRequest();
+        return context.clientRequest();
     }
 
     @Override
     public String requestId() {
-        return driver.id();
+        return context.id();
     }
 
     @Override
@@ -83,7 +85,7 @@
 
     @Override
     public boolean requiresOpenConnection() {
-        return driver.requiresOpenConnection();
+        return context.requiresOpenConnection();
     }
 
     @Override
@@ -93,7 +95,7 @@
 
     @Override
     public int maxConnections() {
-        return driver.maxConnections();
+        return context.maxConnections();
     }
 
     @Override
@@ -103,7 +105,7 @@
 
     @Override
     public MemoryBudget memoryBudget() {
-        return driver.memoryBudget();
+        return context.memoryBudget();
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/brambletray/platform/proxy/LoopTimer.java
@@ -0,0 +1,41 @@
+package brambletray.platform.proxy;
+
+import brambletray.common.runtime.Machine;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** One timer on the event loop, for the earliest of the times that it is set to. */
+final class LoopTimer {
+    private final Machine machine;
+    private final Runnable action;
+    /** Null while it is not set. */
+    private Future<?> pending;
+    /** When it is due, ms of the steady clock. */
+    private long dueMs;
+
+    LoopTimer(Machine machine, Runnable action) {
+        this.machine = machine;
+        this.action = action;
+    }
+
+    /** Runs the action at this time, unless it is set to an earlier one. */
+    void set(long atMs, long nowMs) {
+        if (pending == null || dueMs > atMs) {
+            stop();
+            dueMs = atMs;
+            pending = machine.loop().schedule(this::run, Math.max(0, atMs - nowMs), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void run() {
+        pending = null;
+        action.run();
+    }
+
+    void stop() {
+        if (pending != null) {
+            pending.cancel(false);
+            pending = null;
+        }
+    }
+}
--- a/src/main/java/brambletray/platform/proxy/RequestDriver.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDriver.java
@@ -5,10 +5,6 @@
 import brambletray.platform.admission.SlotGrant;
 import brambletray.platform.admission.SlotRequest;
 import io.netty.buffer.ByteBuf;
-import io.netty.util.concurrent.Future;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Carries out what a {@link RequestLifecycle} wants, and passes events to it: between one client, the slot broker and
@@ -17,23 +13,17 @@
 final class RequestDriver implements RequestActions {
     private final RequestRouter router;
     private final ClientRequest clientRequest;
-    private final String id;
-    private final RequestPlan plan;
-    private final int maxConnections;
     private final RequestLifecycle lifecycle;
     private final HedgeDelay hedgeDelay;
     private final RequestPreparation preparation;
-    private final List<HostExchange> exchanges = new ArrayList<>(2);
-    /** Null once it has its answer or is gone. */
-    private ClientConnection client;
+    private final HostExchanges exchanges = new HostExchanges();
+    private final HostCallContext hostCallContext;
+    private final LoopTimer timer;
+    private final ClientReply clientReply;
     /** Of an earlier attempt of the operation; null: none. */
     private RecordedAnswer recordedAnswer;
-    /** Where the answer comes from that is given on as it comes. */
-    private HostExchange streamingExchange;
 
-    private Future<?> timer;
-    private long timerAtMs;
-    private boolean bodyReleased = true;
+    private boolean bodyHeld = true;
     private boolean finished;
 
     RequestDriver(
@@ -44,12 +34,12 @@
             RequestPlan plan,
             int maxConnections) {
         this.router = router;
-        this.client = client;
         this.clientRequest = clientRequest;
-        this.id = id;
-        this.plan = plan;
-        this.maxConnections = maxConnections;
+        this.hostCallContext =
+                new HostCallContext(clientRequest, id, !plan.idempotent(), maxConnections, router.memoryBudget());
+        this.timer = new LoopTimer(router.machine(), this::tick);
         this.hedgeDelay = router.hedgeDelay(plan.service());
+        this.clientReply = new ClientReply(router, client, clientRequest, id, plan.service());
         this.preparation =
                 new RequestPreparation(plan, router.quotaGate(), router.operationGate(), new PreparationListener());
         this.lifecycle = new RequestLifecycle(
@@ -64,10 +54,8 @@
     // ---- From the client ------------------------------------------------------------------------
     /** The client is gone; nobody reads what still comes. */
     void onClientGone() {
-        if (client != null) {
-            router.counters().clientsGone++;
-            clientForResponse();
-            onClientWritable();
+        if (clientReply.isOpen()) {
+            clientReply.onClientGone();
             lifecycle.onClientGone(router.now());
             afterEvent();
         }
@@ -81,17 +69,7 @@
 
     /** The client can take more of an answer. */
     void onClientWritable() {
-        if (streamingExchange != null) {
-            streamingExchange.resume();
-        }
-    }
-
-    /** The client, for its last word. */
-    private ClientConnection clientForResponse() {
-        ClientConnection to = client;
-        client = null;
-        router.onAnswered();
-        return to;
+        clientReply.onClientWritable();
     }
 
     // ---- Time -----------------------------------------------------------------------------------
@@ -106,42 +84,25 @@
                 preparation.onOver(lifecycle.runState());
                 router.onFinished();
             }
-            stopTimer();
-            return;
-        }
-        long due = lifecycle.nextDueMs();
-        if (timer == null || timerAtMs > due) {
-            stopTimer();
-            timerAtMs = due;
-            timer = router.machine()
-                    .loop()
-                    .schedule(this::tick, Math.max(0, due - router.now()), TimeUnit.MILLISECONDS);
+            timer.stop();
+        } else {
+            timer.set(lifecycle.nextDueMs(), router.now());
         }
     }
 
     private void tick() {
-        timer = null;
         lifecycle.tick(router.now());
         afterEvent();
     }
 
-    private void stopTimer() {
-        if (timer != null) {
-            timer.cancel(false);
-            timer = null;
-        }
-    }
-
     private void releaseBody() {
-        if (bodyReleased) {
-            bodyReleased = false;
+        if (bodyHeld) {
+            bodyHeld = false;
             int bytes = clientRequest.body().readableBytes();
             clientRequest.release();
             router.memoryBudget().release(bytes);
         }
-        for (int i = 0; i < exchanges.size(); i++) {
-            exchanges.get(i).releaseResponse();
-        }
+        exchanges.releaseResponses();
     }
 
     // ---- RequestActions -------------------------------------------------------------------------
@@ -178,13 +139,7 @@
 
     @Override
     public void passRecordedAnswer() {
-        HostResponse response = recordedAnswer.toResponse(id, clientRequest.head(), router.memoryBudget());
-        if (response == null) {
-            respond(503, RequestRouter.RETRY_AFTER_MS);
-        } else {
-            router.counters().repeatsAnswered++;
-            clientForResponse().writeResponse(response);
-        }
+        clientReply.passRecorded(recordedAnswer);
     }
 
     @Override
@@ -221,11 +176,7 @@
     }
 
     private SendPermit permit(Attempt attempt) {
-        if (!plan.isLimited()) {
-            return SendPermit.UNLIMITED;
-        }
-        QuotaGate.Right right = preparation.takeRight();
-        return new SendPermit(router.quotaGate(), plan.tenant(), right, new SendPermit.Events() {
+        return preparation.permit(new SendPermit.Events() {
             @Override
             public void onPermitted() {
                 router.connectionPools().send((HostExchange) attempt.tag);
@@ -258,14 +209,13 @@
     @Override
     public void passResponse(Attempt attempt) {
         countPassed(attempt);
-        clientForResponse().writeResponse(((HostExchange) attempt.tag).takeResponse());
+        clientReply.pass(((HostExchange) attempt.tag).takeResponse());
     }
 
     @Override
     public void startStreaming(Attempt attempt) {
         countPassed(attempt);
-        streamingExchange = (HostExchange) attempt.tag;
-        client.startStreaming(streamingExchange.streamingResponse());
+        clientReply.startStreaming((HostExchange) attempt.tag);
     }
 
     private void countPassed(Attempt attempt) {
@@ -275,77 +225,22 @@
 
     @Override
     public void finishStreaming() {
-        streamingExchange = null;
-        if (client != null) {
-            clientForResponse().finishStreaming();
-        }
+        clientReply.finishStreaming();
     }
 
     @Override
     public void abortClient() {
-        streamingExchange = null;
-        if (client != null) {
-            router.counters().failed++;
-            clientForResponse().abort();
-        }
+        clientReply.abort();
     }
 
     @Override
     public void respond(int status, int retryAfterMs) {
-        boolean refused = status == 503 || status == 429;
-        router.counters().repeatsInWork += status == 409 ? 1 : 0;
-        router.counters().unavailable += status == 503 ? 1 : 0;
-        router.counters().overQuota += status == 429 ? 1 : 0;
-        router.counters().timedOut += status == 504 ? 1 : 0;
-        router.counters().failed += status == 502 ? 1 : 0;
-        if (!refused) {
-            router.rateLimitedLog()
-                    .info(router.now(), "gave-up")
-                    .with("status", status)
-                    .with("id", id)
-                    .with("service", plan.service())
-                    .with("hosts", exchanges.size())
-                    .with("took", router.now() - clientRequest.receivedAtMs())
-                    .log();
-        }
-        clientForResponse()
-                .writeOwnResponse(
-                        status,
-                        code(status),
-                        !refused ? -1 : retryAfterMs < 0 ? RequestRouter.RETRY_AFTER_MS : retryAfterMs,
-                        id,
-                        clientRequest.head());
-    }
-
-    private static String code(int status) {
-        return switch (status) {
-            case 409 -> "proxy.operation-in-work";
-            case 429 -> "proxy.over-quota";
-            case 503 -> "proxy.no-place";
-            case 504 -> "proxy.out-of-time";
-            default -> "proxy.host-failed";
-        };
+        clientReply.respond(status, retryAfterMs, exchanges.count());
     }
 
     // ---- From hosts -----------------------------------------------------------------------------
-    ClientRequest clientRequest() {
-        return clientRequest;
-    }
-
-    String id() {
-        return id;
-    }
-
-    boolean requiresOpenConnection() {
-        return !plan.idempotent();
-    }
-
-    int maxConnections() {
-        return maxConnections;
-    }
-
-    MemoryBudget memoryBudget() {
-        return router.memoryBudget();
+    HostCallContext hostCallContext() {
+        return hostCallContext;
     }
 
     void onConnected(Attempt attempt) {
@@ -373,20 +268,11 @@
     }
 
     boolean onContent(ByteBuf bytes) {
-        if (client == null) {
-            bytes.release();
-            return true;
-        }
-        return client.writeMore(bytes);
+        return clientReply.onContent(bytes);
     }
 
     boolean wasSentOn(HostConnection connection) {
-        for (int i = 0; i < exchanges.size(); i++) {
-            if (exchanges.get(i).usedConnection(connection)) {
-                return true;
-            }
-        }
-        return false;
+        return exchanges.used(connection);
     }
 
     /** Whether its byte may still go out now. */
--- a/src/main/java/brambletray/platform/proxy/RequestPreparation.java
+++ b/src/main/java/brambletray/platform/proxy/RequestPreparation.java
@@ -82,11 +82,14 @@
         };
     }
 
-    /** The right that was acquired, for the first attempt; null for later ones. */
-    QuotaGate.Right takeRight() {
+    /** The permit of the next attempt; the right that was acquired is the first one's. */
+    SendPermit permit(SendPermit.Events events) {
+        if (!plan.isLimited()) {
+            return SendPermit.UNLIMITED;
+        }
         QuotaGate.Right taken = right;
         right = null;
-        return taken;
+        return new SendPermit(quotaGate, plan.tenant(), taken, events);
     }
 
     /** Whether the request may still be sent under its claim. */
--- a/src/test/java/brambletray/platform/edge/OperationClientTest.java
+++ b/src/test/java/brambletray/platform/edge/OperationClientTest.java
@@ -1,6 +1,8 @@
 package brambletray.platform.edge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
@@ -13,6 +15,7 @@
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.operations.OperationRegistry.Outcome;
+import brambletray.platform.operations.OperationState;
 import brambletray.platform.operations.ResultResponse;
 import brambletray.platform.proxy.OperationClaim;
 import brambletray.platform.proxy.OperationGate;
@@ -69,6 +72,11 @@
         private long tickAtMs = Long.MAX_VALUE;
 
         private boolean linksUp = true;
+        /** Its links to other edges are being made: frames are lost, and nobody is unreachable yet. */
+        private boolean linksAreMade;
+        /** What comes while it stands still; null while it runs. */
+        private List<Runnable> missed;
+
         private OperationClient client;
         private final Map<String, OperationGate.Listener> listeners = new HashMap<>();
         private final Map<String, OperationClaim> claims = new HashMap<>();
@@ -80,6 +88,10 @@
         }
 
         void claim(String attempt) {
+            claim(attempt, KEY);
+        }
+
+        void claim(String attempt, OperationKey key) {
             OperationGate.Listener listener = new OperationGate.Listener() {
                 @Override
                 public void onClaimed(OperationClaim claim) {
@@ -107,7 +119,7 @@
                 }
             };
             listeners.put(attempt, listener);
-            client.claim(KEY, 100, listener);
+            client.claim(key, 100, listener);
         }
 
         OperationGate.Progress cancel(String attempt) {
@@ -122,6 +134,25 @@
             return heard.getOrDefault(attempt, "nothing");
         }
 
+        /** The process stands still; its links stay up. */
+        void freezes() {
+            missed = new ArrayList<>();
+        }
+
+        void thaws() {
+            List<Runnable> late = missed;
+            missed = null;
+            late.forEach(Runnable::run);
+        }
+
+        private void happens(Runnable event) {
+            if (missed != null) {
+                missed.add(event);
+            } else if (alive) {
+                event.run();
+            }
+        }
+
         void dies() {
             alive = false;
         }
@@ -163,12 +194,8 @@
         }
 
         private void deliver(Edge to, Object frame) {
-            if (to.linksUp && linksUp) {
-                after(LINK_MS, () -> {
-                    if (to.alive) {
-                        to.client.onEdgeFrame(name, frame);
-                    }
-                });
+            if (to.linksUp && linksUp && !to.linksAreMade && !linksAreMade) {
+                after(LINK_MS, () -> to.happens(() -> to.client.onEdgeFrame(name, frame)));
             }
         }
 
@@ -179,12 +206,14 @@
             }
             tickAtMs = atMs;
             OperationClient ticked = client;
-            after(Math.max(1, atMs - now), () -> {
-                if (alive && client == ticked && tickAtMs == atMs) {
-                    tickAtMs = Long.MAX_VALUE;
-                    client.tick();
-                }
-            });
+            after(
+                    Math.max(1, atMs - now),
+                    () -> happens(() -> {
+                        if (client == ticked && tickAtMs == atMs) {
+                            tickAtMs = Long.MAX_VALUE;
+                            client.tick();
+                        }
+                    }));
         }
     }
 
@@ -223,8 +252,8 @@
 
     private void answer(Edge edge, Object frame) {
         after(LINK_MS, () -> {
-            if (edge.alive && coordinatorUp) {
-                edge.client.onCoordinatorFrame(frame);
+            if (coordinatorUp) {
+                edge.happens(() -> edge.client.onCoordinatorFrame(frame));
             }
         });
     }
@@ -418,4 +447,138 @@
         heard.add(edge("b").hears("r2"));
         assertEquals(List.of("nothing", "answered first"), heard);
     }
+
+    // ---- Holders that stand still, links that are made, answers that are dropped ----------------------
+    @Test
+    void aHolderThatStandsStillIsWaitedForAndNobodyCanTell() {
+        edge("a").claim("r1");
+        until(10);
+        edge("a").freezes();
+        edge("b").claim("r2");
+        edge("b").claim("r3");
+        until(600);
+        assertEquals("nothing", edge("b").hears("r2"));
+        assertEquals(OperationGate.Progress.UNKNOWN, edge("b").cancel("r2"));
+        edge("a").thaws();
+        until(620);
+        edge("a").completes("r1", "first");
+        until(630);
+        assertEquals(
+                "nothing answered first",
+                edge("b").hears("r2") + " " + edge("b").hears("r3"));
+    }
+
+    @Test
+    void aClaimOfAnEdgeThatStoodStillIsNotUsedLate() {
+        edge("a").claim("r1");
+        until(10);
+        assertTrue(edge("a").claims.get("r1").isUsable());
+        edge("a").freezes();
+        until(WINDOW_MS);
+        edge("a").thaws();
+        assertFalse(edge("a").claims.get("r1").isUsable());
+    }
+
+    @Test
+    void aGrantThatCameWhileTheEdgeStoodStillIsAsOldAsItsRequest() {
+        edge("a").claim("r1");
+        edge("a").freezes();
+        until(WINDOW_MS);
+        edge("a").thaws();
+        OperationClaim late = edge("a").claims.get("r1");
+        assertTrue(late == null || !late.isUsable());
+    }
+
+    @Test
+    void anAnswerThatWasDroppedIsUnknownEverywhere() {
+        Edge a = edge("a");
+        a.claim("r1");
+        until(10);
+        a.completes("r1", "first");
+        for (int i = 0; i < 80; i++) {
+            a.claim("more" + i, OperationKey.of("t", "more" + i));
+        }
+        until(20);
+        for (int i = 0; i < 80; i++) {
+            a.completes("more" + i, "x".repeat(250_000));
+        }
+        a.claim("r2");
+        edge("b").claim("r3");
+        until(40);
+        assertEquals("unknown unknown", a.hears("r2") + " " + edge("b").hears("r3"));
+        a.claim("r4", OperationKey.of("t", "more79"));
+        assertEquals("answered x", a.hears("r4").substring(0, 10));
+    }
+
+    @Test
+    void whatIsForgottenIsUnknown() {
+        Edge a = edge("a");
+        a.claim("r1");
+        until(10);
+        a.completes("r1", "first");
+        edge("b").claim("r2");
+        edge("b").linksAreMade = true;
+        until(WINDOW_MS + 20_000);
+        a.client.forgetOld();
+        edge("b").linksAreMade = false;
+        edge("b").client.onLinkUp("a");
+        until(WINDOW_MS + 20_100);
+        assertEquals("unknown", edge("b").hears("r2"));
+    }
+
+    @Test
+    void queriesWaitUntilTheLinkIsUp() {
+        edge("a").claim("r1");
+        until(10);
+        Edge b = edge("b");
+        b.linksAreMade = true;
+        b.claim("r2");
+        b.claim("r3");
+        until(200);
+        assertEquals("nothing", b.hears("r2"));
+        assertEquals(OperationGate.Progress.UNKNOWN, b.cancel("r3"));
+        b.linksAreMade = false;
+        b.client.onLinkUp("a");
+        until(210);
+        edge("a").completes("r1", "first");
+        until(220);
+        assertEquals("answered first nothing", b.hears("r2") + " " + b.hears("r3"));
+    }
+
+    @Test
+    void eachOperationHasItsOwnAnswer() {
+        OperationKey other = OperationKey.of("t", "other");
+        edge("a").claim("r1");
+        edge("a").claim("r2", other);
+        until(10);
+        assertEquals("claimed claimed", edge("a").hears("r1") + " " + edge("a").hears("r2"));
+        edge("a").completes("r1", "first");
+        edge("a").completes("r2", "second");
+        edge("b").claim("r3");
+        edge("b").claim("r4", other);
+        edge("a").claim("r5");
+        edge("a").claim("r6", other);
+        until(30);
+        assertEquals("answered first", edge("b").hears("r3"));
+        assertEquals("answered second", edge("b").hears("r4"));
+        assertEquals("answered first", edge("a").hears("r5"));
+        assertEquals("answered second", edge("a").hears("r6"));
+    }
+
+    @Test
+    void onlyTheEdgeThatWasAskedAnswers() {
+        edge("a").claim("r1");
+        until(10);
+        edge("b").claim("r2");
+        until(20);
+        for (long queryId = 0; queryId < 10; queryId++) {
+            byte[] forged = "forged".getBytes(StandardCharsets.UTF_8);
+            edge("b")
+                    .client
+                    .onEdgeFrame("c", new ResultResponse(queryId, OperationState.DONE, 200, "OK", List.of(), forged));
+        }
+        edge("a").completes("r1", "first");
+        until(30);
+        assertEquals("answered first", edge("b").hears("r2"));
+    }
 }
--- a/src/test/java/brambletray/platform/proxy/Mutant.java
+++ b/src/test/java/brambletray/platform/proxy/Mutant.java
@@ -14,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,18 +26,21 @@
 import javax.tools.ToolProvider;
 
 /**
- * This package with a faulty step planted in its sources, compiled in memory and loaded beside the sound one: so no
+ * A package with a faulty step planted in its sources, this one unless another is named, compiled in memory and loaded beside the sound one: so no
  * production class needs a switch for its own faults. A step is found by its text, which must be there exactly once:
  * who changes the line is told to look at the fault too.
  */
-final class Mutant extends ClassLoader {
+public final class Mutant extends ClassLoader {
     private static final Path SOURCES = Path.of("src/main/java");
-    private static final String PACKAGE = Mutant.class.getPackageName() + ".";
+
+    /** The package that is loaded anew, with its dot. */
+    private final String prefix;
 
     private final Map<String, byte[]> changed;
 
-    private Mutant(Map<String, byte[]> changed) {
+    private Mutant(String prefix, Map<String, byte[]> changed) {
         super(Mutant.class.getClassLoader());
+        this.prefix = prefix;
         this.changed = changed;
     }
 
@@ -45,10 +49,16 @@
      * threes.
      */
     static Mutant of(String... edits) {
+        return in(Mutant.class, edits);
+    }
+
+    /** The same for the package of another class. */
+    public static Mutant in(Class<?> neighbour, String... edits) {
+        String prefix = neighbour.getPackageName() + ".";
         Map<String, String> sources = new HashMap<>();
         for (int i = 0; i < edits.length; i += 3) {
             String name = edits[i];
-            String source = sources.computeIfAbsent(name, Mutant::source);
+            String source = sources.computeIfAbsent(name, simple -> source(prefix + simple));
             String there = edits[i + 1];
             assertEquals(
                     1,
@@ -56,12 +66,12 @@
                     "times in " + name + ": " + there);
             sources.put(name, source.replace(there, edits[i + 2]));
         }
-        return new Mutant(sources.isEmpty() ? Map.of() : compile(sources));
+        return new Mutant(prefix, sources.isEmpty() ? Map.of() : compile(sources));
     }
 
     private static String source(String name) {
         try {
-            return Files.readString(SOURCES.resolve((PACKAGE + name).replace('.', '/') + ".java"));
+            return Files.readString(SOURCES.resolve(name.replace('.', '/') + ".java"));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -112,7 +122,7 @@
     @Override
     protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
         // The whole package, tests included: two loaders' classes of one package do not see each other.
-        if (!name.startsWith(PACKAGE)) {
+        if (!name.startsWith(prefix)) {
             return super.loadClass(name, resolve);
         }
         synchronized (getClassLoadingLock(name)) {
@@ -136,14 +146,19 @@
         return defineClass(name, bytes, 0, bytes.length);
     }
 
-    /** Runs one method of a test, on a new instance, after its {@code open}; what it asserts in vain, or null. */
-    String fails(Class<?> test, String method) {
+    /**
+     * Runs one method of a test, on a new instance, after its {@code open} if it has one; what it asserts in vain, or
+     * null.
+     */
+    public String fails(Class<?> test, String method) {
         try {
             Class<?> loaded = loadClass(test.getName());
             Constructor<?> constructor = loaded.getDeclaredConstructor();
             constructor.setAccessible(true);
             Object instance = constructor.newInstance();
-            run(loaded, "open", instance);
+            if (hasOpen(loaded)) {
+                run(loaded, "open", instance);
+            }
             run(loaded, method, instance);
             return null;
         } catch (InvocationTargetException e) {
@@ -156,6 +171,11 @@
         }
     }
 
+    private static boolean hasOpen(Class<?> type) {
+        return Arrays.stream(type.getDeclaredMethods())
+                .anyMatch(method -> method.getName().equals("open"));
+    }
+
     private static void run(Class<?> type, String method, Object on) throws ReflectiveOperationException {
         Method found = type.getDeclaredMethod(method);
         found.setAccessible(true);
--- a/src/test/java/brambletray/platform/proxy/PlantedFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedFaultsTest.java
@@ -78,7 +78,7 @@
                 fault(
                         "a request sent again on a line that may still bear its first refusal",
                         "TWICE|REFUSED",
-                        "RequestDriver",
+                        "HostExchanges",
                         "            if (exchanges.get(i).usedConnection(connection)) {",
                         "            if (false) {"),
                 fault(
@@ -224,7 +224,7 @@
                 fault(
                         "a second answer for a client that has one",
                         "MIXED|FAULT",
-                        "RequestDriver",
+                        "ClientReply",
                         "        ClientConnection to = client;\n        client = null;\n",
                         "        ClientConnection to = client;\n",
                         "RequestLifecycle",
--- a/src/test/java/brambletray/platform/proxy/PlantedTimelineFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedTimelineFaultsTest.java
@@ -189,13 +189,16 @@
                         "                lifecycle.onGranted(grant, router.now());",
                         "                if (router.deadlineMs(clientRequest.headers(), "
                                 + "clientRequest.uri(), 0) == Long.MAX_VALUE) {\n                    "
-                                + "client.abort();\n                }\n                lifecycle.onGranted(grant, "
-                                + "router.now());"),
+                                + "clientReply.cut();\n                }\n                lifecycle.onGranted(grant, "
+                                + "router.now());",
+                        "ClientReply",
+                        "    void abort() {\n",
+                        "    void cut() {\n        client.abort();\n    }\n\n    void abort() {\n"),
                 fault(
                         "a withdrawn route ends what is streamed",
                         ConfigurationChangeTest.class,
                         "theRouteIsWithdrawnWhileAnAnswerIsStreamed",
-                        "RequestDriver",
+                        "ClientReply",
                         "        return client.writeMore(bytes);",
                         "        if (router.deadlineMs(clientRequest.headers(), clientRequest.uri(), 0) "
                                 + "== Long.MAX_VALUE) {\n            client.abort();\n        }\n        return "
--- a/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -6,6 +6,8 @@
 import brambletray.platform.admission.AttemptOutcome;
 import brambletray.platform.admission.SlotGrant;
 import brambletray.platform.admission.SlotRequest;
+import brambletray.platform.configuration.Tenant;
+import brambletray.platform.operations.OperationKey;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,18 +21,22 @@
 class RequestLifecycleTest {
     private static final int WALKS = 30_000;
     private static final int STEPS = 60;
+    private static final Tenant LIMITED = new Tenant("t", List.of(), 1, 10, 5);
+    private static final Tenant UNLIMITED = new Tenant("u", List.of(), 1, 0, 0);
 
     /** The world of one walk: the broker, hosts and the client. */
-    private static final class World implements RequestActions {
+    static final class World implements RequestActions {
         final SplittableRandom random;
         final RequestPlan plan;
         final RequestLifecycle lifecycle;
+        final ScriptedPreparation preparation;
         final List<SlotRequest> asks = new ArrayList<>();
         final List<SlotRequest> forgotten = new ArrayList<>();
         final Set<Long> held = new HashSet<>();
         final Map<Attempt, Boolean> attempts = new HashMap<>();
         final Set<String> sentTo = new HashSet<>();
         int mayHaveRun;
+        int brokenOff;
         int words;
         int hosts;
         long now = 1_000;
@@ -43,38 +49,44 @@
 
         World(long seed) {
             random = new SplittableRandom(seed);
+            boolean keyed = random.nextInt(3) == 0;
             plan = new RequestPlan(
                     "s",
-                    random.nextBoolean(),
+                    !keyed && random.nextBoolean(),
                     1 + random.nextInt(3),
                     1,
                     400,
                     false,
-                    null,
-                    null,
-                    false,
+                    random.nextBoolean() ? null : random.nextBoolean() ? LIMITED : UNLIMITED,
+                    keyed ? OperationKey.of("t", "k") : null,
+                    random.nextBoolean(),
                     now + 1 + random.nextInt(600));
+            preparation = new ScriptedPreparation(this);
             lifecycle = new RequestLifecycle(plan, this, () -> 1 + random.nextInt(200), () -> ++ids, "e", "z", now);
         }
 
         @Override
         public void prepare() {
-            throw new AssertionError("nothing to prepare without a tenant");
+            assertTrue(plan.isLimited() || plan.operation() != null, "nothing to prepare");
+            preparation.start();
         }
 
         @Override
         public int cancelPreparation() {
-            throw new AssertionError("nothing to prepare without a tenant");
+            return preparation.cancel();
         }
 
         @Override
         public void passRecordedAnswer() {
-            throw new AssertionError("nothing is recorded without an operation");
+            assertTrue(preparation.isRepeatAnswered, "nothing is recorded");
+            assertTrue(mayHaveRun == 0 && sentTo.isEmpty(), "a repeat that ran");
+            word();
         }
 
         @Override
         public void requestSlot(SlotRequest ask) {
             assertTrue(asks.isEmpty(), "one ask at a time");
+            preparation.assertPrepared();
             assertTrue(
                     !ask.hedge() || plan.idempotent() && !attempts.isEmpty(),
                     "a copy only of what is out and may be repeated");
@@ -152,6 +164,12 @@
         public void respond(int status, int comeBackMs) {
             word();
             assertTrue(status != 503 || mayHaveRun == 0, "503 promises that it never ran (rule REFUSED)");
+            assertTrue(status != 429 || mayHaveRun == 0, "429 promises that it never ran (rule REFUSED)");
+            if (preparation.ownStatus != 0) {
+                assertEquals(preparation.ownStatus, status, "what the preparation or the send was refused with");
+                assertEquals(0, mayHaveRun, "refused before it was sent");
+                return;
+            }
             assertTrue(status == 503 || mayHaveRun > 0, "a request that provably never ran is refused: " + status);
         }
 
@@ -202,9 +220,15 @@
             all.sort(java.util.Comparator.comparing(attempt -> attempt.grant.instanceId()));
             Attempt attempt = all.get(random.nextInt(all.size()));
             if (!attempt.onSent()) {
-                if (random.nextInt(3) == 0) {
+                int chance = random.nextInt(6);
+                if (chance < 2) {
                     attempts.remove(attempt);
                     lifecycle.onUnreachable(attempt, now);
+                } else if (chance == 2 && plan.isLimited()) {
+                    sendRejected(attempt);
+                } else if (!preparation.allowsSending()) {
+                    lifecycle.answerNow(now);
+                    assertTrue(!attempt.active, "sent under a claim that is too old (rule TWICE)");
                 } else {
                     sent(attempt);
                 }
@@ -225,16 +249,34 @@
                 default -> AttemptOutcome.SERVED;
             };
             mayHaveRun -= fate == AttemptOutcome.NOT_RUN || fate == AttemptOutcome.WRONG_HOST ? 1 : 0;
+            brokenOff += fate == AttemptOutcome.BROKEN ? 1 : 0;
+            boolean withheld = random.nextBoolean();
+            if (!flows && (fate == AttemptOutcome.SERVED || fate == AttemptOutcome.FAILED && !withheld)) {
+                preparation.onHostAnswer();
+            }
             settling = fate == AttemptOutcome.SERVED;
-            lifecycle.onEnded(attempt, fate, random.nextBoolean(), now);
+            lifecycle.onEnded(attempt, fate, withheld, now);
             settling = false;
         }
 
+        /** The tenant's quota has no right for this attempt any more, or nobody can tell. */
+        private void sendRejected(Attempt attempt) {
+            attempts.remove(attempt);
+            boolean ranNowhere = mayHaveRun == 0;
+            boolean lastOne = attempts.isEmpty() && asks.isEmpty();
+            int status = random.nextBoolean() ? 429 : 503;
+            preparation.ownStatus = ranNowhere && lastOne ? status : 0;
+            lifecycle.onSendRejected(attempt, status, random.nextInt(300) - 1, now);
+            assertTrue(!held.contains(attempt.grant.requestId()), "a place for nothing is kept");
+            assertTrue(!lastOne || lifecycle.isSettled(), "answered, as nothing else is out");
+        }
+
         private void sent(Attempt attempt) {
             assertTrue(plan.idempotent() || mayHaveRun == 0, "must not run twice (rule TWICE)");
             assertTrue(
                     sentTo.add(attempt.grant.instanceId()) && sentTo.size() <= plan.maxInstances(),
                     "to another host each time, as many as allowed");
+            preparation.assertPrepared();
             mayHaveRun++;
             lifecycle.onSent(attempt, now);
         }
@@ -260,6 +302,8 @@
     @Test
     void theRulesHoldWhateverHappens() {
         int answered = 0;
+        int claimed = 0;
+        int repeats = 0;
         for (long seed = 1; seed <= WALKS; seed++) {
             World world = new World(seed);
             try {
@@ -268,15 +312,23 @@
                 throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
             }
             answered += world.words;
+            claimed += world.preparation.claimEnds;
+            repeats += world.preparation.isRepeatAnswered ? 1 : 0;
         }
         assertTrue(answered > WALKS / 2, "walks end with an answer");
+        assertTrue(claimed > WALKS / 20, "walks claim their operation: " + claimed);
+        assertTrue(repeats > WALKS / 100, "walks are repeats: " + repeats);
     }
 
     private static void walk(World world) {
         world.lifecycle.start(world.now);
+        world.preparation.endIfOver();
         for (int step = 0; step < STEPS && !world.lifecycle.isOver(); step++) {
             switch (world.random.nextInt(12)) {
-                case 0, 1, 2 -> world.broker();
+                case 0, 1, 2 -> {
+                    world.preparation.act();
+                    world.broker();
+                }
                 case 3, 4, 5, 6 -> world.host();
                 case 7 -> {
                     world.lateGrant();
@@ -289,6 +341,7 @@
                 }
                 default -> world.time(world.random.nextInt(60));
             }
+            world.preparation.endIfOver();
         }
         world.time(2_000);
         while (!world.forgotten.isEmpty()) {
@@ -298,6 +351,8 @@
         assertEquals(world.gone ? 0 : 1, world.words, "one answer, unless nobody waits");
         assertTrue(world.saidAt <= world.plan.deadlineMs(), "in time");
         assertEquals(world.flowing, world.ended, "what flows ends");
+        world.preparation.endIfOver();
+        world.preparation.assertNothingLeft();
         assertTrue(world.held.isEmpty() && world.attempts.isEmpty() && world.asks.isEmpty(), "nothing is left over");
     }
 }
