--- a/src/main/java/brambletray/platform/proxy/ClientRequest.java
+++ b/src/main/java/brambletray/platform/proxy/ClientRequest.java
@@ -1,7 +1,10 @@
 package brambletray.platform.proxy;
 
+import brambletray.platform.configuration.Tenant;
+import brambletray.platform.operations.OperationKey;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Iterator;
 
 /**
  * A complete request of a client. {@code at}: arrival of its head, ms of the steady clock; {@code bodied}: a body was
@@ -34,4 +37,14 @@
     void release() {
         body.release();
     }
+
+    /** The operation of this tenant, null for nobody, that the headers name; null where they name none, or two. */
+    OperationKey operation(Tenant tenant) {
+        Iterator<String> keys = headers.valueStringIterator(OPERATION_KEY);
+        String key = keys.hasNext() ? keys.next().strip() : "";
+        if (key.isEmpty() || keys.hasNext()) {
+            return null;
+        }
+        return OperationKey.of(tenant == null ? "" : tenant.name(), key);
+    }
 }
--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -153,14 +153,12 @@
             return;
         }
         Tenant tenant = authentication.tenant();
-        OperationKey operation = null;
-        if (route.kind() == RouteKind.KEYED) {
-            operation = operation(headers, tenant);
-            if (operation == null) {
-                counters.clientErrors++;
-                respond(client, clientRequest, 400, "proxy.no-operation-key", -1, id);
-                return;
-            }
+        boolean keyed = route.kind() == RouteKind.KEYED;
+        OperationKey operation = keyed ? clientRequest.operation(tenant) : null;
+        if (keyed && operation == null) {
+            counters.clientErrors++;
+            respond(client, clientRequest, 400, "proxy.no-operation-key", -1, id);
+            return;
         }
         String service = route.selectService(shares.nextDouble());
         Service known = now.services().get(service);
@@ -183,16 +181,6 @@
         driver.start();
     }
 
-    /** The operation that the headers name; null where they name none, or more than one. */
-    private static OperationKey operation(HttpHeaders headers, Tenant tenant) {
-        Iterator<String> keys = headers.valueStringIterator(ClientRequest.OPERATION_KEY);
-        String key = keys.hasNext() ? keys.next().strip() : "";
-        if (key.isEmpty() || keys.hasNext()) {
-            return null;
-        }
-        return OperationKey.of(tenant == null ? "" : tenant.name(), key);
-    }
-
     /** Answers a request that the configuration here does not allow; a newer one may allow it. */
     private void deny(ClientConnection client, ClientRequest clientRequest, int status, String code, String id) {
         if (configuration.mayBeOutdated()) {
--- a/src/test/java/brambletray/platform/proxy/Mutant.java
+++ b/src/test/java/brambletray/platform/proxy/Mutant.java
@@ -26,9 +26,9 @@
 import javax.tools.ToolProvider;
 
 /**
- * A package with a faulty step planted in its sources, this one unless another is named, compiled in memory and loaded beside the sound one: so no
- * production class needs a switch for its own faults. A step is found by its text, which must be there exactly once:
- * who changes the line is told to look at the fault too.
+ * A package with a faulty step planted in its sources, this one unless another is named, compiled in memory and loaded
+ * beside the sound one: so no production class needs a switch for its own faults. A step is found by its text, which
+ * must be there exactly once: who changes the line is told to look at the fault too.
  */
 public final class Mutant extends ClassLoader {
     private static final Path SOURCES = Path.of("src/main/java");
--- a/src/test/java/brambletray/platform/proxy/PlantedOperationFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedOperationFaultsTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/** Faults of tenants, quotas and claims in a request's course, each planted, and found by the test that is there for it. */
+/** Faults of tenants, quotas and claims in a request's course, each planted, and found by the test made for it. */
 class PlantedOperationFaultsTest {
     private static Arguments fault(String what, Class<?> test, String method, String... edits) {
         return Arguments.of(what, test, method, edits);
