edge: a time that an earlier one replaced no longer wakes the process

Cause: AdmissionTimer scheduled the earlier time and never cancelled the later one. It is EarliestTimer now, as it serves any task, and cancels it.

Test: EarliestTimerTest.timeThatAnEarlierOneReplacedDoesNotWakeTheProcess failed before with 2 wake-ups where 1 is due.

--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -77,7 +77,7 @@
     private final ConfigurationSubscriber subscriber = new ConfigurationSubscriber(new SubscriberActions());
     private final HeartbeatMonitor heartbeatMonitor;
     private final InstanceAddresses instanceAddresses = new InstanceAddresses();
-    private final AdmissionTimer admissionTimer;
+    private final EarliestTimer admissionTimer;
     private Peer self;
     private Configuration configuration = Configuration.NONE;
     private Roster roster = Roster.NONE;
@@ -99,7 +99,7 @@
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
         AdmissionParameters parameters = admissionParameters(nodeSettings);
         String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
-        admissionTimer = new AdmissionTimer(machine, this::tickAdmission);
+        admissionTimer = new EarliestTimer(machine, this::tickAdmission);
         localAdmission =
                 new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
