edge: ticks run when something is due, not each 50 ms

An edge with nothing to do woke 20 times a second for its tick alone, 1,220 times a second for all edges.

Change: CoordinatorClient, ConfigurationSubscriber and HeartbeatMonitor say when they have something to do next; EdgeProgram ticks then, and each 200 ms at most (the interval of its heartbeats). A roster, a coordinator that was found and a time-out that changes set the next tick anew, so that times of detection stay: a silent peer is suspected when its time is over instead of up to 50 ms later.

--- a/src/main/java/brambletray/platform/distribution/ConfigurationSubscriber.java
+++ b/src/main/java/brambletray/platform/distribution/ConfigurationSubscriber.java
@@ -83,7 +83,12 @@
         }
     }
 
-    /** To be called every few hundred ms. */
+    /** When {@link #tick} has something to do; {@link Long#MAX_VALUE}: not before something else happens. */
+    public long nextDueMs() {
+        return requestPending ? requestedAtMs + retryMs : Long.MAX_VALUE;
+    }
+
+    /** To be called at {@link #nextDueMs}, or more often. */
     public void tick(long nowMs) {
         if (requestPending && nowMs - requestedAtMs >= retryMs) {
             retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
--- a/src/main/java/brambletray/platform/edge/CoordinatorClient.java
+++ b/src/main/java/brambletray/platform/edge/CoordinatorClient.java
@@ -68,6 +68,9 @@
 
         void onRoster(Roster roster);
 
+        /** {@link #nextDueMs} may be earlier than before. */
+        void onTimeoutChanged();
+
         /** The coordinator has announced the newest configuration. */
         void onNewestRevision(long revision);
 
@@ -148,6 +151,14 @@
         }
     }
 
+    /** When {@link #tick} has something to do, unless a message comes before; steady ms. */
+    long nextDueMs() {
+        if (isAttached) {
+            return heartbeatAtMs + HEARTBEAT_TIMEOUT_MS + 1;
+        }
+        return dialer == null ? lastTickMs : connectingSinceMs + timeoutMs + 1;
+    }
+
     private void onCoordinatorLost(String reason, long now) {
         isAttached = false;
         avoided = new Avoided(dialer.target(), term, now + AVOID_MS);
@@ -184,6 +195,7 @@
     private void waitFor(int ms, long now) {
         connectingSinceMs = now;
         timeoutMs = ms;
+        listener.onTimeoutChanged();
     }
 
     private long now() {
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -51,9 +51,14 @@
  */
 public final class EdgeProgram {
     private static final EventLog LOG = EventLog.of("edge");
-    /** ms: between ticks, each of which costs a wake-up; between figures in the log. */
-    private static final int TICK_INTERVAL_MS = 50;
+    /**
+     * ms: between ticks at most, and at least. Each tick costs a wake-up, so that one is run when something is due; the
+     * shorter bound holds where what is due cannot be done yet.
+     */
+    private static final int MAX_TICK_INTERVAL_MS = 200;
 
+    private static final int MIN_TICK_INTERVAL_MS = 50;
+    /** ms between figures in the log. */
     private static final int METRICS_INTERVAL_MS = 5_000;
 
     private static final int HEARTBEAT_INTERVAL_MS = 200;
@@ -78,6 +83,7 @@
     private final HeartbeatMonitor heartbeatMonitor;
     private final InstanceAddresses instanceAddresses = new InstanceAddresses();
     private final EarliestTimer admissionTimer;
+    private final EarliestTimer tickTimer;
     private Peer self;
     private Configuration configuration = Configuration.NONE;
     private Roster roster = Roster.NONE;
@@ -100,6 +106,7 @@
         AdmissionParameters parameters = admissionParameters(nodeSettings);
         String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
         admissionTimer = new EarliestTimer(machine, this::tickAdmission);
+        tickTimer = new EarliestTimer(machine, this::tick);
         localAdmission =
                 new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
@@ -176,7 +183,7 @@
         new Readiness(machine, this::isReady)
                 .listen(readiness)
                 .addListener(release -> onListening("readiness", readiness, release.cause()));
-        machine.loop().scheduleWithFixedDelay(this::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        tickTimer.schedule(now() + MIN_TICK_INTERVAL_MS);
         LOG.info("started")
                 .with("node", self.name())
                 .with("zone", self.zone())
@@ -229,6 +236,16 @@
         } catch (RuntimeException e) {
             LOG.warn("tick-failed").withFailure(e).log();
         }
+        scheduleTick();
+    }
+
+    /** At the earliest time at which a part of the program has something to do. */
+    private void scheduleTick() {
+        long now = now();
+        long dueMs = Math.min(coordinatorClient.nextDueMs(), subscriber.nextDueMs());
+        dueMs = Math.min(dueMs, heartbeatMonitor.nextDueMs());
+        dueMs = Math.min(dueMs, now + MAX_TICK_INTERVAL_MS);
+        tickTimer.schedule(dueMs > now ? dueMs : now + MIN_TICK_INTERVAL_MS);
     }
 
     private void tickAdmission() {
@@ -309,6 +326,7 @@
         localAdmission.onRoster(homeAssignment, gone);
         slotClient.onRoster(homeAssignment);
         heartbeatMonitor.updateRing(new WatchRing(next), now());
+        scheduleTick();
         LOG.info("roster")
                 .with("term", next.term())
                 .with("number", next.number())
@@ -336,6 +354,11 @@
             applyRoster(next);
         }
 
+        @Override
+        public void onTimeoutChanged() {
+            scheduleTick();
+        }
+
         @Override
         public void onNewestRevision(long revision) {
             subscriber.onNewestRevision(revision, now());
@@ -354,6 +377,7 @@
         @Override
         public void onAttached(long term) {
             heartbeatMonitor.onCoordinatorConnected();
+            scheduleTick();
             coordinatorClient.send(localAdmission.knownInstances());
             subscriber.onLinkUp(now());
         }
--- a/src/main/java/brambletray/platform/failuredetection/HeartbeatMonitor.java
+++ b/src/main/java/brambletray/platform/failuredetection/HeartbeatMonitor.java
@@ -57,7 +57,7 @@
     private long lastTickMs = Long.MIN_VALUE;
     private long nextHeartbeatMs = Long.MIN_VALUE;
 
-    /** {@code intervalMs}: ms between two heartbeats; {@link #tick} is to be called about as often, or more often. */
+    /** {@code intervalMs}: ms between two heartbeats; {@link #tick} is to be called as often, or more often. */
     public HeartbeatMonitor(Peer self, int intervalMs, Actions actions) {
         this.name = self.name();
         this.intervalMs = intervalMs;
@@ -99,7 +99,19 @@
         }
     }
 
-    /** Time has passed. */
+    /** When {@link #tick} has something to do next, unless a heartbeat comes before. */
+    public long nextDueMs() {
+        long dueMs = nextHeartbeatMs;
+        for (WatchedPeer watched : watchedPeers.values()) {
+            long peerDueMs = watched.suspected
+                    ? watched.reportedAtMs + (long) REPORT_INTERVALS * intervalMs
+                    : watched.deadlineMs;
+            dueMs = Math.min(dueMs, peerDueMs);
+        }
+        return dueMs;
+    }
+
+    /** Time has passed: to be called at {@link #nextDueMs}, and at least each interval. */
     public void tick(long nowMs) {
         long previous = lastTickMs;
         lastTickMs = nowMs;
--- a/src/test/java/brambletray/platform/edge/CoordinatorClientTest.java
+++ b/src/test/java/brambletray/platform/edge/CoordinatorClientTest.java
@@ -231,6 +231,9 @@
             taken.add(next);
         }
 
+        @Override
+        public void onTimeoutChanged() {}
+
         @Override
         public void onNewestRevision(long revision) {
             newest = revision;
--- a/src/test/java/brambletray/platform/failuredetection/HeartbeatMonitorTest.java
+++ b/src/test/java/brambletray/platform/failuredetection/HeartbeatMonitorTest.java
@@ -72,6 +72,20 @@
         assertEquals(List.of(), notified);
     }
 
+    @Test
+    void ticksThatComeOnlyWhenDueSuspectAsSoonAsTicksThatComeOften() {
+        run(2_000, 1, 2, 3);
+        long silentSince = now;
+        while (notified.isEmpty() && now < silentSince + 2_000) {
+            now = Math.max(now + 1, watch.nextDueMs());
+            watch.onHeartbeat(new Heartbeat("edge-1", 5, 0, 0), now);
+            watch.onHeartbeat(new Heartbeat("edge-2", 5, 0, 0), now);
+            watch.tick(now);
+        }
+        assertEquals(List.of("suspect edge-3"), notified);
+        assertEquals(7 * INTERVAL / 2 - INTERVAL, now - silentSince);
+    }
+
     @Test
     void oneThatFallsSilentIsSuspectedAfterThreeAndAHalfIntervalsAndAgainEachSecond() {
         run(2_000, 1, 2, 3);
