--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -32,10 +32,10 @@
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
-import brambletray.platform.proxy.QuotaGate;
 import brambletray.platform.proxy.Readiness;
 import brambletray.platform.proxy.RequestCounters;
 import brambletray.platform.proxy.RequestRouter;
+import brambletray.platform.quota.QuotaResponse;
 import brambletray.platform.settings.Address;
 import brambletray.platform.settings.NodeSettings;
 import brambletray.platform.transport.FrameCodec;
@@ -77,6 +77,7 @@
     private final GracefulShutdown shutdown;
     private final SlotClient slotClient;
     private final LocalAdmission localAdmission;
+    private final QuotaClient quotaClient;
     private final EdgeLinks edgeLinks;
     private final CoordinatorClient coordinatorClient;
     private final ConfigurationSubscriber subscriber = new ConfigurationSubscriber(new SubscriberActions());
@@ -103,20 +104,21 @@
         self = new Peer(nodeSettings.node(), nodeSettings.zone(), inner.toString(), newIncarnation, Peer.ACTIVE);
         introduction = new LinkIntroduction(self.name(), self.address(), false);
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
-        AdmissionParameters parameters = admissionParameters(nodeSettings);
+        AdmissionParameters parameters = EdgeSettings.admissionParameters(nodeSettings);
         String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
         admissionTimer = new EarliestTimer(machine, this::tickAdmission);
         tickTimer = new EarliestTimer(machine, this::tick);
         localAdmission =
                 new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
+        quotaClient = new QuotaClient(this::sendForQuota, this::now, EdgeSettings.quotaWindowMs(nodeSettings));
         requestRouter = new RequestRouter(
                 machine,
                 self.name(),
                 self.zone(),
                 () -> configuration,
                 slotClient,
-                QuotaGate.UNLIMITED,
+                quotaClient,
                 instanceAddresses::contains,
                 connectionPools,
                 counters,
@@ -129,28 +131,12 @@
                 machine,
                 codec,
                 introduction,
-                coreMembers(nodeSettings),
+                EdgeSettings.coreMembers(nodeSettings),
                 (int) newIncarnation,
                 new CoordinatorListener());
         heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
     }
 
-    private static AdmissionParameters admissionParameters(NodeSettings nodeSettings) {
-        return AdmissionParameters.of(
-                nodeSettings.bounds().retryBudgetRatio(),
-                (int) nodeSettings.bounds().retryBudgetSlack(),
-                (int) (nodeSettings.bounds().retryWindowS() * 1_000),
-                Math.max(1, nodeSettings.zones().size()));
-    }
-
-    private static List<Address> coreMembers(NodeSettings nodeSettings) {
-        List<Address> members = new ArrayList<>();
-        for (Address seed : nodeSettings.seeds()) {
-            members.add(new Address(seed.host(), nodeSettings.internalPortLow()));
-        }
-        return members;
-    }
-
     /** Runs the program until SIGTERM; returns the process's exit code. {@code newIncarnation}: drawn at random. */
     public static void run(NodeSettings nodeSettings, long newIncarnation) {
         Machine machine = Sockets.machine();
@@ -211,6 +197,12 @@
         return !leaving && configuration != Configuration.NONE && roster.find(self.name()) != null;
     }
 
+    /** A request of a tenant waits for its right from now on, and the next tick looks after it. */
+    private boolean sendForQuota(Object frame) {
+        tickTimer.schedule(now() + MIN_TICK_INTERVAL_MS);
+        return coordinatorClient.send(frame);
+    }
+
     private long now() {
         return machine.clock().nanos() / 1_000_000;
     }
@@ -219,6 +211,7 @@
         try {
             long now = now();
             coordinatorClient.tick(now);
+            quotaClient.tick(coordinatorClient.isAttached());
             subscriber.tick(now);
             heartbeatMonitor.tick(now);
             admissionTimer.recover(now);
@@ -244,7 +237,7 @@
         long now = now();
         long dueMs = Math.min(coordinatorClient.nextDueMs(), subscriber.nextDueMs());
         dueMs = Math.min(dueMs, heartbeatMonitor.nextDueMs());
-        dueMs = Math.min(dueMs, now + MAX_TICK_INTERVAL_MS);
+        dueMs = Math.min(dueMs, now + (quotaClient.isIdle() ? MAX_TICK_INTERVAL_MS : MIN_TICK_INTERVAL_MS));
         tickTimer.schedule(dueMs > now ? dueMs : now + MIN_TICK_INTERVAL_MS);
     }
 
@@ -253,7 +246,8 @@
     }
 
     void reloadSettings() {
-        SettingsReload.run(nodeSettings, current -> coordinatorClient.onMembers(coreMembers(current)), LOG);
+        SettingsReload.run(
+                nodeSettings, current -> coordinatorClient.onMembers(EdgeSettings.coreMembers(current)), LOG);
     }
 
     /** Says so first, serves on until clients have been sent elsewhere, then ends with nothing under way. */
@@ -371,13 +365,18 @@
 
         @Override
         public void onFrame(Object frame) {
-            localAdmission.onCoordinatorFrame(frame);
+            if (frame instanceof QuotaResponse response) {
+                quotaClient.onResponse(response);
+            } else {
+                localAdmission.onCoordinatorFrame(frame);
+            }
         }
 
         @Override
         public void onAttached(long term) {
             heartbeatMonitor.onCoordinatorConnected();
             scheduleTick();
+            quotaClient.onAttached(term);
             coordinatorClient.send(localAdmission.knownInstances());
             subscriber.onLinkUp(now());
         }
