--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -13,6 +13,7 @@
 import brambletray.platform.election.LeaseHolder;
 import brambletray.platform.election.LeaseTimings;
 import brambletray.platform.logging.EventLog;
+import brambletray.platform.operations.ClaimWindow;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.replication.DurableState;
 import brambletray.platform.replication.MemberRemovalOutcome;
@@ -80,12 +81,8 @@
         Map<String, byte[]> stored = environment.stored();
         address = nodeSettings.controlPlane().toString();
         operatorCalls = new OperatorCalls(new ReplicaAccess(), this::onConfigurationChanged);
-        OperationRegistry operationRegistry = new OperationRegistry(nowMs());
-        operationClaims = new OperationClaims(
-                operationRegistry,
-                new OperationAccess(),
-                (long) (nodeSettings.bounds().keyWindowS() * 1_000),
-                FIRST_OPERATIONS_TOKEN);
+        OperationRegistry operationRegistry = new OperationRegistry(origin, nowMs());
+        operationClaims = operationClaims(operationRegistry);
         coordinatorSupervisor = new CoordinatorSupervisor(machine, nodeSettings, new MemberAccess(), operationClaims);
         peerLinks = new PeerLinks(
                 machine,
@@ -116,6 +113,14 @@
                 this::nowMs));
     }
 
+    private OperationClaims operationClaims(OperationRegistry registry) {
+        return new OperationClaims(
+                registry,
+                new OperationAccess(),
+                ClaimWindow.standsForMs(nodeSettings.bounds().keyWindowS()),
+                FIRST_OPERATIONS_TOKEN);
+    }
+
     /**
      * Runs the program until SIGTERM. {@code newIncarnation}, {@code origin}: drawn at random. Throws {@link
      * StorageException} if the disk cannot be used.
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -1,7 +1,6 @@
 package brambletray.platform.edge;
 
 import brambletray.common.runtime.Machine;
-import brambletray.platform.admission.AdmissionParameters;
 import brambletray.platform.admission.HeldSlots;
 import brambletray.platform.admission.SlotGrant;
 import brambletray.platform.admission.SlotRedirect;
@@ -29,6 +28,7 @@
 import brambletray.platform.failuredetection.WatchRing;
 import brambletray.platform.logging.EventLog;
 import brambletray.platform.logging.LogEventBuilder;
+import brambletray.platform.operations.ResultResponse;
 import brambletray.platform.proxy.FrontEndServer;
 import brambletray.platform.proxy.GracefulShutdown;
 import brambletray.platform.proxy.HostConnectionPools;
@@ -84,6 +84,8 @@
     private final HeartbeatMonitor heartbeatMonitor;
     private final InstanceAddresses instanceAddresses = new InstanceAddresses();
     private final EarliestTimer admissionTimer;
+    private final OperationClient operationClient;
+    private final EarliestTimer operationTimer;
     private final EarliestTimer tickTimer;
     private Peer self;
     private Configuration configuration = Configuration.NONE;
@@ -104,14 +106,19 @@
         self = new Peer(nodeSettings.node(), nodeSettings.zone(), inner.toString(), newIncarnation, Peer.ACTIVE);
         introduction = new LinkIntroduction(self.name(), self.address(), false);
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
-        AdmissionParameters parameters = EdgeSettings.admissionParameters(nodeSettings);
-        String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
         admissionTimer = new EarliestTimer(machine, this::tickAdmission);
         tickTimer = new EarliestTimer(machine, this::tick);
-        localAdmission =
-                new LocalAdmission(self.name(), self.zone(), nonces, parameters, new AdmissionTransport(), this::now);
+        localAdmission = new LocalAdmission(
+                self.name(),
+                self.zone(),
+                self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL),
+                EdgeSettings.admissionParameters(nodeSettings),
+                new AdmissionTransport(),
+                this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
         quotaClient = new QuotaClient(this::sendForQuota, this::now, EdgeSettings.quotaWindowMs(nodeSettings));
+        operationTimer = new EarliestTimer(machine, this::tickOperations);
+        operationClient = operationClient(newIncarnation);
         requestRouter = new RequestRouter(
                 machine,
                 self.name(),
@@ -119,22 +126,32 @@
                 () -> configuration,
                 slotClient,
                 quotaClient,
+                operationClient,
                 instanceAddresses::contains,
                 connectionPools,
                 counters,
-                Math.min(48L << 20, (long) nodeSettings.limits().memoryMb() << 17),
+                EdgeSettings.maxBufferedBytes(nodeSettings),
                 newIncarnation);
         frontEndServer = new FrontEndServer(machine, requestRouter, MAX_CLIENTS);
         shutdown = new GracefulShutdown(machine, requestRouter, frontEndServer, exit);
         edgeLinks = new EdgeLinks(machine, codec, inner, introduction, new PeerListener());
-        coordinatorClient = new CoordinatorClient(
+        coordinatorClient = coordinatorClient(newIncarnation);
+        heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
+    }
+
+    private CoordinatorClient coordinatorClient(long incarnation) {
+        return new CoordinatorClient(
                 machine,
                 codec,
                 introduction,
                 EdgeSettings.coreMembers(nodeSettings),
-                (int) newIncarnation,
+                (int) incarnation,
                 new CoordinatorListener());
-        heartbeatMonitor = new HeartbeatMonitor(self, HEARTBEAT_INTERVAL_MS, new MonitorActions());
+    }
+
+    private OperationClient operationClient(long incarnation) {
+        return new OperationClient(
+                incarnation, EdgeSettings.keyWindowMs(nodeSettings), new OperationLinks(), this::now);
     }
 
     /** Runs the program until SIGTERM; returns the process's exit code. {@code newIncarnation}: drawn at random. */
@@ -217,6 +234,7 @@
             admissionTimer.recover(now);
             if (now - metricsLoggedAtMs > METRICS_INTERVAL_MS) {
                 metricsLoggedAtMs = now;
+                operationClient.forgetOld();
                 LogEventBuilder line = LOG.info("figures")
                         .with("waiting", slotClient.pendingCount())
                         .with("held", slotClient.heldCount())
@@ -245,6 +263,10 @@
         localAdmission.tick();
     }
 
+    private void tickOperations() {
+        operationClient.tick();
+    }
+
     void reloadSettings() {
         SettingsReload.run(
                 nodeSettings, current -> coordinatorClient.onMembers(EdgeSettings.coreMembers(current)), LOG);
@@ -367,7 +389,7 @@
         public void onFrame(Object frame) {
             if (frame instanceof QuotaResponse response) {
                 quotaClient.onResponse(response);
-            } else {
+            } else if (!operationClient.onCoordinatorFrame(frame)) {
                 localAdmission.onCoordinatorFrame(frame);
             }
         }
@@ -378,6 +400,7 @@
             scheduleTick();
             quotaClient.onAttached(term);
             coordinatorClient.send(localAdmission.knownInstances());
+            operationClient.onAttached();
             subscriber.onLinkUp(now());
         }
     }
@@ -401,12 +424,15 @@
                 localAdmission.onHeldSlots(held);
             } else if (frame instanceof Heartbeat heartbeat) {
                 heartbeatMonitor.onHeartbeat(heartbeat, now());
+            } else {
+                operationClient.onEdgeFrame(peer, frame);
             }
         }
 
         @Override
         public void onLinkUp(String peer) {
             slotClient.onHomeReconnected(peer);
+            operationClient.onLinkUp(peer);
         }
 
         @Override
@@ -415,6 +441,39 @@
         }
     }
 
+    private final class OperationLinks implements OperationTransport {
+        @Override
+        public String self() {
+            return self.name();
+        }
+
+        @Override
+        public boolean sendToCoordinator(Object frame) {
+            return coordinatorClient.send(frame);
+        }
+
+        @Override
+        public boolean isReachable(String edge, long incarnation) {
+            Peer peer = roster.find(edge);
+            return peer != null && peer.incarnation() == incarnation && !edgeLinks.isUnreachable(edge);
+        }
+
+        @Override
+        public void sendToEdge(String edge, Object frame) {
+            edgeLinks.send(edge, frame);
+        }
+
+        @Override
+        public void respondToEdge(String edge, ResultResponse response) {
+            edgeLinks.respond(edge, response);
+        }
+
+        @Override
+        public void scheduleTick(long atMs) {
+            operationTimer.schedule(atMs);
+        }
+    }
+
     private final class MonitorActions implements HeartbeatMonitor.Actions {
         @Override
         public void sendHeartbeat(Peer watcher, Heartbeat heartbeat) {
--- a/src/main/java/brambletray/platform/edge/EdgeSettings.java
+++ b/src/main/java/brambletray/platform/edge/EdgeSettings.java
@@ -33,4 +33,14 @@
     static long quotaWindowMs(NodeSettings nodeSettings) {
         return (long) (nodeSettings.bounds().quotaWindowS() * MS_PER_S);
     }
+
+    /** For how long an operation runs at most once. */
+    static int keyWindowMs(NodeSettings nodeSettings) {
+        return (int) (nodeSettings.bounds().keyWindowS() * MS_PER_S);
+    }
+
+    /** Bytes of requests and answers that are buffered at one time. */
+    static long maxBufferedBytes(NodeSettings nodeSettings) {
+        return Math.min(48L << 20, (long) nodeSettings.limits().memoryMb() << 17);
+    }
 }
