edge: a claim is used for 10 s at most, as its window at the core assumes

Callers would see: an operation run twice, where an edge sent a request up to 30 s after its claim (a route with a long timeout, a frozen edge): the core's window covers 10 s. Cause: the edge had half of the key window as its bound, the core ClaimWindow.SEND_WITHIN_MS. Change: one constant for both.

--- a/src/main/java/brambletray/platform/edge/OperationClient.java
+++ b/src/main/java/brambletray/platform/edge/OperationClient.java
@@ -2,6 +2,7 @@
 
 import brambletray.platform.edge.OperationResults.Result;
 import brambletray.platform.operations.ClaimId;
+import brambletray.platform.operations.ClaimWindow;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.operations.ResultQuery;
 import brambletray.platform.operations.ResultResponse;
@@ -152,7 +153,8 @@
         }
 
         private GrantedClaim grantedClaim(ClaimId claim, long claimedAtMs) {
-            return new GrantedClaim(claim, operation, claimedAtMs + windowMs / 2, results, claimClient, clock);
+            return new GrantedClaim(
+                    claim, operation, claimedAtMs + ClaimWindow.SEND_WITHIN_MS, results, claimClient, clock);
         }
 
         @Override
--- a/src/test/java/brambletray/platform/edge/OperationClientTest.java
+++ b/src/test/java/brambletray/platform/edge/OperationClientTest.java
@@ -1,6 +1,8 @@
 package brambletray.platform.edge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
@@ -8,6 +10,7 @@
 import brambletray.platform.operations.ClaimReleased;
 import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.operations.ClaimUnavailable;
+import brambletray.platform.operations.ClaimWindow;
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationCommand;
 import brambletray.platform.operations.OperationKey;
@@ -245,6 +248,16 @@
         assertEquals("answered first", a.hears("r3"));
     }
 
+    @Test
+    void aClaimIsNotUsedLaterThanItsWindowAtTheCoreCovers() {
+        Edge a = edge("a");
+        a.claim("r1");
+        until(ClaimWindow.SEND_WITHIN_MS - 1);
+        assertTrue(a.claims.get("r1").isUsable());
+        until(ClaimWindow.SEND_WITHIN_MS);
+        assertFalse(a.claims.get("r1").isUsable());
+    }
+
     @Test
     void twoAttemptsInTheSameMomentAreOne() {
         Edge a = edge("a");
