--- a/src/main/java/brambletray/platform/edge/HeldRights.java
+++ b/src/main/java/brambletray/platform/edge/HeldRights.java
@@ -56,6 +56,10 @@
         return right;
     }
 
+    boolean isEmpty() {
+        return rights.isEmpty();
+    }
+
     /** For a request that is sent ahead of its right, and is counted already. */
     QuotaGate.Right sentAhead(long nowMs) {
         HeldRight right = new HeldRight(null, nowMs);
--- a/src/main/java/brambletray/platform/edge/QuotaClient.java
+++ b/src/main/java/brambletray/platform/edge/QuotaClient.java
@@ -171,7 +171,12 @@
         });
     }
 
-    /** To be called every 50 ms. */
+    /** Whether {@link #tick} has nothing to do until a request is asked for. */
+    boolean isIdle() {
+        return pending.isEmpty() && heldRights.isEmpty() && !allowances.hasUnreported();
+    }
+
+    /** To be called every 50 ms unless it is idle. */
     void tick(boolean attached) {
         isAttached = attached;
         long nowMs = clock.getAsLong();
