--- a/src/main/java/brambletray/platform/edge/HeldRights.java
+++ b/src/main/java/brambletray/platform/edge/HeldRights.java
@@ -26,12 +26,14 @@
     /** One right, valid by the steady clock from when it was asked for. */
     final class HeldRight implements QuotaGate.Right {
         private final String tenant;
+        private final long askedAtMs;
         private final long validUntilMs;
         private boolean isSpent;
         private boolean isReturned;
 
         private HeldRight(String tenant, long askedAtMs) {
             this.tenant = tenant;
+            this.askedAtMs = askedAtMs;
             validUntilMs = askedAtMs + QuotaTerms.RIGHT_VALIDITY_MS;
         }
 
@@ -68,13 +70,18 @@
         rights.clear();
     }
 
-    /** What goes back, as it was not spent in time. */
+    /**
+     * What goes back, as it was not spent in time. Rights that are older, as this process was frozen, are lost: the
+     * giver would take them for newer ones that may be spent still.
+     */
     List<QuotaReturn> takeReturns(long nowMs) {
         Map<String, Integer> unspent = new HashMap<>();
         while (!rights.isEmpty() && (rights.peek().isSpent || nowMs >= rights.peek().validUntilMs)) {
             HeldRight right = rights.poll();
             if (!right.isSpent) {
                 right.isReturned = true;
+            }
+            if (!right.isSpent && nowMs - right.askedAtMs <= QuotaTerms.MAX_RETURN_AGE_MS) {
                 unspent.merge(right.tenant, 1, Integer::sum);
             }
         }
--- a/src/main/java/brambletray/platform/quota/QuotaTerms.java
+++ b/src/main/java/brambletray/platform/quota/QuotaTerms.java
@@ -16,6 +16,8 @@
     public static final int RIGHT_VALIDITY_MS = 150;
     /** For how long after it was asked for an unspent right may be returned, ms. */
     public static final int RETURN_VALIDITY_MS = 250;
+    /** For how long after it was asked for an edge returns an unspent right; later it is lost. */
+    public static final int MAX_RETURN_AGE_MS = 220;
     /** For how long after a grant was asked for the run-ahead in it may be spent, ms. */
     public static final int RUN_AHEAD_VALIDITY_MS = 3_000;
 
--- a/src/main/java/brambletray/platform/quota/RecentGrants.java
+++ b/src/main/java/brambletray/platform/quota/RecentGrants.java
@@ -51,6 +51,12 @@
         return taken;
     }
 
+    /** Rights that were granted so lately and were not returned. */
+    int outstanding(long nowMs) {
+        removeOld(nowMs);
+        return total;
+    }
+
     private void removeOld(long nowMs) {
         while (!slices.isEmpty() && nowMs - slices.peekFirst().beganAtMs > QuotaTerms.RETURN_VALIDITY_MS) {
             total -= slices.removeFirst().count;
--- a/src/main/java/brambletray/platform/quota/TenantQuota.java
+++ b/src/main/java/brambletray/platform/quota/TenantQuota.java
@@ -55,7 +55,17 @@
     void onReturn(int rights, long nowMs) {
         int taken = recentGrants.takeBack(rights, nowMs);
         returned += taken;
-        bucket.credit(taken, nowMs);
+        bucket.credit(taken, creditLimit(nowMs), nowMs);
+    }
+
+    /**
+     * What the bucket may hold after a return. Together with the rights that may be spent still it stays near the
+     * capacity: otherwise rights that are returned and granted again and again, while no instance is free, would add up
+     * and all be spent at once.
+     */
+    private double creditLimit(long nowMs) {
+        double spentLate = tenant.ratePerS() * QuotaTerms.RIGHT_VALIDITY_MS / 1_000;
+        return bucket.capacity() + spentLate - recentGrants.outstanding(nowMs);
     }
 
     TenantUsage usage(long nowMs) {
--- a/src/main/java/brambletray/platform/quota/TokenBucket.java
+++ b/src/main/java/brambletray/platform/quota/TokenBucket.java
@@ -39,10 +39,11 @@
         tokens -= count;
     }
 
-    /** Puts back what was taken and not used. */
-    void credit(int count, long nowMs) {
+    /** Puts back what was taken and not used, as far as no more than {@code limit} tokens are there then. */
+    void credit(int count, double limit, long nowMs) {
         refill(nowMs);
-        tokens = Math.min(capacity, tokens + count);
+        double most = Math.min(capacity, limit);
+        tokens = Math.max(tokens, Math.min(most, tokens + count));
     }
 
     /** Below 0: the debt. */
--- a/src/test/java/brambletray/platform/edge/QuotaClientTest.java
+++ b/src/test/java/brambletray/platform/edge/QuotaClientTest.java
@@ -224,4 +224,13 @@
         run(50);
         assertEquals(List.of(new QuotaDebit("a", 1)), all(QuotaDebit.class));
     }
+
+    @Test
+    void aRightThatIsFoundUnspentTooLateIsLost() {
+        acquire();
+        client.onResponse(new QuotaGrant(1, 0));
+        nowMs += QuotaTerms.MAX_RETURN_AGE_MS + 1;
+        client.tick(true);
+        assertEquals(List.of(), all(QuotaReturn.class));
+    }
 }
--- a/src/test/java/brambletray/platform/quota/TenantQuotasTest.java
+++ b/src/test/java/brambletray/platform/quota/TenantQuotasTest.java
@@ -121,6 +121,18 @@
         assertEquals(accrued, grants(EDGE, 1_000, late), "as many as were granted lately, and no more");
     }
 
+    @Test
+    void rightsThatAreReturnedAndGrantedAgainDoNotAddUp() {
+        limit(RATE, BURST, 0);
+        int granted = 0;
+        for (long nowMs = SETTLED_MS; nowMs < SETTLED_MS + 3_000; nowMs += 200) {
+            quotas.onReturn(new QuotaReturn("a", granted), nowMs);
+            granted = grants(EDGE, 1_000, nowMs);
+        }
+        double late = RATE * (QuotaTerms.RIGHT_VALIDITY_MS + QuotaTerms.RETURN_VALIDITY_MS) / 1_000;
+        assertTrue(granted <= capacity() + late, granted + " of " + capacity());
+    }
+
     @Test
     void aNewGiverLetsNobodySendAheadWhileSharesOfAFormerOneMayBeInUse() {
         limit(RATE, BURST, 0);
