--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -52,9 +52,14 @@
  */
 public final class EdgeProgram {
     private static final EventLog LOG = EventLog.of("edge");
-    /** ms: between ticks, each of which costs a wake-up; between figures in the log. */
-    private static final int TICK_INTERVAL_MS = 50;
+    /**
+     * ms: between ticks at most, and at least. Each tick costs a wake-up, so that one is run when something is due; the
+     * shorter bound holds where what is due cannot be done yet.
+     */
+    private static final int MAX_TICK_INTERVAL_MS = 200;
 
+    private static final int MIN_TICK_INTERVAL_MS = 50;
+    /** ms between figures in the log. */
     private static final int METRICS_INTERVAL_MS = 5_000;
 
     private static final int HEARTBEAT_INTERVAL_MS = 200;
@@ -79,9 +84,10 @@
     private final ConfigurationSubscriber subscriber = new ConfigurationSubscriber(new SubscriberActions());
     private final HeartbeatMonitor heartbeatMonitor;
     private final InstanceAddresses instanceAddresses = new InstanceAddresses();
-    private final AdmissionTimer admissionTimer;
+    private final EarliestTimer admissionTimer;
     private final OperationClient operationClient;
-    private final AdmissionTimer operationTimer;
+    private final EarliestTimer operationTimer;
+    private final EarliestTimer tickTimer;
     private Peer self;
     private Configuration configuration = Configuration.NONE;
     private Roster roster = Roster.NONE;
@@ -101,18 +107,18 @@
         self = new Peer(nodeSettings.node(), nodeSettings.zone(), inner.toString(), newIncarnation, Peer.ACTIVE);
         introduction = new LinkIntroduction(self.name(), self.address(), false);
         connectionPools = new HostConnectionPools(machine, 4_000, counters);
-        String nonces = self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL);
-        admissionTimer = new AdmissionTimer(machine, this::tickAdmission);
+        admissionTimer = new EarliestTimer(machine, this::tickAdmission);
+        tickTimer = new EarliestTimer(machine, this::tick);
         localAdmission = new LocalAdmission(
                 self.name(),
                 self.zone(),
-                nonces,
+                self.name() + "-" + Long.toHexString(newIncarnation & 0xffffffffL),
                 EdgeSettings.admissionParameters(nodeSettings),
                 new AdmissionTransport(),
                 this::now);
         slotClient = new SlotClient(new SlotClientTransport(), new InstanceTracking(), this::now);
-        quotaClient = new QuotaClient(this::sendToCoordinator, this::now, EdgeSettings.quotaWindowMs(nodeSettings));
-        operationTimer = new AdmissionTimer(machine, this::tickOperations);
+        quotaClient = new QuotaClient(this::sendForQuota, this::now, EdgeSettings.quotaWindowMs(nodeSettings));
+        operationTimer = new EarliestTimer(machine, this::tickOperations);
         operationClient = operationClient(newIncarnation);
         requestRouter = new RequestRouter(
                 machine,
@@ -181,7 +187,7 @@
         new Readiness(machine, this::isReady)
                 .listen(readiness)
                 .addListener(release -> onListening("readiness", readiness, release.cause()));
-        machine.loop().scheduleWithFixedDelay(this::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        tickTimer.schedule(now() + MIN_TICK_INTERVAL_MS);
         LOG.info("started")
                 .with("node", self.name())
                 .with("zone", self.zone())
@@ -209,7 +215,9 @@
         return !leaving && configuration != Configuration.NONE && roster.find(self.name()) != null;
     }
 
-    private boolean sendToCoordinator(Object frame) {
+    /** A request of a tenant waits for its right from now on, and the next tick looks after it. */
+    private boolean sendForQuota(Object frame) {
+        tickTimer.schedule(now() + MIN_TICK_INTERVAL_MS);
         return coordinatorClient.send(frame);
     }
 
@@ -240,6 +248,16 @@
         } catch (RuntimeException e) {
             LOG.warn("tick-failed").withFailure(e).log();
         }
+        scheduleTick();
+    }
+
+    /** At the earliest time at which a part of the program has something to do. */
+    private void scheduleTick() {
+        long now = now();
+        long dueMs = Math.min(coordinatorClient.nextDueMs(), subscriber.nextDueMs());
+        dueMs = Math.min(dueMs, heartbeatMonitor.nextDueMs());
+        dueMs = Math.min(dueMs, now + (quotaClient.isIdle() ? MAX_TICK_INTERVAL_MS : MIN_TICK_INTERVAL_MS));
+        tickTimer.schedule(dueMs > now ? dueMs : now + MIN_TICK_INTERVAL_MS);
     }
 
     private void tickAdmission() {
@@ -337,6 +355,7 @@
         localAdmission.onRoster(homeAssignment, gone);
         slotClient.onRoster(homeAssignment);
         heartbeatMonitor.updateRing(new WatchRing(next), now());
+        scheduleTick();
         LOG.info("roster")
                 .with("term", next.term())
                 .with("number", next.number())
@@ -364,6 +383,11 @@
             applyRoster(next);
         }
 
+        @Override
+        public void onTimeoutChanged() {
+            scheduleTick();
+        }
+
         @Override
         public void onNewestRevision(long revision) {
             subscriber.onNewestRevision(revision, now());
@@ -386,6 +410,7 @@
         @Override
         public void onAttached(long term) {
             heartbeatMonitor.onCoordinatorConnected();
+            scheduleTick();
             quotaClient.onAttached(term);
             coordinatorClient.send(localAdmission.knownInstances());
             operationClient.onAttached();
