Quotas: the verb tenants says why a tenant is refused

What callers saw: 429 or 503, and operators had no answer why. GET /brambletray/system/tenants at the coordinator and 'system tenants [TENANT]' show limit, tokens or debt, run-ahead, and rights granted, refused and returned. Tests: OperatorViewsTest, RemoteCommandTest, CommandsTest.

--- a/src/main/java/brambletray/platform/controlplane/OperatorViews.java
+++ b/src/main/java/brambletray/platform/controlplane/OperatorViews.java
@@ -4,10 +4,12 @@
 import brambletray.platform.failuredetection.Peer;
 import brambletray.platform.failuredetection.Roster;
 import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.quota.TenantUsage;
 import brambletray.platform.replication.Member;
 import brambletray.platform.replication.ReplicaRole;
 import brambletray.platform.replication.ReplicaStatus;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -57,6 +59,9 @@
 
         /** Instances of all services. */
         int instanceCount();
+
+        /** Quotas of the limited tenants. */
+        List<TenantUsage> tenantUsages();
     }
 
     private final Source source;
@@ -71,6 +76,7 @@
     void register(CallRouter<ControlPlaneServer.CallHandler> table) {
         table.route("GET", PATH_PREFIX + "views", (call, wildcard) -> call.respond(200, views()))
                 .route("GET", PATH_PREFIX + "duties", (call, wildcard) -> call.respond(200, roles()))
+                .route("GET", PATH_PREFIX + "tenants", (call, wildcard) -> atCoordinator(call, this::tenants))
                 .route("GET", PATH_PREFIX + "edges", (call, wildcard) -> atCoordinator(call, this::edges))
                 .route(
                         "GET",
@@ -193,6 +199,26 @@
         return json.close().bytes();
     }
 
+    private byte[] tenants(CoordinatorView view) {
+        JsonObjectWriter json = head().list("tenants");
+        for (TenantUsage usage : view.tenantUsages()) {
+            json.item()
+                    .text("name", usage.tenant())
+                    .text("state", usage.state().name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                    .number("rate-per-s", Math.round(usage.ratePerS()))
+                    .number("burst-size", Math.round(usage.burst()))
+                    .number("capacity", (long) Math.floor(usage.capacity()))
+                    .number("tokens", (long) Math.floor(usage.tokens()))
+                    .number("run-ahead", usage.runAhead())
+                    .number("granted", usage.granted())
+                    .number("refused", usage.refused())
+                    .number("without-right", usage.debited())
+                    .number("returned", usage.returned())
+                    .end();
+        }
+        return json.close().bytes();
+    }
+
     private byte[] instances(CoordinatorView view, String service) {
         JsonObjectWriter json = head().number("known", view.instanceCount()).list("hosts");
         for (InstanceInfo host : view.instances(service)) {
--- a/src/main/java/brambletray/platform/controlplane/ReplicaStatusSource.java
+++ b/src/main/java/brambletray/platform/controlplane/ReplicaStatusSource.java
@@ -4,6 +4,7 @@
 import brambletray.platform.election.LeaseHolder;
 import brambletray.platform.failuredetection.Roster;
 import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.quota.TenantUsage;
 import brambletray.platform.replication.ReplicaStatus;
 import java.util.List;
 import java.util.function.LongSupplier;
@@ -72,5 +73,10 @@
         public int instanceCount() {
             return coordinator.provisioner().instanceCount();
         }
+
+        @Override
+        public List<TenantUsage> tenantUsages() {
+            return coordinator.tenantUsages(nowMs);
+        }
     }
 }
--- a/src/main/java/brambletray/platform/quota/TenantUsage.java
+++ b/src/main/java/brambletray/platform/quota/TenantUsage.java
@@ -23,4 +23,22 @@
         long granted,
         long refused,
         long debited,
-        long returned) {}
+        long returned) {
+    /** Whether a request would be granted now. */
+    public enum State {
+        /** There is a token. */
+        GRANTING,
+        /** The limit is reached. */
+        AT_LIMIT,
+        /** Requests that were sent without rights are paid off first. */
+        IN_DEBT
+    }
+
+    /** Why a request would be refused now. */
+    public State state() {
+        if (tokens >= 1) {
+            return State.GRANTING;
+        }
+        return tokens < 0 ? State.IN_DEBT : State.AT_LIMIT;
+    }
+}
--- a/src/test/java/brambletray/platform/cli/CommandsTest.java
+++ b/src/test/java/brambletray/platform/cli/CommandsTest.java
@@ -63,6 +63,7 @@
                 "edges",
                 "hosts",
                 "homes",
+                "tenants",
                 "declare-dead",
                 "up",
                 "drill"
--- a/src/test/java/brambletray/platform/cli/RemoteCommandTest.java
+++ b/src/test/java/brambletray/platform/cli/RemoteCommandTest.java
@@ -168,4 +168,15 @@
         assertEquals(0, run("homes", "tea", "--json", "--control", at(one)));
         assertTrue(said().startsWith("{\"tea\":{\"east\":\"e1\",\"west\":\"e2\",\"root\":"), said());
     }
+
+    @Test
+    void whyATenantIsRefusedIsShown() {
+        on(
+                "one system/tenants",
+                200,
+                "{\"tenants\":[{\"name\":\"a\",\"state\":\"in-debt\",\"tokens\":-3,\"refused\":7},{\"name\":\"b\"}]}");
+        assertEquals(0, run("tenants", "a", "--control", at(one)));
+        assertTrue(said().contains("in-debt") && !said().contains("b "), said());
+        assertEquals(1, run("tenants", "none", "--control", at(one)), "no such tenant");
+    }
 }
--- a/src/test/java/brambletray/platform/controlplane/OperatorViewsTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperatorViewsTest.java
@@ -7,6 +7,7 @@
 import brambletray.platform.failuredetection.Peer;
 import brambletray.platform.failuredetection.Roster;
 import brambletray.platform.provisioning.InstanceInfo;
+import brambletray.platform.quota.TenantUsage;
 import brambletray.platform.replication.Member;
 import brambletray.platform.replication.ReplicaRole;
 import brambletray.platform.replication.ReplicaStatus;
@@ -96,6 +97,11 @@
         public int instanceCount() {
             return 4;
         }
+
+        @Override
+        public List<TenantUsage> tenantUsages() {
+            return List.of(new TenantUsage("a", 50, 30, 34, -2.5, 8, 100, 7, 3, 1));
+        }
     }
 
     private void get(String path) {
@@ -126,6 +132,17 @@
                 body);
     }
 
+    @Test
+    void theCoordinatorSaysWhyATenantIsRefused() {
+        here = true;
+        get("/brambletray/system/tenants");
+        assertEquals(
+                "{\"node\":\"core-\\\"1\\\"\",\"tenants\":[{\"name\":\"a\",\"state\":\"in-debt\",\"rate-per-s\":50,\"burst-size\":30,"
+                        + "\"capacity\":34,\"tokens\":-3,\"run-ahead\":8,\"granted\":100,\"refused\":7,"
+                        + "\"without-right\":3,\"returned\":1}]}",
+                body);
+    }
+
     @Test
     void zonesThatHoldHalfOfTheViewAreShown() {
         half = List.of("north", "south");
