--- a/src/main/java/brambletray/platform/cli/TenantsCommand.java
+++ b/src/main/java/brambletray/platform/cli/TenantsCommand.java
@@ -28,7 +28,8 @@
 
     @Override
     String purpose() {
-        return "how the quotas of the limited tenants stand, counted since the coordinator's term began; 1 where the tenant has none";
+        return "how the quotas of the limited tenants stand, counted since the coordinator's term began;"
+                + " 1 where the tenant has none";
     }
 
     @Override
