cli, controlplane: operations says what is claimed, and by which edge

What operators saw: nothing. Whether a repeat got 502 because of a dead edge's claim could not be looked up.

The same by GET on /brambletray/system/operations and /brambletray/system/operations/HEX.

--- a/src/main/java/brambletray/platform/cli/Commands.java
+++ b/src/main/java/brambletray/platform/cli/Commands.java
@@ -33,6 +33,7 @@
         TABLE.put("edges", StatusCommands.Edges::new);
         TABLE.put("hosts", StatusCommands.Hosts::new);
         TABLE.put("homes", StatusCommands.Homes::new);
+        TABLE.put("operations", OperationsCommand::new);
         TABLE.put("declare-dead", RemoveMemberCommand::new);
         TABLE.put("up", UpCommand::new);
         TABLE.put("drill", DrillCommand::new);
--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -61,6 +61,7 @@
     private final PeerLinks peerLinks;
     private final LeaseElection election;
     private final OperatorViews operatorViews;
+    private final OperationViews operationViews;
     private final CoordinatorSupervisor coordinatorSupervisor;
     private final MemberShutdown shutdown;
 
@@ -83,6 +84,7 @@
         operatorCalls = new OperatorCalls(new ReplicaAccess(), this::onConfigurationChanged);
         OperationRegistry operationRegistry = new OperationRegistry(origin, nowMs());
         operationClaims = operationClaims(operationRegistry);
+        operationViews = new OperationViews(nodeSettings.node(), operationRegistry, operationClaims, this::nowMs);
         coordinatorSupervisor = new CoordinatorSupervisor(machine, nodeSettings, new MemberAccess(), operationClaims);
         peerLinks = new PeerLinks(
                 machine,
@@ -158,6 +160,7 @@
         CallRouter<ControlPlaneServer.CallHandler> table = new CallRouter<>();
         operatorCalls.register(table);
         operatorViews.register(table);
+        operationViews.register(table);
         new MemberRemovalCalls(this::removeMember).register(table);
         return new ControlPlaneServer(table).listen(machine, nodeSettings.controlPlane());
     }
--- a/src/main/java/brambletray/platform/controlplane/OperationClaims.java
+++ b/src/main/java/brambletray/platform/controlplane/OperationClaims.java
@@ -124,6 +124,16 @@
         }
     }
 
+    /** Commands that have come and are not answered. */
+    int waitingCommands() {
+        return pending.size();
+    }
+
+    /** Batches that wait for their commit. */
+    int batchesInFlight() {
+        return batches.size();
+    }
+
     /** Whether nothing waits for its commit. */
     boolean isIdle() {
         return pending.isEmpty() && batches.isEmpty();
--- a/src/main/java/brambletray/platform/operations/OperationKey.java
+++ b/src/main/java/brambletray/platform/operations/OperationKey.java
@@ -4,9 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /** Names an operation over the whole system: the first half of the SHA-256 of its tenant and its operation key. */
 public record OperationKey(long high, long low) {
+    private static final int HEX_DIGITS = 32;
 
     /** {@code tenant}: empty for nobody's. */
     public static OperationKey of(String tenant, String key) {
@@ -20,4 +22,20 @@
             throw new IllegalStateException(e);
         }
     }
+
+    /** As 32 hexadecimal digits. */
+    public String hex() {
+        return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
+    }
+
+    /** The key that {@link #hex} has written; null for anything else. */
+    public static OperationKey parse(String hex) {
+        if (hex.length() != HEX_DIGITS || !hex.chars().allMatch(HexFormat::isHexDigit)) {
+            return null;
+        }
+        int half = HEX_DIGITS / 2;
+        return new OperationKey(
+                HexFormat.fromHexDigitsToLong(hex.substring(0, half)),
+                HexFormat.fromHexDigitsToLong(hex.substring(half)));
+    }
 }
--- a/src/main/java/brambletray/platform/operations/OperationRegistry.java
+++ b/src/main/java/brambletray/platform/operations/OperationRegistry.java
@@ -77,6 +77,12 @@
         return claim == null || isExpired(claim.expiresAtMs()) ? null : claim;
     }
 
+    /** The claim that was made first of those that are remembered; null: none. */
+    public StandingClaim oldest() {
+        Iterator<StandingClaim> oldest = claims.values().iterator();
+        return oldest.hasNext() ? oldest.next() : null;
+    }
+
     /** How many claims stand. */
     public int standingClaims() {
         return claims.size();
--- a/src/test/java/brambletray/platform/cli/CommandsTest.java
+++ b/src/test/java/brambletray/platform/cli/CommandsTest.java
@@ -63,6 +63,7 @@
                 "edges",
                 "hosts",
                 "homes",
+                "operations",
                 "declare-dead",
                 "up",
                 "drill"
--- a/src/test/java/brambletray/platform/cli/RemoteCommandTest.java
+++ b/src/test/java/brambletray/platform/cli/RemoteCommandTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.operations.OperationKey;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.ByteArrayOutputStream;
@@ -145,6 +146,32 @@
         assertEquals(1, run("duties", "--control", at(one)), "vacant");
     }
 
+    @Test
+    void operationsAreCountedAndLookedUpAtEachMember() {
+        on(
+                "one system/operations",
+                200,
+                "{\"node\":\"k1\",\"claims\":3,\"remembered\":5,"
+                        + "\"waiting\":2,\"batches\":1,\"oldest-remaining-ms\":41500}");
+        assertEquals(0, run("operations", "--control", at(one)));
+        assertTrue(said().contains("k1    3       5           2        1        41"), said());
+        out.reset();
+        String path =
+                "one system/operations/" + OperationKey.of("acme", "pay-1").hex();
+        on(
+                path,
+                200,
+                "{\"node\":\"k1\",\"claimed\":true,\"edge\":\"e1\",\"life\":\"b1\","
+                        + "\"sequence\":7,\"remaining-ms\":9000}");
+        assertEquals(0, run("operations", "--tenant", "acme", "--key", "pay-1", "--control", at(one)));
+        assertTrue(said().contains("k1    e1    b1    7      9"), said());
+        out.reset();
+        on(path, 200, "{\"node\":\"k1\",\"claimed\":false}");
+        on("two system/operations/" + OperationKey.of("acme", "pay-1").hex(), 503, "");
+        assertEquals(1, run("operations", "--tenant", "acme", "--key", "pay-1", "--control", at(one) + ',' + at(two)));
+        assertTrue(said().contains("not claimed") && said().contains("no answer"), said());
+    }
+
     @Test
     void whatTheCoordinatorKnowsIsAskedThere() {
         on("one system/hosts/tea", 307, at(two));
