--- a/src/main/java/brambletray/platform/quota/RunAheadAllowances.java
+++ b/src/main/java/brambletray/platform/quota/RunAheadAllowances.java
@@ -63,6 +63,11 @@
         unreported.merge(tenant, requests, Integer::sum);
     }
 
+    /** Whether {@link #takeUnreported} has something to take. */
+    public boolean hasUnreported() {
+        return !unreported.isEmpty();
+    }
+
     /** Requests that were sent without rights, by tenant; none are left. */
     public Map<String, Integer> takeUnreported() {
         Map<String, Integer> taken = Map.copyOf(unreported);
--- a/src/test/java/brambletray/platform/cli/CommandsTest.java
+++ b/src/test/java/brambletray/platform/cli/CommandsTest.java
@@ -64,6 +64,7 @@
                 "hosts",
                 "homes",
                 "operations",
+                "tenants",
                 "declare-dead",
                 "up",
                 "drill"
