--- a/src/test/java/brambletray/platform/cli/CommandsTest.java
+++ b/src/test/java/brambletray/platform/cli/CommandsTest.java
@@ -63,6 +63,7 @@
                 "edges",
                 "hosts",
                 "homes",
+                "operations",
                 "tenants",
                 "declare-dead",
                 "up",
