admission: the route's priority where a tenant names none, and fair shares of tenants in a service's queue

What callers saw: a tenant without a priority had the highest rank, before any tenant that names one; within one tenant, or between tenants of one priority, payments waited behind reads that had come earlier.

Cause: Tenant read a missing priority as 0, and a tenant's priority replaced the route's altogether. FairShare counted kinds of requests only, and the queue did not distinguish tenants.

Change: SlotRequest carries a SlotOwner (tenant, priority, the route's priority). Tenant.priorityOn keeps the route's priority where none is named. RequestQueue adds a quarter of a step for each step of the route's priority, and one step for further requests of a tenant that has more than a quarter of the queue. FairShare counts outcomes by tenant, too; one that is served less than half as often as all goes first. SlotRequest changes on the wire between edges.

--- a/src/main/java/brambletray/platform/admission/AdmissionMessages.java
+++ b/src/main/java/brambletray/platform/admission/AdmissionMessages.java
@@ -12,7 +12,8 @@
             SlotRelease.class,
             AttemptOutcome.class,
             HeldSlots.class,
-            SlotRequestCancel.class);
+            SlotRequestCancel.class,
+            SlotOwner.class);
 
     private AdmissionMessages() {}
 }
--- a/src/main/java/brambletray/platform/admission/FairShare.java
+++ b/src/main/java/brambletray/platform/admission/FairShare.java
@@ -1,57 +1,58 @@
 package brambletray.platform.admission;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
- * How often each kind of request of one service is served, against all of them. The queue orders by urgency; where
- * urgent kinds alone fill
- * the service, the others would never be served. A kind that is served less than half as often as all is
- * <em>behind</em>, and goes first until it
- * no longer is: weighted fair queueing with a guaranteed minimum. Only outcomes count, and older ones fade, so an idle
- * or a cold service has no
- * kind that is behind. One thread.
+ * How often each kind of request of one service, and each tenant, is served, against all of them. The queue orders by
+ * urgency; where urgent kinds alone fill the service, the others would never be served. A kind or a tenant that is
+ * served less than half as often as all is <em>behind</em>, and goes first until it no longer is: weighted fair
+ * queueing with a guaranteed minimum. Only outcomes count, and older ones fade, so an idle or a cold service has none
+ * that is behind. One thread.
  */
 final class FairShare {
-    /** A kind is behind below this share of the rate at which all are served. */
-    private static final double MIN_SHARE = 0.5;
     /** Memory of outcomes, ms. */
     private static final int MEMORY_MS = 10_000;
     /** ms between two fadings of the counts. */
     private static final int DECAY_INTERVAL_MS = 100;
-    /** Outcomes of a kind that are needed to judge it. */
-    private static final double MIN_REQUESTS = 1.5;
     /** Request classes that are counted separately; further ones count as the last of them. */
     private static final int MAX_KINDS = 32;
+    /** A tenant with fewer remembered outcomes than this is forgotten. */
+    private static final double MIN_OUTCOMES = 0.05;
 
     /** What is counted together: calls of hosts or requests of clients, of one priority and one target. */
     static final class RequestClass {
         private final boolean nestedCall;
         private final int priority;
+        private final int routePriority;
         private final int targetMs;
-        private double served;
-        private double lost;
-        private boolean disadvantaged;
+        private final ServedShare share = new ServedShare();
 
         private RequestClass(SlotRequest request) {
             nestedCall = request.nestedCall();
-            priority = request.priority();
+            priority = request.owner().priority();
+            routePriority = request.owner().routePriority();
             targetMs = request.targetMs();
         }
 
         private boolean includes(SlotRequest request) {
             return nestedCall == request.nestedCall()
-                    && priority == request.priority()
+                    && priority == request.owner().priority()
+                    && routePriority == request.owner().routePriority()
                     && targetMs == request.targetMs();
         }
 
         /** Whether it is served less than half as often as all. */
         boolean isDisadvantaged() {
-            return disadvantaged;
+            return share.isDisadvantaged();
         }
     }
 
     private final List<RequestClass> classes = new ArrayList<>(4);
+    private final List<ServedShare> classShares = new ArrayList<>(4);
+    private final Map<String, ServedShare> tenantShares = new HashMap<>();
     private long decayedAtMs = Long.MIN_VALUE;
 
     /** The kind of a slot request. */
@@ -66,13 +67,29 @@
         }
         RequestClass requestClass = new RequestClass(request);
         classes.add(requestClass);
+        classShares.add(requestClass.share);
         return requestClass;
     }
 
+    /** Whether the request's kind or its tenant is served less than half as often as all. */
+    boolean isDisadvantaged(SlotRequest request) {
+        return classOf(request).isDisadvantaged()
+                || isTenantDisadvantaged(request.owner().tenant());
+    }
+
+    /** Whether the tenant is served less than half as often as all. */
+    boolean isTenantDisadvantaged(String tenant) {
+        ServedShare share = tenantShares.get(tenant);
+        return share != null && share.isDisadvantaged();
+    }
+
     /** A request has been granted a slot. */
     void onServed(SlotRequest request, long now) {
         if (counts(request)) {
-            classOf(request).served++;
+            classOf(request).share.countServed();
+            if (request.owner().isTenant()) {
+                tenantShare(request).countServed();
+            }
             evaluate(now);
         }
     }
@@ -80,7 +97,10 @@
     /** A request has been rejected, or its deadline has passed in the queue. */
     void onLost(SlotRequest request, long now) {
         if (counts(request)) {
-            classOf(request).lost++;
+            classOf(request).share.countLost();
+            if (request.owner().isTenant()) {
+                tenantShare(request).countLost();
+            }
             evaluate(now);
         }
     }
@@ -90,19 +110,14 @@
         return !request.retry() && !request.hedge();
     }
 
+    private ServedShare tenantShare(SlotRequest request) {
+        return tenantShares.computeIfAbsent(request.owner().tenant(), name -> new ServedShare());
+    }
+
     private void evaluate(long now) {
         decay(now);
-        double served = 0;
-        double asked = 0;
-        for (int i = 0; i < classes.size(); i++) {
-            served += classes.get(i).served;
-            asked += classes.get(i).served + classes.get(i).lost;
-        }
-        for (int i = 0; i < classes.size(); i++) {
-            RequestClass requestClass = classes.get(i);
-            double own = requestClass.served + requestClass.lost;
-            requestClass.disadvantaged = own >= MIN_REQUESTS && requestClass.served * asked < MIN_SHARE * served * own;
-        }
+        ServedShare.evaluate(classShares);
+        ServedShare.evaluate(tenantShares.values());
     }
 
     private void decay(long now) {
@@ -114,9 +129,8 @@
         }
         double left = Math.exp((double) (decayedAtMs - now) / MEMORY_MS);
         decayedAtMs = now;
-        for (int i = 0; i < classes.size(); i++) {
-            classes.get(i).served *= left;
-            classes.get(i).lost *= left;
-        }
+        classShares.forEach(share -> share.decay(left));
+        tenantShares.values().forEach(share -> share.decay(left));
+        tenantShares.values().removeIf(share -> share.outcomes() < MIN_OUTCOMES);
     }
 }
--- a/src/main/java/brambletray/platform/admission/RequestQueue.java
+++ b/src/main/java/brambletray/platform/admission/RequestQueue.java
@@ -4,11 +4,12 @@
 import java.util.List;
 
 /**
- * The queue of requests that wait for a slot, a priority queue bounded by {@code most}. The key is the request's
- * deadline, plus {@code ageMs} for each step of priority, less {@code innerMs} for nested calls, plus {@code lateMs}
- * once the target will be missed; the smallest is first. Before all of these go request kinds that are below their
- * fair share ({@link FairShare}). When the queue is full, the request that would be last gives way to one that would
- * be before it.
+ * The queue of requests that wait for a slot, a priority queue bounded by {@code maxSize}. The key is the request's
+ * deadline, plus {@code priorityRankMs} for each step of priority and a quarter of it for each step of the route's
+ * priority, less {@code nestedCallBonusMs} for nested calls, plus one step of priority for requests of a tenant that
+ * has more than its part of the queue, plus {@code lateRequestPenaltyMs} once the target will be missed; the smallest
+ * is first. Before all of these go request kinds and tenants that are below their fair share ({@link FairShare}). When
+ * the queue is full, the request that would be last gives way to one that would be before it.
  */
 final class RequestQueue {
     static final class Waiter {
@@ -20,22 +21,22 @@
         final FairShare.RequestClass requestClass;
         int skippedInRound;
 
-        Waiter(
-                SlotRequest request,
-                FairShare.RequestClass requestClass,
-                long now,
-                AdmissionParameters.Queue parameters) {
+        Waiter(SlotRequest request, FairShare.RequestClass requestClass, long penaltyMs, long now) {
             this.request = request;
             this.requestClass = requestClass;
             queuedAtMs = now;
             deadlineMs = now + request.remainingMs();
             targetAtMs = now + request.targetMs();
-            key = deadlineMs
-                    + (long) request.priority() * parameters.priorityRankMs()
-                    - (request.nestedCall() ? parameters.nestedCallBonusMs() : 0);
+            key = deadlineMs + penaltyMs;
         }
     }
 
+    /** From this rank on routes are alike; all their steps together are less than one of a tenant's priority. */
+    private static final int MAX_ROUTE_RANK = 3;
+    /** A tenant with fewer waiting requests than this floods no queue. */
+    private static final int MIN_FLOOD = 4;
+    /** A tenant floods the queue that has more than one of so many waiting requests. */
+    private static final int FLOOD_ONE_OF = 4;
     /** Before any key that time alone can make, ms. */
     private static final long DISADVANTAGED_BONUS_MS = 1L << 40;
 
@@ -49,6 +50,33 @@
         this.fairShare = fairShare;
     }
 
+    private Waiter waiter(SlotRequest request, long now) {
+        return new Waiter(request, fairShare.classOf(request), penaltyMs(request), now);
+    }
+
+    /** For how long later deadlines go before this request's, ms. */
+    private long penaltyMs(SlotRequest request) {
+        int rankMs = parameters.priorityRankMs();
+        long penaltyMs = (long) request.owner().priority() * rankMs
+                + (long) Math.min(request.owner().routePriority(), MAX_ROUTE_RANK) * (rankMs / (MAX_ROUTE_RANK + 1));
+        if (request.nestedCall()) {
+            penaltyMs -= parameters.nestedCallBonusMs();
+        }
+        return isFlooding(request.owner().tenant()) ? penaltyMs + rankMs : penaltyMs;
+    }
+
+    /** Whether a tenant has so much of the queue that its further requests go behind those of the others. */
+    private boolean isFlooding(String tenant) {
+        if (tenant.isEmpty()) {
+            return false;
+        }
+        int own = 0;
+        for (int i = 0; i < waiters.size(); i++) {
+            own += waiters.get(i).request.owner().tenant().equals(tenant) ? 1 : 0;
+        }
+        return own >= MIN_FLOOD && own * FLOOD_ONE_OF > waiters.size();
+    }
+
     int size() {
         return waiters.size();
     }
@@ -72,7 +100,7 @@
     }
 
     Waiter add(SlotRequest request, long now) {
-        Waiter waiter = new Waiter(request, fairShare.classOf(request), now, parameters);
+        Waiter waiter = waiter(request, now);
         waiters.add(waiter);
         return waiter;
     }
@@ -122,12 +150,14 @@
 
     private long key(Waiter waiter, int workMs, long now) {
         long late = now + workMs > waiter.targetAtMs ? parameters.lateRequestPenaltyMs() : 0;
-        return waiter.key + late - (waiter.requestClass.isDisadvantaged() ? DISADVANTAGED_BONUS_MS : 0);
+        boolean disadvantaged = waiter.requestClass.isDisadvantaged()
+                || fairShare.isTenantDisadvantaged(waiter.request.owner().tenant());
+        return waiter.key + late - (disadvantaged ? DISADVANTAGED_BONUS_MS : 0);
     }
 
     /** How many queued requests would go before such a request. */
     int countAhead(SlotRequest request, int workMs, long now) {
-        long key = key(new Waiter(request, fairShare.classOf(request), now, parameters), workMs, now);
+        long key = key(waiter(request, now), workMs, now);
         int n = 0;
         for (int i = 0; i < waiters.size(); i++) {
             if (key(waiters.get(i), workMs, now) <= key) {
@@ -142,7 +172,7 @@
      * else null.
      */
     Waiter displace(SlotRequest request, int workMs, long now) {
-        long key = key(new Waiter(request, fairShare.classOf(request), now, parameters), workMs, now);
+        long key = key(waiter(request, now), workMs, now);
         Waiter last = null;
         for (int i = 0; i < waiters.size(); i++) {
             long one = key(waiters.get(i), workMs, now);
--- a/src/main/java/brambletray/platform/admission/SlotAllocator.java
+++ b/src/main/java/brambletray/platform/admission/SlotAllocator.java
@@ -5,7 +5,7 @@
  * free slot (a) is queued if P + work is within the safe share of its target; (b) is rejected at once with a {@code
  * Retry-After} if P is within the time for which a client obeys one (served within its target afterwards it earns
  * more than a late response); (c) is queued if P + work is within its remaining time; (d) is rejected at once
- * otherwise. Nested calls, retries and request kinds below their fair share are not rejected while they can be
+ * otherwise. Nested calls, retries, and kinds and tenants below their fair share are not rejected while they can be
  * queued: their callers do not come back, or would find the same state.
  */
 final class SlotAllocator {
@@ -166,7 +166,7 @@
                 scaler.waitMs(queue.countAhead(request, workMs, now), rejectedRequests, now));
         int target = request.targetMs() > 0 ? request.targetMs() : request.remainingMs();
         // A request that goes before all others waits for a single slot, whatever the estimate says.
-        boolean first = request.nestedCall() || fairShare.classOf(request).isDisadvantaged();
+        boolean first = request.nestedCall() || fairShare.isDisadvantaged(request);
         boolean fits = (first ? 0 : wait) + workMs <= request.remainingMs();
         int back = wait + parameters.marginMs();
         boolean heeded = back <= parameters.third() * request.remainingMs();
--- a/src/main/java/brambletray/platform/configuration/Tenant.java
+++ b/src/main/java/brambletray/platform/configuration/Tenant.java
@@ -10,11 +10,18 @@
  * line and no error.
  *
  * @param keyDigests of its API keys, at least one
- * @param priority 0 is the highest rank; counts in place of the route's
+ * @param priority 0 is the highest rank; counts in place of the route's; {@link #NO_PRIORITY}: the route's stays
  * @param ratePerS requests a second; 0: no limit
  * @param burstSize requests beyond the rate at one time
  */
 public record Tenant(String name, List<KeyDigest> keyDigests, int priority, double ratePerS, double burstSize) {
+    /** The priority of a tenant that names none. */
+    public static final int NO_PRIORITY = -1;
+
+    /** The priority of its requests on a route. */
+    public int priorityOn(Route route) {
+        return priority == NO_PRIORITY ? route.priority() : priority;
+    }
 
     /** Whether its requests are limited. */
     public boolean isLimited() {
@@ -27,7 +34,7 @@
         return new Tenant(
                 name,
                 keyDigests(at),
-                at.intOrDefault("priority", 0, 0),
+                at.intOrDefault("priority", 0, NO_PRIORITY),
                 at.nonNegativeDouble("rate-per-s", 0),
                 at.nonNegativeDouble("burst-size", 0));
     }
--- a/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
+++ b/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
@@ -153,7 +153,7 @@
                 edge,
                 zone,
                 plan.service(),
-                plan.priority(),
+                plan.owner(),
                 (int) Math.min(Integer.MAX_VALUE, plan.deadlineMs() - now),
                 plan.targetMs(),
                 hedge,
--- a/src/main/java/brambletray/platform/proxy/RequestPlan.java
+++ b/src/main/java/brambletray/platform/proxy/RequestPlan.java
@@ -1,5 +1,7 @@
 package brambletray.platform.proxy;
 
+import brambletray.platform.admission.SlotOwner;
+import brambletray.platform.configuration.Route;
 import brambletray.platform.configuration.Tenant;
 import brambletray.platform.operations.OperationKey;
 
@@ -7,6 +9,7 @@
  * What one request asks for.
  *
  * @param maxInstances to how many instances it may be sent ({@code retry-count}, 1 at least)
+ * @param owner whose it is for the queues, and how urgent
  * @param targetMs its latency target, ms
  * @param nestedCall whether an instance of ours calls
  * @param tenant whose request it is; null: nobody's
@@ -18,7 +21,7 @@
         String service,
         boolean idempotent,
         int maxInstances,
-        int priority,
+        SlotOwner owner,
         int targetMs,
         boolean nestedCall,
         Tenant tenant,
@@ -27,6 +30,13 @@
         long deadlineMs) {
     private static final int MIN_CLAIM_WAIT_MS = 40;
 
+    /** Whose a request on this route is for the queues; {@code tenant} is null for nobody's. */
+    static SlotOwner owner(Tenant tenant, Route route) {
+        return tenant == null
+                ? SlotOwner.nobody(route.priority())
+                : new SlotOwner(tenant.name(), tenant.priorityOn(route), route.priority());
+    }
+
     /** Whether it needs a right under its tenant's quota. */
     boolean isLimited() {
         return tenant != null && tenant.isLimited();
--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -168,7 +168,7 @@
                 service,
                 route.idempotent(),
                 Math.max(1, route.retryCount()),
-                tenant == null ? route.priority() : tenant.priority(),
+                RequestPlan.owner(tenant, route),
                 route.latencyTargetMs(),
                 isInstanceIp.test(client.clientIp()),
                 tenant,
--- a/src/test/java/brambletray/platform/admission/AdmissionParametersTest.java
+++ b/src/test/java/brambletray/platform/admission/AdmissionParametersTest.java
@@ -20,7 +20,7 @@
     private static final ServiceSpec DESK = new ServiceSpec("s", 512, 1400, 4, 300);
 
     private static SlotRequest ask(long id, String zone, String... avoid) {
-        return new SlotRequest(id, "a", zone, "s", 1, 1000, 300, false, false, false, List.of(avoid));
+        return new SlotRequest(id, "a", zone, "s", SlotOwner.nobody(1), 1000, 300, false, false, false, List.of(avoid));
     }
 
     private static PooledInstance post(PooledInstances posts, String id, String zone, long bornAgo) {
@@ -154,10 +154,15 @@
     @Test
     void noClassWaitsForEver() {
         RequestQueue line = new RequestQueue(LAWS.queue(), new FairShare());
-        line.add(new SlotRequest(1, "a", "east", "s", 2, 4000, 60_000, false, false, false, List.of()), 0);
+        line.add(
+                new SlotRequest(1, "a", "east", "s", SlotOwner.nobody(2), 4000, 60_000, false, false, false, List.of()),
+                0);
         long id = 2;
         for (long now = 0; now < 20_000; now += 10) {
-            line.add(new SlotRequest(id++, "a", "east", "s", 0, 4000, 60_000, false, false, false, List.of()), now);
+            line.add(
+                    new SlotRequest(
+                            id++, "a", "east", "s", SlotOwner.nobody(0), 4000, 60_000, false, false, false, List.of()),
+                    now);
             line.startRound();
             RequestQueue.Waiter next = line.next(false, false, 10, now);
             line.remove(next);
@@ -246,7 +251,8 @@
     }
 
     private static SlotRequest ranked(long id, int priority, boolean call) {
-        return new SlotRequest(id, "a", "east", "s", priority, 4000, 1000, false, false, call, List.of());
+        return new SlotRequest(
+                id, "a", "east", "s", SlotOwner.nobody(priority), 4000, 1000, false, false, call, List.of());
     }
 
     @Test
--- a/src/test/java/brambletray/platform/admission/QueueMoveTest.java
+++ b/src/test/java/brambletray/platform/admission/QueueMoveTest.java
@@ -69,7 +69,7 @@
                 "e" + edge,
                 "east",
                 "s",
-                random.nextInt(3),
+                SlotOwner.nobody(random.nextInt(3)),
                 60_000,
                 60_000,
                 false,
--- a/src/test/java/brambletray/platform/admission/RetryBudgetMoveTest.java
+++ b/src/test/java/brambletray/platform/admission/RetryBudgetMoveTest.java
@@ -82,7 +82,8 @@
     }
 
     private void ask(boolean again) {
-        SlotRequest ask = new SlotRequest(++ids, "a", "east", "s", 1, 50, 50, false, again, false, List.of());
+        SlotRequest ask =
+                new SlotRequest(++ids, "a", "east", "s", SlotOwner.nobody(1), 50, 50, false, again, false, List.of());
         home.onSlotRequest(ask, false, now);
     }
 
--- a/src/test/java/brambletray/platform/admission/SimulatedZones.java
+++ b/src/test/java/brambletray/platform/admission/SimulatedZones.java
@@ -32,7 +32,26 @@
             double worth,
             double late,
             double workMs,
-            double inner) {}
+            double inner,
+            String tenant) {
+
+        /** A kind of nobody's requests. */
+        Kind(
+                String service,
+                int priority,
+                int targetMs,
+                int deadlineMs,
+                double worth,
+                double late,
+                double workMs,
+                double inner) {
+            this(service, priority, targetMs, deadlineMs, worth, late, workMs, inner, "");
+        }
+
+        private String label() {
+            return service + " rank " + priority + (tenant.isEmpty() ? "" : " of " + tenant);
+        }
+    }
 
     /** Requests, or calls of hosts, of one kind. */
     static final class Count {
@@ -211,7 +230,7 @@
                     zone,
                     zone,
                     kind.service,
-                    kind.priority,
+                    new SlotOwner(kind.tenant, kind.priority, 0),
                     (int) (end - now),
                     kind.targetMs,
                     false,
@@ -280,7 +299,7 @@
         void end(boolean served) {
             tries.remove(id);
             boolean ok = served && now <= end;
-            String name = (parent == null ? "" : "call of ") + kind.service + " rank " + kind.priority;
+            String name = (parent == null ? "" : "call of ") + kind.label();
             Count count = counts.computeIfAbsent(name, n -> new Count());
             count.asked++;
             count.served += ok ? 1 : 0;
--- a/src/test/java/brambletray/platform/admission/Timeline.java
+++ b/src/test/java/brambletray/platform/admission/Timeline.java
@@ -228,7 +228,7 @@
                 edge,
                 zone,
                 SERVICE,
-                priority,
+                SlotOwner.nobody(priority),
                 left,
                 target,
                 flags.contains("copy"),
--- a/src/test/java/brambletray/platform/edge/LocalAdmissionTest.java
+++ b/src/test/java/brambletray/platform/edge/LocalAdmissionTest.java
@@ -6,6 +6,7 @@
 import brambletray.platform.admission.AttemptOutcome;
 import brambletray.platform.admission.HeldSlots;
 import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.admission.SlotRedirect;
 import brambletray.platform.admission.SlotRefusal;
 import brambletray.platform.admission.SlotRelease;
@@ -67,7 +68,8 @@
     }
 
     private SlotRequest ask(long id) {
-        return new SlotRequest(id, "e1", ZONE, service, 1, 4_000, 4_000, false, false, false, List.of());
+        return new SlotRequest(
+                id, "e1", ZONE, service, SlotOwner.nobody(1), 4_000, 4_000, false, false, false, List.of());
     }
 
     private void hostIsListed() {
--- a/src/test/java/brambletray/platform/edge/SlotClientTest.java
+++ b/src/test/java/brambletray/platform/edge/SlotClientTest.java
@@ -10,6 +10,7 @@
 import brambletray.platform.admission.ServiceQueues;
 import brambletray.platform.admission.ServiceSpec;
 import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.admission.SlotRedirect;
 import brambletray.platform.admission.SlotRefusal;
 import brambletray.platform.admission.SlotRelease;
@@ -116,7 +117,8 @@
     }
 
     private static SlotRequest ask(long id) {
-        return new SlotRequest(id, EDGE, "z", SERVICE, 1, 60_000, 60_000, false, false, false, List.of());
+        return new SlotRequest(
+                id, EDGE, "z", SERVICE, SlotOwner.nobody(1), 60_000, 60_000, false, false, false, List.of());
     }
 
     private static SlotGrant grant(long id, String host) {
--- a/src/test/java/brambletray/platform/provisioning/LateConfigurationTest.java
+++ b/src/test/java/brambletray/platform/provisioning/LateConfigurationTest.java
@@ -9,6 +9,7 @@
 import brambletray.platform.admission.ServiceQueues;
 import brambletray.platform.admission.ServiceSpec;
 import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.admission.SlotRedirect;
 import brambletray.platform.admission.SlotRefusal;
 import brambletray.platform.admission.SlotRelease;
@@ -208,7 +209,17 @@
         void ask(Request request) {
             asked.put(++ids, request);
             SlotRequest ask = new SlotRequest(
-                    ids, name, "north", request.service, 1, request.left(), TARGET_MS, false, false, false, List.of());
+                    ids,
+                    name,
+                    "north",
+                    request.service,
+                    SlotOwner.nobody(1),
+                    request.left(),
+                    TARGET_MS,
+                    false,
+                    false,
+                    false,
+                    List.of());
             queues.onSlotRequest(ask, false, scene.wires.now());
         }
 
--- a/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -5,6 +5,7 @@
 
 import brambletray.platform.admission.AttemptOutcome;
 import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.admission.SlotRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -47,7 +48,7 @@
                     "s",
                     random.nextBoolean(),
                     1 + random.nextInt(3),
-                    1,
+                    SlotOwner.nobody(1),
                     400,
                     false,
                     null,
--- a/src/test/java/brambletray/platform/proxy/ScriptedBroker.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedBroker.java
@@ -58,6 +58,11 @@
         next.taker().onGranted(new SlotGrant(next.ask().id(), words[1], street.address(words[1]), words.length > 2));
     }
 
+    /** The oldest request that waits for its answer. */
+    SlotRequest oldest() {
+        return asks.element().ask();
+    }
+
     /** Places out, or asked for. */
     int open() {
         return held.size() + asks.size();
