--- a/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -5,6 +5,7 @@
 
 import brambletray.platform.admission.AttemptOutcome;
 import brambletray.platform.admission.SlotGrant;
+import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.admission.SlotRequest;
 import brambletray.platform.configuration.Tenant;
 import brambletray.platform.operations.OperationKey;
@@ -54,7 +55,7 @@
                     "s",
                     !keyed && random.nextBoolean(),
                     1 + random.nextInt(3),
-                    1,
+                    SlotOwner.nobody(1),
                     400,
                     false,
                     random.nextBoolean() ? null : random.nextBoolean() ? LIMITED : UNLIMITED,
