--- a/src/main/java/brambletray/platform/cli/TenantsCommand.java
+++ b/src/main/java/brambletray/platform/cli/TenantsCommand.java
@@ -28,7 +28,7 @@
 
     @Override
     String purpose() {
-        return "how the quotas of the limited tenants stand, counted since the coordinator's term began; 1 where the tenant has none";
+        return "why tenants are refused: their quotas at the coordinator, in its term; 1 where the tenant has none";
     }
 
     @Override
--- a/src/test/java/brambletray/platform/controlplane/OperatorViewsTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperatorViewsTest.java
@@ -137,7 +137,8 @@
         here = true;
         get("/brambletray/system/tenants");
         assertEquals(
-                "{\"node\":\"core-\\\"1\\\"\",\"tenants\":[{\"name\":\"a\",\"state\":\"in-debt\",\"rate-per-s\":50,\"burst-size\":30,"
+                "{\"node\":\"core-\\\"1\\\"\",\"tenants\":["
+                        + "{\"name\":\"a\",\"state\":\"in-debt\",\"rate-per-s\":50,\"burst-size\":30,"
                         + "\"capacity\":34,\"tokens\":-3,\"run-ahead\":8,\"granted\":100,\"refused\":7,"
                         + "\"without-right\":3,\"returned\":1}]}",
                 body);
--- a/src/test/java/brambletray/platform/edge/QuotaHistory.java
+++ b/src/test/java/brambletray/platform/edge/QuotaHistory.java
@@ -419,6 +419,7 @@
             case ALL_TENANTS_FLOOD -> generalFloodUntilMs = nowMs + FLOOD_MS;
             case INSTANCES_STALL -> stalledUntilMs = nowMs + STALL_MS;
             case CUT_OFF_EDGES_RESTART -> restartCutOffEdges();
+            default -> throw new IllegalArgumentException(fault.name());
         }
     }
 
