proxy: keys and tenant names never reach an instance, without tenants in the configuration either

Cause: the headers were taken out after the return for configurations without tenants (found by the reviewer, by reading). Change: taken out first.

--- a/src/main/java/brambletray/platform/configuration/Tenant.java
+++ b/src/main/java/brambletray/platform/configuration/Tenant.java
@@ -9,7 +9,7 @@
  * A tenant: who its keys belong to, and what it may send over all edges together. Keys are secrets: they are in no log
  * line and no error.
  *
- * @param keyDigests of its API keys, at least one
+ * @param keyDigests of its API keys; empty: nobody can send as this tenant
  * @param priority 0 is the highest rank; counts in place of the route's; {@link #NO_PRIORITY}: the route's stays
  * @param ratePerS requests a second; 0: no limit
  * @param burstSize requests beyond the rate at one time
--- a/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
+++ b/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
@@ -17,14 +17,14 @@
     private static final TenantAuthentication ANONYMOUS = new TenantAuthentication(true, null);
     private static final TenantAuthentication REJECTED = new TenantAuthentication(false, null);
 
-    /** Changes the headers. Without tenants in the configuration nothing is asked and nothing changed. */
+    /** Takes keys and tenant names out of the headers. Without tenants in the configuration no key is asked for. */
     static TenantAuthentication of(HttpHeaders headers, Configuration configuration, Route route) {
-        if (configuration.tenants().isEmpty()) {
-            return ANONYMOUS;
-        }
         List<String> keys = headers.getAll(ClientRequest.CREDENTIAL);
         headers.remove(ClientRequest.CREDENTIAL);
         headers.remove(ClientRequest.TENANT);
+        if (configuration.tenants().isEmpty()) {
+            return ANONYMOUS;
+        }
         Tenant tenant = keys.size() == 1 ? configuration.tenantOf(keys.get(0).strip()) : null;
         if (tenant == null) {
             return route.isPublic() ? ANONYMOUS : REJECTED;
