quota: each amount of a run-ahead share that shrinks in series counts until its own end

Callers would see: a tenant beyond its limit by the amounts that were forgotten (QUOTA), as one tenant's demand spreads over edges. Cause: a second shrink kept the first amount's end and dropped the middle amount (found by the reviewer, by reading). Change: the larger former amount counts until the later of both ends; more is counted than may be out, never less.

--- a/src/main/java/brambletray/platform/quota/RunAheadShares.java
+++ b/src/main/java/brambletray/platform/quota/RunAheadShares.java
@@ -25,7 +25,7 @@
             int before = counted(nowMs);
             if (newAmount < before) {
                 boolean formerIsLarger = nowMs < formerHeldUntilMs && formerAmount >= amount;
-                formerHeldUntilMs = formerIsLarger ? formerHeldUntilMs : heldUntilMs;
+                formerHeldUntilMs = formerIsLarger ? Math.max(formerHeldUntilMs, heldUntilMs) : heldUntilMs;
                 formerAmount = before;
             }
             amount = newAmount;
--- /dev/null
+++ b/src/test/java/brambletray/platform/quota/RunAheadSharesTest.java
@@ -0,0 +1,23 @@
+package brambletray.platform.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** How much the edges may send without rights, as it is counted at the giver. */
+class RunAheadSharesTest {
+    private static final EdgeIncarnation FIRST = new EdgeIncarnation("a", 1);
+    private static final EdgeIncarnation SECOND = new EdgeIncarnation("b", 1);
+
+    @Test
+    void eachAmountOfAShrinkingShareCountsUntilItsOwnEnd() {
+        RunAheadShares shares = new RunAheadShares(0);
+        assertEquals(10, shares.renew(FIRST, 10, 1_000, 0));
+        assertEquals(8, shares.renew(FIRST, 8, 2_000, 500));
+        assertEquals(5, shares.renew(FIRST, 5, 3_000, 900));
+        int left = 10 - 8;
+        assertTrue(shares.renew(SECOND, 10, 4_000, 1_500) <= left, "the 8 count until 2,000");
+        assertEquals(5, shares.renew(SECOND, 10, 4_000, 2_500));
+    }
+}
