proxy: silence is no proof that a run broke off, at services with their own record of keys either

Callers could see: an operation run twice at a self-dedupe service, where an instance finished as the time ran out (TWICE). Cause: SILENT counted as broken off (found by the reviewer, by reading). Change: only BROKEN does; the planted fault 'what broke off has not run' names the changed line.

--- a/src/main/java/brambletray/platform/proxy/RunState.java
+++ b/src/main/java/brambletray/platform/proxy/RunState.java
@@ -6,7 +6,7 @@
 enum RunState {
     /** It provably ran nowhere. */
     NOT_RUN,
-    /** The connection of the instance that had it broke, or it was silent to the end. */
+    /** The connection of the instance that had it broke. */
     BROKEN_OFF,
     /** An instance has or may have run it to its end. */
     MAY_HAVE_RUN;
@@ -15,8 +15,8 @@
     static RunState of(AttemptOutcome outcome) {
         return switch (outcome) {
             case NOT_RUN, WRONG_HOST, UNREACHED, UNUSED -> NOT_RUN;
-            case BROKEN, SILENT -> BROKEN_OFF;
-            case SERVED, FAILED, CANCELLED -> MAY_HAVE_RUN;
+            case BROKEN -> BROKEN_OFF;
+            case SERVED, FAILED, SILENT, CANCELLED -> MAY_HAVE_RUN;
         };
     }
 
--- a/src/test/java/brambletray/platform/proxy/PlantedOperationFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedOperationFaultsTest.java
@@ -35,8 +35,8 @@
                         RequestLifecycleTest.class,
                         "theRulesHoldWhateverHappens",
                         "RunState",
-                        "            case BROKEN, SILENT -> BROKEN_OFF;",
-                        "            case BROKEN, SILENT -> NOT_RUN;"),
+                        "            case BROKEN -> BROKEN_OFF;",
+                        "            case BROKEN -> NOT_RUN;"),
                 fault(
                         "what may have run is released where its answer is not known",
                         RequestLifecycleTest.class,
