edge: 409 only where a claim is granted; an edge in the roster is waited for; operations' ticks recover

Cause: a claim that was only requested counted as in work; reachability was that of slot requests; the operations' timer had no catch (all found by the reviewer, by reading). Change: ClaimClient.isPending; an edge counts as gone when the roster says so; the tick is scheduled anew after a failure. Measured: aFirstOneThatHasNoClaimYetIsNotInWork failed on, passes now; the other two have no test that failed before.

--- a/src/main/java/brambletray/platform/edge/ClaimClient.java
+++ b/src/main/java/brambletray/platform/edge/ClaimClient.java
@@ -94,6 +94,11 @@
         return claim;
     }
 
+    /** Whether this claim was requested, and is neither granted nor refused yet. */
+    boolean isPending(ClaimId claim) {
+        return pending.containsKey(claim);
+    }
+
     /** Nobody waits for this claim any more. */
     void cancel(ClaimId claim) {
         PendingClaim cancelled = pending.remove(claim);
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -265,7 +265,12 @@
     }
 
     private void tickOperations() {
-        operationClient.tick();
+        try {
+            operationClient.tick();
+        } catch (RuntimeException e) {
+            LOG.warn("tick-failed").withFailure(e).log();
+            operationTimer.schedule(now() + MIN_TICK_INTERVAL_MS);
+        }
     }
 
     void reloadSettings() {
@@ -468,7 +473,7 @@
         @Override
         public boolean isReachable(String edge, long incarnation) {
             Peer peer = roster.find(edge);
-            return peer != null && peer.incarnation() == incarnation && !edgeLinks.isUnreachable(edge);
+            return peer != null && peer.incarnation() == incarnation;
         }
 
         @Override
--- a/src/main/java/brambletray/platform/edge/OperationClient.java
+++ b/src/main/java/brambletray/platform/edge/OperationClient.java
@@ -74,7 +74,8 @@
         /** Requested for this attempt and not answered; null: none. */
         private ClaimId requested;
         /** Whether an attempt at this edge came first and is running. */
-        private boolean watchesHere;
+        /** The claim of this edge whose end is waited for; null: none. */
+        private ClaimId watched;
         /** The query to the edge of the attempt that came first; 0: none. */
         private long queryId;
 
@@ -111,7 +112,7 @@
         /** An attempt at this edge came first. */
         private void follow(ClaimId holder, Result known) {
             if (known == Result.RUNNING) {
-                watchesHere = true;
+                watched = holder;
                 results.watch(holder, this::onResult);
             } else {
                 onResult(known);
@@ -119,7 +120,7 @@
         }
 
         private void onResult(Result result) {
-            watchesHere = false;
+            watched = null;
             queryId = 0;
             if (!isWaiting()) {
                 return;
@@ -199,7 +200,8 @@
                 endRequested();
                 return Progress.NOT_CLAIMED;
             }
-            boolean inWork = watchesHere || queries.isRunning(queryId);
+            boolean inWorkHere = watched != null && !claimClient.isPending(watched);
+            boolean inWork = inWorkHere || queries.isRunning(queryId);
             boolean unanswered = queryId != 0;
             queries.cancel(queryId);
             return inWork ? Progress.IN_WORK : unanswered ? Progress.UNKNOWN : Progress.NOT_CLAIMED;
--- a/src/test/java/brambletray/platform/edge/OperationClientTest.java
+++ b/src/test/java/brambletray/platform/edge/OperationClientTest.java
@@ -317,6 +317,16 @@
         assertEquals("answered first", b.hears("r3"));
     }
 
+    @Test
+    void aFirstOneThatHasNoClaimYetIsNotInWork() {
+        coordinatorUp = false;
+        Edge a = edge("a");
+        a.claim("r1");
+        a.claim("r2");
+        until(50);
+        assertEquals(OperationGate.Progress.NOT_CLAIMED, a.cancel("r2"));
+    }
+
     @Test
     void atTheEndOfItsTimeARepeatKnowsThatTheFirstOneIsInWork() {
         edge("a").claim("r1");
