--- a/src/main/java/brambletray/platform/quota/RunAheadShares.java
+++ b/src/main/java/brambletray/platform/quota/RunAheadShares.java
@@ -1,5 +1,6 @@
 package brambletray.platform.quota;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -11,29 +12,35 @@
  */
 final class RunAheadShares {
     /** What one edge may hold: by its newest grant, and by a larger one before that it may not have seen replaced. */
+    /** What an edge was told it may send ahead, until when that counts. */
+    private record Allowance(int amount, long heldUntilMs) {}
+
+    /** The allowances of one edge that still count; each is smaller than those before it, and ends later. */
     private static final class Share {
-        private int amount;
-        private long heldUntilMs;
-        private int formerAmount;
-        private long formerHeldUntilMs;
+        private final ArrayDeque<Allowance> allowances = new ArrayDeque<>();
 
         int counted(long nowMs) {
-            return nowMs < formerHeldUntilMs ? Math.max(amount, formerAmount) : amount;
+            removeExpired(nowMs);
+            return allowances.isEmpty() ? 0 : allowances.peekFirst().amount();
+        }
+
+        void replace(int amount, long untilMs, long nowMs) {
+            removeExpired(nowMs);
+            while (!allowances.isEmpty() && allowances.peekLast().amount() <= amount) {
+                allowances.removeLast();
+            }
+            allowances.addLast(new Allowance(amount, untilMs));
         }
 
-        void replace(int newAmount, long untilMs, long nowMs) {
-            int before = counted(nowMs);
-            if (newAmount < before) {
-                boolean formerIsLarger = nowMs < formerHeldUntilMs && formerAmount >= amount;
-                formerHeldUntilMs = formerIsLarger ? Math.max(formerHeldUntilMs, heldUntilMs) : heldUntilMs;
-                formerAmount = before;
+        private void removeExpired(long nowMs) {
+            while (!allowances.isEmpty() && nowMs >= allowances.peekFirst().heldUntilMs()) {
+                allowances.removeFirst();
             }
-            amount = newAmount;
-            heldUntilMs = untilMs;
         }
 
         boolean isExpired(long nowMs) {
-            return nowMs >= heldUntilMs && nowMs >= formerHeldUntilMs;
+            removeExpired(nowMs);
+            return allowances.isEmpty();
         }
     }
 
--- a/src/test/java/brambletray/platform/quota/RunAheadSharesTest.java
+++ b/src/test/java/brambletray/platform/quota/RunAheadSharesTest.java
@@ -1,7 +1,6 @@
 package brambletray.platform.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -16,8 +15,8 @@
         assertEquals(10, shares.renew(FIRST, 10, 1_000, 0));
         assertEquals(8, shares.renew(FIRST, 8, 2_000, 500));
         assertEquals(5, shares.renew(FIRST, 5, 3_000, 900));
-        int left = 10 - 8;
-        assertTrue(shares.renew(SECOND, 10, 4_000, 1_500) <= left, "the 8 count until 2,000");
+        assertEquals(2, shares.renew(SECOND, 10, 4_000, 1_500));
+        assertEquals(10, shares.total(1_500));
         assertEquals(5, shares.renew(SECOND, 10, 4_000, 2_500));
     }
 }
