Review case 3: kept connections to the edge that stands still

Need: the case failed each time, but with only 1 or 2 of 10 operations: a new connection is accepted first, and the edge has the new configuration by then.

--- a/review/3/KeyPassedOn.java
+++ b/review/3/KeyPassedOn.java
@@ -1,3 +1,4 @@
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -81,7 +82,13 @@
         Site.Node frozen = site.edges.get(1);
         for (int i = 0; i < 6; i++) {
             // instances are up, and both edges have sent before
-            send(callers, record, i % 2 == 0 ? running : frozen, "warm-" + i);
+            send(callers, i % 2 == 0 ? running : frozen, "warm-" + i);
+        }
+        List<Socket> kept = new ArrayList<>();
+        for (int i = 0; i < OPERATIONS; i++) {
+            Socket connection = new Socket(frozen.ip, site.frontPort);
+            kept.add(connection);
+            callers.attempt(connection, frozen, callers.newId(), "GET", "/read/" + i, Map.of("Brambletray-Credential", KEY));
         }
         Callers.pause(3_000);
 
@@ -117,10 +124,11 @@
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < OPERATIONS; i++) {
             String operation = "top-up-" + i;
+            Socket connection = kept.get(i);
             Thread client = new Thread(() -> {
-                send(callers, record, running, operation);
+                send(callers, running, operation);
                 // "some are also sent again after a good answer, ... and from another zone"
-                send(callers, record, frozen, operation);
+                callers.attempt(connection, frozen, callers.newId(), "POST", "/topup/" + operation, headers(operation));
             });
             client.start();
             clients.add(client);
@@ -150,14 +158,18 @@
         return once < OPERATIONS / 2 ? 2 : twice > 0 ? 1 : 0;
     }
 
-    private static void send(Callers callers, Record record, Site.Node edge, String operation) {
+    private static void send(Callers callers, Site.Node edge, String operation) {
         callers.attempt(
                 edge,
                 callers.newId(),
                 "POST",
                 "/topup/" + operation,
                 Callers.DEADLINE_MS,
-                Map.of("Brambletray-Credential", KEY, "Brambletray-Operation-Key", operation));
+                headers(operation));
+    }
+
+    private static Map<String, String> headers(String operation) {
+        return Map.of("Brambletray-Credential", KEY, "Brambletray-Operation-Key", operation);
     }
 
     private static Map<String, Object> tenant(String name, List<String> keys) {
--- a/review/rig/Callers.java
+++ b/review/rig/Callers.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -87,6 +88,30 @@
         }
     }
 
+    /** One try on a connection that is kept; null without a whole answer. */
+    Http.Message attempt(Socket kept, Site.Node edge, String id, String method, String path, Map<String, String> more) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Host", "tray.example");
+        headers.put("Brambletray-Attempt-Id", id);
+        headers.put("Brambletray-Deadline-Remaining", Integer.toString(DEADLINE_MS));
+        headers.putAll(more);
+        record.line("client: " + id + " " + method + ' ' + path + " to " + edge.name + " on a kept connection");
+        try {
+            kept.setSoTimeout(DEADLINE_MS + 100);
+            kept.getOutputStream().write(Http.bytes(method + ' ' + path + " HTTP/1.1", headers, new byte[0]));
+            Http.Message answer = Http.read(kept.getInputStream());
+            record.line("client: " + id + " -> "
+                    + (answer == null
+                            ? "closed"
+                            : answer.status() + " seal " + answer.header("brambletray-response-seal"))
+                    + " at " + edge.name);
+            return answer;
+        } catch (IOException e) {
+            record.line("client: " + id + " -> " + e + " at " + edge.name);
+            return null;
+        }
+    }
+
     Site.Node edge(int turn) {
         List<Site.Node> list = ready.isEmpty() ? site.edges : ready;
         return list.get(Math.floorMod(turn, list.size()));
