Review case 3: six edges, as at the small site

Need: one frozen edge of three is a larger share than the site file's node_freeze.

Change: the script starts six edges, one of which stands still.

--- a/review/3/KeyPassedOn.java
+++ b/review/3/KeyPassedOn.java
@@ -51,6 +51,7 @@
                 "bounds.quota-slack=20",
                 "bounds.revocation-global=false",
                 "bounds.revoke-ms=5000"));
+        site.addEdges(3);
         Map<String, List<Run>> runs = new ConcurrentHashMap<>();
         Platform platform = new Platform(site, record, (host, request) -> {
             String operation = request.header("brambletray-operation-key");
@@ -186,9 +187,9 @@
 
     private static boolean ready(Callers callers, Record record, double forS) {
         double until = record.seconds() + forS;
-        while (callers.ready().size() < 3 && record.seconds() < until) {
+        while (callers.ready().size() < 6 && record.seconds() < until) {
             Callers.pause(100);
         }
-        return callers.ready().size() == 3;
+        return callers.ready().size() == 6;
     }
 }
--- a/review/rig/Site.java
+++ b/review/rig/Site.java
@@ -170,6 +170,16 @@
         return node;
     }
 
+    /** Adds edges, in the zones in turn, before the start. */
+    void addEdges(int count) {
+        for (int i = 0; i < count; i++) {
+            int turn = edges.size();
+            Node node = new Node("edge-" + (turn + 1), "edge", "127.0.0." + (turn + 20), ZONES.get(turn % ZONES.size()));
+            node.seeds = List.copyOf(cores);
+            edges.add(node);
+        }
+    }
+
     List<Node> all() {
         List<Node> all = new ArrayList<>(cores);
         all.addAll(edges);
