--- a/review/rig/Site.java
+++ b/review/rig/Site.java
@@ -72,7 +72,12 @@
             Map<String, String> environment = builder.environment();
             environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
             environment.put("BRAMBLETRAY_NODE_FILE", settings.toString());
-            process = builder.start();
+            synchronized (Site.this) {
+                if (ended) {
+                    throw new IOException(name + " isn't started: the case ends");
+                }
+                process = builder.start();
+            }
             starts++;
             record.say(name + ": start " + starts);
         }
@@ -91,6 +96,9 @@
         }
     }
 
+    /** Nothing is started any more; guarded by this object. */
+    private boolean ended;
+
     final Path root;
     final Record record;
     final String tag;
@@ -307,7 +315,8 @@
     }
 
     /** Ends all processes and removes the folder. {@code keep}: the folder stays. */
-    void end(List<Node> others, boolean keep) throws IOException {
+    synchronized void end(List<Node> others, boolean keep) throws IOException {
+        ended = true;
         List<Node> all = all();
         all.addAll(others);
         for (Node node : all) {
