--- a/src/main/java/brambletray/platform/configuration/Configuration.java
+++ b/src/main/java/brambletray/platform/configuration/Configuration.java
@@ -308,7 +308,12 @@
 
     /** The tenant that holds this API key, or null if none does. */
     public Tenant tenantForKey(String key) {
-        return tenantTable.find(key);
+        return tenantForKey(KeyDigest.of(key));
+    }
+
+    /** The tenant that holds the API key with this digest, or null if none does. */
+    public Tenant tenantForKey(KeyDigest digest) {
+        return tenantTable.find(digest);
     }
 
     /** Limits for client requests and connections. */
--- a/src/main/java/brambletray/platform/configuration/TenantTable.java
+++ b/src/main/java/brambletray/platform/configuration/TenantTable.java
@@ -24,8 +24,8 @@
         }
     }
 
-    /** The tenant that holds this key, or null if none does. */
-    Tenant find(String key) {
-        return tenants.get(KeyDigest.of(key));
+    /** The tenant that holds the key with this digest, or null if none does. */
+    Tenant find(KeyDigest digest) {
+        return tenants.get(digest);
     }
 }
--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProgram.java
@@ -2,6 +2,8 @@
 
 import brambletray.common.runtime.Machine;
 import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.KeyDigest;
+import brambletray.platform.configuration.Tenant;
 import brambletray.platform.distribution.FrameTypes;
 import brambletray.platform.distribution.LinkIntroduction;
 import brambletray.platform.distribution.ProcessSignals;
@@ -281,6 +283,12 @@
             coordinatorSupervisor.sendToEdge(edge, frame);
         }
 
+        @Override
+        public String tenantOf(KeyDigest credential) {
+            Tenant tenant = operatorCalls.stateMachine().configuration().tenantForKey(credential);
+            return tenant == null ? "" : tenant.name();
+        }
+
         @Override
         public long nowMs() {
             return ControlPlaneProgram.this.nowMs();
--- a/src/main/java/brambletray/platform/controlplane/OperationClaims.java
+++ b/src/main/java/brambletray/platform/controlplane/OperationClaims.java
@@ -1,5 +1,6 @@
 package brambletray.platform.controlplane;
 
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.logging.EventLog;
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
@@ -10,9 +11,11 @@
 import brambletray.platform.operations.ClaimUnavailable;
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationCommand;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.operations.OperationRegistry.ActiveClaim;
 import brambletray.platform.operations.OperationRegistry.Outcome;
+import brambletray.platform.operations.TenantAssignment;
 import brambletray.platform.replication.ProposalOutcome;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -40,6 +43,8 @@
     static final int MAX_REMEMBERED = 65_536;
     /** Time to retry that an edge is told where a claim could not be committed. */
     private static final int RETRY_AFTER_MS = 300;
+    /** Time to retry that an edge with an older configuration is told: about what a change takes to reach it. */
+    private static final int OUTDATED_RETRY_MS = 400;
 
     /** How commands are replicated and answered. */
     interface Access {
@@ -49,6 +54,12 @@
         /** Sends to an edge that follows the coordinator here; lost where there is none. */
         void send(String edge, Object frame);
 
+        /**
+         * Name of the tenant that holds this credential in the configuration that this member has applied; empty if
+         * none does.
+         */
+        String tenantOf(KeyDigest credential);
+
         /** Steady ms. */
         long nowMs();
     }
@@ -67,8 +78,13 @@
         }
     }
 
-    /** A command on its way, and the edge that waits for it. */
-    private record PendingCommand(OperationCommand command, String edge) {}
+    /**
+     * A command on its way, and the edge that waits for it.
+     *
+     * @param assignment the assignment by which the edge named the operation; null for a claim without a credential and
+     *     for a release
+     */
+    private record PendingCommand(OperationCommand command, String edge, TenantAssignment assignment) {}
 
     private final OperationRegistry registry;
     private final Access access;
@@ -101,17 +117,19 @@
 
     @Override
     public void onClaim(String edge, ClaimRequest request) {
-        ActiveClaim holder = registry.holder(request.key(), access.nowMs());
+        OperationIdentity operation = request.operation();
+        ActiveClaim holder = registry.holder(operation.names(), access.nowMs());
         if (holder != null) {
             // what has been applied is committed: no need to ask the others
-            answerClaim(edge, request.claim(), holder);
+            answerClaim(edge, request.claim(), operation.assignment(), holder);
         } else if (queue.size() >= MAX_QUEUED_COMMANDS) {
             access.send(edge, new ClaimUnavailable(request.claim(), RETRY_AFTER_MS));
         } else if (registry.size() >= MAX_REMEMBERED) {
             access.send(edge, new ClaimUnavailable(request.claim(), RETRY_AFTER_MS));
             forgetExpired();
         } else {
-            enqueue(edge, new OperationCommand.Claim(request.claim(), request.key(), edge));
+            OperationCommand claim = new OperationCommand.Claim(request.claim(), operation.names(), edge);
+            enqueue(new PendingCommand(claim, edge, operation.assignment()));
         }
     }
 
@@ -120,7 +138,8 @@
         // the edge waits for its claim no longer; where it still gathers, it need not be replicated
         pending.remove(new CommandId(CommandKind.CLAIM, request.claim()));
         if (queue.size() < MAX_QUEUED_RELEASES) {
-            enqueue(edge, new OperationCommand.Release(request.claim(), request.key()));
+            OperationCommand release = new OperationCommand.Release(request.claim(), request.key());
+            enqueue(new PendingCommand(release, edge, null));
         }
     }
 
@@ -146,9 +165,8 @@
         }
     }
 
-    private void enqueue(String edge, OperationCommand command) {
-        PendingCommand added = new PendingCommand(command, edge);
-        if (pending.putIfAbsent(CommandId.of(command), added) == null) {
+    private void enqueue(PendingCommand added) {
+        if (pending.putIfAbsent(CommandId.of(added.command()), added) == null) {
             queue.add(added);
             proposeNext();
         }
@@ -189,7 +207,7 @@
                 continue;
             }
             if (command.command() instanceof OperationCommand.Claim) {
-                answerClaim(command.edge(), command.command().claim(), outcome.holder());
+                answerClaim(command.edge(), command.command().claim(), command.assignment(), outcome.holder());
             } else {
                 access.send(command.edge(), new ClaimReleased(command.command().claim()));
             }
@@ -197,16 +215,36 @@
     }
 
     /** {@code holder} null: the claim was released before. */
-    private void answerClaim(String edge, ClaimId claim, ActiveClaim holder) {
+    private void answerClaim(String edge, ClaimId claim, TenantAssignment assignment, ActiveClaim holder) {
         if (holder == null) {
             access.send(edge, new ClaimUnavailable(claim, RETRY_AFTER_MS));
-        } else if (holder.id().equals(claim)) {
-            access.send(edge, new ClaimGranted(claim));
-        } else {
+        } else if (!holder.id().equals(claim)) {
             access.send(edge, new ClaimHeld(claim, holder.id(), holder.edge()));
+        } else if (isOutdated(assignment)) {
+            logOutdated(edge, assignment);
+            access.send(edge, new ClaimUnavailable(claim, OUTDATED_RETRY_MS));
+        } else {
+            access.send(edge, new ClaimGranted(claim));
         }
     }
 
+    /**
+     * Whether the edge took the credential for another tenant's than the configuration here. The edge has an older one
+     * then: the log orders this claim after every configuration that the edge had seen, and the claim is applied here.
+     * Another edge may have named the same operation by the credential's present tenant.
+     */
+    private boolean isOutdated(TenantAssignment assignment) {
+        return assignment != null && !access.tenantOf(assignment.credential()).equals(assignment.tenant());
+    }
+
+    private void logOutdated(String edge, TenantAssignment assignment) {
+        LOG.info("operation-claim-outdated")
+                .with("edge", edge)
+                .with("tenant-at-edge", assignment.tenant())
+                .with("tenant", access.tenantOf(assignment.credential()))
+                .log();
+    }
+
     /** The outcome of a batch. What is not known to be committed may be applied later; its edges claim again. */
     void onProposalCompleted(long token, ProposalOutcome outcome) {
         List<CommandId> ids = batches.remove(token);
--- a/src/main/java/brambletray/platform/drill/SimulatedCluster.java
+++ b/src/main/java/brambletray/platform/drill/SimulatedCluster.java
@@ -27,6 +27,7 @@
     static final int FRONT = 8_241;
     static final int READY = 8_246;
     static final int PLATFORM = 8_240;
+    static final Address PLATFORM_ADDRESS = new Address("10.200.0.1", PLATFORM);
     /** Bounds of the deployments, ms. */
     static final int CONTACT = 4_000;
 
@@ -72,7 +73,13 @@
     private long disturbedAt;
     private long settledSince = -1;
 
+    /** A cluster whose platform has no instances. */
     SimulatedCluster(ScenarioScript script) {
+        this(script, machine -> EmptyPlatform.open(machine, PLATFORM_ADDRESS));
+    }
+
+    /** {@code platform}: opens the platform at {@link #PLATFORM_ADDRESS} on the machine that it is given. */
+    SimulatedCluster(ScenarioScript script, Consumer<Machine> platform) {
         this.script = script;
         simulation = new Simulation(ScenarioScript.mix(script.seed()), 1_900_000_000_000L);
         random = new SplittableRandom(ScenarioScript.mix(script.seed() ^ 0x5bd1e995L << 32));
@@ -91,7 +98,7 @@
         for (int i = 1; i <= 3; i++) {
             edges.add(new EdgeNode(this, i));
         }
-        EmptyPlatform.open(simulation.machine(platform()), new Address("10.200.0.1", PLATFORM));
+        platform.accept(simulation.machine(platform()));
     }
 
     static InetAddress ip(int a, int b, int c, int d) {
--- a/src/main/java/brambletray/platform/edge/ClaimClient.java
+++ b/src/main/java/brambletray/platform/edge/ClaimClient.java
@@ -7,6 +7,7 @@
 import brambletray.platform.operations.ClaimReleased;
 import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.operations.ClaimUnavailable;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -47,18 +48,22 @@
     }
 
     private static final class PendingClaim {
-        private final OperationKey key;
+        private final OperationIdentity operation;
         private final long claimedAtMs;
         private final long giveUpAtMs;
         private final Listener listener;
         private boolean isRepeated;
 
-        PendingClaim(OperationKey key, long claimedAtMs, long giveUpAtMs, Listener listener) {
-            this.key = key;
+        PendingClaim(OperationIdentity operation, long claimedAtMs, long giveUpAtMs, Listener listener) {
+            this.operation = operation;
             this.claimedAtMs = claimedAtMs;
             this.giveUpAtMs = giveUpAtMs;
             this.listener = listener;
         }
+
+        OperationKey key() {
+            return operation.names().byTenant();
+        }
     }
 
     private record PendingRelease(OperationKey key, long claimedAtMs) {}
@@ -82,14 +87,14 @@
     }
 
     /** Requests a claim and returns its id, or null if too many are pending; calls the listener only afterwards. */
-    ClaimId claim(OperationKey key, int maxWaitMs, Listener listener) {
+    ClaimId claim(OperationIdentity operation, int maxWaitMs, Listener listener) {
         if (pending.size() >= MAX_PENDING) {
             return null;
         }
         long now = clock.getAsLong();
         ClaimId claim = new ClaimId(incarnation, ++lastSequence);
-        pending.put(claim, new PendingClaim(key, now, now + maxWaitMs, listener));
-        send(new ClaimRequest(claim, key));
+        pending.put(claim, new PendingClaim(operation, now, now + maxWaitMs, listener));
+        send(new ClaimRequest(claim, operation));
         transport.scheduleTick(now + maxWaitMs);
         return claim;
     }
@@ -103,7 +108,7 @@
     void cancel(ClaimId claim) {
         PendingClaim cancelled = pending.remove(claim);
         if (cancelled != null) {
-            release(claim, cancelled.key);
+            release(claim, cancelled.key());
         }
     }
 
@@ -125,7 +130,7 @@
     void onAttached() {
         pending.forEach((claim, waiting) -> {
             waiting.isRepeated = true;
-            send(new ClaimRequest(claim, waiting.key));
+            send(new ClaimRequest(claim, waiting.operation));
         });
         sendReleases();
     }
@@ -147,7 +152,7 @@
             if (waiting != null) {
                 if (waiting.isRepeated) {
                     // The other copy of the request may still be granted once the holder's claim is released.
-                    release(held.claim(), waiting.key);
+                    release(held.claim(), waiting.key());
                 }
                 waiting.listener.onHeld(held.holder(), held.holderEdge());
             }
--- a/src/main/java/brambletray/platform/edge/OperationClient.java
+++ b/src/main/java/brambletray/platform/edge/OperationClient.java
@@ -3,6 +3,7 @@
 import brambletray.platform.edge.OperationResults.Result;
 import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.ClaimWindow;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.operations.ResultQuery;
 import brambletray.platform.operations.ResultResponse;
@@ -54,7 +55,7 @@
 
     // ---- Attempts at this edge ----------------------------------------------------------------------
     @Override
-    public void claim(OperationKey operation, int maxWaitMs, Listener listener) {
+    public void claim(OperationIdentity operation, int maxWaitMs, Listener listener) {
         Waiter waiter = new Waiter(operation, maxWaitMs, listener);
         waiters.put(listener, waiter);
         waiter.start();
@@ -68,7 +69,7 @@
 
     /** An attempt that waits for its claim, or for the result of the attempt that holds the claim. */
     private final class Waiter implements ClaimClient.Listener {
-        private final OperationKey operation;
+        private final OperationIdentity operation;
         private final int maxWaitMs;
         private final Listener listener;
         /** The claim requested for this attempt and not answered yet; null: none. */
@@ -82,14 +83,14 @@
         /** When the operation is to be claimed again, monotonic ms; 0: not scheduled. */
         private long reclaimAtMs;
 
-        Waiter(OperationKey operation, int maxWaitMs, Listener listener) {
+        Waiter(OperationIdentity operation, int maxWaitMs, Listener listener) {
             this.operation = operation;
             this.maxWaitMs = maxWaitMs;
             this.listener = listener;
         }
 
         void start() {
-            ClaimId localClaim = results.claimSince(operation, clock.getAsLong() - windowMs);
+            ClaimId localClaim = results.claimSince(operation.names(), clock.getAsLong() - windowMs);
             Result known = localClaim == null ? Result.NOT_RUN : results.find(localClaim);
             if (known == Result.NOT_RUN) {
                 request();
@@ -98,13 +99,17 @@
             }
         }
 
+        private OperationKey key() {
+            return operation.names().byTenant();
+        }
+
         private void request() {
             reclaimAtMs = 0;
             requested = claimClient.claim(operation, maxWaitMs, this);
             if (requested == null) {
                 finish(() -> listener.onUnavailable(RETRY_AFTER_MS));
             } else {
-                results.onRequested(requested, operation, clock.getAsLong());
+                results.onRequested(requested, operation.names(), clock.getAsLong());
             }
         }
 
@@ -154,14 +159,14 @@
 
         private GrantedClaim grantedClaim(ClaimId claim, long claimedAtMs) {
             return new GrantedClaim(
-                    claim, operation, claimedAtMs + ClaimWindow.MAX_SEND_DELAY_MS, results, claimClient, clock);
+                    claim, key(), claimedAtMs + ClaimWindow.MAX_SEND_DELAY_MS, results, claimClient, clock);
         }
 
         @Override
         public void onHeld(ClaimId holder, String holderEdge) {
             endRequested();
             if (holder.incarnation() == incarnation) {
-                awaitResult(holder, findLocal(holder, operation));
+                awaitResult(holder, findLocal(holder, key()));
             } else if (!holderEdge.equals(transport.self())
                     && transport.isReachable(holderEdge, holder.incarnation())) {
                 queryId = queries.send(holder, holderEdge, this::onResult);
--- a/src/main/java/brambletray/platform/edge/OperationResults.java
+++ b/src/main/java/brambletray/platform/edge/OperationResults.java
@@ -2,6 +2,7 @@
 
 import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationNames;
 import brambletray.platform.operations.OperationState;
 import brambletray.platform.proxy.RecordedAnswer;
 import java.util.ArrayDeque;
@@ -35,13 +36,13 @@
     }
 
     private static final class Entry {
-        private final OperationKey key;
+        private final OperationNames names;
         private final long claimedAtMs;
         private Result result = Result.RUNNING;
         private final List<Consumer<Result>> watchers = new ArrayList<>(0);
 
-        Entry(OperationKey key, long claimedAtMs) {
-            this.key = key;
+        Entry(OperationNames names, long claimedAtMs) {
+            this.names = names;
             this.claimedAtMs = claimedAtMs;
         }
     }
@@ -51,7 +52,7 @@
     private final long maxBytes;
     /** In the order of their requests. */
     private final LinkedHashMap<ClaimId, Entry> entries = new LinkedHashMap<>();
-    /** The newest claim of each operation. */
+    /** The newest claim of each name of an operation. */
     private final Map<OperationKey, ClaimId> claims = new HashMap<>();
     /** Claims with an answer, oldest first; may contain claims that were removed since. */
     private final ArrayDeque<ClaimId> answered = new ArrayDeque<>();
@@ -68,22 +69,33 @@
     }
 
     /** Adds a claim requested at this time; it is RUNNING until {@link #end}. */
-    void onRequested(ClaimId claim, OperationKey key, long claimedAtMs) {
-        entries.put(claim, new Entry(key, claimedAtMs));
-        claims.put(key, claim);
+    void onRequested(ClaimId claim, OperationNames names, long claimedAtMs) {
+        entries.put(claim, new Entry(names, claimedAtMs));
+        claims.put(names.byTenant(), claim);
+        if (names.byCredential() != null) {
+            claims.put(names.byCredential(), claim);
+        }
+    }
+
+    /**
+     * The newest claim of this operation if it was requested at or after this time, otherwise null. The name by tenant
+     * goes before that by credential.
+     */
+    ClaimId claimSince(OperationNames names, long sinceMs) {
+        ClaimId claim = claimSince(names.byTenant(), sinceMs);
+        return claim == null ? claimSince(names.byCredential(), sinceMs) : claim;
     }
 
-    /** The newest claim of this operation if it was requested at or after this time, otherwise null. */
-    ClaimId claimSince(OperationKey key, long sinceMs) {
-        ClaimId claim = claims.get(key);
+    private ClaimId claimSince(OperationKey name, long sinceMs) {
+        ClaimId claim = claims.get(name);
         Entry entry = claim == null ? null : entries.get(claim);
         return entry == null || entry.claimedAtMs < sinceMs ? null : claim;
     }
 
-    /** The operation of a claim that is still kept; null for others. */
+    /** The operation's name by tenant of a claim that is still kept; null for others. */
     OperationKey key(ClaimId claim) {
         Entry entry = entries.get(claim);
-        return entry == null ? null : entry.key;
+        return entry == null ? null : entry.names.byTenant();
     }
 
     /** The result of a claim of this process. A claim that was never requested is NOT_RUN; a removed one UNKNOWN. */
@@ -138,7 +150,8 @@
                 return;
             }
             oldest.remove();
-            claims.remove(entry.key, next.getKey());
+            claims.remove(entry.names.byTenant(), next.getKey());
+            claims.remove(entry.names.byCredential(), next.getKey());
             bytes -= entry.result.size();
             highestRemovedSequence =
                     Math.max(highestRemovedSequence, next.getKey().sequence());
--- a/src/main/java/brambletray/platform/operations/ClaimRequest.java
+++ b/src/main/java/brambletray/platform/operations/ClaimRequest.java
@@ -1,4 +1,4 @@
 package brambletray.platform.operations;
 
 /** From an edge to the coordinator: claims an operation. Repeating the same request gives the same answer. */
-public record ClaimRequest(ClaimId claim, OperationKey key) {}
+public record ClaimRequest(ClaimId claim, OperationIdentity operation) {}
--- a/src/main/java/brambletray/platform/operations/OperationBatch.java
+++ b/src/main/java/brambletray/platform/operations/OperationBatch.java
@@ -21,6 +21,7 @@
 
     private static final int CLAIM = 1;
     private static final int RELEASE = 2;
+    private static final int CLAIM_WITH_CREDENTIAL = 3;
 
     /** Whether this entry of the replicated log is a batch. */
     public static boolean isBatch(byte[] entry) {
@@ -56,14 +57,24 @@
     }
 
     private static void write(OperationCommand command, DataOutputStream out) throws IOException {
-        out.writeByte(command instanceof OperationCommand.Claim ? CLAIM : RELEASE);
+        out.writeByte(kind(command));
         OperationCodec.write(command.claim(), out);
         OperationCodec.write(command.key(), out);
         if (command instanceof OperationCommand.Claim claim) {
+            if (claim.names().byCredential() != null) {
+                OperationCodec.write(claim.names().byCredential(), out);
+            }
             out.writeUTF(claim.edge());
         }
     }
 
+    private static int kind(OperationCommand command) {
+        if (command instanceof OperationCommand.Claim claim) {
+            return claim.names().byCredential() == null ? CLAIM : CLAIM_WITH_CREDENTIAL;
+        }
+        return RELEASE;
+    }
+
     /** Decodes a batch; throws {@link OperationsException} if {@link #encode} cannot have produced the bytes. */
     public static OperationBatch decode(byte[] bytes) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
@@ -93,7 +104,9 @@
         ClaimId claim = OperationCodec.readClaimId(in);
         OperationKey key = OperationCodec.readKey(in);
         return switch (kind) {
-            case CLAIM -> new OperationCommand.Claim(claim, key, in.readUTF());
+            case CLAIM -> new OperationCommand.Claim(claim, OperationNames.withoutCredential(key), in.readUTF());
+            case CLAIM_WITH_CREDENTIAL ->
+                new OperationCommand.Claim(claim, new OperationNames(key, OperationCodec.readKey(in)), in.readUTF());
             case RELEASE -> new OperationCommand.Release(claim, key);
             default ->
                 throw new OperationsException(
--- a/src/main/java/brambletray/platform/operations/OperationCodec.java
+++ b/src/main/java/brambletray/platform/operations/OperationCodec.java
@@ -4,7 +4,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 
-/** Binary encoding of keys and claim ids in batches and snapshots. */
+/** Binary encoding of keys, names and claim ids in batches and snapshots. */
 final class OperationCodec {
     private OperationCodec() {}
 
@@ -17,6 +17,19 @@
         return new OperationKey(in.readLong(), in.readLong());
     }
 
+    static void write(OperationNames names, DataOutputStream out) throws IOException {
+        write(names.byTenant(), out);
+        out.writeBoolean(names.byCredential() != null);
+        if (names.byCredential() != null) {
+            write(names.byCredential(), out);
+        }
+    }
+
+    static OperationNames readNames(DataInputStream in) throws IOException {
+        OperationKey byTenant = readKey(in);
+        return new OperationNames(byTenant, in.readBoolean() ? readKey(in) : null);
+    }
+
     static void write(ClaimId claim, DataOutputStream out) throws IOException {
         out.writeLong(claim.incarnation());
         out.writeLong(claim.sequence());
--- a/src/main/java/brambletray/platform/operations/OperationCommand.java
+++ b/src/main/java/brambletray/platform/operations/OperationCommand.java
@@ -5,16 +5,21 @@
     /** The claim that is made or released. */
     ClaimId claim();
 
-    /** The key of the claim. */
+    /** The name by tenant of the operation. */
     OperationKey key();
 
     /**
-     * Claims the key unless another claim on it is active.
+     * Claims an operation unless another claim on one of its names is active.
      *
      * @param edge name of the edge that makes the claim
      */
-    record Claim(ClaimId claim, OperationKey key, String edge) implements OperationCommand {}
+    record Claim(ClaimId claim, OperationNames names, String edge) implements OperationCommand {
+        @Override
+        public OperationKey key() {
+            return names.byTenant();
+        }
+    }
 
-    /** Ends the claim if it is active: its request has not run and never will. */
+    /** Ends the claim if it is active, under all its names: its request has not run and never will. */
     record Release(ClaimId claim, OperationKey key) implements OperationCommand {}
 }
--- a/src/main/java/brambletray/platform/operations/OperationRegistry.java
+++ b/src/main/java/brambletray/platform/operations/OperationRegistry.java
@@ -21,22 +21,27 @@
  * least its window, whichever clocks are stepped and whichever processes restart.
  */
 public final class OperationRegistry {
-    private static final byte SNAPSHOT_FORMAT = 1;
-    private static final int CLAIM_BYTES = 44;
+    private static final byte SNAPSHOT_FORMAT = 2;
+    /** Of earlier versions, whose claims had a name by tenant only. */
+    private static final byte SNAPSHOT_FORMAT_WITHOUT_CREDENTIALS = 1;
+
+    private static final int CLAIM_BYTES = 61;
     private static final int RELEASE_BYTES = 24;
 
     /** A claim that is active; {@code edge}: the name of the edge that made it. */
-    public record ActiveClaim(ClaimId id, String edge, long expiresAtMs) {}
+    public record ActiveClaim(ClaimId id, OperationNames names, String edge, long expiresAtMs) {}
 
     /**
      * The result of a command.
      *
-     * @param holder the claim that is active on its key afterwards; null: none
+     * @param holder the claim that is active on its operation afterwards; null: none
      */
     public record Outcome(OperationCommand command, ActiveClaim holder) {}
 
     /** In order of expiry, except where the window was changed in between. */
-    private final Map<OperationKey, ActiveClaim> claims = new LinkedHashMap<>();
+    private final Map<ClaimId, ActiveClaim> claims = new LinkedHashMap<>();
+    /** The claims by each of their names. */
+    private final Map<OperationKey, ActiveClaim> claimsByName = new HashMap<>();
 
     /**
      * Released claims, and until when each release is kept: an older proposal may commit a copy of a claim after its
@@ -64,17 +69,26 @@
     }
 
     /**
-     * The claim that is active on this key at {@code nowMs} of the monotonic clock; null: none, or one that may have
-     * expired, which only the next batch decides.
+     * The claim that is active under this name at {@code nowMs} of the monotonic clock; null: none, or one that may
+     * have expired, which only the next batch decides.
      */
-    public ActiveClaim holder(OperationKey key, long nowMs) {
-        ActiveClaim claim = claims.get(key);
-        return claim == null || clock.estimateMs(nowMs) >= claim.expiresAtMs() ? null : claim;
+    public ActiveClaim holder(OperationKey name, long nowMs) {
+        return holderAt(name, clock.estimateMs(nowMs));
+    }
+
+    /** The claim that is active under one of these names, as by {@link #holder(OperationKey, long)}. */
+    public ActiveClaim holder(OperationNames names, long nowMs) {
+        return holderAt(names, clock.estimateMs(nowMs));
     }
 
-    private ActiveClaim holder(OperationKey key) {
-        ActiveClaim claim = claims.get(key);
-        return claim == null || isExpired(claim.expiresAtMs()) ? null : claim;
+    private ActiveClaim holderAt(OperationNames names, long logTimeMs) {
+        ActiveClaim claim = holderAt(names.byTenant(), logTimeMs);
+        return claim == null && names.byCredential() != null ? holderAt(names.byCredential(), logTimeMs) : claim;
+    }
+
+    private ActiveClaim holderAt(OperationKey name, long logTimeMs) {
+        ActiveClaim claim = claimsByName.get(name);
+        return claim == null || logTimeMs >= claim.expiresAtMs() ? null : claim;
     }
 
     /** The oldest claim that is kept; null: none. */
@@ -100,36 +114,74 @@
         long expiresAtMs = clock.timeMs() + batch.windowMs();
         List<Outcome> outcomes = new ArrayList<>(batch.commands().size());
         for (OperationCommand command : batch.commands()) {
-            if (command instanceof OperationCommand.Claim claim) {
-                apply(claim, expiresAtMs);
-            } else {
-                applyRelease(command, expiresAtMs);
-            }
-            outcomes.add(new Outcome(command, holder(command.key())));
+            outcomes.add(new Outcome(command, apply(command, expiresAtMs)));
         }
         return outcomes;
     }
 
-    private void apply(OperationCommand.Claim claim, long expiresAtMs) {
-        if (holder(claim.key()) == null && !released.containsKey(claim.claim())) {
-            // An expired claim of the key is removed first, so that the new claim is the last in insertion order.
-            claims.remove(claim.key());
-            claims.put(claim.key(), new ActiveClaim(claim.claim(), claim.edge(), expiresAtMs));
+    /** Returns the claim that is active on the command's operation afterwards; null: none. */
+    private ActiveClaim apply(OperationCommand command, long expiresAtMs) {
+        if (command instanceof OperationCommand.Claim claim) {
+            applyClaim(claim, expiresAtMs);
+            return holderAt(claim.names(), clock.timeMs());
         }
+        applyRelease(command, expiresAtMs);
+        return holderAt(command.key(), clock.timeMs());
     }
 
-    private void applyRelease(OperationCommand release, long expiresAtMs) {
-        ActiveClaim holder = claims.get(release.key());
-        if (holder != null && holder.id().equals(release.claim())) {
-            claims.remove(release.key());
+    private void applyClaim(OperationCommand.Claim claim, long expiresAtMs) {
+        if (!mayBecomeActive(claim)) {
+            return;
         }
+        // Expired claims in its place are removed first, so that the new claim is the last in insertion order.
+        OperationNames names = claim.names();
+        remove(claimsByName.get(names.byTenant()));
+        remove(claimsByName.get(names.byCredential()));
+        remove(claims.get(claim.claim()));
+        add(new ActiveClaim(claim.claim(), names, claim.edge(), expiresAtMs));
+    }
+
+    private boolean mayBecomeActive(OperationCommand.Claim claim) {
+        ActiveClaim sameId = claims.get(claim.claim());
+        boolean isIdFree = sameId == null || isExpired(sameId.expiresAtMs());
+        return isIdFree && !released.containsKey(claim.claim()) && holderAt(claim.names(), clock.timeMs()) == null;
+    }
+
+    private void applyRelease(OperationCommand release, long expiresAtMs) {
+        remove(claims.get(release.claim()));
         released.putIfAbsent(release.claim(), expiresAtMs);
     }
 
+    private void add(ActiveClaim claim) {
+        claims.put(claim.id(), claim);
+        claimsByName.put(claim.names().byTenant(), claim);
+        if (claim.names().byCredential() != null) {
+            claimsByName.put(claim.names().byCredential(), claim);
+        }
+    }
+
+    /** {@code claim}: null for none. */
+    private void remove(ActiveClaim claim) {
+        if (claim != null) {
+            claims.remove(claim.id());
+            removeNames(claim);
+        }
+    }
+
+    private void removeNames(ActiveClaim claim) {
+        claimsByName.remove(claim.names().byTenant(), claim);
+        claimsByName.remove(claim.names().byCredential(), claim);
+    }
+
     private void removeExpired() {
-        Iterator<ActiveClaim> oldestClaim = claims.values().iterator();
-        while (oldestClaim.hasNext() && isExpired(oldestClaim.next().expiresAtMs())) {
-            oldestClaim.remove();
+        Iterator<ActiveClaim> oldestClaims = claims.values().iterator();
+        while (oldestClaims.hasNext()) {
+            ActiveClaim oldest = oldestClaims.next();
+            if (!isExpired(oldest.expiresAtMs())) {
+                break;
+            }
+            oldestClaims.remove();
+            removeNames(oldest);
         }
         Iterator<Long> oldestRelease = released.values().iterator();
         while (oldestRelease.hasNext() && isExpired(oldestRelease.next())) {
@@ -160,11 +212,11 @@
                 out.writeUTF(name);
             }
             out.writeInt(claims.size());
-            for (Map.Entry<OperationKey, ActiveClaim> entry : claims.entrySet()) {
-                OperationCodec.write(entry.getKey(), out);
-                OperationCodec.write(entry.getValue().id(), out);
-                out.writeLong(entry.getValue().expiresAtMs());
-                out.writeInt(edgeIndexes.get(entry.getValue().edge()));
+            for (ActiveClaim claim : claims.values()) {
+                OperationCodec.write(claim.names(), out);
+                OperationCodec.write(claim.id(), out);
+                out.writeLong(claim.expiresAtMs());
+                out.writeInt(edgeIndexes.get(claim.edge()));
             }
             out.writeInt(released.size());
             for (Map.Entry<ClaimId, Long> entry : released.entrySet()) {
@@ -188,7 +240,8 @@
         }
         clock = other.clock;
         claims.clear();
-        claims.putAll(other.claims);
+        claimsByName.clear();
+        other.claims.values().forEach(this::add);
         released.clear();
         released.putAll(other.released);
     }
@@ -196,7 +249,7 @@
     private void read(byte[] snapshot, long nowMs) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(snapshot))) {
             byte format = in.readByte();
-            if (format != SNAPSHOT_FORMAT) {
+            if (format != SNAPSHOT_FORMAT && format != SNAPSHOT_FORMAT_WITHOUT_CREDENTIALS) {
                 throw new OperationsException(
                         "operations.bad-snapshot",
                         "unsupported snapshot format " + format + ", expected " + SNAPSHOT_FORMAT,
@@ -208,10 +261,12 @@
                 edgeNames.add(in.readUTF());
             }
             for (int i = in.readInt(); i > 0; i--) {
-                OperationKey key = OperationCodec.readKey(in);
+                OperationNames names = format == SNAPSHOT_FORMAT
+                        ? OperationCodec.readNames(in)
+                        : OperationNames.withoutCredential(OperationCodec.readKey(in));
                 ClaimId claim = OperationCodec.readClaimId(in);
                 long expiresAtMs = in.readLong();
-                claims.put(key, new ActiveClaim(claim, edgeNames.get(in.readInt()), expiresAtMs));
+                add(new ActiveClaim(claim, names, edgeNames.get(in.readInt()), expiresAtMs));
             }
             for (int i = in.readInt(); i > 0; i--) {
                 released.put(OperationCodec.readClaimId(in), in.readLong());
--- a/src/main/java/brambletray/platform/proxy/ClientRequest.java
+++ b/src/main/java/brambletray/platform/proxy/ClientRequest.java
@@ -1,7 +1,6 @@
 package brambletray.platform.proxy;
 
-import brambletray.platform.configuration.Tenant;
-import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationIdentity;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Iterator;
@@ -41,17 +40,16 @@
     }
 
     /**
-     * The operation identified by the headers' operation key, which is scoped to the tenant.
+     * The operation identified by the headers' operation key, which is scoped to the tenant and the credential.
      *
-     * @param tenant null if the request has no tenant
      * @return null if the headers have no key, or more than one
      */
-    OperationKey operation(Tenant tenant) {
+    OperationIdentity operation(TenantAuthentication authentication) {
         Iterator<String> keys = headers.valueStringIterator(OPERATION_KEY);
         String key = keys.hasNext() ? keys.next().strip() : "";
         if (key.isEmpty() || keys.hasNext()) {
             return null;
         }
-        return OperationKey.of(tenant == null ? "" : tenant.name(), key);
+        return OperationIdentity.of(authentication.tenantName(), authentication.credential(), key);
     }
 }
--- a/src/main/java/brambletray/platform/proxy/OperationGate.java
+++ b/src/main/java/brambletray/platform/proxy/OperationGate.java
@@ -1,6 +1,6 @@
 package brambletray.platform.proxy;
 
-import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationIdentity;
 
 /**
  * Grants a keyed request the claim on its operation, or reports the result of the operation's first attempt (rule
@@ -10,7 +10,7 @@
     /** Grants every request without a claim; for edges whose configuration has no keyed route. */
     OperationGate UNCLAIMED = new OperationGate() {
         @Override
-        public void claim(OperationKey operation, int maxWaitMs, Listener listener) {
+        public void claim(OperationIdentity operation, int maxWaitMs, Listener listener) {
             listener.onClaimed(OperationClaim.NONE);
         }
 
@@ -37,7 +37,7 @@
      * @param maxWaitMs how long to wait for a claim that cannot be obtained; an attempt in progress is waited for until
      *     {@link #cancel}
      */
-    void claim(OperationKey operation, int maxWaitMs, Listener listener);
+    void claim(OperationIdentity operation, int maxWaitMs, Listener listener);
 
     /**
      * Stops waiting for this listener's attempt: the listener is not called any more, and a claim that is granted later
--- a/src/main/java/brambletray/platform/proxy/RequestPlan.java
+++ b/src/main/java/brambletray/platform/proxy/RequestPlan.java
@@ -3,7 +3,7 @@
 import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.configuration.Route;
 import brambletray.platform.configuration.Tenant;
-import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationIdentity;
 
 /**
  * Parameters of one request.
@@ -25,7 +25,7 @@
         int targetMs,
         boolean nestedCall,
         Tenant tenant,
-        OperationKey operation,
+        OperationIdentity operation,
         boolean selfDedupe,
         long deadlineMs) {
     private static final int MIN_CLAIM_WAIT_MS = 40;
--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -8,7 +8,7 @@
 import brambletray.platform.configuration.RouteKind;
 import brambletray.platform.configuration.Service;
 import brambletray.platform.configuration.Tenant;
-import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationIdentity;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashMap;
@@ -154,7 +154,7 @@
         }
         Tenant tenant = authentication.tenant();
         boolean keyed = route.kind() == RouteKind.KEYED;
-        OperationKey operation = keyed ? clientRequest.operation(tenant) : null;
+        OperationIdentity operation = keyed ? clientRequest.operation(authentication) : null;
         if (keyed && operation == null) {
             counters.clientErrors++;
             respond(client, clientRequest, 400, "proxy.no-operation-key", -1, id);
--- a/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
+++ b/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
@@ -1,6 +1,7 @@
 package brambletray.platform.proxy;
 
 import brambletray.platform.configuration.Configuration;
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.configuration.Route;
 import brambletray.platform.configuration.Tenant;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -12,25 +13,28 @@
  *
  * @param accepted whether the request may proceed
  * @param tenant the tenant of the request; null for an anonymous request
+ * @param credential digest of the request's key, whether or not the configuration has it; null if there is not exactly
+ *     one key
  */
-record TenantAuthentication(boolean accepted, Tenant tenant) {
-    private static final TenantAuthentication ANONYMOUS = new TenantAuthentication(true, null);
-    private static final TenantAuthentication REJECTED = new TenantAuthentication(false, null);
+record TenantAuthentication(boolean accepted, Tenant tenant, KeyDigest credential) {
 
     /** Removes keys and tenant names from the headers. Without configured tenants no key is required. */
     static TenantAuthentication of(HttpHeaders headers, Configuration configuration, Route route) {
         List<String> keys = headers.getAll(ClientRequest.CREDENTIAL);
         headers.remove(ClientRequest.CREDENTIAL);
         headers.remove(ClientRequest.TENANT);
-        if (configuration.tenants().isEmpty()) {
-            return ANONYMOUS;
-        }
-        Tenant tenant =
-                keys.size() == 1 ? configuration.tenantForKey(keys.get(0).strip()) : null;
+        KeyDigest credential = keys.size() == 1 ? KeyDigest.of(keys.get(0).strip()) : null;
+        Tenant tenant = credential == null ? null : configuration.tenantForKey(credential);
         if (tenant == null) {
-            return route.isPublic() ? ANONYMOUS : REJECTED;
+            boolean accepted = route.isPublic() || configuration.tenants().isEmpty();
+            return new TenantAuthentication(accepted, null, credential);
         }
         headers.set(ClientRequest.TENANT, tenant.name());
-        return new TenantAuthentication(true, tenant);
+        return new TenantAuthentication(true, tenant, credential);
+    }
+
+    /** Name of the tenant; empty for an anonymous request. */
+    String tenantName() {
+        return tenant == null ? "" : tenant.name();
     }
 }
--- a/src/test/java/brambletray/platform/controlplane/CoreStateMachineTest.java
+++ b/src/test/java/brambletray/platform/controlplane/CoreStateMachineTest.java
@@ -10,6 +10,7 @@
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationCommand;
 import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationNames;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.replication.StateMachine;
 import java.nio.charset.StandardCharsets;
@@ -67,7 +68,7 @@
     }
 
     private static OperationCommand claim(long sequence, OperationKey key) {
-        return new OperationCommand.Claim(new ClaimId(1, sequence), key, "edge-1");
+        return new OperationCommand.Claim(new ClaimId(1, sequence), OperationNames.withoutCredential(key), "edge-1");
     }
 
     @Test
--- a/src/test/java/brambletray/platform/controlplane/OperationClaimsTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationClaimsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
 import brambletray.platform.operations.ClaimId;
@@ -13,10 +14,13 @@
 import brambletray.platform.operations.ClaimUnavailable;
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationCommand;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationNames;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.replication.ProposalOutcome;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +36,9 @@
     private record Sent(String edge, Object frame) {}
 
     private long nowMs;
+    /** Tenants by their credentials, in the configuration of this member. */
+    private final Map<KeyDigest, String> tenants = new HashMap<>();
+
     private final Map<Long, byte[]> proposals = new LinkedHashMap<>();
     private final List<Sent> sent = new ArrayList<>();
     private final OperationRegistry registry = new OperationRegistry(1, 0);
@@ -48,6 +55,11 @@
             sent.add(new Sent(edge, frame));
         }
 
+        @Override
+        public String tenantOf(KeyDigest credential) {
+            return tenants.getOrDefault(credential, "");
+        }
+
         @Override
         public long nowMs() {
             return nowMs;
@@ -59,7 +71,7 @@
     }
 
     private void claim(String edge, long sequence, OperationKey key) {
-        claims.onClaim(edge, new ClaimRequest(id(sequence), key));
+        claims.onClaim(edge, new ClaimRequest(id(sequence), OperationIdentity.withoutCredential(key)));
     }
 
     private void release(String edge, long sequence, OperationKey key) {
@@ -105,6 +117,85 @@
                 sent);
     }
 
+    private void claimAs(String edge, long sequence, String tenant, KeyDigest credential) {
+        claims.onClaim(edge, new ClaimRequest(id(sequence), OperationIdentity.of(tenant, credential, "k")));
+    }
+
+    /**
+     * Guards against a run that no other edge finds, as the edge takes the credential for its former tenant's.
+     *
+     * <pre>
+     *   core   e1 (former configuration)   e2
+     *   c: village
+     *          claims as household
+     *          unavailable
+     *          releases
+     *                                      claims as village: granted
+     * </pre>
+     */
+    @Test
+    void aClaimByTheCredentialsFormerTenantIsNotGranted() {
+        KeyDigest credential = KeyDigest.of("c");
+        tenants.put(credential, "village");
+        claimAs("e1", 1, "household", credential);
+        commitNext();
+        assertEquals(1, sent.size());
+        assertInstanceOf(ClaimUnavailable.class, sent.get(0).frame());
+        release("e1", 1, OperationKey.of("household", "k"));
+        commitNext();
+        sent.clear();
+        claimAs("e2", 2, "village", credential);
+        commitNext();
+        assertEquals(List.of(new Sent("e2", new ClaimGranted(id(2)))), sent);
+    }
+
+    /** Guards against a grant by the assignment at the proposal, which a change before the commit makes void. */
+    @Test
+    void aClaimIsNotGrantedOnceTheCredentialIsPassedOnBeforeItsCommit() {
+        KeyDigest credential = KeyDigest.of("c");
+        tenants.put(credential, "household");
+        claimAs("e1", 1, "household", credential);
+        tenants.put(credential, "village");
+        commitNext();
+        assertInstanceOf(ClaimUnavailable.class, sent.get(0).frame());
+        sent.clear();
+        claimAs("e1", 1, "household", credential);
+        assertInstanceOf(ClaimUnavailable.class, sent.get(0).frame());
+        assertEquals(1, sent.size());
+    }
+
+    @Test
+    void aClaimOfATenantThatTheConfigurationDoesNotKnowYetIsNotGrantedAsAnonymous() {
+        KeyDigest credential = KeyDigest.of("c");
+        claimAs("e1", 1, "", credential);
+        commitNext();
+        assertEquals(List.of(new Sent("e1", new ClaimGranted(id(1)))), sent);
+        sent.clear();
+        KeyDigest added = KeyDigest.of("added");
+        tenants.put(added, "village");
+        claims.onClaim("e1", new ClaimRequest(id(2), OperationIdentity.of("", added, "other")));
+        commitNext();
+        assertInstanceOf(ClaimUnavailable.class, sent.get(0).frame());
+    }
+
+    /** Guards against a second run of an operation that ran before its credential was passed on. */
+    @Test
+    void aRepeatWithACredentialThatWasPassedOnIsToldOfTheFirstClaim() {
+        KeyDigest credential = KeyDigest.of("c");
+        tenants.put(credential, "household");
+        claimAs("e1", 1, "household", credential);
+        commitNext();
+        tenants.put(credential, "village");
+        sent.clear();
+        claimAs("e2", 2, "village", credential);
+        claimAs("e3", 3, "household", credential);
+        assertEquals(
+                List.of(
+                        new Sent("e2", new ClaimHeld(id(2), id(1), "e1")),
+                        new Sent("e3", new ClaimHeld(id(3), id(1), "e1"))),
+                sent);
+    }
+
     /** As at a core without a leader: edges give up long before their batches do. */
     @Test
     void aClaimThatIsReleasedWhileItGathersIsNotReplicated() {
@@ -115,7 +206,9 @@
         claim("e2", 4, KEY);
         commitNext();
         assertEquals(
-                List.of(new OperationCommand.Release(id(3), KEY), new OperationCommand.Claim(id(4), KEY, "e2")),
+                List.of(
+                        new OperationCommand.Release(id(3), KEY),
+                        new OperationCommand.Claim(id(4), OperationNames.withoutCredential(KEY), "e2")),
                 commitLast().commands());
         assertTrue(sent.contains(new Sent("e1", new ClaimReleased(id(3)))), sent::toString);
         assertTrue(sent.contains(new Sent("e2", new ClaimGranted(id(4)))), sent::toString);
@@ -241,7 +334,8 @@
     void aMemberWhoseMemoryIsFullForgetsWhatHasExpiredAndTakesClaimsAgain() {
         List<OperationCommand> many = new ArrayList<>();
         for (int i = 0; i < OperationClaims.MAX_REMEMBERED; i++) {
-            many.add(new OperationCommand.Claim(id(i), OperationKey.of("t", "k" + i), "e1"));
+            many.add(new OperationCommand.Claim(
+                    id(i), OperationNames.withoutCredential(OperationKey.of("t", "k" + i)), "e1"));
         }
         registry.apply(new OperationBatch(registry.stamp(nowMs), WINDOW_MS, many), nowMs);
         claim("e1", -1, KEY);
--- a/src/test/java/brambletray/platform/controlplane/OperationHistory.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationHistory.java
@@ -8,6 +8,7 @@
 import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationCommand;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.replication.RandomFaults;
 import brambletray.platform.replication.SimulatedReplica;
@@ -163,7 +164,8 @@
                 release();
                 return;
             }
-            toAnyMember(member -> member.claims.onClaim(edge, new ClaimRequest(claim, key)));
+            toAnyMember(member ->
+                    member.claims.onClaim(edge, new ClaimRequest(claim, OperationIdentity.withoutCredential(key))));
             world.schedule(world.now + RESEND_MS, this::requestAgain);
         }
 
--- a/src/test/java/brambletray/platform/controlplane/OperationLatencyTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationLatencyTest.java
@@ -7,6 +7,7 @@
 import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.operations.ClaimWindow;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.replication.ReplicationTestCluster;
 import brambletray.platform.replication.SimulatedReplica;
@@ -68,7 +69,9 @@
                 ClaimId claim = new ClaimId(1, ++sequence);
                 waitingClaims.put(claim, world.now);
                 OperationKey key = OperationKey.of("t", "k" + sequence);
-                SimulatedCoreMember.of(coordinator).claims.onClaim("edge-name-1", new ClaimRequest(claim, key));
+                SimulatedCoreMember.of(coordinator)
+                        .claims
+                        .onClaim("edge-name-1", new ClaimRequest(claim, OperationIdentity.withoutCredential(key)));
             }
             if (world.now >= nextChange) {
                 nextChange += CHANGE_EVERY_MS;
--- a/src/test/java/brambletray/platform/controlplane/OperationLossTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationLossTest.java
@@ -8,6 +8,7 @@
 import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.ClaimRelease;
 import brambletray.platform.operations.ClaimRequest;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.replication.ReplicationTestCluster;
 import brambletray.platform.replication.SimulatedReplica;
@@ -37,7 +38,11 @@
     }
 
     private void claim(SimulatedReplica node, ClaimId claim) {
-        SimulatedCoreMember.of(node).claims.onClaim("edge-" + claim.incarnation(), new ClaimRequest(claim, KEY));
+        SimulatedCoreMember.of(node)
+                .claims
+                .onClaim(
+                        "edge-" + claim.incarnation(),
+                        new ClaimRequest(claim, OperationIdentity.withoutCredential(KEY)));
     }
 
     private Object answerTo(SimulatedReplica node, ClaimId claim) {
@@ -126,7 +131,9 @@
         for (int i = 0; i < 100; i++) {
             OperationKey key = OperationKey.of("t", "given up " + i);
             ClaimId claim = new ClaimId(20, i);
-            SimulatedCoreMember.of(survivor).claims.onClaim("edge-20", new ClaimRequest(claim, key));
+            SimulatedCoreMember.of(survivor)
+                    .claims
+                    .onClaim("edge-20", new ClaimRequest(claim, OperationIdentity.withoutCredential(key)));
             world.runUntil(world.now + 5);
             SimulatedCoreMember.of(survivor).claims.onRelease("edge-20", new ClaimRelease(claim, key));
         }
@@ -148,7 +155,9 @@
             for (int i = 0; i < 2; i++) {
                 SimulatedCoreMember.of(nodes.get((pair + i) % 3))
                         .claims
-                        .onClaim("edge-" + i, new ClaimRequest(new ClaimId(10 + i, pair), key));
+                        .onClaim(
+                                "edge-" + i,
+                                new ClaimRequest(new ClaimId(10 + i, pair), OperationIdentity.withoutCredential(key)));
             }
             world.runUntilTrue(() -> answers.size() == 2, 2_000, "two answers");
             long granted =
--- a/src/test/java/brambletray/platform/controlplane/OperationViewsTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationViewsTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.operations.OperationBatch;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.operations.OperationRegistry;
 import java.nio.charset.StandardCharsets;
@@ -33,6 +35,11 @@
         @Override
         public void send(String edge, Object frame) {}
 
+        @Override
+        public String tenantOf(KeyDigest credential) {
+            return "";
+        }
+
         @Override
         public long nowMs() {
             return nowMs;
@@ -55,7 +62,7 @@
     }
 
     private void claim() {
-        claims.onClaim("edge-1", new ClaimRequest(new ClaimId(0xe1, 7), KEY));
+        claims.onClaim("edge-1", new ClaimRequest(new ClaimId(0xe1, 7), OperationIdentity.withoutCredential(KEY)));
     }
 
     private void commit() {
--- a/src/test/java/brambletray/platform/controlplane/SimulatedCoreMember.java
+++ b/src/test/java/brambletray/platform/controlplane/SimulatedCoreMember.java
@@ -1,5 +1,6 @@
 package brambletray.platform.controlplane;
 
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
 import brambletray.platform.operations.ClaimId;
@@ -102,6 +103,11 @@
         outside.send(this, edge, frame);
     }
 
+    @Override
+    public String tenantOf(KeyDigest credential) {
+        return "";
+    }
+
     @Override
     public long nowMs() {
         clockOffsetMs += outside.clockStepMs();
--- a/src/test/java/brambletray/platform/edge/OperationClientTest.java
+++ b/src/test/java/brambletray/platform/edge/OperationClientTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
 import brambletray.platform.operations.ClaimRelease;
@@ -13,6 +14,7 @@
 import brambletray.platform.operations.ClaimWindow;
 import brambletray.platform.operations.OperationBatch;
 import brambletray.platform.operations.OperationCommand;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import brambletray.platform.operations.OperationRegistry;
 import brambletray.platform.operations.OperationRegistry.Outcome;
@@ -93,6 +95,10 @@
         }
 
         void claim(String attempt, OperationKey key) {
+            claim(attempt, OperationIdentity.withoutCredential(key));
+        }
+
+        void claim(String attempt, OperationIdentity operation) {
             OperationGate.Listener listener = new OperationGate.Listener() {
                 @Override
                 public void onClaimed(OperationClaim claim) {
@@ -120,7 +126,7 @@
                 }
             };
             listeners.put(attempt, listener);
-            client.claim(key, 100, listener);
+            client.claim(operation, 100, listener);
         }
 
         OperationGate.Progress cancel(String attempt) {
@@ -231,7 +237,8 @@
         if (frame instanceof ClaimRequest request && coordinatorBusy) {
             answer(edge, new ClaimUnavailable(request.claim(), 300));
         } else if (frame instanceof ClaimRequest request) {
-            Outcome outcome = apply(new OperationCommand.Claim(request.claim(), request.key(), edge.name));
+            Outcome outcome = apply(new OperationCommand.Claim(
+                    request.claim(), request.operation().names(), edge.name));
             answer(
                     edge,
                     outcome.holder().id().equals(request.claim())
@@ -275,6 +282,40 @@
         assertEquals("answered first", a.outcome("r3"));
     }
 
+    /** Guards against a second run where the credential's tenant has changed between two attempts. */
+    @Test
+    void repeatWithTheSameCredentialOfAnotherTenantReceivesTheFirstAnswer() {
+        OperationIdentity first = OperationIdentity.of("household", KeyDigest.of("secret"), "k");
+        OperationIdentity passedOn = OperationIdentity.of("village", KeyDigest.of("secret"), "k");
+        Edge a = edge("a");
+        a.claim("r1", first);
+        runUntil(10);
+        a.claim("r2", passedOn);
+        edge("b").claim("r3", passedOn);
+        runUntil(100);
+        assertEquals("nothing", a.outcome("r2"));
+        a.complete("r1", "first");
+        runUntil(200);
+        assertEquals("answered first", a.outcome("r2"));
+        assertEquals("answered first", edge("b").outcome("r3"));
+    }
+
+    @Test
+    void attemptsWithDifferentCredentialsOfOneTenantAreOneOperation() {
+        Edge a = edge("a");
+        a.claim("r1", OperationIdentity.of("village", KeyDigest.of("one"), "k"));
+        runUntil(10);
+        a.claim("r2", OperationIdentity.of("village", KeyDigest.of("two"), "k"));
+        edge("b").claim("r3", OperationIdentity.of("village", KeyDigest.of("two"), "k"));
+        edge("b").claim("r4", OperationIdentity.of("household", KeyDigest.of("two"), "k"));
+        runUntil(100);
+        a.complete("r1", "first");
+        runUntil(200);
+        assertEquals("answered first", a.outcome("r2"));
+        assertEquals("answered first", edge("b").outcome("r3"));
+        assertEquals("claimed", edge("b").outcome("r4"));
+    }
+
     @Test
     void claimIsNotUsableAfterTheSendDeadline() {
         Edge a = edge("a");
--- a/src/test/java/brambletray/platform/edge/PlantedOperationClientFaultsTest.java
+++ b/src/test/java/brambletray/platform/edge/PlantedOperationClientFaultsTest.java
@@ -70,7 +70,7 @@
                         "an attempt gets the answer of another operation",
                         "eachOperationHasItsOwnAnswer",
                         "OperationResults",
-                        "        ClaimId claim = claims.get(key);",
+                        "        ClaimId claim = claims.get(name);",
                         "        ClaimId claim = claims.isEmpty() ? null : claims.values().iterator().next();"),
                 fault(
                         "a query gets the answer of another claim of this edge",
--- a/src/test/java/brambletray/platform/operations/OperationRegistryTest.java
+++ b/src/test/java/brambletray/platform/operations/OperationRegistryTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import brambletray.platform.configuration.KeyDigest;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -19,7 +21,7 @@
     private final OperationRegistry registry = new OperationRegistry(1, 0);
 
     private static OperationCommand.Claim claim(long sequence, OperationKey key) {
-        return new OperationCommand.Claim(new ClaimId(7, sequence), key, "edge-1");
+        return new OperationCommand.Claim(new ClaimId(7, sequence), OperationNames.withoutCredential(key), "edge-1");
     }
 
     private static OperationCommand.Release release(long sequence, OperationKey key) {
@@ -98,6 +100,61 @@
         assertEquals(2, holderAfter(20, release(1, KEY)));
     }
 
+    private static OperationNames names(String tenant, String credential) {
+        return OperationIdentity.of(tenant, KeyDigest.of(credential), "k-1").names();
+    }
+
+    private static OperationCommand.Claim claim(long sequence, OperationNames names) {
+        return new OperationCommand.Claim(new ClaimId(7, sequence), names, "edge-1");
+    }
+
+    @Test
+    void aClaimHoldsEachOfItsNames() {
+        apply(10, claim(1, names("household", "passed-on")));
+        assertEquals(1, holderAfter(20, claim(2, names("village", "passed-on"))));
+        assertEquals(1, holderAfter(30, claim(3, names("household", "another"))));
+        assertEquals(4, holderAfter(40, claim(4, names("village", "another"))));
+        assertEquals(2, registry.activeClaims());
+    }
+
+    @Test
+    void aReleaseAndAnExpiryFreeEachNameOfAClaim() {
+        OperationNames household = names("household", "passed-on");
+        apply(10, claim(1, household), release(1, household.byTenant()));
+        assertEquals(2, holderAfter(20, claim(2, names("village", "passed-on"))));
+        assertNull(registry.holder(household.byTenant(), 20));
+        assertEquals(3, holderAfter(60_100, claim(3, names("household", "passed-on"))));
+        assertNull(registry.holder(names("village", "passed-on").byTenant(), 60_100));
+        assertEquals(1, registry.activeClaims());
+    }
+
+    @Test
+    void aRestoredClaimHoldsEachOfItsNames() {
+        apply(1_000, claim(1, names("household", "passed-on")), claim(2, KEY));
+        OperationRegistry restarted = new OperationRegistry(2, 0);
+        restarted.restore(registry.snapshot(), 0);
+        assertEquals(1, restarted.holder(names("village", "passed-on"), 0).id().sequence());
+        assertEquals(1, restarted.holder(names("household", "another"), 0).id().sequence());
+        assertEquals(2, restarted.holder(KEY, 0).id().sequence());
+        assertArrayEquals(registry.snapshot(), restarted.snapshot());
+    }
+
+    /** Snapshots of earlier versions have claims with a name by tenant only. */
+    @Test
+    void aSnapshotWithoutNamesByCredentialIsRead() {
+        apply(1_000, claim(1, KEY));
+        ByteBuffer current = ByteBuffer.wrap(registry.snapshot());
+        byte[] earlier = new byte[current.capacity() - 1];
+        int flagAt = current.capacity() - 4 - 4 - 8 - 16 - 1;
+        assertEquals(0, current.get(flagAt));
+        current.get(0, earlier, 0, flagAt).get(flagAt + 1, earlier, flagAt, earlier.length - flagAt);
+        earlier[0] = 1;
+        OperationRegistry restored = new OperationRegistry(2, 0);
+        restored.restore(earlier, 0);
+        assertEquals(registry.holder(KEY, 1_000), restored.holder(KEY, 0));
+        assertArrayEquals(registry.snapshot(), restored.snapshot());
+    }
+
     @Test
     void aRestoredClaimStaysActiveForItsWholeWindow() {
         apply(1_000, claim(1, KEY));
@@ -149,7 +206,11 @@
         for (int i = random.nextInt(6); i > 0; i--) {
             OperationKey key = OperationKey.of("t", "k" + random.nextInt(8));
             long sequence = random.nextInt(40);
-            commands.add(random.nextInt(3) == 0 ? release(sequence, key) : claim(sequence, key));
+            OperationKey byCredential = random.nextBoolean() ? null : OperationKey.of("c", "k" + random.nextInt(8));
+            commands.add(
+                    random.nextInt(3) == 0
+                            ? release(sequence, key)
+                            : claim(sequence, new OperationNames(key, byCredential)));
         }
         return commands;
     }
--- a/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestLifecycleTest.java
@@ -8,6 +8,7 @@
 import brambletray.platform.admission.SlotOwner;
 import brambletray.platform.admission.SlotRequest;
 import brambletray.platform.configuration.Tenant;
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -59,7 +60,7 @@
                     400,
                     false,
                     random.nextBoolean() ? null : random.nextBoolean() ? LIMITED : UNLIMITED,
-                    keyed ? OperationKey.of("t", "k") : null,
+                    keyed ? OperationIdentity.withoutCredential(OperationKey.of("t", "k")) : null,
                     random.nextBoolean(),
                     now + 1 + random.nextInt(600));
             preparation = new ScriptedPreparation(this);
--- a/src/test/java/brambletray/platform/proxy/ScriptedOperations.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedOperations.java
@@ -1,5 +1,6 @@
 package brambletray.platform.proxy;
 
+import brambletray.platform.operations.OperationIdentity;
 import brambletray.platform.operations.OperationKey;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -13,9 +14,10 @@
     private int activeClaims;
 
     @Override
-    public void claim(OperationKey operation, int maxWaitMs, Listener listener) {
+    public void claim(OperationIdentity operation, int maxWaitMs, Listener listener) {
         waiting.add(listener);
-        sees("claim " + (operation.equals(OperationKey.of("", "k1")) ? "k1" : "other") + " for " + maxWaitMs);
+        sees("claim " + (operation.names().byTenant().equals(OperationKey.of("", "k1")) ? "k1" : "other") + " for "
+                + maxWaitMs);
     }
 
     @Override
--- a/src/test/java/brambletray/platform/proxy/ScriptedPreparation.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedPreparation.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brambletray.platform.configuration.Tenant;
-import brambletray.platform.operations.OperationKey;
+import brambletray.platform.operations.OperationIdentity;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.List;
 
@@ -189,7 +189,7 @@
 
     private final class Operations implements OperationGate {
         @Override
-        public void claim(OperationKey operation, int maxWaitMs, Listener listener) {
+        public void claim(OperationIdentity operation, int maxWaitMs, Listener listener) {
             assertTrue(hasRight || !environment.plan.isLimited(), "claimed before the right was acquired");
             assertTrue(claimListener == null && claim == null, "claimed twice");
             claimListener = listener;
