--- a/src/main/java/brambletray/platform/operations/OperationRegistry.java
+++ b/src/main/java/brambletray/platform/operations/OperationRegistry.java
@@ -25,12 +25,19 @@
     /** Of earlier versions, whose claims had a name by tenant only. */
     private static final byte SNAPSHOT_FORMAT_WITHOUT_CREDENTIALS = 1;
 
-    private static final int CLAIM_BYTES = 61;
+    private static final int CLAIM_BYTES = 53;
     private static final int RELEASE_BYTES = 24;
 
     /** A claim that is active; {@code edge}: the name of the edge that made it. */
     public record ActiveClaim(ClaimId id, OperationNames names, String edge, long expiresAtMs) {}
 
+    /** A process of an edge. Snapshots name each process once. */
+    private record EdgeProcess(String edge, long incarnation) {
+        static EdgeProcess of(ActiveClaim claim) {
+            return new EdgeProcess(claim.edge(), claim.id().incarnation());
+        }
+    }
+
     /**
      * The result of a command.
      *
@@ -193,31 +200,14 @@
         return clock.timeMs() >= expiresAtMs;
     }
 
-    /** Encodes the state: format, clock, names of edges, claims, releases. */
+    /** Encodes the state: format, clock, processes of edges, claims, releases. */
     public byte[] snapshot() {
         ByteArrayOutputStream bytes =
                 new ByteArrayOutputStream(64 + CLAIM_BYTES * claims.size() + RELEASE_BYTES * released.size());
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(SNAPSHOT_FORMAT);
             clock.write(out);
-            Map<String, Integer> edgeIndexes = new HashMap<>();
-            List<String> edgeNames = new ArrayList<>();
-            for (ActiveClaim claim : claims.values()) {
-                if (edgeIndexes.putIfAbsent(claim.edge(), edgeNames.size()) == null) {
-                    edgeNames.add(claim.edge());
-                }
-            }
-            out.writeInt(edgeNames.size());
-            for (String name : edgeNames) {
-                out.writeUTF(name);
-            }
-            out.writeInt(claims.size());
-            for (ActiveClaim claim : claims.values()) {
-                OperationCodec.write(claim.names(), out);
-                OperationCodec.write(claim.id(), out);
-                out.writeLong(claim.expiresAtMs());
-                out.writeInt(edgeIndexes.get(claim.edge()));
-            }
+            writeClaims(out);
             out.writeInt(released.size());
             for (Map.Entry<ClaimId, Long> entry : released.entrySet()) {
                 OperationCodec.write(entry.getKey(), out);
@@ -229,6 +219,51 @@
         return bytes.toByteArray();
     }
 
+    private void writeClaims(DataOutputStream out) throws IOException {
+        Map<EdgeProcess, Integer> indexes = new LinkedHashMap<>();
+        for (ActiveClaim claim : claims.values()) {
+            indexes.putIfAbsent(EdgeProcess.of(claim), indexes.size());
+        }
+        out.writeInt(indexes.size());
+        for (EdgeProcess process : indexes.keySet()) {
+            out.writeUTF(process.edge());
+            out.writeLong(process.incarnation());
+        }
+        out.writeInt(claims.size());
+        for (ActiveClaim claim : claims.values()) {
+            OperationCodec.write(claim.names(), out);
+            out.writeInt(indexes.get(EdgeProcess.of(claim)));
+            out.writeLong(claim.id().sequence());
+            out.writeLong(claim.expiresAtMs());
+        }
+    }
+
+    private void readClaims(DataInputStream in) throws IOException {
+        List<EdgeProcess> processes = new ArrayList<>();
+        for (int i = in.readInt(); i > 0; i--) {
+            processes.add(new EdgeProcess(in.readUTF(), in.readLong()));
+        }
+        for (int i = in.readInt(); i > 0; i--) {
+            OperationNames names = OperationCodec.readNames(in);
+            EdgeProcess process = processes.get(in.readInt());
+            ClaimId id = new ClaimId(process.incarnation(), in.readLong());
+            add(new ActiveClaim(id, names, process.edge(), in.readLong()));
+        }
+    }
+
+    private void readClaimsWithoutCredentials(DataInputStream in) throws IOException {
+        List<String> edgeNames = new ArrayList<>();
+        for (int i = in.readInt(); i > 0; i--) {
+            edgeNames.add(in.readUTF());
+        }
+        for (int i = in.readInt(); i > 0; i--) {
+            OperationNames names = OperationNames.withoutCredential(OperationCodec.readKey(in));
+            ClaimId id = OperationCodec.readClaimId(in);
+            long expiresAtMs = in.readLong();
+            add(new ActiveClaim(id, names, edgeNames.get(in.readInt()), expiresAtMs));
+        }
+    }
+
     /**
      * Replaces the state by a snapshot; an empty one is the state before the first batch. Throws {@link
      * OperationsException} and changes nothing if the snapshot cannot be read.
@@ -256,17 +291,10 @@
                         null);
             }
             clock = LogClock.read(in, processId, nowMs);
-            List<String> edgeNames = new ArrayList<>();
-            for (int i = in.readInt(); i > 0; i--) {
-                edgeNames.add(in.readUTF());
-            }
-            for (int i = in.readInt(); i > 0; i--) {
-                OperationNames names = format == SNAPSHOT_FORMAT
-                        ? OperationCodec.readNames(in)
-                        : OperationNames.withoutCredential(OperationCodec.readKey(in));
-                ClaimId claim = OperationCodec.readClaimId(in);
-                long expiresAtMs = in.readLong();
-                add(new ActiveClaim(claim, names, edgeNames.get(in.readInt()), expiresAtMs));
+            if (format == SNAPSHOT_FORMAT) {
+                readClaims(in);
+            } else {
+                readClaimsWithoutCredentials(in);
             }
             for (int i = in.readInt(); i > 0; i--) {
                 released.put(OperationCodec.readClaimId(in), in.readLong());
--- a/src/test/java/brambletray/platform/controlplane/OperationLatencyTest.java
+++ b/src/test/java/brambletray/platform/controlplane/OperationLatencyTest.java
@@ -3,12 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.ClaimRequest;
 import brambletray.platform.operations.ClaimWindow;
 import brambletray.platform.operations.OperationIdentity;
-import brambletray.platform.operations.OperationKey;
 import brambletray.platform.replication.ReplicationTestCluster;
 import brambletray.platform.replication.SimulatedReplica;
 import brambletray.platform.replication.SimulatedReplicas;
@@ -37,6 +37,7 @@
 
     private static final int MAX_SLOWDOWN_MS = 10;
 
+    private static final KeyDigest CREDENTIAL = KeyDigest.of("secret");
     private static final double KEY_WINDOW_S = 60;
     private static final int FAST_DISK = 0;
 
@@ -68,10 +69,8 @@
             for (double due = claimsPerS / 1_000.0; random.nextDouble() < due; due--) {
                 ClaimId claim = new ClaimId(1, ++sequence);
                 waitingClaims.put(claim, world.now);
-                OperationKey key = OperationKey.of("t", "k" + sequence);
-                SimulatedCoreMember.of(coordinator)
-                        .claims
-                        .onClaim("edge-name-1", new ClaimRequest(claim, OperationIdentity.withoutCredential(key)));
+                OperationIdentity operation = OperationIdentity.of("t", CREDENTIAL, "k" + sequence);
+                SimulatedCoreMember.of(coordinator).claims.onClaim("edge-name-1", new ClaimRequest(claim, operation));
             }
             if (world.now >= nextChange) {
                 nextChange += CHANGE_EVERY_MS;
--- a/src/test/java/brambletray/platform/controlplane/SimulatedCoreMember.java
+++ b/src/test/java/brambletray/platform/controlplane/SimulatedCoreMember.java
@@ -19,6 +19,9 @@
 
 /** One process of a member in simulated time: claims on operations beside texts, with a steady clock of its own. */
 final class SimulatedCoreMember implements SimulatedReplica.Application, OperationClaims.Access {
+    /** The tenant of all credentials. */
+    private static final String TENANT = "t";
+
     /** What a member has to do with. */
     interface Outside {
         /** Sends a frame to an edge. */
@@ -105,7 +108,7 @@
 
     @Override
     public String tenantOf(KeyDigest credential) {
-        return "";
+        return TENANT;
     }
 
     @Override
--- a/src/test/java/brambletray/platform/operations/OperationRegistryTest.java
+++ b/src/test/java/brambletray/platform/operations/OperationRegistryTest.java
@@ -7,9 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import brambletray.platform.configuration.KeyDigest;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -18,6 +18,10 @@
     private static final long WINDOW_MS = 60_000;
     private static final OperationKey KEY = OperationKey.of("tenant", "k-1");
 
+    /** A claim of {@link #KEY} by edge-1 under the id 7, 1, and the release of 7, 3. */
+    private static final String EARLIER_SNAPSHOT =
+            "01000000000000000900000000000000010000000000000001000000000000000a0000000000000000000000010006656467652d310000000139ea0f8fc4d28cbfe6b519b9278fdc3600000000000000070000000000000001000000000000ea69000000000000000100000000000000070000000000000003000000000000ea69";
+
     private final OperationRegistry registry = new OperationRegistry(1, 0);
 
     private static OperationCommand.Claim claim(long sequence, OperationKey key) {
@@ -139,20 +143,21 @@
         assertArrayEquals(registry.snapshot(), restarted.snapshot());
     }
 
-    /** Snapshots of earlier versions have claims with a name by tenant only. */
+    /** As written by the version before claims had names by credential. */
     @Test
     void aSnapshotWithoutNamesByCredentialIsRead() {
-        apply(1_000, claim(1, KEY));
-        ByteBuffer current = ByteBuffer.wrap(registry.snapshot());
-        byte[] earlier = new byte[current.capacity() - 1];
-        int flagAt = current.capacity() - 4 - 4 - 8 - 16 - 1;
-        assertEquals(0, current.get(flagAt));
-        current.get(0, earlier, 0, flagAt).get(flagAt + 1, earlier, flagAt, earlier.length - flagAt);
-        earlier[0] = 1;
-        OperationRegistry restored = new OperationRegistry(2, 0);
-        restored.restore(earlier, 0);
-        assertEquals(registry.holder(KEY, 1_000), restored.holder(KEY, 0));
-        assertArrayEquals(registry.snapshot(), restored.snapshot());
+        byte[] earlier = HexFormat.of().parseHex(EARLIER_SNAPSHOT);
+        registry.restore(earlier, 0);
+        assertEquals(2, registry.size());
+        OperationRegistry.ActiveClaim claim = registry.holder(KEY, 0);
+        assertEquals(new ClaimId(7, 1), claim.id());
+        assertEquals("edge-1", claim.edge());
+        assertEquals(2, holderAfter(10, claim(2, OperationKey.of("tenant", "k-2"))));
+        assertEquals(0, holderAfter(10, claim(3, OperationKey.of("tenant", "k-3"))));
+        for (int length = 1; length < earlier.length; length++) {
+            byte[] part = Arrays.copyOf(earlier, length);
+            assertThrows(OperationsException.class, () -> registry.restore(part, 20));
+        }
     }
 
     @Test
