A restarted edge doesn't take the answer to a query of its former process

Cause: an edge numbers its queries for results from 1 in each process, and a response named the query by its number only. The edge that holds the claim answers by the name of the edge that asked, so the answer reached the next process, which had a query of the same number about another claim.

Change: a response names the claim that the query was about and is taken only for a query about that claim. A late response about the same claim is right whoever had asked.

--- a/src/main/java/brambletray/platform/edge/OperationClient.java
+++ b/src/main/java/brambletray/platform/edge/OperationClient.java
@@ -254,10 +254,9 @@
         ClaimId holder = query.holder();
         Result known = holder.incarnation() == incarnation ? findLocal(holder, null) : Result.UNKNOWN;
         if (known == Result.RUNNING) {
-            results.watch(
-                    holder, result -> transport.respondToEdge(edge, ResultQueries.response(query.queryId(), result)));
+            results.watch(holder, result -> transport.respondToEdge(edge, ResultQueries.response(query, result)));
         }
-        transport.respondToEdge(edge, ResultQueries.response(query.queryId(), known));
+        transport.respondToEdge(edge, ResultQueries.response(query, known));
     }
 
     void onLinkUp(String edge) {
--- a/src/main/java/brambletray/platform/edge/ResultQueries.java
+++ b/src/main/java/brambletray/platform/edge/ResultQueries.java
@@ -38,6 +38,11 @@
             this.edge = edge;
             this.listener = listener;
         }
+
+        /** False for a response to a query of the former process of this edge, which had the same ids. */
+        boolean isAnsweredBy(String respondingEdge, ResultResponse response) {
+            return edge.equals(respondingEdge) && holder.equals(response.holder());
+        }
     }
 
     private final Transport transport;
@@ -78,7 +83,7 @@
 
     void onResponse(String edge, ResultResponse response) {
         PendingQuery query = pending.get(response.queryId());
-        if (query == null || !query.edge.equals(edge)) {
+        if (query == null || !query.isAnsweredBy(edge, response)) {
             return;
         }
         if (response.state() == OperationState.RUNNING) {
@@ -101,12 +106,13 @@
     }
 
     /** The response to a query for a claim with this result. */
-    static ResultResponse response(long queryId, Result result) {
+    static ResultResponse response(ResultQuery query, Result result) {
         RecordedAnswer answer = result.answer();
         return answer == null
-                ? new ResultResponse(queryId, result.state(), 0, "", List.of(), new byte[0])
+                ? new ResultResponse(query.queryId(), query.holder(), result.state(), 0, "", List.of(), new byte[0])
                 : new ResultResponse(
-                        queryId,
+                        query.queryId(),
+                        query.holder(),
                         result.state(),
                         answer.status(),
                         answer.reason(),
--- a/src/test/java/brambletray/platform/edge/OperationClientTest.java
+++ b/src/test/java/brambletray/platform/edge/OperationClientTest.java
@@ -7,6 +7,7 @@
 import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.operations.ClaimGranted;
 import brambletray.platform.operations.ClaimHeld;
+import brambletray.platform.operations.ClaimId;
 import brambletray.platform.operations.ClaimRelease;
 import brambletray.platform.operations.ClaimReleased;
 import brambletray.platform.operations.ClaimRequest;
@@ -316,6 +317,41 @@
         assertEquals("claimed", edge("b").outcome("r4"));
     }
 
+    /**
+     * Guards against another operation's answer: the former process of b has asked under the same query id.
+     *
+     * <pre>
+     *   ms    a                     b
+     *    0    r1 of k, r2 of other
+     *   20                          r3 of k: asks a
+     *   50                          restarts
+     *   60                          r4 of other: asks a
+     *  200    r1 is answered
+     *  300    r2 is answered
+     * </pre>
+     */
+    @Test
+    void restartedEdgeDoesNotTakeTheAnswerToAQueryOfItsFormerProcess() {
+        OperationKey other = OperationKey.of("t", "other");
+        Edge a = edge("a");
+        Edge b = edge("b");
+        a.claim("r1");
+        a.claim("r2", other);
+        runUntil(20);
+        b.claim("r3");
+        runUntil(50);
+        b.restart();
+        runUntil(60);
+        b.claim("r4", other);
+        runUntil(200);
+        a.complete("r1", "first");
+        runUntil(300);
+        assertEquals("nothing", b.outcome("r4"));
+        a.complete("r2", "second");
+        runUntil(400);
+        assertEquals("answered second", b.outcome("r4"));
+    }
+
     @Test
     void claimIsNotUsableAfterTheSendDeadline() {
         Edge a = edge("a");
@@ -637,11 +673,14 @@
         runUntil(10);
         edge("b").claim("r2");
         runUntil(20);
+        ClaimId holder = new ClaimId(edge("a").incarnation, 1);
         for (long queryId = 0; queryId < 10; queryId++) {
             byte[] forged = "forged".getBytes(StandardCharsets.UTF_8);
             edge("b")
                     .client
-                    .onEdgeFrame("c", new ResultResponse(queryId, OperationState.DONE, 200, "OK", List.of(), forged));
+                    .onEdgeFrame(
+                            "c",
+                            new ResultResponse(queryId, holder, OperationState.DONE, 200, "OK", List.of(), forged));
         }
         edge("a").complete("r1", "first");
         runUntil(30);
--- a/src/test/java/brambletray/platform/edge/PlantedOperationClientFaultsTest.java
+++ b/src/test/java/brambletray/platform/edge/PlantedOperationClientFaultsTest.java
@@ -83,8 +83,14 @@
                         "a response of an edge that was not queried is accepted",
                         "responsesOfOtherEdgesAreIgnored",
                         "ResultQueries",
-                        "        if (query == null || !query.edge.equals(edge)) {",
-                        "        if (query == null) {"),
+                        "return edge.equals(respondingEdge) && holder.equals(response.holder());",
+                        "return holder.equals(response.holder());"),
+                fault(
+                        "a response to a query of the edge's previous incarnation is accepted",
+                        "restartedEdgeDoesNotTakeTheAnswerToAQueryOfItsFormerProcess",
+                        "ResultQueries",
+                        "return edge.equals(respondingEdge) && holder.equals(response.holder());",
+                        "return edge.equals(respondingEdge);"),
                 fault(
                         "an answer of the previous window is returned",
                         "keyIsFreeAfterItsWindowAndNotBefore",
