Claims by id and name are a class of their own

Change: ActiveClaims keeps the claims by id and by name and writes and reads them; OperationRegistry keeps the log's time, releases and the order of a batch.

--- a/src/main/java/brambletray/platform/operations/OperationRegistry.java
+++ b/src/main/java/brambletray/platform/operations/OperationRegistry.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,19 +24,11 @@
     /** Of earlier versions, whose claims had a name by tenant only. */
     private static final byte SNAPSHOT_FORMAT_WITHOUT_CREDENTIALS = 1;
 
-    private static final int CLAIM_BYTES = 53;
     private static final int RELEASE_BYTES = 24;
 
     /** A claim that is active; {@code edge}: the name of the edge that made it. */
     public record ActiveClaim(ClaimId id, OperationNames names, String edge, long expiresAtMs) {}
 
-    /** A process of an edge. Snapshots name each process once. */
-    private record EdgeProcess(String edge, long incarnation) {
-        static EdgeProcess of(ActiveClaim claim) {
-            return new EdgeProcess(claim.edge(), claim.id().incarnation());
-        }
-    }
-
     /**
      * The result of a command.
      *
@@ -45,10 +36,7 @@
      */
     public record Outcome(OperationCommand command, ActiveClaim holder) {}
 
-    /** In order of expiry, except where the window was changed in between. */
-    private final Map<ClaimId, ActiveClaim> claims = new LinkedHashMap<>();
-    /** The claims by each of their names. */
-    private final Map<OperationKey, ActiveClaim> claimsByName = new HashMap<>();
+    private ActiveClaims claims = new ActiveClaims();
 
     /**
      * Released claims, and until when each release is kept: an older proposal may commit a copy of a claim after its
@@ -80,28 +68,17 @@
      * have expired, which only the next batch decides.
      */
     public ActiveClaim holder(OperationKey name, long nowMs) {
-        return holderAt(name, clock.estimateMs(nowMs));
+        return claims.find(name, clock.estimateMs(nowMs));
     }
 
     /** The claim that is active under one of these names, as by {@link #holder(OperationKey, long)}. */
     public ActiveClaim holder(OperationNames names, long nowMs) {
-        return holderAt(names, clock.estimateMs(nowMs));
-    }
-
-    private ActiveClaim holderAt(OperationNames names, long logTimeMs) {
-        ActiveClaim claim = holderAt(names.byTenant(), logTimeMs);
-        return claim == null && names.byCredential() != null ? holderAt(names.byCredential(), logTimeMs) : claim;
-    }
-
-    private ActiveClaim holderAt(OperationKey name, long logTimeMs) {
-        ActiveClaim claim = claimsByName.get(name);
-        return claim == null || logTimeMs >= claim.expiresAtMs() ? null : claim;
+        return claims.find(names, clock.estimateMs(nowMs));
     }
 
     /** The oldest claim that is kept; null: none. */
     public ActiveClaim oldest() {
-        Iterator<ActiveClaim> oldest = claims.values().iterator();
-        return oldest.hasNext() ? oldest.next() : null;
+        return claims.oldest();
     }
 
     /** Number of active claims. */
@@ -130,84 +107,40 @@
     private ActiveClaim apply(OperationCommand command, long expiresAtMs) {
         if (command instanceof OperationCommand.Claim claim) {
             applyClaim(claim, expiresAtMs);
-            return holderAt(claim.names(), clock.timeMs());
+            return claims.find(claim.names(), clock.timeMs());
         }
         applyRelease(command, expiresAtMs);
-        return holderAt(command.key(), clock.timeMs());
+        return claims.find(command.key(), clock.timeMs());
     }
 
     private void applyClaim(OperationCommand.Claim claim, long expiresAtMs) {
-        if (!mayBecomeActive(claim)) {
-            return;
+        if (!released.containsKey(claim.claim())) {
+            claims.addUnlessHeld(
+                    new ActiveClaim(claim.claim(), claim.names(), claim.edge(), expiresAtMs), clock.timeMs());
         }
-        // Expired claims in its place are removed first, so that the new claim is the last in insertion order.
-        OperationNames names = claim.names();
-        remove(claimsByName.get(names.byTenant()));
-        remove(claimsByName.get(names.byCredential()));
-        remove(claims.get(claim.claim()));
-        add(new ActiveClaim(claim.claim(), names, claim.edge(), expiresAtMs));
-    }
-
-    private boolean mayBecomeActive(OperationCommand.Claim claim) {
-        ActiveClaim sameId = claims.get(claim.claim());
-        boolean isIdFree = sameId == null || isExpired(sameId.expiresAtMs());
-        return isIdFree && !released.containsKey(claim.claim()) && holderAt(claim.names(), clock.timeMs()) == null;
     }
 
     private void applyRelease(OperationCommand release, long expiresAtMs) {
-        remove(claims.get(release.claim()));
+        claims.remove(release.claim());
         released.putIfAbsent(release.claim(), expiresAtMs);
     }
 
-    private void add(ActiveClaim claim) {
-        claims.put(claim.id(), claim);
-        claimsByName.put(claim.names().byTenant(), claim);
-        if (claim.names().byCredential() != null) {
-            claimsByName.put(claim.names().byCredential(), claim);
-        }
-    }
-
-    /** {@code claim}: null for none. */
-    private void remove(ActiveClaim claim) {
-        if (claim != null) {
-            claims.remove(claim.id());
-            removeNames(claim);
-        }
-    }
-
-    private void removeNames(ActiveClaim claim) {
-        claimsByName.remove(claim.names().byTenant(), claim);
-        claimsByName.remove(claim.names().byCredential(), claim);
-    }
-
     private void removeExpired() {
-        Iterator<ActiveClaim> oldestClaims = claims.values().iterator();
-        while (oldestClaims.hasNext()) {
-            ActiveClaim oldest = oldestClaims.next();
-            if (!isExpired(oldest.expiresAtMs())) {
-                break;
-            }
-            oldestClaims.remove();
-            removeNames(oldest);
-        }
+        claims.removeExpired(clock.timeMs());
         Iterator<Long> oldestRelease = released.values().iterator();
-        while (oldestRelease.hasNext() && isExpired(oldestRelease.next())) {
+        while (oldestRelease.hasNext() && clock.timeMs() >= oldestRelease.next()) {
             oldestRelease.remove();
         }
     }
 
-    private boolean isExpired(long expiresAtMs) {
-        return clock.timeMs() >= expiresAtMs;
-    }
-
     /** Encodes the state: format, clock, processes of edges, claims, releases. */
     public byte[] snapshot() {
         ByteArrayOutputStream bytes =
-                new ByteArrayOutputStream(64 + CLAIM_BYTES * claims.size() + RELEASE_BYTES * released.size());
+                new ByteArrayOutputStream(64 + claims.encodedBytes() + RELEASE_BYTES * released.size());
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(SNAPSHOT_FORMAT);
             clock.write(out);
-            writeClaims(out);
+            claims.write(out);
             out.writeInt(released.size());
             for (Map.Entry<ClaimId, Long> entry : released.entrySet()) {
                 OperationCodec.write(entry.getKey(), out);
@@ -219,51 +152,6 @@
         return bytes.toByteArray();
     }
 
-    private void writeClaims(DataOutputStream out) throws IOException {
-        Map<EdgeProcess, Integer> indexes = new LinkedHashMap<>();
-        for (ActiveClaim claim : claims.values()) {
-            indexes.putIfAbsent(EdgeProcess.of(claim), indexes.size());
-        }
-        out.writeInt(indexes.size());
-        for (EdgeProcess process : indexes.keySet()) {
-            out.writeUTF(process.edge());
-            out.writeLong(process.incarnation());
-        }
-        out.writeInt(claims.size());
-        for (ActiveClaim claim : claims.values()) {
-            OperationCodec.write(claim.names(), out);
-            out.writeInt(indexes.get(EdgeProcess.of(claim)));
-            out.writeLong(claim.id().sequence());
-            out.writeLong(claim.expiresAtMs());
-        }
-    }
-
-    private void readClaims(DataInputStream in) throws IOException {
-        List<EdgeProcess> processes = new ArrayList<>();
-        for (int i = in.readInt(); i > 0; i--) {
-            processes.add(new EdgeProcess(in.readUTF(), in.readLong()));
-        }
-        for (int i = in.readInt(); i > 0; i--) {
-            OperationNames names = OperationCodec.readNames(in);
-            EdgeProcess process = processes.get(in.readInt());
-            ClaimId id = new ClaimId(process.incarnation(), in.readLong());
-            add(new ActiveClaim(id, names, process.edge(), in.readLong()));
-        }
-    }
-
-    private void readClaimsWithoutCredentials(DataInputStream in) throws IOException {
-        List<String> edgeNames = new ArrayList<>();
-        for (int i = in.readInt(); i > 0; i--) {
-            edgeNames.add(in.readUTF());
-        }
-        for (int i = in.readInt(); i > 0; i--) {
-            OperationNames names = OperationNames.withoutCredential(OperationCodec.readKey(in));
-            ClaimId id = OperationCodec.readClaimId(in);
-            long expiresAtMs = in.readLong();
-            add(new ActiveClaim(id, names, edgeNames.get(in.readInt()), expiresAtMs));
-        }
-    }
-
     /**
      * Replaces the state by a snapshot; an empty one is the state before the first batch. Throws {@link
      * OperationsException} and changes nothing if the snapshot cannot be read.
@@ -274,9 +162,7 @@
             other.read(snapshot, nowMs);
         }
         clock = other.clock;
-        claims.clear();
-        claimsByName.clear();
-        other.claims.values().forEach(this::add);
+        claims = other.claims;
         released.clear();
         released.putAll(other.released);
     }
@@ -291,11 +177,7 @@
                         null);
             }
             clock = LogClock.read(in, processId, nowMs);
-            if (format == SNAPSHOT_FORMAT) {
-                readClaims(in);
-            } else {
-                readClaimsWithoutCredentials(in);
-            }
+            claims = format == SNAPSHOT_FORMAT ? ActiveClaims.read(in) : ActiveClaims.readWithoutCredentials(in);
             for (int i = in.readInt(); i > 0; i--) {
                 released.put(OperationCodec.readClaimId(in), in.readLong());
             }
--- a/src/test/java/brambletray/platform/controlplane/PlantedClaimFaultsTest.java
+++ b/src/test/java/brambletray/platform/controlplane/PlantedClaimFaultsTest.java
@@ -43,16 +43,16 @@
                         "the name by credential does not hold",
                         OperationRegistryTest.class,
                         "aClaimHoldsEachOfItsNames",
-                        "OperationRegistry",
+                        "ActiveClaims",
                         "return claim == null && names.byCredential() != null ?"
-                                + " holderAt(names.byCredential(), logTimeMs) : claim;",
+                                + " find(names.byCredential(), logTimeMs) : claim;",
                         "return claim;"),
                 fault(
                         "a release leaves the name by credential",
                         OperationRegistryTest.class,
                         "aReleaseAndAnExpiryFreeEachNameOfAClaim",
-                        "OperationRegistry",
-                        "claimsByName.remove(claim.names().byCredential(), claim);",
+                        "ActiveClaims",
+                        "byName.remove(claim.names().byCredential(), claim);",
                         ""),
                 fault(
                         "a restored claim has no name by credential",
