--- a/src/test/java/brambletray/platform/drill/OperationTenantChangeHistoriesTest.java
+++ b/src/test/java/brambletray/platform/drill/OperationTenantChangeHistoriesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brambletray.platform.drill.KeyedTrafficCluster.Answer;
+import java.net.InetAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -84,6 +85,9 @@
             if (random.nextInt(60) == 0) {
                 disturbEdge(traffic.cluster.edges.get(random.nextInt(traffic.cluster.edges.size())));
             }
+            if (random.nextInt(80) == 0) {
+                cutLink();
+            }
             if (random.nextInt(500) == 0) {
                 disturbCoordinator();
             }
@@ -138,6 +142,31 @@
             traffic.cluster.after(1 + random.nextInt(MAX_PAUSE_MS), () -> edge.freeze(false));
         }
 
+        /** Cuts a link of an edge, one way or both, to another edge or to a member of the core. */
+        private void cutLink() {
+            SimulatedCluster cluster = traffic.cluster;
+            InetAddress edge = cluster.edges.get(random.nextInt(cluster.edges.size())).address;
+            List<InetAddress> others = new ArrayList<>();
+            cluster.cores.forEach(core -> others.add(core.address));
+            cluster.edges.forEach(other -> others.add(other.address));
+            others.remove(edge);
+            InetAddress other = others.get(random.nextInt(others.size()));
+            boolean isToEdge = random.nextBoolean();
+            InetAddress from = isToEdge ? other : edge;
+            InetAddress to = isToEdge ? edge : other;
+            boolean isBothWays = random.nextBoolean();
+            cluster.cut(from, to);
+            if (isBothWays) {
+                cluster.cut(to, from);
+            }
+            cluster.after(1 + random.nextInt(MAX_PAUSE_MS), () -> {
+                cluster.join(from, to);
+                if (isBothWays) {
+                    cluster.join(to, from);
+                }
+            });
+        }
+
         private void disturbCoordinator() {
             CoreNode coordinator = traffic.cluster.coordinator();
             if (coordinator == null || traffic.cluster.cores.stream().anyMatch(core -> !core.running())) {
