A request with an operation key is an operation whatever the route's type

What callers saw: nobody has reported it.

Change: each request with one operation key is claimed, and isn't sent again after it may have run. A keyed route still refuses a request without a key.

OperationTenantChangeTest has a drawn timeline for each case.

--- a/src/main/java/brambletray/platform/proxy/RequestRouter.java
+++ b/src/main/java/brambletray/platform/proxy/RequestRouter.java
@@ -153,9 +153,9 @@
             return;
         }
         Tenant tenant = authentication.tenant();
-        boolean keyed = route.kind() == RouteKind.KEYED;
-        OperationIdentity operation = keyed ? clientRequest.operation(authentication) : null;
-        if (keyed && operation == null) {
+        // An edge with an older configuration may take a keyed route for another type: the operation key alone decides.
+        OperationIdentity operation = clientRequest.operation(authentication);
+        if (operation == null && route.kind() == RouteKind.KEYED) {
             counters.clientErrors++;
             respond(client, clientRequest, 400, "proxy.no-operation-key", -1, id);
             return;
@@ -164,7 +164,7 @@
         Service service = currentConfiguration.services().get(serviceName);
         RequestPlan plan = new RequestPlan(
                 serviceName,
-                route.idempotent(),
+                route.idempotent() && operation == null,
                 Math.max(1, route.retryCount()),
                 RequestPlan.owner(tenant, route),
                 route.latencyTargetMs(),
--- a/src/test/java/brambletray/platform/drill/KeyedTrafficCluster.java
+++ b/src/test/java/brambletray/platform/drill/KeyedTrafficCluster.java
@@ -108,8 +108,8 @@
         return "{'name':'" + name + "','api-keys':['" + String.join("','", keys) + "'],'priority':1}";
     }
 
-    private static String route(String name, boolean isPublic) {
-        return "{'name':'" + name + "','host':'h.example','path-prefix':'/" + name + "/','route-type':'keyed',"
+    private static String route(String name, String type, boolean isPublic) {
+        return "{'name':'" + name + "','host':'h.example','path-prefix':'/" + name + "/','route-type':'" + type + "',"
                 + "'timeout-ms':4000,'target-ms':500,'priority':2,'service':'ledger','retry-count':2,'public':"
                 + isPublic + "}";
     }
@@ -123,8 +123,8 @@
                 + ",'boot-ms':" + BOOT_MS + ",'max-concurrency':" + MAX_CONCURRENCY + "}]";
         requestChange(
                 "replace",
-                "'routes':[" + route("topup", false) + "," + route("open", true) + "],'services':" + services
-                        + ",'tenants':[" + tenants + "]");
+                "'routes':[" + route("topup", "keyed", false) + "," + route("open", "keyed", true) + "],'services':"
+                        + services + ",'tenants':[" + tenants + "]");
         until(() -> cluster.edges.stream().allMatch(edge -> edge.ready() && isUpToDate(edge)), "edges serve");
         cluster.edges.forEach(edge -> warmUp(edge, key));
     }
@@ -176,6 +176,12 @@
         until(this::isChangeAcknowledged, "the change is acknowledged");
     }
 
+    /** Changes the type of the route {@code topup} and returns once that is acknowledged. */
+    void changeRouteType(String type) {
+        requestChange("modify", "'upsert':{'routes':[" + route("topup", type, false) + "]}");
+        until(this::isChangeAcknowledged, "the change is acknowledged");
+    }
+
     private void requestChange(String kind, String fields) {
         long base = revision++;
         changesInProgress++;
--- a/src/test/java/brambletray/platform/drill/OperationTenantChangeTest.java
+++ b/src/test/java/brambletray/platform/drill/OperationTenantChangeTest.java
@@ -97,7 +97,18 @@
         assertServedBy(first, repeat);
     }
 
-    /** Guards against a run under the former tenant that an up-to-date edge would not find. */
+    /**
+     * Guards against a run under the former tenant that an up-to-date edge would not find.
+     *
+     * <pre>
+     *   ms      operator              edge-1                 edge-2
+     *      0    key to "village"      applies it             stands still
+     *     20                                                 first attempt waits
+     *   1020                                                 goes on: claims for "household", 503
+     *   1120                          second attempt: runs
+     *   3120                                                 third attempt: the second one's answer
+     * </pre>
+     */
     @Test
     void aFirstAttemptAtAnEdgeWithTheFormerConfigurationAndItsRepeatRunOnce() {
         frozen.freeze(true);
@@ -113,7 +124,18 @@
         assertServedBy(second, repeat);
     }
 
-    /** Guards against a second run where only the repeat's key is new to the tenant. */
+    /**
+     * Guards against a second run where only the repeat's key is new to the tenant.
+     *
+     * <pre>
+     *   ms      operator              edge-1                 edge-2
+     *      0    key to "village"      applies it             stands still
+     *     20                          village's own key: runs
+     *    220                                                 passed key waits
+     *   1220                                                 goes on: claims for "household", 503
+     *   3220                                                 passed key: the first one's answer
+     * </pre>
+     */
     @Test
     void aRepeatWithAnotherKeyOfTheTenantAtAnEdgeWithTheFormerConfigurationDoesNotRunAgain() {
         frozen.freeze(true);
@@ -131,7 +153,16 @@
         assertServedBy(first, repeat);
     }
 
-    /** Guards against a second run of an operation that ran before its key was passed on. */
+    /**
+     * Guards against a second run of an operation that ran before its key was passed on.
+     *
+     * <pre>
+     *   ms      operator              edge-1
+     *      0                          first attempt: runs for "household"
+     *    200    key to "village"      applies it
+     *    220                          second attempt: the first one's answer
+     * </pre>
+     */
     @Test
     void aRepeatThatIsHandledAfterTheChangeDoesNotRunAgain() {
         Answer first = attempt(running, PASSED_KEY);
@@ -143,7 +174,18 @@
         assertServedBy(first, repeat);
     }
 
-    /** Guards against a second run on a public route, where a key that an edge does not know is no reason to refuse. */
+    /**
+     * Guards against a second run on a public route, where a key that an edge does not know is no reason to refuse.
+     *
+     * <pre>
+     *   ms      operator              edge-1                 edge-2
+     *      0    adds a key            applies it             stands still
+     *     20                          op: new key, runs
+     *     20                          other: old key, runs
+     *    220                                                 op and other with the new key wait
+     *   1220                                                 goes on: claims both for nobody
+     * </pre>
+     */
     @Test
     void aRepeatOnAPublicRouteAtAnEdgeThatDoesNotKnowTheKeyDoesNotRunAgain() {
         frozen.freeze(true);
@@ -158,4 +200,31 @@
         assertRanOnce("op", "village");
         assertRanOnce("other", "village");
     }
+
+    /**
+     * Guards against a second run at an edge that still takes the route for an idempotent one, and so claims nothing.
+     *
+     * <pre>
+     *   ms      operator              edge-1                 edge-2
+     *      0    route is keyed        applies it             stands still
+     *     20                          first attempt: runs
+     *    220                                                 second attempt waits
+     *   1220                                                 goes on: the first one's answer
+     * </pre>
+     */
+    @Test
+    void aRepeatAtAnEdgeThatTakesTheRouteForIdempotentDoesNotRunAgain() {
+        traffic.changeRouteType("idempotent");
+        traffic.until(() -> traffic.isUpToDate(running) && traffic.isUpToDate(frozen), "both apply the change");
+        frozen.freeze(true);
+        traffic.changeRouteType("keyed");
+        traffic.until(() -> traffic.isUpToDate(running), "the running edge applies the change");
+        Answer first = attempt(running, PASSED_KEY);
+        traffic.pass(200);
+        Answer repeat = attempt(frozen, PASSED_KEY);
+        goesOnWithTheFormerConfiguration();
+        traffic.pass(2_000);
+        assertRanOnce("op", "household");
+        assertServedBy(first, repeat);
+    }
 }
