A repeatable request ends at its hosts when its client disconnects

Cause: a deliberate one. Attempts.onClientGone cancelled what was not sent and left everything else to finish, since breaking a request off while its host works has a price; a response that was being streamed was not touched at all, as its request counted as settled.

Change: RequestLifecycle.onClientGone cancels all attempts of a repeatable request, streamed or not, original, retry and hedged; what must not be repeated, and what has an operation key, runs to its end as before.

--- a/src/main/java/brambletray/platform/proxy/Attempts.java
+++ b/src/main/java/brambletray/platform/proxy/Attempts.java
@@ -116,11 +116,8 @@
         }
     }
 
-    /**
-     * The client has disconnected: cancels attempts of which nothing was sent and leaves the others to finish at their
-     * hosts. True if any are left.
-     */
-    boolean onClientGone(long now) {
+    /** Cancels the attempts of which nothing was sent; true if others are left, which their hosts may finish. */
+    boolean cancelUnsent(long now) {
         for (int i = 0; i < all.size(); i++) {
             Attempt attempt = all.get(i);
             if (attempt.active && !attempt.isSent()) {
--- a/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
+++ b/src/main/java/brambletray/platform/proxy/RequestLifecycle.java
@@ -14,7 +14,8 @@
  * only with proof that it did not run (rule TWICE). When no response has come after the service's hedging delay, a
  * hedged request goes to another instance if a slot is free; the first response is used and the others are cancelled.
  * A request that is given up gets a response at once: 503 if it provably did not run (rule REFUSED), 504 at its
- * deadline, 502 otherwise.
+ * deadline, 502 otherwise. If the client disconnects, a repeatable request is cancelled at its instances (rule GONE);
+ * any other runs to its end there, once.
  */
 final class RequestLifecycle {
     /** Time in ms before the deadline at which the proxy sends its own response, so that it arrives in time. */
@@ -368,7 +369,7 @@
             return;
         }
         cancelPendingRequest();
-        unproven |= attempts.onClientGone(now);
+        unproven |= attempts.cancelUnsent(now);
         conclude(now);
     }
 
@@ -382,17 +383,22 @@
     }
 
     /**
-     * The client has disconnected: attempts that were not sent are dropped, the others are left to finish at their
-     * instances, since interrupting an instance has a cost.
+     * The client has disconnected before its response was complete: nothing is sent any more. The attempts of a
+     * repeatable request are cancelled; of any other, those that were sent run to their end.
      */
     void onClientGone(long now) {
-        if (!isSettled) {
-            if (isPreparing) {
-                isPreparing = false;
-                actions.cancelPreparation();
-            }
-            cancelPendingRequest();
-            attempts.onClientGone(now);
+        if (isPreparing) {
+            isPreparing = false;
+            actions.cancelPreparation();
+        }
+        cancelPendingRequest();
+        if (!plan.idempotent()) {
+            attempts.cancelUnsent(now);
+            return;
+        }
+        attempts.cancelAll(now);
+        if (streamingAttempt != null) {
+            onStreamed(AttemptOutcome.CANCELLED);
         }
     }
 }
--- a/src/test/java/brambletray/platform/proxy/PlantedTimelineFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedTimelineFaultsTest.java
@@ -16,6 +16,27 @@
 
     static Stream<Arguments> faults() {
         return Stream.of(
+                fault(
+                        "a repeatable request is left to finish at its hosts when its client disconnects",
+                        DepartedClientTest.class,
+                        "bothCopiesOfAHedgedRequestEndWhenTheirClientDisconnects",
+                        "RequestLifecycle",
+                        "        attempts.cancelAll(now);\n        if (streamingAttempt",
+                        "        attempts.cancelUnsent(now);\n        if (streamingAttempt"),
+                fault(
+                        "a request that must not be repeated is cancelled when its client disconnects",
+                        DepartedClientTest.class,
+                        "aRequestThatMustNotBeRepeatedRunsToItsEndOnceAlthoughItsClientDisconnected",
+                        "RequestLifecycle",
+                        "            attempts.cancelUnsent(now);\n            return;",
+                        "            attempts.cancelAll(now);\n            return;"),
+                fault(
+                        "a hedged request is sent after its client disconnected",
+                        DepartedClientTest.class,
+                        "aHedgedRequestThatWaitsForASlotIsNotSentAfterItsClientDisconnects",
+                        "RequestLifecycle",
+                        "        cancelPendingRequest();\n        if (!plan.idempotent()) {",
+                        "        isSettled = true;\n        if (!plan.idempotent()) {"),
                 fault(
                         "a response that closes its connection is cut after one second",
                         SlowReaderTest.class,
