--- a/src/main/java/brambletray/platform/controlplane/ControlPlaneProcess.java
+++ b/src/main/java/brambletray/platform/controlplane/ControlPlaneProcess.java
@@ -39,6 +39,7 @@
                 .sync();
         program.get().listen().sync();
         LOG.info("started")
+                .with("transport", Sockets.transport())
                 .with("node", nodeSettings.node())
                 .with("control", control)
                 .with("stored-keys", stored.size())
--- a/src/main/java/brambletray/platform/edge/EdgeProgram.java
+++ b/src/main/java/brambletray/platform/edge/EdgeProgram.java
@@ -189,6 +189,7 @@
                 .addListener(release -> onListening("readiness", readiness, release.cause()));
         tickTimer.schedule(now() + MIN_TICK_INTERVAL_MS);
         LOG.info("started")
+                .with("transport", Sockets.transport())
                 .with("node", self.name())
                 .with("zone", self.zone())
                 .with("incarnation", Long.toHexString(self.incarnation()))
--- a/src/main/java/brambletray/platform/transport/Sockets.java
+++ b/src/main/java/brambletray/platform/transport/Sockets.java
@@ -57,6 +57,11 @@
                 : Machine.real(loop);
     }
 
+    /** The transport of {@link #machine}: {@code epoll}, or {@code nio} where the native library is missing. */
+    public static String transport() {
+        return Epoll.isAvailable() ? "epoll" : "nio";
+    }
+
     /** The pool that all connections of a process take buffers from: one small arena. */
     public static ByteBufAllocator buffers() {
         return BUFFERS;
