Random exchanges hold rule GONE: what arrives, or is at work, after its client has left

Change: a host of RandomExchanges reports an attempt that arrives, or that is repeatable and in progress, 100 ms after its client's disconnect (the rule says 500; links here take under 2), while the edge runs and reaches the host and before the deadline that the host was handed. Not checked where the window is narrow or reading was paused: there other bytes hold the close up.

--- a/src/test/java/brambletray/platform/proxy/ExchangeChecker.java
+++ b/src/test/java/brambletray/platform/proxy/ExchangeChecker.java
@@ -36,6 +36,8 @@
         final Set<Integer> otherStatuses = new HashSet<>();
 
         boolean answered;
+        /** When its client disconnected before the response, ms; -1 if it did not. */
+        long goneAtMs = -1;
 
         ClientAttempt(String id, String method, String uri, String body, boolean repeatable, int maxHosts) {
             this.id = id;
@@ -47,6 +49,9 @@
         }
     }
 
+    /** ms after its client's disconnect within which work has to end: rule GONE says 500, links here take under 2. */
+    private static final int GONE_GRACE_MS = 100;
+
     private final Map<String, ClientAttempt> attempts = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     int successes;
@@ -55,6 +60,8 @@
     int sealedFailures;
     /** Number of times an attempt ran at a further host. */
     int multiHostAttempts;
+    /** False where a close can be held up for long behind other bytes: departures are not checked. */
+    boolean closesArriveSoon = true;
 
     void addViolation(String rule, String how) {
         violations.add(rule + ": " + how);
@@ -103,6 +110,22 @@
         }
     }
 
+    /**
+     * An attempt arrives at a host, or is still in progress there; {@code edgeAwareSinceMs}: since when the edge runs
+     * and reaches the host.
+     */
+    void checkNotGone(ClientAttempt attempt, boolean arrives, String host, long now, long edgeAwareSinceMs) {
+        if (!closesArriveSoon || attempt.goneAtMs < 0 || !arrives && !attempt.repeatable) {
+            return;
+        }
+        if (now > Math.max(attempt.goneAtMs, edgeAwareSinceMs) + GONE_GRACE_MS) {
+            addViolation(
+                    "GONE",
+                    attempt.id + (arrives ? " arrives at " : " is in progress at ") + host + ", "
+                            + (now - attempt.goneAtMs) + " ms after its client disconnected");
+        }
+    }
+
     // ---- At clients -----------------------------------------------------------------------------
     /**
      * A client has received a complete response; {@code attempt}: the oldest unanswered attempt on this connection, or
--- a/src/test/java/brambletray/platform/proxy/PlantedFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedFaultsTest.java
@@ -115,6 +115,24 @@
                         "                    && connection.pool.waitingCalls.remove(hostCall)\n          "
                                 + "          && hostCall.isStillWanted()",
                         "                    && connection.pool.waitingCalls.remove(hostCall)"),
+                fault(
+                        "a repeatable request is left to finish when its client disconnects",
+                        "GONE",
+                        "RequestLifecycle",
+                        "        if (!plan.idempotent()) {\n            attempts.cancelUnsent",
+                        "        if (now > 0) {\n            attempts.cancelUnsent"),
+                fault(
+                        "a request that waits for a slot is sent after its client disconnected",
+                        "GONE",
+                        "RequestLifecycle",
+                        "        cancelPendingRequest();\n        if (!plan.idempotent()) {",
+                        "        if (!plan.idempotent()) {"),
+                fault(
+                        "the edge doesn't act on a client's disconnect",
+                        "GONE",
+                        "ClientConnection",
+                        "            abandonedDriver.onClientGone();",
+                        "            server.counters();"),
                 fault(
                         "a request that timed out at a host is reported as not run",
                         "REFUSED",
--- a/src/test/java/brambletray/platform/proxy/RandomClient.java
+++ b/src/test/java/brambletray/platform/proxy/RandomClient.java
@@ -212,6 +212,8 @@
 
     void hangUp(boolean hard) {
         if (connection != null) {
+            long now = machine.clock().nanos() / 1_000_000;
+            connection.waiting.forEach(exchange -> exchange.goneAtMs = now);
             if (hard) {
                 connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
             }
--- a/src/test/java/brambletray/platform/proxy/RandomExchanges.java
+++ b/src/test/java/brambletray/platform/proxy/RandomExchanges.java
@@ -61,6 +61,7 @@
             simulation.network().cutStreams(0.3, seed);
         }
         if (random.nextInt(4) == 0) {
+            checker.closesArriveSoon = false;
             simulation.network().window(200 + random.nextInt(2_000));
         }
         maxPauseMs = 5 + random.nextInt(60);
@@ -208,6 +209,8 @@
         for (int step = 0; step < steps && checker.violations().isEmpty(); step++) {
             randomEvent();
             run(random.nextInt(maxPauseMs));
+            checker.closesArriveSoon &= counters.clientReadsPaused == 0;
+            hosts.forEach(RandomHost::checkDepartures);
         }
         endFaults();
         run(12_000);
@@ -240,7 +243,9 @@
             breakConnection();
         } else if (dice < 95) {
             // The machine is unreachable until it comes back, which resets its open connections.
-            simulation.network().vanish(inet("10.0.1." + (1 + random.nextInt(hosts.size()))));
+            int at = random.nextInt(hosts.size());
+            simulation.network().vanish(inet("10.0.1." + (at + 1)));
+            hosts.get(at).reachableSince(Long.MAX_VALUE);
         } else if (dice < 97) {
             // A partition, in one direction or both: data is held back and delivered after it heals, whatever was
             // reported meanwhile.
@@ -267,6 +272,7 @@
         }
         long until = edge.clock().nanos() / 1_000_000 + 60;
         hosts.forEach(host -> host.proxyUnawareUntil(until));
+        hosts.forEach(host -> host.reachableSince(until));
     }
 
     private <T> T pick(List<T> all) {
--- a/src/test/java/brambletray/platform/proxy/RandomExchangesTest.java
+++ b/src/test/java/brambletray/platform/proxy/RandomExchangesTest.java
@@ -14,7 +14,7 @@
 
 /**
  * Random exchanges through the production classes, checked by what clients and hosts saw: rules MIXED, UNASKED, TWICE,
- * REFUSED and BUDGET, and that no connection carries a request while a response is outstanding on it. {@code
+ * REFUSED, BUDGET and GONE, and that no connection carries a request while a response is outstanding on it. {@code
  * -Dbrambletray.courses=N} sets the number of scenarios, {@code -Dbrambletray.seed=N} the first seed.
  */
 class RandomExchangesTest {
@@ -73,12 +73,15 @@
             all.hedgesWon += counters.hedgesWon;
             all.failed += counters.failed;
             all.timedOut += counters.timedOut;
+            all.attemptsCancelledForClient += counters.attemptsCancelledForClient;
+            all.attemptsLeftRunning += counters.attemptsLeftRunning;
         }
         String seen =
                 tries + " tries, " + successes + " successes, " + promises + " promises " + RandomExchanges.format(all);
         assertTrue(
                 sealedFailures > 20 && ranAgain > 20,
                 sealedFailures + " sealed failures, " + ranAgain + " run on more than one host; " + seen);
+        assertTrue(all.attemptsCancelledForClient > 10 && all.attemptsLeftRunning > 10, seen);
         assertTrue(successes > tries / 3 && promises > tries / 20, seen);
         assertTrue(
                 all.surplusResponses > 10
--- a/src/test/java/brambletray/platform/proxy/RandomHost.java
+++ b/src/test/java/brambletray/platform/proxy/RandomHost.java
@@ -43,6 +43,11 @@
      * without having read what this host sent.
      */
     private long proxyUnawareUntilMs;
+    /** Time in ms since when this machine can be reached; {@link Long#MAX_VALUE} while it can't. */
+    private long reachableSinceMs;
+
+    /** Connections with a request in progress. */
+    private final Set<Connection> working = new LinkedHashSet<>();
 
     /** {@code faultPercent}: percentage of faulty responses; {@code largeBodyOneIn}: one body in this many is large. */
     RandomHost(
@@ -95,6 +100,24 @@
         return proxyUnawareUntilMs;
     }
 
+    void reachableSince(long sinceMs) {
+        reachableSinceMs = sinceMs;
+    }
+
+    /** Checks that none of the requests in progress has lost its client for long. */
+    void checkDepartures() {
+        working.removeIf(connection ->
+                connection.current == null || !connection.channel.isActive() || now() >= connection.currentDeadlineMs);
+        for (Connection connection : working) {
+            checker.checkNotGone(connection.current, false, name, now(), edgeAwareSinceMs());
+        }
+    }
+
+    private long edgeAwareSinceMs() {
+        long since = Math.max(proxyUnawareUntilMs, reachableSinceMs);
+        return since == Long.MAX_VALUE ? now() : since;
+    }
+
     private long now() {
         return machine.clock().nanos() / 1_000_000;
     }
@@ -119,6 +142,8 @@
         private final StringBuilder in = new StringBuilder();
         /** The request in progress, without a response so far. */
         private ExchangeChecker.ClientAttempt current;
+        /** Time in ms at which hosts cease to work on it. */
+        private long currentDeadlineMs;
         /** Bytes still to be received of a request that was answered early. */
         private int unreadBodyBytes;
         /** A response is partly sent. */
@@ -208,6 +233,9 @@
             if (exchange == null) {
                 return;
             }
+            checker.checkNotGone(exchange, true, name, now(), edgeAwareSinceMs());
+            working.add(this);
+            currentDeadlineMs = now() + Integer.parseInt(ScriptedHost.header(head, "brambletray-deadline-remaining"));
             Answer answer = randomAnswer(exchange, body == null);
             if (answer.runs()) {
                 checker.onExecuted(exchange, name);
