--- a/src/main/java/brambletray/platform/localsystem/LocalRunPlan.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalRunPlan.java
@@ -54,6 +54,11 @@
         }
     }
 
+    /** Whether an edge is killed, with which the runs that must not be repeated end too. */
+    boolean killsAnEdge() {
+        return kills.stream().anyMatch(kill -> kill.name.startsWith("edge-"));
+    }
+
     private static void within(String option, int value, int least, int most) {
         if (value < least || value > most) {
             throw bad(option + ": expected a number from " + least + " to " + most + ", found " + value);
--- a/src/main/java/brambletray/platform/localsystem/LocalSystem.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalSystem.java
@@ -169,14 +169,15 @@
         return wrong + twice == 0 && departedClientsWereLeftAlone() ? 0 : 1;
     }
 
-    /** Prints what became of the work for clients that disconnected early; judged only if no process was killed. */
+    /** Prints what became of the work for clients that disconnected early; not judged if an edge was killed. */
     private boolean departedClientsWereLeftAlone() {
         if (plan.load().leavePercent() == 0) {
             return true;
         }
         DepartedClients.Summary summary = onLoop(() -> ledger.departedClients().summary());
-        print(summary + (summary.holds() ? "" : ": work goes on for clients that left, or was broken off"));
-        return summary.holds() || !plan.kills().isEmpty();
+        boolean accepted = summary.holds() || plan.killsAnEdge();
+        print(summary + (accepted ? "" : ": work goes on for clients that left, or was broken off"));
+        return accepted;
     }
 
     private void probe() {
