--- a/src/main/java/brambletray/platform/localsystem/InstanceFleet.java
+++ b/src/main/java/brambletray/platform/localsystem/InstanceFleet.java
@@ -22,25 +22,25 @@
     private static final int LOOK = 5;
 
     private final Machine machine;
-    private final PlatformStub stand;
+    private final PlatformStub platformStub;
     private final Map<String, Service> services;
     private final ExecutionLedger ledger;
     private final Random random;
     private final int workMs;
-    private final Map<String, InstanceServer> booths = new HashMap<>();
+    private final Map<String, InstanceServer> servers = new HashMap<>();
     private int turnedAway;
     private int failures;
 
     /** {@code workMs}: about what a request takes at a host of ordinary speed. */
     InstanceFleet(
             Machine machine,
-            PlatformStub stand,
+            PlatformStub platformStub,
             Map<String, Service> services,
             ExecutionLedger ledger,
             int workMs,
             long seed) {
         this.machine = machine;
-        this.stand = stand;
+        this.platformStub = platformStub;
         this.services = services;
         this.ledger = ledger;
         this.workMs = workMs;
@@ -55,18 +55,18 @@
     void look() {
         long now = machine.clock().nanos() / 1_000_000;
         for (Iterator<Map.Entry<String, InstanceServer>> each =
-                        booths.entrySet().iterator();
+                        servers.entrySet().iterator();
                 each.hasNext(); ) {
             Map.Entry<String, InstanceServer> one = each.next();
-            if (!stand.up(one.getKey(), now)) {
+            if (!platformStub.up(one.getKey(), now)) {
                 each.remove();
                 one.getValue().stop();
                 turnedAway += one.getValue().turnedAway();
             }
         }
         for (Service service : services.values()) {
-            for (String id : stand.occupying(service.name(), now)) {
-                if (!booths.containsKey(id) && stand.up(id, now)) {
+            for (String id : platformStub.occupying(service.name(), now)) {
+                if (!servers.containsKey(id) && platformStub.up(id, now)) {
                     start(id, service);
                 }
             }
@@ -74,25 +74,25 @@
     }
 
     private void start(String id, Service service) {
-        Address at = Address.parse(stand.address(id));
+        Address at = Address.parse(platformStub.address(id));
         double pace = 0.8 + 0.4 * random.nextDouble();
         IntSupplier work = () -> (int) (workMs * pace * (0.6 + 0.8 * random.nextDouble()));
-        InstanceServer booth = new InstanceServer(machine, id, service, ledger, work);
-        booths.put(id, booth);
-        booth.open(new InetSocketAddress(at.host(), at.port()))
+        InstanceServer server = new InstanceServer(machine, id, service, ledger, work);
+        servers.put(id, server);
+        server.open(new InetSocketAddress(at.host(), at.port()))
                 .addListener(done -> failures += done.isSuccess() ? 0 : 1);
     }
 
     /** Hosts that have started and not ended. */
     int up() {
-        return booths.size();
+        return servers.size();
     }
 
     /** Requests that instances rejected for lack of a slot. */
     int turnedAway() {
         int sum = turnedAway;
-        for (InstanceServer booth : booths.values()) {
-            sum += booth.turnedAway();
+        for (InstanceServer server : servers.values()) {
+            sum += server.turnedAway();
         }
         return sum;
     }
@@ -103,7 +103,7 @@
     }
 
     void end() {
-        new ArrayList<>(booths.values()).forEach(InstanceServer::stop);
-        booths.clear();
+        new ArrayList<>(servers.values()).forEach(InstanceServer::stop);
+        servers.clear();
     }
 }
--- a/src/main/java/brambletray/platform/localsystem/LocalPlatform.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalPlatform.java
@@ -25,15 +25,15 @@
     private static final int SHOWN_MS = 2_500;
 
     private final Machine machine;
-    private final PlatformStubServer door;
-    private final PlatformStub stand;
-    final InstanceFleet fair;
+    private final PlatformStubServer server;
+    private final PlatformStub platformStub;
+    final InstanceFleet instances;
 
     /** {@code workMs}: about what a request takes at a host. */
     LocalPlatform(Machine machine, LocalSite site, Configuration configuration, ExecutionLedger ledger, int workMs) {
         this.machine = machine;
         long now = machine.clock().nanos() / 1_000_000;
-        stand = new PlatformStub(
+        platformStub = new PlatformStub(
                 new PlatformParameters(
                         LocalSite.LAG_MS,
                         LocalSite.LISTS_PER_S,
@@ -47,38 +47,38 @@
                 site::host);
         for (String zone : LocalSite.ZONES) {
             for (int i = 1; i <= WORKERS; i++) {
-                stand.worker("w-" + zone + '-' + i, zone, WORKER_MB, now);
+                platformStub.worker("w-" + zone + '-' + i, zone, WORKER_MB, now);
             }
         }
         for (Service service : configuration.services().values()) {
-            stand.service(service.name(), new ServiceKind(service.memoryMb(), service.bootMs(), BOOT_SPREAD));
+            platformStub.service(service.name(), new ServiceKind(service.memoryMb(), service.bootMs(), BOOT_SPREAD));
         }
-        door = new PlatformStubServer(machine, stand);
-        fair = new InstanceFleet(machine, stand, configuration.services(), ledger, workMs, SEED);
+        server = new PlatformStubServer(machine, platformStub);
+        instances = new InstanceFleet(machine, platformStub, configuration.services(), ledger, workMs, SEED);
     }
 
     /** Throws {@link LocalSystemException} where the platform's address can't be had. */
     void open(Address at) {
-        if (!door.open(new InetSocketAddress(at.host(), at.port()))
+        if (!server.open(new InetSocketAddress(at.host(), at.port()))
                 .awaitUninterruptibly()
                 .isSuccess()) {
             throw new LocalSystemException("no-address", at + " cannot be listened on", null);
         }
-        machine.loop().execute(fair::begin);
+        machine.loop().execute(instances::begin);
     }
 
     /** Starts so far; for the loop. */
     int starts() {
-        return stand.starts();
+        return platformStub.starts();
     }
 
     /** Starts and stops refused for the rate so far; for the loop. */
     int refusals() {
-        return stand.refusals();
+        return platformStub.refusals();
     }
 
     void end() {
-        fair.end();
-        door.close();
+        instances.end();
+        server.close();
     }
 }
--- a/src/main/java/brambletray/platform/localsystem/LocalSystem.java
+++ b/src/main/java/brambletray/platform/localsystem/LocalSystem.java
@@ -34,21 +34,21 @@
     private final ExecutionLedger ledger = new ExecutionLedger();
     private final RequestCounts counts = new RequestCounts();
     private final RequestCounts all = new RequestCounts();
-    private final LocalPlatform town;
+    private final LocalPlatform platform;
     private final FrontEndBalancer fronts;
-    private final TrafficGenerator callers;
+    private final TrafficGenerator trafficGenerator;
     private final List<ChildProcess> children = new ArrayList<>();
-    private final MemberStatusPoller glance;
+    private final MemberStatusPoller statusPoller;
 
     private LocalSystem(LocalRunPlan plan, PrintStream out) {
         this.plan = plan;
         this.out = out;
         dir = RunDirectory.dir(plan.dir());
         site = LocalSite.of(plan.cores(), plan.edges(), RunDirectory.ports(), dir);
-        town = new LocalPlatform(
+        platform = new LocalPlatform(
                 machine, site, configuration, ledger, plan.load().workMs());
         fronts = new FrontEndBalancer(site.edges());
-        callers = new TrafficGenerator(
+        trafficGenerator = new TrafficGenerator(
                 machine,
                 site,
                 fronts,
@@ -57,7 +57,7 @@
                 counts,
                 plan.load().leavePercent(),
                 SEED);
-        glance = new MemberStatusPoller(new OperatorClient(site.controls(), CALL_MS), site.controls());
+        statusPoller = new MemberStatusPoller(new OperatorClient(site.controls(), CALL_MS), site.controls());
         site.specs().forEach(spec -> children.add(new ChildProcess(site, spec, this::print)));
     }
 
@@ -65,16 +65,16 @@
      * Plays it; 0: all as it must be, 1: a request was answered wrongly or ran twice, or the system did not come up.
      */
     public static int run(LocalRunPlan plan, PrintStream out) {
-        LocalSystem up = new LocalSystem(plan, out);
+        LocalSystem system = new LocalSystem(plan, out);
         Thread hook = new Thread(() -> {
-            up.children.forEach(child -> child.await(0));
-            up.tidy();
+            system.children.forEach(child -> child.await(0));
+            system.tidy();
         });
         Runtime.getRuntime().addShutdownHook(hook);
         try {
-            return up.play();
+            return system.play();
         } finally {
-            up.end();
+            system.end();
             Runtime.getRuntime().removeShutdownHook(hook);
         }
     }
@@ -85,7 +85,7 @@
         print("operators call --control "
                 + String.join(
                         ",", site.controls().stream().map(Address::toString).toList()));
-        town.open(site.platform());
+        platform.open(site.platform());
         children.forEach(ChildProcess::start);
         machine.loop().scheduleAtFixedRate(this::probe, 0, 1, TimeUnit.SECONDS);
         long began = now();
@@ -110,21 +110,21 @@
     private void traffic() {
         out.println(RequestCounts.head());
         long began = now();
-        machine.loop().execute(() -> callers.begin(plan.load().rate()));
+        machine.loop().execute(() -> trafficGenerator.begin(plan.load().rate()));
         for (int second = 0; second < plan.seconds(); second++) {
-            glance.ask();
+            statusPoller.ask();
             for (LocalRunPlan.Kill kill : plan.kills()) {
                 if (kill.at() == second) {
-                    kill(kill.name().equals(LocalRunPlan.COORDINATOR) ? glance.coordinator() : kill.name());
+                    kill(kill.name().equals(LocalRunPlan.COORDINATOR) ? statusPoller.coordinator() : kill.name());
                 }
             }
             until(began + (second + 1) * 1_000L);
             int number = second + 1;
             out.println(onLoop(() -> line(number)));
         }
-        machine.loop().execute(callers::stop);
+        machine.loop().execute(trafficGenerator::stop);
         long rest = now();
-        while (onLoop(callers::underWay) > 0 && now() - rest < REST_MS) {
+        while (onLoop(trafficGenerator::underWay) > 0 && now() - rest < REST_MS) {
             until(now() + 20);
         }
         onLoop(() -> {
@@ -141,7 +141,7 @@
     private String line(int second) {
         RequestCounts past = counts.turn();
         all.add(past);
-        return past.line(second, town.fair.up(), glance.view(), glance.coordinator());
+        return past.line(second, platform.instances.up(), statusPoller.view(), statusPoller.coordinator());
     }
 
     private int summary() {
@@ -158,8 +158,9 @@
         }
         print("in all: " + all.requests + " requests, " + all.answered + " answered, " + all.late + " late, "
                 + all.refused + " refused, "
-                + all.failed + " failed; " + onLoop(town::starts) + " starts of hosts, " + onLoop(town.fair::turnedAway)
-                + " requests beyond their places, " + onLoop(town::refusals) + " calls beyond the rate");
+                + all.failed + " failed; " + onLoop(platform::starts) + " starts of hosts, "
+                + onLoop(platform.instances::turnedAway)
+                + " requests beyond their places, " + onLoop(platform::refusals) + " calls beyond the rate");
         print("the operator is shown " + shown);
         int wrong = onLoop(ledger::wrong);
         int twice = onLoop(ledger::twice);
@@ -182,7 +183,7 @@
 
     private void probe() {
         for (LocalSite.ProcessSpec edge : site.edges()) {
-            glance.ready(
+            statusPoller.ready(
                     new Address(edge.ip(), site.ports().readiness()),
                     ready -> machine.loop().execute(() -> fronts.heard(edge.name(), ready)));
         }
@@ -192,7 +193,7 @@
         children.forEach(ChildProcess::end);
         children.forEach(child -> child.await(LocalSite.GRACE_S * 1_000L + 500));
         onLoop(() -> {
-            town.end();
+            platform.end();
             return 0;
         });
         machine.loop().parent().shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
--- a/src/main/java/brambletray/platform/localsystem/TrafficGenerator.java
+++ b/src/main/java/brambletray/platform/localsystem/TrafficGenerator.java
@@ -28,7 +28,7 @@
     private final FrontEndBalancer fronts;
     private final ExecutionLedger ledger;
     private final RequestCounts counts;
-    private final ClientConnections wires;
+    private final ClientConnections connections;
     private final Random random;
     private final List<Route> busy;
     private final List<Route> rare;
@@ -52,7 +52,7 @@
         this.fronts = fronts;
         this.ledger = ledger;
         this.counts = counts;
-        this.wires = new ClientConnections(machine);
+        this.connections = new ClientConnections(machine);
         this.random = new Random(seed);
         busy = routes.values().stream()
                 .filter(route -> route.shares().get(0).service().startsWith("busy"))
@@ -87,19 +87,19 @@
         byte[] body = route.idempotent()
                 ? new byte[0]
                 : ("{\"amount\":" + random.nextInt(1_000) + '}').getBytes(StandardCharsets.US_ASCII);
-        TrafficRequest visit = new TrafficRequest(
+        TrafficRequest request = new TrafficRequest(
                 route, LocalSite.ZONES.get(client % LocalSite.ZONES.size()), client, path, body, ledger, this, now());
-        underWay.put(visit, machine.loop().schedule(visit::expired, route.timeoutMs(), TimeUnit.MILLISECONDS));
-        visit.go(now());
+        underWay.put(request, machine.loop().schedule(request::expired, route.timeoutMs(), TimeUnit.MILLISECONDS));
+        request.go(now());
         if (leavePercent > 0 && random.nextInt(100) < leavePercent) {
             boolean reset = random.nextBoolean();
-            machine.loop().schedule(() -> leave(visit, reset), LEAVE_AFTER_MS, TimeUnit.MILLISECONDS);
+            machine.loop().schedule(() -> leave(request, reset), LEAVE_AFTER_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void leave(TrafficRequest visit, boolean reset) {
-        if (!visit.isOver()) {
-            visit.left(wires.disconnect(visit, reset), now());
+    private void leave(TrafficRequest request, boolean reset) {
+        if (!request.isOver()) {
+            request.left(connections.disconnect(request, reset), now());
         }
     }
 
@@ -108,26 +108,26 @@
     }
 
     @Override
-    public String send(TrafficRequest visit, int turn, int remainingMs) {
+    public String send(TrafficRequest request, int turn, int remainingMs) {
         String attempt = Long.toHexString(random.nextLong() | Long.MIN_VALUE);
-        visit.names(attempt, visit.attempt());
-        LocalSite.ProcessSpec edge = fronts.pick(visit.zone, visit.hash(), turn);
-        boolean fresh = turn > 0 || !visit.route.idempotent() || random.nextInt(3) == 0;
-        wires.send(
+        request.names(attempt, request.attempt());
+        LocalSite.ProcessSpec edge = fronts.pick(request.zone, request.hash(), turn);
+        boolean fresh = turn > 0 || !request.route.idempotent() || random.nextInt(3) == 0;
+        connections.send(
                 edge.ip(),
                 site.ports().frontEnd(),
-                new ClientConnections.PendingRequest(visit, attempt, remainingMs, fresh));
+                new ClientConnections.PendingRequest(request, attempt, remainingMs, fresh));
         return attempt;
     }
 
     @Override
-    public void pause(TrafficRequest visit, int ms) {
-        machine.loop().schedule(() -> visit.go(now()), ms, TimeUnit.MILLISECONDS);
+    public void pause(TrafficRequest request, int ms) {
+        machine.loop().schedule(() -> request.go(now()), ms, TimeUnit.MILLISECONDS);
     }
 
     @Override
-    public void over(TrafficRequest visit, TrafficRequest.End end) {
-        underWay.remove(visit).cancel(false);
+    public void over(TrafficRequest request, TrafficRequest.End end) {
+        underWay.remove(request).cancel(false);
         switch (end) {
             case ANSWERED -> counts.answered++;
             case LATE -> counts.late++;
--- a/src/main/java/brambletray/platform/proxy/ClientConnection.java
+++ b/src/main/java/brambletray/platform/proxy/ClientConnection.java
@@ -11,9 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One client connection. Assembles one request at a time and writes its single response before it processes the next
@@ -52,7 +50,7 @@
     private long stateSinceMs;
 
     /** Rejects a request whose body did not arrive completely with its head and is still incomplete at its deadline. */
-    private Future<?> bodyTimeout;
+    private final LoopTimer bodyTimer;
 
     private RequestDriver driver;
     private boolean closeAfterResponse;
@@ -63,6 +61,7 @@
         this.limits = limits;
         this.requestReader = new RequestReader(server.memoryBudget());
         this.pipelined = new PipelinedInput(server.memoryBudget());
+        this.bodyTimer = new LoopTimer(server.machine(), () -> timeOutIfDue(state == State.BODY));
         this.stateSinceMs = server.now();
     }
 
@@ -152,25 +151,12 @@
     }
 
     private void startBodyTimeout() {
-        if (state != State.BODY || bodyTimeout != null) {
+        if (state != State.BODY || bodyTimer.isSet()) {
             return;
         }
         long end = requestReader.deadlineMs(server.requestRouter());
         if (end != Long.MAX_VALUE) {
-            bodyTimeout = channel.eventLoop()
-                    .schedule(this::onBodyTimeout, Math.max(0, end - server.now()), TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void onBodyTimeout() {
-        bodyTimeout = null;
-        timeOutIfDue(state == State.BODY);
-    }
-
-    private void stopBodyTimeout() {
-        if (bodyTimeout != null) {
-            bodyTimeout.cancel(false);
-            bodyTimeout = null;
+            bodyTimer.set(end, server.now());
         }
     }
 
@@ -333,7 +319,7 @@
     }
 
     private void enterState(State next) {
-        stopBodyTimeout();
+        bodyTimer.stop();
         state = next;
         stateSinceMs = server.now();
     }
--- a/src/main/java/brambletray/platform/proxy/FrontEndServer.java
+++ b/src/main/java/brambletray/platform/proxy/FrontEndServer.java
@@ -53,6 +53,10 @@
         return bound;
     }
 
+    Machine machine() {
+        return machine;
+    }
+
     RequestRouter requestRouter() {
         return requestRouter;
     }
--- a/src/main/java/brambletray/platform/proxy/LoopTimer.java
+++ b/src/main/java/brambletray/platform/proxy/LoopTimer.java
@@ -27,6 +27,10 @@
         }
     }
 
+    boolean isSet() {
+        return pending != null;
+    }
+
     private void run() {
         pending = null;
         action.run();
