A cancelled request's slot stays closed for a while: a test

Need: requests of clients that leave are now cancelled at their hosts, and hosts may work on after their connection is closed; that the slot isn't granted meanwhile (rule LIMIT) had a test for broken responses only.

Change: one scenario in slots.feature.

Measured: AdmissionTimelinesTest passes; with the slot freed at once, the scenario fails.

--- a/src/test/resources/brambletray/platform/admission/slots.feature
+++ b/src/test/resources/brambletray/platform/admission/slots.feature
@@ -88,6 +88,21 @@
       305 |                      |            |                 | a3 h1
       """
 
+  Scenario: The slot of a cancelled request stays closed for a while, as an instance may work on without its client
+    Given a service with 128 MB, concurrency 1, boot time 500 ms and target 1000 ms
+    Then the timeline is
+      """
+      ms  | a                      | coordinator     | home
+      0   |                        | instances h1 up |
+      10  | request 1              |                 | a1 h1
+      110 | release 1 served 100   |                 |
+      120 | request 2              |                 | a2 h1
+      200 | release 2 cancelled 80 |                 |
+      205 | request 3              |                 |
+      303 |                        |                 |
+      305 |                        |                 | a3 h1
+      """
+
   Scenario: A slot that is never released is freed 500 ms after the deadline of its request
     Given a service with 128 MB, concurrency 1, boot time 500 ms and target 1000 ms
     Then the timeline is
