All connections that wait are accepted at once on epoll

What callers saw: nobody has reported it. After the loss of all machines clients connected, weren't read for over a second and left: 2,246 of the first 2,935 requests of the restarted edges, where NIO refused 1,725 in time and 367 left.

Cause: Netty's epoll listener compares the number of the accepted socket with an expected count of bytes and so accepts a single connection for each round of the loop; NIO accepts up to 16. A busy loop starves its listener. Class of fault: a default that is not what it looks like. x86-64 has had it all along.

Change: listeners on epoll accept until nobody waits, 256 at most, before other events are handled.

--- a/src/main/java/brambletray/platform/transport/Sockets.java
+++ b/src/main/java/brambletray/platform/transport/Sockets.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollIoHandler;
@@ -30,6 +31,9 @@
     /** Bytes of a connection with bulk frames that the kernel may hold unsent: 66 ms of a link of 2 Mbit/s. */
     private static final long MAX_UNSENT_BYTES = 16 << 10;
 
+    /** Connections accepted before other events are handled. */
+    private static final int MAX_ACCEPTED_AT_ONCE = 256;
+
     private static final int PAGE = 8_192;
     /** Chunks of 8 kB x 2^5 = 256 kB: machines have little memory. */
     private static final int CHUNK_ORDER = 5;
@@ -48,12 +52,7 @@
                         epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory())
                 .next();
         return epoll
-                ? new Machine(
-                        loop,
-                        Clock.system(),
-                        EpollSocketChannel::new,
-                        EpollServerSocketChannel::new,
-                        Sockets::sharedBuffers)
+                ? new Machine(loop, Clock.system(), EpollSocketChannel::new, Sockets::listener, Sockets::sharedBuffers)
                 : Machine.real(loop);
     }
 
@@ -99,8 +98,18 @@
         }
     }
 
-    private static EpollServerSocketChannel sharedBuffers() {
+    /** A listener that accepts all connections that wait, as clients give up soon when many come at once. */
+    private static EpollServerSocketChannel listener() {
         EpollServerSocketChannel channel = new EpollServerSocketChannel();
+        channel.config()
+                .setRecvByteBufAllocator(new ServerChannelRecvByteBufAllocator()
+                        .respectMaybeMoreData(false)
+                        .maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE));
+        return channel;
+    }
+
+    private static EpollServerSocketChannel sharedBuffers() {
+        EpollServerSocketChannel channel = listener();
         channel.config().setReusePort(true);
         return channel;
     }
