review: case 8 records how many requests ran

Need: a script's record tells what was sent, answered and run; that of case 8 did not tell what ran.

--- a/review/stand-in-2/HeaderLimit.java
+++ b/review/stand-in-2/HeaderLimit.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Rules CONFIG and DENIED: a request is handled as only an older version allows. Clients keep connections open and use
@@ -33,14 +34,17 @@
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Sys system = new Sys(3, EDGES, Path.of(args[0]));
+        AtomicInteger runs = new AtomicInteger();
         Platform platform = new Platform(
                 system, system.hostPort, Map.of("meter-ledger", new Platform.Function(512, 300, 4)), (host, request) -> {
+                    runs.incrementAndGet();
                     Thread.sleep(20);
                     return "done".getBytes(StandardCharsets.US_ASCII);
                 });
         int exit = 2;
         try {
             exit = play(system, platform, trouble);
+            system.record(runs.get() + " requests ran at hosts");
         } catch (IOException | RuntimeException e) {
             system.record("could not run: " + e);
         } finally {
