--- a/src/main/java/brambletray/platform/configuration/Configuration.java
+++ b/src/main/java/brambletray/platform/configuration/Configuration.java
@@ -14,7 +14,7 @@
     public static final Configuration NONE =
             new Configuration(0, new ConfigurationItems(), ClientLimits.DEFAULTS, new ConfigurationDocument());
 
-    private static final String REVISION = "revision";
+    private static final String REVISION = ConfigurationDocument.REVISION;
     private static final String LIMITS = "limits";
 
     private final long revision;
@@ -64,7 +64,19 @@
      * is compared with the current one by {@link #requireNewerThan}.
      */
     public static Configuration read(byte[] body) {
-        JsonFields in = JsonFields.from("", ConfigurationJson.parse(body).content());
+        return read(ConfigurationJson.parse(body), body);
+    }
+
+    /**
+     * Parses what {@link #json} returned in this or an earlier version. Earlier versions wrote a second revision where
+     * an operator's upsert held one; the first is that of the configuration.
+     */
+    static Configuration readStored(byte[] json) {
+        return read(ConfigurationJson.parseKeepingFirst(REVISION, json), json);
+    }
+
+    private static Configuration read(ConfigurationJson.Value parsed, byte[] body) {
+        JsonFields in = JsonFields.from("", parsed.content());
         long revision = in.requiredLong(REVISION, 1, Long.MAX_VALUE);
         for (String table : List.of(ConfigurationDocument.ROUTES, ConfigurationDocument.SERVICES)) {
             if (!in.has(table)) {
@@ -73,9 +85,7 @@
         }
         ConfigurationDocument document = new ConfigurationDocument();
         for (String field : in.fieldNames()) {
-            if (!field.equals(REVISION)) {
-                document.put(field, in.rawValue(field), body);
-            }
+            document.put(field, in.rawValue(field), body);
         }
         ConfigurationItems items = new ConfigurationItems();
         items.putAll(in);
@@ -103,7 +113,8 @@
     /**
      * Returns a copy with named items added or replaced ({@code upsert}) and removed ({@code withdraw}). Fields of
      * {@code upsert} that hold no named items, such as limits, are replaced; if both the old and the new value are
-     * objects, they are merged field by field. Removing a name that does not exist has no effect. Throws {@link
+     * objects, they are merged field by field. A revision in {@code upsert}, as in a whole configuration that is sent
+     * as {@code upsert}, is ignored. Removing a name that does not exist has no effect. Throws {@link
      * ConfigurationException} if the change or the resulting configuration is invalid.
      */
     public Configuration modify(byte[] body) {
--- a/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
@@ -12,13 +12,15 @@
 
 /**
  * The raw JSON of a configuration, split into entries: each named item of a list (a table) is an entry, and so is each
- * other top-level field. Named items can thus be replaced while all other fields, known or unknown, are preserved. Not
- * modified once a {@link Configuration} holds it.
+ * other top-level field. Named items can thus be replaced while all other fields, known or unknown, are preserved. The
+ * revision is not part of it: {@link #json} writes it beside the entries. Not modified once a {@link Configuration}
+ * holds it.
  */
 final class ConfigurationDocument {
     static final String ROUTES = "routes";
     static final String SERVICES = "services";
     static final String TENANTS = "tenants";
+    static final String REVISION = "revision";
 
     /** The key of an entry; {@code table} is empty for a top-level field that is not a table. */
     record Key(String table, String name) {}
@@ -44,8 +46,14 @@
         return fields.get(name);
     }
 
-    /** Adds or replaces a field. Items of a table are merged by name, and objects field by field. */
+    /**
+     * Adds or replaces a field. Items of a table are merged by name, and objects field by field. A revision is ignored:
+     * a second one would make {@link #json} unreadable.
+     */
     void put(String name, ConfigurationJson.Value value, byte[] body) {
+        if (name.equals(REVISION)) {
+            return;
+        }
         Map<String, byte[]> items = parseNamedItems(value, body);
         byte[] previous = fields.get(name);
         if (items != null) {
@@ -204,7 +212,7 @@
         return size;
     }
 
-    /** One object: the revision, routes, services, then all other tables and fields as they were received. */
+    /** One object: first the revision, then routes, services, all other tables and fields as they were received. */
     byte[] json(long revision) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(4_096);
         writeAscii(out, "{\"revision\":" + revision);
--- a/src/main/java/brambletray/platform/configuration/ConfigurationJson.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationJson.java
@@ -36,20 +36,29 @@
     }
 
     private final byte[] body;
+    /** Top-level field of which only the first is kept; null if each field may occur once. */
+    private final String repeatableField;
+
     private final JsonReader<Object> reader;
 
-    private ConfigurationJson(byte[] body) {
+    private ConfigurationJson(byte[] body, String repeatableField) {
         this.body = body;
+        this.repeatableField = repeatableField;
         reader = LazyParser.JSON.newReader(body);
     }
 
     /** Parses the body. Throws {@link ConfigurationException} unless it is exactly one JSON object. */
     static Value parse(byte[] body) {
+        return parseKeepingFirst(null, body);
+    }
+
+    /** The same, but if the top-level field {@code repeatable} occurs more than once, the first one is kept. */
+    static Value parseKeepingFirst(String repeatable, byte[] body) {
         if (body.length > MAX_BODY_BYTES) {
             throw tooLarge(body.length);
         }
         JsonTextValidator.validate(body);
-        ConfigurationJson json = new ConfigurationJson(body);
+        ConfigurationJson json = new ConfigurationJson(body, repeatable);
         try {
             json.reader.getNextToken();
             Value value = json.parseValue("");
@@ -120,7 +129,8 @@
             }
             reader.getNextToken();
             String field = path.isEmpty() ? abbreviate(name) : path;
-            if (fields.put(name, parseValue(field)) != null) {
+            boolean isRepeatable = path.isEmpty() && name.equals(repeatableField);
+            if (fields.putIfAbsent(name, parseValue(field)) != null && !isRepeatable) {
                 throw new ConfigurationException(
                         "duplicate-field",
                         field,
--- a/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
@@ -178,7 +178,7 @@
             }
             byte[] json = new byte[in.remaining()];
             in.get(json);
-            current = json.length == 0 ? Configuration.NONE : Configuration.read(json);
+            current = json.length == 0 ? Configuration.NONE : Configuration.readStored(json);
         } catch (BufferUnderflowException e) {
             throw new ConfigurationException(
                     "bad-snapshot", "", "expected a complete snapshot, found a truncated one", e);
--- /dev/null
+++ b/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
@@ -0,0 +1,123 @@
+package brambletray.platform.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Rule LOST: what was acknowledged can be read back, by the operator, from a snapshot, by a member that replays the log
+ * and by an edge that is sent deltas.
+ */
+class AcknowledgedConfigurationTest {
+    private final ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+    private final ChangeHistory history = new ChangeHistory();
+    private Configuration edge = Configuration.NONE;
+
+    private ChangeDecision deliver(ChangeKind kind, String text) {
+        byte[] body = SampleConfigurations.bytes(text);
+        ChangeDecision decision =
+                stateMachine.evaluate(kind, stateMachine.configuration().revision(), body);
+        if (decision instanceof ChangeDecision.Proposable proposable) {
+            decision = assertInstanceOf(
+                    ChangeDecision.Applied.class, stateMachine.apply(proposable.encodedChange()), () -> text);
+            history.advanceTo(stateMachine.configuration());
+        }
+        return decision;
+    }
+
+    private void acknowledge(ChangeKind kind, String text) {
+        assertInstanceOf(ChangeDecision.Applied.class, deliver(kind, text), () -> text);
+        assertReadBackEverywhere(text);
+    }
+
+    private void acknowledgeModify(long revision, String upsert) {
+        acknowledge(ChangeKind.MODIFY, "{'revision':" + revision + ",'upsert':{" + upsert + "}}");
+    }
+
+    private static TreeMap<String, String> entries(Configuration configuration) {
+        TreeMap<String, String> all = new TreeMap<>();
+        configuration.entries().forEach((key, body) -> all.put(key.toString(), SampleConfigurations.text(body)));
+        return all;
+    }
+
+    private static void assertSame(Configuration expected, Configuration found, String change) {
+        assertEquals(expected.revision(), found.revision(), change);
+        assertEquals(entries(expected), entries(found), change);
+        assertEquals(expected.routes(), found.routes(), change);
+        assertEquals(expected.services(), found.services(), change);
+        assertEquals(expected.tenants(), found.tenants(), change);
+        assertEquals(expected.limits(), found.limits(), change);
+        assertEquals(expected.digest(), found.digest(), change);
+    }
+
+    private void assertReadBackEverywhere(String change) {
+        Configuration acknowledged = stateMachine.configuration();
+        assertSame(acknowledged, Configuration.read(acknowledged.json()), change);
+
+        ConfigurationStateMachine restarted = new ConfigurationStateMachine();
+        restarted.restore(stateMachine.snapshot());
+        assertSame(acknowledged, restarted.configuration(), change);
+
+        assertSame(acknowledged, apply(Configuration.NONE, history.fullDelta()), change);
+        ConfigurationDelta delta = history.deltaSince(edge.revision());
+        edge = apply(edge, delta == null ? history.fullDelta() : delta);
+        assertSame(acknowledged, edge, change);
+    }
+
+    private static Configuration apply(Configuration base, ConfigurationDelta delta) {
+        return base.apply(ConfigurationDelta.fromCompressedBytes(delta.toCompressedBytes()));
+    }
+
+    /** Guards against LOST: an upsert that held a revision made every later snapshot unreadable (review/4). */
+    @ParameterizedTest
+    @ValueSource(strings = {"2", "1", "99", "'two'", "null", "{'a':1}", "[{'name':'x'}]", "[]"})
+    void revisionWithinUpsertIsIgnored(String nested) {
+        acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
+        acknowledgeModify(
+                2,
+                "'revision':" + nested + ",'routes':[" + SampleConfigurations.route("r3", "h.example", "/three/", "a")
+                        + "]");
+        assertEquals(2, stateMachine.configuration().revision());
+        assertTrue(stateMachine.configuration().routes().containsKey("r3"));
+        acknowledgeModify(3, "'note':1");
+    }
+
+    /** Guards against LOST: disks that hold a snapshot of an earlier build with a second revision open (review/4). */
+    @ParameterizedTest
+    @ValueSource(strings = {"1", "9", "{'a':1}", "null"})
+    void snapshotWithSecondRevisionIsReadable(String second) {
+        String stored = SampleConfigurations.twoRoutes(7);
+        byte[] json = SampleConfigurations.bytes(
+                stored.substring(0, stored.length() - 1) + ",'note':5,'revision':" + second + ",'later':6}");
+        byte[] snapshot = ByteBuffer.allocate(5 + json.length)
+                .put((byte) 1)
+                .putInt(0)
+                .put(json)
+                .array();
+        stateMachine.restore(snapshot);
+        assertEquals(7, stateMachine.configuration().revision());
+        assertEquals(
+                SampleConfigurations.text(
+                        SampleConfigurations.bytes(stored.substring(0, stored.length() - 1) + ",'note':5,'later':6}")),
+                SampleConfigurations.text(stateMachine.configuration().json()));
+        history.advanceTo(stateMachine.configuration());
+        acknowledgeModify(8, "'revision':8,'note':7");
+    }
+
+    /** Guards against LOST: bytes of a body are kept as they are, also behind text beyond ASCII. */
+    @Test
+    void textBeyondAsciiIsReadBack() {
+        acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
+        acknowledgeModify(2, "'Cần Thơ':'Sóc Trăng','tenants':[{'name':'Cần Thơ','api-keys':['Cẩn']}]");
+        String json = new String(stateMachine.configuration().json(), StandardCharsets.UTF_8);
+        assertTrue(json.contains("Sóc Trăng"), json);
+        assertEquals("Cần Thơ", edge.tenantForKey("Cẩn").name());
+    }
+}
