Limits that are a list of named items get 400, not a closed connection

Callers saw: a modify with "limits":[{"name":"a"}] in its upsert closed the connection without an answer, so an operator repeats it for ever.

Cause: the document keeps a list of named items as a table, so the field "limits" was gone when modify parsed it (NullPointerException in ConfigurationJson.parse).

Change: limits in an upsert must be an object, as in a replacement.

Measured: limitsThatAreNoObjectAreRejected failed before with NullPointerException (1 of 6 cases); passes now.

--- a/src/main/java/brambletray/platform/configuration/Configuration.java
+++ b/src/main/java/brambletray/platform/configuration/Configuration.java
@@ -127,6 +127,7 @@
         if (in.has("upsert")) {
             JsonFields upsert = in.object("upsert");
             nextItems.putAll(upsert);
+            requireObjectIfPresent(upsert, LIMITS);
             for (String field : upsert.fieldNames()) {
                 if (upsert.has(field)) {
                     changed.put(field, upsert.rawValue(field), body);
@@ -144,6 +145,13 @@
         return new Configuration(next, nextItems, nextLimits, changed).requireNewerThan(this);
     }
 
+    /** Guards against a list of named items, which the document would keep as a table and not as a field. */
+    private static void requireObjectIfPresent(JsonFields in, String field) {
+        if (in.has(field)) {
+            in.object(field);
+        }
+    }
+
     private static void withdraw(
             JsonFields in, Set<String> upsertedItems, ConfigurationDocument changed, ConfigurationItems items) {
         for (String table : in.fieldNames()) {
--- a/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
@@ -82,8 +83,8 @@
         acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
         acknowledgeModify(
                 2,
-                "'revision':" + nested + ",'routes':[" + SampleConfigurations.route("r3", "h.example", "/three/", "a")
-                        + "]");
+                "'revision':" + nested + ",'routes':["
+                        + SampleConfigurations.route("r3", "h.example", "/three/", "a") + "]");
         assertEquals(2, stateMachine.configuration().revision());
         assertTrue(stateMachine.configuration().routes().containsKey("r3"));
         acknowledgeModify(3, "'note':1");
@@ -104,13 +105,26 @@
         stateMachine.restore(snapshot);
         assertEquals(7, stateMachine.configuration().revision());
         assertEquals(
-                SampleConfigurations.text(
-                        SampleConfigurations.bytes(stored.substring(0, stored.length() - 1) + ",'note':5,'later':6}")),
+                SampleConfigurations.text(SampleConfigurations.bytes(
+                        stored.substring(0, stored.length() - 1) + ",'note':5,'later':6}")),
                 SampleConfigurations.text(stateMachine.configuration().json()));
         history.advanceTo(stateMachine.configuration());
         acknowledgeModify(8, "'revision':8,'note':7");
     }
 
+    /** Guards against a closed connection in place of a 400: a list of named items as limits (NullPointerException). */
+    @ParameterizedTest
+    @ValueSource(strings = {"[{'name':'a'}]", "[]", "[1]", "1", "'x'", "true"})
+    void limitsThatAreNoObjectAreRejected(String limits) {
+        acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
+        ChangeDecision.Invalid invalid = assertInstanceOf(
+                ChangeDecision.Invalid.class,
+                deliver(ChangeKind.MODIFY, "{'revision':2,'upsert':{'limits':" + limits + "}}"));
+        assertEquals("configuration.wrong-type", invalid.error().code());
+        acknowledgeModify(2, "'limits':{'max-header-bytes':9000}");
+        assertNull(stateMachine.configuration().routes().get("r3"));
+    }
+
     /** Guards against LOST: bytes of a body are kept as they are, also behind text beyond ASCII. */
     @Test
     void textBeyondAsciiIsReadBack() {
