LOST: named items in a field without a name no longer reach edges as top-level fields

Callers saw: after an acknowledged change with "":[{"name":"limits","max-header-bytes":1}] edges rejected the delta by its digest, or took the item for the configuration's limits.

Cause: the key of an entry is (table, name), and an empty table stands for top-level fields. A field without a name whose value is a list of named items became a table "", whose items had the keys of top-level fields.

Change: a field without a name is kept as a field. Stored states read as before, as the JSON is the same.

Measured: namedItemsInAFieldWithoutNameStayApart failed before (expected digest and digest of the full delta differ); passes now.

--- a/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationDocument.java
@@ -47,14 +47,15 @@
     }
 
     /**
-     * Adds or replaces a field. Items of a table are merged by name, and objects field by field. A revision is ignored:
-     * a second one would make {@link #json} unreadable.
+     * Adds or replaces a field. Items of a table are merged by name, and objects field by field. A field without a name
+     * is never a table, as the key of an item of it would be that of a top-level field. A revision is ignored: a second
+     * one would make {@link #json} unreadable.
      */
     void put(String name, ConfigurationJson.Value value, byte[] body) {
         if (name.equals(REVISION)) {
             return;
         }
-        Map<String, byte[]> items = parseNamedItems(value, body);
+        Map<String, byte[]> items = name.equals(TOP_LEVEL) ? null : parseNamedItems(value, body);
         byte[] previous = fields.get(name);
         if (items != null) {
             fields.remove(name);
--- a/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
@@ -112,6 +112,16 @@
         acknowledgeModify(8, "'revision':8,'note':7");
     }
 
+    /** Guards against LOST: a field without a name was taken for the table of all fields, and edges read other limits. */
+    @Test
+    void namedItemsInAFieldWithoutNameStayApart() {
+        acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
+        acknowledgeModify(2, "'':[{'name':'limits','max-header-bytes':1},{'name':'revision'}]");
+        acknowledgeModify(3, "'limits':{'max-header-bytes':9000}");
+        assertEquals(9_000, edge.limits().maxHeaderBytes());
+        acknowledgeModify(4, "'':[{'name':'other'}]");
+    }
+
     /** Guards against a closed connection in place of a 400: a list of named items as limits (NullPointerException). */
     @ParameterizedTest
     @ValueSource(strings = {"[{'name':'a'}]", "[]", "[1]", "1", "'x'", "true"})
