--- a/src/main/java/brambletray/platform/configuration/DeltaCompression.java
+++ b/src/main/java/brambletray/platform/configuration/DeltaCompression.java
@@ -13,7 +13,7 @@
      * Limit that guards against decompression bombs: twice the largest configuration, as a delta adds names and lengths
      * to the bytes of the entries.
      */
-    private static final int MAX_DECOMPRESSED_BYTES = 2 * ConfigurationJson.MAX_BODY_BYTES;
+    static final int MAX_DECOMPRESSED_BYTES = 2 * ConfigurationJson.MAX_BODY_BYTES;
 
     static byte[] compress(byte[] input) {
         Deflater deflater = new Deflater();
--- a/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
@@ -10,6 +11,7 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -122,6 +124,40 @@
         acknowledgeModify(4, "'':[{'name':'other'}]");
     }
 
+    /** Guards against LOST: edges could not decompress a delta that repeated a long table name for each item. */
+    @ParameterizedTest
+    @CsvSource({"1, 9000", "1000, 9000", "1, 220000", "4, 220000"})
+    void manyShortItemsReachEdges(int tableNameLength, int count) {
+        acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
+        StringBuilder items = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            items.append(i == 0 ? "" : ",").append("{'name':'");
+            items.append(Integer.toString(i, Character.MAX_RADIX)).append("'}");
+        }
+        acknowledgeModify(2, "'" + "t".repeat(tableNameLength) + "':[" + items + "]");
+        assertEquals(2, edge.revision());
+    }
+
+    /** A delta whose entry names a table that it doesn't list is malformed. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 1, Integer.MAX_VALUE})
+    void unknownTableIndexIsRejected(int index) {
+        ByteBuffer delta = ByteBuffer.allocate(64)
+                .put((byte) 2)
+                .putLong(0)
+                .putLong(1)
+                .putLong(0)
+                .putInt(1)
+                .putInt(1)
+                .put((byte) 't')
+                .putInt(1)
+                .putInt(index);
+        byte[] compressed = DeltaCompression.compress(delta.array());
+        ConfigurationException error =
+                assertThrows(ConfigurationException.class, () -> ConfigurationDelta.fromCompressedBytes(compressed));
+        assertEquals("configuration.bad-delta", error.code());
+    }
+
     /** Guards against a closed connection in place of a 400: a list of named items as limits (NullPointerException). */
     @ParameterizedTest
     @ValueSource(strings = {"[{'name':'a'}]", "[]", "[1]", "1", "'x'", "true"})
