LOST: names that differ only in an unpaired surrogate are rejected; on edges they became one

Callers saw: two tenants or routes named by "\ud800" and "\ud801" were acknowledged, and edges had one of them only: the requests of the other were handled as if it did not exist.

Cause: text with an unpaired surrogate has no UTF-8 form. Deltas and digests encode names as UTF-8, and both became "?"; the sum of digests is the same on both sides, so edges did not notice.

Change: a new change with an unpaired surrogate gets 400 (configuration.unreadable), as text that cannot be read in full. Committed changes are applied as before: earlier builds have acknowledged them.

Measured: unpairedSurrogatesAreRejected failed before (the change was applied); passes now.

--- a/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
@@ -81,7 +81,17 @@
         }
         byte[] change = new ConfigurationChange(kind, baseRevision, body).encode();
         ChangeDecision decision = evaluateEncoded(change);
-        return decision instanceof ChangeDecision.Applied ? new ChangeDecision.Proposable(change) : decision;
+        return decision instanceof ChangeDecision.Applied ? proposableUnlessUnpaired(body, change) : decision;
+    }
+
+    /** Not checked by {@link #apply}: earlier versions have committed changes with unpaired surrogates. */
+    private static ChangeDecision proposableUnlessUnpaired(byte[] body, byte[] change) {
+        try {
+            JsonTextValidator.requirePairedSurrogates(body);
+            return new ChangeDecision.Proposable(change);
+        } catch (ConfigurationException error) {
+            return new ChangeDecision.Invalid(error);
+        }
     }
 
     /**
--- a/src/main/java/brambletray/platform/configuration/JsonTextValidator.java
+++ b/src/main/java/brambletray/platform/configuration/JsonTextValidator.java
@@ -15,6 +15,8 @@
     /** Maximum nesting depth of objects and lists. */
     static final int MAX_DEPTH = 64;
 
+    private static final int UNICODE_ESCAPE_BYTES = "\\u0000".length();
+
     private JsonTextValidator() {}
 
     static void validate(byte[] body) {
@@ -53,6 +55,37 @@
         }
     }
 
+    /**
+     * Checks that each escaped half of a surrogate pair is followed or preceded by the other half. Text with an unpaired
+     * one has no UTF-8 form, so two names that differ in it alone would become one name on the way to an edge. The body
+     * has passed {@link #validate}.
+     */
+    static void requirePairedSurrogates(byte[] body) {
+        boolean isHighPending = false;
+        for (int i = 0; i < body.length; i++) {
+            boolean isEscape = body[i] == '\\';
+            char escaped = isEscape ? escapedUnit(body, i) : 0;
+            if (isHighPending != Character.isLowSurrogate(escaped)) {
+                throw unreadable("an unpaired surrogate", i);
+            }
+            isHighPending = Character.isHighSurrogate(escaped);
+            if (isEscape) {
+                i += body[i + 1] == 'u' ? UNICODE_ESCAPE_BYTES - 1 : 1;
+            }
+        }
+    }
+
+    /** The UTF-16 unit of a Unicode escape at this position; 0 for any other escape. */
+    private static char escapedUnit(byte[] body, int at) {
+        int unit = 0;
+        if (body[at + 1] == 'u') {
+            for (int i = at + 2; i < at + UNICODE_ESCAPE_BYTES; i++) {
+                unit = unit << 4 | Character.digit(body[i], 16);
+            }
+        }
+        return (char) unit;
+    }
+
     private static void requireUtf8(byte[] body) {
         CharsetDecoder decoder = StandardCharsets.UTF_8
                 .newDecoder()
--- a/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
@@ -8,6 +8,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -158,6 +159,26 @@
         assertEquals("configuration.bad-delta", error.code());
     }
 
+    /** Guards against LOST: two names that differ in an unpaired surrogate became one name on edges. */
+    @Test
+    void unpairedSurrogatesAreRejected() {
+        acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
+        for (String text : List.of("\\ud800", "a\\udc00", "\\ud800\\ud801", "\\udc00\\ud800", "\\uD83Dx")) {
+            for (String upsert : List.of(
+                    "'" + text + "':1",
+                    "'note':'" + text + "'",
+                    "'note':[{'" + text + "':1}]",
+                    "'tenants':[{'name':'" + text + "','api-keys':['k']}]")) {
+                ChangeDecision.Invalid invalid = assertInstanceOf(
+                        ChangeDecision.Invalid.class,
+                        deliver(ChangeKind.MODIFY, "{'revision':2,'upsert':{" + upsert + "}}"),
+                        upsert);
+                assertEquals("configuration.unreadable", invalid.error().code());
+            }
+        }
+        acknowledgeModify(2, "'tenants':[{'name':'\\ud83d\\ude00','api-keys':['\ud83d\ude00 \\\\ud800']}]");
+    }
+
     /** Guards against a closed connection in place of a 400: a list of named items as limits (NullPointerException). */
     @ParameterizedTest
     @ValueSource(strings = {"[{'name':'a'}]", "[]", "[1]", "1", "'x'", "true"})
