Random changes of the configuration are read back on every way: a test

Change: AcknowledgedConfigurationTest draws replacements and modifications with names and values that strain the formats (reserved names, no name, control characters, escapes, surrogate pairs, long names, repeated names, null, empty lists) and compares all ways back with the acknowledged configuration after each change.

--- a/src/main/java/brambletray/platform/configuration/JsonTextValidator.java
+++ b/src/main/java/brambletray/platform/configuration/JsonTextValidator.java
@@ -56,9 +56,9 @@
     }
 
     /**
-     * Checks that each escaped half of a surrogate pair is followed or preceded by the other half. Text with an unpaired
-     * one has no UTF-8 form, so two names that differ in it alone would become one name on the way to an edge. The body
-     * has passed {@link #validate}.
+     * Checks that each escaped half of a surrogate pair is next to the other half. Text with an unpaired one has no
+     * UTF-8 form, so two names that differ in it alone would become one name on the way to an edge. The body has passed
+     * {@link #validate}.
      */
     static void requirePairedSurrogates(byte[] body) {
         boolean isHighPending = false;
--- a/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/AcknowledgedConfigurationTest.java
@@ -9,10 +9,13 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -86,8 +89,8 @@
         acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
         acknowledgeModify(
                 2,
-                "'revision':" + nested + ",'routes':["
-                        + SampleConfigurations.route("r3", "h.example", "/three/", "a") + "]");
+                "'revision':" + nested + ",'routes':[" + SampleConfigurations.route("r3", "h.example", "/three/", "a")
+                        + "]");
         assertEquals(2, stateMachine.configuration().revision());
         assertTrue(stateMachine.configuration().routes().containsKey("r3"));
         acknowledgeModify(3, "'note':1");
@@ -108,14 +111,14 @@
         stateMachine.restore(snapshot);
         assertEquals(7, stateMachine.configuration().revision());
         assertEquals(
-                SampleConfigurations.text(SampleConfigurations.bytes(
-                        stored.substring(0, stored.length() - 1) + ",'note':5,'later':6}")),
+                SampleConfigurations.text(
+                        SampleConfigurations.bytes(stored.substring(0, stored.length() - 1) + ",'note':5,'later':6}")),
                 SampleConfigurations.text(stateMachine.configuration().json()));
         history.advanceTo(stateMachine.configuration());
         acknowledgeModify(8, "'revision':8,'note':7");
     }
 
-    /** Guards against LOST: a field without a name was taken for the table of all fields, and edges read other limits. */
+    /** Guards against LOST: a field without a name was taken for the table of all fields. */
     @Test
     void namedItemsInAFieldWithoutNameStayApart() {
         acknowledge(ChangeKind.REPLACE, SampleConfigurations.twoRoutes(1));
@@ -179,7 +182,7 @@
         acknowledgeModify(2, "'tenants':[{'name':'\\ud83d\\ude00','api-keys':['\ud83d\ude00 \\\\ud800']}]");
     }
 
-    /** Guards against a closed connection in place of a 400: a list of named items as limits (NullPointerException). */
+    /** Guards against a closed connection in place of a 400: limits as a list of named items. */
     @ParameterizedTest
     @ValueSource(strings = {"[{'name':'a'}]", "[]", "[1]", "1", "'x'", "true"})
     void limitsThatAreNoObjectAreRejected(String limits) {
@@ -192,6 +195,134 @@
         assertNull(stateMachine.configuration().routes().get("r3"));
     }
 
+    /** More seeds by hand: {@code -Dconfiguration.seeds=300}. */
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Integer.getInteger("configuration.seeds", 6));
+    }
+
+    /** Guards against LOST: random changes with names and values that strain one of the ways back. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void randomChangesAreReadBackEverywhere(long seed) {
+        Random random = new Random(seed);
+        RandomChanges changes = new RandomChanges(random);
+        int acknowledged = 0;
+        for (int i = 0; i < 300; i++) {
+            long revision = stateMachine.configuration().revision() + 1 + random.nextInt(3);
+            boolean replace = revision < 4 || random.nextInt(12) == 0;
+            String text = replace ? changes.replacement(revision) : changes.modification(revision);
+            ChangeDecision decision = deliver(replace ? ChangeKind.REPLACE : ChangeKind.MODIFY, text);
+            if (decision instanceof ChangeDecision.Applied) {
+                acknowledged++;
+                assertReadBackEverywhere("seed " + seed + ", change " + i + ": " + text);
+                assertEquals(revision, stateMachine.configuration().revision());
+            }
+        }
+        assertTrue(acknowledged > 100, "only " + acknowledged + " changes were acknowledged with seed " + seed);
+    }
+
+    /** Bodies of random changes. */
+    private static final class RandomChanges {
+        private static final String[] NAMES = {
+            "revision",
+            "limits",
+            "",
+            "routes",
+            "services",
+            "tenants",
+            "upsert",
+            "name",
+            "labels",
+            "a/b",
+            "Cần Thơ",
+            "q\\\"\\\\",
+            "\\u0001\\n",
+            "\ud83d\ude00",
+            "\\ud83d\\ude00",
+            "\u007f",
+            "x".repeat(300)
+        };
+
+        private final Random random;
+
+        RandomChanges(Random random) {
+            this.random = random;
+        }
+
+        private String pick(String... choices) {
+            return choices[random.nextInt(choices.length)];
+        }
+
+        private String value(int depth) {
+            return switch (random.nextInt(depth > 2 ? 5 : 9)) {
+                case 0 -> pick("0", "-1", "1.50", "2e3", "12345678901234567890123", "1E-400");
+                case 1 -> "'" + pick(NAMES) + "'";
+                case 2 -> pick("true", "false");
+                case 3 -> "null";
+                case 4 -> pick("[]", "{}", "[ ]", "{ }");
+                case 5 -> "{" + member(depth) + "}";
+                case 6 -> "[" + value(depth + 1) + " , " + value(depth + 1) + "]";
+                default -> items(depth);
+            };
+        }
+
+        private String member(int depth) {
+            return "'" + pick(NAMES) + "' : " + value(depth + 1);
+        }
+
+        private String items(int depth) {
+            StringBuilder list = new StringBuilder("[");
+            for (int i = random.nextInt(4); i >= 0; i--) {
+                list.append("{'name':'").append(pick(NAMES)).append("','v':").append(value(depth + 1));
+                list.append(i == 0 ? "}" : "},");
+            }
+            return list.append(']').toString();
+        }
+
+        private String routes() {
+            int number = random.nextInt(6);
+            return "'routes':["
+                    + SampleConfigurations.route("r" + number, "h.example", "/p" + number + "/", pick("a", "b")) + "]";
+        }
+
+        private String tenants() {
+            int number = random.nextInt(4);
+            return "'tenants':[{'name':'" + pick(NAMES) + number + "','api-keys':['k" + number + "']}]";
+        }
+
+        private String limits() {
+            return "'limits':"
+                    + pick(
+                            "null",
+                            "{}",
+                            "{'max-header-bytes':" + (1 + random.nextInt(9_000)) + "}",
+                            "[]",
+                            "{'idle-timeout-ms':7000,'more':[{'name':'x'}]}");
+        }
+
+        private String fields() {
+            StringBuilder fields = new StringBuilder(pick(routes(), tenants(), limits(), member(0)));
+            if (random.nextBoolean()) {
+                fields.append(',').append(member(0));
+            }
+            return fields.toString();
+        }
+
+        String replacement(long revision) {
+            String document = SampleConfigurations.twoRoutes(revision);
+            return random.nextBoolean()
+                    ? document
+                    : document.substring(0, document.length() - 1) + ',' + pick(tenants(), limits(), member(0)) + '}';
+        }
+
+        String modification(long revision) {
+            String withdraw = random.nextInt(3) > 0
+                    ? ""
+                    : ",'withdraw':{'" + pick(NAMES) + "':['" + pick(NAMES) + "','r" + random.nextInt(6) + "']}";
+            return "{'revision':" + revision + ",'upsert':{" + fields() + "}" + withdraw + "}";
+        }
+    }
+
     /** Guards against LOST: bytes of a body are kept as they are, also behind text beyond ASCII. */
     @Test
     void textBeyondAsciiIsReadBack() {
