--- a/src/main/java/brambletray/platform/proxy/ClientConnection.java
+++ b/src/main/java/brambletray/platform/proxy/ClientConnection.java
@@ -17,7 +17,7 @@
  * One client connection. Assembles one request at a time and writes its single response before it processes the next
  * request.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestDecoder.Listener {
     /**
      * ms for which input is still read and discarded after the last response: closing with unread input would cause a
      * TCP reset, which can discard the response before the client reads it.
@@ -77,8 +77,8 @@
         server.onConnected(this);
     }
 
-    /** Called for any received bytes, before they are decoded. */
-    void onBytes() {
+    @Override
+    public void onBytes() {
         if (state == State.IDLE) {
             limits = server.requestRouter().limits();
             enterState(State.HEAD);
--- a/src/main/java/brambletray/platform/proxy/RequestDecoder.java
+++ b/src/main/java/brambletray/platform/proxy/RequestDecoder.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ByteProcessor;
 import java.util.List;
 
 /**
@@ -22,9 +21,14 @@
 final class RequestDecoder extends HttpRequestDecoder {
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
-    private final ClientConnection client;
-    /** The last byte inspected for folded headers. */
-    private byte lastByte;
+    /** Is told of arriving bytes. */
+    interface Listener {
+        /** Called for any received bytes, before they are decoded. */
+        void onBytes();
+    }
+
+    private final Listener listener;
+    private final RequestHeadScanner headScanner = new RequestHeadScanner();
     /** Number of inspected bytes beyond the reader index. */
     private int scannedBytes;
     /** Whether the next bytes belong to a request's head. */
@@ -32,18 +36,18 @@
     /** A malformed request was found: all further bytes are discarded. */
     private boolean isMalformed;
 
-    RequestDecoder(ClientConnection client, int headerBytes) {
+    RequestDecoder(Listener listener, int headerBytes) {
         super(new HttpDecoderConfig()
                 .setMaxHeaderSize(headerBytes)
                 .setMaxInitialLineLength(headerBytes)
                 .setMaxChunkSize(MAX_CHUNK_BYTES)
                 .setInitialBufferSize(256));
-        this.client = client;
+        this.listener = listener;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
-        client.onBytes();
+        listener.onBytes();
         super.channelRead(context, bytes);
     }
 
@@ -53,20 +57,22 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        int before = in.readerIndex();
         if (inHead && hasFoldedHeader(in)) {
             isMalformed = true;
             in.skipBytes(in.readableBytes());
             out.add(malformed());
             return;
         }
+        int before = in.readerIndex();
         super.decode(context, in, out);
         scannedBytes = Math.max(0, scannedBytes - (in.readerIndex() - before));
         if (!out.isEmpty()) {
             // The following bytes belong to another part: a body or the next head.
             scannedBytes = 0;
-            lastByte = 0;
-            inHead = out.get(out.size() - 1) instanceof LastHttpContent;
+            headScanner.reset();
+            HttpObject latest = (HttpObject) out.get(out.size() - 1);
+            inHead = latest instanceof LastHttpContent;
+            isMalformed = latest.decoderResult().isFailure();
         }
     }
 
@@ -78,34 +84,10 @@
         return request;
     }
 
-    /** Whether a header line begins with white space; inspects each byte once. */
     private boolean hasFoldedHeader(ByteBuf in) {
-        int at = in.readerIndex() + scannedBytes;
-        int end = in.writerIndex();
-        while (at < end) {
-            if (lastByte == '\n') {
-                byte next = in.getByte(at);
-                if (next == ' ' || next == '\t') {
-                    return true;
-                }
-                if (next == '\r' || next == '\n') {
-                    // End of the head: no header follows.
-                    lastByte = 0;
-                    scannedBytes = at - in.readerIndex();
-                    return false;
-                }
-            }
-            int newline = in.forEachByte(at, end - at, ByteProcessor.FIND_LF);
-            if (newline < 0) {
-                lastByte = in.getByte(end - 1);
-                at = end;
-            } else {
-                lastByte = '\n';
-                at = newline + 1;
-            }
-        }
-        scannedBytes = end - in.readerIndex();
-        return false;
+        RequestHeadScanner.Result result = headScanner.scan(in, in.readerIndex() + scannedBytes);
+        scannedBytes = headScanner.position() - in.readerIndex();
+        return result == RequestHeadScanner.Result.FOLDED;
     }
 
     @Override
--- a/src/test/java/brambletray/platform/proxy/ScriptedHost.java
+++ b/src/test/java/brambletray/platform/proxy/ScriptedHost.java
@@ -201,6 +201,11 @@
         return true;
     }
 
+    /** Sends bytes on the connection that carries the request with this id. */
+    void sendBytes(String id, String bytes) {
+        channels.get(id).writeAndFlush(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+    }
+
     private void reset(Channel channel) {
         open.remove(channel);
         channels.values().removeIf(other -> other == channel);
