--- a/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
+++ b/src/main/java/brambletray/platform/configuration/ConfigurationStateMachine.java
@@ -81,13 +81,14 @@
         }
         byte[] change = new ConfigurationChange(kind, baseRevision, body).encode();
         ChangeDecision decision = evaluateEncoded(change);
-        return decision instanceof ChangeDecision.Applied ? proposableUnlessUnpaired(body, change) : decision;
+        return decision instanceof ChangeDecision.Applied applied ? checkNew(body, change, applied) : decision;
     }
 
-    /** Not checked by {@link #apply}: earlier versions have committed changes with unpaired surrogates. */
-    private static ChangeDecision proposableUnlessUnpaired(byte[] body, byte[] change) {
+    /** Checks that {@link #apply} omits, as earlier versions have committed changes that fail them. */
+    private static ChangeDecision checkNew(byte[] body, byte[] change, ChangeDecision.Applied result) {
         try {
             JsonTextValidator.requirePairedSurrogates(body);
+            TenantTable.requireDistinctHeaderValues(result.configuration().tenants());
             return new ChangeDecision.Proposable(change);
         } catch (ConfigurationException error) {
             return new ChangeDecision.Invalid(error);
--- a/src/main/java/brambletray/platform/configuration/TenantTable.java
+++ b/src/main/java/brambletray/platform/configuration/TenantTable.java
@@ -1,5 +1,6 @@
 package brambletray.platform.configuration;
 
+import brambletray.platform.http.HeaderText;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -24,6 +25,22 @@
         }
     }
 
+    /**
+     * Throws {@link ConfigurationException} if instances could not tell two tenants apart: the encoded name of one, by
+     * {@link HeaderText#encode}, is the name of another.
+     */
+    static void requireDistinctHeaderValues(Map<String, Tenant> tenants) {
+        for (String name : tenants.keySet()) {
+            String value = HeaderText.encode(name);
+            if (!HeaderText.isCarriedUnchanged(name) && tenants.containsKey(value)) {
+                throw new ConfigurationException(
+                        "same-header",
+                        "tenants[" + ConfigurationJson.abbreviate(value) + "].name",
+                        "expected a name that isn't the encoded form of another tenant's");
+            }
+        }
+    }
+
     /** The tenant that holds the key with this digest, or null if none does. */
     Tenant find(KeyDigest digest) {
         return tenants.get(digest);
--- /dev/null
+++ b/src/main/java/brambletray/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the HTTP servers and clients of the platform share. */
+package brambletray.platform.http;
--- a/src/main/java/brambletray/platform/proxy/HeaderWriter.java
+++ b/src/main/java/brambletray/platform/proxy/HeaderWriter.java
@@ -1,5 +1,6 @@
 package brambletray.platform.proxy;
 
+import brambletray.platform.http.HeaderText;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -33,7 +34,7 @@
         writeAscii(out, clientRequest.uri());
         writeAscii(out, " HTTP/1.1\r\n");
         writeHeaders(out, clientRequest.headers(), true);
-        writeHeader(out, "Brambletray-Target-Instance", host);
+        writeHeader(out, "Brambletray-Target-Instance", HeaderText.encode(host));
         writeHeader(out, "Brambletray-Deadline-Remaining", Long.toString(Math.max(1, remainingMs)));
         if (clientRequest.hasBody()) {
             writeHeader(
--- a/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
+++ b/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
@@ -4,6 +4,7 @@
 import brambletray.platform.configuration.KeyDigest;
 import brambletray.platform.configuration.Route;
 import brambletray.platform.configuration.Tenant;
+import brambletray.platform.http.HeaderText;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 
@@ -29,7 +30,7 @@
             boolean accepted = route.isPublic() || configuration.tenants().isEmpty();
             return new TenantAuthentication(accepted, null, credential);
         }
-        headers.set(ClientRequest.TENANT, tenant.name());
+        headers.set(ClientRequest.TENANT, HeaderText.encode(tenant.name()));
         return new TenantAuthentication(true, tenant, credential);
     }
 
--- a/src/test/java/brambletray/ArchitectureTest.java
+++ b/src/test/java/brambletray/ArchitectureTest.java
@@ -75,6 +75,7 @@
     /** The planes of the system, from the bottom up. */
     private static final List<String> PLANES = List.of(
             "errors",
+            "http",
             "logging",
             "settings",
             "configuration",
--- a/src/test/java/brambletray/platform/configuration/TenantConfigurationTest.java
+++ b/src/test/java/brambletray/platform/configuration/TenantConfigurationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -111,4 +112,20 @@
         assertNull(received.tenantForKey("k9"));
         assertEquals(3, received.tenantForKey("k4").ratePerS());
     }
+
+    /** Guards against UNASKED: a name that is the encoded form of another one would be told for both. */
+    @Test
+    void namesThatInstancesCouldNotTellApartAreRejected() {
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        byte[] alike = body(1, "{'name':'a\\r','api-keys':['k1']},{'name':'a%0D','api-keys':['k2']}");
+        ChangeDecision.Invalid invalid =
+                assertInstanceOf(ChangeDecision.Invalid.class, stateMachine.evaluate(ChangeKind.REPLACE, 0, alike));
+        assertEquals("configuration.same-header", invalid.error().code());
+        byte[] apart = body(1, "{'name':'a\\r','api-keys':['k1']},{'name':'a%250D','api-keys':['k2']}");
+        assertInstanceOf(ChangeDecision.Proposable.class, stateMachine.evaluate(ChangeKind.REPLACE, 0, apart));
+        assertInstanceOf(
+                ChangeDecision.Applied.class,
+                stateMachine.apply(new ConfigurationChange(ChangeKind.REPLACE, 0, alike).encode()),
+                "committed by an earlier version");
+    }
 }
--- a/src/test/java/brambletray/platform/proxy/TenantRequestsTest.java
+++ b/src/test/java/brambletray/platform/proxy/TenantRequestsTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,8 +23,13 @@
 
     /** Configures a route for tenants, a public route, and one tenant with this key. */
     private void configure(String key, String type) {
-        proxy.configuration(("{'revision':1,'routes':[" + route("r", type, false) + ',' + route("p", type, true) + "],"
-                        + "'tenants':[{'name':'acme','api-keys':['" + key + "'],'priority':1}],"
+        configure("{'name':'acme','api-keys':['" + key + "'],'priority':1}", type, 1);
+    }
+
+    private void configure(String tenants, String type, long revision) {
+        proxy.configuration(("{'revision':" + revision + ",'routes':[" + route("r", type, false) + ','
+                        + route("p", type, true) + "],"
+                        + "'tenants':[" + tenants + "],"
                         + "'services':[{'name':'s','health-path':null,'max-connections':8,'protocol':'h1',"
                         + "'tls-mode':false,'memory-mb':128,'boot-ms':500,'max-concurrency':4}],"
                         + "'limits':{'max-header-bytes':2048,'max-body-bytes':10000,'header-timeout-ms':3000,"
@@ -118,4 +125,70 @@
         proxy.operations.look();
         proxy.assertNothingLeft();
     }
+
+    private static String wire(String text) {
+        return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Sends a request with this key, which must run, and returns the tenant name that the host was told. */
+    private String toldName(int number, String key) {
+        grantSlot();
+        sendRequest("r", "r" + number, "Brambletray-Credential: " + key + "\r\n");
+        assertEquals(List.of("reads r" + number), host.look());
+        host.act(("answers r" + number).split(" "));
+        proxy.settle();
+        assertEquals(List.of("200 a:r" + number), client.look());
+        return forwardedHeader("brambletray-tenant-name");
+    }
+
+    /** Guards against UNASKED: names beyond ISO-8859-1 reached hosts with '?' for characters (review/6). */
+    @Test
+    void namesBeyondAsciiAreToldAsUtf8() {
+        List<String> names = List.of("Cần Thơ", "Cẩn Thơ", "Sóc Trăng", "é", "\ud83d\ude00", "50%");
+        List<String> tenants = new ArrayList<>();
+        for (int i = 0; i < names.size(); i++) {
+            tenants.add("{'name':'" + names.get(i) + "','api-keys':['k" + i + "']}");
+        }
+        configure(String.join(",", tenants), "idempotent", 2);
+        for (int i = 0; i < names.size(); i++) {
+            assertEquals(wire(names.get(i)), toldName(i, "k" + i));
+        }
+    }
+
+    /** Guards against UNASKED and closed connections: names that no header can carry. */
+    @Test
+    void namesWithControlCharactersOrOuterBlanksAreEncoded() {
+        configure(
+                "{'name':'a\\r\\nX-Forged: 1','api-keys':['k1']},{'name':' acme','api-keys':['k2']},"
+                        + "{'name':'acme\\t','api-keys':['k3']},{'name':'acme','api-keys':['k4']}",
+                "idempotent",
+                2);
+        assertEquals("a%0D%0AX-Forged:%201", toldName(1, "k1"));
+        assertEquals("", forwardedHeader("x-forged"));
+        assertEquals("%20acme", toldName(2, "k2"));
+        assertEquals("acme%09", toldName(3, "k3"));
+        assertEquals("acme", toldName(4, "k4"));
+    }
+
+    /** Bytes beyond ASCII of a client's own headers and path are passed on unchanged. */
+    @Test
+    void bytesOfOtherHeadersAreUnchanged() {
+        grantSlot();
+        StringBuilder bytes = new StringBuilder("x");
+        for (char c = 0x80; c <= 0xff; c++) {
+            bytes.append(c);
+        }
+        sendRequest("r", "r1", "Brambletray-Credential: k1\r\nX-Bytes: " + bytes + "\r\n");
+        assertEquals(bytes.toString(), forwardedHeader("x-bytes"));
+        host.act("answers r1".split(" "));
+        proxy.settle();
+        assertEquals(List.of("200 a:r1"), client.look());
+        grantSlot();
+        client.send("GET /r/" + wire("Cần") + "?q=" + wire("é") + " HTTP/1.1\r\nHost: h.example\r\n"
+                + "Brambletray-Credential: k1\r\nBrambletray-Attempt-Id: r2\r\n\r\n");
+        proxy.settle();
+        assertEquals(
+                "GET /r/" + wire("Cần") + "?q=" + wire("é") + " HTTP/1.1",
+                host.lastRequest.split("\r\n")[0]);
+    }
 }
