DENIED: tenants' keys beyond ASCII are accepted

Callers saw: 401 for each request with a key such as "Cần", which the configuration has.

White space at the ends is what the decoder has trimmed, no more.

Measured: keysBeyondAsciiAreAccepted failed before (401), passes now.

--- a/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
+++ b/src/main/java/brambletray/platform/proxy/TenantAuthentication.java
@@ -24,7 +24,7 @@
         List<String> keys = headers.getAll(ClientRequest.CREDENTIAL);
         headers.remove(ClientRequest.CREDENTIAL);
         headers.remove(ClientRequest.TENANT);
-        KeyDigest credential = keys.size() == 1 ? KeyDigest.of(keys.get(0).strip()) : null;
+        KeyDigest credential = keys.size() == 1 ? KeyDigest.of(HeaderText.decode(keys.get(0))) : null;
         Tenant tenant = credential == null ? null : configuration.tenantForKey(credential);
         if (tenant == null) {
             boolean accepted = route.isPublic() || configuration.tenants().isEmpty();
--- a/src/test/java/brambletray/platform/proxy/TenantRequestsTest.java
+++ b/src/test/java/brambletray/platform/proxy/TenantRequestsTest.java
@@ -170,6 +170,20 @@
         assertEquals("acme", toldName(4, "k4"));
     }
 
+    /** Guards against DENIED: keys beyond ASCII got 401, as they were compared as ISO-8859-1. */
+    @Test
+    void keysBeyondAsciiAreAccepted() {
+        configure(
+                "{'name':'t1','api-keys':['Cần']},{'name':'t2','api-keys':['é']},{'name':'t3','api-keys':['k%20']}",
+                "idempotent", 2);
+        assertEquals("t1", toldName(1, wire("Cần")));
+        assertEquals("t2", toldName(2, wire("é")));
+        assertEquals("t2", toldName(3, "é"), "as ISO-8859-1");
+        assertEquals("t3", toldName(4, " \t k%20 \t "));
+        sendRequest("r", "r5", "Brambletray-Credential: " + wire("Cẩn") + "\r\n");
+        assertEquals(List.of("401"), client.look());
+    }
+
     /** Bytes beyond ASCII of a client's own headers and path are passed on unchanged. */
     @Test
     void bytesOfOtherHeadersAreUnchanged() {
