Duty holders' names beyond ASCII are sent to the platform as UTF-8

Change: PlatformClient passes the holder's name by HeaderText, like the tenants' names.

Measured: holderNamesBeyondAsciiAreSentAsUtf8 passes; without the change it fails.

--- a/src/main/java/brambletray/platform/provisioning/PlatformClient.java
+++ b/src/main/java/brambletray/platform/provisioning/PlatformClient.java
@@ -1,6 +1,7 @@
 package brambletray.platform.provisioning;
 
 import brambletray.common.runtime.Machine;
+import brambletray.platform.http.HeaderText;
 import brambletray.platform.logging.EventLog;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
@@ -55,7 +56,10 @@
         this.machine = machine;
         this.httpClient = new PlatformHttpClient(machine, address);
         this.headers = new String[] {
-            "Brambletray-Duty-Holder", name.holder(), "Brambletray-Fence-Token", Long.toString(name.fencingToken())
+            "Brambletray-Duty-Holder",
+            HeaderText.encode(name.holder()),
+            "Brambletray-Fence-Token",
+            Long.toString(name.fencingToken())
         };
         this.mayAct = mayAct;
         this.listsPerMs = perS * 0.9 / 1000;
--- a/src/test/java/brambletray/platform/provisioning/PlatformClientTest.java
+++ b/src/test/java/brambletray/platform/provisioning/PlatformClientTest.java
@@ -6,6 +6,7 @@
 
 import brambletray.common.runtime.Machine;
 import brambletray.common.simulation.Simulation;
+import brambletray.platform.http.HeaderText;
 import brambletray.platform.platformstub.PlatformParameters;
 import brambletray.platform.platformstub.PlatformStub;
 import brambletray.platform.platformstub.PlatformStubServer;
@@ -37,6 +38,8 @@
     private boolean mayAct = true;
     /** Calls that {@link #serve} has read. */
     private int callsRead;
+    /** Header of the latest one. */
+    private String dutyHolder;
 
     private final Simulation simulation = new Simulation(11, 1_900_000_000_000L);
     private final InetAddress there = address(1);
@@ -182,6 +185,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             callsRead++;
+            dutyHolder = request.headers().get("Brambletray-Duty-Holder");
             if (left-- == 0) {
                 context.close();
                 return;
@@ -260,6 +264,22 @@
         assertEquals(List.of(CallResult.OK, CallResult.OK, CallResult.OK), results);
     }
 
+    /** Guards the fence: holders whose names differ beyond ASCII only were one holder to the platform. */
+    @Test
+    void holderNamesBeyondAsciiAreSentAsUtf8() {
+        InetSocketAddress address = new InetSocketAddress(there, 8242);
+        serve(address, 9, 0);
+        List<String> seen = new ArrayList<>();
+        for (String name : List.of("Cần", "Cẩn", "core-1\r\nX: 1")) {
+            new PlatformClient(near, address, new PlatformClient.CallerIdentity(name, 7), 10, () -> mayAct)
+                    .stop("i-1", result -> seen.add(dutyHolder));
+            pass(50);
+        }
+        assertEquals(
+                List.of("Cần", "Cẩn", "core-1%0D%0AX:%201"),
+                seen.stream().map(HeaderText::decode).toList());
+    }
+
     @Test
     void nobodyThereIsUnknownAtOnce() {
         front.close();
