--- a/src/main/java/brambletray/platform/configuration/ClientLimits.java
+++ b/src/main/java/brambletray/platform/configuration/ClientLimits.java
@@ -12,6 +12,15 @@
     /** The limits of a configuration that specifies none. */
     static final ClientLimits DEFAULTS = new ClientLimits(16_384, 262_144, 3_000, 15_000);
 
+    /** The larger of both, limit by limit. */
+    public ClientLimits max(ClientLimits other) {
+        return new ClientLimits(
+                Math.max(maxHeaderBytes, other.maxHeaderBytes),
+                Math.max(maxBodyBytes, other.maxBodyBytes),
+                Math.max(headerTimeoutMs, other.headerTimeoutMs),
+                Math.max(idleTimeoutMs, other.idleTimeoutMs));
+    }
+
     static ClientLimits from(JsonFields in) {
         return new ClientLimits(
                 in.intOrDefault("max-header-bytes", 1, DEFAULTS.maxHeaderBytes),
--- a/src/main/java/brambletray/platform/proxy/ClientConnection.java
+++ b/src/main/java/brambletray/platform/proxy/ClientConnection.java
@@ -35,8 +35,12 @@
     }
 
     private final FrontEndServer server;
-    /** The limits in force when the latest request began: a later configuration change does not end that request. */
+    /** The limits in force when the latest request that was taken up began to arrive, see {@link #allowed}. */
     private ClientLimits limits;
+    /** The limits in force when the latest request began to arrive, which may still be queued. */
+    private ClientLimits arrivingLimits;
+    /** Whether a head has begun to arrive and is incomplete. */
+    private boolean headArriving;
 
     private final RequestReader requestReader;
     /** Parts read while the previous request was in progress. */
@@ -56,9 +60,10 @@
     private boolean closeAfterResponse;
     private boolean processingPipelined;
 
-    ClientConnection(FrontEndServer server, ClientLimits limits) {
+    ClientConnection(FrontEndServer server) {
         this.server = server;
-        this.limits = limits;
+        this.limits = server.requestRouter().limits();
+        this.arrivingLimits = limits;
         this.requestReader = new RequestReader(server.memoryBudget());
         this.pipelined = new PipelinedInput(server.memoryBudget());
         this.bodyTimer = new LoopTimer(server.machine(), () -> timeOutIfDue(state == State.BODY));
@@ -85,16 +90,36 @@
         }
     }
 
+    @Override
+    public void onRequestBegins() {
+        arrivingLimits = server.requestRouter().limits();
+        headArriving = true;
+    }
+
+    @Override
+    public int maxHeaderBytes() {
+        return allowed(arrivingLimits).maxHeaderBytes();
+    }
+
+    /**
+     * The limits for a request that began to arrive under these: a client may assume those or newer ones, so the larger
+     * ones apply, and a later change of the configuration does not end the request.
+     */
+    private ClientLimits allowed(ClientLimits beganUnder) {
+        return beganUnder.max(server.requestRouter().limits());
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object part) {
+        headArriving &= !(part instanceof HttpRequest);
         if (state == State.CLOSING) {
             ReferenceCountUtil.release(part);
         } else if (state == State.BUSY || !pipelined.isEmpty()) {
             // One request at a time: later requests are queued.
-            pipelined.add(part, server.now());
+            pipelined.add(part, server.now(), arrivingLimits);
             pauseReadingIfFull();
         } else {
-            onPart(part, server.now());
+            onPart(part, server.now(), arrivingLimits);
         }
     }
 
@@ -105,13 +130,14 @@
         }
     }
 
-    private void onPart(Object part, long readAtMs) {
+    private void onPart(Object part, long readAtMs, ClientLimits beganUnder) {
         try {
             Rejection rejection =
                     part instanceof HttpObject object && object.decoderResult().isFailure()
                             ? Rejection.of(object.decoderResult().cause())
                             : null;
             if (rejection == null && part instanceof HttpRequest request) {
+                limits = beganUnder;
                 rejection = onHead(request, readAtMs);
             }
             if (rejection == null && part instanceof HttpContent content) {
@@ -128,7 +154,7 @@
     private Rejection onHead(HttpRequest request, long readAtMs) {
         enterState(State.BODY);
         closeAfterResponse = !HttpUtil.isKeepAlive(request);
-        Rejection rejection = requestReader.onHead(request, readAtMs, limits);
+        Rejection rejection = requestReader.onHead(request, readAtMs, allowed(limits));
         if (rejection == null && HttpUtil.is100ContinueExpected(request)) {
             writer.writeContinue();
         }
@@ -136,7 +162,7 @@
     }
 
     private Rejection onContent(HttpContent content) {
-        Rejection rejection = requestReader.onBody(content);
+        Rejection rejection = requestReader.onBody(content, allowed(limits).maxBodyBytes());
         if (rejection == null && content instanceof LastHttpContent) {
             ClientRequest clientRequest = requestReader.takeRequest();
             enterState(State.BUSY);
@@ -229,9 +255,10 @@
             while (!pipelined.isEmpty() && state != State.BUSY && state != State.CLOSING) {
                 onBytes();
                 PipelinedInput.Part next = pipelined.poll();
-                onPart(next.part(), next.readAtMs());
+                onPart(next.part(), next.readAtMs(), next.limits());
             }
             processingPipelined = false;
+            awaitRestOfHead();
         }
         if (!pipelined.isFull() && state != State.CLOSING) {
             channel.config().setAutoRead(true);
@@ -239,6 +266,14 @@
         startBodyTimeout();
     }
 
+    /** A head that began to arrive while the connection was busy has the time of a head from now on. */
+    private void awaitRestOfHead() {
+        if (state == State.IDLE && headArriving) {
+            limits = arrivingLimits;
+            enterState(State.HEAD);
+        }
+    }
+
     /** The response has been written to the socket: the idle time starts now. */
     private void onWritten() {
         if (state == State.IDLE || state == State.CLOSING) {
@@ -267,20 +302,16 @@
     /** Applies the timeouts that have expired. */
     void checkTimeouts(long now) {
         long spent = now - stateSinceMs;
+        ClientLimits current = allowed(limits);
         switch (state) {
-            case IDLE -> closeIfDue(spent >= (writer.isWriting() ? MAX_WRITE_MS : idleMs()));
-            case HEAD -> timeOutIfDue(spent >= limits.headerTimeoutMs());
-            case BODY -> timeOutIfDue(spent >= limits.idleTimeoutMs());
+            case IDLE -> closeIfDue(spent >= (writer.isWriting() ? MAX_WRITE_MS : current.idleTimeoutMs()));
+            case HEAD -> timeOutIfDue(spent >= current.headerTimeoutMs());
+            case BODY -> timeOutIfDue(spent >= current.idleTimeoutMs());
             case CLOSING -> closeIfDue(spent >= (writer.isWriting() ? MAX_WRITE_MS : LINGER_MS));
             default -> {}
         }
     }
 
-    /** A client may assume the timeout in force at its last request or a newer one, so the longer one applies. */
-    private int idleMs() {
-        return Math.max(limits.idleTimeoutMs(), server.requestRouter().limits().idleTimeoutMs());
-    }
-
     private void closeIfDue(boolean due) {
         if (due) {
             channel.close();
--- a/src/main/java/brambletray/platform/proxy/FrontEndServer.java
+++ b/src/main/java/brambletray/platform/proxy/FrontEndServer.java
@@ -1,7 +1,6 @@
 package brambletray.platform.proxy;
 
 import brambletray.common.runtime.Machine;
-import brambletray.platform.configuration.ClientLimits;
 import brambletray.platform.settings.Address;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -43,9 +42,8 @@
         ChannelFuture bound = machine.listening(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ClientLimits limits = requestRouter.limits();
-                        ClientConnection client = new ClientConnection(FrontEndServer.this, limits);
-                        channel.pipeline().addLast(new RequestDecoder(client, limits.maxHeaderBytes()), client);
+                        ClientConnection client = new ClientConnection(FrontEndServer.this);
+                        channel.pipeline().addLast(new RequestDecoder(client), client);
                     }
                 })
                 .bind(new InetSocketAddress(at.host(), at.port()));
--- a/src/main/java/brambletray/platform/proxy/PipelinedInput.java
+++ b/src/main/java/brambletray/platform/proxy/PipelinedInput.java
@@ -1,5 +1,6 @@
 package brambletray.platform.proxy;
 
+import brambletray.platform.configuration.ClientLimits;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
@@ -20,10 +21,11 @@
      * Part of a request.
      *
      * @param readAtMs when it was read, ms of the monotonic clock
+     * @param limits those in force when its request began to arrive
      * @param bytes its size in memory, about
      * @param isReserved whether the memory budget accounts for it
      */
-    record Part(Object part, long readAtMs, int bytes, boolean isReserved) {}
+    record Part(Object part, long readAtMs, ClientLimits limits, int bytes, boolean isReserved) {}
 
     private final MemoryBudget memoryBudget;
     private final ArrayDeque<Part> parts = new ArrayDeque<>(0);
@@ -35,10 +37,10 @@
     }
 
     /** Takes ownership of the part. */
-    void add(Object part, long readAtMs) {
+    void add(Object part, long readAtMs, ClientLimits limits) {
         int size = size(part);
         boolean isReserved = memoryBudget.tryReserve(size);
-        parts.add(new Part(part, readAtMs, size, isReserved));
+        parts.add(new Part(part, readAtMs, limits, size, isReserved));
         bytes += size;
         unreservedParts += isReserved ? 0 : 1;
     }
--- a/src/main/java/brambletray/platform/proxy/RequestReader.java
+++ b/src/main/java/brambletray/platform/proxy/RequestReader.java
@@ -14,9 +14,6 @@
 /** Collects the request that is being read on one connection: its head and the body parts received so far. */
 final class RequestReader {
     private final MemoryBudget memoryBudget;
-    /** Limits in force when the request began. */
-    private ClientLimits limits;
-
     private final List<ByteBuf> bodyParts = new ArrayList<>(1);
     private HttpRequest head;
     private long receivedAtMs;
@@ -27,9 +24,8 @@
     }
 
     /** Returns the reason to reject the request, or null to continue. */
-    Rejection onHead(HttpRequest request, long now, ClientLimits currentLimits) {
+    Rejection onHead(HttpRequest request, long now, ClientLimits limits) {
         head = request;
-        limits = currentLimits;
         receivedAtMs = now;
         return Rejection.of(request, limits);
     }
@@ -44,12 +40,12 @@
     }
 
     /** Returns the reason to reject the request, or null to continue. */
-    Rejection onBody(HttpContent content) {
+    Rejection onBody(HttpContent content, int maxBodyBytes) {
         int n = content.content().readableBytes();
         if (n == 0) {
             return null;
         }
-        if (bodyBytes + n > limits.maxBodyBytes()) {
+        if (bodyBytes + n > maxBodyBytes) {
             return Rejection.TOO_LARGE;
         }
         if (!memoryBudget.tryReserve(n)) {
--- a/src/test/java/brambletray/platform/proxy/PlantedOperationFaultsTest.java
+++ b/src/test/java/brambletray/platform/proxy/PlantedOperationFaultsTest.java
@@ -105,8 +105,8 @@
                         "        headers.remove(ClientRequest.TENANT);\n",
                         "",
                         "TenantAuthentication",
-                        "        headers.set(ClientRequest.TENANT, tenant.name());",
-                        "        headers.add(ClientRequest.TENANT, tenant.name());"),
+                        "        headers.set(ClientRequest.TENANT, HeaderText.encode(tenant.name()));",
+                        "        headers.add(ClientRequest.TENANT, HeaderText.encode(tenant.name()));"),
                 fault(
                         "a tenant's key reaches the instance",
                         TenantRequestsTest.class,
--- a/src/test/java/brambletray/platform/proxy/RequestDecoderTest.java
+++ b/src/test/java/brambletray/platform/proxy/RequestDecoderTest.java
@@ -29,9 +29,34 @@
             + "5\r\n\n \n\tx\r\n3\r\n\r\n \r\n0\r\n\r\n";
     private static final String FOLDED = "GET /d HTTP/1.1\r\nHost: h\r\nX: 1\r\n\tfolded\r\n\r\n";
 
+    private static final int MAX_HEADER_BYTES = 64;
+
+    /** A limit that may change, and the number of requests that have begun. */
+    private static final class Limit implements RequestDecoder.Listener {
+        int maxHeaderBytes;
+        int begun;
+
+        Limit(int maxHeaderBytes) {
+            this.maxHeaderBytes = maxHeaderBytes;
+        }
+
+        @Override
+        public void onBytes() {}
+
+        @Override
+        public void onRequestBegins() {
+            begun++;
+        }
+
+        @Override
+        public int maxHeaderBytes() {
+            return maxHeaderBytes;
+        }
+    }
+
     /** The requests that the decoder makes of these pieces, as text; {@code malformed} for a failure. */
     private static List<String> decode(List<String> pieces) {
-        EmbeddedChannel channel = new EmbeddedChannel(new RequestDecoder(() -> {}, 8_192));
+        EmbeddedChannel channel = new EmbeddedChannel(new RequestDecoder(new Limit(MAX_HEADER_BYTES)));
         List<String> requests = new ArrayList<>();
         StringBuilder request = new StringBuilder();
         for (String piece : pieces) {
@@ -143,4 +168,77 @@
         assertSplitsChangeNothing(head);
         assertSplitsChangeNothing(GET + head + POST);
     }
+
+    private static String getWithPath(int length) {
+        return "GET /" + "p".repeat(length - "GET / HTTP/1.1".length()) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    private static String getWithHeaders(int length) {
+        return "GET / HTTP/1.1\r\nHost: h\r\nX: " + "x".repeat(length - "Host: hX: ".length()) + "\r\n\r\n";
+    }
+
+    /** The request line, and the headers, may be as long as the limit, without the ends of lines, in each split. */
+    @Test
+    void headsUpToTheLimitAreAccepted() {
+        for (String exact : List.of(getWithPath(MAX_HEADER_BYTES), getWithHeaders(MAX_HEADER_BYTES))) {
+            assertFalse(decode(List.of(GET + exact + POST)).contains("malformed"), exact);
+            assertSplitsChangeNothing(GET + exact + POST);
+        }
+        for (String longer : List.of(getWithPath(MAX_HEADER_BYTES + 1), getWithHeaders(MAX_HEADER_BYTES + 1))) {
+            assertEquals(List.of(get("/b?q=1"), "malformed"), decode(List.of(GET + longer + POST)));
+            assertSplitsChangeNothing(GET + longer + POST);
+        }
+    }
+
+    /** A head that has no end is rejected as soon as it exceeds the limit. */
+    @ParameterizedTest
+    @ValueSource(strings = {"GET /", "GET / HTTP/1.1\r\nX: ", "GET / HTTP/1.1\r\n"})
+    void endlessHeadIsRejected(String start) {
+        assertEquals(List.of("malformed"), decode(List.of(start, "x".repeat(MAX_HEADER_BYTES + 1))));
+        String headers = "x: y\r\n".repeat(1 + MAX_HEADER_BYTES / 4);
+        assertEquals(List.of("malformed"), decode(List.of("GET / HTTP/1.1\r\n", headers)));
+    }
+
+    /** Guards against OutOfMemoryError: lines with sizes of chunks, and trailers, are limited too. */
+    @Test
+    void endlessFramingIsRejected() {
+        String head = "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (String endless :
+                List.of("5;" + "x".repeat(400), "0\r\n" + "t: x\r\n".repeat(60), "0\r\nt: " + "x".repeat(400))) {
+            assertEquals(List.of("malformed"), decode(List.of(head + "1\r\na\r\n" + endless)));
+            assertEquals(List.of("malformed"), decode(inPieces(head + "1\r\na\r\n" + endless, 1)));
+        }
+    }
+
+    /** Content of any length is no framing. */
+    @Test
+    void largeChunksAreAccepted() {
+        String body = "b".repeat(100_000);
+        String stream = "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n186A0;x=y\r\n" + body
+                + "\r\n186a0\r\n" + body + "\r\n0\r\nt: x\r\n\r\n" + GET;
+        List<String> whole = decode(List.of(stream));
+        assertEquals(2, whole.size());
+        assertTrue(whole.get(0).endsWith("a" + body + body));
+        for (int bytes : List.of(1, 2, 1_448, 65_536)) {
+            assertEquals(whole, decode(inPieces(stream, bytes)));
+        }
+    }
+
+    /** Guards against CONFIG: an open connection kept the limit of when it was opened (review/8). */
+    @Test
+    void theLimitOfTheMomentApplies() {
+        Limit limit = new Limit(MAX_HEADER_BYTES);
+        EmbeddedChannel channel = new EmbeddedChannel(new RequestDecoder(limit));
+        limit.maxHeaderBytes = 2 * MAX_HEADER_BYTES;
+        channel.writeInbound(Unpooled.copiedBuffer(getWithHeaders(2 * MAX_HEADER_BYTES), StandardCharsets.US_ASCII));
+        assertTrue(((HttpObject) channel.readInbound()).decoderResult().isSuccess());
+        assertEquals(1, limit.begun);
+        limit.maxHeaderBytes = MAX_HEADER_BYTES;
+        ReferenceCountUtil.release(channel.readInbound());
+        channel.writeInbound(
+                Unpooled.copiedBuffer("\r\n" + getWithPath(MAX_HEADER_BYTES + 1), StandardCharsets.US_ASCII));
+        assertTrue(((HttpObject) channel.readInbound()).decoderResult().isFailure());
+        assertEquals(2, limit.begun);
+        channel.finishAndReleaseAll();
+    }
 }
